Lay the foundations: clock, results, errors, events, HTTP

Everything later hands in a clock in milliseconds, answers with a numbered result code and speaks HTTP through h11 on trio. The HTTP client tells a request that never left from one that may have: that difference decides what may be sent again.

Ruled out: httpx and hypercorn, which hide whether a byte has left. Conclusion: base for the thin whole path.

--- /dev/null
+++ b/trefoilhook/clock/__init__.py
@@ -0,0 +1,6 @@
+"""Time for the whole system, in milliseconds."""
+
+from trefoilhook.clock.core import Clock, build_manual_clock, build_system_clock
+from trefoilhook.clock.manual import ManualTime
+
+__all__ = ["Clock", "ManualTime", "build_manual_clock", "build_system_clock"]
--- /dev/null
+++ b/trefoilhook/exceptions.py
@@ -0,0 +1,100 @@
+"""The exception tree: every error that the system raises on purpose."""
+
+from trefoilhook.results import ResultCode
+
+__all__ = [
+    "AnswerLostError",
+    "ConflictError",
+    "FencedError",
+    "LeaseLostError",
+    "NotSentError",
+    "OutcomeError",
+    "RequestError",
+    "SettingsError",
+    "StoreError",
+    "StoreRateError",
+    "StoreUnavailableError",
+    "TransportError",
+    "TrefoilhookError",
+]
+
+
+class TrefoilhookError(Exception):
+    """Base of every error raised on purpose.
+
+    Parameters
+    ----------
+    message : str
+        What happened, for people.
+    code : ResultCode, optional
+        Code that an answer caused by this error carries.
+    """
+
+    code: ResultCode = ResultCode.INTERNAL
+
+    def __init__(self, message: str, *, code: ResultCode | None = None) -> None:
+        super().__init__(message)
+        if code is not None:
+            self.code = code
+
+
+class RequestError(TrefoilhookError):
+    """A request is refused; it was not run."""
+
+    code = ResultCode.BAD_REQUEST
+
+
+class OutcomeError(TrefoilhookError):
+    """A request ended with a code other than success."""
+
+
+class SettingsError(TrefoilhookError):
+    """A setting is unknown, of the wrong type or impossible."""
+
+    code = ResultCode.INVALID_SETTING
+
+
+class TransportError(TrefoilhookError):
+    """A connection failed."""
+
+
+class NotSentError(TransportError):
+    """The exchange failed before any byte of the request can have left."""
+
+    code = ResultCode.OWNER_UNREACHABLE
+
+
+class AnswerLostError(TransportError):
+    """The exchange failed after a byte may have left: the effect is unknown."""
+
+    code = ResultCode.ANSWER_LOST
+
+
+class StoreError(TrefoilhookError):
+    """The platform's store did not do what it was asked."""
+
+    code = ResultCode.STORE_UNAVAILABLE
+
+
+class StoreUnavailableError(StoreError):
+    """The store can't be reached, or its answer was lost: the effect is unknown."""
+
+
+class StoreRateError(StoreError):
+    """The store refused the call because its rate is used up; nothing changed."""
+
+
+class ConflictError(StoreError):
+    """A compare-and-swap lost: the key is at another revision."""
+
+    code = ResultCode.CONFLICT
+
+
+class LeaseLostError(StoreError):
+    """A lease has lapsed or is unknown to the store."""
+
+
+class FencedError(TrefoilhookError):
+    """A command carries an epoch older than one already seen."""
+
+    code = ResultCode.NO_OWNER
--- /dev/null
+++ b/trefoilhook/http/__init__.py
@@ -0,0 +1,7 @@
+"""HTTP/1.1 on both sides: h11 for the protocol, trio for the sockets."""
+
+from trefoilhook.http.client import HttpClient
+from trefoilhook.http.core import HttpLimits, HttpRequest, HttpResponse
+from trefoilhook.http.server import HttpServer
+
+__all__ = ["HttpClient", "HttpLimits", "HttpRequest", "HttpResponse", "HttpServer"]
--- /dev/null
+++ b/trefoilhook/http/client.py
@@ -0,0 +1,224 @@
+"""An HTTP/1.1 client that tells what was sent from what was not.
+
+The difference decides whether a request may be sent again: a failure before the first
+byte left proves that the request was not run, any later one proves nothing.
+"""
+
+import math
+import ssl
+from collections import deque
+
+import attrs
+import h11
+import trio
+
+from trefoilhook.exceptions import AnswerLostError, NotSentError
+from trefoilhook.http.core import HttpRequest, HttpResponse
+
+__all__ = ["HttpClient"]
+
+_READ_BYTES = 65_536
+_MS_PER_S = 1000.0
+_PEEK = trio.socket.MSG_PEEK
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Connection:
+    stream: trio.abc.Stream
+    protocol: h11.Connection
+    socket: trio.socket.SocketType
+
+
+def _is_stale(connection: _Connection) -> bool:
+    """Tell whether an idle connection has been closed by the other end.
+
+    An idle connection has nothing to read unless it ended; peeking finds that without
+    sending, so that the request can still be proved not sent.
+    """
+    try:
+        connection.socket._sock.recv(1, _PEEK)  # type: ignore[attr-defined]
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
+class HttpClient:
+    """A pool of connections to one server.
+
+    Parameters
+    ----------
+    host : str
+        Address of the server, an IP number.
+    port : int
+        Port of the server.
+    max_connections : int, optional
+        Most connections open at once; further requests wait.
+    max_response_bytes : int, optional
+        Largest response body, in bytes.
+    tls : ssl.SSLContext, optional
+        Client context; without one the connections are plain TCP.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        port: int,
+        max_connections: int = 64,
+        max_response_bytes: int = 8_388_608,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._tls = tls
+        self._limiter = trio.CapacityLimiter(max_connections)
+        self._max_response_bytes = max_response_bytes
+        self._idle: deque[_Connection] = deque()
+
+    async def send(
+        self, request: HttpRequest, *, timeout_ms: float = math.inf
+    ) -> HttpResponse:
+        """Send a request and return its whole answer.
+
+        Parameters
+        ----------
+        request : HttpRequest
+            What to send.
+        timeout_ms : float, optional
+            Longest time for the whole exchange, in ms.
+
+        Raises
+        ------
+        NotSentError
+            If it failed or timed out before a byte may have left.
+        AnswerLostError
+            If it failed or timed out afterwards.
+        """
+        deadline = trio.current_time() + timeout_ms / _MS_PER_S
+        async with self._limit(deadline):
+            connection = await self._acquire(deadline)
+            keep = False
+            try:
+                response = await self._exchange(connection, request, deadline)
+                keep = connection.protocol.our_state is h11.DONE
+                keep = keep and connection.protocol.their_state is h11.DONE
+                return response
+            finally:
+                await self._release(connection, keep=keep)
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            await trio.aclose_forcefully(self._idle.pop().stream)
+
+    def _limit(self, deadline: float) -> "_Turn":
+        return _Turn(limiter=self._limiter, deadline=deadline)
+
+    async def _acquire(self, deadline: float) -> _Connection:
+        while self._idle:
+            connection = self._idle.pop()
+            if not _is_stale(connection):
+                return connection
+            await trio.aclose_forcefully(connection.stream)
+        try:
+            with trio.fail_at(deadline):
+                return await self._open()
+        except (OSError, trio.TooSlowError, trio.BrokenResourceError) as error:
+            raise NotSentError(f"no connection to {self._host}:{self._port}") from error
+
+    async def _open(self) -> _Connection:
+        raw = await trio.open_tcp_stream(self._host, self._port)
+        stream: trio.abc.Stream = raw
+        if self._tls is not None:
+            secure = trio.SSLStream(raw, self._tls, server_hostname=self._host)
+            await secure.do_handshake()
+            stream = secure
+        return _Connection(
+            stream=stream, protocol=h11.Connection(h11.CLIENT), socket=raw.socket
+        )
+
+    async def _release(self, connection: _Connection, *, keep: bool) -> None:
+        if keep:
+            connection.protocol.start_next_cycle()
+            self._idle.append(connection)
+            return
+        with trio.CancelScope(shield=True):
+            await trio.aclose_forcefully(connection.stream)
+
+    async def _exchange(
+        self, connection: _Connection, request: HttpRequest, deadline: float
+    ) -> HttpResponse:
+        try:
+            with trio.fail_at(deadline):
+                await connection.stream.send_all(self._encode(connection, request))
+                return await self._receive(connection)
+        except (
+            OSError,
+            trio.TooSlowError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            h11.RemoteProtocolError,
+        ) as error:
+            message = f"no whole answer from {self._host}:{self._port}"
+            raise AnswerLostError(message) from error
+
+    def _encode(self, connection: _Connection, request: HttpRequest) -> bytes:
+        headers = [("host", f"{self._host}:{self._port}"), *request.headers]
+        headers.append(("content-length", str(len(request.body))))
+        head = h11.Request(
+            method=request.method, target=request.target, headers=headers
+        )
+        data = connection.protocol.send(head)
+        data += connection.protocol.send(h11.Data(data=request.body))
+        data += connection.protocol.send(h11.EndOfMessage())
+        return data
+
+    async def _receive(self, connection: _Connection) -> HttpResponse:
+        protocol = connection.protocol
+        head: h11.Response | None = None
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                data = await connection.stream.receive_some(_READ_BYTES)
+                protocol.receive_data(bytes(data))
+            elif isinstance(event, h11.Response):
+                head = event
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > self._max_response_bytes:
+                    raise AnswerLostError("the response is too large")
+                chunks.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return HttpResponse(
+                    status=head.status_code,
+                    headers=tuple(
+                        (name.decode("latin-1"), value.decode("latin-1"))
+                        for name, value in head.headers
+                    ),
+                    body=b"".join(chunks),
+                )
+            elif isinstance(event, h11.ConnectionClosed):
+                raise AnswerLostError("the connection ended early")
+
+
+class _Turn:
+    """Holds one place among the client's connections."""
+
+    def __init__(self, *, limiter: trio.CapacityLimiter, deadline: float) -> None:
+        self._limiter = limiter
+        self._deadline = deadline
+        self._borrower = object()
+
+    async def __aenter__(self) -> None:
+        try:
+            with trio.fail_at(self._deadline):
+                await self._limiter.acquire_on_behalf_of(self._borrower)
+        except trio.TooSlowError as error:
+            raise NotSentError("every connection was busy") from error
+
+    async def __aexit__(self, *_: object) -> None:
+        self._limiter.release_on_behalf_of(self._borrower)
--- /dev/null
+++ b/trefoilhook/http/core.py
@@ -0,0 +1,126 @@
+"""Typed requests and responses, and the limits put on them."""
+
+import json
+from typing import Any
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import attrs
+
+__all__ = ["HttpLimits", "HttpRequest", "HttpResponse"]
+
+Headers = tuple[tuple[str, str], ...]
+
+
+@attrs.frozen(kw_only=True)
+class HttpLimits:
+    """Bounds that keep one sender from using up the process.
+
+    Parameters
+    ----------
+    max_header_bytes : int
+        Largest request line with headers, in bytes.
+    max_body_bytes : int
+        Largest body, in bytes.
+    max_connections : int
+        Most open connections; further ones wait in the listen queue.
+    idle_timeout_ms : float
+        Longest wait for the next request on an open connection, in ms.
+    receive_timeout_ms : float
+        Longest time for a whole request to arrive once begun, in ms.
+    """
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 1_048_576
+    max_connections: int = 2_000
+    idle_timeout_ms: float = 60_000.0
+    receive_timeout_ms: float = 10_000.0
+
+
+def _find_header(headers: Headers, name: str) -> str | None:
+    wanted = name.lower()
+    for key, value in headers:
+        if key.lower() == wanted:
+            return value
+    return None
+
+
+@attrs.frozen(kw_only=True)
+class HttpRequest:
+    """One whole request.
+
+    Parameters
+    ----------
+    method : str
+        Method, in capitals.
+    target : str
+        Request target, with its query.
+    headers : tuple of (str, str), optional
+        Header names and values.
+    body : bytes, optional
+        The whole body.
+    """
+
+    method: str
+    target: str
+    headers: Headers = ()
+    body: bytes = b""
+
+    @property
+    def path(self) -> str:
+        """Decoded path of the target."""
+        return unquote(urlsplit(self.target).path)
+
+    @property
+    def query(self) -> dict[str, str]:
+        """Query parameters; the last of a repeated name counts."""
+        return dict(parse_qsl(urlsplit(self.target).query))
+
+    def get_header(self, name: str) -> str | None:
+        """Return the first header called ``name``, whatever its case."""
+        return _find_header(self.headers, name)
+
+    def parse_json(self) -> Any:
+        """Return the body read as JSON.
+
+        Raises
+        ------
+        ValueError
+            If the body is not JSON in UTF-8.
+        """
+        return json.loads(self.body)
+
+
+@attrs.frozen(kw_only=True)
+class HttpResponse:
+    """One whole response.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    headers : tuple of (str, str), optional
+        Header names and values, without content-length.
+    body : bytes, optional
+        The whole body.
+    """
+
+    status: int
+    headers: Headers = ()
+    body: bytes = b""
+
+    @classmethod
+    def from_json(
+        cls, value: Any, *, status: int = 200, headers: Headers = ()
+    ) -> "HttpResponse":
+        """Build a response whose body is ``value`` as JSON."""
+        content_type = (("content-type", "application/json"),)
+        body = json.dumps(value, separators=(",", ":")).encode()
+        return cls(status=status, headers=content_type + headers, body=body)
+
+    def get_header(self, name: str) -> str | None:
+        """Return the first header called ``name``, whatever its case."""
+        return _find_header(self.headers, name)
+
+    def parse_json(self) -> Any:
+        """Return the body read as JSON."""
+        return json.loads(self.body)
--- /dev/null
+++ b/trefoilhook/http/server.py
@@ -0,0 +1,254 @@
+"""An HTTP/1.1 server over trio streams."""
+
+import ssl
+from collections.abc import Awaitable, Callable
+
+import h11
+import trio
+
+from trefoilhook.http.core import HttpLimits, HttpRequest, HttpResponse
+
+__all__ = ["HttpServer"]
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+_READ_BYTES = 65_536
+_MS_PER_S = 1000.0
+
+
+class _TooLargeError(Exception):
+    """The body is over its limit."""
+
+
+class HttpServer:
+    """A server that answers each request by calling a handler.
+
+    Parameters
+    ----------
+    handler : callable
+        Awaited once a request; its failure is answered with status 500.
+    host : str
+        Address to listen on, an IP number.
+    port : int
+        Port to listen on; 0 takes a free one.
+    limits : HttpLimits, optional
+        Bounds on what a client may send.
+    tls : ssl.SSLContext, optional
+        Server context; without one the listener speaks plain TCP.
+    """
+
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        host: str,
+        port: int,
+        limits: HttpLimits | None = None,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._handler = handler
+        self._host = host
+        self._port = port
+        self._limits = limits or HttpLimits()
+        self._tls = tls
+        self._slots = trio.CapacityLimiter(self._limits.max_connections)
+        self._idle_scopes: set[trio.CancelScope] = set()
+        self._draining = False
+        self._busy = 0
+        self._listen_scope = trio.CancelScope()
+        self._closed = trio.Event()
+        self.port = port
+
+    @property
+    def busy(self) -> int:
+        """Number of requests being handled."""
+        return self._busy
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled or drained; reports the port once it listens."""
+        listeners = await trio.open_tcp_listeners(self._port, host=self._host)
+        self.port = listeners[0].socket.getsockname()[1]
+        try:
+            async with trio.open_nursery() as connections:
+                with self._listen_scope:
+                    await trio.serve_listeners(
+                        self._serve_connection,
+                        listeners,
+                        handler_nursery=connections,
+                        task_status=_PortStatus(task_status, self.port),
+                    )
+        finally:
+            self._closed.set()
+
+    async def drain(self, *, grace_ms: float) -> None:
+        """Stop accepting, answer what is in progress, then return.
+
+        Parameters
+        ----------
+        grace_ms : float
+            How long idle connections stay open, in ms. A request that a client sent
+            on one while it was being closed would be cut off; within the grace it is
+            still answered, with ``Connection: close``.
+        """
+        self._draining = True
+        self._listen_scope.cancel()
+        with trio.move_on_after(grace_ms / _MS_PER_S):
+            await self._closed.wait()
+            return
+        for scope in list(self._idle_scopes):
+            scope.cancel()
+        await self._closed.wait()
+
+    async def _serve_connection(self, raw: trio.SocketStream) -> None:
+        async with self._slots:
+            stream: trio.abc.Stream = raw
+            if self._tls is not None:
+                stream = trio.SSLStream(raw, self._tls, server_side=True)
+            connection = h11.Connection(
+                h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
+            )
+            try:
+                await self._serve_requests(stream, connection)
+            except (trio.BrokenResourceError, trio.ClosedResourceError, ssl.SSLError):
+                pass
+            finally:
+                with trio.move_on_after(1) as scope:
+                    scope.shield = True
+                    await trio.aclose_forcefully(stream)
+
+    async def _serve_requests(
+        self, stream: trio.abc.Stream, connection: h11.Connection
+    ) -> None:
+        while True:
+            try:
+                request = await self._receive_request(stream, connection)
+            except h11.RemoteProtocolError as error:
+                await self._refuse(stream, connection, error.error_status_hint or 400)
+                return
+            except _TooLargeError:
+                await self._refuse(stream, connection, 413)
+                return
+            except trio.TooSlowError:
+                await self._refuse(stream, connection, 408)
+                return
+            if request is None:
+                return
+            self._busy += 1
+            try:
+                response = await self._handler(request)
+                await self._send_response(stream, connection, response)
+            finally:
+                self._busy -= 1
+            if connection.our_state is h11.MUST_CLOSE:
+                return
+            if connection.our_state is not h11.DONE:
+                return
+            connection.start_next_cycle()
+
+    async def _receive_request(
+        self, stream: trio.abc.Stream, connection: h11.Connection
+    ) -> HttpRequest | None:
+        """Read one request; None when the client is gone or idle too long.
+
+        Raises
+        ------
+        trio.TooSlowError
+            If a request that began does not arrive whole in time: a slow sender
+            would otherwise hold its connection for good.
+        """
+        event = connection.next_event()
+        if event is h11.NEED_DATA and not connection.trailing_data[0]:
+            if not await self._wait_for_data(stream, connection):
+                return None
+            event = connection.next_event()
+        with trio.fail_after(self._limits.receive_timeout_ms / _MS_PER_S):
+            while event is h11.NEED_DATA:
+                connection.receive_data(bytes(await stream.receive_some(_READ_BYTES)))
+                event = connection.next_event()
+            if not isinstance(event, h11.Request):
+                return None
+            body = await self._receive_body(stream, connection)
+        return HttpRequest(
+            method=event.method.decode("ascii"),
+            target=event.target.decode("ascii"),
+            headers=tuple(
+                (name.decode("latin-1"), value.decode("latin-1"))
+                for name, value in event.headers
+            ),
+            body=body,
+        )
+
+    async def _wait_for_data(
+        self, stream: trio.abc.Stream, connection: h11.Connection
+    ) -> bool:
+        with trio.move_on_after(self._limits.idle_timeout_ms / _MS_PER_S) as scope:
+            self._idle_scopes.add(scope)
+            try:
+                data = await stream.receive_some(_READ_BYTES)
+            finally:
+                self._idle_scopes.discard(scope)
+            connection.receive_data(bytes(data))
+            return True
+        return False
+
+    async def _receive_body(
+        self, stream: trio.abc.Stream, connection: h11.Connection
+    ) -> bytes:
+        if connection.they_are_waiting_for_100_continue:
+            go_ahead = h11.InformationalResponse(status_code=100, headers=[])
+            await stream.send_all(connection.send(go_ahead))
+        chunks: list[bytes] = []
+        size = 0
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                connection.receive_data(bytes(await stream.receive_some(_READ_BYTES)))
+                continue
+            if not isinstance(event, h11.Data):
+                return b"".join(chunks)
+            size += len(event.data)
+            if size > self._limits.max_body_bytes:
+                raise _TooLargeError
+            chunks.append(bytes(event.data))
+
+    async def _send_response(
+        self,
+        stream: trio.abc.Stream,
+        connection: h11.Connection,
+        response: HttpResponse,
+    ) -> None:
+        headers = list(response.headers)
+        headers.append(("content-length", str(len(response.body))))
+        if self._draining:
+            headers.append(("connection", "close"))
+        head = h11.Response(status_code=response.status, headers=headers)
+        data = connection.send(head)
+        data += connection.send(h11.Data(data=response.body))
+        data += connection.send(h11.EndOfMessage())
+        await stream.send_all(data)
+
+    async def _refuse(
+        self, stream: trio.abc.Stream, connection: h11.Connection, status: int
+    ) -> None:
+        if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        head = h11.Response(
+            status_code=status,
+            headers=[("content-length", "0"), ("connection", "close")],
+        )
+        data = connection.send(head) + connection.send(h11.EndOfMessage())
+        with trio.move_on_after(self._limits.receive_timeout_ms / _MS_PER_S):
+            await stream.send_all(data)
+
+
+class _PortStatus:
+    """Passes the port on when the listeners report that they have started."""
+
+    def __init__(self, outer: trio.TaskStatus[int], port: int) -> None:
+        self._outer = outer
+        self._port = port
+
+    def started(self, value: object = None) -> None:
+        self._outer.started(self._port)
--- /dev/null
+++ b/trefoilhook/http/tests/test_exchange.py
@@ -0,0 +1,112 @@
+"""Contract of the HTTP client and server with each other."""
+
+import unittest
+
+import trio
+
+from trefoilhook.exceptions import AnswerLostError, NotSentError
+from trefoilhook.http import (
+    HttpClient,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+
+_HOST = "127.0.0.1"
+
+
+async def _echo(request: HttpRequest) -> HttpResponse:
+    return HttpResponse(status=200, body=request.body)
+
+
+class ExchangeTest(unittest.TestCase):
+    """Requests, failures and shutdown over real sockets."""
+
+    def test_many_requests_reuse_a_connection(self):
+        async def scenario():
+            server = HttpServer(handler=_echo, host=_HOST, port=0)
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.run)
+                client = HttpClient(host=_HOST, port=port, max_connections=1)
+                for number in range(3):
+                    body = str(number).encode()
+                    request = HttpRequest(method="POST", target="/", body=body)
+                    answer = await client.send(request, timeout_ms=5_000)
+                    self.assertEqual((answer.status, answer.body), (200, body))
+                await client.close()
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+
+    def test_refused_connection_is_proved_not_sent(self):
+        async def scenario():
+            listeners = await trio.open_tcp_listeners(0, host=_HOST)
+            port = listeners[0].socket.getsockname()[1]
+            await listeners[0].aclose()
+            client = HttpClient(host=_HOST, port=port)
+            with self.assertRaises(NotSentError):
+                await client.send(HttpRequest(method="GET", target="/"))
+
+        trio.run(scenario)
+
+    def test_silence_after_send_is_an_unknown_outcome(self):
+        # The caller's answer never comes. The request did leave, so the client must
+        # not claim that it was not sent.
+        async def scenario():
+            async def hang(request: HttpRequest) -> HttpResponse:
+                await trio.sleep_forever()
+                raise AssertionError
+
+            server = HttpServer(handler=hang, host=_HOST, port=0)
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.run)
+                client = HttpClient(host=_HOST, port=port)
+                with self.assertRaises(AnswerLostError):
+                    request = HttpRequest(method="GET", target="/")
+                    await client.send(request, timeout_ms=50)
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+
+    def test_body_over_the_limit_is_refused(self):
+        async def scenario():
+            limits = HttpLimits(max_body_bytes=10)
+            server = HttpServer(handler=_echo, host=_HOST, port=0, limits=limits)
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.run)
+                client = HttpClient(host=_HOST, port=port)
+                request = HttpRequest(method="POST", target="/", body=b"x" * 11)
+                answer = await client.send(request, timeout_ms=5_000)
+                self.assertEqual(answer.status, 413)
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+
+    def test_drain_answers_the_request_in_progress(self):
+        # An instance is told to stop while a request runs. The caller still gets its
+        # whole answer, because the server closes only connections that are idle.
+        async def scenario():
+            entered = trio.Event()
+
+            async def slow(request: HttpRequest) -> HttpResponse:
+                entered.set()
+                await trio.sleep(0.1)
+                return HttpResponse(status=200, body=b"whole")
+
+            server = HttpServer(handler=slow, host=_HOST, port=0)
+            answers = []
+
+            async def call(port: int) -> None:
+                client = HttpClient(host=_HOST, port=port)
+                answers.append(await client.send(HttpRequest(method="GET", target="/")))
+
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.run)
+                nursery.start_soon(call, port)
+                await entered.wait()
+                await server.drain(grace_ms=10)
+            self.assertEqual(answers[0].body, b"whole")
+            self.assertEqual(answers[0].get_header("connection"), "close")
+
+        trio.run(scenario)
--- /dev/null
+++ b/trefoilhook/logs/events.py
@@ -0,0 +1,67 @@
+"""The catalogue of log events.
+
+Numbers are stable. ``docs/EVENTS.md`` is checked against this table by a test.
+"""
+
+import enum
+
+__all__ = ["Event", "Level"]
+
+
+class Level(enum.Enum):
+    """How urgent an event is for an operator."""
+
+    DEBUG = "DEBUG"
+    INFO = "INFO"
+    WARNING = "WARNING"
+    ERROR = "ERROR"
+
+
+class Event(enum.Enum):
+    """Every event that the system logs: number, level, description."""
+
+    # 1000: process
+    STARTED = (1000, Level.INFO, "The instance started.")
+    STOPPING = (1001, Level.INFO, "The instance began a graceful shutdown.")
+    STOPPED = (1002, Level.INFO, "The instance stopped.")
+    TASK_FAILED = (1003, Level.ERROR, "A background task failed and is restarted.")
+
+    # 1100: store
+    STORE_DOWN = (1100, Level.WARNING, "A call to the store failed.")
+    STORE_BACK = (1101, Level.INFO, "The store answers again.")
+    WATCH_SILENT = (1102, Level.WARNING, "A watch went silent and is replaced.")
+
+    # 1200: membership and shards
+    LEASE_GRANTED = (1200, Level.INFO, "The instance holds its store lease.")
+    LEASE_LOST = (1201, Level.WARNING, "The instance's store lease has lapsed.")
+    SHARD_CLAIMED = (1202, Level.INFO, "A shard was claimed at a new epoch.")
+    SHARD_RELEASED = (1203, Level.INFO, "A shard was handed over.")
+    SHARD_FENCED = (1204, Level.WARNING, "A shard was lost to a newer epoch.")
+
+    # 1300: inner protocol
+    LINK_UP = (1300, Level.INFO, "A link to a peer is up.")
+    LINK_DOWN = (1301, Level.WARNING, "A link to a peer is down.")
+    LINK_SILENT = (1302, Level.WARNING, "A link went silent and is replaced.")
+
+    # 1400: requests
+    REQUEST_FAILED = (1400, Level.WARNING, "A request ended with a failure code.")
+    EXECUTOR_OPENED = (1401, Level.WARNING, "An executor's circuit opened.")
+    EXECUTOR_CLOSED = (1402, Level.INFO, "An executor's circuit closed.")
+
+    # 1500: configuration
+    CONFIG_IN_FORCE = (1500, Level.INFO, "A configuration revision is in force.")
+    CONFIG_STALE = (1501, Level.WARNING, "A stale configuration was ignored.")
+
+    # 1600: jobs and workers
+    JOB_ACCEPTED = (1600, Level.INFO, "A job was recorded durably.")
+    JOB_STARTED = (1601, Level.INFO, "A job's task was started on a worker.")
+    JOB_FINISHED = (1602, Level.INFO, "A job ended.")
+    JOB_EVICTED = (1603, Level.WARNING, "A task was checkpointed and evicted.")
+    WORKER_LOST = (1604, Level.WARNING, "A worker can't be reached.")
+    WORKER_FENCED = (1605, Level.INFO, "A worker accepted a new epoch.")
+    WORKER_QUARANTINED = (1606, Level.WARNING, "A worker fails what it starts.")
+
+    def __init__(self, number: int, level: Level, description: str) -> None:
+        self.number = number
+        self.level = level
+        self.description = description
--- /dev/null
+++ b/trefoilhook/results/core.py
@@ -0,0 +1,151 @@
+"""The table of result codes.
+
+Numbers are stable: they may be added, never reused. ``docs/RESULT_CODES.md`` is
+checked against this table by a test.
+"""
+
+import enum
+
+import attrs
+
+__all__ = ["Outcome", "Result", "ResultCode"]
+
+
+class Outcome(enum.Enum):
+    """What the system knows about whether a request was run."""
+
+    EXECUTED = "executed"
+    NOT_RUN = "not run"
+    UNKNOWN = "unknown"
+
+
+@attrs.frozen(kw_only=True)
+class Result:
+    """One row of the table of result codes.
+
+    Parameters
+    ----------
+    number : int
+        Stable number of the code.
+    outcome : Outcome
+        Whether the request was run.
+    may_retry : bool
+        Whether the caller may send the same request again.
+    http_status : int
+        Status of the HTTP answer that carries the code.
+    meaning : str
+        One sentence for people.
+    """
+
+    number: int
+    outcome: Outcome
+    may_retry: bool
+    http_status: int
+    meaning: str
+
+
+def _not_run(number: int, http_status: int, may_retry: bool, meaning: str) -> Result:
+    return Result(
+        number=number,
+        outcome=Outcome.NOT_RUN,
+        may_retry=may_retry,
+        http_status=http_status,
+        meaning=meaning,
+    )
+
+
+def _executed(number: int, http_status: int, meaning: str) -> Result:
+    return Result(
+        number=number,
+        outcome=Outcome.EXECUTED,
+        may_retry=False,
+        http_status=http_status,
+        meaning=meaning,
+    )
+
+
+def _unknown(number: int, http_status: int, may_retry: bool, meaning: str) -> Result:
+    return Result(
+        number=number,
+        outcome=Outcome.UNKNOWN,
+        may_retry=may_retry,
+        http_status=http_status,
+        meaning=meaning,
+    )
+
+
+class ResultCode(enum.Enum):
+    """Every code an answer can carry."""
+
+    # 0-99: the request was run.
+    OK = _executed(0, 200, "Run; the whole answer follows.")
+    ACCEPTED = _executed(1, 202, "Recorded durably; it will be carried out.")
+    REPLAYED = _executed(2, 200, "Run earlier under the same key; that answer follows.")
+    BACKEND_FAILED = _executed(3, 502, "Run; the executor answered with a failure.")
+
+    # 100-199: not run, and the same request may be sent again.
+    OVERLOADED = _not_run(100, 503, True, "Not run: every slot and queue is full.")
+    QUEUE_DEADLINE = _not_run(101, 503, True, "Not run: it waited past its deadline.")
+    NO_OWNER = _not_run(102, 503, True, "Not run: no instance owns the resource now.")
+    STORE_UNAVAILABLE = _not_run(103, 503, True, "Not run: the store can't record it.")
+    SHUTTING_DOWN = _not_run(104, 503, True, "Not run: this instance is leaving.")
+    NO_EXECUTOR = _not_run(105, 503, True, "Not run: no live executor for the service.")
+    QUOTA_EXCEEDED = _not_run(106, 429, True, "Not run: the team's quota is used up.")
+    OWNER_UNREACHABLE = _not_run(107, 503, True, "Not run: the owner wasn't reached.")
+
+    # 200-299: nobody can tell whether it was run; it is never sent again.
+    ANSWER_LOST = _unknown(200, 504, False, "Sent, but no whole answer came back.")
+    OUTCOME_UNKNOWN = _unknown(
+        201, 504, False, "An earlier attempt under this key has an unknown outcome."
+    )
+    DEADLINE_AFTER_SEND = _unknown(202, 504, False, "Sent; the deadline passed.")
+    COMMIT_UNKNOWN = _unknown(
+        203, 504, True, "The store didn't say whether the change took effect."
+    )
+
+    # 300-399: not run, and the same request would be refused again.
+    BAD_REQUEST = _not_run(300, 400, False, "Not run: the request is malformed.")
+    NOT_FOUND = _not_run(301, 404, False, "Not run: there is nothing at this path.")
+    TOO_LARGE = _not_run(302, 413, False, "Not run: the request is too large.")
+    KEY_REQUIRED = _not_run(303, 400, False, "Not run: a UUIDv7 key is required.")
+    KEY_TOO_OLD = _not_run(304, 409, False, "Not run here: the key is too old to tell.")
+    KEY_REUSED = _not_run(305, 409, False, "Not run: the key was used for another.")
+    IMPOSSIBLE_JOB = _not_run(306, 422, False, "Not run: no worker could ever hold it.")
+    METHOD_NOT_ALLOWED = _not_run(307, 405, False, "Not run: method not allowed here.")
+    SLOW_SENDER = _not_run(308, 408, True, "Not run: the request came too slowly.")
+
+    # 400-499: not run, for want of a right.
+    UNAUTHENTICATED = _not_run(400, 401, False, "Not run: no valid token was given.")
+    FORBIDDEN = _not_run(401, 403, False, "Not run: the token doesn't cover this path.")
+
+    # 500-599: configuration.
+    CONFLICT = _not_run(500, 409, False, "Not changed: another revision is current.")
+    INVALID_SETTING = _not_run(501, 422, False, "Not changed: the value is invalid.")
+    STALE_REVISION = _not_run(502, 504, True, "The revision isn't in force yet.")
+
+    # 900-999: faults of the system itself.
+    INTERNAL = _unknown(900, 500, False, "An internal fault; the log has the details.")
+
+    @property
+    def number(self) -> int:
+        """Stable number of the code."""
+        return self.value.number
+
+    @property
+    def outcome(self) -> Outcome:
+        """Whether the request was run."""
+        return self.value.outcome
+
+    @classmethod
+    def from_number(cls, number: int) -> "ResultCode":
+        """Return the code with the given number.
+
+        Raises
+        ------
+        ValueError
+            If no code has that number.
+        """
+        for code in cls:
+            if code.number == number:
+                return code
+        raise ValueError(f"no result code has the number {number}")
