Add the store adapter and its stand-in

Cause: every durable decision goes through the platform's store, and no store was there to write the adapter against.

The adapter tells three failures apart: never sent, effect unknown, refused. A swap whose answer was lost is sent again at the same expected revision; the value's nonce tells its own effect from a lost race. Reading back with a separate get was ruled out: the first attempt may still be on its way, and the conflict already carries what stands at the key.

A handler's failure in the HTTP server ended the listener, although its docstring promised status 500; it answers 500 now.

--- a/trefoilhook/exceptions.py
+++ b/trefoilhook/exceptions.py
@@ -1,7 +1,12 @@
 """The exception tree: every error that the system raises on purpose."""
 
+from typing import TYPE_CHECKING
+
 from trefoilhook.results import ResultCode
 
+if TYPE_CHECKING:
+    from trefoilhook.store.core import StoreEntry
+
 __all__ = [
     "AnswerLostError",
     "ConflictError",
@@ -14,6 +19,7 @@
     "StoreError",
     "StoreRateError",
     "StoreUnavailableError",
+    "StoreUnsentError",
     "TransportError",
     "TrefoilhookError",
 ]
@@ -79,16 +85,36 @@
 class StoreUnavailableError(StoreError):
     """The store can't be reached, or its answer was lost: the effect is unknown."""
 
+    is_proved_unsent: bool = False
+
+
+class StoreUnsentError(StoreUnavailableError):
+    """The call never left for the store: nothing changed."""
+
+    is_proved_unsent = True
+
 
 class StoreRateError(StoreError):
     """The store refused the call because its rate is used up; nothing changed."""
 
 
 class ConflictError(StoreError):
-    """A compare-and-swap lost: the key is at another revision."""
+    """A compare-and-swap lost: the key is at another revision.
+
+    Parameters
+    ----------
+    message : str
+        What happened, for people.
+    current : StoreEntry, optional
+        What stands at the key now; None when the key is absent.
+    """
 
     code = ResultCode.CONFLICT
 
+    def __init__(self, message: str, *, current: "StoreEntry | None" = None) -> None:
+        super().__init__(message)
+        self.current = current
+
 
 class LeaseLostError(StoreError):
     """A lease has lapsed or is unknown to the store."""
--- a/trefoilhook/http/server.py
+++ b/trefoilhook/http/server.py
@@ -7,6 +7,7 @@
 import trio
 
 from trefoilhook.http.core import HttpLimits, HttpRequest, HttpResponse
+from trefoilhook.logs import Event, log_event
 
 __all__ = ["HttpServer"]
 
@@ -26,7 +27,8 @@
     Parameters
     ----------
     handler : callable
-        Awaited once a request; its failure is answered with status 500.
+        Awaited once a request; its failure is answered with status 500, but for
+        ``trio.BrokenResourceError``, which closes the connection without an answer.
     host : str
         Address to listen on, an IP number.
     port : int
@@ -137,7 +139,7 @@
                 return
             self._busy += 1
             try:
-                response = await self._handler(request)
+                response = await self._handle(request)
                 await self._send_response(stream, connection, response)
             finally:
                 self._busy -= 1
@@ -147,6 +149,17 @@
                 return
             connection.start_next_cycle()
 
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        try:
+            return await self._handler(request)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            raise
+        except Exception as error:
+            # A fault in one request's handler would otherwise end the listener and
+            # with it every other request of the process.
+            log_event(Event.TASK_FAILED, target=request.path, error=repr(error))
+            return HttpResponse(status=500)
+
     async def _receive_request(
         self, stream: trio.abc.Stream, connection: h11.Connection
     ) -> HttpRequest | None:
--- /dev/null
+++ b/trefoilhook/standins/core.py
@@ -0,0 +1,196 @@
+"""An HTTP server whose faults can be switched while it runs.
+
+Each stand-in is one of these: its calls go to one port and may meet faults; a second
+port takes orders from tests and is never at fault.
+"""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import attrs
+import cattrs
+import trio
+
+from trefoilhook.clock import Clock
+from trefoilhook.http import HttpLimits, HttpRequest, HttpResponse, HttpServer
+from trefoilhook.platform import build_converter
+from trefoilhook.standins.faults import Availability, FaultSettings, FaultSwitch
+
+__all__ = [
+    "Control",
+    "FaultyServer",
+    "RefusalError",
+    "answer_refusal",
+    "decode_body",
+    "encode_answer",
+]
+
+_T = TypeVar("_T")
+_LIMITS = HttpLimits(max_body_bytes=2_097_152, idle_timeout_ms=600_000.0)
+_converter = build_converter()
+
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+Control = Callable[[HttpRequest], HttpResponse]
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class RefusalError(Exception):
+    """A call is refused; nothing was changed.
+
+    Parameters
+    ----------
+    status : int
+        Status of the answer.
+    error : str
+        Name of the error, as the interface lists it.
+    details : object, optional
+        An attrs instance whose fields the answer carries too.
+    """
+
+    status: int
+    error: str
+    details: object = None
+
+
+def decode_body(request: HttpRequest, kind: type[_T]) -> _T:
+    """Read a call's body as an instance of ``kind``.
+
+    Raises
+    ------
+    RefusalError
+        If it is not one.
+    """
+    try:
+        return _converter.structure(request.parse_json(), kind)
+    except (ValueError, cattrs.BaseValidationError) as error:
+        raise RefusalError(status=400, error="bad_request") from error
+
+
+def encode_answer(value: object, *, status: int = 200) -> HttpResponse:
+    """Build the answer that carries an attrs instance."""
+    return HttpResponse.from_json(_converter.unstructure(value), status=status)
+
+
+def answer_refusal(refusal: RefusalError) -> HttpResponse:
+    """Build the answer that tells of a refusal."""
+    body: dict[str, Any] = {"error": refusal.error}
+    if refusal.details is not None:
+        body.update(_converter.unstructure(refusal.details))
+    return HttpResponse.from_json(body, status=refusal.status)
+
+
+class FaultyServer:
+    """Serves a stand-in's calls, with faults, and the orders of its test.
+
+    Parameters
+    ----------
+    handler : callable
+        Carries a call out; may raise `RefusalError`.
+    name_call : callable
+        Names the kind of a call, for counting and for faults.
+    clock : Clock
+        Where delays are waited for.
+    host : str, optional
+        Address to listen on.
+    port : int, optional
+        Port for calls; 0 takes a free one.
+    control : callable, optional
+        Answers orders other than those about faults.
+    control_port : int, optional
+        Port for orders; 0 takes a free one.
+    limits : HttpLimits, optional
+        Bounds on what a client may send.
+    """
+
+    def __init__(
+        self,
+        *,
+        handler: Handler,
+        name_call: Callable[[HttpRequest], str],
+        clock: Clock,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        control: Control | None = None,
+        control_port: int = 0,
+        limits: HttpLimits = _LIMITS,
+    ) -> None:
+        self._handler = handler
+        self._name_call = name_call
+        self._clock = clock
+        self._control = control
+        self._control_server = HttpServer(
+            handler=self._obey, host=host, port=control_port
+        )
+        self._limits = limits
+        self._scope = trio.CancelScope()
+        self.host = host
+        self.port = port
+        self.faults = FaultSwitch()
+
+    @property
+    def control_port(self) -> int:
+        """Port for orders, once the server runs."""
+        return self._control_server.port
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled; reports the port for calls."""
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self._control_server.run)
+            self.port = await nursery.start(self._serve_once)
+            task_status.started(self.port)
+            while True:
+                await self._wait_while_refusing(nursery)
+
+    async def _wait_while_refusing(self, nursery: trio.Nursery) -> None:
+        await self.faults.wait_change()
+        if self.faults.settings.availability is not Availability.REFUSING:
+            return
+        self._scope.cancel()
+        while self.faults.settings.availability is Availability.REFUSING:
+            await self.faults.wait_change()
+        await nursery.start(self._serve_once)
+
+    async def _serve_once(
+        self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        server = HttpServer(
+            handler=self._handle, host=self.host, port=self.port, limits=self._limits
+        )
+        with trio.CancelScope() as self._scope:
+            await server.run(task_status=task_status)
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        if self.faults.settings.availability is Availability.HANGING:
+            while self.faults.settings.availability is Availability.HANGING:
+                await self.faults.wait_change()
+            drop_connection()
+        if self.faults.settings.delay_ms > 0:
+            await self._clock.sleep_ms(self.faults.settings.delay_ms)
+        kind = self._name_call(request)
+        try:
+            response = await self._handler(request)
+        except RefusalError as refusal:
+            return answer_refusal(refusal)
+        if self.faults.take_lost_answer(kind):
+            drop_connection()
+        return response
+
+    async def _obey(self, request: HttpRequest) -> HttpResponse:
+        try:
+            if (request.method, request.path) == ("GET", "/faults"):
+                return encode_answer(self.faults.settings)
+            if (request.method, request.path) == ("PUT", "/faults"):
+                self.faults.set(decode_body(request, FaultSettings))
+                return encode_answer(self.faults.settings)
+            if self._control is not None:
+                return self._control(request)
+            raise RefusalError(status=404, error="not_found")
+        except RefusalError as refusal:
+            return answer_refusal(refusal)
+
+
+def drop_connection() -> None:
+    """Close the connection of the call being handled, without an answer."""
+    raise trio.BrokenResourceError("dropped by a fault that a test asked for")
--- /dev/null
+++ b/trefoilhook/store/__init__.py
@@ -0,0 +1,26 @@
+"""Adapter to the platform's configuration store."""
+
+from trefoilhook.store.client import StoreClient
+from trefoilhook.store.core import (
+    MAX_VALUE_BYTES,
+    DeletedKey,
+    Lease,
+    StoreEntry,
+    StorePage,
+    SwapRequest,
+    WatchBatch,
+)
+from trefoilhook.store.swaps import build_nonce, swap_reading_back
+
+__all__ = [
+    "MAX_VALUE_BYTES",
+    "DeletedKey",
+    "Lease",
+    "StoreClient",
+    "StoreEntry",
+    "StorePage",
+    "SwapRequest",
+    "WatchBatch",
+    "build_nonce",
+    "swap_reading_back",
+]
