Let instances call each other over batched streams

Cause: every other package needs calls between instances that tell a request that never left from one whose outcome is unknown, and a proof that a peer's process is dead.

Each instance dials one stream to each peer for its own calls. One stream used by both sides was ruled out for now: it needs a rule for simultaneous dials and separate probes for the side that may not dial.

--- /dev/null
+++ b/trefoilhook/inner/tests/net.py
@@ -0,0 +1,113 @@
+"""Instances on loopback sockets, and a relay that can lose track of connections."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+import attrs
+import trio
+
+from trefoilhook.clock import build_system_clock
+from trefoilhook.exceptions import TrefoilhookError
+from trefoilhook.inner import InnerNode, InnerSettings, PeerAddress, PeerState
+
+HOST = "127.0.0.1"
+TIMEOUT_MS = 30_000.0
+FAST = InnerSettings(
+    heartbeat_interval_ms=25.0,
+    max_silent_intervals=8,
+    connect_timeout_ms=500.0,
+    reconnect_min_ms=5.0,
+    reconnect_max_ms=50.0,
+)
+
+
+def build_node(instance_id, *, settings=FAST, port=0, **options):
+    """Return an instance that is not running yet."""
+    return InnerNode(
+        instance_id=instance_id,
+        host=HOST,
+        port=port,
+        clock=build_system_clock(),
+        settings=settings,
+        **options,
+    )
+
+
+def find_address(node, *, port=None):
+    """Return the address of an instance, or of a relay in front of it."""
+    return PeerAddress(instance_id=node.instance_id, host=HOST, port=port or node.port)
+
+
+async def wait_for(condition):
+    """Wait until a condition holds, generously."""
+    with trio.fail_after(TIMEOUT_MS / 1_000):
+        while not condition():
+            await trio.sleep(0.002)
+
+
+async def wait_for_state(node, instance_id, state):
+    """Wait until a peer is in a state."""
+    await wait_for(lambda: node.peer_state(instance_id) is state)
+
+
+@contextlib.asynccontextmanager
+async def run_pair(**options) -> AsyncIterator[tuple[InnerNode, InnerNode]]:
+    """Run two instances, the first with a link to the second."""
+    one = build_node("one", **options)
+    two = build_node("two", **options)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(one.run)
+        await nursery.start(two.run)
+        one.set_peers([find_address(two)])
+        await wait_for_state(one, "two", PeerState.UP)
+        yield one, two
+        nursery.cancel_scope.cancel()
+
+
+async def catch(awaitable):
+    """Return the error that an awaitable ends with, or its result."""
+    try:
+        return await awaitable
+    except TrefoilhookError as error:
+        return error
+
+
+@attrs.define(kw_only=True, eq=False)
+class Relay:
+    """Passes bytes on to a port, until told to forget the connections it has."""
+
+    target_port: int
+    port: int = 0
+    accepted: int = 0
+    forgotten: int = 0
+    is_stuck: bool = False
+
+    def forget(self):
+        """Swallow all bytes of the connections open now; later ones work."""
+        self.forgotten = self.accepted
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Accept connections until cancelled; report the port."""
+        listeners = await trio.open_tcp_listeners(0, host=HOST)
+        self.port = listeners[0].socket.getsockname()[1]
+        task_status.started(self.port)
+        await trio.serve_listeners(self._pass_on, listeners)
+
+    async def _pass_on(self, near):
+        self.accepted += 1
+        number = self.accepted
+        far = await trio.open_tcp_stream(HOST, self.target_port)
+        async with far, trio.open_nursery() as nursery:
+            nursery.start_soon(self._copy, number, near, far)
+            nursery.start_soon(self._copy, number, far, near)
+
+    async def _copy(self, number, source, sink):
+        # What has forgotten a connection doesn't tell either end that it closed.
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            async for data in source:
+                if number > self.forgotten:
+                    await sink.send_all(data)
+                elif self.is_stuck:
+                    await trio.sleep_forever()
+        if number > self.forgotten:
+            await sink.aclose()
--- /dev/null
+++ b/trefoilhook/inner/tests/test_calls.py
@@ -0,0 +1,335 @@
+"""Contract of calls between two instances."""
+
+import ssl
+import unittest
+
+import trio
+import trio.testing
+import trustme
+
+from trefoilhook.exceptions import (
+    AnswerLostError,
+    NotSentError,
+    OutcomeError,
+    RequestError,
+)
+from trefoilhook.inner import InnerSettings, PeerState
+from trefoilhook.inner.link import Link
+from trefoilhook.inner.messages_pb2 import (
+    Frame,
+    Hello,
+    JobCancel,
+    JobPage,
+    JobQuery,
+    ServiceRequest,
+    StatusAnswer,
+    StatusRequest,
+)
+from trefoilhook.inner.tests.net import (
+    TIMEOUT_MS,
+    build_node,
+    catch,
+    find_address,
+    run_pair,
+    wait_for,
+)
+from trefoilhook.results import ResultCode
+
+
+async def _answer_sender(call):
+    return StatusAnswer(instance_id=call.sender_id)
+
+
+async def _refuse(call):
+    raise RequestError("the queue is full", code=ResultCode.OVERLOADED)
+
+
+async def _fail(call):
+    raise ZeroDivisionError
+
+
+async def _hang(call):
+    await trio.sleep_forever()
+
+
+def _register(node):
+    node.handle(StatusRequest, _answer_sender)
+    node.handle(JobQuery, _refuse)
+    node.handle(JobCancel, _fail)
+    node.handle(ServiceRequest, _hang)
+
+
+class CallTest(unittest.TestCase):
+    """What becomes of a call, to a peer and to oneself."""
+
+    def test_outcomes(self):
+        cases = (
+            (StatusRequest(), TIMEOUT_MS, None, None),
+            (JobQuery(), TIMEOUT_MS, OutcomeError, ResultCode.OVERLOADED),
+            (JobCancel(), TIMEOUT_MS, OutcomeError, ResultCode.INTERNAL),
+            (Hello(), TIMEOUT_MS, OutcomeError, ResultCode.METHOD_NOT_ALLOWED),
+            (ServiceRequest(), 20, AnswerLostError, ResultCode.DEADLINE_AFTER_SEND),
+        )
+
+        async def scenario():
+            async with run_pair() as (one, two):
+                _register(one)
+                _register(two)
+                for target in ("one", "two"):
+                    for message, timeout_ms, error_type, code in cases:
+                        with self.subTest(target=target, message=message):
+                            answer = await catch(
+                                one.call(target, message, timeout_ms=timeout_ms)
+                            )
+                            if error_type is None:
+                                self.assertEqual(answer.instance_id, "one")
+                            else:
+                                self.assertIs(type(answer), error_type)
+                                self.assertIs(answer.code, code)
+
+        trio.run(scenario)
+
+    def test_each_call_gets_its_own_answer(self):
+        # Answers come out of order: the later a call, the sooner its handler ends.
+        # Each caller must still get the answer to its own request, and the whole of it.
+        async def answer(call):
+            await trio.sleep((200 - call.message.limit) / 5_000)
+            return JobPage(next_after_job_id=f"{call.message.limit}" * 1_000)
+
+        async def ask(one, number):
+            page = await one.call("two", JobQuery(limit=number), timeout_ms=TIMEOUT_MS)
+            self.assertEqual(page.next_after_job_id, f"{number}" * 1_000)
+
+        async def scenario():
+            async with run_pair() as (one, two):
+                two.handle(JobQuery, answer)
+                async with trio.open_nursery() as nursery:
+                    for number in range(200):
+                        nursery.start_soon(ask, one, number)
+
+        trio.run(scenario)
+
+    def test_an_answer_after_its_deadline_reaches_nobody(self):
+        # A caller gives up; the answer comes later. The next call on the link must not
+        # be given the late answer in place of its own.
+        release = trio.Event()
+
+        async def answer(call):
+            if call.message.limit == 1:
+                await release.wait()
+            return JobPage(next_after_job_id=str(call.message.limit))
+
+        async def scenario():
+            async with run_pair() as (one, two):
+                two.handle(JobQuery, answer)
+                late = await catch(one.call("two", JobQuery(limit=1), timeout_ms=20))
+                self.assertIsInstance(late, AnswerLostError)
+                release.set()
+                for number in (2, 3):
+                    query = JobQuery(limit=number)
+                    page = await one.call("two", query, timeout_ms=TIMEOUT_MS)
+                    self.assertEqual(page.next_after_job_id, str(number))
+
+        trio.run(scenario)
+
+    def test_deadline_is_carried(self):
+        seen = []
+
+        async def answer(call):
+            seen.append(call.timeout_ms)
+            return StatusAnswer()
+
+        async def scenario():
+            async with run_pair() as (one, two):
+                two.handle(StatusRequest, answer)
+                await one.call("two", StatusRequest(), timeout_ms=12_345)
+
+        trio.run(scenario)
+        self.assertEqual(seen, [12_345.0])
+
+    def test_large_body_arrives_whole(self):
+        body = bytes(range(256)) * 20_000
+
+        async def answer(call):
+            return ServiceRequest(body=call.message.body)
+
+        async def scenario():
+            async with run_pair() as (one, two):
+                two.handle(ServiceRequest, answer)
+                request = ServiceRequest(body=body)
+                answered = await one.call("two", request, timeout_ms=TIMEOUT_MS)
+                self.assertEqual(answered.body, body)
+
+        trio.run(scenario)
+
+    def test_one_way_message_arrives(self):
+        seen = []
+
+        async def note(call):
+            seen.append(call.sender_id)
+            return StatusAnswer()
+
+        async def scenario():
+            async with run_pair() as (one, two):
+                one.handle(StatusRequest, note)
+                two.handle(StatusRequest, note)
+                self.assertTrue(one.tell("one", StatusRequest()))
+                self.assertTrue(one.tell("two", StatusRequest()))
+                self.assertFalse(one.tell("three", StatusRequest()))
+                await wait_for(lambda: len(seen) == 2)
+
+        trio.run(scenario)
+
+    def test_drain_answers_the_call_in_progress(self):
+        # An instance leaves while a peer's call runs. The caller still gets its answer;
+        # a call that comes later is refused as not run.
+        entered = trio.Event()
+        release = trio.Event()
+        answers = []
+
+        async def answer(call):
+            entered.set()
+            await release.wait()
+            return StatusAnswer(burn="x" * 1_000_000)
+
+        async def ask(one):
+            request = StatusRequest()
+            answers.append(await one.call("two", request, timeout_ms=TIMEOUT_MS))
+
+        async def leave(two, left):
+            await two.drain()
+            left.set()
+
+        async def scenario():
+            left = trio.Event()
+            async with run_pair() as (one, two), trio.open_nursery() as nursery:
+                two.handle(StatusRequest, answer)
+                nursery.start_soon(ask, one)
+                await entered.wait()
+                nursery.start_soon(leave, two, left)
+                await trio.testing.wait_all_tasks_blocked()
+                late = await catch(
+                    one.call("two", StatusRequest(), timeout_ms=TIMEOUT_MS)
+                )
+                self.assertIs(late.code, ResultCode.SHUTTING_DOWN)
+                self.assertFalse(left.is_set())
+                release.set()
+                await left.wait()
+                await wait_for(lambda: answers)
+
+        trio.run(scenario)
+        self.assertEqual(len(answers[0].burn), 1_000_000)
+
+    def test_more_calls_than_the_cap_are_refused(self):
+        async def scenario():
+            settings = InnerSettings(max_calls_in_progress=2)
+            async with (
+                run_pair(settings=settings) as (one, two),
+                trio.open_nursery() as nursery,
+            ):
+                _register(two)
+                for _ in range(2):
+                    one.tell("two", ServiceRequest())
+                third = await catch(
+                    one.call("two", StatusRequest(), timeout_ms=TIMEOUT_MS)
+                )
+                self.assertIs(third.code, ResultCode.OVERLOADED)
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+
+    def test_mutual_tls(self):
+        authority = trustme.CA()
+        certificate = authority.issue_cert("127.0.0.1")
+        contexts = []
+        for purpose in (ssl.Purpose.CLIENT_AUTH, ssl.Purpose.SERVER_AUTH):
+            context = ssl.create_default_context(purpose)
+            context.verify_mode = ssl.CERT_REQUIRED
+            authority.configure_trust(context)
+            certificate.configure_cert(context)
+            contexts.append(context)
+
+        async def scenario():
+            tls = {"tls_server": contexts[0], "tls_client": contexts[1]}
+            async with run_pair(**tls) as (one, two), trio.open_nursery() as nursery:
+                _register(two)
+                answer = await one.call("two", StatusRequest(), timeout_ms=TIMEOUT_MS)
+                self.assertEqual(answer.instance_id, "one")
+                plain = build_node("plain")
+                await nursery.start(plain.run)
+                plain.set_peers([find_address(two)])
+                await trio.sleep(0.1)
+                self.assertIs(plain.peer_state("two"), PeerState.DOWN)
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+
+
+class UnsentTest(unittest.TestCase):
+    """Calls on a link whose writer does nothing."""
+
+    def _build_link(self, **caps):
+        settings = InnerSettings(**caps)
+        return Link(peer_id="two", settings=settings, cut=lambda: None)
+
+    def test_frame_that_was_never_taken_is_proved_not_sent(self):
+        # A link dies with two calls on it. One had been handed to the transport: its
+        # outcome is unknown. The other still waited: it may be sent again.
+        async def scenario():
+            link = self._build_link()
+            results = {}
+
+            async def ask(name):
+                call = link.call(StatusRequest(), timeout_ms=TIMEOUT_MS)
+                results[name] = await catch(call)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(ask, "taken")
+                await trio.testing.wait_all_tasks_blocked()
+                link.queue.take_batch()
+                nursery.start_soon(ask, "waiting")
+                await trio.testing.wait_all_tasks_blocked()
+                link.close()
+                link.fail_pending()
+            self.assertIsInstance(results["taken"], AnswerLostError)
+            self.assertIsInstance(results["waiting"], NotSentError)
+
+        trio.run(scenario)
+
+    def test_call_given_up_before_it_was_taken_never_leaves(self):
+        # A caller is told "not sent" at its deadline. Were the frame still sent
+        # afterwards, the request would run although the caller sends it again.
+        async def scenario():
+            link = self._build_link()
+            error = await catch(link.call(StatusRequest(), timeout_ms=1))
+            self.assertIsInstance(error, NotSentError)
+            self.assertIsNone(link.queue.take_batch())
+
+        trio.run(scenario)
+
+    def test_full_queue_refuses_calls_but_not_replies(self):
+        for caps in ({"max_queued_frames": 1}, {"max_queued_bytes": 1}):
+            with self.subTest(caps=caps):
+                link = self._build_link(**caps)
+                self.assertTrue(link.tell(JobQuery(limit=1)))
+                self.assertFalse(link.tell(JobQuery(limit=1)))
+                error = trio.run(catch, link.call(StatusRequest(), timeout_ms=1))
+                self.assertIsInstance(error, NotSentError)
+                self.assertIs(error.code, ResultCode.OVERLOADED)
+                link.reply(Frame(call_id=1, is_reply=True))
+                self.assertEqual(len(link.queue.take_batch().frames), 2)
+
+    def test_batches_keep_to_their_caps(self):
+        cases = (
+            ({"max_batch_frames": 3}, [3, 3, 1]),
+            ({"max_batch_bytes": 1}, [1] * 7),
+        )
+        for caps, expected in cases:
+            with self.subTest(caps=caps):
+                link = self._build_link(**caps)
+                for _ in range(7):
+                    link.tell(JobQuery(limit=1))
+                sizes = []
+                while (batch := link.queue.take_batch()) is not None:
+                    sizes.append(len(batch.frames))
+                self.assertEqual(sizes, expected)
