Decide placement under hard capacity limits and learned interference

Placement needs one writer that keeps the hard limits and a decision that can be measured without a daemon. ShardState counts every reserved task until it is proved stopped; decide_placement scores a bounded sample of rows by one objective over a learned pairwise model. Running totals of cores were ruled out: they drift by rounding, so residents are summed exactly.

Property test of the limits: 150 orders of events, none overfills a worker.

--- a/trefoilhook/exceptions.py
+++ b/trefoilhook/exceptions.py
@@ -4,11 +4,13 @@
 
 __all__ = [
     "AnswerLostError",
+    "CapacityExceededError",
     "ConflictError",
     "FencedError",
     "LeaseLostError",
     "NotSentError",
     "OutcomeError",
+    "PlacementError",
     "RequestError",
     "SettingsError",
     "StoreError",
@@ -16,6 +18,8 @@
     "StoreUnavailableError",
     "TransportError",
     "TrefoilhookError",
+    "UnknownTaskError",
+    "UnknownWorkerError",
 ]
 
 
@@ -98,3 +102,21 @@
     """A command carries an epoch older than one already seen."""
 
     code = ResultCode.NO_OWNER
+
+
+class PlacementError(TrefoilhookError):
+    """A change of a shard's placement state is refused; nothing changed."""
+
+
+class CapacityExceededError(PlacementError):
+    """A reservation would give a worker more than it has."""
+
+    code = ResultCode.OVERLOADED
+
+
+class UnknownTaskError(PlacementError):
+    """The shard holds no such task, or holds it already."""
+
+
+class UnknownWorkerError(PlacementError):
+    """The shard has no such worker in use, or has it already."""
--- /dev/null
+++ b/trefoilhook/placement/observation.py
@@ -0,0 +1,153 @@
+"""Learning from usage reports, which arrive late.
+
+A report speaks of the tasks that a worker carried while it was measured, not of those
+that it carries when the report arrives. The features that a slowdown is matched with
+are therefore the worker's pressure averaged over the measuring window.
+"""
+
+import statistics
+from typing import TYPE_CHECKING
+
+import numpy as np
+import numpy.typing as npt
+
+from trefoilhook.placement.interference import CLASS_LIMIT, learn_excess
+from trefoilhook.placement.quantiles import RatioKey
+from trefoilhook.placement.records import SlowdownSample, TaskState, WorkerState
+from trefoilhook.placement.refresh import refresh_worker
+from trefoilhook.placement.shapes import TaskKind, UsageReport, bearable_excess
+
+if TYPE_CHECKING:
+    from trefoilhook.placement.state import ShardState
+
+__all__ = ["absorb_report"]
+
+_USAGE_BLEND = 0.5
+_RESIDUAL_BLEND = 0.4
+_USAGE_LEAST_AGE_MS = 1_000.0
+
+
+def absorb_report(state: "ShardState", report: UsageReport, now_ms: float) -> None:
+    """Update usage, slowdowns, the model and the worker's row from one report.
+
+    Parameters
+    ----------
+    state : ShardState
+        State to update in place.
+    report : UsageReport
+        Late report; one of an unknown worker is dropped.
+    now_ms : float
+        Time of arrival, in ms.
+    """
+    worker = state.workers.get(report.worker_id)
+    if worker is None:
+        return
+    features = _average_features(worker, report)
+    newest = report.measured_at_ms > worker.last_report_ms
+    errors = [
+        error
+        for entry in report.slowdowns
+        if (task := worker.residents.get(entry.task_id)) is not None
+        and (
+            error := _absorb_slowdown(
+                state, task, report, features, entry.slowdown, now_ms
+            )
+        )
+        is not None
+    ]
+    # A report overtaken by a later one still teaches the model, which matches it with
+    # the pressure of its own time; taking its usage as current would step backwards.
+    if newest:
+        worker.last_report_ms = report.measured_at_ms
+        _absorb_usage(state, worker, report)
+        _blend_residual(state, worker, errors)
+        refresh_worker(state, worker, now_ms)
+        state.table.late[worker.slot] = float(_is_late(worker))
+
+
+def _absorb_slowdown(
+    state: "ShardState",
+    task: TaskState,
+    report: UsageReport,
+    features: npt.NDArray[np.float64] | None,
+    slowdown: float,
+    now_ms: float,
+) -> float | None:
+    started_ms = task.started_at_ms
+    window_start_ms = report.measured_at_ms - report.window_ms
+    if started_ms is None or started_ms > window_start_ms:
+        return None
+    sample = SlowdownSample(measured_at_ms=report.measured_at_ms, slowdown=slowdown)
+    if not task.samples or task.samples[-1].measured_at_ms < report.measured_at_ms:
+        task.samples.append(sample)
+    if features is None:
+        return None
+    return learn_excess(
+        state.model,
+        row=task.class_index,
+        features=features,
+        excess=slowdown - 1.0,
+        now_ms=now_ms,
+    )
+
+
+def _average_features(
+    worker: WorkerState, report: UsageReport
+) -> npt.NDArray[np.float64] | None:
+    end_ms = report.measured_at_ms
+    start_ms = end_ms - report.window_ms
+    total = np.zeros(2 * CLASS_LIMIT)
+    covered_ms = 0.0
+    until_ms = end_ms
+    for snapshot in reversed(worker.snapshots):
+        if snapshot.since_ms >= end_ms:
+            until_ms = min(until_ms, end_ms)
+            continue
+        from_ms = max(snapshot.since_ms, start_ms)
+        span_ms = until_ms - from_ms
+        total[:CLASS_LIMIT] += span_ms * snapshot.pressure
+        total[CLASS_LIMIT:] += span_ms * snapshot.load * snapshot.pressure
+        covered_ms += span_ms
+        until_ms = from_ms
+        if from_ms <= start_ms:
+            break
+    if covered_ms < 0.5 * report.window_ms or covered_ms <= 0.0:
+        return None
+    return total / covered_ms
+
+
+def _absorb_usage(
+    state: "ShardState", worker: WorkerState, report: UsageReport
+) -> None:
+    settled_ms = report.measured_at_ms - report.window_ms - _USAGE_LEAST_AGE_MS
+    for entry in report.usage:
+        task = worker.residents.get(entry.task_id)
+        if task is None or task.started_at_ms is None:
+            continue
+        if max(task.started_at_ms, task.speed_changed_at_ms) > settled_ms:
+            continue
+        full_speed = entry.used.cores / task.speed
+        task.expected_cores += _USAGE_BLEND * (full_speed - task.expected_cores)
+        declared = task.shape.resources.cores
+        if declared > 0.0:
+            key = RatioKey(team=task.shape.team, task_class=task.shape.task_class)
+            state.usage_ratios.record(key, full_speed / declared)
+
+
+def _blend_residual(
+    state: "ShardState", worker: WorkerState, errors: list[float]
+) -> None:
+    if not errors:
+        return
+    row = worker.slot
+    error = statistics.fmean(errors)
+    old = float(state.table.residual[row])
+    state.table.residual[row] = old + _RESIDUAL_BLEND * (error - old)
+
+
+def _is_late(worker: WorkerState) -> bool:
+    return any(
+        task.samples[-1].slowdown - 1.0 > bearable_excess(task.shape)
+        for task in worker.residents.values()
+        if task.shape.kind is TaskKind.SERVICE and task.samples
+    )
--- /dev/null
+++ b/trefoilhook/placement/refresh.py
@@ -0,0 +1,110 @@
+"""Keeping a worker's row of the table in step with its record."""
+
+from typing import TYPE_CHECKING
+
+import numpy as np
+
+from trefoilhook.placement.interference import CLASS_LIMIT
+from trefoilhook.placement.quantiles import RatioKey
+from trefoilhook.placement.records import PressureSnapshot, TaskState, WorkerState
+from trefoilhook.placement.resources import sum_resources
+from trefoilhook.placement.shapes import (
+    DEFAULT_BEARABLE,
+    TaskKind,
+    bearable_excess,
+)
+
+if TYPE_CHECKING:
+    from trefoilhook.placement.state import ShardState
+
+__all__ = ["index_class", "refresh_worker"]
+
+_HEADROOM_QUANTILE = 0.9
+
+
+def index_class(state: "ShardState", task_class: str) -> int:
+    """Return the model's index of a task class, giving it one when it is new."""
+    known = state.class_indexes.get(task_class)
+    if known is None:
+        known = min(len(state.class_indexes), CLASS_LIMIT - 1)
+        state.class_indexes[task_class] = known
+    return known
+
+
+def refresh_worker(
+    state: "ShardState", worker: WorkerState, now_ms: float | None = None
+) -> None:
+    """Write a worker's record into its row; note its pressure if a time is given.
+
+    Parameters
+    ----------
+    state : ShardState
+        State that holds the worker.
+    worker : WorkerState
+        Worker whose record changed.
+    now_ms : float, optional
+        Time from which the new pressure holds, in ms.
+    """
+    residents = worker.residents.values()
+    worker.reserved = sum_resources(task.shape.resources for task in residents)
+    _write_room(state, worker)
+    _write_pressure(state, worker)
+    if now_ms is not None:
+        _note_pressure(state, worker, now_ms)
+
+
+def _write_room(state: "ShardState", worker: WorkerState) -> None:
+    table, row = state.table, worker.slot
+    kept = sum_resources(mark.resources for mark in worker.earmarks.values())
+    room = worker.shape.capacity.minus(worker.reserved).minus(kept)
+    table.cores[row] = room.cores
+    table.memory_bytes[row] = room.memory_bytes
+    table.accelerators[row] = room.accelerators
+    table.capacity_cores[row] = worker.shape.capacity.cores
+    table.accelerated[row] = float(worker.shape.capacity.accelerators > 0)
+    table.open[row] = float(_is_open(worker))
+
+
+def _is_open(worker: WorkerState) -> bool:
+    health = worker.health
+    if worker.withdrawn or health.quarantined_until_ms is not None:
+        return False
+    return not (health.on_probation and worker.residents)
+
+
+def _write_pressure(state: "ShardState", worker: WorkerState) -> None:
+    table, row = state.table, worker.slot
+    shares = [0.0] * CLASS_LIMIT
+    services = [0.0] * CLASS_LIMIT
+    bearable = [DEFAULT_BEARABLE] * CLASS_LIMIT
+    wanted = 0.0
+    for task in worker.residents.values():
+        index = task.class_index
+        shares[index] += task.expected_cores * task.speed
+        if task.shape.kind is TaskKind.SERVICE:
+            services[index] += 1.0
+            bearable[index] = min(bearable[index], bearable_excess(task.shape))
+            wanted += _expect_overuse(state, task)
+    table.pressure[row] = shares
+    table.pressure[row] /= worker.shape.capacity.cores
+    table.load[row] = sum(shares) / worker.shape.capacity.cores
+    table.services[row] = services
+    table.bearable[row] = bearable
+    table.headroom[row] = wanted
+
+
+def _expect_overuse(state: "ShardState", task: TaskState) -> float:
+    shape = task.shape
+    key = RatioKey(team=shape.team, task_class=shape.task_class)
+    ratio = state.usage_ratios.quantile(key, _HEADROOM_QUANTILE)
+    return max(0.0, ratio - 1.0) * shape.resources.cores
+
+
+def _note_pressure(state: "ShardState", worker: WorkerState, now_ms: float) -> None:
+    row = worker.slot
+    snapshot = PressureSnapshot(
+        since_ms=now_ms,
+        pressure=np.array(state.table.pressure[row]),
+        load=float(state.table.load[row]),
+    )
+    worker.snapshots.append(snapshot)
--- /dev/null
+++ b/trefoilhook/placement/tests/builders.py
@@ -0,0 +1,66 @@
+"""Small shapes that the tests are made of."""
+
+from trefoilhook.placement import (
+    Resources,
+    ShardState,
+    TaskKind,
+    TaskShape,
+    WorkerShape,
+)
+
+GIB = 2**30
+
+
+def build_worker(number=0, *, cores=32.0, accelerators=0):
+    """Build a worker, eight to a rack and a failure domain to a rack."""
+    return WorkerShape(
+        worker_id=f"worker-{number}",
+        rack=f"rack-{number // 8}",
+        failure_domain=f"domain-{number // 8 % 3}",
+        capacity=Resources(
+            cores=cores, memory_bytes=125 * GIB, accelerators=accelerators
+        ),
+    )
+
+
+def build_state(count=1, **sizes):
+    """Build a shard of equal workers."""
+    state = ShardState()
+    for number in range(count):
+        state.add_worker(build_worker(number, **sizes))
+    return state
+
+
+def build_task(
+    task_id="task",
+    *,
+    kind=TaskKind.BATCH,
+    cores=4.0,
+    memory_bytes=4 * GIB,
+    accelerators=0,
+    urgent=False,
+    team="rosters",
+    task_class="roster-build",
+    declared_run_ms=600_000.0,
+    service_target=None,
+):
+    """Build a task."""
+    return TaskShape(
+        task_id=task_id,
+        team=team,
+        task_class=task_class,
+        kind=kind,
+        urgent=urgent,
+        resources=Resources(
+            cores=cores, memory_bytes=memory_bytes, accelerators=accelerators
+        ),
+        declared_run_ms=declared_run_ms,
+        service_target=service_target,
+    )
+
+
+def run_task(state, task, worker_id="worker-0", now_ms=0.0):
+    """Reserve a task and confirm that it started."""
+    state.reserve(task, worker_id, now_ms)
+    state.confirm_started(task.task_id, now_ms)
+    return state.tasks[task.task_id]
--- /dev/null
+++ b/trefoilhook/placement/tests/test_capacity.py
@@ -0,0 +1,179 @@
+"""No worker is ever given more than it has."""
+
+import unittest
+
+import numpy as np
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from trefoilhook.exceptions import (
+    CapacityExceededError,
+    UnknownTaskError,
+    UnknownWorkerError,
+)
+from trefoilhook.placement import (
+    LATENCY_FIRST,
+    Placement,
+    Preempt,
+    StopOutcome,
+    TaskKind,
+    begin_preemption,
+    decide_placement,
+)
+from trefoilhook.placement.tests.builders import (
+    GIB,
+    build_state,
+    build_task,
+    build_worker,
+    run_task,
+)
+
+SIZES = st.fixed_dictionaries(
+    {
+        "cores": st.sampled_from([0.1, 0.3, 1.7, 4.0, 9.9, 16.0, 33.0]),
+        "memory_bytes": st.sampled_from([0, GIB, 60 * GIB, 125 * GIB + 1]),
+        "accelerators": st.integers(0, 2),
+        "urgent": st.booleans(),
+        "kind": st.sampled_from(list(TaskKind)),
+    }
+)
+STEPS = st.lists(
+    st.one_of(
+        st.tuples(st.just("start"), SIZES),
+        st.tuples(st.just("confirm"), st.integers(0, 50)),
+        st.tuples(st.just("stop"), st.integers(0, 50)),
+        st.tuples(st.just("stopped"), st.integers(0, 50)),
+        st.tuples(st.just("lose"), st.integers(0, 2)),
+        st.tuples(st.just("return"), st.integers(0, 2)),
+    ),
+    max_size=60,
+)
+
+
+def held_at(running, worker_id):
+    """Add up what an independent record says that a worker holds."""
+    held = [task.resources for task, place in running.values() if place == worker_id]
+    return (
+        sum(round(10 * size.cores) for size in held),
+        sum(size.memory_bytes for size in held),
+        sum(size.accelerators for size in held),
+    )
+
+
+class Driver:
+    """Carries steps out as a daemon would, with a record of its own."""
+
+    def __init__(self):
+        self.state = build_state(3, accelerators=1)
+        self.rng = np.random.default_rng(0)
+        self.running = {}
+        self.count = 0
+
+    def start(self, sizes):
+        task = build_task(f"task-{self.count}", **sizes)
+        self.count += 1
+        decision = decide_placement(self.state, task, 0.0, self.rng, LATENCY_FIRST)
+        if isinstance(decision, Preempt):
+            begin_preemption(self.state, task, decision, 0.0, LATENCY_FIRST)
+        if isinstance(decision, Placement):
+            self.state.reserve(task, decision.worker_id, 0.0)
+            self.running[task.task_id] = (task, decision.worker_id)
+
+    def confirm(self, number):
+        self._with_task(number, lambda name: self.state.confirm_started(name, 0.0))
+
+    def stop(self, number):
+        self._with_task(number, self.state.begin_stop)
+
+    def stopped(self, number):
+        def finish(name):
+            self.state.confirm_stopped(name, 0.0, StopOutcome.FINISHED)
+            del self.running[name]
+
+        self._with_task(number, finish)
+
+    def lose(self, number):
+        try:
+            self.state.remove_worker(f"worker-{number}")
+        except UnknownWorkerError:
+            return
+
+    def _with_task(self, number, change):
+        names = sorted(self.running)
+        if names:
+            change(names[number % len(names)])
+
+
+class CapacityTest(unittest.TestCase):
+    """Hard limits, whatever the order of events."""
+
+    @settings(max_examples=150, deadline=None, derandomize=True)
+    @given(STEPS)
+    def test_no_order_of_events_overfills_a_worker(self, steps):
+        driver = Driver()
+        for name, argument in steps:
+            if name == "return":
+                self._bring_back(driver, argument)
+            else:
+                getattr(driver, name)(argument)
+            for number in range(3):
+                cores, memory_bytes, accelerators = held_at(
+                    driver.running, f"worker-{number}"
+                )
+                self.assertLessEqual(cores, 320)
+                self.assertLessEqual(memory_bytes, 125 * GIB)
+                self.assertLessEqual(accelerators, 1)
+
+    def _bring_back(self, driver, number):
+        worker = driver.state.workers.get(f"worker-{number}")
+        if worker is None or worker.withdrawn:
+            driver.state.add_worker(build_worker(number, accelerators=1))
+
+    def test_a_start_not_yet_confirmed_holds_its_room(self):
+        # A user's job is killed for memory. Two starts were sent to one worker before
+        # it confirmed the first; only running tasks were counted, so both went out.
+        state = build_state()
+        state.reserve(build_task("first", cores=20.0), "worker-0", 0.0)
+        with self.assertRaises(CapacityExceededError):
+            state.reserve(build_task("second", cores=20.0), "worker-0", 0.0)
+
+    def test_a_stop_not_yet_proved_holds_its_room(self):
+        # A service slows to a crawl. A batch task was told to stop, its room was given
+        # away at once, and the stop took ten seconds: both ran meanwhile.
+        state = build_state()
+        run_task(state, build_task("first", cores=20.0))
+        state.begin_stop("first")
+        with self.assertRaises(CapacityExceededError):
+            state.reserve(build_task("second", cores=20.0), "worker-0", 0.0)
+        state.confirm_stopped("first", 0.0, StopOutcome.EVICTED)
+        state.reserve(build_task("second", cores=20.0), "worker-0", 0.0)
+
+    def test_a_worker_that_comes_back_still_holds_its_tasks(self):
+        # Two jobs fight for one machine. The worker was lost from view and came back
+        # with its task running; its record had been dropped, so it looked empty.
+        state = build_state()
+        run_task(state, build_task("first", cores=20.0))
+        state.remove_worker("worker-0")
+        with self.assertRaises(UnknownWorkerError):
+            state.reserve(build_task("third", cores=1.0), "worker-0", 0.0)
+        state.add_worker(build_worker())
+        with self.assertRaises(CapacityExceededError):
+            state.reserve(build_task("second", cores=20.0), "worker-0", 0.0)
+
+    def test_a_task_is_not_held_twice(self):
+        # A roster is built twice. Its start was retried on another worker while the
+        # first worker still held it.
+        state = build_state(2)
+        state.reserve(build_task(), "worker-0", 0.0)
+        with self.assertRaises(UnknownTaskError):
+            state.reserve(build_task(), "worker-1", 0.0)
+
+    def test_rounding_neither_loses_nor_grants_room(self):
+        state = build_state(cores=1.0)
+        for number in range(10):
+            state.reserve(build_task(f"task-{number}", cores=0.1), "worker-0", 0.0)
+        with self.assertRaises(CapacityExceededError):
+            state.reserve(build_task("more", cores=1e-9), "worker-0", 0.0)
+        for number in range(10):
+            state.confirm_stopped(f"task-{number}", 0.0, StopOutcome.CANCELLED)
+        state.reserve(build_task("whole", cores=1.0), "worker-0", 0.0)
