Score placements from columns kept with each worker

A decision recomputed every worker's excess from the model: 289 us median at 24 workers. The excess and its slope by load are now columns written when a worker's record changes, so a decision gathers rows. Keeping scalars per worker in plain objects was ruled out: it grows with the services looked at.

--- a/trefoilhook/placement/core.py
+++ b/trefoilhook/placement/core.py
@@ -88,15 +88,10 @@
     beyond their declared size; services and urgent tasks need not.
     """
     table, wanted = state.table, task.resources
-    cores = table.cores[rows]
-    if task.kind is not TaskKind.SERVICE and not task.urgent:
-        cores = cores - table.headroom[rows]
-    fits = (
-        (cores >= wanted.cores)
-        & (table.memory_bytes[rows] >= wanted.memory_bytes)
-        & (table.accelerators[rows] >= wanted.accelerators)
-        & (table.open[rows] > 0.0)
-    )
+    must_start = task.urgent or task.kind is TaskKind.SERVICE
+    room = table.room if must_start else table.guarded_room
+    least = (wanted.cores, wanted.memory_bytes, wanted.accelerators, 1.0)
+    fits = (room.take(rows, axis=0) >= least).all(axis=1)
     history = state.histories.get(task.task_id)
     if history is not None and history.failed_on:
         ids = state.table.ids
--- a/trefoilhook/placement/interference.py
+++ b/trefoilhook/placement/interference.py
@@ -71,8 +71,15 @@
     return np.full((CLASS_LIMIT, 2 * CLASS_LIMIT), _PRIOR_MEAN)
 
 
-def _build_prior_variance() -> Floats:
-    return np.tile(np.diag(_PRIOR_COVARIANCE), (CLASS_LIMIT, 1))
+def _measure_deviation(covariance: Floats) -> Floats:
+    """Return the standard deviation of each pair's slowdown at full load."""
+    variance = np.diagonal(covariance)
+    deviation: Floats = np.sqrt(variance[:CLASS_LIMIT] + variance[CLASS_LIMIT:])
+    return deviation
+
+
+def _build_prior_deviation() -> Floats:
+    return np.tile(_measure_deviation(_PRIOR_COVARIANCE), (CLASS_LIMIT, 1))
 
 
 @attrs.define(kw_only=True)
@@ -83,8 +90,8 @@
     ----------
     mean : array, shape (CLASS_LIMIT, 2 * CLASS_LIMIT)
         Means of ``[A, B]``.
-    variance : array, shape (CLASS_LIMIT, 2 * CLASS_LIMIT)
-        Diagonals of the rows' covariances.
+    deviation : array, shape (CLASS_LIMIT, CLASS_LIMIT)
+        Standard deviation of each pair's slowdown at full load.
     covariances : dict of int to array
         Covariance of each row that has been learned.
     learned_at_ms : dict of int to float
@@ -94,7 +101,7 @@
     """
 
     mean: Floats = attrs.field(factory=_build_prior_mean)
-    variance: Floats = attrs.field(factory=_build_prior_variance)
+    deviation: Floats = attrs.field(factory=_build_prior_deviation)
     covariances: dict[int, Floats] = attrs.field(factory=dict)
     learned_at_ms: dict[int, float] = attrs.field(factory=dict)
     forget_ms: float = _FORGET_MS
@@ -156,6 +163,6 @@
     model.mean[row] += gain * error
     covariance -= np.outer(gain, projected)
     model.covariances[row] = covariance
-    model.variance[row] = np.diagonal(covariance)
+    model.deviation[row] = _measure_deviation(covariance)
     model.learned_at_ms[row] = now_ms
     return error
--- a/trefoilhook/placement/preemption.py
+++ b/trefoilhook/placement/preemption.py
@@ -11,6 +11,7 @@
 from trefoilhook.placement.records import Earmark, TaskState, WorkerState
 from trefoilhook.placement.resources import Resources
 from trefoilhook.placement.shapes import TaskShape
+from trefoilhook.placement.table import ROOM_CORES, ROOM_OPEN
 from trefoilhook.placement.victims import (
     RESTART_COST_MS,
     is_preemptible,
@@ -112,7 +113,9 @@
 
 def _order_by_room(state: "ShardState", rows: npt.NDArray[np.intp]) -> list[int]:
     table = state.table
-    room = np.where(table.open[rows] > 0.0, table.cores[rows], -np.inf)
+    room = np.where(
+        table.room[rows, ROOM_OPEN] > 0.0, table.room[rows, ROOM_CORES], -np.inf
+    )
     return [int(row) for row in rows[np.argsort(-room, kind="stable")]]
 
 
--- a/trefoilhook/placement/refresh.py
+++ b/trefoilhook/placement/refresh.py
@@ -9,10 +9,10 @@
 from trefoilhook.placement.records import PressureSnapshot, TaskState, WorkerState
 from trefoilhook.placement.resources import sum_resources
 from trefoilhook.placement.shapes import (
-    DEFAULT_BEARABLE,
     TaskKind,
     bearable_excess,
 )
+from trefoilhook.placement.table import ROOM_CORES
 
 if TYPE_CHECKING:
     from trefoilhook.placement.state import ShardState
@@ -57,12 +57,11 @@
     table, row = state.table, worker.slot
     kept = sum_resources(mark.resources for mark in worker.earmarks.values())
     room = worker.shape.capacity.minus(worker.reserved).minus(kept)
-    table.cores[row] = room.cores
-    table.memory_bytes[row] = room.memory_bytes
-    table.accelerators[row] = room.accelerators
+    is_open = float(_is_open(worker))
+    table.room[row] = (room.cores, room.memory_bytes, room.accelerators, is_open)
+    table.guarded_room[row] = table.room[row]
     table.capacity_cores[row] = worker.shape.capacity.cores
     table.accelerated[row] = float(worker.shape.capacity.accelerators > 0)
-    table.open[row] = float(_is_open(worker))
 
 
 def _is_open(worker: WorkerState) -> bool:
@@ -76,21 +75,32 @@
     table, row = state.table, worker.slot
     shares = [0.0] * CLASS_LIMIT
     services = [0.0] * CLASS_LIMIT
-    bearable = [DEFAULT_BEARABLE] * CLASS_LIMIT
+    scale = [0.0] * CLASS_LIMIT
     wanted = 0.0
     for task in worker.residents.values():
         index = task.class_index
         shares[index] += task.expected_cores * task.speed
         if task.shape.kind is TaskKind.SERVICE:
             services[index] += 1.0
-            bearable[index] = min(bearable[index], bearable_excess(task.shape))
+            scale[index] = max(scale[index], 1.0 / bearable_excess(task.shape))
             wanted += _expect_overuse(state, task)
     table.pressure[row] = shares
     table.pressure[row] /= worker.shape.capacity.cores
     table.load[row] = sum(shares) / worker.shape.capacity.cores
     table.services[row] = services
-    table.bearable[row] = bearable
-    table.headroom[row] = wanted
+    table.scale[row] = scale
+    table.guarded_room[row, ROOM_CORES] -= wanted
+    _write_excess(state, row)
+
+
+def _write_excess(state: "ShardState", row: int) -> None:
+    table, model = state.table, state.model
+    pressure = table.pressure[row]
+    loaded = model.loaded @ pressure
+    excess = model.constant @ pressure + table.load[row] * loaded
+    excess += max(table.residual[row], 0.0)
+    table.loaded[row] = loaded
+    table.excess[row] = np.maximum(excess, 0.0) * table.scale[row]
 
 
 def _expect_overuse(state: "ShardState", task: TaskState) -> float:
--- a/trefoilhook/placement/scoring.py
+++ b/trefoilhook/placement/scoring.py
@@ -6,7 +6,8 @@
     tail_weight  * sum over services v of ((e_v' / b_v)**2 - (e_v / b_v)**2)
     - batch_weight * x                      (batch and watchers)
     + spread_weight * crowding              (services)
-    + packing_weight * free share left      (batch and watchers)
+    + packing_weight * idle share           (batch and watchers)
+    + balance_weight * load                 (services)
     + a fixed cost for occupying an accelerated worker without need
 
 ``e`` and ``e'`` are the predicted excess slowdowns before and after, ``b`` the
@@ -22,7 +23,6 @@
 import numpy as np
 import numpy.typing as npt
 
-from trefoilhook.placement.interference import CLASS_LIMIT
 from trefoilhook.placement.policy import Policy
 from trefoilhook.placement.quantiles import RatioKey
 from trefoilhook.placement.shapes import TaskKind, TaskShape, bearable_excess
@@ -34,7 +34,8 @@
 __all__ = ["Scorer", "Scores", "expect_cores", "score_rows"]
 
 _ACCELERATOR_COST = 1.0
-_MATERIAL_RISE = 0.02
+_BALANCE_COST = 0.1
+_MATERIAL_TAIL = 1e-3
 
 Floats = npt.NDArray[np.float64]
 Rows = npt.NDArray[np.intp]
@@ -96,56 +97,53 @@
         One entry for each row.
     """
     table = state.table
-    share = expect_cores(state, task) / table.capacity_cores[rows]
-    before, after = _predict(state, class_index, rows, share, policy)
-    bearable = table.bearable[rows]
-    services = table.services[rows]
-    before /= bearable
-    after /= bearable
-    present = services > 0.0
-    tail = (services * (after * after - before * before)).sum(axis=1)
-    worst = np.where(present, after, 0.0).max(axis=1)
+    share = expect_cores(state, task) / table.capacity_cores.take(rows)
+    before = table.excess.take(rows, axis=0)
+    rise = _predict_rise(state, class_index, rows, share, policy)
+    after = before + rise
+    counted = table.services.take(rows, axis=0)
+    counted *= rise
+    tail = np.einsum("ij,ij->i", counted, after + before)
     if task.kind is TaskKind.SERVICE:
-        return _score_service(state, task, class_index, rows, after, tail, policy)
-    rise = np.where(present, after - before, 0.0).max(axis=1)
-    limit = worst <= policy.admit_ratio
-    admissible = (limit | (rise <= _MATERIAL_RISE)) & (table.late[rows] == 0.0)
-    left = (table.cores[rows] - task.resources.cores) / table.capacity_cores[rows]
+        return _score_service(state, task, class_index, rows, share, tail, policy)
+    worst = after.max(axis=1)
+    within = (worst <= policy.admit_ratio) | (tail <= _MATERIAL_TAIL)
+    late = table.late.take(rows) > 0.0
     cost = policy.tail_weight * tail - policy.batch_weight * share
-    cost += policy.packing_weight * left
+    cost += policy.packing_weight * (1.0 - table.load.take(rows))
     if not task.resources.accelerators:
-        cost += _ACCELERATOR_COST * table.accelerated[rows]
-    return Scores(cost=cost, excess=worst, admissible=admissible)
+        cost += _ACCELERATOR_COST * table.accelerated.take(rows)
+    return Scores(cost=cost, excess=worst, admissible=within & ~late)
 
 
-def _predict(
+def _predict_rise(
     state: "ShardState",
     class_index: int,
     rows: Rows,
     share: Floats,
     policy: Policy,
-) -> tuple[Floats, Floats]:
+) -> Floats:
+    """Return the rise in each class's part of what it bears, by row and class."""
     table, model = state.table, state.model
-    pressure = table.pressure[rows]
-    load = table.load[rows][:, None]
-    added = share[:, None]
-    constant = pressure @ model.constant.T
-    loaded = pressure @ model.loaded.T
-    base = constant + load * loaded
-    base += np.maximum(table.residual[rows], 0.0)[:, None]
-    rise = added * model.constant[:, class_index]
-    rise = rise + added * (loaded + (load + added) * model.loaded[:, class_index])
-    rise += policy.risk * added * _deviation(state, class_index, load)
-    np.maximum(base, 0.0, out=base)
-    return base, np.maximum(base + rise, 0.0)
-
-
-def _deviation(state: "ShardState", class_index: int, load: Floats) -> Floats:
-    variance = state.model.variance
-    constant = variance[:, class_index]
-    loaded = variance[:, CLASS_LIMIT + class_index]
-    deviation: Floats = np.sqrt(constant + load * load * loaded)
-    return deviation
+    own = model.constant[:, class_index] + policy.risk * model.deviation[:, class_index]
+    rise = table.loaded.take(rows, axis=0)
+    rise += own
+    load = table.load.take(rows) + share
+    rise += load[:, None] * model.loaded[:, class_index]
+    rise *= share[:, None]
+    rise *= table.scale.take(rows, axis=0)
+    return np.maximum(rise, 0.0, out=rise)
+
+
+def _predict_own(state: "ShardState", class_index: int, rows: Rows) -> Floats:
+    """Return the excess that a service of a class would suffer on each row."""
+    table, model = state.table, state.model
+    pressure = table.pressure.take(rows, axis=0)
+    constant = pressure @ model.constant[class_index]
+    loaded = pressure @ model.loaded[class_index]
+    residual = np.maximum(table.residual.take(rows), 0.0)
+    own: Floats = constant + table.load.take(rows) * loaded + residual
+    return np.maximum(own, 0.0)
 
 
 def _score_service(
@@ -153,19 +151,15 @@
     task: TaskShape,
     class_index: int,
     rows: Rows,
-    after: Floats,
+    share: Floats,
     tail: Floats,
     policy: Policy,
 ) -> Scores:
-    scale = state.table.bearable[rows, class_index] / bearable_excess(task)
-    own = after[:, class_index] * scale
-    workers = state.workers
-    ids = state.table.ids
+    own = _predict_own(state, class_index, rows) / bearable_excess(task)
+    shapes = [state.workers[state.table.ids[row]].shape for row in rows.tolist()]
     crowding = np.array(
-        [
-            measure_crowding(state.spread, class_index, workers[ids[row]].shape)
-            for row in rows
-        ]
+        [measure_crowding(state.spread, class_index, shape) for shape in shapes]
     )
     cost = policy.tail_weight * (tail + own * own) + policy.spread_weight * crowding
+    cost += _BALANCE_COST * (state.table.load.take(rows) + share)
     return Scores(cost=cost, excess=own, admissible=np.ones(len(rows), dtype=bool))
--- a/trefoilhook/placement/summaries.py
+++ b/trefoilhook/placement/summaries.py
@@ -12,6 +12,7 @@
 
 from trefoilhook.placement.resources import ZERO, Resources
 from trefoilhook.placement.shapes import TaskShape
+from trefoilhook.placement.table import ROOM_CORES, ROOM_OPEN
 
 if TYPE_CHECKING:
     from trefoilhook.placement.state import ShardState
@@ -51,14 +52,14 @@
     """Summarize a shard's room in a bounded size."""
     table = state.table
     count = len(table.ids)
-    is_open = table.open[:count] > 0.0
-    cores = np.where(is_open, table.cores[:count], 0.0)
+    is_open = table.room[:count, ROOM_OPEN] > 0.0
+    cores = np.where(is_open, table.room[:count, ROOM_CORES], 0.0)
     emptiest = np.argsort(-cores, kind="stable")[:_OFFERED]
     rooms = tuple(
         Resources(
             cores=float(cores[row]),
-            memory_bytes=int(table.memory_bytes[row]),
-            accelerators=int(table.accelerators[row]),
+            memory_bytes=int(table.room[row, 1]),
+            accelerators=int(table.room[row, 2]),
         )
         for row in emptiest
         if is_open[row]
--- a/trefoilhook/placement/table.py
+++ b/trefoilhook/placement/table.py
@@ -11,9 +11,16 @@
 
 from trefoilhook.placement.interference import CLASS_LIMIT
 
-__all__ = ["WorkerTable", "add_row", "drop_row"]
+__all__ = ["ROOM_CORES", "ROOM_OPEN", "WorkerTable", "add_row", "drop_row"]
 
 _FIRST_ROWS = 32
+_ROOM_WIDTH = 4
+
+ROOM_CORES = 0
+"""Column of the rooms that holds cores."""
+
+ROOM_OPEN = 3
+"""Column of the rooms that holds 1.0 where new tasks are allowed."""
 
 Floats = npt.NDArray[np.float64]
 
@@ -26,6 +33,10 @@
     return _column(CLASS_LIMIT)
 
 
+def _room_columns() -> Floats:
+    return _column(_ROOM_WIDTH)
+
+
 @attrs.define(kw_only=True)
 class WorkerTable:
     """Columns over the workers of one shard; row ``i`` is worker ``ids[i]``.
@@ -34,8 +45,12 @@
     ----------
     ids : list of str
         Workers in the order of the rows.
-    cores, memory_bytes, accelerators : array
-        Room that is free and not kept for another task.
+    room : array, shape (rows, 4)
+        Cores, bytes of memory and accelerators that are free and not kept for another
+        task, and 1.0 where new tasks are allowed.
+    guarded_room : array, shape (rows, 4)
+        The same less the cores that services are likely to want beyond what they
+        declared.
     capacity_cores : array
         Cores in all.
     pressure : array, shape (rows, CLASS_LIMIT)
@@ -44,33 +59,33 @@
         Sum of ``pressure`` along the row.
     services : array, shape (rows, CLASS_LIMIT)
         Number of services of each class.
-    bearable : array, shape (rows, CLASS_LIMIT)
-        Smallest bearable excess of the services of each class.
+    scale : array, shape (rows, CLASS_LIMIT)
+        One over the smallest bearable excess of the services of each class; 0 where
+        there are none.
+    excess : array, shape (rows, CLASS_LIMIT)
+        Predicted part of the bearable excess of the services of each class.
+    loaded : array, shape (rows, CLASS_LIMIT)
+        What one more unit of load adds to the slowdown of each class.
     residual : array
         Recent measured excess above what the model predicts.
-    headroom : array
-        Cores that services are likely to want beyond what they declared.
     late : array
         1.0 where a service is past its target.
-    open : array
-        1.0 where new tasks are allowed.
     accelerated : array
         1.0 where the worker has accelerators.
     """
 
     ids: list[str] = attrs.field(factory=list)
-    cores: Floats = attrs.field(factory=_column)
-    memory_bytes: Floats = attrs.field(factory=_column)
-    accelerators: Floats = attrs.field(factory=_column)
+    room: Floats = attrs.field(factory=_room_columns)
+    guarded_room: Floats = attrs.field(factory=_room_columns)
     capacity_cores: Floats = attrs.field(factory=_column)
     pressure: Floats = attrs.field(factory=_columns)
     load: Floats = attrs.field(factory=_column)
     services: Floats = attrs.field(factory=_columns)
-    bearable: Floats = attrs.field(factory=_columns)
+    scale: Floats = attrs.field(factory=_columns)
+    excess: Floats = attrs.field(factory=_columns)
+    loaded: Floats = attrs.field(factory=_columns)
     residual: Floats = attrs.field(factory=_column)
-    headroom: Floats = attrs.field(factory=_column)
     late: Floats = attrs.field(factory=_column)
-    open: Floats = attrs.field(factory=_column)
     accelerated: Floats = attrs.field(factory=_column)
 
 
@@ -82,7 +97,7 @@
 def add_row(table: WorkerTable, worker_id: str) -> int:
     """Add a row of zeros for a worker and return its index."""
     row = len(table.ids)
-    if row == len(table.cores):
+    if row == len(table.load):
         for name in _COLUMNS:
             old = getattr(table, name)
             setattr(table, name, np.concatenate([old, np.zeros_like(old)]))
