--- a/trefoilhook/exceptions.py
+++ b/trefoilhook/exceptions.py
@@ -9,11 +9,13 @@
 
 __all__ = [
     "AnswerLostError",
+    "CapacityExceededError",
     "ConflictError",
     "FencedError",
     "LeaseLostError",
     "NotSentError",
     "OutcomeError",
+    "PlacementError",
     "RequestError",
     "SettingsError",
     "StoreError",
@@ -22,6 +24,8 @@
     "StoreUnsentError",
     "TransportError",
     "TrefoilhookError",
+    "UnknownTaskError",
+    "UnknownWorkerError",
 ]
 
 
@@ -124,3 +128,21 @@
     """A command carries an epoch older than one already seen."""
 
     code = ResultCode.NO_OWNER
+
+
+class PlacementError(TrefoilhookError):
+    """A change of a shard's placement state is refused; nothing changed."""
+
+
+class CapacityExceededError(PlacementError):
+    """A reservation would give a worker more than it has."""
+
+    code = ResultCode.OVERLOADED
+
+
+class UnknownTaskError(PlacementError):
+    """The shard holds no such task, or holds it already."""
+
+
+class UnknownWorkerError(PlacementError):
+    """The shard has no such worker in use, or has it already."""
