Add worker, executor, instance list and TCP cut stand-ins

Cause: the owners' code needs workers that fence by epoch, executors that count what they ran, a list that lags and connections that go silent.

Tasks run in simulated time that catches up on each call, so that no timer has to be right; ruled out was a timer task per worker, which at hundreds of embedded workers would wake for nothing.

--- a/trefoilhook/http/server.py
+++ b/trefoilhook/http/server.py
@@ -76,7 +76,7 @@
             async with trio.open_nursery() as connections:
                 with self._listen_scope:
                     await trio.serve_listeners(
-                        self._serve_connection,
+                        self.serve_connection,
                         listeners,
                         handler_nursery=connections,
                         task_status=_PortStatus(task_status, self.port),
@@ -103,7 +103,8 @@
             scope.cancel()
         await self._closed.wait()
 
-    async def _serve_connection(self, raw: trio.SocketStream) -> None:
+    async def serve_connection(self, raw: trio.SocketStream) -> None:
+        """Serve one connection until it ends; called once for each accepted one."""
         async with self._slots:
             stream: trio.abc.Stream = raw
             if self._tls is not None:
--- /dev/null
+++ b/trefoilhook/instances/__init__.py
@@ -0,0 +1,17 @@
+"""Adapter to the platform's instance list."""
+
+from trefoilhook.instances.client import InstanceListClient
+from trefoilhook.instances.core import (
+    BackendPage,
+    ExecutorRecord,
+    InstanceState,
+    WorkerRecord,
+)
+
+__all__ = [
+    "BackendPage",
+    "ExecutorRecord",
+    "InstanceListClient",
+    "InstanceState",
+    "WorkerRecord",
+]
--- a/trefoilhook/standins/core.py
+++ b/trefoilhook/standins/core.py
@@ -79,6 +79,35 @@
     return HttpResponse.from_json(body, status=refusal.status)
 
 
+class _CountingServer(HttpServer):
+    """A server that counts its connections and can close those above a limit."""
+
+    def __init__(self, *, counts: "_ConnectionCounts", **options: Any) -> None:
+        super().__init__(**options)
+        self._counts = counts
+
+    async def serve_connection(self, raw: trio.SocketStream) -> None:
+        counts = self._counts
+        if counts.limit is not None and counts.open >= counts.limit:
+            counts.refused += 1
+            await trio.aclose_forcefully(raw)
+            return
+        counts.open += 1
+        counts.high_water = max(counts.high_water, counts.open)
+        try:
+            await super().serve_connection(raw)
+        finally:
+            counts.open -= 1
+
+
+@attrs.define(kw_only=True)
+class _ConnectionCounts:
+    limit: int | None
+    open: int = 0
+    high_water: int = 0
+    refused: int = 0
+
+
 class FaultyServer:
     """Serves a stand-in's calls, with faults, and the orders of its test.
 
@@ -100,6 +129,8 @@
         Port for orders; 0 takes a free one.
     limits : HttpLimits, optional
         Bounds on what a client may send.
+    is_refusing_surplus : bool, optional
+        Close connections above the limit at once, in place of letting them wait.
     """
 
     def __init__(
@@ -113,6 +144,7 @@
         control: Control | None = None,
         control_port: int = 0,
         limits: HttpLimits = _LIMITS,
+        is_refusing_surplus: bool = False,
     ) -> None:
         self._handler = handler
         self._name_call = name_call
@@ -122,6 +154,9 @@
             handler=self._obey, host=host, port=control_port
         )
         self._limits = limits
+        self._connections = _ConnectionCounts(
+            limit=limits.max_connections if is_refusing_surplus else None
+        )
         self._scope = trio.CancelScope()
         self.host = host
         self.port = port
@@ -132,6 +167,16 @@
         """Port for orders, once the server runs."""
         return self._control_server.port
 
+    @property
+    def refused_connections(self) -> int:
+        """Connections closed for being too many."""
+        return self._connections.refused
+
+    @property
+    def high_water_connections(self) -> int:
+        """Most connections at once."""
+        return self._connections.high_water
+
     async def run(
         self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -155,8 +200,12 @@
     async def _serve_once(
         self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
     ) -> None:
-        server = HttpServer(
-            handler=self._handle, host=self.host, port=self.port, limits=self._limits
+        server = _CountingServer(
+            counts=self._connections,
+            handler=self._handle,
+            host=self.host,
+            port=self.port,
+            limits=self._limits,
         )
         with trio.CancelScope() as self._scope:
             await server.run(task_status=task_status)
--- /dev/null
+++ b/trefoilhook/standins/worker_state.py
@@ -0,0 +1,386 @@
+"""What a worker holds and does, in simulated time, without any input or output."""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable, Sequence
+
+import attrs
+
+from trefoilhook.standins.core import RefusalError
+from trefoilhook.standins.worker_task import (
+    AttemptKey,
+    PairSlowdown,
+    SimulatedTask,
+    StartRecord,
+    build_task,
+)
+from trefoilhook.workers import (
+    CommandKind,
+    CommandResult,
+    CommandStatus,
+    LeaseRequest,
+    Resources,
+    TaskState,
+    UsageReport,
+    WorkerCommand,
+    WorkerHeartbeat,
+    WorkerInventory,
+)
+
+__all__ = ["WorkerSettings", "WorkerState"]
+
+_SETTLED_JOBS = 10_000
+_CORES_ROUNDING = 1e-9
+_NOTHING = Resources(cores=0.0, memory_bytes=0)
+
+
+@attrs.frozen(kw_only=True)
+class WorkerSettings:
+    """What a worker has and how it behaves.
+
+    Parameters
+    ----------
+    worker_id : str
+        Its name.
+    capacity : Resources, optional
+        All that it has.
+    report_interval_ms : float, optional
+        Time between measurements, in ms.
+    report_lag_ms : float, optional
+        Time until a measurement can be told, in ms.
+    slowdowns : tuple of PairSlowdown, optional
+        Hidden slowdown of each pair of classes; other pairs don't slow each other.
+    is_black_hole : bool, optional
+        Whether it fails everything that it starts.
+    """
+
+    worker_id: str
+    capacity: Resources = Resources(cores=32.0, memory_bytes=125_000_000_000)
+    report_interval_ms: float = 1_000.0
+    report_lag_ms: float = 5_000.0
+    slowdowns: tuple[PairSlowdown, ...] = ()
+    is_black_hole: bool = False
+
+
+@attrs.define(kw_only=True)
+class _HeldLease:
+    owner_id: str
+    epoch: int
+    expires_at_ms: float
+
+
+@attrs.frozen(kw_only=True)
+class _Measurement:
+    measured_at_ms: float
+    report: UsageReport
+
+
+def _add(left: Resources, right: Resources) -> Resources:
+    return Resources(
+        cores=left.cores + right.cores,
+        memory_bytes=left.memory_bytes + right.memory_bytes,
+        accelerators=left.accelerators + right.accelerators,
+    )
+
+
+def _fits(wanted: Resources, capacity: Resources) -> bool:
+    return (
+        wanted.cores <= capacity.cores + _CORES_ROUNDING
+        and wanted.memory_bytes <= capacity.memory_bytes
+        and wanted.accelerators <= capacity.accelerators
+    )
+
+
+def _take_highest(left: Resources, right: Resources) -> Resources:
+    return Resources(
+        cores=max(left.cores, right.cores),
+        memory_bytes=max(left.memory_bytes, right.memory_bytes),
+        accelerators=max(left.accelerators, right.accelerators),
+    )
+
+
+class WorkerState:
+    """Lease, tasks and records of one worker.
+
+    Parameters
+    ----------
+    settings : WorkerSettings
+        What the worker has.
+    monotonic_ms : callable
+        The worker's time, in ms. Nothing happens between calls: each first lets the
+        simulated time catch up.
+    """
+
+    def __init__(
+        self, *, settings: WorkerSettings, monotonic_ms: Callable[[], float]
+    ) -> None:
+        self._now_ms = monotonic_ms
+        self._advanced_to_ms = monotonic_ms()
+        self._next_measurement_ms = self._advanced_to_ms + settings.report_interval_ms
+        self._measurements: deque[_Measurement] = deque()
+        self._lease: _HeldLease | None = None
+        self._highest_epoch = 0
+        self._tasks: dict[AttemptKey, SimulatedTask] = {}
+        self._settled: OrderedDict[str, tuple[int, int]] = OrderedDict()
+        self._started: list[SimulatedTask] = []
+        self.settings = settings
+        self.high_water = _NOTHING
+        self.refused_starts: list[WorkerCommand] = []
+
+    @property
+    def held(self) -> Resources:
+        """What the running tasks hold together."""
+        total = _NOTHING
+        for task in self._list_running():
+            total = _add(total, task.held)
+        return total
+
+    def list_records(self, *, wall_offset_ms: float) -> tuple[StartRecord, ...]:
+        """Return every start in its order."""
+        self.advance()
+        worker_id = self.settings.worker_id
+        return tuple(
+            task.record(worker_id, wall_offset_ms=wall_offset_ms)
+            for task in self._started
+        )
+
+    def lose_memory(self) -> None:
+        """Behave as a worker that died and came back with nothing."""
+        self.advance()
+        for task in self._list_running():
+            task.end(TaskState.STOPPED, at_ms=self._advanced_to_ms)
+            task.is_lost = True
+        self._tasks.clear()
+        self._settled.clear()
+        self._measurements.clear()
+        self._lease = None
+        self._highest_epoch = 0
+
+    def take_lease(self, request: LeaseRequest) -> WorkerInventory:
+        """Grant the lease; refused when fenced or lapsed."""
+        self.advance()
+        self._check_takeover(request)
+        self._highest_epoch = request.epoch
+        self._lease = _HeldLease(
+            owner_id=request.owner_id,
+            epoch=request.epoch,
+            expires_at_ms=self._now_ms() + request.ttl_ms,
+        )
+        return WorkerInventory(
+            worker_id=self.settings.worker_id,
+            capacity=self.settings.capacity,
+            tasks=tuple(task.describe() for task in self._tasks.values()),
+        )
+
+    def _check_takeover(self, request: LeaseRequest) -> None:
+        if request.epoch > self._highest_epoch:
+            return
+        lease = self._lease
+        if request.epoch < self._highest_epoch:
+            raise RefusalError(status=409, error="fenced")
+        # A lapsed lease has stopped the tasks that its owner counts on; taken again at
+        # the same epoch, it would look to the owner as if it had never lapsed.
+        if lease is None:
+            raise RefusalError(status=410, error="lease_lost")
+        if lease.owner_id != request.owner_id:
+            raise RefusalError(status=409, error="fenced")
+
+    def renew(self, epoch: int, ttl_ms: float) -> WorkerHeartbeat:
+        """Start the lease's time anew."""
+        lease = self.check_lease(epoch)
+        lease.expires_at_ms = self._now_ms() + ttl_ms
+        ended = (
+            task.describe()
+            for task in self._tasks.values()
+            if task.state is not TaskState.RUNNING
+        )
+        return WorkerHeartbeat(tasks=tuple(ended), report=self._find_report())
+
+    def check_lease(self, epoch: int) -> _HeldLease:
+        """Return the lease if ``epoch`` holds it; else refuse."""
+        self.advance()
+        if epoch < self._highest_epoch:
+            raise RefusalError(status=409, error="fenced")
+        if self._lease is None or epoch > self._highest_epoch:
+            raise RefusalError(status=410, error="lease_lost")
+        return self._lease
+
+    def command(
+        self, epoch: int, commands: Sequence[WorkerCommand]
+    ) -> tuple[CommandResult, ...]:
+        """Carry commands out in their order."""
+        self.check_lease(epoch)
+        return tuple(self._carry_out(epoch, command) for command in commands)
+
+    def _carry_out(self, epoch: int, command: WorkerCommand) -> CommandResult:
+        key = (command.job_id, command.attempt_epoch, command.attempt_sequence)
+        if command.kind is CommandKind.START:
+            status = self._start(epoch, key, command)
+        elif key not in self._tasks:
+            status = CommandStatus.UNKNOWN_TASK
+            if command.kind is CommandKind.STOP:
+                self._settle(key)
+        else:
+            status = self._change(self._tasks[key], command)
+        task = self._tasks.get(key)
+        return CommandResult(
+            job_id=command.job_id,
+            attempt_epoch=command.attempt_epoch,
+            attempt_sequence=command.attempt_sequence,
+            status=status,
+            task=task.describe() if task is not None else None,
+        )
+
+    def _start(
+        self, epoch: int, key: AttemptKey, command: WorkerCommand
+    ) -> CommandStatus:
+        if command.resources is None:
+            return CommandStatus.NOT_POSSIBLE
+        if key in self._tasks:
+            return CommandStatus.ALREADY_DONE
+        if self._is_stale(key):
+            return CommandStatus.STALE_ATTEMPT
+        if not _fits(_add(self.held, command.resources), self.settings.capacity):
+            self.refused_starts.append(command)
+            return CommandStatus.NO_CAPACITY
+        task = build_task(command)
+        task.owner_epoch = epoch
+        task.started_ms = self._advanced_to_ms
+        self._tasks[key] = task
+        self._started.append(task)
+        self.high_water = _take_highest(self.high_water, self.held)
+        if self.settings.is_black_hole:
+            task.end(TaskState.FAILED, at_ms=task.started_ms, result="failed at start")
+        return CommandStatus.DONE
+
+    def _is_stale(self, key: AttemptKey) -> bool:
+        # A start can arrive long after it was sent, behind its own stop or behind the
+        # acknowledgement of a repetition; run then, the attempt would run twice.
+        job_id, *attempt = key
+        if self._settled.get(job_id, (0, 0)) >= tuple(attempt):
+            return True
+        return any(
+            known[0] == job_id and known[1:] > tuple(attempt) for known in self._tasks
+        )
+
+    def _settle(self, key: AttemptKey) -> None:
+        job_id, *attempt = key
+        latest = max(self._settled.pop(job_id, (0, 0)), (attempt[0], attempt[1]))
+        self._settled[job_id] = latest
+        if len(self._settled) > _SETTLED_JOBS:
+            self._settled.popitem(last=False)
+
+    def _change(self, task: SimulatedTask, command: WorkerCommand) -> CommandStatus:
+        is_running = task.state is TaskState.RUNNING
+        if command.kind is CommandKind.ACKNOWLEDGE:
+            if is_running:
+                return CommandStatus.NOT_POSSIBLE
+            del self._tasks[task.key]
+            self._settle(task.key)
+            return CommandStatus.DONE
+        if not is_running:
+            return CommandStatus.ALREADY_DONE
+        if command.kind is CommandKind.STOP:
+            task.end(TaskState.STOPPED, at_ms=self._advanced_to_ms)
+        elif command.kind is CommandKind.CHECKPOINT_EVICT:
+            task.end(TaskState.EVICTED, at_ms=self._advanced_to_ms)
+        elif command.kind is CommandKind.UNTHROTTLE:
+            task.throttle_factor = 1.0
+        elif not 0 < command.throttle_factor < 1:
+            return CommandStatus.NOT_POSSIBLE
+        else:
+            task.throttle_factor = command.throttle_factor
+        return CommandStatus.DONE
+
+    def _list_running(self) -> list[SimulatedTask]:
+        return [
+            task for task in self._tasks.values() if task.state is TaskState.RUNNING
+        ]
+
+    def advance(self) -> None:
+        """Let the simulated time catch up, from event to event."""
+        now_ms = self._now_ms()
+        while self._advanced_to_ms < now_ms:
+            self._step(now_ms)
+
+    def _step(self, now_ms: float) -> None:
+        running = self._list_running()
+        slowdowns = [self._compute_slowdown(task, running) for task in running]
+        speeds = [
+            task.throttle_factor / slowdown
+            for task, slowdown in zip(running, slowdowns, strict=True)
+        ]
+        ends = [
+            self._advanced_to_ms + (task.work_ms - task.done_ms) / speed
+            for task, speed in zip(running, speeds, strict=True)
+        ]
+        until_ms = min(now_ms, self._next_measurement_ms, *ends)
+        if self._lease is not None:
+            until_ms = min(until_ms, self._lease.expires_at_ms)
+        elapsed_ms = max(0.0, until_ms - self._advanced_to_ms)
+        self._advanced_to_ms = max(until_ms, self._advanced_to_ms)
+        for task, speed, end_ms in zip(running, speeds, ends, strict=True):
+            task.done_ms = min(task.work_ms, task.done_ms + elapsed_ms * speed)
+            if end_ms <= until_ms:
+                self._finish(task)
+        if self._next_measurement_ms <= until_ms:
+            self._measure()
+        if self._lease is not None and self._lease.expires_at_ms <= until_ms:
+            self._lapse()
+
+    def _finish(self, task: SimulatedTask) -> None:
+        task.done_ms = task.work_ms
+        state = TaskState.FAILED if task.is_failing else TaskState.FINISHED
+        task.end(state, at_ms=self._advanced_to_ms, result=task.outcome)
+
+    def _lapse(self) -> None:
+        # Without an owner that renews, nobody may count on these tasks: another owner
+        # may start them elsewhere once the lease is sure to have lapsed.
+        self._lease = None
+        for task in self._list_running():
+            task.end(TaskState.STOPPED, at_ms=self._advanced_to_ms)
+
+    def _compute_slowdown(
+        self, task: SimulatedTask, running: Sequence[SimulatedTask]
+    ) -> float:
+        used_cores = sum(other.used.cores * other.throttle_factor for other in running)
+        load = min(1.0, used_cores / self.settings.capacity.cores)
+        excess = 0.0
+        for other in running:
+            if other is not task:
+                excess += self._find_factor(task, other) - 1
+        return 1 + max(0.0, excess) * load
+
+    def _find_factor(self, victim: SimulatedTask, neighbour: SimulatedTask) -> float:
+        wanted = (victim.command.task_class, neighbour.command.task_class)
+        for pair in self.settings.slowdowns:
+            if (pair.victim_class, pair.neighbour_class) == wanted:
+                return pair.factor
+        return 1.0
+
+    def _measure(self) -> None:
+        self._next_measurement_ms += self.settings.report_interval_ms
+        running = self._list_running()
+        usages = tuple(
+            task.measure(self._compute_slowdown(task, running)) for task in running
+        )
+        self._measurements.append(
+            _Measurement(
+                measured_at_ms=self._advanced_to_ms,
+                report=UsageReport(age_ms=0.0, usages=usages),
+            )
+        )
+        oldest_ms = self._advanced_to_ms - self.settings.report_lag_ms
+        while len(self._measurements) > 1 and (
+            self._measurements[1].measured_at_ms <= oldest_ms
+        ):
+            self._measurements.popleft()
+
+    def _find_report(self) -> UsageReport | None:
+        now_ms = self._advanced_to_ms
+        newest: UsageReport | None = None
+        for measurement in self._measurements:
+            age_ms = now_ms - measurement.measured_at_ms
+            if age_ms < self.settings.report_lag_ms:
+                break
+            newest = attrs.evolve(measurement.report, age_ms=age_ms)
+        return newest
