--- a/trefoilhook/inner/links.py
+++ b/trefoilhook/inner/links.py
@@ -220,6 +220,7 @@
                     host=address.host,
                     port=address.port,
                     expected_id=address.instance_id,
+                    is_any_welcome=address.is_seed,
                     instance_id=self._options.instance_id,
                     tls=self._options.tls_client,
                     watch=self.watch,
--- a/trefoilhook/inner/peers.py
+++ b/trefoilhook/inner/peers.py
@@ -36,11 +36,15 @@
         IP number.
     port : int
         Port of the inner protocol.
+    is_seed : bool, optional
+        Only the address is known: whoever answers there is the peer. The instance id
+        is then a name of its own choosing, and nothing is proved by who answers.
     """
 
     instance_id: str
     host: str
     port: int
+    is_seed: bool = False
 
 
 @attrs.define(kw_only=True, eq=False)
--- a/trefoilhook/inner/transport.py
+++ b/trefoilhook/inner/transport.py
@@ -168,6 +168,7 @@
     host: str,
     port: int,
     expected_id: str,
+    is_any_welcome: bool,
     instance_id: str,
     tls: ssl.SSLContext | None,
     watch: ConnectionWatch,
@@ -181,6 +182,8 @@
         Address of the peer.
     expected_id : str
         Instance id that should answer there.
+    is_any_welcome : bool
+        Take whoever answers; ``expected_id`` is then only the link's name.
     instance_id : str
         Own instance id.
     tls : ssl.SSLContext or None
@@ -203,7 +206,7 @@
             try:
                 await stream.send_message(_build_hello(instance_id))
                 hello = _read_hello(await stream.recv_message())
-                if hello.instance_id != expected_id:
+                if hello.instance_id != expected_id and not is_any_welcome:
                     raise StrangerError(f"{hello.instance_id} is not {expected_id}")
                 await _exchange(stream, open_link(expected_id, channel.cut))
             finally:
--- /dev/null
+++ b/trefoilhook/membership/follower.py
@@ -0,0 +1,248 @@
+"""The task that keeps the mirror current: by watch, and from peers when that fails."""
+
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from trefoilhook.clock import Clock
+from trefoilhook.exceptions import StoreError, TrefoilhookError
+from trefoilhook.inner import Call, InnerNode
+from trefoilhook.inner.messages_pb2 import (
+    SnapshotAnswer,
+    SnapshotEntry,
+    SnapshotRequest,
+)
+from trefoilhook.logs import Event, log_event
+from trefoilhook.membership.mirror import Mirror, MirrorEntry, Snapshot
+from trefoilhook.membership.settings import MembershipSettings
+from trefoilhook.store import StoreClient, StoreEntry, WatchBatch
+
+__all__ = ["WATCHED_PREFIX", "MirrorChanged", "StoreFollower"]
+
+WATCHED_PREFIX = "root/"
+_PULL_TIMEOUT_MS = 1_000.0
+
+
+@attrs.frozen(kw_only=True)
+class MirrorChanged:
+    """The mirror changed.
+
+    Parameters
+    ----------
+    revision : int
+        Revision that the mirror is now at.
+    """
+
+    revision: int
+
+
+class StoreFollower:
+    """Follows the watched part of the store.
+
+    Parameters
+    ----------
+    store : StoreClient
+        Adapter to the platform's store.
+    inner : InnerNode
+        Links to the peers.
+    clock : Clock
+        Time.
+    settings : MembershipSettings
+        Times of membership.
+    on_change : callable
+        Called after each change, before the subscribers hear of it.
+    seed_ids : tuple of str
+        Peers to ask while nothing has been read yet.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: StoreClient,
+        inner: InnerNode,
+        clock: Clock,
+        settings: MembershipSettings,
+        on_change: Callable[[], None],
+        seed_ids: tuple[str, ...] = (),
+    ) -> None:
+        self._store = store
+        self._inner = inner
+        self._clock = clock
+        self._settings = settings
+        self._on_change = on_change
+        self._seed_ids = seed_ids
+        self._ahead_since_ms: dict[str, float] = {}
+        self._pull_wanted = trio.Event()
+        self._filled = trio.Event()
+        self._subscribers: list[trio.MemorySendChannel[MirrorChanged]] = []
+        self.mirror = Mirror()
+        inner.handle(SnapshotRequest, self._answer_snapshot)
+
+    @property
+    def is_filled(self) -> bool:
+        """Whether anything has been read yet, from the store or from a peer."""
+        return self._filled.is_set()
+
+    async def wait_filled(self) -> None:
+        """Wait until the mirror has been read once."""
+        await self._filled.wait()
+
+    async def run(self) -> None:
+        """Follow the store until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._keep_watch)
+            nursery.start_soon(self._keep_pulling)
+
+    def subscribe(self) -> trio.MemoryReceiveChannel[MirrorChanged]:
+        """Return a channel that gets a message after each change of the mirror.
+
+        The channel holds one message: a subscriber that is behind reads the mirror's
+        state once, not each step on the way to it.
+        """
+        sender, receiver = trio.open_memory_channel[MirrorChanged](1)
+        self._subscribers.append(sender)
+        return receiver
+
+    def note_peer_revision(self, peer_id: str, revision: int) -> None:
+        """Take in how far a peer's mirror is; one that stays ahead is pulled from."""
+        if revision <= self.mirror.revision:
+            self._ahead_since_ms.pop(peer_id, None)
+            return
+        now_ms = self._clock.monotonic_ms()
+        since_ms = self._ahead_since_ms.setdefault(peer_id, now_ms)
+        if now_ms - since_ms >= self._settings.pull_after_ms:
+            self._pull_wanted.set()
+
+    def apply_own_write(self, entry: MirrorEntry) -> None:
+        """Take in a change that this instance wrote, before the watch brings it."""
+        if self.mirror.apply_change(entry):
+            self._announce()
+
+    async def _keep_watch(self) -> None:
+        """Follow the store, anew after each failure.
+
+        A watch can go silent for good while new connections work: nothing arrives and
+        nothing fails. Each watch call ends after ``watch_wait_ms`` on the store's side,
+        so that one which does not return shortly after is known to be silent; the
+        adapter's deadline ends it and the next call takes a new connection.
+        """
+        after_revision = 0
+        while True:
+            try:
+                if after_revision == 0:
+                    after_revision = await self._list_all()
+                batch = await self._store.watch(
+                    WATCHED_PREFIX,
+                    after_revision=after_revision,
+                    wait_ms=self._settings.watch_wait_ms,
+                )
+            except StoreError as error:
+                log_event(Event.WATCH_SILENT, reason=str(error))
+                if not self.is_filled:
+                    self._pull_wanted.set()
+                await self._clock.sleep_ms(self._settings.pull_after_ms)
+                continue
+            after_revision = 0 if batch.is_reset else batch.revision
+            self._apply_batch(batch)
+
+    async def _list_all(self) -> int:
+        entries: list[MirrorEntry] = []
+        after_key = ""
+        revision = 0
+        while True:
+            page = await self._store.list_entries(WATCHED_PREFIX, after_key=after_key)
+            entries.extend(_copy_entry(entry) for entry in page.entries)
+            # Changes between two pages are read again from the first page's revision.
+            revision = revision or page.revision
+            if page.next_key is None:
+                break
+            after_key = page.next_key
+        self.mirror.replace(entries, revision=revision)
+        self._filled.set()
+        self._announce()
+        return revision
+
+    def _apply_batch(self, batch: WatchBatch) -> None:
+        has_changed = False
+        for entry in batch.entries:
+            has_changed |= self.mirror.apply_change(_copy_entry(entry))
+        for gone in batch.deleted:
+            has_changed |= self.mirror.apply_deletion(gone.key, gone.revision)
+        if has_changed:
+            self._announce()
+
+    async def _keep_pulling(self) -> None:
+        """Fetch from a peer what it has applied and this instance has not.
+
+        Heartbeats carry each peer's revision, so a silent watch shows as a peer that is
+        ahead, long before the watch call ends; and a process that starts while the
+        store is down gets members, shards and configuration this way.
+        """
+        while True:
+            await self._pull_wanted.wait()
+            self._pull_wanted = trio.Event()
+            sources = list(self._ahead_since_ms) or list(self._seed_ids)
+            for peer_id in sources:
+                if await self._pull_from(peer_id):
+                    break
+
+    async def _pull_from(self, peer_id: str) -> bool:
+        request = SnapshotRequest(after_revision=self.mirror.revision)
+        try:
+            answer = await self._inner.call(
+                peer_id, request, timeout_ms=_PULL_TIMEOUT_MS
+            )
+        except TrefoilhookError:
+            return False
+        if not isinstance(answer, SnapshotAnswer) or answer.revision == 0:
+            return False
+        self._ahead_since_ms.pop(peer_id, None)
+        if self.mirror.apply_snapshot(_decode_snapshot(answer)):
+            self._filled.set()
+            self._announce()
+        return True
+
+    async def _answer_snapshot(self, call: Call) -> SnapshotAnswer:
+        after_revision = getattr(call.message, "after_revision", 0)
+        snapshot = self.mirror.build_snapshot(after_revision=after_revision)
+        return _encode_snapshot(snapshot)
+
+    def _announce(self) -> None:
+        self._on_change()
+        message = MirrorChanged(revision=self.mirror.revision)
+        for subscriber in self._subscribers:
+            try:
+                subscriber.send_nowait(message)
+            except trio.WouldBlock:
+                continue
+
+
+def _copy_entry(entry: StoreEntry) -> MirrorEntry:
+    return MirrorEntry(key=entry.key, value=entry.value, revision=entry.revision)
+
+
+def _encode_snapshot(snapshot: Snapshot) -> SnapshotAnswer:
+    entries = (
+        SnapshotEntry(key=entry.key, value=entry.value, revision=entry.revision)
+        for entry in snapshot.entries
+    )
+    return SnapshotAnswer(
+        revision=snapshot.revision,
+        entries=entries,
+        deleted_keys=snapshot.deleted_keys,
+        is_whole=snapshot.is_whole,
+    )
+
+
+def _decode_snapshot(answer: SnapshotAnswer) -> Snapshot:
+    entries = tuple(
+        MirrorEntry(key=entry.key, value=entry.value, revision=entry.revision)
+        for entry in answer.entries
+    )
+    return Snapshot(
+        revision=answer.revision,
+        entries=entries,
+        deleted_keys=tuple(answer.deleted_keys),
+        is_whole=answer.is_whole,
+    )
--- /dev/null
+++ b/trefoilhook/membership/health.py
@@ -0,0 +1,36 @@
+"""Whether the store answers, as one instance sees it."""
+
+import math
+
+import attrs
+
+from trefoilhook.logs import Event, log_event
+
+__all__ = ["StoreHealth"]
+
+
+@attrs.define(kw_only=True)
+class StoreHealth:
+    """Whether the store answers, as this instance sees it.
+
+    A member counts as cut off from its first failure on, until a renewal succeeds: it
+    must not promise while it could still claim.
+    """
+
+    is_reachable: bool = False
+    has_failed: bool = False
+    reachable_since_ms: float = -math.inf
+
+    def record_success(self, now_ms: float) -> None:
+        """Record that the store answered a renewal."""
+        if not self.is_reachable:
+            self.is_reachable = True
+            self.reachable_since_ms = now_ms
+            log_event(Event.STORE_BACK)
+
+    def record_failure(self, reason: str) -> None:
+        """Record that a renewal failed."""
+        if self.is_reachable:
+            log_event(Event.STORE_DOWN, reason=reason)
+        self.is_reachable = False
+        self.has_failed = True
--- a/trefoilhook/results/core.py
+++ b/trefoilhook/results/core.py
@@ -81,7 +81,8 @@
     OK = _executed(0, 200, "Run; the whole answer follows.")
     ACCEPTED = _executed(1, 202, "Recorded durably; it will be carried out.")
     REPLAYED = _executed(2, 200, "Run earlier under the same key; that answer follows.")
-    BACKEND_FAILED = _executed(3, 502, "Run; the executor answered with a failure.")
+    BACKEND_FAILED = _executed(3, 502, "Run; the backend answered with a failure.")
+    CANCELLED = _executed(4, 200, "Cancelled after a start; it has stopped.")
 
     # 100-199: not run, and the same request may be sent again.
     OVERLOADED = _not_run(100, 503, True, "Not run: every slot and queue is full.")
@@ -113,6 +114,7 @@
     IMPOSSIBLE_JOB = _not_run(306, 422, False, "Not run: no worker could ever hold it.")
     METHOD_NOT_ALLOWED = _not_run(307, 405, False, "Not run: method not allowed here.")
     SLOW_SENDER = _not_run(308, 408, True, "Not run: the request came too slowly.")
+    CANCELLED_UNSTARTED = _not_run(309, 200, False, "Not run: cancelled before it.")
 
     # 400-499: not run, for want of a right.
     UNAUTHENTICATED = _not_run(400, 401, False, "Not run: no valid token was given.")
--- /dev/null
+++ b/trefoilhook/standins/virtual.py
@@ -0,0 +1,325 @@
+"""Store and links inside one process, without sockets, for tests on virtual time.
+
+They stand where ``StoreClient`` and ``InnerNode`` do. The store's behaviour is that of
+the store's stand-in; the links carry the real messages between the nodes of one test
+and can be cut.
+"""
+
+from collections.abc import Awaitable, Callable, Iterable
+from typing import TypeVar
+
+import attrs
+import trio
+from google.protobuf.message import Message
+
+from trefoilhook.clock import Clock
+from trefoilhook.exceptions import (
+    AnswerLostError,
+    ConflictError,
+    LeaseLostError,
+    NotSentError,
+    OutcomeError,
+    StoreError,
+    StoreUnavailableError,
+    TrefoilhookError,
+)
+from trefoilhook.inner import Call, PeerAddress, PeerState
+from trefoilhook.inner.messages_pb2 import Heartbeat
+from trefoilhook.standins.core import RefusalError
+from trefoilhook.standins.store_state import StoreSettings, StoreState
+from trefoilhook.store import Lease, StoreEntry, StorePage, SwapRequest, WatchBatch
+
+__all__ = ["VirtualLinks", "VirtualNode", "VirtualStore", "VirtualStoreClient"]
+
+_T = TypeVar("_T")
+_WATCH_STEP_MS = 20.0
+_HEARTBEAT_MS = 500.0
+
+
+@attrs.define(kw_only=True)
+class VirtualStore:
+    """One store shared by the clients of a test.
+
+    Parameters
+    ----------
+    clock : Clock
+        The test's time.
+    settings : StoreSettings, optional
+        What the store allows.
+    is_down : bool
+        No client reaches it.
+    call_ms : float
+        Time of one call, in ms.
+    """
+
+    clock: Clock
+    settings: StoreSettings = attrs.field(factory=StoreSettings)
+    is_down: bool = False
+    call_ms: float = 2.0
+    state: StoreState = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.state = StoreState(
+            settings=self.settings, monotonic_ms=self.clock.monotonic_ms
+        )
+
+    def apply(self, kind: str, change: Callable[[StoreState], _T]) -> _T:
+        """Apply one call to the state.
+
+        Raises
+        ------
+        StoreError
+            What the adapter would raise for the refusal.
+        """
+        self.state.expire_leases()
+        self.state.count_call(kind, is_write=kind not in ("get", "list", "watch"))
+        try:
+            return change(self.state)
+        except RefusalError as refusal:
+            raise _translate(refusal) from refusal
+
+
+def _translate(refusal: RefusalError) -> StoreError:
+    if refusal.status == 409:
+        current = getattr(refusal.details, "current", None)
+        return ConflictError("another revision is current", current=current)
+    if refusal.status == 404:
+        return LeaseLostError("the lease has lapsed")
+    return StoreError(refusal.error)
+
+
+@attrs.define(kw_only=True)
+class VirtualStoreClient:
+    """One instance's way to the store.
+
+    Parameters
+    ----------
+    store : VirtualStore
+        The store.
+    timeout_ms : float
+        Longest time for one call, in ms.
+    is_cut : bool
+        This instance alone does not reach it.
+    answers_to_lose : int
+        Answers of changes that get lost after the effect.
+    is_watch_silent : bool
+        Watches wait for good.
+    """
+
+    store: VirtualStore
+    timeout_ms: float = 500.0
+    is_cut: bool = False
+    answers_to_lose: int = 0
+    is_watch_silent: bool = False
+
+    async def get(self, key: str) -> StoreEntry | None:
+        """Return the entry at ``key``."""
+        return await self._call("get", lambda state: state.get(key))
+
+    async def list_entries(
+        self, prefix: str, *, after_key: str = "", limit: int = 500
+    ) -> StorePage:
+        """Return a page of entries."""
+        return await self._call(
+            "list",
+            lambda state: state.list_entries(prefix, after_key=after_key, limit=limit),
+        )
+
+    async def swap(
+        self,
+        key: str,
+        value: bytes | None,
+        *,
+        expected_revision: int,
+        lease_id: str | None = None,
+    ) -> int:
+        """Change a key if it is at the expected revision."""
+        request = SwapRequest(
+            key=key,
+            value=value,
+            expected_revision=expected_revision,
+            lease_id=lease_id,
+        )
+        return await self._call("swap", lambda state: state.swap(request))
+
+    async def grant_lease(self, ttl_ms: float) -> Lease:
+        """Take a lease."""
+        return await self._call("grant", lambda state: state.grant_lease(ttl_ms))
+
+    async def keep_alive(self, lease_id: str) -> int:
+        """Start a lease's time anew."""
+        return await self._call("keep_alive", lambda state: state.keep_alive(lease_id))
+
+    async def revoke_lease(self, lease_id: str) -> None:
+        """End a lease."""
+        await self._call("revoke", lambda state: state.revoke_lease(lease_id))
+
+    async def watch(
+        self, prefix: str, *, after_revision: int, wait_ms: float
+    ) -> WatchBatch:
+        """Wait for changes under a prefix."""
+        deadline_ms = self.store.clock.monotonic_ms() + wait_ms
+        await self._call("watch", lambda state: None)
+        while True:
+            await self.store.clock.sleep_ms(_WATCH_STEP_MS)
+            self._check_reachable()
+            if self.is_watch_silent:
+                await self.store.clock.sleep_ms(wait_ms + self.timeout_ms)
+                raise StoreUnavailableError("the watch is silent")
+            state = self.store.state
+            state.expire_leases()
+            batch = state.read_changes(prefix, after_revision=after_revision)
+            if batch is not None:
+                return batch
+            if self.store.clock.monotonic_ms() >= deadline_ms:
+                return WatchBatch(entries=(), deleted=(), revision=state.revision)
+
+    async def _call(self, kind: str, change: Callable[[StoreState], _T]) -> _T:
+        await self.store.clock.sleep_ms(self.store.call_ms)
+        if self.store.is_down or self.is_cut:
+            await self.store.clock.sleep_ms(self.timeout_ms)
+            raise StoreUnavailableError("the store does not answer")
+        result = self.store.apply(kind, change)
+        if kind == "swap" and self.answers_to_lose:
+            self.answers_to_lose -= 1
+            raise StoreUnavailableError("the answer was lost")
+        return result
+
+    def _check_reachable(self) -> None:
+        if self.store.is_down or self.is_cut:
+            raise StoreUnavailableError("the store does not answer")
+
+
+@attrs.define(kw_only=True)
+class VirtualLinks:
+    """The network between the nodes of a test.
+
+    Parameters
+    ----------
+    clock : Clock
+        The test's time.
+    delay_ms : float
+        Time of a message one way, in ms.
+    """
+
+    clock: Clock
+    delay_ms: float = 1.0
+    nodes: dict[str, "VirtualNode"] = attrs.field(factory=dict)
+    _cuts: set[frozenset[str]] = attrs.field(factory=set)
+
+    def cut(self, one: str, other: str) -> None:
+        """Let no message pass between two instances."""
+        self._cuts.add(frozenset((one, other)))
+
+    def isolate(self, instance_id: str) -> None:
+        """Let no message pass between an instance and any other."""
+        for other in self.nodes:
+            self.cut(instance_id, other)
+
+    def heal(self) -> None:
+        """Let all messages pass again."""
+        self._cuts.clear()
+
+    def is_cut(self, one: str, other: str) -> bool:
+        """Tell whether messages pass between two instances."""
+        return frozenset((one, other)) in self._cuts
+
+
+class VirtualNode:
+    """One instance's links.
+
+    Parameters
+    ----------
+    instance_id : str
+        The instance.
+    links : VirtualLinks
+        The network.
+    """
+
+    def __init__(self, *, instance_id: str, links: VirtualLinks) -> None:
+        self.instance_id = instance_id
+        self._links = links
+        self._peers: set[str] = set()
+        self._handlers: dict[type[Message], Callable[[Call], Awaitable[Message]]] = {}
+        self._read_heartbeat: Callable[[], Heartbeat] = Heartbeat
+        self._hear: Callable[[str, Heartbeat], None] = lambda sender, beat: None
+        self.is_dead = False
+        links.nodes[instance_id] = self
+
+    def handle(
+        self,
+        message_type: type[Message],
+        handler: Callable[[Call], Awaitable[Message]],
+    ) -> None:
+        """Let ``handler`` answer calls of a type."""
+        self._handlers[message_type] = handler
+
+    def set_heartbeat_source(self, source: Callable[[], Heartbeat]) -> None:
+        """Let ``source`` fill in the heartbeats."""
+        self._read_heartbeat = source
+
+    def on_heartbeat(self, hear: Callable[[str, Heartbeat], None]) -> None:
+        """Call ``hear`` with each heartbeat."""
+        self._hear = hear
+
+    def set_peers(self, peers: Iterable[PeerAddress]) -> None:
+        """Keep links to these peers."""
+        self._peers = {peer.instance_id for peer in peers}
+
+    def peer_state(self, instance_id: str) -> PeerState:
+        """Return what is known about a peer."""
+        if instance_id not in self._peers:
+            return PeerState.DOWN
+        if self._links.is_cut(self.instance_id, instance_id):
+            return PeerState.DOWN
+        peer = self._links.nodes.get(instance_id)
+        if peer is None or peer.is_dead:
+            return PeerState.REFUSED
+        return PeerState.UP
+
+    async def run(self) -> None:
+        """Send heartbeats until cancelled."""
+        while True:
+            await self._links.clock.sleep_ms(_HEARTBEAT_MS)
+            beat = self._read_heartbeat()
+            for peer_id in list(self._peers):
+                if self.peer_state(peer_id) is PeerState.UP:
+                    self._links.nodes[peer_id]._hear(self.instance_id, beat)
+
+    async def call(
+        self, instance_id: str, message: Message, *, timeout_ms: float
+    ) -> Message:
+        """Send a message and return its reply."""
+        target = self._links.nodes.get(instance_id)
+        is_own = instance_id == self.instance_id
+        if not is_own and self.peer_state(instance_id) is not PeerState.UP:
+            raise NotSentError(f"no link to {instance_id}")
+        if target is None:
+            raise NotSentError(f"no link to {instance_id}")
+        reply: Message | None = None
+        with trio.move_on_after(timeout_ms / 1000.0):
+            await self._links.clock.sleep_ms(self._links.delay_ms)
+            reply = await target.answer(self.instance_id, message, timeout_ms)
+            await self._links.clock.sleep_ms(self._links.delay_ms)
+        if reply is None or (
+            not is_own and self._links.is_cut(self.instance_id, instance_id)
+        ):
+            raise AnswerLostError(f"no answer from {instance_id}")
+        return reply
+
+    def tell(self, instance_id: str, message: Message) -> bool:
+        """Drop a one-way message: no test needs them."""
+        return False
+
+    async def answer(
+        self, sender_id: str, message: Message, timeout_ms: float
+    ) -> Message:
+        """Answer a message as the handler does."""
+        handler = self._handlers.get(type(message))
+        if handler is None:
+            raise OutcomeError(f"no handler for {type(message).__name__}")
+        call = Call(sender_id=sender_id, message=message, timeout_ms=timeout_ms)
+        try:
+            return await handler(call)
+        except TrefoilhookError as error:
+            raise OutcomeError(str(error), code=error.code) from error
