Test the outside's contracts, faults included

Cause: the adapters had no proof of what they say under faults.

The tests run on real sockets in virtual time. Putting a fault in force now waits until the listener is closed or open again: before, a call made at the same moment met either end of the switch.

--- a/trefoilhook/http/tests/test_exchange.py
+++ b/trefoilhook/http/tests/test_exchange.py
@@ -83,6 +83,27 @@
 
         trio.run(scenario)
 
+    def test_failing_handler_ends_only_its_own_request(self):
+        # One request meets a fault in its handler. Its caller gets status 500; every
+        # other caller of the process is still served.
+        async def scenario():
+            async def fail_once(request: HttpRequest) -> HttpResponse:
+                if request.path == "/bad":
+                    raise KeyError("a fault in a handler")
+                return HttpResponse(status=200)
+
+            server = HttpServer(handler=fail_once, host=_HOST, port=0)
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.run)
+                client = HttpClient(host=_HOST, port=port)
+                for path, status in (("/bad", 500), ("/good", 200)):
+                    request = HttpRequest(method="GET", target=path)
+                    answer = await client.send(request, timeout_ms=5_000)
+                    self.assertEqual(answer.status, status)
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+
     def test_drain_answers_the_request_in_progress(self):
         # An instance is told to stop while a request runs. The caller still gets its
         # whole answer, because the server closes only connections that are idle.
--- a/trefoilhook/standins/core.py
+++ b/trefoilhook/standins/core.py
@@ -158,6 +158,8 @@
             limit=limits.max_connections if is_refusing_surplus else None
         )
         self._scope = trio.CancelScope()
+        self._is_listening = False
+        self._listening_changed = trio.Event()
         self.host = host
         self.port = port
         self.faults = FaultSwitch()
@@ -183,19 +185,37 @@
         """Serve until cancelled; reports the port for calls."""
         async with trio.open_nursery() as nursery:
             await nursery.start(self._control_server.run)
-            self.port = await nursery.start(self._serve_once)
+            await self._listen(nursery)
             task_status.started(self.port)
             while True:
-                await self._wait_while_refusing(nursery)
-
-    async def _wait_while_refusing(self, nursery: trio.Nursery) -> None:
-        await self.faults.wait_change()
-        if self.faults.settings.availability is not Availability.REFUSING:
-            return
-        self._scope.cancel()
-        while self.faults.settings.availability is Availability.REFUSING:
+                await self._follow_availability(nursery)
+
+    async def change_faults(self, settings: FaultSettings) -> None:
+        """Put other faults in force and wait until they are."""
+        self.faults.set(settings)
+        is_wanted = settings.availability is not Availability.REFUSING
+        while self._is_listening is not is_wanted:
+            await self._listening_changed.wait()
+
+    async def _follow_availability(self, nursery: trio.Nursery) -> None:
+        is_wanted = self.faults.settings.availability is not Availability.REFUSING
+        if is_wanted is self._is_listening:
             await self.faults.wait_change()
-        await nursery.start(self._serve_once)
+        elif is_wanted:
+            await self._listen(nursery)
+        else:
+            self._scope.cancel()
+            await self._listening_changed.wait()
+
+    async def _listen(self, nursery: trio.Nursery) -> None:
+        self.port = await nursery.start(self._serve_once)
+        self._note_listening(True)
+
+    def _note_listening(self, is_listening: bool) -> None:
+        self._is_listening = is_listening
+        changed = self._listening_changed
+        self._listening_changed = trio.Event()
+        changed.set()
 
     async def _serve_once(
         self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
@@ -209,12 +229,10 @@
         )
         with trio.CancelScope() as self._scope:
             await server.run(task_status=task_status)
+        self._note_listening(False)
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
-        if self.faults.settings.availability is Availability.HANGING:
-            while self.faults.settings.availability is Availability.HANGING:
-                await self.faults.wait_change()
-            drop_connection()
+        await self._hang_while_down()
         if self.faults.settings.delay_ms > 0:
             await self._clock.sleep_ms(self.faults.settings.delay_ms)
         kind = self._name_call(request)
@@ -222,16 +240,24 @@
             response = await self._handler(request)
         except RefusalError as refusal:
             return answer_refusal(refusal)
+        await self._hang_while_down()
         if self.faults.take_lost_answer(kind):
             drop_connection()
         return response
 
+    async def _hang_while_down(self) -> None:
+        if self.faults.settings.availability is not Availability.HANGING:
+            return
+        while self.faults.settings.availability is Availability.HANGING:
+            await self.faults.wait_change()
+        drop_connection()
+
     async def _obey(self, request: HttpRequest) -> HttpResponse:
         try:
             if (request.method, request.path) == ("GET", "/faults"):
                 return encode_answer(self.faults.settings)
             if (request.method, request.path) == ("PUT", "/faults"):
-                self.faults.set(decode_body(request, FaultSettings))
+                await self.change_faults(decode_body(request, FaultSettings))
                 return encode_answer(self.faults.settings)
             if self._control is not None:
                 return self._control(request)
--- a/trefoilhook/store/tests/test_contract.py
+++ b/trefoilhook/store/tests/test_contract.py
@@ -21,6 +21,7 @@
     FaultSettings,
     StoreSettings,
     StoreStandin,
+    TcpCut,
 )
 from trefoilhook.store import (
     MAX_VALUE_BYTES,
@@ -40,10 +41,11 @@
     store: StoreStandin
     client: StoreClient
 
-    def connect(self) -> StoreClient:
+    def connect(self, port: int | None = None) -> StoreClient:
+        """Build another client, to the store or to what stands before it."""
         return StoreClient(
             host="127.0.0.1",
-            port=self.store.server.port,
+            port=port or self.store.server.port,
             clock=self.clock,
             timeout_ms=_TIMEOUT_MS,
         )
@@ -54,21 +56,22 @@
     *,
     settings: StoreSettings | None = None,
 ) -> None:
-    """Run ``scenario`` against a store on real sockets."""
+    """Run ``scenario`` against a store in virtual time."""
 
     async def main() -> None:
         clock = build_system_clock()
         store = StoreStandin(clock=clock, settings=settings)
-        with trio.fail_after(60):
-            async with trio.open_nursery() as nursery:
-                port = await nursery.start(store.run)
-                client = StoreClient(
-                    host="127.0.0.1", port=port, clock=clock, timeout_ms=_TIMEOUT_MS
-                )
-                await scenario(Bench(clock=clock, store=store, client=client))
-                nursery.cancel_scope.cancel()
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(store.run)
+            client = StoreClient(
+                host="127.0.0.1", port=port, clock=clock, timeout_ms=_TIMEOUT_MS
+            )
+            await scenario(Bench(clock=clock, store=store, client=client))
+            nursery.cancel_scope.cancel()
 
-    trio.run(main)
+    # The sockets are real, so the virtual clock must not jump while bytes are on
+    # their way through the kernel: it waits for quiet first.
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.02))
 
 
 class ValuesTest(unittest.TestCase):
@@ -207,7 +210,7 @@
         # carried its watch forgot the connection. The adapter gives the watch up
         # after its wait and timeout, and the next one sees the change.
         async def scenario(bench: Bench) -> None:
-            bench.store.faults.set(FaultSettings(silent_watches=1))
+            await bench.store.server.change_faults(FaultSettings(silent_watches=1))
             with self.assertRaises(StoreUnavailableError):
                 await bench.client.watch("", after_revision=0, wait_ms=100)
             await bench.client.swap("a", b"1", expected_revision=0)
@@ -247,9 +250,11 @@
             await bench.client.swap(
                 "a", b"1", expected_revision=0, lease_id=lease.lease_id
             )
-            bench.store.faults.set(FaultSettings(availability=Availability.REFUSING))
+            await bench.store.server.change_faults(
+                FaultSettings(availability=Availability.REFUSING)
+            )
             await bench.clock.sleep_ms(200)
-            bench.store.faults.set(FaultSettings())
+            await bench.store.server.change_faults(FaultSettings())
             self.assertIsNone(await _retry_get(bench, "a"))
             with self.assertRaises(LeaseLostError):
                 await bench.client.keep_alive(lease.lease_id)
@@ -296,8 +301,7 @@
 
     def _build_fault(self, fault, error, is_unsent, is_done):
         async def scenario(bench: Bench) -> None:
-            bench.store.faults.set(fault)
-            await trio.testing.wait_all_tasks_blocked()
+            await bench.store.server.change_faults(fault)
             with self.assertRaises(error) as caught:
                 await bench.client.swap("a", b"1", expected_revision=0)
             self.assertEqual(caught.exception.is_proved_unsent, is_unsent)
@@ -305,6 +309,47 @@
 
         return scenario
 
+    def test_connections_that_went_silent_together(self):
+        # Several open connections to the store are forgotten at once by what carries
+        # them. After the first time-out the others are not tried one by one.
+        async def scenario(bench: Bench) -> None:
+            cut = TcpCut(
+                clock=bench.clock,
+                target_host="127.0.0.1",
+                target_port=bench.store.server.port,
+            )
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(cut.run)
+                client = bench.connect(port)
+                async with trio.open_nursery() as calls:
+                    for _ in range(4):
+                        calls.start_soon(client.get, "a")
+                self.assertEqual(cut.forget_connections(), 4)
+                with self.assertRaises(StoreUnavailableError):
+                    await client.get("a")
+                self.assertIsNone(await client.get("a"))
+                nursery.cancel_scope.cancel()
+
+        run_with_store(scenario)
+
+    def test_watch_is_not_answered_by_a_store_that_hangs(self):
+        async def scenario(bench: Bench) -> None:
+            lease = await bench.client.grant_lease(1_000)
+            await bench.client.swap(
+                "a", b"1", expected_revision=0, lease_id=lease.lease_id
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch_in_vain, bench)
+                await bench.clock.sleep_ms(500)
+                hanging = FaultSettings(availability=Availability.HANGING)
+                await bench.store.server.change_faults(hanging)
+
+        run_with_store(scenario)
+
+    async def _watch_in_vain(self, bench: Bench) -> None:
+        with self.assertRaises(StoreUnavailableError):
+            await bench.client.watch("", after_revision=1, wait_ms=5_000)
+
     def test_call_above_the_rate_changes_nothing(self):
         async def scenario(bench: Bench) -> None:
             await bench.client.swap("a", b"1", expected_revision=0)
@@ -331,7 +376,9 @@
         # meets its own effect, which looks like a lost race: the operator would be
         # told "not accepted" of a job that then runs.
         async def scenario(bench: Bench) -> None:
-            bench.store.faults.set(FaultSettings(lost_answers=2, lost_kind="swap"))
+            await bench.store.server.change_faults(
+                FaultSettings(lost_answers=2, lost_kind="swap")
+            )
             revision = await _swap_back(bench, "a", build_nonce().encode())
             self.assertEqual(revision, 1)
             self.assertEqual(bench.store.state.revision, 1)
@@ -351,7 +398,7 @@
         # The first answer is lost; before the writer reads back, another instance
         # writes on top. Neither "done" nor "lost race" could be proved.
         async def scenario(bench: Bench) -> None:
-            bench.store.faults.set(FaultSettings(lost_answers=1))
+            await bench.store.server.change_faults(FaultSettings(lost_answers=1))
             other = bench.connect()
 
             async def overwrite() -> None:
@@ -376,8 +423,9 @@
                 async def scenario(
                     bench: Bench, availability=availability, is_unsent=is_unsent
                 ) -> None:
-                    bench.store.faults.set(FaultSettings(availability=availability))
-                    await trio.testing.wait_all_tasks_blocked()
+                    await bench.store.server.change_faults(
+                        FaultSettings(availability=availability)
+                    )
                     with self.assertRaises(StoreUnavailableError) as caught:
                         await _swap_back(bench, "a", b"nonce", timeout_ms=600)
                     self.assertEqual(caught.exception.is_proved_unsent, is_unsent)
