--- a/trefoilhook/http/server.py
+++ b/trefoilhook/http/server.py
@@ -158,7 +158,7 @@
         except Exception as error:
             # A fault in one request's handler would otherwise end the listener and
             # with it every other request of the process.
-            log_event(Event.TASK_FAILED, target=request.path, error=repr(error))
+            log_event(Event.HANDLER_FAILED, path=request.path, error=repr(error))
             return HttpResponse(status=500)
 
     async def _receive_request(
--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -25,6 +25,7 @@
     STOPPING = (1001, Level.INFO, "The instance began a graceful shutdown.")
     STOPPED = (1002, Level.INFO, "The instance stopped.")
     TASK_FAILED = (1003, Level.ERROR, "A background task failed and is restarted.")
+    HANDLER_FAILED = (1004, Level.ERROR, "The handler of a request failed.")
 
     # 1100: store
     STORE_DOWN = (1100, Level.WARNING, "A call to the store failed.")
--- a/trefoilhook/standins/worker_state.py
+++ b/trefoilhook/standins/worker_state.py
@@ -1,11 +1,12 @@
 """What a worker holds and does, in simulated time, without any input or output."""
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable, Sequence
 
 import attrs
 
 from trefoilhook.standins.core import RefusalError
+from trefoilhook.standins.worker_measure import Measurements, compute_slowdowns
 from trefoilhook.standins.worker_task import (
     AttemptKey,
     PairSlowdown,
@@ -20,7 +21,6 @@
     LeaseRequest,
     Resources,
     TaskState,
-    UsageReport,
     WorkerCommand,
     WorkerHeartbeat,
     WorkerInventory,
@@ -68,12 +68,6 @@
     expires_at_ms: float
 
 
-@attrs.frozen(kw_only=True)
-class _Measurement:
-    measured_at_ms: float
-    report: UsageReport
-
-
 def _add(left: Resources, right: Resources) -> Resources:
     return Resources(
         cores=left.cores + right.cores,
@@ -115,8 +109,9 @@
     ) -> None:
         self._now_ms = monotonic_ms
         self._advanced_to_ms = monotonic_ms()
-        self._next_measurement_ms = self._advanced_to_ms + settings.report_interval_ms
-        self._measurements: deque[_Measurement] = deque()
+        self._measurements = Measurements(
+            next_ms=self._advanced_to_ms + settings.report_interval_ms
+        )
         self._lease: _HeldLease | None = None
         self._highest_epoch = 0
         self._tasks: dict[AttemptKey, SimulatedTask] = {}
@@ -193,7 +188,12 @@
             for task in self._tasks.values()
             if task.state is not TaskState.RUNNING
         )
-        return WorkerHeartbeat(tasks=tuple(ended), report=self._find_report())
+        return WorkerHeartbeat(
+            tasks=tuple(ended),
+            report=self._measurements.find_report(
+                self._advanced_to_ms, lag_ms=self.settings.report_lag_ms
+            ),
+        )
 
     def check_lease(self, epoch: int) -> _HeldLease:
         """Return the lease if ``epoch`` holds it; else refuse."""
@@ -304,7 +304,7 @@
 
     def _step(self, now_ms: float) -> None:
         running = self._list_running()
-        slowdowns = [self._compute_slowdown(task, running) for task in running]
+        slowdowns = self._compute_slowdowns(running)
         speeds = [
             task.throttle_factor / slowdown
             for task, slowdown in zip(running, slowdowns, strict=True)
@@ -313,7 +313,7 @@
             self._advanced_to_ms + (task.work_ms - task.done_ms) / speed
             for task, speed in zip(running, speeds, strict=True)
         ]
-        until_ms = min(now_ms, self._next_measurement_ms, *ends)
+        until_ms = min(now_ms, self._measurements.next_ms, *ends)
         if self._lease is not None:
             until_ms = min(until_ms, self._lease.expires_at_ms)
         elapsed_ms = max(0.0, until_ms - self._advanced_to_ms)
@@ -322,7 +322,7 @@
             task.done_ms = min(task.work_ms, task.done_ms + elapsed_ms * speed)
             if end_ms <= until_ms:
                 self._finish(task)
-        if self._next_measurement_ms <= until_ms:
+        if self._measurements.next_ms <= until_ms:
             self._measure()
         if self._lease is not None and self._lease.expires_at_ms <= until_ms:
             self._lapse()
@@ -339,48 +339,18 @@
         for task in self._list_running():
             task.end(TaskState.STOPPED, at_ms=self._advanced_to_ms)
 
-    def _compute_slowdown(
-        self, task: SimulatedTask, running: Sequence[SimulatedTask]
-    ) -> float:
-        used_cores = sum(other.used.cores * other.throttle_factor for other in running)
-        load = min(1.0, used_cores / self.settings.capacity.cores)
-        excess = 0.0
-        for other in running:
-            if other is not task:
-                excess += self._find_factor(task, other) - 1
-        return 1 + max(0.0, excess) * load
-
-    def _find_factor(self, victim: SimulatedTask, neighbour: SimulatedTask) -> float:
-        wanted = (victim.command.task_class, neighbour.command.task_class)
-        for pair in self.settings.slowdowns:
-            if (pair.victim_class, pair.neighbour_class) == wanted:
-                return pair.factor
-        return 1.0
+    def _compute_slowdowns(self, running: Sequence[SimulatedTask]) -> list[float]:
+        return compute_slowdowns(
+            running,
+            pairs=self.settings.slowdowns,
+            cores=self.settings.capacity.cores,
+        )
 
     def _measure(self) -> None:
-        self._next_measurement_ms += self.settings.report_interval_ms
         running = self._list_running()
-        usages = tuple(
-            task.measure(self._compute_slowdown(task, running)) for task in running
-        )
-        self._measurements.append(
-            _Measurement(
-                measured_at_ms=self._advanced_to_ms,
-                report=UsageReport(age_ms=0.0, usages=usages),
-            )
+        slowdowns = self._compute_slowdowns(running)
+        self._measurements.add(
+            tuple(map(SimulatedTask.measure, running, slowdowns)),
+            interval_ms=self.settings.report_interval_ms,
+            lag_ms=self.settings.report_lag_ms,
         )
-        oldest_ms = self._advanced_to_ms - self.settings.report_lag_ms
-        while len(self._measurements) > 1 and (
-            self._measurements[1].measured_at_ms <= oldest_ms
-        ):
-            self._measurements.popleft()
-
-    def _find_report(self) -> UsageReport | None:
-        now_ms = self._advanced_to_ms
-        newest: UsageReport | None = None
-        for measurement in self._measurements:
-            age_ms = now_ms - measurement.measured_at_ms
-            if age_ms < self.settings.report_lag_ms:
-                break
-            newest = attrs.evolve(measurement.report, age_ms=age_ms)
-        return newest
--- a/trefoilhook/store/tests/test_contract.py
+++ b/trefoilhook/store/tests/test_contract.py
@@ -1,77 +1,25 @@
-"""Contract of the store adapter with a store, faults included."""
+"""Contract of the store adapter with a healthy store: values, watches, leases."""
 
 import unittest
-from collections.abc import Awaitable, Callable
 
-import attrs
 import trio
 import trio.testing
 
-from trefoilhook.clock import Clock, build_system_clock
 from trefoilhook.exceptions import (
     ConflictError,
     LeaseLostError,
     RequestError,
-    StoreError,
-    StoreRateError,
     StoreUnavailableError,
 )
 from trefoilhook.standins import (
     Availability,
     FaultSettings,
     StoreSettings,
-    StoreStandin,
-    TcpCut,
 )
 from trefoilhook.store import (
     MAX_VALUE_BYTES,
-    StoreClient,
-    build_nonce,
-    swap_reading_back,
 )
-
-_TIMEOUT_MS = 500.0
-
-
-@attrs.frozen(kw_only=True)
-class Bench:
-    """A store and a client of it."""
-
-    clock: Clock
-    store: StoreStandin
-    client: StoreClient
-
-    def connect(self, port: int | None = None) -> StoreClient:
-        """Build another client, to the store or to what stands before it."""
-        return StoreClient(
-            host="127.0.0.1",
-            port=port or self.store.server.port,
-            clock=self.clock,
-            timeout_ms=_TIMEOUT_MS,
-        )
-
-
-def run_with_store(
-    scenario: Callable[[Bench], Awaitable[None]],
-    *,
-    settings: StoreSettings | None = None,
-) -> None:
-    """Run ``scenario`` against a store in virtual time."""
-
-    async def main() -> None:
-        clock = build_system_clock()
-        store = StoreStandin(clock=clock, settings=settings)
-        async with trio.open_nursery() as nursery:
-            port = await nursery.start(store.run)
-            client = StoreClient(
-                host="127.0.0.1", port=port, clock=clock, timeout_ms=_TIMEOUT_MS
-            )
-            await scenario(Bench(clock=clock, store=store, client=client))
-            nursery.cancel_scope.cancel()
-
-    # The sockets are real, so the virtual clock must not jump while bytes are on
-    # their way through the kernel: it waits for quiet first.
-    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.02))
+from trefoilhook.store.tests.bench import Bench, run_with_store
 
 
 class ValuesTest(unittest.TestCase):
@@ -193,6 +141,13 @@
 
         run_with_store(scenario)
 
+    def test_watch_may_wait_longer_than_a_call(self):
+        async def scenario(bench: Bench) -> None:
+            batch = await bench.client.watch("", after_revision=0, wait_ms=20_000)
+            self.assertEqual((batch.revision, batch.is_reset), (0, False))
+
+        run_with_store(scenario)
+
     def test_forgotten_history_asks_for_a_new_list(self):
         # A watcher was away for longer than the store remembers. What it missed is
         # gone, so an ordinary batch would leave it at old values for good.
@@ -280,165 +235,3 @@
             return await bench.client.get(key)
         except StoreUnavailableError:
             await bench.clock.sleep_ms(10)
-
-
-class FaultTest(unittest.TestCase):
-    """What the adapter says of a store at fault."""
-
-    def test_faults(self):
-        # (fault, error, is proved unsent, did the swap take effect)
-        refusing = FaultSettings(availability=Availability.REFUSING)
-        hanging = FaultSettings(availability=Availability.HANGING)
-        table = [
-            (refusing, StoreUnavailableError, True, False),
-            (hanging, StoreUnavailableError, False, False),
-            (FaultSettings(lost_answers=1), StoreUnavailableError, False, True),
-            (FaultSettings(delay_ms=1_000), StoreUnavailableError, False, False),
-        ]
-        for fault, error, is_unsent, is_done in table:
-            with self.subTest(fault=fault):
-                run_with_store(self._build_fault(fault, error, is_unsent, is_done))
-
-    def _build_fault(self, fault, error, is_unsent, is_done):
-        async def scenario(bench: Bench) -> None:
-            await bench.store.server.change_faults(fault)
-            with self.assertRaises(error) as caught:
-                await bench.client.swap("a", b"1", expected_revision=0)
-            self.assertEqual(caught.exception.is_proved_unsent, is_unsent)
-            self.assertEqual(bench.store.state.get("a") is not None, is_done)
-
-        return scenario
-
-    def test_connections_that_went_silent_together(self):
-        # Several open connections to the store are forgotten at once by what carries
-        # them. After the first time-out the others are not tried one by one.
-        async def scenario(bench: Bench) -> None:
-            cut = TcpCut(
-                clock=bench.clock,
-                target_host="127.0.0.1",
-                target_port=bench.store.server.port,
-            )
-            async with trio.open_nursery() as nursery:
-                port = await nursery.start(cut.run)
-                client = bench.connect(port)
-                async with trio.open_nursery() as calls:
-                    for _ in range(4):
-                        calls.start_soon(client.get, "a")
-                self.assertEqual(cut.forget_connections(), 4)
-                with self.assertRaises(StoreUnavailableError):
-                    await client.get("a")
-                self.assertIsNone(await client.get("a"))
-                nursery.cancel_scope.cancel()
-
-        run_with_store(scenario)
-
-    def test_watch_is_not_answered_by_a_store_that_hangs(self):
-        async def scenario(bench: Bench) -> None:
-            lease = await bench.client.grant_lease(1_000)
-            await bench.client.swap(
-                "a", b"1", expected_revision=0, lease_id=lease.lease_id
-            )
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._watch_in_vain, bench)
-                await bench.clock.sleep_ms(500)
-                hanging = FaultSettings(availability=Availability.HANGING)
-                await bench.store.server.change_faults(hanging)
-
-        run_with_store(scenario)
-
-    async def _watch_in_vain(self, bench: Bench) -> None:
-        with self.assertRaises(StoreUnavailableError):
-            await bench.client.watch("", after_revision=1, wait_ms=5_000)
-
-    def test_call_above_the_rate_changes_nothing(self):
-        async def scenario(bench: Bench) -> None:
-            await bench.client.swap("a", b"1", expected_revision=0)
-            with self.assertRaises(StoreRateError):
-                await bench.client.swap("b", b"1", expected_revision=0)
-            self.assertIsNone(await bench.client.get("b"))
-            self.assertEqual(bench.store.counts.refused_calls, 1)
-
-        run_with_store(scenario, settings=StoreSettings(writes_per_s=1.0))
-
-    def test_unknown_path_is_refused(self):
-        async def scenario(bench: Bench) -> None:
-            with self.assertRaises(StoreError):
-                await bench.client._call("GET", "/v1/nothing")
-
-        run_with_store(scenario)
-
-
-class ReadingBackTest(unittest.TestCase):
-    """A lost answer told from a lost race."""
-
-    def test_answer_lost_after_the_effect_is_a_success(self):
-        # A journal commit's answer is lost after the store applied it. Sent again it
-        # meets its own effect, which looks like a lost race: the operator would be
-        # told "not accepted" of a job that then runs.
-        async def scenario(bench: Bench) -> None:
-            await bench.store.server.change_faults(
-                FaultSettings(lost_answers=2, lost_kind="swap")
-            )
-            revision = await _swap_back(bench, "a", build_nonce().encode())
-            self.assertEqual(revision, 1)
-            self.assertEqual(bench.store.state.revision, 1)
-
-        run_with_store(scenario)
-
-    def test_lost_race_is_a_conflict(self):
-        async def scenario(bench: Bench) -> None:
-            await bench.client.swap("a", b"other", expected_revision=0)
-            with self.assertRaises(ConflictError) as caught:
-                await _swap_back(bench, "a", build_nonce().encode())
-            self.assertEqual(caught.exception.current.value, b"other")
-
-        run_with_store(scenario)
-
-    def test_lost_answer_then_overwritten_stays_unknown(self):
-        # The first answer is lost; before the writer reads back, another instance
-        # writes on top. Neither "done" nor "lost race" could be proved.
-        async def scenario(bench: Bench) -> None:
-            await bench.store.server.change_faults(FaultSettings(lost_answers=1))
-            other = bench.connect()
-
-            async def overwrite() -> None:
-                while bench.store.state.revision < 1:
-                    await bench.clock.sleep_ms(1)
-                await other.swap("a", b"other", expected_revision=1)
-
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(overwrite)
-                with self.assertRaises(StoreUnavailableError) as caught:
-                    await _swap_back(bench, "a", build_nonce().encode())
-            self.assertFalse(caught.exception.is_proved_unsent)
-
-        run_with_store(scenario)
-
-    def test_store_gone_for_longer(self):
-        # (availability, is the failure proved unsent)
-        table = [(Availability.REFUSING, True), (Availability.HANGING, False)]
-        for availability, is_unsent in table:
-            with self.subTest(availability=availability):
-
-                async def scenario(
-                    bench: Bench, availability=availability, is_unsent=is_unsent
-                ) -> None:
-                    await bench.store.server.change_faults(
-                        FaultSettings(availability=availability)
-                    )
-                    with self.assertRaises(StoreUnavailableError) as caught:
-                        await _swap_back(bench, "a", b"nonce", timeout_ms=600)
-                    self.assertEqual(caught.exception.is_proved_unsent, is_unsent)
-
-                run_with_store(scenario)
-
-
-async def _swap_back(bench: Bench, key, value, *, timeout_ms=10_000) -> int:
-    return await swap_reading_back(
-        bench.client,
-        key,
-        value,
-        expected_revision=0,
-        clock=bench.clock,
-        timeout_ms=timeout_ms,
-    )
