--- /dev/null
+++ b/trefoilhook/entry/__init__.py
@@ -0,0 +1,5 @@
+"""Callers' HTTP API."""
+
+from trefoilhook.entry.core import build_entry_handler
+
+__all__ = ["build_entry_handler"]
--- /dev/null
+++ b/trefoilhook/entry/core.py
@@ -0,0 +1,146 @@
+"""From a caller's HTTP request to its answer.
+
+``POST /v1/teams/{team}/services/{service}/requests`` runs the body on an executor of
+the service.
+"""
+
+import math
+import re
+from collections.abc import Awaitable, Callable
+
+from trefoilhook.exceptions import RequestError
+from trefoilhook.http import HttpRequest, HttpResponse
+from trefoilhook.requests import (
+    Attempt,
+    CallerAnswer,
+    CallerRequest,
+    TeamView,
+    TokenVerdict,
+    parse_key,
+)
+from trefoilhook.results import Outcome, ResultCode
+
+__all__ = ["build_entry_handler"]
+
+HandleCaller = Callable[[CallerRequest], Awaitable[CallerAnswer]]
+
+_PATH = re.compile(r"/v1/teams/([^/]+)/services/([^/]+)/requests")
+_BEARER = "bearer "
+_MS_PER_S = 1000.0
+_LONGEST_TIMEOUT_MS = 600_000.0
+_TOKEN_REFUSALS = {
+    TokenVerdict.UNKNOWN: ResultCode.UNAUTHENTICATED,
+    TokenVerdict.FORBIDDEN: ResultCode.FORBIDDEN,
+}
+
+
+def build_entry_handler(
+    *, instance_id: str, teams: TeamView, handle_caller: HandleCaller
+) -> Callable[[HttpRequest], Awaitable[HttpResponse]]:
+    """Build the handler of the callers' listener.
+
+    Parameters
+    ----------
+    instance_id : str
+        This instance, named in each answer.
+    teams : TeamView
+        What the configuration says.
+    handle_caller : callable
+        Serves a request that was read and whose token was checked.
+    """
+
+    async def handle(request: HttpRequest) -> HttpResponse:
+        try:
+            caller_request = _read_request(request, teams)
+        except RequestError as error:
+            answer = CallerAnswer(code=error.code, detail=str(error))
+        else:
+            answer = await handle_caller(caller_request)
+        return _build_response(answer, instance_id)
+
+    return handle
+
+
+def _read_request(request: HttpRequest, teams: TeamView) -> CallerRequest:
+    match = _PATH.fullmatch(request.path)
+    if match is None:
+        raise RequestError("no such path", code=ResultCode.NOT_FOUND)
+    team, service = match.group(1), match.group(2)
+    if request.method != "POST":
+        raise RequestError("use POST", code=ResultCode.METHOD_NOT_ALLOWED)
+    _check_token(request, teams, team)
+    key = request.get_header("idempotency-key")
+    return CallerRequest(
+        team=team,
+        service=service,
+        key=parse_key(key) if key is not None else b"",
+        content_type=request.get_header("content-type") or "",
+        body=request.body,
+        timeout_ms=_read_timeout_ms(request),
+        attempt=_read_attempt(request),
+    )
+
+
+def _check_token(request: HttpRequest, teams: TeamView, team: str) -> None:
+    header = request.get_header("authorization") or ""
+    token = header[len(_BEARER) :] if header.lower().startswith(_BEARER) else ""
+    verdict = teams.check_token(team, token.strip())
+    refusal = _TOKEN_REFUSALS.get(verdict)
+    if refusal is not None:
+        raise RequestError("the token does not allow this", code=refusal)
+
+
+def _read_timeout_ms(request: HttpRequest) -> float | None:
+    text = request.get_header("request-timeout-ms")
+    if text is None:
+        return None
+    try:
+        timeout_ms = float(text)
+    except ValueError as error:
+        raise RequestError("Request-Timeout-Ms is no number") from error
+    if not 0 < timeout_ms <= _LONGEST_TIMEOUT_MS:
+        raise RequestError("Request-Timeout-Ms is out of range")
+    return timeout_ms
+
+
+def _read_attempt(request: HttpRequest) -> Attempt:
+    text = request.get_header("request-attempt")
+    if text is None:
+        return Attempt.NOT_SAID
+    if not (text.isascii() and text.isdigit() and int(text) > 0):
+        raise RequestError("Request-Attempt is no number from 1 up")
+    return Attempt.FIRST if int(text) == 1 else Attempt.REPEATED
+
+
+def _build_response(answer: CallerAnswer, instance_id: str) -> HttpResponse:
+    code = answer.code
+    headers = [
+        ("trefoilhook-result", str(code.number)),
+        ("trefoilhook-outcome", code.outcome.value),
+        ("trefoilhook-instance", answer.owner_instance_id or instance_id),
+    ]
+    if answer.executor_id:
+        headers.append(("trefoilhook-executor", answer.executor_id))
+    if answer.retry_after_ms > 0:
+        seconds = math.ceil(answer.retry_after_ms / _MS_PER_S)
+        headers.append(("retry-after", str(seconds)))
+        headers.append(("retry-after-ms", str(math.ceil(answer.retry_after_ms))))
+    has_body = code.outcome is Outcome.EXECUTED and answer.status > 0
+    if not has_body:
+        return _build_error(answer, tuple(headers))
+    headers.append(("content-type", answer.content_type or "application/octet-stream"))
+    return HttpResponse(status=answer.status, headers=tuple(headers), body=answer.body)
+
+
+def _build_error(
+    answer: CallerAnswer, headers: tuple[tuple[str, str], ...]
+) -> HttpResponse:
+    code = answer.code
+    value = {
+        "code": code.number,
+        "name": code.name,
+        "outcome": code.outcome.value,
+        "message": answer.detail or code.value.meaning,
+        "retry_after_ms": math.ceil(answer.retry_after_ms),
+    }
+    return HttpResponse.from_json(value, status=code.value.http_status, headers=headers)
--- /dev/null
+++ b/trefoilhook/entry/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ``trefoilhook.entry``."""
--- /dev/null
+++ b/trefoilhook/executors/tests/test_executors.py
@@ -0,0 +1,127 @@
+"""Contract of the adapter to the executors, over real sockets."""
+
+import socket
+import unittest
+
+import trio
+
+from trefoilhook.exceptions import AnswerLostError, NotSentError
+from trefoilhook.executors import ExecutorClient
+from trefoilhook.http import HttpResponse, HttpServer
+
+_HOST = "127.0.0.1"
+
+
+class _Backend:
+    """A small executor that records what reached it."""
+
+    def __init__(self):
+        self.requests = []
+        self.health = b'{"slots": 8, "in_use": 3}'
+
+    async def handle(self, request):
+        self.requests.append(request)
+        if request.path == "/health":
+            return HttpResponse(status=200, body=self.health)
+        headers = (("content-type", "text/plain"),)
+        return HttpResponse(status=200, headers=headers, body=b"ran " + request.body)
+
+
+def run_with(scenario):
+    """Run a scenario against a backend and a client."""
+
+    async def body():
+        backend = _Backend()
+        server = HttpServer(handler=backend.handle, host=_HOST, port=0)
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(server.run)
+            client = ExecutorClient(executor_id="e", host=_HOST, port=port)
+            await scenario(backend, client)
+            await client.close()
+            nursery.cancel_scope.cancel()
+
+    trio.run(body)
+
+
+async def send(client, **changes):
+    """Send one request."""
+    fields = {"content_type": "text/csv", "timeout_ms": 5_000, "request_id": "r1"}
+    return await client.run(b"two", **{**fields, **changes})
+
+
+class ExecutorClientTest(unittest.TestCase):
+    """Requests, health and the leave to send."""
+
+    def test_run_sends_the_id_and_returns_the_whole_answer(self):
+        async def scenario(backend, client):
+            answer = await send(client)
+            self.assertEqual((answer.status, answer.body), (200, b"ran two"))
+            self.assertEqual(answer.content_type, "text/plain")
+            request = backend.requests[0]
+            self.assertEqual((request.method, request.path), ("POST", "/run"))
+            self.assertEqual(request.get_header("request-id"), "r1")
+            self.assertEqual(request.get_header("content-type"), "text/csv")
+
+        run_with(scenario)
+
+    def test_withdrawn_request_never_leaves(self):
+        # An owner waits for a connection while its right to act ends. Asked in the
+        # step in which the bytes would leave, it sends nothing, and says so.
+        async def scenario(backend, client):
+            await send(client)
+            with self.assertRaises(NotSentError):
+                await send(client, may_send=lambda: False)
+            await send(client, request_id="r2")
+            ids = [each.get_header("request-id") for each in backend.requests]
+            self.assertEqual(ids, ["r1", "r2"])
+
+        run_with(scenario)
+
+    def test_no_other_task_runs_between_the_check_and_the_send(self):
+        # If a task could run in between, more than one request could be past its
+        # check when the process is frozen, and more would leave when it is thawed.
+        # The first task that runs after the check must find the bytes sent.
+        async def scenario():
+            listener = socket.create_server((_HOST, 0))
+            port = listener.getsockname()[1]
+            client = ExecutorClient(executor_id="e", host=_HOST, port=port)
+            checked = trio.Event()
+            seen = []
+
+            def may_send():
+                checked.set()
+                return True
+
+            async def look():
+                while not checked.is_set():
+                    await trio.lowlevel.checkpoint()
+                accepted, _ = listener.accept()
+                accepted.setblocking(False)
+                try:
+                    seen.append(accepted.recv(4, socket.MSG_PEEK))
+                except BlockingIOError:
+                    seen.append(b"nothing")
+                nursery.cancel_scope.cancel()
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(look)
+                await send(client, may_send=may_send)
+            listener.close()
+            self.assertEqual(seen, [b"POST"])
+
+        trio.run(scenario)
+
+    def test_health(self):
+        async def scenario(backend, client):
+            health = await client.check_health(timeout_ms=5_000)
+            self.assertEqual((health.slots, health.in_use), (8, 3))
+            for bad in (b"", b"[]", b'{"slots": 8}', b'{"slots": 8, "in_use": null}'):
+                backend.health = bad
+                with self.subTest(bad=bad), self.assertRaises(AnswerLostError):
+                    await client.check_health(timeout_ms=5_000)
+
+        run_with(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/trefoilhook/requests/__init__.py
@@ -0,0 +1,38 @@
+"""Serving of callers' requests: keys, slots, queues, routing and retries."""
+
+from trefoilhook.requests.core import RequestService, open_executor
+from trefoilhook.requests.keys import (
+    compute_executor_shard,
+    compute_key_shard,
+    format_shard_id,
+    mint_key,
+    parse_key,
+)
+from trefoilhook.requests.models import (
+    Attempt,
+    CallerAnswer,
+    CallerRequest,
+    ExecutorTarget,
+    ServiceSettings,
+    TeamView,
+    TokenVerdict,
+)
+from trefoilhook.requests.settings import RequestSettings
+
+__all__ = [
+    "Attempt",
+    "CallerAnswer",
+    "CallerRequest",
+    "ExecutorTarget",
+    "RequestService",
+    "RequestSettings",
+    "ServiceSettings",
+    "TeamView",
+    "TokenVerdict",
+    "compute_executor_shard",
+    "compute_key_shard",
+    "format_shard_id",
+    "mint_key",
+    "open_executor",
+    "parse_key",
+]
--- /dev/null
+++ b/trefoilhook/requests/admission.py
@@ -0,0 +1,317 @@
+"""The executors owned here: their slots, their queues and their connections."""
+
+from collections.abc import Callable, Sequence
+
+import attrs
+import trio
+
+from trefoilhook.clock import Clock
+from trefoilhook.exceptions import RequestError, TransportError
+from trefoilhook.logs import Event, log_event
+from trefoilhook.requests.circuit import Circuit
+from trefoilhook.requests.models import ExecutorLink, ExecutorTarget
+from trefoilhook.requests.owned import Grant, OwnedExecutor
+from trefoilhook.requests.queueing import QueueRefusedError, ServiceQueue, Waiter
+from trefoilhook.requests.settings import RequestSettings
+from trefoilhook.requests.slots import Ending, ExecutorSlots
+from trefoilhook.results import ResultCode
+
+__all__ = ["ExecutorPool", "LoadView"]
+
+_MS_PER_S = 1000.0
+_FAILURES = frozenset({Ending.FAILED, Ending.NOT_SENT, Ending.LOST})
+
+
+@attrs.frozen(kw_only=True)
+class LoadView:
+    """What one service's executors here can take.
+
+    Parameters
+    ----------
+    free : int
+        Slots free now.
+    usable : int
+        Slots that serve requests.
+    queued : int
+        Requests that wait.
+    """
+
+    free: int
+    usable: int
+    queued: int
+
+
+@attrs.define(kw_only=True, eq=False)
+class ExecutorPool:
+    """All executors owned by this instance.
+
+    Parameters
+    ----------
+    clock : Clock
+        Where time comes from.
+    settings : RequestSettings
+        Bounds and times.
+    failure_domain : str
+        Where this instance stands; executors there are preferred.
+    open_link : callable
+        Opens the connections to an executor.
+    """
+
+    clock: Clock
+    settings: RequestSettings
+    failure_domain: str
+    open_link: Callable[[ExecutorTarget], ExecutorLink]
+    _executors: dict[str, OwnedExecutor] = attrs.field(factory=dict, init=False)
+    _queues: dict[str, ServiceQueue] = attrs.field(factory=dict, init=False)
+
+    def get(self, executor_id: str) -> OwnedExecutor | None:
+        """Return an executor owned here."""
+        return self._executors.get(executor_id)
+
+    def list_executors(self) -> tuple[OwnedExecutor, ...]:
+        """Return all executors owned here."""
+        return tuple(self._executors.values())
+
+    def get_queue(self, service_name: str) -> ServiceQueue:
+        """Return the queue of a service."""
+        return self._queues.setdefault(service_name, ServiceQueue())
+
+    def add(
+        self,
+        target: ExecutorTarget,
+        *,
+        shard_id: str,
+        epoch: int,
+        is_first_claim: bool,
+        handed_in_use: int | None,
+    ) -> None:
+        """Begin to count an executor's slots.
+
+        Parameters
+        ----------
+        target : ExecutorTarget
+            The executor.
+        shard_id : str
+            Shard that it belongs to.
+        epoch : int
+            Epoch of the claim.
+        is_first_claim : bool
+            Whether the shard never had an owner before.
+        handed_in_use : int or None
+            Slots in use that the previous owner told of; None if it was not met.
+        """
+        now_ms = self.clock.monotonic_ms()
+        settings = self.settings
+        slots = ExecutorSlots(
+            slots=target.slots,
+            settle_ms=settings.settle_ms,
+            is_leaving=target.is_leaving,
+            circuit=Circuit(
+                failure_limit=settings.failure_limit,
+                open_ms=settings.circuit_open_ms,
+                open_limit_ms=settings.circuit_open_limit_ms,
+                probation_successes=settings.probation_successes,
+            ),
+        )
+        if handed_in_use is not None:
+            slots.take_handed_over(handed_in_use, now_ms=now_ms)
+        elif not is_first_claim:
+            # Guards against the requests of an earlier owner that died or is frozen:
+            # without asking, their slots would be given away a second time. One more
+            # is kept back for the request that it may have checked but not yet sent.
+            slots.is_taken_over = True
+            slots.ask_from_ms = now_ms + settings.settle_ms
+            slots.held_until_ms = now_ms + settings.predecessor_hold_ms
+        self._executors[target.executor_id] = OwnedExecutor(
+            target=target,
+            shard_id=shard_id,
+            epoch=epoch,
+            slots=slots,
+            link=self.open_link(target),
+        )
+
+    def update(self, target: ExecutorTarget) -> None:
+        """Take in an executor's newest record."""
+        executor = self._executors[target.executor_id]
+        executor.target = target
+        executor.slots.is_leaving = target.is_leaving
+        executor.slots.slots = target.slots
+
+    def remove(self, executor_id: str) -> OwnedExecutor | None:
+        """Stop counting an executor's slots; requests in progress go on."""
+        executor = self._executors.pop(executor_id, None)
+        if executor is None:
+            return None
+        service_name = executor.target.service_name
+        if not self._list_serving(service_name):
+            # Guards against requests that wait out their deadlines for executors
+            # which another instance owns by now.
+            self.get_queue(service_name).refuse_all(ResultCode.NO_OWNER)
+        return executor
+
+    def view_load(self, service_name: str) -> LoadView:
+        """Return what a service's executors here can take."""
+        now_ms = self.clock.monotonic_ms()
+        slots = [each.slots for each in self._list_serving(service_name)]
+        queue = self._queues.get(service_name)
+        return LoadView(
+            free=sum(each.count_free(now_ms) for each in slots),
+            usable=sum(each.count_usable(now_ms) for each in slots),
+            queued=len(queue) if queue is not None else 0,
+        )
+
+    async def acquire(
+        self,
+        service_name: str,
+        *,
+        deadline_ms: float,
+        max_waiting: int,
+        avoid: Sequence[str] = (),
+    ) -> Grant:
+        """Wait for a slot of a service.
+
+        Parameters
+        ----------
+        service_name : str
+            The service.
+        deadline_ms : float
+            When it is too late to start, on the monotonic clock, in ms.
+        max_waiting : int
+            Most requests of the service that wait here.
+        avoid : sequence of str, optional
+            Executors to leave out while another has a free slot.
+
+        Raises
+        ------
+        QueueRefusedError
+            If the request can't start in time.
+        RequestError
+            If no executor of the service is owned here.
+        """
+        queue = self.get_queue(service_name)
+        if not len(queue):
+            executor = self._choose_free(service_name, avoid=avoid)
+            if executor is not None:
+                return self._grant(executor)
+        view = self.view_load(service_name)
+        is_waiting_useful = view.usable or self._is_taking_over(service_name)
+        if not is_waiting_useful:
+            raise RequestError(
+                "no usable executor is owned here", code=ResultCode.NO_EXECUTOR
+            )
+        waiter = queue.enter(
+            deadline_ms=deadline_ms,
+            now_ms=self.clock.monotonic_ms(),
+            slots=view.usable,
+            max_waiting=min(max_waiting, self.settings.executor_waiting),
+        )
+        timeout_ms = deadline_ms - self.clock.monotonic_ms()
+        try:
+            with trio.move_on_after(timeout_ms / _MS_PER_S):
+                await waiter.woken.wait()
+        except BaseException:
+            self._abandon(queue, waiter)
+            raise
+        if waiter.executor is None:
+            queue.leave(waiter)
+            raise QueueRefusedError(
+                "it waited in vain",
+                code=waiter.refusal,
+                retry_after_ms=queue.estimate_wait_ms(slots=view.usable),
+            )
+        return Grant(executor=waiter.executor, granted_ms=self.clock.monotonic_ms())
+
+    def release(self, grant: Grant, ending: Ending) -> None:
+        """Give a slot back and let the next request that waits have it."""
+        now_ms = self.clock.monotonic_ms()
+        executor = grant.executor
+        executor.slots.give_back(ending, now_ms=now_ms)
+        service_name = executor.target.service_name
+        if ending is Ending.ANSWERED:
+            run_time = self.get_queue(service_name).run_time
+            run_time.note(now_ms - grant.granted_ms)
+        self._note_ending(executor, ending, now_ms)
+        self.serve_queue(service_name)
+
+    def serve_queue(self, service_name: str) -> None:
+        """Give free slots to the requests that wait, the longest first."""
+        queue = self.get_queue(service_name)
+        while len(queue):
+            executor = self._choose_free(service_name)
+            if executor is None:
+                return
+            now_ms = self.clock.monotonic_ms()
+            waiter = queue.pop(now_ms)
+            if waiter is None:
+                return
+            executor.slots.take(now_ms)
+            waiter.executor = executor
+            waiter.woken.set()
+
+    async def probe(self, executor: OwnedExecutor) -> None:
+        """Ask an executor what it runs, and take its answer in."""
+        executor.is_probing = True
+        probe = executor.slots.begin_probe(self.clock.monotonic_ms())
+        try:
+            health = await executor.link.check_health(
+                timeout_ms=self.settings.probe_timeout_ms
+            )
+        except TransportError:
+            executor.slots.fail_probe(self.clock.monotonic_ms())
+            return
+        finally:
+            executor.is_probing = False
+        executor.slots.end_probe(
+            probe, in_use=health.in_use, now_ms=self.clock.monotonic_ms()
+        )
+        self.serve_queue(executor.target.service_name)
+
+    def _list_serving(self, service_name: str) -> list[OwnedExecutor]:
+        executors = self._executors.values()
+        return [each for each in executors if each.target.service_name == service_name]
+
+    def _is_taking_over(self, service_name: str) -> bool:
+        executors = self._list_serving(service_name)
+        return any(each.slots.is_taken_over for each in executors)
+
+    def _choose_free(
+        self, service_name: str, *, avoid: Sequence[str] = ()
+    ) -> OwnedExecutor | None:
+        now_ms = self.clock.monotonic_ms()
+        best: OwnedExecutor | None = None
+        best_rank: tuple[bool, int, bool] | None = None
+        for each in self._list_serving(service_name):
+            free = each.slots.count_free(now_ms)
+            if free < 1:
+                continue
+            is_near = each.target.failure_domain == self.failure_domain
+            rank = (each.target.executor_id not in avoid, free, is_near)
+            if best_rank is None or rank > best_rank:
+                best, best_rank = each, rank
+        return best
+
+    def _grant(self, executor: OwnedExecutor) -> Grant:
+        now_ms = self.clock.monotonic_ms()
+        executor.slots.take(now_ms)
+        return Grant(executor=executor, granted_ms=now_ms)
+
+    def _abandon(self, queue: ServiceQueue, waiter: Waiter) -> None:
+        """Take a cancelled request out, and pass on the slot it was given."""
+        queue.leave(waiter)
+        executor = waiter.executor
+        if executor is None:
+            return
+        now_ms = self.clock.monotonic_ms()
+        executor.slots.give_back(Ending.GIVEN_UP, now_ms=now_ms)
+        self.serve_queue(executor.target.service_name)
+
+    def _note_ending(
+        self, executor: OwnedExecutor, ending: Ending, now_ms: float
+    ) -> None:
+        executor_id = executor.target.executor_id
+        circuit = executor.slots.circuit
+        if ending is Ending.ANSWERED:
+            if circuit.note_success():
+                log_event(Event.EXECUTOR_CLOSED, executor_id=executor_id)
+        elif ending in _FAILURES and circuit.note_failure(now_ms=now_ms):
+            log_event(Event.EXECUTOR_OPENED, executor_id=executor_id)
--- /dev/null
+++ b/trefoilhook/requests/circuit.py
@@ -0,0 +1,87 @@
+"""Circuit breaker for an executor that fails everything."""
+
+import enum
+
+import attrs
+
+__all__ = ["Circuit", "CircuitState"]
+
+
+class CircuitState(enum.Enum):
+    """Whether requests pass."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    PROBATION = "probation"
+
+
+@attrs.define(kw_only=True)
+class Circuit:
+    """Counts an executor's failures and keeps requests away from a failing one.
+
+    Parameters
+    ----------
+    failure_limit : int
+        Failures in a row that open the circuit.
+    open_ms : float
+        First time that it stays open, in ms; doubled at each failed probation.
+    open_limit_ms : float
+        Longest time that it stays open, in ms.
+    probation_successes : int
+        Successes in a row that close it.
+    """
+
+    failure_limit: int
+    open_ms: float
+    open_limit_ms: float
+    probation_successes: int
+    state: CircuitState = CircuitState.CLOSED
+    _failures: int = attrs.field(default=0, init=False)
+    _successes: int = attrs.field(default=0, init=False)
+    _openings: int = attrs.field(default=0, init=False)
+    _open_until_ms: float = attrs.field(default=0.0, init=False)
+
+    def get_limit(self, *, now_ms: float, slots: int) -> int:
+        """Return how many requests may be in progress at once.
+
+        Parameters
+        ----------
+        now_ms : float
+            Time now.
+        slots : int
+            What the executor takes when it is healthy.
+        """
+        if self.state is CircuitState.CLOSED:
+            return slots
+        if self.state is CircuitState.OPEN:
+            if now_ms < self._open_until_ms:
+                return 0
+            self.state = CircuitState.PROBATION
+            self._successes = 0
+        return 1
+
+    def note_success(self) -> bool:
+        """Count a success; True if it closed the circuit."""
+        self._failures = 0
+        if self.state is not CircuitState.PROBATION:
+            return False
+        self._successes += 1
+        if self._successes < self.probation_successes:
+            return False
+        self.state = CircuitState.CLOSED
+        self._openings = 0
+        return True
+
+    def note_failure(self, *, now_ms: float) -> bool:
+        """Count a failure; True if it opened the circuit."""
+        self._failures += 1
+        if self.state is CircuitState.OPEN:
+            return False
+        is_failing = self._failures >= self.failure_limit
+        if self.state is CircuitState.CLOSED and not is_failing:
+            return False
+        self.state = CircuitState.OPEN
+        wait_ms = min(self.open_ms * 2.0**self._openings, self.open_limit_ms)
+        self._open_until_ms = now_ms + wait_ms
+        self._openings += 1
+        return True
--- /dev/null
+++ b/trefoilhook/requests/core.py
@@ -0,0 +1,361 @@
+"""Serving of requests: one object an instance, in all three roles.
+
+As *entry* it takes a caller's request in. As *key owner* it remembers the key and
+chooses an executor. As *executor owner* it counts slots and sends.
+"""
+
+import random
+from collections.abc import Awaitable, Callable, Sequence
+
+import attrs
+import trio
+
+from trefoilhook.clock import Clock
+from trefoilhook.exceptions import TrefoilhookError
+from trefoilhook.executors import ExecutorClient
+from trefoilhook.inner.messages_pb2 import (
+    Empty,
+    ServiceAnswer,
+    ServiceRequest,
+    ShardHandover,
+)
+from trefoilhook.logs import Event, log_event
+from trefoilhook.requests.admission import ExecutorPool
+from trefoilhook.requests.buckets import TeamQuotas
+from trefoilhook.requests.callers import Journey, ask_owner, run_unkeyed, tell_truth
+from trefoilhook.requests.dispatch import run_here
+from trefoilhook.requests.handover import decode_keys, encode_handover
+from trefoilhook.requests.keyowner import KeyOwner
+from trefoilhook.requests.keys import mint_key, read_minted_ms
+from trefoilhook.requests.models import (
+    CallerAnswer,
+    CallerRequest,
+    ExecutorLink,
+    ExecutorTarget,
+    InnerCall,
+    InnerLink,
+    ListExecutors,
+    OwnershipView,
+    ServiceSettings,
+    TeamView,
+)
+from trefoilhook.requests.retry import HedgePolicy, RetryPolicy
+from trefoilhook.requests.routing import PeerLoads
+from trefoilhook.requests.settings import RequestSettings
+from trefoilhook.requests.upkeep import Upkeep
+from trefoilhook.requests.work import Parts, Work, encode_answer
+from trefoilhook.results import Outcome, ResultCode
+
+__all__ = ["RequestService", "open_executor"]
+
+_MS_PER_S = 1000.0
+
+
+def open_executor(target: ExecutorTarget) -> ExecutorLink:
+    """Open the connections to an executor over HTTP."""
+    return ExecutorClient(
+        executor_id=target.executor_id, host=target.host, port=target.port
+    )
+
+
+class RequestService:
+    """Serves requests on one instance.
+
+    Parameters
+    ----------
+    instance_id : str
+        This instance.
+    failure_domain : str
+        Where it stands.
+    clock : Clock
+        Where time comes from.
+    settings : RequestSettings
+        Bounds and times.
+    ownership : OwnershipView
+        Shards and their owners.
+    inner : InnerLink
+        Calls to other instances.
+    teams : TeamView
+        What the configuration says.
+    list_executors : callable
+        The instance list as known here.
+    list_peers : callable
+        The other instances.
+    open_link : callable, optional
+        Opens the connections to an executor.
+    generator : random.Random, optional
+        Source of draws.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance_id: str,
+        failure_domain: str,
+        clock: Clock,
+        settings: RequestSettings,
+        ownership: OwnershipView,
+        inner: InnerLink,
+        teams: TeamView,
+        list_executors: ListExecutors,
+        list_peers: Callable[[], Sequence[str]],
+        open_link: Callable[[ExecutorTarget], ExecutorLink] = open_executor,
+        generator: random.Random | None = None,
+    ) -> None:
+        self._background: trio.Nursery | None = None
+        self._busy = 0
+        self._is_draining = False
+        self._idle = trio.Event()
+        parts = Parts(
+            instance_id=instance_id,
+            failure_domain=failure_domain,
+            clock=clock,
+            settings=settings,
+            ownership=ownership,
+            inner=inner,
+            teams=teams,
+            list_executors=list_executors,
+            pool=ExecutorPool(
+                clock=clock,
+                settings=settings,
+                failure_domain=failure_domain,
+                open_link=open_link,
+            ),
+            peer_loads=PeerLoads(max_age_ms=settings.loads_age_ms),
+            quotas=TeamQuotas(burst_s=settings.quota_burst_s),
+            retries=RetryPolicy(
+                ratio=settings.retry_ratio, reserve=settings.retry_reserve
+            ),
+            hedges=HedgePolicy(
+                is_enabled=settings.is_hedging, quantile=settings.hedge_quantile
+            ),
+            generator=generator or random.Random(),
+            start=self._start,
+            get_share=lambda: self._upkeep.share,
+        )
+        self._parts = parts
+        self._key_owner = KeyOwner(parts=parts)
+        self._upkeep = Upkeep(
+            parts=parts, key_owner=self._key_owner, list_peers=list_peers
+        )
+
+    @property
+    def busy(self) -> int:
+        """Number of requests in progress here, in any role."""
+        return self._busy
+
+    @property
+    def pool(self) -> ExecutorPool:
+        """Executors owned here."""
+        return self._parts.pool
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._background = nursery
+            await self._upkeep.tick()
+            nursery.start_soon(self._upkeep.run)
+            nursery.start_soon(self._upkeep.run_summaries)
+            task_status.started()
+
+    async def drain(self, *, grace_ms: float) -> None:
+        """Take nothing new as entry, and wait for what is in progress.
+
+        Parameters
+        ----------
+        grace_ms : float
+            Longest wait, in ms.
+        """
+        self._is_draining = True
+        with trio.move_on_after(grace_ms / _MS_PER_S):
+            while self._busy:
+                self._idle = trio.Event()
+                await self._idle.wait()
+
+    async def handle_caller(self, request: CallerRequest) -> CallerAnswer:
+        """Answer a caller's request; the role of the entry.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            What the caller sent, its token already checked.
+        """
+        parts = self._parts
+        settings = parts.teams.find_service(request.team, request.service)
+        if settings is None:
+            return parts.refuse(ResultCode.NOT_FOUND, "no such service")
+        if not request.key and not settings.is_idempotent:
+            return parts.refuse(ResultCode.KEY_REQUIRED)
+        work = self._build_work(request, settings)
+        journey = Journey(request=request, work=work)
+        if self._is_draining:
+            answer = parts.refuse(ResultCode.SHUTTING_DOWN)
+            return tell_truth(parts, journey, answer) if request.key else answer
+        with self._count():
+            if not request.key:
+                answer = await run_unkeyed(parts, work)
+            else:
+                answer = await ask_owner(parts, journey)
+        if answer.code.outcome is not Outcome.EXECUTED:
+            log_event(
+                Event.REQUEST_FAILED,
+                request_id=work.request_id,
+                code=answer.code.number,
+                team=request.team,
+                service=request.service,
+            )
+        return answer
+
+    async def handle_inner(self, call: InnerCall) -> ServiceAnswer:
+        """Answer a request that another instance sends; both owner roles."""
+        request: ServiceRequest = call.message
+        with self._count():
+            try:
+                answer = await self._serve(request, timeout_ms=call.timeout_ms)
+            except TrefoilhookError as error:
+                answer = self._parts.refuse(error.code, str(error))
+        return encode_answer(answer)
+
+    async def handle_loads(self, call: InnerCall) -> Empty:
+        """Take in a peer's summary of its executors."""
+        self._upkeep.hear_loads(call.sender_id, call.message)
+        return Empty()
+
+    def export_handover(self, shard_id: str, epoch: int) -> ShardHandover:
+        """Build what the next owner of a shard must know.
+
+        To be called in the step in which this instance stops acting for the shard.
+        """
+        in_use = {
+            each.target.executor_id: each.slots.in_progress + each.slots.unproved
+            for each in self._parts.pool.list_executors()
+            if each.shard_id == shard_id and not each.slots.is_taken_over
+        }
+        return encode_handover(
+            shard_id=shard_id,
+            epoch=epoch,
+            handed=self._key_owner.export(shard_id),
+            in_use=in_use,
+        )
+
+    def take_handover(self, message: ShardHandover) -> None:
+        """Take in what the previous owner of a shard told."""
+        self._key_owner.take_over(message.shard_id, decode_keys(message))
+        in_use = {each.executor_id: each.in_use for each in message.in_use}
+        self._upkeep.take_handed_over(in_use)
+        self._upkeep.release_hold(message.shard_id)
+
+    def note_predecessor_gone(self, shard_id: str) -> None:
+        """Take in that the earlier owner of a shard is proved dead."""
+        self._upkeep.release_hold(shard_id)
+
+    async def _serve(
+        self, request: ServiceRequest, *, timeout_ms: float
+    ) -> CallerAnswer:
+        parts = self._parts
+        settings = parts.teams.find_service(request.team, request.service)
+        if settings is None:
+            return parts.refuse(ResultCode.NO_OWNER, "the service is not known yet")
+        now_ms = parts.clock.monotonic_ms()
+        if request.executor_id:
+            wait_ms = timeout_ms - parts.settings.late_answer_ms
+        else:
+            wait_ms = timeout_ms - parts.settings.answer_margin_ms
+        work = self._read_work(request, settings, deadline_ms=now_ms + wait_ms)
+        if not request.executor_id:
+            return await self._key_owner.serve(
+                request, work=work, entry_id=request.entry_instance_id
+            )
+        if parts.pool.get(request.executor_id) is None:
+            return parts.refuse(ResultCode.NO_OWNER)
+        return await self._run_detached(work)
+
+    async def _run_detached(self, work: Work) -> CallerAnswer:
+        """Run a request to its end, also if whoever sent it goes away."""
+        answers: list[CallerAnswer] = []
+        done = trio.Event()
+
+        async def run() -> None:
+            try:
+                answer = await run_here(self._parts, work, mark_sent=lambda _: None)
+                answers.append(answer)
+            finally:
+                done.set()
+
+        self._start(run)
+        await done.wait()
+        return answers[0] if answers else self._parts.refuse(ResultCode.INTERNAL)
+
+    def _build_work(self, request: CallerRequest, settings: ServiceSettings) -> Work:
+        timeout_ms = settings.timeout_ms
+        if request.timeout_ms is not None:
+            timeout_ms = min(timeout_ms, request.timeout_ms)
+        if request.key:
+            read_minted_ms(request.key)
+        return Work(
+            team=request.team,
+            service=request.service,
+            key=request.key,
+            request_id=(request.key or mint_key()).hex(),
+            is_idempotent=settings.is_idempotent,
+            content_type=request.content_type,
+            body=request.body,
+            deadline_ms=self._parts.clock.monotonic_ms() + timeout_ms,
+            max_waiting=settings.max_queue,
+        )
+
+    def _read_work(
+        self, request: ServiceRequest, settings: ServiceSettings, *, deadline_ms: float
+    ) -> Work:
+        return Work(
+            team=request.team,
+            service=request.service,
+            key=request.key,
+            request_id=(request.key or mint_key()).hex(),
+            is_idempotent=settings.is_idempotent and request.is_idempotent,
+            content_type=request.content_type,
+            body=request.body,
+            deadline_ms=deadline_ms,
+            max_waiting=settings.max_queue,
+        )
+
+    def _start(self, function: Callable[..., Awaitable[None]], *args: object) -> None:
+        if self._background is None:
+            raise RuntimeError("the service does not run")
+        self._background.start_soon(self._run_counted, function, args)
+
+    async def _run_counted(
+        self, function: Callable[..., Awaitable[None]], args: tuple[object, ...]
+    ) -> None:
+        with self._count():
+            try:
+                await function(*args)
+            except Exception as error:  # one request's fault must not end the others
+                log_event(Event.TASK_FAILED, task=function.__name__, error=repr(error))
+
+    def _count(self) -> "_Counted":
+        return _Counted(enter=self._enter, leave=self._leave)
+
+    def _enter(self) -> None:
+        self._busy += 1
+
+    def _leave(self) -> None:
+        self._busy -= 1
+        if not self._busy:
+            self._idle.set()
+
+
+@attrs.frozen(kw_only=True)
+class _Counted:
+    """Counts what is in progress while it is entered."""
+
+    enter: Callable[[], None]
+    leave: Callable[[], None]
+
+    def __enter__(self) -> None:
+        self.enter()
+
+    def __exit__(self, *_: object) -> None:
+        self.leave()
--- /dev/null
+++ b/trefoilhook/requests/dedup.py
@@ -0,0 +1,324 @@
+"""The table of a shard's idempotency keys at its owner.
+
+A key that is in the table has a known fate. For one that is not, the rules of time
+decide whether any other instance can have run it; ``docs/design/03-requests.md`` has
+the proof that at most one owner ever runs a key.
+"""
+
+import enum
+import heapq
+import math
+
+import attrs
+import trio
+
+from trefoilhook.requests.models import CallerAnswer
+from trefoilhook.results import Outcome, ResultCode
+
+__all__ = [
+    "ActingWindow",
+    "KeyRecord",
+    "KeyState",
+    "KeyTable",
+    "Verdict",
+    "VerdictKind",
+]
+
+_RECORD_BYTES = 400
+
+
+class KeyState(enum.Enum):
+    """What is known about a key."""
+
+    IN_PROGRESS = "in progress"
+    DONE = "done"
+    DROPPED = "done, answer dropped"
+    UNKNOWN = "unknown"
+
+
+class VerdictKind(enum.Enum):
+    """What the owner is to do with a request."""
+
+    RUN = "run it"
+    WAIT = "wait for the request in progress"
+    ANSWER = "answer at once"
+
+
+@attrs.frozen(kw_only=True)
+class ActingWindow:
+    """The time in which an owner may act for its shard, on its own wall clock.
+
+    Parameters
+    ----------
+    since_wall_ms : float
+        Wall time of its claim; minus infinity if there was no owner before.
+    until_wall_ms : float
+        Wall time at which its right to act ends, as known now.
+    skew_ms : float
+        How far any instance's wall clock may be from true time, in ms.
+    """
+
+    since_wall_ms: float
+    until_wall_ms: float
+    skew_ms: float
+
+
+@attrs.define(kw_only=True, eq=False)
+class KeyRecord:
+    """One key's fate.
+
+    Parameters
+    ----------
+    key : bytes
+        The key.
+    minted_ms : int
+        When it was minted, in ms since the Unix epoch.
+    digest : bytes
+        Digest of the request that came first under the key.
+    state : KeyState
+        What is known.
+    answer : CallerAnswer or None
+        The answer, once there is one and while it is kept.
+    is_sent : bool
+        Whether a byte of it may have left for an executor.
+    finished : trio.Event
+        Set once the fate is known.
+    """
+
+    key: bytes
+    minted_ms: int
+    digest: bytes
+    state: KeyState = KeyState.IN_PROGRESS
+    answer: CallerAnswer | None = None
+    is_sent: bool = False
+    finished: trio.Event = attrs.field(factory=trio.Event)
+
+    @property
+    def size_bytes(self) -> int:
+        """Estimate of the memory that the record takes."""
+        body = len(self.answer.body) if self.answer is not None else 0
+        return _RECORD_BYTES + body
+
+
+@attrs.frozen(kw_only=True)
+class Verdict:
+    """What the owner is to do with a request.
+
+    Parameters
+    ----------
+    kind : VerdictKind
+        What to do.
+    record : KeyRecord or None
+        For RUN and WAIT: the key's record.
+    answer : CallerAnswer or None
+        For ANSWER: what to say.
+    """
+
+    kind: VerdictKind
+    record: KeyRecord | None = None
+    answer: CallerAnswer | None = None
+
+
+def _refuse(code: ResultCode, detail: str) -> Verdict:
+    answer = CallerAnswer(code=code, detail=detail)
+    return Verdict(kind=VerdictKind.ANSWER, answer=answer)
+
+
+class KeyTable:
+    """The keys of one shard at its owner, bounded in age and bytes.
+
+    Parameters
+    ----------
+    max_age_ms : float
+        Age from which a key's fate may be forgotten, in ms.
+    max_bytes : int
+        Most bytes of all records; answers go first, then the oldest records.
+    """
+
+    def __init__(self, *, max_age_ms: float, max_bytes: int) -> None:
+        self._max_age_ms = max_age_ms
+        self._max_bytes = max_bytes
+        self._records: dict[bytes, KeyRecord] = {}
+        self._by_age: list[tuple[int, bytes]] = []  # finished ones only
+        self._answers: dict[bytes, None] = {}
+        self._size_bytes = 0
+        self._forgotten_until_ms = -math.inf
+        self._known_from_ms = math.inf
+
+    @property
+    def size_bytes(self) -> int:
+        """Estimate of the memory that the table takes."""
+        return self._size_bytes
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def begin(
+        self,
+        *,
+        key: bytes,
+        minted_ms: int,
+        digest: bytes,
+        wall_ms: float,
+        window: ActingWindow,
+    ) -> Verdict:
+        """Decide about a request, and enter it if it is to be run.
+
+        Parameters
+        ----------
+        key : bytes
+            Its key.
+        minted_ms : int
+            When the key was minted, in ms since the Unix epoch.
+        digest : bytes
+            Digest of the request.
+        wall_ms : float
+            Wall time now.
+        window : ActingWindow
+            When the owner may act.
+        """
+        self._forget_old(wall_ms)
+        record = self._records.get(key)
+        if record is not None:
+            return self._judge_known(record, digest)
+        refusal = self._judge_time(minted_ms, wall_ms, window)
+        if refusal is not None:
+            return refusal
+        if self._size_bytes + _RECORD_BYTES > self._max_bytes:
+            self._make_room()
+        if self._size_bytes + _RECORD_BYTES > self._max_bytes:
+            return _refuse(ResultCode.OVERLOADED, "too many keys are in progress")
+        if minted_ms < self._forgotten_until_ms:
+            return _refuse(ResultCode.KEY_TOO_OLD, "keys of that age are forgotten")
+        record = KeyRecord(key=key, minted_ms=minted_ms, digest=digest)
+        self._add(record)
+        return Verdict(kind=VerdictKind.RUN, record=record)
+
+    def finish(self, record: KeyRecord, answer: CallerAnswer) -> None:
+        """Note how a request in progress ended, and wake all who wait for it.
+
+        A request proved not run is forgotten, so that the same key may be tried again;
+        an unknown outcome stays, so that it never is.
+        """
+        if self._records.get(record.key) is not record:
+            record.answer = answer
+            record.finished.set()
+            return
+        self._size_bytes -= record.size_bytes
+        record.answer = answer
+        if answer.code.outcome is Outcome.NOT_RUN:
+            del self._records[record.key]
+        else:
+            is_executed = answer.code.outcome is Outcome.EXECUTED
+            record.state = KeyState.DONE if is_executed else KeyState.UNKNOWN
+            self._size_bytes += record.size_bytes
+            self._answers[record.key] = None
+            heapq.heappush(self._by_age, (record.minted_ms, record.key))
+        record.finished.set()
+        if self._size_bytes > self._max_bytes:
+            self._make_room()
+
+    def list_records(self) -> tuple[KeyRecord, ...]:
+        """Return the records, oldest key first, for a handover."""
+        records = sorted(self._records.values(), key=lambda each: each.minted_ms)
+        return tuple(records)
+
+    def get_known_from_ms(self, window: ActingWindow) -> float:
+        """Return the time from which on the table knows every key that was run.
+
+        A successor that is given it with the records needs no other floor.
+        """
+        floor = min(window.since_wall_ms + window.skew_ms, self._known_from_ms)
+        return max(floor, self._forgotten_until_ms)
+
+    def take_over(self, *, known_from_ms: float, records: list[KeyRecord]) -> None:
+        """Take in what a leaving owner knows.
+
+        Parameters
+        ----------
+        known_from_ms : float
+            Keys minted from then on that are not among the records were not run;
+            infinite when the leaving owner can't say.
+        records : list of KeyRecord
+            The keys whose fate it knows. One still in progress becomes unknown.
+        """
+        self._known_from_ms = min(self._known_from_ms, known_from_ms)
+        for record in records:
+            if record.key in self._records:
+                continue
+            if record.state is KeyState.IN_PROGRESS:
+                record.state = KeyState.UNKNOWN
+            record.finished.set()
+            self._add(record)
+            heapq.heappush(self._by_age, (record.minted_ms, record.key))
+            if record.answer is not None:
+                self._answers[record.key] = None
+        if self._size_bytes > self._max_bytes:
+            self._make_room()
+
+    def _judge_known(self, record: KeyRecord, digest: bytes) -> Verdict:
+        if record.digest != digest:
+            return _refuse(ResultCode.KEY_REUSED, "")
+        if record.state is KeyState.IN_PROGRESS:
+            return Verdict(kind=VerdictKind.WAIT, record=record)
+        if record.state is KeyState.UNKNOWN:
+            return _refuse(ResultCode.OUTCOME_UNKNOWN, "")
+        if record.answer is None:
+            return _refuse(ResultCode.ANSWER_DROPPED, "")
+        code = record.answer.code
+        code = ResultCode.REPLAYED if code is ResultCode.OK else code
+        answer = attrs.evolve(record.answer, code=code)
+        return Verdict(kind=VerdictKind.ANSWER, answer=answer)
+
+    def _judge_time(
+        self, minted_ms: int, wall_ms: float, window: ActingWindow
+    ) -> Verdict | None:
+        # Guards against a predecessor that was frozen between its check and its send,
+        # or that ran the key and died: it would be run a second time here. A
+        # predecessor only runs keys minted before the end of its right to act less
+        # the skew; every one of those is refused here.
+        if minted_ms < self.get_known_from_ms(window):
+            return _refuse(ResultCode.KEY_TOO_OLD, "minted before this owner can tell")
+        # The other half of the same guard: what a successor would accept is refused.
+        if minted_ms >= window.until_wall_ms - window.skew_ms:
+            if minted_ms > wall_ms + 2 * window.skew_ms:
+                return _refuse(ResultCode.KEY_AHEAD, "")
+            return _refuse(ResultCode.NO_OWNER, "the owner's right to act ends")
+        return None
+
+    def _add(self, record: KeyRecord) -> None:
+        self._records[record.key] = record
+        self._size_bytes += record.size_bytes
+
+    def _forget_old(self, wall_ms: float) -> None:
+        horizon_ms = wall_ms - self._max_age_ms
+        while self._by_age and self._by_age[0][0] < horizon_ms:
+            self._forget_oldest()
+        # Guards against a key whose fate was forgotten being run again: from the
+        # first one forgotten on, everything of its age is refused. It never goes
+        # back, also when the wall clock does.
+        self._forgotten_until_ms = max(self._forgotten_until_ms, horizon_ms)
+
+    def _forget_oldest(self) -> None:
+        """Forget the finished record whose key was minted first."""
+        minted_ms, key = heapq.heappop(self._by_age)
+        record = self._records.pop(key)
+        self._size_bytes -= record.size_bytes
+        self._answers.pop(key, None)
+        self._forgotten_until_ms = max(self._forgotten_until_ms, minted_ms + 1)
+
+    def _make_room(self) -> None:
+        """Drop answers, the earliest finished first, then the oldest records."""
+        while self._answers and self._size_bytes > self._max_bytes // 2:
+            key = next(iter(self._answers))
+            del self._answers[key]
+            record = self._records.get(key)
+            if record is None or record.answer is None:
+                continue
+            self._size_bytes -= record.size_bytes
+            record.answer = None
+            if record.state is KeyState.DONE:
+                record.state = KeyState.DROPPED
+            self._size_bytes += record.size_bytes
+        while self._by_age and self._size_bytes > self._max_bytes // 2:
+            self._forget_oldest()
--- /dev/null
+++ b/trefoilhook/requests/handover.py
@@ -0,0 +1,81 @@
+"""A shard's keys and slots in the message that a leaving owner sends."""
+
+import math
+
+from trefoilhook.inner.messages_pb2 import ExecutorInUse, ShardHandover
+from trefoilhook.inner.messages_pb2 import KeyRecord as KeyRecordMessage
+from trefoilhook.requests.dedup import KeyRecord, KeyState
+from trefoilhook.requests.keyowner import HandedKeys
+from trefoilhook.requests.keys import read_minted_ms
+from trefoilhook.requests.models import CallerAnswer
+from trefoilhook.requests.work import decode_answer, encode_answer
+from trefoilhook.results import Outcome, ResultCode
+
+__all__ = ["decode_keys", "encode_handover"]
+
+_FLOOR_FIELD = "known_from_wall_ms"
+_MOST_BYTES = 2_000_000
+
+
+def encode_handover(
+    *, shard_id: str, epoch: int, handed: HandedKeys | None, in_use: dict[str, int]
+) -> ShardHandover:
+    """Build the message; the newest answers go along whole as far as there is room."""
+    records: list[KeyRecordMessage] = []
+    left_bytes = _MOST_BYTES
+    for record in reversed(handed.records if handed is not None else ()):
+        left_bytes -= record.size_bytes
+        records.append(_encode_record(record, is_whole=left_bytes > 0))
+    message = ShardHandover(
+        shard_id=shard_id,
+        epoch=epoch,
+        keys=records,
+        in_use=[
+            ExecutorInUse(executor_id=executor_id, in_use=count)
+            for executor_id, count in in_use.items()
+        ],
+    )
+    if handed is not None and _FLOOR_FIELD in message.DESCRIPTOR.fields_by_name:
+        setattr(message, _FLOOR_FIELD, handed.known_from_ms)
+    return message
+
+
+def decode_keys(message: ShardHandover) -> HandedKeys:
+    """Read the keys; without a floor in the message no more than they are known."""
+    floor = math.inf
+    if _FLOOR_FIELD in message.DESCRIPTOR.fields_by_name:
+        floor = float(getattr(message, _FLOOR_FIELD)) or math.inf
+    records = tuple(_decode_record(each) for each in message.keys)
+    return HandedKeys(known_from_ms=floor, records=records)
+
+
+def _encode_record(record: KeyRecord, *, is_whole: bool) -> KeyRecordMessage:
+    code = ResultCode.OUTCOME_UNKNOWN
+    if record.state in (KeyState.DONE, KeyState.DROPPED):
+        code = ResultCode.ANSWER_DROPPED
+    answer = CallerAnswer(code=code)
+    if record.answer is not None and record.state is KeyState.DONE and is_whole:
+        answer = record.answer
+    return KeyRecordMessage(
+        key=record.key,
+        answer=encode_answer(answer),
+        request_digest=record.digest,
+    )
+
+
+def _decode_record(message: KeyRecordMessage) -> KeyRecord:
+    answer = decode_answer(message.answer)
+    state = KeyState.UNKNOWN
+    kept: CallerAnswer | None = None
+    if answer.code is ResultCode.ANSWER_DROPPED:
+        state = KeyState.DROPPED
+    elif answer.code.outcome is Outcome.EXECUTED:
+        state = KeyState.DONE
+        kept = answer
+    return KeyRecord(
+        key=message.key,
+        minted_ms=read_minted_ms(message.key),
+        digest=message.request_digest,
+        state=state,
+        answer=kept,
+    )
--- /dev/null
+++ b/trefoilhook/requests/keyowner.py
@@ -0,0 +1,219 @@
+"""The role of a key's owner: each key runs at most once."""
+
+import math
+
+import attrs
+import trio
+
+from trefoilhook.inner.messages_pb2 import ServiceRequest
+from trefoilhook.requests.coordination import coordinate
+from trefoilhook.requests.dedup import (
+    ActingWindow,
+    KeyRecord,
+    KeyTable,
+    VerdictKind,
+)
+from trefoilhook.requests.keys import (
+    compute_digest,
+    compute_key_shard,
+    read_minted_ms,
+)
+from trefoilhook.requests.models import CallerAnswer
+from trefoilhook.requests.work import Parts, Work
+from trefoilhook.results import ResultCode
+
+__all__ = ["HandedKeys", "KeyOwner", "take_quota"]
+
+_MS_PER_S = 1000.0
+
+
+@attrs.frozen(kw_only=True)
+class HandedKeys:
+    """What a leaving owner tells the next one about its keys.
+
+    Parameters
+    ----------
+    known_from_ms : float
+        Keys minted from then on that are not among the records were not run.
+    records : tuple of KeyRecord
+        The keys whose fate it knows.
+    """
+
+    known_from_ms: float
+    records: tuple[KeyRecord, ...]
+
+
+@attrs.define(kw_only=True, eq=False)
+class _OwnedTable:
+    epoch: int
+    table: KeyTable
+
+
+def take_quota(parts: Parts, team: str) -> CallerAnswer | None:
+    """Count a request against its team's quota; the refusal if it is used up."""
+    quota_per_s = parts.teams.get_quota_per_s(team)
+    if math.isinf(quota_per_s):
+        return None
+    wait_ms = parts.quotas.take(
+        team,
+        quota_per_s=quota_per_s,
+        share=parts.get_share(),
+        now_ms=parts.clock.monotonic_ms(),
+    )
+    if wait_ms <= 0:
+        return None
+    return parts.refuse(ResultCode.QUOTA_EXCEEDED, retry_after_ms=wait_ms)
+
+
+@attrs.define(kw_only=True, eq=False)
+class KeyOwner:
+    """Tables of the request shards owned here.
+
+    Parameters
+    ----------
+    parts : Parts
+        What the roles share.
+    """
+
+    parts: Parts
+    _tables: dict[str, _OwnedTable] = attrs.field(factory=dict, init=False)
+    _handed: dict[str, HandedKeys] = attrs.field(factory=dict, init=False)
+
+    async def serve(
+        self, request: ServiceRequest, *, work: Work, entry_id: str
+    ) -> CallerAnswer:
+        """Answer a request whose key may be owned here.
+
+        Parameters
+        ----------
+        request : ServiceRequest
+            The message as it came.
+        work : Work
+            The request, with the deadline of whoever waits for it.
+        entry_id : str
+            Instance that took it in.
+        """
+        parts = self.parts
+        minted_ms = read_minted_ms(work.key)
+        count = parts.settings.shard_count
+        shard_id = compute_key_shard(work.key, shard_count=count)
+        epoch = parts.ownership.owns(shard_id)
+        if epoch is None:
+            return parts.refuse(ResultCode.NO_OWNER)
+        table = self._get_table(shard_id, epoch)
+        verdict = table.begin(
+            key=work.key,
+            minted_ms=minted_ms,
+            digest=compute_digest(
+                team=work.team,
+                service=work.service,
+                content_type=work.content_type,
+                body=work.body,
+            ),
+            wall_ms=parts.clock.wall_ms(),
+            window=self._get_window(shard_id),
+        )
+        if verdict.record is None:
+            return self._sign(verdict.answer)
+        record = verdict.record
+        is_first = verdict.kind is VerdictKind.RUN
+        if is_first:
+            refusal = take_quota(parts, work.team)
+            if refusal is not None:
+                table.finish(record, refusal)
+                return refusal
+            parts.start(self._execute, table, record, work, entry_id)
+        return await self._wait(record, work, is_first=is_first)
+
+    def export(self, shard_id: str) -> HandedKeys | None:
+        """Return what the next owner must know, and forget it here.
+
+        To be called once this instance no longer acts for the shard, in the step in
+        which that became so: what came in between would be missing.
+        """
+        owned = self._tables.pop(shard_id, None)
+        if owned is None:
+            return None
+        window = self._get_window(shard_id)
+        return HandedKeys(
+            known_from_ms=owned.table.get_known_from_ms(window),
+            records=owned.table.list_records(),
+        )
+
+    def take_over(self, shard_id: str, handed: HandedKeys) -> None:
+        """Take in what the previous owner told, before or after the own claim."""
+        epoch = self.parts.ownership.owns(shard_id)
+        if epoch is None:
+            self._handed[shard_id] = handed
+            return
+        self._fill(self._get_table(shard_id, epoch), handed)
+
+    def drop_lost(self) -> None:
+        """Forget the tables of shards that are no longer owned here."""
+        owns = self.parts.ownership.owns
+        for shard_id, owned in list(self._tables.items()):
+            epoch = owns(shard_id)
+            if epoch is not None and epoch != owned.epoch:
+                del self._tables[shard_id]
+
+    def _get_table(self, shard_id: str, epoch: int) -> KeyTable:
+        owned = self._tables.get(shard_id)
+        if owned is not None and owned.epoch == epoch:
+            return owned.table
+        settings = self.parts.settings
+        table = KeyTable(
+            max_age_ms=settings.key_age_ms, max_bytes=settings.key_table_bytes
+        )
+        self._tables[shard_id] = _OwnedTable(epoch=epoch, table=table)
+        handed = self._handed.pop(shard_id, None)
+        if handed is not None:
+            self._fill(table, handed)
+        return table
+
+    def _fill(self, table: KeyTable, handed: HandedKeys) -> None:
+        table.take_over(
+            known_from_ms=handed.known_from_ms, records=list(handed.records)
+        )
+
+    def _get_window(self, shard_id: str) -> ActingWindow:
+        ownership = self.parts.ownership
+        return ActingWindow(
+            since_wall_ms=ownership.own_since_wall_ms(shard_id),
+            until_wall_ms=ownership.act_until_wall_ms(shard_id),
+            skew_ms=self.parts.settings.clock_skew_ms,
+        )
+
+    def _sign(self, answer: CallerAnswer | None) -> CallerAnswer:
+        if answer is None:
+            return self.parts.refuse(ResultCode.INTERNAL)
+        return attrs.evolve(answer, owner_instance_id=self.parts.instance_id)
+
+    async def _execute(
+        self, table: KeyTable, record: KeyRecord, work: Work, entry_id: str
+    ) -> None:
+        """Run a request to its end, also when nobody waits for it any more."""
+
+        def mark_sent(is_sent: bool) -> None:
+            record.is_sent = is_sent
+
+        answer = self.parts.refuse(ResultCode.INTERNAL)
+        try:
+            answer = await coordinate(
+                self.parts, work, mark_sent=mark_sent, entry_id=entry_id
+            )
+        finally:
+            table.finish(record, answer)
+
+    async def _wait(
+        self, record: KeyRecord, work: Work, *, is_first: bool
+    ) -> CallerAnswer:
+        left_ms = max(0.0, work.deadline_ms - self.parts.clock.monotonic_ms())
+        with trio.move_on_after(left_ms / _MS_PER_S):
+            await record.finished.wait()
+        if record.answer is not None:
+            return record.answer
+        if is_first and not record.is_sent:
+            # From its deadline on the request can't leave any more: the same deadline
+            # is checked in the step in which the first byte would.
+            return self.parts.refuse(ResultCode.QUEUE_DEADLINE)
+        return self.parts.refuse(ResultCode.DEADLINE_AFTER_SEND)
--- /dev/null
+++ b/trefoilhook/requests/keys.py
@@ -0,0 +1,92 @@
+"""Idempotency keys, and the shards that keys and executors belong to."""
+
+import hashlib
+import uuid
+
+import uuid6
+import xxhash
+
+from trefoilhook.exceptions import RequestError
+from trefoilhook.results import ResultCode
+
+__all__ = [
+    "compute_digest",
+    "compute_executor_shard",
+    "compute_key_shard",
+    "format_shard_id",
+    "mint_key",
+    "parse_key",
+    "read_minted_ms",
+]
+
+_KEY_VERSION = 7
+_KEY_BYTES = 16
+_DIGEST_BYTES = 16
+
+
+def mint_key() -> bytes:
+    """Return a new time-ordered key (UUIDv7) in its 16 bytes."""
+    return uuid6.uuid7().bytes
+
+
+def parse_key(text: str) -> bytes:
+    """Read a key from its textual form.
+
+    Raises
+    ------
+    RequestError
+        If the text is no UUIDv7.
+    """
+    try:
+        key = uuid.UUID(text.strip())
+    except ValueError as error:
+        raise RequestError(
+            "the key is no UUID", code=ResultCode.KEY_REQUIRED
+        ) from error
+    if key.version != _KEY_VERSION:
+        raise RequestError("the key is no UUIDv7", code=ResultCode.KEY_REQUIRED)
+    return key.bytes
+
+
+def read_minted_ms(key: bytes) -> int:
+    """Return when a key was minted, in ms since the Unix epoch.
+
+    Raises
+    ------
+    RequestError
+        If the bytes are no UUIDv7.
+    """
+    if len(key) != _KEY_BYTES:
+        raise RequestError("the key has a wrong length", code=ResultCode.KEY_REQUIRED)
+    parsed = uuid6.UUID(bytes=key)
+    if parsed.version != _KEY_VERSION:
+        raise RequestError("the key is no UUIDv7", code=ResultCode.KEY_REQUIRED)
+    return parsed.time
+
+
+def format_shard_id(number: int) -> str:
+    """Return the name of a request shard."""
+    return f"req-{number:03d}"
+
+
+def compute_key_shard(key: bytes, *, shard_count: int) -> str:
+    """Return the request shard that remembers a key."""
+    return format_shard_id(xxhash.xxh3_64_intdigest(key) % shard_count)
+
+
+def compute_executor_shard(executor_id: str, *, shard_count: int) -> str:
+    """Return the request shard that counts an executor's slots."""
+    return format_shard_id(xxhash.xxh3_64_intdigest(executor_id.encode()) % shard_count)
+
+
+def compute_digest(*, team: str, service: str, content_type: str, body: bytes) -> bytes:
+    """Return a digest that tells one request from another under the same key.
+
+    It covers the team, so that a key guessed by one team never shows it the answer
+    given to another; hence a hash that is hard to collide.
+    """
+    digest = hashlib.blake2b(digest_size=_DIGEST_BYTES)
+    for part in (team.encode(), service.encode(), content_type.encode(), body):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
--- /dev/null
+++ b/trefoilhook/requests/upkeep.py
@@ -0,0 +1,171 @@
+"""What goes on without requests: executors gained and lost, probes, load summaries."""
+
+import math
+from collections.abc import Callable, Sequence
+
+import attrs
+
+from trefoilhook.inner.messages_pb2 import ExecutorLoad, ExecutorLoads
+from trefoilhook.requests.keyowner import KeyOwner
+from trefoilhook.requests.keys import format_shard_id
+from trefoilhook.requests.models import ExecutorTarget
+from trefoilhook.requests.owned import OwnedExecutor
+from trefoilhook.requests.routing import ReportedLoad
+from trefoilhook.requests.work import Parts
+
+__all__ = ["Upkeep"]
+
+
+@attrs.define(kw_only=True, eq=False)
+class Upkeep:
+    """Keeps the executors owned here in step with the shards and the instance list.
+
+    Parameters
+    ----------
+    parts : Parts
+        What the roles share.
+    key_owner : KeyOwner
+        Tables of the shards owned here.
+    list_peers : callable
+        The other instances.
+    """
+
+    parts: Parts
+    key_owner: KeyOwner
+    list_peers: Callable[[], Sequence[str]]
+    share: float = 1.0
+    _handed_in_use: dict[str, int] = attrs.field(factory=dict, init=False)
+    _retired: list[OwnedExecutor] = attrs.field(factory=list, init=False)
+
+    async def run(self) -> None:
+        """Look after the executors until cancelled."""
+        while True:
+            await self.tick()
+            await self.parts.clock.sleep_ms(self.parts.settings.probe_interval_ms)
+
+    async def run_summaries(self) -> None:
+        """Tell the peers what the executors here carry, until cancelled."""
+        while True:
+            self.tell_loads()
+            await self.parts.clock.sleep_ms(self.parts.settings.loads_interval_ms)
+
+    async def tick(self) -> None:
+        """Bring everything up to date once."""
+        self.sync()
+        self._count_share()
+        self.key_owner.drop_lost()
+        self._start_probes()
+        for each in self.parts.pool.list_executors():
+            self.parts.pool.serve_queue(each.target.service_name)
+        await self._close_retired()
+
+    def sync(self) -> None:
+        """Take in the newest instance list and the newest ownership."""
+        listed: set[str] = set()
+        for target in self.parts.list_executors():
+            listed.add(target.executor_id)
+            self._sync_one(target)
+        for each in self.parts.pool.list_executors():
+            if each.target.executor_id not in listed:
+                self._retire(each.target.executor_id)
+
+    def take_handed_over(self, in_use: dict[str, int]) -> None:
+        """Take in the slots in use that a leaving owner told of."""
+        now_ms = self.parts.clock.monotonic_ms()
+        for executor_id, count in in_use.items():
+            executor = self.parts.pool.get(executor_id)
+            if executor is not None and executor.slots.is_taken_over:
+                executor.slots.take_handed_over(count, now_ms=now_ms)
+            elif executor is None:
+                self._handed_in_use[executor_id] = count
+
+    def release_hold(self, shard_id: str) -> None:
+        """Use the slots kept back in a shard: its earlier owner is met or dead."""
+        for each in self.parts.pool.list_executors():
+            if each.shard_id == shard_id:
+                each.slots.held_until_ms = -math.inf
+
+    def tell_loads(self) -> None:
+        """Send one summary to each peer."""
+        message = ExecutorLoads(loads=[self._describe(each) for each in self._list()])
+        for peer_id in self.list_peers():
+            self.parts.inner.tell(peer_id, message)
+
+    def hear_loads(self, sender_id: str, message: ExecutorLoads) -> None:
+        """Take in a peer's summary."""
+        now_ms = self.parts.clock.monotonic_ms()
+        loads = {
+            each.executor_id: ReportedLoad(
+                sender_id=sender_id,
+                received_ms=now_ms,
+                slots=each.slots,
+                in_use=each.in_use,
+                queued=each.queued,
+                is_usable=each.is_usable,
+            )
+            for each in message.loads
+        }
+        self.parts.peer_loads.take(loads, sender_id=sender_id)
+
+    def _list(self) -> tuple[OwnedExecutor, ...]:
+        return self.parts.pool.list_executors()
+
+    def _describe(self, executor: OwnedExecutor) -> ExecutorLoad:
+        now_ms = self.parts.clock.monotonic_ms()
+        slots = executor.slots
+        free = slots.count_free(now_ms)
+        service_name = executor.target.service_name
+        return ExecutorLoad(
+            executor_id=executor.target.executor_id,
+            service=service_name,
+            slots=slots.slots,
+            in_use=slots.slots - free,
+            queued=len(self.parts.pool.get_queue(service_name)),
+            is_usable=slots.count_usable(now_ms) > 0 and not slots.is_taken_over,
+        )
+
+    def _sync_one(self, target: ExecutorTarget) -> None:
+        parts = self.parts
+        shard_id = parts.get_executor_shard(target.executor_id)
+        epoch = parts.ownership.owns(shard_id)
+        executor = parts.pool.get(target.executor_id)
+        if executor is not None and executor.epoch == epoch:
+            parts.pool.update(target)
+            return
+        if executor is not None:
+            self._retire(target.executor_id)
+        if epoch is None:
+            return
+        parts.pool.add(
+            target,
+            shard_id=shard_id,
+            epoch=epoch,
+            is_first_claim=math.isinf(parts.ownership.own_since_wall_ms(shard_id)),
+            handed_in_use=self._handed_in_use.pop(target.executor_id, None),
+        )
+
+    def _retire(self, executor_id: str) -> None:
+        executor = self.parts.pool.remove(executor_id)
+        if executor is not None:
+            self._retired.append(executor)
+
+    def _start_probes(self) -> None:
+        now_ms = self.parts.clock.monotonic_ms()
+        for each in self._list():
+            if not each.is_probing and each.slots.needs_probe(now_ms):
+                each.is_probing = True
+                self.parts.start(self.parts.pool.probe, each)
+
+    async def _close_retired(self) -> None:
+        for each in list(self._retired):
+            if each.slots.in_progress == 0:
+                self._retired.remove(each)
+                await each.link.close()
+
+    def _count_share(self) -> None:
+        count = self.parts.settings.shard_count
+        owns = self.parts.ownership.owns
+        owned = sum(
+            owns(format_shard_id(number)) is not None for number in range(count)
+        )
+        self.share = max(1, owned) / count
--- /dev/null
+++ b/trefoilhook/requests/work.py
@@ -0,0 +1,201 @@
+"""A request on its way through this instance, and what all roles share."""
+
+import math
+import random
+from collections.abc import Callable
+
+import attrs
+
+from trefoilhook.clock import Clock
+from trefoilhook.inner.messages_pb2 import ServiceAnswer, ServiceRequest
+from trefoilhook.requests.admission import ExecutorPool
+from trefoilhook.requests.buckets import TeamQuotas
+from trefoilhook.requests.keys import compute_executor_shard
+from trefoilhook.requests.models import (
+    CallerAnswer,
+    ExecutorTarget,
+    InnerLink,
+    ListExecutors,
+    Owner,
+    OwnershipView,
+    TeamView,
+    name_service,
+)
+from trefoilhook.requests.retry import HedgePolicy, RetryPolicy
+from trefoilhook.requests.routing import PeerLoads
+from trefoilhook.requests.settings import RequestSettings
+from trefoilhook.results import ResultCode
+
+__all__ = ["Parts", "Work", "decode_answer", "encode_answer", "encode_work"]
+
+_LONGEST_RETRY_AFTER_MS = 3_600_000.0
+
+
+@attrs.frozen(kw_only=True)
+class Work:
+    """A request that is to be run.
+
+    Parameters
+    ----------
+    team, service : str
+        Whose service is called.
+    key : bytes
+        Its key; empty for none.
+    request_id : str
+        Identifies it in records.
+    is_idempotent : bool
+        Whether it may run more than once.
+    content_type : str
+        Type of the body.
+    body : bytes
+        The whole body.
+    deadline_ms : float
+        When it is too late to start it, on the monotonic clock, in ms.
+    max_waiting : int
+        Most requests of the service that wait at one owner.
+    """
+
+    team: str
+    service: str
+    key: bytes
+    request_id: str
+    is_idempotent: bool
+    content_type: str
+    body: bytes
+    deadline_ms: float
+    max_waiting: int
+
+    @property
+    def service_name(self) -> str:
+        """Name of the service, unique over all teams."""
+        return name_service(self.team, self.service)
+
+
+@attrs.frozen(kw_only=True, eq=False)
+class Parts:
+    """What every role of the request path uses.
+
+    Parameters
+    ----------
+    instance_id : str
+        This instance.
+    failure_domain : str
+        Where it stands.
+    clock : Clock
+        Where time comes from.
+    settings : RequestSettings
+        Bounds and times.
+    ownership : OwnershipView
+        Shards and their owners.
+    inner : InnerLink
+        Calls to other instances.
+    teams : TeamView
+        What the configuration says.
+    list_executors : callable
+        The instance list as known here.
+    pool : ExecutorPool
+        Executors owned here.
+    peer_loads : PeerLoads
+        What other owners told.
+    quotas : TeamQuotas
+        This instance's share of the teams' quotas.
+    retries : RetryPolicy
+        Retry budgets.
+    hedges : HedgePolicy
+        Learned run times.
+    generator : random.Random
+        Source of draws.
+    start : callable
+        Starts a background task that outlives the call which began it.
+    get_share : callable
+        Share of the request shards owned here, above 0 and up to 1.
+    """
+
+    instance_id: str
+    failure_domain: str
+    clock: Clock
+    settings: RequestSettings
+    ownership: OwnershipView
+    inner: InnerLink
+    teams: TeamView
+    list_executors: ListExecutors
+    pool: ExecutorPool
+    peer_loads: PeerLoads
+    quotas: TeamQuotas
+    retries: RetryPolicy
+    hedges: HedgePolicy
+    generator: random.Random
+    start: Callable[..., None]
+    get_share: Callable[[], float]
+
+    def find_executor_owner(self, target: ExecutorTarget) -> Owner | None:
+        """Return the owner of an executor as known here."""
+        return self.ownership.find_owner(self.get_executor_shard(target.executor_id))
+
+    def get_executor_shard(self, executor_id: str) -> str:
+        """Return the shard that counts an executor's slots."""
+        count = self.settings.shard_count
+        return compute_executor_shard(executor_id, shard_count=count)
+
+    def refuse(
+        self, code: ResultCode, detail: str = "", *, retry_after_ms: float = 0.0
+    ) -> CallerAnswer:
+        """Build an answer that this instance gives itself."""
+        return CallerAnswer(
+            code=code,
+            detail=detail,
+            owner_instance_id=self.instance_id,
+            retry_after_ms=min(retry_after_ms, _LONGEST_RETRY_AFTER_MS),
+        )
+
+
+def encode_answer(answer: CallerAnswer) -> ServiceAnswer:
+    """Turn an answer into its inner message."""
+    return ServiceAnswer(
+        result_number=answer.code.number,
+        detail=answer.detail,
+        status=answer.status,
+        content_type=answer.content_type,
+        body=answer.body,
+        executor_id=answer.executor_id,
+        owner_instance_id=answer.owner_instance_id,
+        retry_after_ms=math.ceil(answer.retry_after_ms),
+    )
+
+
+def decode_answer(message: ServiceAnswer) -> CallerAnswer:
+    """Read an answer from its inner message.
+
+    An unknown number comes from a newer version; nothing is known of its outcome.
+    """
+    try:
+        code = ResultCode.from_number(message.result_number)
+    except ValueError:
+        code = ResultCode.INTERNAL
+    return CallerAnswer(
+        code=code,
+        detail=message.detail,
+        status=message.status,
+        content_type=message.content_type,
+        body=message.body,
+        executor_id=message.executor_id,
+        owner_instance_id=message.owner_instance_id,
+        retry_after_ms=float(message.retry_after_ms),
+    )
+
+
+def encode_work(
+    work: Work, *, executor_id: str, shard_epoch: int, entry_id: str
+) -> ServiceRequest:
+    """Turn a request into its inner message."""
+    return ServiceRequest(
+        team=work.team,
+        service=work.service,
+        key=work.key,
+        is_idempotent=work.is_idempotent,
+        body=work.body,
+        executor_id=executor_id,
+        shard_epoch=shard_epoch,
+        content_type=work.content_type,
+        entry_instance_id=entry_id,
+    )
--- a/trefoilhook/results/core.py
+++ b/trefoilhook/results/core.py
@@ -82,6 +82,7 @@
     ACCEPTED = _executed(1, 202, "Recorded durably; it will be carried out.")
     REPLAYED = _executed(2, 200, "Run earlier under the same key; that answer follows.")
     BACKEND_FAILED = _executed(3, 502, "Run; the executor answered with a failure.")
+    ANSWER_DROPPED = _executed(4, 410, "Run earlier; its answer is no longer kept.")
 
     # 100-199: not run, and the same request may be sent again.
     OVERLOADED = _not_run(100, 503, True, "Not run: every slot and queue is full.")
@@ -102,6 +103,9 @@
     COMMIT_UNKNOWN = _unknown(
         203, 504, True, "The store didn't say whether the change took effect."
     )
+    ATTEMPT_NOT_RUN = _unknown(
+        204, 503, True, "This attempt was not run; of earlier ones nothing is known."
+    )
 
     # 300-399: not run, and the same request would be refused again.
     BAD_REQUEST = _not_run(300, 400, False, "Not run: the request is malformed.")
@@ -113,6 +117,7 @@
     IMPOSSIBLE_JOB = _not_run(306, 422, False, "Not run: no worker could ever hold it.")
     METHOD_NOT_ALLOWED = _not_run(307, 405, False, "Not run: method not allowed here.")
     SLOW_SENDER = _not_run(308, 408, True, "Not run: the request came too slowly.")
+    KEY_AHEAD = _not_run(309, 409, True, "Not run: the key's time lies ahead.")
 
     # 400-499: not run, for want of a right.
     UNAUTHENTICATED = _not_run(400, 401, False, "Not run: no valid token was given.")
