--- a/trefoilhook/requests/admission.py
+++ b/trefoilhook/requests/admission.py
@@ -19,6 +19,7 @@
 __all__ = ["ExecutorPool", "LoadView"]
 
 _MS_PER_S = 1000.0
+_LATELY_MS = 10_000.0
 _FAILURES = frozenset({Ending.FAILED, Ending.NOT_SENT, Ending.LOST})
 
 
@@ -305,13 +306,25 @@
         executor.slots.give_back(Ending.GIVEN_UP, now_ms=now_ms)
         self.serve_queue(executor.target.service_name)
 
+    def _is_alone(self, executor: OwnedExecutor, now_ms: float) -> bool:
+        """Tell whether no other executor of the service here succeeded lately."""
+        others = self._list_serving(executor.target.service_name)
+        return not any(
+            each is not executor and now_ms - each.succeeded_at_ms < _LATELY_MS
+            for each in others
+        )
+
     def _note_ending(
         self, executor: OwnedExecutor, ending: Ending, now_ms: float
     ) -> None:
         executor_id = executor.target.executor_id
         circuit = executor.slots.circuit
         if ending is Ending.ANSWERED:
+            executor.succeeded_at_ms = now_ms
             if circuit.note_success():
                 log_event(Event.EXECUTOR_CLOSED, executor_id=executor_id)
-        elif ending in _FAILURES and circuit.note_failure(now_ms=now_ms):
+            return
+        is_alone = ending is Ending.FAILED and self._is_alone(executor, now_ms)
+        is_failure = ending in _FAILURES
+        if is_failure and circuit.note_failure(now_ms=now_ms, is_alone=is_alone):
             log_event(Event.EXECUTOR_OPENED, executor_id=executor_id)
--- a/trefoilhook/requests/callers.py
+++ b/trefoilhook/requests/callers.py
@@ -83,6 +83,10 @@
 async def ask_owner(parts: Parts, journey: Journey) -> CallerAnswer:
     """Ask the owner of a request's key, and ask again where that is safe.
 
+    An owner is looked for only as long as a handover takes: a key minted before a
+    takeover is refused by the new owner, so that waiting for one would hold the
+    caller back in vain.
+
     Asking again is always safe, also after an answer was lost: the key's owner never
     runs a key twice, and a later owner refuses what an earlier one may have run.
 
@@ -94,7 +98,7 @@
         The request.
     """
     deadline_ms = journey.work.deadline_ms
-    give_up_ms = _get_give_up_ms(parts, journey)
+    give_up_ms = parts.clock.monotonic_ms() + parts.settings.owner_wait_ms
     wait_ms = _FIRST_WAIT_MS
     while True:
         answer = await _ask_once(parts, journey)
@@ -111,17 +115,6 @@
     return tell_truth(parts, journey, answer)
 
 
-def _get_give_up_ms(parts: Parts, journey: Journey) -> float:
-    """Return until when an owner is looked for.
-
-    A key minted before a takeover is refused by the new owner, so that waiting for
-    one would only hold the caller back; an idempotent request waits.
-    """
-    if journey.work.is_idempotent:
-        return journey.work.deadline_ms
-    return parts.clock.monotonic_ms() + parts.settings.owner_wait_ms
-
-
 async def _ask_once(parts: Parts, journey: Journey) -> CallerAnswer:
     work = journey.work
     journey.is_answered = False
--- a/trefoilhook/requests/circuit.py
+++ b/trefoilhook/requests/circuit.py
@@ -5,6 +5,7 @@
 import attrs
 
 __all__ = ["Circuit", "CircuitState"]
+_ALONE_FACTOR = 4
 
 
 class CircuitState(enum.Enum):
@@ -72,12 +73,24 @@
         self._openings = 0
         return True
 
-    def note_failure(self, *, now_ms: float) -> bool:
-        """Count a failure; True if it opened the circuit."""
+    def note_failure(self, *, now_ms: float, is_alone: bool = False) -> bool:
+        """Count a failure; True if it opened the circuit.
+
+        Parameters
+        ----------
+        now_ms : float
+            Time now.
+        is_alone : bool, optional
+            Whether no other executor of the service succeeded lately.
+        """
         self._failures += 1
         if self.state is CircuitState.OPEN:
             return False
-        is_failing = self._failures >= self.failure_limit
+        # Guards against one caller whose requests always fail: it would open the
+        # circuit of every executor, and so refuse all other callers. Where no other
+        # executor does better, the requests are more likely at fault.
+        limit = self.failure_limit * (_ALONE_FACTOR if is_alone else 1)
+        is_failing = self._failures >= limit
         if self.state is CircuitState.CLOSED and not is_failing:
             return False
         self.state = CircuitState.OPEN
--- a/trefoilhook/requests/coordination.py
+++ b/trefoilhook/requests/coordination.py
@@ -7,8 +7,13 @@
 
 from trefoilhook.exceptions import AnswerLostError, NotSentError, TrefoilhookError
 from trefoilhook.requests.dispatch import MarkSent, run_here
-from trefoilhook.requests.models import CallerAnswer
-from trefoilhook.requests.routing import Candidate, Route, choose_route
+from trefoilhook.requests.models import CallerAnswer, ExecutorTarget
+from trefoilhook.requests.routing import (
+    Candidate,
+    ReportedLoad,
+    Route,
+    choose_route,
+)
 from trefoilhook.requests.work import (
     Parts,
     Work,
@@ -136,22 +141,33 @@
         load = parts.peer_loads.find(
             target.executor_id, owner_id=owner.instance_id, now_ms=now_ms
         )
-        if load is not None and not load.is_usable:
-            continue
-        sent = parts.peer_loads.count_sent(target.executor_id)
-        free = load.slots - load.in_use - sent if load is not None else 0
-        candidates.append(
-            Candidate(
-                executor_id=target.executor_id,
-                owner_id=owner.instance_id,
-                free=max(0, free),
-                queued=load.queued + sent if load is not None else 0,
-                is_near=target.failure_domain == parts.failure_domain,
-            )
-        )
+        candidates.append(_describe(parts, target, owner.instance_id, load))
     return candidates
 
 
+def _describe(
+    parts: Parts, target: ExecutorTarget, owner_id: str, load: ReportedLoad | None
+) -> Candidate:
+    is_near = target.failure_domain == parts.failure_domain
+    if load is None or not load.is_usable:
+        return Candidate(
+            executor_id=target.executor_id,
+            owner_id=owner_id,
+            free=0,
+            queued=0,
+            is_near=is_near,
+            is_known=False,
+        )
+    sent = parts.peer_loads.count_sent(target.executor_id)
+    return Candidate(
+        executor_id=target.executor_id,
+        owner_id=owner_id,
+        free=max(0, load.slots - load.in_use - sent),
+        queued=load.queued + max(0, sent - load.slots + load.in_use),
+        is_near=is_near,
+    )
+
+
 async def _run_there(
     parts: Parts, work: Work, route: Route, *, mark_sent: MarkSent, entry_id: str
 ) -> CallerAnswer:
--- a/trefoilhook/requests/core.py
+++ b/trefoilhook/requests/core.py
@@ -49,6 +49,17 @@
 __all__ = ["RequestService", "open_executor"]
 
 _MS_PER_S = 1000.0
+_MARGIN_SHARE = 0.1
+_WITHOUT_OWNER = frozenset(
+    {
+        ResultCode.KEY_TOO_OLD,
+        ResultCode.KEY_AHEAD,
+        ResultCode.OUTCOME_UNKNOWN,
+        ResultCode.ATTEMPT_NOT_RUN,
+        ResultCode.NO_OWNER,
+        ResultCode.OWNER_UNREACHABLE,
+    }
+)
 
 
 def open_executor(target: ExecutorTarget) -> ExecutorLink:
@@ -104,7 +115,7 @@
     ) -> None:
         self._background: trio.Nursery | None = None
         self._busy = 0
-        self._is_draining = False
+        self._is_closed = False
         self._idle = trio.Event()
         parts = Parts(
             instance_id=instance_id,
@@ -161,18 +172,21 @@
             task_status.started()
 
     async def drain(self, *, grace_ms: float) -> None:
-        """Take nothing new as entry, and wait for what is in progress.
+        """Wait for what is in progress, then take nothing new as entry.
+
+        Requests that come meanwhile are still served: refusing them would cut off
+        callers whose connection the balancer has not moved yet.
 
         Parameters
         ----------
         grace_ms : float
             Longest wait, in ms.
         """
-        self._is_draining = True
         with trio.move_on_after(grace_ms / _MS_PER_S):
             while self._busy:
                 self._idle = trio.Event()
                 await self._idle.wait()
+        self._is_closed = True
 
     async def handle_caller(self, request: CallerRequest) -> CallerAnswer:
         """Answer a caller's request; the role of the entry.
@@ -190,7 +204,7 @@
             return parts.refuse(ResultCode.KEY_REQUIRED)
         work = self._build_work(request, settings)
         journey = Journey(request=request, work=work)
-        if self._is_draining:
+        if self._is_closed:
             answer = parts.refuse(ResultCode.SHUTTING_DOWN)
             return tell_truth(parts, journey, answer) if request.key else answer
         with self._count():
@@ -198,6 +212,8 @@
                 answer = await run_unkeyed(parts, work)
             else:
                 answer = await ask_owner(parts, journey)
+                if self._may_run_again(work, answer):
+                    answer = await run_unkeyed(parts, work)
         if answer.code.outcome is not Outcome.EXECUTED:
             log_event(
                 Event.REQUEST_FAILED,
@@ -244,8 +260,9 @@
         """Take in what the previous owner of a shard told."""
         self._key_owner.take_over(message.shard_id, decode_keys(message))
         in_use = {each.executor_id: each.in_use for each in message.in_use}
-        self._upkeep.take_handed_over(in_use)
-        self._upkeep.release_hold(message.shard_id)
+        self._upkeep.take_handed_over(
+            message.shard_id, epoch=message.epoch, in_use=in_use
+        )
 
     def note_predecessor_gone(self, shard_id: str) -> None:
         """Take in that the earlier owner of a shard is proved dead."""
@@ -259,10 +276,12 @@
         if settings is None:
             return parts.refuse(ResultCode.NO_OWNER, "the service is not known yet")
         now_ms = parts.clock.monotonic_ms()
+        wait_ms = timeout_ms
         if request.executor_id:
-            wait_ms = timeout_ms - parts.settings.late_answer_ms
-        else:
-            wait_ms = timeout_ms - parts.settings.answer_margin_ms
+            wait_ms -= parts.settings.late_answer_ms
+        # Whoever waits for this answer gives up at its own deadline; a truthful "not
+        # run" that comes a moment later would be told as "unknown".
+        wait_ms -= min(parts.settings.answer_margin_ms, _MARGIN_SHARE * wait_ms)
         work = self._read_work(request, settings, deadline_ms=now_ms + wait_ms)
         if not request.executor_id:
             return await self._key_owner.serve(
@@ -288,6 +307,12 @@
         await done.wait()
         return answers[0] if answers else self._parts.refuse(ResultCode.INTERNAL)
 
+    def _may_run_again(self, work: Work, answer: CallerAnswer) -> bool:
+        """Tell whether an idempotent request goes on without its key's owner."""
+        if not work.is_idempotent or answer.code not in _WITHOUT_OWNER:
+            return False
+        return self._parts.clock.monotonic_ms() < work.deadline_ms
+
     def _build_work(self, request: CallerRequest, settings: ServiceSettings) -> Work:
         timeout_ms = settings.timeout_ms
         if request.timeout_ms is not None:
--- a/trefoilhook/requests/handover.py
+++ b/trefoilhook/requests/handover.py
@@ -24,8 +24,9 @@
     records: list[KeyRecordMessage] = []
     left_bytes = _MOST_BYTES
     for record in reversed(handed.records if handed is not None else ()):
-        left_bytes -= record.size_bytes
-        records.append(_encode_record(record, is_whole=left_bytes > 0))
+        is_whole = record.size_bytes <= left_bytes
+        left_bytes -= record.size_bytes if is_whole else 0
+        records.append(_encode_record(record, is_whole=is_whole))
     message = ShardHandover(
         shard_id=shard_id,
         epoch=epoch,
@@ -46,7 +47,7 @@
     if _FLOOR_FIELD in message.DESCRIPTOR.fields_by_name:
         floor = float(getattr(message, _FLOOR_FIELD)) or math.inf
     records = tuple(_decode_record(each) for each in message.keys)
-    return HandedKeys(known_from_ms=floor, records=records)
+    return HandedKeys(epoch=message.epoch, known_from_ms=floor, records=records)
 
 
 def _encode_record(record: KeyRecord, *, is_whole: bool) -> KeyRecordMessage:
--- a/trefoilhook/requests/keyowner.py
+++ b/trefoilhook/requests/keyowner.py
@@ -33,12 +33,15 @@
 
     Parameters
     ----------
+    epoch : int
+        Epoch of the leaving owner's claim.
     known_from_ms : float
         Keys minted from then on that are not among the records were not run.
     records : tuple of KeyRecord
         The keys whose fate it knows.
     """
 
+    epoch: int
     known_from_ms: float
     records: tuple[KeyRecord, ...]
 
@@ -136,6 +139,7 @@
             return None
         window = self._get_window(shard_id)
         return HandedKeys(
+            epoch=owned.epoch,
             known_from_ms=owned.table.get_known_from_ms(window),
             records=owned.table.list_records(),
         )
@@ -146,14 +150,17 @@
         if epoch is None:
             self._handed[shard_id] = handed
             return
-        self._fill(self._get_table(shard_id, epoch), handed)
+        self._fill(self._get_table(shard_id, epoch), handed, epoch)
 
     def drop_lost(self) -> None:
-        """Forget the tables of shards that are no longer owned here."""
-        owns = self.parts.ownership.owns
+        """Forget the tables of shards that were claimed anew since.
+
+        A shard that this instance may not act for now, but that nobody has claimed,
+        keeps its table: the right may come back at the same epoch.
+        """
         for shard_id, owned in list(self._tables.items()):
-            epoch = owns(shard_id)
-            if epoch is not None and epoch != owned.epoch:
+            owner = self.parts.ownership.find_owner(shard_id)
+            if owner is not None and owner.epoch > owned.epoch:
                 del self._tables[shard_id]
 
     def _get_table(self, shard_id: str, epoch: int) -> KeyTable:
@@ -167,13 +174,16 @@
         self._tables[shard_id] = _OwnedTable(epoch=epoch, table=table)
         handed = self._handed.pop(shard_id, None)
         if handed is not None:
-            self._fill(table, handed)
+            self._fill(table, handed, epoch)
         return table
 
-    def _fill(self, table: KeyTable, handed: HandedKeys) -> None:
-        table.take_over(
-            known_from_ms=handed.known_from_ms, records=list(handed.records)
-        )
+    def _fill(self, table: KeyTable, handed: HandedKeys, epoch: int) -> None:
+        # Guards against a handover that arrives late, after yet another owner held
+        # the shard: the floor would vouch for keys that the owner in between ran.
+        # The records themselves stay true whoever comes later.
+        is_direct = handed.epoch == epoch - 1
+        known_from_ms = handed.known_from_ms if is_direct else math.inf
+        table.take_over(known_from_ms=known_from_ms, records=list(handed.records))
 
     def _get_window(self, shard_id: str) -> ActingWindow:
         ownership = self.parts.ownership
--- a/trefoilhook/requests/owned.py
+++ b/trefoilhook/requests/owned.py
@@ -1,5 +1,7 @@
 """An executor owned here, and leave to send to it."""
 
+import math
+
 import attrs
 
 from trefoilhook.requests.models import ExecutorLink, ExecutorTarget
@@ -26,6 +28,8 @@
         Connections to it.
     is_probing : bool
         Whether its health is being asked for.
+    succeeded_at_ms : float
+        When a request last succeeded, on the monotonic clock, in ms.
     """
 
     target: ExecutorTarget
@@ -34,6 +38,7 @@
     slots: ExecutorSlots
     link: ExecutorLink
     is_probing: bool = False
+    succeeded_at_ms: float = -math.inf
 
 
 @attrs.frozen(kw_only=True)
--- a/trefoilhook/requests/retry.py
+++ b/trefoilhook/requests/retry.py
@@ -24,6 +24,8 @@
         ResultCode.SHUTTING_DOWN,
     }
 )
+# An owner that has just handed its executors over; retries of these add no load.
+_MOVED = frozenset({ResultCode.NO_OWNER, ResultCode.SHUTTING_DOWN})
 
 
 def is_elsewhere_useful(code: ResultCode) -> bool:
@@ -74,6 +76,8 @@
             return False
         if outcome is Outcome.NOT_RUN and not is_elsewhere_useful(code):
             return False
+        if code in _MOVED:
+            return True
         return self._get(service_name).take()
 
     def _get(self, service_name: str) -> RetryBudget:
--- a/trefoilhook/requests/routing.py
+++ b/trefoilhook/requests/routing.py
@@ -54,6 +54,8 @@
         Requests that wait for it as far as known here.
     is_near : bool
         Whether it stands in this instance's failure domain.
+    is_known : bool
+        Whether its owner told of it lately, and would send to it.
     """
 
     executor_id: str
@@ -61,6 +63,7 @@
     free: int
     queued: int
     is_near: bool
+    is_known: bool = True
 
 
 @attrs.frozen(kw_only=True)
@@ -144,7 +147,8 @@
 
     Own executors with a free slot go first, for they cost no hop. Then the freer of
     two others drawn at random, from the own failure domain while one there has a free
-    slot. With no slot free anywhere, the shortest of the queues seen.
+    slot. With no slot free anywhere, the shortest of the queues seen. An executor of
+    which nothing is known comes last.
 
     Parameters
     ----------
@@ -173,11 +177,13 @@
     if drawn:
         best = max(drawn, key=lambda each: each.free)
         return Route(owner_id=best.owner_id, executor_id=best.executor_id)
-    drawn = _choose_two(candidates, generator)
+    known = [each for each in candidates if each.is_known]
+    drawn = _choose_two(known or candidates, generator)
     best_queued = min(drawn, key=lambda each: each.queued, default=None)
     if own is not None and own.usable > 0:
-        is_own_shorter = best_queued is None or own.queued <= best_queued.queued
-        if is_own_shorter:
+        if best_queued is None or not best_queued.is_known:
+            return Route()
+        if own.queued <= best_queued.queued:
             return Route()
     if best_queued is None:
         return Route() if own is not None else None
--- a/trefoilhook/requests/settings.py
+++ b/trefoilhook/requests/settings.py
@@ -22,7 +22,7 @@
     late_answer_ms : float
         How long an executor's answer is awaited past the caller's deadline, in ms.
     owner_wait_ms : float
-        How long an entry looks for the owner of a key that may run only once, in ms.
+        How long an entry looks for the owner of a key, in ms.
     answer_margin_ms : float
         How much earlier an owner gives up than the entry that waits for it, in ms.
     executor_waiting : int
--- a/trefoilhook/requests/tests/fakes.py
+++ b/trefoilhook/requests/tests/fakes.py
@@ -31,9 +31,9 @@
     trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
-def mint_at(wall_ms: float) -> bytes:
+def mint_at(wall_ms: float, generator: random.Random | None = None) -> bytes:
     """Return a fresh UUIDv7 that was minted at the given wall time."""
-    value = uuid6.uuid7().int & ((1 << 80) - 1)
+    value = (generator or random.Random()).getrandbits(80)
     return uuid6.UUID(int=(int(wall_ms) << 80) | value, version=7).bytes
 
 
@@ -180,6 +180,7 @@
     )
     service: ServiceSettings = attrs.field(factory=ServiceSettings)
     quota_per_s: float = math.inf
+    generator: random.Random = attrs.field(factory=lambda: random.Random(7))
     clock: object = attrs.field(init=False)
     owners: dict[str, FakeOwner] = attrs.field(factory=dict, init=False)
     executors: dict[str, FakeExecutor] = attrs.field(factory=dict, init=False)
@@ -267,8 +268,13 @@
             executor_id, shard_count=self.settings.shard_count
         )
 
-    def mint(self) -> bytes:
-        return mint_at(self.clock.wall_ms())
+    def mint(self, owner: str = "") -> bytes:
+        """Return a key of now, on request one that a given instance owns."""
+        while True:
+            key = mint_at(self.clock.wall_ms(), self.generator)
+            shard_id = self.find_key_shard(key)
+            if not owner or self.owners[shard_id].instance_id == owner:
+                return key
 
     def count_runs(self) -> int:
         return sum(len(each.runs) for each in self.executors.values())
--- /dev/null
+++ b/trefoilhook/requests/tests/test_dedup.py
@@ -0,0 +1,208 @@
+"""Rules of the key table: what may run, and what is said of the rest."""
+
+import math
+import unittest
+
+import attrs
+import hypothesis
+from hypothesis import strategies
+
+from trefoilhook.requests.dedup import ActingWindow, KeyTable, VerdictKind
+from trefoilhook.requests.models import CallerAnswer
+from trefoilhook.requests.tests.fakes import mint_at
+from trefoilhook.results import ResultCode
+
+_NOW_MS = 1_750_000_000_000
+_SKEW_MS = 500.0
+_WINDOW = ActingWindow(
+    since_wall_ms=_NOW_MS - 60_000, until_wall_ms=_NOW_MS + 4_000, skew_ms=_SKEW_MS
+)
+_OK = CallerAnswer(code=ResultCode.OK, status=200, body=b"whole")
+
+
+def build_table(max_age_ms=600_000.0, max_bytes=1_000_000):
+    """Build a table."""
+    return KeyTable(max_age_ms=max_age_ms, max_bytes=max_bytes)
+
+
+def begin(table, minted_ms=_NOW_MS, *, key=None, window=_WINDOW, **changes):
+    """Offer a request to a table."""
+    fields = {
+        "key": key or mint_at(minted_ms),
+        "minted_ms": minted_ms,
+        "digest": b"d",
+        "wall_ms": _NOW_MS,
+        "window": window,
+        **changes,
+    }
+    return table.begin(**fields)
+
+
+def get_code(verdict):
+    """Return the code of a verdict's answer, or its kind."""
+    return verdict.answer.code if verdict.answer is not None else verdict.kind
+
+
+class KnownKeyTest(unittest.TestCase):
+    """A key that the table holds."""
+
+    def test_fate_decides_what_a_second_request_gets(self):
+        # A caller sends the same key again. What it gets depends on how the first
+        # request under the key ended.
+        table = (
+            (None, VerdictKind.WAIT),
+            (_OK, ResultCode.REPLAYED),
+            (attrs.evolve(_OK, code=ResultCode.BACKEND_FAILED), "same"),
+            (CallerAnswer(code=ResultCode.ANSWER_LOST), ResultCode.OUTCOME_UNKNOWN),
+            (CallerAnswer(code=ResultCode.INTERNAL), ResultCode.OUTCOME_UNKNOWN),
+            (CallerAnswer(code=ResultCode.OVERLOADED), VerdictKind.RUN),
+        )
+        for ending, expected in table:
+            with self.subTest(ending=ending):
+                keys = build_table()
+                key = mint_at(_NOW_MS)
+                record = begin(keys, key=key).record
+                if ending is not None:
+                    keys.finish(record, ending)
+                    self.assertTrue(record.finished.is_set())
+                wanted = ending.code if expected == "same" else expected
+                second = begin(keys, key=key)
+                self.assertEqual(get_code(second), wanted)
+                if second.answer is not None and ending is not None:
+                    self.assertIn(second.answer.body, (b"whole", b""))
+
+    def test_other_request_under_a_used_key(self):
+        # A form reuses a key for another order. Replaying the first order's answer
+        # would show one family the other's booking.
+        for ending in (None, _OK, CallerAnswer(code=ResultCode.ANSWER_LOST)):
+            keys = build_table()
+            key = mint_at(_NOW_MS)
+            record = begin(keys, key=key).record
+            if ending is not None:
+                keys.finish(record, ending)
+            verdict = begin(keys, key=key, digest=b"other")
+            self.assertEqual(get_code(verdict), ResultCode.KEY_REUSED)
+
+
+class TimeTest(unittest.TestCase):
+    """A key that the table does not hold."""
+
+    def test_limits_of_the_window(self):
+        since, until = _WINDOW.since_wall_ms, _WINDOW.until_wall_ms
+        table = (
+            (since - 1, ResultCode.KEY_TOO_OLD),
+            (since + _SKEW_MS - 1, ResultCode.KEY_TOO_OLD),
+            (since + _SKEW_MS, VerdictKind.RUN),
+            (until - _SKEW_MS - 1, VerdictKind.RUN),
+            (until - _SKEW_MS, ResultCode.KEY_AHEAD),
+            (_NOW_MS + 86_400_000, ResultCode.KEY_AHEAD),
+        )
+        for minted_ms, expected in table:
+            with self.subTest(minted_ms=minted_ms - _NOW_MS):
+                verdict = begin(build_table(), int(minted_ms))
+                self.assertEqual(get_code(verdict), expected)
+
+    def test_right_to_act_that_ends_is_no_fault_of_the_key(self):
+        window = attrs.evolve(_WINDOW, until_wall_ms=_NOW_MS + 100.0)
+        verdict = begin(build_table(), window=window)
+        self.assertEqual(get_code(verdict), ResultCode.NO_OWNER)
+
+    def test_first_claim_ever_refuses_no_old_key(self):
+        window = attrs.evolve(_WINDOW, since_wall_ms=-math.inf)
+        verdict = begin(build_table(), _NOW_MS - 1_000, window=window)
+        self.assertEqual(get_code(verdict), VerdictKind.RUN)
+
+    @hypothesis.given(
+        end_ms=strategies.integers(0, 10_000),
+        gap_ms=strategies.integers(0, 3_000),
+        old_error=strategies.floats(-_SKEW_MS, _SKEW_MS),
+        new_error=strategies.floats(-_SKEW_MS, _SKEW_MS),
+        minted=strategies.integers(-20_000, 30_000),
+    )
+    @hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+    @hypothesis.example(1_000, 0, _SKEW_MS, -_SKEW_MS, 900)
+    @hypothesis.example(1_000, 0, _SKEW_MS, -_SKEW_MS, 1_000)
+    def test_no_key_runs_at_an_owner_and_its_successor(
+        self, end_ms, gap_ms, old_error, new_error, minted
+    ):
+        # An owner checks a key and is frozen before it sends. Its right ends, another
+        # instance with another wall clock takes over, the caller retries there, and
+        # the old owner thaws and sends. Whatever the clocks and the key's time, one of
+        # the two refuses.
+        end_true = _NOW_MS + end_ms
+        old = attrs.evolve(_WINDOW, until_wall_ms=end_true + old_error)
+        new = ActingWindow(
+            since_wall_ms=end_true + gap_ms + new_error,
+            until_wall_ms=math.inf,
+            skew_ms=_SKEW_MS,
+        )
+        minted_ms = _NOW_MS + minted
+        at_old = begin(build_table(), minted_ms, window=old)
+        at_new = begin(build_table(), minted_ms, window=new)
+        runs = [v for v in (at_old, at_new) if v.kind is VerdictKind.RUN]
+        self.assertLess(len(runs), 2)
+
+
+class BoundTest(unittest.TestCase):
+    """The table forgets, but never so that a key runs twice."""
+
+    def test_forgotten_key_is_never_run_again(self):
+        # A caller comes back after the table forgot its key for want of room or for
+        # its age. Running it would bill the airline twice.
+        tables = (
+            ("age", build_table(max_age_ms=10_000.0), 10, _NOW_MS + 20_000),
+            ("room", build_table(max_bytes=8_000), 100, _NOW_MS),
+        )
+        for name, keys, count, wall_ms in tables:
+            with self.subTest(name):
+                first = mint_at(_NOW_MS)
+                keys.finish(begin(keys, key=first).record, _OK)
+                for number in range(1, count):
+                    record = begin(keys, _NOW_MS + number).record
+                    keys.finish(record, _OK)
+                window = attrs.evolve(_WINDOW, until_wall_ms=math.inf)
+                verdict = begin(keys, key=first, wall_ms=wall_ms, window=window)
+                self.assertEqual(get_code(verdict), ResultCode.KEY_TOO_OLD)
+                self.assertLess(len(keys), count)
+
+    def test_wall_clock_set_back_reopens_nothing(self):
+        # Keys are forgotten by age, then the machine's clock is set back. The keys
+        # look young again; they must stay refused.
+        keys = build_table(max_age_ms=10_000.0)
+        key = mint_at(_NOW_MS)
+        keys.finish(begin(keys, key=key).record, _OK)
+        window = attrs.evolve(_WINDOW, until_wall_ms=math.inf)
+        begin(keys, _NOW_MS + 30_000, wall_ms=_NOW_MS + 30_000, window=window)
+        verdict = begin(keys, key=key, wall_ms=_NOW_MS)
+        self.assertEqual(get_code(verdict), ResultCode.KEY_TOO_OLD)
+
+    def test_answers_go_before_keys(self):
+        keys = build_table(max_bytes=20_000)
+        names = [mint_at(_NOW_MS + number) for number in range(4)]
+        large = attrs.evolve(_OK, body=b"x" * 6_000)
+        for number, key in enumerate(names):
+            keys.finish(begin(keys, _NOW_MS + number, key=key).record, large)
+        codes = [get_code(begin(keys, key=key)) for key in names]
+        self.assertEqual(codes[0], ResultCode.ANSWER_DROPPED)
+        self.assertEqual(codes[-1], ResultCode.REPLAYED)
+        self.assertLessEqual(keys.size_bytes, 20_000)
+
+    def test_flood_of_requests_in_progress_is_refused(self):
+        keys = build_table(max_bytes=8_000)
+        verdicts = [begin(keys, _NOW_MS + number) for number in range(100)]
+        self.assertEqual(get_code(verdicts[-1]), ResultCode.OVERLOADED)
+        self.assertLessEqual(keys.size_bytes, 8_000)
+
+    def test_old_key_in_progress_is_joined_not_refused(self):
+        keys = build_table(max_age_ms=10_000.0)
+        key = mint_at(_NOW_MS)
+        record = begin(keys, key=key).record
+        verdict = begin(keys, key=key, wall_ms=_NOW_MS + 60_000)
+        self.assertEqual(verdict.kind, VerdictKind.WAIT)
+        keys.finish(record, _OK)
+        begin(keys, _NOW_MS + 60_000, wall_ms=_NOW_MS + 60_000)
+        self.assertNotIn(key, [each.key for each in keys.list_records()])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilhook/requests/tests/test_path.py
+++ b/trefoilhook/requests/tests/test_path.py
@@ -66,9 +66,8 @@
         answers = []
 
         async def scenario(nursery):
-            for inner in cluster.inners.values():
-                inner.lost_answers = 1
-            request = build_request(cluster.mint())
+            cluster.inners["i0"].lost_answers = 1
+            request = build_request(cluster.mint(owner="i1"))
             answers.append(await cluster.services["i0"].handle_caller(request))
 
         run_in(cluster, scenario)
--- a/trefoilhook/requests/upkeep.py
+++ b/trefoilhook/requests/upkeep.py
@@ -16,6 +16,14 @@
 __all__ = ["Upkeep"]
 
 
+@attrs.frozen(kw_only=True)
+class _HandedSlots:
+    """Slots in use that the owner of a shard told of when it left."""
+
+    epoch: int
+    in_use: dict[str, int]
+
+
 @attrs.define(kw_only=True, eq=False)
 class Upkeep:
     """Keeps the executors owned here in step with the shards and the instance list.
@@ -34,7 +42,7 @@
     key_owner: KeyOwner
     list_peers: Callable[[], Sequence[str]]
     share: float = 1.0
-    _handed_in_use: dict[str, int] = attrs.field(factory=dict, init=False)
+    _handed: dict[str, _HandedSlots] = attrs.field(factory=dict, init=False)
     _retired: list[OwnedExecutor] = attrs.field(factory=list, init=False)
 
     async def run(self) -> None:
@@ -69,15 +77,28 @@
             if each.target.executor_id not in listed:
                 self._retire(each.target.executor_id)
 
-    def take_handed_over(self, in_use: dict[str, int]) -> None:
-        """Take in the slots in use that a leaving owner told of."""
+    def take_handed_over(
+        self, shard_id: str, *, epoch: int, in_use: dict[str, int]
+    ) -> None:
+        """Take in the slots in use that a leaving owner told of.
+
+        Parameters
+        ----------
+        shard_id : str
+            The shard.
+        epoch : int
+            Epoch of the leaving owner's claim.
+        in_use : dict
+            Slots in use, by executor.
+        """
+        self._handed[shard_id] = _HandedSlots(epoch=epoch, in_use=in_use)
         now_ms = self.parts.clock.monotonic_ms()
-        for executor_id, count in in_use.items():
-            executor = self.parts.pool.get(executor_id)
-            if executor is not None and executor.slots.is_taken_over:
-                executor.slots.take_handed_over(count, now_ms=now_ms)
-            elif executor is None:
-                self._handed_in_use[executor_id] = count
+        for each in self._list():
+            if each.shard_id != shard_id or not each.slots.is_taken_over:
+                continue
+            count = self._find_handed(each.target.executor_id, shard_id, each.epoch)
+            if count is not None:
+                each.slots.take_handed_over(count, now_ms=now_ms)
 
     def release_hold(self, shard_id: str) -> None:
         """Use the slots kept back in a shard: its earlier owner is met or dead."""
@@ -141,9 +162,17 @@
             shard_id=shard_id,
             epoch=epoch,
             is_first_claim=math.isinf(parts.ownership.own_since_wall_ms(shard_id)),
-            handed_in_use=self._handed_in_use.pop(target.executor_id, None),
+            handed_in_use=self._find_handed(target.executor_id, shard_id, epoch),
         )
 
+    def _find_handed(self, executor_id: str, shard_id: str, epoch: int) -> int | None:
+        # Guards against a handover that arrives late, after yet another owner held
+        # the shard: the requests of the one in between would not be counted.
+        handed = self._handed.get(shard_id)
+        if handed is None or handed.epoch != epoch - 1:
+            return None
+        return handed.in_use.get(executor_id)
+
     def _retire(self, executor_id: str) -> None:
         executor = self.parts.pool.remove(executor_id)
         if executor is not None:
--- a/trefoilhook/requests/work.py
+++ b/trefoilhook/requests/work.py
@@ -29,6 +29,12 @@
 __all__ = ["Parts", "Work", "decode_answer", "encode_answer", "encode_work"]
 
 _LONGEST_RETRY_AFTER_MS = 3_600_000.0
+_RETRY_AFTER_MS = {
+    ResultCode.NO_OWNER: 500.0,
+    ResultCode.OWNER_UNREACHABLE: 500.0,
+    ResultCode.SHUTTING_DOWN: 50.0,
+    ResultCode.NO_EXECUTOR: 1_000.0,
+}
 
 
 @attrs.frozen(kw_only=True)
@@ -141,11 +147,12 @@
         self, code: ResultCode, detail: str = "", *, retry_after_ms: float = 0.0
     ) -> CallerAnswer:
         """Build an answer that this instance gives itself."""
+        wait_ms = retry_after_ms or _RETRY_AFTER_MS.get(code, 0.0)
         return CallerAnswer(
             code=code,
             detail=detail,
             owner_instance_id=self.instance_id,
-            retry_after_ms=min(retry_after_ms, _LONGEST_RETRY_AFTER_MS),
+            retry_after_ms=min(wait_ms, _LONGEST_RETRY_AFTER_MS),
         )
 
 
