Test what happens when shards change hands

Cause: takeover, handover, silence and drain were untested. A dead owner's requests no longer count as no slot at all: they come back, so requests queue for them in place of being refused as without an executor (found by the first run of the test: 22 of 30 were refused). Ruled out: doubling the wait between looks at an executor that is mostly unproved.

--- a/trefoilhook/requests/slots.py
+++ b/trefoilhook/requests/slots.py
@@ -103,11 +103,15 @@
         return max(0, min(by_circuit, by_slots))
 
     def count_usable(self, now_ms: float) -> int:
-        """Return how many slots serve requests, in use from here or free."""
+        """Return how many slots serve requests, in use from here or free.
+
+        Unproved ones come back, so that waiting for them is of use: at least one
+        counts while the executor may be sent to at all.
+        """
         if self.is_leaving:
             return 0
         limit = self.circuit.get_limit(now_ms=now_ms, slots=self.slots)
-        return max(0, min(limit, self.slots - self.unproved))
+        return min(limit, max(1, self.slots - self.unproved))
 
     def is_quieting(self, now_ms: float) -> bool:
         """Tell whether nothing new is sent so that unproved slots can be asked for."""
@@ -182,7 +186,8 @@
         gone = max(0, probe.eligible - in_use)
         self.unproved = max(0, self.unproved - gone)
         del self._lost_at_ms[: min(gone, len(self._lost_at_ms))]
-        if gone:
+        is_mostly_unproved = 2 * self.unproved >= self.slots
+        if gone or is_mostly_unproved:
             self._quiet_wait_ms = _QUIET_FIRST_MS
         else:
             self._quiet_wait_ms = min(2 * self._quiet_wait_ms, _QUIET_LIMIT_MS)
--- a/trefoilhook/requests/tests/fakes.py
+++ b/trefoilhook/requests/tests/fakes.py
@@ -85,6 +85,7 @@
     services: dict[str, RequestService]
     delay_ms: float = 1.0
     unreachable: set[str] = attrs.field(factory=set)
+    silent: set[str] = attrs.field(factory=set)
     lost_answers: int = 0
     calls: int = 0
 
@@ -92,6 +93,8 @@
         self.calls += 1
         if instance_id in self.unreachable:
             raise NotSentError("link down")
+        if instance_id in self.silent:
+            await trio.sleep_forever()
         hop_ms = 0.0 if instance_id == self.instance_id else self.delay_ms
         await trio.sleep(hop_ms / 1000)
         call = FakeCall(
--- /dev/null
+++ b/trefoilhook/requests/tests/test_takeover.py
@@ -0,0 +1,339 @@
+"""Shards that change hands: slots counted exactly, handovers that come late."""
+
+import unittest
+
+import attrs
+import trio
+
+from trefoilhook.requests import RequestSettings, ServiceSettings
+from trefoilhook.requests.slots import Ending
+from trefoilhook.requests.tests.fakes import Cluster, build_request, run_virtual
+from trefoilhook.results import Outcome, ResultCode
+
+_ONE_EXECUTOR = {"instance_count": 2, "executor_count": 1}
+
+
+def run_in(cluster, scenario):
+    """Run ``scenario`` against a started cluster."""
+
+    async def body():
+        async with trio.open_nursery() as nursery:
+            await cluster.start(nursery)
+            await scenario(nursery)
+            nursery.cancel_scope.cancel()
+
+    run_virtual(body)
+
+
+class SlotTakeoverTest(unittest.TestCase):
+    """A new owner of an executor's shard."""
+
+    def send_many(self, cluster, nursery, count, answers):
+        """Send requests through the instance that owns the executor."""
+        shard_id = cluster.find_executor_shard("exec-0")
+        owner = cluster.owners[shard_id].instance_id
+
+        async def ask():
+            request = build_request(cluster.mint(owner=owner))
+            answers.append(await cluster.services[owner].handle_caller(request))
+
+        for _ in range(count):
+            nursery.start_soon(ask)
+
+    def take_over(self, cluster):
+        """Move the executor's shard; return (old, new)."""
+        shard_id = cluster.find_executor_shard("exec-0")
+        old = cluster.owners[shard_id].instance_id
+        new = "i1" if old == "i0" else "i0"
+        cluster.move_shard(shard_id, new)
+        return old, new
+
+    def test_slots_of_a_dead_owners_requests_are_not_given_twice(self):
+        # An owner dies with eight long requests running at an executor. Its successor
+        # must not send more until the executor says that some of them are over.
+        cluster = Cluster(**_ONE_EXECUTOR, service=ServiceSettings(timeout_ms=9e3))
+        executors = cluster.executors
+        answers = []
+
+        async def scenario(nursery):
+            executors["exec-0"].run_ms = 3_000.0
+            self.send_many(cluster, nursery, 8, answers)
+            await trio.sleep(0.1)
+            self.assertEqual(executors["exec-0"].running, 8)
+            self.take_over(cluster)
+            executors["exec-0"].run_ms = 50.0
+            await trio.sleep(0.7)
+            self.send_many(cluster, nursery, 30, answers)
+            await trio.sleep(9)
+
+        run_in(cluster, scenario)
+        self.assertEqual(executors["exec-0"].high_water, 8)
+        codes = [each.code for each in answers]
+        self.assertEqual(codes.count(ResultCode.OK), 38, codes)
+
+    def test_one_slot_is_kept_for_a_frozen_predecessor(self):
+        # An owner is frozen right after it checked its right and before the bytes
+        # left; only the kernel has not sent them. Its successor fills the executor;
+        # then the old owner thaws and its one request arrives.
+        cluster = Cluster(**_ONE_EXECUTOR, service=ServiceSettings(timeout_ms=9e3))
+        executors = cluster.executors
+        answers = []
+
+        async def scenario(nursery):
+            self.take_over(cluster)
+            await trio.sleep(0.5)
+            executors["exec-0"].run_ms = 1_000.0
+            self.send_many(cluster, nursery, 20, answers)
+            await trio.sleep(0.2)
+            arriving = executors["exec-0"].running + 1
+            self.assertLessEqual(arriving, 8)
+            await trio.sleep(61)
+            self.send_many(cluster, nursery, 20, answers)
+            await trio.sleep(0.2)
+            self.assertEqual(executors["exec-0"].running, 8)
+
+        run_in(cluster, scenario)
+
+    def test_handover_frees_all_slots_at_once(self):
+        cluster = Cluster(**_ONE_EXECUTOR)
+        executors = cluster.executors
+        answers = []
+
+        async def scenario(nursery):
+            shard_id = cluster.find_executor_shard("exec-0")
+            old, new = self.take_over(cluster)
+            handover = cluster.services[old].export_handover(shard_id, 1)
+            cluster.services[new].take_handover(handover)
+            await trio.sleep(0.15)
+            executors["exec-0"].run_ms = 1_000.0
+            self.send_many(cluster, nursery, 20, answers)
+            await trio.sleep(0.1)
+            self.assertEqual(executors["exec-0"].running, 8)
+
+        run_in(cluster, scenario)
+
+    def test_late_handover_of_an_earlier_owner_is_not_believed(self):
+        # A handover is held up on the way while a third instance owned the shard and
+        # ran a sale. It knows nothing of that sale; neither its slots nor its word
+        # that all other keys were not run may count.
+        cluster = Cluster(instance_count=3, executor_count=1)
+        executors = cluster.executors
+        answers = []
+
+        async def scenario(nursery):
+            key_shard = cluster.find_executor_shard("exec-0")
+            owner = cluster.owners[key_shard].instance_id
+            first, second, third = (owner, *({"i0", "i1", "i2"} - {owner}))
+            handover = cluster.services[first].export_handover(key_shard, 1)
+            cluster.move_shard(key_shard, second)
+            await trio.sleep(1)
+            executors["exec-0"].run_ms = 5_000.0
+            executors["exec-0"].ghosts = 3
+            cluster.move_shard(key_shard, third)
+            cluster.services[third].take_handover(handover)
+            await trio.sleep(0.15)
+            pool = cluster.services[third].pool
+            slots = pool.get("exec-0").slots
+            self.assertTrue(slots.is_taken_over)
+            await trio.sleep(0.3)
+            self.assertEqual(slots.unproved, 3)
+
+        run_in(cluster, scenario)
+        self.assertEqual(answers, [])
+
+
+class KeyTakeoverTest(unittest.TestCase):
+    """A new owner of a key's shard."""
+
+    def test_late_handover_vouches_for_no_key(self):
+        cluster = Cluster(instance_count=3)
+        codes = []
+
+        async def scenario(nursery):
+            key = cluster.mint(owner="i0")
+            shard_id = cluster.find_key_shard(key)
+            owner_i0 = cluster.services["i0"]._key_owner
+            owner_i0._get_table(shard_id, 1)
+            handed = owner_i0.export(shard_id)
+            handed = attrs.evolve(handed, known_from_ms=0.0)
+            for name, expected in (("i1", "direct"), ("i2", "late")):
+                cluster.move_shard(shard_id, name)
+                cluster.services[name]._key_owner.take_over(shard_id, handed)
+                fresh = cluster.mint()
+                while cluster.find_key_shard(fresh) != shard_id:
+                    fresh = cluster.mint()
+                answer = await cluster.services[name].handle_caller(
+                    build_request(fresh)
+                )
+                codes.append((expected, answer.code))
+
+        run_in(cluster, scenario)
+        self.assertEqual(
+            codes,
+            [("direct", ResultCode.OK), ("late", ResultCode.OUTCOME_UNKNOWN)],
+        )
+
+    def test_handover_that_comes_before_the_claim_is_kept(self):
+        cluster = Cluster(instance_count=2)
+        answers = []
+
+        async def scenario(nursery):
+            request = build_request(cluster.mint(owner="i0"))
+            shard_id = cluster.find_key_shard(request.key)
+            await cluster.services["i0"].handle_caller(request)
+            handover = cluster.services["i0"].export_handover(shard_id, 1)
+            cluster.services["i1"].take_handover(handover)
+            cluster.move_shard(shard_id, "i1")
+            answers.append(await cluster.services["i0"].handle_caller(request))
+
+        run_in(cluster, scenario)
+        self.assertEqual(answers[0].code, ResultCode.REPLAYED)
+
+    def test_right_that_comes_back_keeps_the_keys(self):
+        # The store is down and an owner may not act for a moment; nobody claims the
+        # shard, and its right comes back. A caller's retry still gets its answer.
+        cluster = Cluster(instance_count=2)
+        answers = []
+
+        async def scenario(nursery):
+            request = build_request(cluster.mint(owner="i0"))
+            shard_id = cluster.find_key_shard(request.key)
+            service = cluster.services["i0"]
+            answers.append(await service.handle_caller(request))
+            rights = cluster.ownerships["i0"].rights
+            epoch = rights.pop(shard_id)
+            await trio.sleep(1)
+            answers.append(await service.handle_caller(request))
+            rights[shard_id] = epoch
+            answers.append(await service.handle_caller(request))
+
+        run_in(cluster, scenario)
+        codes = [each.code for each in answers]
+        self.assertEqual(
+            codes, [ResultCode.OK, ResultCode.ATTEMPT_NOT_RUN, ResultCode.REPLAYED]
+        )
+
+    def test_idempotent_request_goes_on_without_its_owner(self):
+        # A key's owner is gone. A seat check may run twice, so its callers need not
+        # wait for the takeover.
+        cluster = Cluster(service=ServiceSettings(is_idempotent=True))
+        answers = []
+
+        async def scenario(nursery):
+            request = build_request(cluster.mint(owner="i1"))
+            cluster.inners["i0"].unreachable = {"i1"}
+            answers.append(await cluster.services["i0"].handle_caller(request))
+
+        run_in(cluster, scenario)
+        self.assertEqual(answers[0].code, ResultCode.OK)
+
+
+class FaultTest(unittest.TestCase):
+    """Faults on the way that are no change of owner."""
+
+    def test_silent_owner_does_not_hold_the_caller_past_its_deadline(self):
+        # An owner is frozen; the link to it is up but nothing comes back. The caller
+        # is told at its deadline that the outcome is unknown.
+        cluster = Cluster()
+        result = []
+
+        async def scenario(nursery):
+            service = cluster.services["i0"]
+            cluster.inners["i0"].silent = {"i1"}
+            request = build_request(cluster.mint(owner="i1"), timeout_ms=400.0)
+            begun = trio.current_time()
+            answer = await service.handle_caller(request)
+            result.append((answer.code, trio.current_time() - begun))
+
+        run_in(cluster, scenario)
+        code, waited_s = result[0]
+        self.assertIs(code, ResultCode.DEADLINE_AFTER_SEND)
+        self.assertAlmostEqual(waited_s, 0.4, delta=0.001)
+
+    def test_executor_that_refuses_connections_is_passed_over(self):
+        # One of three executors is gone though the list still shows it. Its owner
+        # proves that nothing left and sends the order to another.
+        cluster = Cluster(instance_count=1)
+        answers = []
+
+        async def scenario(nursery):
+            cluster.executors["exec-0"].refuse_connections = True
+            for _ in range(40):
+                request = build_request(cluster.mint())
+                answers.append(await cluster.services["i0"].handle_caller(request))
+
+        run_in(cluster, scenario)
+        self.assertEqual({each.code for each in answers}, {ResultCode.OK})
+
+    def test_given_up_request_passes_its_slot_on(self):
+        # A request is given a slot in the same moment in which whoever waited for it
+        # is cancelled. A slot lost so would be missing for ever.
+        cluster = Cluster(instance_count=1, executor_count=1)
+
+        async def scenario(nursery):
+            pool = cluster.services["i0"].pool
+            fields = {"deadline_ms": 1e12, "max_waiting": 9}
+            grants = [await pool.acquire("sky/seats", **fields) for _ in range(8)]
+            scope = trio.CancelScope()
+
+            async def wait():
+                with scope:
+                    await pool.acquire("sky/seats", **fields)
+
+            nursery.start_soon(wait)
+            await trio.sleep(0.01)
+            scope.cancel()
+            pool.release(grants[0], Ending.ANSWERED)
+            await trio.sleep(0.01)
+            self.assertEqual(pool.get("exec-0").slots.in_progress, 7)
+
+        run_in(cluster, scenario)
+
+    def test_drain_waits_for_what_is_in_progress(self):
+        cluster = Cluster(instance_count=1)
+        answers = []
+
+        async def scenario(nursery):
+            service = cluster.services["i0"]
+
+            async def ask():
+                request = build_request(cluster.mint())
+                answers.append(await service.handle_caller(request))
+
+            nursery.start_soon(ask)
+            await trio.sleep(0.01)
+            await service.drain(grace_ms=5_000.0)
+            self.assertEqual(service.busy, 0)
+            self.assertEqual(len(answers), 1)
+            await ask()
+
+        run_in(cluster, scenario)
+        self.assertEqual(answers[0].code, ResultCode.OK)
+        self.assertEqual(answers[1].code.outcome, Outcome.UNKNOWN)
+
+    def test_hedge_sends_a_second_copy_of_a_slow_check(self):
+        settings = RequestSettings(shard_count=8, is_hedging=True)
+        service = ServiceSettings(is_idempotent=True)
+        cluster = Cluster(instance_count=1, settings=settings, service=service)
+        waited = []
+
+        async def scenario(nursery):
+            async def ask():
+                begun = trio.current_time()
+                await cluster.services["i0"].handle_caller(build_request())
+                waited.append(trio.current_time() - begun)
+
+            for _ in range(100):
+                await ask()
+            for executor in cluster.executors.values():
+                executor.run_ms = 50.0
+            first = cluster.services["i0"].pool._choose_free("sky/seats")
+            cluster.executors[first.target.executor_id].run_ms = 5_000.0
+            await ask()
+
+        run_in(cluster, scenario)
+        self.assertLess(waited[-1], 0.2)
+
+
+if __name__ == "__main__":
+    unittest.main()
