--- a/trefoilhook/results/core.py
+++ b/trefoilhook/results/core.py
@@ -82,7 +82,8 @@
     ACCEPTED = _executed(1, 202, "Recorded durably; it will be carried out.")
     REPLAYED = _executed(2, 200, "Run earlier under the same key; that answer follows.")
     BACKEND_FAILED = _executed(3, 502, "Run; the backend answered with a failure.")
-    CANCELLED = _executed(4, 200, "Cancelled after a start; it has stopped.")
+    ANSWER_DROPPED = _executed(4, 410, "Run earlier; its answer is no longer kept.")
+    CANCELLED = _executed(5, 200, "Cancelled after a start; it has stopped.")
 
     # 100-199: not run, and the same request may be sent again.
     OVERLOADED = _not_run(100, 503, True, "Not run: every slot and queue is full.")
@@ -103,6 +104,9 @@
     COMMIT_UNKNOWN = _unknown(
         203, 504, True, "The store didn't say whether the change took effect."
     )
+    ATTEMPT_NOT_RUN = _unknown(
+        204, 503, True, "This attempt was not run; of earlier ones nothing is known."
+    )
 
     # 300-399: not run, and the same request would be refused again.
     BAD_REQUEST = _not_run(300, 400, False, "Not run: the request is malformed.")
@@ -114,7 +118,8 @@
     IMPOSSIBLE_JOB = _not_run(306, 422, False, "Not run: no worker could ever hold it.")
     METHOD_NOT_ALLOWED = _not_run(307, 405, False, "Not run: method not allowed here.")
     SLOW_SENDER = _not_run(308, 408, True, "Not run: the request came too slowly.")
-    CANCELLED_UNSTARTED = _not_run(309, 200, False, "Not run: cancelled before it.")
+    KEY_AHEAD = _not_run(309, 409, True, "Not run: the key's time lies ahead.")
+    CANCELLED_UNSTARTED = _not_run(310, 200, False, "Not run: cancelled before that.")
 
     # 400-499: not run, for want of a right.
     UNAUTHENTICATED = _not_run(400, 401, False, "Not run: no valid token was given.")
