Declare settings once and keep the teams' configuration

Cause: an instance learns its addresses from a JSON file and operators change configuration under paths; both have to be refused whole with a reason an operator can act on, and an accepted change must have one fate that is told truthfully.

One declaration a setting (default, unit, check, description) feeds the cattrs reader, the daemon's check and docs/SETTINGS.md. A team's subtree is one store value with its latest changes. Each change carries a nonce and the revision it was made at, so that a lost answer is resolved also when another change came on top.

Ruled out: cattrs' own conversions ("5" became 5, a text a tuple of letters); telling own writes by equal bytes alone (a change on top hides them); deleting the store's key with the team (its revision and history would go with it).

--- /dev/null
+++ b/trefoilhook/configuration/__init__.py
@@ -0,0 +1,50 @@
+"""The operators' configuration: one subtree a team, checked whole, changed by CAS."""
+
+from trefoilhook.configuration.core import (
+    ConfigurationConflictError,
+    ConfigurationEditor,
+    ConfigurationValue,
+)
+from trefoilhook.configuration.document import (
+    ChangeRecord,
+    TeamDocument,
+    decode_document,
+    encode_document,
+    list_changes,
+)
+from trefoilhook.configuration.paths import get_value, parse_path
+from trefoilhook.configuration.schema import (
+    Objective,
+    PlacementChoice,
+    PlacementWeights,
+    Quota,
+    ServiceConfiguration,
+    TeamConfiguration,
+    Tokens,
+)
+from trefoilhook.configuration.tokens import digest_token, is_token_among
+from trefoilhook.configuration.view import ConfigurationView, build_team_key
+
+__all__ = [
+    "ChangeRecord",
+    "ConfigurationConflictError",
+    "ConfigurationEditor",
+    "ConfigurationValue",
+    "ConfigurationView",
+    "Objective",
+    "PlacementChoice",
+    "PlacementWeights",
+    "Quota",
+    "ServiceConfiguration",
+    "TeamConfiguration",
+    "TeamDocument",
+    "Tokens",
+    "build_team_key",
+    "decode_document",
+    "digest_token",
+    "encode_document",
+    "get_value",
+    "is_token_among",
+    "list_changes",
+    "parse_path",
+]
--- /dev/null
+++ b/trefoilhook/configuration/tests/test_view.py
@@ -0,0 +1,100 @@
+"""What is in force on an instance, whatever order entries come in."""
+
+import unittest
+
+import attrs
+
+from trefoilhook.configuration import (
+    ConfigurationView,
+    TeamDocument,
+    build_team_key,
+    digest_token,
+    encode_document,
+    is_token_among,
+)
+
+_ROOT = "root"
+
+
+@attrs.frozen(kw_only=True)
+class _Entry:
+    key: str
+    value: bytes
+    revision: int
+
+
+def _build_entry(revision, *, timeout_ms=1_000, is_deleted=False, team="bookings"):
+    subtree = {"services": {"seat-check": {"timeout_ms": timeout_ms}}}
+    document = TeamDocument(subtree=subtree, is_deleted=is_deleted)
+    key = build_team_key(_ROOT, team)
+    return _Entry(key=key, value=encode_document(document), revision=revision)
+
+
+def _read_timeout(view):
+    team = view.team("bookings")
+    return None if team is None else team.services["seat-check"].timeout_ms
+
+
+class ViewTest(unittest.TestCase):
+    """Revisions never go back and invalid values never get in."""
+
+    def test_older_entries_never_replace_newer_ones(self):
+        # An operator's accepted change is in force, then callers see the old timeout
+        # again. First the change comes by the watch; then an older value comes from
+        # a watch that had been silent, from a peer that lags, or after a restart of
+        # the store. The cause would be taking entries in the order they come.
+        new, old = _build_entry(9, timeout_ms=900), _build_entry(5, timeout_ms=500)
+        for order in ((new, old), (old, new), (new, old, new, old)):
+            with self.subTest(order=[entry.revision for entry in order]):
+                view = ConfigurationView(root=_ROOT)
+                view.apply(order)
+                self.assertEqual(_read_timeout(view), 900)
+                self.assertEqual(view.find_revision("bookings"), 9)
+                self.assertEqual(view.revision, 9)
+
+    def test_deleted_teams_stay_deleted(self):
+        # A team that was removed gets its requests served again: a snapshot taken
+        # before the removal comes from a peer after it.
+        for remove in (
+            lambda view: view.forget(build_team_key(_ROOT, "bookings"), revision=7),
+            lambda view: view.apply([_build_entry(7, is_deleted=True)]),
+        ):
+            view = ConfigurationView(root=_ROOT)
+            view.apply([_build_entry(5)])
+            self.assertTrue(remove(view))
+            self.assertIsNone(view.team("bookings"))
+            self.assertEqual(view.apply([_build_entry(5)]), ())
+            self.assertIsNone(view.team("bookings"))
+            self.assertEqual(view.apply([_build_entry(8)]), ("bookings",))
+            self.assertEqual(view.list_teams(), ("bookings",))
+
+    def test_invalid_values_never_replace_valid_ones(self):
+        # All of a team's requests are refused at once: a program other than this one
+        # wrote a value that can't be read, and it was taken for an empty one.
+        invalid = (b"", b"{}x", b'{"subtree":{"services":1}}', b"[]", b'{"subtre":{}}')
+        for value in invalid:
+            with self.subTest(value=value):
+                view = ConfigurationView(root=_ROOT)
+                view.apply([_build_entry(5, timeout_ms=500)])
+                key = build_team_key(_ROOT, "bookings")
+                view.apply([_Entry(key=key, value=value, revision=6)])
+                self.assertEqual(_read_timeout(view), 500)
+                self.assertEqual(view.find_revision("bookings"), 5)
+
+    def test_entries_of_other_kinds_are_passed_over(self):
+        view = ConfigurationView(root=_ROOT)
+        for key in ("root/members/a", "root/config/teams/A b", "root/config/teams/a/b"):
+            self.assertEqual(view.apply([_Entry(key=key, value=b"", revision=3)]), ())
+        self.assertEqual(view.revision, 0)
+
+
+class TokensTest(unittest.TestCase):
+    """Tokens at rest."""
+
+    def test_any_of_several_tokens_is_covered(self):
+        digests = (digest_token("old"), digest_token("new"))
+        cases = (("old", True), ("new", True), ("other", False), ("", False))
+        for token, is_covered in cases:
+            with self.subTest(token=token):
+                self.assertEqual(is_token_among(token, digests), is_covered)
+        self.assertFalse(is_token_among("new", ()))
--- /dev/null
+++ b/trefoilhook/configuration/tokens.py
@@ -0,0 +1,26 @@
+"""Tokens, kept as digests and compared in constant time."""
+
+import hashlib
+import hmac
+from collections.abc import Iterable
+
+__all__ = ["digest_token", "is_token_among"]
+
+
+def digest_token(token: str) -> str:
+    """Return the SHA-256 digest of a token, in lower-case hexadecimal."""
+    return hashlib.sha256(token.encode("utf-8", "surrogateescape")).hexdigest()
+
+
+def is_token_among(token: str, digests: Iterable[str]) -> bool:
+    """Tell whether the digest of ``token`` is one of ``digests``.
+
+    Notes
+    -----
+    Guards against a guess by timing: an answer that came sooner for a nearer guess
+    would show up as a token found digit by digit. Each digest is compared in constant
+    time and all of them are, whichever matches.
+    """
+    digest = digest_token(token)
+    matches = [hmac.compare_digest(digest, known) for known in digests]
+    return any(matches)
--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -51,6 +51,9 @@
     # 1500: configuration
     CONFIG_IN_FORCE = (1500, Level.INFO, "A configuration revision is in force.")
     CONFIG_STALE = (1501, Level.WARNING, "A stale configuration was ignored.")
+    CONFIG_INVALID = (1502, Level.ERROR, "An invalid configuration was ignored.")
+    CONFIG_CHANGED = (1503, Level.INFO, "An operator's change was accepted.")
+    ADMIN_FAILED = (1504, Level.ERROR, "A call of the admin API failed inside.")
 
     # 1600: jobs and workers
     JOB_ACCEPTED = (1600, Level.INFO, "A job was recorded durably.")
--- /dev/null
+++ b/trefoilhook/settings/__init__.py
@@ -0,0 +1,58 @@
+"""Settings that are declared once and checked whole before they are used."""
+
+from trefoilhook.settings.checks import (
+    is_digest,
+    is_host,
+    is_name,
+    is_one_of,
+    is_within,
+)
+from trefoilhook.settings.core import FieldError, declare, declare_section
+from trefoilhook.settings.page import render_page
+from trefoilhook.settings.problems import InvalidSettingsError, SettingProblem
+from trefoilhook.settings.reader import (
+    dump_json,
+    load_settings,
+    parse_json,
+    read_settings,
+)
+from trefoilhook.settings.sections import (
+    AdminSettings,
+    BaseSettings,
+    InstanceListSettings,
+    InstanceSettings,
+    ListenerSettings,
+    ListenersSettings,
+    PeerSettings,
+    ShardSettings,
+    StoreSettings,
+    TlsSettings,
+)
+
+__all__ = [
+    "AdminSettings",
+    "BaseSettings",
+    "FieldError",
+    "InstanceListSettings",
+    "InstanceSettings",
+    "InvalidSettingsError",
+    "ListenerSettings",
+    "ListenersSettings",
+    "PeerSettings",
+    "SettingProblem",
+    "ShardSettings",
+    "StoreSettings",
+    "TlsSettings",
+    "declare",
+    "declare_section",
+    "dump_json",
+    "is_digest",
+    "is_host",
+    "is_name",
+    "is_one_of",
+    "is_within",
+    "load_settings",
+    "parse_json",
+    "read_settings",
+    "render_page",
+]
--- /dev/null
+++ b/trefoilhook/settings/page.py
@@ -0,0 +1,118 @@
+"""The reference page of all settings, made from their declarations."""
+
+import json
+from collections.abc import Iterator
+from typing import Any, Literal, get_args, get_origin
+
+import attrs
+
+from trefoilhook.settings.core import Declaration, find_declaration
+from trefoilhook.settings.reader import dump_json
+
+__all__ = ["render_page"]
+
+_HEAD = """# Settings
+
+Made from the declarations in the code by `python -m trefoilhook.settings`; a test
+checks that it is current. The file is one JSON object with a member for each section
+below. A setting that is left out has its default. Unknown names, wrong types and
+impossible combinations are refused: `trefoilhookd --check-settings` says why.
+"""
+
+_TABLE_HEAD = "| setting | type | default | unit | description |\n|---|---|---|---|---|"
+
+_PLAIN_NAMES = {bool: "boolean", float: "number", int: "integer", str: "string"}
+
+
+def _strip_none(kind: Any) -> Any:
+    choices = [choice for choice in get_args(kind) if choice is not type(None)]
+    is_optional = type(None) in get_args(kind) and len(choices) == 1
+    return choices[0] if is_optional else kind
+
+
+def _find_section(kind: Any) -> type[Any] | None:
+    """Return the attrs class behind a type, also in a list, a mapping or an option."""
+    kind = _strip_none(kind)
+    is_many = get_origin(kind) in (tuple, dict)
+    for candidate in get_args(kind) if is_many else (kind,):
+        if isinstance(candidate, type) and attrs.has(candidate):
+            return candidate
+    return None
+
+
+def _name_type(kind: Any) -> str:
+    bare = _strip_none(kind)
+    if bare is not kind:
+        return f"{_name_type(bare)} or null"
+    if get_origin(bare) is Literal:
+        return " or ".join(f"`{choice}`" for choice in get_args(bare))
+    if get_origin(bare) is tuple:
+        return f"list of {_name_type(get_args(bare)[0])}"
+    if get_origin(bare) is dict:
+        return f"object of {_name_type(get_args(bare)[1])}"
+    return _PLAIN_NAMES.get(bare, "object")
+
+
+def _show_default(field: "attrs.Attribute[Any]", declaration: Declaration) -> str:
+    if field.default is attrs.NOTHING:
+        return "required"
+    return "`" + json.dumps(dump_json(field.default)) + "`"
+
+
+def _is_nested(field: "attrs.Attribute[Any]") -> bool:
+    return _find_section(field.type) is not None
+
+
+def _list_rows(cls: type[Any]) -> Iterator[str]:
+    for field in attrs.fields(cls):
+        declaration = find_declaration(field)
+        if _is_nested(field) and not isinstance(field.default, (tuple, type(None))):
+            continue
+        default = _show_default(field, declaration)
+        cells = (
+            f"`{field.name}`",
+            _name_type(field.type),
+            default,
+            declaration.unit,
+            declaration.description,
+        )
+        yield "| " + " | ".join(cells) + " |"
+
+
+def _render_section(cls: type[Any], path: str, description: str) -> Iterator[str]:
+    rows = list(_list_rows(cls))
+    if path:
+        yield f"\n## `{path}`\n\n{description}"
+    if rows:
+        yield f"\n{_TABLE_HEAD}"
+        yield from rows
+    for field in attrs.fields(cls):
+        section = _find_section(field.type)
+        if section is None:
+            continue
+        declaration = find_declaration(field)
+        step = _build_step(field)
+        inner_path = f"{path}/{step}" if path else step
+        yield from _render_section(section, inner_path, declaration.description)
+
+
+def _build_step(field: "attrs.Attribute[Any]") -> str:
+    origin = get_origin(_strip_none(field.type))
+    if origin is tuple:
+        return f"{field.name}/N"
+    if origin is dict:
+        return f"{field.name}/NAME"
+    return field.name
+
+
+def render_page(cls: type[Any], *, head: str = _HEAD) -> str:
+    """Return the reference page of a settings class as Markdown.
+
+    Parameters
+    ----------
+    cls : type
+        The attrs class that holds every section.
+    head : str, optional
+        Title and introduction.
+    """
+    return "\n".join((head.rstrip("\n"), *_render_section(cls, "", ""))) + "\n"
--- /dev/null
+++ b/trefoilhook/settings/problems.py
@@ -0,0 +1,79 @@
+"""What is wrong with a set of values, one problem a line."""
+
+import json
+from collections.abc import Iterable
+from difflib import get_close_matches
+
+import attrs
+
+from trefoilhook.exceptions import SettingsError
+
+__all__ = ["InvalidSettingsError", "SettingProblem", "find_nearest"]
+
+_MAX_VALUE_CHARACTERS = 80
+_MAX_PROBLEMS = 50
+_NEAREST_CUTOFF = 0.5
+
+HIDDEN = "(hidden)"
+
+
+@attrs.frozen(kw_only=True)
+class SettingProblem:
+    """One reason why values are refused.
+
+    Parameters
+    ----------
+    path : str
+        Steps to the value, joined by ``/``.
+    value : str
+        The value as JSON, shortened; empty when it is missing.
+    reason : str
+        Why it is refused.
+    nearest : str, optional
+        The right name or choice that is nearest to what was given.
+    """
+
+    path: str
+    value: str
+    reason: str
+    nearest: str = ""
+
+    def __str__(self) -> str:
+        shown = f" = {self.value}" if self.value else ""
+        hint = f"; did you mean {self.nearest!r}?" if self.nearest else ""
+        return f"{self.path or '(whole)'}{shown}: {self.reason}{hint}"
+
+
+class InvalidSettingsError(SettingsError):
+    """Values are refused; nothing of them is used.
+
+    Parameters
+    ----------
+    problems : sequence of SettingProblem
+        Everything found to be wrong.
+    """
+
+    def __init__(self, *, problems: Iterable[SettingProblem]) -> None:
+        self.problems = tuple(problems)[:_MAX_PROBLEMS]
+        super().__init__("\n".join(str(problem) for problem in self.problems))
+
+
+def show_value(value: object) -> str:
+    """Return a value as short JSON, for people.
+
+    What a list or an object holds stays hidden: under a misspelt name it may be secret.
+    """
+    if isinstance(value, dict):
+        return "{...}" if value else "{}"
+    if isinstance(value, list):
+        return "[...]" if value else "[]"
+    text = json.dumps(value, default=str)
+    if len(text) <= _MAX_VALUE_CHARACTERS:
+        return text
+    return text[: _MAX_VALUE_CHARACTERS - 3] + "..."
+
+
+def find_nearest(name: str, choices: Iterable[str]) -> str:
+    """Return the choice that is most like ``name``, or an empty text."""
+    found = get_close_matches(name, sorted(choices), n=1, cutoff=_NEAREST_CUTOFF)
+    return found[0] if found else ""
--- /dev/null
+++ b/trefoilhook/settings/sections.py
@@ -0,0 +1,229 @@
+"""The sections that don't belong to one mechanism: addresses, listeners and peers."""
+
+import attrs
+
+from trefoilhook.settings.checks import is_digest, is_host, is_name, is_within
+from trefoilhook.settings.core import FieldError, declare, declare_section
+
+__all__ = [
+    "AdminSettings",
+    "BaseSettings",
+    "InstanceListSettings",
+    "InstanceSettings",
+    "ListenerSettings",
+    "ListenersSettings",
+    "PeerSettings",
+    "ShardSettings",
+    "StoreSettings",
+    "TlsSettings",
+]
+
+_PORT = is_within(0, 65_535)
+_REMOTE_PORT = is_within(1, 65_535)
+_MAX_SHARDS = 4_096
+_HOUR_MS = 3_600_000
+
+
+@attrs.frozen(kw_only=True)
+class InstanceSettings:
+    """Who this instance is and where it stands."""
+
+    instance_id: str | None = declare(
+        default=None,
+        description="Name of the instance, never used twice; random when not given.",
+        check=is_name,
+    )
+    failure_domain: str = declare(
+        default="fd-1", description="Failure domain of the instance.", check=is_name
+    )
+    region: str = declare(
+        default="region-1", description="Region of the instance.", check=is_name
+    )
+
+
+@attrs.frozen(kw_only=True)
+class TlsSettings:
+    """Files for TLS; all three are PEM."""
+
+    certificate_file: str = declare(description="Certificate chain of this instance.")
+    key_file: str = declare(description="Private key of this instance.")
+    authority_file: str | None = declare(
+        default=None,
+        description="Authorities whose certificates the other end must show. Required "
+        "between instances; on other listeners it asks clients for a certificate.",
+    )
+
+
+@attrs.frozen(kw_only=True)
+class ListenerSettings:
+    """One listener."""
+
+    host: str = declare(
+        default="127.0.0.1", description="IP number to listen on.", check=is_host
+    )
+    port: int = declare(
+        default=0, description="Port to listen on; 0 takes a free one.", check=_PORT
+    )
+    tls: TlsSettings | None = declare(
+        default=None, description="TLS files; null is plain TCP."
+    )
+
+
+@attrs.frozen(kw_only=True)
+class ListenersSettings:
+    """The three listeners of an instance."""
+
+    entry: ListenerSettings = declare_section(
+        ListenerSettings, description="Callers' requests."
+    )
+    admin: ListenerSettings = declare_section(
+        ListenerSettings, description="The operators' admin API."
+    )
+    inner: ListenerSettings = declare_section(
+        ListenerSettings, description="Other instances."
+    )
+
+    def __attrs_post_init__(self) -> None:
+        inner_tls = self.inner.tls
+        if inner_tls is not None and inner_tls.authority_file is None:
+            reason = "needs authority_file: TLS between instances is mutual"
+            raise FieldError(name="inner", value=None, reason=reason)
+        self._refuse_shared_ports()
+
+    def _refuse_shared_ports(self) -> None:
+        seen: set[tuple[str, int]] = set()
+        for name in ("entry", "admin", "inner"):
+            listener: ListenerSettings = getattr(self, name)
+            address = (listener.host, listener.port)
+            if listener.port and address in seen:
+                reason = "listens on the address of another listener"
+                value = f"{listener.host}:{listener.port}"
+                raise FieldError(name=name, value=value, reason=reason)
+            seen.add(address)
+
+
+@attrs.frozen(kw_only=True)
+class StoreSettings:
+    """The platform's configuration store."""
+
+    host: str = declare(
+        default="127.0.0.1", description="IP number of the store.", check=is_host
+    )
+    port: int = declare(
+        default=2400, description="Port of the store.", check=_REMOTE_PORT
+    )
+    token: str | None = declare(
+        default=None, description="Token shown to the store.", is_secret=True
+    )
+    timeout_ms: int = declare(
+        default=1_000,
+        unit="ms",
+        description="Longest wait for an answer of the store.",
+        check=is_within(10, 60_000),
+    )
+    watch_wait_ms: int = declare(
+        default=5_000,
+        unit="ms",
+        description="How long a watch is left open when nothing changes. A watch that "
+        "went silent is noticed one timeout later.",
+        check=is_within(100, 60_000),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class InstanceListSettings:
+    """The platform's list of live and leaving instances."""
+
+    host: str = declare(
+        default="127.0.0.1", description="IP number of the list.", check=is_host
+    )
+    port: int = declare(
+        default=2401, description="Port of the list.", check=_REMOTE_PORT
+    )
+    timeout_ms: int = declare(
+        default=1_000,
+        unit="ms",
+        description="Longest wait for an answer of the list.",
+        check=is_within(10, 60_000),
+    )
+    interval_ms: int = declare(
+        default=1_000,
+        unit="ms",
+        description="Time between two readings of the list.",
+        check=is_within(100, 60_000),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class PeerSettings:
+    """Inner address of another instance, for a start while the store is down."""
+
+    host: str = declare(description="IP number of the peer.", check=is_host)
+    port: int = declare(description="Inner port of the peer.", check=_REMOTE_PORT)
+
+
+@attrs.frozen(kw_only=True)
+class ShardSettings:
+    """How resources and jobs are split; must be the same on all instances."""
+
+    request_shards: int = declare(
+        default=64,
+        description="Number of shards for request keys and executors.",
+        check=is_within(1, _MAX_SHARDS),
+    )
+    worker_shards: int = declare(
+        default=1,
+        description="Number of shards for jobs and racks of workers.",
+        check=is_within(1, _MAX_SHARDS),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class AdminSettings:
+    """The admin API."""
+
+    cluster_tokens: tuple[str, ...] = declare(
+        default=(),
+        description="SHA-256 digests of the tokens that cover all teams. Several at "
+        "once let a token be replaced without a gap.",
+        check=is_digest,
+        is_secret=True,
+    )
+    history_limit: int = declare(
+        default=50,
+        description="Changes kept in the history of a team's configuration.",
+        check=is_within(1, 1_000),
+    )
+    max_wait_ms: int = declare(
+        default=60_000,
+        unit="ms",
+        description="Longest time that a call may wait for a revision to be in force.",
+        check=is_within(1, _HOUR_MS),
+    )
+
+
+@attrs.frozen(kw_only=True)
+class BaseSettings:
+    """The sections declared here; the daemon adds those of its other packages."""
+
+    instance: InstanceSettings = declare_section(
+        InstanceSettings, description="Who this instance is and where it stands."
+    )
+    listeners: ListenersSettings = declare_section(
+        ListenersSettings, description="Where the instance listens."
+    )
+    store: StoreSettings = declare_section(
+        StoreSettings, description="The platform's configuration store."
+    )
+    instances: InstanceListSettings = declare_section(
+        InstanceListSettings, description="The platform's list of instances."
+    )
+    peers: tuple[PeerSettings, ...] = declare(
+        default=(),
+        description="Inner addresses of other instances, asked for the configuration "
+        "when the store is down at the start.",
+    )
+    shards: ShardSettings = declare_section(
+        ShardSettings, description="How resources and jobs are split."
+    )
+    admin: AdminSettings = declare_section(AdminSettings, description="The admin API.")
