--- /dev/null
+++ b/trefoilhook/command/__init__.py
@@ -0,0 +1,1 @@
+"""Command line."""
