Add the command line over the admin API, and the arithmetic of burn

Cause: operators drive the system by one tool that talks to the public API alone and that scripts can rely on: exit codes are derived from the numbered result codes, so that "not sent" and "may have been done" end differently.

Each command is one declaration (arguments, options, examples, what it calls).

Ruled out: own retries of changes in the tool (the operator must see that the outcome is unknown; a job's id makes sending again safe); loading the drawing library for every command.

--- a/trefoilhook/admin/backend.py
+++ b/trefoilhook/admin/backend.py
@@ -150,6 +150,8 @@
         Why it ended, what it brought, and why it waits or where it was placed.
     submitted_ms : int, optional
         When it was recorded, in ms since the Unix epoch.
+    is_ended : bool, optional
+        Whether nothing more will happen to it.
     """
 
     job_id: str
@@ -165,6 +167,7 @@
     result: str = ""
     explanation: str = ""
     submitted_ms: int = 0
+    is_ended: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/trefoilhook/burn/__init__.py
+++ b/trefoilhook/burn/__init__.py
@@ -9,13 +9,19 @@
     TeamBurn,
     WindowBurn,
 )
+from trefoilhook.burn.ledger import BurnLedger, is_counted
+from trefoilhook.burn.report import FindObjective, build_report
 
 __all__ = [
     "Alert",
+    "BurnLedger",
     "BurnReport",
+    "FindObjective",
     "SeriesPoint",
     "ServiceBurn",
     "SourceRow",
     "TeamBurn",
     "WindowBurn",
+    "build_report",
+    "is_counted",
 ]
--- /dev/null
+++ b/trefoilhook/burn/ledger.py
@@ -0,0 +1,310 @@
+"""Counts of good and bad requests, kept by source and merged without loss.
+
+A source is one run of one instance: its id and its start. Its counts in a slot only
+grow, so that of two states of a slot the larger one is the later. Merging takes that
+one and never adds, whatever comes twice, late or by way of a third instance.
+"""
+
+import json
+from collections.abc import Iterable, Iterator
+
+import attrs
+from hdrh.histogram import HdrHistogram
+
+from trefoilhook.burn.messages import (
+    DAYS,
+    HOURS,
+    MINUTES,
+    EncodedLatencies,
+    LedgerMessage,
+    ServiceCounts,
+    SlotCounts,
+    SourceCounts,
+    Tier,
+)
+from trefoilhook.clock import Clock
+from trefoilhook.configuration import Objective
+from trefoilhook.exceptions import SettingsError
+from trefoilhook.results import ResultCode
+from trefoilhook.settings import dump_json, parse_json, read_message
+
+__all__ = ["BurnLedger", "build_histogram", "is_counted"]
+
+TIERS = (MINUTES, HOURS, DAYS)
+LATENCY_DAYS = 3
+
+_US_PER_MS = 1000.0
+_MAX_LATENCY_US = 3_600_000_000
+_DIGITS = 2
+_MAX_SOURCES = 2_000
+_MAX_AHEAD_SLOTS = 2
+_GOOD_CODES = (ResultCode.OK, ResultCode.REPLAYED)
+_FIRST_CALLERS_FAULT = 300
+_FIRST_SYSTEM_FAULT = 900
+
+
+def build_histogram() -> HdrHistogram:
+    """Build an empty histogram of latencies in us."""
+    return HdrHistogram(1, _MAX_LATENCY_US, _DIGITS)
+
+
+def is_counted(code: ResultCode) -> bool:
+    """Tell whether an answer says something about the service.
+
+    A caller's own fault and a quota that is used up don't: they would let one caller
+    spend the error budget of all.
+    """
+    if code is ResultCode.QUOTA_EXCEEDED:
+        return False
+    return not _FIRST_CALLERS_FAULT <= code.number < _FIRST_SYSTEM_FAULT
+
+
+@attrs.frozen(kw_only=True)
+class SourceKey:
+    """One run of one instance."""
+
+    instance_id: str
+    started_ms: float
+
+
+@attrs.define(kw_only=True)
+class ServiceState:
+    """Counts of a service at a source, by tier and slot, and latencies by day."""
+
+    slots: dict[str, dict[int, SlotCounts]] = attrs.field(
+        factory=lambda: {tier.name: {} for tier in TIERS}
+    )
+    latencies: dict[int, EncodedLatencies] = attrs.field(factory=dict)
+
+
+_ServiceKey = tuple[str, str]
+_Services = dict[_ServiceKey, ServiceState]
+
+
+@attrs.define(kw_only=True)
+class _LiveLatencies:
+    """The own histogram of the current day, not yet encoded."""
+
+    index: int
+    histogram: HdrHistogram = attrs.field(factory=build_histogram)
+
+    def encode(self) -> EncodedLatencies:
+        return EncodedLatencies(
+            index=self.index,
+            count=self.histogram.get_total_count(),
+            data=self.histogram.encode().decode("ascii"),
+        )
+
+
+class BurnLedger:
+    """Counts of this instance and of all others it has heard from.
+
+    Parameters
+    ----------
+    instance_id : str
+        This instance.
+    clock : Clock
+        Where time comes from.
+
+    Notes
+    -----
+    Failures guarded against. A restarted instance counts from zero: were its counts
+    taken for its earlier ones, requests would vanish from the report; its start makes
+    it another source. A lost instance takes its counts along: each of its peers keeps
+    what it last heard. A state that comes twice or late must not count twice or wipe
+    a newer one: the larger state of a slot stays.
+    """
+
+    def __init__(self, *, instance_id: str, clock: Clock) -> None:
+        self._clock = clock
+        self._own = SourceKey(instance_id=instance_id, started_ms=clock.wall_ms())
+        self._sources: dict[SourceKey, _Services] = {self._own: {}}
+        self._live: dict[_ServiceKey, _LiveLatencies] = {}
+
+    def record(
+        self,
+        *,
+        team: str,
+        service: str,
+        code: ResultCode,
+        latency_ms: float,
+        objective: Objective,
+    ) -> None:
+        """Count the answer to one request.
+
+        Parameters
+        ----------
+        team, service : str
+            Which service.
+        code : ResultCode
+            What became of the request.
+        latency_ms : float
+            Time from the request's arrival to its answer, in ms.
+        objective : Objective
+            The service's objective.
+        """
+        if not is_counted(code):
+            return
+        now_ms = self._clock.wall_ms()
+        key = (team, service)
+        state = self._sources[self._own].setdefault(key, ServiceState())
+        is_good = code in _GOOD_CODES and latency_ms <= objective.latency_ms
+        for tier in TIERS:
+            _count(state.slots[tier.name], tier, now_ms, is_good=is_good)
+        if code in _GOOD_CODES:
+            self._record_latency(state, key, now_ms, latency_ms)
+
+    def encode(self, *, after_ms: float = 0.0, is_own_only: bool = False) -> str:
+        """Return counts as JSON, for other instances to `merge`.
+
+        Parameters
+        ----------
+        after_ms : float, optional
+            Only slots that were still open at this wall time, in ms.
+        is_own_only : bool, optional
+            Leave out what was heard from others.
+        """
+        self._settle()
+        sources = tuple(
+            SourceCounts(
+                instance_id=key.instance_id,
+                started_ms=key.started_ms,
+                services=tuple(_encode_services(services, after_ms)),
+            )
+            for key, services in self._sources.items()
+            if key == self._own or not is_own_only
+        )
+        message = LedgerMessage(sources=sources)
+        return json.dumps(dump_json(message), separators=(",", ":"))
+
+    def merge(self, text: str) -> bool:
+        """Take in what another instance encoded; False if it can't be read."""
+        try:
+            message = read_message(LedgerMessage, parse_json(text))
+        except SettingsError:
+            return False
+        now_ms = self._clock.wall_ms()
+        for source in message.sources:
+            key = SourceKey(
+                instance_id=source.instance_id, started_ms=source.started_ms
+            )
+            if key == self._own:
+                continue
+            services = self._sources.setdefault(key, {})
+            for counts in source.services:
+                service = (counts.team, counts.service)
+                state = services.setdefault(service, ServiceState())
+                _merge_service(state, counts, now_ms)
+        self._drop_old_sources()
+        return True
+
+    def list_sources(self) -> Iterator[tuple[SourceKey, _Services]]:
+        """Yield each source with its services, settled and without old slots."""
+        self._settle()
+        yield from self._sources.items()
+
+    def _record_latency(
+        self, state: ServiceState, key: _ServiceKey, now_ms: float, latency_ms: float
+    ) -> None:
+        index = DAYS.find_slot(now_ms)
+        live = self._live.get(key)
+        if live is None or live.index != index:
+            if live is not None:
+                state.latencies[live.index] = live.encode()
+            live = self._live[key] = _LiveLatencies(index=index)
+        latency_us = int(latency_ms * _US_PER_MS)
+        live.histogram.record_value(min(max(latency_us, 1), _MAX_LATENCY_US))
+
+    def _settle(self) -> None:
+        """Encode the live histograms and drop what is too old."""
+        own = self._sources[self._own]
+        for key, live in self._live.items():
+            own[key].latencies[live.index] = live.encode()
+        now_ms = self._clock.wall_ms()
+        for services in self._sources.values():
+            for state in services.values():
+                _drop_old_slots(state, now_ms)
+        self._drop_old_sources()
+
+    def _drop_old_sources(self) -> None:
+        """Drop sources without counts and, above the bound, those started first."""
+        others = sorted(
+            (key for key in self._sources if key != self._own),
+            key=lambda key: key.started_ms,
+        )
+        excess = len(others) - _MAX_SOURCES
+        for position, key in enumerate(others):
+            is_empty = not any(
+                any(state.slots.values()) for state in self._sources[key].values()
+            )
+            if is_empty or position < excess:
+                del self._sources[key]
+
+
+def _count(
+    slots: dict[int, SlotCounts], tier: Tier, now_ms: float, *, is_good: bool
+) -> None:
+    index = tier.find_slot(now_ms)
+    known = slots.get(index)
+    if known is None:
+        known = SlotCounts(index=index, good=0, bad=0)
+        _drop_old(slots, tier, now_ms)
+    slots[index] = SlotCounts(
+        index=index, good=known.good + is_good, bad=known.bad + (not is_good)
+    )
+
+
+def _drop_old(slots: dict[int, SlotCounts], tier: Tier, now_ms: float) -> None:
+    oldest = tier.find_slot(now_ms) - tier.slots + 1
+    for index in [index for index in slots if index < oldest]:
+        del slots[index]
+
+
+def _drop_old_slots(state: ServiceState, now_ms: float) -> None:
+    for tier in TIERS:
+        _drop_old(state.slots[tier.name], tier, now_ms)
+    oldest = DAYS.find_slot(now_ms) - LATENCY_DAYS + 1
+    for index in [index for index in state.latencies if index < oldest]:
+        del state.latencies[index]
+
+
+def _merge_service(state: ServiceState, counts: ServiceCounts, now_ms: float) -> None:
+    for tier in TIERS:
+        slots = state.slots[tier.name]
+        newest = tier.find_slot(now_ms) + _MAX_AHEAD_SLOTS
+        incoming: tuple[SlotCounts, ...] = getattr(counts, tier.name)
+        for slot in incoming:
+            known = slots.get(slot.index)
+            is_later = known is None or slot.total > known.total
+            if is_later and slot.index <= newest and min(slot.good, slot.bad) >= 0:
+                slots[slot.index] = slot
+    for latencies in counts.latencies:
+        held = state.latencies.get(latencies.index)
+        if held is None or latencies.count > held.count:
+            state.latencies[latencies.index] = latencies
+    _drop_old_slots(state, now_ms)
+
+
+def _list_open(
+    slots: Iterable[SlotCounts], tier: Tier, after_ms: float
+) -> tuple[SlotCounts, ...]:
+    first = tier.find_slot(after_ms)
+    return tuple(slot for slot in slots if slot.index >= first)
+
+
+def _encode_services(services: _Services, after_ms: float) -> Iterator[ServiceCounts]:
+    first_day = DAYS.find_slot(after_ms)
+    for (team, service), state in services.items():
+        minutes, hours, days = (
+            _list_open(state.slots[tier.name].values(), tier, after_ms)
+            for tier in TIERS
+        )
+        latencies = state.latencies.values()
+        yield ServiceCounts(
+            team=team,
+            service=service,
+            minutes=minutes,
+            hours=hours,
+            days=days,
+            latencies=tuple(one for one in latencies if one.index >= first_day),
+        )
--- /dev/null
+++ b/trefoilhook/command/__main__.py
@@ -0,0 +1,16 @@
+"""Entry point of ``trefoilhook``."""
+
+import sys
+
+from trefoilhook.command.application import build_application
+
+__all__ = ["main"]
+
+
+def main() -> None:
+    """Run the tool and exit with its code."""
+    sys.exit(build_application().run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/trefoilhook/command/application.py
@@ -0,0 +1,30 @@
+"""The tool as a whole."""
+
+from cleo.application import Application
+
+from trefoilhook import __version__
+from trefoilhook.command import cluster, configuration, jobs
+from trefoilhook.command.client import Send
+from trefoilhook.command.core import ApiCommand, CommandSpec
+
+__all__ = ["SPECS", "build_application"]
+
+SPECS: tuple[CommandSpec, ...] = (
+    *configuration.SPECS,
+    *jobs.SPECS,
+    *cluster.SPECS,
+)
+
+
+def build_application(*, send: Send | None = None) -> Application:
+    """Build the tool.
+
+    Parameters
+    ----------
+    send : callable, optional
+        Sends a request; to the address in the options when not given.
+    """
+    application = Application("trefoilhook", __version__)
+    for spec in SPECS:
+        application.add(ApiCommand(spec=spec, send=send))
+    return application
--- a/trefoilhook/settings/__init__.py
+++ b/trefoilhook/settings/__init__.py
@@ -14,6 +14,7 @@
     dump_json,
     load_settings,
     parse_json,
+    read_message,
     read_settings,
 )
 from trefoilhook.settings.sections import (
@@ -53,6 +54,7 @@
     "is_within",
     "load_settings",
     "parse_json",
+    "read_message",
     "read_settings",
     "render_page",
 ]
--- a/trefoilhook/settings/reader.py
+++ b/trefoilhook/settings/reader.py
@@ -33,7 +33,13 @@
     show_value,
 )
 
-__all__ = ["dump_json", "load_settings", "parse_json", "read_settings"]
+__all__ = [
+    "dump_json",
+    "load_settings",
+    "parse_json",
+    "read_message",
+    "read_settings",
+]
 
 T = TypeVar("T")
 _Hook = Callable[[Any, Any], Any]
@@ -104,12 +110,15 @@
     return get_origin(kind) is origin
 
 
-def _build_converter() -> cattrs.Converter:
-    converter = cattrs.Converter(forbid_extra_keys=True, detailed_validation=True)
+def _build_converter(*, is_strict: bool) -> cattrs.Converter:
+    """Build a converter; one that is not strict passes unknown names over."""
+    converter = cattrs.Converter(detailed_validation=True)
 
     @converter.register_structure_hook_factory(attrs.has)
     def build_class_hook(target: Any) -> _Hook:
-        read = make_dict_structure_fn(target, converter, _cattrs_forbid_extra_keys=True)
+        read = make_dict_structure_fn(
+            target, converter, _cattrs_forbid_extra_keys=is_strict
+        )
         return _guard(dict, read)
 
     @converter.register_structure_hook_factory(lambda kind: _is_generic(kind, tuple))
@@ -129,7 +138,8 @@
     return converter
 
 
-_CONVERTER = _build_converter()
+_CONVERTER = _build_converter(is_strict=True)
+_LENIENT_CONVERTER = _build_converter(is_strict=False)
 
 
 def _find_value(data: Any, path: _Path) -> Any:
@@ -217,8 +227,20 @@
         If a name is unknown, a type wrong, a value out of bounds or a combination
         impossible; lists the problems with path, value, reason and nearest name.
     """
+    return _read(_CONVERTER, cls, data)
+
+
+def read_message(cls: type[T], data: Any) -> T:
+    """Read parsed JSON from another version of the system; see `read_settings`.
+
+    Unknown names are passed over, since a newer version may have added some.
+    """
+    return _read(_LENIENT_CONVERTER, cls, data)
+
+
+def _read(converter: cattrs.Converter, cls: type[T], data: Any) -> T:
     try:
-        return _CONVERTER.structure(data, cls)
+        return converter.structure(data, cls)
     except RecursionError:
         problem = SettingProblem(path="", value="", reason="is nested too deeply")
         raise InvalidSettingsError(problems=[problem]) from None
