--- a/trefoilhook/results/core.py
+++ b/trefoilhook/results/core.py
@@ -94,6 +94,7 @@
     NO_EXECUTOR = _not_run(105, 503, True, "Not run: no live executor for the service.")
     QUOTA_EXCEEDED = _not_run(106, 429, True, "Not run: the team's quota is used up.")
     OWNER_UNREACHABLE = _not_run(107, 503, True, "Not run: the owner wasn't reached.")
+    KEY_AHEAD = _not_run(108, 409, True, "Not run: the key's time lies ahead.")
 
     # 200-299: nobody can tell whether it was run; it is never sent again.
     ANSWER_LOST = _unknown(200, 504, False, "Sent, but no whole answer came back.")
@@ -118,8 +119,7 @@
     IMPOSSIBLE_JOB = _not_run(306, 422, False, "Not run: no worker could ever hold it.")
     METHOD_NOT_ALLOWED = _not_run(307, 405, False, "Not run: method not allowed here.")
     SLOW_SENDER = _not_run(308, 408, True, "Not run: the request came too slowly.")
-    KEY_AHEAD = _not_run(309, 409, True, "Not run: the key's time lies ahead.")
-    CANCELLED_UNSTARTED = _not_run(310, 200, False, "Not run: cancelled before that.")
+    CANCELLED_UNSTARTED = _not_run(309, 200, False, "Not run: cancelled before that.")
 
     # 400-499: not run, for want of a right.
     UNAUTHENTICATED = _not_run(400, 401, False, "Not run: no valid token was given.")
