--- /dev/null
+++ b/bench/placement_schemes.py
@@ -0,0 +1,220 @@
+"""What the decisions are measured against: baselines, an oracle, and ablations."""
+
+import attrs
+import numpy as np
+
+from bench.placement_driver import Scheme
+from bench.placement_world import CLASSES, LOAD_GAIN, LOAD_POWER
+from trefoilhook.placement import (
+    LATENCY_FIRST,
+    THROUGHPUT_FIRST,
+    Reaction,
+    ReactionKind,
+    Scores,
+    TaskKind,
+    TaskPhase,
+    decide_reactions,
+    score_rows,
+)
+
+__all__ = ["PRESETS", "build_ablations", "build_schemes"]
+
+PRESETS = {"carrowmore": LATENCY_FIRST, "agency": THROUGHPUT_FIRST}
+EVICT_REST_MS = 30_000.0
+
+
+def _score_all(cost):
+    return Scores(
+        cost=cost, excess=np.zeros(len(cost)), admissible=np.ones(len(cost), dtype=bool)
+    )
+
+
+def _build_random(world, driver):
+    def score(state, task, class_index, rows, policy):
+        return _score_all(-1.0 - driver.rng.random(len(rows)))
+
+    return score
+
+
+def _left(state, task, rows):
+    return state.table.room[rows, 0] - task.resources.cores
+
+
+def _build_best_fit(world, driver):
+    def score(state, task, class_index, rows, policy):
+        return _score_all(_left(state, task, rows) - 1000.0)
+
+    return score
+
+
+def _build_separate(world, driver):
+    """Services on the first workers of each rack, everything else on the others."""
+    user = world.user
+    needed = int(np.ceil(user.services * 4.0 * 1.1 / user.cores))
+    order = sorted(range(user.workers), key=lambda n: (n % user.rack_size, n))
+    kept = {f"w{number}" for number in order[:needed]}
+
+    def score(state, task, class_index, rows, policy):
+        names = [state.table.ids[row] for row in rows]
+        inside = np.array([name in kept for name in names])
+        right = inside == (task.kind is TaskKind.SERVICE)
+        cost = _left(state, task, rows) - 1000.0 + 2000.0 * ~right
+        return attrs.evolve(_score_all(cost), admissible=right)
+
+    return score
+
+
+def _react_nothing(state, now_ms, policy):
+    """Only tell workers that fail everything, as the ladder does."""
+    return tuple(
+        reaction
+        for reaction in decide_reactions(state, now_ms, policy)
+        if reaction.kind in (ReactionKind.QUARANTINE, ReactionKind.RELEASE)
+    )
+
+
+def _react_by_evicting(state, now_ms, policy):
+    """Evict the largest batch task wherever a report is past the target."""
+    reactions = list(_react_nothing(state, now_ms, policy))
+    for worker in state.workers.values():
+        late = state.table.late[worker.slot] > 0.0
+        if not late or now_ms - worker.acted_at_ms < EVICT_REST_MS:
+            continue
+        victims = [
+            task
+            for task in worker.residents.values()
+            if task.shape.kind is TaskKind.BATCH
+            and task.phase is TaskPhase.RUNNING
+            and not task.shape.urgent
+        ]
+        if victims:
+            largest = max(victims, key=lambda task: task.expected_cores)
+            reactions.append(
+                Reaction(
+                    kind=ReactionKind.CHECKPOINT_EVICT,
+                    worker_id=worker.shape.worker_id,
+                    task_id=largest.shape.task_id,
+                )
+            )
+    return tuple(reactions)
+
+
+def _watch_truth(world, state):
+    """Write the truth over what was learned: usage and the matrix, as of now."""
+    for task_id, task in state.tasks.items():
+        slot = world.tasks.get(task_id)
+        if slot is None:
+            continue
+        ahead = max(world.demand(), world.demand(world.now_s + 300.0))
+        wanted = world.true[slot] * (ahead if world.service[slot] else 1.0)
+        capped = wanted if world.service[slot] else min(wanted, world.declared[slot])
+        task.expected_cores = float(capped)
+
+
+def _build_oracle(world, driver):
+    """Score by the hidden matrix, true sizes and true loudness."""
+
+    def score(state, task, class_index, rows, policy):
+        arrival = driver.arrivals[task.task_id]
+        weights = _truth(world, driver, state, rows)
+        own_cores = min(arrival.true_cores, task.resources.cores)
+        kind = CLASSES.index(task.task_class)
+        push = own_cores * arrival.noise / world.user.cores
+        return _score_truth(world, state, task, rows, kind, push, weights, policy)
+
+    return score
+
+
+def _truth(world, driver, state, rows):
+    count = len(CLASSES)
+    pressure = np.zeros((len(rows), count))
+    services = np.zeros((len(rows), count))
+    load = np.zeros(len(rows))
+    ahead = max(world.demand(), world.demand(world.now_s + 300.0))
+    loud = world.aggression()
+    for place, row in enumerate(rows):
+        for task_id, held in state.workers[state.table.ids[row]].residents.items():
+            arrival = driver.arrivals[task_id]
+            kind = CLASSES.index(held.shape.task_class)
+            used = min(arrival.true_cores, held.shape.resources.cores) * held.speed
+            if held.shape.kind is TaskKind.SERVICE:
+                used = arrival.true_cores * ahead
+                services[place, kind] += 1.0
+            share = used / world.user.cores
+            load[place] += share
+            pressure[place, kind] += share * arrival.noise * loud[kind]
+    return pressure, services, load
+
+
+def _excess_truth(world, pressure, load):
+    flat = world.matrix * world.flat
+    rising = world.matrix - flat
+    gain = (LOAD_GAIN * np.minimum(load, 1.0) ** LOAD_POWER)[:, None]
+    return pressure @ flat.T + gain * (pressure @ rising.T)
+
+
+def _score_truth(world, state, task, rows, kind, push, weights, policy):
+    pressure, services, load = weights
+    before = _excess_truth(world, pressure, load) / 0.1
+    grown = pressure.copy()
+    grown[:, kind] += push
+    after = _excess_truth(world, grown, load + push) / 0.1
+    tail = (services * (after**2 - before**2)).sum(axis=1)
+    if task.kind is TaskKind.SERVICE:
+        cost = policy.tail_weight * (tail + after[:, kind] ** 2) + 0.1 * load
+        return _score_all(cost)
+    worst = np.where(services > 0.0, after, 0.0).max(axis=1)
+    hurt = 0.1 * (after[:, kind] + ((after - before) * pressure).sum(axis=1) / push)
+    cost = policy.tail_weight * tail - policy.batch_weight * push * (1.0 - hurt)
+    cost += policy.packing_weight * (1.0 - load)
+    within = worst <= max(policy.admit_ratio, 0.9)
+    return attrs.evolve(
+        _score_all(cost), excess=worst, admissible=within | (tail <= 1e-3)
+    )
+
+
+def build_schemes(user):
+    """Build the decisions, the oracle and the baselines for a user's weights."""
+    policy = PRESETS[user]
+    return {
+        "decisions": Scheme(name="decisions", policy=policy),
+        "oracle": Scheme(
+            name="oracle",
+            policy=policy,
+            build_scorer=_build_oracle,
+            watch=_watch_truth,
+            instant=True,
+        ),
+        "random fit": Scheme(
+            name="random fit",
+            policy=policy,
+            build_scorer=_build_random,
+            react=_react_nothing,
+        ),
+        "best fit": Scheme(
+            name="best fit",
+            policy=policy,
+            build_scorer=_build_best_fit,
+            react=_react_nothing,
+        ),
+        "separate workers": Scheme(
+            name="separate workers",
+            policy=policy,
+            build_scorer=_build_separate,
+            react=_react_nothing,
+        ),
+        "reaction only": Scheme(
+            name="reaction only",
+            policy=policy,
+            build_scorer=_build_best_fit,
+            react=_react_by_evicting,
+        ),
+    }
+
+
+def build_ablations(user):
+    """Build the decisions with one mechanism at a time switched off."""
+    policy = PRESETS[user]
+    return {
+        "score": Scheme(name="x", policy=policy, build_scorer=lambda w, d: score_rows)
+    }
--- a/trefoilhook/placement/policy.py
+++ b/trefoilhook/placement/policy.py
@@ -54,6 +54,12 @@
     packing_weight: float = _setting(
         0.2, "1", "Weight of filling workers that are already in use."
     )
+    takeover_weight: float = _setting(
+        1.0, "1", "Cost of a first service on a worker that batch had to itself."
+    )
+    service_fill: float = _setting(
+        0.6, "ratio", "Part of a worker's cores that services share before others."
+    )
     risk: float = _setting(
         0.5,
         "standard deviations",
--- a/trefoilhook/placement/queue.py
+++ b/trefoilhook/placement/queue.py
@@ -14,7 +14,7 @@
 
 __all__ = ["WaitingTask", "order_queue"]
 
-_RUN_SCALE_MS = 600_000.0
+_RUN_SCALE_MS = 1_200_000.0
 
 
 @attrs.frozen(kw_only=True, slots=True)
@@ -33,12 +33,12 @@
     queued_at_ms: float
 
 
-@attrs.frozen(kw_only=True, slots=True, order=True)
-class _Rank:
+@attrs.frozen(kw_only=True, slots=True)
+class _Ranked:
+    entry: WaitingTask
     band: int
-    weight: float
-    queued_at_ms: float
-    task_id: str
+    run_ms: float
+    weight: float = 0.0
 
 
 def order_queue(
@@ -72,38 +72,42 @@
     less, a long wait takes it to the front. Idle cores go to whoever waits, for
     nothing here caps a team that has no rival.
     """
+    pool = [_classify(state, entry) for entry in waiting]
+    pool.sort(key=lambda ranked: ranked.run_ms)
     held = dict(state.team_cores)
-    ranked: list[tuple[_Rank, WaitingTask]] = []
-    for entry in sorted(waiting, key=lambda entry: _expect_run_ms(state, entry.shape)):
-        rank = _rank(state, entry, held, now_ms, policy)
-        ranked.append((rank, entry))
-    ranked.sort(key=lambda pair: pair[0])
-    return tuple(entry for _, entry in ranked)
+    weighed = [_weigh(ranked, held, now_ms, policy) for ranked in pool]
+    weighed.sort(
+        key=lambda ranked: (
+            ranked.band,
+            ranked.weight,
+            ranked.entry.queued_at_ms,
+            ranked.entry.shape.task_id,
+        )
+    )
+    return tuple(ranked.entry for ranked in weighed)
 
 
-def _rank(
-    state: "ShardState",
-    entry: WaitingTask,
-    held: dict[str, float],
-    now_ms: float,
-    policy: Policy,
-) -> _Rank:
+def _classify(state: "ShardState", entry: WaitingTask) -> _Ranked:
     shape = entry.shape
-    band = _band(shape)
-    weight = 0.0
-    if band == _BATCH_BAND:
-        team = shape.team
-        total = held.get(team, 0.0) + shape.resources.cores
-        held[team] = total
-        starved = (now_ms - entry.queued_at_ms) / policy.starvation_ms
-        run = _expect_run_ms(state, shape) / (_RUN_SCALE_MS + policy.starvation_ms)
-        weight = total / policy.team_weight(team) * (1.0 + min(run, 1.0))
-        weight *= max(0.0, 1.0 - starved)
-    return _Rank(
-        band=band,
-        weight=weight,
-        queued_at_ms=entry.queued_at_ms,
-        task_id=shape.task_id,
+    key = RatioKey(team=shape.team, task_class=shape.task_class)
+    run_ms = state.run_ratios.quantile(key, 0.5) * shape.declared_run_ms
+    return _Ranked(entry=entry, band=_band(shape), run_ms=run_ms)
+
+
+def _weigh(
+    ranked: _Ranked, held: dict[str, float], now_ms: float, policy: Policy
+) -> _Ranked:
+    if ranked.band != _BATCH_BAND:
+        return ranked
+    shape = ranked.entry.shape
+    total = held.get(shape.team, 0.0) + shape.resources.cores
+    held[shape.team] = total
+    starved = (now_ms - ranked.entry.queued_at_ms) / policy.starvation_ms
+    weight = total / policy.team_weight(shape.team)
+    weight *= 1.0 + min(ranked.run_ms / _RUN_SCALE_MS, 1.0)
+    weight *= max(0.0, 1.0 - starved)
+    return _Ranked(
+        entry=ranked.entry, band=ranked.band, run_ms=ranked.run_ms, weight=weight
     )
 
 
@@ -121,8 +125,3 @@
     if shape.kind is TaskKind.WATCHER:
         return _WATCHER_BAND
     return _BATCH_BAND
-
-
-def _expect_run_ms(state: "ShardState", shape: TaskShape) -> float:
-    key = RatioKey(team=shape.team, task_class=shape.task_class)
-    return state.run_ratios.quantile(key, 0.5) * shape.declared_run_ms
--- a/trefoilhook/placement/refresh.py
+++ b/trefoilhook/placement/refresh.py
@@ -77,6 +77,7 @@
     services = [0.0] * CLASS_LIMIT
     scale = [0.0] * CLASS_LIMIT
     wanted = 0.0
+    declared = 0.0
     for task in worker.residents.values():
         index = task.class_index
         shares[index] += task.expected_cores * task.speed
@@ -84,10 +85,12 @@
             services[index] += 1.0
             scale[index] = max(scale[index], 1.0 / bearable_excess(task.shape))
             wanted += _expect_overuse(state, task)
+            declared += task.shape.resources.cores
     table.pressure[row] = shares
     table.pressure[row] /= worker.shape.capacity.cores
     table.load[row] = sum(shares) / worker.shape.capacity.cores
     table.services[row] = services
+    table.service_cores[row] = declared
     table.scale[row] = scale
     table.guarded_room[row, ROOM_CORES] -= wanted
     _write_excess(state, row)
--- a/trefoilhook/placement/scoring.py
+++ b/trefoilhook/placement/scoring.py
@@ -7,7 +7,9 @@
     - batch_weight * x                      (batch and watchers)
     + spread_weight * crowding              (services)
     + packing_weight * idle share           (batch and watchers)
-    + balance_weight * load                 (services)
+    + balance cost * load                   (services)
+    + takeover_weight where the worker holds no service yet, and a steep cost past
+      ``service_fill`` of its cores         (services)
     + a fixed cost for occupying an accelerated worker without need
 
 ``e`` and ``e'`` are the predicted excess slowdowns before and after, ``b`` the
@@ -36,6 +38,7 @@
 _ACCELERATOR_COST = 1.0
 _BALANCE_COST = 0.1
 _MATERIAL_TAIL = 1e-3
+_OVERFILL_COST = 100.0
 
 Floats = npt.NDArray[np.float64]
 Rows = npt.NDArray[np.intp]
@@ -162,4 +165,23 @@
     )
     cost = policy.tail_weight * (tail + own * own) + policy.spread_weight * crowding
     cost += _BALANCE_COST * (state.table.load.take(rows) + share)
+    cost += _cost_taking_over(state, task, rows, policy)
     return Scores(cost=cost, excess=own, admissible=np.ones(len(rows), dtype=bool))
+
+
+def _cost_taking_over(
+    state: "ShardState", task: TaskShape, rows: Rows, policy: Policy
+) -> Floats:
+    """Return what it costs batch work that a service comes to each row.
+
+    Notes
+    -----
+    A worker without services takes any batch task, one with services only what they
+    bear. So services share workers, up to a part of the cores that leaves each room.
+    """
+    table = state.table
+    held = table.service_cores.take(rows)
+    share = (held + task.resources.cores) / table.capacity_cores.take(rows)
+    cost = policy.takeover_weight * (held == 0.0)
+    over = np.maximum(share - policy.service_fill, 0.0)
+    return np.asarray(cost + _OVERFILL_COST * over * over)
--- a/trefoilhook/placement/table.py
+++ b/trefoilhook/placement/table.py
@@ -66,6 +66,8 @@
         Predicted part of the bearable excess of the services of each class.
     loaded : array, shape (rows, CLASS_LIMIT)
         What one more unit of load adds to the slowdown of each class.
+    service_cores : array
+        Cores that services declare.
     residual : array
         Recent measured excess above what the model predicts.
     late : array
@@ -84,6 +86,7 @@
     scale: Floats = attrs.field(factory=_columns)
     excess: Floats = attrs.field(factory=_columns)
     loaded: Floats = attrs.field(factory=_columns)
+    service_cores: Floats = attrs.field(factory=_column)
     residual: Floats = attrs.field(factory=_column)
     late: Floats = attrs.field(factory=_column)
     accelerated: Floats = attrs.field(factory=_column)
