Run worker shards: jobs, sessions with workers, and routing to their owners

A job is recorded before it is accepted, placed by the placement package and started at the owner's epoch. A later owner asks every recorded worker before it starts anything that may run unseen, and waits two worker leases for those it can't reach.

Ruled out: journalling each placement (every start would cost a record; the workers' inventories tell the same), except for jobs that must not be repeated, whose start is recorded first. Ruled out: attempt numbers reserved in blocks. Settings of membership, jobs, inner protocol and requests are now declared once with unit and description.

--- /dev/null
+++ b/trefoilhook/jobs/__init__.py
@@ -0,0 +1,27 @@
+"""The life of a job: accepted, placed, run once in one place, ended."""
+
+from trefoilhook.jobs.book import JobBook
+from trefoilhook.jobs.core import Attempt, Job, JobSpec, JobState
+from trefoilhook.jobs.journal import JobJournal
+from trefoilhook.jobs.messages import JobRecord, RecordKind, WorkerAddress
+from trefoilhook.jobs.runner import ShardRunner
+from trefoilhook.jobs.service import JobService
+from trefoilhook.jobs.sessions import WorkerSession, compose_epoch
+from trefoilhook.jobs.settings import JobSettings
+
+__all__ = [
+    "Attempt",
+    "Job",
+    "JobBook",
+    "JobJournal",
+    "JobRecord",
+    "JobService",
+    "JobSettings",
+    "JobSpec",
+    "JobState",
+    "RecordKind",
+    "ShardRunner",
+    "WorkerAddress",
+    "WorkerSession",
+    "compose_epoch",
+]
--- /dev/null
+++ b/trefoilhook/jobs/planner.py
@@ -0,0 +1,135 @@
+"""From the decisions of placement to orders, for one shard."""
+
+import numpy as np
+
+from trefoilhook.jobs.book import JobBook
+from trefoilhook.jobs.core import Job, JobState
+from trefoilhook.logs import Event, log_event
+from trefoilhook.placement import (
+    Impossible,
+    Placement,
+    Policy,
+    Preempt,
+    Reaction,
+    ReactionKind,
+    TaskPhase,
+    WaitingTask,
+    apply_reaction,
+    begin_preemption,
+    decide_placement,
+    decide_reactions,
+    explain_placement,
+    order_queue,
+    render_explanation,
+)
+from trefoilhook.results import ResultCode
+
+__all__ = ["explain_job", "place_waiting", "react_to_reports"]
+
+
+def place_waiting(
+    book: JobBook,
+    *,
+    now_ms: float,
+    wall_ms: float,
+    generator: np.random.Generator,
+    policy: Policy,
+    limit: int,
+) -> None:
+    """Start the waiting jobs that fit now, in the order of the queue.
+
+    Parameters
+    ----------
+    book : JobBook
+        The shard's jobs.
+    now_ms : float
+        Monotonic time, in ms.
+    wall_ms : float
+        Time since the Unix epoch, in ms.
+    generator : numpy.random.Generator
+        Draws the workers that are looked at.
+    policy : Policy
+        Weights and thresholds.
+    limit : int
+        Most jobs to look at.
+    """
+    waiting = [
+        WaitingTask(shape=job.spec.build_shape(), queued_at_ms=job.spec.submitted_ms)
+        for job in book.jobs.values()
+        if job.state is JobState.QUEUED and not job.is_cancelled
+    ]
+    ordered = order_queue(book.placement, waiting, wall_ms, policy)
+    for entry in ordered[:limit]:
+        job = book.jobs[entry.shape.task_id]
+        _place(book, job, entry, now_ms, wall_ms, generator, policy)
+
+
+def _place(
+    book: JobBook,
+    job: Job,
+    entry: WaitingTask,
+    now_ms: float,
+    wall_ms: float,
+    generator: np.random.Generator,
+    policy: Policy,
+) -> None:
+    if not book.placement.workers:
+        return
+    shape = entry.shape
+    decision = decide_placement(book.placement, shape, now_ms, generator, policy)
+    if isinstance(decision, Placement):
+        book.placement.reserve(shape, decision.worker_id, now_ms)
+        book.start(job, decision.worker_id, wall_ms)
+        log_event(Event.JOB_STARTED, job=shape.task_id, worker=decision.worker_id)
+    elif isinstance(decision, Impossible):
+        detail = f"{decision.reason.value}: {decision.declared}, {decision.limit}"
+        book.refuse(job, ResultCode.IMPOSSIBLE_JOB, detail, wall_ms)
+    elif isinstance(decision, Preempt):
+        begin_preemption(book.placement, shape, decision, now_ms, policy)
+        for task_id in decision.victims:
+            book.order_eviction(book.jobs[task_id])
+            log_event(Event.JOB_EVICTED, job=task_id, urgent_job=shape.task_id)
+
+
+def react_to_reports(book: JobBook, now_ms: float, policy: Policy) -> None:
+    """Throttle, evict or move what slows services, as the reports say."""
+    for reaction in decide_reactions(book.placement, now_ms, policy):
+        if _is_possible(book, reaction):
+            apply_reaction(book.placement, reaction, now_ms, policy)
+            _order_reaction(book, reaction)
+
+
+def _is_possible(book: JobBook, reaction: Reaction) -> bool:
+    if reaction.task_id is None:
+        return True
+    task = book.placement.tasks.get(reaction.task_id)
+    return task is not None and task.phase is TaskPhase.RUNNING
+
+
+def _order_reaction(book: JobBook, reaction: Reaction) -> None:
+    if reaction.kind is ReactionKind.QUARANTINE:
+        log_event(Event.WORKER_QUARANTINED, worker=reaction.worker_id)
+    if reaction.task_id is None:
+        return
+    job = book.jobs[reaction.task_id]
+    if reaction.kind in (ReactionKind.THROTTLE, ReactionKind.UNTHROTTLE):
+        book.order_speed(job, reaction.speed)
+    else:
+        book.order_eviction(job)
+        log_event(Event.JOB_EVICTED, job=reaction.task_id)
+
+
+def explain_job(
+    book: JobBook,
+    job: Job,
+    now_ms: float,
+    generator: np.random.Generator,
+    policy: Policy,
+) -> str:
+    """Say in words why a job waits, or where it was placed and against what."""
+    if job.state is JobState.ENDED:
+        return f"ended: {job.detail or 'see its result'}"
+    explanation = explain_placement(
+        book.placement, job.spec.build_shape(), now_ms, generator, policy
+    )
+    return render_explanation(explanation)
--- /dev/null
+++ b/trefoilhook/jobs/runner.py
@@ -0,0 +1,461 @@
+"""The task that owns one worker shard: its jobs, its workers and its journal."""
+
+from collections.abc import Callable, Sequence
+from typing import TypeVar
+
+import attrs
+import numpy as np
+import trio
+
+from trefoilhook.clock import Clock
+from trefoilhook.exceptions import (
+    FencedError,
+    RequestError,
+    StoreError,
+    StoreRateError,
+    StoreUnavailableError,
+    TrefoilhookError,
+)
+from trefoilhook.instances import InstanceState, WorkerRecord
+from trefoilhook.jobs.book import JobBook
+from trefoilhook.jobs.core import Job, JobSpec, JobState
+from trefoilhook.jobs.journal import JobJournal
+from trefoilhook.jobs.messages import (
+    Commit,
+    JobRecord,
+    RecordKind,
+    WorkerAddress,
+)
+from trefoilhook.jobs.planner import explain_job, place_waiting, react_to_reports
+from trefoilhook.jobs.sessions import (
+    InventoryTaken,
+    NewsHeard,
+    SessionEvent,
+    WorkerLapsed,
+    WorkerSession,
+)
+from trefoilhook.jobs.settings import JobSettings
+from trefoilhook.logs import Event, log_event
+from trefoilhook.placement import (
+    Policy,
+    Resources,
+    ServiceSlowdown,
+    TaskUsage,
+    UsageReport,
+    WorkerShape,
+)
+from trefoilhook.results import ResultCode
+from trefoilhook.workers import WorkerClient
+
+__all__ = ["ShardRunner"]
+
+_T = TypeVar("_T")
+_COMMIT_RETRY_MS = 200.0
+_EVENTS_BUFFERED = 1_000
+
+OpenWorker = Callable[[WorkerAddress], WorkerClient]
+
+
+@attrs.define(kw_only=True, eq=False)
+class _Acceptance:
+    """A submitted job that waits for its commit."""
+
+    spec: JobSpec
+    done: trio.Event = attrs.field(factory=trio.Event)
+    error: TrefoilhookError | None = None
+
+
+class ShardRunner:
+    """Runs one worker shard for as long as this instance owns it.
+
+    Parameters
+    ----------
+    shard_id : str
+        The shard.
+    epoch : int
+        Epoch of the claim.
+    owner_id : str
+        This instance.
+    may_act : callable
+        Whether this instance may act for the shard at this moment.
+    journal : JobJournal
+        The shard's journal.
+    list_workers : callable
+        Workers of the shard as the instance list shows them.
+    open_worker : callable
+        Opens the adapter to a worker.
+    policy : callable
+        Policy of the decisions now.
+    clock : Clock
+        Time.
+    settings : JobSettings
+        Times and bounds.
+    seed : int
+        Seed of the draws that decisions make.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard_id: str,
+        epoch: int,
+        owner_id: str,
+        may_act: Callable[[], bool],
+        journal: JobJournal,
+        list_workers: Callable[[], Sequence[WorkerRecord]],
+        open_worker: OpenWorker,
+        policy: Callable[[], Policy],
+        clock: Clock,
+        settings: JobSettings,
+        seed: int = 0,
+    ) -> None:
+        self._shard_id = shard_id
+        self._epoch = epoch
+        self._owner_id = owner_id
+        self._may_act = may_act
+        self._journal = journal
+        self._list_workers = list_workers
+        self._open_worker = open_worker
+        self._policy = policy
+        self._clock = clock
+        self._settings = settings
+        self._generator = np.random.default_rng(seed)
+        self._sessions: dict[str, WorkerSession] = {}
+        self._unheard: set[str] = set()
+        self._acceptances: list[_Acceptance] = []
+        self._unsent: list[Commit] = []
+        self._commit_wanted = trio.Event()
+        self._work_wanted = trio.Event()
+        self._reacted_ms = -settings.react_interval_ms
+        self._is_recovered = False
+        self._nursery: trio.Nursery | None = None
+        sender, receiver = trio.open_memory_channel[SessionEvent](_EVENTS_BUFFERED)
+        self._events_in = sender
+        self._events = receiver
+        self.book = JobBook(epoch=epoch)
+        self.is_loaded = False
+
+    async def run(self) -> None:
+        """Recover the shard, then run it until cancelled or fenced."""
+        try:
+            await self._load()
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                for address in self.book.workers.values():
+                    self._open_session(address)
+                nursery.start_soon(self._keep_committing)
+                await self._keep_working()
+        except* FencedError:
+            log_event(Event.SHARD_FENCED, shard=self._shard_id, epoch=self._epoch)
+
+    async def submit(self, spec: JobSpec) -> Job:
+        """Record a job durably; the same id again returns the job recorded first.
+
+        Raises
+        ------
+        RequestError
+            If no worker could ever hold it.
+        StoreError
+            If it could not be recorded; the code tells whether that is sure.
+        """
+        known = self._find_known(spec)
+        if known is not None:
+            return known
+        acceptance = _Acceptance(spec=spec)
+        self._acceptances.append(acceptance)
+        self._commit_wanted.set()
+        await acceptance.done.wait()
+        if acceptance.error is not None:
+            raise acceptance.error
+        return self.book.jobs[spec.job_id]
+
+    def cancel(self, job_ids: Sequence[str]) -> None:
+        """Cancel jobs; those that run are told to stop, in one message a worker."""
+        now_ms = self._clock.monotonic_ms()
+        wall_ms = self._clock.wall_ms()
+        for job_id in job_ids:
+            self.book.cancel(job_id, now_ms, wall_ms)
+        self._wake()
+
+    def explain(self, job: Job) -> str:
+        """Say why a job waits, or where it was placed and against what."""
+        if not self._is_recovered and job.state is JobState.HELD:
+            silent = ", ".join(sorted(self._unheard))
+            return f"held: it may run on a worker that has not been heard: {silent}"
+        return explain_job(
+            self.book, job, self._clock.monotonic_ms(), self._generator, self._policy()
+        )
+
+    def _find_known(self, spec: JobSpec) -> Job | None:
+        if not self.is_loaded:
+            message = "the shard is being recovered"
+            raise RequestError(message, code=ResultCode.NO_OWNER)
+        return self.book.jobs.get(spec.job_id)
+
+    async def _load(self) -> None:
+        while True:
+            try:
+                records = await self._journal.load()
+                break
+            except FencedError:
+                raise
+            except StoreError as error:
+                log_event(Event.STORE_DOWN, reason=str(error))
+                await self._clock.sleep_ms(_COMMIT_RETRY_MS)
+        self.book.restore(records)
+        self.book.release_unstarted()
+        self._unheard = set(self.book.workers)
+        self.is_loaded = True
+
+    async def _keep_working(self) -> None:
+        while True:
+            with trio.move_on_after(self._settings.tick_ms / 1000.0):
+                await self._wait_for_work()
+            if self._may_act():
+                self._step()
+
+    async def _wait_for_work(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._wait_for_event, nursery.cancel_scope)
+            await self._work_wanted.wait()
+            nursery.cancel_scope.cancel()
+
+    async def _wait_for_event(self, scope: trio.CancelScope) -> None:
+        self._take_event(await self._events.receive())
+        scope.cancel()
+
+    def _step(self) -> None:
+        """Do once everything that the shard's state calls for."""
+        self._work_wanted = trio.Event()
+        self._drain_events()
+        self._follow_workers()
+        self._recover()
+        now_ms = self._clock.monotonic_ms()
+        place_waiting(
+            self.book,
+            now_ms=now_ms,
+            wall_ms=self._clock.wall_ms(),
+            generator=self._generator,
+            policy=self._policy(),
+            limit=self._settings.max_placed_per_step,
+        )
+        if now_ms - self._reacted_ms >= self._settings.react_interval_ms:
+            self._reacted_ms = now_ms
+            react_to_reports(self.book, now_ms, self._policy())
+        self._send_orders()
+        self._collect_commits()
+
+    def _drain_events(self) -> None:
+        while True:
+            try:
+                event = self._events.receive_nowait()
+            except trio.WouldBlock:
+                return
+            self._take_event(event)
+
+    def _take_event(self, event: SessionEvent) -> None:
+        now_ms, wall_ms = self._clock.monotonic_ms(), self._clock.wall_ms()
+        if isinstance(event, WorkerLapsed):
+            self.book.lose_worker(event.worker_id, now_ms=now_ms, wall_ms=wall_ms)
+            self._withdraw(event.worker_id)
+            self._forget_if_gone(event.worker_id)
+            self._unheard.discard(event.worker_id)
+        elif isinstance(event, InventoryTaken):
+            self._admit(event)
+            self.book.apply_inventory(
+                event.worker_id, event.news, now_ms=now_ms, wall_ms=wall_ms
+            )
+            self._unheard.discard(event.worker_id)
+        else:
+            self._hear(event, now_ms, wall_ms)
+
+    def _hear(self, event: NewsHeard, now_ms: float, wall_ms: float) -> None:
+        for item in event.news:
+            self.book.apply_news(item, now_ms=now_ms, wall_ms=wall_ms)
+        report = event.report
+        if report is None:
+            return
+        usage = tuple(
+            TaskUsage(task_id=u.job_id, used=_copy_resources(u.resources))
+            for u in report.usages
+        )
+        slowdowns = tuple(
+            ServiceSlowdown(task_id=u.job_id, slowdown=u.slowdown)
+            for u in report.usages
+        )
+        self.book.placement.observe_usage(
+            UsageReport(
+                worker_id=event.worker_id,
+                measured_at_ms=now_ms - report.age_ms,
+                usage=usage,
+                slowdowns=slowdowns,
+            ),
+            now_ms,
+        )
+
+    def _admit(self, event: InventoryTaken) -> None:
+        """Bring a worker into use, at the capacity that it states itself."""
+        record = self._find_record(event.worker_id)
+        shape = WorkerShape(
+            worker_id=event.worker_id,
+            rack=record.rack if record else "",
+            failure_domain=record.failure_domain if record else "",
+            capacity=_copy_resources(event.capacity),
+        )
+        known = self.book.placement.workers.get(event.worker_id)
+        if known is None or known.withdrawn:
+            self.book.placement.add_worker(shape)
+        if record is None or record.state is InstanceState.LEAVING:
+            self._withdraw(event.worker_id)
+
+    def _withdraw(self, worker_id: str) -> None:
+        known = self.book.placement.workers.get(worker_id)
+        if known is not None and not known.withdrawn:
+            self.book.placement.remove_worker(worker_id)
+
+    def _forget_if_gone(self, worker_id: str) -> None:
+        if self._find_record(worker_id) is None:
+            self.book.forget_worker(worker_id)
+            self._sessions.pop(worker_id).scope.cancel()
+
+    def _follow_workers(self) -> None:
+        """Open sessions to new workers and place nothing more on leaving ones.
+
+        A worker is recorded before the first start on it: a later owner, whose list
+        may lag behind this one's, asks every worker that could hold a task.
+        """
+        for record in self._list_workers():
+            if record.state is InstanceState.LEAVING:
+                self._withdraw(record.worker_id)
+            elif record.worker_id not in self.book.workers:
+                address = WorkerAddress(
+                    worker_id=record.worker_id, host=record.host, port=record.port
+                )
+                self.book.note_worker(address)
+
+    def _recover(self) -> None:
+        """Free the held jobs once no former owner's attempt can be running unseen."""
+        if self._is_recovered or self._unheard:
+            return
+        self._is_recovered = True
+        self.book.release_held(self._clock.wall_ms())
+
+    def _find_record(self, worker_id: str) -> WorkerRecord | None:
+        for record in self._list_workers():
+            if record.worker_id == worker_id:
+                return record
+        return None
+
+    def _open_session(self, address: WorkerAddress) -> None:
+        if self._nursery is None or address.worker_id in self._sessions:
+            return
+        session = WorkerSession(
+            address=address,
+            client=self._open_worker(address),
+            owner_id=self._owner_id,
+            shard_epoch=self._epoch,
+            may_act=self._may_act,
+            clock=self._clock,
+            settings=self._settings,
+            events=self._events_in,
+        )
+        self._sessions[address.worker_id] = session
+        self._nursery.start_soon(session.run)
+
+    def _send_orders(self) -> None:
+        for worker_id, orders in self.book.take_orders().items():
+            session = self._sessions.get(worker_id)
+            if session is not None and session.is_held:
+                session.send(orders)
+
+    def _collect_commits(self) -> None:
+        commits = self.book.take_commits()
+        if commits:
+            self._unsent.extend(commits)
+            self._commit_wanted.set()
+
+    def _wake(self) -> None:
+        self._work_wanted.set()
+
+    async def _keep_committing(self) -> None:
+        """Write what waits, all of it in one append, then what came meanwhile."""
+        while True:
+            await self._commit_wanted.wait()
+            self._commit_wanted = trio.Event()
+            acceptances, self._acceptances = self._acceptances, []
+            commits, self._unsent = self._unsent, []
+            if acceptances or commits:
+                await self._commit(acceptances, commits)
+
+    async def _commit(
+        self, acceptances: list[_Acceptance], commits: list[Commit]
+    ) -> None:
+        """Append until it is done; only acceptances are given up, when surely unsaid.
+
+        While the outcome of an append is not known the same records are appended again:
+        the journal takes a record once. A caller whose job may be recorded is told so
+        at once, and the job runs when it turns out to be.
+        """
+        while True:
+            records = [_record_acceptance(a.spec) for a in acceptances]
+            records.extend(commit.record for commit in commits)
+            try:
+                if records:
+                    await self._journal.append(records)
+                break
+            except FencedError as error:
+                self._refuse(acceptances, error)
+                raise
+            except (StoreRateError, StoreUnavailableError) as error:
+                acceptances = self._judge_failure(acceptances, error)
+            await self._clock.sleep_ms(_COMMIT_RETRY_MS)
+        for acceptance in acceptances:
+            self.book.accept(acceptance.spec)
+            acceptance.done.set()
+            log_event(Event.JOB_ACCEPTED, job=acceptance.spec.job_id)
+        self.book.confirm(commits)
+        for commit in commits:
+            if commit.record.kind is RecordKind.WORKER_ADDED:
+                self._open_session(self.book.workers[commit.record.worker_id])
+        self._wake()
+
+    def _judge_failure(
+        self, acceptances: list[_Acceptance], error: StoreError
+    ) -> list[_Acceptance]:
+        """Return the acceptances to append again."""
+        is_unsent = isinstance(error, StoreRateError) or getattr(
+            error, "is_proved_unsent", False
+        )
+        if is_unsent:
+            self._refuse([a for a in acceptances if not a.done.is_set()], error)
+            return [a for a in acceptances if a.error is not error]
+        for acceptance in acceptances:
+            if not acceptance.done.is_set():
+                acceptance.error = StoreUnavailableError(
+                    "the store didn't say whether the job is recorded",
+                    code=ResultCode.COMMIT_UNKNOWN,
+                )
+                acceptance.done.set()
+        return acceptances
+
+    def _refuse(self, acceptances: list[_Acceptance], error: TrefoilhookError) -> None:
+        for acceptance in acceptances:
+            acceptance.error = error
+            acceptance.done.set()
+
+
+def _record_acceptance(spec: JobSpec) -> JobRecord:
+    return JobRecord(
+        kind=RecordKind.ACCEPTED,
+        job_id=spec.job_id,
+        spec=spec,
+        at_ms=spec.submitted_ms,
+    )
+
+
+def _copy_resources(resources: object) -> Resources:
+    return Resources(
+        cores=getattr(resources, "cores", 0.0),
+        memory_bytes=getattr(resources, "memory_bytes", 0),
+        accelerators=getattr(resources, "accelerators", 0),
+    )
--- /dev/null
+++ b/trefoilhook/jobs/settings.py
@@ -0,0 +1,59 @@
+"""Times and bounds of the shards' work."""
+
+import attrs
+
+from trefoilhook.settings import declare
+
+__all__ = ["JobSettings"]
+
+
+@attrs.frozen(kw_only=True)
+class JobSettings:
+    """Times and bounds of jobs."""
+
+    worker_lease_ms: float = declare(
+        default=15_000.0,
+        unit="ms",
+        description="Time to live of the lease on a worker. A worker whose lease "
+        "lapses",
+        "stops its tasks, so it is longer than a takeover takes.",
+    )
+    renew_interval_ms: float = declare(
+        default=1_000.0,
+        unit="ms",
+        description="Interval between renewals.",
+    )
+    give_up_ms: float = declare(
+        default=7_500.0,
+        unit="ms",
+        description="How long renewals are tried without an answer before the "
+        "worker is",
+        "left to its lapse.",
+    )
+    tick_ms: float = declare(
+        default=100.0,
+        unit="ms",
+        description="Longest pause of a shard's task.",
+    )
+    react_interval_ms: float = declare(
+        default=1_000.0,
+        unit="ms",
+        description="Interval between reactions to usage reports.",
+    )
+    max_placed_per_step: int = declare(
+        default=256,
+        description="Waiting jobs that one step looks at.",
+    )
+    kept_ended: int = declare(
+        default=10_000,
+        description="Ended jobs that a shard remembers.",
+    )
+
+    @property
+    def lapse_ms(self) -> float:
+        """Time after which a worker that isn't reached has surely stopped, in ms.
+
+        A renewal that left before the last one was given up may arrive up to one lease
+        later and extends by one: two leases in all.
+        """
+        return 2.0 * self.worker_lease_ms
--- a/trefoilhook/settings/sections.py
+++ b/trefoilhook/settings/sections.py
@@ -121,13 +121,6 @@
         description="Longest wait for an answer of the store.",
         check=is_within(10, 60_000),
     )
-    watch_wait_ms: int = declare(
-        default=5_000,
-        unit="ms",
-        description="How long a watch is left open when nothing changes. A watch that "
-        "went silent is noticed one timeout later.",
-        check=is_within(100, 60_000),
-    )
 
 
 @attrs.frozen(kw_only=True)
--- a/trefoilhook/shards/core.py
+++ b/trefoilhook/shards/core.py
@@ -18,13 +18,13 @@
 import xxhash
 
 from trefoilhook.membership import Members
+from trefoilhook.settings import ShardSettings
 
 __all__ = [
     "TABLE_KEY",
     "PreviousOwner",
     "ShardKind",
     "ShardRow",
-    "ShardSettings",
     "ShardTable",
     "choose_owner",
     "decode_table",
@@ -44,22 +44,6 @@
     WORKER = "wrk"
 
 
-@attrs.frozen(kw_only=True)
-class ShardSettings:
-    """Numbers of shards; the same on every instance, for good.
-
-    Parameters
-    ----------
-    request_shards : int
-        Shards that keys and executors hash to.
-    worker_shards : int
-        Shards that racks hash to; each schedules its own workers.
-    """
-
-    request_shards: int = 64
-    worker_shards: int = 1
-
-
 @attrs.frozen(kw_only=True)
 class PreviousOwner:
     """An owner that the present one has not yet proved to have stopped.
--- a/trefoilhook/shards/owner.py
+++ b/trefoilhook/shards/owner.py
@@ -20,6 +20,7 @@
     decode_members,
 )
 from trefoilhook.membership.members import MEMBERS_PREFIX
+from trefoilhook.settings import ShardSettings
 from trefoilhook.shards.claims import (
     ClaimPlan,
     hand_over,
@@ -30,7 +31,6 @@
     TABLE_KEY,
     PreviousOwner,
     ShardRow,
-    ShardSettings,
     ShardTable,
     decode_table,
     encode_table,
--- a/trefoilhook/shards/tests/cluster.py
+++ b/trefoilhook/shards/tests/cluster.py
@@ -8,7 +8,8 @@
 
 from trefoilhook.clock import Clock, build_system_clock
 from trefoilhook.membership import Member, Membership, MembershipSettings
-from trefoilhook.shards import Ownership, ShardSettings, list_shards
+from trefoilhook.settings import ShardSettings
+from trefoilhook.shards import Ownership, list_shards
 from trefoilhook.standins.virtual import (
     VirtualLinks,
     VirtualNode,
