--- a/trefoilhook/jobs/settings.py
+++ b/trefoilhook/jobs/settings.py
@@ -15,8 +15,7 @@
         default=15_000.0,
         unit="ms",
         description="Time to live of the lease on a worker. A worker whose lease "
-        "lapses",
-        "stops its tasks, so it is longer than a takeover takes.",
+        "lapses stops its tasks, so it is longer than a takeover takes.",
     )
     renew_interval_ms: float = declare(
         default=1_000.0,
@@ -27,8 +26,7 @@
         default=7_500.0,
         unit="ms",
         description="How long renewals are tried without an answer before the "
-        "worker is",
-        "left to its lapse.",
+        "worker is left to its lapse.",
     )
     tick_ms: float = declare(
         default=100.0,
