Keep one connection's fault from its neighbours, and deliver replies on leaving

Cause: a drain returned while megabytes of a reply still waited in the kernel; a failing callback of the asyncio loop ended every link.

--- a/trefoilhook/inner/core.py
+++ b/trefoilhook/inner/core.py
@@ -170,7 +170,8 @@
     async def drain(self) -> None:
         """Refuse new calls of peers and wait until those in progress are answered.
 
-        Returns when the replies have left this process, or their links have broken.
+        Returns when the replies have reached the peers' machines, or their links have
+        broken.
         """
         await self._calls.drain()
         while not self._links.is_flushed:
--- a/trefoilhook/inner/links.py
+++ b/trefoilhook/inner/links.py
@@ -3,7 +3,7 @@
 import math
 import random
 import ssl
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from functools import partial
 from typing import TypeVar
 
@@ -64,6 +64,16 @@
     tls_client: ssl.SSLContext | None = None
 
 
+def _log_fault(_loop: object, context: Mapping[str, object]) -> None:
+    """Log what failed in a callback of the asyncio loop.
+
+    Guards against one odd connection taking down the instance: trio-asyncio's own
+    handler raises the error out of the loop, and every link would end with it.
+    """
+    fault = context.get("exception") or context.get("message")
+    log_event(Event.TASK_FAILED, task="asyncio callback", error=repr(fault))
+
+
 class LinkKeeper:
     """Keeps one dialled link to each peer and serves those that peers dial.
 
@@ -106,10 +116,10 @@
 
     @property
     def is_flushed(self) -> bool:
-        """Whether every frame queued on an open link has left this process."""
+        """Whether every frame queued on an open link has reached the peer's machine."""
         links = [link for link in self._links if link.is_open]
         is_written = all(link.queue.is_flushed for link in links)
-        return is_written and self.watch.unsent_bytes == 0
+        return is_written and self.watch.undelivered_bytes == 0
 
     def set_peers(self, peers: Iterable[PeerAddress]) -> None:
         """Keep a link to each of the peers, and to no other instance."""
@@ -133,6 +143,7 @@
         """Listen, dial and send heartbeats until cancelled; report the port."""
         async with trio_asyncio.open_loop() as loop:
             self._loop = loop
+            loop.set_exception_handler(_log_fault)
             server = await self._run_asyncio(self._start_server)
             try:
                 async with trio.open_nursery() as nursery:
--- a/trefoilhook/inner/tests/net.py
+++ b/trefoilhook/inner/tests/net.py
@@ -64,6 +64,14 @@
         nursery.cancel_scope.cancel()
 
 
+async def run_scoped(node, task_status):
+    """Run an instance; report the scope that ends it like a crash."""
+    with trio.CancelScope() as scope:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(node.run)
+            task_status.started(scope)
+
+
 async def catch(awaitable):
     """Return the error that an awaitable ends with, or its result."""
     try:
--- a/trefoilhook/inner/tests/test_calls.py
+++ b/trefoilhook/inner/tests/test_calls.py
@@ -31,7 +31,9 @@
     catch,
     find_address,
     run_pair,
+    run_scoped,
     wait_for,
+    wait_for_state,
 )
 from trefoilhook.results import ResultCode
 
@@ -181,8 +183,9 @@
         trio.run(scenario)
 
     def test_drain_answers_the_call_in_progress(self):
-        # An instance leaves while a peer's call runs. The caller still gets its answer;
-        # a call that comes later is refused as not run.
+        # An instance leaves while a peer's call runs, and its process ends as soon as
+        # it may. The caller still gets its whole answer, although that is larger than
+        # what the connection buffers; a call that comes later is refused as not run.
         entered = trio.Event()
         release = trio.Event()
         answers = []
@@ -190,35 +193,41 @@
         async def answer(call):
             entered.set()
             await release.wait()
-            return StatusAnswer(burn="x" * 1_000_000)
+            return StatusAnswer(burn="x" * 12_000_000)
 
         async def ask(one):
             request = StatusRequest()
-            answers.append(await one.call("two", request, timeout_ms=TIMEOUT_MS))
+            answers.append(await catch(one.call("two", request, timeout_ms=TIMEOUT_MS)))
 
-        async def leave(two, left):
+        async def leave(two, scope):
             await two.drain()
-            left.set()
+            scope.cancel()
 
         async def scenario():
-            left = trio.Event()
-            async with run_pair() as (one, two), trio.open_nursery() as nursery:
-                two.handle(StatusRequest, answer)
+            one = build_node("one")
+            two = build_node("two")
+            two.handle(StatusRequest, answer)
+            async with trio.open_nursery() as nursery:
+                await nursery.start(one.run)
+                scope = await nursery.start(run_scoped, two)
+                one.set_peers([find_address(two)])
+                await wait_for_state(one, "two", PeerState.UP)
                 nursery.start_soon(ask, one)
                 await entered.wait()
-                nursery.start_soon(leave, two, left)
+                nursery.start_soon(leave, two, scope)
                 await trio.testing.wait_all_tasks_blocked()
                 late = await catch(
                     one.call("two", StatusRequest(), timeout_ms=TIMEOUT_MS)
                 )
                 self.assertIs(late.code, ResultCode.SHUTTING_DOWN)
-                self.assertFalse(left.is_set())
+                self.assertFalse(scope.cancel_called)
                 release.set()
-                await left.wait()
                 await wait_for(lambda: answers)
+                nursery.cancel_scope.cancel()
 
         trio.run(scenario)
-        self.assertEqual(len(answers[0].burn), 1_000_000)
+        self.assertIsInstance(answers[0], StatusAnswer)
+        self.assertEqual(len(answers[0].burn), 12_000_000)
 
     def test_more_calls_than_the_cap_are_refused(self):
         async def scenario():
--- a/trefoilhook/inner/tests/test_links.py
+++ b/trefoilhook/inner/tests/test_links.py
@@ -1,7 +1,10 @@
 """Links that break, go silent, or lead to somebody else."""
 
+import asyncio
+import contextlib
 import unittest
 
+import attrs
 import trio
 
 from trefoilhook.exceptions import AnswerLostError, NotSentError
@@ -10,6 +13,7 @@
 from trefoilhook.inner.messages_pb2 import Heartbeat, StatusAnswer, StatusRequest
 from trefoilhook.inner.peers import Peer
 from trefoilhook.inner.tests.net import (
+    FAST,
     HOST,
     TIMEOUT_MS,
     Relay,
@@ -17,9 +21,11 @@
     catch,
     find_address,
     run_pair,
+    run_scoped,
     wait_for,
     wait_for_state,
 )
+from trefoilhook.inner.transport import write_batches
 from trefoilhook.inner.watch import ConnectionWatch, WatchedProtocol
 
 
@@ -126,6 +132,51 @@
     return _Inner()
 
 
+class FaultTest(unittest.TestCase):
+    """Faults of one connection that must stay with it."""
+
+    def test_link_that_cannot_write_is_closed(self):
+        # Sends on a link fail, but the peer's heartbeats still come in. The link must
+        # not stay up: every call on it would hang until its deadline.
+        for error in (OSError("broken"), ValueError("can't encode")):
+            with self.subTest(error=error):
+
+                class _Stream:
+                    async def send_message(self, batch, error=error):
+                        raise error
+
+                link = _build_link()
+                link.tell(StatusRequest())
+                asyncio.run(write_batches(_Stream(), link))
+                self.assertFalse(link.is_open)
+
+    def test_garbage_at_the_port_harms_nobody(self):
+        # Something that doesn't speak the protocol connects: a scanner, a wrong port.
+        # Calls of peers go on.
+        async def scenario():
+            async with run_pair() as (one, two):
+                two.handle(StatusRequest, _answer)
+                for garbage in (b"GET / HTTP/1.1\r\n\r\n", b"\x00" * 100_000):
+                    stream = await trio.open_tcp_stream(HOST, two.port)
+                    with contextlib.suppress(trio.BrokenResourceError):
+                        await stream.send_all(garbage)
+                    await stream.aclose()
+                await one.call("two", StatusRequest(), timeout_ms=TIMEOUT_MS)
+
+        trio.run(scenario)
+
+    def test_failing_callback_of_the_loop_is_contained(self):
+        # A callback on the asyncio loop raises. The instance goes on.
+        async def scenario():
+            async with run_pair() as (one, two):
+                two.handle(StatusRequest, _answer)
+                two._links._loop.call_soon(lambda: 1 / 0)
+                for _ in range(3):
+                    await one.call("two", StatusRequest(), timeout_ms=TIMEOUT_MS)
+
+        trio.run(scenario)
+
+
 class EvidenceTest(unittest.TestCase):
     """What proves that the process behind a peer's id is dead, and what doesn't."""
 
@@ -138,7 +189,7 @@
             two.handle(StatusRequest, _hang)
             async with trio.open_nursery() as nursery:
                 await nursery.start(one.run)
-                peers = await nursery.start(_run_scoped, two)
+                peers = await nursery.start(run_scoped, two)
                 one.set_peers([find_address(two)])
                 await wait_for_state(one, "two", PeerState.UP)
                 nursery.start_soon(_cancel_soon, peers)
@@ -223,6 +274,27 @@
                     steps[event]()
                 self.assertIs(peer.state, expected)
 
+    def test_a_peer_that_is_heard_is_not_dead(self):
+        # A peer's port was published wrongly, so connections to it are refused, but
+        # its own heartbeats arrive. Taking it for dead would leave two owners.
+        async def scenario():
+            patient = attrs.evolve(FAST, reconnect_min_ms=1e9, reconnect_max_ms=1e9)
+            one = build_node("one", settings=patient)
+            two = build_node("two")
+            async with trio.open_nursery() as nursery:
+                await nursery.start(one.run)
+                await nursery.start(two.run)
+                listeners = await trio.open_tcp_listeners(0, host=HOST)
+                closed_port = listeners[0].socket.getsockname()[1]
+                await listeners[0].aclose()
+                one.set_peers([find_address(two, port=closed_port)])
+                await wait_for_state(one, "two", PeerState.REFUSED)
+                two.set_peers([find_address(one)])
+                await wait_for_state(one, "two", PeerState.DOWN)
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+
     def test_dropped_peer_is_forgotten(self):
         async def scenario():
             async with run_pair() as (one, _):
@@ -234,13 +306,6 @@
         trio.run(scenario)
 
 
-async def _run_scoped(node, task_status):
-    with trio.CancelScope() as scope:
-        async with trio.open_nursery() as nursery:
-            await nursery.start(node.run)
-            task_status.started(scope)
-
-
 async def _cancel_soon(scope):
     await trio.sleep(0.05)
     scope.cancel()
--- a/trefoilhook/inner/transport.py
+++ b/trefoilhook/inner/transport.py
@@ -20,8 +20,15 @@
 from trefoilhook.inner.messages_grpc import LinkBase, LinkStub
 from trefoilhook.inner.messages_pb2 import Batch, Frame, Hello
 from trefoilhook.inner.watch import ConnectionWatch, WatchedProtocol
+from trefoilhook.logs import Event, log_event
 
-__all__ = ["LINK_ERRORS", "LinkServer", "StrangerError", "run_dialled_link"]
+__all__ = [
+    "LINK_ERRORS",
+    "LinkServer",
+    "StrangerError",
+    "run_dialled_link",
+    "write_batches",
+]
 
 # What a link may end with when its connection breaks.
 LINK_ERRORS = (
@@ -130,7 +137,7 @@
     return batch.frames[0].hello
 
 
-async def _write_batches(stream: Any, link: Link) -> None:
+async def write_batches(stream: Any, link: Link) -> None:
     """Send what is queued, as much as fits into each batch, until cancelled.
 
     Frames gather while a send waits for flow control or for its turn; an idle link
@@ -145,6 +152,8 @@
                 await stream.send_message(batch)
     except LINK_ERRORS:
         pass
+    except Exception as error:
+        log_event(Event.TASK_FAILED, task="link writer", error=repr(error))
     finally:
         # Guards against a link that reads but can no longer write: the peer's
         # heartbeats would keep it up while every call on it times out.
@@ -153,7 +162,7 @@
 
 async def _exchange(stream: Any, link: Link) -> None:
     """Pass batches both ways until the stream ends."""
-    writer = asyncio.ensure_future(_write_batches(stream, link))
+    writer = asyncio.ensure_future(write_batches(stream, link))
     try:
         while (batch := await stream.recv_message()) is not None:
             link.deliver(batch)
@@ -200,16 +209,11 @@
     channel = _LinkChannel(watch=watch, host=host, port=port, ssl=tls)
     try:
         async with LinkStub(channel).Open.open() as stream:
-            try:
-                await stream.send_message(_build_hello(instance_id))
-                hello = _read_hello(await stream.recv_message())
-                if hello.instance_id != expected_id:
-                    raise StrangerError(f"{hello.instance_id} is not {expected_id}")
-                await _exchange(stream, open_link(expected_id, channel.cut))
-            finally:
-                # Guards against a teardown that hangs: on a connection that went
-                # silent with a full send buffer, leaving the stream would wait for
-                # the buffer to drain, which never happens. After the cut it doesn't.
-                channel.cut()
+            await stream.send_message(_build_hello(instance_id))
+            hello = _read_hello(await stream.recv_message())
+            if hello.instance_id != expected_id:
+                raise StrangerError(f"{hello.instance_id} is not {expected_id}")
+            await _exchange(stream, open_link(expected_id, channel.cut))
     finally:
+        channel.cut()
         channel.close()
--- a/trefoilhook/inner/watch.py
+++ b/trefoilhook/inner/watch.py
@@ -1,6 +1,9 @@
 """Connections under watch: how long each has been silent, and how to cut it."""
 
 import asyncio
+import fcntl
+import struct
+import termios
 from typing import Any
 
 from grpclib.protocol import H2Protocol
@@ -50,9 +53,21 @@
         super().connection_lost(exc)
 
     @property
-    def unsent_bytes(self) -> int:
-        """Bytes that wait in this process, in bytes."""
-        return 0 if self._raw is None else self._raw.get_write_buffer_size()
+    def undelivered_bytes(self) -> int:
+        """Bytes that the other end's machine has not acknowledged yet.
+
+        Bytes in the kernel's send queue count: a connection that is cut while
+        something waits to be read on it is reset, and a reset drops that queue.
+        """
+        if self._raw is None or self._raw.is_closing():
+            return 0
+        return self._raw.get_write_buffer_size() + self._read_send_queue()
+
+    def _read_send_queue(self) -> int:
+        assert self._raw is not None
+        connection = self._raw.get_extra_info("socket")
+        answer = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(4))
+        return int(struct.unpack("i", answer)[0])
 
     def cut(self) -> None:
         """Drop the connection at once, with whatever is still buffered."""
@@ -83,9 +98,9 @@
         return self._closed_bytes + open_bytes
 
     @property
-    def unsent_bytes(self) -> int:
-        """Bytes that wait in this process, on all connections."""
-        return sum(protocol.unsent_bytes for protocol in self._protocols)
+    def undelivered_bytes(self) -> int:
+        """Bytes not acknowledged yet on all connections."""
+        return sum(protocol.undelivered_bytes for protocol in self._protocols)
 
     def wrap(self, inner: H2Protocol) -> WatchedProtocol:
         """Return the watched form of a protocol that grpclib made."""
