Prove the life of jobs on virtual time, judged by the workers' own records

Found on the way: placement refused every job on a cluster whose free workers all have accelerators (cost +0.2 against a value of 1.0 for one core of four); the penalty is now half of the task's own value, so it decides between workers and never against a start. An unlisted worker was closed before its running tasks were taken over.

--- a/trefoilhook/jobs/runner.py
+++ b/trefoilhook/jobs/runner.py
@@ -266,6 +266,7 @@
                 event.worker_id, event.news, now_ms=now_ms, wall_ms=wall_ms
             )
             self._unheard.discard(event.worker_id)
+            self._close_to_starts(event.worker_id)
         else:
             self._hear(event, now_ms, wall_ms)
 
@@ -305,8 +306,12 @@
         known = self.book.placement.workers.get(event.worker_id)
         if known is None or known.withdrawn:
             self.book.placement.add_worker(shape)
+
+    def _close_to_starts(self, worker_id: str) -> None:
+        """Place nothing more on a worker that leaves or is no longer listed."""
+        record = self._find_record(worker_id)
         if record is None or record.state is InstanceState.LEAVING:
-            self._withdraw(event.worker_id)
+            self._withdraw(worker_id)
 
     def _withdraw(self, worker_id: str) -> None:
         known = self.book.placement.workers.get(worker_id)
--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -31,6 +31,7 @@
     STORE_DOWN = (1100, Level.WARNING, "A call to the store failed.")
     STORE_BACK = (1101, Level.INFO, "The store answers again.")
     WATCH_SILENT = (1102, Level.WARNING, "A watch went silent and is replaced.")
+    LIST_DOWN = (1104, Level.WARNING, "The instance list was not read.")
 
     # 1200: membership and shards
     LEASE_GRANTED = (1200, Level.INFO, "The instance holds its store lease.")
--- a/trefoilhook/membership/core.py
+++ b/trefoilhook/membership/core.py
@@ -120,6 +120,13 @@
         """Whether the store answered the last call of this instance."""
         return self._health.is_reachable
 
+    @property
+    def unreachable_for_ms(self) -> float:
+        """How long the store has not answered, in ms; 0 while it does."""
+        if self._health.is_reachable or not self._health.has_failed:
+            return 0.0
+        return self._clock.monotonic_ms() - self._health.failing_since_ms
+
     def is_lease_held(self) -> bool:
         """Tell whether the store lease is surely held now."""
         return self._lease.is_held(self._clock.monotonic_ms())
@@ -278,7 +285,7 @@
                 self._lease.record_loss()
                 continue
             except StoreError as error:
-                self._health.record_failure(str(error))
+                self._health.record_failure(self._clock.monotonic_ms(), str(error))
                 await self._clock.sleep_ms(self._settings.retry_interval_ms)
                 continue
             await self._clock.sleep_ms(self._settings.renew_interval_ms)
--- a/trefoilhook/membership/health.py
+++ b/trefoilhook/membership/health.py
@@ -21,6 +21,8 @@
     has_failed: bool = False
     reachable_since_ms: float = -math.inf
 
+    failing_since_ms: float = 0.0
+
     def record_success(self, now_ms: float) -> None:
         """Record that the store answered a renewal."""
         if not self.is_reachable:
@@ -28,9 +30,10 @@
             self.reachable_since_ms = now_ms
             log_event(Event.STORE_BACK)
 
-    def record_failure(self, reason: str) -> None:
+    def record_failure(self, now_ms: float, reason: str) -> None:
         """Record that a renewal failed."""
-        if self.is_reachable:
+        if self.is_reachable or not self.has_failed:
+            self.failing_since_ms = now_ms
             log_event(Event.STORE_DOWN, reason=reason)
         self.is_reachable = False
         self.has_failed = True
--- a/trefoilhook/placement/scoring.py
+++ b/trefoilhook/placement/scoring.py
@@ -10,7 +10,7 @@
     + balance cost * load                   (services)
     + takeover_weight where the worker holds no service yet, and a steep cost past
       ``service_fill`` of its cores         (services)
-    + a fixed cost for occupying an accelerated worker without need
+    + half of the value where an accelerated worker is taken without need
 
 ``e`` and ``e'`` are the predicted excess slowdowns before and after, ``b`` the
 excess that the service bears. The square makes a service near its target dear and one
@@ -35,7 +35,7 @@
 
 __all__ = ["Scorer", "Scores", "expect_cores", "score_rows"]
 
-_ACCELERATOR_COST = 1.0
+_ACCELERATOR_SHARE = 0.5
 _BALANCE_COST = 0.1
 _MATERIAL_TAIL = 1e-3
 _OVERFILL_COST = 100.0
@@ -115,7 +115,10 @@
     cost = policy.tail_weight * tail - policy.batch_weight * share
     cost += policy.packing_weight * (1.0 - table.load.take(rows))
     if not task.resources.accelerators:
-        cost += _ACCELERATOR_COST * table.accelerated.take(rows)
+        # A part of the task's own value: it goes elsewhere first, but where only
+        # accelerated workers have room it still starts.
+        kept_free = _ACCELERATOR_SHARE * policy.batch_weight * share
+        cost += kept_free * table.accelerated.take(rows)
     return Scores(cost=cost, excess=worst, admissible=within & ~late)
 
 
--- /dev/null
+++ b/trefoilhook/standins/virtual_worker.py
@@ -0,0 +1,124 @@
+"""A worker inside the test's process, on virtual time, without sockets."""
+
+from collections.abc import Callable, Sequence
+from typing import TypeVar
+
+import attrs
+
+from trefoilhook.clock import Clock
+from trefoilhook.exceptions import (
+    AnswerLostError,
+    FencedError,
+    LeaseLostError,
+    NotSentError,
+    TrefoilhookError,
+)
+from trefoilhook.standins.core import RefusalError
+from trefoilhook.standins.worker_state import WorkerSettings, WorkerState
+from trefoilhook.workers import (
+    CommandResult,
+    LeaseRequest,
+    WorkerCommand,
+    WorkerHeartbeat,
+    WorkerInventory,
+)
+
+__all__ = ["VirtualWorker", "VirtualWorkerClient"]
+
+_T = TypeVar("_T")
+_CALL_MS = 2.0
+_TIMEOUT_MS = 500.0
+
+
+@attrs.define(kw_only=True)
+class VirtualWorker:
+    """A worker that tests can cut off.
+
+    Parameters
+    ----------
+    clock : Clock
+        The test's time.
+    settings : WorkerSettings
+        What it has.
+    is_cut : bool
+        Nobody reaches it.
+    cut_owners : set of str
+        Instances that don't reach it.
+    answers_to_lose : int
+        Answers that get lost after the effect.
+    """
+
+    clock: Clock
+    settings: WorkerSettings
+    is_cut: bool = False
+    cut_owners: set[str] = attrs.field(factory=set)
+    answers_to_lose: int = 0
+    state: WorkerState = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.state = WorkerState(
+            settings=self.settings, monotonic_ms=self.clock.monotonic_ms
+        )
+
+
+@attrs.define(kw_only=True)
+class VirtualWorkerClient:
+    """One owner's way to a worker; stands where ``WorkerClient`` does.
+
+    Parameters
+    ----------
+    worker : VirtualWorker
+        The worker.
+    owner_id : str
+        The instance that calls.
+    """
+
+    worker: VirtualWorker
+    owner_id: str
+
+    async def take_lease(
+        self, owner_id: str, epoch: int, ttl_ms: float
+    ) -> WorkerInventory:
+        """Become the worker's owner."""
+        request = LeaseRequest(
+            worker_id=self.worker.settings.worker_id,
+            owner_id=owner_id,
+            epoch=epoch,
+            ttl_ms=ttl_ms,
+        )
+        return await self._call(lambda: self.worker.state.take_lease(request))
+
+    async def renew(self, epoch: int, ttl_ms: float) -> WorkerHeartbeat:
+        """Start the lease's time anew."""
+        return await self._call(lambda: self.worker.state.renew(epoch, ttl_ms))
+
+    async def command(
+        self, epoch: int, commands: Sequence[WorkerCommand]
+    ) -> tuple[CommandResult, ...]:
+        """Have commands carried out."""
+        return await self._call(lambda: self.worker.state.command(epoch, commands))
+
+    async def close(self) -> None:
+        """Do nothing: there are no connections."""
+
+    async def _call(self, change: Callable[[], _T]) -> _T:
+        await self.worker.clock.sleep_ms(_CALL_MS)
+        if self.worker.is_cut or self.owner_id in self.worker.cut_owners:
+            await self.worker.clock.sleep_ms(_TIMEOUT_MS)
+            raise NotSentError("the worker is not reached")
+        try:
+            result = change()
+        except RefusalError as refusal:
+            raise _translate(refusal) from refusal
+        if self.worker.answers_to_lose:
+            self.worker.answers_to_lose -= 1
+            raise AnswerLostError("the answer was lost")
+        return result
+
+
+def _translate(refusal: RefusalError) -> TrefoilhookError:
+    if refusal.error == "fenced":
+        return FencedError("a higher epoch was seen")
+    if refusal.error == "lease_lost":
+        return LeaseLostError("the lease has lapsed")
+    return AnswerLostError(refusal.error)
