Keep records of jobs in the store, fenced by epoch; put an instance together

A write whose answer is lost is found again by its nonce, also long after.

Ruled out: one key a record (a write each), locks (a holder may be frozen). The daemon's parts are wired, not yet run.

--- /dev/null
+++ b/trefoilhook/daemon/__init__.py
@@ -0,0 +1,6 @@
+"""The daemon: puts the parts of an instance together and runs them."""
+
+from trefoilhook.daemon.core import Addresses, Instance
+from trefoilhook.daemon.settings import DaemonSettings, LogSettings
+
+__all__ = ["Addresses", "DaemonSettings", "Instance", "LogSettings"]
--- /dev/null
+++ b/trefoilhook/daemon/__main__.py
@@ -0,0 +1,85 @@
+"""``trefoilhookd``: one instance as a process of its own."""
+
+import signal
+import sys
+from pathlib import Path
+
+import trio
+from cleo.application import Application
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.inputs.argv_input import ArgvInput
+
+from trefoilhook import __version__
+from trefoilhook.clock import build_system_clock
+from trefoilhook.daemon.core import Addresses, Instance
+from trefoilhook.daemon.settings import DaemonSettings
+from trefoilhook.exceptions import SettingsError
+from trefoilhook.logs import configure_logs
+from trefoilhook.settings import dump_json, load_settings
+
+__all__ = ["main"]
+
+_BAD_SETTINGS_EXIT = 2
+
+
+class _DaemonCommand(Command):
+    """Runs one instance until it is told to stop."""
+
+    name = "run"
+    description = "Run one instance of trefoilhook."
+    options = [
+        option("settings", "s", "Settings file, JSON.", flag=False),
+        option("check-settings", None, "Check the settings file and stop."),
+        option("print-addresses", None, "Print the ports as JSON once listening."),
+    ]
+
+    def handle(self) -> int:
+        """Check the settings, then run."""
+        path = self.option("settings")
+        try:
+            settings = load_settings(DaemonSettings, Path(path)) if path else None
+        except SettingsError as error:
+            self.line_error(str(error))
+            return _BAD_SETTINGS_EXIT
+        if settings is None:
+            self.line_error("--settings FILE is required")
+            return _BAD_SETTINGS_EXIT
+        if self.option("check-settings"):
+            self.line("The settings are valid.")
+            return 0
+        configure_logs(level=settings.logs.level, as_json=settings.logs.is_json)
+        trio.run(_run, settings, bool(self.option("print-addresses")))
+        return 0
+
+
+async def _run(settings: DaemonSettings, is_printing: bool) -> None:
+    instance = Instance(settings=settings, clock=build_system_clock())
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_wait_for_signal, instance, nursery.cancel_scope)
+        addresses: Addresses = await nursery.start(instance.run)
+        if is_printing:
+            sys.stdout.write(f"{dump_json(addresses)}\n")
+            sys.stdout.flush()
+
+
+async def _wait_for_signal(instance: Instance, scope: trio.CancelScope) -> None:
+    """Leave gracefully on the first signal, at once on the second."""
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            if instance.is_leaving:
+                scope.cancel()
+                return
+            instance.begin_leaving()
+
+
+def main() -> None:
+    """Run the daemon and exit with its code."""
+    application = Application("trefoilhookd", __version__)
+    application.add(_DaemonCommand())
+    program, *arguments = sys.argv
+    sys.exit(application.run(ArgvInput([program, _DaemonCommand.name, *arguments])))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/trefoilhook/daemon/core.py
@@ -0,0 +1,405 @@
+"""One instance: its parts, how they are started and how they leave."""
+
+import uuid
+from collections.abc import Awaitable, Callable
+
+import attrs
+import trio
+
+from trefoilhook.admin import AdminHandler, AdminParts
+from trefoilhook.burn import BurnLedger
+from trefoilhook.clock import Clock
+from trefoilhook.configuration import ConfigurationEditor, ConfigurationView
+from trefoilhook.daemon.backend import InstanceBackend
+from trefoilhook.daemon.backends import BackendList
+from trefoilhook.daemon.settings import DaemonSettings
+from trefoilhook.daemon.teams import build_team_view, find_objective
+from trefoilhook.daemon.tls import build_client_context, build_server_context
+from trefoilhook.entry import build_entry_handler
+from trefoilhook.http import HttpServer
+from trefoilhook.inner import InnerNode, PeerAddress
+from trefoilhook.inner.messages_pb2 import (
+    ExecutorLoads,
+    ServiceRequest,
+    ShardHandover,
+)
+from trefoilhook.instances import InstanceListClient
+from trefoilhook.jobs import JobJournal, JobService, WorkerAddress
+from trefoilhook.journal import open_journal
+from trefoilhook.logs import Event, log_event
+from trefoilhook.membership import Member, Membership
+from trefoilhook.metrics import Instrument, Metrics
+from trefoilhook.placement import LATENCY_FIRST, THROUGHPUT_FIRST, Policy
+from trefoilhook.requests import CallerAnswer, CallerRequest, RequestService
+from trefoilhook.settings import ListenerSettings
+from trefoilhook.shards import Ownership, Rights
+from trefoilhook.store import StoreClient, swap_reading_back
+from trefoilhook.workers import WorkerClient
+
+__all__ = ["Addresses", "Instance"]
+
+_ROOT = "root"
+_SWAP_TIMEOUT_MS = 2_000.0
+_WORKER_TIMEOUT_MS = 1_000.0
+_SHARE_INTERVAL_MS = 10_000.0
+_MET = frozenset({Rights.PROVED_DEAD, Rights.NO_PREVIOUS_OWNER})
+
+
+@attrs.frozen(kw_only=True)
+class Addresses:
+    """Ports that an instance listens on, once it does.
+
+    Parameters
+    ----------
+    instance_id : str
+        The instance.
+    entry_port, admin_port, inner_port : int
+        Callers', operators' and peers' port.
+    """
+
+    instance_id: str
+    entry_port: int
+    admin_port: int
+    inner_port: int
+
+
+class Instance:
+    """One instance of the system.
+
+    Parameters
+    ----------
+    settings : DaemonSettings
+        Everything that it is told.
+    clock : Clock
+        Time.
+    """
+
+    def __init__(self, *, settings: DaemonSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self.instance_id = settings.instance.instance_id or f"i-{uuid.uuid4().hex[:12]}"
+        self._leaving = trio.Event()
+        self.view = ConfigurationView(root=_ROOT)
+        self.ledger = BurnLedger(instance_id=self.instance_id, clock=clock)
+        self.metrics = Metrics(
+            instance_id=self.instance_id,
+            failure_domain=settings.instance.failure_domain,
+            region=settings.instance.region,
+        )
+        self._build_platform()
+        self._build_inner()
+
+    def begin_leaving(self) -> None:
+        """Start the graceful shutdown; ``run`` returns when it is done."""
+        self._leaving.set()
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the graceful shutdown has begun."""
+        return self._leaving.is_set()
+
+    async def run(
+        self, *, task_status: trio.TaskStatus[Addresses] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Run until the graceful shutdown is done; reports the ports."""
+        async with trio.open_nursery() as nursery:
+            inner_port: int = await nursery.start(self._inner.run)
+            self._build_parts(inner_port)
+            await nursery.start(self.membership.run)
+            self._read_configuration()
+            nursery.start_soon(self._follow_configuration)
+            nursery.start_soon(self._backends.run)
+            nursery.start_soon(self._follow_ownership)
+            nursery.start_soon(self.ownership.run)
+            nursery.start_soon(self.jobs.run)
+            await nursery.start(self.requests.run)
+            nursery.start_soon(self._share_ledger)
+            admin_port = await nursery.start(self._admin_server.run)
+            entry_port = await nursery.start(self._entry_server.run)
+            addresses = Addresses(
+                instance_id=self.instance_id,
+                entry_port=entry_port,
+                admin_port=admin_port,
+                inner_port=inner_port,
+            )
+            log_event(Event.STARTED, **attrs.asdict(addresses))
+            task_status.started(addresses)
+            await self._leaving.wait()
+            await self._leave()
+            nursery.cancel_scope.cancel()
+        self.metrics.close()
+        log_event(Event.STOPPED, instance=self.instance_id)
+
+    def _build_platform(self) -> None:
+        settings = self._settings
+        self._store = StoreClient(
+            host=settings.store.host,
+            port=settings.store.port,
+            clock=self._clock,
+            timeout_ms=settings.store.timeout_ms,
+            token=settings.store.token,
+        )
+        self._backends = BackendList(
+            client=InstanceListClient(
+                host=settings.instances.host,
+                port=settings.instances.port,
+                clock=self._clock,
+                timeout_ms=settings.instances.timeout_ms,
+            ),
+            clock=self._clock,
+            interval_ms=settings.instances.interval_ms,
+        )
+
+    def _build_inner(self) -> None:
+        listener = self._settings.listeners.inner
+        self._inner = InnerNode(
+            instance_id=self.instance_id,
+            host=listener.host,
+            port=listener.port,
+            clock=self._clock,
+            settings=self._settings.inner,
+            tls_server=build_server_context(listener.tls),
+            tls_client=build_client_context(listener.tls),
+        )
+
+    def _build_parts(self, inner_port: int) -> None:
+        self._build_membership(inner_port)
+        self._build_requests()
+        self._build_jobs()
+        self._build_admin()
+
+    def _build_membership(self, inner_port: int) -> None:
+        settings = self._settings
+        self.membership = Membership(
+            member=Member(
+                instance_id=self.instance_id,
+                incarnation="",
+                host=settings.listeners.inner.host,
+                port=inner_port,
+                failure_domain=settings.instance.failure_domain,
+            ),
+            store=self._store,
+            inner=self._inner,
+            clock=self._clock,
+            settings=settings.membership,
+            seeds=tuple(
+                PeerAddress(
+                    instance_id=f"seed-{peer.host}:{peer.port}",
+                    host=peer.host,
+                    port=peer.port,
+                    is_seed=True,
+                )
+                for peer in settings.peers
+            ),
+        )
+        self.ownership = Ownership(
+            membership=self.membership,
+            store=self._store,
+            inner=self._inner,
+            clock=self._clock,
+            settings=settings.shards,
+            outage_limit_ms=settings.membership.outage_limit_ms,
+        )
+
+    def _build_requests(self) -> None:
+        settings = self._settings
+        teams = build_team_view(self.view)
+        self.requests = RequestService(
+            instance_id=self.instance_id,
+            failure_domain=settings.instance.failure_domain,
+            clock=self._clock,
+            settings=settings.requests,
+            ownership=self.ownership,
+            inner=self._inner,
+            teams=teams,
+            list_executors=self._backends.list_targets,
+            list_peers=self._list_peers,
+        )
+        self._inner.handle(ServiceRequest, self.requests.handle_inner)
+        self._inner.handle(ExecutorLoads, self.requests.handle_loads)
+        self.ownership.add_releaser(self._release_requests)
+        self._entry_server = self._build_server(
+            settings.listeners.entry,
+            build_entry_handler(
+                instance_id=self.instance_id,
+                teams=teams,
+                handle_caller=self._count_caller,
+            ),
+        )
+
+    def _build_jobs(self) -> None:
+        self.jobs = JobService(
+            instance_id=self.instance_id,
+            ownership=self.ownership,
+            inner=self._inner,
+            open_journal=self._open_journal,
+            list_workers=self._backends.list_workers,
+            open_worker=self._open_worker,
+            policy=self._choose_policy,
+            clock=self._clock,
+            settings=self._settings.jobs,
+            shards=self._settings.shards,
+        )
+
+    def _build_admin(self) -> None:
+        settings = self._settings
+        self.backend = InstanceBackend(
+            identity=settings.instance,
+            membership=self.membership,
+            ownership=self.ownership,
+            inner=self._inner,
+            jobs=self.jobs,
+            view=self.view,
+            ledger=self.ledger,
+            metrics=self.metrics,
+            clock=self._clock,
+            begin_leaving=self.begin_leaving,
+        )
+        editor = ConfigurationEditor(
+            get=self._store.get,
+            swap=self._swap,
+            root=_ROOT,
+            clock=self._clock,
+            history_limit=settings.admin.history_limit,
+        )
+        parts = AdminParts(
+            backend=self.backend,
+            editor=editor,
+            view=self.view,
+            settings=settings.admin,
+            clock=self._clock,
+        )
+        handler = AdminHandler(parts=parts, observe=self.metrics.observe_http)
+        self._admin_server = self._build_server(
+            settings.listeners.admin, handler.handle
+        )
+
+    def _build_server(
+        self, listener: ListenerSettings, handler: Callable[..., Awaitable[object]]
+    ) -> HttpServer:
+        return HttpServer(
+            handler=handler,  # type: ignore[arg-type]
+            host=listener.host,
+            port=listener.port,
+            tls=build_server_context(listener.tls),
+        )
+
+    async def _swap(self, key: str, value: bytes, *, expected_revision: int) -> int:
+        return await swap_reading_back(
+            self._store,
+            key,
+            value,
+            expected_revision=expected_revision,
+            clock=self._clock,
+            timeout_ms=_SWAP_TIMEOUT_MS,
+        )
+
+    def _list_peers(self) -> list[str]:
+        own = self.instance_id
+        members = self.membership.members
+        return [m.instance_id for m in members if m.instance_id != own]
+
+    def _open_journal(self, shard_id: str, epoch: int) -> JobJournal:
+        return open_journal(
+            store=self._store,
+            shard_id=shard_id,
+            epoch=epoch,
+            clock=self._clock,
+            settings=self._settings.journal,
+        )
+
+    def _open_worker(self, address: WorkerAddress) -> WorkerClient:
+        return WorkerClient(
+            worker_id=address.worker_id,
+            host=address.host,
+            port=address.port,
+            clock=self._clock,
+            timeout_ms=_WORKER_TIMEOUT_MS,
+        )
+
+    def _choose_policy(self) -> Policy:
+        """Choose the policy that most teams ask for.
+
+        Workers are shared by all teams, so one objective decides on them.
+        """
+        presets = [
+            configuration.placement.preset
+            for team in self.view.list_teams()
+            if (configuration := self.view.team(team)) is not None
+        ]
+        wants_throughput = presets.count("throughput-first") * 2 > len(presets)
+        return THROUGHPUT_FIRST if wants_throughput else LATENCY_FIRST
+
+    async def _count_caller(self, request: CallerRequest) -> CallerAnswer:
+        """Serve a request, and count its answer and how long it took."""
+        started_ms = self._clock.monotonic_ms()
+        answer = await self.requests.handle_caller(request)
+        self.metrics.add(Instrument.REQUESTS, 1, str(answer.code.number))
+        objective = find_objective(self.view, request.team, request.service)
+        if objective is not None:
+            self.ledger.record(
+                team=request.team,
+                service=request.service,
+                code=answer.code,
+                latency_ms=self._clock.monotonic_ms() - started_ms,
+                objective=objective,
+            )
+        return answer
+
+    async def _release_requests(self, shard_id: str, epoch: int) -> ShardHandover:
+        return self.requests.export_handover(shard_id, epoch)
+
+    async def _follow_ownership(self) -> None:
+        """Pass on to the request path what is known of a shard's former owner."""
+        async for change in self.ownership.subscribe():
+            if not change.is_owned:
+                continue
+            if change.handover is not None:
+                self.requests.take_handover(change.handover)
+            if change.rights in _MET:
+                self.requests.note_predecessor_gone(change.shard_id)
+
+    def _read_configuration(self) -> None:
+        mirror = self.membership.follower.mirror
+        self.view.apply(mirror.entries)
+        present = {entry.key for entry in mirror.entries}
+        for team in self.view.list_teams():
+            key = f"{_ROOT}/config/teams/{team}"
+            if key not in present:
+                self.view.forget(key, revision=mirror.revision)
+
+    async def _follow_configuration(self) -> None:
+        async for _ in self.membership.follower.subscribe():
+            self._read_configuration()
+
+    async def _share_ledger(self) -> None:
+        """Ask the peers for their counts, so that those of a lost one are kept."""
+        while True:
+            await self._clock.sleep_ms(_SHARE_INTERVAL_MS)
+            await self.backend.read_burn(team=None)
+
+    async def _leave(self) -> None:
+        """Hand over, finish what is in progress, and go.
+
+        The entry goes on serving until its shards are elsewhere and the balancer has
+        seen that the instance is not ready; the inner listener closes last, since a
+        refused connection tells the peers that this process acts for nothing.
+        """
+        log_event(Event.STOPPING, instance=self.instance_id)
+        self.backend.is_leaving = True
+        shutdown = self._settings.shutdown
+        with trio.move_on_after(shutdown.handover_ms / 1000.0):
+            await self._try(self.membership.announce_leaving)
+            await self.ownership.release_all()
+        await self._entry_server.drain(grace_ms=shutdown.grace_ms)
+        await self.requests.drain(grace_ms=shutdown.handover_ms)
+        await self._admin_server.drain(grace_ms=0)
+        await self._inner.drain()
+        await self._try(self.membership.leave)
+
+    async def _try(self, step: Callable[[], Awaitable[None]]) -> None:
+        """Take a step of leaving that the store may be too far away for."""
+        try:
+            await step()
+        except Exception as error:  # leaving goes on, the lease lapses by itself
+            log_event(Event.STORE_DOWN, reason=str(error))
--- /dev/null
+++ b/trefoilhook/daemon/teams.py
@@ -0,0 +1,54 @@
+"""What the request path reads of the configuration in force."""
+
+import math
+
+from trefoilhook.configuration import ConfigurationView, Objective
+from trefoilhook.requests import ServiceSettings, TeamView, TokenVerdict
+
+__all__ = ["build_team_view", "find_objective"]
+
+
+def build_team_view(view: ConfigurationView) -> TeamView:
+    """Build the request path's view of the teams."""
+
+    def find_service(team: str, service: str) -> ServiceSettings | None:
+        configuration = view.team(team)
+        declared = configuration and configuration.services.get(service)
+        if not declared:
+            return None
+        return ServiceSettings(
+            is_idempotent=declared.is_idempotent,
+            timeout_ms=declared.timeout_ms,
+            max_queue=declared.max_queue,
+        )
+
+    def get_quota_per_s(team: str) -> float:
+        configuration = view.team(team)
+        if configuration is None or configuration.quota.requests_per_s is None:
+            return math.inf
+        return configuration.quota.requests_per_s
+
+    def check_token(team: str, token: str) -> TokenVerdict:
+        configuration = view.team(team)
+        if configuration is not None and configuration.tokens.covers_caller(token):
+            return TokenVerdict.ALLOWED
+        for other in view.list_teams():
+            known = view.team(other)
+            if known is not None and known.tokens.covers_caller(token):
+                return TokenVerdict.FORBIDDEN
+        return TokenVerdict.UNKNOWN
+
+    return TeamView(
+        find_service=find_service,
+        get_quota_per_s=get_quota_per_s,
+        check_token=check_token,
+    )
+
+
+def find_objective(
+    view: ConfigurationView, team: str, service: str
+) -> Objective | None:
+    """Return the service-level objective of a service, None for an unknown one."""
+    configuration = view.team(team)
+    declared = configuration and configuration.services.get(service)
+    return declared.objective if declared else None
--- a/trefoilhook/jobs/runner.py
+++ b/trefoilhook/jobs/runner.py
@@ -386,6 +386,7 @@
         """Write what waits, all of it in one append, then what came meanwhile."""
         while True:
             await self._commit_wanted.wait()
+            await self._clock.sleep_ms(self._settings.commit_window_ms)
             self._commit_wanted = trio.Event()
             acceptances, self._acceptances = self._acceptances, []
             commits, self._unsent = self._unsent, []
--- a/trefoilhook/jobs/settings.py
+++ b/trefoilhook/jobs/settings.py
@@ -28,6 +28,11 @@
         description="How long renewals are tried without an answer before the "
         "worker is left to its lapse.",
     )
+    commit_window_ms: float = declare(
+        default=50.0,
+        unit="ms",
+        description="How long records are gathered for one write to the store.",
+    )
     tick_ms: float = declare(
         default=100.0,
         unit="ms",
--- /dev/null
+++ b/trefoilhook/journal/__init__.py
@@ -0,0 +1,13 @@
+"""What must last: a worker shard's records in the platform's store."""
+
+from trefoilhook.journal.core import Journal, JournalSettings, open_journal
+from trefoilhook.journal.pages import Page, decode_page, encode_page
+
+__all__ = [
+    "Journal",
+    "JournalSettings",
+    "Page",
+    "decode_page",
+    "encode_page",
+    "open_journal",
+]
--- /dev/null
+++ b/trefoilhook/journal/core.py
@@ -0,0 +1,425 @@
+"""The journal of one worker shard, written by its owner alone.
+
+Records stand in numbered pages. An append writes the last page anew with one
+compare-and-swap, however many records it adds; a full page is followed by the next. The
+head names the generation of pages in use; a compaction writes a new generation and then
+changes the head.
+
+A new owner fences the former one: it writes its epoch into the head and into the last
+page and takes the next page for itself. Whatever the former owner still writes meets a
+page at another revision, in which it finds the higher epoch.
+"""
+
+import uuid
+from collections.abc import Sequence
+
+import attrs
+
+from trefoilhook.clock import Clock
+from trefoilhook.exceptions import (
+    ConflictError,
+    FencedError,
+    StoreError,
+    StoreRateError,
+    StoreUnavailableError,
+)
+from trefoilhook.jobs import JobRecord
+from trefoilhook.journal.compaction import compact_records
+from trefoilhook.journal.pages import (
+    Head,
+    Page,
+    decode_head,
+    decode_page,
+    encode_head,
+    encode_page,
+    measure_records,
+)
+from trefoilhook.settings import declare, is_within
+from trefoilhook.store import StoreClient, StoreEntry, swap_reading_back
+
+__all__ = ["Journal", "JournalSettings", "open_journal"]
+
+_PREFIX = "journal"
+
+
+@attrs.frozen(kw_only=True)
+class JournalSettings:
+    """Sizes and times of the journals."""
+
+    page_bytes: int = declare(
+        default=65_536,
+        unit="bytes",
+        description="Size from which records go to a new page; far below the store's "
+        "limit on a value, since an append writes its page whole.",
+        check=is_within(1_024, 900_000),
+    )
+    compact_pages: int = declare(
+        default=16,
+        description="Pages from which a journal is compacted.",
+        check=is_within(2, 400),
+    )
+    keep_ended_ms: float = declare(
+        default=86_400_000.0,
+        unit="ms",
+        description="How long a job that ended is remembered.",
+        check=is_within(0, 31_536_000_000),
+    )
+    write_timeout_ms: float = declare(
+        default=2_000.0,
+        unit="ms",
+        description="How long an append looks for the fate of a lost answer.",
+        check=is_within(10, 60_000),
+    )
+
+
+def open_journal(
+    *,
+    store: StoreClient,
+    shard_id: str,
+    epoch: int,
+    clock: Clock,
+    settings: JournalSettings | None = None,
+) -> "Journal":
+    """Open a shard's journal for the owner at an epoch; nothing is read yet."""
+    return Journal(
+        store=store,
+        shard_id=shard_id,
+        epoch=epoch,
+        clock=clock,
+        settings=settings or JournalSettings(),
+    )
+
+
+@attrs.define(kw_only=True)
+class _Written:
+    """A page as this owner knows it in the store."""
+
+    key: str
+    page: Page
+    revision: int
+    size: int
+
+
+class Journal:
+    """One owner's way to a shard's journal.
+
+    Parameters
+    ----------
+    store : StoreClient
+        Adapter to the platform's store.
+    shard_id : str
+        The shard.
+    epoch : int
+        Epoch of the owner's claim.
+    clock : Clock
+        Time.
+    settings : JournalSettings
+        Sizes and times.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: StoreClient,
+        shard_id: str,
+        epoch: int,
+        clock: Clock,
+        settings: JournalSettings,
+    ) -> None:
+        self._store = store
+        self._prefix = f"{_PREFIX}/{shard_id}"
+        self._epoch = epoch
+        self._clock = clock
+        self._settings = settings
+        self._head = Head(epoch=0, nonce="", generation="")
+        self._head_revision = 0
+        self._pages: list[_Written] = []
+        self._unsure: list[Page] = []
+        self._compactions = 0
+        self._compact_from = settings.compact_pages
+
+    @property
+    def page_count(self) -> int:
+        """Number of pages in use."""
+        return len(self._pages)
+
+    async def load(self) -> Sequence[JobRecord]:
+        """Fence out former owners and return every record, oldest first.
+
+        Raises
+        ------
+        FencedError
+            If a later owner has been here.
+        StoreError
+            If the store can't be reached; may be called again.
+        """
+        await self._fence_head()
+        self._pages = await self._read_pages()
+        self._unsure = []
+        await self._fence_pages()
+        return [r for written in self._pages for r in written.page.records]
+
+    async def append(self, records: Sequence[JobRecord]) -> None:
+        """Commit records together; returns once they are durable.
+
+        Raises
+        ------
+        FencedError
+            If a later owner has been here; these records are not committed.
+        StoreUnsentError, StoreRateError
+            If they are surely not committed.
+        StoreUnavailableError
+            If that is not known. They may be appended again; a record that stands
+            twice says the same as one that stands once.
+        """
+        is_begun = False
+        for chunk in self._split(records):
+            try:
+                await self._append_chunk(chunk)
+            except (StoreRateError, StoreUnavailableError) as error:
+                if is_begun:
+                    message = "a part of the records is committed"
+                    raise StoreUnavailableError(message) from error
+                raise
+            is_begun = True
+        if len(self._pages) > self._compact_from:
+            await self._try_compacting()
+
+    async def _append_chunk(self, records: tuple[JobRecord, ...]) -> None:
+        if self._pages[-1].size >= self._settings.page_bytes:
+            await self._open_page()
+        last = self._pages[-1]
+        await self._write_page(last, (*last.page.records, *records))
+
+    async def _fence_head(self) -> None:
+        entry = await self._store.get(f"{self._prefix}/head")
+        generation = f"{self._epoch}-0"
+        revision = 0
+        if entry is not None:
+            head = decode_head(entry.value)
+            self._check_epoch(head.epoch)
+            generation = head.generation
+            revision = entry.revision
+        await self._write_head(generation, revision)
+
+    async def _write_head(self, generation: str, expected_revision: int) -> None:
+        head = Head(epoch=self._epoch, nonce=_make_nonce(), generation=generation)
+        try:
+            revision = await self._swap(
+                f"{self._prefix}/head", encode_head(head), expected_revision
+            )
+        except ConflictError as conflict:
+            if conflict.current is not None:
+                self._check_epoch(decode_head(conflict.current.value).epoch)
+            raise
+        self._head = head
+        self._head_revision = revision
+
+    async def _read_pages(self) -> list[_Written]:
+        pages: list[_Written] = []
+        after_key = ""
+        while True:
+            found = await self._store.list_entries(
+                f"{self._prefix}/{self._head.generation}/", after_key=after_key
+            )
+            pages.extend(_read_entry(entry) for entry in found.entries)
+            if found.next_key is None:
+                return pages
+            after_key = found.next_key
+
+    async def _fence_pages(self) -> None:
+        """Seal the last page against the former owner, and take the next one.
+
+        The former owner appends to the last page that it knows or opens the one after
+        it. The first fails at the sealed revision and the second at the page that now
+        exists; where it came first, its page is read and sealed in turn.
+        """
+        sealed = 0
+        while True:
+            for written in self._pages[max(sealed, len(self._pages) - 1) :]:
+                await self._seal(written)
+            sealed = len(self._pages)
+            try:
+                await self._open_page()
+                return
+            except ConflictError as conflict:
+                if conflict.current is None:
+                    raise
+                self._pages.append(_read_entry(conflict.current))
+
+    async def _seal(self, written: _Written) -> None:
+        self._check_epoch(written.page.epoch)
+        while True:
+            page = attrs.evolve(written.page, epoch=self._epoch, nonce=_make_nonce())
+            try:
+                written.revision = await self._swap(
+                    written.key, encode_page(page), written.revision
+                )
+            except ConflictError as conflict:
+                if conflict.current is None:
+                    raise
+                current = _read_entry(conflict.current)
+                self._check_epoch(current.page.epoch)
+                written.page, written.revision = current.page, current.revision
+            else:
+                written.page = page
+                return
+
+    async def _open_page(self) -> None:
+        """Create the page after the last one."""
+        number = len(self._pages)
+        key = f"{self._prefix}/{self._head.generation}/{number:06d}"
+        try:
+            self._pages.append(await self._create_page(key, ()))
+        except ConflictError as conflict:
+            if conflict.current is None or not self._adopt_own(conflict.current):
+                raise
+        self._unsure = []
+
+    async def _create_page(self, key: str, records: tuple[JobRecord, ...]) -> _Written:
+        page = Page(epoch=self._epoch, nonce=_make_nonce(), records=records)
+        value = encode_page(page)
+        revision = await self._swap(key, value, 0)
+        return _Written(key=key, page=page, revision=revision, size=len(value))
+
+    def _adopt_own(self, entry: StoreEntry) -> bool:
+        """Take a page that an earlier attempt of this owner created after all."""
+        written = _read_entry(entry)
+        self._check_epoch(written.page.epoch)
+        is_own = written.page.epoch == self._epoch
+        if is_own:
+            self._pages.append(written)
+        return is_own
+
+    async def _write_page(
+        self, written: _Written, records: tuple[JobRecord, ...]
+    ) -> None:
+        """Write a page anew, after finding out what became of unsure writes to it.
+
+        A write whose answer was lost may take effect at any later time, but only at
+        the revision that it expected. So the next write expects the same revision: one
+        of them takes effect, and a conflict shows by its nonce which.
+        """
+        while True:
+            page = Page(epoch=self._epoch, nonce=_make_nonce(), records=records)
+            value = encode_page(page)
+            try:
+                revision = await self._swap(written.key, value, written.revision)
+            except ConflictError as conflict:
+                self._resolve(written, conflict)
+                added = [r for r in records if r not in written.page.records]
+                if not added:
+                    return
+                records = (*written.page.records, *added)
+            except StoreUnavailableError as error:
+                if not error.is_proved_unsent:
+                    self._unsure.append(page)
+                raise
+            else:
+                written.page, written.revision = page, revision
+                written.size = len(value)
+                self._unsure = []
+                return
+
+    def _resolve(self, written: _Written, conflict: ConflictError) -> None:
+        """Take over the unsure write that took effect.
+
+        Raises
+        ------
+        FencedError
+            If the page is a later owner's.
+        """
+        if conflict.current is None:
+            raise conflict
+        current = _read_entry(conflict.current)
+        self._check_epoch(current.page.epoch)
+        if current.page.nonce not in {page.nonce for page in self._unsure}:
+            raise FencedError(f"{written.key} was written by another")
+        written.page, written.revision = current.page, current.revision
+        self._unsure = []
+
+    async def _try_compacting(self) -> None:
+        """Compact; a failure leaves the old generation in use, for the next append."""
+        try:
+            await self._compact()
+        except FencedError:
+            raise
+        except StoreError:
+            return
+
+    async def _compact(self) -> None:
+        """Write what still counts as a new generation, then change the head to it."""
+        old = list(self._pages)
+        before_ms = self._clock.wall_ms() - self._settings.keep_ended_ms
+        records = compact_records(
+            [r for written in old for r in written.page.records],
+            ended_after_ms=before_ms,
+        )
+        self._compactions += 1
+        generation = f"{self._epoch}-{self._compactions}-{_make_nonce()}"
+        fresh: list[_Written] = []
+        for number, chunk in enumerate(self._split(records)):
+            key = f"{self._prefix}/{generation}/{number:06d}"
+            fresh.append(await self._create_page(key, chunk))
+        await self._write_head(generation, self._head_revision)
+        self._pages = fresh
+        self._unsure = []
+        self._compact_from = max(self._settings.compact_pages, 2 * len(fresh))
+        await self._drop_others(generation)
+
+    async def _drop_others(self, generation: str) -> None:
+        """Delete the pages of other generations, also what a dead owner left."""
+        keep = (f"{self._prefix}/head", f"{self._prefix}/{generation}/")
+        after_key = ""
+        while True:
+            found = await self._store.list_entries(
+                f"{self._prefix}/", after_key=after_key
+            )
+            for entry in found.entries:
+                if not entry.key.startswith(keep):
+                    await self._store.swap(
+                        entry.key, None, expected_revision=entry.revision
+                    )
+            if found.next_key is None:
+                return
+            after_key = found.next_key
+
+    def _split(self, records: Sequence[JobRecord]) -> list[tuple[JobRecord, ...]]:
+        chunks: list[tuple[JobRecord, ...]] = []
+        chunk: list[JobRecord] = []
+        size = 0
+        for record in records:
+            chunk.append(record)
+            size += measure_records([record])
+            if size >= self._settings.page_bytes:
+                chunks.append(tuple(chunk))
+                chunk, size = [], 0
+        chunks.append(tuple(chunk))
+        return chunks
+
+    async def _swap(self, key: str, value: bytes, expected_revision: int) -> int:
+        return await swap_reading_back(
+            self._store,
+            key,
+            value,
+            expected_revision=expected_revision,
+            clock=self._clock,
+            timeout_ms=self._settings.write_timeout_ms,
+        )
+
+    def _check_epoch(self, epoch: int) -> None:
+        if epoch > self._epoch:
+            raise FencedError(f"{self._prefix} belongs to epoch {epoch}")
+
+
+def _make_nonce() -> str:
+    return uuid.uuid4().hex
+
+
+def _read_entry(entry: StoreEntry) -> _Written:
+    return _Written(
+        key=entry.key,
+        page=decode_page(entry.value),
+        revision=entry.revision,
+        size=len(entry.value),
+    )
--- a/trefoilhook/standins/virtual.py
+++ b/trefoilhook/standins/virtual.py
@@ -21,6 +21,7 @@
     OutcomeError,
     StoreError,
     StoreUnavailableError,
+    StoreUnsentError,
     TrefoilhookError,
 )
 from trefoilhook.inner import Call, PeerAddress, PeerState
@@ -104,6 +105,8 @@
         Answers of changes that get lost after the effect.
     is_watch_silent : bool
         Watches wait for good.
+    is_unsent : bool
+        A call that does not reach the store surely never left.
     """
 
     store: VirtualStore
@@ -111,6 +114,7 @@
     is_cut: bool = False
     answers_to_lose: int = 0
     is_watch_silent: bool = False
+    is_unsent: bool = False
 
     async def get(self, key: str) -> StoreEntry | None:
         """Return the entry at ``key``."""
@@ -178,6 +182,8 @@
         await self.store.clock.sleep_ms(self.store.call_ms)
         if self.store.is_down or self.is_cut:
             await self.store.clock.sleep_ms(self.timeout_ms)
+            if self.is_unsent:
+                raise StoreUnsentError("the store is not reached")
             raise StoreUnavailableError("the store does not answer")
         result = self.store.apply(kind, change)
         if kind == "swap" and self.answers_to_lose:
