--- a/trefoilhook/requests/core.py
+++ b/trefoilhook/requests/core.py
@@ -252,7 +252,7 @@
         return encode_handover(
             shard_id=shard_id,
             epoch=epoch,
-            handed=self._key_owner.export(shard_id),
+            handed=self._key_owner.export(shard_id, epoch),
             in_use=in_use,
         )
 
@@ -287,8 +287,6 @@
             return await self._key_owner.serve(
                 request, work=work, entry_id=request.entry_instance_id
             )
-        if parts.pool.get(request.executor_id) is None:
-            return parts.refuse(ResultCode.NO_OWNER)
         return await self._run_detached(work)
 
     async def _run_detached(self, work: Work) -> CallerAnswer:
