--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 .PHONY: demo test lint format clean
 
 demo: $(STAMP)
-	$(PYTHON) -m trefoilhook.standins.demo
+	$(PYTHON) -m trefoilhook.demo
 
 test: $(STAMP)
 	LOGURU_AUTOINIT=0 $(PYTHON) -m nose2
--- a/trefoilhook/daemon/core.py
+++ b/trefoilhook/daemon/core.py
@@ -218,6 +218,7 @@
         self._inner.handle(ServiceRequest, self.requests.handle_inner)
         self._inner.handle(ExecutorLoads, self.requests.handle_loads)
         self.ownership.add_releaser(self._release_requests)
+        self._ownership_changes = self.ownership.subscribe()
         self._entry_server = self._build_server(
             settings.listeners.entry,
             build_entry_handler(
@@ -351,7 +352,7 @@
 
     async def _follow_ownership(self) -> None:
         """Pass on to the request path what is known of a shard's former owner."""
-        async for change in self.ownership.subscribe():
+        async for change in self._ownership_changes:
             if not change.is_owned:
                 continue
             if change.handover is not None:
--- /dev/null
+++ b/trefoilhook/demo/__init__.py
@@ -0,0 +1,13 @@
+"""A whole system on loopback in one process: stand-ins, instances and callers."""
+
+from trefoilhook.demo.clients import AdminClient, Answer, EntryClient
+from trefoilhook.demo.cluster import CLUSTER_TOKEN, LocalCluster, LocalPlan
+
+__all__ = [
+    "CLUSTER_TOKEN",
+    "AdminClient",
+    "Answer",
+    "EntryClient",
+    "LocalCluster",
+    "LocalPlan",
+]
--- /dev/null
+++ b/trefoilhook/demo/cluster.py
@@ -0,0 +1,188 @@
+"""Stand-ins and instances on loopback, inside one process."""
+
+import attrs
+import trio
+
+from trefoilhook.clock import Clock
+from trefoilhook.configuration import digest_token
+from trefoilhook.daemon import Addresses, DaemonSettings, Instance
+from trefoilhook.demo.clients import AdminClient, EntryClient
+from trefoilhook.instances import ExecutorRecord, WorkerRecord
+from trefoilhook.settings import (
+    AdminSettings,
+    InstanceListSettings,
+    InstanceSettings,
+    ShardSettings,
+    StoreSettings,
+)
+from trefoilhook.standins import (
+    ExecutorSettings,
+    ExecutorStandin,
+    InstanceLists,
+    InstanceListStandin,
+    StoreStandin,
+    WorkerSettings,
+    WorkerStandin,
+)
+from trefoilhook.workers import Resources
+
+__all__ = ["CLUSTER_TOKEN", "LocalCluster", "LocalPlan"]
+
+CLUSTER_TOKEN = "cluster-token"
+_HOST = "127.0.0.1"
+_DOMAINS = ("fd-1", "fd-2", "fd-3")
+_RACK_SIZE = 8
+_SETTLE_STEP_MS = 20.0
+
+
+@attrs.frozen(kw_only=True)
+class LocalPlan:
+    """What to start.
+
+    Parameters
+    ----------
+    instances : int
+        Instances of the system.
+    services : dict of str to int
+        Executors of each service, by ``team/service``.
+    workers : int
+        Workers.
+    service_time_ms : float
+        How long a request runs on an executor, in ms.
+    """
+
+    instances: int = 3
+    services: dict[str, int] = attrs.field(factory=dict)
+    workers: int = 4
+    service_time_ms: float = 5.0
+
+
+@attrs.define(kw_only=True)
+class LocalCluster:
+    """Everything that was started.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time of all of it.
+    nursery : trio.Nursery
+        Where it runs.
+    plan : LocalPlan
+        What to start.
+    settings : DaemonSettings
+        Settings of each instance, before its addresses are filled in.
+    """
+
+    clock: Clock
+    nursery: trio.Nursery
+    plan: LocalPlan
+    settings: DaemonSettings = attrs.field(factory=DaemonSettings)
+    store: StoreStandin = attrs.field(init=False)
+    instance_list: InstanceListStandin = attrs.field(init=False)
+    executors: dict[str, ExecutorStandin] = attrs.field(factory=dict)
+    workers: dict[str, WorkerStandin] = attrs.field(factory=dict)
+    instances: list[Instance] = attrs.field(factory=list)
+    addresses: list[Addresses] = attrs.field(factory=list)
+    _store_port: int = 0
+    _list_port: int = 0
+
+    async def start(self) -> None:
+        """Start the stand-ins, then the instances, and wait until all is owned."""
+        self.store = StoreStandin(clock=self.clock)
+        self._store_port = await self.nursery.start(self.store.run)
+        lists = InstanceLists(
+            executors=await self._start_executors(), workers=await self._start_workers()
+        )
+        self.instance_list = InstanceListStandin(clock=self.clock, lists=lists)
+        self._list_port = await self.nursery.start(self.instance_list.run)
+        for _ in range(self.plan.instances):
+            await self.add_instance()
+        await self.wait_settled()
+
+    async def add_instance(self) -> Instance:
+        """Start one more instance."""
+        number = len(self.instances)
+        settings = attrs.evolve(
+            self.settings,
+            instance=InstanceSettings(
+                instance_id=f"i-{number}",
+                failure_domain=_DOMAINS[number % len(_DOMAINS)],
+            ),
+            store=StoreSettings(host=_HOST, port=self._store_port),
+            instances=InstanceListSettings(host=_HOST, port=self._list_port),
+            shards=ShardSettings(),
+            admin=AdminSettings(cluster_tokens=(digest_token(CLUSTER_TOKEN),)),
+        )
+        instance = Instance(settings=settings, clock=self.clock)
+        self.instances.append(instance)
+        self.addresses.append(await self.nursery.start(instance.run))
+        return instance
+
+    async def wait_settled(self) -> None:
+        """Wait until every shard has one owner that every instance knows."""
+        while not self._is_settled():
+            await self.clock.sleep_ms(_SETTLE_STEP_MS)
+
+    def open_entry(self, number: int, token: str) -> EntryClient:
+        """Open a caller's client to an instance."""
+        port = self.addresses[number].entry_port
+        return EntryClient(port=port, token=token, clock=self.clock)
+
+    def open_admin(self, number: int, token: str = CLUSTER_TOKEN) -> AdminClient:
+        """Open an operator's client to an instance."""
+        return AdminClient(port=self.addresses[number].admin_port, token=token)
+
+    def _is_settled(self) -> bool:
+        staying = [i for i in self.instances if not i.is_leaving]
+        count = self.settings.shards.request_shards + self.settings.shards.worker_shards
+        owned = sum(len(i.ownership.list_owned()) for i in staying)
+        known = {i.ownership.table.revision for i in staying}
+        return owned == count and len(known) == 1
+
+    async def _start_executors(self) -> tuple[ExecutorRecord, ...]:
+        records: list[ExecutorRecord] = []
+        for name, count in self.plan.services.items():
+            team, service = name.split("/")
+            for number in range(count):
+                executor_id = f"{service}-{number}"
+                standin = ExecutorStandin(
+                    clock=self.clock,
+                    settings=ExecutorSettings(
+                        executor_id=executor_id,
+                        service_time_ms=self.plan.service_time_ms,
+                    ),
+                )
+                self.executors[executor_id] = standin
+                records.append(
+                    ExecutorRecord(
+                        executor_id=executor_id,
+                        team=team,
+                        service=service,
+                        host=_HOST,
+                        port=await self.nursery.start(standin.run),
+                        failure_domain=_DOMAINS[number % len(_DOMAINS)],
+                    )
+                )
+        return tuple(records)
+
+    async def _start_workers(self) -> tuple[WorkerRecord, ...]:
+        records: list[WorkerRecord] = []
+        capacity = Resources(cores=32.0, memory_bytes=125_000_000_000)
+        for number in range(self.plan.workers):
+            worker_id = f"worker-{number}"
+            standin = WorkerStandin(
+                clock=self.clock,
+                settings=WorkerSettings(worker_id=worker_id, capacity=capacity),
+            )
+            self.workers[worker_id] = standin
+            records.append(
+                WorkerRecord(
+                    worker_id=worker_id,
+                    rack=f"rack-{number // _RACK_SIZE}",
+                    failure_domain=_DOMAINS[number % len(_DOMAINS)],
+                    host=_HOST,
+                    port=await self.nursery.start(standin.run),
+                    capacity=capacity,
+                )
+            )
+        return tuple(records)
--- a/trefoilhook/executors/core.py
+++ b/trefoilhook/executors/core.py
@@ -18,7 +18,7 @@
 
 __all__ = ["ExecutorAnswer", "ExecutorClient", "ExecutorHealth"]
 
-_REQUEST_ID_HEADER = "request-id"
+_REQUEST_ID_HEADER = "x-request-id"
 _DEFAULT_CONTENT_TYPE = "application/octet-stream"
 _HEALTH_CONNECTIONS = 2
 _DISCARD_ON_CLOSE = struct.pack("ii", 1, 0)
--- a/trefoilhook/executors/tests/test_executors.py
+++ b/trefoilhook/executors/tests/test_executors.py
@@ -59,7 +59,7 @@
             self.assertEqual(answer.content_type, "text/plain")
             request = backend.requests[0]
             self.assertEqual((request.method, request.path), ("POST", "/run"))
-            self.assertEqual(request.get_header("request-id"), "r1")
+            self.assertEqual(request.get_header("x-request-id"), "r1")
             self.assertEqual(request.get_header("content-type"), "text/csv")
 
         run_with(scenario)
@@ -72,7 +72,7 @@
             with self.assertRaises(NotSentError):
                 await send(client, may_send=lambda: False)
             await send(client, request_id="r2")
-            ids = [each.get_header("request-id") for each in backend.requests]
+            ids = [each.get_header("x-request-id") for each in backend.requests]
             self.assertEqual(ids, ["r1", "r2"])
 
         run_with(scenario)
--- a/trefoilhook/requests/core.py
+++ b/trefoilhook/requests/core.py
@@ -252,7 +252,7 @@
         return encode_handover(
             shard_id=shard_id,
             epoch=epoch,
-            handed=self._key_owner.export(shard_id),
+            handed=self._key_owner.export(shard_id, epoch),
             in_use=in_use,
         )
 
--- a/trefoilhook/requests/handover.py
+++ b/trefoilhook/requests/handover.py
@@ -13,17 +13,16 @@
 
 __all__ = ["decode_keys", "encode_handover"]
 
-_FLOOR_FIELD = "known_from_wall_ms"
 _MOST_BYTES = 2_000_000
 
 
 def encode_handover(
-    *, shard_id: str, epoch: int, handed: HandedKeys | None, in_use: dict[str, int]
+    *, shard_id: str, epoch: int, handed: HandedKeys, in_use: dict[str, int]
 ) -> ShardHandover:
     """Build the message; the newest answers go along whole as far as there is room."""
     records: list[KeyRecordMessage] = []
     left_bytes = _MOST_BYTES
-    for record in reversed(handed.records if handed is not None else ()):
+    for record in reversed(handed.records):
         is_whole = record.size_bytes <= left_bytes
         left_bytes -= record.size_bytes if is_whole else 0
         records.append(_encode_record(record, is_whole=is_whole))
@@ -36,16 +35,15 @@
             for executor_id, count in in_use.items()
         ],
     )
-    if handed is not None and _FLOOR_FIELD in message.DESCRIPTOR.fields_by_name:
-        setattr(message, _FLOOR_FIELD, handed.known_from_ms)
+    if handed.known_from_ms < math.inf:
+        message.known_from_wall_ms = handed.known_from_ms
     return message
 
 
 def decode_keys(message: ShardHandover) -> HandedKeys:
     """Read the keys; without a floor in the message no more than they are known."""
-    floor = math.inf
-    if _FLOOR_FIELD in message.DESCRIPTOR.fields_by_name:
-        floor = float(getattr(message, _FLOOR_FIELD)) or math.inf
+    has_floor = message.HasField("known_from_wall_ms")
+    floor = message.known_from_wall_ms if has_floor else math.inf
     records = tuple(_decode_record(each) for each in message.keys)
     return HandedKeys(epoch=message.epoch, known_from_ms=floor, records=records)
 
--- a/trefoilhook/requests/keyowner.py
+++ b/trefoilhook/requests/keyowner.py
@@ -128,20 +128,27 @@
             parts.start(self._execute, table, record, work, entry_id)
         return await self._wait(record, work, is_first=is_first)
 
-    def export(self, shard_id: str) -> HandedKeys | None:
+    def export(self, shard_id: str, epoch: int) -> HandedKeys:
         """Return what the next owner must know, and forget it here.
 
         To be called once this instance no longer acts for the shard, in the step in
-        which that became so: what came in between would be missing.
+        which that became so: what came in between would be missing. A shard that no
+        request came for has no table yet; that none was run is worth telling too, or
+        the next owner could not vouch for the keys that callers hold already.
+
+        Parameters
+        ----------
+        shard_id : str
+            The shard.
+        epoch : int
+            Epoch of the claim that ends.
         """
-        owned = self._tables.pop(shard_id, None)
-        if owned is None:
-            return None
-        window = self._get_window(shard_id)
+        table = self._get_table(shard_id, epoch)
+        del self._tables[shard_id]
         return HandedKeys(
-            epoch=owned.epoch,
-            known_from_ms=owned.table.get_known_from_ms(window),
-            records=owned.table.list_records(),
+            epoch=epoch,
+            known_from_ms=table.get_known_from_ms(self._get_window(shard_id)),
+            records=table.list_records(),
         )
 
     def take_over(self, shard_id: str, handed: HandedKeys) -> None:
--- a/trefoilhook/shards/owner.py
+++ b/trefoilhook/shards/owner.py
@@ -42,6 +42,7 @@
 __all__ = ["Owner", "Ownership", "OwnershipChange"]
 
 _POLL_MS = 250.0
+_FIRST_EPOCH = 1
 _BACKOFF_RANGE_MS = (5.0, 40.0)
 _RELEASE_TIMEOUT_MS = 3_000.0
 _ATTEST_TIMEOUT_MS = 1_000.0
@@ -416,7 +417,9 @@
                 await self._ask_attests(holding)
                 continue
             holding.rights = rights
-            holding.since_wall_ms = self._clock.wall_ms()
+            # Before the first claim of all there was nobody who could have acted.
+            is_first = holding.row.epoch == _FIRST_EPOCH
+            holding.since_wall_ms = -math.inf if is_first else self._clock.wall_ms()
             handover = self._take_handover(shard_id, holding.row)
             self._announce(shard_id, holding, handover=handover)
         await self._clear_unmet()
