--- a/trefoilhook/settings/page.py
+++ b/trefoilhook/settings/page.py
@@ -56,7 +56,10 @@
 def _show_default(field: "attrs.Attribute[Any]", declaration: Declaration) -> str:
     if field.default is attrs.NOTHING:
         return "required"
-    return "`" + json.dumps(dump_json(field.default)) + "`"
+    default = field.default
+    if isinstance(default, attrs.Factory):  # type: ignore[arg-type]
+        default = default.factory()  # type: ignore[union-attr]
+    return "`" + json.dumps(dump_json(default)) + "`"
 
 
 def _is_nested(field: "attrs.Attribute[Any]") -> bool:
