Check the editor against the store's stand-in; put all settings on their page

Cause: the editor was proved over a fake alone, and docs/SETTINGS.md had only the sections of its own package. The page now comes from the daemon's settings with the other pages, and its test compares all sections.

--- a/trefoilhook/command/pages.py
+++ b/trefoilhook/command/pages.py
@@ -12,6 +12,7 @@
 from trefoilhook.command.application import SPECS
 from trefoilhook.command.exits import derive_exit_code
 from trefoilhook.configuration import TeamConfiguration
+from trefoilhook.daemon.settings import DaemonSettings
 from trefoilhook.logs import Event
 from trefoilhook.metrics import Instrument
 from trefoilhook.results import ResultCode
@@ -23,6 +24,14 @@
 
 _MADE = "Made from the code by `python -m trefoilhook.command.pages`; a test checks it."
 
+_SETTINGS_HEAD = f"""# Settings
+
+{_MADE}
+The file is one JSON object with a member for each section below. A setting that is left
+out has its default. Unknown names, wrong types and impossible combinations are refused:
+`trefoilhookd --check-settings` says why.
+"""
+
 _TEAM_HEAD = f"""# A team's configuration
 
 {_MADE}
@@ -152,6 +161,10 @@
 {listed}"""
 
 
+def _render_settings() -> str:
+    return render_page(DaemonSettings, head=_SETTINGS_HEAD)
+
+
 def _render_team() -> str:
     return render_page(TeamConfiguration, head=_TEAM_HEAD)
 
@@ -161,6 +174,7 @@
     Page(name="EVENTS.md", render=_render_events),
     Page(name="METRICS.md", render=_render_metrics),
     Page(name="RESULT_CODES.md", render=_render_result_codes),
+    Page(name="SETTINGS.md", render=_render_settings),
     Page(name="TEAM_CONFIGURATION.md", render=_render_team),
     Page(name="openapi.json", render=render_openapi),
 )
--- /dev/null
+++ b/trefoilhook/configuration/tests/test_store.py
@@ -0,0 +1,116 @@
+"""The editor over the store's adapter and a store at fault."""
+
+import functools
+import unittest
+
+import trio
+
+from trefoilhook.configuration import ConfigurationConflictError, ConfigurationEditor
+from trefoilhook.exceptions import StoreUnavailableError
+from trefoilhook.results import ResultCode
+from trefoilhook.standins import Availability, FaultSettings
+from trefoilhook.store import swap_reading_back
+from trefoilhook.store.tests.bench import run_with_store
+
+_PATH = "quota/cores"
+_TIMEOUT_MS = 3_000.0
+
+
+def _build_editor(bench, *, get=None):
+    swap = functools.partial(
+        swap_reading_back, bench.client, clock=bench.clock, timeout_ms=_TIMEOUT_MS
+    )
+    return ConfigurationEditor(
+        get=get or bench.client.get, swap=swap, root="root", clock=bench.clock
+    )
+
+
+class StoreTest(unittest.TestCase):
+    """What an operator is told is what the store holds."""
+
+    def test_a_lost_answer_is_an_accepted_change(self):
+        # An operator is told of a conflict with nobody. The store makes the change,
+        # its answer is lost, and the swap, sent again, meets its own effect.
+        async def scenario(bench):
+            editor = _build_editor(bench)
+            lost = FaultSettings(lost_answers=1, lost_kind="swap")
+            await bench.store.server.change_faults(lost)
+            accepted = await editor.put("a", _PATH, 4, author="op")
+            self.assertEqual(await editor.read("a", _PATH), accepted)
+
+        run_with_store(scenario)
+
+    def test_a_lost_answer_below_another_change_is_an_accepted_change(self):
+        # As above, but another operator's change is made on top before the first one
+        # is read back; the value that is met is a foreign one.
+        async def scenario(bench):
+            editor, other = _build_editor(bench), _build_editor(bench)
+            lost = FaultSettings(lost_answers=1, lost_kind="swap")
+            await bench.store.server.change_faults(lost)
+            accepted = []
+
+            async def change():
+                accepted.append(await editor.put("a", _PATH, 4, author="op"))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(change)
+                while not bench.store.state.get("root/config/teams/a"):
+                    await bench.clock.sleep_ms(1)
+                await other.put("a", "quota/accelerators", 1, author="other")
+            history = await editor.read_history("a")
+            self.assertEqual([row.author for row in history], ["other", "op"])
+            self.assertEqual(accepted[0].revision, history[1].revision)
+
+        run_with_store(scenario)
+
+    def test_a_store_that_is_down_gives_no_false_word(self):
+        # What the operator is told decides whether the change is made again.
+        for availability, code in (
+            (Availability.REFUSING, ResultCode.STORE_UNAVAILABLE),
+            (Availability.HANGING, ResultCode.COMMIT_UNKNOWN),
+        ):
+
+            async def scenario(bench, availability=availability, code=code):
+                editor = _build_editor(bench)
+                await editor.put("a", _PATH, 1, author="op")
+                fault = FaultSettings(availability=availability)
+
+                async def get_then_fail(key):
+                    entry = await bench.client.get(key)
+                    await bench.store.server.change_faults(fault)
+                    return entry
+
+                failing = _build_editor(bench, get=get_then_fail)
+                with self.assertRaises(StoreUnavailableError) as caught:
+                    await failing.put("a", _PATH, 2, author="op")
+                self.assertIs(caught.exception.code, code)
+                await bench.store.server.change_faults(FaultSettings())
+                self.assertEqual((await editor.read("a", _PATH)).value, 1)
+
+            run_with_store(scenario)
+
+    def test_twenty_operators_racing_lose_no_change(self):
+        # Twenty operators add a service each; some services are missing afterwards
+        # though all were told "accepted". Each retries on a conflict.
+        async def scenario(bench):
+            editor = _build_editor(bench)
+
+            async def add(number):
+                while True:
+                    try:
+                        path = f"services/s-{number}/max_queue"
+                        await editor.put("a", path, number, author=f"op-{number}")
+                        return
+                    except ConfigurationConflictError:
+                        continue
+
+            async with trio.open_nursery() as nursery:
+                for number in range(20):
+                    nursery.start_soon(add, number)
+            found = await editor.read("a", "services")
+            self.assertEqual(
+                {name: one["max_queue"] for name, one in found.value.items()},
+                {f"s-{number}": number for number in range(20)},
+            )
+
+        run_with_store(scenario)
--- a/trefoilhook/settings/page.py
+++ b/trefoilhook/settings/page.py
@@ -11,14 +11,6 @@
 
 __all__ = ["render_page"]
 
-_HEAD = """# Settings
-
-Made from the declarations in the code by `python -m trefoilhook.settings`; a test
-checks that it is current. The file is one JSON object with a member for each section
-below. A setting that is left out has its default. Unknown names, wrong types and
-impossible combinations are refused: `trefoilhookd --check-settings` says why.
-"""
-
 _TABLE_HEAD = "| setting | type | default | unit | description |\n|---|---|---|---|---|"
 
 _PLAIN_NAMES = {bool: "boolean", float: "number", int: "integer", str: "string"}
@@ -108,14 +100,14 @@
     return field.name
 
 
-def render_page(cls: type[Any], *, head: str = _HEAD) -> str:
+def render_page(cls: type[Any], *, head: str) -> str:
     """Return the reference page of a settings class as Markdown.
 
     Parameters
     ----------
     cls : type
         The attrs class that holds every section.
-    head : str, optional
+    head : str
         Title and introduction.
     """
     return "\n".join((head.rstrip("\n"), *_render_section(cls, "", ""))) + "\n"
--- a/trefoilhook/settings/tests/test_reader.py
+++ b/trefoilhook/settings/tests/test_reader.py
@@ -5,20 +5,21 @@
 import unittest
 from pathlib import Path
 
+import attrs
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from trefoilhook.settings import (
     BaseSettings,
     InvalidSettingsError,
+    declare,
+    declare_section,
     load_settings,
     parse_json,
     read_settings,
     render_page,
 )
 
-_PAGE = Path(__file__).parents[3] / "docs" / "SETTINGS.md"
-
 #: Data, then path, shown value, part of the reason and nearest name of the problem.
 _REFUSED = (
     ({"shard": {}}, "shard", "{}", "not a known", "shards"),
@@ -131,8 +132,30 @@
             self.assertTrue(error.problems)
 
 
-class PageTest(unittest.TestCase):
-    """The reference page."""
+@attrs.frozen(kw_only=True)
+class _Inner:
+    size_bytes: int = declare(default=3, description="How large.", unit="bytes")
+    names: tuple[str, ...] = declare(default=(), description="Which.")
+
 
-    def test_page_is_current(self):
-        self.assertEqual(_PAGE.read_text(encoding="utf-8"), render_page(BaseSettings))
+@attrs.frozen(kw_only=True)
+class _Outer:
+    inner: _Inner = declare_section(_Inner, description="The inner one.")
+    by_name: dict[str, _Inner] = declare(
+        default=attrs.Factory(dict), description="Many."
+    )
+
+
+class PageTest(unittest.TestCase):
+    """The reference page; that of the daemon is checked with the other pages."""
+
+    def test_every_declaration_is_on_the_page(self):
+        page = render_page(_Outer, head="# Title\n")
+        for part in (
+            "# Title\n",
+            "## `inner`\n\nThe inner one.",
+            "## `by_name/NAME`\n\nMany.",
+            "| `size_bytes` | integer | `3` | bytes | How large. |",
+            "| `names` | list of string | `[]` |  | Which. |",
+        ):
+            self.assertIn(part, page)
