--- a/bench/inner.py
+++ b/bench/inner.py
@@ -19,6 +19,9 @@
 _RUN_S = 3.0
 _WARM_UP_S = 0.5
 _IDLE_S = 10.0
+_SETTLE_S = 2.0
+_STAGGER_S = 0.05
+_MESH_INSTANCES = 9
 _BODY_BYTES = 200
 _IN_FLIGHT = (1, 8, 32, 128)
 _TIMEOUT_MS = 60_000.0
@@ -91,16 +94,32 @@
         nursery.cancel_scope.cancel()
 
 
-async def _measure_idle(one: InnerNode, two: InnerNode) -> None:
-    bytes_before = one.bytes_received + two.bytes_received
-    cpu_before = time.process_time()
-    await trio.sleep(_IDLE_S)
-    received = one.bytes_received + two.bytes_received - bytes_before
-    cpu_s = time.process_time() - cpu_before
-    print(
-        f"idle: {received / _IDLE_S:.0f} bytes/s on one link, both directions;"
-        f" {cpu_s / _IDLE_S * 1e6:.0f} us of processor time a second, both ends"
-    )
+async def _run_idle() -> None:
+    """Measure a full mesh of instances that only keep their links."""
+    nodes = [_build_node(f"node-{number}") for number in range(_MESH_INSTANCES)]
+    async with trio.open_nursery() as nursery:
+        for node in nodes:
+            await nursery.start(node.run)
+            await trio.sleep(_STAGGER_S)
+        peers = [
+            PeerAddress(instance_id=node.instance_id, host=_HOST, port=node.port)
+            for node in nodes
+        ]
+        for node in nodes:
+            node.set_peers(peers)
+        await trio.sleep(_SETTLE_S)
+        bytes_before = sum(node.bytes_received for node in nodes)
+        cpu_before = time.process_time()
+        await trio.sleep(_IDLE_S)
+        received = sum(node.bytes_received for node in nodes) - bytes_before
+        cpu_s = time.process_time() - cpu_before
+        links = _MESH_INSTANCES * (_MESH_INSTANCES - 1)
+        print(
+            f"idle mesh of {_MESH_INSTANCES}: {received / links / _IDLE_S:.0f} bytes/s"
+            f" a dialled link, both directions;"
+            f" {cpu_s / _IDLE_S / _MESH_INSTANCES:.2%} of a core an instance"
+        )
+        nursery.cancel_scope.cancel()
 
 
 async def _run() -> None:
@@ -115,7 +134,6 @@
         print("in flight   calls/s   CPU us a call bytes a call  frames/batch")
         for in_flight in _IN_FLIGHT:
             await _measure_load(one, two, in_flight)
-        await _measure_idle(one, two)
         nursery.cancel_scope.cancel()
 
 
@@ -123,3 +141,4 @@
     configure_logs(level="ERROR")
     _count_batches()
     trio.run(_run)
+    trio.run(_run_idle)
