--- a/Makefile
+++ b/Makefile
@@ -6,10 +6,10 @@
 .PHONY: demo test lint format clean
 
 demo: $(STAMP)
-	$(PYTHON) -m trefoilhook.standins.demo
+	$(PYTHON) -m trefoilhook.demo
 
 test: $(STAMP)
-	$(PYTHON) -m nose2 --log-level WARNING
+	LOGURU_AUTOINIT=0 $(PYTHON) -m nose2
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check .
--- a/trefoilhook/exceptions.py
+++ b/trefoilhook/exceptions.py
@@ -1,21 +1,31 @@
 """The exception tree: every error that the system raises on purpose."""
 
+from typing import TYPE_CHECKING
+
 from trefoilhook.results import ResultCode
 
+if TYPE_CHECKING:
+    from trefoilhook.store.core import StoreEntry
+
 __all__ = [
     "AnswerLostError",
+    "CapacityExceededError",
     "ConflictError",
     "FencedError",
     "LeaseLostError",
     "NotSentError",
     "OutcomeError",
+    "PlacementError",
     "RequestError",
     "SettingsError",
     "StoreError",
     "StoreRateError",
     "StoreUnavailableError",
+    "StoreUnsentError",
     "TransportError",
     "TrefoilhookError",
+    "UnknownTaskError",
+    "UnknownWorkerError",
 ]
 
 
@@ -79,16 +89,36 @@
 class StoreUnavailableError(StoreError):
     """The store can't be reached, or its answer was lost: the effect is unknown."""
 
+    is_proved_unsent: bool = False
+
+
+class StoreUnsentError(StoreUnavailableError):
+    """The call never left for the store: nothing changed."""
+
+    is_proved_unsent = True
+
 
 class StoreRateError(StoreError):
     """The store refused the call because its rate is used up; nothing changed."""
 
 
 class ConflictError(StoreError):
-    """A compare-and-swap lost: the key is at another revision."""
+    """A compare-and-swap lost: the key is at another revision.
+
+    Parameters
+    ----------
+    message : str
+        What happened, for people.
+    current : StoreEntry, optional
+        What stands at the key now; None when the key is absent.
+    """
 
     code = ResultCode.CONFLICT
 
+    def __init__(self, message: str, *, current: "StoreEntry | None" = None) -> None:
+        super().__init__(message)
+        self.current = current
+
 
 class LeaseLostError(StoreError):
     """A lease has lapsed or is unknown to the store."""
@@ -98,3 +128,21 @@
     """A command carries an epoch older than one already seen."""
 
     code = ResultCode.NO_OWNER
+
+
+class PlacementError(TrefoilhookError):
+    """A change of a shard's placement state is refused; nothing changed."""
+
+
+class CapacityExceededError(PlacementError):
+    """A reservation would give a worker more than it has."""
+
+    code = ResultCode.OVERLOADED
+
+
+class UnknownTaskError(PlacementError):
+    """The shard holds no such task, or holds it already."""
+
+
+class UnknownWorkerError(PlacementError):
+    """The shard has no such worker in use, or has it already."""
--- /dev/null
+++ b/trefoilhook/jobs/tests/test_runner.py
@@ -0,0 +1,330 @@
+"""Jobs under the loss of owners, workers and the store; judged by the workers."""
+
+import unittest
+
+from trefoilhook.jobs import JobState
+from trefoilhook.jobs.tests.shard import (
+    SETTINGS,
+    Shard,
+    build_spec,
+    read_error,
+    run_shard,
+)
+from trefoilhook.placement import Resources, TaskKind
+from trefoilhook.results import Outcome, ResultCode
+
+_BIG = Resources(cores=4.0, memory_bytes=1_000, accelerators=0)
+
+
+class RunnerTest(unittest.TestCase):
+    """One shard, its workers and whoever owns it."""
+
+    def _check(self, shard: Shard) -> None:
+        self.assertEqual(shard.find_overlaps(), [])
+        for worker in shard.workers.values():
+            self.assertEqual(worker.state.refused_starts, [])
+            self.assertLessEqual(
+                worker.state.high_water.cores, worker.settings.capacity.cores
+            )
+
+    def _assert_ended(self, owner, job_id: str, code: ResultCode) -> None:
+        job = owner.runner.book.jobs[job_id]
+        self.assertEqual(job.state, JobState.ENDED)
+        self.assertEqual(ResultCode.from_number(job.result_number), code, job.detail)
+
+    def test_job_runs_once_and_its_result_is_recorded(self):
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            await shard.submit(owner, "j1")
+            await shard.sleep_s(15)
+            self._assert_ended(owner, "j1", ResultCode.OK)
+            self.assertEqual(len(shard.list_starts("j1")), 1)
+            held = [t for w in shard.workers.values() for t in w.state._tasks]
+            self.assertEqual(held, [])
+            self._check(shard)
+
+        run_shard(scenario)
+
+    def test_owner_dies_while_a_job_runs(self):
+        # A roster build runs when its owner dies. The next owner finds it at its worker
+        # and waits for it; started anew, it would run in two places.
+        async def scenario(shard: Shard) -> None:
+            first = shard.start_owner("i0")
+            await shard.submit(first, "j1")
+            await shard.sleep_s(3)
+            first.scope.cancel()
+            await shard.sleep_s(6)
+            second = shard.start_owner("i1")
+            await shard.sleep_s(20)
+            self._assert_ended(second, "j1", ResultCode.OK)
+            self.assertEqual(len(shard.list_starts("j1")), 1)
+            self._check(shard)
+
+        run_shard(scenario)
+
+    def test_owner_dies_between_the_end_and_the_record(self):
+        # The job ends while the store is down, so its end can't be recorded, and the
+        # owner dies. The worker still has the result, since nobody acknowledged it.
+        async def scenario(shard: Shard) -> None:
+            first = shard.start_owner("i0")
+            await shard.submit(first, "j1")
+            await shard.sleep_s(3)
+            shard.journal.is_down = True
+            await shard.sleep_s(12)
+            first.scope.cancel()
+            shard.journal.is_down = False
+            second = shard.start_owner("i1")
+            await shard.sleep_s(20)
+            self._assert_ended(second, "j1", ResultCode.OK)
+            self.assertEqual(len(shard.list_starts("j1")), 1)
+            self._check(shard)
+
+        run_shard(scenario)
+
+    def test_next_owner_does_not_reach_the_worker(self):
+        # The owner dies and the next one does not reach the worker that runs the job.
+        # It starts the job elsewhere only when the worker's lease has surely lapsed.
+        async def scenario(shard: Shard) -> None:
+            first = shard.start_owner("i0")
+            await shard.submit(first, "j1", run_ms=100_000)
+            await shard.sleep_s(3)
+            worker_id = shard.list_starts("j1")[0].worker_id
+            shard.workers[worker_id].cut_owners.add("i1")
+            await shard.sleep_s(2)
+            first.scope.cancel()
+            second = shard.start_owner("i1")
+            await shard.sleep_s(200)
+            self._assert_ended(second, "j1", ResultCode.OK)
+            self.assertEqual(len(shard.list_starts("j1")), 2)
+            self._check(shard)
+
+        run_shard(scenario)
+
+    def test_worker_unknown_to_the_next_owner_is_asked(self):
+        # The next owner's instance list lags and lacks the worker that runs the job.
+        # The journal names it, so the job is found there and not started twice.
+        async def scenario(shard: Shard) -> None:
+            first = shard.start_owner("i0")
+            await shard.submit(first, "j1", run_ms=60_000)
+            await shard.sleep_s(3)
+            del shard.listed[shard.list_starts("j1")[0].worker_id]
+            first.scope.cancel()
+            second = shard.start_owner("i1")
+            await shard.sleep_s(90)
+            self._assert_ended(second, "j1", ResultCode.OK)
+            self.assertEqual(len(shard.list_starts("j1")), 1)
+            self._check(shard)
+
+        run_shard(scenario)
+
+    def test_lost_worker_gives_its_job_back(self):
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            await shard.submit(owner, "j1", run_ms=60_000)
+            await shard.sleep_s(3)
+            shard.workers[shard.list_starts("j1")[0].worker_id].is_cut = True
+            await shard.sleep_s(150)
+            self._assert_ended(owner, "j1", ResultCode.OK)
+            starts = shard.list_starts("j1")
+            self.assertEqual(len(starts), 2)
+            gap_ms = starts[1].started_ms - starts[0].started_ms
+            self.assertGreaterEqual(gap_ms, SETTINGS.lapse_ms)
+            self._check(shard)
+
+        run_shard(scenario)
+
+    def test_job_that_must_not_repeat_is_not_started_again(self):
+        # A worker falls silent with a billing run that must run at most once. Nobody
+        # can tell whether it ended, so it is told as unknown and never started again.
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            await shard.submit(owner, "j1", run_ms=60_000, is_idempotent=False)
+            await shard.sleep_s(3)
+            shard.workers[shard.list_starts("j1")[0].worker_id].is_cut = True
+            await shard.sleep_s(150)
+            self._assert_ended(owner, "j1", ResultCode.OUTCOME_UNKNOWN)
+            self.assertEqual(len(shard.list_starts("j1")), 1)
+            self._check(shard)
+
+        run_shard(scenario)
+
+    def test_owner_and_worker_lost_with_a_job_that_must_not_repeat(self):
+        # Both go at once. The next owner knows of the start only from the journal.
+        async def scenario(shard: Shard) -> None:
+            first = shard.start_owner("i0")
+            await shard.submit(first, "j1", run_ms=60_000, is_idempotent=False)
+            await shard.sleep_s(3)
+            shard.workers[shard.list_starts("j1")[0].worker_id].is_cut = True
+            first.scope.cancel()
+            second = shard.start_owner("i1")
+            await shard.sleep_s(150)
+            self._assert_ended(second, "j1", ResultCode.OUTCOME_UNKNOWN)
+            self.assertEqual(len(shard.list_starts("j1")), 1)
+            self._check(shard)
+
+        run_shard(scenario)
+
+    def test_frozen_owner_is_fenced(self):
+        # An owner is frozen past its lease and wakes up while the next one works. Its
+        # commands carry the old epoch; the workers refuse them.
+        async def scenario(shard: Shard) -> None:
+            first = shard.start_owner("i0")
+            await shard.submit(first, "j1", run_ms=30_000)
+            await shard.sleep_s(3)
+            second = shard.start_owner("i1")
+            await shard.submit(second, "j2", run_ms=30_000)
+            await shard.sleep_s(60)
+            self._assert_ended(second, "j1", ResultCode.OK)
+            self._assert_ended(second, "j2", ResultCode.OK)
+            self.assertEqual(len(shard.list_starts("j1")), 1)
+            self.assertEqual(len(shard.list_starts("j2")), 1)
+            self._check(shard)
+
+        run_shard(scenario)
+
+    def test_eviction_in_an_outage_resumes_once_from_its_checkpoint(self):
+        # Urgent work evicts a long job while the store is down. The job resumes from
+        # its checkpoint; its owner dies before the eviction could be recorded, and the
+        # next owner neither starts it a third time nor from the beginning.
+        async def scenario(shard: Shard) -> None:
+            first = shard.start_owner("i0")
+            await shard.submit(first, "j1", run_ms=60_000, resources=_BIG)
+            await shard.submit(
+                first, "u1", run_ms=10_000, resources=_BIG, is_urgent=True
+            )
+            await shard.sleep_s(0.5)
+            shard.journal.is_down = True
+            await shard.sleep_s(25)
+            first.scope.cancel()
+            shard.journal.is_down = False
+            second = shard.start_owner("i1")
+            await shard.sleep_s(120)
+            self._assert_ended(second, "j1", ResultCode.OK)
+            self._assert_ended(second, "u1", ResultCode.OK)
+            work = sum(r.done_ms - r.resumed_ms for r in shard.list_starts("j1"))
+            self.assertAlmostEqual(work, 60_000, delta=1)
+            self._check(shard)
+
+        run_shard(scenario, workers=1)
+
+    def test_urgent_job_starts_in_time_on_a_full_worker(self):
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            for number in range(8):
+                await shard.submit(owner, f"j{number}", run_ms=600_000)
+            await shard.sleep_s(20)
+            at_ms = shard.clock.monotonic_ms()
+            await shard.submit(owner, "u1", is_urgent=True, resources=_BIG)
+            await shard.sleep_s(30)
+            started_ms = shard.list_starts("u1")[0].started_ms
+            self.assertLess(started_ms - at_ms, 4_700)
+            self._check(shard)
+
+        run_shard(scenario)
+
+    def test_lost_answers_of_worker_and_store_change_nothing(self):
+        # Every third answer gets lost after its effect: nothing is started twice,
+        # nothing recorded twice and nothing forgotten.
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            for number in range(6):
+                shard.journal.answers_to_lose = 1
+                for worker in shard.workers.values():
+                    worker.answers_to_lose = 1
+                error = await read_error(shard.submit(owner, f"j{number}"))
+                self.assertEqual(error and error.code, ResultCode.COMMIT_UNKNOWN)
+                await shard.sleep_s(1)
+            await shard.sleep_s(60)
+            for number in range(6):
+                self._assert_ended(owner, f"j{number}", ResultCode.OK)
+                self.assertEqual(len(shard.list_starts(f"j{number}")), 1)
+            self._check(shard)
+
+        run_shard(scenario)
+
+    def test_refused_record_is_a_truthful_not_run(self):
+        # The store is down when a job is submitted. The answer "not run" is true: the
+        # job is not recorded later either, when the store is back.
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            await shard.submit(owner, "j0")
+            shard.journal.is_down = True
+            error = await read_error(shard.submit(owner, "j1"))
+            assert error is not None
+            self.assertEqual(error.code.outcome, Outcome.NOT_RUN)
+            shard.journal.is_down = False
+            await shard.sleep_s(30)
+            self.assertNotIn("j1", owner.runner.book.jobs)
+            self.assertEqual(shard.list_starts("j1"), [])
+
+        run_shard(scenario)
+
+    def test_burst_of_cancellations_is_one_record_write(self):
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            names = [f"j{number}" for number in range(40)]
+            for name in names:
+                await shard.submit(owner, name, run_ms=600_000)
+            await shard.sleep_s(5)
+            before = shard.journal.appends
+            owner.runner.cancel(names)
+            await shard.sleep_s(5)
+            self.assertLessEqual(shard.journal.appends - before, 4)
+            codes = {owner.runner.book.jobs[name].result_number for name in names}
+            wanted = {ResultCode.CANCELLED, ResultCode.CANCELLED_UNSTARTED}
+            self.assertEqual(codes, {code.number for code in wanted})
+            running = [r for n in names for r in shard.list_starts(n) if not r.ended_ms]
+            self.assertEqual(running, [])
+
+        run_shard(scenario)
+
+    def test_impossible_job_is_refused_with_the_reason(self):
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            size = Resources(cores=64.0, memory_bytes=1_000, accelerators=0)
+            await shard.submit(owner, "j1", resources=size)
+            await shard.sleep_s(5)
+            self._assert_ended(owner, "j1", ResultCode.IMPOSSIBLE_JOB)
+            self.assertIn("cores", owner.runner.book.jobs["j1"].detail)
+
+        run_shard(scenario)
+
+    def test_black_hole_does_not_swallow_the_queue(self):
+        # One worker fails whatever it starts, at once, and so always has room. The
+        # jobs still end well, on the other worker.
+        async def scenario(shard: Shard) -> None:
+            shard.add_worker("w9", is_black_hole=True)
+            owner = shard.start_owner("i0")
+            for number in range(12):
+                await shard.submit(owner, f"j{number}")
+            await shard.sleep_s(120)
+            for number in range(12):
+                self._assert_ended(owner, f"j{number}", ResultCode.OK)
+            self._check(shard)
+
+        run_shard(scenario)
+
+    def test_watcher_runs_on_through_a_change_of_owner(self):
+        async def scenario(shard: Shard) -> None:
+            first = shard.start_owner("i0")
+            await shard.submit(first, "w1", kind=TaskKind.WATCHER, run_ms=10_000_000)
+            await shard.sleep_s(30)
+            first.scope.cancel()
+            await shard.sleep_s(5)
+            shard.start_owner("i1")
+            await shard.sleep_s(600)
+            starts = shard.list_starts("w1")
+            self.assertEqual((len(starts), starts[0].ended_ms), (1, None))
+
+        run_shard(scenario)
+
+    def test_same_submission_again_is_the_same_job(self):
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            await shard.submit(owner, "j1")
+            await shard.submit(owner, "j1")
+            await owner.runner.submit(build_spec("j1"))
+            await shard.sleep_s(30)
+            self.assertEqual(len(shard.list_starts("j1")), 1)
+
+        run_shard(scenario)
--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -25,11 +25,13 @@
     STOPPING = (1001, Level.INFO, "The instance began a graceful shutdown.")
     STOPPED = (1002, Level.INFO, "The instance stopped.")
     TASK_FAILED = (1003, Level.ERROR, "A background task failed and is restarted.")
+    HANDLER_FAILED = (1004, Level.ERROR, "The handler of a request failed.")
 
     # 1100: store
     STORE_DOWN = (1100, Level.WARNING, "A call to the store failed.")
     STORE_BACK = (1101, Level.INFO, "The store answers again.")
     WATCH_SILENT = (1102, Level.WARNING, "A watch went silent and is replaced.")
+    LIST_DOWN = (1104, Level.WARNING, "The instance list was not read.")
 
     # 1200: membership and shards
     LEASE_GRANTED = (1200, Level.INFO, "The instance holds its store lease.")
@@ -51,6 +53,9 @@
     # 1500: configuration
     CONFIG_IN_FORCE = (1500, Level.INFO, "A configuration revision is in force.")
     CONFIG_STALE = (1501, Level.WARNING, "A stale configuration was ignored.")
+    CONFIG_INVALID = (1502, Level.ERROR, "An invalid configuration was ignored.")
+    CONFIG_CHANGED = (1503, Level.INFO, "An operator's change was accepted.")
+    ADMIN_FAILED = (1504, Level.ERROR, "A call of the admin API failed inside.")
 
     # 1600: jobs and workers
     JOB_ACCEPTED = (1600, Level.INFO, "A job was recorded durably.")
--- a/trefoilhook/results/core.py
+++ b/trefoilhook/results/core.py
@@ -81,7 +81,9 @@
     OK = _executed(0, 200, "Run; the whole answer follows.")
     ACCEPTED = _executed(1, 202, "Recorded durably; it will be carried out.")
     REPLAYED = _executed(2, 200, "Run earlier under the same key; that answer follows.")
-    BACKEND_FAILED = _executed(3, 502, "Run; the executor answered with a failure.")
+    BACKEND_FAILED = _executed(3, 502, "Run; the backend answered with a failure.")
+    ANSWER_DROPPED = _executed(4, 410, "Run earlier; its answer is no longer kept.")
+    CANCELLED = _executed(5, 200, "Cancelled after a start; it has stopped.")
 
     # 100-199: not run, and the same request may be sent again.
     OVERLOADED = _not_run(100, 503, True, "Not run: every slot and queue is full.")
@@ -92,6 +94,7 @@
     NO_EXECUTOR = _not_run(105, 503, True, "Not run: no live executor for the service.")
     QUOTA_EXCEEDED = _not_run(106, 429, True, "Not run: the team's quota is used up.")
     OWNER_UNREACHABLE = _not_run(107, 503, True, "Not run: the owner wasn't reached.")
+    KEY_AHEAD = _not_run(108, 409, True, "Not run: the key's time lies ahead.")
 
     # 200-299: nobody can tell whether it was run; it is never sent again.
     ANSWER_LOST = _unknown(200, 504, False, "Sent, but no whole answer came back.")
@@ -102,6 +105,9 @@
     COMMIT_UNKNOWN = _unknown(
         203, 504, True, "The store didn't say whether the change took effect."
     )
+    ATTEMPT_NOT_RUN = _unknown(
+        204, 503, True, "This attempt was not run; of earlier ones nothing is known."
+    )
 
     # 300-399: not run, and the same request would be refused again.
     BAD_REQUEST = _not_run(300, 400, False, "Not run: the request is malformed.")
@@ -113,6 +119,7 @@
     IMPOSSIBLE_JOB = _not_run(306, 422, False, "Not run: no worker could ever hold it.")
     METHOD_NOT_ALLOWED = _not_run(307, 405, False, "Not run: method not allowed here.")
     SLOW_SENDER = _not_run(308, 408, True, "Not run: the request came too slowly.")
+    CANCELLED_UNSTARTED = _not_run(309, 200, False, "Not run: cancelled before that.")
 
     # 400-499: not run, for want of a right.
     UNAUTHENTICATED = _not_run(400, 401, False, "Not run: no valid token was given.")
