Lose no record to a lost answer, a frozen owner or a compaction

The answer to a compaction's change of the head got lost: its owner went on with the old pages, and 27 of 40 records that were reported durable were gone for the next owner. An owner frozen before it deleted old pages deleted the next owner's when it woke up. A former owner whose page had been compacted away got a conflict, which ended its runner, in place of the fence. A compaction dropped the checkpoint of a job that was recorded to start anew.

Ruled out: waiting longer for the lost answer (an outage lasts longer) and a read of the head (a delayed change may still arrive after it). The owner now writes the head again at the same revision before it writes anything else.

--- a/trefoilhook/journal/__init__.py
+++ b/trefoilhook/journal/__init__.py
@@ -1,7 +1,8 @@
 """What must last: a worker shard's records in the platform's store."""
 
-from trefoilhook.journal.core import Journal, JournalSettings, open_journal
+from trefoilhook.journal.core import Journal, open_journal
 from trefoilhook.journal.pages import Page, decode_page, encode_page
+from trefoilhook.journal.settings import JournalSettings
 
 __all__ = [
     "Journal",
--- a/trefoilhook/journal/compaction.py
+++ b/trefoilhook/journal/compaction.py
@@ -47,8 +47,6 @@
     """Name what a record is about: later records of one subject void earlier ones."""
     if record.kind in (RecordKind.WORKER_ADDED, RecordKind.WORKER_REMOVED):
         return ("worker", record.worker_id)
-    if record.kind in (RecordKind.STARTING, RecordKind.EVICTED):
-        return ("attempt", record.job_id)
     return (record.kind.value, record.job_id)
 
 
--- a/trefoilhook/journal/core.py
+++ b/trefoilhook/journal/core.py
@@ -10,7 +10,6 @@
 page at another revision, in which it finds the higher epoch.
 """
 
-import uuid
 from collections.abc import Sequence
 
 import attrs
@@ -22,56 +21,31 @@
     StoreError,
     StoreRateError,
     StoreUnavailableError,
+    StoreUnsentError,
 )
 from trefoilhook.jobs import JobRecord
 from trefoilhook.journal.compaction import compact_records
+from trefoilhook.journal.generations import drop_former, name_generation
+from trefoilhook.journal.head import JournalHead
 from trefoilhook.journal.pages import (
-    Head,
     Page,
-    decode_head,
     decode_page,
-    encode_head,
     encode_page,
     measure_records,
 )
-from trefoilhook.settings import declare, is_within
-from trefoilhook.store import StoreClient, StoreEntry, swap_reading_back
+from trefoilhook.journal.settings import JournalSettings
+from trefoilhook.store import (
+    StoreClient,
+    StoreEntry,
+    build_nonce,
+    swap_reading_back,
+)
 
-__all__ = ["Journal", "JournalSettings", "open_journal"]
+__all__ = ["Journal", "open_journal"]
 
 _PREFIX = "journal"
 
 
-@attrs.frozen(kw_only=True)
-class JournalSettings:
-    """Sizes and times of the journals."""
-
-    page_bytes: int = declare(
-        default=65_536,
-        unit="bytes",
-        description="Size from which records go to a new page; far below the store's "
-        "limit on a value, since an append writes its page whole.",
-        check=is_within(1_024, 900_000),
-    )
-    compact_pages: int = declare(
-        default=16,
-        description="Pages from which a journal is compacted.",
-        check=is_within(2, 400),
-    )
-    keep_ended_ms: float = declare(
-        default=86_400_000.0,
-        unit="ms",
-        description="How long a job that ended is remembered.",
-        check=is_within(0, 31_536_000_000),
-    )
-    write_timeout_ms: float = declare(
-        default=2_000.0,
-        unit="ms",
-        description="How long an append looks for the fate of a lost answer.",
-        check=is_within(10, 60_000),
-    )
-
-
 def open_journal(
     *,
     store: StoreClient,
@@ -131,8 +105,10 @@
         self._epoch = epoch
         self._clock = clock
         self._settings = settings
-        self._head = Head(epoch=0, nonce="", generation="")
-        self._head_revision = 0
+        self._head = JournalHead(
+            store=store, swap=self._swap, key=f"{self._prefix}/head", epoch=epoch
+        )
+        self._generations: dict[str, list[_Written]] = {}
         self._pages: list[_Written] = []
         self._unsure: list[Page] = []
         self._compactions = 0
@@ -153,7 +129,8 @@
         StoreError
             If the store can't be reached; may be called again.
         """
-        await self._fence_head()
+        await self._head.fence()
+        self._generations = {}
         self._pages = await self._read_pages()
         self._unsure = []
         await self._fence_pages()
@@ -172,6 +149,7 @@
             If that is not known. They may be appended again; a record that stands
             twice says the same as one that stands once.
         """
+        await self._settle_head()
         is_begun = False
         for chunk in self._split(records):
             try:
@@ -187,33 +165,26 @@
 
     async def _append_chunk(self, records: tuple[JobRecord, ...]) -> None:
         if self._pages[-1].size >= self._settings.page_bytes:
-            await self._open_page()
+            await self._open_next_page()
         last = self._pages[-1]
         await self._write_page(last, (*last.page.records, *records))
 
-    async def _fence_head(self) -> None:
-        entry = await self._store.get(f"{self._prefix}/head")
-        generation = f"{self._epoch}-0"
-        revision = 0
-        if entry is not None:
-            head = decode_head(entry.value)
-            self._check_epoch(head.epoch)
-            generation = head.generation
-            revision = entry.revision
-        await self._write_head(generation, revision)
-
-    async def _write_head(self, generation: str, expected_revision: int) -> None:
-        head = Head(epoch=self._epoch, nonce=_make_nonce(), generation=generation)
+    async def _settle_head(self) -> None:
+        """Know which generation is in use before anything is written to it."""
+        if not self._head.is_unsure:
+            return
         try:
-            revision = await self._swap(
-                f"{self._prefix}/head", encode_head(head), expected_revision
-            )
-        except ConflictError as conflict:
-            if conflict.current is not None:
-                self._check_epoch(decode_head(conflict.current.value).epoch)
-            raise
-        self._head = head
-        self._head_revision = revision
+            await self._head.settle()
+        except StoreUnavailableError as error:
+            raise StoreUnsentError("the head is not settled") from error
+        self._pages = self._generations.get(self._head.generation, self._pages)
+        self._generations = {}
+
+    async def _open_next_page(self) -> None:
+        try:
+            await self._open_page()
+        except StoreUnavailableError as error:
+            raise StoreUnsentError("no page to write to") from error
 
     async def _read_pages(self) -> list[_Written]:
         pages: list[_Written] = []
@@ -250,17 +221,19 @@
     async def _seal(self, written: _Written) -> None:
         self._check_epoch(written.page.epoch)
         while True:
-            page = attrs.evolve(written.page, epoch=self._epoch, nonce=_make_nonce())
+            page = attrs.evolve(written.page, epoch=self._epoch, nonce=build_nonce())
             try:
                 written.revision = await self._swap(
                     written.key, encode_page(page), written.revision
                 )
             except ConflictError as conflict:
                 if conflict.current is None:
-                    raise
+                    message = f"{written.key} is gone: a later owner compacted"
+                    raise FencedError(message) from conflict
                 current = _read_entry(conflict.current)
                 self._check_epoch(current.page.epoch)
                 written.page, written.revision = current.page, current.revision
+                written.size = current.size
             else:
                 written.page = page
                 return
@@ -277,7 +250,7 @@
         self._unsure = []
 
     async def _create_page(self, key: str, records: tuple[JobRecord, ...]) -> _Written:
-        page = Page(epoch=self._epoch, nonce=_make_nonce(), records=records)
+        page = Page(epoch=self._epoch, nonce=build_nonce(), records=records)
         value = encode_page(page)
         revision = await self._swap(key, value, 0)
         return _Written(key=key, page=page, revision=revision, size=len(value))
@@ -301,7 +274,7 @@
         of them takes effect, and a conflict shows by its nonce which.
         """
         while True:
-            page = Page(epoch=self._epoch, nonce=_make_nonce(), records=records)
+            page = Page(epoch=self._epoch, nonce=build_nonce(), records=records)
             value = encode_page(page)
             try:
                 revision = await self._swap(written.key, value, written.revision)
@@ -330,12 +303,13 @@
             If the page is a later owner's.
         """
         if conflict.current is None:
-            raise conflict
+            raise FencedError(f"{written.key} is gone: a later owner compacted")
         current = _read_entry(conflict.current)
         self._check_epoch(current.page.epoch)
         if current.page.nonce not in {page.nonce for page in self._unsure}:
             raise FencedError(f"{written.key} was written by another")
         written.page, written.revision = current.page, current.revision
+        written.size = current.size
         self._unsure = []
 
     async def _try_compacting(self) -> None:
@@ -356,33 +330,25 @@
             ended_after_ms=before_ms,
         )
         self._compactions += 1
-        generation = f"{self._epoch}-{self._compactions}-{_make_nonce()}"
+        generation = name_generation(
+            epoch=self._epoch, number=self._compactions, nonce=build_nonce()
+        )
         fresh: list[_Written] = []
         for number, chunk in enumerate(self._split(records)):
             key = f"{self._prefix}/{generation}/{number:06d}"
             fresh.append(await self._create_page(key, chunk))
-        await self._write_head(generation, self._head_revision)
+        self._generations = {self._head.generation: self._pages, generation: fresh}
+        await self._head.switch(generation)
+        self._generations = {}
         self._pages = fresh
         self._unsure = []
         self._compact_from = max(self._settings.compact_pages, 2 * len(fresh))
-        await self._drop_others(generation)
-
-    async def _drop_others(self, generation: str) -> None:
-        """Delete the pages of other generations, also what a dead owner left."""
-        keep = (f"{self._prefix}/head", f"{self._prefix}/{generation}/")
-        after_key = ""
-        while True:
-            found = await self._store.list_entries(
-                f"{self._prefix}/", after_key=after_key
-            )
-            for entry in found.entries:
-                if not entry.key.startswith(keep):
-                    await self._store.swap(
-                        entry.key, None, expected_revision=entry.revision
-                    )
-            if found.next_key is None:
-                return
-            after_key = found.next_key
+        await drop_former(
+            self._store,
+            prefix=self._prefix,
+            generation=generation,
+            epoch=self._epoch,
+        )
 
     def _split(self, records: Sequence[JobRecord]) -> list[tuple[JobRecord, ...]]:
         chunks: list[tuple[JobRecord, ...]] = []
@@ -412,10 +378,6 @@
             raise FencedError(f"{self._prefix} belongs to epoch {epoch}")
 
 
-def _make_nonce() -> str:
-    return uuid.uuid4().hex
-
-
 def _read_entry(entry: StoreEntry) -> _Written:
     return _Written(
         key=entry.key,
--- a/trefoilhook/journal/tests/test_journal.py
+++ b/trefoilhook/journal/tests/test_journal.py
@@ -1,5 +1,6 @@
 """The journal under lost answers, former owners and compaction."""
 
+import contextlib
 import unittest
 
 import trio
@@ -7,12 +8,14 @@
 
 from trefoilhook.clock import build_system_clock
 from trefoilhook.exceptions import (
+    ConflictError,
     FencedError,
     StoreUnavailableError,
     StoreUnsentError,
 )
 from trefoilhook.jobs import JobRecord, RecordKind
 from trefoilhook.journal import JournalSettings, open_journal
+from trefoilhook.journal.compaction import compact_records
 from trefoilhook.standins.virtual import VirtualStore, VirtualStoreClient
 
 _SHARD = "wrk-000"
@@ -189,3 +192,108 @@
             self.assertEqual(len(await self._open(2).load()), 120)
 
         self._run(scenario)
+
+    def test_lost_answer_to_the_change_of_generation(self):
+        # A compaction changes the head, and the store's answer is lost for good. Were
+        # the old pages still written afterwards, every job recorded there would be
+        # gone with the next owner, although its operator was told "recorded".
+        for lost, is_late in ((1, False), (2, False), (1, True), (2, True)):
+
+            async def scenario(lost=lost, is_late=is_late) -> None:
+                client = _HeadLoser(store=self.store)
+                journal = self._open(1, client)
+                await journal.load()
+                client.heads_to_lose = lost
+                client.is_late = is_late
+                told = []
+                for number in range(40):
+                    name = f"j{number}"
+                    with contextlib.suppress(StoreUnavailableError):
+                        await journal.append([_record(name, result="x" * 300)])
+                        told.append(name)
+                self.assertEqual(client.heads_to_lose, 0)
+                self.assertGreater(len(told), 36)
+                names = _names(await self._open(2).load())
+                self.assertLessEqual(set(told), set(names))
+
+            with self.subTest(lost=lost, is_late=is_late):
+                self._run(scenario)
+
+    def test_former_owner_does_not_delete_the_next_ones_pages(self):
+        # An owner is frozen after a compaction, just before it deletes old pages. It
+        # wakes up after the next owner compacted too, lists the store, and finds pages
+        # that it doesn't know: the next owner's.
+        async def scenario() -> None:
+            frozen = _FrozenLister(store=self.store)
+            first = self._open(1, frozen)
+            await first.load()
+            frozen.is_frozen = True
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_append_many, first, "a", 20)
+                await frozen.reached.wait()
+                second = self._open(2)
+                await second.load()
+                await _append_many(second, "b", 40)
+                frozen.thaw.set()
+            names = _names(await self._open(3).load())
+            self.assertLessEqual({f"b{number}" for number in range(40)}, set(names))
+
+        self._run(scenario)
+
+    def test_compaction_keeps_the_checkpoint_of_a_job_started_anew(self):
+        # A job is evicted, recorded to start anew, and its owner dies. Without the
+        # checkpoint the next attempt would begin at the start and do work twice.
+        evicted = _record("j", RecordKind.EVICTED, checkpoint="half")
+        started = _record("j", RecordKind.STARTING, worker_id="w")
+        accepted = _record("j", RecordKind.ACCEPTED)
+        for order in ([evicted, started], [started, evicted]):
+            with self.subTest(order=order):
+                kept = compact_records([accepted, *order], ended_after_ms=0.0)
+                self.assertEqual(kept, [accepted, *order])
+
+
+async def _append_many(journal, prefix, count):
+    for number in range(count):
+        record = _record(f"{prefix}{number}", result="x" * 300)
+        with contextlib.suppress(FencedError):
+            await journal.append([record])
+
+
+class _HeadLoser(VirtualStoreClient):
+    """Loses answers to changes of the head; late ones take effect 5 ms after."""
+
+    heads_to_lose = 0
+    is_late = False
+
+    async def swap(self, key, value, **more):
+        is_lost = self.heads_to_lose and key.endswith("/head")
+        if not is_lost:
+            return await super().swap(key, value, **more)
+        self.heads_to_lose -= 1
+        if self.is_late:
+            trio.lowlevel.spawn_system_task(self._swap_late, key, value, more)
+        else:
+            await super().swap(key, value, **more)
+        raise StoreUnavailableError("the answer was lost")
+
+    async def _swap_late(self, key, value, more):
+        await trio.sleep(0.005)
+        with contextlib.suppress(ConflictError):
+            await super().swap(key, value, **more)
+
+
+class _FrozenLister(VirtualStoreClient):
+    """Stands still before it lists a whole journal."""
+
+    is_frozen = False
+
+    def __init__(self, *, store):
+        super().__init__(store=store)
+        self.reached = trio.Event()
+        self.thaw = trio.Event()
+
+    async def list_entries(self, prefix, **more):
+        if self.is_frozen and prefix == f"journal/{_SHARD}/":
+            self.reached.set()
+            await self.thaw.wait()
+        return await super().list_entries(prefix, **more)
