Kill, freeze and stop real daemons under load, and mend what that showed

Six scenarios on processes of their own, judged by the executors' and workers' records. Causes found: a daemon logged STOPPED and did not exit, since the task that waits for signals outlived the instance; a job of one core never started on an idle worker of 32, since packing cost 0.2 against a value of 0.125.

--- a/trefoilhook/daemon/__main__.py
+++ b/trefoilhook/daemon/__main__.py
@@ -1,5 +1,6 @@
 """``trefoilhookd``: one instance as a process of its own."""
 
+import json
 import signal
 import sys
 from pathlib import Path
@@ -55,12 +56,14 @@
 
 async def _run(settings: DaemonSettings, is_printing: bool) -> None:
     instance = Instance(settings=settings, clock=build_system_clock())
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(_wait_for_signal, instance, nursery.cancel_scope)
-        addresses: Addresses = await nursery.start(instance.run)
-        if is_printing:
-            sys.stdout.write(f"{dump_json(addresses)}\n")
-            sys.stdout.flush()
+    async with trio.open_nursery() as signals:
+        signals.start_soon(_wait_for_signal, instance, signals.cancel_scope)
+        async with trio.open_nursery() as nursery:
+            addresses: Addresses = await nursery.start(instance.run)
+            if is_printing:
+                sys.stdout.write(f"{json.dumps(dump_json(addresses))}\n")
+                sys.stdout.flush()
+        signals.cancel_scope.cancel()
 
 
 async def _wait_for_signal(instance: Instance, scope: trio.CancelScope) -> None:
--- /dev/null
+++ b/trefoilhook/daemon/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the daemon, as processes of their own."""
--- /dev/null
+++ b/trefoilhook/daemon/tests/processes.py
@@ -0,0 +1,285 @@
+"""Daemons as real processes, which can be killed and frozen, on a local platform."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import attrs
+import trio
+
+from trefoilhook.clock import build_system_clock
+from trefoilhook.configuration import digest_token
+from trefoilhook.daemon import DaemonSettings
+from trefoilhook.demo import (
+    AdminClient,
+    Answer,
+    EntryClient,
+    LocalPlan,
+    LocalPlatform,
+)
+from trefoilhook.demo.cluster import CLUSTER_TOKEN
+from trefoilhook.exceptions import TransportError
+from trefoilhook.requests import mint_key
+from trefoilhook.settings import ShardSettings, dump_json
+
+CALLER = "caller-token"
+OPERATOR = "operator-token"
+TEAM = "carrowmore"
+DEADLINE_S = 120.0
+_ROOT = Path(__file__).parents[3]
+_WAIT_STEP_S = 0.05
+
+
+@attrs.define(kw_only=True, eq=False)
+class Daemon:
+    """One daemon's process and where it listens."""
+
+    instance_id: str
+    process: trio.Process
+    entry_port: int
+    admin_port: int
+
+    def send_signal(self, number: int) -> None:
+        """Send the process a signal."""
+        self.process.send_signal(number)
+
+    @property
+    def is_alive(self) -> bool:
+        """Whether the process still runs."""
+        return self.process.poll() is None
+
+
+@attrs.define(kw_only=True)
+class ProcessCluster:
+    """A local platform in this process, and daemons in processes of their own."""
+
+    platform: LocalPlatform
+    folder: Path
+    daemons: list[Daemon] = attrs.field(factory=list)
+    started: int = 0
+
+    async def add_daemon(self) -> Daemon:
+        """Start a daemon and wait until it listens."""
+        number = self.started
+        self.started += 1
+        name = f"d-{number}"
+        path = self.folder / f"{name}.json"
+        settings = self.platform.build_settings(name, number)
+        path.write_text(json.dumps(dump_json(settings)), encoding="utf-8")
+        command = [
+            sys.executable,
+            "-m",
+            "trefoilhook.daemon",
+            "--settings",
+            str(path),
+            "--print-addresses",
+        ]
+        log = (self.folder / f"{name}.log").open("wb")
+        process = await trio.lowlevel.open_process(
+            command,
+            stdout=subprocess.PIPE,
+            stderr=log,
+            cwd=_ROOT,
+            env={**os.environ, "PYTHONPATH": str(_ROOT)},
+        )
+        line = await _read_line(process)
+        addresses = json.loads(line)
+        daemon = Daemon(
+            instance_id=name,
+            process=process,
+            entry_port=addresses["entry_port"],
+            admin_port=addresses["admin_port"],
+        )
+        self.daemons.append(daemon)
+        return daemon
+
+    async def start(self, count: int) -> None:
+        """Start daemons, wait until all is owned and configure a team."""
+        async with trio.open_nursery() as nursery:
+            for _ in range(count):
+                nursery.start_soon(self.add_daemon)
+        self.daemons.sort(key=lambda daemon: daemon.instance_id)
+        await self.wait_settled()
+        await self.configure()
+
+    async def configure(self) -> None:
+        """Declare a team with a service of each sort."""
+        admin = self.open_admin(self.daemons[0])
+        subtree = {
+            "tokens": {
+                "callers": [digest_token(CALLER)],
+                "operators": [digest_token(OPERATOR)],
+            },
+            "services": {
+                "seat-check": {"is_idempotent": True},
+                "seat-sale": {"is_idempotent": False},
+            },
+        }
+        changed = await admin.send("PUT", f"/v1/config/teams/{TEAM}", subtree)
+        target = f"/v1/config/wait?revision={changed['revision']}&timeout_ms=20000"
+        await admin.send("GET", target)
+        await admin.close()
+
+    def open_entry(self, daemon: Daemon) -> EntryClient:
+        """Open a caller's client."""
+        return EntryClient(
+            port=daemon.entry_port, token=CALLER, clock=self.platform.clock
+        )
+
+    def open_admin(self, daemon: Daemon, token: str = CLUSTER_TOKEN) -> AdminClient:
+        """Open an operator's client."""
+        return AdminClient(port=daemon.admin_port, token=token)
+
+    async def read_status(self, daemon: Daemon) -> dict:
+        """Return the status that a daemon gives."""
+        admin = self.open_admin(daemon)
+        try:
+            return await admin.send("GET", "/v1/status")
+        finally:
+            await admin.close()
+
+    async def find_owner(self, shard_id: str, *, via: Daemon) -> Daemon:
+        """Return the daemon that owns a shard."""
+        status = await self.read_status(via)
+        owners = {s["shard_id"]: s["owner_instance_id"] for s in status["shards"]}
+        return next(d for d in self.daemons if d.instance_id == owners[shard_id])
+
+    async def wait_settled(self, *, without: tuple[Daemon, ...] = ()) -> None:
+        """Wait until the remaining daemons own everything between them."""
+        staying = [d for d in self.daemons if d.is_alive and d not in without]
+        shards = self.platform.settings.shards
+        count = shards.request_shards + shards.worker_shards
+        names = {daemon.instance_id for daemon in staying}
+        while True:
+            try:
+                status = await self.read_status(staying[0])
+                counts = {
+                    i["instance_id"]: i["shard_count"] for i in status["instances"]
+                }
+                if set(counts) == names and sum(counts.values()) == count:
+                    return
+            except (TransportError, RuntimeError):
+                pass
+            await trio.sleep(_WAIT_STEP_S)
+
+    async def stop(self) -> None:
+        """End every process that was started."""
+        for daemon in self.daemons:
+            if daemon.is_alive:
+                daemon.send_signal(signal.SIGKILL)
+            await daemon.process.wait()
+
+    def list_repeated(self, service: str) -> list[str]:
+        """Return the requests of a service that were run twice."""
+        ids = [
+            run.request_id
+            for executor_id, standin in self.platform.executors.items()
+            if executor_id.startswith(service)
+            for run in standin.records.runs
+        ]
+        return [each for each in set(ids) if ids.count(each) > 1]
+
+    def list_run(self, service: str) -> set[str]:
+        """Return the ids of the requests of a service that were run."""
+        return {
+            run.request_id
+            for executor_id, standin in self.platform.executors.items()
+            if executor_id.startswith(service)
+            for run in standin.records.runs
+        }
+
+    def count_overloads(self) -> int:
+        """Return how often an executor had more requests than slots."""
+        return sum(s.records.overloads for s in self.platform.executors.values())
+
+
+@attrs.define(kw_only=True)
+class Load:
+    """Callers that send all the time, and what they were told."""
+
+    cluster: ProcessCluster
+    service: str
+    answers: list[tuple[str, Answer]] = attrs.field(factory=list)
+    broken: list[str] = attrs.field(factory=list)
+
+    async def run(self, daemon: Daemon) -> None:
+        """Send through one daemon until cancelled; each request with a new key."""
+        client = self.cluster.open_entry(daemon)
+        while True:
+            key = mint_key()
+            try:
+                answer = await client.send(
+                    TEAM, self.service, b"seat", key=format_key(key), timeout_ms=1_500
+                )
+                self.answers.append((key.hex(), answer))
+            except TransportError:
+                self.broken.append(key.hex())
+                await trio.sleep(0.02)
+            await trio.sleep(0.005)
+
+
+def format_key(key: bytes) -> str:
+    """Return a key as callers write it."""
+    text = key.hex()
+    return f"{text[:8]}-{text[8:12]}-{text[12:16]}-{text[16:20]}-{text[20:]}"
+
+
+async def _read_line(process: trio.Process) -> str:
+    assert process.stdout is not None
+    data = b""
+    while not data.endswith(b"\n"):
+        chunk = await process.stdout.receive_some()
+        if not chunk:
+            raise RuntimeError("the daemon ended before it listened")
+        data += chunk
+    return data.decode()
+
+
+def run_processes(
+    scenario: Callable[[ProcessCluster], Awaitable[None]],
+    *,
+    daemons: int = 3,
+    settings: DaemonSettings | None = None,
+    service_time_ms: float = 5.0,
+) -> None:
+    """Run a scenario on daemons of their own, ended whatever happens."""
+
+    async def run() -> None:
+        with trio.fail_after(DEADLINE_S), tempfile.TemporaryDirectory() as folder:
+            async with trio.open_nursery() as nursery:
+                platform = LocalPlatform(
+                    clock=build_system_clock(),
+                    nursery=nursery,
+                    plan=LocalPlan(
+                        services={f"{TEAM}/seat-check": 3, f"{TEAM}/seat-sale": 3},
+                        workers=3,
+                        service_time_ms=service_time_ms,
+                    ),
+                    settings=settings or build_settings(),
+                )
+                await platform.start()
+                cluster = ProcessCluster(platform=platform, folder=Path(folder))
+                try:
+                    await cluster.start(daemons)
+                    await scenario(cluster)
+                finally:
+                    with trio.CancelScope(shield=True):
+                        await cluster.stop()
+                nursery.cancel_scope.cancel()
+
+    trio.run(run)
+
+
+def build_settings() -> DaemonSettings:
+    """Build settings with few shards, so that each daemon owns some of each kind."""
+    settings = DaemonSettings()
+    return attrs.evolve(
+        settings,
+        shards=ShardSettings(request_shards=12, worker_shards=1),
+        requests=attrs.evolve(settings.requests, shard_count=12),
+    )
--- /dev/null
+++ b/trefoilhook/daemon/tests/test_faults.py
@@ -0,0 +1,198 @@
+"""Daemons killed, frozen and stopped under load; judged by the stand-ins' records."""
+
+import signal
+import unittest
+
+import trio
+
+from trefoilhook.daemon.tests.processes import (
+    OPERATOR,
+    TEAM,
+    Load,
+    ProcessCluster,
+    format_key,
+    run_processes,
+)
+from trefoilhook.exceptions import TransportError
+from trefoilhook.requests import mint_key
+from trefoilhook.results import Outcome, ResultCode
+from trefoilhook.standins import Availability, FaultSettings
+
+
+class ProcessFaultTest(unittest.TestCase):
+    """One fault at a time, callers on every daemon."""
+
+    def _check(self, cluster: ProcessCluster, *loads: Load) -> None:
+        """Compare what callers were told with what the executors ran."""
+        self.assertEqual(cluster.list_repeated("seat-sale"), [])
+        self.assertEqual(cluster.count_overloads(), 0)
+        for load in loads:
+            run = cluster.list_run(load.service)
+            executed = {
+                k for k, a in load.answers if a.code.outcome is Outcome.EXECUTED
+            }
+            not_run = {k for k, a in load.answers if a.code.outcome is Outcome.NOT_RUN}
+            self.assertLessEqual(executed, run)
+            self.assertEqual(not_run & run, set())
+            self.assertGreater(len(executed), 20)
+
+    def test_killed_owner(self):
+        # An owner dies with requests in progress. Some callers get no answer or
+        # "unknown"; no sale runs twice, none that was called "not run" was run, and
+        # its shards are served again when its lease has lapsed.
+        async def scenario(cluster: ProcessCluster) -> None:
+            sales = Load(cluster=cluster, service="seat-sale")
+            checks = Load(cluster=cluster, service="seat-check")
+            async with trio.open_nursery() as nursery:
+                for daemon in cluster.daemons[1:]:
+                    for load in (sales, checks):
+                        nursery.start_soon(load.run, daemon)
+                await trio.sleep(1)
+                cluster.daemons[0].send_signal(signal.SIGKILL)
+                await cluster.daemons[0].process.wait()
+                await cluster.wait_settled()
+                await trio.sleep(1)
+                before = len(sales.answers)
+                await trio.sleep(1)
+                nursery.cancel_scope.cancel()
+            late = [a.code for _, a in sales.answers[before:]]
+            self.assertIn(ResultCode.OK, late)
+            self._check(cluster, sales, checks)
+
+        run_processes(scenario)
+
+    def test_frozen_owner(self):
+        # An owner is frozen past its lease with requests in progress, others take its
+        # shards over, and it wakes up. What it still does must neither run a sale a
+        # second time nor fill slots that another counts as free.
+        async def scenario(cluster: ProcessCluster) -> None:
+            sales = Load(cluster=cluster, service="seat-sale")
+            async with trio.open_nursery() as nursery:
+                for daemon in cluster.daemons:
+                    for _ in range(3):
+                        nursery.start_soon(sales.run, daemon)
+                await trio.sleep(1)
+                frozen = cluster.daemons[0]
+                frozen.send_signal(signal.SIGSTOP)
+                await cluster.wait_settled(without=(frozen,))
+                await trio.sleep(1)
+                frozen.send_signal(signal.SIGCONT)
+                await trio.sleep(4)
+                nursery.cancel_scope.cancel()
+            self._check(cluster, sales)
+
+        run_processes(scenario, service_time_ms=30.0)
+
+    def test_graceful_shutdown_cuts_off_no_request(self):
+        # Every daemon but one is replaced in turn under load. A caller that is being
+        # served gets its whole answer; only a new connection may be refused.
+        async def scenario(cluster: ProcessCluster) -> None:
+            sales = Load(cluster=cluster, service="seat-sale")
+            async with trio.open_nursery() as nursery:
+                for daemon in cluster.daemons:
+                    nursery.start_soon(sales.run, daemon)
+                await trio.sleep(1)
+                for daemon in cluster.daemons[:2]:
+                    daemon.send_signal(signal.SIGTERM)
+                    code = await daemon.process.wait()
+                    self.assertEqual(code, 0)
+                    await cluster.wait_settled()
+                await trio.sleep(1)
+                nursery.cancel_scope.cancel()
+            unknown = [
+                (key, answer.code)
+                for key, answer in sales.answers
+                if answer.code.outcome is Outcome.UNKNOWN
+            ]
+            self.assertEqual(unknown, [])
+            self.assertEqual(set(sales.broken) & cluster.list_run("seat-sale"), set())
+            self._check(cluster, sales)
+
+        run_processes(scenario, service_time_ms=30.0)
+
+    def test_store_down_for_longer_than_a_lease(self):
+        # The store is down for three leases. Requests are served on by the same
+        # owners, and a new job gets a truthful "not run" at once.
+        async def scenario(cluster: ProcessCluster) -> None:
+            sales = Load(cluster=cluster, service="seat-sale")
+            async with trio.open_nursery() as nursery:
+                for daemon in cluster.daemons:
+                    nursery.start_soon(sales.run, daemon)
+                await trio.sleep(1)
+                down = FaultSettings(availability=Availability.REFUSING)
+                await cluster.platform.store.server.change_faults(down)
+                before = len(sales.answers)
+                await trio.sleep(15)
+                admin = cluster.open_admin(cluster.daemons[1], OPERATOR)
+                status, answer = await admin.exchange(
+                    "POST", f"/v1/teams/{TEAM}/jobs", {"name": "roster"}
+                )
+                await admin.close()
+                await cluster.platform.store.server.change_faults(FaultSettings())
+                await cluster.wait_settled()
+                await trio.sleep(3)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(status, 503, answer)
+            codes = {a.code for _, a in sales.answers[before:]}
+            self.assertEqual(codes, {ResultCode.OK})
+            self.assertEqual(sales.broken, [])
+            self._check(cluster, sales)
+
+        run_processes(scenario)
+
+    def test_retry_elsewhere_after_the_entry_died(self):
+        # A caller's entry dies while its sale runs, and it asks again under the same
+        # key at the next one. It gets the first run's answer, or is told that the
+        # outcome is unknown; the seat is sold once.
+        async def scenario(cluster: ProcessCluster) -> None:
+            entry = cluster.open_entry(cluster.daemons[0])
+            other = cluster.open_entry(cluster.daemons[1])
+            keys = [format_key(mint_key()) for _ in range(12)]
+            codes = []
+
+            async def sell(key: str) -> None:
+                try:
+                    await entry.send(TEAM, "seat-sale", b"seat", key=key)
+                except TransportError:
+                    answer = await other.send(TEAM, "seat-sale", b"seat", key=key)
+                    codes.append(answer.code)
+
+            async with trio.open_nursery() as nursery:
+                for key in keys:
+                    nursery.start_soon(sell, key)
+                await trio.sleep(0.2)
+                cluster.daemons[0].send_signal(signal.SIGKILL)
+            self.assertGreater(len(codes), 0)
+            self.assertEqual(cluster.list_repeated("seat-sale"), [])
+
+        run_processes(scenario, service_time_ms=600.0)
+
+    def test_job_survives_its_owner(self):
+        # The owner of the workers is killed while a job runs. The job ends with its
+        # result and was started once.
+        async def scenario(cluster: ProcessCluster) -> None:
+            owner = await cluster.find_owner("wrk-000", via=cluster.daemons[0])
+            other = next(d for d in cluster.daemons if d is not owner)
+            admin = cluster.open_admin(other, OPERATOR)
+            body = {"name": "roster", "is_idempotent": True, "declared_run_ms": 12_000}
+            path = f"/v1/teams/{TEAM}/jobs"
+            job_id = (await admin.send("POST", path, body))["job_id"]
+            await trio.sleep(1)
+            owner.send_signal(signal.SIGKILL)
+            await owner.process.wait()
+            record = {"state": ""}
+            while record["state"] != "ended":
+                await trio.sleep(0.2)
+                status, found = await admin.exchange("GET", f"{path}/{job_id}")
+                record = found if status == 200 else record
+            await admin.close()
+            self.assertEqual(record["result_number"], ResultCode.OK.number, record)
+            starts = [
+                start
+                for worker in cluster.platform.workers.values()
+                for start in worker.records.starts
+                if start.job_id == job_id
+            ]
+            self.assertEqual(len(starts), 1)
+
+        run_processes(scenario)
--- a/trefoilhook/demo/__init__.py
+++ b/trefoilhook/demo/__init__.py
@@ -1,7 +1,12 @@
 """A whole system on loopback in one process: stand-ins, instances and callers."""
 
 from trefoilhook.demo.clients import AdminClient, Answer, EntryClient
-from trefoilhook.demo.cluster import CLUSTER_TOKEN, LocalCluster, LocalPlan
+from trefoilhook.demo.cluster import (
+    CLUSTER_TOKEN,
+    LocalCluster,
+    LocalPlan,
+    LocalPlatform,
+)
 
 __all__ = [
     "CLUSTER_TOKEN",
@@ -10,4 +15,5 @@
     "EntryClient",
     "LocalCluster",
     "LocalPlan",
+    "LocalPlatform",
 ]
--- a/trefoilhook/demo/__main__.py
+++ b/trefoilhook/demo/__main__.py
@@ -9,7 +9,7 @@
 from trefoilhook.clock import build_system_clock
 from trefoilhook.configuration import digest_token
 from trefoilhook.demo.clients import AdminClient
-from trefoilhook.demo.cluster import LocalCluster, LocalPlan
+from trefoilhook.demo.cluster import LocalCluster, LocalPlan, LocalPlatform
 from trefoilhook.logs import configure_logs
 from trefoilhook.requests import mint_key
 from trefoilhook.results import ResultCode
@@ -183,10 +183,10 @@
 
 def _judge(cluster: LocalCluster) -> _Row:
     """Compare with the stand-ins' own records."""
-    records = [standin.records for standin in cluster.executors.values()]
+    records = [standin.records for standin in cluster.platform.executors.values()]
     repeated = [r for each in records for r in each.find_repeated()]
     overloads = sum(each.overloads for each in records)
-    refused = sum(w.records.refused_starts for w in cluster.workers.values())
+    refused = sum(w.records.refused_starts for w in cluster.platform.workers.values())
     return _Row(
         request="stand-ins: repeated, overloaded",
         code=ResultCode.OK,
@@ -200,13 +200,15 @@
 async def _run_demo() -> bool:
     rows: list[_Row] = []
     async with trio.open_nursery() as nursery:
-        cluster = LocalCluster(
+        platform = LocalPlatform(
             clock=build_system_clock(),
             nursery=nursery,
             plan=LocalPlan(
                 services={f"{_TEAM}/seat-check": 3, f"{_TEAM}/seat-sale": 3}
             ),
         )
+        await platform.start()
+        cluster = LocalCluster(platform=platform)
         await cluster.start()
         rows.append(await _configure(cluster))
         rows.extend(await _check_seats(cluster))
--- a/trefoilhook/demo/cluster.py
+++ b/trefoilhook/demo/cluster.py
@@ -8,13 +8,7 @@
 from trefoilhook.daemon import Addresses, DaemonSettings, Instance
 from trefoilhook.demo.clients import AdminClient, EntryClient
 from trefoilhook.instances import ExecutorRecord, WorkerRecord
-from trefoilhook.settings import (
-    AdminSettings,
-    InstanceListSettings,
-    InstanceSettings,
-    ShardSettings,
-    StoreSettings,
-)
+from trefoilhook.settings import AdminSettings, InstanceSettings
 from trefoilhook.standins import (
     ExecutorSettings,
     ExecutorStandin,
@@ -26,7 +20,7 @@
 )
 from trefoilhook.workers import Resources
 
-__all__ = ["CLUSTER_TOKEN", "LocalCluster", "LocalPlan"]
+__all__ = ["CLUSTER_TOKEN", "LocalCluster", "LocalPlan", "LocalPlatform"]
 
 CLUSTER_TOKEN = "cluster-token"
 _HOST = "127.0.0.1"
@@ -58,8 +52,8 @@
 
 
 @attrs.define(kw_only=True)
-class LocalCluster:
-    """Everything that was started.
+class LocalPlatform:
+    """The outside of a local system: store, instance list, executors and workers.
 
     Parameters
     ----------
@@ -81,63 +75,41 @@
     instance_list: InstanceListStandin = attrs.field(init=False)
     executors: dict[str, ExecutorStandin] = attrs.field(factory=dict)
     workers: dict[str, WorkerStandin] = attrs.field(factory=dict)
-    instances: list[Instance] = attrs.field(factory=list)
-    addresses: list[Addresses] = attrs.field(factory=list)
-    _store_port: int = 0
-    _list_port: int = 0
+    store_port: int = 0
+    list_port: int = 0
 
     async def start(self) -> None:
-        """Start the stand-ins, then the instances, and wait until all is owned."""
+        """Start the stand-ins."""
         self.store = StoreStandin(clock=self.clock)
-        self._store_port = await self.nursery.start(self.store.run)
+        self.store_port = await self.nursery.start(self.store.run)
         lists = InstanceLists(
             executors=await self._start_executors(), workers=await self._start_workers()
         )
         self.instance_list = InstanceListStandin(clock=self.clock, lists=lists)
-        self._list_port = await self.nursery.start(self.instance_list.run)
-        for _ in range(self.plan.instances):
-            await self.add_instance()
-        await self.wait_settled()
-
-    async def add_instance(self) -> Instance:
-        """Start one more instance."""
-        number = len(self.instances)
-        settings = attrs.evolve(
+        self.list_port = await self.nursery.start(self.instance_list.run)
+
+    def build_settings(self, instance_id: str, number: int) -> DaemonSettings:
+        """Build the settings of one instance.
+
+        Parameters
+        ----------
+        instance_id : str
+            The instance.
+        number : int
+            Chooses its failure domain.
+        """
+        return attrs.evolve(
             self.settings,
             instance=InstanceSettings(
-                instance_id=f"i-{number}",
+                instance_id=instance_id,
                 failure_domain=_DOMAINS[number % len(_DOMAINS)],
             ),
-            store=StoreSettings(host=_HOST, port=self._store_port),
-            instances=InstanceListSettings(host=_HOST, port=self._list_port),
-            shards=ShardSettings(),
+            store=attrs.evolve(self.settings.store, host=_HOST, port=self.store_port),
+            instances=attrs.evolve(
+                self.settings.instances, host=_HOST, port=self.list_port
+            ),
             admin=AdminSettings(cluster_tokens=(digest_token(CLUSTER_TOKEN),)),
         )
-        instance = Instance(settings=settings, clock=self.clock)
-        self.instances.append(instance)
-        self.addresses.append(await self.nursery.start(instance.run))
-        return instance
-
-    async def wait_settled(self) -> None:
-        """Wait until every shard has one owner that every instance knows."""
-        while not self._is_settled():
-            await self.clock.sleep_ms(_SETTLE_STEP_MS)
-
-    def open_entry(self, number: int, token: str) -> EntryClient:
-        """Open a caller's client to an instance."""
-        port = self.addresses[number].entry_port
-        return EntryClient(port=port, token=token, clock=self.clock)
-
-    def open_admin(self, number: int, token: str = CLUSTER_TOKEN) -> AdminClient:
-        """Open an operator's client to an instance."""
-        return AdminClient(port=self.addresses[number].admin_port, token=token)
-
-    def _is_settled(self) -> bool:
-        staying = [i for i in self.instances if not i.is_leaving]
-        count = self.settings.shards.request_shards + self.settings.shards.worker_shards
-        owned = sum(len(i.ownership.list_owned()) for i in staying)
-        known = {i.ownership.table.revision for i in staying}
-        return owned == count and len(known) == 1
 
     async def _start_executors(self) -> tuple[ExecutorRecord, ...]:
         records: list[ExecutorRecord] = []
@@ -186,3 +158,64 @@
                 )
             )
         return tuple(records)
+
+
+@attrs.define(kw_only=True)
+class LocalCluster:
+    """Instances inside this process, on a local platform.
+
+    Parameters
+    ----------
+    platform : LocalPlatform
+        The outside, started.
+    instances : list of Instance
+        Instances that were started, in order.
+    addresses : list of Addresses
+        Their ports.
+    """
+
+    platform: LocalPlatform
+    instances: list[Instance] = attrs.field(factory=list)
+    addresses: list[Addresses] = attrs.field(factory=list)
+
+    @property
+    def clock(self) -> Clock:
+        """Time of all of it."""
+        return self.platform.clock
+
+    async def start(self) -> None:
+        """Start the instances and wait until all is owned."""
+        for _ in range(self.platform.plan.instances):
+            await self.add_instance()
+        await self.wait_settled()
+
+    async def add_instance(self) -> Instance:
+        """Start one more instance."""
+        number = len(self.instances)
+        settings = self.platform.build_settings(f"i-{number}", number)
+        instance = Instance(settings=settings, clock=self.clock)
+        self.instances.append(instance)
+        self.addresses.append(await self.platform.nursery.start(instance.run))
+        return instance
+
+    async def wait_settled(self) -> None:
+        """Wait until every shard has one owner that every instance knows."""
+        while not self._is_settled():
+            await self.clock.sleep_ms(_SETTLE_STEP_MS)
+
+    def open_entry(self, number: int, token: str) -> EntryClient:
+        """Open a caller's client to an instance."""
+        port = self.addresses[number].entry_port
+        return EntryClient(port=port, token=token, clock=self.clock)
+
+    def open_admin(self, number: int, token: str = CLUSTER_TOKEN) -> AdminClient:
+        """Open an operator's client to an instance."""
+        return AdminClient(port=self.addresses[number].admin_port, token=token)
+
+    def _is_settled(self) -> bool:
+        staying = [i for i in self.instances if not i.is_leaving]
+        shards = self.platform.settings.shards
+        count = shards.request_shards + shards.worker_shards
+        owned = sum(len(i.ownership.list_owned()) for i in staying)
+        known = {i.ownership.table.revision for i in staying}
+        return owned == count and len(known) == 1
--- a/trefoilhook/placement/scoring.py
+++ b/trefoilhook/placement/scoring.py
@@ -113,7 +113,7 @@
     within = (worst <= policy.admit_ratio) | (tail <= _MATERIAL_TAIL)
     late = table.late.take(rows) > 0.0
     cost = policy.tail_weight * tail - policy.batch_weight * share
-    cost += policy.packing_weight * (1.0 - table.load.take(rows))
+    cost -= policy.packing_weight * share * table.load.take(rows)
     if not task.resources.accelerators:
         # A part of the task's own value: it goes elsewhere first, but where only
         # accelerated workers have room it still starts.
--- a/trefoilhook/shards/owner.py
+++ b/trefoilhook/shards/owner.py
@@ -279,7 +279,8 @@
         if is_mine and row.epoch == holding.row.epoch:
             return
         del self._holdings[shard_id]
-        log_event(Event.SHARD_FENCED, shard=shard_id, epoch=row.epoch)
+        if not holding.is_releasing:
+            log_event(Event.SHARD_FENCED, shard=shard_id, epoch=row.epoch)
         if holding.is_active:
             self._announce(shard_id, holding, is_owned=False)
 
