--- a/trefoilhook/placement/policy.py
+++ b/trefoilhook/placement/policy.py
@@ -57,6 +57,9 @@
     takeover_weight: float = _setting(
         1.0, "1", "Cost of a first service on a worker that batch had to itself."
     )
+    mixing_weight: float = _setting(
+        2.0, "1", "Cost of each other class of services on a service's worker."
+    )
     service_fill: float = _setting(
         0.6, "ratio", "Part of a worker's cores that services share before others."
     )
--- a/trefoilhook/placement/scoring.py
+++ b/trefoilhook/placement/scoring.py
@@ -6,7 +6,7 @@
     tail_weight  * sum over services v of ((e_v' / b_v)**2 - (e_v / b_v)**2)
     - batch_weight * x                      (batch and watchers)
     + spread_weight * crowding              (services)
-    + packing_weight * idle share           (batch and watchers)
+    - packing_weight * x * load             (batch and watchers)
     + balance cost * load                   (services)
     + takeover_weight where the worker holds no service yet, and a steep cost past
       ``service_fill`` of its cores         (services)
@@ -33,12 +33,12 @@
 if TYPE_CHECKING:
     from trefoilhook.placement.state import ShardState
 
-__all__ = ["Scorer", "Scores", "expect_cores", "score_rows"]
+__all__ = ["Scorer", "Scores", "cost_taking_over", "expect_cores", "score_rows"]
 
 _ACCELERATOR_COST = 1.0
 _BALANCE_COST = 0.1
 _MATERIAL_TAIL = 1e-3
-_OVERFILL_COST = 100.0
+_OVERFILL_COST = 10_000.0
 
 Floats = npt.NDArray[np.float64]
 Rows = npt.NDArray[np.intp]
@@ -113,7 +113,7 @@
     within = (worst <= policy.admit_ratio) | (tail <= _MATERIAL_TAIL)
     late = table.late.take(rows) > 0.0
     cost = policy.tail_weight * tail - policy.batch_weight * share
-    cost += policy.packing_weight * (1.0 - table.load.take(rows))
+    cost -= policy.packing_weight * share * table.load.take(rows)
     if not task.resources.accelerators:
         cost += _ACCELERATOR_COST * table.accelerated.take(rows)
     return Scores(cost=cost, excess=worst, admissible=within & ~late)
@@ -165,23 +165,31 @@
     )
     cost = policy.tail_weight * (tail + own * own) + policy.spread_weight * crowding
     cost += _BALANCE_COST * (state.table.load.take(rows) + share)
-    cost += _cost_taking_over(state, task, rows, policy)
+    cost += cost_taking_over(state, task, class_index, rows, policy)
     return Scores(cost=cost, excess=own, admissible=np.ones(len(rows), dtype=bool))
 
 
-def _cost_taking_over(
-    state: "ShardState", task: TaskShape, rows: Rows, policy: Policy
+def cost_taking_over(
+    state: "ShardState",
+    task: TaskShape,
+    class_index: int,
+    rows: Rows,
+    policy: Policy,
 ) -> Floats:
     """Return what it costs batch work that a service comes to each row.
 
     Notes
     -----
     A worker without services takes any batch task, one with services only what they
-    bear. So services share workers, up to a part of the cores that leaves each room.
+    bear. So services share workers, up to a part of the cores that leaves each room;
+    and services of one class share them, for then batch classes that do no harm to
+    that one class can fill the rest.
     """
     table = state.table
     held = table.service_cores.take(rows)
     share = (held + task.resources.cores) / table.capacity_cores.take(rows)
-    cost = policy.takeover_weight * (held == 0.0)
+    present = table.services.take(rows, axis=0) > 0.0
+    others = present.sum(axis=1) - present[:, class_index]
+    cost = policy.takeover_weight * (held == 0.0) + policy.mixing_weight * others
     over = np.maximum(share - policy.service_fill, 0.0)
     return np.asarray(cost + _OVERFILL_COST * over * over)
