--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,173 @@
+"""Measure the placement decisions against baselines; write a table and a plot.
+
+Run ``python -m bench.placement``; ``--quick`` takes two seeds and no sweep, and writes
+nothing.
+"""
+
+import argparse
+import multiprocessing
+import pathlib
+import time
+import tracemalloc
+
+import attrs
+import numpy as np
+
+from bench.placement_driver import run_scheme
+from bench.placement_report import draw_plot, write_report
+from bench.placement_schemes import build_ablations, build_schemes
+from bench.placement_world import USERS, Conditions
+from trefoilhook.placement import (
+    THROUGHPUT_FIRST,
+    Placement,
+    Resources,
+    ShardState,
+    TaskKind,
+    TaskShape,
+    WorkerShape,
+    decide_placement,
+)
+
+__all__ = ["main"]
+
+DOCS = pathlib.Path(__file__).parent.parent / "docs"
+PROCESSES = 4
+TUNED_SEEDS = (0, 1, 2, 3, 4, 5)
+HELD_OUT_SEEDS = (100, 101, 102, 103, 104, 105)
+ABLATION_SEEDS = (0, 1, 2)
+SWEEP_SEEDS = (0, 1)
+SWEEP = {
+    "reports at most this late (s)": [
+        {"least_lag_s": lag / 6.0, "most_lag_s": lag} for lag in (30.0, 120.0, 480.0)
+    ],
+    "sizes and run times off (sd of the logarithm)": [
+        {"misdeclared": off} for off in (0.1, 0.8, 1.2)
+    ],
+    "drift of the slowdowns (sd of the logarithm an hour)": [
+        {"drift_per_hour": drift} for drift in (0.0, 0.8, 2.0)
+    ],
+}
+GIB = 2**30
+
+
+@attrs.frozen(kw_only=True)
+class Run:
+    """One run to be made."""
+
+    group: str
+    user: str
+    scheme: str
+    conditions: Conditions
+
+
+def _carry_out(run):
+    build = build_ablations if run.group == "ablation" else build_schemes
+    scheme = build(run.user)[run.scheme]
+    return run, run_scheme(scheme, USERS[run.user], run.conditions)
+
+
+def _plan(quick):
+    seeds = (*TUNED_SEEDS[:1], *HELD_OUT_SEEDS[:1])
+    if not quick:
+        seeds = (*TUNED_SEEDS, *HELD_OUT_SEEDS)
+    runs = []
+    for user in USERS:
+        for seed in seeds:
+            for scheme in build_schemes(user):
+                runs.append(_run("main", user, scheme, Conditions(seed=seed)))
+        for seed in ABLATION_SEEDS[: 1 if quick else None]:
+            for scheme in build_ablations(user):
+                runs.append(_run("ablation", user, scheme, Conditions(seed=seed)))
+    for axis, points in SWEEP.items():
+        for point in points:
+            for seed in () if quick else SWEEP_SEEDS:
+                conditions = Conditions(seed=seed, **point)
+                runs.append(_run(axis, "carrowmore", "decisions", conditions))
+    return runs
+
+
+def _run(group, user, scheme, conditions):
+    return Run(group=group, user=user, scheme=scheme, conditions=conditions)
+
+
+@attrs.frozen(kw_only=True)
+class Cost:
+    """What a decision and the state cost at a size."""
+
+    workers: int
+    decision_us: float
+    decision_p99_us: float
+    bytes_per_worker: float
+    bytes_per_task: float
+
+
+def _task(number, kind, cores):
+    return TaskShape(
+        task_id=f"task-{number}",
+        team="rosters",
+        task_class=f"{kind.value}-{number % 6}",
+        kind=kind,
+        urgent=False,
+        resources=Resources(cores=cores, memory_bytes=GIB, accelerators=0),
+        declared_run_ms=600_000.0,
+    )
+
+
+def measure_cost(workers):
+    """Measure the time of a decision and the bytes of the state at a size."""
+    rng = np.random.default_rng(0)
+    tracemalloc.start()
+    state = ShardState()
+    for number in range(workers):
+        state.add_worker(
+            WorkerShape(
+                worker_id=f"worker-{number}",
+                rack=f"rack-{number // 8}",
+                failure_domain=f"domain-{number // 8 % 3}",
+                capacity=Resources(cores=32.0, memory_bytes=125 * GIB, accelerators=0),
+            )
+        )
+    empty, _ = tracemalloc.get_traced_memory()
+    for number in range(6 * workers):
+        kind = TaskKind.SERVICE if number < 2 * workers else TaskKind.BATCH
+        task = _task(number, kind, 2.0)
+        decision = decide_placement(state, task, 0.0, rng, THROUGHPUT_FIRST)
+        if isinstance(decision, Placement):
+            state.reserve(task, decision.worker_id, 0.0)
+    full, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    spent_us = []
+    for number in range(2000):
+        task = _task(6 * workers + number, TaskKind.BATCH, 2.0)
+        before = time.perf_counter()
+        decide_placement(state, task, 0.0, rng, THROUGHPUT_FIRST)
+        spent_us.append(1e6 * (time.perf_counter() - before))
+    return Cost(
+        workers=workers,
+        decision_us=float(np.median(spent_us)),
+        decision_p99_us=float(np.quantile(spent_us, 0.99)),
+        bytes_per_worker=empty / workers,
+        bytes_per_task=(full - empty) / max(len(state.tasks), 1),
+    )
+
+
+def main():
+    """Run everything and write the report."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--quick", action="store_true", help="a trial: write nothing")
+    quick = parser.parse_args().quick
+    began = time.monotonic()
+    costs = [measure_cost(24), measure_cost(10_000)]
+    with multiprocessing.Pool(PROCESSES) as pool:
+        results = pool.map(_carry_out, _plan(quick), chunksize=1)
+    text = write_report(results, costs, HELD_OUT_SEEDS, time.monotonic() - began)
+    print(text)
+    if quick:
+        return
+    DOCS.mkdir(exist_ok=True)
+    (DOCS / "PLACEMENT_BENCH.md").write_text(text)
+    draw_plot(results, DOCS / "placement_bench.png")
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/placement_driver.py
+++ b/bench/placement_driver.py
@@ -8,7 +8,14 @@
 import numpy as np
 
 from bench.placement_load import draw_load
-from bench.placement_world import World
+from bench.placement_world import (
+    BATCH_CLASSES,
+    CLASSES,
+    LOAD_GAIN,
+    LOAD_POWER,
+    SERVICE_CLASSES,
+    World,
+)
 from trefoilhook.placement import (
     Impossible,
     Placement,
@@ -45,6 +52,7 @@
 
 BATCH_EVERY_S = 2
 WAITS_BEFORE_GIVING_UP = 10
+CALIBRATED_LOAD = 0.7
 TAIL_BINS = np.concatenate([np.arange(0.0, 1.0, 0.002), np.arange(1.0, 6.0, 0.05)])
 
 
@@ -417,6 +425,25 @@
     return 1.0 + float(edges[np.searchsorted(total, fraction * total[-1])])
 
 
+def _measure_calibration(driver):
+    """Return the correlation of learned and hidden slowdowns of services by batch."""
+    world, state = driver.world, driver.state
+    gain = LOAD_GAIN * CALIBRATED_LOAD**LOAD_POWER
+    hidden = world.matrix * (world.flat + gain * (1.0 - world.flat))
+    learned = state.model.constant + CALIBRATED_LOAD * state.model.loaded
+    pairs = [
+        (hidden[CLASSES.index(victim), CLASSES.index(other)], learned[row, column])
+        for victim in SERVICE_CLASSES
+        for other in BATCH_CLASSES
+        if (row := state.class_indexes.get(victim)) is not None
+        and (column := state.class_indexes.get(other)) is not None
+    ]
+    truth, guess = np.array(pairs).T
+    if guess.std() < 1e-9:
+        return 0.0
+    return float(np.corrcoef(truth, guess)[0, 1])
+
+
 def _measure_recovery(tails, conditions):
     """Return the time from the rush until the tail stays back within 10 %."""
 
@@ -492,5 +519,5 @@
         throttles=driver.throttles,
         late_share=driver.late / max(driver.service_s, 1.0),
         preempted_per_1000=1000.0 * driver.preempted / jobs,
-        calibration=np.nan,
+        calibration=_measure_calibration(driver),
     )
--- a/bench/placement_schemes.py
+++ b/bench/placement_schemes.py
@@ -14,8 +14,9 @@
     TaskKind,
     TaskPhase,
     decide_reactions,
-    score_rows,
 )
+from trefoilhook.placement.interference import InterferenceModel
+from trefoilhook.placement.quantiles import RatioTable
 from trefoilhook.placement.scoring import cost_taking_over
 
 __all__ = ["PRESETS", "build_ablations", "build_schemes"]
@@ -114,10 +115,11 @@
 
 def _build_oracle(world, driver):
     """Score by the hidden matrix, true sizes and true loudness."""
+    cache = _TruthCache()
 
     def score(state, task, class_index, rows, policy):
         arrival = driver.arrivals[task.task_id]
-        weights = _truth(world, driver, state, rows)
+        weights = _truth(world, driver, state, rows, cache)
         own_cores = min(arrival.true_cores, task.resources.cores)
         kind = CLASSES.index(task.task_class)
         push = own_cores * arrival.noise / world.user.cores
@@ -128,24 +130,45 @@
     return score
 
 
-def _truth(world, driver, state, rows):
-    count = len(CLASSES)
-    pressure = np.zeros((len(rows), count))
-    services = np.zeros((len(rows), count))
-    load = np.zeros(len(rows))
+@attrs.define(kw_only=True)
+class _TruthCache:
+    """What workers truly carry, kept for a step of time while nothing changes."""
+
+    step_s: int = -1
+    rows: dict = attrs.field(factory=dict)
+
+
+def _truth(world, driver, state, rows, cache):
+    if cache.step_s != int(world.now_s):
+        cache.step_s = int(world.now_s)
+        cache.rows.clear()
+    parts = []
+    for row in rows:
+        worker = state.workers[state.table.ids[row]]
+        key = (worker.shape.worker_id, tuple(worker.residents))
+        if key not in cache.rows:
+            cache.rows[key] = _truth_of(world, driver, worker)
+        parts.append(cache.rows[key])
+    pressure = np.array([part[0] for part in parts])
+    services = np.array([part[1] for part in parts])
+    return pressure, services, np.array([part[2] for part in parts])
+
+
+def _truth_of(world, driver, worker):
+    pressure, services = np.zeros(len(CLASSES)), np.zeros(len(CLASSES))
     ahead = max(world.demand(), world.demand(world.now_s + 300.0))
     loud = world.aggression()
-    for place, row in enumerate(rows):
-        for task_id, held in state.workers[state.table.ids[row]].residents.items():
-            arrival = driver.arrivals[task_id]
-            kind = CLASSES.index(held.shape.task_class)
-            used = min(arrival.true_cores, held.shape.resources.cores) * held.speed
-            if held.shape.kind is TaskKind.SERVICE:
-                used = arrival.true_cores * ahead
-                services[place, kind] += 1.0
-            share = used / world.user.cores
-            load[place] += share
-            pressure[place, kind] += share * arrival.noise * loud[kind]
+    load = 0.0
+    for task_id, held in worker.residents.items():
+        arrival = driver.arrivals[task_id]
+        kind = CLASSES.index(held.shape.task_class)
+        used = min(arrival.true_cores, held.shape.resources.cores) * held.speed
+        if held.shape.kind is TaskKind.SERVICE:
+            used = arrival.true_cores * ahead
+            services[kind] += 1.0
+        share = used / world.user.cores
+        load += share
+        pressure[kind] += share * arrival.noise * loud[kind]
     return pressure, services, load
 
 
@@ -217,9 +240,63 @@
     }
 
 
+def _order_by_arrival(state, waiting, now_ms, policy):
+    """Urgent first, then services, then first come first served."""
+    return tuple(
+        sorted(
+            waiting,
+            key=lambda entry: (
+                not entry.shape.urgent,
+                entry.shape.kind is TaskKind.BATCH,
+                entry.queued_at_ms,
+            ),
+        )
+    )
+
+
+def _forget_model(world, state):
+    state.model = InterferenceModel()
+
+
+def _forget_residual(world, state):
+    state.table.residual[:] = 0.0
+
+
+def _forget_usage(world, state):
+    state.usage_ratios = RatioTable()
+
+
+def _unguard(world, state):
+    state.table.guarded_room[:] = state.table.room
+
+
+def _never_forget(state):
+    state.model.forget_ms = np.inf
+
+
 def build_ablations(user):
     """Build the decisions with one mechanism at a time switched off."""
     policy = PRESETS[user]
-    return {
-        "score": Scheme(name="x", policy=policy, build_scorer=lambda w, d: score_rows)
-    }
+    whole = Scheme(name="decisions", policy=policy)
+
+    def without(what, **changes):
+        return attrs.evolve(whole, name=f"without {what}", **changes)
+
+    def reset(what, **settings):
+        return without(what, policy=attrs.evolve(policy, **settings))
+
+    schemes = [
+        without("learned slowdowns", watch=_forget_model),
+        without("residual of the worker", watch=_forget_residual),
+        without("forgetting", prepare=_never_forget),
+        reset("risk margin", risk=0.0),
+        reset("admission limit", admit_ratio=np.inf),
+        reset("gathering of services", takeover_weight=0.0, service_fill=1.0),
+        reset("grouping of service classes", mixing_weight=0.0),
+        reset("packing", packing_weight=0.0),
+        without("reactions", react=_react_nothing),
+        without("learned usage", watch=_forget_usage),
+        without("services' headroom", watch=_unguard),
+        without("fair share and run times", order=_order_by_arrival),
+    ]
+    return {scheme.name: scheme for scheme in schemes}
--- /dev/null
+++ b/trefoilhook/placement/tests/test_decisions.py
@@ -0,0 +1,296 @@
+"""Where tasks go, and what is refused."""
+
+import unittest
+
+import attrs
+import numpy as np
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from trefoilhook.placement import (
+    LATENCY_FIRST,
+    THROUGHPUT_FIRST,
+    Impossible,
+    ImpossibleReason,
+    Placement,
+    Preempt,
+    ServiceSlowdown,
+    StopOutcome,
+    TaskKind,
+    UsageReport,
+    Wait,
+    WaitingTask,
+    WaitReason,
+    begin_preemption,
+    choose_spill,
+    decide_placement,
+    explain_placement,
+    order_queue,
+    render_explanation,
+    summarize_shard,
+)
+from trefoilhook.placement.tests.builders import (
+    GIB,
+    build_state,
+    build_task,
+    build_worker,
+    run_task,
+)
+
+
+def decide(state, task, now_ms=0.0, policy=LATENCY_FIRST):
+    """Decide with a seeded generator."""
+    return decide_placement(state, task, now_ms, np.random.default_rng(1), policy)
+
+
+def report_slowdown(state, task_id, slowdown, at_ms, worker_id="worker-0"):
+    """Deliver a report of one service's slowdown, ten seconds late."""
+    report = UsageReport(
+        worker_id=worker_id,
+        measured_at_ms=at_ms,
+        usage=(),
+        slowdowns=(ServiceSlowdown(task_id=task_id, slowdown=slowdown),),
+    )
+    state.observe_usage(report, at_ms + 10_000.0)
+
+
+class RefusalTest(unittest.TestCase):
+    """Jobs that can never run are refused with what would have to change."""
+
+    def test_reasons(self):
+        table = [
+            ({"cores": 33.0}, ImpossibleReason.TOO_MANY_CORES),
+            ({"memory_bytes": 126 * GIB}, ImpossibleReason.TOO_MUCH_MEMORY),
+            ({"accelerators": 2}, ImpossibleReason.TOO_MANY_ACCELERATORS),
+            ({"cores": 32.0, "accelerators": 1}, ImpossibleReason.NO_SUCH_WORKER),
+        ]
+        state = build_state(2)
+        state.add_worker(build_worker(7, cores=16.0, accelerators=1))
+        for sizes, reason in table:
+            with self.subTest(reason=reason):
+                decision = decide(state, build_task(**sizes))
+                self.assertIsInstance(decision, Impossible)
+                self.assertIs(decision.reason, reason)
+
+    def test_a_full_fleet_refuses_nothing(self):
+        state = build_state()
+        state.reserve(build_task("first", cores=32.0), "worker-0", 0.0)
+        decision = decide(state, build_task("second", cores=32.0))
+        self.assertEqual(decision, Wait(reason=WaitReason.NO_ROOM, considered=0))
+
+    def test_a_shard_without_workers_refuses_nothing(self):
+        self.assertIsInstance(decide(build_state(0), build_task(cores=99.0)), Wait)
+
+    def test_a_job_that_fails_everywhere_is_refused(self):
+        # A manifest job with a bad input is tried on one worker after another for
+        # hours. Each worker is sound and each attempt fails alike.
+        state = build_state(4)
+        for number in range(3):
+            decision = decide(state, build_task())
+            self.assertIsInstance(decision, Placement)
+            run_task(state, build_task(), decision.worker_id)
+            state.confirm_stopped("task", float(number), StopOutcome.FAILED)
+        decision = decide(state, build_task())
+        self.assertIs(decision.reason, ImpossibleReason.FAILS_EVERYWHERE)
+
+
+class InterferenceTest(unittest.TestCase):
+    """Batch work keeps away from services that it would slow."""
+
+    def test_nothing_is_added_beside_a_service_past_its_target(self):
+        # The seat check slows in the evening rush and a roster build is put beside
+        # it all the same: the model had not seen the pair and was told to explore.
+        explorer = attrs.evolve(THROUGHPUT_FIRST, risk=-3.0, admit_ratio=np.inf)
+        state = build_state()
+        service = build_task("service", kind=TaskKind.SERVICE, task_class="seat-check")
+        run_task(state, service)
+        self.assertIsInstance(decide(state, build_task(), policy=explorer), Placement)
+        report_slowdown(state, "service", 1.2, 20_000.0)
+        decision = decide(state, build_task(), 30_000.0, policy=explorer)
+        self.assertEqual(decision, Wait(reason=WaitReason.INTERFERENCE, considered=1))
+
+    def test_a_harmful_pair_is_learned_from_late_reports(self):
+        state = build_state(3)
+        for number in range(2):
+            service = build_task(
+                f"service-{number}", kind=TaskKind.SERVICE, task_class="seat-check"
+            )
+            run_task(state, service, f"worker-{number}")
+        loud = build_task("loud", cores=8.0, task_class="loud")
+        quiet = build_task("quiet", cores=8.0, task_class="quiet")
+        run_task(state, loud, "worker-0")
+        run_task(state, quiet, "worker-1")
+        for step in range(1, 30):
+            at_ms = 20_000.0 + 10_000.0 * step
+            report_slowdown(state, "service-0", 1.3, at_ms)
+            report_slowdown(state, "service-1", 1.0, at_ms, "worker-1")
+        row = state.class_indexes["seat-check"]
+        slopes = state.model.constant[row] + 0.25 * state.model.loaded[row]
+        loud_slope = slopes[state.class_indexes["loud"]]
+        quiet_slope = slopes[state.class_indexes["quiet"]]
+        self.assertGreater(loud_slope, 10 * max(quiet_slope, 0.02))
+
+    def test_a_report_is_matched_with_what_ran_when_it_was_measured(self):
+        # An innocent class is shunned for weeks. A loud task ended, an innocent one
+        # took its place, and then the late report of the loud one's slowdown came.
+        state = build_state()
+        run_task(state, build_task("service", kind=TaskKind.SERVICE, task_class="s"))
+        run_task(state, build_task("loud", cores=16.0, task_class="loud"))
+        state.confirm_stopped("loud", 60_000.0, StopOutcome.FINISHED)
+        run_task(
+            state, build_task("new", cores=16.0, task_class="new"), now_ms=60_000.0
+        )
+        report_slowdown(state, "service", 1.5, 60_000.0)
+        row = state.model.constant[state.class_indexes["s"]]
+        loud, new = (row[state.class_indexes[name]] for name in ("loud", "new"))
+        self.assertGreater(loud, 2.0 * new)
+
+    @settings(max_examples=50, deadline=None, derandomize=True)
+    @given(st.lists(st.floats(0.5, 50.0, allow_nan=False), min_size=1, max_size=30))
+    def test_no_report_breaks_the_model(self, slowdowns):
+        state = build_state()
+        run_task(state, build_task("service", kind=TaskKind.SERVICE))
+        for step, slowdown in enumerate(slowdowns):
+            report_slowdown(state, "service", slowdown, 20_000.0 + 10_000.0 * step)
+        self.assertTrue(np.isfinite(state.model.mean).all())
+        self.assertTrue((state.model.deviation >= 0.0).all())
+
+
+class PreemptionTest(unittest.TestCase):
+    """Urgent work starts on a full fleet."""
+
+    def setUp(self):
+        self.state = build_state()
+        for number in range(4):
+            run_task(self.state, build_task(f"batch-{number}", cores=8.0))
+        self.urgent = build_task("urgent", cores=8.0, urgent=True)
+
+    def test_an_urgent_task_takes_the_room_of_one_victim(self):
+        decision = decide(self.state, self.urgent)
+        self.assertIsInstance(decision, Preempt)
+        self.assertEqual(len(decision.victims), 1)
+
+    def test_freed_room_is_kept_for_the_urgent_task(self):
+        # An urgent manifest waits for minutes on a full fleet: each time a victim
+        # stopped, the next batch task in the queue took the room it left.
+        decision = decide(self.state, self.urgent)
+        begin_preemption(self.state, self.urgent, decision, 0.0, LATENCY_FIRST)
+        waiting = decide(self.state, self.urgent)
+        self.assertEqual(waiting.reason, WaitReason.VICTIMS_STOPPING)
+        self.state.confirm_stopped(decision.victims[0], 1.0, StopOutcome.EVICTED)
+        thief = decide(self.state, build_task("thief", cores=8.0))
+        self.assertEqual(thief.reason, WaitReason.NO_ROOM)
+        self.assertIsInstance(decide(self.state, self.urgent), Placement)
+
+    def test_neither_services_nor_urgent_tasks_are_victims(self):
+        state = build_state()
+        run_task(state, build_task("s", cores=16.0, kind=TaskKind.SERVICE))
+        run_task(state, build_task("u", cores=16.0, urgent=True))
+        decision = decide(state, self.urgent)
+        self.assertEqual(decision.reason, WaitReason.NO_ROOM)
+
+    def test_the_same_victim_is_not_taken_again(self):
+        self.state.history("batch-0").evictions = 1
+        decision = decide(self.state, self.urgent)
+        self.assertNotIn("batch-0", decision.victims)
+
+
+class QueueTest(unittest.TestCase):
+    """The order in which waiting tasks are offered."""
+
+    def order(self, state, tasks, now_ms=0.0):
+        waiting = [WaitingTask(shape=task, queued_at_ms=at_ms) for at_ms, task in tasks]
+        ordered = order_queue(state, waiting, now_ms, LATENCY_FIRST)
+        return [entry.shape.task_id for entry in ordered]
+
+    def test_urgent_services_watchers_batch(self):
+        tasks = [
+            (0.0, build_task("batch")),
+            (1.0, build_task("watcher", kind=TaskKind.WATCHER)),
+            (2.0, build_task("service", kind=TaskKind.SERVICE)),
+            (3.0, build_task("urgent", urgent=True)),
+        ]
+        self.assertEqual(
+            self.order(build_state(), tasks), ["urgent", "service", "watcher", "batch"]
+        )
+
+    def test_the_team_that_holds_less_goes_first(self):
+        state = build_state()
+        run_task(state, build_task("held", cores=16.0, team="big"))
+        tasks = [(0.0, build_task("a", team="big")), (1.0, build_task("b", team="new"))]
+        self.assertEqual(self.order(state, tasks), ["b", "a"])
+
+    def test_teams_take_turns_and_short_runs_go_first(self):
+        tasks = [
+            (0.0, build_task("a-long", team="a", declared_run_ms=900_000.0)),
+            (0.0, build_task("a-short", team="a", declared_run_ms=60_000.0)),
+            (0.0, build_task("b-long", team="b", declared_run_ms=900_000.0)),
+        ]
+        self.assertEqual(
+            self.order(build_state(), tasks), ["a-short", "b-long", "a-long"]
+        )
+
+    def test_a_long_wait_outweighs_fair_share(self):
+        state = build_state()
+        run_task(state, build_task("held", cores=16.0, team="big"))
+        tasks = [
+            (0.0, build_task("old", team="big")),
+            (600_000.0, build_task("young", team="new")),
+        ]
+        self.assertEqual(self.order(state, tasks, 600_000.0), ["old", "young"])
+
+
+class SpreadTest(unittest.TestCase):
+    """Services of a class stand in several failure domains."""
+
+    def test_services_spread_over_domains(self):
+        state = build_state(24)
+        for number in range(6):
+            task = build_task(f"s-{number}", cores=16.0, kind=TaskKind.SERVICE)
+            run_task(state, task, decide(state, task).worker_id)
+        domains = {
+            state.workers[held.worker_id].shape.failure_domain
+            for held in state.tasks.values()
+        }
+        self.assertEqual(len(domains), 3)
+
+
+class SpillTest(unittest.TestCase):
+    """Summaries between shards."""
+
+    def test_only_fresh_summaries_with_a_room_that_fits_are_used(self):
+        rng = np.random.default_rng(1)
+        full = build_state()
+        full.reserve(build_task("all", cores=32.0), "worker-0", 0.0)
+        summaries = [
+            summarize_shard(full, 1, 0.0),
+            summarize_shard(build_state(20), 2, 0.0),
+        ]
+        self.assertEqual(len(summaries[1].rooms), 8)
+        self.assertEqual(choose_spill(build_task(), summaries, 5_000.0, rng), 2)
+        self.assertIsNone(choose_spill(build_task(), summaries, 60_000.0, rng))
+        self.assertIsNone(choose_spill(build_task(), [], 0.0, rng))
+
+
+class ExplanationTest(unittest.TestCase):
+    """Text for ``trefoilhook explain``."""
+
+    def explain(self, state, task):
+        explanation = explain_placement(
+            state, task, 0.0, np.random.default_rng(1), LATENCY_FIRST
+        )
+        return render_explanation(explanation)
+
+    def test_each_decision_is_explained(self):
+        state = build_state()
+        run_task(state, build_task("held", cores=30.0))
+        table = [
+            (build_task("held"), "held by worker-0"),
+            (build_task("small", cores=1.0), "would start on worker-0"),
+            (build_task("large", cores=31.0), "waits: no worker looked at has room"),
+            (build_task("huge", cores=64.0), "can never run: declares more cores"),
+            (build_task("now", cores=8.0, urgent=True), "once held stopped"),
+        ]
+        for task, text in table:
+            with self.subTest(task=task.task_id):
+                self.assertIn(text, self.explain(state, task))
