--- a/trefoilhook/placement/policy.py
+++ b/trefoilhook/placement/policy.py
@@ -40,7 +40,7 @@
     """
 
     tail_weight: float = _setting(
-        1.0, "1", "Weight of service tail latency in the objective."
+        2.0, "1", "Weight of service tail latency in the objective."
     )
     batch_weight: float = _setting(
         4.0, "1", "Value of starting a batch task, for a whole worker's cores."
@@ -55,13 +55,13 @@
         0.2, "1", "Weight of filling workers that are already in use."
     )
     takeover_weight: float = _setting(
-        1.0, "1", "Cost of a first service on a worker that batch had to itself."
+        20.0, "1", "Cost of a first service on a worker that batch had to itself."
     )
     mixing_weight: float = _setting(
-        2.0, "1", "Cost of each other class of services on a service's worker."
+        30.0, "1", "Cost of each other class of services on a service's worker."
     )
     service_fill: float = _setting(
-        0.6, "ratio", "Part of a worker's cores that services share before others."
+        0.75, "ratio", "Part of a worker's cores that services share before others."
     )
     risk: float = _setting(
         0.5,
@@ -69,7 +69,7 @@
         "Added to an uncertain slowdown; below 0 explores beside unharmed services.",
     )
     admit_ratio: float = _setting(
-        0.7, "ratio", "Part of a service's bearable excess that placement may use."
+        0.15, "ratio", "Part of a service's bearable excess that placement may use."
     )
     sample_size: int = _setting(
         32, "workers", "Most workers that one decision looks at."
@@ -142,11 +142,13 @@
 LATENCY_FIRST = Policy()
 
 THROUGHPUT_FIRST = Policy(
-    tail_weight=0.25,
+    tail_weight=0.1,
     batch_weight=8.0,
     eviction_weight=4.0,
+    mixing_weight=0.0,
+    service_fill=0.9,
     risk=0.0,
-    admit_ratio=1.0,
+    admit_ratio=0.5,
     release_after_ms=30_000.0,
     evict_after_ms=180_000.0,
     team_evictions_per_hour=4.0,
--- a/trefoilhook/placement/tests/test_capacity.py
+++ b/trefoilhook/placement/tests/test_capacity.py
@@ -168,6 +168,13 @@
         with self.assertRaises(UnknownTaskError):
             state.reserve(build_task(), "worker-1", 0.0)
 
+    def test_what_fits_exactly_is_not_refused_for_rounding(self):
+        # A task that fills a worker to the brim waits for ever beside free cores.
+        # Added up one by one, 0.1, 0.2 and 0.3 cores come to a little over 0.6.
+        state = build_state(cores=0.6)
+        for number, cores in enumerate((0.1, 0.2, 0.3)):
+            state.reserve(build_task(f"t-{number}", cores=cores), "worker-0", 0.0)
+
     def test_rounding_neither_loses_nor_grants_room(self):
         state = build_state(cores=1.0)
         for number in range(10):
--- a/trefoilhook/placement/tests/test_decisions.py
+++ b/trefoilhook/placement/tests/test_decisions.py
@@ -14,9 +14,11 @@
     ImpossibleReason,
     Placement,
     Preempt,
+    Resources,
     ServiceSlowdown,
     StopOutcome,
     TaskKind,
+    TaskUsage,
     UsageReport,
     Wait,
     WaitingTask,
@@ -136,14 +138,31 @@
         state = build_state()
         run_task(state, build_task("service", kind=TaskKind.SERVICE, task_class="s"))
         run_task(state, build_task("loud", cores=16.0, task_class="loud"))
-        state.confirm_stopped("loud", 60_000.0, StopOutcome.FINISHED)
-        run_task(
-            state, build_task("new", cores=16.0, task_class="new"), now_ms=60_000.0
-        )
+        state.confirm_stopped("loud", 65_000.0, StopOutcome.FINISHED)
+        new = build_task("new", cores=16.0, task_class="new")
+        run_task(state, new, now_ms=65_000.0)
         report_slowdown(state, "service", 1.5, 60_000.0)
         row = state.model.constant[state.class_indexes["s"]]
-        loud, new = (row[state.class_indexes[name]] for name in ("loud", "new"))
-        self.assertGreater(loud, 2.0 * new)
+        loud, innocent = (row[state.class_indexes[name]] for name in ("loud", "new"))
+        never_seen = row[-1]
+        self.assertGreater(loud, 2.0 * innocent)
+        self.assertAlmostEqual(innocent, never_seen)
+
+    def test_an_overtaken_report_does_not_bring_old_usage_back(self):
+        # A service that grew in the rush is planned for at its size of before: a
+        # report that another had overtaken on the way was taken for the latest.
+        state = build_state()
+        held = run_task(state, build_task("service", kind=TaskKind.SERVICE))
+        for measured_at_ms, cores in ((60_000.0, 4.0), (40_000.0, 1.0)):
+            used = Resources(cores=cores, memory_bytes=0, accelerators=0)
+            report = UsageReport(
+                worker_id="worker-0",
+                measured_at_ms=measured_at_ms,
+                usage=(TaskUsage(task_id="service", used=used),),
+                slowdowns=(),
+            )
+            state.observe_usage(report, 70_000.0)
+        self.assertEqual(held.expected_cores, 4.0)
 
     @settings(max_examples=50, deadline=None, derandomize=True)
     @given(st.lists(st.floats(0.5, 50.0, allow_nan=False), min_size=1, max_size=30))
--- a/trefoilhook/placement/tests/test_reactions.py
+++ b/trefoilhook/placement/tests/test_reactions.py
@@ -3,17 +3,21 @@
 import unittest
 
 import attrs
+import numpy as np
 
 from trefoilhook.placement import (
     LATENCY_FIRST,
+    Impossible,
     ReactionKind,
     ServiceSlowdown,
     StopOutcome,
     TaskKind,
     UsageReport,
     apply_reaction,
+    decide_placement,
     decide_reactions,
 )
+from trefoilhook.placement.table import ROOM_OPEN
 from trefoilhook.placement.tests.builders import build_state, build_task, run_task
 
 REPORT_MS = 10_000.0
@@ -155,7 +159,7 @@
 class QuarantineTest(unittest.TestCase):
     """Workers that fail everything, and jobs that fail everywhere."""
 
-    def fail(self, scene, task_id, worker_id="worker-0"):
+    def fail_task(self, scene, task_id, worker_id="worker-0"):
         run_task(scene.state, build_task(task_id), worker_id)
         scene.state.confirm_stopped(task_id, scene.now_ms, StopOutcome.FAILED)
 
@@ -164,21 +168,54 @@
         # always has room. It must be closed, and not for ever.
         scene = Scene(workers=1, batch=0)
         for number in range(3):
-            self.fail(scene, f"task-{number}")
+            self.fail_task(scene, f"task-{number}")
         self.assertEqual(scene.react(), [ReactionKind.QUARANTINE])
-        self.assertEqual(scene.state.table.room[0, 3], 0.0)
+        self.assertEqual(scene.state.table.room[0, ROOM_OPEN], 0.0)
         scene.now_ms += LATENCY_FIRST.quarantine_ms
         self.assertEqual(scene.react(), [ReactionKind.RELEASE])
-        self.fail(scene, "probe")
+        self.fail_task(scene, "probe")
         self.assertEqual(scene.react(), [ReactionKind.QUARANTINE])
         until_ms = scene.state.workers["worker-0"].health.quarantined_until_ms
         self.assertEqual(until_ms - scene.now_ms, 2.0 * LATENCY_FIRST.quarantine_ms)
 
+    def test_a_worker_on_probation_gets_one_task_at_a_time(self):
+        # A worker that fails everything takes forty jobs down in its first minute
+        # back: its quarantine was over, and it had the most room of all.
+        scene = Scene(workers=1, batch=0)
+        for number in range(3):
+            self.fail_task(scene, f"task-{number}")
+        scene.react()
+        scene.now_ms += LATENCY_FIRST.quarantine_ms
+        scene.react()
+        scene.state.confirm_stopped("service-0", scene.now_ms, StopOutcome.CANCELLED)
+        self.assertEqual(scene.state.table.room[0, ROOM_OPEN], 1.0)
+        run_task(scene.state, build_task("probe"))
+        self.assertEqual(scene.state.table.room[0, ROOM_OPEN], 0.0)
+        scene.state.confirm_stopped("probe", scene.now_ms, StopOutcome.FINISHED)
+        run_task(scene.state, build_task("next"))
+        self.assertEqual(scene.state.table.room[0, ROOM_OPEN], 1.0)
+
+    def test_a_job_is_not_refused_for_its_luck_with_workers(self):
+        # A sound manifest job is refused for good. It happened on three workers in
+        # turn that failed everything.
+        scene = Scene(workers=4, batch=0)
+        for number in range(3):
+            for count in range(3):
+                self.fail_task(scene, f"other-{number}-{count}", f"worker-{number}")
+        scene.react()
+        for number in range(3):
+            scene.state.history("task").failed_on.add(f"worker-{number}")
+        rng = np.random.default_rng(1)
+        decision = decide_placement(
+            scene.state, build_task(), scene.now_ms, rng, LATENCY_FIRST
+        )
+        self.assertNotIsInstance(decision, Impossible)
+
     def test_jobs_that_fail_everywhere_close_no_worker(self):
         # A batch of broken jobs closes the whole fleet, one worker after another:
         # each failure was held against the worker that it happened on.
         scene = Scene(workers=2, batch=0)
         for number in range(6):
-            self.fail(scene, f"broken-{number}", "worker-0")
-            self.fail(scene, f"broken-{number}", "worker-1")
+            self.fail_task(scene, f"broken-{number}", "worker-0")
+            self.fail_task(scene, f"broken-{number}", "worker-1")
         self.assertEqual(scene.react(), [])
