Move an evicted task where it does no harm, and keep its room there

An evicted task went back to the queue and could wait behind others. The ladder's last step now looks at a bounded stretch of other workers and moves the task if one would take it without harm; its room is kept as for urgent work.

--- a/trefoilhook/placement/reactions.py
+++ b/trefoilhook/placement/reactions.py
@@ -16,8 +16,9 @@
     needs_quarantine,
     quarantine_is_over,
 )
+from trefoilhook.placement.moves import find_target
 from trefoilhook.placement.policy import Policy
-from trefoilhook.placement.records import TaskPhase, TaskState, WorkerState
+from trefoilhook.placement.records import Earmark, TaskPhase, TaskState, WorkerState
 from trefoilhook.placement.refresh import refresh_worker
 from trefoilhook.placement.shapes import TaskKind, bearable_excess
 from trefoilhook.placement.victims import may_evict, weigh_victim
@@ -167,10 +168,13 @@
     victim = _choose_evicted(state, worker, sufferer, now_ms, policy)
     if victim is None:
         return None
+    target = find_target(state, victim, now_ms, policy)
+    kind = ReactionKind.CHECKPOINT_EVICT if target is None else ReactionKind.MOVE
     return Reaction(
-        kind=ReactionKind.CHECKPOINT_EVICT,
+        kind=kind,
         worker_id=worker.shape.worker_id,
         task_id=victim.shape.task_id,
+        target_worker_id=target,
     )
 
 
@@ -303,3 +307,12 @@
         return
     state.record_eviction(task, now_ms)
     state.begin_stop(task.shape.task_id)
+    if reaction.target_worker_id is not None:
+        state.keep_room(
+            Earmark(
+                task_id=task.shape.task_id,
+                worker_id=reaction.target_worker_id,
+                resources=task.shape.resources,
+                until_ms=now_ms + policy.earmark_ms,
+            )
+        )
--- a/trefoilhook/placement/tests/test_reactions.py
+++ b/trefoilhook/placement/tests/test_reactions.py
@@ -18,7 +18,12 @@
     decide_reactions,
 )
 from trefoilhook.placement.table import ROOM_OPEN
-from trefoilhook.placement.tests.builders import build_state, build_task, run_task
+from trefoilhook.placement.tests.builders import (
+    build_state,
+    build_task,
+    build_worker,
+    run_task,
+)
 
 REPORT_MS = 10_000.0
 
@@ -87,6 +92,19 @@
             ],
         )
 
+    def test_an_evicted_task_moves_where_it_does_no_harm(self):
+        scene = Scene()
+        scene.state.add_worker(build_worker(8))
+        for _ in range(10):
+            scene.report(1.5)
+        earmark = scene.state.earmarks["batch-0-0"]
+        self.assertEqual(earmark.worker_id, "worker-8")
+        task = scene.state.tasks["batch-0-0"].shape
+        scene.state.confirm_stopped("batch-0-0", scene.now_ms, StopOutcome.EVICTED)
+        rng = np.random.default_rng(1)
+        decision = decide_placement(scene.state, task, scene.now_ms, rng, LATENCY_FIRST)
+        self.assertEqual(decision.worker_id, "worker-8")
+
     def test_a_step_waits_for_news_of_the_last(self):
         # A batch task is thrown off a worker at the first sign of slowness. Reports
         # measured before the throttling kept arriving and were taken for its failure.
