--- a/bench/placement_driver.py
+++ b/bench/placement_driver.py
@@ -8,14 +8,8 @@
 import numpy as np
 
 from bench.placement_load import draw_load
-from bench.placement_world import (
-    BATCH_CLASSES,
-    CLASSES,
-    LOAD_GAIN,
-    LOAD_POWER,
-    SERVICE_CLASSES,
-    World,
-)
+from bench.placement_measure import TAIL_BINS, sum_up
+from bench.placement_world import World
 from trefoilhook.placement import (
     Impossible,
     Placement,
@@ -40,7 +34,7 @@
     score_rows,
 )
 
-__all__ = ["Outcome", "Scheme", "run_scheme"]
+__all__ = ["Scheme", "run_scheme"]
 
 START_S = (0.1, 0.3)
 CHECKPOINT_S = (0.5, 2.5)
@@ -52,8 +46,6 @@
 
 BATCH_EVERY_S = 2
 WAITS_BEFORE_GIVING_UP = 10
-CALIBRATED_LOAD = 0.7
-TAIL_BINS = np.concatenate([np.arange(0.0, 1.0, 0.002), np.arange(1.0, 6.0, 0.05)])
 
 
 @attrs.frozen(kw_only=True)
@@ -70,30 +62,6 @@
     order: Callable = order_queue
 
 
-@attrs.frozen(kw_only=True)
-class Outcome:
-    """What one run showed."""
-
-    scheme: str
-    user: str
-    seed: int
-    tail_p99: float
-    tail_p50: float
-    throughput: float
-    evictions_per_1000: float
-    lost_core_s_per_1000: float
-    capacity_exceeded: int
-    urgent_p99_s: float
-    urgent_worst_s: float
-    recovery_s: float
-    finished: int
-    refused: int
-    throttles: int
-    late_share: float
-    preempted_per_1000: float
-    calibration: float
-
-
 @attrs.define(kw_only=True)
 class Driver:
     """State of one run."""
@@ -419,47 +387,6 @@
         driver.at(at_s, driver.redeploy, f"service-{number}")
 
 
-def _quantile(histogram, fraction):
-    edges = np.concatenate([[0.0], TAIL_BINS])
-    total = histogram.cumsum()
-    return 1.0 + float(edges[np.searchsorted(total, fraction * total[-1])])
-
-
-def _measure_calibration(driver):
-    """Return the correlation of learned and hidden slowdowns of services by batch."""
-    world, state = driver.world, driver.state
-    gain = LOAD_GAIN * CALIBRATED_LOAD**LOAD_POWER
-    hidden = world.matrix * (world.flat + gain * (1.0 - world.flat))
-    learned = state.model.constant + CALIBRATED_LOAD * state.model.loaded
-    pairs = [
-        (hidden[CLASSES.index(victim), CLASSES.index(other)], learned[row, column])
-        for victim in SERVICE_CLASSES
-        for other in BATCH_CLASSES
-        if (row := state.class_indexes.get(victim)) is not None
-        and (column := state.class_indexes.get(other)) is not None
-    ]
-    truth, guess = np.array(pairs).T
-    if guess.std() < 1e-9:
-        return 0.0
-    return float(np.corrcoef(truth, guess)[0, 1])
-
-
-def _measure_recovery(tails, conditions):
-    """Return the time from the rush until the tail stays back within 10 %."""
-
-    def tail(from_s, to_s):
-        pooled = np.concatenate(tails[from_s:to_s])
-        return 1.0 + float(np.quantile(pooled, 0.99))
-
-    shift_s = conditions.rush_start_s
-    limit = 1.10 * min(tail(shift_s - 600, shift_s), 1.10)
-    window_s, last = 30, 0
-    for at_s in range(shift_s, conditions.rush_end_s - window_s, 10):
-        if tail(at_s, at_s + window_s) > limit:
-            last = at_s + window_s - shift_s
-    return float(last)
-
-
 def run_scheme(scheme, user, conditions):
     """Run one scheme through one seeded hour.
 
@@ -493,31 +420,4 @@
         if step % BATCH_EVERY_S == 0:
             driver.react()
         driver.place_all(urgent_only=step % BATCH_EVERY_S != 0)
-    return _sum_up(driver)
-
-
-def _sum_up(driver):
-    world, conditions = driver.world, driver.world.conditions
-    jobs = max(driver.finished, 1)
-    available = world.user.workers * world.user.cores * conditions.horizon_s
-    urgent = driver.urgent_s or [np.nan]
-    return Outcome(
-        scheme=driver.scheme.name,
-        user=world.user.name,
-        seed=conditions.seed,
-        tail_p99=_quantile(driver.histogram, 0.99),
-        tail_p50=_quantile(driver.histogram, 0.50),
-        throughput=world.useful_core_s / available,
-        evictions_per_1000=1000.0 * driver.evicted / jobs,
-        lost_core_s_per_1000=1000.0 * driver.lost_core_s / jobs,
-        capacity_exceeded=world.capacity_exceeded,
-        urgent_p99_s=float(np.quantile(urgent, 0.99)),
-        urgent_worst_s=float(max(urgent)),
-        recovery_s=_measure_recovery(driver.tails, conditions),
-        finished=driver.finished,
-        refused=driver.refused,
-        throttles=driver.throttles,
-        late_share=driver.late / max(driver.service_s, 1.0),
-        preempted_per_1000=1000.0 * driver.preempted / jobs,
-        calibration=_measure_calibration(driver),
-    )
+    return sum_up(driver)
