--- a/trefoilhook/placement/state.py
+++ b/trefoilhook/placement/state.py
@@ -137,13 +137,13 @@
         if task.task_id in self.tasks:
             raise UnknownTaskError(f"task {task.task_id} holds resources already")
         worker = self._worker_in_use(worker_id)
-        self.release_earmark(task.task_id)
         wanted = self._sum_residents(worker, task.resources)
         if not wanted.fits_in(worker.shape.capacity):
             raise CapacityExceededError(
                 f"task {task.task_id} does not fit worker {worker_id}: "
                 f"{wanted} of {worker.shape.capacity}"
             )
+        self.release_earmark(task.task_id)
         self._hold(task, worker, now_ms)
 
     def restore(self, task: TaskShape, worker_id: str, now_ms: float) -> None:
--- a/trefoilhook/placement/tests/test_capacity.py
+++ b/trefoilhook/placement/tests/test_capacity.py
@@ -160,6 +160,16 @@
         with self.assertRaises(CapacityExceededError):
             state.reserve(build_task("second", cores=20.0), "worker-0", 0.0)
 
+    def test_an_inventory_counts_even_where_it_overfills(self):
+        # A new owner finds a worker fuller than it should be and adds to it. It had
+        # refused to count what did not fit.
+        state = build_state()
+        state.reserve(build_task("first", cores=30.0), "worker-0", 0.0)
+        state.restore(build_task("second", cores=20.0), "worker-0", 0.0)
+        state.confirm_stopped("first", 0.0, StopOutcome.FINISHED)
+        with self.assertRaises(CapacityExceededError):
+            state.reserve(build_task("third", cores=20.0), "worker-0", 0.0)
+
     def test_a_task_is_not_held_twice(self):
         # A roster is built twice. Its start was retried on another worker while the
         # first worker still held it.
