--- a/trefoilhook/standins/tests/test_process.py
+++ b/trefoilhook/standins/tests/test_process.py
@@ -17,32 +17,54 @@
     """Ports are told, orders obeyed, faults shown."""
 
     def test_kinds(self):
-        # (kind, settings, a path for calls, a path for orders)
+        # (kind, settings, a path for calls, orders and their bodies)
+        state = {"instance_id": "e1", "state": "leaving"}
+        hole = {"worker_id": "w1", "is_black_hole": True}
+        store = [("GET", "/counts", None), ("POST", "/silence-watches", None)]
+        instances = [
+            ("GET", "/lists", None),
+            ("PUT", "/lists", {"executors": [], "workers": []}),
+            ("PUT", "/state", state),
+            ("PUT", "/lag", {"lag_ms": 7}),
+        ]
+        worker = [
+            ("GET", "/records", None),
+            ("PUT", "/settings", hole),
+            ("POST", "/lose-memory", None),
+        ]
+        executor = [
+            ("GET", "/records", None),
+            ("PUT", "/settings", {"executor_id": "e1", "status": 500}),
+        ]
         table = [
-            ("store", {}, "/v1/entry?key=a", "/counts"),
-            ("instances", {"lag_ms": 5}, "/v1/instances", "/lists"),
-            ("worker", {"worker_id": "w1"}, "/v1/nothing", "/records"),
-            ("executor", {"executor_id": "e1"}, "/health", "/records"),
+            ("store", {}, "/v1/entry?key=a", store),
+            ("instances", {"lag_ms": 5}, "/v1/instances", instances),
+            ("worker", {"worker_id": "w1"}, "/v1/nothing", worker),
+            ("executor", {"executor_id": "e1"}, "/health", executor),
         ]
-        for kind, settings, call, order in table:
+        for kind, settings, call, orders in table:
             with self.subTest(kind=kind):
                 command = [sys.executable, "-m", "trefoilhook.standins", kind]
                 command += ["--settings", json.dumps(settings)]
                 with subprocess.Popen(command, stdout=subprocess.PIPE) as process:
                     try:
                         ports = json.loads(process.stdout.readline())
-                        trio.run(self._check, ports, call, order)
+                        trio.run(self._check, ports, call, orders)
                     finally:
                         process.kill()
 
-    async def _check(self, ports, call, order) -> None:
+    async def _check(self, ports, call, table) -> None:
         calls = HttpClient(host="127.0.0.1", port=ports["port"])
         orders = HttpClient(host="127.0.0.1", port=ports["control_port"])
         with trio.fail_after(_START_S):
             answer = await calls.send(HttpRequest(method="GET", target=call))
             self.assertIn(answer.status, (200, 404, 405))
-            answer = await orders.send(HttpRequest(method="GET", target=order))
-            self.assertEqual(answer.status, 200)
+            for method, path, body in table:
+                data = json.dumps(body).encode() if body is not None else b""
+                order = HttpRequest(method=method, target=path, body=data)
+                self.assertEqual((await orders.send(order)).status, 200, msg=path)
+            unknown = HttpRequest(method="POST", target="/nothing")
+            self.assertEqual((await orders.send(unknown)).status, 404)
             await self._set_faults(orders, availability="refusing")
             with self.assertRaises(NotSentError):
                 await calls.send(HttpRequest(method="GET", target=call))
--- a/trefoilhook/store/tests/test_contract.py
+++ b/trefoilhook/store/tests/test_contract.py
@@ -144,6 +144,24 @@
 
         run_with_store(scenario)
 
+    def test_open_watches_go_silent_while_new_ones_work(self):
+        # One instance stops hearing of changes though its watch is still open. It
+        # gives the watch up and hears of the change by the next one.
+        async def scenario(bench: Bench) -> None:
+            async def watch_in_vain() -> None:
+                with self.assertRaises(StoreUnavailableError):
+                    await bench.client.watch("", after_revision=0, wait_ms=1_000)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch_in_vain)
+                await bench.clock.sleep_ms(100)
+                bench.store.silence_watches()
+                await bench.client.swap("a", b"1", expected_revision=0)
+                batch = await bench.client.watch("", after_revision=0, wait_ms=1_000)
+                self.assertEqual(batch.revision, 1)
+
+        run_with_store(scenario)
+
     def test_watch_may_wait_longer_than_a_call(self):
         async def scenario(bench: Bench) -> None:
             batch = await bench.client.watch("", after_revision=0, wait_ms=20_000)
