Let a store demand a token, so that strangers change nothing

A daemon of another test run still looked for its own store at a port that was free again, and wrote its member record into this one.

Ruled out: comparing only the test's own keys, which would ease the check. Each test's store now has a token of its own; a call without it is refused before it is counted.

--- a/trefoilhook/standins/store.py
+++ b/trefoilhook/standins/store.py
@@ -99,6 +99,8 @@
         Port for orders; 0 takes a free one.
     settings : StoreSettings, optional
         What the store allows.
+    token : str, optional
+        Bearer token that every call must carry; without one anybody may call.
     """
 
     def __init__(
@@ -109,8 +111,10 @@
         port: int = 0,
         control_port: int = 0,
         settings: StoreSettings | None = None,
+        token: str | None = None,
     ) -> None:
         self._clock = clock
+        self._token = token
         self._settings = settings or StoreSettings()
         self._changed = trio.Event()
         self._silenced = trio.Event()
@@ -196,10 +200,19 @@
         call = self._calls.get(kind)
         if call is None:
             raise RefusalError(status=404, error="not_found")
+        self._check_token(request)
         self._apply(self.state.expire_leases)
         self.state.count_call(kind, is_write=kind in _WRITES)
         return await call(request)
 
+    def _check_token(self, request: HttpRequest) -> None:
+        # Free ports are used again: a daemon of an earlier test run that still looks
+        # for its own store here would otherwise write into this one.
+        if self._token is None:
+            return
+        if request.get_header("authorization") != f"Bearer {self._token}":
+            raise RefusalError(status=401, error="unauthenticated")
+
     async def _get(self, request: HttpRequest) -> HttpResponse:
         entry = self.state.get(_read_query(request, "key"))
         return encode_answer(_GetAnswer(entry=entry, revision=self.state.revision))
--- a/trefoilhook/store/tests/bench.py
+++ b/trefoilhook/store/tests/bench.py
@@ -13,6 +13,7 @@
 )
 from trefoilhook.store import (
     StoreClient,
+    build_nonce,
 )
 
 __all__ = ["Bench", "run_with_store"]
@@ -28,6 +29,7 @@
     clock: Clock
     store: StoreStandin
     client: StoreClient
+    token: str
 
     def connect(self, port: int | None = None) -> StoreClient:
         """Build another client, to the store or to what stands before it."""
@@ -36,6 +38,7 @@
             port=port or self.store.server.port,
             clock=self.clock,
             timeout_ms=_TIMEOUT_MS,
+            token=self.token,
         )
 
 
@@ -54,13 +57,18 @@
 
     async def main() -> None:
         clock = build_system_clock()
-        store = StoreStandin(clock=clock, settings=settings)
+        token = build_nonce()
+        store = StoreStandin(clock=clock, settings=settings, token=token)
         async with trio.open_nursery() as nursery:
             port = await nursery.start(store.run)
             client = StoreClient(
-                host="127.0.0.1", port=port, clock=clock, timeout_ms=timeout_ms
+                host="127.0.0.1",
+                port=port,
+                clock=clock,
+                timeout_ms=timeout_ms,
+                token=token,
             )
-            await scenario(Bench(clock=clock, store=store, client=client))
+            await scenario(Bench(clock=clock, store=store, client=client, token=token))
             nursery.cancel_scope.cancel()
 
     # The sockets are real, so the virtual clock must not jump while bytes are on
--- a/trefoilhook/store/tests/test_faults.py
+++ b/trefoilhook/store/tests/test_faults.py
@@ -18,6 +18,7 @@
     TcpCut,
 )
 from trefoilhook.store import (
+    StoreClient,
     build_nonce,
     swap_reading_back,
 )
@@ -92,6 +93,25 @@
         with self.assertRaises(StoreUnavailableError):
             await bench.client.watch("", after_revision=1, wait_ms=5_000)
 
+    def test_stranger_changes_nothing(self):
+        # A daemon of an earlier run still looks for its store at a port that this
+        # store has now. Without a token its member record appeared among our keys.
+        async def scenario(bench: Bench) -> None:
+            for token in (None, "other"):
+                stranger = StoreClient(
+                    host="127.0.0.1",
+                    port=bench.store.server.port,
+                    clock=bench.clock,
+                    timeout_ms=500,
+                    token=token,
+                )
+                with self.assertRaises(StoreError):
+                    await stranger.swap("a", b"1", expected_revision=0)
+            self.assertEqual(bench.store.state.revision, 0)
+            self.assertEqual(bench.store.counts.calls, {})
+
+        run_with_store(scenario)
+
     def test_call_above_the_rate_changes_nothing(self):
         async def scenario(bench: Bench) -> None:
             await bench.client.swap("a", b"1", expected_revision=0)
