--- a/trefoilhook/command/tests/test_commands.py
+++ b/trefoilhook/command/tests/test_commands.py
@@ -3,15 +3,22 @@
 import json
 import os
 import shlex
+import ssl
 import threading
 import unittest
 from unittest import mock
 
 import trio
+import trustme
 from cleo.testers.application_tester import ApplicationTester
 
 from trefoilhook.admin.tests.fakes import CLUSTER_TOKEN, build_instance
-from trefoilhook.command import SPECS, build_application, derive_exit_code
+from trefoilhook.command import (
+    SPECS,
+    USAGE_EXIT,
+    build_application,
+    derive_exit_code,
+)
 from trefoilhook.exceptions import AnswerLostError, NotSentError
 from trefoilhook.http import HttpServer
 from trefoilhook.results import ResultCode
@@ -160,14 +167,35 @@
         self.assertEqual(code, 0, printed)
         self.assertEqual(json.loads(printed)["instance_id"], "i-1")
 
+    def test_calls_go_over_tls_to_a_server_that_is_known(self):
+        # An operator's token must not reach a server that only looks like ours: the
+        # call ends before anything is sent unless the certificate is vouched for.
+        known, unknown = trustme.CA(), trustme.CA()
+        context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        known.issue_cert("127.0.0.1").configure_cert(context)
+        port, stop = _start_server(self.instance.handler.handle, tls=context)
+        self.addCleanup(stop)
+        not_sent = derive_exit_code(ResultCode.OWNER_UNREACHABLE)
+        for authority, wanted in ((known, 0), (unknown, not_sent)):
+            with authority.cert_pem.tempfile() as path:
+                line = f"status --server https://127.0.0.1:{port} --ca-file {path}"
+                code, printed = _run(_build_tester(None), line)
+                self.assertEqual(code, wanted, printed)
+
+    def test_addresses_that_make_no_sense_are_refused(self):
+        for server in ("ftp://127.0.0.1:1", "127.0.0.1", "http://[::1", "http://:x"):
+            code, printed = _run(_build_tester(None), f"status --server {server}")
+            self.assertEqual(code, USAGE_EXIT, printed)
+            self.assertIn("is not an address", printed)
+
 
-def _start_server(handle):
+def _start_server(handle, *, tls=None):
     """Serve in a thread of its own; returns the port and a function that stops it."""
     started = threading.Event()
     found = {}
 
     async def serve():
-        server = HttpServer(handler=handle, host="127.0.0.1", port=0)
+        server = HttpServer(handler=handle, host="127.0.0.1", port=0, tls=tls)
         async with trio.open_nursery() as nursery:
             found["port"] = await nursery.start(server.run)
             found["token"] = trio.lowlevel.current_trio_token()
