Serve without a gap through a store outage, and share counts of burn in parts

Cause of the gaps at the lapse and at the store's return, about 0.7 s each with 3 daemons: the rule of keys looked at the end of the lease while promises reached past it already, and links were dropped when the store, back again, knew none of the members. Ruled out: late promises (all were in hand 2 s before the lapse); moved shards (epochs were unchanged).

--- a/trefoilhook/daemon/backend.py
+++ b/trefoilhook/daemon/backend.py
@@ -95,7 +95,7 @@
 
     async def read_status(self) -> ClusterStatus:
         """Return instances, shards, revision and store health."""
-        instances = await self._ask_all()
+        instances = await self._ask_all(StatusRequest())
         revisions = [i.applied_revision for i in instances if i.state != "unreachable"]
         shards = tuple(
             ShardStatus(
@@ -188,7 +188,7 @@
                 InstanceRevision(
                     instance_id=status.instance_id, revision=status.applied_revision
                 )
-                for status in await self._ask_all()
+                for status in await self._ask_all(StatusRequest())
             )
             is_in_force = all(row.revision >= revision for row in rows)
             if is_in_force or self.clock.monotonic_ms() >= deadline_ms:
@@ -199,7 +199,7 @@
 
     async def read_burn(self, *, team: str | None) -> BurnReport:
         """Return the report on service-level burn, merged over the instances."""
-        await self._ask_all()
+        await self.gather_burn()
         return build_report(
             ledger=self.ledger,
             find_objective=lambda t, s: find_objective(self.view, t, s),
@@ -219,26 +219,36 @@
         """Return the metrics in the Prometheus text format."""
         return self.metrics.render()
 
-    async def _ask_all(self) -> tuple[InstanceStatus, ...]:
+    async def gather_burn(self) -> None:
+        """Take in what the instances have counted, so that a lost one's is kept."""
+        await self._ask_all(StatusRequest(is_burn_wanted=True))
+
+    async def _ask_all(self, request: StatusRequest) -> tuple[InstanceStatus, ...]:
         found: dict[str, InstanceStatus] = {}
         async with trio.open_nursery() as nursery:
             for member in self.membership.members:
-                nursery.start_soon(self._ask, member, found)
+                nursery.start_soon(self._ask, member, request, found)
         return tuple(found[instance_id] for instance_id in sorted(found))
 
-    async def _ask(self, member: Member, found: dict[str, InstanceStatus]) -> None:
+    async def _ask(
+        self,
+        member: Member,
+        request: StatusRequest,
+        found: dict[str, InstanceStatus],
+    ) -> None:
         answer = StatusAnswer()
         state = "unreachable"
         try:
             reply = await self.inner.call(
-                member.instance_id, StatusRequest(), timeout_ms=_STATUS_TIMEOUT_MS
+                member.instance_id, request, timeout_ms=_STATUS_TIMEOUT_MS
             )
         except TrefoilhookError:
             reply = None
         if isinstance(reply, StatusAnswer):
             answer = reply
             state = "leaving" if answer.is_leaving else "live"
-            self.ledger.merge(answer.burn)
+            if answer.burn:
+                self.ledger.merge(answer.burn)
         found[member.instance_id] = InstanceStatus(
             instance_id=member.instance_id,
             failure_domain=member.failure_domain,
@@ -251,6 +261,7 @@
         )
 
     async def _answer_status(self, call: Call) -> StatusAnswer:
+        is_burn_wanted = getattr(call.message, "is_burn_wanted", False)
         return StatusAnswer(
             instance_id=self.membership.instance_id,
             failure_domain=self.identity.failure_domain,
@@ -259,7 +270,7 @@
             is_store_reachable=self.membership.is_store_reachable,
             is_leaving=self.is_leaving,
             shard_ids=self.ownership.list_owned(),
-            burn=self.ledger.encode(),
+            burn=self.ledger.encode_part() if is_burn_wanted else "",
         )
 
     async def _answer_drain(self, call: Call) -> Empty:
--- a/trefoilhook/daemon/core.py
+++ b/trefoilhook/daemon/core.py
@@ -41,7 +41,7 @@
 _ROOT = "root"
 _SWAP_TIMEOUT_MS = 2_000.0
 _WORKER_TIMEOUT_MS = 1_000.0
-_SHARE_INTERVAL_MS = 10_000.0
+_SHARE_INTERVAL_MS = 60_000.0
 _MET = frozenset({Rights.PROVED_DEAD, Rights.NO_PREVIOUS_OWNER})
 
 
@@ -377,7 +377,7 @@
         """Ask the peers for their counts, so that those of a lost one are kept."""
         while True:
             await self._clock.sleep_ms(_SHARE_INTERVAL_MS)
-            await self.backend.read_burn(team=None)
+            await self.backend.gather_burn()
 
     async def _leave(self) -> None:
         """Hand over, finish what is in progress, and go.
--- a/trefoilhook/demo/cluster.py
+++ b/trefoilhook/demo/cluster.py
@@ -1,5 +1,7 @@
 """Stand-ins and instances on loopback, inside one process."""
 
+import secrets
+
 import attrs
 import trio
 
@@ -75,12 +77,15 @@
     instance_list: InstanceListStandin = attrs.field(init=False)
     executors: dict[str, ExecutorStandin] = attrs.field(factory=dict)
     workers: dict[str, WorkerStandin] = attrs.field(factory=dict)
+    store_token: str = ""
     store_port: int = 0
     list_port: int = 0
 
     async def start(self) -> None:
         """Start the stand-ins."""
-        self.store = StoreStandin(clock=self.clock)
+        # A port may be used again by another run; strangers are refused.
+        self.store_token = secrets.token_hex(16)
+        self.store = StoreStandin(clock=self.clock, token=self.store_token)
         self.store_port = await self.nursery.start(self.store.run)
         lists = InstanceLists(
             executors=await self._start_executors(), workers=await self._start_workers()
@@ -104,7 +109,12 @@
                 instance_id=instance_id,
                 failure_domain=_DOMAINS[number % len(_DOMAINS)],
             ),
-            store=attrs.evolve(self.settings.store, host=_HOST, port=self.store_port),
+            store=attrs.evolve(
+                self.settings.store,
+                host=_HOST,
+                port=self.store_port,
+                token=self.store_token,
+            ),
             instances=attrs.evolve(
                 self.settings.instances, host=_HOST, port=self.list_port
             ),
--- a/trefoilhook/membership/core.py
+++ b/trefoilhook/membership/core.py
@@ -88,6 +88,7 @@
         self._lapsed_at_ms = -math.inf
         self._acting_incarnation = ""
         self._probed: tuple[PeerAddress, ...] = ()
+        self._listed_ms: dict[PeerAddress, float] = {}
         self._peer_views: dict[str, int] = {}
         self._join_revision = 0
         self.members = Members()
@@ -161,9 +162,14 @@
         now_ms = self._clock.monotonic_ms()
         if incarnation != self._acting_incarnation:
             return -math.inf
-        if self._lease.lease_id == incarnation and self._lease.is_held(now_ms):
-            return self._lease.held_until_ms
-        return self._extend_by_promises(now_ms)
+        if self._lease.lease_id != incarnation or not self._lease.is_held(now_ms):
+            return self._extend_by_promises(now_ms)
+        # While renewals fail, the promises gathered already reach past the lease. Who
+        # looks ahead, as the rule of keys does, must not see an end that isn't one.
+        held_until_ms = self._lease.held_until_ms
+        if self._health.is_reachable:
+            return held_until_ms
+        return max(held_until_ms, self._extend_by_promises(now_ms))
 
     def may_act(self, incarnation: str) -> bool:
         """Tell whether this instance may act at this moment for shards it claimed."""
@@ -327,12 +333,26 @@
             self._join_revision = revision
 
     def _set_peers(self) -> None:
-        members = (
-            PeerAddress(instance_id=m.instance_id, host=m.host, port=m.port)
-            for m in self._list_others()
-        )
+        """Link to the members, and for a while to those whose records have gone.
+
+        When the store is back after an outage it knows none of the leases: all records
+        vanish until their instances have joined anew, which takes each a moment. Were
+        the links dropped meanwhile, every request between instances would fail.
+        """
+        now_ms = self._clock.monotonic_ms()
+        for member in self._list_others():
+            address = PeerAddress(
+                instance_id=member.instance_id, host=member.host, port=member.port
+            )
+            self._listed_ms[address] = now_ms
+        oldest_ms = now_ms - self._settings.link_linger_ms
+        self._listed_ms = {
+            address: at_ms
+            for address, at_ms in self._listed_ms.items()
+            if at_ms >= oldest_ms
+        }
         seeds = () if self.follower.is_filled else self._seeds
-        self._inner.set_peers({*members, *self._probed, *seeds})
+        self._inner.set_peers({*self._listed_ms, *self._probed, *seeds})
 
     def probe(self, addresses: Iterable[PeerAddress]) -> None:
         """Keep links to former members too, to find whether they are proved dead."""
@@ -351,6 +371,7 @@
         interval_ms = self._settings.promise_ms / 3
         while True:
             await self._clock.sleep_ms(interval_ms)
+            self._set_peers()
             if self._health.is_reachable or not self.follower.is_filled:
                 continue
             async with trio.open_nursery() as nursery:
--- a/trefoilhook/membership/settings.py
+++ b/trefoilhook/membership/settings.py
@@ -53,3 +53,8 @@
         unit="ms",
         description="How long a peer may be ahead before its changes are pulled.",
     )
+    link_linger_ms: float = declare(
+        default=20_000.0,
+        unit="ms",
+        description="How long the link to a member is kept after its record has gone.",
+    )
