--- a/trefoilhook/daemon/core.py
+++ b/trefoilhook/daemon/core.py
@@ -13,7 +13,7 @@
 from trefoilhook.daemon.backend import InstanceBackend
 from trefoilhook.daemon.backends import BackendList
 from trefoilhook.daemon.settings import DaemonSettings
-from trefoilhook.daemon.teams import build_team_view, find_objective
+from trefoilhook.daemon.teams import build_team_view, find_objective, find_quota
 from trefoilhook.daemon.tls import build_client_context, build_server_context
 from trefoilhook.entry import build_entry_handler
 from trefoilhook.http import HttpServer
@@ -237,6 +237,7 @@
             list_workers=self._backends.list_workers,
             open_worker=self._open_worker,
             policy=self._choose_policy,
+            find_quota=lambda team: find_quota(self.view, team),
             clock=self._clock,
             settings=self._settings.jobs,
             shards=self._settings.shards,
--- a/trefoilhook/daemon/teams.py
+++ b/trefoilhook/daemon/teams.py
@@ -3,9 +3,12 @@
 import math
 
 from trefoilhook.configuration import ConfigurationView, Objective
+from trefoilhook.placement import Resources
 from trefoilhook.requests import ServiceSettings, TeamView, TokenVerdict
 
-__all__ = ["build_team_view", "find_objective"]
+__all__ = ["build_team_view", "find_objective", "find_quota"]
+
+_NO_LIMIT = 1 << 62
 
 
 def build_team_view(view: ConfigurationView) -> TeamView:
@@ -45,6 +48,21 @@
     )
 
 
+def find_quota(view: ConfigurationView, team: str) -> Resources | None:
+    """Return the most that a team's tasks may hold together, None for no limit."""
+    configuration = view.team(team)
+    if configuration is None:
+        return None
+    quota = configuration.quota
+    if quota.cores is quota.memory_bytes is quota.accelerators is None:
+        return None
+    return Resources(
+        cores=math.inf if quota.cores is None else quota.cores,
+        memory_bytes=_NO_LIMIT if quota.memory_bytes is None else quota.memory_bytes,
+        accelerators=_NO_LIMIT if quota.accelerators is None else quota.accelerators,
+    )
+
+
 def find_objective(
     view: ConfigurationView, team: str, service: str
 ) -> Objective | None:
--- a/trefoilhook/jobs/planner.py
+++ b/trefoilhook/jobs/planner.py
@@ -4,6 +4,7 @@
 
 from trefoilhook.jobs.book import JobBook
 from trefoilhook.jobs.core import Job, JobState
+from trefoilhook.jobs.quotas import FindQuota, TeamUsage, is_within_quota
 from trefoilhook.logs import Event, log_event
 from trefoilhook.placement import (
     Impossible,
@@ -34,6 +35,7 @@
     wall_ms: float,
     generator: np.random.Generator,
     policy: Policy,
+    find_quota: FindQuota,
     limit: int,
 ) -> None:
     """Start the waiting jobs that fit now, in the order of the queue.
@@ -50,6 +52,8 @@
         Draws the workers that are looked at.
     policy : Policy
         Weights and thresholds.
+    find_quota : callable
+        Most that a team may hold in this shard, or None.
     limit : int
         Most jobs to look at.
     """
@@ -59,9 +63,15 @@
         if job.state is JobState.QUEUED and not job.is_cancelled
     ]
     ordered = order_queue(book.placement, waiting, wall_ms, policy)
+    usage = TeamUsage.count(book.placement) if ordered else TeamUsage()
     for entry in ordered[:limit]:
-        job = book.jobs[entry.shape.task_id]
+        shape = entry.shape
+        job = book.jobs[shape.task_id]
+        if not is_within_quota(usage, shape, find_quota(shape.team)):
+            continue
         _place(book, job, entry, now_ms, wall_ms, generator, policy)
+        if shape.task_id in book.placement.tasks:
+            usage.add(shape)
 
 
 def _place(
@@ -125,11 +135,15 @@
     now_ms: float,
     generator: np.random.Generator,
     policy: Policy,
+    find_quota: FindQuota,
 ) -> str:
     """Say in words why a job waits, or where it was placed and against what."""
     if job.state is JobState.ENDED:
         return f"ended: {job.detail or 'see its result'}"
-    explanation = explain_placement(
-        book.placement, job.spec.build_shape(), now_ms, generator, policy
-    )
+    shape = job.spec.build_shape()
+    usage = TeamUsage.count(book.placement)
+    is_waiting = job.state is JobState.QUEUED
+    if is_waiting and not is_within_quota(usage, shape, find_quota(shape.team)):
+        return f"waits: the quota of {shape.team} is used up"
+    explanation = explain_placement(book.placement, shape, now_ms, generator, policy)
     return render_explanation(explanation)
--- a/trefoilhook/jobs/runner.py
+++ b/trefoilhook/jobs/runner.py
@@ -27,6 +27,7 @@
     WorkerAddress,
 )
 from trefoilhook.jobs.planner import explain_job, place_waiting, react_to_reports
+from trefoilhook.jobs.quotas import FindQuota
 from trefoilhook.jobs.sessions import (
     InventoryTaken,
     NewsHeard,
@@ -86,6 +87,8 @@
         Opens the adapter to a worker.
     policy : callable
         Policy of the decisions now.
+    find_quota : callable
+        Most that a team may hold in this shard, or None.
     clock : Clock
         Time.
     settings : JobSettings
@@ -105,6 +108,7 @@
         list_workers: Callable[[], Sequence[WorkerRecord]],
         open_worker: OpenWorker,
         policy: Callable[[], Policy],
+        find_quota: FindQuota,
         clock: Clock,
         settings: JobSettings,
         seed: int = 0,
@@ -117,6 +121,7 @@
         self._list_workers = list_workers
         self._open_worker = open_worker
         self._policy = policy
+        self._find_quota = find_quota
         self._clock = clock
         self._settings = settings
         self._generator = np.random.default_rng(seed)
@@ -183,7 +188,12 @@
             silent = ", ".join(sorted(self._unheard))
             return f"held: it may run on a worker that has not been heard: {silent}"
         return explain_job(
-            self.book, job, self._clock.monotonic_ms(), self._generator, self._policy()
+            self.book,
+            job,
+            self._clock.monotonic_ms(),
+            self._generator,
+            self._policy(),
+            self._find_quota,
         )
 
     def _find_known(self, spec: JobSpec) -> Job | None:
@@ -237,6 +247,7 @@
             wall_ms=self._clock.wall_ms(),
             generator=self._generator,
             policy=self._policy(),
+            find_quota=self._find_quota,
             limit=self._settings.max_placed_per_step,
         )
         if now_ms - self._reacted_ms >= self._settings.react_interval_ms:
--- a/trefoilhook/jobs/service.py
+++ b/trefoilhook/jobs/service.py
@@ -24,9 +24,10 @@
 from trefoilhook.jobs.core import Job, JobSpec, JobState
 from trefoilhook.jobs.journal import JobJournal
 from trefoilhook.jobs.messages import WorkerAddress
+from trefoilhook.jobs.quotas import FindQuota, split_quota
 from trefoilhook.jobs.runner import ShardRunner
 from trefoilhook.jobs.settings import JobSettings
-from trefoilhook.placement import Policy
+from trefoilhook.placement import Policy, Resources
 from trefoilhook.results import ResultCode
 from trefoilhook.settings import ShardSettings
 from trefoilhook.shards import (
@@ -64,6 +65,8 @@
         Opens the adapter to a worker.
     policy : callable
         Policy of the decisions now.
+    find_quota : callable
+        Most that a team may hold over all shards, or None.
     clock : Clock
         Time.
     settings : JobSettings
@@ -82,6 +85,7 @@
         list_workers: Callable[[], Sequence[WorkerRecord]],
         open_worker: Callable[[WorkerAddress], WorkerClient],
         policy: Callable[[], Policy],
+        find_quota: FindQuota,
         clock: Clock,
         settings: JobSettings,
         shards: ShardSettings,
@@ -93,6 +97,7 @@
         self._list_workers = list_workers
         self._open_worker = open_worker
         self._policy = policy
+        self._find_quota = find_quota
         self._clock = clock
         self._settings = settings
         self._shards = shards
@@ -197,11 +202,16 @@
             list_workers=lambda: self._list_shard_workers(shard_id),
             open_worker=self._open_worker,
             policy=self._policy,
+            find_quota=self._find_part,
             clock=self._clock,
             settings=self._settings,
             seed=epoch,
         )
 
+    def _find_part(self, team: str) -> Resources | None:
+        quota = self._find_quota(team)
+        return quota and split_quota(quota, self._shards.worker_shards)
+
     def _list_shard_workers(self, shard_id: str) -> Sequence[WorkerRecord]:
         return [
             record
--- a/trefoilhook/jobs/tests/shard.py
+++ b/trefoilhook/jobs/tests/shard.py
@@ -85,6 +85,7 @@
     workers: dict[str, VirtualWorker] = attrs.field(factory=dict)
     listed: dict[str, WorkerRecord] = attrs.field(factory=dict)
     epoch: int = 0
+    quota: Resources | None = None
 
     def add_worker(self, worker_id: str, **settings) -> VirtualWorker:
         worker = VirtualWorker(
@@ -116,6 +117,7 @@
                 worker=self.workers[address.worker_id], owner_id=owner_id
             ),
             policy=lambda: LATENCY_FIRST,
+            find_quota=lambda team: self.quota,
             clock=self.clock,
             settings=SETTINGS,
         )
--- a/trefoilhook/jobs/tests/test_runner.py
+++ b/trefoilhook/jobs/tests/test_runner.py
@@ -304,6 +304,27 @@
 
         run_shard(scenario)
 
+    def test_quota_bounds_what_a_team_holds_at_once(self):
+        async def scenario(shard: Shard) -> None:
+            shard.quota = Resources(cores=3.0, memory_bytes=10**9, accelerators=9)
+            owner = shard.start_owner("i0")
+            for number in range(6):
+                await shard.submit(owner, f"j{number}")
+            await shard.sleep_s(5)
+            held = sum(w.state.held.cores for w in shard.workers.values())
+            self.assertEqual(held, 3.0)
+            waiting = next(
+                job
+                for job in owner.runner.book.jobs.values()
+                if job.state is JobState.QUEUED
+            )
+            self.assertIn("quota", owner.runner.explain(waiting))
+            await shard.sleep_s(30)
+            for number in range(6):
+                self._assert_ended(owner, f"j{number}", ResultCode.OK)
+
+        run_shard(scenario)
+
     def test_watcher_runs_on_through_a_change_of_owner(self):
         async def scenario(shard: Shard) -> None:
             first = shard.start_owner("i0")
