Claim anew what a restarted process finds under its own name

A process restarted under a fixed instance id found rows of the table that named it and affirmed them at their old epoch, although it knew none of the keys that had run: a caller's retry could have run twice. Only what this process has held is affirmed; the rest is claimed at a new epoch, whoever is chosen, since no other member would claim a live member's row. Ruled out: refusing fixed instance ids, which operators like in their logs.

--- a/trefoilhook/shards/claims.py
+++ b/trefoilhook/shards/claims.py
@@ -1,6 +1,6 @@
 """Decisions about the table of shards, without I/O."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Container, Iterable
 
 import attrs
 
@@ -46,6 +46,7 @@
     me: Member,
     shard_ids: Iterable[str],
     is_promised_to: Callable[[str], bool],
+    held: Container[str],
     may_claim: bool = True,
 ) -> ClaimPlan:
     """Plan which shards ``me`` claims or affirms.
@@ -64,28 +65,34 @@
         All shards.
     is_promised_to : callable
         Whether ``me`` has promised an owner not to claim from it.
+    held : container of str
+        Shards that this very process has held. A row may name ``me`` although it has
+        not: a process that was restarted under the same instance id remembers no key
+        and takes the shard at a new epoch, like any other claimer.
     may_claim : bool
         Whether to claim from others, besides affirming what is ``me``'s already.
     """
+
+    def is_free(shard_id: str, row: ShardRow) -> bool:
+        # A live owner under another incarnation has joined anew and will affirm.
+        if row.owner_id in members or is_promised_to(row.owner_id):
+            return False
+        return choose_owner(shard_id, members) == me.instance_id
+
     rows = dict(table.rows)
     claimed: list[str] = []
     affirmed: list[str] = []
     for shard_id in shard_ids:
         row = table.get_row(shard_id)
-        if row.owner_id == me.instance_id:
-            if row.incarnation != me.incarnation:
-                rows[shard_id] = _affirm(row, me)
-                affirmed.append(shard_id)
-            continue
-        if not may_claim:
-            continue
-        # A live owner under another incarnation has joined anew and will affirm.
-        if row.owner_id in members or is_promised_to(row.owner_id):
-            continue
-        if choose_owner(shard_id, members) != me.instance_id:
+        is_mine = row.owner_id == me.instance_id
+        if is_mine and row.incarnation == me.incarnation:
             continue
-        rows[shard_id] = _claim(row, me)
-        claimed.append(shard_id)
+        if is_mine and shard_id in held:
+            rows[shard_id] = _affirm(row, me)
+            affirmed.append(shard_id)
+        elif may_claim and (is_mine or is_free(shard_id, row)):
+            rows[shard_id] = _claim(row, me)
+            claimed.append(shard_id)
     return ClaimPlan(
         table=attrs.evolve(table, rows=rows),
         claimed=tuple(claimed),
@@ -131,7 +138,7 @@
 
 def _claim(row: ShardRow, me: Member) -> ShardRow:
     unmet = [o for o in row.unmet if o.instance_id != me.instance_id]
-    if row.owner_id:
+    if row.owner_id not in ("", me.instance_id):
         former = PreviousOwner(instance_id=row.owner_id, host=row.host, port=row.port)
         unmet.append(former)
     return _write_row(me, epoch=row.epoch + 1, unmet=tuple(dict.fromkeys(unmet)))
--- a/trefoilhook/shards/owner.py
+++ b/trefoilhook/shards/owner.py
@@ -319,6 +319,7 @@
             me=self._membership.member,
             shard_ids=self._shard_ids,
             is_promised_to=self._membership.is_promised_to,
+            held=self._holdings,
             may_claim=self._membership.is_settled(),
         )
 
--- a/trefoilhook/shards/tests/test_ownership.py
+++ b/trefoilhook/shards/tests/test_ownership.py
@@ -195,6 +195,25 @@
 
         run_cluster(scenario)
 
+    def test_restart_under_the_same_id_does_not_take_the_epoch_over(self):
+        # An operator gave an instance a fixed id, and it is restarted. The table still
+        # names it, but the new process knows none of the keys that ran: at the old
+        # epoch it would run a caller's retry a second time.
+        async def scenario(cluster: Cluster) -> None:
+            victim = _pick(cluster)
+            shard_id = victim.ownership.list_owned()[0]
+            epoch = victim.ownership.owns(shard_id)
+            victim.kill()
+            cluster.add(victim.instance_id)
+            await cluster.sleep_s(20)
+            owner = cluster.instances[cluster.find_owners(shard_id)[0]]
+            self.assertGreater(owner.ownership.owns(shard_id), epoch)
+            self.assertGreater(owner.ownership.own_since_wall_ms(shard_id), 0)
+            self.assertEqual(cluster.count_served(), _ALL)
+            self._check(cluster)
+
+        run_cluster(scenario)
+
     def test_two_faults_at_once(self):
         # An owner is killed while the store is down, and when the store is back one
         # of the others can't reach it.
