--- a/trefoilhook/requests/coordination.py
+++ b/trefoilhook/requests/coordination.py
@@ -123,11 +123,10 @@
         own = parts.pool.view_load(work.service_name)
         is_present = own.usable or own.free or own.queued
         own = own if is_present or _owns_any(parts, work) else None
-    return choose_route(
-        own=own,
-        candidates=_list_candidates(parts, work, tried),
-        generator=parts.generator,
-    )
+    candidates: list[Candidate] = []
+    if own is None or own.free < 1:
+        candidates = _list_candidates(parts, work, tried)
+    return choose_route(own=own, candidates=candidates, generator=parts.generator)
 
 
 def _owns_any(parts: Parts, work: Work) -> bool:
