Answer faults in the entry as unknown, and let an observer see each answer

Cause: an exception while serving would have left the HTTP handler, which does not catch it, and ended the listener for all callers. Ruled out: naming the fault to the caller (the log has it).

--- a/bench/slots.py
+++ b/bench/slots.py
@@ -165,11 +165,15 @@
 
 
 def share_out(world: World, by_slot: bool) -> list[SlotQueue]:
-    """Give each instance whole executors, or single slots in turn."""
+    """Give each instance whole executors, or single slots in turn.
+
+    Whole executors go in threes from all failure domains, so that the shares are as
+    uneven as hashing makes them: at 24 executors one instance owns none.
+    """
     shares: list[list[int]] = [[] for _ in range(ENTRIES)]
     for number in range(world.executors * SLOTS):
         executor = number // SLOTS
-        owner = number % ENTRIES if by_slot else executor % ENTRIES
+        owner = (number if by_slot else executor // DOMAINS) % ENTRIES
         shares[owner].append(executor)
     return [SlotQueue(free=list(share), total=len(share)) for share in shares]
 
--- a/trefoilhook/entry/core.py
+++ b/trefoilhook/entry/core.py
@@ -10,6 +10,7 @@
 
 from trefoilhook.exceptions import RequestError
 from trefoilhook.http import HttpRequest, HttpResponse
+from trefoilhook.logs import Event, log_event
 from trefoilhook.requests import (
     Attempt,
     CallerAnswer,
@@ -55,9 +56,18 @@
         except RequestError as error:
             answer = CallerAnswer(code=error.code, detail=str(error))
         else:
-            answer = await handle_caller(caller_request)
+            answer = await _serve(caller_request)
         return _build_response(answer, instance_id)
 
+    async def _serve(request: CallerRequest) -> CallerAnswer:
+        # Guards against a fault in serving one request that would end the listener
+        # and cut off all others. The caller hears that the outcome is unknown.
+        try:
+            return await handle_caller(request)
+        except Exception as error:
+            log_event(Event.TASK_FAILED, task="handle_caller", error=repr(error))
+            return CallerAnswer(code=ResultCode.INTERNAL)
+
     return handle
 
 
--- a/trefoilhook/entry/tests/test_entry.py
+++ b/trefoilhook/entry/tests/test_entry.py
@@ -23,11 +23,11 @@
 _VERDICTS = {"right": TokenVerdict.ALLOWED, "other": TokenVerdict.FORBIDDEN}
 
 
-def ask(answer=None, **changes):
+def ask(answer=None, serve=None, **changes):
     """Send one request; return the response and what reached the service."""
     seen = []
 
-    async def serve(request):
+    async def answer_it(request):
         seen.append(request)
         return answer or CallerAnswer(
             code=ResultCode.OK,
@@ -43,7 +43,9 @@
         get_quota_per_s=lambda team: math.inf,
         check_token=lambda team, token: _VERDICTS.get(token, TokenVerdict.UNKNOWN),
     )
-    handler = build_entry_handler(instance_id="i1", teams=teams, handle_caller=serve)
+    handler = build_entry_handler(
+        instance_id="i1", teams=teams, handle_caller=serve or answer_it
+    )
     fields = {
         "method": "POST",
         "target": _TARGET,
@@ -117,6 +119,16 @@
         self.assertEqual(seen[0].timeout_ms, 250.0)
         self.assertIs(seen[0].attempt, Attempt.REPEATED)
 
+    def test_fault_in_serving_is_told_as_unknown(self):
+        # A fault in the code hits one caller. It is told the truth, and the listener
+        # goes on for the others.
+        async def fail(request):
+            raise KeyError("fault")
+
+        response, _ = ask(serve=fail)
+        self.assertEqual(response.status, 500)
+        self.assertEqual(response.get_header("Trefoilhook-Outcome"), "unknown")
+
     def test_refused_answer_says_when_to_come_back(self):
         answer = CallerAnswer(code=ResultCode.OVERLOADED, retry_after_ms=1200.5)
         response, _ = ask(answer=answer)
--- a/trefoilhook/requests/core.py
+++ b/trefoilhook/requests/core.py
@@ -48,6 +48,8 @@
 
 __all__ = ["RequestService", "open_executor"]
 
+Observe = Callable[[CallerRequest, CallerAnswer, float], None]
+
 _MS_PER_S = 1000.0
 _MARGIN_SHARE = 0.1
 _WITHOUT_OWNER = frozenset(
@@ -96,6 +98,8 @@
         Opens the connections to an executor.
     generator : random.Random, optional
         Source of draws.
+    observe : callable, optional
+        Told of each caller's request, its answer and the time that it took, in ms.
     """
 
     def __init__(
@@ -112,7 +116,9 @@
         list_peers: Callable[[], Sequence[str]],
         open_link: Callable[[ExecutorTarget], ExecutorLink] = open_executor,
         generator: random.Random | None = None,
+        observe: Observe | None = None,
     ) -> None:
+        self._observe = observe
         self._background: trio.Nursery | None = None
         self._busy = 0
         self._is_closed = False
@@ -202,6 +208,7 @@
             return parts.refuse(ResultCode.NOT_FOUND, "no such service")
         if not request.key and not settings.is_idempotent:
             return parts.refuse(ResultCode.KEY_REQUIRED)
+        begun_ms = parts.clock.monotonic_ms()
         work = self._build_work(request, settings)
         journey = Journey(request=request, work=work)
         if self._is_closed:
@@ -214,14 +221,7 @@
                 answer = await ask_owner(parts, journey)
                 if self._may_run_again(work, answer):
                     answer = await run_unkeyed(parts, work)
-        if answer.code.outcome is not Outcome.EXECUTED:
-            log_event(
-                Event.REQUEST_FAILED,
-                request_id=work.request_id,
-                code=answer.code.number,
-                team=request.team,
-                service=request.service,
-            )
+        self._note_answer(request, work, answer, begun_ms)
         return answer
 
     async def handle_inner(self, call: InnerCall) -> ServiceAnswer:
@@ -308,6 +308,25 @@
         await done.wait()
         return answers[0] if answers else self._parts.refuse(ResultCode.INTERNAL)
 
+    def _note_answer(
+        self,
+        request: CallerRequest,
+        work: Work,
+        answer: CallerAnswer,
+        begun_ms: float,
+    ) -> None:
+        if self._observe is not None:
+            took_ms = self._parts.clock.monotonic_ms() - begun_ms
+            self._observe(request, answer, took_ms)
+        if answer.code.outcome is not Outcome.EXECUTED:
+            log_event(
+                Event.REQUEST_FAILED,
+                request_id=work.request_id,
+                code=answer.code.number,
+                team=request.team,
+                service=request.service,
+            )
+
     def _may_run_again(self, work: Work, answer: CallerAnswer) -> bool:
         """Tell whether an idempotent request goes on without its key's owner."""
         if not work.is_idempotent or answer.code not in _WITHOUT_OWNER:
