--- a/trefoilhook/requests/core.py
+++ b/trefoilhook/requests/core.py
@@ -26,7 +26,6 @@
 from trefoilhook.requests.dispatch import run_here
 from trefoilhook.requests.handover import decode_keys, encode_handover
 from trefoilhook.requests.keyowner import KeyOwner
-from trefoilhook.requests.keys import mint_key, read_minted_ms
 from trefoilhook.requests.models import (
     CallerAnswer,
     CallerRequest,
@@ -36,14 +35,19 @@
     InnerLink,
     ListExecutors,
     OwnershipView,
-    ServiceSettings,
     TeamView,
 )
 from trefoilhook.requests.retry import HedgePolicy, RetryPolicy
 from trefoilhook.requests.routing import PeerLoads
 from trefoilhook.requests.settings import RequestSettings
 from trefoilhook.requests.upkeep import Upkeep
-from trefoilhook.requests.work import Parts, Work, encode_answer
+from trefoilhook.requests.work import (
+    Parts,
+    Work,
+    build_work,
+    encode_answer,
+    read_work,
+)
 from trefoilhook.results import Outcome, ResultCode
 
 __all__ = ["RequestService", "open_executor"]
@@ -209,7 +213,7 @@
         if not request.key and not settings.is_idempotent:
             return parts.refuse(ResultCode.KEY_REQUIRED)
         begun_ms = parts.clock.monotonic_ms()
-        work = self._build_work(request, settings)
+        work = build_work(parts, request, settings)
         journey = Journey(request=request, work=work)
         if self._is_closed:
             answer = parts.refuse(ResultCode.SHUTTING_DOWN)
@@ -282,7 +286,7 @@
         # Whoever waits for this answer gives up at its own deadline; a truthful "not
         # run" that comes a moment later would be told as "unknown".
         wait_ms -= min(parts.settings.answer_margin_ms, _MARGIN_SHARE * wait_ms)
-        work = self._read_work(request, settings, deadline_ms=now_ms + wait_ms)
+        work = read_work(request, settings, deadline_ms=now_ms + wait_ms)
         if not request.executor_id:
             return await self._key_owner.serve(
                 request, work=work, entry_id=request.entry_instance_id
@@ -333,39 +337,6 @@
             return False
         return self._parts.clock.monotonic_ms() < work.deadline_ms
 
-    def _build_work(self, request: CallerRequest, settings: ServiceSettings) -> Work:
-        timeout_ms = settings.timeout_ms
-        if request.timeout_ms is not None:
-            timeout_ms = min(timeout_ms, request.timeout_ms)
-        if request.key:
-            read_minted_ms(request.key)
-        return Work(
-            team=request.team,
-            service=request.service,
-            key=request.key,
-            request_id=(request.key or mint_key()).hex(),
-            is_idempotent=settings.is_idempotent,
-            content_type=request.content_type,
-            body=request.body,
-            deadline_ms=self._parts.clock.monotonic_ms() + timeout_ms,
-            max_waiting=settings.max_queue,
-        )
-
-    def _read_work(
-        self, request: ServiceRequest, settings: ServiceSettings, *, deadline_ms: float
-    ) -> Work:
-        return Work(
-            team=request.team,
-            service=request.service,
-            key=request.key,
-            request_id=(request.key or mint_key()).hex(),
-            is_idempotent=settings.is_idempotent and request.is_idempotent,
-            content_type=request.content_type,
-            body=request.body,
-            deadline_ms=deadline_ms,
-            max_waiting=settings.max_queue,
-        )
-
     def _start(self, function: Callable[..., Awaitable[None]], *args: object) -> None:
         if self._background is None:
             raise RuntimeError("the service does not run")
--- a/trefoilhook/requests/work.py
+++ b/trefoilhook/requests/work.py
@@ -10,14 +10,20 @@
 from trefoilhook.inner.messages_pb2 import ServiceAnswer, ServiceRequest
 from trefoilhook.requests.admission import ExecutorPool
 from trefoilhook.requests.buckets import TeamQuotas
-from trefoilhook.requests.keys import compute_executor_shard
+from trefoilhook.requests.keys import (
+    compute_executor_shard,
+    mint_key,
+    read_minted_ms,
+)
 from trefoilhook.requests.models import (
     CallerAnswer,
+    CallerRequest,
     ExecutorTarget,
     InnerLink,
     ListExecutors,
     Owner,
     OwnershipView,
+    ServiceSettings,
     TeamView,
     name_service,
 )
@@ -26,7 +32,15 @@
 from trefoilhook.requests.settings import RequestSettings
 from trefoilhook.results import ResultCode
 
-__all__ = ["Parts", "Work", "decode_answer", "encode_answer", "encode_work"]
+__all__ = [
+    "Parts",
+    "Work",
+    "build_work",
+    "decode_answer",
+    "encode_answer",
+    "encode_work",
+    "read_work",
+]
 
 _LONGEST_RETRY_AFTER_MS = 3_600_000.0
 _RETRY_AFTER_MS = {
@@ -206,3 +220,50 @@
         content_type=work.content_type,
         entry_instance_id=entry_id,
     )
+
+
+def build_work(parts: Parts, request: CallerRequest, settings: ServiceSettings) -> Work:
+    """Turn a caller's request into what is to be run.
+
+    Raises
+    ------
+    RequestError
+        If it has a key that is no UUIDv7.
+    """
+    timeout_ms = settings.timeout_ms
+    if request.timeout_ms is not None:
+        timeout_ms = min(timeout_ms, request.timeout_ms)
+    if request.key:
+        read_minted_ms(request.key)
+    return Work(
+        team=request.team,
+        service=request.service,
+        key=request.key,
+        request_id=(request.key or mint_key()).hex(),
+        is_idempotent=settings.is_idempotent,
+        content_type=request.content_type,
+        body=request.body,
+        deadline_ms=parts.clock.monotonic_ms() + timeout_ms,
+        max_waiting=settings.max_queue,
+    )
+
+
+def read_work(
+    request: ServiceRequest, settings: ServiceSettings, *, deadline_ms: float
+) -> Work:
+    """Read what is to be run from its inner message.
+
+    It counts as idempotent only if both instances' configurations say so: one of them
+    may be behind.
+    """
+    return Work(
+        team=request.team,
+        service=request.service,
+        key=request.key,
+        request_id=(request.key or mint_key()).hex(),
+        is_idempotent=settings.is_idempotent and request.is_idempotent,
+        content_type=request.content_type,
+        body=request.body,
+        deadline_ms=deadline_ms,
+        max_waiting=settings.max_queue,
+    )
