Take ended requests off a peer's summary

Cause: since summaries without news are sent rarely, short requests would pile up on an unchanged one and make an idle executor look full.

--- a/trefoilhook/requests/coordination.py
+++ b/trefoilhook/requests/coordination.py
@@ -185,7 +185,7 @@
     message = encode_work(
         work, executor_id=route.executor_id, shard_epoch=0, entry_id=entry_id
     )
-    parts.peer_loads.note_sent(route.executor_id)
+    load = parts.peer_loads.note_sent(route.executor_id)
     mark_sent(True)
     try:
         reply = await parts.inner.call(
@@ -202,6 +202,8 @@
         answer = parts.refuse(error.code, str(error))
     else:
         answer = decode_answer(reply)
+    finally:
+        parts.peer_loads.note_ended(route.executor_id, load)
     if answer.code.outcome is Outcome.NOT_RUN:
         mark_sent(False)
     return answer
--- a/trefoilhook/requests/routing.py
+++ b/trefoilhook/requests/routing.py
@@ -124,9 +124,19 @@
         """Return the requests sent from here since the newest summary."""
         return self._sent.get(executor_id, 0)
 
-    def note_sent(self, executor_id: str) -> None:
-        """Count a request sent from here."""
+    def note_sent(self, executor_id: str) -> ReportedLoad | None:
+        """Count a request sent from here; return the summary it was added to."""
         self._sent[executor_id] = self.count_sent(executor_id) + 1
+        return self._loads.get(executor_id)
+
+    def note_ended(self, executor_id: str, load: ReportedLoad | None) -> None:
+        """Take a request off the summary that it was added to.
+
+        Guards against an idle executor that looks full: while its load does not
+        change, its owner sends nothing, and short requests would pile up here.
+        """
+        if self._loads.get(executor_id) is load and self.count_sent(executor_id):
+            self._sent[executor_id] -= 1
 
 
 def _choose_two(
