Wire the metrics, start serving with the instance list read, follow moved shards at once

Instruments that nothing fed are gone from the table; the rest read the parts when they are collected.

--- a/trefoilhook/daemon/backend.py
+++ b/trefoilhook/daemon/backend.py
@@ -74,6 +74,8 @@
         Time.
     begin_leaving : callable
         Starts the graceful shutdown.
+    has_backends : callable
+        Whether the instance list has been read.
     """
 
     identity: InstanceSettings
@@ -86,8 +88,8 @@
     metrics: Metrics
     clock: Clock
     begin_leaving: Callable[[], None]
+    has_backends: Callable[[], bool]
     is_leaving: bool = False
-    _reached_store_ms: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         self.inner.handle(StatusRequest, self._answer_status)
@@ -213,6 +215,8 @@
             return ReadyReport(is_ready=False, reason="leaving")
         if not self.membership.follower.is_filled:
             return ReadyReport(is_ready=False, reason="no configuration yet")
+        if not self.has_backends():
+            return ReadyReport(is_ready=False, reason="no instance list yet")
         return ReadyReport(is_ready=True)
 
     def render_metrics(self) -> bytes:
--- a/trefoilhook/daemon/backends.py
+++ b/trefoilhook/daemon/backends.py
@@ -1,6 +1,7 @@
 """The instance list as last read, for executors and workers."""
 
 import attrs
+import trio
 
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import TrefoilhookError
@@ -38,15 +39,24 @@
         factory=lambda: BackendPage(executors=(), workers=(), age_ms=0.0)
     )
     _targets: tuple[ExecutorTarget, ...] = ()
+    is_read: bool = False
 
-    async def run(self) -> None:
-        """Read the list again and again until cancelled."""
+    async def run(
+        self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Read the list again and again until cancelled; reports after the first try.
+
+        An instance that served before would refuse its callers for want of executors.
+        """
         while True:
             try:
                 self._page = await self.client.list_backends()
                 self._targets = tuple(map(_describe, self._page.executors))
+                self.is_read = True
             except TrefoilhookError as error:
                 log_event(Event.LIST_DOWN, reason=str(error))
+            task_status.started()
+            task_status = trio.TASK_STATUS_IGNORED
             await self.clock.sleep_ms(self.interval_ms)
 
     def list_targets(self) -> tuple[ExecutorTarget, ...]:
--- a/trefoilhook/daemon/core.py
+++ b/trefoilhook/daemon/core.py
@@ -12,6 +12,12 @@
 from trefoilhook.configuration import ConfigurationEditor, ConfigurationView
 from trefoilhook.daemon.backend import InstanceBackend
 from trefoilhook.daemon.backends import BackendList
+from trefoilhook.daemon.gauges import (
+    watch_configuration,
+    watch_jobs,
+    watch_membership,
+    watch_requests,
+)
 from trefoilhook.daemon.settings import DaemonSettings
 from trefoilhook.daemon.teams import build_team_view, find_objective, find_quota
 from trefoilhook.daemon.tls import build_client_context, build_server_context
@@ -108,7 +114,7 @@
             await nursery.start(self.membership.run)
             self._read_configuration()
             nursery.start_soon(self._follow_configuration)
-            nursery.start_soon(self._backends.run)
+            await nursery.start(self._backends.run)
             nursery.start_soon(self._follow_ownership)
             nursery.start_soon(self.ownership.run)
             nursery.start_soon(self.jobs.run)
@@ -167,6 +173,19 @@
         self._build_requests()
         self._build_jobs()
         self._build_admin()
+        self._watch_parts()
+
+    def _watch_parts(self) -> None:
+        watch_membership(
+            self.metrics,
+            membership=self.membership,
+            ownership=self.ownership,
+            inner=self._inner,
+            store=self._store,
+        )
+        watch_requests(self.metrics, self.requests)
+        watch_jobs(self.metrics, self.jobs)
+        watch_configuration(self.metrics, self.view)
 
     def _build_membership(self, inner_port: int) -> None:
         settings = self._settings
@@ -256,6 +275,7 @@
             metrics=self.metrics,
             clock=self._clock,
             begin_leaving=self.begin_leaving,
+            has_backends=lambda: self._backends.is_read,
         )
         editor = ConfigurationEditor(
             get=self._store.get,
@@ -354,11 +374,10 @@
     async def _follow_ownership(self) -> None:
         """Pass on to the request path what is known of a shard's former owner."""
         async for change in self._ownership_changes:
-            if not change.is_owned:
-                continue
             if change.handover is not None:
                 self.requests.take_handover(change.handover)
-            if change.rights in _MET:
+            self.requests.follow_ownership()
+            if change.is_owned and change.rights in _MET:
                 self.requests.note_predecessor_gone(change.shard_id)
 
     def _read_configuration(self) -> None:
--- a/trefoilhook/jobs/book.py
+++ b/trefoilhook/jobs/book.py
@@ -43,12 +43,16 @@
         Jobs by id, ended ones included for as long as the journal keeps them.
     workers : dict of str to WorkerAddress
         Workers that may hold tasks of the shard, as the journal says.
+    starts, evictions : int
+        Starts and evictions ordered since the claim.
     """
 
     epoch: int
     placement: ShardState = attrs.field(factory=ShardState)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     workers: dict[str, WorkerAddress] = attrs.field(factory=dict)
+    starts: int = 0
+    evictions: int = 0
     _sequence: int = 0
     _orders: dict[str, list[Order]] = attrs.field(
         factory=lambda: defaultdict(list[Order])
@@ -100,6 +104,7 @@
         never started from one whose worker is gone.
         """
         ref = self.number_attempt(job, worker_id)
+        self.starts += 1
         order = Order(
             kind=OrderKind.START, ref=ref, spec=job.spec, checkpoint=job.checkpoint
         )
@@ -121,6 +126,7 @@
         if job.attempt is None:
             return
         job.state = JobState.STOPPING
+        self.evictions += 1
         self._order(OrderKind.EVICT, self._name_attempt(job))
 
     def order_speed(self, job: Job, speed: float) -> None:
--- a/trefoilhook/jobs/service.py
+++ b/trefoilhook/jobs/service.py
@@ -21,6 +21,7 @@
     JobView,
 )
 from trefoilhook.instances import WorkerRecord
+from trefoilhook.jobs.book import JobBook
 from trefoilhook.jobs.core import Job, JobSpec, JobState
 from trefoilhook.jobs.journal import JobJournal
 from trefoilhook.jobs.messages import WorkerAddress
@@ -169,9 +170,9 @@
             found.extend(view.job_id for view in page.jobs)
         return found
 
-    def count_owned(self) -> int:
-        """Return how many worker shards run here."""
-        return len(self._runners)
+    def list_books(self) -> tuple[JobBook, ...]:
+        """Return the jobs of the shards that run here."""
+        return tuple(runner.book for runner in self._runners.values())
 
     def _find_shard(self, job_id: str) -> str:
         return find_shard(ShardKind.WORKER, job_id.encode(), self._shards)
--- a/trefoilhook/metrics/core.py
+++ b/trefoilhook/metrics/core.py
@@ -81,6 +81,7 @@
         self._meter = self._provider.get_meter("trefoilhook", __version__)
         self._totals: dict[Instrument, dict[tuple[str, ...], float]] = {}
         self._histograms: dict[Instrument, Histogram] = {}
+        self._sources: dict[Instrument, ReadGauge] = {}
         self._build_instruments()
 
     def add(self, instrument: Instrument, amount: int = 1, *values: str) -> None:
@@ -125,6 +126,10 @@
             description=row.description,
         )
 
+    def follow(self, instrument: Instrument, read: ReadGauge) -> None:
+        """Read a counter's totals by ``read`` instead of adding to it here."""
+        self._sources[instrument] = read
+
     def observe_http(self, route: str, status: int, duration_ms: float) -> None:
         """Record an HTTP answer; fits the admin handler's ``observe``."""
         self.record(Instrument.HTTP_DURATION, duration_ms, route, str(status))
@@ -141,10 +146,12 @@
         for instrument in Instrument:
             row = instrument.value
             if row.kind is Kind.COUNTER:
-                totals = self._totals[instrument] = {}
+                self._totals[instrument] = {}
                 self._meter.create_observable_counter(
                     row.name,
-                    callbacks=[_build_callback(instrument, totals.copy)],
+                    callbacks=[
+                        _build_callback(instrument, self._build_read(instrument))
+                    ],
                     unit=row.unit,
                     description=row.description,
                 )
@@ -156,6 +163,13 @@
                     explicit_bucket_boundaries_advisory=_DURATION_BOUNDS_S,
                 )
 
+    def _build_read(self, instrument: Instrument) -> ReadGauge:
+        def read() -> dict[tuple[str, ...], float]:
+            source = self._sources.get(instrument)
+            return dict(self._totals[instrument]) if source is None else source()
+
+        return read
+
 
 def _build_callback(
     instrument: Instrument, read: ReadGauge
--- a/trefoilhook/metrics/instruments.py
+++ b/trefoilhook/metrics/instruments.py
@@ -88,10 +88,6 @@
         "Callers' requests answered, by result code.",
         "result",
     )
-    QUEUE_DURATION = _time(
-        "trefoilhook.queue.duration", "Time that a request waited for a slot."
-    )
-    RETRIES = _count("trefoilhook.retries", "{retry}", "Requests sent again.", "reason")
     STORE_CALLS = _count(
         "trefoilhook.store.calls",
         "{call}",
@@ -99,24 +95,14 @@
         "operation",
         "outcome",
     )
-    STORE_DURATION = _time(
-        "trefoilhook.store.duration", "Time of a call to the store.", "operation"
-    )
-    INNER_MESSAGES = _count(
-        "trefoilhook.inner.messages",
-        "{message}",
-        "Messages between instances.",
-        "type",
-        "direction",
-    )
     INNER_BYTES = _count(
         "trefoilhook.inner.io", "By", "Bytes between instances.", "direction"
     )
     TASK_STARTS = _count(
-        "trefoilhook.task.starts", "{task}", "Start commands by outcome.", "outcome"
+        "trefoilhook.task.starts", "{task}", "Start commands of shards now owned."
     )
     EVICTIONS = _count(
-        "trefoilhook.evictions", "{task}", "Tasks evicted, by reason.", "reason"
+        "trefoilhook.evictions", "{task}", "Evictions ordered in shards now owned."
     )
     JOBS = _gauge("trefoilhook.jobs", "{job}", "Jobs of owned shards.", "state")
     QUEUE_LENGTH = _gauge(
--- a/trefoilhook/metrics/tests/test_metrics.py
+++ b/trefoilhook/metrics/tests/test_metrics.py
@@ -61,11 +61,11 @@
         metrics = _build_metrics()
         for number in range(3 * MAX_SERIES):
             metrics.add(Instrument.REQUESTS, 1, f"id-{number}")
-            metrics.record(Instrument.STORE_DURATION, 1.0, f"id-{number}")
+            metrics.record(Instrument.HTTP_DURATION, 1.0, f"id-{number}", "200")
         read = _read(metrics)
         for name in (
             "trefoilhook_requests_total",
-            "trefoilhook_store_duration_seconds_count",
+            "http_server_request_duration_seconds_count",
         ):
             with self.subTest(name=name):
                 found = [value for key, value in read.items() if key[0] == name]
--- a/trefoilhook/requests/admission.py
+++ b/trefoilhook/requests/admission.py
@@ -73,6 +73,10 @@
         """Return all executors owned here."""
         return tuple(self._executors.values())
 
+    def count_waiting(self) -> int:
+        """Return how many requests wait for a slot here."""
+        return sum(len(queue) for queue in self._queues.values())
+
     def get_queue(self, service_name: str) -> ServiceQueue:
         """Return the queue of a service."""
         return self._queues.setdefault(service_name, ServiceQueue())
--- a/trefoilhook/requests/core.py
+++ b/trefoilhook/requests/core.py
@@ -268,6 +268,14 @@
             message.shard_id, epoch=message.epoch, in_use=in_use
         )
 
+    def follow_ownership(self) -> None:
+        """Take executors up and let them go as the shards have just moved.
+
+        The regular look comes too late: other instances route by the table of shards
+        from the moment it changes, and would be told that nobody owns the executor.
+        """
+        self._upkeep.sync()
+
     def note_predecessor_gone(self, shard_id: str) -> None:
         """Take in that the earlier owner of a shard is proved dead."""
         self._upkeep.release_hold(shard_id)
--- a/trefoilhook/store/client.py
+++ b/trefoilhook/store/client.py
@@ -4,6 +4,7 @@
 described in ``docs/INTERFACES.md``.
 """
 
+from collections import Counter
 from typing import NoReturn, TypeVar
 from urllib.parse import quote
 
@@ -76,6 +77,11 @@
     token : str, optional
         Bearer token sent with each call.
 
+    Attributes
+    ----------
+    calls : Counter
+        Calls made, by operation and outcome.
+
     Notes
     -----
     Every method raises ``StoreUnavailableError`` when no answer came back: a change
@@ -94,6 +100,7 @@
         token: str | None = None,
     ) -> None:
         self._clock = clock
+        self.calls: Counter[tuple[str, ...]] = Counter()
         self._platform = PlatformClient(
             host=host, port=port, timeout_ms=timeout_ms, token=token
         )
@@ -235,14 +242,19 @@
         body: object = None,
         extra_ms: float = 0.0,
     ) -> HttpResponse:
+        operation = f"{method} {path.split('/')[2]}"
+        outcome = "no answer"
         try:
             response = await self._platform.exchange(
                 method, path, query=query, body=body, extra_ms=extra_ms
             )
+            outcome = "ok" if response.status == 200 else "refused"
         except NotSentError as error:
             raise StoreUnsentError(str(error)) from error
         except AnswerLostError as error:
             raise StoreUnavailableError(str(error)) from error
+        finally:
+            self.calls[operation, outcome] += 1
         if response.status != 200:
             _raise_refusal(response)
         return response
