--- a/bench/placement_report.py
+++ b/bench/placement_report.py
@@ -252,12 +252,14 @@
         "Correlation of the learned with the hidden slowdowns of services by batch "
         f"classes at load 0.7, at the end of a run, median: Carrowmore "
         f"{known['carrowmore']:.2f}, agency {known['agency']:.2f}.\n",
-        "| workers | decision, median (us) | p99 (us) | bytes/worker | bytes/task |",
-        "|---|---|---|---|---|",
+        "| workers | decision, median (us) | p99 (us) | bytes/worker | bytes/task "
+        "| bytes of pressure history/worker |",
+        "|---|---|---|---|---|---|",
     ]
     parts += [
         f"| {cost.workers:,} | {cost.decision_us:.0f} | {cost.decision_p99_us:.0f} | "
-        f"{cost.bytes_per_worker:,.0f} | {cost.bytes_per_task:,.0f} |"
+        f"{cost.bytes_per_worker:,.0f} | {cost.bytes_per_task:,.0f} | "
+        f"{cost.bytes_per_history:,.0f} |"
         for cost in costs
     ]
     parts += [
--- a/trefoilhook/placement/core.py
+++ b/trefoilhook/placement/core.py
@@ -106,15 +106,16 @@
     must_start = task.urgent or task.kind is TaskKind.SERVICE
     cost = scores.cost
     if not must_start:
-        if not scores.admissible.any():
-            return Wait(reason=WaitReason.INTERFERENCE, considered=len(rows))
         cost = np.where(scores.admissible, cost, np.inf)
     best = int(cost.argmin())
-    if not must_start and cost[best] >= 0.0:
-        return Wait(reason=WaitReason.NOT_WORTH, considered=len(rows))
+    least = float(cost[best])
+    if not must_start and least >= 0.0:
+        blocked = least == np.inf
+        reason = WaitReason.INTERFERENCE if blocked else WaitReason.NOT_WORTH
+        return Wait(reason=reason, considered=len(rows))
     return Placement(
         worker_id=state.table.ids[int(rows[best])],
-        cost=float(cost[best]),
+        cost=least,
         predicted_excess=float(scores.excess[best]),
         considered=len(rows),
     )
--- a/trefoilhook/placement/scoring.py
+++ b/trefoilhook/placement/scoring.py
@@ -112,8 +112,12 @@
     worst = after.max(axis=1)
     within = (worst <= policy.admit_ratio) | (tail <= _MATERIAL_TAIL)
     late = table.late.take(rows) > 0.0
-    cost = policy.tail_weight * tail - policy.batch_weight * share
-    cost -= policy.packing_weight * share * table.load.take(rows)
+    value = table.load.take(rows)
+    value *= policy.packing_weight
+    value += policy.batch_weight
+    value *= share
+    cost = policy.tail_weight * tail
+    cost -= value
     if not task.resources.accelerators:
         cost += _ACCELERATOR_COST * table.accelerated.take(rows)
     return Scores(cost=cost, excess=worst, admissible=within & ~late)
