Fence owners that were frozen at the end of a page or in their loading

Cause: a compaction deletes the pages that fence former owners. One that was frozen with a full page, or between its claim of the head and its reading, found the place of its next page free and reported records durable that nobody would ever read.

Ruled out: keeping deleted pages as tombstones, which grow without bound.

--- a/trefoilhook/journal/core.py
+++ b/trefoilhook/journal/core.py
@@ -243,10 +243,16 @@
         number = len(self._pages)
         key = f"{self._prefix}/{self._head.generation}/{number:06d}"
         try:
-            self._pages.append(await self._create_page(key, ()))
+            opened = await self._create_page(key, ())
         except ConflictError as conflict:
-            if conflict.current is None or not self._adopt_own(conflict.current):
+            if conflict.current is None:
                 raise
+            opened = _read_entry(conflict.current)
+            self._check_epoch(opened.page.epoch)
+            if opened.page.epoch != self._epoch:
+                raise
+        await self._head.confirm()
+        self._pages.append(opened)
         self._unsure = []
 
     async def _create_page(self, key: str, records: tuple[JobRecord, ...]) -> _Written:
@@ -255,15 +261,6 @@
         revision = await self._swap(key, value, 0)
         return _Written(key=key, page=page, revision=revision, size=len(value))
 
-    def _adopt_own(self, entry: StoreEntry) -> bool:
-        """Take a page that an earlier attempt of this owner created after all."""
-        written = _read_entry(entry)
-        self._check_epoch(written.page.epoch)
-        is_own = written.page.epoch == self._epoch
-        if is_own:
-            self._pages.append(written)
-        return is_own
-
     async def _write_page(
         self, written: _Written, records: tuple[JobRecord, ...]
     ) -> None:
--- a/trefoilhook/journal/head.py
+++ b/trefoilhook/journal/head.py
@@ -40,6 +40,7 @@
         self._key = key
         self._epoch = epoch
         self._revision = 0
+        self._nonce = ""
         self._unsure: dict[str, Head] = {}
         self.generation = ""
 
@@ -87,9 +88,28 @@
                 self._unsure[head.nonce] = head
             raise
         self._revision = revision
+        self._nonce = head.nonce
         self.generation = generation
         self._unsure.clear()
 
+    async def confirm(self) -> None:
+        """Make sure, once a page was created, that no later owner came before it.
+
+        Guards against lost records: a later owner that compacted has deleted the pages
+        that fence its predecessors. One of those that was frozen meanwhile finds the
+        place of its next page free, and what it wrote there nobody would ever read.
+        When the head is still the own one after the page was created, any later owner
+        finds the page.
+
+        Raises
+        ------
+        FencedError
+            If a later owner has been here.
+        """
+        entry = await self._store.get(self._key)
+        if entry is None or decode_head(entry.value).nonce != self._nonce:
+            raise FencedError(f"{self._key} was written by another")
+
     async def settle(self) -> None:
         """Find out what became of changes whose answers were lost.
 
@@ -120,6 +140,7 @@
         if head.nonce not in self._unsure:
             raise FencedError(f"{self._key} was written by another") from conflict
         self._revision = conflict.current.revision
+        self._nonce = head.nonce
         self.generation = head.generation
         self._unsure.clear()
 
--- a/trefoilhook/journal/tests/test_journal.py
+++ b/trefoilhook/journal/tests/test_journal.py
@@ -1,6 +1,7 @@
 """The journal under lost answers, former owners and compaction."""
 
 import contextlib
+import functools
 import unittest
 
 import trio
@@ -219,6 +220,89 @@
             with self.subTest(lost=lost, is_late=is_late):
                 self._run(scenario)
 
+    def test_new_generation_is_written_once_it_is_found_in_use(self):
+        # As above, but the next compactions fail, so that what is recorded after the
+        # lost answer stands only where it was written first.
+        async def scenario() -> None:
+            client = _HeadLoser(store=self.store)
+            journal = self._open(1, client)
+            await journal.load()
+            client.heads_to_lose = 1
+            while client.heads_to_lose:
+                await journal.append([_record("a", result="x" * 1_100)])
+            client.is_compaction_blocked = True
+            await journal.append([_record("told")])
+            self.assertIn("told", _names(await self._open(2).load()))
+
+        self._run(scenario)
+
+    def test_outage_with_an_unsure_head_is_a_sure_no(self):
+        # The head's change is unsure and the store is gone. New records were not sent
+        # anywhere, so an operator may be told that they are not recorded.
+        async def scenario() -> None:
+            client = _HeadLoser(store=self.store)
+            journal = self._open(1, client)
+            await journal.load()
+            client.heads_to_lose = 1
+            while client.heads_to_lose:
+                await journal.append([_record("a", result="x" * 1_100)])
+            client.is_cut = True
+            with self.assertRaises(StoreUnsentError):
+                await journal.append([_record("b")])
+
+        self._run(scenario)
+
+    def test_outage_with_a_full_page_is_a_sure_no(self):
+        async def scenario() -> None:
+            client = VirtualStoreClient(store=self.store)
+            journal = self._open(1, client)
+            await journal.load()
+            await journal.append([_record("a", result="x" * 1_100)])
+            client.is_cut = True
+            with self.assertRaises(StoreUnsentError):
+                await journal.append([_record("b")])
+
+        self._run(scenario)
+
+    def test_second_writer_at_the_same_epoch_is_a_fence(self):
+        # A journal is opened twice at one epoch, which a claim never does. One of the
+        # two must stop; neither may take the other's writes for its own.
+        async def scenario(is_head_lost) -> None:
+            client = _HeadLoser(store=self.store)
+            first = self._open(1, client)
+            await first.load()
+            client.heads_to_lose = int(is_head_lost)
+            while client.heads_to_lose:
+                await first.append([_record("a", result="x" * 1_100)])
+            second = self._open(1)
+            await second.load()
+            with self.assertRaises(FencedError):
+                await first.append([_record("b")])
+            await second.append([_record("c")])
+
+        for is_head_lost in (False, True):
+            with self.subTest(is_head_lost=is_head_lost):
+                self._run(functools.partial(scenario, is_head_lost))
+
+    def test_former_owner_opens_a_page_while_the_next_one_loads(self):
+        # The next owner has read the pages when the former one takes the place of the
+        # page that the next one is about to open. It must load all the same, and what
+        # the former one was told must be true.
+        async def scenario() -> None:
+            first = self._open(1)
+            await first.load()
+            await first.append([_record("a", result="x" * 1_100)])
+            ends: list[object] = []
+            client = _Interloper(store=self.store)
+            client.meanwhile = functools.partial(_try_appending, first, ends)
+            second = self._open(2, client)
+            self.assertEqual(_names(await second.load()), ["a"])
+            self.assertIsInstance(ends[0], FencedError)
+            await second.append([_record("kept")])
+            self.assertIn("kept", _names(await self._open(3).load()))
+
+        self._run(scenario)
+
     def test_former_owner_does_not_delete_the_next_ones_pages(self):
         # An owner is frozen after a compaction, just before it deletes old pages. It
         # wakes up after the next owner compacted too, lists the store, and finds pages
@@ -240,6 +324,35 @@
 
         self._run(scenario)
 
+    def test_former_owner_finds_its_next_page_free(self):
+        # An owner is frozen with a full page, or in the middle of its loading. The next
+        # one compacts, which deletes the pages that fence the first: it finds the place
+        # of its next page free. What it recorded there nobody would ever read.
+        async def scenario(is_loading) -> None:
+            frozen = _FrozenLister(store=self.store)
+            first = self._open(1, frozen)
+            if not is_loading:
+                await first.load()
+                await first.append([_record("a", result="x" * 1_100)])
+            frozen.is_frozen = is_loading
+            frozen.frozen_prefix = f"journal/{_SHARD}/1-0/"
+            ends: list[object] = []
+            async with trio.open_nursery() as nursery:
+                if is_loading:
+                    nursery.start_soon(_load_and_append, first, ends)
+                    await frozen.reached.wait()
+                second = self._open(2)
+                await second.load()
+                await _append_many(second, "b", 40)
+                frozen.thaw.set()
+            if not is_loading:
+                await _try_appending(first, ends)
+            self.assertIsInstance(ends[0], FencedError)
+
+        for is_loading in (False, True):
+            with self.subTest(is_loading=is_loading):
+                self._run(functools.partial(scenario, is_loading))
+
     def test_compaction_keeps_the_checkpoint_of_a_job_started_anew(self):
         # A job is evicted, recorded to start anew, and its owner dies. Without the
         # checkpoint the next attempt would begin at the start and do work twice.
@@ -252,6 +365,22 @@
                 self.assertEqual(kept, [accepted, *order])
 
 
+async def _try_appending(journal, ends):
+    try:
+        ends.append(await journal.append([_record("lost")]))
+    except FencedError as error:
+        ends.append(error)
+
+
+async def _load_and_append(journal, ends):
+    try:
+        await journal.load()
+    except FencedError as error:
+        ends.append(error)
+    else:
+        await _try_appending(journal, ends)
+
+
 async def _append_many(journal, prefix, count):
     for number in range(count):
         record = _record(f"{prefix}{number}", result="x" * 300)
@@ -264,8 +393,12 @@
 
     heads_to_lose = 0
     is_late = False
+    is_compaction_blocked = False
 
     async def swap(self, key, value, **more):
+        is_first_page = key.endswith("/000000") and not more["expected_revision"]
+        if self.is_compaction_blocked and is_first_page:
+            raise StoreUnsentError("no new generation")
         is_lost = self.heads_to_lose and key.endswith("/head")
         if not is_lost:
             return await super().swap(key, value, **more)
@@ -282,10 +415,23 @@
             await super().swap(key, value, **more)
 
 
+class _Interloper(VirtualStoreClient):
+    """Lets something happen just before the first page is created."""
+
+    meanwhile = None
+
+    async def swap(self, key, value, **more):
+        if self.meanwhile is not None and more["expected_revision"] == 0:
+            meanwhile, self.meanwhile = self.meanwhile, None
+            await meanwhile()
+        return await super().swap(key, value, **more)
+
+
 class _FrozenLister(VirtualStoreClient):
-    """Stands still before it lists a whole journal."""
+    """Stands still before it lists what stands under a prefix."""
 
     is_frozen = False
+    frozen_prefix = f"journal/{_SHARD}/"
 
     def __init__(self, *, store):
         super().__init__(store=store)
@@ -293,7 +439,7 @@
         self.thaw = trio.Event()
 
     async def list_entries(self, prefix, **more):
-        if self.is_frozen and prefix == f"journal/{_SHARD}/":
+        if self.is_frozen and prefix == self.frozen_prefix:
             self.reached.set()
             await self.thaw.wait()
         return await super().list_entries(prefix, **more)
