--- a/trefoilhook/requests/tests/test_takeover.py
+++ b/trefoilhook/requests/tests/test_takeover.py
@@ -172,7 +172,7 @@
             shard_id = cluster.find_key_shard(key)
             owner_i0 = cluster.services["i0"]._key_owner
             owner_i0._get_table(shard_id, 1)
-            handed = owner_i0.export(shard_id)
+            handed = owner_i0.export(shard_id, 1)
             handed = attrs.evolve(handed, known_from_ms=0.0)
             for name, expected in (("i1", "direct"), ("i2", "late")):
                 cluster.move_shard(shard_id, name)
--- a/trefoilhook/shards/owner.py
+++ b/trefoilhook/shards/owner.py
@@ -8,8 +8,13 @@
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.exceptions import ConflictError, StoreError, TrefoilhookError
-from trefoilhook.inner import Call, InnerNode, PeerAddress
+from trefoilhook.exceptions import (
+    ConflictError,
+    NotSentError,
+    StoreError,
+    TrefoilhookError,
+)
+from trefoilhook.inner import Call, InnerNode, PeerAddress, PeerState
 from trefoilhook.inner.messages_pb2 import AttestRequest, Empty, ShardHandover
 from trefoilhook.logs import Event, log_event
 from trefoilhook.membership import (
@@ -275,7 +280,7 @@
             return
         del self._holdings[shard_id]
         log_event(Event.SHARD_FENCED, shard=shard_id, epoch=row.epoch)
-        if holding.rights is not Rights.WAIT:
+        if holding.is_active:
             self._announce(shard_id, holding, is_owned=False)
 
     async def _claim(self) -> None:
@@ -342,7 +347,11 @@
             members=self._membership.members,
             me=self._membership.member,
         )
-        moves = {s: m for s, m in moves.items() if s in self._holdings}
+        moves = {
+            shard_id: receiver
+            for shard_id, receiver in moves.items()
+            if shard_id in self._holdings and self._can_receive(receiver)
+        }
         self._resume_unless(moves)
         if not moves:
             return
@@ -359,6 +368,17 @@
         for shard_id in moves:
             log_event(Event.SHARD_RELEASED, shard=shard_id)
 
+    def _can_receive(self, receiver: Member) -> bool:
+        """Tell whether to hand over to a member now.
+
+        One that has just joined may not be linked yet. Without what the owner knows it
+        would have to refuse the keys that callers hold, so the shard stays until then;
+        a leaving owner can't wait.
+        """
+        if self._membership.member.is_leaving:
+            return True
+        return self._inner.peer_state(receiver.instance_id) is PeerState.UP
+
     def _resume_unless(self, moves: dict[str, Member]) -> None:
         """Act again for shards that were released but are no longer to be moved.
 
@@ -392,12 +412,24 @@
             for releaser in self._releasers:
                 message.MergeFrom(await releaser(shard_id, holding.row.epoch))
         holding.released = message
-        try:
-            timeout_ms = _RELEASE_TIMEOUT_MS
-            await self._inner.call(receiver_id, message, timeout_ms=timeout_ms)
-        except TrefoilhookError:
-            # The receiver then knows no earlier key and refuses those minted before.
-            return
+        with trio.move_on_after(_RELEASE_TIMEOUT_MS / 1000.0):
+            await self._pass_on(receiver_id, message)
+
+    async def _pass_on(self, receiver_id: str, message: ShardHandover) -> None:
+        """Send what is known to the next owner, again while the link is down.
+
+        Without it the next owner refuses the keys minted before its time.
+        """
+        while True:
+            try:
+                await self._inner.call(
+                    receiver_id, message, timeout_ms=_RELEASE_TIMEOUT_MS
+                )
+                return
+            except NotSentError:
+                await self._clock.sleep_ms(_POLL_MS / 5)
+            except TrefoilhookError:
+                return
 
     async def _judge_waiting(self) -> None:
         """Find for each claimed shard whether its former owners have stopped."""
