--- a/trefoilhook/jobs/runner.py
+++ b/trefoilhook/jobs/runner.py
@@ -213,6 +213,11 @@
                 await self._wait_for_work()
             if self._may_act():
                 self._step()
+            else:
+                # Guards against a core kept busy for a whole outage: what is wanted
+                # stays wanted until the right to act is back, so the wait above
+                # returns at once.
+                await self._clock.sleep_ms(self._settings.tick_ms)
 
     async def _wait_for_work(self) -> None:
         async with trio.open_nursery() as nursery:
