--- a/trefoilhook/jobs/runner.py
+++ b/trefoilhook/jobs/runner.py
@@ -388,10 +388,17 @@
         self._work_wanted.set()
 
     async def _keep_committing(self) -> None:
-        """Write what waits, all of it in one append, then what came meanwhile."""
+        """Write what waits, all of it in one append, then what came meanwhile.
+
+        A window passes between the beginnings of two writes, so a lone record is
+        written at once and a shard never writes more often than the window allows.
+        """
+        window_ms = self._settings.commit_window_ms
+        next_ms = self._clock.monotonic_ms()
         while True:
             await self._commit_wanted.wait()
-            await self._clock.sleep_ms(self._settings.commit_window_ms)
+            await self._clock.sleep_ms(max(0.0, next_ms - self._clock.monotonic_ms()))
+            next_ms = self._clock.monotonic_ms() + window_ms
             self._commit_wanted = trio.Event()
             acceptances, self._acceptances = self._acceptances, []
             commits, self._unsent = self._unsent, []
--- a/trefoilhook/jobs/settings.py
+++ b/trefoilhook/jobs/settings.py
@@ -31,7 +31,8 @@
     commit_window_ms: float = declare(
         default=50.0,
         unit="ms",
-        description="How long records are gathered for one write to the store.",
+        description="Shortest time between two writes of a shard to the store; "
+        "records are gathered meanwhile.",
     )
     tick_ms: float = declare(
         default=100.0,
--- a/trefoilhook/journal/core.py
+++ b/trefoilhook/journal/core.py
@@ -44,6 +44,10 @@
 __all__ = ["Journal", "open_journal"]
 
 _PREFIX = "journal"
+# A page of a compaction is written once, so it may be larger than one that grows.
+_COMPACTED_PAGE_BYTES = 262_144
+# A journal is compacted again once it has grown by this factor.
+_GROWTH = 2
 
 
 def open_journal(
@@ -112,7 +116,7 @@
         self._pages: list[_Written] = []
         self._unsure: list[Page] = []
         self._compactions = 0
-        self._compact_from = settings.compact_pages
+        self._compact_from_bytes = settings.compact_pages * settings.page_bytes
 
     @property
     def page_count(self) -> int:
@@ -151,7 +155,7 @@
         """
         await self._settle_head()
         is_begun = False
-        for chunk in self._split(records):
+        for chunk in self._split(records, limit_bytes=self._settings.page_bytes):
             try:
                 await self._append_chunk(chunk)
             except (StoreRateError, StoreUnavailableError) as error:
@@ -160,7 +164,7 @@
                     raise StoreUnavailableError(message) from error
                 raise
             is_begun = True
-        if len(self._pages) > self._compact_from:
+        if self._measure() > self._compact_from_bytes:
             await self._try_compacting()
 
     async def _append_chunk(self, records: tuple[JobRecord, ...]) -> None:
@@ -331,7 +335,8 @@
             epoch=self._epoch, number=self._compactions, nonce=build_nonce()
         )
         fresh: list[_Written] = []
-        for number, chunk in enumerate(self._split(records)):
+        chunks = self._split(records, limit_bytes=_COMPACTED_PAGE_BYTES)
+        for number, chunk in enumerate(chunks or [()]):
             key = f"{self._prefix}/{generation}/{number:06d}"
             fresh.append(await self._create_page(key, chunk))
         self._generations = {self._head.generation: self._pages, generation: fresh}
@@ -339,7 +344,8 @@
         self._generations = {}
         self._pages = fresh
         self._unsure = []
-        self._compact_from = max(self._settings.compact_pages, 2 * len(fresh))
+        least_bytes = self._settings.compact_pages * self._settings.page_bytes
+        self._compact_from_bytes = max(least_bytes, _GROWTH * self._measure())
         await drop_former(
             self._store,
             prefix=self._prefix,
@@ -347,17 +353,23 @@
             epoch=self._epoch,
         )
 
-    def _split(self, records: Sequence[JobRecord]) -> list[tuple[JobRecord, ...]]:
+    def _measure(self) -> int:
+        return sum(written.size for written in self._pages)
+
+    def _split(
+        self, records: Sequence[JobRecord], *, limit_bytes: int
+    ) -> list[tuple[JobRecord, ...]]:
         chunks: list[tuple[JobRecord, ...]] = []
         chunk: list[JobRecord] = []
         size = 0
         for record in records:
             chunk.append(record)
             size += measure_records([record])
-            if size >= self._settings.page_bytes:
+            if size >= limit_bytes:
                 chunks.append(tuple(chunk))
                 chunk, size = [], 0
-        chunks.append(tuple(chunk))
+        if chunk:
+            chunks.append(tuple(chunk))
         return chunks
 
     async def _swap(self, key: str, value: bytes, expected_revision: int) -> int:
--- a/trefoilhook/journal/settings.py
+++ b/trefoilhook/journal/settings.py
@@ -12,7 +12,7 @@
     """Sizes and times of the journals."""
 
     page_bytes: int = declare(
-        default=65_536,
+        default=16_384,
         unit="bytes",
         description="Size from which records go to a new page; far below the store's "
         "limit on a value, since an append writes its page whole.",
@@ -20,7 +20,7 @@
     )
     compact_pages: int = declare(
         default=16,
-        description="Pages from which a journal is compacted.",
+        description="Full pages from which a journal is compacted.",
         check=is_within(2, 400),
     )
     keep_ended_ms: float = declare(
