--- a/bench/placement_driver.py
+++ b/bench/placement_driver.py
@@ -8,6 +8,7 @@
 import numpy as np
 
 from bench.placement_load import draw_load
+from bench.placement_measure import TAIL_BINS, sum_up
 from bench.placement_world import World
 from trefoilhook.placement import (
     Impossible,
@@ -33,16 +34,18 @@
     score_rows,
 )
 
-__all__ = ["Outcome", "Scheme", "run_scheme"]
+__all__ = ["Scheme", "run_scheme"]
 
 START_S = (0.1, 0.3)
 CHECKPOINT_S = (0.5, 2.5)
 REDONE_S = 20.0
 DETECT_S = 10.0
 REPAIR_S = 300.0
+MEASURED_FROM_S = 900.0
+"""Services are all placed anew once before this, as by a day's release."""
+
 BATCH_EVERY_S = 2
 WAITS_BEFORE_GIVING_UP = 10
-TAIL_BINS = np.concatenate([np.arange(0.0, 1.0, 0.002), np.arange(1.0, 6.0, 0.05)])
 
 
 @attrs.frozen(kw_only=True)
@@ -59,30 +62,6 @@
     order: Callable = order_queue
 
 
-@attrs.frozen(kw_only=True)
-class Outcome:
-    """What one run showed."""
-
-    scheme: str
-    user: str
-    seed: int
-    tail_p99: float
-    tail_p50: float
-    throughput: float
-    evictions_per_1000: float
-    lost_core_s_per_1000: float
-    capacity_exceeded: int
-    urgent_p99_s: float
-    urgent_worst_s: float
-    recovery_s: float
-    finished: int
-    refused: int
-    throttles: int
-    late_share: float
-    preempted_per_1000: float
-    calibration: float
-
-
 @attrs.define(kw_only=True)
 class Driver:
     """State of one run."""
@@ -361,6 +340,14 @@
             ),
         )
 
+    def redeploy(self, task_id):
+        """Stop a service for its new release; it is placed again at once."""
+        if task_id not in self.world.tasks:
+            return
+        self.world.stop(task_id)
+        self.state.confirm_stopped(task_id, self.now_ms, StopOutcome.CANCELLED)
+        self.enqueue(task_id)
+
     def cancel_burst(self):
         """Callers cancel a third of what waits."""
         names = [name for name in self.waiting if name.startswith("batch")]
@@ -372,7 +359,7 @@
         """Count how services fare now."""
         services = index[self.world.service[index]]
         excess = self.world.slowdown[services] - 1.0
-        if self.world.now_s < 120.0 or not len(excess):
+        if self.world.now_s < MEASURED_FROM_S or not len(excess):
             self.tails.append(np.zeros(0))
             return
         bins = np.searchsorted(TAIL_BINS, excess, side="right")
@@ -395,28 +382,9 @@
         driver.at(at_s, driver.black.add, f"w{number}")
         driver.at(at_s + 900.0, driver.black.discard, f"w{number}")
     driver.at(0.4 * conditions.horizon_s, driver.cancel_burst)
-
-
-def _quantile(histogram, fraction):
-    edges = np.concatenate([[0.0], TAIL_BINS])
-    total = histogram.cumsum()
-    return 1.0 + float(edges[np.searchsorted(total, fraction * total[-1])])
-
-
-def _measure_recovery(tails, conditions):
-    """Return the time from the rush until the tail stays back within 10 %."""
-
-    def tail(from_s, to_s):
-        pooled = np.concatenate(tails[from_s:to_s])
-        return 1.0 + float(np.quantile(pooled, 0.99))
-
-    shift_s = conditions.rush_start_s
-    limit = 1.10 * min(tail(shift_s - 600, shift_s), 1.10)
-    window_s, last = 30, 0
-    for at_s in range(shift_s, conditions.rush_end_s - window_s, 10):
-        if tail(at_s, at_s + window_s) > limit:
-            last = at_s + window_s - shift_s
-    return float(last)
+    for number in range(user.services):
+        at_s = float(rng.uniform(MEASURED_FROM_S / 3, MEASURED_FROM_S))
+        driver.at(at_s, driver.redeploy, f"service-{number}")
 
 
 def run_scheme(scheme, user, conditions):
@@ -452,31 +420,4 @@
         if step % BATCH_EVERY_S == 0:
             driver.react()
         driver.place_all(urgent_only=step % BATCH_EVERY_S != 0)
-    return _sum_up(driver)
-
-
-def _sum_up(driver):
-    world, conditions = driver.world, driver.world.conditions
-    jobs = max(driver.finished, 1)
-    available = world.user.workers * world.user.cores * conditions.horizon_s
-    urgent = driver.urgent_s or [np.nan]
-    return Outcome(
-        scheme=driver.scheme.name,
-        user=world.user.name,
-        seed=conditions.seed,
-        tail_p99=_quantile(driver.histogram, 0.99),
-        tail_p50=_quantile(driver.histogram, 0.50),
-        throughput=world.useful_core_s / available,
-        evictions_per_1000=1000.0 * driver.evicted / jobs,
-        lost_core_s_per_1000=1000.0 * driver.lost_core_s / jobs,
-        capacity_exceeded=world.capacity_exceeded,
-        urgent_p99_s=float(np.quantile(urgent, 0.99)),
-        urgent_worst_s=float(max(urgent)),
-        recovery_s=_measure_recovery(driver.tails, conditions),
-        finished=driver.finished,
-        refused=driver.refused,
-        throttles=driver.throttles,
-        late_share=driver.late / max(driver.service_s, 1.0),
-        preempted_per_1000=1000.0 * driver.preempted / jobs,
-        calibration=np.nan,
-    )
+    return sum_up(driver)
--- a/trefoilhook/daemon/core.py
+++ b/trefoilhook/daemon/core.py
@@ -13,7 +13,7 @@
 from trefoilhook.daemon.backend import InstanceBackend
 from trefoilhook.daemon.backends import BackendList
 from trefoilhook.daemon.settings import DaemonSettings
-from trefoilhook.daemon.teams import build_team_view, find_objective
+from trefoilhook.daemon.teams import build_team_view, find_objective, find_quota
 from trefoilhook.daemon.tls import build_client_context, build_server_context
 from trefoilhook.entry import build_entry_handler
 from trefoilhook.http import HttpServer
@@ -41,7 +41,7 @@
 _ROOT = "root"
 _SWAP_TIMEOUT_MS = 2_000.0
 _WORKER_TIMEOUT_MS = 1_000.0
-_SHARE_INTERVAL_MS = 10_000.0
+_SHARE_INTERVAL_MS = 60_000.0
 _MET = frozenset({Rights.PROVED_DEAD, Rights.NO_PREVIOUS_OWNER})
 
 
@@ -237,6 +237,7 @@
             list_workers=self._backends.list_workers,
             open_worker=self._open_worker,
             policy=self._choose_policy,
+            find_quota=lambda team: find_quota(self.view, team),
             clock=self._clock,
             settings=self._settings.jobs,
             shards=self._settings.shards,
@@ -377,7 +378,7 @@
         """Ask the peers for their counts, so that those of a lost one are kept."""
         while True:
             await self._clock.sleep_ms(_SHARE_INTERVAL_MS)
-            await self.backend.read_burn(team=None)
+            await self.backend.gather_burn()
 
     async def _leave(self) -> None:
         """Hand over, finish what is in progress, and go.
--- a/trefoilhook/placement/tests/test_capacity.py
+++ b/trefoilhook/placement/tests/test_capacity.py
@@ -160,6 +160,16 @@
         with self.assertRaises(CapacityExceededError):
             state.reserve(build_task("second", cores=20.0), "worker-0", 0.0)
 
+    def test_an_inventory_counts_even_where_it_overfills(self):
+        # A new owner finds a worker fuller than it should be and adds to it. It had
+        # refused to count what did not fit.
+        state = build_state()
+        state.reserve(build_task("first", cores=30.0), "worker-0", 0.0)
+        state.restore(build_task("second", cores=20.0), "worker-0", 0.0)
+        state.confirm_stopped("first", 0.0, StopOutcome.FINISHED)
+        with self.assertRaises(CapacityExceededError):
+            state.reserve(build_task("third", cores=20.0), "worker-0", 0.0)
+
     def test_a_task_is_not_held_twice(self):
         # A roster is built twice. Its start was retried on another worker while the
         # first worker still held it.
@@ -168,6 +178,13 @@
         with self.assertRaises(UnknownTaskError):
             state.reserve(build_task(), "worker-1", 0.0)
 
+    def test_what_fits_exactly_is_not_refused_for_rounding(self):
+        # A task that fills a worker to the brim waits for ever beside free cores.
+        # Added up one by one, 0.1, 0.2 and 0.3 cores come to a little over 0.6.
+        state = build_state(cores=0.6)
+        for number, cores in enumerate((0.1, 0.2, 0.3)):
+            state.reserve(build_task(f"t-{number}", cores=cores), "worker-0", 0.0)
+
     def test_rounding_neither_loses_nor_grants_room(self):
         state = build_state(cores=1.0)
         for number in range(10):
