Take in a listing that an own write overtook, and test membership by itself

Cause: Mirror.replace passed over a whole listing that was older than the mirror. An own write (the table of shards) that lands while the listing is on its way makes it older, and the watch goes on from the listing's revision: another's change or deletion that the listing alone showed stayed missing for good. The window opens when a watch is reset, which is when the store is back and every owner writes. Now each key is judged by its own revision.

Promises ask for proof of death only where a promise falls short.

--- a/trefoilhook/membership/core.py
+++ b/trefoilhook/membership/core.py
@@ -259,7 +259,7 @@
     def _extend_by_promises(self, now_ms: float) -> float:
         return self._promises.extend(
             view=[member.instance_id for member in self._list_others()],
-            dead=self._find_dead(),
+            is_dead=self.is_proved_dead,
             lapsed_at_ms=self._find_lapse_ms(),
             now_ms=now_ms,
         )
@@ -276,11 +276,6 @@
     def _list_others(self) -> list[Member]:
         return [m for m in self.members if m.instance_id != self.instance_id]
 
-    def _find_dead(self) -> frozenset[str]:
-        others = self._list_others()
-        dead = (m.instance_id for m in others if self.is_proved_dead(m.instance_id))
-        return frozenset(dead)
-
     async def _keep_lease(self) -> None:
         while True:
             try:
--- a/trefoilhook/membership/mirror.py
+++ b/trefoilhook/membership/mirror.py
@@ -108,7 +108,13 @@
         return known is not None
 
     def replace(self, entries: Iterable[MirrorEntry], *, revision: int) -> bool:
-        """Put a whole listing in place; False when it is older than this copy.
+        """Take in a whole listing; False when it changes nothing.
+
+        A listing may be older than what an own write has already brought in. Were it
+        passed over, the changes of others that it alone shows would be missing for
+        good, since the watch goes on from its revision; were it put in place, the own
+        write would be gone. So each key is judged by its own revision: what is known
+        from after the listing stays, the rest is as the listing says.
 
         Parameters
         ----------
@@ -117,16 +123,16 @@
         revision : int
             Store revision that the listing was read at.
         """
-        if revision < self.revision:
-            return False
         fresh = {entry.key: entry for entry in entries}
-        changed = fresh != self._entries
-        for key in self._entries.keys() - fresh.keys():
-            self._remember_deletion(key, revision)
-        newest = max((entry.revision for entry in fresh.values()), default=0)
-        self._entries = fresh
-        self.revision = max(self.revision, newest)
-        return changed
+        has_changed = False
+        for key, known in list(self._entries.items()):
+            if key not in fresh and known.revision <= revision:
+                del self._entries[key]
+                self._remember_deletion(key, revision)
+                has_changed = True
+        for entry in fresh.values():
+            has_changed |= self.apply_change(entry)
+        return has_changed
 
     def apply_snapshot(self, snapshot: Snapshot) -> bool:
         """Apply what a peer passed on; False when nothing changed."""
--- a/trefoilhook/membership/promises.py
+++ b/trefoilhook/membership/promises.py
@@ -7,7 +7,7 @@
 it can't reach the store itself, so one member that can is enough to stop the owner.
 """
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -56,7 +56,7 @@
         self,
         *,
         view: Iterable[str],
-        dead: frozenset[str],
+        is_dead: Callable[[str], bool],
         lapsed_at_ms: float,
         now_ms: float,
     ) -> float:
@@ -70,9 +70,10 @@
         ----------
         view : iterable of str
             The other members of the view that the owner last read from the store.
-        dead : frozenset of str
-            Those proved dead: their address refuses connections, or answers with
-            another instance id. Silence is no proof.
+        is_dead : callable
+            Whether a member is proved dead: its address refuses connections, or
+            answers with another instance id. Silence is no proof. Asked only of
+            members whose promises fall short.
         lapsed_at_ms : float
             Monotonic time at which the owner's lease was over, in ms.
         now_ms : float
@@ -87,7 +88,8 @@
             return float("-inf")
         until_ms = lapsed_at_ms + self.outage_limit_ms
         for member_id in view:
-            if member_id not in dead:
-                until_ms = min(until_ms, self._received.get(member_id, float("-inf")))
+            promised_ms = self._received.get(member_id, float("-inf"))
+            if promised_ms < until_ms and not is_dead(member_id):
+                until_ms = promised_ms
         self._is_broken = now_ms >= max(until_ms, lapsed_at_ms)
         return until_ms
--- /dev/null
+++ b/trefoilhook/membership/tests/test_mirror.py
@@ -0,0 +1,107 @@
+"""The copy of the store never goes back, whatever comes in whichever order."""
+
+import unittest
+
+from trefoilhook.membership.mirror import Mirror, MirrorEntry, Snapshot
+
+_KEY = "root/config/teams/carrowmore"
+_OTHER = "root/members/i-1"
+
+
+def _entry(revision: int, key: str = _KEY) -> MirrorEntry:
+    return MirrorEntry(key=key, value=b"at %d" % revision, revision=revision)
+
+
+def _fill(*entries: MirrorEntry) -> Mirror:
+    mirror = Mirror()
+    for entry in entries:
+        mirror.apply_change(entry)
+    return mirror
+
+
+class MirrorTest(unittest.TestCase):
+    """Changes, deletions, listings and snapshots, late and out of order."""
+
+    def test_nothing_old_replaces_what_is_known(self):
+        # A watch that was replaced, a listing read before an own write and a peer that
+        # lags all bring in what is older. An operator would see the setting revert.
+        old = _entry(3)
+        cases = {
+            "change": lambda m: m.apply_change(old),
+            "same change": lambda m: m.apply_change(_entry(5)),
+            "deletion": lambda m: m.apply_deletion(_KEY, 4),
+            "listing": lambda m: m.replace([old], revision=4),
+            "empty listing": lambda m: m.replace([], revision=4),
+            "snapshot": lambda m: m.apply_snapshot(
+                Snapshot(revision=4, entries=(old,), is_whole=True)
+            ),
+            "part": lambda m: m.apply_snapshot(Snapshot(revision=6, entries=(old,))),
+        }
+        for name, apply in cases.items():
+            with self.subTest(name):
+                mirror = _fill(_entry(5))
+                apply(mirror)
+                self.assertEqual(mirror.get(_KEY), _entry(5))
+                self.assertGreaterEqual(mirror.revision, 5)
+
+    def test_older_listing_takes_no_entry_away(self):
+        # A listing at an older revision lacks what was written since: taken in, it
+        # would delete a member that has just joined.
+        mirror = _fill(_entry(3), _entry(7, _OTHER))
+        self.assertFalse(mirror.replace([_entry(3)], revision=6))
+        self.assertEqual(mirror.get(_OTHER), _entry(7, _OTHER))
+        snapshot = Snapshot(revision=6, entries=(_entry(3),), is_whole=True)
+        self.assertFalse(mirror.apply_snapshot(snapshot))
+        self.assertEqual(mirror.get(_OTHER), _entry(7, _OTHER))
+
+    def test_listing_overtaken_by_an_own_write_is_taken_in(self):
+        # The watch is reset and the whole is listed at 18; before the listing arrives
+        # this instance's own write at 20 is in the mirror. Another's change at 17 and
+        # a deletion stand in the listing alone, and the watch goes on from 18.
+        mirror = _fill(_entry(3), _entry(4, _OTHER))
+        mirror.apply_change(_entry(20, "root/shards"))
+        self.assertTrue(mirror.replace([_entry(17)], revision=18))
+        self.assertEqual(mirror.get(_KEY), _entry(17))
+        self.assertIsNone(mirror.get(_OTHER))
+        self.assertEqual(mirror.get("root/shards"), _entry(20, "root/shards"))
+        self.assertEqual(mirror.revision, 20)
+
+    def test_deleted_stays_deleted(self):
+        # A team is deleted, and a change made before comes in late, from a peer or a
+        # watch that was replaced. The team would be back in force.
+        for name, apply in {
+            "deletion": lambda m: m.apply_deletion(_KEY, 6),
+            "listing without it": lambda m: m.replace([], revision=6),
+            "whole snapshot without it": lambda m: m.apply_snapshot(
+                Snapshot(revision=6, entries=(), is_whole=True)
+            ),
+            "part with its deletion": lambda m: m.apply_snapshot(
+                Snapshot(revision=6, entries=(), deleted_keys=(_KEY,))
+            ),
+        }.items():
+            with self.subTest(name):
+                mirror = _fill(_entry(4))
+                apply(mirror)
+                self.assertIsNone(mirror.get(_KEY))
+                self.assertFalse(mirror.apply_change(_entry(5)))
+                self.assertIsNone(mirror.get(_KEY))
+                self.assertTrue(mirror.apply_change(_entry(8)))
+                self.assertEqual(mirror.get(_KEY), _entry(8))
+
+    def test_snapshot_after_a_revision_brings_a_peer_up_to_date(self):
+        # A peer asks for what changed since its own revision; deletions are part of it,
+        # and beyond what is remembered of them the whole is sent.
+        mirror = _fill(_entry(2), _entry(3, _OTHER))
+        peer = _fill(_entry(2), _entry(3, _OTHER))
+        mirror.apply_deletion(_OTHER, 4)
+        mirror.apply_change(_entry(5))
+        part = mirror.build_snapshot(after_revision=peer.revision)
+        self.assertFalse(part.is_whole)
+        peer.apply_snapshot(part)
+        self.assertEqual(peer.entries, mirror.entries)
+        self.assertEqual(peer.revision, mirror.revision)
+        for number in range(1_200):
+            mirror.apply_deletion(f"root/members/{number}", 10 + number)
+        self.assertTrue(mirror.build_snapshot(after_revision=5).is_whole)
+        self.assertTrue(mirror.build_snapshot(after_revision=0).is_whole)
+        self.assertFalse(mirror.build_snapshot(after_revision=1_200).is_whole)
--- a/trefoilhook/shards/tests/cluster.py
+++ b/trefoilhook/shards/tests/cluster.py
@@ -100,8 +100,7 @@
         """Note each moment at which two instances may act for one shard."""
         while True:
             now_ms = self.clock.monotonic_ms()
-            for shard_id in list_shards(SHARDS):
-                owners = self.find_owners(shard_id)
+            for shard_id, owners in self._list_owners().items():
                 if len(owners) > 1:
                     self.overlaps.append(f"{now_ms:.0f}: {shard_id} {owners}")
                 if owners:
@@ -111,6 +110,15 @@
                     self.unowned_since.setdefault(shard_id, now_ms)
             await self.clock.sleep_ms(_SAMPLE_MS)
 
+    def _list_owners(self) -> dict[str, list[str]]:
+        """Return who may act now, by shard; each instance is asked once."""
+        owners: dict[str, list[str]] = {each: [] for each in list_shards(SHARDS)}
+        for instance in self.instances.values():
+            if not instance.node.is_dead:
+                for shard_id in instance.ownership.list_owned():
+                    owners[shard_id].append(instance.instance_id)
+        return owners
+
     def find_owners(self, shard_id: str) -> list[str]:
         """Return who may act for a shard now."""
         return [
--- /dev/null
+++ b/trefoilhook/shards/tests/test_claims.py
@@ -0,0 +1,141 @@
+"""Who may claim what, and when a claimer may act, as tables."""
+
+import unittest
+
+import attrs
+
+from trefoilhook.membership import Member, Members
+from trefoilhook.shards.claims import hand_over, plan_claims, plan_handovers
+from trefoilhook.shards.core import PreviousOwner, ShardRow, ShardTable
+from trefoilhook.shards.rights import Evidence, Rights, judge_rights
+
+_SHARD = "req-000"
+_OUTAGE_MS = 60_000.0
+
+
+def _member(instance_id: str, incarnation: str = "now") -> Member:
+    return Member(
+        instance_id=instance_id,
+        incarnation=incarnation,
+        host="127.0.0.1",
+        port=1,
+        failure_domain="fd-1",
+    )
+
+
+def _members(*instance_ids: str) -> Members:
+    return Members(by_id={each: _member(each) for each in instance_ids})
+
+
+def _row(owner_id: str, incarnation: str = "now") -> ShardRow:
+    return ShardRow(owner_id=owner_id, incarnation=incarnation, epoch=7, port=1)
+
+
+class ClaimTest(unittest.TestCase):
+    """What an instance writes into the table of shards."""
+
+    def test_what_may_be_claimed(self):
+        # name: owner, its incarnation, live members, promised to, may claim,
+        # outcome: "claim", "affirm" or nothing
+        alone = ("me",)
+        cases = {
+            "nobody's": ("", "", alone, "x", True, "claim"),
+            "a dead owner's": ("gone", "old", alone, "x", True, "claim"),
+            "a live owner's": ("other", "now", ("me", "other"), "x", True, ""),
+            "one that joined anew": ("other", "old", ("me", "other"), "x", True, ""),
+            "promised not to": ("gone", "old", alone, "gone", True, ""),
+            "not settled yet": ("gone", "old", alone, "x", False, ""),
+            "own": ("me", "now", alone, "x", True, ""),
+            "own of a former lease": ("me", "old", alone, "x", True, "affirm"),
+            "own, not settled": ("me", "old", alone, "x", False, "affirm"),
+        }
+        for name, case in cases.items():
+            owner_id, incarnation, live, promised, may_claim, outcome = case
+            with self.subTest(name):
+                row = _row(owner_id, incarnation) if owner_id else ShardRow()
+                plan = plan_claims(
+                    table=ShardTable(rows={_SHARD: row}, revision=3),
+                    members=_members(*live),
+                    me=_member("me"),
+                    shard_ids=(_SHARD,),
+                    is_promised_to=lambda each, promised=promised: each == promised,
+                    may_claim=may_claim,
+                )
+                self.assertEqual(plan.claimed, (_SHARD,) * (outcome == "claim"))
+                self.assertEqual(plan.affirmed, (_SHARD,) * (outcome == "affirm"))
+                epoch = row.epoch + (outcome == "claim")
+                self.assertEqual(plan.table.rows[_SHARD].epoch, epoch)
+
+    def test_only_the_chosen_member_claims(self):
+        # Nine see an owner die; the shard goes to one of them and the choice is the
+        # same for all.
+        names = tuple(f"i-{number}" for number in range(9))
+        claimers = [
+            name
+            for name in names
+            if plan_claims(
+                table=ShardTable(rows={_SHARD: _row("gone")}),
+                members=_members(*names),
+                me=_member(name),
+                shard_ids=(_SHARD,),
+                is_promised_to=lambda _: False,
+            ).claimed
+        ]
+        self.assertEqual(len(claimers), 1)
+
+    def test_doubt_is_left_to_the_next_claimer(self):
+        # A claimer dies while it waits for proof that the owner before it stopped. Who
+        # claims next must have proof of both, or it acts beside the first.
+        first = PreviousOwner(instance_id="first", host="127.0.0.1", port=9)
+        row = attrs.evolve(_row("second"), host="127.0.0.1", unmet=(first,))
+        plan = plan_claims(
+            table=ShardTable(rows={_SHARD: row}),
+            members=_members("me"),
+            me=_member("me"),
+            shard_ids=(_SHARD,),
+            is_promised_to=lambda _: False,
+        )
+        unmet = [owner.instance_id for owner in plan.table.rows[_SHARD].unmet]
+        self.assertEqual(unmet, ["first", "second"])
+
+    def test_what_is_handed_over(self):
+        # name: owner, its incarnation, whether the shard is moved to the only member
+        cases = {
+            "own": ("me", "now", True),
+            "own of a former lease": ("me", "old", False),
+            "another's": ("other", "now", False),
+        }
+        for name, (owner_id, incarnation, is_moved) in cases.items():
+            with self.subTest(name):
+                row = _row(owner_id, incarnation)
+                members = _members("next")
+                table = ShardTable(rows={_SHARD: row})
+                moves = plan_handovers(table=table, members=members, me=_member("me"))
+                self.assertEqual(_SHARD in moves, is_moved)
+        handed = hand_over(_row("me"), _member("next"), unmet=())
+        self.assertEqual((handed.owner_id, handed.epoch), ("next", 8))
+
+
+class RightsTest(unittest.TestCase):
+    """A claimer waits until the former owner has surely stopped."""
+
+    def test_evidence(self):
+        # in view, proved dead, attested, waited, verdict
+        cases = (
+            (False, False, False, 0.0, Rights.WAIT),
+            (False, False, False, _OUTAGE_MS - 1, Rights.WAIT),
+            (False, False, False, _OUTAGE_MS, Rights.OUTAGE_LIMIT),
+            (True, False, False, 0.0, Rights.IN_VIEW),
+            (False, True, False, 0.0, Rights.PROVED_DEAD),
+            (False, False, True, 0.0, Rights.ATTESTED),
+        )
+        for in_view, dead, attested, waited_ms, verdict in cases:
+            with self.subTest(verdict=verdict, waited_ms=waited_ms):
+                evidence = Evidence(
+                    is_in_view=in_view,
+                    is_proved_dead=dead,
+                    is_attested=attested,
+                    waited_ms=waited_ms,
+                )
+                found = judge_rights(evidence, outage_limit_ms=_OUTAGE_MS)
+                self.assertIs(found, verdict)
