--- a/trefoilhook/daemon/core.py
+++ b/trefoilhook/daemon/core.py
@@ -11,7 +11,14 @@
 from trefoilhook.clock import Clock
 from trefoilhook.configuration import ConfigurationEditor, ConfigurationView
 from trefoilhook.daemon.backend import InstanceBackend
-from trefoilhook.daemon.backends import BackendList
+from trefoilhook.daemon.builders import (
+    build_backends,
+    build_inner,
+    build_membership,
+    build_server,
+    build_store,
+    build_worker,
+)
 from trefoilhook.daemon.gauges import (
     watch_configuration,
     watch_jobs,
@@ -20,33 +27,25 @@
 )
 from trefoilhook.daemon.settings import DaemonSettings
 from trefoilhook.daemon.teams import build_team_view, find_objective, find_quota
-from trefoilhook.daemon.tls import build_client_context, build_server_context
 from trefoilhook.entry import build_entry_handler
-from trefoilhook.http import HttpServer
-from trefoilhook.inner import InnerNode, PeerAddress
 from trefoilhook.inner.messages_pb2 import (
     ExecutorLoads,
     ServiceRequest,
     ShardHandover,
 )
-from trefoilhook.instances import InstanceListClient
-from trefoilhook.jobs import JobJournal, JobService, WorkerAddress
+from trefoilhook.jobs import JobJournal, JobService
 from trefoilhook.journal import open_journal
 from trefoilhook.logs import Event, log_event
-from trefoilhook.membership import Member, Membership
 from trefoilhook.metrics import Instrument, Metrics
 from trefoilhook.placement import LATENCY_FIRST, THROUGHPUT_FIRST, Policy
 from trefoilhook.requests import CallerAnswer, CallerRequest, RequestService
-from trefoilhook.settings import ListenerSettings
 from trefoilhook.shards import Ownership, Rights
-from trefoilhook.store import StoreClient, swap_reading_back
-from trefoilhook.workers import WorkerClient
+from trefoilhook.store import swap_reading_back
 
 __all__ = ["Addresses", "Instance"]
 
 _ROOT = "root"
 _SWAP_TIMEOUT_MS = 2_000.0
-_WORKER_TIMEOUT_MS = 1_000.0
 _SHARE_INTERVAL_MS = 60_000.0
 _MET = frozenset({Rights.PROVED_DEAD, Rights.NO_PREVIOUS_OWNER})
 
@@ -92,8 +91,9 @@
             failure_domain=settings.instance.failure_domain,
             region=settings.instance.region,
         )
-        self._build_platform()
-        self._build_inner()
+        self._store = build_store(settings, clock)
+        self._backends = build_backends(settings, clock)
+        self._inner = build_inner(settings, clock, self.instance_id)
 
     def begin_leaving(self) -> None:
         """Start the graceful shutdown; ``run`` returns when it is done."""
@@ -110,7 +110,7 @@
         """Run until the graceful shutdown is done; reports the ports."""
         async with trio.open_nursery() as nursery:
             inner_port: int = await nursery.start(self._inner.run)
-            self._build_parts(inner_port)
+            self._build_parts()
             await nursery.start(self.membership.run)
             self._read_configuration()
             nursery.start_soon(self._follow_configuration)
@@ -136,40 +136,8 @@
         self.metrics.close()
         log_event(Event.STOPPED, instance=self.instance_id)
 
-    def _build_platform(self) -> None:
-        settings = self._settings
-        self._store = StoreClient(
-            host=settings.store.host,
-            port=settings.store.port,
-            clock=self._clock,
-            timeout_ms=settings.store.timeout_ms,
-            token=settings.store.token,
-        )
-        self._backends = BackendList(
-            client=InstanceListClient(
-                host=settings.instances.host,
-                port=settings.instances.port,
-                clock=self._clock,
-                timeout_ms=settings.instances.timeout_ms,
-            ),
-            clock=self._clock,
-            interval_ms=settings.instances.interval_ms,
-        )
-
-    def _build_inner(self) -> None:
-        listener = self._settings.listeners.inner
-        self._inner = InnerNode(
-            instance_id=self.instance_id,
-            host=listener.host,
-            port=listener.port,
-            clock=self._clock,
-            settings=self._settings.inner,
-            tls_server=build_server_context(listener.tls),
-            tls_client=build_client_context(listener.tls),
-        )
-
-    def _build_parts(self, inner_port: int) -> None:
-        self._build_membership(inner_port)
+    def _build_parts(self) -> None:
+        self._build_membership()
         self._build_requests()
         self._build_jobs()
         self._build_admin()
@@ -187,29 +155,10 @@
         watch_jobs(self.metrics, self.jobs)
         watch_configuration(self.metrics, self.view)
 
-    def _build_membership(self, inner_port: int) -> None:
+    def _build_membership(self) -> None:
         settings = self._settings
-        self.membership = Membership(
-            member=Member(
-                instance_id=self.instance_id,
-                incarnation="",
-                host=settings.listeners.inner.host,
-                port=inner_port,
-                failure_domain=settings.instance.failure_domain,
-            ),
-            store=self._store,
-            inner=self._inner,
-            clock=self._clock,
-            settings=settings.membership,
-            seeds=tuple(
-                PeerAddress(
-                    instance_id=f"seed-{peer.host}:{peer.port}",
-                    host=peer.host,
-                    port=peer.port,
-                    is_seed=True,
-                )
-                for peer in settings.peers
-            ),
+        self.membership = build_membership(
+            settings, self._clock, store=self._store, inner=self._inner
         )
         self.ownership = Ownership(
             membership=self.membership,
@@ -238,7 +187,7 @@
         self._inner.handle(ExecutorLoads, self.requests.handle_loads)
         self.ownership.add_releaser(self._release_requests)
         self._ownership_changes = self.ownership.subscribe()
-        self._entry_server = self._build_server(
+        self._entry_server = build_server(
             settings.listeners.entry,
             build_entry_handler(
                 instance_id=self.instance_id,
@@ -254,7 +203,7 @@
             inner=self._inner,
             open_journal=self._open_journal,
             list_workers=self._backends.list_workers,
-            open_worker=self._open_worker,
+            open_worker=lambda address: build_worker(address, self._clock),
             policy=self._choose_policy,
             find_quota=lambda team: find_quota(self.view, team),
             clock=self._clock,
@@ -292,19 +241,7 @@
             clock=self._clock,
         )
         handler = AdminHandler(parts=parts, observe=self.metrics.observe_http)
-        self._admin_server = self._build_server(
-            settings.listeners.admin, handler.handle
-        )
-
-    def _build_server(
-        self, listener: ListenerSettings, handler: Callable[..., Awaitable[object]]
-    ) -> HttpServer:
-        return HttpServer(
-            handler=handler,  # type: ignore[arg-type]
-            host=listener.host,
-            port=listener.port,
-            tls=build_server_context(listener.tls),
-        )
+        self._admin_server = build_server(settings.listeners.admin, handler.handle)
 
     async def _swap(self, key: str, value: bytes, *, expected_revision: int) -> int:
         return await swap_reading_back(
@@ -330,15 +267,6 @@
             settings=self._settings.journal,
         )
 
-    def _open_worker(self, address: WorkerAddress) -> WorkerClient:
-        return WorkerClient(
-            worker_id=address.worker_id,
-            host=address.host,
-            port=address.port,
-            clock=self._clock,
-            timeout_ms=_WORKER_TIMEOUT_MS,
-        )
-
     def _choose_policy(self) -> Policy:
         """Choose the policy that most teams ask for.
 
--- a/trefoilhook/requests/settings.py
+++ b/trefoilhook/requests/settings.py
@@ -19,8 +19,8 @@
     clock_skew_ms: float = declare(
         default=500.0,
         unit="ms",
-        description="How far the wall clocks of any two instances may be apart, steps "
-        "included.",
+        description="How far the wall clocks of any two instances may be apart, "
+        "steps included.",
     )
     key_ahead_ms: float = declare(
         default=500.0,
