--- a/trefoilhook/requests/settings.py
+++ b/trefoilhook/requests/settings.py
@@ -25,7 +25,8 @@
     key_ahead_ms: float = declare(
         default=500.0,
         unit="ms",
-        description="How far the time in a key may lie ahead of its owner's wall clock.",
+        description="How far the time in a key may lie ahead of its owner's wall "
+        "clock.",
     )
     key_age_ms: float = declare(
         default=600_000.0,
--- a/trefoilhook/shards/tests/test_claims.py
+++ b/trefoilhook/shards/tests/test_claims.py
@@ -36,7 +36,7 @@
 
     def test_what_may_be_claimed(self):
         # name: owner, its incarnation, live members, promised to, may claim,
-        # outcome: "claim", "affirm" or nothing
+        # outcome: "claim", "affirm" or nothing; "restarted" has held nothing itself
         alone = ("me",)
         cases = {
             "nobody's": ("", "", alone, "x", True, "claim"),
@@ -48,6 +48,8 @@
             "own": ("me", "now", alone, "x", True, ""),
             "own of a former lease": ("me", "old", alone, "x", True, "affirm"),
             "own, not settled": ("me", "old", alone, "x", False, "affirm"),
+            "own, restarted": ("me", "old", alone, "x", True, "claim"),
+            "restarted, not settled": ("me", "old", alone, "x", False, ""),
         }
         for name, case in cases.items():
             owner_id, incarnation, live, promised, may_claim, outcome = case
@@ -59,6 +61,7 @@
                     me=_member("me"),
                     shard_ids=(_SHARD,),
                     is_promised_to=lambda each, promised=promised: each == promised,
+                    held=() if "restarted" in name else (_SHARD,),
                     may_claim=may_claim,
                 )
                 self.assertEqual(plan.claimed, (_SHARD,) * (outcome == "claim"))
@@ -79,6 +82,7 @@
                 me=_member(name),
                 shard_ids=(_SHARD,),
                 is_promised_to=lambda _: False,
+                held=(),
             ).claimed
         ]
         self.assertEqual(len(claimers), 1)
@@ -94,6 +98,7 @@
             me=_member("me"),
             shard_ids=(_SHARD,),
             is_promised_to=lambda _: False,
+            held=(),
         )
         unmet = [owner.instance_id for owner in plan.table.rows[_SHARD].unmet]
         self.assertEqual(unmet, ["first", "second"])
