--- a/trefoilhook/requests/tests/test_takeover.py
+++ b/trefoilhook/requests/tests/test_takeover.py
@@ -7,7 +7,12 @@
 
 from trefoilhook.requests import Attempt, RequestSettings, ServiceSettings
 from trefoilhook.requests.slots import Ending
-from trefoilhook.requests.tests.fakes import Cluster, build_request, run_virtual
+from trefoilhook.requests.tests.fakes import (
+    Cluster,
+    build_request,
+    mint_at,
+    run_virtual,
+)
 from trefoilhook.results import Outcome, ResultCode
 
 _ONE_EXECUTOR = {"instance_count": 2, "executor_count": 1}
@@ -217,6 +222,28 @@
         codes = [each.code for each in answers]
         self.assertEqual(codes, [ResultCode.OK, ResultCode.OUTCOME_UNKNOWN])
 
+    def test_key_is_judged_by_a_time_before_the_right_was_checked(self):
+        # An owner checks its right and is frozen right there for ten seconds. Judged
+        # by the time after, a key from the future would be let in that the instance
+        # which owns the shard by then lets in as well.
+        cluster = Cluster(instance_count=1)
+        codes = []
+
+        async def scenario(nursery):
+            await trio.sleep(0.05)  # between two ticks of the upkeep
+            ownership = cluster.ownerships["i0"]
+            key = mint_at(cluster.clock.wall_ms() + 5_000.0)
+
+            def freeze():
+                cluster.jump_ms = 10_000.0
+
+            ownership.before_check = freeze
+            answer = await cluster.services["i0"].handle_caller(build_request(key))
+            codes.append(answer.code)
+
+        run_in(cluster, scenario)
+        self.assertEqual(codes, [ResultCode.KEY_AHEAD])
+
     def test_handover_that_comes_before_the_claim_is_kept(self):
         cluster = Cluster(instance_count=2)
         answers = []
