--- a/bench/journal.py
+++ b/bench/journal.py
@@ -86,6 +86,7 @@
         list_workers=lambda: (),
         open_worker=lambda address: None,
         policy=lambda: LATENCY_FIRST,
+        find_quota=lambda team: None,
         clock=clock,
         settings=JobSettings(commit_window_ms=window_ms),
     )
--- a/trefoilhook/jobs/sessions.py
+++ b/trefoilhook/jobs/sessions.py
@@ -13,6 +13,7 @@
     NotSentError,
     TrefoilhookError,
 )
+from trefoilhook.jobs.bounds import bound_news
 from trefoilhook.jobs.core import Attempt
 from trefoilhook.jobs.messages import (
     Order,
@@ -340,12 +341,13 @@
         ref = TaskRef(
             worker_id=self._address.worker_id, job_id=task.job_id, attempt=attempt
         )
-        return TaskNews(
+        news = TaskNews(
             ref=ref,
             status=_STATUSES[task.state.value],
             checkpoint=task.checkpoint,
             result=task.result,
         )
+        return bound_news(news)
 
     def _build_command(self, order: Order) -> WorkerCommand:
         kind = _KINDS.get(order.kind)
--- a/trefoilhook/journal/settings.py
+++ b/trefoilhook/journal/settings.py
@@ -19,7 +19,7 @@
         check=is_within(1_024, 900_000),
     )
     compact_pages: int = declare(
-        default=16,
+        default=32,
         description="Full pages from which a journal is compacted.",
         check=is_within(2, 400),
     )
--- a/trefoilhook/journal/tests/test_journal.py
+++ b/trefoilhook/journal/tests/test_journal.py
@@ -325,16 +325,18 @@
 
         self._run(scenario)
 
-    def test_former_owner_finds_its_next_page_free(self):
-        # An owner is frozen with a full page, or in the middle of its loading. The next
-        # one compacts, which deletes the pages that fence the first: it finds the place
-        # of its next page free. What it recorded there nobody would ever read.
-        async def scenario(is_loading) -> None:
+    def test_former_owner_finds_its_pages_deleted(self):
+        # An owner is frozen with a full page, in the middle of its loading, or with
+        # room in its page. The next one compacts, which deletes the pages that fence
+        # the first: it finds the place of its next page free, or its own page gone.
+        # What it recorded there nobody would ever read; and it must learn that it is
+        # fenced, since any other error would end the whole instance.
+        async def scenario(is_loading, size) -> None:
             frozen = _FrozenLister(store=self.store)
             first = self._open(1, frozen)
             if not is_loading:
                 await first.load()
-                await first.append([_record("a", result="x" * 1_100)])
+                await first.append([_record("a", result="x" * size)])
             frozen.is_frozen = is_loading
             frozen.frozen_prefix = f"journal/{_SHARD}/1-0/"
             ends: list[object] = []
@@ -350,9 +352,9 @@
                 await _try_appending(first, ends)
             self.assertIsInstance(ends[0], FencedError)
 
-        for is_loading in (False, True):
-            with self.subTest(is_loading=is_loading):
-                self._run(functools.partial(scenario, is_loading))
+        for is_loading, size in ((False, 1_100), (True, 0), (False, 100)):
+            with self.subTest(is_loading=is_loading, size=size):
+                self._run(functools.partial(scenario, is_loading, size))
 
     def test_compaction_keeps_the_checkpoint_of_a_job_started_anew(self):
         # A job is evicted, recorded to start anew, and its owner dies. Without the
