--- a/trefoilhook/requests/coordination.py
+++ b/trefoilhook/requests/coordination.py
@@ -115,11 +115,10 @@
         own = parts.pool.view_load(work.service_name)
         is_present = own.usable or own.free or own.queued
         own = own if is_present or _owns_any(parts, work) else None
-    return choose_route(
-        own=own,
-        candidates=_list_candidates(parts, work, tried),
-        generator=parts.generator,
-    )
+    candidates: list[Candidate] = []
+    if own is None or own.free < 1:
+        candidates = _list_candidates(parts, work, tried)
+    return choose_route(own=own, candidates=candidates, generator=parts.generator)
 
 
 def _owns_any(parts: Parts, work: Work) -> bool:
@@ -154,16 +153,16 @@
             executor_id=target.executor_id,
             owner_id=owner_id,
             free=0,
-            queued=0,
+            wait=0.0,
             is_near=is_near,
             is_known=False,
         )
-    sent = parts.peer_loads.count_sent(target.executor_id)
+    free = load.slots - load.in_use - parts.peer_loads.count_sent(target.executor_id)
     return Candidate(
         executor_id=target.executor_id,
         owner_id=owner_id,
-        free=max(0, load.slots - load.in_use - sent),
-        queued=load.queued + max(0, sent - load.slots + load.in_use),
+        free=max(0, free),
+        wait=(load.queued + max(0, -free)) / max(1, load.slots),
         is_near=is_near,
     )
 
@@ -178,7 +177,7 @@
     message = encode_work(
         work, executor_id=route.executor_id, shard_epoch=0, entry_id=entry_id
     )
-    parts.peer_loads.note_sent(route.executor_id)
+    load = parts.peer_loads.note_sent(route.executor_id)
     mark_sent(True)
     try:
         reply = await parts.inner.call(
@@ -195,6 +194,8 @@
         answer = parts.refuse(error.code, str(error))
     else:
         answer = decode_answer(reply)
+    finally:
+        parts.peer_loads.note_ended(route.executor_id, load)
     if answer.code.outcome is Outcome.NOT_RUN:
         mark_sent(False)
     return answer
--- a/trefoilhook/requests/core.py
+++ b/trefoilhook/requests/core.py
@@ -26,7 +26,6 @@
 from trefoilhook.requests.dispatch import run_here
 from trefoilhook.requests.handover import decode_keys, encode_handover
 from trefoilhook.requests.keyowner import KeyOwner
-from trefoilhook.requests.keys import mint_key, read_minted_ms
 from trefoilhook.requests.models import (
     CallerAnswer,
     CallerRequest,
@@ -36,18 +35,25 @@
     InnerLink,
     ListExecutors,
     OwnershipView,
-    ServiceSettings,
     TeamView,
 )
 from trefoilhook.requests.retry import HedgePolicy, RetryPolicy
 from trefoilhook.requests.routing import PeerLoads
 from trefoilhook.requests.settings import RequestSettings
 from trefoilhook.requests.upkeep import Upkeep
-from trefoilhook.requests.work import Parts, Work, encode_answer
+from trefoilhook.requests.work import (
+    Parts,
+    Work,
+    build_work,
+    encode_answer,
+    read_work,
+)
 from trefoilhook.results import Outcome, ResultCode
 
 __all__ = ["RequestService", "open_executor"]
 
+Observe = Callable[[CallerRequest, CallerAnswer, float], None]
+
 _MS_PER_S = 1000.0
 _MARGIN_SHARE = 0.1
 _WITHOUT_OWNER = frozenset(
@@ -96,6 +102,8 @@
         Opens the connections to an executor.
     generator : random.Random, optional
         Source of draws.
+    observe : callable, optional
+        Told of each caller's request, its answer and the time that it took, in ms.
     """
 
     def __init__(
@@ -112,7 +120,9 @@
         list_peers: Callable[[], Sequence[str]],
         open_link: Callable[[ExecutorTarget], ExecutorLink] = open_executor,
         generator: random.Random | None = None,
+        observe: Observe | None = None,
     ) -> None:
+        self._observe = observe
         self._background: trio.Nursery | None = None
         self._busy = 0
         self._is_closed = False
@@ -202,7 +212,8 @@
             return parts.refuse(ResultCode.NOT_FOUND, "no such service")
         if not request.key and not settings.is_idempotent:
             return parts.refuse(ResultCode.KEY_REQUIRED)
-        work = self._build_work(request, settings)
+        begun_ms = parts.clock.monotonic_ms()
+        work = build_work(parts, request, settings)
         journey = Journey(request=request, work=work)
         if self._is_closed:
             answer = parts.refuse(ResultCode.SHUTTING_DOWN)
@@ -214,14 +225,7 @@
                 answer = await ask_owner(parts, journey)
                 if self._may_run_again(work, answer):
                     answer = await run_unkeyed(parts, work)
-        if answer.code.outcome is not Outcome.EXECUTED:
-            log_event(
-                Event.REQUEST_FAILED,
-                request_id=work.request_id,
-                code=answer.code.number,
-                team=request.team,
-                service=request.service,
-            )
+        self._note_answer(request, work, answer, begun_ms)
         return answer
 
     async def handle_inner(self, call: InnerCall) -> ServiceAnswer:
@@ -264,6 +268,14 @@
             message.shard_id, epoch=message.epoch, in_use=in_use
         )
 
+    def follow_ownership(self) -> None:
+        """Take executors up and let them go as the shards have just moved.
+
+        The regular look comes too late: other instances route by the table of shards
+        from the moment it changes, and would be told that nobody owns the executor.
+        """
+        self._upkeep.sync()
+
     def note_predecessor_gone(self, shard_id: str) -> None:
         """Take in that the earlier owner of a shard is proved dead."""
         self._upkeep.release_hold(shard_id)
@@ -282,7 +294,7 @@
         # Whoever waits for this answer gives up at its own deadline; a truthful "not
         # run" that comes a moment later would be told as "unknown".
         wait_ms -= min(parts.settings.answer_margin_ms, _MARGIN_SHARE * wait_ms)
-        work = self._read_work(request, settings, deadline_ms=now_ms + wait_ms)
+        work = read_work(request, settings, deadline_ms=now_ms + wait_ms)
         if not request.executor_id:
             return await self._key_owner.serve(
                 request, work=work, entry_id=request.entry_instance_id
@@ -305,45 +317,31 @@
         await done.wait()
         return answers[0] if answers else self._parts.refuse(ResultCode.INTERNAL)
 
+    def _note_answer(
+        self,
+        request: CallerRequest,
+        work: Work,
+        answer: CallerAnswer,
+        begun_ms: float,
+    ) -> None:
+        if self._observe is not None:
+            took_ms = self._parts.clock.monotonic_ms() - begun_ms
+            self._observe(request, answer, took_ms)
+        if answer.code.outcome is not Outcome.EXECUTED:
+            log_event(
+                Event.REQUEST_FAILED,
+                request_id=work.request_id,
+                code=answer.code.number,
+                team=request.team,
+                service=request.service,
+            )
+
     def _may_run_again(self, work: Work, answer: CallerAnswer) -> bool:
         """Tell whether an idempotent request goes on without its key's owner."""
         if not work.is_idempotent or answer.code not in _WITHOUT_OWNER:
             return False
         return self._parts.clock.monotonic_ms() < work.deadline_ms
 
-    def _build_work(self, request: CallerRequest, settings: ServiceSettings) -> Work:
-        timeout_ms = settings.timeout_ms
-        if request.timeout_ms is not None:
-            timeout_ms = min(timeout_ms, request.timeout_ms)
-        if request.key:
-            read_minted_ms(request.key)
-        return Work(
-            team=request.team,
-            service=request.service,
-            key=request.key,
-            request_id=(request.key or mint_key()).hex(),
-            is_idempotent=settings.is_idempotent,
-            content_type=request.content_type,
-            body=request.body,
-            deadline_ms=self._parts.clock.monotonic_ms() + timeout_ms,
-            max_waiting=settings.max_queue,
-        )
-
-    def _read_work(
-        self, request: ServiceRequest, settings: ServiceSettings, *, deadline_ms: float
-    ) -> Work:
-        return Work(
-            team=request.team,
-            service=request.service,
-            key=request.key,
-            request_id=(request.key or mint_key()).hex(),
-            is_idempotent=settings.is_idempotent and request.is_idempotent,
-            content_type=request.content_type,
-            body=request.body,
-            deadline_ms=deadline_ms,
-            max_waiting=settings.max_queue,
-        )
-
     def _start(self, function: Callable[..., Awaitable[None]], *args: object) -> None:
         if self._background is None:
             raise RuntimeError("the service does not run")
