--- a/trefoilhook/placement/core.py
+++ b/trefoilhook/placement/core.py
@@ -80,18 +80,10 @@
 
 
 def filter_rows(state: "ShardState", task: TaskShape, rows: Rows) -> Rows:
-    """Keep the rows that are open and have room for a task.
-
-    Notes
-    -----
-    Batch tasks and watchers leave services the cores that these are likely to want
-    beyond their declared size; services and urgent tasks need not.
-    """
+    """Keep the rows that are open and have room for a task."""
     table, wanted = state.table, task.resources
-    must_start = task.urgent or task.kind is TaskKind.SERVICE
-    room = table.room if must_start else table.guarded_room
     least = (wanted.cores, wanted.memory_bytes, wanted.accelerators, 1.0)
-    fits = (room.take(rows, axis=0) >= least).all(axis=1)
+    fits = (table.room.take(rows, axis=0) >= least).all(axis=1)
     history = state.histories.get(task.task_id)
     if history is not None and history.failed_on:
         ids = state.table.ids
--- a/trefoilhook/placement/observation.py
+++ b/trefoilhook/placement/observation.py
@@ -12,7 +12,6 @@
 import numpy.typing as npt
 
 from trefoilhook.placement.interference import CLASS_LIMIT, learn_excess
-from trefoilhook.placement.quantiles import RatioKey
 from trefoilhook.placement.records import SlowdownSample, TaskState, WorkerState
 from trefoilhook.placement.refresh import refresh_worker
 from trefoilhook.placement.shapes import TaskKind, UsageReport, bearable_excess
@@ -59,7 +58,7 @@
     # the pressure of its own time; taking its usage as current would step backwards.
     if newest:
         worker.last_report_ms = report.measured_at_ms
-        _absorb_usage(state, worker, report)
+        _absorb_usage(worker, report)
         _blend_residual(state, worker, errors)
         refresh_worker(state, worker, now_ms)
         state.table.late[worker.slot] = float(_is_late(worker))
@@ -116,9 +115,7 @@
     return total / covered_ms
 
 
-def _absorb_usage(
-    state: "ShardState", worker: WorkerState, report: UsageReport
-) -> None:
+def _absorb_usage(worker: WorkerState, report: UsageReport) -> None:
     settled_ms = report.measured_at_ms - report.window_ms - _USAGE_LEAST_AGE_MS
     for entry in report.usage:
         task = worker.residents.get(entry.task_id)
@@ -128,10 +125,6 @@
             continue
         full_speed = entry.used.cores / task.speed
         task.expected_cores += _USAGE_BLEND * (full_speed - task.expected_cores)
-        declared = task.shape.resources.cores
-        if declared > 0.0:
-            key = RatioKey(team=task.shape.team, task_class=task.shape.task_class)
-            state.usage_ratios.record(key, full_speed / declared)
 
 
 def _blend_residual(
--- a/trefoilhook/placement/policy.py
+++ b/trefoilhook/placement/policy.py
@@ -51,9 +51,6 @@
     spread_weight: float = _setting(
         0.5, "1", "Weight of spreading a service class over domains and racks."
     )
-    packing_weight: float = _setting(
-        0.2, "1", "Weight of filling workers that are already in use."
-    )
     takeover_weight: float = _setting(
         20.0, "1", "Cost of a first service on a worker that batch had to itself."
     )
--- a/trefoilhook/placement/refresh.py
+++ b/trefoilhook/placement/refresh.py
@@ -5,22 +5,18 @@
 import numpy as np
 
 from trefoilhook.placement.interference import CLASS_LIMIT
-from trefoilhook.placement.quantiles import RatioKey
-from trefoilhook.placement.records import PressureSnapshot, TaskState, WorkerState
+from trefoilhook.placement.records import PressureSnapshot, WorkerState
 from trefoilhook.placement.resources import sum_resources
 from trefoilhook.placement.shapes import (
     TaskKind,
     bearable_excess,
 )
-from trefoilhook.placement.table import ROOM_CORES
 
 if TYPE_CHECKING:
     from trefoilhook.placement.state import ShardState
 
 __all__ = ["index_class", "refresh_worker"]
 
-_HEADROOM_QUANTILE = 0.9
-
 
 def index_class(state: "ShardState", task_class: str) -> int:
     """Return the model's index of a task class, giving it one when it is new."""
@@ -59,7 +55,6 @@
     room = worker.shape.capacity.minus(worker.reserved).minus(kept)
     is_open = float(_is_open(worker))
     table.room[row] = (room.cores, room.memory_bytes, room.accelerators, is_open)
-    table.guarded_room[row] = table.room[row]
     table.capacity_cores[row] = worker.shape.capacity.cores
     table.accelerated[row] = float(worker.shape.capacity.accelerators > 0)
 
@@ -76,7 +71,6 @@
     shares = [0.0] * CLASS_LIMIT
     services = [0.0] * CLASS_LIMIT
     scale = [0.0] * CLASS_LIMIT
-    wanted = 0.0
     declared = 0.0
     for task in worker.residents.values():
         index = task.class_index
@@ -84,7 +78,6 @@
         if task.shape.kind is TaskKind.SERVICE:
             services[index] += 1.0
             scale[index] = max(scale[index], 1.0 / bearable_excess(task.shape))
-            wanted += _expect_overuse(state, task)
             declared += task.shape.resources.cores
     table.pressure[row] = shares
     table.pressure[row] /= worker.shape.capacity.cores
@@ -92,7 +85,6 @@
     table.services[row] = services
     table.service_cores[row] = declared
     table.scale[row] = scale
-    table.guarded_room[row, ROOM_CORES] -= wanted
     _write_excess(state, row)
 
 
@@ -106,13 +98,6 @@
     table.excess[row] = np.maximum(excess, 0.0) * table.scale[row]
 
 
-def _expect_overuse(state: "ShardState", task: TaskState) -> float:
-    shape = task.shape
-    key = RatioKey(team=shape.team, task_class=shape.task_class)
-    ratio = state.usage_ratios.quantile(key, _HEADROOM_QUANTILE)
-    return max(0.0, ratio - 1.0) * shape.resources.cores
-
-
 def _note_pressure(state: "ShardState", worker: WorkerState, now_ms: float) -> None:
     row = worker.slot
     snapshot = PressureSnapshot(
--- a/trefoilhook/placement/scoring.py
+++ b/trefoilhook/placement/scoring.py
@@ -1,12 +1,11 @@
 """The one objective that placements are compared by.
 
-The cost of placing a task of class ``c`` that uses a share ``x`` of a worker's cores
+The cost of placing a task of class ``c`` that declares a share ``x`` of the cores
 is, in units where a service at its target costs ``tail_weight``::
 
     tail_weight  * sum over services v of ((e_v' / b_v)**2 - (e_v / b_v)**2)
     - batch_weight * x                      (batch and watchers)
     + spread_weight * crowding              (services)
-    - packing_weight * x * load             (batch and watchers)
     + balance cost * load                   (services)
     + takeover_weight where the worker holds no service yet, and a steep cost past
       ``service_fill`` of its cores         (services)
@@ -26,14 +25,13 @@
 import numpy.typing as npt
 
 from trefoilhook.placement.policy import Policy
-from trefoilhook.placement.quantiles import RatioKey
 from trefoilhook.placement.shapes import TaskKind, TaskShape, bearable_excess
 from trefoilhook.placement.spread import measure_crowding
 
 if TYPE_CHECKING:
     from trefoilhook.placement.state import ShardState
 
-__all__ = ["Scorer", "Scores", "cost_taking_over", "expect_cores", "score_rows"]
+__all__ = ["Scorer", "Scores", "cost_taking_over", "score_rows"]
 
 _ACCELERATOR_COST = 1.0
 _BALANCE_COST = 0.1
@@ -66,12 +64,6 @@
 Scorer = Callable[["ShardState", TaskShape, int, Rows, Policy], Scores]
 
 
-def expect_cores(state: "ShardState", task: TaskShape) -> float:
-    """Return the cores that a task is expected to use, from its team and class."""
-    key = RatioKey(team=task.team, task_class=task.task_class)
-    return state.usage_ratios.quantile(key, 0.5) * task.resources.cores
-
-
 def score_rows(
     state: "ShardState",
     task: TaskShape,
@@ -100,7 +92,7 @@
         One entry for each row.
     """
     table = state.table
-    share = expect_cores(state, task) / table.capacity_cores.take(rows)
+    share = task.resources.cores / table.capacity_cores.take(rows)
     before = table.excess.take(rows, axis=0)
     rise = _predict_rise(state, class_index, rows, share, policy)
     after = before + rise
@@ -112,12 +104,7 @@
     worst = after.max(axis=1)
     within = (worst <= policy.admit_ratio) | (tail <= _MATERIAL_TAIL)
     late = table.late.take(rows) > 0.0
-    value = table.load.take(rows)
-    value *= policy.packing_weight
-    value += policy.batch_weight
-    value *= share
-    cost = policy.tail_weight * tail
-    cost -= value
+    cost = policy.tail_weight * tail - policy.batch_weight * share
     if not task.resources.accelerators:
         cost += _ACCELERATOR_COST * table.accelerated.take(rows)
     return Scores(cost=cost, excess=worst, admissible=within & ~late)
--- a/trefoilhook/placement/state.py
+++ b/trefoilhook/placement/state.py
@@ -52,7 +52,6 @@
     earmarks: dict[str, Earmark] = attrs.field(factory=dict)
     table: WorkerTable = attrs.field(factory=WorkerTable)
     model: InterferenceModel = attrs.field(factory=InterferenceModel)
-    usage_ratios: RatioTable = attrs.field(factory=RatioTable)
     run_ratios: RatioTable = attrs.field(factory=RatioTable)
     class_indexes: dict[str, int] = attrs.field(factory=dict)
     capacities: Counter[Resources] = attrs.field(factory=Counter)
@@ -289,14 +288,12 @@
         return sum_resources([*held, extra])
 
     def _hold(self, shape: TaskShape, worker: WorkerState, now_ms: float) -> None:
-        key = RatioKey(team=shape.team, task_class=shape.task_class)
-        ratio = self.usage_ratios.quantile(key, 0.5)
         task = TaskState(
             shape=shape,
             worker_id=worker.shape.worker_id,
             class_index=index_class(self, shape.task_class),
             reserved_at_ms=now_ms,
-            expected_cores=ratio * shape.resources.cores,
+            expected_cores=shape.resources.cores,
         )
         self.tasks[shape.task_id] = task
         worker.residents[shape.task_id] = task
--- a/trefoilhook/placement/table.py
+++ b/trefoilhook/placement/table.py
@@ -48,9 +48,6 @@
     room : array, shape (rows, 4)
         Cores, bytes of memory and accelerators that are free and not kept for another
         task, and 1.0 where new tasks are allowed.
-    guarded_room : array, shape (rows, 4)
-        The same less the cores that services are likely to want beyond what they
-        declared.
     capacity_cores : array
         Cores in all.
     pressure : array, shape (rows, CLASS_LIMIT)
@@ -78,7 +75,6 @@
 
     ids: list[str] = attrs.field(factory=list)
     room: Floats = attrs.field(factory=_room_columns)
-    guarded_room: Floats = attrs.field(factory=_room_columns)
     capacity_cores: Floats = attrs.field(factory=_column)
     pressure: Floats = attrs.field(factory=_columns)
     load: Floats = attrs.field(factory=_column)
