Spread the first replicas of a service over failure domains

Gathering services outweighed spreading: three small replicas went to one worker, so one lost rack would have taken the service down. Spreading now outweighs taking over a worker until a class stands in three domains.

--- a/bench/placement_schemes.py
+++ b/bench/placement_schemes.py
@@ -22,6 +22,7 @@
 
 PRESETS = {"carrowmore": LATENCY_FIRST, "agency": THROUGHPUT_FIRST}
 EVICT_REST_MS = 30_000.0
+THINNER_FILL = 0.6
 
 
 def _score_all(cost):
@@ -202,8 +203,14 @@
 def build_schemes(user):
     """Build the decisions, the oracle and the baselines for a user's weights."""
     policy = PRESETS[user]
+    thinner = {}
+    if user == "carrowmore":
+        name = f"decisions, service_fill {THINNER_FILL:g}"
+        spread = attrs.evolve(policy, service_fill=THINNER_FILL)
+        thinner[name] = Scheme(name=name, policy=spread)
     return {
         "decisions": Scheme(name="decisions", policy=policy),
+        **thinner,
         "oracle": Scheme(
             name="oracle",
             policy=policy,
--- a/trefoilhook/placement/policy.py
+++ b/trefoilhook/placement/policy.py
@@ -49,7 +49,7 @@
         1.0, "1", "Weight of work lost when victims are chosen."
     )
     spread_weight: float = _setting(
-        0.5, "1", "Weight of spreading a service class over domains and racks."
+        45.0, "1", "Weight of spreading a service class over domains and racks."
     )
     takeover_weight: float = _setting(
         20.0, "1", "Cost of a first service on a worker that batch had to itself."
