--- a/trefoilhook/placement/observation.py
+++ b/trefoilhook/placement/observation.py
@@ -130,10 +130,8 @@
 def _blend_residual(
     state: "ShardState", worker: WorkerState, errors: list[float]
 ) -> None:
-    if not errors:
-        return
     row = worker.slot
-    error = statistics.fmean(errors)
+    error = statistics.fmean(errors) if errors else 0.0
     old = float(state.table.residual[row])
     state.table.residual[row] = old + _RESIDUAL_BLEND * (error - old)
 
