--- a/trefoilhook/requests/coordination.py
+++ b/trefoilhook/requests/coordination.py
@@ -8,6 +8,7 @@
 from trefoilhook.exceptions import AnswerLostError, NotSentError, TrefoilhookError
 from trefoilhook.requests.dispatch import MarkSent, run_here
 from trefoilhook.requests.models import CallerAnswer, ExecutorTarget
+from trefoilhook.requests.retry import MOVED
 from trefoilhook.requests.routing import (
     Candidate,
     ReportedLoad,
@@ -25,7 +26,8 @@
 __all__ = ["coordinate"]
 
 _MS_PER_S = 1000.0
-_MOST_ATTEMPTS = 4
+_MOST_ATTEMPTS = 5
+_FIRST_WAIT_MS = 10.0
 _HIDDEN = frozenset(
     {
         ResultCode.NO_OWNER,
@@ -88,6 +90,7 @@
 ) -> CallerAnswer:
     tried = _Tried()
     answer = parts.refuse(ResultCode.NO_EXECUTOR)
+    wait_ms = _FIRST_WAIT_MS
     for _ in range(_MOST_ATTEMPTS):
         route = _choose(parts, work, tried)
         if route is None:
@@ -104,7 +107,12 @@
             work.service_name, answer.code, is_idempotent=work.is_idempotent
         ):
             return answer
-        if answer.code.outcome is Outcome.NOT_RUN:
+        if answer.code in MOVED:
+            # Guards against refusing requests because instances learn of a moved
+            # shard at different moments: each view is asked again a little later.
+            await parts.clock.sleep_ms(wait_ms)
+            wait_ms *= 2
+        elif answer.code.outcome is Outcome.NOT_RUN:
             tried.owner_ids.add(route.owner_id)
     return answer
 
--- a/trefoilhook/requests/core.py
+++ b/trefoilhook/requests/core.py
@@ -299,6 +299,9 @@
             return await self._key_owner.serve(
                 request, work=work, entry_id=request.entry_instance_id
             )
+        if parts.pool.get(request.executor_id) is None:
+            # The sender knows of a claim of this instance before the next tick here.
+            self._upkeep.sync()
         return await self._run_detached(work)
 
     async def _run_detached(self, work: Work) -> CallerAnswer:
--- a/trefoilhook/requests/retry.py
+++ b/trefoilhook/requests/retry.py
@@ -8,7 +8,7 @@
 from trefoilhook.requests.buckets import RetryBudget
 from trefoilhook.results import Outcome, ResultCode
 
-__all__ = ["HedgePolicy", "RetryPolicy", "is_elsewhere_useful"]
+__all__ = ["MOVED", "HedgePolicy", "RetryPolicy", "is_elsewhere_useful"]
 
 _LOWEST_US = 1
 _HIGHEST_US = 600_000_000
@@ -25,7 +25,7 @@
     }
 )
 # An owner that has just handed its executors over; retries of these add no load.
-_MOVED = frozenset({ResultCode.NO_OWNER, ResultCode.SHUTTING_DOWN})
+MOVED = frozenset({ResultCode.NO_OWNER, ResultCode.SHUTTING_DOWN})
 
 
 def is_elsewhere_useful(code: ResultCode) -> bool:
@@ -76,7 +76,7 @@
             return False
         if outcome is Outcome.NOT_RUN and not is_elsewhere_useful(code):
             return False
-        if code in _MOVED:
+        if code in MOVED:
             return True
         return self._get(service_name).take()
 
--- a/trefoilhook/requests/tests/test_takeover.py
+++ b/trefoilhook/requests/tests/test_takeover.py
@@ -203,11 +203,14 @@
         answers = []
 
         async def scenario(nursery):
+            await trio.sleep(0.05)  # between two ticks of the upkeep
             key = cluster.mint(owner="i0")
             shard_id = cluster.find_key_shard(key)
             owner = cluster.services["i0"]._key_owner
             table = owner._get_table(shard_id, 1)
             table.take_over(known_from_ms=0.0, records=[])
+            for executor in cluster.executors.values():
+                executor.run_ms = 1.0
             request = build_request(key)
             cluster.move_shard(shard_id, "i1")
             cluster.ownerships["i1"].since_wall_ms[shard_id] = 0.0
