--- /dev/null
+++ b/bench/throughput.py
@@ -0,0 +1,102 @@
+"""Requests a second that one instance carries, and its processor time a request.
+
+Run from the root of the repository: ``python -m bench.throughput``. First one instance
+in all roles, at growing concurrency. Then three instances with one role each: entry,
+owner of the keys, owner of the executors.
+"""
+
+import sys
+
+import numpy as np
+import trio
+
+from bench.system import CpuMeter, System, format_quantiles, run_system
+from trefoilhook.requests.keys import compute_executor_shard
+
+_SERVICE = "seat-check"
+_SERVICE_TIME_MS = 5.0
+_EXECUTORS = 12
+_DURATION_S = 4.0
+_IN_FLIGHT = (1, 4, 8, 12, 16, 24, 32)
+_ROLE_IN_FLIGHT = 12
+_US_PER_S = 1_000_000
+_ROLES = ("entry", "key owner", "executor owner")
+
+
+async def _measure_one(system: System) -> None:
+    for _ in range(2):
+        await system.add_executors(_SERVICE, _EXECUTORS)
+    await trio.sleep(2)
+    daemon = system.daemons[0]
+    meter = CpuMeter(pid=daemon.process.pid)
+    base_p99_ms = None
+    print("one instance in all roles")
+    print("in flight      rate   CPU us      p50      p99  answers")
+    for in_flight in _IN_FLIGHT:
+        order = system.build_order(
+            daemon, _SERVICE, callers=in_flight, duration_s=_DURATION_S, warm_up_s=0.0
+        )
+        meter.start()
+        outcome = await system.call(order)
+        cpu_s = meter.read_s()
+        answered = len(outcome.latencies_ms)
+        p99_ms = float(np.percentile(outcome.latencies_ms, 99))
+        base_p99_ms = base_p99_ms or p99_ms
+        print(
+            f"{in_flight:>9} {answered / outcome.elapsed_s:>9.0f}"
+            f" {cpu_s / answered * _US_PER_S:>8.0f}"
+            f" {format_quantiles(outcome.latencies_ms)}"
+            f"  p99 x {p99_ms / base_p99_ms:.2f}",
+            flush=True,
+        )
+        if set(outcome.codes) != {"OK"}:
+            print("  codes:", outcome.codes)
+
+
+def _name_executors(shards: list[str], *, shard_count: int) -> list[str]:
+    """Return names of executors that hash to the given shards."""
+    names = []
+    number = 0
+    while len(names) < 2 * _EXECUTORS:
+        name = f"{_SERVICE}-{number}"
+        number += 1
+        if compute_executor_shard(name, shard_count=shard_count) in shards:
+            names.append(name)
+    return names
+
+
+async def _measure_roles(system: System) -> None:
+    entry, key_owner, executor_owner = system.daemons
+    shard_count = system.platform.settings.requests.shard_count
+    names = _name_executors(
+        await system.list_shards(executor_owner), shard_count=shard_count
+    )
+    for part in (names[:_EXECUTORS], names[_EXECUTORS:]):
+        await system.add_executors(_SERVICE, _EXECUTORS, names=part)
+    await trio.sleep(3)
+    order = system.build_order(
+        entry,
+        _SERVICE,
+        callers=_ROLE_IN_FLIGHT,
+        duration_s=2 * _DURATION_S,
+        warm_up_s=0.0,
+        shards=await system.list_shards(key_owner),
+    )
+    meters = [CpuMeter(pid=d.process.pid) for d in system.daemons]
+    for meter in meters:
+        meter.start()
+    outcome = await system.call(order)
+    answered = len(outcome.latencies_ms)
+    rate = answered / outcome.elapsed_s
+    print(f"\none role an instance, {_ROLE_IN_FLIGHT} in flight, {rate:.0f} requests/s")
+    print("p50, p99, answers:", format_quantiles(outcome.latencies_ms), outcome.codes)
+    for role, meter in zip(_ROLES, meters, strict=True):
+        print(f"{role:>15} {meter.read_s() / answered * _US_PER_S:>6.0f} us a request")
+
+
+if __name__ == "__main__":
+    which = sys.argv[1:]
+    if not which or "one" in which:
+        run_system(_measure_one, daemons=1, service_time_ms=_SERVICE_TIME_MS)
+    if not which or "roles" in which:
+        run_system(_measure_roles, daemons=3, service_time_ms=_SERVICE_TIME_MS)
