--- a/trefoilhook/shards/core.py
+++ b/trefoilhook/shards/core.py
@@ -92,6 +92,9 @@
     unmet: tuple[PreviousOwner, ...] = ()
 
 
+_UNCLAIMED = ShardRow()
+
+
 @attrs.frozen(kw_only=True)
 class ShardTable:
     """All rows, by shard name.
@@ -109,7 +112,7 @@
 
     def get_row(self, shard_id: str) -> ShardRow:
         """Return a shard's row; an empty one when nobody ever claimed it."""
-        return self.rows.get(shard_id, ShardRow())
+        return self.rows.get(shard_id) or _UNCLAIMED
 
 
 def name_shard(kind: ShardKind, index: int) -> str:
