Tell peers the executors' loads only when there is news

Nine idle instances spent most of their processor time on summaries every 200 ms that said nothing new. A summary goes out again when it differs, when requests were run in between (peers add what they sent since to it), or when the last one is about to grow old. Shares of quotas are counted each second, not at each look at executors.

--- a/trefoilhook/requests/slots.py
+++ b/trefoilhook/requests/slots.py
@@ -88,6 +88,11 @@
     _quiet_at_ms: float = attrs.field(default=0.0, init=False)
     _quiet_wait_ms: float = attrs.field(default=_QUIET_FIRST_MS, init=False)
 
+    @property
+    def started(self) -> int:
+        """Number of requests started from here so far."""
+        return self._started
+
     def count_in_use(self, now_ms: float) -> int:
         """Return the slots that may be in use, with the one kept back."""
         held = 1 if now_ms < self.held_until_ms else 0
--- a/trefoilhook/requests/upkeep.py
+++ b/trefoilhook/requests/upkeep.py
@@ -15,6 +15,9 @@
 
 __all__ = ["Upkeep"]
 
+_REFRESH_SHARE = 0.7
+_SHARE_INTERVAL_MS = 1_000.0
+
 
 @attrs.frozen(kw_only=True)
 class _HandedSlots:
@@ -24,6 +27,19 @@
     in_use: dict[str, int]
 
 
+@attrs.frozen(kw_only=True)
+class _Told:
+    """The newest summary that a peer was sent."""
+
+    message: ExecutorLoads
+    started: int
+    told_ms: float
+
+    def tells_all(self, message: ExecutorLoads, started: int) -> bool:
+        """Tell whether a summary would be no news."""
+        return self.started == started and self.message == message
+
+
 @attrs.define(kw_only=True, eq=False)
 class Upkeep:
     """Keeps the executors owned here in step with the shards and the instance list.
@@ -43,6 +59,8 @@
     list_peers: Callable[[], Sequence[str]]
     share: float = 1.0
     _handed: dict[str, _HandedSlots] = attrs.field(factory=dict, init=False)
+    _told: dict[str, _Told] = attrs.field(factory=dict, init=False)
+    _share_at_ms: float = attrs.field(default=-math.inf, init=False)
     _retired: list[OwnedExecutor] = attrs.field(factory=list, init=False)
 
     async def run(self) -> None:
@@ -107,10 +125,29 @@
                 each.slots.held_until_ms = -math.inf
 
     def tell_loads(self) -> None:
-        """Send one summary to each peer."""
+        """Send a summary to each peer that has not got this one lately.
+
+        An idle instance would otherwise spend most of its time on telling and reading
+        that nothing has changed. A summary that looks like the one before is news
+        all the same when requests were run in between: the peers add what they have
+        sent since to it.
+        """
         message = ExecutorLoads(loads=[self._describe(each) for each in self._list()])
-        for peer_id in self.list_peers():
-            self.parts.inner.tell(peer_id, message)
+        started = sum(each.slots.started for each in self._list())
+        now_ms = self.parts.clock.monotonic_ms()
+        again_ms = now_ms - _REFRESH_SHARE * self.parts.settings.loads_age_ms
+        peer_ids = set(self.list_peers())
+        for peer_id in self._told.keys() - peer_ids:
+            del self._told[peer_id]
+        for peer_id in peer_ids:
+            told = self._told.get(peer_id)
+            is_fresh = told is not None and told.told_ms > again_ms
+            if told is not None and is_fresh and told.tells_all(message, started):
+                continue
+            if self.parts.inner.tell(peer_id, message):
+                self._told[peer_id] = _Told(
+                    message=message, started=started, told_ms=now_ms
+                )
 
     def hear_loads(self, sender_id: str, message: ExecutorLoads) -> None:
         """Take in a peer's summary."""
@@ -192,6 +229,10 @@
                 await each.link.close()
 
     def _count_share(self) -> None:
+        now_ms = self.parts.clock.monotonic_ms()
+        if now_ms - self._share_at_ms < _SHARE_INTERVAL_MS:
+            return
+        self._share_at_ms = now_ms
         count = self.parts.settings.shard_count
         owns = self.parts.ownership.owns
         owned = sum(
