--- /dev/null
+++ b/bench/capacity/shard.py
@@ -0,0 +1,229 @@
+"""Decisions and bookkeeping of the owner of one worker shard."""
+
+import tracemalloc
+
+import numpy as np
+
+from bench.capacity.fit import Slope, fit_line, time_call
+from trefoilhook.instances import WorkerRecord
+from trefoilhook.jobs import JobBook
+from trefoilhook.jobs.core import JobState
+from trefoilhook.jobs.messages import TaskNews, TaskRef, TaskStatus
+from trefoilhook.jobs.planner import place_waiting, react_to_reports
+from trefoilhook.jobs.tests.shard import build_spec
+from trefoilhook.placement import (
+    LATENCY_FIRST,
+    Resources,
+    TaskUsage,
+    UsageReport,
+    WorkerShape,
+)
+from trefoilhook.workers import Resources as WorkerResources
+
+__all__ = ["build_records", "measure_book"]
+
+WORKERS = (100, 200, 400, 800)
+JOBS = (1_000, 2_000, 4_000, 8_000)
+_TASKS_A_WORKER = 8
+_BATCH = 200
+_CORES = 32.0
+_MEMORY_BYTES = 125_000_000_000
+_WALL_MS = 1.75e12
+_ROLE = "worker shard"
+
+
+def build_records(count: int) -> tuple[WorkerRecord, ...]:
+    """Build what the instance list says of some workers, eight to a rack."""
+    return tuple(
+        WorkerRecord(
+            worker_id=f"w-{number:05d}",
+            rack=f"rack-{number // 8:04d}",
+            failure_domain=f"fd-{number % 23:02d}",
+            host="127.0.0.1",
+            port=10_000 + number,
+            capacity=WorkerResources(cores=_CORES, memory_bytes=_MEMORY_BYTES),
+        )
+        for number in range(count)
+    )
+
+
+class _Shard:
+    """A book with workers, and the calls that the shard's task makes on it."""
+
+    def __init__(self, *, workers):
+        self.book = JobBook(epoch=1)
+        self.generator = np.random.default_rng(1)
+        self.now_ms = 0.0
+        self.count = 0
+        capacity = Resources(cores=_CORES, memory_bytes=_MEMORY_BYTES, accelerators=0)
+        for number in range(workers):
+            shape = WorkerShape(
+                worker_id=f"w-{number:05d}",
+                rack=f"rack-{number // 8:04d}",
+                failure_domain=f"fd-{number % 23:02d}",
+                capacity=capacity,
+            )
+            self.book.placement.add_worker(shape)
+
+    def submit(self, count, **changes):
+        specs = []
+        for _ in range(count):
+            self.count += 1
+            team = f"team-{self.count % 16}"
+            spec = build_spec(f"job-{self.count:08d}", team=team, **changes)
+            self.book.accept(spec)
+            specs.append(spec)
+        return specs
+
+    def place(self):
+        self.now_ms += 50.0
+        place_waiting(
+            self.book,
+            now_ms=self.now_ms,
+            wall_ms=_WALL_MS + self.now_ms,
+            generator=self.generator,
+            policy=LATENCY_FIRST,
+            limit=256,
+        )
+
+    def tell(self, orders, status):
+        for batch in orders.values():
+            for order in batch:
+                self.book.apply_news(
+                    TaskNews(ref=order.ref, status=status),
+                    now_ms=self.now_ms,
+                    wall_ms=_WALL_MS,
+                )
+
+    def record(self):
+        commits = self.book.take_commits()
+        self.book.confirm(commits)
+        self.book.take_orders()
+
+    def fill(self, tasks):
+        left = tasks
+        while left > 0:
+            self.submit(min(left, _BATCH))
+            self.place()
+            self.tell(self.book.take_orders(), TaskStatus.RUNNING)
+            left -= _BATCH
+        self.record()
+
+
+def _time_life(workers):
+    """Time the life of a job: accepted, placed, running, finished, recorded."""
+    shard = _Shard(workers=workers)
+    shard.fill(workers * _TASKS_A_WORKER)
+
+    def live():
+        specs = shard.submit(_BATCH)
+        shard.place()
+        orders = shard.book.take_orders()
+        shard.tell(orders, TaskStatus.RUNNING)
+        shard.tell(orders, TaskStatus.FINISHED)
+        shard.record()
+        for spec in specs:
+            assert shard.book.jobs.pop(spec.job_id).state is JobState.ENDED
+
+    return time_call(live, least_s=0.6) / _BATCH
+
+
+def _time_step(jobs):
+    """Time a step that finds nothing to place."""
+    shard = _Shard(workers=jobs // _TASKS_A_WORKER)
+    shard.fill(jobs)
+    return time_call(shard.place)
+
+
+def _time_queue(jobs):
+    """Time a step while many jobs wait that no worker has room for."""
+    shard = _Shard(workers=200)
+    shard.fill(200 * int(_CORES))
+    shard.submit(jobs)
+    return time_call(shard.place, least_s=0.3)
+
+
+def _time_reports(workers):
+    """Time the taking in of a usage report of every worker, and the reactions."""
+    shard = _Shard(workers=workers)
+    shard.fill(workers * _TASKS_A_WORKER)
+
+    def report():
+        shard.now_ms += 1_000.0
+        for worker_id, worker in shard.book.placement.workers.items():
+            usage = tuple(
+                TaskUsage(task_id=task_id, used=task.shape.resources)
+                for task_id, task in worker.residents.items()
+            )
+            shard.book.placement.observe_usage(
+                UsageReport(
+                    worker_id=worker_id,
+                    measured_at_ms=shard.now_ms - 5_000.0,
+                    usage=usage,
+                    slowdowns=(),
+                ),
+                shard.now_ms,
+            )
+        react_to_reports(shard.book, shard.now_ms, LATENCY_FIRST)
+
+    return time_call(report, least_s=0.3)
+
+
+def _time_takeover(workers):
+    """Time the taking in of all workers' inventories by a new owner."""
+    shard = _Shard(workers=workers)
+    shard.fill(workers * _TASKS_A_WORKER)
+    by_worker: dict[str, list[TaskNews]] = {}
+    for job in shard.book.jobs.values():
+        ref = TaskRef(
+            worker_id=job.worker_id, job_id=job.spec.job_id, attempt=job.attempt
+        )
+        news = TaskNews(ref=ref, status=TaskStatus.RUNNING)
+        by_worker.setdefault(job.worker_id, []).append(news)
+
+    def take_over():
+        for worker_id, news in by_worker.items():
+            shard.book.apply_inventory(worker_id, news, now_ms=0.0, wall_ms=_WALL_MS)
+
+    return time_call(take_over, least_s=0.3)
+
+
+def _measure_bytes(jobs):
+    tracemalloc.start()
+    shard = _Shard(workers=jobs // _TASKS_A_WORKER)
+    before, _ = tracemalloc.get_traced_memory()
+    shard.fill(jobs)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return after - before
+
+
+def measure_book() -> list[Slope]:
+    """Time the book and the placement over workers, jobs and waiting jobs."""
+    rows = (
+        ("life", "a job from accepted to recorded", "jobs.book, placement", "workers",
+         "us a job", WORKERS, _time_life),
+        ("step", "a step with nothing to place", "jobs.planner", "jobs in the book",
+         "us", JOBS, _time_step),
+        ("queue", "a step over jobs that wait", "placement.queue", "waiting jobs",
+         "us", JOBS, _time_queue),
+        ("reports", "a usage report of every worker", "placement.observation",
+         "workers", "us", WORKERS, _time_reports),
+        ("takeover", "inventories taken in after a takeover", "jobs.book", "workers",
+         "us", WORKERS, _time_takeover),
+        ("task_bytes", "memory of the tasks", "jobs.book, placement.records", "tasks",
+         "bytes", JOBS[:3], _measure_bytes),
+    )  # fmt: skip
+    return [
+        fit_line(
+            key=key,
+            role=_ROLE,
+            what=what,
+            module=module,
+            axis=axis,
+            unit=unit,
+            sizes=sizes,
+            values=[measure(size) for size in sizes],
+        )
+        for key, what, module, axis, unit, sizes, measure in rows
+    ]
