--- a/trefoilhook/requests/settings.py
+++ b/trefoilhook/requests/settings.py
@@ -19,8 +19,14 @@
     clock_skew_ms: float = declare(
         default=500.0,
         unit="ms",
-        description="How far any instance's wall clock may be from true time, steps "
-        "included.",
+        description="How far the wall clocks of any two instances may be apart, "
+        "steps included.",
+    )
+    key_ahead_ms: float = declare(
+        default=500.0,
+        unit="ms",
+        description="How far the time in a key may lie ahead of its owner's wall "
+        "clock.",
     )
     key_age_ms: float = declare(
         default=600_000.0,
@@ -96,7 +102,7 @@
         "idle connections.",
     )
     loads_interval_ms: float = declare(
-        default=200.0,
+        default=100.0,
         unit="ms",
         description="Time between two summaries of executors' loads.",
     )
