Do the work for each worker, step and change without looking at everything

Three costs grew with the square of the fleet; the measured lines showed them.

The listing is the same object until it is read anew, so it is split once.

A cache of the members by mirror entry was ruled out: the pure function of the value needs no invalidation. Each guard's removal turns its test red.

--- a/bench/capacity/shard.py
+++ b/bench/capacity/shard.py
@@ -29,6 +29,7 @@
 _CORES = 32.0
 _MEMORY_BYTES = 125_000_000_000
 _WALL_MS = 1.75e12
+_QUOTA = Resources(cores=1e9, memory_bytes=1 << 60, accelerators=0)
 _ROLE = "worker shard"
 
 
@@ -83,6 +84,7 @@
             wall_ms=_WALL_MS + self.now_ms,
             generator=self.generator,
             policy=LATENCY_FIRST,
+            find_quota=lambda team: _QUOTA,
             limit=256,
         )
 
--- a/trefoilhook/jobs/book.py
+++ b/trefoilhook/jobs/book.py
@@ -59,6 +59,9 @@
     )
     _commits: list[Commit] = attrs.field(factory=list)
     _unrecorded: set[TaskRef] = attrs.field(factory=set)
+    # Jobs by the worker of their active attempt: after a takeover every worker asks for
+    # its own, which over all jobs would grow with the square of the shard.
+    _placed: dict[str, dict[str, None]] = attrs.field(factory=dict)
 
     def restore(self, records: Iterable[JobRecord]) -> None:
         """Take over what the journal holds.
@@ -91,7 +94,7 @@
         """Give a number to a new attempt of a job at a worker."""
         self._sequence += 1
         job.attempt = Attempt(epoch=self.epoch, sequence=self._sequence)
-        job.worker_id = worker_id
+        self._note_place(job, worker_id)
         job.state = JobState.STARTING
         return TaskRef(worker_id=worker_id, job_id=job.spec.job_id, attempt=job.attempt)
 
@@ -153,9 +156,8 @@
         for item in named:
             self.apply_news(item, now_ms=now_ms, wall_ms=wall_ms)
         present = {item.ref.job_id for item in named}
-        for job in list(self.jobs.values()):
-            is_here = job.is_active and job.worker_id == worker_id
-            if is_here and job.spec.job_id not in present:
+        for job in self._list_active(worker_id):
+            if job.spec.job_id not in present:
                 self._lose(job, now_ms=now_ms, wall_ms=wall_ms)
 
     def apply_news(self, news: TaskNews, *, now_ms: float, wall_ms: float) -> None:
@@ -183,9 +185,8 @@
 
     def lose_worker(self, worker_id: str, *, now_ms: float, wall_ms: float) -> None:
         """Give up on a worker whose leases have surely lapsed: its tasks stopped."""
-        for job in list(self.jobs.values()):
-            if job.is_active and job.worker_id == worker_id:
-                self._lose(job, now_ms=now_ms, wall_ms=wall_ms)
+        for job in self._list_active(worker_id):
+            self._lose(job, now_ms=now_ms, wall_ms=wall_ms)
 
     def release_held(self, wall_ms: float) -> None:
         """Free jobs that no worker named, once none can be running them."""
@@ -288,7 +289,7 @@
             self._free(job, now_ms, StopOutcome.LOST)
         is_new = not job.is_active
         job.attempt = ref.attempt
-        job.worker_id = ref.worker_id
+        self._note_place(job, ref.worker_id)
         if job.state is not JobState.STOPPING:
             job.state = JobState.RUNNING
         if is_new and ref.job_id not in self.placement.tasks:
@@ -383,7 +384,20 @@
             self.placement.begin_stop(ref.job_id)
         self._order(OrderKind.STOP, ref)
 
+    def _note_place(self, job: Job, worker_id: str) -> None:
+        job.worker_id = worker_id
+        self._placed.setdefault(worker_id, {})[job.spec.job_id] = None
+
+    def _list_active(self, worker_id: str) -> list[Job]:
+        """Return the jobs whose active attempt is at a worker."""
+        return [self.jobs[job_id] for job_id in self._placed.get(worker_id, ())]
+
     def _free(self, job: Job, now_ms: float, outcome: StopOutcome) -> None:
+        placed = self._placed.get(job.worker_id)
+        if placed is not None:
+            placed.pop(job.spec.job_id, None)
+            if not placed:
+                del self._placed[job.worker_id]
         if job.spec.job_id in self.placement.tasks:
             self.placement.confirm_stopped(job.spec.job_id, now_ms, outcome)
 
--- a/trefoilhook/jobs/service.py
+++ b/trefoilhook/jobs/service.py
@@ -24,6 +24,7 @@
 from trefoilhook.jobs.book import JobBook
 from trefoilhook.jobs.core import Job, JobSpec, JobState
 from trefoilhook.jobs.journal import JobJournal
+from trefoilhook.jobs.listing import WorkerSplit
 from trefoilhook.jobs.messages import WorkerAddress
 from trefoilhook.jobs.quotas import FindQuota, split_quota
 from trefoilhook.jobs.runner import ShardRunner
@@ -102,6 +103,7 @@
         self._clock = clock
         self._settings = settings
         self._shards = shards
+        self._split = WorkerSplit(shards=shards)
         self._runners: dict[str, ShardRunner] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._changes = ownership.subscribe()
@@ -214,12 +216,7 @@
         return quota and split_quota(quota, self._shards.worker_shards)
 
     def _list_shard_workers(self, shard_id: str) -> Sequence[WorkerRecord]:
-        return [
-            record
-            for record in self._list_workers()
-            if find_shard(ShardKind.WORKER, record.rack.encode(), self._shards)
-            == shard_id
-        ]
+        return self._split.select(self._list_workers(), shard_id)
 
     async def _ask(
         self, shard_id: str, message: JobSubmit | JobQuery | JobCancel
--- /dev/null
+++ b/trefoilhook/jobs/tests/test_growth.py
@@ -0,0 +1,106 @@
+"""What must not grow with the square of a shard, and stays right without it."""
+
+import unittest
+
+from trefoilhook.instances import WorkerRecord
+from trefoilhook.jobs import JobBook, JobState
+from trefoilhook.jobs.listing import WorkerSplit
+from trefoilhook.jobs.messages import TaskNews, TaskStatus
+from trefoilhook.jobs.tests.shard import CAPACITY, build_spec
+from trefoilhook.placement import Resources, WorkerShape
+from trefoilhook.settings import ShardSettings
+
+_SHARDS = ShardSettings(request_shards=1, worker_shards=4)
+_TIMES = {"now_ms": 0.0, "wall_ms": 0.0}
+
+
+class _CountedList(tuple):
+    readings = 0
+
+    def __iter__(self):
+        type(self).readings += 1
+        return super().__iter__()
+
+
+class _CountedJobs(dict):
+    def values(self):
+        raise AssertionError("all jobs are looked at for one worker")
+
+
+def _build_listing(racks: int) -> _CountedList:
+    return _CountedList(
+        WorkerRecord(
+            worker_id=f"w{number}",
+            rack=f"r{number}",
+            failure_domain="a",
+            host="127.0.0.1",
+            port=number + 1,
+            capacity=CAPACITY,
+        )
+        for number in range(racks)
+    )
+
+
+class GrowthTest(unittest.TestCase):
+    """Work that is done for each worker or each step."""
+
+    def test_one_listing_is_split_once_and_a_new_one_anew(self):
+        # Jobs start seconds late on a large fleet while nothing else is wrong: each
+        # step of each shard hashes the rack of every listed worker.
+        split = WorkerSplit(shards=_SHARDS)
+        listing = _build_listing(40)
+        _CountedList.readings = 0
+        parts = [split.select(listing, f"wrk-{n:03d}") for n in range(4)] * 5
+        self.assertEqual(_CountedList.readings, 1)
+        self.assertEqual({r for part in parts for r in part}, set(listing))
+        self.assertEqual(sum(map(len, parts)), 5 * 40)
+        fewer = _build_listing(3)
+        kept = {r for n in range(4) for r in split.select(fewer, f"wrk-{n:03d}")}
+        self.assertEqual(kept, set(fewer))
+
+    def test_a_worker_s_jobs_are_found_without_looking_at_all(self):
+        # A shard moves and its jobs stand still for seconds: each worker's inventory
+        # is compared with all jobs of the shard.
+        book = self._start_jobs()
+        book.jobs = _CountedJobs(book.jobs)
+        book.apply_inventory("w0", (), **_TIMES)
+        book.lose_worker("w1", **_TIMES)
+        states = {job_id: book.jobs[job_id].state for job_id in book.jobs}
+        queued = {job_id for job_id, s in states.items() if s is JobState.QUEUED}
+        self.assertEqual(queued, {"j0", "j1", "j3", "j4"})
+
+    def test_jobs_that_left_a_worker_are_not_lost_with_it(self):
+        # A job finished at a worker or moved to another; then the worker is lost. The
+        # job is started again although it is done or runs elsewhere.
+        book = self._start_jobs()
+        refs = [o.ref for orders in book.take_orders().values() for o in orders]
+        by_job = {ref.job_id: ref for ref in refs}
+        for name, status in (("j0", TaskStatus.FINISHED), ("j3", TaskStatus.REFUSED)):
+            book.apply_news(TaskNews(ref=by_job[name], status=status), **_TIMES)
+        spec = book.jobs["j3"].spec
+        book.placement.reserve(spec.build_shape(), "w2", 0.0)
+        book.start(book.jobs["j3"], "w2", 0.0)
+        book.lose_worker("w0", **_TIMES)
+        self.assertEqual(book.jobs["j0"].state, JobState.ENDED)
+        self.assertEqual(book.jobs["j3"].state, JobState.STARTING)
+        self.assertEqual(book.jobs["j3"].worker_id, "w2")
+
+    def _start_jobs(self) -> JobBook:
+        """Start six jobs, two on each of three workers."""
+        book = JobBook(epoch=1)
+        for number in range(3):
+            capacity = Resources(cores=4.0, memory_bytes=8_000, accelerators=0)
+            shape = WorkerShape(
+                worker_id=f"w{number}",
+                rack="r",
+                failure_domain="a",
+                capacity=capacity,
+            )
+            book.placement.add_worker(shape)
+        for number in range(6):
+            spec = build_spec(f"j{number}")
+            book.accept(spec)
+            worker_id = f"w{number % 3}"
+            book.placement.reserve(spec.build_shape(), worker_id, 0.0)
+            book.start(book.jobs[spec.job_id], worker_id, 0.0)
+        return book
--- a/trefoilhook/membership/members.py
+++ b/trefoilhook/membership/members.py
@@ -1,5 +1,6 @@
 """The record that each live instance keeps in the store, under its lease."""
 
+import functools
 import json
 from collections.abc import Iterable, Iterator
 
@@ -11,6 +12,7 @@
 __all__ = ["MEMBERS_PREFIX", "Member", "Members", "decode_members", "encode_member"]
 
 MEMBERS_PREFIX = "root/members/"
+_DECODED_RECORDS = 4_096
 
 
 @attrs.frozen(kw_only=True)
@@ -76,9 +78,20 @@
     for entry in entries:
         if not entry.key.startswith(MEMBERS_PREFIX):
             continue
-        try:
-            member = cattrs.structure(json.loads(entry.value), Member)
-        except (ValueError, cattrs.BaseValidationError):
-            continue
-        found[member.instance_id] = member
+        member = _decode_member(entry.value)
+        if member is not None:
+            found[member.instance_id] = member
     return Members(by_id=found, revision=revision)
+
+
+@functools.lru_cache(maxsize=_DECODED_RECORDS)
+def _decode_member(value: bytes) -> Member | None:
+    """Read one record; remembered, since few of many change at once.
+
+    Every change of any watched key, a team's configuration as well, is followed by a
+    reading of all members.
+    """
+    try:
+        return cattrs.structure(json.loads(value), Member)
+    except (ValueError, cattrs.BaseValidationError):
+        return None
