--- a/trefoilhook/jobs/tests/test_runner.py
+++ b/trefoilhook/jobs/tests/test_runner.py
@@ -289,6 +289,21 @@
 
         run_shard(scenario)
 
+    def test_job_that_fails_everywhere_is_given_up(self):
+        # A job fails wherever it runs. It is tried on a few sound workers and then
+        # told as one that can't run, in place of being started for ever.
+        async def scenario(shard: Shard) -> None:
+            for number in range(4):
+                shard.add_worker(f"x{number}")
+            owner = shard.start_owner("i0")
+            await shard.submit(owner, "j1", run_ms=1_000, is_failing=True)
+            await shard.sleep_s(60)
+            self._assert_ended(owner, "j1", ResultCode.IMPOSSIBLE_JOB)
+            self.assertLessEqual(len(shard.list_starts("j1")), 4)
+            self._check(shard)
+
+        run_shard(scenario)
+
     def test_black_hole_does_not_swallow_the_queue(self):
         # One worker fails whatever it starts, at once, and so always has room. The
         # jobs still end well, on the other worker.
