--- a/trefoilhook/shards/__init__.py
+++ b/trefoilhook/shards/__init__.py
@@ -13,7 +13,8 @@
     list_shards,
     name_shard,
 )
-from trefoilhook.shards.owner import Owner, Ownership, OwnershipChange
+from trefoilhook.shards.holdings import Owner, OwnershipChange
+from trefoilhook.shards.owner import Ownership
 from trefoilhook.shards.rights import Evidence, Rights, judge_rights
 
 __all__ = [
--- a/trefoilhook/shards/owner.py
+++ b/trefoilhook/shards/owner.py
@@ -14,17 +14,14 @@
     StoreError,
     TrefoilhookError,
 )
-from trefoilhook.inner import Call, InnerNode, PeerAddress, PeerState
-from trefoilhook.inner.messages_pb2 import AttestRequest, Empty, ShardHandover
+from trefoilhook.inner import Call, InnerNode, PeerState
+from trefoilhook.inner.messages_pb2 import Empty, ShardHandover
 from trefoilhook.logs import Event, log_event
 from trefoilhook.membership import (
     Member,
     Members,
     Membership,
-    MirrorEntry,
-    decode_members,
 )
-from trefoilhook.membership.members import MEMBERS_PREFIX
 from trefoilhook.settings import ShardSettings
 from trefoilhook.shards.claims import (
     ClaimPlan,
@@ -34,86 +31,27 @@
 )
 from trefoilhook.shards.core import (
     TABLE_KEY,
-    PreviousOwner,
     ShardRow,
     ShardTable,
     decode_table,
-    encode_table,
     list_shards,
 )
-from trefoilhook.shards.rights import Evidence, Rights, judge_rights
-from trefoilhook.store import StoreClient, build_nonce, swap_reading_back
+from trefoilhook.shards.holdings import Holding, Owner, OwnershipChange
+from trefoilhook.shards.inquiry import Inquiry
+from trefoilhook.shards.rights import Rights
+from trefoilhook.shards.tables import TableStore
+from trefoilhook.store import StoreClient
 
-__all__ = ["Owner", "Ownership", "OwnershipChange"]
+__all__ = ["Ownership"]
 
 _POLL_MS = 250.0
 _FIRST_EPOCH = 1
 _BACKOFF_RANGE_MS = (5.0, 40.0)
 _RELEASE_TIMEOUT_MS = 3_000.0
-_ATTEST_TIMEOUT_MS = 1_000.0
-_WRITE_TIMEOUT_MS = 2_000.0
 
 Releaser = Callable[[str, int], Awaitable[ShardHandover]]
 
 
-@attrs.frozen(kw_only=True)
-class Owner:
-    """Who owns a shard, as the mirror of the store says.
-
-    Parameters
-    ----------
-    instance_id : str
-        The owner.
-    epoch : int
-        Epoch of its claim.
-    """
-
-    instance_id: str
-    epoch: int
-
-
-@attrs.frozen(kw_only=True)
-class OwnershipChange:
-    """An instance may act for a shard from now on, or no longer.
-
-    Parameters
-    ----------
-    shard_id : str
-        The shard.
-    epoch : int
-        Epoch of the claim.
-    is_owned : bool
-        Whether the instance may act now.
-    handover : ShardHandover or None
-        What the previous owner passed on; None when it could not be asked.
-    rights : Rights
-        Why the instance may act.
-    """
-
-    shard_id: str
-    epoch: int
-    is_owned: bool
-    handover: ShardHandover | None = None
-    rights: Rights = Rights.NO_PREVIOUS_OWNER
-
-
-@attrs.define(kw_only=True)
-class _Holding:
-    """One shard that the table gives to this instance."""
-
-    row: ShardRow
-    claimed_at_ms: float
-    rights: Rights = Rights.WAIT
-    since_wall_ms: float = math.inf
-    is_releasing: bool = False
-    released: ShardHandover | None = None
-    attested: set[str] = attrs.field(factory=set)
-
-    @property
-    def is_active(self) -> bool:
-        return self.rights is not Rights.WAIT and not self.is_releasing
-
-
 class Ownership:
     """Ownership of shards by one instance.
 
@@ -144,13 +82,18 @@
         outage_limit_ms: float,
     ) -> None:
         self._membership = membership
-        self._store = store
+        self._tables = TableStore(store=store, clock=clock)
         self._inner = inner
         self._clock = clock
         self._shard_ids = list_shards(settings)
-        self._outage_limit_ms = outage_limit_ms
+        self._inquiry = Inquiry(
+            membership=membership,
+            inner=inner,
+            clock=clock,
+            outage_limit_ms=outage_limit_ms,
+        )
         self._table = ShardTable()
-        self._holdings: dict[str, _Holding] = {}
+        self._holdings: dict[str, Holding] = {}
         self._handovers: dict[str, ShardHandover] = {}
         self._subscribers: list[trio.MemorySendChannel[OwnershipChange]] = []
         self._releasers: list[Releaser] = []
@@ -267,7 +210,7 @@
         holding = self._holdings.get(shard_id)
         if holding is None:
             now_ms = self._clock.monotonic_ms()
-            self._holdings[shard_id] = _Holding(row=row, claimed_at_ms=now_ms)
+            self._holdings[shard_id] = Holding(row=row, claimed_at_ms=now_ms)
         else:
             holding.row = row
 
@@ -292,15 +235,8 @@
         """
         if self._plan(self._table, self._membership.members).is_empty:
             return
-        table = await self._fetch_table()
-        page = await self._store.list_entries(MEMBERS_PREFIX)
-        members = decode_members(
-            (
-                MirrorEntry(key=e.key, value=e.value, revision=e.revision)
-                for e in page.entries
-            ),
-            revision=page.revision,
-        )
+        table = await self._tables.fetch()
+        members = await self._tables.fetch_members()
         plan = self._plan(table, members)
         if plan.is_empty:
             return
@@ -323,23 +259,8 @@
             may_claim=self._membership.is_settled(),
         )
 
-    async def _fetch_table(self) -> ShardTable:
-        entry = await self._store.get(TABLE_KEY)
-        if entry is None:
-            return ShardTable()
-        return decode_table(entry.value, revision=entry.revision)
-
     async def _write_table(self, table: ShardTable) -> None:
-        value = encode_table(table, nonce=build_nonce())
-        revision = await swap_reading_back(
-            self._store,
-            TABLE_KEY,
-            value,
-            expected_revision=table.revision,
-            clock=self._clock,
-            timeout_ms=_WRITE_TIMEOUT_MS,
-        )
-        entry = MirrorEntry(key=TABLE_KEY, value=value, revision=revision)
+        entry = await self._tables.write(table)
         self._membership.follower.apply_own_write(entry)
         self._read_table()
 
@@ -440,15 +361,11 @@
             for shard_id, holding in self._holdings.items()
             if holding.rights is Rights.WAIT and not holding.is_releasing
         }
-        unmet = {o for h in waiting.values() for o in h.row.unmet}
-        self._membership.probe(
-            PeerAddress(instance_id=o.instance_id, host=o.host, port=o.port)
-            for o in sorted(unmet, key=lambda o: o.instance_id)
-        )
+        self._inquiry.probe(waiting.values())
         for shard_id, holding in waiting.items():
-            rights = self._judge(holding)
+            rights = self._inquiry.judge(holding)
             if rights is Rights.WAIT:
-                await self._ask_attests(holding)
+                await self._inquiry.ask_members(holding)
                 continue
             holding.rights = rights
             # Before the first claim of all there was nobody who could have acted.
@@ -458,47 +375,6 @@
             self._announce(shard_id, holding, handover=handover)
         await self._clear_unmet()
 
-    def _judge(self, holding: _Holding) -> Rights:
-        """Judge over all former owners; the weakest evidence decides."""
-        rights = Rights.NO_PREVIOUS_OWNER
-        for owner in holding.row.unmet:
-            rights = judge_rights(
-                self._gather(holding, owner), outage_limit_ms=self._outage_limit_ms
-            )
-            if rights is Rights.WAIT:
-                return rights
-        return rights
-
-    def _gather(self, holding: _Holding, owner: PreviousOwner) -> Evidence:
-        membership = self._membership
-        owner_id = owner.instance_id
-        return Evidence(
-            is_in_view=membership.is_unpromised_in_view_of(owner_id),
-            is_proved_dead=membership.is_proved_dead(owner_id),
-            is_attested=owner_id in holding.attested,
-            waited_ms=self._clock.monotonic_ms() - holding.claimed_at_ms,
-        )
-
-    async def _ask_attests(self, holding: _Holding) -> None:
-        me = self._membership.instance_id
-        for owner in holding.row.unmet:
-            for member in self._membership.members:
-                if member.instance_id not in (me, owner.instance_id):
-                    await self._ask_attest(holding, owner, member.instance_id)
-
-    async def _ask_attest(
-        self, holding: _Holding, owner: PreviousOwner, member_id: str
-    ) -> None:
-        request = AttestRequest(owner_instance_id=owner.instance_id)
-        try:
-            answer = await self._inner.call(
-                member_id, request, timeout_ms=_ATTEST_TIMEOUT_MS
-            )
-        except TrefoilhookError:
-            return
-        if getattr(answer, "is_unpromised", False):
-            holding.attested.add(owner.instance_id)
-
     async def _clear_unmet(self) -> None:
         """Write that former owners have stopped, so that no later claimer waits."""
         if not self._membership.is_settled():
@@ -527,7 +403,7 @@
     def _announce(
         self,
         shard_id: str,
-        holding: _Holding,
+        holding: Holding,
         *,
         is_owned: bool = True,
         handover: ShardHandover | None = None,
