Wake virtual watches by changes, and translate a refused rate

The watches of the virtual store looked each 20 ms, 450 times a virtual second with nine instances. A refused rate came through as a stand-in's own error; it is StoreRateError now, as the adapter's.

--- a/trefoilhook/standins/virtual.py
+++ b/trefoilhook/standins/virtual.py
@@ -20,6 +20,7 @@
     NotSentError,
     OutcomeError,
     StoreError,
+    StoreRateError,
     StoreUnavailableError,
     StoreUnsentError,
     TrefoilhookError,
@@ -33,7 +34,7 @@
 __all__ = ["VirtualLinks", "VirtualNode", "VirtualStore", "VirtualStoreClient"]
 
 _T = TypeVar("_T")
-_WATCH_STEP_MS = 20.0
+_WATCH_STEP_MS = 200.0
 _HEARTBEAT_MS = 500.0
 
 
@@ -58,6 +59,7 @@
     is_down: bool = False
     call_ms: float = 2.0
     state: StoreState = attrs.field(init=False)
+    changed: trio.Event = attrs.field(factory=trio.Event)
 
     def __attrs_post_init__(self) -> None:
         self.state = StoreState(
@@ -72,12 +74,26 @@
         StoreError
             What the adapter would raise for the refusal.
         """
-        self.state.expire_leases()
-        self.state.count_call(kind, is_write=kind not in ("get", "list", "watch"))
+        self.expire_leases()
+        before = self.state.revision
         try:
+            self.state.count_call(kind, is_write=kind not in ("get", "list", "watch"))
             return change(self.state)
         except RefusalError as refusal:
             raise _translate(refusal) from refusal
+        finally:
+            self._announce(before)
+
+    def expire_leases(self) -> None:
+        """Delete the leases that have lapsed, with their keys."""
+        before = self.state.revision
+        self.state.expire_leases()
+        self._announce(before)
+
+    def _announce(self, before: int) -> None:
+        if self.state.revision != before:
+            self.changed.set()
+            self.changed = trio.Event()
 
 
 def _translate(refusal: RefusalError) -> StoreError:
@@ -86,6 +102,8 @@
         return ConflictError("another revision is current", current=current)
     if refusal.status == 404:
         return LeaseLostError("the lease has lapsed")
+    if refusal.status == 429:
+        return StoreRateError("the store's rate is used up")
     return StoreError(refusal.error)
 
 
@@ -165,13 +183,15 @@
         deadline_ms = self.store.clock.monotonic_ms() + wait_ms
         await self._call("watch", lambda state: None)
         while True:
-            await self.store.clock.sleep_ms(_WATCH_STEP_MS)
+            # Leases lapse without a call; the step is how late a watch sees that.
+            with trio.move_on_after(_WATCH_STEP_MS / 1000.0):
+                await self.store.changed.wait()
             self._check_reachable()
             if self.is_watch_silent:
                 await self.store.clock.sleep_ms(wait_ms + self.timeout_ms)
                 raise StoreUnavailableError("the watch is silent")
+            self.store.expire_leases()
             state = self.store.state
-            state.expire_leases()
             batch = state.read_changes(prefix, after_revision=after_revision)
             if batch is not None:
                 return batch
