Look at the waiting jobs when something may have changed, not at each renewal

A shard's step looked at all its jobs after each event, and every worker's renewal is one. A job, or news of one, asks for a look; there is at most one in 20 ms.

Ruled out: an index of the waiting jobs in the book, since the state of a job is set in a dozen places; it would still leave the queue to be ordered at each step.

--- a/trefoilhook/jobs/runner.py
+++ b/trefoilhook/jobs/runner.py
@@ -26,6 +26,7 @@
     RecordKind,
     WorkerAddress,
 )
+from trefoilhook.jobs.pace import PlacementPace
 from trefoilhook.jobs.planner import explain_job, place_waiting, react_to_reports
 from trefoilhook.jobs.quotas import FindQuota
 from trefoilhook.jobs.sessions import (
@@ -132,6 +133,9 @@
         self._commit_wanted = trio.Event()
         self._work_wanted = trio.Event()
         self._reacted_ms = -settings.react_interval_ms
+        self._pace = PlacementPace(
+            least_ms=settings.least_pause_ms, most_ms=settings.tick_ms
+        )
         self._is_recovered = False
         self._nursery: trio.Nursery | None = None
         sender, receiver = trio.open_memory_channel[SessionEvent](_EVENTS_BUFFERED)
@@ -246,6 +250,15 @@
         self._follow_workers()
         self._recover()
         now_ms = self._clock.monotonic_ms()
+        if self._pace.take(now_ms):
+            self._place(now_ms)
+        if now_ms - self._reacted_ms >= self._settings.react_interval_ms:
+            self._reacted_ms = now_ms
+            react_to_reports(self.book, now_ms, self._policy())
+        self._send_orders()
+        self._collect_commits()
+
+    def _place(self, now_ms: float) -> None:
         place_waiting(
             self.book,
             now_ms=now_ms,
@@ -255,11 +268,6 @@
             find_quota=self._find_quota,
             limit=self._settings.max_placed_per_step,
         )
-        if now_ms - self._reacted_ms >= self._settings.react_interval_ms:
-            self._reacted_ms = now_ms
-            react_to_reports(self.book, now_ms, self._policy())
-        self._send_orders()
-        self._collect_commits()
 
     def _drain_events(self) -> None:
         while True:
@@ -271,6 +279,8 @@
 
     def _take_event(self, event: SessionEvent) -> None:
         now_ms, wall_ms = self._clock.monotonic_ms(), self._clock.wall_ms()
+        if not isinstance(event, NewsHeard) or event.news:
+            self._pace.want()
         if isinstance(event, WorkerLapsed):
             self.book.lose_worker(event.worker_id, now_ms=now_ms, wall_ms=wall_ms)
             self._withdraw(event.worker_id)
@@ -359,6 +369,7 @@
         if self._is_recovered or self._unheard:
             return
         self._is_recovered = True
+        self._pace.want()
         self.book.release_held(self._clock.wall_ms())
 
     def _find_record(self, worker_id: str) -> WorkerRecord | None:
@@ -396,6 +407,7 @@
             self._commit_wanted.set()
 
     def _wake(self) -> None:
+        self._pace.want()
         self._work_wanted.set()
 
     async def _keep_committing(self) -> None:
--- a/trefoilhook/jobs/settings.py
+++ b/trefoilhook/jobs/settings.py
@@ -39,6 +39,11 @@
         unit="ms",
         description="Longest pause of a shard's task.",
     )
+    least_pause_ms: float = declare(
+        default=20.0,
+        unit="ms",
+        description="Least pause between two looks at the waiting jobs.",
+    )
     react_interval_ms: float = declare(
         default=1_000.0,
         unit="ms",
--- a/trefoilhook/jobs/tests/test_growth.py
+++ b/trefoilhook/jobs/tests/test_growth.py
@@ -1,12 +1,20 @@
 """What must not grow with the square of a shard, and stays right without it."""
 
 import unittest
+from unittest import mock
 
 from trefoilhook.instances import WorkerRecord
-from trefoilhook.jobs import JobBook, JobState
+from trefoilhook.jobs import JobBook, JobState, runner
 from trefoilhook.jobs.listing import WorkerSplit
 from trefoilhook.jobs.messages import TaskNews, TaskStatus
-from trefoilhook.jobs.tests.shard import CAPACITY, build_spec
+from trefoilhook.jobs.pace import PlacementPace
+from trefoilhook.jobs.tests.shard import (
+    CAPACITY,
+    SETTINGS,
+    Shard,
+    build_spec,
+    run_shard,
+)
 from trefoilhook.placement import Resources, WorkerShape
 from trefoilhook.settings import ShardSettings
 
@@ -85,6 +93,40 @@
         self.assertEqual(book.jobs["j3"].state, JobState.STARTING)
         self.assertEqual(book.jobs["j3"].worker_id, "w2")
 
+    def test_pace(self):
+        cases = (
+            # at which times a look is wanted, asked for; which of them are granted
+            ((), (0, 50, 99, 100, 150, 200), [0, 100, 200]),
+            ((5,), (0, 5, 19, 20, 60, 120), [0, 20, 120]),
+            ((30, 31, 32), (0, 30, 31, 32, 50, 90), [0, 30, 50]),
+        )
+        for wanted, asked, granted in cases:
+            with self.subTest(wanted=wanted):
+                pace = PlacementPace(least_ms=20.0, most_ms=100.0)
+                taken = []
+                for now_ms in asked:
+                    if now_ms in wanted:
+                        pace.want()
+                    if pace.take(now_ms):
+                        taken.append(now_ms)
+                self.assertEqual(taken, granted)
+
+    def test_renewals_alone_do_not_bring_looks_at_the_queue(self):
+        # An instance that owns a large shard answers slowly although no job starts or
+        # ends: each worker's renewal is followed by a look at all jobs.
+        async def scenario(shard: Shard) -> None:
+            shard.start_owner("i0")
+            for number in range(2, 60):
+                shard.add_worker(f"w{number}")
+                await shard.sleep_s(0.117)
+            await shard.sleep_s(5)
+            with mock.patch.object(runner, "place_waiting") as place:
+                await shard.sleep_s(10)
+            ticks = 10_000 / SETTINGS.tick_ms
+            self.assertLessEqual(place.call_count, ticks + 1)
+
+        run_shard(scenario)
+
     def _start_jobs(self) -> JobBook:
         """Start six jobs, two on each of three workers."""
         book = JobBook(epoch=1)
