--- a/bench/placement_driver.py
+++ b/bench/placement_driver.py
@@ -296,7 +296,10 @@
             kind = reaction.kind
             if kind in (ReactionKind.THROTTLE, ReactionKind.UNTHROTTLE):
                 self.throttles += kind is ReactionKind.THROTTLE
-                self.world.speed[self.world.tasks[reaction.task_id]] = reaction.speed
+                # The worker may be down, unknown to the shard: the command is lost.
+                slot = self.world.tasks.get(reaction.task_id)
+                if slot is not None:
+                    self.world.speed[slot] = reaction.speed
             elif kind in (ReactionKind.CHECKPOINT_EVICT, ReactionKind.MOVE):
                 self.evicted += 1
                 self.checkpoint(reaction.task_id)
