Take an executor in when a request follows it to its new owner

A new owner of a shard looked at its executors every 100 ms only: a request sent to it in between was refused with NO_EXECUTOR though it had come to the right one. The owner now looks when such a request comes.

--- a/trefoilhook/requests/core.py
+++ b/trefoilhook/requests/core.py
@@ -307,6 +307,7 @@
             return await self._key_owner.serve(
                 request, work=work, entry_id=request.entry_instance_id
             )
+        self._upkeep.take_in(request.executor_id)
         return await self._run_detached(work)
 
     async def _run_detached(self, work: Work) -> CallerAnswer:
--- a/trefoilhook/requests/upkeep.py
+++ b/trefoilhook/requests/upkeep.py
@@ -95,6 +95,20 @@
             if each.target.executor_id not in listed:
                 self._retire(each.target.executor_id)
 
+    def take_in(self, executor_id: str) -> None:
+        """Begin to count an executor's slots at once, if it is owned here by now.
+
+        Guards against a request that follows an executor to its new owner and gets
+        there before the owner has looked at its shards: it would be refused, though
+        this owner is the right one, until the next look.
+        """
+        parts = self.parts
+        if parts.pool.get(executor_id) is not None:
+            return
+        if parts.ownership.owns(parts.get_executor_shard(executor_id)) is not None:
+            self.sync()
+            self._start_probes()
+
     def take_handed_over(
         self, shard_id: str, *, epoch: int, in_use: dict[str, int]
     ) -> None:
