Part the shard's outbox, replay and commits from its book and its task

Resources stood twice, for placement and for workers, with a copy between them: one class now. Found on the way: the bound on remembered ended jobs was declared and not kept; an owner kept every job that it ever ran.

--- a/bench/latency.py
+++ b/bench/latency.py
@@ -81,7 +81,7 @@
         shards=own,
     )
     own_outcome = await system.call(own_order)
-    print(f"way                             p50      p99  answers")
+    print("way                             p50      p99  answers")
     print(f"executor alone             {format_quantiles(direct_ms)}")
     print(f"key owned by the entry     {format_quantiles(own_outcome.latencies_ms)}")
     print(f"any key                    {format_quantiles(outcome.latencies_ms)}")
--- a/trefoilhook/jobs/book.py
+++ b/trefoilhook/jobs/book.py
@@ -4,7 +4,7 @@
 for workers and records for the journal to be fetched. The shard's task owns it.
 """
 
-from collections import defaultdict
+from collections import deque
 from collections.abc import Iterable
 
 import attrs
@@ -21,6 +21,8 @@
     TaskStatus,
     WorkerAddress,
 )
+from trefoilhook.jobs.outbox import Outbox
+from trefoilhook.jobs.replay import replay_record
 from trefoilhook.placement import ShardState, StopOutcome
 from trefoilhook.results import ResultCode
 
@@ -43,6 +45,8 @@
         Jobs by id, ended ones included for as long as the journal keeps them.
     workers : dict of str to WorkerAddress
         Workers that may hold tasks of the shard, as the journal says.
+    kept_ended : int
+        Ended jobs that are remembered.
     starts, evictions : int
         Starts and evictions ordered since the claim.
     """
@@ -51,14 +55,12 @@
     placement: ShardState = attrs.field(factory=ShardState)
     jobs: dict[str, Job] = attrs.field(factory=dict)
     workers: dict[str, WorkerAddress] = attrs.field(factory=dict)
+    kept_ended: int = 10_000
     starts: int = 0
     evictions: int = 0
     _sequence: int = 0
-    _orders: dict[str, list[Order]] = attrs.field(
-        factory=lambda: defaultdict(list[Order])
-    )
-    _commits: list[Commit] = attrs.field(factory=list)
-    _unrecorded: set[TaskRef] = attrs.field(factory=set)
+    _outbox: Outbox = attrs.field(factory=Outbox)
+    _ended: deque[str] = attrs.field(factory=deque)
     # Jobs by the worker of their active attempt: after a takeover every worker asks for
     # its own, which over all jobs would grow with the square of the shard.
     _placed: dict[str, dict[str, None]] = attrs.field(factory=dict)
@@ -70,7 +72,10 @@
         the workers have not been asked yet.
         """
         for record in records:
-            self._replay(record)
+            replay_record(record, jobs=self.jobs, workers=self.workers)
+        self._ended.extend(
+            job_id for job_id, job in self.jobs.items() if job.state is JobState.ENDED
+        )
 
     def accept(self, spec: JobSpec) -> None:
         """Queue a job whose acceptance has been committed."""
@@ -85,10 +90,10 @@
         if job.state is JobState.QUEUED:
             self._end_cancelled(job, wall_ms)
         elif job.is_active:
-            self._commit(JobRecord(kind=RecordKind.CANCELLED, job_id=job_id))
+            self._outbox.record(JobRecord(kind=RecordKind.CANCELLED, job_id=job_id))
             self._stop(job, now_ms)
         else:
-            self._commit(JobRecord(kind=RecordKind.CANCELLED, job_id=job_id))
+            self._outbox.record(JobRecord(kind=RecordKind.CANCELLED, job_id=job_id))
 
     def number_attempt(self, job: Job, worker_id: str) -> TaskRef:
         """Give a number to a new attempt of a job at a worker."""
@@ -112,7 +117,7 @@
             kind=OrderKind.START, ref=ref, spec=job.spec, checkpoint=job.checkpoint
         )
         if job.spec.is_idempotent:
-            self._orders[worker_id].append(order)
+            self._outbox.send(order)
             return
         job.is_start_recorded = True
         record = JobRecord(
@@ -122,7 +127,7 @@
             worker_id=worker_id,
             at_ms=wall_ms,
         )
-        self._commits.append(Commit(record=record, orders=(order,)))
+        self._outbox.record(record, order)
 
     def order_eviction(self, job: Job) -> None:
         """Order a running attempt to checkpoint and leave its worker."""
@@ -130,13 +135,13 @@
             return
         job.state = JobState.STOPPING
         self.evictions += 1
-        self._order(OrderKind.EVICT, self._name_attempt(job))
+        self._outbox.order(OrderKind.EVICT, self._name_attempt(job))
 
     def order_speed(self, job: Job, speed: float) -> None:
         """Order a running attempt to run at a part of its full speed."""
         ref = self._name_attempt(job)
         order = Order(kind=OrderKind.THROTTLE, ref=ref, speed=speed)
-        self._orders[ref.worker_id].append(order)
+        self._outbox.send(order)
 
     def apply_inventory(
         self,
@@ -166,7 +171,7 @@
         A worker repeats its news until they are acknowledged, which waits for the
         journal; in between they have been taken in already.
         """
-        if news.ref in self._unrecorded:
+        if self._outbox.is_unrecorded(news.ref):
             return
         job = self.jobs.get(news.ref.job_id)
         if job is None or job.state is JobState.ENDED:
@@ -204,7 +209,7 @@
             host=address.host,
             port=address.port,
         )
-        self._commit(record)
+        self._outbox.record(record)
 
     def forget_worker(self, worker_id: str) -> None:
         """Record that a worker is gone and nothing runs on it."""
@@ -212,7 +217,7 @@
         record = JobRecord(
             kind=RecordKind.WORKER_REMOVED, job_id="", worker_id=worker_id
         )
-        self._commit(record)
+        self._outbox.record(record)
 
     def release_unstarted(self) -> None:
         """Free at once the held jobs that are proved never to have been started."""
@@ -227,65 +232,40 @@
 
     def take_orders(self) -> dict[str, list[Order]]:
         """Fetch the orders to be sent, by worker."""
-        orders, self._orders = self._orders, defaultdict(list[Order])
-        return orders
+        return self._outbox.take_orders()
 
     def take_commits(self) -> tuple[Commit, ...]:
         """Fetch the records to be committed."""
-        commits, self._commits = tuple(self._commits), []
-        return commits
+        return self._outbox.take_commits()
 
     def confirm(self, commits: Iterable[Commit]) -> None:
-        """Release the orders that waited for records which are now committed."""
-        for commit in commits:
-            for order in commit.orders:
-                self._unrecorded.discard(order.ref)
-                self._orders[order.ref.worker_id].append(order)
-
-    def _replay(self, record: JobRecord) -> None:
-        if record.kind is RecordKind.WORKER_ADDED:
-            self.workers[record.worker_id] = WorkerAddress(
-                worker_id=record.worker_id, host=record.host, port=record.port
-            )
-            return
-        if record.kind is RecordKind.WORKER_REMOVED:
-            self.workers.pop(record.worker_id, None)
-            return
-        if record.kind is RecordKind.ACCEPTED and record.spec is not None:
-            job = Job(spec=record.spec, state=JobState.HELD)
-            self.jobs.setdefault(record.job_id, job)
-            return
-        known = self.jobs.get(record.job_id)
-        if known is None:
-            return
-        if record.kind is RecordKind.STARTING:
-            known.is_start_recorded = True
-            known.attempt = record.attempt
-            known.worker_id = record.worker_id
-        elif record.kind is RecordKind.EVICTED:
-            known.checkpoint = record.checkpoint
-            known.is_start_recorded = False
-        elif record.kind is RecordKind.CANCELLED:
-            known.is_cancelled = True
-        elif record.kind is RecordKind.ENDED:
-            known.state = JobState.ENDED
-            known.result_number = record.result_number
-            known.detail = record.detail
-            known.result = record.result
-            known.ended_ms = record.at_ms
+        """Release what waited for records that are now committed.
+
+        Ended jobs are remembered up to a bound, the latest the longest: an owner that
+        stays for months would else keep every job that it ever ran.
+        """
+        committed = tuple(commits)
+        self._outbox.confirm(committed)
+        self._ended.extend(
+            commit.record.job_id
+            for commit in committed
+            if commit.record.kind is RecordKind.ENDED
+        )
+        while len(self._ended) > self.kept_ended:
+            self.jobs.pop(self._ended.popleft(), None)
 
     def _dismiss(self, news: TaskNews) -> None:
         """Stop an attempt that nobody waits for, or let its worker forget it."""
         is_running = news.status is TaskStatus.RUNNING
         kind = OrderKind.STOP if is_running else OrderKind.ACKNOWLEDGE
-        self._order(kind, news.ref)
+        self._outbox.order(kind, news.ref)
 
     def _adopt(self, job: Job, ref: TaskRef, now_ms: float) -> None:
         """Take a running attempt as the job's present one."""
         if job.attempt is not None and ref.attempt > job.attempt and job.is_active:
             # Two workers run the job, which only an owner that was fenced too late can
             # have caused; the higher attempt stays.
-            self._order(OrderKind.STOP, self._name_attempt(job))
+            self._outbox.order(OrderKind.STOP, self._name_attempt(job))
             self._free(job, now_ms, StopOutcome.LOST)
         is_new = not job.is_active
         job.attempt = ref.attempt
@@ -309,7 +289,7 @@
         """
         is_elsewhere = job.is_active and job.attempt != news.ref.attempt
         if is_elsewhere:
-            self._order(OrderKind.STOP, self._name_attempt(job))
+            self._outbox.order(OrderKind.STOP, self._name_attempt(job))
         self._free(job, now_ms, StopOutcome.FINISHED)
         self._end(job, ResultCode.OK, wall_ms, result=news.result, news=news)
 
@@ -333,7 +313,7 @@
         elif news.status is TaskStatus.EVICTED:
             self._keep_checkpoint(job, news, wall_ms)
         elif job.spec.is_idempotent:
-            self._order(OrderKind.ACKNOWLEDGE, news.ref)
+            self._outbox.order(OrderKind.ACKNOWLEDGE, news.ref)
             job.state = JobState.QUEUED
         elif news.status is TaskStatus.FAILED:
             self._end(
@@ -362,7 +342,7 @@
             checkpoint=news.checkpoint,
             at_ms=wall_ms,
         )
-        self._record_and_acknowledge(record, news)
+        self._outbox.record_and_acknowledge(record, news)
 
     def _lose(self, job: Job, *, now_ms: float, wall_ms: float) -> None:
         self._free(job, now_ms, StopOutcome.LOST)
@@ -382,7 +362,7 @@
         ref = self._name_attempt(job)
         if ref.job_id in self.placement.tasks:
             self.placement.begin_stop(ref.job_id)
-        self._order(OrderKind.STOP, ref)
+        self._outbox.order(OrderKind.STOP, ref)
 
     def _note_place(self, job: Job, worker_id: str) -> None:
         job.worker_id = worker_id
@@ -408,17 +388,6 @@
             worker_id=job.worker_id, job_id=job.spec.job_id, attempt=job.attempt
         )
 
-    def _order(self, kind: OrderKind, ref: TaskRef) -> None:
-        self._orders[ref.worker_id].append(Order(kind=kind, ref=ref))
-
-    def _commit(self, record: JobRecord) -> None:
-        self._commits.append(Commit(record=record))
-
-    def _record_and_acknowledge(self, record: JobRecord, news: TaskNews) -> None:
-        self._unrecorded.add(news.ref)
-        order = Order(kind=OrderKind.ACKNOWLEDGE, ref=news.ref)
-        self._commits.append(Commit(record=record, orders=(order,)))
-
     def _end_cancelled(
         self, job: Job, wall_ms: float, *, news: TaskNews | None = None
     ) -> None:
@@ -451,6 +420,6 @@
             at_ms=wall_ms,
         )
         if news is None:
-            self._commit(record)
+            self._outbox.record(record)
         else:
-            self._record_and_acknowledge(record, news)
+            self._outbox.record_and_acknowledge(record, news)
--- a/trefoilhook/jobs/runner.py
+++ b/trefoilhook/jobs/runner.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 
-import attrs
 import numpy as np
 import trio
 
@@ -12,17 +11,14 @@
     FencedError,
     RequestError,
     StoreError,
-    StoreRateError,
-    StoreUnavailableError,
-    TrefoilhookError,
 )
 from trefoilhook.instances import InstanceState, WorkerRecord
 from trefoilhook.jobs.book import JobBook
+from trefoilhook.jobs.commits import RETRY_MS, Committer
 from trefoilhook.jobs.core import Job, JobSpec, JobState
 from trefoilhook.jobs.journal import JobJournal
 from trefoilhook.jobs.messages import (
     Commit,
-    JobRecord,
     RecordKind,
     WorkerAddress,
 )
@@ -40,7 +36,6 @@
 from trefoilhook.logs import Event, log_event
 from trefoilhook.placement import (
     Policy,
-    Resources,
     ServiceSlowdown,
     TaskUsage,
     UsageReport,
@@ -52,21 +47,11 @@
 __all__ = ["ShardRunner"]
 
 _T = TypeVar("_T")
-_COMMIT_RETRY_MS = 200.0
 _EVENTS_BUFFERED = 1_000
 
 OpenWorker = Callable[[WorkerAddress], WorkerClient]
 
 
-@attrs.define(kw_only=True, eq=False)
-class _Acceptance:
-    """A submitted job that waits for its commit."""
-
-    spec: JobSpec
-    done: trio.Event = attrs.field(factory=trio.Event)
-    error: TrefoilhookError | None = None
-
-
 class ShardRunner:
     """Runs one worker shard for as long as this instance owns it.
 
@@ -128,9 +113,12 @@
         self._generator = np.random.default_rng(seed)
         self._sessions: dict[str, WorkerSession] = {}
         self._unheard: set[str] = set()
-        self._acceptances: list[_Acceptance] = []
-        self._unsent: list[Commit] = []
-        self._commit_wanted = trio.Event()
+        self._committer = Committer(
+            journal=journal,
+            clock=clock,
+            window_ms=settings.commit_window_ms,
+            on_committed=self._take_committed,
+        )
         self._work_wanted = trio.Event()
         self._reacted_ms = -settings.react_interval_ms
         self._pace = PlacementPace(
@@ -141,7 +129,7 @@
         sender, receiver = trio.open_memory_channel[SessionEvent](_EVENTS_BUFFERED)
         self._events_in = sender
         self._events = receiver
-        self.book = JobBook(epoch=epoch)
+        self.book = JobBook(epoch=epoch, kept_ended=settings.kept_ended)
         self.is_loaded = False
 
     async def run(self) -> None:
@@ -152,7 +140,7 @@
                 self._nursery = nursery
                 for address in self.book.workers.values():
                     self._open_session(address)
-                nursery.start_soon(self._keep_committing)
+                nursery.start_soon(self._committer.run)
                 await self._keep_working()
         except* FencedError:
             log_event(Event.SHARD_FENCED, shard=self._shard_id, epoch=self._epoch)
@@ -170,12 +158,7 @@
         known = self._find_known(spec)
         if known is not None:
             return known
-        acceptance = _Acceptance(spec=spec)
-        self._acceptances.append(acceptance)
-        self._commit_wanted.set()
-        await acceptance.done.wait()
-        if acceptance.error is not None:
-            raise acceptance.error
+        await self._committer.accept(spec)
         return self.book.jobs[spec.job_id]
 
     def cancel(self, job_ids: Sequence[str]) -> None:
@@ -215,7 +198,7 @@
                 raise
             except StoreError as error:
                 log_event(Event.STORE_DOWN, reason=str(error))
-                await self._clock.sleep_ms(_COMMIT_RETRY_MS)
+                await self._clock.sleep_ms(RETRY_MS)
         self.book.restore(records)
         self.book.release_unstarted()
         self._unheard = set(self.book.workers)
@@ -256,7 +239,7 @@
             self._reacted_ms = now_ms
             react_to_reports(self.book, now_ms, self._policy())
         self._send_orders()
-        self._collect_commits()
+        self._committer.add(self.book.take_commits())
 
     def _place(self, now_ms: float) -> None:
         place_waiting(
@@ -303,8 +286,7 @@
         if report is None:
             return
         usage = tuple(
-            TaskUsage(task_id=u.job_id, used=_copy_resources(u.resources))
-            for u in report.usages
+            TaskUsage(task_id=u.job_id, used=u.resources) for u in report.usages
         )
         slowdowns = tuple(
             ServiceSlowdown(task_id=u.job_id, slowdown=u.slowdown)
@@ -327,7 +309,7 @@
             worker_id=event.worker_id,
             rack=record.rack if record else "",
             failure_domain=record.failure_domain if record else "",
-            capacity=_copy_resources(event.capacity),
+            capacity=event.capacity,
         )
         known = self.book.placement.workers.get(event.worker_id)
         if known is None or known.withdrawn:
@@ -400,103 +382,18 @@
             if session is not None and session.is_held:
                 session.send(orders)
 
-    def _collect_commits(self) -> None:
-        commits = self.book.take_commits()
-        if commits:
-            self._unsent.extend(commits)
-            self._commit_wanted.set()
-
     def _wake(self) -> None:
         self._pace.want()
         self._work_wanted.set()
 
-    async def _keep_committing(self) -> None:
-        """Write what waits, all of it in one append, then what came meanwhile.
-
-        A window passes between the beginnings of two writes, so a lone record is
-        written at once and a shard never writes more often than the window allows.
-        """
-        window_ms = self._settings.commit_window_ms
-        next_ms = self._clock.monotonic_ms()
-        while True:
-            await self._commit_wanted.wait()
-            await self._clock.sleep_ms(max(0.0, next_ms - self._clock.monotonic_ms()))
-            next_ms = self._clock.monotonic_ms() + window_ms
-            self._commit_wanted = trio.Event()
-            acceptances, self._acceptances = self._acceptances, []
-            commits, self._unsent = self._unsent, []
-            if acceptances or commits:
-                await self._commit(acceptances, commits)
-
-    async def _commit(
-        self, acceptances: list[_Acceptance], commits: list[Commit]
+    def _take_committed(
+        self, specs: Sequence[JobSpec], commits: Sequence[Commit]
     ) -> None:
-        """Append until it is done; only acceptances are given up, when surely unsaid.
-
-        While the outcome of an append is not known the same records are appended again:
-        the journal takes a record once. A caller whose job may be recorded is told so
-        at once, and the job runs when it turns out to be.
-        """
-        while True:
-            records = [_record_acceptance(a.spec) for a in acceptances]
-            records.extend(commit.record for commit in commits)
-            try:
-                if records:
-                    await self._journal.append(records)
-                break
-            except FencedError as error:
-                self._refuse(acceptances, error)
-                raise
-            except (StoreRateError, StoreUnavailableError) as error:
-                acceptances = self._judge_failure(acceptances, error)
-            await self._clock.sleep_ms(_COMMIT_RETRY_MS)
-        for acceptance in acceptances:
-            self.book.accept(acceptance.spec)
-            acceptance.done.set()
-            log_event(Event.JOB_ACCEPTED, job=acceptance.spec.job_id)
+        for spec in specs:
+            self.book.accept(spec)
+            log_event(Event.JOB_ACCEPTED, job=spec.job_id)
         self.book.confirm(commits)
         for commit in commits:
             if commit.record.kind is RecordKind.WORKER_ADDED:
                 self._open_session(self.book.workers[commit.record.worker_id])
         self._wake()
-
-    def _judge_failure(
-        self, acceptances: list[_Acceptance], error: StoreError
-    ) -> list[_Acceptance]:
-        """Return the acceptances to append again."""
-        is_unsent = isinstance(error, StoreRateError) or getattr(
-            error, "is_proved_unsent", False
-        )
-        if is_unsent:
-            self._refuse([a for a in acceptances if not a.done.is_set()], error)
-            return [a for a in acceptances if a.error is not error]
-        for acceptance in acceptances:
-            if not acceptance.done.is_set():
-                acceptance.error = StoreUnavailableError(
-                    "the store didn't say whether the job is recorded",
-                    code=ResultCode.COMMIT_UNKNOWN,
-                )
-                acceptance.done.set()
-        return acceptances
-
-    def _refuse(self, acceptances: list[_Acceptance], error: TrefoilhookError) -> None:
-        for acceptance in acceptances:
-            acceptance.error = error
-            acceptance.done.set()
-
-
-def _record_acceptance(spec: JobSpec) -> JobRecord:
-    return JobRecord(
-        kind=RecordKind.ACCEPTED,
-        job_id=spec.job_id,
-        spec=spec,
-        at_ms=spec.submitted_ms,
-    )
-
-
-def _copy_resources(resources: object) -> Resources:
-    return Resources(
-        cores=getattr(resources, "cores", 0.0),
-        memory_bytes=getattr(resources, "memory_bytes", 0),
-        accelerators=getattr(resources, "accelerators", 0),
-    )
--- a/trefoilhook/jobs/sessions.py
+++ b/trefoilhook/jobs/sessions.py
@@ -364,14 +364,9 @@
         )
         if order.spec is None:
             return command
-        wanted = order.spec.resources
         return attrs.evolve(
             command,
-            resources=Resources(
-                cores=wanted.cores,
-                memory_bytes=wanted.memory_bytes,
-                accelerators=wanted.accelerators,
-            ),
+            resources=order.spec.resources,
             task_class=order.spec.task_class,
             declared_run_ms=float(order.spec.declared_run_ms),
             payload=order.spec.payload,
--- a/trefoilhook/jobs/tests/test_runner.py
+++ b/trefoilhook/jobs/tests/test_runner.py
@@ -354,6 +354,20 @@
 
         run_shard(scenario)
 
+    def test_ended_jobs_are_remembered_up_to_a_bound(self):
+        # An owner stays for months. Were every ended job kept, its memory would grow
+        # without end.
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            owner.runner.book.kept_ended = 3
+            for number in range(8):
+                await shard.submit(owner, f"j{number}", run_ms=1_000)
+            await shard.sleep_s(30)
+            names = sorted(owner.runner.book.jobs)
+            self.assertEqual(names, ["j5", "j6", "j7"])
+
+        run_shard(scenario)
+
     def test_same_submission_again_is_the_same_job(self):
         async def scenario(shard: Shard) -> None:
             owner = shard.start_owner("i0")
--- a/trefoilhook/placement/resources.py
+++ b/trefoilhook/placement/resources.py
@@ -18,13 +18,13 @@
         Processor cores.
     memory_bytes : int
         Memory, in bytes.
-    accelerators : int
+    accelerators : int, optional
         Whole accelerators.
     """
 
     cores: float
     memory_bytes: int
-    accelerators: int
+    accelerators: int = 0
 
     def fits_in(self, other: "Resources") -> bool:
         """Tell whether ``other`` has at least this much of everything."""
--- a/trefoilhook/workers/core.py
+++ b/trefoilhook/workers/core.py
@@ -9,6 +9,8 @@
 
 import attrs
 
+from trefoilhook.placement import Resources
+
 __all__ = [
     "CommandKind",
     "CommandResult",
@@ -63,25 +65,6 @@
     NOT_POSSIBLE = "not_possible"
 
 
-@attrs.frozen(kw_only=True)
-class Resources:
-    """An amount of processor, memory and accelerators.
-
-    Parameters
-    ----------
-    cores : float
-        Processor cores.
-    memory_bytes : int
-        Memory, in bytes.
-    accelerators : int, optional
-        Whole accelerators.
-    """
-
-    cores: float
-    memory_bytes: int
-    accelerators: int = 0
-
-
 @attrs.frozen(kw_only=True)
 class WorkerTask:
     """One task as its worker knows it.
