Prove the rare guards of a shard's jobs, and end a spin without the right

Cause of the spin: without the right to act the shard's task is woken by what stays set until a step, and takes no step: it never waits, and takes a whole core until the right comes back or the shard is dropped. Found by the new test of an owner whose right has ended: on virtual time it never returned. Now it waits a tick.

The test of an eviction in an outage evicted nothing: the urgent job was submitted so early that it started first. It now starts later, and checks that the job was evicted once and resumed; without the checkpoint it printed '0.0 not greater than 4000'.

--- a/trefoilhook/jobs/runner.py
+++ b/trefoilhook/jobs/runner.py
@@ -213,6 +213,10 @@
                 await self._wait_for_work()
             if self._may_act():
                 self._step()
+            else:
+                # Guards against a spin that takes the whole core: what woke this task
+                # stays set until a step, and without the right there is none.
+                await self._clock.sleep_ms(self._settings.tick_ms)
 
     async def _wait_for_work(self) -> None:
         async with trio.open_nursery() as nursery:
--- /dev/null
+++ b/trefoilhook/jobs/tests/test_guards.py
@@ -0,0 +1,173 @@
+"""Guards of a shard's jobs that show only in rare orders of events."""
+
+import unittest
+
+import attrs
+
+from trefoilhook.instances import InstanceState
+from trefoilhook.jobs import JobState
+from trefoilhook.jobs.book import JobBook
+from trefoilhook.jobs.core import Attempt
+from trefoilhook.jobs.messages import OrderKind, TaskNews, TaskRef, TaskStatus
+from trefoilhook.jobs.tests.shard import SETTINGS, Shard, build_spec, run_shard
+
+
+class OldNewsTest(unittest.TestCase):
+    """A worker that was cut off comes back and tells of an earlier attempt."""
+
+    def _build(self) -> tuple[JobBook, TaskRef]:
+        """Return a book whose job runs on w1, and the attempt before on w0."""
+        book = JobBook(epoch=2)
+        book.accept(build_spec("j1"))
+        job = book.jobs["j1"]
+        job.state, job.worker_id = JobState.RUNNING, "w1"
+        job.attempt = Attempt(epoch=2, sequence=1)
+        old = Attempt(epoch=1, sequence=9)
+        return book, TaskRef(worker_id="w0", job_id="j1", attempt=old)
+
+    def test_earlier_attempt_does_not_end_the_present_one(self):
+        # Taken for news of the present attempt, they would free its resources and
+        # start the job a third time while the second run goes on.
+        for status, kind in (
+            (TaskStatus.RUNNING, OrderKind.STOP),
+            (TaskStatus.STOPPED, OrderKind.ACKNOWLEDGE),
+            (TaskStatus.FAILED, OrderKind.ACKNOWLEDGE),
+            (TaskStatus.EVICTED, OrderKind.ACKNOWLEDGE),
+        ):
+            with self.subTest(status=status):
+                book, ref = self._build()
+                news = TaskNews(ref=ref, status=status, checkpoint="early")
+                book.apply_news(news, now_ms=1.0, wall_ms=1.0)
+                job = book.jobs["j1"]
+                self.assertEqual((job.state, job.worker_id), (JobState.RUNNING, "w1"))
+                self.assertEqual(job.checkpoint, "")
+                orders = [(each.kind, each.ref) for each in book.take_orders()["w0"]]
+                self.assertEqual(orders, [(kind, ref)])
+
+    def test_result_of_an_earlier_attempt_stops_the_present_one(self):
+        book, ref = self._build()
+        news = TaskNews(ref=ref, status=TaskStatus.FINISHED, result="done")
+        book.apply_news(news, now_ms=1.0, wall_ms=1.0)
+        self.assertEqual(book.jobs["j1"].state, JobState.ENDED)
+        stops = [each.kind for each in book.take_orders()["w1"]]
+        self.assertEqual(stops, [OrderKind.STOP])
+
+    def test_attempt_of_an_ended_job_is_stopped(self):
+        book, ref = self._build()
+        book.jobs["j1"].state = JobState.ENDED
+        book.jobs["j1"].attempt = None
+        news = TaskNews(ref=ref, status=TaskStatus.RUNNING)
+        book.apply_news(news, now_ms=1.0, wall_ms=1.0)
+        self.assertEqual(book.jobs["j1"].state, JobState.ENDED)
+        stops = [each.kind for each in book.take_orders()["w0"]]
+        self.assertEqual(stops, [OrderKind.STOP])
+
+
+class RightTest(unittest.TestCase):
+    """An owner whose right has ended, and a worker that answers badly."""
+
+    def test_owner_without_the_right_neither_renews_nor_decides(self):
+        # The owner's store lease lapsed and nobody promised. It must let the worker's
+        # lease lapse: the next owner counts on that the tasks then stop.
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            await shard.submit(owner, "j1", run_ms=60_000)
+            await shard.sleep_s(3)
+            owner.may_act = False
+            await owner.runner.submit(build_spec("j2"))
+            await shard.sleep_s(2.0 * SETTINGS.worker_lease_ms / 1000.0)
+            self.assertEqual(owner.runner.book.jobs["j2"].state, JobState.QUEUED)
+            states = [start.state for start in shard.list_starts("j1")]
+            self.assertEqual(states, ["stopped"])
+            self.assertEqual(shard.list_starts("j2"), [])
+
+        run_shard(scenario)
+
+    def test_worker_whose_answers_are_lost_is_left_to_its_lapse(self):
+        # The next owner's requests arrive at the worker and no answer comes back. Were
+        # it to ask on and on, the worker's lease would never lapse, the job would run
+        # on unseen and could never be started elsewhere.
+        async def scenario(shard: Shard) -> None:
+            first = shard.start_owner("i0")
+            await shard.submit(first, "j1", run_ms=400_000)
+            await shard.sleep_s(3)
+            worker_id = shard.list_starts("j1")[0].worker_id
+            first.scope.cancel()
+            shard.workers[worker_id].answers_to_lose = 1_000_000
+            shard.start_owner("i1")
+            await shard.sleep_s(120)
+            starts = shard.list_starts("j1")
+            self.assertEqual([s.state for s in starts], ["stopped", "running"])
+            self.assertEqual(shard.find_overlaps(), [])
+
+        run_shard(scenario)
+
+    def test_worker_that_comes_back_is_used_again(self):
+        # A worker is cut off past its lease and comes back. Its lapsed lease can only
+        # be taken at a higher epoch.
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            await shard.submit(owner, "j1", run_ms=20_000)
+            await shard.sleep_s(3)
+            shard.workers["w0"].is_cut = True
+            await shard.sleep_s(60)
+            shard.workers["w0"].is_cut = False
+            await shard.sleep_s(60)
+            self.assertEqual(owner.runner.book.jobs["j1"].state, JobState.ENDED)
+            states = [start.state for start in shard.list_starts("j1")]
+            self.assertEqual(states, ["stopped", "finished"])
+
+        run_shard(scenario, workers=1)
+
+    def test_start_that_was_not_sent_is_void_under_the_next_lease(self):
+        # A start waits for a worker that can't be reached. When the worker is back the
+        # job is placed anew; were the old start sent too, the job would run twice.
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            await shard.sleep_s(3)
+            shard.workers["w0"].is_cut = True
+            await shard.submit(owner, "j1")
+            await shard.sleep_s(10)
+            shard.workers["w0"].is_cut = False
+            await shard.sleep_s(60)
+            self.assertEqual(len(shard.list_starts("j1")), 1)
+            self.assertEqual(shard.find_overlaps(), [])
+            self.assertEqual(owner.runner.book.jobs["j1"].state, JobState.ENDED)
+
+        run_shard(scenario, workers=1)
+
+
+class LeavingWorkerTest(unittest.TestCase):
+    """A worker that leaves, or is no longer listed, gets nothing new."""
+
+    def test_leaving_worker_gets_nothing_new(self):
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            await shard.submit(owner, "j1", run_ms=60_000)
+            await shard.sleep_s(3)
+            record = shard.listed["w0"]
+            shard.listed["w0"] = attrs.evolve(record, state=InstanceState.LEAVING)
+            await shard.sleep_s(1)
+            await shard.submit(owner, "j2")
+            await shard.sleep_s(20)
+            self.assertEqual(shard.list_starts("j2"), [])
+            self.assertEqual(shard.list_starts("j1")[0].state, "running")
+
+        run_shard(scenario, workers=1)
+
+    def test_worker_that_is_not_listed_gets_nothing_new(self):
+        # The worker of the former owner's time is gone from the list: the next owner
+        # asks it for what it runs, and starts nothing more there.
+        async def scenario(shard: Shard) -> None:
+            first = shard.start_owner("i0")
+            await shard.submit(first, "j1", run_ms=60_000)
+            await shard.sleep_s(3)
+            del shard.listed["w0"]
+            first.scope.cancel()
+            second = shard.start_owner("i1")
+            await shard.submit(second, "j2")
+            await shard.sleep_s(20)
+            self.assertEqual(shard.list_starts("j2"), [])
+            self.assertEqual(second.runner.book.jobs["j1"].state, JobState.RUNNING)
+
+        run_shard(scenario, workers=1)
--- a/trefoilhook/jobs/tests/test_runner.py
+++ b/trefoilhook/jobs/tests/test_runner.py
@@ -189,10 +189,10 @@
         async def scenario(shard: Shard) -> None:
             first = shard.start_owner("i0")
             await shard.submit(first, "j1", run_ms=60_000, resources=_BIG)
+            await shard.sleep_s(5)
             await shard.submit(
                 first, "u1", run_ms=10_000, resources=_BIG, is_urgent=True
             )
-            await shard.sleep_s(0.5)
             shard.journal.is_down = True
             await shard.sleep_s(25)
             first.scope.cancel()
@@ -201,7 +201,10 @@
             await shard.sleep_s(120)
             self._assert_ended(second, "j1", ResultCode.OK)
             self._assert_ended(second, "u1", ResultCode.OK)
-            work = sum(r.done_ms - r.resumed_ms for r in shard.list_starts("j1"))
+            starts = shard.list_starts("j1")
+            self.assertEqual([r.state for r in starts], ["evicted", "finished"])
+            self.assertGreater(starts[1].resumed_ms, 4_000)
+            work = sum(r.done_ms - r.resumed_ms for r in starts)
             self.assertAlmostEqual(work, 60_000, delta=1)
             self._check(shard)
 
