--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -12,8 +12,9 @@
 from bench.capacity.cluster import measure_cluster, measure_tables
 from bench.capacity.durable import measure_journal, measure_runner
 from bench.capacity.fit import Slopes
-from bench.capacity.links import measure_inner, measure_list, measure_workers
+from bench.capacity.links import measure_list, measure_workers
 from bench.capacity.memory import measure_configuration, measure_keys
+from bench.capacity.mesh import measure_calls, measure_inner
 from bench.capacity.page import rewrite_page
 from bench.capacity.shard import measure_book
 from trefoilhook.logs import configure_logs
@@ -22,6 +23,7 @@
 MEASUREMENTS = (
     measure_list,
     measure_inner,
+    measure_calls,
     measure_workers,
     measure_tables,
     measure_cluster,
--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -5,7 +5,8 @@
 import re
 
 from bench.capacity.fit import Slope, Slopes
-from bench.capacity.sums import Row, build_rows
+from bench.capacity.sums import build_rows
+from bench.capacity.target import Row
 
 __all__ = ["rewrite_page"]
 
