--- a/trefoilhook/requests/core.py
+++ b/trefoilhook/requests/core.py
@@ -319,9 +319,7 @@
             return await self._key_owner.serve(
                 request, work=work, entry_id=request.entry_instance_id
             )
-        if parts.pool.get(request.executor_id) is None:
-            # The sender knows of a claim of this instance before the next tick here.
-            self._upkeep.sync()
+        self._upkeep.take_in(request.executor_id)
         return await self._run_detached(work)
 
     async def _run_detached(self, work: Work) -> CallerAnswer:
