Test three guards whose removal left every test green

A refused reservation keeps its earmark, a worker's residual fades without services, and a spill goes only to a shard with a room that fits.

--- a/trefoilhook/placement/tests/test_decisions.py
+++ b/trefoilhook/placement/tests/test_decisions.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from trefoilhook.exceptions import CapacityExceededError
 from trefoilhook.placement import (
     LATENCY_FIRST,
     THROUGHPUT_FIRST,
@@ -148,6 +149,18 @@
         self.assertGreater(loud, 2.0 * innocent)
         self.assertAlmostEqual(innocent, never_seen)
 
+    def test_a_worker_is_forgiven_once_its_service_has_left(self):
+        # A worker stays shunned for good: the wave of noise that it was shunned for
+        # ended after its last service had left, so no report ever said so.
+        state = build_state()
+        run_task(state, build_task("service", kind=TaskKind.SERVICE))
+        report_slowdown(state, "service", 2.0, 20_000.0)
+        self.assertGreater(state.table.residual[0], 0.1)
+        state.confirm_stopped("service", 30_000.0, StopOutcome.CANCELLED)
+        for step in range(20):
+            report_slowdown(state, "service", 2.0, 40_000.0 + 10_000.0 * step)
+        self.assertLess(state.table.residual[0], 0.01)
+
     def test_an_overtaken_report_does_not_bring_old_usage_back(self):
         # A service that grew in the rush is planned for at its size of before: a
         # report that another had overtaken on the way was taken for the latest.
@@ -201,6 +214,15 @@
         self.assertEqual(thief.reason, WaitReason.NO_ROOM)
         self.assertIsInstance(decide(self.state, self.urgent), Placement)
 
+    def test_a_refused_start_does_not_give_the_room_away(self):
+        # An urgent task was started a moment too soon, while its victim still held
+        # the room. The refusal must leave everything as it was, its room included.
+        decision = decide(self.state, self.urgent)
+        begin_preemption(self.state, self.urgent, decision, 0.0, LATENCY_FIRST)
+        with self.assertRaises(CapacityExceededError):
+            self.state.reserve(self.urgent, decision.worker_id, 0.0)
+        self.assertIn("urgent", self.state.earmarks)
+
     def test_neither_services_nor_urgent_tasks_are_victims(self):
         state = build_state()
         run_task(state, build_task("s", cores=16.0, kind=TaskKind.SERVICE))
@@ -290,6 +312,8 @@
         self.assertEqual(len(summaries[1].rooms), 8)
         self.assertEqual(choose_spill(build_task(), summaries, 5_000.0, rng), 2)
         self.assertIsNone(choose_spill(build_task(), summaries, 60_000.0, rng))
+        small = [summarize_shard(build_state(99, cores=2.0), 3, 0.0)]
+        self.assertIsNone(choose_spill(build_task(cores=4.0), small, 0.0, rng))
         self.assertIsNone(choose_spill(build_task(), [], 0.0, rng))
 
 
