Take an operator's word for a lost machine, and shorten the lease to 4 s

Cause one: owners stopped 15 minutes into a store outage, while outages of an hour are to be expected; a longer limit alone would leave newcomers waiting as long when all that knew the former owners have lost power and answer nothing. Now the limit is 2 h and 'trefoilhook gone' ends the wait; the one declared gone stops if it reads it. Leases of 4 s renewed each 1 s, promises asked for twice a second. Ruled out: believing silence after some minutes (a partition lasts an hour).

--- a/trefoilhook/admin/backend.py
+++ b/trefoilhook/admin/backend.py
@@ -337,6 +337,9 @@
     async def drain_instance(self, instance_id: str) -> None:
         """Make an instance hand over its shards and leave."""
 
+    async def declare_gone(self, instance_id: str) -> None:
+        """Record that an instance is gone for good."""
+
     async def submit_job(self, submission: JobSubmission) -> JobRecord:
         """Record a job durably; the same id again returns the job recorded first."""
 
--- a/trefoilhook/admin/cluster.py
+++ b/trefoilhook/admin/cluster.py
@@ -13,6 +13,7 @@
     "HealthAnswer",
     "check_health",
     "check_readiness",
+    "declare_gone",
     "drain_instance",
     "read_burn",
     "read_metrics",
@@ -48,6 +49,13 @@
     return answer_json(DrainAnswer(instance_id=instance_id), code=ResultCode.ACCEPTED)
 
 
+async def declare_gone(parts: AdminParts, call: Call) -> HttpResponse:
+    """Take an operator's word that an instance will never act again."""
+    instance_id = call.parameters["instance_id"]
+    await parts.backend.declare_gone(instance_id)
+    return answer_json(DrainAnswer(instance_id=instance_id), code=ResultCode.ACCEPTED)
+
+
 async def read_burn(parts: AdminParts, call: Call) -> HttpResponse:
     """Return the report on service-level burn, of one team or of all."""
     team = call.query.get("team")
--- a/trefoilhook/admin/routes.py
+++ b/trefoilhook/admin/routes.py
@@ -191,6 +191,14 @@
             summary="Make an instance hand over its shards and leave.",
             answer=cluster.DrainAnswer,
         ),
+        Route(
+            method="POST",
+            template="/v1/instances/{instance_id}/gone",
+            scope=Scope.CLUSTER,
+            operation=cluster.declare_gone,
+            summary="Declare that an instance is gone for good, so that nobody waits.",
+            answer=cluster.DrainAnswer,
+        ),
         Route(
             method="GET",
             template="/v1/burn",
--- a/trefoilhook/admin/tests/fakes.py
+++ b/trefoilhook/admin/tests/fakes.py
@@ -91,6 +91,9 @@
     async def drain_instance(self, instance_id):
         self.drained.append(instance_id)
 
+    async def declare_gone(self, instance_id):
+        self.drained.append(instance_id)
+
     async def submit_job(self, submission):
         record = JobRecord(
             job_id=submission.job_id,
--- a/trefoilhook/admin/tests/test_handler.py
+++ b/trefoilhook/admin/tests/test_handler.py
@@ -69,6 +69,8 @@
     ("op-a", "POST", "/v1/teams/a/jobs/cancel", {"job_ids": []}, "BAD_REQUEST"),
     ("op-a", "POST", "/v1/instances/i-1/drain", None, "FORBIDDEN"),
     (CLUSTER_TOKEN, "POST", "/v1/instances/i-1/drain", None, "ACCEPTED"),
+    ("op-a", "POST", "/v1/instances/i-1/gone", None, "FORBIDDEN"),
+    (CLUSTER_TOKEN, "POST", "/v1/instances/i-1/gone", None, "ACCEPTED"),
     ("op-a", "GET", "/v1/burn", None, "OK"),
     ("op-a", "GET", "/v1/burn?team=b", None, "FORBIDDEN"),
     ("op-a", "GET", "/v1/nothing", None, "NOT_FOUND"),
--- a/trefoilhook/command/cluster.py
+++ b/trefoilhook/command/cluster.py
@@ -1,4 +1,4 @@
-"""``status``, ``drain`` and ``report burn``."""
+"""``status``, ``drain``, ``gone`` and ``report burn``."""
 
 from pathlib import Path
 
@@ -77,6 +77,14 @@
     return Outcome(body=answer, text=text, code=ResultCode.ACCEPTED)
 
 
+async def _declare_gone(session: Session) -> Outcome:
+    instance_id = str(session.get_argument("instance"))
+    steps = ("v1", "instances", instance_id, "gone")
+    answer = await session.client.fetch(DrainAnswer, "POST", steps)
+    text = f"nobody waits for {answer.instance_id} any more"
+    return Outcome(body=answer, text=text, code=ResultCode.ACCEPTED)
+
+
 async def _report_burn(session: Session) -> Outcome:
     # Drawing libraries take long to load; no other command should wait for them.
     from trefoilhook.burn.page import render_html, render_text
@@ -109,6 +117,13 @@
         examples=("trefoilhook drain 7c9e6679",),
         arguments=(argument("instance", "Id of the instance."),),
     ),
+    CommandSpec(
+        name="gone",
+        description="Declares that an instance, surely powered off, is gone for good.",
+        run=_declare_gone,
+        examples=("trefoilhook gone 7c9e6679",),
+        arguments=(argument("instance", "Id of the instance."),),
+    ),
     CommandSpec(
         name="report burn",
         description="Shows service-level burn, merged over instances.",
--- a/trefoilhook/command/tests/test_commands.py
+++ b/trefoilhook/command/tests/test_commands.py
@@ -55,6 +55,7 @@
     ("service create seats --team a --id s-1", 0, "s-1"),
     ("status", 0, "revision in force everywhere: 10"),
     ("drain i-1", 0, "leaves"),
+    ("gone i-1", 0, "nobody waits"),
     ("report burn", 0, "no requests were counted"),
     ("config gt a", 1, "config get"),
 )
--- a/trefoilhook/daemon/backend.py
+++ b/trefoilhook/daemon/backend.py
@@ -126,6 +126,12 @@
             instance_id, DrainRequest(), timeout_ms=_STATUS_TIMEOUT_MS
         )
 
+    async def declare_gone(self, instance_id: str) -> None:
+        """Record that an instance is gone for good."""
+        if instance_id == self.membership.instance_id:
+            raise RequestError("it is this instance that answers")
+        await self.membership.declare_gone(instance_id)
+
     async def submit_job(self, submission: JobSubmission) -> JobRecord:
         """Record a job durably; the same id again returns the job recorded first."""
         body = submission.body
--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -39,6 +39,7 @@
     SHARD_CLAIMED = (1202, Level.INFO, "A shard was claimed at a new epoch.")
     SHARD_RELEASED = (1203, Level.INFO, "A shard was handed over.")
     SHARD_FENCED = (1204, Level.WARNING, "A shard was lost to a newer epoch.")
+    DECLARED_GONE = (1205, Level.WARNING, "An operator declared an instance gone.")
 
     # 1300: inner protocol
     LINK_UP = (1300, Level.INFO, "A link to a peer is up.")
--- a/trefoilhook/membership/core.py
+++ b/trefoilhook/membership/core.py
@@ -42,6 +42,8 @@
 
 __all__ = ["Membership"]
 
+_ASKED_SHARE = 1 / 6
+_GONE_PREFIX = "root/gone/"
 _PROOFS_OF_DEATH = frozenset({PeerState.REFUSED, PeerState.STRANGER})
 
 
@@ -162,6 +164,9 @@
         now_ms = self._clock.monotonic_ms()
         if incarnation != self._acting_incarnation:
             return -math.inf
+        if self._is_declared_gone(self.instance_id):
+            # Whoever believed the operator may act by now.
+            return -math.inf
         if self._lease.lease_id != incarnation or not self._lease.is_held(now_ms):
             return self._extend_by_promises(now_ms)
         # While renewals fail, the promises gathered already reach past the lease. Who
@@ -197,8 +202,30 @@
         return 0 < self._join_revision <= self._peer_views.get(owner_id, 0)
 
     def is_proved_dead(self, instance_id: str) -> bool:
-        """Tell whether the process behind an instance id is proved to be gone."""
-        return self._inner.peer_state(instance_id) in _PROOFS_OF_DEATH
+        """Tell whether the process behind an instance id is proved to be gone.
+
+        Its address says so, or an operator, who knows of a machine without power what
+        no instance can find out by silence.
+        """
+        if self._inner.peer_state(instance_id) in _PROOFS_OF_DEATH:
+            return True
+        return self._is_declared_gone(instance_id)
+
+    async def declare_gone(self, instance_id: str) -> None:
+        """Record an operator's word that an instance will never act again.
+
+        Raises
+        ------
+        StoreError
+            If the store did not take it.
+        """
+        key = _GONE_PREFIX + instance_id
+        if await self._store.get(key) is None:
+            await self._store.swap(key, b"{}", expected_revision=0)
+        log_event(Event.DECLARED_GONE, instance=instance_id)
+
+    def _is_declared_gone(self, instance_id: str) -> bool:
+        return self.follower.mirror.get(_GONE_PREFIX + instance_id) is not None
 
     def build_heartbeat(self) -> Heartbeat:
         """Build what this instance tells its peers at each interval."""
@@ -363,7 +390,7 @@
 
     async def _keep_promises(self) -> None:
         """Ask for promises while the store is away, well before they are needed."""
-        interval_ms = self._settings.promise_ms / 3
+        interval_ms = self._settings.promise_ms * _ASKED_SHARE
         while True:
             await self._clock.sleep_ms(interval_ms)
             self._set_peers()
--- a/trefoilhook/membership/settings.py
+++ b/trefoilhook/membership/settings.py
@@ -12,12 +12,12 @@
     """Times of membership."""
 
     lease_ttl_ms: float = declare(
-        default=5_000.0,
+        default=4_000.0,
         unit="ms",
         description="Time to live of the instance's store lease.",
     )
     renew_interval_ms: float = declare(
-        default=1_600.0,
+        default=1_000.0,
         unit="ms",
         description="Interval between renewals.",
     )
@@ -38,7 +38,7 @@
         description="How long a promise not to claim holds.",
     )
     outage_limit_ms: float = declare(
-        default=900_000.0,
+        default=7_200_000.0,
         unit="ms",
         description="Longest time an owner goes on past its lapsed lease.",
     )
--- a/trefoilhook/shards/tests/test_ownership.py
+++ b/trefoilhook/shards/tests/test_ownership.py
@@ -162,6 +162,29 @@
 
         run_cluster(scenario)
 
+    def test_operator_ends_the_wait_for_machines_without_power(self):
+        # All old instances lose power at once and answer nothing; new ones take their
+        # place elsewhere. To them the old ones may still act behind a broken network,
+        # so they wait, until an operator declares each of them gone.
+        async def scenario(cluster: Cluster) -> None:
+            old = list(cluster.instances.values())
+            for instance in old:
+                cluster.links.isolate(instance.instance_id)
+                instance.scope.cancel()
+            newcomers = [cluster.add(f"j{number}") for number in range(3)]
+            for instance in old:
+                for newcomer in newcomers:
+                    cluster.links.cut(instance.instance_id, newcomer.instance_id)
+            await cluster.sleep_s(60)
+            self.assertEqual([n.ownership.list_owned() for n in newcomers], [()] * 3)
+            for instance in old:
+                await newcomers[0].membership.declare_gone(instance.instance_id)
+            await cluster.sleep_s(10)
+            served = sum(len(n.ownership.list_owned()) for n in newcomers)
+            self.assertEqual(served, _ALL)
+
+        run_cluster(scenario)
+
     def test_joining_and_leaving_hand_over(self):
         # Instances are replaced all day. One joins and one leaves; each shard that
         # moves has stopped at its old owner before the new one acts, and is back
