--- a/trefoilhook/daemon/tests/processes.py
+++ b/trefoilhook/daemon/tests/processes.py
@@ -25,7 +25,7 @@
 from trefoilhook.demo.cluster import CLUSTER_TOKEN
 from trefoilhook.exceptions import TransportError
 from trefoilhook.requests import mint_key
-from trefoilhook.settings import ShardSettings, dump_json
+from trefoilhook.settings import PeerSettings, ShardSettings, dump_json
 
 CALLER = "caller-token"
 OPERATOR = "operator-token"
@@ -43,6 +43,7 @@
     process: trio.Process
     entry_port: int
     admin_port: int
+    inner_port: int
 
     def send_signal(self, number: int) -> None:
         """Send the process a signal."""
@@ -63,13 +64,19 @@
     daemons: list[Daemon] = attrs.field(factory=list)
     started: int = 0
 
-    async def add_daemon(self) -> Daemon:
-        """Start a daemon and wait until it listens."""
+    async def add_daemon(self, *, peers: tuple[Daemon, ...] = ()) -> Daemon:
+        """Start a daemon, told of some peers, and wait until it listens."""
         number = self.started
         self.started += 1
         name = f"d-{number}"
         path = self.folder / f"{name}.json"
         settings = self.platform.build_settings(name, number)
+        settings = attrs.evolve(
+            settings,
+            peers=tuple(
+                PeerSettings(host="127.0.0.1", port=peer.inner_port) for peer in peers
+            ),
+        )
         path.write_text(json.dumps(dump_json(settings)), encoding="utf-8")
         command = [
             sys.executable,
@@ -94,6 +101,7 @@
             process=process,
             entry_port=addresses["entry_port"],
             admin_port=addresses["admin_port"],
+            inner_port=addresses["inner_port"],
         )
         self.daemons.append(daemon)
         return daemon
--- a/trefoilhook/daemon/tests/test_faults.py
+++ b/trefoilhook/daemon/tests/test_faults.py
@@ -14,6 +14,7 @@
     run_processes,
 )
 from trefoilhook.exceptions import TransportError
+from trefoilhook.instances import InstanceState
 from trefoilhook.requests import mint_key
 from trefoilhook.results import Outcome, ResultCode
 from trefoilhook.standins import Availability, FaultSettings
@@ -196,3 +197,94 @@
             self.assertEqual(len(starts), 1)
 
         run_processes(scenario)
+
+    def test_owner_killed_and_another_started_while_the_store_is_down(self):
+        # The store is down, an owner is killed, and an instance is started that has
+        # read nothing. It gets the configuration from the peer it was told of and
+        # serves callers; the survivors go on for their shards, and nobody takes the
+        # dead owner's before the store is back.
+        async def scenario(cluster: ProcessCluster) -> None:
+            survivor, victim = cluster.daemons[0], cluster.daemons[2]
+            sales = Load(cluster=cluster, service="seat-sale")
+            late = Load(cluster=cluster, service="seat-sale")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(sales.run, survivor)
+                await trio.sleep(1)
+                down = FaultSettings(availability=Availability.REFUSING)
+                await cluster.platform.store.server.change_faults(down)
+                await trio.sleep(1)
+                victim.send_signal(signal.SIGKILL)
+                await victim.process.wait()
+                newcomer = await cluster.add_daemon(peers=(survivor,))
+                nursery.start_soon(late.run, newcomer)
+                await trio.sleep(8)
+                codes = {answer.code for _, answer in late.answers}
+                self.assertIn(ResultCode.OK, codes)
+                self.assertIn(ResultCode.OK, {a.code for _, a in sales.answers[-50:]})
+                await cluster.platform.store.server.change_faults(FaultSettings())
+                await cluster.wait_settled()
+                await trio.sleep(2)
+                nursery.cancel_scope.cancel()
+            self._check(cluster, sales, late)
+
+        run_processes(scenario)
+
+    def test_leaving_executor_gets_nothing_new_though_the_list_lags(self):
+        # An executor leaves and the instance list tells it a second late. Three
+        # seconds after, no request reaches the executor any more.
+        async def scenario(cluster: ProcessCluster) -> None:
+            cluster.platform.instance_list.lag_ms = 1_000.0
+            sales = Load(cluster=cluster, service="seat-sale")
+            leaving = cluster.platform.executors["seat-sale-0"]
+            async with trio.open_nursery() as nursery:
+                for daemon in cluster.daemons:
+                    for _ in range(8):
+                        nursery.start_soon(sales.run, daemon)
+                await trio.sleep(2)
+                self.assertGreater(len(leaving.records.runs), 0)
+                cluster.platform.instance_list.set_state(
+                    "seat-sale-0", InstanceState.LEAVING
+                )
+                await trio.sleep(3)
+                before = len(leaving.records.runs)
+                await trio.sleep(2)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(len(leaving.records.runs), before)
+            self._check(cluster, sales)
+
+        run_processes(scenario, service_time_ms=30.0)
+
+    def test_operators_race_through_two_instances(self):
+        # Two operators read a team's settings and both change them, each through
+        # another instance. One wins; the other is told of the value in force, which
+        # every instance then shows.
+        async def scenario(cluster: ProcessCluster) -> None:
+            path = f"/v1/config/teams/{TEAM}"
+            admins = [cluster.open_admin(each) for each in cluster.daemons]
+            answers: dict[int, tuple[int, dict]] = {}
+            current = await admins[0].send("GET", path)
+            revision = current["revision"]
+
+            async def change(number: int) -> None:
+                target = f"{path}/services/check-{number}?revision={revision}"
+                answers[number] = await admins[number].exchange(
+                    "PUT", target, {"is_idempotent": True}
+                )
+
+            async with trio.open_nursery() as nursery:
+                for number in (0, 1):
+                    nursery.start_soon(change, number)
+            statuses = sorted(status for status, _ in answers.values())
+            self.assertEqual(statuses, [200, 409], answers)
+            winner = next(n for n, (status, _) in answers.items() if status == 200)
+            accepted = answers[winner][1]["revision"]
+            target = f"/v1/config/wait?revision={accepted}&timeout_ms=10000"
+            await admins[2].send("GET", target)
+            for admin in admins:
+                shown = await admin.send("GET", path)
+                self.assertEqual(shown["revision"], accepted)
+                self.assertIn(f"check-{winner}", str(shown))
+                self.assertNotIn(f"check-{1 - winner}", str(shown))
+                await admin.close()
+
+        run_processes(scenario)
