--- a/trefoilhook/http/tests/test_exchange.py
+++ b/trefoilhook/http/tests/test_exchange.py
@@ -1,8 +1,10 @@
 """Contract of the HTTP client and server with each other."""
 
 import unittest
+from functools import partial
 
 import trio
+import trio.testing
 
 from trefoilhook.exceptions import AnswerLostError, NotSentError
 from trefoilhook.http import (
@@ -109,10 +111,12 @@
         # whole answer, because the server closes only connections that are idle.
         async def scenario():
             entered = trio.Event()
+            order: list[str] = []
 
             async def slow(request: HttpRequest) -> HttpResponse:
                 entered.set()
                 await trio.sleep(0.1)
+                order.append("answered")
                 return HttpResponse(status=200, body=b"whole")
 
             server = HttpServer(handler=slow, host=_HOST, port=0)
@@ -127,7 +131,48 @@
                 nursery.start_soon(call, port)
                 await entered.wait()
                 await server.drain(grace_ms=10)
+                # Whoever drains ends the process next, and what still runs with it.
+                order.append("drained")
+            self.assertEqual(order, ["answered", "drained"])
             self.assertEqual(answers[0].body, b"whole")
             self.assertEqual(answers[0].get_header("connection"), "close")
 
         trio.run(scenario)
+
+    def test_drain_answers_a_request_that_was_on_its_way(self):
+        # A caller sends on a connection that it keeps, just as the instance begins to
+        # drain. Were idle connections closed at once, its request would be cut off.
+        async def scenario():
+            server = HttpServer(handler=_echo, host=_HOST, port=0)
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.run)
+                client = HttpClient(host=_HOST, port=port)
+                request = HttpRequest(method="POST", target="/", body=b"seat")
+                await client.send(request, timeout_ms=5_000)
+                connection = client._idle[-1].stream
+                nursery.start_soon(partial(server.drain, grace_ms=60_000))
+                await trio.testing.wait_all_tasks_blocked()
+                answer = await client.send(request, timeout_ms=5_000)
+                self.assertEqual(answer.body, b"seat")
+                self.assertEqual(answer.get_header("connection"), "close")
+                self.assertNotIn(connection, [each.stream for each in client._idle])
+
+        trio.run(scenario)
+
+    def test_connection_that_the_server_closed_is_not_used(self):
+        # The server closed a kept connection. A request written to it would have an
+        # unknown outcome for nothing, so the client takes a new connection.
+        async def scenario():
+            limits = HttpLimits(idle_timeout_ms=1)
+            server = HttpServer(handler=_echo, host=_HOST, port=0, limits=limits)
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.run)
+                client = HttpClient(host=_HOST, port=port)
+                request = HttpRequest(method="POST", target="/", body=b"seat")
+                await client.send(request, timeout_ms=5_000)
+                await trio.lowlevel.wait_readable(client._idle[-1].socket)
+                answer = await client.send(request, timeout_ms=5_000)
+                self.assertEqual(answer.body, b"seat")
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
--- a/trefoilhook/journal/tests/test_journal.py
+++ b/trefoilhook/journal/tests/test_journal.py
@@ -193,6 +193,21 @@
 
         self._run(scenario)
 
+    def test_append_that_is_cut_short_is_no_sure_no(self):
+        # A burst of jobs fills two pages and the store goes down between them. The
+        # first ones are recorded: told "not run", their operators would submit again.
+        async def scenario() -> None:
+            client = _OneWrite(store=self.store, is_unsent=True)
+            journal = self._open(1, client)
+            await journal.load()
+            client.is_counting = True
+            with self.assertRaises(StoreUnavailableError) as caught:
+                await journal.append([_record(f"j{n}") for n in range(60)])
+            self.assertFalse(caught.exception.is_proved_unsent)
+            self.assertGreater(len(await self._open(2).load()), 0)
+
+        self._run(scenario)
+
     def test_lost_answer_to_the_change_of_generation(self):
         # A compaction changes the head, and the store's answer is lost for good. Were
         # the old pages still written afterwards, every job recorded there would be
@@ -282,6 +297,17 @@
             await super().swap(key, value, **more)
 
 
+class _OneWrite(VirtualStoreClient):
+    """A client that loses the store after one more write."""
+
+    is_counting = False
+
+    async def swap(self, *args, **kwargs):
+        result = await super().swap(*args, **kwargs)
+        self.is_cut = self.is_counting
+        return result
+
+
 class _FrozenLister(VirtualStoreClient):
     """Stands still before it lists a whole journal."""
 
--- a/trefoilhook/requests/tests/test_takeover.py
+++ b/trefoilhook/requests/tests/test_takeover.py
@@ -214,6 +214,25 @@
         codes = [each.code for each in answers]
         self.assertEqual(codes, [ResultCode.OK, ResultCode.OUTCOME_UNKNOWN])
 
+    def test_table_of_an_earlier_claim_is_not_used_for_a_later_one(self):
+        # The same, and the shard is back before the upkeep has dropped the table.
+        cluster = Cluster(instance_count=2)
+        answers = []
+
+        async def scenario(nursery):
+            key = cluster.mint(owner="i0")
+            shard_id = cluster.find_key_shard(key)
+            owner = cluster.services["i0"]._key_owner
+            table = owner._get_table(shard_id, 1)
+            table.take_over(known_from_ms=0.0, records=[])
+            cluster.move_shard(shard_id, "i1")
+            cluster.move_shard(shard_id, "i0")
+            request = build_request(key)
+            answers.append(await cluster.services["i0"].handle_caller(request))
+
+        run_in(cluster, scenario)
+        self.assertEqual(answers[0].code, ResultCode.OUTCOME_UNKNOWN)
+
     def test_handover_that_comes_before_the_claim_is_kept(self):
         cluster = Cluster(instance_count=2)
         answers = []
