--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -45,7 +45,9 @@
 
 def _print_row(name: str, times_ms: list[float]) -> None:
     p50, p99 = np.percentile(times_ms, [50, 99])
-    print(f"{name:<22} {p50:>8.0f} {p99:>8.0f} {max(times_ms):>8.0f} {len(times_ms):>8}")
+    print(
+        f"{name:<22} {p50:>8.0f} {p99:>8.0f} {max(times_ms):>8.0f} {len(times_ms):>8}"
+    )
 
 
 async def _run() -> None:
--- a/bench/latency.py
+++ b/bench/latency.py
@@ -81,14 +81,13 @@
         shards=own,
     )
     own_outcome = await system.call(own_order)
-    print(f"way                             p50      p99  answers")
+    print("way                             p50      p99  answers")
     print(f"executor alone             {format_quantiles(direct_ms)}")
     print(f"key owned by the entry     {format_quantiles(own_outcome.latencies_ms)}")
     print(f"any key                    {format_quantiles(outcome.latencies_ms)}")
     added = [
         float(
-            np.percentile(outcome.latencies_ms, share)
-            - np.percentile(direct_ms, share)
+            np.percentile(outcome.latencies_ms, share) - np.percentile(direct_ms, share)
         )
         for share in (50, 99)
     ]
--- a/bench/takeover.py
+++ b/bench/takeover.py
@@ -111,7 +111,9 @@
     print(
         f"served again after: p50 {np.median(gaps_s):.2f} s, most {max(gaps_s):.2f} s"
     )
-    print(f"told OK and not run {lost}, run twice {twice}, told not run and run {untrue}")
+    print(
+        f"told OK and not run {lost}, run twice {twice}, told not run and run {untrue}"
+    )
     print("answers after the kill:", dict(codes))
 
 
