--- a/trefoilhook/http/tests/test_exchange.py
+++ b/trefoilhook/http/tests/test_exchange.py
@@ -50,6 +50,23 @@
 
         trio.run(scenario)
 
+    def test_request_whose_time_is_over_is_proved_not_sent(self):
+        # A request waited until its deadline before its turn came. Nothing may leave,
+        # and its caller may be told "not run" in place of "unknown".
+        async def scenario():
+            server = HttpServer(handler=_echo, host=_HOST, port=0)
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.run)
+                client = HttpClient(host=_HOST, port=port)
+                request = HttpRequest(method="POST", target="/")
+                await client.send(request, timeout_ms=5_000)
+                with self.assertRaises(NotSentError):
+                    await client.send(request, timeout_ms=0)
+                await client.close()
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+
     def test_silence_after_send_is_an_unknown_outcome(self):
         # The caller's answer never comes. The request did leave, so the client must
         # not claim that it was not sent.
--- a/trefoilhook/requests/tests/fakes.py
+++ b/trefoilhook/requests/tests/fakes.py
@@ -88,6 +88,7 @@
     silent: set[str] = attrs.field(factory=set)
     lost_answers: int = 0
     calls: int = 0
+    tells: int = 0
 
     async def call(self, instance_id, message, *, timeout_ms):
         self.calls += 1
@@ -112,6 +113,7 @@
         return reply
 
     def tell(self, instance_id, message):
+        self.tells += 1
         if not isinstance(message, ExecutorLoads) or instance_id in self.unreachable:
             return False
         copy = ExecutorLoads.FromString(message.SerializeToString())
--- /dev/null
+++ b/trefoilhook/requests/tests/test_loads.py
@@ -0,0 +1,105 @@
+"""What owners tell their peers about executors, and how soon they take them in."""
+
+import unittest
+
+import trio
+
+from trefoilhook.inner.messages_pb2 import ServiceRequest
+from trefoilhook.requests.tests.fakes import (
+    Cluster,
+    FakeCall,
+    build_request,
+    run_virtual,
+)
+from trefoilhook.results import ResultCode
+
+
+def run_in(cluster, scenario):
+    """Run ``scenario`` against a started cluster."""
+
+    async def body():
+        async with trio.open_nursery() as nursery:
+            await cluster.start(nursery)
+            await scenario()
+            nursery.cancel_scope.cancel()
+
+    run_virtual(body)
+
+
+class SummaryTest(unittest.TestCase):
+    """Summaries of executors' loads."""
+
+    def test_summaries_are_sent_for_news_only(self):
+        # Summaries leave each 200 ms and grow old after 1,000 ms. An idle owner sends
+        # them just often enough; one whose executors run requests sends each, also
+        # when the counts happen to look the same each time.
+        for is_busy, least, most in ((False, 2, 3), (True, 9, 11)):
+            with self.subTest(is_busy=is_busy):
+                cluster = Cluster(instance_count=2, executor_count=1)
+                counts = []
+
+                async def scenario(cluster=cluster, is_busy=is_busy, counts=counts):
+                    shard_id = cluster.find_executor_shard("exec-0")
+                    name = cluster.owners[shard_id].instance_id
+                    before = cluster.inners[name].tells
+                    for _ in range(20):
+                        if is_busy:
+                            request = build_request(cluster.mint())
+                            await cluster.services[name].handle_caller(request)
+                            await trio.sleep(0.04)
+                        else:
+                            await trio.sleep(0.1)
+                    counts.append(cluster.inners[name].tells - before)
+
+                run_in(cluster, scenario)
+                self.assertGreaterEqual(counts[0], least)
+                self.assertLessEqual(counts[0], most)
+
+    def test_idle_summaries_do_not_grow_old(self):
+        # An owner with nothing new must still be known to its peers, or they would
+        # leave its free executors out.
+        cluster = Cluster(instance_count=2, executor_count=1)
+        found = []
+
+        async def scenario():
+            shard_id = cluster.find_executor_shard("exec-0")
+            owner = cluster.owners[shard_id].instance_id
+            peer = "i1" if owner == "i0" else "i0"
+            loads = cluster.services[peer]._parts.peer_loads
+            for _ in range(60):
+                await trio.sleep(0.05)
+                now_ms = cluster.clock.monotonic_ms()
+                found.append(loads.find("exec-0", owner_id=owner, now_ms=now_ms))
+
+        run_in(cluster, scenario)
+        self.assertNotIn(None, found)
+
+
+class TakeInTest(unittest.TestCase):
+    """A request that gets to a new owner before the owner has looked."""
+
+    def test_request_that_follows_at_once_is_served(self):
+        # A shard is claimed, and in the same moment a peer sends on a request for its
+        # executor. The owner looks at its shards ten times a second; until then it
+        # would say that it owns no such executor.
+        cluster = Cluster(instance_count=2, executor_count=1)
+        codes = []
+
+        async def scenario():
+            shard_id = cluster.find_executor_shard("exec-0")
+            old = cluster.owners[shard_id].instance_id
+            new = "i1" if old == "i0" else "i0"
+            cluster.move_shard(shard_id, new)
+            message = ServiceRequest(
+                team="sky", service="seats", key=cluster.mint(), executor_id="exec-0"
+            )
+            call = FakeCall(sender_id=old, message=message, timeout_ms=40_000.0)
+            answer = await cluster.services[new].handle_inner(call)
+            codes.append(answer.result_number)
+
+        run_in(cluster, scenario)
+        self.assertEqual(codes, [ResultCode.OK.number])
+
+
+if __name__ == "__main__":
+    unittest.main()
