Hand over executors that nobody ever sent to as free

Cause of the 230 ms of a first request: an instance that claims all shards at its start and hands some over before it has looked at their executors says nothing of their slots; the next owner then waits 250 ms (settle time) for requests of an owner that never sent any, and asks the executor. The first owner of a shard now names executors that it never took in as free.

Without the guards the test printed: first-owner check and 'seen' each "[['exec-0']] != [[]]"; without the naming "[[]] != [['exec-0']]".

--- a/trefoilhook/requests/core.py
+++ b/trefoilhook/requests/core.py
@@ -246,7 +246,8 @@
 
         To be called in the step in which this instance stops acting for the shard.
         """
-        in_use = {
+        in_use = dict.fromkeys(self._upkeep.list_untouched(shard_id), 0)
+        in_use |= {
             each.target.executor_id: each.slots.in_progress + each.slots.unproved
             for each in self._parts.pool.list_executors()
             if each.shard_id == shard_id and not each.slots.is_taken_over
--- a/trefoilhook/requests/tests/test_loads.py
+++ b/trefoilhook/requests/tests/test_loads.py
@@ -100,6 +100,31 @@
         run_in(cluster, scenario)
         self.assertEqual(codes, [ResultCode.OK.number])
 
+    def test_executor_that_was_never_looked_at_is_handed_over_as_free(self):
+        # An instance hands a shard over right after its start, before it has looked
+        # at the shard's executors. Their next owner serves at once, in place of
+        # waiting for requests that nobody sent. What an earlier owner may have sent,
+        # or this one once did, is still waited for.
+        for fault in ("none", "earlier owner", "seen before"):
+            with self.subTest(fault):
+                cluster = Cluster(instance_count=2, executor_count=1)
+                handed = []
+
+                async def scenario(cluster=cluster, fault=fault, handed=handed):
+                    shard_id = cluster.find_executor_shard("exec-0")
+                    name = cluster.owners[shard_id].instance_id
+                    service = cluster.services[name]
+                    service.pool.remove("exec-0")
+                    if fault != "seen before":
+                        service._upkeep._seen.clear()
+                    if fault == "earlier owner":
+                        cluster.ownerships[name].since_wall_ms[shard_id] = 1.0
+                    handover = service.export_handover(shard_id, 1)
+                    handed.append([each.executor_id for each in handover.in_use])
+
+                run_in(cluster, scenario)
+                self.assertEqual(handed, [["exec-0"] if fault == "none" else []])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilhook/requests/upkeep.py
+++ b/trefoilhook/requests/upkeep.py
@@ -59,6 +59,7 @@
     list_peers: Callable[[], Sequence[str]]
     share: float = 1.0
     _handed: dict[str, _HandedSlots] = attrs.field(factory=dict, init=False)
+    _seen: set[str] = attrs.field(factory=set, init=False)
     _told: dict[str, _Told] = attrs.field(factory=dict, init=False)
     _share_at_ms: float = attrs.field(default=-math.inf, init=False)
     _retired: list[OwnedExecutor] = attrs.field(factory=list, init=False)
@@ -109,6 +110,25 @@
             self.sync()
             self._start_probes()
 
+    def list_untouched(self, shard_id: str) -> list[str]:
+        """Return a shard's executors that provably nobody ever sent a request to.
+
+        Guards against a pause after the start: an instance that hands a shard over
+        before it has looked at the shard's executors says nothing of them, and the
+        next owner would wait out the requests of an owner that never sent any. The
+        first owner of a shard has no predecessor, and an executor that it never took
+        in got nothing from it.
+        """
+        parts = self.parts
+        if parts.ownership.own_since_wall_ms(shard_id) != -math.inf:
+            return []
+        return [
+            each.executor_id
+            for each in parts.list_executors()
+            if parts.get_executor_shard(each.executor_id) == shard_id
+            and each.executor_id not in self._seen
+        ]
+
     def take_handed_over(
         self, shard_id: str, *, epoch: int, in_use: dict[str, int]
     ) -> None:
@@ -218,6 +238,7 @@
             self._retire(target.executor_id)
         if epoch is None:
             return
+        self._seen.add(target.executor_id)
         parts.pool.add(
             target,
             shard_id=shard_id,
