Refuse a job that can never run when it is submitted

It was recorded, accepted and ended a moment later; the operator had to look for that. Now the answer to the submission is the refusal with the reason, and nothing is recorded.

--- a/trefoilhook/jobs/planner.py
+++ b/trefoilhook/jobs/planner.py
@@ -3,7 +3,7 @@
 import numpy as np
 
 from trefoilhook.jobs.book import JobBook
-from trefoilhook.jobs.core import Job, JobState
+from trefoilhook.jobs.core import Job, JobSpec, JobState
 from trefoilhook.jobs.quotas import FindQuota, TeamUsage, is_within_quota
 from trefoilhook.logs import Event, log_event
 from trefoilhook.placement import (
@@ -25,7 +25,30 @@
 )
 from trefoilhook.results import ResultCode
 
-__all__ = ["explain_job", "place_waiting", "react_to_reports"]
+__all__ = ["explain_job", "find_refusal", "place_waiting", "react_to_reports"]
+
+
+def find_refusal(
+    book: JobBook,
+    spec: JobSpec,
+    *,
+    now_ms: float,
+    generator: np.random.Generator,
+    policy: Policy,
+) -> str:
+    """Say why a job can never run on the shard's workers; empty if it can.
+
+    While no worker is known nothing is refused: they may only not have been heard yet.
+    """
+    if not book.placement.workers:
+        return ""
+    shape = spec.build_shape()
+    decision = decide_placement(book.placement, shape, now_ms, generator, policy)
+    return _describe_impossible(decision) if isinstance(decision, Impossible) else ""
+
+
+def _describe_impossible(decision: Impossible) -> str:
+    return f"{decision.reason.value}: {decision.declared}, {decision.limit}"
 
 
 def place_waiting(
@@ -92,7 +115,7 @@
         book.start(job, decision.worker_id, wall_ms)
         log_event(Event.JOB_STARTED, job=shape.task_id, worker=decision.worker_id)
     elif isinstance(decision, Impossible):
-        detail = f"{decision.reason.value}: {decision.declared}, {decision.limit}"
+        detail = _describe_impossible(decision)
         book.refuse(job, ResultCode.IMPOSSIBLE_JOB, detail, wall_ms)
     elif isinstance(decision, Preempt):
         begin_preemption(book.placement, shape, decision, now_ms, policy)
--- a/trefoilhook/jobs/runner.py
+++ b/trefoilhook/jobs/runner.py
@@ -23,7 +23,12 @@
     WorkerAddress,
 )
 from trefoilhook.jobs.pace import PlacementPace
-from trefoilhook.jobs.planner import explain_job, place_waiting, react_to_reports
+from trefoilhook.jobs.planner import (
+    explain_job,
+    find_refusal,
+    place_waiting,
+    react_to_reports,
+)
 from trefoilhook.jobs.quotas import FindQuota
 from trefoilhook.jobs.sessions import (
     InventoryTaken,
@@ -158,6 +163,7 @@
         known = self._find_known(spec)
         if known is not None:
             return known
+        self._refuse_impossible(spec)
         await self._committer.accept(spec)
         return self.book.jobs[spec.job_id]
 
@@ -183,6 +189,17 @@
             self._find_quota,
         )
 
+    def _refuse_impossible(self, spec: JobSpec) -> None:
+        reason = find_refusal(
+            self.book,
+            spec,
+            now_ms=self._clock.monotonic_ms(),
+            generator=self._generator,
+            policy=self._policy(),
+        )
+        if reason:
+            raise RequestError(reason, code=ResultCode.IMPOSSIBLE_JOB)
+
     def _find_known(self, spec: JobSpec) -> Job | None:
         if not self.is_loaded:
             message = "the shard is being recovered"
--- a/trefoilhook/jobs/tests/test_runner.py
+++ b/trefoilhook/jobs/tests/test_runner.py
@@ -289,6 +289,10 @@
             await shard.sleep_s(5)
             self._assert_ended(owner, "j1", ResultCode.IMPOSSIBLE_JOB)
             self.assertIn("cores", owner.runner.book.jobs["j1"].detail)
+            error = await read_error(shard.submit(owner, "j2", resources=size))
+            self.assertEqual(error and error.code, ResultCode.IMPOSSIBLE_JOB)
+            self.assertIn("cores", str(error))
+            self.assertNotIn("j2", owner.runner.book.jobs)
 
         run_shard(scenario)
 
