Let only the cluster's token change a team's quota

A quota bounds its team, and the team's own operators could raise it. A change by a team's token that would touch the quota is refused whole, 403.

--- a/trefoilhook/admin/configuration.py
+++ b/trefoilhook/admin/configuration.py
@@ -114,6 +114,14 @@
     return _answer_value(call, found, is_from_store=False)
 
 
+def _list_kept(call: Call) -> tuple[str, ...]:
+    """Return what the caller may not change.
+
+    A quota bounds its team, so the team's own operators don't set it.
+    """
+    return () if call.operator.team is None else ("quota",)
+
+
 async def put_configuration(parts: AdminParts, call: Call) -> HttpResponse:
     """Set the value at a path."""
     team, path = _get_place(call)
@@ -123,6 +131,7 @@
         parse_json(call.request.body),
         author=call.operator.name,
         expected_revision=_read_expected_revision(call.request, call),
+        kept=_list_kept(call),
     )
     log_event(Event.CONFIG_CHANGED, team=team, path=path, revision=accepted.revision)
     return _answer_value(call, accepted)
@@ -136,6 +145,7 @@
         path,
         author=call.operator.name,
         expected_revision=_read_expected_revision(call.request, call),
+        kept=_list_kept(call),
     )
     log_event(Event.CONFIG_CHANGED, team=team, path=path, revision=accepted.revision)
     return _answer_value(call, accepted)
--- a/trefoilhook/configuration/core.py
+++ b/trefoilhook/configuration/core.py
@@ -162,6 +162,7 @@
         *,
         author: str,
         expected_revision: int | None = None,
+        kept: tuple[str, ...] = (),
     ) -> ConfigurationValue:
         """Set the value at a path.
 
@@ -178,6 +179,8 @@
         expected_revision : int, optional
             Revision that the operator edited, 0 for a team without configuration;
             the one read now when not given.
+        kept : tuple of str, optional
+            Parts of the subtree that the author may not change.
 
         Returns
         -------
@@ -186,6 +189,8 @@
 
         Raises
         ------
+        RequestError
+            If a part that must be kept would change; nothing changed.
         InvalidSettingsError
             If the whole subtree would not be valid; nothing changed.
         ConfigurationConflictError
@@ -200,7 +205,7 @@
             return replace_value(subtree, steps, value)
 
         revision = await self._change(
-            team, steps, edit, "set", author, expected_revision
+            team, steps, edit, "set", author, expected_revision, kept
         )
         return ConfigurationValue(revision=revision, value=value)
 
@@ -211,6 +216,7 @@
         *,
         author: str,
         expected_revision: int | None = None,
+        kept: tuple[str, ...] = (),
     ) -> ConfigurationValue:
         """Delete what stands at a path; see `put` for parameters and errors."""
         steps = parse_path(path)
@@ -219,7 +225,7 @@
             return remove_value(subtree, steps)
 
         revision = await self._change(
-            team, steps, edit, "delete", author, expected_revision
+            team, steps, edit, "delete", author, expected_revision, kept
         )
         return ConfigurationValue(revision=revision, value=None)
 
@@ -251,11 +257,13 @@
         action: Action,
         author: str,
         expected_revision: int | None,
+        kept: tuple[str, ...],
     ) -> int:
         loaded = await self._load(team, is_replaced=not steps)
         if expected_revision not in (None, loaded.revision):
             raise self._build_conflict(team, steps, loaded)
         subtree = edit(loaded.document.subtree)
+        _check_kept(loaded.document.subtree, subtree, kept)
         read_settings(TeamConfiguration, subtree)
         change = StoredChange(
             previous_revision=loaded.revision,
@@ -297,3 +305,13 @@
         standing = ConfigurationValue(revision=loaded.revision, value=value)
         message = f"the configuration of {team} is at revision {loaded.revision}"
         return ConfigurationConflictError(message, standing=standing)
+
+
+def _check_kept(
+    before: dict[str, Any], after: dict[str, Any], kept: tuple[str, ...]
+) -> None:
+    """Refuse a change of a part that its author may not change."""
+    for name in kept:
+        if before.get(name) != after.get(name):
+            message = f"only the cluster's token may change {name}"
+            raise RequestError(message, code=ResultCode.FORBIDDEN)
