--- a/trefoilhook/daemon/tests/test_faults.py
+++ b/trefoilhook/daemon/tests/test_faults.py
@@ -257,7 +257,7 @@
     def test_operators_race_through_two_instances(self):
         # Two operators read a team's settings and both change them, each through
         # another instance. One wins; the other is told of the value in force, which
-        # every instance then shows.
+        # every instance then shows. A third, who read it before as well, comes later.
         async def scenario(cluster: ProcessCluster) -> None:
             path = f"/v1/config/teams/{TEAM}"
             admins = [cluster.open_admin(each) for each in cluster.daemons]
@@ -280,6 +280,8 @@
             accepted = answers[winner][1]["revision"]
             target = f"/v1/config/wait?revision={accepted}&timeout_ms=10000"
             await admins[2].send("GET", target)
+            await change(2)
+            self.assertEqual(answers[2][0], 409, answers[2])
             for admin in admins:
                 shown = await admin.send("GET", path)
                 self.assertEqual(shown["revision"], accepted)
