--- a/trefoilhook/daemon/tests/test_faults.py
+++ b/trefoilhook/daemon/tests/test_faults.py
@@ -17,7 +17,7 @@
 from trefoilhook.instances import InstanceState
 from trefoilhook.requests import mint_key
 from trefoilhook.results import Outcome, ResultCode
-from trefoilhook.standins import Availability, FaultSettings
+from trefoilhook.standins import Availability, FaultSettings, TcpCut
 
 
 class ProcessFaultTest(unittest.TestCase):
@@ -91,7 +91,8 @@
             sales = Load(cluster=cluster, service="seat-sale")
             async with trio.open_nursery() as nursery:
                 for daemon in cluster.daemons:
-                    nursery.start_soon(sales.run, daemon)
+                    for _ in range(6):
+                        nursery.start_soon(sales.run, daemon)
                 await trio.sleep(1)
                 for daemon in cluster.daemons[:2]:
                     daemon.send_signal(signal.SIGTERM)
@@ -290,3 +291,39 @@
                 await admin.close()
 
         run_processes(scenario)
+
+    def test_connections_to_the_store_go_silent(self):
+        # Something between an instance and the store loses track of its connections:
+        # they stay open and nothing comes back, while new ones work. The instance
+        # takes new ones in time to keep its lease, and no shard moves.
+        async def scenario(cluster: ProcessCluster) -> None:
+            platform = cluster.platform
+            cut = TcpCut(
+                clock=platform.clock,
+                target_host="127.0.0.1",
+                target_port=platform.store_port,
+            )
+            sales = Load(cluster=cluster, service="seat-sale")
+            async with trio.open_nursery() as nursery:
+                platform.store_port = await nursery.start(cut.run)
+                victim = await cluster.add_daemon()
+                nursery.start_soon(sales.run, victim)
+                before: list[dict] = []
+                while victim.instance_id not in str(before):
+                    await trio.sleep(1)
+                    await cluster.wait_settled()
+                    before = (await cluster.read_status(cluster.daemons[0]))["shards"]
+                for _ in range(2):
+                    self.assertGreater(cut.forget_connections(), 0)
+                    await trio.sleep(6)
+                after = (await cluster.read_status(cluster.daemons[0]))["shards"]
+                nursery.cancel_scope.cancel()
+            self.assertGreater(cut.dropped_bytes, 0)
+            self.assertEqual(_read_epochs(after), _read_epochs(before))
+            self._check(cluster, sales)
+
+        run_processes(scenario)
+
+
+def _read_epochs(shards: list[dict]) -> dict[str, tuple[str, int]]:
+    return {s["shard_id"]: (s["owner_instance_id"], s["epoch"]) for s in shards}
