--- a/trefoilhook/requests/tests/test_loads.py
+++ b/trefoilhook/requests/tests/test_loads.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import attrs
 import trio
 
 from trefoilhook.inner.messages_pb2 import ServiceRequest
@@ -36,13 +37,17 @@
         for is_busy, least, most in ((False, 2, 3), (True, 9, 11)):
             with self.subTest(is_busy=is_busy):
                 cluster = Cluster(instance_count=2, executor_count=1)
+                cluster.settings = attrs.evolve(
+                    cluster.settings, loads_interval_ms=200.0, loads_age_ms=1_000.0
+                )
                 counts = []
 
                 async def scenario(cluster=cluster, is_busy=is_busy, counts=counts):
                     shard_id = cluster.find_executor_shard("exec-0")
                     name = cluster.owners[shard_id].instance_id
                     before = cluster.inners[name].tells
-                    for _ in range(20):
+                    end = trio.current_time() + 2
+                    while trio.current_time() < end:
                         if is_busy:
                             request = build_request(cluster.mint())
                             await cluster.services[name].handle_caller(request)
