--- a/bench/placement.py
+++ b/bench/placement.py
@@ -14,7 +14,7 @@
 import numpy as np
 
 from bench.placement_driver import run_scheme
-from bench.placement_report import draw_plot, write_report
+from bench.placement_report import draw_plot, list_points, write_report
 from bench.placement_schemes import build_ablations, build_schemes
 from bench.placement_world import USERS, Conditions
 from trefoilhook.placement import (
@@ -201,7 +201,8 @@
         return
     DOCS.mkdir(exist_ok=True)
     (DOCS / "PLACEMENT_BENCH.md").write_text(text)
-    draw_plot(results, DOCS / "placement_bench.png")
+    points = list_points(results, HELD_OUT_SEEDS)
+    draw_plot(points, DOCS / "placement_bench.png")
 
 
 if __name__ == "__main__":
--- a/bench/placement_report.py
+++ b/bench/placement_report.py
@@ -1,5 +1,6 @@
 """Write what the runs showed as a page and a plot."""
 
+import attrs
 import matplotlib as mpl
 import numpy as np
 
@@ -7,7 +8,7 @@
 
 import matplotlib.pyplot as plt
 
-__all__ = ["draw_plot", "write_report"]
+__all__ = ["Point", "draw_plot", "list_points", "write_report"]
 
 COLUMNS = {
     "p99 slowdown": ("tail_p99", "{:.3f}"),
@@ -279,22 +280,68 @@
     return "\n".join(parts)
 
 
-def draw_plot(results, path):
-    """Draw the tail against throughput, one mark for each seed."""
+@attrs.frozen(kw_only=True)
+class Point:
+    """One scheme for one user: medians, each with its lowest and highest seed."""
+
+    user: str
+    scheme: str
+    throughput: tuple[float, float, float]
+    tail: tuple[float, float, float]
+
+
+def list_points(results, held_out):
+    """List what is drawn: the seeds that were kept out of tuning."""
+    points = []
+    for user in ("carrowmore", "agency"):
+        kept = _group(
+            results, "main", user, lambda run: run.conditions.seed in held_out
+        )
+        for scheme, outcomes in kept.items():
+            points.append(
+                Point(
+                    user=user,
+                    scheme=scheme,
+                    throughput=_spread(outcomes, "throughput"),
+                    tail=_spread(outcomes, "tail_p99"),
+                )
+            )
+    return points
+
+
+def _spread(outcomes, field):
+    values = [getattr(outcome, field) for outcome in outcomes]
+    return float(np.median(values)), min(values), max(values)
+
+
+def _reach(spread):
+    middle, low, high = spread
+    return [[middle - low], [high - middle]]
+
+
+def draw_plot(points, path):
+    """Draw the tail against throughput, a median with its range for each scheme."""
     figure, axes = plt.subplots(1, 2, figsize=(10, 4), dpi=80)
+    names = list(dict.fromkeys(point.scheme for point in points))
     for pane, user in zip(axes, ("carrowmore", "agency"), strict=True):
-        for scheme, outcomes in _group(results, "main", user).items():
-            pane.plot(
-                [outcome.throughput for outcome in outcomes],
-                [outcome.tail_p99 for outcome in outcomes],
-                "o",
-                markersize=4,
-                label=scheme,
+        for point in points:
+            if point.user != user:
+                continue
+            pane.errorbar(
+                point.throughput[0],
+                point.tail[0],
+                xerr=_reach(point.throughput),
+                yerr=_reach(point.tail),
+                fmt="o",
+                markersize=5,
+                linewidth=0.8,
+                color=f"C{names.index(point.scheme)}",
+                label=point.scheme,
             )
         pane.axhline(1.1, color="grey", linewidth=0.8)
-        pane.set_title(user)
+        pane.set_title(f"{user}, seeds kept out of tuning")
         pane.set_xlabel("throughput (useful / all core-hours)")
         pane.set_ylabel("p99 slowdown of services")
-    axes[0].legend(fontsize=7)
+        pane.legend(fontsize=7)
     figure.tight_layout()
     figure.savefig(path)
