--- a/trefoilhook/jobs/runner.py
+++ b/trefoilhook/jobs/runner.py
@@ -30,6 +30,7 @@
     react_to_reports,
 )
 from trefoilhook.jobs.quotas import FindQuota
+from trefoilhook.jobs.reports import read_report
 from trefoilhook.jobs.sessions import (
     InventoryTaken,
     NewsHeard,
@@ -41,9 +42,6 @@
 from trefoilhook.logs import Event, log_event
 from trefoilhook.placement import (
     Policy,
-    ServiceSlowdown,
-    TaskUsage,
-    UsageReport,
     WorkerShape,
 )
 from trefoilhook.results import ResultCode
@@ -302,21 +300,8 @@
         report = event.report
         if report is None:
             return
-        usage = tuple(
-            TaskUsage(task_id=u.job_id, used=u.resources) for u in report.usages
-        )
-        slowdowns = tuple(
-            ServiceSlowdown(task_id=u.job_id, slowdown=u.slowdown)
-            for u in report.usages
-        )
         self.book.placement.observe_usage(
-            UsageReport(
-                worker_id=event.worker_id,
-                measured_at_ms=now_ms - report.age_ms,
-                usage=usage,
-                slowdowns=slowdowns,
-            ),
-            now_ms,
+            read_report(event.worker_id, report, now_ms), now_ms
         )
 
     def _admit(self, event: InventoryTaken) -> None:
