Take a handover in before the first act for a shard

Cause: a shard's new owner could act for it a moment before the request path was told what the former owner had passed on, which came through a channel to another task. A request in between was judged without it; its key was minted before the claim, so its caller was told OUTCOME_UNKNOWN in a graceful shutdown.

Ownership now hands it to its receivers before the right to act is given.

--- a/trefoilhook/daemon/core.py
+++ b/trefoilhook/daemon/core.py
@@ -218,6 +218,7 @@
         self._inner.handle(ServiceRequest, self.requests.handle_inner)
         self._inner.handle(ExecutorLoads, self.requests.handle_loads)
         self.ownership.add_releaser(self._release_requests)
+        self.ownership.add_receiver(self.requests.take_handover)
         self._ownership_changes = self.ownership.subscribe()
         self._entry_server = self._build_server(
             settings.listeners.entry,
@@ -355,8 +356,6 @@
         async for change in self._ownership_changes:
             if not change.is_owned:
                 continue
-            if change.handover is not None:
-                self.requests.take_handover(change.handover)
             if change.rights in _MET:
                 self.requests.note_predecessor_gone(change.shard_id)
 
--- a/trefoilhook/shards/owner.py
+++ b/trefoilhook/shards/owner.py
@@ -54,6 +54,7 @@
 _WRITE_TIMEOUT_MS = 2_000.0
 
 Releaser = Callable[[str, int], Awaitable[ShardHandover]]
+Receiver = Callable[[ShardHandover], None]
 
 
 @attrs.frozen(kw_only=True)
@@ -154,6 +155,7 @@
         self._handovers: dict[str, ShardHandover] = {}
         self._subscribers: list[trio.MemorySendChannel[OwnershipChange]] = []
         self._releasers: list[Releaser] = []
+        self._receivers: list[Receiver] = []
         self._random = random.Random(membership.instance_id)
         inner.handle(ShardHandover, self._receive_handover)
 
@@ -209,6 +211,20 @@
         """Add a step that ends work on a shard and returns what to pass on."""
         self._releasers.append(releaser)
 
+    def add_receiver(self, receiver: Receiver) -> None:
+        """Add a step that takes in what a former owner passed on.
+
+        It is taken before this instance may act for the shard. Told of a moment later,
+        as the changes are, a request that comes in between would be judged without it:
+        its key was minted before the claim, and its caller be told "unknown".
+        """
+        self._receivers.append(receiver)
+
+    def _take_in(self, handover: ShardHandover | None) -> None:
+        if handover is not None:
+            for receiver in self._receivers:
+                receiver(handover)
+
     async def _receive_handover(self, call: Call) -> Empty:
         """Keep what a leaving owner passes on until the table names this instance."""
         handover = call.message
@@ -390,6 +406,8 @@
         for shard_id, holding in self._holdings.items():
             if not holding.is_releasing or shard_id in moves:
                 continue
+            if holding.rights is not Rights.WAIT:
+                self._take_in(holding.released)
             holding.is_releasing = False
             if holding.rights is not Rights.WAIT:
                 holding.since_wall_ms = self._clock.wall_ms()
@@ -449,11 +467,12 @@
             if rights is Rights.WAIT:
                 await self._ask_attests(holding)
                 continue
+            handover = self._take_handover(shard_id, holding.row)
+            self._take_in(handover)
             holding.rights = rights
             # Before the first claim of all there was nobody who could have acted.
             is_first = holding.row.epoch == _FIRST_EPOCH
             holding.since_wall_ms = -math.inf if is_first else self._clock.wall_ms()
-            handover = self._take_handover(shard_id, holding.row)
             self._announce(shard_id, holding, handover=handover)
         await self._clear_unmet()
 
--- a/trefoilhook/shards/tests/test_guards.py
+++ b/trefoilhook/shards/tests/test_guards.py
@@ -58,6 +58,26 @@
 
         run_cluster(scenario, size=3)
 
+    def test_handover_is_taken_in_before_the_first_act(self):
+        # A request arrives at the very moment at which a shard changes hands. Judged
+        # without what the leaving owner passed on, its caller is told "unknown".
+        async def scenario(cluster: Cluster) -> None:
+            leaver, receiver = cluster.instances["i0"], cluster.instances["i1"]
+            moved = set(leaver.ownership.list_owned())
+            seen: dict[str, int | None] = {}
+
+            def take_in(handover: ShardHandover) -> None:
+                seen[handover.shard_id] = receiver.ownership.owns(handover.shard_id)
+
+            receiver.ownership.add_receiver(take_in)
+            await leaver.membership.announce_leaving()
+            await leaver.ownership.release_all()
+            await cluster.sleep_s(1)
+            self.assertEqual(seen, dict.fromkeys(moved))
+            self.assertLessEqual(moved, set(receiver.ownership.list_owned()))
+
+        run_cluster(scenario, size=2)
+
     def test_only_the_owner_before_is_believed(self):
         # A handover that arrives after yet another owner held the shard lacks what
         # that one did.
