--- a/trefoilhook/daemon/backend.py
+++ b/trefoilhook/daemon/backend.py
@@ -74,6 +74,8 @@
         Time.
     begin_leaving : callable
         Starts the graceful shutdown.
+    has_backends : callable
+        Whether the instance list has been read.
     """
 
     identity: InstanceSettings
@@ -86,8 +88,8 @@
     metrics: Metrics
     clock: Clock
     begin_leaving: Callable[[], None]
+    has_backends: Callable[[], bool]
     is_leaving: bool = False
-    _reached_store_ms: float = 0.0
 
     def __attrs_post_init__(self) -> None:
         self.inner.handle(StatusRequest, self._answer_status)
@@ -124,6 +126,12 @@
             instance_id, DrainRequest(), timeout_ms=_STATUS_TIMEOUT_MS
         )
 
+    async def declare_gone(self, instance_id: str) -> None:
+        """Record that an instance is gone for good."""
+        if instance_id == self.membership.instance_id:
+            raise RequestError("it is this instance that answers")
+        await self.membership.declare_gone(instance_id)
+
     async def submit_job(self, submission: JobSubmission) -> JobRecord:
         """Record a job durably; the same id again returns the job recorded first."""
         body = submission.body
@@ -213,6 +221,8 @@
             return ReadyReport(is_ready=False, reason="leaving")
         if not self.membership.follower.is_filled:
             return ReadyReport(is_ready=False, reason="no configuration yet")
+        if not self.has_backends():
+            return ReadyReport(is_ready=False, reason="no instance list yet")
         return ReadyReport(is_ready=True)
 
     def render_metrics(self) -> bytes:
--- a/trefoilhook/jobs/planner.py
+++ b/trefoilhook/jobs/planner.py
@@ -3,7 +3,8 @@
 import numpy as np
 
 from trefoilhook.jobs.book import JobBook
-from trefoilhook.jobs.core import Job, JobState
+from trefoilhook.jobs.core import Job, JobSpec, JobState
+from trefoilhook.jobs.quotas import FindQuota, TeamUsage, is_within_quota
 from trefoilhook.logs import Event, log_event
 from trefoilhook.placement import (
     Impossible,
@@ -24,7 +25,30 @@
 )
 from trefoilhook.results import ResultCode
 
-__all__ = ["explain_job", "place_waiting", "react_to_reports"]
+__all__ = ["explain_job", "find_refusal", "place_waiting", "react_to_reports"]
+
+
+def find_refusal(
+    book: JobBook,
+    spec: JobSpec,
+    *,
+    now_ms: float,
+    generator: np.random.Generator,
+    policy: Policy,
+) -> str:
+    """Say why a job can never run on the shard's workers; empty if it can.
+
+    While no worker is known nothing is refused: they may only not have been heard yet.
+    """
+    if not book.placement.workers:
+        return ""
+    shape = spec.build_shape()
+    decision = decide_placement(book.placement, shape, now_ms, generator, policy)
+    return _describe_impossible(decision) if isinstance(decision, Impossible) else ""
+
+
+def _describe_impossible(decision: Impossible) -> str:
+    return f"{decision.reason.value}: {decision.declared}, {decision.limit}"
 
 
 def place_waiting(
@@ -34,6 +58,7 @@
     wall_ms: float,
     generator: np.random.Generator,
     policy: Policy,
+    find_quota: FindQuota,
     limit: int,
 ) -> None:
     """Start the waiting jobs that fit now, in the order of the queue.
@@ -50,6 +75,8 @@
         Draws the workers that are looked at.
     policy : Policy
         Weights and thresholds.
+    find_quota : callable
+        Most that a team may hold in this shard, or None.
     limit : int
         Most jobs to look at.
     """
@@ -59,9 +86,15 @@
         if job.state is JobState.QUEUED and not job.is_cancelled
     ]
     ordered = order_queue(book.placement, waiting, wall_ms, policy)
+    usage = TeamUsage.count(book.placement) if ordered else TeamUsage()
     for entry in ordered[:limit]:
-        job = book.jobs[entry.shape.task_id]
+        shape = entry.shape
+        job = book.jobs[shape.task_id]
+        if not is_within_quota(usage, shape, find_quota(shape.team)):
+            continue
         _place(book, job, entry, now_ms, wall_ms, generator, policy)
+        if shape.task_id in book.placement.tasks:
+            usage.add(shape)
 
 
 def _place(
@@ -82,7 +115,7 @@
         book.start(job, decision.worker_id, wall_ms)
         log_event(Event.JOB_STARTED, job=shape.task_id, worker=decision.worker_id)
     elif isinstance(decision, Impossible):
-        detail = f"{decision.reason.value}: {decision.declared}, {decision.limit}"
+        detail = _describe_impossible(decision)
         book.refuse(job, ResultCode.IMPOSSIBLE_JOB, detail, wall_ms)
     elif isinstance(decision, Preempt):
         begin_preemption(book.placement, shape, decision, now_ms, policy)
@@ -125,11 +158,15 @@
     now_ms: float,
     generator: np.random.Generator,
     policy: Policy,
+    find_quota: FindQuota,
 ) -> str:
     """Say in words why a job waits, or where it was placed and against what."""
     if job.state is JobState.ENDED:
         return f"ended: {job.detail or 'see its result'}"
-    explanation = explain_placement(
-        book.placement, job.spec.build_shape(), now_ms, generator, policy
-    )
+    shape = job.spec.build_shape()
+    usage = TeamUsage.count(book.placement)
+    is_waiting = job.state is JobState.QUEUED
+    if is_waiting and not is_within_quota(usage, shape, find_quota(shape.team)):
+        return f"waits: the quota of {shape.team} is used up"
+    explanation = explain_placement(book.placement, shape, now_ms, generator, policy)
     return render_explanation(explanation)
--- a/trefoilhook/jobs/runner.py
+++ b/trefoilhook/jobs/runner.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Sequence
 from typing import TypeVar
 
-import attrs
 import numpy as np
 import trio
 
@@ -12,21 +11,26 @@
     FencedError,
     RequestError,
     StoreError,
-    StoreRateError,
-    StoreUnavailableError,
-    TrefoilhookError,
 )
 from trefoilhook.instances import InstanceState, WorkerRecord
 from trefoilhook.jobs.book import JobBook
+from trefoilhook.jobs.commits import RETRY_MS, Committer
 from trefoilhook.jobs.core import Job, JobSpec, JobState
 from trefoilhook.jobs.journal import JobJournal
 from trefoilhook.jobs.messages import (
     Commit,
-    JobRecord,
     RecordKind,
     WorkerAddress,
 )
-from trefoilhook.jobs.planner import explain_job, place_waiting, react_to_reports
+from trefoilhook.jobs.pace import PlacementPace
+from trefoilhook.jobs.planner import (
+    explain_job,
+    find_refusal,
+    place_waiting,
+    react_to_reports,
+)
+from trefoilhook.jobs.quotas import FindQuota
+from trefoilhook.jobs.reports import read_report
 from trefoilhook.jobs.sessions import (
     InventoryTaken,
     NewsHeard,
@@ -38,10 +42,6 @@
 from trefoilhook.logs import Event, log_event
 from trefoilhook.placement import (
     Policy,
-    Resources,
-    ServiceSlowdown,
-    TaskUsage,
-    UsageReport,
     WorkerShape,
 )
 from trefoilhook.results import ResultCode
@@ -50,21 +50,11 @@
 __all__ = ["ShardRunner"]
 
 _T = TypeVar("_T")
-_COMMIT_RETRY_MS = 200.0
 _EVENTS_BUFFERED = 1_000
 
 OpenWorker = Callable[[WorkerAddress], WorkerClient]
 
 
-@attrs.define(kw_only=True, eq=False)
-class _Acceptance:
-    """A submitted job that waits for its commit."""
-
-    spec: JobSpec
-    done: trio.Event = attrs.field(factory=trio.Event)
-    error: TrefoilhookError | None = None
-
-
 class ShardRunner:
     """Runs one worker shard for as long as this instance owns it.
 
@@ -86,6 +76,8 @@
         Opens the adapter to a worker.
     policy : callable
         Policy of the decisions now.
+    find_quota : callable
+        Most that a team may hold in this shard, or None.
     clock : Clock
         Time.
     settings : JobSettings
@@ -105,6 +97,7 @@
         list_workers: Callable[[], Sequence[WorkerRecord]],
         open_worker: OpenWorker,
         policy: Callable[[], Policy],
+        find_quota: FindQuota,
         clock: Clock,
         settings: JobSettings,
         seed: int = 0,
@@ -117,22 +110,29 @@
         self._list_workers = list_workers
         self._open_worker = open_worker
         self._policy = policy
+        self._find_quota = find_quota
         self._clock = clock
         self._settings = settings
         self._generator = np.random.default_rng(seed)
         self._sessions: dict[str, WorkerSession] = {}
         self._unheard: set[str] = set()
-        self._acceptances: list[_Acceptance] = []
-        self._unsent: list[Commit] = []
-        self._commit_wanted = trio.Event()
+        self._committer = Committer(
+            journal=journal,
+            clock=clock,
+            window_ms=settings.commit_window_ms,
+            on_committed=self._take_committed,
+        )
         self._work_wanted = trio.Event()
         self._reacted_ms = -settings.react_interval_ms
+        self._pace = PlacementPace(
+            least_ms=settings.least_pause_ms, most_ms=settings.tick_ms
+        )
         self._is_recovered = False
         self._nursery: trio.Nursery | None = None
         sender, receiver = trio.open_memory_channel[SessionEvent](_EVENTS_BUFFERED)
         self._events_in = sender
         self._events = receiver
-        self.book = JobBook(epoch=epoch)
+        self.book = JobBook(epoch=epoch, kept_ended=settings.kept_ended)
         self.is_loaded = False
 
     async def run(self) -> None:
@@ -143,7 +143,7 @@
                 self._nursery = nursery
                 for address in self.book.workers.values():
                     self._open_session(address)
-                nursery.start_soon(self._keep_committing)
+                nursery.start_soon(self._committer.run)
                 await self._keep_working()
         except* FencedError:
             log_event(Event.SHARD_FENCED, shard=self._shard_id, epoch=self._epoch)
@@ -161,12 +161,8 @@
         known = self._find_known(spec)
         if known is not None:
             return known
-        acceptance = _Acceptance(spec=spec)
-        self._acceptances.append(acceptance)
-        self._commit_wanted.set()
-        await acceptance.done.wait()
-        if acceptance.error is not None:
-            raise acceptance.error
+        self._refuse_impossible(spec)
+        await self._committer.accept(spec)
         return self.book.jobs[spec.job_id]
 
     def cancel(self, job_ids: Sequence[str]) -> None:
@@ -183,9 +179,25 @@
             silent = ", ".join(sorted(self._unheard))
             return f"held: it may run on a worker that has not been heard: {silent}"
         return explain_job(
-            self.book, job, self._clock.monotonic_ms(), self._generator, self._policy()
+            self.book,
+            job,
+            self._clock.monotonic_ms(),
+            self._generator,
+            self._policy(),
+            self._find_quota,
         )
 
+    def _refuse_impossible(self, spec: JobSpec) -> None:
+        reason = find_refusal(
+            self.book,
+            spec,
+            now_ms=self._clock.monotonic_ms(),
+            generator=self._generator,
+            policy=self._policy(),
+        )
+        if reason:
+            raise RequestError(reason, code=ResultCode.IMPOSSIBLE_JOB)
+
     def _find_known(self, spec: JobSpec) -> Job | None:
         if not self.is_loaded:
             message = "the shard is being recovered"
@@ -201,7 +213,7 @@
                 raise
             except StoreError as error:
                 log_event(Event.STORE_DOWN, reason=str(error))
-                await self._clock.sleep_ms(_COMMIT_RETRY_MS)
+                await self._clock.sleep_ms(RETRY_MS)
         self.book.restore(records)
         self.book.release_unstarted()
         self._unheard = set(self.book.workers)
@@ -214,8 +226,9 @@
             if self._may_act():
                 self._step()
             else:
-                # Guards against a spin that takes the whole core: what woke this task
-                # stays set until a step, and without the right there is none.
+                # Guards against a core kept busy for a whole outage: what is wanted
+                # stays wanted until the right to act is back, so the wait above
+                # returns at once.
                 await self._clock.sleep_ms(self._settings.tick_ms)
 
     async def _wait_for_work(self) -> None:
@@ -235,19 +248,24 @@
         self._follow_workers()
         self._recover()
         now_ms = self._clock.monotonic_ms()
+        if self._pace.take(now_ms):
+            self._place(now_ms)
+        if now_ms - self._reacted_ms >= self._settings.react_interval_ms:
+            self._reacted_ms = now_ms
+            react_to_reports(self.book, now_ms, self._policy())
+        self._send_orders()
+        self._committer.add(self.book.take_commits())
+
+    def _place(self, now_ms: float) -> None:
         place_waiting(
             self.book,
             now_ms=now_ms,
             wall_ms=self._clock.wall_ms(),
             generator=self._generator,
             policy=self._policy(),
+            find_quota=self._find_quota,
             limit=self._settings.max_placed_per_step,
         )
-        if now_ms - self._reacted_ms >= self._settings.react_interval_ms:
-            self._reacted_ms = now_ms
-            react_to_reports(self.book, now_ms, self._policy())
-        self._send_orders()
-        self._collect_commits()
 
     def _drain_events(self) -> None:
         while True:
@@ -259,6 +277,8 @@
 
     def _take_event(self, event: SessionEvent) -> None:
         now_ms, wall_ms = self._clock.monotonic_ms(), self._clock.wall_ms()
+        if not isinstance(event, NewsHeard) or event.news:
+            self._pace.want()
         if isinstance(event, WorkerLapsed):
             self.book.lose_worker(event.worker_id, now_ms=now_ms, wall_ms=wall_ms)
             self._withdraw(event.worker_id)
@@ -280,22 +300,8 @@
         report = event.report
         if report is None:
             return
-        usage = tuple(
-            TaskUsage(task_id=u.job_id, used=_copy_resources(u.resources))
-            for u in report.usages
-        )
-        slowdowns = tuple(
-            ServiceSlowdown(task_id=u.job_id, slowdown=u.slowdown)
-            for u in report.usages
-        )
         self.book.placement.observe_usage(
-            UsageReport(
-                worker_id=event.worker_id,
-                measured_at_ms=now_ms - report.age_ms,
-                usage=usage,
-                slowdowns=slowdowns,
-            ),
-            now_ms,
+            read_report(event.worker_id, report, now_ms), now_ms
         )
 
     def _admit(self, event: InventoryTaken) -> None:
@@ -305,7 +311,7 @@
             worker_id=event.worker_id,
             rack=record.rack if record else "",
             failure_domain=record.failure_domain if record else "",
-            capacity=_copy_resources(event.capacity),
+            capacity=event.capacity,
         )
         known = self.book.placement.workers.get(event.worker_id)
         if known is None or known.withdrawn:
@@ -347,6 +353,7 @@
         if self._is_recovered or self._unheard:
             return
         self._is_recovered = True
+        self._pace.want()
         self.book.release_held(self._clock.wall_ms())
 
     def _find_record(self, worker_id: str) -> WorkerRecord | None:
@@ -377,95 +384,18 @@
             if session is not None and session.is_held:
                 session.send(orders)
 
-    def _collect_commits(self) -> None:
-        commits = self.book.take_commits()
-        if commits:
-            self._unsent.extend(commits)
-            self._commit_wanted.set()
-
     def _wake(self) -> None:
+        self._pace.want()
         self._work_wanted.set()
 
-    async def _keep_committing(self) -> None:
-        """Write what waits, all of it in one append, then what came meanwhile."""
-        while True:
-            await self._commit_wanted.wait()
-            await self._clock.sleep_ms(self._settings.commit_window_ms)
-            self._commit_wanted = trio.Event()
-            acceptances, self._acceptances = self._acceptances, []
-            commits, self._unsent = self._unsent, []
-            if acceptances or commits:
-                await self._commit(acceptances, commits)
-
-    async def _commit(
-        self, acceptances: list[_Acceptance], commits: list[Commit]
+    def _take_committed(
+        self, specs: Sequence[JobSpec], commits: Sequence[Commit]
     ) -> None:
-        """Append until it is done; only acceptances are given up, when surely unsaid.
-
-        While the outcome of an append is not known the same records are appended again:
-        the journal takes a record once. A caller whose job may be recorded is told so
-        at once, and the job runs when it turns out to be.
-        """
-        while True:
-            records = [_record_acceptance(a.spec) for a in acceptances]
-            records.extend(commit.record for commit in commits)
-            try:
-                if records:
-                    await self._journal.append(records)
-                break
-            except FencedError as error:
-                self._refuse(acceptances, error)
-                raise
-            except (StoreRateError, StoreUnavailableError) as error:
-                acceptances = self._judge_failure(acceptances, error)
-            await self._clock.sleep_ms(_COMMIT_RETRY_MS)
-        for acceptance in acceptances:
-            self.book.accept(acceptance.spec)
-            acceptance.done.set()
-            log_event(Event.JOB_ACCEPTED, job=acceptance.spec.job_id)
+        for spec in specs:
+            self.book.accept(spec)
+            log_event(Event.JOB_ACCEPTED, job=spec.job_id)
         self.book.confirm(commits)
         for commit in commits:
             if commit.record.kind is RecordKind.WORKER_ADDED:
                 self._open_session(self.book.workers[commit.record.worker_id])
         self._wake()
-
-    def _judge_failure(
-        self, acceptances: list[_Acceptance], error: StoreError
-    ) -> list[_Acceptance]:
-        """Return the acceptances to append again."""
-        is_unsent = isinstance(error, StoreRateError) or getattr(
-            error, "is_proved_unsent", False
-        )
-        if is_unsent:
-            self._refuse([a for a in acceptances if not a.done.is_set()], error)
-            return [a for a in acceptances if a.error is not error]
-        for acceptance in acceptances:
-            if not acceptance.done.is_set():
-                acceptance.error = StoreUnavailableError(
-                    "the store didn't say whether the job is recorded",
-                    code=ResultCode.COMMIT_UNKNOWN,
-                )
-                acceptance.done.set()
-        return acceptances
-
-    def _refuse(self, acceptances: list[_Acceptance], error: TrefoilhookError) -> None:
-        for acceptance in acceptances:
-            acceptance.error = error
-            acceptance.done.set()
-
-
-def _record_acceptance(spec: JobSpec) -> JobRecord:
-    return JobRecord(
-        kind=RecordKind.ACCEPTED,
-        job_id=spec.job_id,
-        spec=spec,
-        at_ms=spec.submitted_ms,
-    )
-
-
-def _copy_resources(resources: object) -> Resources:
-    return Resources(
-        cores=getattr(resources, "cores", 0.0),
-        memory_bytes=getattr(resources, "memory_bytes", 0),
-        accelerators=getattr(resources, "accelerators", 0),
-    )
--- a/trefoilhook/jobs/service.py
+++ b/trefoilhook/jobs/service.py
@@ -21,12 +21,15 @@
     JobView,
 )
 from trefoilhook.instances import WorkerRecord
+from trefoilhook.jobs.book import JobBook
 from trefoilhook.jobs.core import Job, JobSpec, JobState
 from trefoilhook.jobs.journal import JobJournal
+from trefoilhook.jobs.listing import WorkerSplit
 from trefoilhook.jobs.messages import WorkerAddress
+from trefoilhook.jobs.quotas import FindQuota, split_quota
 from trefoilhook.jobs.runner import ShardRunner
 from trefoilhook.jobs.settings import JobSettings
-from trefoilhook.placement import Policy
+from trefoilhook.placement import Policy, Resources
 from trefoilhook.results import ResultCode
 from trefoilhook.settings import ShardSettings
 from trefoilhook.shards import (
@@ -64,6 +67,8 @@
         Opens the adapter to a worker.
     policy : callable
         Policy of the decisions now.
+    find_quota : callable
+        Most that a team may hold over all shards, or None.
     clock : Clock
         Time.
     settings : JobSettings
@@ -82,6 +87,7 @@
         list_workers: Callable[[], Sequence[WorkerRecord]],
         open_worker: Callable[[WorkerAddress], WorkerClient],
         policy: Callable[[], Policy],
+        find_quota: FindQuota,
         clock: Clock,
         settings: JobSettings,
         shards: ShardSettings,
@@ -93,9 +99,11 @@
         self._list_workers = list_workers
         self._open_worker = open_worker
         self._policy = policy
+        self._find_quota = find_quota
         self._clock = clock
         self._settings = settings
         self._shards = shards
+        self._split = WorkerSplit(shards=shards)
         self._runners: dict[str, ShardRunner] = {}
         self._scopes: dict[str, trio.CancelScope] = {}
         self._changes = ownership.subscribe()
@@ -164,9 +172,9 @@
             found.extend(view.job_id for view in page.jobs)
         return found
 
-    def count_owned(self) -> int:
-        """Return how many worker shards run here."""
-        return len(self._runners)
+    def list_books(self) -> tuple[JobBook, ...]:
+        """Return the jobs of the shards that run here."""
+        return tuple(runner.book for runner in self._runners.values())
 
     def _find_shard(self, job_id: str) -> str:
         return find_shard(ShardKind.WORKER, job_id.encode(), self._shards)
@@ -197,18 +205,18 @@
             list_workers=lambda: self._list_shard_workers(shard_id),
             open_worker=self._open_worker,
             policy=self._policy,
+            find_quota=self._find_part,
             clock=self._clock,
             settings=self._settings,
             seed=epoch,
         )
 
+    def _find_part(self, team: str) -> Resources | None:
+        quota = self._find_quota(team)
+        return quota and split_quota(quota, self._shards.worker_shards)
+
     def _list_shard_workers(self, shard_id: str) -> Sequence[WorkerRecord]:
-        return [
-            record
-            for record in self._list_workers()
-            if find_shard(ShardKind.WORKER, record.rack.encode(), self._shards)
-            == shard_id
-        ]
+        return self._split.select(self._list_workers(), shard_id)
 
     async def _ask(
         self, shard_id: str, message: JobSubmit | JobQuery | JobCancel
--- a/trefoilhook/jobs/tests/test_runner.py
+++ b/trefoilhook/jobs/tests/test_runner.py
@@ -289,6 +289,25 @@
             await shard.sleep_s(5)
             self._assert_ended(owner, "j1", ResultCode.IMPOSSIBLE_JOB)
             self.assertIn("cores", owner.runner.book.jobs["j1"].detail)
+            error = await read_error(shard.submit(owner, "j2", resources=size))
+            self.assertEqual(error and error.code, ResultCode.IMPOSSIBLE_JOB)
+            self.assertIn("cores", str(error))
+            self.assertNotIn("j2", owner.runner.book.jobs)
+
+        run_shard(scenario)
+
+    def test_job_that_fails_everywhere_is_given_up(self):
+        # A job fails wherever it runs. It is tried on a few sound workers and then
+        # told as one that can't run, in place of being started for ever.
+        async def scenario(shard: Shard) -> None:
+            for number in range(4):
+                shard.add_worker(f"x{number}")
+            owner = shard.start_owner("i0")
+            await shard.submit(owner, "j1", run_ms=1_000, is_failing=True)
+            await shard.sleep_s(60)
+            self._assert_ended(owner, "j1", ResultCode.IMPOSSIBLE_JOB)
+            self.assertLessEqual(len(shard.list_starts("j1")), 4)
+            self._check(shard)
 
         run_shard(scenario)
 
@@ -307,6 +326,27 @@
 
         run_shard(scenario)
 
+    def test_quota_bounds_what_a_team_holds_at_once(self):
+        async def scenario(shard: Shard) -> None:
+            shard.quota = Resources(cores=3.0, memory_bytes=10**9, accelerators=9)
+            owner = shard.start_owner("i0")
+            for number in range(6):
+                await shard.submit(owner, f"j{number}")
+            await shard.sleep_s(5)
+            held = sum(w.state.held.cores for w in shard.workers.values())
+            self.assertEqual(held, 3.0)
+            waiting = next(
+                job
+                for job in owner.runner.book.jobs.values()
+                if job.state is JobState.QUEUED
+            )
+            self.assertIn("quota", owner.runner.explain(waiting))
+            await shard.sleep_s(30)
+            for number in range(6):
+                self._assert_ended(owner, f"j{number}", ResultCode.OK)
+
+        run_shard(scenario)
+
     def test_watcher_runs_on_through_a_change_of_owner(self):
         async def scenario(shard: Shard) -> None:
             first = shard.start_owner("i0")
@@ -321,6 +361,20 @@
 
         run_shard(scenario)
 
+    def test_ended_jobs_are_remembered_up_to_a_bound(self):
+        # An owner stays for months. Were every ended job kept, its memory would grow
+        # without end.
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            owner.runner.book.kept_ended = 3
+            for number in range(8):
+                await shard.submit(owner, f"j{number}", run_ms=1_000)
+            await shard.sleep_s(30)
+            names = sorted(owner.runner.book.jobs)
+            self.assertEqual(names, ["j5", "j6", "j7"])
+
+        run_shard(scenario)
+
     def test_same_submission_again_is_the_same_job(self):
         async def scenario(shard: Shard) -> None:
             owner = shard.start_owner("i0")
--- a/trefoilhook/journal/settings.py
+++ b/trefoilhook/journal/settings.py
@@ -12,15 +12,15 @@
     """Sizes and times of the journals."""
 
     page_bytes: int = declare(
-        default=65_536,
+        default=16_384,
         unit="bytes",
         description="Size from which records go to a new page; far below the store's "
         "limit on a value, since an append writes its page whole.",
         check=is_within(1_024, 900_000),
     )
     compact_pages: int = declare(
-        default=16,
-        description="Pages from which a journal is compacted.",
+        default=32,
+        description="Full pages from which a journal is compacted.",
         check=is_within(2, 400),
     )
     keep_ended_ms: float = declare(
--- a/trefoilhook/requests/coordination.py
+++ b/trefoilhook/requests/coordination.py
@@ -8,6 +8,7 @@
 from trefoilhook.exceptions import AnswerLostError, NotSentError, TrefoilhookError
 from trefoilhook.requests.dispatch import MarkSent, run_here
 from trefoilhook.requests.models import CallerAnswer, ExecutorTarget
+from trefoilhook.requests.retry import MOVED
 from trefoilhook.requests.routing import (
     Candidate,
     ReportedLoad,
@@ -25,7 +26,8 @@
 __all__ = ["coordinate"]
 
 _MS_PER_S = 1000.0
-_MOST_ATTEMPTS = 4
+_MOST_ATTEMPTS = 5
+_FIRST_WAIT_MS = 10.0
 _HIDDEN = frozenset(
     {
         ResultCode.NO_OWNER,
@@ -88,6 +90,7 @@
 ) -> CallerAnswer:
     tried = _Tried()
     answer = parts.refuse(ResultCode.NO_EXECUTOR)
+    wait_ms = _FIRST_WAIT_MS
     for _ in range(_MOST_ATTEMPTS):
         route = _choose(parts, work, tried)
         if route is None:
@@ -104,7 +107,12 @@
             work.service_name, answer.code, is_idempotent=work.is_idempotent
         ):
             return answer
-        if answer.code.outcome is Outcome.NOT_RUN:
+        if answer.code in MOVED:
+            # Guards against refusing requests because instances learn of a moved
+            # shard at different moments: each view is asked again a little later.
+            await parts.clock.sleep_ms(wait_ms)
+            wait_ms *= 2
+        elif answer.code.outcome is Outcome.NOT_RUN:
             tried.owner_ids.add(route.owner_id)
     return answer
 
@@ -112,9 +120,12 @@
 def _choose(parts: Parts, work: Work, tried: _Tried) -> Route | None:
     own = None
     if "" not in tried.owner_ids:
+        # The common case, decided without a look at everybody else's executors.
+        if parts.pool.has_free(work.service_name):
+            return Route()
         own = parts.pool.view_load(work.service_name)
         is_present = own.usable or own.free or own.queued
-        own = own if is_present or _owns_any(parts, work) else None
+        own = own if is_present or parts.pool.owns_any(work.service_name) else None
     return choose_route(
         own=own,
         candidates=_list_candidates(parts, work, tried),
@@ -122,11 +133,6 @@
     )
 
 
-def _owns_any(parts: Parts, work: Work) -> bool:
-    name = work.service_name
-    return any(each.target.service_name == name for each in parts.pool.list_executors())
-
-
 def _list_candidates(parts: Parts, work: Work, tried: _Tried) -> list[Candidate]:
     now_ms = parts.clock.monotonic_ms()
     candidates: list[Candidate] = []
@@ -154,16 +160,16 @@
             executor_id=target.executor_id,
             owner_id=owner_id,
             free=0,
-            queued=0,
+            wait=0.0,
             is_near=is_near,
             is_known=False,
         )
-    sent = parts.peer_loads.count_sent(target.executor_id)
+    free = load.slots - load.in_use - parts.peer_loads.count_sent(target.executor_id)
     return Candidate(
         executor_id=target.executor_id,
         owner_id=owner_id,
-        free=max(0, load.slots - load.in_use - sent),
-        queued=load.queued + max(0, sent - load.slots + load.in_use),
+        free=max(0, free),
+        wait=(load.queued + max(0, -free)) / max(1, load.slots),
         is_near=is_near,
     )
 
@@ -178,7 +184,7 @@
     message = encode_work(
         work, executor_id=route.executor_id, shard_epoch=0, entry_id=entry_id
     )
-    parts.peer_loads.note_sent(route.executor_id)
+    load = parts.peer_loads.note_sent(route.executor_id)
     mark_sent(True)
     try:
         reply = await parts.inner.call(
@@ -195,6 +201,8 @@
         answer = parts.refuse(error.code, str(error))
     else:
         answer = decode_answer(reply)
+    finally:
+        parts.peer_loads.note_ended(route.executor_id, load)
     if answer.code.outcome is Outcome.NOT_RUN:
         mark_sent(False)
     return answer
--- a/trefoilhook/requests/upkeep.py
+++ b/trefoilhook/requests/upkeep.py
@@ -15,6 +15,9 @@
 
 __all__ = ["Upkeep"]
 
+_REFRESH_SHARE = 0.7
+_SHARE_INTERVAL_MS = 1_000.0
+
 
 @attrs.frozen(kw_only=True)
 class _HandedSlots:
@@ -24,6 +27,19 @@
     in_use: dict[str, int]
 
 
+@attrs.frozen(kw_only=True)
+class _Told:
+    """The newest summary that a peer was sent."""
+
+    message: ExecutorLoads
+    started: int
+    told_ms: float
+
+    def tells_all(self, message: ExecutorLoads, started: int) -> bool:
+        """Tell whether a summary would be no news."""
+        return self.started == started and self.message == message
+
+
 @attrs.define(kw_only=True, eq=False)
 class Upkeep:
     """Keeps the executors owned here in step with the shards and the instance list.
@@ -43,6 +59,9 @@
     list_peers: Callable[[], Sequence[str]]
     share: float = 1.0
     _handed: dict[str, _HandedSlots] = attrs.field(factory=dict, init=False)
+    _seen: set[str] = attrs.field(factory=set, init=False)
+    _told: dict[str, _Told] = attrs.field(factory=dict, init=False)
+    _share_at_ms: float = attrs.field(default=-math.inf, init=False)
     _retired: list[OwnedExecutor] = attrs.field(factory=list, init=False)
 
     async def run(self) -> None:
@@ -77,6 +96,39 @@
             if each.target.executor_id not in listed:
                 self._retire(each.target.executor_id)
 
+    def take_in(self, executor_id: str) -> None:
+        """Begin to count an executor's slots at once, if it is owned here by now.
+
+        Guards against a request that follows an executor to its new owner and gets
+        there before the owner has looked at its shards: it would be refused, though
+        this owner is the right one, until the next look.
+        """
+        parts = self.parts
+        if parts.pool.get(executor_id) is not None:
+            return
+        if parts.ownership.owns(parts.get_executor_shard(executor_id)) is not None:
+            self.sync()
+            self._start_probes()
+
+    def list_untouched(self, shard_id: str) -> list[str]:
+        """Return a shard's executors that provably nobody ever sent a request to.
+
+        Guards against a pause after the start: an instance that hands a shard over
+        before it has looked at the shard's executors says nothing of them, and the
+        next owner would wait out the requests of an owner that never sent any. The
+        first owner of a shard has no predecessor, and an executor that it never took
+        in got nothing from it.
+        """
+        parts = self.parts
+        if parts.ownership.own_since_wall_ms(shard_id) != -math.inf:
+            return []
+        return [
+            each.executor_id
+            for each in parts.list_executors()
+            if parts.get_executor_shard(each.executor_id) == shard_id
+            and each.executor_id not in self._seen
+        ]
+
     def take_handed_over(
         self, shard_id: str, *, epoch: int, in_use: dict[str, int]
     ) -> None:
@@ -107,10 +159,29 @@
                 each.slots.held_until_ms = -math.inf
 
     def tell_loads(self) -> None:
-        """Send one summary to each peer."""
+        """Send a summary to each peer that has not got this one lately.
+
+        An idle instance would otherwise spend most of its time on telling and reading
+        that nothing has changed. A summary that looks like the one before is news
+        all the same when requests were run in between: the peers add what they have
+        sent since to it.
+        """
         message = ExecutorLoads(loads=[self._describe(each) for each in self._list()])
-        for peer_id in self.list_peers():
-            self.parts.inner.tell(peer_id, message)
+        started = sum(each.slots.started for each in self._list())
+        now_ms = self.parts.clock.monotonic_ms()
+        again_ms = now_ms - _REFRESH_SHARE * self.parts.settings.loads_age_ms
+        peer_ids = set(self.list_peers())
+        for peer_id in self._told.keys() - peer_ids:
+            del self._told[peer_id]
+        for peer_id in peer_ids:
+            told = self._told.get(peer_id)
+            is_fresh = told is not None and told.told_ms > again_ms
+            if told is not None and is_fresh and told.tells_all(message, started):
+                continue
+            if self.parts.inner.tell(peer_id, message):
+                self._told[peer_id] = _Told(
+                    message=message, started=started, told_ms=now_ms
+                )
 
     def hear_loads(self, sender_id: str, message: ExecutorLoads) -> None:
         """Take in a peer's summary."""
@@ -135,16 +206,26 @@
         now_ms = self.parts.clock.monotonic_ms()
         slots = executor.slots
         free = slots.count_free(now_ms)
-        service_name = executor.target.service_name
         return ExecutorLoad(
             executor_id=executor.target.executor_id,
-            service=service_name,
+            service=executor.target.service_name,
             slots=slots.slots,
             in_use=slots.slots - free,
-            queued=len(self.parts.pool.get_queue(service_name)),
+            queued=self._count_queue_share(executor),
             is_usable=slots.count_usable(now_ms) > 0 and not slots.is_taken_over,
         )
 
+    def _count_queue_share(self, executor: OwnedExecutor) -> int:
+        """Return an executor's share of the requests that wait for its service."""
+        name = executor.target.service_name
+        slots = sum(
+            each.slots.slots
+            for each in self._list()
+            if each.target.service_name == name
+        )
+        queued = len(self.parts.pool.get_queue(name))
+        return math.ceil(queued * executor.slots.slots / max(1, slots))
+
     def _sync_one(self, target: ExecutorTarget) -> None:
         parts = self.parts
         shard_id = parts.get_executor_shard(target.executor_id)
@@ -157,6 +238,7 @@
             self._retire(target.executor_id)
         if epoch is None:
             return
+        self._seen.add(target.executor_id)
         parts.pool.add(
             target,
             shard_id=shard_id,
@@ -192,6 +274,10 @@
                 await each.link.close()
 
     def _count_share(self) -> None:
+        now_ms = self.parts.clock.monotonic_ms()
+        if now_ms - self._share_at_ms < _SHARE_INTERVAL_MS:
+            return
+        self._share_at_ms = now_ms
         count = self.parts.settings.shard_count
         owns = self.parts.ownership.owns
         owned = sum(
--- a/trefoilhook/shards/tests/test_ownership.py
+++ b/trefoilhook/shards/tests/test_ownership.py
@@ -162,6 +162,29 @@
 
         run_cluster(scenario)
 
+    def test_operator_ends_the_wait_for_machines_without_power(self):
+        # All old instances lose power at once and answer nothing; new ones take their
+        # place elsewhere. To them the old ones may still act behind a broken network,
+        # so they wait, until an operator declares each of them gone.
+        async def scenario(cluster: Cluster) -> None:
+            old = list(cluster.instances.values())
+            for instance in old:
+                cluster.links.isolate(instance.instance_id)
+                instance.scope.cancel()
+            newcomers = [cluster.add(f"j{number}") for number in range(3)]
+            for instance in old:
+                for newcomer in newcomers:
+                    cluster.links.cut(instance.instance_id, newcomer.instance_id)
+            await cluster.sleep_s(60)
+            self.assertEqual([n.ownership.list_owned() for n in newcomers], [()] * 3)
+            for instance in old:
+                await newcomers[0].membership.declare_gone(instance.instance_id)
+            await cluster.sleep_s(10)
+            served = sum(len(n.ownership.list_owned()) for n in newcomers)
+            self.assertEqual(served, _ALL)
+
+        run_cluster(scenario)
+
     def test_joining_and_leaving_hand_over(self):
         # Instances are replaced all day. One joins and one leaves; each shard that
         # moves has stopped at its old owner before the new one acts, and is back
@@ -195,6 +218,25 @@
 
         run_cluster(scenario)
 
+    def test_restart_under_the_same_id_does_not_take_the_epoch_over(self):
+        # An operator gave an instance a fixed id, and it is restarted. The table still
+        # names it, but the new process knows none of the keys that ran: at the old
+        # epoch it would run a caller's retry a second time.
+        async def scenario(cluster: Cluster) -> None:
+            victim = _pick(cluster)
+            shard_id = victim.ownership.list_owned()[0]
+            epoch = victim.ownership.owns(shard_id)
+            victim.kill()
+            cluster.add(victim.instance_id)
+            await cluster.sleep_s(20)
+            owner = cluster.instances[cluster.find_owners(shard_id)[0]]
+            self.assertGreater(owner.ownership.owns(shard_id), epoch)
+            self.assertGreater(owner.ownership.own_since_wall_ms(shard_id), 0)
+            self.assertEqual(cluster.count_served(), _ALL)
+            self._check(cluster)
+
+        run_cluster(scenario)
+
     def test_two_faults_at_once(self):
         # An owner is killed while the store is down, and when the store is back one
         # of the others can't reach it.
