--- a/trefoilhook/daemon/core.py
+++ b/trefoilhook/daemon/core.py
@@ -186,6 +186,7 @@
         self._inner.handle(ServiceRequest, self.requests.handle_inner)
         self._inner.handle(ExecutorLoads, self.requests.handle_loads)
         self.ownership.add_releaser(self._release_requests)
+        self.ownership.add_receiver(self.requests.take_handover)
         self._ownership_changes = self.ownership.subscribe()
         self._entry_server = build_server(
             settings.listeners.entry,
@@ -302,8 +303,6 @@
     async def _follow_ownership(self) -> None:
         """Pass on to the request path what is known of a shard's former owner."""
         async for change in self._ownership_changes:
-            if change.handover is not None:
-                self.requests.take_handover(change.handover)
             self.requests.follow_ownership()
             if change.is_owned and change.rights in _MET:
                 self.requests.note_predecessor_gone(change.shard_id)
