--- a/trefoilhook/requests/core.py
+++ b/trefoilhook/requests/core.py
@@ -282,11 +282,7 @@
     async def _serve_own(
         self, request: ServiceRequest, timeout_ms: float
     ) -> CallerAnswer:
-        """Serve a request of this entry whose key is owned here.
-
-        Unlike a message to itself it needs no task of its own: the run goes on in one
-        when the entry's wait is cut off.
-        """
+        """Serve this entry's request; its run goes on if the entry's wait is cut."""
         try:
             return await self._serve_safely(request, timeout_ms=timeout_ms)
         except Exception as error:  # answered as a peer's fault would be
