Tell peers only what was read, and pull from one that is ahead without a second beat

Cause, found by reading: an own write raised the mirror's revision above changes not yet read. An owner that wrote the table and lost the store at once told its peers that it had read a newcomer's record; the newcomer would then have acted while the owner went on upon the others' promises. Own writes are known early now and vouch for nothing. Ruled out: waiting for the watch after each own write (the table would lag its writer).

--- a/trefoilhook/membership/follower.py
+++ b/trefoilhook/membership/follower.py
@@ -72,7 +72,7 @@
         self._settings = settings
         self._on_change = on_change
         self._seed_ids = seed_ids
-        self._ahead_since_ms: dict[str, float] = {}
+        self._peers_ahead: dict[str, int] = {}
         self._pull_wanted = trio.Event()
         self._filled = trio.Event()
         self._subscribers: list[trio.MemorySendChannel[MirrorChanged]] = []
@@ -107,16 +107,14 @@
     def note_peer_revision(self, peer_id: str, revision: int) -> None:
         """Take in how far a peer's mirror is; one that stays ahead is pulled from."""
         if revision <= self.mirror.revision:
-            self._ahead_since_ms.pop(peer_id, None)
+            self._peers_ahead.pop(peer_id, None)
             return
-        now_ms = self._clock.monotonic_ms()
-        since_ms = self._ahead_since_ms.setdefault(peer_id, now_ms)
-        if now_ms - since_ms >= self._settings.pull_after_ms:
-            self._pull_wanted.set()
+        self._peers_ahead[peer_id] = revision
+        self._pull_wanted.set()
 
     def apply_own_write(self, entry: MirrorEntry) -> None:
         """Take in a change that this instance wrote, before the watch brings it."""
-        if self.mirror.apply_change(entry):
+        if self.mirror.apply_early(entry):
             self._announce()
 
     async def _keep_watch(self) -> None:
@@ -182,11 +180,19 @@
         while True:
             await self._pull_wanted.wait()
             self._pull_wanted = trio.Event()
-            sources = list(self._ahead_since_ms) or list(self._seed_ids)
-            for peer_id in sources:
+            if self.is_filled:
+                # The own watch mostly brings the change meanwhile.
+                await self._clock.sleep_ms(self._settings.pull_after_ms)
+            for peer_id in self._list_sources():
                 if await self._pull_from(peer_id):
                     break
 
+    def _list_sources(self) -> list[str]:
+        if not self.is_filled:
+            return [*self._peers_ahead, *self._seed_ids]
+        own = self.mirror.revision
+        return [peer for peer, at in self._peers_ahead.items() if at > own]
+
     async def _pull_from(self, peer_id: str) -> bool:
         request = SnapshotRequest(after_revision=self.mirror.revision)
         try:
@@ -197,7 +203,7 @@
             return False
         if not isinstance(answer, SnapshotAnswer) or answer.revision == 0:
             return False
-        self._ahead_since_ms.pop(peer_id, None)
+        self._peers_ahead.pop(peer_id, None)
         if self.mirror.apply_snapshot(_decode_snapshot(answer)):
             self._filled.set()
             self._announce()
--- a/trefoilhook/membership/mirror.py
+++ b/trefoilhook/membership/mirror.py
@@ -63,7 +63,9 @@
     Parameters
     ----------
     revision : int
-        Store revision of the newest change applied; what peers compare.
+        Store revision up to which every change has been read. Peers rely on it: one
+        that has told a revision has seen what came before, a member's record say. An
+        own write is known early and does not raise it.
     """
 
     revision: int = 0
@@ -83,7 +85,12 @@
         return self._entries.get(key)
 
     def apply_change(self, entry: MirrorEntry) -> bool:
-        """Apply one changed entry; False when it is older than what is known.
+        """Apply one entry that was read; False when it is older than what is known."""
+        self.revision = max(self.revision, entry.revision)
+        return self.apply_early(entry)
+
+    def apply_early(self, entry: MirrorEntry) -> bool:
+        """Apply an entry ahead of what has been read; False when it is an older one.
 
         A watch that was replaced, or a peer that lags, delivers changes a second time
         and out of order. An entry that has moved on must not go back.
@@ -94,7 +101,6 @@
         if known is None and self._was_deleted_after(entry.key, entry.revision):
             return False
         self._entries[entry.key] = entry
-        self.revision = max(self.revision, entry.revision)
         return True
 
     def apply_deletion(self, key: str, revision: int) -> bool:
@@ -131,7 +137,9 @@
                 self._remember_deletion(key, revision)
                 has_changed = True
         for entry in fresh.values():
-            has_changed |= self.apply_change(entry)
+            has_changed |= self.apply_early(entry)
+        newest = max((entry.revision for entry in fresh.values()), default=0)
+        self.revision = max(self.revision, min(newest, revision))
         return has_changed
 
     def apply_snapshot(self, snapshot: Snapshot) -> bool:
@@ -143,7 +151,7 @@
         for key in snapshot.deleted_keys:
             self.apply_deletion(key, snapshot.revision)
         for entry in snapshot.entries:
-            self.apply_change(entry)
+            self.apply_early(entry)
         self.revision = max(self.revision, snapshot.revision)
         return True
 
