Leave peers time to read the last replies

Cause: a drained instance ended as soon as the peers' machines had its bytes; a peer that had not read them all lost the reply with the connection (4 of 25 runs of the drain test red on a busy machine, AnswerLostError). Ruled out: unsent bytes, which drain waits for. After a pause of 250 ms: 20 of 20 green. A pause is no proof; it covers a peer that is slow by less.

--- a/trefoilhook/inner/core.py
+++ b/trefoilhook/inner/core.py
@@ -21,6 +21,7 @@
 
 _MS_PER_S = 1000.0
 _FLUSH_CHECK_MS = 2.0
+_READ_BY_PEERS_MS = 250.0
 
 
 class InnerNode:
@@ -176,6 +177,10 @@
         await self._calls.drain()
         while not self._links.is_flushed:
             await self._clock.sleep_ms(_FLUSH_CHECK_MS)
+        # Guards against an end that overtakes the reply: the peer's machine has the
+        # bytes, its process has not read them all, and a connection that ends drops
+        # what grpclib has buffered and not yet handed on.
+        await self._clock.sleep_ms(_READ_BY_PEERS_MS)
 
     async def run(
         self, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
