Write a key in one place, and choose the policy when the configuration changes

The shard's task read every team's configuration at each look and each reaction to choose the policy; it is chosen when the configuration is read anew, the only time it can change. The whole suite was not run again on this commit.

--- a/bench/callers.py
+++ b/bench/callers.py
@@ -16,7 +16,7 @@
 from trefoilhook.clock import build_system_clock
 from trefoilhook.demo import EntryClient
 from trefoilhook.exceptions import TransportError
-from trefoilhook.requests import mint_key
+from trefoilhook.requests import format_key, mint_key
 from trefoilhook.requests.keys import compute_key_shard
 
 __all__ = ["Order", "Outcome", "format_key", "run_callers"]
@@ -77,12 +77,6 @@
     elapsed_s: float
 
 
-def format_key(key: bytes) -> str:
-    """Return a key as callers write it."""
-    text = key.hex()
-    return f"{text[:8]}-{text[8:12]}-{text[12:16]}-{text[16:20]}-{text[20:]}"
-
-
 def _mint(order: Order) -> str:
     wanted = set(order.shards)
     while True:
--- a/trefoilhook/daemon/core.py
+++ b/trefoilhook/daemon/core.py
@@ -85,6 +85,7 @@
         self.instance_id = settings.instance.instance_id or f"i-{uuid.uuid4().hex[:12]}"
         self._leaving = trio.Event()
         self.view = ConfigurationView(root=_ROOT)
+        self._policy = LATENCY_FIRST
         self.ledger = BurnLedger(instance_id=self.instance_id, clock=clock)
         self.metrics = Metrics(
             instance_id=self.instance_id,
@@ -205,7 +206,7 @@
             open_journal=self._open_journal,
             list_workers=self._backends.list_workers,
             open_worker=lambda address: build_worker(address, self._clock),
-            policy=self._choose_policy,
+            policy=lambda: self._policy,
             find_quota=lambda team: find_quota(self.view, team),
             clock=self._clock,
             settings=self._settings.jobs,
@@ -315,6 +316,7 @@
             key = f"{_ROOT}/config/teams/{team}"
             if key not in present:
                 self.view.forget(key, revision=mirror.revision)
+        self._policy = self._choose_policy()
 
     async def _follow_configuration(self) -> None:
         async for _ in self.membership.follower.subscribe():
--- a/trefoilhook/daemon/tests/processes.py
+++ b/trefoilhook/daemon/tests/processes.py
@@ -24,7 +24,7 @@
 )
 from trefoilhook.demo.cluster import CLUSTER_TOKEN
 from trefoilhook.exceptions import TransportError
-from trefoilhook.requests import mint_key
+from trefoilhook.requests import format_key, mint_key
 from trefoilhook.settings import PeerSettings, ShardSettings, dump_json
 
 CALLER = "caller-token"
@@ -231,12 +231,6 @@
             await trio.sleep(0.005)
 
 
-def format_key(key: bytes) -> str:
-    """Return a key as callers write it."""
-    text = key.hex()
-    return f"{text[:8]}-{text[8:12]}-{text[12:16]}-{text[16:20]}-{text[20:]}"
-
-
 async def _read_line(process: trio.Process) -> str:
     assert process.stdout is not None
     data = b""
--- a/trefoilhook/demo/__main__.py
+++ b/trefoilhook/demo/__main__.py
@@ -11,7 +11,7 @@
 from trefoilhook.demo.clients import AdminClient
 from trefoilhook.demo.cluster import LocalCluster, LocalPlan, LocalPlatform
 from trefoilhook.logs import configure_logs
-from trefoilhook.requests import mint_key
+from trefoilhook.requests import format_key, mint_key
 from trefoilhook.results import ResultCode
 from trefoilhook.standins import check_answer
 
@@ -101,8 +101,7 @@
 async def _sell_seat(cluster: LocalCluster) -> list[_Row]:
     """Sell one seat, then ask again under the same key elsewhere: it runs once."""
     key = mint_key()
-    text = f"{key.hex()[:8]}-{key.hex()[8:12]}-{key.hex()[12:16]}-{key.hex()[16:20]}"
-    text = f"{text}-{key.hex()[20:]}"
+    text = format_key(key)
     rows = []
     for number, wanted in ((0, ResultCode.OK), (1, ResultCode.REPLAYED)):
         entry = cluster.open_entry(number, _CALLER)
--- a/trefoilhook/requests/__init__.py
+++ b/trefoilhook/requests/__init__.py
@@ -4,6 +4,7 @@
 from trefoilhook.requests.keys import (
     compute_executor_shard,
     compute_key_shard,
+    format_key,
     format_shard_id,
     mint_key,
     parse_key,
@@ -31,6 +32,7 @@
     "TokenVerdict",
     "compute_executor_shard",
     "compute_key_shard",
+    "format_key",
     "format_shard_id",
     "mint_key",
     "open_executor",
--- a/trefoilhook/requests/keys.py
+++ b/trefoilhook/requests/keys.py
@@ -14,6 +14,7 @@
     "compute_digest",
     "compute_executor_shard",
     "compute_key_shard",
+    "format_key",
     "format_shard_id",
     "mint_key",
     "parse_key",
@@ -71,6 +72,11 @@
     return f"req-{number:03d}"
 
 
+def format_key(key: bytes) -> str:
+    """Return a key as callers write it in their header."""
+    return str(uuid.UUID(bytes=key))
+
+
 def compute_key_shard(key: bytes, *, shard_count: int) -> str:
     """Return the request shard that remembers a key."""
     return format_shard_id(xxhash.xxh3_64_intdigest(key) % shard_count)
