--- a/bench/capacity/links.py
+++ b/bench/capacity/links.py
@@ -12,13 +12,13 @@
 from bench.capacity.fit import Slope, fit_line, time_call
 from bench.capacity.shard import build_records
 from trefoilhook.clock import build_system_clock
+from trefoilhook.exchange import decode_answer
 from trefoilhook.instances import BackendPage
 from trefoilhook.jobs import JobSettings
 from trefoilhook.jobs.listing import WorkerSplit
 from trefoilhook.jobs.messages import WorkerAddress
 from trefoilhook.jobs.sessions import WorkerSession
 from trefoilhook.logs import configure_logs
-from trefoilhook.platform import decode_answer
 from trefoilhook.settings import ShardSettings
 from trefoilhook.standins import WorkerSettings, WorkerStandin
 from trefoilhook.standins.core import encode_answer
--- a/trefoilhook/clock/__init__.py
+++ b/trefoilhook/clock/__init__.py
@@ -1,6 +1,17 @@
 """Time for the whole system, in milliseconds."""
 
-from trefoilhook.clock.core import Clock, build_manual_clock, build_system_clock
+from trefoilhook.clock.core import (
+    Clock,
+    build_boot_clock,
+    build_manual_clock,
+    build_system_clock,
+)
 from trefoilhook.clock.manual import ManualTime
 
-__all__ = ["Clock", "ManualTime", "build_manual_clock", "build_system_clock"]
+__all__ = [
+    "Clock",
+    "ManualTime",
+    "build_boot_clock",
+    "build_manual_clock",
+    "build_system_clock",
+]
--- a/trefoilhook/clock/core.py
+++ b/trefoilhook/clock/core.py
@@ -12,7 +12,7 @@
 
 from trefoilhook.clock.manual import ManualTime
 
-__all__ = ["Clock", "build_manual_clock", "build_system_clock"]
+__all__ = ["Clock", "build_boot_clock", "build_manual_clock", "build_system_clock"]
 
 _MS_PER_S = 1000.0
 
@@ -67,6 +67,19 @@
     return Clock(monotonic_ms=read_monotonic, wall_ms=read_wall, sleep_ms=_sleep_ms)
 
 
+def build_boot_clock() -> Clock:
+    """Build a clock whose monotonic time goes on while the machine is suspended.
+
+    The steady clock stands still then, so a lease judged by it would seem valid to a
+    holder that has just woken up.
+    """
+    return Clock(
+        monotonic_ms=lambda: time.clock_gettime(time.CLOCK_BOOTTIME) * _MS_PER_S,
+        wall_ms=lambda: time.time() * _MS_PER_S,
+        sleep_ms=_sleep_ms,
+    )
+
+
 def build_manual_clock(manual: ManualTime) -> Clock:
     """Build a clock over a time that its owner sets by hand."""
 
--- a/trefoilhook/exceptions.py
+++ b/trefoilhook/exceptions.py
@@ -5,6 +5,7 @@
 from trefoilhook.results import ResultCode
 
 if TYPE_CHECKING:
+    from trefoilhook.platform.store import Item
     from trefoilhook.store.core import StoreEntry
 
 __all__ = [
@@ -12,10 +13,12 @@
     "CapacityExceededError",
     "ConflictError",
     "FencedError",
+    "HistoryLostError",
     "LeaseLostError",
     "NotSentError",
     "OutcomeError",
     "PlacementError",
+    "PreconditionError",
     "RequestError",
     "SettingsError",
     "StoreError",
@@ -120,6 +123,28 @@
         self.current = current
 
 
+class PreconditionError(StoreError):
+    """A transaction's expectations do not hold; nothing changed.
+
+    Parameters
+    ----------
+    message : str
+        What happened, for people.
+    items : tuple of Item
+        What stands at the expected keys now; absent keys are left out.
+    """
+
+    code = ResultCode.CONFLICT
+
+    def __init__(self, message: str, *, items: "tuple[Item, ...]") -> None:
+        super().__init__(message)
+        self.items = items
+
+
+class HistoryLostError(StoreError):
+    """The store no longer has the changes that a watch asks for: read anew."""
+
+
 class LeaseLostError(StoreError):
     """A lease has lapsed or is unknown to the store."""
 
--- a/trefoilhook/instances/client.py
+++ b/trefoilhook/instances/client.py
@@ -6,8 +6,8 @@
 
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import AnswerLostError
+from trefoilhook.exchange import PlatformClient, decode_answer
 from trefoilhook.instances.core import BackendPage
-from trefoilhook.platform import PlatformClient, decode_answer
 
 __all__ = ["InstanceListClient"]
 
--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -31,6 +31,7 @@
     STORE_DOWN = (1100, Level.WARNING, "A call to the store failed.")
     STORE_BACK = (1101, Level.INFO, "The store answers again.")
     WATCH_SILENT = (1102, Level.WARNING, "A watch went silent and is replaced.")
+    HISTORY_LOST = (1105, Level.WARNING, "A watch's history is gone; it is read anew.")
     LIST_DOWN = (1104, Level.WARNING, "The instance list was not read.")
 
     # 1200: membership and shards
@@ -39,6 +40,8 @@
     SHARD_CLAIMED = (1202, Level.INFO, "A shard was claimed at a new epoch.")
     SHARD_RELEASED = (1203, Level.INFO, "A shard was handed over.")
     SHARD_FENCED = (1204, Level.WARNING, "A shard was lost to a newer epoch.")
+    SHARD_LOADED = (1206, Level.INFO, "A new owner has read the shard's jobs.")
+    SHARD_SETTLED = (1207, Level.INFO, "A new owner knows what runs on the workers.")
     DECLARED_GONE = (1205, Level.WARNING, "An operator declared an instance gone.")
 
     # 1300: inner protocol
@@ -48,6 +51,7 @@
 
     # 1400: requests
     REQUEST_FAILED = (1400, Level.WARNING, "A request ended with a failure code.")
+    REQUEST_REFUSED = (1403, Level.INFO, "A request was refused; it was not run.")
     EXECUTOR_OPENED = (1401, Level.WARNING, "An executor's circuit opened.")
     EXECUTOR_CLOSED = (1402, Level.INFO, "An executor's circuit closed.")
 
@@ -66,6 +70,9 @@
     JOB_EVICTED = (1603, Level.WARNING, "A task was checkpointed and evicted.")
     WORKER_LOST = (1604, Level.WARNING, "A worker can't be reached.")
     WORKER_FENCED = (1605, Level.INFO, "A worker accepted a new epoch.")
+    JOB_CANCELLED = (1607, Level.INFO, "A client cancelled a job.")
+    ORDER_FAILED = (1608, Level.WARNING, "An order to a worker was not carried out.")
+    REPORT_INVALID = (1609, Level.ERROR, "A worker's report can't be read.")
     WORKER_QUARANTINED = (1606, Level.WARNING, "A worker fails what it starts.")
 
     def __init__(self, number: int, level: Level, description: str) -> None:
--- a/trefoilhook/platform/__init__.py
+++ b/trefoilhook/platform/__init__.py
@@ -1,17 +1,64 @@
-"""What the adapters to the platform's services share: JSON over HTTP."""
+"""Adapter to the users' platform: its names, formats and calls; nothing that decides."""
 
-from trefoilhook.platform.core import (
-    PlatformClient,
-    Query,
-    build_converter,
-    decode_answer,
-    read_error_name,
+from trefoilhook.platform.core import Address, JsonClient, parse_address
+from trefoilhook.platform.declarations import (
+    CONFIGURATION_KEY,
+    WORKER_PREFIX,
+    decode_configuration,
+    decode_job,
+    decode_worker_report,
 )
+from trefoilhook.platform.entry import (
+    READINESS_PATH,
+    answer_pending,
+    answer_state,
+    read_client_timeout,
+)
+from trefoilhook.platform.settings import (
+    SETTINGS_VARIABLE,
+    Bounds,
+    ProcessSettings,
+    parse_settings,
+)
+from trefoilhook.platform.store import (
+    MAX_ROWS,
+    Change,
+    Changes,
+    Expectation,
+    Item,
+    KeyValueStore,
+    Listing,
+    Put,
+    Transaction,
+)
+from trefoilhook.platform.workers import LookRequest, WorkerClient
 
 __all__ = [
-    "PlatformClient",
-    "Query",
-    "build_converter",
-    "decode_answer",
-    "read_error_name",
+    "CONFIGURATION_KEY",
+    "MAX_ROWS",
+    "READINESS_PATH",
+    "SETTINGS_VARIABLE",
+    "WORKER_PREFIX",
+    "Address",
+    "Bounds",
+    "Change",
+    "Changes",
+    "Expectation",
+    "Item",
+    "JsonClient",
+    "KeyValueStore",
+    "Listing",
+    "LookRequest",
+    "ProcessSettings",
+    "Put",
+    "Transaction",
+    "WorkerClient",
+    "answer_pending",
+    "answer_state",
+    "decode_configuration",
+    "decode_job",
+    "decode_worker_report",
+    "parse_address",
+    "parse_settings",
+    "read_client_timeout",
 ]
--- /dev/null
+++ b/trefoilhook/platform/store.py
@@ -0,0 +1,328 @@
+"""The platform's key-value store.
+
+The only module that knows its calls. Values are bytes for the caller and base64 text
+on the wire.
+"""
+
+import base64
+from collections.abc import Mapping
+from typing import Any, NoReturn
+
+import attrs
+
+from trefoilhook.exceptions import (
+    AnswerLostError,
+    HistoryLostError,
+    LeaseLostError,
+    NotSentError,
+    PreconditionError,
+    StoreError,
+    StoreRateError,
+    StoreUnavailableError,
+    StoreUnsentError,
+)
+from trefoilhook.http import HttpResponse
+from trefoilhook.platform.core import Address, JsonClient, read_object
+
+__all__ = [
+    "MAX_ROWS",
+    "Change",
+    "Changes",
+    "Expectation",
+    "Item",
+    "KeyValueStore",
+    "Listing",
+    "Put",
+    "Transaction",
+]
+
+MAX_ROWS = 32
+"""Most rows of one transaction, preconditions included; the platform's limit."""
+
+_MAX_CONNECTIONS = 24
+"""Connections to the store; a waiting watch holds one, so do calls in flight."""
+
+
+@attrs.frozen(kw_only=True)
+class Item:
+    """A key as it stands in the store.
+
+    Parameters
+    ----------
+    key : str
+        Its path.
+    value : bytes
+        What it holds.
+    revision : int
+        The store's revision when it was last changed.
+    created : int
+        The store's revision when it came to be.
+    """
+
+    key: str
+    value: bytes
+    revision: int
+    created: int
+
+
+@attrs.frozen(kw_only=True)
+class Listing:
+    """All keys under a prefix; ``as_of`` is a revision that a watch may begin at."""
+
+    items: tuple[Item, ...]
+    as_of: int
+
+
+@attrs.frozen(kw_only=True)
+class Change:
+    """One change of a key; ``item`` is None when the key was removed."""
+
+    key: str
+    revision: int
+    item: Item | None
+
+
+@attrs.frozen(kw_only=True)
+class Changes:
+    """What a watch saw, in order; the next watch begins after ``as_of``."""
+
+    changes: tuple[Change, ...]
+    as_of: int
+
+
+@attrs.frozen(kw_only=True)
+class Expectation:
+    """The revision that a key must have; 0 when it must be absent."""
+
+    key: str
+    revision: int
+
+
+@attrs.frozen(kw_only=True)
+class Put:
+    """A value to write; ``lease`` 0 keeps it until it is removed."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Transaction:
+    """Changes that happen together, if all expectations hold, or not at all."""
+
+    expectations: tuple[Expectation, ...] = ()
+    puts: tuple[Put, ...] = ()
+    removals: tuple[str, ...] = ()
+
+    def count_rows(self) -> int:
+        """Count the rows that the platform's limit applies to."""
+        return len(self.expectations) + len(self.puts) + len(self.removals)
+
+
+def _decode_item(row: Mapping[str, Any]) -> Item:
+    return Item(
+        key=row["key"],
+        value=base64.b64decode(row.get("value", "")),
+        revision=row["revision"],
+        created=row.get("created", 0),
+    )
+
+
+def _decode_change(row: Mapping[str, Any]) -> Change:
+    if row.get("deleted"):
+        return Change(key=row["key"], revision=row["revision"], item=None)
+    item = _decode_item(row)
+    return Change(key=item.key, revision=item.revision, item=item)
+
+
+def _encode(transaction: Transaction) -> dict[str, Any]:
+    return {
+        "precondition": [
+            {"key": row.key, "revision": row.revision}
+            for row in transaction.expectations
+        ],
+        "puts": [
+            {
+                "key": put.key,
+                "value": base64.b64encode(put.value).decode("ascii"),
+                **({"lease": put.lease} if put.lease else {}),
+            }
+            for put in transaction.puts
+        ],
+        "remove": list(transaction.removals),
+    }
+
+
+class KeyValueStore:
+    """Calls to the store; each may be made at the same time as others.
+
+    Parameters
+    ----------
+    address : (str, int)
+        Where the store listens.
+    timeout_ms : float
+        Longest time for one call, in ms; a watch may wait on top of it.
+
+    Attributes
+    ----------
+    answers, failures : int
+        Calls that were answered with what was asked, and those that were not.
+
+    Notes
+    -----
+    Every method raises ``StoreUnavailableError`` when no answer came back: a change
+    may then have taken effect, or may still, unless the error's ``is_proved_unsent``
+    is set. ``StoreRateError`` means that nothing was done.
+    """
+
+    def __init__(self, *, address: Address, timeout_ms: float) -> None:
+        self._client = JsonClient(address=address, max_connections=_MAX_CONNECTIONS)
+        self._timeout_ms = timeout_ms
+        self.answers = 0
+        self.failures = 0
+
+    async def get(self, key: str) -> Item | None:
+        """Return the item at ``key``; None when there is none."""
+        response = await self._call("GET", "kv-key", query={"key": key}, accept=(404,))
+        if response.status == 404:
+            return None
+        return _decode_item(_read(response))
+
+    async def list_items(self, prefix: str) -> Listing:
+        """Read every key under ``prefix``, page by page.
+
+        ``as_of`` is the revision of the first page: a watch from there sees again
+        what changed while the later pages were read, so nothing is missed.
+        """
+        items: list[Item] = []
+        as_of = 0
+        query: dict[str, str | int] = {"prefix": prefix}
+        while True:
+            page = _read(await self._call("GET", "kv-range", query=query))
+            as_of = as_of or page["as_of"]
+            items.extend(_decode_item(row) for row in page["items"])
+            if not page.get("has_more") or not page["items"]:
+                return Listing(items=tuple(items), as_of=as_of)
+            query["after"] = items[-1].key
+
+    async def watch(self, prefix: str, *, after: int, wait_ms: int) -> Changes:
+        """Wait until something under ``prefix`` changes after revision ``after``.
+
+        Raises
+        ------
+        HistoryLostError
+            If the store no longer has the changes since then.
+        """
+        query: dict[str, str | int] = {
+            "prefix": prefix,
+            "after": after,
+            "wait_ms": wait_ms,
+        }
+        response = await self._call(
+            "GET", "kv-watch", query=query, extra_ms=wait_ms, accept=(410,)
+        )
+        if response.status == 410:
+            raise HistoryLostError(f"the history after {after} is gone")
+        answer = _read(response)
+        changes = tuple(_decode_change(row) for row in answer["events"])
+        return Changes(changes=changes, as_of=answer["as_of"])
+
+    async def commit(self, transaction: Transaction) -> int:
+        """Make the changes and return the store's revision of them.
+
+        Raises
+        ------
+        PreconditionError
+            If an expectation doesn't hold; carries what stands at its keys.
+        LeaseLostError
+            If a lease of the changes has ended; nothing changed.
+        """
+        response = await self._call(
+            "POST", "kv-txn", body=_encode(transaction), accept=(404, 412)
+        )
+        if response.status == 404:
+            raise LeaseLostError("the lease has ended")
+        answer = _read(response)
+        if response.status == 412:
+            rows = answer.get("items", ())
+            raise PreconditionError(
+                "a key is at another revision",
+                items=tuple(
+                    _decode_item(row) for row in rows if row and row.get("revision")
+                ),
+            )
+        revision: int = answer["revision"]
+        return revision
+
+    async def grant_lease(self, ttl_ms: int) -> int:
+        """Take a lease that ends ``ttl_ms`` after this call came, if not renewed."""
+        response = await self._call("POST", "kv-lease", body={"ttl_ms": ttl_ms})
+        lease: int = _read(response)["lease"]
+        return lease
+
+    async def keep_lease(self, lease: int) -> None:
+        """Renew a lease.
+
+        Raises
+        ------
+        LeaseLostError
+            If it has ended; its keys are gone.
+        """
+        response = await self._call("POST", f"kv-keep/{lease}", body={}, accept=(404,))
+        if response.status == 404:
+            raise LeaseLostError("the lease has ended")
+
+    async def end_lease(self, lease: int) -> None:
+        """End a lease and remove its keys; one that has ended is fine."""
+        await self._call("DELETE", f"kv-lease-end/{lease}", accept=(404,))
+
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await self._client.close()
+
+    async def _call(
+        self,
+        method: str,
+        name: str,
+        *,
+        query: Mapping[str, str | int] | None = None,
+        body: Any = None,
+        extra_ms: float = 0.0,
+        accept: tuple[int, ...] = (),
+    ) -> HttpResponse:
+        self.failures += 1
+        try:
+            response = await self._client.exchange(
+                method,
+                f"/trefoilhook/{name}",
+                query=query,
+                body=body,
+                timeout_ms=self._timeout_ms + extra_ms,
+            )
+        except NotSentError as error:
+            raise StoreUnsentError(str(error)) from error
+        except AnswerLostError as error:
+            raise StoreUnavailableError(str(error)) from error
+        if response.status not in (200, *accept):
+            _raise_refusal(response)
+        self.failures -= 1
+        self.answers += 1
+        return response
+
+
+def _read(response: HttpResponse) -> dict[str, Any]:
+    try:
+        return read_object(response)
+    except AnswerLostError as error:
+        raise StoreUnavailableError(str(error)) from error
+
+
+def _raise_refusal(response: HttpResponse) -> NoReturn:
+    if response.status == 429:
+        raise StoreRateError("the store's rate is used up")
+    if response.status == 503:
+        raise StoreUnsentError("the store turned the call away")
+    if response.status >= 500:
+        raise StoreUnavailableError(f"the store answered {response.status}")
+    raise StoreError(f"the store refused the call: {response.status}")
--- /dev/null
+++ b/trefoilhook/runtime/__init__.py
@@ -0,0 +1,5 @@
+"""The process that runs on the users' platform."""
+
+from trefoilhook.runtime.core import Process
+
+__all__ = ["Process"]
--- /dev/null
+++ b/trefoilhook/runtime/__main__.py
@@ -0,0 +1,40 @@
+"""Entry point of the process on the users' platform."""
+
+import os
+import sys
+from pathlib import Path
+
+import trio
+
+from trefoilhook.clock import build_boot_clock
+from trefoilhook.exceptions import SettingsError
+from trefoilhook.logs import configure_logs
+from trefoilhook.platform import SETTINGS_VARIABLE, parse_settings
+from trefoilhook.runtime.core import Process
+
+__all__ = ["main"]
+
+_EXIT_SETTINGS = 2
+
+
+def main() -> int:
+    """Run one process until it is asked to stop.
+
+    Returns
+    -------
+    int
+        0 after a graceful stop, 2 if the settings can't be read.
+    """
+    configure_logs()
+    try:
+        text = Path(os.environ[SETTINGS_VARIABLE]).read_text(encoding="utf-8")
+        settings = parse_settings(text)
+    except (KeyError, OSError, SettingsError) as error:
+        print(f"the settings can't be read: {error!r}", file=sys.stderr)
+        return _EXIT_SETTINGS
+    trio.run(Process(settings=settings, clock=build_boot_clock()).run)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/trefoilhook/runtime/core.py
@@ -0,0 +1,185 @@
+"""One process of the system on the users' platform."""
+
+import signal
+
+import trio
+
+from trefoilhook.clock import Clock
+from trefoilhook.http import HttpRequest, HttpResponse, HttpServer
+from trefoilhook.logs import Event, log_event
+from trefoilhook.platform import (
+    CONFIGURATION_KEY,
+    READINESS_PATH,
+    Change,
+    Item,
+    KeyValueStore,
+    Listing,
+    ProcessSettings,
+    decode_configuration,
+)
+from trefoilhook.runtime.following import follow
+from trefoilhook.runtime.intake import Intake
+from trefoilhook.runtime.ownership import Campaign, Tenure
+from trefoilhook.runtime.shard import ShardOwner, ShardSettings
+from trefoilhook.scheduling import Configuration
+
+__all__ = ["Process"]
+
+_STORE_TIMEOUT_MS = 1000.0
+"""Longest time for an answer of the store, in ms: 4 ms is usual, and 360 ms is what it
+takes when ninety times slower."""
+
+_STORE_SILENCE_MS = 1800.0
+"""Without an answer for so long the store counts as away. A watch answers each second,
+and the one timeout above fits in."""
+
+_TASK_LEASE_MS = 5000.0
+"""Lease of what runs on a worker, in ms, if the platform allows it: the owner's lease
+of 2 s, its replacement in 1 s, and one look that fails fit in; longer would delay what
+has to be restarted after a worker was lost."""
+
+_TASK_LEASE_SHARE = 0.9
+"""Share of the platform's longest lease that is asked for at most."""
+
+_LAST_CONNECTIONS_MS = 2300.0
+"""How long a process that is to stop still takes connections, in ms: the platform asks
+once a second whether it is ready, and sends new ones until the second miss."""
+
+_STOP_MARGIN_MS = 1200.0
+"""Time between the end of a graceful stop and the platform's SIGKILL, in ms."""
+
+
+class Process:
+    """Serves clients, and owns the shard whenever nobody else does.
+
+    Parameters
+    ----------
+    settings : ProcessSettings
+        What the platform tells.
+    clock : Clock
+        Where time comes from.
+    """
+
+    def __init__(self, *, settings: ProcessSettings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._store = KeyValueStore(
+            address=settings.store_address, timeout_ms=_STORE_TIMEOUT_MS
+        )
+        self._configuration: Configuration | None = None
+        self._draining = False
+        self._answers_seen = 0
+        self._answered_ms = clock.monotonic_ms()
+        self._campaign = Campaign(
+            store=self._store,
+            clock=clock,
+            name=settings.name,
+            lead=self._lead,
+            may_claim=lambda: self._configuration is not None and not self._draining,
+        )
+        self._intake = Intake(
+            store=self._store,
+            clock=clock,
+            read_configuration=lambda: self._configuration,
+            is_store_reachable=self._is_store_reachable,
+        )
+
+    async def run(self) -> None:
+        """Run until the platform asks to stop."""
+        entry = self._build_server(self._settings.entry_address, self._intake.answer)
+        readiness = self._build_server(
+            self._settings.readiness_address, self._answer_readiness
+        )
+        async with trio.open_nursery() as nursery:
+            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+                await nursery.start(entry.run)
+                await nursery.start(readiness.run)
+                nursery.start_soon(self._follow_configuration)
+                nursery.start_soon(self._campaign.run)
+                log_event(Event.STARTED, instance=self._settings.name)
+                async for _ in signals:
+                    break
+                await self._stop(entry)
+                nursery.cancel_scope.cancel()
+        log_event(Event.STOPPED, instance=self._settings.name)
+
+    def _build_server(self, address: tuple[str, int], handler: object) -> HttpServer:
+        host, port = address
+        return HttpServer(handler=handler, host=host, port=port)  # type: ignore[arg-type]
+
+    async def _stop(self, entry: HttpServer) -> None:
+        log_event(Event.STOPPING, instance=self._settings.name)
+        self._draining = True
+        self._campaign.resign()
+        limit_ms = self._settings.bounds.shutdown_ms - _STOP_MARGIN_MS
+        with trio.move_on_after(limit_ms / 1000.0):
+            await self._clock.sleep_ms(_LAST_CONNECTIONS_MS)
+            await entry.drain(grace_ms=limit_ms - _LAST_CONNECTIONS_MS)
+
+    async def _answer_readiness(self, request: HttpRequest) -> HttpResponse:
+        if request.path != READINESS_PATH:
+            return HttpResponse(status=404)
+        ready = (
+            not self._draining
+            and self._configuration is not None
+            and self._is_store_reachable()
+        )
+        return HttpResponse(status=200 if ready else 503)
+
+    def _is_store_reachable(self) -> bool:
+        now_ms = self._clock.monotonic_ms()
+        if self._store.answers != self._answers_seen:
+            self._answers_seen = self._store.answers
+            self._answered_ms = now_ms
+        return now_ms - self._answered_ms < _STORE_SILENCE_MS
+
+    async def _follow_configuration(self) -> None:
+        def take_listing(listing: Listing) -> None:
+            for item in listing.items:
+                self._take_configuration(item)
+
+        def take_change(change: Change) -> None:
+            if change.item is not None:
+                self._take_configuration(change.item)
+
+        await follow(
+            self._store,
+            self._clock,
+            CONFIGURATION_KEY,
+            take_listing=take_listing,
+            take_change=take_change,
+        )
+
+    def _take_configuration(self, item: Item) -> None:
+        if item.key != CONFIGURATION_KEY:
+            return
+        try:
+            fresh = decode_configuration(item.value)
+        except (ValueError, KeyError, TypeError) as error:
+            log_event(Event.CONFIG_INVALID, revision=item.revision, error=repr(error))
+            return
+        if self._configuration and fresh.version < self._configuration.version:
+            log_event(Event.CONFIG_STALE, version=fresh.version)
+            return
+        self._configuration = fresh
+        log_event(Event.CONFIG_IN_FORCE, version=fresh.version, revision=item.revision)
+
+    async def _lead(self, tenure: Tenure) -> None:
+        bounds = self._settings.bounds
+        longest_ms = bounds.max_task_lease_ms * _TASK_LEASE_SHARE
+        owner = ShardOwner(
+            store=self._store,
+            clock=self._clock,
+            tenure=tenure,
+            settings=ShardSettings(
+                task_lease_ms=min(_TASK_LEASE_MS, longest_ms),
+                stop_grace_ms=bounds.stop_grace_ms,
+            ),
+            read_configuration=self._read_configuration,
+        )
+        await owner.run()
+
+    def _read_configuration(self) -> Configuration:
+        if self._configuration is None:
+            raise RuntimeError("a shard was claimed before any configuration came")
+        return self._configuration
--- /dev/null
+++ b/trefoilhook/runtime/intake.py
@@ -0,0 +1,275 @@
+"""What clients ask of an instance: submit, read, cancel and count jobs.
+
+Every instance answers by itself, out of the store: a submission is accepted once its
+record stands there, whoever owns the shard, and whether or not it has an owner.
+"""
+
+import re
+from collections.abc import Callable
+
+import attrs
+
+from trefoilhook.clock import Clock
+from trefoilhook.exceptions import (
+    LeaseLostError,
+    PreconditionError,
+    RequestError,
+    StoreError,
+    StoreUnavailableError,
+)
+from trefoilhook.http import HttpRequest, HttpResponse
+from trefoilhook.logs import Event, log_event
+from trefoilhook.platform import (
+    Expectation,
+    KeyValueStore,
+    Put,
+    Transaction,
+    answer_pending,
+    answer_state,
+    decode_job,
+    read_client_timeout,
+)
+from trefoilhook.runtime import keys
+from trefoilhook.scheduling import (
+    Configuration,
+    JobPhase,
+    JobRecord,
+    Queue,
+    decode_job_record,
+    encode_job_record,
+)
+
+__all__ = ["Intake"]
+
+_JOB_ID = re.compile(r"[0-9a-f]{16}")
+_RETRY_AFTER_S = 1
+"""When a client that was turned away should come back, in s: a store that was away is
+back for the whole fleet within a second of its return."""
+
+_DEFAULT_TIMEOUT_MS = 3000.0
+"""How long a client waits that doesn't say so, in ms."""
+
+_ANSWER_MARGIN_MS = 250.0
+"""Time left for the answer to reach its client in, in ms."""
+
+_RETRY_PAUSE_MS = 60.0
+"""Pause before a call to the store is made again, in ms."""
+
+_TURNED_AWAY_LIMIT_MS = 250.0
+"""How long calls that the store turns away are tried again, in ms: past that another
+instance, or the same a second later, serves the client sooner."""
+
+_ENDED_KEPT = 2000
+"""Ended jobs whose phase is remembered; one takes 200 bytes."""
+
+
+@attrs.frozen(kw_only=True)
+class _Target:
+    queue: Queue
+    job_id: str
+
+
+def _refuse() -> HttpResponse:
+    """Answer that the request has not run, and when to come back."""
+    return HttpResponse(status=503, headers=(("retry-after", str(_RETRY_AFTER_S)),))
+
+
+class Intake:
+    """Answers clients.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        Where jobs are kept.
+    clock : Clock
+        Where time comes from.
+    read_configuration : callable
+        Returns the configuration in force; None before the first.
+    is_store_reachable : callable
+        Tells whether the store has answered lately.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: KeyValueStore,
+        clock: Clock,
+        read_configuration: Callable[[], Configuration | None],
+        is_store_reachable: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._read_configuration = read_configuration
+        self._is_store_reachable = is_store_reachable
+        self._ended: dict[str, JobPhase] = {}
+
+    async def answer(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        configuration = self._read_configuration()
+        if configuration is None:
+            return _refuse()
+        host = (request.get_header("host") or "").rpartition(":")[0]
+        host = host or request.get_header("host") or ""
+        path = request.path
+        queue = configuration.route(host, path)
+        if queue is None:
+            return HttpResponse(status=404)
+        rest = path[len(queue.prefix) :]
+        if not rest and request.method == "GET":
+            return await self._count(queue)
+        if not _JOB_ID.fullmatch(rest):
+            return HttpResponse(status=404)
+        target = _Target(queue=queue, job_id=rest)
+        if request.method == "POST":
+            return await self._submit(request, target)
+        if request.method == "GET":
+            return await self._read(target)
+        if request.method == "DELETE":
+            return await self._cancel(request, target)
+        return HttpResponse(status=405)
+
+    # Submitting.
+
+    async def _submit(self, request: HttpRequest, target: _Target) -> HttpResponse:
+        try:
+            job = decode_job(
+                request.body,
+                job_id=target.job_id,
+                queue=target.queue.name,
+                accepted_ms=self._clock.wall_ms(),
+            )
+        except RequestError as error:
+            log_event(Event.REQUEST_FAILED, job=target.job_id, why=str(error))
+            return HttpResponse(status=400)
+        key = keys.job_key(keys.SHARD, target.job_id)
+        mark = keys.waiting_key(keys.SHARD, target.queue.name, target.job_id)
+        change = Transaction(
+            expectations=(Expectation(key=key, revision=0),),
+            puts=(
+                Put(key=key, value=encode_job_record(JobRecord(job=job))),
+                Put(key=mark, value=b""),
+            ),
+        )
+        return await self._write(request, target, change)
+
+    async def _write(
+        self, request: HttpRequest, target: _Target, change: Transaction
+    ) -> HttpResponse:
+        """Write a submission; answer only what is known of it.
+
+        A call without an answer may be carried out seconds later. It is sent again
+        under the same condition until one is answered: then the record stands, by the
+        one or by the other. Without any answer the client is told neither.
+        """
+        began_ms = self._clock.monotonic_ms()
+        timeout_ms = read_client_timeout(request, default_ms=_DEFAULT_TIMEOUT_MS)
+        ambiguous = False
+        if not self._is_store_reachable():
+            log_event(Event.REQUEST_REFUSED, job=target.job_id, why="store away")
+            return _refuse()
+        while True:
+            try:
+                revision = await self._store.commit(change)
+                log_event(
+                    Event.JOB_ACCEPTED,
+                    job=target.job_id,
+                    queue=target.queue.name,
+                    revision=revision,
+                    ms=round(self._clock.monotonic_ms() - began_ms),
+                )
+                return HttpResponse.from_json({})
+            except PreconditionError:
+                return HttpResponse.from_json({})
+            except StoreUnavailableError as error:
+                ambiguous = ambiguous or not error.is_proved_unsent
+                reason = str(error)
+            except StoreError as error:
+                reason = str(error)
+            spent_ms = self._clock.monotonic_ms() - began_ms
+            if not ambiguous and spent_ms > _TURNED_AWAY_LIMIT_MS:
+                log_event(Event.REQUEST_REFUSED, job=target.job_id, why=reason)
+                return _refuse()
+            if spent_ms > timeout_ms - _ANSWER_MARGIN_MS:
+                log_event(Event.REQUEST_FAILED, job=target.job_id, why=reason)
+                return HttpResponse(status=504)
+            await self._clock.sleep_ms(_RETRY_PAUSE_MS)
+
+    # Reading.
+
+    async def _read(self, target: _Target) -> HttpResponse:
+        phase = self._ended.get(target.job_id)
+        if phase is not None:
+            return answer_state(phase.value)
+        try:
+            item = await self._store.get(keys.job_key(keys.SHARD, target.job_id))
+            if item is None:
+                return HttpResponse(status=410)
+            phase = decode_job_record(item.value).phase
+            if phase is JobPhase.OPEN:
+                progress = keys.progress_key(keys.SHARD, target.job_id)
+                has_begun = await self._store.get(progress) is not None
+                return answer_state("running" if has_begun else "queued")
+        except StoreError as error:
+            log_event(Event.REQUEST_REFUSED, job=target.job_id, why=str(error))
+            return _refuse()
+        self._remember(target.job_id, phase)
+        return answer_state(phase.value)
+
+    def _remember(self, job_id: str, phase: JobPhase) -> None:
+        """Remember the phase of an ended job, which never changes again."""
+        if len(self._ended) >= _ENDED_KEPT:
+            del self._ended[next(iter(self._ended))]
+        self._ended[job_id] = phase
+
+    async def _count(self, queue: Queue) -> HttpResponse:
+        try:
+            listing = await self._store.list_items(
+                keys.waiting_prefix(keys.SHARD, queue.name)
+            )
+        except StoreError as error:
+            log_event(Event.REQUEST_REFUSED, queue=queue.name, why=str(error))
+            return _refuse()
+        return answer_pending(len(listing.items))
+
+    # Cancelling.
+
+    async def _cancel(self, request: HttpRequest, target: _Target) -> HttpResponse:
+        began_ms = self._clock.monotonic_ms()
+        timeout_ms = read_client_timeout(request, default_ms=_DEFAULT_TIMEOUT_MS)
+        while True:
+            try:
+                return await self._try_cancel(target)
+            except PreconditionError:
+                # The job ended, or was cancelled, between the two calls.
+                reason = "changed meanwhile"
+            except (StoreError, LeaseLostError) as error:
+                reason = str(error)
+            spent_ms = self._clock.monotonic_ms() - began_ms
+            if spent_ms > timeout_ms - _ANSWER_MARGIN_MS:
+                log_event(Event.REQUEST_FAILED, job=target.job_id, why=reason)
+                return HttpResponse(status=504)
+            await self._clock.sleep_ms(_RETRY_PAUSE_MS)
+
+    async def _try_cancel(self, target: _Target) -> HttpResponse:
+        key = keys.job_key(keys.SHARD, target.job_id)
+        item = await self._store.get(key)
+        if item is None:
+            return HttpResponse(status=410)
+        record = decode_job_record(item.value)
+        if record.phase is not JobPhase.OPEN:
+            return HttpResponse.from_json({})
+        cancelled = attrs.evolve(record, phase=JobPhase.CANCELLED)
+        queue = record.job.queue
+        revision = await self._store.commit(
+            Transaction(
+                expectations=(Expectation(key=key, revision=item.revision),),
+                puts=(Put(key=key, value=encode_job_record(cancelled)),),
+                removals=(
+                    keys.progress_key(keys.SHARD, target.job_id),
+                    keys.waiting_key(keys.SHARD, queue, target.job_id),
+                ),
+            )
+        )
+        log_event(Event.JOB_CANCELLED, job=target.job_id, revision=revision)
+        self._remember(target.job_id, JobPhase.CANCELLED)
+        return HttpResponse.from_json({})
--- /dev/null
+++ b/trefoilhook/runtime/ownership.py
@@ -0,0 +1,258 @@
+"""Ownership of a shard: at most one instance orders, the one with the highest epoch.
+
+The owner's key goes with a store lease; the epoch beside it stays and rises. The epoch
+is the fencing token of every order, so that an owner that was frozen or cut off, and
+doesn't know that it has been replaced, is refused by every worker that the new owner
+has reached.
+"""
+
+import json
+import uuid
+from collections.abc import Awaitable, Callable
+
+import attrs
+import trio
+
+from trefoilhook.clock import Clock
+from trefoilhook.exceptions import (
+    HistoryLostError,
+    LeaseLostError,
+    PreconditionError,
+    StoreError,
+    StoreUnavailableError,
+)
+from trefoilhook.logs import Event, log_event
+from trefoilhook.platform import (
+    Expectation,
+    Item,
+    KeyValueStore,
+    Listing,
+    Put,
+    Transaction,
+)
+from trefoilhook.runtime import keys
+from trefoilhook.runtime.following import WATCH_WAIT_MS
+
+__all__ = ["OWNER_LEASE_MS", "Campaign", "Tenure"]
+
+OWNER_LEASE_MS = 2000
+"""Lease of the owner's key, in ms: with it a dead owner is replaced. Four renewals fit
+in, each of which may take 360 ms while the store is ninety times slower than usual."""
+
+_RENEW_MS = 500.0
+"""Pause between two renewals, in ms."""
+
+_PAUSE_MS = 200.0
+"""Pause after a try that failed, in ms."""
+
+_REST_MS = 1500.0
+"""How long an instance that lost an ownership leaves the next claim to others: what
+made it lose it, a cut or a slow machine, most often lasts on."""
+
+
+@attrs.define(kw_only=True, eq=False)
+class Tenure:
+    """One ownership of the shard by this instance.
+
+    Parameters
+    ----------
+    epoch : int
+        Its number; higher than that of every earlier one.
+    owner_revision : int
+        Revision of the owner's key.
+    claimed_ms : float
+        When it was claimed, in ms.
+    lease : int
+        Store lease of the owner's key.
+    valid_until_ms : float
+        Until when the lease is sure to hold, as far as renewals tell, in ms.
+    over : trio.Event
+        Set once it has ended, for whatever reason.
+    released : bool
+        Whether it was given up on purpose.
+    """
+
+    epoch: int
+    owner_revision: int
+    claimed_ms: float
+    lease: int
+    valid_until_ms: float
+    over: trio.Event = attrs.Factory(trio.Event)
+    released: bool = False
+
+
+class Campaign:
+    """Claims the shard whenever it has no owner, and leads it then.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        Where ownership is kept.
+    clock : Clock
+        Where time comes from.
+    name : str
+        Name of this instance, for people.
+    lead : callable
+        Awaited with each tenure; works until the tenure is over.
+    may_claim : callable
+        Tells whether this instance is fit to own a shard.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: KeyValueStore,
+        clock: Clock,
+        name: str,
+        lead: Callable[[Tenure], Awaitable[None]],
+        may_claim: Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        # The name alone could be that of an earlier process on this machine.
+        self._holder = f"{name}/{uuid.uuid4().hex}"
+        self._lead = lead
+        self._may_claim = may_claim
+        self._tenure: Tenure | None = None
+        self._resigned = False
+        self._rest_until_ms = 0.0
+
+    @property
+    def is_owner(self) -> bool:
+        """Whether this instance owns the shard."""
+        return self._tenure is not None
+
+    def resign(self) -> None:
+        """Give the shard up, and claim it never again."""
+        self._resigned = True
+        if self._tenure is not None:
+            self._tenure.released = True
+            self._tenure.over.set()
+
+    async def run(self) -> None:
+        """Watch for the shard to be without an owner, and claim it, for good."""
+        while not self._resigned:
+            try:
+                listing = await self._store.list_items(
+                    keys.ownership_prefix(keys.SHARD)
+                )
+                await self._campaign(listing)
+            except StoreError as error:
+                log_event(Event.STORE_DOWN, call="ownership", error=str(error))
+                await self._clock.sleep_ms(_PAUSE_MS)
+
+    async def _campaign(self, listing: Listing) -> None:
+        owner: Item | None = None
+        epoch: Item | None = None
+        for item in listing.items:
+            owner = item if item.key == keys.owner_key(keys.SHARD) else owner
+            epoch = item if item.key == keys.epoch_key(keys.SHARD) else epoch
+        after = listing.as_of
+        while not self._resigned:
+            if owner is None and self._is_fit():
+                await self._claim(epoch)
+                return
+            wait_ms = WATCH_WAIT_MS if owner is not None else int(_PAUSE_MS)
+            try:
+                batch = await self._store.watch(
+                    keys.ownership_prefix(keys.SHARD), after=after, wait_ms=wait_ms
+                )
+            except HistoryLostError:
+                return
+            after = batch.as_of
+            for change in batch.changes:
+                if change.key == keys.owner_key(keys.SHARD):
+                    owner = change.item
+                elif change.key == keys.epoch_key(keys.SHARD):
+                    epoch = change.item
+
+    def _is_fit(self) -> bool:
+        rested = self._clock.monotonic_ms() >= self._rest_until_ms
+        return rested and self._may_claim()
+
+    async def _claim(self, epoch: Item | None) -> None:
+        number = json.loads(epoch.value)["epoch"] + 1 if epoch is not None else 1
+        granted_ms = self._clock.monotonic_ms()
+        lease = await self._store.grant_lease(OWNER_LEASE_MS)
+        value = json.dumps({"holder": self._holder, "epoch": number}).encode()
+        claim = Transaction(
+            expectations=(
+                Expectation(key=keys.owner_key(keys.SHARD), revision=0),
+                Expectation(
+                    key=keys.epoch_key(keys.SHARD),
+                    revision=epoch.revision if epoch is not None else 0,
+                ),
+            ),
+            puts=(
+                Put(key=keys.owner_key(keys.SHARD), value=value, lease=lease),
+                Put(key=keys.epoch_key(keys.SHARD), value=value),
+            ),
+        )
+        try:
+            revision = await self._store.commit(claim)
+        except (PreconditionError, LeaseLostError):
+            await self._store.end_lease(lease)
+            return
+        except StoreUnavailableError as error:
+            if error.is_proved_unsent:
+                raise
+            found = await self._find_claim(value)
+            if found is None:
+                # A late copy of the claim can at worst hold the key for the rest of
+                # the lease, which nobody renews.
+                return
+            revision = found
+        tenure = Tenure(
+            epoch=number,
+            owner_revision=revision,
+            claimed_ms=self._clock.monotonic_ms(),
+            lease=lease,
+            valid_until_ms=granted_ms + OWNER_LEASE_MS,
+        )
+        await self._serve(tenure)
+
+    async def _find_claim(self, value: bytes) -> int | None:
+        """Look up whether a claim without an answer was carried out."""
+        item = await self._store.get(keys.owner_key(keys.SHARD))
+        if item is None or item.value != value:
+            return None
+        return item.revision
+
+    async def _serve(self, tenure: Tenure) -> None:
+        log_event(
+            Event.SHARD_CLAIMED, epoch=tenure.epoch, revision=tenure.owner_revision
+        )
+        self._tenure = tenure
+        if self._resigned:
+            tenure.over.set()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._renew, tenure)
+                await self._lead(tenure)
+                nursery.cancel_scope.cancel()
+        finally:
+            self._tenure = None
+            self._rest_until_ms = self._clock.monotonic_ms() + _REST_MS
+        log_event(Event.SHARD_RELEASED, epoch=tenure.epoch, wanted=tenure.released)
+        if tenure.released:
+            await self._store.end_lease(tenure.lease)
+
+    async def _renew(self, tenure: Tenure) -> None:
+        """Renew the lease; end the tenure once it can have run out."""
+        while not tenure.over.is_set():
+            left_ms = tenure.valid_until_ms - self._clock.monotonic_ms()
+            if left_ms <= 0:
+                log_event(Event.LEASE_LOST, epoch=tenure.epoch, why="not renewed")
+                tenure.over.set()
+                return
+            sent_ms = self._clock.monotonic_ms()
+            try:
+                await self._store.keep_lease(tenure.lease)
+                tenure.valid_until_ms = sent_ms + OWNER_LEASE_MS
+                await self._clock.sleep_ms(_RENEW_MS)
+            except LeaseLostError:
+                log_event(Event.LEASE_LOST, epoch=tenure.epoch, why="gone")
+                tenure.over.set()
+            except StoreError as error:
+                log_event(Event.STORE_DOWN, call="renew", error=str(error))
+                await self._clock.sleep_ms(_PAUSE_MS)
--- /dev/null
+++ b/trefoilhook/runtime/shard.py
@@ -0,0 +1,486 @@
+"""The work of a shard's owner: what the scheduler decides, carried out."""
+
+import json
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from trefoilhook.clock import Clock
+from trefoilhook.exceptions import LeaseLostError, PreconditionError, StoreError
+from trefoilhook.logs import Event, log_event
+from trefoilhook.platform import (
+    WORKER_PREFIX,
+    Change,
+    Expectation,
+    Item,
+    KeyValueStore,
+    Listing,
+    LookRequest,
+    Put,
+    Transaction,
+    WorkerClient,
+    decode_worker_report,
+)
+from trefoilhook.runtime import keys
+from trefoilhook.runtime.commits import Committer
+from trefoilhook.runtime.following import follow
+from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Tenure
+from trefoilhook.scheduling import (
+    Configuration,
+    JobPhase,
+    Look,
+    Order,
+    OrderOutcome,
+    Scheduler,
+    SchedulerLimits,
+    StartOrder,
+    StopOrder,
+    Worker,
+    decode_job_record,
+    decode_progress,
+    extend_lease,
+    is_settled,
+    plan_orders,
+)
+
+__all__ = ["ShardOwner", "ShardSettings"]
+
+_WORKER_TIMEOUT_MS = 600.0
+"""Longest time for an answer of a worker, in ms: the round trip is 2 ms, and a worker
+that is six times slower than usual still answers at once."""
+
+_LOOK_WAIT_MS = 1500
+"""How long a look waits for an end, in ms. An end is acknowledged with the next look,
+so this and the progress window stay under the 4 s in which that has to happen."""
+
+_CLOSE_LOOK_WAIT_MS = 500
+"""The same where fillers run beside service tasks, whose tail latency is a figure of
+the last half second."""
+
+_LOOK_RETRY_MS = 200.0
+"""Pause after a look that failed, in ms."""
+
+_GATHER_MS = 6.0
+"""How long a plan waits for more news, in ms: news come in bursts, as the tasks of a
+step end together, and one plan for all is cheaper."""
+
+_TICK_MS = 100.0
+"""Longest pause between two plans, in ms; each repeats orders without an answer."""
+
+_RETENTION_LEASE_MS = 600_000
+"""How long ended jobs stay in the store, in ms: the platform's longest lease, more than
+the 120 s for which their state has to be told."""
+
+_RETENTION_RENEW_MS = 240_000.0
+"""Pause until a new lease is taken for jobs that end from then on, in ms."""
+
+_LEASE_SLACK_MS = 300.0
+"""Added to the longest time for which orders of an earlier owner can have effect: what
+was on its way when its machine froze, and clocks that are 2 % slow."""
+
+_SLOWEST_CLOCK = 0.98
+"""A worker's steady clock may be 2 % slow, by the platform's statement."""
+
+
+@attrs.frozen(kw_only=True)
+class ShardSettings:
+    """Time limits of a shard's owner, in ms.
+
+    Parameters
+    ----------
+    task_lease_ms : float
+        Lease that each look gives to what runs on a worker.
+    stop_grace_ms : float
+        Longest time that a task takes to stop.
+    """
+
+    task_lease_ms: float
+    stop_grace_ms: float
+
+
+class ShardOwner:
+    """Carries out one tenure.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        Where jobs, workers and progress are.
+    clock : Clock
+        Where time comes from.
+    tenure : Tenure
+        The ownership.
+    settings : ShardSettings
+        Time limits.
+    read_configuration : callable
+        Returns the configuration in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: KeyValueStore,
+        clock: Clock,
+        tenure: Tenure,
+        settings: ShardSettings,
+        read_configuration: Callable[[], Configuration],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._tenure = tenure
+        self._read_configuration = read_configuration
+        reach_ms = OWNER_LEASE_MS + settings.task_lease_ms / _SLOWEST_CLOCK
+        self._scheduler = Scheduler(
+            epoch=tenure.epoch,
+            limits=SchedulerLimits(
+                task_lease_ms=settings.task_lease_ms,
+                stop_grace_ms=settings.stop_grace_ms,
+                settled_at_ms=tenure.claimed_ms + reach_ms + _LEASE_SLACK_MS,
+            ),
+            configuration=read_configuration(),
+        )
+        self._committer = Committer(
+            store=store,
+            clock=clock,
+            scheduler=self._scheduler,
+            owner_revision=tenure.owner_revision,
+            depose=tenure.over.set,
+            notify=self.wake,
+        )
+        self._clients: dict[str, WorkerClient] = {}
+        self._roster: tuple[str, ...] = ()
+        self._roster_revision = 0
+        self._earlier_roster: tuple[str, ...] = ()
+        self._settled = False
+        self._wake = trio.Event()
+        self._roster_wake = trio.Event()
+
+    def wake(self) -> None:
+        """Have the next plan made soon."""
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Work until the tenure is over."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._work, nursery)
+                await self._tenure.over.wait()
+                nursery.cancel_scope.cancel()
+            if self._tenure.released:
+                with trio.move_on_after(OWNER_LEASE_MS / 4000.0):
+                    await self._committer.flush()
+        finally:
+            with trio.CancelScope(shield=True):
+                for client in self._clients.values():
+                    await client.close()
+
+    async def _work(self, nursery: trio.Nursery) -> None:
+        jobs, workers = await self._load()
+        nursery.start_soon(self._follow_jobs, jobs)
+        nursery.start_soon(self._follow_workers, nursery, workers)
+        nursery.start_soon(self._committer.run)
+        nursery.start_soon(self._keep_roster)
+        nursery.start_soon(self._keep_retention)
+        await self._plan(nursery)
+
+    # What stands in the store.
+
+    async def _load(self) -> tuple[Listing, Listing]:
+        """Take in all that earlier owners left, trying until it is read."""
+        while True:
+            try:
+                workers = await self._store.list_items(WORKER_PREFIX)
+                progress = await self._store.list_items(
+                    keys.progress_prefix(keys.SHARD)
+                )
+                # Jobs after progress: a job whose end is written in between is then
+                # seen ended, never open without what was done of it.
+                jobs = await self._store.list_items(keys.job_prefix(keys.SHARD))
+                roster = await self._store.get(keys.roster_key(keys.SHARD))
+                break
+            except StoreError as error:
+                log_event(Event.STORE_DOWN, call="load", error=str(error))
+                await self._clock.sleep_ms(_LOOK_RETRY_MS)
+        if roster is not None:
+            self._roster = tuple(json.loads(roster.value))
+            self._roster_revision = roster.revision
+        self._earlier_roster = self._roster
+        known = {keys.read_job_id(item.key): item for item in progress.items}
+        for item in jobs.items:
+            self._take_job(item, known.get(keys.read_job_id(item.key)))
+        log_event(
+            Event.SHARD_LOADED,
+            epoch=self._tenure.epoch,
+            jobs=len(jobs.items),
+            workers=len(workers.items),
+        )
+        return jobs, workers
+
+    def _take_job(self, item: Item, progress: Item | None = None) -> None:
+        record = decode_job_record(item.value)
+        job_id = record.job.job_id
+        if job_id in self._scheduler.jobs:
+            if record.phase is JobPhase.CANCELLED:
+                self._scheduler.cancel_job(job_id, revision=item.revision)
+            return
+        self._scheduler.add_job(
+            record,
+            revision=item.revision,
+            certain=item.created > self._tenure.owner_revision,
+            wall_ms=self._clock.wall_ms(),
+            progress=decode_progress(progress.value) if progress is not None else None,
+            progress_revision=progress.revision if progress is not None else 0,
+        )
+
+    async def _follow_jobs(self, listing: Listing) -> None:
+        def take_listing(fresh: Listing) -> None:
+            for item in fresh.items:
+                self._take_job(item)
+            self._wake_all()
+
+        def take_change(change: Change) -> None:
+            if change.item is not None:
+                self._take_job(change.item)
+                self._wake_all()
+
+        await follow(
+            self._store,
+            self._clock,
+            keys.job_prefix(keys.SHARD),
+            take_listing=take_listing,
+            take_change=take_change,
+            listing=listing,
+        )
+
+    def _wake_all(self) -> None:
+        self.wake()
+        self._committer.wake()
+
+    async def _follow_workers(self, nursery: trio.Nursery, listing: Listing) -> None:
+        def take_listing(fresh: Listing) -> None:
+            listed = set()
+            for item in fresh.items:
+                listed.add(item.key.removeprefix(WORKER_PREFIX))
+                self._take_worker(nursery, item)
+            for worker_id in set(self._scheduler.workers) - listed:
+                self._scheduler.unlist_worker(worker_id)
+            self._roster_wake.set()
+
+        def take_change(change: Change) -> None:
+            if change.item is not None:
+                self._take_worker(nursery, change.item)
+            else:
+                worker_id = change.key.removeprefix(WORKER_PREFIX)
+                self._scheduler.unlist_worker(worker_id)
+                log_event(Event.WORKER_LOST, worker=worker_id, why="unlisted")
+            self._roster_wake.set()
+            self.wake()
+
+        take_listing(listing)
+        await follow(
+            self._store,
+            self._clock,
+            WORKER_PREFIX,
+            take_listing=take_listing,
+            take_change=take_change,
+            listing=listing,
+        )
+
+    def _take_worker(self, nursery: trio.Nursery, item: Item) -> None:
+        try:
+            report = decode_worker_report(item.key, item.value)
+        except (ValueError, KeyError, TypeError) as error:
+            log_event(Event.REPORT_INVALID, key=item.key, error=repr(error))
+            return
+        is_new = report.worker_id not in self._scheduler.workers
+        self._scheduler.update_worker(report)
+        if is_new:
+            client = WorkerClient(report=report, timeout_ms=_WORKER_TIMEOUT_MS)
+            self._clients[report.worker_id] = client
+            worker = self._scheduler.workers[report.worker_id]
+            worker.rostered = report.worker_id in self._roster
+            nursery.start_soon(self._watch_worker, worker, client)
+
+    async def _keep_roster(self) -> None:
+        """Write which workers may run tasks, before any is started there."""
+        while True:
+            wanted = tuple(sorted(self._scheduler.workers))
+            if set(wanted) - set(self._roster) or (
+                self._settled and wanted != self._roster
+            ):
+                if not self._settled:
+                    wanted = tuple(sorted({*wanted, *self._roster}))
+                if not await self._write_roster(wanted):
+                    await self._clock.sleep_ms(_LOOK_RETRY_MS)
+                    continue
+            await self._roster_wake.wait()
+            self._roster_wake = trio.Event()
+
+    async def _write_roster(self, roster: tuple[str, ...]) -> bool:
+        key = keys.roster_key(keys.SHARD)
+        owner = keys.owner_key(keys.SHARD)
+        value = json.dumps(roster).encode()
+        change = Transaction(
+            expectations=(
+                Expectation(key=owner, revision=self._tenure.owner_revision),
+                Expectation(key=key, revision=self._roster_revision),
+            ),
+            puts=(Put(key=key, value=value),),
+        )
+        try:
+            self._roster_revision = await self._store.commit(change)
+        except PreconditionError as error:
+            standing = {item.key: item for item in error.items}
+            if owner not in standing:
+                self._tenure.over.set()
+                return False
+            item = standing.get(key)
+            self._roster_revision = item.revision if item is not None else 0
+            return False
+        except (StoreError, LeaseLostError) as error:
+            log_event(Event.STORE_DOWN, call="roster", error=str(error))
+            return False
+        self._roster = roster
+        for worker_id in roster:
+            worker = self._scheduler.workers.get(worker_id)
+            if worker is not None:
+                worker.rostered = True
+        self.wake()
+        return True
+
+    async def _keep_retention(self) -> None:
+        while True:
+            try:
+                lease = await self._store.grant_lease(_RETENTION_LEASE_MS)
+                self._committer.set_retention(lease)
+                await self._clock.sleep_ms(_RETENTION_RENEW_MS)
+            except StoreError as error:
+                log_event(Event.STORE_DOWN, call="retention", error=str(error))
+                await self._clock.sleep_ms(1000.0)
+
+    # What runs on the workers.
+
+    async def _watch_worker(self, worker: Worker, client: WorkerClient) -> None:
+        """Look at a worker again and again, until it is gone."""
+        worker_id = worker.report.worker_id
+        while self._scheduler.workers.get(worker_id) is worker:
+            sent_ms = self._clock.monotonic_ms()
+            result = await client.look(self._build_look(worker, sent_ms))
+            if isinstance(result, Look):
+                self._scheduler.take_look(
+                    worker_id,
+                    result,
+                    sent_ms=sent_ms,
+                    now_ms=self._clock.monotonic_ms(),
+                )
+                self._wake_all()
+                continue
+            if result is OrderOutcome.FENCED:
+                self._depose()
+                return
+            if result is OrderOutcome.OTHER_LIFE:
+                log_event(Event.WORKER_LOST, worker=worker_id, why="restarted")
+                self._scheduler.drop_worker(worker_id)
+                self._wake_all()
+                break
+            if not worker.suspect:
+                log_event(Event.WORKER_LOST, worker=worker_id, why=result.value)
+            worker.suspect = True
+            await self._clock.sleep_ms(_LOOK_RETRY_MS)
+        self._clients.pop(worker_id, None)
+        await client.close()
+
+    def _build_look(self, worker: Worker, now_ms: float) -> LookRequest:
+        if not worker.fenced:
+            return LookRequest(
+                token=self._tenure.epoch, acknowledged=0, deadline_ms=None, wait_ms=0
+            )
+        wait_ms = _LOOK_WAIT_MS
+        if worker.suspect:
+            wait_ms = 0
+        elif self._scheduler.shares_with_services(worker):
+            wait_ms = _CLOSE_LOOK_WAIT_MS
+        return LookRequest(
+            token=self._tenure.epoch,
+            acknowledged=self._scheduler.acknowledge(worker),
+            deadline_ms=extend_lease(self._scheduler, worker, now_ms),
+            wait_ms=wait_ms,
+        )
+
+    def _depose(self) -> None:
+        log_event(Event.SHARD_FENCED, epoch=self._tenure.epoch)
+        self._tenure.over.set()
+
+    async def _plan(self, nursery: trio.Nursery) -> None:
+        while True:
+            with trio.move_on_after(_TICK_MS / 1000.0):
+                await self._wake.wait()
+                await self._clock.sleep_ms(_GATHER_MS)
+            self._wake = trio.Event()
+            self._plan_once(nursery)
+
+    def _plan_once(self, nursery: trio.Nursery) -> None:
+        now_ms = self._clock.monotonic_ms()
+        if now_ms >= self._tenure.valid_until_ms:
+            # The lease may have run out while the machine was frozen: another owner
+            # may have started what seems to wait here.
+            return
+        scheduler = self._scheduler
+        if scheduler.deposed:
+            self._depose()
+            return
+        configuration = self._read_configuration()
+        if configuration.version != scheduler.configuration.version:
+            scheduler.set_configuration(configuration)
+        for worker_id in scheduler.release_lapsed(now_ms):
+            log_event(Event.WORKER_LOST, worker=worker_id, why="leases lapsed")
+        if not self._settled and is_settled(scheduler, self._earlier_roster, now_ms):
+            self._settled = True
+            self._roster_wake.set()
+            log_event(
+                Event.SHARD_SETTLED,
+                epoch=self._tenure.epoch,
+                after_ms=round(now_ms - self._tenure.claimed_ms),
+            )
+        orders = plan_orders(
+            scheduler,
+            settled=self._settled,
+            now_ms=now_ms,
+            wall_ms=self._clock.wall_ms(),
+        )
+        for order in orders:
+            nursery.start_soon(self._carry_out, order)
+        if scheduler.dirty:
+            self._committer.wake()
+
+    async def _carry_out(self, order: Order) -> None:
+        client = self._clients.get(order.worker_id)
+        if client is None:
+            outcome = OrderOutcome.NOT_SENT
+        elif isinstance(order, StartOrder):
+            outcome = await client.start(order)
+        elif isinstance(order, StopOrder):
+            outcome = await client.stop(order)
+        else:
+            await client.pace(order)
+            return
+        take = self._scheduler.take_stop_outcome
+        if isinstance(order, StartOrder):
+            take = self._scheduler.take_start_outcome
+        take(
+            order.worker_id,
+            order.task,
+            order.attempt,
+            outcome,
+            self._clock.monotonic_ms(),
+        )
+        if outcome is not OrderOutcome.DONE:
+            log_event(
+                Event.ORDER_FAILED,
+                task=str(order.task),
+                attempt=order.attempt,
+                worker=order.worker_id,
+                order=type(order).__name__,
+                outcome=outcome.value,
+            )
+            self.wake()
--- /dev/null
+++ b/trefoilhook/scheduling/__init__.py
@@ -0,0 +1,73 @@
+"""Jobs of steps on shared workers: the decisions, without any input or output."""
+
+from trefoilhook.scheduling.book import JobState
+from trefoilhook.scheduling.core import JobChange, Scheduler, SchedulerLimits
+from trefoilhook.scheduling.fleet import Worker
+from trefoilhook.scheduling.messages import (
+    End,
+    EndKind,
+    Look,
+    Order,
+    OrderOutcome,
+    PaceOrder,
+    Running,
+    StartOrder,
+    StopOrder,
+)
+from trefoilhook.scheduling.models import (
+    Advice,
+    Configuration,
+    Demand,
+    Job,
+    Queue,
+    Step,
+    TaskId,
+    WorkerReport,
+    parse_task_id,
+)
+from trefoilhook.scheduling.planning import extend_lease, is_settled, plan_orders
+from trefoilhook.scheduling.records import (
+    JobPhase,
+    JobRecord,
+    Progress,
+    decode_job_record,
+    decode_progress,
+    encode_job_record,
+    encode_progress,
+)
+
+__all__ = [
+    "Advice",
+    "Configuration",
+    "Demand",
+    "End",
+    "EndKind",
+    "Job",
+    "JobChange",
+    "JobPhase",
+    "JobRecord",
+    "JobState",
+    "Look",
+    "Order",
+    "OrderOutcome",
+    "PaceOrder",
+    "Progress",
+    "Queue",
+    "Running",
+    "Scheduler",
+    "SchedulerLimits",
+    "StartOrder",
+    "Step",
+    "StopOrder",
+    "TaskId",
+    "Worker",
+    "WorkerReport",
+    "decode_job_record",
+    "decode_progress",
+    "encode_job_record",
+    "encode_progress",
+    "extend_lease",
+    "is_settled",
+    "parse_task_id",
+    "plan_orders",
+]
--- /dev/null
+++ b/trefoilhook/scheduling/fleet.py
@@ -0,0 +1,204 @@
+"""The workers as their owner sees them: what runs where, and how sure that is."""
+
+import collections
+import enum
+from collections.abc import Callable
+
+import attrs
+
+from trefoilhook.scheduling.messages import Look
+from trefoilhook.scheduling.models import Demand, TaskId, WorkerReport
+
+__all__ = ["Run", "RunPhase", "Worker", "build_worker"]
+
+_SLOWEST_CLOCK = 0.98
+"""A worker's steady clock may be 2 % slow, by the platform's statement."""
+
+_LAPSE_SLACK_MS = 60.0
+"""Added to a lapsed lease before it counts as proved: the rounding of whole ms twice,
+and the turn that a worker's timer may be late by."""
+
+
+class RunPhase(enum.Enum):
+    """What is known of an attempt."""
+
+    STARTING = "starting"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@attrs.define(kw_only=True, eq=False)
+class Run:
+    """One attempt at a task on one worker; it holds its room until it is proved over.
+
+    Parameters
+    ----------
+    task : TaskId
+        The task.
+    attempt : int
+        Number of the attempt; a later attempt has a higher one.
+    room : Demand
+        What it takes of the worker.
+    phase : RunPhase
+        What is known of it.
+    started_ms : float
+        When its order was first sent, in ms.
+    seen : bool
+        Whether the worker has confirmed it, or listed it as running.
+    confirmed_ms : float
+        When the worker last answered an order for it, in ms; a later look that doesn't
+        list it proves that it is over.
+    percent, load : float
+        From the last look that listed it.
+    checkpoint : str
+        From the last look that listed it.
+    checkpoint_used : str
+        Where its order lets it go on.
+    deadline_ms : float
+        Until when its order may be carried out, on the worker's clock, in ms.
+    progressed_ms : float
+        When its progress last rose, in ms.
+    pace : int
+        Share of its speed that it was last ordered to work at, in percent.
+    paced_ms : float
+        When that was last ordered, in ms.
+    order_due_ms : float
+        When its pending order is to be sent again, in ms; the first order goes at once.
+    in_flight : bool
+        Whether an order for it is under way.
+    ambiguous : bool
+        Whether a start went without an answer: a copy may still be carried out.
+    """
+
+    task: TaskId
+    attempt: int
+    room: Demand
+    phase: RunPhase
+    started_ms: float
+    seen: bool = False
+    confirmed_ms: float = float("inf")
+    percent: float = 0.0
+    load: float = 0.0
+    checkpoint: str = ""
+    progressed_ms: float = 0.0
+    pace: int = 100
+    paced_ms: float = 0.0
+    order_due_ms: float = 0.0
+    in_flight: bool = False
+    ambiguous: bool = False
+    checkpoint_used: str = ""
+    deadline_ms: float = 0.0
+
+
+@attrs.define(kw_only=True, eq=False)
+class Worker:
+    """One life of a worker.
+
+    Parameters
+    ----------
+    report : WorkerReport
+        What it last said of itself.
+    listed : bool
+        Whether the store still lists it.
+    fenced : bool
+        Whether it has answered under the owner's fencing token, so that no order of an
+        earlier owner can be carried out there any more.
+    rostered : bool
+        Whether the store's roster names it; only then may a task be started there, so
+        that the next owner knows where to look.
+    runs : dict
+        What holds room there, by task and attempt.
+    cpu, memory_mb, gpus : int
+        Room held.
+    clock_ms, clock_read_ms : float
+        Its clock in its last answer, and our time then, in ms.
+    lease_until_ms : float
+        Latest deadline that it was given, on its clock, in ms.
+    last_end : int
+        Highest number of an end that was taken in.
+    unacknowledged : deque of (int, callable)
+        Ends taken in, in order, with a test whether their effect is in the store.
+    acknowledged : int
+        The worker may forget ends up to this number.
+    suspect : bool
+        Whether an order or a look went without an answer since the last look.
+    faulty_jobs : set of str
+        Jobs of which attempts failed there since one was last done there.
+    avoid_until_ms : float
+        No new task goes there before, in ms.
+    """
+
+    report: WorkerReport
+    listed: bool = True
+    fenced: bool = False
+    rostered: bool = False
+    runs: dict[tuple[TaskId, int], Run] = attrs.Factory(dict)
+    cpu: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+    clock_ms: float = 0.0
+    clock_read_ms: float = float("-inf")
+    lease_until_ms: float = 0.0
+    last_end: int = 0
+    unacknowledged: collections.deque[tuple[int, Callable[[], bool]]] = attrs.Factory(
+        collections.deque
+    )
+    acknowledged: int = 0
+    suspect: bool = False
+    faulty_jobs: set[str] = attrs.Factory(set)
+    avoid_until_ms: float = 0.0
+
+    def estimate_clock(self, now_ms: float) -> float:
+        """Estimate the worker's clock, in ms; needs one answer of it."""
+        return self.clock_ms + (now_ms - self.clock_read_ms)
+
+    def is_lapsed(self, now_ms: float) -> bool:
+        """Tell whether every lease that it was given is proved to have run out."""
+        if self.clock_read_ms == float("-inf"):
+            return True
+        least = self.clock_ms + _SLOWEST_CLOCK * (now_ms - self.clock_read_ms)
+        return least > self.lease_until_ms + _LAPSE_SLACK_MS
+
+    def read_clock(self, look: Look, now_ms: float) -> None:
+        """Note the time on the worker's clock."""
+        if look.clock_ms >= self.clock_ms:
+            self.clock_ms = look.clock_ms
+            self.clock_read_ms = now_ms
+
+    def has_room(self, demand: Demand) -> bool:
+        """Tell whether ``demand`` fits beside what holds room."""
+        capacity = self.report.capacity
+        return (
+            self.cpu + demand.cpu <= capacity.cpu
+            and self.memory_mb + demand.memory_mb <= capacity.memory_mb
+            and self.gpus + demand.gpus <= capacity.gpus
+        )
+
+    def hold(self, run: Run) -> None:
+        """Take a run in and hold its room."""
+        self.runs[run.task, run.attempt] = run
+        self.cpu += run.room.cpu
+        self.memory_mb += run.room.memory_mb
+        self.gpus += run.room.gpus
+
+    def release(self, run: Run) -> None:
+        """Let go of a run that is proved over, and of its room."""
+        if self.runs.pop((run.task, run.attempt), None) is None:
+            return
+        self.cpu -= run.room.cpu
+        self.memory_mb -= run.room.memory_mb
+        self.gpus -= run.room.gpus
+
+    def count_step(self, task: TaskId) -> int:
+        """Count the runs of the step of ``task``."""
+        return sum(
+            other.job_id == task.job_id
+            and other.step == task.step
+            and other.occurrence == task.occurrence
+            for other, _ in self.runs
+        )
+
+
+def build_worker(report: WorkerReport) -> Worker:
+    """Build the state of a worker that has just been listed."""
+    return Worker(report=report)
--- /dev/null
+++ b/trefoilhook/scheduling/messages.py
@@ -0,0 +1,133 @@
+"""What passes between the scheduler and the workers."""
+
+import enum
+
+import attrs
+
+from trefoilhook.scheduling.models import TaskId
+
+__all__ = [
+    "End",
+    "EndKind",
+    "Look",
+    "Order",
+    "OrderOutcome",
+    "PaceOrder",
+    "Running",
+    "StartOrder",
+    "StopOrder",
+]
+
+
+class EndKind(enum.Enum):
+    """How an attempt ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    PEER_ENDED = "peer ended"
+    PEERS_MISSING = "peers missing"
+
+
+class OrderOutcome(enum.Enum):
+    """What is known about an order after it was sent.
+
+    ``NO_ANSWER`` says nothing: the order may have been carried out, or may still be.
+    After every other outcome but ``DONE`` this copy of it never will be.
+    """
+
+    DONE = "done"
+    NOT_SENT = "not sent"
+    NO_ANSWER = "no answer"
+    FENCED = "fenced"
+    SUPERSEDED = "superseded"
+    TOO_LATE = "too late"
+    NO_ROOM = "no room"
+    NO_TICKET = "no ticket"
+    OTHER_LIFE = "other life"
+    UNHEALTHY = "unhealthy"
+    REFUSED = "refused"
+
+
+@attrs.frozen(kw_only=True)
+class Running:
+    """An attempt that runs on a worker.
+
+    Parameters
+    ----------
+    task : TaskId
+        The task.
+    attempt : int
+        Number of the attempt.
+    checkpoint : str
+        Where another attempt could go on; empty for none.
+    percent : float
+        Progress; for a long-running task 100 once it is at work.
+    load : float
+        Tail latency in ms of a task with a latency limit, else thousandths of a core.
+    """
+
+    task: TaskId
+    attempt: int
+    checkpoint: str
+    percent: float
+    load: float
+
+
+@attrs.frozen(kw_only=True)
+class End:
+    """The end of an attempt; ``number`` rises within one life of the worker."""
+
+    number: int
+    task: TaskId
+    attempt: int
+    kind: EndKind
+    checkpoint: str
+
+
+@attrs.frozen(kw_only=True)
+class Look:
+    """What a worker tells of itself; ``clock_ms`` is its own steady clock, in ms."""
+
+    clock_ms: float
+    running: tuple[Running, ...]
+    ends: tuple[End, ...]
+
+
+@attrs.frozen(kw_only=True)
+class StartOrder:
+    """Start an attempt, unless the worker's clock is past ``deadline_ms``."""
+
+    worker_id: str
+    task: TaskId
+    attempt: int
+    spec: str
+    deadline_ms: float
+    token: int
+    checkpoint: str = ""
+    ticket: str = ""
+
+
+@attrs.frozen(kw_only=True)
+class StopOrder:
+    """Stop an attempt."""
+
+    worker_id: str
+    task: TaskId
+    attempt: int
+    token: int
+
+
+@attrs.frozen(kw_only=True)
+class PaceOrder:
+    """Let an attempt work at ``percent`` of its speed."""
+
+    worker_id: str
+    task: TaskId
+    attempt: int
+    percent: int
+    token: int
+
+
+Order = StartOrder | StopOrder | PaceOrder
--- /dev/null
+++ b/trefoilhook/scheduling/planning.py
@@ -0,0 +1,265 @@
+"""What to order next, from the state of a shard."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from trefoilhook.scheduling.book import Attempt, TaskState
+from trefoilhook.scheduling.core import ATTEMPTS_PER_EPOCH, Scheduler
+from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
+from trefoilhook.scheduling.messages import Order, StartOrder, StopOrder
+from trefoilhook.scheduling.pacing import plan_paces
+from trefoilhook.scheduling.placing import Crowd, choose_worker, describe_crowd
+from trefoilhook.scheduling.watchdog import stop_misplaced
+
+__all__ = ["extend_lease", "is_settled", "plan_orders"]
+
+_MOST_TRIES = 150
+"""Tasks that one plan looks for a worker for: it bounds the time of a plan under a
+burst; the first ones in order are looked at, the others wait for the next plan."""
+
+_ORDER_DUE_MS = 20.0
+"""A run's order is due when its time has come, or within this of it."""
+
+
+def extend_lease(scheduler: Scheduler, worker: Worker, now_ms: float) -> float:
+    """Return the deadline for what runs on a worker, and note that it was given."""
+    deadline = worker.estimate_clock(now_ms) + scheduler.limits.task_lease_ms
+    worker.lease_until_ms = max(worker.lease_until_ms, deadline)
+    return deadline
+
+
+def is_settled(scheduler: Scheduler, unfenced: Iterable[str], now_ms: float) -> bool:
+    """Tell whether every task that an earlier owner started is known.
+
+    Its orders are ruled out once a worker has answered under this owner's fencing
+    token; for a worker that can't be reached, once the longest lease has run out.
+    """
+    if now_ms >= scheduler.limits.settled_at_ms:
+        return True
+    for worker_id in unfenced:
+        worker = scheduler.workers.get(worker_id)
+        if worker is None or not worker.fenced:
+            return False
+    return True
+
+
+def plan_orders(
+    scheduler: Scheduler, *, settled: bool, now_ms: float, wall_ms: float
+) -> list[Order]:
+    """Tell what to order now.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        The shard; the orders returned are noted in it as under way.
+    settled : bool
+        Whether every task that an earlier owner started is known.
+    now_ms, wall_ms : float
+        The time, in ms.
+    """
+    scheduler.open_due_steps(wall_ms)
+    stop_misplaced(scheduler, now_ms)
+    _place_waiting(scheduler, settled=settled, now_ms=now_ms, wall_ms=wall_ms)
+    orders: list[Order] = []
+    for worker in scheduler.workers.values():
+        for run in worker.runs.values():
+            order = _repeat_order(scheduler, worker, run, now_ms)
+            if order is not None:
+                orders.append(order)
+        orders.extend(plan_paces(scheduler, worker, now_ms))
+    return orders
+
+
+def _repeat_order(
+    scheduler: Scheduler, worker: Worker, run: Run, now_ms: float
+) -> Order | None:
+    if run.phase is RunPhase.RUNNING or run.in_flight:
+        return None
+    if run.order_due_ms > now_ms + _ORDER_DUE_MS or not worker.fenced:
+        return None
+    run.in_flight = True
+    if run.phase is RunPhase.STOPPING:
+        return StopOrder(
+            worker_id=worker.report.worker_id,
+            task=run.task,
+            attempt=run.attempt,
+            token=scheduler.epoch,
+        )
+    return StartOrder(
+        worker_id=worker.report.worker_id,
+        task=run.task,
+        attempt=run.attempt,
+        spec=scheduler.jobs[run.task.job_id].job.spec,
+        deadline_ms=run.deadline_ms,
+        token=scheduler.epoch,
+        checkpoint=run.checkpoint_used,
+    )
+
+
+def _rank(state: TaskState, wall_ms: float) -> tuple[int, int, float, str, int]:
+    """Order of the waiting tasks: by priority, then by who can still be in time."""
+    job = state.job
+    priority = job.queue.priority if job.queue is not None else 0
+    left = job.due_ms - wall_ms
+    late = 0 if left > state.step.estimate_ms else 1
+    return priority, late, job.due_ms, job.job.job_id, state.task.index
+
+
+def _place_waiting(
+    scheduler: Scheduler, *, settled: bool, now_ms: float, wall_ms: float
+) -> None:
+    ready = [
+        state
+        for state in scheduler.waiting
+        if state.job.queue is not None and (settled or state.job.certain)
+    ]
+    if not ready:
+        return
+    ready.sort(key=lambda state: _rank(state, wall_ms))
+    tasks = {
+        task: state
+        for job in scheduler.jobs.values()
+        if job.is_open
+        for task, state in job.tasks.items()
+        if state.attempts
+    }
+    crowds = {
+        worker_id: describe_crowd(worker, tasks)
+        for worker_id, worker in scheduler.workers.items()
+    }
+    full: set[tuple[str, int, int]] = set()
+    gangs: set[tuple[str, int, int]] = set()
+    tries = 0
+    for state in ready:
+        place = (state.task.job_id, state.task.occurrence, state.task.step)
+        if place in full or place in gangs:
+            continue
+        tries += 1
+        if tries > _MOST_TRIES:
+            return
+        if state.step.gang:
+            gangs.add(place)
+            _place_gang(scheduler, state, crowds, now_ms)
+        elif not _place(scheduler, state, crowds, now_ms):
+            full.add(place)
+
+
+def _place(
+    scheduler: Scheduler, state: TaskState, crowds: dict[str, Crowd], now_ms: float
+) -> bool:
+    worker = _choose(scheduler, state, scheduler.workers.values(), crowds, now_ms)
+    if worker is None:
+        return False
+    attempt = _next_attempt(scheduler, state)
+    _hold(scheduler, state, worker, attempt, crowds, now_ms)
+    return True
+
+
+def _choose(
+    scheduler: Scheduler,
+    state: TaskState,
+    workers: Iterable[Worker],
+    crowds: dict[str, Crowd],
+    now_ms: float,
+) -> Worker | None:
+    queue = state.job.queue
+    if queue is None or queue.advice is not None:
+        return None
+    return choose_worker(state, queue.service, workers, crowds, now_ms)
+
+
+def _next_attempt(scheduler: Scheduler, state: TaskState) -> int:
+    return max(state.last_attempt, scheduler.epoch * ATTEMPTS_PER_EPOCH) + 1
+
+
+def _hold(
+    scheduler: Scheduler,
+    state: TaskState,
+    worker: Worker,
+    attempt: int,
+    crowds: dict[str, Crowd],
+    now_ms: float,
+) -> Run:
+    checkpoint = state.job.progress.checkpoints.get(state.key, "")
+    run = Run(
+        task=state.task,
+        attempt=attempt,
+        room=state.step.room,
+        phase=RunPhase.STARTING,
+        started_ms=now_ms,
+        checkpoint=checkpoint,
+        checkpoint_used=checkpoint if state.step.checkpointing else "",
+        progressed_ms=now_ms,
+        deadline_ms=extend_lease(scheduler, worker, now_ms),
+    )
+    worker.hold(run)
+    state.last_attempt = attempt
+    state.attempts.append(Attempt(worker=worker, run=run))
+    scheduler.waiting.discard(state)
+    if not state.job.started:
+        state.job.started = True
+        scheduler.mark_started(state.job)
+    crowd = crowds[worker.report.worker_id]
+    crowds[worker.report.worker_id] = attrs.evolve(
+        crowd,
+        filler_cpu=crowd.filler_cpu
+        + (state.step.demand.cpu if state.step.filler else 0),
+        fillers=crowd.fillers + state.step.filler,
+        serving=crowd.serving + bool(state.step.latency_limit_ms),
+    )
+    return run
+
+
+def _place_gang(
+    scheduler: Scheduler, state: TaskState, crowds: dict[str, Crowd], now_ms: float
+) -> None:
+    """Place all members of a gang at once, or none."""
+    place = (state.task.occurrence, state.task.step)
+    members = [
+        task
+        for key, task in state.job.tasks.items()
+        if (key.occurrence, key.step) == place
+    ]
+    if any(member.attempts for member in members):
+        return
+    attempt = max(_next_attempt(scheduler, member) for member in members)
+    everywhere = list(scheduler.workers.values())
+    choices = [everywhere]
+    if state.step.same_rack:
+        racks = {label for worker in everywhere for label in worker.report.labels}
+        choices = [
+            [worker for worker in everywhere if rack in worker.report.labels]
+            for rack in sorted(racks)
+        ] + choices
+    for workers in choices:
+        if _hold_members(scheduler, members, workers, attempt, crowds, now_ms):
+            return
+
+
+def _hold_members(
+    scheduler: Scheduler,
+    members: list[TaskState],
+    workers: list[Worker],
+    attempt: int,
+    crowds: dict[str, Crowd],
+    now_ms: float,
+) -> bool:
+    before = dict(crowds)
+    held: list[tuple[TaskState, Worker, Run, int]] = []
+    for member in members:
+        worker = _choose(scheduler, member, workers, crowds, now_ms)
+        if worker is None:
+            break
+        earlier = member.last_attempt
+        run = _hold(scheduler, member, worker, attempt, crowds, now_ms)
+        held.append((member, worker, run, earlier))
+    if len(held) == len(members):
+        return True
+    for member, worker, run, earlier in held:
+        worker.release(run)
+        member.detach(run)
+        member.last_attempt = earlier
+        scheduler.waiting.add(member)
+    crowds.update(before)
+    return False
--- /dev/null
+++ b/trefoilhook/scheduling/watchdog.py
@@ -0,0 +1,52 @@
+"""Stops of attempts that should not go on where they are."""
+
+from trefoilhook.scheduling.book import JobState
+from trefoilhook.scheduling.core import Scheduler
+from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
+
+__all__ = ["stop_misplaced"]
+
+_STILL_MS = 4000.0
+"""A task without any progress for so long stands still: the slowest seen on a sound
+worker (5.4 s of work, six times as slow) makes a percent in 330 ms, and a look comes
+every 1.5 s."""
+
+_AVOID_MS = 6000.0
+"""How long a worker on which a task stood still gets no new task."""
+
+
+def stop_misplaced(scheduler: Scheduler, now_ms: float) -> None:
+    """Have attempts stopped that stand still, or whose worker is about to leave."""
+    for worker in scheduler.workers.values():
+        for run in worker.runs.values():
+            state = scheduler.jobs.get(run.task.job_id)
+            if state is None or run.phase is not RunPhase.RUNNING:
+                continue
+            if _stands_still(worker, run, state, now_ms):
+                worker.avoid_until_ms = now_ms + _AVOID_MS
+                scheduler.request_stop(run)
+            elif worker.report.draining and _should_leave(worker, run, state, now_ms):
+                scheduler.request_stop(run)
+
+
+def _stands_still(worker: Worker, run: Run, state: JobState, now_ms: float) -> bool:
+    step = state.job.steps[run.task.step]
+    if step.long_running and run.percent >= 100:
+        return False
+    if run.pace < 100 or worker.suspect:
+        return False
+    if step.filler and worker.cpu >= worker.report.capacity.cpu:
+        # A filler without any processor time left over makes no progress.
+        return False
+    if worker.clock_read_ms < run.progressed_ms + _STILL_MS:
+        return False
+    return now_ms - run.progressed_ms > _STILL_MS
+
+
+def _should_leave(worker: Worker, run: Run, state: JobState, now_ms: float) -> bool:
+    """Tell whether a task gains by going elsewhere before its worker leaves."""
+    step = state.job.steps[run.task.step]
+    if step.long_running:
+        return True
+    left_ms = step.estimate_ms * (100.0 - run.percent) / 100.0
+    return step.checkpointing and left_ms > worker.report.remaining_ms
--- a/trefoilhook/standins/__main__.py
+++ b/trefoilhook/standins/__main__.py
@@ -13,7 +13,7 @@
 from cleo.helpers import option
 
 from trefoilhook.clock import Clock, build_system_clock
-from trefoilhook.platform import build_converter
+from trefoilhook.exchange import build_converter
 from trefoilhook.standins.core import FaultyServer
 from trefoilhook.standins.executor import ExecutorSettings, ExecutorStandin
 from trefoilhook.standins.instances import InstanceLists, InstanceListStandin
--- a/trefoilhook/standins/core.py
+++ b/trefoilhook/standins/core.py
@@ -12,8 +12,8 @@
 import trio
 
 from trefoilhook.clock import Clock
+from trefoilhook.exchange import build_converter
 from trefoilhook.http import HttpLimits, HttpRequest, HttpResponse, HttpServer
-from trefoilhook.platform import build_converter
 from trefoilhook.standins.faults import Availability, FaultSettings, FaultSwitch
 
 __all__ = [
--- a/trefoilhook/store/client.py
+++ b/trefoilhook/store/client.py
@@ -22,8 +22,8 @@
     StoreUnavailableError,
     StoreUnsentError,
 )
+from trefoilhook.exchange import PlatformClient, Query, decode_answer, read_error_name
 from trefoilhook.http import HttpResponse
-from trefoilhook.platform import PlatformClient, Query, decode_answer, read_error_name
 from trefoilhook.results import ResultCode
 from trefoilhook.store.core import (
     MAX_VALUE_BYTES,
--- a/trefoilhook/workers/client.py
+++ b/trefoilhook/workers/client.py
@@ -15,8 +15,8 @@
     NotSentError,
     RequestError,
 )
+from trefoilhook.exchange import PlatformClient, decode_answer, read_error_name
 from trefoilhook.http import HttpResponse
-from trefoilhook.platform import PlatformClient, decode_answer, read_error_name
 from trefoilhook.workers.core import (
     CommandResult,
     WorkerCommand,
