--- a/trefoilhook/platform/__init__.py
+++ b/trefoilhook/platform/__init__.py
@@ -1,4 +1,4 @@
-"""Adapter to the users' platform: its names, formats and calls; nothing that decides."""
+"""Adapter to the users' platform: its names, formats and calls, and no decision."""
 
 from trefoilhook.platform.core import Address, JsonClient, parse_address
 from trefoilhook.platform.declarations import (
--- a/trefoilhook/runtime/commits.py
+++ b/trefoilhook/runtime/commits.py
@@ -40,9 +40,10 @@
 """How long the end of a job waits for others: a round trip to the store is 6 ms, and
 its client's objective runs on until it is written."""
 
-_PROGRESS_WINDOW_MS = 700.0
-"""How long progress waits for more: it decides only what a later owner does again, and
-an end has to be acknowledged to its worker within 4 s, a look of 1.5 s included."""
+_PROGRESS_WINDOW_MS = 40.0
+"""How long progress waits for more. A worker answers a look at once while it has ends
+that aren't acknowledged, so a longer window costs looks: 24 workers were looked at 530
+times a second with 700 ms."""
 
 _RETRY_PAUSE_MS = 150.0
 """Pause after a transaction without an answer."""
@@ -68,6 +69,11 @@
         Called when the owner's key has changed.
     notify : callable
         Called after changes were written.
+
+    Attributes
+    ----------
+    saved : trio.Event
+        Set, and replaced, whenever changes were written.
     """
 
     def __init__(
@@ -91,6 +97,7 @@
         self._retention_lease = 0
         self._wake = trio.Event()
         self._sent: dict[str, bytes] = {}
+        self.saved = trio.Event()
 
     def wake(self) -> None:
         """Have it look for changes."""
@@ -147,6 +154,11 @@
             return
         for change in changes:
             self._confirm(change, revision)
+        self._tell()
+
+    def _tell(self) -> None:
+        self.saved.set()
+        self.saved = trio.Event()
         self._notify()
 
     def _build(self, changes: list[JobChange]) -> Transaction:
@@ -204,7 +216,7 @@
             else:
                 item = items.get(keys.progress_key(keys.SHARD, job_id))
                 self._resolve_progress(change, item)
-        self._notify()
+        self._tell()
 
     def _resolve_end(self, change: JobChange, item: Item | None) -> None:
         state = change.state
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -58,6 +58,10 @@
 """The same where fillers run beside service tasks, whose tail latency is a figure of
 the last half second."""
 
+_SAVING_WAIT_MS = 200.0
+"""How long the next look at a worker waits for its ends to be in the store, in ms; then
+they are listed once more, with what has ended since."""
+
 _LOOK_RETRY_MS = 200.0
 """Pause after a look that failed, in ms."""
 
@@ -374,6 +378,7 @@
                     now_ms=self._clock.monotonic_ms(),
                 )
                 self._wake_all()
+                await self._wait_for_saving(worker)
                 continue
             if result is OrderOutcome.FENCED:
                 self._depose()
@@ -390,6 +395,18 @@
         self._clients.pop(worker_id, None)
         await client.close()
 
+    async def _wait_for_saving(self, worker: Worker) -> None:
+        """Wait until the ends that a worker listed can be acknowledged.
+
+        A worker that has ends to list answers a look at once: without this pause it
+        would be looked at again and again until they are in the store.
+        """
+        with trio.move_on_after(_SAVING_WAIT_MS / 1000.0):
+            while worker.unacknowledged:
+                self._scheduler.acknowledge(worker)
+                if worker.unacknowledged:
+                    await self._committer.saved.wait()
+
     def _build_look(self, worker: Worker, now_ms: float) -> LookRequest:
         if not worker.fenced:
             return LookRequest(
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -7,7 +7,9 @@
 import attrs
 
 from trefoilhook.scheduling.book import Attempt, JobState, TaskState
-from trefoilhook.scheduling.fleet import Run, RunPhase, Worker, build_worker
+from trefoilhook.scheduling.crowds import learn_crowd
+from trefoilhook.scheduling.fleet import Run, RunPhase, Worker, build_worker, read_load
+from trefoilhook.scheduling.interference import Interference
 from trefoilhook.scheduling.messages import End, EndKind, Look, OrderOutcome, Running
 from trefoilhook.scheduling.models import (
     Configuration,
@@ -108,6 +110,8 @@
         Tasks of open jobs whose turn has come and that have no attempt.
     deposed : bool
         Whether a worker has seen a later owner.
+    interference : Interference
+        How much fillers disturb service tasks.
     dirty : set of JobState
         Jobs with something to be written.
     """
@@ -123,6 +127,7 @@
         self.waiting: set[TaskState] = set()
         self.deposed = False
         self.dirty: set[JobState] = set()
+        self.interference = Interference()
         self._timed: set[JobState] = set()
 
     # What clients and operators did.
@@ -295,6 +300,7 @@
             self._take_end(worker, end, now_ms)
         for running in look.running:
             self._take_running(worker, running, now_ms)
+        learn_crowd(worker, self.jobs, self.interference)
         if len(look.ends) >= _FULL_PAGE_OF_ENDS:
             return
         listed = {(running.task, running.attempt) for running in look.running}
@@ -351,7 +357,7 @@
             run.progressed_ms = now_ms
         run.seen = True
         run.percent = running.percent
-        run.load = running.load
+        read_load(run, running.load, now_ms)
         run.checkpoint = running.checkpoint or run.checkpoint
 
     def _adopt(self, worker: Worker, running: Running, now_ms: float) -> Run:
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import math
 from collections.abc import Callable
 
 import attrs
@@ -9,7 +10,10 @@
 from trefoilhook.scheduling.messages import Look
 from trefoilhook.scheduling.models import Demand, TaskId, WorkerReport
 
-__all__ = ["Run", "RunPhase", "Worker", "build_worker"]
+__all__ = ["Run", "RunPhase", "Worker", "build_worker", "read_load"]
+
+_LOAD_LAG_MS = 450.0
+"""Time constant of the listed load, in ms, from the same trial."""
 
 _SLOWEST_CLOCK = 0.98
 """A worker's steady clock may be 2 % slow, by the platform's statement."""
@@ -50,6 +54,10 @@
         list it proves that it is over.
     percent, load : float
         From the last look that listed it.
+    present_load : float
+        The load without what the listed figure still carries from before the last look.
+    load_read_ms : float
+        When the load was listed, in ms.
     checkpoint : str
         From the last look that listed it.
     checkpoint_used : str
@@ -62,6 +70,8 @@
         Share of its speed that it was last ordered to work at, in percent.
     paced_ms : float
         When that was last ordered, in ms.
+    slowed_ms : float
+        Since when it has been below full speed, in ms.
     order_due_ms : float
         When its pending order is to be sent again, in ms; the first order goes at once.
     in_flight : bool
@@ -79,10 +89,13 @@
     confirmed_ms: float = float("inf")
     percent: float = 0.0
     load: float = 0.0
+    present_load: float = 0.0
+    load_read_ms: float = float("-inf")
     checkpoint: str = ""
     progressed_ms: float = 0.0
     pace: int = 100
     paced_ms: float = 0.0
+    slowed_ms: float = 0.0
     order_due_ms: float = 0.0
     in_flight: bool = False
     ambiguous: bool = False
@@ -90,6 +103,19 @@
     deadline_ms: float = 0.0
 
 
+def read_load(run: Run, load: float, now_ms: float) -> None:
+    """Note a listed load, and estimate the present one behind it.
+
+    The listed figure follows the present one with a lag: in a trial it fell to a third
+    in half a second once all fillers were gone. Taken as it is, it has fillers slowed
+    for seconds after they have become harmless.
+    """
+    kept = math.exp((run.load_read_ms - now_ms) / _LOAD_LAG_MS)
+    run.present_load = max(0.0, (load - kept * run.load) / (1.0 - min(kept, 0.9)))
+    run.load = load
+    run.load_read_ms = now_ms
+
+
 @attrs.define(kw_only=True, eq=False)
 class Worker:
     """One life of a worker.
@@ -124,6 +150,8 @@
         Whether an order or a look went without an answer since the last look.
     faulty_jobs : set of str
         Jobs of which attempts failed there since one was last done there.
+    strained_since_ms : float or None
+        Since when a service task there has been over its latency limit, in ms.
     avoid_until_ms : float
         No new task goes there before, in ms.
     """
@@ -146,6 +174,7 @@
     acknowledged: int = 0
     suspect: bool = False
     faulty_jobs: set[str] = attrs.Factory(set)
+    strained_since_ms: float | None = None
     avoid_until_ms: float = 0.0
 
     def estimate_clock(self, now_ms: float) -> float:
--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -1,30 +1,33 @@
 """Choice of a worker for a task.
 
-A worker's counted room is never given twice. Among those with room, the one with the
-most processor time left wins: fillers run on what is left, and a task that shares a
-worker with little else is disturbed least.
+A worker's counted room is never given twice. Fillers go where most processor time is
+left and where they are thought to disturb service tasks least; all other tasks are
+packed tightly.
 """
 
 from collections.abc import Iterable
 
-import attrs
-
 from trefoilhook.scheduling.book import TaskState
+from trefoilhook.scheduling.crowds import Crowd
 from trefoilhook.scheduling.fleet import Worker
-from trefoilhook.scheduling.models import TaskId
+from trefoilhook.scheduling.interference import Interference
 
-__all__ = ["Crowd", "choose_worker", "describe_crowd"]
+__all__ = ["choose_worker"]
 
 _SILENCE_LIMIT_MS = 2600.0
 """A worker not heard for so long gets no new task: one look may wait 1,500 ms and its
 answer be 600 ms late, so one lost look is not yet silence."""
 
-_SERVING_COST = 9000
-"""Thousandths of a core that a filler would rather go without than disturb a service
-task: more than any filler of the users' asks for (7,000)."""
+_STRAIN_COST = 30_000
+"""Thousandths of a core that a filler would rather go without than bring a service task
+from undisturbed to its limit: about as much as a worker has."""
+
+_QUIET_STRAIN = 0.5
+"""Predicted strain that isn't counted: half way to the limit is no harm."""
 
-_CROWDING_COST = 6000
-"""What a service task would rather go without than share with another or a filler."""
+_MOST_STRAIN = 0.8
+"""A filler waits rather than go where it would strain a service task so much: it would
+be slowed there at once, holding its memory."""
 
 _LEAST_SHARE = 0.5
 """A filler starts only where it finds this share of what it asks for: below it, it
@@ -33,45 +36,16 @@
 _STRANGER_COST = 100_000
 """Keeps a task from a worker where it failed before, while there is any other."""
 
+_MIXING_COST = 50_000
+"""Thousandths of a core that a service task would rather leave unused than join those
+of another image: a filler is heavy for few images, so it finds workers where it
+disturbs nobody only if images don't mix."""
+
 _FAULT_COST = 2000
 """Thousandths of a core that one failed attempt counts for: a worker that fails all it
 starts always looks free, and would draw one task after the other."""
 
 
-@attrs.frozen(kw_only=True)
-class Crowd:
-    """Who runs on a worker.
-
-    Parameters
-    ----------
-    filler_cpu : int
-        Thousandths of a core that its fillers ask for.
-    serving : int
-        Number of its tasks with a latency limit.
-    fillers : int
-        Number of its fillers.
-    """
-
-    filler_cpu: int
-    serving: int
-    fillers: int
-
-
-def describe_crowd(worker: Worker, tasks: dict[TaskId, TaskState]) -> Crowd:
-    """Count who runs on a worker."""
-    filler_cpu = serving = fillers = 0
-    for task, _ in worker.runs:
-        state = tasks.get(task)
-        if state is None:
-            continue
-        if state.step.filler:
-            filler_cpu += state.step.demand.cpu
-            fillers += 1
-        if state.step.latency_limit_ms:
-            serving += 1
-    return Crowd(filler_cpu=filler_cpu, serving=serving, fillers=fillers)
-
-
 def _is_open(worker: Worker, now_ms: float) -> bool:
     return (
         worker.listed
@@ -95,17 +69,24 @@
     return worker.count_step(state.task) < step.max_per_worker
 
 
-def _score(worker: Worker, crowd: Crowd, state: TaskState) -> float | None:
+def _score(
+    worker: Worker, crowd: Crowd, state: TaskState, interference: Interference
+) -> float | None:
     """Rate a worker for a task; higher is better, None is no choice."""
     step = state.step
-    left = worker.report.capacity.cpu - worker.cpu - crowd.filler_cpu
-    score = float(left)
+    strain = 0.0
+    if step.filler or step.latency_limit_ms:
+        strain = crowd.predict_strain(interference, step)
     if step.filler:
-        if left < _LEAST_SHARE * step.demand.cpu:
+        if crowd.left < _LEAST_SHARE * step.demand.cpu or strain > _MOST_STRAIN:
             return None
-        score -= _SERVING_COST * crowd.serving
-    elif step.latency_limit_ms:
-        score -= _CROWDING_COST * (crowd.serving + crowd.fillers)
+        score = crowd.left
+    else:
+        # Packed tightly, so that large tasks find room, too.
+        score = float(worker.cpu - worker.report.capacity.cpu)
+        if step.latency_limit_ms:
+            score -= _MIXING_COST * len(crowd.victims - {step.image})
+    score -= _STRAIN_COST * max(0.0, strain - _QUIET_STRAIN)
     if step.data_rack and step.data_rack not in worker.report.labels:
         score -= _STRANGER_COST / 2
     if worker.report.worker_id in state.failed_on:
@@ -118,6 +99,7 @@
     service: str,
     workers: Iterable[Worker],
     crowds: dict[str, Crowd],
+    interference: Interference,
     now_ms: float,
 ) -> Worker | None:
     """Choose the worker for a task; None when it has to wait."""
@@ -128,7 +110,8 @@
             continue
         if not _fits(worker, state):
             continue
-        score = _score(worker, crowds[worker.report.worker_id], state)
+        crowd = crowds[worker.report.worker_id]
+        score = _score(worker, crowd, state, interference)
         if score is not None and score > best_score:
             best, best_score = worker, score
     return best
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -1,16 +1,16 @@
 """What to order next, from the state of a shard."""
 
+import copy
 from collections.abc import Iterable
 
-import attrs
-
 from trefoilhook.scheduling.book import Attempt, TaskState
 from trefoilhook.scheduling.core import ATTEMPTS_PER_EPOCH, Scheduler
+from trefoilhook.scheduling.crowds import Crowd, describe_crowd
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.messages import Order, StartOrder, StopOrder
 from trefoilhook.scheduling.pacing import plan_paces
-from trefoilhook.scheduling.placing import Crowd, choose_worker, describe_crowd
-from trefoilhook.scheduling.watchdog import stop_misplaced
+from trefoilhook.scheduling.placing import choose_worker
+from trefoilhook.scheduling.watchdog import is_halted, stop_misplaced
 
 __all__ = ["extend_lease", "is_settled", "plan_orders"]
 
@@ -114,23 +114,15 @@
         for state in scheduler.waiting
         if state.job.queue is not None and (settled or state.job.certain)
     ]
-    if not ready:
-        return
     ready.sort(key=lambda state: _rank(state, wall_ms))
-    tasks = {
-        task: state
-        for job in scheduler.jobs.values()
-        if job.is_open
-        for task, state in job.tasks.items()
-        if state.attempts
-    }
     crowds = {
-        worker_id: describe_crowd(worker, tasks)
+        worker_id: describe_crowd(worker, scheduler.jobs)
         for worker_id, worker in scheduler.workers.items()
     }
     full: set[tuple[str, int, int]] = set()
     gangs: set[tuple[str, int, int]] = set()
     tries = 0
+    _move_halted(scheduler, crowds, now_ms)
     for state in ready:
         place = (state.task.job_id, state.task.occurrence, state.task.step)
         if place in full or place in gangs:
@@ -145,6 +137,26 @@
             full.add(place)
 
 
+def _move_halted(scheduler: Scheduler, crowds: dict[str, Crowd], now_ms: float) -> None:
+    """Have fillers that were slowed stopped, if another worker has a place for them."""
+    for worker in scheduler.workers.values():
+        others = [other for other in scheduler.workers.values() if other is not worker]
+        for run in worker.runs.values():
+            job = scheduler.jobs.get(run.task.job_id)
+            if job is None or run.phase is not RunPhase.RUNNING:
+                continue
+            if not is_halted(run, job, now_ms):
+                continue
+            state = job.find_task(run.task)
+            if state is None:
+                continue
+            target = _choose(scheduler, state, others, crowds, now_ms)
+            if target is not None:
+                # Counted there already, so that not all find the same place.
+                crowds[target.report.worker_id].add(state.step)
+                scheduler.request_stop(run)
+
+
 def _place(
     scheduler: Scheduler, state: TaskState, crowds: dict[str, Crowd], now_ms: float
 ) -> bool:
@@ -166,7 +178,9 @@
     queue = state.job.queue
     if queue is None or queue.advice is not None:
         return None
-    return choose_worker(state, queue.service, workers, crowds, now_ms)
+    return choose_worker(
+        state, queue.service, workers, crowds, scheduler.interference, now_ms
+    )
 
 
 def _next_attempt(scheduler: Scheduler, state: TaskState) -> int:
@@ -200,14 +214,7 @@
     if not state.job.started:
         state.job.started = True
         scheduler.mark_started(state.job)
-    crowd = crowds[worker.report.worker_id]
-    crowds[worker.report.worker_id] = attrs.evolve(
-        crowd,
-        filler_cpu=crowd.filler_cpu
-        + (state.step.demand.cpu if state.step.filler else 0),
-        fillers=crowd.fillers + state.step.filler,
-        serving=crowd.serving + bool(state.step.latency_limit_ms),
-    )
+    crowds[worker.report.worker_id].add(state.step)
     return run
 
 
@@ -245,7 +252,7 @@
     crowds: dict[str, Crowd],
     now_ms: float,
 ) -> bool:
-    before = dict(crowds)
+    before = copy.deepcopy(crowds)
     held: list[tuple[TaskState, Worker, Run, int]] = []
     for member in members:
         worker = _choose(scheduler, member, workers, crowds, now_ms)
--- a/trefoilhook/scheduling/watchdog.py
+++ b/trefoilhook/scheduling/watchdog.py
@@ -4,13 +4,20 @@
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 
-__all__ = ["stop_misplaced"]
+__all__ = ["is_halted", "stop_misplaced"]
 
 _STILL_MS = 4000.0
 """A task without any progress for so long stands still: the slowest seen on a sound
 worker (5.4 s of work, six times as slow) makes a percent in 330 ms, and a look comes
 every 1.5 s."""
 
+_HALTED_PACE = 40
+"""A filler below this pace, in percent, is better off on a worker where it disturbs
+nobody; one step down from full speed reaches it."""
+
+_HALTED_MS = 900.0
+"""How long it waits there, in ms: two looks, in which a passing strain is over."""
+
 _AVOID_MS = 6000.0
 """How long a worker on which a task stood still gets no new task."""
 
@@ -29,6 +36,14 @@
                 scheduler.request_stop(run)
 
 
+def is_halted(run: Run, state: JobState, now_ms: float) -> bool:
+    """Tell whether a filler has been slowed for so long that it may gain by moving."""
+    step = state.job.steps[run.task.step]
+    if not (step.filler and step.checkpointing) or run.pace >= _HALTED_PACE:
+        return False
+    return now_ms - run.slowed_ms > _HALTED_MS
+
+
 def _stands_still(worker: Worker, run: Run, state: JobState, now_ms: float) -> bool:
     step = state.job.steps[run.task.step]
     if step.long_running and run.percent >= 100:
