--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -150,7 +150,7 @@
         Whether an order or a look went without an answer since the last look.
     faulty_jobs : set of str
         Jobs of which attempts failed there since one was last done there.
-    strained_since_ms : float or None
+    over_since_ms : float or None
         Since when a service task there has been over its latency limit, in ms.
     avoid_until_ms : float
         No new task goes there before, in ms.
@@ -174,7 +174,7 @@
     acknowledged: int = 0
     suspect: bool = False
     faulty_jobs: set[str] = attrs.Factory(set)
-    strained_since_ms: float | None = None
+    over_since_ms: float | None = None
     avoid_until_ms: float = 0.0
 
     def estimate_clock(self, now_ms: float) -> float:
--- a/trefoilhook/scheduling/pacing.py
+++ b/trefoilhook/scheduling/pacing.py
@@ -41,9 +41,10 @@
 """A pace is ordered again so often: an order without an answer may be carried out late,
 after a newer one."""
 
-_PATIENCE_MS = 1500.0
+_PATIENCE_MS = 1200.0
 """How long a service task may be over its limit before all fillers beside it are
-slowed, in ms: the users' bound is 4 s, and the listed tail takes 1.5 s to fall."""
+halted, in ms: the users' bound is 4 s, a look sees it 0.5 s late, acts at the next, and
+the listed tail takes 1.4 s to fall from twenty times the limit."""
 
 _FULL = 100
 
@@ -52,6 +53,7 @@
     """Tell which fillers of a worker are to work at another pace."""
     victims: list[tuple[Step, float]] = []
     fillers: list[tuple[Run, Step]] = []
+    is_over = False
     for run in worker.runs.values():
         step = find_step(scheduler.jobs, run)
         if step is None or run.phase is not RunPhase.RUNNING:
@@ -61,15 +63,18 @@
         elif step.latency_limit_ms and run.percent >= _FULL:
             strain = measure_strain(run.present_load, step.latency_limit_ms)
             victims.append((step, strain))
+            is_over = is_over or run.load > step.latency_limit_ms
+    harmful = _is_harmful(worker, is_over, now_ms)
     if not fillers:
         return []
     strain = max((strain for _, strain in victims), default=0.0)
     slowed = _choose_slowed(scheduler, worker, fillers, victims)
-    if _is_harmful(worker, victims, now_ms):
-        slowed = {id(run) for run, _ in fillers}
     orders: list[PaceOrder] = []
     for run, _ in fillers:
-        pace = _choose_pace(run, strain, id(run) in slowed, now_ms)
+        if harmful:
+            pace = _halt(run, now_ms)
+        else:
+            pace = _choose_pace(run, strain, id(run) in slowed, now_ms)
         if pace is None:
             continue
         if run.pace >= _FULL:
@@ -88,20 +93,19 @@
     return orders
 
 
-def _is_harmful(
-    worker: Worker, victims: list[tuple[Step, float]], now_ms: float
-) -> bool:
+def _is_harmful(worker: Worker, is_over: bool, now_ms: float) -> bool:
     """Tell whether a service task has been over its limit for too long.
 
     Its users count it as harmed after a few seconds on end. The weights may be wrong
-    about who is to blame, so all fillers beside it are slowed then.
+    about who is to blame, so all fillers beside it are halted then, until the listed
+    tail itself is under the limit.
     """
-    if not any(strain > 1.0 for _, strain in victims):
-        worker.strained_since_ms = None
+    if not is_over:
+        worker.over_since_ms = None
         return False
-    if worker.strained_since_ms is None:
-        worker.strained_since_ms = now_ms
-    return now_ms - worker.strained_since_ms > _PATIENCE_MS
+    if worker.over_since_ms is None:
+        worker.over_since_ms = now_ms
+    return now_ms - worker.over_since_ms > _PATIENCE_MS
 
 
 def _choose_slowed(
@@ -129,6 +133,12 @@
     return slowed
 
 
+def _halt(run: Run, now_ms: float) -> int | None:
+    if run.pace == 0 and now_ms - run.paced_ms < _REPEAT_MS:
+        return None
+    return 0
+
+
 def _choose_pace(run: Run, strain: float, slow: bool, now_ms: float) -> int | None:
     since = now_ms - run.paced_ms
     if since < _PAUSE_MS:
--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -78,7 +78,9 @@
     if step.filler or step.latency_limit_ms:
         strain = crowd.predict_strain(interference, step)
     if step.filler:
-        if crowd.left < _LEAST_SHARE * step.demand.cpu or strain > _MOST_STRAIN:
+        if worker.over_since_ms is not None or strain > _MOST_STRAIN:
+            return None
+        if crowd.left < _LEAST_SHARE * step.demand.cpu:
             return None
         score = crowd.left
     else:
