--- /dev/null
+++ b/trefoilhook/scheduling/tests/cases.py
@@ -0,0 +1,231 @@
+"""A scheduler, its workers and what they answer, for the tests of this package."""
+
+import attrs
+
+from trefoilhook.scheduling import (
+    Configuration,
+    Demand,
+    End,
+    EndKind,
+    Job,
+    JobRecord,
+    Look,
+    Order,
+    OrderOutcome,
+    Queue,
+    Running,
+    Scheduler,
+    SchedulerLimits,
+    StartOrder,
+    Step,
+    StopOrder,
+    WorkerReport,
+    plan_orders,
+)
+
+TASK_LEASE_MS = 5000.0
+CLOCK_OFFSET_MS = 40_000.0
+"""How much the workers' clocks are ahead of the owner's, in ms."""
+
+QUEUE = Queue(
+    name="checks",
+    host="h",
+    prefix="/checks/",
+    service="s",
+    priority=0,
+    max_attempts=3,
+    stretch=1.5,
+    objective_ms=250.0,
+)
+CONFIGURATION = Configuration(version=1, queues=(QUEUE,))
+SMALL = Step(count=1, demand=Demand(cpu=1000, memory_mb=100), estimate_ms=500.0)
+
+
+def build_job(*steps: Step, job_id: str = "j", **fields) -> Job:
+    """Build a job; one small task if no steps are given."""
+    return Job(
+        job_id=job_id,
+        queue="checks",
+        accepted_ms=0.0,
+        spec="spec",
+        steps=steps or (SMALL,),
+        **fields,
+    )
+
+
+@attrs.define(kw_only=True, eq=False)
+class FakeWorker:
+    """A worker that starts what it is told and remembers its ends."""
+
+    worker_id: str
+    running: dict = attrs.Factory(dict)
+    ends: list = attrs.Factory(list)
+    starts: list = attrs.Factory(list)
+
+    def look(self, now_ms: float) -> Look:
+        """Answer a look."""
+        return Look(
+            clock_ms=now_ms + CLOCK_OFFSET_MS,
+            running=tuple(self.running.values()),
+            ends=tuple(self.ends),
+        )
+
+    def run(self, order: StartOrder) -> None:
+        """Carry an order to start out."""
+        self.starts.append(order)
+        key = (order.task, order.attempt)
+        if key not in {(end.task, end.attempt) for end in self.ends}:
+            self.running[key] = Running(
+                task=order.task,
+                attempt=order.attempt,
+                checkpoint="",
+                percent=0.0,
+                load=0.0,
+            )
+
+    def end(self, task, attempt: int, kind: EndKind, checkpoint: str = "") -> None:
+        """End what runs."""
+        self.running.pop((task, attempt), None)
+        number = len(self.ends) + 1
+        self.ends.append(
+            End(
+                number=number,
+                task=task,
+                attempt=attempt,
+                kind=kind,
+                checkpoint=checkpoint,
+            )
+        )
+
+    def update(self, task, attempt: int, **fields) -> None:
+        """Change what is listed of an attempt."""
+        key = (task, attempt)
+        self.running[key] = attrs.evolve(self.running[key], **fields)
+
+
+class Shard:
+    """A scheduler with its workers, on a time that the test moves."""
+
+    def __init__(
+        self, *, workers: int = 2, cpu: int = 4000, epoch: int = 1, settled: bool = True
+    ) -> None:
+        self.now_ms = 100_000.0
+        self.settled = settled
+        self.scheduler = Scheduler(
+            epoch=epoch,
+            limits=SchedulerLimits(
+                task_lease_ms=TASK_LEASE_MS,
+                stop_grace_ms=200.0,
+                settled_at_ms=self.now_ms + 8000.0,
+            ),
+            configuration=CONFIGURATION,
+        )
+        self.workers: dict[str, FakeWorker] = {}
+        for number in range(workers):
+            self.add_worker(f"w{number}", cpu=cpu)
+
+    def add_worker(self, worker_id: str, *, cpu: int = 4000, **fields) -> None:
+        """Add a worker that has answered once."""
+        self.workers.setdefault(worker_id, FakeWorker(worker_id=worker_id))
+        report = WorkerReport(
+            worker_id=worker_id,
+            service="s",
+            host=fields.pop("host", worker_id),
+            port=1,
+            failure_domain="z",
+            capacity=Demand(cpu=cpu, memory_mb=8000),
+            **fields,
+        )
+        self.scheduler.update_worker(report)
+        self.scheduler.workers[worker_id].rostered = True
+        self.look(worker_id)
+
+    def look(self, worker_id: str) -> None:
+        """Have one worker looked at."""
+        self.scheduler.take_look(
+            worker_id,
+            self.workers[worker_id].look(self.now_ms),
+            sent_ms=self.now_ms,
+            now_ms=self.now_ms,
+        )
+
+    def look_all(self) -> None:
+        """Have every worker that is known looked at."""
+        for worker_id in list(self.scheduler.workers):
+            self.look(worker_id)
+
+    def pass_time(self, duration_ms: float) -> None:
+        """Move the time on."""
+        self.now_ms += duration_ms
+
+    def submit(self, job: Job, *, certain: bool = True, **fields) -> None:
+        """Hand a job in."""
+        self.scheduler.add_job(
+            JobRecord(job=job),
+            revision=1,
+            certain=certain,
+            wall_ms=self.now_ms,
+            **fields,
+        )
+
+    def plan(self) -> list[Order]:
+        """Make a plan without carrying it out."""
+        return plan_orders(
+            self.scheduler,
+            settled=self.settled,
+            now_ms=self.now_ms,
+            wall_ms=self.now_ms,
+        )
+
+    def step(self) -> list[Order]:
+        """Make a plan, carry it out, and look at all workers a moment later."""
+        orders = self.plan()
+        for order in orders:
+            worker = self.workers[order.worker_id]
+            if isinstance(order, StartOrder):
+                worker.run(order)
+                self.answer(order, OrderOutcome.DONE)
+            elif isinstance(order, StopOrder):
+                if (order.task, order.attempt) in worker.running:
+                    worker.end(order.task, order.attempt, EndKind.STOPPED, "c1")
+                self.answer(order, OrderOutcome.DONE)
+        self.pass_time(10.0)
+        self.look_all()
+        return orders
+
+    def answer(self, order: Order, outcome: OrderOutcome) -> None:
+        """Tell the scheduler what became of an order."""
+        take = self.scheduler.take_stop_outcome
+        if isinstance(order, StartOrder):
+            take = self.scheduler.take_start_outcome
+        take(order.worker_id, order.task, order.attempt, outcome, self.now_ms)
+
+    def start_one(self) -> StartOrder:
+        """Plan and carry out, and return the only start."""
+        (order,) = [o for o in self.step() if isinstance(o, StartOrder)]
+        return order
+
+    def end(self, order: StartOrder, kind: EndKind, checkpoint: str = "") -> None:
+        """End what an order started, and have its worker looked at."""
+        worker = self.workers[order.worker_id]
+        worker.end(order.task, order.attempt, kind, checkpoint)
+        self.pass_time(10.0)
+        self.look(order.worker_id)
+
+    def count_running(self, job_id: str = "j") -> int:
+        """Count what runs of a job, on all workers."""
+        return sum(
+            task.job_id == job_id
+            for worker in self.workers.values()
+            for task, _ in worker.running
+        )
+
+    def save(self) -> None:
+        """Have everything written."""
+        for change in self.scheduler.collect_changes():
+            self.scheduler.confirm_change(change, revision=9)
+
+
+def list_starts(orders: list[Order]) -> list[StartOrder]:
+    """Keep the orders to start."""
+    return [order for order in orders if isinstance(order, StartOrder)]
--- /dev/null
+++ b/trefoilhook/scheduling/tests/test_records.py
@@ -0,0 +1,60 @@
+"""Records in the store read back as they were written."""
+
+import unittest
+
+from trefoilhook.scheduling import (
+    Demand,
+    Job,
+    JobPhase,
+    JobRecord,
+    Progress,
+    Step,
+    TaskId,
+    decode_job_record,
+    decode_progress,
+    encode_job_record,
+    encode_progress,
+    parse_task_id,
+)
+
+_JOB = Job(
+    job_id="0123456789abcdef",
+    queue="q",
+    accepted_ms=1.5,
+    spec="ünïcode",
+    steps=(
+        Step(count=2, demand=Demand(cpu=1), image="a", max_absent=0),
+        Step(count=1, demand=Demand(memory_mb=3, gpus=1), after=(0,), gang=True),
+    ),
+    repeats=3,
+    first_due_ms=9.0,
+    interval_ms=4.0,
+)
+
+
+class RecordsTest(unittest.TestCase):
+    """Encoding and decoding."""
+
+    def test_open_job(self):
+        record = JobRecord(job=_JOB)
+        self.assertEqual(decode_job_record(encode_job_record(record)), record)
+
+    def test_ended_job_keeps_its_steps_but_not_its_spec(self):
+        record = JobRecord(job=_JOB, phase=JobPhase.COMPLETED)
+        read = decode_job_record(encode_job_record(record))
+        self.assertEqual(read.phase, JobPhase.COMPLETED)
+        self.assertEqual(read.job.steps, _JOB.steps)
+        self.assertEqual(read.job.spec, "")
+
+    def test_progress(self):
+        progress = Progress(
+            done={(0, 1): {2, 5}},
+            failed={(0, 0, 1): {1001, 2001}},
+            checkpoints={(1, 0, 0): "c"},
+        )
+        self.assertEqual(decode_progress(encode_progress(progress)), progress)
+
+    def test_task_names(self):
+        task = TaskId("0123456789abcdef", 2, 1, 17)
+        self.assertEqual(str(task), "0123456789abcdef.2.1.17")
+        self.assertEqual(parse_task_id(str(task)), task)
--- /dev/null
+++ b/trefoilhook/scheduling/tests/test_steps.py
@@ -0,0 +1,236 @@
+"""What a job's declaration demands: order, room, spread, gangs, times, attempts."""
+
+import unittest
+
+from trefoilhook.scheduling import Demand, EndKind, JobPhase, Step, StopOrder
+from trefoilhook.scheduling.tests.cases import (
+    SMALL,
+    Shard,
+    build_job,
+    list_starts,
+)
+
+_CPU = Demand(cpu=1000)
+
+
+class OrderTest(unittest.TestCase):
+    """Steps and occurrences start when their turn has come."""
+
+    def test_step_waits_for_all_tasks_before_it(self):
+        shard = Shard()
+        first = Step(count=2, demand=_CPU)
+        shard.submit(build_job(first, Step(count=1, demand=_CPU, after=(0,))))
+        one, two = list_starts(shard.step())
+        shard.end(one, EndKind.DONE)
+        self.assertEqual(list_starts(shard.step()), [])
+        shard.end(two, EndKind.DONE)
+        self.assertEqual(shard.start_one().task.step, 1)
+
+    def test_job_is_completed_once_all_is_done(self):
+        shard = Shard()
+        shard.submit(build_job(SMALL, SMALL))
+        one, two = list_starts(shard.step())
+        shard.end(one, EndKind.DONE)
+        state = shard.scheduler.jobs["j"]
+        self.assertIs(state.phase, JobPhase.OPEN)
+        shard.end(two, EndKind.DONE)
+        self.assertIs(state.phase, JobPhase.COMPLETED)
+
+    def test_occurrence_waits_for_its_time(self):
+        shard = Shard()
+        due_ms = shard.now_ms + 1000.0
+        job = build_job(repeats=2, first_due_ms=due_ms, interval_ms=500.0)
+        shard.submit(job)
+        self.assertEqual(shard.step(), [])
+        shard.pass_time(1000.0)
+        shard.look_all()
+        first = shard.start_one()
+        self.assertEqual(first.task.occurrence, 0)
+        shard.pass_time(500.0)
+        shard.look_all()
+        second = shard.start_one()
+        self.assertEqual(second.task.occurrence, 1)
+        shard.end(first, EndKind.DONE)
+        shard.end(second, EndKind.DONE)
+        self.assertIs(shard.scheduler.jobs["j"].phase, JobPhase.COMPLETED)
+
+    def test_urgent_queue_goes_first(self):
+        shard = Shard(workers=1, cpu=1000)
+        late = build_job(job_id="late")
+        shard.submit(late)
+        shard.submit(build_job(job_id="soon"))
+        shard.scheduler.jobs["late"].due_ms += 60_000.0
+        self.assertEqual(shard.start_one().task.job_id, "soon")
+
+
+class RoomTest(unittest.TestCase):
+    """No worker is given more than it has."""
+
+    def test_capacity_is_kept(self):
+        shard = Shard(workers=2, cpu=2500)
+        shard.submit(build_job(Step(count=9, demand=_CPU)))
+        shard.step()
+        for worker in shard.workers.values():
+            self.assertEqual(len(worker.running), 2)
+
+    def test_task_that_is_being_stopped_still_counts(self):
+        # A task takes up to 900 ms to stop. Its place given away at once, the worker
+        # carries more than it has.
+        shard = Shard(workers=1, cpu=1000)
+        shard.submit(build_job(job_id="a"))
+        shard.step()
+        shard.scheduler.cancel_job("a", revision=2)
+        shard.submit(build_job(job_id="b"))
+        (stop,) = shard.plan()
+        self.assertIsInstance(stop, StopOrder)
+        shard.pass_time(10.0)
+        shard.look_all()
+        self.assertEqual(list_starts(shard.plan()), [])
+
+    def test_filler_takes_memory_but_no_counted_processor_time(self):
+        shard = Shard(workers=1, cpu=4000)
+        step = Step(count=3, demand=Demand(cpu=1300, memory_mb=10), filler=True)
+        shard.submit(build_job(step))
+        self.assertEqual(len(list_starts(shard.step())), 3)
+        worker = shard.scheduler.workers["w0"]
+        self.assertEqual((worker.cpu, worker.memory_mb), (0, 30))
+
+    def test_constraints_table(self):
+        table = (
+            ("label", Step(count=1, demand=_CPU, required_label="gold"), 0),
+            ("spread", Step(count=5, demand=_CPU, max_per_worker=1), 2),
+            ("memory", Step(count=3, demand=Demand(memory_mb=8000)), 2),
+            ("accelerator", Step(count=1, demand=Demand(gpus=1)), 0),
+        )
+        for name, step, expected in table:
+            with self.subTest(name=name):
+                shard = Shard(workers=2)
+                shard.submit(build_job(step))
+                self.assertEqual(len(list_starts(shard.step())), expected)
+
+    def test_other_service_is_left_alone(self):
+        shard = Shard(workers=1)
+        shard.scheduler.workers["w0"].report = type(
+            shard.scheduler.workers["w0"].report
+        )(
+            worker_id="w0",
+            service="other",
+            host="w0",
+            port=1,
+            failure_domain="z",
+            capacity=Demand(cpu=4000),
+        )
+        shard.submit(build_job())
+        self.assertEqual(shard.step(), [])
+
+
+class FailureTest(unittest.TestCase):
+    """Failed attempts are counted, and made elsewhere."""
+
+    def test_job_fails_after_its_attempts(self):
+        shard = Shard(workers=3)
+        shard.submit(build_job())
+        for expected in (JobPhase.OPEN, JobPhase.OPEN, JobPhase.FAILED):
+            shard.end(shard.start_one(), EndKind.FAILED)
+            self.assertIs(shard.scheduler.jobs["j"].phase, expected)
+        self.assertEqual(shard.step(), [])
+
+    def test_other_ends_are_no_failures(self):
+        for kind in (EndKind.STOPPED, EndKind.LAPSED, EndKind.PEER_ENDED):
+            with self.subTest(kind=kind):
+                shard = Shard(workers=1)
+                shard.submit(build_job())
+                for _ in range(5):
+                    shard.end(shard.start_one(), kind)
+                self.assertIs(shard.scheduler.jobs["j"].phase, JobPhase.OPEN)
+
+    def test_failed_attempt_is_made_elsewhere(self):
+        shard = Shard(workers=2)
+        shard.submit(build_job())
+        first = shard.start_one()
+        shard.end(first, EndKind.FAILED)
+        self.assertNotEqual(shard.start_one().worker_id, first.worker_id)
+
+    def test_worker_that_fails_everything_is_avoided(self):
+        # One worker fails all it starts, at once, so it always has room: task after
+        # task goes there, and jobs that can be done run out of attempts.
+        shard = Shard(workers=2)
+        for number in range(2):
+            shard.submit(build_job(job_id=f"a{number}"))
+        shard.plan()
+        bad = shard.scheduler.workers["w0"]
+        for job_id in ("x", "y"):
+            bad.faulty_jobs.add(job_id)
+        bad.avoid_until_ms = shard.now_ms + 3000.0
+        shard.submit(build_job(job_id="b"))
+        (order,) = list_starts(shard.plan())
+        self.assertEqual(order.worker_id, "w1")
+
+    def test_long_running_task_is_restarted_however_it_ends(self):
+        step = Step(count=1, demand=_CPU, long_running=True)
+        for kind in EndKind:
+            with self.subTest(kind=kind):
+                shard = Shard(workers=1)
+                shard.submit(build_job(step))
+                for _ in range(4):
+                    shard.end(shard.start_one(), kind)
+                self.assertIs(shard.scheduler.jobs["j"].phase, JobPhase.OPEN)
+                shard.scheduler.workers["w0"].avoid_until_ms = 0.0
+                self.assertEqual(len(list_starts(shard.step())), 1)
+
+
+class GangTest(unittest.TestCase):
+    """A gang runs whole or not at all."""
+
+    def test_all_members_share_an_attempt(self):
+        shard = Shard(workers=2, cpu=2000)
+        shard.submit(build_job(Step(count=4, demand=_CPU, gang=True)))
+        starts = list_starts(shard.step())
+        self.assertEqual(len(starts), 4)
+        self.assertEqual(len({order.attempt for order in starts}), 1)
+
+    def test_gang_without_room_for_all_holds_nothing(self):
+        # Members that wait for the others hold room that no one else can use.
+        shard = Shard(workers=2, cpu=1000)
+        shard.submit(build_job(Step(count=3, demand=_CPU, gang=True)))
+        self.assertEqual(shard.step(), [])
+        self.assertEqual([w.cpu for w in shard.scheduler.workers.values()], [0, 0])
+
+    def test_one_end_stands_for_all(self):
+        shard = Shard(workers=2, cpu=2000)
+        shard.submit(build_job(Step(count=2, demand=_CPU, gang=True)))
+        first, _ = list_starts(shard.step())
+        shard.end(first, EndKind.DONE)
+        self.assertIs(shard.scheduler.jobs["j"].phase, JobPhase.COMPLETED)
+
+    def test_gang_waits_for_its_last_member_to_end(self):
+        shard = Shard(workers=2, cpu=2000)
+        shard.submit(build_job(Step(count=2, demand=_CPU, gang=True)))
+        first, second = list_starts(shard.step())
+        shard.end(first, EndKind.FAILED)
+        self.assertEqual(list_starts(shard.step()), [])
+        shard.end(second, EndKind.PEER_ENDED)
+        again = list_starts(shard.step())
+        self.assertEqual(len(again), 2)
+        self.assertGreater(again[0].attempt, first.attempt)
+
+
+class CancelTest(unittest.TestCase):
+    """Nothing of a cancelled job starts, and what runs is stopped."""
+
+    def test_cancelled_job(self):
+        shard = Shard(workers=1, cpu=1000)
+        shard.submit(build_job(Step(count=3, demand=_CPU)))
+        shard.step()
+        shard.scheduler.cancel_job("j", revision=2)
+        orders = shard.step()
+        self.assertTrue(all(isinstance(order, StopOrder) for order in orders))
+        self.assertEqual(shard.count_running(), 0)
+        self.assertEqual(shard.step(), [])
+
+    def test_cancelled_job_leaves_nothing_to_write(self):
+        shard = Shard(workers=1)
+        shard.submit(build_job())
+        shard.step()
+        shard.scheduler.cancel_job("j", revision=2)
+        self.assertEqual(shard.scheduler.collect_changes(), [])
