Give a worker that doesn't answer no later deadline

Cause: each look at a silent worker carried a new deadline, so the time from which its tasks may run elsewhere moved on with every try: they waited until the worker was back.

--- a/trefoilhook/runtime/__main__.py
+++ b/trefoilhook/runtime/__main__.py
@@ -1,7 +1,9 @@
 """Entry point of the process on the users' platform."""
 
 import os
+import signal
 import sys
+from collections.abc import AsyncIterator
 from pathlib import Path
 
 import trio
@@ -17,6 +19,20 @@
 _EXIT_SETTINGS = 2
 
 
+async def _run(process: Process) -> None:
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            nursery.start_soon(_wait_for_signal, signals, stop)
+            await process.run(stop)
+            nursery.cancel_scope.cancel()
+
+
+async def _wait_for_signal(signals: AsyncIterator[int], stop: trio.Event) -> None:
+    async for _ in signals:
+        stop.set()
+
+
 def main() -> int:
     """Run one process until it is asked to stop.
 
@@ -32,7 +48,7 @@
     except (KeyError, OSError, SettingsError) as error:
         print(f"the settings can't be read: {error!r}", file=sys.stderr)
         return _EXIT_SETTINGS
-    trio.run(Process(settings=settings, clock=build_boot_clock()).run)
+    trio.run(_run, Process(settings=settings, clock=build_boot_clock()))
     return 0
 
 
--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -1,6 +1,6 @@
 """One process of the system on the users' platform."""
 
-import signal
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -10,6 +10,7 @@
 from trefoilhook.platform import (
     CONFIGURATION_KEY,
     READINESS_PATH,
+    Address,
     Change,
     Item,
     KeyValueStore,
@@ -25,6 +26,8 @@
 
 __all__ = ["Process"]
 
+Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
 _STORE_TIMEOUT_MS = 1000.0
 """Longest time for an answer of the store, in ms: 4 ms is usual, and 360 ms is what it
 takes when ninety times slower."""
@@ -58,6 +61,11 @@
         What the platform tells.
     clock : Clock
         Where time comes from.
+
+    Attributes
+    ----------
+    entry_port, readiness_port : int
+        Where it listens, once it runs.
     """
 
     def __init__(self, *, settings: ProcessSettings, clock: Clock) -> None:
@@ -67,6 +75,8 @@
             address=settings.store_address, timeout_ms=_STORE_TIMEOUT_MS
         )
         self._configuration: Configuration | None = None
+        self.entry_port = 0
+        self.readiness_port = 0
         self._draining = False
         self._answers_seen = 0
         self._answered_ms = clock.monotonic_ms()
@@ -84,28 +94,31 @@
             is_store_reachable=self._is_store_reachable,
         )
 
-    async def run(self) -> None:
-        """Run until the platform asks to stop."""
+    async def run(self, stop: trio.Event) -> None:
+        """Run until ``stop`` is set, then stop gracefully."""
         entry = self._build_server(self._settings.entry_address, self._intake.answer)
         readiness = self._build_server(
             self._settings.readiness_address, self._answer_readiness
         )
         async with trio.open_nursery() as nursery:
-            with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-                await nursery.start(entry.run)
-                await nursery.start(readiness.run)
-                nursery.start_soon(self._follow_configuration)
-                nursery.start_soon(self._campaign.run)
-                log_event(Event.STARTED, instance=self._settings.name)
-                async for _ in signals:
-                    break
-                await self._stop(entry)
-                nursery.cancel_scope.cancel()
+            self.entry_port = await nursery.start(entry.run)
+            self.readiness_port = await nursery.start(readiness.run)
+            nursery.start_soon(self._follow_configuration)
+            nursery.start_soon(self._campaign.run)
+            log_event(Event.STARTED, instance=self._settings.name)
+            await stop.wait()
+            await self._stop(entry)
+            nursery.cancel_scope.cancel()
         log_event(Event.STOPPED, instance=self._settings.name)
 
-    def _build_server(self, address: tuple[str, int], handler: object) -> HttpServer:
+    @property
+    def is_owner(self) -> bool:
+        """Whether this instance owns the shard."""
+        return self._campaign.is_owner
+
+    def _build_server(self, address: Address, handler: Handler) -> HttpServer:
         host, port = address
-        return HttpServer(handler=handler, host=host, port=port)  # type: ignore[arg-type]
+        return HttpServer(handler=handler, host=host, port=port)
 
     async def _stop(self, entry: HttpServer) -> None:
         log_event(Event.STOPPING, instance=self._settings.name)
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -412,10 +412,17 @@
             return LookRequest(
                 token=self._tenure.epoch, acknowledged=0, deadline_ms=None, wait_ms=0
             )
-        wait_ms = _LOOK_WAIT_MS
         if worker.suspect:
-            wait_ms = 0
-        elif self._scheduler.shares_with_services(worker):
+            # No new deadline: a look without an answer may be carried out late, so
+            # each would put off the time from which its tasks may run elsewhere.
+            return LookRequest(
+                token=self._tenure.epoch,
+                acknowledged=worker.acknowledged,
+                deadline_ms=None,
+                wait_ms=0,
+            )
+        wait_ms = _LOOK_WAIT_MS
+        if self._scheduler.shares_with_services(worker):
             wait_ms = _CLOSE_LOOK_WAIT_MS
         return LookRequest(
             token=self._tenure.epoch,
--- /dev/null
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -0,0 +1,251 @@
+"""Instances, workers and the store in one event loop, over real sockets."""
+
+import json
+import math
+from collections.abc import Awaitable, Callable
+
+import attrs
+import trio
+
+from trefoilhook.clock import build_boot_clock
+from trefoilhook.exceptions import TransportError
+from trefoilhook.http import HttpClient, HttpRequest, HttpResponse
+from trefoilhook.platform import Bounds, ProcessSettings
+from trefoilhook.runtime import Process
+from trefoilhook.standins.platform_store import PlatformStore
+from trefoilhook.standins.platform_worker import PlatformWorker
+
+HOST = "shop.example"
+PREFIX = "/checks/"
+_TIMEOUT_S = 40.0
+"""Generous: the longest test takes 9 s by itself."""
+
+
+def _build_route(name: str, prefix: str) -> dict:
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": prefix,
+        "kind": "non_idempotent",
+        "timeout_ms": 3000,
+        "target_latency_ms": 250,
+        "priority": 0,
+        "service": "s",
+        "max_attempts": 3,
+        "stretch": 1.5,
+    }
+
+
+def build_configuration(version: int, *prefixes: str) -> dict:
+    """Build what the operator writes."""
+    routes = [_build_route(f"r{p.strip('/')}", p) for p in prefixes or (PREFIX,)]
+    return {"version": version, "routes": routes, "services": [], "limits": {}}
+
+
+def build_body(*counts: int) -> bytes:
+    """Build a job of small steps, each after the one before."""
+    steps = [
+        {
+            "count": count,
+            "cpu": 500,
+            "mem_mb": 10,
+            "estimate_ms": 200,
+            **({"after": [number - 1]} if number else {}),
+        }
+        for number, count in enumerate(counts or (1,))
+    ]
+    return json.dumps({"spec": "x", "steps": steps}).encode()
+
+
+@attrs.define(kw_only=True, eq=False)
+class Instance:
+    """One process of the system, and the means to end it."""
+
+    process: Process
+    stop: trio.Event
+    scope: trio.CancelScope
+    ended: trio.Event = attrs.Factory(trio.Event)
+
+
+class Cluster:
+    """The store, its workers and the instances of one test."""
+
+    def __init__(self, nursery: trio.Nursery, *, task_ms: float) -> None:
+        self._nursery = nursery
+        self._task_ms = task_ms
+        self.clock = build_boot_clock()
+        self.store = PlatformStore(clock=self.clock)
+        self.workers: dict[str, PlatformWorker] = {}
+        self.instances: list[Instance] = []
+
+    async def start_store(self) -> None:
+        """Start the store with a first configuration."""
+        await self._nursery.start(self.store.server.run)
+        self._nursery.start_soon(self.store.expire_leases)
+        self.store.write("op/config", build_configuration(1))
+
+    async def start_worker(self, worker_id: str) -> PlatformWorker:
+        """Start a worker and list it."""
+        worker = PlatformWorker(
+            worker_id=worker_id, clock=self.clock, task_ms=self._task_ms
+        )
+        self.workers[worker_id] = worker
+        await self._nursery.start(worker.run)
+        self.store.write(f"servers/{worker_id}", worker.describe("s"))
+        return worker
+
+    async def start_instance(self) -> Instance:
+        """Start an instance and wait until it is ready."""
+        settings = ProcessSettings(
+            name=f"i{len(self.instances)}",
+            failure_domain="z",
+            entry_address=("127.0.0.1", 0),
+            readiness_address=("127.0.0.1", 0),
+            store_address=("127.0.0.1", self.store.server.port),
+            advice_address=None,
+            heartbeat_ms=1500.0,
+            remote_factor=3.0,
+            bounds=Bounds(
+                shutdown_ms=6000.0,
+                max_task_lease_ms=6000.0,
+                stop_grace_ms=200.0,
+                gang_wait_ms=3000.0,
+                status_ms=120_000.0,
+                early_ms=250.0,
+                overload_ms=4000.0,
+            ),
+        )
+        instance = Instance(
+            process=Process(settings=settings, clock=self.clock),
+            stop=trio.Event(),
+            scope=trio.CancelScope(),
+        )
+        self.instances.append(instance)
+        self._nursery.start_soon(self._run, instance)
+        await self.wait_until(lambda: instance.process.readiness_port != 0)
+        await self.wait_for(self._is_ready, instance)
+        return instance
+
+    async def _run(self, instance: Instance) -> None:
+        with instance.scope:
+            await instance.process.run(instance.stop)
+        instance.ended.set()
+
+    async def _is_ready(self, instance: Instance) -> bool:
+        port = instance.process.readiness_port
+        request = HttpRequest(method="GET", target="/trefoilhook/readyz")
+        return (await self._send(port, request)).status == 200
+
+    async def send(
+        self,
+        instance: Instance,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        *,
+        timeout_ms: float = 3000.0,
+    ) -> HttpResponse:
+        """Send a client's request; status 0 stands for no answer."""
+        request = HttpRequest(
+            method=method,
+            target=target,
+            headers=(("host", HOST), ("deadline-ms", str(int(timeout_ms)))),
+            body=body,
+        )
+        return await self._send(instance.process.entry_port, request)
+
+    async def _send(self, port: int, request: HttpRequest) -> HttpResponse:
+        client = _PlainClient(host="127.0.0.1", port=port)
+        try:
+            return await client.send(request, timeout_ms=5000.0)
+        except TransportError:
+            return HttpResponse(status=0)
+        finally:
+            await client.close()
+
+    async def read_state(self, instance: Instance, job_id: str) -> str:
+        """Return a job's state, or the status if it isn't told."""
+        answer = await self.send(instance, "GET", PREFIX + job_id)
+        if answer.status != 200:
+            return str(answer.status)
+        return answer.parse_json()["state"]
+
+    async def wait_for_state(self, instance: Instance, job_id: str, state: str) -> None:
+        """Wait until a job has a state."""
+
+        async def has_state() -> bool:
+            return await self.read_state(instance, job_id) == state
+
+        await self.wait_for(has_state)
+
+    async def wait_for(self, check: Callable[..., Awaitable[bool]], *args) -> None:
+        """Wait until an asynchronous check holds."""
+        while not await check(*args):
+            await trio.sleep(0.02)
+
+    async def wait_until(self, check: Callable[[], bool]) -> None:
+        """Wait until a check holds."""
+        while not check():
+            await trio.sleep(0.01)
+
+    async def wait_for_owner(self) -> Instance:
+        """Wait until an instance owns the shard, and return it."""
+        while True:
+            for instance in self.instances:
+                if instance.process.is_owner and not instance.ended.is_set():
+                    return instance
+            await trio.sleep(0.01)
+
+    def list_runs(self) -> list:
+        """Return every run on every worker."""
+        return [r for worker in self.workers.values() for r in worker.records]
+
+    def find_doubles(self) -> list[str]:
+        """Return the tasks that ran at the same time twice, or again after an end."""
+        found = []
+        runs = sorted(self.list_runs(), key=lambda run: run.started_ms)
+        for number, run in enumerate(runs):
+            ended_ms = math.inf if run.ended_ms is None else run.ended_ms
+            for later in runs[number + 1 :]:
+                if later.task != run.task:
+                    continue
+                if later.started_ms < ended_ms or run.how == "done":
+                    found.append(run.task)
+        return found
+
+
+class _PlainClient(HttpClient):
+    """A client that keeps the host that a request names."""
+
+    def _encode(self, connection, request):
+        host = dict(request.headers).get("host", "none")
+        kept, self._host, port, self._port = self._host, host, self._port, 80
+        try:
+            headers = tuple(h for h in request.headers if h[0] != "host")
+            return super()._encode(connection, attrs.evolve(request, headers=headers))
+        finally:
+            self._host, self._port = kept, port
+
+
+def run_cluster(
+    scenario: Callable[[Cluster], Awaitable[None]],
+    *,
+    instances: int = 2,
+    workers: int = 2,
+    task_ms: float = 100.0,
+) -> None:
+    """Run a test's scenario, bounded in time."""
+
+    async def main() -> None:
+        with trio.fail_after(_TIMEOUT_S):
+            async with trio.open_nursery() as nursery:
+                cluster = Cluster(nursery, task_ms=task_ms)
+                await cluster.start_store()
+                for number in range(workers):
+                    await cluster.start_worker(f"w{number}")
+                for _ in range(instances):
+                    await cluster.start_instance()
+                await scenario(cluster)
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
