Reload the settings on SIGHUP, and when the file changes without it

Test: the program as a process, with signals; without the handler it ends at the first SIGHUP (code -1).

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -29,6 +29,8 @@
 
     LINES_DROPPED = (1005, Level.WARNING, "Lines were lost: nobody read the output.")
     LINES_SUMMED = (1006, Level.INFO, "Lines over an event's budget, as a count.")
+    RELOADED = (1007, Level.INFO, "Changed settings are in force.")
+    SETTINGS_INVALID = (1008, Level.ERROR, "Changed settings can't be read.")
 
     # 1100: store
     STORE_DOWN = (1100, Level.WARNING, "A call to the store failed.")
--- a/trefoilhook/platform/store.py
+++ b/trefoilhook/platform/store.py
@@ -277,6 +277,10 @@
         """End a lease and remove its keys; one that has ended is fine."""
         await self._call("DELETE", f"kv-lease-end/{lease}", accept=(404,))
 
+    def move(self, address: Address) -> None:
+        """Call the store at another address from now on."""
+        self._client = JsonClient(address=address, max_connections=_MAX_CONNECTIONS)
+
     async def close(self) -> None:
         """Close the idle connections."""
         await self._client.close()
--- a/trefoilhook/runtime/__main__.py
+++ b/trefoilhook/runtime/__main__.py
@@ -8,29 +8,77 @@
 
 import trio
 
-from trefoilhook.clock import build_boot_clock
+from trefoilhook.clock import Clock, build_boot_clock
 from trefoilhook.exceptions import SettingsError
-from trefoilhook.logs import configure_line_logs
+from trefoilhook.logs import Event, configure_line_logs, log_event
 from trefoilhook.platform import SETTINGS_VARIABLE, parse_settings
 from trefoilhook.runtime.core import Process
 
-__all__ = ["main"]
+__all__ = ["SettingsFile", "main"]
 
 _EXIT_SETTINGS = 2
 
+_SETTINGS_PAUSE_MS = 1000.0
+"""Pause between two looks at the settings file, in ms: it may change without a signal,
+and is two kilobytes."""
 
-async def _run(process: Process) -> None:
+
+class SettingsFile:
+    """Tells a process when its settings file has changed.
+
+    Parameters
+    ----------
+    path : Path
+        The file.
+    text : str
+        What it held when the process began.
+    process : Process
+        Told of each change.
+    """
+
+    def __init__(self, *, path: Path, text: str, process: Process) -> None:
+        self._path = path
+        self._text = text
+        self._process = process
+
+    def check(self) -> None:
+        """Read the file, and reload if it holds something else; keep on if it's bad."""
+        try:
+            text = self._path.read_text(encoding="utf-8")
+            if text == self._text:
+                return
+            self._text = text
+            self._process.reload(parse_settings(text))
+        except (OSError, SettingsError) as error:
+            log_event(Event.SETTINGS_INVALID, error=str(error))
+
+    async def watch(self, clock: Clock) -> None:
+        """Check the file again and again, for good."""
+        while True:
+            await clock.sleep_ms(_SETTINGS_PAUSE_MS)
+            self.check()
+
+
+async def _run(process: Process, file: SettingsFile, clock: Clock) -> None:
     stop = trio.Event()
     async with trio.open_nursery() as nursery:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            nursery.start_soon(_wait_for_signal, signals, stop)
+        with trio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals:
+            nursery.start_soon(_take_signals, signals, stop, file)
+            nursery.start_soon(file.watch, clock)
             await process.run(stop)
             nursery.cancel_scope.cancel()
 
 
-async def _wait_for_signal(signals: AsyncIterator[int], stop: trio.Event) -> None:
-    async for _ in signals:
-        stop.set()
+async def _take_signals(
+    signals: AsyncIterator[int], stop: trio.Event, file: SettingsFile
+) -> None:
+    async for number in signals:
+        if number == signal.SIGHUP:
+            file.check()
+        else:
+            stop.set()
 
 
 def main() -> int:
@@ -42,13 +90,17 @@
         0 after a graceful stop, 2 if the settings can't be read.
     """
     try:
-        text = Path(os.environ[SETTINGS_VARIABLE]).read_text(encoding="utf-8")
+        path = Path(os.environ[SETTINGS_VARIABLE])
+        text = path.read_text(encoding="utf-8")
         settings = parse_settings(text)
     except (KeyError, OSError, SettingsError) as error:
         print(f"the settings can't be read: {error!r}", file=sys.stderr)
         return _EXIT_SETTINGS
     configure_line_logs(instance=settings.name)
-    trio.run(_run, Process(settings=settings, clock=build_boot_clock()))
+    clock = build_boot_clock()
+    process = Process(settings=settings, clock=clock)
+    file = SettingsFile(path=path, text=text, process=process)
+    trio.run(_run, process, file, clock)
     return 0
 
 
--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -120,6 +120,13 @@
         host, port = address
         return HttpServer(handler=handler, host=host, port=port)
 
+    def reload(self, settings: ProcessSettings) -> None:
+        """Put changed settings in force, but for the addresses it listens at."""
+        if settings.store_address != self._settings.store_address:
+            self._store.move(settings.store_address)
+        self._settings = settings
+        log_event(Event.RELOADED, instance=settings.name)
+
     async def _stop(self, entry: HttpServer) -> None:
         log_event(Event.STOPPING, instance=self._settings.name)
         self._draining = True
--- /dev/null
+++ b/trefoilhook/runtime/tests/test_program.py
@@ -0,0 +1,97 @@
+"""The program as a process of its own: settings, signals, exit codes."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from trefoilhook.platform import SETTINGS_VARIABLE, parse_settings
+
+_BOUNDS = {
+    "grace_s": 6,
+    "max_hold_ms": 6000,
+    "stop_grace_ms": 200,
+    "gang_timeout_ms": 3000,
+    "status_s": 120,
+    "early_ms": 250,
+}
+_TIMEOUT_S = 30.0
+
+
+def build_settings(**fields) -> dict:
+    """Build a settings file whose store answers nobody."""
+    return {
+        "node_name": "i0",
+        "zone": "z",
+        "listen_addrs": {"frontend": "127.0.0.1:0", "readiness": "127.0.0.1:0"},
+        "platform": {"address": "127.0.0.1:1"},
+        "heartbeat_ms": 1500,
+        "bounds": _BOUNDS,
+        **fields,
+    }
+
+
+class ProgramTest(unittest.TestCase):
+    """One process."""
+
+    def setUp(self) -> None:
+        self._folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self._folder.cleanup)
+        self.path = Path(self._folder.name) / "node.json"
+        self.path.write_text(json.dumps(build_settings()), encoding="utf-8")
+
+    def _start(self) -> subprocess.Popen:
+        process = subprocess.Popen(
+            [sys.executable, "-m", "trefoilhook.runtime"],
+            env={**os.environ, SETTINGS_VARIABLE: str(self.path)},
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        self.addCleanup(process.stdout.close)
+        self.addCleanup(process.kill)
+        return process
+
+    def _read_until(self, process: subprocess.Popen, name: str) -> None:
+        for line in process.stdout:
+            if json.loads(line)["event_name"] == name:
+                return
+        self.fail(f"no line {name}")
+
+    def test_reload_and_graceful_stop(self):
+        # The platform sends SIGHUP after changing the settings. Unhandled, the signal
+        # ends the process, and with it every request in progress.
+        process = self._start()
+        self._read_until(process, "STARTED")
+        changed = build_settings(platform={"address": "127.0.0.1:2"})
+        self.path.write_text(json.dumps(changed), encoding="utf-8")
+        process.send_signal(signal.SIGHUP)
+        self._read_until(process, "RELOADED")
+        process.send_signal(signal.SIGTERM)
+        self._read_until(process, "STOPPED")
+        self.assertEqual(process.wait(timeout=_TIMEOUT_S), 0)
+
+    def test_bad_settings_are_not_put_in_force(self):
+        process = self._start()
+        self._read_until(process, "STARTED")
+        self.path.write_text("{", encoding="utf-8")
+        process.send_signal(signal.SIGHUP)
+        self._read_until(process, "SETTINGS_INVALID")
+        self.assertIsNone(process.poll())
+
+    def test_start_without_settings(self):
+        self.path.write_text("{}", encoding="utf-8")
+        self.assertEqual(self._start().wait(timeout=_TIMEOUT_S), 2)
+
+
+class SettingsTest(unittest.TestCase):
+    """Decoding of the settings file."""
+
+    def test_names_are_decoded(self):
+        settings = parse_settings(json.dumps(build_settings()))
+        self.assertEqual(settings.store_address, ("127.0.0.1", 1))
+        self.assertEqual(settings.bounds.shutdown_ms, 6000.0)
+        self.assertIsNone(settings.advice_address)
