--- a/trefoilhook/scheduling/crowds.py
+++ b/trefoilhook/scheduling/crowds.py
@@ -4,10 +4,10 @@
 
 from trefoilhook.scheduling.book import JobState
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
-from trefoilhook.scheduling.interference import Interference, measure_strain
+from trefoilhook.scheduling.interference import Interference, measure_slack
 from trefoilhook.scheduling.models import Step
 
-__all__ = ["Crowd", "describe_crowd", "learn_crowd"]
+__all__ = ["Crowd", "Victim", "describe_crowd", "find_step", "learn_crowd"]
 
 _AT_WORK = 100
 """Percent at which a long-running task is at work, and its tail latency counts."""
@@ -16,6 +16,21 @@
 """Share of what service tasks ask for that they use on average: fillers run on the
 rest. In a trial they used 0.42, swinging by half of that."""
 
+_OFFSET_BLEND = 0.4
+"""Weight of the newest look in a service task's own base: its load swings with a period
+of ten seconds, and two looks a second follow it."""
+
+_HARMLESS_COST = 0.12
+"""Slack that a filler may cost any service task: a tenth of the limit."""
+
+
+@attrs.frozen(kw_only=True)
+class Victim:
+    """A service task: its image, and its slack if no filler were beside it."""
+
+    image: str
+    base: float
+
 
 @attrs.define(kw_only=True)
 class Crowd:
@@ -29,8 +44,8 @@
         Thousandths of a core that others than fillers are thought to use.
     filler_cpu : float
         Thousandths of a core that its fillers ask for, as paced.
-    victims : set of str
-        Images of its service tasks.
+    victims : list of Victim
+        Its service tasks.
     shares : dict of str to float
         Share of its processors that fillers of each image ask for, as paced.
     """
@@ -38,7 +53,7 @@
     cores: float
     used: float = 0.0
     filler_cpu: float = 0.0
-    victims: set[str] = attrs.Factory(set)
+    victims: list[Victim] = attrs.Factory(list)
     shares: dict[str, float] = attrs.Factory(dict)
 
     @property
@@ -46,31 +61,36 @@
         """Thousandths of a core that nobody is thought to use."""
         return self.cores - self.used - self.filler_cpu
 
-    def add(self, step: Step, pace: int = 100) -> None:
-        """Count one more task."""
+    def add(self, step: Step, *, base: float, pace: int = 100) -> None:
+        """Count one more task; ``base`` matters for a service task only."""
         if step.filler:
             cpu = step.demand.cpu * pace / 100.0
             self.filler_cpu += cpu
             share = cpu / max(1.0, self.cores)
             self.shares[step.image] = self.shares.get(step.image, 0.0) + share
         elif step.latency_limit_ms:
-            self.victims.add(step.image)
+            self.victims.append(Victim(image=step.image, base=base))
             self.used += _SERVICE_USE * step.demand.cpu
         else:
             self.used += step.demand.cpu
 
-    def predict_strain(self, interference: Interference, step: Step) -> float:
-        """Predict the highest strain of a service task once ``step`` joins."""
-        shares = dict(self.shares)
-        victims = set(self.victims)
-        if step.filler:
-            more = step.demand.cpu / max(1.0, self.cores)
-            shares[step.image] = shares.get(step.image, 0.0) + more
-        elif step.latency_limit_ms:
-            victims.add(step.image)
-        return max(
-            (interference.predict(victim, shares) for victim in victims), default=0.0
-        )
+    def predict_slack(self, interference: Interference, step: Step) -> float:
+        """Predict the least slack of those whom ``step`` would disturb, or of itself.
+
+        A service task short of slack for other reasons keeps no filler away that
+        costs it next to nothing.
+        """
+        if not step.filler:
+            base = interference.find_base(step.image)
+            return base - interference.find_cost(step.image, self.shares)
+        share = step.demand.cpu / max(1.0, self.cores)
+        least = float("inf")
+        for victim in self.victims:
+            cost = interference.weigh(victim.image, step.image) * share
+            if cost > _HARMLESS_COST:
+                others = interference.find_cost(victim.image, self.shares)
+                least = min(least, victim.base - others - cost)
+        return least
 
 
 def find_step(jobs: dict[str, JobState], run: Run) -> Step | None:
@@ -79,13 +99,18 @@
     return state.job.steps[run.task.step] if state is not None else None
 
 
-def describe_crowd(worker: Worker, jobs: dict[str, JobState]) -> Crowd:
+def describe_crowd(
+    worker: Worker, jobs: dict[str, JobState], interference: Interference
+) -> Crowd:
     """Count who runs on a worker."""
     crowd = Crowd(cores=worker.report.capacity.cpu)
     for run in worker.runs.values():
         step = find_step(jobs, run)
         if step is not None:
-            crowd.add(step, run.pace)
+            base = 0.0
+            if step.latency_limit_ms:
+                base = interference.find_base(step.image) + run.base_offset
+            crowd.add(step, base=base, pace=run.pace)
     return crowd
 
 
@@ -94,7 +119,7 @@
 ) -> None:
     """Learn from what a worker has just listed."""
     shares: dict[str, float] = {}
-    victims: dict[str, list[float]] = {}
+    served: list[tuple[Run, Step]] = []
     cores = max(1, worker.report.capacity.cpu)
     for run in worker.runs.values():
         step = find_step(jobs, run)
@@ -103,9 +128,16 @@
         if step.filler:
             shares[step.image] = shares.get(step.image, 0.0) + run.load / cores
         elif step.latency_limit_ms and run.percent >= _AT_WORK:
-            strain = measure_strain(run.present_load, step.latency_limit_ms)
-            victims.setdefault(step.image, []).append(strain)
-    if not shares:
-        return
-    for image, strains in victims.items():
-        interference.learn(image, shares, sum(strains) / len(strains))
+            served.append((run, step))
+    slacks: dict[str, list[float]] = {}
+    for run, step in served:
+        slack = measure_slack(run.present_load, step.latency_limit_ms)
+        # Less what the task's own load explains: what is left is the fillers' doing.
+        slacks.setdefault(step.image, []).append(slack - run.base_offset)
+    for image, found in slacks.items():
+        interference.learn(image, shares, sum(found) / len(found))
+    for run, step in served:
+        slack = measure_slack(run.present_load, step.latency_limit_ms)
+        offset = slack + interference.find_cost(step.image, shares)
+        offset -= interference.find_base(step.image)
+        run.base_offset += _OFFSET_BLEND * (offset - run.base_offset)
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -56,6 +56,9 @@
         From the last look that listed it.
     present_load : float
         The load without what the listed figure still carries from before the last look.
+    base_offset : float
+        How much more slack a service task has than others of its image, from its own
+        load.
     load_read_ms : float
         When the load was listed, in ms.
     checkpoint : str
@@ -90,6 +93,7 @@
     percent: float = 0.0
     load: float = 0.0
     present_load: float = 0.0
+    base_offset: float = 0.0
     load_read_ms: float = float("-inf")
     checkpoint: str = ""
     progressed_ms: float = 0.0
--- a/trefoilhook/scheduling/interference.py
+++ b/trefoilhook/scheduling/interference.py
@@ -1,10 +1,15 @@
 """How much fillers of each image disturb service tasks of each image, learned online.
 
-The strain of a service task is the logarithm of its tail latency, scaled so that 0 is
-an undisturbed tail and 1 its limit. It is modelled as a sum over the fillers beside it
-of a weight for the pair of images, times the share of the worker's processors that they
-use. The weights for one image of service tasks are a Gaussian, updated by each look
-with a Kalman step; between looks it widens again, as pairs change.
+The tail latency of a service task grows as it would in a queue, as the inverse of what
+is left of its capacity. Its slack, the limit over the tail, therefore falls in a
+straight line with what the fillers beside it use::
+
+    slack = base - sum over images of weight[victim, image] * share[image]
+
+with the share of the worker's processors that fillers of the image use. Below 1 the
+task is over its limit. The base follows the task's own load, up and down within
+seconds; weights and mean bases for one image of service tasks are a Gaussian, updated
+by each look with a Kalman step. Between looks it widens again, as pairs change.
 
 In plain Python a step with nine images takes 60 us, at some 60 steps a second for 24
 workers; a library for matrices would add 10 MB to every instance.
@@ -16,76 +21,85 @@
 .. [2] J. Mars et al., "Bubble-Up", MICRO 2011: slowdown as pressure times sensitivity.
 """
 
-import math
 from collections.abc import Mapping
 
 import attrs
 
-__all__ = ["Interference", "measure_strain"]
+__all__ = ["Interference", "measure_slack"]
 
-_PRIOR_MEAN = 5.0
+_PRIOR_WEIGHT = 4.0
 """Weight of a pair never seen. In a trial of 1,900 looks without any pacing, pairs lay
-between 0 and 3 (light) or between 8 and 18 (heavy); two thirds were light."""
+between 0 and 3 (light) or between 9 and 17 (heavy); two thirds were light."""
 
-_PRIOR_VARIANCE = 36.0
+_PRIOR_VARIANCE = 30.0
 """Variance of that, from the same trial."""
 
-_NOISE_VARIANCE = 0.3
-"""Variance of a strain that no filler explains: a service task's own load swings."""
+_PRIOR_BASE = 2.5
+"""Slack without fillers: tails of 4 to 11 ms at a limit of 18 ms in that trial."""
+
+_BASE_VARIANCE = 1.0
+"""Variance of the mean base of an image."""
+
+_NOISE_VARIANCE = 0.15
+"""Variance of a slack that neither fillers nor the task's last base explain."""
 
 _WIDENING = 0.02
-"""Added to a weight's variance by each step: within 600 steps, some 20 s on a worker,
-what was learned counts half."""
+"""Added to a weight's variance by each step: what was learned 1,500 steps ago, a minute
+on ten workers, is forgotten."""
+
+_MOST_SLACK = 5.0
+"""Slack is cut here: far under the limit the tail says nothing about fillers."""
 
-_MOST_STRAIN = 3.0
-"""Strain is cut here: past five times the limit a tail says only 'much too high'."""
+_LEAST_SLACK = 0.1
+"""Below this the tail stands at its ceiling, and says only 'at least as much'."""
 
-_QUIET_SHARE = 0.55
-"""Share of its limit that an undisturbed tail reaches: 11 ms of 18 in a trial."""
+_BASE = ""
+"""Stands for the base among the images of fillers."""
 
 
-def measure_strain(tail_ms: float, limit_ms: float) -> float:
-    """Scale a tail latency: 0 is undisturbed, 1 the limit."""
-    quiet_ms = _QUIET_SHARE * limit_ms
-    if tail_ms <= quiet_ms:
-        return 0.0
-    strain = math.log(tail_ms / quiet_ms) / math.log(1.0 / _QUIET_SHARE)
-    return min(strain, _MOST_STRAIN)
+def measure_slack(tail_ms: float, limit_ms: float) -> float:
+    """Return how many times the limit is the tail; 1 is at the limit."""
+    return min(_MOST_SLACK, limit_ms / max(tail_ms, 1e-3))
 
 
 @attrs.define(kw_only=True)
 class _Row:
-    """The weights for one image of service tasks."""
+    """Base and weights for one image of service tasks."""
 
     means: dict[str, float] = attrs.Factory(dict)
     covariance: dict[str, dict[str, float]] = attrs.Factory(dict)
 
-    def know(self, image: str) -> None:
-        """Take an image of fillers in, at its prior."""
+    def know(self, image: str, mean: float, variance: float) -> None:
+        """Take an image of fillers, or the base, in at its prior."""
         if image in self.means:
             return
-        self.means[image] = _PRIOR_MEAN
+        self.means[image] = mean
         for row in self.covariance.values():
             row[image] = 0.0
         self.covariance[image] = dict.fromkeys(self.means, 0.0)
-        self.covariance[image][image] = _PRIOR_VARIANCE
+        self.covariance[image][image] = variance
 
 
 @attrs.define(kw_only=True)
 class Interference:
-    """The weights learned so far, by image of the service tasks."""
+    """What was learned so far, by image of the service tasks."""
 
     rows: dict[str, _Row] = attrs.Factory(dict)
 
     def weigh(self, victim: str, filler: str) -> float:
-        """Return the strain that a filler on all of a worker would cause."""
+        """Return the slack that a filler on all of a worker would cost."""
         row = self.rows.get(victim)
         if row is None:
-            return _PRIOR_MEAN
-        return max(0.0, row.means.get(filler, _PRIOR_MEAN))
+            return _PRIOR_WEIGHT
+        return max(0.0, row.means.get(filler, _PRIOR_WEIGHT))
 
-    def predict(self, victim: str, shares: Mapping[str, float]) -> float:
-        """Predict the strain of a service task beside fillers.
+    def find_base(self, victim: str) -> float:
+        """Return the mean slack of service tasks without fillers."""
+        row = self.rows.get(victim)
+        return _PRIOR_BASE if row is None else row.means[_BASE]
+
+    def find_cost(self, victim: str, shares: Mapping[str, float]) -> float:
+        """Return the slack that fillers cost a service task.
 
         Parameters
         ----------
@@ -96,22 +110,25 @@
         """
         return sum(self.weigh(victim, image) * x for image, x in shares.items())
 
-    def learn(self, victim: str, shares: Mapping[str, float], strain: float) -> None:
-        """Correct the weights by one look at one service task."""
+    def learn(self, victim: str, shares: Mapping[str, float], slack: float) -> None:
+        """Correct base and weights by one look at one service task."""
         row = self.rows.setdefault(victim, _Row())
-        for image in shares:
-            row.know(image)
+        row.know(_BASE, _PRIOR_BASE, _BASE_VARIANCE)
+        features = {_BASE: 1.0}
+        for image, share in shares.items():
+            row.know(image, _PRIOR_WEIGHT, _PRIOR_VARIANCE)
+            features[image] = -share
+        predicted = sum(row.means[image] * x for image, x in features.items())
+        if slack <= _LEAST_SLACK and predicted <= slack:
+            return
         projected: dict[str, float] = {}
         for image, cells in row.covariance.items():
-            cells[image] += _WIDENING
-            projected[image] = sum(cells[other] * x for other, x in shares.items())
+            if image != _BASE:
+                cells[image] += _WIDENING
+            projected[image] = sum(cells[other] * x for other, x in features.items())
         spread = _NOISE_VARIANCE
-        spread += sum(projected[image] * x for image, x in shares.items())
-        predicted = sum(row.means[image] * x for image, x in shares.items())
-        # A tail under its quiet share has strain 0 whatever lies below: no error.
-        if strain <= 0.0 and predicted <= 0.0:
-            return
-        error = (strain - predicted) / spread
+        spread += sum(projected[image] * x for image, x in features.items())
+        error = (slack - predicted) / spread
         for image, gain in projected.items():
             row.means[image] += gain * error
             cells = row.covariance[image]
--- a/trefoilhook/scheduling/pacing.py
+++ b/trefoilhook/scheduling/pacing.py
@@ -1,38 +1,36 @@
 """Slowing of fillers that disturb service tasks.
 
-How much a filler disturbs a service task depends on the pair of images, and changes
-within seconds. The tail latency that the worker lists decides: near its limit, the
-fillers to which the learned weights give the blame are slowed at once, well under it
-they are let go again step by step.
+How much a filler disturbs a service task depends on the pair of images and on the
+task's own load, which swings within seconds. The slack that a worker's looks show
+decides: where it gets short, the fillers to which the learned weights give most of the
+cost are slowed at once, and let go again as far as the slack allows.
 """
 
+import attrs
+
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.crowds import find_step
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
-from trefoilhook.scheduling.interference import measure_strain
+from trefoilhook.scheduling.interference import measure_slack
 from trefoilhook.scheduling.messages import PaceOrder
 from trefoilhook.scheduling.models import Step
 
 __all__ = ["plan_paces"]
 
-_HIGH = 0.8
-"""Strain from which fillers are slowed: the listed tail is a rough figure of the last
-half second, and 1 is the limit itself."""
-
-_AIM = 0.5
-"""Strain that slowing aims at, by the learned weights."""
+_SHORT_SLACK = 1.2
+"""Slack under which fillers are slowed. At 1 the limit is reached; between two looks a
+task's own load can cost 0.3."""
 
-_LOW = 0.4
-"""Strain under which fillers are let go again; the gap keeps the pace from swinging
-with each look."""
+_AIM_SLACK = 1.5
+"""Slack that slowing aims at, and that letting go leaves."""
 
 _SLOWED_PACE = 10
 """Pace of a filler that is slowed, in percent: not 0, so that its weight is still seen.
 The heaviest are slowed far, and not all a little: they are moved then, the others
 aren't hurt."""
 
-_RAISE = 45
-"""Added to the pace at each look that is well under, in percent."""
+_LEAST_RAISE = 10
+"""A pace isn't raised by less than this, in percent: each order is a call."""
 
 _PAUSE_MS = 450.0
 """Between two changes of a pace: the tail is a figure of the last half second."""
@@ -41,41 +39,82 @@
 """A pace is ordered again so often: an order without an answer may be carried out late,
 after a newer one."""
 
-_PATIENCE_MS = 1200.0
-"""How long a service task may be over its limit before all fillers beside it are
-halted, in ms: the users' bound is 4 s, a look sees it 0.5 s late, acts at the next, and
-the listed tail takes 1.4 s to fall from twenty times the limit."""
+_PATIENCE_MS = 1000.0
+"""How long a service task may be over its limit before the fillers that disturb it are
+halted, in ms: two looks, in which slowing some of them shows."""
+
+_LAST_PATIENCE_MS = 1800.0
+"""The same for all fillers beside it, in ms: the users' bound is 4 s, a look sees it
+0.5 s late, acts at the next, and the listed tail takes 1.4 s to fall."""
+
+_LIGHT = 1.5
+"""Weight up to which a filler is thought not to disturb: a quarter of a worker costs a
+service task a fifth of its slack."""
 
 _FULL = 100
 
 
-def plan_paces(scheduler: Scheduler, worker: Worker, now_ms: float) -> list[PaceOrder]:
-    """Tell which fillers of a worker are to work at another pace."""
-    victims: list[tuple[Step, float]] = []
-    fillers: list[tuple[Run, Step]] = []
-    is_over = False
+@attrs.frozen(kw_only=True)
+class _Service:
+    """A service task at work: its image and the slack that the last look shows."""
+
+    image: str
+    slack: float
+
+
+@attrs.define(kw_only=True)
+class _Filler:
+    """A filler, and what it could use at full speed as a share of the worker."""
+
+    run: Run
+    step: Step
+    used: float
+    full: float
+
+
+@attrs.define(kw_only=True)
+class _Mix:
+    """What runs on a worker: fillers, service tasks, and whose limit is exceeded."""
+
+    fillers: list[_Filler] = attrs.Factory(list)
+    services: list[_Service] = attrs.Factory(list)
+    over: set[str] = attrs.Factory(set)
+
+
+def _sort_runs(scheduler: Scheduler, worker: Worker) -> _Mix:
+    mix = _Mix()
+    cores = max(1, worker.report.capacity.cpu)
     for run in worker.runs.values():
         step = find_step(scheduler.jobs, run)
         if step is None or run.phase is not RunPhase.RUNNING:
             continue
         if step.filler:
-            fillers.append((run, step))
+            used, full = run.load / cores, step.demand.cpu / cores
+            mix.fillers.append(_Filler(run=run, step=step, used=used, full=full))
         elif step.latency_limit_ms and run.percent >= _FULL:
-            strain = measure_strain(run.present_load, step.latency_limit_ms)
-            victims.append((step, strain))
-            is_over = is_over or run.load > step.latency_limit_ms
-    harmful = _is_harmful(worker, is_over, now_ms)
-    if not fillers:
-        return []
-    strain = max((strain for _, strain in victims), default=0.0)
-    slowed = _choose_slowed(scheduler, worker, fillers, victims)
+            slack = measure_slack(run.present_load, step.latency_limit_ms)
+            mix.services.append(_Service(image=step.image, slack=slack))
+            if run.load > step.latency_limit_ms:
+                mix.over.add(step.image)
+    return mix
+
+
+def plan_paces(scheduler: Scheduler, worker: Worker, now_ms: float) -> list[PaceOrder]:
+    """Tell which fillers of a worker are to work at another pace."""
+    mix = _sort_runs(scheduler, worker)
+    over_ms = _measure_over(worker, bool(mix.over), now_ms)
+    slowed = _choose_slowed(scheduler, mix)
+    room = [service.slack for service in mix.services]
     orders: list[PaceOrder] = []
-    for run, _ in fillers:
-        if harmful:
-            pace = _halt(run, now_ms)
+    for filler in mix.fillers:
+        run = filler.run
+        if _is_halted(scheduler, filler, mix.over, over_ms):
+            pace = 0
+        elif id(run) in slowed:
+            pace = min(run.pace, _SLOWED_PACE)
         else:
-            pace = _choose_pace(run, strain, id(run) in slowed, now_ms)
-        if pace is None:
+            pace = _raise_pace(scheduler, filler, mix.services, room)
+        if not _is_order_due(run, pace, now_ms):
             continue
         if run.pace >= _FULL:
             run.slowed_ms = now_ms
@@ -93,60 +132,85 @@
     return orders
 
 
-def _is_harmful(worker: Worker, is_over: bool, now_ms: float) -> bool:
-    """Tell whether a service task has been over its limit for too long.
+def _is_order_due(run: Run, pace: int, now_ms: float) -> bool:
+    since = now_ms - run.paced_ms
+    if pace == run.pace:
+        return run.paced_ms > 0.0 and since > _REPEAT_MS
+    return since >= _PAUSE_MS
 
-    Its users count it as harmed after a few seconds on end. The weights may be wrong
-    about who is to blame, so all fillers beside it are halted then, until the listed
-    tail itself is under the limit.
-    """
+
+def _measure_over(worker: Worker, is_over: bool, now_ms: float) -> float:
+    """Return how long service tasks of a worker have been over their limits, in ms."""
     if not is_over:
         worker.over_since_ms = None
-        return False
+        return 0.0
     if worker.over_since_ms is None:
         worker.over_since_ms = now_ms
-    return now_ms - worker.over_since_ms > _PATIENCE_MS
+    return now_ms - worker.over_since_ms
 
 
-def _choose_slowed(
-    scheduler: Scheduler,
-    worker: Worker,
-    fillers: list[tuple[Run, Step]],
-    victims: list[tuple[Step, float]],
-) -> set[int]:
-    """Choose the fewest fillers that, slowed, bring every strain down."""
-    cores = max(1, worker.report.capacity.cpu)
+def _is_halted(
+    scheduler: Scheduler, filler: _Filler, over: set[str], over_ms: float
+) -> bool:
+    """Tell whether a filler must halt, as a service task was over its limit too long.
+
+    Its users count it as harmed after a few seconds on end. First those halt that the
+    weights make responsible; they may be wrong, so a little later all do, until the
+    listed tail itself is under the limit.
+    """
+    if over_ms > _LAST_PATIENCE_MS:
+        return True
+    if over_ms <= _PATIENCE_MS:
+        return False
+    return any(
+        scheduler.interference.weigh(image, filler.step.image) > _LIGHT
+        for image in over
+    )
+
+
+def _choose_slowed(scheduler: Scheduler, mix: _Mix) -> set[int]:
+    """Choose the fewest fillers that, slowed, give every service task its slack."""
     slowed: set[int] = set()
-    for victim, strain in victims:
-        if strain <= _HIGH:
+    for service in mix.services:
+        if service.slack >= _SHORT_SLACK:
             continue
-        excess = strain - _AIM
-        blames = [
-            (scheduler.interference.weigh(victim.image, step.image) * run.load, run)
-            for run, step in fillers
+        missing = _AIM_SLACK - service.slack
+        costs = [
+            (scheduler.interference.weigh(service.image, f.step.image) * f.used, f.run)
+            for f in mix.fillers
         ]
-        for blame, run in sorted(blames, key=lambda pair: pair[0], reverse=True):
-            if excess <= 0 or blame <= 0:
+        for cost, run in sorted(costs, key=lambda pair: pair[0], reverse=True):
+            if missing <= 0 or cost <= 0:
                 break
-            excess -= blame / cores
+            missing -= cost
             slowed.add(id(run))
     return slowed
 
 
-def _halt(run: Run, now_ms: float) -> int | None:
-    if run.pace == 0 and now_ms - run.paced_ms < _REPEAT_MS:
-        return None
-    return 0
-
-
-def _choose_pace(run: Run, strain: float, slow: bool, now_ms: float) -> int | None:
-    since = now_ms - run.paced_ms
-    if since < _PAUSE_MS:
-        return None
-    if slow and run.pace > _SLOWED_PACE:
-        return _SLOWED_PACE
-    if strain < _LOW and run.pace < _FULL:
-        return min(_FULL, run.pace + _RAISE)
-    if run.paced_ms and since > _REPEAT_MS:
+def _raise_pace(
+    scheduler: Scheduler,
+    filler: _Filler,
+    services: list[_Service],
+    room: list[float],
+) -> int:
+    """Choose the highest pace that leaves every service task its slack.
+
+    ``room`` is the slack of each service task, less what other fillers of the worker
+    have just been given of it.
+    """
+    run = filler.run
+    if run.pace >= _FULL:
+        return run.pace
+    raised = (_FULL - run.pace) / _FULL
+    weights = [
+        scheduler.interference.weigh(service.image, filler.step.image) * filler.full
+        for service in services
+    ]
+    for weight, slack in zip(weights, room, strict=True):
+        if weight > 0:
+            raised = min(raised, (slack - _AIM_SLACK) / weight)
+    if raised * _FULL < min(_LEAST_RAISE, _FULL - run.pace):
         return run.pace
-    return None
+    for number, weight in enumerate(weights):
+        room[number] -= raised * weight
+    return run.pace + int(raised * _FULL)
--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -18,16 +18,16 @@
 """A worker not heard for so long gets no new task: one look may wait 1,500 ms and its
 answer be 600 ms late, so one lost look is not yet silence."""
 
-_STRAIN_COST = 30_000
-"""Thousandths of a core that a filler would rather go without than bring a service task
-from undisturbed to its limit: about as much as a worker has."""
+_LEAST_SLACK = 1.4
+"""A filler waits rather than go where it would leave a service task less slack: it
+would be slowed there at once, holding its memory. 1 is the limit."""
 
-_QUIET_STRAIN = 0.5
-"""Predicted strain that isn't counted: half way to the limit is no harm."""
+_ENOUGH_SLACK = 2.5
+"""Slack over this is of no more use: most service tasks have it by themselves."""
 
-_MOST_STRAIN = 0.8
-"""A filler waits rather than go where it would strain a service task so much: it would
-be slowed there at once, holding its memory."""
+_SLACK_COST = 15_000
+"""Thousandths of a core that a task would rather go without than take 1 of the slack
+that is of use: half of a worker."""
 
 _LEAST_SHARE = 0.5
 """A filler starts only where it finds this share of what it asks for: below it, it
@@ -74,11 +74,12 @@
 ) -> float | None:
     """Rate a worker for a task; higher is better, None is no choice."""
     step = state.step
-    strain = 0.0
+    slack = float("inf")
     if step.filler or step.latency_limit_ms:
-        strain = crowd.predict_strain(interference, step)
+        slack = crowd.predict_slack(interference, step)
     if step.filler:
-        if worker.over_since_ms is not None or strain > _MOST_STRAIN:
+        disturbs = slack < float("inf")
+        if slack < _LEAST_SLACK or (disturbs and worker.over_since_ms is not None):
             return None
         if crowd.left < _LEAST_SHARE * step.demand.cpu:
             return None
@@ -87,8 +88,9 @@
         # Packed tightly, so that large tasks find room, too.
         score = float(worker.cpu - worker.report.capacity.cpu)
         if step.latency_limit_ms:
-            score -= _MIXING_COST * len(crowd.victims - {step.image})
-    score -= _STRAIN_COST * max(0.0, strain - _QUIET_STRAIN)
+            others = {victim.image for victim in crowd.victims} - {step.image}
+            score -= _MIXING_COST * len(others)
+    score -= _SLACK_COST * max(0.0, _ENOUGH_SLACK - slack)
     if step.data_rack and step.data_rack not in worker.report.labels:
         score -= _STRANGER_COST / 2
     if worker.report.worker_id in state.failed_on:
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -116,7 +116,7 @@
     ]
     ready.sort(key=lambda state: _rank(state, wall_ms))
     crowds = {
-        worker_id: describe_crowd(worker, scheduler.jobs)
+        worker_id: describe_crowd(worker, scheduler.jobs, scheduler.interference)
         for worker_id, worker in scheduler.workers.items()
     }
     full: set[tuple[str, int, int]] = set()
@@ -153,7 +153,7 @@
             target = _choose(scheduler, state, others, crowds, now_ms)
             if target is not None:
                 # Counted there already, so that not all find the same place.
-                crowds[target.report.worker_id].add(state.step)
+                crowds[target.report.worker_id].add(state.step, base=0.0)
                 scheduler.request_stop(run)
 
 
@@ -214,7 +214,8 @@
     if not state.job.started:
         state.job.started = True
         scheduler.mark_started(state.job)
-    crowds[worker.report.worker_id].add(state.step)
+    base = scheduler.interference.find_base(state.step.image)
+    crowds[worker.report.worker_id].add(state.step, base=base)
     return run
 
 
