--- a/trefoilhook/runtime/commits.py
+++ b/trefoilhook/runtime/commits.py
@@ -136,9 +136,6 @@
             await self._write(changes[begin : begin + size])
 
     async def _write(self, changes: list[JobChange]) -> None:
-        changes = [c for c in changes if c.state.phase is not JobPhase.CANCELLED]
-        if not changes:
-            return
         transaction = self._build(changes)
         try:
             revision = await self._store.commit(transaction)
@@ -227,7 +224,7 @@
         if item.revision == state.revision:
             return
         phase = decode_job_record(item.value).phase
-        if phase is JobPhase.CANCELLED:
+        if phase is JobPhase.CANCELLED and state.phase is not phase:
             self._scheduler.cancel_job(state.job.job_id, revision=item.revision)
         elif phase is state.phase:
             # An earlier copy of this transaction whose answer was lost.
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -187,9 +187,9 @@
         if state is None or state.phase is JobPhase.CANCELLED:
             return
         state.revision = revision
-        state.phase_saved = True
-        state.saved_version = state.version
-        self.dirty.discard(state)
+        # Written once more, so that the record goes with the lease of ended jobs.
+        state.phase_saved = False
+        self._touch(state)
         self._close(state, JobPhase.CANCELLED)
 
     def _set_queue(self, state: JobState) -> None:
--- a/trefoilhook/scheduling/tests/test_steps.py
+++ b/trefoilhook/scheduling/tests/test_steps.py
@@ -228,9 +228,16 @@
         self.assertEqual(shard.count_running(), 0)
         self.assertEqual(shard.step(), [])
 
-    def test_cancelled_job_leaves_nothing_to_write(self):
+    def test_cancelled_job_is_written_once_more(self):
+        # The instance that cancels a job knows no lease for ended jobs. Left as it is,
+        # its record would stay in the store for good.
         shard = Shard(workers=1)
         shard.submit(build_job())
         shard.step()
         shard.scheduler.cancel_job("j", revision=2)
+        (change,) = shard.scheduler.collect_changes()
+        self.assertTrue(change.is_end)
+        self.assertIs(change.state.phase, JobPhase.CANCELLED)
+        self.assertEqual(change.state.revision, 2)
+        shard.scheduler.confirm_change(change, revision=3)
         self.assertEqual(shard.scheduler.collect_changes(), [])
