Serve metrics, tell stories out of logs, slow fillers by what is missing

Scheduling, not yet measured: slowed fillers keep what the slack allows, long-running tasks come after others of their priority, fillers leave a tenth of the memory.

--- a/trefoilhook/command/application.py
+++ b/trefoilhook/command/application.py
@@ -6,6 +6,7 @@
 from trefoilhook.command import cluster, configuration, jobs
 from trefoilhook.command.client import Send
 from trefoilhook.command.core import ApiCommand, CommandSpec
+from trefoilhook.command.story import StoryCommand
 
 __all__ = ["SPECS", "build_application"]
 
@@ -27,4 +28,5 @@
     application = Application("trefoilhook", __version__)
     for spec in SPECS:
         application.add(ApiCommand(spec=spec, send=send))
+    application.add(StoryCommand())
     return application
--- a/trefoilhook/runtime/__main__.py
+++ b/trefoilhook/runtime/__main__.py
@@ -1,5 +1,6 @@
 """Entry point of the process on the users' platform."""
 
+import argparse
 import os
 import signal
 import sys
@@ -81,6 +82,14 @@
             stop.set()
 
 
+def _parse_arguments() -> argparse.Namespace:
+    # Not by the library of the operators' tool: that takes longer to load than all of
+    # this process.
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--metrics-port", type=int, help="serve metrics at this port")
+    return parser.parse_args()
+
+
 def main() -> int:
     """Run one process until it is asked to stop.
 
@@ -89,6 +98,7 @@
     int
         0 after a graceful stop, 2 if the settings can't be read.
     """
+    arguments = _parse_arguments()
     try:
         path = Path(os.environ[SETTINGS_VARIABLE])
         text = path.read_text(encoding="utf-8")
@@ -98,7 +108,9 @@
         return _EXIT_SETTINGS
     configure_line_logs(instance=settings.name)
     clock = build_boot_clock()
-    process = Process(settings=settings, clock=clock)
+    process = Process(
+        settings=settings, clock=clock, metrics_port=arguments.metrics_port
+    )
     file = SettingsFile(path=path, text=text, process=process)
     trio.run(_run, process, file, clock)
     return 0
--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -18,13 +18,16 @@
     ProcessSettings,
     decode_configuration,
 )
+from trefoilhook.runtime.figures import Figures, render
 from trefoilhook.runtime.following import follow
 from trefoilhook.runtime.intake import Intake
 from trefoilhook.runtime.ownership import Campaign, Tenure
 from trefoilhook.runtime.shard import ShardOwner, ShardSettings
 from trefoilhook.scheduling import Configuration
 
-__all__ = ["Process"]
+__all__ = ["METRICS_PATH", "Process"]
+
+METRICS_PATH = "/metrics"
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
 
@@ -61,14 +64,26 @@
         What the platform tells.
     clock : Clock
         Where time comes from.
+    metrics_port : int, optional
+        Where metrics are served; nowhere without it.
 
     Attributes
     ----------
-    entry_port, readiness_port : int
+    entry_port, readiness_port, metrics_port : int
         Where it listens, once it runs.
+    figures : Figures
+        What it counts.
     """
 
-    def __init__(self, *, settings: ProcessSettings, clock: Clock) -> None:
+    def __init__(
+        self,
+        *,
+        settings: ProcessSettings,
+        clock: Clock,
+        metrics_port: int | None = None,
+    ) -> None:
+        self._metrics_port = metrics_port
+        self.metrics_port = 0
         self._settings = settings
         self._clock = clock
         self._store = KeyValueStore(
@@ -87,11 +102,22 @@
             lead=self._lead,
             may_claim=lambda: self._configuration is not None and not self._draining,
         )
+        self.figures = Figures()
+        self.figures.gauges.update(
+            {
+                "is_owner": lambda: float(self._campaign.is_owner),
+                "configuration_version": self._read_version,
+                "store_answers": lambda: float(self._store.answers),
+                "store_failures": lambda: float(self._store.failures),
+                "store_silent_ms": self._measure_silence,
+            }
+        )
         self._intake = Intake(
             store=self._store,
             clock=clock,
             read_configuration=lambda: self._configuration,
             is_store_reachable=self._is_store_reachable,
+            figures=self.figures,
         )
 
     async def run(self, stop: trio.Event) -> None:
@@ -103,6 +129,10 @@
         async with trio.open_nursery() as nursery:
             self.entry_port = await nursery.start(entry.run)
             self.readiness_port = await nursery.start(readiness.run)
+            if self._metrics_port is not None:
+                address = (self._settings.entry_address[0], self._metrics_port)
+                metrics = self._build_server(address, self._answer_metrics)
+                self.metrics_port = await nursery.start(metrics.run)
             nursery.start_soon(self._follow_configuration)
             nursery.start_soon(self._campaign.run)
             log_event(Event.STARTED, instance=self._settings.name)
@@ -147,11 +177,24 @@
         return HttpResponse(status=200 if ready else 503)
 
     def _is_store_reachable(self) -> bool:
+        return self._measure_silence() < _STORE_SILENCE_MS
+
+    def _measure_silence(self) -> float:
+        """Return the time since the store is known to have answered, in ms."""
         now_ms = self._clock.monotonic_ms()
         if self._store.answers != self._answers_seen:
             self._answers_seen = self._store.answers
             self._answered_ms = now_ms
-        return now_ms - self._answered_ms < _STORE_SILENCE_MS
+        return now_ms - self._answered_ms
+
+    def _read_version(self) -> float:
+        return float(self._configuration.version) if self._configuration else 0.0
+
+    async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
+        if request.path != METRICS_PATH:
+            return HttpResponse(status=404)
+        headers = (("content-type", "text/plain; version=0.0.4"),)
+        return HttpResponse(status=200, headers=headers, body=render(self.figures))
 
     async def _follow_configuration(self) -> None:
         def take_listing(listing: Listing) -> None:
@@ -196,6 +239,7 @@
                 stop_grace_ms=bounds.stop_grace_ms,
             ),
             read_configuration=self._read_configuration,
+            figures=self.figures,
         )
         await owner.run()
 
--- a/trefoilhook/runtime/intake.py
+++ b/trefoilhook/runtime/intake.py
@@ -30,6 +30,7 @@
     read_client_timeout,
 )
 from trefoilhook.runtime import keys
+from trefoilhook.runtime.figures import Figures
 from trefoilhook.scheduling import (
     Configuration,
     JobPhase,
@@ -87,6 +88,8 @@
         Returns the configuration in force; None before the first.
     is_store_reachable : callable
         Tells whether the store has answered lately.
+    figures : Figures
+        Where requests are counted.
     """
 
     def __init__(
@@ -96,15 +99,26 @@
         clock: Clock,
         read_configuration: Callable[[], Configuration | None],
         is_store_reachable: Callable[[], bool],
+        figures: Figures,
     ) -> None:
         self._store = store
         self._clock = clock
         self._read_configuration = read_configuration
         self._is_store_reachable = is_store_reachable
+        self._figures = figures
         self._ended: dict[str, JobPhase] = {}
 
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Answer one request."""
+        began_ms = self._clock.monotonic_ms()
+        response = await self._answer(request)
+        kind = f"{request.method} {response.status}"
+        self._figures.count("requests", kind)
+        duration_ms = self._clock.monotonic_ms() - began_ms
+        self._figures.observe(f"{request.method.lower()}_ms", duration_ms)
+        return response
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
         configuration = self._read_configuration()
         if configuration is None:
             return _refuse()
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -24,6 +24,7 @@
 )
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.commits import Committer
+from trefoilhook.runtime.figures import Figures
 from trefoilhook.runtime.following import follow
 from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Tenure
 from trefoilhook.scheduling import (
@@ -118,6 +119,8 @@
         Time limits.
     read_configuration : callable
         Returns the configuration in force.
+    figures : Figures
+        Where orders and ends are counted.
     """
 
     def __init__(
@@ -128,7 +131,9 @@
         tenure: Tenure,
         settings: ShardSettings,
         read_configuration: Callable[[], Configuration],
+        figures: Figures,
     ) -> None:
+        self._figures = figures
         self._store = store
         self._clock = clock
         self._tenure = tenure
@@ -370,6 +375,7 @@
         while self._scheduler.workers.get(worker_id) is worker:
             sent_ms = self._clock.monotonic_ms()
             result = await client.look(self._build_look(worker, sent_ms))
+            self._figures.count("looks")
             if isinstance(result, Look):
                 self._log_ends(worker, result)
                 self._scheduler.take_look(
@@ -399,6 +405,7 @@
     def _log_ends(self, worker: Worker, look: Look) -> None:
         for end in look.ends:
             if end.number > worker.last_end:
+                self._figures.count("ends", end.kind.value)
                 log_event(
                     Event.TASK_ENDED,
                     task=str(end.task),
@@ -473,6 +480,7 @@
             log_event(Event.WORKER_LOST, worker=worker_id, why="leases lapsed")
         if not self._settled and is_settled(scheduler, self._earlier_roster, now_ms):
             self._settled = True
+            self._figures.observe("takeover_ms", now_ms - self._tenure.claimed_ms)
             self._roster_wake.set()
             log_event(
                 Event.SHARD_SETTLED,
@@ -500,7 +508,10 @@
             outcome = await client.stop(order)
         else:
             await client.pace(order)
+            self._figures.count("orders", "pace")
             return
+        name = "start" if isinstance(order, StartOrder) else "stop"
+        self._figures.count("orders", f"{name} {outcome.value}")
         take = self._scheduler.take_stop_outcome
         if isinstance(order, StartOrder):
             take = self._scheduler.take_start_outcome
--- /dev/null
+++ b/trefoilhook/runtime/tests/test_figures.py
@@ -0,0 +1,47 @@
+"""What a process counts, and how it shows it."""
+
+import unittest
+
+import trio
+
+from trefoilhook.http import HttpRequest
+from trefoilhook.runtime.core import METRICS_PATH
+from trefoilhook.runtime.figures import Figures, render
+from trefoilhook.runtime.tests.cluster import PREFIX, Cluster, build_body, run_cluster
+
+
+class FiguresTest(unittest.TestCase):
+    """Counters, histograms and gauges."""
+
+    def test_text_format(self):
+        figures = Figures()
+        figures.count("ends", "done")
+        figures.count("ends", "done")
+        figures.observe("accept_ms", 7.0)
+        figures.observe("accept_ms", 99_000.0)
+        figures.gauges["is_owner"] = lambda: 1.0
+        text = render(figures).decode()
+        for line in (
+            'trefoilhook_ends_total{kind="done"} 2.0',
+            'trefoilhook_accept_ms_bucket{le="5"} 0.0',
+            'trefoilhook_accept_ms_bucket{le="10"} 1.0',
+            'trefoilhook_accept_ms_bucket{le="+Inf"} 2.0',
+            "trefoilhook_is_owner 1.0",
+        ):
+            self.assertIn(line, text)
+
+    def test_metrics_of_a_process(self):
+        async def scenario(cluster: Cluster) -> None:
+            (instance,) = cluster.instances
+            job = PREFIX + "00000000000000c1"
+            await cluster.send(instance, "POST", job, build_body())
+            await cluster.wait_until(lambda: bool(cluster.list_runs()))
+            await trio.sleep(0.3)
+            request = HttpRequest(method="GET", target=METRICS_PATH)
+            answer = await instance.process._answer_metrics(request)
+            text = answer.body.decode()
+            self.assertIn('trefoilhook_requests_total{kind="POST 200"} 1.0', text)
+            self.assertIn('trefoilhook_ends_total{kind="done"} 1.0', text)
+            self.assertIn("trefoilhook_takeover_ms_count 1.0", text)
+
+        run_cluster(scenario, instances=1)
--- a/trefoilhook/scheduling/pacing.py
+++ b/trefoilhook/scheduling/pacing.py
@@ -25,9 +25,8 @@
 """Slack that slowing aims at, and that letting go leaves."""
 
 _SLOWED_PACE = 10
-"""Pace of a filler that is slowed, in percent: not 0, so that its weight is still seen.
-The heaviest are slowed far, and not all a little: they are moved then, the others
-aren't hurt."""
+"""Least pace of a filler that is slowed, in percent: not 0, so that its weight is still
+seen."""
 
 _LEAST_RAISE = 10
 """A pace isn't raised by less than this, in percent: each order is a call."""
@@ -111,7 +110,7 @@
         if _is_halted(scheduler, filler, mix.over, over_ms):
             pace = 0
         elif id(run) in slowed:
-            pace = min(run.pace, _SLOWED_PACE)
+            pace = slowed[id(run)]
         else:
             pace = _raise_pace(scheduler, filler, mix.services, room)
         if not _is_order_due(run, pace, now_ms):
@@ -168,9 +167,13 @@
     )
 
 
-def _choose_slowed(scheduler: Scheduler, mix: _Mix) -> set[int]:
-    """Choose the fewest fillers that, slowed, give every service task its slack."""
-    slowed: set[int] = set()
+def _choose_slowed(scheduler: Scheduler, mix: _Mix) -> dict[int, int]:
+    """Choose fillers to slow, and their paces, to give every service task its slack.
+
+    The heaviest come first, each by no more than what is missing; with a limit already
+    exceeded the weights have been too low, and they are slowed as far as may be.
+    """
+    paces: dict[int, int] = {}
     for service in mix.services:
         if service.slack >= _SHORT_SLACK:
             continue
@@ -182,9 +185,11 @@
         for cost, run in sorted(costs, key=lambda pair: pair[0], reverse=True):
             if missing <= 0 or cost <= 0:
                 break
+            kept = max(0.0, 1.0 - missing / cost) if service.slack > 1.0 else 0.0
+            pace = max(_SLOWED_PACE, int(run.pace * kept))
+            paces[id(run)] = min(pace, paces.get(id(run), run.pace))
             missing -= cost
-            slowed.add(id(run))
-    return slowed
+    return paces
 
 
 def _raise_pace(
--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -33,6 +33,10 @@
 """A filler starts only where it finds this share of what it asks for: below it, it
 would hold memory and slow the fillers beside it without ending any sooner."""
 
+_SPARE_MEMORY = 0.1
+"""Share of a worker's memory that fillers leave to urgent tasks, which they would
+otherwise keep out although there are processors for them."""
+
 _STRANGER_COST = 100_000
 """Keeps a task from a worker where it failed before, while there is any other."""
 
@@ -64,6 +68,11 @@
         return False
     if not worker.has_room(step.room):
         return False
+    if step.filler:
+        capacity_mb = worker.report.capacity.memory_mb
+        left_mb = capacity_mb - worker.memory_mb - step.demand.memory_mb
+        if left_mb < _SPARE_MEMORY * capacity_mb:
+            return False
     if not step.max_per_worker:
         return True
     return worker.count_step(state.task) < step.max_per_worker
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -97,13 +97,18 @@
     )
 
 
-def _rank(state: TaskState, wall_ms: float) -> tuple[int, int, float, str, int]:
-    """Order of the waiting tasks: by priority, then by who can still be in time."""
+def _rank(state: TaskState, wall_ms: float) -> tuple[int, bool, int, float, str, int]:
+    """Order of the waiting tasks: by priority, then by who can still be in time.
+
+    Long-running tasks come after the others of their priority: those give their room
+    back in a second, and earn several times as much by the core and second.
+    """
     job = state.job
     priority = job.queue.priority if job.queue is not None else 0
     left = job.due_ms - wall_ms
     late = 0 if left > state.step.estimate_ms else 1
-    return priority, late, job.due_ms, job.job.job_id, state.task.index
+    lasts = state.step.long_running
+    return priority, lasts, late, job.due_ms, job.job.job_id, state.task.index
 
 
 def _place_waiting(
--- /dev/null
+++ b/trefoilhook/story/core.py
@@ -0,0 +1,135 @@
+"""Merging of log lines into the story of one id.
+
+Lines that name the id are joined by what happened to all jobs meanwhile: changes of
+owner, lost workers, a store that was away. Instances' clocks differ a little; lines of
+one instance keep their order, and an end that seems to come before its cause is most
+often that difference.
+"""
+
+import json
+from collections.abc import Iterable, Iterator, Sequence
+from typing import Any
+
+import attrs
+
+__all__ = ["LogLine", "read_lines", "select_story", "tell_story"]
+
+_CONTEXT = frozenset(
+    {
+        "STARTED",
+        "STOPPING",
+        "STOPPED",
+        "RELOADED",
+        "SHARD_CLAIMED",
+        "SHARD_LOADED",
+        "SHARD_SETTLED",
+        "SHARD_RELEASED",
+        "SHARD_FENCED",
+        "LEASE_LOST",
+        "WORKER_LOST",
+        "STORE_DOWN",
+        "CONFIG_IN_FORCE",
+    }
+)
+"""Events that concern every job that is open at the time."""
+
+_IDS = ("job", "task", "worker")
+_HIDDEN = frozenset({"t", "level", "instance", "event", "event_name"})
+
+_MOST_ALIKE = 3
+"""Lines of one event and instance in a row that are shown; the others are counted."""
+
+
+@attrs.frozen(kw_only=True)
+class LogLine:
+    """One line of a log.
+
+    Parameters
+    ----------
+    time_s : float
+        When it was written, in s since the Unix epoch, by the instance's clock.
+    instance : str
+        Who wrote it.
+    event : str
+        Name of the event.
+    fields : dict
+        Everything else that it tells.
+    """
+
+    time_s: float
+    instance: str
+    event: str
+    fields: dict[str, Any]
+
+    def names(self, wanted: str) -> bool:
+        """Tell whether the line is about an id: a job, a task of it, or a worker."""
+        for key in _IDS:
+            value = str(self.fields.get(key, ""))
+            if value == wanted or value.startswith(f"{wanted}."):
+                return True
+        return False
+
+
+def read_lines(source: Iterable[str]) -> Iterator[LogLine]:
+    """Read log lines, without what stands before the first brace; skip all others."""
+    for text in source:
+        begin = text.find("{")
+        if begin < 0:
+            continue
+        try:
+            value = json.loads(text[begin:])
+            yield LogLine(
+                time_s=float(value["t"]),
+                instance=str(value["instance"]),
+                event=str(value["event_name"]),
+                fields={k: v for k, v in value.items() if k not in _HIDDEN},
+            )
+        except (ValueError, KeyError, TypeError):
+            continue
+
+
+def select_story(lines: Iterable[LogLine], wanted: str) -> list[LogLine]:
+    """Keep the lines about an id, and what concerned all jobs between them."""
+    ordered = sorted(lines, key=lambda line: line.time_s)
+    own = [line for line in ordered if line.names(wanted)]
+    if not own:
+        return []
+    first, last = own[0].time_s, own[-1].time_s
+    return [
+        line
+        for line in ordered
+        if line.names(wanted)
+        or (line.event in _CONTEXT and first <= line.time_s <= last)
+    ]
+
+
+def _tell_line(line: LogLine, began_s: float) -> str:
+    details = " ".join(f"{key}={value}" for key, value in line.fields.items())
+    offset = line.time_s - began_s
+    return f"{offset:9.3f} s  {line.instance}  {line.event}  {details}"
+
+
+def tell_story(lines: Sequence[LogLine]) -> list[str]:
+    """Write a story, a line an event, with times from its beginning.
+
+    Events of one kind in a row at one instance are counted after the third.
+    """
+    if not lines:
+        return ["no line names this id"]
+    told: list[str] = []
+    alike = 0
+    previous: LogLine | None = None
+    for line in lines:
+        same = previous is not None and (
+            (line.event, line.instance) == (previous.event, previous.instance)
+        )
+        alike = alike + 1 if same else 0
+        if alike < _MOST_ALIKE:
+            told.append(_tell_line(line, lines[0].time_s))
+        elif alike == _MOST_ALIKE:
+            told.append("")
+        if alike >= _MOST_ALIKE:
+            more = alike - _MOST_ALIKE + 1
+            told[-1] = f"{'':11}  {line.instance}  {line.event}  {more} more"
+        previous = line
+    return told
