Start small jobs first, and late ones by what they are still worth

Cause: rosters were served in the order of their due times; under a burst that makes all of them late. A job is worth a fixed part and a part by its work, so small ones earn most by the core and second.

--- a/trefoilhook/scheduling/book.py
+++ b/trefoilhook/scheduling/book.py
@@ -91,6 +91,8 @@
         Steps that have begun, by occurrence.
     steps_left : int
         Steps that aren't done, over all occurrences.
+    work : float
+        Estimated work of one run of its steps, in core-milliseconds.
     due_ms : float
         Latest time of its latency objective, in ms since the Unix epoch.
     """
@@ -110,6 +112,7 @@
     tasks: dict[TaskId, TaskState] = attrs.Factory(dict)
     opened: set[tuple[int, int]] = attrs.Factory(set)
     steps_left: int = 0
+    work: float = 0.0
     due_ms: float = 0.0
 
     @property
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -172,6 +172,7 @@
             for occurrence in range(job.occurrences)
             for step in steps
         )
+        state.work = job.estimate_work()
         state.due_ms = job.accepted_ms
         if state.queue is not None:
             state.due_ms += state.queue.stretch * job.estimate_chain()
--- a/trefoilhook/scheduling/models.py
+++ b/trefoilhook/scheduling/models.py
@@ -136,6 +136,13 @@
         """How many times the steps run."""
         return max(1, self.repeats)
 
+    def estimate_work(self) -> float:
+        """Estimate the work of one run of the steps, in core-milliseconds."""
+        return sum(
+            step.count * step.estimate_ms * step.demand.cpu / 1000.0
+            for step in self.steps
+        )
+
     def estimate_chain(self) -> float:
         """Estimate the time of the longest chain of steps, in ms."""
         ends: list[float] = []
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -18,6 +18,9 @@
 """Tasks that one plan looks for a worker for: it bounds the time of a plan under a
 burst; the first ones in order are looked at, the others wait for the next plan."""
 
+_LATE_FACTOR = 3.0
+"""Up to so many times its objective a late job is still worth something to its users."""
+
 _ORDER_DUE_MS = 20.0
 """A run's order is due when its time has come, or within this of it."""
 
@@ -97,18 +100,32 @@
     )
 
 
+def _judge_lateness(state: TaskState, wall_ms: float) -> int:
+    """Return 0 for a job that can be in time, 1 for late, 2 for too late to matter."""
+    job = state.job
+    left_ms = job.due_ms - wall_ms
+    if left_ms > state.step.estimate_ms:
+        return 0
+    objective_ms = job.due_ms - job.job.accepted_ms
+    if left_ms + (_LATE_FACTOR - 1.0) * objective_ms > state.step.estimate_ms:
+        return 1
+    return 2
+
+
 def _rank(state: TaskState, wall_ms: float) -> tuple[int, bool, int, float, str, int]:
-    """Order of the waiting tasks: by priority, then by who can still be in time.
+    """Order of the waiting tasks: by priority, by who can be in time, the small first.
+
+    A job is worth a fixed part and a part by its work, so small ones earn most by the
+    core and second.
 
     Long-running tasks come after the others of their priority: those give their room
     back in a second, and earn several times as much by the core and second.
     """
     job = state.job
     priority = job.queue.priority if job.queue is not None else 0
-    left = job.due_ms - wall_ms
-    late = 0 if left > state.step.estimate_ms else 1
+    late = _judge_lateness(state, wall_ms)
     lasts = state.step.long_running
-    return priority, lasts, late, job.due_ms, job.job.job_id, state.task.index
+    return priority, lasts, late, job.work, job.job.job_id, state.task.index
 
 
 def _place_waiting(
