--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -19,7 +19,7 @@
 burst; the first ones in order are looked at, the others wait for the next plan."""
 
 _LATE_FACTOR = 3.0
-"""Up to so many times its objective a late job is still worth something to its users."""
+"""Up to so many times its objective a late job is still of some use to its users."""
 
 _ORDER_DUE_MS = 20.0
 """A run's order is due when its time has come, or within this of it."""
