Let a worker's own answer tell which of its lives is alive

Ruled out: comparing the revisions at which entries were created, as the late report creates its entry anew. Now only the answer 421 to a look or order (or lapsed leases) frees what ran there.

--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -237,25 +237,19 @@
     # What the workers did.
 
     def update_worker(self, report: WorkerReport) -> None:
-        """Take in what a worker says of itself."""
+        """Take in what a worker says of itself.
+
+        A report at the address of another worker proves nothing about that one: what a
+        life that has ended wrote last may reach the store after its successor's first
+        report. Which of them is alive tells the answer to a look.
+        """
         worker = self.workers.get(report.worker_id)
         if worker is None:
-            self._drop_earlier_life(report)
             self.workers[report.worker_id] = build_worker(report)
             return
         worker.report = report
         worker.listed = True
 
-    def _drop_earlier_life(self, report: WorkerReport) -> None:
-        """Free what ran on a worker's earlier life, now that a new one is listed.
-
-        An address is given anew only after its holder is gone, so nothing runs there.
-        """
-        for worker in list(self.workers.values()):
-            earlier = worker.report
-            if (earlier.host, earlier.port) == (report.host, report.port):
-                self.drop_worker(earlier.worker_id)
-
     def unlist_worker(self, worker_id: str) -> None:
         """Note that the store lists a worker no more; it may still run its tasks."""
         worker = self.workers.get(worker_id)
--- a/trefoilhook/scheduling/tests/test_orders.py
+++ b/trefoilhook/scheduling/tests/test_orders.py
@@ -104,12 +104,27 @@
         # waiting for its lease would cost the client 5 s.
         shard = Shard(workers=1)
         shard.submit(build_job())
-        shard.start_one()
+        order = shard.start_one()
         shard.workers["w9"] = FakeWorker(worker_id="w9")
         shard.add_worker("w9", host="w0")
+        shard.answer(order, OrderOutcome.OTHER_LIFE)
         self.assertNotIn("w0", shard.scheduler.workers)
         self.assertEqual(shard.start_one().worker_id, "w9")
 
+    def test_late_report_of_an_earlier_life_frees_nothing(self):
+        # A worker crashes behind a cut and is back under a new id, with a task. Then
+        # the last report of its earlier life, held up by the cut, reaches the store.
+        # Taken for a restart, it would have the task started elsewhere, too.
+        shard = Shard(workers=2)
+        shard.submit(build_job())
+        order = shard.start_one()
+        shard.workers["ghost"] = FakeWorker(worker_id="ghost")
+        shard.add_worker("ghost", host=order.worker_id)
+        self.assertIn(order.worker_id, shard.scheduler.workers)
+        self.assertEqual(list_starts(shard.step()), [])
+        shard.end(order, EndKind.DONE)
+        self.assertIs(shard.scheduler.jobs["j"].phase, JobPhase.COMPLETED)
+
     def test_worker_off_the_list_may_still_run_its_task(self):
         # The store drops a worker that is cut off; its task runs on until the lease
         # ends. Started elsewhere before, it would run twice.
