Hand what was learned to the next owner, and try old judgements again

Now weights are written every 2 s, and placement judges a weight half a standard deviation under its mean, which grows while it isn't seen.

--- a/trefoilhook/runtime/keys.py
+++ b/trefoilhook/runtime/keys.py
@@ -5,6 +5,7 @@
     "epoch_key",
     "job_key",
     "job_prefix",
+    "learned_key",
     "owner_key",
     "ownership_prefix",
     "progress_key",
@@ -39,6 +40,11 @@
     return f"shard/{shard}/roster"
 
 
+def learned_key(shard: int) -> str:
+    """Return the key of what the owner has learned about interference."""
+    return f"shard/{shard}/learned"
+
+
 def job_prefix(shard: int) -> str:
     """Return what the keys of job records begin with."""
     return f"shard/{shard}/job/"
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -38,8 +38,10 @@
     StartOrder,
     StopOrder,
     Worker,
+    decode_interference,
     decode_job_record,
     decode_progress,
+    encode_interference,
     extend_lease,
     is_settled,
     plan_orders,
@@ -80,6 +82,10 @@
 _RETENTION_RENEW_MS = 240_000.0
 """Pause until a new lease is taken for jobs that end from then on, in ms."""
 
+_LEARNED_PAUSE_MS = 2000.0
+"""Pause between two writes of what was learned, in ms: weights settle in some seconds,
+and a write of five images by ten is 6 KB."""
+
 _LEASE_SLACK_MS = 300.0
 """Added to the longest time for which orders of an earlier owner can have effect: what
 was on its way when its machine froze, and clocks that are 2 % slow."""
@@ -190,6 +196,7 @@
         nursery.start_soon(self._committer.run)
         nursery.start_soon(self._keep_roster)
         nursery.start_soon(self._keep_retention)
+        nursery.start_soon(self._keep_learned)
         await self._plan(nursery)
 
     # What stands in the store.
@@ -206,6 +213,7 @@
                 # seen ended, never open without what was done of it.
                 jobs = await self._store.list_items(keys.job_prefix(keys.SHARD))
                 roster = await self._store.get(keys.roster_key(keys.SHARD))
+                learned = await self._store.get(keys.learned_key(keys.SHARD))
                 break
             except StoreError as error:
                 log_event(Event.STORE_DOWN, call="load", error=str(error))
@@ -214,6 +222,8 @@
             self._roster = tuple(json.loads(roster.value))
             self._roster_revision = roster.revision
         self._earlier_roster = self._roster
+        if learned is not None:
+            self._scheduler.interference = decode_interference(learned.value)
         known = {keys.read_job_id(item.key): item for item in progress.items}
         for item in jobs.items:
             self._take_job(item, known.get(keys.read_job_id(item.key)))
@@ -357,6 +367,31 @@
         self.wake()
         return True
 
+    async def _keep_learned(self) -> None:
+        """Write what was learned, so that the next owner needn't learn it again.
+
+        It only guides choices: a lost or late write does no harm.
+        """
+        owner = keys.owner_key(keys.SHARD)
+        written = 0
+        while True:
+            await self._clock.sleep_ms(_LEARNED_PAUSE_MS)
+            interference = self._scheduler.interference
+            if interference.steps == written:
+                continue
+            written = interference.steps
+            put = Put(
+                key=keys.learned_key(keys.SHARD),
+                value=encode_interference(interference),
+            )
+            expected = Expectation(key=owner, revision=self._tenure.owner_revision)
+            try:
+                await self._store.commit(
+                    Transaction(expectations=(expected,), puts=(put,))
+                )
+            except StoreError as error:
+                log_event(Event.STORE_DOWN, call="learned", error=str(error))
+
     async def _keep_retention(self) -> None:
         while True:
             try:
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -3,6 +3,11 @@
 from trefoilhook.scheduling.book import JobState
 from trefoilhook.scheduling.core import JobChange, Scheduler, SchedulerLimits
 from trefoilhook.scheduling.fleet import Worker
+from trefoilhook.scheduling.interference import (
+    Interference,
+    decode_interference,
+    encode_interference,
+)
 from trefoilhook.scheduling.messages import (
     End,
     EndKind,
@@ -42,6 +47,7 @@
     "Demand",
     "End",
     "EndKind",
+    "Interference",
     "Job",
     "JobChange",
     "JobPhase",
@@ -62,8 +68,10 @@
     "TaskId",
     "Worker",
     "WorkerReport",
+    "decode_interference",
     "decode_job_record",
     "decode_progress",
+    "encode_interference",
     "encode_job_record",
     "encode_progress",
     "extend_lease",
--- a/trefoilhook/scheduling/crowds.py
+++ b/trefoilhook/scheduling/crowds.py
@@ -86,7 +86,7 @@
         share = step.demand.cpu / max(1.0, self.cores)
         least = float("inf")
         for victim in self.victims:
-            cost = interference.weigh(victim.image, step.image) * share
+            cost = interference.weigh_hopefully(victim.image, step.image) * share
             if cost > _HARMLESS_COST:
                 others = interference.find_cost(victim.image, self.shares)
                 least = min(least, victim.base - others - cost)
--- a/trefoilhook/scheduling/interference.py
+++ b/trefoilhook/scheduling/interference.py
@@ -21,11 +21,18 @@
 .. [2] J. Mars et al., "Bubble-Up", MICRO 2011: slowdown as pressure times sensitivity.
 """
 
+import json
+import math
 from collections.abc import Mapping
 
 import attrs
 
-__all__ = ["Interference", "measure_slack"]
+__all__ = [
+    "Interference",
+    "decode_interference",
+    "encode_interference",
+    "measure_slack",
+]
 
 _PRIOR_WEIGHT = 4.0
 """Weight of a pair never seen. In a trial of 1,900 looks without any pacing, pairs lay
@@ -47,6 +54,10 @@
 """Added to a weight's variance by each step: what was learned 1,500 steps ago, a minute
 on ten workers, is forgotten."""
 
+_HOPE = 0.5
+"""Standard deviations under its mean by which a weight is judged for placement. With a
+whole one too much is tried at once: a trial lost 0.16 of the service tasks' worth."""
+
 _MOST_SLACK = 5.0
 """Slack is cut here: far under the limit the tail says nothing about fillers."""
 
@@ -82,9 +93,18 @@
 
 @attrs.define(kw_only=True)
 class Interference:
-    """What was learned so far, by image of the service tasks."""
+    """What was learned so far, by image of the service tasks.
+
+    Parameters
+    ----------
+    rows : dict of str to _Row
+        Base and weights.
+    steps : int
+        Looks learned from.
+    """
 
     rows: dict[str, _Row] = attrs.Factory(dict)
+    steps: int = 0
 
     def weigh(self, victim: str, filler: str) -> float:
         """Return the slack that a filler on all of a worker would cost."""
@@ -93,6 +113,19 @@
             return _PRIOR_WEIGHT
         return max(0.0, row.means.get(filler, _PRIOR_WEIGHT))
 
+    def weigh_hopefully(self, victim: str, filler: str) -> float:
+        """Return the least weight that what was learned still allows.
+
+        For placement: a pair thought heavy long ago, or on thin evidence, is tried
+        again. Judged by its mean it would never be, and nothing would be learned: with
+        600 fillers waiting, 30 ran on 60 of 550 idle cores.
+        """
+        row = self.rows.get(victim)
+        if row is None or filler not in row.means:
+            return _PRIOR_WEIGHT
+        deviation = math.sqrt(max(0.0, row.covariance[filler][filler]))
+        return max(0.0, row.means[filler] - _HOPE * deviation)
+
     def find_base(self, victim: str) -> float:
         """Return the mean slack of service tasks without fillers."""
         row = self.rows.get(victim)
@@ -121,6 +154,7 @@
         predicted = sum(row.means[image] * x for image, x in features.items())
         if slack <= _LEAST_SLACK and predicted <= slack:
             return
+        self.steps += 1
         projected: dict[str, float] = {}
         for image, cells in row.covariance.items():
             if image != _BASE:
@@ -134,3 +168,27 @@
             cells = row.covariance[image]
             for other, value in projected.items():
                 cells[other] -= gain * value / spread
+
+
+def encode_interference(interference: Interference) -> bytes:
+    """Encode what was learned, for the next owner."""
+    value = {
+        victim: {
+            "means": {image: round(mean, 3) for image, mean in row.means.items()},
+            "covariance": {
+                image: {other: round(cell, 3) for other, cell in cells.items()}
+                for image, cells in row.covariance.items()
+            },
+        }
+        for victim, row in interference.rows.items()
+    }
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+def decode_interference(data: bytes) -> Interference:
+    """Decode what ``encode_interference`` made."""
+    rows = {
+        victim: _Row(means=row["means"], covariance=row["covariance"])
+        for victim, row in json.loads(data).items()
+    }
+    return Interference(rows=rows)
--- a/trefoilhook/scheduling/tests/test_sharing.py
+++ b/trefoilhook/scheduling/tests/test_sharing.py
@@ -3,7 +3,12 @@
 import unittest
 
 from trefoilhook.scheduling import Demand, PaceOrder, Step
-from trefoilhook.scheduling.interference import Interference, measure_slack
+from trefoilhook.scheduling.interference import (
+    Interference,
+    decode_interference,
+    encode_interference,
+    measure_slack,
+)
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 
 _SERVICE = Step(
@@ -37,6 +42,29 @@
         self.assertGreater(model.weigh("s", "heavy"), 8.0)
         self.assertLess(model.weigh("s", "light"), 3.0)
 
+    def test_what_was_learned_outlives_its_owner(self):
+        model = Interference()
+        for number in range(30):
+            model.learn("s", {"f": 0.1 * (number % 2)}, 1.2 if number % 2 else 2.6)
+        read = decode_interference(encode_interference(model))
+        for other in (model, read):
+            other.learn("s", {"f": 0.1, "g": 0.2}, 1.0)
+        self.assertAlmostEqual(read.weigh("s", "f"), model.weigh("s", "f"), places=1)
+        self.assertAlmostEqual(read.weigh("s", "g"), model.weigh("s", "g"), places=1)
+
+    def test_pair_learned_long_ago_is_tried_again(self):
+        # A filler was heavy once. Nothing else runs beside the service task any more,
+        # so nothing more is learned of it: by its mean it would wait for good.
+        model = Interference()
+        for _ in range(40):
+            model.learn("s", {"f": 0.2}, 1.0)
+        sure = model.weigh("s", "f") - model.weigh_hopefully("s", "f")
+        for _ in range(3000):
+            model.learn("s", {"g": 0.1}, 2.5)
+        unsure = model.weigh("s", "f") - model.weigh_hopefully("s", "f")
+        self.assertLess(sure, 1.5)
+        self.assertGreater(unsure, 3.0)
+
     def test_slack_table(self):
         for tail_ms, expected in ((0.0, 5.0), (9.0, 2.0), (18.0, 1.0), (180.0, 0.1)):
             with self.subTest(tail_ms=tail_ms):
