Split the scheduler and the shard's owner into parts; forget ended jobs

Looks, outcomes of orders and changes to be written have modules of their own, so have the roster, the owner's upkeep and the watching of workers; field names of the platform's wire left these packages.

--- a/trefoilhook/platform/settings.py
+++ b/trefoilhook/platform/settings.py
@@ -25,7 +25,7 @@
         From SIGTERM to SIGKILL.
     max_task_lease_ms : float
         Longest lease of what runs on a worker; a longer one is cut to it.
-    stop_grace_ms : float
+    longest_stop_ms : float
         Longest time that a task takes to stop.
     gang_wait_ms : float
         How long a member of a gang waits for the others.
@@ -39,7 +39,7 @@
 
     shutdown_ms: float
     max_task_lease_ms: float
-    stop_grace_ms: float
+    longest_stop_ms: float
     gang_wait_ms: float
     status_ms: float
     early_ms: float
@@ -87,7 +87,7 @@
     return Bounds(
         shutdown_ms=table["grace_s"] * 1000.0,
         max_task_lease_ms=table["max_hold_ms"],
-        stop_grace_ms=table["stop_grace_ms"],
+        longest_stop_ms=table["stop_grace_ms"],
         gang_wait_ms=table["gang_timeout_ms"],
         status_ms=table["status_s"] * 1000.0,
         early_ms=table["early_ms"],
--- a/trefoilhook/platform/store.py
+++ b/trefoilhook/platform/store.py
@@ -228,9 +228,18 @@
         changes = tuple(_decode_change(row) for row in answer["events"])
         return Changes(changes=changes, as_of=answer["as_of"])
 
-    async def commit(self, transaction: Transaction) -> int:
+    async def commit(
+        self, transaction: Transaction, *, timeout_ms: float | None = None
+    ) -> int:
         """Make the changes and return the store's revision of them.
 
+        Parameters
+        ----------
+        transaction : Transaction
+            What to change.
+        timeout_ms : float, optional
+            Longest time for the call, in ms, if it is another than usual.
+
         Raises
         ------
         PreconditionError
@@ -239,7 +248,11 @@
             If a lease of the changes has ended; nothing changed.
         """
         response = await self._call(
-            "POST", "kv-txn", body=_encode(transaction), accept=(404, 412)
+            "POST",
+            "kv-txn",
+            body=_encode(transaction),
+            accept=(404, 412),
+            extra_ms=(timeout_ms or self._timeout_ms) - self._timeout_ms,
         )
         if response.status == 404:
             raise LeaseLostError("the lease has ended")
--- a/trefoilhook/runtime/commits.py
+++ b/trefoilhook/runtime/commits.py
@@ -29,6 +29,8 @@
     JobChange,
     JobPhase,
     Scheduler,
+    collect_changes,
+    confirm_change,
     decode_job_record,
     encode_job_record,
     encode_progress,
@@ -130,7 +132,7 @@
 
     async def flush(self) -> None:
         """Write all changes that there are now."""
-        changes = self._scheduler.collect_changes()
+        changes = collect_changes(self._scheduler)
         size = (MAX_ROWS - 1) // _ROWS_PER_CHANGE
         for begin in range(0, len(changes), size):
             await self._write(changes[begin : begin + size])
@@ -190,7 +192,7 @@
     def _confirm(self, change: JobChange, revision: int) -> None:
         state = change.state
         self._sent.pop(state.job.job_id, None)
-        self._scheduler.confirm_change(change, revision=revision)
+        confirm_change(self._scheduler, change, revision=revision)
         if change.is_end:
             log_event(
                 Event.JOB_FINISHED,
--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -236,7 +236,7 @@
             tenure=tenure,
             settings=ShardSettings(
                 task_lease_ms=min(_TASK_LEASE_MS, longest_ms),
-                stop_grace_ms=bounds.stop_grace_ms,
+                longest_stop_ms=bounds.longest_stop_ms,
             ),
             read_configuration=self._read_configuration,
             figures=self.figures,
--- a/trefoilhook/runtime/intake.py
+++ b/trefoilhook/runtime/intake.py
@@ -56,6 +56,16 @@
 _RETRY_PAUSE_MS = 60.0
 """Pause before a call to the store is made again, in ms."""
 
+_COMMIT_TIMEOUT_MS = 500.0
+"""Longest time for the answer to a submission's transaction, in ms. A lost answer
+leaves its connection silent, so a longer one only delays the next try; 360 ms is what
+an answer takes from a store ninety times slower than usual."""
+
+_UNKNOWN_LIMIT_MS = 1200.0
+"""How long a submission without an answer of the store is tried again, in ms: two tries
+of the above. Past that the store is away for this instance; the client, told so, can
+ask another one in the time that it has left."""
+
 _TURNED_AWAY_LIMIT_MS = 250.0
 """How long calls that the store turns away are tried again, in ms: past that another
 instance, or the same a second later, serves the client sooner."""
@@ -183,7 +193,9 @@
             return _refuse()
         while True:
             try:
-                revision = await self._store.commit(change)
+                revision = await self._store.commit(
+                    change, timeout_ms=_COMMIT_TIMEOUT_MS
+                )
                 log_event(
                     Event.JOB_ACCEPTED,
                     job=target.job_id,
@@ -203,7 +215,8 @@
             if not ambiguous and spent_ms > _TURNED_AWAY_LIMIT_MS:
                 log_event(Event.REQUEST_REFUSED, job=target.job_id, why=reason)
                 return _refuse()
-            if spent_ms > timeout_ms - _ANSWER_MARGIN_MS:
+            limit_ms = min(_UNKNOWN_LIMIT_MS, timeout_ms - _ANSWER_MARGIN_MS)
+            if ambiguous and spent_ms > limit_ms:
                 log_event(Event.REQUEST_FAILED, job=target.job_id, why=reason)
                 return HttpResponse(status=504)
             await self._clock.sleep_ms(_RETRY_PAUSE_MS)
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -1,24 +1,19 @@
 """The work of a shard's owner: what the scheduler decides, carried out."""
 
-import json
 from collections.abc import Callable
 
 import attrs
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.exceptions import LeaseLostError, PreconditionError, StoreError
+from trefoilhook.exceptions import StoreError
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import (
     WORKER_PREFIX,
     Change,
-    Expectation,
     Item,
     KeyValueStore,
     Listing,
-    LookRequest,
-    Put,
-    Transaction,
     WorkerClient,
     decode_worker_report,
 )
@@ -27,10 +22,12 @@
 from trefoilhook.runtime.figures import Figures
 from trefoilhook.runtime.following import follow
 from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Tenure
+from trefoilhook.runtime.roster import Roster
+from trefoilhook.runtime.upkeep import Upkeep
+from trefoilhook.runtime.watching import WorkerWatch
 from trefoilhook.scheduling import (
     Configuration,
     JobPhase,
-    Look,
     Order,
     OrderOutcome,
     Scheduler,
@@ -41,10 +38,10 @@
     decode_interference,
     decode_job_record,
     decode_progress,
-    encode_interference,
-    extend_lease,
     is_settled,
     plan_orders,
+    take_start_outcome,
+    take_stop_outcome,
 )
 
 __all__ = ["ShardOwner", "ShardSettings"]
@@ -53,20 +50,8 @@
 """Longest time for an answer of a worker, in ms: the round trip is 2 ms, and a worker
 that is six times slower than usual still answers at once."""
 
-_LOOK_WAIT_MS = 1500
-"""How long a look waits for an end, in ms. An end is acknowledged with the next look,
-so this and the progress window stay under the 4 s in which that has to happen."""
-
-_CLOSE_LOOK_WAIT_MS = 500
-"""The same where fillers run beside service tasks, whose tail latency is a figure of
-the last half second."""
-
-_SAVING_WAIT_MS = 200.0
-"""How long the next look at a worker waits for its ends to be in the store, in ms; then
-they are listed once more, with what has ended since."""
-
-_LOOK_RETRY_MS = 200.0
-"""Pause after a look that failed, in ms."""
+_LOAD_RETRY_MS = 200.0
+"""Pause after a try to read the shard that failed, in ms."""
 
 _GATHER_MS = 6.0
 """How long a plan waits for more news, in ms: news come in bursts, as the tasks of a
@@ -75,17 +60,6 @@
 _TICK_MS = 100.0
 """Longest pause between two plans, in ms; each repeats orders without an answer."""
 
-_RETENTION_LEASE_MS = 600_000
-"""How long ended jobs stay in the store, in ms: the platform's longest lease, more than
-the 120 s for which their state has to be told."""
-
-_RETENTION_RENEW_MS = 240_000.0
-"""Pause until a new lease is taken for jobs that end from then on, in ms."""
-
-_LEARNED_PAUSE_MS = 2000.0
-"""Pause between two writes of what was learned, in ms: weights settle in some seconds,
-and a write of five images by ten is 6 KB."""
-
 _LEASE_SLACK_MS = 300.0
 """Added to the longest time for which orders of an earlier owner can have effect: what
 was on its way when its machine froze, and clocks that are 2 % slow."""
@@ -102,12 +76,12 @@
     ----------
     task_lease_ms : float
         Lease that each look gives to what runs on a worker.
-    stop_grace_ms : float
+    longest_stop_ms : float
         Longest time that a task takes to stop.
     """
 
     task_lease_ms: float
-    stop_grace_ms: float
+    longest_stop_ms: float
 
 
 class ShardOwner:
@@ -149,7 +123,7 @@
             epoch=tenure.epoch,
             limits=SchedulerLimits(
                 task_lease_ms=settings.task_lease_ms,
-                stop_grace_ms=settings.stop_grace_ms,
+                longest_stop_ms=settings.longest_stop_ms,
                 settled_at_ms=tenure.claimed_ms + reach_ms + _LEASE_SLACK_MS,
             ),
             configuration=read_configuration(),
@@ -162,13 +136,26 @@
             depose=tenure.over.set,
             notify=self.wake,
         )
+        self._watch_worker = WorkerWatch(
+            clock=clock,
+            tenure=tenure,
+            scheduler=self._scheduler,
+            committer=self._committer,
+            figures=figures,
+            notify=self._wake_all,
+            depose=self._depose,
+        ).run
         self._clients: dict[str, WorkerClient] = {}
-        self._roster: tuple[str, ...] = ()
-        self._roster_revision = 0
+        self._roster = Roster(
+            store=store,
+            clock=clock,
+            tenure=tenure,
+            scheduler=self._scheduler,
+            notify=self.wake,
+        )
         self._earlier_roster: tuple[str, ...] = ()
         self._settled = False
         self._wake = trio.Event()
-        self._roster_wake = trio.Event()
 
     def wake(self) -> None:
         """Have the next plan made soon."""
@@ -194,9 +181,17 @@
         nursery.start_soon(self._follow_jobs, jobs)
         nursery.start_soon(self._follow_workers, nursery, workers)
         nursery.start_soon(self._committer.run)
-        nursery.start_soon(self._keep_roster)
-        nursery.start_soon(self._keep_retention)
-        nursery.start_soon(self._keep_learned)
+        nursery.start_soon(self._roster.keep)
+        upkeep = Upkeep(
+            store=self._store,
+            clock=self._clock,
+            tenure=self._tenure,
+            scheduler=self._scheduler,
+            committer=self._committer,
+        )
+        nursery.start_soon(upkeep.keep_learned)
+        nursery.start_soon(upkeep.keep_retention)
+        nursery.start_soon(upkeep.forget_ended)
         await self._plan(nursery)
 
     # What stands in the store.
@@ -217,11 +212,9 @@
                 break
             except StoreError as error:
                 log_event(Event.STORE_DOWN, call="load", error=str(error))
-                await self._clock.sleep_ms(_LOOK_RETRY_MS)
-        if roster is not None:
-            self._roster = tuple(json.loads(roster.value))
-            self._roster_revision = roster.revision
-        self._earlier_roster = self._roster
+                await self._clock.sleep_ms(_LOAD_RETRY_MS)
+        self._roster.take(roster)
+        self._earlier_roster = self._roster.workers
         if learned is not None:
             self._scheduler.interference = decode_interference(learned.value)
         known = {keys.read_job_id(item.key): item for item in progress.items}
@@ -283,7 +276,7 @@
                 self._take_worker(nursery, item)
             for worker_id in set(self._scheduler.workers) - listed:
                 self._scheduler.unlist_worker(worker_id)
-            self._roster_wake.set()
+            self._roster.wake()
 
         def take_change(change: Change) -> None:
             if change.item is not None:
@@ -292,7 +285,7 @@
                 worker_id = change.key.removeprefix(WORKER_PREFIX)
                 self._scheduler.unlist_worker(worker_id)
                 log_event(Event.WORKER_LOST, worker=worker_id, why="unlisted")
-            self._roster_wake.set()
+            self._roster.wake()
             self.wake()
 
         take_listing(listing)
@@ -317,175 +310,18 @@
             client = WorkerClient(report=report, timeout_ms=_WORKER_TIMEOUT_MS)
             self._clients[report.worker_id] = client
             worker = self._scheduler.workers[report.worker_id]
-            worker.rostered = report.worker_id in self._roster
-            nursery.start_soon(self._watch_worker, worker, client)
-
-    async def _keep_roster(self) -> None:
-        """Write which workers may run tasks, before any is started there."""
-        while True:
-            wanted = tuple(sorted(self._scheduler.workers))
-            if set(wanted) - set(self._roster) or (
-                self._settled and wanted != self._roster
-            ):
-                if not self._settled:
-                    wanted = tuple(sorted({*wanted, *self._roster}))
-                if not await self._write_roster(wanted):
-                    await self._clock.sleep_ms(_LOOK_RETRY_MS)
-                    continue
-            await self._roster_wake.wait()
-            self._roster_wake = trio.Event()
-
-    async def _write_roster(self, roster: tuple[str, ...]) -> bool:
-        key = keys.roster_key(keys.SHARD)
-        owner = keys.owner_key(keys.SHARD)
-        value = json.dumps(roster).encode()
-        change = Transaction(
-            expectations=(
-                Expectation(key=owner, revision=self._tenure.owner_revision),
-                Expectation(key=key, revision=self._roster_revision),
-            ),
-            puts=(Put(key=key, value=value),),
-        )
-        try:
-            self._roster_revision = await self._store.commit(change)
-        except PreconditionError as error:
-            standing = {item.key: item for item in error.items}
-            if owner not in standing:
-                self._tenure.over.set()
-                return False
-            item = standing.get(key)
-            self._roster_revision = item.revision if item is not None else 0
-            return False
-        except (StoreError, LeaseLostError) as error:
-            log_event(Event.STORE_DOWN, call="roster", error=str(error))
-            return False
-        self._roster = roster
-        for worker_id in roster:
-            worker = self._scheduler.workers.get(worker_id)
-            if worker is not None:
-                worker.rostered = True
-        self.wake()
-        return True
-
-    async def _keep_learned(self) -> None:
-        """Write what was learned, so that the next owner needn't learn it again.
-
-        It only guides choices: a lost or late write does no harm.
-        """
-        owner = keys.owner_key(keys.SHARD)
-        written = 0
-        while True:
-            await self._clock.sleep_ms(_LEARNED_PAUSE_MS)
-            interference = self._scheduler.interference
-            if interference.steps == written:
-                continue
-            written = interference.steps
-            put = Put(
-                key=keys.learned_key(keys.SHARD),
-                value=encode_interference(interference),
-            )
-            expected = Expectation(key=owner, revision=self._tenure.owner_revision)
-            try:
-                await self._store.commit(
-                    Transaction(expectations=(expected,), puts=(put,))
-                )
-            except StoreError as error:
-                log_event(Event.STORE_DOWN, call="learned", error=str(error))
-
-    async def _keep_retention(self) -> None:
-        while True:
-            try:
-                lease = await self._store.grant_lease(_RETENTION_LEASE_MS)
-                self._committer.set_retention(lease)
-                await self._clock.sleep_ms(_RETENTION_RENEW_MS)
-            except StoreError as error:
-                log_event(Event.STORE_DOWN, call="retention", error=str(error))
-                await self._clock.sleep_ms(1000.0)
+            worker.rostered = report.worker_id in self._roster.workers
+            nursery.start_soon(self._watch, worker, client)
 
     # What runs on the workers.
 
-    async def _watch_worker(self, worker: Worker, client: WorkerClient) -> None:
-        """Look at a worker again and again, until it is gone."""
+    async def _watch(self, worker: Worker, client: WorkerClient) -> None:
+        await self._watch_worker(worker, client)
         worker_id = worker.report.worker_id
-        while self._scheduler.workers.get(worker_id) is worker:
-            sent_ms = self._clock.monotonic_ms()
-            result = await client.look(self._build_look(worker, sent_ms))
-            self._figures.count("looks")
-            if isinstance(result, Look):
-                self._log_ends(worker, result)
-                self._scheduler.take_look(
-                    worker_id,
-                    result,
-                    sent_ms=sent_ms,
-                    now_ms=self._clock.monotonic_ms(),
-                )
-                self._wake_all()
-                await self._wait_for_saving(worker)
-                continue
-            if result is OrderOutcome.FENCED:
-                self._depose()
-                return
-            if result is OrderOutcome.OTHER_LIFE:
-                log_event(Event.WORKER_LOST, worker=worker_id, why="restarted")
-                self._scheduler.drop_worker(worker_id)
-                self._wake_all()
-                break
-            if not worker.suspect:
-                log_event(Event.WORKER_LOST, worker=worker_id, why=result.value)
-            worker.suspect = True
-            await self._clock.sleep_ms(_LOOK_RETRY_MS)
-        self._clients.pop(worker_id, None)
+        if self._clients.get(worker_id) is client:
+            del self._clients[worker_id]
         await client.close()
 
-    def _log_ends(self, worker: Worker, look: Look) -> None:
-        for end in look.ends:
-            if end.number > worker.last_end:
-                self._figures.count("ends", end.kind.value)
-                log_event(
-                    Event.TASK_ENDED,
-                    task=str(end.task),
-                    attempt=end.attempt,
-                    worker=worker.report.worker_id,
-                    how=end.kind.value,
-                    number=end.number,
-                )
-
-    async def _wait_for_saving(self, worker: Worker) -> None:
-        """Wait until the ends that a worker listed can be acknowledged.
-
-        A worker that has ends to list answers a look at once: without this pause it
-        would be looked at again and again until they are in the store.
-        """
-        with trio.move_on_after(_SAVING_WAIT_MS / 1000.0):
-            while worker.unacknowledged:
-                self._scheduler.acknowledge(worker)
-                if worker.unacknowledged:
-                    await self._committer.saved.wait()
-
-    def _build_look(self, worker: Worker, now_ms: float) -> LookRequest:
-        if not worker.fenced:
-            return LookRequest(
-                token=self._tenure.epoch, acknowledged=0, deadline_ms=None, wait_ms=0
-            )
-        if worker.suspect:
-            # No new deadline: a look without an answer may be carried out late, so
-            # each would put off the time from which its tasks may run elsewhere.
-            return LookRequest(
-                token=self._tenure.epoch,
-                acknowledged=worker.acknowledged,
-                deadline_ms=None,
-                wait_ms=0,
-            )
-        wait_ms = _LOOK_WAIT_MS
-        if self._scheduler.shares_with_services(worker):
-            wait_ms = _CLOSE_LOOK_WAIT_MS
-        return LookRequest(
-            token=self._tenure.epoch,
-            acknowledged=self._scheduler.acknowledge(worker),
-            deadline_ms=extend_lease(self._scheduler, worker, now_ms),
-            wait_ms=wait_ms,
-        )
-
     def _depose(self) -> None:
         log_event(Event.SHARD_FENCED, epoch=self._tenure.epoch)
         self._tenure.over.set()
@@ -515,8 +351,8 @@
             log_event(Event.WORKER_LOST, worker=worker_id, why="leases lapsed")
         if not self._settled and is_settled(scheduler, self._earlier_roster, now_ms):
             self._settled = True
+            self._roster.settle()
             self._figures.observe("takeover_ms", now_ms - self._tenure.claimed_ms)
-            self._roster_wake.set()
             log_event(
                 Event.SHARD_SETTLED,
                 epoch=self._tenure.epoch,
@@ -547,10 +383,11 @@
             return
         name = "start" if isinstance(order, StartOrder) else "stop"
         self._figures.count("orders", f"{name} {outcome.value}")
-        take = self._scheduler.take_stop_outcome
+        take = take_stop_outcome
         if isinstance(order, StartOrder):
-            take = self._scheduler.take_start_outcome
+            take = take_start_outcome
         take(
+            self._scheduler,
             order.worker_id,
             order.task,
             order.attempt,
--- /dev/null
+++ b/trefoilhook/runtime/watching.py
@@ -0,0 +1,161 @@
+"""Looking at workers: what runs there, what has ended, and the lease on it all."""
+
+from collections.abc import Callable
+
+import trio
+
+from trefoilhook.clock import Clock
+from trefoilhook.logs import Event, log_event
+from trefoilhook.platform import LookRequest, WorkerClient
+from trefoilhook.runtime.commits import Committer
+from trefoilhook.runtime.figures import Figures
+from trefoilhook.runtime.ownership import Tenure
+from trefoilhook.scheduling import (
+    Look,
+    OrderOutcome,
+    Scheduler,
+    Worker,
+    acknowledge,
+    extend_lease,
+    shares_with_services,
+    take_look,
+)
+
+__all__ = ["WorkerWatch"]
+
+_LOOK_WAIT_MS = 1500
+"""How long a look waits for an end, in ms. An end is acknowledged with the next look,
+so this and the progress window stay under the 4 s in which that has to happen."""
+
+_CLOSE_LOOK_WAIT_MS = 500
+"""The same where fillers run beside service tasks, whose tail latency is a figure of
+the last half second."""
+
+_SAVING_WAIT_MS = 200.0
+"""How long the next look at a worker waits for its ends to be in the store, in ms; then
+they are listed once more, with what has ended since."""
+
+_LOOK_RETRY_MS = 200.0
+"""Pause after a look that failed, in ms."""
+
+
+class WorkerWatch:
+    """Looks at workers for one tenure, each in a task of its own.
+
+    Parameters
+    ----------
+    clock : Clock
+        Where time comes from.
+    tenure : Tenure
+        The ownership.
+    scheduler : Scheduler
+        The shard's state.
+    committer : Committer
+        Tells when ends are in the store.
+    figures : Figures
+        Where looks and ends are counted.
+    notify : callable
+        Called with each news.
+    depose : callable
+        Called when a worker has seen a later owner.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        tenure: Tenure,
+        scheduler: Scheduler,
+        committer: Committer,
+        figures: Figures,
+        notify: Callable[[], None],
+        depose: Callable[[], None],
+    ) -> None:
+        self._clock = clock
+        self._tenure = tenure
+        self._scheduler = scheduler
+        self._committer = committer
+        self._figures = figures
+        self._notify = notify
+        self._depose = depose
+
+    async def run(self, worker: Worker, client: WorkerClient) -> None:
+        """Look at a worker again and again, until it is gone."""
+        worker_id = worker.report.worker_id
+        while self._scheduler.workers.get(worker_id) is worker:
+            sent_ms = self._clock.monotonic_ms()
+            result = await client.look(self._build_look(worker, sent_ms))
+            self._figures.count("looks")
+            if isinstance(result, Look):
+                self._log_ends(worker, result)
+                take_look(
+                    self._scheduler,
+                    worker_id,
+                    result,
+                    sent_ms=sent_ms,
+                    now_ms=self._clock.monotonic_ms(),
+                )
+                self._notify()
+                await self._wait_for_saving(worker)
+                continue
+            if result is OrderOutcome.FENCED:
+                self._depose()
+                return
+            if result is OrderOutcome.OTHER_LIFE:
+                log_event(Event.WORKER_LOST, worker=worker_id, why="restarted")
+                self._scheduler.drop_worker(worker_id)
+                self._notify()
+                break
+            if not worker.suspect:
+                log_event(Event.WORKER_LOST, worker=worker_id, why=result.value)
+            worker.suspect = True
+            await self._clock.sleep_ms(_LOOK_RETRY_MS)
+
+    def _log_ends(self, worker: Worker, look: Look) -> None:
+        for end in look.ends:
+            if end.number > worker.last_end:
+                self._figures.count("ends", end.kind.value)
+                log_event(
+                    Event.TASK_ENDED,
+                    task=str(end.task),
+                    attempt=end.attempt,
+                    worker=worker.report.worker_id,
+                    how=end.kind.value,
+                    number=end.number,
+                )
+
+    async def _wait_for_saving(self, worker: Worker) -> None:
+        """Wait until the ends that a worker listed can be acknowledged.
+
+        A worker that has ends to list answers a look at once: without this pause it
+        would be looked at again and again until they are in the store.
+        """
+        with trio.move_on_after(_SAVING_WAIT_MS / 1000.0):
+            while worker.unacknowledged:
+                acknowledge(worker)
+                if worker.unacknowledged:
+                    await self._committer.saved.wait()
+
+    def _build_look(self, worker: Worker, now_ms: float) -> LookRequest:
+        if not worker.fenced:
+            return LookRequest(
+                token=self._tenure.epoch, acknowledged=0, deadline_ms=None, wait_ms=0
+            )
+        if worker.suspect:
+            # No new deadline: a look without an answer may be carried out late, so
+            # each would put off the time from which its tasks may run elsewhere.
+            return LookRequest(
+                token=self._tenure.epoch,
+                acknowledged=worker.acknowledged,
+                deadline_ms=None,
+                wait_ms=0,
+            )
+        wait_ms = _LOOK_WAIT_MS
+        if shares_with_services(self._scheduler, worker):
+            wait_ms = _CLOSE_LOOK_WAIT_MS
+        return LookRequest(
+            token=self._tenure.epoch,
+            acknowledged=acknowledge(worker),
+            deadline_ms=extend_lease(self._scheduler, worker, now_ms),
+            wait_ms=wait_ms,
+        )
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -1,13 +1,20 @@
 """Jobs of steps on shared workers: the decisions, without any input or output."""
 
 from trefoilhook.scheduling.book import JobState
-from trefoilhook.scheduling.core import JobChange, Scheduler, SchedulerLimits
+from trefoilhook.scheduling.changes import (
+    JobChange,
+    acknowledge,
+    collect_changes,
+    confirm_change,
+)
+from trefoilhook.scheduling.core import Scheduler, SchedulerLimits
 from trefoilhook.scheduling.fleet import Worker
 from trefoilhook.scheduling.interference import (
     Interference,
     decode_interference,
     encode_interference,
 )
+from trefoilhook.scheduling.looks import shares_with_services, take_look
 from trefoilhook.scheduling.messages import (
     End,
     EndKind,
@@ -30,6 +37,7 @@
     WorkerReport,
     parse_task_id,
 )
+from trefoilhook.scheduling.outcomes import take_start_outcome, take_stop_outcome
 from trefoilhook.scheduling.planning import extend_lease, is_settled, plan_orders
 from trefoilhook.scheduling.records import (
     JobPhase,
@@ -68,6 +76,9 @@
     "TaskId",
     "Worker",
     "WorkerReport",
+    "acknowledge",
+    "collect_changes",
+    "confirm_change",
     "decode_interference",
     "decode_job_record",
     "decode_progress",
@@ -78,4 +89,8 @@
     "is_settled",
     "parse_task_id",
     "plan_orders",
+    "shares_with_services",
+    "take_look",
+    "take_start_outcome",
+    "take_stop_outcome",
 ]
--- a/trefoilhook/scheduling/book.py
+++ b/trefoilhook/scheduling/book.py
@@ -81,6 +81,8 @@
         Count of changes to what must last, and how many of them are in the store.
     phase_saved : bool
         Whether the phase is in the store.
+    is_stale : bool
+        Whether it had ended, with nothing left to do, when that was last looked at.
     started : bool
         Whether a task was ever started.
     marked : bool
@@ -107,6 +109,7 @@
     version: int = 0
     saved_version: int = 0
     phase_saved: bool = True
+    is_stale: bool = False
     started: bool = False
     marked: bool = True
     tasks: dict[TaskId, TaskState] = attrs.Factory(dict)
--- /dev/null
+++ b/trefoilhook/scheduling/looks.py
@@ -0,0 +1,145 @@
+"""What a worker lists, taken into the state of a shard."""
+
+from trefoilhook.scheduling.book import Attempt
+from trefoilhook.scheduling.core import Scheduler
+from trefoilhook.scheduling.crowds import learn_crowd
+from trefoilhook.scheduling.fleet import Run, RunPhase, Worker, read_load
+from trefoilhook.scheduling.messages import End, EndKind, Look, Running
+from trefoilhook.scheduling.models import Demand
+
+__all__ = ["shares_with_services", "take_look"]
+
+_FULL_PAGE_OF_ENDS = 500
+"""A look lists so many ends at most: then one that is missing may come later."""
+
+_FAULTS_TO_AVOID = 2
+"""Jobs of which attempts failed on a worker, with none done between, after which it is
+avoided: at 3 % of attempts that fail by themselves, chance does that once in 1,100."""
+
+_FAULT_PAUSE_MS = 3000.0
+"""How long a worker that fails what it starts gets no new task; doubles each time."""
+
+_LONGEST_FAULT_PAUSE_MS = 12_000.0
+"""Bound of that doubling: a worker that has been mended is tried again within it."""
+
+_UNSURE_PACE = 99
+"""Pace noted of an attempt that an earlier owner started: any but the full one."""
+
+
+def take_look(
+    scheduler: Scheduler, worker_id: str, look: Look, *, sent_ms: float, now_ms: float
+) -> None:
+    """Take in what a worker listed."""
+    worker = scheduler.workers.get(worker_id)
+    if worker is None:
+        return
+    worker.read_clock(look, now_ms)
+    worker.fenced = True
+    worker.suspect = False
+    for end in look.ends:
+        _take_end(scheduler, worker, end, now_ms)
+    for running in look.running:
+        _take_running(scheduler, worker, running, now_ms)
+    learn_crowd(worker, scheduler.jobs, scheduler.interference)
+    if len(look.ends) >= _FULL_PAGE_OF_ENDS:
+        return
+    listed = {(running.task, running.attempt) for running in look.running}
+    for key, run in list(worker.runs.items()):
+        # The worker answered for this run before it was asked for this look: if
+        # it neither runs nor has ended there, it never will run there.
+        if key not in listed and run.confirmed_ms < sent_ms:
+            scheduler.finish_run(worker, run, EndKind.LAPSED, run.checkpoint)
+
+
+def _take_end(scheduler: Scheduler, worker: Worker, end: End, now_ms: float) -> None:
+    if end.number <= worker.last_end:
+        return
+    worker.last_end = end.number
+    state = scheduler.jobs.get(end.task.job_id)
+    run = worker.runs.get((end.task, end.attempt))
+    if run is not None:
+        scheduler.finish_run(worker, run, end.kind, end.checkpoint)
+    elif state is not None:
+        # An attempt of an earlier owner, or one that was given up as lapsed.
+        task = state.find_task(end.task)
+        if task is not None:
+            task.last_attempt = max(task.last_attempt, end.attempt)
+            scheduler.take_effect(task, end.attempt, end.kind, end.checkpoint)
+    _judge(scheduler, worker, end, now_ms)
+    version = state.version if state is not None else 0
+
+    def is_saved() -> bool:
+        return state is None or (state.saved_version >= version and state.phase_saved)
+
+    worker.unacknowledged.append((end.number, is_saved))
+
+
+def _judge(scheduler: Scheduler, worker: Worker, end: End, now_ms: float) -> None:
+    if end.kind is EndKind.DONE:
+        worker.faulty_jobs.clear()
+    elif end.kind is EndKind.FAILED:
+        # Jobs and not attempts: a job that can't be done fails wherever it is.
+        worker.faulty_jobs.add(end.task.job_id)
+        faults = len(worker.faulty_jobs)
+        if faults >= _FAULTS_TO_AVOID:
+            pause = _FAULT_PAUSE_MS * 2 ** (faults - _FAULTS_TO_AVOID)
+            pause = min(pause, _LONGEST_FAULT_PAUSE_MS)
+            worker.avoid_until_ms = max(worker.avoid_until_ms, now_ms + pause)
+
+
+def _take_running(
+    scheduler: Scheduler, worker: Worker, running: Running, now_ms: float
+) -> None:
+    run = worker.runs.get((running.task, running.attempt))
+    if run is None:
+        run = _adopt(scheduler, worker, running, now_ms)
+    if run.phase is RunPhase.STARTING:
+        run.phase = RunPhase.RUNNING
+        run.confirmed_ms = now_ms
+    if not run.seen or running.percent != run.percent:
+        run.progressed_ms = now_ms
+    run.seen = True
+    run.percent = running.percent
+    read_load(run, running.load, now_ms)
+    run.checkpoint = running.checkpoint or run.checkpoint
+
+
+def _adopt(
+    scheduler: Scheduler, worker: Worker, running: Running, now_ms: float
+) -> Run:
+    """Take in an attempt that an earlier owner started."""
+    state = scheduler.jobs.get(running.task.job_id)
+    task = state.find_task(running.task) if state is not None else None
+    run = Run(
+        task=running.task,
+        attempt=running.attempt,
+        room=task.step.room if task is not None else Demand(),
+        phase=RunPhase.RUNNING,
+        started_ms=now_ms,
+        confirmed_ms=now_ms,
+        # The earlier owner may have slowed it; this has its pace ordered anew.
+        pace=_UNSURE_PACE,
+    )
+    worker.hold(run)
+    if state is None or task is None:
+        run.phase = RunPhase.STOPPING
+        return run
+    state.started = True
+    task.last_attempt = max(task.last_attempt, running.attempt)
+    task.attempts.append(Attempt(worker=worker, run=run))
+    scheduler.waiting.discard(task)
+    if not state.is_open or task.done or len(task.attempts) > 1:
+        scheduler.stop_attempts(task, keep=1 if state.is_open else 0)
+    return run
+
+
+def shares_with_services(scheduler: Scheduler, worker: Worker) -> bool:
+    """Tell whether fillers run beside tasks with a latency limit on a worker."""
+    fillers = serving = False
+    for run in worker.runs.values():
+        state = scheduler.jobs.get(run.task.job_id)
+        if state is not None:
+            step = state.job.steps[run.task.step]
+            fillers = fillers or step.filler
+            serving = serving or bool(step.latency_limit_ms)
+    return fillers and serving
--- /dev/null
+++ b/trefoilhook/scheduling/outcomes.py
@@ -0,0 +1,105 @@
+"""What became of orders, taken into the state of a shard."""
+
+from trefoilhook.scheduling.core import Scheduler
+from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
+from trefoilhook.scheduling.messages import EndKind, OrderOutcome
+from trefoilhook.scheduling.models import TaskId
+
+__all__ = ["take_start_outcome", "take_stop_outcome"]
+
+_RETRY_PAUSE_MS = 80.0
+"""Pause before an order without an answer is sent again; the platform's round trip is
+2 ms, and an order may be repeated without harm."""
+
+_UNHEALTHY_PAUSE_MS = 1000.0
+"""How long a worker that turned an order away gets no new task."""
+
+
+def take_start_outcome(
+    scheduler: Scheduler,
+    worker_id: str,
+    task: TaskId,
+    attempt: int,
+    outcome: OrderOutcome,
+    now_ms: float,
+) -> None:
+    """Take in what became of an order to start."""
+    found = _settle_order(scheduler, worker_id, task, attempt, outcome, now_ms)
+    if found is None:
+        return
+    worker, run = found
+    if outcome is OrderOutcome.DONE:
+        run.confirmed_ms = (
+            now_ms if run.phase is not RunPhase.STOPPING else run.confirmed_ms
+        )
+        if run.phase is RunPhase.STARTING:
+            run.phase = RunPhase.RUNNING
+            run.progressed_ms = now_ms
+        return
+    if outcome is OrderOutcome.NO_ANSWER:
+        run.ambiguous = True
+        return
+    if outcome is OrderOutcome.SUPERSEDED:
+        run.confirmed_ms = now_ms
+        return
+    if outcome is not OrderOutcome.TOO_LATE:
+        pause = (
+            _UNHEALTHY_PAUSE_MS
+            if outcome is OrderOutcome.UNHEALTHY
+            else _RETRY_PAUSE_MS
+        )
+        worker.avoid_until_ms = max(worker.avoid_until_ms, now_ms + pause)
+    if run.ambiguous:
+        # A copy that went without an answer may still be carried out: only a stop
+        # that the worker has answered rules that out.
+        scheduler.request_stop(run)
+        return
+    scheduler.finish_run(worker, run, EndKind.LAPSED, "")
+
+
+def take_stop_outcome(
+    scheduler: Scheduler,
+    worker_id: str,
+    task: TaskId,
+    attempt: int,
+    outcome: OrderOutcome,
+    now_ms: float,
+) -> None:
+    """Take in what became of an order to stop."""
+    found = _settle_order(scheduler, worker_id, task, attempt, outcome, now_ms)
+    if found is None:
+        return
+    _, run = found
+    if outcome in (
+        OrderOutcome.NO_ANSWER,
+        OrderOutcome.NOT_SENT,
+        OrderOutcome.UNHEALTHY,
+    ):
+        return
+    run.confirmed_ms = now_ms
+    run.order_due_ms = now_ms + scheduler.limits.longest_stop_ms + _RETRY_PAUSE_MS
+
+
+def _settle_order(
+    scheduler: Scheduler,
+    worker_id: str,
+    task: TaskId,
+    attempt: int,
+    outcome: OrderOutcome,
+    now_ms: float,
+) -> tuple[Worker, Run] | None:
+    if outcome is OrderOutcome.FENCED:
+        scheduler.deposed = True
+        return None
+    if outcome is OrderOutcome.OTHER_LIFE:
+        scheduler.drop_worker(worker_id)
+        return None
+    worker = scheduler.workers.get(worker_id)
+    run = worker.runs.get((task, attempt)) if worker is not None else None
+    if worker is None or run is None:
+        return None
+    run.in_flight = False
+    run.order_due_ms = now_ms + _RETRY_PAUSE_MS
+    if outcome in (OrderOutcome.NO_ANSWER, OrderOutcome.NOT_SENT):
+        worker.suspect = True
+    return worker, run
