Log why a task is stopped

Cause: in the story of a late job its tasks ended as stopped with no word why: slowed beside service tasks, without progress, a worker about to leave, a start to be ruled out, or not wanted any more look the same in the worker's list.

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -81,6 +81,7 @@
     REPORT_INVALID = (1609, Level.ERROR, "A worker's report can't be read.")
     TASK_STARTED = (1610, Level.INFO, "A worker confirmed the start of a task.")
     TASK_ENDED = (1611, Level.INFO, "A worker listed the end of a task.")
+    TASK_STOPPED = (1612, Level.INFO, "A worker took an order to stop a task.")
 
     def __init__(self, number: int, level: Level, description: str) -> None:
         self.number = number
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -394,6 +394,14 @@
             outcome,
             self._clock.monotonic_ms(),
         )
+        if outcome is OrderOutcome.DONE and isinstance(order, StopOrder):
+            log_event(
+                Event.TASK_STOPPED,
+                task=str(order.task),
+                attempt=order.attempt,
+                worker=order.worker_id,
+                why=order.reason.value,
+            )
         if outcome is OrderOutcome.DONE and isinstance(order, StartOrder):
             log_event(
                 Event.TASK_STARTED,
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -25,6 +25,7 @@
     Running,
     StartOrder,
     StopOrder,
+    StopReason,
 )
 from trefoilhook.scheduling.models import (
     Advice,
@@ -73,6 +74,7 @@
     "StartOrder",
     "Step",
     "StopOrder",
+    "StopReason",
     "TaskId",
     "Worker",
     "WorkerReport",
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -9,7 +9,7 @@
 from trefoilhook.scheduling.book import JobState, TaskState
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker, build_worker
 from trefoilhook.scheduling.interference import Interference
-from trefoilhook.scheduling.messages import EndKind
+from trefoilhook.scheduling.messages import EndKind, StopReason
 from trefoilhook.scheduling.models import Configuration, TaskId, WorkerReport
 from trefoilhook.scheduling.records import JobPhase, JobRecord, Progress
 
@@ -330,11 +330,12 @@
         """Have a task's attempts stopped, but for the ``keep`` latest."""
         attempts = sorted(task.attempts, key=lambda a: a.run.attempt, reverse=True)
         for attempt in attempts[keep:]:
-            self.request_stop(attempt.run)
+            self.request_stop(attempt.run, StopReason.NOT_WANTED)
 
-    def request_stop(self, run: Run) -> None:
+    def request_stop(self, run: Run, reason: StopReason) -> None:
         """Have an attempt stopped; it holds its room until it is proved over."""
         if run.phase is not RunPhase.STOPPING:
             run.phase = RunPhase.STOPPING
+            run.stop_reason = reason
             run.confirmed_ms = float("inf")
             run.order_due_ms = 0.0
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from trefoilhook.scheduling.messages import Look
+from trefoilhook.scheduling.messages import Look, StopReason
 from trefoilhook.scheduling.models import Demand, TaskId, WorkerReport
 
 __all__ = ["Run", "RunPhase", "Worker", "build_worker", "read_load"]
@@ -77,6 +77,8 @@
         Since when it has been below full speed, in ms.
     order_due_ms : float
         When its pending order is to be sent again, in ms; the first order goes at once.
+    stop_reason : StopReason
+        Why it is stopped, if it is.
     in_flight : bool
         Whether an order for it is under way.
     ambiguous : bool
@@ -101,6 +103,7 @@
     paced_ms: float = 0.0
     slowed_ms: float = 0.0
     order_due_ms: float = 0.0
+    stop_reason: StopReason = StopReason.NOT_WANTED
     in_flight: bool = False
     ambiguous: bool = False
     checkpoint_used: str = ""
--- a/trefoilhook/scheduling/messages.py
+++ b/trefoilhook/scheduling/messages.py
@@ -16,6 +16,7 @@
     "Running",
     "StartOrder",
     "StopOrder",
+    "StopReason",
 ]
 
 
@@ -50,6 +51,25 @@
     REFUSED = "refused"
 
 
+class StopReason(enum.Enum):
+    """Why an attempt is stopped."""
+
+    NOT_WANTED = "not wanted"
+    """Its job was cancelled or has ended, or another attempt has done its task."""
+
+    UNCERTAIN = "uncertain"
+    """A start of it without an answer must be ruled out."""
+
+    SLOWED = "slowed"
+    """It disturbs service tasks where it is, and another worker has a place for it."""
+
+    STANDS_STILL = "stands still"
+    """It makes no progress."""
+
+    WORKER_LEAVES = "worker leaves"
+    """Its worker is about to leave."""
+
+
 @attrs.frozen(kw_only=True)
 class Running:
     """An attempt that runs on a worker.
@@ -111,12 +131,13 @@
 
 @attrs.frozen(kw_only=True)
 class StopOrder:
-    """Stop an attempt."""
+    """Stop an attempt; the reason is for people."""
 
     worker_id: str
     task: TaskId
     attempt: int
     token: int
+    reason: StopReason = StopReason.NOT_WANTED
 
 
 @attrs.frozen(kw_only=True)
--- a/trefoilhook/scheduling/outcomes.py
+++ b/trefoilhook/scheduling/outcomes.py
@@ -2,7 +2,7 @@
 
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
-from trefoilhook.scheduling.messages import EndKind, OrderOutcome
+from trefoilhook.scheduling.messages import EndKind, OrderOutcome, StopReason
 from trefoilhook.scheduling.models import TaskId
 
 __all__ = ["take_start_outcome", "take_stop_outcome"]
@@ -52,7 +52,7 @@
     if run.ambiguous:
         # A copy that went without an answer may still be carried out: only a stop
         # that the worker has answered rules that out.
-        scheduler.request_stop(run)
+        scheduler.request_stop(run, StopReason.UNCERTAIN)
         return
     scheduler.finish_run(worker, run, EndKind.LAPSED, "")
 
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -6,7 +6,7 @@
 from trefoilhook.scheduling.core import ATTEMPTS_PER_EPOCH, Scheduler
 from trefoilhook.scheduling.crowds import Crowds
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
-from trefoilhook.scheduling.messages import Order, StartOrder, StopOrder
+from trefoilhook.scheduling.messages import Order, StartOrder, StopOrder, StopReason
 from trefoilhook.scheduling.pacing import plan_paces
 from trefoilhook.scheduling.placing import choose_worker
 from trefoilhook.scheduling.watchdog import is_halted, stop_misplaced
@@ -96,6 +96,7 @@
             task=run.task,
             attempt=run.attempt,
             token=scheduler.epoch,
+            reason=run.stop_reason,
         )
     return StartOrder(
         worker_id=worker.report.worker_id,
@@ -183,7 +184,7 @@
             if target is not None:
                 # Counted there already, so that not all find the same place.
                 crowds.find(target).add(state.step, base=0.0)
-                scheduler.request_stop(run)
+                scheduler.request_stop(run, StopReason.SLOWED)
 
 
 def _place(
--- a/trefoilhook/scheduling/tests/test_sharing.py
+++ b/trefoilhook/scheduling/tests/test_sharing.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from trefoilhook.scheduling import Demand, PaceOrder, Step
+from trefoilhook.scheduling import Demand, PaceOrder, Step, StopOrder, StopReason
 from trefoilhook.scheduling.interference import (
     Interference,
     decode_interference,
@@ -153,7 +153,8 @@
         shard.add_worker("w1", cpu=16_000)
         shard.pass_time(1000.0)
         shard.look_all()
-        shard.step()
+        stops = [order for order in shard.step() if isinstance(order, StopOrder)]
+        self.assertEqual([stop.reason for stop in stops], [StopReason.SLOWED])
         order = shard.start_one()
         self.assertEqual(order.worker_id, "w1")
         self.assertEqual(order.checkpoint, "c1")
--- a/trefoilhook/scheduling/watchdog.py
+++ b/trefoilhook/scheduling/watchdog.py
@@ -3,6 +3,7 @@
 from trefoilhook.scheduling.book import JobState
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
+from trefoilhook.scheduling.messages import StopReason
 
 __all__ = ["is_halted", "stop_misplaced"]
 
@@ -30,9 +31,9 @@
             continue
         if _stands_still(worker, run, state, now_ms):
             worker.avoid_until_ms = now_ms + _AVOID_MS
-            scheduler.request_stop(run)
+            scheduler.request_stop(run, StopReason.STANDS_STILL)
         elif worker.report.draining and _should_leave(worker, run, state):
-            scheduler.request_stop(run)
+            scheduler.request_stop(run, StopReason.WORKER_LEAVES)
 
 
 def is_halted(run: Run, state: JobState, now_ms: float) -> bool:
