End the lease of a tenure that is over, so that the next owner needn't wait for it

The owner had stopped at 19.8 s for lack of renewals; leases pause while the store is away, so its key kept everybody out for the rest of its 2 s.

--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -116,6 +116,7 @@
         self._tenure: Tenure | None = None
         self._resigned = False
         self._rest_until_ms = 0.0
+        self._left_lease = 0
 
     @property
     def is_owner(self) -> bool:
@@ -133,6 +134,7 @@
         """Watch for the shard to be without an owner, and claim it, for good."""
         while not self._resigned:
             try:
+                await self._end_left_lease()
                 listing = await self._store.list_items(
                     keys.ownership_prefix(keys.SHARD)
                 )
@@ -234,8 +236,19 @@
             self._tenure = None
             self._rest_until_ms = self._clock.monotonic_ms() + _REST_MS
         log_event(Event.SHARD_RELEASED, epoch=tenure.epoch, wanted=tenure.released)
-        if tenure.released:
-            await self._store.end_lease(tenure.lease)
+        self._left_lease = tenure.lease
+        await self._end_left_lease()
+
+    async def _end_left_lease(self) -> None:
+        """End the lease of a tenure that is over.
+
+        Guards against a shard without an owner after an outage of the store: leases
+        may pause meanwhile, and the key of a tenure that ended for lack of renewals
+        would keep others out for the rest of its lease, 2 s of no starts for anybody.
+        """
+        if self._left_lease:
+            await self._store.end_lease(self._left_lease)
+            self._left_lease = 0
 
     async def _renew(self, tenure: Tenure) -> None:
         """Renew the lease; end the tenure once it can have run out."""
--- a/trefoilhook/runtime/tests/test_process.py
+++ b/trefoilhook/runtime/tests/test_process.py
@@ -246,6 +246,22 @@
 
         run_cluster(scenario, task_ms=400.0)
 
+    def test_shard_has_an_owner_soon_after_an_outage(self):
+        # The store is away for longer than the owner may go on without it, and leases
+        # pause meanwhile. Once it is back, the key of the tenure that has ended keeps
+        # every instance from claiming the shard until its lease of 2 s has run out.
+        async def scenario(cluster: Cluster) -> None:
+            owner = await cluster.wait_for_owner()
+            cluster.store.fault = StoreFault.BUSY
+            await cluster.wait_until(lambda: not owner.process.is_owner)
+            await trio.sleep(0.5)
+            cluster.store.fault = StoreFault.NONE
+            began_ms = cluster.clock.monotonic_ms()
+            await cluster.wait_for_owner()
+            self.assertLess(cluster.clock.monotonic_ms() - began_ms, 1400.0)
+
+        run_cluster(scenario, instances=3)
+
     def test_store_forgets_its_history(self):
         # While a watch waits the store drops its history. A job accepted meanwhile
         # must not be overlooked.
--- a/trefoilhook/standins/platform_store.py
+++ b/trefoilhook/standins/platform_store.py
@@ -249,7 +249,12 @@
                 self._remove(key)
 
     async def expire_leases(self) -> None:
-        """End leases as their time comes, for good."""
+        """End leases as their time comes, for good; they pause while it is away."""
         while True:
-            self._expire()
+            began_ms = self._clock.monotonic_ms()
             await self._clock.sleep_ms(20.0)
+            if self.fault in (StoreFault.BUSY, StoreFault.SILENT):
+                away_ms = self._clock.monotonic_ms() - began_ms
+                for lease in self._leases.values():
+                    lease.ends_ms += away_ms
+            self._expire()
