--- a/trefoilhook/scheduling/tests/test_orders.py
+++ b/trefoilhook/scheduling/tests/test_orders.py
@@ -45,7 +45,7 @@
         shard.submit(build_job())
         (order,) = shard.plan()
         shard.answer(order, OrderOutcome.NO_ANSWER)
-        shard.pass_time(TASK_LEASE_MS * 1.01)
+        shard.pass_time(TASK_LEASE_MS * 1.015)
         self.assertEqual(shard.scheduler.release_lapsed(shard.now_ms), [])
         shard.pass_time(TASK_LEASE_MS * 0.04)
         self.assertEqual(shard.scheduler.release_lapsed(shard.now_ms), ["w0"])
--- a/trefoilhook/scheduling/tests/test_steps.py
+++ b/trefoilhook/scheduling/tests/test_steps.py
@@ -200,6 +200,19 @@
         (order,) = list_starts(shard.plan())
         self.assertEqual(order.worker_id, "w1")
 
+    def test_worker_that_fails_everything_gets_nothing_for_a_while(self):
+        # As above, with no other worker: better to wait than to use up attempts.
+        shard = Shard(workers=1)
+        for job_id in ("x", "y"):
+            shard.submit(build_job(job_id=job_id))
+            shard.end(shard.start_one(), EndKind.FAILED)
+            shard.scheduler.cancel_job(job_id, revision=2)
+        shard.submit(build_job(job_id="z"))
+        self.assertEqual(shard.step(), [])
+        shard.pass_time(3000.0)
+        shard.look_all()
+        self.assertEqual(shard.start_one().task.job_id, "z")
+
     def test_long_running_task_is_restarted_however_it_ends(self):
         step = Step(count=1, demand=_CPU, long_running=True)
         for kind in EndKind:
