Send JSON through one client, for the older adapters too

The exchange of JSON stood twice, with its guard against connections that went silent: in the client of the older adapters and in that of the users' platform. One copy is in http/ now; behaviour stays, tests of the store's client and of the process are green.

--- a/trefoilhook/exchange/core.py
+++ b/trefoilhook/exchange/core.py
@@ -1,15 +1,13 @@
 """Exchange of typed JSON messages with one of the platform's services."""
 
 import base64
-import json
 from collections.abc import Mapping
 from typing import Any, TypeVar
-from urllib.parse import urlencode
 
 import cattrs
 
 from trefoilhook.exceptions import AnswerLostError
-from trefoilhook.http import HttpClient, HttpRequest, HttpResponse
+from trefoilhook.http import HttpResponse, JsonClient
 
 __all__ = [
     "PlatformClient",
@@ -92,7 +90,7 @@
         max_connections: int = 16,
     ) -> None:
         self._timeout_ms = timeout_ms
-        self._http = HttpClient(host=host, port=port, max_connections=max_connections)
+        self._client = JsonClient(address=(host, port), max_connections=max_connections)
         self._headers: tuple[tuple[str, str], ...] = ()
         if token is not None:
             self._headers = (("authorization", f"Bearer {token}"),)
@@ -128,24 +126,15 @@
         AnswerLostError
             If the call left and no whole answer came back.
         """
-        target = path if not query else f"{path}?{urlencode(query)}"
-        data = b""
-        headers = self._headers
-        if body is not None:
-            data = json.dumps(_converter.unstructure(body)).encode()
-            headers = (("content-type", "application/json"), *headers)
-        request = HttpRequest(method=method, target=target, headers=headers, body=data)
-        try:
-            return await self._http.send(
-                request, timeout_ms=self._timeout_ms + extra_ms
-            )
-        except AnswerLostError:
-            # Guards against open connections that went silent together, because
-            # something between the ends forgot them: one call after another would
-            # time out on them. With the idle ones closed, the next call opens anew.
-            await self._http.close()
-            raise
+        return await self._client.exchange(
+            method,
+            path,
+            query=query,
+            body=_converter.unstructure(body) if body is not None else None,
+            headers=self._headers,
+            timeout_ms=self._timeout_ms + extra_ms,
+        )
 
     async def close(self) -> None:
         """Close the idle connections."""
-        await self._http.close()
+        await self._client.close()
--- a/trefoilhook/http/__init__.py
+++ b/trefoilhook/http/__init__.py
@@ -2,6 +2,14 @@
 
 from trefoilhook.http.client import HttpClient
 from trefoilhook.http.core import HttpLimits, HttpRequest, HttpResponse
+from trefoilhook.http.exchange import JsonClient
 from trefoilhook.http.server import HttpServer
 
-__all__ = ["HttpClient", "HttpLimits", "HttpRequest", "HttpResponse", "HttpServer"]
+__all__ = [
+    "HttpClient",
+    "HttpLimits",
+    "HttpRequest",
+    "HttpResponse",
+    "HttpServer",
+    "JsonClient",
+]
--- a/trefoilhook/platform/__init__.py
+++ b/trefoilhook/platform/__init__.py
@@ -1,6 +1,6 @@
 """Adapter to the users' platform: its names, formats and calls, and no decision."""
 
-from trefoilhook.platform.core import Address, JsonClient, parse_address
+from trefoilhook.platform.core import Address, parse_address
 from trefoilhook.platform.declarations import (
     CONFIGURATION_KEY,
     WORKER_PREFIX,
@@ -45,7 +45,6 @@
     "Changes",
     "Expectation",
     "Item",
-    "JsonClient",
     "KeyValueStore",
     "Listing",
     "LookRequest",
--- a/trefoilhook/platform/core.py
+++ b/trefoilhook/platform/core.py
@@ -1,19 +1,14 @@
-"""The exchange of JSON with one of the platform's services."""
+"""Addresses and answers, as all of the platform's services write them."""
 
-import json
-from collections.abc import Mapping
 from typing import Any
-from urllib.parse import urlencode
 
 from trefoilhook.exceptions import AnswerLostError
-from trefoilhook.http import HttpClient, HttpRequest, HttpResponse
+from trefoilhook.http import HttpResponse
 
-__all__ = ["Address", "JsonClient", "parse_address", "read_object"]
+__all__ = ["Address", "parse_address", "read_object"]
 
 Address = tuple[str, int]
 
-_JSON_HEADERS = (("content-type", "application/json"),)
-
 
 def parse_address(text: str) -> Address:
     """Split ``HOST:PORT``.
@@ -44,58 +39,3 @@
     if not isinstance(value, dict):
         raise AnswerLostError("the answer is no JSON object")
     return value
-
-
-class JsonClient:
-    """Sends JSON to one service of the platform.
-
-    Parameters
-    ----------
-    address : (str, int)
-        IP number and port of the service.
-    max_connections : int
-        Most connections open at once; further calls wait.
-    """
-
-    def __init__(self, *, address: Address, max_connections: int) -> None:
-        self._http = HttpClient(
-            host=address[0], port=address[1], max_connections=max_connections
-        )
-
-    async def exchange(
-        self,
-        method: str,
-        path: str,
-        *,
-        timeout_ms: float,
-        query: Mapping[str, str | int] | None = None,
-        body: Any = None,
-        headers: tuple[tuple[str, str], ...] = (),
-    ) -> HttpResponse:
-        """Send one call and return its answer, whatever its status.
-
-        Raises
-        ------
-        NotSentError
-            If no byte of the call left.
-        AnswerLostError
-            If the call left and no whole answer came back.
-        """
-        target = path if not query else f"{path}?{urlencode(query)}"
-        data = b""
-        if body is not None:
-            data = json.dumps(body, separators=(",", ":")).encode()
-            headers = _JSON_HEADERS + headers
-        request = HttpRequest(method=method, target=target, headers=headers, body=data)
-        try:
-            return await self._http.send(request, timeout_ms=timeout_ms)
-        except AnswerLostError:
-            # Guards against open connections that went silent together, because
-            # something between the ends forgot them: one call after another would
-            # time out on them. With the idle ones closed, the next call opens anew.
-            await self._http.close()
-            raise
-
-    async def close(self) -> None:
-        """Close the idle connections."""
-        await self._http.close()
--- a/trefoilhook/platform/store.py
+++ b/trefoilhook/platform/store.py
@@ -21,8 +21,8 @@
     StoreUnavailableError,
     StoreUnsentError,
 )
-from trefoilhook.http import HttpResponse
-from trefoilhook.platform.core import Address, JsonClient, read_object
+from trefoilhook.http import HttpResponse, JsonClient
+from trefoilhook.platform.core import Address, read_object
 
 __all__ = [
     "MAX_ROWS",
--- a/trefoilhook/platform/workers.py
+++ b/trefoilhook/platform/workers.py
@@ -6,8 +6,8 @@
 import attrs
 
 from trefoilhook.exceptions import AnswerLostError, NotSentError
-from trefoilhook.http import HttpResponse
-from trefoilhook.platform.core import JsonClient, read_object
+from trefoilhook.http import HttpResponse, JsonClient
+from trefoilhook.platform.core import read_object
 from trefoilhook.scheduling import (
     End,
     EndKind,
