Take out what a second reading of the change found dead or standing twice

The slowest clock of a worker stood in two modules; a method that nobody called, a builder that only built, and an error caught beside its own base class go.

--- a/trefoilhook/platform/store.py
+++ b/trefoilhook/platform/store.py
@@ -115,10 +115,6 @@
     puts: tuple[Put, ...] = ()
     removals: tuple[str, ...] = ()
 
-    def count_rows(self) -> int:
-        """Count the rows that the platform's limit applies to."""
-        return len(self.expectations) + len(self.puts) + len(self.removals)
-
 
 def _decode_item(row: Mapping[str, Any]) -> Item:
     return Item(
--- a/trefoilhook/runtime/intake.py
+++ b/trefoilhook/runtime/intake.py
@@ -11,7 +11,6 @@
 
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import (
-    LeaseLostError,
     PreconditionError,
     RequestError,
     StoreError,
@@ -269,7 +268,7 @@
             except PreconditionError:
                 # The job ended, or was cancelled, between the two calls.
                 reason = "changed meanwhile"
-            except (StoreError, LeaseLostError) as error:
+            except StoreError as error:
                 reason = str(error)
             spent_ms = self._clock.monotonic_ms() - began_ms
             if spent_ms > timeout_ms - _ANSWER_MARGIN_MS:
--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -10,7 +10,7 @@
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.exceptions import LeaseLostError, PreconditionError, StoreError
+from trefoilhook.exceptions import PreconditionError, StoreError
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import Expectation, Item, KeyValueStore, Put, Transaction
 from trefoilhook.runtime import keys
@@ -115,7 +115,7 @@
             item = standing.get(key)
             self._revision = item.revision if item is not None else 0
             return False
-        except (StoreError, LeaseLostError) as error:
+        except StoreError as error:
             log_event(Event.STORE_DOWN, call="roster", error=str(error))
             return False
         self.workers = roster
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -26,6 +26,7 @@
 from trefoilhook.runtime.upkeep import Upkeep
 from trefoilhook.runtime.watching import WorkerWatch
 from trefoilhook.scheduling import (
+    SLOWEST_CLOCK,
     Configuration,
     JobPhase,
     Order,
@@ -64,9 +65,6 @@
 """Added to the longest time for which orders of an earlier owner can have effect: what
 was on its way when its machine froze, and clocks that are 2 % slow."""
 
-_SLOWEST_CLOCK = 0.98
-"""A worker's steady clock may be 2 % slow, by the platform's statement."""
-
 
 @attrs.frozen(kw_only=True)
 class ShardSettings:
@@ -118,7 +116,7 @@
         self._clock = clock
         self._tenure = tenure
         self._read_configuration = read_configuration
-        reach_ms = OWNER_LEASE_MS + settings.task_lease_ms / _SLOWEST_CLOCK
+        reach_ms = OWNER_LEASE_MS + settings.task_lease_ms / SLOWEST_CLOCK
         self._scheduler = Scheduler(
             epoch=tenure.epoch,
             limits=SchedulerLimits(
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -8,7 +8,7 @@
     confirm_change,
 )
 from trefoilhook.scheduling.core import Scheduler, SchedulerLimits
-from trefoilhook.scheduling.fleet import Worker
+from trefoilhook.scheduling.fleet import SLOWEST_CLOCK, Worker
 from trefoilhook.scheduling.interference import (
     Interference,
     decode_interference,
@@ -51,6 +51,7 @@
 )
 
 __all__ = [
+    "SLOWEST_CLOCK",
     "Advice",
     "Configuration",
     "Demand",
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -7,7 +7,7 @@
 import attrs
 
 from trefoilhook.scheduling.book import JobState, TaskState
-from trefoilhook.scheduling.fleet import Run, RunPhase, Worker, build_worker
+from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.interference import Interference
 from trefoilhook.scheduling.messages import EndKind, StopReason
 from trefoilhook.scheduling.models import Configuration, TaskId, WorkerReport
@@ -211,7 +211,7 @@
         """
         worker = self.workers.get(report.worker_id)
         if worker is None:
-            self.workers[report.worker_id] = build_worker(report)
+            self.workers[report.worker_id] = Worker(report=report)
             return
         worker.report = report
         worker.listed = True
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -10,12 +10,12 @@
 from trefoilhook.scheduling.messages import Look, StopReason
 from trefoilhook.scheduling.models import Demand, TaskId, WorkerReport
 
-__all__ = ["Run", "RunPhase", "Worker", "build_worker", "read_load"]
+__all__ = ["SLOWEST_CLOCK", "Run", "RunPhase", "Worker", "read_load"]
 
 _LOAD_LAG_MS = 450.0
 """Time constant of the listed load, in ms, from the same trial."""
 
-_SLOWEST_CLOCK = 0.98
+SLOWEST_CLOCK = 0.98
 """A worker's steady clock may be 2 % slow, by the platform's statement."""
 
 _LAPSE_SLACK_MS = 60.0
@@ -195,7 +195,7 @@
         """Tell whether every lease that it was given is proved to have run out."""
         if self.clock_read_ms == float("-inf"):
             return True
-        least = self.clock_ms + _SLOWEST_CLOCK * (now_ms - self.clock_read_ms)
+        least = self.clock_ms + SLOWEST_CLOCK * (now_ms - self.clock_read_ms)
         return least > self.lease_until_ms + _LAPSE_SLACK_MS
 
     def read_clock(self, look: Look, now_ms: float) -> None:
@@ -236,8 +236,3 @@
             and other.occurrence == task.occurrence
             for other, _ in self.runs
         )
-
-
-def build_worker(report: WorkerReport) -> Worker:
-    """Build the state of a worker that has just been listed."""
-    return Worker(report=report)
