Add a fault soak of our own, and ignore SIGHUP until its handler is there

The soak runs the real program as processes against the store's and the workers' stand-ins, with signals, cut and delayed links, store and worker faults in series and overlapping, and checks eight promises from what clients were told and workers ran.

The program's first line now ignores the signal; settings are read later, so nothing is missed. The test holds a process at its settings file by a pipe and fails without that line. Left is the interpreter's own start, some 20 ms.

Two faults of the soak itself were mended on the way: a reset of a closed connection, and a restart that waited for the process that another fault had started.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,11 @@
 PYTHON := $(VENV)/bin/python
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test lint format clean bench capacity
+.PHONY: demo test lint format clean bench capacity soak
+
+SEED ?= 1
+COUNT ?= 1
+MINUTES ?= 0.5
 
 demo: $(STAMP)
 	$(PYTHON) -m trefoilhook.demo
@@ -25,6 +29,10 @@
 	LOGURU_AUTOINIT=0 $(PYTHON) -m bench.inner
 
 # Measures the slopes again and rewrites the table in docs/CAPACITY.md.
+# Real processes under faults from outside; says what was broken, ends with 1 then.
+soak: $(STAMP)
+	LOGURU_AUTOINIT=0 $(PYTHON) -m trefoilhook.soak --seed $(SEED) --count $(COUNT) --minutes $(MINUTES)
+
 capacity: $(STAMP)
 	LOGURU_AUTOINIT=0 $(PYTHON) -m bench.capacity
 
--- a/trefoilhook/runtime/tests/test_program.py
+++ b/trefoilhook/runtime/tests/test_program.py
@@ -42,7 +42,7 @@
 
     def _start(self) -> subprocess.Popen:
         process = subprocess.Popen(
-            [sys.executable, "-m", "trefoilhook.runtime"],
+            [sys.executable, "-m", "trefoilhook"],
             env={**os.environ, SETTINGS_VARIABLE: str(self.path)},
             stdout=subprocess.PIPE,
             text=True,
@@ -70,6 +70,23 @@
         self._read_until(process, "STOPPED")
         self.assertEqual(process.wait(timeout=_TIMEOUT_S), 0)
 
+    def test_signal_before_the_settings_are_read(self):
+        # Settings change while an instance is being restarted, and SIGHUP reaches it
+        # before its handler is there: the instance ends, and is missing for the time of
+        # another restart. A pipe in place of the file holds the process at that point.
+        settings = self.path.read_text(encoding="utf-8")
+        self.path.unlink()
+        os.mkfifo(self.path)
+        process = self._start()
+        with self.path.open("w", encoding="utf-8") as pipe:
+            process.send_signal(signal.SIGHUP)
+            fresh = self.path.with_suffix(".new")
+            fresh.write_text(settings, encoding="utf-8")
+            fresh.replace(self.path)
+            pipe.write(settings)
+        self._read_until(process, "STARTED")
+        self.assertIsNone(process.poll())
+
     def test_bad_settings_are_not_put_in_force(self):
         process = self._start()
         self._read_until(process, "STARTED")
--- /dev/null
+++ b/trefoilhook/soak/faults.py
@@ -0,0 +1,218 @@
+"""Faults of a soak, injected from outside, in series and overlapping."""
+
+import random
+import signal
+import subprocess
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from trefoilhook.soak.fleet import Fleet, Instance
+from trefoilhook.standins import CutSettings, Partition, TcpCut
+from trefoilhook.standins.platform_store import StoreFault
+from trefoilhook.standins.platform_worker import WorkerFault
+
+__all__ = ["Faults"]
+
+_LONGEST_S = 4.0
+_SHORTEST_S = 0.3
+_PAUSE_S = 0.8
+"""Mean pause between two faults, in s: some four overlap."""
+
+_UNLISTED_S = 2.0
+"""A worker that is gone is off the list after so long, in s."""
+
+_INTERPRETER_START_S = 0.3
+"""No SIGHUP is sent to a younger process, in s: until the interpreter runs the
+program's first line, after some 20 ms, nothing can keep the signal from ending it."""
+
+_MOST_DELAY_MS = 400.0
+
+Fault = Callable[["Faults"], Awaitable[None]]
+
+
+class Faults:
+    """Draws faults and undoes them.
+
+    Parameters
+    ----------
+    fleet : Fleet
+        What is harmed.
+    choices : random.Random
+        Where chance comes from.
+
+    Attributes
+    ----------
+    injected : list of str
+        Names of the faults, in order.
+    """
+
+    def __init__(self, *, fleet: Fleet, choices: random.Random) -> None:
+        self._fleet = fleet
+        self._choices = choices
+        self.injected: list[str] = []
+
+    async def run(self, duration_s: float) -> None:
+        """Inject faults for a while; return once all are undone."""
+        async with trio.open_nursery() as nursery:
+            with trio.move_on_after(duration_s):
+                while True:
+                    await trio.sleep(self._choices.expovariate(1.0 / _PAUSE_S))
+                    fault = self._choices.choice(_FAULTS)
+                    self.injected.append(fault.__name__.strip("_"))
+                    nursery.start_soon(fault, self)
+
+    async def last(self) -> None:
+        """Let a fault last for a while."""
+        await trio.sleep(self._choices.uniform(_SHORTEST_S, _LONGEST_S))
+
+    def draw_instance(self) -> Instance:
+        """Choose an instance."""
+        return self._choices.choice(self._fleet.instances)
+
+    def draw_worker(self) -> int:
+        """Choose the place of a worker."""
+        return self._choices.choice(sorted(self._fleet.workers))
+
+    @property
+    def fleet(self) -> Fleet:
+        """What is harmed."""
+        return self._fleet
+
+    @property
+    def choices(self) -> random.Random:
+        """Where chance comes from."""
+        return self._choices
+
+
+async def _restart(instance: Instance, ended: subprocess.Popen[bytes] | None) -> None:
+    """Start an instance again once a process of it is gone, as the platform would.
+
+    Another fault may have done so meanwhile.
+    """
+    while instance.process is ended and instance.is_running:
+        await trio.sleep(0.05)
+    if instance.process is ended:
+        instance.start()
+
+
+async def _kill_instance(faults: Faults) -> None:
+    instance = faults.draw_instance()
+    killed = instance.process
+    instance.send(signal.SIGKILL)
+    await faults.last()
+    await _restart(instance, killed)
+
+
+async def _kill_all(faults: Faults) -> None:
+    killed = [(each, each.process) for each in faults.fleet.instances]
+    for instance, _ in killed:
+        instance.send(signal.SIGKILL)
+    await faults.last()
+    for instance, process in killed:
+        await _restart(instance, process)
+
+
+async def _stop_instance(faults: Faults) -> None:
+    instance = faults.draw_instance()
+    stopped = instance.process
+    instance.send(signal.SIGTERM)
+    await _restart(instance, stopped)
+
+
+async def _freeze_instance(faults: Faults) -> None:
+    instance = faults.draw_instance()
+    frozen = instance.process
+    instance.send(signal.SIGSTOP)
+    await faults.last()
+    if instance.process is frozen:
+        instance.send(signal.SIGCONT)
+
+
+async def _reload_instance(faults: Faults) -> None:
+    instance = faults.draw_instance()
+    instance.write_settings()
+    if instance.age_s > _INTERPRETER_START_S:
+        instance.send(signal.SIGHUP)
+
+
+async def _harm_store(faults: Faults) -> None:
+    store = faults.fleet.store
+    store.fault = faults.choices.choice(
+        (StoreFault.BUSY, StoreFault.SILENT, StoreFault.LOSES_ANSWERS)
+    )
+    await faults.last()
+    store.fault = StoreFault.NONE
+
+
+async def _forget_history(faults: Faults) -> None:
+    faults.fleet.store.forget_history()
+
+
+async def _change_configuration(faults: Faults) -> None:
+    faults.fleet.configure()
+
+
+async def _harm_link(faults: Faults, link: TcpCut) -> None:
+    kind = faults.choices.choice(("partition", "delay", "forget", "reset"))
+    if kind == "forget":
+        link.forget_connections()
+        return
+    if kind == "reset":
+        await link.reset_connections()
+        return
+    if kind == "delay":
+        link.set(CutSettings(delay_ms=faults.choices.uniform(5.0, _MOST_DELAY_MS)))
+    else:
+        partitions = [each for each in Partition if each is not Partition.NONE]
+        link.set(CutSettings(partition=faults.choices.choice(partitions)))
+    await faults.last()
+    link.set(CutSettings())
+
+
+async def _harm_store_link(faults: Faults) -> None:
+    await _harm_link(faults, faults.draw_instance().link)
+
+
+async def _harm_worker_link(faults: Faults) -> None:
+    await _harm_link(faults, faults.fleet.workers[faults.draw_worker()].link)
+
+
+async def _harm_worker(faults: Faults) -> None:
+    worker = faults.fleet.workers[faults.draw_worker()].worker
+    worker.fault = faults.choices.choice(
+        (WorkerFault.SILENT, WorkerFault.FAILS_TASKS, WorkerFault.LATE_STARTS)
+    )
+    await faults.last()
+    worker.fault = WorkerFault.NONE
+
+
+async def _crash_worker(faults: Faults) -> None:
+    place = faults.draw_worker()
+    worker_id = faults.fleet.crash_worker(place)
+    await faults.last()
+    if faults.fleet.workers[place].worker.worker_id == worker_id:
+        await faults.fleet.start_worker(place)
+    await trio.sleep(_UNLISTED_S)
+    faults.fleet.store.remove(f"servers/{worker_id}")
+
+
+_FAULTS: tuple[Fault, ...] = (
+    _kill_instance,
+    _kill_instance,
+    _kill_all,
+    _stop_instance,
+    _freeze_instance,
+    _freeze_instance,
+    _reload_instance,
+    _harm_store,
+    _harm_store,
+    _forget_history,
+    _change_configuration,
+    _harm_store_link,
+    _harm_store_link,
+    _harm_worker_link,
+    _harm_worker_link,
+    _harm_worker,
+    _crash_worker,
+)
--- /dev/null
+++ b/trefoilhook/soak/fleet.py
@@ -0,0 +1,252 @@
+"""What a soak runs: the real program as processes, and the platform's stand-ins."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import attrs
+import trio
+
+from trefoilhook.clock import Clock
+from trefoilhook.platform import SETTINGS_VARIABLE
+from trefoilhook.standins import TcpCut
+from trefoilhook.standins.platform_store import PlatformStore
+from trefoilhook.standins.platform_worker import PlatformWorker, TaskRecord
+
+__all__ = ["Fleet", "Instance", "LivingWorker", "WORKER_CPU"]
+
+WORKER_CPU = 4000
+"""Thousandths of a core that a stand-in worker has."""
+
+SERVICE = "s"
+
+_SLOW_CLOCK = 0.98
+"""A worker's own clock may be 2 % slow, by the platform's statement."""
+
+_EXPECTED_EXITS = {0, -signal.SIGKILL}
+
+
+def _find_free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+@attrs.define(kw_only=True, eq=False)
+class Instance:
+    """One process of the system.
+
+    Parameters
+    ----------
+    name : str
+        Its name.
+    port, readiness_port : int
+        Where it serves clients, and tells whether it is ready.
+    link : TcpCut
+        Its way to the store.
+    folder : Path
+        Where its settings and its log are.
+    process : subprocess.Popen or None
+        While it runs.
+    """
+
+    name: str
+    port: int
+    readiness_port: int
+    link: TcpCut
+    folder: Path
+    process: subprocess.Popen[bytes] | None = None
+    revision: int = 0
+    started_s: float = 0.0
+
+    @property
+    def is_running(self) -> bool:
+        """Whether its process is there."""
+        return self.process is not None and self.process.poll() is None
+
+    def write_settings(self) -> None:
+        """Write its settings, each time with another unknown field."""
+        self.revision += 1
+        settings = {
+            "node_name": self.name,
+            "listen_addrs": {
+                "frontend": f"127.0.0.1:{self.port}",
+                "readiness": f"127.0.0.1:{self.readiness_port}",
+            },
+            "platform": {"address": f"127.0.0.1:{self.link.port}"},
+            "bounds": {"grace_s": 6, "max_hold_ms": 6000, "stop_grace_ms": 200},
+            "revision": self.revision,
+        }
+        path = self.folder / "settings.json"
+        fresh = self.folder / "settings.new"
+        fresh.write_text(json.dumps(settings), encoding="utf-8")
+        fresh.replace(path)
+
+    def start(self) -> None:
+        """Start its process."""
+        self.write_settings()
+        path = self.folder / "settings.json"
+        self.started_s = time.monotonic()
+        with (self.folder / "log.jsonl").open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "trefoilhook"],
+                env={**os.environ, SETTINGS_VARIABLE: str(path)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    @property
+    def age_s(self) -> float:
+        """How long ago its process was started, in s."""
+        return time.monotonic() - self.started_s
+
+    def send(self, number: signal.Signals) -> None:
+        """Send its process a signal; one that is gone gets none."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.send_signal(number)
+
+
+@attrs.define(kw_only=True, eq=False)
+class LivingWorker:
+    """One life of a worker, and the way to it."""
+
+    worker: PlatformWorker
+    link: TcpCut
+    scope: trio.CancelScope
+
+
+class Fleet:
+    """Store, workers and instances of one soak.
+
+    Parameters
+    ----------
+    nursery : trio.Nursery
+        Where they run.
+    clock : Clock
+        Where time comes from.
+    folder : Path
+        Where settings and logs go.
+    task_ms : float
+        Time of a task, in ms.
+    """
+
+    def __init__(
+        self, *, nursery: trio.Nursery, clock: Clock, folder: Path, task_ms: float
+    ) -> None:
+        self._nursery = nursery
+        self._clock = clock
+        self._folder = folder
+        self._task_ms = task_ms
+        self._lives = 0
+        self._version = 0
+        self.prefixes: list[str] = []
+        self.store = PlatformStore(clock=clock)
+        self.instances: list[Instance] = []
+        self.workers: dict[int, LivingWorker] = {}
+        self.runs: dict[str, list[TaskRecord]] = {}
+        self.exits: list[str] = []
+
+    async def start(self, *, instances: int, workers: int) -> None:
+        """Start everything."""
+        await self._nursery.start(self.store.server.run)
+        self._nursery.start_soon(self.store.expire_leases)
+        self.configure()
+        for place in range(workers):
+            await self.start_worker(place)
+        for number in range(instances):
+            await self._add_instance(f"i{number}")
+
+    async def _add_instance(self, name: str) -> None:
+        folder = self._folder / name
+        folder.mkdir()
+        link = await self._open_link(self.store.server.port)
+        instance = Instance(
+            name=name,
+            port=_find_free_port(),
+            readiness_port=_find_free_port(),
+            link=link,
+            folder=folder,
+        )
+        self.instances.append(instance)
+        instance.start()
+
+    async def _open_link(self, port: int) -> TcpCut:
+        link = TcpCut(clock=self._clock, target_host="127.0.0.1", target_port=port)
+        await self._nursery.start(link.run)
+        return link
+
+    def configure(self) -> None:
+        """Write a configuration with one more queue."""
+        self._version += 3
+        self.prefixes.append(f"/q{self._version}/")
+        routes = [
+            {
+                "name": f"r{prefix.strip('/')}",
+                "host": "127.0.0.1",
+                "prefix": prefix,
+                "priority": 0,
+                "service": SERVICE,
+                "max_attempts": 1000,
+                "stretch": 1.5,
+                "target_latency_ms": 250,
+            }
+            for prefix in self.prefixes
+        ]
+        document = {"version": self._version, "routes": routes}
+        self.store.write("op/config", document)
+
+    async def start_worker(self, place: int) -> None:
+        """Start a new life of the worker at a place, and list it."""
+        self._lives += 1
+        worker = PlatformWorker(
+            worker_id=f"w{place}-{self._lives}",
+            clock=self._clock,
+            task_ms=self._task_ms,
+            rate=_SLOW_CLOCK if place % 2 else 1.0,
+        )
+        scope = trio.CancelScope()
+        await self._nursery.start(self._run_worker, worker, scope)
+        link = await self._open_link(worker.server.port)
+        self.workers[place] = LivingWorker(worker=worker, link=link, scope=scope)
+        self.runs[worker.worker_id] = worker.records
+        entry = worker.describe(SERVICE, port=link.port)
+        self.store.write(f"servers/{worker.worker_id}", entry)
+
+    async def _run_worker(
+        self,
+        worker: PlatformWorker,
+        scope: trio.CancelScope,
+        *,
+        task_status: trio.TaskStatus[None],
+    ) -> None:
+        with scope:
+            await worker.run(task_status=task_status)
+
+    def crash_worker(self, place: int) -> str:
+        """End a life of a worker; its entry stays, and is to be removed later."""
+        living = self.workers[place]
+        living.scope.cancel()
+        living.worker.crash()
+        return living.worker.worker_id
+
+    def note_exits(self) -> None:
+        """Note processes that ended as no fault explains, and start them again."""
+        for instance in self.instances:
+            code = instance.process.poll() if instance.process is not None else None
+            if code is not None and code not in _EXPECTED_EXITS:
+                self.exits.append(f"{instance.name} ended by itself with {code}")
+                instance.start()
+
+    async def close(self) -> None:
+        """End the processes of the soak, each by its id."""
+        for instance in self.instances:
+            instance.send(signal.SIGCONT)
+            instance.send(signal.SIGKILL)
+            if instance.process is not None:
+                await trio.to_thread.run_sync(instance.process.wait)
--- /dev/null
+++ b/trefoilhook/soak/tests/test_soak.py
@@ -0,0 +1,38 @@
+"""A short soak of the real processes, the same faults each time."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import trio
+
+from trefoilhook.soak import SoakSettings, run_soak
+
+_SEED = 7
+_DURATION_S = 10.0
+_TIMEOUT_S = 120.0
+"""Generous: the soak itself gives up after some 55 s."""
+
+
+class SoakTest(unittest.TestCase):
+    """Three processes, four workers, overlapping faults."""
+
+    def test_promises_hold(self):
+        with tempfile.TemporaryDirectory() as folder:
+            settings = SoakSettings(
+                seed=_SEED,
+                duration_s=_DURATION_S,
+                folder=Path(folder),
+                instances=3,
+                workers=4,
+            )
+
+            async def main():
+                with trio.fail_after(_TIMEOUT_S):
+                    return await run_soak(settings)
+
+            report = trio.run(main)
+        self.assertEqual(report.violations, ())
+        self.assertGreater(len(report.faults), 5)
+        self.assertGreater(report.accepted, 10)
+        self.assertGreaterEqual(report.runs, report.accepted)
--- a/trefoilhook/standins/cut.py
+++ b/trefoilhook/standins/cut.py
@@ -1,6 +1,7 @@
 """A forwarding proxy that loses track of connections when a test asks for it."""
 
 import enum
+import struct
 
 import attrs
 import trio
@@ -11,16 +12,22 @@
 
 _QUEUED_CHUNKS = 256
 
+_ABORT = struct.pack("ii", 1, 0)
+"""Socket option by which closing sends a reset."""
+
 
 class Partition(enum.Enum):
     """What the cut does with connections.
 
-    NONE: forwards. SILENT: takes them, and drops every byte. REFUSED: refuses new ones
-    and drops every byte of the open ones.
+    NONE: forwards. SILENT: takes them, and drops every byte. REQUESTS_LOST and
+    ANSWERS_LOST: drops what goes one way. REFUSED: refuses new ones and drops every
+    byte of the open ones.
     """
 
     NONE = "none"
     SILENT = "silent"
+    REQUESTS_LOST = "requests lost"
+    ANSWERS_LOST = "answers lost"
     REFUSED = "refused"
 
 
@@ -45,6 +52,7 @@
     """State of one connection: once forgotten it stays silent for good."""
 
     is_forgotten: bool = False
+    ends: tuple[trio.SocketStream, ...] = ()
 
 
 class TcpCut:
@@ -116,6 +124,13 @@
             pipe.is_forgotten = True
         return len(self._pipes)
 
+    async def reset_connections(self) -> None:
+        """Reset every open connection, at both ends; new ones work."""
+        for end in [end for pipe in self._pipes for end in pipe.ends]:
+            if end.socket.fileno() >= 0:
+                end.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, _ABORT)
+                await trio.aclose_forcefully(end)
+
     async def run(
         self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -141,8 +156,15 @@
             async with near:
                 far = await trio.open_tcp_stream(self._target_host, self._target_port)
                 async with far, trio.open_nursery() as ways:
-                    ways.start_soon(self._carry, near, far, pipe, ways.cancel_scope)
-                    ways.start_soon(self._carry, far, near, pipe, ways.cancel_scope)
+                    pipe.ends = near, far
+                    lost = Partition.REQUESTS_LOST
+                    ways.start_soon(
+                        self._carry, near, far, pipe, ways.cancel_scope, lost
+                    )
+                    lost = Partition.ANSWERS_LOST
+                    ways.start_soon(
+                        self._carry, far, near, pipe, ways.cancel_scope, lost
+                    )
         except OSError:
             return
         finally:
@@ -154,10 +176,11 @@
         sink: trio.SocketStream,
         pipe: _Pipe,
         scope: trio.CancelScope,
+        lost: Partition,
     ) -> None:
         sender, receiver = trio.open_memory_channel[tuple[float, bytes]](_QUEUED_CHUNKS)
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._deliver, receiver, sink, pipe, scope)
+            nursery.start_soon(self._deliver, receiver, sink, pipe, scope, lost)
             async with sender:
                 try:
                     async for chunk in source:
@@ -172,12 +195,13 @@
         sink: trio.SocketStream,
         pipe: _Pipe,
         scope: trio.CancelScope,
+        lost: Partition,
     ) -> None:
         async for due_ms, chunk in receiver:
             left_ms = due_ms - self._clock.monotonic_ms()
             if left_ms > 0:
                 await self._clock.sleep_ms(left_ms)
-            if not self._is_open(pipe):
+            if not self._is_open(pipe) or self._settings.partition is lost:
                 self.dropped_bytes += len(chunk)
                 continue
             try:
@@ -193,6 +217,6 @@
     def _is_open(self, pipe: _Pipe) -> bool:
         # Bytes lost in a partition never come later, so that what carried them is
         # silent for good, as a connection is whose state was dropped on the way.
-        if self._settings.partition is not Partition.NONE:
+        if self._settings.partition in (Partition.SILENT, Partition.REFUSED):
             pipe.is_forgotten = True
         return not pipe.is_forgotten
--- a/trefoilhook/standins/platform_worker.py
+++ b/trefoilhook/standins/platform_worker.py
@@ -41,6 +41,8 @@
         How it ended.
     checkpoint : str
         Where it began.
+    acknowledged : bool
+        Whether its end was acknowledged.
     """
 
     task: str
@@ -50,6 +52,7 @@
     ended_ms: float | None = None
     how: str = ""
     checkpoint: str = ""
+    acknowledged: bool = False
 
 
 class PlatformWorker:
@@ -63,6 +66,8 @@
         Where time comes from.
     task_ms : float
         Time of each task, in ms.
+    rate : float, optional
+        How fast its own clock runs, by which it judges deadlines.
 
     Attributes
     ----------
@@ -74,7 +79,10 @@
         How much later a late start is carried out, in ms.
     """
 
-    def __init__(self, *, worker_id: str, clock: Clock, task_ms: float) -> None:
+    def __init__(
+        self, *, worker_id: str, clock: Clock, task_ms: float, rate: float = 1.0
+    ) -> None:
+        self._rate = rate
         self.worker_id = worker_id
         self._clock = clock
         self._task_ms = task_ms
@@ -90,16 +98,27 @@
         self.late_ms = 600.0
         self.server = HttpServer(handler=self._answer, host="127.0.0.1", port=0)
 
-    def describe(self, service: str) -> dict[str, Any]:
-        """Return the entry that the worker keeps in the store."""
+    def _read_own_clock(self) -> float:
+        return self._clock.monotonic_ms() * self._rate
+
+    def describe(self, service: str, *, port: int | None = None) -> dict[str, Any]:
+        """Return the entry that the worker keeps in the store.
+
+        Parameters
+        ----------
+        service : str
+            The service whose tasks it runs.
+        port : int, optional
+            Where it takes orders, if something stands in between.
+        """
         return {
             "service": service,
-            "address": f"127.0.0.1:{self.server.port}",
+            "address": f"127.0.0.1:{port or self.server.port}",
             "zone": "z",
             "state": "ready",
             "capacity": {"cpu": 4000, "mem_mb": 8000, "gpu": 0},
             "labels": ["a", "r1"],
-            "clock_ms": int(self._clock.monotonic_ms()),
+            "clock_ms": int(self._read_own_clock()),
             "sequence": 1,
         }
 
@@ -121,7 +140,7 @@
     def _advance(self) -> None:
         now_ms = self._clock.monotonic_ms()
         for record in self._list_running():
-            if now_ms > self._deadline_ms:
+            if self._read_own_clock() > self._deadline_ms:
                 self._end(record, "lapsed")
             elif now_ms - record.started_ms >= self._task_ms:
                 fails = self.fault is WorkerFault.FAILS_TASKS
@@ -139,6 +158,12 @@
     def _forbid(self, task: str, attempt: int) -> None:
         self._forbidden[task] = max(self._forbidden.get(task, 0), attempt)
 
+    def crash(self) -> None:
+        """End all that runs; nothing of it is listed any more."""
+        for record in self._list_running():
+            record.ended_ms = self._clock.monotonic_ms()
+            record.how = "crashed"
+
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         if self.fault is WorkerFault.SILENT:
             await trio.sleep_forever()
@@ -178,7 +203,7 @@
                 return self._reply({})
         if attempt <= self._forbidden.get(task, 0):
             return self._refuse("old")
-        if now_ms > body["deadline_ms"]:
+        if self._read_own_clock() > body["deadline_ms"]:
             return self._refuse("late")
         self.records.append(
             TaskRecord(
@@ -200,6 +225,8 @@
 
     async def _hold(self, body: dict[str, Any]) -> HttpResponse:
         self._deadline_ms = max(self._deadline_ms, body.get("deadline_ms", 0))
+        for number, record in self._ends:
+            record.acknowledged = record.acknowledged or number <= body["acked"]
         self._ends = [end for end in self._ends if end[0] > body["acked"]]
         with trio.move_on_after(body.get("wait_ms", 0) / 1000.0):
             while not self._ends:
@@ -209,9 +236,9 @@
         return self._reply({"running": running, "finished": ends})
 
     def _reply(self, value: dict[str, Any]) -> HttpResponse:
-        value["clock_ms"] = int(self._clock.monotonic_ms())
+        value["clock_ms"] = int(self._read_own_clock())
         return HttpResponse.from_json(value)
 
     def _refuse(self, reason: str) -> HttpResponse:
-        value = {"clock_ms": int(self._clock.monotonic_ms()), "reason": reason}
+        value = {"clock_ms": int(self._read_own_clock()), "reason": reason}
         return HttpResponse.from_json(value, status=409)
