--- a/trefoilhook/__main__.py
+++ b/trefoilhook/__main__.py
@@ -7,7 +7,8 @@
 # are there SIGHUP would end it, which shows as an exit by itself with signal 1 and an
 # instance less for a restart's time; and SIGTERM would end it as if it had crashed. The
 # settings are read after this, so a change that the ignored signal told of is in them;
-# nothing has been begun that a stop would have to finish. Left is the interpreter's start.
+# nothing has been begun that a stop would have to finish. Left is the interpreter's own
+# start.
 signal.signal(signal.SIGHUP, signal.SIG_IGN)
 signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
 
--- a/trefoilhook/runtime/tests/test_program.py
+++ b/trefoilhook/runtime/tests/test_program.py
@@ -90,14 +90,13 @@
         self.path.unlink()
         os.mkfifo(self.path)
         process = self._start()
-        with self.path.open("w", encoding="utf-8") as pipe:
+        # Opening the pipe waits until the process opens it to read its settings.
+        with contextlib.suppress(BrokenPipeError), self.path.open("w") as pipe:
             process.send_signal(number)
             fresh = self.path.with_suffix(".new")
             fresh.write_text(settings, encoding="utf-8")
             fresh.replace(self.path)
-            with contextlib.suppress(BrokenPipeError):
-                pipe.write(settings)
-                pipe.flush()
+            pipe.write(settings)
         return process
 
     def test_bad_settings_are_not_put_in_force(self):
