--- /dev/null
+++ b/bench/rounds.py
@@ -0,0 +1,131 @@
+"""Time of one round of assignment, by number of workers: ``python -m bench.rounds``."""
+
+import random
+import time
+
+import attrs
+
+from trefoilhook.scheduling import (
+    Demand,
+    OrderOutcome,
+    StartOrder,
+    Step,
+    WorkerReport,
+)
+from trefoilhook.scheduling.tests.cases import FakeWorker, Shard, build_job
+
+_IMAGES = 10
+_FILLER_IMAGES = 18
+_FILLER_STEP = Step(
+    count=20,
+    demand=Demand(cpu=3500, memory_mb=6400),
+    estimate_ms=2200.0,
+    filler=True,
+    checkpointing=True,
+)
+_SERVICE_STEP = Step(
+    count=14,
+    demand=Demand(cpu=6400, memory_mb=13_000),
+    long_running=True,
+    latency_limit_ms=18.0,
+    max_per_worker=1,
+)
+_URGENT_STEP = Step(
+    count=10, demand=Demand(cpu=1500, memory_mb=4000), estimate_ms=640.0
+)
+
+
+def _build_shard(count: int) -> Shard:
+    shard = Shard(workers=0)
+    for number in range(count):
+        worker_id = f"w{number}"
+        shard.workers[worker_id] = FakeWorker(worker_id=worker_id)
+        shard.scheduler.update_worker(
+            WorkerReport(
+                worker_id=worker_id,
+                service="s",
+                host=worker_id,
+                port=1,
+                failure_domain="z",
+                capacity=Demand(cpu=32_000, memory_mb=128_000),
+                labels=("a", f"r{number // 12}"),
+            )
+        )
+        shard.scheduler.workers[worker_id].rostered = True
+        shard.look(worker_id)
+    return shard
+
+
+def _learn(shard: Shard, choices: random.Random) -> None:
+    for victim in range(_IMAGES):
+        for filler in range(_FILLER_IMAGES):
+            cost = 0.1 * choices.choice((0.8, 0.8, 9.0, 9.0, 9.0))
+            for _ in range(10):
+                shard.scheduler.interference.learn_change(
+                    f"s{victim}",
+                    before={},
+                    after={f"f{filler}": 0.1},
+                    slack_before=2.6,
+                    slack_after=2.6 - cost,
+                )
+
+
+def _plan(shard: Shard, *, pause_ms: float = 1000.0) -> tuple[float, int]:
+    """Make a plan and carry it out; return its time in ms and its starts."""
+    shard.pass_time(pause_ms)
+    began = time.process_time()
+    orders = [order for order in shard.plan() if isinstance(order, StartOrder)]
+    spent_ms = (time.process_time() - began) * 1000.0
+    for order in orders:
+        worker = shard.workers[order.worker_id]
+        worker.run(order)
+        state = shard.scheduler.jobs[order.task.job_id]
+        if state.job.steps[order.task.step].latency_limit_ms:
+            worker.update(order.task, order.attempt, percent=100.0, load=7.0)
+        shard.answer(order, OrderOutcome.DONE)
+    shard.pass_time(5.0)
+    # All make progress: workers on which tasks stand still are avoided.
+    for worker in shard.workers.values():
+        for (task, attempt), running in worker.running.items():
+            worker.update(task, attempt, percent=min(100.0, running.percent + 1.0))
+    shard.look_all()
+    return spent_ms, len(orders)
+
+
+def _measure(count: int) -> None:
+    choices = random.Random(count)
+    shard = _build_shard(count)
+    _learn(shard, choices)
+    for number in range(count // 4):
+        step = attrs.evolve(_SERVICE_STEP, image=f"s{number % _IMAGES}")
+        shard.submit(build_job(step, job_id=f"service-{number}"))
+    _plan(shard)
+    rows = []
+    for turn in range(5):
+        for number in range(count // 6):
+            image = f"f{choices.randrange(_FILLER_IMAGES)}"
+            step = attrs.evolve(_FILLER_STEP, image=image)
+            shard.submit(build_job(step, job_id=f"filler-{turn}-{number}"))
+        rows.append(_plan(shard))
+    waiting = len(shard.scheduler.waiting)
+    idle_ms, _ = _plan(shard)
+    for number in range(4):
+        shard.submit(build_job(_URGENT_STEP, job_id=f"urgent-{number}"))
+    # Too soon after the last for fillers to be looked at.
+    urgent_ms, urgent = _plan(shard, pause_ms=5.0)
+    first_ms, first = rows[0]
+    print(
+        f"{count:8} {first:6} in {first_ms:7.1f} {waiting:8} {idle_ms:12.1f} "
+        f"{urgent:6} in {urgent_ms:6.1f}"
+    )
+
+
+def main() -> None:
+    """Print one row for each number of workers."""
+    print(" workers  fillers placed   waiting  nothing, ms  urgent placed")
+    for count in (24, 176, 704):
+        _measure(count)
+
+
+if __name__ == "__main__":
+    main()
