Serve queues with advice

Cause: such a queue was accepted and its tasks waited for good, though the contract is in force on every site. The owner now asks the service which workers may run a step and sends starts there with their tickets. Weighed: asking on submission (pays for steps that are never placed, and tickets lapse before later steps come) against asking when a step finds no place, which was taken; all workers in a call against the thirty best (the service's time grows with each, and a job's objective allows for thirty).

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -82,6 +82,7 @@
     TASK_STARTED = (1610, Level.INFO, "A worker confirmed the start of a task.")
     TASK_ENDED = (1611, Level.INFO, "A worker listed the end of a task.")
     TASK_STOPPED = (1612, Level.INFO, "A worker took an order to stop a task.")
+    ADVICE_TAKEN = (1613, Level.INFO, "The advice service was asked about a step.")
 
     def __init__(self, number: int, level: Level, description: str) -> None:
         self.number = number
--- a/trefoilhook/platform/__init__.py
+++ b/trefoilhook/platform/__init__.py
@@ -1,5 +1,6 @@
 """Adapter to the users' platform: its names, formats and calls, and no decision."""
 
+from trefoilhook.platform.advice import AdviceClient
 from trefoilhook.platform.core import Address, parse_address
 from trefoilhook.platform.declarations import (
     CONFIGURATION_KEY,
@@ -40,6 +41,7 @@
     "SETTINGS_VARIABLE",
     "WORKER_PREFIX",
     "Address",
+    "AdviceClient",
     "Bounds",
     "Change",
     "Changes",
--- a/trefoilhook/platform/settings.py
+++ b/trefoilhook/platform/settings.py
@@ -63,6 +63,8 @@
         Where the platform asks whether new connections may come.
     store_address : (str, int)
         Where the platform's store listens.
+    advice_address : (str, int) or None
+        Where the service listens that tells which workers a step may run on.
     bounds : Bounds
         Time limits.
     """
@@ -72,6 +74,7 @@
     readiness_address: Address
     store_address: Address
     bounds: Bounds
+    advice_address: Address | None = None
 
 
 def _decode_bounds(table: Mapping[str, Any]) -> Bounds:
@@ -95,12 +98,14 @@
     try:
         table = json.loads(text)
         addresses = table["listen_addrs"]
+        advice = table.get("advice")
         return ProcessSettings(
             name=table["node_name"],
             entry_address=parse_address(addresses["frontend"]),
             readiness_address=parse_address(addresses["readiness"]),
             store_address=parse_address(table["platform"]["address"]),
             bounds=_decode_bounds(table["bounds"]),
+            advice_address=parse_address(advice) if advice else None,
         )
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise SettingsError(f"the settings can't be read: {error!r}") from error
--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -239,6 +239,7 @@
                 longest_stop_ms=bounds.longest_stop_ms,
                 overload_ms=bounds.overload_ms,
                 status_ms=bounds.status_ms,
+                advice_address=self._settings.advice_address,
             ),
             read_configuration=self._read_configuration,
             figures=self.figures,
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -10,6 +10,8 @@
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import (
     WORKER_PREFIX,
+    Address,
+    AdviceClient,
     Change,
     Item,
     KeyValueStore,
@@ -18,6 +20,7 @@
     decode_worker_report,
 )
 from trefoilhook.runtime import keys
+from trefoilhook.runtime.advising import ask_for_advice
 from trefoilhook.runtime.commits import Committer
 from trefoilhook.runtime.figures import Figures
 from trefoilhook.runtime.following import follow
@@ -80,12 +83,15 @@
         How long a service task may be over its latency limit at most.
     status_ms : float
         How long the state of an ended job must be told.
+    advice_address : (str, int) or None
+        Where the service listens that tells which workers a step may run on.
     """
 
     task_lease_ms: float
     longest_stop_ms: float
     overload_ms: float
     status_ms: float
+    advice_address: Address | None = None
 
 
 class ShardOwner:
@@ -199,6 +205,11 @@
         nursery.start_soon(upkeep.keep_learned)
         nursery.start_soon(upkeep.keep_retention)
         nursery.start_soon(upkeep.forget_ended)
+        if self._settings.advice_address is not None:
+            advice = AdviceClient(address=self._settings.advice_address)
+            nursery.start_soon(
+                ask_for_advice, advice, self._clock, self._scheduler, self.wake
+            )
         await self._plan(nursery)
 
     # What stands in the store.
--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -12,6 +12,7 @@
 from trefoilhook.http import HttpClient, HttpRequest, HttpResponse
 from trefoilhook.platform import Bounds, ProcessSettings
 from trefoilhook.runtime import Process
+from trefoilhook.standins.platform_advice import PlatformAdvice
 from trefoilhook.standins.platform_store import PlatformStore
 from trefoilhook.standins.platform_worker import PlatformWorker
 
@@ -77,6 +78,16 @@
         self.store = PlatformStore(clock=self.clock)
         self.workers: dict[str, PlatformWorker] = {}
         self.instances: list[Instance] = []
+        self.advice: PlatformAdvice | None = None
+
+    async def start_advice(self, *allowed: str) -> None:
+        """Start the advice service, and have the queue need its word."""
+        self.advice = PlatformAdvice(allowed=allowed)
+        await self._nursery.start(self.advice.server.run)
+        configuration = build_configuration(2)
+        for route in configuration["routes"]:
+            route["advice"] = {"decision_ms": 5, "period_ms": 1, "valid_ms": 3000}
+        self.store.write("op/config", configuration)
 
     async def start_store(self) -> None:
         """Start the store with a first configuration."""
@@ -101,6 +112,9 @@
             entry_address=("127.0.0.1", 0),
             readiness_address=("127.0.0.1", 0),
             store_address=("127.0.0.1", self.store.server.port),
+            advice_address=("127.0.0.1", self.advice.server.port)
+            if self.advice is not None
+            else None,
             bounds=Bounds(
                 shutdown_ms=6000.0,
                 max_task_lease_ms=6000.0,
--- /dev/null
+++ b/trefoilhook/runtime/tests/test_advice.py
@@ -0,0 +1,42 @@
+"""A queue with advice, from submission to result, over sockets."""
+
+import unittest
+
+import trio
+
+from trefoilhook.runtime.tests.cluster import PREFIX, Cluster, build_body, run_cluster
+
+_JOB = "00000000000000d1"
+
+
+class AdviceTest(unittest.TestCase):
+    """The service allows one worker of three."""
+
+    def test_only_the_allowed_worker_runs_the_steps(self):
+        async def scenario(cluster: Cluster) -> None:
+            await cluster.start_advice("w1")
+            instance = await cluster.start_instance()
+            await cluster.send(instance, "POST", PREFIX + _JOB, build_body(2, 1))
+            await cluster.wait_for_state(instance, _JOB, "completed")
+            self.assertEqual(len(cluster.workers["w1"].records), 3)
+            self.assertEqual(len(cluster.list_runs()), 3)
+            steps = [step for step, _ in cluster.advice.asked]
+            self.assertEqual(steps, [f"{_JOB}.0.0", f"{_JOB}.0.1"])
+
+        run_cluster(scenario, instances=0, workers=3)
+
+    def test_busy_service_is_asked_again(self):
+        # Other instances' calls fill the service's queue; it turns ours away. Asked
+        # only once, the job would never start.
+        async def scenario(cluster: Cluster) -> None:
+            await cluster.start_advice("w0")
+            cluster.advice.is_busy = True
+            instance = await cluster.start_instance()
+            await cluster.send(instance, "POST", PREFIX + _JOB, build_body())
+            await cluster.wait_until(lambda: len(cluster.advice.asked) > 1)
+            await trio.sleep(0.1)
+            self.assertEqual(cluster.list_runs(), [])
+            cluster.advice.is_busy = False
+            await cluster.wait_for_state(instance, _JOB, "completed")
+
+        run_cluster(scenario, instances=0)
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -1,5 +1,6 @@
 """Jobs of steps on shared workers: the decisions, without any input or output."""
 
+from trefoilhook.scheduling.advising import choose_advised
 from trefoilhook.scheduling.assignment import extend_lease
 from trefoilhook.scheduling.book import JobState
 from trefoilhook.scheduling.changes import (
@@ -50,14 +51,17 @@
     encode_job_record,
     encode_progress,
 )
+from trefoilhook.scheduling.tickets import AdviceRequest, Grant
 
 __all__ = [
     "SLOWEST_CLOCK",
     "Advice",
+    "AdviceRequest",
     "Configuration",
     "Demand",
     "End",
     "EndKind",
+    "Grant",
     "Interference",
     "Job",
     "JobChange",
@@ -81,6 +85,7 @@
     "Worker",
     "WorkerReport",
     "acknowledge",
+    "choose_advised",
     "collect_changes",
     "confirm_change",
     "decode_interference",
--- /dev/null
+++ b/trefoilhook/scheduling/advising.py
@@ -0,0 +1,62 @@
+"""Which step, and which workers, to ask the advice service about next."""
+
+from trefoilhook.scheduling.book import TaskState
+from trefoilhook.scheduling.core import Scheduler
+from trefoilhook.scheduling.crowds import Crowds
+from trefoilhook.scheduling.models import Advice
+from trefoilhook.scheduling.placing import is_open, rate_worker
+from trefoilhook.scheduling.tickets import AdviceRequest, StepName, name_step
+
+__all__ = ["choose_advised"]
+
+_MOST_ADVISED = 30
+"""Workers asked about at a time: the users count one call for so many in a job's
+objective, and each takes the service's time."""
+
+
+def choose_advised(
+    scheduler: Scheduler, now_ms: float
+) -> tuple[AdviceRequest, Advice] | None:
+    """Choose a step, and workers that have room for it, to ask about next."""
+    while scheduler.tickets.wanted:
+        step = next(iter(scheduler.tickets.wanted))
+        del scheduler.tickets.wanted[step]
+        state = _find_waiting(scheduler, step)
+        queue = state.job.queue if state is not None else None
+        if state is None or queue is None or queue.advice is None:
+            continue
+        workers = _rate_unadvised(scheduler, state, queue.service, now_ms)
+        if workers:
+            request = AdviceRequest(step=step, workers=tuple(workers))
+            return request, queue.advice
+    return None
+
+
+def _find_waiting(scheduler: Scheduler, step: StepName) -> TaskState | None:
+    for state in scheduler.waiting:
+        if name_step(state.task) == step:
+            return state
+    return None
+
+
+def _rate_unadvised(
+    scheduler: Scheduler, state: TaskState, service: str, now_ms: float
+) -> list[str]:
+    """Return the best workers for a step of which nothing is known, best first."""
+    crowds = Crowds(
+        jobs=scheduler.jobs, interference=scheduler.interference, now_ms=now_ms
+    )
+    step = name_step(state.task)
+    rated: list[tuple[float, str]] = []
+    for worker in scheduler.workers.values():
+        worker_id = worker.report.worker_id
+        if worker.report.service != service or not is_open(worker, now_ms):
+            continue
+        if scheduler.tickets.is_refused(step, worker_id):
+            continue
+        if scheduler.tickets.find(step, worker_id, now_ms) is not None:
+            continue
+        score = rate_worker(worker, state, crowds)
+        if score is not None:
+            rated.append((-score, worker_id))
+    return [worker_id for _, worker_id in sorted(rated)[:_MOST_ADVISED]]
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -12,6 +12,7 @@
 from trefoilhook.scheduling.messages import StopReason
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.placing import is_open
+from trefoilhook.scheduling.tickets import StepName, name_step
 from trefoilhook.scheduling.watchdog import is_halted
 
 __all__ = ["assign_waiting", "extend_lease"]
@@ -57,7 +58,7 @@
     def list_open(self, state: TaskState) -> list[Worker]:
         """Return the workers that take new tasks of a task's queue."""
         queue = state.job.queue
-        if queue is None or queue.advice is not None:
+        if queue is None:
             return []
         known = self._open.get(queue.service)
         if known is None:
@@ -68,7 +69,15 @@
                 and is_open(worker, self.now_ms)
             ]
             self._open[queue.service] = known
-        return known
+        if queue.advice is None:
+            return known
+        step = name_step(state.task)
+        tickets = self.scheduler.tickets
+        return [
+            worker
+            for worker in known
+            if tickets.find(step, worker.report.worker_id, self.now_ms) is not None
+        ]
 
     def rate(self, state: TaskState, workers: Iterable[Worker]) -> Candidates:
         """Rate workers for the step of a task."""
@@ -79,6 +88,8 @@
 
     def is_short(self, state: TaskState) -> bool:
         """Tell whether one that asks for no more has found no place in this round."""
+        if _has_advice(state):
+            return False
         demand = state.step.demand
         return any(
             short.cpu <= demand.cpu
@@ -89,11 +100,18 @@
 
     def note_short(self, state: TaskState) -> None:
         """Note that a task found no place."""
-        if not state.step.max_per_worker:
+        if _has_advice(state):
+            self.scheduler.tickets.wanted[name_step(state.task)] = None
+        elif not (state.step.max_per_worker or state.step.gang):
             need = _describe_need(state)
             self._short.setdefault(need, []).append(state.step.demand)
 
 
+def _has_advice(state: TaskState) -> bool:
+    """Tell whether only some workers may run a step, so that its places are its own."""
+    return state.job.queue is not None and state.job.queue.advice is not None
+
+
 def _describe_need(state: TaskState) -> tuple[str, str, str | None]:
     """Return what two tasks share that find the same places, but for their size."""
     step = state.step
@@ -145,12 +163,12 @@
 ) -> None:
     """Hold room for the waiting tasks that have a place; their orders come due."""
     with_fillers = now_ms >= scheduler.fillers_due_ms
-    steps: dict[tuple[str, int, int], list[TaskState]] = {}
+    steps: dict[StepName, list[TaskState]] = {}
     for state in scheduler.waiting:
         if state.job.queue is None or not (settled or state.job.certain):
             continue
         if with_fillers or not state.step.filler:
-            steps.setdefault(_name_place(state), []).append(state)
+            steps.setdefault(name_step(state.task), []).append(state)
     ready = sorted(steps.values(), key=lambda tasks: _rank(tasks[0], wall_ms))
     crowds = Crowds(
         jobs=scheduler.jobs, interference=scheduler.interference, now_ms=now_ms
@@ -162,6 +180,10 @@
         )
         scheduler.fillers_due_ms = now_ms + pause_ms
         _move_halted(turn)
+    _assign_steps(turn, ready)
+
+
+def _assign_steps(turn: _Round, ready: list[list[TaskState]]) -> None:
     tries = 0
     for tasks in ready:
         if turn.is_short(tasks[0]):
@@ -169,26 +191,24 @@
         if tries >= _MOST_TRIES:
             return
         if tasks[0].step.gang:
-            tries += 1
-            _assign_gang(turn, tasks[0])
-        elif not _assign(turn, sorted(tasks, key=lambda state: state.task.index)):
+            is_placed = _assign_gang(turn, tasks[0])
+        else:
+            tasks.sort(key=lambda state: state.task.index)
+            is_placed = _assign(turn, tasks)
+        if not is_placed:
             tries += 1
             turn.note_short(tasks[0])
 
 
-def _name_place(state: TaskState) -> tuple[str, int, int]:
-    return state.task.job_id, state.task.occurrence, state.task.step
-
-
 def _move_halted(turn: _Round) -> None:
     """Have fillers that were slowed stopped, if another worker has a place for them."""
-    rated: dict[tuple[str, int, int], Candidates] = {}
+    rated: dict[StepName, Candidates] = {}
     for worker in turn.scheduler.workers.values():
         for run in worker.runs.values():
             state = _find_halted(turn, run)
             if state is None or turn.is_short(state):
                 continue
-            place = _name_place(state)
+            place = name_step(state.task)
             candidates = rated.get(place)
             if candidates is None:
                 candidates = turn.rate(state, turn.list_open(state))
@@ -258,8 +278,8 @@
     return run
 
 
-def _assign_gang(turn: _Round, state: TaskState) -> None:
-    """Assign all members of a gang at once, or none."""
+def _assign_gang(turn: _Round, state: TaskState) -> bool:
+    """Assign all members of a gang at once, or none; tell whether all have a place."""
     place = (state.task.occurrence, state.task.step)
     members = [
         task
@@ -267,7 +287,7 @@
         if (key.occurrence, key.step) == place
     ]
     if any(member.attempts for member in members):
-        return
+        return True
     attempt = max(_next_attempt(turn.scheduler, member) for member in members)
     everywhere = turn.list_open(state)
     choices = [everywhere]
@@ -277,9 +297,7 @@
             [worker for worker in everywhere if rack in worker.report.labels]
             for rack in sorted(racks)
         ] + choices
-    for workers in choices:
-        if _hold_members(turn, members, workers, attempt):
-            return
+    return any(_hold_members(turn, members, workers, attempt) for workers in choices)
 
 
 def _hold_members(
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -12,6 +12,7 @@
 from trefoilhook.scheduling.messages import EndKind, StopReason
 from trefoilhook.scheduling.models import Configuration, TaskId, WorkerReport
 from trefoilhook.scheduling.records import JobPhase, JobRecord, Progress
+from trefoilhook.scheduling.tickets import TicketBook
 
 __all__ = ["ATTEMPTS_PER_EPOCH", "Scheduler", "SchedulerLimits"]
 
@@ -65,6 +66,8 @@
         Whether a worker has seen a later owner.
     interference : Interference
         How much fillers disturb service tasks.
+    tickets : TicketBook
+        Who may run the steps of queues with advice.
     fillers_due_ms : float
         When places for fillers are to be looked for next, in ms.
     dirty : set of JobState
@@ -83,6 +86,7 @@
         self.deposed = False
         self.dirty: set[JobState] = set()
         self.interference = Interference()
+        self.tickets = TicketBook()
         self.fillers_due_ms = 0.0
         self._timed: set[JobState] = set()
 
@@ -171,6 +175,7 @@
     def _close(self, state: JobState, phase: JobPhase) -> None:
         state.phase = phase
         self._timed.discard(state)
+        self.tickets.forget(state.job.job_id)
         for task in state.tasks.values():
             self.waiting.discard(task)
             self.stop_attempts(task)
--- a/trefoilhook/scheduling/outcomes.py
+++ b/trefoilhook/scheduling/outcomes.py
@@ -4,6 +4,7 @@
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.messages import EndKind, OrderOutcome, StopReason
 from trefoilhook.scheduling.models import TaskId
+from trefoilhook.scheduling.tickets import name_step
 
 __all__ = ["take_start_outcome", "take_stop_outcome"]
 
@@ -42,7 +43,9 @@
     if outcome is OrderOutcome.SUPERSEDED:
         run.confirmed_ms = now_ms
         return
-    if outcome is not OrderOutcome.TOO_LATE:
+    if outcome is OrderOutcome.NO_TICKET:
+        scheduler.tickets.drop(name_step(task), worker_id)
+    elif outcome is not OrderOutcome.TOO_LATE:
         pause = (
             _UNHEALTHY_PAUSE_MS
             if outcome is OrderOutcome.UNHEALTHY
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -7,6 +7,7 @@
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.messages import Order, StartOrder, StopOrder
 from trefoilhook.scheduling.pacing import plan_paces
+from trefoilhook.scheduling.tickets import name_step
 from trefoilhook.scheduling.watchdog import stop_misplaced
 
 __all__ = ["is_settled", "plan_orders"]
@@ -85,4 +86,8 @@
         deadline_ms=run.deadline_ms,
         token=scheduler.epoch,
         checkpoint=run.checkpoint_used,
+        ticket=scheduler.tickets.find(
+            name_step(run.task), worker.report.worker_id, now_ms
+        )
+        or "",
     )
