--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -24,6 +24,7 @@
 from trefoilhook.runtime.commits import Committer
 from trefoilhook.runtime.figures import Figures
 from trefoilhook.runtime.following import follow
+from trefoilhook.runtime.orders import carry_out
 from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Tenure
 from trefoilhook.runtime.roster import Roster
 from trefoilhook.runtime.upkeep import Upkeep
@@ -36,16 +37,12 @@
     OrderOutcome,
     Scheduler,
     SchedulerLimits,
-    StartOrder,
-    StopOrder,
     Worker,
     decode_interference,
     decode_job_record,
     decode_progress,
     is_settled,
     plan_orders,
-    take_start_outcome,
-    take_stop_outcome,
 )
 
 __all__ = ["ShardOwner", "ShardSettings"]
@@ -388,54 +385,12 @@
             self._committer.wake()
 
     async def _carry_out(self, order: Order) -> None:
-        client = self._clients.get(order.worker_id)
-        if client is None:
-            outcome = OrderOutcome.NOT_SENT
-        elif isinstance(order, StartOrder):
-            outcome = await client.start(order)
-        elif isinstance(order, StopOrder):
-            outcome = await client.stop(order)
-        else:
-            await client.pace(order)
-            self._figures.count("orders", "pace")
-            return
-        name = "start" if isinstance(order, StartOrder) else "stop"
-        self._figures.count("orders", f"{name} {outcome.value}")
-        take = take_stop_outcome
-        if isinstance(order, StartOrder):
-            take = take_start_outcome
-        take(
-            self._scheduler,
-            order.worker_id,
-            order.task,
-            order.attempt,
-            outcome,
-            self._clock.monotonic_ms(),
+        outcome = await carry_out(
+            order,
+            self._clients.get(order.worker_id),
+            scheduler=self._scheduler,
+            clock=self._clock,
+            figures=self._figures,
         )
-        if outcome is OrderOutcome.DONE and isinstance(order, StopOrder):
-            log_event(
-                Event.TASK_STOPPED,
-                task=str(order.task),
-                attempt=order.attempt,
-                worker=order.worker_id,
-                why=order.reason.value,
-            )
-        if outcome is OrderOutcome.DONE and isinstance(order, StartOrder):
-            log_event(
-                Event.TASK_STARTED,
-                task=str(order.task),
-                attempt=order.attempt,
-                worker=order.worker_id,
-                token=order.token,
-                resumed=bool(order.checkpoint),
-            )
         if outcome is not OrderOutcome.DONE:
-            log_event(
-                Event.ORDER_FAILED,
-                task=str(order.task),
-                attempt=order.attempt,
-                worker=order.worker_id,
-                order=type(order).__name__,
-                outcome=outcome.value,
-            )
             self.wake()
