Keep the platform's documents in one stand-in

The soak, the process tests and the program's tests each wrote settings files and configurations by themselves, the soak with the platform's names outside the adapter and the stand-ins. One module builds them now.

--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -12,6 +12,7 @@
 from trefoilhook.http import HttpClient, HttpRequest, HttpResponse
 from trefoilhook.platform import Bounds, ProcessSettings
 from trefoilhook.runtime import Process
+from trefoilhook.standins import platform_documents
 from trefoilhook.standins.platform_advice import PlatformAdvice
 from trefoilhook.standins.platform_store import PlatformStore
 from trefoilhook.standins.platform_worker import PlatformWorker
@@ -22,25 +23,11 @@
 """Generous: the longest test takes 9 s by itself."""
 
 
-def _build_route(name: str, prefix: str) -> dict:
-    return {
-        "name": name,
-        "host": HOST,
-        "prefix": prefix,
-        "kind": "non_idempotent",
-        "timeout_ms": 3000,
-        "target_latency_ms": 250,
-        "priority": 0,
-        "service": "s",
-        "max_attempts": 3,
-        "stretch": 1.5,
-    }
-
-
 def build_configuration(version: int, *prefixes: str) -> dict:
     """Build what the operator writes."""
-    routes = [_build_route(f"r{p.strip('/')}", p) for p in prefixes or (PREFIX,)]
-    return {"version": version, "routes": routes, "services": [], "limits": {}}
+    return platform_documents.build_configuration(
+        version, *(prefixes or (PREFIX,)), host=HOST
+    )
 
 
 def build_body(*counts: int) -> bytes:
--- a/trefoilhook/runtime/tests/test_program.py
+++ b/trefoilhook/runtime/tests/test_program.py
@@ -12,6 +12,7 @@
 
 from trefoilhook.exceptions import SettingsError
 from trefoilhook.platform import SETTINGS_VARIABLE, parse_settings
+from trefoilhook.standins import platform_documents
 
 _BOUNDS = {
     "grace_s": 6,
@@ -23,13 +24,9 @@
 
 def build_settings(**fields) -> dict:
     """Build a settings file whose store answers nobody."""
-    return {
-        "node_name": "i0",
-        "listen_addrs": {"frontend": "127.0.0.1:0", "readiness": "127.0.0.1:0"},
-        "platform": {"address": "127.0.0.1:1"},
-        "bounds": _BOUNDS,
-        **fields,
-    }
+    return platform_documents.build_settings(
+        name="i0", port=0, readiness_port=0, store_port=1, **fields
+    )
 
 
 class ProgramTest(unittest.TestCase):
--- a/trefoilhook/soak/faults.py
+++ b/trefoilhook/soak/faults.py
@@ -196,7 +196,7 @@
     if faults.fleet.workers[place].worker.worker_id == worker_id:
         await faults.fleet.start_worker(place)
     await trio.sleep(_UNLISTED_S)
-    faults.fleet.store.remove(f"servers/{worker_id}")
+    faults.fleet.unlist_worker(worker_id)
 
 
 _FAULTS: tuple[Fault, ...] = (
--- a/trefoilhook/soak/fleet.py
+++ b/trefoilhook/soak/fleet.py
@@ -13,8 +13,16 @@
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.platform import SETTINGS_VARIABLE
+from trefoilhook.platform import (
+    CONFIGURATION_KEY,
+    SETTINGS_VARIABLE,
+    WORKER_PREFIX,
+)
 from trefoilhook.standins import TcpCut
+from trefoilhook.standins.platform_documents import (
+    build_configuration,
+    build_settings,
+)
 from trefoilhook.standins.platform_store import PlatformStore
 from trefoilhook.standins.platform_worker import PlatformWorker, TaskRecord
 
@@ -28,6 +36,9 @@
 _SLOW_CLOCK = 0.98
 """A worker's own clock may be 2 % slow, by the platform's statement."""
 
+_MAX_ATTEMPTS = 1000
+"""No job of a soak fails for good: the workers that fail tasks recover."""
+
 _EXPECTED_EXITS = {0, -signal.SIGKILL}
 
 
@@ -73,16 +84,13 @@
     def write_settings(self) -> None:
         """Write its settings, each time with another unknown field."""
         self.revision += 1
-        settings = {
-            "node_name": self.name,
-            "listen_addrs": {
-                "frontend": f"127.0.0.1:{self.port}",
-                "readiness": f"127.0.0.1:{self.readiness_port}",
-            },
-            "platform": {"address": f"127.0.0.1:{self.link.port}"},
-            "bounds": {"grace_s": 6, "max_hold_ms": 6000, "stop_grace_ms": 200},
-            "revision": self.revision,
-        }
+        settings = build_settings(
+            name=self.name,
+            port=self.port,
+            readiness_port=self.readiness_port,
+            store_port=self.link.port,
+            revision=self.revision,
+        )
         path = self.folder / "settings.json"
         fresh = self.folder / "settings.new"
         fresh.write_text(json.dumps(settings), encoding="utf-8")
@@ -185,21 +193,14 @@
         """Write a configuration with one more queue."""
         self._version += 3
         self.prefixes.append(f"/q{self._version}/")
-        routes = [
-            {
-                "name": f"r{prefix.strip('/')}",
-                "host": "127.0.0.1",
-                "prefix": prefix,
-                "priority": 0,
-                "service": SERVICE,
-                "max_attempts": 1000,
-                "stretch": 1.5,
-                "target_latency_ms": 250,
-            }
-            for prefix in self.prefixes
-        ]
-        document = {"version": self._version, "routes": routes}
-        self.store.write("op/config", document)
+        document = build_configuration(
+            self._version,
+            *self.prefixes,
+            host="127.0.0.1",
+            service=SERVICE,
+            max_attempts=_MAX_ATTEMPTS,
+        )
+        self.store.write(CONFIGURATION_KEY, document)
 
     async def start_worker(self, place: int) -> None:
         """Start a new life of the worker at a place, and list it."""
@@ -216,7 +217,7 @@
         self.workers[place] = LivingWorker(worker=worker, link=link, scope=scope)
         self.runs[worker.worker_id] = worker.records
         entry = worker.describe(SERVICE, port=link.port)
-        self.store.write(f"servers/{worker.worker_id}", entry)
+        self.store.write(WORKER_PREFIX + worker.worker_id, entry)
 
     async def _run_worker(
         self,
@@ -228,6 +229,10 @@
         with scope:
             await worker.run(task_status=task_status)
 
+    def unlist_worker(self, worker_id: str) -> None:
+        """Remove the entry of a worker that is gone."""
+        self.store.remove(WORKER_PREFIX + worker_id)
+
     def crash_worker(self, place: int) -> str:
         """End a life of a worker; its entry stays, and is to be removed later."""
         living = self.workers[place]
