Let no step without a place keep another service from its turn

Cause: a round ended after 40 steps without a place. Dozens of services that each miss a task which must not join the others of its step come first in order, each counted, and the round never reached the task.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -18,8 +18,8 @@
 __all__ = ["assign_waiting", "extend_lease"]
 
 _MOST_TRIES = 40
-"""Steps without a place after which a plan ends: it bounds the time of a plan under a
-burst. Those first in order are looked at, the others wait for the next plan."""
+"""Steps of fillers without a place after which a round looks at no more of them: it
+bounds the time of a round under a burst. The first in order are looked at."""
 
 _FILLER_PAUSE_MS = 80.0
 """Pause between two plans that look for places for fillers, in ms. Hundreds of them may
@@ -98,11 +98,18 @@
             for short in self._short.get(_describe_need(state), ())
         )
 
+    def _is_only_spread(self, state: TaskState) -> bool:
+        """Tell whether a task has room, but not beside others of its step."""
+        step = state.step
+        if not step.max_per_worker:
+            return False
+        return any(worker.has_room(step.room) for worker in self.list_open(state))
+
     def note_short(self, state: TaskState) -> None:
         """Note that a task found no place."""
         if _has_advice(state):
             self.scheduler.tickets.wanted[name_step(state.task)] = None
-        elif not (state.step.max_per_worker or state.step.gang):
+        elif not state.step.gang and not self._is_only_spread(state):
             need = _describe_need(state)
             self._short.setdefault(need, []).append(state.step.demand)
 
@@ -188,15 +195,17 @@
     for tasks in ready:
         if turn.is_short(tasks[0]):
             continue
-        if tries >= _MOST_TRIES:
-            return
+        if tries >= _MOST_TRIES and tasks[0].step.filler:
+            continue
         if tasks[0].step.gang:
             is_placed = _assign_gang(turn, tasks[0])
         else:
             tasks.sort(key=lambda state: state.task.index)
             is_placed = _assign(turn, tasks)
         if not is_placed:
-            tries += 1
+            # Counted for fillers only: dozens of services may each miss a task that must
+            # not join those they have, and none may keep another from its turn.
+            tries += tasks[0].step.filler
             turn.note_short(tasks[0])
 
 
