--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -203,8 +203,8 @@
             tasks.sort(key=lambda state: state.task.index)
             is_placed = _assign(turn, tasks)
         if not is_placed:
-            # Counted for fillers only: dozens of services may each miss a task that must
-            # not join those they have, and none may keep another from its turn.
+            # Counted for fillers only: dozens of services may each miss a task that
+            # must not join those they have, and none may keep another from its turn.
             tries += tasks[0].step.filler
             turn.note_short(tasks[0])
 
