--- a/trefoilhook/platform/advice.py
+++ b/trefoilhook/platform/advice.py
@@ -5,10 +5,7 @@
 from trefoilhook.platform.core import Address, read_object
 from trefoilhook.scheduling import AdviceRequest, Grant
 
-__all__ = ["MAX_ADVISED", "AdviceClient"]
-
-MAX_ADVISED = 100
-"""Most workers that one call may name; the platform's limit."""
+__all__ = ["AdviceClient"]
 
 _MAX_CONNECTIONS = 1
 """The service handles one call of an instance at a time."""
--- a/trefoilhook/soak/clients.py
+++ b/trefoilhook/soak/clients.py
@@ -109,7 +109,6 @@
         for _ in range(_TRIES):
             status, _ = await self._send("DELETE", submission.job_id)
             if status in _ACCEPTED or status == _GONE:
-                submission.cancelled_ms = self._clock.monotonic_ms()
                 return
             await trio.sleep(_RETRY_S)
 
--- a/trefoilhook/soak/ledger.py
+++ b/trefoilhook/soak/ledger.py
@@ -41,8 +41,6 @@
         When it was accepted, in ms.
     cancel_sent : bool
         Whether a cancel was sent.
-    cancelled_ms : float or None
-        When a cancel was confirmed, in ms.
     state : str
         Last state told.
     """
@@ -52,7 +50,6 @@
     outcome: SubmissionOutcome = SubmissionOutcome.UNKNOWN
     accepted_ms: float | None = None
     cancel_sent: bool = False
-    cancelled_ms: float | None = None
     state: str = ""
 
 
