Let the test run pass over the tests listed as known red, and no others

Ruled out: unittest's expectedFailure beside the test, which hides it from the list, and which a newcomer would not find; skipping, which would not run the test.

--- /dev/null
+++ b/tools/tests/test_known_red.py
@@ -0,0 +1,105 @@
+"""What the list of known red tests lets pass, and what it doesn't."""
+
+import io
+import unittest
+
+from nose2 import events, result
+
+from tools.known_red import KnownRed, KnownRedError, RedTest, read_red_tests
+
+LISTED = "tools.tests.test_known_red.SampleCase.test_listed"
+
+
+class SampleCase(unittest.TestCase):
+    """Tests whose outcomes the plugin is handed; they pass when they are run."""
+
+    def test_listed(self):
+        pass
+
+    def test_unlisted(self):
+        pass
+
+
+def _judge(plugin: KnownRed, test: unittest.TestCase, outcome: str):
+    event = events.TestOutcomeEvent(
+        test, None, outcome, expected=outcome == result.PASS
+    )
+    plugin.setTestOutcome(event)
+    return event
+
+
+class _Unregistered(KnownRed):
+    """The plugin without a session of the runner to register with."""
+
+    alwaysOn = False  # noqa: N815
+
+
+class KnownRedTest(unittest.TestCase):
+    """A run with one test listed."""
+
+    def setUp(self):
+        red = RedTest(test_id=LISTED, cause="c", issue="issue 1", command="make test")
+        self.plugin = _Unregistered(red_tests=[red])
+
+    def test_failure_of_a_listed_test_is_expected_and_told(self):
+        for outcome in (result.FAIL, result.ERROR):
+            with self.subTest(outcome=outcome):
+                event = _judge(self.plugin, SampleCase("test_listed"), outcome)
+                self.assertTrue(event.expected)
+                self.assertEqual(event.outcome, result.FAIL)
+        (line,) = self.plugin.describe()
+        self.assertIn("known red, passed over", line)
+
+    def test_failure_of_any_other_test_still_fails(self):
+        event = _judge(self.plugin, SampleCase("test_unlisted"), result.FAIL)
+        self.assertFalse(event.expected)
+
+    def test_listed_test_that_passes_is_told(self):
+        _judge(self.plugin, SampleCase("test_listed"), result.PASS)
+        (line,) = self.plugin.describe()
+        self.assertIn("PASSES", line)
+
+    def test_listed_test_that_is_not_run_is_told(self):
+        (line,) = self.plugin.describe()
+        self.assertIn("NOT RUN", line)
+
+    def test_failed_subtest_counts_for_its_test(self):
+        case = SampleCase("test_listed")
+        subtest = unittest.case._SubTest(case, "", {"outcome": 1})
+        error = (AssertionError, AssertionError(), None)
+        event = events.TestOutcomeEvent(subtest, None, result.SUBTEST, error)
+        self.plugin.setTestOutcome(event)
+        self.assertTrue(event.expected)
+        self.assertEqual(event.outcome, result.FAIL)
+        (line,) = self.plugin.describe()
+        self.assertIn("known red, passed over", line)
+
+    def test_report_is_written_after_the_summary(self):
+        stream = unittest.runner._WritelnDecorator(io.StringIO())
+        event = events.ReportSummaryEvent(None, stream, {})
+        self.plugin.afterSummaryReport(event)
+        self.assertIn(LISTED, stream.getvalue())
+
+
+class ReadingTest(unittest.TestCase):
+    """What may stand in the file."""
+
+    def test_comments_and_blank_lines_are_left_out(self):
+        self.assertEqual(read_red_tests("# none\n\n"), ())
+
+    def test_fields_are_read(self):
+        (red,) = read_red_tests("a.b.C.test_d | why | issue 14 | make soak SEED=7\n")
+        self.assertEqual(red.test_id, "a.b.C.test_d")
+        self.assertEqual(red.command, "make soak SEED=7")
+
+    def test_bad_lists_are_refused(self):
+        line = "t{} | why | issue 1 | command\n"
+        cases = {
+            "a field is missing": "a.b | why | issue 1\n",
+            "a field is empty": "a.b | | issue 1 | command\n",
+            "a test is named twice": line.format(1) * 2,
+            "there are four": "".join(line.format(number) for number in range(4)),
+        }
+        for name, text in cases.items():
+            with self.subTest(name), self.assertRaises(KnownRedError):
+                read_red_tests(text)
