--- a/trefoilhook/runtime/tests/test_process.py
+++ b/trefoilhook/runtime/tests/test_process.py
@@ -307,6 +307,24 @@
 
         run_cluster(scenario, task_ms=60_000.0)
 
+    def test_done_task_of_a_silent_worker_is_not_started_again(self):
+        # A worker's answers don't reach the owner for 7 s, though the store lists it.
+        # Its task is done meanwhile, and its lease of 5 s runs out. Taken for one that
+        # was never finished, it was started again on the other worker.
+        async def scenario(cluster: Cluster) -> None:
+            instance = await cluster.wait_for_owner()
+            await cluster.send(instance, "POST", PREFIX + JOB, build_body(1))
+            await cluster.wait_until(lambda: len(cluster.list_runs()) == 1)
+            (silent,) = [w for w in cluster.workers.values() if w.records]
+            silent.fault = WorkerFault.SILENT
+            await trio.sleep(7.0)
+            silent.fault = WorkerFault.NONE
+            await cluster.wait_for_state(instance, JOB, "completed")
+            self.assertEqual(cluster.find_doubles(), [])
+            self.assertEqual([run.how for run in cluster.list_runs()], ["done"])
+
+        run_cluster(scenario, task_ms=1000.0)
+
     def test_worker_restarts_under_a_new_id(self):
         async def scenario(cluster: Cluster) -> None:
             instance = await cluster.wait_for_owner()
--- a/trefoilhook/scheduling/tests/test_orders.py
+++ b/trefoilhook/scheduling/tests/test_orders.py
@@ -13,6 +13,7 @@
     acknowledge,
     collect_changes,
     confirm_change,
+    is_settled,
 )
 from trefoilhook.scheduling.tests.cases import (
     SMALL,
@@ -166,6 +167,25 @@
         stops = [order for order in shard.plan() if isinstance(order, StopOrder)]
         self.assertEqual([stop.attempt for stop in stops], [again.attempt])
 
+    def test_task_of_a_silent_worker_is_not_started_while_it_may_be_done(self):
+        # An order is billed twice. Its task is done on a worker whose answers don't
+        # reach the owner for longer than a lease, though the store lists the worker all
+        # the while. That no lease is left proves that the task doesn't run, not that
+        # it hasn't ended as done; taken for both, it was started again elsewhere.
+        shard = Shard()
+        shard.submit(build_job())
+        order = shard.start_one()
+        shard.workers[order.worker_id].end(order.task, order.attempt, EndKind.DONE)
+        shard.scheduler.workers[order.worker_id].suspect = True
+        for _ in range(20):
+            shard.pass_time(TASK_LEASE_MS / 10.0)
+            shard.scheduler.release_lapsed(shard.now_ms)
+            shard.look("w1" if order.worker_id == "w0" else "w0")
+            self.assertEqual(list_starts(shard.plan()), [])
+        shard.look(order.worker_id)
+        self.assertIs(shard.scheduler.jobs["j"].phase, JobPhase.COMPLETED)
+        self.assertEqual(shard.plan(), [])
+
     def test_run_missing_from_a_later_look_is_over(self):
         shard = Shard(workers=1)
         shard.submit(build_job())
@@ -219,6 +239,19 @@
         starts = list_starts(shard.plan())
         self.assertEqual([order.task.job_id for order in starts], ["old"])
 
+    def test_earlier_jobs_wait_for_a_silent_worker_that_is_listed(self):
+        # A task is done on a worker, its owner dies, and the next owner can't reach the
+        # worker, though the store lists it. Once every lease of the earlier owner was
+        # over, the next one took the task for one that runs nowhere and never ran.
+        shard = Shard(workers=1, epoch=2, settled=False)
+        shard.scheduler.workers["w0"].fenced = False
+        roster = ("w0", "gone")
+        past_ms = shard.scheduler.limits.settled_at_ms + 1.0
+        self.assertFalse(is_settled(shard.scheduler, roster, past_ms - 2.0))
+        self.assertFalse(is_settled(shard.scheduler, roster, past_ms))
+        shard.scheduler.unlist_worker("w0")
+        self.assertTrue(is_settled(shard.scheduler, roster, past_ms))
+
     def test_attempts_of_a_later_owner_are_higher(self):
         # Starts aren't written down. A worker refuses a run that isn't higher than one
         # it has ended, so a later owner that began at 1 again would never get through.
--- a/trefoilhook/standins/platform_worker.py
+++ b/trefoilhook/standins/platform_worker.py
@@ -167,6 +167,13 @@
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         if self.fault is WorkerFault.SILENT:
             await trio.sleep_forever()
+        response = await self._carry_out(request)
+        if self.fault is WorkerFault.SILENT:
+            # What was asked before the silence began isn't answered in it either.
+            await trio.sleep_forever()
+        return response
+
+    async def _carry_out(self, request: HttpRequest) -> HttpResponse:
         if request.get_header("expect-instance") != self.worker_id:
             return HttpResponse(status=421)
         body = request.parse_json()
