Let tasks of a silent worker wait for it while the store lists it

Cause: that no lease is left on a worker was taken for proof that what ran there hadn't ended as done. It proves only that nothing runs. While the worker's answers didn't reach the owner, it listed the end all the same; after 5.16 s the task was started elsewhere. A takeover drew the same conclusion 7.4 s after its claim. Now a lapsed run waits while the store lists its worker, unless no end as done can matter (tasks that last, jobs that have ended); a worker off the list is given up as before. WORKER_LOST tells how long the worker was silent, whether it is listed, and how many runs are given up and awaited; each run given up has a line of its own. Ruled out: an end that was noted and lost, as no TASK_ENDED stands before a second start in any of the trials; a look that misses an end, as all second starts follow a lapse.

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -83,6 +83,8 @@
     TASK_ENDED = (1611, Level.INFO, "A worker listed the end of a task.")
     TASK_STOPPED = (1612, Level.INFO, "A worker took an order to stop a task.")
     ADVICE_TAKEN = (1613, Level.INFO, "The advice service was asked about a step.")
+    WORKER_BACK = (1614, Level.INFO, "A worker answers looks again.")
+    TASK_GIVEN_UP = (1615, Level.WARNING, "A run was given up without its end.")
 
     def __init__(self, number: int, level: Level, description: str) -> None:
         self.number = number
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -33,6 +33,7 @@
     SLOWEST_CLOCK,
     Configuration,
     JobPhase,
+    Lapse,
     Order,
     OrderOutcome,
     Scheduler,
@@ -91,6 +92,26 @@
     advice_address: Address | None = None
 
 
+def _log_lapse(lapse: Lapse) -> None:
+    log_event(
+        Event.WORKER_LOST,
+        worker=lapse.worker_id,
+        why="leases lapsed",
+        listed=lapse.listed,
+        silent_ms=round(lapse.silent_ms),
+        given_up=len(lapse.given_up),
+        awaited=lapse.awaited,
+    )
+    for task, attempt in lapse.given_up:
+        log_event(
+            Event.TASK_GIVEN_UP,
+            task=str(task),
+            attempt=attempt,
+            worker=lapse.worker_id,
+            why="leases lapsed",
+        )
+
+
 class ShardOwner:
     """Carries out one tenure.
 
@@ -362,8 +383,8 @@
         configuration = self._read_configuration()
         if configuration.version != scheduler.configuration.version:
             scheduler.set_configuration(configuration)
-        for worker_id in scheduler.release_lapsed(now_ms):
-            log_event(Event.WORKER_LOST, worker=worker_id, why="leases lapsed")
+        for lapse in scheduler.release_lapsed(now_ms):
+            _log_lapse(lapse)
         if not self._settled and is_settled(scheduler, self._earlier_roster, now_ms):
             self._settled = True
             self._roster.settle()
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -20,6 +20,7 @@
 from trefoilhook.scheduling.messages import (
     End,
     EndKind,
+    Lapse,
     Look,
     Order,
     OrderOutcome,
@@ -67,6 +68,7 @@
     "JobChange",
     "JobPhase",
     "JobRecord",
+    "Lapse",
     "JobState",
     "Look",
     "Order",
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -132,6 +132,8 @@
         The worker may forget ends up to this number.
     suspect : bool
         Whether an order or a look went without an answer since the last look.
+    is_awaited : bool
+        Whether its leases are over and tasks wait for it to tell how they ended.
     faulty_jobs : set of str
         Jobs of which attempts failed there since one was last done there.
     is_news : bool
@@ -161,6 +163,7 @@
     )
     acknowledged: int = 0
     suspect: bool = False
+    is_awaited: bool = False
     faulty_jobs: set[str] = attrs.Factory(set)
     is_news: bool = True
     over_since_ms: float | None = None
--- a/trefoilhook/scheduling/looks.py
+++ b/trefoilhook/scheduling/looks.py
@@ -36,6 +36,7 @@
     worker.read_clock(look, now_ms)
     worker.fenced = True
     worker.suspect = False
+    worker.is_awaited = False
     worker.is_news = True
     for end in look.ends:
         _take_end(scheduler, worker, end, now_ms)
--- a/trefoilhook/scheduling/messages.py
+++ b/trefoilhook/scheduling/messages.py
@@ -9,6 +9,7 @@
 __all__ = [
     "End",
     "EndKind",
+    "Lapse",
     "Look",
     "Order",
     "OrderOutcome",
@@ -115,6 +116,31 @@
     ends: tuple[End, ...]
 
 
+@attrs.frozen(kw_only=True)
+class Lapse:
+    """What became of the runs on a silent worker once every lease of it was over.
+
+    Parameters
+    ----------
+    worker_id : str
+        The worker.
+    listed : bool
+        Whether the store lists it.
+    silent_ms : float
+        How long it hasn't been heard, in ms.
+    given_up : tuple of (TaskId, int)
+        Tasks and attempts that count as lapsed now; the tasks wait anew.
+    awaited : int
+        Runs that may have ended as done: their tasks wait until the worker tells.
+    """
+
+    worker_id: str
+    listed: bool
+    silent_ms: float
+    given_up: tuple[tuple[TaskId, int], ...]
+    awaited: int
+
+
 @attrs.frozen(kw_only=True)
 class StartOrder:
     """Start an attempt, unless the worker's clock is past ``deadline_ms``."""
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -16,17 +16,32 @@
 """A run's order is due when its time has come, or within this of it."""
 
 
-def is_settled(scheduler: Scheduler, unfenced: Iterable[str], now_ms: float) -> bool:
-    """Tell whether every task that an earlier owner started is known.
+def is_settled(scheduler: Scheduler, roster: Iterable[str], now_ms: float) -> bool:
+    """Tell whether what became of every task that an earlier owner started is known.
 
-    Its orders are ruled out once a worker has answered under this owner's fencing
-    token; for a worker that can't be reached, once the longest lease has run out.
+    Parameters
+    ----------
+    scheduler : Scheduler
+        The shard.
+    roster : iterable of str
+        Workers on which the earlier owner may have started a task.
+    now_ms : float
+        The time, in ms.
+
+    Notes
+    -----
+    An earlier owner's orders are ruled out once a worker has answered under this
+    owner's fencing token, which tells what runs and what has ended there, too. A worker
+    that can't be reached is given up once the longest lease has run out and the store
+    lists it no more. While it is listed it is alive, and may hold the end of a task
+    that was done; started again elsewhere, that task would be done twice.
     """
-    if now_ms >= scheduler.limits.settled_at_ms:
-        return True
-    for worker_id in unfenced:
+    is_lapsed = now_ms >= scheduler.limits.settled_at_ms
+    for worker_id in roster:
         worker = scheduler.workers.get(worker_id)
-        if worker is None or not worker.fenced:
+        if worker is not None and worker.fenced:
+            continue
+        if not is_lapsed or (worker is not None and worker.listed):
             return False
     return True
 
--- a/trefoilhook/standins/platform_worker.py
+++ b/trefoilhook/standins/platform_worker.py
@@ -165,13 +165,15 @@
             record.how = "crashed"
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
-        if self.fault is WorkerFault.SILENT:
-            await trio.sleep_forever()
+        await self._keep_silent()
         response = await self._carry_out(request)
+        # What was asked before the silence began isn't answered in it either.
+        await self._keep_silent()
+        return response
+
+    async def _keep_silent(self) -> None:
         if self.fault is WorkerFault.SILENT:
-            # What was asked before the silence began isn't answered in it either.
             await trio.sleep_forever()
-        return response
 
     async def _carry_out(self, request: HttpRequest) -> HttpResponse:
         if request.get_header("expect-instance") != self.worker_id:
