Name only workers that have answered in the roster

Cause: since a new owner waits for listed workers of the roster, an entry of the list that never answers anybody would keep each later owner from what had been accepted before. The roster took every listed worker in. Test first: with such an entry a job of an earlier owner wasn't finished within 8 s of the takeover; now it is. Ruled out: a bound on the wait, which would bring back what it guards against.

--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -1,7 +1,9 @@
 """The workers on which a shard's owner may have started a task.
 
 The roster is written before the first start on a worker, so that the next owner knows
-where to look, also for a worker that the platform lists no more.
+where to look, also for a worker that the platform lists no more. It names only workers
+that have answered this owner: nothing is started on others, and an entry of the list
+that never answers would keep the next owner waiting for it.
 """
 
 import json
@@ -22,6 +24,10 @@
 _RETRY_PAUSE_MS = 200.0
 """Pause after a write that failed, in ms."""
 
+_GATHER_MS = 10.0
+"""How long a write waits for more workers, in ms: a new owner's first looks are
+answered within some 10 ms of each other, and one write names them all."""
+
 
 class Roster:
     """Keeps the roster in the store.
@@ -71,7 +77,7 @@
             self._revision = item.revision
 
     def wake(self) -> None:
-        """Have it compared with the workers known."""
+        """Have it compared with the workers that have answered."""
         self._wake.set()
 
     def settle(self) -> None:
@@ -80,9 +86,10 @@
         self.wake()
 
     async def keep(self) -> None:
-        """Write the workers as they come, and go once it is settled, for good."""
+        """Write the workers as they answer, and go once it is settled, for good."""
         while True:
-            wanted = tuple(sorted(self._scheduler.workers))
+            workers = self._scheduler.workers
+            wanted = tuple(sorted(i for i, worker in workers.items() if worker.fenced))
             if set(wanted) - set(self.workers) or (
                 self._settled and wanted != self.workers
             ):
@@ -92,6 +99,7 @@
                     await self._clock.sleep_ms(_RETRY_PAUSE_MS)
                     continue
             await self._wake.wait()
+            await self._clock.sleep_ms(_GATHER_MS)
             self._wake = trio.Event()
 
     async def _write(self, roster: tuple[str, ...]) -> bool:
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -166,6 +166,13 @@
             depose=tenure.over.set,
             notify=self.wake,
         )
+        self._roster = Roster(
+            store=store,
+            clock=clock,
+            tenure=tenure,
+            scheduler=self._scheduler,
+            notify=self.wake,
+        )
         self._watch_worker = WorkerWatch(
             clock=clock,
             tenure=tenure,
@@ -174,15 +181,9 @@
             figures=figures,
             notify=self._wake_all,
             depose=self._depose,
+            meet=self._roster.wake,
         ).run
         self._clients: dict[str, WorkerClient] = {}
-        self._roster = Roster(
-            store=store,
-            clock=clock,
-            tenure=tenure,
-            scheduler=self._scheduler,
-            notify=self.wake,
-        )
         self._earlier_roster: tuple[str, ...] = ()
         self._settled = False
         self._wake = trio.Event()
--- a/trefoilhook/runtime/tests/test_process.py
+++ b/trefoilhook/runtime/tests/test_process.py
@@ -325,6 +325,24 @@
 
         run_cluster(scenario, task_ms=1000.0)
 
+    def test_takeover_does_not_wait_for_an_entry_that_never_answered(self):
+        # The store lists a worker that never answers anybody. Named in the roster, it
+        # kept every later owner from starting what had been accepted before.
+        async def scenario(cluster: Cluster) -> None:
+            ghost = await cluster.start_worker("ghost")
+            ghost.fault = WorkerFault.SILENT
+            owner = await cluster.wait_for_owner()
+            (other,) = [i for i in cluster.instances if i is not owner]
+            await cluster.send(other, "POST", PREFIX + JOB, build_body(1, 1))
+            await cluster.wait_until(lambda: len(cluster.list_runs()) == 1)
+            owner.scope.cancel()
+            with trio.fail_after(8.0):
+                await cluster.wait_for_state(other, JOB, "completed")
+            self.assertEqual(len(cluster.list_runs()), 2)
+            self.assertEqual(cluster.find_doubles(), [])
+
+        run_cluster(scenario, task_ms=500.0)
+
     def test_worker_restarts_under_a_new_id(self):
         async def scenario(cluster: Cluster) -> None:
             instance = await cluster.wait_for_owner()
--- a/trefoilhook/runtime/watching.py
+++ b/trefoilhook/runtime/watching.py
@@ -58,6 +58,8 @@
         Called with each news.
     depose : callable
         Called when a worker has seen a later owner.
+    meet : callable
+        Called when a worker has answered for the first time.
     """
 
     def __init__(
@@ -70,6 +72,7 @@
         figures: Figures,
         notify: Callable[[], None],
         depose: Callable[[], None],
+        meet: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._tenure = tenure
@@ -78,6 +81,7 @@
         self._figures = figures
         self._notify = notify
         self._depose = depose
+        self._meet = meet
 
     async def run(self, worker: Worker, client: WorkerClient) -> None:
         """Look at a worker again and again, until it is gone."""
@@ -88,6 +92,7 @@
             self._figures.count("looks")
             if isinstance(result, Look):
                 self._log_ends(worker, result)
+                is_first = not worker.fenced
                 take_look(
                     self._scheduler,
                     worker_id,
@@ -96,6 +101,8 @@
                     now_ms=self._clock.monotonic_ms(),
                 )
                 self._notify()
+                if is_first:
+                    self._meet()
                 await self._wait_for_saving(worker)
                 continue
             if result is OrderOutcome.FENCED:
