Report burn by queue out of the log lines of the processes

Cause: the burn report counted answers of services, which the users' platform hasn't; whether a job was in time stands only in the logs, and not all of it. JOB_ACCEPTED and JOB_FINISHED tell the job's objective, refusals and failures the queue and status. A submission that found its job recorded wasn't logged: JOB_ACCEPTED known=True now. late_ms is left out for jobs with set times, where it compared the end of the last with the acceptance.

Ruled out: judging by ends alone. A job that is never run has no last line, so one whose objective is over when the logs end counts as bad.

Tests: burn/tests/test_outcomes.py, command/tests/test_burn.py, JobLinesTest in runtime/tests/test_logs.py (objective_ms and known are new there). Run: runtime, story, platform, logs, command, burn, scheduling, 170 tests, all passed.

--- a/trefoilhook/burn/__init__.py
+++ b/trefoilhook/burn/__init__.py
@@ -10,6 +10,7 @@
     WindowBurn,
 )
 from trefoilhook.burn.ledger import BurnLedger, is_counted
+from trefoilhook.burn.outcomes import JobOutcome, judge_jobs, report_jobs
 from trefoilhook.burn.report import FindObjective, build_report
 
 __all__ = [
@@ -17,6 +18,7 @@
     "BurnLedger",
     "BurnReport",
     "FindObjective",
+    "JobOutcome",
     "SeriesPoint",
     "ServiceBurn",
     "SourceRow",
@@ -24,4 +26,6 @@
     "WindowBurn",
     "build_report",
     "is_counted",
+    "judge_jobs",
+    "report_jobs",
 ]
--- a/trefoilhook/command/application.py
+++ b/trefoilhook/command/application.py
@@ -4,6 +4,7 @@
 
 from trefoilhook import __version__
 from trefoilhook.command import cluster, configuration, jobs
+from trefoilhook.command.burn import BurnCommand
 from trefoilhook.command.client import Send
 from trefoilhook.command.core import ApiCommand, CommandSpec
 from trefoilhook.command.story import StoryCommand
@@ -29,4 +30,5 @@
     for spec in SPECS:
         application.add(ApiCommand(spec=spec, send=send))
     application.add(StoryCommand())
+    application.add(BurnCommand())
     return application
--- /dev/null
+++ b/trefoilhook/command/logs.py
@@ -0,0 +1,29 @@
+"""Reading of log files that a command was given."""
+
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from cleo.helpers import option
+
+from trefoilhook.story import LogLine, read_lines
+
+__all__ = ["LOG_OPTION", "read_logs"]
+
+LOG_OPTION = option(
+    "log",
+    description="A log file; repeatable. Without any, standard input is read.",
+    flag=False,
+    multiple=True,
+)
+
+
+def read_logs(names: Sequence[str]) -> list[LogLine]:
+    """Read the lines of all files, or of standard input when none is named."""
+    if not names:
+        return list(read_lines(sys.stdin))
+    lines: list[LogLine] = []
+    for name in names:
+        with Path(name).open(encoding="utf-8", errors="replace") as file:
+            lines.extend(read_lines(file))
+    return lines
--- a/trefoilhook/command/story.py
+++ b/trefoilhook/command/story.py
@@ -1,12 +1,10 @@
 """``story``: what happened to a job, a task or a worker, out of log files."""
 
-import sys
-from pathlib import Path
-
 from cleo.commands.command import Command
-from cleo.helpers import argument, option
+from cleo.helpers import argument
 
-from trefoilhook.story import LogLine, read_lines, select_story, tell_story
+from trefoilhook.command.logs import LOG_OPTION, read_logs
+from trefoilhook.story import select_story, tell_story
 
 __all__ = ["StoryCommand"]
 
@@ -21,23 +19,11 @@
     arguments = [
         argument("id", "Id of a job, of a task (ID.K.STEP.INDEX) or a worker.")
     ]
-    options = [
-        option(
-            "log",
-            description="A log file; repeatable. Without any, standard input is read.",
-            flag=False,
-            multiple=True,
-        )
-    ]
+    options = [LOG_OPTION]
 
     def handle(self) -> int:
         """Run the command."""
-        lines: list[LogLine] = []
-        for name in self.option("log"):
-            with Path(name).open(encoding="utf-8", errors="replace") as file:
-                lines.extend(read_lines(file))
-        if not self.option("log"):
-            lines.extend(read_lines(sys.stdin))
+        lines = read_logs(self.option("log"))
         story = select_story(lines, self.argument("id"))
         for text in tell_story(story):
             self.line(text)
--- a/trefoilhook/runtime/commits.py
+++ b/trefoilhook/runtime/commits.py
@@ -28,6 +28,7 @@
 from trefoilhook.scheduling import (
     JobChange,
     JobPhase,
+    JobState,
     Scheduler,
     collect_changes,
     confirm_change,
@@ -196,11 +197,25 @@
             log_event(
                 Event.JOB_FINISHED,
                 job=state.job.job_id,
+                queue=state.job.queue,
                 phase=state.phase.value,
                 revision=revision,
-                late_ms=round(self._clock.wall_ms() - state.due_ms),
+                **self._tell_lateness(state),
             )
 
+    def _tell_lateness(self, state: JobState) -> dict[str, int]:
+        """Return a job's objective and by how much it was missed, for its last line."""
+        if state.queue is None:
+            return {}
+        objective_ms = state.queue.compute_objective(state.job)
+        if objective_ms is None:
+            return {}
+        spent_ms = self._clock.wall_ms() - state.job.accepted_ms
+        return {
+            "objective_ms": round(objective_ms),
+            "late_ms": round(spent_ms - objective_ms),
+        }
+
     def _resolve(self, changes: list[JobChange], items: dict[str, Item]) -> None:
         """Find out which row stands otherwise, after a transaction was refused."""
         owner = items.get(self._owner.key)
--- a/trefoilhook/runtime/intake.py
+++ b/trefoilhook/runtime/intake.py
@@ -32,6 +32,7 @@
 from trefoilhook.runtime.figures import Figures
 from trefoilhook.scheduling import (
     Configuration,
+    Job,
     JobPhase,
     JobRecord,
     Queue,
@@ -84,6 +85,23 @@
     return HttpResponse(status=503, headers=(("retry-after", str(_RETRY_AFTER_S)),))
 
 
+def _refuse_request(target: _Target, why: str) -> HttpResponse:
+    log_event(
+        Event.REQUEST_REFUSED, job=target.job_id, queue=target.queue.name, why=why
+    )
+    return _refuse()
+
+
+def _log_failure(target: _Target, status: int, why: str) -> None:
+    log_event(
+        Event.REQUEST_FAILED,
+        job=target.job_id,
+        queue=target.queue.name,
+        status=status,
+        why=why,
+    )
+
+
 class Intake:
     """Answers clients.
 
@@ -162,7 +180,7 @@
                 accepted_ms=self._clock.wall_ms(),
             )
         except RequestError as error:
-            log_event(Event.REQUEST_FAILED, job=target.job_id, why=str(error))
+            _log_failure(target, 400, str(error))
             return HttpResponse(status=400)
         key = keys.job_key(keys.SHARD, target.job_id)
         mark = keys.waiting_key(keys.SHARD, target.queue.name, target.job_id)
@@ -173,10 +191,10 @@
                 Put(key=mark, value=b""),
             ),
         )
-        return await self._write(request, target, change)
+        return await self._write(request, target, job, change)
 
     async def _write(
-        self, request: HttpRequest, target: _Target, change: Transaction
+        self, request: HttpRequest, target: _Target, job: Job, change: Transaction
     ) -> HttpResponse:
         """Write a submission; answer only what is known of it.
 
@@ -188,22 +206,17 @@
         timeout_ms = read_client_timeout(request, default_ms=_DEFAULT_TIMEOUT_MS)
         ambiguous = False
         if not self._is_store_reachable():
-            log_event(Event.REQUEST_REFUSED, job=target.job_id, why="store away")
-            return _refuse()
+            return _refuse_request(target, "store away")
         while True:
             try:
                 revision = await self._store.commit(
                     change, timeout_ms=_COMMIT_TIMEOUT_MS
                 )
-                log_event(
-                    Event.JOB_ACCEPTED,
-                    job=target.job_id,
-                    queue=target.queue.name,
-                    revision=revision,
-                    ms=round(self._clock.monotonic_ms() - began_ms),
-                )
+                self._log_acceptance(target, job, began_ms, revision=revision)
                 return HttpResponse.from_json({})
             except PreconditionError:
+                # By an earlier call of this one or another request: which, is unknown.
+                self._log_acceptance(target, job, began_ms, known=True)
                 return HttpResponse.from_json({})
             except StoreUnavailableError as error:
                 ambiguous = ambiguous or not error.is_proved_unsent
@@ -212,14 +225,27 @@
                 reason = str(error)
             spent_ms = self._clock.monotonic_ms() - began_ms
             if not ambiguous and spent_ms > _TURNED_AWAY_LIMIT_MS:
-                log_event(Event.REQUEST_REFUSED, job=target.job_id, why=reason)
-                return _refuse()
+                return _refuse_request(target, reason)
             limit_ms = min(_UNKNOWN_LIMIT_MS, timeout_ms - _ANSWER_MARGIN_MS)
             if ambiguous and spent_ms > limit_ms:
-                log_event(Event.REQUEST_FAILED, job=target.job_id, why=reason)
+                _log_failure(target, 504, reason)
                 return HttpResponse(status=504)
             await self._clock.sleep_ms(_RETRY_PAUSE_MS)
 
+    def _log_acceptance(
+        self, target: _Target, job: Job, began_ms: float, **how: int
+    ) -> None:
+        objective_ms = target.queue.compute_objective(job)
+        due = {} if objective_ms is None else {"objective_ms": round(objective_ms)}
+        log_event(
+            Event.JOB_ACCEPTED,
+            job=target.job_id,
+            queue=target.queue.name,
+            ms=round(self._clock.monotonic_ms() - began_ms),
+            **how,
+            **due,
+        )
+
     # Reading.
 
     async def _read(self, target: _Target) -> HttpResponse:
@@ -236,8 +262,7 @@
                 has_begun = await self._store.get(progress) is not None
                 return answer_state("running" if has_begun else "queued")
         except StoreError as error:
-            log_event(Event.REQUEST_REFUSED, job=target.job_id, why=str(error))
-            return _refuse()
+            return _refuse_request(target, str(error))
         self._remember(target.job_id, phase)
         return answer_state(phase.value)
 
@@ -272,7 +297,7 @@
                 reason = str(error)
             spent_ms = self._clock.monotonic_ms() - began_ms
             if spent_ms > timeout_ms - _ANSWER_MARGIN_MS:
-                log_event(Event.REQUEST_FAILED, job=target.job_id, why=reason)
+                _log_failure(target, 504, reason)
                 return HttpResponse(status=504)
             await self._clock.sleep_ms(_RETRY_PAUSE_MS)
 
--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -93,3 +93,42 @@
         self.assertEqual(back["worker"], "w0")
         self.assertGreaterEqual(back["calls"]["look"], 1)
         self.assertGreater(back["silent_ms"], 1000)
+
+
+class JobLinesTest(unittest.TestCase):
+    """What is told of a job, for stories and for the report on burn."""
+
+    def _play(self, body: bytes, *, submissions: int = 1) -> list[dict]:
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            instance = cluster.instances[0]
+            with capture_lines() as captured:
+                for _ in range(submissions):
+                    await cluster.send(instance, "POST", PREFIX + JOB, body)
+                await cluster.wait_for_state(instance, JOB, "completed")
+                await cluster.wait_until(lambda: _has(captured, "JOB_FINISHED"))
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=1, workers=1)
+        return lines
+
+    def test_objective_is_told_at_both_ends(self):
+        lines = self._play(build_body(1, 1))
+        accepted = find_line(lines, "JOB_ACCEPTED")
+        finished = find_line(lines, "JOB_FINISHED")
+        self.assertGreater(accepted["objective_ms"], 0)
+        for name in ("queue", "objective_ms"):
+            self.assertEqual(accepted[name], finished[name])
+        self.assertGreaterEqual(finished["late_ms"], -finished["objective_ms"])
+
+    def test_submission_of_a_known_job_is_told(self):
+        # The answer to a transaction is lost; the next try finds the record and is
+        # answered with success. No line said that the job had been accepted.
+        lines = self._play(build_body(), submissions=2)
+        known = [
+            line.get("known", False)
+            for line in lines
+            if line["event_name"] == "JOB_ACCEPTED"
+        ]
+        self.assertEqual(known, [False, True])
--- a/trefoilhook/scheduling/models.py
+++ b/trefoilhook/scheduling/models.py
@@ -207,6 +207,16 @@
     objective_ms: float
     advice: Advice | None = None
 
+    def compute_objective(self, job: Job) -> float | None:
+        """Return the time that a job should take, in ms.
+
+        None for a job with set times, of which each has its own, and for one whose
+        tasks run until it is cancelled.
+        """
+        if job.repeats or any(step.long_running for step in job.steps):
+            return None
+        return self.stretch * job.estimate_chain() + self.objective_ms
+
 
 @attrs.frozen(kw_only=True)
 class Configuration:
