Log what waits for a worker, and the room that is left

Cause: found while telling a late job from logs. Eleven seconds lay between a takeover that was settled and the job's next start, and no line said why; a lack of room, workers that are avoided and fillers that service tasks don't bear looked alike. The owner now writes QUEUE_WAITS for each queue with tasks that waited in two looks 2 s apart: tasks, fillers, the oldest job, workers, those that take tasks, and their room in sum and at most.

Ruled out: a line a waiting task, which a burst makes thousands of.

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -85,6 +85,7 @@
     ADVICE_TAKEN = (1613, Level.INFO, "The advice service was asked about a step.")
     WORKER_BACK = (1614, Level.INFO, "A worker answers looks again.")
     TASK_GIVEN_UP = (1615, Level.WARNING, "A run was given up without its end.")
+    QUEUE_WAITS = (1616, Level.INFO, "Tasks have waited two seconds for a worker.")
 
     def __init__(self, number: int, level: Level, description: str) -> None:
         self.number = number
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -202,6 +202,7 @@
         nursery.start_soon(upkeep.keep_learned)
         nursery.start_soon(upkeep.keep_retention)
         nursery.start_soon(upkeep.forget_ended)
+        nursery.start_soon(upkeep.tell_backlogs)
         if self._settings.advice_address is not None:
             advice = AdviceClient(address=self._settings.advice_address)
             nursery.start_soon(
--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -132,3 +132,40 @@
             if line["event_name"] == "JOB_ACCEPTED"
         ]
         self.assertEqual(known, [False, True])
+
+
+class BacklogLineTest(unittest.TestCase):
+    """Tasks that no worker has a place for."""
+
+    def test_tasks_that_wait_are_told_with_the_room_that_is_left(self):
+        # A user's job doesn't begin for seconds. Its only line was that it had been
+        # accepted; whether workers were full or avoided stood nowhere.
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            instance = cluster.instances[0]
+            with capture_lines() as captured:
+                await cluster.send(instance, "POST", PREFIX + JOB, build_body(500))
+                await cluster.wait_until(lambda: _has(captured, "QUEUE_WAITS"))
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=1, workers=1, task_ms=60_000.0)
+        told = find_line(lines, "QUEUE_WAITS")
+        self.assertEqual(told["oldest_job"], JOB)
+        self.assertEqual((told["workers"], told["open_workers"]), (1, 1))
+        started = count_lines(lines)["TASK_STARTED"]
+        self.assertEqual(told["tasks"], 500 - started)
+        self.assertLess(min(told["most_cpu"] / 500, told["most_mb"] / 10), 1)
+
+    def test_queue_whose_tasks_start_at_once_takes_no_line(self):
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            instance = cluster.instances[0]
+            with capture_lines() as captured:
+                await cluster.send(instance, "POST", PREFIX + JOB, build_body(2))
+                await trio.sleep(4.5)
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=1, workers=1, task_ms=60_000.0)
+        self.assertEqual(count_lines(lines)["QUEUE_WAITS"], 0)
--- a/trefoilhook/runtime/upkeep.py
+++ b/trefoilhook/runtime/upkeep.py
@@ -1,12 +1,20 @@
 """What a shard's owner does beside its decisions, now and then."""
 
+import attrs
+
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import StoreError
+from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import Expectation, KeyValueStore, Put, Transaction
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.commits import Committer
 from trefoilhook.runtime.ownership import Tenure
-from trefoilhook.scheduling import Scheduler, encode_interference
+from trefoilhook.scheduling import (
+    Scheduler,
+    TaskState,
+    encode_interference,
+    measure_backlogs,
+)
 
 __all__ = ["Upkeep"]
 
@@ -28,6 +36,10 @@
 """Pause between two rounds of forgetting ended jobs, in ms; one that ends just after a
 round is kept for two. The store tells their state for ten minutes."""
 
+_BACKLOG_PAUSE_MS = 2000.0
+"""Pause between two looks at what waits, in ms; what stands in both has waited so long.
+A line a queue each time is a hundredth of what an owner writes about tasks."""
+
 
 class Upkeep:
     """Repeated work of an owner, each part a task of its own.
@@ -71,6 +83,23 @@
             await self._clock.sleep_ms(_FORGET_PAUSE_MS)
             self._scheduler.forget_ended()
 
+    async def tell_backlogs(self) -> None:
+        """Log what waits for a worker, for good.
+
+        A task that waits has no line of its own: without this one, logs don't tell a
+        lack of room from a worker that is avoided.
+        """
+        earlier: set[TaskState] = set()
+        while True:
+            await self._clock.sleep_ms(_BACKLOG_PAUSE_MS)
+            waiting = self._scheduler.waiting
+            now_ms = self._clock.monotonic_ms()
+            for backlog in measure_backlogs(
+                self._scheduler, waiting & earlier, now_ms=now_ms
+            ):
+                log_event(Event.QUEUE_WAITS, **attrs.asdict(backlog))
+            earlier = set(waiting)
+
     async def keep_learned(self) -> None:
         """Write what was learned, so that the next owner needn't learn it again.
 
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -2,7 +2,8 @@
 
 from trefoilhook.scheduling.advising import choose_advised
 from trefoilhook.scheduling.assignment import extend_lease
-from trefoilhook.scheduling.book import JobState
+from trefoilhook.scheduling.backlog import Backlog, measure_backlogs
+from trefoilhook.scheduling.book import JobState, TaskState
 from trefoilhook.scheduling.changes import (
     JobChange,
     acknowledge,
@@ -57,6 +58,7 @@
     "SLOWEST_CLOCK",
     "Advice",
     "AdviceRequest",
+    "Backlog",
     "Configuration",
     "Demand",
     "End",
@@ -82,6 +84,7 @@
     "StopOrder",
     "StopReason",
     "TaskId",
+    "TaskState",
     "Worker",
     "WorkerReport",
     "acknowledge",
@@ -96,6 +99,7 @@
     "encode_progress",
     "extend_lease",
     "is_settled",
+    "measure_backlogs",
     "parse_task_id",
     "plan_orders",
     "shares_with_services",
--- a/trefoilhook/story/core.py
+++ b/trefoilhook/story/core.py
@@ -28,6 +28,7 @@
         "LEASE_LOST",
         "WORKER_LOST",
         "WORKER_BACK",
+        "QUEUE_WAITS",
         "STORE_DOWN",
         "STORE_BACK",
         "CONFIG_IN_FORCE",
