--- a/trefoilhook/story/core.py
+++ b/trefoilhook/story/core.py
@@ -27,7 +27,10 @@
         "SHARD_FENCED",
         "LEASE_LOST",
         "WORKER_LOST",
+        "WORKER_BACK",
+        "QUEUE_WAITS",
         "STORE_DOWN",
+        "STORE_BACK",
         "CONFIG_IN_FORCE",
     }
 )
