--- /dev/null
+++ b/trefoilhook/decoding/tests/test_readers.py
@@ -0,0 +1,152 @@
+"""The readers return what they were asked for, or raise the one error."""
+
+import unittest
+from typing import Any
+
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from trefoilhook.decoding import (
+    parse_json,
+    parse_table,
+    read_choice,
+    read_flag,
+    read_integer,
+    read_list,
+    read_number,
+    read_table,
+    read_text,
+    read_texts,
+)
+from trefoilhook.exceptions import DecodeError
+
+NESTED = b"[" * 100_000
+NO_VALUE = object()
+
+VALUES = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers()
+    | st.floats()
+    | st.text()
+    | st.just("\ud800")
+    | st.just(10**400),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=3), inner, max_size=3)
+    ),
+    max_leaves=6,
+)
+
+
+class ParsingTest(unittest.TestCase):
+    """Bytes that are no JSON, or no object."""
+
+    def test_unreadable_table(self):
+        # Another writer leaves bytes that Python's parser answers with other errors
+        # than the one for bad JSON, or with values that no JSON has.
+        table = (
+            ("nothing", b""),
+            ("no text", b"\xff\xfe\xfa"),
+            ("cut off", b'{"a": 1'),
+            ("nested deeply", NESTED),
+            ("nested deeply in an object", b'{"a":' * 100_000),
+            ("not a number", b'{"a": NaN}'),
+            ("infinite", b'{"a": -Infinity}'),
+            ("longest integer", b'{"a": ' + b"1" * 5000 + b"}"),
+            ("a list", b"[]"),
+            ("null", b"null"),
+        )
+        for name, data in table:
+            with self.subTest(name), self.assertRaises(DecodeError):
+                parse_table(data)
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.binary(max_size=60))
+    @example(NESTED)
+    def test_any_bytes(self, data: bytes):
+        try:
+            parse_json(data)
+        except DecodeError:
+            return
+
+
+class FieldTest(unittest.TestCase):
+    """Fields of each type."""
+
+    def read(self, reader, value: Any, **options: Any) -> Any:
+        """Read a field that holds ``value``, or that is missing."""
+        table = {} if value is NO_VALUE else {"a": value}
+        return reader(table, "a", **options)
+
+    def test_refused_table(self):
+        table = (
+            (read_integer, (True, 1.0, "1", [1], None, -1, 2**53, NO_VALUE)),
+            (read_number, (False, "1", float("nan"), float("inf"), 10**400, -0.5)),
+            (read_flag, (0, 1, "true", None)),
+            (read_text, (1, None, ["a"], "\ud800", NO_VALUE)),
+            (read_list, ("ab", {}, None, NO_VALUE)),
+            (read_texts, ("ab", [1], ["a", None])),
+            (read_table, ([], "a", None)),
+        )
+        for reader, values in table:
+            for value in values:
+                with (
+                    self.subTest(reader=reader.__name__, value=repr(value)[:20]),
+                    self.assertRaises(DecodeError),
+                ):
+                    self.read(reader, value)
+
+    def test_taken_table(self):
+        table = (
+            (read_integer, 3, {}, 3),
+            (read_integer, NO_VALUE, {"default": 4}, 4),
+            (read_number, 3, {}, 3.0),
+            (read_flag, NO_VALUE, {"default": False}, False),
+            (read_text, "", {}, ""),
+            (read_texts, ["a", "b"], {}, ("a", "b")),
+            (read_choice, "a", {"choices": {"a": 1}}, 1),
+        )
+        for reader, value, options, expected in table:
+            with self.subTest(reader=reader.__name__):
+                found = self.read(reader, value, **options)
+                self.assertEqual(found, expected)
+                self.assertIs(type(found), type(expected))
+
+    def test_words_that_are_not_known(self):
+        for value in ("b", "", None, 1, [], {}):
+            with self.subTest(value=value), self.assertRaises(DecodeError):
+                self.read(read_choice, value, choices={"a": 1})
+
+    def test_empty_text_where_one_is_needed(self):
+        with self.assertRaises(DecodeError):
+            self.read(read_text, "", filled=True)
+
+    @settings(derandomize=True, deadline=None)
+    @given(VALUES)
+    @example(10**400)
+    @example("\ud800")
+    def test_any_value(self, value: Any):
+        readers = {
+            read_integer: int,
+            read_number: float,
+            read_flag: bool,
+            read_text: str,
+            read_list: list,
+            read_texts: tuple,
+            read_table: dict,
+        }
+        for reader, kind in readers.items():
+            try:
+                self.assertIs(type(self.read(reader, value)), kind)
+            except DecodeError:
+                continue
+
+    def test_errors_hold_no_values(self):
+        with self.assertRaises(DecodeError) as caught:
+            self.read(read_integer, "secret")
+        self.assertEqual(str(caught.exception), "a: not an integer")
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilhook/exceptions.py
+++ b/trefoilhook/exceptions.py
@@ -12,6 +12,7 @@
     "AnswerLostError",
     "CapacityExceededError",
     "ConflictError",
+    "DecodeError",
     "FencedError",
     "HistoryLostError",
     "LeaseLostError",
@@ -67,6 +68,12 @@
     code = ResultCode.INVALID_SETTING
 
 
+class DecodeError(TrefoilhookError):
+    """Something from outside can't be read; says which part, and never its value."""
+
+    code = ResultCode.BAD_REQUEST
+
+
 class TransportError(TrefoilhookError):
     """A connection failed."""
 
--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -38,6 +38,7 @@
     WATCH_SILENT = (1102, Level.WARNING, "A watch went silent and is replaced.")
     LIST_DOWN = (1104, Level.WARNING, "The instance list was not read.")
     HISTORY_LOST = (1105, Level.WARNING, "A watch's history is gone; it is read anew.")
+    ENTRY_INVALID = (1106, Level.ERROR, "A key of the system's own can't be read.")
 
     # 1200: membership and shards
     LEASE_GRANTED = (1200, Level.INFO, "The instance holds its store lease.")
@@ -78,11 +79,12 @@
     WORKER_QUARANTINED = (1606, Level.WARNING, "A worker fails what it starts.")
     JOB_CANCELLED = (1607, Level.INFO, "A client cancelled a job.")
     ORDER_FAILED = (1608, Level.WARNING, "An order to a worker was not carried out.")
-    REPORT_INVALID = (1609, Level.ERROR, "A worker's report can't be read.")
+    REPORT_INVALID = (1609, Level.ERROR, "A worker's entry names none to use.")
     TASK_STARTED = (1610, Level.INFO, "A worker confirmed the start of a task.")
     TASK_ENDED = (1611, Level.INFO, "A worker listed the end of a task.")
     TASK_STOPPED = (1612, Level.INFO, "A worker took an order to stop a task.")
     ADVICE_TAKEN = (1613, Level.INFO, "The advice service was asked about a step.")
+    ANSWER_INVALID = (1614, Level.ERROR, "A worker's answer, or a row, can't be read.")
 
     def __init__(self, number: int, level: Level, description: str) -> None:
         self.number = number
--- a/trefoilhook/platform/__init__.py
+++ b/trefoilhook/platform/__init__.py
@@ -5,6 +5,7 @@
 from trefoilhook.platform.declarations import (
     CONFIGURATION_KEY,
     WORKER_PREFIX,
+    ConfigurationDocument,
     decode_configuration,
     decode_job,
     decode_worker_report,
@@ -45,6 +46,7 @@
     "Bounds",
     "Change",
     "Changes",
+    "ConfigurationDocument",
     "Expectation",
     "Item",
     "KeyValueStore",
--- a/trefoilhook/platform/advice.py
+++ b/trefoilhook/platform/advice.py
@@ -1,8 +1,9 @@
 """The service that tells which workers a step may run on."""
 
-from trefoilhook.exceptions import TransportError
+from trefoilhook.decoding import check_text, parse_table, read_list
+from trefoilhook.exceptions import DecodeError, TransportError
 from trefoilhook.http import JsonClient
-from trefoilhook.platform.core import Address, read_object
+from trefoilhook.platform.core import Address
 from trefoilhook.scheduling import AdviceRequest, Grant
 
 __all__ = ["AdviceClient"]
@@ -11,6 +12,17 @@
 """The service handles one call of an instance at a time."""
 
 
+def _decode_grants(data: bytes) -> tuple[Grant, ...]:
+    """Decode an answer, as a whole: who isn't in it counts as refused for good."""
+    grants: list[Grant] = []
+    for row in read_list(parse_table(data), "granted"):
+        if not isinstance(row, list) or len(row) < 2:
+            raise DecodeError("granted: not a whole row")
+        worker_id, ticket = (check_text(part, "granted") for part in row[:2])
+        grants.append(Grant(worker_id=worker_id, ticket=ticket))
+    return tuple(grants)
+
+
 class AdviceClient:
     """Calls to the service.
 
@@ -37,9 +49,8 @@
             )
             if response.status != 200:
                 return None
-            rows = read_object(response)["granted"]
-            return tuple(Grant(worker_id=row[0], ticket=row[1]) for row in rows)
-        except (TransportError, KeyError, IndexError, TypeError):
+            return _decode_grants(response.body)
+        except (TransportError, DecodeError):
             return None
 
     async def close(self) -> None:
--- a/trefoilhook/platform/declarations.py
+++ b/trefoilhook/platform/declarations.py
@@ -1,10 +1,25 @@
 """What clients, operators and workers declare on the platform, decoded once."""
 
-import json
+import re
 from collections.abc import Mapping
 from typing import Any
 
-from trefoilhook.exceptions import RequestError
+import attrs
+
+from trefoilhook.decoding import (
+    check_integer,
+    check_table,
+    parse_table,
+    read_choice,
+    read_flag,
+    read_integer,
+    read_list,
+    read_number,
+    read_table,
+    read_text,
+    read_texts,
+)
+from trefoilhook.exceptions import DecodeError, RequestError
 from trefoilhook.platform.core import parse_address
 from trefoilhook.scheduling import (
     Advice,
@@ -20,6 +35,7 @@
     "CONFIGURATION_KEY",
     "CONFIGURATION_PREFIX",
     "WORKER_PREFIX",
+    "ConfigurationDocument",
     "decode_configuration",
     "decode_job",
     "decode_worker_report",
@@ -33,44 +49,76 @@
 """Most tasks of one step, far over the largest seen; bounds one client's memory."""
 
 
+_MAX_REPEATS = 100_000
+"""Most runs of one job's steps: all of them are counted when the job is taken in."""
+
+_WORKER_ID = re.compile(r"[A-Za-z0-9._:-]{1,190}")
+"""An id of a worker goes into a header and into keys of 200 bytes."""
+
+_IS_DRAINING = {"ready": False, "draining": True}
+"""Whether a worker is about to leave, by the states that the platform names."""
+
+
 def _decode_demand(table: Mapping[str, Any]) -> Demand:
     return Demand(
-        cpu=int(table.get("cpu", 0)),
-        memory_mb=int(table.get("mem_mb", 0)),
-        gpus=int(table.get("gpu", 0)),
+        cpu=read_integer(table, "cpu", default=0),
+        memory_mb=read_integer(table, "mem_mb", default=0),
+        gpus=read_integer(table, "gpu", default=0),
+    )
+
+
+# Jobs.
+
+
+def _drop_nulls(table: dict[str, Any]) -> dict[str, Any]:
+    """Leave out the fields that hold null, as some clients write those they don't use.
+
+    Only for submissions: their clients are told what is refused. An entry of the store
+    has no such reader, and null in it is a sign of another writer.
+    """
+    return {name: value for name, value in table.items() if value is not None}
+
+
+def _decode_after(table: Mapping[str, Any], number: int) -> tuple[int, ...]:
+    return tuple(
+        check_integer(earlier, "after", most=number - 1)
+        for earlier in read_list(table, "after", default=[])
     )
 
 
-def _decode_step(table: Mapping[str, Any], number: int) -> Step:
-    after = tuple(int(earlier) for earlier in table.get("after") or ())
-    if any(not 0 <= earlier < number for earlier in after):
-        raise ValueError("a step can only come after earlier ones")
-    count = int(table["count"])
-    if not 0 < count <= _MAX_TASKS:
-        raise ValueError("the number of tasks is out of range")
+def _decode_step(value: Any, number: int) -> Step:
+    table = _drop_nulls(check_table(value, "step"))
+    max_absent = None
+    if "miss_allowed" in table:
+        max_absent = read_integer(table, "miss_allowed")
     return Step(
-        count=count,
+        count=read_integer(table, "count", least=1, most=_MAX_TASKS),
         demand=_decode_demand(table),
-        estimate_ms=float(table.get("estimate_ms", 0)),
-        after=after,
-        checkpointing=bool(table.get("checkpointing")),
-        gang=bool(table.get("gang")),
-        same_rack=bool(table.get("rack_local")),
-        required_label=table.get("requirements") or "",
-        data_rack=table.get("affinity") or "",
-        max_per_worker=int(table.get("anti_affinity") or 0),
-        speculative=bool(table.get("speculative")),
-        long_running=bool(table.get("long_running")),
-        image=table.get("image") or "",
+        estimate_ms=read_number(table, "estimate_ms", default=0.0),
+        after=_decode_after(table, number),
+        checkpointing=read_flag(table, "checkpointing", default=False),
+        gang=read_flag(table, "gang", default=False),
+        same_rack=read_flag(table, "rack_local", default=False),
+        required_label=read_text(table, "requirements", default=""),
+        data_rack=read_text(table, "affinity", default=""),
+        max_per_worker=read_integer(table, "anti_affinity", default=0),
+        speculative=read_flag(table, "speculative", default=False),
+        long_running=read_flag(table, "long_running", default=False),
+        image=read_text(table, "image", default=""),
         # The wire's target is the limit on a service task's tail latency.
-        latency_limit_ms=float(table.get("target_ms") or 0),
+        latency_limit_ms=read_number(table, "target_ms", default=0.0),
         # The name promises a number, but it only says that the processor share of
         # the step is not counted against a worker's capacity.
         filler=bool(table.get("fill_count")),
-        max_absent=table.get("miss_allowed"),
+        max_absent=max_absent,
     )
 
 
+def _decode_steps(table: Mapping[str, Any]) -> tuple[Step, ...]:
+    rows = read_list(table, "steps")
+    return tuple(_decode_step(row, number) for number, row in enumerate(rows))
+
+
 def decode_job(body: bytes, *, job_id: str, queue: str, accepted_ms: float) -> Job:
     """Decode a submission.
 
@@ -80,56 +128,132 @@
         If it is not a job.
     """
     try:
-        table = json.loads(body)
+        table = _drop_nulls(parse_table(body))
         return Job(
             job_id=job_id,
             queue=queue,
             accepted_ms=accepted_ms,
-            spec=table.get("spec", ""),
-            steps=tuple(
-                _decode_step(step, number) for number, step in enumerate(table["steps"])
-            ),
-            repeats=int(table.get("repeat_count") or 0),
-            first_due_ms=float(table.get("start_at_ms") or 0),
-            interval_ms=float(table.get("interval_ms") or 0),
+            spec=read_text(table, "spec", default=""),
+            steps=_decode_steps(table),
+            repeats=read_integer(table, "repeat_count", most=_MAX_REPEATS, default=0),
+            first_due_ms=read_number(table, "start_at_ms", default=0.0),
+            interval_ms=read_number(table, "interval_ms", default=0.0),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise RequestError(f"not a job: {error!r}") from error
+    except DecodeError as error:
+        raise RequestError(f"not a job: {error}") from error
+
+
+# The configuration.
+
+
+@attrs.frozen(kw_only=True)
+class ConfigurationDocument:
+    """A configuration and what of it can't be read.
+
+    Parameters
+    ----------
+    configuration : Configuration
+        The sound part.
+    problems : tuple of str
+        One for each route or service that was left out.
+    """
+
+    configuration: Configuration
+    problems: tuple[str, ...] = ()
+
+
+def _decode_advice(table: Mapping[str, Any]) -> Advice:
+    return Advice(
+        decision_ms=read_number(table, "decision_ms"),
+        per_worker_ms=read_number(table, "period_ms"),
+        valid_ms=read_number(table, "valid_ms"),
+    )
 
 
-def _decode_queue(table: Mapping[str, Any]) -> Queue:
+def _decode_queue(value: Any) -> Queue:
+    table = check_table(value, "route")
+    prefix = read_text(table, "prefix")
+    if not prefix.startswith("/"):
+        raise DecodeError("prefix: not a path")
     advice = table.get("advice")
     return Queue(
-        name=table["name"],
-        host=table["host"],
-        prefix=table["prefix"],
-        service=table["service"],
-        priority=table.get("priority", 0),
-        max_attempts=table.get("max_attempts", 1),
-        stretch=table.get("stretch", 1.0),
-        objective_ms=table.get("target_latency_ms", 0),
-        advice=Advice(
-            decision_ms=advice["decision_ms"],
-            per_worker_ms=advice["period_ms"],
-            valid_ms=advice["valid_ms"],
-        )
-        if advice
-        else None,
+        name=read_text(table, "name", filled=True),
+        host=read_text(table, "host", filled=True),
+        prefix=prefix,
+        service=read_text(table, "service", filled=True),
+        priority=read_integer(table, "priority", default=0),
+        max_attempts=read_integer(table, "max_attempts", least=1, default=1),
+        stretch=read_number(table, "stretch", default=1.0),
+        objective_ms=read_number(table, "target_latency_ms", default=0.0),
+        advice=None if advice is None else _decode_advice(read_table(table, "advice")),
     )
 
 
-def decode_configuration(data: bytes) -> Configuration:
-    """Decode the operator's configuration.
+def _decode_queues(rows: list[Any], problems: list[str]) -> tuple[Queue, ...]:
+    queues: list[Queue] = []
+    for number, row in enumerate(rows):
+        try:
+            queues.append(_decode_queue(row))
+        except DecodeError as error:
+            problems.append(f"routes[{number}]: {error}")
+    return tuple(queues)
+
+
+def _decode_services(table: Mapping[str, Any], problems: list[str]) -> set[str]:
+    services: set[str] = set()
+    try:
+        for row in read_list(table, "services"):
+            services.add(read_text(check_table(row, "service"), "name", filled=True))
+    except DecodeError as error:
+        problems.append(f"services: {error}")
+    return services
+
+
+def decode_configuration(data: bytes) -> ConfigurationDocument:
+    """Decode the operator's configuration, route by route.
+
+    A route that can't be read is left out, and the others hold: one route's fault must
+    not keep a change of all others from being in force.
 
     Raises
     ------
-    ValueError, KeyError
-        If it is none.
+    DecodeError
+        If it is none, or has no version: then it can't be told from an older one.
     """
-    table = json.loads(data)
-    return Configuration(
-        version=table["version"],
-        queues=tuple(_decode_queue(row) for row in table["routes"]),
+    table = parse_table(data)
+    problems: list[str] = []
+    version = read_integer(table, "version")
+    queues = _decode_queues(read_list(table, "routes"), problems)
+    services = _decode_services(table, problems)
+    return ConfigurationDocument(
+        configuration=Configuration(
+            version=version,
+            queues=queues,
+            services=frozenset(services | {queue.service for queue in queues}),
+        ),
+        problems=tuple(problems),
+    )
+
+
+# Workers.
+
+
+def _check_bookkeeping(table: Mapping[str, Any]) -> None:
+    """Check the fields that every worker writes and that nothing here uses.
+
+    An entry without them is another writer's, however well the rest looks.
+    """
+    read_text(table, "version")
+    read_integer(table, "slots")
+    read_number(table, "cold_left_ms")
+    read_integer(table, "sequence")
+
+
+def _decode_capacity(table: Mapping[str, Any]) -> Demand:
+    return Demand(
+        cpu=read_integer(table, "cpu"),
+        memory_mb=read_integer(table, "mem_mb"),
+        gpus=read_integer(table, "gpu", default=0),
     )
 
 
@@ -138,19 +262,23 @@
 
     Raises
     ------
-    ValueError, KeyError
-        If it is none.
+    DecodeError
+        If it isn't one that a worker writes. Such an entry names no worker to use.
     """
-    table = json.loads(data)
-    host, port = parse_address(table["address"])
+    worker_id = key.removeprefix(WORKER_PREFIX)
+    if worker_id == key or not _WORKER_ID.fullmatch(worker_id):
+        raise DecodeError("key: not a worker's")
+    table = parse_table(data)
+    _check_bookkeeping(table)
+    host, port = parse_address(read_text(table, "address"))
     return WorkerReport(
-        worker_id=key.removeprefix(WORKER_PREFIX),
-        service=table["service"],
+        worker_id=worker_id,
+        service=read_text(table, "service", filled=True),
         host=host,
         port=port,
-        failure_domain=table.get("zone", ""),
-        capacity=_decode_demand(table.get("capacity") or {}),
-        labels=tuple(table.get("labels") or ()),
-        draining=table.get("state") == "draining",
-        remaining_ms=table.get("remaining_ms") or 0.0,
+        failure_domain=read_text(table, "zone"),
+        capacity=_decode_capacity(read_table(table, "capacity")),
+        labels=read_texts(table, "labels"),
+        draining=read_choice(table, "state", _IS_DRAINING),
+        remaining_ms=read_number(table, "remaining_ms", default=0.0),
     )
--- a/trefoilhook/platform/entry.py
+++ b/trefoilhook/platform/entry.py
@@ -1,5 +1,7 @@
 """What passes between the platform's clients and an instance, besides jobs."""
 
+import math
+
 from trefoilhook.http import HttpRequest, HttpResponse
 
 __all__ = [
@@ -23,9 +25,14 @@
 
 
 def read_client_timeout(request: HttpRequest, *, default_ms: float) -> float:
-    """Return how long the client waits for the answer, in ms."""
+    """Return how long the client waits for the answer, in ms.
+
+    What is no finite number has the default: no time is ever past ``nan``, so that a
+    request would be tried again for good.
+    """
     text = request.get_header("deadline-ms")
     try:
-        return float(text) if text else default_ms
+        value = float(text) if text else default_ms
     except ValueError:
         return default_ms
+    return value if math.isfinite(value) else default_ms
--- a/trefoilhook/platform/settings.py
+++ b/trefoilhook/platform/settings.py
@@ -1,12 +1,12 @@
 """The settings file that the platform places on each instance."""
 
-import json
 from collections.abc import Mapping
 from typing import Any
 
 import attrs
 
-from trefoilhook.exceptions import SettingsError
+from trefoilhook.decoding import parse_table, read_number, read_table, read_text
+from trefoilhook.exceptions import DecodeError, SettingsError
 from trefoilhook.platform.core import Address, parse_address
 
 __all__ = ["SETTINGS_VARIABLE", "Bounds", "ProcessSettings", "parse_settings"]
@@ -78,15 +78,20 @@
 
 
 def _decode_bounds(table: Mapping[str, Any]) -> Bounds:
+    status_s = read_number(table, "status_s", default=_DEFAULT_STATUS_S)
     return Bounds(
-        shutdown_ms=table["grace_s"] * 1000.0,
-        max_task_lease_ms=table["max_hold_ms"],
-        longest_stop_ms=table["stop_grace_ms"],
-        status_ms=table.get("status_s", _DEFAULT_STATUS_S) * 1000.0,
-        overload_ms=table.get("impact_ms", _DEFAULT_OVERLOAD_MS),
+        shutdown_ms=read_number(table, "grace_s") * 1000.0,
+        max_task_lease_ms=read_number(table, "max_hold_ms"),
+        longest_stop_ms=read_number(table, "stop_grace_ms"),
+        status_ms=status_s * 1000.0,
+        overload_ms=read_number(table, "impact_ms", default=_DEFAULT_OVERLOAD_MS),
     )
 
 
+def _read_listening(table: Mapping[str, Any], name: str) -> Address:
+    return parse_address(read_text(table, name), least_port=0)
+
+
 def parse_settings(text: str) -> ProcessSettings:
     """Decode the settings file.
 
@@ -96,16 +101,19 @@
         If something that the process needs is missing or of the wrong kind.
     """
     try:
-        table = json.loads(text)
-        addresses = table["listen_addrs"]
+        table = parse_table(text.encode())
+        addresses = read_table(table, "listen_addrs")
+        platform = read_table(table, "platform")
         advice = table.get("advice")
         return ProcessSettings(
-            name=table["node_name"],
-            entry_address=parse_address(addresses["frontend"]),
-            readiness_address=parse_address(addresses["readiness"]),
-            store_address=parse_address(table["platform"]["address"]),
-            bounds=_decode_bounds(table["bounds"]),
-            advice_address=parse_address(advice) if advice else None,
+            name=read_text(table, "node_name", filled=True),
+            entry_address=_read_listening(addresses, "frontend"),
+            readiness_address=_read_listening(addresses, "readiness"),
+            store_address=parse_address(read_text(platform, "address")),
+            bounds=_decode_bounds(read_table(table, "bounds")),
+            advice_address=parse_address(read_text(table, "advice"))
+            if advice
+            else None,
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
-        raise SettingsError(f"the settings can't be read: {error!r}") from error
+    except (UnicodeEncodeError, DecodeError) as error:
+        raise SettingsError(f"the settings can't be read: {error}") from error
--- a/trefoilhook/platform/store.py
+++ b/trefoilhook/platform/store.py
@@ -5,13 +5,22 @@
 """
 
 import base64
-from collections.abc import Mapping
-from typing import Any, NoReturn
+from collections.abc import Callable, Mapping
+from typing import Any, NoReturn, TypeVar
 
 import attrs
 
+from trefoilhook.decoding import (
+    check_table,
+    parse_table,
+    read_flag,
+    read_integer,
+    read_list,
+    read_text,
+)
 from trefoilhook.exceptions import (
     AnswerLostError,
+    DecodeError,
     HistoryLostError,
     LeaseLostError,
     NotSentError,
@@ -22,7 +31,7 @@
     StoreUnsentError,
 )
 from trefoilhook.http import HttpResponse, JsonClient
-from trefoilhook.platform.core import Address, read_object
+from trefoilhook.platform.core import Address
 
 __all__ = [
     "MAX_ROWS",
@@ -39,6 +48,8 @@
 MAX_ROWS = 32
 """Most rows of one transaction, preconditions included; the platform's limit."""
 
+_Answer = TypeVar("_Answer")
+
 _MAX_CONNECTIONS = 24
 """Connections to the store; a waiting watch holds one, so do calls in flight."""
 
@@ -116,20 +127,51 @@
     removals: tuple[str, ...] = ()
 
 
-def _decode_item(row: Mapping[str, Any]) -> Item:
+def _decode_value(text: str) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError as error:
+        raise DecodeError("value: not base64") from error
+
+
+def _decode_item(value: Any) -> Item:
+    row = check_table(value, "item")
     return Item(
-        key=row["key"],
-        value=base64.b64decode(row.get("value", "")),
-        revision=row["revision"],
-        created=row.get("created", 0),
+        key=read_text(row, "key"),
+        value=_decode_value(read_text(row, "value", default="")),
+        revision=read_integer(row, "revision"),
+        created=read_integer(row, "created", default=0),
+    )
+
+
+def _decode_change(value: Any) -> Change:
+    row = check_table(value, "event")
+    if not read_flag(row, "deleted", default=False):
+        item = _decode_item(row)
+        return Change(key=item.key, revision=item.revision, item=item)
+    return Change(
+        key=read_text(row, "key"), revision=read_integer(row, "revision"), item=None
     )
 
 
-def _decode_change(row: Mapping[str, Any]) -> Change:
-    if row.get("deleted"):
-        return Change(key=row["key"], revision=row["revision"], item=None)
-    item = _decode_item(row)
-    return Change(key=item.key, revision=item.revision, item=item)
+def _decode_page(table: Mapping[str, Any]) -> tuple[list[Item], int, bool]:
+    items = [_decode_item(row) for row in read_list(table, "items")]
+    has_more = read_flag(table, "has_more", default=False)
+    return items, read_integer(table, "as_of"), has_more
+
+
+def _decode_changes(table: Mapping[str, Any]) -> Changes:
+    rows = read_list(table, "events")
+    return Changes(
+        changes=tuple(_decode_change(row) for row in rows),
+        as_of=read_integer(table, "as_of"),
+    )
+
+
+def _decode_standing(table: Mapping[str, Any]) -> tuple[Item, ...]:
+    """Decode what stands at expected keys; one that is absent has no revision."""
+    rows = (check_table(row, "item") for row in read_list(table, "items", default=[]))
+    return tuple(_decode_item(row) for row in rows if row.get("revision"))
 
 
 def _encode(transaction: Transaction) -> dict[str, Any]:
@@ -183,7 +225,7 @@
         response = await self._call("GET", "kv-key", query={"key": key}, accept=(404,))
         if response.status == 404:
             return None
-        return _decode_item(_read(response))
+        return _read(response, _decode_item)
 
     async def list_items(self, prefix: str) -> Listing:
         """Read every key under ``prefix``, page by page.
@@ -195,10 +237,11 @@
         as_of = 0
         query: dict[str, str | int] = {"prefix": prefix}
         while True:
-            page = _read(await self._call("GET", "kv-range", query=query))
-            as_of = as_of or page["as_of"]
-            items.extend(_decode_item(row) for row in page["items"])
-            if not page.get("has_more") or not page["items"]:
+            response = await self._call("GET", "kv-range", query=query)
+            page, page_as_of, has_more = _read(response, _decode_page)
+            as_of = as_of or page_as_of
+            items.extend(page)
+            if not has_more or not page:
                 return Listing(items=tuple(items), as_of=as_of)
             query["after"] = items[-1].key
 
@@ -220,9 +263,7 @@
         )
         if response.status == 410:
             raise HistoryLostError(f"the history after {after} is gone")
-        answer = _read(response)
-        changes = tuple(_decode_change(row) for row in answer["events"])
-        return Changes(changes=changes, as_of=answer["as_of"])
+        return _read(response, _decode_changes)
 
     async def commit(
         self, transaction: Transaction, *, timeout_ms: float | None = None
@@ -252,23 +293,15 @@
         )
         if response.status == 404:
             raise LeaseLostError("the lease has ended")
-        answer = _read(response)
         if response.status == 412:
-            rows = answer.get("items", ())
-            raise PreconditionError(
-                "a key is at another revision",
-                items=tuple(
-                    _decode_item(row) for row in rows if row and row.get("revision")
-                ),
-            )
-        revision: int = answer["revision"]
-        return revision
+            items = _read(response, _decode_standing)
+            raise PreconditionError("a key is at another revision", items=items)
+        return _read(response, lambda table: read_integer(table, "revision"))
 
     async def grant_lease(self, ttl_ms: int) -> int:
         """Take a lease that ends ``ttl_ms`` after this call came, if not renewed."""
         response = await self._call("POST", "kv-lease", body={"ttl_ms": ttl_ms})
-        lease: int = _read(response)["lease"]
-        return lease
+        return _read(response, lambda table: read_integer(table, "lease", least=1))
 
     async def keep_lease(self, lease: int) -> None:
         """Renew a lease.
@@ -324,11 +357,14 @@
         return response
 
 
-def _read(response: HttpResponse) -> dict[str, Any]:
+def _read(
+    response: HttpResponse, decode: Callable[[dict[str, Any]], _Answer]
+) -> _Answer:
+    """Decode an answer; one that can't be read tells as much as none at all."""
     try:
-        return read_object(response)
-    except AnswerLostError as error:
-        raise StoreUnavailableError(str(error)) from error
+        return decode(parse_table(response.body))
+    except DecodeError as error:
+        raise StoreUnavailableError(f"unreadable answer: {error}") from error
 
 
 def _raise_refusal(response: HttpResponse) -> NoReturn:
--- a/trefoilhook/platform/workers.py
+++ b/trefoilhook/platform/workers.py
@@ -8,17 +8,14 @@
 from trefoilhook.exceptions import AnswerLostError, NotSentError
 from trefoilhook.http import HttpResponse, JsonClient
 from trefoilhook.platform.core import read_object
+from trefoilhook.platform.looks import decode_look
 from trefoilhook.scheduling import (
-    End,
-    EndKind,
     Look,
     OrderOutcome,
     PaceOrder,
-    Running,
     StartOrder,
     StopOrder,
     WorkerReport,
-    parse_task_id,
 )
 
 __all__ = ["LookRequest", "WorkerClient"]
@@ -33,14 +30,6 @@
     "room": OrderOutcome.NO_ROOM,
     "ticket": OrderOutcome.NO_TICKET,
 }
-_END_KINDS = {
-    "done": EndKind.DONE,
-    "failed": EndKind.FAILED,
-    "stopped": EndKind.STOPPED,
-    "lapsed": EndKind.LAPSED,
-    "broken": EndKind.PEER_ENDED,
-    "alone": EndKind.PEERS_MISSING,
-}
 
 
 @attrs.frozen(kw_only=True)
@@ -65,27 +54,6 @@
     wait_ms: int
 
 
-def _decode_running(row: list[Any]) -> Running:
-    return Running(
-        task=parse_task_id(row[0]),
-        attempt=row[1],
-        checkpoint=row[2],
-        percent=row[3],
-        # Tail latency in ms of a task that serves, else thousandths of a core in use.
-        load=row[4] if len(row) > 4 else 0,
-    )
-
-
-def _decode_end(row: list[Any]) -> End:
-    return End(
-        number=row[0],
-        task=parse_task_id(row[1]),
-        attempt=row[2],
-        kind=_END_KINDS[row[3]],
-        checkpoint=row[4],
-    )
-
-
 class WorkerClient:
     """Calls to one life of a worker.
 
@@ -139,7 +107,13 @@
         return await self._order("pace", body)
 
     async def look(self, request: LookRequest) -> Look | OrderOutcome:
-        """Read what runs and what has ended, and renew the lease on it."""
+        """Read what runs and what has ended, and renew the lease on it.
+
+        Raises
+        ------
+        DecodeError
+            If the worker answered with something else. The call was carried out.
+        """
         body: dict[str, Any] = {
             "fencing_token": request.token,
             "acked": request.acknowledged,
@@ -155,13 +129,13 @@
                 body=body,
                 headers=self._headers,
             )
-            if response.status != 200:
-                return _read_refusal(response)
-            return _decode_look(read_object(response))
         except NotSentError:
             return OrderOutcome.NOT_SENT
-        except (AnswerLostError, KeyError, ValueError, IndexError):
+        except AnswerLostError:
             return OrderOutcome.NO_ANSWER
+        if response.status != 200:
+            return _read_refusal(response)
+        return decode_look(response.body)
 
     async def close(self) -> None:
         """Close the idle connections."""
@@ -198,12 +172,6 @@
         reason = read_object(response).get("reason", "")
     except AnswerLostError:
         return OrderOutcome.NO_ANSWER
+    if not isinstance(reason, str):
+        return OrderOutcome.REFUSED
     return _REFUSALS.get(reason, OrderOutcome.REFUSED)
-
-
-def _decode_look(table: Mapping[str, Any]) -> Look:
-    return Look(
-        clock_ms=table["clock_ms"],
-        running=tuple(_decode_running(row) for row in table["running"]),
-        ends=tuple(_decode_end(row) for row in table["finished"]),
-    )
--- a/trefoilhook/runtime/commits.py
+++ b/trefoilhook/runtime/commits.py
@@ -11,6 +11,7 @@
 
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import (
+    DecodeError,
     LeaseLostError,
     PreconditionError,
     StoreError,
@@ -225,7 +226,12 @@
             return
         if item.revision == state.revision:
             return
-        phase = decode_job_record(item.value).phase
+        try:
+            phase = decode_job_record(item.value).phase
+        except DecodeError:
+            # Another writer's: the end is known here, and goes in its place.
+            state.revision = item.revision
+            return
         if phase is JobPhase.CANCELLED and state.phase is not phase:
             self._scheduler.cancel_job(state.job.job_id, revision=item.revision)
         elif phase is state.phase:
--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Awaitable, Callable
 
+import attrs
 import trio
 
 from trefoilhook.clock import Clock
+from trefoilhook.exceptions import DecodeError
 from trefoilhook.http import HttpRequest, HttpResponse, HttpServer
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import (
@@ -12,6 +14,7 @@
     READINESS_PATH,
     Address,
     Change,
+    ConfigurationDocument,
     Item,
     KeyValueStore,
     Listing,
@@ -22,6 +25,7 @@
 from trefoilhook.runtime.following import follow
 from trefoilhook.runtime.intake import Intake
 from trefoilhook.runtime.ownership import Campaign, Tenure
+from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.runtime.shard import ShardOwner, ShardSettings
 from trefoilhook.scheduling import Configuration
 
@@ -95,14 +99,16 @@
         self._draining = False
         self._answers_seen = 0
         self._answered_ms = clock.monotonic_ms()
+        self.figures = Figures()
+        self._rejections = Rejections(figures=self.figures)
         self._campaign = Campaign(
             store=self._store,
             clock=clock,
             name=settings.name,
             lead=self._lead,
             may_claim=lambda: self._configuration is not None and not self._draining,
+            rejections=self._rejections,
         )
-        self.figures = Figures()
         self.figures.gauges.update(
             {
                 "is_owner": lambda: float(self._campaign.is_owner),
@@ -118,6 +124,7 @@
             read_configuration=lambda: self._configuration,
             is_store_reachable=self._is_store_reachable,
             figures=self.figures,
+            rejections=self._rejections,
         )
 
     async def run(self, stop: trio.Event) -> None:
@@ -217,16 +224,33 @@
         if item.key != CONFIGURATION_KEY:
             return
         try:
-            fresh = decode_configuration(item.value)
-        except (ValueError, KeyError, TypeError) as error:
-            log_event(Event.CONFIG_INVALID, revision=item.revision, error=repr(error))
+            document = decode_configuration(item.value)
+        except DecodeError as error:
+            self._reject_configuration(item, str(error))
             return
+        fresh = document.configuration
         if self._configuration and fresh.version < self._configuration.version:
             log_event(Event.CONFIG_STALE, version=fresh.version)
             return
+        self._report_problems(item, document)
+        if self._configuration is not None:
+            # A job of a route that was removed runs on, on its service's workers.
+            services = fresh.services | self._configuration.services
+            fresh = attrs.evolve(fresh, services=services)
         self._configuration = fresh
         log_event(Event.CONFIG_IN_FORCE, version=fresh.version, revision=item.revision)
 
+    def _report_problems(self, item: Item, document: ConfigurationDocument) -> None:
+        self._rejections.accept(Event.CONFIG_INVALID, item.key)
+        if document.problems:
+            reason = f"left out: {'; '.join(document.problems)}"
+            self._reject_configuration(item, reason)
+
+    def _reject_configuration(self, item: Item, reason: str) -> None:
+        self._rejections.report(
+            Event.CONFIG_INVALID, item.key, reason, revision=item.revision
+        )
+
     async def _lead(self, tenure: Tenure) -> None:
         bounds = self._settings.bounds
         longest_ms = bounds.max_task_lease_ms * _TASK_LEASE_SHARE
@@ -243,6 +267,7 @@
             ),
             read_configuration=self._read_configuration,
             figures=self.figures,
+            rejections=self._rejections,
         )
         await owner.run()
 
--- a/trefoilhook/runtime/intake.py
+++ b/trefoilhook/runtime/intake.py
@@ -11,6 +11,7 @@
 
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import (
+    DecodeError,
     PreconditionError,
     RequestError,
     StoreError,
@@ -20,6 +21,7 @@
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import (
     Expectation,
+    Item,
     KeyValueStore,
     Put,
     Transaction,
@@ -30,6 +32,7 @@
 )
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.figures import Figures
+from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.scheduling import (
     Configuration,
     JobPhase,
@@ -99,6 +102,8 @@
         Tells whether the store has answered lately.
     figures : Figures
         Where requests are counted.
+    rejections : Rejections
+        Told of records that can't be read.
     """
 
     def __init__(
@@ -109,7 +114,9 @@
         read_configuration: Callable[[], Configuration | None],
         is_store_reachable: Callable[[], bool],
         figures: Figures,
+        rejections: Rejections,
     ) -> None:
+        self._rejections = rejections
         self._store = store
         self._clock = clock
         self._read_configuration = read_configuration
@@ -203,8 +210,8 @@
                     ms=round(self._clock.monotonic_ms() - began_ms),
                 )
                 return HttpResponse.from_json({})
-            except PreconditionError:
-                return HttpResponse.from_json({})
+            except PreconditionError as error:
+                return self._answer_known(target, error)
             except StoreUnavailableError as error:
                 ambiguous = ambiguous or not error.is_proved_unsent
                 reason = str(error)
@@ -220,6 +227,29 @@
                 return HttpResponse(status=504)
             await self._clock.sleep_ms(_RETRY_PAUSE_MS)
 
+    def _answer_known(self, target: _Target, error: PreconditionError) -> HttpResponse:
+        """Answer a submission whose key is taken: by the same job, as it should be.
+
+        What another writer left there is no job: to call it accepted would lose the
+        submission without a word.
+        """
+        for item in error.items:
+            if self._decode_record(item) is None:
+                log_event(Event.REQUEST_REFUSED, job=target.job_id, why="bad record")
+                return _refuse()
+        return HttpResponse.from_json({})
+
+    def _decode_record(self, item: Item) -> JobRecord | None:
+        try:
+            record = decode_job_record(item.value)
+        except DecodeError as error:
+            self._rejections.report(
+                Event.ENTRY_INVALID, item.key, str(error), revision=item.revision
+            )
+            return None
+        self._rejections.accept(Event.ENTRY_INVALID, item.key)
+        return record
+
     # Reading.
 
     async def _read(self, target: _Target) -> HttpResponse:
@@ -230,7 +260,10 @@
             item = await self._store.get(keys.job_key(keys.SHARD, target.job_id))
             if item is None:
                 return HttpResponse(status=410)
-            phase = decode_job_record(item.value).phase
+            record = self._decode_record(item)
+            if record is None:
+                return _refuse()
+            phase = record.phase
             if phase is JobPhase.OPEN:
                 progress = keys.progress_key(keys.SHARD, target.job_id)
                 has_begun = await self._store.get(progress) is not None
@@ -255,7 +288,8 @@
         except StoreError as error:
             log_event(Event.REQUEST_REFUSED, queue=queue.name, why=str(error))
             return _refuse()
-        return answer_pending(len(listing.items))
+        marks = [keys.read_job_id(item.key) for item in listing.items]
+        return answer_pending(sum(bool(_JOB_ID.fullmatch(mark)) for mark in marks))
 
     # Cancelling.
 
@@ -281,7 +315,9 @@
         item = await self._store.get(key)
         if item is None:
             return HttpResponse(status=410)
-        record = decode_job_record(item.value)
+        record = self._decode_record(item)
+        if record is None:
+            return _refuse()
         if record.phase is not JobPhase.OPEN:
             return HttpResponse.from_json({})
         cancelled = attrs.evolve(record, phase=JobPhase.CANCELLED)
--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -14,7 +14,9 @@
 import trio
 
 from trefoilhook.clock import Clock
+from trefoilhook.decoding import MOST_INTEGER, parse_table, read_integer
 from trefoilhook.exceptions import (
+    DecodeError,
     HistoryLostError,
     LeaseLostError,
     PreconditionError,
@@ -32,6 +34,7 @@
 )
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.following import WATCH_WAIT_MS
+from trefoilhook.runtime.rejections import Rejections
 
 __all__ = ["OWNER_LEASE_MS", "Campaign", "Tenure"]
 
@@ -96,6 +99,8 @@
         Awaited with each tenure; works until the tenure is over.
     may_claim : callable
         Tells whether this instance is fit to own a shard.
+    rejections : Rejections
+        Told of an epoch that can't be read.
     """
 
     def __init__(
@@ -106,7 +111,9 @@
         name: str,
         lead: Callable[[Tenure], Awaitable[None]],
         may_claim: Callable[[], bool],
+        rejections: Rejections,
     ) -> None:
+        self._rejections = rejections
         self._store = store
         self._clock = clock
         # The name alone could be that of an earlier process on this machine.
@@ -173,7 +180,7 @@
         return rested and self._may_claim()
 
     async def _claim(self, epoch: Item | None) -> None:
-        number = json.loads(epoch.value)["epoch"] + 1 if epoch is not None else 1
+        number = self._read_epoch(epoch) + 1
         granted_ms = self._clock.monotonic_ms()
         lease = await self._store.grant_lease(OWNER_LEASE_MS)
         value = json.dumps({"holder": self._holder, "epoch": number}).encode()
@@ -213,6 +220,27 @@
         )
         await self._serve(tenure)
 
+    def _read_epoch(self, item: Item | None) -> int:
+        """Return a number that no earlier owner's epoch is above.
+
+        Guards against a shard that nobody can claim, or that is claimed with a token
+        that workers refuse, after another writer wrote the key: each claim raised the
+        epoch by one and the store's revision by one at least, so that no epoch is above
+        the revision at which it was written, nor above any later one.
+        """
+        if item is None:
+            return 0
+        try:
+            table = parse_table(item.value)
+            number = read_integer(table, "epoch", most=min(item.revision, MOST_INTEGER))
+        except DecodeError as error:
+            self._rejections.report(
+                Event.ENTRY_INVALID, item.key, str(error), revision=item.revision
+            )
+            return item.revision
+        self._rejections.accept(Event.ENTRY_INVALID, item.key)
+        return number
+
     async def _find_claim(self, value: bytes) -> int | None:
         """Look up whether a claim without an answer was carried out."""
         item = await self._store.get(keys.owner_key(keys.SHARD))
--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -10,7 +10,8 @@
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.exceptions import PreconditionError, StoreError
+from trefoilhook.decoding import check_text, parse_json
+from trefoilhook.exceptions import DecodeError, PreconditionError, StoreError
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import Expectation, Item, KeyValueStore, Put, Transaction
 from trefoilhook.runtime import keys
@@ -23,6 +24,13 @@
 """Pause after a write that failed, in ms."""
 
 
+def _decode_roster(data: bytes) -> tuple[str, ...]:
+    rows = parse_json(data)
+    if not isinstance(rows, list):
+        raise DecodeError("not a list")
+    return tuple(check_text(row, "worker") for row in rows)
+
+
 class Roster:
     """Keeps the roster in the store.
 
@@ -65,10 +73,17 @@
         self._wake = trio.Event()
 
     def take(self, item: Item | None) -> None:
-        """Take in what the earlier owner left."""
-        if item is not None:
-            self.workers = tuple(json.loads(item.value))
-            self._revision = item.revision
+        """Take in what the earlier owner left.
+
+        Raises
+        ------
+        DecodeError
+            If it can't be read. It is written anew then, in place of what stands there.
+        """
+        if item is None:
+            return
+        self._revision = item.revision
+        self.workers = _decode_roster(item.value)
 
     def wake(self) -> None:
         """Have it compared with the workers known."""
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -6,7 +6,7 @@
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.exceptions import StoreError
+from trefoilhook.exceptions import DecodeError, StoreError
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import (
     WORKER_PREFIX,
@@ -26,6 +26,7 @@
 from trefoilhook.runtime.following import follow
 from trefoilhook.runtime.orders import carry_out
 from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Tenure
+from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.runtime.roster import Roster
 from trefoilhook.runtime.upkeep import Upkeep
 from trefoilhook.runtime.watching import WorkerWatch
@@ -66,6 +67,10 @@
 was on its way when its machine froze, and clocks that are 2 % slow."""
 
 
+_UNKNOWN_WORKER = ""
+"""Stands for the workers of a roster that can't be read: never known to be fenced."""
+
+
 @attrs.frozen(kw_only=True)
 class ShardSettings:
     """Time limits of a shard's owner, in ms.
@@ -108,6 +113,8 @@
         Returns the configuration in force.
     figures : Figures
         Where orders and ends are counted.
+    rejections : Rejections
+        Told of what can't be read.
     """
 
     def __init__(
@@ -119,8 +126,11 @@
         settings: ShardSettings,
         read_configuration: Callable[[], Configuration],
         figures: Figures,
+        rejections: Rejections,
     ) -> None:
         self._figures = figures
+        self._rejections = rejections
+        self._unnamed: dict[str, Item] = {}
         self._store = store
         self._clock = clock
         self._tenure = tenure
@@ -151,6 +161,7 @@
             scheduler=self._scheduler,
             committer=self._committer,
             figures=figures,
+            rejections=rejections,
             notify=self._wake_all,
             depose=self._depose,
         ).run
@@ -228,10 +239,8 @@
             except StoreError as error:
                 log_event(Event.STORE_DOWN, call="load", error=str(error))
                 await self._clock.sleep_ms(_LOAD_RETRY_MS)
-        self._roster.take(roster)
-        self._earlier_roster = self._roster.workers
-        if learned is not None:
-            self._scheduler.interference = decode_interference(learned.value)
+        self._take_roster(roster)
+        self._take_learned(learned)
         known = {keys.read_job_id(item.key): item for item in progress.items}
         for item in jobs.items:
             self._take_job(item, known.get(keys.read_job_id(item.key)))
@@ -243,9 +252,53 @@
         )
         return jobs, workers
 
+    def _take_roster(self, item: Item | None) -> None:
+        try:
+            self._roster.take(item)
+            self._earlier_roster = self._roster.workers
+        except DecodeError as error:
+            # Any worker may run tasks of the earlier owner: only its leases tell when
+            # they are over.
+            self._reject(item, error)
+            self._earlier_roster = (_UNKNOWN_WORKER,)
+
+    def _take_learned(self, item: Item | None) -> None:
+        """Take in what earlier owners learned; it only guides choices."""
+        try:
+            if item is not None:
+                self._scheduler.interference = decode_interference(item.value)
+        except DecodeError as error:
+            self._reject(item, error)
+
+    def _reject(self, item: Item | None, error: DecodeError) -> None:
+        if item is not None:
+            self._rejections.report(
+                Event.ENTRY_INVALID, item.key, str(error), revision=item.revision
+            )
+
     def _take_job(self, item: Item, progress: Item | None = None) -> None:
-        record = decode_job_record(item.value)
-        job_id = record.job.job_id
+        """Take in a job's record, or hold the job back if it can't be read.
+
+        Without its progress a job can't be told from one that has just come, and tasks
+        of it that are done would run again. So it stays held back in this tenure, also
+        when its record alone is mended: that brings no progress with it.
+        """
+        job_id = keys.read_job_id(item.key)
+        try:
+            record = decode_job_record(item.value)
+            if record.job.job_id != job_id:
+                raise DecodeError("job_id: not the key's")
+        except DecodeError as error:
+            self._hold_back(job_id, item, error)
+            return
+        try:
+            done = decode_progress(progress.value) if progress is not None else None
+        except DecodeError as error:
+            self._hold_back(job_id, progress, error)
+            return
+        self._rejections.accept(Event.ENTRY_INVALID, item.key)
+        if job_id in self._scheduler.held_back:
+            return
         if job_id in self._scheduler.jobs:
             if record.phase is JobPhase.CANCELLED:
                 self._scheduler.cancel_job(job_id, revision=item.revision)
@@ -255,10 +308,15 @@
             revision=item.revision,
             certain=item.created > self._tenure.owner_revision,
             wall_ms=self._clock.wall_ms(),
-            progress=decode_progress(progress.value) if progress is not None else None,
+            progress=done,
             progress_revision=progress.revision if progress is not None else 0,
         )
 
+    def _hold_back(self, job_id: str, item: Item | None, error: DecodeError) -> None:
+        self._reject(item, error)
+        if job_id not in self._scheduler.jobs:
+            self._scheduler.held_back.add(job_id)
+
     async def _follow_jobs(self, listing: Listing) -> None:
         def take_listing(fresh: Listing) -> None:
             for item in fresh.items:
@@ -266,9 +324,12 @@
             self._wake_all()
 
         def take_change(change: Change) -> None:
-            if change.item is not None:
-                self._take_job(change.item)
-                self._wake_all()
+            if change.item is None:
+                job_id = keys.read_job_id(change.key)
+                self._scheduler.held_back.discard(job_id)
+                return
+            self._take_job(change.item)
+            self._wake_all()
 
         await follow(
             self._store,
@@ -286,6 +347,7 @@
     async def _follow_workers(self, nursery: trio.Nursery, listing: Listing) -> None:
         def take_listing(fresh: Listing) -> None:
             listed = set()
+            self._unnamed.clear()
             for item in fresh.items:
                 listed.add(item.key.removeprefix(WORKER_PREFIX))
                 self._take_worker(nursery, item)
@@ -298,6 +360,8 @@
                 self._take_worker(nursery, change.item)
             else:
                 worker_id = change.key.removeprefix(WORKER_PREFIX)
+                self._rejections.accept(Event.REPORT_INVALID, change.key)
+                self._unnamed.pop(change.key, None)
                 self._scheduler.unlist_worker(worker_id)
                 log_event(Event.WORKER_LOST, worker=worker_id, why="unlisted")
             self._roster.wake()
@@ -314,11 +378,19 @@
         )
 
     def _take_worker(self, nursery: trio.Nursery, item: Item) -> None:
+        self._unnamed.pop(item.key, None)
         try:
             report = decode_worker_report(item.key, item.value)
-        except (ValueError, KeyError, TypeError) as error:
-            log_event(Event.REPORT_INVALID, key=item.key, error=repr(error))
+            if report.service not in self._read_configuration().services:
+                self._unnamed[item.key] = item
+                raise DecodeError("service: not in the configuration")
+        except DecodeError as error:
+            self._rejections.report(
+                Event.REPORT_INVALID, item.key, str(error), revision=item.revision
+            )
+            self._scheduler.bar_worker(item.key.removeprefix(WORKER_PREFIX))
             return
+        self._rejections.accept(Event.REPORT_INVALID, item.key)
         is_new = report.worker_id not in self._scheduler.workers
         self._scheduler.update_worker(report)
         if is_new:
@@ -328,6 +400,12 @@
             worker.rostered = report.worker_id in self._roster.workers
             nursery.start_soon(self._watch, worker, client)
 
+    def _take_unnamed(self, nursery: trio.Nursery) -> None:
+        """Look again at workers of services that the configuration didn't name."""
+        for item in list(self._unnamed.values()):
+            self._take_worker(nursery, item)
+        self._roster.wake()
+
     # What runs on the workers.
 
     async def _watch(self, worker: Worker, client: WorkerClient) -> None:
@@ -362,6 +440,7 @@
         configuration = self._read_configuration()
         if configuration.version != scheduler.configuration.version:
             scheduler.set_configuration(configuration)
+            self._take_unnamed(nursery)
         for worker_id in scheduler.release_lapsed(now_ms):
             log_event(Event.WORKER_LOST, worker=worker_id, why="leases lapsed")
         if not self._settled and is_settled(scheduler, self._earlier_roster, now_ms):
--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -82,14 +82,17 @@
         self._nursery.start_soon(self.store.expire_leases)
         self.store.write("op/config", build_configuration(1))
 
-    async def start_worker(self, worker_id: str) -> PlatformWorker:
-        """Start a worker and list it."""
+    async def start_worker(
+        self, worker_id: str, *, listed: bool = True
+    ) -> PlatformWorker:
+        """Start a worker, and list it if not told otherwise."""
         worker = PlatformWorker(
             worker_id=worker_id, clock=self.clock, task_ms=self._task_ms
         )
         self.workers[worker_id] = worker
         await self._nursery.start(worker.run)
-        self.store.write(f"servers/{worker_id}", worker.describe("s"))
+        if listed:
+            self.store.write(f"servers/{worker_id}", worker.describe("s"))
         return worker
 
     async def start_instance(self) -> Instance:
--- a/trefoilhook/runtime/watching.py
+++ b/trefoilhook/runtime/watching.py
@@ -5,11 +5,13 @@
 import trio
 
 from trefoilhook.clock import Clock
+from trefoilhook.exceptions import DecodeError
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import LookRequest, WorkerClient
 from trefoilhook.runtime.commits import Committer
 from trefoilhook.runtime.figures import Figures
 from trefoilhook.runtime.ownership import Tenure
+from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.scheduling import (
     Look,
     OrderOutcome,
@@ -54,6 +56,8 @@
         Tells when ends are in the store.
     figures : Figures
         Where looks and ends are counted.
+    rejections : Rejections
+        Told of answers, and of rows of them, that can't be read.
     notify : callable
         Called with each news.
     depose : callable
@@ -68,6 +72,7 @@
         scheduler: Scheduler,
         committer: Committer,
         figures: Figures,
+        rejections: Rejections,
         notify: Callable[[], None],
         depose: Callable[[], None],
     ) -> None:
@@ -76,6 +81,7 @@
         self._scheduler = scheduler
         self._committer = committer
         self._figures = figures
+        self._rejections = rejections
         self._notify = notify
         self._depose = depose
 
@@ -84,7 +90,7 @@
         worker_id = worker.report.worker_id
         while self._scheduler.workers.get(worker_id) is worker:
             sent_ms = self._clock.monotonic_ms()
-            result = await client.look(self._build_look(worker, sent_ms))
+            result = await self._look(worker, client, sent_ms)
             self._figures.count("looks")
             if isinstance(result, Look):
                 self._log_ends(worker, result)
@@ -111,9 +117,27 @@
             worker.suspect = True
             await self._clock.sleep_ms(_LOOK_RETRY_MS)
 
+    async def _look(
+        self, worker: Worker, client: WorkerClient, sent_ms: float
+    ) -> Look | OrderOutcome:
+        """Look once; an answer that can't be read proves nothing, as none does."""
+        worker_id = worker.report.worker_id
+        try:
+            result = await client.look(self._build_look(worker, sent_ms))
+        except DecodeError as error:
+            self._rejections.report(Event.ANSWER_INVALID, worker_id, str(error))
+            return OrderOutcome.NO_ANSWER
+        if not isinstance(result, Look):
+            return result
+        if not result.unread:
+            self._rejections.accept(Event.ANSWER_INVALID, worker_id)
+        for row in result.unread:
+            self._rejections.report(Event.ANSWER_INVALID, worker_id, row.reason)
+        return result
+
     def _log_ends(self, worker: Worker, look: Look) -> None:
         for end in look.ends:
-            if end.number > worker.last_end:
+            if worker.is_new_end(end.number):
                 self._figures.count("ends", end.kind.value)
                 log_event(
                     Event.TASK_ENDED,
@@ -128,12 +152,13 @@
         """Wait until the ends that a worker listed can be acknowledged.
 
         A worker that has ends to list answers a look at once: without this pause it
-        would be looked at again and again until they are in the store.
+        would be looked at again and again until they are in the store; one end that
+        can't be read, and so is never acknowledged, would have it so for good.
         """
         with trio.move_on_after(_SAVING_WAIT_MS / 1000.0):
-            while worker.unacknowledged:
+            while worker.unacknowledged or worker.unread_from is not None:
                 acknowledge(worker)
-                if worker.unacknowledged:
+                if worker.unacknowledged or worker.unread_from is not None:
                     await self._committer.saved.wait()
 
     def _build_look(self, worker: Worker, now_ms: float) -> LookRequest:
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -28,6 +28,7 @@
     StartOrder,
     StopOrder,
     StopReason,
+    UnreadRow,
 )
 from trefoilhook.scheduling.models import (
     Advice,
@@ -81,6 +82,7 @@
     "Step",
     "StopOrder",
     "StopReason",
+    "UnreadRow",
     "TaskId",
     "Worker",
     "WorkerReport",
--- a/trefoilhook/scheduling/changes.py
+++ b/trefoilhook/scheduling/changes.py
@@ -64,6 +64,12 @@
 
 def acknowledge(worker: Worker) -> int:
     """Return up to which number the worker may forget its ends."""
-    while worker.unacknowledged and worker.unacknowledged[0][1]():
-        worker.acknowledged = worker.unacknowledged.popleft()[0]
+    while worker.unacknowledged:
+        number, is_saved = worker.unacknowledged[0]
+        is_held = worker.unread_from is not None and number >= worker.unread_from
+        if is_held or not is_saved():
+            break
+        worker.acknowledged = number
+        worker.ends_taken.discard(number)
+        worker.unacknowledged.popleft()
     return worker.acknowledged
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -70,6 +70,9 @@
         Who may run the steps of queues with advice.
     fillers_due_ms : float
         When places for fillers are to be looked for next, in ms.
+    held_back : set of str
+        Jobs whose records can't be read: nothing of them is started, stopped or
+        acknowledged.
     dirty : set of JobState
         Jobs with something to be written.
     """
@@ -84,6 +87,7 @@
         self.workers: dict[str, Worker] = {}
         self.waiting: set[TaskState] = set()
         self.deposed = False
+        self.held_back: set[str] = set()
         self.dirty: set[JobState] = set()
         self.interference = Interference()
         self.tickets = TicketBook()
@@ -223,9 +227,20 @@
             self.workers[report.worker_id] = Worker(report=report)
             return
         worker.report = report
+        worker.usable = True
         worker.listed = True
         worker.is_news = True
 
+    def bar_worker(self, worker_id: str) -> None:
+        """Start nothing on a worker whose entry names none that may be used.
+
+        The entry proves nothing about what runs there: that holds its room, and is
+        looked at, until it is proved over.
+        """
+        worker = self.workers.get(worker_id)
+        if worker is not None:
+            worker.usable = False
+
     def unlist_worker(self, worker_id: str) -> None:
         """Note that the store lists a worker no more; it may still run its tasks."""
         worker = self.workers.get(worker_id)
--- a/trefoilhook/scheduling/crowds.py
+++ b/trefoilhook/scheduling/crowds.py
@@ -109,9 +109,11 @@
 
 
 def find_step(jobs: dict[str, JobState], run: Run) -> Step | None:
-    """Return the step of a run, if its job is known."""
+    """Return the step of a run, if its job is known and has it."""
     state = jobs.get(run.task.job_id)
-    return state.job.steps[run.task.step] if state is not None else None
+    if state is None or run.task.step >= len(state.job.steps):
+        return None
+    return state.job.steps[run.task.step]
 
 
 @attrs.define(kw_only=True)
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -124,10 +124,15 @@
         Its clock in its last answer, and our time then, in ms.
     lease_until_ms : float
         Latest deadline that it was given, on its clock, in ms.
-    last_end : int
-        Highest number of an end that was taken in.
+    usable : bool
+        Whether what it last said of itself could be read and names a known service;
+        else nothing new is started there.
+    ends_taken : set of int
+        Numbers of the ends that were taken in and aren't acknowledged.
+    unread_from : int or None
+        Least number of an end that can't be read; none from there is acknowledged.
     unacknowledged : deque of (int, callable)
-        Ends taken in, in order, with a test whether their effect is in the store.
+        Ends taken in, by number, with a test whether their effect is in the store.
     acknowledged : int
         The worker may forget ends up to this number.
     suspect : bool
@@ -155,7 +160,9 @@
     clock_ms: float = 0.0
     clock_read_ms: float = float("-inf")
     lease_until_ms: float = 0.0
-    last_end: int = 0
+    usable: bool = True
+    ends_taken: set[int] = attrs.Factory(set)
+    unread_from: int | None = None
     unacknowledged: collections.deque[tuple[int, Callable[[], bool]]] = attrs.Factory(
         collections.deque
     )
@@ -184,6 +191,22 @@
             self.clock_ms = look.clock_ms
             self.clock_read_ms = now_ms
 
+    def is_new_end(self, number: int) -> bool:
+        """Tell whether an end has not been taken in yet.
+
+        Not by the highest number alone: an end that could not be read when later ones
+        were taken in may be readable by now.
+        """
+        return number > self.acknowledged and number not in self.ends_taken
+
+    def take_end(self, number: int, is_saved: Callable[[], bool]) -> None:
+        """Note an end, and how to tell whether its effect is in the store."""
+        self.ends_taken.add(number)
+        self.unacknowledged.append((number, is_saved))
+        if len(self.unacknowledged) > 1 and number < self.unacknowledged[-2][0]:
+            rows = sorted(self.unacknowledged, key=lambda row: row[0])
+            self.unacknowledged = collections.deque(rows)
+
     def has_room(self, demand: Demand) -> bool:
         """Tell whether ``demand`` fits beside what holds room."""
         capacity = self.report.capacity
--- a/trefoilhook/scheduling/interference.py
+++ b/trefoilhook/scheduling/interference.py
@@ -30,9 +30,19 @@
 import json
 import math
 from collections.abc import Mapping
+from typing import Any
 
 import attrs
 
+from trefoilhook.decoding import (
+    check_number,
+    check_table,
+    parse_table,
+    read_number,
+    read_table,
+)
+from trefoilhook.exceptions import DecodeError
+
 __all__ = [
     "Interference",
     "decode_interference",
@@ -86,6 +96,10 @@
 """A share that changed by less is left out of a step: it is the figure's rounding."""
 
 
+_MOST_FIGURE = 1e6
+"""Bound of what is read back: a hundred thousand times the heaviest weight seen."""
+
+
 @attrs.define(kw_only=True)
 class _Row:
     """Base and weights for one image of service tasks.
@@ -261,7 +275,37 @@
     return json.dumps(value, separators=(",", ":")).encode()
 
 
+def _decode_weights(value: Any) -> dict[str, float]:
+    cells = check_table(value, "weights").items()
+    return {
+        image: check_number(x, "weight", least=-_MOST_FIGURE, most=_MOST_FIGURE)
+        for image, x in cells
+    }
+
+
+def _decode_row(value: Any) -> _Row:
+    table = check_table(value, "row")
+    means = _decode_weights(table.get("means"))
+    rows = read_table(table, "covariance").items()
+    covariance = {image: _decode_weights(cells) for image, cells in rows}
+    squares = [covariance.keys(), *(cells.keys() for cells in covariance.values())]
+    if any(images != means.keys() for images in squares):
+        raise DecodeError("covariance: not of the images")
+    return _Row(
+        base=read_number(table, "base", least=-_MOST_FIGURE, most=_MOST_FIGURE),
+        swing=read_number(table, "swing", most=_MOST_FIGURE),
+        means=means,
+        covariance=covariance,
+    )
+
+
 def decode_interference(data: bytes) -> Interference:
-    """Decode what ``encode_interference`` made."""
-    rows = {victim: _Row(**row) for victim, row in json.loads(data).items()}
+    """Decode what ``encode_interference`` made.
+
+    Raises
+    ------
+    DecodeError
+        If it is something else.
+    """
+    rows = {victim: _decode_row(row) for victim, row in parse_table(data).items()}
     return Interference(rows=rows)
--- a/trefoilhook/scheduling/looks.py
+++ b/trefoilhook/scheduling/looks.py
@@ -6,6 +6,7 @@
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.messages import End, EndKind, Look, Running
 from trefoilhook.scheduling.models import Demand
+from trefoilhook.scheduling.unread import keep_hidden, note_unread
 
 __all__ = ["shares_with_services", "take_look"]
 
@@ -37,14 +38,16 @@
     worker.fenced = True
     worker.suspect = False
     worker.is_news = True
+    note_unread(worker, look)
     for end in look.ends:
         _take_end(scheduler, worker, end, now_ms)
     for running in look.running:
         _take_running(scheduler, worker, running, now_ms)
     learn_crowd(worker, scheduler.jobs, scheduler.interference, now_ms)
-    if len(look.ends) >= _FULL_PAGE_OF_ENDS:
-        return
     listed = {(running.task, running.attempt) for running in look.running}
+    listed |= keep_hidden(worker, look, listed, now_ms)
+    if len(look.ends) + len(look.unread) >= _FULL_PAGE_OF_ENDS:
+        return
     for key, run in list(worker.runs.items()):
         # The worker answered for this run before it was asked for this look: if
         # it neither runs nor has ended there, it never will run there.
@@ -53,9 +56,8 @@
 
 
 def _take_end(scheduler: Scheduler, worker: Worker, end: End, now_ms: float) -> None:
-    if end.number <= worker.last_end:
+    if not worker.is_new_end(end.number):
         return
-    worker.last_end = end.number
     state = scheduler.jobs.get(end.task.job_id)
     run = worker.runs.get((end.task, end.attempt))
     if run is not None:
@@ -70,9 +72,11 @@
     version = state.version if state is not None else 0
 
     def is_saved() -> bool:
-        return state is None or (state.saved_version >= version and state.phase_saved)
+        if state is None:
+            return end.task.job_id not in scheduler.held_back
+        return state.saved_version >= version and state.phase_saved
 
-    worker.unacknowledged.append((end.number, is_saved))
+    worker.take_end(end.number, is_saved)
 
 
 def _judge(scheduler: Scheduler, worker: Worker, end: End, now_ms: float) -> None:
@@ -100,8 +104,10 @@
     if not run.seen or running.percent != run.percent:
         run.progressed_ms = now_ms
     run.seen = True
-    run.percent = running.percent
-    run.load = running.load
+    if running.percent is not None:
+        run.percent = running.percent
+    if running.load is not None:
+        run.load = running.load
     run.checkpoint = running.checkpoint or run.checkpoint
 
 
@@ -122,6 +128,8 @@
         pace=_UNSURE_PACE,
     )
     worker.hold(run)
+    if running.task.job_id in scheduler.held_back:
+        return run
     if state is None or task is None:
         run.phase = RunPhase.STOPPING
         return run
@@ -139,7 +147,7 @@
     fillers = serving = False
     for run in worker.runs.values():
         state = scheduler.jobs.get(run.task.job_id)
-        if state is not None:
+        if state is not None and run.task.step < len(state.job.steps):
             step = state.job.steps[run.task.step]
             fillers = fillers or step.filler
             serving = serving or bool(step.latency_limit_ms)
--- a/trefoilhook/scheduling/messages.py
+++ b/trefoilhook/scheduling/messages.py
@@ -17,6 +17,7 @@
     "StartOrder",
     "StopOrder",
     "StopReason",
+    "UnreadRow",
 ]
 
 
@@ -82,17 +83,19 @@
         Number of the attempt.
     checkpoint : str
         Where another attempt could go on; empty for none.
-    percent : float
-        Progress; for a long-running task 100 once it is at work.
-    load : float
+    percent : float or None
+        Progress; for a long-running task 100 once it is at work. None if it can't be
+        read.
+    load : float or None
         Tail latency in ms of a task with a latency limit, else thousandths of a core.
+        None if it can't be read.
     """
 
     task: TaskId
     attempt: int
     checkpoint: str
-    percent: float
-    load: float
+    percent: float | None
+    load: float | None
 
 
 @attrs.frozen(kw_only=True)
@@ -106,6 +109,28 @@
     checkpoint: str
 
 
+@attrs.frozen(kw_only=True)
+class UnreadRow:
+    """A row of a worker's lists that can't be read, with what of it can.
+
+    Parameters
+    ----------
+    reason : str
+        Why, for people.
+    is_end : bool
+        Whether it tells of an end; else of something that runs.
+    number : int or None
+        Number of the end, if that much can be read.
+    attempt : (TaskId, int) or None
+        The task and the attempt that it is about, if that much can be read.
+    """
+
+    reason: str
+    is_end: bool
+    number: int | None = None
+    attempt: tuple[TaskId, int] | None = None
+
+
 @attrs.frozen(kw_only=True)
 class Look:
     """What a worker tells of itself; ``clock_ms`` is its own steady clock, in ms."""
@@ -113,6 +138,7 @@
     clock_ms: float
     running: tuple[Running, ...]
     ends: tuple[End, ...]
+    unread: tuple[UnreadRow, ...] = ()
 
 
 @attrs.frozen(kw_only=True)
--- a/trefoilhook/scheduling/models.py
+++ b/trefoilhook/scheduling/models.py
@@ -1,7 +1,11 @@
 """What clients and operators declare: jobs of steps, queues, workers."""
 
+import re
+
 import attrs
 
+from trefoilhook.exceptions import DecodeError
+
 __all__ = [
     "Advice",
     "Configuration",
@@ -218,10 +222,13 @@
         Rises with every change.
     queues : tuple of Queue
         Every queue.
+    services : frozenset of str
+        Names of the services that workers may belong to.
     """
 
     version: int
     queues: tuple[Queue, ...]
+    services: frozenset[str] = frozenset()
 
     def find_queue(self, name: str) -> Queue | None:
         """Return the queue called ``name``."""
@@ -289,13 +296,18 @@
         return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
 
 
+_TASK_ID = re.compile(r"([^.]+)\.([0-9]{1,15})\.([0-9]{1,15})\.([0-9]{1,15})")
+
+
 def parse_task_id(text: str) -> TaskId:
     """Read a task's name.
 
     Raises
     ------
-    ValueError
+    DecodeError
         If it is none.
     """
-    job_id, occurrence, step, index = text.split(".")
-    return TaskId(job_id, int(occurrence), int(step), int(index))
+    match = _TASK_ID.fullmatch(text)
+    if match is None:
+        raise DecodeError("not a task's name")
+    return TaskId(match[1], int(match[2]), int(match[3]), int(match[4]))
--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -8,6 +8,7 @@
 from trefoilhook.scheduling.book import TaskState
 from trefoilhook.scheduling.crowds import Crowds
 from trefoilhook.scheduling.fleet import Worker
+from trefoilhook.scheduling.unread import is_clogged
 
 __all__ = ["is_open", "rate_worker"]
 
@@ -54,6 +55,8 @@
         worker.listed
         and worker.fenced
         and worker.rostered
+        and worker.usable
+        and not is_clogged(worker)
         and not worker.suspect
         and not worker.report.draining
         and worker.avoid_until_ms <= now_ms
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -5,7 +5,7 @@
 from trefoilhook.scheduling.assignment import assign_waiting
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
-from trefoilhook.scheduling.messages import Order, StartOrder, StopOrder
+from trefoilhook.scheduling.messages import Order, StartOrder, StopOrder, StopReason
 from trefoilhook.scheduling.pacing import plan_paces
 from trefoilhook.scheduling.tickets import name_step
 from trefoilhook.scheduling.watchdog import stop_misplaced
@@ -69,6 +69,9 @@
         return None
     if run.order_due_ms > now_ms + _ORDER_DUE_MS or not worker.fenced:
         return None
+    if run.phase is RunPhase.STARTING and not worker.usable:
+        # Sending it again would be a start on a worker that isn't to be used.
+        scheduler.request_stop(run, StopReason.UNCERTAIN)
     run.in_flight = True
     if run.phase is RunPhase.STOPPING:
         return StopOrder(
--- a/trefoilhook/scheduling/records.py
+++ b/trefoilhook/scheduling/records.py
@@ -2,11 +2,26 @@
 
 import enum
 import json
+import re
 from collections.abc import Mapping
 from typing import Any
 
 import attrs
 
+from trefoilhook.decoding import (
+    check_integer,
+    check_table,
+    check_text,
+    parse_table,
+    read_choice,
+    read_flag,
+    read_integer,
+    read_list,
+    read_number,
+    read_table,
+    read_text,
+)
+from trefoilhook.exceptions import DecodeError
 from trefoilhook.scheduling.models import Demand, Job, Step
 
 __all__ = [
@@ -20,6 +35,12 @@
 ]
 
 
+_MOST_TASKS = _MOST_REPEATS = 100_000
+"""Most tasks of a step, and runs of a job's steps: what a submission may ask for."""
+
+_NUMBER = re.compile(r"[0-9]{1,15}")
+
+
 class JobPhase(enum.Enum):
     """How far a job is, as far as its record tells."""
 
@@ -29,6 +50,9 @@
     CANCELLED = "cancelled"
 
 
+_PHASES = {phase.value: phase for phase in JobPhase}
+
+
 @attrs.frozen(kw_only=True)
 class JobRecord:
     """A job and its phase; once it isn't open any more it never changes again."""
@@ -79,20 +103,64 @@
     ).encode()
 
 
-def _decode_step(table: Mapping[str, Any]) -> Step:
-    cpu, memory_mb, gpus = table["demand"]
-    demand = Demand(cpu=cpu, memory_mb=memory_mb, gpus=gpus)
-    after = tuple(table.get("after", ()))
-    return Step(**{**table, "demand": demand, "after": after})
+def _decode_step(value: Any, number: int) -> Step:
+    table = check_table(value, "step")
+    demand = read_list(table, "demand")
+    if len(demand) != 3:
+        raise DecodeError("demand: not three figures")
+    cpu, memory_mb, gpus = (check_integer(figure, "demand") for figure in demand)
+    max_absent = None
+    if "max_absent" in table:
+        max_absent = read_integer(table, "max_absent")
+    return Step(
+        count=read_integer(table, "count", least=1, most=_MOST_TASKS),
+        demand=Demand(cpu=cpu, memory_mb=memory_mb, gpus=gpus),
+        estimate_ms=read_number(table, "estimate_ms", default=0.0),
+        after=tuple(
+            check_integer(earlier, "after", most=number - 1)
+            for earlier in read_list(table, "after", default=[])
+        ),
+        checkpointing=read_flag(table, "checkpointing", default=False),
+        gang=read_flag(table, "gang", default=False),
+        same_rack=read_flag(table, "same_rack", default=False),
+        required_label=read_text(table, "required_label", default=""),
+        data_rack=read_text(table, "data_rack", default=""),
+        max_per_worker=read_integer(table, "max_per_worker", default=0),
+        speculative=read_flag(table, "speculative", default=False),
+        long_running=read_flag(table, "long_running", default=False),
+        image=read_text(table, "image", default=""),
+        latency_limit_ms=read_number(table, "latency_limit_ms", default=0.0),
+        filler=read_flag(table, "filler", default=False),
+        max_absent=max_absent,
+    )
+
+
+def _decode_job(table: Mapping[str, Any]) -> Job:
+    rows = read_list(table, "steps")
+    return Job(
+        job_id=read_text(table, "job_id", filled=True),
+        queue=read_text(table, "queue"),
+        accepted_ms=read_number(table, "accepted_ms"),
+        spec=read_text(table, "spec"),
+        steps=tuple(_decode_step(row, number) for number, row in enumerate(rows)),
+        repeats=read_integer(table, "repeats", most=_MOST_REPEATS, default=0),
+        first_due_ms=read_number(table, "first_due_ms", default=0.0),
+        interval_ms=read_number(table, "interval_ms", default=0.0),
+    )
 
 
 def decode_job_record(data: bytes) -> JobRecord:
-    """Decode what ``encode_job_record`` made."""
-    value = json.loads(data)
-    table = value["job"]
-    steps = tuple(_decode_step(step) for step in table["steps"])
+    """Decode what ``encode_job_record`` made.
+
+    Raises
+    ------
+    DecodeError
+        If it is something else.
+    """
+    table = parse_table(data)
     return JobRecord(
-        job=Job(**{**table, "steps": steps}), phase=JobPhase(value["phase"])
+        job=_decode_job(read_table(table, "job")),
+        phase=read_choice(table, "phase", _PHASES),
     )
 
 
@@ -100,8 +168,12 @@
     return ".".join(str(number) for number in numbers)
 
 
-def _split(text: str) -> tuple[int, ...]:
-    return tuple(int(part) for part in text.split("."))
+def _split(text: str, count: int) -> tuple[int, ...]:
+    parts = text.split(".")
+    # Not what int() takes beside digits: signs, spaces, other scripts.
+    if len(parts) != count or not all(_NUMBER.fullmatch(part) for part in parts):
+        raise DecodeError("progress: not a task or step")
+    return tuple(int(part) for part in parts)
 
 
 def encode_progress(progress: Progress) -> bytes:
@@ -114,17 +186,29 @@
     return json.dumps(value, separators=(",", ":")).encode()
 
 
+def _decode_numbers(value: Any) -> set[int]:
+    if not isinstance(value, list):
+        raise DecodeError("progress: not a list")
+    return {check_integer(number, "progress") for number in value}
+
+
 def decode_progress(data: bytes) -> Progress:
-    """Decode what ``encode_progress`` made."""
-    value = json.loads(data)
+    """Decode what ``encode_progress`` made.
+
+    Raises
+    ------
+    DecodeError
+        If it is something else.
+    """
+    table = parse_table(data)
     progress = Progress()
-    for key, row in value["done"].items():
-        occurrence, step = _split(key)
-        progress.done[occurrence, step] = set(row)
-    for key, row in value["failed"].items():
-        occurrence, step, index = _split(key)
-        progress.failed[occurrence, step, index] = set(row)
-    for key, checkpoint in value["checkpoints"].items():
-        occurrence, step, index = _split(key)
-        progress.checkpoints[occurrence, step, index] = checkpoint
+    for key, row in read_table(table, "done").items():
+        occurrence, step = _split(key, 2)
+        progress.done[occurrence, step] = _decode_numbers(row)
+    for key, row in read_table(table, "failed").items():
+        occurrence, step, index = _split(key, 3)
+        progress.failed[occurrence, step, index] = _decode_numbers(row)
+    for key, text in read_table(table, "checkpoints").items():
+        occurrence, step, index = _split(key, 3)
+        progress.checkpoints[occurrence, step, index] = check_text(text, "checkpoint")
     return progress
--- a/trefoilhook/standins/platform_store.py
+++ b/trefoilhook/standins/platform_store.py
@@ -72,7 +72,11 @@
 
     def write(self, key: str, value: Any) -> None:
         """Write a key, as the operator or a worker would."""
-        self._put(key, base64.b64encode(json.dumps(value).encode()).decode(), 0)
+        self.write_bytes(key, json.dumps(value).encode())
+
+    def write_bytes(self, key: str, data: bytes) -> None:
+        """Write a key, as a writer would that follows no format."""
+        self._put(key, base64.b64encode(data).decode(), 0)
 
     def remove(self, key: str) -> None:
         """Remove a key."""
--- a/trefoilhook/standins/platform_worker.py
+++ b/trefoilhook/standins/platform_worker.py
@@ -77,6 +77,12 @@
         How it misbehaves now.
     late_ms : float
         How much later a late start is carried out, in ms.
+    calls : int
+        Calls received.
+    odd_running, odd_ends : list
+        Rows of another format, put before those that it lists.
+    words : dict of str to str
+        What it says in place of a word for how a task ended.
     """
 
     def __init__(
@@ -96,6 +102,10 @@
         self.records: list[TaskRecord] = []
         self.fault = WorkerFault.NONE
         self.late_ms = 600.0
+        self.calls = 0
+        self.odd_running: list[Any] = []
+        self.odd_ends: list[Any] = []
+        self.words: dict[str, str] = {}
         self.server = HttpServer(handler=self._answer, host="127.0.0.1", port=0)
 
     def _read_own_clock(self) -> float:
@@ -115,7 +125,10 @@
             "service": service,
             "address": f"127.0.0.1:{port or self.server.port}",
             "zone": "z",
+            "version": "v1",
+            "slots": 8,
             "state": "ready",
+            "cold_left_ms": 0,
             "capacity": {"cpu": 4000, "mem_mb": 8000, "gpu": 0},
             "labels": ["a", "r1"],
             "clock_ms": int(self._read_own_clock()),
@@ -165,6 +178,7 @@
             record.how = "crashed"
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
+        self.calls += 1
         if self.fault is WorkerFault.SILENT:
             await trio.sleep_forever()
         if request.get_header("expect-instance") != self.worker_id:
@@ -232,8 +246,16 @@
             while not self._ends:
                 await self._changed.wait()
         running = [[r.task, r.attempt, "", 10, 0] for r in self._list_running()]
-        ends = [[n, r.task, r.attempt, r.how, ""] for n, r in self._ends]
-        return self._reply({"running": running, "finished": ends})
+        ends = [
+            [n, r.task, r.attempt, self.words.get(r.how, r.how), ""]
+            for n, r in self._ends
+        ]
+        return self._reply(
+            {
+                "running": [*self.odd_running, *running],
+                "finished": [*self.odd_ends, *ends],
+            }
+        )
 
     def _reply(self, value: dict[str, Any]) -> HttpResponse:
         value["clock_ms"] = int(self._read_own_clock())
