--- /dev/null
+++ b/trefoilhook/platform/tests/test_answers.py
@@ -0,0 +1,323 @@
+"""Answers of workers, of the store and of the advice service."""
+
+import json
+import unittest
+from typing import Any
+
+import trio
+from hypothesis import example, given, settings
+from hypothesis import strategies as st
+
+from trefoilhook.decoding.tests.test_readers import NESTED, VALUES
+from trefoilhook.exceptions import (
+    DecodeError,
+    HistoryLostError,
+    PreconditionError,
+    StoreUnavailableError,
+)
+from trefoilhook.http import HttpRequest, HttpResponse, HttpServer
+from trefoilhook.platform import (
+    AdviceClient,
+    KeyValueStore,
+    LookRequest,
+    Transaction,
+    WorkerClient,
+    read_client_timeout,
+)
+from trefoilhook.platform.looks import decode_look
+from trefoilhook.scheduling import (
+    AdviceRequest,
+    Demand,
+    EndKind,
+    Look,
+    OrderOutcome,
+    StopOrder,
+    TaskId,
+    WorkerReport,
+)
+
+TASK = TaskId("00000000000000a1", 0, 1, 17)
+RUNNING = [str(TASK), 2, "c", 41, 900]
+END = [58, str(TASK), 2, "done", ""]
+LOOK = {"clock_ms": 482113, "running": [RUNNING], "finished": [END]}
+
+
+def replace(row: list, place: int, value: Any) -> list:
+    """Return a row with one field replaced."""
+    return [*row[:place], value, *row[place + 1 :]]
+
+
+class LookTest(unittest.TestCase):
+    """Lists of workers."""
+
+    def read(self, **fields: Any) -> Look:
+        """Decode a look that has some other fields."""
+        return decode_look(json.dumps({**LOOK, **fields}).encode())
+
+    def test_sound_look(self):
+        look = self.read()
+        self.assertEqual(look.unread, ())
+        (running,), (end,) = look.running, look.ends
+        self.assertEqual((running.task, running.percent), (TASK, 41.0))
+        self.assertEqual((end.number, end.kind), (58, EndKind.DONE))
+
+    def test_running_rows_that_cannot_be_read(self):
+        # A row of what runs is of another format. It doesn't make the others unread,
+        # and it isn't dropped: a run that isn't listed counts as over.
+        table = (
+            None,
+            "row",
+            [],
+            [str(TASK)],
+            replace(RUNNING, 0, 7),
+            replace(RUNNING, 0, "no name"),
+            replace(RUNNING, 0, f"{TASK.job_id}.0.-1.0"),
+            replace(RUNNING, 0, f"{TASK.job_id}.0.1_0.0"),
+            replace(RUNNING, 0, f"{TASK.job_id}.0.٣.0"),
+            replace(RUNNING, 1, "2"),
+            replace(RUNNING, 1, True),
+            replace(RUNNING, 1, -2),
+        )
+        for row in table:
+            with self.subTest(row=row):
+                look = self.read(running=[row, RUNNING])
+                self.assertEqual(len(look.running), 1)
+                (unread,) = look.unread
+                self.assertEqual((unread.is_end, unread.attempt), (False, None))
+
+    def test_figures_that_cannot_be_read(self):
+        # The attempt runs all the same.
+        for value in (None, "41", [], True, -1):
+            with self.subTest(value=value):
+                row = replace(replace(RUNNING, 3, value), 4, value)
+                (running,) = self.read(running=[row]).running
+                self.assertEqual((running.percent, running.load), (None, None))
+
+    def test_ends_that_cannot_be_read(self):
+        named = (TASK, 2)
+        table = (
+            (None, None, None),
+            ([], None, None),
+            (END[:4], 58, named),
+            (replace(END, 0, "58"), None, None),
+            (replace(END, 0, True), None, None),
+            (replace(END, 0, 0), None, None),
+            (replace(END, 1, "no name"), 58, None),
+            (replace(END, 2, None), 58, None),
+            (replace(END, 3, "accomplished"), 58, named),
+            (replace(END, 3, []), 58, named),
+            (replace(END, 4, None), 58, named),
+        )
+        for row, number, attempt in table:
+            with self.subTest(row=row):
+                later = replace(END, 0, 59)
+                look = self.read(finished=[row, later])
+                self.assertEqual([end.number for end in look.ends], [59])
+                (unread,) = look.unread
+                self.assertTrue(unread.is_end)
+                self.assertEqual((unread.number, unread.attempt), (number, attempt))
+
+    def test_looks_that_prove_nothing(self):
+        table = (
+            {"clock_ms": None},
+            {"clock_ms": "482113"},
+            {"clock_ms": -1},
+            {"running": None},
+            {"finished": {}},
+        )
+        for fields in table:
+            with self.subTest(fields=fields), self.assertRaises(DecodeError):
+                self.read(**fields)
+
+    @settings(derandomize=True, deadline=None)
+    @given(VALUES, VALUES, VALUES | st.just(LOOK["clock_ms"]))
+    @example([[str(TASK), 2]], [[1, str(TASK), 10**400, "done", ""]], 1.0)
+    def test_any_look(self, running: Any, finished: Any, clock_ms: Any):
+        table = {"running": [running], "finished": [finished], "clock_ms": clock_ms}
+        try:
+            look = decode_look(json.dumps(table).encode())
+        except DecodeError:
+            return
+        rows = len(look.running) + len(look.ends) + len(look.unread)
+        self.assertEqual(rows, 2)
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.binary(max_size=40))
+    @example(NESTED)
+    def test_any_bytes(self, data: bytes):
+        with self.assertRaises(DecodeError):
+            decode_look(data)
+
+
+async def _serve(nursery: trio.Nursery, status: int, body: bytes) -> HttpServer:
+    async def answer(request: HttpRequest) -> HttpResponse:
+        return HttpResponse(status=status, body=body)
+
+    server = HttpServer(handler=answer, host="127.0.0.1", port=0)
+    await nursery.start(server.run)
+    return server
+
+
+class CallTest(unittest.TestCase):
+    """Calls that are answered with anything."""
+
+    def call(self, body: bytes, use: Any, *, status: int = 200) -> Any:
+        """Make a call to a service that answers with ``body``."""
+
+        async def main() -> Any:
+            async with trio.open_nursery() as nursery:
+                server = await _serve(nursery, status, body)
+                try:
+                    return await use(("127.0.0.1", server.port))
+                finally:
+                    nursery.cancel_scope.cancel()
+
+        def run() -> Any:
+            return trio.run(main)
+
+        try:
+            return run()
+        except BaseExceptionGroup as group:
+            (error,) = group.exceptions
+            raise error from None
+
+    def test_store_answers_that_cannot_be_read(self):
+        # What stands between an instance and the store answers in its place. That
+        # must tell as much as no answer: the caller tries again, nothing ends.
+        item = {"key": "k", "value": "", "revision": 3}
+        bodies = (
+            b"",
+            b"\xff",
+            b"[]",
+            b"{}",
+            NESTED,
+            b'{"items":[null],"events":[1],"as_of":3,"revision":"3","lease":null}',
+            json.dumps(
+                {
+                    "items": [{**item, "value": "?"}],
+                    "events": [{**item, "key": 1}],
+                    "as_of": True,
+                    "key": "k",
+                    "value": "???",
+                    "revision": 1.5,
+                    "lease": 0,
+                }
+            ).encode(),
+        )
+        calls = {
+            "get": lambda store: store.get("k"),
+            "list": lambda store: store.list_items("k"),
+            "watch": lambda store: store.watch("k", after=1, wait_ms=1),
+            "commit": lambda store: store.commit(Transaction()),
+            "grant": lambda store: store.grant_lease(1000),
+        }
+        for name, call in calls.items():
+            for body in bodies:
+
+                async def use(address: Any, call: Any = call) -> Any:
+                    store = KeyValueStore(address=address, timeout_ms=2000.0)
+                    return await call(store)
+
+                with (
+                    self.subTest(call=name, body=body[:20]),
+                    self.assertRaises(StoreUnavailableError),
+                ):
+                    self.call(body, use)
+
+    def test_refused_transaction_that_cannot_be_read(self):
+        async def use(address: Any) -> Any:
+            store = KeyValueStore(address=address, timeout_ms=2000.0)
+            return await store.commit(Transaction())
+
+        for body in (b"", b'{"items":[1]}', b'{"items":{}}', NESTED):
+            with self.subTest(body=body[:20]), self.assertRaises(StoreUnavailableError):
+                self.call(body, use, status=412)
+        with self.assertRaises(PreconditionError) as caught:
+            self.call(b'{"items":[{"key":"k"}]}', use, status=412)
+        self.assertEqual(caught.exception.items, ())
+
+    def test_history_that_is_gone(self):
+        async def use(address: Any) -> Any:
+            store = KeyValueStore(address=address, timeout_ms=2000.0)
+            return await store.watch("k", after=1, wait_ms=1)
+
+        with self.assertRaises(HistoryLostError):
+            self.call(b"", use, status=410)
+
+    def _build_worker(self, address: Any) -> WorkerClient:
+        host, port = address
+        report = WorkerReport(
+            worker_id="w",
+            service="s",
+            host=host,
+            port=port,
+            failure_domain="z",
+            capacity=Demand(),
+        )
+        return WorkerClient(report=report, timeout_ms=2000.0)
+
+    def test_worker_answers_that_cannot_be_read(self):
+        async def look(address: Any) -> Any:
+            request = LookRequest(token=1, acknowledged=0, deadline_ms=None, wait_ms=0)
+            return await self._build_worker(address).look(request)
+
+        for body in (b"", b"null", NESTED, b'{"clock_ms":1}'):
+            with self.subTest(body=body[:20]), self.assertRaises(DecodeError):
+                self.call(body, look)
+
+    def test_refusals_that_cannot_be_read(self):
+        async def stop(address: Any) -> Any:
+            order = StopOrder(worker_id="w", task=TASK, attempt=1, token=1)
+            return await self._build_worker(address).stop(order)
+
+        table = (
+            (b'{"reason":"fence"}', OrderOutcome.FENCED),
+            (b'{"reason":[]}', OrderOutcome.REFUSED),
+            (b'{"reason":"new"}', OrderOutcome.REFUSED),
+            (b"{}", OrderOutcome.REFUSED),
+            (NESTED, OrderOutcome.NO_ANSWER),
+            (b"[]", OrderOutcome.NO_ANSWER),
+        )
+        for body, outcome in table:
+            with self.subTest(body=body[:20]):
+                self.assertIs(self.call(body, stop, status=409), outcome)
+
+    def test_advice_that_cannot_be_read(self):
+        # Who isn't in an answer counts as refused: one that is read in part would
+        # keep a worker from the step for good.
+        async def ask(address: Any) -> Any:
+            request = AdviceRequest(step=("j", 0, 0), workers=("w",))
+            return await AdviceClient(address=address).ask(request, timeout_ms=2000.0)
+
+        rows = ("[1]", '["w"]', '["w",7]', '[["w"],"t"]', "null", '"wt"')
+        bodies = (b"", NESTED, b"{}", b'{"granted":"w"}')
+        bodies += tuple(f'{{"granted":[["v","t"],{row}]}}'.encode() for row in rows)
+        for body in bodies:
+            with self.subTest(body=body[:30]):
+                self.assertIsNone(self.call(body, ask))
+        (grant,) = self.call(b'{"granted":[["w","t"]]}', ask)
+        self.assertEqual((grant.worker_id, grant.ticket), ("w", "t"))
+
+
+class ClientTimeoutTest(unittest.TestCase):
+    """How long a client says that it waits."""
+
+    def test_table(self):
+        # With "nan" a cancellation was tried again for good: no time is past it.
+        for text, expected in (
+            ("250", 250.0),
+            ("nan", 3000.0),
+            ("inf", 3000.0),
+            ("1e999", 3000.0),
+            ("soon", 3000.0),
+            ("", 3000.0),
+        ):
+            headers = (("deadline-ms", text),)
+            request = HttpRequest(method="GET", target="/", headers=headers)
+            with self.subTest(text=text):
+                found = read_client_timeout(request, default_ms=3000.0)
+                self.assertEqual(found, expected)
+
+
+if __name__ == "__main__":
+    unittest.main()
