--- a/trefoilhook/runtime/intake.py
+++ b/trefoilhook/runtime/intake.py
@@ -11,6 +11,7 @@
 
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import (
+    DecodeError,
     PreconditionError,
     RequestError,
     StoreError,
@@ -20,6 +21,7 @@
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import (
     Expectation,
+    Item,
     KeyValueStore,
     Put,
     Transaction,
@@ -30,6 +32,7 @@
 )
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.figures import Figures
+from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.scheduling import (
     Configuration,
     Job,
@@ -117,6 +120,8 @@
         Tells whether the store has answered lately.
     figures : Figures
         Where requests are counted.
+    rejections : Rejections
+        Told of records that can't be read.
     """
 
     def __init__(
@@ -127,7 +132,9 @@
         read_configuration: Callable[[], Configuration | None],
         is_store_reachable: Callable[[], bool],
         figures: Figures,
+        rejections: Rejections,
     ) -> None:
+        self._rejections = rejections
         self._store = store
         self._clock = clock
         self._read_configuration = read_configuration
@@ -214,10 +221,8 @@
                 )
                 self._log_acceptance(target, job, began_ms, revision=revision)
                 return HttpResponse.from_json({})
-            except PreconditionError:
-                # By an earlier call of this one or another request: which, is unknown.
-                self._log_acceptance(target, job, began_ms, known=True)
-                return HttpResponse.from_json({})
+            except PreconditionError as error:
+                return self._answer_known(target, job, began_ms, error)
             except StoreUnavailableError as error:
                 ambiguous = ambiguous or not error.is_proved_unsent
                 reason = str(error)
@@ -246,6 +251,33 @@
             **due,
         )
 
+    def _answer_known(
+        self, target: _Target, job: Job, began_ms: float, error: PreconditionError
+    ) -> HttpResponse:
+        """Answer a submission whose key is taken: by the same job, as it should be.
+
+        What another writer left there is no job: to call it accepted would lose the
+        submission without a word.
+        """
+        for item in error.items:
+            if self._decode_record(item) is None:
+                log_event(Event.REQUEST_REFUSED, job=target.job_id, why="bad record")
+                return _refuse()
+        # By an earlier call of this one or another request: which, is unknown.
+        self._log_acceptance(target, job, began_ms, known=True)
+        return HttpResponse.from_json({})
+
+    def _decode_record(self, item: Item) -> JobRecord | None:
+        try:
+            record = decode_job_record(item.value)
+        except DecodeError as error:
+            self._rejections.report(
+                Event.ENTRY_INVALID, item.key, str(error), revision=item.revision
+            )
+            return None
+        self._rejections.accept(Event.ENTRY_INVALID, item.key)
+        return record
+
     # Reading.
 
     async def _read(self, target: _Target) -> HttpResponse:
@@ -256,7 +288,10 @@
             item = await self._store.get(keys.job_key(keys.SHARD, target.job_id))
             if item is None:
                 return HttpResponse(status=410)
-            phase = decode_job_record(item.value).phase
+            record = self._decode_record(item)
+            if record is None:
+                return _refuse()
+            phase = record.phase
             if phase is JobPhase.OPEN:
                 progress = keys.progress_key(keys.SHARD, target.job_id)
                 has_begun = await self._store.get(progress) is not None
@@ -280,7 +315,8 @@
         except StoreError as error:
             log_event(Event.REQUEST_REFUSED, queue=queue.name, why=str(error))
             return _refuse()
-        return answer_pending(len(listing.items))
+        marks = [keys.read_job_id(item.key) for item in listing.items]
+        return answer_pending(sum(bool(_JOB_ID.fullmatch(mark)) for mark in marks))
 
     # Cancelling.
 
@@ -306,7 +342,9 @@
         item = await self._store.get(key)
         if item is None:
             return HttpResponse(status=410)
-        record = decode_job_record(item.value)
+        record = self._decode_record(item)
+        if record is None:
+            return _refuse()
         if record.phase is not JobPhase.OPEN:
             return HttpResponse.from_json({})
         cancelled = attrs.evolve(record, phase=JobPhase.CANCELLED)
--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -12,7 +12,8 @@
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.exceptions import PreconditionError, StoreError
+from trefoilhook.decoding import check_text, parse_json
+from trefoilhook.exceptions import DecodeError, PreconditionError, StoreError
 from trefoilhook.platform import Expectation, Item, KeyValueStore, Put, Transaction
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.ownership import Tenure
@@ -28,6 +29,13 @@
 answered within some 10 ms of each other, and one write names them all."""
 
 
+def _decode_roster(data: bytes) -> tuple[str, ...]:
+    rows = parse_json(data)
+    if not isinstance(rows, list):
+        raise DecodeError("not a list")
+    return tuple(check_text(row, "worker") for row in rows)
+
+
 class Roster:
     """Keeps the roster in the store.
 
@@ -70,10 +78,17 @@
         self._wake = trio.Event()
 
     def take(self, item: Item | None) -> None:
-        """Take in what the earlier owner left."""
-        if item is not None:
-            self.workers = tuple(json.loads(item.value))
-            self._revision = item.revision
+        """Take in what the earlier owner left.
+
+        Raises
+        ------
+        DecodeError
+            If it can't be read. It is written anew then, in place of what stands there.
+        """
+        if item is None:
+            return
+        self._revision = item.revision
+        self.workers = _decode_roster(item.value)
 
     def wake(self) -> None:
         """Have it compared with the workers that have answered."""
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -30,6 +30,7 @@
     StartOrder,
     StopOrder,
     StopReason,
+    UnreadRow,
 )
 from trefoilhook.scheduling.models import (
     Advice,
@@ -85,6 +86,7 @@
     "Step",
     "StopOrder",
     "StopReason",
+    "UnreadRow",
     "TaskId",
     "TaskState",
     "Worker",
--- a/trefoilhook/scheduling/tests/test_orders.py
+++ b/trefoilhook/scheduling/tests/test_orders.py
@@ -211,6 +211,20 @@
         self.assertIs(shard.scheduler.jobs["j"].phase, JobPhase.COMPLETED)
         self.assertEqual(shard.plan(), [])
 
+    def test_silent_worker_whose_entry_is_unreadable_is_not_waited_for(self):
+        # A worker dies and another writer's entry stands under its key for good. Taken
+        # for a sign of life, it would keep the worker's task from being started again.
+        shard = Shard()
+        shard.submit(build_job())
+        order = shard.start_one()
+        shard.scheduler.bar_worker(order.worker_id)
+        shard.scheduler.workers[order.worker_id].suspect = True
+        shard.pass_time(TASK_LEASE_MS * 1.2)
+        (lapse,) = shard.scheduler.release_lapsed(shard.now_ms)
+        self.assertEqual(lapse.given_up, ((order.task, order.attempt),))
+        shard.look("w1" if order.worker_id == "w0" else "w0")
+        self.assertNotEqual(shard.start_one().worker_id, order.worker_id)
+
     def test_run_missing_from_a_later_look_is_over(self):
         shard = Shard(workers=1)
         shard.submit(build_job())
@@ -277,6 +291,15 @@
         shard.scheduler.unlist_worker("w0")
         self.assertTrue(is_settled(shard.scheduler, roster, past_ms))
 
+    def test_earlier_jobs_do_not_wait_for_an_unreadable_entry(self):
+        # A worker of the roster is dead, and another writer's entry stands for good
+        # under its key: what had been accepted before would wait for ever.
+        shard = Shard(workers=1, epoch=2, settled=False)
+        shard.scheduler.workers["w0"].fenced = False
+        shard.scheduler.bar_worker("w0")
+        past_ms = shard.scheduler.limits.settled_at_ms + 1.0
+        self.assertTrue(is_settled(shard.scheduler, ("w0",), past_ms))
+
     def test_attempts_of_a_later_owner_are_higher(self):
         # Starts aren't written down. A worker refuses a run that isn't higher than one
         # it has ended, so a later owner that began at 1 again would never get through.
