Give workers more time when the owner itself is late

Cause: what made a sound worker silent for a lease was the owner. It had 600 ms for an answer that came in milliseconds, but a busy event loop comes to connect, send and read only a turn at a time. Timeouts now grow by three times the lag of the owner's own timers, by 1.2 s at most; the lag is a metric. Tests first: a look by an owner that is busy for 250 ms at a time, and an owner that notes its own lag. The second one found a mistake of the first try: the timer that is read was given up with the pause around it just when it was late. Ruled out: a longer bare timeout, which would find open connections that went silent later; fewer looks, as they are what renews the leases.

--- a/trefoilhook/platform/workers.py
+++ b/trefoilhook/platform/workers.py
@@ -1,6 +1,6 @@
 """Orders to a worker of the platform."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
@@ -93,16 +93,18 @@
     ----------
     report : WorkerReport
         Whom to call.
-    timeout_ms : float
-        Longest time for one call, in ms; a look may wait on top of it.
+    read_timeout : callable
+        Returns the longest time for one call, in ms; a look may wait on top of it.
     """
 
-    def __init__(self, *, report: WorkerReport, timeout_ms: float) -> None:
+    def __init__(
+        self, *, report: WorkerReport, read_timeout: Callable[[], float]
+    ) -> None:
         self._client = JsonClient(
             address=(report.host, report.port), max_connections=_MAX_CONNECTIONS
         )
         self._headers = (("expect-instance", report.worker_id),)
-        self._timeout_ms = timeout_ms
+        self._read_timeout = read_timeout
 
     async def start(self, order: StartOrder) -> OrderOutcome:
         """Start a task; the same order again has no further effect."""
@@ -151,7 +153,7 @@
             response = await self._client.exchange(
                 "POST",
                 "/trefoilhook/hold",
-                timeout_ms=self._timeout_ms + request.wait_ms,
+                timeout_ms=self._read_timeout() + request.wait_ms,
                 body=body,
                 headers=self._headers,
             )
@@ -172,7 +174,7 @@
             response = await self._client.exchange(
                 "POST",
                 f"/trefoilhook/{name}",
-                timeout_ms=self._timeout_ms,
+                timeout_ms=self._read_timeout(),
                 body=body,
                 headers=self._headers,
             )
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -24,6 +24,7 @@
 from trefoilhook.runtime.commits import Committer
 from trefoilhook.runtime.figures import Figures
 from trefoilhook.runtime.following import follow
+from trefoilhook.runtime.lag import LoopLag
 from trefoilhook.runtime.orders import carry_out
 from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Tenure
 from trefoilhook.runtime.roster import Roster
@@ -186,6 +187,8 @@
         self._clients: dict[str, WorkerClient] = {}
         self._earlier_roster: tuple[str, ...] = ()
         self._settled = False
+        self._lag = LoopLag()
+        figures.gauges["loop_lag_ms"] = lambda: self._lag.read(clock.monotonic_ms())
         self._wake = trio.Event()
 
     def wake(self) -> None:
@@ -344,7 +347,7 @@
         is_new = report.worker_id not in self._scheduler.workers
         self._scheduler.update_worker(report)
         if is_new:
-            client = WorkerClient(report=report, timeout_ms=_WORKER_TIMEOUT_MS)
+            client = WorkerClient(report=report, read_timeout=self._read_timeout)
             self._clients[report.worker_id] = client
             worker = self._scheduler.workers[report.worker_id]
             worker.rostered = report.worker_id in self._roster.workers
@@ -363,11 +366,22 @@
         log_event(Event.SHARD_FENCED, epoch=self._tenure.epoch)
         self._tenure.over.set()
 
+    def _read_timeout(self) -> float:
+        return self._lag.extend(_WORKER_TIMEOUT_MS, self._clock.monotonic_ms())
+
+    async def _gather(self) -> None:
+        """Wait for more news, and note how late that wait ends."""
+        began_ms = self._clock.monotonic_ms()
+        await self._clock.sleep_ms(_GATHER_MS)
+        now_ms = self._clock.monotonic_ms()
+        self._lag.note(now_ms - began_ms - _GATHER_MS, now_ms)
+
     async def _plan(self, nursery: trio.Nursery) -> None:
         while True:
             with trio.move_on_after(_TICK_MS / 1000.0):
                 await self._wake.wait()
-                await self._clock.sleep_ms(_GATHER_MS)
+            # Outside of the pause: within it, a wait that ends late is given up.
+            await self._gather()
             self._wake = trio.Event()
             self._plan_once(nursery)
 
--- /dev/null
+++ b/trefoilhook/runtime/tests/test_lag.py
@@ -0,0 +1,128 @@
+"""Whether one's own slowness is taken for another's silence."""
+
+import threading
+import time
+import unittest
+
+import trio
+
+from trefoilhook.clock import build_boot_clock
+from trefoilhook.platform import LookRequest, WorkerClient
+from trefoilhook.runtime.lag import LoopLag
+from trefoilhook.runtime.tests.cluster import PREFIX, Cluster, build_body, run_cluster
+from trefoilhook.scheduling import Look, WorkerReport
+from trefoilhook.scheduling.models import Demand
+from trefoilhook.standins.platform_worker import PlatformWorker
+
+BUSY_S = 0.25
+"""How long the process is busy at a time, in s."""
+
+TIMEOUT_MS = 300.0
+"""Longer than the busy time: a single turn of the event loop fits in."""
+
+
+class LoopLagTest(unittest.TestCase):
+    """Lags, and the timeouts that follow from them."""
+
+    def test_timeouts_follow_the_lag(self):
+        table = (
+            ("no lag", 0.0, 0.0, 600.0),
+            ("three turns of a lag", 100.0, 0.0, 900.0),
+            ("half of it is forgotten in a second", 100.0, 1000.0, 750.0),
+            ("never more than the bound", 10_000.0, 0.0, 1800.0),
+        )
+        for name, lag_ms, passed_ms, expected_ms in table:
+            with self.subTest(name):
+                lag = LoopLag()
+                lag.note(lag_ms, 5000.0)
+                timeout_ms = lag.extend(600.0, 5000.0 + passed_ms)
+                self.assertAlmostEqual(timeout_ms, expected_ms)
+
+    def test_small_lag_does_not_hide_a_large_one(self):
+        lag = LoopLag()
+        lag.note(400.0, 5000.0)
+        lag.note(1.0, 5100.0)
+        self.assertGreater(lag.read(5100.0), 350.0)
+
+    def test_busy_owner_still_hears_a_sound_worker(self):
+        # An owner is busy for a quarter of a second at a time. The worker answers
+        # within milliseconds, but the owner comes to connect, send and read only in
+        # between. With the bare timeout it took the worker for silent, each time.
+        worker = _WorkerThread()
+        self.addCleanup(worker.stop)
+        self.assertNotIsInstance(trio.run(_look, worker, LoopLag()), Look)
+        lag = LoopLag()
+        lag.note(BUSY_S * 1000.0, build_boot_clock().monotonic_ms())
+        self.assertIsInstance(trio.run(_look, worker, lag), Look)
+
+    def test_owner_notes_its_own_lag(self):
+        # The timer that the lag is read from was given up with the pause around it,
+        # just when it was late: an owner that stood still for 200 ms noted nothing.
+        async def scenario(cluster: Cluster) -> None:
+            owner = await cluster.wait_for_owner()
+            await cluster.send(owner, "POST", PREFIX + "00000000000000a1", build_body())
+            await cluster.wait_for_state(owner, "00000000000000a1", "completed")
+            read_lag = owner.process.figures.gauges["loop_lag_ms"]
+            self.assertLess(read_lag(), 100.0)
+            with trio.move_on_after(1.0):
+                await _be_busy()
+            self.assertGreater(read_lag(), 100.0)
+
+        run_cluster(scenario, instances=1)
+
+
+class _WorkerThread:
+    """A worker with an event loop of its own, which a busy owner doesn't slow."""
+
+    def __init__(self) -> None:
+        self.worker = PlatformWorker(
+            worker_id="w", clock=build_boot_clock(), task_ms=100.0
+        )
+        self._is_up = threading.Event()
+        self._thread = threading.Thread(target=trio.run, args=(self._run,))
+        self._thread.start()
+        self._is_up.wait()
+
+    async def _run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            await nursery.start(self.worker.run)
+            self._token = trio.lowlevel.current_trio_token()
+            self._cancel = nursery.cancel_scope.cancel
+            self._is_up.set()
+
+    def stop(self) -> None:
+        """End the worker."""
+        self._token.run_sync_soon(self._cancel)
+        self._thread.join()
+
+
+async def _look(thread: _WorkerThread, lag: LoopLag) -> object:
+    clock = build_boot_clock()
+    client = WorkerClient(
+        report=_describe(thread.worker),
+        read_timeout=lambda: lag.extend(TIMEOUT_MS, clock.monotonic_ms()),
+    )
+    request = LookRequest(token=1, acknowledged=0, deadline_ms=None, wait_ms=0)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_be_busy)
+        answer = await client.look(request)
+        nursery.cancel_scope.cancel()
+    await client.close()
+    return answer
+
+
+def _describe(worker: PlatformWorker) -> WorkerReport:
+    return WorkerReport(
+        worker_id=worker.worker_id,
+        service="s",
+        host="127.0.0.1",
+        port=worker.server.port,
+        failure_domain="z",
+        capacity=Demand(),
+    )
+
+
+async def _be_busy() -> None:
+    while True:
+        time.sleep(BUSY_S)  # The event loop stands still: that is what is tested.
+        await trio.lowlevel.checkpoint()
