--- a/trefoilhook/runtime/tests/test_foreign.py
+++ b/trefoilhook/runtime/tests/test_foreign.py
@@ -12,12 +12,8 @@
     build_configuration,
     run_cluster,
 )
-from trefoilhook.runtime.tests.foreign import (
-    NESTED,
-    build_foreign,
-    collect_lines,
-    write_any,
-)
+from trefoilhook.runtime.tests.lines import collect_lines
+from trefoilhook.standins.platform_foreign import NESTED, build_foreign_entries
 from trefoilhook.standins.platform_worker import PlatformWorker, WorkerFault
 
 JOB = "00000000000000a1"
@@ -48,11 +44,11 @@
         async def scenario(cluster: Cluster) -> None:
             owner = await cluster.wait_for_owner()
             unlisted = await self.start_unlisted(cluster)
-            entries = build_foreign(unlisted.describe("s"))
+            entries = build_foreign_entries(unlisted.describe("s"))
             with collect_lines() as lines:
                 for _ in range(5):
                     for number, entry in enumerate(entries):
-                        write_any(cluster.store, f"servers/x{number}", entry)
+                        cluster.store.write_bytes(f"servers/x{number}", entry)
                     await trio.sleep(0.05)
                 await self.submit(cluster, JOB, 12)
                 await cluster.wait_for_state(cluster.instances[0], JOB, "completed")
@@ -76,8 +72,10 @@
             unlisted = await self.start_unlisted(cluster)
             await self.submit(cluster, JOB, 4)
             await cluster.wait_until(lambda: len(cluster.list_runs()) == 4)
-            for number, entry in enumerate(build_foreign(unlisted.describe("s"))):
-                write_any(cluster.store, f"servers/x{number}", entry)
+            for number, entry in enumerate(
+                build_foreign_entries(unlisted.describe("s"))
+            ):
+                cluster.store.write_bytes(f"servers/x{number}", entry)
             owner.scope.cancel()
             await owner.ended.wait()
             later = await cluster.wait_for_owner()
@@ -93,7 +91,7 @@
     def test_entry_in_place_of_a_worker_with_tasks(self):
         # A worker's own entry is overwritten while its tasks run. What runs there runs
         # on and is looked after, and nothing new goes there until its next heartbeat.
-        async def check(cluster: Cluster, entry: object, number: int) -> None:
+        async def check(cluster: Cluster, entry: bytes, number: int) -> None:
             worker = cluster.workers["w0"]
             key = "servers/w0"
             job, later = f"{number:015x}a", f"{number:015x}b"
@@ -102,7 +100,7 @@
             before = len(worker.records)
             await self.submit(cluster, job, 12)
             await cluster.wait_until(lambda: len(worker.records) > before)
-            write_any(cluster.store, key, entry)
+            cluster.store.write_bytes(key, entry)
             await trio.sleep(0.1)
             held = len(worker.records)
             await self.submit(cluster, later, 3)
@@ -113,7 +111,7 @@
 
         async def scenario(cluster: Cluster) -> None:
             owner = await cluster.wait_for_owner()
-            entries = build_foreign(cluster.workers["w0"].describe("s"))
+            entries = build_foreign_entries(cluster.workers["w0"].describe("s"))
             for number, entry in enumerate(entries):
                 with self.subTest(entry=str(entry)[:60]):
                     await check(cluster, entry, number)
--- a/trefoilhook/soak/checks.py
+++ b/trefoilhook/soak/checks.py
@@ -5,6 +5,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping
 
+from trefoilhook.soak.fleet import DECOY
 from trefoilhook.soak.ledger import Ledger, SubmissionOutcome, read_place
 from trefoilhook.standins.platform_worker import TaskRecord
 
@@ -28,6 +29,7 @@
     return [
         *ledger.violations,
         *_check_unasked(ledger, runs),
+        *_check_decoy(runs),
         *_check_twice(runs),
         *_check_room(ledger, runs, cpu),
         *_check_order(ledger, runs),
@@ -52,6 +54,11 @@
     return found
 
 
+def _check_decoy(runs: Runs) -> list[str]:
+    """Find runs on the worker that only entries of other writers name."""
+    return [f"{run.task} ran on the decoy" for run in runs.get(DECOY, ())]
+
+
 def _check_twice(runs: Runs) -> list[str]:
     """Find tasks that ran twice at a time, or again after an end that was noted."""
     by_task: dict[str, list[TaskRecord]] = defaultdict(list)
--- a/trefoilhook/soak/faults.py
+++ b/trefoilhook/soak/faults.py
@@ -28,6 +28,9 @@
 
 _MOST_DELAY_MS = 400.0
 
+_FOREIGN_KEYS = 4
+"""Keys of workers that never were, so that some are written over and over."""
+
 Fault = Callable[["Faults"], Awaitable[None]]
 
 
@@ -199,6 +202,23 @@
     faults.fleet.unlist_worker(worker_id)
 
 
+async def _write_foreign_entry(faults: Faults) -> None:
+    worker_id = f"x{faults.choices.randrange(_FOREIGN_KEYS)}"
+    faults.fleet.write_foreign_entry(worker_id, faults.choices)
+    await faults.last()
+    faults.fleet.unlist_worker(worker_id)
+
+
+async def _overwrite_worker(faults: Faults) -> None:
+    """Overwrite the entry of a worker, until its next heartbeat."""
+    place = faults.draw_worker()
+    worker_id = faults.fleet.workers[place].worker.worker_id
+    faults.fleet.write_foreign_entry(worker_id, faults.choices)
+    await faults.last()
+    if faults.fleet.workers[place].worker.worker_id == worker_id:
+        faults.fleet.list_worker(place)
+
+
 _FAULTS: tuple[Fault, ...] = (
     _kill_instance,
     _kill_instance,
@@ -217,4 +237,6 @@
     _harm_worker_link,
     _harm_worker,
     _crash_worker,
+    _write_foreign_entry,
+    _overwrite_worker,
 )
--- a/trefoilhook/soak/fleet.py
+++ b/trefoilhook/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -23,16 +24,20 @@
     build_configuration,
     build_settings,
 )
+from trefoilhook.standins.platform_foreign import build_foreign_entries
 from trefoilhook.standins.platform_store import PlatformStore
 from trefoilhook.standins.platform_worker import PlatformWorker, TaskRecord
 
-__all__ = ["Fleet", "Instance", "LivingWorker", "WORKER_CPU"]
+__all__ = ["DECOY", "Fleet", "Instance", "LivingWorker", "WORKER_CPU"]
 
 WORKER_CPU = 4000
 """Thousandths of a core that a stand-in worker has."""
 
 SERVICE = "s"
 
+DECOY = "decoy"
+"""A worker that no sound entry names: nothing may run there."""
+
 _SLOW_CLOCK = 0.98
 """A worker's own clock may be 2 % slow, by the platform's statement."""
 
@@ -157,6 +162,7 @@
         self.store = PlatformStore(clock=clock)
         self.instances: list[Instance] = []
         self.workers: dict[int, LivingWorker] = {}
+        self.decoy = PlatformWorker(worker_id=DECOY, clock=clock, task_ms=task_ms)
         self.runs: dict[str, list[TaskRecord]] = {}
         self.exits: list[str] = []
 
@@ -167,6 +173,8 @@
         self.configure()
         for place in range(workers):
             await self.start_worker(place)
+        await self._nursery.start(self.decoy.run)
+        self.runs[DECOY] = self.decoy.records
         for number in range(instances):
             await self._add_instance(f"i{number}")
 
@@ -216,8 +224,18 @@
         link = await self._open_link(worker.server.port)
         self.workers[place] = LivingWorker(worker=worker, link=link, scope=scope)
         self.runs[worker.worker_id] = worker.records
-        entry = worker.describe(SERVICE, port=link.port)
-        self.store.write(WORKER_PREFIX + worker.worker_id, entry)
+        self.list_worker(place)
+
+    def list_worker(self, place: int) -> None:
+        """Write the entry of the worker at a place."""
+        living = self.workers[place]
+        entry = living.worker.describe(SERVICE, port=living.link.port)
+        self.store.write(WORKER_PREFIX + living.worker.worker_id, entry)
+
+    def write_foreign_entry(self, worker_id: str, choices: random.Random) -> None:
+        """Leave an entry of another writer at a worker's key, leading to the decoy."""
+        entries = build_foreign_entries(self.decoy.describe(SERVICE))
+        self.store.write_bytes(WORKER_PREFIX + worker_id, choices.choice(entries))
 
     async def _run_worker(
         self,
--- a/trefoilhook/soak/tests/test_checks.py
+++ b/trefoilhook/soak/tests/test_checks.py
@@ -3,6 +3,7 @@
 import unittest
 
 from trefoilhook.soak.checks import check_runs
+from trefoilhook.soak.fleet import DECOY
 from trefoilhook.soak.ledger import Ledger, Submission, SubmissionOutcome, TaskDemand
 from trefoilhook.standins.platform_worker import TaskRecord
 
@@ -68,6 +69,7 @@
         cases = (
             ("nobody sent it", {"w": [*_SOUND, _ANOTHER_JOB]}, {}),
             ("never would", {"w": _SOUND}, rejected),
+            ("ran on the decoy", {"w": _SOUND[1:], DECOY: _SOUND[:1]}, {}),
             ("twice at a time", {"w": _SOUND, "v": [late]}, {}),
             ("again after it was done", {"w": _SOUND, "v": [again]}, {}),
             ("held 1200 of 1000", {"w": [*_SOUND, late]}, {}),
--- /dev/null
+++ b/trefoilhook/standins/platform_foreign.py
@@ -0,0 +1,40 @@
+"""Entries that look like a worker's and are another writer's."""
+
+import json
+from typing import Any
+
+__all__ = ["NESTED", "build_foreign_entries"]
+
+NESTED = b"[" * 100_000
+"""Nested more deeply than Python's parser follows."""
+
+
+def build_foreign_entries(entry: dict[str, Any]) -> list[bytes]:
+    """Build entries that are a worker's but for one fault each, and some that aren't.
+
+    Parameters
+    ----------
+    entry : dict
+        A sound entry of a worker that can be reached.
+    """
+    no_state = {name: value for name, value in entry.items() if name != "state"}
+    host = entry["address"].partition(":")[0]
+    tables: list[dict[str, Any]] = [
+        no_state,
+        {**entry, "state": None},
+        {**entry, "state": 1},
+        {**entry, "state": "paused"},
+        {**entry, "address": 80},
+        {**entry, "address": None},
+        {**entry, "address": f"{host}:99999"},
+        {**entry, "capacity": [16000, 32768]},
+        {**entry, "capacity": "large"},
+        {**entry, "service": 7},
+        {**entry, "service": ["s"]},
+        {**entry, "service": "nobody's"},
+        {**entry, "zone": 3},
+        {**entry, "remaining_ms": "soon"},
+        {**entry, "labels": "ab"},
+    ]
+    encoded = [json.dumps(table).encode() for table in tables]
+    return [*encoded, b"\xff\xfe\x00", b"", b"null", NESTED]
