Tell in QUEUE_WAITS what is put behind, and what the oldest job asks for

Cause: a job of an urgent queue began 24.7 s after its acceptance, and later ones of the queue before it. Past three times its objective a job comes after all others of its priority; no line said so. QUEUE_WAITS counts such tasks (too_late) and tells what the oldest job's task asks of a worker, beside the room that is left.

--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -155,8 +155,27 @@
         self.assertEqual((told["workers"], told["open_workers"]), (1, 1))
         started = count_lines(lines)["TASK_STARTED"]
         self.assertEqual(told["tasks"], 500 - started)
+        self.assertEqual((told["oldest_cpu"], told["oldest_mb"]), (500, 10))
         self.assertLess(min(told["most_cpu"] / 500, told["most_mb"] / 10), 1)
 
+    def test_tasks_that_are_put_behind_are_told(self):
+        # A small job of an urgent queue has not begun after 24 s while later ones of
+        # the queue do: past three times its objective it comes after all others.
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            instance = cluster.instances[0]
+            with capture_lines() as captured:
+                await cluster.send(instance, "POST", PREFIX + JOB, build_body(500))
+                await cluster.wait_until(
+                    lambda: any(line.get("too_late", 0) > 0 for line in captured)
+                )
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=1, workers=1, task_ms=60_000.0)
+        told = [line for line in lines if line["event_name"] == "QUEUE_WAITS"]
+        self.assertEqual(told[-1]["too_late"], told[-1]["tasks"])
+
     def test_queue_whose_tasks_start_at_once_takes_no_line(self):
         lines: list[dict] = []
 
--- a/trefoilhook/runtime/upkeep.py
+++ b/trefoilhook/runtime/upkeep.py
@@ -93,9 +93,11 @@
         while True:
             await self._clock.sleep_ms(_BACKLOG_PAUSE_MS)
             waiting = self._scheduler.waiting
-            now_ms = self._clock.monotonic_ms()
             for backlog in measure_backlogs(
-                self._scheduler, waiting & earlier, now_ms=now_ms
+                self._scheduler,
+                waiting & earlier,
+                now_ms=self._clock.monotonic_ms(),
+                wall_ms=self._clock.wall_ms(),
             ):
                 log_event(Event.QUEUE_WAITS, **attrs.asdict(backlog))
             earlier = set(waiting)
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -15,7 +15,7 @@
 from trefoilhook.scheduling.tickets import StepName, name_step
 from trefoilhook.scheduling.watchdog import is_halted
 
-__all__ = ["assign_waiting", "extend_lease"]
+__all__ = ["TOO_LATE", "assign_waiting", "extend_lease", "judge_lateness"]
 
 _MOST_TRIES = 40
 """Steps of fillers without a place after which a round looks at no more of them: it
@@ -29,6 +29,9 @@
 _LATE_FACTOR = 3.0
 """Up to so many times its objective a late job is still of some use to its users."""
 
+TOO_LATE = 2
+"""Rank of a job past that: it comes after all others of its priority."""
+
 
 _FILLER_PAUSE_A_WORKER_MS = 1.0
 """The same for each worker, in ms: a round with 176 workers and 1,800 fillers that wait
@@ -134,8 +137,8 @@
     return deadline
 
 
-def _judge_lateness(state: TaskState, wall_ms: float) -> int:
-    """Return 0 for a job that can be in time, 1 for late, 2 for too late to matter."""
+def judge_lateness(state: TaskState, wall_ms: float) -> int:
+    """Return 0 for a job that can be in time, 1 for late, `TOO_LATE` past any use."""
     job = state.job
     left_ms = job.due_ms - wall_ms
     if left_ms > state.step.estimate_ms:
@@ -143,7 +146,7 @@
     objective_ms = job.due_ms - job.job.accepted_ms
     if left_ms + (_LATE_FACTOR - 1.0) * objective_ms > state.step.estimate_ms:
         return 1
-    return 2
+    return TOO_LATE
 
 
 def _rank(
@@ -159,7 +162,7 @@
     """
     job = state.job
     priority = job.queue.priority if job.queue is not None else 0
-    late = _judge_lateness(state, wall_ms)
+    late = judge_lateness(state, wall_ms)
     lasts = state.step.long_running
     task = state.task
     return priority, lasts, late, job.work, task.job_id, task.occurrence, task.step
--- a/trefoilhook/scheduling/backlog.py
+++ b/trefoilhook/scheduling/backlog.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from trefoilhook.scheduling.assignment import TOO_LATE, judge_lateness
 from trefoilhook.scheduling.book import TaskState
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Worker
@@ -26,8 +27,13 @@
     fillers : int
         Those of them that run on processor time that others leave: they wait for
         workers whose service tasks bear them, also where there is room.
+    too_late : int
+        Those of them whose job is past any use: they come after all others of their
+        priority, for as long as there are any.
     oldest_job : str
         The job of theirs that was accepted first.
+    oldest_cpu, oldest_mb, oldest_label : int, int, str
+        What its task asks of a worker, in thousandths of a core and MB.
     workers, open_workers : int
         Workers of the service, and those that take new tasks.
     free_cpu, free_mb : int
@@ -39,7 +45,11 @@
     queue: str
     tasks: int
     fillers: int
+    too_late: int
     oldest_job: str
+    oldest_cpu: int
+    oldest_mb: int
+    oldest_label: str
     workers: int
     open_workers: int
     free_cpu: int
@@ -49,7 +59,11 @@
 
 
 def measure_backlogs(
-    scheduler: Scheduler, waiting: Collection[TaskState], *, now_ms: float
+    scheduler: Scheduler,
+    waiting: Collection[TaskState],
+    *,
+    now_ms: float,
+    wall_ms: float,
 ) -> Iterator[Backlog]:
     """Yield a backlog for each queue of the tasks in ``waiting``."""
     by_queue: dict[str, list[TaskState]] = defaultdict(list)
@@ -71,7 +85,11 @@
             queue=name,
             tasks=len(tasks),
             fillers=sum(task.step.filler for task in tasks),
+            too_late=sum(judge_lateness(task, wall_ms) == TOO_LATE for task in tasks),
             oldest_job=oldest.job.job.job_id,
+            oldest_cpu=oldest.step.room.cpu,
+            oldest_mb=oldest.step.room.memory_mb,
+            oldest_label=oldest.step.required_label,
             workers=len(workers),
             open_workers=len(open_workers),
             free_cpu=sum(cpu),
