Show the end that failed among those that are done

Cause: found while telling a failed job. Its third failure was the fifth end in a row, and the story counted it among "2 more". Lines count as alike only if how, why, queue and outcome agree, too. The new test failed first (0 lines with how=failed); trefoilhook.story: 5 passed.

--- a/trefoilhook/story/core.py
+++ b/trefoilhook/story/core.py
@@ -40,7 +40,11 @@
 _HIDDEN = frozenset({"t", "level", "instance", "event", "event_name"})
 
 _MOST_ALIKE = 3
-"""Lines of one event and instance in a row that are shown; the others are counted."""
+"""Lines in a row that are alike and shown; the others are counted."""
+
+_DECIDING = ("how", "why", "queue", "outcome")
+"""Fields in which lines of one event and instance must agree to be alike: an end that
+failed among those that are done is what a story is read for."""
 
 
 @attrs.frozen(kw_only=True)
@@ -112,10 +116,16 @@
     return f"{offset:9.3f} s  {line.instance}  {line.event}  {details}"
 
 
+def _describe(line: LogLine) -> tuple[str, ...]:
+    """Return what two lines share that are alike."""
+    deciding = (str(line.fields.get(name)) for name in _DECIDING)
+    return (line.event, line.instance, *deciding)
+
+
 def tell_story(lines: Sequence[LogLine]) -> list[str]:
     """Write a story, a line an event, with times from its beginning.
 
-    Events of one kind in a row at one instance are counted after the third.
+    Lines in a row that are alike are counted after the third.
     """
     if not lines:
         return ["no line names this id"]
@@ -123,9 +133,7 @@
     alike = 0
     previous: LogLine | None = None
     for line in lines:
-        same = previous is not None and (
-            (line.event, line.instance) == (previous.event, previous.instance)
-        )
+        same = previous is not None and _describe(line) == _describe(previous)
         alike = alike + 1 if same else 0
         if alike < _MOST_ALIKE:
             told.append(_tell_line(line, lines[0].time_s))
--- a/trefoilhook/story/tests/test_core.py
+++ b/trefoilhook/story/tests/test_core.py
@@ -50,3 +50,15 @@
 
     def test_unknown_id(self):
         self.assertEqual(tell_story([]), ["no line names this id"])
+
+    def test_end_that_failed_is_shown_among_those_that_are_done(self):
+        # A job has failed as one task failed three times. The third failure was the
+        # fifth end in a row, so the story counted it among "2 more".
+        ends = ["done"] * 4 + ["failed"] + ["done"] * 4
+        log = [
+            _line(float(n), "a", "TASK_ENDED", task=f"j.0.0.{n}", how=how)
+            for n, how in enumerate(ends)
+        ]
+        told = tell_story(select_story(read_lines(log), "j"))
+        self.assertEqual(sum("how=failed" in text for text in told), 1)
+        self.assertEqual(sum("1 more" in text for text in told), 2)
