Name the workers that a takeover waited for in vain

Cause: found while telling two late jobs. A takeover took 7.4 s with 42 of 42 workers free; what it waited for was a worker that had left two seconds before the earlier owner died, and that no line of the new owner named. SHARD_SETTLED tells them as `unheard`, five at most.

--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -42,6 +42,7 @@
     decode_job_record,
     decode_progress,
     is_settled,
+    list_unheard,
     plan_orders,
 )
 
@@ -51,6 +52,9 @@
 """Longest time for an answer of a worker, in ms: the round trip is 2 ms, and a worker
 that is six times slower than usual still answers at once."""
 
+_MOST_NAMED = 5
+"""Workers named in one line: enough to look at, and a line stays under 400 bytes."""
+
 _LOAD_RETRY_MS = 200.0
 """Pause after a try to read the shard that failed, in ms."""
 
@@ -372,6 +376,7 @@
                 Event.SHARD_SETTLED,
                 epoch=self._tenure.epoch,
                 after_ms=round(now_ms - self._tenure.claimed_ms),
+                unheard=list_unheard(scheduler, self._earlier_roster)[:_MOST_NAMED],
             )
         orders = plan_orders(
             scheduler,
--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -188,3 +188,26 @@
 
         run_cluster(scenario, instances=1, workers=1, task_ms=60_000.0)
         self.assertEqual(count_lines(lines)["QUEUE_WAITS"], 0)
+
+
+class TakeoverLineTest(unittest.TestCase):
+    """An instance takes the shard over and can't start tasks for a while."""
+
+    def test_worker_that_a_takeover_waited_for_is_named(self):
+        # Jobs stood still for 7 s after a takeover although workers were free: one that
+        # had left a moment earlier stood in the roster, and no line named it.
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            first = await cluster.wait_for_owner()
+            await cluster.send(first, "POST", PREFIX + JOB, build_body(2))
+            await cluster.wait_until(lambda: len(cluster.list_runs()) == 2)
+            cluster.workers["w0"].fault = WorkerFault.SILENT
+            cluster.store.remove("servers/w0")
+            with capture_lines() as captured:
+                first.scope.cancel()
+                await cluster.wait_until(lambda: _has(captured, "SHARD_SETTLED"))
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=2, workers=2, task_ms=60_000.0)
+        self.assertEqual(find_line(lines, "SHARD_SETTLED")["unheard"], ["w0"])
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -42,7 +42,7 @@
     parse_task_id,
 )
 from trefoilhook.scheduling.outcomes import take_start_outcome, take_stop_outcome
-from trefoilhook.scheduling.planning import is_settled, plan_orders
+from trefoilhook.scheduling.planning import is_settled, list_unheard, plan_orders
 from trefoilhook.scheduling.records import (
     JobPhase,
     JobRecord,
@@ -99,6 +99,7 @@
     "encode_progress",
     "extend_lease",
     "is_settled",
+    "list_unheard",
     "measure_backlogs",
     "parse_task_id",
     "plan_orders",
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -24,11 +24,13 @@
     """
     if now_ms >= scheduler.limits.settled_at_ms:
         return True
-    for worker_id in unfenced:
-        worker = scheduler.workers.get(worker_id)
-        if worker is None or not worker.fenced:
-            return False
-    return True
+    return not list_unheard(scheduler, unfenced)
+
+
+def list_unheard(scheduler: Scheduler, worker_ids: Iterable[str]) -> list[str]:
+    """Return those workers that haven't answered under this owner's fencing token."""
+    workers = ((name, scheduler.workers.get(name)) for name in worker_ids)
+    return [name for name, worker in workers if worker is None or not worker.fenced]
 
 
 def plan_orders(
