--- a/trefoilhook/story/core.py
+++ b/trefoilhook/story/core.py
@@ -96,17 +96,25 @@
 
 
 def select_story(lines: Iterable[LogLine], wanted: str) -> list[LogLine]:
-    """Keep the lines about an id, and what concerned all jobs between them."""
+    """Keep the lines about an id, and what concerned all jobs between them.
+
+    Of what is told by queue, only that of the queues that lines about the id name.
+    """
     ordered = sorted(lines, key=lambda line: line.time_s)
     own = [line for line in ordered if line.names(wanted)]
     if not own:
         return []
     first, last = own[0].time_s, own[-1].time_s
+    queues = {line.fields.get("queue") for line in own} | {None}
     return [
         line
         for line in ordered
         if line.names(wanted)
-        or (line.event in _CONTEXT and first <= line.time_s <= last)
+        or (
+            line.event in _CONTEXT
+            and first <= line.time_s <= last
+            and line.fields.get("queue") in queues
+        )
     ]
 
 
--- a/trefoilhook/story/tests/test_core.py
+++ b/trefoilhook/story/tests/test_core.py
@@ -62,3 +62,14 @@
         told = tell_story(select_story(read_lines(log), "j"))
         self.assertEqual(sum("how=failed" in text for text in told), 1)
         self.assertEqual(sum("1 more" in text for text in told), 2)
+
+    def test_of_queues_that_wait_only_its_own_is_told(self):
+        log = [
+            _line(1.0, "a", "JOB_ACCEPTED", job="j", queue="q"),
+            _line(2.0, "a", "QUEUE_WAITS", queue="q", tasks=4),
+            _line(2.0, "a", "QUEUE_WAITS", queue="other", tasks=9),
+            _line(3.0, "a", "JOB_FINISHED", job="j", queue="q"),
+        ]
+        told = select_story(read_lines(log), "j")
+        waits = [line.fields["queue"] for line in told if line.event == "QUEUE_WAITS"]
+        self.assertEqual(waits, ["q"])
