--- a/trefoilhook/story/core.py
+++ b/trefoilhook/story/core.py
@@ -98,7 +98,8 @@
 def select_story(lines: Iterable[LogLine], wanted: str) -> list[LogLine]:
     """Keep the lines about an id, and what concerned all jobs between them.
 
-    Of what is told by queue, only that of the queues that lines about the id name.
+    Of what is told by queue, only that of the queues that lines about the id name. A
+    store that was lost before the first of these lines, and not back, is told as well.
     """
     ordered = sorted(lines, key=lambda line: line.time_s)
     own = [line for line in ordered if line.names(wanted)]
@@ -106,7 +107,8 @@
         return []
     first, last = own[0].time_s, own[-1].time_s
     queues = {line.fields.get("queue") for line in own} | {None}
-    return [
+    earlier = _list_open_losses(line for line in ordered if line.time_s < first)
+    return earlier + [
         line
         for line in ordered
         if line.names(wanted)
@@ -118,6 +120,17 @@
     ]
 
 
+def _list_open_losses(ordered: Iterable[LogLine]) -> list[LogLine]:
+    """Return each instance's loss of the store that has not ended."""
+    losses: dict[str, LogLine] = {}
+    for line in ordered:
+        if line.event == "STORE_DOWN":
+            losses[line.instance] = line
+        elif line.event in ("STORE_BACK", "STARTED"):
+            losses.pop(line.instance, None)
+    return sorted(losses.values(), key=lambda line: line.time_s)
+
+
 def _tell_line(line: LogLine, began_s: float) -> str:
     details = " ".join(f"{key}={value}" for key, value in line.fields.items())
     offset = line.time_s - began_s
--- a/trefoilhook/story/tests/test_core.py
+++ b/trefoilhook/story/tests/test_core.py
@@ -73,3 +73,20 @@
         told = select_story(read_lines(log), "j")
         waits = [line.fields["queue"] for line in told if line.event == "QUEUE_WAITS"]
         self.assertEqual(waits, ["q"])
+
+    def test_store_that_was_lost_before_the_first_line_is_told(self):
+        # A submission is refused as the store is away. The line that told of the loss
+        # came before it, so the story began without its cause.
+        log = [
+            _line(1.0, "a", "STORE_DOWN", why="no answer"),
+            _line(1.1, "b", "STORE_DOWN", why="no answer"),
+            _line(1.2, "c", "STORE_DOWN", why="no answer"),
+            _line(1.5, "b", "STORE_BACK"),
+            _line(1.7, "c", "STARTED"),
+            _line(2.0, "a", "REQUEST_REFUSED", job="j", queue="q"),
+        ]
+        told = select_story(read_lines(log), "j")
+        self.assertEqual(
+            [(line.instance, line.event) for line in told],
+            [("a", "STORE_DOWN"), ("a", "REQUEST_REFUSED")],
+        )
