--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -36,14 +36,17 @@
     lists it no more. While it is listed it is alive, and may hold the end of a task
     that was done; started again elsewhere, that task would be done twice.
     """
-    is_lapsed = now_ms >= scheduler.limits.settled_at_ms
-    for worker_id in roster:
-        worker = scheduler.workers.get(worker_id)
-        if worker is not None and worker.fenced:
-            continue
-        if not is_lapsed or (worker is not None and worker.is_known_alive):
-            return False
-    return True
+    unheard = list_unheard(scheduler, roster)
+    if now_ms < scheduler.limits.settled_at_ms:
+        return not unheard
+    known = (scheduler.workers.get(worker_id) for worker_id in unheard)
+    return not any(worker is not None and worker.is_known_alive for worker in known)
+
+
+def list_unheard(scheduler: Scheduler, worker_ids: Iterable[str]) -> list[str]:
+    """Return those workers that haven't answered under this owner's fencing token."""
+    workers = ((name, scheduler.workers.get(name)) for name in worker_ids)
+    return [name for name, worker in workers if worker is None or not worker.fenced]
 
 
 def plan_orders(
