--- a/trefoilhook/platform/tests/test_answers.py
+++ b/trefoilhook/platform/tests/test_answers.py
@@ -8,6 +8,7 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
+from trefoilhook.clock import build_boot_clock
 from trefoilhook.decoding.tests.test_readers import NESTED, VALUES
 from trefoilhook.exceptions import (
     DecodeError,
@@ -215,7 +216,9 @@
             for body in bodies:
 
                 async def use(address: Any, call: Any = call) -> Any:
-                    store = KeyValueStore(address=address, timeout_ms=2000.0)
+                    store = KeyValueStore(
+                        address=address, timeout_ms=2000.0, clock=build_boot_clock()
+                    )
                     return await call(store)
 
                 with (
@@ -226,7 +229,9 @@
 
     def test_refused_transaction_that_cannot_be_read(self):
         async def use(address: Any) -> Any:
-            store = KeyValueStore(address=address, timeout_ms=2000.0)
+            store = KeyValueStore(
+                address=address, timeout_ms=2000.0, clock=build_boot_clock()
+            )
             return await store.commit(Transaction())
 
         for body in (b"", b'{"items":[1]}', b'{"items":{}}', NESTED):
@@ -238,7 +243,9 @@
 
     def test_history_that_is_gone(self):
         async def use(address: Any) -> Any:
-            store = KeyValueStore(address=address, timeout_ms=2000.0)
+            store = KeyValueStore(
+                address=address, timeout_ms=2000.0, clock=build_boot_clock()
+            )
             return await store.watch("k", after=1, wait_ms=1)
 
         with self.assertRaises(HistoryLostError):
@@ -254,7 +261,7 @@
             failure_domain="z",
             capacity=Demand(),
         )
-        return WorkerClient(report=report, timeout_ms=2000.0)
+        return WorkerClient(report=report, read_timeout=lambda: 2000.0)
 
     def test_worker_answers_that_cannot_be_read(self):
         async def look(address: Any) -> Any:
