Leave the shard to the larger instances

Cause: whoever claimed first owned the shard, on the grown agency site at times an instance of 0.5 of a core and 10 Mbit/s while eight of 2.15 cores and 200 Mbit/s stood by. Test first: after the owner dies the shard goes to the large instance among four small ones, and to a small one only when no large one is left. Ruled out: a list of instances with their sizes in the store, a write and a lease an instance for one comparison; handing a shard over from a small owner to a large one that came later, as nothing tells an owner of it.

--- a/trefoilhook/platform/__init__.py
+++ b/trefoilhook/platform/__init__.py
@@ -19,6 +19,7 @@
 from trefoilhook.platform.settings import (
     SETTINGS_VARIABLE,
     Bounds,
+    InstanceSize,
     ProcessSettings,
     parse_settings,
 )
@@ -48,6 +49,7 @@
     "Changes",
     "ConfigurationDocument",
     "Expectation",
+    "InstanceSize",
     "Item",
     "KeyValueStore",
     "Listing",
--- a/trefoilhook/platform/settings.py
+++ b/trefoilhook/platform/settings.py
@@ -9,7 +9,13 @@
 from trefoilhook.exceptions import DecodeError, SettingsError
 from trefoilhook.platform.core import Address, parse_address
 
-__all__ = ["SETTINGS_VARIABLE", "Bounds", "ProcessSettings", "parse_settings"]
+__all__ = [
+    "SETTINGS_VARIABLE",
+    "Bounds",
+    "InstanceSize",
+    "ProcessSettings",
+    "parse_settings",
+]
 
 SETTINGS_VARIABLE = "TREFOILHOOK_BOOT"
 """Environment variable with the path of the settings file."""
@@ -49,6 +55,22 @@
     overload_ms: float
 
 
+@attrs.frozen(kw_only=True)
+class InstanceSize:
+    """What an instance has; as much as any owner needs where the settings don't say.
+
+    Parameters
+    ----------
+    cores : float
+        Processor, in cores of the usual speed.
+    link_mbps : float
+        Its link, in Mbit/s.
+    """
+
+    cores: float = 2.0
+    link_mbps: float = 1000.0
+
+
 @attrs.frozen(kw_only=True)
 class ProcessSettings:
     """What a process is told about itself and the platform.
@@ -67,6 +89,8 @@
         Where the service listens that tells which workers a step may run on.
     bounds : Bounds
         Time limits.
+    size : InstanceSize
+        What the instance has.
     """
 
     name: str
@@ -75,6 +99,18 @@
     store_address: Address
     bounds: Bounds
     advice_address: Address | None = None
+    size: InstanceSize = InstanceSize()
+
+
+def _decode_size(table: Mapping[str, Any]) -> InstanceSize:
+    usual = InstanceSize()
+    # The platform's number of cores says how much faster than usual its one core is.
+    speed = read_number(table, "cores", default=1.0)
+    share = read_number(table, "cpu_share", default=usual.cores)
+    return InstanceSize(
+        cores=share * speed,
+        link_mbps=read_number(table, "link_mbps", default=usual.link_mbps),
+    )
 
 
 def _decode_bounds(table: Mapping[str, Any]) -> Bounds:
@@ -111,6 +147,7 @@
             readiness_address=_read_listening(addresses, "readiness"),
             store_address=parse_address(read_text(platform, "address")),
             bounds=_decode_bounds(read_table(table, "bounds")),
+            size=_decode_size(read_table(table, "limits") if "limits" in table else {}),
             advice_address=parse_address(read_text(table, "advice"))
             if advice
             else None,
--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -22,6 +22,7 @@
     decode_configuration,
 )
 from trefoilhook.runtime.figures import Figures, render
+from trefoilhook.runtime.fitness import rate_instance
 from trefoilhook.runtime.following import follow
 from trefoilhook.runtime.intake import Intake
 from trefoilhook.runtime.ownership import Campaign, Tenure
@@ -108,6 +109,7 @@
             lead=self._lead,
             may_claim=lambda: self._configuration is not None and not self._draining,
             rejections=self._rejections,
+            fitness=rate_instance(settings.size),
         )
         self.figures.gauges.update(
             {
--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import math
 import uuid
 from collections.abc import Awaitable, Callable
 
@@ -14,7 +15,12 @@
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.decoding import MOST_INTEGER, parse_table, read_integer
+from trefoilhook.decoding import (
+    MOST_INTEGER,
+    parse_table,
+    read_integer,
+    read_number,
+)
 from trefoilhook.exceptions import (
     DecodeError,
     HistoryLostError,
@@ -33,6 +39,7 @@
     Transaction,
 )
 from trefoilhook.runtime import keys
+from trefoilhook.runtime.fitness import compute_deference
 from trefoilhook.runtime.following import WATCH_WAIT_MS
 from trefoilhook.runtime.rejections import Rejections
 
@@ -84,6 +91,15 @@
     released: bool = False
 
 
+def _read_fitness(epoch: Item) -> float:
+    """Return the fitness of the fittest owner so far; 0 where it isn't told."""
+    try:
+        return read_number(parse_table(epoch.value), "fitness", most=1.0, default=0.0)
+    except DecodeError:
+        # Logged where the epoch is read; without it this instance just doesn't wait.
+        return 0.0
+
+
 class Campaign:
     """Claims the shard whenever it has no owner, and leads it then.
 
@@ -101,6 +117,8 @@
         Tells whether this instance is fit to own a shard.
     rejections : Rejections
         Told of an epoch that can't be read.
+    fitness : float, optional
+        Share of an owner's needs that this instance can meet.
     """
 
     def __init__(
@@ -112,8 +130,10 @@
         lead: Callable[[Tenure], Awaitable[None]],
         may_claim: Callable[[], bool],
         rejections: Rejections,
+        fitness: float = 1.0,
     ) -> None:
         self._rejections = rejections
+        self._fitness = fitness
         self._store = store
         self._clock = clock
         # The name alone could be that of an earlier process on this machine.
@@ -156,11 +176,15 @@
             owner = item if item.key == keys.owner_key(keys.SHARD) else owner
             epoch = item if item.key == keys.epoch_key(keys.SHARD) else epoch
         after = listing.as_of
+        vacant_ms = self._clock.monotonic_ms()
         while not self._resigned:
-            if owner is None and self._is_fit():
+            left_ms = self._measure_deference(epoch, vacant_ms)
+            if owner is None and left_ms <= 0 and self._is_fit():
                 await self._claim(epoch)
                 return
-            wait_ms = WATCH_WAIT_MS if owner is not None else int(_PAUSE_MS)
+            wait_ms = WATCH_WAIT_MS
+            if owner is None:
+                wait_ms = math.ceil(left_ms if 0 < left_ms < _PAUSE_MS else _PAUSE_MS)
             try:
                 batch = await self._store.watch(
                     keys.ownership_prefix(keys.SHARD), after=after, wait_ms=wait_ms
@@ -171,9 +195,17 @@
             for change in batch.changes:
                 if change.key == keys.owner_key(keys.SHARD):
                     owner = change.item
+                    vacant_ms = self._clock.monotonic_ms()
                 elif change.key == keys.epoch_key(keys.SHARD):
                     epoch = change.item
 
+    def _measure_deference(self, epoch: Item | None, vacant_ms: float) -> float:
+        """Return how long a vacant shard is still left to fitter instances, in ms."""
+        # Before the first claim nothing tells whether there is a fitter one.
+        best = 1.0 if epoch is None else _read_fitness(epoch)
+        waited_ms = self._clock.monotonic_ms() - vacant_ms
+        return compute_deference(self._fitness, best) - waited_ms
+
     def _is_fit(self) -> bool:
         rested = self._clock.monotonic_ms() >= self._rest_until_ms
         return rested and self._may_claim()
@@ -182,7 +214,10 @@
         number = self._read_epoch(epoch) + 1
         granted_ms = self._clock.monotonic_ms()
         lease = await self._store.grant_lease(OWNER_LEASE_MS)
-        value = json.dumps({"holder": self._holder, "epoch": number}).encode()
+        best = max(self._fitness, _read_fitness(epoch) if epoch is not None else 0.0)
+        value = json.dumps(
+            {"holder": self._holder, "epoch": number, "fitness": round(best, 3)}
+        ).encode()
         claim = Transaction(
             expectations=(
                 Expectation(key=keys.owner_key(keys.SHARD), revision=0),
--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -10,7 +10,7 @@
 from trefoilhook.clock import build_boot_clock
 from trefoilhook.exceptions import TransportError
 from trefoilhook.http import HttpClient, HttpRequest, HttpResponse
-from trefoilhook.platform import Bounds, ProcessSettings
+from trefoilhook.platform import Bounds, InstanceSize, ProcessSettings
 from trefoilhook.runtime import Process
 from trefoilhook.standins import platform_documents
 from trefoilhook.standins.platform_advice import PlatformAdvice
@@ -95,7 +95,7 @@
             self.store.write(f"servers/{worker_id}", worker.describe("s"))
         return worker
 
-    async def start_instance(self) -> Instance:
+    async def start_instance(self, *, size: InstanceSize | None = None) -> Instance:
         """Start an instance and wait until it is ready."""
         settings = ProcessSettings(
             name=f"i{len(self.instances)}",
@@ -105,6 +105,7 @@
             advice_address=("127.0.0.1", self.advice.server.port)
             if self.advice is not None
             else None,
+            size=size or InstanceSize(),
             bounds=Bounds(
                 shutdown_ms=6000.0,
                 max_task_lease_ms=6000.0,
--- /dev/null
+++ b/trefoilhook/runtime/tests/test_fitness.py
@@ -0,0 +1,69 @@
+"""Which of several instances owns the shard."""
+
+import unittest
+
+from trefoilhook.platform import InstanceSize
+from trefoilhook.runtime.fitness import compute_deference, rate_instance
+from trefoilhook.runtime.tests.cluster import Cluster, run_cluster
+
+LARGE = InstanceSize(cores=2.15, link_mbps=200.0)
+SMALL = InstanceSize(cores=0.5, link_mbps=10.0)
+
+
+class FitnessTest(unittest.TestCase):
+    """Sizes, and how long the small ones wait."""
+
+    def test_scarcest_need_decides(self):
+        table = (
+            ("all that an owner needs", LARGE, 1.0),
+            ("half of the processor", InstanceSize(cores=0.8, link_mbps=200.0), 0.5),
+            ("half of the link", InstanceSize(cores=4.0, link_mbps=10.0), 0.5),
+        )
+        for name, size, expected in table:
+            with self.subTest(name):
+                self.assertAlmostEqual(rate_instance(size), expected)
+
+    def test_only_the_less_fit_wait(self):
+        table = (
+            (1.0, 1.0, False),
+            (0.3, 1.0, True),
+            (0.3, 0.3, False),
+            (1.0, 0.3, False),
+        )
+        for fitness, best, waits in table:
+            with self.subTest(fitness=fitness, best=best):
+                self.assertEqual(compute_deference(fitness, best) > 0, waits)
+
+
+class OwnershipTest(unittest.TestCase):
+    """A small instance owns the shard only where no larger one is left.
+
+    An owner on half a core and 10 Mbit/s heard some of 246 sound workers for 5 s not at
+    all when a few hundred tasks came at once; four instances with four times its size
+    stood by.
+    """
+
+    def test_shard_goes_to_a_large_instance_while_there_is_one(self):
+        async def scenario(cluster: Cluster) -> None:
+            first = await cluster.start_instance(size=LARGE)
+            await cluster.wait_for_owner()
+            for _ in range(4):
+                await cluster.start_instance(size=SMALL)
+            second = await cluster.start_instance(size=LARGE)
+            first.scope.cancel()
+            await cluster.wait_until(lambda: not first.process.is_owner)
+            self.assertIs(await cluster.wait_for_owner(), second)
+            second.scope.cancel()
+            await cluster.wait_until(lambda: not second.process.is_owner)
+            self.assertIn(await cluster.wait_for_owner(), cluster.instances[1:5])
+
+        run_cluster(scenario, instances=0)
+
+    def test_first_owner_is_a_large_instance(self):
+        async def scenario(cluster: Cluster) -> None:
+            small = await cluster.start_instance(size=SMALL)
+            large = await cluster.start_instance(size=LARGE)
+            self.assertIs(await cluster.wait_for_owner(), large)
+            self.assertFalse(small.process.is_owner)
+
+        run_cluster(scenario, instances=0)
