--- a/trefoilhook/runtime/tests/test_process.py
+++ b/trefoilhook/runtime/tests/test_process.py
@@ -343,6 +343,28 @@
 
         run_cluster(scenario, task_ms=500.0)
 
+    def test_silent_worker_is_known_to_the_owner_after_the_next(self):
+        # A worker with a task that is done is silent over two takeovers in a row. The
+        # first new owner wrote a roster of the workers that it had heard; the second
+        # one then didn't know of the silent worker, and started its task again.
+        async def scenario(cluster: Cluster) -> None:
+            owner = await cluster.wait_for_owner()
+            await cluster.send(owner, "POST", PREFIX + JOB, build_body(1))
+            await cluster.wait_until(lambda: len(cluster.list_runs()) == 1)
+            (silent,) = [w for w in cluster.workers.values() if w.records]
+            silent.fault = WorkerFault.SILENT
+            for _ in range(2):
+                owner.scope.cancel()
+                await owner.ended.wait()
+                owner = await cluster.wait_for_owner()
+                await cluster.start_worker(f"new-{owner.process.entry_port}")
+                await trio.sleep(1.0)
+            silent.fault = WorkerFault.NONE
+            await cluster.wait_for_state(owner, JOB, "completed")
+            self.assertEqual([run.how for run in cluster.list_runs()], ["done"])
+
+        run_cluster(scenario, instances=3, task_ms=500.0)
+
     def test_worker_restarts_under_a_new_id(self):
         async def scenario(cluster: Cluster) -> None:
             instance = await cluster.wait_for_owner()
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -168,6 +168,15 @@
     return priority, lasts, late, job.work, task.job_id, task.occurrence, task.step
 
 
+def _is_over_elsewhere(scheduler: Scheduler, state: TaskState, now_ms: float) -> bool:
+    """Tell whether an earlier owner's run of a task can neither run nor matter.
+
+    A task that lasts has no end as done, so it needn't wait for a worker that may hold
+    one: nothing of an earlier owner runs once the longest lease is over.
+    """
+    return state.step.long_running and now_ms >= scheduler.limits.settled_at_ms
+
+
 def assign_waiting(
     scheduler: Scheduler, *, settled: bool, now_ms: float, wall_ms: float
 ) -> None:
@@ -175,7 +184,9 @@
     with_fillers = now_ms >= scheduler.fillers_due_ms
     steps: dict[StepName, list[TaskState]] = {}
     for state in scheduler.waiting:
-        if state.job.queue is None or not (settled or state.job.certain):
+        if state.job.queue is None or not (
+            settled or state.job.certain or _is_over_elsewhere(scheduler, state, now_ms)
+        ):
             continue
         if with_fillers or not state.step.filler:
             steps.setdefault(name_step(state.task), []).append(state)
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -113,6 +113,9 @@
     fenced : bool
         Whether it has answered under the owner's fencing token, so that no order of an
         earlier owner can be carried out there any more.
+    is_known : bool
+        Whether it has listed all that runs and has ended there to this owner. A page of
+        ends that is full may leave out one that was done.
     rostered : bool
         Whether the store's roster names it; only then may a task be started there, so
         that the next owner knows where to look.
@@ -154,6 +157,7 @@
     report: WorkerReport
     listed: bool = True
     fenced: bool = False
+    is_known: bool = False
     rostered: bool = False
     runs: dict[tuple[TaskId, int], Run] = attrs.Factory(dict)
     cpu: int = 0
--- a/trefoilhook/scheduling/looks.py
+++ b/trefoilhook/scheduling/looks.py
@@ -35,6 +35,11 @@
     if worker is None:
         return
     worker.read_clock(look, now_ms)
+    if not worker.fenced:
+        # An earlier owner may have given what runs here a whole lease just now: taken
+        # for one without any lease, it would count as lapsed and start again at once.
+        earlier_ms = look.clock_ms + scheduler.limits.task_lease_ms
+        worker.lease_until_ms = max(worker.lease_until_ms, earlier_ms)
     worker.fenced = True
     worker.suspect = False
     worker.is_awaited = False
@@ -49,6 +54,7 @@
     listed |= keep_hidden(worker, look, listed, now_ms)
     if len(look.ends) + len(look.unread) >= _FULL_PAGE_OF_ENDS:
         return
+    worker.is_known = True
     for key, run in list(worker.runs.items()):
         # The worker answered for this run before it was asked for this look: if
         # it neither runs nor has ended there, it never will run there.
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -44,9 +44,9 @@
 
 
 def list_unheard(scheduler: Scheduler, worker_ids: Iterable[str]) -> list[str]:
-    """Return those workers that haven't answered under this owner's fencing token."""
+    """Return those workers that haven't told this owner all that they know."""
     workers = ((name, scheduler.workers.get(name)) for name in worker_ids)
-    return [name for name, worker in workers if worker is None or not worker.fenced]
+    return [name for name, worker in workers if worker is None or not worker.is_known]
 
 
 def plan_orders(
@@ -87,6 +87,9 @@
         return None
     if run.order_due_ms > now_ms + _ORDER_DUE_MS or not worker.fenced:
         return None
+    if run.phase is RunPhase.STARTING and worker.is_awaited:
+        # Its time is over: the worker would refuse it, and looks want the connections.
+        return None
     if run.phase is RunPhase.STARTING and not worker.usable:
         # Sending it again would be a start on a worker that isn't to be used.
         scheduler.request_stop(run, StopReason.UNCERTAIN)
--- a/trefoilhook/scheduling/tests/test_orders.py
+++ b/trefoilhook/scheduling/tests/test_orders.py
@@ -12,10 +12,12 @@
     StartOrder,
     Step,
     StopOrder,
+    TaskId,
     acknowledge,
     collect_changes,
     confirm_change,
     is_settled,
+    take_look,
 )
 from trefoilhook.scheduling.tests.cases import (
     SMALL,
@@ -63,6 +65,19 @@
         self.assertEqual(lapse.awaited, 0)
         self.assertEqual(len(shard.scheduler.waiting), 1)
 
+    def test_start_is_not_sent_again_after_its_time(self):
+        # A start got no answer and its worker stays silent past the lease. Sent again
+        # 40 times a second, it kept connections that looks at the worker wanted.
+        shard = Shard(workers=1)
+        shard.submit(build_job())
+        (order,) = shard.plan()
+        shard.answer(order, OrderOutcome.NO_ANSWER)
+        shard.pass_time(TASK_LEASE_MS * 1.1)
+        shard.scheduler.release_lapsed(shard.now_ms)
+        self.assertEqual(shard.plan(), [])
+        shard.look("w0")
+        self.assertEqual([start.attempt for start in shard.plan()], [order.attempt])
+
     def test_lapsed_task_that_lasts_does_not_wait_for_its_worker(self):
         # A watcher runs until it is cancelled: none of its ends is one as done. Kept
         # waiting for a silent worker, it would be away for as long as the silence.
@@ -283,7 +298,7 @@
         # worker, though the store lists it. Once every lease of the earlier owner was
         # over, the next one took the task for one that runs nowhere and never ran.
         shard = Shard(workers=1, epoch=2, settled=False)
-        shard.scheduler.workers["w0"].fenced = False
+        shard.scheduler.workers["w0"].is_known = False
         roster = ("w0", "gone")
         past_ms = shard.scheduler.limits.settled_at_ms + 1.0
         self.assertFalse(is_settled(shard.scheduler, roster, past_ms - 2.0))
@@ -291,11 +306,74 @@
         shard.scheduler.unlist_worker("w0")
         self.assertTrue(is_settled(shard.scheduler, roster, past_ms))
 
+    def test_worker_off_the_list_may_run_an_earlier_task_until_leases_are_over(self):
+        # The owner dies while a worker is cut off. The store drops the worker, which
+        # runs on for a lease; taken for gone, its task would run in two places.
+        shard = Shard(workers=0, epoch=2, settled=False)
+        past_ms = shard.scheduler.limits.settled_at_ms
+        self.assertFalse(is_settled(shard.scheduler, ("gone",), past_ms - 1.0))
+        self.assertTrue(is_settled(shard.scheduler, ("gone",), past_ms))
+
+    def test_full_page_of_ends_does_not_settle_a_worker(self):
+        # A worker lists 500 ends at a time. The end of a task that is done is the
+        # 501st: taken for all that there is, the first page had it started again.
+        shard = Shard(workers=1, epoch=2, settled=False)
+        worker = shard.scheduler.workers["w0"]
+        worker.is_known = False
+        for index in range(501):
+            shard.workers["w0"].end(TaskId("x", 0, 0, index), 1, EndKind.DONE)
+        page = shard.workers["w0"].look(shard.now_ms)
+        first = attrs.evolve(page, ends=page.ends[:500])
+        rest = attrs.evolve(page, ends=page.ends[500:])
+        for look, known in ((first, False), (rest, True)):
+            take_look(
+                shard.scheduler,
+                "w0",
+                look,
+                sent_ms=shard.now_ms,
+                now_ms=shard.now_ms,
+            )
+            settled = is_settled(shard.scheduler, ("w0",), shard.now_ms)
+            self.assertEqual(settled, known)
+
+    def test_adopted_run_has_the_lease_of_the_earlier_owner(self):
+        # A new owner reads a worker once, and its next order there gets no answer. The
+        # run it found has a whole lease of the earlier owner; taken for one without
+        # any, it was given up 10 ms later and started elsewhere beside itself.
+        first = Shard()
+        first.submit(build_job(attrs.evolve(SMALL, long_running=True)))
+        order = first.start_one()
+        second = Shard(epoch=2)
+        second.workers = first.workers
+        second.submit(build_job(attrs.evolve(SMALL, long_running=True)), certain=False)
+        for worker_id in second.workers:
+            second.scheduler.workers.pop(worker_id)
+            second.add_worker(worker_id)
+        second.scheduler.workers[order.worker_id].suspect = True
+        second.pass_time(10.0)
+        self.assertEqual(second.scheduler.release_lapsed(second.now_ms), [])
+        second.pass_time(TASK_LEASE_MS * 1.04)
+        (lapse,) = second.scheduler.release_lapsed(second.now_ms)
+        self.assertEqual(lapse.given_up, ((order.task, order.attempt),))
+
+    def test_earlier_task_that_lasts_does_not_wait_for_a_silent_worker(self):
+        # One worker of the roster is listed and silent. A watcher of an earlier owner
+        # runs nowhere once every lease is over, and no end of it is one as done.
+        shard = Shard(epoch=2, settled=False)
+        lasting = build_job(attrs.evolve(SMALL, long_running=True), job_id="lasting")
+        shard.submit(lasting, certain=False)
+        shard.submit(build_job(job_id="ending"), certain=False)
+        self.assertEqual(list_starts(shard.plan()), [])
+        shard.now_ms = shard.scheduler.limits.settled_at_ms
+        shard.look_all()
+        starts = list_starts(shard.plan())
+        self.assertEqual([order.task.job_id for order in starts], ["lasting"])
+
     def test_earlier_jobs_do_not_wait_for_an_unreadable_entry(self):
         # A worker of the roster is dead, and another writer's entry stands for good
         # under its key: what had been accepted before would wait for ever.
         shard = Shard(workers=1, epoch=2, settled=False)
-        shard.scheduler.workers["w0"].fenced = False
+        shard.scheduler.workers["w0"].is_known = False
         shard.scheduler.bar_worker("w0")
         past_ms = shard.scheduler.limits.settled_at_ms + 1.0
         self.assertTrue(is_settled(shard.scheduler, ("w0",), past_ms))
