Keep the records of a shard apart from the changes to them

Cause: placement.state calls health, observation and refresh, and each of them named ShardState in its signatures: a circle of four modules, hidden behind TYPE_CHECKING. The records are now ShardRecords in placement.shard; ShardState builds on it and makes the changes. record_outcome forgets no task any more: its only caller does, at the same place and before the worker's row is written, so what is written is the same. Ruled out: a protocol of the state for the three modules, which would have repeated its fields; functions in place of the state's methods, which would have changed every caller.

--- a/trefoilhook/placement/health.py
+++ b/trefoilhook/placement/health.py
@@ -1,13 +1,9 @@
 """Telling jobs that fail everywhere from workers that fail everything."""
 
-from typing import TYPE_CHECKING
-
+from trefoilhook.placement.policy import Policy
 from trefoilhook.placement.records import TaskState, WorkerState
 from trefoilhook.placement.shapes import StopOutcome
-
-if TYPE_CHECKING:
-    from trefoilhook.placement.policy import Policy
-    from trefoilhook.placement.state import ShardState
+from trefoilhook.placement.shard import ShardRecords
 
 __all__ = [
     "begin_quarantine",
@@ -22,10 +18,9 @@
 
 
 def record_outcome(
-    state: "ShardState",
+    state: ShardRecords,
     task: TaskState,
     worker: WorkerState,
-    now_ms: float,
     outcome: StopOutcome,
 ) -> None:
     """Count how an attempt ended for its worker and for its task.
@@ -41,14 +36,11 @@
         health.failed_tasks.clear()
         health.on_probation = False
         health.quarantines = 0
-        state.forget_task(task.shape.task_id)
-    elif outcome is StopOutcome.CANCELLED:
-        state.forget_task(task.shape.task_id)
     elif outcome is StopOutcome.FAILED:
         _record_failure(state, task, worker)
 
 
-def _record_failure(state: "ShardState", task: TaskState, worker: WorkerState) -> None:
+def _record_failure(state: ShardRecords, task: TaskState, worker: WorkerState) -> None:
     task_id = task.shape.task_id
     history = state.history(task_id)
     history.failed_on.add(worker.shape.worker_id)
@@ -64,7 +56,7 @@
         del failed[:-_FAILED_KEPT]
 
 
-def needs_quarantine(worker: WorkerState, policy: "Policy") -> bool:
+def needs_quarantine(worker: WorkerState, policy: Policy) -> bool:
     """Tell whether a worker has failed too many different tasks in a row."""
     health = worker.health
     if health.quarantined_until_ms is not None:
@@ -73,7 +65,7 @@
     return len(health.failed_tasks) >= limit
 
 
-def begin_quarantine(worker: WorkerState, now_ms: float, policy: "Policy") -> None:
+def begin_quarantine(worker: WorkerState, now_ms: float, policy: Policy) -> None:
     """Close a worker to new tasks; each failed probation doubles the time."""
     health = worker.health
     duration_ms = policy.quarantine_ms * 2.0**health.quarantines
@@ -94,7 +86,7 @@
     worker.health.on_probation = True
 
 
-def fails_everywhere(state: "ShardState", task_id: str, policy: "Policy") -> bool:
+def fails_everywhere(state: ShardRecords, task_id: str, policy: Policy) -> bool:
     """Tell whether a task has failed on enough different workers to be refused.
 
     Notes
@@ -109,7 +101,7 @@
     return len(sound) >= policy.job_failure_limit
 
 
-def _is_suspect(state: "ShardState", worker_id: str) -> bool:
+def _is_suspect(state: ShardRecords, worker_id: str) -> bool:
     worker = state.workers.get(worker_id)
     if worker is None:
         return False
--- a/trefoilhook/placement/observation.py
+++ b/trefoilhook/placement/observation.py
@@ -6,7 +6,6 @@
 """
 
 import statistics
-from typing import TYPE_CHECKING
 
 import numpy as np
 import numpy.typing as npt
@@ -15,9 +14,7 @@
 from trefoilhook.placement.records import SlowdownSample, TaskState, WorkerState
 from trefoilhook.placement.refresh import refresh_worker
 from trefoilhook.placement.shapes import TaskKind, UsageReport, bearable_excess
-
-if TYPE_CHECKING:
-    from trefoilhook.placement.state import ShardState
+from trefoilhook.placement.shard import ShardRecords
 
 __all__ = ["absorb_report"]
 
@@ -26,12 +23,12 @@
 _USAGE_LEAST_AGE_MS = 1_000.0
 
 
-def absorb_report(state: "ShardState", report: UsageReport, now_ms: float) -> None:
+def absorb_report(state: ShardRecords, report: UsageReport, now_ms: float) -> None:
     """Update usage, slowdowns, the model and the worker's row from one report.
 
     Parameters
     ----------
-    state : ShardState
+    state : ShardRecords
         State to update in place.
     report : UsageReport
         Late report; one of an unknown worker is dropped.
@@ -65,7 +62,7 @@
 
 
 def _absorb_slowdown(
-    state: "ShardState",
+    state: ShardRecords,
     task: TaskState,
     report: UsageReport,
     features: npt.NDArray[np.float64] | None,
@@ -128,7 +125,7 @@
 
 
 def _blend_residual(
-    state: "ShardState", worker: WorkerState, errors: list[float]
+    state: ShardRecords, worker: WorkerState, errors: list[float]
 ) -> None:
     row = worker.slot
     error = statistics.fmean(errors) if errors else 0.0
--- a/trefoilhook/placement/refresh.py
+++ b/trefoilhook/placement/refresh.py
@@ -1,7 +1,5 @@
 """Keeping a worker's row of the table in step with its record."""
 
-from typing import TYPE_CHECKING
-
 import numpy as np
 
 from trefoilhook.placement.interference import CLASS_LIMIT
@@ -11,14 +9,12 @@
     TaskKind,
     bearable_excess,
 )
-
-if TYPE_CHECKING:
-    from trefoilhook.placement.state import ShardState
+from trefoilhook.placement.shard import ShardRecords
 
 __all__ = ["index_class", "refresh_worker"]
 
 
-def index_class(state: "ShardState", task_class: str) -> int:
+def index_class(state: ShardRecords, task_class: str) -> int:
     """Return the model's index of a task class, giving it one when it is new."""
     known = state.class_indexes.get(task_class)
     if known is None:
@@ -28,13 +24,13 @@
 
 
 def refresh_worker(
-    state: "ShardState", worker: WorkerState, now_ms: float | None = None
+    state: ShardRecords, worker: WorkerState, now_ms: float | None = None
 ) -> None:
     """Write a worker's record into its row; note its pressure if a time is given.
 
     Parameters
     ----------
-    state : ShardState
+    state : ShardRecords
         State that holds the worker.
     worker : WorkerState
         Worker whose record changed.
@@ -49,7 +45,7 @@
         _note_pressure(state, worker, now_ms)
 
 
-def _write_room(state: "ShardState", worker: WorkerState) -> None:
+def _write_room(state: ShardRecords, worker: WorkerState) -> None:
     table, row = state.table, worker.slot
     kept = sum_resources(mark.resources for mark in worker.earmarks.values())
     room = worker.shape.capacity.minus(worker.reserved).minus(kept)
@@ -66,7 +62,7 @@
     return not (health.on_probation and worker.residents)
 
 
-def _write_pressure(state: "ShardState", worker: WorkerState) -> None:
+def _write_pressure(state: ShardRecords, worker: WorkerState) -> None:
     table, row = state.table, worker.slot
     shares = [0.0] * CLASS_LIMIT
     services = [0.0] * CLASS_LIMIT
@@ -88,7 +84,7 @@
     _write_excess(state, row)
 
 
-def _write_excess(state: "ShardState", row: int) -> None:
+def _write_excess(state: ShardRecords, row: int) -> None:
     table, model = state.table, state.model
     pressure = table.pressure[row]
     loaded = model.loaded @ pressure
@@ -98,7 +94,7 @@
     table.excess[row] = np.maximum(excess, 0.0) * table.scale[row]
 
 
-def _note_pressure(state: "ShardState", worker: WorkerState, now_ms: float) -> None:
+def _note_pressure(state: ShardRecords, worker: WorkerState, now_ms: float) -> None:
     row = worker.slot
     snapshot = PressureSnapshot(
         since_ms=now_ms,
--- a/trefoilhook/placement/state.py
+++ b/trefoilhook/placement/state.py
@@ -5,7 +5,7 @@
 reserved and is not proved stopped, whether its lease is confirmed or not.
 """
 
-from collections import Counter, deque
+from collections import deque
 
 import attrs
 
@@ -15,16 +15,9 @@
     UnknownWorkerError,
 )
 from trefoilhook.placement.health import record_outcome
-from trefoilhook.placement.interference import InterferenceModel
 from trefoilhook.placement.observation import absorb_report
-from trefoilhook.placement.quantiles import RatioKey, RatioTable
-from trefoilhook.placement.records import (
-    Earmark,
-    TaskHistory,
-    TaskPhase,
-    TaskState,
-    WorkerState,
-)
+from trefoilhook.placement.quantiles import RatioKey
+from trefoilhook.placement.records import Earmark, TaskPhase, TaskState, WorkerState
 from trefoilhook.placement.refresh import index_class, refresh_worker
 from trefoilhook.placement.resources import ZERO, Resources, sum_resources
 from trefoilhook.placement.shapes import (
@@ -34,31 +27,19 @@
     UsageReport,
     WorkerShape,
 )
-from trefoilhook.placement.spread import SpreadCounts, count_service
-from trefoilhook.placement.table import WorkerTable, add_row, drop_row
+from trefoilhook.placement.shard import ShardRecords
+from trefoilhook.placement.spread import count_service
+from trefoilhook.placement.table import add_row, drop_row
 
 __all__ = ["ShardState"]
 
 _EVICTIONS_KEPT = 256
+_LAST_OUTCOMES = frozenset({StopOutcome.FINISHED, StopOutcome.CANCELLED})
 
 
 @attrs.define(kw_only=True)
-class ShardState:
-    """Everything that placement knows about one shard's workers and tasks."""
-
-    workers: dict[str, WorkerState] = attrs.field(factory=dict)
-    tasks: dict[str, TaskState] = attrs.field(factory=dict)
-    histories: dict[str, TaskHistory] = attrs.field(factory=dict)
-    earmarks: dict[str, Earmark] = attrs.field(factory=dict)
-    table: WorkerTable = attrs.field(factory=WorkerTable)
-    model: InterferenceModel = attrs.field(factory=InterferenceModel)
-    run_ratios: RatioTable = attrs.field(factory=RatioTable)
-    class_indexes: dict[str, int] = attrs.field(factory=dict)
-    capacities: Counter[Resources] = attrs.field(factory=Counter)
-    spread: SpreadCounts = attrs.field(factory=SpreadCounts)
-    team_cores: dict[str, float] = attrs.field(factory=dict)
-    team_evictions: dict[str, deque[float]] = attrs.field(factory=dict)
-    scan_cursor: int = 0
+class ShardState(ShardRecords):
+    """The records of one shard, and every change to them."""
 
     def add_worker(self, shape: WorkerShape) -> None:
         """Bring a worker into use, or back into use after it was removed.
@@ -213,7 +194,9 @@
         del worker.residents[task_id]
         self._count_team(task, -1.0)
         self._learn_run_time(task, now_ms, outcome)
-        record_outcome(self, task, worker, now_ms, outcome)
+        record_outcome(self, task, worker, outcome)
+        if outcome in _LAST_OUTCOMES:
+            self.forget_task(task_id)
         refresh_worker(self, worker, now_ms)
         self._forget_if_empty(worker)
 
@@ -251,10 +234,6 @@
         del worker.earmarks[task_id]
         refresh_worker(self, worker)
 
-    def history(self, task_id: str) -> TaskHistory:
-        """Return what earlier attempts of a task left behind, to be changed."""
-        return self.histories.setdefault(task_id, TaskHistory())
-
     def forget_task(self, task_id: str) -> None:
         """Drop the history of a task that will not be tried again."""
         self.histories.pop(task_id, None)
