Let the exceptions know no adapter, and test that no circle of modules exists

Cause: exceptions.py took Item from platform.store and StoreEntry from store.core for two errors, so decoding, http and all that raises knew the platform's adapter: a circle of eight modules. The messages of the platform's store are now platform.messages, with PreconditionError beside them; ConflictError lives in store.core beside StoreEntry. Both are exported by their packages, and importers take them from there. Ruled out: bare revisions in the errors, since both journals and the owner read the standing values; re-export from exceptions, which would be the circle again. Imports for the type checker and inside functions count; a package's __init__ above a module doesn't, since each package that re-exports would be a circle with its own modules.

--- a/bench/ownership.py
+++ b/bench/ownership.py
@@ -12,13 +12,14 @@
 import trio.testing
 
 from trefoilhook.clock import Clock, build_system_clock
-from trefoilhook.exceptions import ConflictError, LeaseLostError
+from trefoilhook.exceptions import LeaseLostError
 from trefoilhook.membership import Member, Members
 from trefoilhook.settings import ShardSettings
 from trefoilhook.shards import choose_owner, list_shards
 from trefoilhook.shards.tests import cluster as real
 from trefoilhook.standins import StoreSettings
 from trefoilhook.standins.virtual import VirtualStore, VirtualStoreClient
+from trefoilhook.store import ConflictError
 
 _TTL_MS = real.SETTINGS.lease_ttl_ms
 _RENEW_MS = real.SETTINGS.renew_interval_ms
--- a/trefoilhook/admin/tests/fakes.py
+++ b/trefoilhook/admin/tests/fakes.py
@@ -23,9 +23,10 @@
     ConfigurationView,
     digest_token,
 )
-from trefoilhook.exceptions import ConflictError, RequestError, StoreUnavailableError
+from trefoilhook.exceptions import RequestError, StoreUnavailableError
 from trefoilhook.results import ResultCode
 from trefoilhook.settings import AdminSettings
+from trefoilhook.store import ConflictError
 
 CLUSTER_TOKEN = "cluster-token"
 
--- a/trefoilhook/configuration/commit.py
+++ b/trefoilhook/configuration/commit.py
@@ -10,13 +10,9 @@
     encode_document,
 )
 from trefoilhook.configuration.view import RawEntry
-from trefoilhook.exceptions import (
-    ConflictError,
-    SettingsError,
-    StoreError,
-    StoreUnavailableError,
-)
+from trefoilhook.exceptions import SettingsError, StoreError, StoreUnavailableError
 from trefoilhook.results import ResultCode
+from trefoilhook.store import ConflictError
 
 __all__ = ["ReadEntry", "SwapEntry", "commit_document"]
 
--- a/trefoilhook/configuration/core.py
+++ b/trefoilhook/configuration/core.py
@@ -25,9 +25,10 @@
 )
 from trefoilhook.configuration.schema import TeamConfiguration
 from trefoilhook.configuration.view import build_team_key
-from trefoilhook.exceptions import ConflictError, RequestError, SettingsError
+from trefoilhook.exceptions import RequestError, SettingsError
 from trefoilhook.results import ResultCode
 from trefoilhook.settings import is_name, read_settings
+from trefoilhook.store import ConflictError
 
 __all__ = [
     "ConfigurationConflictError",
--- a/trefoilhook/configuration/tests/test_editor.py
+++ b/trefoilhook/configuration/tests/test_editor.py
@@ -11,7 +11,6 @@
 from trefoilhook.clock import ManualTime, build_manual_clock
 from trefoilhook.configuration import ConfigurationConflictError, ConfigurationEditor
 from trefoilhook.exceptions import (
-    ConflictError,
     RequestError,
     SettingsError,
     StoreRateError,
@@ -19,6 +18,7 @@
     TrefoilhookError,
 )
 from trefoilhook.results import ResultCode
+from trefoilhook.store import ConflictError
 
 _TIMEOUT = "services/seat-check/timeout_ms"
 _KEY = "root/config/teams/a"
--- a/trefoilhook/exceptions.py
+++ b/trefoilhook/exceptions.py
@@ -1,17 +1,14 @@
-"""The exception tree: every error that the system raises on purpose."""
+"""The exception tree: every error that the system raises on purpose.
 
-from typing import TYPE_CHECKING
+An error that carries a message of an adapter stands beside that message and extends
+this tree from there, so that nothing here knows an adapter.
+"""
 
 from trefoilhook.results import ResultCode
 
-if TYPE_CHECKING:
-    from trefoilhook.platform.store import Item
-    from trefoilhook.store.core import StoreEntry
-
 __all__ = [
     "AnswerLostError",
     "CapacityExceededError",
-    "ConflictError",
     "DecodeError",
     "FencedError",
     "HistoryLostError",
@@ -19,7 +16,6 @@
     "NotSentError",
     "OutcomeError",
     "PlacementError",
-    "PreconditionError",
     "RequestError",
     "SettingsError",
     "StoreError",
@@ -112,42 +108,6 @@
     """The store refused the call because its rate is used up; nothing changed."""
 
 
-class ConflictError(StoreError):
-    """A compare-and-swap lost: the key is at another revision.
-
-    Parameters
-    ----------
-    message : str
-        What happened, for people.
-    current : StoreEntry, optional
-        What stands at the key now; None when the key is absent.
-    """
-
-    code = ResultCode.CONFLICT
-
-    def __init__(self, message: str, *, current: "StoreEntry | None" = None) -> None:
-        super().__init__(message)
-        self.current = current
-
-
-class PreconditionError(StoreError):
-    """A transaction's expectations do not hold; nothing changed.
-
-    Parameters
-    ----------
-    message : str
-        What happened, for people.
-    items : tuple of Item
-        What stands at the expected keys now; absent keys are left out.
-    """
-
-    code = ResultCode.CONFLICT
-
-    def __init__(self, message: str, *, items: "tuple[Item, ...]") -> None:
-        super().__init__(message)
-        self.items = items
-
-
 class HistoryLostError(StoreError):
     """The store no longer has the changes that a watch asks for: read anew."""
 
--- a/trefoilhook/journal/core.py
+++ b/trefoilhook/journal/core.py
@@ -16,7 +16,6 @@
 
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import (
-    ConflictError,
     FencedError,
     StoreError,
     StoreRateError,
@@ -35,6 +34,7 @@
 )
 from trefoilhook.journal.settings import JournalSettings
 from trefoilhook.store import (
+    ConflictError,
     StoreClient,
     StoreEntry,
     build_nonce,
--- a/trefoilhook/journal/head.py
+++ b/trefoilhook/journal/head.py
@@ -2,14 +2,14 @@
 
 from collections.abc import Awaitable, Callable
 
-from trefoilhook.exceptions import (
-    ConflictError,
-    FencedError,
-    StoreUnavailableError,
-)
+from trefoilhook.exceptions import FencedError, StoreUnavailableError
 from trefoilhook.journal.generations import name_generation
 from trefoilhook.journal.pages import Head, decode_head, encode_head
-from trefoilhook.store import StoreClient, build_nonce
+from trefoilhook.store import (
+    ConflictError,
+    StoreClient,
+    build_nonce,
+)
 
 __all__ = ["JournalHead", "SwapValue"]
 
--- a/trefoilhook/journal/tests/test_journal.py
+++ b/trefoilhook/journal/tests/test_journal.py
@@ -8,16 +8,12 @@
 import trio.testing
 
 from trefoilhook.clock import build_system_clock
-from trefoilhook.exceptions import (
-    ConflictError,
-    FencedError,
-    StoreUnavailableError,
-    StoreUnsentError,
-)
+from trefoilhook.exceptions import FencedError, StoreUnavailableError, StoreUnsentError
 from trefoilhook.jobs import JobRecord, RecordKind
 from trefoilhook.journal import JournalSettings, open_journal
 from trefoilhook.journal.compaction import compact_records
 from trefoilhook.standins.virtual import VirtualStore, VirtualStoreClient
+from trefoilhook.store import ConflictError
 
 _SHARD = "wrk-000"
 _SMALL = JournalSettings(page_bytes=1_024, compact_pages=4, write_timeout_ms=10)
--- a/trefoilhook/membership/core.py
+++ b/trefoilhook/membership/core.py
@@ -11,12 +11,7 @@
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.exceptions import (
-    ConflictError,
-    LeaseLostError,
-    StoreError,
-    TrefoilhookError,
-)
+from trefoilhook.exceptions import LeaseLostError, StoreError, TrefoilhookError
 from trefoilhook.inner import Call, InnerNode, PeerAddress, PeerState
 from trefoilhook.inner.messages_pb2 import (
     AttestAnswer,
@@ -38,7 +33,10 @@
 )
 from trefoilhook.membership.promises import PromiseBook
 from trefoilhook.membership.settings import MembershipSettings
-from trefoilhook.store import StoreClient
+from trefoilhook.store import (
+    ConflictError,
+    StoreClient,
+)
 
 __all__ = ["Membership"]
 
--- a/trefoilhook/platform/__init__.py
+++ b/trefoilhook/platform/__init__.py
@@ -16,23 +16,24 @@
     answer_state,
     read_client_timeout,
 )
-from trefoilhook.platform.settings import (
-    SETTINGS_VARIABLE,
-    Bounds,
-    ProcessSettings,
-    parse_settings,
-)
-from trefoilhook.platform.store import (
+from trefoilhook.platform.messages import (
     MAX_ROWS,
     Change,
     Changes,
     Expectation,
     Item,
-    KeyValueStore,
     Listing,
+    PreconditionError,
     Put,
     Transaction,
 )
+from trefoilhook.platform.settings import (
+    SETTINGS_VARIABLE,
+    Bounds,
+    ProcessSettings,
+    parse_settings,
+)
+from trefoilhook.platform.store import KeyValueStore
 from trefoilhook.platform.workers import LookRequest, WorkerClient
 
 __all__ = [
@@ -52,6 +53,7 @@
     "KeyValueStore",
     "Listing",
     "LookRequest",
+    "PreconditionError",
     "ProcessSettings",
     "Put",
     "Transaction",
--- a/trefoilhook/platform/store.py
+++ b/trefoilhook/platform/store.py
@@ -8,8 +8,6 @@
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
-import attrs
-
 from trefoilhook.clock import Clock
 from trefoilhook.decoding import (
     check_table,
@@ -25,7 +23,6 @@
     HistoryLostError,
     LeaseLostError,
     NotSentError,
-    PreconditionError,
     StoreError,
     StoreRateError,
     StoreUnavailableError,
@@ -34,21 +31,16 @@
 from trefoilhook.http import HttpResponse, JsonClient
 from trefoilhook.logs import CallFailure, DependencyLog, Event
 from trefoilhook.platform.core import Address
+from trefoilhook.platform.messages import (
+    Change,
+    Changes,
+    Item,
+    Listing,
+    PreconditionError,
+    Transaction,
+)
 
-__all__ = [
-    "MAX_ROWS",
-    "Change",
-    "Changes",
-    "Expectation",
-    "Item",
-    "KeyValueStore",
-    "Listing",
-    "Put",
-    "Transaction",
-]
-
-MAX_ROWS = 32
-"""Most rows of one transaction, preconditions included; the platform's limit."""
+__all__ = ["KeyValueStore"]
 
 _Answer = TypeVar("_Answer")
 
@@ -67,79 +59,6 @@
 """Names of the calls in logs."""
 
 
-@attrs.frozen(kw_only=True)
-class Item:
-    """A key as it stands in the store.
-
-    Parameters
-    ----------
-    key : str
-        Its path.
-    value : bytes
-        What it holds.
-    revision : int
-        The store's revision when it was last changed.
-    created : int
-        The store's revision when it came to be.
-    """
-
-    key: str
-    value: bytes
-    revision: int
-    created: int
-
-
-@attrs.frozen(kw_only=True)
-class Listing:
-    """All keys under a prefix; ``as_of`` is a revision that a watch may begin at."""
-
-    items: tuple[Item, ...]
-    as_of: int
-
-
-@attrs.frozen(kw_only=True)
-class Change:
-    """One change of a key; ``item`` is None when the key was removed."""
-
-    key: str
-    revision: int
-    item: Item | None
-
-
-@attrs.frozen(kw_only=True)
-class Changes:
-    """What a watch saw, in order; the next watch begins after ``as_of``."""
-
-    changes: tuple[Change, ...]
-    as_of: int
-
-
-@attrs.frozen(kw_only=True)
-class Expectation:
-    """The revision that a key must have; 0 when it must be absent."""
-
-    key: str
-    revision: int
-
-
-@attrs.frozen(kw_only=True)
-class Put:
-    """A value to write; ``lease`` 0 keeps it until it is removed."""
-
-    key: str
-    value: bytes
-    lease: int = 0
-
-
-@attrs.frozen(kw_only=True)
-class Transaction:
-    """Changes that happen together, if all expectations hold, or not at all."""
-
-    expectations: tuple[Expectation, ...] = ()
-    puts: tuple[Put, ...] = ()
-    removals: tuple[str, ...] = ()
-
-
 def _decode_value(text: str) -> bytes:
     try:
         return base64.b64decode(text, validate=True)
--- a/trefoilhook/platform/tests/test_answers.py
+++ b/trefoilhook/platform/tests/test_answers.py
@@ -9,17 +9,13 @@
 from hypothesis import strategies as st
 
 from trefoilhook.decoding.tests.test_readers import NESTED, VALUES
-from trefoilhook.exceptions import (
-    DecodeError,
-    HistoryLostError,
-    PreconditionError,
-    StoreUnavailableError,
-)
+from trefoilhook.exceptions import DecodeError, HistoryLostError, StoreUnavailableError
 from trefoilhook.http import HttpRequest, HttpResponse, HttpServer
 from trefoilhook.platform import (
     AdviceClient,
     KeyValueStore,
     LookRequest,
+    PreconditionError,
     Transaction,
     WorkerClient,
     read_client_timeout,
--- a/trefoilhook/runtime/commits.py
+++ b/trefoilhook/runtime/commits.py
@@ -10,18 +10,14 @@
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.exceptions import (
-    DecodeError,
-    LeaseLostError,
-    PreconditionError,
-    StoreError,
-)
+from trefoilhook.exceptions import DecodeError, LeaseLostError, StoreError
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import (
     MAX_ROWS,
     Expectation,
     Item,
     KeyValueStore,
+    PreconditionError,
     Put,
     Transaction,
 )
--- a/trefoilhook/runtime/intake.py
+++ b/trefoilhook/runtime/intake.py
@@ -12,7 +12,6 @@
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import (
     DecodeError,
-    PreconditionError,
     RequestError,
     StoreError,
     StoreUnavailableError,
@@ -23,6 +22,7 @@
     Expectation,
     Item,
     KeyValueStore,
+    PreconditionError,
     Put,
     Transaction,
     answer_pending,
--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -19,7 +19,6 @@
     DecodeError,
     HistoryLostError,
     LeaseLostError,
-    PreconditionError,
     StoreError,
     StoreUnavailableError,
 )
@@ -29,6 +28,7 @@
     Item,
     KeyValueStore,
     Listing,
+    PreconditionError,
     Put,
     Transaction,
 )
--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -13,8 +13,15 @@
 
 from trefoilhook.clock import Clock
 from trefoilhook.decoding import check_text, parse_json
-from trefoilhook.exceptions import DecodeError, PreconditionError, StoreError
-from trefoilhook.platform import Expectation, Item, KeyValueStore, Put, Transaction
+from trefoilhook.exceptions import DecodeError, StoreError
+from trefoilhook.platform import (
+    Expectation,
+    Item,
+    KeyValueStore,
+    PreconditionError,
+    Put,
+    Transaction,
+)
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.ownership import Tenure
 from trefoilhook.scheduling import Scheduler
--- a/trefoilhook/shards/owner.py
+++ b/trefoilhook/shards/owner.py
@@ -8,12 +8,7 @@
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.exceptions import (
-    ConflictError,
-    NotSentError,
-    StoreError,
-    TrefoilhookError,
-)
+from trefoilhook.exceptions import NotSentError, StoreError, TrefoilhookError
 from trefoilhook.inner import Call, InnerNode, PeerState
 from trefoilhook.inner.messages_pb2 import Empty, ShardHandover
 from trefoilhook.logs import Event, log_event
@@ -40,7 +35,10 @@
 from trefoilhook.shards.inquiry import Inquiry
 from trefoilhook.shards.rights import Rights
 from trefoilhook.shards.tables import TableStore
-from trefoilhook.store import StoreClient
+from trefoilhook.store import (
+    ConflictError,
+    StoreClient,
+)
 
 __all__ = ["Ownership"]
 
--- a/trefoilhook/standins/virtual.py
+++ b/trefoilhook/standins/virtual.py
@@ -15,7 +15,6 @@
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import (
     AnswerLostError,
-    ConflictError,
     LeaseLostError,
     NotSentError,
     OutcomeError,
@@ -29,7 +28,14 @@
 from trefoilhook.inner.messages_pb2 import Heartbeat
 from trefoilhook.standins.core import RefusalError
 from trefoilhook.standins.store_state import StoreSettings, StoreState
-from trefoilhook.store import Lease, StoreEntry, StorePage, SwapRequest, WatchBatch
+from trefoilhook.store import (
+    ConflictError,
+    Lease,
+    StoreEntry,
+    StorePage,
+    SwapRequest,
+    WatchBatch,
+)
 
 __all__ = ["VirtualLinks", "VirtualNode", "VirtualStore", "VirtualStoreClient"]
 
--- a/trefoilhook/store/__init__.py
+++ b/trefoilhook/store/__init__.py
@@ -3,6 +3,7 @@
 from trefoilhook.store.client import StoreClient
 from trefoilhook.store.core import (
     MAX_VALUE_BYTES,
+    ConflictError,
     DeletedKey,
     Lease,
     StoreEntry,
@@ -14,6 +15,7 @@
 
 __all__ = [
     "MAX_VALUE_BYTES",
+    "ConflictError",
     "DeletedKey",
     "Lease",
     "StoreClient",
--- a/trefoilhook/store/client.py
+++ b/trefoilhook/store/client.py
@@ -13,7 +13,6 @@
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import (
     AnswerLostError,
-    ConflictError,
     LeaseLostError,
     NotSentError,
     RequestError,
@@ -27,6 +26,7 @@
 from trefoilhook.results import ResultCode
 from trefoilhook.store.core import (
     MAX_VALUE_BYTES,
+    ConflictError,
     Lease,
     StoreEntry,
     StorePage,
--- a/trefoilhook/store/core.py
+++ b/trefoilhook/store/core.py
@@ -7,8 +7,12 @@
 
 import attrs
 
+from trefoilhook.exceptions import StoreError
+from trefoilhook.results import ResultCode
+
 __all__ = [
     "MAX_VALUE_BYTES",
+    "ConflictError",
     "DeletedKey",
     "Lease",
     "StoreEntry",
@@ -42,6 +46,24 @@
     lease_id: str | None = None
 
 
+class ConflictError(StoreError):
+    """A compare-and-swap lost: the key is at another revision.
+
+    Parameters
+    ----------
+    message : str
+        What happened, for people.
+    current : StoreEntry, optional
+        What stands at the key now; None when the key is absent.
+    """
+
+    code = ResultCode.CONFLICT
+
+    def __init__(self, message: str, *, current: StoreEntry | None = None) -> None:
+        super().__init__(message)
+        self.current = current
+
+
 @attrs.frozen(kw_only=True)
 class StorePage:
     """A page of entries in the order of their keys.
--- a/trefoilhook/store/swaps.py
+++ b/trefoilhook/store/swaps.py
@@ -3,12 +3,9 @@
 import uuid
 
 from trefoilhook.clock import Clock
-from trefoilhook.exceptions import (
-    ConflictError,
-    StoreRateError,
-    StoreUnavailableError,
-)
+from trefoilhook.exceptions import StoreRateError, StoreUnavailableError
 from trefoilhook.store.client import StoreClient
+from trefoilhook.store.core import ConflictError
 
 __all__ = ["build_nonce", "swap_reading_back"]
 
--- a/trefoilhook/store/tests/test_contract.py
+++ b/trefoilhook/store/tests/test_contract.py
@@ -5,12 +5,7 @@
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.exceptions import (
-    ConflictError,
-    LeaseLostError,
-    RequestError,
-    StoreUnavailableError,
-)
+from trefoilhook.exceptions import LeaseLostError, RequestError, StoreUnavailableError
 from trefoilhook.standins import (
     Availability,
     FaultSettings,
@@ -19,6 +14,7 @@
 )
 from trefoilhook.store import (
     MAX_VALUE_BYTES,
+    ConflictError,
     StoreClient,
 )
 from trefoilhook.store.tests.bench import Bench, run_with_store
--- a/trefoilhook/store/tests/test_faults.py
+++ b/trefoilhook/store/tests/test_faults.py
@@ -5,12 +5,7 @@
 import trio
 import trio.testing
 
-from trefoilhook.exceptions import (
-    ConflictError,
-    StoreError,
-    StoreRateError,
-    StoreUnavailableError,
-)
+from trefoilhook.exceptions import StoreError, StoreRateError, StoreUnavailableError
 from trefoilhook.standins import (
     Availability,
     FaultSettings,
@@ -18,6 +13,7 @@
     TcpCut,
 )
 from trefoilhook.store import (
+    ConflictError,
     StoreClient,
     build_nonce,
     swap_reading_back,
--- /dev/null
+++ b/trefoilhook/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what holds for the package as a whole."""
