--- a/trefoilhook/story/core.py
+++ b/trefoilhook/story/core.py
@@ -40,7 +40,11 @@
 _HIDDEN = frozenset({"t", "level", "instance", "event", "event_name"})
 
 _MOST_ALIKE = 3
-"""Lines of one event and instance in a row that are shown; the others are counted."""
+"""Lines in a row that are alike and shown; the others are counted."""
+
+_DECIDING = ("how", "why", "queue", "outcome")
+"""Fields in which lines of one event and instance must agree to be alike: an end that
+failed among those that are done is what a story is read for."""
 
 
 @attrs.frozen(kw_only=True)
@@ -92,30 +96,57 @@
 
 
 def select_story(lines: Iterable[LogLine], wanted: str) -> list[LogLine]:
-    """Keep the lines about an id, and what concerned all jobs between them."""
+    """Keep the lines about an id, and what concerned all jobs between them.
+
+    Of what is told by queue, only that of the queues that lines about the id name. A
+    store that was lost before the first of these lines, and not back, is told as well.
+    """
     ordered = sorted(lines, key=lambda line: line.time_s)
     own = [line for line in ordered if line.names(wanted)]
     if not own:
         return []
     first, last = own[0].time_s, own[-1].time_s
-    return [
+    queues = {line.fields.get("queue") for line in own} | {None}
+    earlier = _list_open_losses(line for line in ordered if line.time_s < first)
+    return earlier + [
         line
         for line in ordered
         if line.names(wanted)
-        or (line.event in _CONTEXT and first <= line.time_s <= last)
+        or (
+            line.event in _CONTEXT
+            and first <= line.time_s <= last
+            and line.fields.get("queue") in queues
+        )
     ]
 
 
+def _list_open_losses(ordered: Iterable[LogLine]) -> list[LogLine]:
+    """Return each instance's loss of the store that has not ended."""
+    losses: dict[str, LogLine] = {}
+    for line in ordered:
+        if line.event == "STORE_DOWN":
+            losses[line.instance] = line
+        elif line.event in ("STORE_BACK", "STARTED"):
+            losses.pop(line.instance, None)
+    return sorted(losses.values(), key=lambda line: line.time_s)
+
+
 def _tell_line(line: LogLine, began_s: float) -> str:
     details = " ".join(f"{key}={value}" for key, value in line.fields.items())
     offset = line.time_s - began_s
     return f"{offset:9.3f} s  {line.instance}  {line.event}  {details}"
 
 
+def _describe(line: LogLine) -> tuple[str, ...]:
+    """Return what two lines share that are alike."""
+    deciding = (str(line.fields.get(name)) for name in _DECIDING)
+    return (line.event, line.instance, *deciding)
+
+
 def tell_story(lines: Sequence[LogLine]) -> list[str]:
     """Write a story, a line an event, with times from its beginning.
 
-    Events of one kind in a row at one instance are counted after the third.
+    Lines in a row that are alike are counted after the third.
     """
     if not lines:
         return ["no line names this id"]
@@ -123,9 +154,7 @@
     alike = 0
     previous: LogLine | None = None
     for line in lines:
-        same = previous is not None and (
-            (line.event, line.instance) == (previous.event, previous.instance)
-        )
+        same = previous is not None and _describe(line) == _describe(previous)
         alike = alike + 1 if same else 0
         if alike < _MOST_ALIKE:
             told.append(_tell_line(line, lines[0].time_s))
