Show in tests what becomes of a job that ends behind a cut

Cause: no test said what the sessions of jobs do with an end that nobody heard. The worker keeps it; two leases after the last renewal the job is started again (or told as unknown, if it must not be repeated), though the worker is listed and names the end once reached. It breaks no promise of a job that may be repeated, so the tests hold what is, and no test was red before. Run: nose2 trefoilhook.jobs.tests.test_runner, 23 pass (21 before).

--- a/trefoilhook/jobs/tests/test_runner.py
+++ b/trefoilhook/jobs/tests/test_runner.py
@@ -133,6 +133,46 @@
 
         run_shard(scenario)
 
+    def test_job_that_is_done_unheard_is_started_again(self):
+        # A roster build ends as done behind a cut, and its worker keeps the end. No
+        # lease is left two leases later: that proves that nothing runs there, not that
+        # nothing ended, yet the job is started again. Its operator sees it done twice.
+        # A job may be repeated unless declared otherwise, so no promise is broken.
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            await shard.submit(owner, "j1", run_ms=10_000)
+            await shard.sleep_s(3)
+            worker_id = shard.list_starts("j1")[0].worker_id
+            shard.workers[worker_id].is_cut = True
+            await shard.sleep_s(SETTINGS.lapse_ms / 1000.0 + 20)
+            first, second = shard.list_starts("j1")
+            self.assertEqual((first.state, second.state), ("finished", "finished"))
+            self.assertLess(first.ended_ms, second.started_ms)
+            self.assertNotEqual(second.worker_id, worker_id)
+            self.assertIn(worker_id, shard.listed)
+            self._check(shard)
+
+        run_shard(scenario)
+
+    def test_end_told_late_that_must_not_repeat_stays_unknown(self):
+        # A billing run ends as done behind a cut. Its caller is told that nobody knows,
+        # and isn't told otherwise when the worker is back and names the end.
+        async def scenario(shard: Shard) -> None:
+            owner = shard.start_owner("i0")
+            await shard.submit(owner, "j1", run_ms=10_000, is_idempotent=False)
+            await shard.sleep_s(3)
+            worker = shard.workers[shard.list_starts("j1")[0].worker_id]
+            worker.is_cut = True
+            await shard.sleep_s(SETTINGS.lapse_ms / 1000.0 + 20)
+            worker.is_cut = False
+            await shard.sleep_s(20)
+            (start,) = shard.list_starts("j1")
+            self.assertEqual(start.state, "finished")
+            self._assert_ended(owner, "j1", ResultCode.OUTCOME_UNKNOWN)
+            self._check(shard)
+
+        run_shard(scenario)
+
     def test_job_that_must_not_repeat_is_not_started_again(self):
         # A worker falls silent with a billing run that must run at most once. Nobody
         # can tell whether it ended, so it is told as unknown and never started again.
