--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -25,7 +25,6 @@
     DecodeError,
     HistoryLostError,
     LeaseLostError,
-    PreconditionError,
     StoreError,
     StoreUnavailableError,
 )
@@ -35,6 +34,7 @@
     Item,
     KeyValueStore,
     Listing,
+    PreconditionError,
     Put,
     Transaction,
 )
