Log advice that can't be read, and not the going of entries that never counted

An answer of the advice service that can't be read counted as none without a line. The removal of a key that no worker of ours stands behind was logged as a lost worker.

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -84,7 +84,7 @@
     TASK_ENDED = (1611, Level.INFO, "A worker listed the end of a task.")
     TASK_STOPPED = (1612, Level.INFO, "A worker took an order to stop a task.")
     ADVICE_TAKEN = (1613, Level.INFO, "The advice service was asked about a step.")
-    ANSWER_INVALID = (1614, Level.ERROR, "A worker's answer, or a row, can't be read.")
+    ANSWER_INVALID = (1614, Level.ERROR, "An answer, or a row of it, can't be read.")
 
     def __init__(self, number: int, level: Level, description: str) -> None:
         self.number = number
--- a/trefoilhook/platform/advice.py
+++ b/trefoilhook/platform/advice.py
@@ -38,7 +38,13 @@
     async def ask(
         self, request: AdviceRequest, *, timeout_ms: float
     ) -> tuple[Grant, ...] | None:
-        """Return the workers that may run the step; None when there was no answer."""
+        """Return the workers that may run the step; None when there was no answer.
+
+        Raises
+        ------
+        DecodeError
+            If the answer can't be read.
+        """
         body = {
             "step": ".".join(str(part) for part in request.step),
             "workers": list(request.workers),
@@ -47,11 +53,9 @@
             response = await self._client.exchange(
                 "POST", "/trefoilhook/advise", timeout_ms=timeout_ms, body=body
             )
-            if response.status != 200:
-                return None
-            return _decode_grants(response.body)
-        except (TransportError, DecodeError):
+        except TransportError:
             return None
+        return _decode_grants(response.body) if response.status == 200 else None
 
     async def close(self) -> None:
         """Close the idle connection."""
--- a/trefoilhook/platform/tests/test_answers.py
+++ b/trefoilhook/platform/tests/test_answers.py
@@ -293,8 +293,9 @@
         bodies = (b"", NESTED, b"{}", b'{"granted":"w"}')
         bodies += tuple(f'{{"granted":[["v","t"],{row}]}}'.encode() for row in rows)
         for body in bodies:
-            with self.subTest(body=body[:30]):
-                self.assertIsNone(self.call(body, ask))
+            with self.subTest(body=body[:30]), self.assertRaises(DecodeError):
+                self.call(body, ask)
+        self.assertIsNone(self.call(b"", ask, status=429))
         (grant,) = self.call(b'{"granted":[["w","t"]]}', ask)
         self.assertEqual((grant.worker_id, grant.ticket), ("w", "t"))
 
--- a/trefoilhook/runtime/advising.py
+++ b/trefoilhook/runtime/advising.py
@@ -3,12 +3,17 @@
 from collections.abc import Callable
 
 from trefoilhook.clock import Clock
+from trefoilhook.exceptions import DecodeError
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import AdviceClient
+from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.scheduling import Scheduler, choose_advised
 
 __all__ = ["ask_for_advice"]
 
+_SERVICE = "advice"
+"""What the service is called in log lines."""
+
 _IDLE_PAUSE_MS = 10.0
 """Pause between two looks at what is wanted, in ms: a round wants a step each 6 ms at
 most, and an answer takes longer than this by itself."""
@@ -26,6 +31,7 @@
     client: AdviceClient,
     clock: Clock,
     scheduler: Scheduler,
+    rejections: Rejections,
     notify: Callable[[], None],
 ) -> None:
     """Ask about the steps that want it, one call at a time, for good.
@@ -38,6 +44,8 @@
         Where time comes from.
     scheduler : Scheduler
         Whose steps are meant.
+    rejections : Rejections
+        Told of answers that can't be read; each counts as none.
     notify : callable
         Called after each answer.
     """
@@ -49,7 +57,12 @@
         request, advice = chosen
         own_ms = advice.decision_ms + advice.per_worker_ms * len(request.workers)
         asked_ms = clock.monotonic_ms()
-        grants = await client.ask(request, timeout_ms=own_ms + _EXTRA_TIMEOUT_MS)
+        grants = None
+        try:
+            grants = await client.ask(request, timeout_ms=own_ms + _EXTRA_TIMEOUT_MS)
+            rejections.accept(Event.ANSWER_INVALID, _SERVICE)
+        except DecodeError as error:
+            rejections.report(Event.ANSWER_INVALID, _SERVICE, str(error))
         log_event(
             Event.ADVICE_TAKEN,
             job=request.step[0],
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -216,7 +216,12 @@
         if self._settings.advice_address is not None:
             advice = AdviceClient(address=self._settings.advice_address)
             nursery.start_soon(
-                ask_for_advice, advice, self._clock, self._scheduler, self.wake
+                ask_for_advice,
+                advice,
+                self._clock,
+                self._scheduler,
+                self._rejections,
+                self.wake,
             )
         await self._plan(nursery)
 
@@ -362,8 +367,9 @@
                 worker_id = change.key.removeprefix(WORKER_PREFIX)
                 self._rejections.accept(Event.REPORT_INVALID, change.key)
                 self._unnamed.pop(change.key, None)
-                self._scheduler.unlist_worker(worker_id)
-                log_event(Event.WORKER_LOST, worker=worker_id, why="unlisted")
+                if worker_id in self._scheduler.workers:
+                    self._scheduler.unlist_worker(worker_id)
+                    log_event(Event.WORKER_LOST, worker=worker_id, why="unlisted")
             self._roster.wake()
             self.wake()
 
--- a/trefoilhook/runtime/tests/test_foreign.py
+++ b/trefoilhook/runtime/tests/test_foreign.py
@@ -137,6 +137,26 @@
 
         run_cluster(scenario, task_ms=60_000.0)
 
+    def test_entry_in_place_of_a_worker_at_a_takeover(self):
+        # A worker's entry is overwritten, and then the owner dies. The next one knows
+        # by the roster that tasks may run there, and not where it is: it starts them
+        # elsewhere once their leases are sure to be over.
+        async def scenario(cluster: Cluster) -> None:
+            owner = await cluster.wait_for_owner()
+            await self.submit(cluster, JOB, 1)
+            await cluster.wait_until(lambda: len(cluster.list_runs()) == 1)
+            (lost,) = [w for w in cluster.workers.values() if w.records]
+            cluster.store.write_bytes(f"servers/{lost.worker_id}", NESTED)
+            await trio.sleep(0.2)
+            owner.scope.cancel()
+            await owner.ended.wait()
+            await cluster.wait_for_owner()
+            await cluster.wait_until(lambda: len(cluster.list_runs()) == 2)
+            self.assertEqual(lost.records[0].how, "lapsed")
+            self.assertEqual(cluster.find_doubles(), [])
+
+        run_cluster(scenario, task_ms=60_000.0)
+
     def test_service_that_is_named_later(self):
         # Workers of a new service come before the configuration that names it.
         async def scenario(cluster: Cluster) -> None:
