--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -87,7 +87,7 @@
     WORKER_BACK = (1614, Level.INFO, "A worker answers looks again.")
     TASK_GIVEN_UP = (1615, Level.WARNING, "A run was given up without its end.")
     QUEUE_WAITS = (1616, Level.INFO, "Tasks have waited two seconds for a worker.")
-    ANSWER_INVALID = (1617, Level.ERROR, "A worker's answer, or a row, can't be read.")
+    ANSWER_INVALID = (1617, Level.ERROR, "An answer, or a row of it, can't be read.")
 
     def __init__(self, number: int, level: Level, description: str) -> None:
         self.number = number
