--- a/trefoilhook/burn/outcomes.py
+++ b/trefoilhook/burn/outcomes.py
@@ -96,7 +96,7 @@
 def _judge_finished(line: LogLine) -> JobOutcome | None:
     fields = line.fields
     phase = fields.get("phase")
-    if "objective_ms" not in fields or phase == "cancelled":
+    if phase == "cancelled" or not {"objective_ms", "late_ms"} <= fields.keys():
         return None
     objective_ms = float(fields["objective_ms"])
     return JobOutcome(
--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -104,6 +104,7 @@
         Event.JOB_FINISHED,
         Event.JOB_CANCELLED,
         Event.WORKER_LOST,
+        Event.WORKER_BACK,
         Event.ORDER_FAILED,
         Event.TASK_STARTED,
         Event.TASK_ENDED,
--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -122,6 +122,25 @@
             self.assertEqual(accepted[name], finished[name])
         self.assertGreaterEqual(finished["late_ms"], -finished["objective_ms"])
 
+    def test_refused_and_wrong_submissions_name_their_queue(self):
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            instance = cluster.instances[0]
+            with capture_lines() as captured:
+                await cluster.send(instance, "POST", PREFIX + JOB, b"no json")
+                cluster.store.fault = StoreFault.BUSY
+                await cluster.send(instance, "POST", PREFIX + JOB, build_body())
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=1, workers=1)
+        wrong = find_line(lines, "REQUEST_FAILED")
+        refused = find_line(lines, "REQUEST_REFUSED")
+        self.assertEqual(wrong["status"], 400)
+        self.assertEqual((wrong["job"], refused["job"]), (JOB, JOB))
+        self.assertTrue(wrong["queue"])
+        self.assertEqual(wrong["queue"], refused["queue"])
+
     def test_submission_of_a_known_job_is_told(self):
         # The answer to a transaction is lost; the next try finds the record and is
         # answered with success. No line said that the job had been accepted.
