--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -1,51 +1,47 @@
 """The work of a shard's owner: what the scheduler decides, carried out."""
 
 import contextlib
+import functools
 from collections.abc import Callable
 
 import attrs
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.exceptions import DecodeError, StoreError
+from trefoilhook.exceptions import DecodeError
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import (
-    WORKER_PREFIX,
     Address,
     AdviceClient,
-    Change,
     Item,
     KeyValueStore,
-    Listing,
     WorkerClient,
-    decode_worker_report,
 )
-from trefoilhook.runtime import keys
 from trefoilhook.runtime.advising import ask_for_advice
 from trefoilhook.runtime.commits import Committer
 from trefoilhook.runtime.figures import Figures
-from trefoilhook.runtime.following import follow
+from trefoilhook.runtime.jobfeed import JobFeed
 from trefoilhook.runtime.lag import LoopLag
+from trefoilhook.runtime.lapses import log_lapse
+from trefoilhook.runtime.loading import ShardContents, load_shard
 from trefoilhook.runtime.orders import carry_out
 from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Tenure
 from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.runtime.roster import Roster
 from trefoilhook.runtime.upkeep import Upkeep
 from trefoilhook.runtime.watching import WorkerWatch
+from trefoilhook.runtime.workerfeed import WorkerFeed
 from trefoilhook.scheduling import (
     SLOWEST_CLOCK,
     Configuration,
-    JobPhase,
-    Lapse,
     Order,
     OrderOutcome,
     Scheduler,
     SchedulerLimits,
     StartOrder,
     Worker,
+    WorkerReport,
     decode_interference,
-    decode_job_record,
-    decode_progress,
     is_settled,
     list_unheard,
     plan_orders,
@@ -60,9 +56,6 @@
 _MOST_NAMED = 5
 """Workers named in one line: enough to look at, and a line stays under 400 bytes."""
 
-_LOAD_RETRY_MS = 200.0
-"""Pause after a try to read the shard that failed, in ms."""
-
 _GATHER_MS = 6.0
 """How long a plan waits for more news, in ms: news come in bursts, as the tasks of a
 step end together, and one plan for all is cheaper."""
@@ -109,26 +102,6 @@
     advice_address: Address | None = None
 
 
-def _log_lapse(lapse: Lapse) -> None:
-    log_event(
-        Event.WORKER_LOST,
-        worker=lapse.worker_id,
-        why="leases lapsed",
-        listed=lapse.listed,
-        silent_ms=round(lapse.silent_ms),
-        given_up=len(lapse.given_up),
-        awaited=lapse.awaited,
-    )
-    for task, attempt in lapse.given_up:
-        log_event(
-            Event.TASK_GIVEN_UP,
-            task=str(task),
-            attempt=attempt,
-            worker=lapse.worker_id,
-            why="leases lapsed",
-        )
-
-
 class ShardOwner:
     """Carries out one tenure.
 
@@ -163,7 +136,6 @@
     ) -> None:
         self._figures = figures
         self._rejections = rejections
-        self._unnamed: dict[str, Item] = {}
         self._store = store
         self._clock = clock
         self._tenure = tenure
@@ -206,6 +178,14 @@
             depose=self._depose,
             meet=self._roster.wake,
         ).run
+        self._job_feed = JobFeed(
+            store=store,
+            clock=clock,
+            tenure=tenure,
+            scheduler=self._scheduler,
+            rejections=rejections,
+            notify=self._wake_all,
+        )
         self._clients: dict[str, WorkerClient] = {}
         self._earlier_roster: tuple[str, ...] = ()
         self._settled = False
@@ -236,9 +216,18 @@
                     await client.close()
 
     async def _work(self, nursery: trio.Nursery) -> None:
-        jobs, workers = await self._load()
-        nursery.start_soon(self._follow_jobs, jobs)
-        nursery.start_soon(self._follow_workers, nursery, workers)
+        contents = await self._load()
+        nursery.start_soon(self._job_feed.follow, contents.jobs)
+        worker_feed = WorkerFeed(
+            store=self._store,
+            clock=self._clock,
+            scheduler=self._scheduler,
+            rejections=self._rejections,
+            read_configuration=self._read_configuration,
+            meet=functools.partial(self._meet, nursery),
+            notify=self._wake_for_workers,
+        )
+        nursery.start_soon(worker_feed.follow, contents.workers)
         nursery.start_soon(self._committer.run)
         nursery.start_soon(self._roster.keep)
         upkeep = Upkeep(
@@ -263,38 +252,23 @@
                 self._rejections,
                 self.wake,
             )
-        await self._plan(nursery)
+        await self._plan(nursery, worker_feed)
 
     # What stands in the store.
 
-    async def _load(self) -> tuple[Listing, Listing]:
-        """Take in all that earlier owners left, trying until it is read."""
-        while True:
-            try:
-                workers = await self._store.list_items(WORKER_PREFIX)
-                progress = await self._store.list_items(
-                    keys.progress_prefix(keys.SHARD)
-                )
-                # Jobs after progress: a job whose end is written in between is then
-                # seen ended, never open without what was done of it.
-                jobs = await self._store.list_items(keys.job_prefix(keys.SHARD))
-                roster = await self._store.get(keys.roster_key(keys.SHARD))
-                learned = await self._store.get(keys.learned_key(keys.SHARD))
-                break
-            except StoreError:
-                await self._clock.sleep_ms(_LOAD_RETRY_MS)
-        self._take_roster(roster)
-        self._take_learned(learned)
-        known = {keys.read_job_id(item.key): item for item in progress.items}
-        for item in jobs.items:
-            self._take_job(item, known.get(keys.read_job_id(item.key)))
+    async def _load(self) -> ShardContents:
+        """Take in all that earlier owners left."""
+        contents = await load_shard(self._store, self._clock)
+        self._take_roster(contents.roster)
+        self._take_learned(contents.learned)
+        self._job_feed.take_loaded(contents.jobs, contents.progress)
         log_event(
             Event.SHARD_LOADED,
             epoch=self._tenure.epoch,
-            jobs=len(jobs.items),
-            workers=len(workers.items),
+            jobs=len(contents.jobs.items),
+            workers=len(contents.workers.items),
         )
-        return jobs, workers
+        return contents
 
     def _take_roster(self, item: Item | None) -> None:
         try:
@@ -320,139 +294,23 @@
                 Event.ENTRY_INVALID, item.key, str(error), revision=item.revision
             )
 
-    def _take_job(self, item: Item, progress: Item | None = None) -> None:
-        """Take in a job's record, or hold the job back if it can't be read.
-
-        Without its progress a job can't be told from one that has just come, and tasks
-        of it that are done would run again. So it stays held back in this tenure, also
-        when its record alone is mended: that brings no progress with it.
-        """
-        job_id = keys.read_job_id(item.key)
-        try:
-            record = decode_job_record(item.value)
-            if record.job.job_id != job_id:
-                raise DecodeError("job_id: not the key's")
-        except DecodeError as error:
-            self._hold_back(job_id, item, error)
-            return
-        try:
-            done = decode_progress(progress.value) if progress is not None else None
-        except DecodeError as error:
-            self._hold_back(job_id, progress, error)
-            return
-        self._rejections.accept(Event.ENTRY_INVALID, item.key)
-        if job_id in self._scheduler.held_back:
-            return
-        if job_id in self._scheduler.jobs:
-            if record.phase is JobPhase.CANCELLED:
-                self._scheduler.cancel_job(job_id, revision=item.revision)
-            return
-        self._scheduler.add_job(
-            record,
-            revision=item.revision,
-            certain=item.created > self._tenure.owner_revision,
-            wall_ms=self._clock.wall_ms(),
-            progress=done,
-            progress_revision=progress.revision if progress is not None else 0,
-        )
-
-    def _hold_back(self, job_id: str, item: Item | None, error: DecodeError) -> None:
-        self._reject(item, error)
-        if job_id not in self._scheduler.jobs:
-            self._scheduler.held_back.add(job_id)
-
-    async def _follow_jobs(self, listing: Listing) -> None:
-        def take_listing(fresh: Listing) -> None:
-            for item in fresh.items:
-                self._take_job(item)
-            self._wake_all()
-
-        def take_change(change: Change) -> None:
-            if change.item is None:
-                job_id = keys.read_job_id(change.key)
-                self._scheduler.held_back.discard(job_id)
-                return
-            self._take_job(change.item)
-            self._wake_all()
-
-        await follow(
-            self._store,
-            self._clock,
-            keys.job_prefix(keys.SHARD),
-            take_listing=take_listing,
-            take_change=take_change,
-            listing=listing,
-        )
-
     def _wake_all(self) -> None:
         self.wake()
         self._committer.wake()
 
-    async def _follow_workers(self, nursery: trio.Nursery, listing: Listing) -> None:
-        def take_listing(fresh: Listing) -> None:
-            listed = set()
-            self._unnamed.clear()
-            for item in fresh.items:
-                listed.add(item.key.removeprefix(WORKER_PREFIX))
-                self._take_worker(nursery, item)
-            for worker_id in set(self._scheduler.workers) - listed:
-                self._scheduler.unlist_worker(worker_id)
-            self._roster.wake()
-
-        def take_change(change: Change) -> None:
-            if change.item is not None:
-                self._take_worker(nursery, change.item)
-            else:
-                worker_id = change.key.removeprefix(WORKER_PREFIX)
-                self._rejections.accept(Event.REPORT_INVALID, change.key)
-                self._unnamed.pop(change.key, None)
-                if worker_id in self._scheduler.workers:
-                    self._scheduler.unlist_worker(worker_id)
-                    log_event(Event.WORKER_LOST, worker=worker_id, why="unlisted")
-            self._roster.wake()
-            self.wake()
-
-        take_listing(listing)
-        await follow(
-            self._store,
-            self._clock,
-            WORKER_PREFIX,
-            take_listing=take_listing,
-            take_change=take_change,
-            listing=listing,
-        )
-
-    def _take_worker(self, nursery: trio.Nursery, item: Item) -> None:
-        self._unnamed.pop(item.key, None)
-        try:
-            report = decode_worker_report(item.key, item.value)
-            if report.service not in self._read_configuration().services:
-                self._unnamed[item.key] = item
-                raise DecodeError("service: not in the configuration")
-        except DecodeError as error:
-            self._rejections.report(
-                Event.REPORT_INVALID, item.key, str(error), revision=item.revision
-            )
-            self._scheduler.bar_worker(item.key.removeprefix(WORKER_PREFIX))
-            return
-        self._rejections.accept(Event.REPORT_INVALID, item.key)
-        is_new = report.worker_id not in self._scheduler.workers
-        self._scheduler.update_worker(report)
-        if is_new:
-            client = WorkerClient(report=report, read_timeout=self._read_timeout)
-            self._clients[report.worker_id] = client
-            worker = self._scheduler.workers[report.worker_id]
-            worker.rostered = report.worker_id in self._roster.workers
-            nursery.start_soon(self._watch, worker, client)
-
-    def _take_unnamed(self, nursery: trio.Nursery) -> None:
-        """Look again at workers of services that the configuration didn't name."""
-        for item in list(self._unnamed.values()):
-            self._take_worker(nursery, item)
+    def _wake_for_workers(self) -> None:
         self._roster.wake()
+        self.wake()
 
     # What runs on the workers.
 
+    def _meet(self, nursery: trio.Nursery, report: WorkerReport) -> None:
+        client = WorkerClient(report=report, read_timeout=self._read_timeout)
+        self._clients[report.worker_id] = client
+        worker = self._scheduler.workers[report.worker_id]
+        worker.rostered = report.worker_id in self._roster.workers
+        nursery.start_soon(self._watch, worker, client)
+
     async def _watch(self, worker: Worker, client: WorkerClient) -> None:
         await self._watch_worker(worker, client)
         worker_id = worker.report.worker_id
@@ -474,7 +332,7 @@
         now_ms = self._clock.monotonic_ms()
         self._lag.note(now_ms - began_ms - _GATHER_MS, now_ms)
 
-    async def _plan(self, nursery: trio.Nursery) -> None:
+    async def _plan(self, nursery: trio.Nursery, worker_feed: WorkerFeed) -> None:
         while True:
             with trio.move_on_after(_TICK_MS / 1000.0):
                 await self._wake.wait()
@@ -482,12 +340,12 @@
             await self._gather()
             self._wake = trio.Event()
             began_ms = self._clock.monotonic_ms()
-            self._plan_once(nursery)
+            self._plan_once(nursery, worker_feed)
             now_ms = self._clock.monotonic_ms()
             # No timer tells of the plan itself: everything else waits meanwhile.
             self._lag.note(now_ms - began_ms, now_ms)
 
-    def _plan_once(self, nursery: trio.Nursery) -> None:
+    def _plan_once(self, nursery: trio.Nursery, worker_feed: WorkerFeed) -> None:
         now_ms = self._clock.monotonic_ms()
         if now_ms >= self._tenure.valid_until_ms:
             # The lease may have run out while the machine was frozen: another owner
@@ -500,9 +358,9 @@
         configuration = self._read_configuration()
         if configuration.version != scheduler.configuration.version:
             scheduler.set_configuration(configuration)
-            self._take_unnamed(nursery)
+            worker_feed.take_unnamed()
         for lapse in scheduler.release_lapsed(now_ms):
-            _log_lapse(lapse)
+            log_lapse(lapse)
         if not self._settled and is_settled(scheduler, self._earlier_roster, now_ms):
             self._settled = True
             self._roster.settle()
--- /dev/null
+++ b/trefoilhook/runtime/workerfeed.py
@@ -0,0 +1,121 @@
+"""The workers that the store lists, taken into the state of a shard's owner."""
+
+from collections.abc import Callable
+
+from trefoilhook.clock import Clock
+from trefoilhook.exceptions import DecodeError
+from trefoilhook.logs import Event, log_event
+from trefoilhook.platform import (
+    WORKER_PREFIX,
+    Change,
+    Item,
+    KeyValueStore,
+    Listing,
+    decode_worker_report,
+)
+from trefoilhook.runtime.following import follow
+from trefoilhook.runtime.rejections import Rejections
+from trefoilhook.scheduling import Configuration, Scheduler, WorkerReport
+
+__all__ = ["WorkerFeed"]
+
+
+class WorkerFeed:
+    """Reads the entries of workers for one tenure.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        Where they are.
+    clock : Clock
+        Where time comes from.
+    scheduler : Scheduler
+        Where they go.
+    rejections : Rejections
+        Told of what can't be read.
+    read_configuration : callable
+        Returns the configuration in force.
+    meet : callable
+        Called with the report of each worker that wasn't known.
+    notify : callable
+        Called after each change.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: KeyValueStore,
+        clock: Clock,
+        scheduler: Scheduler,
+        rejections: Rejections,
+        read_configuration: Callable[[], Configuration],
+        meet: Callable[[WorkerReport], None],
+        notify: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._scheduler = scheduler
+        self._rejections = rejections
+        self._read_configuration = read_configuration
+        self._meet = meet
+        self._notify = notify
+        self._unnamed: dict[str, Item] = {}
+
+    async def follow(self, listing: Listing) -> None:
+        """Take a listing in, and every change after it, for good."""
+        self._take_listing(listing)
+        await follow(
+            self._store,
+            self._clock,
+            WORKER_PREFIX,
+            take_listing=self._take_listing,
+            take_change=self._take_change,
+            listing=listing,
+        )
+
+    def take_unnamed(self) -> None:
+        """Look again at workers of services that the configuration didn't name."""
+        for item in list(self._unnamed.values()):
+            self._take_worker(item)
+        self._notify()
+
+    def _take_listing(self, listing: Listing) -> None:
+        listed = set()
+        self._unnamed.clear()
+        for item in listing.items:
+            listed.add(item.key.removeprefix(WORKER_PREFIX))
+            self._take_worker(item)
+        for worker_id in set(self._scheduler.workers) - listed:
+            self._scheduler.unlist_worker(worker_id)
+        self._notify()
+
+    def _take_change(self, change: Change) -> None:
+        if change.item is not None:
+            self._take_worker(change.item)
+        else:
+            worker_id = change.key.removeprefix(WORKER_PREFIX)
+            self._rejections.accept(Event.REPORT_INVALID, change.key)
+            self._unnamed.pop(change.key, None)
+            if worker_id in self._scheduler.workers:
+                self._scheduler.unlist_worker(worker_id)
+                log_event(Event.WORKER_LOST, worker=worker_id, why="unlisted")
+        self._notify()
+
+    def _take_worker(self, item: Item) -> None:
+        self._unnamed.pop(item.key, None)
+        try:
+            report = decode_worker_report(item.key, item.value)
+            if report.service not in self._read_configuration().services:
+                self._unnamed[item.key] = item
+                raise DecodeError("service: not in the configuration")
+        except DecodeError as error:
+            self._rejections.report(
+                Event.REPORT_INVALID, item.key, str(error), revision=item.revision
+            )
+            self._scheduler.bar_worker(item.key.removeprefix(WORKER_PREFIX))
+            return
+        self._rejections.accept(Event.REPORT_INVALID, item.key)
+        is_new = report.worker_id not in self._scheduler.workers
+        self._scheduler.update_worker(report)
+        if is_new:
+            self._meet(report)
