--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -16,6 +16,7 @@
 from bench.capacity.memory import measure_configuration, measure_keys
 from bench.capacity.mesh import measure_calls, measure_inner
 from bench.capacity.page import rewrite_page
+from bench.capacity.running import rewrite_running
 from bench.capacity.shard import measure_book
 from trefoilhook.logs import configure_logs
 
@@ -50,6 +51,7 @@
         f" {time.monotonic() - started_s:.0f} s (it keeps at most two busy itself)."
     )
     rewrite_page(PAGE, slopes, note=note)
+    rewrite_running(PAGE)
 
 
 if __name__ == "__main__":
--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -3,12 +3,13 @@
 import math
 import pathlib
 import re
+from collections.abc import Iterable
 
 from bench.capacity.fit import Slope, Slopes
 from bench.capacity.sums import build_rows
 from bench.capacity.target import Row
 
-__all__ = ["rewrite_page"]
+__all__ = ["render_rows", "render_slopes", "rewrite_block", "rewrite_page"]
 
 _BEGIN = "<!-- {name}: written by make capacity -->"
 _END = "<!-- end of {name} -->"
@@ -46,7 +47,8 @@
     )
 
 
-def _render_slopes(slopes: Slopes) -> str:
+def render_slopes(slopes: Iterable[Slope]) -> str:
+    """Render lines as a table."""
     head = (
         "| role | what | carried by | axis | measured | slope | intercept "
         "| residual |\n"
@@ -55,7 +57,8 @@
     return "\n".join([head, *map(_render_slope, slopes)])
 
 
-def _render_rows(rows: list[Row]) -> str:
+def render_rows(rows: Iterable[Row]) -> str:
+    """Render figures at the size aimed at as a table."""
     head = "| role | what | sum | result | limit | fits |\n|---|---|---|---|---|---|"
     return "\n".join([head, *map(_render_row, rows)])
 
@@ -68,10 +71,15 @@
     return pattern.sub(lambda _: f"{begin}\n{body}\n{end}", text)
 
 
+def rewrite_block(path: pathlib.Path, name: str, body: str) -> None:
+    """Write one table into the page, leaving the rest as it is."""
+    path.write_text(_replace(path.read_text(), name, body))
+
+
 def rewrite_page(path: pathlib.Path, slopes: Slopes, *, note: str) -> None:
     """Write the tables into the page, leaving the rest as it is."""
     text = path.read_text()
     text = _replace(text, "run", note)
-    text = _replace(text, "slopes", _render_slopes(slopes))
-    text = _replace(text, "sums", _render_rows(build_rows(slopes)))
+    text = _replace(text, "slopes", render_slopes(slopes))
+    text = _replace(text, "sums", render_rows(build_rows(slopes)))
     path.write_text(text)
--- a/bench/rounds.py
+++ b/bench/rounds.py
@@ -14,16 +14,25 @@
 )
 from trefoilhook.scheduling.tests.cases import FakeWorker, Shard, build_job
 
-_IMAGES = 10
-_FILLER_IMAGES = 18
-_FILLER_STEP = Step(
+__all__ = [
+    "FILLER_IMAGES",
+    "FILLER_STEP",
+    "IMAGES",
+    "SERVICE_STEP",
+    "build_shard",
+    "learn_weights",
+]
+
+IMAGES = 10
+FILLER_IMAGES = 18
+FILLER_STEP = Step(
     count=20,
     demand=Demand(cpu=3500, memory_mb=6400),
     estimate_ms=2200.0,
     filler=True,
     checkpointing=True,
 )
-_SERVICE_STEP = Step(
+SERVICE_STEP = Step(
     count=14,
     demand=Demand(cpu=6400, memory_mb=13_000),
     long_running=True,
@@ -35,7 +44,8 @@
 )
 
 
-def _build_shard(count: int) -> Shard:
+def build_shard(count: int) -> Shard:
+    """Build a shard of workers that have answered once and run nothing."""
     shard = Shard(workers=0)
     for number in range(count):
         worker_id = f"w{number}"
@@ -56,9 +66,10 @@
     return shard
 
 
-def _learn(shard: Shard, choices: random.Random) -> None:
-    for victim in range(_IMAGES):
-        for filler in range(_FILLER_IMAGES):
+def learn_weights(shard: Shard, choices: random.Random) -> None:
+    """Have every pair of images known, three in five as heavy."""
+    for victim in range(IMAGES):
+        for filler in range(FILLER_IMAGES):
             cost = 0.1 * choices.choice((0.8, 0.8, 9.0, 9.0, 9.0))
             for _ in range(10):
                 shard.scheduler.interference.learn_change(
@@ -94,17 +105,17 @@
 
 def _measure(count: int) -> None:
     choices = random.Random(count)
-    shard = _build_shard(count)
-    _learn(shard, choices)
+    shard = build_shard(count)
+    learn_weights(shard, choices)
     for number in range(count // 4):
-        step = attrs.evolve(_SERVICE_STEP, image=f"s{number % _IMAGES}")
+        step = attrs.evolve(SERVICE_STEP, image=f"s{number % IMAGES}")
         shard.submit(build_job(step, job_id=f"service-{number}"))
     _plan(shard)
     rows = []
     for turn in range(5):
         for number in range(count // 6):
-            image = f"f{choices.randrange(_FILLER_IMAGES)}"
-            step = attrs.evolve(_FILLER_STEP, image=image)
+            image = f"f{choices.randrange(FILLER_IMAGES)}"
+            step = attrs.evolve(FILLER_STEP, image=image)
             shard.submit(build_job(step, job_id=f"filler-{turn}-{number}"))
         rows.append(_plan(shard))
     waiting = len(shard.scheduler.waiting)
