--- a/trefoilhook/jobs/tests/test_runner.py
+++ b/trefoilhook/jobs/tests/test_runner.py
@@ -137,7 +137,7 @@
         # A roster build ends as done behind a cut, and its worker keeps the end. No
         # lease is left two leases later: that proves that nothing runs there, not that
         # nothing ended, yet the job is started again. Its operator sees it done twice.
-        # A job may be repeated unless declared otherwise, so no promise is broken.
+        # It is declared idempotent, so its promise is kept; the work is wasted.
         async def scenario(shard: Shard) -> None:
             owner = shard.start_owner("i0")
             await shard.submit(owner, "j1", run_ms=10_000)
