--- a/trefoilhook/platform/__init__.py
+++ b/trefoilhook/platform/__init__.py
@@ -30,6 +30,7 @@
 from trefoilhook.platform.settings import (
     SETTINGS_VARIABLE,
     Bounds,
+    InstanceSize,
     ProcessSettings,
     parse_settings,
 )
@@ -49,6 +50,7 @@
     "Changes",
     "ConfigurationDocument",
     "Expectation",
+    "InstanceSize",
     "Item",
     "KeyValueStore",
     "Listing",
