--- a/trefoilhook/platform/__init__.py
+++ b/trefoilhook/platform/__init__.py
@@ -5,6 +5,7 @@
 from trefoilhook.platform.declarations import (
     CONFIGURATION_KEY,
     WORKER_PREFIX,
+    ConfigurationDocument,
     decode_configuration,
     decode_job,
     decode_worker_report,
@@ -15,23 +16,25 @@
     answer_state,
     read_client_timeout,
 )
-from trefoilhook.platform.settings import (
-    SETTINGS_VARIABLE,
-    Bounds,
-    ProcessSettings,
-    parse_settings,
-)
-from trefoilhook.platform.store import (
+from trefoilhook.platform.messages import (
     MAX_ROWS,
     Change,
     Changes,
     Expectation,
     Item,
-    KeyValueStore,
     Listing,
+    PreconditionError,
     Put,
     Transaction,
 )
+from trefoilhook.platform.settings import (
+    SETTINGS_VARIABLE,
+    Bounds,
+    InstanceSize,
+    ProcessSettings,
+    parse_settings,
+)
+from trefoilhook.platform.store import KeyValueStore
 from trefoilhook.platform.workers import LookRequest, WorkerClient
 
 __all__ = [
@@ -45,11 +48,14 @@
     "Bounds",
     "Change",
     "Changes",
+    "ConfigurationDocument",
     "Expectation",
+    "InstanceSize",
     "Item",
     "KeyValueStore",
     "Listing",
     "LookRequest",
+    "PreconditionError",
     "ProcessSettings",
     "Put",
     "Transaction",
--- a/trefoilhook/runtime/commits.py
+++ b/trefoilhook/runtime/commits.py
@@ -10,17 +10,14 @@
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.exceptions import (
-    LeaseLostError,
-    PreconditionError,
-    StoreError,
-)
+from trefoilhook.exceptions import DecodeError, LeaseLostError, StoreError
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import (
     MAX_ROWS,
     Expectation,
     Item,
     KeyValueStore,
+    PreconditionError,
     Put,
     Transaction,
 )
@@ -239,7 +236,12 @@
             return
         if item.revision == state.revision:
             return
-        phase = decode_job_record(item.value).phase
+        try:
+            phase = decode_job_record(item.value).phase
+        except DecodeError:
+            # Another writer's: the end is known here, and goes in its place.
+            state.revision = item.revision
+            return
         if phase is JobPhase.CANCELLED and state.phase is not phase:
             self._scheduler.cancel_job(state.job.job_id, revision=item.revision)
         elif phase is state.phase:
--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import math
 import uuid
 from collections.abc import Awaitable, Callable
 
@@ -14,10 +15,16 @@
 import trio
 
 from trefoilhook.clock import Clock
+from trefoilhook.decoding import (
+    MOST_INTEGER,
+    parse_table,
+    read_integer,
+    read_number,
+)
 from trefoilhook.exceptions import (
+    DecodeError,
     HistoryLostError,
     LeaseLostError,
-    PreconditionError,
     StoreError,
     StoreUnavailableError,
 )
@@ -27,11 +34,14 @@
     Item,
     KeyValueStore,
     Listing,
+    PreconditionError,
     Put,
     Transaction,
 )
 from trefoilhook.runtime import keys
+from trefoilhook.runtime.fitness import compute_deference
 from trefoilhook.runtime.following import WATCH_WAIT_MS
+from trefoilhook.runtime.rejections import Rejections
 
 __all__ = ["OWNER_LEASE_MS", "Campaign", "Tenure"]
 
@@ -81,6 +91,15 @@
     released: bool = False
 
 
+def _read_fitness(epoch: Item) -> float:
+    """Return the fitness of the fittest owner so far; 0 where it isn't told."""
+    try:
+        return read_number(parse_table(epoch.value), "fitness", most=1.0, default=0.0)
+    except DecodeError:
+        # Logged where the epoch is read; without it this instance just doesn't wait.
+        return 0.0
+
+
 class Campaign:
     """Claims the shard whenever it has no owner, and leads it then.
 
@@ -96,6 +115,10 @@
         Awaited with each tenure; works until the tenure is over.
     may_claim : callable
         Tells whether this instance is fit to own a shard.
+    rejections : Rejections
+        Told of an epoch that can't be read.
+    fitness : float, optional
+        Share of an owner's needs that this instance can meet.
     """
 
     def __init__(
@@ -106,7 +129,11 @@
         name: str,
         lead: Callable[[Tenure], Awaitable[None]],
         may_claim: Callable[[], bool],
+        rejections: Rejections,
+        fitness: float = 1.0,
     ) -> None:
+        self._rejections = rejections
+        self._fitness = fitness
         self._store = store
         self._clock = clock
         # The name alone could be that of an earlier process on this machine.
@@ -149,11 +176,15 @@
             owner = item if item.key == keys.owner_key(keys.SHARD) else owner
             epoch = item if item.key == keys.epoch_key(keys.SHARD) else epoch
         after = listing.as_of
+        vacant_ms = self._clock.monotonic_ms()
         while not self._resigned:
-            if owner is None and self._is_fit():
+            left_ms = self._measure_deference(epoch, vacant_ms)
+            if owner is None and left_ms <= 0 and self._is_fit():
                 await self._claim(epoch)
                 return
-            wait_ms = WATCH_WAIT_MS if owner is not None else int(_PAUSE_MS)
+            wait_ms = WATCH_WAIT_MS
+            if owner is None:
+                wait_ms = math.ceil(left_ms if 0 < left_ms < _PAUSE_MS else _PAUSE_MS)
             try:
                 batch = await self._store.watch(
                     keys.ownership_prefix(keys.SHARD), after=after, wait_ms=wait_ms
@@ -164,18 +195,29 @@
             for change in batch.changes:
                 if change.key == keys.owner_key(keys.SHARD):
                     owner = change.item
+                    vacant_ms = self._clock.monotonic_ms()
                 elif change.key == keys.epoch_key(keys.SHARD):
                     epoch = change.item
 
+    def _measure_deference(self, epoch: Item | None, vacant_ms: float) -> float:
+        """Return how long a vacant shard is still left to fitter instances, in ms."""
+        # Before the first claim nothing tells whether there is a fitter one.
+        best = 1.0 if epoch is None else _read_fitness(epoch)
+        waited_ms = self._clock.monotonic_ms() - vacant_ms
+        return compute_deference(self._fitness, best) - waited_ms
+
     def _is_fit(self) -> bool:
         rested = self._clock.monotonic_ms() >= self._rest_until_ms
         return rested and self._may_claim()
 
     async def _claim(self, epoch: Item | None) -> None:
-        number = json.loads(epoch.value)["epoch"] + 1 if epoch is not None else 1
+        number = self._read_epoch(epoch) + 1
         granted_ms = self._clock.monotonic_ms()
         lease = await self._store.grant_lease(OWNER_LEASE_MS)
-        value = json.dumps({"holder": self._holder, "epoch": number}).encode()
+        best = max(self._fitness, _read_fitness(epoch) if epoch is not None else 0.0)
+        value = json.dumps(
+            {"holder": self._holder, "epoch": number, "fitness": round(best, 3)}
+        ).encode()
         claim = Transaction(
             expectations=(
                 Expectation(key=keys.owner_key(keys.SHARD), revision=0),
@@ -212,6 +254,27 @@
         )
         await self._serve(tenure)
 
+    def _read_epoch(self, item: Item | None) -> int:
+        """Return a number that no earlier owner's epoch is above.
+
+        Guards against a shard that nobody can claim, or that is claimed with a token
+        that workers refuse, after another writer wrote the key: each claim raised the
+        epoch by one and the store's revision by one at least, so that no epoch is above
+        the revision at which it was written, nor above any later one.
+        """
+        if item is None:
+            return 0
+        try:
+            table = parse_table(item.value)
+            number = read_integer(table, "epoch", most=min(item.revision, MOST_INTEGER))
+        except DecodeError as error:
+            self._rejections.report(
+                Event.ENTRY_INVALID, item.key, str(error), revision=item.revision
+            )
+            return item.revision
+        self._rejections.accept(Event.ENTRY_INVALID, item.key)
+        return number
+
     async def _find_claim(self, value: bytes) -> int | None:
         """Look up whether a claim without an answer was carried out."""
         item = await self._store.get(keys.owner_key(keys.SHARD))
--- a/trefoilhook/runtime/tests/test_process.py
+++ b/trefoilhook/runtime/tests/test_process.py
@@ -307,6 +307,64 @@
 
         run_cluster(scenario, task_ms=60_000.0)
 
+    def test_done_task_of_a_silent_worker_is_not_started_again(self):
+        # A worker's answers don't reach the owner for 7 s, though the store lists it.
+        # Its task is done meanwhile, and its lease of 5 s runs out. Taken for one that
+        # was never finished, it was started again on the other worker.
+        async def scenario(cluster: Cluster) -> None:
+            instance = await cluster.wait_for_owner()
+            await cluster.send(instance, "POST", PREFIX + JOB, build_body(1))
+            await cluster.wait_until(lambda: len(cluster.list_runs()) == 1)
+            (silent,) = [w for w in cluster.workers.values() if w.records]
+            silent.fault = WorkerFault.SILENT
+            await trio.sleep(7.0)
+            silent.fault = WorkerFault.NONE
+            await cluster.wait_for_state(instance, JOB, "completed")
+            self.assertEqual(cluster.find_doubles(), [])
+            self.assertEqual([run.how for run in cluster.list_runs()], ["done"])
+
+        run_cluster(scenario, task_ms=1000.0)
+
+    def test_takeover_does_not_wait_for_an_entry_that_never_answered(self):
+        # The store lists a worker that never answers anybody. Named in the roster, it
+        # kept every later owner from starting what had been accepted before.
+        async def scenario(cluster: Cluster) -> None:
+            ghost = await cluster.start_worker("ghost")
+            ghost.fault = WorkerFault.SILENT
+            owner = await cluster.wait_for_owner()
+            (other,) = [i for i in cluster.instances if i is not owner]
+            await cluster.send(other, "POST", PREFIX + JOB, build_body(1, 1))
+            await cluster.wait_until(lambda: len(cluster.list_runs()) == 1)
+            owner.scope.cancel()
+            with trio.fail_after(8.0):
+                await cluster.wait_for_state(other, JOB, "completed")
+            self.assertEqual(len(cluster.list_runs()), 2)
+            self.assertEqual(cluster.find_doubles(), [])
+
+        run_cluster(scenario, task_ms=500.0)
+
+    def test_silent_worker_is_known_to_the_owner_after_the_next(self):
+        # A worker with a task that is done is silent over two takeovers in a row. The
+        # first new owner wrote a roster of the workers that it had heard; the second
+        # one then didn't know of the silent worker, and started its task again.
+        async def scenario(cluster: Cluster) -> None:
+            owner = await cluster.wait_for_owner()
+            await cluster.send(owner, "POST", PREFIX + JOB, build_body(1))
+            await cluster.wait_until(lambda: len(cluster.list_runs()) == 1)
+            (silent,) = [w for w in cluster.workers.values() if w.records]
+            silent.fault = WorkerFault.SILENT
+            for _ in range(2):
+                owner.scope.cancel()
+                await owner.ended.wait()
+                owner = await cluster.wait_for_owner()
+                await cluster.start_worker(f"new-{owner.process.entry_port}")
+                await trio.sleep(1.0)
+            silent.fault = WorkerFault.NONE
+            await cluster.wait_for_state(owner, JOB, "completed")
+            self.assertEqual([run.how for run in cluster.list_runs()], ["done"])
+
+        run_cluster(scenario, instances=3, task_ms=500.0)
+
     def test_worker_restarts_under_a_new_id(self):
         async def scenario(cluster: Cluster) -> None:
             instance = await cluster.wait_for_owner()
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -21,6 +21,7 @@
 from trefoilhook.scheduling.messages import (
     End,
     EndKind,
+    Lapse,
     Look,
     Order,
     OrderOutcome,
@@ -29,6 +30,7 @@
     StartOrder,
     StopOrder,
     StopReason,
+    UnreadRow,
 )
 from trefoilhook.scheduling.models import (
     Advice,
@@ -69,6 +71,7 @@
     "JobChange",
     "JobPhase",
     "JobRecord",
+    "Lapse",
     "JobState",
     "Look",
     "Order",
@@ -83,6 +86,7 @@
     "Step",
     "StopOrder",
     "StopReason",
+    "UnreadRow",
     "TaskId",
     "TaskState",
     "Worker",
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -5,7 +5,7 @@
 from trefoilhook.scheduling.assignment import assign_waiting
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
-from trefoilhook.scheduling.messages import Order, StartOrder, StopOrder
+from trefoilhook.scheduling.messages import Order, StartOrder, StopOrder, StopReason
 from trefoilhook.scheduling.pacing import plan_paces
 from trefoilhook.scheduling.tickets import name_step
 from trefoilhook.scheduling.watchdog import stop_misplaced
@@ -16,21 +16,37 @@
 """A run's order is due when its time has come, or within this of it."""
 
 
-def is_settled(scheduler: Scheduler, unfenced: Iterable[str], now_ms: float) -> bool:
-    """Tell whether every task that an earlier owner started is known.
+def is_settled(scheduler: Scheduler, roster: Iterable[str], now_ms: float) -> bool:
+    """Tell whether what became of every task that an earlier owner started is known.
 
-    Its orders are ruled out once a worker has answered under this owner's fencing
-    token; for a worker that can't be reached, once the longest lease has run out.
+    Parameters
+    ----------
+    scheduler : Scheduler
+        The shard.
+    roster : iterable of str
+        Workers on which the earlier owner may have started a task.
+    now_ms : float
+        The time, in ms.
+
+    Notes
+    -----
+    An earlier owner's orders are ruled out once a worker has answered under this
+    owner's fencing token, which tells what runs and what has ended there, too. A worker
+    that can't be reached is given up once the longest lease has run out and the store
+    lists it no more. While it is listed it is alive, and may hold the end of a task
+    that was done; started again elsewhere, that task would be done twice.
     """
-    if now_ms >= scheduler.limits.settled_at_ms:
-        return True
-    return not list_unheard(scheduler, unfenced)
+    unheard = list_unheard(scheduler, roster)
+    if now_ms < scheduler.limits.settled_at_ms:
+        return not unheard
+    known = (scheduler.workers.get(worker_id) for worker_id in unheard)
+    return not any(worker is not None and worker.is_known_alive for worker in known)
 
 
 def list_unheard(scheduler: Scheduler, worker_ids: Iterable[str]) -> list[str]:
-    """Return those workers that haven't answered under this owner's fencing token."""
+    """Return those workers that haven't told this owner all that they know."""
     workers = ((name, scheduler.workers.get(name)) for name in worker_ids)
-    return [name for name, worker in workers if worker is None or not worker.fenced]
+    return [name for name, worker in workers if worker is None or not worker.is_known]
 
 
 def plan_orders(
@@ -71,6 +87,12 @@
         return None
     if run.order_due_ms > now_ms + _ORDER_DUE_MS or not worker.fenced:
         return None
+    if run.phase is RunPhase.STARTING and worker.is_awaited:
+        # Its time is over: the worker would refuse it, and looks want the connections.
+        return None
+    if run.phase is RunPhase.STARTING and not worker.usable:
+        # Sending it again would be a start on a worker that isn't to be used.
+        scheduler.request_stop(run, StopReason.UNCERTAIN)
     run.in_flight = True
     if run.phase is RunPhase.STOPPING:
         return StopOrder(
