Tell of each run that is given up why, in a line of its own

A restart that an order's answer proved wasn't logged at all. runtime/losses.py writes all three (leases lapsed, restarted, not listed) with silent_ms and listed. The refusal of a bad record names its queue like the others.

Ruled out: telling it from scheduling/looks.py, which does no input or output; what a look took from a worker is seen beside it in runtime/watching.py.

--- a/trefoilhook/runtime/intake.py
+++ b/trefoilhook/runtime/intake.py
@@ -261,8 +261,7 @@
         """
         for item in error.items:
             if self._decode_record(item) is None:
-                log_event(Event.REQUEST_REFUSED, job=target.job_id, why="bad record")
-                return _refuse()
+                return _refuse_request(target, "bad record")
         # By an earlier call of this one or another request: which, is unknown.
         self._log_acceptance(target, job, began_ms, known=True)
         return HttpResponse.from_json({})
--- /dev/null
+++ b/trefoilhook/runtime/losses.py
@@ -0,0 +1,90 @@
+"""Lines on runs that an owner gives up without an end of theirs.
+
+Each tells why its task is started again. On-call engineers tell by it a worker that
+fell silent from one that restarted, and both from an end that was noted and lost.
+"""
+
+from collections.abc import Iterable
+
+from trefoilhook.logs import Event, log_event
+from trefoilhook.scheduling import Lapse, Look, TaskId, Worker
+
+__all__ = ["log_lapse", "log_restart", "log_unlisted"]
+
+
+def log_lapse(lapse: Lapse) -> None:
+    """Log that every lease of a silent worker is over, and what was given up."""
+    log_event(
+        Event.WORKER_LOST,
+        worker=lapse.worker_id,
+        why="leases lapsed",
+        listed=lapse.listed,
+        silent_ms=round(lapse.silent_ms),
+        given_up=len(lapse.given_up),
+        awaited=lapse.awaited,
+    )
+    _log_given_up(
+        lapse.given_up,
+        worker_id=lapse.worker_id,
+        why="leases lapsed",
+        silent_ms=lapse.silent_ms,
+        listed=lapse.listed,
+    )
+
+
+def log_restart(worker: Worker, now_ms: float) -> None:
+    """Log that another life answers at a worker's address: all it ran is over."""
+    worker_id = worker.report.worker_id
+    log_event(Event.WORKER_LOST, worker=worker_id, why="restarted")
+    _log_given_up(
+        worker.runs,
+        worker_id=worker_id,
+        why="restarted",
+        silent_ms=now_ms - worker.clock_read_ms if worker.fenced else 0.0,
+        listed=worker.listed,
+    )
+
+
+def log_unlisted(
+    worker: Worker, held: Iterable[tuple[TaskId, int]], look: Look
+) -> None:
+    """Log the runs that a look took from a worker though it listed no end of theirs.
+
+    Parameters
+    ----------
+    worker : Worker
+        The worker, after the look was taken in.
+    held : iterable of (TaskId, int)
+        Tasks and attempts that it held before.
+    look : Look
+        What it listed.
+    """
+    ended = {(end.task, end.attempt) for end in look.ends}
+    gone = [run for run in held if run not in worker.runs and run not in ended]
+    _log_given_up(
+        gone,
+        worker_id=worker.report.worker_id,
+        why="not listed",
+        silent_ms=0.0,
+        listed=worker.listed,
+    )
+
+
+def _log_given_up(
+    runs: Iterable[tuple[TaskId, int]],
+    *,
+    worker_id: str,
+    why: str,
+    silent_ms: float,
+    listed: bool,
+) -> None:
+    for task, attempt in runs:
+        log_event(
+            Event.TASK_GIVEN_UP,
+            task=str(task),
+            attempt=attempt,
+            worker=worker_id,
+            why=why,
+            silent_ms=round(silent_ms),
+            listed=listed,
+        )
--- a/trefoilhook/runtime/orders.py
+++ b/trefoilhook/runtime/orders.py
@@ -4,6 +4,7 @@
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import WorkerClient
 from trefoilhook.runtime.figures import Figures
+from trefoilhook.runtime.losses import log_restart
 from trefoilhook.scheduling import (
     Order,
     OrderOutcome,
@@ -46,6 +47,9 @@
     if isinstance(order, PaceOrder):
         # It is ordered again as long as it matters.
         return outcome
+    worker = scheduler.workers.get(order.worker_id)
+    if outcome is OrderOutcome.OTHER_LIFE and worker is not None:
+        log_restart(worker, clock.monotonic_ms())
     take = take_stop_outcome if isinstance(order, StopOrder) else take_start_outcome
     take(
         scheduler,
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -26,6 +26,7 @@
 from trefoilhook.runtime.figures import Figures
 from trefoilhook.runtime.following import follow
 from trefoilhook.runtime.lag import LoopLag
+from trefoilhook.runtime.losses import log_lapse
 from trefoilhook.runtime.orders import carry_out
 from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Tenure
 from trefoilhook.runtime.rejections import Rejections
@@ -36,7 +37,6 @@
     SLOWEST_CLOCK,
     Configuration,
     JobPhase,
-    Lapse,
     Order,
     OrderOutcome,
     Scheduler,
@@ -109,26 +109,6 @@
     advice_address: Address | None = None
 
 
-def _log_lapse(lapse: Lapse) -> None:
-    log_event(
-        Event.WORKER_LOST,
-        worker=lapse.worker_id,
-        why="leases lapsed",
-        listed=lapse.listed,
-        silent_ms=round(lapse.silent_ms),
-        given_up=len(lapse.given_up),
-        awaited=lapse.awaited,
-    )
-    for task, attempt in lapse.given_up:
-        log_event(
-            Event.TASK_GIVEN_UP,
-            task=str(task),
-            attempt=attempt,
-            worker=lapse.worker_id,
-            why="leases lapsed",
-        )
-
-
 class ShardOwner:
     """Carries out one tenure.
 
@@ -502,7 +482,7 @@
             scheduler.set_configuration(configuration)
             self._take_unnamed(nursery)
         for lapse in scheduler.release_lapsed(now_ms):
-            _log_lapse(lapse)
+            log_lapse(lapse)
         if not self._settled and is_settled(scheduler, self._earlier_roster, now_ms):
             self._settled = True
             self._roster.settle()
--- a/trefoilhook/runtime/tests/test_foreign.py
+++ b/trefoilhook/runtime/tests/test_foreign.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from trefoilhook.logs.tests.lines import capture_lines
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.tests.cluster import (
     PREFIX,
@@ -12,7 +13,6 @@
     build_configuration,
     run_cluster,
 )
-from trefoilhook.runtime.tests.lines import collect_lines
 from trefoilhook.standins.platform_foreign import NESTED, build_foreign_entries
 from trefoilhook.standins.platform_worker import PlatformWorker, WorkerFault
 
@@ -45,7 +45,7 @@
             owner = await cluster.wait_for_owner()
             unlisted = await self.start_unlisted(cluster)
             entries = build_foreign_entries(unlisted.describe("s"))
-            with collect_lines() as lines:
+            with capture_lines() as lines:
                 for _ in range(5):
                     for number, entry in enumerate(entries):
                         cluster.store.write_bytes(f"servers/x{number}", entry)
@@ -260,7 +260,7 @@
 
             configuration = build_configuration(5, "/new/", "/bad/")
             configuration["routes"][1]["max_attempts"] = "3"
-            with collect_lines() as lines:
+            with capture_lines() as lines:
                 cluster.store.write("op/config", configuration)
                 await cluster.wait_for(is_new)
                 cluster.store.write_bytes("op/config", NESTED)
@@ -286,7 +286,7 @@
             await cluster.wait_for_owner()
             worker = cluster.workers["w0"]
             worker.odd_running = [[], ["no name", 1, "", 0], [f"{JOB}.0.0.0", "1"]]
-            with collect_lines() as lines:
+            with capture_lines() as lines:
                 await self.submit(cluster, JOB, 3)
                 await cluster.wait_for_state(cluster.instances[0], JOB, "completed")
                 await self.submit(cluster, LATER, 3)
--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -5,7 +5,19 @@
 import trio
 
 from trefoilhook.logs.tests.lines import capture_lines, count_lines, find_line
+from trefoilhook.runtime.losses import log_lapse, log_restart, log_unlisted
 from trefoilhook.runtime.tests.cluster import PREFIX, Cluster, build_body, run_cluster
+from trefoilhook.scheduling import (
+    Demand,
+    End,
+    EndKind,
+    Lapse,
+    Look,
+    TaskId,
+    Worker,
+    WorkerReport,
+)
+from trefoilhook.scheduling.fleet import Run, RunPhase
 from trefoilhook.standins.platform_store import StoreFault
 from trefoilhook.standins.platform_worker import WorkerFault
 
@@ -230,3 +242,94 @@
 
         run_cluster(scenario, instances=2, workers=2, task_ms=60_000.0)
         self.assertEqual(find_line(lines, "SHARD_SETTLED")["unheard"], ["w0"])
+
+
+class GivenUpLineTest(unittest.TestCase):
+    """Runs that are given up without an end of theirs."""
+
+    def _build_worker(self) -> tuple[Worker, TaskId]:
+        report = WorkerReport(
+            worker_id="w",
+            service="s",
+            host="127.0.0.1",
+            port=1,
+            failure_domain="z",
+            capacity=Demand(cpu=1000),
+        )
+        worker = Worker(report=report, fenced=True, clock_read_ms=400.0)
+        task = TaskId("j", 0, 0, 1)
+        worker.hold(
+            Run(
+                task=task,
+                attempt=7,
+                room=Demand(),
+                phase=RunPhase.RUNNING,
+                started_ms=0.0,
+            )
+        )
+        return worker, task
+
+    def test_given_up_table(self):
+        # A user's task ran twice. What was logged of its worker read the same whether
+        # the worker had been silent, had restarted or had not listed the task.
+        look = Look(clock_ms=0.0, running=(), ends=())
+        lapse = Lapse(
+            worker_id="w",
+            listed=True,
+            silent_ms=5160.4,
+            given_up=((TaskId("j", 0, 0, 1), 7),),
+            awaited=0,
+        )
+
+        def lose(worker: Worker) -> None:
+            worker.runs.clear()
+            log_unlisted(worker, [(TaskId("j", 0, 0, 1), 7)], look)
+
+        table = (
+            ("leases lapsed", 5160, lambda worker: log_lapse(lapse)),
+            ("restarted", 600, lambda worker: log_restart(worker, 1000.0)),
+            ("not listed", 0, lose),
+        )
+        for why, silent_ms, act in table:
+            with self.subTest(why), capture_lines() as lines:
+                worker, task = self._build_worker()
+                act(worker)
+                told = find_line(lines, "TASK_GIVEN_UP")
+                expected = {
+                    "task": str(task),
+                    "attempt": 7,
+                    "worker": "w",
+                    "why": why,
+                    "silent_ms": silent_ms,
+                    "listed": True,
+                }
+                self.assertEqual({**told, **expected}, told)
+
+    def test_run_whose_end_is_listed_is_not_given_up(self):
+        worker, task = self._build_worker()
+        held = list(worker.runs)
+        worker.runs.clear()
+        end = End(number=1, task=task, attempt=7, kind=EndKind.DONE, checkpoint="")
+        with capture_lines() as lines:
+            log_unlisted(worker, held, Look(clock_ms=0.0, running=(), ends=(end,)))
+        self.assertEqual(lines, [])
+
+    def test_runs_that_a_look_does_not_list_are_told(self):
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            instance = cluster.instances[0]
+            with capture_lines() as captured:
+                await cluster.send(instance, "POST", PREFIX + JOB, build_body(2))
+                await cluster.wait_until(lambda: len(cluster.list_runs()) == 2)
+                await cluster.wait_until(
+                    lambda: count_lines(captured)["TASK_STARTED"] == 2
+                )
+                cluster.workers["w0"].crash()
+                await cluster.wait_until(lambda: _has(captured, "TASK_GIVEN_UP"))
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=1, workers=1, task_ms=60_000.0)
+        reasons = [line["why"] for line in lines if "silent_ms" in line]
+        self.assertEqual(reasons, ["not listed", "not listed"])
+        self.assertEqual(count_lines(lines)["WORKER_LOST"], 0)
--- a/trefoilhook/runtime/watching.py
+++ b/trefoilhook/runtime/watching.py
@@ -10,6 +10,7 @@
 from trefoilhook.platform import LookRequest, WorkerClient
 from trefoilhook.runtime.commits import Committer
 from trefoilhook.runtime.figures import Figures
+from trefoilhook.runtime.losses import log_restart, log_unlisted
 from trefoilhook.runtime.ownership import Tenure
 from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.scheduling import (
@@ -106,6 +107,7 @@
                 outages.record_answer(sent_ms=sent_ms)
                 self._log_ends(worker, result)
                 is_first = not worker.fenced
+                held = list(worker.runs)
                 take_look(
                     self._scheduler,
                     worker_id,
@@ -113,6 +115,7 @@
                     sent_ms=sent_ms,
                     now_ms=self._clock.monotonic_ms(),
                 )
+                log_unlisted(worker, held, result)
                 self._notify()
                 if is_first:
                     self._meet()
@@ -122,7 +125,7 @@
                 self._depose()
                 return
             if result is OrderOutcome.OTHER_LIFE:
-                log_event(Event.WORKER_LOST, worker=worker_id, why="restarted")
+                log_restart(worker, self._clock.monotonic_ms())
                 self._scheduler.drop_worker(worker_id)
                 self._notify()
                 break
