--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -22,8 +22,8 @@
 from trefoilhook.runtime.figures import Figures
 from trefoilhook.runtime.jobfeed import JobFeed
 from trefoilhook.runtime.lag import LoopLag
-from trefoilhook.runtime.lapses import log_lapse
 from trefoilhook.runtime.loading import ShardContents, load_shard
+from trefoilhook.runtime.losses import log_lapse
 from trefoilhook.runtime.orders import carry_out
 from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Tenure
 from trefoilhook.runtime.rejections import Rejections
