--- a/trefoilhook/platform/store.py
+++ b/trefoilhook/platform/store.py
@@ -6,10 +6,9 @@
 
 import base64
 from collections.abc import Callable, Mapping
-from typing import Any, NoReturn, TypeVar
-
-import attrs
+from typing import Any, TypeVar
 
+from trefoilhook.clock import Clock
 from trefoilhook.decoding import (
     check_table,
     parse_table,
@@ -24,107 +23,40 @@
     HistoryLostError,
     LeaseLostError,
     NotSentError,
-    PreconditionError,
     StoreError,
     StoreRateError,
     StoreUnavailableError,
     StoreUnsentError,
 )
 from trefoilhook.http import HttpResponse, JsonClient
+from trefoilhook.logs import CallFailure, DependencyLog, Event
 from trefoilhook.platform.core import Address
+from trefoilhook.platform.messages import (
+    Change,
+    Changes,
+    Item,
+    Listing,
+    PreconditionError,
+    Transaction,
+)
 
-__all__ = [
-    "MAX_ROWS",
-    "Change",
-    "Changes",
-    "Expectation",
-    "Item",
-    "KeyValueStore",
-    "Listing",
-    "Put",
-    "Transaction",
-]
-
-MAX_ROWS = 32
-"""Most rows of one transaction, preconditions included; the platform's limit."""
+__all__ = ["KeyValueStore"]
 
 _Answer = TypeVar("_Answer")
 
 _MAX_CONNECTIONS = 24
 """Connections to the store; a waiting watch holds one, so do calls in flight."""
 
-
-@attrs.frozen(kw_only=True)
-class Item:
-    """A key as it stands in the store.
-
-    Parameters
-    ----------
-    key : str
-        Its path.
-    value : bytes
-        What it holds.
-    revision : int
-        The store's revision when it was last changed.
-    created : int
-        The store's revision when it came to be.
-    """
-
-    key: str
-    value: bytes
-    revision: int
-    created: int
-
-
-@attrs.frozen(kw_only=True)
-class Listing:
-    """All keys under a prefix; ``as_of`` is a revision that a watch may begin at."""
-
-    items: tuple[Item, ...]
-    as_of: int
-
-
-@attrs.frozen(kw_only=True)
-class Change:
-    """One change of a key; ``item`` is None when the key was removed."""
-
-    key: str
-    revision: int
-    item: Item | None
-
-
-@attrs.frozen(kw_only=True)
-class Changes:
-    """What a watch saw, in order; the next watch begins after ``as_of``."""
-
-    changes: tuple[Change, ...]
-    as_of: int
-
-
-@attrs.frozen(kw_only=True)
-class Expectation:
-    """The revision that a key must have; 0 when it must be absent."""
-
-    key: str
-    revision: int
-
-
-@attrs.frozen(kw_only=True)
-class Put:
-    """A value to write; ``lease`` 0 keeps it until it is removed."""
-
-    key: str
-    value: bytes
-    lease: int = 0
-
-
-@attrs.frozen(kw_only=True)
-class Transaction:
-    """Changes that happen together, if all expectations hold, or not at all."""
-
-    expectations: tuple[Expectation, ...] = ()
-    puts: tuple[Put, ...] = ()
-    removals: tuple[str, ...] = ()
+_CALLS = {
+    "kv-key": "get",
+    "kv-range": "list",
+    "kv-watch": "watch",
+    "kv-txn": "commit",
+    "kv-lease": "grant lease",
+    "kv-keep": "keep lease",
+    "kv-lease-end": "end lease",
+}
+"""Names of the calls in logs."""
 
 
 def _decode_value(text: str) -> bytes:
@@ -201,6 +133,8 @@
         Where the store listens.
     timeout_ms : float
         Longest time for one call, in ms; a watch may wait on top of it.
+    clock : Clock
+        Where time comes from.
 
     Attributes
     ----------
@@ -209,14 +143,21 @@
 
     Notes
     -----
+    Outages are logged here, once for all callers: a caller that handles an error and
+    tries again has nothing to add.
+
     Every method raises ``StoreUnavailableError`` when no answer came back: a change
     may then have taken effect, or may still, unless the error's ``is_proved_unsent``
     is set. ``StoreRateError`` means that nothing was done.
     """
 
-    def __init__(self, *, address: Address, timeout_ms: float) -> None:
+    def __init__(self, *, address: Address, timeout_ms: float, clock: Clock) -> None:
         self._client = JsonClient(address=address, max_connections=_MAX_CONNECTIONS)
         self._timeout_ms = timeout_ms
+        self._clock = clock
+        self._log = DependencyLog(
+            clock=clock, lost=Event.STORE_DOWN, regained=Event.STORE_BACK
+        )
         self.answers = 0
         self.failures = 0
 
@@ -225,7 +166,7 @@
         response = await self._call("GET", "kv-key", query={"key": key}, accept=(404,))
         if response.status == 404:
             return None
-        return _read(response, _decode_item)
+        return self._read(response, _decode_item)
 
     async def list_items(self, prefix: str) -> Listing:
         """Read every key under ``prefix``, page by page.
@@ -238,7 +179,7 @@
         query: dict[str, str | int] = {"prefix": prefix}
         while True:
             response = await self._call("GET", "kv-range", query=query)
-            page, page_as_of, has_more = _read(response, _decode_page)
+            page, page_as_of, has_more = self._read(response, _decode_page)
             as_of = as_of or page_as_of
             items.extend(page)
             if not has_more or not page:
@@ -263,7 +204,7 @@
         )
         if response.status == 410:
             raise HistoryLostError(f"the history after {after} is gone")
-        return _read(response, _decode_changes)
+        return self._read(response, _decode_changes)
 
     async def commit(
         self, transaction: Transaction, *, timeout_ms: float | None = None
@@ -294,14 +235,14 @@
         if response.status == 404:
             raise LeaseLostError("the lease has ended")
         if response.status == 412:
-            items = _read(response, _decode_standing)
+            items = self._read(response, _decode_standing)
             raise PreconditionError("a key is at another revision", items=items)
-        return _read(response, lambda table: read_integer(table, "revision"))
+        return self._read(response, lambda table: read_integer(table, "revision"))
 
     async def grant_lease(self, ttl_ms: int) -> int:
         """Take a lease that ends ``ttl_ms`` after this call came, if not renewed."""
         response = await self._call("POST", "kv-lease", body={"ttl_ms": ttl_ms})
-        return _read(response, lambda table: read_integer(table, "lease", least=1))
+        return self._read(response, lambda table: read_integer(table, "lease", least=1))
 
     async def keep_lease(self, lease: int) -> None:
         """Renew a lease.
@@ -337,7 +278,7 @@
         extra_ms: float = 0.0,
         accept: tuple[int, ...] = (),
     ) -> HttpResponse:
-        self.failures += 1
+        sent_ms = self._clock.monotonic_ms()
         try:
             response = await self._client.exchange(
                 method,
@@ -347,31 +288,50 @@
                 timeout_ms=self._timeout_ms + extra_ms,
             )
         except NotSentError as error:
+            self._fail(name, CallFailure.NOT_SENT, sent_ms, str(error))
             raise StoreUnsentError(str(error)) from error
         except AnswerLostError as error:
+            self._fail(name, CallFailure.NO_ANSWER, sent_ms, str(error))
             raise StoreUnavailableError(str(error)) from error
         if response.status not in (200, *accept):
-            _raise_refusal(response)
-        self.failures -= 1
+            failure = _judge_refusal(response.status)
+            self._fail(name, failure, sent_ms, f"status {response.status}")
+            raise _build_refusal(failure, response.status)
         self.answers += 1
+        self._log.record_answer(sent_ms=sent_ms)
         return response
 
+    def _read(
+        self, response: HttpResponse, decode: Callable[[dict[str, Any]], _Answer]
+    ) -> _Answer:
+        """Decode an answer; one that can't be read tells as much as none at all."""
+        try:
+            return decode(parse_table(response.body))
+        except DecodeError as error:
+            now_ms = self._clock.monotonic_ms()
+            self._fail("read", CallFailure.UNREADABLE, now_ms, str(error))
+            raise StoreUnavailableError(f"unreadable answer: {error}") from error
 
-def _read(
-    response: HttpResponse, decode: Callable[[dict[str, Any]], _Answer]
-) -> _Answer:
-    """Decode an answer; one that can't be read tells as much as none at all."""
-    try:
-        return decode(parse_table(response.body))
-    except DecodeError as error:
-        raise StoreUnavailableError(f"unreadable answer: {error}") from error
-
-
-def _raise_refusal(response: HttpResponse) -> NoReturn:
-    if response.status == 429:
-        raise StoreRateError("the store's rate is used up")
-    if response.status == 503:
-        raise StoreUnsentError("the store turned the call away")
-    if response.status >= 500:
-        raise StoreUnavailableError(f"the store answered {response.status}")
-    raise StoreError(f"the store refused the call: {response.status}")
+    def _fail(self, name: str, why: CallFailure, sent_ms: float, detail: str) -> None:
+        self.failures += 1
+        verb = name.partition("/")[0]
+        call = _CALLS.get(verb, verb)
+        self._log.record_failure(call, why, sent_ms=sent_ms, detail=detail)
+
+
+def _judge_refusal(status: int) -> CallFailure:
+    if status == 429:
+        return CallFailure.RATE_LIMITED
+    if status == 503:
+        return CallFailure.TURNED_AWAY
+    return CallFailure.INTERNAL if status >= 500 else CallFailure.REFUSED
+
+
+def _build_refusal(failure: CallFailure, status: int) -> StoreError:
+    if failure is CallFailure.RATE_LIMITED:
+        return StoreRateError("the store's rate is used up")
+    if failure is CallFailure.TURNED_AWAY:
+        return StoreUnsentError("the store turned the call away")
+    if failure is CallFailure.INTERNAL:
+        return StoreUnavailableError(f"the store answered {status}")
+    return StoreError(f"the store refused the call: {status}")
--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -1,7 +1,9 @@
 """The workers on which a shard's owner may have started a task.
 
 The roster is written before the first start on a worker, so that the next owner knows
-where to look, also for a worker that the platform lists no more.
+where to look, also for a worker that the platform lists no more. It names only workers
+that have answered this owner: nothing is started on others, and an entry of the list
+that never answers would keep the next owner waiting for it.
 """
 
 import json
@@ -11,9 +13,15 @@
 
 from trefoilhook.clock import Clock
 from trefoilhook.decoding import check_text, parse_json
-from trefoilhook.exceptions import DecodeError, PreconditionError, StoreError
-from trefoilhook.logs import Event, log_event
-from trefoilhook.platform import Expectation, Item, KeyValueStore, Put, Transaction
+from trefoilhook.exceptions import DecodeError, StoreError
+from trefoilhook.platform import (
+    Expectation,
+    Item,
+    KeyValueStore,
+    PreconditionError,
+    Put,
+    Transaction,
+)
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.ownership import Tenure
 from trefoilhook.scheduling import Scheduler
@@ -23,6 +31,10 @@
 _RETRY_PAUSE_MS = 200.0
 """Pause after a write that failed, in ms."""
 
+_GATHER_MS = 10.0
+"""How long a write waits for more workers, in ms: a new owner's first looks are
+answered within some 10 ms of each other, and one write names them all."""
+
 
 def _decode_roster(data: bytes) -> tuple[str, ...]:
     rows = parse_json(data)
@@ -86,7 +98,7 @@
         self.workers = _decode_roster(item.value)
 
     def wake(self) -> None:
-        """Have it compared with the workers known."""
+        """Have it compared with the workers that have answered."""
         self._wake.set()
 
     def settle(self) -> None:
@@ -95,9 +107,10 @@
         self.wake()
 
     async def keep(self) -> None:
-        """Write the workers as they come, and go once it is settled, for good."""
+        """Write the workers as they answer, and go once it is settled, for good."""
         while True:
-            wanted = tuple(sorted(self._scheduler.workers))
+            workers = self._scheduler.workers
+            wanted = tuple(sorted(i for i, worker in workers.items() if worker.fenced))
             if set(wanted) - set(self.workers) or (
                 self._settled and wanted != self.workers
             ):
@@ -107,6 +120,7 @@
                     await self._clock.sleep_ms(_RETRY_PAUSE_MS)
                     continue
             await self._wake.wait()
+            await self._clock.sleep_ms(_GATHER_MS)
             self._wake = trio.Event()
 
     async def _write(self, roster: tuple[str, ...]) -> bool:
@@ -130,8 +144,7 @@
             item = standing.get(key)
             self._revision = item.revision if item is not None else 0
             return False
-        except StoreError as error:
-            log_event(Event.STORE_DOWN, call="roster", error=str(error))
+        except StoreError:
             return False
         self.workers = roster
         for worker_id in roster:
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -1,5 +1,6 @@
 """The work of a shard's owner: what the scheduler decides, carried out."""
 
+import contextlib
 from collections.abc import Callable
 
 import attrs
@@ -24,6 +25,7 @@
 from trefoilhook.runtime.commits import Committer
 from trefoilhook.runtime.figures import Figures
 from trefoilhook.runtime.following import follow
+from trefoilhook.runtime.lag import LoopLag
 from trefoilhook.runtime.orders import carry_out
 from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Tenure
 from trefoilhook.runtime.rejections import Rejections
@@ -34,15 +36,18 @@
     SLOWEST_CLOCK,
     Configuration,
     JobPhase,
+    Lapse,
     Order,
     OrderOutcome,
     Scheduler,
     SchedulerLimits,
+    StartOrder,
     Worker,
     decode_interference,
     decode_job_record,
     decode_progress,
     is_settled,
+    list_unheard,
     plan_orders,
 )
 
@@ -52,6 +57,9 @@
 """Longest time for an answer of a worker, in ms: the round trip is 2 ms, and a worker
 that is six times slower than usual still answers at once."""
 
+_MOST_NAMED = 5
+"""Workers named in one line: enough to look at, and a line stays under 400 bytes."""
+
 _LOAD_RETRY_MS = 200.0
 """Pause after a try to read the shard that failed, in ms."""
 
@@ -62,6 +70,11 @@
 _TICK_MS = 100.0
 """Longest pause between two plans, in ms; each repeats orders without an answer."""
 
+_MOST_STARTS_IN_FLIGHT = 64
+"""Starts on their way at the same time. Hundreds sent at once kept a small owner busy
+for longer than it waited for the first answers, and its looks timed out beside them. 64
+take it some 0.1 s, and answers come in 2 ms: this doesn't bound the rate."""
+
 _LEASE_SLACK_MS = 300.0
 """Added to the longest time for which orders of an earlier owner can have effect: what
 was on its way when its machine froze, and clocks that are 2 % slow."""
@@ -96,6 +109,26 @@
     advice_address: Address | None = None
 
 
+def _log_lapse(lapse: Lapse) -> None:
+    log_event(
+        Event.WORKER_LOST,
+        worker=lapse.worker_id,
+        why="leases lapsed",
+        listed=lapse.listed,
+        silent_ms=round(lapse.silent_ms),
+        given_up=len(lapse.given_up),
+        awaited=lapse.awaited,
+    )
+    for task, attempt in lapse.given_up:
+        log_event(
+            Event.TASK_GIVEN_UP,
+            task=str(task),
+            attempt=attempt,
+            worker=lapse.worker_id,
+            why="leases lapsed",
+        )
+
+
 class ShardOwner:
     """Carries out one tenure.
 
@@ -155,6 +188,13 @@
             depose=tenure.over.set,
             notify=self.wake,
         )
+        self._roster = Roster(
+            store=store,
+            clock=clock,
+            tenure=tenure,
+            scheduler=self._scheduler,
+            notify=self.wake,
+        )
         self._watch_worker = WorkerWatch(
             clock=clock,
             tenure=tenure,
@@ -164,17 +204,16 @@
             rejections=rejections,
             notify=self._wake_all,
             depose=self._depose,
+            meet=self._roster.wake,
         ).run
         self._clients: dict[str, WorkerClient] = {}
-        self._roster = Roster(
-            store=store,
-            clock=clock,
-            tenure=tenure,
-            scheduler=self._scheduler,
-            notify=self.wake,
-        )
         self._earlier_roster: tuple[str, ...] = ()
         self._settled = False
+        self._lag = LoopLag()
+        lag = self._lag
+        # Not through this owner, which would outlive its tenure in the gauges.
+        figures.gauges["loop_lag_ms"] = lambda: lag.read(clock.monotonic_ms())
+        self._starts = trio.CapacityLimiter(_MOST_STARTS_IN_FLIGHT)
         self._wake = trio.Event()
 
     def wake(self) -> None:
@@ -213,6 +252,7 @@
         nursery.start_soon(upkeep.keep_learned)
         nursery.start_soon(upkeep.keep_retention)
         nursery.start_soon(upkeep.forget_ended)
+        nursery.start_soon(upkeep.tell_backlogs)
         if self._settings.advice_address is not None:
             advice = AdviceClient(address=self._settings.advice_address)
             nursery.start_soon(
@@ -241,8 +281,7 @@
                 roster = await self._store.get(keys.roster_key(keys.SHARD))
                 learned = await self._store.get(keys.learned_key(keys.SHARD))
                 break
-            except StoreError as error:
-                log_event(Event.STORE_DOWN, call="load", error=str(error))
+            except StoreError:
                 await self._clock.sleep_ms(_LOAD_RETRY_MS)
         self._take_roster(roster)
         self._take_learned(learned)
@@ -400,7 +439,7 @@
         is_new = report.worker_id not in self._scheduler.workers
         self._scheduler.update_worker(report)
         if is_new:
-            client = WorkerClient(report=report, timeout_ms=_WORKER_TIMEOUT_MS)
+            client = WorkerClient(report=report, read_timeout=self._read_timeout)
             self._clients[report.worker_id] = client
             worker = self._scheduler.workers[report.worker_id]
             worker.rostered = report.worker_id in self._roster.workers
@@ -425,13 +464,28 @@
         log_event(Event.SHARD_FENCED, epoch=self._tenure.epoch)
         self._tenure.over.set()
 
+    def _read_timeout(self) -> float:
+        return self._lag.extend(_WORKER_TIMEOUT_MS, self._clock.monotonic_ms())
+
+    async def _gather(self) -> None:
+        """Wait for more news, and note how late that wait ends."""
+        began_ms = self._clock.monotonic_ms()
+        await self._clock.sleep_ms(_GATHER_MS)
+        now_ms = self._clock.monotonic_ms()
+        self._lag.note(now_ms - began_ms - _GATHER_MS, now_ms)
+
     async def _plan(self, nursery: trio.Nursery) -> None:
         while True:
             with trio.move_on_after(_TICK_MS / 1000.0):
                 await self._wake.wait()
-                await self._clock.sleep_ms(_GATHER_MS)
+            # Outside of the pause: within it, a wait that ends late is given up.
+            await self._gather()
             self._wake = trio.Event()
+            began_ms = self._clock.monotonic_ms()
             self._plan_once(nursery)
+            now_ms = self._clock.monotonic_ms()
+            # No timer tells of the plan itself: everything else waits meanwhile.
+            self._lag.note(now_ms - began_ms, now_ms)
 
     def _plan_once(self, nursery: trio.Nursery) -> None:
         now_ms = self._clock.monotonic_ms()
@@ -447,8 +501,8 @@
         if configuration.version != scheduler.configuration.version:
             scheduler.set_configuration(configuration)
             self._take_unnamed(nursery)
-        for worker_id in scheduler.release_lapsed(now_ms):
-            log_event(Event.WORKER_LOST, worker=worker_id, why="leases lapsed")
+        for lapse in scheduler.release_lapsed(now_ms):
+            _log_lapse(lapse)
         if not self._settled and is_settled(scheduler, self._earlier_roster, now_ms):
             self._settled = True
             self._roster.settle()
@@ -457,6 +511,7 @@
                 Event.SHARD_SETTLED,
                 epoch=self._tenure.epoch,
                 after_ms=round(now_ms - self._tenure.claimed_ms),
+                unheard=list_unheard(scheduler, self._earlier_roster)[:_MOST_NAMED],
             )
         orders = plan_orders(
             scheduler,
@@ -470,12 +525,16 @@
             self._committer.wake()
 
     async def _carry_out(self, order: Order) -> None:
-        outcome = await carry_out(
-            order,
-            self._clients.get(order.worker_id),
-            scheduler=self._scheduler,
-            clock=self._clock,
-            figures=self._figures,
-        )
+        turn: contextlib.AbstractAsyncContextManager[None] = contextlib.nullcontext()
+        if isinstance(order, StartOrder):
+            turn = self._starts
+        async with turn:
+            outcome = await carry_out(
+                order,
+                self._clients.get(order.worker_id),
+                scheduler=self._scheduler,
+                clock=self._clock,
+                figures=self._figures,
+            )
         if outcome is not OrderOutcome.DONE:
             self.wake()
--- /dev/null
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -0,0 +1,213 @@
+"""What a process logs while something that it depends on is away."""
+
+import unittest
+
+import trio
+
+from trefoilhook.logs.tests.lines import capture_lines, count_lines, find_line
+from trefoilhook.runtime.tests.cluster import PREFIX, Cluster, build_body, run_cluster
+from trefoilhook.standins.platform_store import StoreFault
+from trefoilhook.standins.platform_worker import WorkerFault
+
+JOB = "00000000000000c1"
+
+
+def _has(lines: list[dict], name: str) -> bool:
+    return count_lines(lines)[name] > 0
+
+
+class StoreAwayTest(unittest.TestCase):
+    """The store is away for a while, for a process that owns the shard."""
+
+    def _play(self, fault: StoreFault) -> list[dict]:
+        # On-call engineers keep the last lines of each process. While the store was
+        # away every follower of a process logged each of its failing calls, five a
+        # second each, and pushed claims and ends of ownership out of what was kept.
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            # Started here, so that nothing that it logs is missed.
+            with capture_lines() as captured:
+                await cluster.start_instance()
+                await cluster.wait_until(lambda: _has(captured, "SHARD_SETTLED"))
+                captured.clear()
+                cluster.store.fault = fault
+                await trio.sleep(3.0)
+                cluster.store.fault = StoreFault.NONE
+                await cluster.wait_for_owner()
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=0)
+        return lines
+
+    def test_silent_store_takes_two_lines(self):
+        lines = self._play(StoreFault.SILENT)
+        counts = count_lines(lines)
+        self.assertEqual((counts["STORE_DOWN"], counts["STORE_BACK"]), (1, 1))
+        self.assertEqual(find_line(lines, "STORE_DOWN")["why"], "no answer")
+        back = find_line(lines, "STORE_BACK")
+        self.assertEqual(set(back["why"]), {"no answer"})
+        self.assertIn("watch", back["calls"])
+        self.assertGreater(back["silent_ms"], 2500)
+
+    def test_store_that_turns_calls_away_takes_two_lines(self):
+        lines = self._play(StoreFault.BUSY)
+        counts = count_lines(lines)
+        self.assertEqual((counts["STORE_DOWN"], counts["STORE_BACK"]), (1, 1))
+        back = find_line(lines, "STORE_BACK")
+        self.assertEqual(set(back["why"]), {"turned away"})
+        self.assertGreater(back["failed"], 10)
+
+    def test_what_decides_keeps_its_lines(self):
+        counts = count_lines(self._play(StoreFault.SILENT))
+        for name in ("LEASE_LOST", "SHARD_RELEASED", "SHARD_CLAIMED"):
+            self.assertEqual(counts[name], 1, name)
+
+
+class WorkerAwayTest(unittest.TestCase):
+    """A worker answers no look for a while."""
+
+    def test_silent_worker_takes_two_lines(self):
+        # A worker is cut off for less than its lease, and goes on. That it is back,
+        # how long it was silent and how many looks failed was told nowhere: its
+        # WORKER_LOST read as if it had been lost for good.
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            instance = cluster.instances[0]
+            await cluster.send(instance, "POST", PREFIX + JOB, build_body())
+            await cluster.wait_for_state(instance, JOB, "completed")
+            with capture_lines() as captured:
+                worker = cluster.workers["w0"]
+                worker.fault = WorkerFault.SILENT
+                await trio.sleep(2.5)
+                worker.fault = WorkerFault.NONE
+                await cluster.wait_until(lambda: _has(captured, "WORKER_BACK"))
+                await trio.sleep(0.5)
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=1, workers=1)
+        counts = count_lines(lines)
+        self.assertEqual((counts["WORKER_LOST"], counts["WORKER_BACK"]), (1, 1))
+        back = find_line(lines, "WORKER_BACK")
+        self.assertEqual(back["worker"], "w0")
+        self.assertGreaterEqual(back["calls"]["look"], 1)
+        self.assertGreater(back["silent_ms"], 1000)
+
+
+class JobLinesTest(unittest.TestCase):
+    """What is told of a job, for stories and for the report on burn."""
+
+    def _play(self, body: bytes, *, submissions: int = 1) -> list[dict]:
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            instance = cluster.instances[0]
+            with capture_lines() as captured:
+                for _ in range(submissions):
+                    await cluster.send(instance, "POST", PREFIX + JOB, body)
+                await cluster.wait_for_state(instance, JOB, "completed")
+                await cluster.wait_until(lambda: _has(captured, "JOB_FINISHED"))
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=1, workers=1)
+        return lines
+
+    def test_objective_is_told_at_both_ends(self):
+        lines = self._play(build_body(1, 1))
+        accepted = find_line(lines, "JOB_ACCEPTED")
+        finished = find_line(lines, "JOB_FINISHED")
+        self.assertGreater(accepted["objective_ms"], 0)
+        for name in ("queue", "objective_ms"):
+            self.assertEqual(accepted[name], finished[name])
+        self.assertGreaterEqual(finished["late_ms"], -finished["objective_ms"])
+
+    def test_submission_of_a_known_job_is_told(self):
+        # The answer to a transaction is lost; the next try finds the record and is
+        # answered with success. No line said that the job had been accepted.
+        lines = self._play(build_body(), submissions=2)
+        known = [
+            line.get("known", False)
+            for line in lines
+            if line["event_name"] == "JOB_ACCEPTED"
+        ]
+        self.assertEqual(known, [False, True])
+
+
+class BacklogLineTest(unittest.TestCase):
+    """Tasks that no worker has a place for."""
+
+    def test_tasks_that_wait_are_told_with_the_room_that_is_left(self):
+        # A user's job doesn't begin for seconds. Its only line was that it had been
+        # accepted; whether workers were full or avoided stood nowhere.
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            instance = cluster.instances[0]
+            with capture_lines() as captured:
+                await cluster.send(instance, "POST", PREFIX + JOB, build_body(500))
+                await cluster.wait_until(lambda: _has(captured, "QUEUE_WAITS"))
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=1, workers=1, task_ms=60_000.0)
+        told = find_line(lines, "QUEUE_WAITS")
+        self.assertEqual(told["oldest_job"], JOB)
+        self.assertEqual((told["workers"], told["open_workers"]), (1, 1))
+        started = count_lines(lines)["TASK_STARTED"]
+        self.assertEqual(told["tasks"], 500 - started)
+        self.assertEqual((told["oldest_cpu"], told["oldest_mb"]), (500, 10))
+        self.assertLess(min(told["most_cpu"] / 500, told["most_mb"] / 10), 1)
+
+    def test_tasks_that_are_put_behind_are_told(self):
+        # A small job of an urgent queue has not begun after 24 s while later ones of
+        # the queue do: past three times its objective it comes after all others.
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            instance = cluster.instances[0]
+            with capture_lines() as captured:
+                await cluster.send(instance, "POST", PREFIX + JOB, build_body(500))
+                await cluster.wait_until(
+                    lambda: any(line.get("too_late", 0) > 0 for line in captured)
+                )
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=1, workers=1, task_ms=60_000.0)
+        told = [line for line in lines if line["event_name"] == "QUEUE_WAITS"]
+        self.assertEqual(told[-1]["too_late"], told[-1]["tasks"])
+
+    def test_queue_whose_tasks_start_at_once_takes_no_line(self):
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            instance = cluster.instances[0]
+            with capture_lines() as captured:
+                await cluster.send(instance, "POST", PREFIX + JOB, build_body(2))
+                await trio.sleep(4.5)
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=1, workers=1, task_ms=60_000.0)
+        self.assertEqual(count_lines(lines)["QUEUE_WAITS"], 0)
+
+
+class TakeoverLineTest(unittest.TestCase):
+    """An instance takes the shard over and can't start tasks for a while."""
+
+    def test_worker_that_a_takeover_waited_for_is_named(self):
+        # Jobs stood still for 7 s after a takeover although workers were free: one that
+        # had left a moment earlier stood in the roster, and no line named it.
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            first = await cluster.wait_for_owner()
+            await cluster.send(first, "POST", PREFIX + JOB, build_body(2))
+            await cluster.wait_until(lambda: len(cluster.list_runs()) == 2)
+            cluster.workers["w0"].fault = WorkerFault.SILENT
+            cluster.store.remove("servers/w0")
+            with capture_lines() as captured:
+                first.scope.cancel()
+                await cluster.wait_until(lambda: _has(captured, "SHARD_SETTLED"))
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=2, workers=2, task_ms=60_000.0)
+        self.assertEqual(find_line(lines, "SHARD_SETTLED")["unheard"], ["w0"])
--- a/trefoilhook/runtime/upkeep.py
+++ b/trefoilhook/runtime/upkeep.py
@@ -1,5 +1,7 @@
 """What a shard's owner does beside its decisions, now and then."""
 
+import attrs
+
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import StoreError
 from trefoilhook.logs import Event, log_event
@@ -7,7 +9,12 @@
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.commits import Committer
 from trefoilhook.runtime.ownership import Tenure
-from trefoilhook.scheduling import Scheduler, encode_interference
+from trefoilhook.scheduling import (
+    Scheduler,
+    TaskState,
+    encode_interference,
+    measure_backlogs,
+)
 
 __all__ = ["Upkeep"]
 
@@ -29,6 +36,10 @@
 """Pause between two rounds of forgetting ended jobs, in ms; one that ends just after a
 round is kept for two. The store tells their state for ten minutes."""
 
+_BACKLOG_PAUSE_MS = 2000.0
+"""Pause between two looks at what waits, in ms; what stands in both has waited so long.
+A line a queue each time is a hundredth of what an owner writes about tasks."""
+
 
 class Upkeep:
     """Repeated work of an owner, each part a task of its own.
@@ -72,6 +83,25 @@
             await self._clock.sleep_ms(_FORGET_PAUSE_MS)
             self._scheduler.forget_ended()
 
+    async def tell_backlogs(self) -> None:
+        """Log what waits for a worker, for good.
+
+        A task that waits has no line of its own: without this one, logs don't tell a
+        lack of room from a worker that is avoided.
+        """
+        earlier: set[TaskState] = set()
+        while True:
+            await self._clock.sleep_ms(_BACKLOG_PAUSE_MS)
+            waiting = self._scheduler.waiting
+            for backlog in measure_backlogs(
+                self._scheduler,
+                waiting & earlier,
+                now_ms=self._clock.monotonic_ms(),
+                wall_ms=self._clock.wall_ms(),
+            ):
+                log_event(Event.QUEUE_WAITS, **attrs.asdict(backlog))
+            earlier = set(waiting)
+
     async def keep_learned(self) -> None:
         """Write what was learned, so that the next owner needn't learn it again.
 
@@ -94,8 +124,9 @@
                 await self._store.commit(
                     Transaction(expectations=(expected,), puts=(put,))
                 )
-            except StoreError as error:
-                log_event(Event.STORE_DOWN, call="learned", error=str(error))
+            except StoreError:
+                # Written again with what is learned next, here or by a later owner.
+                continue
 
     async def keep_retention(self) -> None:
         """Take leases for ended jobs, each for those that end in a while, for good.
@@ -110,6 +141,5 @@
                 lease = await self._store.grant_lease(_RETENTION_LEASE_MS)
                 self._committer.set_retention(lease)
                 await self._clock.sleep_ms(pause_ms)
-            except StoreError as error:
-                log_event(Event.STORE_DOWN, call="retention", error=str(error))
+            except StoreError:
                 await self._clock.sleep_ms(1000.0)
--- a/trefoilhook/runtime/watching.py
+++ b/trefoilhook/runtime/watching.py
@@ -6,7 +6,7 @@
 
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import DecodeError
-from trefoilhook.logs import Event, log_event
+from trefoilhook.logs import DependencyLog, Event, log_event
 from trefoilhook.platform import LookRequest, WorkerClient
 from trefoilhook.runtime.commits import Committer
 from trefoilhook.runtime.figures import Figures
@@ -62,6 +62,8 @@
         Called with each news.
     depose : callable
         Called when a worker has seen a later owner.
+    meet : callable
+        Called when a worker has answered for the first time.
     """
 
     def __init__(
@@ -75,6 +77,7 @@
         rejections: Rejections,
         notify: Callable[[], None],
         depose: Callable[[], None],
+        meet: Callable[[], None],
     ) -> None:
         self._clock = clock
         self._tenure = tenure
@@ -84,16 +87,25 @@
         self._rejections = rejections
         self._notify = notify
         self._depose = depose
+        self._meet = meet
 
     async def run(self, worker: Worker, client: WorkerClient) -> None:
         """Look at a worker again and again, until it is gone."""
         worker_id = worker.report.worker_id
+        outages = DependencyLog(
+            clock=self._clock,
+            lost=Event.WORKER_LOST,
+            regained=Event.WORKER_BACK,
+            subject={"worker": worker_id},
+        )
         while self._scheduler.workers.get(worker_id) is worker:
             sent_ms = self._clock.monotonic_ms()
             result = await self._look(worker, client, sent_ms)
             self._figures.count("looks")
             if isinstance(result, Look):
+                outages.record_answer(sent_ms=sent_ms)
                 self._log_ends(worker, result)
+                is_first = not worker.fenced
                 take_look(
                     self._scheduler,
                     worker_id,
@@ -102,6 +114,8 @@
                     now_ms=self._clock.monotonic_ms(),
                 )
                 self._notify()
+                if is_first:
+                    self._meet()
                 await self._wait_for_saving(worker)
                 continue
             if result is OrderOutcome.FENCED:
@@ -112,8 +126,7 @@
                 self._scheduler.drop_worker(worker_id)
                 self._notify()
                 break
-            if not worker.suspect:
-                log_event(Event.WORKER_LOST, worker=worker_id, why=result.value)
+            outages.record_failure("look", result, sent_ms=sent_ms)
             worker.suspect = True
             await self._clock.sleep_ms(_LOOK_RETRY_MS)
 
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -2,7 +2,8 @@
 
 from trefoilhook.scheduling.advising import choose_advised
 from trefoilhook.scheduling.assignment import extend_lease
-from trefoilhook.scheduling.book import JobState
+from trefoilhook.scheduling.backlog import Backlog, measure_backlogs
+from trefoilhook.scheduling.book import JobState, TaskState
 from trefoilhook.scheduling.changes import (
     JobChange,
     acknowledge,
@@ -20,6 +21,7 @@
 from trefoilhook.scheduling.messages import (
     End,
     EndKind,
+    Lapse,
     Look,
     Order,
     OrderOutcome,
@@ -42,7 +44,7 @@
     parse_task_id,
 )
 from trefoilhook.scheduling.outcomes import take_start_outcome, take_stop_outcome
-from trefoilhook.scheduling.planning import is_settled, plan_orders
+from trefoilhook.scheduling.planning import is_settled, list_unheard, plan_orders
 from trefoilhook.scheduling.records import (
     JobPhase,
     JobRecord,
@@ -58,6 +60,7 @@
     "SLOWEST_CLOCK",
     "Advice",
     "AdviceRequest",
+    "Backlog",
     "Configuration",
     "Demand",
     "End",
@@ -68,6 +71,7 @@
     "JobChange",
     "JobPhase",
     "JobRecord",
+    "Lapse",
     "JobState",
     "Look",
     "Order",
@@ -84,6 +88,7 @@
     "StopReason",
     "UnreadRow",
     "TaskId",
+    "TaskState",
     "Worker",
     "WorkerReport",
     "acknowledge",
@@ -98,6 +103,8 @@
     "encode_progress",
     "extend_lease",
     "is_settled",
+    "list_unheard",
+    "measure_backlogs",
     "parse_task_id",
     "plan_orders",
     "shares_with_services",
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -113,6 +113,9 @@
     fenced : bool
         Whether it has answered under the owner's fencing token, so that no order of an
         earlier owner can be carried out there any more.
+    is_known : bool
+        Whether it has listed all that runs and has ended there to this owner. A page of
+        ends that is full may leave out one that was done.
     rostered : bool
         Whether the store's roster names it; only then may a task be started there, so
         that the next owner knows where to look.
@@ -137,6 +140,8 @@
         The worker may forget ends up to this number.
     suspect : bool
         Whether an order or a look went without an answer since the last look.
+    is_awaited : bool
+        Whether its leases are over and tasks wait for it to tell how they ended.
     faulty_jobs : set of str
         Jobs of which attempts failed there since one was last done there.
     is_news : bool
@@ -152,6 +157,7 @@
     report: WorkerReport
     listed: bool = True
     fenced: bool = False
+    is_known: bool = False
     rostered: bool = False
     runs: dict[tuple[TaskId, int], Run] = attrs.Factory(dict)
     cpu: int = 0
@@ -168,12 +174,22 @@
     )
     acknowledged: int = 0
     suspect: bool = False
+    is_awaited: bool = False
     faulty_jobs: set[str] = attrs.Factory(set)
     is_news: bool = True
     over_since_ms: float | None = None
     avoid_until_ms: float = 0.0
     lagged: LaggedShares = attrs.Factory(LaggedShares)
 
+    @property
+    def is_known_alive(self) -> bool:
+        """Whether an entry of its own stands in the store, which goes when it dies.
+
+        One that can't be read may be another writer's, and stand there for good: to
+        wait for a dead worker because of it would lose the worker's tasks.
+        """
+        return self.listed and self.usable
+
     def estimate_clock(self, now_ms: float) -> float:
         """Estimate the worker's clock, in ms; needs one answer of it."""
         return self.clock_ms + (now_ms - self.clock_read_ms)
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -16,19 +16,37 @@
 """A run's order is due when its time has come, or within this of it."""
 
 
-def is_settled(scheduler: Scheduler, unfenced: Iterable[str], now_ms: float) -> bool:
-    """Tell whether every task that an earlier owner started is known.
+def is_settled(scheduler: Scheduler, roster: Iterable[str], now_ms: float) -> bool:
+    """Tell whether what became of every task that an earlier owner started is known.
 
-    Its orders are ruled out once a worker has answered under this owner's fencing
-    token; for a worker that can't be reached, once the longest lease has run out.
+    Parameters
+    ----------
+    scheduler : Scheduler
+        The shard.
+    roster : iterable of str
+        Workers on which the earlier owner may have started a task.
+    now_ms : float
+        The time, in ms.
+
+    Notes
+    -----
+    An earlier owner's orders are ruled out once a worker has answered under this
+    owner's fencing token, which tells what runs and what has ended there, too. A worker
+    that can't be reached is given up once the longest lease has run out and the store
+    lists it no more. While it is listed it is alive, and may hold the end of a task
+    that was done; started again elsewhere, that task would be done twice.
     """
-    if now_ms >= scheduler.limits.settled_at_ms:
-        return True
-    for worker_id in unfenced:
-        worker = scheduler.workers.get(worker_id)
-        if worker is None or not worker.fenced:
-            return False
-    return True
+    unheard = list_unheard(scheduler, roster)
+    if now_ms < scheduler.limits.settled_at_ms:
+        return not unheard
+    known = (scheduler.workers.get(worker_id) for worker_id in unheard)
+    return not any(worker is not None and worker.is_known_alive for worker in known)
+
+
+def list_unheard(scheduler: Scheduler, worker_ids: Iterable[str]) -> list[str]:
+    """Return those workers that haven't told this owner all that they know."""
+    workers = ((name, scheduler.workers.get(name)) for name in worker_ids)
+    return [name for name, worker in workers if worker is None or not worker.is_known]
 
 
 def plan_orders(
@@ -69,6 +87,9 @@
         return None
     if run.order_due_ms > now_ms + _ORDER_DUE_MS or not worker.fenced:
         return None
+    if run.phase is RunPhase.STARTING and worker.is_awaited:
+        # Its time is over: the worker would refuse it, and looks want the connections.
+        return None
     if run.phase is RunPhase.STARTING and not worker.usable:
         # Sending it again would be a start on a worker that isn't to be used.
         scheduler.request_stop(run, StopReason.UNCERTAIN)
--- a/trefoilhook/scheduling/tests/test_orders.py
+++ b/trefoilhook/scheduling/tests/test_orders.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from trefoilhook.scheduling import (
     Demand,
     EndKind,
@@ -10,9 +12,12 @@
     StartOrder,
     Step,
     StopOrder,
+    TaskId,
     acknowledge,
     collect_changes,
     confirm_change,
+    is_settled,
+    take_look,
 )
 from trefoilhook.scheduling.tests.cases import (
     SMALL,
@@ -40,7 +45,8 @@
 
     def test_task_waits_until_the_lease_has_surely_lapsed(self):
         # The worker with the unanswered start can't be reached any more. Until its
-        # clock, 2 % slow at worst, is past the deadline, the task may begin there.
+        # clock, 2 % slow at worst, is past the deadline, the task may begin there; and
+        # while the store lists the worker, the task may have been done there.
         shard = Shard(workers=1)
         shard.submit(build_job())
         (order,) = shard.plan()
@@ -48,9 +54,43 @@
         shard.pass_time(TASK_LEASE_MS * 1.015)
         self.assertEqual(shard.scheduler.release_lapsed(shard.now_ms), [])
         shard.pass_time(TASK_LEASE_MS * 0.04)
-        self.assertEqual(shard.scheduler.release_lapsed(shard.now_ms), ["w0"])
+        (lapse,) = shard.scheduler.release_lapsed(shard.now_ms)
+        self.assertEqual((lapse.worker_id, lapse.given_up), ("w0", ()))
+        self.assertEqual(lapse.awaited, 1)
+        self.assertEqual(shard.scheduler.release_lapsed(shard.now_ms), [])
+        self.assertEqual(len(shard.scheduler.waiting), 0)
+        shard.scheduler.unlist_worker("w0")
+        (lapse,) = shard.scheduler.release_lapsed(shard.now_ms)
+        self.assertEqual(lapse.given_up, ((order.task, order.attempt),))
+        self.assertEqual(lapse.awaited, 0)
         self.assertEqual(len(shard.scheduler.waiting), 1)
 
+    def test_start_is_not_sent_again_after_its_time(self):
+        # A start got no answer and its worker stays silent past the lease. Sent again
+        # 40 times a second, it kept connections that looks at the worker wanted.
+        shard = Shard(workers=1)
+        shard.submit(build_job())
+        (order,) = shard.plan()
+        shard.answer(order, OrderOutcome.NO_ANSWER)
+        shard.pass_time(TASK_LEASE_MS * 1.1)
+        shard.scheduler.release_lapsed(shard.now_ms)
+        self.assertEqual(shard.plan(), [])
+        shard.look("w0")
+        self.assertEqual([start.attempt for start in shard.plan()], [order.attempt])
+
+    def test_lapsed_task_that_lasts_does_not_wait_for_its_worker(self):
+        # A watcher runs until it is cancelled: none of its ends is one as done. Kept
+        # waiting for a silent worker, it would be away for as long as the silence.
+        shard = Shard()
+        shard.submit(build_job(attrs.evolve(SMALL, long_running=True)))
+        order = shard.start_one()
+        shard.scheduler.workers[order.worker_id].suspect = True
+        shard.pass_time(TASK_LEASE_MS * 1.2)
+        (lapse,) = shard.scheduler.release_lapsed(shard.now_ms)
+        self.assertEqual(lapse.given_up, ((order.task, order.attempt),))
+        shard.look("w1" if order.worker_id == "w0" else "w0")
+        self.assertNotEqual(shard.start_one().worker_id, order.worker_id)
+
     def test_refusal_after_silence_is_followed_by_a_stop(self):
         # The first copy of a start got no answer, the second is turned away as the
         # worker is unhealthy. The first may still be carried out: only an acknowledged
@@ -146,13 +186,13 @@
         self.assertGreater(again.attempt, order.attempt)
 
     def test_done_behind_a_cut_is_taken_in_afterwards(self):
-        # A task is done on a worker that is cut off, and is started again elsewhere
-        # once the lease has lapsed. The first result counts; the second run is stopped.
+        # A task is done on a worker that is cut off, from the store, too, so that its
+        # entry is gone. It is started again elsewhere once the lease has lapsed. The
+        # worker comes back: the first result counts, and the second run is stopped.
         shard = Shard()
         shard.submit(build_job())
         order = shard.start_one()
-        lost = shard.scheduler.workers[order.worker_id]
-        lost.suspect = True
+        shard.scheduler.unlist_worker(order.worker_id)
         shard.pass_time(TASK_LEASE_MS * 1.2)
         shard.scheduler.release_lapsed(shard.now_ms)
         for worker_id in shard.workers:
@@ -161,11 +201,45 @@
         (again,) = list_starts(shard.plan())
         shard.workers[again.worker_id].run(again)
         shard.answer(again, OrderOutcome.DONE)
+        shard.add_worker(order.worker_id)
         shard.end(order, EndKind.DONE)
         self.assertIs(shard.scheduler.jobs["j"].phase, JobPhase.COMPLETED)
         stops = [order for order in shard.plan() if isinstance(order, StopOrder)]
         self.assertEqual([stop.attempt for stop in stops], [again.attempt])
 
+    def test_task_of_a_silent_worker_is_not_started_while_it_may_be_done(self):
+        # An order is billed twice. Its task is done on a worker whose answers don't
+        # reach the owner for longer than a lease, though the store lists the worker all
+        # the while. That no lease is left proves that the task doesn't run, not that
+        # it hasn't ended as done; taken for both, it was started again elsewhere.
+        shard = Shard()
+        shard.submit(build_job())
+        order = shard.start_one()
+        shard.workers[order.worker_id].end(order.task, order.attempt, EndKind.DONE)
+        shard.scheduler.workers[order.worker_id].suspect = True
+        for _ in range(20):
+            shard.pass_time(TASK_LEASE_MS / 10.0)
+            shard.scheduler.release_lapsed(shard.now_ms)
+            shard.look("w1" if order.worker_id == "w0" else "w0")
+            self.assertEqual(list_starts(shard.plan()), [])
+        shard.look(order.worker_id)
+        self.assertIs(shard.scheduler.jobs["j"].phase, JobPhase.COMPLETED)
+        self.assertEqual(shard.plan(), [])
+
+    def test_silent_worker_whose_entry_is_unreadable_is_not_waited_for(self):
+        # A worker dies and another writer's entry stands under its key for good. Taken
+        # for a sign of life, it would keep the worker's task from being started again.
+        shard = Shard()
+        shard.submit(build_job())
+        order = shard.start_one()
+        shard.scheduler.bar_worker(order.worker_id)
+        shard.scheduler.workers[order.worker_id].suspect = True
+        shard.pass_time(TASK_LEASE_MS * 1.2)
+        (lapse,) = shard.scheduler.release_lapsed(shard.now_ms)
+        self.assertEqual(lapse.given_up, ((order.task, order.attempt),))
+        shard.look("w1" if order.worker_id == "w0" else "w0")
+        self.assertNotEqual(shard.start_one().worker_id, order.worker_id)
+
     def test_run_missing_from_a_later_look_is_over(self):
         shard = Shard(workers=1)
         shard.submit(build_job())
@@ -219,6 +293,91 @@
         starts = list_starts(shard.plan())
         self.assertEqual([order.task.job_id for order in starts], ["old"])
 
+    def test_earlier_jobs_wait_for_a_silent_worker_that_is_listed(self):
+        # A task is done on a worker, its owner dies, and the next owner can't reach the
+        # worker, though the store lists it. Once every lease of the earlier owner was
+        # over, the next one took the task for one that runs nowhere and never ran.
+        shard = Shard(workers=1, epoch=2, settled=False)
+        shard.scheduler.workers["w0"].is_known = False
+        roster = ("w0", "gone")
+        past_ms = shard.scheduler.limits.settled_at_ms + 1.0
+        self.assertFalse(is_settled(shard.scheduler, roster, past_ms - 2.0))
+        self.assertFalse(is_settled(shard.scheduler, roster, past_ms))
+        shard.scheduler.unlist_worker("w0")
+        self.assertTrue(is_settled(shard.scheduler, roster, past_ms))
+
+    def test_worker_off_the_list_may_run_an_earlier_task_until_leases_are_over(self):
+        # The owner dies while a worker is cut off. The store drops the worker, which
+        # runs on for a lease; taken for gone, its task would run in two places.
+        shard = Shard(workers=0, epoch=2, settled=False)
+        past_ms = shard.scheduler.limits.settled_at_ms
+        self.assertFalse(is_settled(shard.scheduler, ("gone",), past_ms - 1.0))
+        self.assertTrue(is_settled(shard.scheduler, ("gone",), past_ms))
+
+    def test_full_page_of_ends_does_not_settle_a_worker(self):
+        # A worker lists 500 ends at a time. The end of a task that is done is the
+        # 501st: taken for all that there is, the first page had it started again.
+        shard = Shard(workers=1, epoch=2, settled=False)
+        worker = shard.scheduler.workers["w0"]
+        worker.is_known = False
+        for index in range(501):
+            shard.workers["w0"].end(TaskId("x", 0, 0, index), 1, EndKind.DONE)
+        page = shard.workers["w0"].look(shard.now_ms)
+        first = attrs.evolve(page, ends=page.ends[:500])
+        rest = attrs.evolve(page, ends=page.ends[500:])
+        for look, known in ((first, False), (rest, True)):
+            take_look(
+                shard.scheduler,
+                "w0",
+                look,
+                sent_ms=shard.now_ms,
+                now_ms=shard.now_ms,
+            )
+            settled = is_settled(shard.scheduler, ("w0",), shard.now_ms)
+            self.assertEqual(settled, known)
+
+    def test_adopted_run_has_the_lease_of_the_earlier_owner(self):
+        # A new owner reads a worker once, and its next order there gets no answer. The
+        # run it found has a whole lease of the earlier owner; taken for one without
+        # any, it was given up 10 ms later and started elsewhere beside itself.
+        first = Shard()
+        first.submit(build_job(attrs.evolve(SMALL, long_running=True)))
+        order = first.start_one()
+        second = Shard(epoch=2)
+        second.workers = first.workers
+        second.submit(build_job(attrs.evolve(SMALL, long_running=True)), certain=False)
+        for worker_id in second.workers:
+            second.scheduler.workers.pop(worker_id)
+            second.add_worker(worker_id)
+        second.scheduler.workers[order.worker_id].suspect = True
+        second.pass_time(10.0)
+        self.assertEqual(second.scheduler.release_lapsed(second.now_ms), [])
+        second.pass_time(TASK_LEASE_MS * 1.04)
+        (lapse,) = second.scheduler.release_lapsed(second.now_ms)
+        self.assertEqual(lapse.given_up, ((order.task, order.attempt),))
+
+    def test_earlier_task_that_lasts_does_not_wait_for_a_silent_worker(self):
+        # One worker of the roster is listed and silent. A watcher of an earlier owner
+        # runs nowhere once every lease is over, and no end of it is one as done.
+        shard = Shard(epoch=2, settled=False)
+        lasting = build_job(attrs.evolve(SMALL, long_running=True), job_id="lasting")
+        shard.submit(lasting, certain=False)
+        shard.submit(build_job(job_id="ending"), certain=False)
+        self.assertEqual(list_starts(shard.plan()), [])
+        shard.now_ms = shard.scheduler.limits.settled_at_ms
+        shard.look_all()
+        starts = list_starts(shard.plan())
+        self.assertEqual([order.task.job_id for order in starts], ["lasting"])
+
+    def test_earlier_jobs_do_not_wait_for_an_unreadable_entry(self):
+        # A worker of the roster is dead, and another writer's entry stands for good
+        # under its key: what had been accepted before would wait for ever.
+        shard = Shard(workers=1, epoch=2, settled=False)
+        shard.scheduler.workers["w0"].is_known = False
+        shard.scheduler.bar_worker("w0")
+        past_ms = shard.scheduler.limits.settled_at_ms + 1.0
+        self.assertTrue(is_settled(shard.scheduler, ("w0",), past_ms))
+
     def test_attempts_of_a_later_owner_are_higher(self):
         # Starts aren't written down. A worker refuses a run that isn't higher than one
         # it has ended, so a later owner that began at 1 again would never get through.
--- a/trefoilhook/scheduling/tests/test_unread.py
+++ b/trefoilhook/scheduling/tests/test_unread.py
@@ -139,7 +139,8 @@
         self.assertEqual(len(worker.unacknowledged), 0)
 
     def test_leases_that_lapse_end_the_wait(self):
-        # The worker is lost with the end unread: its attempt is over by proof.
+        # The worker is lost with the end unread: its attempt is over by proof, once the
+        # store lists it no more.
         shard = Shard(workers=1)
         shard.submit(build_job())
         order = shard.start_one()
@@ -148,7 +149,11 @@
         worker = shard.scheduler.workers["w0"]
         worker.suspect = True
         shard.pass_time(20_000.0)
-        self.assertEqual(shard.scheduler.release_lapsed(shard.now_ms), ["w0"])
+        (lapse,) = shard.scheduler.release_lapsed(shard.now_ms)
+        self.assertEqual((lapse.awaited, lapse.given_up), (1, ()))
+        shard.scheduler.unlist_worker("w0")
+        (lapse,) = shard.scheduler.release_lapsed(shard.now_ms)
+        self.assertEqual(lapse.given_up, ((order.task, order.attempt),))
 
     def test_worker_with_many_ends_behind_it_gets_nothing_new(self):
         # Its lists have room for 500 ends, so what ends later would not be seen.
--- a/trefoilhook/standins/platform_worker.py
+++ b/trefoilhook/standins/platform_worker.py
@@ -179,8 +179,17 @@
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         self.calls += 1
+        await self._keep_silent()
+        response = await self._carry_out(request)
+        # What was asked before the silence began isn't answered in it either.
+        await self._keep_silent()
+        return response
+
+    async def _keep_silent(self) -> None:
         if self.fault is WorkerFault.SILENT:
             await trio.sleep_forever()
+
+    async def _carry_out(self, request: HttpRequest) -> HttpResponse:
         if request.get_header("expect-instance") != self.worker_id:
             return HttpResponse(status=421)
         body = request.parse_json()
