Hold what an unread row may mean through a takeover, too

Cause: a new owner knows an earlier one's attempts by a worker's lists alone. A row that could not be read named none to it, so the worker counted as known, the shard as settled, and the task was started again although it may be done or run still.

Now an end that names its attempt is held as if the attempt ran, while its job is open; while a row may mean any attempt, its worker isn't known and tasks of earlier owners wait for it. Ruled out: waiting for the leases only, which this owner's own looks go on renewing.

Before: test_end_that_names_its_attempt (a StartOrder in place of none) and test_row_that_may_mean_any_attempt (settled) fail.

--- a/trefoilhook/runtime/tests/test_foreign.py
+++ b/trefoilhook/runtime/tests/test_foreign.py
@@ -322,6 +322,28 @@
 
         run_cluster(scenario, workers=1, instances=1)
 
+    def test_end_that_cannot_be_read_at_a_takeover(self):
+        # The owner dies after a worker told of an end with a word that isn't known. The
+        # next owner knows the attempt by that row alone, and must not start the task.
+        async def scenario(cluster: Cluster) -> None:
+            owner = await cluster.wait_for_owner()
+            worker = cluster.workers["w0"]
+            worker.words = {"done": "accomplished"}
+            await self.submit(cluster, JOB, 1)
+            await cluster.wait_until(
+                lambda: [run.how for run in cluster.list_runs()] == ["done"]
+            )
+            owner.scope.cancel()
+            await owner.ended.wait()
+            later = await cluster.wait_for_owner()
+            await trio.sleep(1.0)
+            self.assertEqual(await cluster.read_state(later, JOB), "running")
+            worker.words = {}
+            await cluster.wait_for_state(later, JOB, "completed")
+            self.assertEqual(len(cluster.list_runs()), 1)
+
+        run_cluster(scenario, workers=1)
+
     def test_ends_after_one_that_cannot_be_read(self):
         async def scenario(cluster: Cluster) -> None:
             instance = await cluster.wait_for_owner()
--- a/trefoilhook/scheduling/looks.py
+++ b/trefoilhook/scheduling/looks.py
@@ -5,8 +5,8 @@
 from trefoilhook.scheduling.crowds import learn_crowd
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.messages import End, EndKind, Look, Running
-from trefoilhook.scheduling.models import Demand
-from trefoilhook.scheduling.unread import keep_hidden, note_unread
+from trefoilhook.scheduling.models import Demand, TaskId
+from trefoilhook.scheduling.unread import keep_hidden, names_all, note_unread
 
 __all__ = ["shares_with_services", "take_look"]
 
@@ -49,12 +49,15 @@
         _take_end(scheduler, worker, end, now_ms)
     for running in look.running:
         _take_running(scheduler, worker, running, now_ms)
+    for row in look.unread:
+        if row.attempt is not None:
+            _hold_unread(scheduler, worker, row.attempt, now_ms)
     learn_crowd(worker, scheduler.jobs, scheduler.interference, now_ms)
     listed = {(running.task, running.attempt) for running in look.running}
     listed |= keep_hidden(worker, look, listed, now_ms)
     if len(look.ends) + len(look.unread) >= _FULL_PAGE_OF_ENDS:
         return
-    worker.is_known = True
+    worker.is_known = worker.is_known or names_all(look)
     for key, run in list(worker.runs.items()):
         # The worker answered for this run before it was asked for this look: if
         # it neither runs nor has ended there, it never will run there.
@@ -118,6 +121,32 @@
     run.checkpoint = running.checkpoint or run.checkpoint
 
 
+def _hold_unread(
+    scheduler: Scheduler, worker: Worker, key: tuple[TaskId, int], now_ms: float
+) -> None:
+    """Hold an attempt whose end can't be read as if it ran, while its job is open.
+
+    Guards against a task that is done and started again at a takeover: its end is all
+    that the new owner could know it by. Once the job has ended, how the attempt ended
+    has no effect any more; only stops would be sent to it for good.
+    """
+    name, attempt = key
+    state = scheduler.jobs.get(name.job_id)
+    task = state.find_task(name) if state is not None else None
+    if state is None or task is None:
+        return
+    run = worker.runs.get(key)
+    if not state.is_open or task.done:
+        if run is not None:
+            scheduler.finish_run(worker, run, EndKind.LAPSED, "")
+        return
+    if run is None and not task.attempts and attempt >= task.last_attempt:
+        running = Running(
+            task=name, attempt=attempt, checkpoint="", percent=None, load=None
+        )
+        _take_running(scheduler, worker, running, now_ms)
+
+
 def _adopt(
     scheduler: Scheduler, worker: Worker, running: Running, now_ms: float
 ) -> Run:
--- a/trefoilhook/scheduling/tests/test_unread.py
+++ b/trefoilhook/scheduling/tests/test_unread.py
@@ -6,12 +6,15 @@
 
 from trefoilhook.scheduling import (
     EndKind,
+    JobPhase,
     OrderOutcome,
     Running,
+    StartOrder,
     StopOrder,
     TaskId,
     UnreadRow,
     acknowledge,
+    is_settled,
     take_look,
 )
 from trefoilhook.scheduling.fleet import RunPhase
@@ -138,6 +141,21 @@
         shard.look("w0")
         self.assertEqual(len(worker.unacknowledged), 0)
 
+    def test_job_that_is_cancelled_lets_go(self):
+        # How the attempt ended has no effect any more; stops would be sent for good.
+        shard = Shard(workers=1)
+        shard.submit(build_job())
+        order = shard.start_one()
+        shard.workers["w0"].end(order.task, order.attempt, EndKind.DONE)
+        row = build_unread(1, (order.task, order.attempt))
+        look_with(shard, row)
+        worker = shard.scheduler.workers["w0"]
+        self.assertEqual(len(worker.runs), 1)
+        shard.scheduler.cancel_job("j", revision=2)
+        look_with(shard, row)
+        self.assertEqual((worker.runs, worker.cpu), ({}, 0))
+        self.assertEqual(shard.plan(), [])
+
     def test_leases_that_lapse_end_the_wait(self):
         # The worker is lost with the end unread: its attempt is over by proof, once the
         # store lists it no more.
@@ -170,6 +188,61 @@
         self.assertEqual(len(list_starts(shard.plan())), 1)
 
 
+class TakeoverTest(unittest.TestCase):
+    """A new owner that can't read all that a worker lists."""
+
+    def _take_over(self, *unread: UnreadRow) -> tuple[Shard, StartOrder]:
+        """Have a task start under one owner, and be done before the next one looks."""
+        earlier = Shard(workers=1)
+        earlier.submit(build_job())
+        order = earlier.start_one()
+        earlier.workers["w0"].end(order.task, order.attempt, EndKind.DONE)
+        later = Shard(workers=0, epoch=2)
+        later.workers = earlier.workers
+        report = earlier.scheduler.workers["w0"].report
+        later.scheduler.update_worker(report)
+        later.scheduler.workers["w0"].rostered = True
+        later.submit(build_job(), certain=False)
+        rows = unread or (build_unread(1, (order.task, order.attempt)),)
+        look_with(later, *rows)
+        return later, order
+
+    def test_end_that_names_its_attempt(self):
+        # The owner dies, and a worker's word for the end of its task isn't known to the
+        # next one. The task may be done: it is held as if it ran.
+        shard, order = self._take_over()
+        self.assertTrue(is_settled(shard.scheduler, ["w0"], shard.now_ms))
+        self.assertEqual(shard.plan(), [])
+        for _ in range(2):
+            shard.pass_time(_STILL_MS)
+            look_with(shard, build_unread(1, (order.task, order.attempt)))
+            self.assertEqual(shard.plan(), [])
+        shard.look("w0")
+        self.assertEqual(shard.scheduler.jobs["j"].phase, JobPhase.COMPLETED)
+        self.assertEqual(shard.plan(), [])
+
+    def test_row_that_may_mean_any_attempt(self):
+        # The same, but it can't be told which task the row is about: until it can, no
+        # task of the earlier owner may start, however long that takes.
+        shard, _ = self._take_over(build_unread(1))
+        self.assertFalse(is_settled(shard.scheduler, ["w0"], shard.now_ms))
+        shard.pass_time(2 * _STILL_MS)
+        look_with(shard, UnreadRow(reason="task", is_end=False), build_unread(1))
+        self.assertFalse(is_settled(shard.scheduler, ["w0"], shard.now_ms))
+        shard.look("w0")
+        self.assertTrue(is_settled(shard.scheduler, ["w0"], shard.now_ms))
+
+    def test_end_of_an_attempt_that_was_followed(self):
+        # A later attempt is known: the row is about one that was given up before.
+        shard, order = self._take_over()
+        state = shard.scheduler.jobs["j"].find_task(order.task)
+        shard.look("w0")
+        state.done = False
+        state.last_attempt = order.attempt + 1
+        look_with(shard, build_unread(1, (order.task, order.attempt)))
+        self.assertEqual(shard.scheduler.workers["w0"].runs, {})
+
+
 class UnreadRunningTest(unittest.TestCase):
     """Rows of what runs that can't be read."""
 
--- a/trefoilhook/scheduling/unread.py
+++ b/trefoilhook/scheduling/unread.py
@@ -14,7 +14,7 @@
 from trefoilhook.scheduling.messages import Look
 from trefoilhook.scheduling.models import TaskId
 
-__all__ = ["is_clogged", "keep_hidden", "note_unread"]
+__all__ = ["is_clogged", "keep_hidden", "names_all", "note_unread"]
 
 _MOST_HELD_ENDS = 250
 """Ends held back behind one that can't be read past which a worker gets no new task:
@@ -49,6 +49,11 @@
     return hidden
 
 
+def names_all(look: Look) -> bool:
+    """Tell whether every row names its attempt, so that all on the worker are known."""
+    return all(row.attempt is not None for row in look.unread)
+
+
 def is_clogged(worker: Worker) -> bool:
     """Tell whether too many ends are held back behind one that can't be read."""
     return worker.unread_from is not None and len(worker.ends_taken) > _MOST_HELD_ENDS
