Give the release of silent workers' runs a module of its own

It is scheduling.lapses now, a function like those of looks and outcomes; no logic changed. Calls in tests were renamed, nothing else in them.

--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -49,6 +49,7 @@
     is_settled,
     list_unheard,
     plan_orders,
+    release_lapsed,
 )
 
 __all__ = ["ShardOwner", "ShardSettings"]
@@ -501,7 +502,7 @@
         if configuration.version != scheduler.configuration.version:
             scheduler.set_configuration(configuration)
             self._take_unnamed(nursery)
-        for lapse in scheduler.release_lapsed(now_ms):
+        for lapse in release_lapsed(scheduler, now_ms):
             _log_lapse(lapse)
         if not self._settled and is_settled(scheduler, self._earlier_roster, now_ms):
             self._settled = True
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -17,6 +17,7 @@
     decode_interference,
     encode_interference,
 )
+from trefoilhook.scheduling.lapses import release_lapsed
 from trefoilhook.scheduling.looks import shares_with_services, take_look
 from trefoilhook.scheduling.messages import (
     End,
@@ -57,6 +58,7 @@
 from trefoilhook.scheduling.tickets import AdviceRequest, Grant
 
 __all__ = [
+    "release_lapsed",
     "SLOWEST_CLOCK",
     "Advice",
     "AdviceRequest",
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -9,7 +9,7 @@
 from trefoilhook.scheduling.book import JobState, TaskState
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.interference import Interference
-from trefoilhook.scheduling.messages import EndKind, Lapse, StopReason
+from trefoilhook.scheduling.messages import EndKind, StopReason
 from trefoilhook.scheduling.models import Configuration, TaskId, WorkerReport
 from trefoilhook.scheduling.records import JobPhase, JobRecord, Progress
 from trefoilhook.scheduling.tickets import TicketBook
@@ -257,62 +257,6 @@
         for run in list(worker.runs.values()):
             self.finish_run(worker, run, EndKind.LAPSED, run.checkpoint)
 
-    def release_lapsed(self, now_ms: float) -> list[Lapse]:
-        """Free what is over on silent workers whose leases have all run out.
-
-        Returns
-        -------
-        list of Lapse
-            What became of the runs on each worker, where that is news.
-        """
-        lapses: list[Lapse] = []
-        for worker in list(self.workers.values()):
-            if not (worker.suspect or not worker.listed) or not worker.fenced:
-                continue
-            if not worker.is_lapsed(now_ms):
-                continue
-            lapse = self._release_silent(worker, now_ms)
-            if lapse.given_up or (lapse.awaited and not worker.is_awaited):
-                lapses.append(lapse)
-            worker.is_awaited = bool(lapse.awaited)
-            if not worker.listed:
-                del self.workers[worker.report.worker_id]
-        return lapses
-
-    def _release_silent(self, worker: Worker, now_ms: float) -> Lapse:
-        """Let go of the runs on a lapsed worker, but for those that may be done.
-
-        Guards against a task that is started again after it was done. Its worker's
-        answers don't reach the owner for a whole lease; the worker lists the end all
-        the while. That no lease is left proves that nothing runs there, not that
-        nothing has ended as done. A worker in the store's list is alive and will tell,
-        so its tasks wait for it; one that is off the list has crashed or left, and
-        waiting for it would lose them.
-        """
-        given_up: list[tuple[TaskId, int]] = []
-        awaited = 0
-        for run in list(worker.runs.values()):
-            if worker.is_known_alive and self._may_be_done(run):
-                awaited += 1
-                continue
-            self.finish_run(worker, run, EndKind.LAPSED, run.checkpoint)
-            given_up.append((run.task, run.attempt))
-        return Lapse(
-            worker_id=worker.report.worker_id,
-            listed=worker.listed,
-            silent_ms=now_ms - worker.clock_read_ms,
-            given_up=tuple(given_up),
-            awaited=awaited,
-        )
-
-    def _may_be_done(self, run: Run) -> bool:
-        """Tell whether it matters that a run may have ended as done."""
-        state = self.jobs.get(run.task.job_id)
-        if state is None or not state.is_open:
-            return False
-        task = state.find_task(run.task)
-        return task is not None and not task.done and not task.step.long_running
-
     def finish_run(
         self, worker: Worker, run: Run, kind: EndKind, checkpoint: str
     ) -> None:
--- a/trefoilhook/scheduling/tests/test_orders.py
+++ b/trefoilhook/scheduling/tests/test_orders.py
@@ -17,6 +17,7 @@
     collect_changes,
     confirm_change,
     is_settled,
+    release_lapsed,
     take_look,
 )
 from trefoilhook.scheduling.tests.cases import (
@@ -52,15 +53,15 @@
         (order,) = shard.plan()
         shard.answer(order, OrderOutcome.NO_ANSWER)
         shard.pass_time(TASK_LEASE_MS * 1.015)
-        self.assertEqual(shard.scheduler.release_lapsed(shard.now_ms), [])
+        self.assertEqual(release_lapsed(shard.scheduler, shard.now_ms), [])
         shard.pass_time(TASK_LEASE_MS * 0.04)
-        (lapse,) = shard.scheduler.release_lapsed(shard.now_ms)
+        (lapse,) = release_lapsed(shard.scheduler, shard.now_ms)
         self.assertEqual((lapse.worker_id, lapse.given_up), ("w0", ()))
         self.assertEqual(lapse.awaited, 1)
-        self.assertEqual(shard.scheduler.release_lapsed(shard.now_ms), [])
+        self.assertEqual(release_lapsed(shard.scheduler, shard.now_ms), [])
         self.assertEqual(len(shard.scheduler.waiting), 0)
         shard.scheduler.unlist_worker("w0")
-        (lapse,) = shard.scheduler.release_lapsed(shard.now_ms)
+        (lapse,) = release_lapsed(shard.scheduler, shard.now_ms)
         self.assertEqual(lapse.given_up, ((order.task, order.attempt),))
         self.assertEqual(lapse.awaited, 0)
         self.assertEqual(len(shard.scheduler.waiting), 1)
@@ -73,7 +74,7 @@
         (order,) = shard.plan()
         shard.answer(order, OrderOutcome.NO_ANSWER)
         shard.pass_time(TASK_LEASE_MS * 1.1)
-        shard.scheduler.release_lapsed(shard.now_ms)
+        release_lapsed(shard.scheduler, shard.now_ms)
         self.assertEqual(shard.plan(), [])
         shard.look("w0")
         self.assertEqual([start.attempt for start in shard.plan()], [order.attempt])
@@ -86,7 +87,7 @@
         order = shard.start_one()
         shard.scheduler.workers[order.worker_id].suspect = True
         shard.pass_time(TASK_LEASE_MS * 1.2)
-        (lapse,) = shard.scheduler.release_lapsed(shard.now_ms)
+        (lapse,) = release_lapsed(shard.scheduler, shard.now_ms)
         self.assertEqual(lapse.given_up, ((order.task, order.attempt),))
         shard.look("w1" if order.worker_id == "w0" else "w0")
         self.assertNotEqual(shard.start_one().worker_id, order.worker_id)
@@ -176,10 +177,10 @@
         order = shard.start_one()
         shard.scheduler.unlist_worker(order.worker_id)
         shard.pass_time(TASK_LEASE_MS * 0.9)
-        self.assertEqual(shard.scheduler.release_lapsed(shard.now_ms), [])
+        self.assertEqual(release_lapsed(shard.scheduler, shard.now_ms), [])
         self.assertEqual(list_starts(shard.plan()), [])
         shard.pass_time(TASK_LEASE_MS * 0.2)
-        shard.scheduler.release_lapsed(shard.now_ms)
+        release_lapsed(shard.scheduler, shard.now_ms)
         shard.look("w1" if order.worker_id == "w0" else "w0")
         again = shard.start_one()
         self.assertNotEqual(again.worker_id, order.worker_id)
@@ -194,7 +195,7 @@
         order = shard.start_one()
         shard.scheduler.unlist_worker(order.worker_id)
         shard.pass_time(TASK_LEASE_MS * 1.2)
-        shard.scheduler.release_lapsed(shard.now_ms)
+        release_lapsed(shard.scheduler, shard.now_ms)
         for worker_id in shard.workers:
             if worker_id != order.worker_id:
                 shard.look(worker_id)
@@ -219,7 +220,7 @@
         shard.scheduler.workers[order.worker_id].suspect = True
         for _ in range(20):
             shard.pass_time(TASK_LEASE_MS / 10.0)
-            shard.scheduler.release_lapsed(shard.now_ms)
+            release_lapsed(shard.scheduler, shard.now_ms)
             shard.look("w1" if order.worker_id == "w0" else "w0")
             self.assertEqual(list_starts(shard.plan()), [])
         shard.look(order.worker_id)
@@ -235,7 +236,7 @@
         shard.scheduler.bar_worker(order.worker_id)
         shard.scheduler.workers[order.worker_id].suspect = True
         shard.pass_time(TASK_LEASE_MS * 1.2)
-        (lapse,) = shard.scheduler.release_lapsed(shard.now_ms)
+        (lapse,) = release_lapsed(shard.scheduler, shard.now_ms)
         self.assertEqual(lapse.given_up, ((order.task, order.attempt),))
         shard.look("w1" if order.worker_id == "w0" else "w0")
         self.assertNotEqual(shard.start_one().worker_id, order.worker_id)
@@ -351,9 +352,9 @@
             second.add_worker(worker_id)
         second.scheduler.workers[order.worker_id].suspect = True
         second.pass_time(10.0)
-        self.assertEqual(second.scheduler.release_lapsed(second.now_ms), [])
+        self.assertEqual(release_lapsed(second.scheduler, second.now_ms), [])
         second.pass_time(TASK_LEASE_MS * 1.04)
-        (lapse,) = second.scheduler.release_lapsed(second.now_ms)
+        (lapse,) = release_lapsed(second.scheduler, second.now_ms)
         self.assertEqual(lapse.given_up, ((order.task, order.attempt),))
 
     def test_earlier_task_that_lasts_does_not_wait_for_a_silent_worker(self):
--- a/trefoilhook/scheduling/tests/test_unread.py
+++ b/trefoilhook/scheduling/tests/test_unread.py
@@ -12,6 +12,7 @@
     TaskId,
     UnreadRow,
     acknowledge,
+    release_lapsed,
     take_look,
 )
 from trefoilhook.scheduling.fleet import RunPhase
@@ -149,10 +150,10 @@
         worker = shard.scheduler.workers["w0"]
         worker.suspect = True
         shard.pass_time(20_000.0)
-        (lapse,) = shard.scheduler.release_lapsed(shard.now_ms)
+        (lapse,) = release_lapsed(shard.scheduler, shard.now_ms)
         self.assertEqual((lapse.awaited, lapse.given_up), (1, ()))
         shard.scheduler.unlist_worker("w0")
-        (lapse,) = shard.scheduler.release_lapsed(shard.now_ms)
+        (lapse,) = release_lapsed(shard.scheduler, shard.now_ms)
         self.assertEqual(lapse.given_up, ((order.task, order.attempt),))
 
     def test_worker_with_many_ends_behind_it_gets_nothing_new(self):
