--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -45,6 +45,7 @@
     is_settled,
     list_unheard,
     plan_orders,
+    release_lapsed,
 )
 
 __all__ = ["ShardOwner", "ShardSettings"]
@@ -359,7 +360,7 @@
         if configuration.version != scheduler.configuration.version:
             scheduler.set_configuration(configuration)
             worker_feed.take_unnamed()
-        for lapse in scheduler.release_lapsed(now_ms):
+        for lapse in release_lapsed(scheduler, now_ms):
             log_lapse(lapse)
         if not self._settled and is_settled(scheduler, self._earlier_roster, now_ms):
             self._settled = True
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -17,6 +17,7 @@
     decode_interference,
     encode_interference,
 )
+from trefoilhook.scheduling.lapses import release_lapsed
 from trefoilhook.scheduling.looks import shares_with_services, take_look
 from trefoilhook.scheduling.messages import (
     End,
@@ -107,6 +108,7 @@
     "measure_backlogs",
     "parse_task_id",
     "plan_orders",
+    "release_lapsed",
     "shares_with_services",
     "take_look",
     "take_start_outcome",
