Look at the lag of plans while it is there

It now waits for a lag over 200 ms, which plans of 250 ms bring; with the guard taken out it fails after 10 s.

--- a/trefoilhook/runtime/tests/test_lag.py
+++ b/trefoilhook/runtime/tests/test_lag.py
@@ -84,7 +84,9 @@
                 await cluster.send(owner, "POST", PREFIX + JOB, build_body())
                 await cluster.wait_for_state(owner, JOB, "completed")
                 read_lag = owner.process.figures.gauges["loop_lag_ms"]
-                self.assertGreater(read_lag(), 100.0)
+                # Half of a lag is forgotten in a second: looked at after each turn.
+                with trio.fail_after(10.0):
+                    await cluster.wait_until(lambda: read_lag() > 200.0)
 
         run_cluster(scenario, instances=1)
 
