Give a long-running task that ended its place back first

Test first: a watcher that fails on a full worker beside urgent tasks that wait. The first starts of long-running tasks still come after the others of their priority.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -150,22 +150,35 @@
 
 
 def _rank(
-    state: TaskState, wall_ms: float
-) -> tuple[int, bool, int, float, str, int, int]:
+    tasks: list[TaskState], wall_ms: float
+) -> tuple[int, bool, bool, int, float, str, int, int]:
     """Order of the waiting steps: by priority, by who can be in time, the small first.
 
     A job is worth a fixed part and a part by its work, so small ones earn most by the
     core and second.
 
     Long-running tasks come after the others of their priority: those give their room
-    back in a second, and earn several times as much by the core and second.
+    back in a second, and earn several times as much by the core and second. But one
+    that ran and ended comes first: on a full fleet the place that it left is the only
+    one of its size, and small tasks that keep coming would take it for good.
     """
+    state = tasks[0]
     job = state.job
     priority = job.queue.priority if job.queue is not None else 0
     late = judge_lateness(state, wall_ms)
     lasts = state.step.long_running
-    task = state.task
-    return priority, lasts, late, job.work, task.job_id, task.occurrence, task.step
+    is_new = not (lasts and any(task.last_attempt for task in tasks))
+    name = state.task
+    return (
+        priority,
+        is_new,
+        lasts,
+        late,
+        job.work,
+        name.job_id,
+        name.occurrence,
+        name.step,
+    )
 
 
 def _is_over_elsewhere(scheduler: Scheduler, state: TaskState, now_ms: float) -> bool:
@@ -190,7 +203,7 @@
             continue
         if with_fillers or not state.step.filler:
             steps.setdefault(name_step(state.task), []).append(state)
-    ready = sorted(steps.values(), key=lambda tasks: _rank(tasks[0], wall_ms))
+    ready = sorted(steps.values(), key=lambda tasks: _rank(tasks, wall_ms))
     crowds = Crowds(
         jobs=scheduler.jobs, interference=scheduler.interference, now_ms=now_ms
     )
--- a/trefoilhook/scheduling/tests/test_rounds.py
+++ b/trefoilhook/scheduling/tests/test_rounds.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from trefoilhook.scheduling import Demand, Step
+from trefoilhook.scheduling import Demand, EndKind, Step
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 
 _LASTING = Step(
@@ -29,6 +29,21 @@
         starts = list_starts(shard.step())
         self.assertEqual([order.task.job_id for order in starts], ["z"])
 
+    def test_lasting_task_that_ended_gets_its_place_back(self):
+        # A watcher fails on a full fleet, and its users are without it for 32 s: urgent
+        # tasks that keep coming take the room it left, and each piece freed after that,
+        # before a whole one of its size is free again.
+        shard = Shard(workers=1, cpu=4000)
+        lasting = attrs.evolve(_LASTING, demand=Demand(cpu=3000, memory_mb=10))
+        shard.submit(build_job(lasting, job_id="z"))
+        order = shard.start_one()
+        urgent = Step(count=3, demand=Demand(cpu=1500, memory_mb=10), estimate_ms=500.0)
+        shard.submit(build_job(urgent, job_id="a"))
+        self.assertEqual(list_starts(shard.step()), [])
+        shard.end(order, EndKind.FAILED)
+        starts = list_starts(shard.step())
+        self.assertEqual([start.task.job_id for start in starts], ["z"])
+
     def test_fillers_without_a_place_end_a_round(self):
         # A burst leaves hundreds of steps without a place; looking at all of them in
         # each round would take longer than the pause between two.
