Wait in a test until the roster names the worker that it silences

The roster names a worker once it has answered, and on a busy machine both tasks had started on the other one before w0 had; the next owner then rightly didn't wait for it. With w0 silent from the start a scratch copy fails in the same way. The test now waits for w0 in the roster before it silences it; what it asserts stays.

--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -5,6 +5,7 @@
 import trio
 
 from trefoilhook.logs.tests.lines import capture_lines, count_lines, find_line
+from trefoilhook.runtime import keys
 from trefoilhook.runtime.losses import log_lapse, log_restart, log_unlisted
 from trefoilhook.runtime.tests.cluster import PREFIX, Cluster, build_body, run_cluster
 from trefoilhook.scheduling import (
@@ -233,6 +234,9 @@
             first = await cluster.wait_for_owner()
             await cluster.send(first, "POST", PREFIX + JOB, build_body(2))
             await cluster.wait_until(lambda: len(cluster.list_runs()) == 2)
+            # The roster names a worker once it has answered, maybe after the starts.
+            roster = keys.roster_key(keys.SHARD)
+            await cluster.wait_until(lambda: "w0" in cluster.store.read(roster))
             cluster.workers["w0"].fault = WorkerFault.SILENT
             cluster.store.remove("servers/w0")
             with capture_lines() as captured:
