Keep what a soak left behind when it broke a promise

Cause: the soak's test failed once beside a load of 30, and its folder had gone with everything that could have told why: the logs, what ran, which faults came when.

No change of the program.

--- a/trefoilhook/soak/__main__.py
+++ b/trefoilhook/soak/__main__.py
@@ -8,6 +8,7 @@
 import trio
 
 from trefoilhook.soak.core import SoakSettings, run_soak
+from trefoilhook.soak.findings import FINDINGS_FOLDER, keep_finding
 
 __all__ = ["main"]
 
@@ -49,6 +50,9 @@
                 folder=folder,
             )
             report = trio.run(run_soak, settings)
+            if report.violations:
+                kept = keep_finding(settings, report, into=FINDINGS_FOLDER)
+                print(f"kept in {kept}", flush=True)
         verdict = "broken" if report.violations else "held"
         print(
             f"seed {seed}: {verdict}; {len(report.faults)} faults, "
--- a/trefoilhook/soak/core.py
+++ b/trefoilhook/soak/core.py
@@ -10,8 +10,9 @@
 from trefoilhook.clock import Clock, build_boot_clock
 from trefoilhook.soak.checks import check_runs
 from trefoilhook.soak.clients import Clients
-from trefoilhook.soak.faults import Faults
+from trefoilhook.soak.faults import Faults, InjectedFault
 from trefoilhook.soak.fleet import WORKER_CPU, Fleet
+from trefoilhook.soak.history import write_history
 from trefoilhook.soak.ledger import SubmissionOutcome
 
 __all__ = ["SoakReport", "SoakSettings", "run_soak"]
@@ -42,7 +43,7 @@
     task_ms : float
         Time of a task, in ms.
     folder : Path
-        Where settings and logs go.
+        Where settings, logs and the history of runs go.
     """
 
     seed: int
@@ -61,14 +62,14 @@
     ----------
     violations : tuple of str
         What was broken, in words.
-    faults : tuple of str
-        What was injected.
+    faults : tuple of InjectedFault
+        What was injected, in order.
     submitted, accepted, runs : int
         How much went through.
     """
 
     violations: tuple[str, ...]
-    faults: tuple[str, ...]
+    faults: tuple[InjectedFault, ...]
     submitted: int
     accepted: int
     runs: int
@@ -87,7 +88,9 @@
         clients = Clients(
             fleet=fleet, clock=clock, choices=random.Random(settings.seed)
         )
-        faults = Faults(fleet=fleet, choices=random.Random(settings.seed + 1))
+        faults = Faults(
+            fleet=fleet, clock=clock, choices=random.Random(settings.seed + 1)
+        )
         try:
             await fleet.start(instances=settings.instances, workers=settings.workers)
             await _play(settings, fleet, clients, faults, clock)
@@ -96,6 +99,7 @@
                 await fleet.close()
                 await clients.close()
             nursery.cancel_scope.cancel()
+    write_history(settings.folder, clients.ledger, fleet.runs)
     return _report(fleet, clients, faults)
 
 
--- a/trefoilhook/soak/faults.py
+++ b/trefoilhook/soak/faults.py
@@ -5,14 +5,16 @@
 import subprocess
 from collections.abc import Awaitable, Callable
 
+import attrs
 import trio
 
+from trefoilhook.clock import Clock
 from trefoilhook.soak.fleet import Fleet, Instance
 from trefoilhook.standins import CutSettings, Partition, TcpCut
 from trefoilhook.standins.platform_store import StoreFault
 from trefoilhook.standins.platform_worker import WorkerFault
 
-__all__ = ["Faults"]
+__all__ = ["Faults", "InjectedFault"]
 
 _LONGEST_S = 4.0
 _SHORTEST_S = 0.3
@@ -34,6 +36,14 @@
 Fault = Callable[["Faults"], Awaitable[None]]
 
 
+@attrs.frozen(kw_only=True)
+class InjectedFault:
+    """A fault, and when it began on the clock of the soak, in ms."""
+
+    name: str
+    at_ms: float
+
+
 class Faults:
     """Draws faults and undoes them.
 
@@ -41,19 +51,22 @@
     ----------
     fleet : Fleet
         What is harmed.
+    clock : Clock
+        Where time comes from.
     choices : random.Random
         Where chance comes from.
 
     Attributes
     ----------
-    injected : list of str
-        Names of the faults, in order.
+    injected : list of InjectedFault
+        In order.
     """
 
-    def __init__(self, *, fleet: Fleet, choices: random.Random) -> None:
+    def __init__(self, *, fleet: Fleet, clock: Clock, choices: random.Random) -> None:
         self._fleet = fleet
+        self._clock = clock
         self._choices = choices
-        self.injected: list[str] = []
+        self.injected: list[InjectedFault] = []
 
     async def run(self, duration_s: float) -> None:
         """Inject faults for a while; return once all are undone."""
@@ -62,7 +75,12 @@
                 while True:
                     await trio.sleep(self._choices.expovariate(1.0 / _PAUSE_S))
                     fault = self._choices.choice(_FAULTS)
-                    self.injected.append(fault.__name__.strip("_"))
+                    self.injected.append(
+                        InjectedFault(
+                            name=fault.__name__.strip("_"),
+                            at_ms=self._clock.monotonic_ms(),
+                        )
+                    )
                     nursery.start_soon(fault, self)
 
     async def last(self) -> None:
--- a/trefoilhook/soak/tests/test_soak.py
+++ b/trefoilhook/soak/tests/test_soak.py
@@ -6,7 +6,13 @@
 
 import trio
 
-from trefoilhook.soak import SoakSettings, run_soak
+from trefoilhook.soak import (
+    FINDINGS_FOLDER,
+    SoakSettings,
+    describe_finding,
+    keep_finding,
+    run_soak,
+)
 
 _SEED = 7
 _DURATION_S = 10.0
@@ -32,7 +38,10 @@
                     return await run_soak(settings)
 
             report = trio.run(main)
-        self.assertEqual(report.violations, ())
+            if report.violations:
+                keep_finding(settings, report, into=FINDINGS_FOLDER)
+            story = describe_finding(settings, report)
+        self.assertEqual(report.violations, (), story)
         self.assertGreater(len(report.faults), 5)
         self.assertGreater(report.accepted, 10)
         self.assertGreaterEqual(report.runs, report.accepted)
