Let one slowed task of a batch job in that no worker bears

What was missing: such a task runs well enough slowed, as its cost falls with its pace. A job that has had nothing running for 5 s, with most of the processors reserved by nobody, now gets one task at 5 % of its speed, ordered as soon as its start is confirmed; it counts at that pace, is never let go further, and moves on after all that wait in turn had their turn.

assignment.py was split on the way: ranking (who comes first) and rounds (places held).

--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -1,7 +1,6 @@
 """Jobs of steps on shared workers: the decisions, without any input or output."""
 
 from trefoilhook.scheduling.advising import choose_advised
-from trefoilhook.scheduling.assignment import extend_lease
 from trefoilhook.scheduling.backlog import Backlog, measure_backlogs
 from trefoilhook.scheduling.book import JobState, TaskState
 from trefoilhook.scheduling.changes import (
@@ -55,6 +54,7 @@
     encode_job_record,
     encode_progress,
 )
+from trefoilhook.scheduling.rounds import extend_lease
 from trefoilhook.scheduling.tickets import AdviceRequest, Grant
 
 __all__ = [
--- a/trefoilhook/scheduling/backlog.py
+++ b/trefoilhook/scheduling/backlog.py
@@ -5,11 +5,11 @@
 
 import attrs
 
-from trefoilhook.scheduling.assignment import TOO_LATE, judge_lateness
 from trefoilhook.scheduling.book import TaskState
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Worker
 from trefoilhook.scheduling.placing import is_open
+from trefoilhook.scheduling.ranking import TOO_LATE, judge_lateness
 
 __all__ = ["Backlog", "measure_backlogs"]
 
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -70,6 +70,8 @@
         Who may run the steps of queues with advice.
     fillers_due_ms : float
         When places for fillers are to be looked for next, in ms.
+    idle_since_ms : dict of str to float
+        Since when jobs whose fillers wait have had nothing running, in ms.
     held_back : set of str
         Jobs whose records can't be read: nothing of them is started, stopped or
         acknowledged.
@@ -92,6 +94,7 @@
         self.interference = Interference()
         self.tickets = TicketBook()
         self.fillers_due_ms = 0.0
+        self.idle_since_ms: dict[str, float] = {}
         self._timed: set[JobState] = set()
 
     # What clients and operators did.
--- a/trefoilhook/scheduling/crowds.py
+++ b/trefoilhook/scheduling/crowds.py
@@ -8,7 +8,10 @@
 from trefoilhook.scheduling.models import Step
 from trefoilhook.scheduling.slack import SlackTrack, measure_slack
 
-__all__ = ["Crowd", "Crowds", "Victim", "find_step", "learn_crowd"]
+__all__ = ["FULL_PACE", "Crowd", "Crowds", "Victim", "find_step", "learn_crowd"]
+
+FULL_PACE = 100
+"""Pace of a task that nobody slows, in percent."""
 
 _AT_WORK = 100
 """Percent at which a long-running task is at work, and its tail latency counts."""
@@ -55,7 +58,8 @@
         Its service tasks.
     shares : dict of str to float
         Share of its processors that fillers of each image use at full speed: one that
-        is slowed wants to come back, and invites no other in its place.
+        is slowed wants to come back, and invites no other in its place. Guests count at
+        their pace: they have no claim to more.
     """
 
     cores: float
@@ -70,11 +74,14 @@
         """Thousandths of a core that nobody is thought to use."""
         return self.cores - self.used - self.filler_cpu
 
-    def add(self, step: Step, *, base: float) -> None:
-        """Count one more task; ``base`` matters for a service task only."""
+    def add(self, step: Step, *, base: float, pace: int = FULL_PACE) -> None:
+        """Count one more task.
+
+        ``base`` matters for a service task only, ``pace`` in percent for a filler.
+        """
         self._slacks = None
         if step.filler:
-            cpu = _FILLER_USE * step.demand.cpu
+            cpu = _FILLER_USE * step.demand.cpu * pace / FULL_PACE
             self.filler_cpu += cpu
             share = cpu / max(1.0, self.cores)
             self.shares[step.image] = self.shares.get(step.image, 0.0) + share
@@ -88,12 +95,18 @@
         """Tell whether ``step`` is thought to disturb a service task here."""
         return any(interference.is_heavy(v.image, step.image) for v in self.victims)
 
-    def predict_slack(self, interference: Interference, step: Step) -> float:
-        """Predict the least slack of those beside ``step``, or its own."""
+    def predict_slack(
+        self, interference: Interference, step: Step, *, pace: int = FULL_PACE
+    ) -> float:
+        """Predict the least slack of those beside ``step``, or its own.
+
+        ``pace`` in percent matters for a filler only.
+        """
         if not step.filler:
             base = interference.find_base(step.image)
             return base - interference.find_cost(step.image, self.shares)
         share = _FILLER_USE * step.demand.cpu / max(1.0, self.cores)
+        share *= pace / FULL_PACE
         if self._slacks is None:
             # Once for all fillers of a plan: hundreds may wait, and this is most of
             # the work of looking at a worker.
@@ -153,7 +166,8 @@
         for run in worker.runs.values():
             step = find_step(self.jobs, run)
             if step is not None:
-                crowd.add(step, base=self._predict_base(run, step))
+                base = self._predict_base(run, step)
+                crowd.add(step, base=base, pace=run.first_pace)
         return crowd
 
     def _predict_base(self, run: Run, step: Step) -> float:
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -63,8 +63,12 @@
         When its progress last rose, in ms.
     pace : int
         Share of its speed that it was last ordered to work at, in percent.
+    first_pace : int
+        Share of its speed that it is ordered to work at as soon as its start is
+        confirmed, in percent. Under 100 it is a guest: where it runs it isn't borne at
+        full speed.
     paced_ms : float
-        When that was last ordered, in ms.
+        When a pace was last ordered, in ms.
     slowed_ms : float
         Since when it has been below full speed, in ms.
     order_due_ms : float
@@ -90,6 +94,7 @@
     checkpoint: str = ""
     progressed_ms: float = 0.0
     pace: int = 100
+    first_pace: int = 100
     paced_ms: float = 0.0
     slowed_ms: float = 0.0
     order_due_ms: float = 0.0
@@ -99,6 +104,11 @@
     checkpoint_used: str = ""
     deadline_ms: float = 0.0
 
+    @property
+    def is_guest(self) -> bool:
+        """Whether it was started slowed, where it isn't borne at full speed."""
+        return self.first_pace < 100
+
 
 @attrs.define(kw_only=True, eq=False)
 class Worker:
--- a/trefoilhook/scheduling/pacing.py
+++ b/trefoilhook/scheduling/pacing.py
@@ -171,6 +171,9 @@
 
 
 def _is_order_due(run: Run, pace: int, now_ms: float) -> bool:
+    if run.is_guest and run.paced_ms <= 0.0:
+        # It works at full speed until its first order.
+        return True
     since = now_ms - run.paced_ms
     if pace == run.pace:
         return run.paced_ms > 0.0 and since > _REPEAT_MS
@@ -245,13 +248,15 @@
 ) -> int:
     """Choose the highest pace that leaves every service task its slack.
 
+    A guest isn't let go further than it was started: slack goes to those in turn.
     ``room`` is the slack of each service task, less what other fillers of the worker
     have just been given of it.
     """
     run = filler.run
-    if run.pace >= _FULL:
+    most = run.first_pace - run.pace
+    if most <= 0:
         return run.pace
-    raised = (_FULL - run.pace) / _FULL
+    raised = most / _FULL
     weights = [
         scheduler.interference.weigh(service.image, filler.step.image) * filler.full
         for service in services
@@ -259,7 +264,7 @@
     for service, weight, slack in zip(services, weights, room, strict=True):
         if scheduler.interference.is_heavy(service.image, filler.step.image):
             raised = min(raised, (slack - _AIM_SLACK) / weight)
-    if raised * _FULL < min(_LEAST_RAISE, _FULL - run.pace):
+    if raised * _FULL < min(_LEAST_RAISE, most):
         return run.pace
     for number, weight in enumerate(weights):
         room[number] -= raised * weight
--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -10,7 +10,7 @@
 from trefoilhook.scheduling.fleet import Worker
 from trefoilhook.scheduling.unread import is_clogged
 
-__all__ = ["is_open", "rate_worker"]
+__all__ = ["has_place", "is_open", "rate_worker"]
 
 _SILENCE_LIMIT_MS = 2600.0
 """A worker not heard for so long gets no new task: one look may wait 1,500 ms and its
@@ -64,7 +64,8 @@
     )
 
 
-def _fits(worker: Worker, state: TaskState) -> bool:
+def has_place(worker: Worker, state: TaskState) -> bool:
+    """Tell whether a worker has the room and the label that a task asks for."""
     step = state.step
     if step.required_label and step.required_label not in worker.report.labels:
         return False
@@ -114,6 +115,6 @@
 
 def rate_worker(worker: Worker, state: TaskState, crowds: Crowds) -> float | None:
     """Rate an open worker for a task; higher is better, None has no place for it."""
-    if not _fits(worker, state):
+    if not has_place(worker, state):
         return None
     return _score(worker, state, crowds)
--- /dev/null
+++ b/trefoilhook/scheduling/rounds.py
@@ -0,0 +1,175 @@
+"""One round of assignment: who is open, who has no place, and places that are held."""
+
+from collections.abc import Iterable
+
+import attrs
+
+from trefoilhook.scheduling.book import Attempt, TaskState
+from trefoilhook.scheduling.candidates import Candidates
+from trefoilhook.scheduling.core import ATTEMPTS_PER_EPOCH, Scheduler
+from trefoilhook.scheduling.crowds import FULL_PACE, Crowds
+from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
+from trefoilhook.scheduling.models import Demand
+from trefoilhook.scheduling.placing import is_open
+from trefoilhook.scheduling.tickets import name_step
+
+__all__ = ["Round", "extend_lease", "hold_place", "number_attempt"]
+
+
+@attrs.define(kw_only=True)
+class Round:
+    """One round of assignment, and what it has found out.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        The shard.
+    crowds : Crowds
+        Who runs where.
+    now_ms : float
+        The time, in ms.
+    """
+
+    scheduler: Scheduler
+    crowds: Crowds
+    now_ms: float
+    _open: dict[str, list[Worker]] = attrs.Factory(dict)
+    _short: dict[tuple[str, str, str | None], list[Demand]] = attrs.Factory(dict)
+
+    def list_open(self, state: TaskState) -> list[Worker]:
+        """Return the workers that take new tasks of a task's queue."""
+        queue = state.job.queue
+        if queue is None:
+            return []
+        known = self._open.get(queue.service)
+        if known is None:
+            known = [
+                worker
+                for worker in self.scheduler.workers.values()
+                if worker.report.service == queue.service
+                and is_open(worker, self.now_ms)
+            ]
+            self._open[queue.service] = known
+        if queue.advice is None:
+            return known
+        step = name_step(state.task)
+        tickets = self.scheduler.tickets
+        return [
+            worker
+            for worker in known
+            if tickets.find(step, worker.report.worker_id, self.now_ms) is not None
+        ]
+
+    def rate(self, state: TaskState, workers: Iterable[Worker]) -> Candidates:
+        """Rate workers for the step of a task."""
+        candidates = Candidates(task=state, crowds=self.crowds)
+        for worker in workers:
+            candidates.add(worker)
+        return candidates
+
+    def is_short(self, state: TaskState) -> bool:
+        """Tell whether one that asks for no more has found no place in this round."""
+        if _has_advice(state):
+            return False
+        demand = state.step.demand
+        return any(
+            short.cpu <= demand.cpu
+            and short.memory_mb <= demand.memory_mb
+            and short.gpus <= demand.gpus
+            for short in self._short.get(_describe_need(state), ())
+        )
+
+    def _is_only_spread(self, state: TaskState) -> bool:
+        """Tell whether a task has room, but not beside others of its step."""
+        step = state.step
+        if not step.max_per_worker:
+            return False
+        return any(worker.has_room(step.room) for worker in self.list_open(state))
+
+    def note_short(self, state: TaskState) -> None:
+        """Note that a task found no place."""
+        if _has_advice(state):
+            self.scheduler.tickets.wanted[name_step(state.task)] = None
+        elif not state.step.gang and not self._is_only_spread(state):
+            need = _describe_need(state)
+            self._short.setdefault(need, []).append(state.step.demand)
+
+
+def _has_advice(state: TaskState) -> bool:
+    """Tell whether only some workers may run a step, so that its places are its own."""
+    return state.job.queue is not None and state.job.queue.advice is not None
+
+
+def _describe_need(state: TaskState) -> tuple[str, str, str | None]:
+    """Return what two tasks share that find the same places, but for their size."""
+    step = state.step
+    queue = state.job.queue
+    service = queue.service if queue is not None else ""
+    return service, step.required_label, step.image if step.filler else None
+
+
+def extend_lease(scheduler: Scheduler, worker: Worker, now_ms: float) -> float:
+    """Return the deadline for what runs on a worker, and note that it was given."""
+    deadline = worker.estimate_clock(now_ms) + scheduler.limits.task_lease_ms
+    worker.lease_until_ms = max(worker.lease_until_ms, deadline)
+    return deadline
+
+
+def number_attempt(scheduler: Scheduler, state: TaskState) -> int:
+    """Return the number of a task's next attempt."""
+    return max(state.last_attempt, scheduler.epoch * ATTEMPTS_PER_EPOCH) + 1
+
+
+def hold_place(
+    turn: Round,
+    state: TaskState,
+    worker: Worker,
+    attempt: int,
+    *,
+    first_pace: int = FULL_PACE,
+) -> Run:
+    """Hold room for a task on a worker; the order to start it comes due.
+
+    Parameters
+    ----------
+    turn : Round
+        The round.
+    state : TaskState
+        The task.
+    worker : Worker
+        Where it goes.
+    attempt : int
+        Number of the attempt.
+    first_pace : int
+        Pace in percent that it is ordered to as soon as its start is confirmed.
+    """
+    # Described before it holds the run, which would be counted twice.
+    crowd = turn.crowds.find(worker)
+    checkpoint = state.job.progress.checkpoints.get(state.key, "")
+    run = Run(
+        task=state.task,
+        attempt=attempt,
+        room=state.step.room,
+        phase=RunPhase.STARTING,
+        started_ms=turn.now_ms,
+        checkpoint=checkpoint,
+        checkpoint_used=checkpoint if state.step.checkpointing else "",
+        progressed_ms=turn.now_ms,
+        first_pace=first_pace,
+        pace=first_pace,
+        slowed_ms=turn.now_ms,
+        deadline_ms=extend_lease(turn.scheduler, worker, turn.now_ms),
+    )
+    worker.hold(run)
+    state.last_attempt = attempt
+    state.attempts.append(Attempt(worker=worker, run=run))
+    turn.scheduler.waiting.discard(state)
+    if not state.job.started:
+        state.job.started = True
+        turn.scheduler.mark_started(state.job)
+    crowd.add(
+        state.step,
+        base=turn.crowds.interference.find_trough(state.step.image),
+        pace=first_pace,
+    )
+    return run
--- /dev/null
+++ b/trefoilhook/scheduling/tests/test_starvation.py
@@ -0,0 +1,135 @@
+"""Batch jobs that no worker seems to bear, on a fleet with room to spare.
+
+Most of the workers' processors are free, and a batch job waits for good: what it runs
+disturbs every service task there is, and the one image that bore it has left. Beside
+each service task it would find some processor time, but never all that it asks for, so
+it is never started, and nothing is learned of it any more either.
+"""
+
+import unittest
+
+import attrs
+
+from trefoilhook.scheduling import Demand, EndKind, PaceOrder, Step
+from trefoilhook.scheduling.crowds import Crowds
+from trefoilhook.scheduling.starvation import GUEST_PACE, STARVED_MS
+from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
+
+_SERVICE = Step(
+    count=1,
+    demand=Demand(cpu=4000),
+    long_running=True,
+    latency_limit_ms=18.0,
+    image="s",
+    max_per_worker=1,
+)
+_CPU = 16_000
+
+
+def _filler(image: str, count: int = 3) -> Step:
+    return Step(
+        count=count,
+        demand=Demand(cpu=3000),
+        filler=True,
+        checkpointing=True,
+        image=image,
+        estimate_ms=2000.0,
+    )
+
+
+def _make_heavy(shard: Shard, image: str, cost: float) -> None:
+    """Have it learned that fillers of an image cost so much of the slack."""
+    for _ in range(40):
+        shard.scheduler.interference.learn_change(
+            "s",
+            before={},
+            after={image: 0.2},
+            slack_before=2.5,
+            slack_after=2.5 - 0.2 * cost,
+        )
+
+
+class StarvationTest(unittest.TestCase):
+    """Two workers with a service task each; fillers are heavy for its image."""
+
+    def setUp(self):
+        self.shard = Shard(workers=2, cpu=_CPU)
+        self.shard.submit(build_job(attrs.evolve(_SERVICE, count=2), job_id="service"))
+        self.services = list_starts(self.shard.step())
+        for order in self.services:
+            worker = self.shard.workers[order.worker_id]
+            worker.update(order.task, order.attempt, percent=100.0, load=9.0)
+        _make_heavy(self.shard, "f", 11.0)
+
+    def _wait(self, duration_ms: float) -> list:
+        """Pass time, and return the orders of all plans meanwhile."""
+        orders = []
+        for _ in range(round(duration_ms / 100.0)):
+            orders += self.shard.step()
+        return orders
+
+    def test_starved_job_gets_one_slowed_task(self):
+        self.shard.submit(build_job(_filler("f"), job_id="batch"))
+        self.assertEqual(list_starts(self._wait(STARVED_MS - 300.0)), [])
+        orders = self._wait(1000.0)
+        (start,) = list_starts(orders)
+        paces = [order for order in orders if isinstance(order, PaceOrder)]
+        self.assertEqual([order.task for order in paces[:1]], [start.task])
+        self.assertEqual([order.percent for order in paces], [GUEST_PACE])
+
+    def test_it_is_slowed_as_soon_as_its_start_is_confirmed(self):
+        self.shard.submit(build_job(_filler("f"), job_id="batch"))
+        self._wait(STARVED_MS - 300.0)
+        found = []
+        while not found:
+            found = list_starts(self.shard.step())
+        paces = [order for order in self.shard.plan() if isinstance(order, PaceOrder)]
+        self.assertEqual([order.task for order in paces], [found[0].task])
+
+    def test_next_task_follows_when_the_first_has_ended(self):
+        self.shard.submit(build_job(_filler("f"), job_id="batch"))
+        (first,) = list_starts(self._wait(STARVED_MS + 500.0))
+        self.shard.end(first, EndKind.DONE)
+        self.assertEqual(len(list_starts(self._wait(STARVED_MS + 500.0))), 1)
+
+    def test_every_starved_job_gets_one(self):
+        for number in range(4):
+            self.shard.submit(build_job(_filler("f"), job_id=f"batch{number}"))
+        starts = list_starts(self._wait(STARVED_MS + 2000.0))
+        self.assertEqual(len({start.task.job_id for start in starts}), 4)
+
+    def test_nothing_is_added_on_a_fleet_that_is_half_full(self):
+        # There a job that waits competes with others for what is left.
+        wide = Step(count=2, demand=Demand(cpu=6000), estimate_ms=60_000.0)
+        self.shard.submit(build_job(wide, job_id="other"))
+        self.shard.submit(build_job(_filler("f"), job_id="batch"))
+        starts = list_starts(self._wait(STARVED_MS + 1000.0))
+        self.assertEqual({start.task.job_id for start in starts}, {"other"})
+
+    def test_nothing_joins_a_service_over_its_limit(self):
+        self.shard.submit(build_job(_filler("f"), job_id="batch"))
+        for order in self.services:
+            worker = self.shard.workers[order.worker_id]
+            worker.update(order.task, order.attempt, load=60.0)
+        self.assertEqual(list_starts(self._wait(STARVED_MS + 1000.0)), [])
+
+    def test_light_fillers_still_find_their_places(self):
+        _make_heavy(self.shard, "light", 0.2)
+        self.shard.submit(build_job(_filler("f"), job_id="batch"))
+        self._wait(STARVED_MS + 1000.0)
+        self.shard.submit(build_job(_filler("light", count=2), job_id="light"))
+        self.assertEqual(len(list_starts(self._wait(500.0))), 2)
+
+    def test_slowed_guest_counts_at_its_pace(self):
+        self.shard.submit(build_job(_filler("f"), job_id="batch"))
+        (start,) = list_starts(self._wait(STARVED_MS + 500.0))
+        worker = self.shard.scheduler.workers[start.worker_id]
+        crowds = Crowds(
+            jobs=self.shard.scheduler.jobs,
+            interference=self.shard.scheduler.interference,
+            now_ms=self.shard.now_ms,
+        )
+        full = 0.86 * 3000 / _CPU
+        self.assertAlmostEqual(
+            crowds.find(worker).shares["f"], full * GUEST_PACE / 100.0, places=6
+        )
