--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -7,7 +7,7 @@
 import attrs
 import trio
 
-from trefoilhook.clock import build_boot_clock
+from trefoilhook.clock import Clock, build_boot_clock
 from trefoilhook.exceptions import TransportError
 from trefoilhook.http import HttpClient, HttpRequest, HttpResponse
 from trefoilhook.platform import Bounds, InstanceSize, ProcessSettings
@@ -83,11 +83,14 @@
         self.store.write("op/config", build_configuration(1))
 
     async def start_worker(
-        self, worker_id: str, *, listed: bool = True
+        self, worker_id: str, *, listed: bool = True, checks_token: bool = True
     ) -> PlatformWorker:
         """Start a worker, and list it if not told otherwise."""
         worker = PlatformWorker(
-            worker_id=worker_id, clock=self.clock, task_ms=self._task_ms
+            worker_id=worker_id,
+            clock=self.clock,
+            task_ms=self._task_ms,
+            checks_token=checks_token,
         )
         self.workers[worker_id] = worker
         await self._nursery.start(worker.run)
@@ -95,8 +98,10 @@
             self.store.write(f"servers/{worker_id}", worker.describe("s"))
         return worker
 
-    async def start_instance(self, *, size: InstanceSize | None = None) -> Instance:
-        """Start an instance and wait until it is ready."""
+    async def start_instance(
+        self, *, size: InstanceSize | None = None, clock: Clock | None = None
+    ) -> Instance:
+        """Start an instance, on a clock of its own if given, and wait for it."""
         settings = ProcessSettings(
             name=f"i{len(self.instances)}",
             entry_address=("127.0.0.1", 0),
@@ -115,7 +120,7 @@
             ),
         )
         instance = Instance(
-            process=Process(settings=settings, clock=self.clock),
+            process=Process(settings=settings, clock=clock or self.clock),
             stop=trio.Event(),
             scope=trio.CancelScope(),
         )
--- a/trefoilhook/standins/platform_worker.py
+++ b/trefoilhook/standins/platform_worker.py
@@ -68,6 +68,8 @@
         Time of each task, in ms.
     rate : float, optional
         How fast its own clock runs, by which it judges deadlines.
+    checks_token : bool, optional
+        Whether it refuses calls with a lower fencing token than it has seen.
 
     Attributes
     ----------
@@ -86,9 +88,16 @@
     """
 
     def __init__(
-        self, *, worker_id: str, clock: Clock, task_ms: float, rate: float = 1.0
+        self,
+        *,
+        worker_id: str,
+        clock: Clock,
+        task_ms: float,
+        rate: float = 1.0,
+        checks_token: bool = True,
     ) -> None:
         self._rate = rate
+        self._checks_token = checks_token
         self.worker_id = worker_id
         self._clock = clock
         self._task_ms = task_ms
@@ -193,9 +202,9 @@
         if request.get_header("expect-instance") != self.worker_id:
             return HttpResponse(status=421)
         body = request.parse_json()
-        if body["fencing_token"] < self._token:
+        if self._is_fenced(body):
             return self._refuse("fence")
-        self._token = body["fencing_token"]
+        self._token = max(self._token, body["fencing_token"])
         name = request.path.removeprefix("/trefoilhook/")
         if name == "run-start":
             if self.fault is WorkerFault.LATE_STARTS:
@@ -207,6 +216,10 @@
             return await self._hold(body)
         return self._reply({})
 
+    def _is_fenced(self, body: dict[str, Any]) -> bool:
+        """Tell whether a call comes from an earlier owner than one seen."""
+        return self._checks_token and body["fencing_token"] < self._token
+
     async def _start_late(self, body: dict[str, Any]) -> None:
         if self._nursery is not None:
             self._nursery.start_soon(self._start_after, body)
@@ -214,7 +227,7 @@
 
     async def _start_after(self, body: dict[str, Any]) -> None:
         await self._clock.sleep_ms(self.late_ms)
-        if body["fencing_token"] >= self._token:
+        if not self._is_fenced(body):
             self._start(body)
 
     def _start(self, body: dict[str, Any]) -> HttpResponse:
