Work out once a round which workers bear a filler's image

Change: what a worker bears of an image is worked out once a round, sorted, and a step rates only those that bear it; places that are held only lessen it. Starved jobs that find no host let others have their turn; changes under 2 % of the noise take no step of learning (was 0.5 %).

Test first: HostsTest holds the hosts to what a rating accepts (list_hosts did not exist).

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -119,7 +119,7 @@
         place = name_step(each.task.task)
         candidates = rated.get(place)
         if candidates is None:
-            candidates = turn.rate(each.task, turn.list_open(each.task))
+            candidates = turn.rate(each.task, turn.list_hosts(each.task))
             rated[place] = candidates
         target = candidates.take(besides=each.worker)
         if target is not None:
@@ -145,7 +145,7 @@
     for state in tasks:
         if candidates is None or state.failed_on:
             # One that failed somewhere rates the workers differently.
-            candidates = turn.rate(state, turn.list_open(state))
+            candidates = turn.rate(state, turn.list_hosts(state))
         worker = candidates.take()
         if worker is None:
             return _find_missing(state, candidates)
@@ -213,5 +213,5 @@
         member.detach(run)
         member.last_attempt = earlier
         turn.scheduler.waiting.add(member)
-    turn.crowds.recount()
+    turn.recount()
     return False
--- a/trefoilhook/scheduling/crowds.py
+++ b/trefoilhook/scheduling/crowds.py
@@ -122,18 +122,40 @@
             return base - interference.find_cost(step.image, self.shares)
         share = FILLER_USE * step.demand.cpu / max(1.0, self.cores)
         share *= pace / FULL_PACE
+        least = float("inf")
+        for image, slack in self._list_slacks(interference):
+            cost = interference.weigh_hopefully(image, step.image) * share
+            least = min(least, slack - cost)
+        return least
+
+    def limit_filler(
+        self, interference: Interference, image: str, *, least_slack: float
+    ) -> float:
+        """Return the most that a filler of an image may ask for, by the slack it costs.
+
+        In thousandths of a core, at full speed; ``least_slack`` is to be left.
+        """
+        most = float("inf")
+        for victim, slack in self._list_slacks(interference):
+            spare = slack - least_slack
+            weight = interference.weigh_hopefully(victim, image)
+            if spare < 0.0:
+                return 0.0
+            if weight > 0.0:
+                most = min(most, spare / weight)
+        return most * self.cores / FILLER_USE
+
+    def _list_slacks(self, interference: Interference) -> list[tuple[str, float]]:
+        """Return image and slack of each service task, once for all fillers of a plan.
+
+        Hundreds may wait, and this is most of the work of looking at a worker.
+        """
         if self._slacks is None:
-            # Once for all fillers of a plan: hundreds may wait, and this is most of
-            # the work of looking at a worker.
             self._slacks = [
                 (v.image, v.base - interference.find_cost(v.image, self.shares))
                 for v in self.victims
             ]
-        least = float("inf")
-        for image, slack in self._slacks:
-            cost = interference.weigh_hopefully(image, step.image) * share
-            least = min(least, slack - cost)
-        return least
+        return self._slacks
 
 
 def find_step(jobs: dict[str, JobState], run: Run) -> Step | None:
--- a/trefoilhook/scheduling/interference.py
+++ b/trefoilhook/scheduling/interference.py
@@ -77,7 +77,7 @@
 """Added to a weight's variance by each step: weights stayed over the days seen, but
 what was learned of a pair long ago must not keep it from being tried for good."""
 
-_LEAST_NEWS = 0.005
+_LEAST_NEWS = 0.02
 """A change is left out when what is known predicts it so well that the variance of the
 prediction is this share of the noise: it could narrow a weight by as much at most, and
 on a fleet of hundreds of workers a tenth of an owner's time went into such steps."""
--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -10,7 +10,13 @@
 from trefoilhook.scheduling.fleet import Worker
 from trefoilhook.scheduling.unread import is_clogged
 
-__all__ = ["has_place", "is_open", "rate_worker", "score_worker"]
+__all__ = [
+    "has_place",
+    "is_open",
+    "limit_filler",
+    "rate_worker",
+    "score_worker",
+]
 
 _SILENCE_LIMIT_MS = 2600.0
 """A worker not heard for so long gets no new task: one look may wait 1,500 ms and its
@@ -34,6 +40,9 @@
 """A filler starts only where it finds this share of what it asks for: with less, the
 fillers of the worker are slowed together, and none ends any sooner."""
 
+_ROUNDING = 1.000_001
+"""Of limits that are worked out backwards."""
+
 _SQUEEZE_COST = 2.0
 """What a thousandth of a core costs that a task takes from fillers, in those that it
 would leave unused: fillers that make way are slowed, and until they are the service
@@ -88,6 +97,16 @@
     return worker.count_step(state.task) < step.max_per_worker
 
 
+def limit_filler(worker: Worker, image: str, crowds: Crowds) -> float:
+    """Return the most processor time that a filler may ask of a worker, as it is now.
+
+    In thousandths of a core, with a margin for rounding: ``score_worker`` decides.
+    """
+    crowd = crowds.find(worker)
+    borne = crowd.limit_filler(crowds.interference, image, least_slack=_LEAST_SLACK)
+    return _ROUNDING * min(borne, crowd.left / _LEAST_SHARE)
+
+
 def score_worker(worker: Worker, state: TaskState, crowds: Crowds) -> float | None:
     """Rate an open worker that has room; higher is better, None is no choice."""
     step = state.step
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -1,5 +1,6 @@
 """One round of assignment: who is open, who has no place, and places that are held."""
 
+import itertools
 from collections.abc import Iterable
 
 import attrs
@@ -10,7 +11,7 @@
 from trefoilhook.scheduling.crowds import FULL_PACE, Crowds
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.models import Demand
-from trefoilhook.scheduling.placing import is_open
+from trefoilhook.scheduling.placing import is_open, limit_filler
 from trefoilhook.scheduling.tickets import name_step
 
 __all__ = ["Round", "extend_lease", "hold_place", "number_attempt"]
@@ -34,6 +35,7 @@
     crowds: Crowds
     now_ms: float
     _open: dict[str, list[Worker]] = attrs.Factory(dict)
+    _hosts: dict[tuple[str, str], list[tuple[float, Worker]]] = attrs.Factory(dict)
     _short: dict[tuple[str, str, str | None], list[Demand]] = attrs.Factory(dict)
 
     def list_open(self, state: TaskState) -> list[Worker]:
@@ -60,6 +62,38 @@
             if tickets.find(step, worker.report.worker_id, self.now_ms) is not None
         ]
 
+    def list_hosts(self, state: TaskState) -> list[Worker]:
+        """Return the open workers that may have a place for a task.
+
+        For a filler only those whose service tasks bear it: with hundreds of workers
+        and dozens of steps that wait, most pairs needn't be rated. What a worker bears
+        is worked out once a round and image; places that are held only lessen it.
+        """
+        step = state.step
+        queue = state.job.queue
+        if not step.filler or queue is None or queue.advice is not None:
+            return self.list_open(state)
+        need = (queue.service, step.image)
+        hosts = self._hosts.get(need)
+        if hosts is None:
+            limits = [
+                (limit_filler(worker, step.image, self.crowds), worker)
+                for worker in self.list_open(state)
+            ]
+            limits.sort(key=lambda pair: pair[0], reverse=True)
+            hosts = self._hosts[need] = limits
+        return [
+            worker
+            for _, worker in itertools.takewhile(
+                lambda pair: pair[0] >= step.demand.cpu, hosts
+            )
+        ]
+
+    def recount(self) -> None:
+        """Count anew who runs where, as runs were taken back."""
+        self.crowds.recount()
+        self._hosts.clear()
+
     def rate(self, state: TaskState, workers: Iterable[Worker]) -> Candidates:
         """Rate workers for the step of a task."""
         candidates = Candidates(task=state, crowds=self.crowds)
--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -36,9 +36,12 @@
 _LEAST_SLACK = 1.0
 """Slack that the service tasks beside a guest must keep; 1 is at the limit."""
 
-_MOST_GUESTS_A_ROUND = 4
-"""Guests that one round lets in: each takes a look at all workers, and what a guest
-costs shows in the next rounds."""
+_MOST_TRIES = 4
+"""Jobs for which one round looks for a host: each takes a look at all workers, and what
+a guest costs shows in the next rounds."""
+
+_RETRY_MS = 1000.0
+"""Pause until a host is looked for again, in ms, for a job for which there was none."""
 
 
 def admit_starved(turn: Round, ready: list[list[TaskState]]) -> None:
@@ -55,18 +58,21 @@
     since = turn.scheduler.idle_since_ms
     for job_id in since.keys() - waiting.keys():
         del since[job_id]
-    admitted = 0
+    tries = 0
     idle: dict[str, bool] = {}
     for job_id, task in waiting.items():
         if turn.now_ms - since.setdefault(job_id, turn.now_ms) < STARVED_MS:
             continue
-        if admitted >= _MOST_GUESTS_A_ROUND or not _is_fleet_idle(turn, task, idle):
+        if tries >= _MOST_TRIES or not _is_fleet_idle(turn, task, idle):
             continue
+        tries += 1
         worker = _find_host(turn, task)
-        if worker is not None:
-            attempt = number_attempt(turn.scheduler, task)
-            hold_place(turn, task, worker, attempt, first_pace=GUEST_PACE)
-            admitted += 1
+        if worker is None:
+            # Others have their turn first: one may ask for less than this one.
+            since[job_id] = turn.now_ms - STARVED_MS + _RETRY_MS
+            continue
+        attempt = number_attempt(turn.scheduler, task)
+        hold_place(turn, task, worker, attempt, first_pace=GUEST_PACE)
 
 
 def _list_idle_jobs(ready: list[list[TaskState]]) -> dict[str, TaskState]:
--- a/trefoilhook/scheduling/tests/test_round_cost.py
+++ b/trefoilhook/scheduling/tests/test_round_cost.py
@@ -6,6 +6,7 @@
 processor time for nothing.
 """
 
+import random
 import unittest
 from unittest import mock
 
@@ -14,7 +15,10 @@
 from trefoilhook.scheduling import Demand, Step, StopReason
 from trefoilhook.scheduling import planning as planning_module
 from trefoilhook.scheduling.candidates import Candidates
+from trefoilhook.scheduling.crowds import Crowds
 from trefoilhook.scheduling.fleet import RunPhase
+from trefoilhook.scheduling.placing import rate_worker
+from trefoilhook.scheduling.rounds import Round
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 
 _SERVICE = Step(
@@ -83,6 +87,56 @@
         self.assertEqual({start.task.job_id for start in starts}, {"narrow"})
 
 
+class HostsTest(unittest.TestCase):
+    """Workers that are left out unrated are those that would have been refused."""
+
+    def test_hosts_are_all_that_a_rating_accepts(self):
+        choices = random.Random(5)
+        shard = Shard(workers=12, cpu=16_000)
+        shard.submit(build_job(attrs.evolve(_SERVICE, count=9), job_id="service"))
+        for order in list_starts(shard.step()):
+            shard.workers[order.worker_id].update(
+                order.task,
+                order.attempt,
+                percent=100.0,
+                load=choices.uniform(5.0, 16.0),
+            )
+        for image in "fgh":
+            cost = choices.uniform(0.0, 12.0)
+            shard.scheduler.interference.learn_change(
+                "s",
+                before={},
+                after={image: 0.2},
+                slack_before=2.5,
+                slack_after=2.5 - min(2.2, 0.2 * cost),
+            )
+        for number in range(30):
+            image = choices.choice("fgh")
+            demand = Demand(cpu=choices.randrange(500, 6000, 250), memory_mb=100)
+            step = attrs.evolve(_FILLER, count=1, image=image, demand=demand)
+            shard.submit(build_job(step, job_id=f"f{number}"))
+            shard.look_all()
+            self._compare(shard)
+            shard.step()
+
+    def _compare(self, shard) -> None:
+        scheduler = shard.scheduler
+        crowds = Crowds(
+            jobs=scheduler.jobs,
+            interference=scheduler.interference,
+            now_ms=shard.now_ms,
+        )
+        turn = Round(scheduler=scheduler, crowds=crowds, now_ms=shard.now_ms)
+        for state in scheduler.waiting:
+            accepted = {
+                worker.report.worker_id
+                for worker in turn.list_open(state)
+                if rate_worker(worker, state, crowds) is not None
+            }
+            hosts = {worker.report.worker_id for worker in turn.list_hosts(state)}
+            self.assertLessEqual(accepted, hosts)
+
+
 class OrderCostTest(unittest.TestCase):
     """Plans go over what is being started or stopped, not over all that runs."""
 
