--- a/trefoilhook/soak/fleet.py
+++ b/trefoilhook/soak/fleet.py
@@ -1,5 +1,6 @@
 """What a soak runs: the real program as processes, and the platform's stand-ins."""
 
+import contextlib
 import json
 import os
 import random
@@ -28,7 +29,14 @@
 from trefoilhook.standins.platform_store import PlatformStore
 from trefoilhook.standins.platform_worker import PlatformWorker, TaskRecord
 
-__all__ = ["DECOY", "Fleet", "Instance", "LivingWorker", "WORKER_CPU"]
+__all__ = [
+    "DECOY",
+    "Fleet",
+    "Instance",
+    "LivingWorker",
+    "WORKER_CPU",
+    "find_free_port",
+]
 
 WORKER_CPU = 4000
 """Thousandths of a core that a stand-in worker has."""
@@ -44,14 +52,25 @@
 _MAX_ATTEMPTS = 1000
 """No job of a soak fails for good: the workers that fail tasks recover."""
 
+_PORTS = range(10_000, 32_000)
+"""Where instances listen: under the range (32,768 and up) from which systems give ports
+to connections, so that a port is still free after its process was killed."""
+
 _EXPECTED_EXITS = {0, -signal.SIGKILL}
 
 
-def _find_free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
+def find_free_port() -> int:
+    """Return a port that no connection will take while its process is down.
+
+    Guards against an instance that can't start again after a kill: a port of the range
+    that the machine hands out to connections may be some client's by then.
+    """
+    choices = random.SystemRandom()
+    while True:
+        port = choices.choice(_PORTS)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -184,8 +203,8 @@
         link = await self._open_link(self.store.server.port)
         instance = Instance(
             name=name,
-            port=_find_free_port(),
-            readiness_port=_find_free_port(),
+            port=find_free_port(),
+            readiness_port=find_free_port(),
             link=link,
             folder=folder,
         )
--- /dev/null
+++ b/trefoilhook/soak/tests/test_fleet.py
@@ -0,0 +1,67 @@
+"""What the soak runs must not break promises by itself."""
+
+import socket
+import unittest
+
+import trio
+
+from trefoilhook.clock import build_boot_clock
+from trefoilhook.exceptions import TransportError
+from trefoilhook.http import JsonClient
+from trefoilhook.soak.fleet import find_free_port
+from trefoilhook.standins.platform_worker import PlatformWorker
+
+
+class PortTest(unittest.TestCase):
+    """An instance is killed, and ends by itself when it is started again.
+
+    While it was down a client's connection was given the port that it listens at.
+    """
+
+    def test_ports_are_none_that_connections_are_given(self):
+        given = []
+        for _ in range(20):
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", 0))
+                given.append(probe.getsockname()[1])
+        ports = {find_free_port() for _ in range(200)}
+        self.assertLess(max(ports), min(given))
+        self.assertLess(max(ports), 32_768)
+
+
+class CrashTest(unittest.TestCase):
+    """A task seems to run twice at a time, first on a worker that has crashed.
+
+    A start had arrived in the turn of the crash. The stand-in went on to note it, and
+    as the worker was gone that run never ended.
+    """
+
+    def test_crashed_worker_starts_nothing(self):
+        trio.run(self._check)
+
+    async def _check(self) -> None:
+        worker = PlatformWorker(worker_id="w", clock=build_boot_clock(), task_ms=50.0)
+        body = {
+            "task": "00000000000000a1.0.0.0",
+            "attempt": 1,
+            "spec": "x",
+            "fencing_token": 1,
+            "deadline_ms": 1e15,
+        }
+        async with trio.open_nursery() as nursery:
+            await nursery.start(worker.run)
+            client = JsonClient(
+                address=("127.0.0.1", worker.server.port), max_connections=1
+            )
+            worker.crash()
+            with self.assertRaises(TransportError):
+                await client.exchange(
+                    "POST",
+                    "/trefoilhook/run-start",
+                    timeout_ms=1000.0,
+                    body=body,
+                    headers=(("expect-instance", "w"),),
+                )
+            await client.close()
+            nursery.cancel_scope.cancel()
+        self.assertEqual(worker.records, [])
