Send no guest back to a worker where its task failed

Cause, found in reading: the host of a slowed task is chosen by slack alone; a worker that fails what it starts keeps the most of it, and three returns would use up the job's attempts. Placement in turn keeps away by a cost. Test first: test_guest_does_not_return_where_it_failed, failed before (same worker).

--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -117,6 +117,9 @@
     for worker in turn.list_open(task):
         if worker.over_since_ms is not None or not has_place(worker, task):
             continue
+        if worker.report.worker_id in task.failed_on:
+            # Elsewhere it waits for another chance; here it may use up its attempts.
+            continue
         crowd = turn.crowds.find(worker)
         if not _has_time(crowd, task):
             continue
--- a/trefoilhook/scheduling/tests/test_starvation.py
+++ b/trefoilhook/scheduling/tests/test_starvation.py
@@ -113,6 +113,14 @@
             worker.update(order.task, order.attempt, load=60.0)
         self.assertEqual(list_starts(self._wait(STARVED_MS + 1000.0)), [])
 
+    def test_guest_does_not_return_where_it_failed(self):
+        # A worker that fails what it starts would use up the attempts of the job.
+        self.shard.submit(build_job(_filler("f", count=1), job_id="batch"))
+        (first,) = list_starts(self._wait(STARVED_MS + 500.0))
+        self.shard.end(first, EndKind.FAILED)
+        (second,) = list_starts(self._wait(STARVED_MS + 1000.0))
+        self.assertNotEqual(second.worker_id, first.worker_id)
+
     def test_light_fillers_still_find_their_places(self):
         _make_heavy(self.shard, "light", 0.2)
         self.shard.submit(build_job(_filler("f"), job_id="batch"))
