--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -65,11 +65,11 @@
         )
         scheduler.fillers_due_ms = now_ms + pause_ms
         halted = _list_halted(turn)
-        _move_halted(turn, [each for each in halted if not each.run.is_guest])
+        _move_halted(turn, [each for each in halted if not each.run.is_throttled])
     _assign_steps(turn, ready)
     if with_fillers:
-        # Only now: a guest has no claim to a place before those that wait in turn.
-        _move_halted(turn, [each for each in halted if each.run.is_guest])
+        # Only now: throttled tasks come after all that wait in turn.
+        _move_halted(turn, [each for each in halted if each.run.is_throttled])
         admit_starved(turn, ready)
 
 
@@ -119,7 +119,7 @@
         place = name_step(each.task.task)
         candidates = rated.get(place)
         if candidates is None:
-            candidates = turn.rate(each.task, turn.list_hosts(each.task))
+            candidates = turn.rate(each.task, turn.list_feasible(each.task))
             rated[place] = candidates
         target = candidates.take(besides=each.worker)
         if target is not None:
@@ -145,7 +145,7 @@
     for state in tasks:
         if candidates is None or state.failed_on:
             # One that failed somewhere rates the workers differently.
-            candidates = turn.rate(state, turn.list_hosts(state))
+            candidates = turn.rate(state, turn.list_feasible(state))
         worker = candidates.take()
         if worker is None:
             return _find_missing(state, candidates)
--- a/trefoilhook/scheduling/contention.py
+++ b/trefoilhook/scheduling/contention.py
@@ -1,10 +1,10 @@
 """How fast the fillers of a worker may work, so that its processors aren't all busy.
 
 A filler takes whatever processor time is there. Near the end of it every service task
-on the worker waits for a processor, however little the filler's image disturbs it: on a
-quiet day two thirds of the time over a limit fell to workers on which more than nine
-tenths of the processors were asked for, and tails rose to ten times the limit within
-half a second of an urgent task's start.
+on the worker waits for a processor, however little the filler's image disturbs it: on
+a quiet day three quarters of the time over a limit fell to workers on which more than
+nine tenths of the processors were asked for, and tails rose to ten times the limit
+within half a second of an urgent task's start.
 
 So fillers are slowed together as soon as what others reserve leaves too little, before
 a tail shows it, and let go again once it is free.
--- a/trefoilhook/scheduling/crowds.py
+++ b/trefoilhook/scheduling/crowds.py
@@ -73,8 +73,8 @@
         Its service tasks.
     shares : dict of str to float
         Share of its processors that fillers of each image use at full speed: one that
-        is slowed wants to come back, and invites no other in its place. Guests count at
-        their pace: they have no claim to more.
+        is slowed wants to come back, and invites no other in its place. Those
+        started throttled count at their pace: they have no claim to more.
     """
 
     cores: float
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -67,8 +67,8 @@
         Share of its speed that it was last ordered to work at, in percent.
     first_pace : int
         Share of its speed that it is ordered to work at as soon as its start is
-        confirmed, in percent. Under 100 it is a guest: where it runs it isn't borne at
-        full speed.
+        confirmed, in percent. Under 100 it is throttled: where it runs it isn't borne
+        at full speed.
     paced_ms : float
         When a pace was last ordered, in ms.
     slowed_ms : float
@@ -108,7 +108,7 @@
     deadline_ms: float = 0.0
 
     @property
-    def is_guest(self) -> bool:
+    def is_throttled(self) -> bool:
         """Whether it was started slowed, where it isn't borne at full speed."""
         return self.first_pace < 100
 
--- a/trefoilhook/scheduling/outcomes.py
+++ b/trefoilhook/scheduling/outcomes.py
@@ -36,8 +36,8 @@
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
             run.progressed_ms = now_ms
-            # A guest works at full speed until its pace is ordered.
-            worker.is_news = worker.is_news or run.is_guest
+            # A throttled task works at full speed until its pace is ordered.
+            worker.is_news = worker.is_news or run.is_throttled
         return
     if outcome is OrderOutcome.NO_ANSWER:
         run.ambiguous = True
--- a/trefoilhook/scheduling/pacing.py
+++ b/trefoilhook/scheduling/pacing.py
@@ -178,7 +178,7 @@
 
     ``at_once`` tells that it makes way for a task that has just been placed.
     """
-    is_first = run.is_guest and run.paced_ms <= 0.0
+    is_first = run.is_throttled and run.paced_ms <= 0.0
     if is_first or (at_once and pace < run.pace):
         return True
     since = now_ms - run.paced_ms
@@ -255,7 +255,7 @@
 ) -> int:
     """Choose the highest pace that leaves every service task its slack.
 
-    A guest isn't let go further than it was started: slack goes to those in turn.
+    A throttled task isn't let go further than it was started.
     ``room`` is the slack of each service task, less what other fillers of the worker
     have just been given of it.
     """
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -35,7 +35,7 @@
     crowds: Crowds
     now_ms: float
     _open: dict[str, list[Worker]] = attrs.Factory(dict)
-    _hosts: dict[tuple[str, str], list[tuple[float, Worker]]] = attrs.Factory(dict)
+    _feasible: dict[tuple[str, str], list[tuple[float, Worker]]] = attrs.Factory(dict)
     _short: dict[tuple[str, str, str | None], list[Demand]] = attrs.Factory(dict)
 
     def list_open(self, state: TaskState) -> list[Worker]:
@@ -62,7 +62,7 @@
             if tickets.find(step, worker.report.worker_id, self.now_ms) is not None
         ]
 
-    def list_hosts(self, state: TaskState) -> list[Worker]:
+    def list_feasible(self, state: TaskState) -> list[Worker]:
         """Return the open workers that may have a place for a task.
 
         For a filler only those whose service tasks bear it: with hundreds of workers
@@ -74,25 +74,25 @@
         if not step.filler or queue is None or queue.advice is not None:
             return self.list_open(state)
         need = (queue.service, step.image)
-        hosts = self._hosts.get(need)
-        if hosts is None:
+        feasible = self._feasible.get(need)
+        if feasible is None:
             limits = [
                 (limit_filler(worker, step.image, self.crowds), worker)
                 for worker in self.list_open(state)
             ]
             limits.sort(key=lambda pair: pair[0], reverse=True)
-            hosts = self._hosts[need] = limits
+            feasible = self._feasible[need] = limits
         return [
             worker
             for _, worker in itertools.takewhile(
-                lambda pair: pair[0] >= step.demand.cpu, hosts
+                lambda pair: pair[0] >= step.demand.cpu, feasible
             )
         ]
 
     def recount(self) -> None:
         """Count anew who runs where, as runs were taken back."""
         self.crowds.recount()
-        self._hosts.clear()
+        self._feasible.clear()
 
     def rate(self, state: TaskState, workers: Iterable[Worker]) -> Candidates:
         """Rate workers for the step of a task."""
--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -3,12 +3,12 @@
 A filler is placed where the service tasks bear it at full speed. When the images that
 bear it have left, or never were, there is no such worker, however much of the fleet is
 free: on a day with 24 workers 258 to 534 fillers waited beside 61 % of the processors,
-as each would have cost 0.9 to 1.5 of a slack of 1.5. Slowed to a tenth it costs a tenth
-of that. So a job that has waited and has nothing running gets one task as a guest: it
-is started slowed, stays so, and moves on as soon as there is a place that bears it.
+as each would have cost 0.9 to 1.5 of a slack of 1.5. What it costs falls with its
+speed. So a job that has waited and has nothing running gets one throttled task: it is
+started slowed, stays so, and moves on as soon as there is a place that bears it.
 
-Guests also keep what is known of their images true: a pair that is never tried again
-can't be learned anew.
+Throttled tasks also keep what is known of their images true: a pair that is never tried
+again can't be learned anew.
 """
 
 from trefoilhook.scheduling.book import JobState, TaskState
@@ -17,31 +17,31 @@
 from trefoilhook.scheduling.placing import has_place
 from trefoilhook.scheduling.rounds import Round, hold_place, number_attempt
 
-__all__ = ["GUEST_PACE", "STARVED_MS", "admit_starved"]
+__all__ = ["THROTTLED_PACE", "STARVED_MS", "admit_starved"]
 
 STARVED_MS = 5000.0
 """A job that has had nothing running for so long is starved, in ms. The longest that a
 batch job waits on a busy fleet and is still in time is about this; before it, the order
 of the jobs decides alone."""
 
-GUEST_PACE = 5
-"""Pace of a guest, in percent. What service tasks bear is spent in order, on jobs that
-can be in time: guests that were let go as far as the slack allowed, from 10 %, took so
-much of it that batch jobs of a day were worth 0.10 in place of 0.26."""
+THROTTLED_PACE = 5
+"""Pace of a throttled task, in percent. What service tasks bear is spent in order, on
+jobs that can be in time: let go as far as the slack allows, throttled tasks take it
+from them, and fewer jobs end in time."""
 
 _IDLE_SHARE = 0.5
 """Share of a service's processors that nothing reserves, over which a job that waits is
 starved. With less of it left, jobs compete, and some of them have to wait."""
 
 _LEAST_SLACK = 1.0
-"""Slack that the service tasks beside a guest must keep; 1 is at the limit."""
+"""Slack that the service tasks beside a throttled task must keep; 1 is at the limit."""
 
 _MOST_TRIES = 4
-"""Jobs for which one round looks for a host: each takes a look at all workers, and what
-a guest costs shows in the next rounds."""
+"""Jobs for which one round looks for a worker: each takes a look at all of them, and
+what a throttled task costs shows in the next rounds."""
 
 _RETRY_MS = 1000.0
-"""Pause until a host is looked for again, in ms, for a job for which there was none."""
+"""Pause until a job for which there was no worker is looked at again, in ms."""
 
 
 def admit_starved(turn: Round, ready: list[list[TaskState]]) -> None:
@@ -66,19 +66,19 @@
         if tries >= _MOST_TRIES or not _is_fleet_idle(turn, task, idle):
             continue
         tries += 1
-        worker = _find_host(turn, task)
+        worker = _find_worker(turn, task)
         if worker is None:
             # Others have their turn first: one may ask for less than this one.
             since[job_id] = turn.now_ms - STARVED_MS + _RETRY_MS
             continue
         attempt = number_attempt(turn.scheduler, task)
-        hold_place(turn, task, worker, attempt, first_pace=GUEST_PACE)
+        hold_place(turn, task, worker, attempt, first_pace=THROTTLED_PACE)
 
 
 def _list_idle_jobs(ready: list[list[TaskState]]) -> dict[str, TaskState]:
     """Return a filler of each job of which nothing runs, by job, in order.
 
-    A member of a gang works only together with all others, so that it is no guest.
+    A member of a gang works only together with all others, so that it isn't throttled.
     """
     found: dict[str, TaskState] = {}
     running: dict[str, bool] = {}
@@ -110,8 +110,8 @@
     return known[service]
 
 
-def _find_host(turn: Round, task: TaskState) -> Worker | None:
-    """Return the worker whose service tasks keep the most slack beside a guest."""
+def _find_worker(turn: Round, task: TaskState) -> Worker | None:
+    """Return the worker whose service tasks keep the most slack beside a task."""
     best: Worker | None = None
     most = _LEAST_SLACK
     for worker in turn.list_open(task):
@@ -124,7 +124,7 @@
         if not _has_time(crowd, task):
             continue
         slack = crowd.predict_slack(
-            turn.crowds.interference, task.step, pace=GUEST_PACE
+            turn.crowds.interference, task.step, pace=THROTTLED_PACE
         )
         if slack > most:
             best, most = worker, slack
@@ -132,4 +132,4 @@
 
 
 def _has_time(crowd: Crowd, task: TaskState) -> bool:
-    return crowd.left >= task.step.demand.cpu * GUEST_PACE / 100.0
+    return crowd.left >= task.step.demand.cpu * THROTTLED_PACE / 100.0
--- a/trefoilhook/scheduling/tests/test_round_cost.py
+++ b/trefoilhook/scheduling/tests/test_round_cost.py
@@ -87,10 +87,10 @@
         self.assertEqual({start.task.job_id for start in starts}, {"narrow"})
 
 
-class HostsTest(unittest.TestCase):
+class FeasibleTest(unittest.TestCase):
     """Workers that are left out unrated are those that would have been refused."""
 
-    def test_hosts_are_all_that_a_rating_accepts(self):
+    def test_feasible_are_all_that_a_rating_accepts(self):
         choices = random.Random(5)
         shard = Shard(workers=12, cpu=16_000)
         shard.submit(build_job(attrs.evolve(_SERVICE, count=9), job_id="service"))
@@ -133,8 +133,8 @@
                 for worker in turn.list_open(state)
                 if rate_worker(worker, state, crowds) is not None
             }
-            hosts = {worker.report.worker_id for worker in turn.list_hosts(state)}
-            self.assertLessEqual(accepted, hosts)
+            feasible = {worker.report.worker_id for worker in turn.list_feasible(state)}
+            self.assertLessEqual(accepted, feasible)
 
 
 class OrderCostTest(unittest.TestCase):
--- a/trefoilhook/scheduling/tests/test_starvation.py
+++ b/trefoilhook/scheduling/tests/test_starvation.py
@@ -12,7 +12,7 @@
 
 from trefoilhook.scheduling import Demand, EndKind, OrderOutcome, PaceOrder, Step
 from trefoilhook.scheduling.crowds import Crowds
-from trefoilhook.scheduling.starvation import GUEST_PACE, STARVED_MS
+from trefoilhook.scheduling.starvation import STARVED_MS, THROTTLED_PACE
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 
 _SERVICE = Step(
@@ -75,7 +75,7 @@
         (start,) = list_starts(orders)
         paces = [order for order in orders if isinstance(order, PaceOrder)]
         self.assertEqual([order.task for order in paces[:1]], [start.task])
-        self.assertEqual([order.percent for order in paces], [GUEST_PACE])
+        self.assertEqual([order.percent for order in paces], [THROTTLED_PACE])
 
     def test_it_is_slowed_as_soon_as_its_start_is_confirmed(self):
         # Not with the next look: until its first order it works at full speed.
@@ -124,7 +124,7 @@
             worker.update(order.task, order.attempt, load=60.0)
         self.assertEqual(list_starts(self._wait(STARVED_MS + 1000.0)), [])
 
-    def test_guest_does_not_return_where_it_failed(self):
+    def test_throttled_task_does_not_return_where_it_failed(self):
         # A worker that fails what it starts would use up the attempts of the job.
         self.shard.submit(build_job(_filler("f", count=1), job_id="batch"))
         (first,) = list_starts(self._wait(STARVED_MS + 500.0))
@@ -139,7 +139,7 @@
         self.shard.submit(build_job(_filler("light", count=2), job_id="light"))
         self.assertEqual(len(list_starts(self._wait(500.0))), 2)
 
-    def test_slowed_guest_counts_at_its_pace(self):
+    def test_throttled_task_counts_at_its_pace(self):
         self.shard.submit(build_job(_filler("f"), job_id="batch"))
         (start,) = list_starts(self._wait(STARVED_MS + 500.0))
         worker = self.shard.scheduler.workers[start.worker_id]
@@ -150,5 +150,5 @@
         )
         full = 0.86 * 3000 / _CPU
         self.assertAlmostEqual(
-            crowds.find(worker).shares["f"], full * GUEST_PACE / 100.0, places=6
+            crowds.find(worker).shares["f"], full * THROTTLED_PACE / 100.0, places=6
         )
