Don't divide by the fillers of a worker that has none

Urgent tasks and service tasks asked for more than 0.95 of a worker's processors, and no filler was there to slow. Test first: test_worker_without_fillers_may_be_reserved_whole, failed with that error before.

--- a/trefoilhook/scheduling/contention.py
+++ b/trefoilhook/scheduling/contention.py
@@ -49,7 +49,7 @@
         else:
             kept += step.demand.cpu
     left = BUSY_SHARE * worker.report.capacity.cpu - kept
-    if left >= wanted:
+    if wanted <= 0.0 or left >= wanted:
         return FULL_PACE
     steps = int(FULL_PACE * max(0.0, left) / wanted) // _PACE_STEP
     return max(_PACE_STEP, steps * _PACE_STEP)
--- a/trefoilhook/scheduling/tests/test_contention.py
+++ b/trefoilhook/scheduling/tests/test_contention.py
@@ -110,6 +110,24 @@
         paces = [o for o in self._work(600.0) if isinstance(o, PaceOrder)]
         self.assertEqual({order.percent for order in paces}, {100})
 
+    def test_worker_without_fillers_may_be_reserved_whole(self):
+        # Urgent tasks fill a worker beside its service tasks, and no filler is there
+        # to make way: the owner's process ended by itself.
+        shard = Shard(workers=1, cpu=_CPU)
+        light = attrs.evolve(_SERVICE, count=1, demand=Demand(cpu=1000))
+        shard.submit(build_job(light, job_id="service"))
+        (service,) = list_starts(shard.step())
+        shard.workers["w0"].update(
+            service.task, service.attempt, percent=100.0, load=8.0
+        )
+        step = Step(count=2, demand=Demand(cpu=7500), estimate_ms=640.0)
+        shard.submit(build_job(step, job_id="urgent"))
+        self.assertEqual(len(list_starts(shard.step())), 2)
+        shard.pass_time(500.0)
+        shard.look_all()
+        shard.submit(build_job(attrs.evolve(step, count=1), job_id="more"))
+        self.assertEqual(shard.plan(), [])
+
     def test_no_filler_joins_where_it_would_take_the_last_processors(self):
         more = attrs.evolve(_FILLER, count=2, demand=Demand(cpu=6000))
         self.shard.submit(build_job(more, job_id="more"))
--- a/trefoilhook/soak/fleet.py
+++ b/trefoilhook/soak/fleet.py
@@ -274,7 +274,7 @@
         """End a life of a worker; its entry stays, and is to be removed later."""
         living = self.workers[place]
         living.scope.cancel()
-        living.worker.crash()
+        living.worker.power_off()
         return living.worker.worker_id
 
     def note_exits(self) -> None:
--- a/trefoilhook/soak/tests/test_fleet.py
+++ b/trefoilhook/soak/tests/test_fleet.py
@@ -53,7 +53,7 @@
             client = JsonClient(
                 address=("127.0.0.1", worker.server.port), max_connections=1
             )
-            worker.crash()
+            worker.power_off()
             with self.assertRaises(TransportError):
                 await client.exchange(
                     "POST",
--- a/trefoilhook/standins/platform_worker.py
+++ b/trefoilhook/standins/platform_worker.py
@@ -112,7 +112,7 @@
         self.fault = WorkerFault.NONE
         self.late_ms = 600.0
         self.calls = 0
-        self._has_crashed = False
+        self._is_off = False
         self.odd_running: list[Any] = []
         self.odd_ends: list[Any] = []
         self.words: dict[str, str] = {}
@@ -182,15 +182,19 @@
         self._forbidden[task] = max(self._forbidden.get(task, 0), attempt)
 
     def crash(self) -> None:
-        """End all that runs; nothing of it is listed, and no call answered, any more.
+        """End all that runs; nothing of it is listed any more."""
+        for record in self._list_running():
+            record.ended_ms = self._clock.monotonic_ms()
+            record.how = "crashed"
+
+    def power_off(self) -> None:
+        """End all that runs, and answer no call any more.
 
         A call that had arrived goes on until it next waits: without a mark it would
         start a task on a worker that is gone.
         """
-        self._has_crashed = True
-        for record in self._list_running():
-            record.ended_ms = self._clock.monotonic_ms()
-            record.how = "crashed"
+        self._is_off = True
+        self.crash()
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
         self.calls += 1
@@ -205,7 +209,7 @@
             await trio.sleep_forever()
 
     async def _carry_out(self, request: HttpRequest) -> HttpResponse:
-        if self._has_crashed:
+        if self._is_off:
             raise trio.BrokenResourceError
         if request.get_header("expect-instance") != self.worker_id:
             return HttpResponse(status=421)
