--- a/trefoilhook/scheduling/pacing.py
+++ b/trefoilhook/scheduling/pacing.py
@@ -10,7 +10,7 @@
 
 from trefoilhook.scheduling.contention import limit_pace
 from trefoilhook.scheduling.core import Scheduler
-from trefoilhook.scheduling.crowds import find_step
+from trefoilhook.scheduling.crowds import FULL_PACE, find_step
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.messages import PaceOrder
 from trefoilhook.scheduling.models import Step
@@ -59,8 +59,6 @@
 _LEAST_PATIENCE_MS = 500.0
 """However short the bound, nothing is halted for a single look."""
 
-_FULL = 100
-
 
 @attrs.frozen(kw_only=True)
 class _Service:
@@ -109,9 +107,9 @@
             full = step.demand.cpu / cores
             used = run.load / cores
             if now_ms - max(run.started_ms, run.paced_ms) < _UNLISTED_MS:
-                used = full * run.pace / _FULL
+                used = full * run.pace / FULL_PACE
             mix.fillers.append(_Filler(run=run, step=step, used=used, full=full))
-        elif step.latency_limit_ms and run.percent >= _FULL:
+        elif step.latency_limit_ms and run.percent >= FULL_PACE:
             if run.track is not None:
                 base = run.track.predict_base(now_ms + _AHEAD_MS)
                 listed = measure_slack(run.load, step.latency_limit_ms)
@@ -144,7 +142,7 @@
     services = _predict_services(scheduler, mix)
     slowed = _choose_slowed(scheduler, mix.fillers, services)
     room = [service.slack for service in services]
-    limit = limit_pace(worker, scheduler.jobs) if mix.bases else _FULL
+    limit = limit_pace(worker, scheduler.jobs) if mix.bases else FULL_PACE
     orders: list[PaceOrder] = []
     for filler in mix.fillers:
         run = filler.run
@@ -157,7 +155,7 @@
         pace = min(pace, limit)
         if not _is_order_due(run, pace, now_ms, at_once=limit < run.pace):
             continue
-        if run.pace >= _FULL:
+        if run.pace >= FULL_PACE:
             run.slowed_ms = now_ms
         run.pace = pace
         run.paced_ms = now_ms
@@ -263,7 +261,7 @@
     most = run.first_pace - run.pace
     if most <= 0:
         return run.pace
-    raised = most / _FULL
+    raised = most / FULL_PACE
     weights = [
         scheduler.interference.weigh(service.image, filler.step.image) * filler.full
         for service in services
@@ -271,8 +269,8 @@
     for service, weight, slack in zip(services, weights, room, strict=True):
         if scheduler.interference.is_heavy(service.image, filler.step.image):
             raised = min(raised, (slack - _AIM_SLACK) / weight)
-    if raised * _FULL < min(_LEAST_RAISE, most):
+    if raised * FULL_PACE < min(_LEAST_RAISE, most):
         return run.pace
     for number, weight in enumerate(weights):
         room[number] -= raised * weight
-    return run.pace + int(raised * _FULL)
+    return run.pace + int(raised * FULL_PACE)
