--- /dev/null
+++ b/bench/experiments/page.py
@@ -0,0 +1,51 @@
+"""The comparison as a table and as a plot."""
+
+import pathlib
+from collections.abc import Sequence
+
+import matplotlib
+
+matplotlib.use("Agg")
+from matplotlib import pyplot
+
+from bench.experiments.comparison import Comparison
+
+__all__ = ["build_table", "draw_plot"]
+
+
+def _show(figure: float | None) -> str:
+    return "" if figure is None else f"{figure:+.3f}"
+
+
+def build_table(rows: Sequence[Comparison]) -> str:
+    """Return the comparison as a Markdown table."""
+    lines = [
+        "| plays of | version | plays | mean | worst | failed | broken | difference |",
+        "|---|---|---|---|---|---|---|---|",
+    ]
+    for row in rows:
+        difference = _show(row.difference)
+        if row.low is not None:
+            difference += f" ({_show(row.low)} to {_show(row.high)})"
+        lines.append(
+            f"| {row.group} | {row.version} | {row.plays} | {row.mean:.3f} "
+            f"| {row.worst:.3f} | {row.failed:.3f} | {row.broken} | {difference} |"
+        )
+    return "\n".join(lines)
+
+
+def draw_plot(rows: Sequence[Comparison], path: pathlib.Path) -> None:
+    """Draw the mean differences with their intervals, a row for each group."""
+    shown = [row for row in rows if row.low is not None and row.high is not None]
+    figure, axes = pyplot.subplots(figsize=(8, 1 + 0.25 * len(shown)))
+    for number, row in enumerate(reversed(shown)):
+        assert row.difference is not None
+        axes.plot([row.low, row.high], [number, number], color="tab:blue")
+        axes.plot(row.difference, number, "o", color="tab:blue")
+    labels = [f"{row.group}, {row.version}" for row in reversed(shown)]
+    axes.set_yticks(range(len(shown)), labels, fontsize=7)
+    axes.axvline(0.0, color="black", linewidth=0.5)
+    axes.set_xlabel("difference of worth")
+    figure.tight_layout()
+    figure.savefig(path)
+    pyplot.close(figure)
