Tell an ended worker process from a worker that is cut off

On call one couldn't tell what ended a worker: a closed connection, a refused one and a time without an answer all read 'no answer' or 'not sent', and the line on a run that was given up didn't say how long it had been there. Transport errors carry how they failed, orders and looks have an outcome for a lost and for a refused connection, and a worker's silence is kept with its beginning. Sight only: no decision reads it yet. Tests: closed and silent connections are told apart by the HTTP client and by the worker's client; a restart's lines tell how it began.

--- a/trefoilhook/exceptions.py
+++ b/trefoilhook/exceptions.py
@@ -4,6 +4,8 @@
 this tree from there, so that nothing here knows an adapter.
 """
 
+import enum
+
 from trefoilhook.results import ResultCode
 
 __all__ = [
@@ -23,6 +25,7 @@
     "StoreUnavailableError",
     "StoreUnsentError",
     "TransportError",
+    "TransportFailure",
     "TrefoilhookError",
     "UnknownTaskError",
     "UnknownWorkerError",
@@ -70,8 +73,43 @@
     code = ResultCode.BAD_REQUEST
 
 
+class TransportFailure(enum.Enum):
+    """How an exchange over a connection failed."""
+
+    CLOSED = "closed"
+    """The other end closed or reset the connection."""
+
+    REFUSED = "refused"
+    """Nothing listens at the address, on a machine that can be reached."""
+
+    TIMED_OUT = "timed out"
+    """Nothing came back in time."""
+
+    OTHER = "other"
+
+
 class TransportError(TrefoilhookError):
-    """A connection failed."""
+    """A connection failed.
+
+    Parameters
+    ----------
+    message : str
+        What happened, for people.
+    code : ResultCode, optional
+        Code that an answer caused by this error carries.
+    failure : TransportFailure, optional
+        How it failed.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        code: ResultCode | None = None,
+        failure: TransportFailure = TransportFailure.OTHER,
+    ) -> None:
+        super().__init__(message, code=code)
+        self.failure = failure
 
 
 class NotSentError(TransportError):
--- a/trefoilhook/http/client.py
+++ b/trefoilhook/http/client.py
@@ -12,7 +12,11 @@
 import h11
 import trio
 
-from trefoilhook.exceptions import AnswerLostError, NotSentError
+from trefoilhook.exceptions import (
+    AnswerLostError,
+    NotSentError,
+    TransportFailure,
+)
 from trefoilhook.http.core import HttpRequest, HttpResponse
 
 __all__ = ["HttpClient"]
@@ -44,6 +48,24 @@
     return True
 
 
+def _describe_failure(
+    error: BaseException, protocol: h11.Connection | None = None
+) -> TransportFailure:
+    """Tell how an exchange failed, by the error that ended it."""
+    if isinstance(error, trio.TooSlowError):
+        return TransportFailure.TIMED_OUT
+    if isinstance(error, trio.BrokenResourceError):
+        return TransportFailure.CLOSED
+    if isinstance(error, h11.RemoteProtocolError) and protocol is not None:
+        _, has_ended = protocol.trailing_data
+        return TransportFailure.CLOSED if has_ended else TransportFailure.OTHER
+    # An attempt to connect fails with a group of one error for each address.
+    causes = getattr(error.__cause__, "exceptions", (error,))
+    if any(isinstance(cause, ConnectionRefusedError) for cause in causes):
+        return TransportFailure.REFUSED
+    return TransportFailure.OTHER
+
+
 class HttpClient:
     """A pool of connections to one server.
 
@@ -126,7 +148,10 @@
             with trio.fail_at(deadline):
                 return await self._open()
         except (OSError, trio.TooSlowError, trio.BrokenResourceError) as error:
-            raise NotSentError(f"no connection to {self._host}:{self._port}") from error
+            raise NotSentError(
+                f"no connection to {self._host}:{self._port}",
+                failure=_describe_failure(error),
+            ) from error
 
     async def _open(self) -> _Connection:
         raw = await trio.open_tcp_stream(self._host, self._port)
@@ -161,8 +186,10 @@
             trio.ClosedResourceError,
             h11.RemoteProtocolError,
         ) as error:
-            message = f"no whole answer from {self._host}:{self._port}"
-            raise AnswerLostError(message) from error
+            raise AnswerLostError(
+                f"no whole answer from {self._host}:{self._port}",
+                failure=_describe_failure(error, connection.protocol),
+            ) from error
 
     def _encode(self, connection: _Connection, request: HttpRequest) -> bytes:
         headers = [("host", f"{self._host}:{self._port}"), *request.headers]
@@ -202,7 +229,9 @@
                     body=b"".join(chunks),
                 )
             elif isinstance(event, h11.ConnectionClosed):
-                raise AnswerLostError("the connection ended early")
+                raise AnswerLostError(
+                    "the connection ended early", failure=TransportFailure.CLOSED
+                )
 
 
 class _Turn:
@@ -215,7 +244,9 @@
 
     async def __aenter__(self) -> None:
         if trio.current_time() >= self._deadline:
-            raise NotSentError("its time was over before it began")
+            raise NotSentError(
+                "its time was over before it began", failure=TransportFailure.TIMED_OUT
+            )
         try:
             self._limiter.acquire_on_behalf_of_nowait(self._borrower)
             return
@@ -225,7 +256,9 @@
             with trio.fail_at(self._deadline):
                 await self._limiter.acquire_on_behalf_of(self._borrower)
         except trio.TooSlowError as error:
-            raise NotSentError("every connection was busy") from error
+            raise NotSentError(
+                "every connection was busy", failure=TransportFailure.TIMED_OUT
+            ) from error
 
     async def __aexit__(self, *_: object) -> None:
         self._limiter.release_on_behalf_of(self._borrower)
--- a/trefoilhook/http/tests/test_exchange.py
+++ b/trefoilhook/http/tests/test_exchange.py
@@ -6,7 +6,11 @@
 import trio
 import trio.testing
 
-from trefoilhook.exceptions import AnswerLostError, NotSentError
+from trefoilhook.exceptions import (
+    AnswerLostError,
+    NotSentError,
+    TransportFailure,
+)
 from trefoilhook.http import (
     HttpClient,
     HttpLimits,
@@ -47,11 +51,40 @@
             port = listeners[0].socket.getsockname()[1]
             await listeners[0].aclose()
             client = HttpClient(host=_HOST, port=port)
-            with self.assertRaises(NotSentError):
+            with self.assertRaises(NotSentError) as caught:
                 await client.send(HttpRequest(method="GET", target="/"))
+            self.assertIs(caught.exception.failure, TransportFailure.REFUSED)
 
         trio.run(scenario)
 
+    def test_closed_connection_is_told_from_silence(self):
+        # Guards against a process that ended being taken for one that is cut off.
+        async def close(request: HttpRequest) -> HttpResponse:
+            raise trio.BrokenResourceError
+
+        async def keep_silent(request: HttpRequest) -> HttpResponse:
+            await trio.sleep_forever()
+
+        async def scenario(handler, failure: TransportFailure):
+            server = HttpServer(handler=handler, host=_HOST, port=0)
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.run)
+                client = HttpClient(host=_HOST, port=port)
+                with self.assertRaises(AnswerLostError) as caught:
+                    await client.send(
+                        HttpRequest(method="GET", target="/"), timeout_ms=100.0
+                    )
+                self.assertIs(caught.exception.failure, failure)
+                nursery.cancel_scope.cancel()
+
+        table = (
+            (close, TransportFailure.CLOSED),
+            (keep_silent, TransportFailure.TIMED_OUT),
+        )
+        for handler, failure in table:
+            with self.subTest(failure):
+                trio.run(scenario, handler, failure)
+
     def test_request_whose_time_is_over_is_proved_not_sent(self):
         # A request waited until its deadline before its turn came. Nothing may leave,
         # and its caller may be told "not run" in place of "unknown".
--- a/trefoilhook/platform/tests/test_answers.py
+++ b/trefoilhook/platform/tests/test_answers.py
@@ -268,6 +268,26 @@
             with self.subTest(body=body[:20]), self.assertRaises(DecodeError):
                 self.call(body, look)
 
+    def test_ended_process_is_told_from_silence(self):
+        # Guards against a worker that crashed being taken for one that is cut off.
+        async def close(request: HttpRequest) -> HttpResponse:
+            raise trio.BrokenResourceError
+
+        async def scenario() -> tuple[OrderOutcome, OrderOutcome]:
+            order = StopOrder(worker_id="w", task=TASK, attempt=1, token=1)
+            server = HttpServer(handler=close, host="127.0.0.1", port=0)
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.run)
+                client = self._build_worker(("127.0.0.1", port))
+                lost = await client.stop(order)
+                nursery.cancel_scope.cancel()
+            return lost, await client.stop(order)
+
+        self.assertEqual(
+            trio.run(scenario),
+            (OrderOutcome.CONNECTION_LOST, OrderOutcome.CONNECTION_REFUSED),
+        )
+
     def test_refusals_that_cannot_be_read(self):
         async def stop(address: Any) -> Any:
             order = StopOrder(worker_id="w", task=TASK, attempt=1, token=1)
--- a/trefoilhook/platform/workers.py
+++ b/trefoilhook/platform/workers.py
@@ -5,7 +5,12 @@
 
 import attrs
 
-from trefoilhook.exceptions import AnswerLostError, NotSentError
+from trefoilhook.exceptions import (
+    AnswerLostError,
+    NotSentError,
+    TransportError,
+    TransportFailure,
+)
 from trefoilhook.http import HttpResponse, JsonClient
 from trefoilhook.platform.core import read_object
 from trefoilhook.platform.looks import decode_look
@@ -131,10 +136,8 @@
                 body=body,
                 headers=self._headers,
             )
-        except NotSentError:
-            return OrderOutcome.NOT_SENT
-        except AnswerLostError:
-            return OrderOutcome.NO_ANSWER
+        except (NotSentError, AnswerLostError) as error:
+            return _read_failure(error)
         if response.status != 200:
             return _read_refusal(response)
         return decode_look(response.body)
@@ -152,15 +155,23 @@
                 body=body,
                 headers=self._headers,
             )
-        except NotSentError:
-            return OrderOutcome.NOT_SENT
-        except AnswerLostError:
-            return OrderOutcome.NO_ANSWER
+        except (NotSentError, AnswerLostError) as error:
+            return _read_failure(error)
         if response.status == 200:
             return OrderOutcome.DONE
         return _read_refusal(response)
 
 
+def _read_failure(error: TransportError) -> OrderOutcome:
+    if isinstance(error, NotSentError):
+        if error.failure is TransportFailure.REFUSED:
+            return OrderOutcome.CONNECTION_REFUSED
+        return OrderOutcome.NOT_SENT
+    if error.failure is TransportFailure.CLOSED:
+        return OrderOutcome.CONNECTION_LOST
+    return OrderOutcome.NO_ANSWER
+
+
 def _read_refusal(response: HttpResponse) -> OrderOutcome:
     if response.status == 421:
         return OrderOutcome.OTHER_LIFE
--- a/trefoilhook/runtime/losses.py
+++ b/trefoilhook/runtime/losses.py
@@ -4,7 +4,7 @@
 fell silent from one that restarted, and both from an end that was noted and lost.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from trefoilhook.logs import Event, log_event
 from trefoilhook.scheduling import Lapse, Look, TaskId, Worker
@@ -33,15 +33,31 @@
 
 
 def log_restart(worker: Worker, now_ms: float) -> None:
-    """Log that another life answers at a worker's address: all it ran is over."""
+    """Log that another life answers at a worker's address: all it ran is over.
+
+    How the silence before it began tells a process that ended, whose connections are
+    closed and then refused, from a way that is cut, where nothing comes back.
+    """
     worker_id = worker.report.worker_id
-    log_event(Event.WORKER_LOST, worker=worker_id, why="restarted")
+    silence = worker.silence
+    log_event(
+        Event.WORKER_LOST,
+        worker=worker_id,
+        why="restarted",
+        began=silence.cause.value if silence is not None else "",
+        began_ms=round(now_ms - silence.began_ms) if silence is not None else 0,
+        refused=silence is not None and silence.was_refused,
+        draining=worker.report.draining,
+    )
     _log_given_up(
         worker.runs,
         worker_id=worker_id,
         why="restarted",
         silent_ms=now_ms - worker.clock_read_ms if worker.fenced else 0.0,
         listed=worker.listed,
+        ran_ms={
+            key: worker.measure_time(run, now_ms) for key, run in worker.runs.items()
+        },
     )
 
 
@@ -77,8 +93,10 @@
     why: str,
     silent_ms: float,
     listed: bool,
+    ran_ms: Mapping[tuple[TaskId, int], float] | None = None,
 ) -> None:
     for task, attempt in runs:
+        ran = {} if ran_ms is None else {"ran_ms": round(ran_ms[task, attempt])}
         log_event(
             Event.TASK_GIVEN_UP,
             task=str(task),
@@ -87,4 +105,5 @@
             why=why,
             silent_ms=round(silent_ms),
             listed=listed,
+            **ran,
         )
--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -14,6 +14,7 @@
     EndKind,
     Lapse,
     Look,
+    OrderOutcome,
     TaskId,
     Worker,
     WorkerReport,
@@ -309,6 +310,23 @@
                 }
                 self.assertEqual({**told, **expected}, told)
 
+    def test_restart_tells_how_the_silence_began(self):
+        # Guards against a log in which a crash, a cut and a planned stop read the same.
+        worker, _ = self._build_worker()
+        worker.note_silence(OrderOutcome.CONNECTION_LOST, 410.0)
+        worker.note_silence(OrderOutcome.CONNECTION_REFUSED, 610.0)
+        with capture_lines() as lines:
+            log_restart(worker, 1000.0)
+        lost = find_line(lines, "WORKER_LOST")
+        expected = {
+            "began": "connection lost",
+            "began_ms": 590,
+            "refused": True,
+            "draining": False,
+        }
+        self.assertEqual({**lost, **expected}, lost)
+        self.assertEqual(find_line(lines, "TASK_GIVEN_UP")["ran_ms"], 410)
+
     def test_run_whose_end_is_listed_is_not_given_up(self):
         worker, task = self._build_worker()
         held = list(worker.runs)
--- a/trefoilhook/runtime/watching.py
+++ b/trefoilhook/runtime/watching.py
@@ -130,7 +130,7 @@
                 self._notify()
                 break
             outages.record_failure("look", result, sent_ms=sent_ms)
-            worker.suspect = True
+            worker.note_silence(result, self._clock.monotonic_ms())
             await self._clock.sleep_ms(_LOOK_RETRY_MS)
 
     async def _look(
@@ -182,7 +182,7 @@
             return LookRequest(
                 token=self._tenure.epoch, acknowledged=0, deadline_ms=None, wait_ms=0
             )
-        if worker.suspect:
+        if worker.silence is not None:
             # No new deadline: a look without an answer may be carried out late, so
             # each would put off the time from which its tasks may run elsewhere.
             return LookRequest(
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -6,11 +6,11 @@
 
 import attrs
 
-from trefoilhook.scheduling.messages import Look, StopReason
+from trefoilhook.scheduling.messages import Look, OrderOutcome, StopReason
 from trefoilhook.scheduling.models import Demand, TaskId, WorkerReport
 from trefoilhook.scheduling.slack import LaggedShares, SlackTrack
 
-__all__ = ["SLOWEST_CLOCK", "Run", "RunPhase", "Worker"]
+__all__ = ["SLOWEST_CLOCK", "Run", "RunPhase", "Silence", "Worker"]
 
 SLOWEST_CLOCK = 0.98
 """A worker's steady clock may be 2 % slow, by the platform's statement."""
@@ -113,6 +113,26 @@
         return self.first_pace < 100
 
 
+@attrs.define(kw_only=True)
+class Silence:
+    """A time without answers from a worker.
+
+    Parameters
+    ----------
+    began_ms : float
+        When the first call failed, in ms.
+    cause : OrderOutcome
+        How it failed.
+    was_refused : bool
+        Whether a connection has been refused since: the machine answers, and nothing
+        listens there.
+    """
+
+    began_ms: float
+    cause: OrderOutcome
+    was_refused: bool = False
+
+
 @attrs.define(kw_only=True, eq=False)
 class Worker:
     """One life of a worker.
@@ -156,8 +176,9 @@
         Ends taken in, by number, with a test whether their effect is in the store.
     acknowledged : int
         The worker may forget ends up to this number.
-    suspect : bool
-        Whether an order or a look went without an answer since the last look.
+    silence : Silence or None
+        What is known of it if an order or a look went without an answer since the last
+        look.
     is_awaited : bool
         Whether its leases are over and tasks wait for it to tell how they ended.
     faulty_jobs : set of str
@@ -193,7 +214,7 @@
         collections.deque
     )
     acknowledged: int = 0
-    suspect: bool = False
+    silence: Silence | None = None
     is_awaited: bool = False
     faulty_jobs: set[str] = attrs.Factory(set)
     is_news: bool = True
@@ -221,6 +242,18 @@
         least = self.clock_ms + SLOWEST_CLOCK * (now_ms - self.clock_read_ms)
         return least > self.lease_until_ms + _LAPSE_SLACK_MS
 
+    def note_silence(self, outcome: OrderOutcome, now_ms: float) -> None:
+        """Note that a call went without an answer."""
+        if self.silence is None:
+            self.silence = Silence(began_ms=now_ms, cause=outcome)
+        if outcome is OrderOutcome.CONNECTION_REFUSED:
+            self.silence.was_refused = True
+
+    def measure_time(self, run: Run, now_ms: float) -> float:
+        """Return how long a run was here until the worker fell silent, in ms."""
+        until_ms = now_ms if self.silence is None else self.silence.began_ms
+        return max(0.0, until_ms - run.started_ms)
+
     def read_clock(self, look: Look, now_ms: float) -> None:
         """Note the time on the worker's clock."""
         if look.clock_ms >= self.clock_ms:
--- a/trefoilhook/scheduling/lapses.py
+++ b/trefoilhook/scheduling/lapses.py
@@ -18,7 +18,7 @@
     """
     lapses: list[Lapse] = []
     for worker in list(scheduler.workers.values()):
-        if not (worker.suspect or not worker.listed) or not worker.fenced:
+        if (worker.silence is None and worker.listed) or not worker.fenced:
             continue
         if not worker.is_lapsed(now_ms):
             continue
--- a/trefoilhook/scheduling/looks.py
+++ b/trefoilhook/scheduling/looks.py
@@ -41,7 +41,7 @@
         earlier_ms = look.clock_ms + scheduler.limits.task_lease_ms
         worker.lease_until_ms = max(worker.lease_until_ms, earlier_ms)
     worker.fenced = True
-    worker.suspect = False
+    worker.silence = None
     worker.is_awaited = False
     worker.is_news = True
     note_unread(worker, look)
--- a/trefoilhook/scheduling/messages.py
+++ b/trefoilhook/scheduling/messages.py
@@ -14,6 +14,8 @@
     "Order",
     "OrderOutcome",
     "PaceOrder",
+    "UNANSWERED",
+    "UNSENT",
     "Running",
     "StartOrder",
     "StopOrder",
@@ -36,13 +38,17 @@
 class OrderOutcome(enum.Enum):
     """What is known about an order after it was sent.
 
-    ``NO_ANSWER`` says nothing: the order may have been carried out, or may still be.
-    After every other outcome but ``DONE`` this copy of it never will be.
+    ``NO_ANSWER`` and ``CONNECTION_LOST`` say nothing: the order may have been carried
+    out, or may still be. After every other outcome but ``DONE`` this copy of it never
+    will be. ``CONNECTION_LOST`` and ``CONNECTION_REFUSED`` tell that the worker's
+    machine answers, and its process doesn't; silence tells neither.
     """
 
     DONE = "done"
     NOT_SENT = "not sent"
     NO_ANSWER = "no answer"
+    CONNECTION_LOST = "connection lost"
+    CONNECTION_REFUSED = "connection refused"
     FENCED = "fenced"
     SUPERSEDED = "superseded"
     TOO_LATE = "too late"
@@ -53,6 +59,13 @@
     REFUSED = "refused"
 
 
+UNSENT = frozenset({OrderOutcome.NOT_SENT, OrderOutcome.CONNECTION_REFUSED})
+"""The order never left."""
+
+UNANSWERED = frozenset({OrderOutcome.NO_ANSWER, OrderOutcome.CONNECTION_LOST})
+"""The order left, and nobody knows what became of it."""
+
+
 class StopReason(enum.Enum):
     """Why an attempt is stopped."""
 
--- a/trefoilhook/scheduling/outcomes.py
+++ b/trefoilhook/scheduling/outcomes.py
@@ -2,7 +2,13 @@
 
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
-from trefoilhook.scheduling.messages import EndKind, OrderOutcome, StopReason
+from trefoilhook.scheduling.messages import (
+    UNANSWERED,
+    UNSENT,
+    EndKind,
+    OrderOutcome,
+    StopReason,
+)
 from trefoilhook.scheduling.models import TaskId
 from trefoilhook.scheduling.tickets import name_step
 
@@ -39,7 +45,7 @@
             # A throttled task works at full speed until its pace is ordered.
             worker.is_news = worker.is_news or run.is_throttled
         return
-    if outcome is OrderOutcome.NO_ANSWER:
+    if outcome in UNANSWERED:
         run.ambiguous = True
         return
     if outcome is OrderOutcome.SUPERSEDED:
@@ -75,11 +81,7 @@
     if found is None:
         return
     _, run = found
-    if outcome in (
-        OrderOutcome.NO_ANSWER,
-        OrderOutcome.NOT_SENT,
-        OrderOutcome.UNHEALTHY,
-    ):
+    if outcome in UNANSWERED | UNSENT or outcome is OrderOutcome.UNHEALTHY:
         return
     run.confirmed_ms = now_ms
     run.order_due_ms = now_ms + scheduler.limits.longest_stop_ms + _RETRY_PAUSE_MS
@@ -105,6 +107,6 @@
         return None
     run.in_flight = False
     run.order_due_ms = now_ms + _RETRY_PAUSE_MS
-    if outcome in (OrderOutcome.NO_ANSWER, OrderOutcome.NOT_SENT):
-        worker.suspect = True
+    if outcome in UNANSWERED | UNSENT:
+        worker.note_silence(outcome, now_ms)
     return worker, run
--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -73,7 +73,7 @@
         and worker.rostered
         and worker.usable
         and not is_clogged(worker)
-        and not worker.suspect
+        and worker.silence is None
         and not worker.report.draining
         and worker.avoid_until_ms <= now_ms
         and now_ms - worker.clock_read_ms < _SILENCE_LIMIT_MS
--- a/trefoilhook/scheduling/tests/cases.py
+++ b/trefoilhook/scheduling/tests/cases.py
@@ -160,6 +160,12 @@
         for worker_id in list(self.scheduler.workers):
             self.look(worker_id)
 
+    def silence(
+        self, worker_id: str, outcome: OrderOutcome = OrderOutcome.NO_ANSWER
+    ) -> None:
+        """Have a call to a worker fail."""
+        self.scheduler.workers[worker_id].note_silence(outcome, self.now_ms)
+
     def pass_time(self, duration_ms: float) -> None:
         """Move the time on."""
         self.now_ms += duration_ms
--- a/trefoilhook/scheduling/tests/test_orders.py
+++ b/trefoilhook/scheduling/tests/test_orders.py
@@ -85,7 +85,7 @@
         shard = Shard()
         shard.submit(build_job(attrs.evolve(SMALL, long_running=True)))
         order = shard.start_one()
-        shard.scheduler.workers[order.worker_id].suspect = True
+        shard.silence(order.worker_id)
         shard.pass_time(TASK_LEASE_MS * 1.2)
         (lapse,) = release_lapsed(shard.scheduler, shard.now_ms)
         self.assertEqual(lapse.given_up, ((order.task, order.attempt),))
@@ -217,7 +217,7 @@
         shard.submit(build_job())
         order = shard.start_one()
         shard.workers[order.worker_id].end(order.task, order.attempt, EndKind.DONE)
-        shard.scheduler.workers[order.worker_id].suspect = True
+        shard.silence(order.worker_id)
         for _ in range(20):
             shard.pass_time(TASK_LEASE_MS / 10.0)
             release_lapsed(shard.scheduler, shard.now_ms)
@@ -234,7 +234,7 @@
         shard.submit(build_job())
         order = shard.start_one()
         shard.scheduler.bar_worker(order.worker_id)
-        shard.scheduler.workers[order.worker_id].suspect = True
+        shard.silence(order.worker_id)
         shard.pass_time(TASK_LEASE_MS * 1.2)
         (lapse,) = release_lapsed(shard.scheduler, shard.now_ms)
         self.assertEqual(lapse.given_up, ((order.task, order.attempt),))
@@ -350,7 +350,7 @@
         for worker_id in second.workers:
             second.scheduler.workers.pop(worker_id)
             second.add_worker(worker_id)
-        second.scheduler.workers[order.worker_id].suspect = True
+        second.silence(order.worker_id)
         second.pass_time(10.0)
         self.assertEqual(release_lapsed(second.scheduler, second.now_ms), [])
         second.pass_time(TASK_LEASE_MS * 1.04)
--- a/trefoilhook/scheduling/tests/test_unread.py
+++ b/trefoilhook/scheduling/tests/test_unread.py
@@ -165,8 +165,7 @@
         order = shard.start_one()
         shard.workers["w0"].end(order.task, order.attempt, EndKind.DONE)
         look_with(shard, build_unread(1, (order.task, order.attempt)))
-        worker = shard.scheduler.workers["w0"]
-        worker.suspect = True
+        shard.silence("w0")
         shard.pass_time(20_000.0)
         (lapse,) = release_lapsed(shard.scheduler, shard.now_ms)
         self.assertEqual((lapse.awaited, lapse.given_up), (1, ()))
--- a/trefoilhook/scheduling/watchdog.py
+++ b/trefoilhook/scheduling/watchdog.py
@@ -48,7 +48,7 @@
     step = state.job.steps[run.task.step]
     if step.long_running and run.percent >= 100:
         return False
-    if run.pace < 100 or worker.suspect:
+    if run.pace < 100 or worker.silence is not None:
         return False
     if step.filler and worker.cpu >= worker.report.capacity.cpu:
         # A filler without any processor time left over makes no progress.
