--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -23,6 +23,13 @@
 """Generous: the longest test takes 9 s by itself."""
 
 
+_REBIRTH_MS = 400.0
+"""A crashed worker is back after so long, in ms."""
+
+_UNLISTED_MS = 600.0
+"""Its entry goes so much later, in ms."""
+
+
 def build_configuration(version: int, *prefixes: str) -> dict:
     """Build what the operator writes."""
     return platform_documents.build_configuration(
@@ -66,6 +73,9 @@
         self.workers: dict[str, PlatformWorker] = {}
         self.instances: list[Instance] = []
         self.advice: PlatformAdvice | None = None
+        self.crashes: dict[str, float] = {}
+        self.crashed: list[str] = []
+        self._scopes: dict[str, trio.CancelScope] = {}
 
     async def start_advice(self, *allowed: str) -> None:
         """Start the advice service, and have the queue need its word."""
@@ -83,21 +93,57 @@
         self.store.write("op/config", build_configuration(1))
 
     async def start_worker(
-        self, worker_id: str, *, listed: bool = True, checks_token: bool = True
+        self,
+        worker_id: str,
+        *,
+        listed: bool = True,
+        checks_token: bool = True,
+        port: int = 0,
     ) -> PlatformWorker:
-        """Start a worker, and list it if not told otherwise."""
+        """Start a worker, and list it if not told otherwise.
+
+        Tasks of ``crashes`` end its process; another life takes its address then.
+        """
         worker = PlatformWorker(
             worker_id=worker_id,
             clock=self.clock,
             task_ms=self._task_ms,
             checks_token=checks_token,
+            port=port,
+            crashes=self.crashes,
+            on_crash=lambda: self.crash_worker(worker_id),
         )
         self.workers[worker_id] = worker
-        await self._nursery.start(worker.run)
+        self._scopes[worker_id] = trio.CancelScope()
+        await self._nursery.start(self._run_worker, worker)
         if listed:
             self.store.write(f"servers/{worker_id}", worker.describe("s"))
         return worker
 
+    async def _run_worker(
+        self,
+        worker: PlatformWorker,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        with self._scopes[worker.worker_id]:
+            await worker.run(task_status=task_status)
+
+    def crash_worker(self, worker_id: str) -> None:
+        """End a worker's process; its entry goes later than its next life comes."""
+        self.crashed.append(worker_id)
+        self.workers[worker_id].power_off()
+        self._scopes[worker_id].cancel()
+        self._nursery.start_soon(self._replace_worker, worker_id)
+
+    async def _replace_worker(self, worker_id: str) -> None:
+        await self.clock.sleep_ms(_REBIRTH_MS)
+        place, _, life = worker_id.partition("-")
+        port = self.workers[worker_id].server.port
+        await self.start_worker(f"{place}-{int(life or 0) + 1}", port=port)
+        await self.clock.sleep_ms(_UNLISTED_MS)
+        self.store.remove(f"servers/{worker_id}")
+
     async def start_instance(
         self, *, size: InstanceSize | None = None, clock: Clock | None = None
     ) -> Instance:
--- a/trefoilhook/standins/platform_worker.py
+++ b/trefoilhook/standins/platform_worker.py
@@ -1,6 +1,8 @@
 """Stand-in of a worker of the users' platform: tasks that take their time."""
 
 import enum
+import math
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import attrs
@@ -70,6 +72,13 @@
         How fast its own clock runs, by which it judges deadlines.
     checks_token : bool, optional
         Whether it refuses calls with a lower fencing token than it has seen.
+    port : int, optional
+        Where it takes orders; 0 takes a free port.
+    crashes : mapping of str to float, optional
+        Tasks that crash the worker, by the beginning of their names, and the time from
+        their start to the crash, in ms.
+    on_crash : callable, optional
+        Called once a task has crashed the worker, to end its process.
 
     Attributes
     ----------
@@ -95,7 +104,12 @@
         task_ms: float,
         rate: float = 1.0,
         checks_token: bool = True,
+        port: int = 0,
+        crashes: Mapping[str, float] | None = None,
+        on_crash: Callable[[], None] | None = None,
     ) -> None:
+        self._crashes = crashes if crashes is not None else {}
+        self._on_crash = on_crash
         self._rate = rate
         self._checks_token = checks_token
         self.worker_id = worker_id
@@ -116,7 +130,7 @@
         self.odd_running: list[Any] = []
         self.odd_ends: list[Any] = []
         self.words: dict[str, str] = {}
-        self.server = HttpServer(handler=self._answer, host="127.0.0.1", port=0)
+        self.server = HttpServer(handler=self._answer, host="127.0.0.1", port=port)
 
     def _read_own_clock(self) -> float:
         return self._clock.monotonic_ms() * self._rate
@@ -163,12 +177,24 @@
     def _advance(self) -> None:
         now_ms = self._clock.monotonic_ms()
         for record in self._list_running():
+            if now_ms - record.started_ms >= self._find_crash(record.task):
+                self.power_off()
+                if self._on_crash is not None:
+                    self._on_crash()
+                return
             if self._read_own_clock() > self._deadline_ms:
                 self._end(record, "lapsed")
             elif now_ms - record.started_ms >= self._task_ms:
                 fails = self.fault is WorkerFault.FAILS_TASKS
                 self._end(record, "failed" if fails else "done")
 
+    def _find_crash(self, task: str) -> float:
+        """Return how long after its start a task crashes the worker, in ms."""
+        return min(
+            (ms for name, ms in self._crashes.items() if task.startswith(name)),
+            default=math.inf,
+        )
+
     def _end(self, record: TaskRecord, how: str) -> None:
         record.ended_ms = self._clock.monotonic_ms()
         record.how = how
