--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -88,6 +88,8 @@
     TASK_GIVEN_UP = (1615, Level.WARNING, "A run was given up without its end.")
     QUEUE_WAITS = (1616, Level.INFO, "Tasks have waited two seconds for a worker.")
     ANSWER_INVALID = (1617, Level.ERROR, "An answer, or a row of it, can't be read.")
+    LOSS_ATTRIBUTED = (1618, Level.WARNING, "What ended a worker, and its suspects.")
+    CRASH_LOOP_FOUND = (1619, Level.WARNING, "A task that crashes workers is given up.")
 
     def __init__(self, number: int, level: Level, description: str) -> None:
         self.number = number
@@ -112,6 +114,8 @@
         Event.TASK_ENDED,
         Event.TASK_STOPPED,
         Event.TASK_GIVEN_UP,
+        Event.LOSS_ATTRIBUTED,
+        Event.CRASH_LOOP_FOUND,
     }
 )
 """Events that tell what was decided, or what proved it, about one job, task, worker or
--- a/trefoilhook/platform/settings.py
+++ b/trefoilhook/platform/settings.py
@@ -30,6 +30,13 @@
 in ms: the least that they say on the deployments seen."""
 
 
+_DEFAULT_NOTICE_MS = 2000.0
+"""How long before it leaves a worker says so where the settings don't say, in ms."""
+
+_DEFAULT_HEARTBEAT_MS = 1500.0
+"""Pause between two heartbeats of a worker where the settings don't say, in ms."""
+
+
 @attrs.frozen(kw_only=True)
 class Bounds:
     """Time limits that the users hold the system to, in ms.
@@ -46,6 +53,10 @@
         How long the state of an ended job must be told.
     overload_ms : float
         How long a service task may stay over its latency limit.
+    drain_notice_ms : float
+        A worker announces in the store that it leaves at least so long before.
+    heartbeat_ms : float
+        Pause between two heartbeats of a worker in the store.
     """
 
     shutdown_ms: float
@@ -53,6 +64,8 @@
     longest_stop_ms: float
     status_ms: float
     overload_ms: float
+    drain_notice_ms: float = _DEFAULT_NOTICE_MS
+    heartbeat_ms: float = _DEFAULT_HEARTBEAT_MS
 
 
 @attrs.frozen(kw_only=True)
@@ -113,7 +126,7 @@
     )
 
 
-def _decode_bounds(table: Mapping[str, Any]) -> Bounds:
+def _decode_bounds(table: Mapping[str, Any], heartbeat_ms: float) -> Bounds:
     status_s = read_number(table, "status_s", default=_DEFAULT_STATUS_S)
     return Bounds(
         shutdown_ms=read_number(table, "grace_s") * 1000.0,
@@ -121,6 +134,8 @@
         longest_stop_ms=read_number(table, "stop_grace_ms"),
         status_ms=status_s * 1000.0,
         overload_ms=read_number(table, "impact_ms", default=_DEFAULT_OVERLOAD_MS),
+        drain_notice_ms=read_number(table, "drain_ms", default=_DEFAULT_NOTICE_MS),
+        heartbeat_ms=heartbeat_ms,
     )
 
 
@@ -146,7 +161,10 @@
             entry_address=_read_listening(addresses, "frontend"),
             readiness_address=_read_listening(addresses, "readiness"),
             store_address=parse_address(read_text(platform, "address")),
-            bounds=_decode_bounds(read_table(table, "bounds")),
+            bounds=_decode_bounds(
+                read_table(table, "bounds"),
+                read_number(table, "heartbeat_ms", default=_DEFAULT_HEARTBEAT_MS),
+            ),
             size=_decode_size(read_table(table, "limits") if "limits" in table else {}),
             advice_address=parse_address(read_text(table, "advice"))
             if advice
--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -49,6 +49,9 @@
 of 2 s, its replacement in 1 s, and one look that fails fit in; longer would delay what
 has to be restarted after a worker was lost."""
 
+_HEARTBEATS_MISSED = 3
+"""Heartbeats that a worker misses before the platform removes its entry."""
+
 _TASK_LEASE_SHARE = 0.9
 """Share of the platform's longest lease that is asked for at most."""
 
@@ -265,6 +268,8 @@
                 longest_stop_ms=bounds.longest_stop_ms,
                 overload_ms=bounds.overload_ms,
                 status_ms=bounds.status_ms,
+                drain_notice_ms=bounds.drain_notice_ms,
+                entry_life_ms=_HEARTBEATS_MISSED * bounds.heartbeat_ms,
                 advice_address=self._settings.advice_address,
             ),
             read_configuration=self._read_configuration,
--- a/trefoilhook/runtime/following.py
+++ b/trefoilhook/runtime/following.py
@@ -19,6 +19,10 @@
 nine instances share with two watches each."""
 
 
+def _ignore() -> None:
+    """Do nothing."""
+
+
 async def follow(
     store: KeyValueStore,
     clock: Clock,
@@ -27,6 +31,8 @@
     take_listing: Callable[[Listing], None],
     take_change: Callable[[Change], None],
     listing: Listing | None = None,
+    note_read: Callable[[], None] | None = None,
+    note_failure: Callable[[], None] | None = None,
 ) -> None:
     """Tell every change under a prefix, for good.
 
@@ -44,7 +50,13 @@
         Called with each change after that.
     listing : Listing, optional
         A listing that has been taken in already.
+    note_read : callable, optional
+        Called after each answer, once all that it told has been taken in.
+    note_failure : callable, optional
+        Called when a read failed, or changes may have been missed.
     """
+    failed = note_failure or _ignore
+    read = note_read or _ignore
     after = listing.as_of if listing is not None else None
     while True:
         try:
@@ -56,10 +68,13 @@
         except HistoryLostError:
             log_event(Event.HISTORY_LOST, prefix=prefix, after=after)
             after = None
+            failed()
             continue
         except StoreError:
+            failed()
             await clock.sleep_ms(_RETRY_PAUSE_MS)
             continue
         for change in batch.changes:
             take_change(change)
         after = batch.as_of
+        read()
--- a/trefoilhook/runtime/losses.py
+++ b/trefoilhook/runtime/losses.py
@@ -7,9 +7,12 @@
 from collections.abc import Iterable, Mapping
 
 from trefoilhook.logs import Event, log_event
-from trefoilhook.scheduling import Lapse, Look, TaskId, Worker
+from trefoilhook.scheduling import Lapse, Look, Suspect, TaskId, Worker, WorkerLoss
 
-__all__ = ["log_lapse", "log_restart", "log_unlisted"]
+__all__ = ["log_lapse", "log_loss", "log_restart", "log_unlisted"]
+
+_MOST_SUSPECTS = 6
+"""Suspects named in one line, the likeliest first: it stays under 700 bytes."""
 
 
 def log_lapse(lapse: Lapse) -> None:
@@ -61,6 +64,40 @@
     )
 
 
+def log_loss(loss: WorkerLoss) -> None:
+    """Log what ended a worker's life, its suspects, and the verdict on each."""
+    log_event(
+        Event.LOSS_ATTRIBUTED,
+        worker=loss.worker_id,
+        cause=loss.cause.value,
+        runs=loss.runs,
+        suspects=[_describe(suspect) for suspect in loss.suspects[:_MOST_SUSPECTS]],
+        unnamed=max(0, len(loss.suspects) - _MOST_SUSPECTS),
+    )
+    for suspect in loss.suspects:
+        if suspect.given_up:
+            log_event(
+                Event.CRASH_LOOP_FOUND,
+                task=str(suspect.task),
+                job=suspect.task.job_id,
+                attempt=suspect.attempt,
+                worker=loss.worker_id,
+                crashes=suspect.crashes,
+                chance=round(suspect.chance, 4),
+            )
+
+
+def _describe(suspect: Suspect) -> dict[str, str | int | float]:
+    return {
+        "task": str(suspect.task),
+        "attempt": suspect.attempt,
+        "ran_ms": round(suspect.ran_ms),
+        "ratio": round(suspect.ratio, 2),
+        "chance": round(suspect.chance, 4),
+        "crashes": suspect.crashes,
+    }
+
+
 def log_unlisted(
     worker: Worker, held: Iterable[tuple[TaskId, int]], look: Look
 ) -> None:
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -23,7 +23,7 @@
 from trefoilhook.runtime.jobfeed import JobFeed
 from trefoilhook.runtime.lag import LoopLag
 from trefoilhook.runtime.loading import ShardContents, load_shard
-from trefoilhook.runtime.losses import log_lapse
+from trefoilhook.runtime.losses import log_lapse, log_loss
 from trefoilhook.runtime.orders import carry_out
 from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Tenure
 from trefoilhook.runtime.rejections import Rejections
@@ -92,6 +92,10 @@
         How long a service task may be over its latency limit at most.
     status_ms : float
         How long the state of an ended job must be told.
+    drain_notice_ms : float
+        A worker announces in the store that it leaves at least so long before.
+    entry_life_ms : float
+        How long the entry of a dead worker stays in the store.
     advice_address : (str, int) or None
         Where the service listens that tells which workers a step may run on.
     """
@@ -100,6 +104,8 @@
     longest_stop_ms: float
     overload_ms: float
     status_ms: float
+    drain_notice_ms: float
+    entry_life_ms: float
     advice_address: Address | None = None
 
 
@@ -150,6 +156,8 @@
                 longest_stop_ms=settings.longest_stop_ms,
                 settled_at_ms=tenure.claimed_ms + reach_ms + _LEASE_SLACK_MS,
                 overload_ms=settings.overload_ms,
+                drain_notice_ms=settings.drain_notice_ms,
+                entry_life_ms=settings.entry_life_ms,
             ),
             configuration=read_configuration(),
         )
@@ -362,6 +370,7 @@
             worker_feed.take_unnamed()
         for lapse in release_lapsed(scheduler, now_ms):
             log_lapse(lapse)
+        self._tell_losses()
         if not self._settled and is_settled(scheduler, self._earlier_roster, now_ms):
             self._settled = True
             self._roster.settle()
@@ -383,6 +392,13 @@
         if scheduler.dirty:
             self._committer.wake()
 
+    def _tell_losses(self) -> None:
+        """Log the workers that were lost since the last plan."""
+        for loss in self._scheduler.losses:
+            self._figures.count("losses", loss.cause.value)
+            log_loss(loss)
+        self._scheduler.losses.clear()
+
     async def _carry_out(self, order: Order) -> None:
         turn: contextlib.AbstractAsyncContextManager[None] = contextlib.nullcontext()
         if isinstance(order, StartOrder):
--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -75,6 +75,7 @@
         self.advice: PlatformAdvice | None = None
         self.crashes: dict[str, float] = {}
         self.crashed: list[str] = []
+        self.rebirth_ms = _REBIRTH_MS
         self._scopes: dict[str, trio.CancelScope] = {}
 
     async def start_advice(self, *allowed: str) -> None:
@@ -137,7 +138,7 @@
         self._nursery.start_soon(self._replace_worker, worker_id)
 
     async def _replace_worker(self, worker_id: str) -> None:
-        await self.clock.sleep_ms(_REBIRTH_MS)
+        await self.clock.sleep_ms(self.rebirth_ms)
         place, _, life = worker_id.partition("-")
         port = self.workers[worker_id].server.port
         await self.start_worker(f"{place}-{int(life or 0) + 1}", port=port)
--- a/trefoilhook/runtime/watching.py
+++ b/trefoilhook/runtime/watching.py
@@ -20,6 +20,7 @@
     Worker,
     acknowledge,
     extend_lease,
+    lose_worker,
     shares_with_services,
     take_look,
 )
@@ -34,6 +35,10 @@
 """The same where fillers run beside service tasks, whose tail latency is a figure of
 the last half second."""
 
+_ISOLATED_LOOK_WAIT_MS = 150
+"""The same where a suspected task keeps a worker for itself: that ends once it is seen
+to run on."""
+
 _SAVING_WAIT_MS = 200.0
 """How long the next look at a worker waits for its ends to be in the store, in ms; then
 they are listed once more, with what has ended since."""
@@ -126,7 +131,7 @@
                 return
             if result is OrderOutcome.OTHER_LIFE:
                 log_restart(worker, self._clock.monotonic_ms())
-                self._scheduler.drop_worker(worker_id)
+                lose_worker(self._scheduler, worker, self._clock.monotonic_ms())
                 self._notify()
                 break
             outages.record_failure("look", result, sent_ms=sent_ms)
@@ -192,7 +197,9 @@
                 wait_ms=0,
             )
         wait_ms = _LOOK_WAIT_MS
-        if shares_with_services(self._scheduler, worker):
+        if worker.is_reserved:
+            wait_ms = _ISOLATED_LOOK_WAIT_MS
+        elif shares_with_services(self._scheduler, worker):
             wait_ms = _CLOSE_LOOK_WAIT_MS
         return LookRequest(
             token=self._tenure.epoch,
--- a/trefoilhook/runtime/workerfeed.py
+++ b/trefoilhook/runtime/workerfeed.py
@@ -71,8 +71,13 @@
             take_listing=self._take_listing,
             take_change=self._take_change,
             listing=listing,
+            note_read=self._note_read,
+            note_failure=self._scheduler.entries.note_failure,
         )
 
+    def _note_read(self) -> None:
+        self._scheduler.entries.note_read(self._clock.monotonic_ms())
+
     def take_unnamed(self) -> None:
         """Look again at workers of services that the configuration didn't name."""
         for item in list(self._unnamed.values()):
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -10,6 +10,7 @@
     confirm_change,
 )
 from trefoilhook.scheduling.core import Scheduler, SchedulerLimits
+from trefoilhook.scheduling.crashes import lose_worker
 from trefoilhook.scheduling.fleet import SLOWEST_CLOCK, Worker
 from trefoilhook.scheduling.interference import (
     Interference,
@@ -23,6 +24,7 @@
     EndKind,
     Lapse,
     Look,
+    LossCause,
     Order,
     OrderOutcome,
     PaceOrder,
@@ -30,7 +32,9 @@
     StartOrder,
     StopOrder,
     StopReason,
+    Suspect,
     UnreadRow,
+    WorkerLoss,
 )
 from trefoilhook.scheduling.models import (
     Advice,
@@ -75,6 +79,7 @@
     "Lapse",
     "JobState",
     "Look",
+    "LossCause",
     "Order",
     "OrderOutcome",
     "PaceOrder",
@@ -87,10 +92,12 @@
     "Step",
     "StopOrder",
     "StopReason",
+    "Suspect",
     "UnreadRow",
     "TaskId",
     "TaskState",
     "Worker",
+    "WorkerLoss",
     "WorkerReport",
     "acknowledge",
     "choose_advised",
@@ -105,6 +112,7 @@
     "extend_lease",
     "is_settled",
     "list_unheard",
+    "lose_worker",
     "measure_backlogs",
     "parse_task_id",
     "plan_orders",
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -7,6 +7,7 @@
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.crowds import FULL_PACE, Crowds
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
+from trefoilhook.scheduling.isolation import is_strongly_suspected
 from trefoilhook.scheduling.messages import StopReason
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.ranking import rank_step
@@ -41,19 +42,33 @@
     return state.step.long_running and now_ms >= scheduler.limits.settled_at_ms
 
 
+def _group(state: TaskState) -> tuple[StepName, int, int]:
+    """Return what tasks share that are placed alike.
+
+    Suspected ones of a step find other places than the rest, strongly suspected ones
+    each its own.
+    """
+    step = name_step(state.task)
+    if state.suspicion is None or state.step.gang:
+        return step, 0, 0
+    if is_strongly_suspected(state):
+        return step, 2, state.task.index
+    return step, 1, 0
+
+
 def assign_waiting(
     scheduler: Scheduler, *, settled: bool, now_ms: float, wall_ms: float
 ) -> None:
     """Hold room for the waiting tasks that have a place; their orders come due."""
     with_fillers = now_ms >= scheduler.fillers_due_ms
-    steps: dict[StepName, list[TaskState]] = {}
+    steps: dict[tuple[StepName, int, int], list[TaskState]] = {}
     for state in scheduler.waiting:
         if state.job.queue is None or not (
             settled or state.job.certain or _is_over_elsewhere(scheduler, state, now_ms)
         ):
             continue
         if with_fillers or not state.step.filler:
-            steps.setdefault(name_step(state.task), []).append(state)
+            steps.setdefault(_group(state), []).append(state)
     ready = sorted(steps.values(), key=lambda tasks: rank_step(tasks, wall_ms))
     crowds = Crowds(
         jobs=scheduler.jobs, interference=scheduler.interference, now_ms=now_ms
@@ -78,6 +93,8 @@
     for tasks in ready:
         if turn.is_short(tasks[0]):
             continue
+        if not turn.isolation.may_start(tasks[0], turn.now_ms):
+            continue
         if tries >= _MOST_TRIES and tasks[0].step.filler:
             continue
         if tasks[0].step.gang:
--- a/trefoilhook/scheduling/book.py
+++ b/trefoilhook/scheduling/book.py
@@ -5,6 +5,7 @@
 from trefoilhook.scheduling.fleet import Run, Worker
 from trefoilhook.scheduling.models import Job, Queue, Step, TaskId
 from trefoilhook.scheduling.records import JobPhase, JobRecord, Progress
+from trefoilhook.scheduling.suspicion import Suspicion, Unit
 
 __all__ = ["Attempt", "JobState", "TaskState"]
 
@@ -37,6 +38,9 @@
         Workers where it failed.
     done : bool
         Whether it is done.
+    held_until_ms : float
+        It isn't started again before, in ms: workers were lost under it, and it is not
+        proved that they crashed.
     """
 
     task: TaskId
@@ -46,6 +50,22 @@
     last_attempt: int = 0
     failed_on: set[str] = attrs.Factory(set)
     done: bool = False
+    held_until_ms: float = 0.0
+
+    @property
+    def unit(self) -> Unit:
+        """What crashes are counted by: the task, or the gang that it is a member of."""
+        return (
+            self.task.occurrence,
+            self.task.step,
+            0 if self.step.gang else self.key[2],
+        )
+
+    @property
+    def suspicion(self) -> Suspicion | None:
+        """What speaks for it that it crashes its workers."""
+        suspicions = self.job.progress.suspicions
+        return suspicions.get(self.unit) if suspicions else None
 
     @property
     def key(self) -> tuple[int, int, int]:
@@ -147,6 +167,18 @@
         after = self.job.steps[step].after
         return all(self.is_step_done(occurrence, earlier) for earlier in after)
 
+    def list_unit(self, unit: Unit) -> list[TaskState]:
+        """Return the tasks that crashes are counted for together."""
+        occurrence, step, index = unit
+        if self.job.steps[step].gang:
+            return [
+                task
+                for name, task in self.tasks.items()
+                if (name.occurrence, name.step) == (occurrence, step)
+            ]
+        task = self.tasks.get(TaskId(self.job.job_id, occurrence, step, index))
+        return [task] if task is not None else []
+
     def count_failures(self, task: TaskId) -> int:
         """Count the failed attempts that lead to the job's failure."""
         failed = self.progress.failed
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -9,9 +9,10 @@
 from trefoilhook.scheduling.book import JobState, TaskState
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.interference import Interference
-from trefoilhook.scheduling.messages import EndKind, StopReason
+from trefoilhook.scheduling.messages import EndKind, StopReason, WorkerLoss
 from trefoilhook.scheduling.models import Configuration, TaskId, WorkerReport
 from trefoilhook.scheduling.records import JobPhase, JobRecord, Progress
+from trefoilhook.scheduling.suspicion import CrashRate, Suspicion, compute_survival
 from trefoilhook.scheduling.tickets import TicketBook
 
 __all__ = ["ATTEMPTS_PER_EPOCH", "Scheduler", "SchedulerLimits"]
@@ -21,6 +22,9 @@
 owner begins at its epoch times this: above whatever an earlier one has used. A task
 that fails once a second would take eleven days to use them up."""
 
+_MOST_LOST = 1000
+"""Lost workers that are remembered in case they come back."""
+
 
 @attrs.frozen(kw_only=True)
 class SchedulerLimits:
@@ -36,12 +40,43 @@
         From then on nothing that an earlier owner started can still run unseen, in ms.
     overload_ms : float
         How long a service task may be over its latency limit at most, in ms.
+    drain_notice_ms : float
+        A worker announces in the store that it leaves at least so long before, in ms.
+    entry_life_ms : float
+        How long the entry of a dead worker stays in the store, in ms.
     """
 
     task_lease_ms: float
     longest_stop_ms: float
     settled_at_ms: float
     overload_ms: float = 4000.0
+    drain_notice_ms: float = 2000.0
+    entry_life_ms: float = 4500.0
+
+
+@attrs.define(kw_only=True)
+class EntriesAge:
+    """How well the entries of workers in the store are known.
+
+    Parameters
+    ----------
+    read_ms : float
+        When they were last read, in ms.
+    steady_since_ms : float
+        Since when no read of them has failed, in ms.
+    """
+
+    read_ms: float = float("-inf")
+    steady_since_ms: float = float("inf")
+
+    def note_read(self, now_ms: float) -> None:
+        """Note that every change up to now is known."""
+        self.read_ms = now_ms
+        self.steady_since_ms = min(self.steady_since_ms, now_ms)
+
+    def note_failure(self) -> None:
+        """Note that a read failed."""
+        self.steady_since_ms = float("inf")
 
 
 class Scheduler:
@@ -77,6 +112,18 @@
         acknowledged.
     dirty : set of JobState
         Jobs with something to be written.
+    entries : EntriesAge
+        How well the entries of workers in the store are known.
+    losses : list of WorkerLoss
+        Workers lost since somebody last took them from here.
+    crash_rate : CrashRate
+        Rate of the crashes for which no task is to blame.
+    suspected : set of JobState
+        Open jobs with tasks that are suspected to crash their workers.
+    recorded : list of TaskState
+        Tasks with an attempt that an earlier owner recorded, until that is judged.
+    drained : set of str
+        Workers that are gone and had announced it, while attempts are recorded.
     """
 
     def __init__(
@@ -95,6 +142,13 @@
         self.tickets = TicketBook()
         self.fillers_due_ms = 0.0
         self.idle_since_ms: dict[str, float] = {}
+        self.entries = EntriesAge()
+        self.losses: list[WorkerLoss] = []
+        self.crash_rate = CrashRate()
+        self.suspected: set[JobState] = set()
+        self.recorded: list[TaskState] = []
+        self.drained: set[str] = set()
+        self._lost_under: dict[str, list[TaskState]] = {}
         self._timed: set[JobState] = set()
 
     # What clients and operators did.
@@ -146,6 +200,7 @@
             state.due_ms += state.queue.objective_ms
         if job.repeats:
             self._timed.add(state)
+        self._take_suspicions(state)
         self._check_end(state)
         self.open_steps(state, wall_ms)
 
@@ -182,6 +237,7 @@
     def _close(self, state: JobState, phase: JobPhase) -> None:
         state.phase = phase
         self._timed.discard(state)
+        self.suspected.discard(state)
         self.tickets.forget(state.job.job_id)
         for task in state.tasks.values():
             self.waiting.discard(task)
@@ -228,6 +284,7 @@
         worker = self.workers.get(report.worker_id)
         if worker is None:
             self.workers[report.worker_id] = Worker(report=report)
+            self._retract_losses(report.worker_id)
             return
         worker.report = report
         worker.usable = True
@@ -253,8 +310,11 @@
     def drop_worker(self, worker_id: str) -> None:
         """Forget a worker that is proved to run nothing; its tasks wait anew."""
         worker = self.workers.pop(worker_id, None)
-        if worker is not None:
-            self._release_all(worker)
+        if worker is None:
+            return
+        if worker.report.draining and self.recorded:
+            self.drained.add(worker_id)
+        self._release_all(worker)
 
     def _release_all(self, worker: Worker) -> None:
         for run in list(worker.runs.values()):
@@ -270,6 +330,7 @@
         if task is None:
             return
         task.detach(run)
+        self._take_survival(task, run, kind)
         if kind is EndKind.FAILED:
             task.failed_on.add(worker.report.worker_id)
         self.take_effect(task, run.attempt, kind, checkpoint)
@@ -291,8 +352,7 @@
             if state.queue is not None and (
                 state.count_failures(task.task) >= state.queue.max_attempts
             ):
-                state.phase_saved = False
-                self._close(state, JobPhase.FAILED)
+                self.fail_job(state)
                 return
         if checkpoint:
             progress.checkpoints[task.key] = checkpoint
@@ -306,6 +366,8 @@
         state.progress.failed.pop(task.key, None)
         state.progress.checkpoints.pop(task.key, None)
         self._touch(state)
+        if state.progress.suspicions.pop(task.unit, None) is not None:
+            self._note_cleared(state)
         members = [task]
         if task.step.gang:
             members = [
@@ -330,6 +392,79 @@
             self._touch(state)
             self._close(state, JobPhase.COMPLETED)
 
+    def fail_job(self, state: JobState) -> None:
+        """End a job, as one of its tasks can't be done."""
+        state.phase_saved = False
+        self._touch(state)
+        self._close(state, JobPhase.FAILED)
+
+    # Suspicions that tasks crash their workers.
+
+    def suspect(self, task: TaskState) -> Suspicion:
+        """Return what speaks against a task, for a change that is to be written."""
+        self.suspected.add(task.job)
+        self._touch(task.job)
+        return task.job.progress.suspicions.setdefault(task.unit, Suspicion())
+
+    def clear_blank(self, task: TaskState) -> None:
+        """Forget a suspicion of which nothing is left."""
+        suspicions = task.job.progress.suspicions
+        suspicion = suspicions.get(task.unit)
+        if suspicion is None or not suspicion.is_blank:
+            return
+        del suspicions[task.unit]
+        self._touch(task.job)
+        self._note_cleared(task.job)
+
+    def _note_cleared(self, state: JobState) -> None:
+        if not state.progress.suspicions:
+            self.suspected.discard(state)
+
+    def note_lost_under(self, worker_id: str, task: TaskState) -> None:
+        """Note that a worker counts as lost under a task, should it come back."""
+        self._lost_under.setdefault(worker_id, []).append(task)
+        if len(self._lost_under) > _MOST_LOST:
+            del self._lost_under[next(iter(self._lost_under))]
+
+    def _take_suspicions(self, state: JobState) -> None:
+        """Take in what earlier owners found out about a job's tasks."""
+        for (occurrence, step, index), suspicion in state.progress.suspicions.items():
+            task = state.find_task(TaskId(state.job.job_id, occurrence, step, index))
+            if task is None:
+                continue
+            self.suspected.add(state)
+            if suspicion.attempt:
+                task.last_attempt = max(task.last_attempt, suspicion.attempt)
+                self.recorded.append(task)
+            for note in suspicion.notes.values():
+                self.note_lost_under(note.worker_id, task)
+
+    def _retract_losses(self, worker_id: str) -> None:
+        """Take back what a worker counted for that was not lost after all."""
+        for task in self._lost_under.pop(worker_id, ()):
+            suspicion = task.suspicion
+            if suspicion is None or not task.job.is_open:
+                continue
+            for attempt, note in list(suspicion.notes.items()):
+                if note.worker_id == worker_id:
+                    del suspicion.notes[attempt]
+            task.held_until_ms = 0.0
+            self._touch(task.job)
+            self.clear_blank(task)
+
+    def _take_survival(self, task: TaskState, run: Run, kind: EndKind) -> None:
+        """Take in that a run has ended without a crash of its worker."""
+        suspicion = task.suspicion
+        if suspicion is None or not task.job.is_open:
+            return
+        if kind in (EndKind.DONE, EndKind.FAILED, EndKind.STOPPED):
+            suspicion.survive(compute_survival(run.proved_ms))
+        # The end of one member of a gang doesn't tell how its other workers fare.
+        if not task.step.gang and suspicion.attempt == run.attempt:
+            suspicion.settle()
+            self._touch(task.job)
+        self.clear_blank(task)
+
     def mark_started(self, state: JobState) -> None:
         """Note that the first task of a job is started."""
         self._touch(state)
--- /dev/null
+++ b/trefoilhook/scheduling/crashes.py
@@ -0,0 +1,292 @@
+"""Lost workers: whether they crashed, under which tasks, and what follows from it.
+
+A worker that is lost proves no crash. Its process may have been stopped as planned, it
+may be cut off and run on, its leases may have been over before, or what the store lists
+of it may be out of date. Only a loss that can't be one of these counts, and it counts
+for the tasks that explain it (`suspicion`).
+"""
+
+from collections.abc import Iterable
+
+import attrs
+
+from trefoilhook.scheduling.book import TaskState
+from trefoilhook.scheduling.core import Scheduler
+from trefoilhook.scheduling.fleet import Run, Worker
+from trefoilhook.scheduling.messages import LossCause, Suspect, WorkerLoss
+from trefoilhook.scheduling.suspicion import (
+    PRIOR_ODDS,
+    STRONG_ODDS,
+    Exposure,
+    Suspicion,
+    weigh_crash,
+)
+
+__all__ = [
+    "retract_exposed",
+    "attribute_loss",
+    "lose_worker",
+    "note_exposed",
+    "resolve_recorded",
+]
+
+_STEADY_MS = 3000.0
+"""How long the list of workers must have been read without a failure before an entry
+that is missing proves anything, in ms: after an outage of the store entries are back
+within two seconds."""
+
+_ENTRY_SLACK_MS = 1000.0
+"""Added to the time for which the entry of a dead worker stays, in ms."""
+
+_EXPOSED_MS = 10_000.0
+"""A run that has gone on for longer isn't noted when its worker's process ends, in ms;
+it is weighed all the same once the loss is judged by the same owner."""
+
+_MOST_EXPOSED = 16
+"""Runs of one worker that are noted, the latest started: the likeliest causes."""
+
+_UNKNOWN_RAN_MS = 1000.0
+"""Time until the loss of a recorded attempt of which that isn't known, in ms."""
+
+_PAUSE_MS = 1000.0
+_LONGEST_PAUSE_MS = 60_000.0
+"""Pause before a strongly suspected task is started again if its last worker was lost
+without proof of a crash, in ms; it doubles with each such loss."""
+
+_DOUBTFUL = frozenset({LossCause.CUT_OFF, LossCause.LIST_STALE, LossCause.STILL_LISTED})
+
+
+@attrs.define(kw_only=True, eq=False)
+class _SuspectUnit:
+    """A unit that had runs on a lost worker."""
+
+    task: TaskState
+    attempt: int
+    ran_ms: float
+
+
+def lose_worker(scheduler: Scheduler, worker: Worker, now_ms: float) -> None:
+    """Judge the loss of a worker whose life is over, and forget it."""
+    attribute_loss(scheduler, worker, now_ms)
+    scheduler.drop_worker(worker.report.worker_id)
+
+
+def attribute_loss(scheduler: Scheduler, worker: Worker, now_ms: float) -> None:
+    """Take in what a worker whose life is over tells of the tasks that ran there."""
+    runs = [run for run in worker.runs.values() if run.may_have_run]
+    if not runs:
+        return
+    cause = find_cause(scheduler, worker, now_ms)
+    suspects: tuple[Suspect, ...] = ()
+    if cause is LossCause.CRASHED or cause in _DOUBTFUL:
+        cases, others = _sort_runs(scheduler, worker, runs, now_ms)
+        suspects = _blame(
+            scheduler, worker.report.worker_id, cases, others, cause, now_ms
+        )
+    scheduler.losses.append(
+        WorkerLoss(
+            worker_id=worker.report.worker_id,
+            cause=cause,
+            runs=len(runs),
+            suspects=suspects,
+        )
+    )
+
+
+def find_cause(scheduler: Scheduler, worker: Worker, now_ms: float) -> LossCause:
+    """Tell what ended the life of a worker, as far as that is proved."""
+    silence = worker.silence
+    began_ms = now_ms if silence is None else silence.began_ms
+    limits = scheduler.limits
+    if worker.report.draining:
+        return LossCause.DRAINED
+    if worker.estimate_clock(began_ms) >= worker.lease_until_ms:
+        return LossCause.LEASES_OVER
+    if silence is not None and not silence.tells_of_end:
+        if worker.estimate_clock(now_ms) >= worker.lease_until_ms:
+            return LossCause.LEASES_OVER
+        return LossCause.CUT_OFF
+    # A stop is announced in the store a while before it.
+    if scheduler.entries.read_ms < began_ms - limits.drain_notice_ms / 2.0:
+        return LossCause.LIST_STALE
+    if not worker.listed and now_ms - scheduler.entries.steady_since_ms < _STEADY_MS:
+        return LossCause.LIST_STALE
+    entry_ms = limits.entry_life_ms + _ENTRY_SLACK_MS
+    if worker.listed and now_ms - began_ms > entry_ms:
+        # Its entry would have gone if it had been dead since then.
+        return LossCause.STILL_LISTED
+    return LossCause.CRASHED
+
+
+def _sort_runs(
+    scheduler: Scheduler, worker: Worker, runs: Iterable[Run], now_ms: float
+) -> tuple[list[_SuspectUnit], list[Exposure]]:
+    """Return the units that had runs on a worker, and the runs that can't be blamed."""
+    cases: dict[tuple[str, tuple[int, int, int]], _SuspectUnit] = {}
+    others: list[Exposure] = []
+    for run in runs:
+        state = scheduler.jobs.get(run.task.job_id)
+        task = state.find_task(run.task) if state is not None else None
+        ran_ms = worker.measure_time(run, now_ms)
+        if state is None or task is None or not state.is_open or task.done:
+            others.append(Exposure(odds=PRIOR_ODDS, ran_ms=ran_ms))
+            continue
+        key = (run.task.job_id, task.unit)
+        known = cases.get(key)
+        if known is None or ran_ms < known.ran_ms:
+            cases[key] = _SuspectUnit(task=task, attempt=run.attempt, ran_ms=ran_ms)
+    return list(cases.values()), others
+
+
+def _blame(
+    scheduler: Scheduler,
+    worker_id: str,
+    cases: list[_SuspectUnit],
+    others: list[Exposure],
+    cause: LossCause,
+    now_ms: float,
+) -> tuple[Suspect, ...]:
+    """Weigh a loss against the units that had runs on the worker."""
+    exposures = [
+        Exposure(odds=_read_odds(case.task.suspicion), ran_ms=case.ran_ms)
+        for case in cases
+    ]
+    rate = scheduler.crash_rate
+    rate.advance(len(scheduler.workers), now_ms)
+    ratios, unexplained = weigh_crash([*exposures, *others], rate.read())
+    if cause is LossCause.CRASHED:
+        rate.note(unexplained)
+    suspects: list[Suspect] = []
+    for case, ratio in zip(cases, ratios, strict=False):
+        suspects.append(_take_loss(scheduler, worker_id, case, ratio, cause, now_ms))
+    suspects.sort(key=lambda suspect: -suspect.chance)
+    return tuple(suspects)
+
+
+def _read_odds(suspicion: Suspicion | None) -> float:
+    return PRIOR_ODDS if suspicion is None else suspicion.odds
+
+
+def _take_loss(
+    scheduler: Scheduler,
+    worker_id: str,
+    case: _SuspectUnit,
+    ratio: float,
+    cause: LossCause,
+    now_ms: float,
+) -> Suspect:
+    state = case.task.job
+    suspicion = scheduler.suspect(case.task)
+    proved = cause is LossCause.CRASHED
+    if case.attempt not in suspicion.notes:
+        suspicion.take_loss(case.attempt, worker_id, ratio, proved=proved)
+        suspicion.settle()
+        scheduler.note_lost_under(worker_id, case.task)
+    given_up = proved and suspicion.is_crash_loop()
+    if given_up:
+        scheduler.fail_job(state)
+    elif not proved and suspicion.odds >= STRONG_ODDS:
+        pause_ms = _PAUSE_MS * 2.0 ** (suspicion.doubts - 1)
+        case.task.held_until_ms = now_ms + min(_LONGEST_PAUSE_MS, pause_ms)
+    suspect = Suspect(
+        task=case.task.task,
+        attempt=case.attempt,
+        ran_ms=case.ran_ms,
+        ratio=ratio,
+        chance=suspicion.chance,
+        crashes=suspicion.crashes,
+        given_up=given_up,
+    )
+    scheduler.clear_blank(case.task)
+    return suspect
+
+
+def note_exposed(scheduler: Scheduler, worker: Worker, now_ms: float) -> None:
+    """Note which runs may have ended a worker's process, as soon as that shows.
+
+    Guards against a crash that is forgotten because its owner is lost before the
+    worker's end is proved, which takes some seconds: the next owner finds the note.
+    """
+    silence = worker.silence
+    if silence is None or silence.is_noted or not silence.was_refused:
+        return
+    silence.is_noted = True
+    if find_cause(scheduler, worker, now_ms) is not LossCause.CRASHED:
+        return
+    runs = [run for run in worker.runs.values() if run.may_have_run]
+    cases, _ = _sort_runs(scheduler, worker, runs, now_ms)
+    cases.sort(key=lambda case: case.ran_ms)
+    for case in cases[:_MOST_EXPOSED]:
+        if case.ran_ms > _EXPOSED_MS:
+            break
+        suspicion = scheduler.suspect(case.task)
+        suspicion.place(case.attempt, worker.report.worker_id)
+        suspicion.ran_ms = case.ran_ms
+
+
+def retract_exposed(scheduler: Scheduler, worker: Worker) -> None:
+    """Take the note back, as the worker answers: its process never ended."""
+    for run in worker.runs.values():
+        state = scheduler.jobs.get(run.task.job_id)
+        task = state.find_task(run.task) if state is not None else None
+        suspicion = task.suspicion if task is not None else None
+        if task is None or suspicion is None or suspicion.attempt != run.attempt:
+            continue
+        suspicion.ran_ms = None
+        if not suspicion.notes:
+            suspicion.settle()
+        scheduler.clear_blank(task)
+
+
+def resolve_recorded(scheduler: Scheduler, now_ms: float) -> None:
+    """Judge the attempts that an earlier owner recorded and that run nowhere now.
+
+    Called once every worker that may run them has told what it knows, or is gone.
+    """
+    by_worker: dict[str, list[tuple[_SuspectUnit, bool]]] = {}
+    unheard: list[TaskState] = []
+    for task in scheduler.recorded:
+        suspicion = task.suspicion
+        if suspicion is None or not suspicion.attempt or not task.job.is_open:
+            continue
+        if task.done or task.attempts:
+            continue
+        workers = [scheduler.workers.get(name) for name in suspicion.workers]
+        if any(worker is not None and not worker.is_known for worker in workers):
+            unheard.append(task)
+            continue
+        gone = [name for name in suspicion.workers if name not in scheduler.workers]
+        if not gone:
+            suspicion.settle()
+            scheduler.clear_blank(task)
+            continue
+        is_exposed = suspicion.ran_ms is not None
+        ran_ms = suspicion.ran_ms if suspicion.ran_ms is not None else _UNKNOWN_RAN_MS
+        case = _SuspectUnit(task=task, attempt=suspicion.attempt, ran_ms=ran_ms)
+        by_worker.setdefault(gone[0], []).append((case, is_exposed))
+    scheduler.recorded = unheard
+    for worker_id, rows in by_worker.items():
+        _attribute_recorded(scheduler, worker_id, rows, now_ms)
+
+
+def _attribute_recorded(
+    scheduler: Scheduler,
+    worker_id: str,
+    rows: list[tuple[_SuspectUnit, bool]],
+    now_ms: float,
+) -> None:
+    cases = [case for case, _ in rows]
+    is_exposed = any(exposed for _, exposed in rows)
+    cause = LossCause.CRASHED if is_exposed else LossCause.CUT_OFF
+    if worker_id in scheduler.drained:
+        cause = LossCause.DRAINED
+    suspects: tuple[Suspect, ...] = ()
+    if cause is LossCause.DRAINED:
+        for case in cases:
+            scheduler.suspect(case.task).settle()
+            scheduler.clear_blank(case.task)
+    else:
+        suspects = _blame(scheduler, worker_id, cases, [], cause, now_ms)
+    scheduler.losses.append(
+        WorkerLoss(worker_id=worker_id, cause=cause, runs=len(cases), suspects=suspects)
+    )
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -20,6 +20,11 @@
 and the turn that a worker's timer may be late by."""
 
 
+_PROCESS_ENDED = frozenset(
+    {OrderOutcome.CONNECTION_LOST, OrderOutcome.CONNECTION_REFUSED}
+)
+
+
 class RunPhase(enum.Enum):
     """What is known of an attempt."""
 
@@ -77,6 +82,11 @@
         When its pending order is to be sent again, in ms; the first order goes at once.
     stop_reason : StopReason
         Why it is stopped, if it is.
+    seen_ms : float
+        When a look last listed it, in ms; until then when its order was first sent.
+    recorded_version : int or None
+        Version of its job with the place where it is ordered, which has to be in the
+        store before the order goes; None until it is known whether that is needed.
     in_flight : bool
         Whether an order for it is under way.
     ambiguous : bool
@@ -102,11 +112,28 @@
     slowed_ms: float = 0.0
     order_due_ms: float = 0.0
     stop_reason: StopReason = StopReason.NOT_WANTED
+    seen_ms: float = attrs.field()
+    recorded_version: int | None = None
     in_flight: bool = False
     ambiguous: bool = False
     checkpoint_used: str = ""
     deadline_ms: float = 0.0
 
+    @seen_ms.default
+    def _begin_unseen(self) -> float:
+        return self.started_ms
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether its start may have been carried out."""
+        is_under_way = self.in_flight and self.phase is RunPhase.STARTING
+        return self.seen or self.ambiguous or is_under_way
+
+    @property
+    def proved_ms(self) -> float:
+        """How long it is known to have run, in ms."""
+        return max(0.0, self.seen_ms - self.started_ms)
+
     @property
     def is_throttled(self) -> bool:
         """Whether it was started slowed, where it isn't borne at full speed."""
@@ -126,11 +153,22 @@
     was_refused : bool
         Whether a connection has been refused since: the machine answers, and nothing
         listens there.
+    is_noted : bool
+        Whether what ran there is noted to be exposed to a crash.
     """
 
     began_ms: float
     cause: OrderOutcome
     was_refused: bool = False
+    is_noted: bool = False
+
+    @property
+    def tells_of_end(self) -> bool:
+        """Whether it began as it does when the worker's process ends.
+
+        On a way that is cut off nothing comes back, and calls time out.
+        """
+        return self.cause in _PROCESS_ENDED
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -191,6 +229,10 @@
         No new task goes there before, in ms.
     lagged : LaggedShares
         What its fillers use, as it shows in tail latencies.
+    suspected_runs : int
+        Runs there of tasks that are suspected to crash their workers.
+    is_reserved : bool
+        Whether a task runs there apart from others, so that no other is started.
     """
 
     report: WorkerReport
@@ -221,6 +263,8 @@
     over_since_ms: float | None = None
     avoid_until_ms: float = 0.0
     lagged: LaggedShares = attrs.Factory(LaggedShares)
+    suspected_runs: int = 0
+    is_reserved: bool = False
 
     @property
     def is_known_alive(self) -> bool:
--- a/trefoilhook/scheduling/lapses.py
+++ b/trefoilhook/scheduling/lapses.py
@@ -1,6 +1,7 @@
 """Letting go of what ran on silent workers once every lease there has run out."""
 
 from trefoilhook.scheduling.core import Scheduler
+from trefoilhook.scheduling.crashes import attribute_loss
 from trefoilhook.scheduling.fleet import Run, Worker
 from trefoilhook.scheduling.messages import EndKind, Lapse
 from trefoilhook.scheduling.models import TaskId
@@ -22,12 +23,14 @@
             continue
         if not worker.is_lapsed(now_ms):
             continue
+        if not worker.listed:
+            attribute_loss(scheduler, worker, now_ms)
         lapse = _release_silent(scheduler, worker, now_ms)
         if lapse.given_up or (lapse.awaited and not worker.is_awaited):
             lapses.append(lapse)
         worker.is_awaited = bool(lapse.awaited)
         if not worker.listed:
-            del scheduler.workers[worker.report.worker_id]
+            scheduler.drop_worker(worker.report.worker_id)
     return lapses
 
 
--- a/trefoilhook/scheduling/looks.py
+++ b/trefoilhook/scheduling/looks.py
@@ -2,6 +2,7 @@
 
 from trefoilhook.scheduling.book import Attempt
 from trefoilhook.scheduling.core import Scheduler
+from trefoilhook.scheduling.crashes import retract_exposed
 from trefoilhook.scheduling.crowds import learn_crowd
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.messages import End, EndKind, Look, Running
@@ -34,17 +35,7 @@
     worker = scheduler.workers.get(worker_id)
     if worker is None:
         return
-    worker.read_clock(look, now_ms)
-    if not worker.fenced:
-        # An earlier owner may have given what runs here a whole lease just now: taken
-        # for one without any lease, it would count as lapsed and start again at once.
-        earlier_ms = look.clock_ms + scheduler.limits.task_lease_ms
-        worker.lease_until_ms = max(worker.lease_until_ms, earlier_ms)
-    worker.fenced = True
-    worker.silence = None
-    worker.is_awaited = False
-    worker.is_news = True
-    note_unread(worker, look)
+    _note_answer(scheduler, worker, look, now_ms)
     for end in look.ends:
         _take_end(scheduler, worker, end, now_ms)
     for running in look.running:
@@ -65,6 +56,25 @@
             scheduler.finish_run(worker, run, EndKind.LAPSED, run.checkpoint)
 
 
+def _note_answer(
+    scheduler: Scheduler, worker: Worker, look: Look, now_ms: float
+) -> None:
+    """Take in that a worker answers, whatever it lists."""
+    worker.read_clock(look, now_ms)
+    if not worker.fenced:
+        # An earlier owner may have given what runs here a whole lease just now: taken
+        # for one without any lease, it would count as lapsed and start again at once.
+        earlier_ms = look.clock_ms + scheduler.limits.task_lease_ms
+        worker.lease_until_ms = max(worker.lease_until_ms, earlier_ms)
+    worker.fenced = True
+    if worker.silence is not None:
+        retract_exposed(scheduler, worker)
+        worker.silence = None
+    worker.is_awaited = False
+    worker.is_news = True
+    note_unread(worker, look)
+
+
 def _take_end(scheduler: Scheduler, worker: Worker, end: End, now_ms: float) -> None:
     if not worker.is_new_end(end.number):
         return
@@ -114,6 +124,7 @@
     if not run.seen or running.percent != run.percent:
         run.progressed_ms = now_ms
     run.seen = True
+    run.seen_ms = now_ms
     if running.percent is not None:
         run.percent = running.percent
     if running.load is not None:
--- a/trefoilhook/scheduling/messages.py
+++ b/trefoilhook/scheduling/messages.py
@@ -11,6 +11,7 @@
     "EndKind",
     "Lapse",
     "Look",
+    "LossCause",
     "Order",
     "OrderOutcome",
     "PaceOrder",
@@ -20,7 +21,9 @@
     "StartOrder",
     "StopOrder",
     "StopReason",
+    "Suspect",
     "UnreadRow",
+    "WorkerLoss",
 ]
 
 
@@ -180,6 +183,81 @@
     awaited: int
 
 
+class LossCause(enum.Enum):
+    """What ended the life of a worker."""
+
+    CRASHED = "crashed"
+    """Its process ended under its tasks, unannounced."""
+
+    DRAINED = "drained"
+    """It had announced that it would leave."""
+
+    LEASES_OVER = "leases over"
+    """Nothing ran there any more when it was lost."""
+
+    CUT_OFF = "cut off"
+    """It was silent as behind a cut; when its life ended, and what ran, is unknown."""
+
+    LIST_STALE = "list stale"
+    """What the store lists wasn't read closely enough to rule out a planned stop."""
+
+    STILL_LISTED = "still listed"
+    """Its entry stood for longer than that of a dead worker: it lived on meanwhile."""
+
+
+@attrs.frozen(kw_only=True)
+class Suspect:
+    """A task that a lost worker may be due to.
+
+    Parameters
+    ----------
+    task : TaskId
+        The task; a member of it for a gang.
+    attempt : int
+        Its attempt there.
+    ran_ms : float
+        Time from its start to the loss, in ms.
+    ratio : float
+        Factor by which the loss changed the odds against it.
+    chance : float
+        Probability, after the loss, that it crashes its workers.
+    crashes : int
+        Proved crashes that count against it.
+    given_up : bool
+        Whether its job is given up for them.
+    """
+
+    task: TaskId
+    attempt: int
+    ran_ms: float
+    ratio: float
+    chance: float
+    crashes: int
+    given_up: bool
+
+
+@attrs.frozen(kw_only=True)
+class WorkerLoss:
+    """The end of a worker's life, and what it tells of the tasks that ran there.
+
+    Parameters
+    ----------
+    worker_id : str
+        The worker.
+    cause : LossCause
+        What ended it.
+    runs : int
+        Runs that it had.
+    suspects : tuple of Suspect
+        Their tasks, the likeliest first; none if the loss is no crash.
+    """
+
+    worker_id: str
+    cause: LossCause
+    runs: int
+    suspects: tuple[Suspect, ...] = ()
+
+
 @attrs.frozen(kw_only=True)
 class StartOrder:
     """Start an attempt, unless the worker's clock is past ``deadline_ms``."""
--- a/trefoilhook/scheduling/outcomes.py
+++ b/trefoilhook/scheduling/outcomes.py
@@ -1,6 +1,7 @@
 """What became of orders, taken into the state of a shard."""
 
 from trefoilhook.scheduling.core import Scheduler
+from trefoilhook.scheduling.crashes import lose_worker
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.messages import (
     UNANSWERED,
@@ -39,6 +40,7 @@
         run.confirmed_ms = (
             now_ms if run.phase is not RunPhase.STOPPING else run.confirmed_ms
         )
+        run.seen = True
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
             run.progressed_ms = now_ms
@@ -98,14 +100,15 @@
     if outcome is OrderOutcome.FENCED:
         scheduler.deposed = True
         return None
-    if outcome is OrderOutcome.OTHER_LIFE:
-        scheduler.drop_worker(worker_id)
-        return None
     worker = scheduler.workers.get(worker_id)
     run = worker.runs.get((task, attempt)) if worker is not None else None
+    if run is not None:
+        run.in_flight = False
+    if worker is not None and outcome is OrderOutcome.OTHER_LIFE:
+        lose_worker(scheduler, worker, now_ms)
+        return None
     if worker is None or run is None:
         return None
-    run.in_flight = False
     run.order_due_ms = now_ms + _RETRY_PAUSE_MS
     if outcome in UNANSWERED | UNSENT:
         worker.note_silence(outcome, now_ms)
--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -8,6 +8,7 @@
 from trefoilhook.scheduling.book import TaskState
 from trefoilhook.scheduling.crowds import Crowds
 from trefoilhook.scheduling.fleet import Worker
+from trefoilhook.scheduling.isolation import rate_risk
 from trefoilhook.scheduling.unread import is_clogged
 
 __all__ = [
@@ -77,6 +78,7 @@
         and not worker.report.draining
         and worker.avoid_until_ms <= now_ms
         and now_ms - worker.clock_read_ms < _SILENCE_LIMIT_MS
+        and not worker.is_reserved
     )
 
 
@@ -138,6 +140,7 @@
         score -= _STRANGER_COST / 2
     if worker.report.worker_id in state.failed_on:
         score -= _STRANGER_COST
+    score -= rate_risk(worker, state, crowds)
     return score - _FAULT_COST * len(worker.faulty_jobs)
 
 
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -4,7 +4,9 @@
 
 from trefoilhook.scheduling.assignment import assign_waiting
 from trefoilhook.scheduling.core import Scheduler
+from trefoilhook.scheduling.crashes import note_exposed, resolve_recorded
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
+from trefoilhook.scheduling.isolation import is_recorded
 from trefoilhook.scheduling.messages import Order, StartOrder, StopOrder, StopReason
 from trefoilhook.scheduling.pacing import plan_paces
 from trefoilhook.scheduling.tickets import name_step
@@ -64,9 +66,13 @@
         The time, in ms.
     """
     scheduler.open_due_steps(wall_ms)
+    scheduler.crash_rate.advance(len(scheduler.workers), now_ms)
     for worker in scheduler.workers.values():
         if worker.is_news:
             stop_misplaced(scheduler, worker, now_ms)
+        note_exposed(scheduler, worker, now_ms)
+    if scheduler.recorded and (settled or now_ms >= scheduler.limits.settled_at_ms):
+        resolve_recorded(scheduler, now_ms)
     assign_waiting(scheduler, settled=settled, now_ms=now_ms, wall_ms=wall_ms)
     orders: list[Order] = []
     for worker in scheduler.workers.values():
@@ -96,6 +102,8 @@
     if run.phase is RunPhase.STARTING and not worker.usable:
         # Sending it again would be a start on a worker that isn't to be used.
         scheduler.request_stop(worker, run, StopReason.UNCERTAIN)
+    if run.phase is RunPhase.STARTING and not is_recorded(scheduler, worker, run):
+        return None
     run.in_flight = True
     if run.phase is RunPhase.STOPPING:
         return StopOrder(
--- a/trefoilhook/scheduling/records.py
+++ b/trefoilhook/scheduling/records.py
@@ -10,6 +10,7 @@
 
 from trefoilhook.decoding import (
     check_integer,
+    check_number,
     check_table,
     check_text,
     parse_table,
@@ -20,9 +21,11 @@
     read_number,
     read_table,
     read_text,
+    read_texts,
 )
 from trefoilhook.exceptions import DecodeError
 from trefoilhook.scheduling.models import Demand, Job, Step
+from trefoilhook.scheduling.suspicion import CrashNote, Suspicion, Unit
 
 __all__ = [
     "JobPhase",
@@ -38,6 +41,9 @@
 _MOST_TASKS = _MOST_REPEATS = 100_000
 """Most tasks of a step, and runs of a job's steps: what a submission may ask for."""
 
+_MOST_SUSPICIONS = 64
+"""Suspicions that are written of one job: under 10 KB. A worker holds fewer tasks."""
+
 _NUMBER = re.compile(r"[0-9]{1,15}")
 
 
@@ -74,11 +80,14 @@
         not a count: an end that is reported twice counts once.
     checkpoints : dict of (int, int, int) to str
         Where a stopped task goes on, by occurrence, step and index.
+    suspicions : dict of Unit to Suspicion
+        What speaks for it that tasks crash the workers that start them.
     """
 
     done: dict[tuple[int, int], set[int]] = attrs.Factory(dict)
     failed: dict[tuple[int, int, int], set[int]] = attrs.Factory(dict)
     checkpoints: dict[tuple[int, int, int], str] = attrs.Factory(dict)
+    suspicions: dict[Unit, Suspicion] = attrs.Factory(dict)
 
 
 def _omit_defaults(value: Any) -> dict[str, Any]:
@@ -176,6 +185,31 @@
     return tuple(int(part) for part in parts)
 
 
+def _select_suspicions(suspicions: Mapping[Unit, Suspicion]) -> dict[str, Any]:
+    """Return what is written of suspicions, the strongest if there are too many."""
+    ranked = sorted(suspicions.items(), key=lambda pair: -pair[1].odds)
+    return {
+        _join(unit): _encode_suspicion(suspicion)
+        for unit, suspicion in ranked[:_MOST_SUSPICIONS]
+    }
+
+
+def _encode_suspicion(suspicion: Suspicion) -> dict[str, Any]:
+    table: dict[str, Any] = {
+        "notes": {
+            str(attempt): [note.worker_id, note.ratio, note.proved]
+            for attempt, note in suspicion.notes.items()
+        },
+        "survived": suspicion.survived,
+    }
+    if suspicion.attempt:
+        table["attempt"] = suspicion.attempt
+        table["workers"] = suspicion.workers
+    if suspicion.ran_ms is not None:
+        table["ran_ms"] = suspicion.ran_ms
+    return table
+
+
 def encode_progress(progress: Progress) -> bytes:
     """Encode a job's progress."""
     value = {
@@ -183,6 +217,9 @@
         "failed": {_join(key): sorted(row) for key, row in progress.failed.items()},
         "checkpoints": {_join(key): v for key, v in progress.checkpoints.items()},
     }
+    suspicions = _select_suspicions(progress.suspicions)
+    if suspicions:
+        value["suspicions"] = suspicions
     return json.dumps(value, separators=(",", ":")).encode()
 
 
@@ -192,6 +229,32 @@
     return {check_integer(number, "progress") for number in value}
 
 
+def _decode_suspicion(value: Any) -> Suspicion:
+    table = check_table(value, "suspicion")
+    return Suspicion(
+        notes={
+            _split(attempt, 1)[0]: _decode_note(row)
+            for attempt, row in read_table(table, "notes").items()
+        },
+        survived=read_number(table, "survived", most=1.0),
+        attempt=read_integer(table, "attempt", default=0),
+        workers=list(read_texts(table, "workers")) if "workers" in table else [],
+        ran_ms=read_number(table, "ran_ms") if "ran_ms" in table else None,
+    )
+
+
+def _decode_note(value: Any) -> CrashNote:
+    if not isinstance(value, list) or len(value) != 3:
+        raise DecodeError("note: not three fields")
+    if not isinstance(value[2], bool):
+        raise DecodeError("note: not a flag")
+    return CrashNote(
+        worker_id=check_text(value[0], "worker"),
+        ratio=check_number(value[1], "ratio"),
+        proved=value[2],
+    )
+
+
 def decode_progress(data: bytes) -> Progress:
     """Decode what ``encode_progress`` made.
 
@@ -211,4 +274,8 @@
     for key, text in read_table(table, "checkpoints").items():
         occurrence, step, index = _split(key, 3)
         progress.checkpoints[occurrence, step, index] = check_text(text, "checkpoint")
+    if "suspicions" in table:
+        for key, value in read_table(table, "suspicions").items():
+            occurrence, step, index = _split(key, 3)
+            progress.suspicions[occurrence, step, index] = _decode_suspicion(value)
     return progress
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -10,6 +10,7 @@
 from trefoilhook.scheduling.core import ATTEMPTS_PER_EPOCH, Scheduler
 from trefoilhook.scheduling.crowds import FULL_PACE, Crowds
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
+from trefoilhook.scheduling.isolation import Isolation
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.placing import is_open, limit_filler
 from trefoilhook.scheduling.tickets import name_step
@@ -29,15 +30,22 @@
         Who runs where.
     now_ms : float
         The time, in ms.
+    isolation : Isolation
+        Runs that keep workers for themselves.
     """
 
     scheduler: Scheduler
     crowds: Crowds
     now_ms: float
+    isolation: Isolation = attrs.field()
     _open: dict[str, list[Worker]] = attrs.Factory(dict)
     _feasible: dict[tuple[str, str], list[tuple[float, Worker]]] = attrs.Factory(dict)
     _short: dict[tuple[str, str, str | None], list[Demand]] = attrs.Factory(dict)
 
+    @isolation.default
+    def _collect_isolation(self) -> Isolation:
+        return Isolation.collect(self.scheduler)
+
     def list_open(self, state: TaskState) -> list[Worker]:
         """Return the workers that take new tasks of a task's queue."""
         queue = state.job.queue
@@ -87,13 +95,25 @@
             for _, worker in itertools.takewhile(
                 lambda pair: pair[0] >= step.demand.cpu, feasible
             )
+            if not worker.is_reserved
         ]
 
     def recount(self) -> None:
         """Count anew who runs where, as runs were taken back."""
         self.crowds.recount()
+        self.isolation = Isolation.collect(self.scheduler)
+        self._open.clear()
         self._feasible.clear()
 
+    def note_suspected(self, state: TaskState, worker: Worker, run: Run) -> None:
+        """Note that a suspected task is started; its worker may be taken for it."""
+        self.isolation.add(state, worker, run)
+        if not worker.is_reserved:
+            return
+        for workers in self._open.values():
+            if worker in workers:
+                workers.remove(worker)
+
     def rate(self, state: TaskState, workers: Iterable[Worker]) -> Candidates:
         """Rate workers for the step of a task."""
         candidates = Candidates(task=state, crowds=self.crowds)
@@ -200,6 +220,8 @@
     worker.is_news = True
     state.last_attempt = attempt
     state.attempts.append(Attempt(worker=worker, run=run))
+    if state.suspicion is not None:
+        turn.note_suspected(state, worker, run)
     turn.scheduler.waiting.discard(state)
     if not state.job.started:
         state.job.started = True
--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -65,6 +65,8 @@
             continue
         if tries >= _MOST_TRIES or not _is_fleet_idle(turn, task, idle):
             continue
+        if not turn.isolation.may_start(task, turn.now_ms):
+            continue
         tries += 1
         worker = _find_worker(turn, task)
         if worker is None:
--- a/trefoilhook/scheduling/tests/test_orders.py
+++ b/trefoilhook/scheduling/tests/test_orders.py
@@ -153,6 +153,10 @@
         shard.add_worker("w9", host="w0")
         shard.answer(order, OrderOutcome.OTHER_LIFE)
         self.assertNotIn("w0", shard.scheduler.workers)
+        # Its next start only waits for the note of the loss.
+        self.assertEqual(shard.plan(), [])
+        self.assertEqual(len(shard.scheduler.workers["w9"].runs), 1)
+        shard.save()
         self.assertEqual(shard.start_one().worker_id, "w9")
 
     def test_late_report_of_an_earlier_life_frees_nothing(self):
--- a/trefoilhook/story/core.py
+++ b/trefoilhook/story/core.py
@@ -70,11 +70,15 @@
 
     def names(self, wanted: str) -> bool:
         """Tell whether the line is about an id: a job, a task of it, or a worker."""
-        for key in _IDS:
-            value = str(self.fields.get(key, ""))
-            if value == wanted or value.startswith(f"{wanted}."):
-                return True
-        return False
+        values = [str(self.fields.get(key, "")) for key in _IDS]
+        suspects = self.fields.get("suspects")
+        if isinstance(suspects, list):
+            values += [
+                str(each.get("task", "")) for each in suspects if isinstance(each, dict)
+            ]
+        return any(
+            value == wanted or value.startswith(f"{wanted}.") for value in values
+        )
 
 
 def read_lines(source: Iterable[str]) -> Iterator[LogLine]:
