Withdraw starts from a worker that has shrunk, and start nothing by a stale list

A worker's capacity may shrink while it runs. New starts went by the new capacity, but a start that was on its way did not: one that had no answer was sent again for up to its lease, one that waited behind 64 others left whenever its turn came, each to a worker that no longer had the room. And a watch that hears nothing while the owner's lease is renewed left capacities, drains and exits unknown without bound.

Now such starts are withdrawn (not sent yet) or stopped (unanswered), orders are looked at again when their turn to be sent comes, and nothing is started by a list that was read over 3.5 s ago.

--- a/trefoilhook/runtime/orders.py
+++ b/trefoilhook/runtime/orders.py
@@ -12,6 +12,7 @@
     Scheduler,
     StartOrder,
     StopOrder,
+    is_start_due,
     take_start_outcome,
     take_stop_outcome,
 )
@@ -42,7 +43,9 @@
     figures : Figures
         Where it is counted.
     """
-    outcome = await _send(order, client)
+    outcome = OrderOutcome.WITHDRAWN
+    if not isinstance(order, StartOrder) or is_start_due(scheduler, order):
+        outcome = await _send(order, client)
     figures.count("orders", f"{_name(order)} {outcome.value}")
     if isinstance(order, PaceOrder):
         # It is ordered again as long as it matters.
--- a/trefoilhook/runtime/workerfeed.py
+++ b/trefoilhook/runtime/workerfeed.py
@@ -92,6 +92,7 @@
             self._take_worker(item)
         for worker_id in set(self._scheduler.workers) - listed:
             self._scheduler.unlist_worker(worker_id)
+        self._note_read()
         self._notify()
 
     def _take_change(self, change: Change) -> None:
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -48,7 +48,12 @@
     parse_task_id,
 )
 from trefoilhook.scheduling.outcomes import take_start_outcome, take_stop_outcome
-from trefoilhook.scheduling.planning import is_settled, list_unheard, plan_orders
+from trefoilhook.scheduling.planning import (
+    is_settled,
+    is_start_due,
+    list_unheard,
+    plan_orders,
+)
 from trefoilhook.scheduling.records import (
     JobPhase,
     JobRecord,
@@ -111,6 +116,7 @@
     "encode_progress",
     "extend_lease",
     "is_settled",
+    "is_start_due",
     "list_unheard",
     "lose_worker",
     "measure_backlogs",
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -22,6 +22,11 @@
 owner begins at its epoch times this: above whatever an earlier one has used. A task
 that fails once a second would take eleven days to use them up."""
 
+_STALE_MS = 3500.0
+"""Nothing is started by a list of workers that was read longer ago, in ms: a worker's
+capacity may have shrunk, which the platform gives a scheduler 4.5 s to notice. A watch
+is answered each second, and one that fails is made anew within 2.2 s."""
+
 _MOST_LOST = 1000
 """Lost workers that are remembered in case they come back."""
 
@@ -69,6 +74,10 @@
     read_ms: float = float("-inf")
     steady_since_ms: float = float("inf")
 
+    def is_stale(self, now_ms: float) -> bool:
+        """Tell whether too much may have changed since the last read."""
+        return now_ms - self.read_ms > _STALE_MS
+
     def note_read(self, now_ms: float) -> None:
         """Note that every change up to now is known."""
         self.read_ms = now_ms
--- a/trefoilhook/scheduling/messages.py
+++ b/trefoilhook/scheduling/messages.py
@@ -49,6 +49,7 @@
 
     DONE = "done"
     NOT_SENT = "not sent"
+    WITHDRAWN = "withdrawn"
     NO_ANSWER = "no answer"
     CONNECTION_LOST = "connection lost"
     CONNECTION_REFUSED = "connection refused"
@@ -62,6 +63,7 @@
     REFUSED = "refused"
 
 
+# An order that is withdrawn was not sent either, and tells nothing of its worker.
 UNSENT = frozenset({OrderOutcome.NOT_SENT, OrderOutcome.CONNECTION_REFUSED})
 """The order never left."""
 
--- a/trefoilhook/scheduling/outcomes.py
+++ b/trefoilhook/scheduling/outcomes.py
@@ -53,8 +53,23 @@
     if outcome is OrderOutcome.SUPERSEDED:
         run.confirmed_ms = now_ms
         return
+    if outcome is OrderOutcome.WITHDRAWN:
+        if not (run.ambiguous or run.seen):
+            scheduler.finish_run(worker, run, EndKind.LAPSED, "")
+        return
+    _take_refusal(scheduler, worker, run, outcome, now_ms)
+
+
+def _take_refusal(
+    scheduler: Scheduler,
+    worker: Worker,
+    run: Run,
+    outcome: OrderOutcome,
+    now_ms: float,
+) -> None:
+    """Take in that a start was turned away, or never left."""
     if outcome is OrderOutcome.NO_TICKET:
-        scheduler.tickets.drop(name_step(task), worker_id)
+        scheduler.tickets.drop(name_step(run.task), worker.report.worker_id)
     elif outcome is not OrderOutcome.TOO_LATE:
         pause = (
             _UNHEALTHY_PAUSE_MS
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -7,12 +7,21 @@
 from trefoilhook.scheduling.crashes import note_exposed, resolve_recorded
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.isolation import is_recorded
-from trefoilhook.scheduling.messages import Order, StartOrder, StopOrder, StopReason
+from trefoilhook.scheduling.messages import (
+    EndKind,
+    Order,
+    StartOrder,
+    StopOrder,
+    StopReason,
+)
+from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.pacing import plan_paces
 from trefoilhook.scheduling.tickets import name_step
 from trefoilhook.scheduling.watchdog import stop_misplaced
 
-__all__ = ["is_settled", "plan_orders"]
+__all__ = ["is_settled", "is_start_due", "plan_orders"]
+
+_NOTHING = Demand()
 
 _ORDER_DUE_MS = 20.0
 """A run's order is due when its time has come, or within this of it."""
@@ -73,7 +82,8 @@
         note_exposed(scheduler, worker, now_ms)
     if scheduler.recorded and (settled or now_ms >= scheduler.limits.settled_at_ms):
         resolve_recorded(scheduler, now_ms)
-    assign_waiting(scheduler, settled=settled, now_ms=now_ms, wall_ms=wall_ms)
+    if not scheduler.entries.is_stale(now_ms):
+        assign_waiting(scheduler, settled=settled, now_ms=now_ms, wall_ms=wall_ms)
     orders: list[Order] = []
     for worker in scheduler.workers.values():
         for run in list(worker.ordered):
@@ -89,6 +99,27 @@
     return orders
 
 
+def _may_still_start(worker: Worker) -> bool:
+    """Tell whether what holds room on a worker may be started there after all.
+
+    Its entry may have become another writer's, or name less than it holds.
+    """
+    return worker.usable and worker.has_room(_NOTHING)
+
+
+def is_start_due(scheduler: Scheduler, order: StartOrder) -> bool:
+    """Tell whether an order that waited to be sent should still be carried out.
+
+    It waits behind others when there are many, while its worker may shrink or be
+    barred, and its job be cancelled.
+    """
+    worker = scheduler.workers.get(order.worker_id)
+    run = worker.runs.get((order.task, order.attempt)) if worker is not None else None
+    if worker is None or run is None or run.phase is not RunPhase.STARTING:
+        return False
+    return _may_still_start(worker)
+
+
 def _repeat_order(
     scheduler: Scheduler, worker: Worker, run: Run, now_ms: float
 ) -> Order | None:
@@ -96,11 +127,16 @@
         return None
     if run.order_due_ms > now_ms + _ORDER_DUE_MS or not worker.fenced:
         return None
+    if run.phase is RunPhase.STARTING and scheduler.entries.is_stale(now_ms):
+        return None
     if run.phase is RunPhase.STARTING and worker.is_awaited:
         # Its time is over: the worker would refuse it, and looks want the connections.
         return None
-    if run.phase is RunPhase.STARTING and not worker.usable:
-        # Sending it again would be a start on a worker that isn't to be used.
+    if run.phase is RunPhase.STARTING and not _may_still_start(worker):
+        if not run.ambiguous:
+            scheduler.finish_run(worker, run, EndKind.LAPSED, "")
+            return None
+        # Sending it again could be the start of it.
         scheduler.request_stop(worker, run, StopReason.UNCERTAIN)
     if run.phase is RunPhase.STARTING and not is_recorded(scheduler, worker, run):
         return None
--- a/trefoilhook/scheduling/tests/cases.py
+++ b/trefoilhook/scheduling/tests/cases.py
@@ -116,6 +116,7 @@
     ) -> None:
         self.now_ms = 100_000.0
         self.settled = settled
+        self.reads_entries = True
         self.scheduler = Scheduler(
             epoch=epoch,
             limits=SchedulerLimits(
@@ -182,6 +183,8 @@
 
     def plan(self) -> list[Order]:
         """Make a plan without carrying it out."""
+        if self.reads_entries:
+            self.scheduler.entries.note_read(self.now_ms)
         return plan_orders(
             self.scheduler,
             settled=self.settled,
