Take a crash back only once its worker answers

A crash that counted against a task was forgotten, and the task started once more, when a dead worker's last report reached the store after its next life had answered: the report was read as the worker's return. Now a worker has to answer a look as that life. Test: test_late_report_of_a_crashed_worker_takes_nothing_back failed before.

--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -293,7 +293,6 @@
         worker = self.workers.get(report.worker_id)
         if worker is None:
             self.workers[report.worker_id] = Worker(report=report)
-            self._retract_losses(report.worker_id)
             return
         worker.report = report
         worker.usable = True
@@ -448,8 +447,8 @@
             for note in suspicion.notes.values():
                 self.note_lost_under(note.worker_id, task)
 
-    def _retract_losses(self, worker_id: str) -> None:
-        """Take back what a worker counted for that was not lost after all."""
+    def retract_losses(self, worker_id: str) -> None:
+        """Take back what a worker counted for that answers, and so was never lost."""
         for task in self._lost_under.pop(worker_id, ()):
             suspicion = task.suspicion
             if suspicion is None or not task.job.is_open:
--- a/trefoilhook/scheduling/looks.py
+++ b/trefoilhook/scheduling/looks.py
@@ -62,6 +62,7 @@
     """Take in that a worker answers, whatever it lists."""
     worker.read_clock(look, now_ms)
     if not worker.fenced:
+        scheduler.retract_losses(worker.report.worker_id)
         # An earlier owner may have given what runs here a whole lease just now: taken
         # for one without any lease, it would count as lapsed and start again at once.
         earlier_ms = look.clock_ms + scheduler.limits.task_lease_ms
--- a/trefoilhook/scheduling/tests/test_crashes.py
+++ b/trefoilhook/scheduling/tests/test_crashes.py
@@ -256,6 +256,15 @@
         shard.add_worker(worker_id)
         self.assertIsNone(find_suspicion(shard))
 
+    def test_late_report_of_a_crashed_worker_takes_nothing_back(self):
+        # Guards against a crash that is forgotten because the last report of the dead
+        # process reaches the store after the next life has answered.
+        shard, worker_id = self.start()
+        report = shard.scheduler.workers[worker_id].report
+        crash(shard, worker_id)
+        shard.scheduler.update_worker(report)
+        self.assertEqual(find_suspicion(shard).crashes, 1)
+
     def test_start_that_never_left_is_no_suspect(self):
         shard = Shard(workers=1)
         shard.scheduler.entries.note_read(shard.now_ms)
