Play culprits and shrinking workers in the soak, and check both

One job in twenty of a soak has a task that crashes the workers that start it, after 1 to 250 ms; its worker is back at the same address after 1.5 s. Workers change their capacity once a second. Checked: no more than two starts after three crashes under a task, no job given up that could be done or after fewer than two crashes, every culprit given up in the end, no start over a capacity that shrank over 4.5 s before. Jobs and faults of known seeds stay as they were: the new ones are drawn apart.

--- a/trefoilhook/soak/checks.py
+++ b/trefoilhook/soak/checks.py
@@ -3,7 +3,7 @@
 import itertools
 import math
 from collections import defaultdict
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 
 from trefoilhook.soak.fleet import DECOY
 from trefoilhook.soak.ledger import Ledger, SubmissionOutcome, read_place
@@ -13,8 +13,24 @@
 
 Runs = Mapping[str, Iterable[TaskRecord]]
 
+Sizes = Mapping[str, Sequence[tuple[float, int]]]
+"""Processor that each worker had, in thousandths of a core, and since when, in ms."""
 
-def check_runs(ledger: Ledger, runs: Runs, *, cpu: int) -> list[str]:
+_CRASHES_ALLOWED = 3
+_STARTS_ALLOWED = 2
+"""After three workers have crashed under it, a task may be started twice more."""
+
+_LEAST_CRASHES = 2
+"""A job may be given up once two workers have crashed under a task of it."""
+
+_NOTICE_MS = 4500.0
+"""A capacity that has shrunk counts from so much later, in ms: three seconds out of
+touch, and a heartbeat."""
+
+
+def check_runs(
+    ledger: Ledger, runs: Runs, *, cpu: int, sizes: Sizes | None = None
+) -> list[str]:
     """Return what was broken, in words.
 
     Parameters
@@ -24,7 +40,9 @@
     runs : mapping of str to iterable of TaskRecord
         What ran, by worker.
     cpu : int
-        Thousandths of a core that each worker has.
+        Thousandths of a core that each worker has at most.
+    sizes : mapping of str to sequence of (float, int), optional
+        What each worker had, where that changed.
     """
     return [
         *ledger.violations,
@@ -32,6 +50,8 @@
         *_check_decoy(runs),
         *_check_twice(runs),
         *_check_room(ledger, runs, cpu),
+        *_check_shrunk(ledger, runs, sizes or {}),
+        *_check_crashes(ledger, runs),
         *_check_order(ledger, runs),
         *_check_completion(ledger, runs),
     ]
@@ -100,6 +120,73 @@
     return found
 
 
+def _check_shrunk(ledger: Ledger, runs: Runs, sizes: Sizes) -> list[str]:
+    """Find starts that took a worker over a capacity that had shrunk before."""
+    found = []
+    for worker, history in sizes.items():
+        records = [run for run in runs[worker] if read_place(run.task)[0]]
+        for run in records:
+            at_ms = run.started_ms
+            used = sum(
+                _read_demand(ledger, other)
+                for other in records
+                if other.started_ms <= at_ms < _end_of(other)
+            )
+            most = _find_capacity(history, at_ms)
+            if used > most:
+                found.append(
+                    f"{run.task} was started on {worker} at {at_ms:.0f}, which then "
+                    f"held {used} of {most}"
+                )
+    return found
+
+
+def _read_demand(ledger: Ledger, run: TaskRecord) -> int:
+    job_id, step, _ = read_place(run.task)
+    submission = ledger.submissions.get(job_id)
+    return submission.steps[step].cpu if submission is not None else 0
+
+
+def _find_capacity(history: Sequence[tuple[float, int]], at_ms: float) -> int:
+    """Return the most that a worker had within the time that counts."""
+    most = 0
+    for number, (since_ms, cpu) in enumerate(history):
+        is_last = number + 1 == len(history)
+        until_ms = math.inf if is_last else history[number + 1][0]
+        if since_ms <= at_ms and until_ms > at_ms - _NOTICE_MS:
+            most = max(most, cpu)
+    return most
+
+
+def _check_crashes(ledger: Ledger, runs: Runs) -> list[str]:
+    """Find tasks that crashed too many workers, and jobs given up without cause."""
+    found = []
+    by_task: dict[str, list[TaskRecord]] = defaultdict(list)
+    for run in itertools.chain.from_iterable(runs.values()):
+        by_task[run.task].append(run)
+    for submission in ledger.submissions.values():
+        tries = by_task[submission.culprit]
+        ends = sorted(_end_of(run) for run in tries if run.how == "crashed")
+        if submission.crash_ms is not None and len(ends) >= _CRASHES_ALLOWED:
+            third_ms = ends[_CRASHES_ALLOWED - 1]
+            later = sum(run.started_ms > third_ms for run in tries)
+            if later > _STARTS_ALLOWED:
+                found.append(
+                    f"{submission.culprit} was started {later} times more after "
+                    f"{_CRASHES_ALLOWED} workers had crashed under it"
+                )
+        if submission.state != "failed":
+            continue
+        if submission.crash_ms is None:
+            found.append(f"{submission.job_id} was given up, and could be done")
+        elif len(ends) < _LEAST_CRASHES:
+            found.append(
+                f"{submission.job_id} was given up after {len(ends)} crashes under "
+                f"its task"
+            )
+    return found
+
+
 def _find_done(runs: Runs) -> dict[tuple[str, int], dict[int, float]]:
     """Return when each task was done first, by job and step."""
     done: dict[tuple[str, int], dict[int, float]] = defaultdict(dict)
@@ -140,6 +227,7 @@
             found.append(f"{job_id} was told completed, and isn't")
         if submission.outcome is not SubmissionOutcome.ACCEPTED:
             continue
-        if not submission.cancel_sent and submission.state != "completed":
+        expected = "completed" if submission.crash_ms is None else "failed"
+        if not submission.cancel_sent and submission.state != expected:
             found.append(f"{job_id} was accepted, and ended as {submission.state!r}")
     return found
--- a/trefoilhook/soak/clients.py
+++ b/trefoilhook/soak/clients.py
@@ -22,6 +22,13 @@
 """How long a client waits, in ms, as on the users' sites."""
 
 _CANCELLED_SHARE = 0.08
+_CRASHING_SHARE = 0.05
+"""Share of the jobs with a task that crashes the workers that start it."""
+
+_ONSET_DECADES = (0.0, 2.4)
+"""Range of the time to such a crash, as powers of ten in ms: up to 250 ms, within the
+time of a task."""
+
 _ACCEPTED = range(200, 300)
 _NOT_RUN = (429, 503)
 _GONE = 410
@@ -41,6 +48,8 @@
         Where time comes from.
     choices : random.Random
         Where chance comes from.
+    culprits : random.Random
+        Where chance comes from that makes jobs crash their workers.
 
     Attributes
     ----------
@@ -48,7 +57,15 @@
         What was sent and told.
     """
 
-    def __init__(self, *, fleet: Fleet, clock: Clock, choices: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        clock: Clock,
+        choices: random.Random,
+        culprits: random.Random,
+    ) -> None:
+        self._culprits = culprits
         self._fleet = fleet
         self._clock = clock
         self._choices = choices
@@ -70,10 +87,17 @@
             for _ in range(self._choices.randint(1, 3))
         )
         job_id = f"{self._choices.getrandbits(64):016x}"
-        submission = Submission(job_id=job_id, steps=steps)
+        submission = Submission(job_id=job_id, steps=steps, crash_ms=self._draw_crash())
+        if submission.crash_ms is not None:
+            self._fleet.crashes[submission.culprit] = submission.crash_ms
         self.ledger.submissions[job_id] = submission
         return submission
 
+    def _draw_crash(self) -> float | None:
+        if self._culprits.random() >= _CRASHING_SHARE:
+            return None
+        return float(10.0 ** self._culprits.uniform(*_ONSET_DECADES))
+
     async def _live(self, submission: Submission) -> None:
         await self._submit(submission)
         if submission.outcome is not SubmissionOutcome.ACCEPTED:
--- a/trefoilhook/soak/core.py
+++ b/trefoilhook/soak/core.py
@@ -24,6 +24,12 @@
 """Longest time after the last fault until every job has ended, in s: the longest task
 lease and takeover take some 8 s, and what waited is then run."""
 
+_CRASHING_CALM_S = 60.0
+"""Longest time after that until jobs that crash their workers have ended, in s: five
+crashes, each proved within some 8 s, and the pauses between them."""
+
+_ENDED = ("completed", "cancelled", "failed")
+
 _ASK_S = 0.1
 _OK = 200
 
@@ -86,10 +92,16 @@
             task_ms=settings.task_ms,
         )
         clients = Clients(
-            fleet=fleet, clock=clock, choices=random.Random(settings.seed)
+            fleet=fleet,
+            clock=clock,
+            choices=random.Random(settings.seed),
+            culprits=random.Random(settings.seed + 2),
         )
         faults = Faults(
-            fleet=fleet, clock=clock, choices=random.Random(settings.seed + 1)
+            fleet=fleet,
+            clock=clock,
+            choices=random.Random(settings.seed + 1),
+            sizes=random.Random(settings.seed + 3),
         )
         try:
             await fleet.start(instances=settings.instances, workers=settings.workers)
@@ -123,11 +135,17 @@
                 asking.cancel()
     for instance in fleet.instances:
         instance.send(signal.SIGCONT)
+    settled = False
     with trio.move_on_after(_CALM_S):
-        await _wait_for_ends(clients)
+        await _wait_for_ends(clients, crashing=False)
         await _check_queues(fleet, clients)
+        settled = True
+    if not settled:
+        clients.ledger.violations.append("not all settled after the last fault")
+    with trio.move_on_after(_CRASHING_CALM_S):
+        await _wait_for_ends(clients, crashing=True)
         return
-    clients.ledger.violations.append("not all settled after the last fault")
+    clients.ledger.violations.append("a crashing job isn't ended after the last fault")
 
 
 async def _watch_exits(fleet: Fleet) -> None:
@@ -147,12 +165,22 @@
         await trio.sleep(_ASK_S)
 
 
-async def _wait_for_ends(clients: Clients) -> None:
-    """Wait until each accepted job is told to have ended."""
+async def _wait_for_ends(clients: Clients, *, crashing: bool) -> None:
+    """Wait until each accepted job is told to have ended.
+
+    Parameters
+    ----------
+    clients : Clients
+        Who ask.
+    crashing : bool
+        Whether the jobs are meant that crash their workers, or the others.
+    """
     for submission in clients.ledger.submissions.values():
         if submission.outcome is not SubmissionOutcome.ACCEPTED:
             continue
-        while await clients.ask(submission) not in ("completed", "cancelled"):
+        if (submission.crash_ms is not None) is not crashing:
+            continue
+        while await clients.ask(submission) not in _ENDED:
             await trio.sleep(_ASK_S)
 
 
@@ -165,7 +193,7 @@
 
 def _report(fleet: Fleet, clients: Clients, faults: Faults) -> SoakReport:
     submissions = clients.ledger.submissions.values()
-    broken = check_runs(clients.ledger, fleet.runs, cpu=WORKER_CPU)
+    broken = check_runs(clients.ledger, fleet.runs, cpu=WORKER_CPU, sizes=fleet.sizes)
     return SoakReport(
         violations=(*fleet.exits, *broken),
         faults=tuple(faults.injected),
--- a/trefoilhook/soak/faults.py
+++ b/trefoilhook/soak/faults.py
@@ -9,7 +9,7 @@
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.soak.fleet import Fleet, Instance
+from trefoilhook.soak.fleet import WORKER_CPU, Fleet, Instance
 from trefoilhook.standins import CutSettings, Partition, TcpCut
 from trefoilhook.standins.platform_store import StoreFault
 from trefoilhook.standins.platform_worker import WorkerFault
@@ -21,6 +21,9 @@
 _PAUSE_S = 0.8
 """Mean pause between two faults, in s: some four overlap."""
 
+_RESIZE_PAUSE_S = 1.0
+"""Mean pause between two changes of a worker's capacity, in s."""
+
 _UNLISTED_S = 2.0
 """A worker that is gone is off the list after so long, in s."""
 
@@ -55,6 +58,8 @@
         Where time comes from.
     choices : random.Random
         Where chance comes from.
+    sizes : random.Random
+        Where chance comes from that changes the capacities of workers.
 
     Attributes
     ----------
@@ -62,7 +67,15 @@
         In order.
     """
 
-    def __init__(self, *, fleet: Fleet, clock: Clock, choices: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        clock: Clock,
+        choices: random.Random,
+        sizes: random.Random,
+    ) -> None:
+        self._sizes = sizes
         self._fleet = fleet
         self._clock = clock
         self._choices = choices
@@ -71,18 +84,30 @@
     async def run(self, duration_s: float) -> None:
         """Inject faults for a while; return once all are undone."""
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._resize, duration_s)
             with trio.move_on_after(duration_s):
                 while True:
                     await trio.sleep(self._choices.expovariate(1.0 / _PAUSE_S))
                     fault = self._choices.choice(_FAULTS)
-                    self.injected.append(
-                        InjectedFault(
-                            name=fault.__name__.strip("_"),
-                            at_ms=self._clock.monotonic_ms(),
-                        )
-                    )
+                    self._note(fault.__name__.strip("_"))
                     nursery.start_soon(fault, self)
 
+    def _note(self, name: str) -> None:
+        at_ms = self._clock.monotonic_ms()
+        self.injected.append(InjectedFault(name=name, at_ms=at_ms))
+
+    async def _resize(self, duration_s: float) -> None:
+        """Shrink workers and let them grow again, for a while."""
+        with trio.move_on_after(duration_s):
+            while True:
+                await trio.sleep(self._sizes.expovariate(1.0 / _RESIZE_PAUSE_S))
+                place = self._sizes.choice(sorted(self._fleet.workers))
+                cpu = int(WORKER_CPU * self._sizes.uniform(0.1, 1.0))
+                self._note(f"resize worker {place} to {cpu}")
+                self._fleet.resize_worker(place, cpu)
+        for place in self._fleet.workers:
+            self._fleet.resize_worker(place, WORKER_CPU)
+
     async def last(self) -> None:
         """Let a fault last for a while."""
         await trio.sleep(self._choices.uniform(_SHORTEST_S, _LONGEST_S))
--- a/trefoilhook/soak/fleet.py
+++ b/trefoilhook/soak/fleet.py
@@ -20,7 +20,7 @@
     SETTINGS_VARIABLE,
     WORKER_PREFIX,
 )
-from trefoilhook.standins import TcpCut
+from trefoilhook.standins import CutSettings, Partition, TcpCut
 from trefoilhook.standins.platform_documents import (
     build_configuration,
     build_settings,
@@ -49,6 +49,12 @@
 _SLOW_CLOCK = 0.98
 """A worker's own clock may be 2 % slow, by the platform's statement."""
 
+_REBIRTH_MS = 1500.0
+"""A worker that a task has crashed is back after so long, in ms."""
+
+_ENTRY_LIFE_MS = 3000.0
+"""Its entry goes so long after the crash, in ms."""
+
 _MAX_ATTEMPTS = 1000
 """No job of a soak fails for good: the workers that fail tasks recover."""
 
@@ -183,6 +189,8 @@
         self.workers: dict[int, LivingWorker] = {}
         self.decoy = PlatformWorker(worker_id=DECOY, clock=clock, task_ms=task_ms)
         self.runs: dict[str, list[TaskRecord]] = {}
+        self.crashes: dict[str, float] = {}
+        self.sizes: dict[str, list[tuple[float, int]]] = {}
         self.exits: list[str] = []
 
     async def start(self, *, instances: int, workers: int) -> None:
@@ -229,20 +237,58 @@
         )
         self.store.write(CONFIGURATION_KEY, document)
 
-    async def start_worker(self, place: int) -> None:
-        """Start a new life of the worker at a place, and list it."""
+    async def start_worker(self, place: int, *, link: TcpCut | None = None) -> None:
+        """Start a new life of the worker at a place, and list it.
+
+        Parameters
+        ----------
+        place : int
+            The place.
+        link : TcpCut, optional
+            The way to its last life, whose address it takes; without it, it has a new
+            one.
+        """
         self._lives += 1
+        worker_id = f"w{place}-{self._lives}"
         worker = PlatformWorker(
-            worker_id=f"w{place}-{self._lives}",
+            worker_id=worker_id,
             clock=self._clock,
             task_ms=self._task_ms,
             rate=_SLOW_CLOCK if place % 2 else 1.0,
+            crashes=self.crashes,
+            on_crash=lambda: self._nursery.start_soon(self._replace, place, worker_id),
         )
         scope = trio.CancelScope()
         await self._nursery.start(self._run_worker, worker, scope)
-        link = await self._open_link(worker.server.port)
+        if link is None:
+            link = await self._open_link(worker.server.port)
+        else:
+            link.retarget(worker.server.port)
+            link.set(CutSettings())
         self.workers[place] = LivingWorker(worker=worker, link=link, scope=scope)
-        self.runs[worker.worker_id] = worker.records
+        self.runs[worker_id] = worker.records
+        self.sizes[worker_id] = [(self._clock.monotonic_ms(), WORKER_CPU)]
+        self.list_worker(place)
+
+    async def _replace(self, place: int, worker_id: str) -> None:
+        """Start the next life of a worker that a task has crashed, at its address."""
+        living = self.workers[place]
+        if living.worker.worker_id != worker_id:
+            return
+        living.scope.cancel()
+        living.link.set(CutSettings(partition=Partition.REFUSED))
+        await living.link.reset_connections()
+        await self._clock.sleep_ms(_REBIRTH_MS)
+        if self.workers[place] is living:
+            await self.start_worker(place, link=living.link)
+        await self._clock.sleep_ms(_ENTRY_LIFE_MS - _REBIRTH_MS)
+        self.unlist_worker(worker_id)
+
+    def resize_worker(self, place: int, cpu: int) -> None:
+        """Have the worker at a place report another capacity, and note it."""
+        worker = self.workers[place].worker
+        worker.capacity = {**worker.capacity, "cpu": cpu}
+        self.sizes[worker.worker_id].append((self._clock.monotonic_ms(), cpu))
         self.list_worker(place)
 
     def list_worker(self, place: int) -> None:
--- a/trefoilhook/soak/ledger.py
+++ b/trefoilhook/soak/ledger.py
@@ -39,6 +39,9 @@
         What became of handing it in.
     accepted_ms : float or None
         When it was accepted, in ms.
+    crash_ms : float or None
+        How long after its start its first task crashes its worker, in ms; None for a
+        job that can be done.
     cancel_sent : bool
         Whether a cancel was sent.
     state : str
@@ -49,9 +52,15 @@
     steps: tuple[TaskDemand, ...]
     outcome: SubmissionOutcome = SubmissionOutcome.UNKNOWN
     accepted_ms: float | None = None
+    crash_ms: float | None = None
     cancel_sent: bool = False
     state: str = ""
 
+    @property
+    def culprit(self) -> str:
+        """Name of the task that crashes its workers, if one does."""
+        return f"{self.job_id}.0.0.0"
+
 
 @attrs.define(kw_only=True)
 class Ledger:
--- a/trefoilhook/soak/tests/test_checks.py
+++ b/trefoilhook/soak/tests/test_checks.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from trefoilhook.soak.checks import check_runs
 from trefoilhook.soak.fleet import DECOY
 from trefoilhook.soak.ledger import Ledger, Submission, SubmissionOutcome, TaskDemand
@@ -82,6 +84,58 @@
                 found = self._check(runs, **fields)
                 self.assertTrue(any(words in line for line in found), found)
 
+    def _crash(self, count: int) -> list[TaskRecord]:
+        """Return runs of a task that crashed as many workers."""
+        return [
+            _run(
+                attempt=number + 1,
+                started_ms=100.0 * number,
+                ended_ms=100.0 * number + 20.0,
+                how="crashed",
+                acknowledged=False,
+            )
+            for number in range(count)
+        ]
+
+    def test_crashing_task(self):
+        fields = {"crash_ms": 20.0, "state": "failed"}
+        for count, words in (
+            (1, "was given up after 1 crashes"),
+            (2, ""),
+            (5, ""),
+            (6, "started 3 times more after 3 workers"),
+        ):
+            with self.subTest(count=count):
+                found = self._check({"w": self._crash(count)}, **fields)
+                self.assertEqual(len(found), int(bool(words)))
+                self.assertIn(words, "".join(found))
+
+    def test_bystander_that_was_given_up(self):
+        found = self._check({"w": self._crash(3)}, state="failed")
+        self.assertTrue(any("could be done" in line for line in found), found)
+
+    def test_crashing_task_that_is_never_given_up(self):
+        found = self._check({"w": self._crash(3)}, crash_ms=20.0, state="running")
+        self.assertEqual(len(found), 1)
+
+    def test_worker_that_has_shrunk(self):
+        second = _run(step=1, started_ms=20.0, ended_ms=30.0)
+        early = _run(ended_ms=6000.0)
+        late = attrs.evolve(second, started_ms=5000.0, ended_ms=6000.0)
+        table = (
+            ([early, second], [(0.0, 2000), (10.0, 1000)], False),
+            ([early, late], [(0.0, 2000), (10.0, 1000)], True),
+            ([early, late], [(0.0, 2000), (10.0, 1000), (4900.0, 2000)], False),
+            ([early, late], [(0.0, 2000)], False),
+        )
+        for records, history, is_broken in table:
+            with self.subTest(history=history, started_ms=records[1].started_ms):
+                found = check_runs(
+                    _ledger(), {"w": records}, cpu=4000, sizes={"w": history}
+                )
+                broken = [line for line in found if "which then held" in line]
+                self.assertEqual(bool(broken), is_broken)
+
     def test_what_clients_saw_counts(self):
         ledger = _ledger()
         ledger.violations.append("a job is said to be unknown")
--- a/trefoilhook/standins/cut.py
+++ b/trefoilhook/standins/cut.py
@@ -112,6 +112,10 @@
         if settings.partition is Partition.REFUSED:
             self._listen_scope.cancel()
 
+    def retarget(self, port: int) -> None:
+        """Forward new connections to another port of the target's host."""
+        self._target_port = port
+
     def forget_connections(self) -> int:
         """Drop what the open connections carry, for good; new ones work.
 
--- a/trefoilhook/standins/platform_worker.py
+++ b/trefoilhook/standins/platform_worker.py
@@ -90,6 +90,8 @@
         How much later a late start is carried out, in ms.
     calls : int
         Calls received.
+    capacity : dict of str to int
+        What it has, as it reports it.
     odd_running, odd_ends : list
         Rows of another format, put before those that it lists.
     words : dict of str to str
@@ -125,6 +127,7 @@
         self.records: list[TaskRecord] = []
         self.fault = WorkerFault.NONE
         self.late_ms = 600.0
+        self.capacity = {"cpu": 4000, "mem_mb": 8000, "gpu": 0}
         self.calls = 0
         self._is_off = False
         self.odd_running: list[Any] = []
@@ -153,7 +156,7 @@
             "slots": 8,
             "state": "ready",
             "cold_left_ms": 0,
-            "capacity": {"cpu": 4000, "mem_mb": 8000, "gpu": 0},
+            "capacity": dict(self.capacity),
             "labels": ["a", "r1"],
             "clock_ms": int(self._read_own_clock()),
             "sequence": 1,
