Judge runs of an earlier owner by their age, and write no note for bystanders

After a takeover every run seemed to have just started, so that a crash soon after spoke against watchers that had run for minutes; their age is now estimated from their progress. And each crash wrote the progress of every job with a task on the worker, also of those that the crash clears.

--- a/trefoilhook/scheduling/crashes.py
+++ b/trefoilhook/scheduling/crashes.py
@@ -15,6 +15,7 @@
 from trefoilhook.scheduling.fleet import Run, Worker
 from trefoilhook.scheduling.messages import LossCause, Suspect, WorkerLoss
 from trefoilhook.scheduling.suspicion import (
+    LEAST_RATIO,
     PRIOR_ODDS,
     STRONG_ODDS,
     Exposure,
@@ -176,9 +177,11 @@
     now_ms: float,
 ) -> Suspect:
     state = case.task.job
-    suspicion = scheduler.suspect(case.task)
     proved = cause is LossCause.CRASHED
-    if case.attempt not in suspicion.notes:
+    # Else nothing is written: the task only ran beside one that explains the loss.
+    is_suspect = case.task.suspicion is not None or ratio >= LEAST_RATIO
+    suspicion = scheduler.suspect(case.task) if is_suspect else Suspicion()
+    if is_suspect and case.attempt not in suspicion.notes:
         suspicion.take_loss(case.attempt, worker_id, ratio, proved=proved)
         suspicion.settle()
         scheduler.note_lost_under(worker_id, case.task)
--- a/trefoilhook/scheduling/looks.py
+++ b/trefoilhook/scheduling/looks.py
@@ -6,7 +6,7 @@
 from trefoilhook.scheduling.crowds import learn_crowd
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.messages import End, EndKind, Look, Running
-from trefoilhook.scheduling.models import Demand, TaskId
+from trefoilhook.scheduling.models import Demand, Step, TaskId
 from trefoilhook.scheduling.unread import keep_hidden, names_all, note_unread
 
 __all__ = ["shares_with_services", "take_look"]
@@ -24,6 +24,10 @@
 _LONGEST_FAULT_PAUSE_MS = 12_000.0
 """Bound of that doubling: a worker that has been mended is tried again within it."""
 
+_AT_WORK_MS = 10_000.0
+"""Age that a long-running task at work is taken for, in ms, if nothing is known: past
+its own start, in which most crashes that a task causes come."""
+
 _UNSURE_PACE = 99
 """Pace noted of an attempt that an earlier owner started: any but the full one."""
 
@@ -159,6 +163,19 @@
         _take_running(scheduler, worker, running, now_ms)
 
 
+def _estimate_age(step: Step, running: Running) -> float:
+    """Return about how long an earlier owner's attempt has run, in ms.
+
+    Guards against a task that seems to have just started when its worker crashes, only
+    because its owner has just changed.
+    """
+    if running.percent is None:
+        return 0.0
+    if step.long_running:
+        return _AT_WORK_MS if running.percent >= 100 else 0.0
+    return step.estimate_ms * running.percent / 100.0
+
+
 def _adopt(
     scheduler: Scheduler, worker: Worker, running: Running, now_ms: float
 ) -> Run:
@@ -171,7 +188,7 @@
         room=task.step.room if task is not None else Demand(),
         borrowed_cpu=task.step.borrowed_cpu if task is not None else 0,
         phase=RunPhase.RUNNING,
-        started_ms=now_ms,
+        started_ms=now_ms - (_estimate_age(task.step, running) if task else 0.0),
         confirmed_ms=now_ms,
         # The earlier owner may have slowed it; this has its pace ordered anew.
         pace=_UNSURE_PACE,
--- a/trefoilhook/scheduling/suspicion.py
+++ b/trefoilhook/scheduling/suspicion.py
@@ -17,6 +17,7 @@
 import attrs
 
 __all__ = [
+    "LEAST_RATIO",
     "PRIOR_ODDS",
     "STRONG_ODDS",
     "CrashNote",
@@ -55,7 +56,7 @@
 _LEAST_SURVIVAL = 0.001
 """A run that has outlived the longest onset still clears its task by no more."""
 
-_LEAST_RATIO = 2.0
+LEAST_RATIO = 2.0
 """A crash counts against a task if it raises its odds by this factor at least."""
 
 _MOST_DOUBTFUL_RATIO = 20.0
@@ -155,7 +156,7 @@
         """Take in what a lost worker tells of the unit."""
         if not proved:
             ratio = min(ratio, _MOST_DOUBTFUL_RATIO)
-        if ratio < _LEAST_RATIO:
+        if ratio < LEAST_RATIO:
             self.survive(ratio)
             return
         self.notes[attempt] = CrashNote(worker_id=worker_id, ratio=ratio, proved=proved)
--- a/trefoilhook/scheduling/tests/test_crashes.py
+++ b/trefoilhook/scheduling/tests/test_crashes.py
@@ -629,6 +629,39 @@
         self.assertIs(read_loss(second).cause, LossCause.DRAINED)
         self.assertEqual(find_suspicion(second).doubts, 0)
 
+    def test_run_of_an_earlier_owner_keeps_its_age(self):
+        # Guards against a watcher that seems to have just started when its worker
+        # crashes, only because its owner has just changed.
+        step = attrs.evolve(SMALL, long_running=True)
+        first = Shard(workers=1)
+        first.submit(build_job(step))
+        order = first.start_one()
+        first.workers["w0"].update(order.task, order.attempt, percent=100.0)
+        second = self.take_over(first, workers=("w0",))
+        second.look("w0")
+        crash(second, "w0")
+        suspicion = find_suspicion(second)
+        self.assertTrue(suspicion is None or suspicion.odds < STRONG_ODDS)
+
+    def test_bystanders_of_a_crash_take_no_write(self):
+        # Guards against a burst of writes at each crash of a worker with many tasks.
+        shard = Shard(workers=1, cpu=8000)
+        shard.submit(build_job(attrs.evolve(SMALL, count=4), job_id="b"))
+        shard.step()
+        for _ in range(20):
+            shard.pass_time(100.0)
+            shard.look("w0")
+        shard.submit(build_job(job_id="c"))
+        shard.step()
+        suspicion = shard.scheduler.suspect(
+            shard.scheduler.jobs["c"].tasks.popitem()[1]
+        )
+        suspicion.take_loss(1, "w9", 5000.0, proved=True)
+        shard.save()
+        crash(shard, "w0")
+        dirty = {state.job.job_id for state in shard.scheduler.dirty}
+        self.assertEqual(dirty, {"c"})
+
     def test_crash_is_counted_once_however_often_it_is_told(self):
         suspicion = Suspicion()
         for _ in range(3):
