Prove the guards of crashes, isolation and shrinking one by one

Eight got a test (services beside suspects, share of the fleet, end of isolation, losses without proof, fifth crash, gangs as one, counted once, starved suspects), one test that would have hung is bounded.

--- a/trefoilhook/scheduling/tests/test_crashes.py
+++ b/trefoilhook/scheduling/tests/test_crashes.py
@@ -11,6 +11,7 @@
     LossCause,
     OrderOutcome,
     Step,
+    TaskId,
     WorkerReport,
     decode_progress,
     encode_progress,
@@ -477,6 +478,52 @@
         shard.save()
         self.assertEqual(len(list_starts(shard.plan())), 2)
 
+    def suspect_strongly(self, shard: Shard, job_id: str, *, ratio: float) -> None:
+        """Have a crash count against the first task of a job."""
+        state = shard.scheduler.jobs[job_id]
+        task = state.find_task(TaskId(job_id, 0, 0, 0))
+        shard.scheduler.suspect(task).take_loss(1, "gone", ratio, proved=True)
+        shard.save()
+
+    def test_suspect_goes_beside_batch_work_rather_than_a_service(self):
+        service = attrs.evolve(SMALL, long_running=True, latency_limit_ms=100.0)
+        shard = Shard(workers=2, cpu=6000)
+        shard.submit(build_job(service, job_id="s"))
+        service_order = shard.start_one()
+        batch = attrs.evolve(SMALL, count=3, demand=Demand(cpu=2000, memory_mb=100))
+        shard.scheduler.bar_worker(service_order.worker_id)
+        shard.submit(build_job(batch, job_id="b"))
+        self.assertEqual(len(list_starts(shard.step())), 3)
+        other = "w1" if service_order.worker_id == "w0" else "w0"
+        shard.add_worker(service_order.worker_id, cpu=6000)
+        shard.add_worker(other, cpu=8000)
+        shard.submit(build_job(job_id="c"))
+        self.suspect_strongly(shard, "c", ratio=5000.0)
+        self.assertEqual(start_saved(shard).worker_id, other)
+
+    def test_isolated_runs_take_a_quarter_of_the_workers(self):
+        # Guards against a fleet that is closed to all work by its suspects.
+        shard = Shard(workers=8)
+        for number in range(8):
+            shard.submit(build_job(job_id=f"c{number}"))
+            self.suspect_strongly(shard, f"c{number}", ratio=5000.0)
+        shard.plan()
+        shard.save()
+        self.assertEqual(len(list_starts(shard.plan())), 2)
+
+    def test_isolation_ends_though_the_suspicion_stays(self):
+        # Guards against a watcher that keeps a worker for itself for minutes.
+        shard = Shard(workers=1, cpu=8000)
+        shard.submit(build_job(attrs.evolve(SMALL, long_running=True), job_id="c"))
+        self.suspect_strongly(shard, "c", ratio=50_000.0)
+        start_saved(shard)
+        shard.submit(build_job(job_id="k"))
+        self.assertEqual(list_starts(shard.plan()), [])
+        for _ in range(32):
+            shard.pass_time(100.0)
+            shard.look("w0")
+        self.assertEqual(len(list_starts(shard.plan())), 1)
+
     def test_start_waits_for_its_record(self):
         # Guards against a crash that is forgotten with its owner: the next one finds
         # by the record under which task the worker was lost.
@@ -491,6 +538,15 @@
         self.assertEqual(find_suspicion(shard).workers, [order.worker_id])
         self.assertEqual(find_suspicion(shard).attempt, order.attempt)
 
+    def wait_for_start(self, shard: Shard) -> str:
+        """Pass time until something is started, and return where."""
+        for _ in range(1000):
+            orders = list_starts(shard.step())
+            shard.save()
+            if orders:
+                return orders[0].worker_id
+        raise AssertionError("nothing is started any more")
+
     def test_doubtful_losses_lengthen_the_pause_and_fail_nobody(self):
         # Guards against a suspect without proof that takes one worker after the other.
         shard = Shard(workers=1)
@@ -498,11 +554,7 @@
         began_ms = shard.now_ms
         for life in range(8):
             shard.scheduler.entries.note_read(shard.now_ms)
-            orders: list = []
-            while not orders:
-                orders = list_starts(shard.step())
-                shard.save()
-            worker_id = orders[0].worker_id
+            worker_id = self.wait_for_start(shard)
             shard.silence(worker_id)
             shard.pass_time(1500.0)
             lose_worker(
@@ -662,6 +714,48 @@
         dirty = {state.job.job_id for state in shard.scheduler.dirty}
         self.assertEqual(dirty, {"c"})
 
+    def test_gang_that_loses_two_workers_at_once_counts_one_crash(self):
+        shard = Shard(workers=2, cpu=1000)
+        shard.submit(build_job(attrs.evolve(SMALL, count=2, gang=True)))
+        shard.step()
+        crash(shard, "w0")
+        odds = find_suspicion(shard).odds
+        crash(shard, "w1")
+        self.assertEqual(len(shard.scheduler.jobs["j"].progress.suspicions), 1)
+        self.assertEqual(find_suspicion(shard).crashes, 1)
+        self.assertEqual(find_suspicion(shard).odds, odds)
+
+    def test_crashes_of_different_members_count_for_the_gang(self):
+        shard = Shard(workers=2, cpu=1000)
+        shard.submit(build_job(attrs.evolve(SMALL, count=2, gang=True)))
+        shard.step()
+        crash(shard, "w0")
+        for key in list(shard.workers["w1"].running):
+            shard.workers["w1"].end(*key, EndKind.PEER_ENDED)
+        shard.look("w1")
+        shard.add_worker("w2", cpu=1000)
+        shard.plan()
+        shard.save()
+        shard.step()
+        crash(shard, "w1")
+        self.assertEqual(find_suspicion(shard).crashes, 2)
+
+    def test_loss_without_proof_counts_for_little(self):
+        suspicion = Suspicion()
+        suspicion.take_loss(1, "w", 5000.0, proved=False)
+        self.assertLess(suspicion.odds, STRONG_ODDS)
+        self.assertEqual(suspicion.crashes, 0)
+
+    def test_fifth_crash_ends_it_whatever_the_odds(self):
+        # Guards against a task that crashes its workers late, and seldom enough to be
+        # taken for a bystander, without end.
+        suspicion = Suspicion()
+        for attempt in range(1, MOST_STARTS):
+            suspicion.take_loss(attempt, "w", 2.5, proved=True)
+        self.assertFalse(suspicion.is_crash_loop())
+        suspicion.take_loss(MOST_STARTS, "w", 2.5, proved=True)
+        self.assertTrue(suspicion.is_crash_loop())
+
     def test_crash_is_counted_once_however_often_it_is_told(self):
         suspicion = Suspicion()
         for _ in range(3):
--- a/trefoilhook/scheduling/tests/test_starvation.py
+++ b/trefoilhook/scheduling/tests/test_starvation.py
@@ -77,6 +77,16 @@
         self.assertEqual([order.task for order in paces[:1]], [start.task])
         self.assertEqual([order.percent for order in paces], [THROTTLED_PACE])
 
+    def test_starved_suspect_waits_for_its_pause(self):
+        # Guards against a filler that is started slowed, again and again, though the
+        # workers under it were lost.
+        self.shard.submit(build_job(_filler("f"), job_id="batch"))
+        self.shard.plan()
+        for task in self.shard.scheduler.waiting:
+            task.held_until_ms = self.shard.now_ms + 2.0 * STARVED_MS
+        self.assertEqual(list_starts(self._wait(1.5 * STARVED_MS)), [])
+        self.assertEqual(len(list_starts(self._wait(STARVED_MS))), 1)
+
     def test_it_is_slowed_as_soon_as_its_start_is_confirmed(self):
         # Not with the next look: until its first order it works at full speed.
         self.shard.submit(build_job(_filler("f"), job_id="batch"))
