Move tasks that checkpoint off a worker that has shrunk below what it holds

A worker whose capacity shrinks under its work runs all of it slower, the tails of its service tasks too. What checkpoints and runs on after 2 s of that goes where there is room, the latest started first, as much as is too much; what would lose its work stays.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -10,6 +10,7 @@
 from trefoilhook.scheduling.isolation import is_strongly_suspected
 from trefoilhook.scheduling.messages import StopReason
 from trefoilhook.scheduling.models import Demand
+from trefoilhook.scheduling.overflow import relieve_shrunk
 from trefoilhook.scheduling.ranking import rank_step
 from trefoilhook.scheduling.rounds import Round, hold_place, number_attempt
 from trefoilhook.scheduling.starvation import admit_starved
@@ -82,6 +83,7 @@
         halted = _list_halted(turn)
         _move_halted(turn, [each for each in halted if not each.run.is_throttled])
     _assign_steps(turn, ready)
+    relieve_shrunk(turn)
     if with_fillers:
         # Only now: throttled tasks come after all that wait in turn.
         _move_halted(turn, [each for each in halted if each.run.is_throttled])
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -229,6 +229,8 @@
         No new task goes there before, in ms.
     lagged : LaggedShares
         What its fillers use, as it shows in tail latencies.
+    shrunk_since_ms : float or None
+        Since when it has held more than it has, in ms.
     suspected_runs : int
         Runs there of tasks that are suspected to crash their workers.
     is_reserved : bool
@@ -263,6 +265,7 @@
     over_since_ms: float | None = None
     avoid_until_ms: float = 0.0
     lagged: LaggedShares = attrs.Factory(LaggedShares)
+    shrunk_since_ms: float | None = None
     suspected_runs: int = 0
     is_reserved: bool = False
 
--- a/trefoilhook/scheduling/messages.py
+++ b/trefoilhook/scheduling/messages.py
@@ -86,6 +86,9 @@
     STANDS_STILL = "stands still"
     """It makes no progress."""
 
+    NO_ROOM = "no room"
+    """Its worker has shrunk and holds too much, and another has room for it."""
+
     WORKER_LEAVES = "worker leaves"
     """Its worker is about to leave."""
 
--- a/trefoilhook/scheduling/tests/test_capacity.py
+++ b/trefoilhook/scheduling/tests/test_capacity.py
@@ -10,6 +10,7 @@
     StartOrder,
     Step,
     StopOrder,
+    StopReason,
     is_start_due,
 )
 from trefoilhook.scheduling.tests.cases import SMALL, Shard, build_job, list_starts
@@ -124,6 +125,50 @@
         self.assertEqual(list_starts(shard.step()), [])
 
 
+class ReliefTest(unittest.TestCase):
+    """Work that is too much for a worker goes on elsewhere, if it loses little."""
+
+    def run_two(self, **fields) -> Shard:
+        """Run two tasks on a worker that shrinks to the room of one."""
+        shard = Shard(workers=1, cpu=2000)
+        shard.submit(build_job(attrs.evolve(SMALL, count=2, **fields)))
+        shard.step()
+        resize(shard, "w0", cpu=1000)
+        return shard
+
+    def list_stops(self, shard: Shard, duration_ms: float) -> list[StopOrder]:
+        """Pass time, and return the stops that are ordered for want of room."""
+        stops: list[StopOrder] = []
+        for _ in range(round(duration_ms / 100.0)):
+            stops += [each for each in shard.step() if isinstance(each, StopOrder)]
+        return [stop for stop in stops if stop.reason is StopReason.NO_ROOM]
+
+    def test_checkpointing_task_moves_where_there_is_room(self):
+        shard = self.run_two(checkpointing=True)
+        shard.add_worker("w1")
+        self.assertEqual(len(self.list_stops(shard, 3000.0)), 1)
+        self.assertEqual(len(shard.workers["w0"].running), 1)
+        self.assertEqual(len(shard.workers["w1"].running), 1)
+
+    def test_nothing_moves_at_once_or_without_a_place(self):
+        # Guards against work that is stopped for a capacity that is back in a moment,
+        # or only to wait.
+        shard = self.run_two(checkpointing=True)
+        self.assertEqual(self.list_stops(shard, 3000.0), [])
+        shard = self.run_two(checkpointing=True)
+        shard.add_worker("w1")
+        self.assertEqual(self.list_stops(shard, 1500.0), [])
+        resize(shard, "w0", cpu=2000)
+        self.assertEqual(self.list_stops(shard, 3000.0), [])
+
+    def test_what_would_lose_its_work_stays(self):
+        for fields in ({}, {"long_running": True, "checkpointing": True}):
+            with self.subTest(fields):
+                shard = self.run_two(**fields)
+                shard.add_worker("w1")
+                self.assertEqual(self.list_stops(shard, 3000.0), [])
+
+
 class StaleListTest(unittest.TestCase):
     """Nothing is started by a list of workers that hasn't been read for long."""
 
