Log what tasks waited for, what slowed them, and what services lacked

Where worth is lost couldn't be told from logs: a start said nothing of the wait before it, orders on pace aren't logged, and a long-running job that lacks a task or answers late has no line at all. A round notes why each step found no place; a run keeps the time that its pace cost; long-running jobs are sampled twice a second, a line each 2 s for those that lack something.

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -90,6 +90,7 @@
     ANSWER_INVALID = (1617, Level.ERROR, "An answer, or a row of it, can't be read.")
     LOSS_ATTRIBUTED = (1618, Level.WARNING, "What ended a worker, and its suspects.")
     CRASH_LOOP_FOUND = (1619, Level.WARNING, "A task that crashes workers is given up.")
+    SERVICE_SHORT = (1620, Level.INFO, "Tasks of a service were away or too late.")
 
     def __init__(self, number: int, level: Level, description: str) -> None:
         self.number = number
--- a/trefoilhook/runtime/orders.py
+++ b/trefoilhook/runtime/orders.py
@@ -9,6 +9,7 @@
     Order,
     OrderOutcome,
     PaceOrder,
+    Run,
     Scheduler,
     StartOrder,
     StopOrder,
@@ -19,6 +20,9 @@
 
 __all__ = ["carry_out"]
 
+_LEAST_WAIT_MS = 10.0
+"""Shorter waits aren't told, in ms: a plan gathers news for some 6 ms."""
+
 
 async def carry_out(
     order: Order,
@@ -53,6 +57,7 @@
     worker = scheduler.workers.get(order.worker_id)
     if outcome is OrderOutcome.OTHER_LIFE and worker is not None:
         log_restart(worker, clock.monotonic_ms())
+    run = worker.runs.get((order.task, order.attempt)) if worker is not None else None
     take = take_stop_outcome if isinstance(order, StopOrder) else take_start_outcome
     take(
         scheduler,
@@ -62,7 +67,7 @@
         outcome,
         clock.monotonic_ms(),
     )
-    _log(order, outcome)
+    _log(order, outcome, run)
     return outcome
 
 
@@ -82,7 +87,7 @@
     return "stop" if isinstance(order, StopOrder) else "pace"
 
 
-def _log(order: StartOrder | StopOrder, outcome: OrderOutcome) -> None:
+def _log(order: StartOrder | StopOrder, outcome: OrderOutcome, run: Run | None) -> None:
     if outcome is not OrderOutcome.DONE:
         log_event(
             Event.ORDER_FAILED,
@@ -108,4 +113,13 @@
             worker=order.worker_id,
             token=order.token,
             resumed=bool(order.checkpoint),
+            **_describe_wait(run),
         )
+
+
+def _describe_wait(run: Run | None) -> dict[str, int | str]:
+    """Return how long a task waited for its place, and what for longest."""
+    if run is None or run.waited_ms < _LEAST_WAIT_MS:
+        return {}
+    reason = run.wait_reason.value if run.wait_reason is not None else ""
+    return {"waited_ms": round(run.waited_ms), "waited_for": reason}
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -251,6 +251,7 @@
         nursery.start_soon(upkeep.keep_retention)
         nursery.start_soon(upkeep.forget_ended)
         nursery.start_soon(upkeep.tell_backlogs)
+        nursery.start_soon(upkeep.tell_shortfalls)
         if self._settings.advice_address is not None:
             advice = AdviceClient(address=self._settings.advice_address)
             nursery.start_soon(
--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -1,5 +1,6 @@
 """What a process logs while something that it depends on is away."""
 
+import json
 import unittest
 
 import trio
@@ -24,6 +25,7 @@
 from trefoilhook.standins.platform_worker import WorkerFault
 
 JOB = "00000000000000c1"
+FIRST = "00000000000000c0"
 
 
 def _has(lines: list[dict], name: str) -> bool:
@@ -355,3 +357,47 @@
         reasons = [line["why"] for line in lines if "silent_ms" in line]
         self.assertEqual(reasons, ["not listed", "not listed"])
         self.assertEqual(count_lines(lines)["WORKER_LOST"], 0)
+
+
+class WhereTimeGoesTest(unittest.TestCase):
+    """Lines tell what a job's time went into, and what a service lacked."""
+
+    def test_wait_and_run_are_told(self):
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            with capture_lines() as captured:
+                instance = await cluster.wait_for_owner()
+                # The owner has met its worker once a first job is done.
+                await cluster.send(instance, "POST", PREFIX + FIRST, build_body(1))
+                await cluster.wait_for_state(instance, FIRST, "completed")
+                captured.clear()
+                await cluster.send(instance, "POST", PREFIX + JOB, build_body(10))
+                await cluster.wait_for_state(instance, JOB, "completed")
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=1, workers=1, task_ms=200.0)
+        starts = [line for line in lines if line["event_name"] == "TASK_STARTED"]
+        waited = [line for line in starts if "waited_ms" in line]
+        self.assertEqual((len(starts), len(waited)), (10, 2), waited)
+        self.assertEqual({line["waited_for"] for line in waited}, {"no room"})
+        ended = next(line for line in lines if line["event_name"] == "TASK_ENDED")
+        self.assertGreaterEqual(ended["ran_ms"], 190)
+        self.assertEqual(ended["estimate_ms"], 200)
+
+    def test_service_that_lacks_a_task_is_told(self):
+        lines: list[dict] = []
+        step = {"count": 2, "cpu": 500, "mem_mb": 10, "long_running": True}
+        body = json.dumps({"spec": "x", "steps": [step]}).encode()
+
+        async def scenario(cluster: Cluster) -> None:
+            with capture_lines() as captured:
+                instance = await cluster.wait_for_owner()
+                await cluster.send(instance, "POST", PREFIX + JOB, body)
+                await cluster.wait_until(lambda: _has(captured, "SERVICE_SHORT"))
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=1, workers=1, task_ms=60_000.0)
+        short = find_line(lines, "SERVICE_SHORT")
+        # The stand-in's tasks never get past their start.
+        self.assertEqual((short["job"], short["tasks"], short["away"]), (JOB, 2, 2.0))
--- a/trefoilhook/runtime/upkeep.py
+++ b/trefoilhook/runtime/upkeep.py
@@ -11,6 +11,7 @@
 from trefoilhook.runtime.ownership import Tenure
 from trefoilhook.scheduling import (
     Scheduler,
+    ShortfallCounter,
     TaskState,
     encode_interference,
     measure_backlogs,
@@ -36,6 +37,11 @@
 """Pause between two rounds of forgetting ended jobs, in ms; one that ends just after a
 round is kept for two. The store tells their state for ten minutes."""
 
+_SHORTFALL_PAUSE_MS = 500.0
+_SHORTFALL_SAMPLES = 4
+"""Samples of long-running jobs that go into one line, and the pause between two, in ms:
+their tail latencies are figures of the last half second."""
+
 _BACKLOG_PAUSE_MS = 2000.0
 """Pause between two looks at what waits, in ms; what stands in both has waited so long.
 A line a queue each time is a hundredth of what an owner writes about tasks."""
@@ -102,6 +108,20 @@
                 log_event(Event.QUEUE_WAITS, **attrs.asdict(backlog))
             earlier = set(waiting)
 
+    async def tell_shortfalls(self) -> None:
+        """Log what long-running jobs lack, for good.
+
+        Their users lose by the share of their tasks that is away or too late, of which
+        no line on a single task tells.
+        """
+        counter = ShortfallCounter()
+        while True:
+            for _ in range(_SHORTFALL_SAMPLES):
+                await self._clock.sleep_ms(_SHORTFALL_PAUSE_MS)
+                counter.sample(self._scheduler)
+            for shortfall in counter.take(self._scheduler):
+                log_event(Event.SERVICE_SHORT, **attrs.asdict(shortfall))
+
     async def keep_learned(self) -> None:
         """Write what was learned, so that the next owner needn't learn it again.
 
--- a/trefoilhook/runtime/watching.py
+++ b/trefoilhook/runtime/watching.py
@@ -16,6 +16,7 @@
 from trefoilhook.scheduling import (
     Look,
     OrderOutcome,
+    Run,
     Scheduler,
     Worker,
     acknowledge,
@@ -167,8 +168,24 @@
                     worker=worker.report.worker_id,
                     how=end.kind.value,
                     number=end.number,
+                    **self._describe_run(worker.runs.get((end.task, end.attempt))),
                 )
 
+    def _describe_run(self, run: Run | None) -> dict[str, int]:
+        """Return how long a run took and was to take, and what its pace cost."""
+        state = self._scheduler.jobs.get(run.task.job_id) if run is not None else None
+        task = state.find_task(run.task) if run is not None and state else None
+        if run is None or task is None:
+            return {}
+        now_ms = self._clock.monotonic_ms()
+        slowing_ms = round(run.measure_slowing(now_ms))
+        slowed = {"slowing_ms": slowing_ms} if slowing_ms > 0 else {}
+        return {
+            "ran_ms": round(now_ms - run.started_ms),
+            "estimate_ms": round(task.step.estimate_ms),
+            **slowed,
+        }
+
     async def _wait_for_saving(self, worker: Worker) -> None:
         """Wait until the ends that a worker listed can be acknowledged.
 
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -11,7 +11,7 @@
 )
 from trefoilhook.scheduling.core import Scheduler, SchedulerLimits
 from trefoilhook.scheduling.crashes import lose_worker
-from trefoilhook.scheduling.fleet import SLOWEST_CLOCK, Worker
+from trefoilhook.scheduling.fleet import SLOWEST_CLOCK, Run, Worker
 from trefoilhook.scheduling.interference import (
     Interference,
     decode_interference,
@@ -64,6 +64,7 @@
     encode_progress,
 )
 from trefoilhook.scheduling.rounds import extend_lease
+from trefoilhook.scheduling.shortfall import Shortfall, ShortfallCounter
 from trefoilhook.scheduling.tickets import AdviceRequest, Grant
 
 __all__ = [
@@ -90,9 +91,12 @@
     "PaceOrder",
     "Progress",
     "Queue",
+    "Run",
     "Running",
     "Scheduler",
     "SchedulerLimits",
+    "Shortfall",
+    "ShortfallCounter",
     "StartOrder",
     "Step",
     "StopOrder",
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -15,6 +15,7 @@
 from trefoilhook.scheduling.rounds import Round, hold_place, number_attempt
 from trefoilhook.scheduling.starvation import admit_starved
 from trefoilhook.scheduling.tickets import StepName, name_step
+from trefoilhook.scheduling.waits import WaitReason
 from trefoilhook.scheduling.watchdog import is_halted
 
 __all__ = ["assign_waiting"]
@@ -62,20 +63,28 @@
 ) -> None:
     """Hold room for the waiting tasks that have a place; their orders come due."""
     with_fillers = now_ms >= scheduler.fillers_due_ms
+    waiting: set[StepName] = set()
     steps: dict[tuple[StepName, int, int], list[TaskState]] = {}
     for state in scheduler.waiting:
+        if state.step.filler and not with_fillers:
+            continue
+        if state.waiting_since_ms is None:
+            state.waiting_since_ms = now_ms
+        group = _group(state)
         if state.job.queue is None or not (
             settled or state.job.certain or _is_over_elsewhere(scheduler, state, now_ms)
         ):
+            waiting.add(group[0])
+            scheduler.waits.note(group[0], WaitReason.OWNER_NEW, now_ms)
             continue
-        if with_fillers or not state.step.filler:
-            steps.setdefault(_group(state), []).append(state)
+        steps.setdefault(group, []).append(state)
     ready = sorted(steps.values(), key=lambda tasks: rank_step(tasks, wall_ms))
     crowds = Crowds(
         jobs=scheduler.jobs, interference=scheduler.interference, now_ms=now_ms
     )
     turn = Round(scheduler=scheduler, crowds=crowds, now_ms=now_ms)
     if with_fillers:
+        scheduler.waits.forget_all_but(waiting | {group[0] for group in steps})
         pause_ms = max(
             _FILLER_PAUSE_MS, _FILLER_PAUSE_A_WORKER_MS * len(scheduler.workers)
         )
@@ -91,13 +100,18 @@
 
 
 def _assign_steps(turn: Round, ready: list[list[TaskState]]) -> None:
+    waits = turn.scheduler.waits
     tries = 0
     for tasks in ready:
+        step = name_step(tasks[0].task)
         if turn.is_short(tasks[0]):
+            waits.note(step, turn.explain_wait(tasks[0]), turn.now_ms)
             continue
         if not turn.isolation.may_start(tasks[0], turn.now_ms):
+            waits.note(step, WaitReason.APART, turn.now_ms)
             continue
         if tries >= _MOST_TRIES and tasks[0].step.filler:
+            waits.note(step, WaitReason.BEHIND, turn.now_ms)
             continue
         if tasks[0].step.gang:
             missing = _assign_gang(turn, tasks[0])
@@ -107,6 +121,7 @@
         if missing is not None:
             # Counted for fillers only: dozens of services may each miss a task that
             # must not join those they have, and none may keep another from its turn.
+            waits.note(step, turn.explain_wait(tasks[0]), turn.now_ms)
             tries += tasks[0].step.filler
             turn.note_short(tasks[0], missing)
 
--- a/trefoilhook/scheduling/book.py
+++ b/trefoilhook/scheduling/book.py
@@ -38,6 +38,8 @@
         Workers where it failed.
     done : bool
         Whether it is done.
+    waiting_since_ms : float or None
+        Since when it has waited for a place, in ms, as far as rounds have seen it.
     held_until_ms : float
         It isn't started again before, in ms: workers were lost under it, and it is not
         proved that they crashed.
@@ -50,6 +52,7 @@
     last_attempt: int = 0
     failed_on: set[str] = attrs.Factory(set)
     done: bool = False
+    waiting_since_ms: float | None = None
     held_until_ms: float = 0.0
 
     @property
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -14,6 +14,7 @@
 from trefoilhook.scheduling.records import JobPhase, JobRecord, Progress
 from trefoilhook.scheduling.suspicion import CrashRate, Suspicion, compute_survival
 from trefoilhook.scheduling.tickets import TicketBook
+from trefoilhook.scheduling.waits import WaitBook
 
 __all__ = ["ATTEMPTS_PER_EPOCH", "Scheduler", "SchedulerLimits"]
 
@@ -121,6 +122,8 @@
         acknowledged.
     dirty : set of JobState
         Jobs with something to be written.
+    waits : WaitBook
+        Why steps have waited, and for how long.
     entries : EntriesAge
         How well the entries of workers in the store are known.
     losses : list of WorkerLoss
@@ -151,6 +154,7 @@
         self.tickets = TicketBook()
         self.fillers_due_ms = 0.0
         self.idle_since_ms: dict[str, float] = {}
+        self.waits = WaitBook()
         self.entries = EntriesAge()
         self.losses: list[WorkerLoss] = []
         self.crash_rate = CrashRate()
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -9,6 +9,7 @@
 from trefoilhook.scheduling.messages import Look, OrderOutcome, StopReason
 from trefoilhook.scheduling.models import Demand, TaskId, WorkerReport
 from trefoilhook.scheduling.slack import LaggedShares, SlackTrack
+from trefoilhook.scheduling.waits import WaitReason
 
 __all__ = ["SLOWEST_CLOCK", "Run", "RunPhase", "Silence", "Worker"]
 
@@ -84,6 +85,14 @@
         Why it is stopped, if it is.
     seen_ms : float
         When a look last listed it, in ms; until then when its order was first sent.
+    waited_ms : float
+        How long its task waited for the place, in ms.
+    wait_reason : WaitReason or None
+        What it waited for longest.
+    slowing_ms : float
+        Time that it has lost by its pace, in ms.
+    pace_since_ms : float
+        Since when it has had its pace, in ms.
     recorded_version : int or None
         Version of its job with the place where it is ordered, which has to be in the
         store before the order goes; None until it is known whether that is needed.
@@ -113,6 +122,10 @@
     order_due_ms: float = 0.0
     stop_reason: StopReason = StopReason.NOT_WANTED
     seen_ms: float = attrs.field()
+    waited_ms: float = 0.0
+    wait_reason: WaitReason | None = None
+    slowing_ms: float = 0.0
+    pace_since_ms: float = attrs.field()
     recorded_version: int | None = None
     in_flight: bool = False
     ambiguous: bool = False
@@ -123,6 +136,21 @@
     def _begin_unseen(self) -> float:
         return self.started_ms
 
+    @pace_since_ms.default
+    def _begin_pace(self) -> float:
+        return self.started_ms
+
+    def set_pace(self, pace: int, now_ms: float) -> None:
+        """Note that another pace is ordered, in percent."""
+        self.slowing_ms = self.measure_slowing(now_ms)
+        self.pace_since_ms = now_ms
+        self.pace = pace
+
+    def measure_slowing(self, now_ms: float) -> float:
+        """Return the time that it has lost by its pace so far, in ms."""
+        lost = 1.0 - self.pace / 100.0
+        return self.slowing_ms + lost * max(0.0, now_ms - self.pace_since_ms)
+
     @property
     def may_have_run(self) -> bool:
         """Whether its start may have been carried out."""
--- a/trefoilhook/scheduling/pacing.py
+++ b/trefoilhook/scheduling/pacing.py
@@ -157,7 +157,7 @@
             continue
         if run.pace >= FULL_PACE:
             run.slowed_ms = now_ms
-        run.pace = pace
+        run.set_pace(pace, now_ms)
         run.paced_ms = now_ms
         orders.append(
             PaceOrder(
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -14,6 +14,7 @@
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.placing import is_open, limit_filler
 from trefoilhook.scheduling.tickets import name_step
+from trefoilhook.scheduling.waits import FreeRoom, WaitReason
 
 __all__ = ["Round", "extend_lease", "hold_place", "number_attempt"]
 
@@ -40,6 +41,7 @@
     isolation: Isolation = attrs.field()
     _open: dict[str, list[Worker]] = attrs.Factory(dict)
     _feasible: dict[tuple[str, str], list[tuple[float, Worker]]] = attrs.Factory(dict)
+    _free: dict[tuple[str, str], FreeRoom] = attrs.Factory(dict)
     _short: dict[tuple[str, str, str | None], list[Demand]] = attrs.Factory(dict)
 
     @isolation.default
@@ -98,6 +100,15 @@
             if not worker.is_reserved
         ]
 
+    def explain_wait(self, state: TaskState) -> WaitReason:
+        """Tell why a task found no place in this round."""
+        service = state.job.queue.service if state.job.queue is not None else ""
+        need = (service, state.step.required_label)
+        free = self._free.get(need)
+        if free is None:
+            free = self._free[need] = _measure_free(self.list_open(state), need[1])
+        return free.explain(state.step.room, filler=state.step.filler)
+
     def recount(self) -> None:
         """Count anew who runs where, as runs were taken back."""
         self.crowds.recount()
@@ -149,6 +160,19 @@
             self._short.setdefault(need, []).append(size)
 
 
+def _measure_free(workers: Iterable[Worker], label: str) -> FreeRoom:
+    """Return what the workers with a label have left."""
+    labelled = [w for w in workers if not label or label in w.report.labels]
+    cpu = [max(0, w.report.capacity.cpu - w.cpu) for w in labelled]
+    memory_mb = [max(0, w.report.capacity.memory_mb - w.memory_mb) for w in labelled]
+    return FreeRoom(
+        workers=len(labelled),
+        total_cpu=sum(cpu),
+        total_mb=sum(memory_mb),
+        most_mb=max(memory_mb, default=0),
+    )
+
+
 def _has_advice(state: TaskState) -> bool:
     """Tell whether only some workers may run a step, so that its places are its own."""
     return state.job.queue is not None and state.job.queue.advice is not None
@@ -218,6 +242,10 @@
     worker.hold(run)
     # Its fillers may have to make way, in this plan.
     worker.is_news = True
+    if state.waiting_since_ms is not None:
+        run.waited_ms = turn.now_ms - state.waiting_since_ms
+        run.wait_reason = turn.scheduler.waits.find_main(name_step(state.task))
+        state.waiting_since_ms = None
     state.last_attempt = attempt
     state.attempts.append(Attempt(worker=worker, run=run))
     if state.suspicion is not None:
--- /dev/null
+++ b/trefoilhook/scheduling/tests/test_waits.py
@@ -0,0 +1,181 @@
+"""Why tasks waited, what slowed them, and what services lacked."""
+
+import unittest
+
+import attrs
+
+from trefoilhook.scheduling import Demand, EndKind, ShortfallCounter, Step
+from trefoilhook.scheduling.tests.cases import SMALL, Shard, build_job, list_starts
+from trefoilhook.scheduling.tickets import name_step
+from trefoilhook.scheduling.waits import WaitBook, WaitReason
+
+LARGE = Step(count=1, demand=Demand(cpu=3000, memory_mb=100), estimate_ms=500.0)
+
+
+class WaitReasonTest(unittest.TestCase):
+    """Each start knows what its task has waited for longest."""
+
+    def wait(self, shard: Shard, job_id: str = "j") -> WaitReason | None:
+        """Pass some rounds, and return what a job waits for."""
+        for _ in range(4):
+            shard.step()
+        task = next(iter(shard.scheduler.jobs[job_id].tasks.values()))
+        return shard.scheduler.waits.find_main(name_step(task.task))
+
+    def test_no_worker(self):
+        shard = Shard(workers=0)
+        shard.submit(build_job())
+        self.assertIs(self.wait(shard), WaitReason.NO_WORKER)
+
+    def test_no_room(self):
+        shard = Shard(workers=1, cpu=2000)
+        shard.submit(build_job(LARGE))
+        self.assertIs(self.wait(shard), WaitReason.NO_ROOM)
+
+    def test_room_in_pieces(self):
+        shard = Shard(workers=2, cpu=2000)
+        shard.submit(build_job(LARGE))
+        self.assertIs(self.wait(shard), WaitReason.IN_PIECES)
+
+    def test_behind_one_that_is_as_large(self):
+        shard = Shard(workers=1, cpu=2000)
+        shard.submit(build_job(LARGE, job_id="i"))
+        shard.submit(build_job(LARGE, job_id="j"))
+        self.assertIs(self.wait(shard), WaitReason.NO_ROOM)
+
+    def test_owner_that_is_not_settled(self):
+        shard = Shard(workers=1, settled=False)
+        shard.submit(build_job(), certain=False)
+        self.assertIs(self.wait(shard), WaitReason.OWNER_NEW)
+
+    def test_kept_apart(self):
+        shard = Shard(workers=1)
+        shard.submit(build_job())
+        state = shard.scheduler.jobs["j"]
+        task = state.find_task(next(iter(shard.scheduler.waiting)).task)
+        shard.scheduler.suspect(task).take_loss(1, "w", 5000.0, proved=True)
+        task.held_until_ms = shard.now_ms + 10_000.0
+        self.assertIs(self.wait(shard), WaitReason.APART)
+
+    def test_filler_that_services_do_not_bear(self):
+        service = Step(
+            count=1,
+            demand=Demand(cpu=4000),
+            long_running=True,
+            latency_limit_ms=18.0,
+            image="s",
+        )
+        filler = Step(
+            count=1, demand=Demand(cpu=4000, memory_mb=10), filler=True, image="f"
+        )
+        shard = Shard(workers=1, cpu=4000)
+        shard.submit(build_job(service, job_id="s"))
+        order = shard.start_one()
+        shard.workers["w0"].update(order.task, order.attempt, percent=100.0, load=20.0)
+        shard.submit(build_job(filler))
+        self.assertIs(self.wait(shard), WaitReason.NOT_BORNE)
+
+    def test_start_tells_wait_and_reason(self):
+        shard = Shard(workers=1, cpu=2000)
+        shard.submit(build_job(LARGE))
+        self.wait(shard)
+        shard.add_worker("w1", cpu=4000)
+        (order,) = list_starts(shard.plan())
+        run = shard.scheduler.workers["w1"].runs[order.task, order.attempt]
+        self.assertEqual(run.waited_ms, 400.0)
+        self.assertIs(run.wait_reason, WaitReason.NO_ROOM)
+
+    def test_prompt_start_waited_for_nothing(self):
+        shard = Shard(workers=1)
+        shard.submit(build_job())
+        (order,) = list_starts(shard.plan())
+        run = shard.scheduler.workers["w0"].runs[order.task, order.attempt]
+        self.assertEqual((run.waited_ms, run.wait_reason), (0.0, None))
+
+    def test_longest_reason_counts_and_gaps_do_not(self):
+        # Guards against a pause of the owner that is told as a lack of room.
+        book = WaitBook()
+        step = ("j", 0, 0)
+        book.note(step, WaitReason.NO_ROOM, 0.0)
+        book.note(step, WaitReason.IN_PIECES, 60_000.0)
+        book.note(step, WaitReason.IN_PIECES, 60_300.0)
+        self.assertIs(book.find_main(step), WaitReason.IN_PIECES)
+        book.forget_all_but(set())
+        self.assertIsNone(book.find_main(step))
+
+
+class SlowingTest(unittest.TestCase):
+    """Time that a run loses by its pace."""
+
+    def test_time_lost(self):
+        shard = Shard(workers=1)
+        shard.submit(build_job())
+        (order,) = list_starts(shard.plan())
+        run = shard.scheduler.workers["w0"].runs[order.task, order.attempt]
+        began_ms = shard.now_ms
+        run.set_pace(25, began_ms + 1000.0)
+        run.set_pace(100, began_ms + 3000.0)
+        self.assertEqual(run.measure_slowing(began_ms + 9000.0), 1500.0)
+
+
+class ShortfallTest(unittest.TestCase):
+    """What long-running jobs lack is counted by samples."""
+
+    def setUp(self):
+        self.counter = ShortfallCounter()
+        self.shard = Shard(workers=2, cpu=2000)
+        service = attrs.evolve(
+            SMALL,
+            count=4,
+            long_running=True,
+            latency_limit_ms=18.0,
+            demand=Demand(cpu=1000, memory_mb=10),
+        )
+        self.shard.submit(build_job(service))
+        self.orders = list_starts(self.shard.step())
+        for order in self.orders:
+            self.shard.workers[order.worker_id].update(
+                order.task, order.attempt, percent=100.0, load=9.0
+            )
+        self.shard.look_all()
+
+    def take(self) -> list:
+        """Sample twice, and return what was found."""
+        for _ in range(2):
+            self.counter.sample(self.shard.scheduler)
+        return list(self.counter.take(self.shard.scheduler))
+
+    def test_whole_job_is_not_told(self):
+        self.assertEqual(self.take(), [])
+
+    def test_task_that_is_away(self):
+        self.shard.end(self.orders[0], EndKind.FAILED)
+        (shortfall,) = self.take()
+        self.assertEqual((shortfall.tasks, shortfall.away), (4, 1.0))
+        self.assertEqual((shortfall.over, shortfall.beside), (0.0, 0.0))
+
+    def test_task_over_its_limit_beside_a_filler_and_alone(self):
+        filler = Step(
+            count=1, demand=Demand(cpu=10, memory_mb=10), filler=True, image="f"
+        )
+        self.shard.submit(build_job(filler, job_id="f"))
+        (placed,) = list_starts(self.shard.step())
+        beside = next(o for o in self.orders if o.worker_id == placed.worker_id)
+        alone = next(o for o in self.orders if o.worker_id != placed.worker_id)
+        for order in (beside, alone):
+            self.shard.workers[order.worker_id].update(
+                order.task, order.attempt, load=30.0
+            )
+        self.shard.look_all()
+        (shortfall,) = self.take()
+        self.assertEqual((shortfall.over, shortfall.beside), (2.0, 1.0))
+
+    def test_ended_job_is_not_told(self):
+        self.shard.end(self.orders[0], EndKind.FAILED)
+        self.counter.sample(self.shard.scheduler)
+        self.shard.scheduler.cancel_job("j", revision=2)
+        self.assertEqual(list(self.counter.take(self.shard.scheduler)), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
