Account for lost worth out of logs: trefoilhook account

Which jobs are late or refused could be told from logs, not by what. The account walks each such job back along its critical path and counts every part of its time once; what long-running jobs lacked is summed by cause. A line on a queue that waits tells what its oldest task waits for. Lines that can't be read are counted by reason.

--- /dev/null
+++ b/trefoilhook/account/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the account of lost worth."""
--- a/trefoilhook/burn/__init__.py
+++ b/trefoilhook/burn/__init__.py
@@ -10,7 +10,12 @@
     WindowBurn,
 )
 from trefoilhook.burn.ledger import BurnLedger, is_counted
-from trefoilhook.burn.outcomes import JobOutcome, judge_jobs, report_jobs
+from trefoilhook.burn.outcomes import (
+    JobOutcome,
+    judge_each_job,
+    judge_jobs,
+    report_jobs,
+)
 from trefoilhook.burn.report import FindObjective, build_report
 
 __all__ = [
@@ -26,6 +31,7 @@
     "WindowBurn",
     "build_report",
     "is_counted",
+    "judge_each_job",
     "judge_jobs",
     "report_jobs",
 ]
--- a/trefoilhook/burn/outcomes.py
+++ b/trefoilhook/burn/outcomes.py
@@ -19,7 +19,7 @@
 from trefoilhook.results import ResultCode
 from trefoilhook.story import LogLine
 
-__all__ = ["JobOutcome", "judge_jobs", "report_jobs"]
+__all__ = ["JobOutcome", "judge_each_job", "judge_jobs", "report_jobs"]
 
 _MS_PER_S = 1000.0
 
@@ -152,16 +152,19 @@
     lines : iterable of LogLine
         Logs of all processes, in any order.
     """
+    yield from judge_each_job(lines).values()
+
+
+def judge_each_job(lines: Iterable[LogLine]) -> dict[str, JobOutcome]:
+    """Return what became of each job that says something about the system, by job."""
     jobs: dict[str, _Job] = defaultdict(_Job)
     end_s = 0.0
     for line in sorted(lines, key=lambda line: line.time_s):
         end_s = line.time_s
         if "job" in line.fields:
             jobs[str(line.fields["job"])].take(line)
-    for job in jobs.values():
-        outcome = job.judge(end_s)
-        if outcome is not None:
-            yield outcome
+    outcomes = {job_id: job.judge(end_s) for job_id, job in jobs.items()}
+    return {job_id: found for job_id, found in outcomes.items() if found is not None}
 
 
 def report_jobs(lines: Iterable[LogLine], *, target: float) -> BurnReport:
--- a/trefoilhook/burn/page.py
+++ b/trefoilhook/burn/page.py
@@ -11,14 +11,21 @@
 
 from trefoilhook.burn.core import BurnReport, ServiceBurn
 
-__all__ = ["render_html", "render_text"]
+__all__ = [
+    "STYLE",
+    "build_table",
+    "draw_svg",
+    "pad_columns",
+    "render_html",
+    "render_text",
+]
 
 _MS_PER_S = 1000.0
 _THRESHOLDS = ((1.0, "budget"), (6.0, "page, 6h"), (14.4, "page, 1h"))
 _FIGURE_INCHES = (8.0, 3.6)
 _HASH_SALT = "trefoilhook"
 
-_STYLE = """
+STYLE = """
 body { font: 15px/1.4 sans-serif; margin: 2em auto; max-width: 60em; }
 table { border-collapse: collapse; margin: 1em 0; }
 td, th { padding: .2em .8em; border-bottom: 1px solid #ccc; text-align: right; }
@@ -60,7 +67,8 @@
     )
 
 
-def _pad(rows: Sequence[tuple[str, ...]]) -> Iterator[str]:
+def pad_columns(rows: Sequence[tuple[str, ...]]) -> Iterator[str]:
+    """Yield the lines of a table whose columns are aligned."""
     widths = [max(len(cell) for cell in column) for column in zip(*rows, strict=True)]
     for row in rows:
         cells = (cell.ljust(width) for cell, width in zip(row, widths, strict=True))
@@ -81,7 +89,7 @@
         (row.team, str(row.good), str(row.bad), f"{row.budget_left:.1%}")
         for row in report.teams
     ]
-    return "\n".join((*lines, "", *_pad(services), "", *_pad(teams)))
+    return "\n".join((*lines, "", *pad_columns(services), "", *pad_columns(teams)))
 
 
 def _draw_service(burn: ServiceBurn) -> str:
@@ -89,20 +97,25 @@
     times = [
         datetime.fromtimestamp(point.at_ms / _MS_PER_S, tz=UTC) for point in burn.series
     ]
+    figure = Figure(figsize=_FIGURE_INCHES, layout="constrained")
+    upper, lower = figure.subplots(2, 1, sharex=True)
+    upper.step(times, [point.burn_rate for point in burn.series], where="post")
+    for limit, label in _THRESHOLDS:
+        upper.axhline(limit, linestyle=":", linewidth=0.8, color="#a05a00")
+        upper.annotate(label, (1.0, limit), xycoords=("axes fraction", "data"))
+    upper.set_ylabel("burn rate")
+    lower.step(times, [point.good for point in burn.series], label="good")
+    lower.step(times, [point.bad for point in burn.series], label="bad")
+    lower.set_ylabel("requests/h")
+    lower.legend(loc="upper left")
+    figure.autofmt_xdate()
+    return draw_svg(figure)
+
+
+def draw_svg(figure: Figure) -> str:
+    """Return a figure as SVG, the same for the same figure."""
     with mpl.rc_context({"svg.fonttype": "none", "svg.hashsalt": _HASH_SALT}):
-        figure = Figure(figsize=_FIGURE_INCHES, layout="constrained")
         FigureCanvasSVG(figure)
-        upper, lower = figure.subplots(2, 1, sharex=True)
-        upper.step(times, [point.burn_rate for point in burn.series], where="post")
-        for limit, label in _THRESHOLDS:
-            upper.axhline(limit, linestyle=":", linewidth=0.8, color="#a05a00")
-            upper.annotate(label, (1.0, limit), xycoords=("axes fraction", "data"))
-        upper.set_ylabel("burn rate")
-        lower.step(times, [point.good for point in burn.series], label="good")
-        lower.step(times, [point.bad for point in burn.series], label="bad")
-        lower.set_ylabel("requests/h")
-        lower.legend(loc="upper left")
-        figure.autofmt_xdate()
         buffer = io.StringIO()
         figure.savefig(buffer, format="svg", metadata={"Date": None})
     text = buffer.getvalue()
@@ -114,7 +127,8 @@
     return f"<tr>{inner}</tr>"
 
 
-def _build_table(headers: tuple[str, ...], rows: Sequence[tuple[str, ...]]) -> str:
+def build_table(headers: tuple[str, ...], rows: Sequence[tuple[str, ...]]) -> str:
+    """Return a table as HTML."""
     body = "\n".join(_build_row(row, "td") for row in rows)
     return f"<table>\n{_build_row(headers, 'th')}\n{body}\n</table>"
 
@@ -129,7 +143,7 @@
     return "\n".join(
         (
             f'<h2>{name} <span class="{alert}">{alert}</span></h2>',
-            _build_table(("window", "good", "bad", "burn rate"), windows),
+            build_table(("window", "good", "bad", "burn rate"), windows),
             _draw_service(burn) if burn.series else "",
         )
     )
@@ -145,13 +159,13 @@
     return "\n".join(
         (
             '<!doctype html><html lang="en"><head><meta charset="utf-8">',
-            f"<title>Service-level burn</title><style>{_STYLE}</style></head><body>",
+            f"<title>Service-level burn</title><style>{STYLE}</style></head><body>",
             f"<h1>Service-level burn</h1><p>{_show_time(report.at_ms)}, budget period "
             f"{html.escape(report.period)}</p>",
-            _build_table(_HEADERS, services),
+            build_table(_HEADERS, services),
             *(_build_section(burn) for burn in report.services),
             "<h2>Instances counted</h2>",
-            _build_table(("instance", "started", "counted until"), sources),
+            build_table(("instance", "started", "counted until"), sources),
             "</body></html>\n",
         )
     )
--- a/trefoilhook/command/application.py
+++ b/trefoilhook/command/application.py
@@ -4,6 +4,7 @@
 
 from trefoilhook import __version__
 from trefoilhook.command import cluster, configuration, jobs
+from trefoilhook.command.account import AccountCommand
 from trefoilhook.command.burn import BurnCommand
 from trefoilhook.command.client import Send
 from trefoilhook.command.core import ApiCommand, CommandSpec
@@ -31,4 +32,5 @@
         application.add(ApiCommand(spec=spec, send=send))
     application.add(StoryCommand())
     application.add(BurnCommand())
+    application.add(AccountCommand())
     return application
--- a/trefoilhook/command/logs.py
+++ b/trefoilhook/command/logs.py
@@ -1,6 +1,7 @@
 """Reading of log files that a command was given."""
 
 import sys
+from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
 
@@ -18,12 +19,17 @@
 )
 
 
-def read_logs(names: Sequence[str]) -> list[LogLine]:
-    """Read the lines of all files, or of standard input when none is named."""
+def read_logs(
+    names: Sequence[str], *, unread: Counter[str] | None = None
+) -> list[LogLine]:
+    """Read the lines of all files, or of standard input when none is named.
+
+    Lines that can't be read are counted in ``unread``, by reason.
+    """
     if not names:
-        return list(read_lines(sys.stdin))
+        return list(read_lines(sys.stdin, unread=unread))
     lines: list[LogLine] = []
     for name in names:
         with Path(name).open(encoding="utf-8", errors="replace") as file:
-            lines.extend(read_lines(file))
+            lines.extend(read_lines(file, unread=unread))
     return lines
--- a/trefoilhook/scheduling/backlog.py
+++ b/trefoilhook/scheduling/backlog.py
@@ -10,6 +10,7 @@
 from trefoilhook.scheduling.fleet import Worker
 from trefoilhook.scheduling.placing import is_open
 from trefoilhook.scheduling.ranking import TOO_LATE, judge_lateness
+from trefoilhook.scheduling.tickets import name_step
 
 __all__ = ["Backlog", "measure_backlogs"]
 
@@ -32,6 +33,8 @@
         priority, for as long as there are any.
     oldest_job : str
         The job of theirs that was accepted first.
+    oldest_waits_for : str
+        What its step has waited for longest.
     oldest_cpu, oldest_mb, oldest_label : int, int, str
         What its task asks of a worker, in thousandths of a core and MB.
     workers, open_workers : int
@@ -47,6 +50,7 @@
     fillers: int
     too_late: int
     oldest_job: str
+    oldest_waits_for: str
     oldest_cpu: int
     oldest_mb: int
     oldest_label: str
@@ -87,6 +91,7 @@
             fillers=sum(task.step.filler for task in tasks),
             too_late=sum(judge_lateness(task, wall_ms) == TOO_LATE for task in tasks),
             oldest_job=oldest.job.job.job_id,
+            oldest_waits_for=_explain(scheduler, oldest),
             oldest_cpu=oldest.step.room.cpu,
             oldest_mb=oldest.step.room.memory_mb,
             oldest_label=oldest.step.required_label,
@@ -99,6 +104,11 @@
         )
 
 
+def _explain(scheduler: Scheduler, task: TaskState) -> str:
+    reason = scheduler.waits.find_main(name_step(task.task))
+    return reason.value if reason is not None else ""
+
+
 def _count_free_cpu(worker: Worker) -> int:
     return worker.report.capacity.cpu - worker.cpu
 
--- a/trefoilhook/story/core.py
+++ b/trefoilhook/story/core.py
@@ -7,6 +7,7 @@
 """
 
 import json
+from collections import Counter
 from collections.abc import Iterable, Iterator, Sequence
 from typing import Any
 
@@ -81,11 +82,23 @@
         )
 
 
-def read_lines(source: Iterable[str]) -> Iterator[LogLine]:
-    """Read log lines, without what stands before the first brace; skip all others."""
+def read_lines(
+    source: Iterable[str], *, unread: Counter[str] | None = None
+) -> Iterator[LogLine]:
+    """Read log lines, without what stands before the first brace; skip all others.
+
+    Parameters
+    ----------
+    source : iterable of str
+        Lines of text.
+    unread : Counter of str, optional
+        Where the lines that are skipped are counted, by reason.
+    """
+    skipped: Counter[str] = Counter() if unread is None else unread
     for text in source:
         begin = text.find("{")
         if begin < 0:
+            skipped["without an object"] += bool(text.strip())
             continue
         try:
             value = json.loads(text[begin:])
@@ -95,8 +108,10 @@
                 event=str(value["event_name"]),
                 fields={k: v for k, v in value.items() if k not in _HIDDEN},
             )
+        except (json.JSONDecodeError, RecursionError):
+            skipped["cut or not JSON"] += 1
         except (ValueError, KeyError, TypeError):
-            continue
+            skipped["without time, instance or event"] += 1
 
 
 def select_story(lines: Iterable[LogLine], wanted: str) -> list[LogLine]:
