Forget a worker that left in the roster as soon as its leases are over

The roster is written anew when the list of workers changes; that a worker's leases are over changes nothing in the list, so its name stayed until something else did. Ruled out: a worker that really might run tasks (its entry had gone before, and its leases were over). Test: test_roster_forgets_a_worker_that_left failed before (10 s).

--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -371,6 +371,9 @@
             worker_feed.take_unnamed()
         for lapse in release_lapsed(scheduler, now_ms):
             log_lapse(lapse)
+        if self._settled and len(scheduler.workers) < len(self._roster.workers):
+            # A worker is gone. No change of the list tells so, only its leases did.
+            self._roster.wake()
         self._tell_losses()
         if not self._settled and is_settled(scheduler, self._earlier_roster, now_ms):
             self._settled = True
--- a/trefoilhook/runtime/tests/test_process.py
+++ b/trefoilhook/runtime/tests/test_process.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from trefoilhook.runtime import keys
 from trefoilhook.runtime.tests.cluster import (
     PREFIX,
     Cluster,
@@ -343,6 +344,24 @@
 
         run_cluster(scenario, task_ms=500.0)
 
+    def test_roster_forgets_a_worker_that_left(self):
+        # Guards against a takeover that waits out the longest lease for a worker which
+        # had left long before: nothing else changed in the list after it.
+        async def scenario(cluster: Cluster) -> None:
+            roster = keys.roster_key(keys.SHARD)
+
+            def read_roster() -> list[str]:
+                return cluster.store.read(roster) or []
+
+            await cluster.wait_for_owner()
+            await cluster.wait_until(lambda: len(read_roster()) == 2)
+            cluster.workers["w1"].fault = WorkerFault.SILENT
+            cluster.store.remove("servers/w1")
+            with trio.fail_after(10.0):
+                await cluster.wait_until(lambda: read_roster() == ["w0"])
+
+        run_cluster(scenario, instances=1)
+
     def test_silent_worker_is_known_to_the_owner_after_the_next(self):
         # A worker with a task that is done is silent over two takeovers in a row. The
         # first new owner wrote a roster of the workers that it had heard; the second
