Lengthen the pauses of a suspect without proof, fourfold each time

A task under which workers fall silent as whole machines can't be told from one behind cuts, and is never given up. Its pauses doubled, so that a sixth start could come after 50 s; now it takes over a minute and a half.

--- a/trefoilhook/scheduling/crashes.py
+++ b/trefoilhook/scheduling/crashes.py
@@ -50,9 +50,11 @@
 """Time until the loss of a recorded attempt of which that isn't known, in ms."""
 
 _PAUSE_MS = 1000.0
+_PAUSE_GROWTH = 4.0
 _LONGEST_PAUSE_MS = 60_000.0
 """Pause before a strongly suspected task is started again if its last worker was lost
-without proof of a crash, in ms; it doubles with each such loss."""
+without proof of a crash, in ms; it grows by this factor with each such loss. A machine
+that falls silent as a whole looks like one behind a cut: its task is never given up."""
 
 _DOUBTFUL = frozenset({LossCause.CUT_OFF, LossCause.LIST_STALE, LossCause.STILL_LISTED})
 
@@ -189,7 +191,7 @@
     if given_up:
         scheduler.fail_job(state)
     elif not proved and suspicion.odds >= STRONG_ODDS:
-        pause_ms = _PAUSE_MS * 2.0 ** (suspicion.doubts - 1)
+        pause_ms = _PAUSE_MS * _PAUSE_GROWTH ** (suspicion.doubts - 1)
         case.task.held_until_ms = now_ms + min(_LONGEST_PAUSE_MS, pause_ms)
     suspect = Suspect(
         task=case.task.task,
