--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -398,10 +398,10 @@
 
     def _tell_losses(self) -> None:
         """Log the workers that were lost since the last plan."""
-        for loss in self._scheduler.losses:
+        for loss in self._scheduler.suspects.losses:
             self._figures.count("losses", loss.cause.value)
             log_loss(loss)
-        self._scheduler.losses.clear()
+        self._scheduler.suspects.losses.clear()
 
     async def _carry_out(self, order: Order) -> None:
         turn: contextlib.AbstractAsyncContextManager[None] = contextlib.nullcontext()
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -7,12 +7,13 @@
 import attrs
 
 from trefoilhook.scheduling.book import JobState, TaskState
+from trefoilhook.scheduling.entries import EntriesAge
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.interference import Interference
-from trefoilhook.scheduling.messages import EndKind, StopReason, WorkerLoss
+from trefoilhook.scheduling.messages import EndKind, StopReason
 from trefoilhook.scheduling.models import Configuration, TaskId, WorkerReport
 from trefoilhook.scheduling.records import JobPhase, JobRecord, Progress
-from trefoilhook.scheduling.suspicion import CrashRate, Suspicion, compute_survival
+from trefoilhook.scheduling.suspects import SuspectBook
 from trefoilhook.scheduling.tickets import TicketBook
 from trefoilhook.scheduling.waits import WaitBook
 
@@ -23,14 +24,6 @@
 owner begins at its epoch times this: above whatever an earlier one has used. A task
 that fails once a second would take eleven days to use them up."""
 
-_STALE_MS = 3500.0
-"""Nothing is started by a list of workers that was read longer ago, in ms: a worker's
-capacity may have shrunk, which the platform gives a scheduler 4.5 s to notice. A watch
-is answered each second, and one that fails is made anew within 2.2 s."""
-
-_MOST_LOST = 1000
-"""Lost workers that are remembered in case they come back."""
-
 
 @attrs.frozen(kw_only=True)
 class SchedulerLimits:
@@ -60,35 +53,6 @@
     entry_life_ms: float = 4500.0
 
 
-@attrs.define(kw_only=True)
-class EntriesAge:
-    """How well the entries of workers in the store are known.
-
-    Parameters
-    ----------
-    read_ms : float
-        When they were last read, in ms.
-    steady_since_ms : float
-        Since when no read of them has failed, in ms.
-    """
-
-    read_ms: float = float("-inf")
-    steady_since_ms: float = float("inf")
-
-    def is_stale(self, now_ms: float) -> bool:
-        """Tell whether too much may have changed since the last read."""
-        return now_ms - self.read_ms > _STALE_MS
-
-    def note_read(self, now_ms: float) -> None:
-        """Note that every change up to now is known."""
-        self.read_ms = now_ms
-        self.steady_since_ms = min(self.steady_since_ms, now_ms)
-
-    def note_failure(self) -> None:
-        """Note that a read failed."""
-        self.steady_since_ms = float("inf")
-
-
 class Scheduler:
     """The state of one shard under one owner.
 
@@ -126,16 +90,8 @@
         Why steps have waited, and for how long.
     entries : EntriesAge
         How well the entries of workers in the store are known.
-    losses : list of WorkerLoss
-        Workers lost since somebody last took them from here.
-    crash_rate : CrashRate
-        Rate of the crashes for which no task is to blame.
-    suspected : set of JobState
-        Open jobs with tasks that are suspected to crash their workers.
-    recorded : list of TaskState
-        Tasks with an attempt that an earlier owner recorded, until that is judged.
-    drained : set of str
-        Workers that are gone and had announced it, while attempts are recorded.
+    suspects : SuspectBook
+        Tasks that are suspected to crash their workers.
     """
 
     def __init__(
@@ -156,12 +112,7 @@
         self.idle_since_ms: dict[str, float] = {}
         self.waits = WaitBook()
         self.entries = EntriesAge()
-        self.losses: list[WorkerLoss] = []
-        self.crash_rate = CrashRate()
-        self.suspected: set[JobState] = set()
-        self.recorded: list[TaskState] = []
-        self.drained: set[str] = set()
-        self._lost_under: dict[str, list[TaskState]] = {}
+        self.suspects = SuspectBook(touch=self._touch)
         self._timed: set[JobState] = set()
 
     # What clients and operators did.
@@ -213,7 +164,7 @@
             state.due_ms += state.queue.objective_ms
         if job.repeats:
             self._timed.add(state)
-        self._take_suspicions(state)
+        self.suspects.take_recorded(state)
         self._check_end(state)
         self.open_steps(state, wall_ms)
 
@@ -250,7 +201,7 @@
     def _close(self, state: JobState, phase: JobPhase) -> None:
         state.phase = phase
         self._timed.discard(state)
-        self.suspected.discard(state)
+        self.suspects.jobs.discard(state)
         self.tickets.forget(state.job.job_id)
         for task in state.tasks.values():
             self.waiting.discard(task)
@@ -324,8 +275,8 @@
         worker = self.workers.pop(worker_id, None)
         if worker is None:
             return
-        if worker.report.draining and self.recorded:
-            self.drained.add(worker_id)
+        if worker.report.draining and self.suspects.recorded:
+            self.suspects.drained.add(worker_id)
         self._release_all(worker)
 
     def _release_all(self, worker: Worker) -> None:
@@ -342,7 +293,7 @@
         if task is None:
             return
         task.detach(run)
-        self._take_survival(task, run, kind)
+        self.suspects.take_survival(task, run, kind)
         if kind is EndKind.FAILED:
             task.failed_on.add(worker.report.worker_id)
         self.take_effect(task, run.attempt, kind, checkpoint)
@@ -378,8 +329,7 @@
         state.progress.failed.pop(task.key, None)
         state.progress.checkpoints.pop(task.key, None)
         self._touch(state)
-        if state.progress.suspicions.pop(task.unit, None) is not None:
-            self._note_cleared(state)
+        self.suspects.forget(task)
         members = [task]
         if task.step.gang:
             members = [
@@ -410,73 +360,6 @@
         self._touch(state)
         self._close(state, JobPhase.FAILED)
 
-    # Suspicions that tasks crash their workers.
-
-    def suspect(self, task: TaskState) -> Suspicion:
-        """Return what speaks against a task, for a change that is to be written."""
-        self.suspected.add(task.job)
-        self._touch(task.job)
-        return task.job.progress.suspicions.setdefault(task.unit, Suspicion())
-
-    def clear_blank(self, task: TaskState) -> None:
-        """Forget a suspicion of which nothing is left."""
-        suspicions = task.job.progress.suspicions
-        suspicion = suspicions.get(task.unit)
-        if suspicion is None or not suspicion.is_blank:
-            return
-        del suspicions[task.unit]
-        self._touch(task.job)
-        self._note_cleared(task.job)
-
-    def _note_cleared(self, state: JobState) -> None:
-        if not state.progress.suspicions:
-            self.suspected.discard(state)
-
-    def note_lost_under(self, worker_id: str, task: TaskState) -> None:
-        """Note that a worker counts as lost under a task, should it come back."""
-        self._lost_under.setdefault(worker_id, []).append(task)
-        if len(self._lost_under) > _MOST_LOST:
-            del self._lost_under[next(iter(self._lost_under))]
-
-    def _take_suspicions(self, state: JobState) -> None:
-        """Take in what earlier owners found out about a job's tasks."""
-        for (occurrence, step, index), suspicion in state.progress.suspicions.items():
-            task = state.find_task(TaskId(state.job.job_id, occurrence, step, index))
-            if task is None:
-                continue
-            self.suspected.add(state)
-            if suspicion.attempt:
-                task.last_attempt = max(task.last_attempt, suspicion.attempt)
-                self.recorded.append(task)
-            for note in suspicion.notes.values():
-                self.note_lost_under(note.worker_id, task)
-
-    def retract_losses(self, worker_id: str) -> None:
-        """Take back what a worker counted for that answers, and so was never lost."""
-        for task in self._lost_under.pop(worker_id, ()):
-            suspicion = task.suspicion
-            if suspicion is None or not task.job.is_open:
-                continue
-            for attempt, note in list(suspicion.notes.items()):
-                if note.worker_id == worker_id:
-                    del suspicion.notes[attempt]
-            task.held_until_ms = 0.0
-            self._touch(task.job)
-            self.clear_blank(task)
-
-    def _take_survival(self, task: TaskState, run: Run, kind: EndKind) -> None:
-        """Take in that a run has ended without a crash of its worker."""
-        suspicion = task.suspicion
-        if suspicion is None or not task.job.is_open:
-            return
-        if kind in (EndKind.DONE, EndKind.FAILED, EndKind.STOPPED):
-            suspicion.survive(compute_survival(run.proved_ms))
-        # The end of one member of a gang doesn't tell how its other workers fare.
-        if not task.step.gang and suspicion.attempt == run.attempt:
-            suspicion.settle()
-            self._touch(task.job)
-        self.clear_blank(task)
-
     def mark_started(self, state: JobState) -> None:
         """Note that the first task of a job is started."""
         self._touch(state)
--- a/trefoilhook/scheduling/crashes.py
+++ b/trefoilhook/scheduling/crashes.py
@@ -24,11 +24,12 @@
 )
 
 __all__ = [
-    "retract_exposed",
+    "SuspectUnit",
     "attribute_loss",
+    "blame",
+    "find_cause",
     "lose_worker",
-    "note_exposed",
-    "resolve_recorded",
+    "sort_runs",
 ]
 
 _STEADY_MS = 3000.0
@@ -36,19 +37,13 @@
 that is missing proves anything, in ms: after an outage of the store entries are back
 within two seconds."""
 
+_NOTICE_SHARE = 0.75
+"""Share of the notice before a planned stop within which the list of workers must have
+been read to rule one out: a watch is answered each second, half of the notice."""
+
 _ENTRY_SLACK_MS = 1000.0
 """Added to the time for which the entry of a dead worker stays, in ms."""
 
-_EXPOSED_MS = 10_000.0
-"""A run that has gone on for longer isn't noted when its worker's process ends, in ms;
-it is weighed all the same once the loss is judged by the same owner."""
-
-_MOST_EXPOSED = 16
-"""Runs of one worker that are noted, the latest started: the likeliest causes."""
-
-_UNKNOWN_RAN_MS = 1000.0
-"""Time until the loss of a recorded attempt of which that isn't known, in ms."""
-
 _PAUSE_MS = 1000.0
 _PAUSE_GROWTH = 4.0
 _LONGEST_PAUSE_MS = 60_000.0
@@ -60,7 +55,7 @@
 
 
 @attrs.define(kw_only=True, eq=False)
-class _SuspectUnit:
+class SuspectUnit:
     """A unit that had runs on a lost worker."""
 
     task: TaskState
@@ -82,11 +77,11 @@
     cause = find_cause(scheduler, worker, now_ms)
     suspects: tuple[Suspect, ...] = ()
     if cause is LossCause.CRASHED or cause in _DOUBTFUL:
-        cases, others = _sort_runs(scheduler, worker, runs, now_ms)
-        suspects = _blame(
+        cases, others = sort_runs(scheduler, worker, runs, now_ms)
+        suspects = blame(
             scheduler, worker.report.worker_id, cases, others, cause, now_ms
         )
-    scheduler.losses.append(
+    scheduler.suspects.losses.append(
         WorkerLoss(
             worker_id=worker.report.worker_id,
             cause=cause,
@@ -110,7 +105,7 @@
             return LossCause.LEASES_OVER
         return LossCause.CUT_OFF
     # A stop is announced in the store a while before it.
-    if scheduler.entries.read_ms < began_ms - limits.drain_notice_ms / 2.0:
+    if scheduler.entries.read_ms < began_ms - _NOTICE_SHARE * limits.drain_notice_ms:
         return LossCause.LIST_STALE
     if not worker.listed and now_ms - scheduler.entries.steady_since_ms < _STEADY_MS:
         return LossCause.LIST_STALE
@@ -121,11 +116,11 @@
     return LossCause.CRASHED
 
 
-def _sort_runs(
+def sort_runs(
     scheduler: Scheduler, worker: Worker, runs: Iterable[Run], now_ms: float
-) -> tuple[list[_SuspectUnit], list[Exposure]]:
+) -> tuple[list[SuspectUnit], list[Exposure]]:
     """Return the units that had runs on a worker, and the runs that can't be blamed."""
-    cases: dict[tuple[str, tuple[int, int, int]], _SuspectUnit] = {}
+    cases: dict[tuple[str, tuple[int, int, int]], SuspectUnit] = {}
     others: list[Exposure] = []
     for run in runs:
         state = scheduler.jobs.get(run.task.job_id)
@@ -137,14 +132,14 @@
         key = (run.task.job_id, task.unit)
         known = cases.get(key)
         if known is None or ran_ms < known.ran_ms:
-            cases[key] = _SuspectUnit(task=task, attempt=run.attempt, ran_ms=ran_ms)
+            cases[key] = SuspectUnit(task=task, attempt=run.attempt, ran_ms=ran_ms)
     return list(cases.values()), others
 
 
-def _blame(
+def blame(
     scheduler: Scheduler,
     worker_id: str,
-    cases: list[_SuspectUnit],
+    cases: list[SuspectUnit],
     others: list[Exposure],
     cause: LossCause,
     now_ms: float,
@@ -154,7 +149,7 @@
         Exposure(odds=_read_odds(case.task.suspicion), ran_ms=case.ran_ms)
         for case in cases
     ]
-    rate = scheduler.crash_rate
+    rate = scheduler.suspects.crash_rate
     rate.advance(len(scheduler.workers), now_ms)
     ratios, unexplained = weigh_crash([*exposures, *others], rate.read())
     if cause is LossCause.CRASHED:
@@ -173,7 +168,7 @@
 def _take_loss(
     scheduler: Scheduler,
     worker_id: str,
-    case: _SuspectUnit,
+    case: SuspectUnit,
     ratio: float,
     cause: LossCause,
     now_ms: float,
@@ -182,11 +177,11 @@
     proved = cause is LossCause.CRASHED
     # Else nothing is written: the task only ran beside one that explains the loss.
     is_suspect = case.task.suspicion is not None or ratio >= LEAST_RATIO
-    suspicion = scheduler.suspect(case.task) if is_suspect else Suspicion()
+    suspicion = scheduler.suspects.suspect(case.task) if is_suspect else Suspicion()
     if is_suspect and case.attempt not in suspicion.notes:
         suspicion.take_loss(case.attempt, worker_id, ratio, proved=proved)
         suspicion.settle()
-        scheduler.note_lost_under(worker_id, case.task)
+        scheduler.suspects.note_lost_under(worker_id, case.task)
     given_up = proved and suspicion.is_crash_loop()
     if given_up:
         scheduler.fail_job(state)
@@ -202,96 +197,5 @@
         crashes=suspicion.crashes,
         given_up=given_up,
     )
-    scheduler.clear_blank(case.task)
+    scheduler.suspects.clear_blank(case.task)
     return suspect
-
-
-def note_exposed(scheduler: Scheduler, worker: Worker, now_ms: float) -> None:
-    """Note which runs may have ended a worker's process, as soon as that shows.
-
-    Guards against a crash that is forgotten because its owner is lost before the
-    worker's end is proved, which takes some seconds: the next owner finds the note.
-    """
-    silence = worker.silence
-    if silence is None or silence.is_noted or not silence.was_refused:
-        return
-    silence.is_noted = True
-    if find_cause(scheduler, worker, now_ms) is not LossCause.CRASHED:
-        return
-    runs = [run for run in worker.runs.values() if run.may_have_run]
-    cases, _ = _sort_runs(scheduler, worker, runs, now_ms)
-    cases.sort(key=lambda case: case.ran_ms)
-    for case in cases[:_MOST_EXPOSED]:
-        if case.ran_ms > _EXPOSED_MS:
-            break
-        suspicion = scheduler.suspect(case.task)
-        suspicion.place(case.attempt, worker.report.worker_id)
-        suspicion.ran_ms = case.ran_ms
-
-
-def retract_exposed(scheduler: Scheduler, worker: Worker) -> None:
-    """Take the note back, as the worker answers: its process never ended."""
-    for run in worker.runs.values():
-        state = scheduler.jobs.get(run.task.job_id)
-        task = state.find_task(run.task) if state is not None else None
-        suspicion = task.suspicion if task is not None else None
-        if task is None or suspicion is None or suspicion.attempt != run.attempt:
-            continue
-        suspicion.ran_ms = None
-        if not suspicion.notes:
-            suspicion.settle()
-        scheduler.clear_blank(task)
-
-
-def resolve_recorded(scheduler: Scheduler, now_ms: float) -> None:
-    """Judge the attempts that an earlier owner recorded and that run nowhere now.
-
-    Called once every worker that may run them has told what it knows, or is gone.
-    """
-    by_worker: dict[str, list[tuple[_SuspectUnit, bool]]] = {}
-    unheard: list[TaskState] = []
-    for task in scheduler.recorded:
-        suspicion = task.suspicion
-        if suspicion is None or not suspicion.attempt or not task.job.is_open:
-            continue
-        if task.done or task.attempts:
-            continue
-        workers = [scheduler.workers.get(name) for name in suspicion.workers]
-        if any(worker is not None and not worker.is_known for worker in workers):
-            unheard.append(task)
-            continue
-        gone = [name for name in suspicion.workers if name not in scheduler.workers]
-        if not gone:
-            suspicion.settle()
-            scheduler.clear_blank(task)
-            continue
-        is_exposed = suspicion.ran_ms is not None
-        ran_ms = suspicion.ran_ms if suspicion.ran_ms is not None else _UNKNOWN_RAN_MS
-        case = _SuspectUnit(task=task, attempt=suspicion.attempt, ran_ms=ran_ms)
-        by_worker.setdefault(gone[0], []).append((case, is_exposed))
-    scheduler.recorded = unheard
-    for worker_id, rows in by_worker.items():
-        _attribute_recorded(scheduler, worker_id, rows, now_ms)
-
-
-def _attribute_recorded(
-    scheduler: Scheduler,
-    worker_id: str,
-    rows: list[tuple[_SuspectUnit, bool]],
-    now_ms: float,
-) -> None:
-    cases = [case for case, _ in rows]
-    is_exposed = any(exposed for _, exposed in rows)
-    cause = LossCause.CRASHED if is_exposed else LossCause.CUT_OFF
-    if worker_id in scheduler.drained:
-        cause = LossCause.DRAINED
-    suspects: tuple[Suspect, ...] = ()
-    if cause is LossCause.DRAINED:
-        for case in cases:
-            scheduler.suspect(case.task).settle()
-            scheduler.clear_blank(case.task)
-    else:
-        suspects = _blame(scheduler, worker_id, cases, [], cause, now_ms)
-    scheduler.losses.append(
-        WorkerLoss(worker_id=worker_id, cause=cause, runs=len(cases), suspects=suspects)
-    )
--- a/trefoilhook/scheduling/isolation.py
+++ b/trefoilhook/scheduling/isolation.py
@@ -68,7 +68,7 @@
     if state is None or task is None or task.suspicion is None:
         return True
     if run.recorded_version is None:
-        scheduler.suspect(task).place(run.attempt, worker.report.worker_id)
+        scheduler.suspects.suspect(task).place(run.attempt, worker.report.worker_id)
         run.recorded_version = state.version
     return state.saved_version >= run.recorded_version
 
@@ -110,7 +110,7 @@
             worker.is_reserved = False
         most = max(1, int(_LARGEST_SHARE * len(scheduler.workers)))
         found = cls(most=most)
-        for state in scheduler.suspected:
+        for state in scheduler.suspects.jobs:
             for unit in state.progress.suspicions:
                 for task in state.list_unit(unit):
                     for attempt in task.attempts:
--- a/trefoilhook/scheduling/looks.py
+++ b/trefoilhook/scheduling/looks.py
@@ -2,7 +2,7 @@
 
 from trefoilhook.scheduling.book import Attempt
 from trefoilhook.scheduling.core import Scheduler
-from trefoilhook.scheduling.crashes import retract_exposed
+from trefoilhook.scheduling.crash_records import retract_exposed
 from trefoilhook.scheduling.crowds import learn_crowd
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.messages import End, EndKind, Look, Running
@@ -66,7 +66,7 @@
     """Take in that a worker answers, whatever it lists."""
     worker.read_clock(look, now_ms)
     if not worker.fenced:
-        scheduler.retract_losses(worker.report.worker_id)
+        scheduler.suspects.retract_losses(worker.report.worker_id)
         # An earlier owner may have given what runs here a whole lease just now: taken
         # for one without any lease, it would count as lapsed and start again at once.
         earlier_ms = look.clock_ms + scheduler.limits.task_lease_ms
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -4,7 +4,7 @@
 
 from trefoilhook.scheduling.assignment import assign_waiting
 from trefoilhook.scheduling.core import Scheduler
-from trefoilhook.scheduling.crashes import note_exposed, resolve_recorded
+from trefoilhook.scheduling.crash_records import note_exposed, resolve_recorded
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.isolation import is_recorded
 from trefoilhook.scheduling.messages import (
@@ -75,12 +75,14 @@
         The time, in ms.
     """
     scheduler.open_due_steps(wall_ms)
-    scheduler.crash_rate.advance(len(scheduler.workers), now_ms)
+    scheduler.suspects.crash_rate.advance(len(scheduler.workers), now_ms)
     for worker in scheduler.workers.values():
         if worker.is_news:
             stop_misplaced(scheduler, worker, now_ms)
         note_exposed(scheduler, worker, now_ms)
-    if scheduler.recorded and (settled or now_ms >= scheduler.limits.settled_at_ms):
+    if scheduler.suspects.recorded and (
+        settled or now_ms >= scheduler.limits.settled_at_ms
+    ):
         resolve_recorded(scheduler, now_ms)
     if not scheduler.entries.is_stale(now_ms):
         assign_waiting(scheduler, settled=settled, now_ms=now_ms, wall_ms=wall_ms)
--- a/trefoilhook/scheduling/tests/test_crashes.py
+++ b/trefoilhook/scheduling/tests/test_crashes.py
@@ -58,7 +58,7 @@
 
 def read_loss(shard: Shard):
     """Return the last loss that was judged."""
-    return shard.scheduler.losses[-1]
+    return shard.scheduler.suspects.losses[-1]
 
 
 def find_suspicion(shard: Shard, job_id: str = "j") -> Suspicion | None:
@@ -221,6 +221,16 @@
         self.lose(shard, worker_id)
         self.check(shard, LossCause.LIST_STALE)
 
+    def test_list_read_a_second_ago_rules_a_planned_stop_out(self):
+        # Guards against a crash that isn't counted because the watch of a quiet list is
+        # answered only each second.
+        shard, worker_id = self.start()
+        shard.scheduler.entries.note_read(shard.now_ms)
+        shard.pass_time(1100.0)
+        shard.look(worker_id)
+        self.lose(shard, worker_id)
+        self.check(shard, LossCause.CRASHED)
+
     def lapse_unlisted(self, shard: Shard, worker_id: str) -> None:
         """Have a worker's entry go and its leases lapse."""
         shard.silence(worker_id, LOST)
@@ -273,7 +283,7 @@
         (order,) = shard.plan()
         shard.answer(order, OrderOutcome.CONNECTION_REFUSED)
         self.lose(shard, order.worker_id)
-        self.assertEqual(shard.scheduler.losses, [])
+        self.assertEqual(shard.scheduler.suspects.losses, [])
 
     def test_start_refused_by_the_next_life_is_no_suspect(self):
         # A late order reaches a life for which it wasn't meant: it starts nothing.
@@ -282,7 +292,7 @@
         shard.submit(build_job())
         (order,) = shard.plan()
         shard.answer(order, OrderOutcome.OTHER_LIFE)
-        self.assertEqual(shard.scheduler.losses, [])
+        self.assertEqual(shard.scheduler.suspects.losses, [])
 
     def test_unanswered_start_is_a_suspect(self):
         # The worker's process ended before it could answer; or it carries the start out
@@ -482,7 +492,7 @@
         """Have a crash count against the first task of a job."""
         state = shard.scheduler.jobs[job_id]
         task = state.find_task(TaskId(job_id, 0, 0, 0))
-        shard.scheduler.suspect(task).take_loss(1, "gone", ratio, proved=True)
+        shard.scheduler.suspects.suspect(task).take_loss(1, "gone", ratio, proved=True)
         shard.save()
 
     def test_suspect_goes_beside_batch_work_rather_than_a_service(self):
@@ -707,7 +717,7 @@
             shard.look("w0")
         shard.submit(build_job(job_id="c"))
         shard.step()
-        suspicion = shard.scheduler.suspect(
+        suspicion = shard.scheduler.suspects.suspect(
             shard.scheduler.jobs["c"].tasks.popitem()[1]
         )
         suspicion.take_loss(1, "w9", 5000.0, proved=True)
@@ -797,7 +807,7 @@
         order = start_saved(shard)
         shard.end(order, EndKind.DONE)
         self.assertEqual(shard.scheduler.jobs["j"].progress.suspicions, {})
-        self.assertEqual(shard.scheduler.suspected, set())
+        self.assertEqual(shard.scheduler.suspects.jobs, set())
 
 
 if __name__ == "__main__":
--- a/trefoilhook/scheduling/tests/test_waits.py
+++ b/trefoilhook/scheduling/tests/test_waits.py
@@ -53,7 +53,7 @@
         shard.submit(build_job())
         state = shard.scheduler.jobs["j"]
         task = state.find_task(next(iter(shard.scheduler.waiting)).task)
-        shard.scheduler.suspect(task).take_loss(1, "w", 5000.0, proved=True)
+        shard.scheduler.suspects.suspect(task).take_loss(1, "w", 5000.0, proved=True)
         task.held_until_ms = shard.now_ms + 10_000.0
         self.assertIs(self.wait(shard), WaitReason.APART)
 
