Count a start's time from when it leaves, and suspect none that hasn't left

Starts wait for their turn behind 64 others. One that waited while its worker crashed was blamed as one that had just been started there, and one that had waited 0.9 s seemed to have run for as long. Tests: test_start_that_waits_to_be_sent_is_no_suspect, test_time_before_a_start_is_sent_does_not_count; each fails with its part taken out.

--- a/trefoilhook/runtime/orders.py
+++ b/trefoilhook/runtime/orders.py
@@ -13,7 +13,7 @@
     Scheduler,
     StartOrder,
     StopOrder,
-    is_start_due,
+    begin_start,
     take_start_outcome,
     take_stop_outcome,
 )
@@ -48,7 +48,10 @@
         Where it is counted.
     """
     outcome = OrderOutcome.WITHDRAWN
-    if not isinstance(order, StartOrder) or is_start_due(scheduler, order):
+    is_due = not isinstance(order, StartOrder) or begin_start(
+        scheduler, order, clock.monotonic_ms()
+    )
+    if is_due:
         outcome = await _send(order, client)
     figures.count("orders", f"{_name(order)} {outcome.value}")
     if isinstance(order, PaceOrder):
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -49,8 +49,8 @@
 )
 from trefoilhook.scheduling.outcomes import take_start_outcome, take_stop_outcome
 from trefoilhook.scheduling.planning import (
+    begin_start,
     is_settled,
-    is_start_due,
     list_unheard,
     plan_orders,
 )
@@ -109,6 +109,7 @@
     "WorkerLoss",
     "WorkerReport",
     "acknowledge",
+    "begin_start",
     "choose_advised",
     "collect_changes",
     "confirm_change",
@@ -120,7 +121,6 @@
     "encode_progress",
     "extend_lease",
     "is_settled",
-    "is_start_due",
     "list_unheard",
     "lose_worker",
     "measure_backlogs",
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -97,7 +97,9 @@
         Version of its job with the place where it is ordered, which has to be in the
         store before the order goes; None until it is known whether that is needed.
     in_flight : bool
-        Whether an order for it is under way.
+        Whether an order for it is under way, or waits for its turn to be sent.
+    has_left : bool
+        Whether that order has been sent.
     ambiguous : bool
         Whether a start went without an answer: a copy may still be carried out.
     """
@@ -128,6 +130,7 @@
     pace_since_ms: float = attrs.field()
     recorded_version: int | None = None
     in_flight: bool = False
+    has_left: bool = False
     ambiguous: bool = False
     checkpoint_used: str = ""
     deadline_ms: float = 0.0
@@ -154,7 +157,7 @@
     @property
     def may_have_run(self) -> bool:
         """Whether its start may have been carried out."""
-        is_under_way = self.in_flight and self.phase is RunPhase.STARTING
+        is_under_way = self.in_flight and self.has_left
         return self.seen or self.ambiguous or is_under_way
 
     @property
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -19,7 +19,7 @@
 from trefoilhook.scheduling.tickets import name_step
 from trefoilhook.scheduling.watchdog import stop_misplaced
 
-__all__ = ["is_settled", "is_start_due", "plan_orders"]
+__all__ = ["begin_start", "is_settled", "plan_orders"]
 
 _NOTHING = Demand()
 
@@ -109,17 +109,22 @@
     return worker.usable and worker.has_room(_NOTHING)
 
 
-def is_start_due(scheduler: Scheduler, order: StartOrder) -> bool:
-    """Tell whether an order that waited to be sent should still be carried out.
+def begin_start(scheduler: Scheduler, order: StartOrder, now_ms: float) -> bool:
+    """Tell whether an order that waited to be sent is still due, and note that it goes.
 
     It waits behind others when there are many, while its worker may shrink or be
-    barred, and its job be cancelled.
+    barred, and its job be cancelled. Until it goes its task can't have run.
     """
     worker = scheduler.workers.get(order.worker_id)
     run = worker.runs.get((order.task, order.attempt)) if worker is not None else None
     if worker is None or run is None or run.phase is not RunPhase.STARTING:
         return False
-    return _may_still_start(worker)
+    if not _may_still_start(worker):
+        return False
+    if not run.ambiguous:
+        run.started_ms = run.seen_ms = now_ms
+    run.has_left = True
+    return True
 
 
 def _repeat_order(
@@ -143,6 +148,7 @@
     if run.phase is RunPhase.STARTING and not is_recorded(scheduler, worker, run):
         return None
     run.in_flight = True
+    run.has_left = False
     if run.phase is RunPhase.STOPPING:
         return StopOrder(
             worker_id=worker.report.worker_id,
--- a/trefoilhook/scheduling/tests/test_capacity.py
+++ b/trefoilhook/scheduling/tests/test_capacity.py
@@ -11,7 +11,7 @@
     Step,
     StopOrder,
     StopReason,
-    is_start_due,
+    begin_start,
 )
 from trefoilhook.scheduling.tests.cases import SMALL, Shard, build_job, list_starts
 
@@ -64,7 +64,7 @@
         shard.submit(build_job())
         (order,) = shard.plan()
         resize(shard, "w0", cpu=500)
-        self.assertFalse(is_start_due(shard.scheduler, order))
+        self.assertFalse(begin_start(shard.scheduler, order, shard.now_ms))
         shard.answer(order, OrderOutcome.WITHDRAWN)
         shard.add_worker("w1")
         self.assertEqual(shard.start_one().worker_id, "w1")
@@ -79,13 +79,13 @@
         resize(shard, "w0", cpu=2500)
         sent = 0
         for order in orders:
-            if is_start_due(shard.scheduler, order):
+            if begin_start(shard.scheduler, order, shard.now_ms):
                 sent += 1
             else:
                 shard.answer(order, OrderOutcome.WITHDRAWN)
         self.assertEqual(sent, 2)
         shard.scheduler.cancel_job("j", revision=2)
-        due = [is_start_due(shard.scheduler, order) for order in orders]
+        due = [begin_start(shard.scheduler, order, shard.now_ms) for order in orders]
         self.assertEqual(due, [False] * 4)
 
     def test_only_what_is_too_much_is_withdrawn(self):
--- a/trefoilhook/scheduling/tests/test_crashes.py
+++ b/trefoilhook/scheduling/tests/test_crashes.py
@@ -13,6 +13,7 @@
     Step,
     TaskId,
     WorkerReport,
+    begin_start,
     decode_progress,
     encode_progress,
     lose_worker,
@@ -285,6 +286,32 @@
         self.lose(shard, order.worker_id)
         self.assertEqual(shard.scheduler.suspects.losses, [])
 
+    def test_start_that_waits_to_be_sent_is_no_suspect(self):
+        # Guards against the blame of tasks whose starts wait behind many others while
+        # their worker crashes.
+        shard = Shard(workers=1)
+        shard.scheduler.entries.note_read(shard.now_ms)
+        shard.submit(build_job(attrs.evolve(SMALL, count=2)))
+        first, _ = shard.plan()
+        self.assertTrue(begin_start(shard.scheduler, first, shard.now_ms))
+        self.lose(shard, first.worker_id)
+        (suspect,) = read_loss(shard).suspects
+        self.assertEqual(suspect.task, first.task)
+
+    def test_time_before_a_start_is_sent_does_not_count(self):
+        shard = Shard(workers=1)
+        shard.scheduler.entries.note_read(shard.now_ms)
+        shard.submit(build_job())
+        (order,) = shard.plan()
+        shard.pass_time(900.0)
+        begin_start(shard.scheduler, order, shard.now_ms)
+        shard.answer(order, OrderOutcome.DONE)
+        shard.pass_time(10.0)
+        shard.scheduler.entries.note_read(shard.now_ms)
+        self.lose(shard, order.worker_id)
+        (suspect,) = read_loss(shard).suspects
+        self.assertEqual(suspect.ran_ms, 10.0)
+
     def test_start_refused_by_the_next_life_is_no_suspect(self):
         # A late order reaches a life for which it wasn't meant: it starts nothing.
         shard = Shard(workers=1)
