Don't take busy connections of our own for the beginning of a worker's silence

A worker that crashed while all of the owner's connections to it were in use seemed to be cut off: the first call that failed had only waited for a connection, and how a silence began decides what it is taken for. Test: test_crash_behind_busy_connections_is_one.

--- a/trefoilhook/exceptions.py
+++ b/trefoilhook/exceptions.py
@@ -82,6 +82,9 @@
     REFUSED = "refused"
     """Nothing listens at the address, on a machine that can be reached."""
 
+    BUSY = "busy"
+    """Every connection of this side's pool was in use: nothing was tried."""
+
     TIMED_OUT = "timed out"
     """Nothing came back in time."""
 
--- a/trefoilhook/http/client.py
+++ b/trefoilhook/http/client.py
@@ -257,7 +257,7 @@
                 await self._limiter.acquire_on_behalf_of(self._borrower)
         except trio.TooSlowError as error:
             raise NotSentError(
-                "every connection was busy", failure=TransportFailure.TIMED_OUT
+                "every connection was busy", failure=TransportFailure.BUSY
             ) from error
 
     async def __aexit__(self, *_: object) -> None:
--- a/trefoilhook/platform/workers.py
+++ b/trefoilhook/platform/workers.py
@@ -166,6 +166,8 @@
     if isinstance(error, NotSentError):
         if error.failure is TransportFailure.REFUSED:
             return OrderOutcome.CONNECTION_REFUSED
+        if error.failure is TransportFailure.BUSY:
+            return OrderOutcome.CONNECTIONS_BUSY
         return OrderOutcome.NOT_SENT
     if error.failure is TransportFailure.CLOSED:
         return OrderOutcome.CONNECTION_LOST
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -322,7 +322,12 @@
 
     def note_silence(self, outcome: OrderOutcome, now_ms: float) -> None:
         """Note that a call went without an answer."""
-        if self.silence is None:
+        is_vague = (
+            self.silence is not None
+            and self.silence.cause is OrderOutcome.CONNECTIONS_BUSY
+        )
+        if self.silence is None or is_vague:
+            # Busy connections of our own tell nothing of how the worker fell silent.
             self.silence = Silence(began_ms=now_ms, cause=outcome)
         if outcome is OrderOutcome.CONNECTION_REFUSED:
             self.silence.was_refused = True
--- a/trefoilhook/scheduling/messages.py
+++ b/trefoilhook/scheduling/messages.py
@@ -53,6 +53,7 @@
     NO_ANSWER = "no answer"
     CONNECTION_LOST = "connection lost"
     CONNECTION_REFUSED = "connection refused"
+    CONNECTIONS_BUSY = "connections busy"
     FENCED = "fenced"
     SUPERSEDED = "superseded"
     TOO_LATE = "too late"
@@ -64,7 +65,13 @@
 
 
 # An order that is withdrawn was not sent either, and tells nothing of its worker.
-UNSENT = frozenset({OrderOutcome.NOT_SENT, OrderOutcome.CONNECTION_REFUSED})
+UNSENT = frozenset(
+    {
+        OrderOutcome.NOT_SENT,
+        OrderOutcome.CONNECTION_REFUSED,
+        OrderOutcome.CONNECTIONS_BUSY,
+    }
+)
 """The order never left."""
 
 UNANSWERED = frozenset({OrderOutcome.NO_ANSWER, OrderOutcome.CONNECTION_LOST})
--- a/trefoilhook/scheduling/tests/test_crashes.py
+++ b/trefoilhook/scheduling/tests/test_crashes.py
@@ -157,6 +157,15 @@
         crash(shard, worker_id)
         self.check(shard, LossCause.CRASHED)
 
+    def test_crash_behind_busy_connections_is_one(self):
+        # Guards against a crash that is taken for a cut, as the first call that failed
+        # had only found all connections of its own side in use.
+        shard, worker_id = self.start()
+        shard.silence(worker_id, OrderOutcome.CONNECTIONS_BUSY)
+        shard.pass_time(50.0)
+        crash(shard, worker_id)
+        self.check(shard, LossCause.CRASHED)
+
     def test_crash_between_two_looks_is_one(self):
         # No call was under way when the process ended: the next one finds another life.
         shard, worker_id = self.start()
