Evacuate failure domains in the soak, and check that no task starts there

Change: stand-in workers are spread over three failure domains. About every three seconds the soak's operator evacuates one of them for two to nine seconds, by writing an entry whose value is empty or unexpected. A task that starts in that domain more than 5 s after the evacuation began and before it ended is reported as a violation. Evacuations draw from a random generator of their own, so that an earlier seed keeps its jobs, faults and sizes.

--- a/trefoilhook/soak/checks.py
+++ b/trefoilhook/soak/checks.py
@@ -5,7 +5,7 @@
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
 
-from trefoilhook.soak.fleet import DECOY
+from trefoilhook.soak.fleet import DECOY, EvacuationRecord
 from trefoilhook.soak.ledger import Ledger, SubmissionOutcome, read_place
 from trefoilhook.standins.platform_worker import TaskRecord
 
@@ -28,8 +28,18 @@
 touch, and a heartbeat."""
 
 
+_EVACUATION_DEADLINE_MS = 5000.0
+"""Time within which an evacuation must take effect, in ms."""
+
+
 def check_runs(
-    ledger: Ledger, runs: Runs, *, cpu: int, sizes: Sizes | None = None
+    ledger: Ledger,
+    runs: Runs,
+    *,
+    cpu: int,
+    sizes: Sizes | None = None,
+    failure_domains: Mapping[str, str] | None = None,
+    evacuations: Iterable[EvacuationRecord] = (),
 ) -> list[str]:
     """Return what was broken, in words.
 
@@ -43,6 +53,10 @@
         Thousandths of a core that each worker has at most.
     sizes : mapping of str to sequence of (float, int), optional
         What each worker had, where that changed.
+    failure_domains : mapping of str to str, optional
+        Failure domain of each worker, by worker id.
+    evacuations : iterable of EvacuationRecord, optional
+        Evacuations of failure domains by the operator.
     """
     return [
         *ledger.violations,
@@ -51,6 +65,7 @@
         *_check_twice(runs),
         *_check_room(ledger, runs, cpu),
         *_check_shrunk(ledger, runs, sizes or {}),
+        *_check_evacuated(runs, failure_domains or {}, evacuations),
         *_check_crashes(ledger, runs),
         *_check_order(ledger, runs),
         *_check_completion(ledger, runs),
@@ -158,6 +173,28 @@
     return most
 
 
+def _check_evacuated(
+    runs: Runs,
+    failure_domains: Mapping[str, str],
+    evacuations: Iterable[EvacuationRecord],
+) -> list[str]:
+    """Find tasks started in a failure domain after its evacuation deadline."""
+    found = []
+    for evacuation in evacuations:
+        deadline_ms = evacuation.began_ms + _EVACUATION_DEADLINE_MS
+        for worker, records in runs.items():
+            if failure_domains.get(worker) != evacuation.failure_domain:
+                continue
+            found += [
+                f"{run.task} was started on {worker} at {run.started_ms:.0f} ms, but "
+                f"failure domain {evacuation.failure_domain} was under evacuation "
+                f"since {evacuation.began_ms:.0f} ms"
+                for run in records
+                if deadline_ms < run.started_ms < evacuation.ended_ms
+            ]
+    return found
+
+
 def _check_crashes(ledger: Ledger, runs: Runs) -> list[str]:
     """Find tasks that crashed too many workers, and jobs given up without cause."""
     found = []
--- a/trefoilhook/soak/core.py
+++ b/trefoilhook/soak/core.py
@@ -102,6 +102,7 @@
             clock=clock,
             choices=random.Random(settings.seed + 1),
             sizes=random.Random(settings.seed + 3),
+            evacuation_choices=random.Random(settings.seed + 4),
         )
         try:
             await fleet.start(instances=settings.instances, workers=settings.workers)
@@ -193,7 +194,14 @@
 
 def _report(fleet: Fleet, clients: Clients, faults: Faults) -> SoakReport:
     submissions = clients.ledger.submissions.values()
-    broken = check_runs(clients.ledger, fleet.runs, cpu=WORKER_CPU, sizes=fleet.sizes)
+    broken = check_runs(
+        clients.ledger,
+        fleet.runs,
+        cpu=WORKER_CPU,
+        sizes=fleet.sizes,
+        failure_domains=fleet.failure_domains,
+        evacuations=fleet.evacuations,
+    )
     return SoakReport(
         violations=(*fleet.exits, *broken),
         faults=tuple(faults.injected),
--- a/trefoilhook/soak/faults.py
+++ b/trefoilhook/soak/faults.py
@@ -1,15 +1,17 @@
 """Faults of a soak, injected from outside, in series and overlapping."""
 
+import math
 import random
 import signal
 import subprocess
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import attrs
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.soak.fleet import WORKER_CPU, Fleet, Instance
+from trefoilhook.soak.fleet import FAILURE_DOMAINS, WORKER_CPU, Fleet, Instance
 from trefoilhook.standins import CutSettings, Partition, TcpCut
 from trefoilhook.standins.platform_store import StoreFault
 from trefoilhook.standins.platform_worker import WorkerFault
@@ -24,6 +26,16 @@
 _RESIZE_PAUSE_S = 1.0
 """Mean pause between two changes of a worker's capacity, in s."""
 
+_EVACUATION_PAUSE_S = 3.0
+"""Mean pause between attempts to start an evacuation, in s; two may overlap."""
+
+_SHORTEST_EVACUATION_S = 2.0
+_LONGEST_EVACUATION_S = 9.0
+"""Range of evacuation durations, in s; some end before the evacuation deadline."""
+
+_EVACUATION_VALUES: tuple[Any, ...] = ({}, {}, {}, {"until_ms": 5}, ["z"], None)
+"""Values of evacuation entries; each of them starts an evacuation."""
+
 _UNLISTED_S = 2.0
 """A worker that is gone is off the list after so long, in s."""
 
@@ -60,6 +72,8 @@
         Where chance comes from.
     sizes : random.Random
         Where chance comes from that changes the capacities of workers.
+    evacuation_choices : random.Random
+        Random generator for evacuations of failure domains.
 
     Attributes
     ----------
@@ -74,7 +88,9 @@
         clock: Clock,
         choices: random.Random,
         sizes: random.Random,
+        evacuation_choices: random.Random,
     ) -> None:
+        self._evacuation_choices = evacuation_choices
         self._sizes = sizes
         self._fleet = fleet
         self._clock = clock
@@ -85,6 +101,7 @@
         """Inject faults for a while; return once all are undone."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._resize, duration_s)
+            nursery.start_soon(self._evacuate, duration_s)
             with trio.move_on_after(duration_s):
                 while True:
                     await trio.sleep(self._choices.expovariate(1.0 / _PAUSE_S))
@@ -108,6 +125,33 @@
         for place in self._fleet.workers:
             self._fleet.resize_worker(place, WORKER_CPU)
 
+    async def _evacuate(self, duration_s: float) -> None:
+        """Start evacuations at random for a while; return once all have ended."""
+        async with trio.open_nursery() as nursery:
+            with trio.move_on_after(duration_s):
+                while True:
+                    pause_s = self._evacuation_choices.expovariate(
+                        1.0 / _EVACUATION_PAUSE_S
+                    )
+                    await trio.sleep(pause_s)
+                    nursery.start_soon(self._evacuate_failure_domain)
+
+    async def _evacuate_failure_domain(self) -> None:
+        failure_domain = self._evacuation_choices.choice(FAILURE_DOMAINS)
+        value = self._evacuation_choices.choice(_EVACUATION_VALUES)
+        evacuation_s = self._evacuation_choices.uniform(
+            _SHORTEST_EVACUATION_S, _LONGEST_EVACUATION_S
+        )
+        if any(
+            record.failure_domain == failure_domain and record.ended_ms == math.inf
+            for record in self._fleet.evacuations
+        ):
+            return
+        self._note(f"evacuate {failure_domain}")
+        record = self._fleet.begin_evacuation(failure_domain, value)
+        await trio.sleep(evacuation_s)
+        self._fleet.end_evacuation(record)
+
     async def last(self) -> None:
         """Let a fault last for a while."""
         await trio.sleep(self._choices.uniform(_SHORTEST_S, _LONGEST_S))
--- a/trefoilhook/soak/fleet.py
+++ b/trefoilhook/soak/fleet.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import math
 import os
 import random
 import signal
@@ -10,6 +11,7 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import attrs
 import trio
@@ -17,6 +19,7 @@
 from trefoilhook.clock import Clock
 from trefoilhook.platform import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     SETTINGS_VARIABLE,
     WORKER_PREFIX,
 )
@@ -31,6 +34,8 @@
 
 __all__ = [
     "DECOY",
+    "FAILURE_DOMAINS",
+    "EvacuationRecord",
     "Fleet",
     "Instance",
     "LivingWorker",
@@ -43,6 +48,8 @@
 
 SERVICE = "s"
 
+FAILURE_DOMAINS = ("z0", "z1", "z2")
+
 DECOY = "decoy"
 """A worker that no sound entry names: nothing may run there."""
 
@@ -159,6 +166,15 @@
     scope: trio.CancelScope
 
 
+@attrs.define(kw_only=True)
+class EvacuationRecord:
+    """Evacuation of a failure domain, with its start and end times in ms."""
+
+    failure_domain: str
+    began_ms: float
+    ended_ms: float = math.inf
+
+
 class Fleet:
     """Store, workers and instances of one soak.
 
@@ -191,6 +207,8 @@
         self.runs: dict[str, list[TaskRecord]] = {}
         self.crashes: dict[str, float] = {}
         self.sizes: dict[str, list[tuple[float, int]]] = {}
+        self.failure_domains: dict[str, str] = {}
+        self.evacuations: list[EvacuationRecord] = []
         self.exits: list[str] = []
 
     async def start(self, *, instances: int, workers: int) -> None:
@@ -255,6 +273,7 @@
             clock=self._clock,
             task_ms=self._task_ms,
             rate=_SLOW_CLOCK if place % 2 else 1.0,
+            failure_domain=FAILURE_DOMAINS[place % len(FAILURE_DOMAINS)],
             crashes=self.crashes,
             on_crash=lambda: self._nursery.start_soon(self._replace, place, worker_id),
         )
@@ -267,6 +286,7 @@
             link.set(CutSettings())
         self.workers[place] = LivingWorker(worker=worker, link=link, scope=scope)
         self.runs[worker_id] = worker.records
+        self.failure_domains[worker_id] = worker.failure_domain
         self.sizes[worker_id] = [(self._clock.monotonic_ms(), WORKER_CPU)]
         self.list_worker(place)
 
@@ -291,6 +311,20 @@
         self.sizes[worker.worker_id].append((self._clock.monotonic_ms(), cpu))
         self.list_worker(place)
 
+    def begin_evacuation(self, failure_domain: str, value: Any) -> EvacuationRecord:
+        """Write the evacuation entry of a failure domain, with the given value."""
+        self.store.write(EVACUATION_PREFIX + failure_domain, value)
+        record = EvacuationRecord(
+            failure_domain=failure_domain, began_ms=self._clock.monotonic_ms()
+        )
+        self.evacuations.append(record)
+        return record
+
+    def end_evacuation(self, record: EvacuationRecord) -> None:
+        """Remove the evacuation entry of a failure domain."""
+        record.ended_ms = self._clock.monotonic_ms()
+        self.store.remove(EVACUATION_PREFIX + record.failure_domain)
+
     def list_worker(self, place: int) -> None:
         """Write the entry of the worker at a place."""
         living = self.workers[place]
--- a/trefoilhook/soak/tests/test_checks.py
+++ b/trefoilhook/soak/tests/test_checks.py
@@ -1,11 +1,12 @@
 """Each check of the soak finds what it is for, and nothing in a sound history."""
 
+import math
 import unittest
 
 import attrs
 
 from trefoilhook.soak.checks import check_runs
-from trefoilhook.soak.fleet import DECOY
+from trefoilhook.soak.fleet import DECOY, EvacuationRecord
 from trefoilhook.soak.ledger import Ledger, Submission, SubmissionOutcome, TaskDemand
 from trefoilhook.standins.platform_worker import TaskRecord
 
@@ -141,3 +142,28 @@
         ledger.violations.append("a job is said to be unknown")
         found = check_runs(ledger, {"w": _SOUND}, cpu=_CPU)
         self.assertEqual(found, ledger.violations)
+
+
+class EvacuationTest(unittest.TestCase):
+    """Tasks started in a failure domain under evacuation."""
+
+    def _check(self, started_ms: float, *, ended_ms: float = math.inf) -> list[str]:
+        evacuation = EvacuationRecord(
+            failure_domain="z0", began_ms=1000.0, ended_ms=ended_ms
+        )
+        run = _run(started_ms=started_ms, ended_ms=started_ms + 10.0)
+        return check_runs(
+            _ledger(state="cancelled", cancel_sent=True),
+            {"w": [run]},
+            cpu=_CPU,
+            failure_domains={"w": "z0"},
+            evacuations=[evacuation],
+        )
+
+    def test_start_after_the_deadline_is_a_violation(self):
+        self.assertEqual(self._check(5900.0), [])
+        self.assertEqual(len(self._check(6100.0)), 1)
+
+    def test_start_after_the_end_is_allowed(self):
+        self.assertEqual(self._check(9000.0, ended_ms=8000.0), [])
+        self.assertEqual(len(self._check(7900.0, ended_ms=8000.0)), 1)
--- a/trefoilhook/standins/platform_documents.py
+++ b/trefoilhook/standins/platform_documents.py
@@ -48,6 +48,11 @@
             "readiness": f"127.0.0.1:{readiness_port}",
         },
         "platform": {"address": f"127.0.0.1:{store_port}"},
-        "bounds": {"grace_s": 6, "max_hold_ms": 6000, "stop_grace_ms": 200},
+        "bounds": {
+            "grace_s": 6,
+            "max_hold_ms": 6000,
+            "stop_grace_ms": 200,
+            "evacuate_ms": 5000,
+        },
         **fields,
     }
--- a/trefoilhook/standins/platform_worker.py
+++ b/trefoilhook/standins/platform_worker.py
@@ -72,6 +72,8 @@
         How fast its own clock runs, by which it judges deadlines.
     checks_token : bool, optional
         Whether it refuses calls with a lower fencing token than it has seen.
+    failure_domain : str, optional
+        Failure domain that its entry reports.
     port : int, optional
         Where it takes orders; 0 takes a free port.
     crashes : mapping of str to float, optional
@@ -106,6 +108,7 @@
         task_ms: float,
         rate: float = 1.0,
         checks_token: bool = True,
+        failure_domain: str = "z",
         port: int = 0,
         crashes: Mapping[str, float] | None = None,
         on_crash: Callable[[], None] | None = None,
@@ -115,6 +118,7 @@
         self._rate = rate
         self._checks_token = checks_token
         self.worker_id = worker_id
+        self.failure_domain = failure_domain
         self._clock = clock
         self._task_ms = task_ms
         self._token = 0
@@ -151,7 +155,7 @@
         return {
             "service": service,
             "address": f"127.0.0.1:{port or self.server.port}",
-            "zone": "z",
+            "zone": self.failure_domain,
             "version": "v1",
             "slots": 8,
             "state": "ready",
