Add a command that lists evacuations, and account for waits they cause

Cause: an operator who is about to switch off a failure domain had to read the logs of all instances line by line to see whether its evacuation is known and what still runs there. `account` reported the time that a task had waited for an evacuated failure domain as `unknown`.

`account` recognizes `evacuated` as a cause.

--- a/trefoilhook/account/tests/test_account.py
+++ b/trefoilhook/account/tests/test_account.py
@@ -75,6 +75,7 @@
     job = cause.name.lower().replace("_", "")
     waits = {
         Cause.NO_WORKER: "no worker",
+        Cause.EVACUATED: "evacuated",
         Cause.NO_ROOM: "no room",
         Cause.IN_PIECES: "room in pieces",
         Cause.NOT_BORNE: "not borne",
@@ -131,6 +132,7 @@
     Cause.OWNER_AWAY,
     Cause.OWNER,
     Cause.NO_WORKER,
+    Cause.EVACUATED,
     Cause.NO_ROOM,
     Cause.IN_PIECES,
     Cause.NOT_BORNE,
--- a/trefoilhook/account/timeline.py
+++ b/trefoilhook/account/timeline.py
@@ -28,6 +28,7 @@
     cause.value: cause
     for cause in (
         Cause.NO_WORKER,
+        Cause.EVACUATED,
         Cause.NO_ROOM,
         Cause.IN_PIECES,
         Cause.NOT_BORNE,
--- a/trefoilhook/command/application.py
+++ b/trefoilhook/command/application.py
@@ -8,6 +8,7 @@
 from trefoilhook.command.burn import BurnCommand
 from trefoilhook.command.client import Send
 from trefoilhook.command.core import ApiCommand, CommandSpec
+from trefoilhook.command.evacuations import EvacuationsCommand
 from trefoilhook.command.story import StoryCommand
 
 __all__ = ["SPECS", "build_application"]
@@ -33,4 +34,5 @@
     application.add(StoryCommand())
     application.add(BurnCommand())
     application.add(AccountCommand())
+    application.add(EvacuationsCommand())
     return application
