--- a/trefoilhook/scheduling/tests/crash_cases.py
+++ b/trefoilhook/scheduling/tests/crash_cases.py
@@ -13,9 +13,16 @@
     TaskId,
     lose_worker,
 )
+from trefoilhook.scheduling.suspicion import Suspicion
 from trefoilhook.scheduling.tests.cases import Shard
 from trefoilhook.scheduling.tickets import name_step
 
+MOST_STARTS = 5
+"""After three workers have crashed under it, a task may be started twice more."""
+
+LOST = OrderOutcome.CONNECTION_LOST
+REFUSED = OrderOutcome.CONNECTION_REFUSED
+
 TICK_MS = 50.0
 _REFUSED_MS = 200.0
 """A crashed worker is called again after so long, in ms, and refuses the connection."""
@@ -169,3 +176,32 @@
             for job_id, state in self.scheduler.jobs.items()
             if state.phase is JobPhase.FAILED
         ]
+
+
+def crash(shard: Shard, worker_id: str, *, refused: bool = True) -> None:
+    """Have a worker's process end, and another life answer at its address."""
+    shard.silence(worker_id, LOST)
+    shard.pass_time(200.0)
+    if refused:
+        shard.silence(worker_id, REFUSED)
+    shard.pass_time(1000.0)
+    shard.scheduler.entries.note_read(shard.now_ms)
+    lose_worker(shard.scheduler, shard.scheduler.workers[worker_id], shard.now_ms)
+
+
+def read_loss(shard: Shard):
+    """Return the last loss that was judged."""
+    return shard.scheduler.suspects.losses[-1]
+
+
+def find_suspicion(shard: Shard, job_id: str = "j") -> Suspicion | None:
+    """Return what speaks against the only task of a job."""
+    suspicions = shard.scheduler.jobs[job_id].progress.suspicions
+    return next(iter(suspicions.values()), None)
+
+
+def start_saved(shard: Shard):
+    """Plan until the record of a suspected task is written and its start goes out."""
+    shard.plan()
+    shard.save()
+    return shard.start_one()
--- /dev/null
+++ b/trefoilhook/scheduling/tests/test_crash_takeovers.py
@@ -0,0 +1,255 @@
+"""Tests of crash counting, including lost writes and a change of owner."""
+
+import unittest
+
+import attrs
+
+from trefoilhook.scheduling import (
+    Demand,
+    EndKind,
+    LossCause,
+    WorkerReport,
+    decode_progress,
+    encode_progress,
+    lose_worker,
+)
+from trefoilhook.scheduling.records import Progress
+from trefoilhook.scheduling.suspicion import (
+    STRONG_ODDS,
+    Suspicion,
+)
+from trefoilhook.scheduling.tests.cases import (
+    SMALL,
+    Shard,
+    build_job,
+)
+from trefoilhook.scheduling.tests.crash_cases import (
+    LOST,
+    MOST_STARTS,
+    REFUSED,
+    crash,
+    find_suspicion,
+    read_loss,
+    start_saved,
+)
+
+
+class TakeoverTest(unittest.TestCase):
+    """The count outlives its owner, and writes that are lost."""
+
+    def take_over(self, first: Shard, *, workers: tuple[str, ...]) -> Shard:
+        """Return the next owner's shard, by what the store holds of the job."""
+        state = first.scheduler.jobs["j"]
+        stored = decode_progress(encode_progress(state.progress))
+        second = Shard(workers=0, epoch=first.scheduler.epoch + 1, settled=False)
+        second.now_ms = first.now_ms + 3000.0
+        second.workers = first.workers
+        second.submit(state.job, certain=False, progress=stored, progress_revision=9)
+        for worker_id in workers:
+            second.add_worker(worker_id)
+        second.settled = True
+        second.scheduler.entries.note_read(second.now_ms)
+        return second
+
+    def start_first(self) -> tuple[Shard, str]:
+        """Start a task under a first owner, and return where it runs."""
+        shard = Shard(workers=2)
+        shard.scheduler.entries.note_read(shard.now_ms)
+        shard.submit(build_job())
+        return shard, shard.start_one().worker_id
+
+    def find_other(self, worker_id: str) -> str:
+        """Return the other one of two workers."""
+        return "w1" if worker_id == "w0" else "w0"
+
+    def test_counted_crash_is_known_to_the_next_owner(self):
+        first, worker_id = self.start_first()
+        crash(first, worker_id)
+        second = self.take_over(first, workers=(self.find_other(worker_id),))
+        self.assertEqual(find_suspicion(second).crashes, 1)
+        self.assertEqual(find_suspicion(second).odds, find_suspicion(first).odds)
+
+    def test_crash_whose_owner_dies_before_its_proof_is_counted(self):
+        # The worker's process ends; its owner is lost before another life answers.
+        first, worker_id = self.start_first()
+        first.silence(worker_id, LOST)
+        first.pass_time(200.0)
+        first.silence(worker_id, REFUSED)
+        first.scheduler.entries.note_read(first.now_ms)
+        first.plan()
+        self.assertIn(first.scheduler.jobs["j"], first.scheduler.dirty)
+        second = self.take_over(first, workers=(self.find_other(worker_id),))
+        second.plan()
+        self.assertEqual(find_suspicion(second).crashes, 1)
+        self.assertIs(read_loss(second).cause, LossCause.CRASHED)
+
+    def test_note_of_a_worker_that_lives_counts_for_nothing(self):
+        first, worker_id = self.start_first()
+        first.silence(worker_id, LOST)
+        first.silence(worker_id, REFUSED)
+        first.scheduler.entries.note_read(first.now_ms)
+        first.plan()
+        second = self.take_over(first, workers=("w0", "w1"))
+        second.plan()
+        suspicion = find_suspicion(second)
+        self.assertEqual(suspicion.crashes if suspicion is not None else 0, 0)
+
+    def test_note_is_taken_back_when_the_worker_answers(self):
+        shard, worker_id = self.start_first()
+        shard.silence(worker_id, LOST)
+        shard.silence(worker_id, REFUSED)
+        shard.scheduler.entries.note_read(shard.now_ms)
+        shard.plan()
+        self.assertIsNotNone(find_suspicion(shard))
+        shard.look(worker_id)
+        self.assertIsNone(find_suspicion(shard))
+
+    def test_recorded_start_on_a_worker_that_is_gone_is_doubtful(self):
+        # Only where the start was ordered is known, not how the worker ended.
+        first, worker_id = self.start_first()
+        crash(first, worker_id)
+        order = start_saved(first)
+        second = self.take_over(first, workers=())
+        second.add_worker("w7")
+        second.plan()
+        self.assertIs(read_loss(second).cause, LossCause.CUT_OFF)
+        self.assertEqual(find_suspicion(second).crashes, 1)
+        self.assertEqual(find_suspicion(second).doubts, 1)
+        self.assertNotEqual(order.worker_id, worker_id)
+
+    def test_recorded_start_on_a_worker_that_drained_counts_for_nothing(self):
+        first, worker_id = self.start_first()
+        crash(first, worker_id)
+        order = start_saved(first)
+        state = first.scheduler.jobs["j"]
+        second = Shard(workers=0, epoch=2, settled=False)
+        second.now_ms = first.now_ms
+        second.submit(
+            state.job,
+            certain=False,
+            progress=decode_progress(encode_progress(state.progress)),
+            progress_revision=9,
+        )
+        report = WorkerReport(
+            worker_id=order.worker_id,
+            service="s",
+            host="h",
+            port=1,
+            failure_domain="z",
+            capacity=Demand(cpu=4000, memory_mb=8000),
+            draining=True,
+        )
+        second.scheduler.update_worker(report)
+        lose_worker(
+            second.scheduler,
+            second.scheduler.workers[order.worker_id],
+            second.now_ms,
+        )
+        second.settled = True
+        second.plan()
+        self.assertIs(read_loss(second).cause, LossCause.DRAINED)
+        self.assertEqual(find_suspicion(second).doubts, 0)
+
+    def test_run_of_an_earlier_owner_keeps_its_age(self):
+        # Guards against a watcher that seems to have just started when its worker
+        # crashes, only because its owner has just changed.
+        step = attrs.evolve(SMALL, long_running=True)
+        first = Shard(workers=1)
+        first.submit(build_job(step))
+        order = first.start_one()
+        first.workers["w0"].update(order.task, order.attempt, percent=100.0)
+        second = self.take_over(first, workers=("w0",))
+        second.look("w0")
+        crash(second, "w0")
+        suspicion = find_suspicion(second)
+        self.assertTrue(suspicion is None or suspicion.odds < STRONG_ODDS)
+
+    def test_bystanders_of_a_crash_take_no_write(self):
+        # Guards against a burst of writes at each crash of a worker with many tasks.
+        shard = Shard(workers=1, cpu=8000)
+        shard.submit(build_job(attrs.evolve(SMALL, count=4), job_id="b"))
+        shard.step()
+        for _ in range(20):
+            shard.pass_time(100.0)
+            shard.look("w0")
+        shard.submit(build_job(job_id="c"))
+        shard.step()
+        suspicion = shard.scheduler.suspects.suspect(
+            shard.scheduler.jobs["c"].tasks.popitem()[1]
+        )
+        suspicion.take_loss(1, "w9", 5000.0, proved=True)
+        shard.save()
+        crash(shard, "w0")
+        dirty = {state.job.job_id for state in shard.scheduler.dirty}
+        self.assertEqual(dirty, {"c"})
+
+    def test_gang_that_loses_two_workers_at_once_counts_one_crash(self):
+        shard = Shard(workers=2, cpu=1000)
+        shard.submit(build_job(attrs.evolve(SMALL, count=2, gang=True)))
+        shard.step()
+        crash(shard, "w0")
+        odds = find_suspicion(shard).odds
+        crash(shard, "w1")
+        self.assertEqual(len(shard.scheduler.jobs["j"].progress.suspicions), 1)
+        self.assertEqual(find_suspicion(shard).crashes, 1)
+        self.assertEqual(find_suspicion(shard).odds, odds)
+
+    def test_crashes_of_different_members_count_for_the_gang(self):
+        shard = Shard(workers=2, cpu=1000)
+        shard.submit(build_job(attrs.evolve(SMALL, count=2, gang=True)))
+        shard.step()
+        crash(shard, "w0")
+        for key in list(shard.workers["w1"].running):
+            shard.workers["w1"].end(*key, EndKind.PEER_ENDED)
+        shard.look("w1")
+        shard.add_worker("w2", cpu=1000)
+        shard.plan()
+        shard.save()
+        shard.step()
+        crash(shard, "w1")
+        self.assertEqual(find_suspicion(shard).crashes, 2)
+
+    def test_loss_without_proof_counts_for_little(self):
+        suspicion = Suspicion()
+        suspicion.take_loss(1, "w", 5000.0, proved=False)
+        self.assertLess(suspicion.odds, STRONG_ODDS)
+        self.assertEqual(suspicion.crashes, 0)
+
+    def test_fifth_crash_ends_it_whatever_the_odds(self):
+        # Guards against a task that crashes its workers late, and seldom enough to be
+        # taken for a bystander, without end.
+        suspicion = Suspicion()
+        for attempt in range(1, MOST_STARTS):
+            suspicion.take_loss(attempt, "w", 2.5, proved=True)
+        self.assertFalse(suspicion.is_crash_loop())
+        suspicion.take_loss(MOST_STARTS, "w", 2.5, proved=True)
+        self.assertTrue(suspicion.is_crash_loop())
+
+    def test_crash_is_counted_once_however_often_it_is_told(self):
+        suspicion = Suspicion()
+        for _ in range(3):
+            suspicion.take_loss(7, "w", 50.0, proved=True)
+        self.assertEqual(suspicion.crashes, 1)
+
+    def test_record_round_trip_and_size(self):
+        # Guards against a record that grows with the crashes of a chaotic day.
+        progress = Progress()
+        for index in range(500):
+            suspicion = Suspicion(attempt=index + 1, workers=["w" * 20], ran_ms=12.5)
+            suspicion.take_loss(1, "w" * 20, 3.0 + index, proved=True)
+            for doubt in range(30):
+                suspicion.take_loss(doubt + 2, "w" * 20, 3.0, proved=False)
+            progress.suspicions[0, 0, index] = suspicion
+        data = encode_progress(progress)
+        self.assertLess(len(data), 64 * 1024)
+        read = decode_progress(data)
+        strongest = read.suspicions[0, 0, 499]
+        self.assertEqual(strongest, progress.suspicions[0, 0, 499])
+
+    def test_progress_without_suspicions_reads_as_before(self):
+        data = b'{"done":{"0.0":[1]},"failed":{},"checkpoints":{}}'
+        self.assertEqual(encode_progress(decode_progress(data)), data)
+
+
+if __name__ == "__main__":
+    unittest.main()
