Map the reasons for waiting to causes once in the account

The map stood twice, in timeline and in report, and a new reason had to be added to one and not to the other. report uses the one of timeline now. Its own map took every cause, also those for which nothing waits; no line holds one of these as a reason.

--- a/trefoilhook/account/report.py
+++ b/trefoilhook/account/report.py
@@ -14,7 +14,12 @@
     ServiceAccount,
     ServiceLoss,
 )
-from trefoilhook.account.timeline import Interval, JobLines, walk_back
+from trefoilhook.account.timeline import (
+    WAIT_CAUSES,
+    Interval,
+    JobLines,
+    walk_back,
+)
 from trefoilhook.burn import JobOutcome, judge_each_job
 from trefoilhook.results import ResultCode
 from trefoilhook.story import LogLine
@@ -30,8 +35,6 @@
 
 _REFUSALS = frozenset({ResultCode.STORE_UNAVAILABLE, ResultCode.ANSWER_LOST})
 
-_WAITS = {cause.value: cause for cause in Cause} | {"owner new": Cause.OWNER_AWAY}
-
 
 @attrs.define(kw_only=True)
 class _Jobs:
@@ -52,7 +55,7 @@
         if line.event == "QUEUE_WAITS":
             reason = str(line.fields.get("oldest_waits_for", ""))
             queue = str(line.fields.get("queue"))
-            self.waits[queue] = _WAITS.get(reason, Cause.UNKNOWN)
+            self.waits[queue] = WAIT_CAUSES.get(reason, Cause.UNKNOWN)
         job_id = str(line.fields.get("job", ""))
         if not job_id:
             return
@@ -192,7 +195,7 @@
         tasks, away, over, beside = (
             float(figure) for figure in figures if figure is not None
         )
-        waits = _WAITS.get(str(fields.get("waited_for", "")), Cause.STARTING)
+        waits = WAIT_CAUSES.get(str(fields.get("waited_for", "")), Cause.STARTING)
         lost = {
             waits: away,
             Cause.TAIL_BESIDE: beside,
--- a/trefoilhook/account/timeline.py
+++ b/trefoilhook/account/timeline.py
@@ -15,7 +15,7 @@
 from trefoilhook.account.core import Cause
 from trefoilhook.story import LogLine
 
-__all__ = ["Attempt", "Interval", "JobLines", "walk_back"]
+__all__ = ["WAIT_CAUSES", "Attempt", "Interval", "JobLines", "walk_back"]
 
 _MS_PER_S = 1000.0
 
@@ -24,7 +24,7 @@
 _SAME_MOMENT_S = 0.001
 """Lines of one decision are written within so much of each other, in s."""
 
-_WAITS = {
+WAIT_CAUSES = {
     cause.value: cause
     for cause in (
         Cause.NO_WORKER,
@@ -37,6 +37,7 @@
         Cause.LIST_STALE,
     )
 } | {"owner new": Cause.OWNER_AWAY}
+"""Causes by the reason for waiting that log lines give."""
 
 
 @attrs.frozen(kw_only=True)
@@ -261,5 +262,5 @@
         else:
             walk.go_to(attempt.started_s, Cause.RESTARTED)
         waited_s = attempt.waited_ms / _MS_PER_S
-        cause = _WAITS.get(attempt.waited_for, Cause.UNKNOWN)
+        cause = WAIT_CAUSES.get(attempt.waited_for, Cause.UNKNOWN)
         walk.go_to(attempt.started_s - waited_s, cause)
