Show that a new owner ranks a restarted service task behind urgent ones

What callers see: a service lacks a task for as long as the fleet is full, as in the record of LOST, if the task ended shortly before a takeover. Cause, by reading: rank_step tells a task that has run by its last attempt, which the new owner does not know of a task that was already waiting.

--- a/trefoilhook/scheduling/tests/test_rounds.py
+++ b/trefoilhook/scheduling/tests/test_rounds.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from trefoilhook.scheduling import Demand, EndKind, Step
+from trefoilhook.scheduling import Demand, EndKind, Progress, Step
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 
 _LONG_RUNNING = Step(
@@ -46,6 +46,21 @@
         starts = list_starts(shard.step())
         self.assertEqual([start.task.job_id for start in starts], ["z"])
 
+    def test_ended_long_running_task_gets_its_capacity_back_after_takeover(self):
+        # Guards against a new owner that ranks a long-running task behind urgent tasks,
+        # which take the capacity that it freed, because it ended before the takeover.
+        shard = Shard(workers=1, cpu=4000, epoch=2)
+        long_running = attrs.evolve(
+            _LONG_RUNNING, demand=Demand(cpu=3000, memory_mb=10)
+        )
+        shard.submit(
+            build_job(long_running, job_id="z"), is_new=False, progress=Progress()
+        )
+        urgent = Step(count=3, demand=Demand(cpu=1500, memory_mb=10), estimate_ms=500.0)
+        shard.submit(build_job(urgent, job_id="a"))
+        starts = list_starts(shard.step())
+        self.assertEqual([start.task.job_id for start in starts], ["z"])
+
     def test_infeasible_fillers_end_round(self):
         # Guards against rounds that take longer than the interval between them, with
         # hundreds of infeasible steps after a burst.
