Tell service tasks that wait from those of unknown state in SERVICE_SHORT

What operators see: SERVICE_SHORT gave one figure of absent tasks. A task whose end is known and that waits for a worker looked like one that is held by a run on a worker that doesn't answer, or whose end the owner can't read. Cause: the samples counted only whether a task serves. A run whose end is listed and can't be read even counted as serving, as its last percentage stays at 100. Change: the absent tasks are told apart as waiting and unknown; of the unknown ones the line names the one not listed for longest, its worker and for how long. A run is unknown if its worker is silent, or if the last answered poll, sent after the run was confirmed, lists neither the run nor a readable end.

--- a/trefoilhook/runtime/maintenance.py
+++ b/trefoilhook/runtime/maintenance.py
@@ -125,7 +125,9 @@
             for _ in range(_SAMPLES_PER_SHORTFALL_LINE):
                 await self._clock.sleep_ms(_SHORTFALL_SAMPLE_PERIOD_MS)
                 counter.sample(self._scheduler)
-            for shortfall in counter.collect(self._scheduler):
+            for shortfall in counter.collect(
+                self._scheduler, now_ms=self._clock.monotonic_ms()
+            ):
                 log_event(Event.SERVICE_SHORT, **attrs.asdict(shortfall))
 
     async def log_evacuations(self) -> None:
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -234,6 +234,8 @@
         Uncounted thousandths of a core requested by its fillers.
     clock_ms, clock_read_ms : float
         Its clock in the last answer, and the local time at that moment, in ms.
+    poll_sent_ms : float
+        Time at which the last answered poll was sent, in ms.
     lease_until_ms : float
         Latest lease deadline granted to it, on its clock, in ms.
     usable : bool
@@ -284,6 +286,7 @@
     borrowed_cpu: int = 0
     clock_ms: float = 0.0
     clock_read_ms: float = float("-inf")
+    poll_sent_ms: float = float("-inf")
     lease_until_ms: float = 0.0
     usable: bool = True
     ends_taken: set[int] = attrs.Factory(set)
@@ -336,6 +339,16 @@
         if outcome is OrderOutcome.CONNECTION_REFUSED:
             self.silence.was_refused = True
 
+    def is_state_unknown(self, run: Run) -> bool:
+        """Return whether the owner does not know the state of a run there.
+
+        Either the worker does not answer, or its last answer neither lists the run as
+        running nor contains a readable end of it.
+        """
+        return self.silence is not None or (
+            run.seen_ms < self.poll_sent_ms and run.confirmed_ms < self.poll_sent_ms
+        )
+
     def measure_run_time(self, run: Run, now_ms: float) -> float:
         """Return how long a run lasted until the worker stopped answering, in ms."""
         until_ms = now_ms if self.silence is None else self.silence.began_ms
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -52,6 +52,7 @@
     if worker is None:
         return
     _record_answer(scheduler, worker, answer, now_ms)
+    worker.poll_sent_ms = sent_ms
     for end in answer.ends:
         _apply_end(scheduler, worker, end, now_ms)
     for running in answer.running:
--- a/trefoilhook/scheduling/shortfall.py
+++ b/trefoilhook/scheduling/shortfall.py
@@ -6,7 +6,7 @@
 
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
-from trefoilhook.scheduling.job_state import JobState, TaskState
+from trefoilhook.scheduling.job_state import Attempt, JobState, TaskState
 from trefoilhook.scheduling.tickets import name_step
 
 __all__ = ["Shortfall", "ShortfallCounter"]
@@ -35,6 +35,19 @@
         Mean number of these that shared a worker with running batch tasks.
     waited_for : str
         Reason why a task of it waits, if any does.
+    waiting : float
+        Mean number of the absent tasks that waited for a worker. None of them has an
+        attempt left.
+    unknown : float
+        Mean number of the absent tasks with an attempt whose state is unknown to the
+        owner: its worker does not answer, or its last answer neither lists the attempt
+        nor contains a readable end of it. They are not started elsewhere until the
+        attempt is proved over.
+    unknown_task, unknown_worker : str
+        Id and worker of one that is unknown at the end of the interval, the one that
+        has not been listed for longest.
+    unknown_ms : int
+        Time since its worker last listed it, in ms.
     """
 
     job: str
@@ -44,6 +57,11 @@
     over: float
     beside: float
     waited_for: str = ""
+    waiting: float = 0.0
+    unknown: float = 0.0
+    unknown_task: str = ""
+    unknown_worker: str = ""
+    unknown_ms: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -52,6 +70,8 @@
     away: int = 0
     over: int = 0
     beside: int = 0
+    waiting: int = 0
+    unknown: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -71,13 +91,13 @@
                 for task in _list_tasks(state):
                     _add_sample(scheduler, sums, task)
 
-    def collect(self, scheduler: Scheduler) -> Iterator[Shortfall]:
+    def collect(self, scheduler: Scheduler, *, now_ms: float) -> Iterator[Shortfall]:
         """Yield the mean shortfall of each open job, and reset the samples."""
         for job_id, sums in self._sums.items():
             state = scheduler.jobs.get(job_id)
             if state is None or not state.is_open or not (sums.away or sums.over):
                 continue
-            yield Shortfall(
+            shortfall = Shortfall(
                 job=job_id,
                 queue=state.job.queue,
                 tasks=sum(1 for _ in _list_tasks(state)),
@@ -85,7 +105,10 @@
                 over=round(sums.over / sums.samples, 2),
                 beside=round(sums.beside / sums.samples, 2),
                 waited_for=_get_wait_reason(scheduler, state),
+                waiting=round(sums.waiting / sums.samples, 2),
+                unknown=round(sums.unknown / sums.samples, 2),
             )
+            yield _add_unknown(shortfall, state, now_ms) if sums.unknown else shortfall
         self._sums.clear()
 
 
@@ -93,6 +116,32 @@
     return (task for task in state.tasks.values() if task.step.long_running)
 
 
+def _list_unknown(task: TaskState) -> list[Attempt]:
+    return [
+        attempt
+        for attempt in task.attempts
+        if attempt.worker.is_state_unknown(attempt.run)
+    ]
+
+
+def _add_unknown(shortfall: Shortfall, state: JobState, now_ms: float) -> Shortfall:
+    unknown = [
+        attempt
+        for task in _list_tasks(state)
+        if not _list_serving(task)
+        for attempt in _list_unknown(task)
+    ]
+    oldest = min(unknown, key=lambda attempt: attempt.run.seen_ms, default=None)
+    if oldest is None:
+        return shortfall
+    return attrs.evolve(
+        shortfall,
+        unknown_task=str(oldest.run.task),
+        unknown_worker=oldest.worker.report.worker_id,
+        unknown_ms=round(now_ms - oldest.run.seen_ms),
+    )
+
+
 def _get_wait_reason(scheduler: Scheduler, state: JobState) -> str:
     for task in _list_tasks(state):
         if task.attempts:
@@ -104,11 +153,11 @@
 
 
 def _add_sample(scheduler: Scheduler, sums: _Sums, task: TaskState) -> None:
-    serving_attempts = [
-        attempt for attempt in task.attempts if _is_serving(attempt.worker, attempt.run)
-    ]
+    serving_attempts = _list_serving(task)
     if not serving_attempts:
         sums.away += 1
+        sums.waiting += task in scheduler.waiting
+        sums.unknown += bool(_list_unknown(task))
         return
     limit_ms = task.step.latency_limit_ms
     if not limit_ms or all(
@@ -121,11 +170,17 @@
     )
 
 
+def _list_serving(task: TaskState) -> list[Attempt]:
+    return [
+        attempt for attempt in task.attempts if _is_serving(attempt.worker, attempt.run)
+    ]
+
+
 def _is_serving(worker: Worker, run: Run) -> bool:
     return (
         run.phase is not RunPhase.STARTING
         and run.percent >= _SERVING_PERCENT
-        and worker.silence is None
+        and not worker.is_state_unknown(run)
     )
 
 
--- a/trefoilhook/scheduling/tests/cases.py
+++ b/trefoilhook/scheduling/tests/cases.py
@@ -20,6 +20,7 @@
     StartOrder,
     Step,
     StopOrder,
+    UnreadableRow,
     WorkerReport,
     apply_poll_answer,
     apply_start_outcome,
@@ -169,6 +170,24 @@
         for worker_id in list(self.scheduler.workers):
             self.poll(worker_id)
 
+    def poll_with_unreadable_end(self, order: StartOrder) -> None:
+        """Poll the worker of an ended attempt; the kind of its end is unreadable."""
+        key = (order.task, order.attempt)
+        answer = self.workers[order.worker_id].answer_poll(self.now_ms)
+        (ended,) = [end for end in answer.ends if (end.task, end.attempt) == key]
+        row = UnreadableRow(reason="how", is_end=True, number=ended.number, attempt=key)
+        apply_poll_answer(
+            self.scheduler,
+            order.worker_id,
+            attrs.evolve(
+                answer,
+                ends=tuple(end for end in answer.ends if end is not ended),
+                unreadable=(row,),
+            ),
+            sent_ms=self.now_ms,
+            now_ms=self.now_ms,
+        )
+
     def silence(
         self, worker_id: str, outcome: OrderOutcome = OrderOutcome.NO_ANSWER
     ) -> None:
--- a/trefoilhook/scheduling/tests/test_waits.py
+++ b/trefoilhook/scheduling/tests/test_waits.py
@@ -4,7 +4,14 @@
 
 import attrs
 
-from trefoilhook.scheduling import Demand, EndKind, ShortfallCounter, Step
+from trefoilhook.scheduling import (
+    Demand,
+    EndKind,
+    OrderOutcome,
+    ShortfallCounter,
+    Step,
+    apply_poll_answer,
+)
 from trefoilhook.scheduling.tests.cases import SMALL, Shard, build_job, list_starts
 from trefoilhook.scheduling.tickets import name_step
 from trefoilhook.scheduling.waits import WaitReason, WaitTracker
@@ -141,11 +148,17 @@
             )
         self.shard.poll_all()
 
+    def collect(self) -> list:
+        """Return the shortfalls since the last call."""
+        return list(
+            self.counter.collect(self.shard.scheduler, now_ms=self.shard.now_ms)
+        )
+
     def take(self) -> list:
         """Sample twice and return the shortfalls."""
         for _ in range(2):
             self.counter.sample(self.shard.scheduler)
-        return list(self.counter.collect(self.shard.scheduler))
+        return self.collect()
 
     def test_complete_job_is_not_reported(self):
         self.assertEqual(self.take(), [])
@@ -156,6 +169,62 @@
         self.assertEqual((shortfall.tasks, shortfall.away), (4, 1.0))
         self.assertEqual((shortfall.over, shortfall.beside), (0.0, 0.0))
 
+    def test_ended_task_waits(self):
+        self.shard.end(self.orders[0], EndKind.FAILED)
+        (shortfall,) = self.take()
+        self.assertEqual((shortfall.waiting, shortfall.unknown), (1.0, 0.0))
+        self.assertEqual(shortfall.unknown_task, "")
+
+    def test_task_on_silent_worker_is_unknown(self):
+        # Guards against a report that does not distinguish a task that waits for a
+        # worker from one that is held by an attempt of unknown state.
+        lost = [order for order in self.orders if order.worker_id == "w0"]
+        self.shard.advance_time(700.0)
+        self.shard.silence("w0")
+        (shortfall,) = self.take()
+        self.assertEqual((shortfall.away, shortfall.unknown), (2.0, 2.0))
+        self.assertEqual(shortfall.waiting, 0.0)
+        self.assertIn(shortfall.unknown_task, [str(order.task) for order in lost])
+        self.assertEqual((shortfall.unknown_worker, shortfall.unknown_ms), ("w0", 700))
+
+    def test_task_with_unreadable_end_is_unknown(self):
+        # Guards against a task that counts as serving though its worker has listed an
+        # end that this owner cannot read.
+        order = self.orders[0]
+        self.shard.workers[order.worker_id].end(
+            order.task, order.attempt, EndKind.FAILED
+        )
+        for _ in range(2):
+            self.shard.advance_time(400.0)
+            self.shard.poll_with_unreadable_end(order)
+        (shortfall,) = self.take()
+        self.assertEqual((shortfall.away, shortfall.unknown), (1.0, 1.0))
+        self.assertEqual(shortfall.unknown_task, str(order.task))
+        self.assertEqual(shortfall.unknown_ms, 800)
+        self.shard.poll_all()
+        (shortfall,) = self.take()
+        self.assertEqual((shortfall.waiting, shortfall.unknown), (1.0, 0.0))
+
+    def test_task_that_starts_is_neither_waiting_nor_unknown(self):
+        # Its start is confirmed during a poll, whose answer does not list it yet.
+        self.shard.end(self.orders[0], EndKind.FAILED)
+        (restart,) = list_starts(self.shard.plan())
+        sent_ms = self.shard.now_ms
+        answer = self.shard.workers[restart.worker_id].answer_poll(sent_ms)
+        self.shard.advance_time(2.0)
+        self.shard.answer(restart, OrderOutcome.DONE)
+        self.shard.advance_time(2.0)
+        apply_poll_answer(
+            self.shard.scheduler,
+            restart.worker_id,
+            answer,
+            sent_ms=sent_ms,
+            now_ms=self.shard.now_ms,
+        )
+        (shortfall,) = self.take()
+        self.assertEqual(shortfall.away, 1.0)
+        self.assertEqual((shortfall.waiting, shortfall.unknown), (0.0, 0.0))
+
     def test_tasks_over_limit_beside_filler_and_alone(self):
         filler = Step(
             count=1, demand=Demand(cpu=10, memory_mb=10), filler=True, image="f"
@@ -176,7 +245,7 @@
         self.shard.end(self.orders[0], EndKind.FAILED)
         self.counter.sample(self.shard.scheduler)
         self.shard.scheduler.cancel_job("j", revision=2)
-        self.assertEqual(list(self.counter.collect(self.shard.scheduler)), [])
+        self.assertEqual(self.collect(), [])
 
 
 if __name__ == "__main__":
