Log the service tasks that wait to be restarted

What operators see: QUEUE_WAITS named the oldest waiting job of a queue alone, so that a service task that failed and wasn't restarted had no line after its TASK_ENDED. Change: the line gives the number of waiting long-running tasks that may have run before, and of the one that waits longest its id, wait, reason, size, and where and how its last attempt ended. Only tasks without an attempt left are waiting, so their end is known. "May have run" is a property of TaskState: an attempt number, or a job that was started under a previous owner, which doesn't hand on which tasks it started. `story TASK` shows lines that name the task as waiting or unknown.

--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -15,7 +15,7 @@
 from trefoilhook.standins import platform_documents
 from trefoilhook.standins.platform_advice import PlatformAdvice
 from trefoilhook.standins.platform_store import PlatformStore
-from trefoilhook.standins.platform_worker import PlatformWorker
+from trefoilhook.standins.platform_worker import PlatformWorker, WorkerFault
 
 HOST = "shop.example"
 PREFIX = "/checks/"
@@ -221,6 +221,17 @@
         finally:
             await client.close()
 
+    async def stop_service_task(self, instance: Instance, job_id: str) -> None:
+        """Run a service of one task, which fails and finds no worker to restart on."""
+        step = {"count": 1, "cpu": 500, "mem_mb": 10, "long_running": True}
+        body = json.dumps({"spec": "x", "steps": [step]}).encode()
+        (worker,) = self.workers.values()
+        worker.fault = WorkerFault.FAILS_TASKS
+        await self.send(instance, "POST", PREFIX + job_id, body)
+        await self.wait_until(lambda: bool(worker.records))
+        self.store.remove(f"servers/{worker.worker_id}")
+        await self.wait_until(lambda: worker.records[0].how == "failed")
+
     async def read_state(self, instance: Instance, job_id: str) -> str:
         """Return a job's state, or the HTTP status if it is not 200."""
         answer = await self.send(instance, "GET", PREFIX + job_id)
--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -210,6 +210,41 @@
         logged = [line for line in lines if line["event_name"] == "QUEUE_WAITS"]
         self.assertEqual(logged[-1]["too_late"], logged[-1]["tasks"])
 
+    def test_service_task_that_is_not_restarted_is_logged(self):
+        # Guards against a log that does not name a service task that failed and waits:
+        # whether its end is known, for how long it has waited, and for what.
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            instance = cluster.instances[0]
+            with capture_lines() as captured:
+                await cluster.stop_service_task(instance, JOB)
+                await cluster.wait_until(
+                    lambda: (
+                        any(line.get("restarts", 0) for line in captured)
+                        and any(line.get("waiting", 0.0) >= 1.0 for line in captured)
+                    )
+                )
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=1, workers=1, task_ms=600.0)
+        waits = next(line for line in lines if line.get("restarts", 0))
+        expected = {
+            "event_name": "QUEUE_WAITS",
+            "restarts": 1,
+            "restart_task": f"{JOB}.0.0.0",
+            "restart_waits_for": "no worker",
+            "restart_cpu": 500,
+            "restart_mb": 10,
+            "restart_worker": "w0",
+            "restart_end": "failed",
+        }
+        self.assertEqual({**waits, **expected}, waits)
+        self.assertGreater(waits["restart_wait_ms"], 1900)
+        short = next(line for line in lines if line.get("waiting", 0.0) >= 1.0)
+        self.assertEqual(short["event_name"], "SERVICE_SHORT")
+        self.assertEqual((short["job"], short["unknown"]), (JOB, 0.0))
+
     def test_queue_without_waiting_tasks_is_not_logged(self):
         lines: list[dict] = []
 
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -71,6 +71,11 @@
     encode_job_record,
     encode_progress,
 )
+from trefoilhook.scheduling.restarts import (
+    find_longest_wait,
+    list_restarts,
+    measure_wait,
+)
 from trefoilhook.scheduling.rounds import extend_lease
 from trefoilhook.scheduling.shortfall import Shortfall, ShortfallCounter
 from trefoilhook.scheduling.tickets import AdviceRequest, Grant
@@ -131,11 +136,14 @@
     "encode_job_record",
     "encode_progress",
     "extend_lease",
+    "find_longest_wait",
     "is_settled",
+    "list_restarts",
     "list_unreported",
     "handle_worker_loss",
     "measure_backlogs",
     "measure_evacuated",
+    "measure_wait",
     "parse_task_id",
     "plan_orders",
     "release_expired",
--- a/trefoilhook/scheduling/backlog.py
+++ b/trefoilhook/scheduling/backlog.py
@@ -1,7 +1,7 @@
 """Waiting tasks by queue, and the free capacity of the workers that could run them."""
 
 from collections import defaultdict
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterable, Iterator
 
 import attrs
 
@@ -10,6 +10,11 @@
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.placing import list_open_workers
 from trefoilhook.scheduling.ranking import TOO_LATE, get_lateness
+from trefoilhook.scheduling.restarts import (
+    find_longest_wait,
+    list_restarts,
+    measure_wait,
+)
 from trefoilhook.scheduling.tickets import name_step
 
 __all__ = ["Backlog", "measure_backlogs"]
@@ -44,6 +49,21 @@
         Total free capacity of the latter, in thousandths of a core and MB.
     most_cpu, most_mb : int
         Maximum free capacity of one of them.
+    restarts : int
+        Number of these tasks that are long-running and may have run before. None of
+        them has an attempt left. The following fields describe the one that has waited
+        longest.
+    restart_task : str
+        Id of the task.
+    restart_wait_ms : int
+        Time for which it has waited under this owner, in ms.
+    restart_waits_for : str
+        Main reason for the wait of its step.
+    restart_cpu, restart_mb : int
+        Its requirements: thousandths of a core, and MB.
+    restart_worker, restart_end : str
+        Worker of its last attempt, and how that ended; empty if this owner does not
+        know it.
     """
 
     queue: str
@@ -61,6 +81,14 @@
     free_mb: int
     most_cpu: int
     most_mb: int
+    restarts: int = 0
+    restart_task: str = ""
+    restart_wait_ms: int = 0
+    restart_waits_for: str = ""
+    restart_cpu: int = 0
+    restart_mb: int = 0
+    restart_worker: str = ""
+    restart_end: str = ""
 
 
 def measure_backlogs(
@@ -86,7 +114,7 @@
         cpu = [_count_free_cpu(worker) for worker in open_workers]
         memory_mb = [_count_free_mb(worker) for worker in open_workers]
         oldest = min(tasks, key=lambda task: task.job.job.accepted_ms)
-        yield Backlog(
+        backlog = Backlog(
             queue=name,
             tasks=len(tasks),
             fillers=sum(task.step.filler for task in tasks),
@@ -103,6 +131,30 @@
             most_cpu=max(cpu, default=0),
             most_mb=max(memory_mb, default=0),
         )
+        yield _add_restarts(scheduler, backlog, tasks, now_ms)
+
+
+def _add_restarts(
+    scheduler: Scheduler,
+    backlog: Backlog,
+    tasks: Iterable[TaskState],
+    now_ms: float,
+) -> Backlog:
+    restarts = list_restarts(tasks)
+    longest = find_longest_wait(restarts, now_ms)
+    if longest is None:
+        return backlog
+    return attrs.evolve(
+        backlog,
+        restarts=len(restarts),
+        restart_task=str(longest.task),
+        restart_wait_ms=round(measure_wait(longest, now_ms)),
+        restart_waits_for=_get_wait_reason(scheduler, longest),
+        restart_cpu=longest.step.room.cpu,
+        restart_mb=longest.step.room.memory_mb,
+        restart_worker=longest.last_worker,
+        restart_end=longest.last_end.value if longest.last_end is not None else "",
+    )
 
 
 def _get_wait_reason(scheduler: Scheduler, task: TaskState) -> str:
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -307,6 +307,7 @@
         if task is None:
             return
         task.detach(run)
+        task.record_end(worker, kind)
         self.suspects.record_run_end(task, run, kind)
         if kind is EndKind.FAILED:
             task.failed_on.add(worker.report.worker_id)
--- a/trefoilhook/scheduling/job_state.py
+++ b/trefoilhook/scheduling/job_state.py
@@ -3,6 +3,7 @@
 import attrs
 
 from trefoilhook.scheduling.fleet import Run, Worker
+from trefoilhook.scheduling.messages import EndKind
 from trefoilhook.scheduling.models import Job, Queue, Step, TaskId
 from trefoilhook.scheduling.records import JobPhase, JobRecord, Progress
 from trefoilhook.scheduling.suspicion import Suspicion, Unit
@@ -43,6 +44,10 @@
     held_until_ms : float
         Time until which it is not started again, in ms. Set if workers were lost while
         it ran there, without proof that they crashed.
+    last_worker : str
+        Worker of the attempt that ended last, if this owner knows it.
+    last_end : EndKind or None
+        How that attempt ended.
     """
 
     task: TaskId
@@ -54,6 +59,16 @@
     done: bool = False
     waiting_since_ms: float | None = None
     held_until_ms: float = 0.0
+    last_worker: str = ""
+    last_end: EndKind | None = None
+
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an attempt of this owner or a previous one may have been started.
+
+        A new owner does not know which tasks of a job a previous owner has started.
+        """
+        return self.last_attempt > 0 or (self.job.started and not self.job.is_new)
 
     @property
     def unit(self) -> Unit:
@@ -79,6 +94,11 @@
         """Remove an attempt that is over."""
         self.attempts = [a for a in self.attempts if a.run is not run]
 
+    def record_end(self, worker: Worker, kind: EndKind) -> None:
+        """Record where and how an attempt ended."""
+        self.last_worker = worker.report.worker_id
+        self.last_end = kind
+
 
 @attrs.define(kw_only=True, eq=False)
 class JobState:
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -107,6 +107,7 @@
         task = state.find_task(end.task)
         if task is not None:
             task.last_attempt = max(task.last_attempt, end.attempt)
+            task.record_end(worker, end.kind)
             scheduler.apply_end(task, end.attempt, end.kind, end.checkpoint)
     _update_faults(scheduler, worker, end, now_ms)
     version = state.version if state is not None else 0
--- a/trefoilhook/story/core.py
+++ b/trefoilhook/story/core.py
@@ -37,7 +37,7 @@
 )
 """Events that concern every unfinished job."""
 
-_ID_FIELDS = ("job", "task", "worker")
+_ID_FIELDS = ("job", "task", "worker", "restart_task", "unknown_task")
 _HEADER_FIELDS = frozenset({"t", "level", "instance", "event", "event_name"})
 
 _MAX_SIMILAR = 3
--- a/trefoilhook/story/tests/test_core.py
+++ b/trefoilhook/story/tests/test_core.py
@@ -63,6 +63,19 @@
         self.assertEqual(sum("how=failed" in text for text in history), 1)
         self.assertEqual(sum("1 more" in text for text in history), 2)
 
+    def test_lines_naming_a_waiting_or_unknown_task_are_selected(self):
+        # Guards against a history that ends with the end of a service task, while the
+        # owner goes on to log that it waits.
+        log = [
+            _line(1.0, "a", "TASK_ENDED", task="j.0.0.1", how="failed"),
+            _line(2.0, "a", "QUEUE_WAITS", queue="q", restart_task="j.0.0.1"),
+            _line(2.0, "a", "SERVICE_SHORT", job="j", unknown_task="j.0.0.1"),
+            _line(4.0, "a", "QUEUE_WAITS", queue="q", restart_task=""),
+            _line(4.0, "a", "SERVICE_SHORT", job="j", unknown_task="j.0.0.2"),
+        ]
+        history = select_history(read_lines(log), "j.0.0.1")
+        self.assertEqual([line.time_s for line in history], [1.0, 2.0, 2.0])
+
     def test_only_waits_of_its_own_queue_are_selected(self):
         log = [
             _line(1.0, "a", "JOB_ACCEPTED", job="j", queue="q"),
