End the wait of a task that a new owner finds running

Cause: a task waits under a new owner until its run is found on a worker, and the start of that wait was kept. The next start of the task counted it on: waited_ms of a service task that failed an hour after a takeover was an hour, and so would the longest wait be. Measured: the new test gets 3600710.0 ms in place of 700.0 without the change.

--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -224,6 +224,7 @@
     task.last_attempt = max(task.last_attempt, running.attempt)
     task.attempts.append(Attempt(worker=worker, run=run))
     scheduler.waiting.discard(task)
+    task.waiting_since_ms = None
     if not state.is_open or task.done or len(task.attempts) > 1:
         scheduler.stop_attempts(task, keep=1 if state.is_open else 0)
     return run
--- a/trefoilhook/scheduling/tests/test_restarts.py
+++ b/trefoilhook/scheduling/tests/test_restarts.py
@@ -9,7 +9,11 @@
     EndKind,
     Progress,
     Step,
+    TaskId,
+    find_longest_wait,
+    list_restarts,
     measure_backlogs,
+    measure_wait,
 )
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 
@@ -102,5 +106,36 @@
         )
 
 
+class RestartWaitTest(unittest.TestCase):
+    """Waits of long-running tasks that ran before."""
+
+    def test_wait_of_adopted_task_is_over(self):
+        # Guards against a wait that is counted on: a new owner has the task waiting
+        # until it finds the attempt running. When that fails an hour later, the wait
+        # must begin then.
+        earlier = Shard(workers=1)
+        earlier.submit(build_job(attrs.evolve(_SERVICE, count=1)))
+        order = earlier.start_one()
+        shard = Shard(workers=0, epoch=2, settled=False)
+        shard.workers = earlier.workers
+        job = build_job(attrs.evolve(_SERVICE, count=1))
+        shard.submit(job, is_new=False, progress=Progress())
+        shard.plan()
+        shard.add_worker("w0")
+        shard.advance_time(3_600_000.0)
+        shard.end(order, EndKind.FAILED)
+        shard.scheduler.exclude_worker("w0")
+        shard.plan()
+        shard.advance_time(700.0)
+        longest = find_longest_wait(
+            list_restarts(shard.scheduler.waiting), shard.now_ms
+        )
+        self.assertEqual(longest.task, TaskId("j", 0, 0, 0))
+        self.assertEqual(measure_wait(longest, shard.now_ms), 700.0)
+
+    def test_no_wait(self):
+        self.assertIsNone(find_longest_wait([], 0.0))
+
+
 if __name__ == "__main__":
     unittest.main()
