Export how long a service task has waited to be restarted

What operators see: no metric told that a service task that ran before isn't restarted. Change: the owner's gauges restart_wait_ms (the longest current wait) and restarts_waiting (how many wait). They are read from the waiting tasks at each scrape and go with the ownership, so that a former owner doesn't report its last values. The new test fails if the gauges stay after the ownership. docs/METRICS.md is made from the instruments of the admin API and stays as it is; the metrics of the platform's process stand in docs/OPERATIONS.md.

--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import functools
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 import trio
@@ -43,8 +43,11 @@
     Worker,
     WorkerReport,
     decode_interference,
+    find_longest_wait,
     is_settled,
+    list_restarts,
     list_unreported,
+    measure_wait,
     plan_orders,
     release_expired,
 )
@@ -221,10 +224,11 @@
     async def run(self) -> None:
         """Run until the ownership has ended."""
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._work, nursery)
-                await self._ownership.ended.wait()
-                nursery.cancel_scope.cancel()
+            with self._export_gauges():
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._work, nursery)
+                    await self._ownership.ended.wait()
+                    nursery.cancel_scope.cancel()
             if self._ownership.released:
                 with trio.move_on_after(OWNER_LEASE_MS / 4000.0):
                     await self._committer.flush()
@@ -233,6 +237,28 @@
                 for client in self._clients.values():
                     await client.close()
 
+    @contextlib.contextmanager
+    def _export_gauges(self) -> Iterator[None]:
+        """Export the gauges of the shard, which only its owner has."""
+        gauges: dict[str, Callable[[], float]] = {
+            "restarts_waiting": lambda: float(
+                len(list_restarts(self._scheduler.waiting))
+            ),
+            "restart_wait_ms": self._measure_restart_wait,
+        }
+        self._metrics.gauges.update(gauges)
+        try:
+            yield
+        finally:
+            for name in gauges:
+                del self._metrics.gauges[name]
+
+    def _measure_restart_wait(self) -> float:
+        """Return the longest wait of a long-running task that ran before, in ms."""
+        now_ms = self._clock.monotonic_ms()
+        longest = find_longest_wait(list_restarts(self._scheduler.waiting), now_ms)
+        return measure_wait(longest, now_ms) if longest is not None else 0.0
+
     async def _work(self, nursery: trio.Nursery) -> None:
         contents = await self._load()
         nursery.start_soon(self._job_feed.follow, contents.jobs)
--- a/trefoilhook/runtime/tests/test_metrics.py
+++ b/trefoilhook/runtime/tests/test_metrics.py
@@ -45,3 +45,25 @@
             self.assertIn("trefoilhook_takeover_ms_count 1.0", text)
 
         run_cluster(scenario, instances=1)
+
+    def test_waits_of_service_tasks(self):
+        # Guards against a service task that is not restarted without any metric that
+        # tells. A process that is not the owner must not report its last values.
+        async def scenario(cluster: Cluster) -> None:
+            instance = await cluster.wait_for_owner()
+            gauges = instance.process.metrics.gauges
+            await cluster.wait_until(lambda: "restart_wait_ms" in gauges)
+            self.assertEqual(gauges["restarts_waiting"](), 0.0)
+            self.assertEqual(gauges["restart_wait_ms"](), 0.0)
+            await cluster.stop_service_task(instance, "00000000000000c1")
+            await cluster.wait_until(lambda: gauges["restart_wait_ms"]() > 500.0)
+            self.assertEqual(gauges["restarts_waiting"](), 1.0)
+            text = render(instance.process.metrics).decode()
+            self.assertIn("trefoilhook_restarts_waiting 1.0", text)
+            self.assertIn("trefoilhook_restart_wait_ms ", text)
+            instance.stop.set()
+            await cluster.wait_until(lambda: not instance.process.is_owner)
+            self.assertNotIn("restarts_waiting", gauges)
+            self.assertNotIn("restart_wait_ms", gauges)
+
+        run_cluster(scenario, instances=1, workers=1, task_ms=600.0)
