--- a/trefoilhook/scheduling/tests/test_rounds.py
+++ b/trefoilhook/scheduling/tests/test_rounds.py
@@ -47,8 +47,8 @@
         self.assertEqual([start.task.job_id for start in starts], ["z"])
 
     def test_ended_long_running_task_gets_its_capacity_back_after_takeover(self):
-        # Guards against a new owner that ranks a long-running task behind urgent tasks,
-        # which take the capacity that it freed, because it ended before the takeover.
+        # Guards against a new owner that starts urgent tasks on the capacity freed by a
+        # long-running task, because the task ended before the takeover.
         shard = Shard(workers=1, cpu=4000, epoch=2)
         long_running = attrs.evolve(
             _LONG_RUNNING, demand=Demand(cpu=3000, memory_mb=10)
