Reword the restart logging, and share its predicate with the ranking

TaskState.may_have_run, which the log uses to select restarts, now also determines the rank of long-running tasks. The logic is the same as before in rank_step.

--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -239,7 +239,7 @@
 
     @contextlib.contextmanager
     def _export_gauges(self) -> Iterator[None]:
-        """Export the gauges of the shard, which only its owner has."""
+        """Export the gauges of waiting restarts for the duration of the context."""
         gauges: dict[str, Callable[[], float]] = {
             "restarts_waiting": lambda: float(
                 len(list_restarts(self._scheduler.waiting))
@@ -254,7 +254,7 @@
                 del self._metrics.gauges[name]
 
     def _measure_restart_wait(self) -> float:
-        """Return the longest wait of a long-running task that ran before, in ms."""
+        """Return the longest wait of a long-running task to be restarted, in ms."""
         now_ms = self._clock.monotonic_ms()
         longest = find_longest_wait(list_restarts(self._scheduler.waiting), now_ms)
         return measure_wait(longest, now_ms) if longest is not None else 0.0
--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -221,8 +221,8 @@
         finally:
             await client.close()
 
-    async def stop_service_task(self, instance: Instance, job_id: str) -> None:
-        """Run a service of one task, which fails and finds no worker to restart on."""
+    async def run_failing_service(self, instance: Instance, job_id: str) -> None:
+        """Run a service whose only task fails and has no worker to restart on."""
         step = {"count": 1, "cpu": 500, "mem_mb": 10, "long_running": True}
         body = json.dumps({"spec": "x", "steps": [step]}).encode()
         (worker,) = self.workers.values()
--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -211,14 +211,14 @@
         self.assertEqual(logged[-1]["too_late"], logged[-1]["tasks"])
 
     def test_service_task_that_is_not_restarted_is_logged(self):
-        # Guards against a log that does not name a service task that failed and waits:
-        # whether its end is known, for how long it has waited, and for what.
+        # Guards against a log that omits a failed service task that waits to be
+        # restarted, the time and reason of its wait, or whether its end is known.
         lines: list[dict] = []
 
         async def scenario(cluster: Cluster) -> None:
             instance = cluster.instances[0]
             with capture_lines() as captured:
-                await cluster.stop_service_task(instance, JOB)
+                await cluster.run_failing_service(instance, JOB)
                 await cluster.wait_until(
                     lambda: (
                         any(line.get("restarts", 0) for line in captured)
--- a/trefoilhook/runtime/tests/test_metrics.py
+++ b/trefoilhook/runtime/tests/test_metrics.py
@@ -46,16 +46,16 @@
 
         run_cluster(scenario, instances=1)
 
-    def test_waits_of_service_tasks(self):
-        # Guards against a service task that is not restarted without any metric that
-        # tells. A process that is not the owner must not report its last values.
+    def test_restart_gauges_are_exported_only_by_owner(self):
+        # Guards against missing metrics for a service task that is not restarted, and
+        # against stale values from a process that is no longer the owner.
         async def scenario(cluster: Cluster) -> None:
             instance = await cluster.wait_for_owner()
             gauges = instance.process.metrics.gauges
             await cluster.wait_until(lambda: "restart_wait_ms" in gauges)
             self.assertEqual(gauges["restarts_waiting"](), 0.0)
             self.assertEqual(gauges["restart_wait_ms"](), 0.0)
-            await cluster.stop_service_task(instance, "00000000000000c1")
+            await cluster.run_failing_service(instance, "00000000000000c1")
             await cluster.wait_until(lambda: gauges["restart_wait_ms"]() > 500.0)
             self.assertEqual(gauges["restarts_waiting"](), 1.0)
             text = render(instance.process.metrics).decode()
--- a/trefoilhook/scheduling/backlog.py
+++ b/trefoilhook/scheduling/backlog.py
@@ -50,9 +50,9 @@
     most_cpu, most_mb : int
         Maximum free capacity of one of them.
     restarts : int
-        Number of these tasks that are long-running and may have run before. None of
-        them has an attempt left. The following fields describe the one that has waited
-        longest.
+        Number of waiting tasks that are long-running and may have run before. None of
+        them has an attempt that may still be running. The following fields describe the
+        one that has waited longest.
     restart_task : str
         Id of the task.
     restart_wait_ms : int
@@ -62,8 +62,8 @@
     restart_cpu, restart_mb : int
         Its requirements: thousandths of a core, and MB.
     restart_worker, restart_end : str
-        Worker of its last attempt, and how that ended; empty if this owner does not
-        know it.
+        Worker of the attempt that ended last, and how it ended; empty if unknown to
+        this owner.
     """
 
     queue: str
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -340,10 +340,10 @@
             self.silence.was_refused = True
 
     def is_state_unknown(self, run: Run) -> bool:
-        """Return whether the owner does not know the state of a run there.
+        """Return whether the state of a run on this worker is unknown to the owner.
 
         Either the worker does not answer, or its last answer neither lists the run as
-        running nor contains a readable end of it.
+        running nor contains a readable end of the run.
         """
         return self.silence is not None or (
             run.seen_ms < self.poll_sent_ms and run.confirmed_ms < self.poll_sent_ms
--- a/trefoilhook/scheduling/job_state.py
+++ b/trefoilhook/scheduling/job_state.py
@@ -45,9 +45,9 @@
         Time until which it is not started again, in ms. Set if workers were lost while
         it ran there, without proof that they crashed.
     last_worker : str
-        Worker of the attempt that ended last, if this owner knows it.
+        Worker of the attempt that ended last; empty if unknown to this owner.
     last_end : EndKind or None
-        How that attempt ended.
+        How that attempt ended; None if unknown to this owner.
     """
 
     task: TaskId
@@ -66,7 +66,8 @@
     def may_have_run(self) -> bool:
         """Whether an attempt of this owner or a previous one may have been started.
 
-        A new owner does not know which tasks of a job a previous owner has started.
+        A new owner does not know which tasks of a started job have run, so all of them
+        count as having run.
         """
         return self.last_attempt > 0 or (self.job.started and not self.job.is_new)
 
--- a/trefoilhook/scheduling/ranking.py
+++ b/trefoilhook/scheduling/ranking.py
@@ -39,18 +39,14 @@
     within a second and have several times their value per core and second. A
     long-running task that has already run comes first: on a full fleet the capacity
     that it freed is the only one of its size, and a steady stream of small tasks would
-    occupy it permanently. If a previous owner may have started tasks of a job, it is
-    unknown which of them have run, so all of them count as having run.
+    occupy it permanently.
     """
     state = tasks[0]
     job = state.job
     priority = job.queue.priority if job.queue is not None else 0
     late = get_lateness(state, wall_ms)
     is_long_running = state.step.long_running
-    may_have_run = (job.started and not job.is_new) or any(
-        task.last_attempt for task in tasks
-    )
-    is_new = not (is_long_running and may_have_run)
+    is_new = not (is_long_running and any(task.may_have_run for task in tasks))
     name = state.task
     return (
         priority,
--- a/trefoilhook/scheduling/restarts.py
+++ b/trefoilhook/scheduling/restarts.py
@@ -1,7 +1,7 @@
 """Long-running tasks that wait to be restarted.
 
-The end of their last attempt is known to the owner. A task whose attempt may still run
-on a worker that does not answer does not wait.
+Their previous attempts are known to be over. A task with an attempt that may still be
+running, for example on a worker that does not answer, does not wait.
 """
 
 from collections.abc import Iterable
@@ -19,7 +19,7 @@
 def measure_wait(task: TaskState, now_ms: float) -> float:
     """Return the time for which a task has waited for a worker, in ms.
 
-    A wait begins with the first round after the end of the previous attempt.
+    The wait begins with the first round after the end of the previous attempt.
     """
     if task.waiting_since_ms is None:
         return 0.0
--- a/trefoilhook/scheduling/shortfall.py
+++ b/trefoilhook/scheduling/shortfall.py
@@ -36,18 +36,18 @@
     waited_for : str
         Reason why a task of it waits, if any does.
     waiting : float
-        Mean number of the absent tasks that waited for a worker. None of them has an
-        attempt left.
+        Mean number of the absent tasks that waited for a worker. None of them had an
+        attempt that might still be running.
     unknown : float
         Mean number of the absent tasks with an attempt whose state is unknown to the
-        owner: its worker does not answer, or its last answer neither lists the attempt
-        nor contains a readable end of it. They are not started elsewhere until the
-        attempt is proved over.
+        owner: its worker does not answer, or the worker's last answer neither lists the
+        attempt nor contains a readable end of it. These tasks are not started elsewhere
+        until the attempt is proved over.
     unknown_task, unknown_worker : str
-        Id and worker of one that is unknown at the end of the interval, the one that
-        has not been listed for longest.
+        Id and worker of the task whose attempt has been unlisted for longest, among
+        those that are unknown at the end of the interval.
     unknown_ms : int
-        Time since its worker last listed it, in ms.
+        Time since that worker last listed the attempt, in ms.
     """
 
     job: str
@@ -116,7 +116,7 @@
     return (task for task in state.tasks.values() if task.step.long_running)
 
 
-def _list_unknown(task: TaskState) -> list[Attempt]:
+def _list_unknown_attempts(task: TaskState) -> list[Attempt]:
     return [
         attempt
         for attempt in task.attempts
@@ -128,17 +128,17 @@
     unknown = [
         attempt
         for task in _list_tasks(state)
-        if not _list_serving(task)
-        for attempt in _list_unknown(task)
+        if not _list_serving_attempts(task)
+        for attempt in _list_unknown_attempts(task)
     ]
-    oldest = min(unknown, key=lambda attempt: attempt.run.seen_ms, default=None)
-    if oldest is None:
+    least_recent = min(unknown, key=lambda attempt: attempt.run.seen_ms, default=None)
+    if least_recent is None:
         return shortfall
     return attrs.evolve(
         shortfall,
-        unknown_task=str(oldest.run.task),
-        unknown_worker=oldest.worker.report.worker_id,
-        unknown_ms=round(now_ms - oldest.run.seen_ms),
+        unknown_task=str(least_recent.run.task),
+        unknown_worker=least_recent.worker.report.worker_id,
+        unknown_ms=round(now_ms - least_recent.run.seen_ms),
     )
 
 
@@ -153,11 +153,11 @@
 
 
 def _add_sample(scheduler: Scheduler, sums: _Sums, task: TaskState) -> None:
-    serving_attempts = _list_serving(task)
+    serving_attempts = _list_serving_attempts(task)
     if not serving_attempts:
         sums.away += 1
         sums.waiting += task in scheduler.waiting
-        sums.unknown += bool(_list_unknown(task))
+        sums.unknown += bool(_list_unknown_attempts(task))
         return
     limit_ms = task.step.latency_limit_ms
     if not limit_ms or all(
@@ -170,7 +170,7 @@
     )
 
 
-def _list_serving(task: TaskState) -> list[Attempt]:
+def _list_serving_attempts(task: TaskState) -> list[Attempt]:
     return [
         attempt for attempt in task.attempts if _is_serving(attempt.worker, attempt.run)
     ]
--- a/trefoilhook/scheduling/tests/cases.py
+++ b/trefoilhook/scheduling/tests/cases.py
@@ -171,7 +171,7 @@
             self.poll(worker_id)
 
     def poll_with_unreadable_end(self, order: StartOrder) -> None:
-        """Poll the worker of an ended attempt; the kind of its end is unreadable."""
+        """Poll the worker of an ended attempt, with the kind of its end unreadable."""
         key = (order.task, order.attempt)
         answer = self.workers[order.worker_id].answer_poll(self.now_ms)
         (ended,) = [end for end in answer.ends if (end.task, end.attempt) == key]
--- a/trefoilhook/scheduling/tests/test_restarts.py
+++ b/trefoilhook/scheduling/tests/test_restarts.py
@@ -1,4 +1,4 @@
-"""Tests of what the owner reports on long-running tasks that wait to be restarted."""
+"""Tests of the reports on long-running tasks that wait to be restarted."""
 
 import unittest
 
@@ -40,8 +40,8 @@
         return attrs.asdict(backlog)
 
     def test_longest_wait_is_described(self):
-        # Guards against a backlog that names only the oldest waiting job, which hides
-        # the service task that failed and is not restarted.
+        # Guards against a backlog that describes only the oldest waiting job and omits
+        # a service task that failed and is not restarted.
         shard = Shard(workers=1, cpu=4000)
         shard.submit(build_job(attrs.evolve(_SERVICE, count=9), job_id="a"))
         running = list_starts(shard.step())
@@ -64,7 +64,7 @@
         backlog = self.measure(shard)
         self.assertEqual({**backlog, **expected}, backlog)
 
-    def test_new_tasks_are_no_restarts(self):
+    def test_new_tasks_are_not_restarts(self):
         shard = Shard(workers=0)
         shard.submit(build_job(_SERVICE))
         shard.step()
@@ -72,7 +72,7 @@
         self.assertEqual((backlog["tasks"], backlog["restarts"]), (2, 0))
         self.assertEqual(backlog["restart_task"], "")
 
-    def test_ended_batch_tasks_are_no_restarts(self):
+    def test_ended_batch_tasks_are_not_restarts(self):
         shard = Shard(workers=1, cpu=4000)
         shard.submit(build_job(attrs.evolve(_SERVICE, long_running=False)))
         first, _ = list_starts(shard.step())
@@ -80,7 +80,7 @@
         self.assertEqual(self.measure(shard)["restarts"], 0)
 
     def test_tasks_of_previous_owner_are_restarts(self):
-        # After a takeover it is unknown which tasks of a started job have run.
+        # Guards against omitting tasks that may have run under the previous owner.
         shard = Shard(workers=0, epoch=2)
         shard.submit(build_job(_SERVICE), is_new=False, progress=Progress())
         shard.submit(build_job(_SERVICE, job_id="k"), is_new=False)
@@ -90,7 +90,8 @@
         self.assertEqual((backlog["restart_worker"], backlog["restart_end"]), ("", ""))
 
     def test_end_under_previous_owner_is_described(self):
-        # The task failed before the takeover, and its worker still lists the end.
+        # Guards against ignoring an end that precedes the takeover and that the worker
+        # still lists.
         earlier = Shard(workers=1)
         earlier.submit(build_job(attrs.evolve(_SERVICE, count=1)))
         order = earlier.start_one()
@@ -110,9 +111,9 @@
     """Waits of long-running tasks that ran before."""
 
     def test_wait_of_adopted_task_is_over(self):
-        # Guards against a wait that is counted on: a new owner has the task waiting
-        # until it finds the attempt running. When that fails an hour later, the wait
-        # must begin then.
+        # Guards against a wait that includes the run time of an adopted attempt: the
+        # task waits until the new owner finds the attempt running, and its next wait
+        # begins when that attempt fails an hour later.
         earlier = Shard(workers=1)
         earlier.submit(build_job(attrs.evolve(_SERVICE, count=1)))
         order = earlier.start_one()
@@ -133,7 +134,7 @@
         self.assertEqual(longest.task, TaskId("j", 0, 0, 0))
         self.assertEqual(measure_wait(longest, shard.now_ms), 700.0)
 
-    def test_no_wait(self):
+    def test_longest_wait_of_no_tasks(self):
         self.assertIsNone(find_longest_wait([], 0.0))
 
 
--- a/trefoilhook/scheduling/tests/test_waits.py
+++ b/trefoilhook/scheduling/tests/test_waits.py
@@ -177,19 +177,19 @@
 
     def test_task_on_silent_worker_is_unknown(self):
         # Guards against a report that does not distinguish a task that waits for a
-        # worker from one that is held by an attempt of unknown state.
-        lost = [order for order in self.orders if order.worker_id == "w0"]
+        # worker from one that cannot wait because the state of its attempt is unknown.
+        orders = [order for order in self.orders if order.worker_id == "w0"]
         self.shard.advance_time(700.0)
         self.shard.silence("w0")
         (shortfall,) = self.take()
         self.assertEqual((shortfall.away, shortfall.unknown), (2.0, 2.0))
         self.assertEqual(shortfall.waiting, 0.0)
-        self.assertIn(shortfall.unknown_task, [str(order.task) for order in lost])
+        self.assertIn(shortfall.unknown_task, [str(order.task) for order in orders])
         self.assertEqual((shortfall.unknown_worker, shortfall.unknown_ms), ("w0", 700))
 
     def test_task_with_unreadable_end_is_unknown(self):
-        # Guards against a task that counts as serving though its worker has listed an
-        # end that this owner cannot read.
+        # Guards against counting a task as serving although its worker lists an end of
+        # its attempt that the owner cannot read.
         order = self.orders[0]
         self.shard.workers[order.worker_id].end(
             order.task, order.attempt, EndKind.FAILED
@@ -205,8 +205,9 @@
         (shortfall,) = self.take()
         self.assertEqual((shortfall.waiting, shortfall.unknown), (1.0, 0.0))
 
-    def test_task_that_starts_is_neither_waiting_nor_unknown(self):
-        # Its start is confirmed during a poll, whose answer does not list it yet.
+    def test_starting_task_is_neither_waiting_nor_unknown(self):
+        # Guards against an attempt that counts as unknown because its start was
+        # confirmed while a poll was in flight, whose answer does not list it yet.
         self.shard.end(self.orders[0], EndKind.FAILED)
         (restart,) = list_starts(self.shard.plan())
         sent_ms = self.shard.now_ms
--- a/trefoilhook/story/tests/test_core.py
+++ b/trefoilhook/story/tests/test_core.py
@@ -64,8 +64,8 @@
         self.assertEqual(sum("1 more" in text for text in history), 2)
 
     def test_lines_naming_a_waiting_or_unknown_task_are_selected(self):
-        # Guards against a history that ends with the end of a service task, while the
-        # owner goes on to log that it waits.
+        # Guards against a history that omits what the owner logs about the wait of a
+        # service task after the end of its attempt.
         log = [
             _line(1.0, "a", "TASK_ENDED", task="j.0.0.1", how="failed"),
             _line(2.0, "a", "QUEUE_WAITS", queue="q", restart_task="j.0.0.1"),
