Put the evidence of a run of daemon processes into a failed test's message

The message now gives the signals, the events of all instances, the callers' codes, and for each request not answered OK its entry, time, duration, instance and executor, and when executors ran it. Bounds and checks of the tests are unchanged.

--- a/trefoilhook/daemon/tests/processes.py
+++ b/trefoilhook/daemon/tests/processes.py
@@ -18,6 +18,7 @@
 from trefoilhook.clock import build_system_clock
 from trefoilhook.configuration import digest_token
 from trefoilhook.daemon import DaemonSettings
+from trefoilhook.daemon.tests.evidence import Evidence, Exchange
 from trefoilhook.demo import (
     AdminClient,
     Answer,
@@ -47,9 +48,11 @@
     entry_port: int
     admin_port: int
     inner_port: int
+    evidence: Evidence
 
     def send_signal(self, number: int) -> None:
         """Send a signal to the process."""
+        self.evidence.record_signal(self.instance_id, number)
         self.process.send_signal(number)
 
     @property
@@ -64,6 +67,7 @@
 
     platform: LocalPlatform
     folder: Path
+    evidence: Evidence
     daemons: list[Daemon] = attrs.field(factory=list)
     started: int = 0
 
@@ -105,6 +109,7 @@
             entry_port=addresses["entry_port"],
             admin_port=addresses["admin_port"],
             inner_port=addresses["inner_port"],
+            evidence=self.evidence,
         )
         self.daemons.append(daemon)
         return daemon
@@ -208,6 +213,15 @@
         """Return how often an executor received more requests than it has slots."""
         return sum(s.records.overloads for s in self.platform.executors.values())
 
+    def describe(self) -> str:
+        """Describe what was seen of the callers and the daemons."""
+        return self.evidence.describe(
+            {
+                executor_id: standin.records.runs
+                for executor_id, standin in self.platform.executors.items()
+            }
+        )
+
 
 @attrs.define(kw_only=True)
 class Load:
@@ -221,8 +235,11 @@
     async def run(self, daemon: Daemon) -> None:
         """Send requests to a daemon until cancelled, each with a new key."""
         client = self.cluster.open_entry(daemon)
+        clock = self.cluster.platform.clock
         while True:
             key = generate_key()
+            started_ms = clock.wall_ms()
+            answer: Answer | None = None
             try:
                 answer = await client.send(
                     TEAM, self.service, b"seat", key=format_key(key), timeout_ms=1_500
@@ -231,6 +248,17 @@
             except TransportError:
                 self.failed_keys.append(key.hex())
                 await trio.sleep(0.02)
+            self.cluster.evidence.exchanges.append(
+                Exchange(
+                    started_ms=started_ms,
+                    ended_ms=clock.wall_ms(),
+                    entry_id=daemon.instance_id,
+                    request_id=key.hex(),
+                    code=None if answer is None else answer.code,
+                    answered_by="" if answer is None else answer.instance_id,
+                    executor_id="" if answer is None else answer.executor_id,
+                )
+            )
             await trio.sleep(0.005)
 
 
@@ -252,30 +280,50 @@
     settings: DaemonSettings | None = None,
     service_time_ms: float = 5.0,
 ) -> None:
-    """Run a scenario on new daemons, which are killed afterwards in any case."""
+    """Run a scenario on new daemons, which are killed afterwards in any case.
+
+    What was seen of the callers and the daemons is added to the message of a failure.
+    """
+
+    async def play(cluster: ProcessCluster) -> None:
+        try:
+            await cluster.start(daemons)
+            await scenario(cluster)
+        finally:
+            with trio.CancelScope(shield=True):
+                await cluster.stop()
 
     async def run() -> None:
-        with trio.fail_after(DEADLINE_S), tempfile.TemporaryDirectory() as folder:
-            async with trio.open_nursery() as nursery:
-                platform = LocalPlatform(
-                    clock=build_system_clock(),
-                    nursery=nursery,
-                    plan=LocalPlan(
-                        services={f"{TEAM}/seat-check": 3, f"{TEAM}/seat-sale": 3},
-                        workers=3,
-                        service_time_ms=service_time_ms,
-                    ),
-                    settings=settings or build_settings(),
-                )
-                await platform.start()
-                cluster = ProcessCluster(platform=platform, folder=Path(folder))
-                try:
-                    await cluster.start(daemons)
-                    await scenario(cluster)
-                finally:
-                    with trio.CancelScope(shield=True):
-                        await cluster.stop()
-                nursery.cancel_scope.cancel()
+        cluster: ProcessCluster | None = None
+        with tempfile.TemporaryDirectory() as folder:
+            try:
+                with trio.fail_after(DEADLINE_S):
+                    async with trio.open_nursery() as nursery:
+                        platform = LocalPlatform(
+                            clock=build_system_clock(),
+                            nursery=nursery,
+                            plan=LocalPlan(
+                                services={
+                                    f"{TEAM}/seat-check": 3,
+                                    f"{TEAM}/seat-sale": 3,
+                                },
+                                workers=3,
+                                service_time_ms=service_time_ms,
+                            ),
+                            settings=settings or build_settings(),
+                        )
+                        await platform.start()
+                        evidence = Evidence(clock=platform.clock, folder=Path(folder))
+                        nursery.start_soon(evidence.watch_delays)
+                        cluster = ProcessCluster(
+                            platform=platform, folder=Path(folder), evidence=evidence
+                        )
+                        await play(cluster)
+                        nursery.cancel_scope.cancel()
+            except Exception as error:
+                if cluster is not None:
+                    error.add_note(cluster.describe())
+                raise
 
     trio.run(run)
 
