Print the failures of listed tests

nose2 prints no traceback of an expected failure, so a test in KNOWN-RED.txt whose cause is unknown failed again without leaving anything to trace it by. The plugin now prints the traceback, with its notes, before the status of the listed tests. What passes and what fails is unchanged.

test_failure_of_a_listed_test_is_printed failed without the change ("43 answers were lost" not found) and passes with it.

--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -9,6 +9,7 @@
 """
 
 import pathlib
+import traceback
 import unittest
 from collections.abc import Iterable
 
@@ -84,6 +85,12 @@
     return getattr(test, "test_case", test).id()
 
 
+def _format_failure(event: events.TestOutcomeEvent) -> str:
+    """Return the id of a failed test and the traceback of its failure."""
+    lines = traceback.format_exception(*event.exc_info) if event.exc_info else []
+    return f"{event.test.id()}\n{''.join(lines)}"
+
+
 class KnownRed(events.Plugin):
     """Marks failures of listed tests as expected, and reports each listed test."""
 
@@ -97,6 +104,7 @@
             )
         self._red_tests = {red.test_id: red for red in red_tests}
         self._failed: dict[str, bool] = {}
+        self._failures: list[str] = []
 
     def setTestOutcome(self, event: events.TestOutcomeEvent) -> None:  # noqa: N802
         """Mark the failure of a listed test as expected."""
@@ -110,10 +118,15 @@
         if has_failed:
             event.outcome = result.FAIL
             event.expected = True
+            self._failures.append(_format_failure(event))
 
     def afterSummaryReport(self, event: events.ReportSummaryEvent) -> None:  # noqa: N802
-        """Print the status of each listed test."""
-        for line in self.describe():
+        """Print the failures and the status of the listed tests.
+
+        nose2 prints no traceback of an expected failure, and one whose cause is still
+        unknown may not recur.
+        """
+        for line in [*self._failures, *self.describe()]:
             event.stream.writeln(line)
 
     def describe(self) -> list[str]:
--- a/tools/tests/test_known_red.py
+++ b/tools/tests/test_known_red.py
@@ -80,6 +80,20 @@
         self.plugin.afterSummaryReport(event)
         self.assertIn(LISTED, stream.getvalue())
 
+    def test_failure_of_a_listed_test_is_printed(self):
+        # nose2 prints no traceback of an expected failure. One that is listed because
+        # its cause is unknown would leave nothing behind.
+        case = SampleCase("test_listed")
+        failure = AssertionError("43 answers were lost")
+        failure.add_note("5.86 signal 15 to d-0")
+        error = (AssertionError, failure, None)
+        event = events.TestOutcomeEvent(case, None, result.FAIL, error)
+        self.plugin.setTestOutcome(event)
+        stream = unittest.runner._WritelnDecorator(io.StringIO())
+        self.plugin.afterSummaryReport(events.ReportSummaryEvent(None, stream, {}))
+        self.assertIn("43 answers were lost", stream.getvalue())
+        self.assertIn("5.86 signal 15 to d-0", stream.getvalue())
+
 
 class ReadingTest(unittest.TestCase):
     """Parsing of the list."""
