Count the search for a key's owner from the first refusal

An entry gave up owner_wait_ms after the request's arrival. If the owner read the request only after it had begun to hand its shard over, the time was used up by the wait for the refusal: the caller was refused at once, although the new owner served some ms later and two thirds of its own time were left.

Seen in test_graceful_shutdown_cuts_off_no_request, run as it stands beside a load of 29: three callers were told ATTEMPT_NOT_RUN 0.51 to 0.55 s after their requests, which they had sent 0.38 to 0.41 s before the shutdown; the handover itself took less than 0.1 s.

test_late_refusal_leaves_the_time_of_a_handover failed before (ATTEMPT_NOT_RUN instead of OK) and passes now. test_search_for_an_owner_ends_before_the_deadline holds the bound: without it, it fails with DEADLINE_AFTER_SEND.

--- a/trefoilhook/requests/callers.py
+++ b/trefoilhook/requests/callers.py
@@ -1,5 +1,7 @@
 """Entry role: forward a request to its key's owner and answer the caller."""
 
+import math
+
 import attrs
 import trio
 
@@ -93,9 +95,9 @@
 ) -> CallerAnswer:
     """Forward a request to the owner of its key, retrying until the deadline.
 
-    If no owner is available, retries end after the time that a handover takes. Waiting
-    for a takeover without a handover would be useless, because the new owner refuses
-    keys created before it.
+    If no owner is available, retries end after the time that a handover takes, counted
+    from the first refusal. Waiting for a takeover without a handover would be useless,
+    because the new owner refuses keys created before it.
 
     Retrying is always safe, even after an answer was lost. The owner never runs a key
     twice, and a later owner refuses keys that an earlier one may have run.
@@ -108,7 +110,7 @@
         The request.
     """
     deadline_ms = forwarded.pending.deadline_ms
-    give_up_ms = components.clock.monotonic_ms() + components.settings.owner_wait_ms
+    give_up_ms = math.inf
     backoff_ms = _INITIAL_BACKOFF_MS
     while True:
         answer = await _forward_once(components, forwarded)
@@ -118,6 +120,8 @@
         )
         if is_final or now_ms >= deadline_ms:
             break
+        # The time before the first refusal may all have passed at the refusing owner.
+        give_up_ms = min(give_up_ms, now_ms + components.settings.owner_wait_ms)
         if not forwarded.is_answer_lost and now_ms + backoff_ms > give_up_ms:
             break
         if now_ms + backoff_ms >= deadline_ms:
--- a/trefoilhook/requests/settings.py
+++ b/trefoilhook/requests/settings.py
@@ -47,7 +47,8 @@
     owner_wait_ms: float = declare(
         default=500.0,
         unit="ms",
-        description="How long an entry looks for the owner of a key.",
+        description="How long an entry looks for the owner of a key, from the first "
+        "refusal on.",
     )
     answer_margin_ms: float = declare(
         default=20.0,
--- a/trefoilhook/requests/tests/test_takeover.py
+++ b/trefoilhook/requests/tests/test_takeover.py
@@ -342,6 +342,55 @@
         self.assertIs(code, ResultCode.DEADLINE_AFTER_SEND)
         self.assertAlmostEqual(waited_s, 0.4, delta=0.001)
 
+    def test_late_refusal_leaves_the_time_of_a_handover(self):
+        # Beside a load, an owner may read a request only after it has begun to hand its
+        # shard over. The entry must wait for the new owner as it does after a prompt
+        # refusal. It once refused at once, since the wait had used up the time.
+        cluster = Cluster()
+        answers = []
+
+        async def scenario(nursery):
+            request = build_request(cluster.generate_key(owner="i1"))
+            shard_id = cluster.find_key_shard(request.key)
+            cluster.ownerships["i1"].serving_epochs.pop(shard_id)
+            handover = cluster.services["i1"].export_handover(shard_id, 1)
+            cluster.inners["i0"].delay_ms = 300.0
+
+            async def hand_over():
+                await trio.sleep(0.5)
+                cluster.inners["i0"].delay_ms = 1.0
+                await trio.sleep(0.2)
+                cluster.services["i2"].import_handover(handover)
+                cluster.claim_shard(shard_id, "i2")
+
+            nursery.start_soon(hand_over)
+            answers.append(await cluster.services["i0"].handle_caller(request))
+
+        run_scenario(cluster, scenario)
+        self.assertEqual(answers[0].code, ResultCode.OK)
+        self.assertEqual(cluster.count_runs(), 1)
+
+    def test_search_for_an_owner_ends_before_the_deadline(self):
+        # An owner refuses late, and no instance takes over. The caller must be told so
+        # after the time that a handover takes, not only at its deadline.
+        cluster = Cluster()
+        answers = []
+        waited_ms = []
+
+        async def scenario(nursery):
+            request = build_request(cluster.generate_key(owner="i1"))
+            shard_id = cluster.find_key_shard(request.key)
+            cluster.ownerships["i1"].serving_epochs.pop(shard_id)
+            cluster.inners["i0"].delay_ms = 100.0
+            begun = trio.current_time()
+            answers.append(await cluster.services["i0"].handle_caller(request))
+            waited_ms.append((trio.current_time() - begun) * 1000.0)
+
+        run_scenario(cluster, scenario)
+        self.assertEqual(answers[0].code, ResultCode.ATTEMPT_NOT_RUN)
+        self.assertGreaterEqual(waited_ms[0], 500.0)
+        self.assertLess(waited_ms[0], 1_000.0)
+
     def test_queued_request_is_refused_before_its_deadline(self):
         # The slots are held by requests that run much longer than average. A request
         # that stays queued was not run, and its caller must not be told "unknown".
