End only the connection whose request or handler has failed

Cause: what h11 raises while a response is written, and what the log line of a failed handler raises for a target that is no path, leaves the connection's task and ends the listener's nursery. Failing first: 10 of the 13 kinds of test_other_requests_are_served ended the server (HEAD, CONNECT, 204 and 304 with a body, status 100, a header that h11 refuses, `//[`), and the process test found nobody listening. Counting and the TLS port were new tests of new guards. Change: an exception of a connection ends that connection, is logged as CONNECTION_FAILED and counted. TLS failures count, too; a connection that is merely cut off does not. Ruled out: a group of a cancellation with another error needs no treatment of its own; trio drops the latter while the connection is cancelled (a scratch run ended quietly without it). With the guard taken out the tests fail as before.

--- a/trefoilhook/daemon/builders.py
+++ b/trefoilhook/daemon/builders.py
@@ -6,11 +6,12 @@
 from trefoilhook.daemon.backends import BackendList
 from trefoilhook.daemon.settings import DaemonSettings
 from trefoilhook.daemon.tls import build_client_context, build_server_context
-from trefoilhook.http import HttpRequest, HttpResponse, HttpServer
+from trefoilhook.http import ConnectionLoss, HttpRequest, HttpResponse, HttpServer
 from trefoilhook.inner import InnerNode, PeerAddress
 from trefoilhook.instances import InstanceListClient
 from trefoilhook.jobs import WorkerAddress
 from trefoilhook.membership import Member, Membership
+from trefoilhook.metrics import Instrument, Metrics
 from trefoilhook.settings import ListenerSettings
 from trefoilhook.store import StoreClient
 from trefoilhook.workers import WorkerClient
@@ -101,13 +102,19 @@
 def build_server(
     listener: ListenerSettings,
     handler: Callable[[HttpRequest], Awaitable[HttpResponse]],
+    metrics: Metrics,
 ) -> HttpServer:
     """Build the HTTP server of a listener."""
+
+    def count_loss(loss: ConnectionLoss) -> None:
+        metrics.add(Instrument.HTTP_LOSSES, 1, loss.value)
+
     return HttpServer(
         handler=handler,
         host=listener.host,
         port=listener.port,
         tls=build_server_context(listener.tls),
+        count_loss=count_loss,
     )
 
 
--- a/trefoilhook/daemon/core.py
+++ b/trefoilhook/daemon/core.py
@@ -201,6 +201,7 @@
                 teams=teams,
                 handle_request=self._handle_caller,
             ),
+            self.metrics,
         )
 
     def _build_jobs(self) -> None:
@@ -248,7 +249,9 @@
             clock=self._clock,
         )
         handler = AdminHandler(context=context, observe=self.metrics.observe_http)
-        self._admin_server = build_server(settings.listeners.admin, handler.handle)
+        self._admin_server = build_server(
+            settings.listeners.admin, handler.handle, self.metrics
+        )
 
     async def _swap(self, key: str, value: bytes, *, expected_revision: int) -> int:
         return await swap_with_read_back(
--- a/trefoilhook/http/__init__.py
+++ b/trefoilhook/http/__init__.py
@@ -1,11 +1,12 @@
 """HTTP/1.1 client and server: h11 for the protocol, trio for the sockets."""
 
 from trefoilhook.http.client import HttpClient
-from trefoilhook.http.core import HttpLimits, HttpRequest, HttpResponse
+from trefoilhook.http.core import ConnectionLoss, HttpLimits, HttpRequest, HttpResponse
 from trefoilhook.http.json_client import JsonClient
 from trefoilhook.http.server import HttpServer
 
 __all__ = [
+    "ConnectionLoss",
     "HttpClient",
     "HttpLimits",
     "HttpRequest",
--- a/trefoilhook/http/core.py
+++ b/trefoilhook/http/core.py
@@ -1,16 +1,26 @@
 """HTTP requests and responses, and limits on them."""
 
+import enum
 import json
 from typing import Any
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import attrs
 
-__all__ = ["HttpLimits", "HttpRequest", "HttpResponse"]
+__all__ = ["ConnectionLoss", "HttpLimits", "HttpRequest", "HttpResponse"]
 
 Headers = tuple[tuple[str, str], ...]
 
 
+class ConnectionLoss(enum.Enum):
+    """Why a server ended a connection of its own accord.
+
+    FAILED: an exception ended it.
+    """
+
+    FAILED = "failed"
+
+
 @attrs.frozen(kw_only=True)
 class HttpLimits:
     """Limits that keep a single client from exhausting the process.
--- a/trefoilhook/http/server.py
+++ b/trefoilhook/http/server.py
@@ -6,12 +6,13 @@
 import h11
 import trio
 
-from trefoilhook.http.core import HttpLimits, HttpRequest, HttpResponse
+from trefoilhook.http.core import ConnectionLoss, HttpLimits, HttpRequest, HttpResponse
 from trefoilhook.logs import Event, log_event
 
 __all__ = ["HttpServer"]
 
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+CountLoss = Callable[[ConnectionLoss], None]
 
 _READ_BYTES = 65_536
 _MS_PER_S = 1000.0
@@ -38,6 +39,8 @@
         Limits on connections and requests.
     tls : ssl.SSLContext, optional
         TLS server context; plain TCP if None.
+    count_loss : callable, optional
+        Called for each connection that the server ends of its own accord.
     """
 
     def __init__(
@@ -48,8 +51,10 @@
         port: int,
         limits: HttpLimits | None = None,
         tls: ssl.SSLContext | None = None,
+        count_loss: CountLoss | None = None,
     ) -> None:
         self._handler = handler
+        self._count_loss = count_loss
         self._host = host
         self._port = port
         self._limits = limits or HttpLimits()
@@ -105,22 +110,38 @@
         await self._closed.wait()
 
     async def serve_connection(self, raw: trio.SocketStream) -> None:
-        """Serve one accepted connection until it is closed."""
-        async with self._connection_limiter:
-            stream: trio.abc.Stream = raw
+        """Serve one accepted connection until it is closed.
+
+        An exception, other than a cancellation, ends this connection only: in the
+        listener's nursery it would end all others.
+        """
+        try:
+            async with self._connection_limiter:
+                await self._serve_stream(raw)
+        except Exception as error:
+            log_event(Event.CONNECTION_FAILED, port=self.port, error=repr(error))
+            self._note_loss(ConnectionLoss.FAILED)
+
+    def _note_loss(self, loss: ConnectionLoss) -> None:
+        if self._count_loss is not None:
+            self._count_loss(loss)
+
+    async def _serve_stream(self, raw: trio.SocketStream) -> None:
+        stream: trio.abc.Stream = raw
+        try:
             if self._tls is not None:
                 stream = trio.SSLStream(raw, self._tls, server_side=True)
             connection = h11.Connection(
                 h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
             )
-            try:
-                await self._serve_requests(stream, connection)
-            except (trio.BrokenResourceError, trio.ClosedResourceError, ssl.SSLError):
-                pass
-            finally:
-                with trio.move_on_after(1) as scope:
-                    scope.shield = True
-                    await trio.aclose_forcefully(stream)
+            await self._serve_requests(stream, connection)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            if _is_tls_failure(error.__cause__):
+                raise
+        finally:
+            with trio.move_on_after(1) as scope:
+                scope.shield = True
+                await trio.aclose_forcefully(stream)
 
     async def _serve_requests(
         self, stream: trio.abc.Stream, connection: h11.Connection
@@ -159,7 +180,8 @@
         except Exception as error:
             # An exception in one handler must not end the listener and with it all
             # other requests of the process.
-            log_event(Event.HANDLER_FAILED, path=request.path, error=repr(error))
+            path = request.target.partition("?")[0]
+            log_event(Event.HANDLER_FAILED, path=path, error=repr(error))
             return HttpResponse(status=500)
 
     async def _receive_request(
@@ -273,6 +295,12 @@
             await stream.send_all(data)
 
 
+def _is_tls_failure(cause: BaseException | None) -> bool:
+    """Return whether TLS has failed, other than by the end of the connection."""
+    is_end = isinstance(cause, ssl.SSLEOFError | ssl.SSLZeroReturnError)
+    return isinstance(cause, ssl.SSLError) and not is_end
+
+
 class _PortStatus:
     """Task status that reports the port once the listeners have started."""
 
--- /dev/null
+++ b/trefoilhook/http/tests/test_odd_requests.py
@@ -0,0 +1,143 @@
+"""Tests of the HTTP server against odd requests, clients and handlers."""
+
+import contextlib
+import ssl
+import unittest
+from collections.abc import Awaitable, Callable, Iterator
+from typing import Any
+from unittest import mock
+
+import trio
+import trio.testing
+
+from trefoilhook.http import (
+    ConnectionLoss,
+    HttpRequest,
+    HttpResponse,
+    HttpServer,
+)
+from trefoilhook.logs import Event
+
+_HOST = "127.0.0.1"
+_GOOD = b"GET /good HTTP/1.1\r\nhost: a\r\n\r\n"
+
+
+async def answer(request: HttpRequest) -> HttpResponse:
+    """Answer by path: a status with a body, a fault of the handler, or the body."""
+    if request.path.startswith("/status/"):
+        status = int(request.path.rpartition("/")[2])
+        return HttpResponse(status=status, body=b"content")
+    if request.path == "/header":
+        return HttpResponse(status=200, headers=(("x-bad", "a\r\nb: c"),))
+    if request.path == "/alphabet":
+        return HttpResponse(status=200, headers=(("x-bad", "\u1234"),))
+    if request.path == "/group":
+        raise ExceptionGroup("faults", [KeyError("a"), ValueError("b")])
+    return HttpResponse(status=200, body=request.body or b"content")
+
+
+async def exchange(port: int, data: bytes) -> bytes:
+    """Send ``data`` on a new connection and return all that is received."""
+    received = b""
+    stream = await trio.open_tcp_stream(_HOST, port)
+    async with stream:
+        await stream.send_all(data)
+        with trio.move_on_after(1.0):
+            async for chunk in stream:
+                received += chunk
+    return received
+
+
+def run_with_server(
+    scenario: Callable[[HttpServer], Awaitable[None]], **options: object
+) -> None:
+    """Run ``scenario`` against a server in virtual time."""
+
+    async def main() -> None:
+        options.setdefault("handler", answer)
+        server = HttpServer(host=_HOST, port=0, **options)
+        async with trio.open_nursery() as nursery:
+            await nursery.start(server.run)
+            await scenario(server)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0.05))
+
+
+@contextlib.contextmanager
+def record_events(event: Event) -> Iterator[list[dict[str, Any]]]:
+    """Record the fields of the server's log lines of one event."""
+    lines: list[dict[str, Any]] = []
+
+    def record(logged: Event, **fields: Any) -> None:
+        if logged is event:
+            lines.append(fields)
+
+    with mock.patch("trefoilhook.http.server.log_event", record):
+        yield lines
+
+
+def build(line: str, *headers: str, body: bytes = b"") -> bytes:
+    """Build the bytes of a request."""
+    return "\r\n".join((line, "host: a", *headers, "", "")).encode() + body
+
+
+class IsolationTest(unittest.TestCase):
+    """A fault in one connection ends that connection only."""
+
+    def test_other_requests_are_served(self):
+        # Guards against a request or a handler's response that ends the listener, and
+        # with it every request of the process.
+        table = {
+            "head": build("HEAD / HTTP/1.1"),
+            "head 1.0": build("HEAD / HTTP/1.0"),
+            "head, pipelined": build("HEAD / HTTP/1.1") + _GOOD,
+            "connect": build("CONNECT a:1 HTTP/1.1"),
+            "no content": build("GET /status/204 HTTP/1.1"),
+            "not modified": build("GET /status/304 HTTP/1.1"),
+            "status 100": build("GET /status/100 HTTP/1.1"),
+            "status 999": build("GET /status/999 HTTP/1.1"),
+            "invalid header": build("GET /header HTTP/1.1"),
+            "header outside ASCII": build("GET /alphabet HTTP/1.1"),
+            "group of errors": build("GET /group HTTP/1.1"),
+            "target that is no path": build("GET //[ HTTP/1.1"),
+            "upgrade": build("GET / HTTP/1.1", "connection: upgrade", "upgrade: h2c"),
+        }
+        for name, request in table.items():
+            with self.subTest(name):
+
+                async def scenario(server: HttpServer, request=request) -> None:
+                    await exchange(server.port, request)
+                    received = await exchange(server.port, _GOOD)
+                    self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
+
+                run_with_server(scenario)
+
+    def test_failed_connection_is_logged_and_counted(self):
+        # Guards against a fault of the server that nobody sees, since it only ends one
+        # connection.
+        async def fail(request: HttpRequest) -> HttpResponse:
+            return None
+
+        async def scenario(server: HttpServer) -> None:
+            await exchange(server.port, _GOOD)
+            await exchange(server.port, _GOOD)
+
+        losses: list[ConnectionLoss] = []
+        with record_events(Event.CONNECTION_FAILED) as lines:
+            run_with_server(scenario, handler=fail, count_loss=losses.append)
+        self.assertEqual(losses, [ConnectionLoss.FAILED] * 2)
+        self.assertEqual(len(lines), 2)
+        self.assertIn("AttributeError", lines[0]["error"])
+
+    def test_plain_bytes_on_a_tls_port(self):
+        # Guards against a client without TLS that ends the listener, or is not logged.
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+
+        async def scenario(server: HttpServer) -> None:
+            for _ in range(2):
+                await exchange(server.port, _GOOD)
+
+        losses: list[ConnectionLoss] = []
+        run_with_server(scenario, tls=context, count_loss=losses.append)
+        self.assertEqual(losses, [ConnectionLoss.FAILED] * 2)
--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -39,6 +39,7 @@
         Level.ERROR,
         "Changed settings are invalid or can't be read.",
     )
+    CONNECTION_FAILED = (1009, Level.ERROR, "An exception ended an HTTP connection.")
 
     # 1100: store
     STORE_DOWN = (1100, Level.WARNING, "A call to the store failed: an outage began.")
--- a/trefoilhook/metrics/instruments.py
+++ b/trefoilhook/metrics/instruments.py
@@ -86,6 +86,12 @@
         "http.route",
         "http.response.status_code",
     )
+    HTTP_LOSSES = _build_counter(
+        "trefoilhook.http.connections.lost",
+        "{connection}",
+        "HTTP connections that the instance ended of its own accord.",
+        "reason",
+    )
     REQUESTS = _build_counter(
         "trefoilhook.requests",
         "{request}",
--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -7,7 +7,7 @@
 
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import DecodeError
-from trefoilhook.http import HttpRequest, HttpResponse, HttpServer
+from trefoilhook.http import ConnectionLoss, HttpRequest, HttpResponse, HttpServer
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import (
     CONFIGURATION_KEY,
@@ -173,7 +173,12 @@
 
     def _build_server(self, address: Address, handler: Handler) -> HttpServer:
         host, port = address
-        return HttpServer(handler=handler, host=host, port=port)
+        return HttpServer(
+            handler=handler, host=host, port=port, count_loss=self._count_loss
+        )
+
+    def _count_loss(self, loss: ConnectionLoss) -> None:
+        self.metrics.count("connections_lost", loss.value)
 
     def reload(self, settings: ProcessSettings) -> None:
         """Apply changed settings, except for the listen addresses."""
