Answer HEAD, 204 and 304 without content, and say 500 for a response that can't be sent

What callers saw: HEAD got no answer (before it ended the server), as did responses 204 and 304 with a body, a status under 200 and a header that h11 refuses. Cause: the body was always written, and the response's head was built outside the part whose failures are answered with 500. Change: a HEAD reaches the handler as a GET, so that its fields are those of a GET, length included, and only the content is left out (RFC 9110, 9.3.2); 204 and 304 have neither content nor length (6.4.1, 8.6).

--- a/trefoilhook/http/server.py
+++ b/trefoilhook/http/server.py
@@ -3,6 +3,7 @@
 import ssl
 from collections.abc import Awaitable, Callable
 
+import attrs
 import h11
 import trio
 
@@ -17,11 +18,22 @@
 _READ_BYTES = 65_536
 _MS_PER_S = 1000.0
 
+_STATUSES_WITHOUT_CONTENT = (204, 304)
+"""Statuses of responses that have no content (RFC 9110, section 6.4.1)."""
+
 
 class _TooLargeError(Exception):
     """The request body exceeds its size limit."""
 
 
+@attrs.frozen(kw_only=True)
+class _Received:
+    """A request, and what the form of its response depends on."""
+
+    request: HttpRequest
+    is_head: bool
+
+
 class HttpServer:
     """A server that passes each request to a handler.
 
@@ -148,7 +160,7 @@
     ) -> None:
         while True:
             try:
-                request = await self._receive_request(stream, connection)
+                received = await self._receive_request(stream, connection)
             except h11.RemoteProtocolError as error:
                 await self._refuse(stream, connection, error.error_status_hint or 400)
                 return
@@ -158,12 +170,12 @@
             except trio.TooSlowError:
                 await self._refuse(stream, connection, 408)
                 return
-            if request is None:
+            if received is None:
                 return
             self._busy += 1
             try:
-                response = await self._handle(request)
-                await self._send_response(stream, connection, response)
+                data = await self._answer(connection, received)
+                await stream.send_all(data)
             finally:
                 self._busy -= 1
             if connection.our_state is h11.MUST_CLOSE:
@@ -172,21 +184,37 @@
                 return
             connection.start_next_cycle()
 
-    async def _handle(self, request: HttpRequest) -> HttpResponse:
+    async def _answer(self, connection: h11.Connection, received: _Received) -> bytes:
+        """Return the bytes of the response to a request."""
         try:
-            return await self._handler(request)
+            response = await self._handler(received.request)
+            head = self._build_head(received, response)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             raise
         except Exception as error:
             # An exception in one handler must not end the listener and with it all
             # other requests of the process.
-            path = request.target.partition("?")[0]
+            path = received.request.target.partition("?")[0]
             log_event(Event.HANDLER_FAILED, path=path, error=repr(error))
-            return HttpResponse(status=500)
+            response = HttpResponse(status=500)
+            head = self._build_head(received, response)
+        data = connection.send(head)
+        if not received.is_head and response.status not in _STATUSES_WITHOUT_CONTENT:
+            data += connection.send(h11.Data(data=response.body))
+        data += connection.send(h11.EndOfMessage())
+        return data
+
+    def _build_head(self, received: _Received, response: HttpResponse) -> h11.Response:
+        headers = list(response.headers)
+        if response.status not in _STATUSES_WITHOUT_CONTENT:
+            headers.append(("content-length", str(len(response.body))))
+        if self._draining:
+            headers.append(("connection", "close"))
+        return h11.Response(status_code=response.status, headers=headers)
 
     async def _receive_request(
         self, stream: trio.abc.Stream, connection: h11.Connection
-    ) -> HttpRequest | None:
+    ) -> _Received | None:
         """Read one request; None if the client has disconnected or timed out idle.
 
         Raises
@@ -208,8 +236,10 @@
         if not isinstance(event, h11.Request):
             return None
         body = await self._receive_body(stream, connection, timeout_s=timeout_s)
-        return HttpRequest(
-            method=event.method.decode("ascii"),
+        is_head = event.method == b"HEAD"
+        request = HttpRequest(
+            # A HEAD is answered with the fields that a GET would be answered with.
+            method="GET" if is_head else event.method.decode("ascii"),
             target=event.target.decode("ascii"),
             headers=tuple(
                 (name.decode("latin-1"), value.decode("latin-1"))
@@ -217,6 +247,7 @@
             ),
             body=body,
         )
+        return _Received(request=request, is_head=is_head)
 
     async def _wait_for_data(
         self, stream: trio.abc.Stream, connection: h11.Connection
@@ -265,22 +296,6 @@
                 raise _TooLargeError
             chunks.append(bytes(event.data))
 
-    async def _send_response(
-        self,
-        stream: trio.abc.Stream,
-        connection: h11.Connection,
-        response: HttpResponse,
-    ) -> None:
-        headers = list(response.headers)
-        headers.append(("content-length", str(len(response.body))))
-        if self._draining:
-            headers.append(("connection", "close"))
-        head = h11.Response(status_code=response.status, headers=headers)
-        data = connection.send(head)
-        data += connection.send(h11.Data(data=response.body))
-        data += connection.send(h11.EndOfMessage())
-        await stream.send_all(data)
-
     async def _refuse(
         self, stream: trio.abc.Stream, connection: h11.Connection, status: int
     ) -> None:
--- a/trefoilhook/runtime/tests/test_odd_requests.py
+++ b/trefoilhook/runtime/tests/test_odd_requests.py
@@ -69,6 +69,15 @@
             (entry, "/none/0"),
         )
 
+    def test_head_is_answered_without_content(self):
+        for port, path in self.targets:
+            with self.subTest(path=path):
+                request = f"{path} HTTP/1.1\r\nhost: a\r\n\r\n".encode()
+                head = exchange(port, b"HEAD " + request)
+                get = exchange(port, b"GET " + request)
+                self.assertEqual(head.partition(b"\r\n")[0], get.partition(b"\r\n")[0])
+                self.assertTrue(head.endswith(b"\r\n\r\n"), head)
+
     def test_odd_requests_leave_the_process_serving(self):
         # Guards against a request that ends the process and every request in it.
         for port, path in self.targets:
