Refuse requests that the HTTP server can't serve as their sender means them

What callers saw: CONNECT, an unknown method, an unknown expectation, HTTP/2.0 and 0.9 and a target such as `//[` were handled like any other request: 200, 100, or 500 from the handler. On the users' platform each unknown method also added a label to the process's counters. Cause: h11 checks the form of a request, not what it asks for. Failing first: test_refused_requests, all 11 rows. Change: a check of the head before the body is read: 405 with Allow for CONNECT, 501, 417 (also if an unknown expectation stands beside 100-continue), 505, 400; the connection is closed. Other methods still reach the handlers, which decide on them. Each line taken out turns its rows red.

--- a/trefoilhook/http/server.py
+++ b/trefoilhook/http/server.py
@@ -2,6 +2,8 @@
 
 import ssl
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
+from urllib.parse import urlsplit
 
 import attrs
 import h11
@@ -18,12 +20,18 @@
 _READ_BYTES = 65_536
 _MS_PER_S = 1000.0
 
+_METHODS = ("GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS", "TRACE")
+"""Methods that are passed to the handler, which decides on them by path."""
+
 _STATUSES_WITHOUT_CONTENT = (204, 304)
 """Statuses of responses that have no content (RFC 9110, section 6.4.1)."""
 
 
-class _TooLargeError(Exception):
-    """The request body exceeds its size limit."""
+@attrs.frozen(kw_only=True, eq=False)
+class _RefusedError(Exception):
+    """The request is refused without being handled."""
+
+    status: int
 
 
 @attrs.frozen(kw_only=True)
@@ -164,8 +172,8 @@
             except h11.RemoteProtocolError as error:
                 await self._refuse(stream, connection, error.error_status_hint or 400)
                 return
-            except _TooLargeError:
-                await self._refuse(stream, connection, 413)
+            except _RefusedError as error:
+                await self._refuse(stream, connection, error.status)
                 return
             except trio.TooSlowError:
                 await self._refuse(stream, connection, 408)
@@ -235,6 +243,7 @@
             timeout_s = max(0.0, scope.deadline - trio.current_time())
         if not isinstance(event, h11.Request):
             return None
+        _check_head(event)
         body = await self._receive_body(stream, connection, timeout_s=timeout_s)
         is_head = event.method == b"HEAD"
         request = HttpRequest(
@@ -293,7 +302,7 @@
                 return b"".join(chunks)
             size += len(event.data)
             if size > self._limits.max_body_bytes:
-                raise _TooLargeError
+                raise _RefusedError(status=413)
             chunks.append(bytes(event.data))
 
     async def _refuse(
@@ -301,15 +310,54 @@
     ) -> None:
         if connection.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        head = h11.Response(
-            status_code=status,
-            headers=[("content-length", "0"), ("connection", "close")],
-        )
+        headers = [("content-length", "0"), ("connection", "close")]
+        if status == HTTPStatus.METHOD_NOT_ALLOWED:
+            headers.append(("allow", ", ".join(_METHODS)))
+        head = h11.Response(status_code=status, headers=headers)
         data = connection.send(head) + connection.send(h11.EndOfMessage())
         with trio.move_on_after(self._limits.receive_timeout_ms / _MS_PER_S):
             await stream.send_all(data)
 
 
+def _check_head(head: h11.Request) -> None:
+    """Refuse a request that the server can't serve as its sender means it.
+
+    Raises
+    ------
+    _RefusedError
+        With the status to answer with.
+    """
+    if head.http_version[:1] != b"1":
+        raise _RefusedError(status=HTTPStatus.HTTP_VERSION_NOT_SUPPORTED)
+    method = head.method.decode("ascii")
+    if method == "CONNECT":
+        raise _RefusedError(status=HTTPStatus.METHOD_NOT_ALLOWED)
+    if method not in _METHODS:
+        raise _RefusedError(status=HTTPStatus.NOT_IMPLEMENTED)
+    for name, value in head.headers:
+        if name == b"expect" and not _is_expectation_known(value):
+            raise _RefusedError(status=HTTPStatus.EXPECTATION_FAILED)
+    if not _is_target_valid(head.target.decode("ascii")):
+        raise _RefusedError(status=HTTPStatus.BAD_REQUEST)
+
+
+def _is_expectation_known(value: bytes) -> bool:
+    return all(
+        member.strip() == b"100-continue" for member in value.lower().split(b",")
+    )
+
+
+def _is_target_valid(target: str) -> bool:
+    # Brackets delimit an IPv6 address; nothing else of a target fails to be parsed.
+    if "[" not in target and "]" not in target:
+        return True
+    try:
+        urlsplit(target)
+    except ValueError:
+        return False
+    return True
+
+
 def _is_tls_failure(cause: BaseException | None) -> bool:
     """Return whether TLS has failed, other than by the end of the connection."""
     is_end = isinstance(cause, ssl.SSLEOFError | ssl.SSLZeroReturnError)
--- a/trefoilhook/http/tests/test_odd_requests.py
+++ b/trefoilhook/http/tests/test_odd_requests.py
@@ -162,6 +162,42 @@
 class SemanticsTest(unittest.TestCase):
     """Methods, statuses and fields as RFC 9110 and RFC 9112 define them."""
 
+    def test_refused_requests(self):
+        # Guards against a request that is run, though the server can't do what it asks.
+        table = (
+            ("CONNECT a:1 HTTP/1.1", (), 405),
+            ("BREW / HTTP/1.1", (), 501),
+            ("get / HTTP/1.1", (), 501),
+            ("GET / HTTP/1.1", ("expect: 200-ok",), 417),
+            ("GET / HTTP/1.0", ("expect: 200-ok",), 417),
+            ("GET / HTTP/1.1", ("expect: 100-continue, more",), 417),
+            ("GET / HTTP/1.1", ("expect: 100-continue", "expect: more"), 417),
+            ("GET / HTTP/2.0", (), 505),
+            ("PRI * HTTP/2.0", (), 505),
+            ("GET / HTTP/0.9", (), 505),
+            ("GET //[ HTTP/1.1", (), 400),
+        )
+        for line, headers, status in table:
+            with self.subTest(line=line, headers=headers):
+                handled: list[HttpRequest] = []
+
+                async def take(request: HttpRequest, handled=handled) -> HttpResponse:
+                    handled.append(request)
+                    return HttpResponse(status=200)
+
+                async def scenario(
+                    server: HttpServer, line=line, headers=headers, status=status
+                ) -> None:
+                    received = await exchange(
+                        server.port, build(line, *headers) + _GOOD
+                    )
+                    self.assertEqual(received.partition(b" ")[2][:3], b"%d" % status)
+                    self.assertIn(b"connection: close", received.lower())
+                    self.assertEqual(b"allow: " in received, status == 405)
+
+                run_with_server(scenario, handler=take)
+                self.assertEqual(handled, [])
+
     def test_answer_without_content(self):
         # Guards against content that the caller takes for the start of the next answer.
         # (request line, content-length of the answer)
@@ -198,3 +234,18 @@
             self.assertEqual(head, get)
 
         run_with_server(scenario, handler=name_method)
+
+    def test_expected_continue_is_sent(self):
+        async def scenario(server: HttpServer) -> None:
+            request = build(
+                "POST / HTTP/1.1", "expect: 100-Continue", "content-length: 3"
+            )
+            async with await trio.open_tcp_stream(_HOST, server.port) as stream:
+                await stream.send_all(request)
+                received = await stream.receive_some()
+                self.assertTrue(received.startswith(b"HTTP/1.1 100 "), received)
+                await stream.send_all(b"abc")
+                received = await stream.receive_some()
+                self.assertTrue(received.endswith(b"abc"), received)
+
+        run_with_server(scenario)
