Close the connection after a request with two framings

What callers saw: after a request with both Transfer-Encoding and Content-Length the next bytes were served as another request, though a hop that went by the length has read them as part of the first one, or the other way round. Cause: h11 goes by Transfer-Encoding and keeps the connection. Failing first: test_two_framings_close_the_connection got two answers. Change: the answer to such a request closes the connection (RFC 9112, 6.3). With the guard taken out the test gets two answers again.

--- a/trefoilhook/http/server.py
+++ b/trefoilhook/http/server.py
@@ -40,6 +40,7 @@
 
     request: HttpRequest
     is_head: bool
+    closes_connection: bool
 
 
 class HttpServer:
@@ -216,7 +217,7 @@
         headers = list(response.headers)
         if response.status not in _STATUSES_WITHOUT_CONTENT:
             headers.append(("content-length", str(len(response.body))))
-        if self._draining:
+        if self._draining or received.closes_connection:
             headers.append(("connection", "close"))
         return h11.Response(status_code=response.status, headers=headers)
 
@@ -256,7 +257,9 @@
             ),
             body=body,
         )
-        return _Received(request=request, is_head=is_head)
+        return _Received(
+            request=request, is_head=is_head, closes_connection=_has_two_framings(event)
+        )
 
     async def _wait_for_data(
         self, stream: trio.abc.Stream, connection: h11.Connection
@@ -341,6 +344,12 @@
         raise _RefusedError(status=HTTPStatus.BAD_REQUEST)
 
 
+def _has_two_framings(head: h11.Request) -> bool:
+    """Return whether another hop may have read another length (RFC 9112, 6.3)."""
+    names = {name for name, _ in head.headers}
+    return b"transfer-encoding" in names and b"content-length" in names
+
+
 def _is_expectation_known(value: bytes) -> bool:
     return all(
         member.strip() == b"100-continue" for member in value.lower().split(b",")
--- a/trefoilhook/http/tests/test_odd_requests.py
+++ b/trefoilhook/http/tests/test_odd_requests.py
@@ -235,6 +235,23 @@
 
         run_with_server(scenario, handler=name_method)
 
+    def test_two_framings_close_the_connection(self):
+        # Guards against a smuggled request: another hop may have read another length.
+        both = build(
+            "POST / HTTP/1.1",
+            "transfer-encoding: chunked",
+            "content-length: 4",
+            body=b"3\r\nabc\r\n0\r\n\r\n",
+        )
+
+        async def scenario(server: HttpServer) -> None:
+            received = await exchange(server.port, both + _GOOD)
+            self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
+            self.assertTrue(received.endswith(b"\r\n\r\nabc"), received)
+            self.assertIn(b"connection: close", received)
+
+        run_with_server(scenario)
+
     def test_expected_continue_is_sent(self):
         async def scenario(server: HttpServer) -> None:
             request = build(
