Let a refusal reach a client that is still sending

Cause: the server closed the connection with unread bytes, which resets it, and the reset overtakes the response. Failing first: test_refusal_reaches_a_caller_that_still_sends, "Connection reset by peer" on a body of 4 MB over a limit of 1 MB. Change: a refused connection is half-closed and read for up to 1 s (RFC 9112, 9.6); a drain ends that like an idle connection. Without the guard the test is reset again.

--- a/trefoilhook/http/server.py
+++ b/trefoilhook/http/server.py
@@ -20,6 +20,10 @@
 _READ_BYTES = 65_536
 _MS_PER_S = 1000.0
 
+_LINGER_MS = 1000.0
+"""Time for which a refused connection is still read, in ms. It covers what is on its
+way, and a client that has read the refusal closes the connection sooner."""
+
 _METHODS = ("GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS", "TRACE")
 """Methods that are passed to the handler, which decides on them by path."""
 
@@ -320,6 +324,23 @@
         data = connection.send(head) + connection.send(h11.EndOfMessage())
         with trio.move_on_after(self._limits.receive_timeout_ms / _MS_PER_S):
             await stream.send_all(data)
+        await self._linger(stream)
+
+    async def _linger(self, stream: trio.abc.Stream) -> None:
+        """Discard what the client still sends, for a limited time.
+
+        Closing a connection with unread bytes resets it, and the reset overtakes the
+        response: the client couldn't tell the refusal from a request that was run.
+        """
+        with trio.move_on_after(_LINGER_MS / _MS_PER_S) as scope:
+            self._idle_scopes.add(scope)
+            try:
+                if isinstance(stream, trio.SocketStream):
+                    await stream.send_eof()
+                while await stream.receive_some(_READ_BYTES):
+                    pass
+            finally:
+                self._idle_scopes.discard(scope)
 
 
 def _check_head(head: h11.Request) -> None:
--- a/trefoilhook/http/tests/test_odd_requests.py
+++ b/trefoilhook/http/tests/test_odd_requests.py
@@ -266,3 +266,19 @@
                 self.assertTrue(received.endswith(b"abc"), received)
 
         run_with_server(scenario)
+
+    def test_refusal_reaches_a_caller_that_still_sends(self):
+        # Guards against a refusal that is lost: a connection closed with unread bytes
+        # is reset, and a caller can't tell that from a request that was run.
+        async def scenario(server: HttpServer) -> None:
+            body = b"x" * 4_000_000
+            headers = (f"content-length: {len(body)}",)
+            request = build("POST / HTTP/1.1", *headers, body=body)
+            received = b""
+            async with await trio.open_tcp_stream(_HOST, server.port) as stream:
+                await stream.send_all(request)
+                async for chunk in stream:
+                    received += chunk
+            self.assertTrue(received.startswith(b"HTTP/1.1 413 "), received)
+
+        run_with_server(scenario)
