Reject connections over the limit at once

What callers saw: a connection over `max_connections` was accepted and then waited, unanswered, for another one to end, up to the caller's own deadline; the number of accepted connections had no limit at all. Cause: the limit was a CapacityLimiter that the task of an accepted connection waits for. Failing first: test_connection_over_the_limit_is_told_503_at_once (nothing received in 1 s), test_rejected_connections_are_bounded, test_connection_over_the_limit_is_closed_under_tls (not rejected). Change: over the limit a client is told 503 with Retry-After and read until it closes, for 1 s at most, up to 100 at a time; further ones, and those under TLS, are closed. Each is counted and logged as CONNECTION_REJECTED.

--- a/trefoilhook/http/core.py
+++ b/trefoilhook/http/core.py
@@ -15,10 +15,11 @@
 class ConnectionLoss(enum.Enum):
     """Why a server ended a connection of its own accord.
 
-    FAILED: an exception ended it.
+    FAILED: an exception ended it. REJECTED: it was over the limit on connections.
     """
 
     FAILED = "failed"
+    REJECTED = "rejected"
 
 
 @attrs.frozen(kw_only=True)
@@ -32,9 +33,11 @@
     max_body_bytes : int
         Maximum size of the body, in bytes.
     max_connections : int
-        Maximum number of open connections; further ones wait in the listen queue.
+        Maximum number of open connections; further ones are told 503 at once, or
+        closed.
     idle_timeout_ms : float
-        Time-out for the next request on an open connection, in ms.
+        Time-out for the next request on an open connection, and for a client to take
+        a response, in ms.
     receive_timeout_ms : float
         Time-out for the receipt of a request once it has begun, in ms.
     """
--- a/trefoilhook/http/server.py
+++ b/trefoilhook/http/server.py
@@ -24,6 +24,14 @@
 """Time for which a refused connection is still read, in ms. It covers what is on its
 way, and a client that has read the refusal closes the connection sooner."""
 
+_MAX_REJECTIONS = 100
+"""Maximum number of connections over the limit that are told so at the same time;
+further ones are closed at once, so that they can't exhaust the file descriptors."""
+
+_REJECTION = (
+    b"HTTP/1.1 503 \r\nretry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
+)
+
 _METHODS = ("GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS", "TRACE")
 """Methods that are passed to the handler, which decides on them by path."""
 
@@ -84,7 +92,8 @@
         self._port = port
         self._limits = limits or HttpLimits()
         self._tls = tls
-        self._connection_limiter = trio.CapacityLimiter(self._limits.max_connections)
+        self._open_connections = 0
+        self._rejections = 0
         self._idle_scopes: set[trio.CancelScope] = set()
         self._draining = False
         self._busy = 0
@@ -92,6 +101,11 @@
         self._closed = trio.Event()
         self.port = port
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections being served."""
+        return self._open_connections
+
     @property
     def busy(self) -> int:
         """Number of requests being handled."""
@@ -141,8 +155,14 @@
         listener's nursery it would end all others.
         """
         try:
-            async with self._connection_limiter:
+            if self._open_connections >= self._limits.max_connections:
+                await self._reject(raw)
+                return
+            self._open_connections += 1
+            try:
                 await self._serve_stream(raw)
+            finally:
+                self._open_connections -= 1
         except Exception as error:
             log_event(Event.CONNECTION_FAILED, port=self.port, error=repr(error))
             self._note_loss(ConnectionLoss.FAILED)
@@ -151,6 +171,22 @@
         if self._count_loss is not None:
             self._count_loss(loss)
 
+    async def _reject(self, raw: trio.SocketStream) -> None:
+        """Tell a client at once that it may come back, or else close its connection."""
+        log_event(Event.CONNECTION_REJECTED, port=self.port)
+        self._note_loss(ConnectionLoss.REJECTED)
+        is_told = self._tls is None and self._rejections < _MAX_REJECTIONS
+        self._rejections += 1
+        try:
+            if is_told:
+                await raw.send_all(_REJECTION)
+                await self._linger(raw)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            self._rejections -= 1
+            await trio.aclose_forcefully(raw)
+
     async def _serve_stream(self, raw: trio.SocketStream) -> None:
         stream: trio.abc.Stream = raw
         try:
--- a/trefoilhook/http/tests/test_odd_requests.py
+++ b/trefoilhook/http/tests/test_odd_requests.py
@@ -12,6 +12,7 @@
 
 from trefoilhook.http import (
     ConnectionLoss,
+    HttpLimits,
     HttpRequest,
     HttpResponse,
     HttpServer,
@@ -282,3 +283,67 @@
             self.assertTrue(received.startswith(b"HTTP/1.1 413 "), received)
 
         run_with_server(scenario)
+
+
+class ConnectionLimitTest(unittest.TestCase):
+    """A limit on connections, and time-outs that free them."""
+
+    def test_connection_over_the_limit_is_told_503_at_once(self):
+        # Guards against a caller that waits unanswered behind connections that are
+        # open, and against accepted connections without a limit.
+        async def scenario(server: HttpServer) -> None:
+            held = [await trio.open_tcp_stream(_HOST, server.port) for _ in range(2)]
+            await trio.testing.wait_all_tasks_blocked()
+            began = trio.current_time()
+            for _ in range(3):
+                received = await exchange(server.port, _GOOD)
+                self.assertTrue(received.startswith(b"HTTP/1.1 503 "), received)
+                self.assertIn(b"retry-after: ", received)
+            self.assertLess(trio.current_time() - began, 0.5)
+            await held[0].aclose()
+            await trio.testing.wait_all_tasks_blocked()
+            received = await exchange(server.port, _GOOD)
+            self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
+
+        losses: list[ConnectionLoss] = []
+        limits = HttpLimits(max_connections=2)
+        with record_events(Event.CONNECTION_REJECTED) as lines:
+            run_with_server(scenario, limits=limits, count_loss=losses.append)
+        self.assertEqual(losses, [ConnectionLoss.REJECTED] * 3)
+        self.assertEqual(len(lines), 3)
+
+    def test_rejected_connections_are_bounded(self):
+        # Guards against descriptors that run out by rejected clients that don't close.
+        async def scenario(server: HttpServer) -> None:
+            held = [await trio.open_tcp_stream(_HOST, server.port) for _ in range(4)]
+            await trio.testing.wait_all_tasks_blocked()
+            received = [await stream.receive_some() for stream in held[1:]]
+            self.assertTrue(all(received[:2]), received)
+            self.assertEqual(received[2], b"")
+            for stream in held[1:]:
+                await stream.aclose()
+            await trio.testing.wait_all_tasks_blocked()
+            for _ in range(3):
+                told = await exchange(server.port, _GOOD)
+                self.assertTrue(told.startswith(b"HTTP/1.1 503 "), told)
+            await held[0].aclose()
+
+        with mock.patch("trefoilhook.http.server._MAX_REJECTIONS", 2):
+            run_with_server(scenario, limits=HttpLimits(max_connections=1))
+
+    def test_connection_over_the_limit_is_closed_under_tls(self):
+        # Guards against a handshake that a full server does for each rejected client.
+        async def scenario(server: HttpServer) -> None:
+            async with await trio.open_tcp_stream(_HOST, server.port):
+                await trio.testing.wait_all_tasks_blocked()
+                async with await trio.open_tcp_stream(_HOST, server.port) as other:
+                    self.assertEqual(await other.receive_some(), b"")
+
+        losses: list[ConnectionLoss] = []
+        run_with_server(
+            scenario,
+            limits=HttpLimits(max_connections=1),
+            tls=ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER),
+            count_loss=losses.append,
+        )
+        self.assertEqual(losses, [ConnectionLoss.REJECTED])
--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -40,6 +40,11 @@
         "Changed settings are invalid or can't be read.",
     )
     CONNECTION_FAILED = (1009, Level.ERROR, "An exception ended an HTTP connection.")
+    CONNECTION_REJECTED = (
+        1010,
+        Level.WARNING,
+        "An HTTP connection over the limit was rejected.",
+    )
 
     # 1100: store
     STORE_DOWN = (1100, Level.WARNING, "A call to the store failed: an outage began.")
