--- a/trefoilhook/http/server.py
+++ b/trefoilhook/http/server.py
@@ -9,7 +9,13 @@
 import h11
 import trio
 
-from trefoilhook.http.core import ConnectionLoss, HttpLimits, HttpRequest, HttpResponse
+from trefoilhook.http.core import (
+    ConnectionLoss,
+    Headers,
+    HttpLimits,
+    HttpRequest,
+    HttpResponse,
+)
 from trefoilhook.logs import Event, log_event
 
 __all__ = ["HttpServer"]
@@ -35,6 +41,8 @@
 _METHODS = ("GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS", "TRACE")
 """Methods that are passed to the handler, which decides on them by path."""
 
+_FRAMING_FIELDS = frozenset({"content-length", "transfer-encoding"})
+
 _STATUSES_WITHOUT_CONTENT = (204, 304)
 """Statuses of responses that have no content (RFC 9110, section 6.4.1)."""
 
@@ -46,7 +54,7 @@
     status: int
 
 
-@attrs.frozen(kw_only=True)
+@attrs.define(kw_only=True, eq=False)
 class _Received:
     """A request, and what the form of its response depends on."""
 
@@ -284,21 +292,29 @@
             timeout_s = max(0.0, scope.deadline - trio.current_time())
         if not isinstance(event, h11.Request):
             return None
-        _check_head(event)
-        body = await self._receive_body(stream, connection, timeout_s=timeout_s)
-        is_head = event.method == b"HEAD"
-        request = HttpRequest(
-            # A HEAD is answered with the fields that a GET would be answered with.
-            method="GET" if is_head else event.method.decode("ascii"),
-            target=event.target.decode("ascii"),
-            headers=tuple(
-                (name.decode("latin-1"), value.decode("latin-1"))
-                for name, value in event.headers
-            ),
-            body=body,
+        headers = tuple(
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in event.headers
         )
+        names = {name for name, _ in headers}
+        method = event.method.decode("ascii")
+        target = event.target.decode("ascii")
+        _check_line(method, target, event.http_version)
+        if "expect" in names:
+            _check_expectations(headers)
+        body = await self._receive_body(stream, connection, timeout_s=timeout_s)
+        is_head = method == "HEAD"
         return _Received(
-            request=request, is_head=is_head, closes_connection=_has_two_framings(event)
+            request=HttpRequest(
+                # A HEAD is answered with the fields that a GET would be answered with.
+                method="GET" if is_head else method,
+                target=target,
+                headers=headers,
+                body=body,
+            ),
+            is_head=is_head,
+            # Another hop may have read another length (RFC 9112, section 6.3).
+            closes_connection=names >= _FRAMING_FIELDS,
         )
 
     async def _wait_for_data(
@@ -379,38 +395,36 @@
                 self._idle_scopes.discard(scope)
 
 
-def _check_head(head: h11.Request) -> None:
-    """Refuse a request that the server can't serve as its sender means it.
+def _check_line(method: str, target: str, version: bytes) -> None:
+    """Refuse a request line that the server can't serve as its sender means it.
 
     Raises
     ------
     _RefusedError
         With the status to answer with.
     """
-    if head.http_version[:1] != b"1":
+    if version[:1] != b"1":
         raise _RefusedError(status=HTTPStatus.HTTP_VERSION_NOT_SUPPORTED)
-    method = head.method.decode("ascii")
     if method == "CONNECT":
         raise _RefusedError(status=HTTPStatus.METHOD_NOT_ALLOWED)
     if method not in _METHODS:
         raise _RefusedError(status=HTTPStatus.NOT_IMPLEMENTED)
-    for name, value in head.headers:
-        if name == b"expect" and not _is_expectation_known(value):
-            raise _RefusedError(status=HTTPStatus.EXPECTATION_FAILED)
-    if not _is_target_valid(head.target.decode("ascii")):
+    if not _is_target_valid(target):
         raise _RefusedError(status=HTTPStatus.BAD_REQUEST)
 
 
-def _has_two_framings(head: h11.Request) -> bool:
-    """Return whether another hop may have read another length (RFC 9112, 6.3)."""
-    names = {name for name, _ in head.headers}
-    return b"transfer-encoding" in names and b"content-length" in names
+def _check_expectations(headers: Headers) -> None:
+    """Refuse expectations other than 100-continue.
 
-
-def _is_expectation_known(value: bytes) -> bool:
-    return all(
-        member.strip() == b"100-continue" for member in value.lower().split(b",")
-    )
+    Raises
+    ------
+    _RefusedError
+        With the status to answer with.
+    """
+    for name, value in headers:
+        members = {member.strip() for member in value.lower().split(",")}
+        if name == "expect" and not members <= {"", "100-continue"}:
+            raise _RefusedError(status=HTTPStatus.EXPECTATION_FAILED)
 
 
 def _is_target_valid(target: str) -> bool:
