Disconnect clients that don't take their responses

What callers saw: a client that sends a request and doesn't read a response larger than the socket's buffers held its connection for good; as many of them as the limit keep all callers out. Cause: sending a response had no time-out. Time-outs for the next request, for a part of one and for a silent TLS client were there (these rows of the test passed before). Failing first: test_silent_clients_free_their_connections, the rows with a request that is sent and not read (still open after 5.1 s at an idle timeout of 5 s). Change: the idle timeout covers the sending of a response, too; such a connection is counted and logged as CONNECTION_STALLED. What the socket takes at once is sent without a cancel scope, unless more requests wait in the buffer: there the loop must go round. Each guard taken out turns a test red.

--- a/trefoilhook/http/core.py
+++ b/trefoilhook/http/core.py
@@ -16,10 +16,12 @@
     """Why a server ended a connection of its own accord.
 
     FAILED: an exception ended it. REJECTED: it was over the limit on connections.
+    STALLED: the client did not take a response in time.
     """
 
     FAILED = "failed"
     REJECTED = "rejected"
+    STALLED = "stalled"
 
 
 @attrs.frozen(kw_only=True)
--- a/trefoilhook/http/server.py
+++ b/trefoilhook/http/server.py
@@ -232,7 +232,8 @@
             self._busy += 1
             try:
                 data = await self._answer(connection, received)
-                await stream.send_all(data)
+                is_pipelined = bool(connection.trailing_data[0])
+                await self._send(stream, data, may_yield=is_pipelined)
             finally:
                 self._busy -= 1
             if connection.our_state is h11.MUST_CLOSE:
@@ -378,6 +379,22 @@
             await stream.send_all(data)
         await self._linger(stream)
 
+    async def _send(
+        self, stream: trio.abc.Stream, data: bytes, *, may_yield: bool
+    ) -> None:
+        """Send a response; a client that doesn't take it in time is disconnected."""
+        # Most responses fit into the socket's buffer; only the others incur the cost of
+        # a cancel scope. A client that pipelines must not keep the loop to itself.
+        sent = 0 if may_yield else _send_at_once(stream, data)
+        if sent == len(data):
+            return
+        with trio.move_on_after(self._limits.idle_timeout_ms / _MS_PER_S) as scope:
+            await stream.send_all(data[sent:])
+        if scope.cancelled_caught:
+            log_event(Event.CONNECTION_STALLED, port=self.port)
+            self._note_loss(ConnectionLoss.STALLED)
+            raise trio.BrokenResourceError("the client doesn't take its response")
+
     async def _linger(self, stream: trio.abc.Stream) -> None:
         """Discard what the client still sends, for a limited time.
 
@@ -438,6 +455,18 @@
     return True
 
 
+def _send_at_once(stream: trio.abc.Stream, data: bytes) -> int:
+    """Send what a socket takes without waiting; return the number of bytes sent."""
+    if not isinstance(stream, trio.SocketStream):
+        return 0
+    try:
+        sent: int = stream.socket._sock.send(data)  # type: ignore[attr-defined]
+    except OSError:
+        # The ordinary way of sending waits, or raises the error of the stream.
+        return 0
+    return sent
+
+
 def _is_tls_failure(cause: BaseException | None) -> bool:
     """Return whether TLS has failed, other than by the end of the connection."""
     is_end = isinstance(cause, ssl.SSLEOFError | ssl.SSLZeroReturnError)
--- a/trefoilhook/http/tests/test_odd_requests.py
+++ b/trefoilhook/http/tests/test_odd_requests.py
@@ -3,6 +3,7 @@
 import contextlib
 import ssl
 import unittest
+from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 from unittest import mock
@@ -347,3 +348,71 @@
             count_loss=losses.append,
         )
         self.assertEqual(losses, [ConnectionLoss.REJECTED])
+
+    def test_silent_clients_free_their_connections(self):
+        # Guards against clients that keep callers out: they send nothing, a part of a
+        # request, or nothing after a request, and don't read its answer.
+        async def answer_long(request: HttpRequest) -> HttpResponse:
+            return HttpResponse(status=200, body=b"x" * 16_000_000)
+
+        limits = HttpLimits(
+            max_connections=1, idle_timeout_ms=5_000.0, receive_timeout_ms=1_000.0
+        )
+        stalled = [ConnectionLoss.STALLED]
+        table = (
+            (b"", False, []),
+            (b"GET", False, []),
+            (_GOOD, False, stalled),
+            (_GOOD * 2, False, stalled),
+            (b"", True, []),
+        )
+        for sent, is_tls, expected in table:
+            with self.subTest(sent=sent, is_tls=is_tls):
+
+                async def scenario(server: HttpServer, sent=sent) -> None:
+                    async with await trio.open_tcp_stream(_HOST, server.port) as silent:
+                        await silent.send_all(sent)
+                        await trio.sleep(0.1)
+                        self.assertEqual(server.open_connections, 1)
+                        await trio.sleep(5.0)
+                        self.assertEqual(server.open_connections, 0)
+
+                losses: list[ConnectionLoss] = []
+                run_with_server(
+                    scenario,
+                    handler=answer_long,
+                    limits=limits,
+                    tls=ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER) if is_tls else None,
+                    count_loss=losses.append,
+                )
+                self.assertEqual(losses, expected)
+
+    def test_pipelined_requests_let_others_run(self):
+        # Guards against a client that keeps the event loop to itself.
+        turns = 0
+        requests: Counter[int] = Counter()
+
+        async def note_turn(request: HttpRequest) -> HttpResponse:
+            requests[turns] += 1
+            return HttpResponse(status=200)
+
+        async def count_turns() -> None:
+            nonlocal turns
+            while True:
+                turns += 1
+                await trio.lowlevel.checkpoint()
+
+        async def scenario(server: HttpServer) -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(count_turns)
+                async with await trio.open_tcp_stream(_HOST, server.port) as stream:
+                    await stream.send_all(_GOOD * 50)
+                    await stream.send_eof()
+                    async for _ in stream:
+                        pass
+                nursery.cancel_scope.cancel()
+
+        run_with_server(scenario, handler=note_turn)
+        # Tasks that are ready run in any order, so two requests may share a turn.
+        self.assertEqual(requests.total(), 50)
+        self.assertLessEqual(max(requests.values()), 2)
--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -45,6 +45,11 @@
         Level.WARNING,
         "An HTTP connection over the limit was rejected.",
     )
+    CONNECTION_STALLED = (
+        1011,
+        Level.WARNING,
+        "A client did not take its response; it is disconnected.",
+    )
 
     # 1100: store
     STORE_DOWN = (1100, Level.WARNING, "A call to the store failed: an outage began.")
