Keep the port of the soak's proxy reserved in a partition

Cause: TcpCut closes its listener while connections are refused and binds the port anew afterwards; meanwhile the kernel may hand the port to another process. Failing first: test_port_stays_reserved_in_a_partition ("OSError not raised": the port could be bound by another socket). Change: the proxy holds a bound socket that doesn't listen. New connections are still refused in a partition (asserted, too).

--- a/trefoilhook/standins/cut.py
+++ b/trefoilhook/standins/cut.py
@@ -1,6 +1,7 @@
 """A TCP proxy that injects network faults."""
 
 import enum
+import socket
 import struct
 
 import attrs
@@ -55,6 +56,21 @@
     ends: tuple[trio.SocketStream, ...] = ()
 
 
+def _reserve_port(host: str, port: int) -> socket.socket:
+    """Bind a port so that no other process is given it; 0 selects a free one.
+
+    A listener that allows the reuse of addresses can still bind it.
+    """
+    reservation = socket.socket()
+    try:
+        reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reservation.bind((host, port))
+    except OSError:
+        reservation.close()
+        raise
+    return reservation
+
+
 class TcpCut:
     """TCP proxy that forwards connections to a target, with faults.
 
@@ -67,9 +83,10 @@
     target_port : int
         Port of the target.
     host : str, optional
-        Address to listen on.
+        IPv4 address to listen on.
     port : int, optional
-        Port to listen on; 0 selects a free one.
+        Port to listen on; 0 selects a free one. It stays reserved while connections
+        are refused.
     """
 
     def __init__(
@@ -141,10 +158,14 @@
         self, *, task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Forward until cancelled; the start value is the port."""
+        with _reserve_port(self._host, self.port) as reservation:
+            self.port = reservation.getsockname()[1]
+            await self._forward_connections(task_status)
+
+    async def _forward_connections(self, task_status: trio.TaskStatus[int]) -> None:
         async with trio.open_nursery() as pipes:
             while True:
                 listeners = await trio.open_tcp_listeners(self.port, host=self._host)
-                self.port = listeners[0].socket.getsockname()[1]
                 task_status.started(self.port)
                 task_status = trio.TASK_STATUS_IGNORED
                 with trio.CancelScope() as self._listen_scope:
--- a/trefoilhook/standins/tests/test_cut.py
+++ b/trefoilhook/standins/tests/test_cut.py
@@ -1,5 +1,7 @@
 """Tests of the fault-injecting TCP proxy."""
 
+import errno
+import socket
 import unittest
 
 import trio
@@ -73,6 +75,24 @@
 
                 run_with_cut(scenario)
 
+    def test_port_stays_reserved_in_a_partition(self):
+        # Guards against another process that gets the port while connections are
+        # refused, so that the proxy can't listen again.
+        async def scenario(cut: TcpCut, client: HttpClient) -> None:
+            cut.set(CutSettings(partition=Partition.REFUSED))
+            await trio.testing.wait_all_tasks_blocked()
+            with self.assertRaises(NotSentError):
+                await client.send(_GET, timeout_ms=1_000)
+            with socket.socket() as other, self.assertRaises(OSError) as caught:
+                other.bind(("127.0.0.1", cut.port))
+            self.assertEqual(caught.exception.errno, errno.EADDRINUSE)
+            cut.set(CutSettings())
+            await trio.testing.wait_all_tasks_blocked()
+            answer = await client.send(_GET, timeout_ms=1_000)
+            self.assertEqual(answer.status, 200)
+
+        run_with_cut(scenario)
+
     def test_delay_is_one_way_and_keeps_order(self):
         async def scenario(cut: TcpCut, client: HttpClient) -> None:
             cut.set(CutSettings(delay_ms=500.0))
