--- a/trefoilhook/runtime/tests/test_metrics.py
+++ b/trefoilhook/runtime/tests/test_metrics.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from trefoilhook.http import HttpRequest
+from trefoilhook.exceptions import AnswerLostError
+from trefoilhook.http import HttpClient, HttpRequest, HttpResponse
 from trefoilhook.runtime.core import METRICS_PATH
 from trefoilhook.runtime.metrics import ProcessMetrics, render
 from trefoilhook.runtime.tests.cluster import PREFIX, Cluster, build_body, run_cluster
@@ -30,6 +31,26 @@
         ):
             self.assertIn(line, text)
 
+    def test_lost_connections_are_counted(self):
+        # Guards against an address whose server doesn't count the connections it ends.
+        async def fail(request: HttpRequest) -> HttpResponse:
+            return HttpResponse(status=200, body="no bytes")
+
+        async def scenario(cluster: Cluster) -> None:
+            process = cluster.instances[0].process
+            server = process._build_server(("127.0.0.1", 0), fail)
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.run)
+                with self.assertRaises(AnswerLostError):
+                    client = HttpClient(host="127.0.0.1", port=port)
+                    await client.send(HttpRequest(method="GET", target="/"))
+                nursery.cancel_scope.cancel()
+            text = render(process.metrics).decode()
+            line = 'trefoilhook_connections_lost_total{kind="failed"} 1.0'
+            self.assertIn(line, text)
+
+        run_cluster(scenario, instances=1)
+
     def test_metrics_of_a_process(self):
         async def scenario(cluster: Cluster) -> None:
             (instance,) = cluster.instances
