Limit sends in time below TLS, without a cancel scope for each response

A test of an unread response under TLS is added. With the time-out or the yield taken out, the tests of each turn red.

--- a/trefoilhook/http/server.py
+++ b/trefoilhook/http/server.py
@@ -16,6 +16,7 @@
     HttpRequest,
     HttpResponse,
 )
+from trefoilhook.http.transport import TimedTransport
 from trefoilhook.logs import Event, log_event
 
 __all__ = ["HttpServer"]
@@ -196,10 +197,13 @@
             await trio.aclose_forcefully(raw)
 
     async def _serve_stream(self, raw: trio.SocketStream) -> None:
-        stream: trio.abc.Stream = raw
+        transport = TimedTransport(
+            raw, send_timeout_s=self._limits.idle_timeout_ms / _MS_PER_S
+        )
+        stream: trio.abc.Stream = transport
         try:
             if self._tls is not None:
-                stream = trio.SSLStream(raw, self._tls, server_side=True)
+                stream = trio.SSLStream(transport, self._tls, server_side=True)
             connection = h11.Connection(
                 h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes
             )
@@ -207,6 +211,9 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             if _is_tls_failure(error.__cause__):
                 raise
+            if transport.is_stalled:
+                log_event(Event.CONNECTION_STALLED, port=self.port)
+                self._note_loss(ConnectionLoss.STALLED)
         finally:
             with trio.move_on_after(1) as scope:
                 scope.shield = True
@@ -232,8 +239,10 @@
             self._busy += 1
             try:
                 data = await self._answer(connection, received)
-                is_pipelined = bool(connection.trailing_data[0])
-                await self._send(stream, data, may_yield=is_pipelined)
+                await stream.send_all(data)
+                if connection.trailing_data[0]:
+                    # A client that pipelines must not keep the event loop to itself.
+                    await trio.lowlevel.checkpoint()
             finally:
                 self._busy -= 1
             if connection.our_state is h11.MUST_CLOSE:
@@ -379,22 +388,6 @@
             await stream.send_all(data)
         await self._linger(stream)
 
-    async def _send(
-        self, stream: trio.abc.Stream, data: bytes, *, may_yield: bool
-    ) -> None:
-        """Send a response; a client that doesn't take it in time is disconnected."""
-        # Most responses fit into the socket's buffer; only the others incur the cost of
-        # a cancel scope. A client that pipelines must not keep the loop to itself.
-        sent = 0 if may_yield else _send_at_once(stream, data)
-        if sent == len(data):
-            return
-        with trio.move_on_after(self._limits.idle_timeout_ms / _MS_PER_S) as scope:
-            await stream.send_all(data[sent:])
-        if scope.cancelled_caught:
-            log_event(Event.CONNECTION_STALLED, port=self.port)
-            self._note_loss(ConnectionLoss.STALLED)
-            raise trio.BrokenResourceError("the client doesn't take its response")
-
     async def _linger(self, stream: trio.abc.Stream) -> None:
         """Discard what the client still sends, for a limited time.
 
@@ -404,7 +397,7 @@
         with trio.move_on_after(_LINGER_MS / _MS_PER_S) as scope:
             self._idle_scopes.add(scope)
             try:
-                if isinstance(stream, trio.SocketStream):
+                if isinstance(stream, trio.abc.HalfCloseableStream):
                     await stream.send_eof()
                 while await stream.receive_some(_READ_BYTES):
                     pass
@@ -455,18 +448,6 @@
     return True
 
 
-def _send_at_once(stream: trio.abc.Stream, data: bytes) -> int:
-    """Send what a socket takes without waiting; return the number of bytes sent."""
-    if not isinstance(stream, trio.SocketStream):
-        return 0
-    try:
-        sent: int = stream.socket._sock.send(data)  # type: ignore[attr-defined]
-    except OSError:
-        # The ordinary way of sending waits, or raises the error of the stream.
-        return 0
-    return sent
-
-
 def _is_tls_failure(cause: BaseException | None) -> bool:
     """Return whether TLS has failed, other than by the end of the connection."""
     is_end = isinstance(cause, ssl.SSLEOFError | ssl.SSLZeroReturnError)
--- a/trefoilhook/http/tests/test_odd_requests.py
+++ b/trefoilhook/http/tests/test_odd_requests.py
@@ -10,6 +10,7 @@
 
 import trio
 import trio.testing
+import trustme
 
 from trefoilhook.http import (
     ConnectionLoss,
@@ -387,6 +388,34 @@
                 )
                 self.assertEqual(losses, expected)
 
+    def test_unread_response_under_tls_frees_its_connection(self):
+        authority = trustme.CA()
+        context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+        authority.issue_cert(_HOST).configure_cert(context)
+        client_context = ssl.create_default_context()
+        authority.configure_trust(client_context)
+
+        async def answer_long(request: HttpRequest) -> HttpResponse:
+            return HttpResponse(status=200, body=b"x" * 16_000_000)
+
+        async def scenario(server: HttpServer) -> None:
+            raw = await trio.open_tcp_stream(_HOST, server.port)
+            async with raw:
+                stream = trio.SSLStream(raw, client_context, server_hostname=_HOST)
+                await stream.send_all(_GOOD)
+                await trio.sleep(5.1)
+                self.assertEqual(server.open_connections, 0)
+
+        losses: list[ConnectionLoss] = []
+        run_with_server(
+            scenario,
+            handler=answer_long,
+            limits=HttpLimits(idle_timeout_ms=5_000.0),
+            tls=context,
+            count_loss=losses.append,
+        )
+        self.assertEqual(losses, [ConnectionLoss.STALLED])
+
     def test_pipelined_requests_let_others_run(self):
         # Guards against a client that keeps the event loop to itself.
         turns = 0
