Show that a displaced service task may wait as long as urgent tasks keep coming

A service task that has run before comes first in each round, which helps as long as the worker that it left is open. If that worker is lost, or urgent jobs took its capacity before a new owner was settled, it needs another worker with its size free at one moment, and urgent tasks take each smaller piece.

--- /dev/null
+++ b/trefoilhook/scheduling/tests/test_displaced.py
@@ -0,0 +1,84 @@
+"""Tests of long-running tasks that need another worker on a full fleet."""
+
+import unittest
+
+import attrs
+
+from trefoilhook.scheduling import Demand, EndKind, Progress, StartOrder, Step
+from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
+
+_SERVICE = Step(
+    count=1, demand=Demand(cpu=3000, memory_mb=10), long_running=True, image="s"
+)
+_URGENT = Step(count=1, demand=Demand(cpu=1500, memory_mb=10), estimate_ms=500.0)
+_URGENT_MS = 500.0
+_MAX_WAIT_MS = 30_000.0
+
+
+def measure_wait(shard: Shard, job_id: str, running: list[StartOrder]) -> float | None:
+    """Return the wait of a job beside a stream of urgent tasks, in ms.
+
+    Returns None if it is not started within the time limit. ``running`` are urgent
+    tasks that run already.
+    """
+    began_ms = shard.now_ms
+    ending = [
+        (began_ms + _URGENT_MS / 2 * (number + 1), order)
+        for number, order in enumerate(running)
+    ]
+    while shard.now_ms - began_ms < _MAX_WAIT_MS:
+        shard.submit(
+            build_job(_URGENT, job_id=f"a{shard.now_ms}", accepted_ms=shard.now_ms)
+        )
+        for order in list_starts(shard.step()):
+            if order.task.job_id == job_id:
+                return shard.now_ms - began_ms
+            ending.append((shard.now_ms + _URGENT_MS, order))
+        for due_ms, order in list(ending):
+            if due_ms <= shard.now_ms:
+                ending.remove((due_ms, order))
+                shard.end(order, EndKind.DONE)
+    return None
+
+
+class DisplacedTaskTest(unittest.TestCase):
+    """Long-running tasks beside urgent tasks that keep coming."""
+
+    def test_task_of_lost_worker_starts(self):
+        # Guards against a service task that is absent as long as urgent tasks keep
+        # coming, because its worker is lost and no other has enough capacity at once.
+        shard = Shard(workers=2, cpu=4000)
+        shard.submit(build_job(_SERVICE, job_id="z"))
+        order = shard.start_one()
+        shard.workers[order.worker_id].update(order.task, order.attempt, percent=100.0)
+        shard.submit(build_job(attrs.evolve(_URGENT, count=2), job_id="a"))
+        running = list_starts(shard.step())
+        shard.scheduler.drop_worker(order.worker_id)
+        self.assertIsNotNone(measure_wait(shard, "z", running))
+
+    def test_task_starts_after_takeover_is_settled(self):
+        # Guards against urgent jobs that occupy the capacity freed by a service task
+        # until the new owner may start it, and permanently after that.
+        shard = Shard(workers=1, cpu=4000, epoch=2, settled=False)
+        shard.submit(build_job(_SERVICE, job_id="z"), is_new=False, progress=Progress())
+        shard.submit(build_job(attrs.evolve(_URGENT, count=2), job_id="a"))
+        running = list_starts(shard.step())
+        shard.settled = True
+        self.assertIsNotNone(measure_wait(shard, "z", running))
+
+    def test_task_that_fits_starts_behind_many_infeasible_steps(self):
+        # Guards against a service task that is not restarted although the capacity that
+        # it freed is available, because infeasible urgent steps end the round.
+        shard = Shard(workers=1, cpu=4000)
+        shard.submit(build_job(_SERVICE, job_id="z"))
+        order = shard.start_one()
+        infeasible = attrs.evolve(_URGENT, demand=Demand(cpu=5000, memory_mb=10))
+        for number in range(45):
+            shard.submit(build_job(infeasible, job_id=f"a{number:02}"))
+        shard.end(order, EndKind.FAILED)
+        starts = list_starts(shard.step())
+        self.assertEqual([start.task.job_id for start in starts], ["z"])
+
+
+if __name__ == "__main__":
+    unittest.main()
