--- a/trefoilhook/scheduling/ranking.py
+++ b/trefoilhook/scheduling/ranking.py
@@ -46,7 +46,7 @@
     priority = job.queue.priority if job.queue is not None else 0
     late = get_lateness(state, wall_ms)
     is_long_running = state.step.long_running
-    is_new = not (is_long_running and any(task.last_attempt for task in tasks))
+    is_new = not (is_long_running and any(task.may_have_run for task in tasks))
     name = state.task
     return (
         priority,
