--- a/trefoilhook/daemon/tests/test_builders.py
+++ b/trefoilhook/daemon/tests/test_builders.py
@@ -15,7 +15,7 @@
     """HTTP servers of the listeners."""
 
     def test_lost_connections_are_counted(self):
-        # Guards against a listener that doesn't count the connections it ends.
+        # Guards against a listener that doesn't count the connections it aborts.
         async def fail(request: HttpRequest) -> HttpResponse:
             return HttpResponse(status=200, body="no bytes")
 
--- a/trefoilhook/http/core.py
+++ b/trefoilhook/http/core.py
@@ -13,10 +13,10 @@
 
 
 class ConnectionLoss(enum.Enum):
-    """Why a server ended a connection of its own accord.
+    """Why a server aborted a connection.
 
-    FAILED: an exception ended it. REJECTED: it was over the limit on connections.
-    STALLED: the client did not take a response in time.
+    FAILED: an exception was raised. REJECTED: the limit on connections was reached.
+    STALLED: the client did not read a response in time.
     """
 
     FAILED = "failed"
@@ -35,10 +35,10 @@
     max_body_bytes : int
         Maximum size of the body, in bytes.
     max_connections : int
-        Maximum number of open connections; further ones are told 503 at once, or
-        closed.
+        Maximum number of open connections; further ones are answered with
+        status 503 at once, or closed.
     idle_timeout_ms : float
-        Time-out for the next request on an open connection, and for a client to take
+        Time-out for the next request on an open connection, and for a client to read
         a response, in ms.
     receive_timeout_ms : float
         Time-out for the receipt of a request once it has begun, in ms.
--- a/trefoilhook/http/server.py
+++ b/trefoilhook/http/server.py
@@ -28,19 +28,20 @@
 _MS_PER_S = 1000.0
 
 _LINGER_MS = 1000.0
-"""Time for which a refused connection is still read, in ms. It covers what is on its
-way, and a client that has read the refusal closes the connection sooner."""
+"""Maximum time to read from a refused connection before closing it, in ms. It allows
+data in transit to arrive; a client that has read the refusal may close it sooner."""
 
 _MAX_REJECTIONS = 100
-"""Maximum number of connections over the limit that are told so at the same time;
-further ones are closed at once, so that they can't exhaust the file descriptors."""
+"""Maximum number of connections over the limit that are answered with status 503 at
+the same time; further ones are closed at once, so that they can't exhaust file
+descriptors."""
 
-_REJECTION = (
+_REJECTION_RESPONSE = (
     b"HTTP/1.1 503 \r\nretry-after: 1\r\ncontent-length: 0\r\nconnection: close\r\n\r\n"
 )
 
 _METHODS = ("GET", "HEAD", "POST", "PUT", "DELETE", "PATCH", "OPTIONS", "TRACE")
-"""Methods that are passed to the handler, which decides on them by path."""
+"""Methods that are passed to the handler, which may refuse them for a path."""
 
 _FRAMING_FIELDS = frozenset({"content-length", "transfer-encoding"})
 
@@ -56,8 +57,8 @@
 
 
 @attrs.define(kw_only=True, eq=False)
-class _Received:
-    """A request, and what the form of its response depends on."""
+class _ReceivedRequest:
+    """A request, with the properties that determine the framing of its response."""
 
     request: HttpRequest
     is_head: bool
@@ -82,7 +83,7 @@
     tls : ssl.SSLContext, optional
         TLS server context; plain TCP if None.
     count_loss : callable, optional
-        Called for each connection that the server ends of its own accord.
+        Called with the reason for each connection that the server aborts.
     """
 
     def __init__(
@@ -160,8 +161,8 @@
     async def serve_connection(self, raw: trio.SocketStream) -> None:
         """Serve one accepted connection until it is closed.
 
-        An exception, other than a cancellation, ends this connection only: in the
-        listener's nursery it would end all others.
+        An exception, other than a cancellation, ends only this connection; if it
+        reached the listener's nursery, it would cancel all others.
         """
         try:
             if self._open_connections >= self._limits.max_connections:
@@ -181,14 +182,14 @@
             self._count_loss(loss)
 
     async def _reject(self, raw: trio.SocketStream) -> None:
-        """Tell a client at once that it may come back, or else close its connection."""
+        """Answer with status 503, or close at once under TLS or over the maximum."""
         log_event(Event.CONNECTION_REJECTED, port=self.port)
         self._note_loss(ConnectionLoss.REJECTED)
-        is_told = self._tls is None and self._rejections < _MAX_REJECTIONS
+        is_answered = self._tls is None and self._rejections < _MAX_REJECTIONS
         self._rejections += 1
         try:
-            if is_told:
-                await raw.send_all(_REJECTION)
+            if is_answered:
+                await raw.send_all(_REJECTION_RESPONSE)
                 await self._linger(raw)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
@@ -241,7 +242,7 @@
                 data = await self._answer(connection, received)
                 await stream.send_all(data)
                 if connection.trailing_data[0]:
-                    # A client that pipelines must not keep the event loop to itself.
+                    # Keeps a client that pipelines from monopolizing the event loop.
                     await trio.lowlevel.checkpoint()
             finally:
                 self._busy -= 1
@@ -251,8 +252,10 @@
                 return
             connection.start_next_cycle()
 
-    async def _answer(self, connection: h11.Connection, received: _Received) -> bytes:
-        """Return the bytes of the response to a request."""
+    async def _answer(
+        self, connection: h11.Connection, received: _ReceivedRequest
+    ) -> bytes:
+        """Handle a request and return the bytes of its response."""
         try:
             response = await self._handler(received.request)
             head = self._build_head(received, response)
@@ -271,7 +274,9 @@
         data += connection.send(h11.EndOfMessage())
         return data
 
-    def _build_head(self, received: _Received, response: HttpResponse) -> h11.Response:
+    def _build_head(
+        self, received: _ReceivedRequest, response: HttpResponse
+    ) -> h11.Response:
         headers = list(response.headers)
         if response.status not in _STATUSES_WITHOUT_CONTENT:
             headers.append(("content-length", str(len(response.body))))
@@ -281,7 +286,7 @@
 
     async def _receive_request(
         self, stream: trio.abc.Stream, connection: h11.Connection
-    ) -> _Received | None:
+    ) -> _ReceivedRequest | None:
         """Read one request; None if the client has disconnected or timed out idle.
 
         Raises
@@ -309,21 +314,21 @@
         names = {name for name, _ in headers}
         method = event.method.decode("ascii")
         target = event.target.decode("ascii")
-        _check_line(method, target, event.http_version)
+        _check_request_line(method, target, event.http_version)
         if "expect" in names:
             _check_expectations(headers)
         body = await self._receive_body(stream, connection, timeout_s=timeout_s)
         is_head = method == "HEAD"
-        return _Received(
+        return _ReceivedRequest(
             request=HttpRequest(
-                # A HEAD is answered with the fields that a GET would be answered with.
+                # The response to HEAD has the same header fields as that to GET.
                 method="GET" if is_head else method,
                 target=target,
                 headers=headers,
                 body=body,
             ),
             is_head=is_head,
-            # Another hop may have read another length (RFC 9112, section 6.3).
+            # Guards against request smuggling (RFC 9112, section 6.3).
             closes_connection=names >= _FRAMING_FIELDS,
         )
 
@@ -387,10 +392,10 @@
         await self._linger(stream)
 
     async def _linger(self, stream: trio.abc.Stream) -> None:
-        """Discard what the client still sends, for a limited time.
+        """Read and discard data from the client for a limited time.
 
-        Closing a connection with unread bytes resets it, and the reset overtakes the
-        response: the client couldn't tell the refusal from a request that was run.
+        Closing a connection with unread data resets it, and the client may then lose
+        the response: it couldn't tell the refusal from a request that was handled.
         """
         with trio.move_on_after(_LINGER_MS / _MS_PER_S) as scope:
             self._idle_scopes.add(scope)
@@ -403,8 +408,8 @@
                 self._idle_scopes.discard(scope)
 
 
-def _check_line(method: str, target: str, version: bytes) -> None:
-    """Refuse a request line that the server can't serve as its sender means it.
+def _check_request_line(method: str, target: str, version: bytes) -> None:
+    """Refuse an unsupported version or method, or an invalid target.
 
     Raises
     ------
@@ -436,7 +441,7 @@
 
 
 def _is_target_valid(target: str) -> bool:
-    # Brackets delimit an IPv6 address; nothing else of a target fails to be parsed.
+    # urlsplit only fails on targets with brackets, which delimit an IPv6 address.
     if "[" not in target and "]" not in target:
         return True
     try:
@@ -447,7 +452,7 @@
 
 
 def _is_tls_failure(cause: BaseException | None) -> bool:
-    """Return whether TLS has failed, other than by the end of the connection."""
+    """Return whether a TLS error other than the end of the connection occurred."""
     is_end = isinstance(cause, ssl.SSLEOFError | ssl.SSLZeroReturnError)
     return isinstance(cause, ssl.SSLError) and not is_end
 
--- a/trefoilhook/http/tests/test_odd_requests.py
+++ b/trefoilhook/http/tests/test_odd_requests.py
@@ -23,19 +23,19 @@
 from trefoilhook.logs import Event
 
 _HOST = "127.0.0.1"
-_GOOD = b"GET /good HTTP/1.1\r\nhost: a\r\n\r\n"
+_VALID_REQUEST = b"GET /good HTTP/1.1\r\nhost: a\r\n\r\n"
 
 
 async def answer(request: HttpRequest) -> HttpResponse:
-    """Answer by path: a status with a body, a fault of the handler, or the body."""
+    """Return a given status, an invalid response, an exception or the body, by path."""
     if request.path.startswith("/status/"):
         status = int(request.path.rpartition("/")[2])
         return HttpResponse(status=status, body=b"content")
-    if request.path == "/header":
+    if request.path == "/invalid-header":
         return HttpResponse(status=200, headers=(("x-bad", "a\r\nb: c"),))
-    if request.path == "/alphabet":
+    if request.path == "/non-ascii-header":
         return HttpResponse(status=200, headers=(("x-bad", "\u1234"),))
-    if request.path == "/group":
+    if request.path == "/exception-group":
         raise ExceptionGroup("faults", [KeyError("a"), ValueError("b")])
     return HttpResponse(status=200, body=request.body or b"content")
 
@@ -70,7 +70,7 @@
 
 @contextlib.contextmanager
 def record_events(event: Event) -> Iterator[list[dict[str, Any]]]:
-    """Record the fields of the server's log lines of one event."""
+    """Record the fields of the lines that the server logs for one event."""
     lines: list[dict[str, Any]] = []
 
     def record(logged: Event, **fields: Any) -> None:
@@ -81,51 +81,58 @@
         yield lines
 
 
-def build(line: str, *headers: str, body: bytes = b"") -> bytes:
+def build_request(line: str, *headers: str, body: bytes = b"") -> bytes:
     """Build the bytes of a request."""
     return "\r\n".join((line, "host: a", *headers, "", "")).encode() + body
 
 
 class IsolationTest(unittest.TestCase):
-    """A fault in one connection ends that connection only."""
+    """A failure in one connection ends only that connection."""
 
     def test_other_requests_are_served(self):
-        # Guards against a request or a handler's response that ends the listener, and
-        # with it every request of the process.
+        # Guards against a request or a handler's response that ends the listener and
+        # all other requests of the process.
         table = {
-            "head": build("HEAD / HTTP/1.1"),
-            "head 1.0": build("HEAD / HTTP/1.0"),
-            "head, pipelined": build("HEAD / HTTP/1.1") + _GOOD,
-            "connect": build("CONNECT a:1 HTTP/1.1"),
-            "no content": build("GET /status/204 HTTP/1.1"),
-            "not modified": build("GET /status/304 HTTP/1.1"),
-            "status 100": build("GET /status/100 HTTP/1.1"),
-            "status 999": build("GET /status/999 HTTP/1.1"),
-            "invalid header": build("GET /header HTTP/1.1"),
-            "header outside ASCII": build("GET /alphabet HTTP/1.1"),
-            "group of errors": build("GET /group HTTP/1.1"),
-            "target that is no path": build("GET //[ HTTP/1.1"),
-            "upgrade": build("GET / HTTP/1.1", "connection: upgrade", "upgrade: h2c"),
+            "head": build_request("HEAD / HTTP/1.1"),
+            "head 1.0": build_request("HEAD / HTTP/1.0"),
+            "head, pipelined": build_request("HEAD / HTTP/1.1") + _VALID_REQUEST,
+            "connect": build_request("CONNECT a:1 HTTP/1.1"),
+            "no content": build_request("GET /status/204 HTTP/1.1"),
+            "not modified": build_request("GET /status/304 HTTP/1.1"),
+            "status 100": build_request("GET /status/100 HTTP/1.1"),
+            "status 999": build_request("GET /status/999 HTTP/1.1"),
+            "invalid header": build_request("GET /invalid-header HTTP/1.1"),
+            "header outside ASCII": build_request("GET /non-ascii-header HTTP/1.1"),
+            "exception group": build_request("GET /exception-group HTTP/1.1"),
+            "invalid target": build_request("GET //[ HTTP/1.1"),
+            "upgrade": build_request(
+                "GET / HTTP/1.1", "connection: upgrade", "upgrade: h2c"
+            ),
         }
         for name, request in table.items():
             with self.subTest(name):
 
                 async def scenario(server: HttpServer, request=request) -> None:
                     await exchange(server.port, request)
-                    received = await exchange(server.port, _GOOD)
+                    received = await exchange(server.port, _VALID_REQUEST)
                     self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
 
                 run_with_server(scenario)
 
     def test_unusable_response_is_answered(self):
-        # Guards against a fault of a handler that leaves the caller without an answer.
-        table = ("/status/100", "/header", "/alphabet", "/group")
+        # Guards against a handler's failure that leaves the client without a response.
+        table = (
+            "/status/100",
+            "/invalid-header",
+            "/non-ascii-header",
+            "/exception-group",
+        )
         for path in table:
             with self.subTest(path):
 
                 async def scenario(server: HttpServer, path=path) -> None:
                     received = await exchange(
-                        server.port, build(f"GET {path} HTTP/1.1")
+                        server.port, build_request(f"GET {path} HTTP/1.1")
                     )
                     self.assertTrue(received.startswith(b"HTTP/1.1 500 "), received)
 
@@ -134,14 +141,14 @@
                 self.assertEqual([line["path"] for line in lines], [path])
 
     def test_failed_connection_is_logged_and_counted(self):
-        # Guards against a fault of the server that nobody sees, since it only ends one
-        # connection.
+        # Guards against a failure that is neither logged nor counted because it ends
+        # only one connection.
         async def fail(request: HttpRequest) -> HttpResponse:
             return HttpResponse(status=200, body="no bytes")
 
         async def scenario(server: HttpServer) -> None:
-            await exchange(server.port, _GOOD)
-            await exchange(server.port, _GOOD)
+            await exchange(server.port, _VALID_REQUEST)
+            await exchange(server.port, _VALID_REQUEST)
 
         losses: list[ConnectionLoss] = []
         with record_events(Event.CONNECTION_FAILED) as lines:
@@ -151,12 +158,12 @@
         self.assertIn("TypeError", lines[0]["error"])
 
     def test_plain_bytes_on_a_tls_port(self):
-        # Guards against a client without TLS that ends the listener, or is not logged.
+        # Guards against a client without TLS that ends the listener or isn't counted.
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
 
         async def scenario(server: HttpServer) -> None:
             for _ in range(2):
-                await exchange(server.port, _GOOD)
+                await exchange(server.port, _VALID_REQUEST)
 
         losses: list[ConnectionLoss] = []
         run_with_server(scenario, tls=context, count_loss=losses.append)
@@ -164,10 +171,10 @@
 
 
 class SemanticsTest(unittest.TestCase):
-    """Methods, statuses and fields as RFC 9110 and RFC 9112 define them."""
+    """Methods, statuses and header fields as defined by RFC 9110 and RFC 9112."""
 
     def test_refused_requests(self):
-        # Guards against a request that is run, though the server can't do what it asks.
+        # Guards against handling a request that the server doesn't support.
         table = (
             ("CONNECT a:1 HTTP/1.1", (), 405),
             ("BREW / HTTP/1.1", (), 501),
@@ -185,7 +192,9 @@
             with self.subTest(line=line, headers=headers):
                 handled: list[HttpRequest] = []
 
-                async def take(request: HttpRequest, handled=handled) -> HttpResponse:
+                async def record_request(
+                    request: HttpRequest, handled=handled
+                ) -> HttpResponse:
                     handled.append(request)
                     return HttpResponse(status=200)
 
@@ -193,18 +202,18 @@
                     server: HttpServer, line=line, headers=headers, status=status
                 ) -> None:
                     received = await exchange(
-                        server.port, build(line, *headers) + _GOOD
+                        server.port, build_request(line, *headers) + _VALID_REQUEST
                     )
                     self.assertEqual(received.partition(b" ")[2][:3], b"%d" % status)
                     self.assertIn(b"connection: close", received.lower())
                     self.assertEqual(b"allow: " in received, status == 405)
 
-                run_with_server(scenario, handler=take)
+                run_with_server(scenario, handler=record_request)
                 self.assertEqual(handled, [])
 
     def test_answer_without_content(self):
-        # Guards against content that the caller takes for the start of the next answer.
-        # (request line, content-length of the answer)
+        # Guards against content that a client reads as part of the next response.
+        # (request line, content-length of the response)
         table = (
             ("HEAD / HTTP/1.1", b"7"),
             ("HEAD /status/404 HTTP/1.1", b"7"),
@@ -218,7 +227,9 @@
                 async def scenario(
                     server: HttpServer, line=line, length=length
                 ) -> None:
-                    received = await exchange(server.port, build(line) + _GOOD)
+                    received = await exchange(
+                        server.port, build_request(line) + _VALID_REQUEST
+                    )
                     head, _, rest = received.partition(b"\r\n\r\n")
                     found = head.partition(b"content-length: ")[2] or None
                     self.assertEqual(found, length)
@@ -228,20 +239,20 @@
                 run_with_server(scenario)
 
     def test_head_is_handled_as_get(self):
-        # Guards against fields of a HEAD that differ from those of a GET.
+        # Guards against header fields that differ between HEAD and GET.
         async def name_method(request: HttpRequest) -> HttpResponse:
             return HttpResponse(status=200, headers=(("x-method", request.method),))
 
         async def scenario(server: HttpServer) -> None:
-            head = await exchange(server.port, build("HEAD / HTTP/1.1"))
-            get = await exchange(server.port, build("GET / HTTP/1.1"))
+            head = await exchange(server.port, build_request("HEAD / HTTP/1.1"))
+            get = await exchange(server.port, build_request("GET / HTTP/1.1"))
             self.assertEqual(head, get)
 
         run_with_server(scenario, handler=name_method)
 
     def test_two_framings_close_the_connection(self):
-        # Guards against a smuggled request: another hop may have read another length.
-        both = build(
+        # Guards against request smuggling: a proxy may have used the other length.
+        both = build_request(
             "POST / HTTP/1.1",
             "transfer-encoding: chunked",
             "content-length: 4",
@@ -249,7 +260,7 @@
         )
 
         async def scenario(server: HttpServer) -> None:
-            received = await exchange(server.port, both + _GOOD)
+            received = await exchange(server.port, both + _VALID_REQUEST)
             self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
             self.assertTrue(received.endswith(b"\r\n\r\nabc"), received)
             self.assertIn(b"connection: close", received)
@@ -257,9 +268,9 @@
         run_with_server(scenario)
 
     def test_body_in_tiny_chunks_takes_little_memory(self):
-        # Guards against a client that exhausts the memory with a body within its limit.
+        # Guards against a client that exhausts memory within the limit on bodies.
         chunks = 20_000
-        head = build("POST / HTTP/1.1", "transfer-encoding: chunked")
+        head = build_request("POST / HTTP/1.1", "transfer-encoding: chunked")
 
         async def scenario(server: HttpServer) -> None:
             tracemalloc.start()
@@ -275,7 +286,7 @@
 
     def test_expected_continue_is_sent(self):
         async def scenario(server: HttpServer) -> None:
-            request = build(
+            request = build_request(
                 "POST / HTTP/1.1", "expect: 100-Continue", "content-length: 3"
             )
             async with await trio.open_tcp_stream(_HOST, server.port) as stream:
@@ -289,12 +300,12 @@
         run_with_server(scenario)
 
     def test_refusal_reaches_a_caller_that_still_sends(self):
-        # Guards against a refusal that is lost: a connection closed with unread bytes
-        # is reset, and a caller can't tell that from a request that was run.
+        # Guards against a lost refusal: closing a connection with unread data resets
+        # it, and the client can't tell that from a request that was handled.
         async def scenario(server: HttpServer) -> None:
             body = b"x" * 4_000_000
             headers = (f"content-length: {len(body)}",)
-            request = build("POST / HTTP/1.1", *headers, body=body)
+            request = build_request("POST / HTTP/1.1", *headers, body=body)
             received = b""
             async with await trio.open_tcp_stream(_HOST, server.port) as stream:
                 await stream.send_all(request)
@@ -306,23 +317,23 @@
 
 
 class ConnectionLimitTest(unittest.TestCase):
-    """A limit on connections, and time-outs that free them."""
+    """The limit on connections, and the time-outs that close them."""
 
     def test_connection_over_the_limit_is_told_503_at_once(self):
-        # Guards against a caller that waits unanswered behind connections that are
-        # open, and against accepted connections without a limit.
+        # Guards against a client that waits unanswered until another connection ends,
+        # and against an unlimited number of accepted connections.
         async def scenario(server: HttpServer) -> None:
             held = [await trio.open_tcp_stream(_HOST, server.port) for _ in range(2)]
             await trio.testing.wait_all_tasks_blocked()
             began = trio.current_time()
             for _ in range(3):
-                received = await exchange(server.port, _GOOD)
+                received = await exchange(server.port, _VALID_REQUEST)
                 self.assertTrue(received.startswith(b"HTTP/1.1 503 "), received)
                 self.assertIn(b"retry-after: ", received)
             self.assertLess(trio.current_time() - began, 0.5)
             await held[0].aclose()
             await trio.testing.wait_all_tasks_blocked()
-            received = await exchange(server.port, _GOOD)
+            received = await exchange(server.port, _VALID_REQUEST)
             self.assertTrue(received.startswith(b"HTTP/1.1 200 "), received)
 
         losses: list[ConnectionLoss] = []
@@ -333,7 +344,7 @@
         self.assertEqual(len(lines), 3)
 
     def test_rejected_connections_are_bounded(self):
-        # Guards against descriptors that run out by rejected clients that don't close.
+        # Guards against rejected clients that exhaust file descriptors by not closing.
         async def scenario(server: HttpServer) -> None:
             held = [await trio.open_tcp_stream(_HOST, server.port) for _ in range(4)]
             await trio.testing.wait_all_tasks_blocked()
@@ -344,15 +355,15 @@
                 await stream.aclose()
             await trio.testing.wait_all_tasks_blocked()
             for _ in range(3):
-                told = await exchange(server.port, _GOOD)
-                self.assertTrue(told.startswith(b"HTTP/1.1 503 "), told)
+                response = await exchange(server.port, _VALID_REQUEST)
+                self.assertTrue(response.startswith(b"HTTP/1.1 503 "), response)
             await held[0].aclose()
 
         with mock.patch("trefoilhook.http.server._MAX_REJECTIONS", 2):
             run_with_server(scenario, limits=HttpLimits(max_connections=1))
 
     def test_connection_over_the_limit_is_closed_under_tls(self):
-        # Guards against a handshake that a full server does for each rejected client.
+        # Guards against the cost of a TLS handshake for each rejected client.
         async def scenario(server: HttpServer) -> None:
             async with await trio.open_tcp_stream(_HOST, server.port):
                 await trio.testing.wait_all_tasks_blocked()
@@ -369,8 +380,8 @@
         self.assertEqual(losses, [ConnectionLoss.REJECTED])
 
     def test_silent_clients_free_their_connections(self):
-        # Guards against clients that keep callers out: they send nothing, a part of a
-        # request, or nothing after a request, and don't read its answer.
+        # Guards against clients that hold connections indefinitely: they send nothing
+        # or a part of a request, or don't read the response.
         async def answer_long(request: HttpRequest) -> HttpResponse:
             return HttpResponse(status=200, body=b"x" * 16_000_000)
 
@@ -381,8 +392,8 @@
         table = (
             (b"", False, []),
             (b"GET", False, []),
-            (_GOOD, False, stalled),
-            (_GOOD * 2, False, stalled),
+            (_VALID_REQUEST, False, stalled),
+            (_VALID_REQUEST * 2, False, stalled),
             (b"", True, []),
         )
         for sent, is_tls, expected in table:
@@ -420,7 +431,7 @@
             raw = await trio.open_tcp_stream(_HOST, server.port)
             async with raw:
                 stream = trio.SSLStream(raw, client_context, server_hostname=_HOST)
-                await stream.send_all(_GOOD)
+                await stream.send_all(_VALID_REQUEST)
                 await trio.sleep(5.1)
                 self.assertEqual(server.open_connections, 0)
 
@@ -435,11 +446,11 @@
         self.assertEqual(losses, [ConnectionLoss.STALLED])
 
     def test_pipelined_requests_let_others_run(self):
-        # Guards against a client that keeps the event loop to itself.
+        # Guards against a client that monopolizes the event loop.
         turns = 0
         requests: Counter[int] = Counter()
 
-        async def note_turn(request: HttpRequest) -> HttpResponse:
+        async def count_request(request: HttpRequest) -> HttpResponse:
             requests[turns] += 1
             return HttpResponse(status=200)
 
@@ -453,13 +464,13 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(count_turns)
                 async with await trio.open_tcp_stream(_HOST, server.port) as stream:
-                    await stream.send_all(_GOOD * 50)
+                    await stream.send_all(_VALID_REQUEST * 50)
                     await stream.send_eof()
                     async for _ in stream:
                         pass
                 nursery.cancel_scope.cancel()
 
-        run_with_server(scenario, handler=note_turn)
-        # Tasks that are ready run in any order, so two requests may share a turn.
+        run_with_server(scenario, handler=count_request)
+        # Ready tasks run in any order, so two requests may be handled in one turn.
         self.assertEqual(requests.total(), 50)
         self.assertLessEqual(max(requests.values()), 2)
--- a/trefoilhook/http/transport.py
+++ b/trefoilhook/http/transport.py
@@ -1,4 +1,4 @@
-"""A TCP stream of a server whose sends are limited in time."""
+"""A TCP stream with a time-out on sends."""
 
 import trio
 
@@ -6,12 +6,12 @@
 
 
 class TimedTransport(trio.abc.HalfCloseableStream):
-    """A socket stream that disconnects a client that doesn't take what is sent.
+    """A socket stream that breaks if the client doesn't read the data sent to it.
 
     Parameters
     ----------
     raw : trio.SocketStream
-        The connection.
+        The stream of the connection.
     send_timeout_s : float
         Time-out of each send, in s.
 
@@ -27,34 +27,34 @@
         self.is_stalled = False
 
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
-        """Send all data; what the socket takes at once is sent without a checkpoint.
+        """Send all data, without a checkpoint if it fits into the socket's buffer.
 
         Raises
         ------
         trio.BrokenResourceError
-            If the connection is broken, or the client doesn't take the data in time.
+            If the connection is broken, or the client doesn't read the data in time.
         """
-        # Most responses fit into the socket's buffer; only the others incur the cost of
-        # a cancel scope.
-        sent = self._send_at_once(data)
+        # Most responses fit into the socket's buffer; this saves them the cost of a
+        # cancel scope.
+        sent = self._send_without_waiting(data)
         if sent == len(data):
             return
         with trio.move_on_after(self._send_timeout_s) as scope:
             await self._raw.send_all(memoryview(data)[sent:])
         if scope.cancelled_caught:
             self.is_stalled = True
-            raise trio.BrokenResourceError("the client doesn't take what is sent")
+            raise trio.BrokenResourceError("the client did not read the data in time")
 
-    def _send_at_once(self, data: bytes | bytearray | memoryview) -> int:
+    def _send_without_waiting(self, data: bytes | bytearray | memoryview) -> int:
         try:
             sent: int = self._raw.socket._sock.send(data)  # type: ignore[attr-defined]
         except OSError:
-            # The ordinary way of sending waits, or raises the error of the stream.
+            # The stream's send_all then waits, or raises the error as its own type.
             return 0
         return sent
 
     async def wait_send_all_might_not_block(self) -> None:
-        """Wait until the socket takes data."""
+        """Wait until the socket is likely to accept data."""
         await self._raw.wait_send_all_might_not_block()
 
     async def send_eof(self) -> None:
@@ -62,7 +62,7 @@
         await self._raw.send_eof()
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes | bytearray:
-        """Return the next data, or nothing at the end of the connection."""
+        """Return the next data, or no bytes at the end of the connection."""
         return await self._raw.receive_some(max_bytes)
 
     async def aclose(self) -> None:
--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -48,7 +48,7 @@
     CONNECTION_STALLED = (
         1011,
         Level.WARNING,
-        "A client did not take its response; it is disconnected.",
+        "A client was disconnected: it did not read its response in time.",
     )
 
     # 1100: store
--- a/trefoilhook/runtime/tests/test_metrics.py
+++ b/trefoilhook/runtime/tests/test_metrics.py
@@ -32,7 +32,7 @@
             self.assertIn(line, text)
 
     def test_lost_connections_are_counted(self):
-        # Guards against an address whose server doesn't count the connections it ends.
+        # Guards against a server that doesn't count the connections it aborts.
         async def fail(request: HttpRequest) -> HttpResponse:
             return HttpResponse(status=200, body="no bytes")
 
--- a/trefoilhook/runtime/tests/test_odd_requests.py
+++ b/trefoilhook/runtime/tests/test_odd_requests.py
@@ -18,7 +18,7 @@
 
 
 def _reserve_port() -> socket.socket:
-    """Bind a free port; a process may still listen on it, as both allow the reuse."""
+    """Bind a free port; SO_REUSEADDR lets a process listen on it nonetheless."""
     reservation = socket.socket()
     reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     reservation.bind((_HOST, 0))
@@ -37,7 +37,7 @@
 
 
 class OddRequestTest(unittest.TestCase):
-    """A request of any kind leaves the process serving."""
+    """The process keeps serving after any request."""
 
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
@@ -79,7 +79,7 @@
                 self.assertTrue(head.endswith(b"\r\n\r\n"), head)
 
     def test_odd_requests_leave_the_process_serving(self):
-        # Guards against a request that ends the process and every request in it.
+        # Guards against a request that ends the process and all its other requests.
         for port, path in self.targets:
             for line in (f"HEAD {path}", "GET //[", "CONNECT a:1"):
                 with self.subTest(path=path, line=line):
--- a/trefoilhook/scheduling/tests/test_displaced.py
+++ b/trefoilhook/scheduling/tests/test_displaced.py
@@ -15,11 +15,11 @@
 _MAX_WAIT_MS = 30_000.0
 
 
-def measure_wait(shard: Shard, job_id: str, running: list[StartOrder]) -> float | None:
-    """Return the wait of a job beside a stream of urgent tasks, in ms.
+def simulate_wait(shard: Shard, job_id: str, running: list[StartOrder]) -> float | None:
+    """Return how long a job waits while urgent tasks keep arriving, in ms.
 
-    Returns None if it is not started within the time limit. ``running`` are urgent
-    tasks that run already.
+    Returns None if it is not started within the time limit. ``running`` holds the
+    urgent tasks that are already running.
     """
     began_ms = shard.now_ms
     ending = [
@@ -42,11 +42,11 @@
 
 
 class DisplacedTaskTest(unittest.TestCase):
-    """Long-running tasks beside urgent tasks that keep coming."""
+    """Long-running tasks that compete with a stream of urgent tasks."""
 
     def test_task_of_lost_worker_starts(self):
-        # Guards against a service task that is absent as long as urgent tasks keep
-        # coming, because its worker is lost and no other has enough capacity at once.
+        # Guards against a service task that is not restarted while urgent tasks keep
+        # arriving, because its worker is lost and no other has enough capacity at once.
         shard = Shard(workers=2, cpu=4000)
         shard.submit(build_job(_SERVICE, job_id="z"))
         order = shard.start_one()
@@ -54,17 +54,17 @@
         shard.submit(build_job(attrs.evolve(_URGENT, count=2), job_id="a"))
         running = list_starts(shard.step())
         shard.scheduler.drop_worker(order.worker_id)
-        self.assertIsNotNone(measure_wait(shard, "z", running))
+        self.assertIsNotNone(simulate_wait(shard, "z", running))
 
     def test_task_starts_after_takeover_is_settled(self):
         # Guards against urgent jobs that occupy the capacity freed by a service task
-        # until the new owner may start it, and permanently after that.
+        # before the new owner may start it, and keep it indefinitely.
         shard = Shard(workers=1, cpu=4000, epoch=2, settled=False)
         shard.submit(build_job(_SERVICE, job_id="z"), is_new=False, progress=Progress())
         shard.submit(build_job(attrs.evolve(_URGENT, count=2), job_id="a"))
         running = list_starts(shard.step())
         shard.settled = True
-        self.assertIsNotNone(measure_wait(shard, "z", running))
+        self.assertIsNotNone(simulate_wait(shard, "z", running))
 
     def test_task_that_fits_starts_behind_many_infeasible_steps(self):
         # Guards against a service task that is not restarted although the capacity that
--- a/trefoilhook/standins/cut.py
+++ b/trefoilhook/standins/cut.py
@@ -57,9 +57,9 @@
 
 
 def _reserve_port(host: str, port: int) -> socket.socket:
-    """Bind a port so that no other process is given it; 0 selects a free one.
+    """Bind a port so that no other process can obtain it; 0 selects a free one.
 
-    A listener that allows the reuse of addresses can still bind it.
+    A listener with SO_REUSEADDR can still bind it.
     """
     reservation = socket.socket()
     try:
--- a/trefoilhook/standins/tests/test_cut.py
+++ b/trefoilhook/standins/tests/test_cut.py
@@ -76,8 +76,8 @@
                 run_with_cut(scenario)
 
     def test_port_stays_reserved_in_a_partition(self):
-        # Guards against another process that gets the port while connections are
-        # refused, so that the proxy can't listen again.
+        # Guards against another process that binds the port while connections are
+        # refused, which keeps the proxy from listening again.
         async def scenario(cut: TcpCut, client: HttpClient) -> None:
             cut.set(CutSettings(partition=Partition.REFUSED))
             await trio.testing.wait_all_tasks_blocked()
