--- a/trefoilhook/http/core.py
+++ b/trefoilhook/http/core.py
@@ -1,16 +1,29 @@
 """HTTP requests and responses, and limits on them."""
 
+import enum
 import json
 from typing import Any
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 import attrs
 
-__all__ = ["HttpLimits", "HttpRequest", "HttpResponse"]
+__all__ = ["ConnectionLoss", "HttpLimits", "HttpRequest", "HttpResponse"]
 
 Headers = tuple[tuple[str, str], ...]
 
 
+class ConnectionLoss(enum.Enum):
+    """Why a server aborted a connection.
+
+    FAILED: an exception was raised. REJECTED: the limit on connections was reached.
+    STALLED: the client did not read a response in time.
+    """
+
+    FAILED = "failed"
+    REJECTED = "rejected"
+    STALLED = "stalled"
+
+
 @attrs.frozen(kw_only=True)
 class HttpLimits:
     """Limits that keep a single client from exhausting the process.
@@ -22,9 +35,11 @@
     max_body_bytes : int
         Maximum size of the body, in bytes.
     max_connections : int
-        Maximum number of open connections; further ones wait in the listen queue.
+        Maximum number of open connections; further ones are answered with
+        status 503 at once, or closed.
     idle_timeout_ms : float
-        Time-out for the next request on an open connection, in ms.
+        Time-out for the next request on an open connection, and for a client to read
+        a response, in ms.
     receive_timeout_ms : float
         Time-out for the receipt of a request once it has begun, in ms.
     """
