--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -123,7 +123,7 @@
     def afterSummaryReport(self, event: events.ReportSummaryEvent) -> None:  # noqa: N802
         """Print the failures and the status of the listed tests.
 
-        nose2 prints no traceback of an expected failure, and one whose cause is still
+        nose2 prints no traceback for an expected failure, and a failure whose cause is
         unknown may not recur.
         """
         for line in [*self._failures, *self.describe()]:
--- a/tools/tests/test_known_red.py
+++ b/tools/tests/test_known_red.py
@@ -81,8 +81,8 @@
         self.assertIn(LISTED, stream.getvalue())
 
     def test_failure_of_a_listed_test_is_printed(self):
-        # nose2 prints no traceback of an expected failure. One that is listed because
-        # its cause is unknown would leave nothing behind.
+        # nose2 prints no traceback for an expected failure, so a failure of unknown
+        # cause could not be diagnosed from the output.
         case = SampleCase("test_listed")
         failure = AssertionError("43 answers were lost")
         failure.add_note("5.86 signal 15 to d-0")
--- a/trefoilhook/daemon/tests/evidence.py
+++ b/trefoilhook/daemon/tests/evidence.py
@@ -1,7 +1,7 @@
 """Evidence of a run of daemon processes, for the message of a failed test.
 
-The processes' own timing is real, so a failure may not recur, and the folder with their
-logs is removed with the test. What explains the failure must be in its message.
+The processes run in real time, so a failure may not recur, and the folder with their
+logs is removed after the test. The message must suffice to diagnose the failure.
 """
 
 import json
@@ -30,12 +30,12 @@
 
 @attrs.frozen(kw_only=True)
 class Exchange:
-    """A caller's request and what the caller was told.
+    """A caller's request and its answer.
 
     Parameters
     ----------
     started_ms, ended_ms : float
-        Wall-clock times of the request and of its answer, in ms.
+        Wall-clock times at which the request was sent and ended, in ms.
     entry_id : str
         Instance that the request was sent to.
     request_id : str
@@ -43,7 +43,7 @@
     code : ResultCode or None
         Result code; None if no complete answer arrived.
     answered_by, executor_id : str
-        Instance and executor that the answer names.
+        Instance and executor named in the answer; empty if there is none.
     """
 
     started_ms: float
@@ -57,14 +57,16 @@
 
 @attrs.define(kw_only=True, eq=False)
 class Evidence:
-    """Records of one run, from outside the processes.
+    """Records of one run, collected outside the daemon processes.
 
     Parameters
     ----------
     clock : Clock
-        Source of the times.
+        Clock of the recorded times.
     folder : Path
         Folder with the log ``ID.log`` of each instance.
+    exchanges : list of Exchange
+        Callers' requests so far.
     """
 
     clock: Clock
@@ -78,13 +80,13 @@
         self._started_ms = self.clock.wall_ms()
 
     def record_signal(self, instance_id: str, number: int) -> None:
-        """Record a signal that the test sends to an instance."""
+        """Record that the test sends a signal to an instance."""
         self._signals.append(
             (self.clock.wall_ms(), f"signal {number} to {instance_id}")
         )
 
     async def watch_delays(self) -> None:
-        """Record when this process, which runs the stand-ins, was late to run."""
+        """Record scheduling delays of this process, which runs the stand-ins."""
         while True:
             due_ms = self.clock.monotonic_ms() + _DELAY_INTERVAL_MS
             await self.clock.sleep_ms(_DELAY_INTERVAL_MS)
@@ -93,7 +95,9 @@
                 self._delays.append((self.clock.wall_ms(), late_ms))
 
     def describe(self, runs: Mapping[str, Sequence[RunRecord]]) -> str:
-        """Describe what was seen of the callers and the instances, in order of time.
+        """Return the counts of result codes, the events and the failed requests.
+
+        Events and failed requests are each listed in order of time.
 
         Parameters
         ----------
@@ -115,7 +119,10 @@
         )
 
     def _read_events(self) -> list[tuple[float, str]]:
-        """Return the events of all instances, without those on single requests."""
+        """Return the events of all instances except failures of single requests.
+
+        Lines that are not events, such as tracebacks, carry the current time.
+        """
         found: list[tuple[float, str]] = []
         for path in sorted(self.folder.glob("*.log")):
             text = path.read_text(encoding="utf-8", errors="replace")
@@ -137,7 +144,7 @@
     def _list_failures(
         self, runs: Mapping[str, Sequence[RunRecord]]
     ) -> list[tuple[float, str]]:
-        """Return the requests that were answered by anything but OK."""
+        """Return the requests answered with a result code other than OK."""
         starts: defaultdict[str, list[str]] = defaultdict(list)
         for executor_id, records in runs.items():
             for run in records:
--- a/trefoilhook/daemon/tests/processes.py
+++ b/trefoilhook/daemon/tests/processes.py
@@ -214,7 +214,7 @@
         return sum(s.records.overloads for s in self.platform.executors.values())
 
     def describe(self) -> str:
-        """Describe what was seen of the callers and the daemons."""
+        """Return a description of the run, for the message of a failed test."""
         return self.evidence.describe(
             {
                 executor_id: standin.records.runs
@@ -282,10 +282,10 @@
 ) -> None:
     """Run a scenario on new daemons, which are killed afterwards in any case.
 
-    What was seen of the callers and the daemons is added to the message of a failure.
+    A description of the run is added as a note to the exception of a failure.
     """
 
-    async def play(cluster: ProcessCluster) -> None:
+    async def run_scenario(cluster: ProcessCluster) -> None:
         try:
             await cluster.start(daemons)
             await scenario(cluster)
@@ -318,7 +318,7 @@
                         cluster = ProcessCluster(
                             platform=platform, folder=Path(folder), evidence=evidence
                         )
-                        await play(cluster)
+                        await run_scenario(cluster)
                         nursery.cancel_scope.cancel()
             except Exception as error:
                 if cluster is not None:
--- a/trefoilhook/daemon/tests/test_evidence.py
+++ b/trefoilhook/daemon/tests/test_evidence.py
@@ -22,7 +22,7 @@
 
 
 class EvidenceTest(unittest.TestCase):
-    """Evidence of a run, as shown if the run fails."""
+    """Description of a run."""
 
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -47,8 +47,8 @@
         )
 
     def test_failed_request_is_shown_with_its_runs(self):
-        # A request that timed out may have waited before its run or after it. Only the
-        # executors' records tell which.
+        # Only the executors' records show whether a request that timed out was delayed
+        # before its run or after it.
         self._add_exchange("early", ResultCode.OK)
         self._add_exchange("late", ResultCode.DEADLINE_AFTER_SEND)
         self._add_exchange("refused", None)
@@ -89,7 +89,7 @@
             ],
         )
 
-    def test_long_lists_are_cut(self):
+    def test_long_lists_are_truncated(self):
         for number in range(200):
             self._add_exchange(f"request-{number}", ResultCode.ANSWER_LOST)
         lines = self.evidence.describe({}).splitlines()
@@ -97,7 +97,7 @@
         self.assertLess(len(lines), 200)
 
     def test_delays_of_the_process_are_shown(self):
-        # Beside a load, the process with the stand-ins may itself answer too late.
+        # Under load, the stand-ins may answer late because their process is delayed.
         late_ms = [10.0, 400.0]
 
         async def run() -> None:
@@ -123,7 +123,7 @@
     """A failure of a scenario with daemon processes."""
 
     def test_evidence_is_in_the_message(self):
-        # The logs are removed with the test, and the failure may not recur.
+        # The logs are removed after the test, and the failure may not recur.
         async def scenario(cluster: ProcessCluster) -> None:
             sales = Load(cluster=cluster, service="seat-sale")
             async with trio.open_nursery() as nursery:
--- a/trefoilhook/requests/callers.py
+++ b/trefoilhook/requests/callers.py
@@ -120,7 +120,7 @@
         )
         if is_final or now_ms >= deadline_ms:
             break
-        # The time before the first refusal may all have passed at the refusing owner.
+        # An owner under load may refuse late, so the wait starts at the first refusal.
         give_up_ms = min(give_up_ms, now_ms + components.settings.owner_wait_ms)
         if not forwarded.is_answer_lost and now_ms + backoff_ms > give_up_ms:
             break
--- a/trefoilhook/requests/settings.py
+++ b/trefoilhook/requests/settings.py
@@ -47,8 +47,8 @@
     owner_wait_ms: float = declare(
         default=500.0,
         unit="ms",
-        description="How long an entry looks for the owner of a key, from the first "
-        "refusal on.",
+        description="How long an entry looks for the owner of a key after the first "
+        "refusal.",
     )
     answer_margin_ms: float = declare(
         default=20.0,
--- a/trefoilhook/requests/tests/test_takeover.py
+++ b/trefoilhook/requests/tests/test_takeover.py
@@ -343,9 +343,9 @@
         self.assertAlmostEqual(waited_s, 0.4, delta=0.001)
 
     def test_late_refusal_leaves_the_time_of_a_handover(self):
-        # Beside a load, an owner may read a request only after it has begun to hand its
-        # shard over. The entry must wait for the new owner as it does after a prompt
-        # refusal. It once refused at once, since the wait had used up the time.
+        # Under load, an owner may read a request only after it has begun to hand its
+        # shard over. Guards against the time before this late refusal counting towards
+        # the entry's wait for the new owner.
         cluster = Cluster()
         answers = []
 
@@ -371,8 +371,8 @@
         self.assertEqual(cluster.count_runs(), 1)
 
     def test_search_for_an_owner_ends_before_the_deadline(self):
-        # An owner refuses late, and no instance takes over. The caller must be told so
-        # after the time that a handover takes, not only at its deadline.
+        # The owner refuses late, and no instance takes over. Guards against retries
+        # until the caller's deadline.
         cluster = Cluster()
         answers = []
         waited_ms = []
