Add a bench of takeovers with silent workers

Cause: a takeover waits for every silent worker of the roster, and nothing measures by how much another way would shorten that. Change: bench.succession takes a shard over on simulated time with the project's own Scheduler and is_settled, for 33 to 30,000 workers, today's way and four others on the same seeds, and simulates the writes of a record of places at the starts of a site file.

--- /dev/null
+++ b/bench/succession/__main__.py
@@ -0,0 +1,121 @@
+"""Simulated takeovers with silent workers, by way of telling what a task waits for.
+
+Run from the root of the repository: ``python -m bench.succession takeovers`` or
+``python -m bench.succession writes SITE...``.
+"""
+
+import argparse
+import resource
+import statistics
+import time
+
+from bench.succession.takeover import Silence, TakeoverOutcome, take_over
+from bench.succession.ways import WAYS
+from bench.succession.world import DOMAINS, build_world, list_silent
+from bench.succession.writes import print_writes
+
+_SILENT_CASES = ("none", "one", "1 %", "domain")
+_PROMPT_MS = 300.0
+_SILENCES = {
+    "cut off": Silence(ends_ms=24_000.0),
+    "crashed": Silence(unlisted_ms=4500.0),
+}
+_UNRECORDED = 0.05
+"""Fraction of the tasks started while the store is away, for ways that permit it."""
+
+
+def _quantile(values: list[float], share: float) -> float:
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def _print_row(
+    size: int, silent: str, way: str, outcomes: list[TakeoverOutcome]
+) -> None:
+    def median(values: list[float]) -> float:
+        return statistics.median(values)
+
+    quantiles = [
+        median([_quantile(o.due_ms, share) for o in outcomes])
+        for share in (0.5, 0.95, 1.0)
+    ]
+    prompt = [
+        sum(at_ms <= o.loaded_ms + _PROMPT_MS for at_ms in o.due_ms) / len(o.due_ms)
+        for o in outcomes
+    ]
+    held = [
+        sum(held_ms > 0 for held_ms in o.later_ms) / max(1, len(o.later_ms))
+        for o in outcomes
+    ]
+    columns = [
+        f"{size:,}",
+        silent,
+        way,
+        *(f"{at_ms:,.0f}" for at_ms in quantiles),
+        f"{100 * median(prompt):.0f}",
+        f"{100 * median(held):.0f}",
+        f"{median([o.calls for o in outcomes]):,.0f}",
+        f"{median([o.read_bytes for o in outcomes]) / 1000:,.0f}",
+        f"{median([o.record_bytes for o in outcomes]) / 1000:,.0f}",
+        f"{sum(o.unsafe for o in outcomes)}",
+    ]
+    print("| " + " | ".join(columns) + " |", flush=True)
+
+
+def _measure_takeovers(sizes: list[int], seeds: int, kind: str) -> None:
+    silence = _SILENCES[kind]
+    print(f"Silent workers: {kind}. Seeds 1 to {seeds}.\n")
+    print(
+        "| workers | silent | way | 50 % ms | 95 % ms | 100 % ms | in 300 ms, % | "
+        "later steps held, % | calls | KB read | KB of places | unsafe |"
+    )
+    print("|" + "---|" * 12)
+    for size in sizes:
+        started_s = time.monotonic()
+        for silent_case in _SILENT_CASES:
+            if silent_case == "1 %" and size < 100:
+                continue
+            for name, build in WAYS.items():
+                way = build(size)
+                outcomes = []
+                for seed in range(1, seeds + 1):
+                    world = build_world(
+                        size,
+                        seed,
+                        place=way.place,
+                        place_unrecorded=way.place_unrecorded,
+                        unrecorded=_UNRECORDED,
+                    )
+                    silent = list_silent(world, seed, silent_case)
+                    outcomes.append(
+                        take_over(world, way, silent=silent, silence=silence, seed=seed)
+                    )
+                _print_row(size, silent_case, name, outcomes)
+        peak_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+        elapsed_s = time.monotonic() - started_s
+        print(f"<!-- {size}: {elapsed_s:.0f} s, peak {peak_mb:.0f} MB -->")
+
+
+def main() -> None:
+    """Print the tables."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    commands = parser.add_subparsers(dest="command", required=True)
+    takeovers = commands.add_parser("takeovers")
+    takeovers.add_argument("--sizes", type=int, nargs="+", default=sorted(DOMAINS))
+    takeovers.add_argument("--seeds", type=int, default=5)
+    takeovers.add_argument("--kind", choices=sorted(_SILENCES), default="cut off")
+    writes = commands.add_parser("writes")
+    writes.add_argument("sites", nargs="+")
+    writes.add_argument("--seed", type=int, default=1)
+    writes.add_argument("--overlapping", action="store_true")
+    arguments = parser.parse_args()
+    if arguments.command == "takeovers":
+        _measure_takeovers(arguments.sizes, arguments.seeds, arguments.kind)
+    else:
+        print_writes(arguments.sites, arguments.seed, overlapping=arguments.overlapping)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/succession/takeover.py
@@ -0,0 +1,320 @@
+"""One takeover by a new owner with a scheduler of its own."""
+
+import heapq
+import json
+import random
+
+import attrs
+
+from bench.succession.record import count_pages, encode_places
+from bench.succession.ways import Way
+from bench.succession.world import JobCase, World
+from trefoilhook.scheduling import (
+    AttemptEnd,
+    Configuration,
+    Demand,
+    EndKind,
+    JobRecord,
+    PollAnswer,
+    Queue,
+    Running,
+    Scheduler,
+    SchedulerLimits,
+    TaskId,
+    WorkerReport,
+    apply_poll_answer,
+    encode_job_record,
+    encode_progress,
+    is_settled,
+)
+
+__all__ = ["Silence", "TakeoverOutcome", "take_over"]
+
+_STORE_CALL_MS = 4.0
+_POLL_MS = 2.0
+_POLL_TIMEOUT_MS = 600.0
+_POLL_RETRY_PAUSE_MS = 200.0
+_ANSWER_CPU_MS = 0.25
+"""Processor time to decode and apply the answer of a worker to a poll, in ms."""
+
+_OWNER_LEASE_MS = 2000.0
+_TASK_LEASE_MS = 5000.0
+_SETTLED_AT_MS = _OWNER_LEASE_MS + _TASK_LEASE_MS / 0.98 + 300.0
+_ENTRY_BYTES = 330
+"""Size of a worker's entry in the store."""
+
+_RECORDED_ROWS_PER_PAGE = 8
+
+_QUEUE = Queue(
+    name="checks",
+    host="h",
+    prefix="/checks/",
+    service="s",
+    priority=0,
+    max_attempts=3,
+    stretch=1.5,
+    objective_ms=250.0,
+)
+
+
+@attrs.frozen(kw_only=True)
+class Silence:
+    """How long the silent workers are silent, in ms after the takeover.
+
+    Parameters
+    ----------
+    ends_ms : float
+        Time at which they answer again.
+    unlisted_ms : float
+        Time at which their entries leave the store.
+    """
+
+    ends_ms: float = float("inf")
+    unlisted_ms: float = float("inf")
+
+
+@attrs.frozen(kw_only=True)
+class TakeoverOutcome:
+    """When tasks may start after a takeover, in ms after the claim.
+
+    Parameters
+    ----------
+    loaded_ms : float
+        Time at which the state was read.
+    settled_ms : float
+        Time at which every worker is accounted for.
+    due_ms : list of float
+        For each due task that was never ordered, the time from which it may start.
+    recorded_ms : list of float
+        The same for due tasks with a recorded place to which no order was sent.
+    later_ms : list of float
+        For each task of a step that became due later, the time for which it is held.
+    unsafe : int
+        Number of tasks that the way would start although they are on a silent worker.
+    calls, read_bytes : int
+        Calls to the store and bytes read by the takeover.
+    record_bytes : int
+        Bytes of the recorded places among them.
+    """
+
+    loaded_ms: float
+    settled_ms: float
+    due_ms: list[float]
+    recorded_ms: list[float]
+    later_ms: list[float]
+    unsafe: int
+    calls: int
+    read_bytes: int
+    record_bytes: int
+
+
+@attrs.frozen(kw_only=True)
+class _StateSize:
+    calls: int
+    read_bytes: int
+    record_bytes: int
+
+
+def _measure_state(world: World, way: Way) -> _StateSize:
+    """Return what a takeover reads from the store; base64 adds a third."""
+    jobs = [len(encode_job_record(JobRecord(job=case.job))) for case in world.jobs]
+    progress = [
+        len(encode_progress(case.progress))
+        for case in world.jobs
+        if case.progress is not None
+    ]
+    listings = [
+        (len(world.workers), _ENTRY_BYTES * len(world.workers)),
+        (len(jobs), sum(jobs)),
+        (len(progress), sum(progress)),
+    ]
+    record_bytes = 0
+    if way.reads_record:
+        rows = [(task, 1, world.workers[n]) for task, n in world.rows.items()]
+        pages = [
+            len(encode_places(rows[first : first + _RECORDED_ROWS_PER_PAGE], epoch=7))
+            for first in range(0, len(rows), _RECORDED_ROWS_PER_PAGE)
+        ]
+        record_bytes = sum(pages) * 4 // 3
+        listings.append((len(pages), sum(pages)))
+    calls = sum(count_pages(count, size * 4 // 3) for count, size in listings)
+    roster = len(json.dumps(world.workers))
+    total = (sum(size for _, size in listings) + roster) * 4 // 3
+    # The roster and the interference estimates are read by their keys.
+    return _StateSize(calls=calls + 2, read_bytes=total, record_bytes=record_bytes)
+
+
+class _Succession:
+    """A new owner's scheduler, and the workers that answer it."""
+
+    def __init__(self, world: World, *, loaded_ms: float) -> None:
+        self.world = world
+        self.scheduler = Scheduler(
+            epoch=8,
+            limits=SchedulerLimits(
+                task_lease_ms=_TASK_LEASE_MS,
+                longest_stop_ms=900.0,
+                settled_at_ms=_SETTLED_AT_MS,
+            ),
+            configuration=Configuration(version=1, queues=(_QUEUE,)),
+        )
+        self.resolved_ms: dict[int, float] = {}
+        self._loaded_ms = loaded_ms
+        self._runs: dict[int, list[tuple[TaskId, bool]]] = {}
+        for case in world.jobs:
+            self.scheduler.add_job(
+                JobRecord(job=case.job),
+                revision=1,
+                is_new=False,
+                wall_ms=0.0,
+                progress=case.progress,
+            )
+            for task, number in case.placed.items():
+                row = (task, task in case.ended)
+                self._runs.setdefault(number, []).append(row)
+        for number, worker_id in enumerate(world.workers):
+            self.scheduler.update_worker(
+                WorkerReport(
+                    worker_id=worker_id,
+                    service="s",
+                    host=worker_id,
+                    port=1,
+                    failure_domain=str(world.domains[number]),
+                    capacity=Demand(cpu=16_000, memory_mb=64_000),
+                )
+            )
+
+    def _answer(self, number: int, now_ms: float) -> None:
+        runs = self._runs.get(number, [])
+        answer = PollAnswer(
+            clock_ms=now_ms + 40_000.0,
+            running=tuple(
+                Running(task=task, attempt=1, checkpoint="", percent=0.0, load=0.0)
+                for task, is_ended in runs
+                if not is_ended
+            ),
+            ends=tuple(
+                AttemptEnd(
+                    number=place + 1,
+                    task=task,
+                    attempt=1,
+                    kind=EndKind.DONE,
+                    checkpoint="",
+                )
+                for place, (task, is_ended) in enumerate(runs)
+                if is_ended
+            ),
+        )
+        apply_poll_answer(
+            self.scheduler,
+            self.world.workers[number],
+            answer,
+            sent_ms=now_ms - _POLL_MS,
+            now_ms=now_ms,
+        )
+
+    def _resolve(self, number: int, now_ms: float) -> None:
+        worker_id = self.world.workers[number]
+        if number not in self.resolved_ms and is_settled(
+            self.scheduler, (worker_id,), now_ms
+        ):
+            self.resolved_ms[number] = now_ms
+
+    def run(self, silent: set[int], silence: Silence, seed: int) -> None:
+        """Poll all workers until each is accounted for."""
+        generator = random.Random(f"polls {seed}")
+        events: list[tuple[float, str, int]] = []
+        for number in range(len(self.world.workers)):
+            at_ms = self._loaded_ms + _POLL_MS + generator.random()
+            if number in silent:
+                cycle_ms = _POLL_TIMEOUT_MS + _POLL_RETRY_PAUSE_MS
+                while at_ms < silence.ends_ms < float("inf"):
+                    at_ms += cycle_ms
+                events.append((silence.unlisted_ms, "unlisted", number))
+                if silence.ends_ms == float("inf"):
+                    continue
+            events.append((at_ms, "answer", number))
+        events += [(_SETTLED_AT_MS, "lapse", number) for number in silent]
+        heapq.heapify(events)
+        free_ms = 0.0
+        while events:
+            at_ms, kind, number = heapq.heappop(events)
+            if at_ms == float("inf"):
+                break
+            if kind == "answer":
+                # Answers are applied one after the other.
+                free_ms = at_ms = max(at_ms, free_ms) + _ANSWER_CPU_MS
+                self._answer(number, at_ms)
+            elif kind == "unlisted":
+                self.scheduler.mark_unlisted(self.world.workers[number])
+            self._resolve(number, at_ms)
+
+    @property
+    def settled_ms(self) -> float:
+        """Time at which every worker is accounted for."""
+        return max(self.resolved_ms[n] for n in range(len(self.world.workers)))
+
+
+def _is_input_seen(
+    owner: _Succession, case: JobCase, due_ms: float, silent: set[int]
+) -> bool:
+    """Return whether this owner saw an input of a step running before its end.
+
+    Its previous owner cannot have learned of that end, so that it opened no later step.
+    """
+    return any(
+        task not in case.ended and owner.resolved_ms[number] < due_ms
+        for task, number in case.placed.items()
+        if number not in silent
+    )
+
+
+def take_over(
+    world: World, way: Way, *, silent: set[int], silence: Silence, seed: int
+) -> TakeoverOutcome:
+    """Take a shard over, and return when its tasks may start."""
+    size = _measure_state(world, way)
+    loaded_ms = size.calls * _STORE_CALL_MS
+    owner = _Succession(world, loaded_ms=loaded_ms)
+    owner.run(silent, silence, seed)
+    settled_ms = owner.settled_ms
+    everyone = len(world.workers)
+
+    def find_free_ms(case: JobCase, task: TaskId) -> float:
+        awaited = way.find_awaited(world, case, task)
+        if len(awaited) == everyone:
+            return settled_ms
+        return max((owner.resolved_ms[n] for n in awaited), default=loaded_ms)
+
+    due: list[float] = []
+    recorded: list[float] = []
+    later: list[float] = []
+    unsafe = 0
+    for case in world.jobs:
+        for task in case.waiting:
+            target = recorded if task in world.rows else due
+            target.append(find_free_ms(case, task))
+        for task, number in case.placed.items():
+            if number in silent and number not in way.find_awaited(world, case, task):
+                unsafe += 1
+        is_input_lost = any(number in silent for number in case.placed.values())
+        is_opening = case.has_next_step and case.placed and not case.is_ahead
+        if is_opening and not is_input_lost:
+            first = TaskId(case.job.job_id, 0, case.step + 1, 0)
+            held_ms = max(0.0, find_free_ms(case, first) - case.next_due_ms)
+            if way.trusts_inputs and _is_input_seen(
+                owner, case, case.next_due_ms, silent
+            ):
+                held_ms = 0.0
+            later += [held_ms] * case.job.steps[case.step + 1].count
+    return TakeoverOutcome(
+        loaded_ms=loaded_ms,
+        settled_ms=settled_ms,
+        due_ms=due,
+        recorded_ms=recorded,
+        later_ms=later,
+        unsafe=unsafe,
+        calls=size.calls,
+        read_bytes=size.read_bytes,
+        record_bytes=size.record_bytes,
+    )
