--- a/bench/succession/takeover.py
+++ b/bench/succession/takeover.py
@@ -284,7 +284,7 @@
         awaited = way.find_awaited(world, case, task)
         if len(awaited) == everyone:
             return settled_ms
-        return max((owner.resolved_ms[n] for n in awaited), default=loaded_ms)
+        return max([loaded_ms, *(owner.resolved_ms[n] for n in awaited)])
 
     due: list[float] = []
     recorded: list[float] = []
--- a/bench/succession/ways.py
+++ b/bench/succession/ways.py
@@ -15,9 +15,6 @@
 
 _GROUPS_PER_JOB = 2
 
-_LOOSE_GROUP_SIZE = 2
-"""Workers of a group, if only starts without a record keep to their job's group."""
-
 Awaited = Callable[[World, JobCase, TaskId], Collection[int]]
 
 
@@ -88,23 +85,37 @@
     return () if row is None else (row,)
 
 
-def _list_loose_group(size: int, job_id: str) -> Collection[int]:
-    count = _count_groups(size, _LOOSE_GROUP_SIZE)
+def _list_own_group(size: int, group_size: int, job_id: str) -> Collection[int]:
+    count = _count_groups(size, group_size)
     return range(hash_group(job_id, count), size, count)
 
 
-def _await_row_and_group(world: World, case: JobCase, task: TaskId) -> Collection[int]:
-    group = _list_loose_group(len(world.workers), case.job.job_id)
-    return {*_await_row(world, case, task), *group}
+def _await_row_and_group(group_size: int) -> Awaited:
+    def find_awaited(world: World, case: JobCase, task: TaskId) -> Collection[int]:
+        group = _list_own_group(len(world.workers), group_size, case.job.job_id)
+        return {*_await_row(world, case, task), *group}
+
+    return find_awaited
 
 
-def _place_in_loose_group(size: int) -> Placement:
+def _place_in_own_group(size: int, group_size: int) -> Placement:
     def place(case: JobCase, generator: random.Random) -> int:
-        return generator.choice(list(_list_loose_group(size, case.job.job_id)))
+        return generator.choice(
+            list(_list_own_group(size, group_size, case.job.job_id))
+        )
 
     return place
 
 
+def _build_record_with_groups(size: int, group_size: int) -> Way:
+    return Way(
+        name=f"record, groups of {group_size}",
+        find_awaited=_await_row_and_group(group_size),
+        place_unrecorded=_place_in_own_group(size, group_size),
+        reads_record=True,
+    )
+
+
 def _place_anywhere(size: int) -> Placement:
     def place(case: JobCase, generator: random.Random) -> int:
         return generator.randrange(size)
@@ -131,11 +142,7 @@
     "record": lambda size: Way(
         name="record", find_awaited=_await_row, reads_record=True
     ),
-    "record, loose groups": lambda size: Way(
-        name="record, loose groups",
-        find_awaited=_await_row_and_group,
-        place_unrecorded=_place_in_loose_group(size),
-        reads_record=True,
-    ),
+    "record, groups of 2": lambda size: _build_record_with_groups(size, 2),
+    "record, groups of 8": lambda size: _build_record_with_groups(size, 8),
 }
 """Ways by name, for a number of workers."""
