--- a/bench/succession/ways.py
+++ b/bench/succession/ways.py
@@ -57,15 +57,22 @@
     return generator.sample(range(count), min(_GROUPS_PER_JOB, count))
 
 
+def _list_members(size: int, count: int, group: int) -> range:
+    """Return the workers of a group.
+
+    Groups are cut from the workers in the order of their failure domains, so that few
+    groups have members in two of them.
+    """
+    return range(-(-group * size // count), -(-(group + 1) * size // count))
+
+
 def _await_groups(world: World, case: JobCase, task: TaskId) -> Collection[int]:
-    # Groups are cut from the workers in the order of their failure domains, so that
-    # few groups have members in two of them.
     size = len(world.workers)
     count = _count_groups(size, _GROUP_SIZE)
     return [
         number
         for group in _list_job_groups(case, count)
-        for number in range(-(-group * size // count), -(-(group + 1) * size // count))
+        for number in _list_members(size, count, group)
     ]
 
 
@@ -74,8 +81,7 @@
 
     def place(case: JobCase, generator: random.Random) -> int:
         group = generator.choice(_list_job_groups(case, count))
-        first, end = -(-group * size // count), -(-(group + 1) * size // count)
-        return generator.randrange(first, end)
+        return generator.choice(_list_members(size, count, group))
 
     return place
 
@@ -85,9 +91,9 @@
     return () if row is None else (row,)
 
 
-def _list_own_group(size: int, group_size: int, job_id: str) -> Collection[int]:
+def _list_own_group(size: int, group_size: int, job_id: str) -> range:
     count = _count_groups(size, group_size)
-    return range(hash_group(job_id, count), size, count)
+    return _list_members(size, count, hash_group(job_id, count))
 
 
 def _await_row_and_group(group_size: int) -> Awaited:
