Move what settles a new owner into a class of its own

Cause: the lines that tell whom a takeover waits for need the roster and the time of the claim, which shard.py holds beside much else. Change: runtime/settlement.py holds the earlier roster, the settled state and the line SHARD_SETTLED; is_settled is told by list_awaited, the workers that are waited for. Nothing is decided differently.

--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -30,6 +30,7 @@
 from trefoilhook.runtime.polling import WorkerPoller
 from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.runtime.roster import Roster
+from trefoilhook.runtime.settlement import Settlement
 from trefoilhook.runtime.workerfeed import WorkerFeed
 from trefoilhook.scheduling import (
     SLOWEST_CLOCK,
@@ -43,8 +44,6 @@
     Worker,
     WorkerReport,
     decode_interference,
-    is_settled,
-    list_unreported,
     plan_orders,
     release_expired,
 )
@@ -55,9 +54,6 @@
 """Timeout of a call to a worker, without its waiting time, in ms. The round trip takes
 2 ms, and a worker at a sixth of its usual speed still answers well within the limit."""
 
-_MAX_LOGGED_WORKERS = 5
-"""Maximum number of workers named in a log line, which keeps it under 400 bytes."""
-
 _BATCH_WINDOW_MS = 6.0
 """Time to collect more changes before planning, in ms. The tasks of a step end
 together, and a single plan for all of them is cheaper."""
@@ -204,8 +200,11 @@
             notify=self._wake_all,
         )
         self._clients: dict[str, WorkerClient] = {}
-        self._previous_roster: tuple[str, ...] = ()
-        self._settled = False
+        self._settlement = Settlement(
+            scheduler=self._scheduler,
+            ownership=ownership,
+            metrics=metrics,
+        )
         self._lag = LoopLag()
         lag = self._lag
         # Captures no reference to this owner, which the gauge would keep alive after
@@ -293,12 +292,12 @@
     def _take_roster(self, item: Item | None) -> None:
         try:
             self._roster.load(item)
-            self._previous_roster = self._roster.workers
+            self._settlement.roster = self._roster.workers
         except DecodeError as error:
             # Any worker may run tasks of the previous owner, so only the expiry of
             # their leases proves that they have ended.
             self._reject(item, error)
-            self._previous_roster = (_UNKNOWN_WORKER,)
+            self._settlement.roster = (_UNKNOWN_WORKER,)
 
     def _take_interference(self, item: Item | None) -> None:
         """Load the interference estimates of previous owners, if they are readable.
@@ -385,26 +384,18 @@
             worker_feed.retry_unknown_services()
         for expiry in release_expired(scheduler, now_ms):
             log_lease_expiry(expiry)
-        if self._settled and len(scheduler.workers) < len(self._roster.workers):
+        if self._settlement.is_settled and len(scheduler.workers) < len(
+            self._roster.workers
+        ):
             # A worker was removed because its leases expired, which changes no entry in
             # the store.
             self._roster.notify_change()
         self._log_losses()
-        if not self._settled and is_settled(scheduler, self._previous_roster, now_ms):
-            self._settled = True
+        if self._settlement.update(now_ms):
             self._roster.mark_settled()
-            self._metrics.observe("takeover_ms", now_ms - self._ownership.claimed_ms)
-            log_event(
-                Event.SHARD_SETTLED,
-                epoch=self._ownership.epoch,
-                after_ms=round(now_ms - self._ownership.claimed_ms),
-                unheard=list_unreported(scheduler, self._previous_roster)[
-                    :_MAX_LOGGED_WORKERS
-                ],
-            )
         orders = plan_orders(
             scheduler,
-            settled=self._settled,
+            settled=self._settlement.is_settled,
             now_ms=now_ms,
             wall_ms=self._clock.wall_ms(),
         )
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -55,6 +55,7 @@
 from trefoilhook.scheduling.planning import (
     confirm_start,
     is_settled,
+    list_awaited,
     list_unreported,
     plan_orders,
 )
@@ -132,6 +133,7 @@
     "encode_progress",
     "extend_lease",
     "is_settled",
+    "list_awaited",
     "list_unreported",
     "handle_worker_loss",
     "measure_backlogs",
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -19,7 +19,13 @@
 from trefoilhook.scheduling.tickets import name_step
 from trefoilhook.scheduling.watchdog import stop_stalled_and_draining
 
-__all__ = ["confirm_start", "is_settled", "plan_orders"]
+__all__ = [
+    "confirm_start",
+    "is_settled",
+    "list_awaited",
+    "list_unreported",
+    "plan_orders",
+]
 
 _NO_DEMAND = Demand()
 
@@ -47,11 +53,20 @@
     no longer in the store. While the entry exists, the worker is alive and may hold the
     end of a completed task, which would run twice if it were started again elsewhere.
     """
+    return not list_awaited(scheduler, roster, now_ms)
+
+
+def list_awaited(
+    scheduler: Scheduler, roster: Iterable[str], now_ms: float
+) -> list[str]:
+    """Return the workers of the roster that keep the shard from being settled."""
     unreported = list_unreported(scheduler, roster)
     if now_ms < scheduler.limits.settled_at_ms:
-        return not unreported
-    known = (scheduler.workers.get(worker_id) for worker_id in unreported)
-    return not any(worker is not None and worker.is_known_alive for worker in known)
+        return unreported
+    known = ((name, scheduler.workers.get(name)) for name in unreported)
+    return [
+        name for name, worker in known if worker is not None and worker.is_known_alive
+    ]
 
 
 def list_unreported(scheduler: Scheduler, worker_ids: Iterable[str]) -> list[str]:
