Count all entries of a transaction in the record's writes

Cause: the simulated write removed up to 30 pages beside those that it copied, and left out that it expects its own page absent; a transaction has 32 entries. Change: 29 removals in all; the page weighs where the record could stand.

--- a/bench/succession/writes.py
+++ b/bench/succession/writes.py
@@ -22,9 +22,9 @@
 
 _BURST_MS = 4000.0
 _MAX_ROWS_PER_WRITE = 1000
-_MAX_REMOVALS = 30
-"""Pages removed by one write: a transaction has 32 entries, of which one expects the
-owner's key and one puts the new page."""
+_MAX_REMOVALS = 29
+"""Pages removed by one write: a transaction has 32 entries, of which two expect the
+owner's key and that the new page is absent, and one puts it."""
 
 _LIVE_SHARE = 0.25
 """A page with a smaller fraction of live rows is copied into the next one."""
@@ -291,8 +291,8 @@
             delays.append(begin_ms + _STORE_CALL_MS - at_ms - _BATCH_MS)
             place += 1
         fresh = len(rows)
+        room = max(0, _MAX_REMOVALS - len(empty))
         del empty[:_MAX_REMOVALS]
-        room = _MAX_REMOVALS
         for page in [page for page in pages if page.is_sparse][:room]:
             moved = {t: end for t, end in page.rows.items() if end > begin_ms}
             copied += len(moved)
