--- a/bench/succession/takeover.py
+++ b/bench/succession/takeover.py
@@ -44,6 +44,7 @@
 """Size of a worker's entry in the store."""
 
 _RECORDED_ROWS_PER_PAGE = 8
+"""Number of places that are recorded together."""
 
 _QUEUE = Queue(
     name="checks",
