Tell whom a takeover waits for, and how many tasks it holds

Cause: until a new owner is settled nothing in its log names the workers that it waits for, and SHARD_SETTLED, up to 24 s later, names only those given up; how many tasks were held, and for how long, stood nowhere. Change: SHARD_UNSETTLED each 2 s until then (awaited, five of the workers, held, held_ms, longest_ms); the last three in SHARD_SETTLED, too; gauge held_tasks. Tasks found running aren't counted. What a takeover decides is the same.

--- a/trefoilhook/runtime/settlement.py
+++ b/trefoilhook/runtime/settlement.py
@@ -1,11 +1,13 @@
 """Settlement of a new owner: when the tasks of previous owners are accounted for."""
 
+from trefoilhook.clock import Clock
 from trefoilhook.logs import Event, log_event
 from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.ownership import Ownership
 from trefoilhook.scheduling import (
     Scheduler,
     is_settled,
+    list_awaited,
     list_unreported,
 )
 
@@ -14,18 +16,24 @@
 _MAX_LOGGED_WORKERS = 5
 """Maximum number of workers named in a log line, which keeps it under 400 bytes."""
 
+_LOG_PERIOD_MS = 2000.0
+"""Interval between two log lines of a shard that is not settled, in ms. With every
+worker reachable it is settled within 100 ms, and no line is written."""
+
 
 class Settlement:
-    """Determines and logs when a shard is settled.
+    """Determines when a shard is settled, and logs and counts what is held until then.
 
     Parameters
     ----------
+    clock : Clock
+        Time source.
     scheduler : Scheduler
         State of the shard.
     ownership : Ownership
         Ownership to settle.
     metrics : ProcessMetrics
-        Receives the duration.
+        Receives the duration and the number of held tasks.
 
     Attributes
     ----------
@@ -38,15 +46,21 @@
     def __init__(
         self,
         *,
+        clock: Clock,
         scheduler: Scheduler,
         ownership: Ownership,
         metrics: ProcessMetrics,
     ) -> None:
         self.roster: tuple[str, ...] = ()
         self.is_settled = False
+        self._clock = clock
         self._scheduler = scheduler
         self._ownership = ownership
         self._metrics = metrics
+        holds = scheduler.holds
+        # Captures no reference to the scheduler, which the gauge would keep alive after
+        # the end of the ownership.
+        metrics.gauges["held_tasks"] = lambda: float(holds.count)
 
     def update(self, now_ms: float) -> bool:
         """Return whether the shard has become settled since the last call."""
@@ -60,5 +74,37 @@
             epoch=self._ownership.epoch,
             after_ms=round(after_ms),
             unheard=list_unreported(self._scheduler, self.roster)[:_MAX_LOGGED_WORKERS],
+            **self._describe_holds(now_ms),
         )
         return True
+
+    def _describe_holds(self, now_ms: float) -> dict[str, int]:
+        holds = self._scheduler.holds
+        holds.retain(self._scheduler.waiting)
+        summary = holds.summarize(now_ms)
+        return {
+            "held": summary.tasks,
+            "held_ms": round(summary.total_ms),
+            "longest_ms": round(summary.longest_ms),
+        }
+
+    async def log_waits(self) -> None:
+        """Periodically log the awaited workers until the shard is settled."""
+        while True:
+            await self._clock.sleep_ms(_LOG_PERIOD_MS)
+            if self.is_settled:
+                return
+            now_ms = self._clock.monotonic_ms()
+            awaited = list_awaited(self._scheduler, self.roster, now_ms)
+            log_event(
+                Event.SHARD_UNSETTLED,
+                epoch=self._ownership.epoch,
+                after_ms=round(now_ms - self._ownership.claimed_ms),
+                awaited=len(awaited),
+                workers=awaited[:_MAX_LOGGED_WORKERS],
+                **self._describe_holds(now_ms),
+            )
+
+    def end(self) -> None:
+        """End with the ownership; no task is held by it any more."""
+        self._scheduler.holds.clear()
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -201,6 +201,7 @@
         )
         self._clients: dict[str, WorkerClient] = {}
         self._settlement = Settlement(
+            clock=clock,
             scheduler=self._scheduler,
             ownership=ownership,
             metrics=metrics,
@@ -228,6 +229,7 @@
                 with trio.move_on_after(OWNER_LEASE_MS / 4000.0):
                     await self._committer.flush()
         finally:
+            self._settlement.end()
             with trio.CancelScope(shield=True):
                 for client in self._clients.values():
                     await client.close()
@@ -247,6 +249,7 @@
         nursery.start_soon(worker_feed.follow, contents.workers)
         nursery.start_soon(self._committer.run)
         nursery.start_soon(self._roster.run)
+        nursery.start_soon(self._settlement.log_waits)
         maintenance = Maintenance(
             store=self._store,
             clock=self._clock,
--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -8,7 +8,13 @@
 from trefoilhook.logs.tests.lines import capture_lines, count_lines, find_line
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.losses import log_lease_expiry, log_restart, log_unlisted
-from trefoilhook.runtime.tests.cluster import PREFIX, Cluster, build_body, run_cluster
+from trefoilhook.runtime.tests.cluster import (
+    PREFIX,
+    Cluster,
+    Instance,
+    build_body,
+    run_cluster,
+)
 from trefoilhook.scheduling import (
     AttemptEnd,
     Demand,
@@ -251,6 +257,81 @@
         run_cluster(scenario, instances=2, workers=2, task_ms=60_000.0)
         self.assertEqual(find_line(lines, "SHARD_SETTLED")["unheard"], ["w0"])
 
+    async def _take_over_unsettled(
+        self, cluster: Cluster, lines: list[dict]
+    ) -> Instance:
+        """Replace an owner of waiting tasks while a listed worker is silent."""
+        first = await cluster.wait_for_owner()
+        await cluster.send(first, "POST", PREFIX + JOB, build_body(200))
+        await cluster.wait_until(lambda: bool(cluster.workers["w0"].records))
+        roster = keys.roster_key(keys.SHARD)
+        await cluster.wait_until(lambda: "w0" in cluster.store.read(roster))
+        await trio.sleep(0.5)
+        cluster.workers["w0"].fault = WorkerFault.SILENT
+        first.scope.cancel()
+        await cluster.wait_until(lambda: _has(lines, "SHARD_UNSETTLED"))
+        return await cluster.wait_for_owner()
+
+    def test_awaited_worker_and_held_tasks_are_logged(self):
+        # Guards against a wait that only its end explains: a worker is cut off and
+        # still listed, so that the log shows nothing while every earlier task waits.
+        lines: list[dict] = []
+        held: list[float] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            with capture_lines() as captured:
+                second = await self._take_over_unsettled(cluster, captured)
+                gauge = second.process.metrics.gauges["held_tasks"]
+                held.append(gauge())
+                cluster.workers["w0"].fault = WorkerFault.NONE
+                await cluster.wait_until(lambda: _has(captured, "SHARD_SETTLED"))
+                await cluster.wait_until(lambda: gauge() == 0.0)
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=2, workers=2, task_ms=60_000.0)
+        waiting = find_line(lines, "SHARD_UNSETTLED")
+        self.assertEqual((waiting["awaited"], waiting["workers"]), (1, ["w0"]))
+        self.assertEqual(held, [waiting["held"]])
+        self.assertGreater(waiting["held"], 0)
+        self.assertGreaterEqual(waiting["longest_ms"], 1500)
+        settled = find_line(lines, "SHARD_SETTLED")
+        self.assertEqual(settled["unheard"], [])
+        self.assertGreater(settled["held"], 0)
+        self.assertGreaterEqual(settled["longest_ms"], waiting["longest_ms"])
+        self.assertGreaterEqual(settled["held_ms"], settled["longest_ms"])
+
+    def test_no_task_is_held_after_the_end_of_the_ownership(self):
+        # Guards against an alert on a gauge that keeps its last value at an instance
+        # that is no longer the owner.
+        values: list[float] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            with capture_lines() as captured:
+                second = await self._take_over_unsettled(cluster, captured)
+                gauge = second.process.metrics.gauges["held_tasks"]
+                values.append(gauge())
+                cluster.store.fault = StoreFault.SILENT
+                await cluster.wait_until(lambda: not second.process.is_owner)
+                values.append(gauge())
+
+        run_cluster(scenario, instances=2, workers=2, task_ms=60_000.0)
+        self.assertGreater(values[0], 0.0)
+        self.assertEqual(values[1], 0.0)
+
+    def test_settled_takeover_is_not_logged_as_waiting(self):
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            first = await cluster.wait_for_owner()
+            with capture_lines() as captured:
+                first.scope.cancel()
+                await cluster.wait_until(lambda: _has(captured, "SHARD_SETTLED"))
+                await trio.sleep(2.5)
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=2, workers=2)
+        self.assertEqual(count_lines(lines)["SHARD_UNSETTLED"], 0)
+
 
 class AbandonedRunLineTest(unittest.TestCase):
     """Log lines of runs that are abandoned without a reported end."""
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -72,17 +72,24 @@
     with_fillers = now_ms >= scheduler.fillers_due_ms
     waiting: set[StepName] = set()
     steps: dict[tuple[StepName, int, int], list[TaskState]] = {}
+    scheduler.holds.retain(scheduler.waiting)
+    has_holds = scheduler.holds.count > 0
     for state in scheduler.waiting:
         if state.step.filler and not with_fillers:
             continue
         if state.waiting_since_ms is None:
             state.waiting_since_ms = now_ms
         group = _get_placement_group(state)
-        if state.job.queue is None or not (
+        is_held = not (
             settled
             or state.job.is_new
             or _is_previous_run_expired(scheduler, state, now_ms)
-        ):
+        )
+        if is_held:
+            scheduler.holds.hold(state, now_ms)
+        elif has_holds:
+            scheduler.holds.release(state, now_ms)
+        if is_held or state.job.queue is None:
             waiting.add(group[0])
             scheduler.waits.record(group[0], WaitReason.OWNER_NEW, now_ms)
             continue
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -10,6 +10,7 @@
 from trefoilhook.scheduling.entry_freshness import EntryFreshness
 from trefoilhook.scheduling.evacuations import Evacuations
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
+from trefoilhook.scheduling.holds import TakeoverHolds
 from trefoilhook.scheduling.interference import Interference
 from trefoilhook.scheduling.job_state import JobState, TaskState
 from trefoilhook.scheduling.messages import EndKind, StopReason
@@ -94,6 +95,8 @@
         Jobs with unsaved changes.
     waits : WaitTracker
         Reasons and durations of the waits of steps.
+    holds : TakeoverHolds
+        Tasks held until the tasks started by previous owners are known.
     entries : EntryFreshness
         Freshness of the worker entries read from the store.
     suspects : SuspectTracker
@@ -123,6 +126,7 @@
         self.fillers_due_ms = 0.0
         self.idle_since_ms: dict[str, float] = {}
         self.waits = WaitTracker()
+        self.holds = TakeoverHolds()
         self.entries = EntryFreshness()
         self.suspects = SuspectTracker(mark_dirty=self._mark_dirty)
         self._timed: set[JobState] = set()
--- a/trefoilhook/story/core.py
+++ b/trefoilhook/story/core.py
@@ -23,6 +23,7 @@
         "RELOADED",
         "SHARD_CLAIMED",
         "SHARD_LOADED",
+        "SHARD_UNSETTLED",
         "SHARD_SETTLED",
         "SHARD_RELEASED",
         "SHARD_FENCED",
