--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -52,6 +52,7 @@
     if worker is None:
         return
     _record_answer(scheduler, worker, answer, now_ms)
+    worker.poll_sent_ms = sent_ms
     for end in answer.ends:
         _apply_end(scheduler, worker, end, now_ms)
     for running in answer.running:
@@ -106,6 +107,7 @@
         task = state.find_task(end.task)
         if task is not None:
             task.last_attempt = max(task.last_attempt, end.attempt)
+            task.record_end(worker, end.kind)
             scheduler.apply_end(task, end.attempt, end.kind, end.checkpoint)
     _update_faults(scheduler, worker, end, now_ms)
     version = state.version if state is not None else 0
@@ -222,6 +224,7 @@
     task.last_attempt = max(task.last_attempt, running.attempt)
     task.attempts.append(Attempt(worker=worker, run=run))
     scheduler.waiting.discard(task)
+    task.waiting_since_ms = None
     if not state.is_open or task.done or len(task.attempts) > 1:
         scheduler.stop_attempts(task, keep=1 if state.is_open else 0)
     return run
