--- a/bench/succession/__init__.py
+++ b/bench/succession/__init__.py
@@ -1,1 +1,1 @@
-"""Takeovers of a shard on simulated time: what a new owner may start, and when."""
+"""Simulation of shard takeovers: which tasks a new owner may start, and when."""
--- a/bench/succession/__main__.py
+++ b/bench/succession/__main__.py
@@ -1,4 +1,4 @@
-"""Simulated takeovers with silent workers, by way of telling what a task waits for.
+"""Simulates takeovers with silent workers, and the writes to record placements.
 
 Run from the root of the repository: ``python -m bench.succession takeovers`` or
 ``python -m bench.succession writes SITE...``.
@@ -9,8 +9,8 @@
 import statistics
 import time
 
+from bench.succession.strategies import STRATEGIES
 from bench.succession.takeover import Silence, TakeoverOutcome, take_over
-from bench.succession.ways import WAYS
 from bench.succession.world import DOMAINS, build_world, list_silent
 from bench.succession.writes import print_writes
 
@@ -21,7 +21,8 @@
     "crashed": Silence(unlisted_ms=4500.0),
 }
 _UNRECORDED = 0.05
-"""Fraction of the tasks started while the store is away, for ways that permit it."""
+"""Fraction of the tasks started without a record while the store is unavailable, for
+strategies that permit it."""
 
 
 def _quantile(values: list[float], share: float) -> float:
@@ -32,7 +33,7 @@
 
 
 def _print_row(
-    size: int, silent: str, way: str, outcomes: list[TakeoverOutcome]
+    size: int, silent: str, strategy: str, outcomes: list[TakeoverOutcome]
 ) -> None:
     def median(values: list[float]) -> float:
         return statistics.median(values)
@@ -52,7 +53,7 @@
     columns = [
         f"{size:,}",
         silent,
-        way,
+        strategy,
         *(f"{at_ms:,.0f}" for at_ms in quantiles),
         f"{100 * median(prompt):.0f}",
         f"{100 * median(held):.0f}",
@@ -77,20 +78,22 @@
         for silent_case in _SILENT_CASES:
             if silent_case == "1 %" and size < 100:
                 continue
-            for name, build in WAYS.items():
-                way = build(size)
+            for name, build in STRATEGIES.items():
+                strategy = build(size)
                 outcomes = []
                 for seed in range(1, seeds + 1):
                     world = build_world(
                         size,
                         seed,
-                        place=way.place,
-                        place_unrecorded=way.place_unrecorded,
+                        place=strategy.place,
+                        place_unrecorded=strategy.place_unrecorded,
                         unrecorded=_UNRECORDED,
                     )
                     silent = list_silent(world, seed, silent_case)
                     outcomes.append(
-                        take_over(world, way, silent=silent, silence=silence, seed=seed)
+                        take_over(
+                            world, strategy, silent=silent, silence=silence, seed=seed
+                        )
                     )
                 _print_row(size, silent_case, name, outcomes)
         peak_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
--- a/bench/succession/record.py
+++ b/bench/succession/record.py
@@ -1,4 +1,4 @@
-"""Size of the recorded places in the store."""
+"""Encoding and size of recorded placements in the store."""
 
 import json
 from collections import defaultdict
@@ -6,15 +6,15 @@
 
 from trefoilhook.scheduling import TaskId
 
-__all__ = ["PAGE_BYTES", "PAGE_ITEMS", "count_pages", "encode_places"]
+__all__ = ["PAGE_BYTES", "PAGE_ITEMS", "count_pages", "encode_placements"]
 
 PAGE_ITEMS = 500
 PAGE_BYTES = 1_000_000
 """Maximum number of items and of bytes in one answer of the store to a listing."""
 
 
-def encode_places(rows: Iterable[tuple[TaskId, int, str]], *, epoch: int) -> bytes:
-    """Encode places that are recorded together.
+def encode_placements(rows: Iterable[tuple[TaskId, int, str]], *, epoch: int) -> bytes:
+    """Encode the placements of one write.
 
     Parameters
     ----------
@@ -34,5 +34,5 @@
 
 
 def count_pages(items: int, total_bytes: int) -> int:
-    """Return the number of answers in which the store lists items."""
+    """Return the number of answers that the store needs to list the items."""
     return max(1, -(-items // PAGE_ITEMS), -(-total_bytes // PAGE_BYTES))
--- a/bench/succession/ways.py
+++ b/bench/succession/strategies.py
@@ -1,4 +1,4 @@
-"""Ways to determine which workers a task waits for after a takeover."""
+"""Strategies that determine which workers a task waits for after a takeover."""
 
 import random
 from collections.abc import Callable, Collection
@@ -8,10 +8,11 @@
 from bench.succession.world import JobCase, Placement, World, hash_group
 from trefoilhook.scheduling import TaskId
 
-__all__ = ["WAYS", "Way"]
+__all__ = ["STRATEGIES", "Strategy"]
 
 _GROUP_SIZE = 8
-"""Workers of a group, and groups of a job, if every start keeps to its job's groups."""
+"""Number of workers in a group, for the strategy that starts the tasks of a job only in
+the groups of the job."""
 
 _GROUPS_PER_JOB = 2
 
@@ -19,21 +20,22 @@
 
 
 @attrs.frozen(kw_only=True)
-class Way:
-    """A way to determine which workers a task waits for.
+class Strategy:
+    """Determines which workers a task waits for after a takeover.
 
     Parameters
     ----------
     name : str
         Name.
     find_awaited : callable
-        Returns the numbers of the workers on which a task may be.
+        Returns the numbers of the workers on which a task may have been started.
     place, place_unrecorded : callable or None
-        Where its owner starts tasks, with and without a record; None for anywhere.
+        Chooses the worker of a task that is started with or without a record; None for
+        any worker, or if starts without a record are not permitted.
     reads_record : bool
-        Whether a takeover reads the recorded places.
+        Whether a takeover reads the recorded placements.
     trusts_inputs : bool
-        Whether a step waits for nobody if an input of it was seen running.
+        Whether a step waits for no worker if one of its inputs was seen running.
     """
 
     name: str
@@ -60,8 +62,8 @@
 def _list_members(size: int, count: int, group: int) -> range:
     """Return the workers of a group.
 
-    Groups are cut from the workers in the order of their failure domains, so that few
-    groups have members in two of them.
+    Groups are consecutive workers in the order of their failure domains, so that few
+    groups span two failure domains.
     """
     return range(-(-group * size // count), -(-(group + 1) * size // count))
 
@@ -86,38 +88,38 @@
     return place
 
 
-def _await_row(world: World, case: JobCase, task: TaskId) -> Collection[int]:
-    row = world.rows.get(task)
-    return () if row is None else (row,)
+def _await_recorded(world: World, case: JobCase, task: TaskId) -> Collection[int]:
+    number = world.recorded.get(task)
+    return () if number is None else (number,)
 
 
-def _list_own_group(size: int, group_size: int, job_id: str) -> range:
+def _list_hashed_group(size: int, group_size: int, job_id: str) -> range:
     count = _count_groups(size, group_size)
     return _list_members(size, count, hash_group(job_id, count))
 
 
-def _await_row_and_group(group_size: int) -> Awaited:
+def _await_recorded_and_group(group_size: int) -> Awaited:
     def find_awaited(world: World, case: JobCase, task: TaskId) -> Collection[int]:
-        group = _list_own_group(len(world.workers), group_size, case.job.job_id)
-        return {*_await_row(world, case, task), *group}
+        group = _list_hashed_group(len(world.workers), group_size, case.job.job_id)
+        return {*_await_recorded(world, case, task), *group}
 
     return find_awaited
 
 
-def _place_in_own_group(size: int, group_size: int) -> Placement:
+def _place_in_hashed_group(size: int, group_size: int) -> Placement:
     def place(case: JobCase, generator: random.Random) -> int:
         return generator.choice(
-            list(_list_own_group(size, group_size, case.job.job_id))
+            list(_list_hashed_group(size, group_size, case.job.job_id))
         )
 
     return place
 
 
-def _build_record_with_groups(size: int, group_size: int) -> Way:
-    return Way(
+def _build_record_with_groups(size: int, group_size: int) -> Strategy:
+    return Strategy(
         name=f"record, groups of {group_size}",
-        find_awaited=_await_row_and_group(group_size),
-        place_unrecorded=_place_in_own_group(size, group_size),
+        find_awaited=_await_recorded_and_group(group_size),
+        place_unrecorded=_place_in_hashed_group(size, group_size),
         reads_record=True,
     )
 
@@ -129,26 +131,26 @@
     return place
 
 
-WAYS: dict[str, Callable[[int], Way]] = {
-    "today": lambda size: Way(
+STRATEGIES: dict[str, Callable[[int], Strategy]] = {
+    "today": lambda size: Strategy(
         name="today", find_awaited=_await_all, place_unrecorded=_place_anywhere(size)
     ),
-    "evidence": lambda size: Way(
+    "evidence": lambda size: Strategy(
         name="evidence",
         find_awaited=_await_all,
         place_unrecorded=_place_anywhere(size),
         trusts_inputs=True,
     ),
-    "groups": lambda size: Way(
+    "groups": lambda size: Strategy(
         name="groups",
         find_awaited=_await_groups,
         place=_place_in_groups(size),
         place_unrecorded=_place_in_groups(size),
     ),
-    "record": lambda size: Way(
-        name="record", find_awaited=_await_row, reads_record=True
+    "record": lambda size: Strategy(
+        name="record", find_awaited=_await_recorded, reads_record=True
     ),
     "record, groups of 2": lambda size: _build_record_with_groups(size, 2),
     "record, groups of 8": lambda size: _build_record_with_groups(size, 8),
 }
-"""Ways by name, for a number of workers."""
+"""Builders of the strategies by name; each takes the number of workers."""
--- a/bench/succession/takeover.py
+++ b/bench/succession/takeover.py
@@ -1,4 +1,4 @@
-"""One takeover by a new owner with a scheduler of its own."""
+"""Simulation of a takeover by a new owner."""
 
 import heapq
 import json
@@ -6,8 +6,8 @@
 
 import attrs
 
-from bench.succession.record import count_pages, encode_places
-from bench.succession.ways import Way
+from bench.succession.record import count_pages, encode_placements
+from bench.succession.strategies import Strategy
 from bench.succession.world import JobCase, World
 from trefoilhook.scheduling import (
     AttemptEnd,
@@ -44,7 +44,7 @@
 """Size of a worker's entry in the store."""
 
 _RECORDED_ROWS_PER_PAGE = 8
-"""Number of places that are recorded together."""
+"""Number of placements per page of the record."""
 
 _QUEUE = Queue(
     name="checks",
@@ -60,7 +60,7 @@
 
 @attrs.frozen(kw_only=True)
 class Silence:
-    """How long the silent workers are silent, in ms after the takeover.
+    """When silent workers answer again or are unlisted, in ms after the takeover.
 
     Parameters
     ----------
@@ -81,21 +81,22 @@
     Parameters
     ----------
     loaded_ms : float
-        Time at which the state was read.
+        Time at which the state has been read.
     settled_ms : float
         Time at which every worker is accounted for.
     due_ms : list of float
         For each due task that was never ordered, the time from which it may start.
     recorded_ms : list of float
-        The same for due tasks with a recorded place to which no order was sent.
+        The same for due tasks whose placement was recorded but to which no order was
+        sent.
     later_ms : list of float
-        For each task of a step that became due later, the time for which it is held.
+        For each task of a step that becomes due later, the time for which it is held.
     unsafe : int
-        Number of tasks that the way would start although they are on a silent worker.
+        Number of tasks on silent workers that the strategy would start again.
     calls, read_bytes : int
         Calls to the store and bytes read by the takeover.
     record_bytes : int
-        Bytes of the recorded places among them.
+        Bytes of recorded placements among them.
     """
 
     loaded_ms: float
@@ -110,14 +111,14 @@
 
 
 @attrs.frozen(kw_only=True)
-class _StateSize:
+class _ReadCost:
     calls: int
     read_bytes: int
     record_bytes: int
 
 
-def _measure_state(world: World, way: Way) -> _StateSize:
-    """Return what a takeover reads from the store; base64 adds a third."""
+def _measure_reads(world: World, strategy: Strategy) -> _ReadCost:
+    """Return the cost of the reads of a takeover; base64 adds a third to each value."""
     jobs = [len(encode_job_record(JobRecord(job=case.job))) for case in world.jobs]
     progress = [
         len(encode_progress(case.progress))
@@ -130,10 +131,14 @@
         (len(progress), sum(progress)),
     ]
     record_bytes = 0
-    if way.reads_record:
-        rows = [(task, 1, world.workers[n]) for task, n in world.rows.items()]
+    if strategy.reads_record:
+        rows = [(task, 1, world.workers[n]) for task, n in world.recorded.items()]
         pages = [
-            len(encode_places(rows[first : first + _RECORDED_ROWS_PER_PAGE], epoch=7))
+            len(
+                encode_placements(
+                    rows[first : first + _RECORDED_ROWS_PER_PAGE], epoch=7
+                )
+            )
             for first in range(0, len(rows), _RECORDED_ROWS_PER_PAGE)
         ]
         record_bytes = sum(pages) * 4 // 3
@@ -142,11 +147,11 @@
     roster = len(json.dumps(world.workers))
     total = (sum(size for _, size in listings) + roster) * 4 // 3
     # The roster and the interference estimates are read by their keys.
-    return _StateSize(calls=calls + 2, read_bytes=total, record_bytes=record_bytes)
+    return _ReadCost(calls=calls + 2, read_bytes=total, record_bytes=record_bytes)
 
 
-class _Succession:
-    """A new owner's scheduler, and the workers that answer it."""
+class _NewOwner:
+    """Scheduler of a new owner, with simulated polls of its workers."""
 
     def __init__(self, world: World, *, loaded_ms: float) -> None:
         self.world = world
@@ -196,13 +201,13 @@
             ),
             ends=tuple(
                 AttemptEnd(
-                    number=place + 1,
+                    number=index + 1,
                     task=task,
                     attempt=1,
                     kind=EndKind.DONE,
                     checkpoint="",
                 )
-                for place, (task, is_ended) in enumerate(runs)
+                for index, (task, is_ended) in enumerate(runs)
                 if is_ended
             ),
         )
@@ -235,16 +240,16 @@
                 if silence.ends_ms == float("inf"):
                     continue
             events.append((at_ms, "answer", number))
-        events += [(_SETTLED_AT_MS, "lapse", number) for number in silent]
+        events += [(_SETTLED_AT_MS, "expiry", number) for number in silent]
         heapq.heapify(events)
-        free_ms = 0.0
+        cpu_free_ms = 0.0
         while events:
             at_ms, kind, number = heapq.heappop(events)
             if at_ms == float("inf"):
                 break
             if kind == "answer":
-                # Answers are applied one after the other.
-                free_ms = at_ms = max(at_ms, free_ms) + _ANSWER_CPU_MS
+                # Answers are applied sequentially.
+                cpu_free_ms = at_ms = max(at_ms, cpu_free_ms) + _ANSWER_CPU_MS
                 self._answer(number, at_ms)
             elif kind == "unlisted":
                 self.scheduler.mark_unlisted(self.world.workers[number])
@@ -257,11 +262,12 @@
 
 
 def _is_input_seen(
-    owner: _Succession, case: JobCase, due_ms: float, silent: set[int]
+    owner: _NewOwner, case: JobCase, due_ms: float, silent: set[int]
 ) -> bool:
     """Return whether this owner saw an input of a step running before its end.
 
-    Its previous owner cannot have learned of that end, so that it opened no later step.
+    The previous owner cannot have learned of that end, so it has not started any task
+    of the next step.
     """
     return any(
         task not in case.ended and owner.resolved_ms[number] < due_ms
@@ -271,19 +277,19 @@
 
 
 def take_over(
-    world: World, way: Way, *, silent: set[int], silence: Silence, seed: int
+    world: World, strategy: Strategy, *, silent: set[int], silence: Silence, seed: int
 ) -> TakeoverOutcome:
-    """Take a shard over, and return when its tasks may start."""
-    size = _measure_state(world, way)
-    loaded_ms = size.calls * _STORE_CALL_MS
-    owner = _Succession(world, loaded_ms=loaded_ms)
+    """Simulate a takeover, and return when its tasks may start."""
+    reads = _measure_reads(world, strategy)
+    loaded_ms = reads.calls * _STORE_CALL_MS
+    owner = _NewOwner(world, loaded_ms=loaded_ms)
     owner.run(silent, silence, seed)
     settled_ms = owner.settled_ms
-    everyone = len(world.workers)
+    worker_count = len(world.workers)
 
-    def find_free_ms(case: JobCase, task: TaskId) -> float:
-        awaited = way.find_awaited(world, case, task)
-        if len(awaited) == everyone:
+    def find_start_ms(case: JobCase, task: TaskId) -> float:
+        awaited = strategy.find_awaited(world, case, task)
+        if len(awaited) == worker_count:
             return settled_ms
         return max([loaded_ms, *(owner.resolved_ms[n] for n in awaited)])
 
@@ -293,17 +299,19 @@
     unsafe = 0
     for case in world.jobs:
         for task in case.waiting:
-            target = recorded if task in world.rows else due
-            target.append(find_free_ms(case, task))
+            target = recorded if task in world.recorded else due
+            target.append(find_start_ms(case, task))
         for task, number in case.placed.items():
-            if number in silent and number not in way.find_awaited(world, case, task):
+            if number in silent and number not in strategy.find_awaited(
+                world, case, task
+            ):
                 unsafe += 1
         is_input_lost = any(number in silent for number in case.placed.values())
         is_opening = case.has_next_step and case.placed and not case.is_ahead
         if is_opening and not is_input_lost:
             first = TaskId(case.job.job_id, 0, case.step + 1, 0)
-            held_ms = max(0.0, find_free_ms(case, first) - case.next_due_ms)
-            if way.trusts_inputs and _is_input_seen(
+            held_ms = max(0.0, find_start_ms(case, first) - case.next_due_ms)
+            if strategy.trusts_inputs and _is_input_seen(
                 owner, case, case.next_due_ms, silent
             ):
                 held_ms = 0.0
@@ -315,7 +323,7 @@
         recorded_ms=recorded,
         later_ms=later,
         unsafe=unsafe,
-        calls=size.calls,
-        read_bytes=size.read_bytes,
-        record_bytes=size.record_bytes,
+        calls=reads.calls,
+        read_bytes=reads.read_bytes,
+        record_bytes=reads.record_bytes,
     )
--- a/bench/succession/tests/test_takeovers.py
+++ b/bench/succession/tests/test_takeovers.py
@@ -1,54 +1,54 @@
-"""Simulated takeovers and the record of places."""
+"""Simulated takeovers and the recording of placements."""
 
 import unittest
 
+from bench.succession.strategies import STRATEGIES
 from bench.succession.takeover import Silence, take_over
-from bench.succession.ways import WAYS
 from bench.succession.world import build_world, list_silent
-from bench.succession.writes import AIMED, measure_writes
+from bench.succession.writes import TARGET, measure_writes
 
 _SIZE = 33
 _CUT_OFF = Silence(ends_ms=24_000.0)
 
 
 def _take_over(name, *, seed=1, case="one", silence=_CUT_OFF, unrecorded=0.05):
-    way = WAYS[name](_SIZE)
+    strategy = STRATEGIES[name](_SIZE)
     world = build_world(
         _SIZE,
         seed,
-        place=way.place,
-        place_unrecorded=way.place_unrecorded,
+        place=strategy.place,
+        place_unrecorded=strategy.place_unrecorded,
         unrecorded=unrecorded,
     )
     silent = list_silent(world, seed, case)
-    return take_over(world, way, silent=silent, silence=silence, seed=seed)
+    return take_over(world, strategy, silent=silent, silence=silence, seed=seed)
 
 
 class TakeoverTest(unittest.TestCase):
-    """Tasks held and started by each way."""
+    """Tasks held and started by each strategy."""
 
-    def test_no_way_starts_a_task_that_is_on_a_silent_worker(self):
-        # A way that frees such a task runs it twice, which would make its times
-        # worthless. Jobs whose next step was begun before its inputs were saved and
-        # starts without a record are among them.
-        for name in WAYS:
+    def test_no_strategy_starts_a_task_that_is_on_a_silent_worker(self):
+        # Guards against a strategy that runs a task twice. The worlds include
+        # unrecorded starts, and jobs whose next step was begun before its inputs were
+        # saved.
+        for name in STRATEGIES:
             for seed in range(1, 6):
                 for case in ("one", "domain"):
-                    with self.subTest(way=name, seed=seed, case=case):
+                    with self.subTest(strategy=name, seed=seed, case=case):
                         outcome = _take_over(name, seed=seed, case=case)
                         self.assertEqual(outcome.unsafe, 0)
 
     def test_starts_outside_the_record_are_found_unsafe(self):
-        # Otherwise the check of the test above could be blind.
-        way = WAYS["record"](_SIZE)
+        # Guards against an ``unsafe`` count that is always zero.
+        strategy = STRATEGIES["record"](_SIZE)
         world = build_world(
             _SIZE,
             1,
-            place_unrecorded=WAYS["today"](_SIZE).place_unrecorded,
+            place_unrecorded=STRATEGIES["today"](_SIZE).place_unrecorded,
             unrecorded=0.2,
         )
         silent = list_silent(world, 1, "domain")
-        outcome = take_over(world, way, silent=silent, silence=_CUT_OFF, seed=1)
+        outcome = take_over(world, strategy, silent=silent, silence=_CUT_OFF, seed=1)
         self.assertGreater(outcome.unsafe, 0)
 
     def test_today_every_task_waits_for_one_silent_worker(self):
@@ -64,7 +64,8 @@
         self.assertEqual(max(outcome.due_ms), outcome.loaded_ms)
 
     def test_task_with_a_recorded_place_waits_for_it(self):
-        # Its owner may have died before or after the order.
+        # Guards against running the task twice: its owner may have died before or after
+        # sending the order.
         held = [
             at_ms
             for seed in range(1, 11)
@@ -80,11 +81,11 @@
     """Size of the record and its writes."""
 
     def test_record_is_bounded_by_the_tasks_that_run(self):
-        # Lasting tasks would keep every page in which one of them was recorded.
-        cost = measure_writes(AIMED, 1, spread=False)
+        # Guards against pages that are kept for a single long-running task.
+        cost = measure_writes(TARGET, 1, spread=False)
         self.assertLess(cost.pages, cost.rows / 4)
         self.assertLess(cost.stored, 150 * cost.rows)
 
     def test_overlapping_writes_delay_each_start_by_one_write(self):
-        cost = measure_writes(AIMED, 1, spread=True, overlapping=True)
+        cost = measure_writes(TARGET, 1, spread=True, overlapping=True)
         self.assertLessEqual(cost.delay_ms, 4.0)
--- a/bench/succession/world.py
+++ b/bench/succession/world.py
@@ -1,4 +1,4 @@
-"""State that a dead owner leaves: workers, jobs, and where their tasks are."""
+"""State at a takeover: workers, jobs and the placements of their tasks."""
 
 import random
 import zlib
@@ -23,14 +23,15 @@
 _RUNS_PER_WORKER = 4
 _WAITING_JOBS = 0.35
 _SECOND_STEP_JOBS = 0.2
-_PLACED = 0.8
-"""Fraction of the tasks of a begun step that have been started."""
+_STARTED = 0.8
+"""Fraction of the tasks of a begun step that were started."""
 
 _UNACKNOWLEDGED = 0.05
-"""Fraction of the started tasks whose end no owner has saved yet."""
+"""Fraction of the started tasks that have ended and whose end is not yet saved."""
 
 _NEVER_ORDERED = 0.02
-"""Fraction of the waiting tasks with a recorded place to which no order was sent."""
+"""Fraction of the waiting tasks whose placement was recorded but to which no order was
+sent."""
 
 _RUN_AHEAD = 0.02
 """Fraction of the jobs whose inputs ended just before the takeover and whose next step
@@ -41,13 +42,13 @@
 
 
 def hash_group(name: str, count: int) -> int:
-    """Return the group of a job or a worker, a function of its id alone."""
+    """Return the index of the group to which an id is hashed."""
     return zlib.crc32(name.encode()) % count
 
 
 @attrs.define(kw_only=True)
 class JobCase:
-    """A job as the dead owner left it.
+    """State of a job when its owner died.
 
     Parameters
     ----------
@@ -60,7 +61,7 @@
     placed : dict of TaskId to int
         Started tasks and the numbers of their workers.
     ended : set of TaskId
-        Those of them that are done, which only their workers know.
+        Started tasks whose completion only their workers know.
     waiting : list of TaskId
         Due tasks that were never started.
     next_due_ms : float
@@ -96,16 +97,17 @@
         Failure domain of each worker.
     jobs : list of JobCase
         Open jobs.
-    rows : dict of TaskId to int
-        Recorded places, including those to which no order was sent.
+    recorded : dict of TaskId to int
+        Tasks with a recorded placement and the numbers of their workers, including
+        tasks to which no order was sent.
     unrecorded : set of TaskId
-        Tasks that were started while the store was away.
+        Tasks started without a record while the store was unavailable.
     """
 
     workers: list[str]
     domains: list[int]
     jobs: list[JobCase] = attrs.Factory(list)
-    rows: dict[TaskId, int] = attrs.Factory(dict)
+    recorded: dict[TaskId, int] = attrs.Factory(dict)
     unrecorded: set[TaskId] = attrs.Factory(set)
 
 
@@ -116,22 +118,22 @@
     kind = generator.random()
     demand = Demand(cpu=1600, memory_mb=3200)
 
-    def widen(mean: int) -> int:
+    def draw_width(mean: int) -> int:
         return generator.randint(1, 2 * mean - 1)
 
     if kind < 0.05:
         steps: tuple[Step, ...] = (
-            Step(count=widen(6), demand=demand, long_running=True),
+            Step(count=draw_width(6), demand=demand, long_running=True),
         )
     elif kind < 0.5:
-        first = Step(count=widen(6), demand=demand, estimate_ms=640.0)
-        second = Step(count=widen(6), demand=demand, estimate_ms=640.0, after=(0,))
+        first = Step(count=draw_width(6), demand=demand, estimate_ms=640.0)
+        second = Step(count=draw_width(6), demand=demand, estimate_ms=640.0, after=(0,))
         steps = (first, second) if generator.random() < 0.6 else (first,)
     else:
         steps = (
-            Step(count=widen(8), demand=demand, estimate_ms=2700.0, filler=True),
+            Step(count=draw_width(8), demand=demand, estimate_ms=2700.0, filler=True),
             Step(
-                count=widen(8),
+                count=draw_width(8),
                 demand=demand,
                 estimate_ms=2700.0,
                 filler=True,
@@ -147,8 +149,8 @@
     )
 
 
-def _leave_job(generator: random.Random, number: int) -> tuple[JobCase, list[TaskId]]:
-    """Return a job without places, and its tasks that are to be placed."""
+def _draw_job(generator: random.Random, number: int) -> tuple[JobCase, list[TaskId]]:
+    """Draw a job without placements, and return it with its started tasks."""
     job = _build_job(generator, number)
     is_waiting = generator.random() < _WAITING_JOBS
     is_second = generator.random() < _SECOND_STEP_JOBS and len(job.steps) > 1
@@ -165,7 +167,7 @@
     )
     for index in range(job.steps[step].count):
         task = TaskId(job.job_id, 0, step, index)
-        if case.is_ahead or (not is_waiting and generator.random() < _PLACED):
+        if case.is_ahead or (not is_waiting and generator.random() < _STARTED):
             started.append(task)
             is_ended = case.is_ahead or generator.random() < _UNACKNOWLEDGED
             if is_ended and not job.steps[step].long_running:
@@ -175,7 +177,7 @@
     if case.is_ahead:
         for index in range(job.steps[step + 1].count):
             task = TaskId(job.job_id, 0, step + 1, index)
-            is_begun = generator.random() < _PLACED
+            is_begun = generator.random() < _STARTED
             (started if is_begun else case.waiting).append(task)
     return case, started
 
@@ -188,7 +190,7 @@
     place_unrecorded: Placement | None = None,
     unrecorded: float = 0.0,
 ) -> World:
-    """Build the state that a dead owner leaves.
+    """Build the state at a takeover.
 
     Parameters
     ----------
@@ -212,7 +214,7 @@
     )
     runs = 0
     while runs < _RUNS_PER_WORKER * size:
-        case, started = _leave_job(generator, len(world.jobs))
+        case, started = _draw_job(generator, len(world.jobs))
         for task in started:
             anywhere = places.randrange(size)
             if places.random() < unrecorded and place_unrecorded is not None:
@@ -220,11 +222,11 @@
                 world.unrecorded.add(task)
                 continue
             case.placed[task] = place(case, places) if place else anywhere
-            world.rows[task] = case.placed[task]
+            world.recorded[task] = case.placed[task]
         for task in case.waiting:
             anywhere = places.randrange(size)
             if places.random() < _NEVER_ORDERED:
-                world.rows[task] = place(case, places) if place else anywhere
+                world.recorded[task] = place(case, places) if place else anywhere
         runs += len(case.placed)
         world.jobs.append(case)
     return world
--- a/bench/succession/writes.py
+++ b/bench/succession/writes.py
@@ -1,4 +1,4 @@
-"""Calls to the store and bytes of recording the places of tasks before their orders."""
+"""Cost of recording the placement of each task before its start order is sent."""
 
 import heapq
 import itertools
@@ -9,29 +9,30 @@
 
 import attrs
 
-from bench.succession.record import encode_places
+from bench.succession.record import encode_placements
 from trefoilhook.scheduling import TaskId
 
-__all__ = ["Load", "WriteLoad", "measure_writes", "print_writes", "read_load"]
+__all__ = ["Load", "RecordCost", "measure_writes", "print_writes", "read_load"]
 
 _STORE_CALL_MS = 4.0
 _BATCH_MS = 6.0
 _SIMULATED_MS = 60_000.0
 _WARM_UP_MS = 1000.0
-"""Time in which the tasks that already last are recorded, which is not counted."""
+"""Time in which the placements of long-running tasks that already run are recorded. Its
+writes are not counted."""
 
 _BURST_MS = 4000.0
 _MAX_ROWS_PER_WRITE = 1000
 _MAX_REMOVALS = 29
-"""Pages removed by one write: a transaction has 32 entries, of which two expect the
-owner's key and that the new page is absent, and one puts it."""
+"""Maximum number of pages removed by one write: a transaction has up to 32 entries, of
+which two compare the owner's key and the absence of the new page, and one puts it."""
 
 _LIVE_SHARE = 0.25
-"""A page with a smaller fraction of live rows is copied into the next one."""
+"""Fraction of live rows below which a page is compacted into the next one."""
 
 
 @attrs.frozen(kw_only=True)
-class TaskKind:
+class JobKind:
     """Jobs of one kind.
 
     Parameters
@@ -39,7 +40,7 @@
     jobs_per_s : float
         Mean rate of submissions.
     steps, width, run_ms : float
-        Mean numbers of steps and of tasks a step, and mean duration of a task, in ms.
+        Mean number of steps, of tasks per step, and mean duration of a task, in ms.
     burst : float
         Factor of the rate during a burst.
     """
@@ -53,7 +54,7 @@
 
 @attrs.frozen(kw_only=True)
 class Load:
-    """Starts of a deployment.
+    """Jobs submitted to a deployment.
 
     Parameters
     ----------
@@ -61,19 +62,19 @@
         Name of the deployment.
     workers : int
         Number of workers.
-    kinds : tuple of TaskKind
+    kinds : tuple of JobKind
         Kinds of jobs.
     swing, period_ms : float
-        Amplitude and period of the rate.
+        Relative amplitude and period of the submission rate.
     running_services : int
-        Tasks that already last at the beginning.
+        Number of long-running tasks at the beginning.
     writes_per_s : float
         Rate limit of the store.
     """
 
     name: str
     workers: int
-    kinds: tuple[TaskKind, ...]
+    kinds: tuple[JobKind, ...]
     swing: float
     period_ms: float
     running_services: int
@@ -86,8 +87,8 @@
 
 
 @attrs.frozen(kw_only=True)
-class WriteLoad:
-    """Cost of the record.
+class RecordCost:
+    """Cost of recording placements.
 
     Parameters
     ----------
@@ -98,7 +99,7 @@
     written, busiest_written : float
         Bytes written a second.
     delay_ms : float
-        95th percentile of the delay of a start by the write.
+        95th percentile of the delay that the write adds to a start.
     pages, rows, stored : float
         Pages, their live rows and their bytes in the store at the end.
     copied : float
@@ -139,7 +140,7 @@
             run_ms = 1000.0 * jobs["stay_s"]["mean"]
             services += round(jobs["filled"] * jobs["width"]["mean"])
         kinds.append(
-            TaskKind(
+            JobKind(
                 jobs_per_s=jobs_per_s * mix[row["name"]],
                 steps=jobs["steps"]["mean"],
                 width=jobs["width"]["mean"],
@@ -161,7 +162,7 @@
 
 
 def _draw_count(generator: random.Random, mean: float) -> int:
-    """Draw a geometric number of at least 1 with the given mean."""
+    """Draw from the geometric distribution on 1, 2, ... with the given mean."""
     if mean <= 1.0:
         return 1
     draw = 1.0 - generator.random()
@@ -234,8 +235,8 @@
 def _count_busiest(times_ms: list[float], weights: list[int]) -> float:
     """Return the largest sum of weights within a second."""
     busiest = total = first = 0
-    for place, at_ms in enumerate(times_ms):
-        total += weights[place]
+    for position, at_ms in enumerate(times_ms):
+        total += weights[position]
         while times_ms[first] <= at_ms - 1000.0:
             total -= weights[first]
             first += 1
@@ -245,8 +246,8 @@
 
 def measure_writes(
     load: Load, seed: int, *, spread: bool, overlapping: bool = False
-) -> WriteLoad:
-    """Simulate the record.
+) -> RecordCost:
+    """Simulate the recording of placements.
 
     Parameters
     ----------
@@ -257,7 +258,7 @@
     spread : bool
         Whether the tasks of a step start one by one instead of together.
     overlapping : bool, optional
-        Whether a write begins before the previous one is answered.
+        Whether a write may begin before the previous one is answered.
     """
     generator = random.Random(f"{load.name} {seed} {spread}")
     starts = _draw_starts(load, generator, spread=spread)
@@ -267,40 +268,40 @@
     write_rows: list[int] = []
     write_bytes: list[int] = []
     delays: list[float] = []
-    empty: list[_Page] = []
-    copied = place = 0
+    empty_pages: list[_Page] = []
+    copied = position = 0
     order = itertools.count()
-    free_ms = 0.0
-    while place < len(starts):
-        begin_ms = max(free_ms, starts[place][0]) + _BATCH_MS
+    writer_free_ms = 0.0
+    while position < len(starts):
+        begin_ms = max(writer_free_ms, starts[position][0]) + _BATCH_MS
         while ends and ends[0][0] <= begin_ms:
             _, _, task, page = heapq.heappop(ends)
             if page in pages and task in page.rows:
                 page.live -= 1
                 if not page.live:
                     pages.discard(page)
-                    empty.append(page)
+                    empty_pages.append(page)
         rows: dict[TaskId, float] = {}
         while (
-            place < len(starts)
-            and starts[place][0] <= begin_ms
+            position < len(starts)
+            and starts[position][0] <= begin_ms
             and len(rows) < _MAX_ROWS_PER_WRITE
         ):
-            at_ms, task, run_ms = starts[place]
+            at_ms, task, run_ms = starts[position]
             rows[task] = begin_ms + _STORE_CALL_MS + run_ms
             delays.append(begin_ms + _STORE_CALL_MS - at_ms - _BATCH_MS)
-            place += 1
-        fresh = len(rows)
-        room = max(0, _MAX_REMOVALS - len(empty))
-        del empty[:_MAX_REMOVALS]
-        for page in [page for page in pages if page.is_sparse][:room]:
+            position += 1
+        new_rows = len(rows)
+        max_compacted = max(0, _MAX_REMOVALS - len(empty_pages))
+        del empty_pages[:_MAX_REMOVALS]
+        for page in [page for page in pages if page.is_sparse][:max_compacted]:
             moved = {t: end for t, end in page.rows.items() if end > begin_ms}
             copied += len(moved)
             rows.update(moved)
             pages.discard(page)
         workers = [f"i-{generator.randrange(load.workers):010x}" for _ in rows]
         size = len(
-            encode_places(
+            encode_placements(
                 ((t, 1, w) for t, w in zip(rows, workers, strict=True)), epoch=7
             )
         )
@@ -310,12 +311,12 @@
             heapq.heappush(ends, (end_ms, next(order), task, page))
         if begin_ms > _WARM_UP_MS:
             write_ms.append(begin_ms)
-            write_rows.append(fresh)
+            write_rows.append(new_rows)
             write_bytes.append(page.size)
-        free_ms = begin_ms if overlapping else begin_ms + _STORE_CALL_MS
+        writer_free_ms = begin_ms if overlapping else begin_ms + _STORE_CALL_MS
     seconds = (_SIMULATED_MS - _WARM_UP_MS) / 1000.0
     delays.sort()
-    return WriteLoad(
+    return RecordCost(
         starts=sum(write_rows) / seconds,
         busiest_starts=_count_busiest(write_ms, write_rows),
         writes=len(write_ms) / seconds,
@@ -330,29 +331,30 @@
     )
 
 
-AIMED = Load(
+TARGET = Load(
     name="a part of 200 workers at the size aimed at",
     workers=200,
     kinds=(
-        TaskKind(jobs_per_s=1.4, steps=1.6, width=10.0, run_ms=640.0, burst=2.6),
-        TaskKind(jobs_per_s=2.77, steps=2.0, width=20.0, run_ms=2200.0, burst=2.6),
+        JobKind(jobs_per_s=1.4, steps=1.6, width=10.0, run_ms=640.0, burst=2.6),
+        JobKind(jobs_per_s=2.77, steps=2.0, width=20.0, run_ms=2200.0, burst=2.6),
     ),
     swing=0.15,
     period_ms=11_000.0,
     running_services=440,
     writes_per_s=0.0,
 )
-"""20,000 starts a second and 66,000 lasting tasks over 150 parts of 200 workers."""
+"""One of 150 parts of 200 workers that together have 20,000 starts a second and 66,000
+long-running tasks."""
 
 
 def print_writes(paths: list[str], seed: int, *, overlapping: bool) -> None:
-    """Print the cost of the record for deployments and for a part at the aimed size."""
+    """Print the cost of recording for the deployments and for ``TARGET``."""
     print(
         "| deployment | steps start | starts/s | busiest second | writes/s | busiest | "
         "limit | KB/s | busiest | delay p95 ms | pages | rows | KB stored | copied, % |"
     )
     print("|" + "---|" * 14)
-    for load in [*(read_load(path) for path in paths), AIMED]:
+    for load in [*(read_load(path) for path in paths), TARGET]:
         for spread in (False, True):
             cost = measure_writes(load, seed, spread=spread, overlapping=overlapping)
             columns = [
--- a/trefoilhook/runtime/settlement.py
+++ b/trefoilhook/runtime/settlement.py
@@ -17,12 +17,12 @@
 """Maximum number of workers named in a log line, which keeps it under 400 bytes."""
 
 _LOG_PERIOD_MS = 2000.0
-"""Interval between two log lines of a shard that is not settled, in ms. With every
-worker reachable it is settled within 100 ms, and no line is written."""
+"""Interval between log lines while the shard is not settled, in ms. A takeover in which
+every worker is reachable is normally settled earlier, and logs no such line."""
 
 
 class Settlement:
-    """Determines when a shard is settled, and logs and counts what is held until then.
+    """Detects when a shard is settled, and reports the tasks held until then.
 
     Parameters
     ----------
@@ -33,7 +33,7 @@
     ownership : Ownership
         Ownership to settle.
     metrics : ProcessMetrics
-        Receives the duration and the number of held tasks.
+        Receives the duration of the takeover and the number of held tasks.
 
     Attributes
     ----------
@@ -63,7 +63,7 @@
         metrics.gauges["held_tasks"] = lambda: float(holds.count)
 
     def update(self, now_ms: float) -> bool:
-        """Return whether the shard has become settled since the last call."""
+        """Update ``is_settled``, and return whether it has just become true."""
         if self.is_settled or not is_settled(self._scheduler, self.roster, now_ms):
             return False
         self.is_settled = True
@@ -74,11 +74,11 @@
             epoch=self._ownership.epoch,
             after_ms=round(after_ms),
             unheard=list_unreported(self._scheduler, self.roster)[:_MAX_LOGGED_WORKERS],
-            **self._describe_holds(now_ms),
+            **self._build_hold_fields(now_ms),
         )
         return True
 
-    def _describe_holds(self, now_ms: float) -> dict[str, int]:
+    def _build_hold_fields(self, now_ms: float) -> dict[str, int]:
         holds = self._scheduler.holds
         holds.retain(self._scheduler.waiting)
         summary = holds.summarize(now_ms)
@@ -88,7 +88,7 @@
             "longest_ms": round(summary.longest_ms),
         }
 
-    async def log_waits(self) -> None:
+    async def log_awaited_workers(self) -> None:
         """Periodically log the awaited workers until the shard is settled."""
         while True:
             await self._clock.sleep_ms(_LOG_PERIOD_MS)
@@ -102,9 +102,9 @@
                 after_ms=round(now_ms - self._ownership.claimed_ms),
                 awaited=len(awaited),
                 workers=awaited[:_MAX_LOGGED_WORKERS],
-                **self._describe_holds(now_ms),
+                **self._build_hold_fields(now_ms),
             )
 
     def end(self) -> None:
-        """End with the ownership; no task is held by it any more."""
+        """Clear the held tasks at the end of the ownership."""
         self._scheduler.holds.clear()
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -275,7 +275,7 @@
         nursery.start_soon(worker_feed.follow, contents.workers)
         nursery.start_soon(self._committer.run)
         nursery.start_soon(self._roster.run)
-        nursery.start_soon(self._settlement.log_waits)
+        nursery.start_soon(self._settlement.log_awaited_workers)
         maintenance = Maintenance(
             store=self._store,
             clock=self._clock,
--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -303,15 +303,15 @@
         await cluster.wait_until(lambda: "w0" in cluster.store.read(roster))
         await trio.sleep(0.5)
         cluster.workers["w0"].fault = WorkerFault.SILENT
-        # The first owner's own lines may be among those captured so far.
+        # Discards lines of the first owner.
         lines.clear()
         first.scope.cancel()
         await cluster.wait_until(lambda: _has(lines, "SHARD_UNSETTLED"))
         return await cluster.wait_for_owner()
 
     def test_awaited_worker_and_held_tasks_are_logged(self):
-        # Guards against a wait that only its end explains: a worker is cut off and
-        # still listed, so that the log shows nothing while every earlier task waits.
+        # Guards against a takeover that logs nothing until it is settled, although an
+        # unreachable worker that is still listed holds up every earlier task.
         lines: list[dict] = []
         held: list[float] = []
 
@@ -338,8 +338,8 @@
         self.assertGreaterEqual(settled["held_ms"], settled["longest_ms"])
 
     def test_no_task_is_held_after_the_end_of_the_ownership(self):
-        # Guards against an alert on a gauge that keeps its last value at an instance
-        # that is no longer the owner.
+        # Guards against a false alert: the gauge would keep its last value at an
+        # instance that is no longer the owner.
         values: list[float] = []
 
         async def scenario(cluster: Cluster) -> None:
--- a/trefoilhook/scheduling/holds.py
+++ b/trefoilhook/scheduling/holds.py
@@ -11,14 +11,14 @@
 
 @attrs.frozen(kw_only=True)
 class HoldSummary:
-    """Tasks that a takeover has held so far, without those found running.
+    """Statistics of the tasks held by a takeover, excluding those found running.
 
     Parameters
     ----------
     tasks : int
         Number of tasks.
     total_ms, longest_ms : float
-        Sum and maximum of the times for which they were held, in ms.
+        Sum and maximum of their hold times, in ms.
     """
 
     tasks: int
@@ -28,7 +28,7 @@
 
 @attrs.define(kw_only=True)
 class TakeoverHolds:
-    """Tasks held by a takeover, as seen by the rounds of assignment."""
+    """Tracks the tasks held by a takeover; updated in each assignment round."""
 
     _since_ms: dict[TaskState, float] = attrs.Factory(dict)
     _released: int = 0
@@ -37,7 +37,7 @@
 
     @property
     def count(self) -> int:
-        """Number of tasks that are held now."""
+        """Number of tasks that are currently held."""
         return len(self._since_ms)
 
     def hold(self, task: TaskState, now_ms: float) -> None:
@@ -54,12 +54,12 @@
         self._longest_ms = max(self._longest_ms, now_ms - since_ms)
 
     def retain(self, waiting: Collection[TaskState]) -> None:
-        """Forget all tasks that are not in ``waiting``: they run, or have ended."""
+        """Discard tasks not in ``waiting``: they are running or have ended."""
         for task in [task for task in self._since_ms if task not in waiting]:
             del self._since_ms[task]
 
     def summarize(self, now_ms: float) -> HoldSummary:
-        """Return the tasks held so far and for how long."""
+        """Return the number of tasks held so far and their hold times."""
         held_ms = [now_ms - since_ms for since_ms in self._since_ms.values()]
         return HoldSummary(
             tasks=self._released + len(held_ms),
--- a/trefoilhook/scheduling/tests/test_holds.py
+++ b/trefoilhook/scheduling/tests/test_holds.py
@@ -1,4 +1,4 @@
-"""Tasks held by a takeover, and the workers that are awaited."""
+"""Tasks held by a takeover, and the workers it waits for."""
 
 import unittest
 
@@ -16,7 +16,7 @@
     """Number of held tasks and the time for which they are held."""
 
     def test_held_task_is_counted_until_it_may_start(self):
-        # Guards against a takeover in whose log nothing shows how many tasks waited.
+        # Guards against a takeover that does not report how many tasks it held.
         shard = _build_unsettled_shard()
         shard.step()
         self.assertEqual(shard.scheduler.holds.count, 1)
@@ -42,8 +42,8 @@
         self.assertEqual(shard.scheduler.holds.count, 1)
 
     def test_task_found_running_is_not_counted(self):
-        # The first rounds of a new owner hold every task, and the first answers show
-        # that most of them run.
+        # Guards against counting all running tasks as held: a new owner holds every
+        # task until the first answers show which ones are running.
         shard = _build_unsettled_shard()
         shard.plan()
         task = TaskId("old", 0, 0, 0)
@@ -66,7 +66,7 @@
         )
 
     def test_after_the_leases_only_listed_workers_are_awaited(self):
-        # Guards against a line that names workers which no longer hold anything.
+        # Guards against logging workers that are gone and whose leases have expired.
         shard = Shard(workers=2)
         for worker_id in ("w0", "w1"):
             shard.scheduler.workers[worker_id].has_reported_all = False
