Test that starts of a crashing task stay bounded if its owner is killed

The tests of takeovers checked single records; the test with real sockets kills owners only before the proof of a crash. The new one kills the owner right after the start of each of four attempts, while the task runs, before the proof, and after it, and the next owner has only what was saved.

--- a/trefoilhook/scheduling/tests/crash_cases.py
+++ b/trefoilhook/scheduling/tests/crash_cases.py
@@ -7,12 +7,18 @@
 from trefoilhook.scheduling import (
     EndKind,
     JobPhase,
+    JobRecord,
     OrderOutcome,
     StartOrder,
     StopOrder,
     TaskId,
+    WorkerReport,
+    decode_progress,
+    encode_progress,
     handle_worker_loss,
+    is_settled,
 )
+from trefoilhook.scheduling.job_state import JobState
 from trefoilhook.scheduling.suspicion import Suspicion
 from trefoilhook.scheduling.tests.cases import Shard
 from trefoilhook.scheduling.tickets import name_step
@@ -71,8 +77,64 @@
         self.crash_counts: dict[str, int] = {}
         self.starts: dict[str, int] = {}
         self.incarnations = 0
+        self.saved_progress: dict[str, bytes] = {}
+        self.roster: list[str] = []
         super().__init__(**fields)
 
+    def save(self) -> None:
+        """Save all changes, as the next owner will read them."""
+        for state in self.scheduler.dirty:
+            self.saved_progress[state.job.job_id] = encode_progress(state.progress)
+        super().save()
+
+    def take_over(self, *, gap_ms: float) -> "CrashingShard":
+        """Return the shard of the next owner, which has only what was saved.
+
+        Parameters
+        ----------
+        gap_ms : float
+            Time between two owners, in ms. Workers run and crash in it.
+        """
+        successor = CrashingShard(
+            task_ms=self.task_ms,
+            crash_delays=self.crash_delays,
+            workers=0,
+            epoch=self.scheduler.epoch + 1,
+            settled=False,
+        )
+        for name in ("workers", "started_runs", "crashes", "crash_counts", "starts"):
+            setattr(successor, name, getattr(self, name))
+        successor.incarnations = self.incarnations
+        successor.saved_progress = self.saved_progress
+        successor.now_ms = self.now_ms
+        for job_id, state in self.scheduler.jobs.items():
+            successor._load_job(job_id, state)
+        while successor.now_ms < self.now_ms + gap_ms:
+            successor.advance_time(TICK_MS)
+            successor._advance()
+        for worker_id, worker in self.scheduler.workers.items():
+            successor._load_worker(worker_id, worker.report)
+        return successor
+
+    def _load_job(self, job_id: str, state: JobState) -> None:
+        data = self.saved_progress.get(job_id)
+        self.scheduler.add_job(
+            JobRecord(
+                job=state.job,
+                phase=state.phase if state.phase_saved else JobPhase.OPEN,
+            ),
+            revision=1,
+            is_new=False,
+            wall_ms=self.now_ms,
+            progress=decode_progress(data) if data is not None else None,
+            progress_revision=9 if data is not None else 0,
+        )
+
+    def _load_worker(self, worker_id: str, report: WorkerReport) -> None:
+        self.scheduler.update_worker(report)
+        self.scheduler.workers[worker_id].is_in_roster = True
+        self.roster.append(worker_id)
+
     def crash(self, worker_id: str) -> None:
         """Crash a worker with all its running tasks."""
         for task, attempt in self.started_runs.pop(worker_id, {}):
@@ -106,6 +168,9 @@
     def tick(self) -> None:
         """Execute one plan and simulate the time until the next one."""
         self.scheduler.entries.note_read(self.now_ms)
+        self.settled = self.settled or is_settled(
+            self.scheduler, self.roster, self.now_ms
+        )
         for order in self.plan():
             self._execute(order)
         self.save()
--- a/trefoilhook/scheduling/tests/test_crash_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_crash_takeovers.py
@@ -27,6 +27,7 @@
     LOST,
     MAX_STARTS,
     REFUSED,
+    CrashingShard,
     crash,
     find_suspicion,
     read_loss,
@@ -252,5 +253,52 @@
         self.assertEqual(encode_progress(decode_progress(data)), data)
 
 
+CULPRIT = "c.0.0.0"
+
+
+class OwnerLossTest(unittest.TestCase):
+    """A task crashes its workers while the owner of the shard is killed."""
+
+    def build_shard(self) -> CrashingShard:
+        """Return a shard with a culprit and with tasks that run beside it."""
+        shard = CrashingShard(workers=4, crash_delays={CULPRIT: 300.0})
+        shard.submit(build_job(attrs.evolve(SMALL, count=6), job_id="b"))
+        shard.submit(build_job(job_id="c"))
+        return shard
+
+    def run_until_start(self, shard: CrashingShard, number: int) -> None:
+        """Advance to the given start of the culprit, after which nothing is saved."""
+        for _ in range(1000):
+            saved = dict(shard.saved_progress)
+            shard.tick()
+            if shard.starts.get(CULPRIT, 0) == number:
+                shard.saved_progress = saved
+                return
+        raise AssertionError(f"start {number} of {CULPRIT} is missing")
+
+    def count_crashes(self, shard: CrashingShard) -> int:
+        """Return the number of crashes that count against the culprit."""
+        suspicion = find_suspicion(shard, "c")
+        return suspicion.crashes if suspicion is not None else 0
+
+    def test_starts_are_bounded_if_owner_is_killed(self):
+        # Guards against crashes that are forgotten with the owner that counted them, if
+        # it is killed right after the start, before the proof of the crash, or later.
+        for start in (1, 2, 3, 4):
+            for delay_ms in (0.0, 150.0, 400.0, 1000.0, 3300.0):
+                with self.subTest(start=start, delay_ms=delay_ms):
+                    shard = self.build_shard()
+                    self.run_until_start(shard, start)
+                    shard.run_for(delay_ms)
+                    counted = self.count_crashes(shard)
+                    shard = shard.take_over(gap_ms=1500.0)
+                    shard.tick()
+                    self.assertGreaterEqual(self.count_crashes(shard), counted)
+                    shard.run_for(30_000.0)
+                    self.assertEqual(shard.list_failed(), ["c"])
+                    self.assertLessEqual(shard.starts[CULPRIT], MAX_STARTS)
+                    self.assertFalse(shard.scheduler.jobs["b"].is_open)
+
+
 if __name__ == "__main__":
     unittest.main()
