--- a/trefoilhook/scheduling/tests/test_capacity.py
+++ b/trefoilhook/scheduling/tests/test_capacity.py
@@ -6,6 +6,8 @@
 
 from trefoilhook.scheduling import (
     Demand,
+    EndKind,
+    JobPhase,
     OrderOutcome,
     StartOrder,
     Step,
@@ -169,6 +171,88 @@
                 self.assertEqual(self.list_stops(shard, 3000.0), [])
 
 
+class BurstTest(unittest.TestCase):
+    """Workers shrink while they run tasks and while many more tasks wait."""
+
+    TASK_MS = 500.0
+
+    def setUp(self):
+        self.shard = Shard(workers=4, cpu=4000)
+        self.started_ms: dict[tuple, float] = {}
+        self.excessive: list[tuple] = []
+        self.withdrawn = 0
+
+    def send(self, order: StartOrder) -> None:
+        """Send a queued start order if it is still valid, and execute it."""
+        shard = self.shard
+        if not confirm_start(shard.scheduler, order, shard.now_ms):
+            self.withdrawn += 1
+            shard.answer(order, OrderOutcome.WITHDRAWN)
+            return
+        worker = shard.workers[order.worker_id]
+        worker.run(order)
+        self.started_ms[order.task, order.attempt] = shard.now_ms
+        capacity = shard.scheduler.workers[order.worker_id].report.capacity
+        if len(worker.running) * SMALL.demand.cpu > capacity.cpu:
+            self.excessive.append((order.worker_id, order.task))
+        shard.answer(order, OrderOutcome.DONE)
+
+    def end_completed(self) -> None:
+        """End the runs whose duration has passed."""
+        for worker in self.shard.workers.values():
+            for key in list(worker.running):
+                if self.shard.now_ms - self.started_ms[key] >= self.TASK_MS:
+                    worker.end(*key, EndKind.DONE)
+
+    def run_plan(self, **resized: int) -> None:
+        """Execute one plan; resize workers while its orders are queued."""
+        orders = list_starts(self.shard.plan())
+        for worker_id, cpu in resized.items():
+            set_capacity(self.shard, worker_id, cpu=cpu)
+        for order in orders:
+            self.send(order)
+        self.shard.advance_time(100.0)
+        self.end_completed()
+        self.shard.poll_all()
+
+    def submit_burst(self) -> None:
+        """Submit more tasks than all workers can run at once."""
+        for number in range(8):
+            step = attrs.evolve(SMALL, count=5)
+            self.shard.submit(build_job(step, job_id=f"b{number}"))
+
+    def test_no_start_exceeds_reduced_capacity(self):
+        # Guards against starts of waiting tasks on workers that still run more than
+        # their reduced capacity, or that shrink while the orders are queued.
+        self.shard.submit(build_job(attrs.evolve(SMALL, count=16)))
+        self.run_plan()
+        set_capacity(self.shard, "w0", cpu=2200)
+        self.submit_burst()
+        for _ in range(4):
+            self.run_plan()
+        self.run_plan(w1=2200)
+        self.assertEqual(self.withdrawn, 2)
+        for _ in range(30):
+            self.run_plan()
+        self.assertEqual(self.excessive, [])
+
+    def test_withdrawn_tasks_complete_elsewhere(self):
+        # Guards against tasks that are lost or counted as failed when their starts are
+        # withdrawn because the worker has shrunk.
+        self.submit_burst()
+        self.run_plan(w0=2200, w1=500)
+        self.assertEqual(self.withdrawn, 6)
+        for _ in range(40):
+            self.run_plan()
+        self.assertEqual(self.excessive, [])
+        for state in self.shard.scheduler.jobs.values():
+            self.assertIs(state.phase, JobPhase.COMPLETED)
+            self.assertEqual(state.progress.failed, {})
+        ends = [end.task for each in self.shard.workers.values() for end in each.ends]
+        self.assertEqual(len(ends), 40)
+        self.assertEqual(len(set(ends)), 40)
+
+
 class StaleListTest(unittest.TestCase):
     """No task is started when the list of workers is out of date."""
 
