--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -39,6 +39,17 @@
         Level.ERROR,
         "Changed settings are invalid or can't be read.",
     )
+    CONNECTION_FAILED = (1009, Level.ERROR, "An exception ended an HTTP connection.")
+    CONNECTION_REJECTED = (
+        1010,
+        Level.WARNING,
+        "An HTTP connection over the limit was rejected.",
+    )
+    CONNECTION_STALLED = (
+        1011,
+        Level.WARNING,
+        "A client was disconnected: it did not read its response in time.",
+    )
 
     # 1100: store
     STORE_DOWN = (1100, Level.WARNING, "A call to the store failed: an outage began.")
