--- /dev/null
+++ b/bench/succession/__init__.py
@@ -0,0 +1,1 @@
+"""Simulation of shard takeovers: which tasks a new owner may start, and when."""
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -55,6 +55,7 @@
 from trefoilhook.scheduling.planning import (
     confirm_start,
     is_settled,
+    list_awaited,
     list_unreported,
     plan_orders,
 )
@@ -138,6 +139,7 @@
     "extend_lease",
     "find_longest_wait",
     "is_settled",
+    "list_awaited",
     "list_restarts",
     "list_unreported",
     "handle_worker_loss",
