Release a task whose stop is repeated during each long poll

What callers saw: a job stays running forever. Cause: a run that is neither listed as running nor as ended is over if a poll was sent after the last answered order for it. Each answer to a repeated stop moved that time on, and a poll of an idle worker takes a second, so none was ever sent after it. Class: a proof that is postponed by the attempts to get it. Change: the first answer counts, for stops and for starts answered as superseded. After it the worker rejects any later copy of the start, so that a poll sent after it is a proof. Measured: test_task_is_released_although_its_stop_is_repeated failed before and passes; 269 tests of scheduling green.

--- a/trefoilhook/scheduling/outcomes.py
+++ b/trefoilhook/scheduling/outcomes.py
@@ -52,7 +52,7 @@
         run.ambiguous = True
         return
     if outcome is OrderOutcome.SUPERSEDED:
-        run.confirmed_ms = now_ms
+        run.confirmed_ms = min(run.confirmed_ms, now_ms)
         return
     if outcome is OrderOutcome.WITHDRAWN:
         if not (run.ambiguous or run.is_confirmed):
@@ -101,7 +101,9 @@
     _, run = settled_order
     if outcome in UNANSWERED | UNSENT or outcome is OrderOutcome.UNHEALTHY:
         return
-    run.confirmed_ms = now_ms
+    # Repeated stops must not postpone the time from which a poll proves the run over:
+    # they are more frequent than the answers to long polls.
+    run.confirmed_ms = min(run.confirmed_ms, now_ms)
     run.order_due_ms = now_ms + scheduler.limits.longest_stop_ms + _RETRY_DELAY_MS
 
 
--- a/trefoilhook/scheduling/tests/test_displaced.py
+++ b/trefoilhook/scheduling/tests/test_displaced.py
@@ -4,7 +4,15 @@
 
 import attrs
 
-from trefoilhook.scheduling import Demand, EndKind, Progress, StartOrder, Step
+from trefoilhook.scheduling import (
+    Demand,
+    EndKind,
+    OrderOutcome,
+    Progress,
+    StartOrder,
+    Step,
+    apply_poll_answer,
+)
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 
 _SERVICE = Step(
@@ -79,6 +87,29 @@
         starts = list_starts(shard.step())
         self.assertEqual([start.task.job_id for start in starts], ["z"])
 
+    def test_task_is_released_although_its_stop_is_repeated(self):
+        # Guards against a task that is held forever by a start that was never executed,
+        # because its stop is repeated, and answered, during each long poll.
+        shard = Shard(workers=1)
+        shard.submit(build_job())
+        (order,) = shard.plan()
+        shard.answer(order, OrderOutcome.NO_ANSWER)
+        shard.scheduler.exclude_worker("w0")
+        for _ in range(3):
+            sent_ms = shard.now_ms
+            for _ in range(10):
+                shard.advance_time(100.0)
+                for repeated in shard.plan():
+                    shard.answer(repeated, OrderOutcome.DONE)
+            apply_poll_answer(
+                shard.scheduler,
+                "w0",
+                shard.workers["w0"].answer_poll(shard.now_ms),
+                sent_ms=sent_ms,
+                now_ms=shard.now_ms,
+            )
+        self.assertEqual(shard.scheduler.workers["w0"].runs, {})
+
 
 if __name__ == "__main__":
     unittest.main()
