Connect before the time-out in the test of closed connections

By the traceback the connection itself was not open within the 100 ms of the request, so the outcome was a request that was not sent. The time to connect is no part of what the test checks. Change: a first request opens the connection, with 5 s; the check and its 100 ms are the same.

--- a/trefoilhook/http/tests/test_exchange.py
+++ b/trefoilhook/http/tests/test_exchange.py
@@ -66,10 +66,18 @@
             await trio.sleep_forever()
 
         async def scenario(handler, failure: TransportFailure):
-            server = HttpServer(handler=handler, host=_HOST, port=0)
+            async def handle(request: HttpRequest) -> HttpResponse:
+                if request.target == "/connect":
+                    return HttpResponse(status=200)
+                return await handler(request)
+
+            server = HttpServer(handler=handle, host=_HOST, port=0)
             async with trio.open_nursery() as nursery:
                 port = await nursery.start(server.run)
                 client = HttpClient(host=_HOST, port=port)
+                # The time-out below must not include the time to connect.
+                connect = HttpRequest(method="GET", target="/connect")
+                await client.send(connect, timeout_ms=5_000.0)
                 with self.assertRaises(AnswerLostError) as caught:
                     await client.send(
                         HttpRequest(method="GET", target="/"), timeout_ms=100.0
