--- a/trefoilhook/runtime/__main__.py
+++ b/trefoilhook/runtime/__main__.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 from pathlib import Path
 
+import attrs
 import trio
 
 from trefoilhook.clock import Clock, build_boottime_clock
@@ -14,6 +15,7 @@
 from trefoilhook.logs import Event, configure_line_logs, log_event
 from trefoilhook.platform import SETTINGS_VARIABLE, parse_settings
 from trefoilhook.runtime.core import Process
+from trefoilhook.scheduling import Features
 
 __all__ = ["SettingsFile", "main"]
 
@@ -87,6 +89,13 @@
     # to import than the whole process.
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--metrics-port", type=int, help="serve metrics at this port")
+    parser.add_argument(
+        "--disable",
+        action="append",
+        default=[],
+        choices=[field.name for field in attrs.fields(Features)],
+        help="switch off an optional decision of the scheduler",
+    )
     return parser.parse_args()
 
 
@@ -109,7 +118,10 @@
     configure_line_logs(instance=settings.name)
     clock = build_boottime_clock()
     process = Process(
-        settings=settings, clock=clock, metrics_port=arguments.metrics_port
+        settings=settings,
+        clock=clock,
+        metrics_port=arguments.metrics_port,
+        features=Features(**dict.fromkeys(arguments.disable, False)),
     )
     file = SettingsFile(path=path, text=text, process=process)
     trio.run(_run, process, file, clock)
--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -30,7 +30,7 @@
 from trefoilhook.runtime.ownership import Ownership, ShardElection
 from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.runtime.shard import ShardOwner, ShardSettings
-from trefoilhook.scheduling import Configuration
+from trefoilhook.scheduling import Configuration, Features
 
 __all__ = ["METRICS_PATH", "Process"]
 
@@ -78,6 +78,8 @@
         Time source.
     metrics_port : int, optional
         Port of the metrics server. By default, metrics are not served.
+    features : Features, optional
+        Optional decisions in force; all by default.
 
     Attributes
     ----------
@@ -93,7 +95,9 @@
         settings: ProcessSettings,
         clock: Clock,
         metrics_port: int | None = None,
+        features: Features | None = None,
     ) -> None:
+        self._features = features or Features()
         self._metrics_port = metrics_port
         self.metrics_port = 0
         self._settings = settings
@@ -300,6 +304,7 @@
                 drain_notice_ms=bounds.drain_notice_ms,
                 entry_life_ms=_MAX_MISSED_HEARTBEATS * bounds.heartbeat_ms,
                 advice_address=self._settings.advice_address,
+                features=self._features,
             ),
             read_configuration=self._read_configuration,
             evacuations=self._evacuation_feed.evacuations,
--- a/trefoilhook/runtime/loading.py
+++ b/trefoilhook/runtime/loading.py
@@ -1,5 +1,7 @@
 """Reads the state of a shard that previous owners left in the store."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from trefoilhook.clock import Clock
@@ -23,19 +25,33 @@
         Worker entries.
     progress, jobs : Listing
         Progress of jobs, and job records.
-    roster, interference : Item or None
-        Workers on which a task may have been started, and interference estimates.
+    roster : Item or None
+        Workers on which a task may have been started.
+    snapshots : dict of str to Item
+        Learned models by key, without those that are missing.
     """
 
     workers: Listing
     progress: Listing
     jobs: Listing
     roster: Item | None
-    interference: Item | None
+    snapshots: dict[str, Item]
+
 
+async def load_shard(
+    store: KeyValueStore, clock: Clock, *, snapshot_keys: Iterable[str]
+) -> ShardContents:
+    """Read a shard, retrying until the store answers.
 
-async def load_shard(store: KeyValueStore, clock: Clock) -> ShardContents:
-    """Read a shard, retrying until the store answers."""
+    Parameters
+    ----------
+    store : KeyValueStore
+        Store of the shard.
+    clock : Clock
+        Time source.
+    snapshot_keys : iterable of str
+        Keys of the learned models.
+    """
     while True:
         try:
             return ShardContents(
@@ -45,7 +61,14 @@
                 progress=await store.list_items(keys.progress_prefix(keys.SHARD)),
                 jobs=await store.list_items(keys.job_prefix(keys.SHARD)),
                 roster=await store.get(keys.roster_key(keys.SHARD)),
-                interference=await store.get(keys.interference_key(keys.SHARD)),
+                snapshots=await _read_snapshots(store, snapshot_keys),
             )
         except StoreError:
             await clock.sleep_ms(_RETRY_PAUSE_MS)
+
+
+async def _read_snapshots(
+    store: KeyValueStore, snapshot_keys: Iterable[str]
+) -> dict[str, Item]:
+    items = [await store.get(key) for key in snapshot_keys]
+    return {item.key: item for item in items if item is not None}
--- a/trefoilhook/runtime/maintenance.py
+++ b/trefoilhook/runtime/maintenance.py
@@ -9,20 +9,20 @@
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.commits import Committer
 from trefoilhook.runtime.ownership import Ownership
+from trefoilhook.runtime.snapshots import Snapshot
 from trefoilhook.scheduling import (
     Scheduler,
     ShortfallCounter,
     TaskState,
-    encode_interference,
     measure_backlogs,
     measure_evacuated,
 )
 
 __all__ = ["Maintenance"]
 
-_INTERFERENCE_SAVE_PERIOD_MS = 2000.0
-"""Pause between two writes of the interference estimates, in ms. The weights converge
-within seconds, and a write takes 6 KB for five images by ten."""
+_SNAPSHOT_PERIOD_MS = 2000.0
+"""Pause between two writes of the learned models, in ms. Interference weights converge
+within seconds, and a write of them takes 6 KB for five images by ten."""
 
 _RETENTION_LEASE_MS = 600_000
 """Time for which ended jobs stay in the store, in ms: the platform's longest lease."""
@@ -68,6 +68,8 @@
         State of the shard.
     committer : Committer
         Receives the lease for ended jobs.
+    snapshots : tuple of Snapshot
+        Learned models to save.
     status_ms : float
         Time for which the state of an ended job must remain readable, in ms.
     """
@@ -80,8 +82,10 @@
         ownership: Ownership,
         scheduler: Scheduler,
         committer: Committer,
+        snapshots: tuple[Snapshot, ...],
         status_ms: float,
     ) -> None:
+        self._snapshots = snapshots
         self._status_ms = status_ms
         self._store = store
         self._clock = clock
@@ -142,30 +146,29 @@
             ):
                 log_event(Event.EVACUATION_LEFT, **attrs.asdict(evacuated))
 
-    async def save_interference(self) -> None:
-        """Periodically save the interference estimates for the next owner.
-
-        They only guide placement, so a lost or late write is harmless.
-        """
+    async def save_snapshots(self) -> None:
+        """Periodically save the changed learned models for the next owner."""
         owner = keys.owner_key(keys.SHARD)
-        written = 0
+        saved: dict[str, int] = {}
         while True:
-            await self._clock.sleep_ms(_INTERFERENCE_SAVE_PERIOD_MS)
-            interference = self._scheduler.interference
-            if interference.steps == written:
+            await self._clock.sleep_ms(_SNAPSHOT_PERIOD_MS)
+            versions = {each.key: each.get_version() for each in self._snapshots}
+            changed = [
+                each
+                for each in self._snapshots
+                if versions[each.key] != saved.get(each.key, 0)
+            ]
+            if not changed:
                 continue
-            written = interference.steps
-            put = Put(
-                key=keys.interference_key(keys.SHARD),
-                value=encode_interference(interference),
-            )
             expected = Precondition(key=owner, revision=self._ownership.owner_revision)
+            puts = tuple(Put(key=each.key, value=each.encode()) for each in changed)
+            saved = versions
             try:
                 await self._store.commit(
-                    Transaction(preconditions=(expected,), puts=(put,))
+                    Transaction(preconditions=(expected,), puts=puts)
                 )
             except StoreError:
-                # The next update of the estimates is written anyway.
+                # The next change of the models is written anyway.
                 continue
 
     async def renew_retention_lease(self) -> None:
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -2,7 +2,7 @@
 
 import contextlib
 import functools
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 import attrs
 import trio
@@ -31,11 +31,13 @@
 from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.runtime.roster import Roster
 from trefoilhook.runtime.settlement import Settlement
+from trefoilhook.runtime.snapshots import build_snapshots
 from trefoilhook.runtime.workerfeed import WorkerFeed
 from trefoilhook.scheduling import (
     SLOWEST_CLOCK,
     Configuration,
     Evacuations,
+    Features,
     Order,
     OrderOutcome,
     Scheduler,
@@ -43,7 +45,6 @@
     StartOrder,
     Worker,
     WorkerReport,
-    decode_interference,
     find_longest_wait,
     list_restarts,
     measure_wait,
@@ -101,6 +102,8 @@
         Time for which the entry of a dead worker stays in the store.
     advice_address : (str, int) or None
         Address of the advice service, which allows workers for a step.
+    features : Features
+        Optional decisions in force.
     """
 
     task_lease_ms: float
@@ -110,6 +113,7 @@
     drain_notice_ms: float
     entry_life_ms: float
     advice_address: Address | None = None
+    features: Features = Features()
 
 
 class ShardOwner:
@@ -167,7 +171,9 @@
             ),
             configuration=read_configuration(),
             evacuations=evacuations,
+            features=settings.features,
         )
+        self._snapshots = build_snapshots(self._scheduler)
         self._committer = Committer(
             store=store,
             clock=clock,
@@ -282,9 +288,10 @@
             ownership=self._ownership,
             scheduler=self._scheduler,
             committer=self._committer,
+            snapshots=self._snapshots,
             status_ms=self._settings.status_ms,
         )
-        nursery.start_soon(maintenance.save_interference)
+        nursery.start_soon(maintenance.save_snapshots)
         nursery.start_soon(maintenance.renew_retention_lease)
         nursery.start_soon(maintenance.remove_ended_jobs)
         nursery.start_soon(maintenance.log_backlogs)
@@ -306,9 +313,13 @@
 
     async def _load(self) -> ShardContents:
         """Load the state written by previous owners."""
-        contents = await load_shard(self._store, self._clock)
+        contents = await load_shard(
+            self._store,
+            self._clock,
+            snapshot_keys=[each.key for each in self._snapshots],
+        )
         self._take_roster(contents.roster)
-        self._take_interference(contents.interference)
+        self._restore_snapshots(contents.snapshots)
         self._job_feed.load(contents.jobs, contents.progress)
         log_event(
             Event.SHARD_LOADED,
@@ -328,16 +339,16 @@
             self._reject(item, error)
             self._settlement.roster = (_UNKNOWN_WORKER,)
 
-    def _take_interference(self, item: Item | None) -> None:
-        """Load the interference estimates of previous owners, if they are readable.
-
-        They only guide placement, so a shard works without them.
-        """
-        try:
-            if item is not None:
-                self._scheduler.interference = decode_interference(item.value)
-        except DecodeError as error:
-            self._reject(item, error)
+    def _restore_snapshots(self, items: Mapping[str, Item]) -> None:
+        """Restore the readable learned models of previous owners."""
+        for snapshot in self._snapshots:
+            item = items.get(snapshot.key)
+            if item is None:
+                continue
+            try:
+                snapshot.restore(item.value)
+            except DecodeError as error:
+                self._reject(item, error)
 
     def _reject(self, item: Item | None, error: DecodeError) -> None:
         if item is not None:
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -15,6 +15,7 @@
     measure_evacuated,
 )
 from trefoilhook.scheduling.evacuations import Evacuation, Evacuations
+from trefoilhook.scheduling.features import Features
 from trefoilhook.scheduling.fleet import SLOWEST_CLOCK, Run, Worker
 from trefoilhook.scheduling.interference import (
     Interference,
@@ -93,6 +94,7 @@
     "EvacuatedDomain",
     "Evacuation",
     "Evacuations",
+    "Features",
     "Grant",
     "Interference",
     "Job",
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -9,6 +9,7 @@
 
 from trefoilhook.scheduling.entry_freshness import EntryFreshness
 from trefoilhook.scheduling.evacuations import Evacuations
+from trefoilhook.scheduling.features import Features
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.holds import TakeoverHolds
 from trefoilhook.scheduling.interference import Interference
@@ -71,6 +72,8 @@
         The operator's configuration.
     evacuations : Evacuations, optional
         Failure domains evacuated by the operator; updated by the caller.
+    features : Features, optional
+        Optional decisions in force; all by default.
 
     Attributes
     ----------
@@ -110,11 +113,13 @@
         limits: SchedulerLimits,
         configuration: Configuration,
         evacuations: Evacuations | None = None,
+        features: Features | None = None,
     ) -> None:
         self.epoch = epoch
         self.limits = limits
         self.configuration = configuration
         self.evacuations = evacuations or Evacuations()
+        self.features = features or Features()
         self.jobs: dict[str, JobState] = {}
         self.workers: dict[str, Worker] = {}
         self.waiting: set[TaskState] = set()
