Prove freshness at once after a failed watch

Cause: after a failed watch, the next one waited a second for a change before it answered, and starts are held back until that answer. Change: the first watch after a failure doesn't wait.

--- a/trefoilhook/runtime/following.py
+++ b/trefoilhook/runtime/following.py
@@ -58,13 +58,14 @@
     failed = note_failure or _ignore
     read = note_read or _ignore
     after = listing.as_of if listing is not None else None
+    wait_ms = WATCH_WAIT_MS
     while True:
         try:
             if after is None:
                 current = await store.list_items(prefix)
                 take_listing(current)
                 after = current.as_of
-            batch = await store.watch(prefix, after=after, wait_ms=WATCH_WAIT_MS)
+            batch = await store.watch(prefix, after=after, wait_ms=wait_ms)
         except HistoryLostError:
             log_event(Event.HISTORY_LOST, prefix=prefix, after=after)
             after = None
@@ -72,9 +73,12 @@
             continue
         except StoreError:
             failed()
+            # Starts may be held back until an answer proves that all changes are known.
+            wait_ms = 0
             await clock.sleep_ms(_RETRY_PAUSE_MS)
             continue
         for change in batch.changes:
             take_change(change)
         after = batch.as_of
+        wait_ms = WATCH_WAIT_MS
         read()
