Probe a silent store, and give up the calls that it will not answer

Cause: a call sent into an outage was waited for until its own timeout, 1 to 2 s after the store's return, and each loop of an instance found out for itself: the release of the owner's key was repeated 1.1 s after the return, and the claim came 1.2 s after it. Change: after a failed call the store's client probes the store every 300 ms, with jitter, on connections of its own; the other callers wait for its first answer instead of calling. That answer, or an answer to a later call, gives up the calls which are stuck; reads, renewals and releases are repeated at once, and a repeated watch doesn't wait. The first claim, start and read after the return are logged and measured.

--- a/trefoilhook/exceptions.py
+++ b/trefoilhook/exceptions.py
@@ -145,6 +145,10 @@
     is_proved_unsent = True
 
 
+class StoreAbandonedError(StoreUnavailableError):
+    """A call that the store never answered was given up once it answered others."""
+
+
 class StoreRateError(StoreError):
     """The store refused the call because of its rate limit; nothing changed."""
 
--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -62,6 +62,11 @@
         "A watch's history was lost; keys are listed again.",
     )
     ENTRY_INVALID = (1106, Level.ERROR, "An entry of the system itself is invalid.")
+    STORE_RECOVERED = (
+        1107,
+        Level.INFO,
+        "A first step of work after the store's return is done.",
+    )
 
     # 1200: membership and shards
     LEASE_GRANTED = (1200, Level.INFO, "The instance holds its store lease.")
--- a/trefoilhook/platform/store.py
+++ b/trefoilhook/platform/store.py
@@ -1,27 +1,17 @@
-"""Client of the platform's key-value store.
+"""Client of the platform's key-value store."""
 
-Values are bytes in this interface and base64 text on the wire.
-"""
-
-import base64
 from collections.abc import Callable, Mapping
 from typing import Any, TypeVar
 
 from trefoilhook.clock import Clock
-from trefoilhook.decoding import (
-    check_object,
-    parse_object,
-    read_boolean,
-    read_integer,
-    read_list,
-    read_string,
-)
+from trefoilhook.decoding import parse_object, read_integer
 from trefoilhook.exceptions import (
     AnswerLostError,
     DecodeError,
     HistoryLostError,
     LeaseLostError,
     NotSentError,
+    StoreAbandonedError,
     StoreError,
     StoreRateError,
     StoreUnavailableError,
@@ -31,13 +21,20 @@
 from trefoilhook.logs import CallFailure, Event, OutageLog
 from trefoilhook.platform.core import Address
 from trefoilhook.platform.messages import (
-    Change,
     Changes,
     Item,
     Listing,
     PreconditionError,
     Transaction,
 )
+from trefoilhook.platform.reachability import PendingCall, Reachability
+from trefoilhook.platform.store_codec import (
+    decode_changes,
+    decode_current_items,
+    decode_item,
+    decode_page,
+    encode_transaction,
+)
 
 __all__ = ["KeyValueStore"]
 
@@ -46,6 +43,15 @@
 _MAX_CONNECTIONS = 24
 """Maximum connections to the store. Each waiting watch and call in flight uses one."""
 
+_MAX_PROBES = 6
+"""Maximum connections for probes. They don't wait for connections on which calls are
+stuck."""
+
+_SILENT = frozenset(
+    {CallFailure.NOT_SENT, CallFailure.NO_ANSWER, CallFailure.UNAVAILABLE}
+)
+"""Failures after which the store may be away."""
+
 _CALLS = {
     "kv-key": "get",
     "kv-range": "list",
@@ -58,71 +64,6 @@
 """Names of the calls in log lines."""
 
 
-def _decode_value(text: str) -> bytes:
-    try:
-        return base64.b64decode(text, validate=True)
-    except ValueError as error:
-        raise DecodeError("value: not base64") from error
-
-
-def _decode_item(value: Any) -> Item:
-    row = check_object(value, "item")
-    return Item(
-        key=read_string(row, "key"),
-        value=_decode_value(read_string(row, "value", default="")),
-        revision=read_integer(row, "revision"),
-        created=read_integer(row, "created", default=0),
-    )
-
-
-def _decode_change(value: Any) -> Change:
-    row = check_object(value, "event")
-    if not read_boolean(row, "deleted", default=False):
-        item = _decode_item(row)
-        return Change(key=item.key, revision=item.revision, item=item)
-    return Change(
-        key=read_string(row, "key"), revision=read_integer(row, "revision"), item=None
-    )
-
-
-def _decode_page(table: Mapping[str, Any]) -> tuple[list[Item], int, bool]:
-    items = [_decode_item(row) for row in read_list(table, "items")]
-    has_more = read_boolean(table, "has_more", default=False)
-    return items, read_integer(table, "as_of"), has_more
-
-
-def _decode_changes(table: Mapping[str, Any]) -> Changes:
-    rows = read_list(table, "events")
-    return Changes(
-        changes=tuple(_decode_change(row) for row in rows),
-        as_of=read_integer(table, "as_of"),
-    )
-
-
-def _decode_current_items(table: Mapping[str, Any]) -> tuple[Item, ...]:
-    """Decode the current items of preconditions; an absent key has no revision."""
-    rows = (check_object(row, "item") for row in read_list(table, "items", default=[]))
-    return tuple(_decode_item(row) for row in rows if row.get("revision"))
-
-
-def _encode(transaction: Transaction) -> dict[str, Any]:
-    return {
-        "precondition": [
-            {"key": row.key, "revision": row.revision}
-            for row in transaction.preconditions
-        ],
-        "puts": [
-            {
-                "key": put.key,
-                "value": base64.b64encode(put.value).decode("ascii"),
-                **({"lease": put.lease} if put.lease else {}),
-            }
-            for put in transaction.puts
-        ],
-        "remove": list(transaction.removals),
-    }
-
-
 class KeyValueStore:
     """Client of the store; calls may be made concurrently.
 
@@ -151,7 +92,8 @@
     """
 
     def __init__(self, *, address: Address, timeout_ms: float, clock: Clock) -> None:
-        self._client = JsonClient(address=address, max_connections=_MAX_CONNECTIONS)
+        self._open_clients(address)
+        self._reach = Reachability(clock=clock)
         self._timeout_ms = timeout_ms
         self._clock = clock
         self._log = OutageLog(
@@ -160,12 +102,59 @@
         self.answers = 0
         self.failures = 0
 
+    @property
+    def is_away(self) -> bool:
+        """Whether calls and the probes after them have remained unanswered."""
+        return self._reach.is_away
+
+    @property
+    def back_ms(self) -> float:
+        """Monotonic time of the last return of the store, in ms."""
+        return self._reach.back_ms
+
+    async def wait_for_retry(
+        self, pause_ms: float, *, limit_ms: float | None = None
+    ) -> None:
+        """Wait before a failed call is repeated.
+
+        Parameters
+        ----------
+        pause_ms : float
+            Minimum wait, in ms.
+        limit_ms : float, optional
+            Maximum wait for the store's return, in ms, instead of the default.
+        """
+        if limit_ms is None:
+            await self._reach.wait_for_retry(pause_ms)
+        else:
+            await self._reach.wait_for_retry(pause_ms, limit_ms=limit_ms)
+
+    async def run_probes(self, key: str) -> None:
+        """Read ``key`` regularly while the store doesn't answer, until cancelled."""
+
+        async def probe() -> bool:
+            try:
+                await self._call(
+                    "GET",
+                    "kv-key",
+                    query={"key": key},
+                    accept=(404,),
+                    client=self._probe_client,
+                )
+            except StoreError:
+                return False
+            return True
+
+        await self._reach.run_probes(probe)
+
     async def get(self, key: str) -> Item | None:
         """Return the item at ``key``, or None if the key does not exist."""
-        response = await self._call("GET", "kv-key", query={"key": key}, accept=(404,))
+        response = await self._call_repeatable(
+            "GET", "kv-key", query={"key": key}, accept=(404,)
+        )
         if response.status == 404:
             return None
-        return self._read(response, _decode_item)
+        return self._read(response, decode_item)
 
     async def list_items(self, prefix: str) -> Listing:
         """Read all keys under ``prefix``, page by page.
@@ -177,8 +166,8 @@
         as_of = 0
         query: dict[str, str | int] = {"prefix": prefix}
         while True:
-            response = await self._call("GET", "kv-range", query=query)
-            page, page_as_of, has_more = self._read(response, _decode_page)
+            response = await self._call_repeatable("GET", "kv-range", query=query)
+            page, page_as_of, has_more = self._read(response, decode_page)
             as_of = as_of or page_as_of
             items.extend(page)
             if not has_more or not page:
@@ -198,12 +187,22 @@
             "after": after,
             "wait_ms": wait_ms,
         }
-        response = await self._call(
-            "GET", "kv-watch", query=query, extra_ms=wait_ms, accept=(410,)
-        )
+        try:
+            response = await self._call(
+                "GET",
+                "kv-watch",
+                query=query,
+                extra_ms=wait_ms,
+                accept=(410,),
+                is_repeatable=True,
+            )
+        except StoreAbandonedError:
+            # Doesn't wait for a change: the answer proves that all changes are known.
+            query["wait_ms"] = 0
+            response = await self._call("GET", "kv-watch", query=query, accept=(410,))
         if response.status == 410:
             raise HistoryLostError(f"history after revision {after} is unavailable")
-        return self._read(response, _decode_changes)
+        return self._read(response, decode_changes)
 
     async def commit(
         self, transaction: Transaction, *, timeout_ms: float | None = None
@@ -227,14 +226,14 @@
         response = await self._call(
             "POST",
             "kv-txn",
-            body=_encode(transaction),
+            body=encode_transaction(transaction),
             accept=(404, 412),
             extra_ms=(timeout_ms or self._timeout_ms) - self._timeout_ms,
         )
         if response.status == 404:
             raise LeaseLostError("the lease has expired")
         if response.status == 412:
-            items = self._read(response, _decode_current_items)
+            items = self._read(response, decode_current_items)
             raise PreconditionError("a key has another revision", items=items)
         return self._read(response, lambda table: read_integer(table, "revision"))
 
@@ -253,21 +252,41 @@
         LeaseLostError
             If the lease has expired, which has removed its keys.
         """
-        response = await self._call("POST", f"kv-keep/{lease}", body={}, accept=(404,))
+        response = await self._call_repeatable(
+            "POST", f"kv-keep/{lease}", body={}, accept=(404,)
+        )
         if response.status == 404:
             raise LeaseLostError("the lease has expired")
 
     async def revoke_lease(self, lease: int) -> None:
         """Revoke a lease and remove its keys; an expired lease is not an error."""
-        await self._call("DELETE", f"kv-lease-end/{lease}", accept=(404,))
+        await self._call_repeatable("DELETE", f"kv-lease-end/{lease}", accept=(404,))
 
     def set_address(self, address: Address) -> None:
         """Change the address of the store for later calls."""
+        self._open_clients(address)
+
+    def _open_clients(self, address: Address) -> None:
         self._client = JsonClient(address=address, max_connections=_MAX_CONNECTIONS)
+        self._probe_client = JsonClient(address=address, max_connections=_MAX_PROBES)
 
     async def close(self) -> None:
         """Close the idle connections."""
         await self._client.close()
+        await self._probe_client.close()
+
+    async def _call_repeatable(
+        self, method: str, name: str, **options: Any
+    ) -> HttpResponse:
+        """Make a call whose repetition has no further effect.
+
+        It is repeated at once if it was given up. The repetition has the whole timeout,
+        so that an answer that takes long is received.
+        """
+        try:
+            return await self._call(method, name, is_repeatable=True, **options)
+        except StoreAbandonedError:
+            return await self._call(method, name, **options)
 
     async def _call(
         self,
@@ -278,28 +297,43 @@
         body: Any = None,
         extra_ms: float = 0.0,
         accept: tuple[int, ...] = (),
+        client: JsonClient | None = None,
+        is_repeatable: bool = False,
     ) -> HttpResponse:
         sent_ms = self._clock.monotonic_ms()
+        wait_ms = extra_ms if name == "kv-watch" else 0.0
+        call = PendingCall(
+            sent_ms=sent_ms, wait_ms=wait_ms, is_repeatable=is_repeatable
+        )
+        self._reach.begin_call(call)
+        response: HttpResponse | None = None
         try:
-            response = await self._client.send_request(
-                method,
-                f"/trefoilhook/{name}",
-                query=query,
-                body=body,
-                timeout_ms=self._timeout_ms + extra_ms,
-            )
+            with call.scope:
+                response = await (client or self._client).send_request(
+                    method,
+                    f"/trefoilhook/{name}",
+                    query=query,
+                    body=body,
+                    timeout_ms=self._timeout_ms + extra_ms,
+                )
         except NotSentError as error:
             self._fail(name, CallFailure.NOT_SENT, sent_ms, str(error))
             raise StoreUnsentError(str(error)) from error
         except AnswerLostError as error:
             self._fail(name, CallFailure.NO_ANSWER, sent_ms, str(error))
             raise StoreUnavailableError(str(error)) from error
+        finally:
+            self._reach.end_call(call)
+        if response is None:
+            self._fail(name, CallFailure.NO_ANSWER, sent_ms, "given up")
+            raise StoreAbandonedError("not answered before the store's return")
         if response.status not in (200, *accept):
             failure = _classify_refusal(response.status)
             self._fail(name, failure, sent_ms, f"status {response.status}")
             raise _build_refusal(failure, response.status)
         self.answers += 1
         self._log.record_answer(sent_ms=sent_ms)
+        self._reach.record_answer(sent_ms)
         return response
 
     def _read(
@@ -318,6 +352,8 @@
         verb = name.partition("/")[0]
         call = _CALLS.get(verb, verb)
         self._log.record_failure(call, why, sent_ms=sent_ms, detail=detail)
+        if why in _SILENT:
+            self._reach.record_failure(sent_ms)
 
 
 def _classify_refusal(status: int) -> CallFailure:
--- /dev/null
+++ b/trefoilhook/platform/tests/test_reachability.py
@@ -0,0 +1,176 @@
+"""Tests of probes, waits and given up calls around outages, on virtual time."""
+
+import unittest
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+import trio
+import trio.testing
+
+from trefoilhook.clock import Clock, build_boottime_clock, build_system_clock
+from trefoilhook.platform.reachability import PendingCall, Reachability
+
+_INSTANCES = 45
+_OUTAGE_S = 6.0
+_RETURN_BOUND_MS = 400.0
+"""Bound from a service's return to the end of every wait for it, in ms: the longest
+interval between two probes, and an answer."""
+
+
+class _Service:
+    """A service that is silent until ``back_s``, or refuses calls if ``refuses``."""
+
+    def __init__(self, *, back_s: float, refuses: bool = False) -> None:
+        self.back_s = back_s
+        self.refuses = refuses
+        self.calls_s: list[float] = []
+
+    async def answer(self, reach: Reachability, clock: Clock) -> bool:
+        """Answer one probe, and record its outcome."""
+        sent_ms = clock.monotonic_ms()
+        self.calls_s.append(trio.current_time())
+        if trio.current_time() >= self.back_s:
+            reach.record_answer(sent_ms)
+            return True
+        if not self.refuses:
+            await trio.sleep(1.0)
+        reach.record_failure(sent_ms)
+        return False
+
+
+class ReachabilityTest(unittest.TestCase):
+    """Each scenario starts with a failed call at the start of the outage."""
+
+    def _run(
+        self,
+        service: _Service,
+        scenario: Callable[[Reachability, Clock], Awaitable[None]],
+        *,
+        instances: int = 1,
+    ) -> None:
+        async def run_one() -> None:
+            clock = build_system_clock()
+            reach = Reachability(clock=clock)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(
+                    reach.run_probes, lambda: service.answer(reach, clock)
+                )
+                await scenario(reach, clock)
+                nursery.cancel_scope.cancel()
+
+        async def main() -> None:
+            start_s = trio.current_time()
+            service.back_s += start_s
+            async with trio.open_nursery() as nursery:
+                for _ in range(instances):
+                    nursery.start_soon(run_one)
+            service.calls_s = [at_s - start_s for at_s in service.calls_s]
+            service.back_s -= start_s
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    def test_callers_resume_soon_after_the_return(self):
+        # Failure: each caller waits for a timeout of its own once the store is back.
+        for refuses in (False, True):
+            waited_s: list[float] = []
+
+            async def wait(reach: Reachability, clock: Clock) -> None:
+                began_s = trio.current_time()
+                reach.record_failure(clock.monotonic_ms())
+                await reach.wait_for_retry(200.0, limit_ms=60_000.0)
+                waited_s.append(trio.current_time() - began_s)  # noqa: B023
+
+            with self.subTest(refuses=refuses):
+                self._run(_Service(back_s=_OUTAGE_S, refuses=refuses), wait)
+                late_ms = (waited_s[0] - _OUTAGE_S) * 1000.0
+                self.assertTrue(0.0 <= late_ms <= _RETURN_BOUND_MS, late_ms)
+
+    def test_instances_do_not_return_together(self):
+        # Failure: all instances call the store in the moment of its return.
+        service = _Service(back_s=_OUTAGE_S)
+
+        async def wait(reach: Reachability, clock: Clock) -> None:
+            reach.record_failure(clock.monotonic_ms())
+            await reach.wait_for_retry(200.0, limit_ms=60_000.0)
+
+        self._run(service, wait, instances=_INSTANCES)
+        for second, calls in Counter(map(int, service.calls_s)).items():
+            self.assertLessEqual(calls, 5 * _INSTANCES, f"in second {second}")
+        answered = [at_s for at_s in service.calls_s if at_s >= _OUTAGE_S]
+        self.assertEqual(len(answered), _INSTANCES)
+        slots = Counter(int(at_s * 20) for at_s in answered)
+        self.assertLessEqual(max(slots.values()), _INSTANCES // 2)
+
+    def test_call_sent_into_the_outage_is_given_up(self):
+        # Failure: a watch sent into the outage is waited for after the store's return.
+        given_up: dict[str, bool] = {}
+
+        async def wait(name: str, call: PendingCall) -> None:
+            with call.scope:
+                await trio.sleep(1.0)
+            given_up[name] = call.scope.cancelled_caught
+
+        async def scenario(reach: Reachability, clock: Clock) -> None:
+            reach.record_failure(clock.monotonic_ms())
+            await trio.sleep(1.3)
+            old = PendingCall(sent_ms=clock.monotonic_ms())
+            reach.begin_call(old)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(wait, "old", old)
+                await trio.sleep(0.7)
+                await reach.wait_for_retry(0.0, limit_ms=60_000.0)
+                young = PendingCall(sent_ms=clock.monotonic_ms())
+                reach.begin_call(young)
+                nursery.start_soon(wait, "young", young)
+
+        self._run(_Service(back_s=2.0), scenario)
+        self.assertEqual(given_up, {"old": True, "young": False})
+
+    def test_lost_answer_gives_up_watches_only(self):
+        # Failure: one lost answer gives up the commits beside it, whose effect is then
+        # unknown, or a watch lost with it is waited for.
+        given_up: dict[float, bool] = {}
+
+        async def scenario(reach: Reachability, clock: Clock) -> None:
+            commit = PendingCall(sent_ms=clock.monotonic_ms())
+            watch = PendingCall(sent_ms=clock.monotonic_ms(), wait_ms=1000.0)
+            for call in (commit, watch):
+                reach.begin_call(call)
+            await trio.sleep(0.5)
+            reach.record_failure(clock.monotonic_ms())
+            await reach.wait_for_retry(200.0)
+            self.assertFalse(reach.is_away)
+            for call in (commit, watch):
+                given_up[call.wait_ms] = call.scope.deadline <= trio.current_time()
+
+        service = _Service(back_s=0.0)
+        self._run(service, scenario)
+        self.assertEqual(given_up, {0.0: False, 1000.0: True})
+        self.assertEqual(len(service.calls_s), 1)
+
+    def test_stuck_watch_beside_answered_calls(self):
+        # Failure: a watch on a dead connection is waited for until its timeout, or
+        # callers refuse work because of it, although the store answers other calls.
+        async def scenario(reach: Reachability, clock: Clock) -> None:
+            began_ms = clock.monotonic_ms()
+            watch = PendingCall(sent_ms=began_ms, wait_ms=1000.0, is_repeatable=True)
+            reach.begin_call(watch)
+            for after_ms, is_stuck in ((1500.0, False), (1700.0, True)):
+                await clock.sleep_ms(began_ms + after_ms - clock.monotonic_ms())
+                reach.record_answer(clock.monotonic_ms() - 1.0)
+                found = watch.scope.deadline <= trio.current_time()
+                self.assertEqual((found, reach.is_suspect), (is_stuck, False))
+
+        service = _Service(back_s=0.0)
+        self._run(service, scenario)
+        self.assertEqual(service.calls_s, [])
+
+    def test_pending_watch_does_not_end_refusals(self):
+        # Failure: a watch pending since before counts as the return of a store that
+        # still refuses this instance's calls.
+        reach = Reachability(clock=build_boottime_clock())
+        reach.record_failure(1000.0)
+        reach.record_answer(900.0)
+        self.assertTrue(reach.is_suspect)
+        reach.record_answer(1100.0)
+        self.assertFalse(reach.is_suspect)
--- a/trefoilhook/runtime/commits.py
+++ b/trefoilhook/runtime/commits.py
@@ -148,7 +148,7 @@
             self._retention_lease = 0
             return
         except StoreError:
-            await self._clock.sleep_ms(_RETRY_PAUSE_MS)
+            await self._store.wait_for_retry(_RETRY_PAUSE_MS)
             return
         for change in changes:
             self._confirm(change, revision)
--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -22,12 +22,14 @@
     ProcessSettings,
     decode_configuration,
 )
+from trefoilhook.runtime import keys
 from trefoilhook.runtime.evacuations import EvacuationFeed
 from trefoilhook.runtime.fitness import compute_fitness
 from trefoilhook.runtime.following import follow
 from trefoilhook.runtime.job_api import JobApi
 from trefoilhook.runtime.metrics import ProcessMetrics, render
 from trefoilhook.runtime.ownership import Ownership, ShardElection
+from trefoilhook.runtime.recovery import Recovery, RecoveryStep
 from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.runtime.shard import ShardOwner, ShardSettings
 from trefoilhook.scheduling import Configuration, Features
@@ -138,13 +140,14 @@
                 "store_answers": lambda: float(self._store.answers),
                 "store_failures": lambda: float(self._store.failures),
                 "store_silent_ms": self._measure_silence,
+                "store_away": lambda: float(self._store.is_away),
             }
         )
         self._job_api = JobApi(
             store=self._store,
             clock=clock,
             read_configuration=lambda: self._configuration,
-            is_store_reachable=self._is_store_reachable,
+            is_store_reachable=self._may_call_store,
             metrics=self.metrics,
             rejections=self._rejections,
         )
@@ -162,6 +165,7 @@
                 address = (self._settings.entry_address[0], self._metrics_port)
                 metrics_server = self._build_server(address, self._answer_metrics)
                 self.metrics_port = await nursery.start(metrics_server.run)
+            nursery.start_soon(self._store.run_probes, keys.owner_key(keys.SHARD))
             nursery.start_soon(self._follow_operator_keys)
             nursery.start_soon(self._election.run)
             log_event(Event.STARTED, instance=self._settings.name)
@@ -217,6 +221,11 @@
     def _is_store_reachable(self) -> bool:
         return self._measure_silence() < _STORE_UNREACHABLE_AFTER_MS
 
+    def _may_call_store(self) -> bool:
+        # Readiness depends on the silence only: an instance that leaves the rotation in
+        # each short outage would move its clients to others that are no better off.
+        return not self._store.is_away and self._is_store_reachable()
+
     def _measure_silence(self) -> float:
         """Return the time since the store's last known answer, in ms."""
         now_ms = self._clock.monotonic_ms()
@@ -247,13 +256,18 @@
             if change.item is not None:
                 self._take_configuration(change.item)
 
+        recovery = Recovery(store=self._store, clock=self._clock, metrics=self.metrics)
+
+        def note_read() -> None:
+            self._evacuation_feed.note_read()
+            recovery.note(RecoveryStep.UP_TO_DATE)
+
         await follow(
             self._store,
-            self._clock,
             OPERATOR_PREFIX,
             take_listing=take_listing,
             take_change=take_change,
-            note_read=self._evacuation_feed.note_read,
+            note_read=note_read,
         )
 
     def _take_configuration(self, item: Item) -> None:
--- a/trefoilhook/runtime/following.py
+++ b/trefoilhook/runtime/following.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-from trefoilhook.clock import Clock
 from trefoilhook.exceptions import HistoryLostError, StoreError
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import Change, KeyValueStore, Listing
@@ -25,7 +24,6 @@
 
 async def follow(
     store: KeyValueStore,
-    clock: Clock,
     prefix: str,
     *,
     take_listing: Callable[[Listing], None],
@@ -40,8 +38,6 @@
     ----------
     store : KeyValueStore
         Store of the keys.
-    clock : Clock
-        Time source.
     prefix : str
         Prefix of the keys.
     take_listing : callable
@@ -75,7 +71,7 @@
             failed()
             # Starts may be held back until an answer proves that all changes are known.
             wait_ms = 0
-            await clock.sleep_ms(_RETRY_PAUSE_MS)
+            await store.wait_for_retry(_RETRY_PAUSE_MS)
             continue
         for change in batch.changes:
             take_change(change)
--- a/trefoilhook/runtime/jobfeed.py
+++ b/trefoilhook/runtime/jobfeed.py
@@ -67,7 +67,6 @@
         """Apply every change after a listing, until cancelled."""
         await follow(
             self._store,
-            self._clock,
             keys.job_prefix(keys.SHARD),
             take_listing=self._take_listing,
             take_change=self._take_change,
--- a/trefoilhook/runtime/loading.py
+++ b/trefoilhook/runtime/loading.py
@@ -4,7 +4,6 @@
 
 import attrs
 
-from trefoilhook.clock import Clock
 from trefoilhook.exceptions import StoreError
 from trefoilhook.platform import WORKER_PREFIX, Item, KeyValueStore, Listing
 from trefoilhook.runtime import keys
@@ -39,7 +38,7 @@
 
 
 async def load_shard(
-    store: KeyValueStore, clock: Clock, *, snapshot_keys: Iterable[str]
+    store: KeyValueStore, *, snapshot_keys: Iterable[str]
 ) -> ShardContents:
     """Read a shard, retrying until the store answers.
 
@@ -47,8 +46,6 @@
     ----------
     store : KeyValueStore
         Store of the shard.
-    clock : Clock
-        Time source.
     snapshot_keys : iterable of str
         Keys of the learned models.
     """
@@ -64,7 +61,7 @@
                 snapshots=await _read_snapshots(store, snapshot_keys),
             )
         except StoreError:
-            await clock.sleep_ms(_RETRY_PAUSE_MS)
+            await store.wait_for_retry(_RETRY_PAUSE_MS)
 
 
 async def _read_snapshots(
--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -119,7 +119,7 @@
                 if not self._settled:
                     wanted = tuple(sorted({*wanted, *self.workers}))
                 if not await self._write(wanted):
-                    await self._clock.sleep_ms(_RETRY_PAUSE_MS)
+                    await self._store.wait_for_retry(_RETRY_PAUSE_MS)
                     continue
             await self._wake.wait()
             await self._clock.sleep_ms(_BATCH_WINDOW_MS)
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -28,6 +28,7 @@
 from trefoilhook.runtime.orders import execute_order
 from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Ownership
 from trefoilhook.runtime.polling import WorkerPoller
+from trefoilhook.runtime.recovery import Recovery, RecoveryStep
 from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.runtime.roster import Roster
 from trefoilhook.runtime.settlement import Settlement
@@ -215,6 +216,8 @@
             ownership=ownership,
             metrics=metrics,
         )
+        self._recovery = Recovery(store=store, clock=clock, metrics=metrics)
+        self._recovery.note(RecoveryStep.CLAIMED)
         self._lag = LoopLag()
         lag = self._lag
         # Captures no reference to this owner, which the gauge would keep alive after
@@ -315,7 +318,6 @@
         """Load the state written by previous owners."""
         contents = await load_shard(
             self._store,
-            self._clock,
             snapshot_keys=[each.key for each in self._snapshots],
         )
         self._take_roster(contents.roster)
@@ -465,3 +467,5 @@
             )
         if outcome is not OrderOutcome.DONE:
             self.wake()
+        elif isinstance(order, StartOrder):
+            self._recovery.note(RecoveryStep.STARTED)
--- a/trefoilhook/runtime/tests/test_following.py
+++ b/trefoilhook/runtime/tests/test_following.py
@@ -24,6 +24,9 @@
     async def list_items(self, prefix: str) -> Listing:
         return Listing(items=(), as_of=1)
 
+    async def wait_for_retry(self, pause_ms: float) -> None:
+        await trio.sleep(pause_ms / 1000.0)
+
     async def watch(self, prefix: str, *, after: int, wait_ms: int) -> Changes:
         self.waits_ms.append(wait_ms)
         if len(self.waits_ms) == 1:
@@ -45,7 +48,6 @@
             with trio.move_on_after(6.0):
                 await follow(
                     store,
-                    clock,
                     "op/",
                     take_listing=lambda listing: None,
                     take_change=lambda change: None,
--- a/trefoilhook/runtime/workerfeed.py
+++ b/trefoilhook/runtime/workerfeed.py
@@ -66,7 +66,6 @@
         self._take_listing(listing)
         await follow(
             self._store,
-            self._clock,
             WORKER_PREFIX,
             take_listing=self._take_listing,
             take_change=self._take_change,
