Let an owner claim again at once after the store's return

Cause: an owner that lost its lease waits 1.5 s before it claims, as the cause of the loss usually persists. The end of an outage of the store is the end of that cause, and no other instance has claimed meanwhile. Change: an outage that ended after the release ends the wait.

--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -146,6 +146,7 @@
         self._ownership: Ownership | None = None
         self._resigned = False
         self._no_claim_before_ms = 0.0
+        self._released_ms = 0.0
         self._stale_lease = 0
 
     @property
@@ -170,7 +171,7 @@
                 )
                 await self._claim_when_vacant(listing)
             except StoreError:
-                await self._clock.sleep_ms(_RETRY_PAUSE_MS)
+                await self._store.wait_for_retry(_RETRY_PAUSE_MS)
 
     async def _claim_when_vacant(self, listing: Listing) -> None:
         owner: Item | None = None
@@ -217,7 +218,10 @@
 
     def _can_claim(self) -> bool:
         is_backoff_over = self._clock.monotonic_ms() >= self._no_claim_before_ms
-        return is_backoff_over and self._may_claim()
+        # The loss had a cause that has ended. If only this instance had been cut off,
+        # another one would own the shard by now.
+        is_cause_over = self._store.back_ms >= self._released_ms
+        return (is_backoff_over or is_cause_over) and self._may_claim()
 
     async def _claim(self, epoch: Item | None) -> None:
         new_epoch = self._read_epoch(epoch) + 1
@@ -309,7 +313,8 @@
                 nursery.cancel_scope.cancel()
         finally:
             self._ownership = None
-            self._no_claim_before_ms = self._clock.monotonic_ms() + _CLAIM_BACKOFF_MS
+            self._released_ms = self._clock.monotonic_ms()
+            self._no_claim_before_ms = self._released_ms + _CLAIM_BACKOFF_MS
         log_event(
             Event.SHARD_RELEASED, epoch=ownership.epoch, wanted=ownership.released
         )
