--- a/trefoilhook/runtime/job_api.py
+++ b/trefoilhook/runtime/job_api.py
@@ -84,6 +84,13 @@
     job_id: str
 
 
+@attrs.define(kw_only=True)
+class _Cancellation:
+    """Whether an unanswered call may have written, or may still write, it."""
+
+    may_be_written: bool = False
+
+
 def _build_unavailable() -> HttpResponse:
     """Build the response to a request that was not executed and may be retried."""
     return HttpResponse(status=503, headers=(("retry-after", str(_RETRY_AFTER_S)),))
@@ -213,9 +220,9 @@
         began_ms = self._clock.monotonic_ms()
         timeout_ms = read_client_timeout(request, default_ms=_DEFAULT_TIMEOUT_MS)
         ambiguous = False
-        if not self._is_store_reachable():
-            return _refuse_request(target, "store away")
         while True:
+            if not ambiguous and not self._is_store_reachable():
+                return _refuse_request(target, "store away")
             try:
                 revision = await self._store.commit(
                     change, timeout_ms=_COMMIT_TIMEOUT_MS
@@ -229,14 +236,23 @@
                 reason = str(error)
             except StoreError as error:
                 reason = str(error)
-            spent_ms = self._clock.monotonic_ms() - began_ms
-            if not ambiguous and spent_ms > _REJECTED_RETRY_LIMIT_MS:
+            limit_ms = _REJECTED_RETRY_LIMIT_MS
+            if ambiguous:
+                limit_ms = min(
+                    _UNANSWERED_RETRY_LIMIT_MS, timeout_ms - _ANSWER_MARGIN_MS
+                )
+            if await self._wait_for_retry(began_ms + limit_ms):
+                continue
+            if not ambiguous:
                 return _refuse_request(target, reason)
-            limit_ms = min(_UNANSWERED_RETRY_LIMIT_MS, timeout_ms - _ANSWER_MARGIN_MS)
-            if ambiguous and spent_ms > limit_ms:
-                _log_failure(target, 504, reason)
-                return HttpResponse(status=504)
-            await self._clock.sleep_ms(_RETRY_PAUSE_MS)
+            _log_failure(target, 504, reason)
+            return HttpResponse(status=504)
+
+    async def _wait_for_retry(self, until_ms: float) -> bool:
+        """Wait before another attempt; return whether it would begin in time."""
+        remaining_ms = max(0.0, until_ms - self._clock.monotonic_ms())
+        await self._store.wait_for_retry(_RETRY_PAUSE_MS, limit_ms=remaining_ms)
+        return self._clock.monotonic_ms() < until_ms
 
     def _log_acceptance(
         self, target: _Target, job: Job, began_ms: float, **how: int
@@ -284,6 +300,8 @@
         phase = self._ended_phases.get(target.job_id)
         if phase is not None:
             return build_state_response(phase.value)
+        if not self._is_store_reachable():
+            return _refuse_request(target, "store away")
         try:
             item = await self._store.get(keys.job_key(keys.SHARD, target.job_id))
             if item is None:
@@ -308,6 +326,9 @@
         self._ended_phases[job_id] = phase
 
     async def _count(self, queue: Queue) -> HttpResponse:
+        if not self._is_store_reachable():
+            log_event(Event.REQUEST_REFUSED, queue=queue.name, why="store away")
+            return _build_unavailable()
         try:
             listing = await self._store.list_items(
                 keys.waiting_prefix(keys.SHARD, queue.name)
@@ -323,23 +344,30 @@
     # Cancellation.
 
     async def _cancel(self, request: HttpRequest, target: _Target) -> HttpResponse:
+        """Cancel a job; status 504 only if a write without an answer was sent."""
         began_ms = self._clock.monotonic_ms()
         timeout_ms = read_client_timeout(request, default_ms=_DEFAULT_TIMEOUT_MS)
+        attempt = _Cancellation()
         while True:
+            if not attempt.may_be_written and not self._is_store_reachable():
+                return _refuse_request(target, "store away")
             try:
-                return await self._try_cancel(target)
+                return await self._try_cancel(target, attempt)
             except PreconditionError:
                 # The job ended or was cancelled between the two calls.
                 reason = "changed meanwhile"
             except StoreError as error:
                 reason = str(error)
-            spent_ms = self._clock.monotonic_ms() - began_ms
-            if spent_ms > timeout_ms - _ANSWER_MARGIN_MS:
-                _log_failure(target, 504, reason)
-                return HttpResponse(status=504)
-            await self._clock.sleep_ms(_RETRY_PAUSE_MS)
+            if await self._wait_for_retry(began_ms + timeout_ms - _ANSWER_MARGIN_MS):
+                continue
+            if not attempt.may_be_written:
+                return _refuse_request(target, reason)
+            _log_failure(target, 504, reason)
+            return HttpResponse(status=504)
 
-    async def _try_cancel(self, target: _Target) -> HttpResponse:
+    async def _try_cancel(
+        self, target: _Target, attempt: _Cancellation
+    ) -> HttpResponse:
         key = keys.job_key(keys.SHARD, target.job_id)
         item = await self._store.get(key)
         if item is None:
@@ -351,16 +379,19 @@
             return HttpResponse.from_json({})
         cancelled = attrs.evolve(record, phase=JobPhase.CANCELLED)
         queue = record.job.queue
-        revision = await self._store.commit(
-            Transaction(
-                preconditions=(Precondition(key=key, revision=item.revision),),
-                puts=(Put(key=key, value=encode_job_record(cancelled)),),
-                removals=(
-                    keys.progress_key(keys.SHARD, target.job_id),
-                    keys.waiting_key(keys.SHARD, queue, target.job_id),
-                ),
-            )
+        change = Transaction(
+            preconditions=(Precondition(key=key, revision=item.revision),),
+            puts=(Put(key=key, value=encode_job_record(cancelled)),),
+            removals=(
+                keys.progress_key(keys.SHARD, target.job_id),
+                keys.waiting_key(keys.SHARD, queue, target.job_id),
+            ),
         )
+        try:
+            revision = await self._store.commit(change)
+        except StoreUnavailableError as error:
+            attempt.may_be_written |= not error.is_proved_unsent
+            raise
         log_event(Event.JOB_CANCELLED, job=target.job_id, revision=revision)
         self._cache_phase(target.job_id, JobPhase.CANCELLED)
         return HttpResponse.from_json({})
--- /dev/null
+++ b/trefoilhook/runtime/tests/test_outages.py
@@ -0,0 +1,126 @@
+"""Tests of the fleet's return to work after an outage of the store."""
+
+import unittest
+
+import attrs
+import trio
+
+from trefoilhook.runtime.tests.cluster import (
+    BOUNDS,
+    PREFIX,
+    Cluster,
+    build_body,
+    run_cluster,
+)
+from trefoilhook.standins.platform_store import StoreFault
+
+_JOB = "00000000000000d1"
+_OTHER = "00000000000000d2"
+_OUTAGE_MS = 6000.0
+_RESUME_MS = 1000.0
+"""Bound from the store's return to the first start, in ms: what callers need."""
+
+_OWNER_LEASE_MS = 2000.0
+_EVACUATING = attrs.evolve(BOUNDS, evacuation_ms=5000.0)
+
+
+async def _start(cluster: Cluster) -> None:
+    await cluster.start_instance(bounds=_EVACUATING)
+    await cluster.start_instance(bounds=_EVACUATING)
+    owner = await cluster.wait_for_owner()
+    # Its first task ends in the longer outages, without an owner to start the second.
+    await cluster.send(owner, "POST", PREFIX + _JOB, build_body(1, 1))
+    await cluster.wait_until(lambda: bool(cluster.list_runs()))
+
+
+async def _resume(cluster: Cluster) -> float:
+    """End the outage; return the time until a job sent in again starts, in ms."""
+    instance = next(each for each in cluster.instances if not each.ended.is_set())
+    cluster.store.fault = StoreFault.NONE
+    back_ms = cluster.clock.monotonic_ms()
+
+    async def is_accepted() -> bool:
+        target = PREFIX + _OTHER
+        return (
+            await cluster.send(instance, "POST", target, build_body())
+        ).status == 200
+
+    await cluster.wait_for(is_accepted)
+    await cluster.wait_until(
+        lambda: any(run.task.startswith(_OTHER) for run in cluster.list_runs())
+    )
+    return cluster.clock.monotonic_ms() - back_ms
+
+
+class OutageTest(unittest.TestCase):
+    """A store that accepts calls and answers nothing, or refuses them."""
+
+    def test_fleet_works_soon_after_the_return(self):
+        # Failure: claims, watches and starts wait for timeouts after the return.
+        for fault, outage_ms in (
+            (StoreFault.SILENT, 1300.0),
+            (StoreFault.SILENT, _OUTAGE_MS),
+            (StoreFault.BUSY, _OUTAGE_MS),
+        ):
+
+            async def scenario(
+                cluster: Cluster,
+                fault: StoreFault = fault,
+                outage_ms: float = outage_ms,
+            ) -> None:
+                await _start(cluster)
+                owner = await cluster.wait_for_owner()
+                cluster.store.fault = fault
+                before = cluster.store.calls
+                await cluster.clock.sleep_ms(outage_ms)
+                calls = cluster.store.calls - before
+                self.assertEqual(owner.process.is_owner, outage_ms < _OWNER_LEASE_MS)
+                self.assertLess(await _resume(cluster), _RESUME_MS)
+                await cluster.wait_for_state(owner, _JOB, "completed")
+                self.assertEqual(cluster.find_duplicate_runs(), [])
+                # Two instances with a probe each 225 to 375 ms, and some calls before.
+                self.assertLess(calls, 2 * (outage_ms / 225.0 + 10))
+
+            with self.subTest(fault=fault, outage_ms=outage_ms):
+                run_cluster(scenario, instances=0, task_ms=2800.0)
+
+    def test_outage_in_which_the_owner_ends(self):
+        # Failure: the owner's process is gone, and its key blocks claims for its lease.
+        async def scenario(cluster: Cluster) -> None:
+            await _start(cluster)
+            owner = await cluster.wait_for_owner()
+            cluster.store.fault = StoreFault.SILENT
+            await cluster.clock.sleep_ms(_OUTAGE_MS / 2)
+            owner.scope.cancel()
+            await cluster.clock.sleep_ms(_OUTAGE_MS / 2)
+            # The store may suspend leases while it is away.
+            self.assertLess(await _resume(cluster), _OWNER_LEASE_MS + _RESUME_MS)
+            (other,) = [each for each in cluster.instances if each is not owner]
+            await cluster.wait_for_state(other, _JOB, "completed")
+            self.assertEqual(cluster.find_duplicate_runs(), [])
+
+        run_cluster(scenario, instances=0, task_ms=2800.0)
+
+    def test_requests_during_the_outage(self):
+        # Failure: requests are sent into a store known to be away, and their callers
+        # told after a timeout that they may have been carried out.
+        async def scenario(cluster: Cluster) -> None:
+            (instance,) = cluster.instances
+            await cluster.send(instance, "POST", PREFIX + _JOB, build_body())
+            cluster.store.fault = StoreFault.SILENT
+            # Sent when nothing tells that the store is away, so it may be written.
+            answer = await cluster.send(instance, "POST", PREFIX + _OTHER, build_body())
+            self.assertEqual(answer.status, 504)
+            began_ms = cluster.clock.monotonic_ms()
+            for method, body in (("POST", build_body()), ("GET", b""), ("DELETE", b"")):
+                job = _OTHER.replace("d2", "d3")
+                answer = await cluster.send(instance, method, PREFIX + job, body)
+                self.assertEqual((method, answer.status), (method, 503))
+                self.assertIsNotNone(answer.get_header("retry-after"))
+            self.assertLess(cluster.clock.monotonic_ms() - began_ms, 300.0)
+            cluster.store.fault = StoreFault.NONE
+            await trio.sleep(_RESUME_MS / 1000.0)
+            answer = await cluster.send(instance, "POST", PREFIX + _OTHER, build_body())
+            self.assertEqual(answer.status, 200)
+
+        run_cluster(scenario, instances=1)
