Hold a submission until a probe shows whether the store is away

Cause: between the first lost answer and the outcome of the probes, submissions went on into the silent store, and their outcome was unknown (504). Change: a submission waits for the probe, for 0.45 s at most, and is then sent or refused.

--- a/trefoilhook/runtime/job_api.py
+++ b/trefoilhook/runtime/job_api.py
@@ -74,6 +74,9 @@
 """Time for which calls rejected by the store are retried, in ms. After it, the client
 is served sooner by another instance, or by the same one a second later."""
 
+_MAX_PROBE_WAIT_MS = 450.0
+"""Maximum wait of a submission until a probe shows whether the store is away, in ms."""
+
 _MAX_CACHED_PHASES = 2000
 """Maximum number of ended jobs with a cached phase. Each takes 200 bytes."""
 
@@ -221,8 +224,10 @@
         timeout_ms = read_client_timeout(request, default_ms=_DEFAULT_TIMEOUT_MS)
         ambiguous = False
         while True:
-            if not ambiguous and not self._is_store_reachable():
-                return _refuse_request(target, "store away")
+            if not ambiguous:
+                await self._store.wait_for_retry(0.0, limit_ms=_MAX_PROBE_WAIT_MS)
+                if not self._is_store_reachable():
+                    return _refuse_request(target, "store away")
             try:
                 revision = await self._store.commit(
                     change, timeout_ms=_COMMIT_TIMEOUT_MS
@@ -236,11 +241,9 @@
                 reason = str(error)
             except StoreError as error:
                 reason = str(error)
-            limit_ms = _REJECTED_RETRY_LIMIT_MS
-            if ambiguous:
-                limit_ms = min(
-                    _UNANSWERED_RETRY_LIMIT_MS, timeout_ms - _ANSWER_MARGIN_MS
-                )
+            limit_ms = min(_UNANSWERED_RETRY_LIMIT_MS, timeout_ms - _ANSWER_MARGIN_MS)
+            if not ambiguous:
+                limit_ms = _REJECTED_RETRY_LIMIT_MS
             if await self._wait_for_retry(began_ms + limit_ms):
                 continue
             if not ambiguous:
