--- a/trefoilhook/runtime/job_api.py
+++ b/trefoilhook/runtime/job_api.py
@@ -87,13 +87,6 @@
     job_id: str
 
 
-@attrs.define(kw_only=True)
-class _Cancellation:
-    """Whether an unanswered call may have written, or may still write, it."""
-
-    may_be_written: bool = False
-
-
 def _build_unavailable() -> HttpResponse:
     """Build the response to a request that was not executed and may be retried."""
     return HttpResponse(status=503, headers=(("retry-after", str(_RETRY_AFTER_S)),))
@@ -224,10 +217,8 @@
         timeout_ms = read_client_timeout(request, default_ms=_DEFAULT_TIMEOUT_MS)
         ambiguous = False
         while True:
-            if not ambiguous:
-                await self._store.wait_for_retry(0.0, limit_ms=_MAX_PROBE_WAIT_MS)
-                if not self._is_store_reachable():
-                    return _refuse_request(target, "store away")
+            if not ambiguous and not await self._is_store_answering():
+                return _refuse_request(target, "store away")
             try:
                 revision = await self._store.commit(
                     change, timeout_ms=_COMMIT_TIMEOUT_MS
@@ -251,6 +242,11 @@
             _log_failure(target, 504, reason)
             return HttpResponse(status=504)
 
+    async def _is_store_answering(self) -> bool:
+        if self._is_store_reachable():
+            await self._store.wait_for_retry(0.0, limit_ms=_MAX_PROBE_WAIT_MS)
+        return self._is_store_reachable()
+
     async def _wait_for_retry(self, until_ms: float) -> bool:
         """Wait before another attempt; return whether it would begin in time."""
         remaining_ms = max(0.0, until_ms - self._clock.monotonic_ms())
@@ -350,12 +346,12 @@
         """Cancel a job; status 504 only if a write without an answer was sent."""
         began_ms = self._clock.monotonic_ms()
         timeout_ms = read_client_timeout(request, default_ms=_DEFAULT_TIMEOUT_MS)
-        attempt = _Cancellation()
+        unanswered: list[StoreError] = []
         while True:
-            if not attempt.may_be_written and not self._is_store_reachable():
+            if not unanswered and not self._is_store_reachable():
                 return _refuse_request(target, "store away")
             try:
-                return await self._try_cancel(target, attempt)
+                return await self._try_cancel(target, unanswered)
             except PreconditionError:
                 # The job ended or was cancelled between the two calls.
                 reason = "changed meanwhile"
@@ -363,13 +359,13 @@
                 reason = str(error)
             if await self._wait_for_retry(began_ms + timeout_ms - _ANSWER_MARGIN_MS):
                 continue
-            if not attempt.may_be_written:
+            if not unanswered:
                 return _refuse_request(target, reason)
             _log_failure(target, 504, reason)
             return HttpResponse(status=504)
 
     async def _try_cancel(
-        self, target: _Target, attempt: _Cancellation
+        self, target: _Target, unanswered: list[StoreError]
     ) -> HttpResponse:
         key = keys.job_key(keys.SHARD, target.job_id)
         item = await self._store.get(key)
@@ -393,7 +389,8 @@
         try:
             revision = await self._store.commit(change)
         except StoreUnavailableError as error:
-            attempt.may_be_written |= not error.is_proved_unsent
+            if not error.is_proved_unsent:
+                unanswered.append(error)
             raise
         log_event(Event.JOB_CANCELLED, job=target.job_id, revision=revision)
         self._cache_phase(target.job_id, JobPhase.CANCELLED)
