Tell callers as soon as it is known that the store is away

Cause: an instance without other calls noticed an outage at the timeout of its watch, 2 s after its start, and held submissions until then; an unanswered submission was held for 1.2 s though its store was known to be away. Change: an overdue call starts the probes; a submission that was not answered gets its 504 as soon as the probes are unanswered, and isn't sent again before.

--- a/trefoilhook/platform/reachability.py
+++ b/trefoilhook/platform/reachability.py
@@ -34,6 +34,10 @@
 """Time after which an answer is overdue, in ms, if later calls are answered. A younger
 call may be slow, or sent as the service returned."""
 
+_CHECK_PERIOD_MS = 200.0
+"""Interval between two searches for overdue calls, in ms. An idle instance has only
+watches, whose timeouts end 2 s after the start of an outage."""
+
 _MAX_SUSPENSION_MS = 2000.0
 """Maximum time for which a caller waits for a suspect service, in ms. After it, its own
 call is repeated, should the probes fail for a reason of their own."""
@@ -91,6 +95,7 @@
         self._failed_sent_ms = float("-inf")
         self._suspected = trio.Event()
         self._back = trio.Event()
+        self._verdict = trio.Event()
         self._random = random.Random()
         self.is_away = False
         self.back_ms = float("-inf")
@@ -116,6 +121,7 @@
             self._give_up_watches(self._answered_sent_ms)
             return
         self._failed_sent_ms = sent_ms
+        self._verdict = trio.Event()
         self._suspected.set()
 
     def record_answer(self, sent_ms: float) -> None:
@@ -141,6 +147,7 @@
         self._suspected = trio.Event()
         self._back.set()
         self._back = trio.Event()
+        self._verdict.set()
         if not self.is_away:
             self._give_up_watches(sent_ms)
             return
@@ -183,6 +190,12 @@
         spent_ms = self._clock.monotonic_ms() - began_ms
         await self._clock.sleep_ms(max(0.0, pause_ms - spent_ms))
 
+    async def wait_for_verdict(self, limit_ms: float) -> None:
+        """Wait until it is known whether a suspect service is away, or for a limit."""
+        if self.is_suspect:
+            with trio.move_on_after(limit_ms / _MS_PER_S):
+                await self._verdict.wait()
+
     async def run_probes(self, probe: Callable[[], Awaitable[bool]]) -> None:
         """Probe the service while it is suspect, until cancelled.
 
@@ -192,7 +205,7 @@
             Sends one probe, records its outcome, and returns whether it was answered.
         """
         while True:
-            await self._suspected.wait()
+            await self._wait_for_suspicion()
             back = self._back
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._confirm_later)
@@ -204,10 +217,24 @@
                         await back.wait()
                 nursery.cancel_scope.cancel()
 
+    async def _wait_for_suspicion(self) -> None:
+        while not self.is_suspect:
+            with trio.move_on_after(_CHECK_PERIOD_MS / _MS_PER_S):
+                await self._suspected.wait()
+            now_ms = self._clock.monotonic_ms()
+            for call in self._pending:
+                if call.is_overdue(now_ms) and call.sent_ms > self._answered_sent_ms:
+                    self.record_failure(call.sent_ms)
+
     async def _confirm_later(self) -> None:
         await self._clock.sleep_ms(_AWAY_AFTER_MS)
-        self.is_away = self.is_suspect
+        self._confirm()
 
     async def _send_probe(self, probe: Callable[[], Awaitable[bool]]) -> None:
-        if not await probe() and self.is_suspect:
+        if not await probe():
+            self._confirm()
+
+    def _confirm(self) -> None:
+        if self.is_suspect:
             self.is_away = True
+            self._verdict.set()
--- a/trefoilhook/platform/store.py
+++ b/trefoilhook/platform/store.py
@@ -129,6 +129,13 @@
         else:
             await self._reach.wait_for_retry(pause_ms, limit_ms=limit_ms)
 
+    async def wait_for_verdict(self, limit_ms: float) -> None:
+        """Wait until probes show whether the store is away, for at most a limit in ms.
+
+        Returns at once if the store is not suspect.
+        """
+        await self._reach.wait_for_verdict(limit_ms)
+
     async def run_probes(self, key: str) -> None:
         """Read ``key`` regularly while the store doesn't answer, until cancelled."""
 
--- a/trefoilhook/platform/tests/test_reachability.py
+++ b/trefoilhook/platform/tests/test_reachability.py
@@ -167,6 +167,23 @@
         self._run(service, scenario)
         self.assertEqual(service.calls_s, [])
 
+    def test_idle_instance_finds_the_store_away(self):
+        # Failure: an instance with a pending watch only takes requests until its
+        # timeout, 2 s into the outage, and holds them.
+        verdicts: list[tuple[float, bool]] = []
+
+        async def scenario(reach: Reachability, clock: Clock) -> None:
+            began_ms = clock.monotonic_ms()
+            reach.begin_call(PendingCall(sent_ms=began_ms, wait_ms=1000.0))
+            await trio.sleep(1.85)
+            await reach.wait_for_verdict(10_000.0)
+            verdicts.append((clock.monotonic_ms() - began_ms, reach.is_away))
+
+        self._run(_Service(back_s=_OUTAGE_S), scenario)
+        ((after_ms, is_away),) = verdicts
+        self.assertTrue(is_away)
+        self.assertLessEqual(after_ms, 2300.0)
+
     def test_pending_watch_does_not_end_refusals(self):
         # Failure: a watch pending since before counts as the return of a store that
         # still refuses this instance's calls.
--- a/trefoilhook/runtime/job_api.py
+++ b/trefoilhook/runtime/job_api.py
@@ -244,14 +244,16 @@
 
     async def _is_store_answering(self) -> bool:
         if self._is_store_reachable():
-            await self._store.wait_for_retry(0.0, limit_ms=_MAX_PROBE_WAIT_MS)
+            await self._store.wait_for_verdict(_MAX_PROBE_WAIT_MS)
         return self._is_store_reachable()
 
     async def _wait_for_retry(self, until_ms: float) -> bool:
-        """Wait before another attempt; return whether it would begin in time."""
+        """Wait before another attempt; return whether it is in time and may succeed."""
+        await self._clock.sleep_ms(_RETRY_PAUSE_MS)
         remaining_ms = max(0.0, until_ms - self._clock.monotonic_ms())
-        await self._store.wait_for_retry(_RETRY_PAUSE_MS, limit_ms=remaining_ms)
-        return self._clock.monotonic_ms() < until_ms
+        await self._store.wait_for_verdict(remaining_ms)
+        in_time = self._clock.monotonic_ms() < until_ms
+        return in_time and self._is_store_reachable()
 
     def _log_acceptance(
         self, target: _Target, job: Job, began_ms: float, **how: int
