Repeat at once, at the return, the calls that may be repeated

Change: calls that may be repeated are given up at once; waits for the store end after 5 s instead of 2 s, so that fewer calls are sent into an outage.

--- a/trefoilhook/platform/reachability.py
+++ b/trefoilhook/platform/reachability.py
@@ -42,7 +42,7 @@
 """Interval between two searches for overdue calls, in ms. An idle instance has only
 watches, whose timeouts end 2 s after the start of an outage."""
 
-_MAX_SUSPENSION_MS = 2000.0
+_MAX_SUSPENSION_MS = 5000.0
 """Maximum time for which a caller waits for a suspect service, in ms. After it, its own
 call is repeated, should the probes fail for a reason of their own."""
 
@@ -172,10 +172,12 @@
         )
 
     def _give_up(self, calls: list[PendingCall]) -> None:
-        """Give up calls, each at the age at which it counts as stuck."""
+        """Give up calls: repeatable ones at once, others when they count as stuck."""
         now_ms = self._clock.monotonic_ms()
         for call in calls:
             remaining_ms = max(0.0, call.sent_ms + _STUCK_AFTER_MS - now_ms)
+            if call.is_repeatable:
+                remaining_ms = 0.0
             call.scope.deadline = trio.current_time() + remaining_ms / _MS_PER_S
 
     async def wait_for_retry(
--- a/trefoilhook/platform/tests/test_reachability.py
+++ b/trefoilhook/platform/tests/test_reachability.py
@@ -104,11 +104,13 @@
     def test_call_sent_into_the_outage_is_given_up(self):
         # Failure: a watch sent into the outage is waited for after the store's return.
         given_up: dict[str, bool] = {}
+        ended_ms: dict[str, float] = {}
 
         async def wait(name: str, call: PendingCall) -> None:
             with call.scope:
                 await trio.sleep(2.0)
             given_up[name] = call.scope.cancelled_caught
+            ended_ms[name] = trio.current_time() * 1000.0
 
         async def scenario(reach: Reachability, clock: Clock) -> None:
             reach.record_failure(clock.monotonic_ms())
@@ -117,14 +119,20 @@
             reach.begin_call(old)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(wait, "old", old)
-                await trio.sleep(0.7)
+                await trio.sleep(0.65)
+                read = PendingCall(sent_ms=clock.monotonic_ms(), is_repeatable=True)
+                reach.begin_call(read)
+                nursery.start_soon(wait, "read", read)
+                await trio.sleep(0.05)
                 await reach.wait_for_retry(0.0, limit_ms=60_000.0)
+                ended_ms["back"] = reach.back_ms
                 young = PendingCall(sent_ms=clock.monotonic_ms())
                 reach.begin_call(young)
                 nursery.start_soon(wait, "young", young)
 
         self._run(_Service(back_s=2.0), scenario)
-        self.assertEqual(given_up, {"old": True, "young": False})
+        self.assertEqual(given_up, {"old": True, "read": True, "young": False})
+        self.assertLess(ended_ms["read"] - ended_ms["back"], 1.0)
 
     def test_lost_answer_gives_up_watches_only(self):
         # Failure: one lost answer gives up the commits beside it, whose effect is then
