Decode the start of a worker's process

Workers may restart under the id that they had; only the start of the process, in their entries and in their answers to polls, distinguishes the two. The adapter decodes it strictly: absent stands for earlier deployments, an entry with another type is foreign and an answer with another type is unreadable. Nothing reads it yet.

--- a/trefoilhook/platform/core.py
+++ b/trefoilhook/platform/core.py
@@ -1,13 +1,14 @@
 """Parsing of addresses and responses, common to all services of the platform."""
 
 import re
+from collections.abc import Mapping
 from typing import Any
 
-from trefoilhook.decoding import parse_object
+from trefoilhook.decoding import parse_object, read_integer
 from trefoilhook.exceptions import AnswerLostError, DecodeError
 from trefoilhook.http import HttpResponse
 
-__all__ = ["Address", "parse_address", "parse_response_object"]
+__all__ = ["Address", "parse_address", "parse_response_object", "read_birth"]
 
 Address = tuple[str, int]
 
@@ -42,6 +43,17 @@
     return match[1].strip("[]"), port
 
 
+def read_birth(table: Mapping[str, Any]) -> int | None:
+    """Return the start of a worker's process, in ms since the Unix epoch, if given.
+
+    Raises
+    ------
+    DecodeError
+        If the field is present and is not a whole number.
+    """
+    return read_integer(table, "born") if "born" in table else None
+
+
 def parse_response_object(response: HttpResponse) -> dict[str, Any]:
     """Decode the body of a response as a JSON object.
 
--- a/trefoilhook/platform/declarations.py
+++ b/trefoilhook/platform/declarations.py
@@ -20,7 +20,7 @@
     read_strings,
 )
 from trefoilhook.exceptions import DecodeError, RequestError
-from trefoilhook.platform.core import parse_address
+from trefoilhook.platform.core import parse_address, read_birth
 from trefoilhook.scheduling import (
     Advice,
     Configuration,
@@ -334,4 +334,5 @@
         labels=read_strings(table, "labels"),
         draining=read_choice(table, "state", _IS_DRAINING),
         remaining_ms=read_number(table, "remaining_ms", default=0.0),
+        born_ms=read_birth(table),
     )
--- a/trefoilhook/platform/tests/test_answers.py
+++ b/trefoilhook/platform/tests/test_answers.py
@@ -58,6 +58,14 @@
         self.assertEqual((running.task, running.percent), (TASK, 41.0))
         self.assertEqual((end.number, end.kind), (58, EndKind.DONE))
 
+    def test_birth(self):
+        # Guards against an answer that is taken for one of another process.
+        self.assertIsNone(self.read().born_ms)
+        self.assertEqual(self.read(born=1783700625106).born_ms, 1783700625106)
+        for value in (None, "1783700625106", 1783700625106.0, True, [], -1):
+            with self.subTest(value=value), self.assertRaises(DecodeError):
+                self.read(born=value)
+
     def test_unreadable_running_rows(self):
         # An unreadable row must neither invalidate the others nor be dropped, because a
         # run that is not listed counts as ended.
--- a/trefoilhook/platform/tests/test_declarations.py
+++ b/trefoilhook/platform/tests/test_declarations.py
@@ -76,6 +76,9 @@
         self.assertEqual(report.capacity, Demand(cpu=16000, memory_mb=32768))
         self.assertEqual(report.labels, ("a", "r1"))
         self.assertFalse(report.draining)
+        self.assertIsNone(report.born_ms)
+        report = read_entry(json.dumps({**ENTRY, "born": 1783700625106}).encode())
+        self.assertEqual(report.born_ms, 1783700625106)
 
     def test_draining_entry(self):
         entry = {**ENTRY, "state": "draining", "remaining_ms": 4000}
@@ -106,6 +109,7 @@
             ("slots", (NO_VALUE, None, "8", True)),
             ("cold_left_ms", (NO_VALUE, None, "0")),
             ("sequence", (NO_VALUE, None, "4")),
+            ("born", (None, "1783700625106", 1783700625106.0, True, [], -1)),
         )
         for field, values in table:
             for value in values:
--- a/trefoilhook/platform/worker_answers.py
+++ b/trefoilhook/platform/worker_answers.py
@@ -19,6 +19,7 @@
     read_number,
 )
 from trefoilhook.exceptions import DecodeError
+from trefoilhook.platform.core import read_birth
 from trefoilhook.scheduling import (
     AttemptEnd,
     EndKind,
@@ -130,12 +131,14 @@
     Raises
     ------
     DecodeError
-        If the clock or a list is missing, so that the answer proves nothing.
+        If the clock or a list is missing, or the birth of the process is unreadable, so
+        that the answer proves nothing.
     """
     table = parse_object(data)
     running, ends, unreadable = _decode_rows(table)
     return PollAnswer(
         clock_ms=read_number(table, "clock_ms"),
+        born_ms=read_birth(table),
         running=tuple(running),
         ends=tuple(ends),
         unreadable=tuple(unreadable),
--- a/trefoilhook/scheduling/messages.py
+++ b/trefoilhook/scheduling/messages.py
@@ -161,12 +161,28 @@
 
 @attrs.frozen(kw_only=True)
 class PollAnswer:
-    """Answer of a worker to a poll; ``clock_ms`` is its monotonic clock, in ms."""
+    """Answer of a worker to a poll.
+
+    Parameters
+    ----------
+    clock_ms : float
+        The worker's monotonic clock, in ms.
+    running : tuple of Running
+        Running attempts.
+    ends : tuple of AttemptEnd
+        Ends that are not acknowledged.
+    unreadable : tuple of UnreadableRow
+        Unreadable rows of both lists.
+    born_ms : int or None
+        Start of the worker's process, in ms since the Unix epoch, if the answer
+        contains it.
+    """
 
     clock_ms: float
     running: tuple[Running, ...]
     ends: tuple[AttemptEnd, ...]
     unreadable: tuple[UnreadableRow, ...] = ()
+    born_ms: int | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/trefoilhook/scheduling/models.py
+++ b/trefoilhook/scheduling/models.py
@@ -272,7 +272,8 @@
     Parameters
     ----------
     worker_id : str
-        Identifies one incarnation of the worker; a restarted worker has another id.
+        Identifies the worker. On platforms without ``born_ms``, a restarted worker has
+        another id.
     service : str
         The service whose tasks it runs.
     host, port : str, int
@@ -287,6 +288,9 @@
         Whether it is about to shut down.
     remaining_ms : float
         Minimum time until it shuts down, in ms, while it drains.
+    born_ms : int or None
+        Start of its process, in ms since the Unix epoch; together with the id it
+        identifies one incarnation. None if the entry does not contain it.
     """
 
     worker_id: str
@@ -298,6 +302,7 @@
     labels: tuple[str, ...] = ()
     draining: bool = False
     remaining_ms: float = 0.0
+    born_ms: int | None = None
 
 
 @attrs.frozen
