Treat a worker that restarts under its id as another incarnation

A worker's id was taken as its incarnation.

A Worker is now one incarnation by id and start of its process, replaced as a whole when an answer or an entry shows a later start; older ones are ignored. Start orders that may still be executed are held on the successor until a stop order rules them out, as an order names the id alone. Crash evidence names incarnations.

--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -17,6 +17,11 @@
 from trefoilhook.scheduling.evacuations import Evacuation, Evacuations
 from trefoilhook.scheduling.features import Features
 from trefoilhook.scheduling.fleet import SLOWEST_CLOCK, Run, Worker
+from trefoilhook.scheduling.incarnations import (
+    apply_report,
+    has_restarted,
+    is_outdated_answer,
+)
 from trefoilhook.scheduling.interference import (
     Interference,
     decode_interference,
@@ -140,11 +145,13 @@
     "encode_progress",
     "extend_lease",
     "find_longest_wait",
+    "is_outdated_answer",
     "is_settled",
     "list_awaited",
     "list_restarts",
     "list_unreported",
     "handle_worker_loss",
+    "has_restarted",
     "measure_backlogs",
     "measure_evacuated",
     "measure_wait",
@@ -153,6 +160,7 @@
     "release_expired",
     "has_fillers_beside_services",
     "apply_poll_answer",
+    "apply_report",
     "apply_start_outcome",
     "apply_stop_outcome",
 ]
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -10,7 +10,7 @@
 from trefoilhook.scheduling.entry_freshness import EntryFreshness
 from trefoilhook.scheduling.evacuations import Evacuations
 from trefoilhook.scheduling.features import Features
-from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
+from trefoilhook.scheduling.fleet import Run, RunPhase, Worker, get_worker_id
 from trefoilhook.scheduling.holds import TakeoverHolds
 from trefoilhook.scheduling.interference import Interference
 from trefoilhook.scheduling.job_state import JobState, TaskState
@@ -273,6 +273,8 @@
             self.workers[report.worker_id] = Worker(report=report)
             return
         worker.report = report
+        if worker.born_ms is None:
+            worker.born_ms = report.born_ms
         worker.usable = True
         worker.listed = True
         worker.has_changed = True
@@ -293,13 +295,18 @@
         if worker is not None:
             worker.listed = False
 
+    def find_incarnation(self, name: str) -> Worker | None:
+        """Return a named incarnation of a worker, unless it has ended."""
+        worker = self.workers.get(get_worker_id(name))
+        return worker if worker is not None and worker.incarnation == name else None
+
     def drop_worker(self, worker_id: str) -> None:
         """Remove a worker that is proved to run nothing; its tasks wait again."""
         worker = self.workers.pop(worker_id, None)
         if worker is None:
             return
         if worker.report.draining and self.suspects.recorded:
-            self.suspects.drained.add(worker_id)
+            self.suspects.drained.add(worker.incarnation)
         self._release_all(worker)
 
     def _release_all(self, worker: Worker) -> None:
--- a/trefoilhook/scheduling/crash_records.py
+++ b/trefoilhook/scheduling/crash_records.py
@@ -50,7 +50,7 @@
         if unit.ran_ms > _MAX_EXPOSURE_MS:
             break
         suspicion = scheduler.suspects.get_or_add(unit.task)
-        suspicion.record_attempt(unit.attempt, worker.report.worker_id)
+        suspicion.record_attempt(unit.attempt, worker.incarnation)
         suspicion.ran_ms = unit.ran_ms
 
 
@@ -81,14 +81,16 @@
             continue
         if task.done or task.attempts:
             continue
-        workers = [scheduler.workers.get(name) for name in suspicion.workers]
+        workers = [scheduler.find_incarnation(name) for name in suspicion.workers]
         if any(
             worker is not None and not worker.has_reported_all for worker in workers
         ):
             unresolved.append(task)
             continue
         lost_workers = [
-            name for name in suspicion.workers if name not in scheduler.workers
+            name
+            for name in suspicion.workers
+            if scheduler.find_incarnation(name) is None
         ]
         if not lost_workers:
             suspicion.clear_attempt()
--- a/trefoilhook/scheduling/crashes.py
+++ b/trefoilhook/scheduling/crashes.py
@@ -83,7 +83,7 @@
     if cause is LossCause.CRASHED or cause in _UNPROVED_CAUSES:
         units, others = partition_runs(scheduler, worker, runs, now_ms)
         suspects = attribute_to_units(
-            scheduler, worker.report.worker_id, units, others, cause, now_ms
+            scheduler, worker.incarnation, units, others, cause, now_ms
         )
     scheduler.suspects.losses.append(
         WorkerLoss(
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -11,7 +11,7 @@
 from trefoilhook.scheduling.slack import LaggedShares, SlackTrack
 from trefoilhook.scheduling.waits import WaitReason
 
-__all__ = ["SLOWEST_CLOCK", "Run", "RunPhase", "Silence", "Worker"]
+__all__ = ["SLOWEST_CLOCK", "Run", "RunPhase", "Silence", "Worker", "get_worker_id"]
 
 SLOWEST_CLOCK = 0.98
 """Minimum rate of a worker's monotonic clock; the platform permits a drift of 2 %."""
@@ -21,6 +21,20 @@
 whole ms and the delay of the worker's timer."""
 
 
+_BIRTH_SEPARATOR = "@"
+"""Separates the id of a worker and the start of its process; not allowed in ids."""
+
+
+def _name_incarnation(worker_id: str, born_ms: int | None) -> str:
+    """Return the name of an incarnation: the id alone if its start is not known."""
+    return worker_id if born_ms is None else f"{worker_id}{_BIRTH_SEPARATOR}{born_ms}"
+
+
+def get_worker_id(incarnation: str) -> str:
+    """Return the id of the worker of a named incarnation."""
+    return incarnation.partition(_BIRTH_SEPARATOR)[0]
+
+
 _PROCESS_ENDED = frozenset(
     {OrderOutcome.CONNECTION_LOST, OrderOutcome.CONNECTION_REFUSED}
 )
@@ -212,6 +226,8 @@
     ----------
     report : WorkerReport
         Its latest entry in the store.
+    born_ms : int or None
+        Start of its process, in ms since the Unix epoch, if the platform tells it.
     listed : bool
         Whether its entry is in the store.
     has_answered_token : bool
@@ -239,8 +255,8 @@
     lease_until_ms : float
         Latest lease deadline granted to it, on its clock, in ms.
     usable : bool
-        Whether its entry is readable and names a known service; otherwise no task is
-        started.
+        Whether its entry is readable, names a known service and describes this
+        incarnation; otherwise no task is started.
     ends_taken : set of int
         Numbers of the ends that were applied and are not acknowledged.
     first_unreadable_end : int or None
@@ -274,6 +290,7 @@
     """
 
     report: WorkerReport
+    born_ms: int | None = attrs.field()
     listed: bool = True
     has_answered_token: bool = False
     has_reported_all: bool = False
@@ -306,6 +323,15 @@
     suspected_runs: int = 0
     is_reserved: bool = False
 
+    @born_ms.default
+    def _default_born_ms(self) -> int | None:
+        return self.report.born_ms
+
+    @property
+    def incarnation(self) -> str:
+        """Name of the incarnation, which differs from that of any restart."""
+        return _name_incarnation(self.report.worker_id, self.born_ms)
+
     @property
     def is_known_alive(self) -> bool:
         """Whether a readable entry of the worker is in the store.
--- a/trefoilhook/scheduling/isolation.py
+++ b/trefoilhook/scheduling/isolation.py
@@ -70,7 +70,7 @@
         return True
     if run.recorded_version is None:
         scheduler.suspects.get_or_add(task).record_attempt(
-            run.attempt, worker.report.worker_id
+            run.attempt, worker.incarnation
         )
         run.recorded_version = state.version
     return state.saved_version >= run.recorded_version
--- a/trefoilhook/scheduling/lease_expiry.py
+++ b/trefoilhook/scheduling/lease_expiry.py
@@ -19,7 +19,10 @@
     """
     expiries: list[LeaseExpiry] = []
     for worker in list(scheduler.workers.values()):
-        if (worker.silence is None and worker.listed) or not worker.has_answered_token:
+        if worker.silence is None and worker.listed:
+            continue
+        # One that has never answered only holds runs that its predecessor left.
+        if not (worker.has_answered_token or worker.runs):
             continue
         if not worker.has_expired_leases(now_ms):
             continue
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -4,6 +4,7 @@
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.crash_records import retract_exposure
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
+from trefoilhook.scheduling.incarnations import resolve_incarnation
 from trefoilhook.scheduling.job_state import Attempt
 from trefoilhook.scheduling.messages import AttemptEnd, EndKind, PollAnswer, Running
 from trefoilhook.scheduling.models import Demand, Step, TaskId
@@ -48,7 +49,10 @@
     now_ms: float,
 ) -> None:
     """Apply the answer of a worker to a poll."""
-    worker = scheduler.workers.get(worker_id)
+    known = scheduler.workers.get(worker_id)
+    if known is None:
+        return
+    worker = resolve_incarnation(scheduler, known, answer.born_ms, now_ms)
     if worker is None:
         return
     _record_answer(scheduler, worker, answer, now_ms)
@@ -79,7 +83,7 @@
     """Record that a worker answers, independently of the content."""
     worker.read_clock(answer, now_ms)
     if not worker.has_answered_token:
-        scheduler.suspects.retract_losses(worker.report.worker_id)
+        scheduler.suspects.retract_losses(worker.incarnation)
         # A previous owner may have just renewed the leases here. Without assuming a
         # full lease, the runs would count as expired and be started again immediately.
         earlier_ms = answer.clock_ms + scheduler.limits.task_lease_ms
--- a/trefoilhook/scheduling/tests/cases.py
+++ b/trefoilhook/scheduling/tests/cases.py
@@ -23,6 +23,7 @@
     UnreadableRow,
     WorkerReport,
     apply_poll_answer,
+    apply_report,
     apply_start_outcome,
     apply_stop_outcome,
     collect_changes,
@@ -68,11 +69,21 @@
     running: dict = attrs.Factory(dict)
     ends: list = attrs.Factory(list)
     starts: list = attrs.Factory(list)
+    born_ms: int | None = None
+    clock_offset_ms: float = CLOCK_OFFSET_MS
+
+    def restart(self, now_ms: float) -> None:
+        """Restart the process under the same id: it holds nothing of before."""
+        self.running.clear()
+        self.ends = []
+        self.born_ms = int(now_ms)
+        self.clock_offset_ms = -now_ms
 
     def answer_poll(self, now_ms: float) -> PollAnswer:
         """Return the answer to a poll."""
         return PollAnswer(
-            clock_ms=now_ms + CLOCK_OFFSET_MS,
+            clock_ms=now_ms + self.clock_offset_ms,
+            born_ms=self.born_ms,
             running=tuple(self.running.values()),
             ends=tuple(self.ends),
         )
@@ -141,7 +152,8 @@
 
     def add_worker(self, worker_id: str, *, cpu: int = 4000, **fields) -> None:
         """Add a worker and poll it once."""
-        self.workers.setdefault(worker_id, FakeWorker(worker_id=worker_id))
+        worker = FakeWorker(worker_id=worker_id, born_ms=fields.get("born_ms"))
+        self.workers.setdefault(worker_id, worker)
         report = WorkerReport(
             worker_id=worker_id,
             service="s",
@@ -151,7 +163,7 @@
             capacity=Demand(cpu=cpu, memory_mb=8000),
             **fields,
         )
-        self.scheduler.update_worker(report)
+        apply_report(self.scheduler, report, self.now_ms)
         self.scheduler.workers[worker_id].is_in_roster = True
         self.poll(worker_id)
 
--- /dev/null
+++ b/trefoilhook/scheduling/tests/test_incarnations.py
@@ -0,0 +1,424 @@
+"""Tests of workers that restart under the id that they had."""
+
+import unittest
+
+import attrs
+
+from trefoilhook.scheduling import (
+    AdviceRequest,
+    EndKind,
+    JobRecord,
+    OrderOutcome,
+    PollAnswer,
+    StartOrder,
+    StopOrder,
+    StopReason,
+    acknowledge,
+    apply_poll_answer,
+    apply_report,
+    decode_progress,
+    encode_progress,
+    handle_worker_loss,
+    is_settled,
+    release_expired,
+)
+from trefoilhook.scheduling.tests.cases import (
+    SMALL,
+    TASK_LEASE_MS,
+    Shard,
+    build_job,
+    list_starts,
+)
+from trefoilhook.scheduling.tests.crash_cases import find_suspicion
+from trefoilhook.scheduling.tickets import Grant, name_step
+
+BORN_MS = 1_000
+
+
+class RestartCase(unittest.TestCase):
+    """Base class: one task runs on the first of two workers, which tell their birth."""
+
+    def setUp(self):
+        self.shard = Shard(workers=0)
+        self.shard.add_worker("w0", born_ms=BORN_MS)
+        self.shard.submit(build_job(SMALL))
+        self.order = self.shard.start_one()
+        self.shard.add_worker("w1", born_ms=BORN_MS)
+        self.shard.poll_all()
+
+    @property
+    def worker(self):
+        """The current incarnation of the first worker."""
+        return self.shard.scheduler.workers["w0"]
+
+    def plan_saved(self) -> list[StartOrder]:
+        """Return the starts of one plan, once the workers of suspects are recorded."""
+        planned = list_starts(self.shard.plan())
+        self.shard.save()
+        return planned + list_starts(self.shard.plan())
+
+    def restart(self) -> int:
+        """Restart the first worker; nobody has seen it yet."""
+        self.shard.advance_time(50.0)
+        self.shard.workers["w0"].restart(self.shard.now_ms)
+        return self.shard.workers["w0"].born_ms
+
+    def write_entry(self, born_ms: int | None, **fields) -> bool:
+        """Apply an entry of the first worker."""
+        report = attrs.evolve(self.worker.report, born_ms=born_ms, **fields)
+        return apply_report(self.shard.scheduler, report, self.shard.now_ms)
+
+    def answer(self, born_ms: int | None, **fields) -> None:
+        """Apply an empty answer of the first worker."""
+        values = {"clock_ms": 10.0, "running": (), "ends": (), **fields}
+        now_ms = self.shard.now_ms
+        apply_poll_answer(
+            self.shard.scheduler,
+            "w0",
+            PollAnswer(born_ms=born_ms, **values),
+            sent_ms=now_ms,
+            now_ms=now_ms,
+        )
+
+
+class SeenInAnswerTest(RestartCase):
+    """The restart is seen in the answer to a poll."""
+
+    def test_task_of_previous_process_restarts_once(self):
+        # Guards against a task that waits for the report of a process that is gone.
+        self.restart()
+        self.shard.poll("w0")
+        (start,) = self.plan_saved()
+        self.assertEqual(start.worker_id, "w1")
+
+    def test_clock_and_leases_begin_again(self):
+        # Guards against leases that never seem to expire, and against deadlines on the
+        # clock of the previous process.
+        earlier_ms = self.worker.lease_until_ms
+        self.restart()
+        self.shard.poll("w0")
+        self.assertLess(self.worker.estimate_clock(self.shard.now_ms), 100.0)
+        self.assertLess(self.worker.lease_until_ms, earlier_ms)
+
+    def test_ends_are_numbered_anew(self):
+        # Guards against ends of the new process that are taken for old ones, and
+        # against acknowledgements of ends that it has not reported.
+        for number in range(3):
+            self.shard.submit(build_job(SMALL, job_id=f"a{number}"))
+            self.shard.end(self.shard.start_one(), EndKind.DONE)
+        self.shard.save()
+        self.assertGreater(acknowledge(self.worker) + len(self.worker.ends_taken), 0)
+        self.restart()
+        self.shard.poll("w0")
+        self.assertEqual(acknowledge(self.worker), 0)
+        self.write_entry(self.shard.workers["w0"].born_ms)
+        self.shard.scheduler.exclude_worker("w1")
+        (start,) = self.plan_saved()
+        self.shard.workers["w0"].run(start)
+        self.shard.end(start, EndKind.DONE)
+        self.assertFalse(self.shard.scheduler.jobs["j"].is_open)
+
+    def test_nothing_starts_before_the_entry_is_renewed(self):
+        # Guards against starts beyond a capacity that was reported by the previous
+        # process: the new one may be of another kind.
+        born_ms = self.restart()
+        self.shard.poll("w0")
+        self.shard.scheduler.exclude_worker("w1")
+        self.assertEqual(self.plan_saved(), [])
+        self.assertTrue(self.write_entry(born_ms))
+        self.assertEqual(len(self.plan_saved()), 1)
+
+    def test_draining_ended_with_the_previous_process(self):
+        self.write_entry(BORN_MS, draining=True, remaining_ms=100.0)
+        self.restart()
+        self.shard.poll("w0")
+        self.assertFalse(self.worker.report.draining)
+
+    def test_learned_state_is_dropped(self):
+        # Guards against avoiding the new process for the faults of the previous one.
+        self.worker.avoid_until_ms = self.shard.now_ms + 60_000.0
+        self.worker.faulty_jobs.update({"a", "b"})
+        step = name_step(self.order.task)
+        request = AdviceRequest(step=step, workers=("w0", "w1"))
+        grants = (Grant(worker_id="w0", ticket="t"),)
+        tickets = self.shard.scheduler.tickets
+        tickets.record_answer(request, grants, until_ms=1e9)
+        self.restart()
+        self.shard.poll("w0")
+        self.assertEqual(self.worker.avoid_until_ms, 0.0)
+        self.assertEqual(self.worker.faulty_jobs, set())
+        self.assertIsNone(tickets.find(step, "w0", self.shard.now_ms))
+
+    def test_answer_of_previous_process_arrives_late(self):
+        # Guards against taking runs of a process that is gone for those of the new one.
+        late = self.shard.workers["w0"].answer_poll(self.shard.now_ms)
+        self.restart()
+        self.shard.poll("w0")
+        current = self.worker
+        self.answer(BORN_MS, running=late.running, clock_ms=late.clock_ms)
+        self.assertIs(self.worker, current)
+        self.assertEqual(self.worker.runs, {})
+
+    def test_answers_without_birth(self):
+        # Earlier deployments do not tell it: one worker is one incarnation.
+        shard = Shard(workers=1)
+        worker = shard.scheduler.workers["w0"]
+        shard.workers["w0"].restart(shard.now_ms)
+        shard.workers["w0"].born_ms = None
+        shard.poll("w0")
+        self.assertIs(shard.scheduler.workers["w0"], worker)
+        self.assertTrue(worker.usable)
+
+
+class SeenInEntryTest(RestartCase):
+    """The restart is seen in the store, while the worker cannot be reached."""
+
+    def test_unreachable_worker_restarts(self):
+        # Guards against a task that waits for a listed but silent worker: it restarted
+        # behind a network partition, faster than its entry expired.
+        self.shard.silence("w0")
+        self.shard.advance_time(2 * TASK_LEASE_MS)
+        self.shard.poll("w1")
+        self.assertTrue(self.write_entry(self.restart()))
+        self.assertEqual(self.worker.runs, {})
+        (start,) = self.plan_saved()
+        self.assertEqual(start.worker_id, "w1")
+
+    def test_nothing_starts_there_before_an_answer(self):
+        self.write_entry(self.restart())
+        self.shard.scheduler.exclude_worker("w1")
+        self.assertEqual(self.shard.plan(), [])
+
+    def test_entry_of_previous_process_arrives_late(self):
+        # Guards against the capacity of a previous process, and against its end.
+        born_ms = self.restart()
+        self.shard.poll("w0")
+        self.write_entry(born_ms)
+        self.assertFalse(self.write_entry(BORN_MS, draining=True))
+        self.assertFalse(self.worker.usable)
+        self.assertFalse(self.worker.report.draining)
+        self.assertTrue(self.write_entry(born_ms))
+        self.assertTrue(self.worker.usable)
+
+    def test_entry_without_birth_is_foreign(self):
+        # Guards against an entry of another writer that ends the runs of a worker.
+        self.assertFalse(self.write_entry(None))
+        self.assertFalse(self.worker.usable)
+        self.assertEqual(len(self.worker.runs), 1)
+        self.shard.poll_all()
+        self.assertEqual(len(self.worker.runs), 1)
+
+    def test_later_entry_is_foreign(self):
+        # Guards against a worker that stays unusable because of an entry with a birth
+        # that it never had: its answers decide.
+        self.write_entry(BORN_MS + 10**12)
+        self.answer(BORN_MS)
+        self.assertEqual((self.worker.born_ms, self.worker.usable), (BORN_MS, False))
+        self.assertTrue(self.write_entry(BORN_MS))
+        self.assertTrue(self.worker.usable)
+
+
+class LateStartTest(RestartCase):
+    """A start order without an answer is executed by the next process."""
+
+    def setUp(self):
+        super().setUp()
+        self.shard.submit(build_job(SMALL, job_id="late"))
+        (self.late,) = list_starts(self.shard.plan())
+        self.worker_id = self.late.worker_id
+        self.shard.answer(self.late, OrderOutcome.NO_ANSWER)
+
+    def find_orders(self, kind: type) -> list:
+        """Return the orders of one plan that concern the late task."""
+        orders = self.shard.plan()
+        self.shard.save()
+        orders += self.shard.plan()
+        return [
+            order
+            for order in orders
+            if isinstance(order, kind) and order.task == self.late.task
+        ]
+
+    def restart_late(self, *, seen_in_entry: bool = False) -> None:
+        """Restart the worker of the late start, and see it."""
+        shard = self.shard
+        shard.advance_time(50.0)
+        shard.workers[self.worker_id].restart(shard.now_ms)
+        born_ms = shard.workers[self.worker_id].born_ms
+        report = shard.scheduler.workers[self.worker_id].report
+        if not seen_in_entry:
+            shard.poll(self.worker_id)
+        report = attrs.evolve(report, born_ms=born_ms)
+        apply_report(shard.scheduler, report, shard.now_ms)
+
+    def test_start_is_ruled_out_first(self):
+        # Guards against two runs of a task, one by an order that outlived a restart.
+        self.restart_late()
+        shard = self.shard
+        (stop,) = self.find_orders(StopOrder)
+        self.assertEqual((stop.attempt, stop.reason), (1_000_001, StopReason.UNCERTAIN))
+        self.assertEqual(self.find_orders(StartOrder), [])
+        shard.answer(stop, OrderOutcome.DONE)
+        shard.advance_time(10.0)
+        shard.poll_all()
+        (start,) = self.find_orders(StartOrder)
+        self.assertGreater(start.attempt, stop.attempt)
+
+    def test_executed_start_is_stopped(self):
+        self.restart_late()
+        shard = self.shard
+        shard.workers[self.worker_id].run(self.late)
+        shard.poll_all()
+        for _ in range(4):
+            shard.step()
+            shard.save()
+        self.assertEqual(shard.count_running("late"), 1)
+
+    def test_silent_successor_holds_the_start_for_its_leases(self):
+        # Guards against a task that waits for ever, and against one that starts while
+        # the order that its worker may have received is still valid.
+        self.restart_late(seen_in_entry=True)
+        shard = self.shard
+        shard.silence(self.worker_id)
+        shard.scheduler.mark_unlisted(self.worker_id)
+        release_expired(shard.scheduler, shard.now_ms)
+        self.assertEqual(self.find_orders(StartOrder), [])
+        shard.advance_time(2.1 * TASK_LEASE_MS)
+        shard.poll("w0" if self.worker_id == "w1" else "w1")
+        release_expired(shard.scheduler, shard.now_ms)
+        self.assertEqual(len(self.find_orders(StartOrder)), 1)
+
+    def test_cancelled_job(self):
+        # Guards against a task that runs on after its job was cancelled.
+        self.restart_late()
+        shard = self.shard
+        shard.scheduler.cancel_job("late", revision=3)
+        shard.workers[self.worker_id].run(self.late)
+        shard.step()
+        self.assertEqual(shard.count_running("late"), 0)
+
+
+class CrashLossTest(RestartCase):
+    """A task that crashes workers which restart under their ids."""
+
+    def crash(self) -> None:
+        """End the process of the first worker, and let it refuse a connection."""
+        shard = self.shard
+        shard.scheduler.entries.note_read(shard.now_ms)
+        shard.silence("w0", OrderOutcome.CONNECTION_LOST)
+        shard.advance_time(200.0)
+        shard.silence("w0", OrderOutcome.CONNECTION_REFUSED)
+        shard.plan()
+
+    def test_answer_of_successor_retracts_nothing(self):
+        # Guards against a crash loop that is never found.
+        self.crash()
+        self.restart()
+        self.shard.poll("w0")
+        self.shard.poll("w0")
+        self.assertEqual(find_suspicion(self.shard).crashes, 1)
+
+    def test_same_process_answers_again(self):
+        self.crash()
+        handle_worker_loss(self.shard.scheduler, self.worker, self.shard.now_ms)
+        self.assertEqual(find_suspicion(self.shard).crashes, 1)
+        self.shard.add_worker("w0", born_ms=BORN_MS)
+        suspicion = find_suspicion(self.shard)
+        self.assertEqual(suspicion.crashes if suspicion is not None else 0, 0)
+
+    def test_owner_dies_between_crash_and_restart(self):
+        # Guards against a next owner that takes the successor for the worker that
+        # crashed, and drops the evidence.
+        self.crash()
+        self.restart()
+        later = take_over(self.shard)
+        later.plan()
+        self.assertEqual(find_suspicion(later).crashes, 1)
+
+    def test_owner_dies_after_recorded_start(self):
+        self.crash()
+        self.restart()
+        self.shard.poll("w0")
+        (start,) = self.plan_saved()
+        self.shard.workers[start.worker_id].restart(self.shard.now_ms)
+        later = take_over(self.shard)
+        later.plan()
+        self.assertEqual(find_suspicion(later).unproved_losses, 1)
+
+
+class TakeoverTest(RestartCase):
+    """The owner is killed between a restart and its detection."""
+
+    def test_task_of_previous_process_restarts_once(self):
+        # Guards against a next owner that waits for a worker of the roster whose
+        # process is gone, although its id answers.
+        self.restart()
+        later = take_over(self.shard)
+        self.assertTrue(is_settled(later.scheduler, ["w0", "w1"], later.now_ms))
+        later.settled = True
+        (start,) = list_starts(later.step())
+        self.assertEqual(start.worker_id, "w1")
+        self.assertEqual(later.count_running(), 1)
+
+    def test_late_start_runs_on_the_next_process(self):
+        # Guards against a second run of a task whose order outlived both the process
+        # that it was meant for and its sender.
+        self.restart()
+        self.shard.workers["w0"].run(self.order)
+        later = take_over(self.shard)
+        later.settled = True
+        self.assertEqual(list_starts(later.step()), [])
+        self.assertEqual(later.count_running(), 1)
+
+    def test_late_start_of_cancelled_job(self):
+        # Guards against a run that nobody stops: its starter is gone, and its job was
+        # cancelled before it began.
+        self.shard.scheduler.cancel_job("j", revision=3)
+        self.shard.save()
+        self.restart()
+        later = take_over(self.shard)
+        later.workers["w0"].run(self.order)
+        later.poll_all()
+        later.step()
+        self.assertEqual(later.count_running(), 0)
+
+    def test_restart_during_takeover(self):
+        # Guards against runs that the new owner holds for ever: the worker restarts
+        # after it has answered the new owner.
+        later = take_over(self.shard)
+        self.assertEqual(len(later.scheduler.workers["w0"].runs), 1)
+        later.advance_time(50.0)
+        later.workers["w0"].restart(later.now_ms)
+        later.poll("w0")
+        later.settled = True
+        self.assertEqual(later.scheduler.workers["w0"].runs, {})
+        later.plan()
+        later.save()
+        (start,) = list_starts(later.plan())
+        self.assertEqual(start.worker_id, "w1")
+
+
+def take_over(first: Shard) -> Shard:
+    """Return the shard of the next owner, loaded from what was saved."""
+    later = Shard(workers=0, epoch=first.scheduler.epoch + 1, settled=False)
+    later.now_ms = first.now_ms + 500.0
+    later.scheduler.entries.note_read(later.now_ms)
+    later.workers = first.workers
+    for state in first.scheduler.jobs.values():
+        later.scheduler.add_job(
+            JobRecord(job=state.job, phase=state.phase),
+            revision=9,
+            is_new=False,
+            wall_ms=later.now_ms,
+            progress=decode_progress(encode_progress(state.progress)),
+            progress_revision=9,
+        )
+    # The entries are those of the processes that the first owner knew.
+    for worker_id, worker in first.scheduler.workers.items():
+        later.add_worker(worker_id, born_ms=worker.report.born_ms)
+    later.settled = True
+    return later
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilhook/scheduling/tickets.py
+++ b/trefoilhook/scheduling/tickets.py
@@ -90,6 +90,13 @@
         """Remove a ticket that a worker has rejected."""
         self._tickets.get(step, {}).pop(worker_id, None)
 
+    def drop_worker(self, worker_id: str) -> None:
+        """Remove all decisions on a worker whose process has restarted."""
+        for tickets in self._tickets.values():
+            tickets.pop(worker_id, None)
+        for refused in self._refused.values():
+            refused.discard(worker_id)
+
     def forget(self, job_id: str) -> None:
         """Remove all entries of an ended job."""
         steps = {*self._tickets, *self._refused, *self.wanted}
