Poll each incarnation of a worker, and let the stand-in restart under its id

The owner replaces its poller when an entry shows a restart, discards answers to polls and orders that were sent to a replaced incarnation, and acknowledges no ends to a worker that failed a call and may have restarted.

--- a/trefoilhook/runtime/orders.py
+++ b/trefoilhook/runtime/orders.py
@@ -48,6 +48,7 @@
         Counts orders by kind and outcome.
     """
     outcome = OrderOutcome.WITHDRAWN
+    worker = scheduler.workers.get(order.worker_id)
     is_due = not isinstance(order, StartOrder) or confirm_start(
         scheduler, order, clock.monotonic_ms()
     )
@@ -57,7 +58,13 @@
     if isinstance(order, PaceOrder):
         # The scheduler repeats the order as long as the pace has to change.
         return outcome
-    worker = scheduler.workers.get(order.worker_id)
+    current = scheduler.workers.get(order.worker_id)
+    is_replaced = current is not None and current is not worker
+    if is_replaced and outcome is not OrderOutcome.FENCED:
+        # The answer proves nothing about the incarnation that has replaced the worker.
+        _log(order, outcome, None)
+        return outcome
+    worker = current
     if outcome is OrderOutcome.OTHER_INCARNATION and worker is not None:
         log_restart(worker, clock.monotonic_ms())
     run = worker.runs.get((order.task, order.attempt)) if worker is not None else None
--- a/trefoilhook/runtime/polling.py
+++ b/trefoilhook/runtime/polling.py
@@ -24,6 +24,8 @@
     extend_lease,
     handle_worker_loss,
     has_fillers_beside_services,
+    has_restarted,
+    is_outdated_answer,
 )
 
 __all__ = ["WorkerPoller"]
@@ -110,7 +112,13 @@
             sent_ms = self._clock.monotonic_ms()
             result = await self._poll(worker, client, sent_ms)
             self._metrics.count("looks")
+            if self._scheduler.workers.get(worker_id) is not worker:
+                # Meanwhile replaced by its next incarnation, or removed.
+                break
             if isinstance(result, PollAnswer):
+                if has_restarted(worker, result.born_ms):
+                    log_restart(worker, self._clock.monotonic_ms())
+                    self._metrics.count("worker_restarts", "answer")
                 outages.record_answer(sent_ms=sent_ms)
                 self._log_ends(worker, result)
                 is_first = not worker.has_answered_token
@@ -122,7 +130,10 @@
                     sent_ms=sent_ms,
                     now_ms=self._clock.monotonic_ms(),
                 )
-                log_unlisted(worker, held, result)
+                current = self._scheduler.workers[worker_id]
+                if current is worker:
+                    log_unlisted(worker, held, result)
+                worker = current
                 self._notify()
                 if is_first:
                     self._on_first_answer()
@@ -152,6 +163,10 @@
             return OrderOutcome.NO_ANSWER
         if not isinstance(result, PollAnswer):
             return result
+        if is_outdated_answer(worker, result.born_ms):
+            reason = "born: of an earlier incarnation"
+            self._rejections.report(Event.ANSWER_INVALID, worker_id, reason)
+            return OrderOutcome.NO_ANSWER
         if not result.unreadable:
             self._rejections.accept(Event.ANSWER_INVALID, worker_id)
         for row in result.unreadable:
@@ -208,9 +223,12 @@
         if worker.silence is not None:
             # No new deadline: an unanswered poll may take effect late, so each one
             # would postpone the time from which the tasks may be started elsewhere.
+            # Its process may have restarted under the same id; an acknowledgement would
+            # then discard ends that the new process has not reported yet.
+            may_have_restarted = worker.born_ms is not None
             return PollRequest(
                 token=self._ownership.epoch,
-                acknowledged=worker.acknowledged,
+                acknowledged=0 if may_have_restarted else worker.acknowledged,
                 deadline_ms=None,
                 wait_ms=0,
             )
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -274,6 +274,7 @@
             clock=self._clock,
             scheduler=self._scheduler,
             rejections=self._rejections,
+            metrics=self._metrics,
             read_configuration=self._read_configuration,
             on_new_worker=functools.partial(self._add_worker, nursery),
             notify=self._wake_for_workers,
--- a/trefoilhook/runtime/workerfeed.py
+++ b/trefoilhook/runtime/workerfeed.py
@@ -14,8 +14,16 @@
     decode_worker_report,
 )
 from trefoilhook.runtime.following import follow
+from trefoilhook.runtime.losses import log_restart
+from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.rejections import Rejections
-from trefoilhook.scheduling import Configuration, Scheduler, WorkerReport
+from trefoilhook.scheduling import (
+    Configuration,
+    Scheduler,
+    WorkerReport,
+    apply_report,
+    has_restarted,
+)
 
 __all__ = ["WorkerFeed"]
 
@@ -33,6 +41,8 @@
         Receives the workers.
     rejections : Rejections
         Receives unreadable entries.
+    metrics : ProcessMetrics
+        Counts restarts of workers.
     read_configuration : callable
         Returns the configuration in force.
     on_new_worker : callable
@@ -48,6 +58,7 @@
         clock: Clock,
         scheduler: Scheduler,
         rejections: Rejections,
+        metrics: ProcessMetrics,
         read_configuration: Callable[[], Configuration],
         on_new_worker: Callable[[WorkerReport], None],
         notify: Callable[[], None],
@@ -56,6 +67,7 @@
         self._clock = clock
         self._scheduler = scheduler
         self._rejections = rejections
+        self._metrics = metrics
         self._read_configuration = read_configuration
         self._on_new_worker = on_new_worker
         self._notify = notify
@@ -120,8 +132,17 @@
             )
             self._scheduler.exclude_worker(item.key.removeprefix(WORKER_PREFIX))
             return
-        self._rejections.accept(Event.REPORT_INVALID, item.key)
-        is_new = report.worker_id not in self._scheduler.workers
-        self._scheduler.update_worker(report)
-        if is_new:
+        known = self._scheduler.workers.get(report.worker_id)
+        now_ms = self._clock.monotonic_ms()
+        if known is not None and has_restarted(known, report.born_ms):
+            log_restart(known, now_ms)
+            self._metrics.count("worker_restarts", "entry")
+        if apply_report(self._scheduler, report, now_ms):
+            self._rejections.accept(Event.REPORT_INVALID, item.key)
+        else:
+            reason = "born: not that of the worker's answers"
+            self._rejections.report(
+                Event.REPORT_INVALID, item.key, reason, revision=item.revision
+            )
+        if self._scheduler.workers[report.worker_id] is not known:
             self._on_new_worker(report)
--- a/trefoilhook/standins/platform_worker.py
+++ b/trefoilhook/standins/platform_worker.py
@@ -14,6 +14,10 @@
 __all__ = ["PlatformWorker", "TaskRecord", "WorkerFault"]
 
 
+_MAX_LEASE_MS = 6000.0
+"""Maximum lease, to which a longer one is shortened, in ms."""
+
+
 class WorkerFault(enum.Enum):
     """Faults of the worker."""
 
@@ -134,6 +138,8 @@
         self.capacity = {"cpu": 4000, "mem_mb": 8000, "gpu": 0}
         self.calls = 0
         self._is_powered_off = False
+        self.born_ms = int(clock.wall_ms())
+        self._clock_started_ms = 0.0
         self.malformed_running: list[Any] = []
         self.malformed_ends: list[Any] = []
         self.outcome_overrides: dict[str, str] = {}
@@ -142,7 +148,8 @@
         )
 
     def _read_local_clock(self) -> float:
-        return self._clock.monotonic_ms() * self._clock_rate
+        elapsed_ms = self._clock.monotonic_ms() - self._clock_started_ms
+        return elapsed_ms * self._clock_rate
 
     def describe(self, service: str, *, port: int | None = None) -> dict[str, Any]:
         """Return the entry of the worker in the store.
@@ -166,6 +173,7 @@
             "labels": ["a", "r1"],
             "clock_ms": int(self._read_local_clock()),
             "sequence": 1,
+            "born": self.born_ms,
         }
 
     async def run(
@@ -210,6 +218,9 @@
         self._end_count += 1
         self._unacknowledged_ends.append((self._end_count, record))
         self._settle_attempt(record.task, record.attempt)
+        self._notify_change()
+
+    def _notify_change(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
 
@@ -230,11 +241,37 @@
         """
         self._is_powered_off = True
         self.crash()
+        self._notify_change()
+
+    async def restart(self, *, down_ms: float) -> None:
+        """Crash the worker and start it again under its id.
+
+        The new process holds nothing of before, and its counts and its clock begin
+        again; the entry in the store is left to the caller.
+
+        Parameters
+        ----------
+        down_ms : float
+            Time for which it does not respond, in ms.
+        """
+        self.power_off()
+        await self._clock.sleep_ms(down_ms)
+        self._highest_token = 0
+        self._deadline_ms = 0.0
+        self._unacknowledged_ends = []
+        self._end_count = 0
+        self._settled_attempts = {}
+        self._clock_started_ms = self._clock.monotonic_ms()
+        self.born_ms = max(self.born_ms + 1, int(self._clock.wall_ms()))
+        self._is_powered_off = False
 
     async def _handle_request(self, request: HttpRequest) -> HttpResponse:
         self.calls += 1
         await self._block_while_silent()
+        born_ms = self.born_ms
         response = await self._dispatch(request)
+        if self._is_powered_off or self.born_ms != born_ms:
+            raise trio.BrokenResourceError
         # A call that arrived before the fault was set must not be answered either.
         await self._block_while_silent()
         return response
@@ -280,7 +317,7 @@
     def _start(self, body: dict[str, Any]) -> HttpResponse:
         now_ms = self._clock.monotonic_ms()
         task, attempt = body["task"], body["attempt"]
-        self._deadline_ms = max(self._deadline_ms, body["deadline_ms"])
+        self._extend_leases(body["deadline_ms"])
         for record in self._list_running():
             if (record.task, record.attempt) == (task, attempt):
                 return self._reply({})
@@ -299,6 +336,10 @@
         )
         return self._reply({})
 
+    def _extend_leases(self, deadline_ms: float) -> None:
+        longest_ms = self._read_local_clock() + _MAX_LEASE_MS
+        self._deadline_ms = max(self._deadline_ms, min(deadline_ms, longest_ms))
+
     def _stop(self, body: dict[str, Any]) -> HttpResponse:
         for record in self._list_running():
             if (record.task, record.attempt) == (body["task"], body["attempt"]):
@@ -307,14 +348,14 @@
         return self._reply({})
 
     async def _hold(self, body: dict[str, Any]) -> HttpResponse:
-        self._deadline_ms = max(self._deadline_ms, body.get("deadline_ms", 0))
+        self._extend_leases(body.get("deadline_ms", 0))
         for number, record in self._unacknowledged_ends:
             record.acknowledged = record.acknowledged or number <= body["acked"]
         self._unacknowledged_ends = [
             end for end in self._unacknowledged_ends if end[0] > body["acked"]
         ]
         with trio.move_on_after(body.get("wait_ms", 0) / 1000.0):
-            while not self._unacknowledged_ends:
+            while not (self._unacknowledged_ends or self._is_powered_off):
                 await self._changed.wait()
         running = [[r.task, r.attempt, "", 10, 0] for r in self._list_running()]
         ends = [
@@ -330,6 +371,7 @@
 
     def _reply(self, value: dict[str, Any]) -> HttpResponse:
         value["clock_ms"] = int(self._read_local_clock())
+        value["born"] = self.born_ms
         return HttpResponse.from_json(value)
 
     def _refuse(self, reason: str) -> HttpResponse:
