Rule out unanswered starts again after a restart, also released ones

A start that got no answer and was ruled out by a stop is ruled out for the process that answered the stop only; the next process under the id would execute the order if it arrives then. Released runs whose order was never answered are kept per worker (64 at most) and stopped on the successor while they may still arrive.

--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -21,6 +21,10 @@
 whole ms and the delay of the worker's timer."""
 
 
+_MAX_UNANSWERED_STARTS = 64
+"""Number of released runs that are kept per worker in case it restarts: more than the
+tasks that it can hold."""
+
 _BIRTH_SEPARATOR = "@"
 """Separates the id of a worker and the start of its process; not allowed in ids."""
 
@@ -266,6 +270,9 @@
         saved.
     acknowledged : int
         Number up to which the worker may discard ends.
+    unanswered_starts : deque of Run
+        Its latest released runs with a start order that was never answered, which a
+        next incarnation might still execute.
     silence : Silence or None
         Set if an order or a poll has failed since the last answered poll.
     has_awaited_runs : bool
@@ -312,6 +319,9 @@
         collections.deque
     )
     acknowledged: int = 0
+    unanswered_starts: collections.deque[Run] = attrs.Factory(
+        lambda: collections.deque(maxlen=_MAX_UNANSWERED_STARTS)
+    )
     silence: Silence | None = None
     has_awaited_runs: bool = False
     faulty_jobs: set[str] = attrs.Factory(set)
@@ -425,6 +435,8 @@
         """Remove a run that is proved over and free its capacity."""
         if self.runs.pop((run.task, run.attempt), None) is None:
             return
+        if run.ambiguous and self.born_ms is not None:
+            self.unanswered_starts.append(run)
         self.pending_runs.pop(run, None)
         self.cpu -= run.room.cpu
         self.memory_mb -= run.room.memory_mb
--- a/trefoilhook/scheduling/incarnations.py
+++ b/trefoilhook/scheduling/incarnations.py
@@ -25,8 +25,8 @@
 ]
 
 _LEASES_OF_LATE_START = 2.0
-"""Leases for which a start that was transferred to a silent successor is held: an
-order is valid for one lease, and the attempt runs for one more."""
+"""Leases for which an unanswered start may still lead to a run: an order is valid for
+one lease, and the attempt runs for one more."""
 
 
 def has_restarted(worker: Worker, born_ms: int | None) -> bool:
@@ -104,7 +104,13 @@
 ) -> Worker:
     """Replace a worker by its next incarnation; its tasks wait again."""
     attribute_loss(scheduler, worker, now_ms)
-    unresolved = [run for run in worker.runs.values() if _may_still_start(run)]
+    valid_ms = _LEASES_OF_LATE_START * scheduler.limits.task_lease_ms
+    held = [run for run in worker.runs.values() if _may_still_start(run)]
+    unresolved = [
+        run
+        for run in [*worker.unanswered_starts, *held]
+        if now_ms - run.started_ms < valid_ms
+    ]
     for run in unresolved:
         worker.release(run)
     scheduler.drop_worker(report.worker_id)
@@ -114,9 +120,7 @@
     successor.is_in_roster = worker.is_in_roster
     if unresolved:
         successor.clock_read_ms = now_ms
-        successor.lease_until_ms = (
-            _LEASES_OF_LATE_START * scheduler.limits.task_lease_ms
-        )
+        successor.lease_until_ms = valid_ms
     for run in unresolved:
         _transfer(scheduler, successor, run)
     return successor
@@ -137,7 +141,9 @@
     task = state.find_task(run.task) if state is not None else None
     if task is not None:
         task.detach(run)
-        task.attempts.append(Attempt(worker=successor, run=run))
+        if not task.done and not task.attempts:
+            task.attempts.append(Attempt(worker=successor, run=run))
+            scheduler.waiting.discard(task)
     run.ambiguous = True
     run.is_confirmed = run.in_flight = run.is_sent = False
     run.phase = RunPhase.STARTING
--- a/trefoilhook/scheduling/tests/test_incarnations.py
+++ b/trefoilhook/scheduling/tests/test_incarnations.py
@@ -274,6 +274,40 @@
             shard.save()
         self.assertEqual(shard.count_running("late"), 1)
 
+    def test_start_that_was_ruled_out_before(self):
+        # Guards against a second run of a task: the stop that ruled its start out was
+        # answered by the previous process, which the next one knows nothing of.
+        shard = self.shard
+        shard.scheduler.cancel_job("late", revision=3)
+        (stop,) = self.find_orders(StopOrder)
+        shard.answer(stop, OrderOutcome.DONE)
+        shard.advance_time(10.0)
+        shard.poll_all()
+        worker = shard.scheduler.workers[self.worker_id]
+        self.assertNotIn((self.late.task, self.late.attempt), worker.runs)
+        self.restart_late()
+        (again,) = self.find_orders(StopOrder)
+        self.assertEqual((again.task, again.attempt), (stop.task, stop.attempt))
+
+    def test_waiting_task_is_held(self):
+        # Guards against a second run while the next process may execute the first
+        # start: the task waited again, as the previous process had ruled it out.
+        shard = self.shard
+        worker = shard.scheduler.workers[self.worker_id]
+        run = worker.runs[self.late.task, self.late.attempt]
+        shard.scheduler.finish_run(worker, run, EndKind.LEASE_EXPIRED, "")
+        self.restart_late()
+        self.assertEqual(self.find_orders(StartOrder), [])
+
+    def test_old_start_is_not_held(self):
+        # Guards against a task that stays bound to a process that is gone.
+        run = self.shard.scheduler.workers[self.worker_id].runs[
+            self.late.task, self.late.attempt
+        ]
+        run.started_ms -= 10 * TASK_LEASE_MS
+        self.restart_late()
+        self.assertEqual(len(self.find_orders(StartOrder)), 1)
+
     def test_silent_successor_holds_the_start_for_its_leases(self):
         # Guards against a task that waits for ever, and against one that starts while
         # the order that its worker may have received is still valid.
