Name incarnations in the roster, and describe restarts under an id

The roster named ids. A next owner waited for a listed worker that it couldn't reach, even if its entry showed that the process that the roster meant was over, and started nothing for as long as the partition lasted. The roster now holds incarnations; after the leases an entry of a later one doesn't keep the shard unsettled.

--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -62,7 +62,7 @@
     Attributes
     ----------
     workers : tuple of str
-        Roster in the store.
+        Incarnations in the roster in the store.
     """
 
     def __init__(
@@ -109,9 +109,9 @@
     async def run(self) -> None:
         """Add workers as they answer and, once settled, remove those that are gone."""
         while True:
-            workers = self._scheduler.workers
+            workers = self._scheduler.workers.values()
             wanted = tuple(
-                sorted(i for i, worker in workers.items() if worker.has_answered_token)
+                sorted(each.incarnation for each in workers if each.has_answered_token)
             )
             if set(wanted) - set(self.workers) or (
                 self._settled and wanted != self.workers
@@ -149,8 +149,8 @@
         except StoreError:
             return False
         self.workers = roster
-        for worker_id in roster:
-            worker = self._scheduler.workers.get(worker_id)
+        for name in roster:
+            worker = self._scheduler.find_incarnation(name)
             if worker is not None:
                 worker.is_in_roster = True
         self._notify()
--- a/trefoilhook/runtime/settlement.py
+++ b/trefoilhook/runtime/settlement.py
@@ -38,7 +38,7 @@
     Attributes
     ----------
     roster : tuple of str
-        Workers on which a previous owner may have started a task.
+        Incarnations of workers on which a previous owner may have started a task.
     is_settled : bool
         Whether the outcome of all tasks started by previous owners is known.
     """
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -371,7 +371,7 @@
         client = WorkerClient(report=report, read_timeout=self._read_timeout)
         self._clients[report.worker_id] = client
         worker = self._scheduler.workers[report.worker_id]
-        worker.is_in_roster = report.worker_id in self._roster.workers
+        worker.is_in_roster = worker.incarnation in self._roster.workers
         nursery.start_soon(self._run_poller, worker, client)
 
     async def _run_poller(self, worker: Worker, client: WorkerClient) -> None:
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -296,9 +296,14 @@
             worker.listed = False
 
     def find_incarnation(self, name: str) -> Worker | None:
-        """Return a named incarnation of a worker, unless it has ended."""
+        """Return a named incarnation of a worker, unless it has ended.
+
+        A name without the start of the process stands for any incarnation.
+        """
         worker = self.workers.get(get_worker_id(name))
-        return worker if worker is not None and worker.incarnation == name else None
+        if worker is None or name not in (worker.incarnation, worker.report.worker_id):
+            return None
+        return worker
 
     def drop_worker(self, worker_id: str) -> None:
         """Remove a worker that is proved to run nothing; its tasks wait again."""
--- a/trefoilhook/scheduling/incarnations.py
+++ b/trefoilhook/scheduling/incarnations.py
@@ -67,7 +67,6 @@
     if worker is None or worker.born_ms in (None, report.born_ms):
         scheduler.update_worker(report)
         return True
-    worker.listed = True
     scheduler.exclude_worker(report.worker_id)
     return False
 
@@ -92,6 +91,7 @@
         )
         successor = _replace(scheduler, worker, report, now_ms)
         successor.usable = False
+        successor.listed = worker.listed
         return successor
     if born_ms is not None and worker.born_ms != born_ms:
         worker.born_ms = born_ms
@@ -117,7 +117,6 @@
     scheduler.tickets.drop_worker(report.worker_id)
     scheduler.update_worker(report)
     successor = scheduler.workers[report.worker_id]
-    successor.is_in_roster = worker.is_in_roster
     if unresolved:
         successor.clock_read_ms = now_ms
         successor.lease_until_ms = valid_ms
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -5,7 +5,7 @@
 from trefoilhook.scheduling.assignment import assign_waiting
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.crash_records import record_exposure, resolve_recorded
-from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
+from trefoilhook.scheduling.fleet import Run, RunPhase, Worker, get_worker_id
 from trefoilhook.scheduling.isolation import is_placement_recorded
 from trefoilhook.scheduling.lease_expiry import withdraw_start
 from trefoilhook.scheduling.messages import (
@@ -41,7 +41,7 @@
     scheduler : Scheduler
         Scheduler of the shard.
     roster : iterable of str
-        Ids of workers on which a previous owner may have started a task.
+        Incarnations of workers on which a previous owner may have started a task.
     now_ms : float
         Current time, in ms.
 
@@ -52,6 +52,8 @@
     unreachable worker is given up once the longest lease has expired and its entry is
     no longer in the store. While the entry exists, the worker is alive and may hold the
     end of a completed task, which would run twice if it were started again elsewhere.
+    An entry of a later incarnation does not count: its process holds no such end, and
+    only the leases of starts that may have reached it are waited for.
     """
     return not list_awaited(scheduler, roster, now_ms)
 
@@ -63,15 +65,20 @@
     unreported = list_unreported(scheduler, roster)
     if now_ms < scheduler.limits.settled_at_ms:
         return unreported
-    known = ((name, scheduler.workers.get(name)) for name in unreported)
     return [
-        name for name, worker in known if worker is not None and worker.is_known_alive
+        name
+        for name in unreported
+        if (worker := scheduler.find_incarnation(name)) is not None
+        and worker.is_known_alive
     ]
 
 
-def list_unreported(scheduler: Scheduler, worker_ids: Iterable[str]) -> list[str]:
-    """Return the workers that have not yet reported all runs and ends to this owner."""
-    workers = ((name, scheduler.workers.get(name)) for name in worker_ids)
+def list_unreported(scheduler: Scheduler, names: Iterable[str]) -> list[str]:
+    """Return the workers that have not yet reported all runs and ends to this owner.
+
+    The report of a later incarnation counts, as its predecessor runs nothing.
+    """
+    workers = ((name, scheduler.workers.get(get_worker_id(name))) for name in names)
     return [
         name
         for name, worker in workers
--- a/trefoilhook/scheduling/tests/test_incarnations.py
+++ b/trefoilhook/scheduling/tests/test_incarnations.py
@@ -52,7 +52,9 @@
         return self.shard.scheduler.workers["w0"]
 
     def plan_saved(self) -> list[StartOrder]:
-        """Return the starts of one plan, once the workers of suspects are recorded."""
+        """Return the starts of one plan, once the store has roster and suspects."""
+        for worker in self.shard.scheduler.workers.values():
+            worker.is_in_roster = worker.has_answered_token
         planned = list_starts(self.shard.plan())
         self.shard.save()
         return planned + list_starts(self.shard.plan())
@@ -416,6 +418,20 @@
         later.step()
         self.assertEqual(later.count_running(), 0)
 
+    def test_unreachable_successor_is_not_awaited(self):
+        # Guards against a shard that no task is started in for as long as a worker is
+        # cut off from the next owner: its process restarted, and the entry is renewed.
+        born_ms = self.restart()
+        self.write_entry(born_ms)
+        roster = [f"w0@{BORN_MS}", f"w1@{BORN_MS}"]
+        later = take_over(self.shard, unreachable="w0")
+        self.assertFalse(is_settled(later.scheduler, roster, later.now_ms))
+        later.advance_time(10_000.0)
+        self.assertTrue(is_settled(later.scheduler, roster, later.now_ms))
+        for name in ("w0", f"w0@{born_ms}"):
+            roster[0] = name
+            self.assertFalse(is_settled(later.scheduler, roster, later.now_ms))
+
     def test_restart_during_takeover(self):
         # Guards against runs that the new owner holds for ever: the worker restarts
         # after it has answered the new owner.
@@ -432,7 +448,7 @@
         self.assertEqual(start.worker_id, "w1")
 
 
-def take_over(first: Shard) -> Shard:
+def take_over(first: Shard, *, unreachable: str = "") -> Shard:
     """Return the shard of the next owner, loaded from what was saved."""
     later = Shard(workers=0, epoch=first.scheduler.epoch + 1, settled=False)
     later.now_ms = first.now_ms + 500.0
@@ -449,6 +465,9 @@
         )
     # The entries are those of the processes that the first owner knew.
     for worker_id, worker in first.scheduler.workers.items():
+        if worker_id == unreachable:
+            apply_report(later.scheduler, worker.report, later.now_ms)
+            continue
         later.add_worker(worker_id, born_ms=worker.report.born_ms)
     later.settled = True
     return later
--- a/trefoilhook/soak/core.py
+++ b/trefoilhook/soak/core.py
@@ -103,6 +103,7 @@
             rng=random.Random(settings.seed + 1),
             resize_rng=random.Random(settings.seed + 3),
             evacuation_rng=random.Random(settings.seed + 4),
+            restart_rng=random.Random(settings.seed + 5),
         )
         try:
             await fleet.start(instances=settings.instances, workers=settings.workers)
--- a/trefoilhook/soak/faults.py
+++ b/trefoilhook/soak/faults.py
@@ -26,6 +26,20 @@
 _MEAN_RESIZE_PAUSE_S = 1.0
 """Mean pause between two changes of a worker's capacity, in s."""
 
+_MEAN_RESTART_PAUSE_S = 2.0
+"""Mean pause between two restarts of workers under their ids, in s."""
+
+_MIN_DOWN_MS = 20.0
+_MAX_DOWN_MS = 1500.0
+"""Range of the durations of such restarts, in ms: shorter than a poll's pause up to
+several polls, and always shorter than the life of a worker's entry."""
+
+_CUT_RESTART_SHARE = 0.5
+"""Fraction of these restarts that a network partition hides."""
+
+_MAX_CUT_S = 2.0
+"""Maximum time for which the partition outlasts the restart, in s."""
+
 _MEAN_EVACUATION_PAUSE_S = 3.0
 """Mean pause between attempts to start an evacuation, in s; two may overlap."""
 
@@ -75,6 +89,8 @@
         Random generator for changes of worker capacity.
     evacuation_rng : random.Random
         Random generator for evacuations of failure domains.
+    restart_rng : random.Random
+        Random generator for restarts of workers under their ids.
 
     Attributes
     ----------
@@ -90,7 +106,9 @@
         rng: random.Random,
         resize_rng: random.Random,
         evacuation_rng: random.Random,
+        restart_rng: random.Random,
     ) -> None:
+        self._restart_rng = restart_rng
         self._evacuation_rng = evacuation_rng
         self._resize_rng = resize_rng
         self._fleet = fleet
@@ -103,6 +121,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._resize_workers, duration_s)
             nursery.start_soon(self._run_evacuations, duration_s)
+            nursery.start_soon(self._restart_workers, duration_s)
             with trio.move_on_after(duration_s):
                 while True:
                     await trio.sleep(self._rng.expovariate(1.0 / _MEAN_PAUSE_S))
@@ -128,6 +147,34 @@
         for worker_index in self._fleet.workers:
             self._fleet.resize_worker(worker_index, WORKER_CPU)
 
+    async def _restart_workers(self, duration_s: float) -> None:
+        """Restart random workers under their ids for the given time."""
+        async with trio.open_nursery() as nursery:
+            with trio.move_on_after(duration_s):
+                while True:
+                    pause_s = self._restart_rng.expovariate(1.0 / _MEAN_RESTART_PAUSE_S)
+                    await trio.sleep(pause_s)
+                    nursery.start_soon(self._restart_worker)
+
+    async def _restart_worker(self) -> None:
+        rng = self._restart_rng
+        worker_index = rng.choice(sorted(self._fleet.workers))
+        down_ms = rng.uniform(_MIN_DOWN_MS, _MAX_DOWN_MS)
+        is_cut = rng.random() < _CUT_RESTART_SHARE
+        cut_s = rng.uniform(0.0, _MAX_CUT_S)
+        is_listed_late = rng.random() < _CUT_RESTART_SHARE
+        self._record(f"restart worker {worker_index}{' behind a cut' * is_cut}")
+        link = self._fleet.workers[worker_index].link
+        if is_cut:
+            link.set(CutSettings(partition=Partition.SILENT))
+        await self._fleet.restart_worker(worker_index, down_ms=down_ms)
+        if not is_listed_late:
+            self._fleet.register_worker(worker_index)
+        if is_cut:
+            await trio.sleep(cut_s)
+            link.set(CutSettings())
+        self._fleet.register_worker(worker_index)
+
     async def _run_evacuations(self, duration_s: float) -> None:
         """Start random evacuations for the given time; return once all have ended."""
         async with trio.open_nursery() as nursery:
--- a/trefoilhook/soak/fleet.py
+++ b/trefoilhook/soak/fleet.py
@@ -310,6 +310,15 @@
         await self._clock.sleep_ms(_DEREGISTRATION_DELAY_MS - _WORKER_RESTART_DELAY_MS)
         self.deregister_worker(worker_id)
 
+    async def restart_worker(self, worker_index: int, *, down_ms: float) -> None:
+        """Restart a worker under its id; the caller must renew its entry.
+
+        Does nothing if the worker has crashed.
+        """
+        current = self.workers[worker_index]
+        if not current.scope.cancel_called and not current.worker.is_powered_off:
+            await current.worker.restart(down_ms=down_ms)
+
     def resize_worker(self, worker_index: int, cpu: int) -> None:
         """Change the capacity that a worker reports, and record the change."""
         worker = self.workers[worker_index].worker
--- a/trefoilhook/standins/platform_worker.py
+++ b/trefoilhook/standins/platform_worker.py
@@ -96,6 +96,10 @@
         Delay of starts under the fault LATE_STARTS, in ms.
     calls : int
         Number of calls received.
+    is_powered_off : bool
+        Whether its process has ended.
+    born_ms : int
+        Start of its process, in ms since the Unix epoch.
     capacity : dict of str to int
         Reported capacity.
     malformed_running, malformed_ends : list
@@ -137,7 +141,7 @@
         self.late_start_delay_ms = 600.0
         self.capacity = {"cpu": 4000, "mem_mb": 8000, "gpu": 0}
         self.calls = 0
-        self._is_powered_off = False
+        self.is_powered_off = False
         self.born_ms = int(clock.wall_ms())
         self._clock_started_ms = 0.0
         self.malformed_running: list[Any] = []
@@ -239,7 +243,7 @@
         A call in progress continues until its next await, and must not start a task on
         the crashed worker; the flag set here prevents that.
         """
-        self._is_powered_off = True
+        self.is_powered_off = True
         self.crash()
         self._notify_change()
 
@@ -263,14 +267,14 @@
         self._settled_attempts = {}
         self._clock_started_ms = self._clock.monotonic_ms()
         self.born_ms = max(self.born_ms + 1, int(self._clock.wall_ms()))
-        self._is_powered_off = False
+        self.is_powered_off = False
 
     async def _handle_request(self, request: HttpRequest) -> HttpResponse:
         self.calls += 1
         await self._block_while_silent()
         born_ms = self.born_ms
         response = await self._dispatch(request)
-        if self._is_powered_off or self.born_ms != born_ms:
+        if self.is_powered_off or self.born_ms != born_ms:
             raise trio.BrokenResourceError
         # A call that arrived before the fault was set must not be answered either.
         await self._block_while_silent()
@@ -281,7 +285,7 @@
             await trio.sleep_forever()
 
     async def _dispatch(self, request: HttpRequest) -> HttpResponse:
-        if self._is_powered_off:
+        if self.is_powered_off:
             raise trio.BrokenResourceError
         if request.get_header("expect-instance") != self.worker_id:
             return HttpResponse(status=421)
@@ -355,7 +359,7 @@
             end for end in self._unacknowledged_ends if end[0] > body["acked"]
         ]
         with trio.move_on_after(body.get("wait_ms", 0) / 1000.0):
-            while not (self._unacknowledged_ends or self._is_powered_off):
+            while not (self._unacknowledged_ends or self.is_powered_off):
                 await self._changed.wait()
         running = [[r.task, r.attempt, "", 10, 0] for r in self._list_running()]
         ends = [
