--- a/trefoilhook/runtime/tests/test_incarnations.py
+++ b/trefoilhook/runtime/tests/test_incarnations.py
@@ -3,13 +3,23 @@
 import types
 import unittest
 
+import attrs
 import trio
 
 from trefoilhook.logs.tests.lines import capture_lines
+from trefoilhook.runtime.metrics import ProcessMetrics
+from trefoilhook.runtime.orders import execute_order
 from trefoilhook.runtime.polling import WorkerPoller
+from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.runtime.tests.cluster import PREFIX, Cluster, build_body, run_cluster
-from trefoilhook.scheduling import OrderOutcome, Worker
-from trefoilhook.scheduling.tests.cases import Shard
+from trefoilhook.scheduling import (
+    OrderOutcome,
+    PollAnswer,
+    StartOrder,
+    Worker,
+    apply_report,
+)
+from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 from trefoilhook.standins.platform_worker import PlatformWorker, WorkerFault
 
 JOB = "00000000000000b1"
@@ -133,10 +143,107 @@
 
     def build(self, shard: Shard, worker: Worker):
         """Build the next poll of a worker."""
-        poller = WorkerPoller.__new__(WorkerPoller)
-        poller._ownership = types.SimpleNamespace(epoch=1)
-        poller._scheduler = shard.scheduler
-        return poller._build_poll_request(worker, shard.now_ms)
+        return build_poller(shard)._build_poll_request(worker, shard.now_ms)
+
+
+class ReplacedWorkerTest(unittest.TestCase):
+    """The entry shows a restart while a call to the previous process is under way."""
+
+    def setUp(self):
+        self.shard = Shard(workers=0)
+        self.shard.add_worker("w0", born_ms=1_000)
+        self.shard.submit(build_job())
+        (self.order,) = list_starts(self.shard.plan())
+        self.metrics = ProcessMetrics()
+
+    def replace(self) -> Worker:
+        """Apply an entry of the next process, and return its worker."""
+        workers = self.shard.scheduler.workers
+        report = attrs.evolve(workers["w0"].report, born_ms=2_000)
+        apply_report(self.shard.scheduler, report, self.shard.now_ms)
+        return workers["w0"]
+
+    def execute(self, outcome: OrderOutcome) -> Worker:
+        """Send the start, and return the worker that replaces its own meanwhile."""
+        client = types.SimpleNamespace()
+
+        async def start(order: StartOrder) -> OrderOutcome:
+            client.successor = self.replace()
+            return outcome
+
+        client.start = start
+        clock = types.SimpleNamespace(monotonic_ms=lambda: self.shard.now_ms)
+
+        async def main() -> None:
+            await execute_order(
+                self.order,
+                client,
+                scheduler=self.shard.scheduler,
+                clock=clock,
+                metrics=self.metrics,
+            )
+
+        trio.run(main)
+        return client.successor
+
+    def test_order_outcome_does_not_concern_the_successor(self):
+        # Guards against a successor that is removed, taken for silent or seen as
+        # running the task, by an answer that its predecessor's connection gave.
+        for outcome in (
+            OrderOutcome.OTHER_INCARNATION,
+            OrderOutcome.NO_ANSWER,
+            OrderOutcome.DONE,
+        ):
+            with self.subTest(outcome=outcome):
+                self.setUp()
+                successor = self.execute(outcome)
+                self.assertIs(self.shard.scheduler.workers["w0"], successor)
+                self.assertIsNone(successor.silence)
+                (run,) = successor.runs.values()
+                self.assertFalse(run.is_confirmed)
+
+    def test_later_owner_is_noticed(self):
+        self.execute(OrderOutcome.FENCED)
+        self.assertTrue(self.shard.scheduler.is_superseded)
+
+    def test_answer_to_poll_is_discarded(self):
+        # Guards against an empty list of the previous process that proves the starts of
+        # the next one over.
+        client = types.SimpleNamespace()
+        late = self.shard.workers["w0"].answer_poll(self.shard.now_ms)
+
+        async def poll(request: object) -> PollAnswer:
+            await trio.lowlevel.checkpoint()
+            client.successor = self.replace()
+            return attrs.evolve(late, born_ms=None)
+
+        client.poll = poll
+        poller = build_poller(self.shard)
+        worker = self.shard.scheduler.workers["w0"]
+
+        async def main() -> None:
+            with trio.fail_after(5.0):
+                await poller.run(worker, client)
+
+        trio.run(main)
+        self.assertFalse(client.successor.has_answered_token)
+
+
+def build_poller(shard: Shard) -> WorkerPoller:
+    """Build a poller of a shard without a store."""
+    clock = types.SimpleNamespace(monotonic_ms=lambda: shard.now_ms)
+    metrics = ProcessMetrics()
+    return WorkerPoller(
+        clock=clock,
+        ownership=types.SimpleNamespace(epoch=1),
+        scheduler=shard.scheduler,
+        committer=types.SimpleNamespace(committed=trio.Event()),
+        metrics=metrics,
+        rejections=Rejections(metrics=metrics),
+        notify=lambda: None,
+        on_ownership_lost=lambda: None,
+        on_first_answer=lambda: None,
+    )
 
 
 if __name__ == "__main__":
