Exempt starts sent after a worker's process has ended from its crash

A start that was sent after the first failed call of a process that ended, and never confirmed, is not exposed.

--- a/trefoilhook/scheduling/crash_records.py
+++ b/trefoilhook/scheduling/crash_records.py
@@ -11,6 +11,7 @@
     SuspectUnit,
     attribute_to_units,
     find_cause,
+    list_exposed,
     partition_runs,
 )
 from trefoilhook.scheduling.fleet import Worker
@@ -43,7 +44,7 @@
     silence.is_recorded = True
     if find_cause(scheduler, worker, now_ms) is not LossCause.CRASHED:
         return
-    runs = [run for run in worker.runs.values() if run.may_have_run]
+    runs = list_exposed(worker)
     units, _ = partition_runs(scheduler, worker, runs, now_ms)
     units.sort(key=lambda unit: unit.ran_ms)
     for unit in units[:_MAX_EXPOSED_RUNS]:
--- a/trefoilhook/scheduling/crashes.py
+++ b/trefoilhook/scheduling/crashes.py
@@ -29,6 +29,7 @@
     "attribute_to_units",
     "find_cause",
     "handle_worker_loss",
+    "list_exposed",
     "partition_runs",
 ]
 
@@ -75,7 +76,7 @@
 
 def attribute_loss(scheduler: Scheduler, worker: Worker, now_ms: float) -> None:
     """Evaluate which tasks may have caused the end of a worker incarnation."""
-    runs = [run for run in worker.runs.values() if run.may_have_run]
+    runs = list_exposed(worker)
     if not runs:
         return
     cause = find_cause(scheduler, worker, now_ms)
@@ -95,6 +96,26 @@
     )
 
 
+def list_exposed(worker: Worker) -> list[Run]:
+    """Return the runs that may have ended the process of a worker.
+
+    Guards against a crash that counts for a task which never ran there: its start was
+    sent just after the connections of the process had been closed.
+    """
+    silence = worker.silence
+    return [
+        run
+        for run in worker.runs.values()
+        if run.may_have_run
+        and not (
+            silence is not None
+            and silence.indicates_process_exit
+            and not run.is_confirmed
+            and run.started_ms > silence.began_ms
+        )
+    ]
+
+
 def find_cause(scheduler: Scheduler, worker: Worker, now_ms: float) -> LossCause:
     """Return the cause of the end of a worker incarnation, as far as it is proved."""
     silence = worker.silence
--- a/trefoilhook/scheduling/tests/test_crashes.py
+++ b/trefoilhook/scheduling/tests/test_crashes.py
@@ -107,6 +107,21 @@
         shard.submit(build_job())
         return shard, shard.start_one().worker_id
 
+    def test_start_sent_after_the_process_ended(self):
+        # Guards against a job that fails for a crash under a task that never ran: its
+        # start was sent when a poll had just lost its connection, and got no answer.
+        shard = Shard(workers=1)
+        shard.submit(build_job())
+        (order,) = shard.plan()
+        shard.silence("w0", LOST)
+        shard.advance_time(1.0)
+        self.assertTrue(confirm_start(shard.scheduler, order, shard.now_ms))
+        shard.answer(order, LOST)
+        worker = shard.scheduler.workers["w0"]
+        handle_worker_loss(shard.scheduler, worker, shard.now_ms + 200.0)
+        self.assertIsNone(find_suspicion(shard))
+        self.assertEqual(shard.scheduler.suspects.losses, [])
+
     def lose(self, shard: Shard, worker_id: str) -> None:
         """Simulate another incarnation at a worker's address."""
         handle_worker_loss(
