--- a/trefoilhook/runtime/losses.py
+++ b/trefoilhook/runtime/losses.py
@@ -44,9 +44,21 @@
     )
 
 
-def log_restart(worker: Worker, now_ms: float) -> None:
-    """Log that a new process answers at a worker's address, which ends all its runs.
+def log_restart(worker: Worker, now_ms: float, *, seen_in: str = "refusal") -> None:
+    """Log that a worker's process has been replaced, which ends all its runs.
 
+    Parameters
+    ----------
+    worker : Worker
+        The incarnation that has ended.
+    now_ms : float
+        Current time, in ms.
+    seen_in : str, optional
+        Evidence: a ``refusal`` by a worker of another id at its address, or an
+        ``answer`` or the ``entry`` of the next process under its id.
+
+    Notes
+    -----
     The first failed call shows whether the old process ended, in which case connections
     are closed and then refused, or the network was partitioned, in which case calls
     time out.
@@ -60,6 +72,7 @@
         began=silence.cause.value if silence is not None else "",
         began_ms=round(now_ms - silence.began_ms) if silence is not None else 0,
         refused=silence is not None and silence.was_refused,
+        seen_in=seen_in,
         draining=worker.report.draining,
     )
     _log_given_up(
--- a/trefoilhook/runtime/polling.py
+++ b/trefoilhook/runtime/polling.py
@@ -117,7 +117,7 @@
                 break
             if isinstance(result, PollAnswer):
                 if has_restarted(worker, result.born_ms):
-                    log_restart(worker, self._clock.monotonic_ms())
+                    log_restart(worker, self._clock.monotonic_ms(), seen_in="answer")
                     self._metrics.count("worker_restarts", "answer")
                 outages.record_answer(sent_ms=sent_ms)
                 self._log_ends(worker, result)
--- a/trefoilhook/runtime/tests/test_incarnations.py
+++ b/trefoilhook/runtime/tests/test_incarnations.py
@@ -52,7 +52,7 @@
                 await worker.restart(down_ms=_DOWN_MS)
                 await cluster.wait_for_state(cluster.instances[0], JOB, "completed")
             (line,) = [x for x in lines if x["event_name"] == "WORKER_LOST"][-1:]
-            self.assertEqual(line["why"], "restarted")
+            self.assertEqual((line["why"], line["seen_in"]), ("restarted", "answer"))
             self.assertEqual(len(cluster.list_runs()), 2)
             self.assertEqual(cluster.find_duplicate_runs(), [])
 
--- a/trefoilhook/runtime/workerfeed.py
+++ b/trefoilhook/runtime/workerfeed.py
@@ -135,7 +135,7 @@
         known = self._scheduler.workers.get(report.worker_id)
         now_ms = self._clock.monotonic_ms()
         if known is not None and has_restarted(known, report.born_ms):
-            log_restart(known, now_ms)
+            log_restart(known, now_ms, seen_in="entry")
             self._metrics.count("worker_restarts", "entry")
         if apply_report(self._scheduler, report, now_ms):
             self._rejections.accept(Event.REPORT_INVALID, item.key)
