Follow a restart in the poller before the answer is applied

The ends that the next process lists were compared with those of its predecessor when they were logged, and the roster was not asked to take its name.

--- a/trefoilhook/runtime/polling.py
+++ b/trefoilhook/runtime/polling.py
@@ -26,6 +26,7 @@
     has_fillers_beside_services,
     has_restarted,
     is_outdated_answer,
+    resolve_incarnation,
 )
 
 __all__ = ["WorkerPoller"]
@@ -116,9 +117,7 @@
                 # Meanwhile replaced by its next incarnation, or removed.
                 break
             if isinstance(result, PollAnswer):
-                if has_restarted(worker, result.born_ms):
-                    log_restart(worker, self._clock.monotonic_ms(), seen_in="answer")
-                    self._metrics.count("worker_restarts", "answer")
+                worker = self._follow_restart(worker, result)
                 outages.record_answer(sent_ms=sent_ms)
                 self._log_ends(worker, result)
                 is_first = not worker.has_answered_token
@@ -130,10 +129,7 @@
                     sent_ms=sent_ms,
                     now_ms=self._clock.monotonic_ms(),
                 )
-                current = self._scheduler.workers[worker_id]
-                if current is worker:
-                    log_unlisted(worker, held, result)
-                worker = current
+                log_unlisted(worker, held, result)
                 self._notify()
                 if is_first:
                     self._on_first_answer()
@@ -151,6 +147,16 @@
             worker.record_failed_call(result, self._clock.monotonic_ms())
             await self._clock.sleep_ms(_POLL_RETRY_PAUSE_MS)
 
+    def _follow_restart(self, worker: Worker, answer: PollAnswer) -> Worker:
+        """Return the incarnation that gave an answer."""
+        if not has_restarted(worker, answer.born_ms):
+            return worker
+        now_ms = self._clock.monotonic_ms()
+        log_restart(worker, now_ms, seen_in="answer")
+        self._metrics.count("worker_restarts", "answer")
+        successor = resolve_incarnation(self._scheduler, worker, answer.born_ms, now_ms)
+        return successor or worker
+
     async def _poll(
         self, worker: Worker, client: WorkerClient, sent_ms: float
     ) -> PollAnswer | OrderOutcome:
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -21,6 +21,7 @@
     apply_report,
     has_restarted,
     is_outdated_answer,
+    resolve_incarnation,
 )
 from trefoilhook.scheduling.interference import (
     Interference,
@@ -158,6 +159,7 @@
     "parse_task_id",
     "plan_orders",
     "release_expired",
+    "resolve_incarnation",
     "has_fillers_beside_services",
     "apply_poll_answer",
     "apply_report",
