--- a/trefoilhook/runtime/settlement.py
+++ b/trefoilhook/runtime/settlement.py
@@ -1,11 +1,14 @@
 """Settlement of a new owner: when the tasks of previous owners are accounted for."""
 
+from collections.abc import Sequence
+
 from trefoilhook.clock import Clock
 from trefoilhook.logs import Event, log_event
 from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.ownership import Ownership
 from trefoilhook.scheduling import (
     Scheduler,
+    get_worker_id,
     is_settled,
     list_awaited,
     list_unreported,
@@ -21,6 +24,11 @@
 every worker is reachable is normally settled earlier, and logs no such line."""
 
 
+def _list_ids(incarnations: Sequence[str]) -> list[str]:
+    """Return the ids of the first workers, by which other log lines name them."""
+    return [get_worker_id(name) for name in incarnations[:_MAX_LOGGED_WORKERS]]
+
+
 class Settlement:
     """Detects when a shard is settled, and reports the tasks held until then.
 
@@ -73,7 +81,7 @@
             Event.SHARD_SETTLED,
             epoch=self._ownership.epoch,
             after_ms=round(after_ms),
-            unheard=list_unreported(self._scheduler, self.roster)[:_MAX_LOGGED_WORKERS],
+            unheard=_list_ids(list_unreported(self._scheduler, self.roster)),
             **self._build_hold_fields(now_ms),
         )
         return True
@@ -101,7 +109,7 @@
                 epoch=self._ownership.epoch,
                 after_ms=round(now_ms - self._ownership.claimed_ms),
                 awaited=len(awaited),
-                workers=awaited[:_MAX_LOGGED_WORKERS],
+                workers=_list_ids(awaited),
                 **self._build_hold_fields(now_ms),
             )
 
--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -11,7 +11,7 @@
 from trefoilhook.exceptions import TransportError
 from trefoilhook.http import HttpClient, HttpRequest, HttpResponse
 from trefoilhook.platform import Bounds, InstanceSize, ProcessSettings
-from trefoilhook.runtime import Process
+from trefoilhook.runtime import Process, keys
 from trefoilhook.standins import platform_documents
 from trefoilhook.standins.platform_advice import PlatformAdvice
 from trefoilhook.standins.platform_store import PlatformStore
@@ -221,6 +221,12 @@
         finally:
             await client.close()
 
+    def read_roster(self) -> list[str]:
+        """Return the ids of the roster, each of the incarnation that is running."""
+        names = self.store.read(keys.roster_key(keys.SHARD)) or []
+        running = {f"{i}@{worker.born_ms}": i for i, worker in self.workers.items()}
+        return [running[name] for name in names if name in running]
+
     async def run_failing_service(self, instance: Instance, job_id: str) -> None:
         """Run a service whose only task fails and has no worker to restart on."""
         step = {"count": 1, "cpu": 500, "mem_mb": 10, "long_running": True}
--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -6,7 +6,6 @@
 import trio
 
 from trefoilhook.logs.tests.lines import capture_lines, count_lines, find_line
-from trefoilhook.runtime import keys
 from trefoilhook.runtime.losses import log_lease_expiry, log_restart, log_unlisted
 from trefoilhook.runtime.tests.cluster import (
     PREFIX,
@@ -280,8 +279,7 @@
             await cluster.wait_until(lambda: len(cluster.list_runs()) == 2)
             # A worker is added to the roster once it has answered, possibly after the
             # starts.
-            roster = keys.roster_key(keys.SHARD)
-            await cluster.wait_until(lambda: "w0" in cluster.store.read(roster))
+            await cluster.wait_until(lambda: "w0" in cluster.read_roster())
             cluster.workers["w0"].fault = WorkerFault.SILENT
             cluster.store.remove("servers/w0")
             with capture_lines() as captured:
@@ -299,8 +297,7 @@
         first = await cluster.wait_for_owner()
         await cluster.send(first, "POST", PREFIX + JOB, build_body(200))
         await cluster.wait_until(lambda: bool(cluster.workers["w0"].records))
-        roster = keys.roster_key(keys.SHARD)
-        await cluster.wait_until(lambda: "w0" in cluster.store.read(roster))
+        await cluster.wait_until(lambda: "w0" in cluster.read_roster())
         await trio.sleep(0.5)
         cluster.workers["w0"].fault = WorkerFault.SILENT
         # Discards lines of the first owner.
--- a/trefoilhook/runtime/tests/test_process.py
+++ b/trefoilhook/runtime/tests/test_process.py
@@ -4,7 +4,6 @@
 
 import trio
 
-from trefoilhook.runtime import keys
 from trefoilhook.runtime.tests.cluster import (
     PREFIX,
     Cluster,
@@ -348,17 +347,12 @@
         # Guards against a takeover that waits for the longest lease of a worker that
         # left long before, because no later change of the list updated the roster.
         async def scenario(cluster: Cluster) -> None:
-            roster = keys.roster_key(keys.SHARD)
-
-            def read_roster() -> list[str]:
-                return cluster.store.read(roster) or []
-
             await cluster.wait_for_owner()
-            await cluster.wait_until(lambda: len(read_roster()) == 2)
+            await cluster.wait_until(lambda: len(cluster.read_roster()) == 2)
             cluster.workers["w1"].fault = WorkerFault.SILENT
             cluster.store.remove("servers/w1")
             with trio.fail_after(10.0):
-                await cluster.wait_until(lambda: read_roster() == ["w0"])
+                await cluster.wait_until(lambda: cluster.read_roster() == ["w0"])
 
         run_cluster(scenario, instances=1)
 
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -16,7 +16,7 @@
 )
 from trefoilhook.scheduling.evacuations import Evacuation, Evacuations
 from trefoilhook.scheduling.features import Features
-from trefoilhook.scheduling.fleet import SLOWEST_CLOCK, Run, Worker
+from trefoilhook.scheduling.fleet import SLOWEST_CLOCK, Run, Worker, get_worker_id
 from trefoilhook.scheduling.incarnations import (
     apply_report,
     has_restarted,
@@ -151,6 +151,7 @@
     "list_awaited",
     "list_restarts",
     "list_unreported",
+    "get_worker_id",
     "handle_worker_loss",
     "has_restarted",
     "measure_backlogs",
