--- a/trefoilhook/scheduling/incarnations.py
+++ b/trefoilhook/scheduling/incarnations.py
@@ -139,6 +139,9 @@
     state = scheduler.jobs.get(run.task.job_id)
     task = state.find_task(run.task) if state is not None else None
     if task is not None:
+        if all(attempt.run is not run for attempt in task.attempts):
+            # Released before; later attempts may have progressed further.
+            run.checkpoint = ""
         task.detach(run)
         if not task.done and not task.attempts:
             task.attempts.append(Attempt(worker=successor, run=run))
--- a/trefoilhook/scheduling/tests/test_incarnations.py
+++ b/trefoilhook/scheduling/tests/test_incarnations.py
@@ -301,6 +301,22 @@
         self.restart_late()
         self.assertEqual(self.find_orders(StartOrder), [])
 
+    def test_checkpoint_of_released_start_is_outdated(self):
+        # Guards against a task that resumes from the checkpoint of an earlier attempt.
+        shard = self.shard
+        worker = shard.scheduler.workers[self.worker_id]
+        run = worker.runs[self.late.task, self.late.attempt]
+        run.checkpoint = "earlier"
+        shard.scheduler.finish_run(worker, run, EndKind.LEASE_EXPIRED, run.checkpoint)
+        checkpoints = shard.scheduler.jobs["late"].progress.checkpoints
+        checkpoints[0, 0, 0] = "later"
+        self.restart_late()
+        (stop,) = self.find_orders(StopOrder)
+        shard.answer(stop, OrderOutcome.DONE)
+        shard.advance_time(10.0)
+        shard.poll_all()
+        self.assertEqual(checkpoints[0, 0, 0], "later")
+
     def test_old_start_is_not_held(self):
         # Guards against a task that stays bound to a process that is gone.
         run = self.shard.scheduler.workers[self.worker_id].runs[
