--- a/trefoilhook/runtime/polling.py
+++ b/trefoilhook/runtime/polling.py
@@ -24,6 +24,9 @@
     extend_lease,
     handle_worker_loss,
     has_fillers_beside_services,
+    has_restarted,
+    is_outdated_answer,
+    resolve_incarnation,
 )
 
 __all__ = ["WorkerPoller"]
@@ -110,7 +113,11 @@
             sent_ms = self._clock.monotonic_ms()
             result = await self._poll(worker, client, sent_ms)
             self._metrics.count("looks")
+            if self._scheduler.workers.get(worker_id) is not worker:
+                # Meanwhile replaced by its next incarnation, or removed.
+                break
             if isinstance(result, PollAnswer):
+                worker = self._follow_restart(worker, result)
                 outages.record_answer(sent_ms=sent_ms)
                 self._log_ends(worker, result)
                 is_first = not worker.has_answered_token
@@ -140,6 +147,16 @@
             worker.record_failed_call(result, self._clock.monotonic_ms())
             await self._clock.sleep_ms(_POLL_RETRY_PAUSE_MS)
 
+    def _follow_restart(self, worker: Worker, answer: PollAnswer) -> Worker:
+        """Return the incarnation that gave an answer."""
+        if not has_restarted(worker, answer.born_ms):
+            return worker
+        now_ms = self._clock.monotonic_ms()
+        log_restart(worker, now_ms, seen_in="answer")
+        self._metrics.count("worker_restarts", "answer")
+        successor = resolve_incarnation(self._scheduler, worker, answer.born_ms, now_ms)
+        return successor or worker
+
     async def _poll(
         self, worker: Worker, client: WorkerClient, sent_ms: float
     ) -> PollAnswer | OrderOutcome:
@@ -152,6 +169,10 @@
             return OrderOutcome.NO_ANSWER
         if not isinstance(result, PollAnswer):
             return result
+        if is_outdated_answer(worker, result.born_ms):
+            reason = "born: of an earlier incarnation"
+            self._rejections.report(Event.ANSWER_INVALID, worker_id, reason)
+            return OrderOutcome.NO_ANSWER
         if not result.unreadable:
             self._rejections.accept(Event.ANSWER_INVALID, worker_id)
         for row in result.unreadable:
@@ -208,9 +229,12 @@
         if worker.silence is not None:
             # No new deadline: an unanswered poll may take effect late, so each one
             # would postpone the time from which the tasks may be started elsewhere.
+            # Its process may have restarted under the same id; an acknowledgement would
+            # then discard ends that the new process has not reported yet.
+            may_have_restarted = worker.born_ms is not None
             return PollRequest(
                 token=self._ownership.epoch,
-                acknowledged=worker.acknowledged,
+                acknowledged=0 if may_have_restarted else worker.acknowledged,
                 deadline_ms=None,
                 wait_ms=0,
             )
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -16,7 +16,13 @@
 )
 from trefoilhook.scheduling.evacuations import Evacuation, Evacuations
 from trefoilhook.scheduling.features import Features
-from trefoilhook.scheduling.fleet import SLOWEST_CLOCK, Run, Worker
+from trefoilhook.scheduling.fleet import SLOWEST_CLOCK, Run, Worker, get_worker_id
+from trefoilhook.scheduling.incarnations import (
+    apply_report,
+    has_restarted,
+    is_outdated_answer,
+    resolve_incarnation,
+)
 from trefoilhook.scheduling.interference import (
     Interference,
     decode_interference,
@@ -140,19 +146,24 @@
     "encode_progress",
     "extend_lease",
     "find_longest_wait",
+    "is_outdated_answer",
     "is_settled",
     "list_awaited",
     "list_restarts",
     "list_unreported",
+    "get_worker_id",
     "handle_worker_loss",
+    "has_restarted",
     "measure_backlogs",
     "measure_evacuated",
     "measure_wait",
     "parse_task_id",
     "plan_orders",
     "release_expired",
+    "resolve_incarnation",
     "has_fillers_beside_services",
     "apply_poll_answer",
+    "apply_report",
     "apply_start_outcome",
     "apply_stop_outcome",
 ]
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -11,7 +11,7 @@
 from trefoilhook.scheduling.slack import LaggedShares, SlackTrack
 from trefoilhook.scheduling.waits import WaitReason
 
-__all__ = ["SLOWEST_CLOCK", "Run", "RunPhase", "Silence", "Worker"]
+__all__ = ["SLOWEST_CLOCK", "Run", "RunPhase", "Silence", "Worker", "get_worker_id"]
 
 SLOWEST_CLOCK = 0.98
 """Minimum rate of a worker's monotonic clock; the platform permits a drift of 2 %."""
@@ -21,6 +21,24 @@
 whole ms and the delay of the worker's timer."""
 
 
+_MAX_UNANSWERED_STARTS = 64
+"""Number of released runs that are kept per worker in case it restarts: more than the
+tasks that it can hold."""
+
+_BIRTH_SEPARATOR = "@"
+"""Separates the id of a worker and the start of its process; not allowed in ids."""
+
+
+def _name_incarnation(worker_id: str, born_ms: int | None) -> str:
+    """Return the name of an incarnation: the id alone if its start is not known."""
+    return worker_id if born_ms is None else f"{worker_id}{_BIRTH_SEPARATOR}{born_ms}"
+
+
+def get_worker_id(incarnation: str) -> str:
+    """Return the id of the worker of a named incarnation."""
+    return incarnation.partition(_BIRTH_SEPARATOR)[0]
+
+
 _PROCESS_ENDED = frozenset(
     {OrderOutcome.CONNECTION_LOST, OrderOutcome.CONNECTION_REFUSED}
 )
@@ -212,6 +230,8 @@
     ----------
     report : WorkerReport
         Its latest entry in the store.
+    born_ms : int or None
+        Start of its process, in ms since the Unix epoch, if the platform tells it.
     listed : bool
         Whether its entry is in the store.
     has_answered_token : bool
@@ -239,8 +259,8 @@
     lease_until_ms : float
         Latest lease deadline granted to it, on its clock, in ms.
     usable : bool
-        Whether its entry is readable and names a known service; otherwise no task is
-        started.
+        Whether its entry is readable, names a known service and describes this
+        incarnation; otherwise no task is started.
     ends_taken : set of int
         Numbers of the ends that were applied and are not acknowledged.
     first_unreadable_end : int or None
@@ -250,6 +270,9 @@
         saved.
     acknowledged : int
         Number up to which the worker may discard ends.
+    unanswered_starts : deque of Run
+        Its latest released runs with a start order that was never answered, which a
+        next incarnation might still execute.
     silence : Silence or None
         Set if an order or a poll has failed since the last answered poll.
     has_awaited_runs : bool
@@ -274,6 +297,7 @@
     """
 
     report: WorkerReport
+    born_ms: int | None = attrs.field()
     listed: bool = True
     has_answered_token: bool = False
     has_reported_all: bool = False
@@ -295,6 +319,9 @@
         collections.deque
     )
     acknowledged: int = 0
+    unanswered_starts: collections.deque[Run] = attrs.Factory(
+        lambda: collections.deque(maxlen=_MAX_UNANSWERED_STARTS)
+    )
     silence: Silence | None = None
     has_awaited_runs: bool = False
     faulty_jobs: set[str] = attrs.Factory(set)
@@ -306,6 +333,15 @@
     suspected_runs: int = 0
     is_reserved: bool = False
 
+    @born_ms.default
+    def _default_born_ms(self) -> int | None:
+        return self.report.born_ms
+
+    @property
+    def incarnation(self) -> str:
+        """Name of the incarnation, which differs from that of any restart."""
+        return _name_incarnation(self.report.worker_id, self.born_ms)
+
     @property
     def is_known_alive(self) -> bool:
         """Whether a readable entry of the worker is in the store.
@@ -399,6 +435,8 @@
         """Remove a run that is proved over and free its capacity."""
         if self.runs.pop((run.task, run.attempt), None) is None:
             return
+        if run.ambiguous and self.born_ms is not None:
+            self.unanswered_starts.append(run)
         self.pending_runs.pop(run, None)
         self.cpu -= run.room.cpu
         self.memory_mb -= run.room.memory_mb
