Reserve a worker for a task that needs more than any has free

A service task whose worker was lost was not started again while urgent tasks kept coming: each part of the capacity that became free was taken by one of them. The worker that can be free soonest is now reserved, and only tasks that end before it is due, fit beside it or have a higher priority start there. At most a tenth of the workers are reserved at a time; a reservation that is overdue or whose worker is unusable moves on.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -12,6 +12,7 @@
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.overcommitment import relieve_overcommitted
 from trefoilhook.scheduling.ranking import rank_step
+from trefoilhook.scheduling.reserving import reserve_workers, update_reservations
 from trefoilhook.scheduling.rounds import (
     AssignmentRound,
     next_attempt_number,
@@ -95,6 +96,7 @@
             continue
         steps.setdefault(group, []).append(state)
     ready = sorted(steps.values(), key=lambda tasks: rank_step(tasks, wall_ms))
+    update_reservations(scheduler, now_ms)
     colocations = ColocationCache(
         jobs=scheduler.jobs, interference=scheduler.interference, now_ms=now_ms
     )
@@ -134,6 +136,7 @@
             waits.record(
                 step, assignment_round.explain_wait(tasks[0]), assignment_round.now_ms
             )
+            reserve_workers(assignment_round, tasks)
             continue
         if not assignment_round.isolation.may_start(tasks[0], assignment_round.now_ms):
             waits.record(step, WaitReason.ISOLATED, assignment_round.now_ms)
@@ -155,6 +158,7 @@
             )
             infeasible_fillers += tasks[0].step.filler
             assignment_round.record_infeasible(tasks[0], infeasible)
+            reserve_workers(assignment_round, tasks)
 
 
 @attrs.frozen(kw_only=True)
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -17,6 +17,7 @@
 from trefoilhook.scheduling.messages import EndKind, StopReason
 from trefoilhook.scheduling.models import Configuration, TaskId, WorkerReport
 from trefoilhook.scheduling.records import JobPhase, JobRecord, Progress
+from trefoilhook.scheduling.reservations import Reservations
 from trefoilhook.scheduling.suspects import SuspectTracker
 from trefoilhook.scheduling.tickets import TicketCache
 from trefoilhook.scheduling.waits import WaitTracker
@@ -100,6 +101,8 @@
         Reasons and durations of the waits of steps.
     holds : TakeoverHolds
         Tasks held until the tasks started by previous owners are known.
+    reservations : Reservations
+        Workers reserved for waiting tasks.
     entries : EntryFreshness
         Freshness of the worker entries read from the store.
     suspects : SuspectTracker
@@ -132,6 +135,7 @@
         self.idle_since_ms: dict[str, float] = {}
         self.waits = WaitTracker()
         self.holds = TakeoverHolds()
+        self.reservations = Reservations()
         self.entries = EntryFreshness()
         self.suspects = SuspectTracker(mark_dirty=self._mark_dirty)
         self._timed: set[JobState] = set()
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -8,6 +8,7 @@
 
 from trefoilhook.scheduling.messages import OrderOutcome, PollAnswer, StopReason
 from trefoilhook.scheduling.models import Demand, TaskId, WorkerReport
+from trefoilhook.scheduling.reservations import Reservation
 from trefoilhook.scheduling.slack import LaggedShares, SlackTrack
 from trefoilhook.scheduling.waits import WaitReason
 
@@ -271,6 +272,8 @@
     is_reserved : bool
         Whether it is reserved for an isolated run, so that no other task is started
         there.
+    reservation : Reservation or None
+        Set while it is reserved for a waiting task.
     """
 
     report: WorkerReport
@@ -305,6 +308,7 @@
     overcommitted_since_ms: float | None = None
     suspected_runs: int = 0
     is_reserved: bool = False
+    reservation: Reservation | None = None
 
     @property
     def is_known_alive(self) -> bool:
--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -10,6 +10,8 @@
 from trefoilhook.scheduling.fleet import Worker
 from trefoilhook.scheduling.isolation import compute_risk_penalty
 from trefoilhook.scheduling.job_state import TaskState
+from trefoilhook.scheduling.models import Demand
+from trefoilhook.scheduling.tickets import name_step
 from trefoilhook.scheduling.unread import has_too_many_held_ends
 
 __all__ = [
@@ -102,7 +104,7 @@
     step = state.step
     if step.required_label and step.required_label not in worker.report.labels:
         return False
-    if not worker.has_room(step.room):
+    if not worker.has_room(step.room) or _is_reserved_for_others(worker, state):
         return False
     if step.filler:
         capacity_mb = worker.report.capacity.memory_mb
@@ -114,6 +116,18 @@
     return worker.count_step(state.task) < step.max_per_worker
 
 
+def _is_reserved_for_others(worker: Worker, state: TaskState) -> bool:
+    reservation = worker.reservation
+    if reservation is None:
+        return False
+    return not reservation.admits(
+        state.step,
+        name_step(state.task),
+        priority=state.job.queue.priority if state.job.queue is not None else 0,
+        held=Demand(cpu=worker.cpu, memory_mb=worker.memory_mb, gpus=worker.gpus),
+    )
+
+
 def compute_max_filler_cpu(
     worker: Worker, image: str, colocations: ColocationCache
 ) -> float:
--- /dev/null
+++ b/trefoilhook/scheduling/reserving.py
@@ -0,0 +1,303 @@
+"""Chooses and releases the workers that are reserved for waiting tasks."""
+
+import heapq
+
+from trefoilhook.scheduling.core import Scheduler
+from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
+from trefoilhook.scheduling.job_state import TaskState
+from trefoilhook.scheduling.models import Demand
+from trefoilhook.scheduling.placing import is_open
+from trefoilhook.scheduling.reservations import Reservation, ReservationReason
+from trefoilhook.scheduling.rounds import AssignmentRound
+from trefoilhook.scheduling.tickets import name_step
+
+__all__ = ["reserve_workers", "update_reservations"]
+
+_MAX_WORKER_SHARE = 0.1
+"""Maximum fraction of the workers that is reserved at a time: the smaller tasks that
+are kept from them find the others."""
+
+_MAX_PER_STEP = 4
+"""Maximum number of workers that are reserved for one step at a time. The next one is
+reserved as soon as a task has started, and other steps that wait get theirs."""
+
+_MIN_WAIT_MS = 1000.0
+"""Time for which a task that has not run waits before a worker is reserved for it. On a
+fleet that is merely busy most tasks are placed before."""
+
+_MIN_WIDTH = 0.25
+"""Minimum fraction of a worker that a task other than a service task requires. Narrower
+ones get their turn as tasks end, without a reservation."""
+
+_HORIZON_MS = 15_000.0
+"""Maximum time until a reserved worker is free. If it takes longer, capacity is likely
+to become free elsewhere before."""
+
+_OVERDUE_SHARE = 0.25
+"""Expected remaining time of a run that exceeds its estimate, as a fraction of the time
+for which it has run."""
+
+_GRACE_MS = 1000.0
+"""Time after which a reservation is overdue: two polls, which report the ends."""
+
+_RETRY_DELAY_MS = 250.0
+"""Delay before the workers are searched again for a step that found none: the search is
+the costly part, and the ends of tasks are read twice a second."""
+
+_MAX_SEARCHES_PER_ROUND = 3
+"""Number of steps for which one round searches all workers."""
+
+
+def update_reservations(scheduler: Scheduler, now_ms: float) -> None:
+    """End the reservations that are over, and update the others for a round."""
+    reservations = scheduler.reservations
+    if not reservations.count:
+        return
+    for reservation in list(reservations.by_worker.values()):
+        worker = scheduler.workers.get(reservation.worker_id)
+        reason = _find_end(scheduler, worker, reservation, now_ms)
+        if reason is None and worker is not None:
+            _update(scheduler, worker, reservation, now_ms)
+        elif reason is not None:
+            reservations.end(reservation, reason, now_ms)
+            if worker is not None:
+                worker.reservation = None
+
+
+def reserve_workers(assignment_round: AssignmentRound, tasks: list[TaskState]) -> None:
+    """Reserve workers for the tasks of a step that could not be placed.
+
+    Parameters
+    ----------
+    assignment_round : AssignmentRound
+        Current round.
+    tasks : list of TaskState
+        Tasks of one step; those that were placed are ignored.
+    """
+    scheduler, now_ms = assignment_round.scheduler, assignment_round.now_ms
+    reservations = scheduler.reservations
+    lacking = [task for task in tasks if not task.attempts]
+    if not lacking:
+        return
+    reason = _find_reason(assignment_round, lacking)
+    step = name_step(lacking[0].task)
+    if reason is None or reservations.retry_ms.get(step, 0.0) > now_ms:
+        return
+    limit = max(1, int(_MAX_WORKER_SHARE * len(scheduler.workers)))
+    missing = min(
+        min(len(lacking), _MAX_PER_STEP) - reservations.count_step(step),
+        limit - reservations.count,
+    )
+    if missing <= 0 or assignment_round.searches >= _MAX_SEARCHES_PER_ROUND:
+        return
+    assignment_round.searches += 1
+    found = _find_workers(assignment_round, lacking[0], missing)
+    if not found:
+        reservations.retry_ms = {
+            key: until_ms
+            for key, until_ms in reservations.retry_ms.items()
+            if until_ms > now_ms
+        }
+        reservations.retry_ms[step] = now_ms + _RETRY_DELAY_MS
+    for free_ms, worker in found:
+        _begin(assignment_round, lacking[0], worker, free_ms, reason)
+
+
+def _find_reason(
+    assignment_round: AssignmentRound, lacking: list[TaskState]
+) -> ReservationReason | None:
+    """Return why a step is entitled to reserved workers, or None if it is not."""
+    task = lacking[0]
+    if (
+        not assignment_round.scheduler.features.reservations
+        or task.step.filler
+        or task.step.gang
+        or task.suspicion is not None
+    ):
+        return None
+    if task.step.long_running and any(each.may_have_run for each in lacking):
+        return ReservationReason.DISPLACED
+    now_ms = assignment_round.now_ms
+    waiting_ms = now_ms - min(each.waiting_since_ms or now_ms for each in lacking)
+    return ReservationReason.WAITED if waiting_ms >= _MIN_WAIT_MS else None
+
+
+def _begin(
+    assignment_round: AssignmentRound,
+    task: TaskState,
+    worker: Worker,
+    free_ms: float,
+    reason: ReservationReason,
+) -> None:
+    scheduler = assignment_round.scheduler
+    step = name_step(task.task)
+    reservation = Reservation(
+        step=step,
+        worker_id=worker.report.worker_id,
+        priority=task.job.queue.priority if task.job.queue is not None else 0,
+        demand=task.step.room,
+        begun_ms=assignment_round.now_ms,
+        due_ms=free_ms,
+        allows_backfill=not scheduler.reservations.has_been_overdue(step),
+    )
+    worker.reservation = reservation
+    scheduler.reservations.begin(reservation, reason)
+    _update(scheduler, worker, reservation, assignment_round.now_ms)
+
+
+def _find_workers(
+    assignment_round: AssignmentRound, task: TaskState, count: int
+) -> list[tuple[float, Worker]]:
+    """Return the workers that can be free for a task soonest, and when."""
+    scheduler, now_ms = assignment_round.scheduler, assignment_round.now_ms
+    found = [
+        (worker.report.worker_id in task.failed_on, free_ms, worker.report.worker_id)
+        for worker in assignment_round.list_open(task)
+        if _may_reserve(worker, task)
+        and (free_ms := _find_free_ms(scheduler, worker, task.step.room, now_ms))
+        <= now_ms + _HORIZON_MS
+    ]
+    return [
+        (free_ms, scheduler.workers[worker_id])
+        for _, free_ms, worker_id in heapq.nsmallest(count, found)
+    ]
+
+
+def _may_reserve(worker: Worker, task: TaskState) -> bool:
+    step = task.step
+    capacity = worker.report.capacity
+    if worker.reservation is not None or not _covers(capacity, step.room):
+        return False
+    if step.required_label and step.required_label not in worker.report.labels:
+        return False
+    if not (step.long_running or _is_wide(step.room, capacity)):
+        return False
+    return not (
+        step.max_per_worker and worker.count_step(task.task) >= step.max_per_worker
+    )
+
+
+def _is_wide(demand: Demand, capacity: Demand) -> bool:
+    return (
+        demand.cpu >= _MIN_WIDTH * capacity.cpu
+        or demand.memory_mb >= _MIN_WIDTH * capacity.memory_mb
+        or 0 < _MIN_WIDTH * capacity.gpus <= demand.gpus
+    )
+
+
+def _find_free_ms(
+    scheduler: Scheduler, worker: Worker, demand: Demand, now_ms: float
+) -> float:
+    """Return when a worker is expected to have free capacity, in ms; infinite if never.
+
+    Only the runs that are known to end are considered.
+    """
+    ends = sorted(
+        (
+            (_expect_end(scheduler, run, now_ms), run.room)
+            for run in worker.runs.values()
+        ),
+        key=lambda pair: pair[0],
+    )
+    free = _subtract(worker.report.capacity, _measure_held(worker))
+    free_ms = now_ms
+    for end_ms, room in ends:
+        if _covers(free, demand):
+            break
+        free_ms = end_ms
+        free = _subtract(free, room, sign=-1)
+    return free_ms if _covers(free, demand) else float("inf")
+
+
+def _expect_end(scheduler: Scheduler, run: Run, now_ms: float) -> float:
+    """Return when a run is expected to end, in ms; infinite if that is not known."""
+    if run.phase is RunPhase.STOPPING:
+        return now_ms + scheduler.limits.longest_stop_ms
+    state = scheduler.jobs.get(run.task.job_id)
+    if state is None or run.task.step >= len(state.job.steps):
+        return float("inf")
+    step = state.job.steps[run.task.step]
+    if step.long_running or step.estimate_ms <= 0.0 or run.pace <= 0:
+        return float("inf")
+    elapsed_ms = now_ms - run.started_ms
+    left_ms = max(step.estimate_ms - elapsed_ms, _OVERDUE_SHARE * elapsed_ms)
+    return now_ms + left_ms * 100.0 / run.pace
+
+
+def _find_end(
+    scheduler: Scheduler,
+    worker: Worker | None,
+    reservation: Reservation,
+    now_ms: float,
+) -> ReservationReason | None:
+    """Return why a reservation ends now, or None if it lasts."""
+    waiting = _count_waiting(scheduler, reservation)
+    if worker is not None and _has_started(worker, reservation):
+        return ReservationReason.STARTED
+    if waiting < scheduler.reservations.count_step(reservation.step):
+        return ReservationReason.NOT_NEEDED
+    if (
+        worker is None
+        or worker.reservation is not reservation
+        or not is_open(worker, now_ms)
+        or scheduler.evacuations.covers(worker)
+        or not _covers(worker.report.capacity, reservation.demand)
+    ):
+        return ReservationReason.UNUSABLE
+    if now_ms > reservation.due_ms + _GRACE_MS:
+        return ReservationReason.OVERDUE
+    return None
+
+
+def _count_waiting(scheduler: Scheduler, reservation: Reservation) -> int:
+    job_id, occurrence, step = reservation.step
+    state = scheduler.jobs.get(job_id)
+    if state is None or not state.is_open:
+        return 0
+    return sum(
+        name.step == step
+        and name.occurrence == occurrence
+        and task in scheduler.waiting
+        for name, task in state.tasks.items()
+    )
+
+
+def _has_started(worker: Worker, reservation: Reservation) -> bool:
+    return any(
+        name_step(run.task) == reservation.step
+        and run.started_ms >= reservation.begun_ms
+        for run in worker.runs.values()
+    )
+
+
+def _update(
+    scheduler: Scheduler, worker: Worker, reservation: Reservation, now_ms: float
+) -> None:
+    """Determine what else may start on a reserved worker in this round."""
+    due_ms = max(reservation.due_ms, now_ms)
+    limit = _subtract(worker.report.capacity, reservation.demand)
+    for run in worker.runs.values():
+        if _expect_end(scheduler, run, now_ms) <= due_ms:
+            limit = _subtract(limit, run.room, sign=-1)
+    reservation.left_ms = due_ms - now_ms
+    reservation.limit = limit
+
+
+def _measure_held(worker: Worker) -> Demand:
+    return Demand(cpu=worker.cpu, memory_mb=worker.memory_mb, gpus=worker.gpus)
+
+
+def _covers(capacity: Demand, demand: Demand) -> bool:
+    return (
+        demand.cpu <= capacity.cpu
+        and demand.memory_mb <= capacity.memory_mb
+        and demand.gpus <= capacity.gpus
+    )
+
+
+def _subtract(left: Demand, right: Demand, *, sign: int = 1) -> Demand:
+    return Demand(
+        cpu=left.cpu - sign * right.cpu,
+        memory_mb=left.memory_mb - sign * right.memory_mb,
+        gpus=left.gpus - sign * right.gpus,
+    )
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -33,16 +33,21 @@
         Current time, in ms.
     isolation : Isolation
         Isolated runs and the workers reserved for them.
+    searches : int
+        Number of searches for workers to reserve.
     """
 
     scheduler: Scheduler
     colocations: ColocationCache
     now_ms: float
     isolation: Isolation = attrs.field()
+    searches: int = 0
     _open: dict[str, list[Worker]] = attrs.Factory(dict)
     _feasible: dict[tuple[str, str], list[tuple[float, Worker]]] = attrs.Factory(dict)
     _free: dict[tuple[str, str], FreeRoom] = attrs.Factory(dict)
-    _infeasible: dict[tuple[str, str, str | None], list[Demand]] = attrs.Factory(dict)
+    _infeasible: dict[tuple[str, str, str | None], list[tuple[Demand, float]]] = (
+        attrs.Factory(dict)
+    )
 
     @isolation.default
     def _collect_isolation(self) -> Isolation:
@@ -148,16 +153,27 @@
         """Return whether an equal or smaller demand was infeasible in this round.
 
         A task is infeasible if one with the same placement key and at most the same
-        demand could not be placed.
+        demand and duration could not be placed. The duration matters only on reserved
+        workers, and not to a step for which one is reserved.
         """
-        if _requires_advice(state):
+        if _requires_advice(state) or self._has_reservation(state):
             return False
         demand = state.step.demand
+        estimate_ms = _get_estimate(state)
         return any(
-            infeasible.cpu <= demand.cpu
+            longest_ms <= estimate_ms
+            and infeasible.cpu <= demand.cpu
             and infeasible.memory_mb <= demand.memory_mb
             and infeasible.gpus <= demand.gpus
-            for infeasible in self._infeasible.get(_get_placement_key(state), ())
+            for infeasible, longest_ms in self._infeasible.get(
+                _get_placement_key(state), ()
+            )
+        )
+
+    def _has_reservation(self, state: TaskState) -> bool:
+        reservations = self.scheduler.reservations
+        return bool(
+            reservations.count and reservations.count_step(name_step(state.task))
         )
 
     def _is_blocked_by_spread(self, state: TaskState) -> bool:
@@ -173,7 +189,10 @@
             self.scheduler.tickets.wanted[name_step(state.task)] = None
         elif not state.step.gang and not self._is_blocked_by_spread(state):
             placement_key = _get_placement_key(state)
-            self._infeasible.setdefault(placement_key, []).append(size)
+            estimate_ms = (
+                _get_estimate(state) if self.scheduler.reservations.count else 0.0
+            )
+            self._infeasible.setdefault(placement_key, []).append((size, estimate_ms))
 
 
 def _measure_free(
@@ -197,6 +216,14 @@
     return state.job.queue is not None and state.job.queue.advice is not None
 
 
+def _get_estimate(state: TaskState) -> float:
+    """Return the estimated duration of a task, in ms; infinite if it is unknown."""
+    step = state.step
+    if step.long_running or step.estimate_ms <= 0.0:
+        return float("inf")
+    return step.estimate_ms
+
+
 def _get_placement_key(state: TaskState) -> tuple[str, str, str | None]:
     """Return the key of tasks that are eligible for the same workers.
 
