Log, count and explain reservations

WORKER_RESERVED and RESERVATION_ENDED give the worker, the step and the reason, trefoilhook_reserved_workers the number in force, and a task that would fit on a worker reserved for another waits for "reserved". Tests of the failures halfway: the worker is lost, drains or is excluded, the task there takes longer than declared, the owner is replaced before or after it is settled.

--- a/trefoilhook/account/core.py
+++ b/trefoilhook/account/core.py
@@ -45,6 +45,9 @@
     FRAGMENTED = "room in pieces"
     """The free capacity was sufficient in total, but not on any one worker."""
 
+    RESERVED = "reserved"
+    """The only worker with the capacity was reserved for another task."""
+
     INTERFERENCE = "not borne"
     """The task would have slowed service tasks on the same worker too much."""
 
--- a/trefoilhook/account/tests/test_account.py
+++ b/trefoilhook/account/tests/test_account.py
@@ -78,6 +78,7 @@
         Cause.EVACUATED: "evacuated",
         Cause.NO_ROOM: "no room",
         Cause.FRAGMENTED: "room in pieces",
+        Cause.RESERVED: "reserved",
         Cause.INTERFERENCE: "not borne",
         Cause.BEHIND_OTHERS: "behind others",
         Cause.ISOLATED: "kept apart",
--- a/trefoilhook/account/timeline.py
+++ b/trefoilhook/account/timeline.py
@@ -31,6 +31,7 @@
         Cause.EVACUATED,
         Cause.NO_ROOM,
         Cause.FRAGMENTED,
+        Cause.RESERVED,
         Cause.INTERFERENCE,
         Cause.BEHIND_OTHERS,
         Cause.ISOLATED,
--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -147,6 +147,8 @@
         Level.INFO,
         "What still runs in an evacuated failure domain.",
     )
+    WORKER_RESERVED = (1630, Level.INFO, "A worker is reserved for a waiting task.")
+    RESERVATION_ENDED = (1631, Level.INFO, "A reserved worker is available again.")
 
     def __init__(self, number: int, level: Level, description: str) -> None:
         self.number = number
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -29,6 +29,7 @@
 from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Ownership
 from trefoilhook.runtime.polling import WorkerPoller
 from trefoilhook.runtime.rejections import Rejections
+from trefoilhook.runtime.reservations import report_reservations
 from trefoilhook.runtime.roster import Roster
 from trefoilhook.runtime.settlement import Settlement
 from trefoilhook.runtime.snapshots import build_snapshots
@@ -246,12 +247,13 @@
 
     @contextlib.contextmanager
     def _export_gauges(self) -> Iterator[None]:
-        """Export the gauges of waiting restarts for the duration of the context."""
+        """Export the gauges of waiting tasks for the duration of the context."""
         gauges: dict[str, Callable[[], float]] = {
             "restarts_waiting": lambda: float(
                 len(list_restarts(self._scheduler.waiting))
             ),
             "restart_wait_ms": self._measure_restart_wait,
+            "reserved_workers": lambda: float(self._scheduler.reservations.count),
         }
         self._metrics.gauges.update(gauges)
         try:
@@ -439,6 +441,7 @@
             now_ms=now_ms,
             wall_ms=self._clock.wall_ms(),
         )
+        report_reservations(scheduler.reservations, self._metrics)
         for order in orders:
             nursery.start_soon(self._execute_order, order)
         if scheduler.dirty:
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -73,6 +73,7 @@
     encode_job_record,
     encode_progress,
 )
+from trefoilhook.scheduling.reservations import ReservationChange, Reservations
 from trefoilhook.scheduling.restarts import (
     find_longest_wait,
     list_restarts,
@@ -110,6 +111,8 @@
     "PaceOrder",
     "Progress",
     "Queue",
+    "ReservationChange",
+    "Reservations",
     "Run",
     "Running",
     "Scheduler",
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -112,7 +112,20 @@
                 placement_key[1],
                 has_evacuated_workers=self._has_evacuated_workers(*placement_key),
             )
-        return free.explain(state.step.room, filler=state.step.filler)
+        reason = free.explain(state.step.room, filler=state.step.filler)
+        if reason is WaitReason.FRAGMENTED and self._is_kept_for_others(state):
+            return WaitReason.RESERVED
+        return reason
+
+    def _is_kept_for_others(self, state: TaskState) -> bool:
+        """Return whether a worker reserved for another step has the capacity."""
+        step = name_step(state.task)
+        return any(
+            reservation.step != step
+            and (worker := self.scheduler.workers.get(worker_id)) is not None
+            and worker.has_room(state.step.room)
+            for worker_id, reservation in self.scheduler.reservations.by_worker.items()
+        )
 
     def _has_evacuated_workers(self, service: str, label: str) -> bool:
         """Return whether any worker of a service with a label is evacuated."""
--- /dev/null
+++ b/trefoilhook/scheduling/tests/test_reservations.py
@@ -0,0 +1,140 @@
+"""Tests of workers that are reserved for tasks which need more than any has free.
+
+Load: a service task of three cores loses its worker, the others have four cores and run
+an urgent task of 2.5 each; further urgent tasks of 1.5 cores arrive.
+"""
+
+import unittest
+
+import attrs
+
+from trefoilhook.scheduling import Demand, EndKind, Features, Progress, Step
+from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
+
+_SERVICE = Step(
+    count=1, demand=Demand(cpu=3000, memory_mb=10), long_running=True, image="s"
+)
+_URGENT = Step(count=1, demand=Demand(cpu=1500, memory_mb=10), estimate_ms=2000.0)
+
+
+class ReservationTest(unittest.TestCase):
+    """A displaced service task beside urgent tasks."""
+
+    def _displace(self, *, workers: int = 3) -> Shard:
+        shard = Shard(workers=workers)
+        shard.submit(build_job(_SERVICE, job_id="z"))
+        order = shard.start_one()
+        busy = attrs.evolve(_URGENT, count=workers - 1, demand=Demand(cpu=2500))
+        shard.submit(build_job(busy, job_id="u"))
+        self.running = list_starts(shard.step())
+        shard.scheduler.drop_worker(order.worker_id)
+        shard.step()
+        return shard
+
+    def _get_reserved(self, shard: Shard) -> list[str]:
+        return list(shard.scheduler.reservations.by_worker)
+
+    def test_task_that_ends_in_time_starts_on_reserved_worker(self):
+        shard = self._displace(workers=2)
+        due_ms = shard.scheduler.reservations.by_worker["w1"].due_ms
+        self.assertGreater(due_ms, shard.now_ms + 1000.0)
+        for estimate_ms in (200.0, due_ms - shard.now_ms + 1.0):
+            step = attrs.evolve(_URGENT, estimate_ms=estimate_ms)
+            shard.submit(build_job(step, job_id=f"a{estimate_ms:.0f}"))
+        started = {order.task.job_id for order in list_starts(shard.step())}
+        self.assertEqual(started, {"a200"})
+
+    def test_task_of_higher_priority_ignores_reservation(self):
+        shard = self._displace(workers=2)
+        shard.scheduler.reservations.by_worker["w1"].priority = 1
+        shard.submit(build_job(attrs.evolve(_URGENT, estimate_ms=9000.0), job_id="a"))
+        self.assertEqual(len(list_starts(shard.step())), 1)
+
+    def test_reservation_moves_on_from_lost_or_draining_worker(self):
+        # Guards against a reservation for a worker that will never run the task.
+        for change in ("lost", "draining", "excluded"):
+            with self.subTest(change):
+                shard = self._displace()
+                (reserved,) = self._get_reserved(shard)
+                report = shard.scheduler.workers[reserved].report
+                if change == "lost":
+                    shard.scheduler.drop_worker(reserved)
+                elif change == "draining":
+                    report = attrs.evolve(report, draining=True, remaining_ms=9000.0)
+                    shard.scheduler.update_worker(report)
+                else:
+                    shard.scheduler.exclude_worker(reserved)
+                shard.plan()
+                (other,) = self._get_reserved(shard)
+                self.assertNotEqual(other, reserved)
+
+    def test_overdue_reservation_moves_on_without_backfill(self):
+        # Guards against starving behind a task that takes longer than declared.
+        shard = self._displace()
+        (reserved,) = self._get_reserved(shard)
+        (late,) = [each for each in self.running if each.worker_id == reserved]
+        worker = shard.workers[reserved]
+        for percent in range(35):
+            worker.update(late.task, late.attempt, percent=float(percent))
+            shard.submit(
+                build_job(
+                    attrs.evolve(_URGENT, estimate_ms=100.0), job_id=f"a{percent}"
+                )
+            )
+            for order in list_starts(shard.step()):
+                if order.task.job_id != "z":
+                    shard.end(order, EndKind.DONE)
+        reservations = shard.scheduler.reservations
+        self.assertIn("overdue", {c.reason.value for c in reservations.take_changes()})
+        (current,) = reservations.by_worker.values()
+        self.assertFalse(current.allows_backfill)
+
+    def test_task_that_fits_no_worker_reserves_none(self):
+        large = attrs.evolve(_SERVICE, demand=Demand(cpu=5000))
+        shard = Shard(workers=2)
+        shard.submit(build_job(large), is_new=False, progress=Progress())
+        shard.step()
+        self.assertEqual(self._get_reserved(shard), [])
+
+    def test_reservations_are_bounded(self):
+        # Guards against urgent tasks that find the whole fleet reserved.
+        shard = Shard(workers=20)
+        shard.submit(build_job(attrs.evolve(_URGENT, count=40), job_id="u"))
+        shard.step()
+        services = attrs.evolve(_SERVICE, count=9)
+        for job_id in "xyz":
+            shard.submit(
+                build_job(services, job_id=job_id), is_new=False, progress=Progress()
+            )
+        shard.step()
+        self.assertEqual(len(self._get_reserved(shard)), 2)
+
+    def test_cancelled_job_releases_worker(self):
+        shard = self._displace()
+        shard.scheduler.cancel_job("z", revision=2)
+        shard.plan()
+        self.assertEqual(self._get_reserved(shard), [])
+
+    def test_new_owner_reserves_anew(self):
+        # Guards against a displaced task that starves because its owner was lost.
+        shard = Shard(workers=2, epoch=2, settled=False)
+        shard.submit(build_job(attrs.evolve(_URGENT, count=4), job_id="u"))
+        shard.step()
+        shard.submit(build_job(_SERVICE, job_id="z"), is_new=False, progress=Progress())
+        shard.step()
+        self.assertEqual(self._get_reserved(shard), [])
+        shard.settled = True
+        shard.step()
+        self.assertEqual(len(self._get_reserved(shard)), 1)
+
+    def test_nothing_is_reserved_if_switched_off(self):
+        shard = self._displace()
+        shard.scheduler.features = Features(reservations=False)
+        shard.advance_time(9000.0)
+        shard.poll_all()
+        shard.step()
+        self.assertEqual(self._get_reserved(shard), [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/trefoilhook/scheduling/waits.py
+++ b/trefoilhook/scheduling/waits.py
@@ -31,6 +31,9 @@
     """The total free capacity is sufficient, but no single eligible worker has
     enough."""
 
+    RESERVED = "reserved"
+    """It would fit on a worker that is reserved for another task."""
+
     INTERFERENCE = "not borne"
     """It is a filler, and service tasks on the workers would not tolerate it."""
 
