Rank waiting service tasks by the share of their step at work

Where several services lack tasks, one of them got all capacity that became free, by its work and by how late it was, while others had no task at all. A step that waits is now assigned in parts, and the part with the lowest share of the step at work before it comes first.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -18,6 +18,7 @@
     next_attempt_number,
     reserve_capacity,
 )
+from trefoilhook.scheduling.service_shares import split_by_share
 from trefoilhook.scheduling.starvation import reserve_for_starved_jobs
 from trefoilhook.scheduling.tickets import StepName, name_step
 from trefoilhook.scheduling.waits import WaitReason
@@ -95,7 +96,13 @@
             scheduler.waits.record(group[0], WaitReason.OWNER_NEW, now_ms)
             continue
         steps.setdefault(group, []).append(state)
-    ready = sorted(steps.values(), key=lambda tasks: rank_step(tasks, wall_ms))
+    ready = [
+        tasks
+        for _, tasks in sorted(
+            split_by_share(steps.values(), now_ms),
+            key=lambda part: rank_step(part[1], wall_ms, level=part[0]),
+        )
+    ]
     update_reservations(scheduler, now_ms)
     colocations = ColocationCache(
         jobs=scheduler.jobs, interference=scheduler.interference, now_ms=now_ms
@@ -130,9 +137,10 @@
 ) -> None:
     waits = assignment_round.scheduler.waits
     infeasible_fillers = 0
+    short_services: set[StepName] = set()
     for tasks in ready:
         step = name_step(tasks[0].task)
-        if assignment_round.is_known_infeasible(tasks[0]):
+        if step in short_services or assignment_round.is_known_infeasible(tasks[0]):
             waits.record(
                 step, assignment_round.explain_wait(tasks[0]), assignment_round.now_ms
             )
@@ -157,6 +165,9 @@
                 step, assignment_round.explain_wait(tasks[0]), assignment_round.now_ms
             )
             infeasible_fillers += tasks[0].step.filler
+            if tasks[0].step.long_running:
+                # A part of the step was infeasible, so are the parts after it.
+                short_services.add(step)
             assignment_round.record_infeasible(tasks[0], infeasible)
             reserve_workers(assignment_round, tasks)
 
--- a/trefoilhook/scheduling/ranking.py
+++ b/trefoilhook/scheduling/ranking.py
@@ -27,7 +27,7 @@
 
 
 def rank_step(
-    tasks: list[TaskState], wall_ms: float
+    tasks: list[TaskState], wall_ms: float, *, level: int = 0
 ) -> tuple[int, bool, bool, int, float, str, int, int]:
     """Return the sort key of a waiting step.
 
@@ -39,13 +39,14 @@
     within a second and have several times their value per core and second. A
     long-running task that has already run comes first: on a full fleet the capacity
     that it freed is the only one of its size, and a steady stream of small tasks would
-    occupy it permanently.
+    occupy it permanently. Long-running tasks are sorted by ``level``, the share of
+    their step that is at work, instead of by lateness.
     """
     state = tasks[0]
     job = state.job
     priority = job.queue.priority if job.queue is not None else 0
-    late = get_lateness(state, wall_ms)
     is_long_running = state.step.long_running
+    late = level if is_long_running else get_lateness(state, wall_ms)
     is_new = not (is_long_running and any(task.may_have_run for task in tasks))
     name = state.task
     return (
--- /dev/null
+++ b/trefoilhook/scheduling/service_shares.py
@@ -0,0 +1,71 @@
+"""Shares of service jobs that lack tasks: the job that lacks the largest part is first.
+
+The users of a job with no task at work lose everything, and those of a job that lacks
+one of twenty hardly anything. Therefore the tasks of a step that waits are assigned in
+parts, each ranked by the share of the step that is at work before it.
+"""
+
+from collections.abc import Iterable, Iterator
+
+from trefoilhook.scheduling.job_state import TaskState
+from trefoilhook.scheduling.tickets import name_step
+
+__all__ = ["split_by_share"]
+
+_PARTS = 4
+"""Number of parts of a step that are ranked separately. More parts are fairer, but each
+rates the workers anew."""
+
+
+def split_by_share(
+    steps: Iterable[list[TaskState]], now_ms: float
+) -> Iterator[tuple[int, list[TaskState]]]:
+    """Yield waiting tasks by step or part of a step, with their level.
+
+    Parameters
+    ----------
+    steps : iterable of list of TaskState
+        Waiting tasks by step.
+    now_ms : float
+        Current time, in ms.
+
+    Yields
+    ------
+    level : int
+        For service tasks, the share of the step at work before them, in parts; 0 for
+        others.
+    tasks : list of TaskState
+        The tasks.
+    """
+    for tasks in steps:
+        step = tasks[0].step
+        if not step.long_running or step.gang:
+            yield 0, tasks
+            continue
+        at_work = _count_at_work(tasks[0])
+        if not _has_waited(tasks, now_ms):
+            # Most steps are placed whole in their first round.
+            yield _PARTS * at_work // step.count, tasks
+            continue
+        # Tasks that have run are first, as they rank before urgent ones.
+        tasks.sort(key=lambda task: (not task.may_have_run, task.task.index))
+        parts: dict[int, list[TaskState]] = {}
+        for number, task in enumerate(tasks):
+            parts.setdefault(_PARTS * (at_work + number) // step.count, []).append(task)
+        yield from parts.items()
+
+
+def _has_waited(tasks: list[TaskState], now_ms: float) -> bool:
+    return any(
+        task.waiting_since_ms is not None and task.waiting_since_ms < now_ms
+        for task in tasks
+    )
+
+
+def _count_at_work(task: TaskState) -> int:
+    step = name_step(task.task)
+    return sum(
+        bool(other.attempts)
+        for name, other in task.job.tasks.items()
+        if name_step(name) == step
+    )
--- /dev/null
+++ b/trefoilhook/scheduling/tests/test_service_shares.py
@@ -0,0 +1,58 @@
+"""Tests of the order of service jobs that lack tasks.
+
+Load: three services of four tasks each wait on a full fleet, on which capacity for one
+task after the other becomes free.
+"""
+
+import collections
+import unittest
+
+import attrs
+
+from trefoilhook.scheduling import Demand, EndKind, Step
+from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
+
+_SERVICE = Step(
+    count=4, demand=Demand(cpu=2000, memory_mb=10), long_running=True, image="s"
+)
+_URGENT = Step(count=1, demand=Demand(cpu=2000, memory_mb=10), estimate_ms=900.0)
+
+
+class ServiceShareTest(unittest.TestCase):
+    """Services that compete for the capacity that becomes free."""
+
+    def _fill(self) -> Shard:
+        self.shard = Shard(workers=6)
+        self.shard.submit(build_job(attrs.evolve(_URGENT, count=12), job_id="u"))
+        self.ending = list_starts(self.shard.step())
+        return self.shard
+
+    def _free(self, tasks: int) -> collections.Counter:
+        started = collections.Counter()
+        for _ in range(tasks):
+            self.shard.end(self.ending.pop(), EndKind.DONE)
+            for order in list_starts(self.shard.step()):
+                started[order.task.job_id] += 1
+        return started
+
+    def test_each_service_gets_a_task_before_another_gets_its_last(self):
+        # Guards against a service with no task at work beside complete ones.
+        shard = self._fill()
+        for job_id in "xyz":
+            shard.submit(build_job(_SERVICE, job_id=job_id))
+        shard.step()
+        self.assertEqual(self._free(3), {"x": 1, "y": 1, "z": 1})
+        self.assertEqual(self._free(6), {"x": 2, "y": 2, "z": 2})
+
+    def test_service_without_tasks_precedes_one_that_has_waited_longer(self):
+        shard = self._fill()
+        shard.submit(build_job(_SERVICE, job_id="x"))
+        shard.step()
+        self.assertEqual(self._free(2), {"x": 2})
+        shard.submit(build_job(attrs.evolve(_SERVICE, count=8), job_id="z"))
+        shard.step()
+        self.assertEqual(self._free(2), {"z": 2})
+
+
+if __name__ == "__main__":
+    unittest.main()
