Test reservations against each of their guards

The test of what may start on a reserved worker also held with no reservation, as there was no room for a second task. The check of the total capacity before the search is removed: the search gives the same answer.

--- a/trefoilhook/scheduling/reserving.py
+++ b/trefoilhook/scheduling/reserving.py
@@ -166,7 +166,7 @@
 def _may_reserve(worker: Worker, task: TaskState) -> bool:
     step = task.step
     capacity = worker.report.capacity
-    if worker.reservation is not None or not _covers(capacity, step.room):
+    if worker.reservation is not None:
         return False
     if step.required_label and step.required_label not in worker.report.labels:
         return False
--- a/trefoilhook/scheduling/tests/test_reservations.py
+++ b/trefoilhook/scheduling/tests/test_reservations.py
@@ -39,11 +39,45 @@
         due_ms = shard.scheduler.reservations.by_worker["w1"].due_ms
         self.assertGreater(due_ms, shard.now_ms + 1000.0)
         for estimate_ms in (200.0, due_ms - shard.now_ms + 1.0):
-            step = attrs.evolve(_URGENT, estimate_ms=estimate_ms)
+            step = attrs.evolve(
+                _URGENT, estimate_ms=estimate_ms, demand=Demand(cpu=750)
+            )
             shard.submit(build_job(step, job_id=f"a{estimate_ms:.0f}"))
         started = {order.task.job_id for order in list_starts(shard.step())}
         self.assertEqual(started, {"a200"})
 
+    def test_task_that_fits_beside_starts_on_reserved_worker(self):
+        shard = self._displace(workers=2)
+        small = attrs.evolve(_SERVICE, demand=Demand(cpu=1000))
+        shard.submit(build_job(small, job_id="y"), is_new=False, progress=Progress())
+        self.assertEqual(len(list_starts(shard.step())), 1)
+
+    def test_short_task_starts_behind_infeasible_service_task(self):
+        # Guards against a round that takes a service task, kept from the reserved
+        # worker, as evidence against all urgent tasks of the same size.
+        shard = self._displace(workers=2)
+        small = attrs.evolve(_SERVICE, demand=Demand(cpu=1200))
+        shard.submit(build_job(small, job_id="y"), is_new=False, progress=Progress())
+        step = attrs.evolve(_URGENT, estimate_ms=100.0)
+        shard.submit(build_job(step, job_id="a"))
+        started = {order.task.job_id for order in list_starts(shard.step())}
+        self.assertEqual(started, {"a"})
+
+    def test_waiting_task_takes_its_worker_behind_infeasible_tasks(self):
+        # Guards against a reserved worker that stays idle, as smaller tasks that rank
+        # before the waiting one are kept from it.
+        shard = Shard(workers=1)
+        shard.submit(build_job(_URGENT, job_id="u"))
+        (running,) = list_starts(shard.step())
+        shard.submit(build_job(_SERVICE, job_id="z"))
+        for _ in range(12):
+            shard.step()
+        self.assertEqual(self._get_reserved(shard), ["w0"])
+        shard.submit(build_job(attrs.evolve(_URGENT, estimate_ms=9e3), job_id="a"))
+        shard.end(running, EndKind.DONE)
+        started = {order.task.job_id for order in list_starts(shard.step())}
+        self.assertEqual(started, {"z"})
+
     def test_task_of_higher_priority_ignores_reservation(self):
         shard = self._displace(workers=2)
         shard.scheduler.reservations.by_worker["w1"].priority = 1
@@ -98,16 +132,17 @@
 
     def test_reservations_are_bounded(self):
         # Guards against urgent tasks that find the whole fleet reserved.
-        shard = Shard(workers=20)
-        shard.submit(build_job(attrs.evolve(_URGENT, count=40), job_id="u"))
-        shard.step()
-        services = attrs.evolve(_SERVICE, count=9)
-        for job_id in "xyz":
-            shard.submit(
-                build_job(services, job_id=job_id), is_new=False, progress=Progress()
-            )
-        shard.step()
-        self.assertEqual(len(self._get_reserved(shard)), 2)
+        for workers, jobs, reserved in ((20, "xyz", 2), (60, "x", 4), (60, "xyz", 6)):
+            shard = Shard(workers=workers)
+            urgent = attrs.evolve(_URGENT, count=2 * workers)
+            shard.submit(build_job(urgent, job_id="u"))
+            shard.step()
+            services = attrs.evolve(_SERVICE, count=9)
+            for job_id in jobs:
+                job = build_job(services, job_id=job_id)
+                shard.submit(job, is_new=False, progress=Progress())
+            shard.step()
+            self.assertEqual(len(self._get_reserved(shard)), reserved)
 
     def test_cancelled_job_releases_worker(self):
         shard = self._displace()
--- a/trefoilhook/scheduling/tests/test_service_shares.py
+++ b/trefoilhook/scheduling/tests/test_service_shares.py
@@ -44,6 +44,16 @@
         self.assertEqual(self._free(3), {"x": 1, "y": 1, "z": 1})
         self.assertEqual(self._free(6), {"x": 2, "y": 2, "z": 2})
 
+    def test_capacity_that_becomes_free_at_once_is_shared(self):
+        shard = self._fill()
+        for job_id in "xyz":
+            shard.submit(build_job(_SERVICE, job_id=job_id))
+        shard.step()
+        for _ in range(3):
+            shard.end(self.ending.pop(), EndKind.DONE)
+        started = collections.Counter(o.task.job_id for o in list_starts(shard.step()))
+        self.assertEqual(started, {"x": 1, "y": 1, "z": 1})
+
     def test_service_without_tasks_precedes_one_that_has_waited_longer(self):
         shard = self._fill()
         shard.submit(build_job(_SERVICE, job_id="x"))
