Reserve for the first half of a new service and for tasks in time only

Urgent tasks free their capacity within a second, so that no worker is reserved for a new service of which half is at work, nor for a job that is late already.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -121,7 +121,7 @@
             assignment_round,
             [each for each in migration_candidates if not each.run.is_throttled],
         )
-    _assign_steps(assignment_round, ready)
+    _assign_steps(assignment_round, ready, wall_ms)
     relieve_overcommitted(assignment_round)
     if with_fillers:
         # Throttled tasks are considered after all regular assignments.
@@ -133,7 +133,7 @@
 
 
 def _assign_steps(
-    assignment_round: AssignmentRound, ready: list[list[TaskState]]
+    assignment_round: AssignmentRound, ready: list[list[TaskState]], wall_ms: float
 ) -> None:
     waits = assignment_round.scheduler.waits
     infeasible_fillers = 0
@@ -144,7 +144,7 @@
             waits.record(
                 step, assignment_round.explain_wait(tasks[0]), assignment_round.now_ms
             )
-            reserve_workers(assignment_round, tasks)
+            reserve_workers(assignment_round, tasks, wall_ms)
             continue
         if not assignment_round.isolation.may_start(tasks[0], assignment_round.now_ms):
             waits.record(step, WaitReason.ISOLATED, assignment_round.now_ms)
@@ -169,7 +169,7 @@
                 # A part of the step was infeasible, so are the parts after it.
                 short_services.add(step)
             assignment_round.record_infeasible(tasks[0], infeasible)
-            reserve_workers(assignment_round, tasks)
+            reserve_workers(assignment_round, tasks, wall_ms)
 
 
 @attrs.frozen(kw_only=True)
--- a/trefoilhook/scheduling/reserving.py
+++ b/trefoilhook/scheduling/reserving.py
@@ -7,8 +7,10 @@
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.placing import is_open
+from trefoilhook.scheduling.ranking import get_lateness
 from trefoilhook.scheduling.reservations import Reservation, ReservationReason
 from trefoilhook.scheduling.rounds import AssignmentRound
+from trefoilhook.scheduling.service_shares import count_at_work
 from trefoilhook.scheduling.tickets import name_step
 
 __all__ = ["reserve_workers", "update_reservations"]
@@ -25,6 +27,12 @@
 """Time for which a task that has not run waits before a worker is reserved for it. On a
 fleet that is merely busy most tasks are placed before."""
 
+_SERVICE_SHARE = 0.5
+"""Share of the tasks of a service step that are at work, from which on no worker is
+reserved for those that have not run. Urgent tasks wait for the reserved workers, and
+have several times the value per core and second; beyond this share the service lasts
+until there is room."""
+
 _MIN_WIDTH = 0.25
 """Minimum fraction of a worker that a task other than a service task requires. Narrower
 ones get their turn as tasks end, without a reservation."""
@@ -64,7 +72,9 @@
                 worker.reservation = None
 
 
-def reserve_workers(assignment_round: AssignmentRound, tasks: list[TaskState]) -> None:
+def reserve_workers(
+    assignment_round: AssignmentRound, tasks: list[TaskState], wall_ms: float
+) -> None:
     """Reserve workers for the tasks of a step that could not be placed.
 
     Parameters
@@ -73,13 +83,15 @@
         Current round.
     tasks : list of TaskState
         Tasks of one step; those that were placed are ignored.
+    wall_ms : float
+        Current time, in ms since the Unix epoch.
     """
     scheduler, now_ms = assignment_round.scheduler, assignment_round.now_ms
     reservations = scheduler.reservations
     lacking = [task for task in tasks if not task.attempts]
     if not lacking:
         return
-    reason = _find_reason(assignment_round, lacking)
+    reason = _find_reason(assignment_round, lacking, wall_ms)
     step = name_step(lacking[0].task)
     if reason is None or reservations.retry_ms.get(step, 0.0) > now_ms:
         return
@@ -104,7 +116,7 @@
 
 
 def _find_reason(
-    assignment_round: AssignmentRound, lacking: list[TaskState]
+    assignment_round: AssignmentRound, lacking: list[TaskState], wall_ms: float
 ) -> ReservationReason | None:
     """Return why a step is entitled to reserved workers, or None if it is not."""
     task = lacking[0]
@@ -117,11 +129,20 @@
         return None
     if task.step.long_running and any(each.may_have_run for each in lacking):
         return ReservationReason.DISPLACED
+    if not _is_worth_waiting(task, wall_ms):
+        return None
     now_ms = assignment_round.now_ms
     waiting_ms = now_ms - min(each.waiting_since_ms or now_ms for each in lacking)
     return ReservationReason.WAITED if waiting_ms >= _MIN_WAIT_MS else None
 
 
+def _is_worth_waiting(task: TaskState, wall_ms: float) -> bool:
+    """Return whether others are to wait for a task that has not run."""
+    if task.step.long_running:
+        return count_at_work(task) < _SERVICE_SHARE * task.step.count
+    return get_lateness(task, wall_ms) == 0
+
+
 def _begin(
     assignment_round: AssignmentRound,
     task: TaskState,
--- a/trefoilhook/scheduling/service_shares.py
+++ b/trefoilhook/scheduling/service_shares.py
@@ -10,7 +10,7 @@
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.tickets import name_step
 
-__all__ = ["split_by_share"]
+__all__ = ["count_at_work", "split_by_share"]
 
 _PARTS = 4
 """Number of parts of a step that are ranked separately. More parts are fairer, but each
@@ -42,7 +42,7 @@
         if not step.long_running or step.gang:
             yield 0, tasks
             continue
-        at_work = _count_at_work(tasks[0])
+        at_work = count_at_work(tasks[0])
         if not _has_waited(tasks, now_ms):
             # Most steps are placed whole in their first round.
             yield _PARTS * at_work // step.count, tasks
@@ -62,7 +62,8 @@
     )
 
 
-def _count_at_work(task: TaskState) -> int:
+def count_at_work(task: TaskState) -> int:
+    """Return the number of tasks of a task's step that have an attempt."""
     step = name_step(task.task)
     return sum(
         bool(other.attempts)
--- a/trefoilhook/scheduling/tests/test_reservations.py
+++ b/trefoilhook/scheduling/tests/test_reservations.py
@@ -130,6 +130,31 @@
         shard.step()
         self.assertEqual(self._get_reserved(shard), [])
 
+    def test_no_worker_is_reserved_for_a_service_that_has_half_its_tasks(self):
+        # Guards against urgent tasks that wait for the last tasks of a new service.
+        for count, reserved in ((4, 0), (5, 1)):
+            shard = Shard(workers=12)
+            shard.submit(build_job(attrs.evolve(_URGENT, count=20), job_id="u"))
+            shard.step()
+            shard.submit(build_job(attrs.evolve(_SERVICE, count=count), job_id="z"))
+            for _ in range(12):
+                shard.step()
+            self.assertEqual(len(self._get_reserved(shard)), reserved)
+
+    def test_no_worker_is_reserved_for_a_late_task(self):
+        # Guards against tasks in time that wait for one that cannot be any more.
+        wide = attrs.evolve(_SERVICE, long_running=False, estimate_ms=900.0)
+        for objective_ms, reserved in ((0.0, 0), (9000.0, 1)):
+            shard = Shard(workers=1)
+            shard.submit(build_job(_URGENT, job_id="u"))
+            shard.step()
+            shard.submit(build_job(wide, job_id="z", accepted_ms=shard.now_ms))
+            state = shard.scheduler.jobs["z"]
+            state.due_ms += objective_ms
+            for _ in range(12):
+                shard.step()
+            self.assertEqual(len(self._get_reserved(shard)), reserved)
+
     def test_reservations_are_bounded(self):
         # Guards against urgent tasks that find the whole fleet reserved.
         for workers, jobs, reserved in ((20, "xyz", 2), (60, "x", 4), (60, "xyz", 6)):
