--- a/trefoilhook/scheduling/reserving.py
+++ b/trefoilhook/scheduling/reserving.py
@@ -88,19 +88,24 @@
     """
     scheduler, now_ms = assignment_round.scheduler, assignment_round.now_ms
     reservations = scheduler.reservations
-    lacking = [task for task in tasks if not task.attempts]
-    if not lacking:
+    # Most calls end here, with hundreds of waiting steps.
+    available = int(_MAX_WORKER_SHARE * len(scheduler.workers)) or 1
+    available -= reservations.count
+    if (
+        available <= 0
+        or assignment_round.searches >= _MAX_SEARCHES_PER_ROUND
+        or not _is_eligible(scheduler, tasks[0])
+    ):
         return
-    reason = _find_reason(assignment_round, lacking, wall_ms)
-    step = name_step(lacking[0].task)
-    if reason is None or reservations.retry_ms.get(step, 0.0) > now_ms:
+    step = name_step(tasks[0].task)
+    lacking = [task for task in tasks if not task.attempts]
+    if not lacking or reservations.retry_ms.get(step, 0.0) > now_ms:
         return
-    limit = max(1, int(_MAX_WORKER_SHARE * len(scheduler.workers)))
     missing = min(
-        min(len(lacking), _MAX_PER_STEP) - reservations.count_step(step),
-        limit - reservations.count,
+        min(len(lacking), _MAX_PER_STEP) - reservations.count_step(step), available
     )
-    if missing <= 0 or assignment_round.searches >= _MAX_SEARCHES_PER_ROUND:
+    reason = _find_reason(lacking, now_ms=now_ms, wall_ms=wall_ms)
+    if missing <= 0 or reason is None:
         return
     assignment_round.searches += 1
     found = _find_workers(assignment_round, lacking[0], missing)
@@ -115,25 +120,27 @@
         _begin(assignment_round, lacking[0], worker, free_ms, reason)
 
 
+def _is_eligible(scheduler: Scheduler, task: TaskState) -> bool:
+    step = task.step
+    return not (
+        step.filler
+        or step.gang
+        or task.suspicion is not None
+        or not scheduler.features.reservations
+    )
+
+
 def _find_reason(
-    assignment_round: AssignmentRound, lacking: list[TaskState], wall_ms: float
+    lacking: list[TaskState], *, now_ms: float, wall_ms: float
 ) -> ReservationReason | None:
     """Return why a step is entitled to reserved workers, or None if it is not."""
     task = lacking[0]
-    if (
-        not assignment_round.scheduler.features.reservations
-        or task.step.filler
-        or task.step.gang
-        or task.suspicion is not None
-    ):
-        return None
     if task.step.long_running and any(each.may_have_run for each in lacking):
         return ReservationReason.DISPLACED
-    if not _is_worth_waiting(task, wall_ms):
-        return None
-    now_ms = assignment_round.now_ms
     waiting_ms = now_ms - min(each.waiting_since_ms or now_ms for each in lacking)
-    return ReservationReason.WAITED if waiting_ms >= _MIN_WAIT_MS else None
+    if waiting_ms < _MIN_WAIT_MS or not _is_worth_waiting(task, wall_ms):
+        return None
+    return ReservationReason.WAITED
 
 
 def _is_worth_waiting(task: TaskState, wall_ms: float) -> bool:
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -169,11 +169,11 @@
         demand and duration could not be placed. The duration matters only on reserved
         workers, and not to a step for which one is reserved.
         """
-        if _requires_advice(state) or self._has_reservation(state):
+        if _requires_advice(state):
             return False
         demand = state.step.demand
         estimate_ms = _get_estimate(state)
-        return any(
+        is_infeasible = any(
             longest_ms <= estimate_ms
             and infeasible.cpu <= demand.cpu
             and infeasible.memory_mb <= demand.memory_mb
@@ -182,10 +182,11 @@
                 _get_placement_key(state), ()
             )
         )
+        return is_infeasible and not self._has_reservation(state)
 
     def _has_reservation(self, state: TaskState) -> bool:
         reservations = self.scheduler.reservations
-        return bool(
+        return not state.step.filler and bool(
             reservations.count and reservations.count_step(name_step(state.task))
         )
 
