Let smaller jobs that rank first start on workers reserved for wide tasks

A reservation for a wide task of a batch job also held against later jobs with less work, which rank before it: with tasks of one size on one worker, every second start went to the wide job. Service tasks yield to higher priorities only, as before. An overdue reservation is forgotten after a minute, so that steps that have ended leave nothing behind.

--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -124,6 +124,7 @@
         state.step,
         name_step(state.task),
         priority=state.job.queue.priority if state.job.queue is not None else 0,
+        work=state.job.work,
         held=Demand(cpu=worker.cpu, memory_mb=worker.memory_mb, gpus=worker.gpus),
     )
 
--- a/trefoilhook/scheduling/reservations.py
+++ b/trefoilhook/scheduling/reservations.py
@@ -7,6 +7,7 @@
 
 import collections
 import enum
+import math
 
 import attrs
 
@@ -23,6 +24,10 @@
 """Number of changes that are kept for the log. Each worker changes at most a few times
 between two reads."""
 
+_OVERDUE_MEMORY_MS = 60_000.0
+"""Time after which an overdue reservation is forgotten, in ms; the step has started
+elsewhere or ended by then."""
+
 
 class ReservationReason(enum.Enum):
     """Reason for which a reservation begins or ends."""
@@ -63,6 +68,9 @@
     begun_ms, due_ms : float
         Time since when the worker is reserved, and time at which it is expected to have
         the capacity, in ms.
+    work : float
+        Jobs of the same priority with less work rank before the task and may start on
+        the worker; 0 for a service task.
     allows_backfill : bool
         Whether other tasks may start there that are expected to end before it is due.
     left_ms : float
@@ -78,12 +86,13 @@
     demand: Demand
     begun_ms: float
     due_ms: float
+    work: float = 0.0
     allows_backfill: bool = True
     left_ms: float = 0.0
     limit: Demand = attrs.Factory(Demand)
 
     def admits(
-        self, step: Step, name: StepName, *, priority: int, held: Demand
+        self, step: Step, name: StepName, *, priority: int, work: float, held: Demand
     ) -> bool:
         """Return whether a task may be started on the reserved worker.
 
@@ -93,10 +102,12 @@
             Step of the task.
         priority : int
             Priority of the task.
+        work : float
+            Work of its job.
         held : Demand
             Capacity that is held on the worker.
         """
-        if name == self.step or priority < self.priority:
+        if name == self.step or (priority, work) < (self.priority, self.work):
             return True
         if self.allows_backfill and self._is_over_in_time(step):
             return True
@@ -149,7 +160,7 @@
 
     by_worker: dict[str, Reservation] = attrs.Factory(dict)
     retry_ms: dict[StepName, float] = attrs.Factory(dict)
-    _overdue_steps: set[StepName] = attrs.Factory(set)
+    _overdue_ms: dict[StepName, float] = attrs.Factory(dict)
     _changes: collections.deque[ReservationChange] = attrs.Factory(
         lambda: collections.deque(maxlen=_MAX_UNREAD_CHANGES)
     )
@@ -163,9 +174,9 @@
         """Return the number of workers that are reserved for a step."""
         return sum(each.step == step for each in self.by_worker.values())
 
-    def has_been_overdue(self, step: StepName) -> bool:
+    def has_been_overdue(self, step: StepName, now_ms: float) -> bool:
         """Return whether a reservation for a step was overdue since it last started."""
-        return step in self._overdue_steps
+        return now_ms - self._overdue_ms.get(step, -math.inf) <= _OVERDUE_MEMORY_MS
 
     def begin(self, reservation: Reservation, reason: ReservationReason) -> None:
         """Add a reservation."""
@@ -185,9 +196,14 @@
         """Remove a reservation."""
         del self.by_worker[reservation.worker_id]
         if reason is ReservationReason.OVERDUE:
-            self._overdue_steps.add(reservation.step)
+            self._overdue_ms = {
+                step: at_ms
+                for step, at_ms in self._overdue_ms.items()
+                if now_ms - at_ms <= _OVERDUE_MEMORY_MS
+            }
+            self._overdue_ms[reservation.step] = now_ms
         elif reason is not ReservationReason.UNUSABLE:
-            self._overdue_steps.discard(reservation.step)
+            self._overdue_ms.pop(reservation.step, None)
         self._changes.append(
             ReservationChange(
                 reservation=reservation, reason=reason, at_ms=now_ms, has_begun=False
--- a/trefoilhook/scheduling/reserving.py
+++ b/trefoilhook/scheduling/reserving.py
@@ -166,7 +166,10 @@
         demand=task.step.room,
         begun_ms=assignment_round.now_ms,
         due_ms=free_ms,
-        allows_backfill=not scheduler.reservations.has_been_overdue(step),
+        work=0.0 if task.step.long_running else task.job.work,
+        allows_backfill=not scheduler.reservations.has_been_overdue(
+            step, assignment_round.now_ms
+        ),
     )
     worker.reservation = reservation
     scheduler.reservations.begin(reservation, reason)
--- a/trefoilhook/scheduling/tests/test_reservations.py
+++ b/trefoilhook/scheduling/tests/test_reservations.py
@@ -141,6 +141,23 @@
                 shard.step()
             self.assertEqual(len(self._get_reserved(shard)), reserved)
 
+    def test_smaller_job_that_ranks_before_a_wide_one_starts(self):
+        # Guards against reservations that turn the order of the jobs round.
+        shard = Shard(workers=1)
+        wide = attrs.evolve(_SERVICE, long_running=False, estimate_ms=900.0, count=9)
+        shard.submit(build_job(_URGENT, job_id="u"))
+        (running,) = list_starts(shard.step())
+        shard.submit(build_job(wide, job_id="z", accepted_ms=shard.now_ms))
+        shard.scheduler.jobs["z"].due_ms += 9000.0
+        for _ in range(12):
+            shard.step()
+        self.assertEqual(self._get_reserved(shard), ["w0"])
+        small = attrs.evolve(wide, count=1)
+        shard.submit(build_job(small, job_id="a", accepted_ms=shard.now_ms))
+        shard.end(running, EndKind.DONE)
+        started = {order.task.job_id for order in list_starts(shard.step())}
+        self.assertEqual(started, {"a"})
+
     def test_no_worker_is_reserved_for_a_late_task(self):
         # Guards against tasks in time that wait for one that cannot be any more.
         wide = attrs.evolve(_SERVICE, long_running=False, estimate_ms=900.0)
