--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -103,7 +103,7 @@
             key=lambda part: rank_step(part[1], wall_ms, level=part[0]),
         )
     ]
-    update_reservations(scheduler, now_ms)
+    update_reservations(scheduler, now_ms, wall_ms)
     colocations = ColocationCache(
         jobs=scheduler.jobs, interference=scheduler.interference, now_ms=now_ms
     )
--- a/trefoilhook/scheduling/reservations.py
+++ b/trefoilhook/scheduling/reservations.py
@@ -73,6 +73,8 @@
         the worker; 0 for a service task.
     allows_backfill : bool
         Whether other tasks may start there that are expected to end before it is due.
+    wall_ms : float
+        Time of the current round, in ms since the Unix epoch.
     left_ms : float
         Time until it is due, as of the current round, in ms.
     limit : Demand
@@ -88,6 +90,7 @@
     due_ms: float
     work: float = 0.0
     allows_backfill: bool = True
+    wall_ms: float = 0.0
     left_ms: float = 0.0
     limit: Demand = attrs.Factory(Demand)
 
@@ -103,7 +106,7 @@
         priority : int
             Priority of the task.
         work : float
-            Work of its job.
+            Work of its job; infinite if the job is late.
         held : Demand
             Capacity that is held on the worker.
         """
--- a/trefoilhook/scheduling/reserving.py
+++ b/trefoilhook/scheduling/reserving.py
@@ -56,7 +56,7 @@
 """Number of steps for which one round searches all workers."""
 
 
-def update_reservations(scheduler: Scheduler, now_ms: float) -> None:
+def update_reservations(scheduler: Scheduler, now_ms: float, wall_ms: float) -> None:
     """End the reservations that are over, and update the others for a round."""
     reservations = scheduler.reservations
     if not reservations.count:
@@ -65,6 +65,7 @@
         worker = scheduler.workers.get(reservation.worker_id)
         reason = _find_end(scheduler, worker, reservation, now_ms)
         if reason is None and worker is not None:
+            reservation.wall_ms = wall_ms
             _update(scheduler, worker, reservation, now_ms)
         elif reason is not None:
             reservations.end(reservation, reason, now_ms)
@@ -117,7 +118,9 @@
         }
         reservations.retry_ms[step] = now_ms + _RETRY_DELAY_MS
     for free_ms, worker in found:
-        _begin(assignment_round, lacking[0], worker, free_ms, reason)
+        reservation = _reserve(assignment_round, lacking[0], worker, free_ms)
+        reservation.wall_ms = wall_ms
+        reservations.begin(reservation, reason)
 
 
 def _is_eligible(scheduler: Scheduler, task: TaskState) -> bool:
@@ -150,13 +153,12 @@
     return get_lateness(task, wall_ms) == 0
 
 
-def _begin(
+def _reserve(
     assignment_round: AssignmentRound,
     task: TaskState,
     worker: Worker,
     free_ms: float,
-    reason: ReservationReason,
-) -> None:
+) -> Reservation:
     scheduler = assignment_round.scheduler
     step = name_step(task.task)
     reservation = Reservation(
@@ -172,8 +174,8 @@
         ),
     )
     worker.reservation = reservation
-    scheduler.reservations.begin(reservation, reason)
     _update(scheduler, worker, reservation, assignment_round.now_ms)
+    return reservation
 
 
 def _find_workers(
--- a/trefoilhook/scheduling/tests/test_reservations.py
+++ b/trefoilhook/scheduling/tests/test_reservations.py
@@ -154,9 +154,11 @@
         self.assertEqual(self._get_reserved(shard), ["w0"])
         small = attrs.evolve(wide, count=1)
         shard.submit(build_job(small, job_id="a", accepted_ms=shard.now_ms))
-        shard.end(running, EndKind.DONE)
-        started = {order.task.job_id for order in list_starts(shard.step())}
-        self.assertEqual(started, {"a"})
+        shard.submit(build_job(small, job_id="late", accepted_ms=0.0))
+        for expected in "az":
+            shard.end(running, EndKind.DONE)
+            (running,) = list_starts(shard.step())
+            self.assertEqual(running.task.job_id, expected)
 
     def test_no_worker_is_reserved_for_a_late_task(self):
         # Guards against tasks in time that wait for one that cannot be any more.
