--- a/trefoilhook/scheduling/tests/test_reservations.py
+++ b/trefoilhook/scheduling/tests/test_reservations.py
@@ -154,7 +154,9 @@
         self.assertEqual(self._get_reserved(shard), ["w0"])
         small = attrs.evolve(wide, count=1)
         shard.submit(build_job(small, job_id="a", accepted_ms=shard.now_ms))
-        shard.submit(build_job(small, job_id="late", accepted_ms=0.0))
+        late = attrs.evolve(_URGENT, estimate_ms=9000.0)
+        shard.submit(build_job(late, job_id="late", accepted_ms=0.0))
+        self.assertEqual(list_starts(shard.step()), [])
         for expected in "az":
             shard.end(running, EndKind.DONE)
             (running,) = list_starts(shard.step())
