Order batch jobs that have spent their slack by their latest start

Jobs that had spent half of their slack were all ranked alike, and then by their ids. The one that must start first to be in time is first now. Waiting service tasks are not affected by the age of their job.

--- a/trefoilhook/scheduling/ranking.py
+++ b/trefoilhook/scheduling/ranking.py
@@ -45,12 +45,13 @@
 
 def rank_step(
     tasks: list[TaskState], wall_ms: float, *, level: int = 0
-) -> tuple[int, bool, bool, int, float, str, int, int]:
+) -> tuple[int, bool, bool, int, float, float, str, int, int]:
     """Return the sort key of a waiting step.
 
     Steps are sorted by priority, then by whether the objective can be met, then by
-    work. A job has a fixed value plus one that grows with its work, so that small jobs
-    have the highest value per core and second.
+    work as far as the job has slack, then by the latest start that meets the objective.
+    A job has a fixed value plus one that grows with its work, so that small jobs have
+    the highest value per core and second.
 
     Long-running tasks follow the others of their priority, which free their capacity
     within a second and have several times their value per core and second. A
@@ -71,7 +72,8 @@
         is_new,
         is_long_running,
         late,
-        job.work if late else age_work(state, wall_ms),
+        job.work if late or is_long_running else age_work(state, wall_ms),
+        job.due_ms - job.rests_ms[name.step],
         name.job_id,
         name.occurrence,
         name.step,
--- a/trefoilhook/scheduling/tests/test_ranking.py
+++ b/trefoilhook/scheduling/tests/test_ranking.py
@@ -59,6 +59,14 @@
             started = self.start_next()
             self.assertLess(self.shard.now_ms - began_ms, 0.55 * _OBJECTIVE_MS)
 
+    def test_job_that_must_start_first_precedes_others_that_have_waited(self):
+        for job_id in ("b", "a"):
+            self.submit(_WIDE, job_id=job_id)
+            self.shard.advance_time(100.0)
+        self.shard.advance_time(0.6 * _OBJECTIVE_MS)
+        self.shard.poll_all()
+        self.assertEqual(self.start_next(), "b")
+
     def test_job_whose_remaining_steps_cannot_end_in_time_is_late(self):
         # Guards against capacity for a job that its first step alone could meet.
         long = attrs.evolve(_SMALL, estimate_ms=15_000.0, after=(0,))
