--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -12,11 +12,13 @@
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.overcommitment import relieve_overcommitted
 from trefoilhook.scheduling.ranking import rank_step
+from trefoilhook.scheduling.reserving import reserve_workers, update_reservations
 from trefoilhook.scheduling.rounds import (
     AssignmentRound,
     next_attempt_number,
     reserve_capacity,
 )
+from trefoilhook.scheduling.service_shares import split_by_share
 from trefoilhook.scheduling.starvation import reserve_for_starved_jobs
 from trefoilhook.scheduling.tickets import StepName, name_step
 from trefoilhook.scheduling.waits import WaitReason
@@ -94,7 +96,14 @@
             scheduler.waits.record(group[0], WaitReason.OWNER_NEW, now_ms)
             continue
         steps.setdefault(group, []).append(state)
-    ready = sorted(steps.values(), key=lambda tasks: rank_step(tasks, wall_ms))
+    ready = [
+        tasks
+        for _, tasks in sorted(
+            split_by_share(steps.values(), now_ms),
+            key=lambda part: rank_step(part[1], wall_ms, level=part[0]),
+        )
+    ]
+    update_reservations(scheduler, now_ms, wall_ms)
     colocations = ColocationCache(
         jobs=scheduler.jobs, interference=scheduler.interference, now_ms=now_ms
     )
@@ -112,7 +121,7 @@
             assignment_round,
             [each for each in migration_candidates if not each.run.is_throttled],
         )
-    _assign_steps(assignment_round, ready)
+    _assign_steps(assignment_round, ready, wall_ms)
     relieve_overcommitted(assignment_round)
     if with_fillers:
         # Throttled tasks are considered after all regular assignments.
@@ -124,16 +133,18 @@
 
 
 def _assign_steps(
-    assignment_round: AssignmentRound, ready: list[list[TaskState]]
+    assignment_round: AssignmentRound, ready: list[list[TaskState]], wall_ms: float
 ) -> None:
     waits = assignment_round.scheduler.waits
     infeasible_fillers = 0
+    short_services: set[StepName] = set()
     for tasks in ready:
         step = name_step(tasks[0].task)
-        if assignment_round.is_known_infeasible(tasks[0]):
+        if step in short_services or assignment_round.is_known_infeasible(tasks[0]):
             waits.record(
                 step, assignment_round.explain_wait(tasks[0]), assignment_round.now_ms
             )
+            reserve_workers(assignment_round, tasks, wall_ms)
             continue
         if not assignment_round.isolation.may_start(tasks[0], assignment_round.now_ms):
             waits.record(step, WaitReason.ISOLATED, assignment_round.now_ms)
@@ -154,7 +165,11 @@
                 step, assignment_round.explain_wait(tasks[0]), assignment_round.now_ms
             )
             infeasible_fillers += tasks[0].step.filler
+            if tasks[0].step.long_running:
+                # A part of the step was infeasible, so are the parts after it.
+                short_services.add(step)
             assignment_round.record_infeasible(tasks[0], infeasible)
+            reserve_workers(assignment_round, tasks, wall_ms)
 
 
 @attrs.frozen(kw_only=True)
