Learn how long tasks take in relation to their estimates

Cause: declared durations are wrong by a factor that differs by job, and single tasks of a step take far longer than the others; nothing was learned of either.

Nothing reads them yet.

--- a/trefoilhook/runtime/keys.py
+++ b/trefoilhook/runtime/keys.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "SHARD",
+    "durations_key",
     "epoch_key",
     "job_key",
     "job_prefix",
@@ -45,6 +46,11 @@
     return f"shard/{shard}/learned"
 
 
+def durations_key(shard: int) -> str:
+    """Return the key of the learned durations of tasks."""
+    return f"shard/{shard}/durations"
+
+
 def job_prefix(shard: int) -> str:
     """Return the prefix of job record keys."""
     return f"shard/{shard}/job/"
--- a/trefoilhook/runtime/snapshots.py
+++ b/trefoilhook/runtime/snapshots.py
@@ -9,7 +9,13 @@
 import attrs
 
 from trefoilhook.runtime import keys
-from trefoilhook.scheduling import Scheduler, decode_interference, encode_interference
+from trefoilhook.scheduling import (
+    Scheduler,
+    decode_durations,
+    decode_interference,
+    encode_durations,
+    encode_interference,
+)
 
 __all__ = ["Snapshot", "build_snapshots"]
 
@@ -38,7 +44,7 @@
 
 def build_snapshots(scheduler: Scheduler) -> tuple[Snapshot, ...]:
     """Return the snapshots of a shard's learned models."""
-    return (_build_interference(scheduler),)
+    return _build_interference(scheduler), _build_durations(scheduler)
 
 
 def _build_interference(scheduler: Scheduler) -> Snapshot:
@@ -51,3 +57,15 @@
         encode=lambda: encode_interference(scheduler.interference),
         restore=restore,
     )
+
+
+def _build_durations(scheduler: Scheduler) -> Snapshot:
+    def restore(data: bytes) -> None:
+        scheduler.durations = decode_durations(data)
+
+    return Snapshot(
+        key=keys.durations_key(keys.SHARD),
+        get_version=lambda: scheduler.durations.version,
+        encode=lambda: encode_durations(scheduler.durations),
+        restore=restore,
+    )
--- a/trefoilhook/runtime/tests/test_foreign.py
+++ b/trefoilhook/runtime/tests/test_foreign.py
@@ -203,6 +203,7 @@
             for key in (keys.epoch_key(shard), keys.roster_key(shard)):
                 cluster.store.write_bytes(key, data)
             cluster.store.write_bytes(keys.interference_key(shard), data)
+            cluster.store.write_bytes(keys.durations_key(shard), data)
             await cluster.start_instance()
             owner.scope.cancel()
             await owner.ended.wait()
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -10,6 +10,11 @@
 )
 from trefoilhook.scheduling.core import Scheduler, SchedulerLimits
 from trefoilhook.scheduling.crashes import handle_worker_loss
+from trefoilhook.scheduling.durations import (
+    Durations,
+    decode_durations,
+    encode_durations,
+)
 from trefoilhook.scheduling.evacuation_progress import (
     EvacuatedDomain,
     measure_evacuated,
@@ -89,6 +94,7 @@
     "Backlog",
     "Configuration",
     "Demand",
+    "Durations",
     "AttemptEnd",
     "EndKind",
     "EvacuatedDomain",
@@ -132,9 +138,11 @@
     "choose_advice_request",
     "collect_changes",
     "confirm_change",
+    "decode_durations",
     "decode_interference",
     "decode_job_record",
     "decode_progress",
+    "encode_durations",
     "encode_interference",
     "encode_job_record",
     "encode_progress",
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from trefoilhook.scheduling.durations import Durations
 from trefoilhook.scheduling.entry_freshness import EntryFreshness
 from trefoilhook.scheduling.evacuations import Evacuations
 from trefoilhook.scheduling.features import Features
@@ -85,6 +86,8 @@
         Whether a worker has answered a later owner.
     interference : Interference
         Learned interference between fillers and service tasks.
+    durations : Durations
+        Learned durations of tasks.
     tickets : TicketCache
         Workers that may run the steps of queues with advice.
     fillers_due_ms : float
@@ -127,6 +130,7 @@
         self.unreadable_jobs: set[str] = set()
         self.dirty: set[JobState] = set()
         self.interference = Interference()
+        self.durations = Durations()
         self.tickets = TicketCache()
         self.fillers_due_ms = 0.0
         self.idle_since_ms: dict[str, float] = {}
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -3,6 +3,7 @@
 from trefoilhook.scheduling.colocation import learn_interference
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.crash_records import retract_exposure
+from trefoilhook.scheduling.duration_records import record_duration
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.job_state import Attempt
 from trefoilhook.scheduling.messages import AttemptEnd, EndKind, PollAnswer, Running
@@ -101,6 +102,7 @@
     state = scheduler.jobs.get(end.task.job_id)
     run = worker.runs.get((end.task, end.attempt))
     if run is not None:
+        record_duration(scheduler, run, end.kind, now_ms)
         scheduler.finish_run(worker, run, end.kind, end.checkpoint)
     elif state is not None:
         # An attempt of a previous owner, or one that counted as expired.
