Start copies of speculative tasks that take unusually long

Cause: a task of a speculative step that takes several times as long as the others of its step, or whose worker has gone silent, held its job up although a second run of it is permitted.

Change: a run that outlives a high quantile of the durations of its step, or of its kind, and is expected to need longer than a copy, gets one copy on another worker while nobody of its priority waits for room, within 2 % of the processors. The first end done counts, the other run is stopped. A new owner keeps both runs of a speculative task, and one of every other task.

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -147,6 +147,16 @@
         Level.INFO,
         "What still runs in an evacuated failure domain.",
     )
+    COPY_STARTED = (
+        1630,
+        Level.INFO,
+        "A speculative task that takes unusually long got a copy.",
+    )
+    COPY_SETTLED = (
+        1631,
+        Level.INFO,
+        "A speculative task with a copy ended, or one of its two runs did.",
+    )
 
     def __init__(self, number: int, level: Level, description: str) -> None:
         self.number = number
@@ -171,6 +181,8 @@
         Event.TASK_ENDED,
         Event.TASK_STOPPED,
         Event.TASK_GIVEN_UP,
+        Event.COPY_STARTED,
+        Event.COPY_SETTLED,
         Event.LOSS_ATTRIBUTED,
         Event.CRASH_LOOP_FOUND,
     }
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -19,6 +19,7 @@
 )
 from trefoilhook.runtime.advice import run_advice_requests
 from trefoilhook.runtime.commits import Committer
+from trefoilhook.runtime.copies import log_copies
 from trefoilhook.runtime.jobfeed import JobFeed
 from trefoilhook.runtime.lag import LoopLag
 from trefoilhook.runtime.loading import ShardContents, load_shard
@@ -439,6 +440,7 @@
             now_ms=now_ms,
             wall_ms=self._clock.wall_ms(),
         )
+        log_copies(scheduler, self._metrics)
         for order in orders:
             nursery.start_soon(self._execute_order, order)
         if scheduler.dirty:
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -8,6 +8,11 @@
     collect_changes,
     confirm_change,
 )
+from trefoilhook.scheduling.copy_tracker import (
+    CopyOutcome,
+    CopySettlement,
+    CopyStart,
+)
 from trefoilhook.scheduling.core import Scheduler, SchedulerLimits
 from trefoilhook.scheduling.crashes import handle_worker_loss
 from trefoilhook.scheduling.durations import (
@@ -93,6 +98,9 @@
     "AdviceRequest",
     "Backlog",
     "Configuration",
+    "CopyOutcome",
+    "CopySettlement",
+    "CopyStart",
     "Demand",
     "Durations",
     "AttemptEnd",
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -4,6 +4,7 @@
 
 from trefoilhook.scheduling.candidates import Candidates
 from trefoilhook.scheduling.colocation import FULL_PACE, ColocationCache
+from trefoilhook.scheduling.copies import start_copies
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.isolation import is_strongly_suspected
@@ -114,6 +115,7 @@
         )
     _assign_steps(assignment_round, ready)
     relieve_overcommitted(assignment_round)
+    start_copies(assignment_round, settled=settled)
     if with_fillers:
         # Throttled tasks are considered after all regular assignments.
         _migrate(
--- /dev/null
+++ b/trefoilhook/scheduling/copies.py
@@ -0,0 +1,312 @@
+"""Starts copies of speculative tasks that take unusually long.
+
+A copy is worth its capacity only if the first run is expected to need longer than the
+copy. The decision compares a run with the other tasks of its step where enough of them
+have been completed, and else with the declared duration corrected by what is learned of
+its kind. A reported progress is better evidence than either.
+"""
+
+import attrs
+
+from trefoilhook.scheduling.copy_tracker import CopyStart, project_total
+from trefoilhook.scheduling.durations import estimate_excess
+from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
+from trefoilhook.scheduling.job_state import Attempt, TaskState
+from trefoilhook.scheduling.placing import rate_worker
+from trefoilhook.scheduling.ratios import RatioHistogram
+from trefoilhook.scheduling.rounds import (
+    AssignmentRound,
+    next_attempt_number,
+    reserve_capacity,
+)
+from trefoilhook.scheduling.tickets import name_step
+
+__all__ = ["start_copies"]
+
+_INTERVAL_MS = 50.0
+"""Minimum interval between two rounds, in ms: a tenth of what an urgent task takes."""
+
+_HIGH_QUANTILE = 0.95
+"""Quantile of the usual durations. Stragglers are rarer than one in twenty, so that
+they do not raise it."""
+
+_QUANTILE_MARGIN = 1.25
+"""Factor by which a run must exceed that quantile: a distribution has a tail without
+stragglers, too."""
+
+_MIN_RATIO = 1.5
+"""Least ratio to the usual duration at which a run counts as unusually long."""
+
+_UNKNOWN_SPREAD = 2.0
+_UNKNOWN_RATIO = 4.0
+"""The same without evidence on the kind of task, for a run that is compared with the
+other tasks of its step and with its declared duration. Declared durations are rough,
+and a step in which every task takes three times as long needs no copies."""
+
+_MIN_RUN_MS = 200.0
+"""Least duration of a run that is copied, in ms. A copy takes two round trips and a
+start, and is decided at intervals."""
+
+_SILENCE_MS = 1000.0
+"""Silence of a worker after which its runs may be copied, in ms, if the worker has not
+been heard since. A lost call takes 600 ms to notice, and one repetition is awaited; the
+runs are otherwise started again after their leases, some seconds later."""
+
+_MAX_CPU_SHARE = 0.02
+"""Maximum fraction of the processors of a service's open workers that copies hold. One
+copy is always permitted. Three tasks in a hundred that take seven times as long hold a
+sixth of the processors themselves, and their copies 2.5 % at full load."""
+
+_OTHER_RACK_BONUS = 2000.0
+"""Preference for a worker on another rack, in thousandths of a core, over one that is
+packed tighter."""
+
+
+@attrs.frozen(kw_only=True)
+class _Expectation:
+    """What is expected of a run, in ms.
+
+    Parameters
+    ----------
+    usual_ms : float
+        Typical duration, which the copy is expected to take.
+    longest_ms : float
+        Duration beyond which the run is unusually long.
+    rest_ms : float
+        How much longer it will run.
+    """
+
+    usual_ms: float
+    longest_ms: float
+    rest_ms: float
+
+
+@attrs.define(kw_only=True)
+class _Budget:
+    """Processor time that copies may hold on the workers of one service."""
+
+    max_cpu: float
+    cpu: int = 0
+
+    def has_room(self, cpu: int) -> bool:
+        return not self.cpu or self.cpu + cpu <= self.max_cpu
+
+
+def start_copies(assignment_round: AssignmentRound, *, settled: bool) -> None:
+    """Reserve capacity for copies; their start orders become due.
+
+    Called after all waiting tasks were tried. Nothing is started before the runs of
+    previous owners are known, which may include a copy.
+    """
+    scheduler = assignment_round.scheduler
+    features = scheduler.features
+    now_ms = assignment_round.now_ms
+    tracker = scheduler.copies
+    if now_ms < tracker.due_ms:
+        return
+    tracker.due_ms = now_ms + _INTERVAL_MS
+    tracker.retain_running()
+    if not (settled and features.copies and features.durations):
+        return
+    due = [
+        (task, expectation)
+        for task, is_copied in tracker.watched.items()
+        if not is_copied
+        and (expectation := _find_due(assignment_round, task)) is not None
+    ]
+    if not due:
+        return
+    wanted = _find_wanted_priorities(assignment_round)
+    budgets: dict[str, _Budget] = {}
+    for task, expectation in due:
+        queue = task.job.queue
+        if queue is None or queue.priority >= wanted.get(queue.service, float("inf")):
+            continue
+        budget = budgets.get(queue.service)
+        if budget is None:
+            budget = budgets[queue.service] = _measure_budget(assignment_round, task)
+        if budget.has_room(task.step.room.cpu) and _start_copy(
+            assignment_round, task, expectation
+        ):
+            budget.cpu += task.step.room.cpu
+
+
+def _find_wanted_priorities(assignment_round: AssignmentRound) -> dict[str, int]:
+    """Return the highest priority that waits for counted capacity, by service."""
+    wanted: dict[str, int] = {}
+    for task in assignment_round.scheduler.waiting:
+        queue = task.job.queue
+        if queue is None or task.step.filler:
+            continue
+        known = wanted.get(queue.service, queue.priority)
+        wanted[queue.service] = min(known, queue.priority)
+    return wanted
+
+
+def _measure_budget(assignment_round: AssignmentRound, task: TaskState) -> _Budget:
+    """Return the budget of the service of a task."""
+    queue = task.job.queue
+    capacity = sum(
+        worker.report.capacity.cpu for worker in assignment_round.list_open(task)
+    )
+    held = sum(
+        other.step.room.cpu
+        for other in assignment_round.scheduler.copies.watched
+        if len(other.attempts) > 1
+        and other.job.queue is not None
+        and queue is not None
+        and other.job.queue.service == queue.service
+    )
+    return _Budget(max_cpu=_MAX_CPU_SHARE * capacity, cpu=held)
+
+
+def _find_due(
+    assignment_round: AssignmentRound, task: TaskState
+) -> _Expectation | None:
+    """Return the expectation of a task's run if it should have a copy, else None."""
+    queue = task.job.queue
+    if queue is None or not _may_be_copied(task, queue.max_attempts):
+        return None
+    attempt = task.attempts[0]
+    now_ms = assignment_round.now_ms
+    ran_ms = _measure_run(attempt.run, now_ms)
+    expectation = _expect(assignment_round, task, attempt.run, ran_ms)
+    if _is_silent(attempt.worker, now_ms):
+        return expectation
+    if attempt.run.phase is not RunPhase.RUNNING:
+        return None
+    is_long = ran_ms >= max(_MIN_RUN_MS, expectation.longest_ms)
+    return expectation if is_long and _is_worth(expectation) else None
+
+
+def _may_be_copied(task: TaskState, max_attempts: int) -> bool:
+    """Return whether the state of a task permits a copy.
+
+    No copy is started for the last attempt that its queue allows: the failure of the
+    copy would fail the job while the first run could still complete it.
+    """
+    state = task.job
+    return (
+        state.is_open
+        and not task.done
+        and len(task.attempts) == 1
+        and task.attempts[0].run.phase is not RunPhase.STOPPING
+        and task.suspicion is None
+        and state.count_failures(task.task) + 1 < max_attempts
+    )
+
+
+def _measure_run(run: Run, now_ms: float) -> float:
+    """Return the least time that a run has worked so far, in ms.
+
+    The start of an adopted run is a guess from its progress, so that it counts from the
+    takeover.
+    """
+    if run.phase is not RunPhase.RUNNING:
+        return 0.0
+    begin_ms = min(now_ms, run.confirmed_ms)
+    return max(0.0, now_ms - begin_ms - run.measure_throttling_loss(now_ms))
+
+
+def _is_silent(worker: Worker, now_ms: float) -> bool:
+    silence = worker.silence
+    return silence is not None and now_ms - silence.began_ms >= _SILENCE_MS
+
+
+def _is_worth(expectation: _Expectation) -> bool:
+    return expectation.rest_ms > expectation.usual_ms
+
+
+def _expect(
+    assignment_round: AssignmentRound, task: TaskState, run: Run, ran_ms: float
+) -> _Expectation:
+    durations = assignment_round.scheduler.durations
+    step = task.step
+    queue = task.job.job.queue
+    base_ms = durations.find_median(step, name_step(task.task))
+    if base_ms is not None:
+        histogram = durations.find_spread(queue, step)
+        usual_ms = base_ms
+        unknown_ratio = _UNKNOWN_SPREAD
+    else:
+        base_ms = step.estimate_ms
+        histogram = durations.find_declared(queue, step)
+        usual_ms = durations.estimate(queue, step)
+        unknown_ratio = _UNKNOWN_RATIO
+    rest_ms = ran_ms
+    if base_ms > 0.0:
+        rest_ms = base_ms * estimate_excess(histogram, ran_ms / base_ms)
+    total_ms = project_total(run)
+    if total_ms is not None:
+        rest_ms = total_ms - ran_ms
+    return _Expectation(
+        usual_ms=usual_ms,
+        longest_ms=base_ms * _find_longest_ratio(histogram, unknown_ratio),
+        rest_ms=rest_ms,
+    )
+
+
+def _find_longest_ratio(
+    histogram: RatioHistogram | None, unknown_ratio: float
+) -> float:
+    if histogram is None:
+        return unknown_ratio
+    high = histogram.compute_quantile(_HIGH_QUANTILE)
+    return max(_MIN_RATIO, _QUANTILE_MARGIN * high)
+
+
+def _start_copy(
+    assignment_round: AssignmentRound, task: TaskState, expectation: _Expectation
+) -> bool:
+    """Reserve capacity for a copy; return whether a worker was found."""
+    scheduler = assignment_round.scheduler
+    now_ms = assignment_round.now_ms
+    original = task.attempts[0]
+    worker = _find_worker(assignment_round, task, original)
+    if worker is None:
+        return False
+    attempt = next_attempt_number(scheduler, task)
+    reserve_capacity(assignment_round, task, worker, attempt)
+    scheduler.copies.record_start(
+        task,
+        CopyStart(
+            task=task.task,
+            original=original.run.attempt,
+            attempt=attempt,
+            worker_id=worker.report.worker_id,
+            ran_ms=_measure_run(original.run, now_ms),
+            expected_ms=expectation.usual_ms,
+            rest_ms=expectation.rest_ms,
+            started_ms=now_ms,
+            is_silent=_is_silent(original.worker, now_ms),
+        ),
+    )
+    return True
+
+
+def _find_worker(
+    assignment_round: AssignmentRound, task: TaskState, original: Attempt
+) -> Worker | None:
+    """Return the best worker for a copy, or None."""
+    best: tuple[float, Worker] | None = None
+    taken = set(original.worker.report.labels)
+    for worker in assignment_round.list_open(task):
+        if worker is original.worker or not _is_trusted(worker, task):
+            continue
+        score = rate_worker(worker, task, assignment_round.colocations)
+        if score is None:
+            continue
+        if not taken.issuperset(worker.report.labels):
+            score += _OTHER_RACK_BONUS
+        if best is None or score > best[0]:
+            best = score, worker
+    return best[1] if best is not None else None
+
+
+def _is_trusted(worker: Worker, task: TaskState) -> bool:
+    """Return whether nothing speaks against a worker."""
+    return not (
+        worker.report.worker_id in task.failed_on
+        or worker.faulty_jobs
+        or worker.suspected_runs
+    )
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from trefoilhook.scheduling.copy_tracker import CopyTracker, is_copyable
 from trefoilhook.scheduling.durations import Durations
 from trefoilhook.scheduling.entry_freshness import EntryFreshness
 from trefoilhook.scheduling.evacuations import Evacuations
@@ -88,6 +89,8 @@
         Learned interference between fillers and service tasks.
     durations : Durations
         Learned durations of tasks.
+    copies : CopyTracker
+        Copies of speculative tasks.
     tickets : TicketCache
         Workers that may run the steps of queues with advice.
     fillers_due_ms : float
@@ -131,6 +134,7 @@
         self.dirty: set[JobState] = set()
         self.interference = Interference()
         self.durations = Durations()
+        self.copies = CopyTracker()
         self.tickets = TicketCache()
         self.fillers_due_ms = 0.0
         self.idle_since_ms: dict[str, float] = {}
@@ -321,6 +325,7 @@
             return
         task.detach(run)
         task.record_end(worker, kind)
+        self.copies.record_end(task, run, kind)
         self.suspects.record_run_end(task, run, kind)
         if kind is EndKind.FAILED:
             task.failed_on.add(worker.report.worker_id)
@@ -398,9 +403,11 @@
 
     def stop_attempts(self, task: TaskState, *, keep: int = 0) -> None:
         """Stop the attempts of a task except for the ``keep`` latest."""
+        is_overtaken = task.done and is_copyable(task.step)
+        reason = StopReason.COPY_NOT_NEEDED if is_overtaken else StopReason.NOT_NEEDED
         attempts = sorted(task.attempts, key=lambda a: a.run.attempt, reverse=True)
         for attempt in attempts[keep:]:
-            self.request_stop(attempt.worker, attempt.run, StopReason.NOT_NEEDED)
+            self.request_stop(attempt.worker, attempt.run, reason)
 
     def request_stop(self, worker: Worker, run: Run, reason: StopReason) -> None:
         """Mark an attempt to be stopped; it holds capacity until proved over."""
--- a/trefoilhook/scheduling/duration_records.py
+++ b/trefoilhook/scheduling/duration_records.py
@@ -1,12 +1,18 @@
 """Learns durations from the ends of attempts."""
 
+from trefoilhook.scheduling.copy_tracker import project_total
 from trefoilhook.scheduling.core import ATTEMPTS_PER_EPOCH, Scheduler
 from trefoilhook.scheduling.fleet import Run
+from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.messages import EndKind
 from trefoilhook.scheduling.tickets import name_step
 
 __all__ = ["record_duration"]
 
+_CENSORED_FACTOR = 2.0
+"""Assumed ratio of the whole duration of a stopped run to the time that it has lasted,
+if its progress is unknown."""
+
 
 def record_duration(
     scheduler: Scheduler, run: Run, kind: EndKind, now_ms: float
@@ -21,16 +27,15 @@
     if not scheduler.features.durations or state is None or task is None:
         return
     step = task.step
-    if step.long_running or step.gang:
+    if step.long_running or step.gang or task.done:
         return
     queue = state.job.queue
     if kind is EndKind.FAILED:
         scheduler.durations.record_failed(queue, step, now_ms)
-    elif (
-        kind is EndKind.DONE
-        and run.attempt > scheduler.epoch * ATTEMPTS_PER_EPOCH
-        and not run.checkpoint_used
-    ):
+    elif kind is EndKind.DONE:
+        _record_overtaken(scheduler, task, run, now_ms)
+        if not _is_whole(scheduler, run):
+            return
         scheduler.durations.record_done(
             queue,
             step,
@@ -39,3 +44,27 @@
             slowing_ms=run.measure_throttling_loss(now_ms),
             now_ms=now_ms,
         )
+
+
+def _is_whole(scheduler: Scheduler, run: Run) -> bool:
+    """Return whether the time since a run's start is known and is its whole work."""
+    is_own = run.attempt > scheduler.epoch * ATTEMPTS_PER_EPOCH
+    return is_own and not run.checkpoint_used
+
+
+def _record_overtaken(
+    scheduler: Scheduler, task: TaskState, run: Run, now_ms: float
+) -> None:
+    """Learn from an attempt that is stopped because its copy ended first."""
+    for attempt in task.attempts:
+        other = attempt.run
+        if other.attempt >= run.attempt or not _is_whole(scheduler, other):
+            continue
+        scheduler.durations.record_censored(
+            task.job.job.queue,
+            task.step,
+            name_step(task.task),
+            total_ms=project_total(other)
+            or _CENSORED_FACTOR * max(1.0, now_ms - other.started_ms),
+            now_ms=now_ms,
+        )
--- a/trefoilhook/scheduling/messages.py
+++ b/trefoilhook/scheduling/messages.py
@@ -84,6 +84,9 @@
     NOT_NEEDED = "not wanted"
     """Its job was cancelled or has ended, or another attempt has completed its task."""
 
+    COPY_NOT_NEEDED = "copy not needed"
+    """Another run of its speculative task has completed it."""
+
     UNCERTAIN = "uncertain"
     """An unanswered start order must be ruled out."""
 
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -1,6 +1,7 @@
 """Applies the answers of polled workers to the state of a shard."""
 
 from trefoilhook.scheduling.colocation import learn_interference
+from trefoilhook.scheduling.copy_tracker import get_max_runs
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.crash_records import retract_exposure
 from trefoilhook.scheduling.duration_records import record_duration
@@ -227,8 +228,10 @@
     task.attempts.append(Attempt(worker=worker, run=run))
     scheduler.waiting.discard(task)
     task.waiting_since_ms = None
-    if not state.is_open or task.done or len(task.attempts) > 1:
-        scheduler.stop_attempts(task, keep=1 if state.is_open else 0)
+    scheduler.copies.watch(task)
+    max_runs = get_max_runs(task.step)
+    if not state.is_open or task.done or len(task.attempts) > max_runs:
+        scheduler.stop_attempts(task, keep=max_runs if state.is_open else 0)
     return run
 
 
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -277,6 +277,7 @@
     if state.suspicion is not None:
         assignment_round.record_suspected_start(state, worker, run)
     assignment_round.scheduler.waiting.discard(state)
+    assignment_round.scheduler.copies.watch(state)
     if not state.job.started:
         state.job.started = True
         assignment_round.scheduler.mark_started(state.job)
--- /dev/null
+++ b/trefoilhook/scheduling/tests/test_copies.py
@@ -0,0 +1,357 @@
+"""Tests of the copies of speculative tasks."""
+
+import unittest
+
+import attrs
+
+from trefoilhook.scheduling import (
+    CopyOutcome,
+    EndKind,
+    Features,
+    OrderOutcome,
+    StopOrder,
+    StopReason,
+    release_expired,
+)
+from trefoilhook.scheduling.suspicion import Suspicion
+from trefoilhook.scheduling.tests.cases import (
+    SMALL,
+    Shard,
+    build_job,
+    list_starts,
+)
+
+STEP = attrs.evolve(SMALL, count=4, speculative=True)
+USUAL_MS = 500.0
+
+
+def run_until_straggler(shard: Shard, step=STEP, *, ended: int = 3):
+    """Start a step, end its first tasks, and return the straggler's order."""
+    shard.submit(build_job(step))
+    orders = list_starts(shard.step())
+    shard.advance_time(USUAL_MS - 100.0)
+    for order in orders[:ended]:
+        shard.end(order, EndKind.DONE)
+    return orders[-1]
+
+
+def wait_for_copies(shard: Shard, duration_ms: float = 1500.0):
+    """Run the shard for a while and return the start orders."""
+    starts = []
+    while duration_ms > 0.0:
+        starts += list_starts(shard.step())
+        duration_ms -= 100.0
+    return starts
+
+
+class TestDecision(unittest.TestCase):
+    """Which runs get copies, and when."""
+
+    def test_burst_with_three_stragglers_in_a_hundred(self):
+        # Load: a burst of 100 urgent tasks on a fleet with free room. 97 take the usual
+        # time and three seven times as long; only these get copies, one each.
+        shard = Shard(workers=40, cpu=16_000)
+        orders = []
+        for number in range(10):
+            shard.submit(
+                build_job(attrs.evolve(STEP, count=10), job_id=f"{number:016x}")
+            )
+        orders = list_starts(shard.step())
+        shard.advance_time(USUAL_MS - 100.0)
+        stragglers = [order for order in orders if order.task.index == 0][:3]
+        for order in orders:
+            if order not in stragglers:
+                shard.end(order, EndKind.DONE)
+        copies = wait_for_copies(shard, 2500.0)
+        self.assertEqual(
+            {order.task for order in copies}, {order.task for order in stragglers}
+        )
+        self.assertEqual(len(copies), 3)
+        places = {order.task: order.worker_id for order in stragglers}
+        for order in copies:
+            self.assertNotEqual(order.worker_id, places[order.task])
+
+    def test_full_fleet_starts_no_copies(self):
+        # Load: a straggler while tasks of its priority wait for room.
+        shard = Shard(workers=2, cpu=2000)
+        run_until_straggler(shard)
+        shard.submit(build_job(attrs.evolve(SMALL, count=9), job_id="k"))
+        starts = wait_for_copies(shard)
+        self.assertEqual({order.task.job_id for order in starts}, {"k"})
+
+    def test_copies_hold_a_bounded_share_of_the_fleet(self):
+        # Load: every run of a wide step stands still after half of it has ended.
+        shard = Shard(workers=20, cpu=16_000)
+        shard.submit(build_job(attrs.evolve(STEP, count=100)))
+        orders = list_starts(shard.step())
+        shard.advance_time(USUAL_MS)
+        for order in orders[:50]:
+            shard.end(order, EndKind.DONE)
+        self.assertEqual(len(wait_for_copies(shard, 2500.0)), 6)
+
+    def test_only_speculative_tasks_get_copies(self):
+        for fields in (
+            {"speculative": False},
+            {"gang": True},
+            {"long_running": True},
+            {"filler": True},
+        ):
+            with self.subTest(**fields):
+                shard = Shard(workers=6)
+                step = attrs.evolve(STEP, **fields)
+                shard.submit(build_job(step))
+                shard.step()
+                self.assertEqual(wait_for_copies(shard, 3000.0), [])
+
+    def test_switches(self):
+        for name in ("copies", "durations"):
+            with self.subTest(name=name):
+                shard = Shard(workers=6)
+                shard.scheduler.features = Features(**{name: False})
+                run_until_straggler(shard)
+                self.assertEqual(wait_for_copies(shard, 3000.0), [])
+
+    def test_unsettled_owner_starts_no_copies(self):
+        # Guards against a second copy of a task whose copy runs where a previous owner
+        # started it, on a worker that has not answered yet.
+        shard = Shard(workers=6)
+        run_until_straggler(shard)
+        shard.settled = False
+        self.assertEqual(wait_for_copies(shard), [])
+
+    def test_run_that_progresses_as_fast_as_a_copy_gets_none(self):
+        shard = Shard(workers=6)
+        order = run_until_straggler(shard)
+        worker = shard.workers[order.worker_id]
+        worker.update(order.task, order.attempt, percent=70.0)
+        self.assertEqual(wait_for_copies(shard, 600.0), [])
+
+    def test_step_that_is_longer_than_declared_gets_no_copies(self):
+        # Load: all tasks of a step take 2.5 times as long as declared.
+        shard = Shard(workers=6)
+        shard.submit(build_job(STEP))
+        shard.step()
+        self.assertEqual(wait_for_copies(shard, 2.5 * USUAL_MS), [])
+
+    def test_other_rack_is_preferred(self):
+        shard = Shard(workers=0)
+        shard.add_worker("w0", cpu=4000, labels=("k", "r0"))
+        order = run_until_straggler(shard)
+        shard.add_worker("w1", cpu=2000, labels=("k", "r0"))
+        shard.add_worker("w2", cpu=2000, labels=("k", "r1"))
+        (copy,) = wait_for_copies(shard)
+        self.assertEqual((order.worker_id, copy.worker_id), ("w0", "w2"))
+
+    def test_suspected_task_and_untrusted_workers(self):
+        # A suspected task must not take a second worker down, and a worker that fails
+        # tasks must not attract copies.
+        shard = Shard(workers=2)
+        order = run_until_straggler(shard)
+        (other,) = set(shard.scheduler.workers) - {order.worker_id}
+        shard.scheduler.workers[other].faulty_jobs.add("x")
+        self.assertEqual(wait_for_copies(shard), [])
+        shard.scheduler.workers[other].faulty_jobs.clear()
+        shard.scheduler.jobs["j"].progress.suspicions[0, 0, 3] = Suspicion()
+        self.assertEqual(wait_for_copies(shard), [])
+
+    def test_last_permitted_attempt_gets_no_copy(self):
+        # Guards against a job that fails through its copy while the first run is sound.
+        shard = Shard(workers=6)
+        order = run_until_straggler(shard)
+        task = shard.scheduler.jobs["j"].find_task(order.task)
+        task.job.progress.failed[task.key] = {1, 2}
+        self.assertEqual(wait_for_copies(shard), [])
+
+    def test_silent_worker(self):
+        # A worker is cut off: its speculative task is copied before its leases lapse,
+        # and the tasks of other steps wait for them.
+        shard = Shard(workers=3)
+        order = run_until_straggler(shard, attrs.evolve(STEP, count=1), ended=0)
+        shard.submit(build_job(job_id="k"))
+        plain = shard.start_one()
+        for each in (order, plain):
+            shard.silence(each.worker_id)
+        shard.advance_time(1100.0)
+        copies = list_starts(shard.plan())
+        self.assertEqual([copy.task for copy in copies], [order.task])
+
+
+class TestSettlement(unittest.TestCase):
+    """What the ends of a task with a copy lead to."""
+
+    def setUp(self):
+        self.shard = Shard(workers=6)
+        self.first = run_until_straggler(self.shard)
+        (self.copy,) = wait_for_copies(self.shard)
+        self.job = self.shard.scheduler.jobs["j"]
+        self.task = self.job.find_task(self.first.task)
+
+    def test_first_completed_attempt_counts_and_the_other_is_stopped(self):
+        for winner, loser, outcome in (
+            ("copy", "first", CopyOutcome.COPY_FIRST),
+            ("first", "copy", CopyOutcome.ORIGINAL_FIRST),
+        ):
+            with self.subTest(winner=winner):
+                self.setUp()
+                self.shard.end(getattr(self, winner), EndKind.DONE)
+                self.assertFalse(self.job.is_open)
+                (stop,) = [o for o in self.shard.step() if isinstance(o, StopOrder)]
+                other = getattr(self, loser)
+                self.assertEqual(
+                    (stop.attempt, stop.reason),
+                    (other.attempt, StopReason.COPY_NOT_NEEDED),
+                )
+                (settlement,) = self.shard.scheduler.copies.settled
+                self.assertIs(settlement.outcome, outcome)
+                self.assertEqual(wait_for_copies(self.shard), [])
+                self.assertEqual(self.shard.count_running(), 0)
+
+    def test_both_attempts_completed(self):
+        # Guards against counting a task twice: both ends are listed in one poll each.
+        left = self.job.steps_left
+        self.shard.end(self.copy, EndKind.DONE)
+        self.shard.end(self.first, EndKind.DONE)
+        self.assertEqual((left, self.job.steps_left), (1, 0))
+        self.assertEqual(self.job.progress.done, {(0, 0): {0, 1, 2, 3}})
+
+    def test_task_with_a_run_left_does_not_wait(self):
+        for order in ("first", "copy"):
+            for kind in (EndKind.FAILED, EndKind.STOPPED, EndKind.LEASE_EXPIRED):
+                with self.subTest(order=order, kind=kind):
+                    self.setUp()
+                    self.shard.end(getattr(self, order), kind)
+                    self.assertNotIn(self.task, self.shard.scheduler.waiting)
+                    self.assertEqual(wait_for_copies(self.shard), [])
+                    other = self.first if order == "copy" else self.copy
+                    self.shard.end(other, EndKind.DONE)
+                    self.assertFalse(self.job.is_open)
+
+    def test_both_attempts_failed(self):
+        # Both failures count, and the job fails at its third one.
+        self.shard.end(self.first, EndKind.FAILED)
+        self.shard.end(self.copy, EndKind.FAILED)
+        self.assertEqual(self.job.count_failures(self.first.task), 2)
+        (last,) = list_starts(self.shard.step())
+        self.assertEqual(wait_for_copies(self.shard), [])
+        self.shard.end(last, EndKind.FAILED)
+        self.assertEqual(self.job.phase.value, "failed")
+        self.assertEqual(wait_for_copies(self.shard), [])
+
+    def test_cancellation_stops_both(self):
+        self.shard.scheduler.cancel_job("j", revision=2)
+        stops = [o for o in self.shard.step() if isinstance(o, StopOrder)]
+        self.assertEqual(
+            {order.attempt for order in stops},
+            {self.first.attempt, self.copy.attempt},
+        )
+        self.shard.step()
+        self.assertEqual(self.shard.count_running(), 0)
+
+    def test_worker_of_the_copy_is_lost(self):
+        # The leases of the copy's worker lapse; the first run goes on as the only one.
+        self.shard.silence(self.copy.worker_id)
+        self.shard.scheduler.mark_unlisted(self.copy.worker_id)
+        for _ in range(80):
+            self.shard.advance_time(100.0)
+            for name in set(self.shard.workers) - {self.copy.worker_id}:
+                self.shard.poll(name)
+        release_expired(self.shard.scheduler, self.shard.now_ms)
+        self.assertNotIn(self.task, self.shard.scheduler.waiting)
+        self.assertEqual(len(self.task.attempts), 1)
+        self.shard.end(self.first, EndKind.DONE)
+        self.assertFalse(self.job.is_open)
+
+
+class TestFailureHalfway(unittest.TestCase):
+    """Owners and answers lost between the start of a copy and the first end."""
+
+    def take_over(self, shard: Shard, step=STEP, **fields) -> Shard:
+        """Return the shard of the next owner, before it has heard any worker."""
+        later = Shard(workers=0, epoch=2, **fields)
+        later.now_ms = shard.now_ms
+        later.workers = shard.workers
+        job = shard.scheduler.jobs["j"]
+        later.submit(build_job(step), is_new=False, progress=job.progress)
+        return later
+
+    def start_copy(self) -> Shard:
+        """Return a shard with a straggler and its copy."""
+        shard = Shard(workers=6)
+        self.first = run_until_straggler(shard)
+        (self.copy,) = wait_for_copies(shard)
+        return shard
+
+    def test_takeover_keeps_both_runs_of_a_speculative_task(self):
+        later = self.take_over(self.start_copy())
+        for worker_id in later.workers:
+            later.add_worker(worker_id)
+        self.assertEqual(later.step(), [])
+        self.assertEqual(later.count_running(), 2)
+        later.end(self.copy, EndKind.DONE)
+        (stop,) = later.step()
+        self.assertEqual(stop.attempt, self.first.attempt)
+        self.assertFalse(later.scheduler.jobs["j"].is_open)
+
+    def test_takeover_stops_a_second_run_of_other_tasks(self):
+        # Guards against two runs of a task whose step is not speculative.
+        step = attrs.evolve(STEP, speculative=False)
+        later = self.take_over(self.start_copy(), step)
+        for worker_id in later.workers:
+            later.add_worker(worker_id)
+        (stop,) = later.step()
+        self.assertIsInstance(stop, StopOrder)
+        self.assertEqual(stop.attempt, self.first.attempt)
+
+    def test_end_found_at_takeover_stops_the_run_found_later(self):
+        # The owner is killed after the copy has ended: its end is heard first.
+        shard = self.start_copy()
+        shard.workers[self.copy.worker_id].end(
+            self.copy.task, self.copy.attempt, EndKind.DONE
+        )
+        later = self.take_over(shard, settled=False)
+        for worker_id in (self.copy.worker_id, self.first.worker_id):
+            later.add_worker(worker_id)
+        (stop,) = later.step()
+        self.assertEqual(stop.attempt, self.first.attempt)
+        self.assertEqual(wait_for_copies(later), [])
+
+    def test_lost_answer_to_the_start_of_a_copy(self):
+        # The copy may run. It is ordered again, and stopped when the first run ends.
+        shard = Shard(workers=6)
+        first = run_until_straggler(shard)
+        copies = []
+        while not copies:
+            shard.advance_time(50.0)
+            shard.poll_all()
+            copies = list_starts(shard.plan())
+        (copy,) = copies
+        shard.workers[copy.worker_id].run(copy)
+        shard.answer(copy, OrderOutcome.NO_ANSWER)
+        shard.end(first, EndKind.DONE)
+        (stop,) = shard.step()
+        self.assertEqual(stop.attempt, copy.attempt)
+        self.assertEqual(shard.count_running(), 0)
+
+    def test_copy_that_was_not_sent_is_withdrawn_with_its_task(self):
+        shard = Shard(workers=6)
+        first = run_until_straggler(shard)
+        copies = []
+        while not copies:
+            shard.advance_time(50.0)
+            shard.poll_all()
+            copies = list_starts(shard.plan())
+        shard.end(first, EndKind.DONE)
+        shard.answer(copies[0], OrderOutcome.WITHDRAWN)
+        self.assertEqual(shard.scheduler.workers[copies[0].worker_id].runs, {})
+
+    def test_unreadable_end_of_the_first_run(self):
+        # The end may be that of the completed task: the copy goes on, nothing else
+        # starts, and the end is not acknowledged before it is readable.
+        shard = self.start_copy()
+        shard.workers[self.first.worker_id].end(
+            self.first.task, self.first.attempt, EndKind.DONE
+        )
+        shard.poll_with_unreadable_end(self.first)
+        self.assertEqual(list_starts(shard.plan()), [])
+        shard.poll(self.first.worker_id)
+        self.assertFalse(shard.scheduler.jobs["j"].is_open)
