--- a/trefoilhook/account/core.py
+++ b/trefoilhook/account/core.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from trefoilhook.account.copies import CopyTotals
+
 __all__ = [
     "Cause",
     "JobLoss",
@@ -218,6 +220,8 @@
         The lost jobs.
     unread : dict of str to int
         Number of skipped lines, by reason.
+    copies : tuple of CopyTotals
+        What copies of speculative tasks saved and cost, by outcome.
     """
 
     began_s: float
@@ -227,3 +231,4 @@
     moments: tuple[TimeBin, ...]
     losses: tuple[JobLoss, ...]
     unread: dict[str, int]
+    copies: tuple[CopyTotals, ...] = ()
--- a/trefoilhook/account/page.py
+++ b/trefoilhook/account/page.py
@@ -16,6 +16,7 @@
 
 _JOB_HEADERS = ("queue", "judged", "good", "cause", "jobs lost", "late s")
 _SERVICE_HEADERS = ("queue", "jobs short", "periods", "cause", "task s")
+_COPY_HEADERS = ("copies", "number", "saved s", "not needed s")
 
 Rows = list[tuple[str, ...]]
 
@@ -53,6 +54,18 @@
     return rows
 
 
+def _list_copy_rows(report: LossReport) -> Rows:
+    return [
+        (
+            each.how,
+            str(each.copies),
+            f"{each.saved_ms / _MS_PER_S:.1f}",
+            f"{each.wasted_ms / _MS_PER_S:.1f}",
+        )
+        for each in report.copies
+    ]
+
+
 def _list_bin_rows(report: LossReport) -> Rows:
     return [
         (
@@ -81,6 +94,8 @@
         lines += ["", *align_columns([_JOB_HEADERS, *_list_job_rows(report)])]
     if report.services:
         lines += ["", *align_columns([_SERVICE_HEADERS, *_list_service_rows(report)])]
+    if report.copies:
+        lines += ["", *align_columns([_COPY_HEADERS, *_list_copy_rows(report)])]
     if report.moments:
         headers = ("from s", "jobs lost", "service task s lost")
         lines += ["", *align_columns([headers, *_list_bin_rows(report)])]
--- a/trefoilhook/account/report.py
+++ b/trefoilhook/account/report.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from trefoilhook.account.copies import sum_copies
 from trefoilhook.account.core import (
     Cause,
     JobLoss,
@@ -109,6 +110,7 @@
         moments=_bin_losses(losses, services, began_s=began_s, bin_s=bin_s),
         losses=losses,
         unread=dict(unread or {}),
+        copies=sum_copies(ordered),
     )
 
 
--- a/trefoilhook/account/tests/test_account.py
+++ b/trefoilhook/account/tests/test_account.py
@@ -192,6 +192,24 @@
         self.assertAlmostEqual(loss.spent_ms[Cause.DECLARED_WORK], 1600.0, delta=1.0)
         self.assertAlmostEqual(loss.spent_ms[Cause.OWNER_OVERHEAD], 300.0, delta=1.0)
 
+    def test_run_with_a_copy(self):
+        # The time before a copy that ends first belongs to the run that took too long,
+        # not to a restart.
+        job = "copied"
+        report = build(
+            accept(job),
+            start(job, 0.0),
+            start(job, 1.5, attempt=2),
+            end(job, 2.0, attempt=2, estimate_ms=500),
+            end(job, 2.1, how="stopped", estimate_ms=500),
+            line(2.0, "COPY_SETTLED", how="copy first", saved_ms=1500, wasted_ms=2000),
+            finish(job, 2.0),
+        )
+        (loss,) = report.losses
+        self.assertAlmostEqual(loss.spent_ms[Cause.OVERRUN], 1000.0, delta=1.0)
+        self.assertNotIn(Cause.RESTARTED, loss.spent_ms)
+        self.assertRegex(render_text(report), r"copy first +1 +1\.5 +2\.0")
+
     def test_time_without_an_owner(self):
         job = "away"
         (loss,) = build(
--- a/trefoilhook/account/timeline.py
+++ b/trefoilhook/account/timeline.py
@@ -266,7 +266,9 @@
             continue
         if attempt is not last and attempt.ended_s is not None:
             path.attribute_back_to(attempt.ended_s, Cause.RESTARTED)
-        if attempt is last:
+        is_copied = attempt.ended_s is not None and attempt.ended_s > path.at_s
+        if attempt is last or is_copied:
+            # A run that still went on when the next one was started had a copy.
             path.attribute_run(attempt, min(attempt.started_s, path.at_s))
         else:
             path.attribute_back_to(attempt.started_s, Cause.RESTARTED)
