Compare runs with their step before they are copied

Change: a step with three tasks or more is compared with its own completed tasks only; smaller ones with the 99 % quantile of the learned ratios.

--- a/trefoilhook/scheduling/copies.py
+++ b/trefoilhook/scheduling/copies.py
@@ -1,15 +1,16 @@
 """Starts copies of speculative tasks that take unusually long.
 
 A copy is worth its capacity only if the first run is expected to need longer than the
-copy. The decision compares a run with the other tasks of its step where enough of them
-have been completed, and else with the declared duration corrected by what is learned of
-its kind. A reported progress is better evidence than either.
+copy. A run is compared with the tasks of its step that have been completed: declared
+durations are wrong for all tasks of a step alike, and then a copy takes as long as the
+run. Only a step with too few tasks is compared with the declared duration, corrected by
+what is learned of its kind. Reported progress tells best how long a run still needs.
 """
 
 import attrs
 
 from trefoilhook.scheduling.copy_tracker import CopyStart, project_total
-from trefoilhook.scheduling.durations import estimate_excess
+from trefoilhook.scheduling.durations import MIN_SIBLINGS, estimate_excess
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.job_state import Attempt, TaskState
 from trefoilhook.scheduling.placing import rate_worker
@@ -30,6 +31,10 @@
 """Quantile of the usual durations. Stragglers are rarer than one in twenty, so that
 they do not raise it."""
 
+_DECLARED_QUANTILE = 0.99
+"""The same for the ratios to declared durations, which differ more by the declaration
+than by the run."""
+
 _QUANTILE_MARGIN = 1.25
 """Factor by which a run must exceed that quantile: a distribution has a tail without
 stragglers, too."""
@@ -38,13 +43,12 @@
 """Least ratio to the usual duration at which a run counts as unusually long."""
 
 _UNKNOWN_SPREAD = 2.0
-_UNKNOWN_RATIO = 4.0
+_UNKNOWN_RATIO = 8.0
 """The same without evidence on the kind of task, for a run that is compared with the
-other tasks of its step and with its declared duration. Declared durations are rough,
-and a step in which every task takes three times as long needs no copies."""
+other tasks of its step and with its declared duration, which is a rough estimate."""
 
 _MIN_RUN_MS = 200.0
-"""Least duration of a run that is copied, in ms. A copy takes two round trips and a
+"""Least usual duration that is assumed, in ms. A copy takes two round trips and a
 start, and is decided at intervals."""
 
 _SILENCE_MS = 1000.0
@@ -175,7 +179,7 @@
         return expectation
     if attempt.run.phase is not RunPhase.RUNNING:
         return None
-    is_long = ran_ms >= max(_MIN_RUN_MS, expectation.longest_ms)
+    is_long = ran_ms >= expectation.longest_ms
     return expectation if is_long and _is_worth(expectation) else None
 
 
@@ -227,12 +231,14 @@
     if base_ms is not None:
         histogram = durations.find_spread(queue, step)
         usual_ms = base_ms
-        unknown_ratio = _UNKNOWN_SPREAD
+        longest = _find_longest_ratio(histogram, _HIGH_QUANTILE, _UNKNOWN_SPREAD)
     else:
         base_ms = step.estimate_ms
         histogram = durations.find_declared(queue, step)
         usual_ms = durations.estimate(queue, step)
-        unknown_ratio = _UNKNOWN_RATIO
+        longest = _find_longest_ratio(histogram, _DECLARED_QUANTILE, _UNKNOWN_RATIO)
+        if step.count >= MIN_SIBLINGS:
+            longest = float("inf")
     rest_ms = ran_ms
     if base_ms > 0.0:
         rest_ms = base_ms * estimate_excess(histogram, ran_ms / base_ms)
@@ -241,17 +247,17 @@
         rest_ms = total_ms - ran_ms
     return _Expectation(
         usual_ms=usual_ms,
-        longest_ms=base_ms * _find_longest_ratio(histogram, unknown_ratio),
+        longest_ms=max(_MIN_RUN_MS, base_ms) * longest,
         rest_ms=rest_ms,
     )
 
 
 def _find_longest_ratio(
-    histogram: RatioHistogram | None, unknown_ratio: float
+    histogram: RatioHistogram | None, quantile: float, unknown_ratio: float
 ) -> float:
     if histogram is None:
         return unknown_ratio
-    high = histogram.compute_quantile(_HIGH_QUANTILE)
+    high = histogram.compute_quantile(quantile)
     return max(_MIN_RATIO, _QUANTILE_MARGIN * high)
 
 
--- a/trefoilhook/scheduling/durations.py
+++ b/trefoilhook/scheduling/durations.py
@@ -26,7 +26,14 @@
 from trefoilhook.scheduling.ratios import RatioHistogram
 from trefoilhook.scheduling.tickets import StepName
 
-__all__ = ["DurationModel", "Durations", "decode_durations", "encode_durations"]
+__all__ = [
+    "MIN_SIBLINGS",
+    "DurationModel",
+    "Durations",
+    "decode_durations",
+    "encode_durations",
+    "estimate_excess",
+]
 
 _HALF_LIFE_MS = 120_000.0
 """Time after which an observation counts half, in ms. A queue ends a thousand tasks in
@@ -51,7 +58,7 @@
 _MAX_STEPS = 512
 """Maximum number of speculative steps with recorded durations, those seen last."""
 
-_MIN_SIBLINGS = 3
+MIN_SIBLINGS = 3
 """Minimum number of completed tasks from which a step's own median is used."""
 
 _MIN_RUN_MS = 1.0
@@ -197,7 +204,7 @@
         been completed: the first ones are the shortest.
         """
         runs_ms = self._runs_ms.get(name, ())
-        if len(runs_ms) < max(_MIN_SIBLINGS, step.count / 2):
+        if len(runs_ms) < max(MIN_SIBLINGS, step.count / 2):
             return None
         return statistics.median(runs_ms)
 
@@ -282,7 +289,7 @@
         runs_ms.append(work_ms)
         if len(self._runs_ms) > _MAX_STEPS:
             del self._runs_ms[next(iter(self._runs_ms))]
-        if len(runs_ms) < step.count or step.count < _MIN_SIBLINGS:
+        if len(runs_ms) < step.count or step.count < MIN_SIBLINGS:
             return
         median_ms = statistics.median(runs_ms)
         for each_ms in runs_ms:
