--- a/trefoilhook/scheduling/tests/test_copies.py
+++ b/trefoilhook/scheduling/tests/test_copies.py
@@ -6,6 +6,7 @@
 
 from trefoilhook.scheduling import (
     CopyOutcome,
+    Demand,
     EndKind,
     Features,
     OrderOutcome,
@@ -13,6 +14,7 @@
     StopReason,
     release_expired,
 )
+from trefoilhook.scheduling.copy_tracker import get_max_runs
 from trefoilhook.scheduling.suspicion import Suspicion
 from trefoilhook.scheduling.tests.cases import (
     SMALL,
@@ -25,6 +27,19 @@
 USUAL_MS = 500.0
 
 
+def learn(shard: Shard, step, ran_ms: float) -> None:
+    """Record forty single tasks of a kind that were completed."""
+    for number in range(40):
+        shard.scheduler.durations.record_done(
+            "checks",
+            step,
+            (f"{number}", 0, 0),
+            ran_ms=ran_ms,
+            slowing_ms=0.0,
+            now_ms=shard.now_ms,
+        )
+
+
 def run_until_straggler(shard: Shard, step=STEP, *, ended: int = 3):
     """Start a step, end its first tasks, and return the straggler's order."""
     shard.submit(build_job(step))
@@ -72,12 +87,15 @@
             self.assertNotEqual(order.worker_id, places[order.task])
 
     def test_full_fleet_starts_no_copies(self):
-        # Load: a straggler while tasks of its priority wait for room.
-        shard = Shard(workers=2, cpu=2000)
+        # Load: a straggler while tasks of its priority wait for room. A copy would fit
+        # into what is left beside them.
+        shard = Shard(workers=2)
         run_until_straggler(shard)
-        shard.submit(build_job(attrs.evolve(SMALL, count=9), job_id="k"))
+        shard.add_worker("w2", cpu=1500)
+        large = attrs.evolve(SMALL, count=2, demand=Demand(cpu=4000, memory_mb=100))
+        shard.submit(build_job(large, job_id="k"))
         starts = wait_for_copies(shard)
-        self.assertEqual({order.task.job_id for order in starts}, {"k"})
+        self.assertEqual([order.task.job_id for order in starts], ["k"])
 
     def test_copies_hold_a_bounded_share_of_the_fleet(self):
         # Load: every run of a wide step stands still after half of it has ended.
@@ -90,6 +108,7 @@
         self.assertEqual(len(wait_for_copies(shard, 2500.0)), 6)
 
     def test_only_speculative_tasks_get_copies(self):
+        self.assertEqual(get_max_runs(STEP), 2)
         for fields in (
             {"speculative": False},
             {"gang": True},
@@ -97,11 +116,14 @@
             {"filler": True},
         ):
             with self.subTest(**fields):
-                shard = Shard(workers=6)
                 step = attrs.evolve(STEP, **fields)
+                self.assertEqual(get_max_runs(step), 1)
+                shard = Shard(workers=6)
                 shard.submit(build_job(step))
-                shard.step()
-                self.assertEqual(wait_for_copies(shard, 3000.0), [])
+                for order in list_starts(shard.step()):
+                    shard.silence(order.worker_id)
+                shard.advance_time(1500.0)
+                self.assertEqual(list_starts(shard.plan()), [])
 
     def test_switches(self):
         for name in ("copies", "durations"):
@@ -123,13 +145,14 @@
         shard = Shard(workers=6)
         order = run_until_straggler(shard)
         worker = shard.workers[order.worker_id]
-        worker.update(order.task, order.attempt, percent=70.0)
-        self.assertEqual(wait_for_copies(shard, 600.0), [])
+        worker.update(order.task, order.attempt, percent=80.0)
+        self.assertEqual(wait_for_copies(shard, 800.0), [])
 
     def test_step_that_is_longer_than_declared_gets_no_copies(self):
         # Load: all tasks of a step take seven times as long as declared, and a copy
         # of one of them would as well.
         shard = Shard(workers=6)
+        learn(shard, STEP, USUAL_MS)
         shard.submit(build_job(STEP))
         shard.step()
         self.assertEqual(wait_for_copies(shard, 7.0 * USUAL_MS), [])
@@ -139,16 +162,7 @@
         # longer than any of them.
         shard = Shard(workers=6)
         step = attrs.evolve(STEP, count=1)
-        durations = shard.scheduler.durations
-        for number in range(40):
-            durations.record_done(
-                "checks",
-                step,
-                (f"{number}", 0, 0),
-                ran_ms=2.0 * USUAL_MS,
-                slowing_ms=0.0,
-                now_ms=shard.now_ms,
-            )
+        learn(shard, step, 2.0 * USUAL_MS)
         shard.submit(build_job(step))
         shard.step()
         self.assertEqual(wait_for_copies(shard, 2.0 * USUAL_MS), [])
@@ -172,9 +186,40 @@
         shard.scheduler.workers[other].faulty_jobs.add("x")
         self.assertEqual(wait_for_copies(shard), [])
         shard.scheduler.workers[other].faulty_jobs.clear()
-        shard.scheduler.jobs["j"].progress.suspicions[0, 0, 3] = Suspicion()
+        task = shard.scheduler.jobs["j"].find_task(order.task)
+        task.failed_on.add(other)
+        self.assertEqual(wait_for_copies(shard, 300.0), [])
+        task.failed_on.clear()
+        task.job.progress.suspicions[task.unit] = Suspicion()
+        wait_for_copies(shard, 300.0)
+        self.assertEqual(len(task.attempts), 1)
+
+    def test_worker_with_a_suspected_task(self):
+        # Guards against a copy that goes down with the task that crashes its worker.
+        shard = Shard(workers=1)
+        run_until_straggler(shard)
+        shard.add_worker("w1")
+        shard.scheduler.workers["w0"].avoid_until_ms = float("inf")
+        shard.submit(build_job(job_id="k"))
+        shard.start_one()
+        (suspect,) = shard.scheduler.jobs["k"].tasks.values()
+        shard.scheduler.suspects.get_or_add(suspect)
         self.assertEqual(wait_for_copies(shard), [])
 
+    def test_run_that_is_being_stopped_gets_no_copy(self):
+        # The task waits again once its run is proved over; a copy would be the third.
+        shard = Shard(workers=6)
+        order = run_until_straggler(shard)
+        worker = shard.scheduler.workers[order.worker_id]
+        run = worker.runs[order.task, order.attempt]
+        shard.scheduler.request_stop(worker, run, StopReason.STALLED)
+        starts = []
+        for _ in range(15):
+            shard.advance_time(100.0)
+            shard.poll_all()
+            starts += list_starts(shard.plan())
+        self.assertEqual(starts, [])
+
     def test_last_permitted_attempt_gets_no_copy(self):
         # Guards against a job that fails through its copy while the first run is sound.
         shard = Shard(workers=6)
