Start speculative tasks before a takeover is settled

Cause: a new owner holds the tasks of started jobs until every worker has answered.

Change: speculative tasks, which may run twice, start once nine in ten of the workers have reported; an unknown run is adopted as the second one. Copies no longer depend on the switch of durations, and a run that is being stopped on a silent worker may have one.

Result: unit tests only.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -4,7 +4,11 @@
 
 from trefoilhook.scheduling.candidates import Candidates
 from trefoilhook.scheduling.colocation import FULL_PACE, ColocationCache
-from trefoilhook.scheduling.copies import start_copies
+from trefoilhook.scheduling.copies import (
+    has_heard_most_workers,
+    may_start_unsettled,
+    start_copies,
+)
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.isolation import is_strongly_suspected
@@ -75,6 +79,7 @@
     steps: dict[tuple[StepName, int, int], list[TaskState]] = {}
     scheduler.holds.retain(scheduler.waiting)
     has_holds = scheduler.holds.count > 0
+    has_heard_most = not settled and has_heard_most_workers(scheduler)
     for state in scheduler.waiting:
         if state.step.filler and not with_fillers:
             continue
@@ -85,6 +90,7 @@
             settled
             or state.job.is_new
             or _is_previous_run_expired(scheduler, state, now_ms)
+            or (has_heard_most and may_start_unsettled(scheduler, state))
         )
         if is_held:
             scheduler.holds.hold(state, now_ms)
--- a/trefoilhook/scheduling/copies.py
+++ b/trefoilhook/scheduling/copies.py
@@ -9,7 +9,8 @@
 
 import attrs
 
-from trefoilhook.scheduling.copy_tracker import CopyStart, project_total
+from trefoilhook.scheduling.copy_tracker import CopyStart, is_copyable, project_total
+from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.durations import MIN_SIBLINGS, estimate_excess
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.job_state import Attempt, TaskState
@@ -22,7 +23,7 @@
 )
 from trefoilhook.scheduling.tickets import name_step
 
-__all__ = ["start_copies"]
+__all__ = ["has_heard_most_workers", "may_start_unsettled", "start_copies"]
 
 _INTERVAL_MS = 50.0
 """Minimum interval between two rounds, in ms: a tenth of what an urgent task takes."""
@@ -61,6 +62,11 @@
 copy is always permitted. Three tasks in a hundred that take seven times as long hold a
 sixth of the processors themselves, and their copies 2.5 % at full load."""
 
+_HEARD_SHARE = 0.9
+"""Fraction of the workers that must have reported their runs to a new owner before it
+starts speculative tasks that the others may be running. At most one in ten of these
+starts is then a second run."""
+
 _OTHER_RACK_BONUS = 2000.0
 """Preference for a worker on another rack, in thousandths of a core, over one that is
 packed tighter."""
@@ -110,7 +116,7 @@
         return
     tracker.due_ms = now_ms + _INTERVAL_MS
     tracker.retain_running()
-    if not (settled and features.copies and features.durations):
+    if not (settled and features.copies):
         return
     due = [
         (task, expectation)
@@ -135,6 +141,23 @@
             budget.cpu += task.step.room.cpu
 
 
+def has_heard_most_workers(scheduler: Scheduler) -> bool:
+    """Return whether nearly all known workers have reported their runs to the owner."""
+    workers = scheduler.workers.values()
+    heard = sum(worker.has_reported_all for worker in workers)
+    return heard > 0 and heard >= _HEARD_SHARE * len(workers)
+
+
+def may_start_unsettled(scheduler: Scheduler, task: TaskState) -> bool:
+    """Return whether a task may start while a previous owner's run of it may exist.
+
+    A single worker that does not answer would otherwise delay all urgent tasks of a
+    takeover. The unknown run, if any, is adopted as the second one.
+    """
+    is_permitted = scheduler.features.copies and is_copyable(task.step)
+    return is_permitted and task.suspicion is None
+
+
 def _find_wanted_priorities(assignment_round: AssignmentRound) -> dict[str, int]:
     """Return the highest priority that waits for counted capacity, by service."""
     wanted: dict[str, int] = {}
@@ -194,7 +217,6 @@
         state.is_open
         and not task.done
         and len(task.attempts) == 1
-        and task.attempts[0].run.phase is not RunPhase.STOPPING
         and task.suspicion is None
         and state.count_failures(task.task) + 1 < max_attempts
     )
--- a/trefoilhook/scheduling/tests/test_copies.py
+++ b/trefoilhook/scheduling/tests/test_copies.py
@@ -132,6 +132,8 @@
                 shard.scheduler.features = Features(**{name: False})
                 run_until_straggler(shard)
                 self.assertEqual(wait_for_copies(shard, 3000.0), [])
+                is_learning = bool(shard.scheduler.durations.observations)
+                self.assertEqual(is_learning, name != "durations")
 
     def test_unsettled_owner_starts_no_copies(self):
         # Guards against a second copy of a task whose copy runs where a previous owner
@@ -381,6 +383,52 @@
         self.assertEqual(stop.attempt, self.first.attempt)
         self.assertEqual(wait_for_copies(later), [])
 
+    def test_one_silent_worker_at_takeover(self):
+        # Load: a takeover with waiting urgent tasks, where one worker of twelve does
+        # not answer. Only tasks that may run twice start before it is heard, and a run
+        # of such a task that appears there later is kept as its second one.
+        shard = Shard(workers=12)
+        for job_id, is_speculative in (("j", True), ("k", False)):
+            step = attrs.evolve(STEP, count=1, speculative=is_speculative)
+            shard.submit(build_job(step, job_id=job_id))
+        first, _ = list_starts(shard.plan())
+        shard.workers[first.worker_id].run(first)
+        later = Shard(workers=0, epoch=2, settled=False)
+        later.workers = shard.workers
+        for job_id, is_speculative in (("j", True), ("k", False)):
+            step = attrs.evolve(STEP, count=1, speculative=is_speculative)
+            later.submit(build_job(step, job_id=job_id), is_new=False)
+        names = [name for name in later.workers if name != first.worker_id]
+        for name in names[:9]:
+            later.add_worker(name)
+        later.scheduler.update_worker(
+            attrs.evolve(
+                later.scheduler.workers[names[0]].report, worker_id=first.worker_id
+            )
+        )
+        for number in range(2):
+            silent = attrs.evolve(
+                later.scheduler.workers[names[0]].report, worker_id=f"x{number}"
+            )
+            later.scheduler.update_worker(silent)
+        self.assertEqual(list_starts(later.plan()), [])
+        for number in range(2):
+            later.scheduler.drop_worker(f"x{number}")
+        starts = list_starts(later.plan())
+        self.assertEqual([order.task.job_id for order in starts], ["j"])
+        later.poll(first.worker_id)
+        (task,) = later.scheduler.jobs["j"].tasks.values()
+        self.assertEqual(len(task.attempts), 2)
+
+    def test_cancelled_job_on_a_silent_worker_gets_no_copy(self):
+        # Guards against a start after the cancellation of its job.
+        shard = Shard(workers=6)
+        order = run_until_straggler(shard)
+        shard.scheduler.cancel_job("j", revision=2)
+        shard.silence(order.worker_id)
+        shard.advance_time(1500.0)
+        self.assertEqual(list_starts(shard.plan()), [])
+
     def test_lost_answer_to_the_start_of_a_copy(self):
         # The copy may run. It is ordered again, and stopped when the first run ends.
         shard = Shard(workers=6)
