Count the workers of previous owners before speculative tasks start

Cause: after an outage of the store few entries may be listed, so that nine in ten of the listed workers may be a small part of those that run tasks.

Change: the share counts the workers of the roster as well.

--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -334,11 +334,13 @@
         try:
             self._roster.load(item)
             self._settlement.roster = self._roster.workers
+            self._scheduler.roster_size = len(self._roster.workers)
         except DecodeError as error:
             # Any worker may run tasks of the previous owner, so only the expiry of
             # their leases proves that they have ended.
             self._reject(item, error)
             self._settlement.roster = (_UNKNOWN_WORKER,)
+            self._scheduler.roster_size = float("inf")
 
     def _restore_snapshots(self, items: Mapping[str, Item]) -> None:
         """Restore the readable learned models of previous owners."""
--- a/trefoilhook/scheduling/copies.py
+++ b/trefoilhook/scheduling/copies.py
@@ -142,10 +142,15 @@
 
 
 def has_heard_most_workers(scheduler: Scheduler) -> bool:
-    """Return whether nearly all known workers have reported their runs to the owner."""
+    """Return whether nearly all workers have reported their runs to the owner.
+
+    Entries may be missing after an outage of the store, so that the workers used by
+    previous owners count, too.
+    """
     workers = scheduler.workers.values()
     heard = sum(worker.has_reported_all for worker in workers)
-    return heard > 0 and heard >= _HEARD_SHARE * len(workers)
+    expected = max(len(workers), scheduler.roster_size)
+    return heard > 0 and heard >= _HEARD_SHARE * expected
 
 
 def may_start_unsettled(scheduler: Scheduler, task: TaskState) -> bool:
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -89,6 +89,9 @@
         Learned interference between fillers and service tasks.
     durations : Durations
         Learned durations of tasks.
+    roster_size : float
+        Number of workers on which previous owners may have started tasks; infinite if
+        unknown.
     copies : CopyTracker
         Copies of speculative tasks.
     tickets : TicketCache
@@ -134,6 +137,7 @@
         self.dirty: set[JobState] = set()
         self.interference = Interference()
         self.durations = Durations()
+        self.roster_size = 0.0
         self.copies = CopyTracker()
         self.tickets = TicketCache()
         self.fillers_due_ms = 0.0
--- a/trefoilhook/scheduling/tests/test_copies.py
+++ b/trefoilhook/scheduling/tests/test_copies.py
@@ -414,6 +414,15 @@
         self.assertEqual(list_starts(later.plan()), [])
         for number in range(2):
             later.scheduler.drop_worker(f"x{number}")
+        # The entries of further workers that the previous owner used are missing.
+        later.scheduler.roster_size = 12
+        self.assertEqual(list_starts(later.plan()), [])
+        later.scheduler.roster_size = 10
+        (suspect,) = later.scheduler.jobs["j"].tasks.values()
+        later.scheduler.suspects.get_or_add(suspect)
+        self.assertEqual(later.plan(), [])
+        self.assertFalse(suspect.attempts)
+        later.scheduler.suspects.forget(suspect)
         starts = list_starts(later.plan())
         self.assertEqual([order.task.job_id for order in starts], ["j"])
         later.poll(first.worker_id)
