Compute what a step's runs are compared with once per round

Cause: every running speculative task had its step's median and quantiles computed anew, 20 times a second.

Change: once per step and round, ten rounds a second, and only for runs that have lasted long enough to be copied at all.

--- a/trefoilhook/scheduling/copies.py
+++ b/trefoilhook/scheduling/copies.py
@@ -11,7 +11,7 @@
 
 from trefoilhook.scheduling.copy_tracker import CopyStart, is_copyable, project_total
 from trefoilhook.scheduling.core import Scheduler
-from trefoilhook.scheduling.durations import MIN_SIBLINGS, estimate_excess
+from trefoilhook.scheduling.durations import MIN_SIBLINGS, Durations, estimate_excess
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.job_state import Attempt, TaskState
 from trefoilhook.scheduling.placing import rate_worker
@@ -21,12 +21,13 @@
     next_attempt_number,
     reserve_capacity,
 )
-from trefoilhook.scheduling.tickets import name_step
+from trefoilhook.scheduling.tickets import StepName, name_step
 
 __all__ = ["has_heard_most_workers", "may_start_unsettled", "start_copies"]
 
-_INTERVAL_MS = 50.0
-"""Minimum interval between two rounds, in ms: a tenth of what an urgent task takes."""
+_INTERVAL_MS = 100.0
+"""Minimum interval between two rounds, in ms: a small part of what a run has lasted
+that is copied, and all running speculative tasks are looked at."""
 
 _HIGH_QUANTILE = 0.95
 """Quantile of the usual durations. Stragglers are rarer than one in twenty, so that
@@ -72,6 +73,28 @@
 packed tighter."""
 
 
+@attrs.frozen(kw_only=True)
+class _Reference:
+    """What the runs of a step are compared with.
+
+    Parameters
+    ----------
+    base_ms : float
+        Duration to which the ratios refer, in ms.
+    usual_ms : float
+        Typical duration, which a copy is expected to take, in ms.
+    longest_ms : float
+        Duration beyond which a run is unusually long, in ms.
+    histogram : RatioHistogram or None
+        Ratios of other durations to the base; None if unknown.
+    """
+
+    base_ms: float
+    usual_ms: float
+    longest_ms: float
+    histogram: RatioHistogram | None
+
+
 @attrs.frozen(kw_only=True)
 class _Expectation:
     """What is expected of a run, in ms.
@@ -80,14 +103,11 @@
     ----------
     usual_ms : float
         Typical duration, which the copy is expected to take.
-    longest_ms : float
-        Duration beyond which the run is unusually long.
     rest_ms : float
         How much longer it will run.
     """
 
     usual_ms: float
-    longest_ms: float
     rest_ms: float
 
 
@@ -118,11 +138,12 @@
     tracker.retain_running()
     if not (settled and features.copies):
         return
+    references: dict[StepName, _Reference] = {}
     due = [
         (task, expectation)
         for task, is_copied in tracker.watched.items()
         if not is_copied
-        and (expectation := _find_due(assignment_round, task)) is not None
+        and (expectation := _find_due(assignment_round, task, references)) is not None
     ]
     if not due:
         return
@@ -193,22 +214,35 @@
 
 
 def _find_due(
-    assignment_round: AssignmentRound, task: TaskState
+    assignment_round: AssignmentRound,
+    task: TaskState,
+    references: dict[StepName, _Reference],
 ) -> _Expectation | None:
-    """Return the expectation of a task's run if it should have a copy, else None."""
+    """Return the expectation of a task's run if it should have a copy, else None.
+
+    The references of steps are computed once per round.
+    """
     queue = task.job.queue
-    if queue is None or not _may_be_copied(task, queue.max_attempts):
+    if queue is None or len(task.attempts) != 1:
         return None
     attempt = task.attempts[0]
     now_ms = assignment_round.now_ms
+    is_silent = _is_silent(attempt.worker, now_ms)
     ran_ms = _measure_run(attempt.run, now_ms)
-    expectation = _expect(assignment_round, task, attempt.run, ran_ms)
-    if _is_silent(attempt.worker, now_ms):
-        return expectation
-    if attempt.run.phase is not RunPhase.RUNNING:
+    if not is_silent and ran_ms < _MIN_RATIO * _MIN_RUN_MS:
+        return None
+    if not _may_be_copied(task, queue.max_attempts):
         return None
-    is_long = ran_ms >= expectation.longest_ms
-    return expectation if is_long and _is_worth(expectation) else None
+    step = name_step(task.task)
+    reference = references.get(step)
+    if reference is None:
+        reference = references[step] = _find_reference(
+            assignment_round.scheduler.durations, task
+        )
+    if not is_silent and ran_ms < reference.longest_ms:
+        return None
+    expectation = _expect(reference, attempt.run, ran_ms)
+    return expectation if is_silent or _is_worth(expectation) else None
 
 
 def _may_be_copied(task: TaskState, max_attempts: int) -> bool:
@@ -221,7 +255,6 @@
     return (
         state.is_open
         and not task.done
-        and len(task.attempts) == 1
         and task.suspicion is None
         and state.count_failures(task.task) + 1 < max_attempts
     )
@@ -248,35 +281,40 @@
     return expectation.rest_ms > expectation.usual_ms
 
 
-def _expect(
-    assignment_round: AssignmentRound, task: TaskState, run: Run, ran_ms: float
-) -> _Expectation:
-    durations = assignment_round.scheduler.durations
+def _find_reference(durations: Durations, task: TaskState) -> _Reference:
     step = task.step
     queue = task.job.job.queue
-    base_ms = durations.find_median(step, name_step(task.task))
-    if base_ms is not None:
+    median_ms = durations.find_median(step, name_step(task.task))
+    if median_ms is not None:
         histogram = durations.find_spread(queue, step)
-        usual_ms = base_ms
         longest = _find_longest_ratio(histogram, _HIGH_QUANTILE, _UNKNOWN_SPREAD)
-    else:
-        base_ms = step.estimate_ms
-        histogram = durations.find_declared(queue, step)
-        usual_ms = durations.estimate(queue, step)
-        longest = _find_longest_ratio(histogram, _DECLARED_QUANTILE, _UNKNOWN_RATIO)
-        if step.count >= MIN_SIBLINGS:
-            longest = float("inf")
+        return _Reference(
+            base_ms=median_ms,
+            usual_ms=median_ms,
+            longest_ms=longest * max(_MIN_RUN_MS, median_ms),
+            histogram=histogram,
+        )
+    histogram = durations.find_declared(queue, step)
+    longest = _find_longest_ratio(histogram, _DECLARED_QUANTILE, _UNKNOWN_RATIO)
+    if step.count >= MIN_SIBLINGS:
+        longest = float("inf")
+    return _Reference(
+        base_ms=step.estimate_ms,
+        usual_ms=durations.estimate(queue, step),
+        longest_ms=longest * max(_MIN_RUN_MS, step.estimate_ms),
+        histogram=histogram,
+    )
+
+
+def _expect(reference: _Reference, run: Run, ran_ms: float) -> _Expectation:
+    base_ms = reference.base_ms
     rest_ms = ran_ms
     if base_ms > 0.0:
-        rest_ms = base_ms * estimate_excess(histogram, ran_ms / base_ms)
+        rest_ms = base_ms * estimate_excess(reference.histogram, ran_ms / base_ms)
     total_ms = project_total(run)
     if total_ms is not None:
         rest_ms = total_ms - ran_ms
-    return _Expectation(
-        usual_ms=usual_ms,
-        longest_ms=max(_MIN_RUN_MS, base_ms) * longest,
-        rest_ms=rest_ms,
-    )
+    return _Expectation(usual_ms=reference.usual_ms, rest_ms=rest_ms)
 
 
 def _find_longest_ratio(
