--- a/trefoilhook/scheduling/copies.py
+++ b/trefoilhook/scheduling/copies.py
@@ -313,7 +313,7 @@
         rest_ms = base_ms * estimate_excess(reference.histogram, ran_ms / base_ms)
     total_ms = project_total(run)
     if total_ms is not None:
-        rest_ms = total_ms - ran_ms
+        rest_ms = max(0.0, total_ms - ran_ms)
     return _Expectation(usual_ms=reference.usual_ms, rest_ms=rest_ms)
 
 
