--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -154,6 +154,16 @@
     )
     WORKER_RESERVED = (1630, Level.INFO, "A worker is reserved for a waiting task.")
     RESERVATION_ENDED = (1631, Level.INFO, "A reserved worker is available again.")
+    COPY_STARTED = (
+        1632,
+        Level.INFO,
+        "A speculative task that takes unusually long got a copy.",
+    )
+    COPY_SETTLED = (
+        1633,
+        Level.INFO,
+        "A speculative task with a copy ended, or one of its two runs did.",
+    )
 
     def __init__(self, number: int, level: Level, description: str) -> None:
         self.number = number
@@ -178,6 +188,8 @@
         Event.TASK_ENDED,
         Event.TASK_STOPPED,
         Event.TASK_GIVEN_UP,
+        Event.COPY_STARTED,
+        Event.COPY_SETTLED,
         Event.LOSS_ATTRIBUTED,
         Event.CRASH_LOOP_FOUND,
     }
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -19,6 +19,7 @@
 )
 from trefoilhook.runtime.advice import run_advice_requests
 from trefoilhook.runtime.commits import Committer
+from trefoilhook.runtime.copies import log_copies
 from trefoilhook.runtime.jobfeed import JobFeed
 from trefoilhook.runtime.lag import LoopLag
 from trefoilhook.runtime.loading import ShardContents, load_shard
@@ -338,11 +339,13 @@
         try:
             self._roster.load(item)
             self._settlement.roster = self._roster.workers
+            self._scheduler.roster_size = len(self._roster.workers)
         except DecodeError as error:
             # Any worker may run tasks of the previous owner, so only the expiry of
             # their leases proves that they have ended.
             self._reject(item, error)
             self._settlement.roster = (_UNKNOWN_WORKER,)
+            self._scheduler.roster_size = float("inf")
 
     def _restore_snapshots(self, items: Mapping[str, Item]) -> None:
         """Restore the readable learned models of previous owners."""
@@ -445,6 +448,7 @@
             wall_ms=self._clock.wall_ms(),
         )
         report_reservations(scheduler.reservations, self._metrics)
+        log_copies(scheduler, self._metrics)
         for order in orders:
             nursery.start_soon(self._execute_order, order)
         if scheduler.dirty:
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -8,8 +8,18 @@
     collect_changes,
     confirm_change,
 )
+from trefoilhook.scheduling.copy_tracker import (
+    CopyOutcome,
+    CopySettlement,
+    CopyStart,
+)
 from trefoilhook.scheduling.core import Scheduler, SchedulerLimits
 from trefoilhook.scheduling.crashes import handle_worker_loss
+from trefoilhook.scheduling.durations import (
+    Durations,
+    decode_durations,
+    encode_durations,
+)
 from trefoilhook.scheduling.evacuation_progress import (
     EvacuatedDomain,
     measure_evacuated,
@@ -95,7 +105,11 @@
     "AdviceRequest",
     "Backlog",
     "Configuration",
+    "CopyOutcome",
+    "CopySettlement",
+    "CopyStart",
     "Demand",
+    "Durations",
     "AttemptEnd",
     "EndKind",
     "EvacuatedDomain",
@@ -141,9 +155,11 @@
     "choose_advice_request",
     "collect_changes",
     "confirm_change",
+    "decode_durations",
     "decode_interference",
     "decode_job_record",
     "decode_progress",
+    "encode_durations",
     "encode_interference",
     "encode_job_record",
     "encode_progress",
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from trefoilhook.scheduling.copy_tracker import CopyTracker, is_copyable
+from trefoilhook.scheduling.durations import Durations
 from trefoilhook.scheduling.entry_freshness import EntryFreshness
 from trefoilhook.scheduling.evacuations import Evacuations
 from trefoilhook.scheduling.features import Features
@@ -86,6 +88,13 @@
         Whether a worker has answered a later owner.
     interference : Interference
         Learned interference between fillers and service tasks.
+    durations : Durations
+        Learned durations of tasks.
+    roster_size : float
+        Number of workers on which previous owners may have started tasks; infinite if
+        unknown.
+    copies : CopyTracker
+        Copies of speculative tasks.
     tickets : TicketCache
         Workers that may run the steps of queues with advice.
     fillers_due_ms : float
@@ -130,6 +139,9 @@
         self.unreadable_jobs: set[str] = set()
         self.dirty: set[JobState] = set()
         self.interference = Interference()
+        self.durations = Durations()
+        self.roster_size = 0.0
+        self.copies = CopyTracker()
         self.tickets = TicketCache()
         self.fillers_due_ms = 0.0
         self.idle_since_ms: dict[str, float] = {}
@@ -334,6 +346,7 @@
             return
         task.detach(run)
         task.record_end(worker, kind)
+        self.copies.record_end(task, run, kind)
         self.suspects.record_run_end(task, run, kind)
         if kind is EndKind.FAILED:
             task.failed_on.add(worker.report.worker_id)
@@ -411,9 +424,11 @@
 
     def stop_attempts(self, task: TaskState, *, keep: int = 0) -> None:
         """Stop the attempts of a task except for the ``keep`` latest."""
+        is_overtaken = task.done and is_copyable(task.step)
+        reason = StopReason.COPY_NOT_NEEDED if is_overtaken else StopReason.NOT_NEEDED
         attempts = sorted(task.attempts, key=lambda a: a.run.attempt, reverse=True)
         for attempt in attempts[keep:]:
-            self.request_stop(attempt.worker, attempt.run, StopReason.NOT_NEEDED)
+            self.request_stop(attempt.worker, attempt.run, reason)
 
     def request_stop(self, worker: Worker, run: Run, reason: StopReason) -> None:
         """Mark an attempt to be stopped; it holds capacity until proved over."""
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -1,8 +1,10 @@
 """Applies the answers of polled workers to the state of a shard."""
 
 from trefoilhook.scheduling.colocation import learn_interference
+from trefoilhook.scheduling.copy_tracker import get_max_runs
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.crash_records import retract_exposure
+from trefoilhook.scheduling.duration_records import record_duration
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.incarnations import resolve_incarnation
 from trefoilhook.scheduling.job_state import Attempt
@@ -105,6 +107,7 @@
     state = scheduler.jobs.get(end.task.job_id)
     run = worker.runs.get((end.task, end.attempt))
     if run is not None:
+        record_duration(scheduler, run, end.kind, now_ms)
         scheduler.finish_run(worker, run, end.kind, end.checkpoint)
     elif state is not None:
         # An attempt of a previous owner, or one that counted as expired.
@@ -229,8 +232,10 @@
     task.attempts.append(Attempt(worker=worker, run=run))
     scheduler.waiting.discard(task)
     task.waiting_since_ms = None
-    if not state.is_open or task.done or len(task.attempts) > 1:
-        scheduler.stop_attempts(task, keep=1 if state.is_open else 0)
+    scheduler.copies.watch(task)
+    max_runs = get_max_runs(task.step)
+    if not state.is_open or task.done or len(task.attempts) > max_runs:
+        scheduler.stop_attempts(task, keep=max_runs if state.is_open else 0)
     return run
 
 
