Spread the tasks of a service over workers

Service tasks were packed: the least free worker scored highest, and grouping by image kept the rest off, so that a service of 18 tasks stood as 6, 6 and 6. One worker that was lost, or hit by a heavy filler, took a third of it away at once.

A worker beyond a service's bound (the tasks that may be absent, or an eighth of them) now scores lower, by an amount that grows with the excess. Workers count their runs by step, so that rating one costs the same however much it runs.

--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -51,6 +51,7 @@
     plan_orders,
     release_expired,
 )
+from trefoilhook.scheduling.arrangement import measure_concentration
 
 __all__ = ["ShardOwner", "ShardSettings"]
 
@@ -246,12 +247,18 @@
 
     @contextlib.contextmanager
     def _export_gauges(self) -> Iterator[None]:
-        """Export the gauges of waiting restarts for the duration of the context."""
+        """Export the gauges of an owner for the duration of the context."""
         gauges: dict[str, Callable[[], float]] = {
             "restarts_waiting": lambda: float(
                 len(list_restarts(self._scheduler.waiting))
             ),
             "restart_wait_ms": self._measure_restart_wait,
+            "services_concentrated": lambda: float(
+                measure_concentration(self._scheduler).services
+            ),
+            "service_largest_share": lambda: (
+                measure_concentration(self._scheduler).largest_share
+            ),
         }
         self._metrics.gauges.update(gauges)
         try:
--- /dev/null
+++ b/trefoilhook/scheduling/arrangement/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the arrangement of service tasks."""
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -96,7 +96,10 @@
         steps.setdefault(group, []).append(state)
     ready = sorted(steps.values(), key=lambda tasks: rank_step(tasks, wall_ms))
     colocations = ColocationCache(
-        jobs=scheduler.jobs, interference=scheduler.interference, now_ms=now_ms
+        jobs=scheduler.jobs,
+        interference=scheduler.interference,
+        now_ms=now_ms,
+        spreads_services=scheduler.features.arrangement,
     )
     assignment_round = AssignmentRound(
         scheduler=scheduler, colocations=colocations, now_ms=now_ms
--- a/trefoilhook/scheduling/colocation.py
+++ b/trefoilhook/scheduling/colocation.py
@@ -181,11 +181,14 @@
         Learned interference between fillers and service tasks.
     now_ms : float
         Time of the plan, in ms.
+    spreads_services : bool
+        Whether the tasks of a service are spread over the workers.
     """
 
     jobs: dict[str, JobState]
     interference: Interference
     now_ms: float
+    spreads_services: bool = True
     _by_worker: dict[str, Colocation] = attrs.Factory(dict)
 
     def lookup(self, worker: Worker) -> Colocation:
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -204,6 +204,10 @@
         return self.cause in _PROCESS_ENDED
 
 
+def _get_step_key(task: TaskId) -> tuple[str, int, int]:
+    return task.job_id, task.occurrence, task.step
+
+
 @attrs.define(kw_only=True, eq=False)
 class Worker:
     """One incarnation of a worker.
@@ -271,6 +275,8 @@
     is_reserved : bool
         Whether it is reserved for an isolated run, so that no other task is started
         there.
+    step_runs : Counter of (str, int, int)
+        Number of runs by job, occurrence and step.
     """
 
     report: WorkerReport
@@ -305,6 +311,9 @@
     overcommitted_since_ms: float | None = None
     suspected_runs: int = 0
     is_reserved: bool = False
+    step_runs: collections.Counter[tuple[str, int, int]] = attrs.field(
+        factory=collections.Counter, init=False
+    )
 
     @property
     def is_known_alive(self) -> bool:
@@ -388,6 +397,7 @@
     def hold(self, run: Run) -> None:
         """Add a run and hold its capacity."""
         self.runs[run.task, run.attempt] = run
+        self.step_runs[_get_step_key(run.task)] += 1
         if run.phase is not RunPhase.RUNNING:
             self.pending_runs[run] = None
         self.cpu += run.room.cpu
@@ -400,6 +410,10 @@
         if self.runs.pop((run.task, run.attempt), None) is None:
             return
         self.pending_runs.pop(run, None)
+        step_key = _get_step_key(run.task)
+        self.step_runs[step_key] -= 1
+        if not self.step_runs[step_key]:
+            del self.step_runs[step_key]
         self.cpu -= run.room.cpu
         self.memory_mb -= run.room.memory_mb
         self.gpus -= run.room.gpus
@@ -407,9 +421,4 @@
 
     def count_step(self, task: TaskId) -> int:
         """Return the number of runs of the step of ``task``."""
-        return sum(
-            other.job_id == task.job_id
-            and other.step == task.step
-            and other.occurrence == task.occurrence
-            for other, _ in self.runs
-        )
+        return self.step_runs.get(_get_step_key(task), 0)
--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -5,6 +5,7 @@
 other tasks are packed tightly.
 """
 
+from trefoilhook.scheduling.arrangement import compute_concentration_penalty
 from trefoilhook.scheduling.colocation import ColocationCache
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Worker
@@ -158,6 +159,8 @@
             slack = colocation.predict_slack(colocations.interference, step)
             others = {victim.image for victim in colocation.victims} - {step.image}
             score -= _MIXED_IMAGE_PENALTY * len(others)
+        if step.long_running and colocations.spreads_services:
+            score -= compute_concentration_penalty(worker, state.task, step)
     score -= _SLACK_PENALTY * max(0.0, _SUFFICIENT_SLACK - slack)
     if step.data_rack and step.data_rack not in worker.report.labels:
         score -= _AVOIDANCE_PENALTY / 2
