Pack the services of small fleets as before, and show where services stand

Spread services take the workers that have tasks of one image only, and a filler is tolerated by few images. Fleets under 64 workers now pack as before.

A penalty for the first service task on a worker left fewer workers with one image, not more.

SERVICE_SHORT tells how many tasks of the service one worker holds and should hold; the owner exports the largest share of a service on one worker.

--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -51,7 +51,7 @@
     plan_orders,
     release_expired,
 )
-from trefoilhook.scheduling.arrangement import measure_concentration
+from trefoilhook.scheduling.arrangement import measure_largest_share
 
 __all__ = ["ShardOwner", "ShardSettings"]
 
@@ -253,11 +253,8 @@
                 len(list_restarts(self._scheduler.waiting))
             ),
             "restart_wait_ms": self._measure_restart_wait,
-            "services_concentrated": lambda: float(
-                measure_concentration(self._scheduler).services
-            ),
-            "service_largest_share": lambda: (
-                measure_concentration(self._scheduler).largest_share
+            "service_largest_share": lambda: measure_largest_share(
+                self._scheduler.workers.values(), self._scheduler.jobs
             ),
         }
         self._metrics.gauges.update(gauges)
--- a/trefoilhook/scheduling/arrangement/__init__.py
+++ b/trefoilhook/scheduling/arrangement/__init__.py
@@ -1,17 +1,23 @@
 """Arrangement of service tasks: on which workers the tasks of one service stand."""
 
 from trefoilhook.scheduling.arrangement.concentration import (
-    Concentration,
-    measure_concentration,
+    Cluster,
+    count_together,
+    list_clusters,
+    measure_largest_share,
 )
 from trefoilhook.scheduling.arrangement.spread import (
     compute_concentration_penalty,
     compute_max_together,
+    may_spread,
 )
 
 __all__ = [
-    "Concentration",
+    "Cluster",
     "compute_concentration_penalty",
     "compute_max_together",
-    "measure_concentration",
+    "count_together",
+    "list_clusters",
+    "may_spread",
+    "measure_largest_share",
 ]
--- a/trefoilhook/scheduling/arrangement/concentration.py
+++ b/trefoilhook/scheduling/arrangement/concentration.py
@@ -1,43 +1,83 @@
 """Services that have more tasks on one worker than they should lose at once."""
 
+from collections import Counter
+from collections.abc import Iterable, Iterator, Mapping
+
 import attrs
 
 from trefoilhook.scheduling.arrangement.spread import compute_max_together
-from trefoilhook.scheduling.core import Scheduler
+from trefoilhook.scheduling.fleet import Worker
+from trefoilhook.scheduling.job_state import JobState
+from trefoilhook.scheduling.models import Step
+from trefoilhook.scheduling.tickets import StepName
 
-__all__ = ["Concentration", "measure_concentration"]
+__all__ = ["Cluster", "count_together", "list_clusters", "measure_largest_share"]
 
 
 @attrs.frozen(kw_only=True)
-class Concentration:
-    """Concentration of the services of a shard.
+class Cluster:
+    """Tasks of one service step on one worker.
 
     Parameters
     ----------
-    services : int
-        Number of service steps with more tasks on a worker than their bound.
-    largest_share : float
-        Largest fraction of the tasks of one service step that a worker holds, over the
-        steps with at least two tasks; 0 if there is none.
+    worker : Worker
+        The worker.
+    name : StepName
+        Name of the step.
+    step : Step
+        The step.
+    count : int
+        Number of its runs on the worker.
     """
 
-    services: int = 0
-    largest_share: float = 0.0
+    worker: Worker
+    name: StepName
+    step: Step
+    count: int
+
+    @property
+    def share(self) -> float:
+        """Fraction of the tasks of the step."""
+        return self.count / self.step.count
+
+    @property
+    def excess(self) -> int:
+        """Number of tasks by which the cluster exceeds its bound."""
+        return max(0, self.count - compute_max_together(self.step))
 
 
-def measure_concentration(scheduler: Scheduler) -> Concentration:
-    """Return how concentrated the services of a shard are."""
-    concentrated: set[tuple[str, int, int]] = set()
-    largest_share = 0.0
-    for worker in scheduler.workers.values():
-        for (job_id, occurrence, number), count in worker.step_runs.items():
-            state = scheduler.jobs.get(job_id)
-            if state is None or number >= len(state.job.steps):
+def list_clusters(
+    workers: Iterable[Worker], jobs: Mapping[str, JobState], *, min_count: int = 1
+) -> Iterator[Cluster]:
+    """Yield the clusters of at least ``min_count`` runs of all service steps.
+
+    Steps with a single task are left out.
+    """
+    for worker in workers:
+        for name, count in worker.step_runs.items():
+            if count < min_count:
                 continue
-            step = state.job.steps[number]
-            if not step.long_running or step.count < 2:
+            state = jobs.get(name[0])
+            if state is None or name[2] >= len(state.job.steps):
                 continue
-            largest_share = max(largest_share, count / step.count)
-            if count > compute_max_together(step):
-                concentrated.add((job_id, occurrence, number))
-    return Concentration(services=len(concentrated), largest_share=largest_share)
+            step = state.job.steps[name[2]]
+            if step.long_running and step.count > 1:
+                yield Cluster(worker=worker, name=name, step=step, count=count)
+
+
+def measure_largest_share(
+    workers: Iterable[Worker], jobs: Mapping[str, JobState]
+) -> float:
+    """Return the largest fraction of a service step on one worker; 0 without any."""
+    return max((each.share for each in list_clusters(workers, jobs)), default=0.0)
+
+
+def count_together(state: JobState) -> int:
+    """Return the largest number of tasks of one service step on one worker."""
+    counts = Counter(
+        (task.task.occurrence, task.task.step, attempt.worker.report.worker_id)
+        for task in state.tasks.values()
+        if task.step.long_running
+        for attempt in task.attempts
+    )
+    return max(counts.values(), default=0)
--- a/trefoilhook/scheduling/arrangement/spread.py
+++ b/trefoilhook/scheduling/arrangement/spread.py
@@ -8,15 +8,17 @@
 from trefoilhook.scheduling.fleet import Worker
 from trefoilhook.scheduling.models import Step, TaskId
 
-__all__ = [
-    "compute_concentration_penalty",
-    "compute_max_together",
-]
+__all__ = ["compute_concentration_penalty", "compute_max_together", "may_spread"]
 
 _DEFAULT_SHARE = 0.125
 """Fraction of the tasks of a service that one worker may hold if the job does not say
 how many may be absent. The others take over its load with a seventh more each."""
 
+_MIN_WORKERS = 64
+"""Minimum number of workers in a fleet that spreads services. Fillers are tolerated by
+few images and need workers with tasks of one image only. With five workers for each
+image, services that are spread leave a third as many of these as packed ones."""
+
 _CONCENTRATION_PENALTY = 15_000.0
 """Penalty for each task of the step on a worker beyond its bound, in thousandths of a
 core: about two service tasks. It is below the penalty for mixed images until a worker
@@ -30,6 +32,11 @@
     return max(1, int(_DEFAULT_SHARE * step.count))
 
 
+def may_spread(workers: int) -> bool:
+    """Return whether services are spread on a fleet of a number of workers."""
+    return workers >= _MIN_WORKERS
+
+
 def compute_concentration_penalty(worker: Worker, task: TaskId, step: Step) -> float:
     """Return the penalty for one more task of a service step on a worker.
 
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from trefoilhook.scheduling.arrangement import may_spread
 from trefoilhook.scheduling.candidates import Candidates
 from trefoilhook.scheduling.colocation import FULL_PACE, ColocationCache
 from trefoilhook.scheduling.core import Scheduler
@@ -99,7 +100,9 @@
         jobs=scheduler.jobs,
         interference=scheduler.interference,
         now_ms=now_ms,
-        spreads_services=scheduler.features.arrangement,
+        spreads_services=(
+            scheduler.features.arrangement and may_spread(len(scheduler.workers))
+        ),
     )
     assignment_round = AssignmentRound(
         scheduler=scheduler, colocations=colocations, now_ms=now_ms
--- a/trefoilhook/scheduling/colocation.py
+++ b/trefoilhook/scheduling/colocation.py
@@ -188,7 +188,7 @@
     jobs: dict[str, JobState]
     interference: Interference
     now_ms: float
-    spreads_services: bool = True
+    spreads_services: bool = False
     _by_worker: dict[str, Colocation] = attrs.Factory(dict)
 
     def lookup(self, worker: Worker) -> Colocation:
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -9,6 +9,7 @@
 from trefoilhook.scheduling.messages import OrderOutcome, PollAnswer, StopReason
 from trefoilhook.scheduling.models import Demand, TaskId, WorkerReport
 from trefoilhook.scheduling.slack import LaggedShares, SlackTrack
+from trefoilhook.scheduling.tickets import StepName, name_step
 from trefoilhook.scheduling.waits import WaitReason
 
 __all__ = ["SLOWEST_CLOCK", "Run", "RunPhase", "Silence", "Worker"]
@@ -204,10 +205,6 @@
         return self.cause in _PROCESS_ENDED
 
 
-def _get_step_key(task: TaskId) -> tuple[str, int, int]:
-    return task.job_id, task.occurrence, task.step
-
-
 @attrs.define(kw_only=True, eq=False)
 class Worker:
     """One incarnation of a worker.
@@ -275,8 +272,8 @@
     is_reserved : bool
         Whether it is reserved for an isolated run, so that no other task is started
         there.
-    step_runs : Counter of (str, int, int)
-        Number of runs by job, occurrence and step.
+    step_runs : Counter of StepName
+        Number of runs by step.
     """
 
     report: WorkerReport
@@ -311,7 +308,7 @@
     overcommitted_since_ms: float | None = None
     suspected_runs: int = 0
     is_reserved: bool = False
-    step_runs: collections.Counter[tuple[str, int, int]] = attrs.field(
+    step_runs: collections.Counter[StepName] = attrs.field(
         factory=collections.Counter, init=False
     )
 
@@ -397,7 +394,7 @@
     def hold(self, run: Run) -> None:
         """Add a run and hold its capacity."""
         self.runs[run.task, run.attempt] = run
-        self.step_runs[_get_step_key(run.task)] += 1
+        self.step_runs[name_step(run.task)] += 1
         if run.phase is not RunPhase.RUNNING:
             self.pending_runs[run] = None
         self.cpu += run.room.cpu
@@ -410,10 +407,10 @@
         if self.runs.pop((run.task, run.attempt), None) is None:
             return
         self.pending_runs.pop(run, None)
-        step_key = _get_step_key(run.task)
-        self.step_runs[step_key] -= 1
-        if not self.step_runs[step_key]:
-            del self.step_runs[step_key]
+        step = name_step(run.task)
+        self.step_runs[step] -= 1
+        if not self.step_runs[step]:
+            del self.step_runs[step]
         self.cpu -= run.room.cpu
         self.memory_mb -= run.room.memory_mb
         self.gpus -= run.room.gpus
@@ -421,4 +418,4 @@
 
     def count_step(self, task: TaskId) -> int:
         """Return the number of runs of the step of ``task``."""
-        return self.step_runs.get(_get_step_key(task), 0)
+        return self.step_runs.get(name_step(task), 0)
--- a/trefoilhook/scheduling/shortfall.py
+++ b/trefoilhook/scheduling/shortfall.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from trefoilhook.scheduling.arrangement import compute_max_together, count_together
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.job_state import Attempt, JobState, TaskState
@@ -48,6 +49,10 @@
         those that are unknown at the end of the interval.
     unknown_ms : int
         Time since that worker last listed the attempt, in ms.
+    together : int
+        Largest number of its tasks on one worker at the end of the interval.
+    max_together : int
+        Largest number that one worker should hold.
     """
 
     job: str
@@ -62,6 +67,8 @@
     unknown_task: str = ""
     unknown_worker: str = ""
     unknown_ms: int = 0
+    together: int = 0
+    max_together: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -107,6 +114,10 @@
                 waited_for=_get_wait_reason(scheduler, state),
                 waiting=round(sums.waiting / sums.samples, 2),
                 unknown=round(sums.unknown / sums.samples, 2),
+                together=count_together(state),
+                max_together=max(
+                    compute_max_together(task.step) for task in _list_tasks(state)
+                ),
             )
             yield _add_unknown(shortfall, state, now_ms) if sums.unknown else shortfall
         self._sums.clear()
