--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -54,6 +54,7 @@
     plan_orders,
     release_expired,
 )
+from trefoilhook.scheduling.arrangement import measure_largest_share
 
 __all__ = ["ShardOwner", "ShardSettings"]
 
@@ -251,13 +252,16 @@
 
     @contextlib.contextmanager
     def _export_gauges(self) -> Iterator[None]:
-        """Export the gauges of waiting tasks for the duration of the context."""
+        """Export the gauges of an owner for the duration of the context."""
         gauges: dict[str, Callable[[], float]] = {
             "restarts_waiting": lambda: float(
                 len(list_restarts(self._scheduler.waiting))
             ),
             "restart_wait_ms": self._measure_restart_wait,
             "reserved_workers": lambda: float(self._scheduler.reservations.count),
+            "service_largest_share": lambda: measure_largest_share(
+                self._scheduler.workers.values(), self._scheduler.jobs
+            ),
         }
         self._metrics.gauges.update(gauges)
         try:
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from trefoilhook.scheduling.arrangement import may_spread
 from trefoilhook.scheduling.candidates import Candidates
 from trefoilhook.scheduling.colocation import FULL_PACE, ColocationCache
 from trefoilhook.scheduling.copies import (
@@ -112,7 +113,12 @@
     ]
     update_reservations(scheduler, now_ms, wall_ms)
     colocations = ColocationCache(
-        jobs=scheduler.jobs, interference=scheduler.interference, now_ms=now_ms
+        jobs=scheduler.jobs,
+        interference=scheduler.interference,
+        now_ms=now_ms,
+        spreads_services=(
+            scheduler.features.arrangement and may_spread(len(scheduler.workers))
+        ),
     )
     assignment_round = AssignmentRound(
         scheduler=scheduler, colocations=colocations, now_ms=now_ms
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -10,6 +10,7 @@
 from trefoilhook.scheduling.models import Demand, TaskId, WorkerReport
 from trefoilhook.scheduling.reservations import Reservation
 from trefoilhook.scheduling.slack import LaggedShares, SlackTrack
+from trefoilhook.scheduling.tickets import StepName, name_step
 from trefoilhook.scheduling.waits import WaitReason
 
 __all__ = ["SLOWEST_CLOCK", "Run", "RunPhase", "Silence", "Worker", "get_worker_id"]
@@ -297,6 +298,8 @@
         there.
     reservation : Reservation or None
         Set while it is reserved for a waiting task.
+    step_runs : Counter of StepName
+        Number of runs by step.
     """
 
     report: WorkerReport
@@ -336,6 +339,9 @@
     suspected_runs: int = 0
     is_reserved: bool = False
     reservation: Reservation | None = None
+    step_runs: collections.Counter[StepName] = attrs.field(
+        factory=collections.Counter, init=False
+    )
 
     @born_ms.default
     def _default_born_ms(self) -> int | None:
@@ -428,6 +434,7 @@
     def hold(self, run: Run) -> None:
         """Add a run and hold its capacity."""
         self.runs[run.task, run.attempt] = run
+        self.step_runs[name_step(run.task)] += 1
         if run.phase is not RunPhase.RUNNING:
             self.pending_runs[run] = None
         self.cpu += run.room.cpu
@@ -442,6 +449,10 @@
         if run.ambiguous and self.born_ms is not None:
             self.unanswered_starts.append(run)
         self.pending_runs.pop(run, None)
+        step = name_step(run.task)
+        self.step_runs[step] -= 1
+        if not self.step_runs[step]:
+            del self.step_runs[step]
         self.cpu -= run.room.cpu
         self.memory_mb -= run.room.memory_mb
         self.gpus -= run.room.gpus
@@ -449,9 +460,4 @@
 
     def count_step(self, task: TaskId) -> int:
         """Return the number of runs of the step of ``task``."""
-        return sum(
-            other.job_id == task.job_id
-            and other.step == task.step
-            and other.occurrence == task.occurrence
-            for other, _ in self.runs
-        )
+        return self.step_runs.get(name_step(task), 0)
