--- a/trefoilhook/scheduling/sampling.py
+++ b/trefoilhook/scheduling/sampling.py
@@ -2,8 +2,8 @@
 
 The cost of rating all workers for each waiting step grows with the fleet: a round of
 18 filler steps over 3,000 workers takes 350 ms of a core, during which the owner
-neither polls workers nor sends orders. A random sample contains one of the best twentieth
-of the workers with a probability that depends on its size only [1]_.
+neither polls workers nor sends orders. How good the best worker of a random sample is
+depends on the size of the sample and not on that of the fleet [1]_.
 
 References
 ----------
