Limit the idle connections to all workers together

It has 7,902 connections open, of the 7,992 that its file descriptors allow.

Cause: each worker's client keeps the connections of its busiest moment, up to six, and none is closed while the worker lives. Without a descriptor no poll and no order is sent, and healthy workers count as silent.

--- a/trefoilhook/executors/core.py
+++ b/trefoilhook/executors/core.py
@@ -14,7 +14,7 @@
 
 from trefoilhook.exceptions import AnswerLostError, NotSentError
 from trefoilhook.http import HttpClient, HttpRequest
-from trefoilhook.http.client import _Connection
+from trefoilhook.http.client import Connection
 
 __all__ = ["ExecutorResponse", "ExecutorClient", "ExecutorHealth"]
 
@@ -68,7 +68,7 @@
 class _ConditionalHttpClient(HttpClient):
     """Client that checks the permission to send immediately before sending."""
 
-    def _encode(self, connection: _Connection, request: HttpRequest) -> bytes:
+    def _encode(self, connection: Connection, request: HttpRequest) -> bytes:
         # Checked here because a process that is paused, or waits for a connection,
         # after an earlier check could send the request long after another owner has
         # taken over. No other task runs between this check and the socket's send, so at
@@ -77,7 +77,7 @@
             raise NotSentError("permission to send ended before the request was sent")
         return super()._encode(connection, request)
 
-    async def _release(self, connection: _Connection, *, keep: bool) -> None:
+    async def _release(self, connection: Connection, *, keep: bool) -> None:
         # After a failure, bytes left in the kernel's send buffer could reach the
         # executor minutes later, when their slot is in use by another request. Closing
         # with a reset discards them.
--- a/trefoilhook/http/__init__.py
+++ b/trefoilhook/http/__init__.py
@@ -2,6 +2,7 @@
 
 from trefoilhook.http.client import HttpClient
 from trefoilhook.http.core import ConnectionLoss, HttpLimits, HttpRequest, HttpResponse
+from trefoilhook.http.idle import IdleLimit
 from trefoilhook.http.json_client import JsonClient
 from trefoilhook.http.server import HttpServer
 
@@ -12,5 +13,6 @@
     "HttpRequest",
     "HttpResponse",
     "HttpServer",
+    "IdleLimit",
     "JsonClient",
 ]
--- a/trefoilhook/http/client.py
+++ b/trefoilhook/http/client.py
@@ -18,8 +18,9 @@
     TransportFailure,
 )
 from trefoilhook.http.core import HttpRequest, HttpResponse
+from trefoilhook.http.idle import IdleLimit
 
-__all__ = ["HttpClient"]
+__all__ = ["Connection", "HttpClient"]
 
 _READ_BYTES = 65_536
 _MS_PER_S = 1000.0
@@ -27,13 +28,15 @@
 
 
 @attrs.define(kw_only=True, eq=False)
-class _Connection:
+class Connection:
+    """An open connection and the state of its protocol."""
+
     stream: trio.abc.Stream
     protocol: h11.Connection
     socket: trio.socket.SocketType
 
 
-def _is_stale(connection: _Connection) -> bool:
+def _is_stale(connection: Connection) -> bool:
     """Tell whether an idle connection has been closed by the peer.
 
     An idle connection is readable only once it is closed. Peeking detects that without
@@ -81,6 +84,8 @@
         Maximum size of a response body, in bytes.
     tls : ssl.SSLContext, optional
         TLS client context; plain TCP if None.
+    idle_limit : IdleLimit, optional
+        Limit on the idle connections that this client shares with others.
     """
 
     def __init__(
@@ -91,13 +96,15 @@
         max_connections: int = 64,
         max_response_bytes: int = 8_388_608,
         tls: ssl.SSLContext | None = None,
+        idle_limit: IdleLimit | None = None,
     ) -> None:
+        self._idle_limit = idle_limit
         self._host = host
         self._port = port
         self._tls = tls
         self._limiter = trio.CapacityLimiter(max_connections)
         self._max_response_bytes = max_response_bytes
-        self._idle: deque[_Connection] = deque()
+        self._idle: deque[Connection] = deque()
 
     async def send(
         self, request: HttpRequest, *, timeout_ms: float = math.inf
@@ -133,14 +140,20 @@
     async def close(self) -> None:
         """Close the idle connections."""
         while self._idle:
-            await trio.aclose_forcefully(self._idle.pop().stream)
+            await trio.aclose_forcefully(self._pop_idle().stream)
+
+    def _pop_idle(self) -> Connection:
+        connection = self._idle.pop()
+        if self._idle_limit is not None:
+            self._idle_limit.discard(connection)
+        return connection
 
     def _limit_connections(self, deadline: float) -> "_Turn":
         return _Turn(limiter=self._limiter, deadline=deadline)
 
-    async def _acquire(self, deadline: float) -> _Connection:
+    async def _acquire(self, deadline: float) -> Connection:
         while self._idle:
-            connection = self._idle.pop()
+            connection = self._pop_idle()
             if not _is_stale(connection):
                 return connection
             await trio.aclose_forcefully(connection.stream)
@@ -153,27 +166,32 @@
                 failure=_classify_failure(error),
             ) from error
 
-    async def _open(self) -> _Connection:
+    async def _open(self) -> Connection:
         raw = await trio.open_tcp_stream(self._host, self._port)
         stream: trio.abc.Stream = raw
         if self._tls is not None:
             secure = trio.SSLStream(raw, self._tls, server_hostname=self._host)
             await secure.do_handshake()
             stream = secure
-        return _Connection(
+        return Connection(
             stream=stream, protocol=h11.Connection(h11.CLIENT), socket=raw.socket
         )
 
-    async def _release(self, connection: _Connection, *, keep: bool) -> None:
+    async def _release(self, connection: Connection, *, keep: bool) -> None:
         if keep:
             connection.protocol.start_next_cycle()
             self._idle.append(connection)
-            return
+            if self._idle_limit is None:
+                return
+            excess = self._idle_limit.add(connection, self._idle)
+            if excess is None:
+                return
+            connection = excess
         with trio.CancelScope(shield=True):
             await trio.aclose_forcefully(connection.stream)
 
     async def _exchange(
-        self, connection: _Connection, request: HttpRequest, deadline: float
+        self, connection: Connection, request: HttpRequest, deadline: float
     ) -> HttpResponse:
         try:
             with trio.fail_at(deadline):
@@ -191,7 +209,7 @@
                 failure=_classify_failure(error, connection.protocol),
             ) from error
 
-    def _encode(self, connection: _Connection, request: HttpRequest) -> bytes:
+    def _encode(self, connection: Connection, request: HttpRequest) -> bytes:
         headers = [("host", f"{self._host}:{self._port}"), *request.headers]
         headers.append(("content-length", str(len(request.body))))
         head = h11.Request(
@@ -202,7 +220,7 @@
         data += connection.protocol.send(h11.EndOfMessage())
         return data
 
-    async def _receive(self, connection: _Connection) -> HttpResponse:
+    async def _receive(self, connection: Connection) -> HttpResponse:
         protocol = connection.protocol
         head: h11.Response | None = None
         chunks: list[bytes] = []
--- a/trefoilhook/http/json_client.py
+++ b/trefoilhook/http/json_client.py
@@ -8,6 +8,7 @@
 from trefoilhook.exceptions import AnswerLostError
 from trefoilhook.http.client import HttpClient
 from trefoilhook.http.core import Headers, HttpRequest, HttpResponse
+from trefoilhook.http.idle import IdleLimit
 
 __all__ = ["JsonClient"]
 
@@ -23,11 +24,22 @@
         IP address and port of the service.
     max_connections : int
         Maximum number of open connections; further calls wait.
+    idle_limit : IdleLimit, optional
+        Limit on the idle connections that this client shares with others.
     """
 
-    def __init__(self, *, address: tuple[str, int], max_connections: int) -> None:
+    def __init__(
+        self,
+        *,
+        address: tuple[str, int],
+        max_connections: int,
+        idle_limit: IdleLimit | None = None,
+    ) -> None:
         self._http = HttpClient(
-            host=address[0], port=address[1], max_connections=max_connections
+            host=address[0],
+            port=address[1],
+            max_connections=max_connections,
+            idle_limit=idle_limit,
         )
 
     async def send_request(
--- a/trefoilhook/http/tests/test_exchange.py
+++ b/trefoilhook/http/tests/test_exchange.py
@@ -17,6 +17,7 @@
     HttpRequest,
     HttpResponse,
     HttpServer,
+    IdleLimit,
 )
 
 _HOST = "127.0.0.1"
@@ -45,6 +46,32 @@
 
         trio.run(scenario)
 
+    def test_clients_share_limit_on_idle_connections(self):
+        # Guards against clients of many servers that take all file descriptors.
+        async def scenario():
+            server = HttpServer(handler=_echo, host=_HOST, port=0)
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.run)
+                limit = IdleLimit(max_connections=2)
+                clients = [
+                    HttpClient(host=_HOST, port=port, idle_limit=limit)
+                    for _ in range(4)
+                ]
+                request = HttpRequest(method="POST", target="/", body=b"x")
+                for client in (*clients, *clients):
+                    answer = await client.send(request, timeout_ms=5_000)
+                    self.assertEqual(answer.body, b"x")
+                kept = [len(client._idle) for client in clients]
+                self.assertEqual(kept, [0, 0, 1, 1])
+                for client in clients:
+                    await client.close()
+                await clients[0].send(request, timeout_ms=5_000)
+                self.assertEqual(len(clients[0]._idle), 1)
+                await clients[0].close()
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+
     def test_refused_connection_is_proved_not_sent(self):
         async def scenario():
             listeners = await trio.open_tcp_listeners(0, host=_HOST)
--- a/trefoilhook/platform/workers.py
+++ b/trefoilhook/platform/workers.py
@@ -11,7 +11,7 @@
     TransportError,
     TransportFailure,
 )
-from trefoilhook.http import HttpResponse, JsonClient
+from trefoilhook.http import HttpResponse, IdleLimit, JsonClient
 from trefoilhook.platform.core import parse_response_object
 from trefoilhook.platform.worker_answers import decode_poll_answer
 from trefoilhook.scheduling import (
@@ -69,13 +69,21 @@
         Address and id of the worker.
     read_timeout : callable
         Returns the timeout of a call in ms, to which the wait of a poll is added.
+    idle_limit : IdleLimit, optional
+        Limit on the idle connections to all workers.
     """
 
     def __init__(
-        self, *, report: WorkerReport, read_timeout: Callable[[], float]
+        self,
+        *,
+        report: WorkerReport,
+        read_timeout: Callable[[], float],
+        idle_limit: IdleLimit | None = None,
     ) -> None:
         self._client = JsonClient(
-            address=(report.host, report.port), max_connections=_MAX_CONNECTIONS
+            address=(report.host, report.port),
+            max_connections=_MAX_CONNECTIONS,
+            idle_limit=idle_limit,
         )
         self._headers = (("expect-instance", report.worker_id),)
         self._read_timeout = read_timeout
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -9,6 +9,7 @@
 
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import DecodeError
+from trefoilhook.http import IdleLimit
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import (
     Address,
@@ -71,6 +72,11 @@
 64 takes about 0.1 s; with answers after 2 ms, the limit doesn't bound the start
 rate."""
 
+_MAX_IDLE_CONNECTIONS = 1024
+"""Maximum number of idle connections to workers. A poll of each worker is always in
+flight; together with those of 3,000 workers, half of an instance's file descriptors
+remain for clients."""
+
 _LEASE_MARGIN_MS = 300.0
 """Safety margin added to the time for which orders of a previous owner can take effect,
 in ms. Covers orders in flight when its machine froze and clocks that run 2 % slow."""
@@ -209,6 +215,7 @@
             notify=self._wake_all,
         )
         self._clients: dict[str, WorkerClient] = {}
+        self._idle_limit = IdleLimit(max_connections=_MAX_IDLE_CONNECTIONS)
         self._settlement = Settlement(
             clock=clock,
             scheduler=self._scheduler,
@@ -367,7 +374,11 @@
     # Workers.
 
     def _add_worker(self, nursery: trio.Nursery, report: WorkerReport) -> None:
-        client = WorkerClient(report=report, read_timeout=self._read_timeout)
+        client = WorkerClient(
+            report=report,
+            read_timeout=self._read_timeout,
+            idle_limit=self._idle_limit,
+        )
         self._clients[report.worker_id] = client
         worker = self._scheduler.workers[report.worker_id]
         worker.is_in_roster = report.worker_id in self._roster.workers
