--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -183,7 +183,6 @@
             for step in steps
         )
         state.work = job.estimate_work()
-        state.rests_ms = job.estimate_rests()
         state.due_ms = job.accepted_ms
         if state.queue is not None:
             state.due_ms += state.queue.stretch * job.estimate_chain()
--- a/trefoilhook/scheduling/job_state.py
+++ b/trefoilhook/scheduling/job_state.py
@@ -141,8 +141,6 @@
         Estimated work of one occurrence, in core-milliseconds.
     due_ms : float
         End of its latency objective, in ms since the Unix epoch.
-    rests_ms : tuple of float
-        Estimated critical path from the start of each step on, in ms.
     """
 
     job: Job
@@ -163,7 +161,6 @@
     steps_left: int = 0
     work: float = 0.0
     due_ms: float = 0.0
-    rests_ms: tuple[float, ...] = ()
 
     @property
     def is_open(self) -> bool:
--- a/trefoilhook/scheduling/models.py
+++ b/trefoilhook/scheduling/models.py
@@ -164,16 +164,6 @@
             ends.append(begin + step.estimate_ms)
         return max(ends, default=0.0)
 
-    def estimate_rests(self) -> tuple[float, ...]:
-        """Estimate the critical path from the start of each step on, in ms."""
-        rests = [step.estimate_ms for step in self.steps]
-        for number in reversed(range(len(self.steps))):
-            for earlier in self.steps[number].after:
-                rests[earlier] = max(
-                    rests[earlier], self.steps[earlier].estimate_ms + rests[number]
-                )
-        return tuple(rests)
-
 
 @attrs.frozen(kw_only=True)
 class Advice:
