Move tasks of concentrated services, one at a time

Losses, drains and crowded starts leave services concentrated for as long as they run. The owner now stops one task of a worker that holds two tasks or more beyond a service's bound, while all tasks of the service are at work and the job permits an absence, if placement would choose another worker by a margin. At most two tasks of the fleet are being moved; none before a takeover is settled. The move needs no stored state: what was stopped waits and is started like any other task.

--- a/trefoilhook/scheduling/arrangement/__init__.py
+++ b/trefoilhook/scheduling/arrangement/__init__.py
@@ -1,4 +1,7 @@
-"""Arrangement of service tasks: on which workers the tasks of one service stand."""
+"""Arrangement of service tasks: on which workers the tasks of one service stand.
+
+``moves`` is not re-exported here: it builds on placement, which uses this package.
+"""
 
 from trefoilhook.scheduling.arrangement.concentration import (
     Cluster,
@@ -6,6 +9,7 @@
     list_clusters,
     measure_largest_share,
 )
+from trefoilhook.scheduling.arrangement.move_state import ServiceMoves
 from trefoilhook.scheduling.arrangement.spread import (
     compute_concentration_penalty,
     compute_max_together,
@@ -14,6 +18,7 @@
 
 __all__ = [
     "Cluster",
+    "ServiceMoves",
     "compute_concentration_penalty",
     "compute_max_together",
     "count_together",
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -3,6 +3,7 @@
 import attrs
 
 from trefoilhook.scheduling.arrangement import may_spread
+from trefoilhook.scheduling.arrangement.moves import move_concentrated
 from trefoilhook.scheduling.candidates import Candidates
 from trefoilhook.scheduling.colocation import FULL_PACE, ColocationCache
 from trefoilhook.scheduling.core import Scheduler
@@ -120,6 +121,7 @@
         )
     _assign_steps(assignment_round, ready)
     relieve_overcommitted(assignment_round)
+    move_concentrated(assignment_round, settled=settled)
     if with_fillers:
         # Throttled tasks are considered after all regular assignments.
         _migrate(
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from trefoilhook.scheduling.arrangement import ServiceMoves
 from trefoilhook.scheduling.entry_freshness import EntryFreshness
 from trefoilhook.scheduling.evacuations import Evacuations
 from trefoilhook.scheduling.features import Features
@@ -89,6 +90,8 @@
         Workers that may run the steps of queues with advice.
     fillers_due_ms : float
         Time of the next round that places fillers, in ms.
+    service_moves : ServiceMoves
+        Moves of service tasks in progress.
     idle_since_ms : dict of str to float
         Time since when jobs with waiting fillers have had no run, in ms.
     unreadable_jobs : set of str
@@ -129,6 +132,7 @@
         self.interference = Interference()
         self.tickets = TicketCache()
         self.fillers_due_ms = 0.0
+        self.service_moves = ServiceMoves()
         self.idle_since_ms: dict[str, float] = {}
         self.waits = WaitTracker()
         self.holds = TakeoverHolds()
--- a/trefoilhook/scheduling/messages.py
+++ b/trefoilhook/scheduling/messages.py
@@ -99,6 +99,9 @@
     WORKER_DRAINING = "worker leaves"
     """Its worker is about to shut down."""
 
+    CONCENTRATED = "concentrated"
+    """Its worker holds too many tasks of its service, and another worker is better."""
+
 
 @attrs.frozen(kw_only=True)
 class Running:
