--- a/trefoilhook/scheduling/arrangement/__init__.py
+++ b/trefoilhook/scheduling/arrangement/__init__.py
@@ -1,12 +1,12 @@
-"""Arrangement of service tasks: on which workers the tasks of one service stand.
+"""Arrangement of service tasks: the distribution of each service over workers.
 
-``moves`` is not re-exported here: it builds on placement, which uses this package.
+``moves`` is not re-exported here, as it imports modules that import this package.
 """
 
 from trefoilhook.scheduling.arrangement.concentration import (
-    Cluster,
+    StepGroup,
     count_together,
-    list_clusters,
+    list_step_groups,
     measure_largest_share,
 )
 from trefoilhook.scheduling.arrangement.move_state import ServiceMoves
@@ -17,12 +17,12 @@
 )
 
 __all__ = [
-    "Cluster",
     "ServiceMoves",
+    "StepGroup",
     "compute_concentration_penalty",
     "compute_max_together",
     "count_together",
-    "list_clusters",
+    "list_step_groups",
     "may_spread",
     "measure_largest_share",
 ]
--- a/trefoilhook/scheduling/arrangement/concentration.py
+++ b/trefoilhook/scheduling/arrangement/concentration.py
@@ -1,4 +1,4 @@
-"""Services that have more tasks on one worker than they should lose at once."""
+"""Detection of services with too many tasks on one worker."""
 
 from collections import Counter
 from collections.abc import Iterable, Iterator, Mapping
@@ -11,11 +11,11 @@
 from trefoilhook.scheduling.models import Step
 from trefoilhook.scheduling.tickets import StepName
 
-__all__ = ["Cluster", "count_together", "list_clusters", "measure_largest_share"]
+__all__ = ["StepGroup", "count_together", "list_step_groups", "measure_largest_share"]
 
 
 @attrs.frozen(kw_only=True)
-class Cluster:
+class StepGroup:
     """Tasks of one service step on one worker.
 
     Parameters
@@ -27,7 +27,7 @@
     step : Step
         The step.
     count : int
-        Number of its runs on the worker.
+        Number of runs of the step on the worker.
     """
 
     worker: Worker
@@ -37,21 +37,21 @@
 
     @property
     def share(self) -> float:
-        """Fraction of the tasks of the step."""
+        """Fraction of the step's tasks that run on the worker."""
         return self.count / self.step.count
 
     @property
     def excess(self) -> int:
-        """Number of tasks by which the cluster exceeds its bound."""
+        """Number of tasks beyond the maximum per worker."""
         return max(0, self.count - compute_max_together(self.step))
 
 
-def list_clusters(
+def list_step_groups(
     workers: Iterable[Worker], jobs: Mapping[str, JobState], *, min_count: int = 1
-) -> Iterator[Cluster]:
-    """Yield the clusters of at least ``min_count`` runs of all service steps.
+) -> Iterator[StepGroup]:
+    """Yield the groups of at least ``min_count`` runs of all service steps.
 
-    Steps with a single task are left out.
+    Steps with a single task are skipped.
     """
     for worker in workers:
         for name, count in worker.step_runs.items():
@@ -62,14 +62,14 @@
                 continue
             step = state.job.steps[name[2]]
             if step.long_running and step.count > 1:
-                yield Cluster(worker=worker, name=name, step=step, count=count)
+                yield StepGroup(worker=worker, name=name, step=step, count=count)
 
 
 def measure_largest_share(
     workers: Iterable[Worker], jobs: Mapping[str, JobState]
 ) -> float:
-    """Return the largest fraction of a service step on one worker; 0 without any."""
-    return max((each.share for each in list_clusters(workers, jobs)), default=0.0)
+    """Return the largest fraction of a service step on one worker; 0 if none runs."""
+    return max((each.share for each in list_step_groups(workers, jobs)), default=0.0)
 
 
 def count_together(state: JobState) -> int:
--- a/trefoilhook/scheduling/arrangement/move_state.py
+++ b/trefoilhook/scheduling/arrangement/move_state.py
@@ -1,4 +1,4 @@
-"""Moves of service tasks in progress, and when to look for further ones."""
+"""State of the moves of service tasks."""
 
 from collections.abc import Iterable
 
@@ -12,16 +12,16 @@
 
 @attrs.define(kw_only=True)
 class ServiceMoves:
-    """Moves of one owner. They are not stored: the next owner needs no record of them.
+    """Moves in progress under one owner, which are not persisted.
 
     Parameters
     ----------
     due_ms : float
         Time of the next search, in ms.
     tasks : set of TaskState
-        Tasks that were stopped to be moved and are not at work again.
+        Tasks that were stopped to be moved and are not at work yet.
     retry_ms : dict of StepName to float
-        Time from which a step that found no better worker is tried again, in ms.
+        Time from which a step without a better worker is tried again, in ms.
     """
 
     due_ms: float = 0.0
@@ -29,6 +29,6 @@
     retry_ms: dict[StepName, float] = attrs.Factory(dict)
 
     def retain(self, names: Iterable[StepName]) -> None:
-        """Forget the steps that are not concentrated any more."""
+        """Remove the retry times of all steps except the named ones."""
         kept = set(names)
         self.retry_ms = {n: due for n, due in self.retry_ms.items() if n in kept}
--- a/trefoilhook/scheduling/arrangement/moves.py
+++ b/trefoilhook/scheduling/arrangement/moves.py
@@ -1,15 +1,15 @@
-"""Moves of service tasks off workers that hold too many of one service.
+"""Moves of service tasks off workers that run too many tasks of one service.
 
-Losses, drains and crowded starts leave services concentrated, and service tasks stay
-where they are for hours. One task of a service is moved at a time, and only while all
-others are at work, so that no more are absent than the job permits.
+Services become concentrated after worker losses, drains and starts on a busy fleet, and
+service tasks run for hours. One task of a service is moved at a time, and only while
+all others are at work, so that no more are absent than the job permits.
 
-The owner stops the task; it then waits and is started like any restarted task. An owner
-that takes over in between finds it waiting or running, and needs to know nothing of the
-move.
+The owner stops the task, which then waits and is started like any restarted task. An
+owner that takes over during the move sees a waiting or running task and needs no other
+state.
 """
 
-from trefoilhook.scheduling.arrangement.concentration import Cluster, list_clusters
+from trefoilhook.scheduling.arrangement.concentration import StepGroup, list_step_groups
 from trefoilhook.scheduling.arrangement.spread import compute_max_together
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.job_state import JobState, TaskState
@@ -21,44 +21,45 @@
 __all__ = ["move_concentrated"]
 
 _MOVE_INTERVAL_MS = 1000.0
-"""Minimum interval between two searches for moves, which go over all workers."""
+"""Minimum interval between two searches for moves, in ms. Each search iterates over all
+workers."""
 
 _MAX_MOVES = 2
-"""Maximum number of tasks that are being moved at a time. Their restarts compete with
-urgent tasks for the owner and for capacity."""
+"""Maximum number of tasks that are moved at a time. Their restarts compete with urgent
+tasks for capacity and for the owner's time."""
 
 _MIN_EXCESS = 2
-"""Minimum number of tasks beyond the bound from which tasks are moved. Placement allows
-one where it saves capacity; moving for one would undo its choices."""
+"""Minimum number of excess tasks on a worker from which tasks are moved. Placement may
+exceed the maximum by one to save capacity; moving for one would undo that."""
 
 _MIN_STAY_MS = 10_000.0
-"""Minimum time that a task stays where it is before it is moved, in ms: losses often
-come in groups, and the places that they leave are taken anew for some seconds."""
+"""Minimum run time of a task before it is moved, in ms. Workers are often lost in
+groups, and their tasks are still being placed for some seconds."""
 
 _MAX_STARTUP_SHARE = 0.05
-"""Maximum start-up time of a task that is moved, as a fraction of the time that it has
-run. A service is expected to run on for about as long as it has run."""
+"""Maximum start-up time of a task that is moved, as a fraction of its run time so far.
+A service is expected to run for about as long again."""
 
-_MAX_RATED = 2
-"""Maximum number of steps per search for which all workers are rated."""
+_MAX_RATED_STEPS = 2
+"""Maximum number of steps per search for which workers are rated."""
 
 _RETRY_MS = 5000.0
-"""Time until a step that found no better worker is tried again, in ms, so that it does
-not keep the others from being tried."""
+"""Delay before a step without a better worker is tried again, in ms, so that other
+steps are tried first."""
 
 _MIN_GAIN = 5000.0
-"""Minimum gain in score, in thousandths of a core: about one service task."""
+"""Minimum gain in score that justifies a move, in thousandths of a core."""
 
-_FRESH_MS = 2000.0
-"""Maximum age of the answer that shows a task at work, in ms; polls are at most 1.5 s
-apart."""
+_MAX_ANSWER_AGE_MS = 2000.0
+"""Maximum age of the poll answer that shows a task at work, in ms. Polls are at most
+1.5 s apart."""
 
 _SERVING_PERCENT = 100.0
 """Progress of a long-running task that has finished its start-up, in percent."""
 
 
 def move_concentrated(assignment_round: AssignmentRound, *, settled: bool) -> None:
-    """Stop tasks of concentrated services that have a better worker.
+    """Stop tasks of concentrated services for which a better worker is available.
 
     Parameters
     ----------
@@ -75,78 +76,78 @@
     if not (settled and spreads_services) or now_ms < moves.due_ms:
         return
     moves.due_ms = now_ms + _MOVE_INTERVAL_MS
-    clusters = [
+    groups = [
         each
-        for each in list_clusters(
+        for each in list_step_groups(
             scheduler.workers.values(), scheduler.jobs, min_count=1 + _MIN_EXCESS
         )
         if each.excess >= _MIN_EXCESS
     ]
-    moves.retain(each.name for each in clusters)
+    moves.retain(each.name for each in groups)
     moves.tasks = {
         task
         for task in moves.tasks
         if task.job.is_open and not _is_at_work(task, now_ms)
     }
-    clusters.sort(key=lambda each: each.share, reverse=True)
-    rated = 0
-    for cluster in clusters:
-        if len(moves.tasks) >= _MAX_MOVES or rated >= _MAX_RATED:
+    groups.sort(key=lambda each: each.share, reverse=True)
+    rated_steps = 0
+    for group in groups:
+        if len(moves.tasks) >= _MAX_MOVES or rated_steps >= _MAX_RATED_STEPS:
             return
-        if now_ms < moves.retry_ms.get(cluster.name, 0.0):
+        if now_ms < moves.retry_ms.get(group.name, 0.0):
             continue
-        found = _find_movable(assignment_round, cluster)
+        found = _find_movable(assignment_round, group)
         if found is None:
             continue
-        rated += 1
-        _move(assignment_round, cluster, *found)
+        rated_steps += 1
+        _move(assignment_round, group, *found)
 
 
 def _move(
-    assignment_round: AssignmentRound, cluster: Cluster, task: TaskState, run: Run
+    assignment_round: AssignmentRound, group: StepGroup, task: TaskState, run: Run
 ) -> None:
-    """Stop a task of a cluster if it has a better worker."""
+    """Stop a task of a group if a better worker is available."""
     scheduler = assignment_round.scheduler
     moves = scheduler.service_moves
-    if _has_better_worker(assignment_round, cluster, task, run):
-        scheduler.request_stop(cluster.worker, run, StopReason.CONCENTRATED)
+    if _has_better_worker(assignment_round, group, task, run):
+        scheduler.request_stop(group.worker, run, StopReason.CONCENTRATED)
         moves.tasks.add(task)
     else:
-        moves.retry_ms[cluster.name] = assignment_round.now_ms + _RETRY_MS
+        moves.retry_ms[group.name] = assignment_round.now_ms + _RETRY_MS
 
 
 def _find_movable(
-    assignment_round: AssignmentRound, cluster: Cluster
+    assignment_round: AssignmentRound, group: StepGroup
 ) -> tuple[TaskState, Run] | None:
-    """Return the task of a cluster that was started last, if it may be stopped now."""
+    """Return the task of a group that was started last, if it may be stopped now."""
     scheduler = assignment_round.scheduler
-    state = scheduler.jobs[cluster.name[0]]
+    state = scheduler.jobs[group.name[0]]
     if state.job.job_id in scheduler.unreadable_jobs:
         return None
-    if not _may_miss_one(state, cluster, assignment_round.now_ms):
+    if not _permits_absence(state, group, assignment_round.now_ms):
         return None
-    here = [
+    local = [
         (task, task.attempts[0].run)
         for task in state.tasks.values()
-        if name_step(task.task) == cluster.name
-        and task.attempts[0].worker is cluster.worker
+        if name_step(task.task) == group.name
+        and task.attempts[0].worker is group.worker
     ]
-    if not here:
+    if not local:
         return None
-    task, run = max(here, key=lambda pair: (pair[1].started_ms, pair[0].task.index))
+    task, run = max(local, key=lambda pair: (pair[1].started_ms, pair[0].task.index))
     min_stay_ms = max(_MIN_STAY_MS, task.step.estimate_ms / _MAX_STARTUP_SHARE)
     has_stayed = assignment_round.now_ms - run.started_ms >= min_stay_ms
     return (task, run) if has_stayed else None
 
 
-def _may_miss_one(state: JobState, cluster: Cluster, now_ms: float) -> bool:
+def _permits_absence(state: JobState, group: StepGroup, now_ms: float) -> bool:
     """Return whether all tasks of a step are at work and one may be absent."""
-    if not state.is_open or cluster.step.max_absent == 0:
+    if not state.is_open or group.step.max_absent == 0:
         return False
     tasks = [
-        task for task in state.tasks.values() if name_step(task.task) == cluster.name
+        task for task in state.tasks.values() if name_step(task.task) == group.name
     ]
-    return len(tasks) == cluster.step.count and all(
+    return len(tasks) == group.step.count and all(
         _is_at_work(task, now_ms) for task in tasks
     )
 
@@ -161,40 +162,44 @@
         and worker.listed
         and not worker.report.draining
         and not worker.is_state_unknown(run)
-        and now_ms - worker.clock_read_ms < _FRESH_MS
+        and now_ms - worker.clock_read_ms < _MAX_ANSWER_AGE_MS
     )
 
 
 def _has_better_worker(
-    assignment_round: AssignmentRound, cluster: Cluster, task: TaskState, run: Run
+    assignment_round: AssignmentRound, group: StepGroup, task: TaskState, run: Run
 ) -> bool:
-    """Return whether placement would choose another worker, now and by a margin."""
+    """Return whether another worker has a score that is higher by the minimum gain."""
     candidates = assignment_round.rate(task, assignment_round.list_open(task))
-    target = candidates.pop_best(exclude=cluster.worker)
-    if target is None or not _takes_without_harm(assignment_round, target, cluster):
+    target = candidates.pop_best(exclude=group.worker)
+    if target is None or not _is_suitable_target(assignment_round, target, group):
         return False
-    scored = score_worker(target, task, assignment_round.colocations)
-    stays = _score_without(assignment_round, cluster.worker, task, run)
-    return scored is not None and stays is not None and scored > stays + _MIN_GAIN
+    target_score = score_worker(target, task, assignment_round.colocations)
+    current_score = _score_without(assignment_round, group.worker, task, run)
+    return (
+        target_score is not None
+        and current_score is not None
+        and target_score > current_score + _MIN_GAIN
+    )
 
 
-def _takes_without_harm(
-    assignment_round: AssignmentRound, target: Worker, cluster: Cluster
+def _is_suitable_target(
+    assignment_round: AssignmentRound, target: Worker, group: StepGroup
 ) -> bool:
-    """Return whether a worker stays within the bound and serves the same image."""
-    if target.step_runs[cluster.name] >= compute_max_together(cluster.step):
+    """Return whether a worker can take one more task within its limits and image."""
+    if target.step_runs[group.name] >= compute_max_together(group.step):
         return False
     victims = assignment_round.colocations.lookup(target).victims
     return target.over_limit_since_ms is None and all(
-        victim.image == cluster.step.image for victim in victims
+        victim.image == group.step.image for victim in victims
     )
 
 
 def _score_without(
     assignment_round: AssignmentRound, worker: Worker, task: TaskState, run: Run
 ) -> float | None:
-    """Return the score of a worker for a task of its own, as if it had left."""
-    # Cached with the task before it is released for the rating.
+    """Return the score of a worker for a task that it runs, as if it did not."""
+    # Fills the cache before the run is released for the rating.
     assignment_round.colocations.lookup(worker)
     worker.release(run)
     try:
--- a/trefoilhook/scheduling/arrangement/tests/test_moves.py
+++ b/trefoilhook/scheduling/arrangement/tests/test_moves.py
@@ -1,4 +1,4 @@
-"""Tests of moves of service tasks off workers that hold too many of one service."""
+"""Tests of moves of service tasks off workers that run too many of one service."""
 
 import unittest
 from unittest import mock
@@ -31,38 +31,38 @@
 
 
 class MovesCase(unittest.TestCase):
-    """A service that was started while only one worker had room for it."""
+    """A service that was started while only one worker had free capacity."""
 
     def setUp(self):
-        # A few workers stand for a large fleet.
+        # Enables spreading on a small fleet.
         mock.patch.object(spread, "_MIN_WORKERS", 1).start()
         self.addCleanup(mock.patch.stopall)
         self.shard = Shard(workers=5, cpu=32_000)
         self.most_absent = 0
 
-    def crowd(self, step: Step = _SERVICE, *, job_ids: str = "s") -> None:
-        """Start services on one worker; then the others have room again."""
+    def start_concentrated(self, step: Step = _SERVICE, *, job_ids: str = "s") -> None:
+        """Start services on one worker, and then free the capacity of the others."""
         shard = self.shard
         shard.submit(build_job(attrs.evolve(_BLOCKER, count=4), job_id="block"))
         blocking = list_starts(shard.step())
         for job_id in job_ids:
             shard.submit(build_job(step, job_id=job_id))
-        self.serve()
+        self.run_rounds()
         for order in blocking:
             shard.workers[order.worker_id].end(order.task, order.attempt, EndKind.DONE)
-        self.serve()
+        self.run_rounds()
 
-    def serve(self, rounds: int = 1) -> list[StopOrder]:
-        """Run rounds in which started service tasks are at work at once."""
+    def run_rounds(self, rounds: int = 1) -> list[StopOrder]:
+        """Run rounds and return the stop orders; started tasks are at work at once."""
         stops = []
         for _ in range(rounds):
             stops += [o for o in self.shard.step() if isinstance(o, StopOrder)]
-            self.warm_up()
+            self.complete_startups()
             running = sum(len(w.running) for w in self.shard.workers.values())
             self.most_absent = max(self.most_absent, 8 - running)
         return stops
 
-    def warm_up(self) -> None:
+    def complete_startups(self) -> None:
         """Report all running tasks as at work."""
         for worker in self.shard.workers.values():
             for task, attempt in list(worker.running):
@@ -70,7 +70,7 @@
         self.shard.poll_all()
 
     def count(self) -> list[int]:
-        """Return how many tasks each worker runs, the most first."""
+        """Return the number of tasks of each worker in descending order."""
         counts = (len(worker.running) for worker in self.shard.workers.values())
         return sorted(counts, reverse=True)
 
@@ -79,36 +79,36 @@
     """Moves under normal operation."""
 
     def test_concentrated_service_is_spread_one_task_at_a_time(self):
-        # Guards against a service that stays on one worker after a crowded start, and
-        # against moves that take away more than one of its tasks.
-        self.crowd()
+        # Guards against a service that stays concentrated on one worker, and against
+        # moves of several of its tasks at a time.
+        self.start_concentrated()
         self.assertEqual(self.count(), [8, 0, 0, 0, 0])
         self.most_absent = 0
-        stops = self.serve(rounds=300)
+        stops = self.run_rounds(rounds=300)
         self.assertEqual({stop.reason for stop in stops}, {StopReason.CONCENTRATED})
         self.assertEqual(self.count()[0], 3)
         self.assertEqual(self.most_absent, 1)
 
     def test_few_tasks_are_moved_at_a_time_in_the_fleet(self):
-        # Guards against the moves of many services at once after a crowded start: their
-        # restarts would compete with urgent tasks.
+        # Guards against simultaneous moves of many services, whose restarts would
+        # compete with urgent tasks.
         small = attrs.evolve(_SERVICE, demand=Demand(cpu=1000, memory_mb=10))
-        self.crowd(small, job_ids="abcd")
-        self.assertEqual(self.serve(rounds=90), [])
+        self.start_concentrated(small, job_ids="abcd")
+        self.assertEqual(self.run_rounds(rounds=90), [])
         stops = [o for _ in range(40) for o in self.shard.step()]
         stops = [order for order in stops if isinstance(order, StopOrder)]
         self.assertEqual(len(stops), 2)
 
     def test_arranged_service_is_left_alone(self):
-        # Guards against tasks that go back and forth.
-        self.crowd()
-        stops = self.serve(rounds=300)
+        # Guards against moving tasks back and forth.
+        self.start_concentrated()
+        stops = self.run_rounds(rounds=300)
         self.assertEqual(len(stops), len({stop.task for stop in stops}))
-        self.assertEqual(self.serve(rounds=600), [])
+        self.assertEqual(self.run_rounds(rounds=600), [])
 
     def test_no_task_is_moved_while_another_is_absent(self):
         # Guards against stops that leave more tasks absent than the job permits.
-        self.crowd()
+        self.start_concentrated()
         worker = next(w for w in self.shard.workers.values() if w.running)
         (task, attempt), *_ = worker.running
         for number in range(200):
@@ -127,45 +127,45 @@
         ):
             with self.subTest(name):
                 self.setUp()
-                self.crowd(attrs.evolve(_SERVICE, **step))
+                self.start_concentrated(attrs.evolve(_SERVICE, **step))
                 self.shard.scheduler.features = features
                 self.shard.settled = settled
-                self.assertEqual(self.serve(rounds=300), [])
+                self.assertEqual(self.run_rounds(rounds=300), [])
 
     def test_task_stays_without_room_elsewhere(self):
-        # Guards against a task that is stopped and finds only the place it left.
-        self.crowd()
-        lasting = attrs.evolve(_SERVICE, count=4, demand=_BLOCKER.demand)
-        self.shard.submit(build_job(lasting, job_id="again"))
-        self.serve()
-        self.assertEqual(self.serve(rounds=300), [])
+        # Guards against stopping a task that fits on no other worker.
+        self.start_concentrated()
+        other = attrs.evolve(_SERVICE, count=4, demand=_BLOCKER.demand)
+        self.shard.submit(build_job(other, job_id="again"))
+        self.run_rounds()
+        self.assertEqual(self.run_rounds(rounds=300), [])
 
     def test_task_stays_where_placement_would_put_it_again(self):
-        # Guards against a task that is stopped and started again on the same worker,
-        # here because its data is there.
+        # Guards against stopping a task that would be restarted on the same worker,
+        # here because of its input data.
         self.shard.add_worker("w4", cpu=32_000, labels=("r",))
-        self.crowd(attrs.evolve(_SERVICE, data_rack="r"))
-        stops = self.serve(rounds=300)
+        self.start_concentrated(attrs.evolve(_SERVICE, data_rack="r"))
+        stops = self.run_rounds(rounds=300)
         self.assertEqual(len(stops), len({stop.task for stop in stops}))
         self.assertGreater(self.count()[0], 3)
-        self.assertEqual(self.serve(rounds=300), [])
+        self.assertEqual(self.run_rounds(rounds=300), [])
 
 
 class OwnerLossTest(MovesCase):
-    """Owners that end during a move."""
+    """Loss of the owner during a move."""
 
     def _stop_one(self) -> StopOrder:
-        """Advance until the owner stops a task; the order is not executed."""
+        """Advance until a stop order is due, and return it without executing it."""
         for _ in range(300):
             for order in self.shard.plan():
                 self.assertIsInstance(order, StopOrder)
                 return order
             self.shard.advance_time(100.0)
-            self.warm_up()
+            self.complete_startups()
         raise AssertionError("no task was moved")
 
     def _take_over(self) -> None:
-        """Replace the owner by one that knows only what is stored."""
+        """Replace the owner by one that has only the stored state."""
         earlier = self.shard
         self.shard = Shard(workers=0, epoch=2, settled=False)
         self.shard.now_ms = earlier.now_ms
@@ -180,42 +180,42 @@
             self.shard.add_worker(worker_id, cpu=32_000)
 
     def test_owner_is_killed_between_stop_and_start_of_move(self):
-        # Guards against a task that is lost, or started twice, because the owner that
-        # stopped it to be moved ends before it starts it elsewhere.
-        self.crowd()
+        # Guards against a task that is lost or started twice if the owner ends between
+        # its stop and its restart.
+        self.start_concentrated()
         order = self._stop_one()
         worker = self.shard.workers[order.worker_id]
         worker.end(order.task, order.attempt, EndKind.STOPPED)
         self._take_over()
-        self.assertEqual(self.serve(rounds=3), [])
+        self.assertEqual(self.run_rounds(rounds=3), [])
         self.shard.settled = True
         (start,) = list_starts(self.shard.step())
         self.assertEqual(start.task, order.task)
-        self.warm_up()
+        self.complete_startups()
         self.most_absent = 0
-        self.serve(rounds=300)
+        self.run_rounds(rounds=300)
         self.assertEqual(sum(self.count()), 8)
         self.assertEqual(self.count()[0], 3)
         self.assertEqual(self.most_absent, 1)
 
     def test_owner_is_killed_before_stop_of_move_arrives(self):
-        # Guards against a second task that is stopped while the first still runs its
-        # stop: an order of the earlier owner may be executed late.
-        self.crowd()
+        # Guards against stopping a second task while a stop order of the previous owner
+        # may still be executed.
+        self.start_concentrated()
         order = self._stop_one()
         self._take_over()
-        self.assertEqual(self.serve(rounds=30), [])
+        self.assertEqual(self.run_rounds(rounds=30), [])
         worker = self.shard.workers[order.worker_id]
         worker.end(order.task, order.attempt, EndKind.STOPPED)
         self.shard.poll_all()
-        self.assertEqual(self.serve(rounds=1), [])
+        self.assertEqual(self.run_rounds(rounds=1), [])
         self.shard.settled = True
-        self.serve(rounds=300)
+        self.run_rounds(rounds=300)
         self.assertEqual(sum(self.count()), 8)
 
     def test_unanswered_stop_holds_back_moves(self):
-        # Guards against a second stop while the first may or may not be executed.
-        self.crowd()
+        # Guards against a second stop while the outcome of the first is unknown.
+        self.start_concentrated()
         worker = next(w for w in self.shard.scheduler.workers.values() if w.runs)
         run = min(worker.runs.values(), key=lambda run: run.task.index)
         self.shard.scheduler.request_stop(worker, run, StopReason.UNCERTAIN)
@@ -225,7 +225,7 @@
                 stopped.add(order.task)
                 self.shard.answer(order, OrderOutcome.NO_ANSWER)
             self.shard.advance_time(100.0)
-            self.warm_up()
+            self.complete_startups()
         self.assertEqual(stopped, {run.task})
 
 
--- a/trefoilhook/scheduling/arrangement/tests/test_spread.py
+++ b/trefoilhook/scheduling/arrangement/tests/test_spread.py
@@ -39,7 +39,7 @@
 
 
 class SpreadCase(unittest.TestCase):
-    """Tests of a few workers that stand for a large fleet."""
+    """Base of tests that enable spreading on a small fleet."""
 
     def setUp(self):
         self.min_workers = mock.patch.object(spread, "_MIN_WORKERS", 1)
@@ -48,7 +48,7 @@
 
 
 class SpreadTest(SpreadCase):
-    """Service tasks on workers with room for many of them."""
+    """Service tasks on workers with capacity for many of them."""
 
     def test_bound_is_number_of_tasks_that_may_be_absent(self):
         for max_absent, count, expected in (
@@ -63,8 +63,7 @@
                 self.assertEqual(compute_max_together(step), expected)
 
     def test_lost_worker_takes_no_more_tasks_than_may_be_absent(self):
-        # Guards against services of which a third of the tasks are absent after the
-        # loss of one worker.
+        # Guards against a worker loss after which more tasks are absent than permitted.
         shard = Shard(workers=6, cpu=32_000)
         shard.submit(build_job(_SERVICE))
         shard.step()
@@ -84,8 +83,8 @@
         self.assertEqual(_count_largest(shard, "j"), 8)
 
     def test_burst_of_services_on_almost_full_fleet_is_started_whole(self):
-        # Guards against a spread that costs starts: twelve services come at once for
-        # workers that they fill to the last core.
+        # Guards against spreading that leaves tasks without a worker when services fill
+        # the fleet completely.
         shard = Shard(workers=12, cpu=32_000)
         for number in range(12):
             shard.submit(build_job(_SERVICE, job_id=f"s{number:02}"))
@@ -94,7 +93,7 @@
             self.assertLessEqual(_count_largest(shard, f"s{number:02}"), 2)
 
     def test_tasks_start_where_only_packed_placement_fits(self):
-        # Guards against a service that waits although one worker has room for it.
+        # Guards against a service that waits although it fits on one worker.
         shard = Shard(workers=3, cpu=32_000)
         filling = attrs.evolve(_SERVICE, count=2, demand=Demand(cpu=30_000), image="f")
         shard.submit(build_job(filling, job_id="full"))
@@ -115,8 +114,8 @@
         self.assertEqual(shortfalls["j"].max_together, 2)
 
     def test_images_are_not_mixed_to_spread_a_service(self):
-        # Guards against losing the workers that tolerate a filler: a service spreads
-        # over the workers of its image before it joins those of another.
+        # Guards against spreading to workers with tasks of another image, which would
+        # no longer tolerate fillers.
         shard = Shard(workers=4, cpu=32_000)
         other = attrs.evolve(_SERVICE, count=2, max_absent=1, image="o")
         shard.submit(build_job(other, job_id="other"))
@@ -129,8 +128,8 @@
         self.assertEqual(_count_largest(shard, "j"), 4)
 
     def test_services_of_small_fleet_are_packed(self):
-        # Guards against a small fleet without a worker for a filler: spread services
-        # leave hardly any with tasks of one image only.
+        # Guards against spreading on a small fleet, which leaves too few workers with
+        # tasks of a single image for fillers.
         self.min_workers.stop()
         shard = Shard(workers=24, cpu=32_000)
         shard.submit(build_job(_SERVICE))
@@ -138,7 +137,7 @@
         self.assertEqual(_count_largest(shard, "j"), 8)
 
     def test_other_tasks_are_still_packed(self):
-        # Guards against pieces of room too small for large urgent tasks.
+        # Guards against fragmented capacity that is too small for large urgent tasks.
         shard = Shard(workers=4, cpu=32_000)
         urgent = Step(count=6, demand=Demand(cpu=4000, memory_mb=10), max_absent=1)
         shard.submit(build_job(urgent))
@@ -147,11 +146,10 @@
 
 
 class TakeoverTest(SpreadCase):
-    """Counts of tasks on workers after a takeover and after ends."""
+    """Task counts of workers after a takeover and after the ends of runs."""
 
     def test_next_owner_spreads_around_adopted_tasks(self):
-        # Guards against a restart beside tasks of its service that an earlier owner
-        # placed: their counts are rebuilt from the answers of the workers.
+        # Guards against placement that ignores the tasks started by a previous owner.
         first = Shard(workers=4, cpu=32_000)
         first.submit(build_job(_SERVICE))
         starts = list_starts(first.step())
@@ -168,7 +166,7 @@
         self.assertEqual(_count_largest(second, "j"), 2)
 
     def test_ended_runs_are_not_counted(self):
-        # Guards against a worker that is shunned for tasks that have left it.
+        # Guards against penalizing a worker for tasks that have ended.
         shard = Shard(workers=1, cpu=32_000)
         shard.submit(build_job(_SERVICE))
         for order in list_starts(shard.step()):
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -84,7 +84,7 @@
     steps: dict[tuple[StepName, int, int], list[TaskState]] = {}
     scheduler.holds.retain(scheduler.waiting)
     has_holds = scheduler.holds.count > 0
-    has_heard_most = not settled and has_heard_most_workers(scheduler)
+    has_most_reports = not settled and has_heard_most_workers(scheduler)
     for state in scheduler.waiting:
         if state.step.filler and not with_fillers:
             continue
@@ -95,7 +95,7 @@
             settled
             or state.job.is_new
             or _is_previous_run_expired(scheduler, state, now_ms)
-            or (has_heard_most and may_start_unsettled(scheduler, state))
+            or (has_most_reports and may_start_unsettled(scheduler, state))
         )
         if is_held:
             scheduler.holds.hold(state, now_ms)
@@ -155,10 +155,12 @@
 ) -> None:
     waits = assignment_round.scheduler.waits
     infeasible_fillers = 0
-    short_services: set[StepName] = set()
+    infeasible_services: set[StepName] = set()
     for tasks in ready:
         step = name_step(tasks[0].task)
-        if step in short_services or assignment_round.is_known_infeasible(tasks[0]):
+        if step in infeasible_services or assignment_round.is_known_infeasible(
+            tasks[0]
+        ):
             waits.record(
                 step, assignment_round.explain_wait(tasks[0]), assignment_round.now_ms
             )
@@ -184,8 +186,8 @@
             )
             infeasible_fillers += tasks[0].step.filler
             if tasks[0].step.long_running:
-                # A part of the step was infeasible, so are the parts after it.
-                short_services.add(step)
+                # The remaining parts of the step are infeasible, too.
+                infeasible_services.add(step)
             assignment_round.record_infeasible(tasks[0], infeasible)
             reserve_workers(assignment_round, tasks, wall_ms)
 
@@ -260,7 +262,7 @@
             )
         worker = candidates.pop_best()
         if worker is None and not state.step.filler:
-            # On a large fleet only a sample has been considered.
+            # On a large fleet only a sample of the workers was considered.
             candidates = _rate_remaining(assignment_round, state, candidates)
             worker = candidates.pop_best()
         if worker is None:
@@ -282,7 +284,7 @@
 ) -> Candidates:
     """Return all open workers as candidates if only some of them were considered.
 
-    A filler waits for the next round instead, which considers other workers.
+    Not used for fillers: they are tried again in the next round, with another sample.
     """
     workers = assignment_round.list_open(state)
     if len(workers) <= MAX_CANDIDATES:
--- a/trefoilhook/scheduling/copies.py
+++ b/trefoilhook/scheduling/copies.py
@@ -1,10 +1,11 @@
 """Starts copies of speculative tasks that take unusually long.
 
-A copy is worth its capacity only if the first run is expected to need longer than the
-copy. A run is compared with the tasks of its step that have been completed: declared
-durations are wrong for all tasks of a step alike, and then a copy takes as long as the
-run. Only a step with too few tasks is compared with the declared duration, corrected by
-what is learned of its kind. Reported progress tells best how long a run still needs.
+A copy is started only if the first run is expected to take longer than the copy. A run
+is compared with the completed tasks of its step: if the declared duration is wrong, it
+is wrong for all tasks of the step, and a copy takes as long as the run. Only a step
+with too few tasks is compared with its declared duration, corrected by the learned
+durations of its queue and image. Reported progress takes precedence where it is
+available.
 """
 
 import attrs
@@ -26,60 +27,61 @@
 __all__ = ["has_heard_most_workers", "may_start_unsettled", "start_copies"]
 
 _INTERVAL_MS = 100.0
-"""Minimum interval between two rounds, in ms: a small part of what a run has lasted
-that is copied, and all running speculative tasks are looked at."""
+"""Minimum interval between two rounds, in ms. Each round examines all running
+speculative tasks."""
 
 _HIGH_QUANTILE = 0.95
-"""Quantile of the usual durations. Stragglers are rarer than one in twenty, so that
-they do not raise it."""
+"""Quantile of the durations of a step that counts as usual. It must not be raised by
+stragglers, which are assumed to be rarer than one in twenty."""
 
 _DECLARED_QUANTILE = 0.99
-"""The same for the ratios to declared durations, which differ more by the declaration
-than by the run."""
+"""The same for the ratios to declared durations, which vary more with the declaration
+than with the run."""
 
 _QUANTILE_MARGIN = 1.25
-"""Factor by which a run must exceed that quantile: a distribution has a tail without
-stragglers, too."""
+"""Factor by which a run must exceed that quantile, as durations also vary without
+stragglers."""
 
 _MIN_RATIO = 1.5
-"""Least ratio to the usual duration at which a run counts as unusually long."""
+"""Minimum ratio to the usual duration at which a run counts as unusually long."""
 
-_UNKNOWN_SPREAD = 2.0
-_UNKNOWN_RATIO = 8.0
-"""The same without evidence on the kind of task, for a run that is compared with the
-other tasks of its step and with its declared duration, which is a rough estimate."""
+_DEFAULT_MEDIAN_RATIO = 2.0
+"""Minimum ratio without learned durations, relative to the median of the step."""
+
+_DEFAULT_DECLARED_RATIO = 8.0
+"""Minimum ratio without learned durations, relative to the declared duration, which is
+a rough estimate."""
 
 _MIN_RUN_MS = 200.0
-"""Least usual duration that is assumed, in ms. A copy takes two round trips and a
-start, and is decided at intervals."""
+"""Lower bound on the usual duration, in ms. The decision on a copy and its start take a
+comparable time."""
 
 _SILENCE_MS = 1500.0
-"""Silence of a worker after which its runs may be copied, in ms. At least two calls in
-succession were not answered by then, each of which times out after 600 ms; the runs are
-otherwise started again after their leases, some seconds later."""
+"""Time without an answer from a worker after which its runs may be copied, in ms. At
+least two successive calls, which time out after 600 ms, have failed by then. Without a
+copy, the tasks are restarted when their leases expire, some seconds later."""
 
 _MAX_SILENT_SHARE = 0.1
-"""Maximum fraction of the workers that may be silent for such copies. If more are, the
-owner may be too slow to read their answers, which may list the ends of the runs."""
+"""Maximum fraction of silent workers at which their runs are copied. If more are
+silent, the owner itself may be too slow to read the answers, which may list ends of the
+runs."""
 
 _MAX_CPU_SHARE = 0.02
-"""Maximum fraction of the processors of a service's open workers that copies hold. One
-copy is always permitted. Three tasks in a hundred that take seven times as long hold a
-sixth of the processors themselves, and their copies 2.5 % at full load."""
+"""Maximum fraction of the cores of a service's open workers that copies may use. One
+copy is always permitted."""
 
-_HEARD_SHARE = 0.9
-"""Fraction of the workers that must have reported their runs to a new owner before it
-starts speculative tasks that the others may be running. At most one in ten of these
-starts is then a second run."""
+_MIN_REPORTED_SHARE = 0.9
+"""Minimum fraction of the workers that must have reported their runs to a new owner
+before it starts speculative tasks that the other workers may be running. It bounds the
+number of tasks that are run twice."""
 
 _OTHER_RACK_BONUS = 2000.0
-"""Preference for a worker on another rack, in thousandths of a core, over one that is
-packed tighter."""
+"""Bonus in the score of a worker on another rack, in thousandths of a core."""
 
 
 @attrs.frozen(kw_only=True)
 class _Reference:
-    """What the runs of a step are compared with.
+    """Durations with which the runs of a step are compared.
 
     Parameters
     ----------
@@ -101,14 +103,14 @@
 
 @attrs.frozen(kw_only=True)
 class _Expectation:
-    """What is expected of a run, in ms.
+    """Expected durations for a run and its copy.
 
     Parameters
     ----------
     usual_ms : float
-        Typical duration, which the copy is expected to take.
+        Typical duration, which the copy is expected to take, in ms.
     rest_ms : float
-        How much longer it will run.
+        Expected remaining time of the run, in ms.
     """
 
     usual_ms: float
@@ -117,7 +119,7 @@
 
 @attrs.define(kw_only=True)
 class _Budget:
-    """Processor time that copies may hold on the workers of one service."""
+    """Capacity for copies on the workers of one service, in thousandths of a core."""
 
     max_cpu: float
     cpu: int = 0
@@ -127,10 +129,10 @@
 
 
 def start_copies(assignment_round: AssignmentRound, *, settled: bool) -> None:
-    """Reserve capacity for copies; their start orders become due.
+    """Reserve capacity for copies, whose start orders become due.
 
-    Called after all waiting tasks were tried. Nothing is started before the runs of
-    previous owners are known, which may include a copy.
+    Called after the assignment of all waiting tasks. No copy is started before the runs
+    of previous owners are known, as these may include a copy.
     """
     scheduler = assignment_round.scheduler
     features = scheduler.features
@@ -143,21 +145,23 @@
     if not (settled and features.copies):
         return
     references: dict[StepName, _Reference] = {}
-    trusts_silence = _are_few_silent(scheduler)
+    are_few_silent = _are_few_silent(scheduler)
     due = [
         (task, expectation)
         for task, is_copied in tracker.watched.items()
         if not is_copied
-        and (trusts_silence or task.attempts[0].worker.silence is None)
+        and (are_few_silent or task.attempts[0].worker.silence is None)
         and (expectation := _find_due(assignment_round, task, references)) is not None
     ]
     if not due:
         return
-    wanted = _find_wanted_priorities(assignment_round)
+    waiting_priorities = _find_waiting_priorities(assignment_round)
     budgets: dict[str, _Budget] = {}
     for task, expectation in due:
         queue = task.job.queue
-        if queue is None or queue.priority >= wanted.get(queue.service, float("inf")):
+        if queue is None or queue.priority >= waiting_priorities.get(
+            queue.service, float("inf")
+        ):
             continue
         budget = budgets.get(queue.service)
         if budget is None:
@@ -171,35 +175,35 @@
 def has_heard_most_workers(scheduler: Scheduler) -> bool:
     """Return whether nearly all workers have reported their runs to the owner.
 
-    Entries may be missing after an outage of the store, so that the workers used by
-    previous owners count, too.
+    Worker entries may be missing after an outage of the store, so the number of workers
+    used by previous owners is a lower bound.
     """
     workers = scheduler.workers.values()
-    heard = sum(worker.has_reported_all for worker in workers)
+    reported = sum(worker.has_reported_all for worker in workers)
     expected = max(len(workers), scheduler.roster_size)
-    return heard > 0 and heard >= _HEARD_SHARE * expected
+    return reported > 0 and reported >= _MIN_REPORTED_SHARE * expected
 
 
 def may_start_unsettled(scheduler: Scheduler, task: TaskState) -> bool:
     """Return whether a task may start while a previous owner's run of it may exist.
 
-    A single worker that does not answer would otherwise delay all urgent tasks of a
-    takeover. The unknown run, if any, is adopted as the second one.
+    Otherwise a single worker that does not answer would delay all urgent tasks after a
+    takeover. The previous run, if it exists, is adopted as the second run.
     """
     is_permitted = scheduler.features.copies and is_copyable(task.step)
     return is_permitted and task.suspicion is None
 
 
-def _find_wanted_priorities(assignment_round: AssignmentRound) -> dict[str, int]:
-    """Return the highest priority that waits for counted capacity, by service."""
-    wanted: dict[str, int] = {}
+def _find_waiting_priorities(assignment_round: AssignmentRound) -> dict[str, int]:
+    """Return the highest priority of the waiting tasks except fillers, by service."""
+    waiting_priorities: dict[str, int] = {}
     for task in assignment_round.scheduler.waiting:
         queue = task.job.queue
         if queue is None or task.step.filler:
             continue
-        known = wanted.get(queue.service, queue.priority)
-        wanted[queue.service] = min(known, queue.priority)
-    return wanted
+        known = waiting_priorities.get(queue.service, queue.priority)
+        waiting_priorities[queue.service] = min(known, queue.priority)
+    return waiting_priorities
 
 
 def _measure_budget(assignment_round: AssignmentRound, task: TaskState) -> _Budget:
@@ -224,9 +228,9 @@
     task: TaskState,
     references: dict[StepName, _Reference],
 ) -> _Expectation | None:
-    """Return the expectation of a task's run if it should have a copy, else None.
+    """Return the expected durations if a task should have a copy, else None.
 
-    The references of steps are computed once per round.
+    ``references`` caches the references of steps for the current round.
     """
     queue = task.job.queue
     if queue is None or len(task.attempts) != 1:
@@ -234,10 +238,10 @@
     attempt = task.attempts[0]
     now_ms = assignment_round.now_ms
     is_silent = _is_silent(attempt.worker, now_ms)
-    ran_ms = _measure_run(attempt.run, now_ms)
-    # A call without an answer may have listed the end of the run.
-    is_unclear = attempt.worker.silence is not None
-    if not is_silent and (is_unclear or ran_ms < _MIN_RATIO * _MIN_RUN_MS):
+    ran_ms = _measure_run_time(attempt.run, now_ms)
+    # The missing answer may have listed the end of the run.
+    has_unanswered_call = attempt.worker.silence is not None
+    if not is_silent and (has_unanswered_call or ran_ms < _MIN_RATIO * _MIN_RUN_MS):
         return None
     if not _may_be_copied(task, queue.max_attempts):
         return None
@@ -268,11 +272,11 @@
     )
 
 
-def _measure_run(run: Run, now_ms: float) -> float:
-    """Return the least time that a run has worked so far, in ms.
+def _measure_run_time(run: Run, now_ms: float) -> float:
+    """Return a lower bound on the effective run time so far, in ms.
 
-    The start of an adopted run is a guess from its progress, so that it counts from the
-    takeover.
+    The start time of an adopted run is only estimated from its progress, so its time is
+    counted from the takeover.
     """
     if run.phase is not RunPhase.RUNNING:
         return 0.0
@@ -281,7 +285,7 @@
 
 
 def _are_few_silent(scheduler: Scheduler) -> bool:
-    """Return whether silence tells of the workers and not of this owner."""
+    """Return whether so few workers are silent that this owner is not the cause."""
     workers = scheduler.workers.values()
     silent = sum(worker.silence is not None for worker in workers)
     return silent <= max(1.0, _MAX_SILENT_SHARE * len(workers))
@@ -302,7 +306,7 @@
     median_ms = durations.find_median(step, name_step(task.task))
     if median_ms is not None:
         histogram = durations.find_spread(queue, step)
-        longest = _find_longest_ratio(histogram, _HIGH_QUANTILE, _UNKNOWN_SPREAD)
+        longest = _find_longest_ratio(histogram, _HIGH_QUANTILE, _DEFAULT_MEDIAN_RATIO)
         return _Reference(
             base_ms=median_ms,
             usual_ms=median_ms,
@@ -310,7 +314,9 @@
             histogram=histogram,
         )
     histogram = durations.find_declared(queue, step)
-    longest = _find_longest_ratio(histogram, _DECLARED_QUANTILE, _UNKNOWN_RATIO)
+    longest = _find_longest_ratio(
+        histogram, _DECLARED_QUANTILE, _DEFAULT_DECLARED_RATIO
+    )
     if step.count >= MIN_SIBLINGS:
         longest = float("inf")
     return _Reference(
@@ -333,10 +339,10 @@
 
 
 def _find_longest_ratio(
-    histogram: RatioHistogram | None, quantile: float, unknown_ratio: float
+    histogram: RatioHistogram | None, quantile: float, default_ratio: float
 ) -> float:
     if histogram is None:
-        return unknown_ratio
+        return default_ratio
     high = histogram.compute_quantile(quantile)
     return max(_MIN_RATIO, _QUANTILE_MARGIN * high)
 
@@ -360,7 +366,7 @@
             original=original.run.attempt,
             attempt=attempt,
             worker_id=worker.report.worker_id,
-            ran_ms=_measure_run(original.run, now_ms),
+            ran_ms=_measure_run_time(original.run, now_ms),
             expected_ms=expectation.usual_ms,
             rest_ms=expectation.rest_ms,
             started_ms=now_ms,
@@ -375,14 +381,14 @@
 ) -> Worker | None:
     """Return the best worker for a copy, or None."""
     best: tuple[float, Worker] | None = None
-    taken = set(original.worker.report.labels)
+    original_labels = set(original.worker.report.labels)
     for worker in assignment_round.list_open(task):
         if worker is original.worker or not _is_trusted(worker, task):
             continue
         score = rate_worker(worker, task, assignment_round.colocations)
         if score is None:
             continue
-        if not taken.issuperset(worker.report.labels):
+        if not original_labels.issuperset(worker.report.labels):
             score += _OTHER_RACK_BONUS
         if best is None or score > best[0]:
             best = score, worker
@@ -390,7 +396,7 @@
 
 
 def _is_trusted(worker: Worker, task: TaskState) -> bool:
-    """Return whether nothing speaks against a worker."""
+    """Return whether a worker has no failures or suspected runs that affect a copy."""
     return not (
         worker.report.worker_id in task.failed_on
         or worker.faulty_jobs
--- a/trefoilhook/scheduling/copy_tracker.py
+++ b/trefoilhook/scheduling/copy_tracker.py
@@ -1,4 +1,4 @@
-"""Copies of speculative tasks: what is running, and how each copy was settled."""
+"""Tracks the copies of speculative tasks and their outcomes."""
 
 import enum
 
@@ -20,15 +20,14 @@
 ]
 
 _MAX_RUNS = 2
-"""Number of runs of a task of a speculative step: the first one and one copy."""
+"""Maximum number of runs of a speculative task: the original run and one copy."""
 
 
 def is_copyable(step: Step) -> bool:
     """Return whether tasks of a step may have a copy.
 
-    Members of a gang work only together, and long-running tasks have no end that a copy
-    could reach first. A filler uses what others leave, and its copy would slow the
-    fillers and service tasks beside it for no objective.
+    Gang members must run together, and long-running tasks do not complete. Fillers have
+    no latency objective, and their copies would slow down other tasks.
     """
     return step.speculative and not (step.gang or step.long_running or step.filler)
 
@@ -39,9 +38,9 @@
 
 
 def project_total(run: Run) -> float | None:
-    """Return how long a run will have taken at its reported rate, in ms.
+    """Return the projected total duration of a run at its reported rate, in ms.
 
-    None if no poll has reported its progress.
+    None if no progress has been reported.
     """
     if run.percent <= 0.0 or run.proved_ms <= 0.0:
         return None
@@ -52,16 +51,16 @@
     """How a task with a copy was settled."""
 
     COPY_FIRST = "copy first"
-    """The copy was completed first."""
+    """The copy completed first."""
 
     ORIGINAL_FIRST = "original first"
-    """The run that it copies was completed first."""
+    """The original run completed first."""
 
     LOST = "lost"
-    """One of the two ended without completing the task; the other one runs on."""
+    """One of the two ended without completing the task; the other continues."""
 
     NOT_NEEDED = "not needed"
-    """Its job ended, or an attempt that had counted as lost completed the task."""
+    """The job ended, or an attempt that was considered lost completed the task."""
 
 
 @attrs.frozen(kw_only=True)
@@ -77,9 +76,9 @@
     worker_id : str
         Worker of the copy.
     ran_ms, expected_ms : float
-        How long the copied attempt had run, and how long it usually takes, in ms.
+        Run time of the copied attempt so far, and its usual duration, in ms.
     rest_ms : float
-        How much longer it was expected to run, in ms.
+        Expected remaining time of the copied attempt, in ms.
     started_ms : float
         Time of the decision, in ms.
     is_silent : bool
@@ -106,11 +105,11 @@
     start : CopyStart
         Start of the copy.
     outcome : CopyOutcome
-        Which attempt counted.
+        Which attempt completed the task, if any.
     saved_ms : float
         Estimated time that the copy saved its task, in ms.
     wasted_ms : float
-        Time for which the attempt that was not needed has run, in ms.
+        Run time of the attempt that was not needed, in ms.
     """
 
     start: CopyStart
@@ -123,13 +122,14 @@
 class CopyTracker:
     """Tasks that may get a copy or have one.
 
-    Only what the log and the metrics need is kept here. Which attempts run is part of
-    the tasks' state, which a new owner builds from the answers of the workers.
+    This state is used only for the log and the metrics. The running attempts are part
+    of the state of the tasks, which a new owner rebuilds from the answers of the
+    workers.
 
     Attributes
     ----------
     watched : dict of TaskState to bool
-        Running tasks that may have copies, and whether one was started.
+        Running tasks that may have copies, and whether a copy was started.
     started : list of CopyStart
         Copies that the caller has not fetched yet.
     settled : list of CopySettlement
@@ -194,7 +194,7 @@
 
 
 def _estimate_saving(start: CopyStart, run: Run, other: Attempt | None) -> float:
-    """Return by how much earlier a task ended through its copy, in ms."""
+    """Return an estimate of the time that a copy saved its task, in ms."""
     copied_ms = max(run.seen_ms, run.progressed_ms) - start.started_ms
     total_ms = project_total(other.run) if other is not None else None
     rest_ms = start.rest_ms
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -95,7 +95,7 @@
         Learned durations of tasks.
     roster_size : float
         Number of workers on which previous owners may have started tasks; infinite if
-        unknown.
+        it is unknown.
     copies : CopyTracker
         Copies of speculative tasks.
     tickets : TicketCache
@@ -122,7 +122,7 @@
     suspects : SuspectTracker
         Tasks suspected of crashing their workers.
     random : Random
-        Source of randomness for samples of a large fleet.
+        Random number generator for samples of a large fleet.
     """
 
     def __init__(
@@ -321,9 +321,9 @@
             worker.listed = False
 
     def find_incarnation(self, name: str) -> Worker | None:
-        """Return a named incarnation of a worker, unless it has ended.
+        """Return the worker with a named incarnation, or None if it is not current.
 
-        A name without the start of the process stands for any incarnation.
+        A name without the start time of the process matches any incarnation.
         """
         worker = self.workers.get(get_worker_id(name))
         if worker is None or name not in (worker.incarnation, worker.report.worker_id):
@@ -432,8 +432,8 @@
 
     def stop_attempts(self, task: TaskState, *, keep: int = 0) -> None:
         """Stop the attempts of a task except for the ``keep`` latest."""
-        is_overtaken = task.done and is_copyable(task.step)
-        reason = StopReason.COPY_NOT_NEEDED if is_overtaken else StopReason.NOT_NEEDED
+        is_superseded = task.done and is_copyable(task.step)
+        reason = StopReason.COPY_NOT_NEEDED if is_superseded else StopReason.NOT_NEEDED
         attempts = sorted(task.attempts, key=lambda a: a.run.attempt, reverse=True)
         for attempt in attempts[keep:]:
             self.request_stop(attempt.worker, attempt.run, reason)
--- a/trefoilhook/scheduling/duration_records.py
+++ b/trefoilhook/scheduling/duration_records.py
@@ -1,4 +1,4 @@
-"""Learns durations from the ends of attempts."""
+"""Updates the learned durations when attempts end."""
 
 from trefoilhook.scheduling.copy_tracker import project_total
 from trefoilhook.scheduling.core import ATTEMPTS_PER_EPOCH, Scheduler
@@ -10,17 +10,17 @@
 __all__ = ["record_duration"]
 
 _CENSORED_FACTOR = 2.0
-"""Assumed ratio of the whole duration of a stopped run to the time that it has lasted,
-if its progress is unknown."""
+"""Assumed ratio of the total duration of a stopped run to its run time, if its progress
+is unknown."""
 
 
 def record_duration(
     scheduler: Scheduler, run: Run, kind: EndKind, now_ms: float
 ) -> None:
-    """Learn from the end of an attempt.
+    """Update the learned durations from the end of an attempt.
 
-    The start of an attempt that a previous owner ordered is unknown, and one that was
-    resumed has done less than the whole work. Neither tells how long the task takes.
+    Attempts that a previous owner started are ignored, as their start time is unknown,
+    and so are resumed attempts, which have done only a part of the work.
     """
     state = scheduler.jobs.get(run.task.job_id)
     task = state.find_task(run.task) if state is not None else None
@@ -33,7 +33,7 @@
     if kind is EndKind.FAILED:
         scheduler.durations.record_failed(queue, step, now_ms)
     elif kind is EndKind.DONE:
-        _record_overtaken(scheduler, task, run, now_ms)
+        _record_superseded(scheduler, task, run, now_ms)
         if not _is_whole(scheduler, run):
             return
         scheduler.durations.record_done(
@@ -47,15 +47,15 @@
 
 
 def _is_whole(scheduler: Scheduler, run: Run) -> bool:
-    """Return whether the time since a run's start is known and is its whole work."""
+    """Return whether a run has a known start time and was not resumed."""
     is_own = run.attempt > scheduler.epoch * ATTEMPTS_PER_EPOCH
     return is_own and not run.checkpoint_used
 
 
-def _record_overtaken(
+def _record_superseded(
     scheduler: Scheduler, task: TaskState, run: Run, now_ms: float
 ) -> None:
-    """Learn from an attempt that is stopped because its copy ended first."""
+    """Record the attempts that are stopped because a copy completed first."""
     for attempt in task.attempts:
         other = attempt.run
         if other.attempt >= run.attempt or not _is_whole(scheduler, other):
--- a/trefoilhook/scheduling/durations.py
+++ b/trefoilhook/scheduling/durations.py
@@ -1,10 +1,10 @@
 """Learned durations of tasks, by queue and image.
 
-The declared estimates of callers are wrong in two ways. All tasks of a step may take
-longer or shorter than declared, by a factor that differs by job; and single tasks may
-take far longer than the other tasks of their step. One distribution is kept for each:
-``declared`` holds the ratios of real to declared durations, ``spread`` the ratios of
-the durations of a speculative step to their median.
+Declared durations deviate in two ways. All tasks of a step may take longer or shorter
+than declared, by a factor that differs by job, and single tasks may take far longer
+than the others of their step. One distribution is kept for each: ``declared`` contains
+the ratios of actual to declared durations, and ``spread`` the ratios of the durations
+of a speculative step to their median.
 """
 
 import json
@@ -36,45 +36,45 @@
 ]
 
 _HALF_LIFE_MS = 120_000.0
-"""Time after which an observation counts half, in ms. A queue ends a thousand tasks in
-it, and a change of a caller's images shows within a few minutes."""
+"""Half-life of the weight of an observation, in ms. It bounds the time until a change
+of an image is reflected in the estimates."""
 
 _FADE_PERIOD_MS = 2000.0
-"""Minimum time between two decays of one distribution, in ms: they cost more than an
-observation."""
+"""Minimum time between two decays of one distribution, in ms. A decay iterates over all
+buckets."""
 
 _MIN_EVIDENCE = 20.0
-"""Number of observations below which a distribution is not used: the tail of fewer is
-unknown."""
+"""Minimum weight of a distribution that is used, in observations. The tail is unknown
+below it."""
 
 _MIN_TAIL_EVIDENCE = 2.0
-"""Number of longer observations below which the rest of a run is assumed to be as long
-as it has lasted."""
+"""Weight of the longer observations below which the remaining time of a run is assumed
+to equal its run time."""
 
 _MAX_KEYS = 48
-"""Maximum number of queues and images that are kept, those seen last. Each takes up to
-3 KB in the store."""
+"""Maximum number of models, by queue and image. The most recently updated ones are
+kept, which bounds the size of the stored record."""
 
 _MAX_STEPS = 512
-"""Maximum number of speculative steps with recorded durations, those seen last."""
+"""Maximum number of speculative steps whose durations are kept. The oldest are removed
+first."""
 
 MIN_SIBLINGS = 3
-"""Minimum number of completed tasks from which a step's own median is used."""
+"""Minimum number of completed tasks for which the median of a step is used."""
 
 _MIN_RUN_MS = 1.0
-"""Durations are at least this, in ms; clocks are read in steps of that size."""
+"""Lower bound on recorded durations, in ms: the resolution of the clock."""
 
 _MAX_SLOWING_SHARE = 0.5
-"""A run that lost more than this fraction to throttling is not learned from: what it
-would have taken is then known too roughly."""
+"""Maximum fraction of its run time that a run may lose to throttling. Beyond it the
+duration without throttling is too uncertain to be recorded."""
 
 _MAX_COUNT = 1e9
-"""Limit on decoded counts."""
+"""Maximum decoded count."""
 
 _VERSION_INTERVAL = 32
-"""Number of observations after which the model counts as changed. Each change is
-written to the store, and the next owner loses fewer observations than it needs to judge
-a distribution by much."""
+"""Number of observations after which the version of the models changes. Each version is
+written to the store, and a takeover loses the observations since the last one."""
 
 
 @attrs.define(kw_only=True)
@@ -84,11 +84,11 @@
     Parameters
     ----------
     declared : RatioHistogram
-        Real over declared durations.
+        Ratios of actual to declared durations.
     spread : RatioHistogram
-        Real durations over the median of their step.
+        Ratios of actual durations to the median of their step.
     done, failed : float
-        Number of attempts that ended so, decayed.
+        Decayed number of attempts that were completed or failed.
     """
 
     declared: RatioHistogram = attrs.Factory(RatioHistogram)
@@ -98,7 +98,7 @@
     _faded_ms: float | None = attrs.field(default=None, eq=False)
 
     def fade(self, now_ms: float) -> None:
-        """Decay all observations up to now."""
+        """Apply the decay since the last call."""
         if self._faded_ms is None:
             self._faded_ms = now_ms
         elapsed_ms = now_ms - self._faded_ms
@@ -119,23 +119,23 @@
     Parameters
     ----------
     models : dict of (str, str) to DurationModel
-        By queue and image, the one updated last at the end.
+        Models by queue and image, in the order of their last update.
 
     Attributes
     ----------
     observations : int
-        Number of attempts learned from by this owner.
+        Number of attempts recorded by this owner.
     """
 
     models: dict[tuple[str, str], DurationModel] = attrs.Factory(dict)
     observations: int = attrs.field(default=0, init=False, eq=False)
-    _runs_ms: dict[StepName, list[float]] = attrs.field(
+    _durations_ms: dict[StepName, list[float]] = attrs.field(
         factory=dict, init=False, eq=False
     )
 
     @property
     def version(self) -> int:
-        """Number that changes with the model, at intervals of some observations."""
+        """Version of the models, which changes after every few observations."""
         return -(-self.observations // _VERSION_INTERVAL)
 
     def record_done(
@@ -148,7 +148,7 @@
         slowing_ms: float,
         now_ms: float,
     ) -> None:
-        """Learn from an attempt that was completed without resuming.
+        """Record an attempt that was completed and had not been resumed.
 
         Parameters
         ----------
@@ -159,7 +159,7 @@
         name : StepName
             Name of the step.
         ran_ms, slowing_ms : float
-            Its duration, and the part of it lost to throttling, in ms.
+            Duration, and the part of it that was lost to throttling, in ms.
         now_ms : float
             Current time, in ms.
         """
@@ -180,16 +180,16 @@
     def record_censored(
         self, queue: str, step: Step, name: StepName, *, total_ms: float, now_ms: float
     ) -> None:
-        """Learn from a run that was stopped because its copy ended first.
+        """Record a run that was stopped because its copy completed first.
 
-        Without it, the tail would be forgotten as long as copies cut it off.
+        Without these runs the distribution would lack the tail that copies cut off.
 
         Parameters
         ----------
         queue, step, name
             As for ``record_done``.
         total_ms : float
-            Estimate of what it would have taken, in ms.
+            Estimated total duration, in ms.
         now_ms : float
             Current time, in ms.
         """
@@ -201,9 +201,9 @@
         """Return the median duration of a step's completed tasks, in ms.
 
         None if the step is not speculative, or if less than half of its tasks have
-        been completed: the first ones are the shortest.
+        been completed, as the first tasks to complete are the shortest.
         """
-        runs_ms = self._runs_ms.get(name, ())
+        runs_ms = self._durations_ms.get(name, ())
         if len(runs_ms) < max(MIN_SIBLINGS, step.count / 2):
             return None
         return statistics.median(runs_ms)
@@ -215,7 +215,7 @@
     def compute_quantile(
         self, queue: str, step: Step, fraction: float, *, prior: float
     ) -> float:
-        """Return the duration that a fraction of the tasks does not exceed, in ms.
+        """Return a quantile of the durations of a task, in ms.
 
         Parameters
         ----------
@@ -226,7 +226,7 @@
         fraction : float
             Fraction of the tasks.
         prior : float
-            Ratio to the declared duration that is assumed without evidence.
+            Ratio to the declared duration that is assumed if too little is learned.
         """
         histogram = self.find_declared(queue, step)
         if histogram is None:
@@ -234,7 +234,7 @@
         return histogram.compute_quantile(fraction) * step.estimate_ms
 
     def estimate_rest(self, queue: str, step: Step, ran_ms: float) -> float:
-        """Return how much longer a run takes that has lasted ``ran_ms``, in ms."""
+        """Return the expected remaining time of a run after ``ran_ms``, in ms."""
         if step.estimate_ms <= 0.0:
             return ran_ms
         histogram = self.find_declared(queue, step)
@@ -243,18 +243,18 @@
         return step.estimate_ms * estimate_excess(histogram, ran_ms / step.estimate_ms)
 
     def get_failure_share(self, queue: str, step: Step) -> float:
-        """Return the fraction of the attempts that fail; 0 without evidence."""
+        """Return the fraction of attempts that fail; 0 if too few were recorded."""
         model = self.models.get((queue, step.image))
         if model is None or model.done + model.failed < _MIN_EVIDENCE:
             return 0.0
         return model.failed / (model.done + model.failed)
 
     def find_declared(self, queue: str, step: Step) -> RatioHistogram | None:
-        """Return real over declared durations of a kind of task, or of its queue."""
+        """Return ratios to declared durations for a queue and image, or the queue."""
         return self._find(queue, step.image, "declared")
 
     def find_spread(self, queue: str, step: Step) -> RatioHistogram | None:
-        """Return durations over their step's median, of a kind or of its queue."""
+        """Return ratios to the step median for a queue and image, or the queue."""
         return self._find(queue, step.image, "spread")
 
     def _find(self, queue: str, image: str, name: str) -> RatioHistogram | None:
@@ -272,7 +272,7 @@
         return pooled if pooled.weight >= _MIN_EVIDENCE else None
 
     def _update(self, queue: str, step: Step, now_ms: float) -> DurationModel:
-        """Return the model of a kind of task for an observation."""
+        """Return the model of a queue and image in order to add an observation."""
         key = (queue, step.image)
         model = self.models.pop(key, None) or DurationModel()
         self.models[key] = model
@@ -285,22 +285,22 @@
     def _record_sibling(
         self, model: DurationModel, step: Step, name: StepName, work_ms: float
     ) -> None:
-        runs_ms = self._runs_ms.setdefault(name, [])
+        runs_ms = self._durations_ms.setdefault(name, [])
         runs_ms.append(work_ms)
-        if len(self._runs_ms) > _MAX_STEPS:
-            del self._runs_ms[next(iter(self._runs_ms))]
+        if len(self._durations_ms) > _MAX_STEPS:
+            del self._durations_ms[next(iter(self._durations_ms))]
         if len(runs_ms) < step.count or step.count < MIN_SIBLINGS:
             return
         median_ms = statistics.median(runs_ms)
         for each_ms in runs_ms:
             model.spread.add(each_ms / median_ms)
-        self._runs_ms.pop(name, None)
+        self._durations_ms.pop(name, None)
 
 
 def estimate_excess(histogram: RatioHistogram | None, ratio: float) -> float:
-    """Return how much a duration that has reached a ratio exceeds it on average.
+    """Return the mean excess over a ratio of the durations that exceed it.
 
-    Where hardly any observation is longer, a run is assumed to take as long again.
+    If too few observations exceed it, the ratio itself is returned.
     """
     if histogram is None or histogram.compute_weight_above(ratio) < _MIN_TAIL_EVIDENCE:
         return ratio
@@ -308,7 +308,7 @@
 
 
 def encode_durations(durations: Durations) -> bytes:
-    """Encode the learned model for the next owner."""
+    """Encode the learned durations for the next owner."""
     rows = [
         {
             "queue": queue,
@@ -329,7 +329,7 @@
     Raises
     ------
     DecodeError
-        If the data is not a valid model.
+        If the data is invalid.
     """
     rows = read_list(check_object(parse_json(data), "durations"), "rows")
     if len(rows) > _MAX_KEYS:
--- a/trefoilhook/scheduling/messages.py
+++ b/trefoilhook/scheduling/messages.py
@@ -85,7 +85,7 @@
     """Its job was cancelled or has ended, or another attempt has completed its task."""
 
     COPY_NOT_NEEDED = "copy not needed"
-    """Another run of its speculative task has completed it."""
+    """Another run of the same speculative task has completed."""
 
     UNCERTAIN = "uncertain"
     """An unanswered start order must be ruled out."""
@@ -103,7 +103,7 @@
     """Its worker is about to shut down."""
 
     CONCENTRATED = "concentrated"
-    """Its worker holds too many tasks of its service, and another worker is better."""
+    """Its worker runs too many tasks of its service, and a better one is available."""
 
 
 @attrs.frozen(kw_only=True)
@@ -176,12 +176,12 @@
     running : tuple of Running
         Running attempts.
     ends : tuple of AttemptEnd
-        Ends that are not acknowledged.
+        Ends that have not been acknowledged.
     unreadable : tuple of UnreadableRow
         Unreadable rows of both lists.
     born_ms : int or None
-        Start of the worker's process, in ms since the Unix epoch, if the answer
-        contains it.
+        Start time of the worker's process, in ms since the Unix epoch; None if the
+        answer does not contain it.
     """
 
     clock_ms: float
--- a/trefoilhook/scheduling/models.py
+++ b/trefoilhook/scheduling/models.py
@@ -289,7 +289,7 @@
     remaining_ms : float
         Minimum time until it shuts down, in ms, while it drains.
     born_ms : int or None
-        Start of its process, in ms since the Unix epoch; together with the id it
+        Start time of its process, in ms since the Unix epoch. Together with the id it
         identifies one incarnation. None if the entry does not contain it.
     """
 
--- a/trefoilhook/scheduling/ranking.py
+++ b/trefoilhook/scheduling/ranking.py
@@ -40,7 +40,7 @@
     long-running task that has already run comes first: on a full fleet the capacity
     that it freed is the only one of its size, and a steady stream of small tasks would
     occupy it permanently. Long-running tasks are sorted by ``level``, the share of
-    their step that is at work, instead of by lateness.
+    their step that is at work, instead of lateness.
     """
     state = tasks[0]
     job = state.job
--- a/trefoilhook/scheduling/ratios.py
+++ b/trefoilhook/scheduling/ratios.py
@@ -1,8 +1,8 @@
 """Histogram of positive ratios with logarithmic buckets and exponential decay.
 
-Buckets of constant relative width, as in a high-dynamic-range histogram, cover four
-orders of magnitude with an error that does not depend on the scale. The buckets are
-sparse and weighted, so that old observations fade out.
+As in a high-dynamic-range histogram, the buckets have a constant relative width, which
+bounds the relative error. They cover four orders of magnitude, are stored sparsely and
+have weights, so that old observations can decay.
 """
 
 import math
@@ -21,14 +21,13 @@
 
 _MIN_BUCKET = -7 * _BUCKETS_PER_OCTAVE
 _MAX_BUCKET = 7 * _BUCKETS_PER_OCTAVE
-"""Lowest and highest bucket: ratios from 1/128 to 128. Others count in the outermost
-bucket."""
+"""Lowest and highest bucket: ratios from 1/128 to 128. Ratios outside are clipped."""
 
 _MIN_WEIGHT = 0.01
-"""Weight below which a faded bucket is removed: a hundredth of one observation."""
+"""Weight below which a bucket is removed, in observations."""
 
 _MAX_WEIGHT = 1e9
-"""Limit on decoded weights, above any that a fading histogram reaches."""
+"""Maximum decoded weight, above any that a decaying histogram reaches."""
 
 _WEIGHT_DIGITS = 2
 
@@ -70,16 +69,15 @@
         }
 
     def compute_quantile(self, fraction: float) -> float:
-        """Return the ratio that a fraction of the observations does not exceed.
+        """Return a quantile of the ratios; there must be at least one observation.
 
-        The upper edge of its bucket, at most 4.5 % above the ratio. There must be at
-        least one observation.
+        The result is the upper edge of the bucket of the quantile.
         """
-        wanted = fraction * self.weight
+        remaining = fraction * self.weight
         number = _MIN_BUCKET
         for number in sorted(self.buckets):
-            wanted -= self.buckets[number]
-            if wanted <= 0.0:
+            remaining -= self.buckets[number]
+            if remaining <= 0.0:
                 break
         return _compute_centre(number + 0.5)
 
@@ -88,10 +86,7 @@
         return sum(weight for _, weight in self._list_above(ratio))
 
     def compute_mean_excess(self, ratio: float) -> float:
-        """Return by how much the observations above ``ratio`` exceed it on average.
-
-        0 if there are none.
-        """
+        """Return the mean excess of the observations above ``ratio``; 0 without any."""
         above = self._list_above(ratio)
         total = sum(weight for _, weight in above)
         if total <= 0.0:
--- a/trefoilhook/scheduling/reservations.py
+++ b/trefoilhook/scheduling/reservations.py
@@ -1,8 +1,8 @@
-"""Workers that are reserved for waiting tasks until their capacity is free.
+"""Reservations of workers for waiting tasks, with backfilling.
 
-A task that needs more than any worker has free is passed over by smaller ones, each of
-which takes a part of the capacity that it waits for. While a worker is reserved, the
-parts add up.
+A task that needs more capacity than any worker has free would be starved by smaller
+tasks that use the capacity as it becomes free. A reserved worker accumulates free
+capacity until the task fits.
 """
 
 import collections
@@ -17,38 +17,36 @@
 __all__ = ["Reservation", "ReservationChange", "ReservationReason", "Reservations"]
 
 _BACKFILL_MARGIN = 1.25
-"""Factor by which the estimate of a task must fit into the time until a reservation is
-due: the estimates are declared, and a task that ends late delays the reservation."""
+"""Safety factor on the declared duration of a backfilled task, which delays the
+reserved task if it ends late."""
 
 _MAX_UNREAD_CHANGES = 500
-"""Number of changes that are kept for the log. Each worker changes at most a few times
-between two reads."""
+"""Maximum number of changes that are kept until they are logged."""
 
 _OVERDUE_MEMORY_MS = 60_000.0
-"""Time after which an overdue reservation is forgotten, in ms; the step has started
-elsewhere or ended by then."""
+"""Time for which an overdue reservation disables backfilling for its step, in ms."""
 
 
 class ReservationReason(enum.Enum):
-    """Reason for which a reservation begins or ends."""
+    """Reason why a reservation begins or ends."""
 
     DISPLACED = "displaced"
-    """Begins: a service task that has run has lost its worker."""
+    """Begins: a service task lost its worker."""
 
     WAITED = "waited"
-    """Begins: a wide task has waited."""
+    """Begins: a wide task or a service task has waited for the minimum time."""
 
     STARTED = "started"
     """Ends: a task of the step has been started on the worker."""
 
     NOT_NEEDED = "not needed"
-    """Ends: no more tasks of the step wait than other workers are reserved for."""
+    """Ends: fewer tasks of the step wait than workers are reserved for it."""
 
     UNUSABLE = "worker unusable"
-    """Ends: the worker accepts no new task."""
+    """Ends: the worker cannot run the task any more."""
 
     OVERDUE = "overdue"
-    """Ends: the worker has not become free in time."""
+    """Ends: the capacity did not become free in time."""
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -60,26 +58,26 @@
     step : StepName
         Step of the task.
     worker_id : str
-        The worker.
+        Id of the worker.
     priority : int
         Priority of the task.
     demand : Demand
         Counted capacity that the task requires.
     begun_ms, due_ms : float
-        Time since when the worker is reserved, and time at which it is expected to have
-        the capacity, in ms.
+        Start of the reservation, and time at which the worker is expected to have the
+        capacity, in ms.
     work : float
-        Jobs of the same priority with less work rank before the task and may start on
-        the worker; 0 for a service task.
+        Work of the job, 0 for a service task. Jobs of the same priority with less work
+        may start on the worker.
     allows_backfill : bool
-        Whether other tasks may start there that are expected to end before it is due.
+        Whether tasks that are expected to end before the due time may start there.
     wall_ms : float
         Time of the current round, in ms since the Unix epoch.
     left_ms : float
-        Time until it is due, as of the current round, in ms.
+        Time until the due time, as of the current round, in ms.
     limit : Demand
-        Capacity that may be held there, as of the current round, by tasks that do not
-        end in time.
+        Capacity that may be held on the worker, as of the current round, if a task does
+        not end before the due time.
     """
 
     step: StepName
@@ -112,7 +110,7 @@
         """
         if name == self.step or (priority, work) < (self.priority, self.work):
             return True
-        if self.allows_backfill and self._is_over_in_time(step):
+        if self.allows_backfill and self._ends_in_time(step):
             return True
         room = step.room
         return (
@@ -121,7 +119,7 @@
             and held.memory_mb + room.memory_mb <= self.limit.memory_mb
         )
 
-    def _is_over_in_time(self, step: Step) -> bool:
+    def _ends_in_time(self, step: Step) -> bool:
         if step.long_running or step.estimate_ms <= 0.0:
             return False
         return _BACKFILL_MARGIN * step.estimate_ms <= self.left_ms
@@ -158,7 +156,7 @@
     by_worker : dict of str to Reservation
         Current reservations by the id of their worker.
     retry_ms : dict of StepName to float
-        Time at which a step without a suitable worker is tried again, in ms.
+        Time from which a step without a suitable worker is tried again, in ms.
     """
 
     by_worker: dict[str, Reservation] = attrs.Factory(dict)
@@ -178,7 +176,7 @@
         return sum(each.step == step for each in self.by_worker.values())
 
     def has_been_overdue(self, step: StepName, now_ms: float) -> bool:
-        """Return whether a reservation for a step was overdue since it last started."""
+        """Return whether a recent reservation for a step was overdue."""
         return now_ms - self._overdue_ms.get(step, -math.inf) <= _OVERDUE_MEMORY_MS
 
     def begin(self, reservation: Reservation, reason: ReservationReason) -> None:
@@ -214,7 +212,7 @@
         )
 
     def take_changes(self) -> list[ReservationChange]:
-        """Return and forget the changes since the last call."""
+        """Return the changes since the last call and clear them."""
         changes = list(self._changes)
         self._changes.clear()
         return changes
--- a/trefoilhook/scheduling/reserving.py
+++ b/trefoilhook/scheduling/reserving.py
@@ -1,4 +1,4 @@
-"""Chooses and releases the workers that are reserved for waiting tasks."""
+"""Reserves workers for waiting tasks and releases them."""
 
 import heapq
 
@@ -16,48 +16,48 @@
 __all__ = ["reserve_workers", "update_reservations"]
 
 _MAX_WORKER_SHARE = 0.1
-"""Maximum fraction of the workers that is reserved at a time: the smaller tasks that
-are kept from them find the others."""
+"""Maximum fraction of the workers that is reserved at a time, so that other tasks find
+workers."""
 
 _MAX_PER_STEP = 4
-"""Maximum number of workers that are reserved for one step at a time. The next one is
-reserved as soon as a task has started, and other steps that wait get theirs."""
+"""Maximum number of workers that are reserved for one step at a time, so that other
+steps can have reservations."""
 
 _MIN_WAIT_MS = 1000.0
-"""Time for which a task that has not run waits before a worker is reserved for it. On a
-fleet that is merely busy most tasks are placed before."""
+"""Minimum waiting time of a task that has not run before a worker is reserved for it,
+in ms."""
 
 _SERVICE_SHARE = 0.5
-"""Share of the tasks of a service step that are at work, from which on no worker is
-reserved for those that have not run. Urgent tasks wait for the reserved workers, and
-have several times the value per core and second; beyond this share the service lasts
-until there is room."""
+"""Share of a service step at work from which no worker is reserved for the tasks that
+have not run. Reservations delay urgent tasks, and the service is available by then."""
 
 _MIN_WIDTH = 0.25
-"""Minimum fraction of a worker that a task other than a service task requires. Narrower
-ones get their turn as tasks end, without a reservation."""
+"""Minimum fraction of a worker's capacity that a task must require to have a
+reservation, unless it is a service task. Smaller tasks fit as soon as other tasks
+end."""
 
 _HORIZON_MS = 15_000.0
-"""Maximum time until a reserved worker is free. If it takes longer, capacity is likely
-to become free elsewhere before."""
+"""Maximum expected time until a reserved worker has the capacity, in ms. Capacity is
+likely to become free on another worker before."""
 
 _OVERDUE_SHARE = 0.25
-"""Expected remaining time of a run that exceeds its estimate, as a fraction of the time
-for which it has run."""
+"""Minimum expected remaining time of a run, as a fraction of its run time. It applies
+to runs that are close to their estimate or exceed it."""
 
-_GRACE_MS = 1000.0
-"""Time after which a reservation is overdue: two polls, which report the ends."""
+_OVERDUE_DELAY_MS = 1000.0
+"""Delay after the due time from which a reservation is overdue, in ms. Ends of tasks
+are known only after the next poll."""
 
 _RETRY_DELAY_MS = 250.0
-"""Delay before the workers are searched again for a step that found none: the search is
-the costly part, and the ends of tasks are read twice a second."""
+"""Delay before a step without a suitable worker is tried again, in ms. It bounds the
+cost of searches."""
 
 _MAX_SEARCHES_PER_ROUND = 3
-"""Number of steps for which one round searches all workers."""
+"""Maximum number of steps for which one round searches all workers."""
 
 
 def update_reservations(scheduler: Scheduler, now_ms: float, wall_ms: float) -> None:
-    """End the reservations that are over, and update the others for a round."""
+    """End the reservations that no longer apply, and update the others for a round."""
     reservations = scheduler.reservations
     if not reservations.count:
         return
@@ -66,7 +66,7 @@
         reason = _find_end(scheduler, worker, reservation, now_ms)
         if reason is None and worker is not None:
             reservation.wall_ms = wall_ms
-            _update(scheduler, worker, reservation, now_ms)
+            _update_limits(scheduler, worker, reservation, now_ms)
         elif reason is not None:
             reservations.end(reservation, reason, now_ms)
             if worker is not None:
@@ -89,27 +89,27 @@
     """
     scheduler, now_ms = assignment_round.scheduler, assignment_round.now_ms
     reservations = scheduler.reservations
-    # Most calls end here, with hundreds of waiting steps.
+    # Cheap checks first: this is called for every step that cannot be placed.
     available = int(_MAX_WORKER_SHARE * len(scheduler.workers)) or 1
     available -= reservations.count
     if (
         available <= 0
-        or assignment_round.searches >= _MAX_SEARCHES_PER_ROUND
+        or assignment_round.reservation_searches >= _MAX_SEARCHES_PER_ROUND
         or not _is_eligible(scheduler, tasks[0])
     ):
         return
     step = name_step(tasks[0].task)
-    lacking = [task for task in tasks if not task.attempts]
-    if not lacking or reservations.retry_ms.get(step, 0.0) > now_ms:
+    unplaced = [task for task in tasks if not task.attempts]
+    if not unplaced or reservations.retry_ms.get(step, 0.0) > now_ms:
         return
-    missing = min(
-        min(len(lacking), _MAX_PER_STEP) - reservations.count_step(step), available
+    count = min(
+        min(len(unplaced), _MAX_PER_STEP) - reservations.count_step(step), available
     )
-    reason = _find_reason(lacking, now_ms=now_ms, wall_ms=wall_ms)
-    if missing <= 0 or reason is None:
+    reason = _find_reason(unplaced, now_ms=now_ms, wall_ms=wall_ms)
+    if count <= 0 or reason is None:
         return
-    assignment_round.searches += 1
-    found = _find_workers(assignment_round, lacking[0], missing)
+    assignment_round.reservation_searches += 1
+    found = _find_workers(assignment_round, unplaced[0], count)
     if not found:
         reservations.retry_ms = {
             key: until_ms
@@ -118,7 +118,7 @@
         }
         reservations.retry_ms[step] = now_ms + _RETRY_DELAY_MS
     for free_ms, worker in found:
-        reservation = _reserve(assignment_round, lacking[0], worker, free_ms)
+        reservation = _reserve(assignment_round, unplaced[0], worker, free_ms)
         reservation.wall_ms = wall_ms
         reservations.begin(reservation, reason)
 
@@ -134,20 +134,20 @@
 
 
 def _find_reason(
-    lacking: list[TaskState], *, now_ms: float, wall_ms: float
+    unplaced: list[TaskState], *, now_ms: float, wall_ms: float
 ) -> ReservationReason | None:
-    """Return why a step is entitled to reserved workers, or None if it is not."""
-    task = lacking[0]
-    if task.step.long_running and any(each.may_have_run for each in lacking):
+    """Return why workers are reserved for a step, or None if they are not."""
+    task = unplaced[0]
+    if task.step.long_running and any(each.may_have_run for each in unplaced):
         return ReservationReason.DISPLACED
-    waiting_ms = now_ms - min(each.waiting_since_ms or now_ms for each in lacking)
+    waiting_ms = now_ms - min(each.waiting_since_ms or now_ms for each in unplaced)
     if waiting_ms < _MIN_WAIT_MS or not _is_worth_waiting(task, wall_ms):
         return None
     return ReservationReason.WAITED
 
 
 def _is_worth_waiting(task: TaskState, wall_ms: float) -> bool:
-    """Return whether others are to wait for a task that has not run."""
+    """Return whether a worker may be reserved for a task that has not run."""
     if task.step.long_running:
         return count_at_work(task) < _SERVICE_SHARE * task.step.count
     return get_lateness(task, wall_ms) == 0
@@ -174,14 +174,14 @@
         ),
     )
     worker.reservation = reservation
-    _update(scheduler, worker, reservation, assignment_round.now_ms)
+    _update_limits(scheduler, worker, reservation, assignment_round.now_ms)
     return reservation
 
 
 def _find_workers(
     assignment_round: AssignmentRound, task: TaskState, count: int
 ) -> list[tuple[float, Worker]]:
-    """Return the workers that can be free for a task soonest, and when."""
+    """Return the workers that have capacity for a task first, with the times."""
     scheduler, now_ms = assignment_round.scheduler, assignment_round.now_ms
     found = [
         (worker.report.worker_id in task.failed_on, free_ms, worker.report.worker_id)
@@ -223,11 +223,11 @@
 ) -> float:
     """Return when a worker is expected to have free capacity, in ms; infinite if never.
 
-    Only the runs that are known to end are considered.
+    Only runs with a known expected end are considered.
     """
     ends = sorted(
         (
-            (_expect_end(scheduler, run, now_ms), run.room)
+            (_estimate_end(scheduler, run, now_ms), run.room)
             for run in worker.runs.values()
         ),
         key=lambda pair: pair[0],
@@ -242,8 +242,8 @@
     return free_ms if _covers(free, demand) else float("inf")
 
 
-def _expect_end(scheduler: Scheduler, run: Run, now_ms: float) -> float:
-    """Return when a run is expected to end, in ms; infinite if that is not known."""
+def _estimate_end(scheduler: Scheduler, run: Run, now_ms: float) -> float:
+    """Return when a run is expected to end, in ms; infinite if it is unknown."""
     if run.phase is RunPhase.STOPPING:
         return now_ms + scheduler.limits.longest_stop_ms
     state = scheduler.jobs.get(run.task.job_id)
@@ -263,7 +263,7 @@
     reservation: Reservation,
     now_ms: float,
 ) -> ReservationReason | None:
-    """Return why a reservation ends now, or None if it lasts."""
+    """Return why a reservation ends now, or None if it continues."""
     waiting = _count_waiting(scheduler, reservation)
     if worker is not None and _has_started(worker, reservation):
         return ReservationReason.STARTED
@@ -277,7 +277,7 @@
         or not _covers(worker.report.capacity, reservation.demand)
     ):
         return ReservationReason.UNUSABLE
-    if now_ms > reservation.due_ms + _GRACE_MS:
+    if now_ms > reservation.due_ms + _OVERDUE_DELAY_MS:
         return ReservationReason.OVERDUE
     return None
 
@@ -303,14 +303,14 @@
     )
 
 
-def _update(
+def _update_limits(
     scheduler: Scheduler, worker: Worker, reservation: Reservation, now_ms: float
 ) -> None:
-    """Determine what else may start on a reserved worker in this round."""
+    """Update the limits on other tasks on a reserved worker for this round."""
     due_ms = max(reservation.due_ms, now_ms)
     limit = _subtract(worker.report.capacity, reservation.demand)
     for run in worker.runs.values():
-        if _expect_end(scheduler, run, now_ms) <= due_ms:
+        if _estimate_end(scheduler, run, now_ms) <= due_ms:
             limit = _subtract(limit, run.room, sign=-1)
     reservation.left_ms = due_ms - now_ms
     reservation.limit = limit
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -34,15 +34,15 @@
         Current time, in ms.
     isolation : Isolation
         Isolated runs and the workers reserved for them.
-    searches : int
-        Number of searches for workers to reserve.
+    reservation_searches : int
+        Number of searches for workers to reserve in this round.
     """
 
     scheduler: Scheduler
     colocations: ColocationCache
     now_ms: float
     isolation: Isolation = attrs.field()
-    searches: int = 0
+    reservation_searches: int = 0
     _open: dict[str, list[Worker]] = attrs.Factory(dict)
     _samples: dict[tuple[str, str], list[Worker]] = attrs.Factory(dict)
     _feasible: dict[tuple[str, str], list[tuple[float, Worker]]] = attrs.Factory(dict)
@@ -77,7 +77,7 @@
     def list_candidates(self, state: TaskState) -> list[Worker]:
         """Return the open workers to consider first for a task.
 
-        These are all of them, except on a large fleet.
+        These are all open workers, or a sample of them on a large fleet.
         """
         workers = self.list_open(state)
         queue = state.job.queue
@@ -132,12 +132,12 @@
                 has_evacuated_workers=self._has_evacuated_workers(*placement_key),
             )
         reason = free.explain(state.step.room, filler=state.step.filler)
-        if reason is WaitReason.FRAGMENTED and self._is_kept_for_others(state):
+        if reason is WaitReason.FRAGMENTED and self._fits_on_reserved_worker(state):
             return WaitReason.RESERVED
         return reason
 
-    def _is_kept_for_others(self, state: TaskState) -> bool:
-        """Return whether a worker reserved for another step has the capacity."""
+    def _fits_on_reserved_worker(self, state: TaskState) -> bool:
+        """Return whether a worker reserved for another step has enough capacity."""
         step = name_step(state.task)
         return any(
             reservation.step != step
@@ -187,18 +187,18 @@
 
         A task is infeasible if one with the same placement key and at most the same
         demand and duration could not be placed. The duration matters only on reserved
-        workers, and not to a step for which one is reserved.
+        workers. A step with a reserved worker is never known to be infeasible.
         """
         if _requires_advice(state):
             return False
         demand = state.step.demand
         estimate_ms = _get_estimate(state)
         is_infeasible = any(
-            longest_ms <= estimate_ms
+            infeasible_ms <= estimate_ms
             and infeasible.cpu <= demand.cpu
             and infeasible.memory_mb <= demand.memory_mb
             and infeasible.gpus <= demand.gpus
-            for infeasible, longest_ms in self._infeasible.get(
+            for infeasible, infeasible_ms in self._infeasible.get(
                 _get_placement_key(state), ()
             )
         )
--- a/trefoilhook/scheduling/sampling.py
+++ b/trefoilhook/scheduling/sampling.py
@@ -1,9 +1,9 @@
-"""Bounded choice of candidate workers on large fleets.
+"""Random sampling of candidate workers on large fleets.
 
-The cost of rating all workers for each waiting step grows with the fleet: a round of
-18 filler steps over 3,000 workers takes 350 ms of a core, during which the owner
-neither polls workers nor sends orders. How good the best worker of a random sample is
-depends on the size of the sample and not on that of the fleet [1]_.
+Rating all workers for each waiting step takes time proportional to the fleet size, and
+during a round the owner neither polls workers nor sends orders. The
+relative rank of the best worker in a random sample depends on the size of the sample
+and not on the size of the fleet [1]_.
 
 References
 ----------
@@ -18,24 +18,24 @@
 __all__ = ["MAX_CANDIDATES", "sample_workers"]
 
 MAX_CANDIDATES = 400
-"""Number of workers up to which all of them are candidates. A round over as many takes
-less than the interval between two rounds."""
+"""Maximum number of workers that are rated without sampling, and the size of a
+sample."""
 
 
 def sample_workers(
     workers: list[Worker], generator: random.Random, *, data_rack: str = ""
 ) -> list[Worker]:
-    """Return the candidates for a task, all workers unless there are too many.
+    """Return the candidate workers for a task, on a large fleet only a sample.
 
     Parameters
     ----------
     workers : list of Worker
         Workers that accept new tasks.
     generator : Random
-        Source of randomness.
+        Random number generator.
     data_rack : str
-        Rack that holds the task's input data; its workers are always included. Empty
-        for none.
+        Rack of the task's input data, whose workers are always included; empty if there
+        is none.
     """
     if len(workers) <= MAX_CANDIDATES:
         return workers
--- a/trefoilhook/scheduling/service_shares.py
+++ b/trefoilhook/scheduling/service_shares.py
@@ -1,8 +1,8 @@
-"""Shares of service jobs that lack tasks: the job that lacks the largest part is first.
+"""Ranks the waiting tasks of service jobs by the share of their step that is at work.
 
-The users of a job with no task at work lose everything, and those of a job that lacks
-one of twenty hardly anything. Therefore the tasks of a step that waits are assigned in
-parts, each ranked by the share of the step that is at work before it.
+A service with no task at work is unavailable, while one that lacks few of its tasks is
+hardly affected. The waiting tasks of a step are therefore assigned in parts, each
+ranked by the share of the step that is at work before it is assigned.
 """
 
 from collections.abc import Iterable, Iterator
@@ -12,9 +12,9 @@
 
 __all__ = ["count_at_work", "split_by_share"]
 
-_PARTS = 4
-"""Number of parts of a step that are ranked separately. More parts are fairer, but each
-rates the workers anew."""
+_PART_COUNT = 4
+"""Number of parts of a step that are ranked separately. More parts are fairer, but the
+workers are rated again for each of them."""
 
 
 def split_by_share(
@@ -44,14 +44,16 @@
             continue
         at_work = count_at_work(tasks[0])
         if not _has_waited(tasks, now_ms):
-            # Most steps are placed whole in their first round.
-            yield _PARTS * at_work // step.count, tasks
+            # Most steps are placed completely in their first round.
+            yield _PART_COUNT * at_work // step.count, tasks
             continue
-        # Tasks that have run are first, as they rank before urgent ones.
+        # Tasks that have run come first, as they rank before urgent tasks.
         tasks.sort(key=lambda task: (not task.may_have_run, task.task.index))
         parts: dict[int, list[TaskState]] = {}
         for number, task in enumerate(tasks):
-            parts.setdefault(_PARTS * (at_work + number) // step.count, []).append(task)
+            parts.setdefault(_PART_COUNT * (at_work + number) // step.count, []).append(
+                task
+            )
         yield from parts.items()
 
 
--- a/trefoilhook/scheduling/shortfall.py
+++ b/trefoilhook/scheduling/shortfall.py
@@ -52,7 +52,7 @@
     together : int
         Largest number of its tasks on one worker at the end of the interval.
     max_together : int
-        Largest number that one worker should hold.
+        Maximum number of its tasks that one worker should run.
     """
 
     job: str
--- a/trefoilhook/scheduling/tests/cases.py
+++ b/trefoilhook/scheduling/tests/cases.py
@@ -73,7 +73,7 @@
     clock_offset_ms: float = CLOCK_OFFSET_MS
 
     def restart(self, now_ms: float) -> None:
-        """Restart the process under the same id: it holds nothing of before."""
+        """Restart the process under the same id; its runs and ends are lost."""
         self.running.clear()
         self.ends = []
         self.born_ms = int(now_ms)
--- a/trefoilhook/scheduling/tests/test_copies.py
+++ b/trefoilhook/scheduling/tests/test_copies.py
@@ -28,7 +28,7 @@
 
 
 def learn(shard: Shard, step, ran_ms: float) -> None:
-    """Record forty single tasks of a kind that were completed."""
+    """Record forty completed tasks of different jobs."""
     for number in range(40):
         shard.scheduler.durations.record_done(
             "checks",
@@ -41,7 +41,7 @@
 
 
 def run_until_straggler(shard: Shard, step=STEP, *, ended: int = 3):
-    """Start a step, end its first tasks, and return the straggler's order."""
+    """Start a step, end its first tasks, and return the start order of the last."""
     shard.submit(build_job(step))
     orders = list_starts(shard.step())
     shard.advance_time(USUAL_MS - 100.0)
@@ -51,7 +51,7 @@
 
 
 def wait_for_copies(shard: Shard, duration_ms: float = 1500.0):
-    """Run the shard for a while and return the start orders."""
+    """Run the shard for ``duration_ms`` and return the start orders."""
     starts = []
     while duration_ms > 0.0:
         starts += list_starts(shard.step())
@@ -60,11 +60,11 @@
 
 
 class TestDecision(unittest.TestCase):
-    """Which runs get copies, and when."""
+    """Decisions on starting copies."""
 
     def test_burst_with_three_stragglers_in_a_hundred(self):
-        # Load: a burst of 100 urgent tasks on a fleet with free room. 97 take the usual
-        # time and three seven times as long; only these get copies, one each.
+        # Guards against copies of runs that are not stragglers, and against several
+        # copies of a straggler.
         shard = Shard(workers=40, cpu=16_000)
         orders = []
         for number in range(10):
@@ -87,8 +87,7 @@
             self.assertNotEqual(order.worker_id, places[order.task])
 
     def test_full_fleet_starts_no_copies(self):
-        # Load: a straggler while tasks of its priority wait for room. A copy would fit
-        # into what is left beside them.
+        # Guards against copies while tasks of the same priority wait for capacity.
         shard = Shard(workers=2)
         run_until_straggler(shard)
         shard.add_worker("w2", cpu=1500)
@@ -98,7 +97,8 @@
         self.assertEqual([order.task.job_id for order in starts], ["k"])
 
     def test_copies_hold_a_bounded_share_of_the_fleet(self):
-        # Load: every run of a wide step stands still after half of it has ended.
+        # Guards against copies that use too much capacity when all remaining runs of a
+        # step make no progress.
         shard = Shard(workers=20, cpu=16_000)
         shard.submit(build_job(attrs.evolve(STEP, count=100)))
         orders = list_starts(shard.step())
@@ -136,8 +136,8 @@
                 self.assertEqual(is_learning, name != "durations")
 
     def test_unsettled_owner_starts_no_copies(self):
-        # Guards against a second copy of a task whose copy runs where a previous owner
-        # started it, on a worker that has not answered yet.
+        # Guards against a second copy while one started by a previous owner may run on
+        # a worker that has not answered yet.
         shard = Shard(workers=6)
         run_until_straggler(shard)
         shard.settled = False
@@ -151,8 +151,7 @@
         self.assertEqual(wait_for_copies(shard, 800.0), [])
 
     def test_step_that_is_longer_than_declared_gets_no_copies(self):
-        # Load: all tasks of a step take seven times as long as declared, and a copy
-        # of one of them would as well.
+        # Guards against copies if all tasks of a step exceed the declared duration.
         shard = Shard(workers=6)
         learn(shard, STEP, USUAL_MS)
         shard.submit(build_job(STEP))
@@ -160,8 +159,8 @@
         self.assertEqual(wait_for_copies(shard, 7.0 * USUAL_MS), [])
 
     def test_single_task_is_compared_with_its_kind(self):
-        # Load: single tasks that take twice the declared time, and one that takes far
-        # longer than any of them.
+        # Guards against comparing a single task with its declared duration only,
+        # although the durations of its queue and image are known.
         shard = Shard(workers=6)
         step = attrs.evolve(STEP, count=1)
         learn(shard, step, 2.0 * USUAL_MS)
@@ -180,8 +179,8 @@
         self.assertEqual((order.worker_id, copy.worker_id), ("w0", "w2"))
 
     def test_suspected_task_and_untrusted_workers(self):
-        # A suspected task must not take a second worker down, and a worker that fails
-        # tasks must not attract copies.
+        # Guards against copies of tasks that are suspected of crashing workers, and
+        # against copies on workers on which tasks have failed.
         shard = Shard(workers=2)
         order = run_until_straggler(shard)
         (other,) = set(shard.scheduler.workers) - {order.worker_id}
@@ -197,7 +196,7 @@
         self.assertEqual(len(task.attempts), 1)
 
     def test_worker_with_a_suspected_task(self):
-        # Guards against a copy that goes down with the task that crashes its worker.
+        # Guards against a copy on a worker that another task may crash.
         shard = Shard(workers=1)
         run_until_straggler(shard)
         shard.add_worker("w1")
@@ -209,7 +208,7 @@
         self.assertEqual(wait_for_copies(shard), [])
 
     def test_run_that_is_being_stopped_gets_no_copy(self):
-        # The task waits again once its run is proved over; a copy would be the third.
+        # Guards against a copy of a task that is restarted once its run has ended.
         shard = Shard(workers=6)
         order = run_until_straggler(shard)
         worker = shard.scheduler.workers[order.worker_id]
@@ -223,7 +222,7 @@
         self.assertEqual(starts, [])
 
     def test_last_permitted_attempt_gets_no_copy(self):
-        # Guards against a job that fails through its copy while the first run is sound.
+        # Guards against a job that fails by its copy while the first run may succeed.
         shard = Shard(workers=6)
         order = run_until_straggler(shard)
         task = shard.scheduler.jobs["j"].find_task(order.task)
@@ -231,8 +230,8 @@
         self.assertEqual(wait_for_copies(shard), [])
 
     def test_silent_worker(self):
-        # A worker is cut off: its speculative task is copied before its leases lapse,
-        # and the tasks of other steps wait for them.
+        # Guards against waiting for the leases of a silent worker before its
+        # speculative task is copied, and against copying its other tasks.
         shard = Shard(workers=3)
         order = run_until_straggler(shard, attrs.evolve(STEP, count=1), ended=0)
         shard.submit(build_job(job_id="k"))
@@ -254,7 +253,7 @@
         self.assertEqual(list_starts(shard.plan()), [])
 
     def test_owner_that_hears_few_workers_starts_no_copies(self):
-        # Guards against copies of runs whose ends an overloaded owner hasn't read yet.
+        # Guards against copies of runs whose ends an overloaded owner has not read yet.
         shard = Shard(workers=6)
         run_until_straggler(shard, attrs.evolve(STEP, count=1), ended=0)
         for worker_id in ("w0", "w1"):
@@ -264,7 +263,7 @@
 
 
 class TestSettlement(unittest.TestCase):
-    """What the ends of a task with a copy lead to."""
+    """Ends of the attempts of a task with a copy."""
 
     def setUp(self):
         self.shard = Shard(workers=6)
@@ -294,7 +293,7 @@
                 self.assertEqual(self.shard.count_running(), 0)
 
     def test_both_attempts_completed(self):
-        # Guards against counting a task twice: both ends are listed in one poll each.
+        # Guards against counting a task twice if both attempts complete.
         left = self.job.steps_left
         self.shard.end(self.copy, EndKind.DONE)
         self.shard.end(self.first, EndKind.DONE)
@@ -314,7 +313,7 @@
                     self.assertFalse(self.job.is_open)
 
     def test_both_attempts_failed(self):
-        # Both failures count, and the job fails at its third one.
+        # Guards against failures of a copy that are not counted.
         self.shard.end(self.first, EndKind.FAILED)
         self.shard.end(self.copy, EndKind.FAILED)
         self.assertEqual(self.job.count_failures(self.first.task), 2)
@@ -335,7 +334,8 @@
         self.assertEqual(self.shard.count_running(), 0)
 
     def test_worker_of_the_copy_is_lost(self):
-        # The leases of the copy's worker lapse; the first run goes on as the only one.
+        # Guards against a restart when the leases of the copy expire and the first run
+        # continues.
         self.shard.silence(self.copy.worker_id)
         self.shard.scheduler.mark_unlisted(self.copy.worker_id)
         for _ in range(80):
@@ -350,10 +350,10 @@
 
 
 class TestFailureHalfway(unittest.TestCase):
-    """Owners and answers lost between the start of a copy and the first end."""
+    """Loss of owners and answers between the start of a copy and the first end."""
 
     def take_over(self, shard: Shard, step=STEP, **fields) -> Shard:
-        """Return the shard of the next owner, before it has heard any worker."""
+        """Return the shard of the next owner, before any worker has reported."""
         later = Shard(workers=0, epoch=2, **fields)
         later.now_ms = shard.now_ms
         later.workers = shard.workers
@@ -390,7 +390,8 @@
         self.assertEqual(stop.attempt, self.first.attempt)
 
     def test_end_found_at_takeover_stops_the_run_found_later(self):
-        # The owner is killed after the copy has ended: its end is heard first.
+        # Guards against a first run that continues after a takeover although its copy
+        # has completed the task.
         shard = self.start_copy()
         shard.workers[self.copy.worker_id].end(
             self.copy.task, self.copy.attempt, EndKind.DONE
@@ -403,9 +404,8 @@
         self.assertEqual(wait_for_copies(later), [])
 
     def test_one_silent_worker_at_takeover(self):
-        # Load: a takeover with waiting urgent tasks, where one worker of twelve does
-        # not answer. Only tasks that may run twice start before it is heard, and a run
-        # of such a task that appears there later is kept as its second one.
+        # Guards against a silent worker that delays speculative tasks after a takeover,
+        # and against starting tasks that may not run twice before it has reported.
         shard = Shard(workers=12)
         for job_id, is_speculative in (("j", True), ("k", False)):
             step = attrs.evolve(STEP, count=1, speculative=is_speculative)
@@ -433,7 +433,7 @@
         self.assertEqual(list_starts(later.plan()), [])
         for number in range(2):
             later.scheduler.drop_worker(f"x{number}")
-        # The entries of further workers that the previous owner used are missing.
+        # The entries of some workers of the previous owner are missing.
         later.scheduler.roster_size = 12
         self.assertEqual(list_starts(later.plan()), [])
         later.scheduler.roster_size = 10
@@ -458,7 +458,8 @@
         self.assertEqual(list_starts(shard.plan()), [])
 
     def test_lost_answer_to_the_start_of_a_copy(self):
-        # The copy may run. It is ordered again, and stopped when the first run ends.
+        # Guards against a copy that is not stopped because the answer to its start
+        # order was lost.
         shard = Shard(workers=6)
         first = run_until_straggler(shard)
         copies = []
@@ -487,8 +488,8 @@
         self.assertEqual(shard.scheduler.workers[copies[0].worker_id].runs, {})
 
     def test_unreadable_end_of_the_first_run(self):
-        # The end may be that of the completed task: the copy goes on, nothing else
-        # starts, and the end is not acknowledged before it is readable.
+        # Guards against restarting a task whose end cannot be read and may be a
+        # completion, and against losing that end.
         shard = self.start_copy()
         shard.workers[self.first.worker_id].end(
             self.first.task, self.first.attempt, EndKind.DONE
--- a/trefoilhook/scheduling/tests/test_crashes.py
+++ b/trefoilhook/scheduling/tests/test_crashes.py
@@ -108,8 +108,8 @@
         return shard, shard.start_one().worker_id
 
     def test_start_sent_after_the_process_ended(self):
-        # Guards against a job that fails for a crash under a task that never ran: its
-        # start was sent when a poll had just lost its connection, and got no answer.
+        # Guards against suspecting a task whose start was sent after its worker had
+        # crashed.
         shard = Shard(workers=1)
         shard.submit(build_job())
         (order,) = shard.plan()
--- a/trefoilhook/scheduling/tests/test_durations.py
+++ b/trefoilhook/scheduling/tests/test_durations.py
@@ -14,7 +14,7 @@
 from trefoilhook.scheduling.tests.cases import SMALL, Shard, build_job
 
 STEP = attrs.evolve(SMALL, count=10, image="a")
-STRAGGLING = attrs.evolve(STEP, speculative=True)
+SPECULATIVE_STEP = attrs.evolve(STEP, speculative=True)
 
 
 def learn(durations: Durations, step, ratios, *, queue="q", now_ms=0.0) -> None:
@@ -31,7 +31,7 @@
 
 
 class TestDurations(unittest.TestCase):
-    """Estimates follow what was observed, and are careful without evidence."""
+    """Estimates with and without sufficient observations."""
 
     def test_declared_durations_hold_until_a_kind_is_known(self):
         durations = Durations()
@@ -75,8 +75,8 @@
         self.assertAlmostEqual(durations.get_failure_share("q", STEP), 0.25)
 
     def test_throttled_runs(self):
-        # A run at half speed for its whole duration counts at full speed; one that
-        # mostly stood still is not learned from.
+        # Guards against counting time lost to throttling, and against recording runs
+        # that were throttled most of the time.
         durations = Durations()
         for _ in range(30):
             durations.record_done(
@@ -91,7 +91,7 @@
     def test_memory_is_bounded_under_many_images(self):
         durations = Durations()
         for number in range(1000):
-            step = attrs.evolve(STRAGGLING, image=f"i{number}")
+            step = attrs.evolve(SPECULATIVE_STEP, image=f"i{number}")
             durations.record_done(
                 "q", step, (f"j{number}", 0, 0), ran_ms=9.0, slowing_ms=0.0, now_ms=0.0
             )
@@ -101,15 +101,15 @@
 
     def test_median_of_a_step_needs_half_of_its_tasks(self):
         durations = Durations()
-        learn(durations, STRAGGLING, [1.0] * 4)
-        self.assertIsNone(durations.find_median(STRAGGLING, ("j", 0, 0)))
-        learn(durations, STRAGGLING, [3.0])
-        self.assertEqual(durations.find_median(STRAGGLING, ("j", 0, 0)), 500.0)
+        learn(durations, SPECULATIVE_STEP, [1.0] * 4)
+        self.assertIsNone(durations.find_median(SPECULATIVE_STEP, ("j", 0, 0)))
+        learn(durations, SPECULATIVE_STEP, [3.0])
+        self.assertEqual(durations.find_median(SPECULATIVE_STEP, ("j", 0, 0)), 500.0)
 
     def test_snapshot_round_trip(self):
         durations = Durations()
-        learn(durations, STRAGGLING, [0.5] * 30 + [7.0])
-        durations.record_failed("q", STRAGGLING, 0.0)
+        learn(durations, SPECULATIVE_STEP, [0.5] * 30 + [7.0])
+        durations.record_failed("q", SPECULATIVE_STEP, 0.0)
         restored = decode_durations(encode_durations(durations))
         self.assertEqual(restored, durations)
 
@@ -130,7 +130,7 @@
 
 
 class TestLearning(unittest.TestCase):
-    """Which ends of attempts are learned from."""
+    """Selection of the attempts that are recorded."""
 
     def test_completed_task_is_learned(self):
         shard = Shard()
@@ -142,7 +142,7 @@
         self.assertAlmostEqual(model.declared.compute_quantile(0.5), 2.0, delta=0.2)
 
     def test_adopted_run_is_not_learned(self):
-        # Guards against durations that count from a takeover instead of the start.
+        # Guards against durations that are measured from a takeover.
         shard = Shard(workers=1)
         shard.submit(build_job())
         order = shard.start_one()
--- a/trefoilhook/scheduling/tests/test_reservations.py
+++ b/trefoilhook/scheduling/tests/test_reservations.py
@@ -1,7 +1,7 @@
-"""Tests of workers that are reserved for tasks which need more than any has free.
+"""Tests of workers that are reserved for tasks which fit on no worker yet.
 
-Load: a service task of three cores loses its worker, the others have four cores and run
-an urgent task of 2.5 each; further urgent tasks of 1.5 cores arrive.
+A service task of 3 cores loses its worker. The other workers have 4 cores, and each
+runs an urgent task of 2.5 cores. Further urgent tasks of 1.5 cores arrive.
 """
 
 import unittest
@@ -53,8 +53,8 @@
         self.assertEqual(len(list_starts(shard.step())), 1)
 
     def test_short_task_starts_behind_infeasible_service_task(self):
-        # Guards against a round that takes a service task, kept from the reserved
-        # worker, as evidence against all urgent tasks of the same size.
+        # Guards against treating short urgent tasks as infeasible after a service task
+        # of the same size was rejected by a reserved worker.
         shard = self._displace(workers=2)
         small = attrs.evolve(_SERVICE, demand=Demand(cpu=1200))
         shard.submit(build_job(small, job_id="y"), is_new=False, progress=Progress())
@@ -64,8 +64,8 @@
         self.assertEqual(started, {"a"})
 
     def test_waiting_task_takes_its_worker_behind_infeasible_tasks(self):
-        # Guards against a reserved worker that stays idle, as smaller tasks that rank
-        # before the waiting one are kept from it.
+        # Guards against a reserved worker that stays idle because smaller tasks with a
+        # higher rank are infeasible.
         shard = Shard(workers=1)
         shard.submit(build_job(_URGENT, job_id="u"))
         (running,) = list_starts(shard.step())
@@ -85,7 +85,7 @@
         self.assertEqual(len(list_starts(shard.step())), 1)
 
     def test_reservation_moves_on_from_lost_or_draining_worker(self):
-        # Guards against a reservation for a worker that will never run the task.
+        # Guards against keeping a worker reserved that cannot run the task any more.
         for change in ("lost", "draining", "excluded"):
             with self.subTest(change):
                 shard = self._displace()
@@ -103,7 +103,7 @@
                 self.assertNotEqual(other, reserved)
 
     def test_overdue_reservation_moves_on_without_backfill(self):
-        # Guards against starving behind a task that takes longer than declared.
+        # Guards against starvation behind a task that takes longer than declared.
         shard = self._displace()
         (reserved,) = self._get_reserved(shard)
         (late,) = [each for each in self.running if each.worker_id == reserved]
@@ -142,7 +142,7 @@
             self.assertEqual(len(self._get_reserved(shard)), reserved)
 
     def test_smaller_job_that_ranks_before_a_wide_one_starts(self):
-        # Guards against reservations that turn the order of the jobs round.
+        # Guards against reservations that invert the order of the jobs.
         shard = Shard(workers=1)
         wide = attrs.evolve(_SERVICE, long_running=False, estimate_ms=900.0, count=9)
         shard.submit(build_job(_URGENT, job_id="u"))
@@ -163,7 +163,7 @@
             self.assertEqual(running.task.job_id, expected)
 
     def test_no_worker_is_reserved_for_a_late_task(self):
-        # Guards against tasks in time that wait for one that cannot be any more.
+        # Guards against delaying tasks for one that has already missed its objective.
         wide = attrs.evolve(_SERVICE, long_running=False, estimate_ms=900.0)
         for objective_ms, reserved in ((0.0, 0), (9000.0, 1)):
             shard = Shard(workers=1)
@@ -177,7 +177,7 @@
             self.assertEqual(len(self._get_reserved(shard)), reserved)
 
     def test_reservations_are_bounded(self):
-        # Guards against urgent tasks that find the whole fleet reserved.
+        # Guards against reserving so many workers that urgent tasks find none.
         for workers, jobs, reserved in ((20, "xyz", 2), (60, "x", 4), (60, "xyz", 6)):
             shard = Shard(workers=workers)
             urgent = attrs.evolve(_URGENT, count=2 * workers)
@@ -197,7 +197,7 @@
         self.assertEqual(self._get_reserved(shard), [])
 
     def test_new_owner_reserves_anew(self):
-        # Guards against a displaced task that starves because its owner was lost.
+        # Guards against a displaced task that starves after a takeover.
         shard = Shard(workers=2, epoch=2, settled=False)
         shard.submit(build_job(attrs.evolve(_URGENT, count=4), job_id="u"))
         shard.step()
--- a/trefoilhook/scheduling/tests/test_sampling.py
+++ b/trefoilhook/scheduling/tests/test_sampling.py
@@ -18,7 +18,7 @@
 
 
 def build_worker(number: int) -> Worker:
-    """Build a worker of a rack of eight."""
+    """Build a worker; each rack contains eight workers."""
     report = WorkerReport(
         worker_id=f"w{number}",
         service="s",
@@ -53,7 +53,7 @@
         self.shard = Shard(workers=_FLEET_SIZE)
 
     def test_ratings_do_not_grow_with_fleet(self):
-        # Guards against rounds during which the owner neither polls nor sends orders.
+        # Guards against long rounds, which delay polls and orders.
         steps = [attrs.evolve(_FILLER, image=f"f{number}") for number in range(10)]
         for step in steps:
             self.shard.submit(build_job(step, job_id=step.image))
--- a/trefoilhook/scheduling/tests/test_service_shares.py
+++ b/trefoilhook/scheduling/tests/test_service_shares.py
@@ -1,7 +1,7 @@
-"""Tests of the order of service jobs that lack tasks.
+"""Tests of the ranking of service jobs with waiting tasks.
 
-Load: three services of four tasks each wait on a full fleet, on which capacity for one
-task after the other becomes free.
+Three services of four tasks each wait on a full fleet, on which capacity becomes free
+for one task at a time.
 """
 
 import collections
@@ -19,15 +19,15 @@
 
 
 class ServiceShareTest(unittest.TestCase):
-    """Services that compete for the capacity that becomes free."""
+    """Services that compete for capacity as it becomes free."""
 
-    def _fill(self) -> Shard:
+    def _fill_fleet(self) -> Shard:
         self.shard = Shard(workers=6)
         self.shard.submit(build_job(attrs.evolve(_URGENT, count=12), job_id="u"))
         self.ending = list_starts(self.shard.step())
         return self.shard
 
-    def _free(self, tasks: int) -> collections.Counter:
+    def _end_urgent_tasks(self, tasks: int) -> collections.Counter:
         started = collections.Counter()
         for _ in range(tasks):
             self.shard.end(self.ending.pop(), EndKind.DONE)
@@ -36,16 +36,16 @@
         return started
 
     def test_each_service_gets_a_task_before_another_gets_its_last(self):
-        # Guards against a service with no task at work beside complete ones.
-        shard = self._fill()
+        # Guards against a service with no task at work while others are complete.
+        shard = self._fill_fleet()
         for job_id in "xyz":
             shard.submit(build_job(_SERVICE, job_id=job_id))
         shard.step()
-        self.assertEqual(self._free(3), {"x": 1, "y": 1, "z": 1})
-        self.assertEqual(self._free(6), {"x": 2, "y": 2, "z": 2})
+        self.assertEqual(self._end_urgent_tasks(3), {"x": 1, "y": 1, "z": 1})
+        self.assertEqual(self._end_urgent_tasks(6), {"x": 2, "y": 2, "z": 2})
 
     def test_capacity_that_becomes_free_at_once_is_shared(self):
-        shard = self._fill()
+        shard = self._fill_fleet()
         for job_id in "xyz":
             shard.submit(build_job(_SERVICE, job_id=job_id))
         shard.step()
--- a/trefoilhook/scheduling/waits.py
+++ b/trefoilhook/scheduling/waits.py
@@ -32,7 +32,7 @@
     enough."""
 
     RESERVED = "reserved"
-    """It would fit on a worker that is reserved for another task."""
+    """It would fit on a worker that is reserved for another step."""
 
     INTERFERENCE = "not borne"
     """It is a filler, and service tasks on the workers would not tolerate it."""
