Take out the moves of concentrated services

A review confirmed two faults: an owner that is replaced within the time that a stop takes lets the next one stop a second task of the step, since a worker lists a task that it is stopping as running; and a burst between stop and start can leave the moved task without a place. The spread stays as it is.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -3,7 +3,6 @@
 import attrs
 
 from trefoilhook.scheduling.arrangement import may_spread
-from trefoilhook.scheduling.arrangement.moves import move_concentrated
 from trefoilhook.scheduling.candidates import Candidates
 from trefoilhook.scheduling.colocation import FULL_PACE, ColocationCache
 from trefoilhook.scheduling.copies import (
@@ -138,7 +137,6 @@
             [each for each in migration_candidates if not each.run.is_throttled],
         )
     _assign_steps(assignment_round, ready, wall_ms)
-    move_concentrated(assignment_round, settled=settled)
     start_copies(assignment_round, settled=settled)
     if with_fillers:
         relieve_overcommitted(assignment_round)
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -9,7 +9,6 @@
 
 import attrs
 
-from trefoilhook.scheduling.arrangement import ServiceMoves
 from trefoilhook.scheduling.copy_tracker import CopyTracker, is_copyable
 from trefoilhook.scheduling.durations import Durations
 from trefoilhook.scheduling.entry_freshness import EntryFreshness
@@ -102,8 +101,6 @@
         Workers that may run the steps of queues with advice.
     fillers_due_ms : float
         Time of the next round that places fillers, in ms.
-    service_moves : ServiceMoves
-        Moves of service tasks in progress.
     idle_since_ms : dict of str to float
         Time since when jobs with waiting fillers have had no run, in ms.
     unreadable_jobs : set of str
@@ -151,7 +148,6 @@
         self.copies = CopyTracker()
         self.tickets = TicketCache()
         self.fillers_due_ms = 0.0
-        self.service_moves = ServiceMoves()
         self.idle_since_ms: dict[str, float] = {}
         self.waits = WaitTracker()
         self.holds = TakeoverHolds()
--- a/trefoilhook/scheduling/features.py
+++ b/trefoilhook/scheduling/features.py
@@ -18,7 +18,7 @@
         Limit the runs of fillers beside service tasks whose tolerance of them is not
         known yet.
     arrangement : bool
-        Place and move service tasks so that the waiting fillers find workers.
+        Spread the tasks of a service over workers.
     durations : bool
         Learn how long tasks take in relation to their estimates.
     copies : bool
--- a/trefoilhook/scheduling/messages.py
+++ b/trefoilhook/scheduling/messages.py
@@ -102,9 +102,6 @@
     WORKER_DRAINING = "worker leaves"
     """Its worker is about to shut down."""
 
-    CONCENTRATED = "concentrated"
-    """Its worker runs too many tasks of its service, and a better one is available."""
-
 
 @attrs.frozen(kw_only=True)
 class Running:
