--- a/trefoilhook/account/copies.py
+++ b/trefoilhook/account/copies.py
@@ -20,8 +20,7 @@
     copies : int
         Number of copies.
     saved_ms, wasted_ms : float
-        Estimated time that they saved their tasks, and the time for which runs that
-        were not needed had run, in ms.
+        Estimated time saved, and run time of runs that were not needed, in ms.
     """
 
     how: str
--- a/trefoilhook/http/idle.py
+++ b/trefoilhook/http/idle.py
@@ -13,11 +13,10 @@
 
 @attrs.define(kw_only=True)
 class IdleLimit:
-    """Least recently used idle connections of all clients that share the limit.
+    """Limits the idle connections of all clients that share it, in LRU order.
 
-    Each client keeps the connections of its busiest moment open. With thousands of
-    clients these take all file descriptors of the process, and no call can be sent on a
-    new connection.
+    Each client keeps as many connections open as it needed at its peak. With thousands
+    of clients, these would exhaust the file descriptors of the process.
 
     Parameters
     ----------
--- a/trefoilhook/platform/reachability.py
+++ b/trefoilhook/platform/reachability.py
@@ -1,11 +1,11 @@
-"""Whether a service answers, as told by the outcomes of this process's calls.
+"""Failure detection for a service, based on the outcomes of this process's calls.
 
 A failed call makes the service suspect. While it is suspect, probes are sent, and
 callers wait instead of repeating their calls. The first answer ends the suspicion,
-wakes the callers and gives up the calls that were sent into the outage: a call that a
-silent service has accepted is never answered, and would hold its caller until its
-timeout. Shorter outages and dead connections show when a later call is answered first:
-then watches, and calls that are overdue, are given up.
+wakes the callers and abandons the calls sent during the outage: a call accepted by an
+unresponsive service is never answered and would block its caller until its timeout.
+Shorter outages and dead connections are detected when a later call is answered first;
+watches and overdue calls are then abandoned.
 """
 
 import random
@@ -19,32 +19,33 @@
 __all__ = ["PendingCall", "Reachability"]
 
 _PROBE_PERIOD_MS = 500.0
-"""Mean interval between two probes, in ms. Callers that were refused come back after
-1 s, and find the instance up to date."""
+"""Mean interval between two probes, in ms. Short enough for the instance to be up to
+date when refused callers retry after 1 s."""
 
-_URGENT_PROBE_PERIOD_MS = 200.0
-"""The same for the instance whose return the others wait for, in ms. The fleet has to
-be at work again within 1 s, of which load and settlement of the shard take half."""
+_SHORT_PROBE_PERIOD_MS = 200.0
+"""Mean interval between two probes of the instance that blocks claims by others, in ms.
+Task starts must resume within 1 s, half of which is spent on loading and settling the
+shard."""
 
 _PROBE_JITTER = 0.25
-"""Maximum deviation of an interval, as a fraction of the period: instances that lost
-the store together don't return to it together."""
+"""Maximum deviation of an interval, as a fraction of the period. Prevents instances
+from calling the store simultaneously after an outage."""
 
-_AWAY_AFTER_MS = 400.0
-"""Time without an answer to a probe after which the service counts as away, in ms. A
-store ninety times slower than usual answers in 360 ms."""
+_UNAVAILABLE_AFTER_MS = 400.0
+"""Time without an answer to a probe after which the service counts as unavailable, in
+ms. A store ninety times slower than usual answers in 360 ms."""
 
-_STUCK_AFTER_MS = 600.0
-"""Time after which an answer is overdue, in ms, if later calls are answered. A younger
-call may be slow, or sent as the service returned."""
+_OVERDUE_AFTER_MS = 600.0
+"""Time after which an answer is overdue, in ms, if later calls are answered. A more
+recent call may be slow, or sent as the service recovered."""
 
-_CHECK_PERIOD_MS = 200.0
-"""Interval between two searches for overdue calls, in ms. An idle instance has only
-watches, whose timeouts end 2 s after the start of an outage."""
+_OVERDUE_CHECK_PERIOD_MS = 200.0
+"""Interval between two checks for overdue calls, in ms. Detects an outage on an idle
+instance, which only has watches, before these time out after 2 s."""
 
-_MAX_SUSPENSION_MS = 5000.0
-"""Maximum time for which a caller waits for a suspect service, in ms. After it, its own
-call is repeated, should the probes fail for a reason of their own."""
+_MAX_RETRY_WAIT_MS = 5000.0
+"""Maximum time for which a caller waits for a suspect service, in ms. Its call is then
+repeated, in case only the probes fail."""
 
 _MS_PER_S = 1000.0
 
@@ -60,9 +61,9 @@
     wait_ms : float
         Time for which the service may wait before it answers, in ms.
     is_repeatable : bool
-        Whether a repetition has no further effect.
+        Whether the call is idempotent.
     scope : trio.CancelScope
-        Scope of the exchange; cancelled when the call is given up.
+        Scope of the exchange; cancelled when the call is abandoned.
     """
 
     sent_ms: float
@@ -71,8 +72,8 @@
     scope: trio.CancelScope = attrs.Factory(trio.CancelScope)
 
     def is_overdue(self, now_ms: float) -> bool:
-        """Return whether it should have been answered."""
-        return now_ms - self.sent_ms - self.wait_ms >= _STUCK_AFTER_MS
+        """Return whether the answer is overdue."""
+        return now_ms - self.sent_ms - self.wait_ms >= _OVERDUE_AFTER_MS
 
 
 class Reachability:
@@ -85,13 +86,13 @@
 
     Attributes
     ----------
-    is_away : bool
+    is_unavailable : bool
         Whether the service is suspect and probes are refused or not answered.
-    back_ms : float
-        Monotonic time at which the service was last found to be back after it had been
-        away, in ms; minus infinity before.
-    is_urgent : bool
-        Whether other instances wait for the return of this one.
+    recovered_ms : float
+        Monotonic time at which the service was last found to be available again, in
+        ms; minus infinity before.
+    probes_frequently : bool
+        Whether probes are sent at the shorter interval.
     """
 
     def __init__(self, *, clock: Clock) -> None:
@@ -100,12 +101,12 @@
         self._answered_sent_ms = float("-inf")
         self._failed_sent_ms = float("-inf")
         self._suspected = trio.Event()
-        self._back = trio.Event()
-        self._verdict = trio.Event()
+        self._recovered = trio.Event()
+        self._resolved = trio.Event()
         self._random = random.Random()
-        self.is_away = False
-        self.back_ms = float("-inf")
-        self.is_urgent = False
+        self.is_unavailable = False
+        self.recovered_ms = float("-inf")
+        self.probes_frequently = False
 
     @property
     def is_suspect(self) -> bool:
@@ -117,7 +118,7 @@
         self._pending.add(call)
 
     def end_call(self, call: PendingCall) -> None:
-        """Remove a call that was answered, failed or given up."""
+        """Remove a call that was answered, failed or abandoned."""
         self._pending.discard(call)
 
     def record_failure(self, sent_ms: float) -> None:
@@ -128,14 +129,14 @@
             self._give_up_watches(self._answered_sent_ms)
             return
         self._failed_sent_ms = sent_ms
-        self._verdict = trio.Event()
+        self._resolved = trio.Event()
         self._suspected.set()
 
     def record_answer(self, sent_ms: float) -> None:
         """Record that a call, sent at ``sent_ms``, was answered.
 
-        A call sent before the first failed one proves nothing, such as a watch that is
-        pending at a store which refuses new calls.
+        The answer to a call sent before the first failed one does not end the
+        suspicion: a store that refuses new calls may still answer a pending watch.
         """
         self._answered_sent_ms = max(self._answered_sent_ms, sent_ms)
         if self.is_suspect and sent_ms >= self._failed_sent_ms:
@@ -152,36 +153,36 @@
 
     def _end_suspicion(self, sent_ms: float) -> None:
         self._suspected = trio.Event()
-        self._back.set()
-        self._back = trio.Event()
-        self._verdict.set()
-        if not self.is_away:
+        self._recovered.set()
+        self._recovered = trio.Event()
+        self._resolved.set()
+        if not self.is_unavailable:
             self._give_up_watches(sent_ms)
             return
-        self.is_away = False
-        self.back_ms = self._clock.monotonic_ms()
+        self.is_unavailable = False
+        self.recovered_ms = self._clock.monotonic_ms()
         self._give_up([call for call in self._pending if call.sent_ms < sent_ms])
 
     def _give_up_watches(self, before_ms: float) -> None:
-        """Give up the watches sent before a call that was answered.
+        """Abandon the watches sent before a call that was answered.
 
-        They may have been lost with the call that was not; each costs another call.
+        They may have been lost with the unanswered call; each is sent again.
         """
         self._give_up(
             [c for c in self._pending if c.wait_ms > 0 and c.sent_ms < before_ms]
         )
 
     def _give_up(self, calls: list[PendingCall]) -> None:
-        """Give up calls: repeatable ones at once, others when they count as stuck."""
+        """Abandon calls: repeatable ones at once, others once they are overdue."""
         now_ms = self._clock.monotonic_ms()
         for call in calls:
-            remaining_ms = max(0.0, call.sent_ms + _STUCK_AFTER_MS - now_ms)
+            remaining_ms = max(0.0, call.sent_ms + _OVERDUE_AFTER_MS - now_ms)
             if call.is_repeatable:
                 remaining_ms = 0.0
             call.scope.deadline = trio.current_time() + remaining_ms / _MS_PER_S
 
     async def wait_for_retry(
-        self, pause_ms: float, *, limit_ms: float = _MAX_SUSPENSION_MS
+        self, pause_ms: float, *, limit_ms: float = _MAX_RETRY_WAIT_MS
     ) -> None:
         """Wait before a failed call is repeated.
 
@@ -190,20 +191,26 @@
         pause_ms : float
             Minimum wait, in ms.
         limit_ms : float, optional
-            Maximum wait for the return of a suspect service, in ms.
+            Maximum wait for the recovery of a suspect service, in ms.
         """
         began_ms = self._clock.monotonic_ms()
         if self.is_suspect:
             with trio.move_on_after(limit_ms / _MS_PER_S):
-                await self._back.wait()
+                await self._recovered.wait()
         spent_ms = self._clock.monotonic_ms() - began_ms
         await self._clock.sleep_ms(max(0.0, pause_ms - spent_ms))
 
-    async def wait_for_verdict(self, limit_ms: float) -> None:
-        """Wait until it is known whether a suspect service is away, or for a limit."""
+    async def wait_for_probe_result(self, limit_ms: float) -> None:
+        """Wait until it is known whether a suspect service is unavailable.
+
+        Parameters
+        ----------
+        limit_ms : float
+            Maximum wait, in ms.
+        """
         if self.is_suspect:
             with trio.move_on_after(limit_ms / _MS_PER_S):
-                await self._verdict.wait()
+                await self._resolved.wait()
 
     async def run_probes(self, probe: Callable[[], Awaitable[bool]]) -> None:
         """Probe the service while it is suspect, until cancelled.
@@ -215,37 +222,39 @@
         """
         while True:
             await self._wait_for_suspicion()
-            back = self._back
+            recovered = self._recovered
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._confirm_later)
-                while not back.is_set():
+                nursery.start_soon(self._mark_unavailable_after_timeout)
+                while not recovered.is_set():
                     nursery.start_soon(self._send_probe, probe)
                     deviation = self._random.uniform(-_PROBE_JITTER, _PROBE_JITTER)
                     mean_ms = (
-                        _URGENT_PROBE_PERIOD_MS if self.is_urgent else _PROBE_PERIOD_MS
+                        _SHORT_PROBE_PERIOD_MS
+                        if self.probes_frequently
+                        else _PROBE_PERIOD_MS
                     )
                     with trio.move_on_after(mean_ms * (1.0 + deviation) / _MS_PER_S):
-                        await back.wait()
+                        await recovered.wait()
                 nursery.cancel_scope.cancel()
 
     async def _wait_for_suspicion(self) -> None:
         while not self.is_suspect:
-            with trio.move_on_after(_CHECK_PERIOD_MS / _MS_PER_S):
+            with trio.move_on_after(_OVERDUE_CHECK_PERIOD_MS / _MS_PER_S):
                 await self._suspected.wait()
             now_ms = self._clock.monotonic_ms()
             for call in self._pending:
                 if call.is_overdue(now_ms) and call.sent_ms > self._answered_sent_ms:
                     self.record_failure(call.sent_ms)
 
-    async def _confirm_later(self) -> None:
-        await self._clock.sleep_ms(_AWAY_AFTER_MS)
-        self._confirm()
+    async def _mark_unavailable_after_timeout(self) -> None:
+        await self._clock.sleep_ms(_UNAVAILABLE_AFTER_MS)
+        self._mark_unavailable()
 
     async def _send_probe(self, probe: Callable[[], Awaitable[bool]]) -> None:
         if not await probe():
-            self._confirm()
+            self._mark_unavailable()
 
-    def _confirm(self) -> None:
+    def _mark_unavailable(self) -> None:
         if self.is_suspect:
-            self.is_away = True
-            self._verdict.set()
+            self.is_unavailable = True
+            self._resolved.set()
--- a/trefoilhook/platform/store.py
+++ b/trefoilhook/platform/store.py
@@ -43,14 +43,14 @@
 _MAX_CONNECTIONS = 24
 """Maximum connections to the store. Each waiting watch and call in flight uses one."""
 
-_MAX_PROBES = 6
-"""Maximum connections for probes. They don't wait for connections on which calls are
-stuck."""
+_MAX_PROBE_CONNECTIONS = 6
+"""Maximum connections for probes, which are separate so that stuck calls don't block
+them."""
 
-_SILENT = frozenset(
+_UNAVAILABILITY_FAILURES = frozenset(
     {CallFailure.NOT_SENT, CallFailure.NO_ANSWER, CallFailure.UNAVAILABLE}
 )
-"""Failures after which the store may be away."""
+"""Failures after which the store may be unavailable."""
 
 _CALLS = {
     "kv-key": "get",
@@ -93,7 +93,7 @@
 
     def __init__(self, *, address: Address, timeout_ms: float, clock: Clock) -> None:
         self._open_clients(address)
-        self._reach = Reachability(clock=clock)
+        self._reachability = Reachability(clock=clock)
         self._timeout_ms = timeout_ms
         self._clock = clock
         self._log = OutageLog(
@@ -103,18 +103,18 @@
         self.failures = 0
 
     @property
-    def is_away(self) -> bool:
-        """Whether calls and the probes after them have remained unanswered."""
-        return self._reach.is_away
+    def is_unavailable(self) -> bool:
+        """Whether a call and the probes after it have failed."""
+        return self._reachability.is_unavailable
 
     @property
-    def back_ms(self) -> float:
-        """Monotonic time of the last return of the store, in ms."""
-        return self._reach.back_ms
+    def recovered_ms(self) -> float:
+        """Monotonic time at which the store last recovered, in ms."""
+        return self._reachability.recovered_ms
 
-    def set_urgent(self, is_urgent: bool) -> None:
-        """Probe more often while other instances wait for the return of this one."""
-        self._reach.is_urgent = is_urgent
+    def set_frequent_probing(self, is_frequent: bool) -> None:
+        """Set whether probes are sent at the shorter interval."""
+        self._reachability.probes_frequently = is_frequent
 
     async def wait_for_retry(
         self, pause_ms: float, *, limit_ms: float | None = None
@@ -126,19 +126,24 @@
         pause_ms : float
             Minimum wait, in ms.
         limit_ms : float, optional
-            Maximum wait for the store's return, in ms, instead of the default.
+            Maximum wait for the recovery of the store, in ms, instead of the default.
         """
         if limit_ms is None:
-            await self._reach.wait_for_retry(pause_ms)
+            await self._reachability.wait_for_retry(pause_ms)
         else:
-            await self._reach.wait_for_retry(pause_ms, limit_ms=limit_ms)
+            await self._reachability.wait_for_retry(pause_ms, limit_ms=limit_ms)
 
-    async def wait_for_verdict(self, limit_ms: float) -> None:
-        """Wait until probes show whether the store is away, for at most a limit in ms.
+    async def wait_for_probe_result(self, limit_ms: float) -> None:
+        """Wait until probes show whether the store is unavailable.
 
         Returns at once if the store is not suspect.
+
+        Parameters
+        ----------
+        limit_ms : float
+            Maximum wait, in ms.
         """
-        await self._reach.wait_for_verdict(limit_ms)
+        await self._reachability.wait_for_probe_result(limit_ms)
 
     async def run_probes(self, key: str) -> None:
         """Read ``key`` regularly while the store doesn't answer, until cancelled."""
@@ -156,7 +161,7 @@
                 return False
             return True
 
-        await self._reach.run_probes(probe)
+        await self._reachability.run_probes(probe)
 
     async def get(self, key: str) -> Item | None:
         """Return the item at ``key``, or None if the key does not exist."""
@@ -208,7 +213,7 @@
                 is_repeatable=True,
             )
         except StoreAbandonedError:
-            # Doesn't wait for a change: the answer proves that all changes are known.
+            # Without a wait, the answer shows at once that all changes are known.
             query["wait_ms"] = 0
             response = await self._call("GET", "kv-watch", query=query, accept=(410,))
         if response.status == 410:
@@ -279,7 +284,9 @@
 
     def _open_clients(self, address: Address) -> None:
         self._client = JsonClient(address=address, max_connections=_MAX_CONNECTIONS)
-        self._probe_client = JsonClient(address=address, max_connections=_MAX_PROBES)
+        self._probe_client = JsonClient(
+            address=address, max_connections=_MAX_PROBE_CONNECTIONS
+        )
 
     async def close(self) -> None:
         """Close the idle connections."""
@@ -289,10 +296,9 @@
     async def _call_repeatable(
         self, method: str, name: str, **options: Any
     ) -> HttpResponse:
-        """Make a call whose repetition has no further effect.
+        """Make an idempotent call, repeating it at once if it is abandoned.
 
-        It is repeated at once if it was given up. The repetition has the whole timeout,
-        so that an answer that takes long is received.
+        The repetition has the full timeout, so that a slow answer is still received.
         """
         try:
             return await self._call(method, name, is_repeatable=True, **options)
@@ -316,7 +322,7 @@
         call = PendingCall(
             sent_ms=sent_ms, wait_ms=wait_ms, is_repeatable=is_repeatable
         )
-        self._reach.begin_call(call)
+        self._reachability.begin_call(call)
         response: HttpResponse | None = None
         try:
             with call.scope:
@@ -334,17 +340,17 @@
             self._fail(name, CallFailure.NO_ANSWER, sent_ms, str(error))
             raise StoreUnavailableError(str(error)) from error
         finally:
-            self._reach.end_call(call)
+            self._reachability.end_call(call)
         if response is None:
-            self._fail(name, CallFailure.NO_ANSWER, sent_ms, "given up")
-            raise StoreAbandonedError("not answered before the store's return")
+            self._fail(name, CallFailure.NO_ANSWER, sent_ms, "abandoned")
+            raise StoreAbandonedError("the call was abandoned before it was answered")
         if response.status not in (200, *accept):
             failure = _classify_refusal(response.status)
             self._fail(name, failure, sent_ms, f"status {response.status}")
             raise _build_refusal(failure, response.status)
         self.answers += 1
         self._log.record_answer(sent_ms=sent_ms)
-        self._reach.record_answer(sent_ms)
+        self._reachability.record_answer(sent_ms)
         return response
 
     def _read(
@@ -363,8 +369,8 @@
         verb = name.partition("/")[0]
         call = _CALLS.get(verb, verb)
         self._log.record_failure(call, why, sent_ms=sent_ms, detail=detail)
-        if why in _SILENT:
-            self._reach.record_failure(sent_ms)
+        if why in _UNAVAILABILITY_FAILURES:
+            self._reachability.record_failure(sent_ms)
 
 
 def _classify_refusal(status: int) -> CallFailure:
--- a/trefoilhook/platform/store_codec.py
+++ b/trefoilhook/platform/store_codec.py
@@ -1,4 +1,4 @@
-"""JSON forms of the store's items, changes and transactions.
+"""JSON encoding of the store's items, changes and transactions.
 
 Values are bytes in this interface and base64 text on the wire.
 """
--- a/trefoilhook/platform/tests/test_reachability.py
+++ b/trefoilhook/platform/tests/test_reachability.py
@@ -1,4 +1,4 @@
-"""Tests of probes, waits and given up calls around outages, on virtual time."""
+"""Tests of probes, waits and abandoned calls during outages, on virtual time."""
 
 import unittest
 from collections import Counter
@@ -13,28 +13,28 @@
 _INSTANCES = 45
 _OUTAGE_S = 6.0
 _RETURN_BOUND_MS = 650.0
-"""Bound from a service's return to the end of every wait for it, in ms: the longest
-interval between two probes, and an answer."""
+"""Maximum time from the recovery of a service to the end of every wait for it, in ms:
+the longest interval between two probes, and an answer."""
 
 
 class _Service:
-    """A service that is silent until ``back_s``, or refuses calls if ``refuses``."""
+    """A service that is unresponsive until ``recovery_s``, or refuses calls."""
 
-    def __init__(self, *, back_s: float, refuses: bool = False) -> None:
-        self.back_s = back_s
+    def __init__(self, *, recovery_s: float, refuses: bool = False) -> None:
+        self.recovery_s = recovery_s
         self.refuses = refuses
         self.calls_s: list[float] = []
 
-    async def answer(self, reach: Reachability, clock: Clock) -> bool:
+    async def answer(self, reachability: Reachability, clock: Clock) -> bool:
         """Answer one probe, and record its outcome."""
         sent_ms = clock.monotonic_ms()
         self.calls_s.append(trio.current_time())
-        if trio.current_time() >= self.back_s:
-            reach.record_answer(sent_ms)
+        if trio.current_time() >= self.recovery_s:
+            reachability.record_answer(sent_ms)
             return True
         if not self.refuses:
             await trio.sleep(1.0)
-        reach.record_failure(sent_ms)
+        reachability.record_failure(sent_ms)
         return False
 
 
@@ -50,48 +50,48 @@
     ) -> None:
         async def run_one() -> None:
             clock = build_system_clock()
-            reach = Reachability(clock=clock)
+            reachability = Reachability(clock=clock)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(
-                    reach.run_probes, lambda: service.answer(reach, clock)
+                    reachability.run_probes, lambda: service.answer(reachability, clock)
                 )
-                await scenario(reach, clock)
+                await scenario(reachability, clock)
                 nursery.cancel_scope.cancel()
 
         async def main() -> None:
             start_s = trio.current_time()
-            service.back_s += start_s
+            service.recovery_s += start_s
             async with trio.open_nursery() as nursery:
                 for _ in range(instances):
                     nursery.start_soon(run_one)
             service.calls_s = [at_s - start_s for at_s in service.calls_s]
-            service.back_s -= start_s
+            service.recovery_s -= start_s
 
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
     def test_callers_resume_soon_after_the_return(self):
-        # Failure: each caller waits for a timeout of its own once the store is back.
+        # Guards against callers that wait for their own timeouts after the recovery.
         for refuses in (False, True):
             waited_s: list[float] = []
 
-            async def wait(reach: Reachability, clock: Clock) -> None:
+            async def wait(reachability: Reachability, clock: Clock) -> None:
                 began_s = trio.current_time()
-                reach.record_failure(clock.monotonic_ms())
-                await reach.wait_for_retry(200.0, limit_ms=60_000.0)
+                reachability.record_failure(clock.monotonic_ms())
+                await reachability.wait_for_retry(200.0, limit_ms=60_000.0)
                 waited_s.append(trio.current_time() - began_s)  # noqa: B023
 
             with self.subTest(refuses=refuses):
-                self._run(_Service(back_s=_OUTAGE_S, refuses=refuses), wait)
+                self._run(_Service(recovery_s=_OUTAGE_S, refuses=refuses), wait)
                 late_ms = (waited_s[0] - _OUTAGE_S) * 1000.0
                 self.assertTrue(0.0 <= late_ms <= _RETURN_BOUND_MS, late_ms)
 
     def test_instances_do_not_return_together(self):
-        # Failure: all instances call the store in the moment of its return.
-        service = _Service(back_s=_OUTAGE_S)
+        # Guards against instances that all call the store as soon as it recovers.
+        service = _Service(recovery_s=_OUTAGE_S)
 
-        async def wait(reach: Reachability, clock: Clock) -> None:
-            reach.record_failure(clock.monotonic_ms())
-            await reach.wait_for_retry(200.0, limit_ms=60_000.0)
+        async def wait(reachability: Reachability, clock: Clock) -> None:
+            reachability.record_failure(clock.monotonic_ms())
+            await reachability.wait_for_retry(200.0, limit_ms=60_000.0)
 
         self._run(service, wait, instances=_INSTANCES)
         for second, calls in Counter(map(int, service.calls_s)).items():
@@ -102,102 +102,104 @@
         self.assertLessEqual(max(slots.values()), _INSTANCES // 2)
 
     def test_call_sent_into_the_outage_is_given_up(self):
-        # Failure: a watch sent into the outage is waited for after the store's return.
-        given_up: dict[str, bool] = {}
+        # Guards against waiting after the recovery for a call sent during the outage.
+        abandoned: dict[str, bool] = {}
         ended_ms: dict[str, float] = {}
 
         async def wait(name: str, call: PendingCall) -> None:
             with call.scope:
                 await trio.sleep(2.0)
-            given_up[name] = call.scope.cancelled_caught
+            abandoned[name] = call.scope.cancelled_caught
             ended_ms[name] = trio.current_time() * 1000.0
 
-        async def scenario(reach: Reachability, clock: Clock) -> None:
-            reach.record_failure(clock.monotonic_ms())
+        async def scenario(reachability: Reachability, clock: Clock) -> None:
+            reachability.record_failure(clock.monotonic_ms())
             await trio.sleep(1.3)
             old = PendingCall(sent_ms=clock.monotonic_ms())
-            reach.begin_call(old)
+            reachability.begin_call(old)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(wait, "old", old)
                 await trio.sleep(0.65)
                 read = PendingCall(sent_ms=clock.monotonic_ms(), is_repeatable=True)
-                reach.begin_call(read)
+                reachability.begin_call(read)
                 nursery.start_soon(wait, "read", read)
                 await trio.sleep(0.05)
-                await reach.wait_for_retry(0.0, limit_ms=60_000.0)
-                ended_ms["back"] = reach.back_ms
+                await reachability.wait_for_retry(0.0, limit_ms=60_000.0)
+                ended_ms["recovered"] = reachability.recovered_ms
                 young = PendingCall(sent_ms=clock.monotonic_ms())
-                reach.begin_call(young)
+                reachability.begin_call(young)
                 nursery.start_soon(wait, "young", young)
 
-        self._run(_Service(back_s=2.0), scenario)
-        self.assertEqual(given_up, {"old": True, "read": True, "young": False})
-        self.assertLess(ended_ms["read"] - ended_ms["back"], 1.0)
+        self._run(_Service(recovery_s=2.0), scenario)
+        self.assertEqual(abandoned, {"old": True, "read": True, "young": False})
+        self.assertLess(ended_ms["read"] - ended_ms["recovered"], 1.0)
 
     def test_lost_answer_gives_up_watches_only(self):
-        # Failure: one lost answer gives up the commits beside it, whose effect is then
-        # unknown, or a watch lost with it is waited for.
-        given_up: dict[float, bool] = {}
+        # Guards against abandoning concurrent commits, whose effect is then unknown,
+        # because of one lost answer, and against waiting for a watch lost with it.
+        abandoned: dict[float, bool] = {}
 
-        async def scenario(reach: Reachability, clock: Clock) -> None:
+        async def scenario(reachability: Reachability, clock: Clock) -> None:
             commit = PendingCall(sent_ms=clock.monotonic_ms())
             watch = PendingCall(sent_ms=clock.monotonic_ms(), wait_ms=1000.0)
             for call in (commit, watch):
-                reach.begin_call(call)
+                reachability.begin_call(call)
             await trio.sleep(0.5)
-            reach.record_failure(clock.monotonic_ms())
-            await reach.wait_for_retry(200.0)
-            self.assertFalse(reach.is_away)
+            reachability.record_failure(clock.monotonic_ms())
+            await reachability.wait_for_retry(200.0)
+            self.assertFalse(reachability.is_unavailable)
             for call in (commit, watch):
-                given_up[call.wait_ms] = call.scope.deadline <= trio.current_time()
+                abandoned[call.wait_ms] = call.scope.deadline <= trio.current_time()
 
-        service = _Service(back_s=0.0)
+        service = _Service(recovery_s=0.0)
         self._run(service, scenario)
-        self.assertEqual(given_up, {0.0: False, 1000.0: True})
+        self.assertEqual(abandoned, {0.0: False, 1000.0: True})
         self.assertEqual(len(service.calls_s), 1)
 
     def test_stuck_watch_beside_answered_calls(self):
-        # Failure: a watch on a dead connection is waited for until its timeout, or
-        # callers refuse work because of it, although the store answers other calls.
-        async def scenario(reach: Reachability, clock: Clock) -> None:
+        # Guards against waiting for a watch on a dead connection until its timeout, and
+        # against refusing work because of it while the store answers other calls.
+        async def scenario(reachability: Reachability, clock: Clock) -> None:
             began_ms = clock.monotonic_ms()
             watch = PendingCall(sent_ms=began_ms, wait_ms=1000.0, is_repeatable=True)
-            reach.begin_call(watch)
+            reachability.begin_call(watch)
             for after_ms, is_stuck in ((1500.0, False), (1700.0, True)):
                 await clock.sleep_ms(began_ms + after_ms - clock.monotonic_ms())
-                reach.record_answer(clock.monotonic_ms() - 1.0)
+                reachability.record_answer(clock.monotonic_ms() - 1.0)
                 found = watch.scope.deadline <= trio.current_time()
-                self.assertEqual((found, reach.is_suspect), (is_stuck, False))
-            reach.record_failure(began_ms)
-            self.assertFalse(reach.is_suspect)
+                self.assertEqual((found, reachability.is_suspect), (is_stuck, False))
+            reachability.record_failure(began_ms)
+            self.assertFalse(reachability.is_suspect)
 
-        service = _Service(back_s=0.0)
+        service = _Service(recovery_s=0.0)
         self._run(service, scenario)
         self.assertEqual(service.calls_s, [])
 
     def test_idle_instance_finds_the_store_away(self):
-        # Failure: an instance with a pending watch only takes requests until its
-        # timeout, 2 s into the outage, and holds them.
-        verdicts: list[tuple[float, bool]] = []
+        # Guards against an instance with only a pending watch that accepts and holds
+        # requests until the watch times out, 2 s into the outage.
+        results: list[tuple[float, bool]] = []
 
-        async def scenario(reach: Reachability, clock: Clock) -> None:
+        async def scenario(reachability: Reachability, clock: Clock) -> None:
             began_ms = clock.monotonic_ms()
-            reach.begin_call(PendingCall(sent_ms=began_ms, wait_ms=1000.0))
+            reachability.begin_call(PendingCall(sent_ms=began_ms, wait_ms=1000.0))
             await trio.sleep(1.85)
-            await reach.wait_for_verdict(10_000.0)
-            verdicts.append((clock.monotonic_ms() - began_ms, reach.is_away))
-
-        self._run(_Service(back_s=_OUTAGE_S), scenario)
-        ((after_ms, is_away),) = verdicts
-        self.assertTrue(is_away)
+            await reachability.wait_for_probe_result(10_000.0)
+            results.append(
+                (clock.monotonic_ms() - began_ms, reachability.is_unavailable)
+            )
+
+        self._run(_Service(recovery_s=_OUTAGE_S), scenario)
+        ((after_ms, is_unavailable),) = results
+        self.assertTrue(is_unavailable)
         self.assertLessEqual(after_ms, 2300.0)
 
     def test_pending_watch_does_not_end_refusals(self):
-        # Failure: a watch pending since before counts as the return of a store that
-        # still refuses this instance's calls.
-        reach = Reachability(clock=build_boottime_clock())
-        reach.record_failure(1000.0)
-        reach.record_answer(900.0)
-        self.assertTrue(reach.is_suspect)
-        reach.record_answer(1100.0)
-        self.assertFalse(reach.is_suspect)
+        # Guards against treating the answer to an earlier watch as the recovery of a
+        # store that still refuses this instance's calls.
+        reachability = Reachability(clock=build_boottime_clock())
+        reachability.record_failure(1000.0)
+        reachability.record_answer(900.0)
+        self.assertTrue(reachability.is_suspect)
+        reachability.record_answer(1100.0)
+        self.assertFalse(reachability.is_suspect)
--- a/trefoilhook/platform/worker_answers.py
+++ b/trefoilhook/platform/worker_answers.py
@@ -131,8 +131,8 @@
     Raises
     ------
     DecodeError
-        If the clock or a list is missing, or the birth of the process is unreadable, so
-        that the answer proves nothing.
+        If the clock or a list is missing, or the start time of the process is
+        unreadable, so that the answer proves nothing.
     """
     table = parse_object(data)
     running, ends, unreadable = _decode_rows(table)
--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -29,7 +29,7 @@
 from trefoilhook.runtime.job_api import JobApi
 from trefoilhook.runtime.metrics import ProcessMetrics, render
 from trefoilhook.runtime.ownership import Ownership, ShardElection
-from trefoilhook.runtime.recovery import Recovery, RecoveryStep
+from trefoilhook.runtime.recovery import RecoveryStep, RecoveryTracker
 from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.runtime.shard import ShardOwner, ShardSettings
 from trefoilhook.scheduling import Configuration, Features
@@ -140,7 +140,7 @@
                 "store_answers": lambda: float(self._store.answers),
                 "store_failures": lambda: float(self._store.failures),
                 "store_silent_ms": self._measure_silence,
-                "store_away": lambda: float(self._store.is_away),
+                "store_away": lambda: float(self._store.is_unavailable),
             }
         )
         self._job_api = JobApi(
@@ -222,9 +222,9 @@
         return self._measure_silence() < _STORE_UNREACHABLE_AFTER_MS
 
     def _may_call_store(self) -> bool:
-        # Readiness depends on the silence only: an instance that leaves the rotation in
-        # each short outage would move its clients to others that are no better off.
-        return not self._store.is_away and self._is_store_reachable()
+        # Not used for readiness: leaving the rotation in each short outage would move
+        # clients to other instances, which are affected as well.
+        return not self._store.is_unavailable and self._is_store_reachable()
 
     def _measure_silence(self) -> float:
         """Return the time since the store's last known answer, in ms."""
@@ -256,11 +256,13 @@
             if change.item is not None:
                 self._take_configuration(change.item)
 
-        recovery = Recovery(store=self._store, clock=self._clock, metrics=self.metrics)
+        recovery = RecoveryTracker(
+            store=self._store, clock=self._clock, metrics=self.metrics
+        )
 
         def note_read() -> None:
             self._evacuation_feed.note_read()
-            recovery.note(RecoveryStep.UP_TO_DATE)
+            recovery.record(RecoveryStep.UP_TO_DATE)
 
         await follow(
             self._store,
--- a/trefoilhook/runtime/following.py
+++ b/trefoilhook/runtime/following.py
@@ -69,7 +69,7 @@
             continue
         except StoreError:
             failed()
-            # Starts may be held back until an answer proves that all changes are known.
+            # Starts may be delayed until an answer shows that all changes are known.
             wait_ms = 0
             await store.wait_for_retry(_RETRY_PAUSE_MS)
             continue
--- a/trefoilhook/runtime/job_api.py
+++ b/trefoilhook/runtime/job_api.py
@@ -75,7 +75,8 @@
 is served sooner by another instance, or by the same one a second later."""
 
 _MAX_PROBE_WAIT_MS = 450.0
-"""Maximum wait of a submission until a probe shows whether the store is away, in ms."""
+"""Maximum wait of a submission for a probe to show whether the store is unavailable, in
+ms."""
 
 _MAX_CACHED_PHASES = 2000
 """Maximum number of ended jobs with a cached phase. Each takes 200 bytes."""
@@ -244,14 +245,14 @@
 
     async def _is_store_answering(self) -> bool:
         if self._is_store_reachable():
-            await self._store.wait_for_verdict(_MAX_PROBE_WAIT_MS)
+            await self._store.wait_for_probe_result(_MAX_PROBE_WAIT_MS)
         return self._is_store_reachable()
 
     async def _wait_for_retry(self, until_ms: float) -> bool:
-        """Wait before another attempt; return whether it is in time and may succeed."""
+        """Wait before a retry; return whether it is in time and the store reachable."""
         await self._clock.sleep_ms(_RETRY_PAUSE_MS)
         remaining_ms = max(0.0, until_ms - self._clock.monotonic_ms())
-        await self._store.wait_for_verdict(remaining_ms)
+        await self._store.wait_for_probe_result(remaining_ms)
         in_time = self._clock.monotonic_ms() < until_ms
         return in_time and self._is_store_reachable()
 
@@ -345,7 +346,7 @@
     # Cancellation.
 
     async def _cancel(self, request: HttpRequest, target: _Target) -> HttpResponse:
-        """Cancel a job; status 504 only if a write without an answer was sent."""
+        """Cancel a job; return status 504 only if a write may have taken effect."""
         began_ms = self._clock.monotonic_ms()
         timeout_ms = read_client_timeout(request, default_ms=_DEFAULT_TIMEOUT_MS)
         unanswered: list[StoreError] = []
--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -218,9 +218,9 @@
 
     def _can_claim(self) -> bool:
         is_backoff_over = self._clock.monotonic_ms() >= self._no_claim_before_ms
-        # The loss had a cause that has ended. If only this instance had been cut off,
-        # another one would own the shard by now.
-        is_cause_over = self._store.back_ms >= self._released_ms
+        # The store was unavailable and has recovered. If only this instance had been
+        # partitioned from it, another one would own the shard by now.
+        is_cause_over = self._store.recovered_ms >= self._released_ms
         return (is_backoff_over or is_cause_over) and self._may_claim()
 
     async def _claim(self, epoch: Item | None) -> None:
@@ -304,8 +304,8 @@
             revision=ownership.owner_revision,
         )
         self._ownership = ownership
-        # Until its key is gone, no other instance can claim.
-        self._store.set_urgent(True)
+        # No other instance can claim until the key of this one is removed.
+        self._store.set_frequent_probing(True)
         if self._resigned:
             ownership.ended.set()
         try:
@@ -333,7 +333,7 @@
         if self._stale_lease:
             await self._store.revoke_lease(self._stale_lease)
             self._stale_lease = 0
-            self._store.set_urgent(False)
+            self._store.set_frequent_probing(False)
 
     async def _renew(self, ownership: Ownership) -> None:
         """Renew the lease, and end the ownership once the lease may have expired."""
--- a/trefoilhook/runtime/polling.py
+++ b/trefoilhook/runtime/polling.py
@@ -114,10 +114,10 @@
             result = await self._poll(worker, client, sent_ms)
             self._metrics.count("looks")
             if self._scheduler.workers.get(worker_id) is not worker:
-                # Meanwhile replaced by its next incarnation, or removed.
+                # Replaced by its next incarnation or removed during the poll.
                 break
             if isinstance(result, PollAnswer):
-                worker = self._follow_restart(worker, result)
+                worker = self._resolve_restart(worker, result)
                 outages.record_answer(sent_ms=sent_ms)
                 self._log_ends(worker, result)
                 is_first = not worker.has_answered_token
@@ -147,8 +147,8 @@
             worker.record_failed_call(result, self._clock.monotonic_ms())
             await self._clock.sleep_ms(_POLL_RETRY_PAUSE_MS)
 
-    def _follow_restart(self, worker: Worker, answer: PollAnswer) -> Worker:
-        """Return the incarnation that gave an answer."""
+    def _resolve_restart(self, worker: Worker, answer: PollAnswer) -> Worker:
+        """Return the incarnation that gave an answer, logging a restart."""
         if not has_restarted(worker, answer.born_ms):
             return worker
         now_ms = self._clock.monotonic_ms()
@@ -170,7 +170,7 @@
         if not isinstance(result, PollAnswer):
             return result
         if is_outdated_answer(worker, result.born_ms):
-            reason = "born: of an earlier incarnation"
+            reason = "born: belongs to an earlier incarnation"
             self._rejections.report(Event.ANSWER_INVALID, worker_id, reason)
             return OrderOutcome.NO_ANSWER
         if not result.unreadable:
--- a/trefoilhook/runtime/reservations.py
+++ b/trefoilhook/runtime/reservations.py
@@ -22,7 +22,7 @@
     log_event(
         Event.WORKER_RESERVED,
         worker=reservation.worker_id,
-        step=_name(change),
+        step=_format_step(change),
         why=change.reason.value,
         cpu=reservation.demand.cpu,
         due_ms=round(reservation.due_ms - reservation.begun_ms),
@@ -34,11 +34,11 @@
     log_event(
         Event.RESERVATION_ENDED,
         worker=reservation.worker_id,
-        step=_name(change),
+        step=_format_step(change),
         why=change.reason.value,
         lasted_ms=round(change.at_ms - reservation.begun_ms),
     )
 
 
-def _name(change: ReservationChange) -> str:
+def _format_step(change: ReservationChange) -> str:
     return ".".join(map(str, change.reservation.step))
--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -62,7 +62,7 @@
     Attributes
     ----------
     workers : tuple of str
-        Incarnations in the roster in the store.
+        Incarnations listed in the stored roster.
     """
 
     def __init__(
--- a/trefoilhook/runtime/settlement.py
+++ b/trefoilhook/runtime/settlement.py
@@ -24,8 +24,8 @@
 every worker is reachable is normally settled earlier, and logs no such line."""
 
 
-def _list_ids(incarnations: Sequence[str]) -> list[str]:
-    """Return the ids of the first workers, by which other log lines name them."""
+def _list_worker_ids(incarnations: Sequence[str]) -> list[str]:
+    """Return the worker ids to log, which other log lines use as well."""
     return [get_worker_id(name) for name in incarnations[:_MAX_LOGGED_WORKERS]]
 
 
@@ -81,7 +81,7 @@
             Event.SHARD_SETTLED,
             epoch=self._ownership.epoch,
             after_ms=round(after_ms),
-            unheard=_list_ids(list_unreported(self._scheduler, self.roster)),
+            unheard=_list_worker_ids(list_unreported(self._scheduler, self.roster)),
             **self._build_hold_fields(now_ms),
         )
         return True
@@ -109,7 +109,7 @@
                 epoch=self._ownership.epoch,
                 after_ms=round(now_ms - self._ownership.claimed_ms),
                 awaited=len(awaited),
-                workers=_list_ids(awaited),
+                workers=_list_worker_ids(awaited),
                 **self._build_hold_fields(now_ms),
             )
 
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -30,7 +30,7 @@
 from trefoilhook.runtime.orders import execute_order
 from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Ownership
 from trefoilhook.runtime.polling import WorkerPoller
-from trefoilhook.runtime.recovery import Recovery, RecoveryStep
+from trefoilhook.runtime.recovery import RecoveryStep, RecoveryTracker
 from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.runtime.reservations import report_reservations
 from trefoilhook.runtime.roster import Roster
@@ -77,9 +77,8 @@
 rate."""
 
 _MAX_IDLE_CONNECTIONS = 1024
-"""Maximum number of idle connections to workers. A poll of each worker is always in
-flight; together with those of 3,000 workers, half of an instance's file descriptors
-remain for clients."""
+"""Maximum number of idle connections to workers. Together with the permanent polls of
+3,000 workers, they leave half of an instance's file descriptors for clients."""
 
 _LEASE_MARGIN_MS = 300.0
 """Safety margin added to the time for which orders of a previous owner can take effect,
@@ -226,8 +225,8 @@
             ownership=ownership,
             metrics=metrics,
         )
-        self._recovery = Recovery(store=store, clock=clock, metrics=metrics)
-        self._recovery.note(RecoveryStep.CLAIMED)
+        self._recovery = RecoveryTracker(store=store, clock=clock, metrics=metrics)
+        self._recovery.record(RecoveryStep.CLAIMED)
         self._lag = LoopLag()
         lag = self._lag
         # Captures no reference to this owner, which the gauge would keep alive after
@@ -491,4 +490,4 @@
         if outcome is not OrderOutcome.DONE:
             self.wake()
         elif isinstance(order, StartOrder):
-            self._recovery.note(RecoveryStep.STARTED)
+            self._recovery.record(RecoveryStep.STARTED)
--- a/trefoilhook/runtime/tests/test_following.py
+++ b/trefoilhook/runtime/tests/test_following.py
@@ -1,4 +1,4 @@
-"""Tests of how soon the followed keys are up to date again after a failed watch."""
+"""Tests that followed keys are soon up to date after a failed watch."""
 
 import unittest
 
@@ -12,7 +12,7 @@
 
 _TIMEOUT_MS = 1000.0
 _MAX_DELAY_MS = 250.0
-"""Bound of the first read after a failed watch, in ms: its pause and one answer."""
+"""Maximum time from a failed watch to the next read, in ms: a pause and one answer."""
 
 
 class _Store:
@@ -37,10 +37,11 @@
 
 
 class FollowTest(unittest.TestCase):
-    """Virtual time."""
+    """Tests of `follow` on virtual time."""
 
     def test_first_watch_after_a_failure_proves_freshness_at_once(self):
-        # Failure: after an outage, no task starts until a quiet watch ends.
+        # Guards against starting no task after an outage until a watch without changes
+        # ends.
         store, failed_ms, read_ms = _Store(), [], []
 
         async def main() -> None:
--- a/trefoilhook/runtime/tests/test_incarnations.py
+++ b/trefoilhook/runtime/tests/test_incarnations.py
@@ -1,4 +1,4 @@
-"""Tests of workers that restart under their ids, over real sockets."""
+"""Tests of workers that restart under the same id, over real sockets."""
 
 import types
 import unittest
@@ -23,7 +23,7 @@
 from trefoilhook.standins.platform_worker import PlatformWorker, WorkerFault
 
 JOB = "00000000000000b1"
-_DOWN_MS = 60.0
+_DOWNTIME_MS = 60.0
 """Duration of a restart, in ms: shorter than the pause between two polls."""
 
 
@@ -45,11 +45,11 @@
     """A worker restarts while it runs a task."""
 
     def test_restart_is_seen_in_an_answer(self):
-        # Guards against an owner that waits for a task of a process that is gone.
+        # Guards against an owner that waits for a task of a process that has ended.
         async def scenario(cluster: Cluster) -> None:
             worker = await start_job(cluster)
             with capture_lines() as lines:
-                await worker.restart(down_ms=_DOWN_MS)
+                await worker.restart(down_ms=_DOWNTIME_MS)
                 await cluster.wait_for_state(cluster.instances[0], JOB, "completed")
             (line,) = [x for x in lines if x["event_name"] == "WORKER_LOST"][-1:]
             self.assertEqual((line["why"], line["seen_in"]), ("restarted", "answer"))
@@ -59,12 +59,12 @@
         run_cluster(scenario, instances=1, task_ms=800.0)
 
     def test_restart_is_seen_in_the_entry(self):
-        # Guards against a task that waits until its silent worker can be reached, as
-        # the entry is renewed by the next process.
+        # Guards against a task that waits for its unreachable worker because the next
+        # process renews the entry.
         async def scenario(cluster: Cluster) -> None:
             worker = await start_job(cluster)
             worker.fault = WorkerFault.SILENT
-            await worker.restart(down_ms=_DOWN_MS)
+            await worker.restart(down_ms=_DOWNTIME_MS)
             write_entry(cluster, worker)
             with trio.fail_after(4.0):
                 await cluster.wait_for_state(cluster.instances[0], JOB, "completed")
@@ -78,7 +78,7 @@
         # Guards against a worker that is no longer polled once it has restarted.
         async def scenario(cluster: Cluster) -> None:
             worker = await start_job(cluster)
-            await worker.restart(down_ms=_DOWN_MS)
+            await worker.restart(down_ms=_DOWNTIME_MS)
             write_entry(cluster, worker)
             await cluster.wait_for_state(cluster.instances[0], JOB, "completed")
             for run in cluster.list_runs():
@@ -90,13 +90,13 @@
         run_cluster(scenario, instances=1, workers=1, task_ms=300.0)
 
     def test_owner_is_killed_before_it_sees_the_restart(self):
-        # Guards against a next owner that takes the new process for the one that the
-        # roster means, or waits for that.
+        # Guards against a next owner that mistakes the new process for the one in the
+        # roster, or waits for the old one.
         async def scenario(cluster: Cluster) -> None:
             owner = await cluster.wait_for_owner()
             worker = await start_job(cluster)
             worker.fault = WorkerFault.SILENT
-            await worker.restart(down_ms=_DOWN_MS)
+            await worker.restart(down_ms=_DOWNTIME_MS)
             owner.scope.cancel()
             await owner.ended.wait()
             worker.fault = WorkerFault.NONE
@@ -108,8 +108,8 @@
         run_cluster(scenario, task_ms=800.0)
 
     def test_late_start_reaches_the_next_process(self):
-        # Guards against two runs of a task: its start got no answer, and is executed
-        # after the worker has restarted.
+        # Guards against two runs of a task whose unanswered start is executed after the
+        # worker has restarted.
         async def scenario(cluster: Cluster) -> None:
             owner = await cluster.wait_for_owner()
             for each in cluster.workers.values():
@@ -118,7 +118,7 @@
             await trio.sleep(0.15)
             for each in cluster.workers.values():
                 each.fault = WorkerFault.NONE
-                await each.restart(down_ms=_DOWN_MS)
+                await each.restart(down_ms=_DOWNTIME_MS)
                 write_entry(cluster, each)
             await cluster.wait_for_state(owner, JOB, "completed")
             await trio.sleep(0.7)
@@ -131,8 +131,8 @@
     """Acknowledgements after a failed call."""
 
     def test_silent_worker_is_sent_no_acknowledgement(self):
-        # Guards against discarding ends of a process that has not reported them: it may
-        # have replaced, under the same id, the one whose ends were acknowledged.
+        # Guards against discarding unreported ends of a new process with the same id as
+        # the one whose ends were acknowledged.
         shard = Shard(workers=0)
         shard.add_worker("w0", born_ms=1_000)
         worker = shard.scheduler.workers["w0"]
@@ -147,7 +147,7 @@
 
 
 class ReplacedWorkerTest(unittest.TestCase):
-    """The entry shows a restart while a call to the previous process is under way."""
+    """The entry shows a restart while a call to the previous process is in flight."""
 
     def setUp(self):
         self.shard = Shard(workers=0)
@@ -164,7 +164,7 @@
         return workers["w0"]
 
     def execute(self, outcome: OrderOutcome) -> Worker:
-        """Send the start, and return the worker that replaces its own meanwhile."""
+        """Send the start; return the worker that replaces the old one meanwhile."""
         client = types.SimpleNamespace()
 
         async def start(order: StartOrder) -> OrderOutcome:
@@ -187,8 +187,8 @@
         return client.successor
 
     def test_order_outcome_does_not_concern_the_successor(self):
-        # Guards against a successor that is removed, taken for silent or seen as
-        # running the task, by an answer that its predecessor's connection gave.
+        # Guards against applying an outcome of the predecessor to the successor, which
+        # would be removed, marked as silent or taken to run the task.
         for outcome in (
             OrderOutcome.OTHER_INCARNATION,
             OrderOutcome.NO_ANSWER,
@@ -207,8 +207,8 @@
         self.assertTrue(self.shard.scheduler.is_superseded)
 
     def test_answer_to_poll_is_discarded(self):
-        # Guards against an empty list of the previous process that proves the starts of
-        # the next one over.
+        # Guards against an empty answer of the previous process that ends the runs of
+        # the next one.
         client = types.SimpleNamespace()
         late = self.shard.workers["w0"].answer_poll(self.shard.now_ms)
 
--- a/trefoilhook/runtime/tests/test_outages.py
+++ b/trefoilhook/runtime/tests/test_outages.py
@@ -1,4 +1,4 @@
-"""Tests of the fleet's return to work after an outage of the store."""
+"""Tests of the recovery of the fleet after an outage of the store."""
 
 import unittest
 
@@ -18,7 +18,7 @@
 _OTHER = "00000000000000d2"
 _OUTAGE_MS = 6000.0
 _RESUME_MS = 1000.0
-"""Bound from the store's return to the first start, in ms: what callers need."""
+"""Maximum time from the recovery of the store to the first start, in ms."""
 
 _OWNER_LEASE_MS = 2000.0
 _EVACUATING = attrs.evolve(BOUNDS, evacuation_ms=5000.0)
@@ -28,16 +28,16 @@
     for _ in range(instances):
         await cluster.start_instance(bounds=_EVACUATING)
     owner = await cluster.wait_for_owner()
-    # Its first task ends in the longer outages, without an owner to start the second.
+    # In the longer outages, the first task ends while no owner can start the second.
     await cluster.send(owner, "POST", PREFIX + _JOB, build_body(1, 1))
     await cluster.wait_until(lambda: bool(cluster.list_runs()))
 
 
 async def _resume(cluster: Cluster) -> float:
-    """End the outage; return the time until a job sent in again starts, in ms."""
+    """End the outage; return the time until a newly submitted job starts, in ms."""
     instance = next(each for each in cluster.instances if not each.ended.is_set())
     cluster.store.fault = StoreFault.NONE
-    back_ms = cluster.clock.monotonic_ms()
+    recovered_ms = cluster.clock.monotonic_ms()
 
     async def is_accepted() -> bool:
         target = PREFIX + _OTHER
@@ -49,14 +49,15 @@
     await cluster.wait_until(
         lambda: any(run.task.startswith(_OTHER) for run in cluster.list_runs())
     )
-    return cluster.clock.monotonic_ms() - back_ms
+    return cluster.clock.monotonic_ms() - recovered_ms
 
 
 class OutageTest(unittest.TestCase):
-    """A store that accepts calls and answers nothing, or refuses them."""
+    """The store accepts calls without answering them, or refuses them."""
 
     def test_fleet_works_soon_after_the_return(self):
-        # Failure: claims, watches and starts wait for timeouts after the return.
+        # Guards against claims, watches and starts that wait for timeouts after the
+        # recovery.
         for fault, outage_ms in (
             (StoreFault.SILENT, 1300.0),
             (StoreFault.SILENT, _OUTAGE_MS),
@@ -78,14 +79,15 @@
                 self.assertLess(await _resume(cluster), _RESUME_MS)
                 await cluster.wait_for_state(owner, _JOB, "completed")
                 self.assertEqual(cluster.find_duplicate_runs(), [])
-                # Probes each 375 ms at least, of the owner 150 ms; some calls before.
+                # The shortest probe intervals are 375 ms, and 150 ms for the owner. The
+                # constant allows for calls before the first probe.
                 self.assertLess(calls, outage_ms / 375.0 + outage_ms / 150.0 + 20)
 
             with self.subTest(fault=fault, outage_ms=outage_ms):
                 run_cluster(scenario, instances=0, task_ms=2800.0)
 
     def test_outage_in_which_the_owner_ends(self):
-        # Failure: the owner's process is gone, and its key blocks claims for its lease.
+        # Guards against a claim delayed beyond the lease of an owner that has ended.
         async def scenario(cluster: Cluster) -> None:
             await _start(cluster)
             owner = await cluster.wait_for_owner()
@@ -93,7 +95,7 @@
             await cluster.clock.sleep_ms(_OUTAGE_MS / 2)
             owner.scope.cancel()
             await cluster.clock.sleep_ms(_OUTAGE_MS / 2)
-            # The store may suspend leases while it is away.
+            # The store may suspend leases during an outage.
             self.assertLess(await _resume(cluster), _OWNER_LEASE_MS + _RESUME_MS)
             (other,) = [each for each in cluster.instances if each is not owner]
             await cluster.wait_for_state(other, _JOB, "completed")
@@ -102,8 +104,8 @@
         run_cluster(scenario, instances=0, task_ms=2800.0)
 
     def test_only_instance_claims_again_soon(self):
-        # Failure: an owner that lost its lease because of the store doesn't claim for
-        # the time after which a machine's own trouble is expected to be over.
+        # Guards against an owner that lost its lease in a store outage and still waits
+        # for the backoff meant for failures of its own machine.
         async def scenario(cluster: Cluster) -> None:
             await _start(cluster, instances=1)
             owner = await cluster.wait_for_owner()
@@ -116,13 +118,13 @@
         run_cluster(scenario, instances=0, task_ms=2800.0)
 
     def test_requests_during_the_outage(self):
-        # Failure: requests are sent into a store known to be away, and their callers
-        # told after a timeout that they may have been carried out.
+        # Guards against sending requests to a store known to be unavailable and then
+        # reporting an unknown outcome to the callers.
         async def scenario(cluster: Cluster) -> None:
             (instance,) = cluster.instances
             await cluster.send(instance, "POST", PREFIX + _JOB, build_body())
             cluster.store.fault = StoreFault.SILENT
-            # Sent when nothing tells that the store is away, so it may be written.
+            # The outage is not known yet, so the outcome of the write is unknown.
             answer = await cluster.send(instance, "POST", PREFIX + _OTHER, build_body())
             self.assertEqual(answer.status, 504)
             began_ms = cluster.clock.monotonic_ms()
--- a/trefoilhook/scheduling/crash_records.py
+++ b/trefoilhook/scheduling/crash_records.py
@@ -11,7 +11,7 @@
     SuspectUnit,
     attribute_to_units,
     find_cause,
-    list_exposed,
+    list_exposed_runs,
     partition_runs,
 )
 from trefoilhook.scheduling.fleet import Worker
@@ -44,7 +44,7 @@
     silence.is_recorded = True
     if find_cause(scheduler, worker, now_ms) is not LossCause.CRASHED:
         return
-    runs = list_exposed(worker)
+    runs = list_exposed_runs(worker)
     units, _ = partition_runs(scheduler, worker, runs, now_ms)
     units.sort(key=lambda unit: unit.ran_ms)
     for unit in units[:_MAX_EXPOSED_RUNS]:
--- a/trefoilhook/scheduling/crashes.py
+++ b/trefoilhook/scheduling/crashes.py
@@ -29,7 +29,7 @@
     "attribute_to_units",
     "find_cause",
     "handle_worker_loss",
-    "list_exposed",
+    "list_exposed_runs",
     "partition_runs",
 ]
 
@@ -76,7 +76,7 @@
 
 def attribute_loss(scheduler: Scheduler, worker: Worker, now_ms: float) -> None:
     """Evaluate which tasks may have caused the end of a worker incarnation."""
-    runs = list_exposed(worker)
+    runs = list_exposed_runs(worker)
     if not runs:
         return
     cause = find_cause(scheduler, worker, now_ms)
@@ -96,11 +96,11 @@
     )
 
 
-def list_exposed(worker: Worker) -> list[Run]:
-    """Return the runs that may have ended the process of a worker.
+def list_exposed_runs(worker: Worker) -> list[Run]:
+    """Return the runs that may have crashed the process of a worker.
 
-    Guards against a crash that counts for a task which never ran there: its start was
-    sent just after the connections of the process had been closed.
+    Excludes unconfirmed starts sent after the connections of the process were closed,
+    so that a crash does not count for a task that never ran there.
     """
     silence = worker.silence
     return [
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -24,21 +24,25 @@
 
 
 _MAX_UNANSWERED_STARTS = 64
-"""Number of released runs that are kept per worker in case it restarts: more than the
-tasks that it can hold."""
+"""Maximum number of released runs kept per worker in case it restarts; exceeds the
+number of tasks that fit on a worker."""
 
-_BIRTH_SEPARATOR = "@"
-"""Separates the id of a worker and the start of its process; not allowed in ids."""
+_INCARNATION_SEPARATOR = "@"
+"""Separates the worker id from the start time of the process; not allowed in ids."""
 
 
 def _name_incarnation(worker_id: str, born_ms: int | None) -> str:
-    """Return the name of an incarnation: the id alone if its start is not known."""
-    return worker_id if born_ms is None else f"{worker_id}{_BIRTH_SEPARATOR}{born_ms}"
+    """Return the name of an incarnation: only the id if the start time is unknown."""
+    return (
+        worker_id
+        if born_ms is None
+        else f"{worker_id}{_INCARNATION_SEPARATOR}{born_ms}"
+    )
 
 
 def get_worker_id(incarnation: str) -> str:
     """Return the id of the worker of a named incarnation."""
-    return incarnation.partition(_BIRTH_SEPARATOR)[0]
+    return incarnation.partition(_INCARNATION_SEPARATOR)[0]
 
 
 _PROCESS_ENDED = frozenset(
@@ -233,7 +237,7 @@
     report : WorkerReport
         Its latest entry in the store.
     born_ms : int or None
-        Start of its process, in ms since the Unix epoch, if the platform tells it.
+        Start of its process, in ms since the Unix epoch, if the platform reports it.
     listed : bool
         Whether its entry is in the store.
     has_answered_token : bool
@@ -273,8 +277,8 @@
     acknowledged : int
         Number up to which the worker may discard ends.
     unanswered_starts : deque of Run
-        Its latest released runs with a start order that was never answered, which a
-        next incarnation might still execute.
+        Its latest released runs whose start order was never answered and might still be
+        executed by the next incarnation.
     silence : Silence or None
         Set if an order or a poll has failed since the last answered poll.
     has_awaited_runs : bool
@@ -349,7 +353,7 @@
 
     @property
     def incarnation(self) -> str:
-        """Name of the incarnation, which differs from that of any restart."""
+        """Name of the incarnation, which changes with each restart."""
         return _name_incarnation(self.report.worker_id, self.born_ms)
 
     @property
--- a/trefoilhook/scheduling/incarnations.py
+++ b/trefoilhook/scheduling/incarnations.py
@@ -1,11 +1,11 @@
 """Restarts of workers under the same id.
 
 One incarnation of a worker is identified by its id and the start of its process. A
-restarted worker runs nothing, has seen no fencing token, and its clock and the numbers
-of its ends begin again. A `Worker` therefore describes one incarnation and is replaced
+restarted worker runs nothing, has seen no fencing token, and resets its clock and the
+numbers of its ends. A `Worker` therefore describes one incarnation and is replaced
 as a whole. Only starts that may still be executed are transferred to the successor: an
-order names the id alone, so that the new process would accept a start that was meant
-for its predecessor.
+order contains only the id, so that the new process would accept a start intended for
+its predecessor.
 """
 
 import attrs
@@ -24,9 +24,9 @@
     "resolve_incarnation",
 ]
 
-_LEASES_OF_LATE_START = 2.0
-"""Leases for which an unanswered start may still lead to a run: an order is valid for
-one lease, and the attempt runs for one more."""
+_LATE_START_LEASES = 2.0
+"""Number of lease durations for which an unanswered start may lead to a run: the order
+is valid for one lease, and the attempt runs for one more."""
 
 
 def has_restarted(worker: Worker, born_ms: int | None) -> bool:
@@ -40,7 +40,7 @@
     """Return whether an answer was given by an earlier incarnation than ``worker``.
 
     Until the worker answers, its incarnation is only known from its entry, which may
-    have been written by another process; the answer then decides.
+    have been written by another process; the first answer takes precedence.
     """
     return (
         worker.has_answered_token
@@ -57,8 +57,8 @@
     -------
     bool
         Whether the entry describes the worker's current incarnation. Otherwise it is
-        outdated or was written by another process: no task is started on the worker,
-        and nothing else is concluded.
+        outdated or was written by another process, and only prevents starts on the
+        worker.
     """
     worker = scheduler.workers.get(report.worker_id)
     if worker is not None and has_restarted(worker, report.born_ms):
@@ -84,8 +84,8 @@
     if is_outdated_answer(worker, born_ms):
         return None
     if has_restarted(worker, born_ms):
-        # The entry still describes the predecessor, whose capacity may be another one
-        # and which may have been draining.
+        # The entry still describes the predecessor, which may have been draining and
+        # had another capacity.
         report = attrs.evolve(
             worker.report, born_ms=born_ms, draining=False, remaining_ms=0.0
         )
@@ -102,9 +102,9 @@
 def _replace(
     scheduler: Scheduler, worker: Worker, report: WorkerReport, now_ms: float
 ) -> Worker:
-    """Replace a worker by its next incarnation; its tasks wait again."""
+    """Replace a worker by its next incarnation and requeue its tasks."""
     attribute_loss(scheduler, worker, now_ms)
-    valid_ms = _LEASES_OF_LATE_START * scheduler.limits.task_lease_ms
+    valid_ms = _LATE_START_LEASES * scheduler.limits.task_lease_ms
     held = [run for run in worker.runs.values() if _may_still_start(run)]
     unresolved = [
         run
@@ -131,16 +131,16 @@
 
 
 def _transfer(scheduler: Scheduler, successor: Worker, run: Run) -> None:
-    """Hold a start on the next incarnation until that has confirmed a stop order.
+    """Hold a start on the next incarnation until it has confirmed a stop order.
 
-    Guards against two runs of a task: its start order, delayed beyond the restart, is
+    Guards against two runs of a task: a start order delayed beyond the restart is
     executed by the new process while the task already runs elsewhere.
     """
     state = scheduler.jobs.get(run.task.job_id)
     task = state.find_task(run.task) if state is not None else None
     if task is not None:
         if all(attempt.run is not run for attempt in task.attempts):
-            # Released before; later attempts may have progressed further.
+            # Already released; later attempts may have progressed further.
             run.checkpoint = ""
         task.detach(run)
         if not task.done and not task.attempts:
--- a/trefoilhook/scheduling/lease_expiry.py
+++ b/trefoilhook/scheduling/lease_expiry.py
@@ -21,7 +21,7 @@
     for worker in list(scheduler.workers.values()):
         if worker.silence is None and worker.listed:
             continue
-        # One that has never answered only holds runs that its predecessor left.
+        # A worker that has never answered only holds runs of its predecessor.
         if not (worker.has_answered_token or worker.runs):
             continue
         if not worker.has_expired_leases(now_ms):
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -52,8 +52,8 @@
     unreachable worker is given up once the longest lease has expired and its entry is
     no longer in the store. While the entry exists, the worker is alive and may hold the
     end of a completed task, which would run twice if it were started again elsewhere.
-    An entry of a later incarnation does not count: its process holds no such end, and
-    only the leases of starts that may have reached it are waited for.
+    An entry of a later incarnation does not count: its process holds no such end. Only
+    the leases of starts that may have reached it must expire.
     """
     return not list_awaited(scheduler, roster, now_ms)
 
--- a/trefoilhook/scheduling/tests/test_cancellations.py
+++ b/trefoilhook/scheduling/tests/test_cancellations.py
@@ -1,4 +1,4 @@
-"""Tests that the runs of cancelled jobs are stopped, whatever else happens to them."""
+"""Tests that the runs of cancelled jobs are stopped under all conditions."""
 
 import unittest
 
@@ -21,7 +21,7 @@
 
 
 def cancel(shard: Shard) -> None:
-    """Cancel the job, and save it."""
+    """Cancel the job and save the cancellation."""
     shard.scheduler.cancel_job("j", revision=3)
     shard.save()
 
@@ -46,10 +46,10 @@
 
 
 class LateStartTest(unittest.TestCase):
-    """The worker starts the task late, after the cancellation."""
+    """The worker executes a start after the cancellation."""
 
     def start_unanswered(self) -> tuple[Shard, StartOrder]:
-        """Send a start that gets no answer, and cancel the job."""
+        """Send a start that is not answered, and cancel the job."""
         shard = Shard(workers=1)
         shard.submit(build_job(SMALL))
         (start,) = list_starts(shard.plan())
@@ -67,14 +67,14 @@
         self.assertEqual(list_stops(shard), [stop])
 
     def test_late_run_is_stopped_once_it_is_listed(self):
-        # Guards against a run that goes on: it began although its stop was answered, or
-        # after its job was forgotten.
-        for is_forgotten in (False, True):
-            with self.subTest(is_forgotten=is_forgotten):
+        # Guards against a run that continues because it began after its stop was
+        # answered or its job was removed.
+        for is_job_removed in (False, True):
+            with self.subTest(is_job_removed=is_job_removed):
                 shard, start = self.start_unanswered()
                 shard.step()
                 shard.step()
-                if is_forgotten:
+                if is_job_removed:
                     shard.scheduler.remove_ended_jobs()
                     shard.scheduler.remove_ended_jobs()
                     self.assertEqual(shard.scheduler.jobs, {})
@@ -85,11 +85,12 @@
                 self.assertEqual(shard.count_running(), 0)
 
 
-class RemovedStarterTest(unittest.TestCase):
+class ReplacedOwnerTest(unittest.TestCase):
     """The owner that started the task is replaced."""
 
     def test_owner_is_replaced_before_or_after_the_cancellation(self):
-        # Guards against a run whose starter is gone before it has stopped it.
+        # Guards against a run that is not stopped because the owner that started it was
+        # replaced.
         for is_cancelled_before in (False, True):
             with self.subTest(is_cancelled_before=is_cancelled_before):
                 first = Shard(workers=1)
@@ -100,12 +101,12 @@
                 later.add_worker("w0")
                 if not is_cancelled_before:
                     cancel(later)
-                # Not settled yet: other workers of the roster have not answered.
+                # Not settled: other workers of the roster have not answered yet.
                 later.step()
                 self.assertEqual(later.count_running(), 0)
 
     def test_cancelled_before_the_worker_can_be_reached(self):
-        # Guards against a stop that is forgotten as no run was known at the time.
+        # Guards against a missing stop because no run was known at the cancellation.
         first = Shard(workers=1)
         first.submit(build_job(SMALL))
         first.start_one()
@@ -139,13 +140,14 @@
         shard.scheduler.mark_unlisted("w0")
 
     def lose_store(self, shard: Shard) -> None:
-        """Let the entries become too old for starts."""
+        """Advance time until the entries are too old for starts."""
         shard.reads_entries = False
         shard.advance_time(60_000.0)
         shard.poll("w0")
 
     def test_run_is_stopped(self):
-        # Guards against a stop that is withheld like a start.
+        # Guards against stops that are suppressed under the conditions that suppress
+        # starts.
         for change in (
             self.drain,
             self.evacuate,
--- a/trefoilhook/scheduling/tests/test_incarnations.py
+++ b/trefoilhook/scheduling/tests/test_incarnations.py
@@ -1,4 +1,4 @@
-"""Tests of workers that restart under the id that they had."""
+"""Tests of workers that restart under the same id."""
 
 import unittest
 
@@ -36,7 +36,7 @@
 
 
 class RestartCase(unittest.TestCase):
-    """Base class: one task runs on the first of two workers, which tell their birth."""
+    """One task runs on the first of two workers that report their process start."""
 
     def setUp(self):
         self.shard = Shard(workers=0)
@@ -52,7 +52,7 @@
         return self.shard.scheduler.workers["w0"]
 
     def plan_saved(self) -> list[StartOrder]:
-        """Return the starts of one plan, once the store has roster and suspects."""
+        """Return the planned starts once the roster and the suspects are saved."""
         for worker in self.shard.scheduler.workers.values():
             worker.is_in_roster = worker.has_answered_token
         planned = list_starts(self.shard.plan())
@@ -60,7 +60,7 @@
         return planned + list_starts(self.shard.plan())
 
     def restart(self) -> int:
-        """Restart the first worker; nobody has seen it yet."""
+        """Restart the first worker without reporting the restart to the owner."""
         self.shard.advance_time(50.0)
         self.shard.workers["w0"].restart(self.shard.now_ms)
         return self.shard.workers["w0"].born_ms
@@ -87,15 +87,15 @@
     """The restart is seen in the answer to a poll."""
 
     def test_task_of_previous_process_restarts_once(self):
-        # Guards against a task that waits for the report of a process that is gone.
+        # Guards against a task that waits for the report of a process that has ended.
         self.restart()
         self.shard.poll("w0")
         (start,) = self.plan_saved()
         self.assertEqual(start.worker_id, "w1")
 
     def test_clock_and_leases_begin_again(self):
-        # Guards against leases that never seem to expire, and against deadlines on the
-        # clock of the previous process.
+        # Guards against leases that never expire and deadlines on the clock of the
+        # previous process.
         earlier_ms = self.worker.lease_until_ms
         self.restart()
         self.shard.poll("w0")
@@ -103,8 +103,8 @@
         self.assertLess(self.worker.lease_until_ms, earlier_ms)
 
     def test_ends_are_numbered_anew(self):
-        # Guards against ends of the new process that are taken for old ones, and
-        # against acknowledgements of ends that it has not reported.
+        # Guards against ignoring ends of the new process as already applied, and
+        # against acknowledging ends that it has not reported.
         for number in range(3):
             self.shard.submit(build_job(SMALL, job_id=f"a{number}"))
             self.shard.end(self.shard.start_one(), EndKind.DONE)
@@ -121,8 +121,8 @@
         self.assertFalse(self.shard.scheduler.jobs["j"].is_open)
 
     def test_nothing_starts_before_the_entry_is_renewed(self):
-        # Guards against starts beyond a capacity that was reported by the previous
-        # process: the new one may be of another kind.
+        # Guards against starts based on the capacity of the previous process, which may
+        # differ from that of the new one.
         born_ms = self.restart()
         self.shard.poll("w0")
         self.shard.scheduler.exclude_worker("w1")
@@ -152,7 +152,7 @@
         self.assertIsNone(tickets.find(step, "w0", self.shard.now_ms))
 
     def test_answer_of_previous_process_arrives_late(self):
-        # Guards against taking runs of a process that is gone for those of the new one.
+        # Guards against attributing runs of the previous process to the new one.
         late = self.shard.workers["w0"].answer_poll(self.shard.now_ms)
         self.restart()
         self.shard.poll("w0")
@@ -162,7 +162,7 @@
         self.assertEqual(self.worker.runs, {})
 
     def test_answers_without_birth(self):
-        # Earlier deployments do not tell it: one worker is one incarnation.
+        # Older platforms do not report the process start; a worker is one incarnation.
         shard = Shard(workers=1)
         worker = shard.scheduler.workers["w0"]
         shard.workers["w0"].restart(shard.now_ms)
@@ -176,8 +176,8 @@
     """The restart is seen in the store, while the worker cannot be reached."""
 
     def test_unreachable_worker_restarts(self):
-        # Guards against a task that waits for a listed but silent worker: it restarted
-        # behind a network partition, faster than its entry expired.
+        # Guards against a task that waits for a listed but unreachable worker, which
+        # restarted during a network partition before its entry expired.
         self.shard.silence("w0")
         self.shard.advance_time(2 * TASK_LEASE_MS)
         self.shard.poll("w1")
@@ -192,7 +192,8 @@
         self.assertEqual(self.shard.plan(), [])
 
     def test_entry_of_previous_process_arrives_late(self):
-        # Guards against the capacity of a previous process, and against its end.
+        # Guards against applying the capacity and the draining state of the previous
+        # process.
         born_ms = self.restart()
         self.shard.poll("w0")
         self.write_entry(born_ms)
@@ -203,7 +204,7 @@
         self.assertTrue(self.worker.usable)
 
     def test_entry_without_birth_is_foreign(self):
-        # Guards against an entry of another writer that ends the runs of a worker.
+        # Guards against ending a worker's runs because of an entry of another writer.
         self.assertFalse(self.write_entry(None))
         self.assertFalse(self.worker.usable)
         self.assertEqual(len(self.worker.runs), 1)
@@ -211,8 +212,8 @@
         self.assertEqual(len(self.worker.runs), 1)
 
     def test_later_entry_is_foreign(self):
-        # Guards against a worker that stays unusable because of an entry with a birth
-        # that it never had: its answers decide.
+        # Guards against a worker that stays unusable because of an entry with a wrong
+        # process start; the worker's answers take precedence.
         self.write_entry(BORN_MS + 10**12)
         self.answer(BORN_MS)
         self.assertEqual((self.worker.born_ms, self.worker.usable), (BORN_MS, False))
@@ -242,7 +243,7 @@
         ]
 
     def restart_late(self, *, seen_in_entry: bool = False) -> None:
-        """Restart the worker of the late start, and see it."""
+        """Restart the worker of the late start, and let the owner detect it."""
         shard = self.shard
         shard.advance_time(50.0)
         shard.workers[self.worker_id].restart(shard.now_ms)
@@ -254,7 +255,7 @@
         apply_report(shard.scheduler, report, shard.now_ms)
 
     def test_start_is_ruled_out_first(self):
-        # Guards against two runs of a task, one by an order that outlived a restart.
+        # Guards against two runs of a task, one by an order from before the restart.
         self.restart_late()
         shard = self.shard
         (stop,) = self.find_orders(StopOrder)
@@ -277,8 +278,8 @@
         self.assertEqual(shard.count_running("late"), 1)
 
     def test_start_that_was_ruled_out_before(self):
-        # Guards against a second run of a task: the stop that ruled its start out was
-        # answered by the previous process, which the next one knows nothing of.
+        # Guards against a second run of a task because the stop was confirmed by the
+        # previous process but is unknown to the next one.
         shard = self.shard
         shard.scheduler.cancel_job("late", revision=3)
         (stop,) = self.find_orders(StopOrder)
@@ -292,8 +293,8 @@
         self.assertEqual((again.task, again.attempt), (stop.task, stop.attempt))
 
     def test_waiting_task_is_held(self):
-        # Guards against a second run while the next process may execute the first
-        # start: the task waited again, as the previous process had ruled it out.
+        # Guards against a second run of a task that was requeued after its lease
+        # expired, while the next process may still execute the first start.
         shard = self.shard
         worker = shard.scheduler.workers[self.worker_id]
         run = worker.runs[self.late.task, self.late.attempt]
@@ -318,7 +319,7 @@
         self.assertEqual(checkpoints[0, 0, 0], "later")
 
     def test_old_start_is_not_held(self):
-        # Guards against a task that stays bound to a process that is gone.
+        # Guards against holding a task for a start that can no longer be executed.
         run = self.shard.scheduler.workers[self.worker_id].runs[
             self.late.task, self.late.attempt
         ]
@@ -327,8 +328,8 @@
         self.assertEqual(len(self.find_orders(StartOrder)), 1)
 
     def test_silent_successor_holds_the_start_for_its_leases(self):
-        # Guards against a task that waits for ever, and against one that starts while
-        # the order that its worker may have received is still valid.
+        # Guards against a task that waits forever, and against a second start while the
+        # first order is still valid.
         self.restart_late(seen_in_entry=True)
         shard = self.shard
         shard.silence(self.worker_id)
@@ -341,7 +342,7 @@
         self.assertEqual(len(self.find_orders(StartOrder)), 1)
 
     def test_cancelled_job(self):
-        # Guards against a task that runs on after its job was cancelled.
+        # Guards against a task that continues after its job was cancelled.
         self.restart_late()
         shard = self.shard
         shard.scheduler.cancel_job("late", revision=3)
@@ -351,10 +352,10 @@
 
 
 class CrashLossTest(RestartCase):
-    """A task that crashes workers which restart under their ids."""
+    """A task crashes workers that restart under the same id."""
 
     def crash(self) -> None:
-        """End the process of the first worker, and let it refuse a connection."""
+        """Report a lost and then a refused connection to the first worker."""
         shard = self.shard
         shard.scheduler.entries.note_read(shard.now_ms)
         shard.silence("w0", OrderOutcome.CONNECTION_LOST)
@@ -363,7 +364,7 @@
         shard.plan()
 
     def test_answer_of_successor_retracts_nothing(self):
-        # Guards against a crash loop that is never found.
+        # Guards against a crash loop that is never detected.
         self.crash()
         self.restart()
         self.shard.poll("w0")
@@ -379,8 +380,8 @@
         self.assertEqual(suspicion.crashes if suspicion is not None else 0, 0)
 
     def test_owner_dies_between_crash_and_restart(self):
-        # Guards against a next owner that takes the successor for the worker that
-        # crashed, and drops the evidence.
+        # Guards against a next owner that mistakes the successor for the crashed worker
+        # and discards the evidence.
         self.crash()
         self.restart()
         later = take_over(self.shard)
@@ -402,8 +403,8 @@
     """The owner is killed between a restart and its detection."""
 
     def test_task_of_previous_process_restarts_once(self):
-        # Guards against a next owner that waits for a worker of the roster whose
-        # process is gone, although its id answers.
+        # Guards against a next owner that waits for a process of the roster that has
+        # ended although its successor answers.
         self.restart()
         later = take_over(self.shard)
         self.assertTrue(is_settled(later.scheduler, ["w0", "w1"], later.now_ms))
@@ -413,8 +414,8 @@
         self.assertEqual(later.count_running(), 1)
 
     def test_late_start_runs_on_the_next_process(self):
-        # Guards against a second run of a task whose order outlived both the process
-        # that it was meant for and its sender.
+        # Guards against a second run of a task whose start order is executed after the
+        # intended process and the sending owner have ended.
         self.restart()
         self.shard.workers["w0"].run(self.order)
         later = take_over(self.shard)
@@ -423,8 +424,8 @@
         self.assertEqual(later.count_running(), 1)
 
     def test_late_start_of_cancelled_job(self):
-        # Guards against a run that nobody stops: its starter is gone, and its job was
-        # cancelled before it began.
+        # Guards against a run that is never stopped because its job was cancelled
+        # before it began and the owner that started it has ended.
         self.shard.scheduler.cancel_job("j", revision=3)
         self.shard.save()
         self.restart()
@@ -435,8 +436,8 @@
         self.assertEqual(later.count_running(), 0)
 
     def test_unreachable_successor_is_not_awaited(self):
-        # Guards against a shard that no task is started in for as long as a worker is
-        # cut off from the next owner: its process restarted, and the entry is renewed.
+        # Guards against a shard that stays unsettled while a restarted worker, whose
+        # entry is renewed, is unreachable for the next owner.
         born_ms = self.restart()
         self.write_entry(born_ms)
         roster = [f"w0@{BORN_MS}", f"w1@{BORN_MS}"]
@@ -449,8 +450,8 @@
             self.assertFalse(is_settled(later.scheduler, roster, later.now_ms))
 
     def test_restart_during_takeover(self):
-        # Guards against runs that the new owner holds for ever: the worker restarts
-        # after it has answered the new owner.
+        # Guards against runs held forever by the new owner because the worker restarts
+        # after answering it.
         later = take_over(self.shard)
         self.assertEqual(len(later.scheduler.workers["w0"].runs), 1)
         later.advance_time(50.0)
@@ -465,7 +466,7 @@
 
 
 def take_over(first: Shard, *, unreachable: str = "") -> Shard:
-    """Return the shard of the next owner, loaded from what was saved."""
+    """Return the shard of the next owner, loaded from the saved state."""
     later = Shard(workers=0, epoch=first.scheduler.epoch + 1, settled=False)
     later.now_ms = first.now_ms + 500.0
     later.scheduler.entries.note_read(later.now_ms)
@@ -479,7 +480,7 @@
             progress=decode_progress(encode_progress(state.progress)),
             progress_revision=9,
         )
-    # The entries are those of the processes that the first owner knew.
+    # The entries describe the incarnations known to the first owner.
     for worker_id, worker in first.scheduler.workers.items():
         if worker_id == unreachable:
             apply_report(later.scheduler, worker.report, later.now_ms)
--- a/trefoilhook/soak/faults.py
+++ b/trefoilhook/soak/faults.py
@@ -27,17 +27,17 @@
 """Mean pause between two changes of a worker's capacity, in s."""
 
 _MEAN_RESTART_PAUSE_S = 2.0
-"""Mean pause between two restarts of workers under their ids, in s."""
+"""Mean pause between two restarts of workers under the same id, in s."""
 
-_MIN_DOWN_MS = 20.0
-_MAX_DOWN_MS = 1500.0
-"""Range of the durations of such restarts, in ms: shorter than a poll's pause up to
-several polls, and always shorter than the life of a worker's entry."""
+_MIN_DOWNTIME_MS = 20.0
+_MAX_DOWNTIME_MS = 1500.0
+"""Range of the durations of such restarts, in ms: from less than the pause between two
+polls to several polls, but less than the lifetime of a worker's entry."""
 
-_CUT_RESTART_SHARE = 0.5
-"""Fraction of these restarts that a network partition hides."""
+_PARTITIONED_RESTART_FRACTION = 0.5
+"""Fraction of these restarts that occur during a network partition."""
 
-_MAX_CUT_S = 2.0
+_MAX_PARTITION_S = 2.0
 """Maximum time for which the partition outlasts the restart, in s."""
 
 _MEAN_EVACUATION_PAUSE_S = 3.0
@@ -90,7 +90,7 @@
     evacuation_rng : random.Random
         Random generator for evacuations of failure domains.
     restart_rng : random.Random
-        Random generator for restarts of workers under their ids.
+        Random generator for restarts of workers under the same id.
 
     Attributes
     ----------
@@ -148,7 +148,7 @@
             self._fleet.resize_worker(worker_index, WORKER_CPU)
 
     async def _restart_workers(self, duration_s: float) -> None:
-        """Restart random workers under their ids for the given time."""
+        """Restart random workers under the same id for the given time."""
         async with trio.open_nursery() as nursery:
             with trio.move_on_after(duration_s):
                 while True:
@@ -159,19 +159,19 @@
     async def _restart_worker(self) -> None:
         rng = self._restart_rng
         worker_index = rng.choice(sorted(self._fleet.workers))
-        down_ms = rng.uniform(_MIN_DOWN_MS, _MAX_DOWN_MS)
-        is_cut = rng.random() < _CUT_RESTART_SHARE
-        cut_s = rng.uniform(0.0, _MAX_CUT_S)
-        is_listed_late = rng.random() < _CUT_RESTART_SHARE
-        self._record(f"restart worker {worker_index}{' behind a cut' * is_cut}")
+        down_ms = rng.uniform(_MIN_DOWNTIME_MS, _MAX_DOWNTIME_MS)
+        is_partitioned = rng.random() < _PARTITIONED_RESTART_FRACTION
+        partition_s = rng.uniform(0.0, _MAX_PARTITION_S)
+        is_listed_late = rng.random() < _PARTITIONED_RESTART_FRACTION
+        self._record(f"restart worker {worker_index}{' behind a cut' * is_partitioned}")
         link = self._fleet.workers[worker_index].link
-        if is_cut:
+        if is_partitioned:
             link.set(CutSettings(partition=Partition.SILENT))
         await self._fleet.restart_worker(worker_index, down_ms=down_ms)
         if not is_listed_late:
             self._fleet.register_worker(worker_index)
-        if is_cut:
-            await trio.sleep(cut_s)
+        if is_partitioned:
+            await trio.sleep(partition_s)
             link.set(CutSettings())
         self._fleet.register_worker(worker_index)
 
--- a/trefoilhook/standins/platform_worker.py
+++ b/trefoilhook/standins/platform_worker.py
@@ -15,7 +15,7 @@
 
 
 _MAX_LEASE_MS = 6000.0
-"""Maximum lease, to which a longer one is shortened, in ms."""
+"""Maximum lease in ms; longer ones are shortened to it."""
 
 
 class WorkerFault(enum.Enum):
@@ -250,13 +250,13 @@
     async def restart(self, *, down_ms: float) -> None:
         """Crash the worker and start it again under its id.
 
-        The new process holds nothing of before, and its counts and its clock begin
-        again; the entry in the store is left to the caller.
+        The new process has no state of the previous one, and its counters and its clock
+        are reset. The caller has to renew the entry in the store.
 
         Parameters
         ----------
         down_ms : float
-            Time for which it does not respond, in ms.
+            Time for which the worker does not respond, in ms.
         """
         self.power_off()
         await self._clock.sleep_ms(down_ms)
