Hold starts that the next process may have confirmed, and add no calls on refusals

A review showed by tests without a network (now in test_incarnations) that a restart under the same id could lead to two runs: a start that the next process had executed and confirmed before the owner knew of it was released with the old one; and a late start executed by the next process holds the longest lease that a worker grants, as its deadline is on the old clock, while the owner counted two of its own leases.

A 429 counts as an answer, so that probes over the rate limit do not report the store as away.

read_roster of the runtime tests keeps unknown names, so that equality with the ids is as strict as it was on the raw list.

--- a/trefoilhook/platform/reachability.py
+++ b/trefoilhook/platform/reachability.py
@@ -100,6 +100,7 @@
         self._pending: set[PendingCall] = set()
         self._answered_sent_ms = float("-inf")
         self._failed_sent_ms = float("-inf")
+        self._has_lost_calls = False
         self._suspected = trio.Event()
         self._recovered = trio.Event()
         self._resolved = trio.Event()
@@ -121,13 +122,20 @@
         """Remove a call that was answered, failed or abandoned."""
         self._pending.discard(call)
 
-    def record_failure(self, sent_ms: float) -> None:
-        """Record that a call, sent at ``sent_ms``, was refused or not answered."""
+    def record_failure(self, sent_ms: float, *, is_refusal: bool = False) -> None:
+        """Record that a call, sent at ``sent_ms``, was refused or not answered.
+
+        After a refusal, watches that are pending are not suspected: the service has
+        answered, and sending them again would only add calls that it may refuse.
+        """
         if self.is_suspect:
+            self._has_lost_calls = self._has_lost_calls or not is_refusal
             return
         if sent_ms <= self._answered_sent_ms:
-            self._give_up_watches(self._answered_sent_ms)
+            if not is_refusal:
+                self._give_up_watches(self._answered_sent_ms)
             return
+        self._has_lost_calls = not is_refusal
         self._failed_sent_ms = sent_ms
         self._resolved = trio.Event()
         self._suspected.set()
@@ -157,7 +165,8 @@
         self._recovered = trio.Event()
         self._resolved.set()
         if not self.is_unavailable:
-            self._give_up_watches(sent_ms)
+            if self._has_lost_calls:
+                self._give_up_watches(sent_ms)
             return
         self.is_unavailable = False
         self.recovered_ms = self._clock.monotonic_ms()
--- a/trefoilhook/platform/store.py
+++ b/trefoilhook/platform/store.py
@@ -370,7 +370,11 @@
         call = _CALLS.get(verb, verb)
         self._log.record_failure(call, why, sent_ms=sent_ms, detail=detail)
         if why in _UNAVAILABILITY_FAILURES:
-            self._reachability.record_failure(sent_ms)
+            self._reachability.record_failure(
+                sent_ms, is_refusal=why is CallFailure.UNAVAILABLE
+            )
+        elif why is CallFailure.RATE_LIMITED:
+            self._reachability.record_answer(sent_ms)
 
 
 def _classify_refusal(status: int) -> CallFailure:
--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -315,6 +315,7 @@
             settings=ShardSettings(
                 task_lease_ms=min(_TASK_LEASE_MS, longest_ms),
                 longest_stop_ms=bounds.longest_stop_ms,
+                max_task_lease_ms=bounds.max_task_lease_ms,
                 overload_ms=bounds.overload_ms,
                 status_ms=bounds.status_ms,
                 drain_notice_ms=bounds.drain_notice_ms,
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -100,6 +100,8 @@
         Lease that each poll grants to the tasks on a worker.
     longest_stop_ms : float
         Maximum time that a task takes to stop.
+    max_task_lease_ms : float
+        Maximum lease that a worker grants.
     overload_ms : float
         Maximum time for which a service task may exceed its latency limit.
     status_ms : float
@@ -117,6 +119,7 @@
 
     task_lease_ms: float
     longest_stop_ms: float
+    max_task_lease_ms: float
     overload_ms: float
     status_ms: float
     drain_notice_ms: float
@@ -173,6 +176,7 @@
             limits=SchedulerLimits(
                 task_lease_ms=settings.task_lease_ms,
                 longest_stop_ms=settings.longest_stop_ms,
+                max_task_lease_ms=settings.max_task_lease_ms,
                 settled_at_ms=ownership.claimed_ms + reach_ms + _LEASE_MARGIN_MS,
                 overload_ms=settings.overload_ms,
                 drain_notice_ms=settings.drain_notice_ms,
--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -222,10 +222,10 @@
             await client.close()
 
     def read_roster(self) -> list[str]:
-        """Return the ids of the roster, each of the incarnation that is running."""
+        """Return the roster, with the ids of incarnations that are running."""
         names = self.store.read(keys.roster_key(keys.SHARD)) or []
         running = {f"{i}@{worker.born_ms}": i for i, worker in self.workers.items()}
-        return [running[name] for name in names if name in running]
+        return [running.get(name, name) for name in names]
 
     async def run_failing_service(self, instance: Instance, job_id: str) -> None:
         """Run a service whose only task fails and has no worker to restart on."""
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -45,6 +45,8 @@
         Duration of the lease that each poll renews for the runs of a worker, in ms.
     longest_stop_ms : float
         Maximum time that a task takes to stop, in ms.
+    max_task_lease_ms : float
+        Maximum lease that a worker grants, in ms.
     settled_at_ms : float
         Time from which no unknown run of a previous owner can still exist, in ms.
     overload_ms : float
@@ -62,6 +64,7 @@
     overload_ms: float = 4000.0
     drain_notice_ms: float = 2000.0
     entry_life_ms: float = 4500.0
+    max_task_lease_ms: float = 10_000.0
 
 
 class Scheduler:
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -78,6 +78,8 @@
         Time at which its start order was first sent, in ms.
     is_confirmed : bool
         Whether the worker has confirmed it or reported it as running.
+    has_been_listed : bool
+        Whether a poll has listed it.
     confirmed_ms : float
         Time of the worker's last answer to an order for it, in ms; a later poll that
         does not list it proves that it is over.
@@ -137,6 +139,7 @@
     phase: RunPhase
     started_ms: float
     is_confirmed: bool = False
+    has_been_listed: bool = False
     confirmed_ms: float = float("inf")
     percent: float = 0.0
     load: float = 0.0
--- a/trefoilhook/scheduling/incarnations.py
+++ b/trefoilhook/scheduling/incarnations.py
@@ -24,10 +24,6 @@
     "resolve_incarnation",
 ]
 
-_LATE_START_LEASES = 2.0
-"""Number of lease durations for which an unanswered start may lead to a run: the order
-is valid for one lease, and the attempt runs for one more."""
-
 
 def has_restarted(worker: Worker, born_ms: int | None) -> bool:
     """Return whether ``born_ms`` belongs to a later incarnation than ``worker``."""
@@ -104,7 +100,10 @@
 ) -> Worker:
     """Replace a worker by its next incarnation and requeue its tasks."""
     attribute_loss(scheduler, worker, now_ms)
-    valid_ms = _LATE_START_LEASES * scheduler.limits.task_lease_ms
+    limits = scheduler.limits
+    # The deadline of a late order is on the clock of the previous process, so that the
+    # new one grants the longest possible lease.
+    valid_ms = limits.task_lease_ms + limits.max_task_lease_ms
     held = [run for run in worker.runs.values() if _may_still_start(run)]
     unresolved = [
         run
@@ -126,8 +125,11 @@
 
 
 def _may_still_start(run: Run) -> bool:
-    """Return whether a start order of a run may be executed by the next incarnation."""
-    return run.ambiguous or (run.in_flight and run.is_sent and not run.is_confirmed)
+    """Return whether the next incarnation may have received a start order."""
+    if run.ambiguous or (run.in_flight and run.is_sent and not run.is_confirmed):
+        return True
+    # The answer to the order may have come from the new process; only polls tell.
+    return run.is_confirmed and not run.has_been_listed
 
 
 def _transfer(scheduler: Scheduler, successor: Worker, run: Run) -> None:
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -88,7 +88,11 @@
         scheduler.suspects.retract_losses(worker.incarnation)
         # A previous owner may have just renewed the leases here. Without assuming a
         # full lease, the runs would count as expired and be started again immediately.
-        earlier_ms = answer.clock_ms + scheduler.limits.task_lease_ms
+        limits = scheduler.limits
+        # Before the first answer, a worker holds runs only if late starts for its
+        # previous incarnation may have been executed here.
+        lease_ms = limits.max_task_lease_ms if worker.runs else limits.task_lease_ms
+        earlier_ms = answer.clock_ms + lease_ms
         worker.lease_until_ms = max(worker.lease_until_ms, earlier_ms)
     worker.has_answered_token = True
     if worker.silence is not None:
@@ -154,7 +158,7 @@
         run.confirmed_ms = now_ms
     if not run.is_confirmed or running.percent != run.percent:
         run.progressed_ms = now_ms
-    run.is_confirmed = True
+    run.is_confirmed = run.has_been_listed = True
     run.seen_ms = now_ms
     if running.percent is not None:
         run.percent = running.percent
--- a/trefoilhook/scheduling/tests/test_incarnations.py
+++ b/trefoilhook/scheduling/tests/test_incarnations.py
@@ -16,6 +16,7 @@
     acknowledge,
     apply_poll_answer,
     apply_report,
+    confirm_start,
     decode_progress,
     encode_progress,
     handle_worker_loss,
@@ -336,7 +337,11 @@
         shard.scheduler.mark_unlisted(self.worker_id)
         release_expired(shard.scheduler, shard.now_ms)
         self.assertEqual(self.find_orders(StartOrder), [])
-        shard.advance_time(2.1 * TASK_LEASE_MS)
+        longest_ms = shard.scheduler.limits.max_task_lease_ms
+        shard.advance_time(TASK_LEASE_MS + longest_ms)
+        release_expired(shard.scheduler, shard.now_ms)
+        self.assertEqual(self.find_orders(StartOrder), [])
+        shard.advance_time(0.1 * TASK_LEASE_MS)
         shard.poll("w0" if self.worker_id == "w1" else "w1")
         release_expired(shard.scheduler, shard.now_ms)
         self.assertEqual(len(self.find_orders(StartOrder)), 1)
@@ -351,6 +356,72 @@
         self.assertEqual(shard.count_running("late"), 0)
 
 
+class EarlyStartTest(unittest.TestCase):
+    """A start order that the next process executes before the owner knows of it."""
+
+    def setUp(self):
+        self.shard = Shard(workers=0)
+        for worker_id in ("w0", "w1"):
+            self.shard.add_worker(worker_id, born_ms=1)
+        self.shard.submit(build_job(attrs.evolve(SMALL, long_running=True)))
+        (self.order,) = list_starts(self.shard.plan())
+        confirm_start(self.shard.scheduler, self.order, self.shard.now_ms)
+        self.worker = self.shard.workers[self.order.worker_id]
+
+    def count_runs(self) -> int:
+        """Execute the starts of two plans and return the number of runs."""
+        starts = list_starts(self.shard.plan())
+        self.shard.save()
+        for start in starts + list_starts(self.shard.plan()):
+            self.shard.workers[start.worker_id].run(start)
+        return self.shard.count_running()
+
+    def test_confirmed_by_next_process_before_its_entry(self):
+        # Guards against a second run of a task that the next process has confirmed.
+        self.worker.restart(self.shard.now_ms)
+        self.worker.run(self.order)
+        self.shard.answer(self.order, OrderOutcome.DONE)
+        report = self.shard.scheduler.workers[self.order.worker_id].report
+        report = attrs.evolve(report, born_ms=self.worker.born_ms)
+        apply_report(self.shard.scheduler, report, self.shard.now_ms)
+        self.assertEqual(self.count_runs(), 1)
+
+    def test_confirmed_before_older_answer_of_next_process(self):
+        # Guards against the same if the answer to a poll was overtaken.
+        shard = self.shard
+        self.worker.restart(shard.now_ms)
+        answer = self.worker.answer_poll(shard.now_ms)
+        self.worker.run(self.order)
+        shard.answer(self.order, OrderOutcome.DONE)
+        apply_poll_answer(
+            shard.scheduler,
+            self.order.worker_id,
+            answer,
+            sent_ms=shard.now_ms,
+            now_ms=shard.now_ms + 5.0,
+        )
+        self.assertEqual(self.count_runs(), 1)
+
+    def test_lease_granted_by_next_process_has_expired(self):
+        # Guards against a second run beside one whose lease the next process granted
+        # by its own clock, on which the order is never late.
+        shard = self.shard
+        shard.scheduler.exclude_worker("w1" if self.order.worker_id == "w0" else "w0")
+        shard.answer(self.order, OrderOutcome.NO_ANSWER)
+        self.worker.restart(shard.now_ms)
+        shard.advance_time(3000.0)
+        longest_ms = shard.scheduler.limits.max_task_lease_ms
+        expires_ms = shard.now_ms + longest_ms
+        shard.advance_time(50.0)
+        shard.poll(self.order.worker_id)
+        shard.silence(self.order.worker_id)
+        while not shard.scheduler.waiting and shard.now_ms < expires_ms + longest_ms:
+            shard.advance_time(20.0)
+            release_expired(shard.scheduler, shard.now_ms)
+        self.assertGreaterEqual(shard.now_ms, expires_ms)
+        self.assertTrue(shard.scheduler.waiting)
+
+
 class CrashLossTest(RestartCase):
     """A task crashes workers that restart under the same id."""
 
