--- a/trefoilhook/http/client.py
+++ b/trefoilhook/http/client.py
@@ -96,7 +96,7 @@
         max_connections: int = 64,
         max_response_bytes: int = 8_388_608,
         tls: ssl.SSLContext | None = None,
-        idle_limit: IdleLimit | None = None,
+        idle_limit: IdleLimit[Connection] | None = None,
     ) -> None:
         self._idle_limit = idle_limit
         self._host = host
--- a/trefoilhook/http/idle.py
+++ b/trefoilhook/http/idle.py
@@ -1,18 +1,17 @@
 """Limit on the idle connections of several clients together."""
 
 from collections import deque
-from typing import TYPE_CHECKING
+from typing import Generic, TypeVar
 
 import attrs
 
-if TYPE_CHECKING:
-    from trefoilhook.http.client import Connection
-
 __all__ = ["IdleLimit"]
 
+_Connection = TypeVar("_Connection")
+
 
 @attrs.define(kw_only=True)
-class IdleLimit:
+class IdleLimit(Generic[_Connection]):
     """Limits the idle connections of all clients that share it, in LRU order.
 
     Each client keeps as many connections open as it needed at its peak. With thousands
@@ -25,11 +24,11 @@
     """
 
     max_connections: int
-    _pools: "dict[Connection, deque[Connection]]" = attrs.Factory(dict)
+    _pools: dict[_Connection, deque[_Connection]] = attrs.Factory(dict)
 
     def add(
-        self, connection: "Connection", pool: "deque[Connection]"
-    ) -> "Connection | None":
+        self, connection: _Connection, pool: deque[_Connection]
+    ) -> _Connection | None:
         """Add an idle connection of a client's pool.
 
         Returns
@@ -45,6 +44,6 @@
         self._pools.pop(oldest).remove(oldest)
         return oldest
 
-    def discard(self, connection: "Connection") -> None:
+    def discard(self, connection: _Connection) -> None:
         """Remove a connection that is in use again or closed."""
         self._pools.pop(connection, None)
--- a/trefoilhook/http/json_client.py
+++ b/trefoilhook/http/json_client.py
@@ -6,7 +6,7 @@
 from urllib.parse import urlencode
 
 from trefoilhook.exceptions import AnswerLostError
-from trefoilhook.http.client import HttpClient
+from trefoilhook.http.client import Connection, HttpClient
 from trefoilhook.http.core import Headers, HttpRequest, HttpResponse
 from trefoilhook.http.idle import IdleLimit
 
@@ -33,7 +33,7 @@
         *,
         address: tuple[str, int],
         max_connections: int,
-        idle_limit: IdleLimit | None = None,
+        idle_limit: IdleLimit[Connection] | None = None,
     ) -> None:
         self._http = HttpClient(
             host=address[0],
--- a/trefoilhook/platform/workers.py
+++ b/trefoilhook/platform/workers.py
@@ -11,7 +11,7 @@
     TransportError,
     TransportFailure,
 )
-from trefoilhook.http import HttpResponse, IdleLimit, JsonClient
+from trefoilhook.http import Connection, HttpResponse, IdleLimit, JsonClient
 from trefoilhook.platform.core import parse_response_object
 from trefoilhook.platform.worker_answers import decode_poll_answer
 from trefoilhook.scheduling import (
@@ -78,7 +78,7 @@
         *,
         report: WorkerReport,
         read_timeout: Callable[[], float],
-        idle_limit: IdleLimit | None = None,
+        idle_limit: IdleLimit[Connection] | None = None,
     ) -> None:
         self._client = JsonClient(
             address=(report.host, report.port),
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -9,7 +9,7 @@
 
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import DecodeError
-from trefoilhook.http import IdleLimit
+from trefoilhook.http import Connection, IdleLimit
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import (
     Address,
@@ -222,7 +222,9 @@
             notify=self._wake_all,
         )
         self._clients: dict[str, WorkerClient] = {}
-        self._idle_limit = IdleLimit(max_connections=_MAX_IDLE_CONNECTIONS)
+        self._idle_limit: IdleLimit[Connection] = IdleLimit(
+            max_connections=_MAX_IDLE_CONNECTIONS
+        )
         self._settlement = Settlement(
             clock=clock,
             scheduler=self._scheduler,
