Count the delay of a claim from when the instance may claim

The owner is frontend-plovdiv-9, with 0.3 of a core and 10 Mbit/s; it claimed at -15.3 s beside six idle instances of 2.15 cores and 200 Mbit/s. From 4.7 s on tasks wait, 164 and 457 of two queues at 20.8 s.

Cause: less fit instances leave the first claim to others for 400 ms, counted from the start of the watch. No instance may claim before it has a configuration, which comes later than that, so that all claim at once and the first write wins.

Change: the time counts from when the instance may claim.

--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -182,6 +182,9 @@
         after = listing.as_of
         vacant_since_ms = self._clock.monotonic_ms()
         while not self._resigned:
+            if not self._may_claim():
+                # Fitter instances can't claim yet either.
+                vacant_since_ms = self._clock.monotonic_ms()
             remaining_ms = self._compute_remaining_delay(epoch, vacant_since_ms)
             if owner is None and remaining_ms <= 0 and self._can_claim():
                 await self._claim(epoch)
--- a/trefoilhook/runtime/tests/test_fitness.py
+++ b/trefoilhook/runtime/tests/test_fitness.py
@@ -2,9 +2,11 @@
 
 import unittest
 
+import trio
+
 from trefoilhook.platform import InstanceSize
 from trefoilhook.runtime.fitness import compute_claim_delay, compute_fitness
-from trefoilhook.runtime.tests.cluster import Cluster, run_cluster
+from trefoilhook.runtime.tests.cluster import Cluster, Instance, run_cluster
 
 LARGE = InstanceSize(cores=2.15, link_mbps=200.0)
 SMALL = InstanceSize(cores=0.5, link_mbps=10.0)
@@ -59,6 +61,26 @@
 
         run_cluster(scenario, instances=0)
 
+    def test_first_owner_is_large_if_configuration_comes_late(self):
+        # Guards against a delay in favour of larger instances that is over before any
+        # instance has a configuration and may claim.
+        async def scenario(cluster: Cluster) -> None:
+            configuration = cluster.store.read("op/config")
+            cluster.store.remove("op/config")
+            started: dict[InstanceSize, Instance] = {}
+
+            async def start(size: InstanceSize) -> None:
+                started[size] = await cluster.start_instance(size=size)
+
+            async with trio.open_nursery() as nursery:
+                for size in (SMALL, LARGE):
+                    nursery.start_soon(start, size)
+                    await trio.sleep(0.4)
+                cluster.store.write("op/config", configuration)
+            self.assertIs(await cluster.wait_for_owner(), started[LARGE])
+
+        run_cluster(scenario, instances=0)
+
     def test_first_owner_is_a_large_instance(self):
         async def scenario(cluster: Cluster) -> None:
             small = await cluster.start_instance(size=SMALL)
