Count the reserved workers of a service after the cheap checks

reserve_workers is called in each round for every service step that cannot be placed. The limit by service made it list all open workers and count the reserved ones before it looked at whether any task is unplaced and whether the step is due to be tried again. The order is as before that change now; the outcome is the same. Scheduling tests: 385, OK.

--- a/trefoilhook/scheduling/reserving.py
+++ b/trefoilhook/scheduling/reserving.py
@@ -75,13 +75,13 @@
         or not _is_eligible(scheduler, tasks[0])
     ):
         return
-    workers = assignment_round.list_open(tasks[0])
-    available = int(_MAX_WORKER_SHARE * len(workers)) or 1
-    available -= sum(worker.reservation is not None for worker in workers)
     step = name_step(tasks[0].task)
     unplaced = [task for task in tasks if not task.attempts and task.may_have_run]
     if not unplaced or reservations.retry_ms.get(step, 0.0) > now_ms:
         return
+    workers = assignment_round.list_open(tasks[0])
+    available = int(_MAX_WORKER_SHARE * len(workers)) or 1
+    available -= sum(worker.reservation is not None for worker in workers)
     count = min(
         min(len(unplaced), _MAX_PER_STEP) - reservations.count_step(step), available
     )
