Keep the limits of fillers apart by label and rack

A filler without a label that came after one with a label was tried only on the workers with that label, in each round in which the two waited: 2 of 21 tasks were started where 21 fit.

The limits are kept by label and rack as well.

--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -45,7 +45,9 @@
     reservation_searches: int = 0
     _open: dict[str, list[Worker]] = attrs.Factory(dict)
     _samples: dict[tuple[str, str, str], list[Worker]] = attrs.Factory(dict)
-    _feasible: dict[tuple[str, str], list[tuple[float, Worker]]] = attrs.Factory(dict)
+    _feasible: dict[tuple[str, str, str, str], list[tuple[float, Worker]]] = (
+        attrs.Factory(dict)
+    )
     _free: dict[tuple[str, str], FreeRoom] = attrs.Factory(dict)
     _infeasible: dict[tuple[str, str, str | None], list[tuple[Demand, float]]] = (
         attrs.Factory(dict)
@@ -107,7 +109,13 @@
         queue = state.job.queue
         if not step.filler or queue is None or queue.advice is not None:
             return self.list_candidates(state)
-        placement_key = (queue.service, step.image)
+        # The candidates on a large fleet depend on the label and the rack, too.
+        placement_key = (
+            queue.service,
+            step.image,
+            step.required_label,
+            step.data_rack,
+        )
         feasible = self._feasible.get(placement_key)
         if feasible is None:
             limits = [
--- a/trefoilhook/scheduling/tests/test_sampling.py
+++ b/trefoilhook/scheduling/tests/test_sampling.py
@@ -81,6 +81,16 @@
                 return
         self.fail("the filler was not started within 600 ms")
 
+    def test_filler_is_not_limited_to_sample_of_another_label(self):
+        # Guards against batch tasks that find only the workers with the label that an
+        # earlier task of their image required.
+        for number in range(2):
+            self.shard.add_worker(f"labelled-{number}", labels=("x",))
+        labelled = attrs.evolve(_FILLER, count=1, required_label="x")
+        self.shard.submit(build_job(labelled, job_id="a"))
+        self.shard.submit(build_job(attrs.evolve(_FILLER, count=20), job_id="b"))
+        self.assertEqual(len(list_starts(self.shard.plan())), 21)
+
     def test_task_that_fits_on_one_worker_only_is_placed(self):
         # Guards against a task that is never placed because samples miss its worker.
         self.shard.add_worker("large", cpu=8000)
