Log which configuration version handled each request, and how it was learned

Callers saw requests handled by an older configuration than one that had been confirmed (CONFIG). The logs named the version when it came into force, but not how it was learned, how old the knowledge before it was, nor by which version a request was handled.

CONFIG_IN_FORCE now tells how (start, watch, poll, listing) and the age of the earlier knowledge; REQUEST_HANDLED names version and age for each request; configuration_age_ms is a gauge. The configuration moves from the process into a ConfigurationFeed of its own.

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -90,6 +90,12 @@
     EXECUTOR_CLOSED = (1402, Level.INFO, "An executor's circuit closed.")
     REQUEST_REFUSED = (1403, Level.INFO, "A request was refused; it was not run.")
 
+    REQUEST_HANDLED = (
+        1404,
+        Level.INFO,
+        "A request was answered, by the configuration version named.",
+    )
+
     # 1500: configuration
     CONFIG_IN_FORCE = (1500, Level.INFO, "A configuration revision is in force.")
     CONFIG_STALE = (1501, Level.WARNING, "A stale configuration was ignored.")
@@ -178,6 +184,7 @@
         Event.SHARD_FENCED,
         Event.REQUEST_FAILED,
         Event.REQUEST_REFUSED,
+        Event.REQUEST_HANDLED,
         Event.JOB_ACCEPTED,
         Event.JOB_FINISHED,
         Event.JOB_CANCELLED,
--- /dev/null
+++ b/trefoilhook/runtime/configurations.py
@@ -0,0 +1,105 @@
+"""Applies the operator's configuration in the store, and tracks how current it is."""
+
+import attrs
+
+from trefoilhook.clock import Clock
+from trefoilhook.exceptions import DecodeError
+from trefoilhook.logs import Event, log_event
+from trefoilhook.platform import (
+    CONFIGURATION_KEY,
+    ConfigurationDocument,
+    Item,
+    decode_configuration,
+)
+from trefoilhook.runtime.following import KeyRead
+from trefoilhook.runtime.rejections import Rejections
+from trefoilhook.scheduling import Configuration
+
+__all__ = ["ConfigurationFeed"]
+
+
+class ConfigurationFeed:
+    """Tracks the configuration in force.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time source.
+    rejections : Rejections
+        Receives invalid configurations.
+
+    Attributes
+    ----------
+    configuration : Configuration or None
+        The configuration in force; None before the first one.
+    confirmed_ms : float
+        Monotonic time up to which all changes of it are known, in ms.
+    """
+
+    def __init__(self, *, clock: Clock, rejections: Rejections) -> None:
+        self._clock = clock
+        self._rejections = rejections
+        self._unreported: Item | None = None
+        self.configuration: Configuration | None = None
+        self.confirmed_ms = float("-inf")
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 before the first one."""
+        return self.configuration.version if self.configuration is not None else 0
+
+    def measure_age(self) -> float:
+        """Return the time for which a newer version may be in force, in ms."""
+        return self._clock.monotonic_ms() - self.confirmed_ms
+
+    def take_item(self, item: Item) -> None:
+        """Apply a configuration unless it is invalid or older than the one in force."""
+        if item.key != CONFIGURATION_KEY:
+            return
+        try:
+            document = decode_configuration(item.value)
+        except DecodeError as error:
+            self._reject(item, str(error))
+            return
+        configuration = document.configuration
+        if configuration.version < self.version:
+            log_event(
+                Event.CONFIG_STALE,
+                version=configuration.version,
+                in_force=self.version,
+                revision=item.revision,
+            )
+            return
+        self._report_problems(item, document)
+        if self.configuration is not None:
+            # Jobs of a removed route keep running on the workers of its service.
+            services = configuration.services | self.configuration.services
+            configuration = attrs.evolve(configuration, services=services)
+        self.configuration = configuration
+        self._unreported = item
+
+    def note_read(self, read: KeyRead) -> None:
+        """Record a read of the operator's keys whose changes have been applied."""
+        age_ms = self.measure_age()
+        self.confirmed_ms = max(self.confirmed_ms, read.confirmed_ms)
+        item, self._unreported = self._unreported, None
+        if item is None:
+            return
+        is_first = age_ms == float("inf")
+        log_event(
+            Event.CONFIG_IN_FORCE,
+            version=self.version,
+            revision=item.revision,
+            how="start" if is_first else read.kind.value,
+            **({} if is_first else {"earlier_age_ms": round(age_ms)}),
+        )
+
+    def _report_problems(self, item: Item, document: ConfigurationDocument) -> None:
+        self._rejections.accept(Event.CONFIG_INVALID, item.key)
+        if document.problems:
+            self._reject(item, f"left out: {'; '.join(document.problems)}")
+
+    def _reject(self, item: Item, reason: str) -> None:
+        self._rejections.report(
+            Event.CONFIG_INVALID, item.key, reason, revision=item.revision
+        )
--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -2,30 +2,25 @@
 
 from collections.abc import Awaitable, Callable
 
-import attrs
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.exceptions import DecodeError
 from trefoilhook.http import ConnectionLoss, HttpRequest, HttpResponse, HttpServer
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import (
-    CONFIGURATION_KEY,
     OPERATOR_PREFIX,
     READINESS_PATH,
     Address,
     Change,
-    ConfigurationDocument,
-    Item,
     KeyValueStore,
     Listing,
     ProcessSettings,
-    decode_configuration,
 )
 from trefoilhook.runtime import keys
+from trefoilhook.runtime.configurations import ConfigurationFeed
 from trefoilhook.runtime.evacuations import EvacuationFeed
 from trefoilhook.runtime.fitness import compute_fitness
-from trefoilhook.runtime.following import follow
+from trefoilhook.runtime.following import KeyRead, follow
 from trefoilhook.runtime.job_api import JobApi
 from trefoilhook.runtime.metrics import ProcessMetrics, render
 from trefoilhook.runtime.ownership import Ownership, ShardElection
@@ -107,7 +102,6 @@
         self._store = KeyValueStore(
             address=settings.store_address, timeout_ms=_STORE_TIMEOUT_MS, clock=clock
         )
-        self._configuration: Configuration | None = None
         self.entry_port = 0
         self.readiness_port = 0
         self._draining = False
@@ -115,6 +109,9 @@
         self._answered_ms = clock.monotonic_ms()
         self.metrics = ProcessMetrics()
         self._rejections = Rejections(metrics=self.metrics)
+        self._configuration_feed = ConfigurationFeed(
+            clock=clock, rejections=self._rejections
+        )
         self._evacuation_feed = EvacuationFeed(
             clock=clock,
             rejections=self._rejections,
@@ -126,14 +123,17 @@
             clock=clock,
             name=settings.name,
             run_owner=self._run_owner,
-            may_claim=lambda: self._configuration is not None and not self._draining,
+            may_claim=lambda: self._has_configuration() and not self._draining,
             rejections=self._rejections,
             fitness=compute_fitness(settings.size),
         )
         self.metrics.gauges.update(
             {
                 "is_owner": lambda: float(self._election.is_owner),
-                "configuration_version": self._read_version,
+                "configuration_version": lambda: float(
+                    self._configuration_feed.version
+                ),
+                "configuration_age_ms": self._configuration_feed.measure_age,
                 "evacuations": lambda: float(
                     len(self._evacuation_feed.evacuations.in_force)
                 ),
@@ -146,7 +146,7 @@
         self._job_api = JobApi(
             store=self._store,
             clock=clock,
-            read_configuration=lambda: self._configuration,
+            configurations=self._configuration_feed,
             is_store_reachable=self._may_call_store,
             metrics=self.metrics,
             rejections=self._rejections,
@@ -213,7 +213,7 @@
             return HttpResponse(status=404)
         ready = (
             not self._draining
-            and self._configuration is not None
+            and self._has_configuration()
             and self._is_store_reachable()
         )
         return HttpResponse(status=200 if ready else 503)
@@ -234,8 +234,8 @@
             self._answered_ms = now_ms
         return now_ms - self._answered_ms
 
-    def _read_version(self) -> float:
-        return float(self._configuration.version) if self._configuration else 0.0
+    def _has_configuration(self) -> bool:
+        return self._configuration_feed.configuration is not None
 
     async def _answer_metrics(self, request: HttpRequest) -> HttpResponse:
         if request.path != METRICS_PATH:
@@ -249,62 +249,31 @@
         def take_listing(listing: Listing) -> None:
             self._evacuation_feed.take_listing(listing)
             for item in listing.items:
-                self._take_configuration(item)
+                self._configuration_feed.take_item(item)
 
         def take_change(change: Change) -> None:
             self._evacuation_feed.take_change(change)
             if change.item is not None:
-                self._take_configuration(change.item)
+                self._configuration_feed.take_item(change.item)
 
         recovery = RecoveryTracker(
             store=self._store, clock=self._clock, metrics=self.metrics
         )
 
-        def note_read() -> None:
+        def note_read(read: KeyRead) -> None:
+            self._configuration_feed.note_read(read)
             self._evacuation_feed.note_read()
             recovery.record(RecoveryStep.UP_TO_DATE)
 
         await follow(
             self._store,
             OPERATOR_PREFIX,
+            clock=self._clock,
             take_listing=take_listing,
             take_change=take_change,
             note_read=note_read,
         )
 
-    def _take_configuration(self, item: Item) -> None:
-        if item.key != CONFIGURATION_KEY:
-            return
-        try:
-            document = decode_configuration(item.value)
-        except DecodeError as error:
-            self._reject_configuration(item, str(error))
-            return
-        configuration = document.configuration
-        if self._configuration and configuration.version < self._configuration.version:
-            log_event(Event.CONFIG_STALE, version=configuration.version)
-            return
-        self._report_problems(item, document)
-        if self._configuration is not None:
-            # Jobs of a removed route keep running on the workers of its service.
-            services = configuration.services | self._configuration.services
-            configuration = attrs.evolve(configuration, services=services)
-        self._configuration = configuration
-        log_event(
-            Event.CONFIG_IN_FORCE, version=configuration.version, revision=item.revision
-        )
-
-    def _report_problems(self, item: Item, document: ConfigurationDocument) -> None:
-        self._rejections.accept(Event.CONFIG_INVALID, item.key)
-        if document.problems:
-            reason = f"left out: {'; '.join(document.problems)}"
-            self._reject_configuration(item, reason)
-
-    def _reject_configuration(self, item: Item, reason: str) -> None:
-        self._rejections.report(
-            Event.CONFIG_INVALID, item.key, reason, revision=item.revision
-        )
-
     async def _run_owner(self, ownership: Ownership) -> None:
         bounds = self._settings.bounds
         longest_ms = bounds.max_task_lease_ms * _MAX_LEASE_FRACTION
@@ -331,6 +300,7 @@
         await owner.run()
 
     def _read_configuration(self) -> Configuration:
-        if self._configuration is None:
+        configuration = self._configuration_feed.configuration
+        if configuration is None:
             raise RuntimeError("a shard was claimed before any configuration came")
-        return self._configuration
+        return configuration
--- a/trefoilhook/runtime/following.py
+++ b/trefoilhook/runtime/following.py
@@ -1,12 +1,16 @@
 """Follows the keys under a prefix in the store: a listing, then watches from there."""
 
+import enum
 from collections.abc import Callable
 
+import attrs
+
+from trefoilhook.clock import Clock
 from trefoilhook.exceptions import HistoryLostError, StoreError
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import Change, KeyValueStore, Listing
 
-__all__ = ["WATCH_WAIT_MS", "follow"]
+__all__ = ["WATCH_WAIT_MS", "KeyRead", "ReadKind", "follow"]
 
 WATCH_WAIT_MS = 1000
 """Time for which a watch waits for changes, in ms. If a connection stops responding,
@@ -18,18 +22,53 @@
 rate limit, which nine instances with two watches each share."""
 
 
+class ReadKind(enum.Enum):
+    """How keys were read."""
+
+    LISTING = "listing"
+    """A listing of all keys, at the start or after a lost history."""
+
+    WATCH = "watch"
+    """A watch that waited for changes."""
+
+    POLL = "poll"
+    """A read that did not wait, for example after a failed watch."""
+
+
+@attrs.frozen(kw_only=True)
+class KeyRead:
+    """A read of the followed keys.
+
+    Parameters
+    ----------
+    kind : ReadKind
+        How they were read.
+    confirmed_ms : float
+        Monotonic time up to which all changes are known, in ms. It does not depend on
+        how late the process handled the answer.
+    """
+
+    kind: ReadKind
+    confirmed_ms: float
+
+
 def _ignore() -> None:
     """Do nothing."""
 
 
+def _ignore_read(read: KeyRead) -> None:
+    """Do nothing."""
+
+
 async def follow(
     store: KeyValueStore,
     prefix: str,
     *,
+    clock: Clock,
     take_listing: Callable[[Listing], None],
     take_change: Callable[[Change], None],
     listing: Listing | None = None,
-    note_read: Callable[[], None] | None = None,
+    note_read: Callable[[KeyRead], None] | None = None,
     note_failure: Callable[[], None] | None = None,
 ) -> None:
     """Report every change under a prefix, until cancelled.
@@ -40,6 +79,8 @@
         Store of the keys.
     prefix : str
         Prefix of the keys.
+    clock : Clock
+        Time source.
     take_listing : callable
         Called with all keys, initially and whenever changes may have been missed.
     take_change : callable
@@ -52,15 +93,18 @@
         Called when a read failed or changes may have been missed.
     """
     failed = note_failure or _ignore
-    read = note_read or _ignore
+    note = note_read or _ignore_read
     after = listing.as_of if listing is not None else None
     wait_ms = WATCH_WAIT_MS
     while True:
         try:
             if after is None:
+                sent_ms = clock.monotonic_ms()
                 current = await store.list_items(prefix)
                 take_listing(current)
                 after = current.as_of
+                note(KeyRead(kind=ReadKind.LISTING, confirmed_ms=sent_ms))
+            sent_ms = clock.monotonic_ms()
             batch = await store.watch(prefix, after=after, wait_ms=wait_ms)
         except HistoryLostError:
             log_event(Event.HISTORY_LOST, prefix=prefix, after=after)
@@ -76,5 +120,9 @@
         for change in batch.changes:
             take_change(change)
         after = batch.as_of
+        # A watch without changes was answered at the end of its wait.
+        waited_ms = 0.0 if batch.changes else float(wait_ms)
+        confirmed_ms = min(sent_ms + waited_ms, clock.monotonic_ms())
+        kind = ReadKind.WATCH if wait_ms else ReadKind.POLL
         wait_ms = WATCH_WAIT_MS
-        read()
+        note(KeyRead(kind=kind, confirmed_ms=confirmed_ms))
--- a/trefoilhook/runtime/job_api.py
+++ b/trefoilhook/runtime/job_api.py
@@ -32,10 +32,10 @@
     read_client_timeout,
 )
 from trefoilhook.runtime import keys
+from trefoilhook.runtime.configurations import ConfigurationFeed
 from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.scheduling import (
-    Configuration,
     Job,
     JobPhase,
     JobRecord,
@@ -82,6 +82,10 @@
 """Maximum number of ended jobs with a cached phase. Each takes 200 bytes."""
 
 
+_MAX_LOGGED_PATH = 200
+"""Maximum length of a logged path, in characters."""
+
+
 @attrs.frozen(kw_only=True)
 class _Target:
     queue: Queue
@@ -93,6 +97,12 @@
     return HttpResponse(status=503, headers=(("retry-after", str(_RETRY_AFTER_S)),))
 
 
+def _read_job_id(path: str) -> str:
+    """Return the job id that a path ends with, or an empty string."""
+    job_id = path.rpartition("/")[2]
+    return job_id if _JOB_ID.fullmatch(job_id) else ""
+
+
 def _refuse_request(target: _Target, why: str) -> HttpResponse:
     log_event(
         Event.REQUEST_REFUSED, job=target.job_id, queue=target.queue.name, why=why
@@ -119,8 +129,8 @@
         Store of the jobs.
     clock : Clock
         Time source.
-    read_configuration : callable
-        Returns the configuration in force, or None before the first one.
+    configurations : ConfigurationFeed
+        The configuration in force.
     is_store_reachable : callable
         Returns whether the store has answered recently.
     metrics : ProcessMetrics
@@ -134,7 +144,7 @@
         *,
         store: KeyValueStore,
         clock: Clock,
-        read_configuration: Callable[[], Configuration | None],
+        configurations: ConfigurationFeed,
         is_store_reachable: Callable[[], bool],
         metrics: ProcessMetrics,
         rejections: Rejections,
@@ -142,7 +152,7 @@
         self._rejections = rejections
         self._store = store
         self._clock = clock
-        self._read_configuration = read_configuration
+        self._configurations = configurations
         self._is_store_reachable = is_store_reachable
         self._metrics = metrics
         self._ended_phases: dict[str, JobPhase] = {}
@@ -150,15 +160,26 @@
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Serve one request."""
         began_ms = self._clock.monotonic_ms()
+        version = self._configurations.version
+        age_ms = self._configurations.measure_age()
         response = await self._answer(request)
         kind = f"{request.method} {response.status}"
         self._metrics.count("requests", kind)
         duration_ms = self._clock.monotonic_ms() - began_ms
         self._metrics.observe(f"{request.method.lower()}_ms", duration_ms)
+        log_event(
+            Event.REQUEST_HANDLED,
+            job=_read_job_id(request.path),
+            method=request.method,
+            status=response.status,
+            path=request.path[:_MAX_LOGGED_PATH],
+            version=version,
+            **({"age_ms": round(age_ms)} if version else {}),
+        )
         return response
 
     async def _answer(self, request: HttpRequest) -> HttpResponse:
-        configuration = self._read_configuration()
+        configuration = self._configurations.configuration
         if configuration is None:
             return _build_unavailable()
         host = (request.get_header("host") or "").rpartition(":")[0]
--- a/trefoilhook/runtime/jobfeed.py
+++ b/trefoilhook/runtime/jobfeed.py
@@ -68,6 +68,7 @@
         await follow(
             self._store,
             keys.job_prefix(keys.SHARD),
+            clock=self._clock,
             take_listing=self._take_listing,
             take_change=self._take_change,
             listing=listing,
--- a/trefoilhook/runtime/tests/test_following.py
+++ b/trefoilhook/runtime/tests/test_following.py
@@ -50,9 +50,10 @@
                 await follow(
                     store,
                     "op/",
+                    clock=clock,
                     take_listing=lambda listing: None,
                     take_change=lambda change: None,
-                    note_read=lambda: read_ms.append(clock.monotonic_ms()),
+                    note_read=lambda read: read_ms.append(clock.monotonic_ms()),
                     note_failure=lambda: failed_ms.append(clock.monotonic_ms()),
                 )
 
--- a/trefoilhook/runtime/workerfeed.py
+++ b/trefoilhook/runtime/workerfeed.py
@@ -79,10 +79,11 @@
         await follow(
             self._store,
             WORKER_PREFIX,
+            clock=self._clock,
             take_listing=self._take_listing,
             take_change=self._take_change,
             listing=listing,
-            note_read=self._note_read,
+            note_read=lambda _: self._note_read(),
             note_failure=self._scheduler.entries.note_failure,
         )
 
