Log the size of jobs, and how long they wait behind later ones

No line told the size of a job, and none told for how long it had waited in all and which later jobs were served before it.

JOB_ACCEPTED, JOB_FINISHED and refused submissions name tasks and work; JOB_FINISHED also the time waited and the tasks of later jobs that were started meanwhile, those of smaller jobs apart; JOB_LATE, with late_jobs as a counter, tells when a waiting job misses its objective and when it is too late to be of value. No change of behaviour.

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -158,6 +158,7 @@
         Level.INFO,
         "What still runs in an evacuated failure domain.",
     )
+    JOB_LATE = (1622, Level.INFO, "A job with waiting tasks missed its objective.")
     WORKER_RESERVED = (1630, Level.INFO, "A worker is reserved for a waiting task.")
     RESERVATION_ENDED = (1631, Level.INFO, "A reserved worker is available again.")
     COPY_STARTED = (
@@ -187,6 +188,7 @@
         Event.REQUEST_HANDLED,
         Event.JOB_ACCEPTED,
         Event.JOB_FINISHED,
+        Event.JOB_LATE,
         Event.JOB_CANCELLED,
         Event.WORKER_LOST,
         Event.WORKER_BACK,
--- a/trefoilhook/runtime/commits.py
+++ b/trefoilhook/runtime/commits.py
@@ -52,6 +52,21 @@
 """Maximum rows of one change: a precondition, a value, two removals and one spare."""
 
 
+def _describe_waits(scheduler: Scheduler, state: JobState) -> dict[str, int | str]:
+    """Return the size of an ended job and its waits for workers, for the log."""
+    size = {"tasks": state.job.tasks, "work_ms": round(state.work)}
+    wait = scheduler.overtaking.remove(state.job.job_id)
+    if wait is None:
+        return {**size}
+    return {
+        **size,
+        "waited_ms": round(wait.waited_ms),
+        "overtaken": wait.overtaken,
+        "overtaken_by_smaller": wait.overtaken_by_smaller,
+        "overtaken_by": wait.overtaken_by,
+    }
+
+
 class Committer:
     """Writes the persistent changes of a scheduler.
 
@@ -200,6 +215,7 @@
                 phase=state.phase.value,
                 revision=revision,
                 **self._describe_lateness(state),
+                **_describe_waits(self._scheduler, state),
             )
 
     def _describe_lateness(self, state: JobState) -> dict[str, int]:
--- a/trefoilhook/runtime/job_api.py
+++ b/trefoilhook/runtime/job_api.py
@@ -103,9 +103,18 @@
     return job_id if _JOB_ID.fullmatch(job_id) else ""
 
 
-def _refuse_request(target: _Target, why: str) -> HttpResponse:
+def _describe_size(job: Job) -> dict[str, int]:
+    """Return the size of a job, for the log."""
+    return {"tasks": job.tasks, "work_ms": round(job.estimate_work())}
+
+
+def _refuse_request(target: _Target, why: str, job: Job | None = None) -> HttpResponse:
     log_event(
-        Event.REQUEST_REFUSED, job=target.job_id, queue=target.queue.name, why=why
+        Event.REQUEST_REFUSED,
+        job=target.job_id,
+        queue=target.queue.name,
+        why=why,
+        **(_describe_size(job) if job is not None else {}),
     )
     return _build_unavailable()
 
@@ -240,7 +249,7 @@
         ambiguous = False
         while True:
             if not ambiguous and not await self._is_store_answering():
-                return _refuse_request(target, "store away")
+                return _refuse_request(target, "store away", job)
             try:
                 revision = await self._store.commit(
                     change, timeout_ms=_COMMIT_TIMEOUT_MS
@@ -260,7 +269,7 @@
             if await self._wait_for_retry(began_ms + limit_ms):
                 continue
             if not ambiguous:
-                return _refuse_request(target, reason)
+                return _refuse_request(target, reason, job)
             _log_failure(target, 504, reason)
             return HttpResponse(status=504)
 
@@ -287,6 +296,7 @@
             job=target.job_id,
             queue=target.queue.name,
             ms=round(self._clock.monotonic_ms() - began_ms),
+            **_describe_size(job),
             **how,
             **due,
         )
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -23,6 +23,7 @@
 from trefoilhook.runtime.copies import log_copies
 from trefoilhook.runtime.jobfeed import JobFeed
 from trefoilhook.runtime.lag import LoopLag
+from trefoilhook.runtime.latejobs import log_late_jobs
 from trefoilhook.runtime.loading import ShardContents, load_shard
 from trefoilhook.runtime.losses import log_lease_expiry, log_loss
 from trefoilhook.runtime.maintenance import Maintenance
@@ -467,6 +468,7 @@
             now_ms=now_ms,
             wall_ms=self._clock.wall_ms(),
         )
+        log_late_jobs(scheduler, self._metrics)
         report_reservations(scheduler.reservations, self._metrics)
         log_copies(scheduler, self._metrics)
         for order in orders:
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -146,6 +146,12 @@
             [each for each in migration_candidates if each.run.is_throttled],
         )
         reserve_for_starved_jobs(assignment_round, ready)
+    scheduler.overtaking.record_round(
+        ready,
+        [state for state in assignment_round.started if state.attempts],
+        now_ms=now_ms,
+        wall_ms=wall_ms,
+    )
 
 
 def _assign_steps(
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -20,6 +20,7 @@
 from trefoilhook.scheduling.job_state import JobState, TaskState
 from trefoilhook.scheduling.messages import EndKind, StopReason
 from trefoilhook.scheduling.models import Configuration, TaskId, WorkerReport
+from trefoilhook.scheduling.overtaking import OvertakingTracker
 from trefoilhook.scheduling.records import JobPhase, JobRecord, Progress
 from trefoilhook.scheduling.reservations import Reservations
 from trefoilhook.scheduling.suspects import SuspectTracker
@@ -113,6 +114,8 @@
         Jobs with unsaved changes.
     waits : WaitTracker
         Reasons and durations of the waits of steps.
+    overtaking : OvertakingTracker
+        Waits of jobs, and later jobs that were served before them.
     holds : TakeoverHolds
         Tasks held until the tasks started by previous owners are known.
     reservations : Reservations
@@ -153,6 +156,7 @@
         self.fillers_due_ms = 0.0
         self.idle_since_ms: dict[str, float] = {}
         self.waits = WaitTracker()
+        self.overtaking = OvertakingTracker()
         self.holds = TakeoverHolds()
         self.reservations = Reservations()
         self.entries = EntryFreshness()
@@ -243,6 +247,7 @@
                 continue
             if state.is_stale:
                 del self.jobs[job_id]
+                self.overtaking.remove(job_id)
             state.is_stale = True
 
     def _close(self, state: JobState, phase: JobPhase) -> None:
--- a/trefoilhook/scheduling/models.py
+++ b/trefoilhook/scheduling/models.py
@@ -149,6 +149,11 @@
         """Number of times that the steps run."""
         return max(1, self.repeats)
 
+    @property
+    def tasks(self) -> int:
+        """Number of tasks of one occurrence."""
+        return sum(step.count for step in self.steps)
+
     def estimate_work(self) -> float:
         """Estimate the work of one occurrence, in core-milliseconds."""
         return sum(
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -36,6 +36,8 @@
         Isolated runs and the workers reserved for them.
     reservation_searches : int
         Number of searches for workers to reserve in this round.
+    started : list of TaskState
+        Tasks that were placed in this round.
     """
 
     scheduler: Scheduler
@@ -43,6 +45,7 @@
     now_ms: float
     isolation: Isolation = attrs.field()
     reservation_searches: int = 0
+    started: list[TaskState] = attrs.Factory(list)
     _open: dict[str, list[Worker]] = attrs.Factory(dict)
     _samples: dict[tuple[str, str, str], list[Worker]] = attrs.Factory(dict)
     _feasible: dict[tuple[str, str, str, str], list[tuple[float, Worker]]] = (
@@ -350,6 +353,7 @@
     if state.suspicion is not None:
         assignment_round.record_suspected_start(state, worker, run)
     assignment_round.scheduler.waiting.discard(state)
+    assignment_round.started.append(state)
     assignment_round.scheduler.copies.watch(state)
     if not state.job.started:
         state.job.started = True
