--- a/trefoilhook/platform/settings.py
+++ b/trefoilhook/platform/settings.py
@@ -62,6 +62,9 @@
     evacuation_ms : float
         Time after an evacuation request by which tasks must no longer be started in
         the failure domain. Infinite if absent from the settings.
+    configuration_ms : float
+        Time after the confirmation of a configuration by which it must be in force.
+        Infinite if absent from the settings.
     """
 
     shutdown_ms: float
@@ -72,6 +75,7 @@
     drain_notice_ms: float = _DEFAULT_NOTICE_MS
     heartbeat_ms: float = _DEFAULT_HEARTBEAT_MS
     evacuation_ms: float = math.inf
+    configuration_ms: float = math.inf
 
 
 @attrs.frozen(kw_only=True)
@@ -135,11 +139,13 @@
     )
 
 
+def _read_bound(table: Mapping[str, Any], name: str) -> float:
+    """Return a time limit in ms; infinite if absent."""
+    return read_number(table, name) if name in table else math.inf
+
+
 def _decode_bounds(table: Mapping[str, Any], heartbeat_ms: float) -> Bounds:
     status_s = read_number(table, "status_s", default=_DEFAULT_STATUS_S)
-    evacuation_ms = math.inf
-    if "evacuate_ms" in table:
-        evacuation_ms = read_number(table, "evacuate_ms")
     return Bounds(
         shutdown_ms=read_number(table, "grace_s") * 1000.0,
         max_task_lease_ms=read_number(table, "max_hold_ms"),
@@ -148,7 +154,8 @@
         overload_ms=read_number(table, "impact_ms", default=_DEFAULT_OVERLOAD_MS),
         drain_notice_ms=read_number(table, "drain_ms", default=_DEFAULT_NOTICE_MS),
         heartbeat_ms=heartbeat_ms,
-        evacuation_ms=evacuation_ms,
+        evacuation_ms=_read_bound(table, "evacuate_ms"),
+        configuration_ms=_read_bound(table, "config_apply_ms"),
     )
 
 
