Serve a share of the jobs of every size before the others

Cause: steps were ranked by the whole work of their job, least first. While more work arrives than is done, the same jobs are passed over in each round: the largest, until they are too late. What had been done of a job didn't count either, so that small new jobs went before large ones that had begun.

Ruled out: the fit of wide jobs. Tasks wait for the same reason whatever their job's size (not borne), and a test with equal tasks shows the same.

Change: a third of the work of each size class of a queue is guaranteed: those jobs come first within their priority, until they are too late. All jobs are ranked by the work that they lack.

--- a/trefoilhook/runtime/jobfeed.py
+++ b/trefoilhook/runtime/jobfeed.py
@@ -60,7 +60,7 @@
     def load(self, jobs: Listing, progress: Listing) -> None:
         """Load the jobs of previous owners; progress must be listed before the jobs."""
         known = {keys.read_job_id(item.key): item for item in progress.items}
-        for item in jobs.items:
+        for item in sorted(jobs.items, key=lambda item: item.created):
             self._take_job(item, known.get(keys.read_job_id(item.key)))
 
     async def follow(self, listing: Listing) -> None:
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -16,6 +16,7 @@
 from trefoilhook.scheduling.features import Features
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker, get_worker_id
 from trefoilhook.scheduling.freshness import Freshness
+from trefoilhook.scheduling.guarantees import Guarantees
 from trefoilhook.scheduling.holds import TakeoverHolds
 from trefoilhook.scheduling.interference import Interference
 from trefoilhook.scheduling.job_state import JobState, TaskState
@@ -117,6 +118,8 @@
         Jobs with unsaved changes.
     waits : WaitTracker
         Reasons and durations of the waits of steps.
+    guarantees : Guarantees
+        Selects the jobs that are served before others of their queue.
     overtaking : OvertakingTracker
         Waits of jobs, and later jobs that were served before them.
     holds : TakeoverHolds
@@ -163,6 +166,7 @@
         self.fillers_due_ms = 0.0
         self.idle_since_ms: dict[str, float] = {}
         self.waits = WaitTracker()
+        self.guarantees = Guarantees()
         self.overtaking = OvertakingTracker()
         self.holds = TakeoverHolds()
         self.reservations = Reservations()
@@ -214,6 +218,7 @@
             for step in steps
         )
         state.work = job.estimate_work()
+        state.is_guaranteed = self.guarantees.admit(job.queue, state.work)
         state.due_ms = job.accepted_ms
         if state.queue is not None:
             state.due_ms += state.queue.stretch * job.estimate_chain()
--- a/trefoilhook/scheduling/job_state.py
+++ b/trefoilhook/scheduling/job_state.py
@@ -141,6 +141,8 @@
         Estimated work of one occurrence, in core-milliseconds.
     due_ms : float
         End of its latency objective, in ms since the Unix epoch.
+    is_guaranteed : bool
+        Whether it is served before other jobs of its queue.
     """
 
     job: Job
@@ -161,6 +163,7 @@
     steps_left: int = 0
     work: float = 0.0
     due_ms: float = 0.0
+    is_guaranteed: bool = False
 
     @property
     def is_open(self) -> bool:
@@ -191,6 +194,18 @@
         after = self.job.steps[step].after
         return all(self.is_step_done(occurrence, earlier) for earlier in after)
 
+    def measure_remaining_work(self, occurrence: int) -> float:
+        """Return the estimated work that an occurrence lacks, in core-milliseconds."""
+        done = self.progress.done
+        work = self.work
+        for number, step in enumerate(self.job.steps):
+            indices = done.get((occurrence, number))
+            if indices:
+                # The end of one member counts for the whole gang.
+                count = step.count if step.gang else len(indices)
+                work -= count * step.estimate_task_work()
+        return work
+
     def list_unit(self, unit: Unit) -> list[TaskState]:
         """Return the tasks of a unit for which crashes are counted."""
         occurrence, step, index = unit
--- a/trefoilhook/scheduling/models.py
+++ b/trefoilhook/scheduling/models.py
@@ -106,6 +106,10 @@
             return attrs.evolve(self.demand, cpu=0)
         return self.demand
 
+    def estimate_task_work(self) -> float:
+        """Estimate the work of one task, in core-milliseconds."""
+        return self.estimate_ms * self.demand.cpu / 1000.0
+
     @property
     def borrowed_cpu(self) -> int:
         """Thousandths of a core that a filler uses of the uncounted processor time."""
@@ -156,10 +160,7 @@
 
     def estimate_work(self) -> float:
         """Estimate the work of one occurrence, in core-milliseconds."""
-        return sum(
-            step.count * step.estimate_ms * step.demand.cpu / 1000.0
-            for step in self.steps
-        )
+        return sum(step.count * step.estimate_task_work() for step in self.steps)
 
     def estimate_chain(self) -> float:
         """Estimate the duration of the critical path of the steps, in ms."""
--- a/trefoilhook/scheduling/ranking.py
+++ b/trefoilhook/scheduling/ranking.py
@@ -28,12 +28,14 @@
 
 def rank_step(
     tasks: list[TaskState], wall_ms: float, *, level: int = 0
-) -> tuple[int, bool, bool, int, float, str, int, int]:
+) -> tuple[int, bool, bool, bool, int, float, str, int, int]:
     """Return the sort key of a waiting step.
 
-    Steps are sorted by priority, then by whether the objective can be met, then by
-    work. A job has a fixed value plus one that grows with its work, so that small jobs
-    have the highest value per core and second.
+    Steps are sorted by priority, then by whether their job is guaranteed, then by
+    whether the objective can be met, then by remaining work. A job has a fixed value
+    plus one that grows with its work, so that small jobs have the highest value per
+    core and second. Work spent on a job is lost if it is not completed, so that the
+    remaining work counts. A guarantee ends once the job is too late.
 
     Long-running tasks follow the others of their priority, which free their capacity
     within a second and have several times their value per core and second. A
@@ -47,14 +49,16 @@
     priority = job.queue.priority if job.queue is not None else 0
     is_long_running = state.step.long_running
     late = level if is_long_running else get_lateness(state, wall_ms)
+    is_guaranteed = job.is_guaranteed and not is_long_running and late < TOO_LATE
     is_new = not (is_long_running and any(task.may_have_run for task in tasks))
     name = state.task
     return (
         priority,
         is_new,
         is_long_running,
+        not is_guaranteed,
         late,
-        job.work,
+        job.work if is_long_running else job.measure_remaining_work(name.occurrence),
         name.job_id,
         name.occurrence,
         name.step,
