Test that a late answer confirms only what the store had said by then

Removing the bound by the time of sending left all tests green; this one fails then, and when a watch after changes waits as long as any other.

--- a/trefoilhook/runtime/tests/test_following.py
+++ b/trefoilhook/runtime/tests/test_following.py
@@ -7,8 +7,8 @@
 
 from trefoilhook.clock import build_system_clock
 from trefoilhook.exceptions import StoreUnavailableError
-from trefoilhook.platform import Changes, Listing
-from trefoilhook.runtime.following import WATCH_WAIT_MS, follow
+from trefoilhook.platform import Change, Changes, Listing
+from trefoilhook.runtime.following import WATCH_WAIT_MS, KeyRead, follow
 
 _TIMEOUT_MS = 1000.0
 _MAX_OVERDUE_MS = 450.0
@@ -91,3 +91,54 @@
         trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
         # The first read is the listing.
         return failed_ms, read_ms[1:]
+
+
+class _LateStore(_Store):
+    """A store whose answers are handled late, the first with a change."""
+
+    def __init__(self, *, late_ms: float) -> None:
+        super().__init__(unanswered=0)
+        self._late_ms = late_ms
+
+    async def watch(self, prefix: str, *, after: int, wait_ms: int) -> Changes:
+        self.waits_ms.append(wait_ms)
+        await trio.sleep((wait_ms + self._late_ms) / 1000.0)
+        change = Change(key=prefix, revision=after + 1, item=None)
+        changes = (change,) if len(self.waits_ms) == 1 else ()
+        return Changes(changes=changes, as_of=after + 1)
+
+
+class ConfirmationTest(unittest.TestCase):
+    """Tests of the time up to which `follow` reports all changes as known."""
+
+    def test_late_handling_confirms_nothing_newer(self):
+        # Guards against a lagging process that takes old answers for current ones.
+        late_ms = 300.0
+        store = _LateStore(late_ms=late_ms)
+        reads: list[KeyRead] = []
+
+        async def main() -> None:
+            with trio.move_on_after(3.5):
+                await follow(
+                    store,
+                    "op/",
+                    clock=build_system_clock(),
+                    take_listing=lambda listing: None,
+                    take_change=lambda change: None,
+                    note_read=reads.append,
+                )
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        began_ms = reads[0].confirmed_ms
+        confirmed_ms = [read.confirmed_ms - began_ms for read in reads[:4]]
+        first_end_ms = WATCH_WAIT_MS + late_ms
+        second_end_ms = first_end_ms + store.waits_ms[1] + late_ms
+        expected_ms = (
+            0.0,
+            0.0,
+            second_end_ms - late_ms,
+            second_end_ms + WATCH_WAIT_MS,
+        )
+        for found, expected in zip(confirmed_ms, expected_ms, strict=True):
+            self.assertAlmostEqual(found, expected, delta=1.0)
+        self.assertLess(store.waits_ms[1], WATCH_WAIT_MS)
