--- a/trefoilhook/account/core.py
+++ b/trefoilhook/account/core.py
@@ -5,6 +5,7 @@
 import attrs
 
 from trefoilhook.account.copies import CopyTotals
+from trefoilhook.account.sizes import SizeOutcomes
 
 __all__ = [
     "Cause",
@@ -225,6 +226,8 @@
         Number of skipped lines, by reason.
     copies : tuple of CopyTotals
         What copies of speculative tasks saved and cost, by outcome.
+    sizes : tuple of SizeOutcomes
+        Outcomes of jobs by queue and size.
     """
 
     began_s: float
@@ -235,3 +238,4 @@
     losses: tuple[JobLoss, ...]
     unread: dict[str, int]
     copies: tuple[CopyTotals, ...] = ()
+    sizes: tuple[SizeOutcomes, ...] = ()
--- a/trefoilhook/account/page.py
+++ b/trefoilhook/account/page.py
@@ -18,6 +18,20 @@
 _SERVICE_HEADERS = ("queue", "jobs short", "periods", "cause", "task s")
 _COPY_HEADERS = ("copies", "number", "saved s", "not needed s")
 
+_SIZE_HEADERS = (
+    "queue",
+    "size",
+    "jobs",
+    "in time",
+    "late",
+    "too late",
+    "failed",
+    "refused",
+    "waited s",
+    "overtaken",
+    "by smaller",
+)
+
 Rows = list[tuple[str, ...]]
 
 
@@ -66,6 +80,30 @@
     ]
 
 
+def _list_size_rows(report: LossReport) -> Rows:
+    return [
+        (
+            each.queue,
+            each.size,
+            *(
+                str(count)
+                for count in (
+                    each.jobs,
+                    each.in_time,
+                    each.late,
+                    each.too_late,
+                    each.failed,
+                    each.refused,
+                )
+            ),
+            f"{each.waited_s:.1f}",
+            f"{each.overtaken:.0f}",
+            f"{each.overtaken_by_smaller:.0f}",
+        )
+        for each in report.sizes
+    ]
+
+
 def _list_bin_rows(report: LossReport) -> Rows:
     return [
         (
@@ -92,6 +130,8 @@
     lines = [f"account of {length_s:.0f} s; {_describe_unread(report)}"]
     if report.queues:
         lines += ["", *align_columns([_JOB_HEADERS, *_list_job_rows(report)])]
+    if report.sizes:
+        lines += ["", *align_columns([_SIZE_HEADERS, *_list_size_rows(report)])]
     if report.services:
         lines += ["", *align_columns([_SERVICE_HEADERS, *_list_service_rows(report)])]
     if report.copies:
@@ -142,6 +182,8 @@
             "<h2>Jobs with an objective</h2>",
             build_table(_JOB_HEADERS, _list_job_rows(report)),
             _draw(report, "jobs lost", lambda time_bin: time_bin.jobs),
+            "<h2>Jobs by size</h2>",
+            build_table(_SIZE_HEADERS, _list_size_rows(report)),
             "<h2>Long-running jobs</h2>",
             build_table(_SERVICE_HEADERS, _list_service_rows(report)),
             _draw(report, "task s lost", lambda time_bin: time_bin.task_s),
--- a/trefoilhook/account/report.py
+++ b/trefoilhook/account/report.py
@@ -15,6 +15,7 @@
     ServiceShortfall,
     TimeBin,
 )
+from trefoilhook.account.sizes import count_by_size
 from trefoilhook.account.timeline import (
     WAIT_CAUSES,
     Interval,
@@ -111,6 +112,7 @@
         losses=losses,
         unread=dict(unread or {}),
         copies=sum_copies(ordered),
+        sizes=count_by_size(ordered, outcomes),
     )
 
 
