Share the priority of a job, its log fields and the readers of the account

Found on reading the change again: the priority of a job without a known queue stood in four places, size and waits of a job in three log lines, the factor of lateness, the refused results and the reader of numbers twice each, and both feeds of an owner recorded their listing where follow can. Each stands once now, and starts are sorted as jobs without a class for it.

Behaviour stays, but for work_ms of JOB_FINISHED of a job that had ended before the owner read it: 0 before, the declared work now.

--- a/trefoilhook/account/report.py
+++ b/trefoilhook/account/report.py
@@ -15,7 +15,7 @@
     ServiceShortfall,
     TimeBin,
 )
-from trefoilhook.account.sizes import count_by_size
+from trefoilhook.account.sizes import REFUSED_CODES, count_by_size
 from trefoilhook.account.timeline import (
     WAIT_CAUSES,
     Interval,
@@ -35,8 +35,6 @@
 
 _ATTEMPT_EVENTS = frozenset({"TASK_STARTED", "TASK_ENDED", "TASK_GIVEN_UP"})
 
-_REFUSED_CODES = frozenset({ResultCode.STORE_UNAVAILABLE, ResultCode.ANSWER_LOST})
-
 
 @attrs.define(kw_only=True)
 class _JobEvents:
@@ -129,7 +127,7 @@
 ) -> JobLoss:
     """Return the loss of a job, with its most expensive cause."""
     at_s = jobs.accepted_s.get(job_id, jobs.first_s.get(job_id, outcome.at_s))
-    if outcome.code in _REFUSED_CODES:
+    if outcome.code in REFUSED_CODES:
         return JobLoss(job=job_id, queue=outcome.queue, at_s=at_s, cause=Cause.REFUSED)
     is_done = outcome.code is ResultCode.OK
     spent = attribute_time(
--- a/trefoilhook/account/sizes.py
+++ b/trefoilhook/account/sizes.py
@@ -7,12 +7,10 @@
 
 from trefoilhook.burn import JobOutcome
 from trefoilhook.results import ResultCode
+from trefoilhook.scheduling.ranking import MAX_LATENESS_FACTOR
 from trefoilhook.story import LogLine
 
-__all__ = ["SizeOutcomes", "count_by_size"]
-
-_MAX_LATENESS_FACTOR = 3.0
-"""A late job has some value to its users up to this multiple of its objective."""
+__all__ = ["REFUSED_CODES", "SizeOutcomes", "count_by_size", "read_number"]
 
 _PARTS = (
     ("smallest tenths, 1 to 7", 0.0, 0.7),
@@ -22,7 +20,8 @@
 """Name of each part of a queue's jobs in ascending order of their work, and where it
 begins and ends."""
 
-_REFUSED_CODES = frozenset({ResultCode.STORE_UNAVAILABLE, ResultCode.ANSWER_LOST})
+REFUSED_CODES = frozenset({ResultCode.STORE_UNAVAILABLE, ResultCode.ANSWER_LOST})
+"""Results of jobs that were never accepted."""
 
 
 @attrs.define(kw_only=True)
@@ -109,19 +108,19 @@
         _count_outcome(part, outcomes[job_id])
         if job_id in waits:
             fields = waits[job_id].fields
-            part.waited_s += _read_number(fields, "waited_ms") / 1000.0 / len(jobs)
-            part.overtaken += _read_number(fields, "overtaken") / len(jobs)
-            smaller = _read_number(fields, "overtaken_by_smaller")
+            part.waited_s += read_number(fields.get("waited_ms")) / 1000.0 / len(jobs)
+            part.overtaken += read_number(fields.get("overtaken")) / len(jobs)
+            smaller = read_number(fields.get("overtaken_by_smaller"))
             part.overtaken_by_smaller += smaller / len(jobs)
     return part
 
 
 def _count_outcome(part: SizeOutcomes, outcome: JobOutcome) -> None:
-    if outcome.code in _REFUSED_CODES:
+    if outcome.code in REFUSED_CODES:
         part.refused += 1
     elif outcome.code is ResultCode.BACKEND_FAILED:
         part.failed += 1
-    elif outcome.elapsed_ms > _MAX_LATENESS_FACTOR * outcome.objective_ms:
+    elif outcome.elapsed_ms > MAX_LATENESS_FACTOR * outcome.objective_ms:
         part.too_late += 1
     elif outcome.code is not ResultCode.OK or (
         outcome.elapsed_ms > outcome.objective_ms
@@ -131,6 +130,6 @@
         part.in_time += 1
 
 
-def _read_number(fields: Mapping[str, object], name: str) -> float:
-    value = fields.get(name)
+def read_number(value: object) -> float:
+    """Return a field of a log line as a number; 0 if it is none."""
     return float(value) if isinstance(value, (int, float)) else 0.0
--- a/trefoilhook/account/timeline.py
+++ b/trefoilhook/account/timeline.py
@@ -13,6 +13,7 @@
 import attrs
 
 from trefoilhook.account.core import Cause
+from trefoilhook.account.sizes import read_number
 from trefoilhook.story import LogLine
 
 __all__ = ["WAIT_CAUSES", "Attempt", "Interval", "JobAttempts", "attribute_time"]
@@ -103,22 +104,18 @@
         )
         if line.event == "TASK_STARTED":
             attempt.started_s = line.time_s
-            attempt.waited_ms = _read_number(fields.get("waited_ms"))
+            attempt.waited_ms = read_number(fields.get("waited_ms"))
             attempt.waited_for = str(fields.get("waited_for", ""))
         elif line.event == "TASK_ENDED":
             attempt.ended_s = line.time_s
             attempt.outcome = str(fields.get("how"))
-            attempt.estimate_ms = _read_number(fields.get("estimate_ms"))
-            attempt.slowing_ms = _read_number(fields.get("slowing_ms"))
+            attempt.estimate_ms = read_number(fields.get("estimate_ms"))
+            attempt.slowing_ms = read_number(fields.get("slowing_ms"))
         elif line.event == "TASK_GIVEN_UP" and attempt.ended_s is None:
             attempt.ended_s = line.time_s
             attempt.outcome = str(fields.get("why"))
 
 
-def _read_number(value: object) -> float:
-    return float(value) if isinstance(value, (int, float)) else 0.0
-
-
 class _CriticalPath:
     """Position on the way back along a job's critical path, and time by cause."""
 
--- a/trefoilhook/runtime/commits.py
+++ b/trefoilhook/runtime/commits.py
@@ -22,6 +22,7 @@
     Transaction,
 )
 from trefoilhook.runtime import keys
+from trefoilhook.runtime.latejobs import describe_size, describe_wait
 from trefoilhook.scheduling import (
     JobChange,
     JobPhase,
@@ -52,21 +53,6 @@
 """Maximum rows of one change: a precondition, a value, two removals and one spare."""
 
 
-def _describe_waits(scheduler: Scheduler, state: JobState) -> dict[str, int | str]:
-    """Return the size of an ended job and its waits for workers, for the log."""
-    size = {"tasks": state.job.tasks, "work_ms": round(state.work)}
-    wait = scheduler.overtaking.remove(state.job.job_id)
-    if wait is None:
-        return {**size}
-    return {
-        **size,
-        "waited_ms": round(wait.waited_ms),
-        "overtaken": wait.overtaken,
-        "overtaken_by_smaller": wait.overtaken_by_smaller,
-        "overtaken_by": wait.overtaken_by,
-    }
-
-
 class Committer:
     """Writes the persistent changes of a scheduler.
 
@@ -208,6 +194,7 @@
         self._sent.pop(state.job.job_id, None)
         confirm_change(self._scheduler, change, revision=revision)
         if change.is_end:
+            wait = self._scheduler.overtaking.remove(state.job.job_id)
             log_event(
                 Event.JOB_FINISHED,
                 job=state.job.job_id,
@@ -215,7 +202,8 @@
                 phase=state.phase.value,
                 revision=revision,
                 **self._describe_lateness(state),
-                **_describe_waits(self._scheduler, state),
+                **describe_size(state.job),
+                **(describe_wait(wait) if wait is not None else {}),
             )
 
     def _describe_lateness(self, state: JobState) -> dict[str, int]:
--- a/trefoilhook/runtime/following.py
+++ b/trefoilhook/runtime/following.py
@@ -138,7 +138,10 @@
     """
     failed = note_failure or _ignore
     note = note_read or _ignore_read
-    after = listing.as_of if listing is not None else None
+    after: int | None = None
+    if listing is not None:
+        after = listing.as_of
+        note(KeyRead(kind=ReadKind.LISTING, confirmed_ms=clock.monotonic_ms()))
     wait_ms = WATCH_WAIT_MS
     while True:
         try:
--- a/trefoilhook/runtime/job_api.py
+++ b/trefoilhook/runtime/job_api.py
@@ -33,6 +33,7 @@
 )
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.configurations import ConfigurationFeed
+from trefoilhook.runtime.latejobs import describe_size
 from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.scheduling import (
@@ -109,18 +110,13 @@
     return job_id if _JOB_ID.fullmatch(job_id) else ""
 
 
-def _describe_size(job: Job) -> dict[str, int]:
-    """Return the size of a job, for the log."""
-    return {"tasks": job.tasks, "work_ms": round(job.estimate_work())}
-
-
 def _refuse_request(target: _Target, why: str, job: Job | None = None) -> HttpResponse:
     log_event(
         Event.REQUEST_REFUSED,
         job=target.job_id,
         queue=target.queue.name,
         why=why,
-        **(_describe_size(job) if job is not None else {}),
+        **(describe_size(job) if job is not None else {}),
     )
     return _build_unavailable()
 
@@ -316,7 +312,7 @@
             job=target.job_id,
             queue=target.queue.name,
             ms=round(self._clock.monotonic_ms() - began_ms),
-            **_describe_size(job),
+            **describe_size(job),
             **how,
             **due,
         )
--- a/trefoilhook/runtime/jobfeed.py
+++ b/trefoilhook/runtime/jobfeed.py
@@ -66,7 +66,6 @@
     async def follow(self, listing: Listing) -> None:
         """Apply every change after a listing, until cancelled."""
         freshness = self._scheduler.job_freshness
-        freshness.confirm(self._clock.monotonic_ms())
         await follow(
             self._store,
             keys.job_prefix(keys.SHARD),
--- a/trefoilhook/runtime/latejobs.py
+++ b/trefoilhook/runtime/latejobs.py
@@ -1,11 +1,27 @@
-"""Logs jobs that missed their latency objective while their tasks waited."""
+"""Describes the size and the waits of jobs in log lines, and logs late jobs."""
 
 from trefoilhook.logs import Event, log_event
 from trefoilhook.runtime.metrics import ProcessMetrics
-from trefoilhook.scheduling import Scheduler
+from trefoilhook.scheduling import Job, Scheduler
+from trefoilhook.scheduling.overtaking import JobWait
 from trefoilhook.scheduling.tickets import name_step
 
-__all__ = ["log_late_jobs"]
+__all__ = ["describe_size", "describe_wait", "log_late_jobs"]
+
+
+def describe_size(job: Job) -> dict[str, int]:
+    """Return the size of a job, for the log."""
+    return {"tasks": job.tasks, "work_ms": round(job.estimate_work())}
+
+
+def describe_wait(wait: JobWait) -> dict[str, int | str]:
+    """Return how long a job waited and what overtook it, for the log."""
+    return {
+        "waited_ms": round(wait.waited_ms),
+        "overtaken": wait.overtaken,
+        "overtaken_by_smaller": wait.overtaken_by_smaller,
+        "overtaken_by": wait.overtaken_by,
+    }
 
 
 def log_late_jobs(scheduler: Scheduler, metrics: ProcessMetrics) -> None:
@@ -19,13 +35,9 @@
             job=job.job.job_id,
             queue=job.job.queue,
             stage=late.stage,
-            tasks=job.job.tasks,
             waiting=sum(task in scheduler.waiting for task in job.tasks.values()),
-            work_ms=round(job.work),
-            waited_ms=round(late.wait.waited_ms),
             waits_for=reason.value if reason is not None else "",
-            overtaken=late.wait.overtaken,
-            overtaken_by_smaller=late.wait.overtaken_by_smaller,
-            overtaken_by=late.wait.overtaken_by,
+            **describe_size(job.job),
+            **describe_wait(late.wait),
         )
     scheduler.overtaking.late.clear()
--- a/trefoilhook/runtime/workerfeed.py
+++ b/trefoilhook/runtime/workerfeed.py
@@ -76,7 +76,6 @@
     async def follow(self, listing: Listing) -> None:
         """Apply a listing and every change after it, until cancelled."""
         self._take_listing(listing)
-        self._scheduler.entries.note_read(self._clock.monotonic_ms())
         await follow(
             self._store,
             WORKER_PREFIX,
--- a/trefoilhook/scheduling/job_state.py
+++ b/trefoilhook/scheduling/job_state.py
@@ -165,6 +165,11 @@
     due_ms: float = 0.0
     is_guaranteed: bool = False
 
+    @property
+    def priority(self) -> int:
+        """Priority of its queue; the highest if the queue is unknown."""
+        return self.queue.priority if self.queue is not None else 0
+
     @property
     def is_open(self) -> bool:
         """Whether further tasks of it may be started."""
--- a/trefoilhook/scheduling/overtaking.py
+++ b/trefoilhook/scheduling/overtaking.py
@@ -64,14 +64,8 @@
     wait: JobWait
 
 
-@attrs.frozen(kw_only=True)
-class _Start:
-    accepted_ms: float
-    job: JobState
-
-
-def _get_priority(job: JobState) -> int:
-    return job.queue.priority if job.queue is not None else 0
+def _get_acceptance(job: JobState) -> float:
+    return job.job.accepted_ms
 
 
 @attrs.define(kw_only=True)
@@ -108,10 +102,7 @@
         now_ms, wall_ms : float
             Current time, in ms.
         """
-        starts = sorted(
-            (_Start(accepted_ms=t.job.job.accepted_ms, job=t.job) for t in started),
-            key=lambda start: start.accepted_ms,
-        )
+        starts = sorted((task.job for task in started), key=_get_acceptance)
         seen: set[str] = set()
         for tasks in waiting:
             task = next((each for each in tasks if not each.attempts), None)
@@ -138,14 +129,12 @@
         return wait
 
 
-def _count_overtaking(wait: JobWait, job: JobState, starts: Sequence[_Start]) -> None:
-    first = bisect.bisect_right(
-        starts, job.job.accepted_ms, key=lambda start: start.accepted_ms
-    )
-    priority = _get_priority(job)
-    for start in starts[first:]:
-        if _get_priority(start.job) < priority:
+def _count_overtaking(wait: JobWait, job: JobState, starts: Sequence[JobState]) -> None:
+    """Count the tasks of later jobs among the starts of a round, sorted by job."""
+    first = bisect.bisect_right(starts, _get_acceptance(job), key=_get_acceptance)
+    for other in starts[first:]:
+        if other.priority < job.priority:
             continue
         wait.overtaken += 1
-        wait.overtaken_by_smaller += start.job.work < job.work
-        wait.overtaken_by = start.job.job.job_id
+        wait.overtaken_by_smaller += other.work < job.work
+        wait.overtaken_by = other.job.job_id
--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -124,7 +124,7 @@
     return not reservation.admits(
         state.step,
         name_step(state.task),
-        priority=state.job.queue.priority if state.job.queue is not None else 0,
+        priority=state.job.priority,
         held=Demand(cpu=worker.cpu, memory_mb=worker.memory_mb, gpus=worker.gpus),
     )
 
--- a/trefoilhook/scheduling/ranking.py
+++ b/trefoilhook/scheduling/ranking.py
@@ -2,9 +2,9 @@
 
 from trefoilhook.scheduling.job_state import TaskState
 
-__all__ = ["TOO_LATE", "get_lateness", "rank_step"]
+__all__ = ["MAX_LATENESS_FACTOR", "TOO_LATE", "get_lateness", "rank_step"]
 
-_MAX_LATENESS_FACTOR = 3.0
+MAX_LATENESS_FACTOR = 3.0
 """A late job has some value to its users up to this multiple of its objective."""
 
 TOO_LATE = 2
@@ -19,7 +19,7 @@
         return 0
     objective_ms = job.due_ms - job.job.accepted_ms
     if (
-        remaining_ms + (_MAX_LATENESS_FACTOR - 1.0) * objective_ms
+        remaining_ms + (MAX_LATENESS_FACTOR - 1.0) * objective_ms
         > state.step.estimate_ms
     ):
         return 1
@@ -46,14 +46,13 @@
     """
     state = tasks[0]
     job = state.job
-    priority = job.queue.priority if job.queue is not None else 0
     is_long_running = state.step.long_running
     late = level if is_long_running else get_lateness(state, wall_ms)
     is_guaranteed = job.is_guaranteed and not is_long_running and late < TOO_LATE
     is_new = not (is_long_running and any(task.may_have_run for task in tasks))
     name = state.task
     return (
-        priority,
+        job.priority,
         is_new,
         is_long_running,
         not is_guaranteed,
--- a/trefoilhook/scheduling/reserving.py
+++ b/trefoilhook/scheduling/reserving.py
@@ -122,7 +122,7 @@
     reservation = Reservation(
         step=step,
         worker_id=worker.report.worker_id,
-        priority=task.job.queue.priority if task.job.queue is not None else 0,
+        priority=task.job.priority,
         demand=task.step.room,
         begun_ms=assignment_round.now_ms,
         due_ms=free_ms,
