Derive the freshness of evacuations and worker entries from one class

The change had added Freshness beside two classes that computed the same age and bound for themselves. Both extend it now and keep only what is their own: the evacuations in force, and since when the entries are read steadily. Freshness takes their names (note_read, read_ms).

Behaviour and all checks stay; the test of freshness calls the method by its new name.

--- a/trefoilhook/runtime/configurations.py
+++ b/trefoilhook/runtime/configurations.py
@@ -105,7 +105,7 @@
     def note_read(self, read: KeyRead) -> None:
         """Record a read of the operator's keys whose changes have been applied."""
         age_ms = self.measure_age()
-        self.freshness.confirm(read.confirmed_ms)
+        self.freshness.note_read(read.confirmed_ms)
         item, self._unreported = self._unreported, None
         if item is None:
             return
--- a/trefoilhook/runtime/jobfeed.py
+++ b/trefoilhook/runtime/jobfeed.py
@@ -73,7 +73,7 @@
             take_listing=self._take_listing,
             take_change=self._take_change,
             listing=listing,
-            note_read=lambda read: freshness.confirm(read.confirmed_ms),
+            note_read=lambda read: freshness.note_read(read.confirmed_ms),
         )
 
     def _take_listing(self, listing: Listing) -> None:
--- a/trefoilhook/scheduling/entry_freshness.py
+++ b/trefoilhook/scheduling/entry_freshness.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from trefoilhook.scheduling.freshness import Freshness
+
 __all__ = ["EntryFreshness"]
 
 _STALE_MS = 3500.0
@@ -11,27 +13,21 @@
 
 
 @attrs.define(kw_only=True)
-class EntryFreshness:
-    """Times at which the worker entries were read.
+class EntryFreshness(Freshness):
+    """How current the worker entries are, and since when they are read steadily.
 
     Parameters
     ----------
-    read_ms : float
-        Time of the last read, in ms.
     steady_since_ms : float
         Time since when no read has failed, in ms.
     """
 
-    read_ms: float = float("-inf")
+    max_age_ms: float = _STALE_MS
     steady_since_ms: float = float("inf")
 
-    def is_stale(self, now_ms: float) -> bool:
-        """Return whether the last read is too old for tasks to be started."""
-        return now_ms - self.read_ms > _STALE_MS
-
     def note_read(self, confirmed_ms: float) -> None:
         """Record that all changes up to a time are known."""
-        self.read_ms = max(self.read_ms, confirmed_ms)
+        super().note_read(confirmed_ms)
         self.steady_since_ms = min(self.steady_since_ms, confirmed_ms)
 
     def note_failure(self) -> None:
--- a/trefoilhook/scheduling/evacuations.py
+++ b/trefoilhook/scheduling/evacuations.py
@@ -1,10 +1,9 @@
 """Failure domains that the operator has evacuated, where no task is started."""
 
-import math
-
 import attrs
 
 from trefoilhook.scheduling.fleet import Worker
+from trefoilhook.scheduling.freshness import Freshness
 
 __all__ = ["Evacuation", "Evacuations"]
 
@@ -38,25 +37,15 @@
 
 
 @attrs.define(kw_only=True)
-class Evacuations:
-    """The evacuations in force and when they were last read.
-
-    Parameters
-    ----------
-    max_age_ms : float
-        Maximum age of the last read for tasks to be started, in ms; infinite if the
-        platform has no evacuations.
+class Evacuations(Freshness):
+    """The evacuations in force and how current they are.
 
     Attributes
     ----------
-    read_ms : float
-        When they were last read, in ms.
     in_force : dict of str to Evacuation
         Evacuations by failure domain, as spelled by the operator.
     """
 
-    max_age_ms: float = math.inf
-    read_ms: float = attrs.field(default=-math.inf, init=False)
     in_force: dict[str, Evacuation] = attrs.field(factory=dict, init=False)
     _normalized_names: frozenset[str] = attrs.field(default=frozenset(), init=False)
 
@@ -79,14 +68,6 @@
     def _update_normalized_names(self) -> None:
         self._normalized_names = frozenset(map(_normalize, self.in_force))
 
-    def note_read(self, confirmed_ms: float) -> None:
-        """Record that all changes up to a time are known."""
-        self.read_ms = max(self.read_ms, confirmed_ms)
-
-    def is_stale(self, now_ms: float) -> bool:
-        """Return whether the last read is older than ``max_age_ms``."""
-        return now_ms - self.read_ms > self.max_age_ms
-
     def covers(self, worker: Worker) -> bool:
         """Return whether the failure domain of a worker is evacuated."""
         return (
--- a/trefoilhook/scheduling/freshness.py
+++ b/trefoilhook/scheduling/freshness.py
@@ -19,20 +19,20 @@
 
     Attributes
     ----------
-    confirmed_ms : float
+    read_ms : float
         Monotonic time up to which all changes are known, in ms.
     """
 
     max_age_ms: float = math.inf
-    confirmed_ms: float = attrs.field(default=-math.inf, init=False)
+    read_ms: float = attrs.field(default=-math.inf, init=False)
 
-    def confirm(self, confirmed_ms: float) -> None:
+    def note_read(self, confirmed_ms: float) -> None:
         """Record that all changes up to a time are known."""
-        self.confirmed_ms = max(self.confirmed_ms, confirmed_ms)
+        self.read_ms = max(self.read_ms, confirmed_ms)
 
     def measure_age(self, now_ms: float) -> float:
         """Return the time since when changes may be unknown, in ms."""
-        return now_ms - self.confirmed_ms
+        return now_ms - self.read_ms
 
     def is_stale(self, now_ms: float) -> bool:
         """Return whether the keys are too old for decisions."""
--- a/trefoilhook/scheduling/tests/test_freshness.py
+++ b/trefoilhook/scheduling/tests/test_freshness.py
@@ -19,12 +19,12 @@
                 shard = Shard()
                 freshness = getattr(shard.scheduler, name)
                 freshness.max_age_ms = _MAX_AGE_MS
-                freshness.confirm(shard.now_ms)
+                freshness.note_read(shard.now_ms)
                 shard.advance_time(_MAX_AGE_MS + 1.0)
                 shard.poll_all()
                 shard.submit(build_job())
                 self.assertEqual(shard.step(), [])
-                freshness.confirm(shard.now_ms)
+                freshness.note_read(shard.now_ms)
                 self.assertEqual(len(list_starts(shard.step())), 1)
 
     def test_queued_start_is_withdrawn_once_state_is_stale(self):
@@ -32,7 +32,7 @@
         shard = Shard()
         freshness = shard.scheduler.configuration_freshness
         freshness.max_age_ms = _MAX_AGE_MS
-        freshness.confirm(shard.now_ms)
+        freshness.note_read(shard.now_ms)
         shard.submit(build_job())
         (start,) = shard.plan()
         shard.advance_time(_MAX_AGE_MS + 1.0)
@@ -42,7 +42,7 @@
         # Guards against knowledge that seems to become older.
         freshness = Freshness(max_age_ms=_MAX_AGE_MS)
         self.assertTrue(freshness.is_stale(0.0))
-        freshness.confirm(5000.0)
-        freshness.confirm(4000.0)
+        freshness.note_read(5000.0)
+        freshness.note_read(4000.0)
         self.assertFalse(freshness.is_stale(7000.0))
         self.assertTrue(freshness.is_stale(7001.0))
