Log tasks that wait for over a second, with the owner's beliefs

QUEUE_WAITS names one task of a queue, SERVICE_SHORT one of a job; neither told which epoch owned the shard while a certain task waited, what that owner knew of its last attempt and worker, and which rule held it back at that moment rather than for most of the time.

No decision changes.

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -159,6 +159,11 @@
         "What still runs in an evacuated failure domain.",
     )
     JOB_LATE = (1622, Level.INFO, "A job with waiting tasks missed its objective.")
+    TASK_WAITS = (
+        1623,
+        Level.INFO,
+        "Tasks of a step have waited over a second for a worker.",
+    )
     WORKER_RESERVED = (1630, Level.INFO, "A worker is reserved for a waiting task.")
     RESERVATION_ENDED = (1631, Level.INFO, "A reserved worker is available again.")
     COPY_STARTED = (
--- a/trefoilhook/runtime/maintenance.py
+++ b/trefoilhook/runtime/maintenance.py
@@ -14,6 +14,7 @@
     Scheduler,
     ShortfallCounter,
     TaskState,
+    list_long_waits,
     measure_backlogs,
     measure_evacuated,
 )
@@ -52,6 +53,12 @@
 if it waits at two successive checks. The lines are about 1 % of an owner's task
 lines."""
 
+_MIN_LOGGED_WAIT_MS = 1000.0
+_WAIT_LOG_PERIOD_MS = 1000.0
+_MAX_LOGGED_WAITS = 12
+"""Minimum wait of a task that is logged, interval between the lines, and maximum number
+of lines per interval. A takeover may hold hundreds of tasks."""
+
 
 class Maintenance:
     """Periodic tasks of a shard's owner.
@@ -118,6 +125,30 @@
                 log_event(Event.QUEUE_WAITS, **attrs.asdict(backlog))
             earlier = set(waiting)
 
+    async def log_long_waits(self) -> None:
+        """Periodically log the tasks that have waited for over a second.
+
+        A line names the owner's epoch, what it knows of the task's last attempt and its
+        worker, and the rule that prevents the start.
+        """
+        while True:
+            await self._clock.sleep_ms(_WAIT_LOG_PERIOD_MS)
+            waits = list(
+                list_long_waits(
+                    self._scheduler,
+                    min_wait_ms=_MIN_LOGGED_WAIT_MS,
+                    now_ms=self._clock.monotonic_ms(),
+                )
+            )
+            unlogged = max(0, len(waits) - _MAX_LOGGED_WAITS)
+            for wait in waits[:_MAX_LOGGED_WAITS]:
+                log_event(
+                    Event.TASK_WAITS,
+                    epoch=self._ownership.epoch,
+                    **attrs.asdict(wait),
+                    **({"unlogged_steps": unlogged} if unlogged else {}),
+                )
+
     async def log_shortfalls(self) -> None:
         """Periodically log missing or slow tasks of long-running jobs.
 
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -335,6 +335,7 @@
         nursery.start_soon(maintenance.renew_retention_lease)
         nursery.start_soon(maintenance.remove_ended_jobs)
         nursery.start_soon(maintenance.log_backlogs)
+        nursery.start_soon(maintenance.log_long_waits)
         nursery.start_soon(maintenance.log_shortfalls)
         nursery.start_soon(maintenance.log_evacuations)
         if self._settings.advice_address is not None:
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -41,6 +41,7 @@
 )
 from trefoilhook.scheduling.job_state import JobState, TaskState
 from trefoilhook.scheduling.lease_expiry import release_expired
+from trefoilhook.scheduling.long_waits import LongWait, list_long_waits
 from trefoilhook.scheduling.messages import (
     AttemptEnd,
     EndKind,
@@ -127,6 +128,7 @@
     "LeaseExpiry",
     "JobState",
     "PollAnswer",
+    "LongWait",
     "LossCause",
     "Order",
     "OrderOutcome",
@@ -170,6 +172,7 @@
     "is_outdated_answer",
     "is_settled",
     "list_awaited",
+    "list_long_waits",
     "list_restarts",
     "list_unreported",
     "get_worker_id",
--- a/trefoilhook/scheduling/waits.py
+++ b/trefoilhook/scheduling/waits.py
@@ -121,6 +121,11 @@
             return known.reason
         return known.by_reason.most_common(1)[0][0]
 
+    def get_last_reason(self, step: StepName) -> WaitReason | None:
+        """Return why a step was not placed in its last round, or None."""
+        known = self._steps.get(step)
+        return known.reason if known is not None else None
+
     def retain(self, waiting: set[StepName]) -> None:
         """Remove all steps that are not in ``waiting``."""
         for step in self._steps.keys() - waiting:
