Add the records that a takeover reads, and for whom a task waits

A new owner held every task of an earlier job until each worker of the roster had answered, or 7.4 s had passed since its own claim: what an earlier owner had learned or waited was lost with it, and one silent worker held all tasks.

Nothing uses it yet.

--- /dev/null
+++ b/trefoilhook/takeover/groups.py
@@ -0,0 +1,118 @@
+"""Groups of workers inside which an owner may start tasks without a record.
+
+The groups of an epoch are written before its first start. A start on a worker of the
+group of its job is therefore known to the next owner even if the store is unavailable
+when it is sent.
+"""
+
+import zlib
+from collections.abc import Iterable, Mapping
+
+import attrs
+
+__all__ = ["GROUP_SIZE", "Member", "WorkerGroups", "count_groups"]
+
+GROUP_SIZE = 2
+"""Number of workers in a group. A worker that does not answer the next owner delays the
+tasks of all jobs of its group, so that the groups are small."""
+
+
+@attrs.frozen(kw_only=True)
+class Member:
+    """A worker on which an owner may start tasks.
+
+    Parameters
+    ----------
+    name : str
+        Incarnation of the worker.
+    address : str
+        Host and port; another incarnation that answers there proves this one over.
+    """
+
+    name: str
+    address: str
+
+
+@attrs.frozen(kw_only=True)
+class WorkerGroups:
+    """Workers of one epoch and their groups.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the owner that may start tasks on the workers.
+    count : int
+        Number of groups. It must not change while starts rely on the groups.
+    members : mapping of int to Member
+        Workers by slot. Slot and job id determine the group, modulo ``count``.
+    """
+
+    epoch: int
+    count: int
+    members: Mapping[int, Member] = attrs.Factory(dict)
+    _slots: dict[str, int] = attrs.field(init=False, eq=False, repr=False)
+
+    @_slots.default
+    def _index_slots(self) -> dict[str, int]:
+        return {member.name: slot for slot, member in self.members.items()}
+
+    def find_group(self, job_id: str) -> int:
+        """Return the group of a job."""
+        return zlib.crc32(job_id.encode()) % self.count
+
+    def list_group(self, job_id: str) -> list[str]:
+        """Return the incarnations in the group of a job."""
+        group = self.find_group(job_id)
+        return [
+            member.name
+            for slot, member in self.members.items()
+            if slot % self.count == group
+        ]
+
+    def covers(self, job_id: str, name: str) -> bool:
+        """Return whether a worker is in the group of a job."""
+        slot = self._slots.get(name)
+        return slot is not None and slot % self.count == self.find_group(job_id)
+
+    def list_names(self) -> set[str]:
+        """Return the incarnations of all workers."""
+        return set(self._slots)
+
+    def retain(self, names: Iterable[str]) -> "WorkerGroups":
+        """Return the same groups with only the workers in ``names``."""
+        kept = set(names)
+        return attrs.evolve(
+            self,
+            members={
+                slot: member
+                for slot, member in self.members.items()
+                if member.name in kept
+            },
+        )
+
+    def resize(self, count: int) -> "WorkerGroups":
+        """Return another number of groups with the same workers."""
+        return attrs.evolve(self, count=count)
+
+    def replace_members(self, members: Iterable[Member]) -> "WorkerGroups":
+        """Return the same groups with exactly ``members``; those known keep their slot.
+
+        Slots of removed workers are reused, which bounds the size of the groups.
+        """
+        wanted = {member.name: member for member in members}
+        slots = {
+            slot: wanted.pop(member.name)
+            for slot, member in self.members.items()
+            if member.name in wanted
+        }
+        slot = 0
+        for _, member in sorted(wanted.items()):
+            while slot in slots:
+                slot += 1
+            slots[slot] = member
+        return attrs.evolve(self, members=slots)
+
+
+def count_groups(workers: int) -> int:
+    """Return the number of groups for a number of workers."""
+    return max(1, workers // GROUP_SIZE)
--- /dev/null
+++ b/trefoilhook/takeover/records.py
@@ -0,0 +1,170 @@
+"""Encoding of groups and places in the store.
+
+Decoding raises `DecodeError` for anything that this version cannot interpret. Callers
+must then treat the starts of previous owners as unrecorded, never as absent.
+"""
+
+import json
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+import attrs
+
+from trefoilhook.decoding import (
+    check_integer,
+    check_object,
+    check_string,
+    parse_object,
+    read_integer,
+    read_list,
+    read_object,
+    read_strings,
+)
+from trefoilhook.exceptions import DecodeError
+from trefoilhook.takeover.core import Place
+from trefoilhook.takeover.groups import Member, WorkerGroups
+
+__all__ = [
+    "Head",
+    "decode_head",
+    "decode_places",
+    "encode_head",
+    "encode_places",
+]
+
+_FORMAT = 1
+
+
+@attrs.frozen(kw_only=True)
+class Head:
+    """Groups in force, and what remains of previous epochs.
+
+    Parameters
+    ----------
+    groups : WorkerGroups
+        Groups of the epoch that wrote it.
+    inherited : tuple of WorkerGroups
+        Groups of previous epochs with the workers that are not accounted for.
+    unrecorded_epoch : int or None
+        Last epoch that may have started tasks without a record and whose workers are
+        not all accounted for.
+    """
+
+    groups: WorkerGroups
+    inherited: tuple[WorkerGroups, ...] = ()
+    unrecorded_epoch: int | None = None
+
+
+def encode_head(head: Head) -> bytes:
+    """Encode the groups of an epoch."""
+    value = {
+        "format": _FORMAT,
+        **_build_groups(head.groups),
+        "inherited": [_build_groups(groups) for groups in head.inherited],
+        "unrecorded_epoch": head.unrecorded_epoch,
+    }
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+def decode_head(data: bytes) -> Head:
+    """Decode the groups of an epoch."""
+    table = parse_object(data)
+    _check_format(table)
+    unrecorded: int | None = None
+    if table.get("unrecorded_epoch") is not None:
+        unrecorded = read_integer(table, "unrecorded_epoch")
+    return Head(
+        groups=_read_groups(table),
+        inherited=tuple(
+            _read_groups(check_object(row, "inherited"))
+            for row in read_list(table, "inherited")
+        ),
+        unrecorded_epoch=unrecorded,
+    )
+
+
+def encode_places(places: Iterable[Place], *, epoch: int) -> bytes:
+    """Encode the places of one write.
+
+    Parameters
+    ----------
+    places : iterable of Place
+        The places.
+    epoch : int
+        Epoch of the owner that writes them.
+    """
+    workers: dict[str, int] = {}
+    steps: dict[str, list[list[int]]] = {}
+    for place in places:
+        number = workers.setdefault(place.worker, len(workers))
+        step, _, index = place.task.rpartition(".")
+        steps.setdefault(step, []).append([int(index), place.attempt, number])
+    value = {
+        "format": _FORMAT,
+        "epoch": epoch,
+        "workers": list(workers),
+        "steps": steps,
+    }
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+def decode_places(data: bytes) -> list[Place]:
+    """Decode the places of one write."""
+    table = parse_object(data)
+    _check_format(table)
+    workers = read_strings(table, "workers")
+    return [
+        _read_place(step, row, workers)
+        for step, rows in read_object(table, "steps").items()
+        for row in _check_list(rows, "steps")
+    ]
+
+
+def _check_format(table: Mapping[str, Any]) -> None:
+    if read_integer(table, "format") != _FORMAT:
+        raise DecodeError("format: unknown")
+
+
+def _check_list(value: Any, name: str) -> list[Any]:
+    if not isinstance(value, list):
+        raise DecodeError(f"{name}: not a list")
+    return value
+
+
+def _read_place(step: str, row: Any, workers: tuple[str, ...]) -> Place:
+    values = _check_list(row, "place")
+    if len(values) != 3:
+        raise DecodeError("place: not three values")
+    index, attempt, number = (check_integer(value, "place") for value in values)
+    if number >= len(workers):
+        raise DecodeError("place: unknown worker")
+    return Place(task=f"{step}.{index}", attempt=attempt, worker=workers[number])
+
+
+def _build_groups(groups: WorkerGroups) -> dict[str, Any]:
+    return {
+        "epoch": groups.epoch,
+        "groups": groups.count,
+        "workers": [
+            [slot, member.name, member.address]
+            for slot, member in sorted(groups.members.items())
+        ],
+    }
+
+
+def _read_groups(table: Mapping[str, Any]) -> WorkerGroups:
+    members: dict[int, Member] = {}
+    for row in read_list(table, "workers"):
+        values = _check_list(row, "workers")
+        if len(values) != 3:
+            raise DecodeError("workers: not three values")
+        slot = check_integer(values[0], "slot")
+        members[slot] = Member(
+            name=check_string(values[1], "worker", non_empty=True),
+            address=check_string(values[2], "address"),
+        )
+    return WorkerGroups(
+        epoch=read_integer(table, "epoch"),
+        count=read_integer(table, "groups", minimum=1),
+        members=members,
+    )
