--- a/trefoilhook/runtime/keys.py
+++ b/trefoilhook/runtime/keys.py
@@ -4,11 +4,15 @@
     "SHARD",
     "durations_key",
     "epoch_key",
+    "groups_key",
     "job_key",
     "job_prefix",
     "interference_key",
     "owner_key",
     "ownership_prefix",
+    "page_key",
+    "page_prefix",
+    "placed_prefix",
     "progress_key",
     "progress_prefix",
     "read_job_id",
@@ -41,6 +45,26 @@
     return f"shard/{shard}/roster"
 
 
+def placed_prefix(shard: int) -> str:
+    """Return the prefix of the keys that tell where tasks may have been started."""
+    return f"shard/{shard}/placed/"
+
+
+def groups_key(shard: int) -> str:
+    """Return the key of the groups inside which starts need no place."""
+    return placed_prefix(shard) + "head"
+
+
+def page_prefix(shard: int) -> str:
+    """Return the prefix of the pages of places."""
+    return placed_prefix(shard) + "page/"
+
+
+def page_key(shard: int, epoch: int, number: int) -> str:
+    """Return the key of a page of places."""
+    return f"{page_prefix(shard)}{epoch}/{number}"
+
+
 def interference_key(shard: int) -> str:
     """Return the key of the interference estimates."""
     return f"shard/{shard}/learned"
--- a/trefoilhook/runtime/loading.py
+++ b/trefoilhook/runtime/loading.py
@@ -26,6 +26,8 @@
         Progress of jobs, and job records.
     roster : Item or None
         Workers on which a task may have been started.
+    placed : Listing
+        Recorded places of starts, and the groups of workers.
     snapshots : dict of str to Item
         Learned models by key, without those that are missing.
     """
@@ -34,6 +36,7 @@
     progress: Listing
     jobs: Listing
     roster: Item | None
+    placed: Listing
     snapshots: dict[str, Item]
 
 
@@ -58,6 +61,7 @@
                 progress=await store.list_items(keys.progress_prefix(keys.SHARD)),
                 jobs=await store.list_items(keys.job_prefix(keys.SHARD)),
                 roster=await store.get(keys.roster_key(keys.SHARD)),
+                placed=await store.list_items(keys.placed_prefix(keys.SHARD)),
                 snapshots=await _read_snapshots(store, snapshot_keys),
             )
         except StoreError:
--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -9,7 +9,7 @@
 import json
 import math
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import attrs
 import trio
@@ -55,6 +55,10 @@
 _RETRY_PAUSE_MS = 200.0
 """Pause after a failed attempt, in ms."""
 
+_MAX_SIGHTINGS = 64
+"""Maximum number of seen epochs that are kept. A lease lasts for seconds, and epochs
+are claimed at intervals of seconds."""
+
 _CLAIM_BACKOFF_MS = 1500.0
 """Time after the end of an ownership for which the instance makes no claim, in ms. The
 cause of the loss, such as a network partition or a slow machine, usually persists."""
@@ -81,6 +85,11 @@
         Set when the ownership has ended for any reason.
     released : bool
         Whether the instance gave the ownership up voluntarily.
+    recorded_since : int
+        First epoch since which every owner has recorded its starts.
+    sightings : dict of int to float
+        Epochs that this instance has seen, each with the monotonic time at which it
+        first saw it, in ms. The epoch was claimed earlier.
     """
 
     epoch: int
@@ -90,6 +99,36 @@
     valid_until_ms: float
     ended: trio.Event = attrs.Factory(trio.Event)
     released: bool = False
+    recorded_since: int = attrs.field()
+    sightings: Mapping[int, float] = attrs.Factory(dict)
+
+    @recorded_since.default
+    def _default_recorded_since(self) -> int:
+        return self.epoch
+
+    def find_end(self, epoch: int) -> float:
+        """Return a time at which a previous epoch had ended, in ms.
+
+        The wait for its leases that this instance has seen pass under other owners
+        counts, so that successive takeovers do not begin it anew.
+        """
+        seen_ms = [ms for later, ms in self.sightings.items() if later > epoch]
+        return min([self.claimed_ms, *seen_ms])
+
+
+def _read_recorded_since(epoch: Item) -> int | None:
+    """Return the first epoch since which starts are recorded, or None if unknown.
+
+    Builds that do not record starts do not write it either.
+    """
+    try:
+        table = parse_object(epoch.value)
+        if "recorded_since" not in table:
+            return None
+        return read_integer(table, "recorded_since", minimum=1)
+    except DecodeError:
+        # Logged by `_read_epoch`.
+        return None
 
 
 def _read_fitness(epoch: Item) -> float:
@@ -148,6 +187,7 @@
         self._no_claim_before_ms = 0.0
         self._released_ms = 0.0
         self._stale_lease = 0
+        self._sightings: dict[int, float] = {}
 
     @property
     def is_owner(self) -> bool:
@@ -179,6 +219,7 @@
         for item in listing.items:
             owner = item if item.key == keys.owner_key(keys.SHARD) else owner
             epoch = item if item.key == keys.epoch_key(keys.SHARD) else epoch
+        self._record_sighting(epoch)
         after = listing.as_of
         vacant_since_ms = self._clock.monotonic_ms()
         while not self._resigned:
@@ -209,6 +250,22 @@
                     vacant_since_ms = self._clock.monotonic_ms()
                 elif change.key == keys.epoch_key(keys.SHARD):
                     epoch = change.item
+                    self._record_sighting(epoch)
+
+    def _record_sighting(self, item: Item | None) -> None:
+        """Record the time at which this instance first saw an epoch."""
+        if item is None:
+            return
+        try:
+            epoch = read_integer(
+                parse_object(item.value), "epoch", maximum=item.revision
+            )
+        except DecodeError:
+            # Logged by `_read_epoch` when this instance claims the shard.
+            return
+        self._sightings.setdefault(epoch, self._clock.monotonic_ms())
+        while len(self._sightings) > _MAX_SIGHTINGS:
+            del self._sightings[min(self._sightings)]
 
     def _compute_remaining_delay(
         self, epoch: Item | None, vacant_since_ms: float
@@ -231,8 +288,15 @@
         granted_ms = self._clock.monotonic_ms()
         lease = await self._store.grant_lease(OWNER_LEASE_MS)
         best = max(self._fitness, _read_fitness(epoch) if epoch is not None else 0.0)
+        recorded_since = _read_recorded_since(epoch) if epoch is not None else None
+        recorded_since = recorded_since or new_epoch
         value = json.dumps(
-            {"holder": self._holder, "epoch": new_epoch, "fitness": round(best, 3)}
+            {
+                "holder": self._holder,
+                "epoch": new_epoch,
+                "fitness": round(best, 3),
+                "recorded_since": recorded_since,
+            }
         ).encode()
         claim = Transaction(
             preconditions=(
@@ -267,6 +331,8 @@
             claimed_ms=self._clock.monotonic_ms(),
             lease=lease,
             valid_until_ms=granted_ms + OWNER_LEASE_MS,
+            recorded_since=recorded_since,
+            sightings=dict(self._sightings),
         )
         await self._run_ownership(ownership)
 
--- /dev/null
+++ b/trefoilhook/runtime/predecessors.py
@@ -0,0 +1,106 @@
+"""Reads what previous owners of a shard recorded about their starts."""
+
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from trefoilhook.exceptions import DecodeError
+from trefoilhook.platform import Item
+from trefoilhook.runtime import keys
+from trefoilhook.takeover import (
+    Head,
+    Place,
+    PlaceLedger,
+    Predecessors,
+    decode_head,
+    decode_places,
+)
+
+__all__ = ["Inheritance", "read_inheritance"]
+
+_Page = tuple[int, int]
+
+
+@attrs.frozen(kw_only=True)
+class Inheritance:
+    """What previous owners left.
+
+    Parameters
+    ----------
+    predecessors : Predecessors
+        Their groups, places and unrecorded starts.
+    ledger : PlaceLedger
+        Ledger of the current owner, with their places.
+    head_revision : int
+        Revision of the stored groups; 0 if there are none.
+    """
+
+    predecessors: Predecessors
+    ledger: PlaceLedger
+    head_revision: int
+
+
+def read_inheritance(
+    items: Iterable[Item],
+    *,
+    roster: Iterable[str],
+    epoch: int,
+    recorded_since: int,
+    reject: Callable[[Item, DecodeError], None],
+) -> Inheritance:
+    """Read the groups and places of previous owners.
+
+    Anything unreadable means that their starts are unknown, never that there are none.
+
+    Parameters
+    ----------
+    items : iterable of Item
+        All keys with recorded starts.
+    roster : iterable of str
+        Incarnations on which previous owners may have started tasks.
+    epoch : int
+        Epoch of the current owner.
+    recorded_since : int
+        First epoch since which every owner has recorded its starts.
+    reject : callable
+        Called with each unreadable item.
+    """
+    head: Head | None = None
+    head_revision = 0
+    unrecorded: int | None = recorded_since - 1 if recorded_since > 1 else None
+    pages: dict[_Page, list[Place]] = {}
+    is_readable = True
+    for item in items:
+        try:
+            if item.key == keys.groups_key(keys.SHARD):
+                head_revision = item.revision
+                head = decode_head(item.value)
+                if head.groups.epoch >= recorded_since:
+                    unrecorded = head.unrecorded_epoch
+            else:
+                pages[_read_page(item.key)] = decode_places(item.value)
+        except DecodeError as error:
+            reject(item, error)
+            is_readable = False
+    if not is_readable:
+        unrecorded = epoch - 1
+    predecessors = Predecessors(
+        groups=(head.groups, *head.inherited) if head is not None else (),
+        places=[place for places in pages.values() for place in places],
+        unrecorded_epoch=unrecorded,
+        unrecorded_workers=roster if unrecorded is not None else (),
+    )
+    ledger = PlaceLedger(epoch=epoch)
+    for page, places in sorted(pages.items()):
+        ledger.load(page, [each for each in places if predecessors.knows(each.worker)])
+    return Inheritance(
+        predecessors=predecessors, ledger=ledger, head_revision=head_revision
+    )
+
+
+def _read_page(key: str) -> _Page:
+    """Return the epoch and the number of a page."""
+    epoch, _, number = key.removeprefix(keys.page_prefix(keys.SHARD)).partition("/")
+    if not (epoch.isdecimal() and number.isdecimal()):
+        raise DecodeError("not the key of a page")
+    return int(epoch), int(number)
--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -4,6 +4,9 @@
 which workers to poll, including those that the platform no longer lists. It contains
 only workers that have answered this owner: nothing is started on others, and the next
 owner would wait for a listed worker that never answers.
+
+It is written twice, in one transaction: as a list, which also earlier builds read, and
+as groups, with the workers of previous owners that are not accounted for.
 """
 
 import json
@@ -24,7 +27,14 @@
 )
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.ownership import Ownership
-from trefoilhook.scheduling import Scheduler
+from trefoilhook.scheduling import Scheduler, list_unreleased
+from trefoilhook.takeover import (
+    Head,
+    Member,
+    WorkerGroups,
+    count_groups,
+    encode_head,
+)
 
 __all__ = ["Roster"]
 
@@ -43,6 +53,11 @@
     return tuple(check_string(row, "worker") for row in rows)
 
 
+def _get_revision(item: Item | None) -> int:
+    """Return the revision of a key; 0 if it does not exist."""
+    return item.revision if item is not None else 0
+
+
 class Roster:
     """Keeps the roster in the store up to date.
 
@@ -81,6 +96,8 @@
         self._notify = notify
         self.workers: tuple[str, ...] = ()
         self._revision = 0
+        self._head: Head | None = None
+        self._head_revision = 0
         self._settled = False
         self._wake = trio.Event()
 
@@ -97,6 +114,10 @@
         self._revision = item.revision
         self.workers = _decode_roster(item.value)
 
+    def set_head_revision(self, revision: int) -> None:
+        """Set the revision of the groups that a previous owner has written."""
+        self._head_revision = revision
+
     def notify_change(self) -> None:
         """Request a comparison of the roster with the workers that have answered."""
         self._wake.set()
@@ -113,42 +134,93 @@
             wanted = tuple(
                 sorted(each.incarnation for each in workers if each.has_answered_token)
             )
-            if set(wanted) - set(self.workers) or (
-                self._settled and wanted != self.workers
-            ):
-                if not self._settled:
-                    wanted = tuple(sorted({*wanted, *self.workers}))
-                if not await self._write(wanted):
-                    await self._store.wait_for_retry(_RETRY_PAUSE_MS)
-                    continue
+            if not self._settled:
+                wanted = tuple(sorted({*wanted, *self.workers}))
+            head = self._build_head()
+            has_changed = wanted != self.workers or head != self._head
+            if has_changed and not await self._write(wanted, head):
+                await self._store.wait_for_retry(_RETRY_PAUSE_MS)
+                continue
             await self._wake.wait()
             await self._clock.sleep_ms(_BATCH_WINDOW_MS)
             self._wake = trio.Event()
 
-    async def _write(self, roster: tuple[str, ...]) -> bool:
+    def _build_head(self) -> Head | None:
+        """Return the groups to be stored; None while no worker has answered."""
+        scheduler = self._scheduler
+        unreleased = list_unreleased(scheduler)
+        members = {
+            worker.incarnation: Member(
+                name=worker.incarnation, address=worker.report.address
+            )
+            for worker in scheduler.workers.values()
+            if worker.has_answered_token
+        }
+        if self._head is None:
+            if not members:
+                return None
+            groups = WorkerGroups(epoch=self._ownership.epoch, count=1)
+        else:
+            groups = self._head.groups
+            for member in groups.members.values():
+                if member.name in unreleased:
+                    members.setdefault(member.name, member)
+        if not scheduler.has_group_starts:
+            groups = groups.resize(count_groups(len(members)))
+        predecessors = scheduler.predecessors
+        inherited = (each.retain(unreleased) for each in predecessors.groups)
+        is_open = not unreleased.isdisjoint(predecessors.unrecorded_workers)
+        return Head(
+            groups=groups.replace_members(members.values()),
+            inherited=tuple(each for each in inherited if each.members),
+            unrecorded_epoch=predecessors.unrecorded_epoch if is_open else None,
+        )
+
+    def _suspend_groups(self, head: Head | None) -> None:
+        """Start nothing inside groups whose number is being changed in the store."""
+        groups = self._scheduler.groups
+        if (
+            groups is not None
+            and head is not None
+            and groups.count != head.groups.count
+        ):
+            self._scheduler.groups = None
+
+    async def _write(self, roster: tuple[str, ...], head: Head | None) -> bool:
         key = keys.roster_key(keys.SHARD)
+        head_key = keys.groups_key(keys.SHARD)
         owner = keys.owner_key(keys.SHARD)
-        value = json.dumps(roster).encode()
-        change = Transaction(
-            preconditions=(
-                Precondition(key=owner, revision=self._ownership.owner_revision),
-                Precondition(key=key, revision=self._revision),
-            ),
-            puts=(Put(key=key, value=value),),
-        )
+        preconditions = [
+            Precondition(key=owner, revision=self._ownership.owner_revision),
+            Precondition(key=key, revision=self._revision),
+        ]
+        puts = [Put(key=key, value=json.dumps(roster).encode())]
+        if head is not None:
+            preconditions.append(
+                Precondition(key=head_key, revision=self._head_revision)
+            )
+            puts.append(Put(key=head_key, value=encode_head(head)))
+        change = Transaction(preconditions=tuple(preconditions), puts=tuple(puts))
+        self._suspend_groups(head)
         try:
-            self._revision = await self._store.commit(change)
+            revision = await self._store.commit(change)
         except PreconditionError as error:
             current_items = {item.key: item for item in error.items}
             if owner not in current_items:
                 self._ownership.ended.set()
                 return False
-            item = current_items.get(key)
-            self._revision = item.revision if item is not None else 0
+            self._revision = _get_revision(current_items.get(key))
+            if head is not None:
+                self._head_revision = _get_revision(current_items.get(head_key))
             return False
         except StoreError:
             return False
+        self._revision = revision
         self.workers = roster
+        if head is not None:
+            self._head_revision = revision
+            self._head = head
+            self._scheduler.groups = head.groups
         for name in roster:
             worker = self._scheduler.find_incarnation(name)
             if worker is not None:
--- a/trefoilhook/runtime/settlement.py
+++ b/trefoilhook/runtime/settlement.py
@@ -1,6 +1,6 @@
 """Settlement of a new owner: when the tasks of previous owners are accounted for."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable
 
 from trefoilhook.clock import Clock
 from trefoilhook.logs import Event, log_event
@@ -8,9 +8,8 @@
 from trefoilhook.runtime.ownership import Ownership
 from trefoilhook.scheduling import (
     Scheduler,
+    account_for_workers,
     get_worker_id,
-    is_settled,
-    list_awaited,
     list_unreported,
 )
 
@@ -24,9 +23,9 @@
 every worker is reachable is normally settled earlier, and logs no such line."""
 
 
-def _list_worker_ids(incarnations: Sequence[str]) -> list[str]:
+def _list_worker_ids(incarnations: Iterable[str]) -> list[str]:
     """Return the worker ids to log, which other log lines use as well."""
-    return [get_worker_id(name) for name in incarnations[:_MAX_LOGGED_WORKERS]]
+    return [get_worker_id(name) for name in sorted(incarnations)[:_MAX_LOGGED_WORKERS]]
 
 
 class Settlement:
@@ -45,7 +44,7 @@
 
     Attributes
     ----------
-    roster : tuple of str
+    workers : frozenset of str
         Incarnations of workers on which a previous owner may have started a task.
     is_settled : bool
         Whether the outcome of all tasks started by previous owners is known.
@@ -59,7 +58,7 @@
         ownership: Ownership,
         metrics: ProcessMetrics,
     ) -> None:
-        self.roster: tuple[str, ...] = ()
+        self.workers: frozenset[str] = frozenset()
         self.is_settled = False
         self._clock = clock
         self._scheduler = scheduler
@@ -72,7 +71,10 @@
 
     def update(self, now_ms: float) -> bool:
         """Update ``is_settled``, and return whether it has just become true."""
-        if self.is_settled or not is_settled(self._scheduler, self.roster, now_ms):
+        if self.is_settled:
+            return False
+        account_for_workers(self._scheduler, now_ms)
+        if self._scheduler.predecessors.awaited:
             return False
         self.is_settled = True
         after_ms = now_ms - self._ownership.claimed_ms
@@ -81,7 +83,7 @@
             Event.SHARD_SETTLED,
             epoch=self._ownership.epoch,
             after_ms=round(after_ms),
-            unheard=_list_worker_ids(list_unreported(self._scheduler, self.roster)),
+            unheard=_list_worker_ids(list_unreported(self._scheduler, self.workers)),
             **self._build_hold_fields(now_ms),
         )
         return True
@@ -103,7 +105,7 @@
             if self.is_settled:
                 return
             now_ms = self._clock.monotonic_ms()
-            awaited = list_awaited(self._scheduler, self.roster, now_ms)
+            awaited = self._scheduler.predecessors.awaited
             log_event(
                 Event.SHARD_UNSETTLED,
                 epoch=self._ownership.epoch,
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -31,7 +31,9 @@
 from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.orders import execute_order
 from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Ownership
+from trefoilhook.runtime.places import PlaceWriter
 from trefoilhook.runtime.polling import WorkerPoller
+from trefoilhook.runtime.predecessors import read_inheritance
 from trefoilhook.runtime.recovery import RecoveryStep, RecoveryTracker
 from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.runtime.reservations import report_reservations
@@ -56,6 +58,7 @@
     list_restarts,
     measure_wait,
     plan_orders,
+    plan_pending_orders,
     release_expired,
 )
 from trefoilhook.scheduling.arrangement import measure_largest_share
@@ -256,6 +259,8 @@
         # the end of its ownership.
         metrics.gauges["loop_lag_ms"] = lambda: lag.read(clock.monotonic_ms())
         self._start_limiter = trio.CapacityLimiter(_MAX_STARTS_IN_FLIGHT)
+        self._reach_ms = reach_ms + _LEASE_MARGIN_MS
+        self._place_writer: PlaceWriter | None = None
         self._wake = trio.Event()
 
     def wake(self) -> None:
@@ -321,6 +326,7 @@
         nursery.start_soon(worker_feed.follow, contents.workers)
         nursery.start_soon(self._committer.run)
         nursery.start_soon(self._roster.run)
+        nursery.start_soon(self._run_place_writer, nursery)
         nursery.start_soon(self._settlement.log_awaited_workers)
         maintenance = Maintenance(
             store=self._store,
@@ -358,7 +364,7 @@
             self._store,
             snapshot_keys=[each.key for each in self._snapshots],
         )
-        self._take_roster(contents.roster)
+        self._take_inheritance(contents, self._read_roster(contents.roster))
         self._restore_snapshots(contents.snapshots)
         self._job_feed.load(contents.jobs, contents.progress)
         log_event(
@@ -366,20 +372,50 @@
             epoch=self._ownership.epoch,
             jobs=len(contents.jobs.items),
             workers=len(contents.workers.items),
+            places=len(self._scheduler.places.list_places())
+            if self._scheduler.places is not None
+            else 0,
+            awaited=len(self._scheduler.predecessors.awaited),
+            recorded=self._scheduler.predecessors.unrecorded_epoch is None,
         )
         return contents
 
-    def _take_roster(self, item: Item | None) -> None:
+    def _read_roster(self, item: Item | None) -> tuple[str, ...]:
         try:
             self._roster.load(item)
-            self._settlement.roster = self._roster.workers
             self._scheduler.roster_size = len(self._roster.workers)
         except DecodeError as error:
             # Any worker may run tasks of the previous owner, so only the expiry of
             # their leases proves that they have ended.
             self._reject(item, error)
-            self._settlement.roster = (_UNKNOWN_WORKER,)
             self._scheduler.roster_size = float("inf")
+            return (_UNKNOWN_WORKER,)
+        return self._roster.workers
+
+    def _take_inheritance(
+        self, contents: ShardContents, roster: tuple[str, ...]
+    ) -> None:
+        """Take over what previous owners recorded about their starts."""
+        ownership = self._ownership
+        inheritance = read_inheritance(
+            contents.placed.items,
+            roster=roster,
+            epoch=ownership.epoch,
+            recorded_since=ownership.recorded_since,
+            reject=self._reject,
+        )
+        predecessors = inheritance.predecessors
+        scheduler = self._scheduler
+        scheduler.predecessors = predecessors
+        scheduler.places = inheritance.ledger
+        scheduler.find_lease_expiry = lambda name: (
+            self._reach_ms
+            + ownership.find_end(
+                predecessors.get_last_epoch(name, epoch=ownership.epoch)
+            )
+        )
+        self._settlement.workers = frozenset(predecessors.awaited)
+        self._roster.set_head_revision(inheritance.head_revision)
 
     def _restore_snapshots(self, items: Mapping[str, Item]) -> None:
         """Restore the readable learned models of previous owners."""
@@ -426,6 +462,26 @@
             del self._clients[worker_id]
         await client.close()
 
+    async def _run_place_writer(self, nursery: trio.Nursery) -> None:
+        """Write places, and send the starts that waited for them."""
+        if self._scheduler.places is None:
+            return
+        self._place_writer = PlaceWriter(
+            store=self._store,
+            clock=self._clock,
+            ownership=self._ownership,
+            ledger=self._scheduler.places,
+            notify=functools.partial(self._send_pending_orders, nursery),
+        )
+        await self._place_writer.run()
+
+    def _send_pending_orders(self, nursery: trio.Nursery) -> None:
+        now_ms = self._clock.monotonic_ms()
+        if now_ms >= self._ownership.valid_until_ms:
+            return
+        for order in plan_pending_orders(self._scheduler, now_ms):
+            nursery.start_soon(self._execute_order, order)
+
     def _on_ownership_lost(self) -> None:
         log_event(Event.SHARD_FENCED, epoch=self._ownership.epoch)
         self._ownership.ended.set()
@@ -490,8 +546,16 @@
         log_copies(scheduler, self._metrics)
         for order in orders:
             nursery.start_soon(self._execute_order, order)
-        if scheduler.dirty:
+        self._wake_writers()
+
+    def _wake_writers(self) -> None:
+        """Write what the plan has changed."""
+        if self._scheduler.dirty:
             self._committer.wake()
+        if self._place_writer is not None:
+            self._place_writer.wake()
+        if self._scheduler.unreleased or not self._settlement.is_settled:
+            self._roster.notify_change()
 
     def _log_losses(self) -> None:
         """Log the workers lost since the last plan."""
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -75,8 +75,8 @@
     confirm_start,
     is_settled,
     list_awaited,
-    list_unreported,
     plan_orders,
+    plan_pending_orders,
 )
 from trefoilhook.scheduling.polling import (
     apply_poll_answer,
@@ -99,9 +99,17 @@
 )
 from trefoilhook.scheduling.rounds import extend_lease
 from trefoilhook.scheduling.shortfall import Shortfall, ShortfallCounter
+from trefoilhook.scheduling.takeovers import (
+    account_for_workers,
+    list_unreleased,
+    list_unreported,
+)
 from trefoilhook.scheduling.tickets import AdviceRequest, Grant
 
 __all__ = [
+    "account_for_workers",
+    "list_unreleased",
+    "plan_pending_orders",
     "SLOWEST_CLOCK",
     "Advice",
     "AdviceRequest",
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -12,6 +12,7 @@
 )
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
+from trefoilhook.scheduling.group_assignment import assign_in_groups
 from trefoilhook.scheduling.isolation import is_strongly_suspected
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.messages import StopReason
@@ -27,6 +28,7 @@
 from trefoilhook.scheduling.sampling import MAX_CANDIDATES
 from trefoilhook.scheduling.service_shares import split_by_share
 from trefoilhook.scheduling.starvation import reserve_for_starved_jobs
+from trefoilhook.scheduling.takeovers import is_held_for_predecessors
 from trefoilhook.scheduling.tickets import StepName, name_step
 from trefoilhook.scheduling.waits import WaitReason
 from trefoilhook.scheduling.watchdog import is_migration_candidate
@@ -95,7 +97,7 @@
             or state.job.is_new
             or _is_previous_run_expired(scheduler, state, now_ms)
             or (has_most_reports and may_start_unsettled(scheduler, state))
-        )
+        ) and is_held_for_predecessors(scheduler, state)
         if is_held:
             scheduler.holds.hold(state, now_ms)
         elif has_holds:
@@ -124,6 +126,9 @@
     assignment_round = AssignmentRound(
         scheduler=scheduler, colocations=colocations, now_ms=now_ms
     )
+    if scheduler.places is not None and scheduler.places.is_stalled(now_ms):
+        assign_in_groups(assignment_round, ready)
+        return
     if with_fillers:
         scheduler.waits.retain(waiting | {group[0] for group in steps})
         rated_workers = min(len(scheduler.workers), MAX_CANDIDATES)
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -6,6 +6,7 @@
 """
 
 import random
+from collections.abc import Callable
 
 import attrs
 
@@ -28,6 +29,7 @@
 from trefoilhook.scheduling.suspects import SuspectTracker
 from trefoilhook.scheduling.tickets import TicketCache
 from trefoilhook.scheduling.waits import WaitTracker
+from trefoilhook.takeover import PlaceLedger, Predecessors, WorkerGroups
 
 __all__ = ["ATTEMPTS_PER_EPOCH", "Scheduler", "SchedulerLimits"]
 
@@ -132,6 +134,25 @@
         Tasks suspected of crashing their workers.
     random : Random
         Random number generator for samples of a large fleet.
+    predecessors : Predecessors
+        What previous owners may have started. By default this is unknown, and all tasks
+        of earlier jobs are held until the shard is settled.
+    find_lease_expiry : callable
+        Returns the time by which all leases of previous owners on an incarnation have
+        expired, in ms.
+    places : PlaceLedger or None
+        Places of starts that the next owner must know; None if no starts are recorded.
+    groups : WorkerGroups or None
+        Groups in the store, inside which tasks are started while no places can be
+        recorded; None while they are not known to be in the store.
+    has_group_starts : bool
+        Whether a start without a place relies on the groups, which then keep their
+        number.
+    ended_incarnations : set of str
+        Incarnations that were proved over during this ownership.
+    unreleased : dict of str to callable
+        Incarnations that the next owner must still know although they are accounted
+        for, each with a function that returns whether that is over.
     """
 
     def __init__(
@@ -173,6 +194,17 @@
         self.entries = EntryFreshness()
         self.suspects = SuspectTracker(mark_dirty=self._mark_dirty)
         self.random = random.Random(epoch)
+        self.predecessors = Predecessors(
+            unrecorded_epoch=epoch - 1, unrecorded_workers=("",)
+        )
+        self.find_lease_expiry: Callable[[str], float] = lambda name: (
+            limits.settled_at_ms
+        )
+        self.places: PlaceLedger | None = None
+        self.groups: WorkerGroups | None = None
+        self.has_group_starts = False
+        self.ended_incarnations: set[str] = set()
+        self.unreleased: dict[str, Callable[[], bool]] = {}
         self._timed: set[JobState] = set()
 
     # Events from clients and operators.
@@ -354,6 +386,14 @@
         if worker.report.draining and self.suspects.recorded:
             self.suspects.drained.add(worker.incarnation)
         self._release_all(worker)
+        self.ended_incarnations.add(worker.incarnation)
+        if worker.is_in_roster:
+            self.unreleased[worker.incarnation] = self.track_saves()
+
+    def track_saves(self) -> Callable[[], bool]:
+        """Return a function that tells whether all present changes are saved."""
+        checks = [state.track_save() for state in self.dirty]
+        return lambda: all(is_saved() for is_saved in checks)
 
     def _release_all(self, worker: Worker) -> None:
         for run in list(worker.runs.values()):
@@ -367,6 +407,7 @@
         state = self.jobs.get(run.task.job_id)
         task = state.find_task(run.task) if state is not None else None
         if task is None:
+            self._retire_place(run, None)
             return
         task.detach(run)
         task.record_end(worker, kind)
@@ -375,6 +416,15 @@
         if kind is EndKind.FAILED:
             task.failed_on.add(worker.report.worker_id)
         self.apply_end(task, run.attempt, kind, checkpoint)
+        self._retire_place(run, state)
+
+    def _retire_place(self, run: Run, state: JobState | None) -> None:
+        if self.places is not None:
+            self.places.retire(
+                str(run.task),
+                run.attempt,
+                state.track_save() if state is not None else lambda: True,
+            )
 
     def apply_end(
         self, task: TaskState, attempt: int, kind: EndKind, checkpoint: str
--- a/trefoilhook/scheduling/crash_records.py
+++ b/trefoilhook/scheduling/crash_records.py
@@ -17,6 +17,7 @@
 from trefoilhook.scheduling.fleet import Worker
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.messages import LossCause, Suspect, WorkerLoss
+from trefoilhook.scheduling.takeovers import is_held_for_predecessors
 
 __all__ = ["record_exposure", "resolve_recorded", "retract_exposure"]
 
@@ -69,10 +70,20 @@
         scheduler.suspects.discard_negligible(task)
 
 
-def resolve_recorded(scheduler: Scheduler, now_ms: float) -> None:
+def resolve_recorded(
+    scheduler: Scheduler, now_ms: float, *, is_final: bool = True
+) -> None:
     """Evaluate the attempts that a previous owner recorded and that are not running.
 
-    Called once every worker that may run them has answered or is lost.
+    Parameters
+    ----------
+    scheduler : Scheduler
+        Scheduler of the shard.
+    now_ms : float
+        Current time, in ms.
+    is_final : bool, optional
+        Whether every worker that may run them has answered or is lost. Otherwise only
+        the tasks that wait for no worker are evaluated.
     """
     by_worker: dict[str, list[tuple[SuspectUnit, bool]]] = {}
     unresolved: list[TaskState] = []
@@ -83,7 +94,8 @@
         if task.done or task.attempts:
             continue
         workers = [scheduler.find_incarnation(name) for name in suspicion.workers]
-        if any(
+        is_open = not is_final and is_held_for_predecessors(scheduler, task)
+        if is_open or any(
             worker is not None and not worker.has_reported_all for worker in workers
         ):
             unresolved.append(task)
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -124,6 +124,8 @@
     recorded_version : int or None
         Version of its job that records where it is started, which must be saved before
         the order is sent; None until it is known whether a record is needed.
+    is_group_start : bool
+        Whether it is started without a place, on a worker of its job's group.
     in_flight : bool
         Whether an order for it is queued or sent and not answered.
     is_sent : bool
@@ -158,6 +160,7 @@
     slowing_ms: float = 0.0
     pace_since_ms: float = attrs.field()
     recorded_version: int | None = None
+    is_group_start: bool = False
     in_flight: bool = False
     is_sent: bool = False
     ambiguous: bool = False
--- a/trefoilhook/scheduling/incarnations.py
+++ b/trefoilhook/scheduling/incarnations.py
@@ -150,6 +150,8 @@
             scheduler.waiting.discard(task)
     run.ambiguous = True
     run.is_confirmed = run.in_flight = run.is_sent = False
+    # The group contains the previous incarnation.
+    run.is_group_start = False
     run.phase = RunPhase.STARTING
     successor.hold(run)
     scheduler.request_stop(successor, run, StopReason.UNCERTAIN)
--- a/trefoilhook/scheduling/job_state.py
+++ b/trefoilhook/scheduling/job_state.py
@@ -1,5 +1,7 @@
 """State of the jobs of a shard: completed and waiting tasks, and unsaved changes."""
 
+from collections.abc import Callable
+
 import attrs
 
 from trefoilhook.scheduling.fleet import Run, Worker
@@ -180,6 +182,11 @@
         """Whether the persistent state is completely saved."""
         return self.saved_version >= self.version and self.phase_saved
 
+    def track_save(self) -> Callable[[], bool]:
+        """Return a function that tells whether the present state is saved."""
+        version = self.version
+        return lambda: self.saved_version >= version and self.phase_saved
+
     def record(self) -> JobRecord:
         """Return the record to be stored."""
         return JobRecord(job=self.job, phase=self.phase)
--- a/trefoilhook/scheduling/long_waits.py
+++ b/trefoilhook/scheduling/long_waits.py
@@ -8,10 +8,15 @@
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.restarts import measure_wait
+from trefoilhook.scheduling.takeovers import list_awaited_workers
 from trefoilhook.scheduling.tickets import StepName, name_step
+from trefoilhook.scheduling.waits import WaitReason
 
 __all__ = ["LongWait", "list_long_waits"]
 
+_MAX_LISTED_WORKERS = 5
+"""Maximum number of workers named in a log line."""
+
 
 @attrs.frozen(kw_only=True)
 class LongWait:
@@ -43,6 +48,8 @@
         empty.
     held_ms : int
         Remaining time for which it is held as a suspect of a crash, in ms.
+    awaits : tuple of str
+        Workers of previous owners for which it waits, five at most.
     """
 
     task: str
@@ -57,6 +64,7 @@
     last_end: str
     worker_state: str
     held_ms: int
+    awaits: tuple[str, ...] = ()
 
 
 def list_long_waits(
@@ -96,6 +104,11 @@
         last_end=longest.last_end.value if longest.last_end is not None else "",
         worker_state=_describe_worker(scheduler, longest.last_worker),
         held_ms=max(0, round(longest.held_until_ms - now_ms)),
+        awaits=(
+            tuple(list_awaited_workers(scheduler, longest)[:_MAX_LISTED_WORKERS])
+            if reason is WaitReason.OWNER_NEW
+            else ()
+        ),
     )
 
 
--- a/trefoilhook/scheduling/models.py
+++ b/trefoilhook/scheduling/models.py
@@ -310,6 +310,11 @@
     remaining_ms: float = 0.0
     born_ms: int | None = None
 
+    @property
+    def address(self) -> str:
+        """Host and port."""
+        return f"{self.host}:{self.port}"
+
 
 @attrs.frozen
 class TaskId:
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -5,7 +5,7 @@
 from trefoilhook.scheduling.assignment import assign_waiting
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.crash_records import record_exposure, resolve_recorded
-from trefoilhook.scheduling.fleet import Run, RunPhase, Worker, get_worker_id
+from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.isolation import is_placement_recorded
 from trefoilhook.scheduling.lease_expiry import withdraw_start
 from trefoilhook.scheduling.messages import (
@@ -16,6 +16,11 @@
 )
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.pacing import plan_paces
+from trefoilhook.scheduling.takeovers import (
+    is_start_recorded,
+    list_unaccounted,
+    withdraw_unrecorded,
+)
 from trefoilhook.scheduling.tickets import name_step
 from trefoilhook.scheduling.watchdog import stop_stalled_and_draining
 
@@ -23,8 +28,8 @@
     "confirm_start",
     "is_settled",
     "list_awaited",
-    "list_unreported",
     "plan_orders",
+    "plan_pending_orders",
 ]
 
 _NO_DEMAND = Demand()
@@ -47,13 +52,9 @@
 
     Notes
     -----
-    Once a worker has answered under this owner's fencing token, it executes no more
-    orders of previous owners, and the answer contains its runs and its ends. An
-    unreachable worker is given up once the longest lease has expired and its entry is
-    no longer in the store. While the entry exists, the worker is alive and may hold the
-    end of a completed task, which would run twice if it were started again elsewhere.
-    An entry of a later incarnation does not count: its process holds no such end. Only
-    the leases of starts that may have reached it must expire.
+    An entry of a later incarnation does not keep an unreachable worker awaited: its
+    process holds no end of its predecessor. Only the leases of starts that may have
+    reached it must expire.
     """
     return not list_awaited(scheduler, roster, now_ms)
 
@@ -62,28 +63,7 @@
     scheduler: Scheduler, roster: Iterable[str], now_ms: float
 ) -> list[str]:
     """Return the workers of the roster that keep the shard from being settled."""
-    unreported = list_unreported(scheduler, roster)
-    if now_ms < scheduler.limits.settled_at_ms:
-        return unreported
-    return [
-        name
-        for name in unreported
-        if (worker := scheduler.find_incarnation(name)) is not None
-        and worker.is_known_alive
-    ]
-
-
-def list_unreported(scheduler: Scheduler, names: Iterable[str]) -> list[str]:
-    """Return the workers that have not yet reported all runs and ends to this owner.
-
-    The report of a later incarnation counts, as its predecessor runs nothing.
-    """
-    workers = ((name, scheduler.workers.get(get_worker_id(name))) for name in names)
-    return [
-        name
-        for name, worker in workers
-        if worker is None or not worker.has_reported_all
-    ]
+    return list_unaccounted(scheduler, roster, now_ms)
 
 
 def plan_orders(
@@ -106,12 +86,22 @@
         if worker.has_changed:
             stop_stalled_and_draining(scheduler, worker, now_ms)
         record_exposure(scheduler, worker, now_ms)
-    if scheduler.suspects.recorded and (
-        settled or now_ms >= scheduler.limits.settled_at_ms
-    ):
-        resolve_recorded(scheduler, now_ms)
+    if scheduler.suspects.recorded:
+        is_final = settled or now_ms >= scheduler.limits.settled_at_ms
+        resolve_recorded(scheduler, now_ms, is_final=is_final)
+    withdraw_unrecorded(scheduler, now_ms)
     if _has_fresh_state(scheduler, now_ms):
         assign_waiting(scheduler, settled=settled, now_ms=now_ms, wall_ms=wall_ms)
+    orders = plan_pending_orders(scheduler, now_ms)
+    for worker in scheduler.workers.values():
+        if worker.has_changed:
+            worker.has_changed = False
+            orders.extend(plan_paces(scheduler, worker, now_ms))
+    return orders
+
+
+def plan_pending_orders(scheduler: Scheduler, now_ms: float) -> list[Order]:
+    """Return the due orders to start and stop runs that are already assigned."""
     orders: list[Order] = []
     for worker in scheduler.workers.values():
         for run in list(worker.pending_runs):
@@ -121,9 +111,6 @@
             order = _get_due_order(scheduler, worker, run, now_ms)
             if order is not None:
                 orders.append(order)
-        if worker.has_changed:
-            worker.has_changed = False
-            orders.extend(plan_paces(scheduler, worker, now_ms))
     return orders
 
 
@@ -200,6 +187,10 @@
         scheduler, worker, run
     ):
         return None
+    if run.phase is RunPhase.STARTING and not is_start_recorded(
+        scheduler, worker, run, now_ms
+    ):
+        return None
     run.in_flight = True
     run.is_sent = False
     if run.phase is RunPhase.STOPPING:
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -10,6 +10,7 @@
 from trefoilhook.scheduling.job_state import Attempt
 from trefoilhook.scheduling.messages import AttemptEnd, EndKind, PollAnswer, Running
 from trefoilhook.scheduling.models import Demand, Step, TaskId
+from trefoilhook.scheduling.takeovers import record_adopted
 from trefoilhook.scheduling.unread import (
     find_hidden_attempts,
     identifies_all_attempts,
@@ -121,13 +122,11 @@
             task.record_end(worker, end.kind)
             scheduler.apply_end(task, end.attempt, end.kind, end.checkpoint)
     _update_faults(scheduler, worker, end, now_ms)
-    version = state.version if state is not None else 0
 
-    def is_saved() -> bool:
-        if state is None:
-            return end.task.job_id not in scheduler.unreadable_jobs
-        return state.saved_version >= version and state.phase_saved
+    def is_readable() -> bool:
+        return end.task.job_id not in scheduler.unreadable_jobs
 
+    is_saved = state.track_save() if state is not None else is_readable
     worker.record_end(end.number, is_saved)
 
 
@@ -231,6 +230,7 @@
         run.phase = RunPhase.STOPPING
         worker.pending_runs[run] = None
         return run
+    record_adopted(scheduler, worker, run)
     state.started = True
     task.last_attempt = max(task.last_attempt, running.attempt)
     task.attempts.append(Attempt(worker=worker, run=run))
--- /dev/null
+++ b/trefoilhook/scheduling/takeovers.py
@@ -0,0 +1,258 @@
+"""Takeover of a shard: which workers are accounted for, and what must be recorded.
+
+`trefoilhook.takeover` holds what previous owners left, and this module relates it to
+the state of the shard.
+"""
+
+from collections.abc import Iterable
+
+from trefoilhook.scheduling.core import Scheduler
+from trefoilhook.scheduling.fleet import Run, RunPhase, Worker, get_worker_id
+from trefoilhook.scheduling.job_state import TaskState
+from trefoilhook.scheduling.lease_expiry import withdraw_start
+from trefoilhook.scheduling.models import TaskId
+from trefoilhook.takeover import Place
+
+__all__ = [
+    "account_for_workers",
+    "is_held_for_predecessors",
+    "is_start_recorded",
+    "list_awaited_workers",
+    "list_unaccounted",
+    "list_unreported",
+    "list_unreleased",
+    "record_adopted",
+    "withdraw_unrecorded",
+]
+
+_MIN_STEADY_READ_MS = 3000.0
+"""Time for which worker entries must have been read without a failure before a missing
+entry is evidence: after an outage of the store, entries are restored within 2 s."""
+
+
+# Workers of previous owners.
+
+
+def list_unreported(scheduler: Scheduler, names: Iterable[str]) -> list[str]:
+    """Return the workers that have not yet reported all runs and ends to this owner.
+
+    The report of a later incarnation counts, as its predecessor runs nothing. So does
+    the proof that an incarnation has ended.
+    """
+    workers = ((name, scheduler.workers.get(get_worker_id(name))) for name in names)
+    return [
+        name
+        for name, worker in workers
+        if name not in scheduler.ended_incarnations
+        and (worker is None or not worker.has_reported_all)
+    ]
+
+
+def list_unaccounted(
+    scheduler: Scheduler, names: Iterable[str], now_ms: float
+) -> list[str]:
+    """Return the incarnations whose runs and ends are not accounted for.
+
+    Once a worker has answered under this owner's fencing token, it executes no more
+    orders of previous owners, and the answer contains its runs and its ends. A worker
+    that does not answer is given up once all leases on it have expired and its entry is
+    no longer in the store. While the entry exists, the worker is alive and may hold the
+    end of a completed task, which would run twice if it were started again elsewhere.
+    """
+    return [
+        name
+        for name in list_unreported(scheduler, names)
+        if not (
+            _is_replaced(scheduler, name)
+            or (
+                now_ms >= scheduler.find_lease_expiry(name)
+                and _is_known_gone(scheduler, name, now_ms)
+            )
+        )
+    ]
+
+
+def _is_replaced(scheduler: Scheduler, name: str) -> bool:
+    """Return whether another worker has answered at the address of an incarnation."""
+    address = scheduler.predecessors.get_address(name)
+    worker_id = get_worker_id(name)
+    return bool(address) and any(
+        worker.report.address == address
+        and worker.has_answered_token
+        and worker.report.worker_id != worker_id
+        for worker in scheduler.workers.values()
+    )
+
+
+def _is_known_gone(scheduler: Scheduler, name: str, now_ms: float) -> bool:
+    worker = scheduler.find_incarnation(name)
+    if worker is not None and worker.is_known_alive:
+        return False
+    # Entries are restored long before the leases of the last claim have expired.
+    steady_ms = now_ms - scheduler.entries.steady_since_ms
+    return now_ms >= scheduler.limits.settled_at_ms or steady_ms >= _MIN_STEADY_READ_MS
+
+
+def account_for_workers(scheduler: Scheduler, now_ms: float) -> None:
+    """Update the workers of previous owners that are accounted for."""
+    predecessors = scheduler.predecessors
+    if not predecessors.awaited:
+        return
+    awaited = set(list_unaccounted(scheduler, predecessors.awaited, now_ms))
+    for name in predecessors.awaited - awaited:
+        predecessors.account(name)
+        _retire_places(scheduler, name)
+        scheduler.unreleased[name] = scheduler.track_saves()
+    for name in awaited:
+        if now_ms >= scheduler.find_lease_expiry(name):
+            predecessors.expire(name)
+
+
+def _retire_places(scheduler: Scheduler, name: str) -> None:
+    """Release the places of previous owners' attempts that no longer run."""
+    if scheduler.places is None:
+        return
+    worker = scheduler.workers.get(get_worker_id(name))
+    running = {(str(task), attempt) for task, attempt in worker.runs} if worker else ()
+    for place in scheduler.places.list_places():
+        if place.worker != name or (place.task, place.attempt) in running:
+            continue
+        state = scheduler.jobs.get(place.task.partition(".")[0])
+        scheduler.places.retire(
+            place.task,
+            place.attempt,
+            state.track_save() if state is not None else lambda: True,
+        )
+
+
+def list_unreleased(scheduler: Scheduler) -> set[str]:
+    """Return the workers that the next owner must still know as previous ones.
+
+    A worker that is accounted for is released once everything learned from it is in the
+    store: the ends that it reported, and the places of the runs found there.
+    """
+    for name, is_saved in list(scheduler.unreleased.items()):
+        if is_saved() and _are_runs_recorded(scheduler, name):
+            del scheduler.unreleased[name]
+    return scheduler.predecessors.awaited | scheduler.unreleased.keys()
+
+
+def _are_runs_recorded(scheduler: Scheduler, name: str) -> bool:
+    """Return whether the next owner knows all runs without knowing an incarnation.
+
+    A start for an earlier incarnation may be held on its successor, with a place that
+    names the earlier one.
+    """
+    worker = scheduler.workers.get(get_worker_id(name))
+    if worker is None or scheduler.places is None:
+        return True
+    is_current = worker.incarnation == name
+    return all(
+        _is_known_to_successor(scheduler, run)
+        and (
+            is_current
+            or scheduler.places.find_worker(str(run.task), run.attempt) != name
+        )
+        for run in worker.runs.values()
+    )
+
+
+# Tasks that wait.
+
+
+def _list_unit(task: TaskState) -> list[str]:
+    """Return the ids of the tasks that are started together with ``task``."""
+    if not task.step.gang:
+        return [str(task.task)]
+    name = task.task
+    return [
+        str(TaskId(name.job_id, name.occurrence, name.step, index))
+        for index in range(task.step.count)
+    ]
+
+
+def is_held_for_predecessors(scheduler: Scheduler, task: TaskState) -> bool:
+    """Return whether a previous owner's run of a task is not accounted for."""
+    return any(
+        scheduler.predecessors.holds(
+            name, task.task.job_id, never_ends=task.step.long_running
+        )
+        for name in _list_unit(task)
+    )
+
+
+def list_awaited_workers(scheduler: Scheduler, task: TaskState) -> list[str]:
+    """Return the incarnations of previous owners for which a task waits."""
+    names: set[str] = set()
+    for name in _list_unit(task):
+        names.update(
+            scheduler.predecessors.list_awaited(
+                name, task.task.job_id, never_ends=task.step.long_running
+            )
+        )
+    return sorted(names)
+
+
+# Starts that the next owner must know.
+
+
+def _is_known_to_successor(scheduler: Scheduler, run: Run) -> bool:
+    return (
+        scheduler.places is None
+        or run.is_group_start
+        or scheduler.places.is_recorded(str(run.task), run.attempt)
+    )
+
+
+def is_start_recorded(
+    scheduler: Scheduler, worker: Worker, run: Run, now_ms: float
+) -> bool:
+    """Return whether the next owner will know of a start; if not, request a record.
+
+    Guards against a second run of the task: without a record, the next owner would not
+    wait for the worker. While none can be written, it waits for the job's group.
+    """
+    if _is_known_to_successor(scheduler, run):
+        return True
+    groups = scheduler.groups
+    if (
+        scheduler.places is not None
+        and scheduler.places.is_stalled(now_ms)
+        and groups is not None
+        and groups.covers(run.task.job_id, worker.incarnation)
+    ):
+        run.is_group_start = scheduler.has_group_starts = True
+        return True
+    record_adopted(scheduler, worker, run)
+    return False
+
+
+def record_adopted(scheduler: Scheduler, worker: Worker, run: Run) -> None:
+    """Request a record of the worker of a run unless the next owner knows it."""
+    if scheduler.places is None or _is_known_to_successor(scheduler, run):
+        return
+    scheduler.places.request(
+        Place(task=str(run.task), attempt=run.attempt, worker=worker.incarnation)
+    )
+
+
+def withdraw_unrecorded(scheduler: Scheduler, now_ms: float) -> None:
+    """Withdraw the starts that wait for a record while none can be written.
+
+    Their tasks are then started inside their groups.
+    """
+    groups = scheduler.groups
+    if scheduler.places is None or not scheduler.places.is_stalled(now_ms):
+        return
+    for worker in scheduler.workers.values():
+        for run in list(worker.pending_runs):
+            if (
+                run.phase is RunPhase.STARTING
+                and not (run.in_flight or run.may_have_run)
+                and not _is_known_to_successor(scheduler, run)
+                and not (
+                    groups is not None
+                    and groups.covers(run.task.job_id, worker.incarnation)
+                )
+            ):
+                withdraw_start(scheduler, worker, run)
--- /dev/null
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -0,0 +1,317 @@
+"""For which workers tasks wait after a takeover, and what the next owner must know."""
+
+import unittest
+
+from trefoilhook.scheduling import (
+    Demand,
+    EndKind,
+    OrderOutcome,
+    Running,
+    Step,
+    TaskId,
+    account_for_workers,
+    list_unreleased,
+)
+from trefoilhook.scheduling.tests.cases import SMALL, Shard, build_job, list_starts
+from trefoilhook.takeover import (
+    Member,
+    Place,
+    PlaceLedger,
+    Predecessors,
+    WorkerGroups,
+)
+
+EXPIRY_MS = 2000.0
+"""Time after the start of a test at which the leases of earlier owners expire."""
+
+SERVICE = Step(
+    count=1, demand=Demand(cpu=1000, memory_mb=100), estimate_ms=0.0, long_running=True
+)
+TASK = "j.0.0.0"
+
+
+def build_groups(*names: str, epoch: int = 1, count: int = 1) -> WorkerGroups:
+    """Build groups of the given incarnations, each at its own address."""
+    return WorkerGroups(
+        epoch=epoch,
+        count=count,
+        members={
+            slot: Member(name=name, address=f"{name}:1")
+            for slot, name in enumerate(names)
+        },
+    )
+
+
+class Successor(Shard):
+    """Shard of an owner that takes over; ``silent`` does not answer it."""
+
+    def __init__(
+        self,
+        predecessors: Predecessors,
+        *,
+        workers: int = 2,
+        silent: str = "",
+        step: Step = SMALL,
+    ) -> None:
+        super().__init__(workers=workers, epoch=2, settled=False)
+        self.scheduler.predecessors = predecessors
+        expiry_ms = self.now_ms + EXPIRY_MS
+        self.scheduler.find_lease_expiry = lambda name: expiry_ms
+        if silent:
+            worker = self.scheduler.workers[silent]
+            worker.has_answered_token = worker.has_reported_all = False
+            self.silence(silent, OrderOutcome.NO_ANSWER)
+            del self.workers[silent]
+        self.scheduler.entries.note_read(self.now_ms)
+        self.submit(build_job(step), is_new=False)
+
+    def poll_all(self) -> None:
+        """Poll all workers that answer."""
+        for worker_id in self.workers:
+            self.poll(worker_id)
+
+    def count_starts(self, *, after_ms: float = 0.0) -> int:
+        """Return the number of tasks started by a plan."""
+        self.advance_time(after_ms)
+        self.poll_all()
+        account_for_workers(self.scheduler, self.now_ms)
+        return len(list_starts(self.plan()))
+
+
+def build_predecessors(*names: str, place: str = "") -> Predecessors:
+    """Build an earlier epoch with one place, and no worker in the job's group."""
+    groups = build_groups(count=8)
+    other_group = (groups.find_group("j") + 1) % groups.count
+    members = {
+        other_group + number * groups.count: Member(name=name, address=f"{name}:1")
+        for number, name in enumerate(names)
+    }
+    return Predecessors(
+        groups=(WorkerGroups(epoch=1, count=groups.count, members=members),),
+        places=[Place(task=TASK, attempt=7, worker=place)] if place else [],
+    )
+
+
+class AwaitedWorkerTest(unittest.TestCase):
+    """Workers for which a task of an earlier job waits."""
+
+    def test_unrelated_silent_worker_delays_no_task(self):
+        # Guards against a takeover in which one silent worker delays all tasks.
+        shard = Successor(build_predecessors("w0", "w1", place="w1"), silent="w0")
+        self.assertEqual(shard.count_starts(), 1)
+
+    def test_task_waits_for_the_worker_of_its_place(self):
+        # Guards against a second run of a task whose worker does not answer.
+        shard = Successor(build_predecessors("w0", "w1", place="w0"), silent="w0")
+        self.assertEqual(shard.count_starts(), 0)
+        self.assertEqual(shard.count_starts(after_ms=20_000.0), 0)
+
+    def test_task_waits_for_the_group_of_its_job(self):
+        # Guards against a second run of a task that was started without a place.
+        predecessors = Predecessors(groups=(build_groups("w0", "w1"),))
+        shard = Successor(predecessors, silent="w0")
+        self.assertEqual(shard.count_starts(), 0)
+
+    def test_task_waits_for_the_groups_of_each_earlier_epoch(self):
+        predecessors = Predecessors(
+            groups=(build_groups("w1", epoch=2), build_groups("w0", epoch=1))
+        )
+        shard = Successor(predecessors, silent="w0")
+        self.assertEqual(shard.count_starts(), 0)
+
+    def test_task_waits_for_all_workers_of_an_owner_without_records(self):
+        # Guards against relying on records that an earlier build did not write.
+        predecessors = Predecessors(unrecorded_epoch=1, unrecorded_workers=("w0", "w1"))
+        shard = Successor(predecessors, silent="w0")
+        self.assertEqual(shard.count_starts(), 0)
+
+    def test_gang_waits_for_the_workers_of_all_members(self):
+        # Guards against a second run of a gang of which one member was recorded on a
+        # worker that does not answer.
+        gang = Step(
+            count=2,
+            demand=Demand(cpu=100, memory_mb=10),
+            estimate_ms=500.0,
+            gang=True,
+        )
+        predecessors = build_predecessors("w0", "w1", "w2")
+        predecessors = Predecessors(
+            groups=predecessors.groups,
+            places=[Place(task="j.0.0.1", attempt=7, worker="w0")],
+        )
+        shard = Successor(predecessors, workers=3, silent="w0", step=gang)
+        self.assertEqual(shard.count_starts(), 0)
+
+
+class AccountedWorkerTest(unittest.TestCase):
+    """Proofs that nothing of earlier owners is left on a worker."""
+
+    def test_gone_worker_is_awaited_until_its_leases_have_expired(self):
+        shard = Successor(build_predecessors("w0", "w1", place="w0"), silent="w0")
+        shard.scheduler.mark_unlisted("w0")
+        shard.scheduler.workers.pop("w0")
+        self.assertEqual(shard.count_starts(after_ms=EXPIRY_MS - 1.0), 0)
+        self.assertEqual(shard.count_starts(after_ms=1001.0), 1)
+
+    def test_missing_entry_proves_nothing_right_after_a_claim(self):
+        # Guards against a second run of a completed task: after an outage of the store,
+        # the entry of a living worker is missing for a moment.
+        shard = Successor(build_predecessors("w0", "w1", place="w0"), silent="w0")
+        shard.scheduler.workers.pop("w0")
+        shard.scheduler.find_lease_expiry = lambda name: 0.0
+        self.assertEqual(shard.count_starts(after_ms=1000.0), 0)
+        self.assertEqual(shard.count_starts(after_ms=2001.0), 1)
+
+    def test_service_task_waits_for_the_leases_only(self):
+        # Guards against a service task that waits for a listed worker for good.
+        shard = Successor(
+            build_predecessors("w0", "w1", place="w0"), silent="w0", step=SERVICE
+        )
+        self.assertEqual(shard.count_starts(after_ms=EXPIRY_MS - 1.0), 0)
+        self.assertEqual(shard.count_starts(after_ms=1.0), 1)
+
+    def test_wait_that_is_over_at_the_claim_is_not_begun_anew(self):
+        # Guards against takeovers that each begin anew to wait for a crashed worker.
+        shard = Successor(
+            build_predecessors("w0", "w1", place="w0"), silent="w0", step=SERVICE
+        )
+        shard.scheduler.find_lease_expiry = lambda name: shard.now_ms - 1.0
+        self.assertEqual(shard.count_starts(), 1)
+
+    def test_worker_replaced_at_its_address_is_accounted_for(self):
+        # Guards against a wait for a crashed worker whose successor answers.
+        shard = Successor(build_predecessors("w0", "w1", place="w0"), silent="w0")
+        shard.scheduler.workers.pop("w0")
+        self.assertEqual(shard.count_starts(), 0)
+        shard.add_worker("w9", host="w0")
+        self.assertEqual(shard.count_starts(), 1)
+
+    def test_worker_seen_to_have_ended_is_accounted_for(self):
+        shard = Successor(build_predecessors("w0", "w1", place="w0"), silent="w0")
+        shard.scheduler.drop_worker("w0")
+        self.assertEqual(shard.count_starts(), 1)
+
+
+class RecordedStartTest(unittest.TestCase):
+    """A start is sent once the next owner would know of it."""
+
+    def build_shard(self, *steps: Step, workers: int = 2) -> tuple[Shard, PlaceLedger]:
+        """Build a settled shard with recorded starts, and submit a job."""
+        shard = Shard(workers=workers)
+        ledger = shard.scheduler.places = PlaceLedger(epoch=1)
+        names = [w.incarnation for w in shard.scheduler.workers.values()]
+        shard.scheduler.groups = build_groups(*names)
+        shard.submit(build_job(*steps))
+        return shard, ledger
+
+    def write(self, shard: Shard, ledger: PlaceLedger) -> None:
+        """Write all places."""
+        while ledger.build_write(shard.now_ms, max_removals=9) is not None:
+            ledger.confirm()
+
+    def start(self, shard: Shard, ledger: PlaceLedger):
+        """Start the only task of a job, and return its order."""
+        shard.plan()
+        self.write(shard, ledger)
+        return shard.start_one()
+
+    def test_start_waits_for_its_place(self):
+        # Guards against a start that the next owner does not know of.
+        shard, ledger = self.build_shard()
+        self.assertEqual(list_starts(shard.plan()), [])
+        ledger.build_write(shard.now_ms, max_removals=9)
+        self.assertEqual(list_starts(shard.plan()), [])
+        ledger.confirm()
+        (order,) = list_starts(shard.plan())
+        self.assertEqual(
+            ledger.list_places(),
+            [Place(task=TASK, attempt=order.attempt, worker=order.worker_id)],
+        )
+
+    def test_place_is_kept_until_the_end_is_saved(self):
+        # Guards against a second run of a task whose end was not saved.
+        shard, ledger = self.build_shard()
+        order = self.start(shard, ledger)
+        shard.end(order, EndKind.DONE)
+        shard.submit(build_job(job_id="k"))
+        shard.plan()
+        self.write(shard, ledger)
+        self.assertTrue(ledger.is_recorded(TASK, order.attempt))
+        shard.save()
+        shard.submit(build_job(job_id="l"))
+        shard.plan()
+        self.write(shard, ledger)
+        self.assertFalse(ledger.is_recorded(TASK, order.attempt))
+
+    def test_stalled_writes_move_starts_into_groups(self):
+        # Guards against a store outage in which no task is started, and against starts
+        # in it that the next owner does not expect.
+        shard, ledger = self.build_shard(workers=4)
+        groups = build_groups("w0", "w1", "w2", "w3", count=4)
+        shard.scheduler.groups = groups
+        shard.plan()
+        ledger.build_write(shard.now_ms, max_removals=9)
+        shard.advance_time(300.0)
+        shard.poll_all()
+        self.assertEqual(list_starts(shard.plan()), [])
+        shard.advance_time(200.0)
+        shard.poll_all()
+        (order,) = list_starts(shard.plan())
+        self.assertEqual([order.worker_id], groups.list_group("j"))
+        self.assertTrue(shard.scheduler.has_group_starts)
+
+    def test_stalled_writes_without_groups_start_nothing(self):
+        shard, ledger = self.build_shard()
+        shard.scheduler.groups = None
+        shard.plan()
+        ledger.build_write(shard.now_ms, max_removals=9)
+        shard.advance_time(500.0)
+        shard.poll_all()
+        self.assertEqual(list_starts(shard.plan()), [])
+
+    def test_adopted_run_is_recorded_before_its_worker_is_released(self):
+        # Guards against a run of an earlier epoch that is unknown after two takeovers.
+        shard = Successor(Predecessors(groups=(build_groups("w0", "w1"),)))
+        ledger = shard.scheduler.places = PlaceLedger(epoch=2)
+        task = TaskId("j", 0, 0, 0)
+        shard.workers["w0"].running[task, 7] = Running(
+            task=task, attempt=7, checkpoint="", percent=0.0, load=0.0
+        )
+        self.assertEqual(shard.count_starts(), 0)
+        self.assertEqual(list_unreleased(shard.scheduler), {"w0"})
+        self.write(shard, ledger)
+        self.assertEqual(list_unreleased(shard.scheduler), set())
+
+    def test_worker_is_released_after_its_ends_are_saved(self):
+        # Guards against a second run of a task that completed under an earlier epoch,
+        # if the owner that learned of it dies before it is saved.
+        shard = Successor(Predecessors(groups=(build_groups("w0", "w1"),)))
+        shard.scheduler.places = PlaceLedger(epoch=2)
+        shard.workers["w0"].end(TaskId("j", 0, 0, 0), 7, EndKind.DONE)
+        self.assertEqual(shard.count_starts(), 0)
+        self.assertIn("w0", list_unreleased(shard.scheduler))
+        shard.save()
+        self.assertEqual(list_unreleased(shard.scheduler), set())
+
+    def test_dropped_worker_is_released_after_its_ends_are_saved(self):
+        shard, ledger = self.build_shard()
+        order = self.start(shard, ledger)
+        shard.end(order, EndKind.DONE)
+        shard.scheduler.drop_worker(order.worker_id)
+        self.assertEqual(list_unreleased(shard.scheduler), {"", order.worker_id})
+        shard.save()
+        self.assertEqual(list_unreleased(shard.scheduler), {""})
+
+    def test_place_on_a_worker_without_the_run_is_retired(self):
+        # Guards against places that stay in the store for good.
+        predecessors = build_predecessors("w0", "w1", place="w0")
+        shard = Successor(predecessors)
+        ledger = shard.scheduler.places = PlaceLedger(epoch=2)
+        ledger.load((1, 0), [Place(task=TASK, attempt=7, worker="w0")])
+        self.assertEqual(shard.count_starts(), 0)
+        self.write(shard, ledger)
+        self.assertEqual(shard.count_starts(), 1)
+        shard.submit(build_job(job_id="k"))
+        shard.plan()
+        self.write(shard, ledger)
+        self.assertFalse(ledger.is_recorded(TASK, 7))
--- a/trefoilhook/scheduling/waits.py
+++ b/trefoilhook/scheduling/waits.py
@@ -46,6 +46,10 @@
     OWNER_NEW = "owner new"
     """The owner does not know yet which tasks a previous owner has started."""
 
+    NOT_RECORDED = "not recorded"
+    """The store does not answer, so that no place can be recorded, and the workers of
+    its job's group have no room."""
+
     WORKER_LIST_STALE = "list stale"
     """The worker entries in the store have not been read for too long."""
 
