Close four gaps of the recorded starts, and hand on waits to new instances

- an owner renewed leases on a worker that its stored groups didn't contain, so that the next one counted from an earlier epoch.
Until a worker is in them, polls grant no lease beyond the claim; and the own leases on a silent worker are awaited, too.
- a worker that came back after groups without it had been sent, without an answer, was used.
It must be in every version that may be stored.
- the end of a run that was found at a takeover was heard before the run's place was stored, and the worker was released without the end.
Ends heard after the account delay the release.
- unrecorded starts of an earlier build counted until their workers were accounted for; it must be until they are released (so already here).

--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -9,7 +9,7 @@
 import json
 import math
 import uuid
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable
 
 import attrs
 import trio
@@ -85,6 +85,8 @@
         Set when the ownership has ended for any reason.
     released : bool
         Whether the instance gave the ownership up voluntarily.
+    requested_ms : float
+        Monotonic time before the claim was sent, in ms.
     recorded_since : int
         First epoch since which every owner has recorded its starts.
     sightings : dict of int to float
@@ -99,13 +101,23 @@
     valid_until_ms: float
     ended: trio.Event = attrs.Factory(trio.Event)
     released: bool = False
+    requested_ms: float = attrs.field()
     recorded_since: int = attrs.field()
-    sightings: Mapping[int, float] = attrs.Factory(dict)
+    sightings: dict[int, float] = attrs.Factory(dict)
+
+    @requested_ms.default
+    def _default_requested_ms(self) -> float:
+        return self.claimed_ms
 
     @recorded_since.default
     def _default_recorded_since(self) -> int:
         return self.epoch
 
+    def note_end(self, epoch: int, ended_ms: float) -> None:
+        """Record a time at which a previous epoch had ended, in ms."""
+        known_ms = self.sightings.get(epoch + 1, ended_ms)
+        self.sightings[epoch + 1] = min(known_ms, ended_ms)
+
     def find_end(self, epoch: int) -> float:
         """Return a time at which a previous epoch had ended, in ms.
 
@@ -331,6 +343,7 @@
             claimed_ms=self._clock.monotonic_ms(),
             lease=lease,
             valid_until_ms=granted_ms + OWNER_LEASE_MS,
+            requested_ms=granted_ms,
             recorded_since=recorded_since,
             sightings=dict(self._sightings),
         )
--- a/trefoilhook/runtime/polling.py
+++ b/trefoilhook/runtime/polling.py
@@ -246,6 +246,12 @@
         return PollRequest(
             token=self._ownership.epoch,
             acknowledged=acknowledge(worker),
-            deadline_ms=extend_lease(self._scheduler, worker, now_ms),
+            deadline_ms=extend_lease(
+                self._scheduler,
+                worker,
+                # The next owner does not expect later leases on a worker that is not in
+                # the groups of this one.
+                now_ms if worker.is_in_roster else self._ownership.requested_ms,
+            ),
             wait_ms=wait_ms,
         )
--- a/trefoilhook/runtime/predecessors.py
+++ b/trefoilhook/runtime/predecessors.py
@@ -1,6 +1,6 @@
 """Reads what previous owners of a shard recorded about their starts."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 
@@ -33,11 +33,17 @@
         Ledger of the current owner, with their places.
     head_revision : int
         Revision of the stored groups; 0 if there are none.
+    elapsed_ms : mapping of int to int
+        Time for which previous epochs are known to have ended, in ms.
+    damaged_keys : tuple of str
+        Keys to remove once all workers of previous owners are accounted for.
     """
 
     predecessors: Predecessors
     ledger: PlaceLedger
     head_revision: int
+    elapsed_ms: Mapping[int, int] = attrs.Factory(dict)
+    damaged_keys: tuple[str, ...] = ()
 
 
 def read_inheritance(
@@ -69,7 +75,7 @@
     head_revision = 0
     unrecorded: int | None = recorded_since - 1 if recorded_since > 1 else None
     pages: dict[_Page, list[Place]] = {}
-    is_readable = True
+    damaged: list[str] = []
     for item in items:
         try:
             if item.key == keys.groups_key(keys.SHARD):
@@ -81,8 +87,8 @@
                 pages[_read_page(item.key)] = decode_places(item.value)
         except DecodeError as error:
             reject(item, error)
-            is_readable = False
-    if not is_readable:
+            damaged.append(item.key)
+    if damaged:
         unrecorded = epoch - 1
     predecessors = Predecessors(
         groups=(head.groups, *head.inherited) if head is not None else (),
@@ -94,7 +100,14 @@
     for page, places in sorted(pages.items()):
         ledger.load(page, [each for each in places if predecessors.knows(each.worker)])
     return Inheritance(
-        predecessors=predecessors, ledger=ledger, head_revision=head_revision
+        predecessors=predecessors,
+        ledger=ledger,
+        head_revision=head_revision,
+        elapsed_ms=head.elapsed_ms if head is not None else {},
+        # The groups are overwritten.
+        damaged_keys=tuple(
+            key for key in damaged if key != keys.groups_key(keys.SHARD)
+        ),
     )
 
 
--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -16,7 +16,7 @@
 
 from trefoilhook.clock import Clock
 from trefoilhook.decoding import check_string, parse_json
-from trefoilhook.exceptions import DecodeError, StoreError
+from trefoilhook.exceptions import DecodeError, StoreError, StoreUnavailableError
 from trefoilhook.platform import (
     Item,
     KeyValueStore,
@@ -41,6 +41,12 @@
 _RETRY_PAUSE_MS = 200.0
 """Pause after a failed write, in ms."""
 
+_ELAPSED_STEP_MS = 1000
+"""Interval at which the elapsed part of a wait for leases is written, in ms."""
+
+_MAX_REMOVALS = 24
+"""Maximum number of damaged keys removed with one write."""
+
 _BATCH_WINDOW_MS = 10.0
 """Time to collect more workers before a write, in ms. The first polls of a new owner
 are answered within about 10 ms of each other, so that one write covers them all."""
@@ -98,6 +104,8 @@
         self._revision = 0
         self._head: Head | None = None
         self._head_revision = 0
+        self._unanswered_heads: list[Head] = []
+        self._damaged_keys: tuple[str, ...] = ()
         self._settled = False
         self._wake = trio.Event()
 
@@ -114,9 +122,30 @@
         self._revision = item.revision
         self.workers = _decode_roster(item.value)
 
-    def set_head_revision(self, revision: int) -> None:
-        """Set the revision of the groups that a previous owner has written."""
-        self._head_revision = revision
+    def set_recorded(
+        self, *, head_revision: int, damaged_keys: tuple[str, ...]
+    ) -> None:
+        """Set what previous owners have recorded.
+
+        Parameters
+        ----------
+        head_revision : int
+            Revision of their groups; 0 if there are none.
+        damaged_keys : tuple of str
+            Keys to remove once the shard is settled.
+        """
+        self._head_revision = head_revision
+        self._damaged_keys = damaged_keys
+
+    def contains(self, name: str) -> bool:
+        """Return whether the stored groups contain an incarnation for certain.
+
+        A write without an answer may have taken effect.
+        """
+        heads = [self._head, *self._unanswered_heads]
+        return all(
+            head is not None and name in head.groups.list_names() for head in heads
+        )
 
     def notify_change(self) -> None:
         """Request a comparison of the roster with the workers that have answered."""
@@ -137,7 +166,12 @@
             if not self._settled:
                 wanted = tuple(sorted({*wanted, *self.workers}))
             head = self._build_head()
-            has_changed = wanted != self.workers or head != self._head
+            has_changed = (
+                wanted != self.workers
+                or head != self._head
+                or bool(self._unanswered_heads)
+                or (self._settled and bool(self._damaged_keys))
+            )
             if has_changed and not await self._write(wanted, head):
                 await self._store.wait_for_retry(_RETRY_PAUSE_MS)
                 continue
@@ -174,16 +208,30 @@
             groups=groups.replace_members(members.values()),
             inherited=tuple(each for each in inherited if each.members),
             unrecorded_epoch=predecessors.unrecorded_epoch if is_open else None,
+            elapsed_ms={
+                epoch: self._measure_elapsed(epoch)
+                for epoch in predecessors.list_awaited_epochs()
+            },
         )
 
-    def _suspend_groups(self, head: Head | None) -> None:
-        """Start nothing inside groups whose number is being changed in the store."""
+    def _measure_elapsed(self, epoch: int) -> int:
+        """Return how long ago an epoch had ended, in whole steps, in ms."""
+        elapsed_ms = self._clock.monotonic_ms() - self._ownership.find_end(epoch)
+        return _ELAPSED_STEP_MS * int(max(0.0, elapsed_ms) // _ELAPSED_STEP_MS)
+
+    def _announce(self, head: Head) -> None:
+        """Start nothing that groups which may be in the store from now on don't cover.
+
+        These are starts on workers that they do not contain, and starts without a place
+        while the number of groups changes.
+        """
+        self._unanswered_heads.append(head)
+        names = head.groups.list_names()
+        for worker in self._scheduler.workers.values():
+            if worker.incarnation not in names:
+                worker.is_in_roster = False
         groups = self._scheduler.groups
-        if (
-            groups is not None
-            and head is not None
-            and groups.count != head.groups.count
-        ):
+        if groups is not None and groups.count != head.groups.count:
             self._scheduler.groups = None
 
     async def _write(self, roster: tuple[str, ...], head: Head | None) -> bool:
@@ -200,8 +248,12 @@
                 Precondition(key=head_key, revision=self._head_revision)
             )
             puts.append(Put(key=head_key, value=encode_head(head)))
-        change = Transaction(preconditions=tuple(preconditions), puts=tuple(puts))
-        self._suspend_groups(head)
+        removals = self._damaged_keys[:_MAX_REMOVALS] if self._settled else ()
+        change = Transaction(
+            preconditions=tuple(preconditions), puts=tuple(puts), removals=removals
+        )
+        if head is not None:
+            self._announce(head)
         try:
             revision = await self._store.commit(change)
         except PreconditionError as error:
@@ -212,18 +264,29 @@
             self._revision = _get_revision(current_items.get(key))
             if head is not None:
                 self._head_revision = _get_revision(current_items.get(head_key))
+                self._unanswered_heads.pop()
             return False
-        except StoreError:
+        except StoreError as error:
+            has_no_effect = not isinstance(error, StoreUnavailableError) or (
+                error.is_proved_unsent
+            )
+            if head is not None and has_no_effect:
+                self._unanswered_heads.pop()
             return False
         self._revision = revision
+        self._damaged_keys = self._damaged_keys[len(removals) :]
         self.workers = roster
         if head is not None:
             self._head_revision = revision
-            self._head = head
-            self._scheduler.groups = head.groups
-        for name in roster:
+            self._confirm(head)
+        self._notify()
+        return True
+
+    def _confirm(self, head: Head) -> None:
+        self._head = head
+        self._unanswered_heads.clear()
+        self._scheduler.groups = head.groups
+        for name in head.groups.list_names():
             worker = self._scheduler.find_incarnation(name)
             if worker is not None:
                 worker.is_in_roster = True
-        self._notify()
-        return True
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -404,6 +404,9 @@
             recorded_since=ownership.recorded_since,
             reject=self._reject,
         )
+        now_ms = self._clock.monotonic_ms()
+        for epoch, elapsed_ms in inheritance.elapsed_ms.items():
+            ownership.note_end(epoch, now_ms - elapsed_ms)
         predecessors = inheritance.predecessors
         scheduler = self._scheduler
         scheduler.predecessors = predecessors
@@ -415,7 +418,10 @@
             )
         )
         self._settlement.workers = frozenset(predecessors.awaited)
-        self._roster.set_head_revision(inheritance.head_revision)
+        self._roster.set_recorded(
+            head_revision=inheritance.head_revision,
+            damaged_keys=inheritance.damaged_keys,
+        )
 
     def _restore_snapshots(self, items: Mapping[str, Item]) -> None:
         """Restore the readable learned models of previous owners."""
@@ -452,7 +458,7 @@
         )
         self._clients[report.worker_id] = client
         worker = self._scheduler.workers[report.worker_id]
-        worker.is_in_roster = worker.incarnation in self._roster.workers
+        worker.is_in_roster = self._roster.contains(worker.incarnation)
         nursery.start_soon(self._run_poller, worker, client)
 
     async def _run_poller(self, worker: Worker, client: WorkerClient) -> None:
--- a/trefoilhook/runtime/tests/test_takeovers.py
+++ b/trefoilhook/runtime/tests/test_takeovers.py
@@ -70,10 +70,17 @@
     await trio.sleep(0)
 
 
-async def replace_owner(cluster: Cluster, owner: Instance) -> Instance:
+async def kill_owner(cluster: Cluster, owner: Instance) -> Instance:
     """Kill the owner, and wait for the next one."""
     owner.scope.cancel()
     await owner.ended.wait()
+    return await cluster.wait_for_owner()
+
+
+async def replace_owner(cluster: Cluster, owner: Instance) -> Instance:
+    """Kill the owner, start another instance, and wait for the next owner."""
+    owner.scope.cancel()
+    await owner.ended.wait()
     await cluster.start_instance()
     return await cluster.wait_for_owner()
 
@@ -110,10 +117,10 @@
             await cluster.send(owner, "POST", PREFIX + SERVICE, build_service())
             await cluster.wait_until(lambda: count_running(cluster) == TASKS)
             await remove_worker(cluster, "w0")
-            owner = await replace_owner(cluster, owner)
+            owner = await kill_owner(cluster, owner)
             first_claim_ms = cluster.clock.monotonic_ms()
             await trio.sleep(3.0)
-            await replace_owner(cluster, owner)
+            await kill_owner(cluster, owner)
             await cluster.wait_until(lambda: count_running(cluster) == TASKS)
             wait_ms = cluster.clock.monotonic_ms() - first_claim_ms
             self.assertLess(wait_ms, MAX_LEASE_WAIT_MS + 1500.0)
@@ -121,6 +128,25 @@
 
         run_cluster(scenario, instances=3, workers=3, task_ms=600_000.0)
 
+    def test_wait_for_a_removed_worker_is_handed_on_to_a_new_instance(self):
+        # Guards against an instance that begins the wait anew, as it has not seen the
+        # earlier takeover.
+        async def scenario(cluster: Cluster) -> None:
+            owner = await cluster.wait_for_owner()
+            await cluster.send(owner, "POST", PREFIX + SERVICE, build_service())
+            await cluster.wait_until(lambda: count_running(cluster) == TASKS)
+            await remove_worker(cluster, "w0")
+            owner = await replace_owner(cluster, owner)
+            await trio.sleep(4.5)
+            await replace_owner(cluster, owner)
+            claimed_ms = cluster.clock.monotonic_ms()
+            await cluster.wait_until(lambda: count_running(cluster) == TASKS)
+            wait_ms = cluster.clock.monotonic_ms() - claimed_ms
+            self.assertLess(wait_ms, MAX_LEASE_WAIT_MS - 3000.0)
+            self.assertEqual(cluster.find_duplicate_runs(), [])
+
+        run_cluster(scenario, instances=1, workers=3, task_ms=600_000.0)
+
 
 class SilentWorkerTest(unittest.TestCase):
     """Takeovers while a worker that is listed does not answer."""
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -390,6 +390,13 @@
         if worker.is_in_roster:
             self.unreleased[worker.incarnation] = self.track_saves()
 
+    def extend_release(self, worker: Worker) -> None:
+        """Delay the release of a worker until an end reported by it is saved, too."""
+        worker_id = worker.report.worker_id
+        for name in self.unreleased:
+            if get_worker_id(name) == worker_id:
+                self.unreleased[name] = self.track_saves()
+
     def track_saves(self) -> Callable[[], bool]:
         """Return a function that tells whether all present changes are saved."""
         checks = [state.track_save() for state in self.dirty]
@@ -417,6 +424,7 @@
             task.failed_on.add(worker.report.worker_id)
         self.apply_end(task, run.attempt, kind, checkpoint)
         self._retire_place(run, state)
+        self.extend_release(worker)
 
     def _retire_place(self, run: Run, state: JobState | None) -> None:
         if self.places is not None:
--- a/trefoilhook/scheduling/takeovers.py
+++ b/trefoilhook/scheduling/takeovers.py
@@ -65,13 +65,21 @@
         if not (
             _is_replaced(scheduler, name)
             or (
-                now_ms >= scheduler.find_lease_expiry(name)
+                _have_leases_expired(scheduler, name, now_ms)
                 and _is_known_gone(scheduler, name, now_ms)
             )
         )
     ]
 
 
+def _have_leases_expired(scheduler: Scheduler, name: str, now_ms: float) -> bool:
+    """Return whether all leases on an incarnation, also of this owner, have expired."""
+    worker = scheduler.find_incarnation(name)
+    return now_ms >= scheduler.find_lease_expiry(name) and (
+        worker is None or worker.has_expired_leases(now_ms)
+    )
+
+
 def _is_replaced(scheduler: Scheduler, name: str) -> bool:
     """Return whether another worker has answered at the address of an incarnation."""
     address = scheduler.predecessors.get_address(name)
@@ -104,7 +112,7 @@
         _retire_places(scheduler, name)
         scheduler.unreleased[name] = scheduler.track_saves()
     for name in awaited:
-        if now_ms >= scheduler.find_lease_expiry(name):
+        if _have_leases_expired(scheduler, name, now_ms):
             predecessors.expire(name)
 
 
--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -60,6 +60,7 @@
         if silent:
             worker = self.scheduler.workers[silent]
             worker.has_answered_token = worker.has_reported_all = False
+            worker.clock_read_ms = float("-inf")
             self.silence(silent, OrderOutcome.NO_ANSWER)
             del self.workers[silent]
         self.scheduler.entries.note_read(self.now_ms)
@@ -293,6 +294,31 @@
         shard.save()
         self.assertEqual(list_unreleased(shard.scheduler), set())
 
+    def test_end_heard_after_the_account_delays_the_release(self):
+        # Guards against a second run of a task whose run was found, and which ended
+        # before its place or its end was stored.
+        shard = Successor(Predecessors(groups=(build_groups("w0", "w1"),)))
+        shard.scheduler.places = PlaceLedger(epoch=2)
+        task = TaskId("j", 0, 0, 0)
+        shard.workers["w0"].running[task, 7] = Running(
+            task=task, attempt=7, checkpoint="", percent=0.0, load=0.0
+        )
+        self.assertEqual(shard.count_starts(), 0)
+        shard.workers["w0"].end(task, 7, EndKind.DONE)
+        shard.poll("w0")
+        self.assertIn("w0", list_unreleased(shard.scheduler))
+        shard.save()
+        self.assertEqual(list_unreleased(shard.scheduler), set())
+
+    def test_own_leases_on_a_worker_are_awaited_as_well(self):
+        # Guards against a second run on a worker whose leases the new owner has renewed
+        # although it has not reported all of its ends.
+        shard = Successor(build_predecessors("w0", "w1", place="w0"), step=SERVICE)
+        shard.scheduler.workers["w0"].has_reported_all = False
+        del shard.workers["w0"]
+        self.assertEqual(shard.count_starts(after_ms=EXPIRY_MS), 0)
+        self.assertEqual(shard.count_starts(after_ms=4000.0), 1)
+
     def test_dropped_worker_is_released_after_its_ends_are_saved(self):
         shard, ledger = self.build_shard()
         order = self.start(shard, ledger)
--- a/trefoilhook/takeover/core.py
+++ b/trefoilhook/takeover/core.py
@@ -123,6 +123,14 @@
             return max(known or 0, self.unrecorded_epoch)
         return known if known is not None else epoch - 1
 
+    def list_awaited_epochs(self) -> set[int]:
+        """Return the epochs whose leases may not have expired everywhere."""
+        waiting = self.awaited - self.expired
+        epochs = {self._last_epoch[name] for name in waiting & self._last_epoch.keys()}
+        if self.unrecorded_epoch is not None and waiting & self._unrecorded:
+            epochs.add(self.unrecorded_epoch)
+        return epochs
+
     def knows(self, name: str) -> bool:
         """Return whether a previous owner may have left anything on a worker."""
         return name in self._last_epoch
--- a/trefoilhook/takeover/records.py
+++ b/trefoilhook/takeover/records.py
@@ -48,11 +48,16 @@
     unrecorded_epoch : int or None
         Last epoch that may have started tasks without a record and whose workers are
         not all accounted for.
+    elapsed_ms : mapping of int to int
+        Time for which previous epochs were known to have ended when this was written,
+        in ms. The rest of a wait for their leases is thus handed on to instances that
+        have not seen its begin, without a common clock.
     """
 
     groups: WorkerGroups
     inherited: tuple[WorkerGroups, ...] = ()
     unrecorded_epoch: int | None = None
+    elapsed_ms: Mapping[int, int] = attrs.Factory(dict)
 
 
 def encode_head(head: Head) -> bytes:
@@ -62,6 +67,7 @@
         **_build_groups(head.groups),
         "inherited": [_build_groups(groups) for groups in head.inherited],
         "unrecorded_epoch": head.unrecorded_epoch,
+        "elapsed": sorted(head.elapsed_ms.items()),
     }
     return json.dumps(value, separators=(",", ":")).encode()
 
@@ -80,6 +86,9 @@
             for row in read_list(table, "inherited")
         ),
         unrecorded_epoch=unrecorded,
+        elapsed_ms=dict(
+            _read_pair(row) for row in read_list(table, "elapsed", default=[])
+        ),
     )
 
 
@@ -131,6 +140,13 @@
     return value
 
 
+def _read_pair(row: Any) -> tuple[int, int]:
+    values = _check_list(row, "elapsed")
+    if len(values) != 2:
+        raise DecodeError("elapsed: not two values")
+    return check_integer(values[0], "epoch"), check_integer(values[1], "elapsed")
+
+
 def _read_place(step: str, row: Any, workers: tuple[str, ...]) -> Place:
     values = _check_list(row, "place")
     if len(values) != 3:
@@ -159,12 +175,17 @@
         if len(values) != 3:
             raise DecodeError("workers: not three values")
         slot = check_integer(values[0], "slot")
+        if slot in members:
+            raise DecodeError("workers: a slot is used twice")
         members[slot] = Member(
             name=check_string(values[1], "worker", non_empty=True),
             address=check_string(values[2], "address"),
         )
-    return WorkerGroups(
+    groups = WorkerGroups(
         epoch=read_integer(table, "epoch"),
         count=read_integer(table, "groups", minimum=1),
         members=members,
     )
+    if len(groups.list_names()) != len(members):
+        raise DecodeError("workers: a worker has two slots")
+    return groups
