Log what an answer to a client is based on, and how long it took

Users saw jobs of which no answer came in time. The log couldn't tell why: REQUEST_HANDLED had no duration and didn't name what was read, and a GET that met an unreadable record was answered 503 without a line of its own.

REQUEST_HANDLED, REQUEST_REFUSED and REQUEST_FAILED now tell the time taken, what was read in which order (cache, record, progress, waiting; four at most are named), the age of the state read, the revision of the record, and why there is no good answer. REQUEST_HANDLED has the client's own timeout as well. An unreadable record is refused with a line, on GET and on DELETE. No decision is changed.

--- a/trefoilhook/runtime/job_api.py
+++ b/trefoilhook/runtime/job_api.py
@@ -36,6 +36,7 @@
 from trefoilhook.runtime.latejobs import describe_size
 from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.rejections import Rejections
+from trefoilhook.runtime.request_trace import RequestTrace
 from trefoilhook.scheduling import (
     Job,
     JobPhase,
@@ -91,6 +92,7 @@
 class _Target:
     queue: Queue
     job_id: str
+    trace: RequestTrace
 
 
 def _build_unavailable() -> HttpResponse:
@@ -111,23 +113,27 @@
 
 
 def _refuse_request(target: _Target, why: str, job: Job | None = None) -> HttpResponse:
+    target.trace.why = why
     log_event(
         Event.REQUEST_REFUSED,
-        job=target.job_id,
+        **({"job": target.job_id} if target.job_id else {}),
         queue=target.queue.name,
         why=why,
+        **target.trace.describe(),
         **(describe_size(job) if job is not None else {}),
     )
     return _build_unavailable()
 
 
 def _log_failure(target: _Target, status: int, why: str) -> None:
+    target.trace.why = why
     log_event(
         Event.REQUEST_FAILED,
         job=target.job_id,
         queue=target.queue.name,
         status=status,
         why=why,
+        **target.trace.describe(),
     )
 
 
@@ -170,14 +176,17 @@
 
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Serve one request."""
-        began_ms = self._clock.monotonic_ms()
+        trace = RequestTrace(
+            clock=self._clock,
+            began_ms=self._clock.monotonic_ms(),
+            timeout_ms=read_client_timeout(request, default_ms=_DEFAULT_TIMEOUT_MS),
+        )
         version = self._configurations.version
         age_ms = self._configurations.measure_age()
-        response = await self._answer(request)
+        response = await self._answer(request, trace)
         kind = f"{request.method} {response.status}"
         self._metrics.count("requests", kind)
-        duration_ms = self._clock.monotonic_ms() - began_ms
-        self._metrics.observe(f"{request.method.lower()}_ms", duration_ms)
+        self._metrics.observe(f"{request.method.lower()}_ms", trace.measure_time())
         log_event(
             Event.REQUEST_HANDLED,
             job=_read_job_id(request.path),
@@ -186,23 +195,26 @@
             path=request.path[:_MAX_LOGGED_PATH],
             version=version,
             **({"age_ms": round(age_ms)} if version else {}),
+            timeout_ms=round(trace.timeout_ms),
+            **trace.describe(),
+            **({"why": trace.why} if trace.why else {}),
         )
         return response
 
-    async def _answer(self, request: HttpRequest) -> HttpResponse:
+    async def _answer(self, request: HttpRequest, trace: RequestTrace) -> HttpResponse:
         configuration = self._configurations.get_current()
         if configuration is None:
-            return self._refuse_unrouted(request)
+            return self._refuse_unrouted(request, trace)
         path = request.path
         queue = configuration.route(_read_host(request), path)
         if queue is None:
             return HttpResponse(status=404)
         rest = path[len(queue.prefix) :]
         if not rest and request.method == "GET":
-            return await self._count(queue)
+            return await self._count(_Target(queue=queue, job_id="", trace=trace))
         if not _JOB_ID.fullmatch(rest):
             return HttpResponse(status=404)
-        target = _Target(queue=queue, job_id=rest)
+        target = _Target(queue=queue, job_id=rest, trace=trace)
         if request.method == "POST":
             return await self._submit(request, target)
         if request.method == "GET":
@@ -211,19 +223,24 @@
             return await self._cancel(request, target)
         return HttpResponse(status=405)
 
-    def _refuse_unrouted(self, request: HttpRequest) -> HttpResponse:
+    def _refuse_unrouted(
+        self, request: HttpRequest, trace: RequestTrace
+    ) -> HttpResponse:
         """Refuse a request whose route is unknown; deliver the end of a known job."""
         job_id = _read_job_id(request.path)
         phase = self._ended_phases.get(job_id)
         if request.method == "GET" and phase is not None:
+            trace.note_read("cache")
             return build_state_response(phase.value)
         known = self._configurations.configuration
         queue = known.route(_read_host(request), request.path) if known else None
+        trace.why = "configuration not current"
         log_event(
             Event.REQUEST_REFUSED,
             **({"job": job_id} if job_id else {}),
             **({"queue": queue.name} if queue is not None else {}),
-            why="configuration not current",
+            why=trace.why,
+            **trace.describe(),
         )
         return _build_unavailable()
 
@@ -348,19 +365,21 @@
     async def _read(self, target: _Target) -> HttpResponse:
         phase = self._ended_phases.get(target.job_id)
         if phase is not None:
+            target.trace.note_read("cache")
             return build_state_response(phase.value)
         if not self._is_store_reachable():
             return _refuse_request(target, "store away")
         try:
-            item = await self._store.get(keys.job_key(keys.SHARD, target.job_id))
+            item = await self._read_item(target)
             if item is None:
                 return HttpResponse(status=410)
             record = self._decode_record(item)
             if record is None:
-                return _build_unavailable()
+                return _refuse_request(target, "bad record")
             phase = record.phase
             if phase is JobPhase.OPEN:
                 progress = keys.progress_key(keys.SHARD, target.job_id)
+                target.trace.note_read("progress")
                 has_begun = await self._store.get(progress) is not None
                 return build_state_response("running" if has_begun else "queued")
         except StoreError as error:
@@ -368,23 +387,28 @@
         self._cache_phase(target.job_id, phase)
         return build_state_response(phase.value)
 
+    async def _read_item(self, target: _Target) -> Item | None:
+        target.trace.note_read("record")
+        item = await self._store.get(keys.job_key(keys.SHARD, target.job_id))
+        target.trace.revision = item.revision if item is not None else 0
+        return item
+
     def _cache_phase(self, job_id: str, phase: JobPhase) -> None:
         """Cache the phase of an ended job, which never changes again."""
         if len(self._ended_phases) >= _MAX_CACHED_PHASES:
             del self._ended_phases[next(iter(self._ended_phases))]
         self._ended_phases[job_id] = phase
 
-    async def _count(self, queue: Queue) -> HttpResponse:
+    async def _count(self, target: _Target) -> HttpResponse:
         if not self._is_store_reachable():
-            log_event(Event.REQUEST_REFUSED, queue=queue.name, why="store away")
-            return _build_unavailable()
+            return _refuse_request(target, "store away")
         try:
+            target.trace.note_read("waiting")
             listing = await self._store.list_items(
-                keys.waiting_prefix(keys.SHARD, queue.name)
+                keys.waiting_prefix(keys.SHARD, target.queue.name)
             )
         except StoreError as error:
-            log_event(Event.REQUEST_REFUSED, queue=queue.name, why=str(error))
-            return _build_unavailable()
+            return _refuse_request(target, str(error))
         markers = [keys.read_job_id(item.key) for item in listing.items]
         return build_pending_response(
             sum(bool(_JOB_ID.fullmatch(marker)) for marker in markers)
@@ -418,12 +442,12 @@
         self, target: _Target, unanswered: list[StoreError]
     ) -> HttpResponse:
         key = keys.job_key(keys.SHARD, target.job_id)
-        item = await self._store.get(key)
+        item = await self._read_item(target)
         if item is None:
             return HttpResponse(status=410)
         record = self._decode_record(item)
         if record is None:
-            return _build_unavailable()
+            return _refuse_request(target, "bad record")
         if record.phase is not JobPhase.OPEN:
             return HttpResponse.from_json({})
         cancelled = attrs.evolve(record, phase=JobPhase.CANCELLED)
