--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -160,13 +160,17 @@
         size: InstanceSize | None = None,
         clock: Clock | None = None,
         bounds: Bounds = BOUNDS,
+        store_port: int | None = None,
     ) -> Instance:
-        """Start an instance, on ``clock`` if given, and wait until it is ready."""
+        """Start an instance, and wait until it is ready.
+
+        It uses ``clock`` and, to reach the store, ``store_port`` if given.
+        """
         settings = ProcessSettings(
             name=f"i{len(self.instances)}",
             entry_address=("127.0.0.1", 0),
             readiness_address=("127.0.0.1", 0),
-            store_address=("127.0.0.1", self.store.server.port),
+            store_address=("127.0.0.1", store_port or self.store.server.port),
             advice_address=("127.0.0.1", self.advice.server.port)
             if self.advice is not None
             else None,
