Bound every request by its client's deadline, and repeat failed reads in time

Users saw jobs of which no answer came in time. A GET never looked at Deadline-Ms: it made one or two reads, each with a timeout of 1 s and repeated if abandoned, and refused the request after a single failed one. An abandoned read was repeated over an idle connection, and a probe sent over one, that was often as dead as the first.

- The calls for clients are in ClientCalls, shared by POST, GET and DELETE: an answer is sent within the client's deadline, less a quarter of it or 250 ms.
A failed read is repeated while time is left; one that is overdue by 500 ms is also sent over a new connection. following shares the second attempt.
- The return of an unavailable store is waited for in the first second of a read; a store known to be unavailable is refused at once as before.
- A call that is abandoned closes the idle connections, and a probe opens a new one.
- The state of a stored job is told while the configuration is outdated; a job that isn't found, counts, POST and DELETE are still refused.
Without any configuration all are.
- A job known to have begun needs one read instead of two.
No path has more reads.

The red tests of test_deadlines pass, three runs of three. Each of the probe, the close and the second attempt, when taken out, fails a test of test_dead_connections or test_client_calls. 82 tests of outages, configurations, processes, following, logs, foreign records, store outages, reachability and imports passed before the wait for recovery was added; of them, outages, configurations and logs (27) again after it.

--- a/trefoilhook/platform/store.py
+++ b/trefoilhook/platform/store.py
@@ -149,6 +149,8 @@
         """Read ``key`` regularly while the store doesn't answer, until cancelled."""
 
         async def probe() -> bool:
+            # An idle connection may be as dead as the one that made the store suspect.
+            await self._probe_client.close()
             try:
                 await self._call(
                     "GET",
@@ -343,6 +345,8 @@
             self._reachability.end_call(call)
         if response is None:
             self._fail(name, CallFailure.NO_ANSWER, sent_ms, "abandoned")
+            # The repetition must not use another connection that may be dead as well.
+            await (client or self._client).close()
             raise StoreAbandonedError("the call was abandoned before it was answered")
         if response.status not in (200, *accept):
             failure = _classify_refusal(response.status)
--- a/trefoilhook/runtime/following.py
+++ b/trefoilhook/runtime/following.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable
 
 import attrs
-import trio
 
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import HistoryLostError, StoreError
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import Change, Changes, KeyValueStore, Listing
+from trefoilhook.runtime.second_attempts import read_with_second_attempt
 
 __all__ = ["WATCH_WAIT_MS", "KeyRead", "ReadKind", "follow"]
 
@@ -64,36 +64,15 @@
 async def _watch(
     store: KeyValueStore, prefix: str, *, after: int, wait_ms: int
 ) -> Changes:
-    """Watch keys; if the answer is overdue, also ask over a new connection.
-
-    A connection can be dead without an error while new ones work. The first answer is
-    returned.
-    """
-    answers: list[Changes] = []
-    errors: list[StoreError] = []
-    first_ended = trio.Event()
-    async with trio.open_nursery() as nursery:
-
-        async def ask(wait_ms: int) -> None:
-            try:
-                answers.append(await store.watch(prefix, after=after, wait_ms=wait_ms))
-            except StoreError as error:
-                errors.append(error)
-                if not isinstance(error, HistoryLostError):
-                    return
-            finally:
-                first_ended.set()
-            nursery.cancel_scope.cancel()
-
-        nursery.start_soon(ask, wait_ms)
-        with trio.move_on_after((wait_ms + _OVERDUE_AFTER_MS) / 1000.0):
-            await first_ended.wait()
-        if not first_ended.is_set():
-            await store.close()
-            await ask(0)
-    if answers:
-        return answers[0]
-    raise errors[-1]
+    """Watch keys; if the answer is overdue, also ask over a new connection."""
+    return await read_with_second_attempt(
+        lambda is_second: store.watch(
+            prefix, after=after, wait_ms=0 if is_second else wait_ms
+        ),
+        connections=store,
+        overdue_ms=wait_ms + _OVERDUE_AFTER_MS,
+        is_final=lambda error: isinstance(error, HistoryLostError),
+    )
 
 
 def _ignore() -> None:
--- a/trefoilhook/runtime/job_api.py
+++ b/trefoilhook/runtime/job_api.py
@@ -6,7 +6,8 @@
 """
 
 import re
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import attrs
 
@@ -32,6 +33,7 @@
     read_client_timeout,
 )
 from trefoilhook.runtime import keys
+from trefoilhook.runtime.client_calls import REJECTED_RETRY_LIMIT_MS, ClientCalls
 from trefoilhook.runtime.configurations import ConfigurationFeed
 from trefoilhook.runtime.latejobs import describe_size
 from trefoilhook.runtime.metrics import ProcessMetrics
@@ -48,6 +50,8 @@
 
 __all__ = ["JobApi"]
 
+_Answer = TypeVar("_Answer")
+
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _RETRY_AFTER_S = 1
 """Value of the ``retry-after`` header, in s. All instances notice the end of a store
@@ -56,12 +60,6 @@
 _DEFAULT_TIMEOUT_MS = 3000.0
 """Timeout of clients that send none, in ms."""
 
-_ANSWER_MARGIN_MS = 250.0
-"""Time reserved for the response to reach the client, in ms."""
-
-_RETRY_PAUSE_MS = 60.0
-"""Pause before a call to the store is repeated, in ms."""
-
 _COMMIT_TIMEOUT_MS = 500.0
 """Timeout of a submission's transaction, in ms. A lost answer is never sent again, so a
 longer timeout only delays the retry. A store ninety times slower than usual answers in
@@ -72,17 +70,14 @@
 it, the client is told that the outcome is unknown and has time left for another
 instance."""
 
-_REJECTED_RETRY_LIMIT_MS = 250.0
-"""Time for which calls rejected by the store are retried, in ms. After it, the client
-is served sooner by another instance, or by the same one a second later."""
-
-_MAX_PROBE_WAIT_MS = 450.0
-"""Maximum wait of a submission for a probe to show whether the store is unavailable, in
-ms."""
+_CANCEL_TIMEOUT_MS = 1000.0
+"""Timeout of a cancellation's transaction, in ms. A read then shows a lost outcome."""
 
 _MAX_CACHED_PHASES = 2000
 """Maximum number of ended jobs with a cached phase. Each takes 200 bytes."""
 
+_MAX_BEGUN_JOBS = 2000
+"""Maximum number of jobs that are known to have begun. Each takes 200 bytes."""
 
 _MAX_LOGGED_PATH = 200
 """Maximum length of a logged path, in characters."""
@@ -170,9 +165,12 @@
         self._store = store
         self._clock = clock
         self._configurations = configurations
-        self._is_store_reachable = is_store_reachable
+        self._calls = ClientCalls(
+            store=store, clock=clock, is_reachable=is_store_reachable
+        )
         self._metrics = metrics
         self._ended_phases: dict[str, JobPhase] = {}
+        self._begun: dict[str, None] = {}
 
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Serve one request."""
@@ -204,7 +202,7 @@
     async def _answer(self, request: HttpRequest, trace: RequestTrace) -> HttpResponse:
         configuration = self._configurations.get_current()
         if configuration is None:
-            return self._refuse_unrouted(request, trace)
+            return await self._answer_unrouted(request, trace)
         path = request.path
         queue = configuration.route(_read_host(request), path)
         if queue is None:
@@ -220,29 +218,41 @@
         if request.method == "GET":
             return await self._read(target)
         if request.method == "DELETE":
-            return await self._cancel(request, target)
+            return await self._cancel(target)
         return HttpResponse(status=405)
 
-    def _refuse_unrouted(
+    async def _answer_unrouted(
         self, request: HttpRequest, trace: RequestTrace
     ) -> HttpResponse:
-        """Refuse a request whose route is unknown; deliver the end of a known job."""
+        """Deliver the state of a job that is found; refuse all else.
+
+        A newer configuration may have added or removed the route. It doesn't change the
+        state of a job that is stored, but a missing one can't be told from one of a
+        route that is gone.
+        """
         job_id = _read_job_id(request.path)
-        phase = self._ended_phases.get(job_id)
-        if request.method == "GET" and phase is not None:
+        if request.method == "GET" and job_id in self._ended_phases:
             trace.note_read("cache")
-            return build_state_response(phase.value)
+            return build_state_response(self._ended_phases[job_id].value)
         known = self._configurations.configuration
         queue = known.route(_read_host(request), request.path) if known else None
-        trace.why = "configuration not current"
-        log_event(
-            Event.REQUEST_REFUSED,
-            **({"job": job_id} if job_id else {}),
-            **({"queue": queue.name} if queue is not None else {}),
-            why=trace.why,
-            **trace.describe(),
-        )
-        return _build_unavailable()
+        why = "configuration not current"
+        if queue is None:
+            trace.why = why
+            log_event(
+                Event.REQUEST_REFUSED,
+                **({"job": job_id} if job_id else {}),
+                why=why,
+                **trace.describe(),
+            )
+            return _build_unavailable()
+        target = _Target(queue=queue, job_id=job_id, trace=trace)
+        if request.method != "GET" or request.path != queue.prefix + job_id:
+            return _refuse_request(target, why)
+        if not job_id or not self._calls.is_reachable():
+            return _refuse_request(target, why)
+        response = await self._read(target)
+        return _refuse_request(target, why) if response.status == 410 else response
 
     # Submission.
 
@@ -266,10 +276,10 @@
                 Put(key=marker, value=b""),
             ),
         )
-        return await self._write(request, target, job, change)
+        return await self._write(target, job, change)
 
     async def _write(
-        self, request: HttpRequest, target: _Target, job: Job, change: Transaction
+        self, target: _Target, job: Job, change: Transaction
     ) -> HttpResponse:
         """Write a submission, and report its outcome only if it is known.
 
@@ -277,15 +287,18 @@
         precondition until one call is answered, which proves that the record is stored.
         Without any answer, the client gets status 504, as the outcome is unknown.
         """
-        began_ms = self._clock.monotonic_ms()
-        timeout_ms = read_client_timeout(request, default_ms=_DEFAULT_TIMEOUT_MS)
+        began_ms = target.trace.began_ms
+        until_ms = target.trace.until_ms
         ambiguous = False
         while True:
-            if not ambiguous and not await self._is_store_answering():
+            if not ambiguous and not await self._calls.is_answering(until_ms):
                 return _refuse_request(target, "store away", job)
+            left_ms = self._calls.measure_left(until_ms)
+            if not ambiguous and not left_ms:
+                return _refuse_request(target, "no time left", job)
             try:
                 revision = await self._store.commit(
-                    change, timeout_ms=_COMMIT_TIMEOUT_MS
+                    change, timeout_ms=min(_COMMIT_TIMEOUT_MS, max(1.0, left_ms))
                 )
                 self._log_acceptance(target, job, began_ms, revision=revision)
                 return HttpResponse.from_json({})
@@ -296,29 +309,16 @@
                 reason = str(error)
             except StoreError as error:
                 reason = str(error)
-            limit_ms = min(_UNANSWERED_RETRY_LIMIT_MS, timeout_ms - _ANSWER_MARGIN_MS)
+            limit_ms = _UNANSWERED_RETRY_LIMIT_MS
             if not ambiguous:
-                limit_ms = _REJECTED_RETRY_LIMIT_MS
-            if await self._wait_for_retry(began_ms + limit_ms):
+                limit_ms = REJECTED_RETRY_LIMIT_MS
+            if await self._calls.wait_for_retry(min(until_ms, began_ms + limit_ms)):
                 continue
             if not ambiguous:
                 return _refuse_request(target, reason, job)
             _log_failure(target, 504, reason)
             return HttpResponse(status=504)
 
-    async def _is_store_answering(self) -> bool:
-        if self._is_store_reachable():
-            await self._store.wait_for_probe_result(_MAX_PROBE_WAIT_MS)
-        return self._is_store_reachable()
-
-    async def _wait_for_retry(self, until_ms: float) -> bool:
-        """Wait before a retry; return whether it is in time and the store reachable."""
-        await self._clock.sleep_ms(_RETRY_PAUSE_MS)
-        remaining_ms = max(0.0, until_ms - self._clock.monotonic_ms())
-        await self._store.wait_for_probe_result(remaining_ms)
-        in_time = self._clock.monotonic_ms() < until_ms
-        return in_time and self._is_store_reachable()
-
     def _log_acceptance(
         self, target: _Target, job: Job, began_ms: float, **how: int
     ) -> None:
@@ -367,7 +367,7 @@
         if phase is not None:
             target.trace.note_read("cache")
             return build_state_response(phase.value)
-        if not self._is_store_reachable():
+        if not self._calls.is_reachable():
             return _refuse_request(target, "store away")
         try:
             item = await self._read_item(target)
@@ -376,36 +376,61 @@
             record = self._decode_record(item)
             if record is None:
                 return _refuse_request(target, "bad record")
-            phase = record.phase
-            if phase is JobPhase.OPEN:
-                progress = keys.progress_key(keys.SHARD, target.job_id)
-                target.trace.note_read("progress")
-                has_begun = await self._store.get(progress) is not None
+            if record.phase is JobPhase.OPEN:
+                has_begun = await self._has_begun(target)
                 return build_state_response("running" if has_begun else "queued")
         except StoreError as error:
             return _refuse_request(target, str(error))
-        self._cache_phase(target.job_id, phase)
-        return build_state_response(phase.value)
+        self._cache_phase(target.job_id, record.phase)
+        return build_state_response(record.phase.value)
 
     async def _read_item(self, target: _Target) -> Item | None:
-        target.trace.note_read("record")
-        item = await self._store.get(keys.job_key(keys.SHARD, target.job_id))
+        key = keys.job_key(keys.SHARD, target.job_id)
+        item = await self._call(target, "record", lambda: self._store.get(key))
         target.trace.revision = item.revision if item is not None else 0
         return item
 
+    async def _has_begun(self, target: _Target) -> bool:
+        """Return whether a task of an open job has started, which stays so."""
+        if target.job_id in self._begun:
+            return True
+        key = keys.progress_key(keys.SHARD, target.job_id)
+        item = await self._call(target, "progress", lambda: self._store.get(key))
+        if item is None:
+            return False
+        if len(self._begun) >= _MAX_BEGUN_JOBS:
+            del self._begun[next(iter(self._begun))]
+        self._begun[target.job_id] = None
+        return True
+
+    async def _call(
+        self, target: _Target, name: str, read: Callable[[], Awaitable[_Answer]]
+    ) -> _Answer:
+        """Read from the store in the time that the client has left."""
+
+        async def read_once() -> _Answer:
+            sent_ms = self._clock.monotonic_ms()
+            target.trace.note_read(name)
+            answer = await read()
+            target.trace.note_answer(sent_ms)
+            return answer
+
+        return await self._calls.read(read_once, until_ms=target.trace.until_ms)
+
     def _cache_phase(self, job_id: str, phase: JobPhase) -> None:
         """Cache the phase of an ended job, which never changes again."""
+        self._begun.pop(job_id, None)
         if len(self._ended_phases) >= _MAX_CACHED_PHASES:
             del self._ended_phases[next(iter(self._ended_phases))]
         self._ended_phases[job_id] = phase
 
     async def _count(self, target: _Target) -> HttpResponse:
-        if not self._is_store_reachable():
+        if not self._calls.is_reachable():
             return _refuse_request(target, "store away")
+        prefix = keys.waiting_prefix(keys.SHARD, target.queue.name)
         try:
-            target.trace.note_read("waiting")
-            listing = await self._store.list_items(
-                keys.waiting_prefix(keys.SHARD, target.queue.name)
+            listing = await self._call(
+                target, "waiting", lambda: self._store.list_items(prefix)
             )
         except StoreError as error:
             return _refuse_request(target, str(error))
@@ -416,13 +441,11 @@
 
     # Cancellation.
 
-    async def _cancel(self, request: HttpRequest, target: _Target) -> HttpResponse:
+    async def _cancel(self, target: _Target) -> HttpResponse:
         """Cancel a job; return status 504 only if a write may have taken effect."""
-        began_ms = self._clock.monotonic_ms()
-        timeout_ms = read_client_timeout(request, default_ms=_DEFAULT_TIMEOUT_MS)
         unanswered: list[StoreError] = []
         while True:
-            if not unanswered and not self._is_store_reachable():
+            if not unanswered and not self._calls.is_reachable():
                 return _refuse_request(target, "store away")
             try:
                 return await self._try_cancel(target, unanswered)
@@ -431,7 +454,7 @@
                 reason = "changed meanwhile"
             except StoreError as error:
                 reason = str(error)
-            if await self._wait_for_retry(began_ms + timeout_ms - _ANSWER_MARGIN_MS):
+            if await self._calls.wait_for_retry(target.trace.until_ms):
                 continue
             if not unanswered:
                 return _refuse_request(target, reason)
@@ -460,8 +483,11 @@
                 keys.waiting_key(keys.SHARD, queue, target.job_id),
             ),
         )
+        left_ms = max(1.0, self._calls.measure_left(target.trace.until_ms))
         try:
-            revision = await self._store.commit(change)
+            revision = await self._store.commit(
+                change, timeout_ms=min(_CANCEL_TIMEOUT_MS, left_ms)
+            )
         except StoreUnavailableError as error:
             if not error.is_proved_unsent:
                 unanswered.append(error)
--- a/trefoilhook/runtime/request_trace.py
+++ b/trefoilhook/runtime/request_trace.py
@@ -9,6 +9,12 @@
 _MAX_LOGGED_READS = 4
 """Maximum number of reads that a line names."""
 
+_ANSWER_MARGIN_MS = 250.0
+"""Time reserved for the response to reach the client, in ms."""
+
+_MAX_MARGIN_FRACTION = 0.25
+"""Maximum of that time as a fraction of the client's timeout."""
+
 
 @attrs.define(kw_only=True, eq=False)
 class RequestTrace:
@@ -37,12 +43,21 @@
     revision: int = 0
     why: str = ""
     _reads: list[str] = attrs.field(factory=list, init=False)
-    _read_ms: float = attrs.field(default=0.0, init=False)
+    _read_ms: float | None = attrs.field(default=None, init=False)
 
-    def note_read(self, name: str, *, at_ms: float | None = None) -> None:
-        """Record a read whose answer shows the state at ``at_ms``, by default now."""
+    @property
+    def until_ms(self) -> float:
+        """Monotonic time at which an answer must be sent to be received, in ms."""
+        margin_ms = min(_ANSWER_MARGIN_MS, _MAX_MARGIN_FRACTION * self.timeout_ms)
+        return self.began_ms + self.timeout_ms - max(0.0, margin_ms)
+
+    def note_read(self, name: str) -> None:
+        """Record that a read begins."""
         self._reads.append(name)
-        self._read_ms = self.clock.monotonic_ms() if at_ms is None else at_ms
+
+    def note_answer(self, sent_ms: float) -> None:
+        """Record the answer to a read that was begun at ``sent_ms``."""
+        self._read_ms = sent_ms
 
     def measure_time(self) -> float:
         """Return the time since the request was received, in ms."""
@@ -53,6 +68,7 @@
         fields: dict[str, str | int] = {"ms": round(self.measure_time())}
         if self._reads:
             fields["read"] = ",".join(self._reads[:_MAX_LOGGED_READS])
+        if self._read_ms is not None:
             fields["read_age_ms"] = round(self.clock.monotonic_ms() - self._read_ms)
         if len(self._reads) > _MAX_LOGGED_READS:
             fields["reads"] = len(self._reads)
--- a/trefoilhook/runtime/tests/test_configurations.py
+++ b/trefoilhook/runtime/tests/test_configurations.py
@@ -86,3 +86,19 @@
         for lose_store in (_refuse_operator_keys, _silence, _refuse):
             with self.subTest(lose_store.__name__):
                 self._check(lose_store)
+
+    def test_states_of_jobs_are_told_by_an_outdated_configuration(self):
+        # Guards against a job without an answer for as long as the store doesn't serve
+        # the operator's keys, although it serves the job's record.
+        async def scenario(cluster: Cluster) -> None:
+            instance = await cluster.start_instance(bounds=_BOUNDS)
+            await cluster.send(instance, "POST", PREFIX + _JOB, build_body())
+            await _refuse_operator_keys(cluster)
+            await cluster.clock.sleep_ms(_WATCH_MS + _BOUNDS.configuration_ms)
+            await self._expect_refusals(cluster, instance)
+            self.assertEqual(await cluster.read_state(instance, _JOB), "queued")
+            # Its route may be gone, which would be told by another status.
+            unknown = _JOB.replace("c1", "c2")
+            self.assertEqual(await cluster.read_state(instance, unknown), "503")
+
+        run_cluster(scenario, instances=0, workers=0)
--- a/trefoilhook/runtime/tests/test_deadlines.py
+++ b/trefoilhook/runtime/tests/test_deadlines.py
@@ -116,6 +116,19 @@
             with self.subTest(target):
                 _run(scenario)
 
+    def test_read_and_probe_on_connections_that_are_reset(self):
+        # Guards against a refusal because the first probe was lost with the read: the
+        # next one is answered, with most of the client's time left.
+        async def scenario(cluster: Cluster, instance: Instance, cut: TcpCut) -> None:
+            cut.set(CutSettings(delay_ms=50.0))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._expect, cluster, instance, "GET", 200)
+                for _ in range(2):
+                    await trio.sleep(0.06)
+                    await cut.reset_connections()
+
+        _run(scenario)
+
     def test_requests_to_a_slow_store(self):
         # Guards against reads that are abandoned, or repeated beyond the deadline,
         # because each takes nearly as long as its timeout.
