--- a/trefoilhook/takeover/tests/test_core.py
+++ b/trefoilhook/takeover/tests/test_core.py
@@ -177,7 +177,11 @@
     def test_last_epoch_decides_when_leases_expire(self) -> None:
         """Guards against leases of a later owner that are not waited out."""
         predecessors = Predecessors(
-            groups=[build_groups("a", epoch=3), _GROUPS, build_groups("c", epoch=2)],
+            groups=[
+                build_groups("a", epoch=3),
+                _GROUPS,
+                build_groups("c", "a", epoch=2),
+            ],
             unrecorded_epoch=3,
             unrecorded_workers=["b", "c", "x"],
         )
