Close three gaps of recorded starts around restarts and unreadable jobs

A review by one who hadn't seen the work found three orders of events in which a task could run twice, each shown by a script:

- the entry of a worker that restarted under its id freed tasks at once, as its earlier incarnation counted as ended.
A start of the earlier owner names the id alone, so that the new process may still execute it.
Only an answer under the own token, or the end of the leases, frees them now.
- a start that was ruled out, and that is held again as the worker restarted, had no place any more.
The place is kept or requested again.
- the place of a job with an unreadable record was removed, and its worker released, before its end was acknowledged.
Neither happens now while the record is unreadable or ends of the worker aren't saved.

TASK_WAITS names the first of tasks that have waited equally long: its test failed twice by the order of a set. The limit on leases before a worker is in the stored groups has a test.

--- a/trefoilhook/runtime/tests/test_roster.py
+++ b/trefoilhook/runtime/tests/test_roster.py
@@ -9,9 +9,11 @@
 from trefoilhook.clock import build_boottime_clock
 from trefoilhook.exceptions import StoreUnavailableError
 from trefoilhook.platform import Transaction
+from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.ownership import Ownership
+from trefoilhook.runtime.polling import WorkerPoller
 from trefoilhook.runtime.roster import Roster
-from trefoilhook.scheduling.tests.cases import Shard
+from trefoilhook.scheduling.tests.cases import TASK_LEASE_MS, Shard
 
 
 @attrs.define(kw_only=True)
@@ -35,6 +37,42 @@
         await trio.sleep(pause_ms / 1000.0)
 
 
+class LeaseLimitTest(unittest.TestCase):
+    """Leases on workers that the stored groups do not contain yet."""
+
+    def test_lease_ends_with_the_claim_until_the_worker_is_stored(self):
+        # Guards against a second run of a task: the next owner counts the leases on a
+        # worker from the last epoch whose groups contain it.
+        shard = Shard()
+        ownership = Ownership(
+            epoch=1,
+            owner_revision=1,
+            claimed_ms=shard.now_ms,
+            lease=1,
+            valid_until_ms=shard.now_ms + 2000.0,
+        )
+        poller = WorkerPoller(
+            clock=build_boottime_clock(),
+            ownership=ownership,
+            scheduler=shard.scheduler,
+            committer=None,
+            metrics=ProcessMetrics(),
+            rejections=None,
+            notify=lambda: None,
+            on_ownership_lost=lambda: None,
+            on_first_answer=lambda: None,
+        )
+        worker = shard.scheduler.workers["w0"]
+        limit_ms = worker.estimate_clock(shard.now_ms) + TASK_LEASE_MS
+        shard.advance_time(1500.0)
+        worker.is_in_roster = False
+        request = poller._build_poll_request(worker, shard.now_ms)
+        self.assertEqual(request.deadline_ms, limit_ms)
+        worker.is_in_roster = True
+        request = poller._build_poll_request(worker, shard.now_ms)
+        self.assertEqual(request.deadline_ms, limit_ms + 1500.0)
+
+
 class UnansweredWriteTest(unittest.TestCase):
     """Workers that groups in the store may not contain."""
 
--- a/trefoilhook/runtime/tests/test_takeovers.py
+++ b/trefoilhook/runtime/tests/test_takeovers.py
@@ -194,8 +194,7 @@
     """Records of starts while the store or an earlier build does not write them."""
 
     def test_starts_go_on_while_the_store_does_not_answer(self):
-        # Guards against a step that waits for the store, and against a second run of
-        # it under the next owner.
+        # Guards against a step that waits for the store.
         async def scenario(cluster: Cluster) -> None:
             owner = await cluster.wait_for_owner()
             await cluster.send(owner, "POST", PREFIX + JOB, build_body(1, 1))
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -378,15 +378,25 @@
             return None
         return worker
 
-    def drop_worker(self, worker_id: str) -> None:
-        """Remove a worker that is proved to run nothing; its tasks wait again."""
+    def drop_worker(self, worker_id: str, *, has_restarted: bool = False) -> None:
+        """Remove a worker that is proved to run nothing; its tasks wait again.
+
+        Parameters
+        ----------
+        worker_id : str
+            Id of the worker.
+        has_restarted : bool, optional
+            Whether its next incarnation has the same id, and may execute late starts
+            of previous owners until it has answered this one.
+        """
         worker = self.workers.pop(worker_id, None)
         if worker is None:
             return
         if worker.report.draining and self.suspects.recorded:
             self.suspects.drained.add(worker.incarnation)
         self._release_all(worker)
-        self.ended_incarnations.add(worker.incarnation)
+        if not has_restarted:
+            self.ended_incarnations.add(worker.incarnation)
         if worker.is_in_roster:
             self.unreleased[worker.incarnation] = self.track_saves()
 
@@ -414,7 +424,7 @@
         state = self.jobs.get(run.task.job_id)
         task = state.find_task(run.task) if state is not None else None
         if task is None:
-            self._retire_place(run, None)
+            self._retire_place(run)
             return
         task.detach(run)
         task.record_end(worker, kind)
@@ -423,16 +433,23 @@
         if kind is EndKind.FAILED:
             task.failed_on.add(worker.report.worker_id)
         self.apply_end(task, run.attempt, kind, checkpoint)
-        self._retire_place(run, state)
+        self._retire_place(run)
         self.extend_release(worker)
 
-    def _retire_place(self, run: Run, state: JobState | None) -> None:
+    def _retire_place(self, run: Run) -> None:
         if self.places is not None:
-            self.places.retire(
-                str(run.task),
-                run.attempt,
-                state.track_save() if state is not None else lambda: True,
-            )
+            is_saved = self.track_save(run.task.job_id)
+            self.places.retire(str(run.task), run.attempt, is_saved)
+
+    def track_save(self, job_id: str) -> Callable[[], bool]:
+        """Return a function that tells whether the present state of a job is saved.
+
+        Nothing is known to be saved of a job with an unreadable record.
+        """
+        state = self.jobs.get(job_id)
+        if state is not None:
+            return state.track_save()
+        return lambda: job_id not in self.unreadable_jobs
 
     def apply_end(
         self, task: TaskState, attempt: int, kind: EndKind, checkpoint: str
--- a/trefoilhook/scheduling/incarnations.py
+++ b/trefoilhook/scheduling/incarnations.py
@@ -16,6 +16,7 @@
 from trefoilhook.scheduling.job_state import Attempt
 from trefoilhook.scheduling.messages import StopReason
 from trefoilhook.scheduling.models import WorkerReport
+from trefoilhook.takeover import Place
 
 __all__ = [
     "apply_report",
@@ -112,7 +113,7 @@
     ]
     for run in unresolved:
         worker.release(run)
-    scheduler.drop_worker(report.worker_id)
+    scheduler.drop_worker(report.worker_id, has_restarted=True)
     scheduler.tickets.drop_worker(report.worker_id)
     scheduler.update_worker(report)
     successor = scheduler.workers[report.worker_id]
@@ -121,6 +122,13 @@
         successor.lease_until_ms = valid_ms
     for run in unresolved:
         _transfer(scheduler, successor, run)
+        if scheduler.places is not None:
+            # The next owner knows the previous incarnation, and not yet this one.
+            scheduler.places.restore(
+                Place(
+                    task=str(run.task), attempt=run.attempt, worker=worker.incarnation
+                )
+            )
     return successor
 
 
--- a/trefoilhook/scheduling/long_waits.py
+++ b/trefoilhook/scheduling/long_waits.py
@@ -88,7 +88,7 @@
     scheduler: Scheduler, step: StepName, tasks: Iterable[TaskState], now_ms: float
 ) -> LongWait:
     members = list(tasks)
-    longest = max(members, key=lambda task: measure_wait(task, now_ms))
+    longest = min(members, key=lambda task: (-measure_wait(task, now_ms), task.key))
     reason = scheduler.waits.get_last_reason(step)
     main_reason = scheduler.waits.get_main_reason(step)
     return LongWait(
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -123,12 +123,7 @@
             scheduler.apply_end(task, end.attempt, end.kind, end.checkpoint)
             scheduler.extend_release(worker)
     _update_faults(scheduler, worker, end, now_ms)
-
-    def is_readable() -> bool:
-        return end.task.job_id not in scheduler.unreadable_jobs
-
-    is_saved = state.track_save() if state is not None else is_readable
-    worker.record_end(end.number, is_saved)
+    worker.record_end(end.number, scheduler.track_save(end.task.job_id))
 
 
 def _update_faults(
--- a/trefoilhook/scheduling/takeovers.py
+++ b/trefoilhook/scheduling/takeovers.py
@@ -4,7 +4,7 @@
 the state of the shard.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker, get_worker_id
@@ -59,11 +59,19 @@
     no longer in the store. While the entry exists, the worker is alive and may hold the
     end of a completed task, which would run twice if it were started again elsewhere.
     """
+    unreported = list_unreported(scheduler, names)
+    if not unreported:
+        return []
+    answering = {
+        worker.report.address: worker.report.worker_id
+        for worker in scheduler.workers.values()
+        if worker.has_answered_token
+    }
     return [
         name
-        for name in list_unreported(scheduler, names)
+        for name in unreported
         if not (
-            _is_replaced(scheduler, name)
+            _is_replaced(scheduler, name, answering)
             or (
                 _have_leases_expired(scheduler, name, now_ms)
                 and _is_known_gone(scheduler, name, now_ms)
@@ -80,16 +88,20 @@
     )
 
 
-def _is_replaced(scheduler: Scheduler, name: str) -> bool:
-    """Return whether another worker has answered at the address of an incarnation."""
-    address = scheduler.predecessors.get_address(name)
-    worker_id = get_worker_id(name)
-    return bool(address) and any(
-        worker.report.address == address
-        and worker.has_answered_token
-        and worker.report.worker_id != worker_id
-        for worker in scheduler.workers.values()
-    )
+def _is_replaced(scheduler: Scheduler, name: str, answering: Mapping[str, str]) -> bool:
+    """Return whether another worker has answered at the address of an incarnation.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        Scheduler of the shard.
+    name : str
+        The incarnation.
+    answering : mapping of str to str
+        Ids of the workers that have answered, by address.
+    """
+    worker_id = answering.get(scheduler.predecessors.get_address(name))
+    return worker_id is not None and worker_id != get_worker_id(name)
 
 
 def _is_known_gone(scheduler: Scheduler, name: str, now_ms: float) -> bool:
@@ -107,30 +119,32 @@
     if not predecessors.awaited:
         return
     awaited = set(list_unaccounted(scheduler, predecessors.awaited, now_ms))
-    for name in predecessors.awaited - awaited:
+    accounted = predecessors.awaited - awaited
+    for name in accounted:
         predecessors.account(name)
-        _retire_places(scheduler, name)
         scheduler.unreleased[name] = scheduler.track_saves()
+    if accounted:
+        _retire_places(scheduler, accounted)
     for name in awaited:
         if _have_leases_expired(scheduler, name, now_ms):
             predecessors.expire(name)
 
 
-def _retire_places(scheduler: Scheduler, name: str) -> None:
-    """Release the places of previous owners' attempts that no longer run."""
+def _retire_places(scheduler: Scheduler, names: Collection[str]) -> None:
+    """Release the places on accounted workers of attempts that no longer run."""
     if scheduler.places is None:
         return
-    worker = scheduler.workers.get(get_worker_id(name))
-    running = {(str(task), attempt) for task, attempt in worker.runs} if worker else ()
+    running = {
+        (str(task), attempt)
+        for name in names
+        if (worker := scheduler.workers.get(get_worker_id(name))) is not None
+        for task, attempt in worker.runs
+    }
     for place in scheduler.places.list_places():
-        if place.worker != name or (place.task, place.attempt) in running:
+        if place.worker not in names or (place.task, place.attempt) in running:
             continue
-        state = scheduler.jobs.get(place.task.partition(".")[0])
-        scheduler.places.retire(
-            place.task,
-            place.attempt,
-            state.track_save() if state is not None else lambda: True,
-        )
+        is_saved = scheduler.track_save(place.task.partition(".")[0])
+        scheduler.places.retire(place.task, place.attempt, is_saved)
 
 
 def list_unreleased(scheduler: Scheduler) -> set[str]:
@@ -154,6 +168,8 @@
     worker = scheduler.workers.get(get_worker_id(name))
     if worker is None or scheduler.places is None:
         return True
+    if not all(is_saved() for _, is_saved in worker.unacknowledged):
+        return False
     is_current = worker.incarnation == name
     return all(
         _is_known_to_successor(scheduler, run)
--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from trefoilhook.scheduling import (
     Demand,
     EndKind,
@@ -10,9 +12,17 @@
     Step,
     TaskId,
     account_for_workers,
+    apply_report,
     list_unreleased,
 )
-from trefoilhook.scheduling.tests.cases import SMALL, Shard, build_job, list_starts
+from trefoilhook.scheduling.fleet import Run, RunPhase
+from trefoilhook.scheduling.tests.cases import (
+    SMALL,
+    FakeWorker,
+    Shard,
+    build_job,
+    list_starts,
+)
 from trefoilhook.takeover import (
     Member,
     Place,
@@ -187,6 +197,23 @@
         shard.add_worker("w9", host="w0")
         self.assertEqual(shard.count_starts(), 1)
 
+    def test_restart_under_the_same_id_is_no_proof_before_an_answer(self):
+        # Guards against a second run of a task: a start of an earlier owner is on its
+        # way, and the restarted process executes it as it names only the id.
+        predecessors = build_predecessors("w0@1", "w1", place="w0@1")
+        shard = Successor(predecessors)
+        shard.add_worker("w0", born_ms=1)
+        worker = shard.scheduler.workers["w0"]
+        worker.born_ms, worker.clock_read_ms = 1, float("-inf")
+        worker.has_answered_token = worker.has_reported_all = False
+        del shard.workers["w0"]
+        self.assertEqual(shard.count_starts(), 0)
+        report = attrs.evolve(worker.report, born_ms=2)
+        apply_report(shard.scheduler, report, shard.now_ms)
+        self.assertEqual(shard.count_starts(), 0)
+        shard.workers["w0"] = FakeWorker(worker_id="w0", born_ms=2)
+        self.assertEqual(shard.count_starts(), 1)
+
     def test_worker_seen_to_have_ended_is_accounted_for(self):
         shard = Successor(build_predecessors("w0", "w1", place="w0"), silent="w0")
         shard.scheduler.drop_worker("w0")
@@ -244,6 +271,49 @@
         self.write(shard, ledger)
         self.assertFalse(ledger.is_recorded(TASK, order.attempt))
 
+    def test_place_of_an_unreadable_job_is_kept(self):
+        # Guards against a second run of a completed task whose job is readable again
+        # for the next owner.
+        shard, ledger = self.build_shard()
+        order = self.start(shard, ledger)
+        del shard.scheduler.jobs["j"]
+        shard.scheduler.unreadable_jobs.add("j")
+        shard.end(order, EndKind.DONE)
+        shard.submit(build_job(job_id="k"))
+        shard.plan()
+        self.write(shard, ledger)
+        self.assertTrue(ledger.is_recorded(TASK, order.attempt))
+        shard.scheduler.unreleased[order.worker_id] = lambda: True
+        self.assertIn(order.worker_id, list_unreleased(shard.scheduler))
+
+    def test_start_held_on_a_restarted_worker_keeps_its_place(self):
+        # Guards against a second run of a task whose start was ruled out, and which the
+        # restarted process may execute late.
+        shard, ledger = self.build_shard()
+        shard.add_worker("w0", born_ms=1)
+        worker = shard.scheduler.workers["w0"]
+        worker.born_ms = 1
+        run = Run(
+            task=TaskId("j", 0, 0, 0),
+            attempt=7,
+            room=Demand(),
+            phase=RunPhase.STARTING,
+            started_ms=shard.now_ms,
+        )
+        run.ambiguous = True
+        worker.hold(run)
+        place = Place(task=TASK, attempt=7, worker=worker.incarnation)
+        ledger.load((0, 0), [place])
+        shard.scheduler.finish_run(worker, run, EndKind.LEASE_EXPIRED, "")
+        report = attrs.evolve(worker.report, born_ms=2)
+        apply_report(shard.scheduler, report, shard.now_ms)
+        self.write(shard, ledger)
+        shard.submit(build_job(job_id="k"))
+        shard.plan()
+        self.write(shard, ledger)
+        self.assertIn(place, ledger.list_places())
+        self.assertIn(worker.incarnation, list_unreleased(shard.scheduler))
+
     def test_stalled_writes_move_starts_into_groups(self):
         # Guards against a store outage in which no task is started, and against starts
         # in it that the next owner does not expect.
--- a/trefoilhook/takeover/ledger.py
+++ b/trefoilhook/takeover/ledger.py
@@ -116,6 +116,12 @@
             self._pending.setdefault(key, place)
         return False
 
+    def restore(self, place: Place) -> None:
+        """Keep a place that was released, or request it again."""
+        key = (place.task, place.attempt)
+        self._retired = [row for row in self._retired if row[0] != key]
+        self.request(place)
+
     def is_recorded(self, task: str, attempt: int) -> bool:
         """Return whether the place of an attempt is in the store."""
         return (task, attempt) in self._page_of
