Judge no repetition after an end whose worker was given up

The protocol allows this start before the claim just as well: who is given up may hold an end. So the world was wrong to call it a fault only in the other order.

--- a/trefoilhook/takeover/tests/test_protocol.py
+++ b/trefoilhook/takeover/tests/test_protocol.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 
 from trefoilhook.takeover.tests.checker import build_settings, explore, render
+from trefoilhook.takeover.tests.world import TASKS, FaultError, World
 
 _Changes = Mapping[str, int]
 
@@ -104,3 +105,60 @@
         """Guards against a search that takes nothing out and proves nothing."""
         with self.assertRaises(ValueError):
             build_settings({}, without=["no such guard"])
+
+
+class JudgeTest(unittest.TestCase):
+    """Which starts the world takes for a fault."""
+
+    def setUp(self) -> None:
+        self.world = World(build_settings({}))
+        self.run_key = (TASKS[0], 9)
+
+    def assert_fault(self, pattern: str) -> None:
+        """Start the first task on the first worker, and expect a fault."""
+        with self.assertRaisesRegex(FaultError, pattern):
+            self.world.clone().start(1, TASKS[0], "w0@0")
+
+    def test_start_beside_a_run(self) -> None:
+        """Guards against a judge that lets a task run twice."""
+        self.world.change_worker(1).runs[self.run_key] = 1
+        self.assert_fault("may run twice")
+
+    def test_start_beside_an_order(self) -> None:
+        """Guards against a judge that forgets orders on their way."""
+        self.world.change_worker(1).orders[self.run_key] = 1
+        self.assert_fault("may run twice")
+
+    def test_start_beside_an_end(self) -> None:
+        """Guards against a judge that lets a done task run again."""
+        self.world.change_worker(1).ends[self.run_key] = True
+        self.assert_fault("has its end as done")
+
+    def test_start_after_the_end_is_saved(self) -> None:
+        """Guards against a judge that forgets ends acknowledged."""
+        self.world.change_worker(1).ends[self.run_key] = True
+        self.world.poll(1, 1, {})
+        self.world.save(1)
+        self.world.poll(1, 1, {})
+        self.assertEqual(self.world.workers[1].ends, {})
+        self.assert_fault("is saved as done")
+
+    def test_start_after_the_end_was_given_up(self) -> None:
+        """Guards against a fault found where the worker was given up."""
+        self.world.change_worker(1).ends[self.run_key] = True
+        self.world.give_up(1, "w1@0")
+        self.world.clone().start(1, TASKS[0], "w0@0")
+        self.world.poll(1, 1, {})
+        self.world.save(1)
+        self.world.clone().start(1, TASKS[0], "w0@0")
+
+    def test_start_after_another_end(self) -> None:
+        """Guards against a judge that excuses all ends for one that was given up."""
+        self.world.change_worker(1).ends[self.run_key] = True
+        self.world.give_up(1, "w1@0")
+        self.world.poll(1, 1, {})
+        self.world.change_worker(0).ends[TASKS[0], 10] = True
+        self.world.poll(1, 0, {})
+        self.world.save(1)
+        self.world.poll(1, 0, {})
+        self.assert_fault("is saved as done")
