--- a/trefoilhook/takeover/tests/test_ledger.py
+++ b/trefoilhook/takeover/tests/test_ledger.py
@@ -167,6 +167,36 @@
         self.assertFalse(self.ledger.has_pending)
         self.assertIsNone(self.ledger.build_write(0.0, max_removals=29))
 
+    def test_released_place_is_kept_again(self) -> None:
+        """Guards against a start that is held again, and that no successor knows."""
+        record(self.ledger, build_place("j.0.0"))
+        self.ledger.retire("j.0.0", 1, _always)
+        self.ledger.restore(build_place("j.0.0"))
+        record(self.ledger, build_place("j.0.1"))
+        self.assertTrue(self.ledger.is_recorded("j.0.0", 1))
+        self.assertEqual(self.ledger.page_count, 2)
+
+    def test_removed_place_is_requested_again(self) -> None:
+        """Guards against the same once its page may have gone."""
+        record(self.ledger, build_place("j.0.0"))
+        self.ledger.retire("j.0.0", 1, _always)
+        record(self.ledger, build_place("j.0.1"))
+        self.assertFalse(self.ledger.is_recorded("j.0.0", 1))
+        self.ledger.restore(build_place("j.0.0"))
+        write = self.ledger.build_write(0.0, max_removals=29)
+        assert write is not None
+        self.assertEqual(write.places, (build_place("j.0.0"),))
+
+    def test_place_released_in_flight_is_kept_again(self) -> None:
+        """Guards against the same while its write is under way."""
+        self.ledger.request(build_place("j.0.0"))
+        self.ledger.build_write(0.0, max_removals=29)
+        self.ledger.retire("j.0.0", 1, _always)
+        self.ledger.restore(build_place("j.0.0"))
+        self.ledger.confirm()
+        self.assertTrue(self.ledger.is_recorded("j.0.0", 1))
+        self.assertFalse(self.ledger.has_pending)
+
     def test_sparse_page_is_copied(self) -> None:
         """Guards against long tasks that keep the pages of all short ones."""
         places = [build_place(f"j.0.{index}") for index in range(5)]
