Search takeovers beside workers that restart under their id

Callers saw nothing of the search; a review had found that a start names the id alone, so that the next process may execute it. The world can restart workers this way now, heard by an owner or by none. Four guards turn out to be needed, each with a history of 3 to 8 moves without it: the start is held on the next incarnation; the incarnation that its place names stays until then; while the id is listed, an end may be there; and an owner that hears a restart frees tasks only while it has its key, as the new process knows no token of a later owner.

The last two are in the world and not in the modules of scheduling that were read. The third was shown there, too: a silent worker that is listed under the next start time is given up 3 s after the leases, and its task is started.

--- a/trefoilhook/takeover/tests/test_protocol.py
+++ b/trefoilhook/takeover/tests/test_protocol.py
@@ -14,6 +14,8 @@
 _ONE: _Changes = {"owners": 2, "second": 0}
 _SERVICE: _Changes = {"second": 0, "never_ends": 1}
 
+_RESTART: _Changes = {**_ONE, "births": 1, "same_id": 1}
+
 GUARDS: Mapping[str, tuple[str, _Changes]] = {
     "R1 rows": ("a place is written before its start", _ONE),
     "R1 groups": ("groups count once they are confirmed", {**_ONE, "births": 1}),
@@ -54,6 +56,19 @@
             "late_writes": 1,
         },
     ),
+    "restart held": ("a start without an answer outlives a restart", _RESTART),
+    "restart place": (
+        "and its place outlives the incarnation that it names",
+        {**_RESTART, "never_ends": 1},
+    ),
+    "restart listed": (
+        "a listed worker may hold an end of a start for its earlier incarnation",
+        {**_RESTART, "starts": 1},
+    ),
+    "restart fresh": (
+        "a restart frees tasks of an owner that still has its key",
+        _RESTART,
+    ),
 }
 """What each guard asks, and a world in which a fault shows without it."""
 
@@ -65,6 +80,7 @@
     "services": ({**_ONE, "never_ends": 1}, 100),
     "after an earlier build": ({**_ONE, "old": 1}, 100),
     "failed ends": ({**_ONE, "fails": 1}, 100),
+    "restarts": ({**_RESTART, "never_ends": 1}, 7),
     "three owners": ({"second": 0}, 6),
     "all faults, two steps": (
         {
--- a/trefoilhook/takeover/tests/world.py
+++ b/trefoilhook/takeover/tests/world.py
@@ -61,6 +61,10 @@
         "late ends",
         "own leases",
         "renewals",
+        "restart fresh",
+        "restart held",
+        "restart listed",
+        "restart place",
         "sent head",
         "unrecorded released",
         "unsaved ends",
@@ -107,6 +111,9 @@
         answers of workers lost, and writes without an answer.
     second : bool
         Whether there is a second task.
+    same_id : bool
+        Whether a worker is reborn under its id, also unheard. Orders on their way name
+        the id alone, so that the next incarnation may execute them.
     """
 
     without: frozenset[str] = frozenset()
@@ -121,6 +128,7 @@
     lost_answers: int = 1
     late_writes: int = 1
     second: bool = True
+    same_id: bool = False
 
 
 @attrs.define(kw_only=True, slots=False)
@@ -275,12 +283,25 @@
         self.account(name)
         self.owed[name] = frozenset(self.unsaved)
 
+    def hold(self, name: str, successor: str) -> None:
+        """Keep starts without an answer, which the next incarnation may execute."""
+        for run, (other, state) in list(self.runs.items()):
+            if other == name and state == "sent":
+                self.runs[run] = (successor, state)
+                if self.keeps_records:
+                    self.ledger.restore(Place(task=run[0], attempt=run[1], worker=name))
+
     def is_released(self, name: str) -> bool:
         """Return whether the next owner needs to know nothing of an incarnation."""
         if name in self.predecessors.awaited or name not in self.owed:
             return False
         if "unsaved ends" not in self.without and self.owed[name] & self.unsaved:
             return False
+        if "restart place" not in self.without and any(
+            worker != name and self.ledger.find_worker(*run) == name
+            for run, (worker, _) in self.runs.items()
+        ):
+            return False
         return "R6" in self.without or all(
             self.ledger.is_recorded(*run)
             or (self.head is not None and self.head.groups.covers(JOB_ID, name))
@@ -439,6 +460,13 @@
                 yield from self._list_writes(epoch, owner)
             yield from self._list_starts(epoch, owner)
             yield from self._list_losses(epoch, owner)
+        if self.settings.same_id and self.may_spend("births"):
+            for index, worker in enumerate(self.workers):
+                if worker.life == 0:
+                    yield (
+                        f"{worker.name} is reborn, unheard",
+                        lambda world, index=index: world.restart(index),
+                    )
 
     def _list_claims(self) -> Iterator[Move]:
         owner = self.owners[self.epoch]
@@ -614,7 +642,7 @@
         if self.settings.never_ends:
             return (False,)
         for worker in self.workers:
-            if worker.name == name and (worker.runs or worker.orders):
+            if self._stands_for(worker, name) and (worker.runs or worker.orders):
                 return (False, True)
         return (False,)
 
@@ -634,7 +662,14 @@
 
     def is_listed(self, name: str) -> bool:
         """Return whether the entry of an incarnation is in the store."""
-        return any(each.name == name and each.is_listed for each in self.workers)
+        return any(
+            self._stands_for(each, name) and each.is_listed for each in self.workers
+        )
+
+    def _stands_for(self, worker: Worker, name: str) -> bool:
+        """Return whether a worker may have executed orders for an incarnation."""
+        is_next = self.settings.same_id and worker.name[:2] == name[:2]
+        return worker.name == name or (is_next and "restart listed" not in self.without)
 
     # Steps of the store and of time
 
@@ -772,17 +807,38 @@
         owner.over.discard(worker.name)
         self._take_ends(owner, worker)
         self._take_runs(owner, worker)
-        for other in sorted({*owner.predecessors.awaited, *owner.answered}):
-            if other[:2] == worker.name[:2] and other != worker.name:
-                owner.give_up(other)
+        self._take_restart(owner, worker.name)
         owner.account(worker.name)
 
+    def _take_restart(self, owner: Owner, name: str) -> None:
+        """Take in that earlier incarnations at the address of one are over."""
+        known = sorted({*owner.predecessors.awaited, *owner.answered})
+        for other in known:
+            if other[:2] != name[:2] or other == name:
+                continue
+            if self.settings.same_id:
+                if owner.epoch != self.epoch and "restart fresh" not in self.without:
+                    # The new process knows no token of a later owner.
+                    continue
+                if "restart held" not in self.without:
+                    owner.hold(other, name)
+            owner.give_up(other)
+
     def bear(self, epoch: int, index: int) -> None:
         """Start a new incarnation at the address of a worker, and poll it."""
         self.spent["births"] += 1
-        self.workers[index] = Worker(number=index, life=1)
+        self._restart(index)
         self.poll(epoch, index, {})
 
+    def restart(self, index: int) -> None:
+        """Start a new incarnation that no owner hears."""
+        self.spent["births"] += 1
+        self._restart(index)
+
+    def _restart(self, index: int) -> None:
+        late = dict(self.workers[index].orders) if self.settings.same_id else {}
+        self.workers[index] = Worker(number=index, life=1, orders=late)
+
     def _decide(self, worker: Worker, fates: dict[Run, str]) -> None:
         for run, fate in fates.items():
             if fate == "is late":
@@ -841,7 +897,7 @@
     ) -> None:
         """Take in that all leases on a worker are over."""
         for index, worker in enumerate(self.workers):
-            if worker.name != name:
+            if not self._stands_for(worker, name):
                 continue
             worker = self.change_worker(index)
             if is_done:
@@ -882,7 +938,7 @@
         self.settle(epoch)
         self.spent["unlistings"] += 1
         for index, worker in enumerate(self.workers):
-            if worker.name == name:
+            if self._stands_for(worker, name):
                 worker = self.change_worker(index)
                 worker.runs, worker.orders = {}, {}
                 self._unlist(worker)
