--- a/trefoilhook/takeover/records.py
+++ b/trefoilhook/takeover/records.py
@@ -76,8 +76,10 @@
     """Decode the groups of an epoch."""
     table = parse_object(data)
     _check_format(table)
+    if "unrecorded_epoch" not in table:
+        raise DecodeError("unrecorded_epoch: missing")
     unrecorded: int | None = None
-    if table.get("unrecorded_epoch") is not None:
+    if table["unrecorded_epoch"] is not None:
         unrecorded = read_integer(table, "unrecorded_epoch")
     return Head(
         groups=_read_groups(table),
--- a/trefoilhook/takeover/tests/test_records.py
+++ b/trefoilhook/takeover/tests/test_records.py
@@ -223,7 +223,14 @@
 
     def test_missing_fields(self) -> None:
         """Guards against a record without a field that is read as an empty one."""
-        for field in ("format", "epoch", "groups", "workers", "inherited"):
+        for field in (
+            "format",
+            "epoch",
+            "groups",
+            "workers",
+            "inherited",
+            "unrecorded_epoch",
+        ):
             with self.subTest(field), self.assertRaises(DecodeError):
                 decode_head(_encode_without(_HEAD, field))
         for field in ("format", "workers", "steps"):
