--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -186,14 +186,16 @@
         self._ownership = ownership
         self._settings = settings
         self._read_configuration = read_configuration
-        reach_ms = OWNER_LEASE_MS + settings.task_lease_ms / SLOWEST_CLOCK
+        self._reach_ms = (
+            OWNER_LEASE_MS + settings.task_lease_ms / SLOWEST_CLOCK + _LEASE_MARGIN_MS
+        )
         self._scheduler = Scheduler(
             epoch=ownership.epoch,
             limits=SchedulerLimits(
                 task_lease_ms=settings.task_lease_ms,
                 longest_stop_ms=settings.longest_stop_ms,
                 max_task_lease_ms=settings.max_task_lease_ms,
-                settled_at_ms=ownership.claimed_ms + reach_ms + _LEASE_MARGIN_MS,
+                settled_at_ms=ownership.claimed_ms + self._reach_ms,
                 overload_ms=settings.overload_ms,
                 drain_notice_ms=settings.drain_notice_ms,
                 entry_life_ms=settings.entry_life_ms,
@@ -259,7 +261,6 @@
         # the end of its ownership.
         metrics.gauges["loop_lag_ms"] = lambda: lag.read(clock.monotonic_ms())
         self._start_limiter = trio.CapacityLimiter(_MAX_STARTS_IN_FLIGHT)
-        self._reach_ms = reach_ms + _LEASE_MARGIN_MS
         self._place_writer: PlaceWriter | None = None
         self._wake = trio.Event()
 
