Share the rule on missing entries and the check of groups at a takeover

Found on reading the change again: the takeover had a copy of the time for which entries must be read steadily before a missing one is evidence, which the evaluation of lost workers has; EntryFreshness tells it to both now. The check that a run is on a worker of its job's group stood twice. request_place is the name of what adopted runs and new starts both ask for, and SHARD_LOADED counts places without a list of them.

Behaviour and all checks stay.

--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -373,7 +373,7 @@
             epoch=self._ownership.epoch,
             jobs=len(contents.jobs.items),
             workers=len(contents.workers.items),
-            places=len(self._scheduler.places.list_places())
+            places=self._scheduler.places.recorded_count
             if self._scheduler.places is not None
             else 0,
             awaited=len(self._scheduler.predecessors.awaited),
--- a/trefoilhook/scheduling/crashes.py
+++ b/trefoilhook/scheduling/crashes.py
@@ -33,11 +33,6 @@
     "partition_runs",
 ]
 
-_MIN_STEADY_READ_MS = 3000.0
-"""Time for which the list of workers must have been read without a failure before a
-missing entry is evidence: after an outage of the store, entries are restored within 2
-s."""
-
 _NOTICE_SHARE = 0.75
 """Fraction of the notice before a planned shutdown within which the list of workers
 must have been read to rule a shutdown out. A watch is answered every second, which is
@@ -132,10 +127,7 @@
     # A planned shutdown is announced in the store in advance.
     if scheduler.entries.read_ms < began_ms - _NOTICE_SHARE * limits.drain_notice_ms:
         return LossCause.LIST_STALE
-    if (
-        not worker.listed
-        and now_ms - scheduler.entries.steady_since_ms < _MIN_STEADY_READ_MS
-    ):
+    if not worker.listed and not scheduler.entries.is_steady(now_ms):
         return LossCause.LIST_STALE
     entry_ms = limits.entry_life_ms + _ENTRY_MARGIN_MS
     if worker.listed and now_ms - began_ms > entry_ms:
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -10,7 +10,7 @@
 from trefoilhook.scheduling.job_state import Attempt
 from trefoilhook.scheduling.messages import AttemptEnd, EndKind, PollAnswer, Running
 from trefoilhook.scheduling.models import Demand, Step, TaskId
-from trefoilhook.scheduling.takeovers import record_adopted
+from trefoilhook.scheduling.takeovers import request_place
 from trefoilhook.scheduling.unread import (
     find_hidden_attempts,
     identifies_all_attempts,
@@ -226,7 +226,7 @@
         run.phase = RunPhase.STOPPING
         worker.pending_runs[run] = None
         return run
-    record_adopted(scheduler, worker, run)
+    request_place(scheduler, worker, run)
     state.started = True
     task.last_attempt = max(task.last_attempt, running.attempt)
     task.attempts.append(Attempt(worker=worker, run=run))
--- a/trefoilhook/scheduling/takeovers.py
+++ b/trefoilhook/scheduling/takeovers.py
@@ -21,15 +21,10 @@
     "list_unaccounted",
     "list_unreported",
     "list_unreleased",
-    "record_adopted",
+    "request_place",
     "withdraw_unrecorded",
 ]
 
-_MIN_STEADY_READ_MS = 3000.0
-"""Time for which worker entries must have been read without a failure before a missing
-entry is evidence: after an outage of the store, entries are restored within 2 s."""
-
-
 # Workers of previous owners.
 
 
@@ -109,8 +104,9 @@
     if worker is not None and worker.is_known_alive:
         return False
     # Entries are restored long before the leases of the last claim have expired.
-    steady_ms = now_ms - scheduler.entries.steady_since_ms
-    return now_ms >= scheduler.limits.settled_at_ms or steady_ms >= _MIN_STEADY_READ_MS
+    return now_ms >= scheduler.limits.settled_at_ms or scheduler.entries.is_steady(
+        now_ms
+    )
 
 
 def account_for_workers(scheduler: Scheduler, now_ms: float) -> None:
@@ -228,6 +224,12 @@
     )
 
 
+def _is_in_group(scheduler: Scheduler, worker: Worker, run: Run) -> bool:
+    """Return whether a run is on a worker of its job's group in the store."""
+    groups = scheduler.groups
+    return groups is not None and groups.covers(run.task.job_id, worker.incarnation)
+
+
 def is_start_recorded(
     scheduler: Scheduler, worker: Worker, run: Run, now_ms: float
 ) -> bool:
@@ -238,20 +240,18 @@
     """
     if _is_known_to_successor(scheduler, run):
         return True
-    groups = scheduler.groups
     if (
         scheduler.places is not None
         and scheduler.places.is_stalled(now_ms)
-        and groups is not None
-        and groups.covers(run.task.job_id, worker.incarnation)
+        and _is_in_group(scheduler, worker, run)
     ):
         run.is_group_start = scheduler.has_group_starts = True
         return True
-    record_adopted(scheduler, worker, run)
+    request_place(scheduler, worker, run)
     return False
 
 
-def record_adopted(scheduler: Scheduler, worker: Worker, run: Run) -> None:
+def request_place(scheduler: Scheduler, worker: Worker, run: Run) -> None:
     """Request a record of the worker of a run unless the next owner knows it."""
     if scheduler.places is None or _is_known_to_successor(scheduler, run):
         return
@@ -265,7 +265,6 @@
 
     Their tasks are then started inside their groups.
     """
-    groups = scheduler.groups
     if scheduler.places is None or not scheduler.places.is_stalled(now_ms):
         return
     for worker in scheduler.workers.values():
@@ -274,9 +273,6 @@
                 run.phase is RunPhase.STARTING
                 and not (run.in_flight or run.may_have_run)
                 and not _is_known_to_successor(scheduler, run)
-                and not (
-                    groups is not None
-                    and groups.covers(run.task.job_id, worker.incarnation)
-                )
+                and not _is_in_group(scheduler, worker, run)
             ):
                 withdraw_start(scheduler, worker, run)
