Track the changed jobs once for all workers that a new owner hears

What callers would see: a new owner of a large deployment busy at its first answers, so that it renews neither its lease nor those of the tasks.

Cause: since workers are released only after what they reported is saved, a function over all changed jobs was built for each worker that is accounted for, and evaluated for each at each write of the head: workers times changed jobs (1.65 of 1.75 s in a profile at 1,000). The same for each end that is reported before the release.

Now all workers of one decision share the function, which is evaluated once a call, and an end adds a check of its own job. What must be saved before a release is the same.

Two tests failed before: 1,600 calls for 40 workers and 40 changed jobs (80 allowed), and 860 for 40 ends (160 allowed). Dropping a worker still looks at all changed jobs.

--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -150,9 +150,9 @@
         number.
     ended_incarnations : set of str
         Incarnations that were proved over during this ownership.
-    unreleased : dict of str to callable
+    unreleased : dict of str to tuple of callable
         Incarnations that the next owner must still know although they are accounted
-        for, each with a function that returns whether that is over.
+        for, each with functions that all return True once that is over.
     """
 
     def __init__(
@@ -204,7 +204,7 @@
         self.groups: WorkerGroups | None = None
         self.has_group_starts = False
         self.ended_incarnations: set[str] = set()
-        self.unreleased: dict[str, Callable[[], bool]] = {}
+        self.unreleased: dict[str, tuple[Callable[[], bool], ...]] = {}
         self._timed: set[JobState] = set()
 
     # Events from clients and operators.
@@ -398,14 +398,14 @@
         if not has_restarted:
             self.ended_incarnations.add(worker.incarnation)
         if worker.is_in_roster:
-            self.unreleased[worker.incarnation] = self.track_saves()
+            self.unreleased[worker.incarnation] = (self.track_saves(),)
 
-    def extend_release(self, worker: Worker) -> None:
-        """Delay the release of a worker until an end reported by it is saved, too."""
+    def extend_release(self, worker: Worker, job_id: str) -> None:
+        """Delay the release of a worker until an end that it reported is saved, too."""
         worker_id = worker.report.worker_id
-        for name in self.unreleased:
+        for name, checks in self.unreleased.items():
             if get_worker_id(name) == worker_id:
-                self.unreleased[name] = self.track_saves()
+                self.unreleased[name] = (*checks, self.track_save(job_id))
 
     def track_saves(self) -> Callable[[], bool]:
         """Return a function that tells whether all present changes are saved."""
@@ -434,7 +434,7 @@
             task.failed_on.add(worker.report.worker_id)
         self.apply_end(task, run.attempt, kind, checkpoint)
         self._retire_place(run)
-        self.extend_release(worker)
+        self.extend_release(worker, run.task.job_id)
 
     def _retire_place(self, run: Run) -> None:
         if self.places is not None:
--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -1,6 +1,9 @@
 """For which workers tasks wait after a takeover, and what the next owner must know."""
 
+import contextlib
 import unittest
+import unittest.mock
+from collections.abc import Iterator
 
 import attrs
 
@@ -16,6 +19,7 @@
     list_unreleased,
 )
 from trefoilhook.scheduling.fleet import Run, RunPhase
+from trefoilhook.scheduling.job_state import JobState
 from trefoilhook.scheduling.tests.cases import (
     SMALL,
     FakeWorker,
@@ -52,6 +56,20 @@
     )
 
 
+@contextlib.contextmanager
+def count_calls(owner: type, name: str) -> Iterator[list[object]]:
+    """Collect the objects on which a method is called."""
+    calls: list[object] = []
+    method = getattr(owner, name)
+
+    def call(target: object) -> object:
+        calls.append(target)
+        return method(target)
+
+    with unittest.mock.patch.object(owner, name, call):
+        yield calls
+
+
 class Successor(Shard):
     """Shard of an owner that takes over; ``silent`` does not answer it."""
 
@@ -283,7 +301,7 @@
         shard.plan()
         self.write(shard, ledger)
         self.assertTrue(ledger.is_recorded(TASK, order.attempt))
-        shard.scheduler.unreleased[order.worker_id] = lambda: True
+        shard.scheduler.unreleased[order.worker_id] = ()
         self.assertIn(order.worker_id, list_unreleased(shard.scheduler))
 
     def test_start_held_on_a_restarted_worker_keeps_its_place(self):
@@ -380,6 +398,41 @@
         shard.save()
         self.assertEqual(list_unreleased(shard.scheduler), set())
 
+    def test_accounting_for_many_workers_tracks_each_changed_job_once(self):
+        # Guards against an owner that is busy for seconds after the first answers of a
+        # large deployment, and loses its lease.
+        names = [f"w{number}" for number in range(40)]
+        shard = Successor(
+            Predecessors(groups=(build_groups(*names),)), workers=len(names)
+        )
+        for number, name in enumerate(names):
+            shard.submit(build_job(job_id=f"j{number}"), is_new=False)
+            task = TaskId(f"j{number}", 0, 0, 0)
+            shard.workers[name].end(task, 7, EndKind.DONE)
+        shard.poll_all()
+        with count_calls(JobState, "track_save") as calls:
+            account_for_workers(shard.scheduler, shard.now_ms)
+            list_unreleased(shard.scheduler)
+        self.assertEqual(shard.scheduler.predecessors.awaited, set())
+        self.assertLessEqual(len(calls), 2 * len(names))
+
+    def test_many_ends_extend_the_release_of_their_workers_alone(self):
+        # Guards against a cost of each end that grows with the number of changed jobs.
+        names = [f"w{number}" for number in range(40)]
+        shard = Successor(
+            Predecessors(groups=(build_groups(*names),)), workers=len(names)
+        )
+        shard.poll_all()
+        account_for_workers(shard.scheduler, shard.now_ms)
+        for number, name in enumerate(names):
+            shard.submit(build_job(job_id=f"j{number}"), is_new=False)
+            task = TaskId(f"j{number}", 0, 0, 0)
+            shard.workers[name].end(task, 7, EndKind.DONE)
+        with count_calls(JobState, "track_save") as calls:
+            shard.poll_all()
+        self.assertEqual(len(shard.scheduler.unreleased), len(names))
+        self.assertLessEqual(len(calls), 4 * len(names))
+
     def test_own_leases_on_a_worker_are_awaited_as_well(self):
         # Guards against a second run on a worker whose leases the new owner has renewed
         # although it has not reported all of its ends.
