Lay out groups by failure domain

What callers see: with a failure domain cut off while the owner is replaced, more tasks are held than are on its workers: a job waits for both workers of its group, and groups paired workers in the order of their names, mostly of two domains.

Groups are laid out anew by failure domain, kind and rack whenever their number changes, which they may only while no start relies on them; starts without a place are off while such a write is unanswered, as before.

Weighed: if the domain is lost while the store is away, a group may have no worker left.

--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -199,13 +199,15 @@
             for member in groups.members.values():
                 if member.name in unreleased:
                     members.setdefault(member.name, member)
-        if not scheduler.has_group_starts:
-            groups = groups.resize(count_groups(len(members)))
+        groups = groups.replace_members(members.values())
+        count = count_groups(len(members))
+        if count != groups.count and not scheduler.has_group_starts:
+            groups = groups.rearrange(count, self._list_locations())
         predecessors = scheduler.predecessors
         inherited = (each.retain(unreleased) for each in predecessors.groups)
         is_open = not unreleased.isdisjoint(predecessors.unrecorded_workers)
         return Head(
-            groups=groups.replace_members(members.values()),
+            groups=groups,
             inherited=tuple(each for each in inherited if each.members),
             unrecorded_epoch=predecessors.unrecorded_epoch if is_open else None,
             elapsed_ms={
@@ -214,6 +216,13 @@
             },
         )
 
+    def _list_locations(self) -> dict[str, tuple[str, ...]]:
+        """Return the failure domain and the labels of each worker, with its rack."""
+        return {
+            worker.incarnation: (worker.report.failure_domain, *worker.report.labels)
+            for worker in self._scheduler.workers.values()
+        }
+
     def _measure_elapsed(self, epoch: int) -> int:
         """Return how long ago an epoch had ended, in whole steps, in ms."""
         elapsed_ms = self._clock.monotonic_ms() - self._ownership.find_end(epoch)
--- a/trefoilhook/takeover/groups.py
+++ b/trefoilhook/takeover/groups.py
@@ -6,7 +6,8 @@
 """
 
 import zlib
-from collections.abc import Iterable, Mapping
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
 
 import attrs
 
@@ -90,9 +91,31 @@
             },
         )
 
-    def resize(self, count: int) -> "WorkerGroups":
-        """Return another number of groups with the same workers."""
-        return attrs.evolve(self, count=count)
+    def rearrange(
+        self, count: int, locations: Mapping[str, Sequence[str]]
+    ) -> "WorkerGroups":
+        """Return another number of groups, with workers that fail together in one.
+
+        A failure domain that is lost then delays only the tasks of its own groups.
+
+        Parameters
+        ----------
+        count : int
+            Number of groups.
+        locations : mapping of str to sequence of str
+            Failure domain of each worker, and smaller units within it.
+        """
+        members = sorted(
+            self.members.values(),
+            key=lambda member: (tuple(locations.get(member.name, ())), member.name),
+        )
+        slots: dict[int, Member] = {}
+        sizes: Counter[int] = Counter()
+        for number, member in enumerate(members):
+            group = number * count // len(members)
+            slots[group + sizes[group] * count] = member
+            sizes[group] += 1
+        return attrs.evolve(self, count=count, members=slots)
 
     def replace_members(self, members: Iterable[Member]) -> "WorkerGroups":
         """Return the same groups with exactly ``members``; those known keep their slot.
--- a/trefoilhook/takeover/tests/test_groups.py
+++ b/trefoilhook/takeover/tests/test_groups.py
@@ -76,6 +76,32 @@
         covered = {name for name in names if groups.covers(job_id, name)}
         self.assertEqual(set(groups.list_group(job_id)), covered)
 
+    def test_workers_of_a_failure_domain_share_groups(self) -> None:
+        """Guards against a lost failure domain that delays the tasks of most jobs."""
+        names = [f"w{number}" for number in range(12)]
+        locations = {name: (f"zone-{n % 3}", "rack") for n, name in enumerate(names)}
+        groups = WorkerGroups(epoch=1, count=1).replace_members(
+            _build_members(set(names))
+        )
+        groups = groups.rearrange(6, locations)
+        self.assertEqual(groups.list_names(), set(names))
+        for number in range(6):
+            members = groups.list_group(find_job(groups, number))
+            self.assertEqual(len(members), 2)
+            self.assertEqual(len({locations[name] for name in members}), 1)
+
+    @given(_NAMES, st.integers(min_value=1, max_value=4))
+    def test_rearranged_groups_contain_the_same_workers(
+        self, names: set[str], count: int
+    ) -> None:
+        """Guards against a worker that the next owner doesn't know."""
+        groups = WorkerGroups(epoch=1, count=1).replace_members(_build_members(names))
+        groups = groups.rearrange(count, {})
+        self.assertEqual(groups.list_names(), names)
+        self.assertEqual(len(groups.members), len(names))
+        sizes = [len(groups.list_group(find_job(groups, n))) for n in range(count)]
+        self.assertLessEqual(max(sizes) - min(sizes), 1)
+
     def test_there_is_always_a_group(self) -> None:
         """Guards against a division by zero without workers."""
         self.assertEqual([count_groups(n) for n in (0, 1, 2, 5, 33)], [1, 1, 1, 2, 16])
