Add the rule as built to the bench of takeovers

It reads heads and pages of the product's own encoding, asks the product's Predecessors for whom tasks wait, and measures the processor time of the longest decision. Starts without a place keep to the product's groups.

--- a/bench/succession/__main__.py
+++ b/bench/succession/__main__.py
@@ -9,11 +9,13 @@
 import statistics
 import time
 
+from bench.succession.built import place_in_product_group, take_over_as_built
 from bench.succession.strategies import STRATEGIES
 from bench.succession.takeover import Silence, TakeoverOutcome, take_over
 from bench.succession.world import DOMAINS, build_world, list_silent
 from bench.succession.writes import print_writes
 
+_AS_BUILT = "as built"
 _SILENT_CASES = ("none", "one", "1 %", "domain")
 _PROMPT_MS = 300.0
 _SILENCES = {
@@ -61,40 +63,51 @@
         f"{median([o.read_bytes for o in outcomes]) / 1000:,.0f}",
         f"{median([o.record_bytes for o in outcomes]) / 1000:,.0f}",
         f"{sum(o.unsafe for o in outcomes)}",
+        f"{max(o.round_cpu_ms for o in outcomes):,.1f}",
     ]
     print("| " + " | ".join(columns) + " |", flush=True)
 
 
-def _measure_takeovers(sizes: list[int], seeds: int, kind: str) -> None:
+def _simulate(
+    name: str, size: int, seed: int, silent_case: str, silence: Silence
+) -> TakeoverOutcome:
+    """Simulate one takeover by a strategy, or by the product's rule."""
+    strategy = STRATEGIES[name](size) if name != _AS_BUILT else None
+    world = build_world(
+        size,
+        seed,
+        place=strategy.place if strategy is not None else None,
+        place_unrecorded=strategy.place_unrecorded
+        if strategy is not None
+        else place_in_product_group(size),
+        unrecorded=_UNRECORDED,
+    )
+    silent = list_silent(world, seed, silent_case)
+    if strategy is None:
+        return take_over_as_built(world, silent=silent, silence=silence, seed=seed)
+    return take_over(world, strategy, silent=silent, silence=silence, seed=seed)
+
+
+def _measure_takeovers(
+    sizes: list[int], seeds: int, kind: str, ways: list[str]
+) -> None:
     silence = _SILENCES[kind]
     print(f"Silent workers: {kind}. Seeds 1 to {seeds}.\n")
     print(
         "| workers | silent | way | 50 % ms | 95 % ms | 100 % ms | in 300 ms, % | "
-        "later steps held, % | calls | KB read | KB of places | unsafe |"
+        "later steps held, % | calls | KB read | KB of places | unsafe | CPU ms |"
     )
-    print("|" + "---|" * 12)
+    print("|" + "---|" * 13)
     for size in sizes:
         started_s = time.monotonic()
         for silent_case in _SILENT_CASES:
             if silent_case == "1 %" and size < 100:
                 continue
-            for name, build in STRATEGIES.items():
-                strategy = build(size)
-                outcomes = []
-                for seed in range(1, seeds + 1):
-                    world = build_world(
-                        size,
-                        seed,
-                        place=strategy.place,
-                        place_unrecorded=strategy.place_unrecorded,
-                        unrecorded=_UNRECORDED,
-                    )
-                    silent = list_silent(world, seed, silent_case)
-                    outcomes.append(
-                        take_over(
-                            world, strategy, silent=silent, silence=silence, seed=seed
-                        )
-                    )
+            for name in ways:
+                outcomes = [
+                    _simulate(name, size, seed, silent_case, silence)
+                    for seed in range(1, seeds + 1)
+                ]
                 _print_row(size, silent_case, name, outcomes)
         peak_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
         elapsed_s = time.monotonic() - started_s
@@ -109,13 +122,17 @@
     takeovers.add_argument("--sizes", type=int, nargs="+", default=sorted(DOMAINS))
     takeovers.add_argument("--seeds", type=int, default=5)
     takeovers.add_argument("--kind", choices=sorted(_SILENCES), default="cut off")
+    ways = (*STRATEGIES, _AS_BUILT)
+    takeovers.add_argument("--ways", nargs="+", choices=ways, default=ways)
     writes = commands.add_parser("writes")
     writes.add_argument("sites", nargs="+")
     writes.add_argument("--seed", type=int, default=1)
     writes.add_argument("--overlapping", action="store_true")
     arguments = parser.parse_args()
     if arguments.command == "takeovers":
-        _measure_takeovers(arguments.sizes, arguments.seeds, arguments.kind)
+        _measure_takeovers(
+            arguments.sizes, arguments.seeds, arguments.kind, arguments.ways
+        )
     else:
         print_writes(arguments.sites, arguments.seed, overlapping=arguments.overlapping)
 
--- a/bench/succession/takeover.py
+++ b/bench/succession/takeover.py
@@ -3,6 +3,7 @@
 import heapq
 import json
 import random
+from collections.abc import Collection
 
 import attrs
 
@@ -28,9 +29,21 @@
     is_settled,
 )
 
-__all__ = ["Silence", "TakeoverOutcome", "take_over"]
+__all__ = [
+    "SETTLED_AT_MS",
+    "STORE_CALL_MS",
+    "NewOwner",
+    "ReadCost",
+    "Silence",
+    "TakeoverOutcome",
+    "list_pages",
+    "measure_reads",
+    "take_over",
+]
+
+STORE_CALL_MS = 4.0
+"""Duration of a call to the store, in ms."""
 
-_STORE_CALL_MS = 4.0
 _POLL_MS = 2.0
 _POLL_TIMEOUT_MS = 600.0
 _POLL_RETRY_PAUSE_MS = 200.0
@@ -39,7 +52,9 @@
 
 _OWNER_LEASE_MS = 2000.0
 _TASK_LEASE_MS = 5000.0
-_SETTLED_AT_MS = _OWNER_LEASE_MS + _TASK_LEASE_MS / 0.98 + 300.0
+SETTLED_AT_MS = _OWNER_LEASE_MS + _TASK_LEASE_MS / 0.98 + 300.0
+"""Time from a claim until all leases of earlier owners have expired, in ms."""
+
 _ENTRY_BYTES = 330
 """Size of a worker's entry in the store."""
 
@@ -97,6 +112,8 @@
         Calls to the store and bytes read by the takeover.
     record_bytes : int
         Bytes of recorded placements among them.
+    round_cpu_ms : float
+        Processor time of the longest decision about held tasks, in ms, as measured.
     """
 
     loaded_ms: float
@@ -108,17 +125,55 @@
     calls: int
     read_bytes: int
     record_bytes: int
+    round_cpu_ms: float = attrs.field(default=0.0, eq=False)
 
 
 @attrs.frozen(kw_only=True)
-class _ReadCost:
+class ReadCost:
+    """Cost of the reads of a takeover.
+
+    Parameters
+    ----------
+    calls, read_bytes : int
+        Calls to the store and bytes read.
+    record_bytes : int
+        Bytes of recorded placements among them.
+    """
+
     calls: int
     read_bytes: int
     record_bytes: int
 
 
-def _measure_reads(world: World, strategy: Strategy) -> _ReadCost:
-    """Return the cost of the reads of a takeover; base64 adds a third to each value."""
+def list_pages(world: World) -> list[list[tuple[TaskId, str]]]:
+    """Return the recorded tasks and their workers, a page each."""
+    rows = [(task, world.workers[number]) for task, number in world.recorded.items()]
+    return [
+        rows[first : first + _RECORDED_ROWS_PER_PAGE]
+        for first in range(0, len(rows), _RECORDED_ROWS_PER_PAGE)
+    ]
+
+
+def _measure_strategy_reads(world: World, strategy: Strategy) -> ReadCost:
+    if not strategy.reads_record:
+        return measure_reads(world, ())
+    pages = [
+        encode_placements([(task, 1, name) for task, name in page], epoch=7)
+        for page in list_pages(world)
+    ]
+    return measure_reads(world, [len(page) for page in pages])
+
+
+def measure_reads(world: World, record_sizes: Collection[int]) -> ReadCost:
+    """Return the cost of the reads of a takeover; base64 adds a third to each value.
+
+    Parameters
+    ----------
+    world : World
+        State at the takeover.
+    record_sizes : collection of int
+        Sizes of the values with recorded placements, in bytes.
+    """
     jobs = [len(encode_job_record(JobRecord(job=case.job))) for case in world.jobs]
     progress = [
         len(encode_progress(case.progress))
@@ -130,27 +185,17 @@
         (len(jobs), sum(jobs)),
         (len(progress), sum(progress)),
     ]
-    record_bytes = 0
-    if strategy.reads_record:
-        rows = [(task, 1, world.workers[n]) for task, n in world.recorded.items()]
-        pages = [
-            len(
-                encode_placements(
-                    rows[first : first + _RECORDED_ROWS_PER_PAGE], epoch=7
-                )
-            )
-            for first in range(0, len(rows), _RECORDED_ROWS_PER_PAGE)
-        ]
-        record_bytes = sum(pages) * 4 // 3
-        listings.append((len(pages), sum(pages)))
+    record_bytes = sum(record_sizes) * 4 // 3
+    if record_sizes:
+        listings.append((len(record_sizes), sum(record_sizes)))
     calls = sum(count_pages(count, size * 4 // 3) for count, size in listings)
     roster = len(json.dumps(world.workers))
     total = (sum(size for _, size in listings) + roster) * 4 // 3
     # The roster and the interference estimates are read by their keys.
-    return _ReadCost(calls=calls + 2, read_bytes=total, record_bytes=record_bytes)
+    return ReadCost(calls=calls + 2, read_bytes=total, record_bytes=record_bytes)
 
 
-class _NewOwner:
+class NewOwner:
     """Scheduler of a new owner, with simulated polls of its workers."""
 
     def __init__(self, world: World, *, loaded_ms: float) -> None:
@@ -160,7 +205,7 @@
             limits=SchedulerLimits(
                 task_lease_ms=_TASK_LEASE_MS,
                 longest_stop_ms=900.0,
-                settled_at_ms=_SETTLED_AT_MS,
+                settled_at_ms=SETTLED_AT_MS,
             ),
             configuration=Configuration(version=1, queues=(_QUEUE,)),
         )
@@ -219,7 +264,11 @@
             now_ms=now_ms,
         )
 
+    def _advance(self, now_ms: float) -> None:
+        """Act on what is known shortly before a time."""
+
     def _resolve(self, number: int, now_ms: float) -> None:
+        """Act on an answer, a removal or an expiry that concerns a worker."""
         worker_id = self.world.workers[number]
         if number not in self.resolved_ms and is_settled(
             self.scheduler, (worker_id,), now_ms
@@ -240,13 +289,14 @@
                 if silence.ends_ms == float("inf"):
                     continue
             events.append((at_ms, "answer", number))
-        events += [(_SETTLED_AT_MS, "expiry", number) for number in silent]
+        events += [(SETTLED_AT_MS, "expiry", number) for number in silent]
         heapq.heapify(events)
         cpu_free_ms = 0.0
         while events:
             at_ms, kind, number = heapq.heappop(events)
             if at_ms == float("inf"):
                 break
+            self._advance(at_ms)
             if kind == "answer":
                 # Answers are applied sequentially.
                 cpu_free_ms = at_ms = max(at_ms, cpu_free_ms) + _ANSWER_CPU_MS
@@ -254,6 +304,7 @@
             elif kind == "unlisted":
                 self.scheduler.mark_unlisted(self.world.workers[number])
             self._resolve(number, at_ms)
+        self._advance(float("inf"))
 
     @property
     def settled_ms(self) -> float:
@@ -262,7 +313,7 @@
 
 
 def _is_input_seen(
-    owner: _NewOwner, case: JobCase, due_ms: float, silent: set[int]
+    owner: NewOwner, case: JobCase, due_ms: float, silent: set[int]
 ) -> bool:
     """Return whether this owner saw an input of a step running before its end.
 
@@ -280,9 +331,9 @@
     world: World, strategy: Strategy, *, silent: set[int], silence: Silence, seed: int
 ) -> TakeoverOutcome:
     """Simulate a takeover, and return when its tasks may start."""
-    reads = _measure_reads(world, strategy)
-    loaded_ms = reads.calls * _STORE_CALL_MS
-    owner = _NewOwner(world, loaded_ms=loaded_ms)
+    reads = _measure_strategy_reads(world, strategy)
+    loaded_ms = reads.calls * STORE_CALL_MS
+    owner = NewOwner(world, loaded_ms=loaded_ms)
     owner.run(silent, silence, seed)
     settled_ms = owner.settled_ms
     worker_count = len(world.workers)
@@ -306,9 +357,7 @@
                 world, case, task
             ):
                 unsafe += 1
-        is_input_lost = any(number in silent for number in case.placed.values())
-        is_opening = case.has_next_step and case.placed and not case.is_ahead
-        if is_opening and not is_input_lost:
+        if case.is_opening(silent):
             first = TaskId(case.job.job_id, 0, case.step + 1, 0)
             held_ms = max(0.0, find_start_ms(case, first) - case.next_due_ms)
             if strategy.trusts_inputs and _is_input_seen(
--- a/bench/succession/world.py
+++ b/bench/succession/world.py
@@ -84,6 +84,15 @@
         """Whether a step follows the one that is due."""
         return self.step + 1 < len(self.job.steps)
 
+    def is_opening(self, silent: set[int]) -> bool:
+        """Return whether the next step becomes due although some workers are silent."""
+        return (
+            self.has_next_step
+            and bool(self.placed)
+            and not self.is_ahead
+            and not any(number in silent for number in self.placed.values())
+        )
+
 
 @attrs.define(kw_only=True)
 class World:
