Set the due time of a job when its queue becomes known

What callers would see: a job that was accepted under a configuration which the owner hasn't read yet is served after all other jobs of its priority, until it ends.

Cause: its due time was set once, when the owner read the job. Without a queue that was the time of acceptance, so that the job counted as too late for good.

Now it is set with the first queue. The new test failed before ('large' != 'small').

--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -251,10 +251,6 @@
         )
         state.work = job.estimate_work()
         state.is_guaranteed = self.guarantees.admit(job.queue, state.work)
-        state.due_ms = job.accepted_ms
-        if state.queue is not None:
-            state.due_ms += state.queue.stretch * job.estimate_chain()
-            state.due_ms += state.queue.objective_ms
         if job.repeats:
             self._timed.add(state)
         self.suspects.load_suspicions(state)
@@ -274,8 +270,15 @@
 
     def _set_queue(self, state: JobState) -> None:
         queue = self.configuration.find_queue(state.job.queue)
-        if queue is not None:
-            state.queue = queue
+        if queue is None:
+            return
+        if state.queue is None:
+            # The queue may become known only after the job.
+            chain_ms = state.job.estimate_chain()
+            state.due_ms = (
+                state.job.accepted_ms + queue.stretch * chain_ms + queue.objective_ms
+            )
+        state.queue = queue
 
     def remove_ended_jobs(self) -> None:
         """Remove the jobs that had already ended at the previous call.
--- a/trefoilhook/scheduling/tests/test_guarantees.py
+++ b/trefoilhook/scheduling/tests/test_guarantees.py
@@ -4,9 +4,14 @@
 
 import attrs
 
-from trefoilhook.scheduling import Demand, EndKind, Step
+from trefoilhook.scheduling import Configuration, Demand, EndKind, Step
 from trefoilhook.scheduling.guarantees import GUARANTEED_SHARE, Guarantees
-from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
+from trefoilhook.scheduling.tests.cases import (
+    CONFIGURATION,
+    Shard,
+    build_job,
+    list_starts,
+)
 
 _TASK = Step(count=1, demand=Demand(cpu=1000, memory_mb=10), estimate_ms=500.0)
 _SMALL = attrs.evolve(_TASK, count=2)
@@ -79,3 +84,12 @@
             self.shard.end(start, EndKind.DONE)
         self._submit(_SMALL, "new", is_guaranteed=False)
         self.assertEqual(self._start_next(), "begun")
+
+    def test_job_is_not_late_because_its_queue_became_known_after_it(self):
+        # Guards against serving it after all others until it ends.
+        scheduler = self.shard.scheduler
+        scheduler.set_configuration(Configuration(version=1, queues=()))
+        self._submit(_SMALL, "small", is_guaranteed=False)
+        scheduler.set_configuration(CONFIGURATION)
+        self._submit(_LARGE, "large", is_guaranteed=False)
+        self.assertEqual(self._start_next(), "small")
