Decide in the bench of takeovers when answers are applied

The rule as built was asked once, after all answers, though at the time of the first: rounds were placed by the time at which an answer arrives, not at which the owner has applied it.

--- a/bench/succession/__main__.py
+++ b/bench/succession/__main__.py
@@ -63,7 +63,7 @@
         f"{median([o.read_bytes for o in outcomes]) / 1000:,.0f}",
         f"{median([o.record_bytes for o in outcomes]) / 1000:,.0f}",
         f"{sum(o.unsafe for o in outcomes)}",
-        f"{max(o.round_cpu_ms for o in outcomes):,.1f}",
+        f"{median([o.round_cpu_ms for o in outcomes]):,.1f}",
     ]
     print("| " + " | ".join(columns) + " |", flush=True)
 
--- a/bench/succession/takeover.py
+++ b/bench/succession/takeover.py
@@ -296,10 +296,11 @@
             at_ms, kind, number = heapq.heappop(events)
             if at_ms == float("inf"):
                 break
-            self._advance(at_ms)
             if kind == "answer":
                 # Answers are applied sequentially.
                 cpu_free_ms = at_ms = max(at_ms, cpu_free_ms) + _ANSWER_CPU_MS
+            self._advance(at_ms)
+            if kind == "answer":
                 self._answer(number, at_ms)
             elif kind == "unlisted":
                 self.scheduler.mark_unlisted(self.world.workers[number])
