Kill the owner while a worker is silent at the end of a soak

The soak checked that tasks aren't run twice, lost or late in the end, not that a takeover delays only the tasks of workers that don't answer. Now, once all faults are reverted and all jobs are over, a worker is silenced for 3 s, jobs outside its group are accepted, and the owner is killed: they must be completed within 7 s (2 s for its lease; the leases on the silent worker would take 7.4 s more).

--- a/trefoilhook/soak/clients.py
+++ b/trefoilhook/soak/clients.py
@@ -97,7 +97,6 @@
         )
         if submission.crash_ms is not None:
             self._fleet.crash_delays_ms[submission.crashing_task] = submission.crash_ms
-        self.submission_log.submissions[job_id] = submission
         return submission
 
     def _draw_crash_delay(self) -> float | None:
@@ -106,13 +105,15 @@
         return float(10.0 ** self._crash_rng.uniform(*_CRASH_DELAY_LOG10_MS))
 
     async def _run_job(self, submission: Submission) -> None:
-        await self._submit(submission)
+        await self.submit(submission)
         if submission.outcome is not SubmissionOutcome.ACCEPTED:
             return
         if self._rng.random() < _CANCEL_PROBABILITY:
             await self._cancel(submission)
 
-    async def _submit(self, submission: Submission) -> None:
+    async def submit(self, submission: Submission) -> None:
+        """Submit a job to random instances until one accepts it."""
+        self.submission_log.submissions[submission.job_id] = submission
         steps = [
             {
                 "count": step.count,
--- a/trefoilhook/soak/core.py
+++ b/trefoilhook/soak/core.py
@@ -14,6 +14,7 @@
 from trefoilhook.soak.fleet import WORKER_CPU, Fleet
 from trefoilhook.soak.history import write_history
 from trefoilhook.soak.submissions import SubmissionOutcome
+from trefoilhook.soak.takeovers import check_takeover
 
 __all__ = ["SoakReport", "SoakSettings", "run_soak"]
 
@@ -108,6 +109,9 @@
         try:
             await fleet.start(instances=settings.instances, workers=settings.workers)
             await _run_workload(settings, fleet, clients, injector, clock)
+            if not clients.submission_log.violations:
+                # Its time limit holds without other faults.
+                await check_takeover(fleet, clients, random.Random(settings.seed + 6))
         finally:
             with trio.CancelScope(shield=True):
                 await fleet.close()
