Await the handover of shards in tests of daemon processes

Trace, from the evidence in the message: the three daemons started 1.9, 3.2 and 5.0 s after the run's begin (the test's process was 1.6 s late), so that the first one owned all 13 shards. wait_settled returned, since all instances were listed and all shards owned. At 5.76 s the first one handed over ten shards, and the store went away at 6.3 to 6.5 s, before the new owners had claimed them. What is handed over while the store goes is not served: that isn't what this test is about, which says that owners keep serving.

--- a/trefoilhook/daemon/tests/processes.py
+++ b/trefoilhook/daemon/tests/processes.py
@@ -28,8 +28,10 @@
 )
 from trefoilhook.demo.cluster import CLUSTER_TOKEN
 from trefoilhook.exceptions import TransportError
+from trefoilhook.membership import Member, Members
 from trefoilhook.requests import format_key, generate_key
 from trefoilhook.settings import PeerSettings, ShardSettings, dump_json
+from trefoilhook.shards import choose_owner
 
 CALLER = "caller-token"
 OPERATOR = "operator-token"
@@ -61,6 +63,27 @@
         return self.process.poll() is None
 
 
+def _have_chosen_owners(status: dict) -> bool:
+    """Return whether each shard is owned by the instance that it is hashed to."""
+    members = Members(
+        by_id={
+            each["instance_id"]: Member(
+                instance_id=each["instance_id"],
+                incarnation="",
+                host="",
+                port=0,
+                failure_domain="",
+                is_leaving=each["state"] == "leaving",
+            )
+            for each in status["instances"]
+        }
+    )
+    return all(
+        shard["owner_instance_id"] == choose_owner(shard["shard_id"], members)
+        for shard in status["shards"]
+    )
+
+
 @attrs.define(kw_only=True)
 class ProcessCluster:
     """Daemons in child processes and a local platform in this process."""
@@ -166,7 +189,7 @@
         return next(d for d in self.daemons if d.instance_id == owners[shard_id])
 
     async def wait_settled(self, *, without: tuple[Daemon, ...] = ()) -> None:
-        """Wait until the remaining daemons own all shards."""
+        """Wait until the remaining daemons own all shards, and none will be moved."""
         remaining = [d for d in self.daemons if d.is_alive and d not in without]
         shards = self.platform.settings.shards
         count = shards.request_shards + shards.worker_shards
@@ -177,7 +200,11 @@
                 counts = {
                     i["instance_id"]: i["shard_count"] for i in status["instances"]
                 }
-                if set(counts) == names and sum(counts.values()) == count:
+                if (
+                    set(counts) == names
+                    and sum(counts.values()) == count
+                    and _have_chosen_owners(status)
+                ):
                     return
             except (TransportError, RuntimeError):
                 pass
