--- a/trefoilhook/takeover/groups.py
+++ b/trefoilhook/takeover/groups.py
@@ -53,6 +53,12 @@
     members: Mapping[int, Member] = attrs.Factory(dict)
     _slots: dict[str, int] = attrs.field(init=False, eq=False, repr=False)
 
+    _end_slot: int = attrs.field(init=False, eq=False, repr=False)
+
+    @_end_slot.default
+    def _find_end_slot(self) -> int:
+        return max(self.members, default=-1) + 1
+
     @_slots.default
     def _index_slots(self) -> dict[str, int]:
         return {member.name: slot for slot, member in self.members.items()}
@@ -63,11 +69,10 @@
 
     def list_group(self, job_id: str) -> list[str]:
         """Return the incarnations in the group of a job."""
-        group = self.find_group(job_id)
         return [
-            member.name
-            for slot, member in self.members.items()
-            if slot % self.count == group
+            self.members[slot].name
+            for slot in range(self.find_group(job_id), self._end_slot, self.count)
+            if slot in self.members
         ]
 
     def covers(self, job_id: str, name: str) -> bool:
