Number the changes of all jobs, and release workers by these numbers

Changes of all jobs are numbered now; each job keeps the number from which its changes may be unsaved, so that all are saved up to one less than the least of them. A worker is released once that number passes the last change at its account, its drop or its last reported end. That never comes before the checks of today: a job that changes on delays a release only until its next save (test_release_awaits_no_later_change).

--- a/trefoilhook/scheduling/changes.py
+++ b/trefoilhook/scheduling/changes.py
@@ -62,6 +62,8 @@
         state.progress_revision = revision
     if state.saved_version >= state.version and state.phase_saved:
         scheduler.dirty.discard(state)
+    else:
+        state.unsaved_since = max(state.unsaved_since, state.saved_version + 1)
 
 
 def acknowledge(worker: Worker) -> int:
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -150,9 +150,13 @@
         number.
     ended_incarnations : set of str
         Incarnations that were proved over during this ownership.
-    unreleased : dict of str to tuple of callable
+    last_change : int
+        Number of the last change of a job.
+    unreleased : dict of str to int
         Incarnations that the next owner must still know although they are accounted
-        for, each with functions that all return True once that is over.
+        for, each with the number of the change up to which all must be saved first.
+    reported : dict of str to int
+        The same by worker id, for workers that have reported an end since then.
     """
 
     def __init__(
@@ -204,7 +208,9 @@
         self.groups: WorkerGroups | None = None
         self.has_group_starts = False
         self.ended_incarnations: set[str] = set()
-        self.unreleased: dict[str, tuple[Callable[[], bool], ...]] = {}
+        self.last_change = 0
+        self.unreleased: dict[str, int] = {}
+        self.reported: dict[str, int] = {}
         self._timed: set[JobState] = set()
 
     # Events from clients and operators.
@@ -401,19 +407,17 @@
         if not has_restarted:
             self.ended_incarnations.add(worker.incarnation)
         if worker.is_in_roster:
-            self.unreleased[worker.incarnation] = (self.track_saves(),)
+            self.unreleased[worker.incarnation] = self.last_change
 
-    def extend_release(self, worker: Worker, job_id: str) -> None:
+    def extend_release(self, worker: Worker) -> None:
         """Delay the release of a worker until an end that it reported is saved, too."""
-        worker_id = worker.report.worker_id
-        for name, checks in self.unreleased.items():
-            if get_worker_id(name) == worker_id:
-                self.unreleased[name] = (*checks, self.track_save(job_id))
+        if self.unreleased:
+            self.reported[worker.report.worker_id] = self.last_change
 
-    def track_saves(self) -> Callable[[], bool]:
-        """Return a function that tells whether all present changes are saved."""
-        checks = [state.track_save() for state in self.dirty]
-        return lambda: all(is_saved() for is_saved in checks)
+    def find_saved_change(self) -> int:
+        """Return the number of the change up to which all are saved."""
+        unsaved = (state.unsaved_since for state in self.dirty)
+        return min(unsaved, default=self.last_change + 1) - 1
 
     def _release_all(self, worker: Worker) -> None:
         for run in list(worker.runs.values()):
@@ -437,7 +441,7 @@
             task.failed_on.add(worker.report.worker_id)
         self.apply_end(task, run.attempt, kind, checkpoint)
         self._retire_place(run)
-        self.extend_release(worker, run.task.job_id)
+        self.extend_release(worker)
 
     def _retire_place(self, run: Run) -> None:
         if self.places is not None:
@@ -521,8 +525,11 @@
         self._mark_dirty(state)
 
     def _mark_dirty(self, state: JobState) -> None:
-        state.version += 1
-        self.dirty.add(state)
+        self.last_change += 1
+        state.version = self.last_change
+        if state not in self.dirty:
+            state.unsaved_since = self.last_change
+            self.dirty.add(state)
 
     def stop_attempts(self, task: TaskState, *, keep: int = 0) -> None:
         """Stop the attempts of a task except for the ``keep`` latest."""
--- a/trefoilhook/scheduling/job_state.py
+++ b/trefoilhook/scheduling/job_state.py
@@ -124,7 +124,10 @@
     queue : Queue or None
         Its queue in the latest configuration that contains it.
     version, saved_version : int
-        Number of changes to the persistent state, and number of saved changes.
+        Numbers of the last change to its persistent state, and of the last saved one.
+        Changes of all jobs are numbered together.
+    unsaved_since : int
+        Number from which changes may be unsaved, if any is.
     phase_saved : bool
         Whether the phase is saved.
     is_stale : bool
@@ -156,6 +159,7 @@
     queue: Queue | None = None
     version: int = 0
     saved_version: int = 0
+    unsaved_since: int = 0
     phase_saved: bool = True
     is_stale: bool = False
     started: bool = False
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -121,7 +121,7 @@
             task.last_attempt = max(task.last_attempt, end.attempt)
             task.record_end(worker, end.kind)
             scheduler.apply_end(task, end.attempt, end.kind, end.checkpoint)
-            scheduler.extend_release(worker, end.task.job_id)
+            scheduler.extend_release(worker)
     _update_faults(scheduler, worker, end, now_ms)
     worker.record_end(end.number, scheduler.track_save(end.task.job_id))
 
--- a/trefoilhook/scheduling/takeovers.py
+++ b/trefoilhook/scheduling/takeovers.py
@@ -4,7 +4,7 @@
 the state of the shard.
 """
 
-from collections.abc import Callable, Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker, get_worker_id
@@ -116,12 +116,10 @@
         return
     awaited = set(list_unaccounted(scheduler, predecessors.awaited, now_ms))
     accounted = predecessors.awaited - awaited
+    for name in accounted:
+        predecessors.account(name)
+        scheduler.unreleased[name] = scheduler.last_change
     if accounted:
-        # Shared by all of them: there may be as many changed jobs as workers.
-        is_saved = scheduler.track_saves()
-        for name in accounted:
-            predecessors.account(name)
-            scheduler.unreleased[name] = (is_saved,)
         _retire_places(scheduler, accounted)
     for name in awaited:
         if _have_leases_expired(scheduler, name, now_ms):
@@ -151,13 +149,13 @@
     A worker that is accounted for is released once everything learned from it is in the
     store: the ends that it reported, and the places of the runs found there.
     """
-    results: dict[Callable[[], bool], bool] = {}
-    for name, checks in list(scheduler.unreleased.items()):
-        for is_saved in checks:
-            if is_saved not in results:
-                results[is_saved] = is_saved()
-        if all(map(results.get, checks)) and _are_runs_recorded(scheduler, name):
+    saved_change = scheduler.find_saved_change()
+    for name, change in list(scheduler.unreleased.items()):
+        last_change = max(change, scheduler.reported.get(get_worker_id(name), 0))
+        if last_change <= saved_change and _are_runs_recorded(scheduler, name):
             del scheduler.unreleased[name]
+    if not scheduler.unreleased:
+        scheduler.reported.clear()
     return scheduler.predecessors.awaited | scheduler.unreleased.keys()
 
 
--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -16,6 +16,8 @@
     TaskId,
     account_for_workers,
     apply_report,
+    collect_changes,
+    confirm_change,
     list_unreleased,
 )
 from trefoilhook.scheduling.fleet import Run, RunPhase
@@ -301,7 +303,7 @@
         shard.plan()
         self.write(shard, ledger)
         self.assertTrue(ledger.is_recorded(TASK, order.attempt))
-        shard.scheduler.unreleased[order.worker_id] = ()
+        shard.scheduler.unreleased[order.worker_id] = 0
         self.assertIn(order.worker_id, list_unreleased(shard.scheduler))
 
     def test_start_held_on_a_restarted_worker_keeps_its_place(self):
@@ -433,6 +435,21 @@
         self.assertEqual(len(shard.scheduler.unreleased), len(names))
         self.assertLessEqual(len(calls), 4 * len(names))
 
+    def test_release_awaits_no_later_change(self):
+        # Guards against a worker that is never released while other jobs change.
+        shard = Successor(Predecessors(groups=(build_groups("w0", "w1"),)))
+        shard.scheduler.places = PlaceLedger(epoch=2)
+        shard.workers["w0"].end(TaskId("j", 0, 0, 0), 7, EndKind.DONE)
+        self.assertEqual(shard.count_starts(), 0)
+        changes = collect_changes(shard.scheduler)
+        shard.submit(build_job(job_id="k"))
+        for state in shard.scheduler.jobs.values():
+            shard.scheduler.mark_started(state)
+        self.assertIn("w0", list_unreleased(shard.scheduler))
+        for change in changes:
+            confirm_change(shard.scheduler, change, revision=9)
+        self.assertEqual(list_unreleased(shard.scheduler), set())
+
     def test_own_leases_on_a_worker_are_awaited_as_well(self):
         # Guards against a second run on a worker whose leases the new owner has renewed
         # although it has not reported all of its ends.
