Reword comments and names of the takeover changes

Renamed in particular: Scheduler.reported to end_changes, find_saved_change to find_last_saved_change, JobState.unsaved_since to min_unsaved_version, take_over_as_built to take_over_by_product_rule, and round_cpu_ms to longest_round_cpu_ms.

--- a/bench/succession/__main__.py
+++ b/bench/succession/__main__.py
@@ -9,13 +9,13 @@
 import statistics
 import time
 
-from bench.succession.built import place_in_product_group, take_over_as_built
+from bench.succession.built import place_in_product_group, take_over_by_product_rule
 from bench.succession.strategies import STRATEGIES
 from bench.succession.takeover import Silence, TakeoverOutcome, take_over
 from bench.succession.world import DOMAINS, build_world, list_silent
 from bench.succession.writes import print_writes
 
-_AS_BUILT = "as built"
+_PRODUCT_RULE = "as built"
 _SILENT_CASES = ("none", "one", "1 %", "domain")
 _PROMPT_MS = 300.0
 _SILENCES = {
@@ -63,16 +63,16 @@
         f"{median([o.read_bytes for o in outcomes]) / 1000:,.0f}",
         f"{median([o.record_bytes for o in outcomes]) / 1000:,.0f}",
         f"{sum(o.unsafe for o in outcomes)}",
-        f"{median([o.round_cpu_ms for o in outcomes]):,.1f}",
+        f"{median([o.longest_round_cpu_ms for o in outcomes]):,.1f}",
     ]
     print("| " + " | ".join(columns) + " |", flush=True)
 
 
-def _simulate(
+def _simulate_takeover(
     name: str, size: int, seed: int, silent_case: str, silence: Silence
 ) -> TakeoverOutcome:
-    """Simulate one takeover by a strategy, or by the product's rule."""
-    strategy = STRATEGIES[name](size) if name != _AS_BUILT else None
+    """Simulate one takeover by a strategy or by the rule of the product."""
+    strategy = STRATEGIES[name](size) if name != _PRODUCT_RULE else None
     world = build_world(
         size,
         seed,
@@ -84,7 +84,9 @@
     )
     silent = list_silent(world, seed, silent_case)
     if strategy is None:
-        return take_over_as_built(world, silent=silent, silence=silence, seed=seed)
+        return take_over_by_product_rule(
+            world, silent=silent, silence=silence, seed=seed
+        )
     return take_over(world, strategy, silent=silent, silence=silence, seed=seed)
 
 
@@ -105,7 +107,7 @@
                 continue
             for name in ways:
                 outcomes = [
-                    _simulate(name, size, seed, silent_case, silence)
+                    _simulate_takeover(name, size, seed, silent_case, silence)
                     for seed in range(1, seeds + 1)
                 ]
                 _print_row(size, silent_case, name, outcomes)
@@ -122,7 +124,7 @@
     takeovers.add_argument("--sizes", type=int, nargs="+", default=sorted(DOMAINS))
     takeovers.add_argument("--seeds", type=int, default=5)
     takeovers.add_argument("--kind", choices=sorted(_SILENCES), default="cut off")
-    ways = (*STRATEGIES, _AS_BUILT)
+    ways = (*STRATEGIES, _PRODUCT_RULE)
     takeovers.add_argument("--ways", nargs="+", choices=ways, default=ways)
     writes = commands.add_parser("writes")
     writes.add_argument("sites", nargs="+")
--- a/bench/succession/built.py
+++ b/bench/succession/built.py
@@ -1,4 +1,4 @@
-"""Simulated takeovers that wait as the product does."""
+"""Simulation of takeovers by the rule of the product."""
 
 import random
 import time
@@ -10,7 +10,7 @@
     NewOwner,
     Silence,
     TakeoverOutcome,
-    list_pages,
+    list_record_pages,
     measure_reads,
 )
 from bench.succession.world import JobCase, Placement, World
@@ -27,30 +27,30 @@
     encode_places,
 )
 
-__all__ = ["place_in_product_group", "take_over_as_built"]
+__all__ = ["place_in_product_group", "take_over_by_product_rule"]
 
-_ROUND_MS = 20.0
-"""Time from an event to the round in which the owner acts on it, in ms."""
+_ROUND_DELAY_MS = 20.0
+"""Time from an event to the round of the owner that processes it, in ms."""
 
-_LAST_EPOCH = 7
+_PREVIOUS_EPOCH = 7
 
 
 def _build_groups(size: int, names: Sequence[str]) -> WorkerGroups:
-    """Build the groups of an epoch, by the number of the worker in each failure domain.
+    """Build the groups of the previous epoch.
 
-    Consecutive numbers are in one failure domain.
+    Workers are located by their numbers, which are consecutive in a failure domain.
     """
     members = {
         number: Member(name=name, address=f"{name}:1")
         for number, name in enumerate(names)
     }
-    groups = WorkerGroups(epoch=_LAST_EPOCH, count=1, members=members)
+    groups = WorkerGroups(epoch=_PREVIOUS_EPOCH, count=1, members=members)
     locations = {name: (f"{number:06d}",) for number, name in enumerate(names)}
     return groups.rearrange(count_groups(size), locations)
 
 
 def place_in_product_group(size: int) -> Placement:
-    """Build the choice of a worker for tasks that are started without a record."""
+    """Return a placement in the group of the job, for starts without a record."""
     groups = _build_groups(size, [str(number) for number in range(size)])
 
     def place(case: JobCase, generator: random.Random) -> int:
@@ -60,7 +60,7 @@
 
 
 class _Successor(NewOwner):
-    """A new owner that has read the groups and places of its predecessor."""
+    """New owner that has loaded the groups and places of its predecessor."""
 
     def __init__(
         self,
@@ -75,37 +75,37 @@
         self.scheduler.predecessors = Predecessors(
             groups=(groups,), places=[place for page in pages for place in page]
         )
-        self.scheduler.places = PlaceLedger(epoch=_LAST_EPOCH + 1)
+        self.scheduler.places = PlaceLedger(epoch=_PREVIOUS_EPOCH + 1)
         for number, page in enumerate(pages):
-            self.scheduler.places.load((_LAST_EPOCH, number), page)
+            self.scheduler.places.load((_PREVIOUS_EPOCH, number), page)
         self.released_ms: dict[TaskId, float] = {}
         self.unsafe: set[TaskId] = set()
         self.settled_at_ms = float("inf")
-        self.round_cpu_ms = 0.0
-        self._held = dict(_list_tracked(world))
-        self._unheard = [
+        self.longest_round_cpu_ms = 0.0
+        self._held = dict(_list_pending_tasks(world))
+        self._silent_runs = [
             (task, number, case.job.steps[task.step].long_running)
             for case in world.jobs
             for task, number in case.placed.items()
             if number in silent
         ]
-        self._round_ms = loaded_ms
+        self._next_round_ms = loaded_ms
 
     def _resolve(self, number: int, now_ms: float) -> None:
-        self._round_ms = min(self._round_ms, now_ms + _ROUND_MS)
+        self._next_round_ms = min(self._next_round_ms, now_ms + _ROUND_DELAY_MS)
 
-    def _advance(self, now_ms: float) -> None:
-        if now_ms <= self._round_ms:
+    def _run_due_round(self, now_ms: float) -> None:
+        if now_ms <= self._next_round_ms:
             return
         began_s = time.process_time()
-        self._decide(self._round_ms)
+        self._release_tasks(self._next_round_ms)
         elapsed_ms = 1000.0 * (time.process_time() - began_s)
-        self.round_cpu_ms = max(self.round_cpu_ms, elapsed_ms)
-        self._check(self._round_ms)
-        self._round_ms = float("inf")
+        self.longest_round_cpu_ms = max(self.longest_round_cpu_ms, elapsed_ms)
+        self._record_unsafe(self._next_round_ms)
+        self._next_round_ms = float("inf")
 
-    def _decide(self, now_ms: float) -> None:
-        """Account for the workers that have answered, and release tasks."""
+    def _release_tasks(self, now_ms: float) -> None:
+        """Account for the workers that have answered, and release held tasks."""
         account_for_workers(self.scheduler, now_ms)
         if not self.scheduler.predecessors.awaited:
             self.settled_at_ms = min(self.settled_at_ms, now_ms)
@@ -122,31 +122,31 @@
             str(task), task.job_id, never_ends=never_ends
         )
 
-    def _check(self, now_ms: float) -> None:
-        """Find tasks that are on a worker which may still run them, and aren't held."""
-        self._unheard = [
+    def _record_unsafe(self, now_ms: float) -> None:
+        """Record tasks that are not held while a silent worker may still run them."""
+        self._silent_runs = [
             row
-            for row in self._unheard
-            if not self._is_over(row[1], now_ms, never_ends=row[2])
+            for row in self._silent_runs
+            if not self._is_accounted(row[1], now_ms, never_ends=row[2])
         ]
         self.unsafe.update(
             task
-            for task, _, never_ends in self._unheard
+            for task, _, never_ends in self._silent_runs
             if not self._holds(task, never_ends=never_ends)
         )
 
-    def _is_over(self, number: int, now_ms: float, *, never_ends: bool) -> bool:
-        """Return whether the runs and ends of a silent worker need no wait any more."""
+    def _is_accounted(self, number: int, now_ms: float, *, never_ends: bool) -> bool:
+        """Return whether a task no longer has to wait for a silent worker."""
         worker = self.scheduler.workers[self.world.workers[number]]
         if worker.has_answered_token:
             return True
         return now_ms >= SETTLED_AT_MS and (never_ends or not worker.listed)
 
 
-def _list_tracked(world: World) -> Iterator[tuple[TaskId, bool]]:
-    """List the due tasks and the first task of each later step.
+def _list_pending_tasks(world: World) -> Iterator[tuple[TaskId, bool]]:
+    """Yield the due tasks and the first task of each following step.
 
-    With each comes whether it is never completed.
+    Each task comes with whether it runs without end.
     """
     for case in world.jobs:
         for task in case.waiting:
@@ -155,19 +155,19 @@
             yield TaskId(case.job.job_id, 0, case.step + 1, 0), False
 
 
-def take_over_as_built(
+def take_over_by_product_rule(
     world: World, *, silent: set[int], silence: Silence, seed: int
 ) -> TakeoverOutcome:
-    """Simulate a takeover by the product's rule, and return when its tasks may start.
+    """Simulate a takeover by the rule of the product; return when its tasks may start.
 
-    Unrecorded starts of ``world`` must have been placed by `place_in_product_group`.
+    Starts without a record in ``world`` must be placed by `place_in_product_group`.
     """
     groups = _build_groups(len(world.workers), world.workers)
     pages = [
         [Place(task=str(task), attempt=1, worker=name) for task, name in page]
-        for page in list_pages(world)
+        for page in list_record_pages(world)
     ]
-    sizes = [len(encode_places(page, epoch=_LAST_EPOCH)) for page in pages]
+    sizes = [len(encode_places(page, epoch=_PREVIOUS_EPOCH)) for page in pages]
     reads = measure_reads(world, [len(encode_head(Head(groups=groups))), *sizes])
     loaded_ms = reads.calls * STORE_CALL_MS
     owner = _Successor(
@@ -195,5 +195,5 @@
         calls=reads.calls,
         read_bytes=reads.read_bytes,
         record_bytes=reads.record_bytes,
-        round_cpu_ms=owner.round_cpu_ms,
+        longest_round_cpu_ms=owner.longest_round_cpu_ms,
     )
--- a/bench/succession/takeover.py
+++ b/bench/succession/takeover.py
@@ -36,7 +36,7 @@
     "ReadCost",
     "Silence",
     "TakeoverOutcome",
-    "list_pages",
+    "list_record_pages",
     "measure_reads",
     "take_over",
 ]
@@ -112,8 +112,9 @@
         Calls to the store and bytes read by the takeover.
     record_bytes : int
         Bytes of recorded placements among them.
-    round_cpu_ms : float
-        Processor time of the longest decision about held tasks, in ms, as measured.
+    longest_round_cpu_ms : float
+        Processor time of the longest round that releases held tasks, in ms. It varies
+        between runs and is not compared.
     """
 
     loaded_ms: float
@@ -125,7 +126,7 @@
     calls: int
     read_bytes: int
     record_bytes: int
-    round_cpu_ms: float = attrs.field(default=0.0, eq=False)
+    longest_round_cpu_ms: float = attrs.field(default=0.0, eq=False)
 
 
 @attrs.frozen(kw_only=True)
@@ -145,8 +146,8 @@
     record_bytes: int
 
 
-def list_pages(world: World) -> list[list[tuple[TaskId, str]]]:
-    """Return the recorded tasks and their workers, a page each."""
+def list_record_pages(world: World) -> list[list[tuple[TaskId, str]]]:
+    """Return the recorded tasks and their workers by page."""
     rows = [(task, world.workers[number]) for task, number in world.recorded.items()]
     return [
         rows[first : first + _RECORDED_ROWS_PER_PAGE]
@@ -159,7 +160,7 @@
         return measure_reads(world, ())
     pages = [
         encode_placements([(task, 1, name) for task, name in page], epoch=7)
-        for page in list_pages(world)
+        for page in list_record_pages(world)
     ]
     return measure_reads(world, [len(page) for page in pages])
 
@@ -264,11 +265,11 @@
             now_ms=now_ms,
         )
 
-    def _advance(self, now_ms: float) -> None:
-        """Act on what is known shortly before a time."""
+    def _run_due_round(self, now_ms: float) -> None:
+        """Run the round that is due before a time; by default there is none."""
 
     def _resolve(self, number: int, now_ms: float) -> None:
-        """Act on an answer, a removal or an expiry that concerns a worker."""
+        """Process an answer of a worker, its removal or the expiry of its leases."""
         worker_id = self.world.workers[number]
         if number not in self.resolved_ms and is_settled(
             self.scheduler, (worker_id,), now_ms
@@ -299,13 +300,13 @@
             if kind == "answer":
                 # Answers are applied sequentially.
                 cpu_free_ms = at_ms = max(at_ms, cpu_free_ms) + _ANSWER_CPU_MS
-            self._advance(at_ms)
+            self._run_due_round(at_ms)
             if kind == "answer":
                 self._answer(number, at_ms)
             elif kind == "unlisted":
                 self.scheduler.mark_unlisted(self.world.workers[number])
             self._resolve(number, at_ms)
-        self._advance(float("inf"))
+        self._run_due_round(float("inf"))
 
     @property
     def settled_ms(self) -> float:
--- a/bench/succession/tests/test_takeovers.py
+++ b/bench/succession/tests/test_takeovers.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from bench.succession.built import place_in_product_group, take_over_as_built
+from bench.succession.built import place_in_product_group, take_over_by_product_rule
 from bench.succession.strategies import STRATEGIES
 from bench.succession.takeover import Silence, take_over
 from bench.succession.world import build_world, list_silent
@@ -78,7 +78,7 @@
         self.assertEqual(_take_over("groups", seed=3), _take_over("groups", seed=3))
 
 
-def _take_over_as_built(*, seed, case, place_unrecorded=None, unrecorded=0.05):
+def _take_over_by_product_rule(*, seed, case, place_unrecorded=None, unrecorded=0.05):
     world = build_world(
         _SIZE,
         seed,
@@ -86,11 +86,11 @@
         unrecorded=unrecorded,
     )
     silent = list_silent(world, seed, case)
-    return take_over_as_built(world, silent=silent, silence=_CUT_OFF, seed=seed)
+    return take_over_by_product_rule(world, silent=silent, silence=_CUT_OFF, seed=seed)
 
 
-class BuiltTest(unittest.TestCase):
-    """Tasks held and started by the product's rule."""
+class ProductRuleTest(unittest.TestCase):
+    """Tasks held and started by the rule of the product."""
 
     def test_no_task_is_started_that_is_on_a_silent_worker(self):
         # Guards against a rule that runs a task twice.
@@ -98,12 +98,12 @@
             for case in ("one", "domain"):
                 with self.subTest(seed=seed, case=case):
                     self.assertEqual(
-                        _take_over_as_built(seed=seed, case=case).unsafe, 0
+                        _take_over_by_product_rule(seed=seed, case=case).unsafe, 0
                     )
 
     def test_starts_outside_places_and_groups_are_found_unsafe(self):
         # Guards against an ``unsafe`` count that is always zero.
-        outcome = _take_over_as_built(
+        outcome = _take_over_by_product_rule(
             seed=1,
             case="domain",
             place_unrecorded=STRATEGIES["today"](_SIZE).place_unrecorded,
@@ -112,12 +112,12 @@
         self.assertGreater(outcome.unsafe, 0)
 
     def test_most_tasks_do_not_wait_for_a_silent_failure_domain(self):
-        # Guards against groups that spread over failure domains, so that the loss of
-        # one delays most tasks. A third of the workers is silent.
+        # Guards against groups that span failure domains, so that the loss of one
+        # delays most tasks. A third of the workers is silent.
         due_ms = [
             at_ms
             for seed in range(1, 6)
-            for at_ms in _take_over_as_built(seed=seed, case="domain").due_ms
+            for at_ms in _take_over_by_product_rule(seed=seed, case="domain").due_ms
         ]
         prompt = sum(at_ms < 300.0 for at_ms in due_ms) / len(due_ms)
         self.assertGreater(prompt, 0.6)
--- a/bench/succession/world.py
+++ b/bench/succession/world.py
@@ -85,7 +85,7 @@
         return self.step + 1 < len(self.job.steps)
 
     def is_opening(self, silent: set[int]) -> bool:
-        """Return whether the next step becomes due although some workers are silent."""
+        """Return whether the next step can become due while some workers are silent."""
         return (
             self.has_next_step
             and bool(self.placed)
--- a/trefoilhook/daemon/tests/processes.py
+++ b/trefoilhook/daemon/tests/processes.py
@@ -64,7 +64,7 @@
 
 
 def _have_chosen_owners(status: dict) -> bool:
-    """Return whether each shard is owned by the instance that it is hashed to."""
+    """Return whether each shard is owned by the instance chosen for it by its hash."""
     members = Members(
         by_id={
             each["instance_id"]: Member(
@@ -189,7 +189,7 @@
         return next(d for d in self.daemons if d.instance_id == owners[shard_id])
 
     async def wait_settled(self, *, without: tuple[Daemon, ...] = ()) -> None:
-        """Wait until the remaining daemons own all shards, and none will be moved."""
+        """Wait until the remaining daemons own all shards and no handover is due."""
         remaining = [d for d in self.daemons if d.is_alive and d not in without]
         shards = self.platform.settings.shards
         count = shards.request_shards + shards.worker_shards
--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -217,7 +217,7 @@
         )
 
     def _list_locations(self) -> dict[str, tuple[str, ...]]:
-        """Return the failure domain and the labels of each worker, with its rack."""
+        """Return the failure domain and labels, such as the rack, by incarnation."""
         return {
             worker.incarnation: (worker.report.failure_domain, *worker.report.labels)
             for worker in self._scheduler.workers.values()
--- a/trefoilhook/runtime/tests/test_takeovers.py
+++ b/trefoilhook/runtime/tests/test_takeovers.py
@@ -63,7 +63,7 @@
 
 
 async def wait_for_groups(cluster: Cluster) -> None:
-    """Wait until the owner knows that the groups of all workers are stored."""
+    """Wait until the store holds the groups of all workers and the owner knows it."""
     await cluster.wait_until(lambda: len(cluster.read_roster()) == WORKERS)
     await trio.sleep(0.1)
 
--- a/trefoilhook/scheduling/changes.py
+++ b/trefoilhook/scheduling/changes.py
@@ -63,7 +63,9 @@
     if state.saved_version >= state.version and state.phase_saved:
         scheduler.dirty.discard(state)
     else:
-        state.unsaved_since = max(state.unsaved_since, state.saved_version + 1)
+        state.min_unsaved_version = max(
+            state.min_unsaved_version, state.saved_version + 1
+        )
 
 
 def acknowledge(worker: Worker) -> int:
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -151,12 +151,13 @@
     ended_incarnations : set of str
         Incarnations that were proved over during this ownership.
     last_change : int
-        Number of the last change of a job.
+        Number of the last change to any job.
     unreleased : dict of str to int
         Incarnations that the next owner must still know although they are accounted
-        for, each with the number of the change up to which all must be saved first.
-    reported : dict of str to int
-        The same by worker id, for workers that have reported an end since then.
+        for, each with the number up to which all changes must be saved first.
+    end_changes : dict of str to int
+        By id of a worker that reported an end, number up to which all changes must be
+        saved before its incarnations are released.
     """
 
     def __init__(
@@ -210,7 +211,7 @@
         self.ended_incarnations: set[str] = set()
         self.last_change = 0
         self.unreleased: dict[str, int] = {}
-        self.reported: dict[str, int] = {}
+        self.end_changes: dict[str, int] = {}
         self._timed: set[JobState] = set()
 
     # Events from clients and operators.
@@ -279,7 +280,7 @@
         if queue is None:
             return
         if state.queue is None:
-            # The queue may become known only after the job.
+            # The queue may be configured after the job was added.
             chain_ms = state.job.estimate_chain()
             state.due_ms = (
                 state.job.accepted_ms + queue.stretch * chain_ms + queue.objective_ms
@@ -410,13 +411,13 @@
             self.unreleased[worker.incarnation] = self.last_change
 
     def extend_release(self, worker: Worker) -> None:
-        """Delay the release of a worker until an end that it reported is saved, too."""
+        """Delay the release of a worker until the ends that it reported are saved."""
         if self.unreleased:
-            self.reported[worker.report.worker_id] = self.last_change
+            self.end_changes[worker.report.worker_id] = self.last_change
 
-    def find_saved_change(self) -> int:
-        """Return the number of the change up to which all are saved."""
-        unsaved = (state.unsaved_since for state in self.dirty)
+    def find_last_saved_change(self) -> int:
+        """Return the number up to which all changes are saved."""
+        unsaved = (state.min_unsaved_version for state in self.dirty)
         return min(unsaved, default=self.last_change + 1) - 1
 
     def _release_all(self, worker: Worker) -> None:
@@ -528,7 +529,7 @@
         self.last_change += 1
         state.version = self.last_change
         if state not in self.dirty:
-            state.unsaved_since = self.last_change
+            state.min_unsaved_version = self.last_change
             self.dirty.add(state)
 
     def stop_attempts(self, task: TaskState, *, keep: int = 0) -> None:
--- a/trefoilhook/scheduling/job_state.py
+++ b/trefoilhook/scheduling/job_state.py
@@ -124,10 +124,10 @@
     queue : Queue or None
         Its queue in the latest configuration that contains it.
     version, saved_version : int
-        Numbers of the last change to its persistent state, and of the last saved one.
-        Changes of all jobs are numbered together.
-    unsaved_since : int
-        Number from which changes may be unsaved, if any is.
+        Numbers of the last change to its persistent state and of the last saved one.
+        The changes of all jobs share one sequence of numbers.
+    min_unsaved_version : int
+        Lower bound of the numbers of its unsaved changes, if there are any.
     phase_saved : bool
         Whether the phase is saved.
     is_stale : bool
@@ -159,7 +159,7 @@
     queue: Queue | None = None
     version: int = 0
     saved_version: int = 0
-    unsaved_since: int = 0
+    min_unsaved_version: int = 0
     phase_saved: bool = True
     is_stale: bool = False
     started: bool = False
--- a/trefoilhook/scheduling/takeovers.py
+++ b/trefoilhook/scheduling/takeovers.py
@@ -149,13 +149,13 @@
     A worker that is accounted for is released once everything learned from it is in the
     store: the ends that it reported, and the places of the runs found there.
     """
-    saved_change = scheduler.find_saved_change()
+    last_saved = scheduler.find_last_saved_change()
     for name, change in list(scheduler.unreleased.items()):
-        last_change = max(change, scheduler.reported.get(get_worker_id(name), 0))
-        if last_change <= saved_change and _are_runs_recorded(scheduler, name):
+        required = max(change, scheduler.end_changes.get(get_worker_id(name), 0))
+        if required <= last_saved and _are_runs_recorded(scheduler, name):
             del scheduler.unreleased[name]
     if not scheduler.unreleased:
-        scheduler.reported.clear()
+        scheduler.end_changes.clear()
     return scheduler.predecessors.awaited | scheduler.unreleased.keys()
 
 
--- a/trefoilhook/scheduling/tests/test_guarantees.py
+++ b/trefoilhook/scheduling/tests/test_guarantees.py
@@ -86,7 +86,7 @@
         self.assertEqual(self._start_next(), "begun")
 
     def test_job_is_not_late_because_its_queue_became_known_after_it(self):
-        # Guards against serving it after all others until it ends.
+        # Guards against a job that is treated as late, and served last, until it ends.
         scheduler = self.shard.scheduler
         scheduler.set_configuration(Configuration(version=1, queues=()))
         self._submit(_SMALL, "small", is_guaranteed=False)
--- a/trefoilhook/soak/core.py
+++ b/trefoilhook/soak/core.py
@@ -110,7 +110,7 @@
             await fleet.start(instances=settings.instances, workers=settings.workers)
             await _run_workload(settings, fleet, clients, injector, clock)
             if not clients.submission_log.violations:
-                # Its time limit holds without other faults.
+                # The time limit of this check applies only without other faults.
                 await check_takeover(fleet, clients, random.Random(settings.seed + 6))
         finally:
             with trio.CancelScope(shield=True):
--- a/trefoilhook/takeover/groups.py
+++ b/trefoilhook/takeover/groups.py
@@ -99,16 +99,17 @@
     def rearrange(
         self, count: int, locations: Mapping[str, Sequence[str]]
     ) -> "WorkerGroups":
-        """Return another number of groups, with workers that fail together in one.
+        """Return ``count`` groups of the same workers, ordered by location.
 
-        A failure domain that is lost then delays only the tasks of its own groups.
+        Few groups then span two failure domains, so that the loss of one delays only
+        the tasks of the groups with workers in it.
 
         Parameters
         ----------
         count : int
             Number of groups.
         locations : mapping of str to sequence of str
-            Failure domain of each worker, and smaller units within it.
+            Failure domain of each incarnation, followed by smaller units within it.
         """
         members = sorted(
             self.members.values(),
--- a/trefoilhook/takeover/tests/test_groups.py
+++ b/trefoilhook/takeover/tests/test_groups.py
@@ -77,7 +77,7 @@
         self.assertEqual(set(groups.list_group(job_id)), covered)
 
     def test_workers_of_a_failure_domain_share_groups(self) -> None:
-        """Guards against a lost failure domain that delays the tasks of most jobs."""
+        """Guards against a loss of one failure domain that delays most jobs."""
         names = [f"w{number}" for number in range(12)]
         locations = {name: (f"zone-{n % 3}", "rack") for n, name in enumerate(names)}
         groups = WorkerGroups(epoch=1, count=1).replace_members(
@@ -94,7 +94,7 @@
     def test_rearranged_groups_contain_the_same_workers(
         self, names: set[str], count: int
     ) -> None:
-        """Guards against a worker that the next owner doesn't know."""
+        """Guards against a worker that is missing from the groups of the next owner."""
         groups = WorkerGroups(epoch=1, count=1).replace_members(_build_members(names))
         groups = groups.rearrange(count, {})
         self.assertEqual(groups.list_names(), names)
