Count what an end, a drop and an account look at, instead of one function's calls

They now count how often the changed jobs and the workers that aren't released are gone through: once by an account and the list of workers, never by an end or a drop.

New: a worker dropped after a late end is released only once that is saved; fails if ends don't extend the release.

--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -1,8 +1,6 @@
 """For which workers tasks wait after a takeover, and what the next owner must know."""
 
-import contextlib
 import unittest
-import unittest.mock
 from collections.abc import Iterator
 
 import attrs
@@ -21,7 +19,6 @@
     list_unreleased,
 )
 from trefoilhook.scheduling.fleet import Run, RunPhase
-from trefoilhook.scheduling.job_state import JobState
 from trefoilhook.scheduling.tests.cases import (
     SMALL,
     FakeWorker,
@@ -58,18 +55,28 @@
     )
 
 
-@contextlib.contextmanager
-def count_calls(owner: type, name: str) -> Iterator[list[object]]:
-    """Collect the objects on which a method is called."""
-    calls: list[object] = []
-    method = getattr(owner, name)
+class CountingSet(set):
+    """Counts how often it is iterated over."""
 
-    def call(target: object) -> object:
-        calls.append(target)
-        return method(target)
+    iterations = 0
 
-    with unittest.mock.patch.object(owner, name, call):
-        yield calls
+    def __iter__(self) -> Iterator:
+        self.iterations += 1
+        return super().__iter__()
+
+
+class CountingDict(dict):
+    """Counts how often its items are iterated over."""
+
+    iterations = 0
+
+    def __iter__(self) -> Iterator:
+        self.iterations += 1
+        return super().__iter__()
+
+    def items(self):
+        self.iterations += 1
+        return super().items()
 
 
 class Successor(Shard):
@@ -400,40 +407,59 @@
         shard.save()
         self.assertEqual(list_unreleased(shard.scheduler), set())
 
-    def test_accounting_for_many_workers_tracks_each_changed_job_once(self):
-        # Guards against an owner that is busy for seconds after the first answers of a
-        # large deployment, and loses its lease.
+    def build_successor(self, names: list[str]) -> Successor:
+        """Build a successor whose jobs and workers are counted, with a job a worker."""
+        groups = build_groups(*names)
+        shard = Successor(Predecessors(groups=(groups,)), workers=len(names))
+        for name in names:
+            shard.submit(build_job(job_id=name), is_new=False)
+        shard.scheduler.dirty = CountingSet()
+        shard.scheduler.unreleased = CountingDict()
+        return shard
+
+    def test_accounting_for_many_workers_looks_once_at_the_changed_jobs(self):
+        # Guards against an owner that processes the first answers of a large deployment
+        # for seconds and loses its lease.
         names = [f"w{number}" for number in range(40)]
-        shard = Successor(
-            Predecessors(groups=(build_groups(*names),)), workers=len(names)
-        )
-        for number, name in enumerate(names):
-            shard.submit(build_job(job_id=f"j{number}"), is_new=False)
-            task = TaskId(f"j{number}", 0, 0, 0)
-            shard.workers[name].end(task, 7, EndKind.DONE)
+        shard = self.build_successor(names)
+        for name in names:
+            shard.workers[name].end(TaskId(name, 0, 0, 0), 7, EndKind.DONE)
         shard.poll_all()
-        with count_calls(JobState, "track_save") as calls:
-            account_for_workers(shard.scheduler, shard.now_ms)
-            list_unreleased(shard.scheduler)
+        account_for_workers(shard.scheduler, shard.now_ms)
         self.assertEqual(shard.scheduler.predecessors.awaited, set())
-        self.assertLessEqual(len(calls), 2 * len(names))
+        self.assertEqual(list_unreleased(shard.scheduler), set(names))
+        self.assertLessEqual(shard.scheduler.dirty.iterations, 1)
 
-    def test_many_ends_extend_the_release_of_their_workers_alone(self):
-        # Guards against a cost of each end that grows with the number of changed jobs.
+    def test_end_and_drop_look_at_no_other_worker_or_job(self):
+        # Guards against a cost per end, or per lost worker, that grows with the number
+        # of workers that are not released, or of changed jobs.
         names = [f"w{number}" for number in range(40)]
-        shard = Successor(
-            Predecessors(groups=(build_groups(*names),)), workers=len(names)
-        )
+        shard = self.build_successor(names)
         shard.poll_all()
         account_for_workers(shard.scheduler, shard.now_ms)
-        for number, name in enumerate(names):
-            shard.submit(build_job(job_id=f"j{number}"), is_new=False)
-            task = TaskId(f"j{number}", 0, 0, 0)
-            shard.workers[name].end(task, 7, EndKind.DONE)
-        with count_calls(JobState, "track_save") as calls:
-            shard.poll_all()
+        for name in names:
+            shard.workers[name].end(TaskId(name, 0, 0, 0), 7, EndKind.DONE)
+        shard.poll_all()
+        for name in names[:20]:
+            shard.scheduler.drop_worker(name)
         self.assertEqual(len(shard.scheduler.unreleased), len(names))
-        self.assertLessEqual(len(calls), 4 * len(names))
+        self.assertEqual(len(shard.scheduler.dirty), len(names))
+        self.assertEqual(shard.scheduler.dirty.iterations, 0)
+        self.assertEqual(shard.scheduler.unreleased.iterations, 0)
+
+    def test_dropped_worker_is_released_after_a_late_end_is_saved(self):
+        # Guards against a second run of a task whose completion only this owner knows.
+        shard = Successor(Predecessors(groups=(build_groups("w0", "w1"),)))
+        shard.scheduler.places = PlaceLedger(epoch=2)
+        self.assertEqual(shard.count_starts(), 0)
+        shard.save()
+        shard.workers["w0"].end(TaskId("j", 0, 0, 0), 7, EndKind.DONE)
+        shard.poll("w0")
+        shard.scheduler.workers["w0"].is_in_roster = False
+        shard.scheduler.drop_worker("w0")
+        self.assertIn("w0", list_unreleased(shard.scheduler))
+        shard.save()
+        self.assertEqual(list_unreleased(shard.scheduler), set())
 
     def test_release_awaits_no_later_change(self):
         # Guards against a worker that is never released while other jobs change.
