--- a/trefoilhook/runtime/tests/test_foreign.py
+++ b/trefoilhook/runtime/tests/test_foreign.py
@@ -37,6 +37,11 @@
         self.assertEqual(answer.status, 200)
 
 
+def count_rejected(cluster: Cluster) -> int:
+    """Return how often the only instance has rejected the entry of a worker."""
+    return cluster.instances[0].process.metrics.counters["rejected", "report_invalid"]
+
+
 class WorkerEntriesTest(ForeignDataCase):
     """Foreign entries under the prefix of the workers."""
 
@@ -104,7 +109,9 @@
             before = len(worker.records)
             await self.submit(cluster, job, 12)
             await cluster.wait_until(lambda: len(worker.records) > before)
+            rejected = count_rejected(cluster)
             cluster.store.write_bytes(key, entry)
+            await cluster.wait_until(lambda: count_rejected(cluster) > rejected)
             await trio.sleep(0.1)
             held = len(worker.records)
             await self.submit(cluster, later, 3)
--- a/trefoilhook/takeover/tests/test_groups.py
+++ b/trefoilhook/takeover/tests/test_groups.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from trefoilhook.takeover import Member, WorkerGroups, count_groups
@@ -49,6 +49,7 @@
         groups = build_groups("a").replace_members([Member(name="a", address="x")])
         self.assertEqual(groups.members[0].address, "x")
 
+    @settings(deadline=None)
     @given(_NAMES, _NAMES, _NAMES, st.integers(min_value=1, max_value=4))
     def test_remaining_workers_keep_their_slots(
         self, first: set[str], second: set[str], third: set[str], count: int
@@ -65,6 +66,7 @@
                         groups.covers(job_id, name), before.covers(job_id, name)
                     )
 
+    @settings(deadline=None)
     @given(_NAMES, st.integers(min_value=1, max_value=4), st.text())
     def test_list_and_test_of_a_group_agree(
         self, names: set[str], count: int, job_id: str
@@ -90,6 +92,7 @@
             self.assertEqual(len(members), 2)
             self.assertEqual(len({locations[name] for name in members}), 1)
 
+    @settings(deadline=None)
     @given(_NAMES, st.integers(min_value=1, max_value=4))
     def test_rearranged_groups_contain_the_same_workers(
         self, names: set[str], count: int
--- a/trefoilhook/takeover/tests/test_records.py
+++ b/trefoilhook/takeover/tests/test_records.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import attrs
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from trefoilhook.exceptions import DecodeError
@@ -116,17 +116,20 @@
 class RoundTripTest(unittest.TestCase):
     """What was encoded is read again."""
 
+    @settings(deadline=None)
     @given(_HEADS)
     def test_head(self, head: Head) -> None:
         """Guards against workers of earlier epochs that a successor doesn't see."""
         self.assertEqual(decode_head(encode_head(head)), head)
 
+    @settings(deadline=None)
     @given(_PLACES)
     def test_places(self, places: list[Place]) -> None:
         """Guards against starts that a successor doesn't see."""
         decoded = decode_places(encode_places(places, epoch=1))
         self.assertCountEqual(decoded, places)
 
+    @settings(deadline=None)
     @given(_HEADS)
     def test_same_head_gives_same_bytes(self, head: Head) -> None:
         """Guards against a repeated write that is taken for another one."""
@@ -150,16 +153,19 @@
             except DecodeError:
                 continue
 
+    @settings(deadline=None)
     @given(st.binary(max_size=40))
     def test_any_bytes(self, data: bytes) -> None:
         """Guards against a takeover that ends by foreign data."""
         self.check(data)
 
+    @settings(deadline=None)
     @given(_JSON)
     def test_any_json(self, value: Any) -> None:
         """Guards against a takeover that ends by foreign JSON."""
         self.check(json.dumps(value).encode())
 
+    @settings(deadline=None)
     @given(st.data())
     def test_changed_values(self, data: st.DataObject) -> None:
         """Guards against a takeover that ends by a damaged record."""
