Judge the soak's takeover by the groups that the next owner reads

Trace, from its logs: two of the four jobs were completed 2.5 and 2.8 s after the kill, but weren't asked for, as the step waited for the first one for all of its 7 s; the other two waited for w5-15, the silent worker (TASK_WAITS, awaits), since their groups contained it. The ids had been drawn from groups that were written anew before the owner died: workers had restarted 3 s before, so that their number changed.

The step now reads the groups after the owner's death and judges the jobs outside them, of eight; it asks for each, and in the end for all, once the worker answers.

--- a/trefoilhook/soak/takeovers.py
+++ b/trefoilhook/soak/takeovers.py
@@ -18,7 +18,7 @@
 _SILENCE_S = 3.0
 """Time after which the owner starts nothing on a worker that does not answer, in s."""
 
-_JOB_COUNT = 4
+_JOB_COUNT = 8
 _STEPS = 2 * (TaskDemand(cpu=500, count=1),)
 """Steps of a job; the second one is left to the next owner."""
 
@@ -26,6 +26,12 @@
 """Time limit for the jobs after the owner is killed, in s. The owner's lease expires
 after 2 s; waiting for the leases on the silent worker would take another 7.4 s."""
 
+_IN_FLIGHT_S = 0.2
+"""Time in which the last writes of a killed owner take effect, in s."""
+
+_MAX_END_S = 15.0
+"""Time in which all jobs must be completed once the worker answers again, in s."""
+
 _POLL_INTERVAL_S = 0.05
 
 
@@ -42,35 +48,36 @@
         Random number generator for the worker and the job ids.
     """
     silent = fleet.workers[rng.choice(sorted(fleet.workers))].worker
-    job_ids = _draw_job_ids_outside(fleet, silent.worker_id, rng)
     silent.fault = WorkerFault.SILENT
     try:
         await trio.sleep(_SILENCE_S)
-        submissions = [Submission(job_id=job_id, steps=_STEPS) for job_id in job_ids]
+        submissions = [
+            Submission(job_id=f"{rng.getrandbits(64):016x}", steps=_STEPS)
+            for _ in range(_JOB_COUNT)
+        ]
         for submission in submissions:
             await clients.submit(submission)
-        await _replace_owner(fleet, clients, submissions)
+        owner = await _find_owner(fleet)
+        owner.send_signal(signal.SIGKILL)
+        await trio.sleep(_IN_FLIGHT_S)
+        judged = _list_outside(fleet, silent.worker_id, submissions)
+        with trio.move_on_after(_MAX_TAKEOVER_S):
+            for submission in judged:
+                while await clients.poll_state(submission) != "completed":
+                    await trio.sleep(_POLL_INTERVAL_S)
+        owner.start()
     finally:
         silent.fault = WorkerFault.NONE
-    clients.submission_log.violations.extend(
-        f"{submission.job_id} is not completed after a takeover beside the silent "
-        f"worker {silent.worker_id}"
-        for submission in submissions
-        if submission.state != "completed"
-    )
-
-
-async def _replace_owner(
-    fleet: Fleet, clients: Clients, submissions: list[Submission]
-) -> None:
-    """Kill the owner, and wait for the jobs until they are late."""
-    owner = await _find_owner(fleet)
-    owner.send_signal(signal.SIGKILL)
-    with trio.move_on_after(_MAX_TAKEOVER_S):
+    for submission in judged:
+        if await clients.poll_state(submission) != "completed":
+            clients.submission_log.violations.append(
+                f"{submission.job_id} is not completed after a takeover beside the "
+                f"silent worker {silent.worker_id}"
+            )
+    with trio.move_on_after(_MAX_END_S):
         for submission in submissions:
             while await clients.poll_state(submission) != "completed":
                 await trio.sleep(_POLL_INTERVAL_S)
-    owner.start()
 
 
 async def _find_owner(fleet: Fleet) -> Instance:
@@ -83,16 +90,19 @@
         await trio.sleep(_POLL_INTERVAL_S)
 
 
-def _draw_job_ids_outside(
-    fleet: Fleet, worker_id: str, rng: random.Random
-) -> list[str]:
-    """Draw ids of jobs whose groups do not contain a worker; none of a single group."""
-    head = fleet.store.read(keys.groups_key(keys.SHARD))
-    groups = decode_head(json.dumps(head).encode()).groups
-    names = [n for n in groups.list_names() if n.split("@")[0] == worker_id]
-    job_ids: list[str] = []
-    while groups.count > 1 and len(job_ids) < _JOB_COUNT:
-        job_id = f"{rng.getrandbits(64):016x}"
-        if not any(groups.covers(job_id, name) for name in names):
-            job_ids.append(job_id)
-    return job_ids
+def _list_outside(
+    fleet: Fleet, worker_id: str, submissions: list[Submission]
+) -> list[Submission]:
+    """Return the jobs whose groups, as the next owner reads them, lack a worker."""
+    value = fleet.store.read(keys.groups_key(keys.SHARD))
+    head = decode_head(json.dumps(value).encode())
+    return [
+        submission
+        for submission in submissions
+        if not any(
+            groups.covers(submission.job_id, name)
+            for groups in (head.groups, *head.inherited)
+            for name in groups.list_names()
+            if name.split("@")[0] == worker_id
+        )
+    ]
