Use the builder of groups, the id of an incarnation and one wait where they stood twice

Found on reading the change again: the tests of takeovers had a builder of their own beside that of the takeover package, the soak split the name of an incarnation where get_worker_id does, and waited for jobs in two equal loops. The two computed fields of WorkerGroups stand in one order. Behaviour, checks and bounds as before; no assertion changes.

--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -1,5 +1,6 @@
 """For which workers tasks wait after a takeover, and what the next owner must know."""
 
+import functools
 import unittest
 from collections.abc import Iterator
 
@@ -33,6 +34,7 @@
     Predecessors,
     WorkerGroups,
 )
+from trefoilhook.takeover.tests import builders
 
 EXPIRY_MS = 2000.0
 """Time after the start of a test at which the leases of earlier owners expire."""
@@ -42,17 +44,7 @@
 )
 TASK = "j.0.0.0"
 
-
-def build_groups(*names: str, epoch: int = 1, count: int = 1) -> WorkerGroups:
-    """Build groups of the given incarnations, each at its own address."""
-    return WorkerGroups(
-        epoch=epoch,
-        count=count,
-        members={
-            slot: Member(name=name, address=f"{name}:1")
-            for slot, name in enumerate(names)
-        },
-    )
+build_groups = functools.partial(builders.build_groups, count=1)
 
 
 class CountingSet(set):
--- a/trefoilhook/soak/takeovers.py
+++ b/trefoilhook/soak/takeovers.py
@@ -7,6 +7,7 @@
 import trio
 
 from trefoilhook.runtime import keys
+from trefoilhook.scheduling import get_worker_id
 from trefoilhook.soak.clients import Clients
 from trefoilhook.soak.fleet import Fleet, Instance
 from trefoilhook.soak.submissions import Submission, TaskDemand
@@ -61,10 +62,7 @@
         owner.send_signal(signal.SIGKILL)
         await trio.sleep(_IN_FLIGHT_S)
         judged = _list_outside(fleet, silent.worker_id, submissions)
-        with trio.move_on_after(_MAX_TAKEOVER_S):
-            for submission in judged:
-                while await clients.poll_state(submission) != "completed":
-                    await trio.sleep(_POLL_INTERVAL_S)
+        await _wait_until_completed(clients, judged, _MAX_TAKEOVER_S)
         owner.start()
     finally:
         silent.fault = WorkerFault.NONE
@@ -74,7 +72,14 @@
                 f"{submission.job_id} is not completed after a takeover beside the "
                 f"silent worker {silent.worker_id}"
             )
-    with trio.move_on_after(_MAX_END_S):
+    await _wait_until_completed(clients, submissions, _MAX_END_S)
+
+
+async def _wait_until_completed(
+    clients: Clients, submissions: list[Submission], limit_s: float
+) -> None:
+    """Poll jobs until all are completed, or for ``limit_s``, in s."""
+    with trio.move_on_after(limit_s):
         for submission in submissions:
             while await clients.poll_state(submission) != "completed":
                 await trio.sleep(_POLL_INTERVAL_S)
@@ -103,6 +108,6 @@
             groups.covers(submission.job_id, name)
             for groups in (head.groups, *head.inherited)
             for name in groups.list_names()
-            if name.split("@")[0] == worker_id
+            if get_worker_id(name) == worker_id
         )
     ]
--- a/trefoilhook/takeover/groups.py
+++ b/trefoilhook/takeover/groups.py
@@ -52,17 +52,16 @@
     count: int
     members: Mapping[int, Member] = attrs.Factory(dict)
     _slots: dict[str, int] = attrs.field(init=False, eq=False, repr=False)
-
     _end_slot: int = attrs.field(init=False, eq=False, repr=False)
 
-    @_end_slot.default
-    def _find_end_slot(self) -> int:
-        return max(self.members, default=-1) + 1
-
     @_slots.default
     def _index_slots(self) -> dict[str, int]:
         return {member.name: slot for slot, member in self.members.items()}
 
+    @_end_slot.default
+    def _find_end_slot(self) -> int:
+        return max(self.members, default=-1) + 1
+
     def find_group(self, job_id: str) -> int:
         """Return the group of a job."""
         return zlib.crc32(job_id.encode()) % self.count
