--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -50,9 +51,12 @@
 
 
 def _find_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a free port that no outgoing channel is given."""
+    while True:
+        port = random.randrange(10_000, 32_000)
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            return port
 
 
 def build_route(name: str, prefix: str, **fields: Any) -> dict[str, Any]:
--- a/review/standins/executor.py
+++ b/review/standins/executor.py
@@ -142,12 +142,14 @@
     def crash(self) -> None:
         """End at once; nothing answers here any more."""
         self.is_up = False
-        for run in self._runs.values():
+        lost = list(self._runs.values())
+        self._runs.clear()
+        for run in lost:
             run.ended, run.how = time.monotonic(), "crashed"
             self._note(f"{self.name}: {run.task} run {run.attempt} crashed with it")
             self._leave_group(run)
+        for run in lost:
             self._break_group(run)
-        self._runs.clear()
         if self._server is not None:
             self._server.close()
         self._notify()
