--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -348,6 +348,8 @@
             return await task
         except asyncio.CancelledError:
             return 2, "ended by a signal"
+        except Exception as error:
+            return 2, f"could not run: {error!r}"
 
     outcome, text = asyncio.run(run())
     print(text)
