Log which exception ended the owner of a shard, and where it was raised

Callers of review/1 saw their connections break every 2 s: each process that claimed the shard ended with code 1, and nothing but a traceback of several nested groups told why. None of the numbered events did, so three hypotheses could not be told apart in the logs: a division in the planning of paces (the reviewer's), a stored record that a new owner cannot load, and an answer of a worker that it cannot apply.

OWNER_FAILED has the epoch, the first exception that is no group, and the place that raised it. Behaviour is unchanged: the exception is raised again.

--- a/trefoilhook/logs/__init__.py
+++ b/trefoilhook/logs/__init__.py
@@ -2,6 +2,7 @@
 
 from trefoilhook.logs.core import configure_logs, log_event
 from trefoilhook.logs.events import Event, Level
+from trefoilhook.logs.failures import describe_failure
 from trefoilhook.logs.lines import LineWriter, configure_line_logs
 from trefoilhook.logs.outages import CallFailure, OutageLog
 
@@ -13,5 +14,6 @@
     "LineWriter",
     "configure_line_logs",
     "configure_logs",
+    "describe_failure",
     "log_event",
 ]
--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -78,6 +78,7 @@
     SHARD_LOADED = (1206, Level.INFO, "A new owner has read the shard's jobs.")
     SHARD_SETTLED = (1207, Level.INFO, "A new owner knows what runs on the workers.")
     SHARD_UNSETTLED = (1208, Level.INFO, "A new owner waits for workers to report.")
+    OWNER_FAILED = (1209, Level.ERROR, "The owner of a shard ended by an exception.")
 
     # 1300: inner protocol
     LINK_UP = (1300, Level.INFO, "A link to a peer is up.")
--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -28,7 +28,7 @@
     StoreError,
     StoreUnavailableError,
 )
-from trefoilhook.logs import Event, log_event
+from trefoilhook.logs import Event, describe_failure, log_event
 from trefoilhook.platform import (
     Item,
     KeyValueStore,
@@ -395,6 +395,11 @@
                 nursery.start_soon(self._renew, ownership)
                 await self._run_owner(ownership)
                 nursery.cancel_scope.cancel()
+        except Exception as error:
+            log_event(
+                Event.OWNER_FAILED, epoch=ownership.epoch, **describe_failure(error)
+            )
+            raise
         finally:
             self._ownership = None
             self._released_ms = self._clock.monotonic_ms()
