Keep a filler without a cpu request from ending every owner

Cause: `_raise_pace` divides the spare slack by the learned weight times the share of the worker that the filler requests. `cpu` may be omitted, so the share may be 0.

Evidence: OWNER_FAILED names pacing.py:293 _raise_pace for each epoch. The three new tests ended with ZeroDivisionError before the change and pass after it.

Change: without a request, the share at full speed follows from the reported use, so that such a filler is throttled and sped up by what it uses; a filler of which no use is known costs nothing yet and is not limited. Tasks with a request are treated as before.

--- a/trefoilhook/scheduling/pacing.py
+++ b/trefoilhook/scheduling/pacing.py
@@ -104,7 +104,7 @@
         if step is None or run.phase is not RunPhase.RUNNING:
             continue
         if step.filler:
-            full_share = step.demand.cpu / cores
+            full_share = _estimate_full_share(run, step, cores)
             used_share = run.load / cores
             if now_ms - max(run.started_ms, run.paced_ms) < _LOAD_LAG_MS:
                 used_share = full_share * run.pace / FULL_PACE
@@ -125,6 +125,17 @@
     return tasks
 
 
+def _estimate_full_share(run: Run, step: Step, cores: int) -> float:
+    """Return the fraction of a worker that a filler uses at full speed.
+
+    The request is optional. Without one, the reported use is scaled to full speed; 0 if
+    none is reported.
+    """
+    if step.demand.cpu or run.pace <= 0:
+        return step.demand.cpu / cores
+    return run.load / cores * FULL_PACE / run.pace
+
+
 def _predict_services(
     scheduler: Scheduler, tasks: _WorkerTasks
 ) -> list[_PredictedService]:
@@ -289,7 +300,9 @@
         for service in services
     ]
     for service, weight, slack in zip(services, weights, spare_slacks, strict=True):
-        if scheduler.interference.is_heavy(service.image, filler.step.image):
+        if weight > 0.0 and scheduler.interference.is_heavy(
+            service.image, filler.step.image
+        ):
             increase = min(increase, (slack - _TARGET_SLACK) / weight)
     if increase * FULL_PACE < min(_MIN_PACE_INCREASE, max_increase):
         return run.pace
--- a/trefoilhook/scheduling/tests/test_sharing.py
+++ b/trefoilhook/scheduling/tests/test_sharing.py
@@ -18,6 +18,7 @@
     decode_interference,
     encode_interference,
 )
+from trefoilhook.scheduling.records import Progress
 from trefoilhook.scheduling.slack import measure_slack
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 
@@ -30,10 +31,10 @@
 )
 
 
-def _filler(image: str, count: int = 1) -> Step:
+def _filler(image: str, count: int = 1, *, cpu: int = 2000) -> Step:
     return Step(
         count=count,
-        demand=Demand(cpu=2000),
+        demand=Demand(cpu=cpu),
         filler=True,
         checkpointing=True,
         image=image,
@@ -187,16 +188,22 @@
     """Decisions of the scheduler based on the model."""
 
     def _start_service_and_filler(
-        self, image: str = "f"
+        self, image: str = "f", *, cpu: int = 2000
     ) -> tuple[Shard, object, object]:
         shard = Shard(workers=1, cpu=16_000)
         shard.submit(build_job(_SERVICE, job_id="service"))
         service = shard.start_one()
         shard.workers["w0"].update(service.task, service.attempt, percent=100.0)
-        shard.submit(build_job(_filler(image), job_id="filler"))
+        shard.submit(build_job(_filler(image, cpu=cpu), job_id="filler"))
         filler = shard.start_one()
         return shard, service, filler
 
+    def _start_service_and_heavy_filler(self, *, cpu: int) -> tuple:
+        started = self._start_service_and_filler(cpu=cpu)
+        for _ in range(200):
+            _change(started[0].scheduler.interference, "s", "f", 0.4, 1.2)
+        return started
+
     def _report_tail(self, shard: Shard, service, filler, tail_ms: float) -> list:
         worker = shard.workers["w0"]
         worker.update(service.task, service.attempt, load=tail_ms)
@@ -219,6 +226,40 @@
             paces += self._report_tail(shard, service, filler, 5.0)
         self.assertEqual(paces[-1].percent, 100)
 
+    def test_filler_without_cpu_request_does_not_fail_the_next_owner(self):
+        # Guards against a division by its requested share of the worker, which is 0.
+        shard, _, filler = self._start_service_and_filler(cpu=0)
+        successor = Shard(workers=0, epoch=2)
+        successor.workers = shard.workers
+        for job_id, state in shard.scheduler.jobs.items():
+            successor.submit(state.job, is_new=False, progress=Progress())
+            self.assertIn(job_id, successor.scheduler.jobs)
+        successor.add_worker("w0", cpu=16_000)
+        paces = [
+            order.percent
+            for order in successor.plan()
+            if isinstance(order, PaceOrder) and order.task == filler.task
+        ]
+        self.assertEqual(paces, [100])
+
+    def test_throttled_filler_without_cpu_request_does_not_fail_its_owner(self):
+        # Guards against the same division once the filler has been throttled.
+        shard, service, filler = self._start_service_and_heavy_filler(cpu=0)
+        (order,) = self._report_tail(shard, service, filler, 60.0)
+        self.assertLessEqual(order.percent, 10)
+        paces = []
+        for _ in range(8):
+            paces += self._report_tail(shard, service, filler, 5.0)
+        self.assertEqual(paces[-1].percent, 100)
+
+    def test_measured_use_replaces_a_missing_cpu_request(self):
+        # Guards against full speed beside a service that has no slack for it.
+        shard, service, filler = self._start_service_and_heavy_filler(cpu=0)
+        self._report_tail(shard, service, filler, 60.0)
+        for _ in range(8):
+            orders = self._report_tail(shard, service, filler, 15.0)
+            self.assertTrue(all(order.percent < 100 for order in orders))
+
     def test_filler_is_halted_before_users_are_harmed(self):
         # The weights wrongly show the filler as light, and the service task remains
         # over its limit. Users tolerate this for 4 s, in another configuration for 3 s.
