Keep a process running when its ownership of the shard fails

With the fault of review/1 each process that claimed the shard ended, and with it the connections and requests of the callers it served, which had nothing to do with the job at fault. Any other unexpected exception in an owner would have done the same.

Cause: the exception left the owner, the election and the nursery of the process.

Decision: an owner's exception ends the ownership and discards the owner's whole state, which may be half changed at that point; the lease is given back, and the next owner restores the state from the store and the workers, as at any takeover. The process goes on serving. The exception is logged (OWNER_FAILED) and counted (owner_failures). Alternatives: going on with the same state, which may then break a rule such as one run at a time; and ending the process, which costs callers and proves nothing more.

--- a/trefoilhook/logs/__init__.py
+++ b/trefoilhook/logs/__init__.py
@@ -2,7 +2,7 @@
 
 from trefoilhook.logs.core import configure_logs, log_event
 from trefoilhook.logs.events import Event, Level
-from trefoilhook.logs.failures import describe_failure
+from trefoilhook.logs.failures import describe_failure, find_cause
 from trefoilhook.logs.lines import LineWriter, configure_line_logs
 from trefoilhook.logs.outages import CallFailure, OutageLog
 
@@ -15,5 +15,6 @@
     "configure_line_logs",
     "configure_logs",
     "describe_failure",
+    "find_cause",
     "log_event",
 ]
--- a/trefoilhook/logs/failures.py
+++ b/trefoilhook/logs/failures.py
@@ -1,9 +1,8 @@
 """Describes unexpected exceptions in log lines."""
 
 import traceback
-from collections.abc import Iterator
 
-__all__ = ["describe_failure"]
+__all__ = ["describe_failure", "find_cause"]
 
 _MAX_ERROR_LENGTH = 200
 """Maximum length of a logged error, in characters."""
@@ -14,18 +13,17 @@
 
     Of an exception group, the first exception that is not a group is described.
     """
-    first = next(_list_causes(error), error)
-    frames = traceback.extract_tb(first.__traceback__)
+    cause = find_cause(error)
+    frames = traceback.extract_tb(cause.__traceback__)
     place = ""
     if frames:
         last = frames[-1]
         place = f"{last.filename.rpartition('/')[2]}:{last.lineno} {last.name}"
-    return {"error": repr(first)[:_MAX_ERROR_LENGTH], "raised_in": place}
+    return {"error": repr(cause)[:_MAX_ERROR_LENGTH], "raised_in": place}
 
 
-def _list_causes(error: BaseException) -> Iterator[BaseException]:
-    if isinstance(error, BaseExceptionGroup):
-        for each in error.exceptions:
-            yield from _list_causes(each)
-    else:
-        yield error
+def find_cause(error: BaseException) -> BaseException:
+    """Return the first exception of a group that is not a group itself."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    return error
--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -127,6 +127,7 @@
             run_owner=self._run_owner,
             may_claim=lambda: self._has_configuration() and not self._draining,
             rejections=self._rejections,
+            metrics=self.metrics,
             fitness=compute_fitness(settings.size),
         )
         self.metrics.gauges.update(
--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -28,7 +28,7 @@
     StoreError,
     StoreUnavailableError,
 )
-from trefoilhook.logs import Event, describe_failure, log_event
+from trefoilhook.logs import Event, describe_failure, find_cause, log_event
 from trefoilhook.platform import (
     Item,
     KeyValueStore,
@@ -41,6 +41,7 @@
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.fitness import compute_claim_delay
 from trefoilhook.runtime.following import WATCH_WAIT_MS
+from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.rejections import Rejections
 
 __all__ = ["OWNER_LEASE_MS", "ShardElection", "Ownership"]
@@ -166,11 +167,14 @@
     name : str
         Name of this instance, for operators.
     run_owner : callable
-        Awaited with each ownership. It returns once the ownership has ended.
+        Awaited with each ownership. It returns once the ownership has ended. An
+        exception ends the ownership, but not the process.
     may_claim : callable
         Returns whether this instance is ready to own the shard.
     rejections : Rejections
         Receives an unreadable epoch.
+    metrics : ProcessMetrics
+        Counts the owners that end by an exception.
     fitness : float, optional
         Fraction of an owner's resource needs that this instance meets.
     """
@@ -184,9 +188,11 @@
         run_owner: Callable[[Ownership], Awaitable[None]],
         may_claim: Callable[[], bool],
         rejections: Rejections,
+        metrics: ProcessMetrics,
         fitness: float = 1.0,
     ) -> None:
         self._rejections = rejections
+        self._metrics = metrics
         self._fitness = fitness
         self._store = store
         self._clock = clock
@@ -396,10 +402,13 @@
                 await self._run_owner(ownership)
                 nursery.cancel_scope.cancel()
         except Exception as error:
+            # The owner's state may be inconsistent and is discarded with it. The next
+            # owner restores it from the store and the workers' answers.
             log_event(
                 Event.OWNER_FAILED, epoch=ownership.epoch, **describe_failure(error)
             )
-            raise
+            self._metrics.count("owner_failures", type(find_cause(error)).__name__)
+            ownership.ended.set()
         finally:
             self._ownership = None
             self._released_ms = self._clock.monotonic_ms()
