Reject worker entries whose address is not a host name

Cause: `parse_address` checks characters only. Name resolution converts a host by the codec "idna", which raises UnicodeError for an empty or too long label; the connection library turns no such error into one of its own.

The whole of test_foreign and test_declarations was run.

--- a/trefoilhook/platform/core.py
+++ b/trefoilhook/platform/core.py
@@ -37,10 +37,16 @@
     match = _ADDRESS.fullmatch(text)
     if match is None:
         raise DecodeError("address: not HOST:PORT")
+    host = match[1].strip("[]")
+    try:
+        # Name resolution does the same and raises no error of its own type.
+        host.encode("idna")
+    except UnicodeError as error:
+        raise DecodeError("address: not a host name") from error
     port = int(match[2])
     if not min_port <= port <= _MAX_PORT:
         raise DecodeError("address: port out of range")
-    return match[1].strip("[]"), port
+    return host, port
 
 
 def read_birth(table: Mapping[str, Any]) -> int | None:
--- a/trefoilhook/platform/tests/test_declarations.py
+++ b/trefoilhook/platform/tests/test_declarations.py
@@ -97,6 +97,8 @@
                 (NO_VALUE, None, 80, [], "", "h", "h:", ":80", "h:0", "h:99999"),
             ),
             ("address", ("h:-1", "h: 80", "h:8_0", "h:٨", "a b:80", "h\r\n:80")),
+            # Guards against hosts that the connection library fails to convert.
+            ("address", ("a..b:80", "...:80", f"{'a' * 64}:80", ".h:80")),
             ("capacity", (NO_VALUE, None, [], "16", 1, {}, {"cpu": "1", "mem_mb": 1})),
             ("capacity", ({"cpu": True, "mem_mb": 1}, {"cpu": 1}, {"mem_mb": 1})),
             ("capacity", ({"cpu": 1, "mem_mb": 1, "gpu": None},)),
