Tell a job without a known queue from one that waits for a takeover

Such a task now waits for "queue unknown". Decisions are unchanged.

The new test got OWNER_NEW before.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -104,7 +104,8 @@
             scheduler.holds.release(state, now_ms)
         if is_held or state.job.queue is None:
             waiting.add(group[0])
-            scheduler.waits.record(group[0], WaitReason.OWNER_NEW, now_ms)
+            reason = WaitReason.OWNER_NEW if is_held else WaitReason.QUEUE_UNKNOWN
+            scheduler.waits.record(group[0], reason, now_ms)
             continue
         steps.setdefault(group, []).append(state)
     ready = [
--- a/trefoilhook/scheduling/tests/test_waits.py
+++ b/trefoilhook/scheduling/tests/test_waits.py
@@ -55,6 +55,12 @@
         shard.submit(build_job(), is_new=False)
         self.assertIs(self.wait(shard), WaitReason.OWNER_NEW)
 
+    def test_unknown_queue(self):
+        # Guards against a job without a queue that appears to wait for its new owner.
+        shard = Shard()
+        shard.submit(attrs.evolve(build_job(), queue="removed"))
+        self.assertIs(self.wait(shard), WaitReason.QUEUE_UNKNOWN)
+
     def test_isolation(self):
         shard = Shard(workers=1)
         shard.submit(build_job())
--- a/trefoilhook/scheduling/waits.py
+++ b/trefoilhook/scheduling/waits.py
@@ -46,6 +46,9 @@
     OWNER_NEW = "owner new"
     """The owner does not know yet which tasks a previous owner has started."""
 
+    QUEUE_UNKNOWN = "queue unknown"
+    """The configuration does not contain its queue, and its service is unknown."""
+
     NOT_RECORDED = "not recorded"
     """The store does not answer, so that no place can be recorded, and the workers of
     its job's group have no room."""
