Keep the queue of an accepted job across a takeover

Cause: the scheduler finds a job's queue by its name in the newest configuration. An owner that read an earlier one keeps the queue in memory; the next owner has nothing to keep, and a task without a queue is passed over. Neither the record of the job nor another key held the service, the priority, the attempts or the objective. In the same way the services of removed routes were known to processes that had read them only: a fresh process refused their workers, on which the jobs would have to run.

Change: the record holds the queue as accepted. The owner saves the latest known values of all configured queues and of those that open jobs use; the next owner prefers the configuration, then these, then the record. Workers of a service that only such a queue names are accepted. The due time follows from the queue as accepted and no longer changes with the owner. Records without a queue, from earlier builds, are read; their jobs are served if an owner of this build has known the queue, else they wait as before and say why.

--- a/trefoilhook/runtime/commits.py
+++ b/trefoilhook/runtime/commits.py
@@ -208,9 +208,10 @@
 
     def _describe_lateness(self, state: JobState) -> dict[str, int]:
         """Return a job's latency objective and its lateness, for the log."""
-        if state.queue is None:
+        queue = state.accepted_queue or state.queue
+        if queue is None:
             return {}
-        objective_ms = state.queue.compute_objective(state.job)
+        objective_ms = queue.compute_objective(state.job)
         if objective_ms is None:
             return {}
         spent_ms = self._clock.wall_ms() - state.job.accepted_ms
--- a/trefoilhook/runtime/job_api.py
+++ b/trefoilhook/runtime/job_api.py
@@ -269,10 +269,11 @@
             return HttpResponse(status=400)
         key = keys.job_key(keys.SHARD, target.job_id)
         marker = keys.waiting_key(keys.SHARD, target.queue.name, target.job_id)
+        record = JobRecord(job=job, queue=target.queue)
         change = Transaction(
             preconditions=(Precondition(key=key, revision=0),),
             puts=(
-                Put(key=key, value=encode_job_record(JobRecord(job=job))),
+                Put(key=key, value=encode_job_record(record)),
                 Put(key=marker, value=b""),
             ),
         )
--- a/trefoilhook/runtime/keys.py
+++ b/trefoilhook/runtime/keys.py
@@ -15,6 +15,7 @@
     "placed_prefix",
     "progress_key",
     "progress_prefix",
+    "queues_key",
     "read_job_id",
     "roster_key",
     "waiting_key",
@@ -75,6 +76,11 @@
     return f"shard/{shard}/durations"
 
 
+def queues_key(shard: int) -> str:
+    """Return the key of the known queues."""
+    return f"shard/{shard}/queues"
+
+
 def job_prefix(shard: int) -> str:
     """Return the prefix of job record keys."""
     return f"shard/{shard}/job/"
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -262,6 +262,7 @@
         metrics.gauges["loop_lag_ms"] = lambda: lag.read(clock.monotonic_ms())
         self._start_limiter = trio.CapacityLimiter(_MAX_STARTS_IN_FLIGHT)
         self._place_writer: PlaceWriter | None = None
+        self._service_count = 0
         self._wake = trio.Event()
 
     def wake(self) -> None:
@@ -531,6 +532,10 @@
         if configuration.version != scheduler.configuration.version:
             scheduler.set_configuration(configuration)
             worker_feed.retry_unknown_services()
+        elif len(scheduler.services) != self._service_count:
+            # A job may name a service that has left the configuration.
+            worker_feed.retry_unknown_services()
+        self._service_count = len(scheduler.services)
         for expiry in release_expired(scheduler, now_ms):
             log_lease_expiry(expiry)
         if self._settlement.is_settled and len(scheduler.workers) < len(
--- a/trefoilhook/runtime/snapshots.py
+++ b/trefoilhook/runtime/snapshots.py
@@ -1,7 +1,8 @@
-"""Learned models that a shard's owner hands to the next one through the store.
+"""Learned models and known queues that an owner hands to the next through the store.
 
-They only guide decisions. A lost, late or unreadable snapshot is therefore harmless:
-the next owner learns the model again.
+The models only guide decisions. A lost, late or unreadable snapshot is therefore
+harmless: the next owner learns the model again. Without the known queues, a job whose
+queue was removed has the values of its acceptance.
 """
 
 from collections.abc import Callable
@@ -13,6 +14,7 @@
     Scheduler,
     decode_durations,
     decode_interference,
+    decode_queues,
     encode_durations,
     encode_interference,
 )
@@ -22,7 +24,7 @@
 
 @attrs.frozen(kw_only=True)
 class Snapshot:
-    """A learned model in the store.
+    """A learned model, or the known queues, in the store.
 
     Parameters
     ----------
@@ -43,8 +45,12 @@
 
 
 def build_snapshots(scheduler: Scheduler) -> tuple[Snapshot, ...]:
-    """Return the snapshots of a shard's learned models."""
-    return _build_interference(scheduler), _build_durations(scheduler)
+    """Return the snapshots of a shard's owner."""
+    return (
+        _build_interference(scheduler),
+        _build_durations(scheduler),
+        _build_queues(scheduler),
+    )
 
 
 def _build_interference(scheduler: Scheduler) -> Snapshot:
@@ -69,3 +75,12 @@
         encode=lambda: encode_durations(scheduler.durations),
         restore=restore,
     )
+
+
+def _build_queues(scheduler: Scheduler) -> Snapshot:
+    return Snapshot(
+        key=keys.queues_key(keys.SHARD),
+        get_version=lambda: scheduler.queues.version,
+        encode=scheduler.queues.encode,
+        restore=lambda data: scheduler.queues.add_earlier(decode_queues(data)),
+    )
--- a/trefoilhook/runtime/workerfeed.py
+++ b/trefoilhook/runtime/workerfeed.py
@@ -115,11 +115,18 @@
                 log_event(Event.WORKER_LOST, worker=worker_id, why="unlisted")
         self._notify()
 
+    def _is_known_service(self, service: str) -> bool:
+        """Return whether the configuration or a job's earlier queue names a service."""
+        return (
+            service in self._read_configuration().services
+            or service in self._scheduler.services
+        )
+
     def _take_worker(self, item: Item) -> None:
         self._unknown_service_items.pop(item.key, None)
         try:
             report = decode_worker_report(item.key, item.value)
-            if report.service not in self._read_configuration().services:
+            if not self._is_known_service(report.service):
                 self._unknown_service_items[item.key] = item
                 raise DecodeError("service: not in the configuration")
         except DecodeError as error:
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -82,6 +82,7 @@
     apply_poll_answer,
     has_fillers_beside_services,
 )
+from trefoilhook.scheduling.queues import KnownQueues, decode_queues
 from trefoilhook.scheduling.records import (
     JobPhase,
     JobRecord,
@@ -130,6 +131,7 @@
     "Grant",
     "Interference",
     "Job",
+    "KnownQueues",
     "JobChange",
     "JobPhase",
     "JobRecord",
@@ -171,6 +173,7 @@
     "decode_interference",
     "decode_job_record",
     "decode_progress",
+    "decode_queues",
     "encode_durations",
     "encode_interference",
     "encode_job_record",
--- a/trefoilhook/scheduling/backlog.py
+++ b/trefoilhook/scheduling/backlog.py
@@ -103,7 +103,7 @@
     for task in waiting:
         by_queue[task.job.job.queue].append(task)
     for name, tasks in sorted(by_queue.items()):
-        queue = scheduler.configuration.find_queue(name)
+        queue = tasks[0].job.queue
         service = queue.service if queue is not None else ""
         workers = [
             worker
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -24,6 +24,7 @@
 from trefoilhook.scheduling.messages import EndKind, StopReason
 from trefoilhook.scheduling.models import Configuration, TaskId, WorkerReport
 from trefoilhook.scheduling.overtaking import OvertakingTracker
+from trefoilhook.scheduling.queues import KnownQueues
 from trefoilhook.scheduling.records import JobPhase, JobRecord, Progress
 from trefoilhook.scheduling.reservations import Reservations
 from trefoilhook.scheduling.suspects import SuspectTracker
@@ -102,6 +103,10 @@
         Learned interference between fillers and service tasks.
     durations : Durations
         Learned durations of tasks.
+    queues : KnownQueues
+        Queues of the configuration, and earlier ones of open jobs.
+    services : set of str
+        Services of the queues of the jobs seen so far.
     roster_size : float
         Number of workers on which previous owners may have started tasks; infinite if
         it is unknown.
@@ -186,6 +191,9 @@
         self.dirty: set[JobState] = set()
         self.interference = Interference()
         self.durations = Durations()
+        self.queues = KnownQueues()
+        self.queues.update(configuration.queues, used=())
+        self.services: set[str] = set()
         self.roster_size = 0.0
         self.copies = CopyTracker()
         self.tickets = TicketCache()
@@ -219,6 +227,8 @@
     def set_configuration(self, configuration: Configuration) -> None:
         """Apply a configuration."""
         self.configuration = configuration
+        used = {state.job.queue for state in self.jobs.values() if state.is_open}
+        self.queues.update(configuration.queues, used=used)
         for state in self.jobs.values():
             self._set_queue(state)
 
@@ -240,6 +250,7 @@
             job=job,
             revision=revision,
             phase=record.phase,
+            accepted_queue=record.queue,
             is_new=is_new,
             progress=progress or Progress(),
             progress_revision=progress_revision,
@@ -276,16 +287,20 @@
         self._close(state, JobPhase.CANCELLED)
 
     def _set_queue(self, state: JobState) -> None:
-        queue = self.configuration.find_queue(state.job.queue)
+        queue = self.queues.by_name.get(state.job.queue) or state.accepted_queue
         if queue is None:
             return
         if state.queue is None:
-            # The queue may be configured after the job was added.
+            # The queue may be configured after the job was added. The objective is that
+            # of the acceptance, so that it does not change with the owner.
+            basis = state.accepted_queue or queue
             chain_ms = state.job.estimate_chain()
             state.due_ms = (
-                state.job.accepted_ms + queue.stretch * chain_ms + queue.objective_ms
+                state.job.accepted_ms + basis.stretch * chain_ms + basis.objective_ms
             )
         state.queue = queue
+        if state.is_open:
+            self.services.add(queue.service)
 
     def remove_ended_jobs(self) -> None:
         """Remove the jobs that had already ended at the previous call.
--- a/trefoilhook/scheduling/job_state.py
+++ b/trefoilhook/scheduling/job_state.py
@@ -122,7 +122,9 @@
     is_new : bool
         Whether no previous owner can have started a task of it.
     queue : Queue or None
-        Its queue in the latest configuration that contains it.
+        Its queue in the latest known configuration that contains it.
+    accepted_queue : Queue or None
+        Its queue at the time of acceptance; None if the record does not contain it.
     version, saved_version : int
         Numbers of the last change to its persistent state and of the last saved one.
         The changes of all jobs share one sequence of numbers.
@@ -157,6 +159,7 @@
     phase: JobPhase = JobPhase.OPEN
     is_new: bool = True
     queue: Queue | None = None
+    accepted_queue: Queue | None = None
     version: int = 0
     saved_version: int = 0
     min_unsaved_version: int = 0
@@ -193,7 +196,7 @@
 
     def record(self) -> JobRecord:
         """Return the record to be stored."""
-        return JobRecord(job=self.job, phase=self.phase)
+        return JobRecord(job=self.job, phase=self.phase, queue=self.accepted_queue)
 
     def is_step_done(self, occurrence: int, step: int) -> bool:
         """Return whether all tasks of a step are completed."""
--- a/trefoilhook/scheduling/records.py
+++ b/trefoilhook/scheduling/records.py
@@ -24,7 +24,8 @@
     read_strings,
 )
 from trefoilhook.exceptions import DecodeError
-from trefoilhook.scheduling.models import Demand, Job, Step
+from trefoilhook.scheduling.models import Demand, Job, Queue, Step
+from trefoilhook.scheduling.queues import build_queue_table, read_queue
 from trefoilhook.scheduling.suspicion import CrashNote, Suspicion, Unit
 
 __all__ = [
@@ -63,10 +64,22 @@
 
 @attrs.frozen(kw_only=True)
 class JobRecord:
-    """A job and its phase; a record that is not open never changes again."""
+    """A job and its phase; a record that is not open never changes again.
+
+    Parameters
+    ----------
+    job : Job
+        The job.
+    phase : JobPhase
+        Its phase.
+    queue : Queue or None
+        Its queue at the time of acceptance. None if the job has ended, or if an earlier
+        build stored the record.
+    """
 
     job: Job
     phase: JobPhase = JobPhase.OPEN
+    queue: Queue | None = None
 
 
 @attrs.define(kw_only=True)
@@ -101,17 +114,18 @@
 
 
 def encode_job_record(record: JobRecord) -> bytes:
-    """Encode a record; the spec of an ended job is omitted."""
+    """Encode a record; the spec and the queue of an ended job are omitted."""
     table = _omit_defaults(record.job)
+    fields: dict[str, Any] = {"phase": record.phase.value, "job": table}
     if record.phase is not JobPhase.OPEN:
         table["spec"] = ""
+    elif record.queue is not None:
+        fields["queue"] = build_queue_table(record.queue)
     table["steps"] = [
         {**_omit_defaults(step), "demand": attrs.astuple(step.demand)}
         for step in record.job.steps
     ]
-    return json.dumps(
-        {"phase": record.phase.value, "job": table}, separators=(",", ":")
-    ).encode()
+    return json.dumps(fields, separators=(",", ":")).encode()
 
 
 def _decode_step(value: Any, number: int) -> Step:
@@ -172,6 +186,7 @@
     return JobRecord(
         job=_decode_job(read_object(table, "job")),
         phase=read_choice(table, "phase", _PHASES),
+        queue=read_queue(table["queue"]) if "queue" in table else None,
     )
 
 
--- a/trefoilhook/scheduling/tests/test_foreign_records.py
+++ b/trefoilhook/scheduling/tests/test_foreign_records.py
@@ -15,15 +15,18 @@
     Interference,
     Job,
     JobRecord,
+    KnownQueues,
     Progress,
     Step,
     decode_interference,
     decode_job_record,
     decode_progress,
+    decode_queues,
     encode_interference,
     encode_job_record,
     encode_progress,
 )
+from trefoilhook.scheduling.tests.cases import QUEUE
 
 JOB = Job(
     job_id="j",
@@ -51,6 +54,8 @@
     (decode_job_record, encode_job_record(JobRecord(job=JOB))),
     (decode_progress, encode_progress(PROGRESS)),
     (decode_interference, encode_interference(build_model())),
+    (decode_job_record, encode_job_record(JobRecord(job=JOB, queue=QUEUE))),
+    (decode_queues, KnownQueues(by_name={"checks": QUEUE}).encode()),
 )
 
 
@@ -115,6 +120,8 @@
             (decode_job_record, self._change(job, demand=[1, 2, -3])),
             (decode_job_record, self._change(job, gang=1)),
             (decode_job_record, self._change(job, max_absent="1")),
+            (decode_job_record, {**job, "queue": None}),
+            (decode_job_record, {**job, "queue": {"name": "checks"}}),
             (decode_progress, {"done": {"0": [1]}, "failed": {}, "checkpoints": {}}),
             (decode_progress, {"done": {"0.-1": [1]}, "failed": {}, "checkpoints": {}}),
             (decode_progress, {"done": {"0.0": 1}, "failed": {}, "checkpoints": {}}),
@@ -155,7 +162,7 @@
             value = decode(data)
         except DecodeError:
             return
-        self.assertIsInstance(value, JobRecord | Progress | Interference)
+        self.assertIsInstance(value, JobRecord | Progress | Interference | KnownQueues)
         if isinstance(value, Interference):
             self.assertGreater(value.get_trough("a"), float("-inf"))
             value.get_optimistic_weight("a", "f")
--- a/trefoilhook/scheduling/tests/test_records.py
+++ b/trefoilhook/scheduling/tests/test_records.py
@@ -3,11 +3,13 @@
 import unittest
 
 from trefoilhook.scheduling import (
+    Advice,
     Demand,
     Job,
     JobPhase,
     JobRecord,
     Progress,
+    Queue,
     Step,
     TaskId,
     decode_job_record,
@@ -31,6 +33,18 @@
     interval_ms=4.0,
 )
 
+_QUEUE = Queue(
+    name="q",
+    host="h",
+    prefix="/q/",
+    service="s",
+    priority=2,
+    max_attempts=3,
+    stretch=1.5,
+    objective_ms=250.0,
+    advice=Advice(decision_ms=5.0, per_worker_ms=1.0, valid_ms=3000.0),
+)
+
 
 class RecordsTest(unittest.TestCase):
     """Encoding and decoding."""
@@ -39,12 +53,27 @@
         record = JobRecord(job=_JOB)
         self.assertEqual(decode_job_record(encode_job_record(record)), record)
 
+    def test_open_job_with_its_queue(self):
+        record = JobRecord(job=_JOB, queue=_QUEUE)
+        self.assertEqual(decode_job_record(encode_job_record(record)), record)
+
+    def test_record_of_an_earlier_build(self):
+        # Guards against jobs that a new build cannot read, as they lack their queue.
+        data = (
+            b'{"phase":"open","job":{"job_id":"j","queue":"q","accepted_ms":1.0,'
+            b'"spec":"x","steps":[{"count":1,"demand":[1,0,0]}]}}'
+        )
+        record = decode_job_record(data)
+        self.assertEqual((record.job.job_id, record.queue), ("j", None))
+        self.assertEqual(encode_job_record(record), data)
+
     def test_ended_job_keeps_its_steps_but_not_its_spec(self):
-        record = JobRecord(job=_JOB, phase=JobPhase.COMPLETED)
+        record = JobRecord(job=_JOB, phase=JobPhase.COMPLETED, queue=_QUEUE)
         read = decode_job_record(encode_job_record(record))
         self.assertEqual(read.phase, JobPhase.COMPLETED)
         self.assertEqual(read.job.steps, _JOB.steps)
         self.assertEqual(read.job.spec, "")
+        self.assertIsNone(read.queue)
 
     def test_progress(self):
         progress = Progress(
