Serve other jobs while one of them cannot be planned or loaded

Since ownership failures no longer end the process, such a job would still end each ownership in turn, so that no other job would be started either.

Cause: an exception while one job is ranked, placed or loaded, while the paces of one worker are planned, or in one call to a worker, ended the owner, whatever it concerned.

TASK_WAITS gives "set aside". - Paces of a worker: computed first and applied then, planned again after its next answer. - A call to a worker: unanswered, as the worker may have received it. - A job that cannot be added: held back like an unreadable record. Each is logged (PLAN_FAILED, CALL_FAILED, ENTRY_INVALID with the exception and its place) and counted. The tests' scheduler raises contained errors, and the tests' cluster fails on them, so that containment hides no fault from the suite.

`_assign_steps` is split, its rules are unchanged.

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -165,6 +165,12 @@
         Level.INFO,
         "Tasks of a step have waited over a second for a worker.",
     )
+    PLAN_FAILED = (
+        1624,
+        Level.ERROR,
+        "A job or the paces of a worker could not be planned; others are served.",
+    )
+    CALL_FAILED = (1625, Level.ERROR, "A call to a worker failed by an exception.")
     WORKER_RESERVED = (1630, Level.INFO, "A worker is reserved for a waiting task.")
     RESERVATION_ENDED = (1631, Level.INFO, "A reserved worker is available again.")
     COPY_STARTED = (
--- a/trefoilhook/runtime/jobfeed.py
+++ b/trefoilhook/runtime/jobfeed.py
@@ -4,7 +4,7 @@
 
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import DecodeError
-from trefoilhook.logs import Event
+from trefoilhook.logs import Event, describe_failure
 from trefoilhook.platform import Change, Item, KeyValueStore, Listing
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.following import follow
@@ -117,14 +117,20 @@
             if record.phase is JobPhase.CANCELLED:
                 self._scheduler.cancel_job(job_id, revision=item.revision)
             return
-        self._scheduler.add_job(
-            record,
-            revision=item.revision,
-            is_new=item.created > self._ownership.owner_revision,
-            wall_ms=self._clock.wall_ms(),
-            progress=done,
-            progress_revision=progress.revision if progress is not None else 0,
-        )
+        try:
+            self._scheduler.add_job(
+                record,
+                revision=item.revision,
+                is_new=item.created > self._ownership.owner_revision,
+                wall_ms=self._clock.wall_ms(),
+                progress=done,
+                progress_revision=progress.revision if progress is not None else 0,
+            )
+        except Exception as error:
+            # One job must not keep all others from being loaded.
+            self._scheduler.discard_job(job_id)
+            reason = DecodeError(" ".join(describe_failure(error).values()))
+            self._hold_back(job_id, item, reason)
 
     def _hold_back(self, job_id: str, item: Item, error: DecodeError) -> None:
         self._rejections.report(
--- a/trefoilhook/runtime/orders.py
+++ b/trefoilhook/runtime/orders.py
@@ -1,7 +1,7 @@
 """Sends orders to workers, and counts, logs and applies their outcome."""
 
 from trefoilhook.clock import Clock
-from trefoilhook.logs import Event, log_event
+from trefoilhook.logs import Event, describe_failure, log_event
 from trefoilhook.platform import WorkerClient
 from trefoilhook.runtime.losses import log_restart
 from trefoilhook.runtime.metrics import ProcessMetrics
@@ -53,7 +53,7 @@
         scheduler, order, clock.monotonic_ms()
     )
     if is_due:
-        outcome = await _send(order, client)
+        outcome = await _send(order, client, metrics)
     metrics.count("orders", f"{_get_kind(order)} {outcome.value}")
     if isinstance(order, PaceOrder):
         # The scheduler repeats the order as long as the pace has to change.
@@ -81,14 +81,22 @@
     return outcome
 
 
-async def _send(order: Order, client: WorkerClient | None) -> OrderOutcome:
+async def _send(
+    order: Order, client: WorkerClient | None, metrics: ProcessMetrics
+) -> OrderOutcome:
     if client is None:
         return OrderOutcome.NOT_SENT
-    if isinstance(order, StartOrder):
-        return await client.start(order)
-    if isinstance(order, StopOrder):
-        return await client.stop(order)
-    return await client.pace(order)
+    try:
+        if isinstance(order, StartOrder):
+            return await client.start(order)
+        if isinstance(order, StopOrder):
+            return await client.stop(order)
+        return await client.pace(order)
+    except Exception as error:
+        # Nothing proves that the worker has not received the order.
+        metrics.count("call_failures", "order")
+        log_event(Event.CALL_FAILED, worker=order.worker_id, **describe_failure(error))
+        return OrderOutcome.NO_ANSWER
 
 
 def _get_kind(order: Order) -> str:
--- a/trefoilhook/runtime/polling.py
+++ b/trefoilhook/runtime/polling.py
@@ -6,7 +6,7 @@
 
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import DecodeError
-from trefoilhook.logs import Event, OutageLog, log_event
+from trefoilhook.logs import Event, OutageLog, describe_failure, log_event
 from trefoilhook.platform import PollRequest, WorkerClient
 from trefoilhook.runtime.commits import Committer
 from trefoilhook.runtime.losses import log_restart, log_unlisted
@@ -167,6 +167,10 @@
         except DecodeError as error:
             self._rejections.report(Event.ANSWER_INVALID, worker_id, str(error))
             return OrderOutcome.NO_ANSWER
+        except Exception as error:
+            self._metrics.count("call_failures", "poll")
+            log_event(Event.CALL_FAILED, worker=worker_id, **describe_failure(error))
+            return OrderOutcome.NO_ANSWER
         if not isinstance(result, PollAnswer):
             return result
         if is_outdated_answer(worker, result.born_ms):
--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -275,6 +275,17 @@
                     return instance
             await trio.sleep(0.01)
 
+    def check_failures(self) -> None:
+        """Raise an error if an instance has contained an unexpected exception."""
+        for instance in self.instances:
+            failures = {
+                name: count
+                for name, count in instance.process.metrics.counters.items()
+                if name[0] in ("owner_failures", "plan_failures", "call_failures")
+            }
+            if failures:
+                raise AssertionError(f"contained failures: {failures}")
+
     def list_runs(self) -> list:
         """Return every run on every worker."""
         return [r for worker in self.workers.values() for r in worker.records]
@@ -312,8 +323,12 @@
     instances: int = 2,
     workers: int = 2,
     task_ms: float = 100.0,
+    expects_failures: bool = False,
 ) -> None:
-    """Run a scenario with a timeout."""
+    """Run a scenario with a timeout.
+
+    An error that an instance contains fails it unless ``expects_failures`` is set.
+    """
 
     async def main() -> None:
         with trio.fail_after(_TIMEOUT_S):
@@ -325,6 +340,8 @@
                 for _ in range(instances):
                     await cluster.start_instance()
                 await scenario(cluster)
+                if not expects_failures:
+                    cluster.check_failures()
                 nursery.cancel_scope.cancel()
 
     trio.run(main)
--- a/trefoilhook/runtime/tests/test_owner_failures.py
+++ b/trefoilhook/runtime/tests/test_owner_failures.py
@@ -6,10 +6,25 @@
 import trio
 
 from trefoilhook.logs.tests.lines import capture_lines, count_lines
-from trefoilhook.runtime import shard
+from trefoilhook.platform import WorkerClient, decode_job
+from trefoilhook.runtime import keys, shard
 from trefoilhook.runtime.tests.cluster import PREFIX, Cluster, build_body, run_cluster
+from trefoilhook.scheduling import Job, JobRecord, encode_job_record
 
 JOB = "00000000000000f1"
+BROKEN_JOB = "00000000000000f2"
+
+
+def _fail_once(function, error: Exception):
+    """Return a coroutine function that raises an error at its first call."""
+    failures = [error]
+
+    async def call(*args, **kwargs):
+        if failures:
+            raise failures.pop()
+        return await function(*args, **kwargs)
+
+    return call
 
 
 class OwnerFailureTest(unittest.TestCase):
@@ -46,7 +61,58 @@
             mock.patch.object(shard, "plan_orders", plan_after_failures),
             capture_lines() as lines,
         ):
-            run_cluster(scenario)
+            run_cluster(scenario, expects_failures=True)
         counts = count_lines(lines)
         self.assertEqual(counts["OWNER_FAILED"], 2)
         self.assertEqual(counts["SHARD_CLAIMED"], 3)
+
+    def test_failed_calls_to_a_worker_count_as_unanswered(self):
+        # Guards against an exception of the connection library that ends the owner.
+        async def scenario(cluster: Cluster) -> None:
+            instance = await cluster.wait_for_owner()
+            answer = await cluster.send(instance, "POST", PREFIX + JOB, build_body(2))
+            self.assertEqual(answer.status, 200)
+            await cluster.wait_for_state(instance, JOB, "completed")
+            self.assertEqual(cluster.find_duplicate_runs(), [])
+
+        start = _fail_once(WorkerClient.start, UnicodeError("host"))
+        poll = _fail_once(WorkerClient.poll, UnicodeError("host"))
+        with (
+            mock.patch.object(WorkerClient, "start", start),
+            mock.patch.object(WorkerClient, "poll", poll),
+            capture_lines() as lines,
+        ):
+            run_cluster(scenario, instances=1, expects_failures=True)
+        counts = count_lines(lines)
+        self.assertEqual(counts["CALL_FAILED"], 2)
+        self.assertEqual(counts["SHARD_CLAIMED"], 1)
+
+    def test_job_that_fails_to_load_is_held_back(self):
+        # Guards against one stored job that keeps all others from being loaded.
+        estimate_work = Job.estimate_work
+
+        def fail_for_one_job(job: Job) -> float:
+            if job.job_id == BROKEN_JOB and job.spec == "loaded":
+                raise OverflowError(job.job_id)
+            return estimate_work(job)
+
+        async def scenario(cluster: Cluster) -> None:
+            (instance,) = cluster.instances
+            body = build_body(1).replace(b'"x"', b'"loaded"')
+            record = JobRecord(
+                job=decode_job(body, job_id=BROKEN_JOB, queue="rchecks", accepted_ms=1)
+            )
+            key = keys.job_key(keys.SHARD, BROKEN_JOB)
+            cluster.store.write_bytes(key, encode_job_record(record))
+            answer = await cluster.send(instance, "POST", PREFIX + JOB, build_body(2))
+            self.assertEqual(answer.status, 200)
+            await cluster.wait_for_state(instance, JOB, "completed")
+            self.assertEqual({run.task[:16] for run in cluster.list_runs()}, {JOB})
+
+        with (
+            mock.patch.object(Job, "estimate_work", fail_for_one_job),
+            capture_lines() as lines,
+        ):
+            run_cluster(scenario, instances=1, expects_failures=True)
+        counts = count_lines(lines)
+        self.assertEqual((counts["ENTRY_INVALID"], counts["SHARD_CLAIMED"]), (1, 1))
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -1,5 +1,7 @@
 """Assignment of waiting tasks to workers in one round over all of them."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from trefoilhook.scheduling.arrangement import may_spread
@@ -18,7 +20,7 @@
 from trefoilhook.scheduling.messages import StopReason
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.overcommitment import relieve_overcommitted
-from trefoilhook.scheduling.ranking import rank_step
+from trefoilhook.scheduling.ranking import StepRank, rank_step
 from trefoilhook.scheduling.reserving import reserve_workers, update_reservations
 from trefoilhook.scheduling.rounds import (
     AssignmentRound,
@@ -76,6 +78,19 @@
     return step, 1, 0
 
 
+def _find_obstacle(
+    scheduler: Scheduler, state: TaskState, *, is_held: bool, now_ms: float
+) -> WaitReason | None:
+    """Return why a waiting task is not considered in a round, or None if it is."""
+    if is_held:
+        return WaitReason.OWNER_NEW
+    if state.job.queue is None:
+        return WaitReason.QUEUE_UNKNOWN
+    if scheduler.failures.is_set_aside(state.task.job_id, now_ms):
+        return WaitReason.SET_ASIDE
+    return None
+
+
 def assign_waiting(
     scheduler: Scheduler, *, settled: bool, now_ms: float, wall_ms: float
 ) -> None:
@@ -102,19 +117,13 @@
             scheduler.holds.hold(state, now_ms)
         elif has_holds:
             scheduler.holds.release(state, now_ms)
-        if is_held or state.job.queue is None:
+        reason = _find_obstacle(scheduler, state, is_held=is_held, now_ms=now_ms)
+        if reason is not None:
             waiting.add(group[0])
-            reason = WaitReason.OWNER_NEW if is_held else WaitReason.QUEUE_UNKNOWN
             scheduler.waits.record(group[0], reason, now_ms)
             continue
         steps.setdefault(group, []).append(state)
-    ready = [
-        tasks
-        for _, tasks in sorted(
-            split_by_share(steps.values(), now_ms),
-            key=lambda part: rank_step(part[1], wall_ms, level=part[0]),
-        )
-    ]
+    ready = _rank_steps(scheduler, steps.values(), now_ms=now_ms, wall_ms=wall_ms)
     update_reservations(scheduler, now_ms)
     colocations = ColocationCache(
         jobs=scheduler.jobs,
@@ -142,7 +151,7 @@
             assignment_round,
             [each for each in migration_candidates if not each.run.is_throttled],
         )
-    _assign_steps(assignment_round, ready)
+    ready = _assign_steps(assignment_round, ready)
     start_copies(assignment_round, settled=settled)
     if with_fillers:
         relieve_overcommitted(assignment_round)
@@ -160,46 +169,102 @@
     )
 
 
+def _rank_steps(
+    scheduler: Scheduler,
+    steps: Iterable[list[TaskState]],
+    *,
+    now_ms: float,
+    wall_ms: float,
+) -> list[list[TaskState]]:
+    """Return the waiting steps, or parts of them, in the order of their assignment."""
+    ranked: list[tuple[StepRank, list[TaskState]]] = []
+    for tasks in steps:
+        try:
+            ranked += [
+                (rank_step(part, wall_ms, level=level), part)
+                for level, part in split_by_share([tasks], now_ms)
+            ]
+        except Exception as error:
+            scheduler.failures.set_job_aside(tasks[0].task.job_id, error, now_ms)
+    ranked.sort(key=lambda pair: pair[0])
+    return [part for _, part in ranked]
+
+
+@attrs.define(kw_only=True)
+class _InfeasibleSteps:
+    """Steps that could not be placed in a round, which limit what is tried later.
+
+    Only fillers are counted: dozens of services may each lack a task that must not
+    share a worker with others of its step, and they must not end the round for other
+    steps.
+    """
+
+    fillers: int = 0
+    services: set[StepName] = attrs.Factory(set)
+
+
 def _assign_steps(
     assignment_round: AssignmentRound, ready: list[list[TaskState]]
-) -> None:
-    waits = assignment_round.scheduler.waits
-    infeasible_fillers = 0
-    infeasible_services: set[StepName] = set()
+) -> list[list[TaskState]]:
+    """Assign the waiting steps; return those of jobs that were not set aside."""
+    infeasible = _InfeasibleSteps()
+    failed: set[str] = set()
     for tasks in ready:
-        step = name_step(tasks[0].task)
-        if step in infeasible_services or assignment_round.is_known_infeasible(
-            tasks[0]
-        ):
-            waits.record(
-                step, assignment_round.explain_wait(tasks[0]), assignment_round.now_ms
-            )
-            reserve_workers(assignment_round, tasks)
-            continue
-        if not assignment_round.isolation.may_start(tasks[0], assignment_round.now_ms):
-            waits.record(step, WaitReason.ISOLATED, assignment_round.now_ms)
+        if tasks[0].task.job_id in failed:
             continue
-        if infeasible_fillers >= _MAX_INFEASIBLE_FILLER_STEPS and tasks[0].step.filler:
-            waits.record(step, WaitReason.BEHIND_OTHERS, assignment_round.now_ms)
-            continue
-        if tasks[0].step.gang:
-            infeasible = _assign_gang(assignment_round, tasks[0])
-        else:
-            tasks.sort(key=lambda state: state.task.index)
-            infeasible = _assign(assignment_round, tasks)
-        if infeasible is not None:
-            # Only fillers count: dozens of services may each lack a task that must not
-            # share a worker with others of its step, and they must not end the round
-            # for other steps.
-            waits.record(
-                step, assignment_round.explain_wait(tasks[0]), assignment_round.now_ms
+        try:
+            _assign_step(assignment_round, tasks, infeasible)
+        except Exception as error:
+            # One job must not keep all others from being served.
+            assignment_round.undo_reservations(tasks[0].job)
+            assignment_round.scheduler.failures.set_job_aside(
+                tasks[0].task.job_id, error, assignment_round.now_ms
             )
-            infeasible_fillers += tasks[0].step.filler
-            if tasks[0].step.long_running:
-                # The remaining parts of the step are infeasible, too.
-                infeasible_services.add(step)
-            assignment_round.record_infeasible(tasks[0], infeasible)
-            reserve_workers(assignment_round, tasks)
+            failed.add(tasks[0].task.job_id)
+    if not failed:
+        return ready
+    return [tasks for tasks in ready if tasks[0].task.job_id not in failed]
+
+
+def _assign_step(
+    assignment_round: AssignmentRound,
+    tasks: list[TaskState],
+    infeasible_steps: _InfeasibleSteps,
+) -> None:
+    """Assign the waiting tasks of a step, or of a part of it."""
+    waits = assignment_round.scheduler.waits
+    step = name_step(tasks[0].task)
+    if step in infeasible_steps.services or assignment_round.is_known_infeasible(
+        tasks[0]
+    ):
+        waits.record(
+            step, assignment_round.explain_wait(tasks[0]), assignment_round.now_ms
+        )
+        reserve_workers(assignment_round, tasks)
+        return
+    if not assignment_round.isolation.may_start(tasks[0], assignment_round.now_ms):
+        waits.record(step, WaitReason.ISOLATED, assignment_round.now_ms)
+        return
+    if (
+        infeasible_steps.fillers >= _MAX_INFEASIBLE_FILLER_STEPS
+        and tasks[0].step.filler
+    ):
+        waits.record(step, WaitReason.BEHIND_OTHERS, assignment_round.now_ms)
+        return
+    if tasks[0].step.gang:
+        infeasible = _assign_gang(assignment_round, tasks[0])
+    else:
+        tasks.sort(key=lambda state: state.task.index)
+        infeasible = _assign(assignment_round, tasks)
+    if infeasible is None:
+        return
+    waits.record(step, assignment_round.explain_wait(tasks[0]), assignment_round.now_ms)
+    infeasible_steps.fillers += tasks[0].step.filler
+    if tasks[0].step.long_running:
+        # The remaining parts of the step are infeasible, too.
+        infeasible_steps.services.add(step)
+    assignment_round.record_infeasible(tasks[0], infeasible)
+    reserve_workers(assignment_round, tasks)
 
 
 @attrs.frozen(kw_only=True)
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -14,6 +14,7 @@
 from trefoilhook.scheduling.durations import Durations
 from trefoilhook.scheduling.entry_freshness import EntryFreshness
 from trefoilhook.scheduling.evacuations import Evacuations
+from trefoilhook.scheduling.failures import FailureTracker
 from trefoilhook.scheduling.features import Features
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker, get_worker_id
 from trefoilhook.scheduling.freshness import Freshness
@@ -107,6 +108,8 @@
         Queues of the configuration, and earlier ones of open jobs.
     services : set of str
         Services of the queues of the jobs seen so far.
+    failures : FailureTracker
+        Errors in planning, and the jobs that are set aside because of them.
     roster_size : float
         Number of workers on which previous owners may have started tasks; infinite if
         it is unknown.
@@ -194,6 +197,7 @@
         self.queues = KnownQueues()
         self.queues.update(configuration.queues, used=())
         self.services: set[str] = set()
+        self.failures = FailureTracker()
         self.roster_size = 0.0
         self.copies = CopyTracker()
         self.tickets = TicketCache()
@@ -275,6 +279,16 @@
         self._check_end(state)
         self.open_steps(state, wall_ms)
 
+    def discard_job(self, job_id: str) -> None:
+        """Remove a job that could not be added completely; it has no attempts yet."""
+        state = self.jobs.pop(job_id, None)
+        if state is None:
+            return
+        self._timed.discard(state)
+        self.suspects.jobs.discard(state)
+        self.dirty.discard(state)
+        self.waiting.difference_update(state.tasks.values())
+
     def cancel_job(self, job_id: str, *, revision: int) -> None:
         """Cancel a job at a client's request; its tasks are stopped."""
         state = self.jobs.get(job_id)
--- a/trefoilhook/scheduling/pacing.py
+++ b/trefoilhook/scheduling/pacing.py
@@ -163,7 +163,7 @@
     throttled_paces = _choose_throttled(scheduler, tasks.fillers, services)
     spare_slacks = [service.slack for service in services]
     limit = compute_max_pace(worker, scheduler.jobs) if tasks.bases else FULL_PACE
-    orders: list[PaceOrder] = []
+    paces: list[tuple[Run, int]] = []
     for filler in tasks.fillers:
         run = filler.run
         if _must_halt(scheduler, filler, tasks.images_over_limit, over_limit_ms):
@@ -173,8 +173,12 @@
         else:
             pace = _raise_pace(scheduler, filler, services, spare_slacks)
         pace = min(pace, limit)
-        if not _is_order_due(run, pace, now_ms, immediate=limit < run.pace):
-            continue
+        if _is_order_due(run, pace, now_ms, immediate=limit < run.pace):
+            paces.append((run, pace))
+    # Applied only after all paces are known, so that an error leaves no run with a pace
+    # that was never ordered.
+    orders: list[PaceOrder] = []
+    for run, pace in paces:
         if run.pace >= FULL_PACE:
             run.throttled_since_ms = now_ms
         run.set_pace(pace, now_ms)
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -96,7 +96,11 @@
     for worker in scheduler.workers.values():
         if worker.has_changed:
             worker.has_changed = False
-            orders.extend(plan_paces(scheduler, worker, now_ms))
+            try:
+                orders += plan_paces(scheduler, worker, now_ms)
+            except Exception as error:
+                # Planned again after the worker's next answer.
+                scheduler.failures.record_worker(worker.report.worker_id, error)
     return orders
 
 
--- a/trefoilhook/scheduling/ranking.py
+++ b/trefoilhook/scheduling/ranking.py
@@ -2,7 +2,10 @@
 
 from trefoilhook.scheduling.job_state import TaskState
 
-__all__ = ["MAX_LATENESS_FACTOR", "TOO_LATE", "get_lateness", "rank_step"]
+__all__ = ["MAX_LATENESS_FACTOR", "TOO_LATE", "StepRank", "get_lateness", "rank_step"]
+
+StepRank = tuple[int, bool, bool, bool, int, float, str, int, int]
+"""Sort key of a waiting step."""
 
 MAX_LATENESS_FACTOR = 3.0
 """A late job has some value to its users up to this multiple of its objective."""
@@ -26,9 +29,7 @@
     return TOO_LATE
 
 
-def rank_step(
-    tasks: list[TaskState], wall_ms: float, *, level: int = 0
-) -> tuple[int, bool, bool, bool, int, float, str, int, int]:
+def rank_step(tasks: list[TaskState], wall_ms: float, *, level: int = 0) -> StepRank:
     """Return the sort key of a waiting step.
 
     Steps are sorted by priority, then by whether their job is guaranteed, then by
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -10,7 +10,7 @@
 from trefoilhook.scheduling.core import ATTEMPTS_PER_EPOCH, Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.isolation import Isolation
-from trefoilhook.scheduling.job_state import Attempt, TaskState
+from trefoilhook.scheduling.job_state import Attempt, JobState, TaskState
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.placing import compute_max_filler_cpu, list_open_workers
 from trefoilhook.scheduling.sampling import MAX_CANDIDATES, sample_workers
@@ -179,6 +179,34 @@
         self._samples.clear()
         self._feasible.clear()
 
+    def undo_reservations(self, job: JobState) -> None:
+        """Release what this round has reserved for a job; no order was planned yet.
+
+        Also releases a run that was added to its worker, but not yet to its task.
+        """
+        job_id = job.job.job_id
+        for worker in self.scheduler.workers.values():
+            for run in list(worker.runs.values()):
+                if run.task.job_id != job_id or not self._is_reserved_here(run):
+                    continue
+                worker.release(run)
+                task = job.find_task(run.task)
+                if task is not None:
+                    task.detach(run)
+                    self.scheduler.waiting.add(task)
+        self.started = [
+            state for state in self.started if state.job is not job or state.attempts
+        ]
+        self.invalidate()
+
+    def _is_reserved_here(self, run: Run) -> bool:
+        """Return whether a run was reserved in this round."""
+        return (
+            run.phase is RunPhase.STARTING
+            and run.started_ms == self.now_ms
+            and not (run.in_flight or run.may_have_run)
+        )
+
     def record_suspected_start(
         self, state: TaskState, worker: Worker, run: Run
     ) -> None:
--- a/trefoilhook/scheduling/tests/cases.py
+++ b/trefoilhook/scheduling/tests/cases.py
@@ -136,6 +136,7 @@
         self.now_ms = 100_000.0
         self.settled = settled
         self.reads_entries = True
+        self.raises_failures = True
         self.scheduler = Scheduler(
             epoch=epoch,
             limits=SchedulerLimits(
@@ -221,15 +222,22 @@
         )
 
     def plan(self) -> list[Order]:
-        """Return the orders of one plan without executing them."""
+        """Return the orders of one plan without executing them.
+
+        An error that the scheduler contains is raised unless the test expects it.
+        """
         if self.reads_entries:
             self.scheduler.entries.note_read(self.now_ms)
-        return plan_orders(
+        orders = plan_orders(
             self.scheduler,
             settled=self.settled,
             now_ms=self.now_ms,
             wall_ms=self.now_ms,
         )
+        if self.raises_failures:
+            for failure in self.scheduler.failures.unreported:
+                raise failure.error
+        return orders
 
     def step(self) -> list[Order]:
         """Execute the orders of one plan and poll all workers 100 ms later."""
--- a/trefoilhook/scheduling/waits.py
+++ b/trefoilhook/scheduling/waits.py
@@ -49,6 +49,9 @@
     QUEUE_UNKNOWN = "queue unknown"
     """The configuration does not contain its queue, and its service is unknown."""
 
+    SET_ASIDE = "set aside"
+    """The planning of its job has failed by an unexpected error."""
+
     NOT_RECORDED = "not recorded"
     """The store does not answer, so that no place can be recorded, and the workers of
     its job's group have no room."""
