Start all members of a gang from one checkpoint

Cause: checkpoints were stored and used by member. The surviving members end with the value of their stop, the lost one with that of its last poll; each was started with its own. A run whose members differ never has all of them, and each end lists the value of its start.

Change: a gang has one checkpoint, the value that was first seen last, of polls and of ends. Members report the same values at different times, so that a value seen before is not newer; a late or lost report does not lower it. Progress of earlier builds, with a value for each member, gives one of them to all.

--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -508,7 +508,7 @@
                 self.fail_job(state)
                 return
         if checkpoint:
-            progress.checkpoints[task.key] = checkpoint
+            state.record_checkpoint(task, checkpoint)
         if not task.attempts:
             self.waiting.add(task)
 
@@ -517,7 +517,7 @@
         step_key = (task.task.occurrence, task.task.step)
         state.progress.done.setdefault(step_key, set()).add(task.task.index)
         state.progress.failed.pop(task.key, None)
-        state.progress.checkpoints.pop(task.key, None)
+        state.remove_checkpoint(task)
         self._mark_dirty(state)
         self.suspects.forget(task)
         members = [task]
--- a/trefoilhook/scheduling/job_state.py
+++ b/trefoilhook/scheduling/job_state.py
@@ -12,6 +12,10 @@
 
 __all__ = ["Attempt", "JobState", "TaskState"]
 
+_MAX_SEEN_CHECKPOINTS = 64
+"""Maximum number of checkpoints of a gang that are remembered. A member that lags
+behind by more of them would lower the checkpoint."""
+
 
 @attrs.frozen(kw_only=True, eq=False)
 class Attempt:
@@ -173,6 +177,9 @@
     work: float = 0.0
     due_ms: float = 0.0
     is_guaranteed: bool = False
+    _gang_checkpoints: dict[Unit, dict[str, None]] = attrs.field(
+        factory=dict, init=False
+    )
 
     @property
     def priority(self) -> int:
@@ -225,6 +232,53 @@
                 work -= count * step.estimate_task_work()
         return work
 
+    def record_checkpoint(self, task: TaskState, checkpoint: str) -> None:
+        """Record a checkpoint of a task, or of the gang that it belongs to.
+
+        A checkpoint of any member is valid for its gang. Members report the same values
+        at different times, so that a value which was seen before is not the latest.
+        """
+        unit = task.unit
+        if task.step.gang:
+            seen = self._gang_checkpoints.get(unit)
+            if seen is None:
+                seen = dict.fromkeys(self._list_checkpoints(unit))
+                self._gang_checkpoints[unit] = seen
+            if checkpoint in seen:
+                return
+            seen[checkpoint] = None
+            if len(seen) > _MAX_SEEN_CHECKPOINTS:
+                del seen[next(iter(seen))]
+        self.progress.checkpoints[unit] = checkpoint
+
+    def find_checkpoint(self, task: TaskState) -> str:
+        """Return the checkpoint from which a task resumes; empty if there is none.
+
+        It is the same for all members of a gang.
+        """
+        checkpoint = self.progress.checkpoints.get(task.unit, "")
+        if not checkpoint and task.step.gang:
+            # Earlier builds stored the checkpoints of gangs by member.
+            checkpoint = next(iter(self._list_checkpoints(task.unit)), "")
+        return checkpoint
+
+    def remove_checkpoint(self, task: TaskState) -> None:
+        """Remove the checkpoint of a completed task or gang."""
+        if not task.step.gang:
+            self.progress.checkpoints.pop(task.key, None)
+            return
+        self._gang_checkpoints.pop(task.unit, None)
+        for index in range(task.step.count):
+            self.progress.checkpoints.pop((*task.unit[:2], index), None)
+
+    def _list_checkpoints(self, unit: Unit) -> list[str]:
+        """Return the stored checkpoints of the members of a gang."""
+        return [
+            checkpoint
+            for key, checkpoint in self.progress.checkpoints.items()
+            if key[:2] == unit[:2]
+        ]
+
     def list_unit(self, unit: Unit) -> list[TaskState]:
         """Return the tasks of a unit for which crashes are counted."""
         occurrence, step, index = unit
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -159,7 +159,19 @@
         run.percent = running.percent
     if running.load is not None:
         run.load = running.load
-    run.checkpoint = running.checkpoint or run.checkpoint
+    if running.checkpoint and running.checkpoint != run.checkpoint:
+        run.checkpoint = running.checkpoint
+        _share_checkpoint(scheduler, run)
+
+
+def _share_checkpoint(scheduler: Scheduler, run: Run) -> None:
+    """Record the checkpoint of a running member for its gang."""
+    state = scheduler.jobs.get(run.task.job_id)
+    task = state.find_task(run.task) if state is not None else None
+    if state is None or task is None or not task.step.gang:
+        return
+    if state.is_open and not task.done:
+        state.record_checkpoint(task, run.checkpoint)
 
 
 def _hold_unreadable(
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -349,7 +349,7 @@
     """
     # Computed before the run is added to the worker, which would count it twice.
     colocation = assignment_round.colocations.lookup(worker)
-    checkpoint = state.job.progress.checkpoints.get(state.key, "")
+    checkpoint = state.job.find_checkpoint(state)
     run = Run(
         task=state.task,
         attempt=attempt,
