Send no start to a worker that has begun to drain

Cause: a start without an answer was sent again every 80 ms for as long as its worker stayed usable; `_may_still_start`, which is asked for repeated and for queued starts, did not ask whether the worker drains. Only the choice of a worker did.

Change: it does. A start that was never sent is withdrawn; one that may have been received is stopped, which also keeps a late copy of it from being carried out.

--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -135,11 +135,12 @@
 def _may_still_start(scheduler: Scheduler, worker: Worker) -> bool:
     """Return whether reserved capacity on a worker may still be used for a start.
 
-    Its entry may have become unusable, its capacity may have shrunk, or its failure
-    domain may have been evacuated.
+    Its entry may have become unusable, it may drain, its capacity may have shrunk, or
+    its failure domain may have been evacuated.
     """
     return (
         worker.usable
+        and not worker.report.draining
         and worker.has_room(_NO_DEMAND)
         and not scheduler.evacuations.covers(worker)
     )
@@ -148,8 +149,8 @@
 def confirm_start(scheduler: Scheduler, order: StartOrder, now_ms: float) -> bool:
     """Return whether a queued start order is still valid, and record that it is sent.
 
-    While an order is queued, its worker may shrink, be excluded or be evacuated, and
-    its job may be cancelled. The task cannot have run before the order is sent.
+    While an order is queued, its worker may drain, shrink, be excluded or be evacuated,
+    and its job may be cancelled. The task cannot have run before the order is sent.
     """
     worker = scheduler.workers.get(order.worker_id)
     run = worker.runs.get((order.task, order.attempt)) if worker is not None else None
