Reconsider refused workers only for a service that the configuration lacks

The test of foreign entries counted 136 rejections where 135 are expected: since jobs keep their queue, each first job of a service made the owner look again at all entries of unknown services, also when the configuration names that service.

The entries are looked at again only if a job adds a service that the configuration lacks. The test passes again, as do those of removed queues.

--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -262,7 +262,7 @@
         metrics.gauges["loop_lag_ms"] = lambda: lag.read(clock.monotonic_ms())
         self._start_limiter = trio.CapacityLimiter(_MAX_STARTS_IN_FLIGHT)
         self._place_writer: PlaceWriter | None = None
-        self._service_count = 0
+        self._unnamed_services = 0
         self._wake = trio.Event()
 
     def wake(self) -> None:
@@ -529,13 +529,14 @@
             self._on_ownership_lost()
             return
         configuration = self._read_configuration()
+        unnamed = len(scheduler.services - configuration.services)
         if configuration.version != scheduler.configuration.version:
             scheduler.set_configuration(configuration)
             worker_feed.retry_unknown_services()
-        elif len(scheduler.services) != self._service_count:
-            # A job may name a service that has left the configuration.
+        elif unnamed > self._unnamed_services:
+            # The queue of a new job names a service that has left the configuration.
             worker_feed.retry_unknown_services()
-        self._service_count = len(scheduler.services)
+        self._unnamed_services = unnamed
         for expiry in release_expired(scheduler, now_ms):
             log_lease_expiry(expiry)
         if self._settlement.is_settled and len(scheduler.workers) < len(
