Reject JSON in UTF-16 and UTF-32

Cause: the parser detects the encoding of bytes; the platform's documents are UTF-8.

A byte order mark in UTF-8 is accepted as before.

--- a/trefoilhook/decoding/core.py
+++ b/trefoilhook/decoding/core.py
@@ -46,15 +46,16 @@
 
 
 def parse_json(data: bytes) -> Any:
-    """Parse JSON; ``NaN`` and infinities are refused.
+    """Parse JSON in UTF-8; ``NaN`` and infinities are refused.
 
     Raises
     ------
     DecodeError
-        If the data is not JSON or is nested too deeply.
+        If the data is not JSON in UTF-8 or is nested too deeply.
     """
     try:
-        return json.loads(data, parse_constant=_refuse_constant)
+        # Decoded here because the parser would also accept UTF-16 and UTF-32.
+        return json.loads(data.decode("utf-8-sig"), parse_constant=_refuse_constant)
     except (ValueError, RecursionError) as error:
         raise DecodeError("not valid JSON, or nested too deeply") from error
 
--- a/trefoilhook/standins/platform_foreign.py
+++ b/trefoilhook/standins/platform_foreign.py
@@ -44,4 +44,5 @@
         {**entry, "born": entry["born"] + 1.5},
     ]
     encoded = [json.dumps(table).encode() for table in tables]
-    return [*encoded, b"\xff\xfe\x00", b"", b"null", DEEPLY_NESTED_JSON]
+    utf_16 = json.dumps(entry).encode("utf-16")
+    return [*encoded, utf_16, b"\xff\xfe\x00", b"", b"null", DEEPLY_NESTED_JSON]
