Rename queues in the soak, and fail it on contained exceptions

Neither fault of the review could show in the soak: its configurations only added queues, and a contained exception would now leave its processes running.

Every second configuration gives all earlier queues other names, so that open jobs meet a takeover after a rename. The report lists each OWNER_FAILED, PLAN_FAILED, CALL_FAILED and HANDLER_FAILED line of an instance as a violation.

--- a/trefoilhook/soak/core.py
+++ b/trefoilhook/soak/core.py
@@ -215,7 +215,11 @@
         evacuations=fleet.evacuations,
     )
     return SoakReport(
-        violations=(*fleet.unexpected_exits, *violations),
+        violations=(
+            *fleet.unexpected_exits,
+            *fleet.list_contained_failures(),
+            *violations,
+        ),
         faults=tuple(injector.injected),
         submitted=len(submissions),
         accepted=sum(s.outcome is SubmissionOutcome.ACCEPTED for s in submissions),
--- a/trefoilhook/soak/findings.py
+++ b/trefoilhook/soak/findings.py
@@ -10,6 +10,7 @@
 
 from trefoilhook.soak.core import SoakReport, SoakSettings
 from trefoilhook.soak.history import HISTORY_FILE
+from trefoilhook.soak.logs import LOG_FILE
 
 __all__ = ["FINDINGS_FOLDER", "describe_finding", "save_finding"]
 
@@ -73,7 +74,7 @@
 
 def _collect_lines(folder: Path, job_ids: set[str]) -> list[str]:
     """Return the lines of a soak's files that mention one of the jobs."""
-    files = [folder / HISTORY_FILE, *sorted(folder.glob("*/log.jsonl"))]
+    files = [folder / HISTORY_FILE, *sorted(folder.glob(f"*/{LOG_FILE}"))]
     return [
         f"{path.relative_to(folder)}: {line}"
         for path in files
--- a/trefoilhook/soak/fleet.py
+++ b/trefoilhook/soak/fleet.py
@@ -23,6 +23,7 @@
     SETTINGS_VARIABLE,
     WORKER_PREFIX,
 )
+from trefoilhook.soak.logs import LOG_FILE, read_failures
 from trefoilhook.standins import CutSettings, Partition, TcpCut
 from trefoilhook.standins.platform_documents import (
     build_configuration,
@@ -138,7 +139,7 @@
         self.write_settings()
         path = self.folder / "settings.json"
         self.started_s = time.monotonic()
-        with (self.folder / "log.jsonl").open("ab") as log:
+        with (self.folder / LOG_FILE).open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", "trefoilhook"],
                 env={**os.environ, SETTINGS_VARIABLE: str(path)},
@@ -243,7 +244,10 @@
         return link
 
     def write_configuration(self) -> None:
-        """Write a configuration with one additional queue."""
+        """Write a configuration with one additional queue.
+
+        Every second configuration also gives all earlier queues other names.
+        """
         self._configuration_version += 3
         self.queue_prefixes.append(f"/q{self._configuration_version}/")
         document = build_configuration(
@@ -253,6 +257,8 @@
             service=SERVICE,
             max_attempts=_MAX_ATTEMPTS,
         )
+        for route in document["routes"]:
+            route["name"] += f"-{self._configuration_version // 6}"
         self.store.write(CONFIGURATION_KEY, document)
 
     async def start_worker(
@@ -384,6 +390,14 @@
                 )
                 instance.start()
 
+    def list_contained_failures(self) -> list[str]:
+        """Return the unexpected exceptions that instances have logged."""
+        return [
+            f"{instance.name} contained a failure: {line}"
+            for instance in self.instances
+            for line in read_failures(instance.folder / LOG_FILE)
+        ]
+
     async def close(self) -> None:
         """Kill the processes of all instances and wait for them to exit."""
         for instance in self.instances:
