Log failed plans beside the other lines of an owner, and test it end to end

Found on reading the change: shard.py, long before, had grown by one more report, while late jobs and copies have modules of their own; and the feed of jobs built an exception only to carry a reason. Behaviour, texts and counters are as before.

The new end-to-end test shows what one job that cannot be placed leaves: others are completed, PLAN_FAILED names the job and the exception, plan_failures counts one, the shard has one owner.

--- a/trefoilhook/runtime/jobfeed.py
+++ b/trefoilhook/runtime/jobfeed.py
@@ -101,14 +101,14 @@
             if record.job.job_id != job_id:
                 raise DecodeError("job_id: not the key's")
         except DecodeError as error:
-            self._hold_back(job_id, item, error)
+            self._hold_back(job_id, item, str(error))
             return
         done: Progress | None = None
         if progress is not None:
             try:
                 done = decode_progress(progress.value)
             except DecodeError as error:
-                self._hold_back(job_id, progress, error)
+                self._hold_back(job_id, progress, str(error))
                 return
         self._rejections.accept(Event.ENTRY_INVALID, item.key)
         if job_id in self._scheduler.unreadable_jobs:
@@ -129,12 +129,12 @@
         except Exception as error:
             # One job must not keep all others from being loaded.
             self._scheduler.discard_job(job_id)
-            reason = DecodeError(" ".join(describe_failure(error).values()))
+            reason = " ".join(describe_failure(error).values())
             self._hold_back(job_id, item, reason)
 
-    def _hold_back(self, job_id: str, item: Item, error: DecodeError) -> None:
+    def _hold_back(self, job_id: str, item: Item, reason: str) -> None:
         self._rejections.report(
-            Event.ENTRY_INVALID, item.key, str(error), revision=item.revision
+            Event.ENTRY_INVALID, item.key, reason, revision=item.revision
         )
         if job_id not in self._scheduler.jobs:
             self._scheduler.unreadable_jobs.add(job_id)
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -11,7 +11,7 @@
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import DecodeError
 from trefoilhook.http import Connection, IdleLimit
-from trefoilhook.logs import Event, describe_failure, log_event
+from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import (
     Address,
     AdviceClient,
@@ -32,6 +32,7 @@
 from trefoilhook.runtime.orders import execute_order
 from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Ownership
 from trefoilhook.runtime.places import PlaceWriter
+from trefoilhook.runtime.planfailures import log_plan_failures
 from trefoilhook.runtime.polling import WorkerPoller
 from trefoilhook.runtime.predecessors import read_inheritance
 from trefoilhook.runtime.recovery import RecoveryStep, RecoveryTracker
@@ -554,7 +555,9 @@
             now_ms=now_ms,
             wall_ms=self._clock.wall_ms(),
         )
-        self._log_plan_failures()
+        log_plan_failures(
+            scheduler.failures, self._metrics, epoch=self._ownership.epoch
+        )
         log_late_jobs(scheduler, self._metrics)
         report_reservations(scheduler.reservations, self._metrics)
         log_copies(scheduler, self._metrics)
@@ -578,24 +581,6 @@
             log_loss(loss)
         self._scheduler.suspects.losses.clear()
 
-    def _log_plan_failures(self) -> None:
-        """Log and count the errors of the last plan that did not end it."""
-        failures = self._scheduler.failures.unreported
-        for failure in failures:
-            self._metrics.count("plan_failures", "job" if failure.job_id else "worker")
-            subject = (
-                {"job": failure.job_id}
-                if failure.job_id
-                else {"worker": failure.worker_id}
-            )
-            log_event(
-                Event.PLAN_FAILED,
-                epoch=self._ownership.epoch,
-                **subject,
-                **describe_failure(failure.error),
-            )
-        failures.clear()
-
     async def _execute_order(self, order: Order) -> None:
         slot: contextlib.AbstractAsyncContextManager[None] = contextlib.nullcontext()
         if isinstance(order, StartOrder):
--- a/trefoilhook/runtime/tests/test_owner_failures.py
+++ b/trefoilhook/runtime/tests/test_owner_failures.py
@@ -5,11 +5,11 @@
 
 import trio
 
-from trefoilhook.logs.tests.lines import capture_lines, count_lines
+from trefoilhook.logs.tests.lines import capture_lines, count_lines, find_line
 from trefoilhook.platform import WorkerClient, decode_job
 from trefoilhook.runtime import keys, shard
 from trefoilhook.runtime.tests.cluster import PREFIX, Cluster, build_body, run_cluster
-from trefoilhook.scheduling import Job, JobRecord, encode_job_record
+from trefoilhook.scheduling import Job, JobRecord, assignment, encode_job_record
 
 JOB = "00000000000000f1"
 BROKEN_JOB = "00000000000000f2"
@@ -66,6 +66,36 @@
         self.assertEqual(counts["OWNER_FAILED"], 2)
         self.assertEqual(counts["SHARD_CLAIMED"], 3)
 
+    def test_job_that_cannot_be_planned_is_reported(self):
+        # Guards against one job that keeps all others from being started, unseen.
+        reserve = assignment.reserve_capacity
+
+        def fail_for_one_job(assignment_round, state, *args, **kwargs):
+            if state.task.job_id == BROKEN_JOB:
+                raise OverflowError(BROKEN_JOB)
+            return reserve(assignment_round, state, *args, **kwargs)
+
+        async def scenario(cluster: Cluster) -> None:
+            (instance,) = cluster.instances
+            for job_id in (BROKEN_JOB, JOB):
+                body = build_body(2)
+                answer = await cluster.send(instance, "POST", PREFIX + job_id, body)
+                self.assertEqual(answer.status, 200)
+            await cluster.wait_for_state(instance, JOB, "completed")
+            self.assertEqual(await cluster.read_state(instance, BROKEN_JOB), "queued")
+            counters = instance.process.metrics.counters
+            self.assertEqual(counters["plan_failures", "job"], 1)
+
+        with (
+            mock.patch.object(assignment, "reserve_capacity", fail_for_one_job),
+            capture_lines() as lines,
+        ):
+            run_cluster(scenario, instances=1, expects_failures=True)
+        line = find_line(lines, "PLAN_FAILED")
+        self.assertEqual(line["job"], BROKEN_JOB)
+        self.assertIn("OverflowError", line["error"])
+        self.assertEqual(count_lines(lines)["SHARD_CLAIMED"], 1)
+
     def test_failed_calls_to_a_worker_count_as_unanswered(self):
         # Guards against an exception of the connection library that ends the owner.
         async def scenario(cluster: Cluster) -> None:
