Let the owner hear all workers before the test of advice submits its job

The owner asks about the workers that have answered it, and again when another one has. The test submitted as soon as the instance was ready, which doesn't mean that all three workers had answered.

The test now waits for the second call to each worker, which follows its first answer. Its assertions are the same.

--- a/trefoilhook/runtime/tests/test_advice.py
+++ b/trefoilhook/runtime/tests/test_advice.py
@@ -16,6 +16,11 @@
         async def scenario(cluster: Cluster) -> None:
             await cluster.start_advice("w1")
             instance = await cluster.start_instance()
+            # The first request names only workers that have answered the owner. The
+            # second call to a worker shows that its first answer was applied.
+            await cluster.wait_until(
+                lambda: all(worker.calls > 1 for worker in cluster.workers.values())
+            )
             await cluster.send(instance, "POST", PREFIX + _JOB, build_body(2, 1))
             await cluster.wait_for_state(instance, _JOB, "completed")
             self.assertEqual(len(cluster.workers["w1"].records), 3)
