Remove a lookup without callers, a repeated condition and a pause

Since jobs find their queue among the known queues, nothing calls Configuration.find_queue; is_set_aside asked whether the table is empty before it asked whether the job is in it; the test of a failed owner slept after its last assertion. Behaviour and assertions are as before.

--- a/trefoilhook/runtime/tests/test_owner_failures.py
+++ b/trefoilhook/runtime/tests/test_owner_failures.py
@@ -3,8 +3,6 @@
 import unittest
 from unittest import mock
 
-import trio
-
 from trefoilhook.logs.tests.lines import capture_lines, count_lines, find_line
 from trefoilhook.platform import WorkerClient, decode_job
 from trefoilhook.runtime import keys, shard
@@ -55,7 +53,6 @@
                 for instance in cluster.instances
             )
             self.assertEqual(failed, 2)
-            await trio.sleep(0.1)
 
         with (
             mock.patch.object(shard, "plan_orders", plan_after_failures),
--- a/trefoilhook/scheduling/failures.py
+++ b/trefoilhook/scheduling/failures.py
@@ -56,7 +56,7 @@
 
     def is_set_aside(self, job_id: str, now_ms: float) -> bool:
         """Return whether a job is not planned at present."""
-        if not self._retry_ms or job_id not in self._retry_ms:
+        if job_id not in self._retry_ms:
             return False
         if self._retry_ms[job_id] > now_ms:
             return True
--- a/trefoilhook/scheduling/models.py
+++ b/trefoilhook/scheduling/models.py
@@ -253,13 +253,6 @@
     queues: tuple[Queue, ...]
     services: frozenset[str] = frozenset()
 
-    def find_queue(self, name: str) -> Queue | None:
-        """Return the queue called ``name``."""
-        for queue in self.queues:
-            if queue.name == name:
-                return queue
-        return None
-
     def route(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of ``path`` at ``host``."""
         best: Queue | None = None
