Log in which stage the time of a job went, by queue

Callers of an urgent queue got too little of what they are owed, and no line told which part of an objective of 1.2 s was lost where: the account lumps together what the owner needs to learn of a job, to plan, to send and to record. Now JOB_FINISHED has the time by stage of the critical path, QUEUE_TIMES gives the means by queue every 2 s with the loop's lag and the reasons of waits, and trefoilhook_job_ms_total sums them. What a run takes past its estimate includes the report of its end, for which only the lag is known.

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -171,6 +171,11 @@
         "A job or the paces of a worker could not be planned; others are served.",
     )
     CALL_FAILED = (1625, Level.ERROR, "A call to a worker failed by an exception.")
+    QUEUE_TIMES = (
+        1626,
+        Level.INFO,
+        "Mean time of a queue's jobs by stage, and why they waited.",
+    )
     WORKER_RESERVED = (1630, Level.INFO, "A worker is reserved for a waiting task.")
     RESERVATION_ENDED = (1631, Level.INFO, "A reserved worker is available again.")
     COPY_STARTED = (
--- a/trefoilhook/runtime/commits.py
+++ b/trefoilhook/runtime/commits.py
@@ -22,6 +22,7 @@
     Transaction,
 )
 from trefoilhook.runtime import keys
+from trefoilhook.runtime.jobtimes import describe_stages
 from trefoilhook.runtime.latejobs import describe_size, describe_wait
 from trefoilhook.scheduling import (
     JobChange,
@@ -195,17 +196,28 @@
         confirm_change(self._scheduler, change, revision=revision)
         if change.is_end:
             wait = self._scheduler.overtaking.remove(state.job.job_id)
+            lateness = self._describe_lateness(state)
             log_event(
                 Event.JOB_FINISHED,
                 job=state.job.job_id,
                 queue=state.job.queue,
                 phase=state.phase.value,
                 revision=revision,
-                **self._describe_lateness(state),
+                **lateness,
                 **describe_size(state.job),
                 **(describe_wait(wait) if wait is not None else {}),
+                **self._describe_times(state, is_late=lateness.get("late_ms", 0) > 0),
             )
 
+    def _describe_times(self, state: JobState, *, is_late: bool) -> dict[str, int]:
+        """Return where the time of a completed job went, for the log."""
+        times = self._scheduler.times
+        if state.phase is not JobPhase.COMPLETED:
+            times.forget(state.job.job_id)
+            return {}
+        spent = times.finish(state, now_ms=self._clock.monotonic_ms(), is_late=is_late)
+        return describe_stages(spent.by_stage) if spent is not None else {}
+
     def _describe_lateness(self, state: JobState) -> dict[str, int]:
         """Return a job's latency objective and its lateness, for the log."""
         queue = state.accepted_queue or state.queue
--- a/trefoilhook/runtime/jobfeed.py
+++ b/trefoilhook/runtime/jobfeed.py
@@ -131,6 +131,12 @@
             self._scheduler.discard_job(job_id)
             reason = " ".join(describe_failure(error).values())
             self._hold_back(job_id, item, reason)
+            return
+        self._scheduler.times.begin(
+            self._scheduler.jobs[job_id],
+            now_ms=self._clock.monotonic_ms(),
+            wall_ms=self._clock.wall_ms(),
+        )
 
     def _hold_back(self, job_id: str, item: Item, reason: str) -> None:
         self._rejections.report(
--- a/trefoilhook/runtime/metrics.py
+++ b/trefoilhook/runtime/metrics.py
@@ -60,6 +60,10 @@
         """Count one event."""
         self.counters[name, label] += 1
 
+    def add(self, name: str, label: str, amount: int) -> None:
+        """Increase a counter."""
+        self.counters[name, label] += amount
+
     def observe(self, name: str, duration_ms: float) -> None:
         """Count a duration, in ms."""
         self.histograms.setdefault(name, Histogram()).observe(duration_ms)
--- a/trefoilhook/runtime/orders.py
+++ b/trefoilhook/runtime/orders.py
@@ -131,6 +131,7 @@
             worker=order.worker_id,
             token=order.token,
             resumed=bool(order.checkpoint),
+            **({"lateness": run.lateness} if run is not None and run.lateness else {}),
             **_describe_wait(run),
         )
 
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -23,6 +23,7 @@
 from trefoilhook.runtime.commits import Committer
 from trefoilhook.runtime.copies import log_copies
 from trefoilhook.runtime.jobfeed import JobFeed
+from trefoilhook.runtime.jobtimes import report_times
 from trefoilhook.runtime.lag import LoopLag
 from trefoilhook.runtime.latejobs import log_late_jobs
 from trefoilhook.runtime.loading import ShardContents, load_shard
@@ -347,6 +348,15 @@
         nursery.start_soon(maintenance.log_long_waits)
         nursery.start_soon(maintenance.log_shortfalls)
         nursery.start_soon(maintenance.log_evacuations)
+        nursery.start_soon(
+            functools.partial(
+                report_times,
+                self._scheduler,
+                clock=self._clock,
+                metrics=self._metrics,
+                read_lag_ms=lambda: self._lag.read(self._clock.monotonic_ms()),
+            )
+        )
         if self._settings.advice_address is not None:
             advice = AdviceClient(address=self._settings.advice_address)
             nursery.start_soon(
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -40,6 +40,7 @@
     encode_interference,
 )
 from trefoilhook.scheduling.job_state import JobState, TaskState
+from trefoilhook.scheduling.job_times import JobTimes, QueueTimes, Stage, TimeTracker
 from trefoilhook.scheduling.lease_expiry import release_expired
 from trefoilhook.scheduling.long_waits import LongWait, list_long_waits
 from trefoilhook.scheduling.messages import (
@@ -137,6 +138,7 @@
     "JobRecord",
     "LeaseExpiry",
     "JobState",
+    "JobTimes",
     "PollAnswer",
     "LongWait",
     "LossCause",
@@ -145,6 +147,7 @@
     "PaceOrder",
     "Progress",
     "Queue",
+    "QueueTimes",
     "ReservationChange",
     "Reservations",
     "Run",
@@ -153,11 +156,13 @@
     "SchedulerLimits",
     "Shortfall",
     "ShortfallCounter",
+    "Stage",
     "StartOrder",
     "Step",
     "StopOrder",
     "StopReason",
     "Suspect",
+    "TimeTracker",
     "UnreadableRow",
     "TaskId",
     "TaskState",
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -20,7 +20,7 @@
 from trefoilhook.scheduling.messages import StopReason
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.overcommitment import relieve_overcommitted
-from trefoilhook.scheduling.ranking import StepRank, rank_step
+from trefoilhook.scheduling.ranking import StepRank, get_lateness, rank_step
 from trefoilhook.scheduling.reserving import reserve_workers, update_reservations
 from trefoilhook.scheduling.rounds import (
     AssignmentRound,
@@ -161,14 +161,23 @@
             [each for each in migration_candidates if each.run.is_throttled],
         )
         reserve_for_starved_jobs(assignment_round, ready)
+    started = [state for state in assignment_round.started if state.attempts]
+    _record_lateness(started, wall_ms)
     scheduler.overtaking.record_round(
         ready,
-        [state for state in assignment_round.started if state.attempts],
+        started,
         now_ms=now_ms,
         wall_ms=wall_ms,
     )
 
 
+def _record_lateness(started: Iterable[TaskState], wall_ms: float) -> None:
+    """Record whether the jobs of placed tasks can meet their objectives."""
+    for state in started:
+        if not state.step.long_running:
+            state.attempts[-1].run.lateness = get_lateness(state, wall_ms)
+
+
 def _rank_steps(
     scheduler: Scheduler,
     steps: Iterable[list[TaskState]],
--- a/trefoilhook/scheduling/backlog.py
+++ b/trefoilhook/scheduling/backlog.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from trefoilhook.scheduling.colocation import find_step
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Worker
 from trefoilhook.scheduling.job_state import TaskState
@@ -49,6 +50,12 @@
         Total free capacity of the latter, in thousandths of a core and MB.
     most_cpu, most_mb : int
         Maximum free capacity of one of them.
+    long_running_cpu : int
+        Processors held by long-running tasks on the workers of the service, in
+        thousandths of a core.
+    in_time_cpu : int
+        Largest requirement of the tasks that can still meet their objective, in
+        thousandths of a core.
     restarts : int
         Number of waiting tasks that are long-running and may have run before. None of
         them has an attempt that may still be running. The following fields describe the
@@ -81,6 +88,8 @@
     free_mb: int
     most_cpu: int
     most_mb: int
+    long_running_cpu: int = 0
+    in_time_cpu: int = 0
     restarts: int = 0
     restart_task: str = ""
     restart_wait_ms: int = 0
@@ -130,6 +139,17 @@
             free_mb=sum(memory_mb),
             most_cpu=max(cpu, default=0),
             most_mb=max(memory_mb, default=0),
+            long_running_cpu=sum(
+                _count_long_running_cpu(scheduler, worker) for worker in workers
+            ),
+            in_time_cpu=max(
+                (
+                    task.step.room.cpu
+                    for task in tasks
+                    if not get_lateness(task, wall_ms)
+                ),
+                default=0,
+            ),
         )
         yield _add_restarts(scheduler, backlog, tasks, now_ms)
 
@@ -162,6 +182,14 @@
     return reason.value if reason is not None else ""
 
 
+def _count_long_running_cpu(scheduler: Scheduler, worker: Worker) -> int:
+    return sum(
+        run.room.cpu
+        for run in worker.runs.values()
+        if (step := find_step(scheduler.jobs, run)) is not None and step.long_running
+    )
+
+
 def _count_free_cpu(worker: Worker) -> int:
     return worker.report.capacity.cpu - worker.cpu
 
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -22,6 +22,7 @@
 from trefoilhook.scheduling.holds import TakeoverHolds
 from trefoilhook.scheduling.interference import Interference
 from trefoilhook.scheduling.job_state import JobState, TaskState
+from trefoilhook.scheduling.job_times import TimeTracker
 from trefoilhook.scheduling.messages import EndKind, StopReason
 from trefoilhook.scheduling.models import Configuration, TaskId, WorkerReport
 from trefoilhook.scheduling.overtaking import OvertakingTracker
@@ -132,6 +133,8 @@
         Selects the jobs that are served before others of their queue.
     overtaking : OvertakingTracker
         Waits of jobs, and later jobs that were served before them.
+    times : TimeTracker
+        Where the time of jobs goes, by stage.
     holds : TakeoverHolds
         Tasks held until the tasks started by previous owners are known.
     reservations : Reservations
@@ -206,6 +209,7 @@
         self.waits = WaitTracker()
         self.guarantees = Guarantees()
         self.overtaking = OvertakingTracker()
+        self.times = TimeTracker()
         self.holds = TakeoverHolds()
         self.reservations = Reservations()
         self.entries = EntryFreshness()
@@ -286,6 +290,7 @@
             return
         self._timed.discard(state)
         self.suspects.jobs.discard(state)
+        self.times.forget(job_id)
         self.dirty.discard(state)
         self.waiting.difference_update(state.tasks.values())
 
@@ -331,6 +336,7 @@
             if state.is_stale:
                 del self.jobs[job_id]
                 self.overtaking.remove(job_id)
+                self.times.forget(job_id)
             state.is_stale = True
 
     def _close(self, state: JobState, phase: JobPhase) -> None:
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -113,6 +113,12 @@
     seen_ms : float
         Time of the last poll that listed it, in ms; initially the time of its start
         order.
+    placed_ms : float
+        Time of the round that placed it, in ms.
+    is_retry : bool
+        Whether this owner knows of an earlier attempt of its task.
+    lateness : int
+        Rank of its job at that time: whether it could meet its objective.
     waited_ms : float
         Time for which its task waited for a worker, in ms.
     wait_reason : WaitReason or None
@@ -155,6 +161,9 @@
     order_due_ms: float = 0.0
     stop_reason: StopReason = StopReason.NOT_NEEDED
     seen_ms: float = attrs.field()
+    placed_ms: float = attrs.field()
+    is_retry: bool = False
+    lateness: int = 0
     waited_ms: float = 0.0
     wait_reason: WaitReason | None = None
     slowing_ms: float = 0.0
@@ -171,6 +180,10 @@
     def _default_seen_ms(self) -> float:
         return self.started_ms
 
+    @placed_ms.default
+    def _default_placed_ms(self) -> float:
+        return self.started_ms
+
     @pace_since_ms.default
     def _default_pace_since_ms(self) -> float:
         return self.started_ms
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -113,7 +113,7 @@
     run = worker.runs.get((end.task, end.attempt))
     if run is not None:
         record_duration(scheduler, run, end.kind, now_ms)
-        scheduler.finish_run(worker, run, end.kind, end.checkpoint)
+        _finish_listed_run(scheduler, worker, run, end, now_ms)
     elif state is not None:
         # An attempt of a previous owner, or one that counted as expired.
         task = state.find_task(end.task)
@@ -126,6 +126,20 @@
     worker.record_end(end.number, scheduler.track_save(end.task.job_id))
 
 
+def _finish_listed_run(
+    scheduler: Scheduler, worker: Worker, run: Run, end: AttemptEnd, now_ms: float
+) -> None:
+    """Finish a run with a listed end; attribute its step's time if it was the last."""
+    state = scheduler.jobs.get(run.task.job_id)
+    task = state.find_task(run.task) if state is not None else None
+    is_open = task is not None and not task.done
+    scheduler.finish_run(worker, run, end.kind, end.checkpoint)
+    if state is None or task is None or not (is_open and task.done):
+        return
+    if state.is_step_done(run.task.occurrence, run.task.step):
+        scheduler.times.record_step_end(task, run, now_ms)
+
+
 def _update_faults(
     scheduler: Scheduler, worker: Worker, end: AttemptEnd, now_ms: float
 ) -> None:
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -363,6 +363,7 @@
         initial_pace=initial_pace,
         pace=initial_pace,
         throttled_since_ms=assignment_round.now_ms,
+        is_retry=state.last_attempt > 0,
         deadline_ms=extend_lease(
             assignment_round.scheduler, worker, assignment_round.now_ms
         ),
