--- /dev/null
+++ b/trefoilhook/scheduling/tests/test_urgent_headroom.py
@@ -0,0 +1,150 @@
+"""Tests of urgent jobs on a fleet that services could fill completely."""
+
+import random
+import unittest
+
+import attrs
+
+from trefoilhook.scheduling import (
+    Configuration,
+    Demand,
+    EndKind,
+    JobPhase,
+    OrderOutcome,
+    StartOrder,
+    Step,
+)
+from trefoilhook.scheduling.tests.cases import QUEUE, Shard, build_job
+
+_WORKERS = 30
+_CORES = 32_000
+_STEP_MS = 50.0
+_DURATION_MS = 30_000.0
+_SEEDS = range(4)
+
+_URGENT_MS = 640.0
+_URGENT_INTERVAL_MS = 700.0
+"""Mean time between two urgent jobs, which use a twentieth of the processors."""
+
+_SERVICE = Step(
+    count=24,
+    demand=Demand(cpu=6400, memory_mb=10),
+    long_running=True,
+    image="s",
+    max_per_worker=2,
+)
+_SERVICE_INTERVAL_MS = 1500.0
+_SERVICE_LIFE_MS = 25_000.0
+"""Services ask for four times the processors."""
+
+_MIN_IN_TIME = 0.5
+"""Share of urgent jobs that users expect in time on their worst days."""
+
+
+class _Fleet:
+    """A shard on which services arrive and leave and urgent jobs arrive steadily."""
+
+    def __init__(self, *, seed: int) -> None:
+        self.random = random.Random(seed)
+        self.shard = Shard(workers=_WORKERS, cpu=_CORES)
+        self.shard.scheduler.configuration = Configuration(version=1, queues=(QUEUE,))
+        for worker in self.shard.scheduler.workers.values():
+            worker.report = attrs.evolve(
+                worker.report, capacity=Demand(cpu=_CORES, memory_mb=125_000)
+            )
+        self.ends_ms: dict = {}
+        self.service_ends_ms: dict[str, float] = {}
+        self.urgent: dict[str, float] = {}
+        self.in_time: set[str] = set()
+
+    def run(self) -> float:
+        """Return the share of urgent jobs that met their objective."""
+        end_ms = self.shard.now_ms + _DURATION_MS
+        urgent_ms = service_ms = self.shard.now_ms
+        while self.shard.now_ms < end_ms:
+            now_ms = self.shard.now_ms
+            while service_ms <= now_ms:
+                self._submit_service()
+                service_ms += _SERVICE_INTERVAL_MS
+            while urgent_ms <= now_ms:
+                self._submit_urgent()
+                urgent_ms += self.random.expovariate(1.0 / _URGENT_INTERVAL_MS)
+            self._end_services()
+            self._execute(self.shard.plan())
+            self.shard.advance_time(_STEP_MS)
+            self._end_tasks()
+            self.shard.poll_all()
+            self._note_completed()
+        judged = [job_id for job_id, due_ms in self.urgent.items() if due_ms <= end_ms]
+        return sum(job_id in self.in_time for job_id in judged) / len(judged)
+
+    def _submit_service(self) -> None:
+        job_id = f"s{len(self.service_ends_ms):03}"
+        cpu = round(min(10_000, self.random.lognormvariate(8.73, 0.25)))
+        demand = attrs.evolve(_SERVICE.demand, cpu=cpu)
+        self.shard.submit(
+            build_job(
+                attrs.evolve(_SERVICE, demand=demand),
+                job_id=job_id,
+                accepted_ms=self.shard.now_ms,
+            )
+        )
+        life_ms = self.random.expovariate(1.0 / _SERVICE_LIFE_MS)
+        self.service_ends_ms[job_id] = self.shard.now_ms + life_ms
+
+    def _submit_urgent(self) -> None:
+        job_id = f"u{len(self.urgent):03}"
+        cpu = round(min(19_000, self.random.lognormvariate(8.66, 0.45)))
+        width = min(20, max(1, round(self.random.lognormvariate(1.6, 0.7))))
+        step = Step(
+            count=width,
+            demand=Demand(cpu=cpu, memory_mb=10),
+            estimate_ms=_URGENT_MS,
+        )
+        job = build_job(step, job_id=job_id, accepted_ms=self.shard.now_ms)
+        self.urgent[job_id] = self.shard.now_ms + QUEUE.compute_objective(job)
+        self.shard.submit(job)
+
+    def _end_services(self) -> None:
+        for job_id, end_ms in self.service_ends_ms.items():
+            if end_ms <= self.shard.now_ms:
+                self.shard.scheduler.cancel_job(job_id, revision=2)
+
+    def _execute(self, orders) -> None:
+        for order in orders:
+            worker = self.shard.workers[order.worker_id]
+            key = (order.task, order.attempt)
+            if isinstance(order, StartOrder):
+                worker.run(order)
+                if order.task.job_id in self.urgent:
+                    self.ends_ms[key] = self.shard.now_ms + _URGENT_MS
+            elif key in worker.running:
+                worker.end(*key, EndKind.STOPPED)
+            self.shard.answer(order, OrderOutcome.DONE)
+
+    def _end_tasks(self) -> None:
+        for worker in self.shard.workers.values():
+            for key in list(worker.running):
+                if self.ends_ms.get(key, float("inf")) <= self.shard.now_ms:
+                    worker.end(*key, EndKind.DONE)
+
+    def _note_completed(self) -> None:
+        for job_id, due_ms in self.urgent.items():
+            state = self.shard.scheduler.jobs[job_id]
+            if state.phase is JobPhase.COMPLETED and self.shard.now_ms <= due_ms:
+                self.in_time.add(job_id)
+
+
+class UrgentHeadroomTest(unittest.TestCase):
+    """Urgent jobs beside services of the same priority that ask for too much."""
+
+    def test_services_leave_capacity_to_urgent_jobs(self):
+        # Guards against urgent jobs that miss their objectives because services take
+        # every part of a full fleet that is free between two of them.
+        for seed in _SEEDS:
+            with self.subTest(seed=seed):
+                self.assertGreaterEqual(_Fleet(seed=seed).run(), _MIN_IN_TIME)
+
+
+if __name__ == "__main__":
+    unittest.main()
