Leave capacity to urgent tasks when new service tasks are placed

Rank decides only among tasks that wait at the same time: between two urgent jobs a service task took what was free and kept it for a minute.

New service tasks now leave the recent maximum of what urgent tasks held and waited for, counted in parts of an urgent task's mean size, a fifth of the service's processors at most. A task that could have been placed for 2 s without interruption is placed, as users expect within 3 s; displaced service tasks don't wait.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -15,6 +15,7 @@
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.group_assignment import assign_in_groups
+from trefoilhook.scheduling.headroom import record_urgent_demand
 from trefoilhook.scheduling.isolation import is_strongly_suspected
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.messages import StopReason
@@ -125,6 +126,7 @@
         steps.setdefault(group, []).append(state)
     ready = _rank_steps(scheduler, steps.values(), now_ms=now_ms, wall_ms=wall_ms)
     update_reservations(scheduler, now_ms)
+    record_urgent_demand(scheduler, ready, now_ms=now_ms, wall_ms=wall_ms)
     colocations = ColocationCache(
         jobs=scheduler.jobs,
         interference=scheduler.interference,
@@ -140,12 +142,10 @@
         assign_in_groups(assignment_round, ready)
         return
     if with_fillers:
-        scheduler.waits.retain(waiting | {group[0] for group in steps})
-        rated_workers = min(len(scheduler.workers), MAX_CANDIDATES)
-        interval_ms = max(
-            _FILLER_INTERVAL_MS, _FILLER_INTERVAL_PER_WORKER_MS * rated_workers
-        )
-        scheduler.fillers_due_ms = now_ms + interval_ms
+        known = waiting | {group[0] for group in steps}
+        scheduler.waits.retain(known)
+        scheduler.service_holds.retain(known)
+        scheduler.fillers_due_ms = now_ms + _compute_filler_interval(scheduler)
         migration_candidates = _list_migration_candidates(assignment_round)
         _migrate(
             assignment_round,
@@ -171,6 +171,12 @@
     )
 
 
+def _compute_filler_interval(scheduler: Scheduler) -> float:
+    """Return the minimum time until the next round that places fillers, in ms."""
+    rated_workers = min(len(scheduler.workers), MAX_CANDIDATES)
+    return max(_FILLER_INTERVAL_MS, _FILLER_INTERVAL_PER_WORKER_MS * rated_workers)
+
+
 def _record_lateness(started: Iterable[TaskState], wall_ms: float) -> None:
     """Record whether the jobs of placed tasks can meet their objectives."""
     for state in started:
@@ -243,12 +249,15 @@
     """Assign the waiting tasks of a step, or of a part of it."""
     waits = assignment_round.scheduler.waits
     step = name_step(tasks[0].task)
+    if assignment_round.headroom.is_limited(step):
+        return
     if step in infeasible_steps.services or assignment_round.is_known_infeasible(
         tasks[0]
     ):
         waits.record(
             step, assignment_round.explain_wait(tasks[0]), assignment_round.now_ms
         )
+        assignment_round.scheduler.service_holds.end(step)
         reserve_workers(assignment_round, tasks)
         return
     if not assignment_round.isolation.may_start(tasks[0], assignment_round.now_ms):
@@ -267,6 +276,10 @@
         infeasible = _assign(assignment_round, tasks)
     if infeasible is None:
         return
+    if assignment_round.headroom.is_limited(step):
+        # Says nothing about tasks that the limit does not concern.
+        waits.record(step, WaitReason.URGENT_DEMAND, assignment_round.now_ms)
+        return
     waits.record(step, assignment_round.explain_wait(tasks[0]), assignment_round.now_ms)
     infeasible_steps.fillers += tasks[0].step.filler
     if tasks[0].step.long_running:
@@ -338,11 +351,17 @@
 def _assign(assignment_round: AssignmentRound, tasks: list[TaskState]) -> Demand | None:
     """Assign tasks of one step; return the demand that proved infeasible, if any."""
     candidates: Candidates | None = None
+    limit = assignment_round.headroom.find_limit(
+        tasks[0], assignment_round.list_open(tasks[0])
+    )
+    if limit is not None and assignment_round.headroom.is_known_limited(tasks[0]):
+        assignment_round.headroom.record_limited(tasks[0])
+        return tasks[0].step.demand
     for state in tasks:
         if candidates is None or state.failed_on:
             # Failed tasks rate the workers on which they failed differently.
             candidates = assignment_round.rate(
-                state, assignment_round.list_feasible(state)
+                state, assignment_round.list_feasible(state), limit=limit
             )
         worker = candidates.pop_best()
         if worker is None and not state.step.filler:
@@ -350,7 +369,11 @@
             candidates = _rate_remaining(assignment_round, state, candidates)
             worker = candidates.pop_best()
         if worker is None:
+            if candidates.was_limited:
+                assignment_round.headroom.record_limited(state)
             return _find_infeasible_demand(state, candidates)
+        if limit is not None:
+            limit.take(worker, state.step.room)
         reserve_capacity(
             assignment_round,
             state,
@@ -373,7 +396,7 @@
     workers = assignment_round.list_open(state)
     if len(workers) <= MAX_CANDIDATES:
         return candidates
-    return assignment_round.rate(state, workers)
+    return assignment_round.rate(state, workers, limit=candidates.limit)
 
 
 def _find_infeasible_demand(state: TaskState, candidates: Candidates) -> Demand:
--- a/trefoilhook/scheduling/candidates.py
+++ b/trefoilhook/scheduling/candidates.py
@@ -12,6 +12,7 @@
 
 from trefoilhook.scheduling.colocation import ColocationCache
 from trefoilhook.scheduling.fleet import Worker
+from trefoilhook.scheduling.headroom import PartLimit
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.placing import can_host, score_worker
 
@@ -28,6 +29,8 @@
         One of the tasks; all are identical.
     colocations : ColocationCache
         Tasks that share each worker.
+    limit : PartLimit, optional
+        Limit on the capacity that the tasks may take.
 
     Attributes
     ----------
@@ -35,11 +38,15 @@
         Whether a worker was rejected for its capacity, its label, or other tasks of the
         step. If not, a task with the same processor demand and lower demands otherwise
         finds no more workers than this one.
+    was_limited : bool
+        Whether a worker with the capacity was rejected because of the limit.
     """
 
     task: TaskState
     colocations: ColocationCache
+    limit: PartLimit | None = None
     lacked_capacity: bool = attrs.field(default=False, init=False)
+    was_limited: bool = attrs.field(default=False, init=False)
     _heap: list[tuple[float, int, Worker]] = attrs.Factory(list)
     _added: int = 0
 
@@ -48,6 +55,9 @@
         if not can_host(worker, self.task):
             self.lacked_capacity = True
             return
+        if not self._is_admitted(worker):
+            self.was_limited = True
+            return
         score = score_worker(worker, self.task, self.colocations)
         if score is not None:
             self._added += 1
@@ -59,6 +69,10 @@
         found: Worker | None = None
         while self._heap and found is None:
             entry = heapq.heappop(self._heap)
+            if not self._is_admitted(entry[2]):
+                # Tasks placed since it was added have used up the limit.
+                self.was_limited = True
+                continue
             if entry[2] is exclude:
                 excluded.append(entry)
             else:
@@ -66,3 +80,6 @@
         for entry in excluded:
             heapq.heappush(self._heap, entry)
         return found
+
+    def _is_admitted(self, worker: Worker) -> bool:
+        return self.limit is None or self.limit.admits(worker, self.task.step.room)
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -29,8 +29,10 @@
 from trefoilhook.scheduling.queues import KnownQueues
 from trefoilhook.scheduling.records import JobPhase, JobRecord, Progress
 from trefoilhook.scheduling.reservations import Reservations
+from trefoilhook.scheduling.service_holds import ServiceHolds
 from trefoilhook.scheduling.suspects import SuspectTracker
 from trefoilhook.scheduling.tickets import TicketCache
+from trefoilhook.scheduling.urgent_demand import UrgentDemands
 from trefoilhook.scheduling.waits import WaitTracker
 from trefoilhook.takeover import PlaceLedger, Predecessors, WorkerGroups
 
@@ -139,6 +141,10 @@
         Tasks held until the tasks started by previous owners are known.
     reservations : Reservations
         Workers reserved for waiting tasks.
+    urgent_demands : UrgentDemands
+        Recent use of workers by urgent tasks.
+    service_holds : ServiceHolds
+        Service steps that are held for the capacity that urgent tasks need.
     entries : EntryFreshness
         Freshness of the worker entries read from the store.
     suspects : SuspectTracker
@@ -212,6 +218,8 @@
         self.times = TimeTracker()
         self.holds = TakeoverHolds()
         self.reservations = Reservations()
+        self.urgent_demands = UrgentDemands()
+        self.service_holds = ServiceHolds()
         self.entries = EntryFreshness()
         self.suspects = SuspectTracker(mark_dirty=self._mark_dirty)
         self.random = random.Random(epoch)
--- a/trefoilhook/scheduling/features.py
+++ b/trefoilhook/scheduling/features.py
@@ -21,6 +21,8 @@
         Spread the tasks of a service over workers.
     durations : bool
         Learn how long tasks take in relation to their estimates.
+    headroom : bool
+        Leave capacity to urgent tasks when new service tasks are placed.
     copies : bool
         Start copies of speculative tasks that take unusually long.
     rejection : bool
@@ -31,5 +33,6 @@
     probing: bool = True
     arrangement: bool = True
     durations: bool = True
+    headroom: bool = True
     copies: bool = True
     rejection: bool = True
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -113,6 +113,8 @@
     seen_ms : float
         Time of the last poll that listed it, in ms; initially the time of its start
         order.
+    urgent_priority : int or None
+        Priority of its job if it is an urgent task: it ends and is not a filler.
     placed_ms : float
         Time of the round that placed it, in ms.
     is_retry : bool
@@ -161,6 +163,7 @@
     order_due_ms: float = 0.0
     stop_reason: StopReason = StopReason.NOT_NEEDED
     seen_ms: float = attrs.field()
+    urgent_priority: int | None = None
     placed_ms: float = attrs.field()
     is_retry: bool = False
     lateness: int = 0
@@ -323,6 +326,8 @@
         Set while it is reserved for a waiting task.
     step_runs : Counter of StepName
         Number of runs by step.
+    urgent_cpu : Counter of int
+        Thousandths of a core held by urgent tasks, by priority.
     """
 
     report: WorkerReport
@@ -365,6 +370,9 @@
     step_runs: collections.Counter[StepName] = attrs.field(
         factory=collections.Counter, init=False
     )
+    urgent_cpu: collections.Counter[int] = attrs.field(
+        factory=collections.Counter, init=False
+    )
 
     @born_ms.default
     def _default_born_ms(self) -> int | None:
@@ -460,6 +468,8 @@
         self.step_runs[name_step(run.task)] += 1
         if run.phase is not RunPhase.RUNNING:
             self.pending_runs[run] = None
+        if run.urgent_priority is not None:
+            self.urgent_cpu[run.urgent_priority] += run.room.cpu
         self.cpu += run.room.cpu
         self.memory_mb += run.room.memory_mb
         self.gpus += run.room.gpus
@@ -476,6 +486,8 @@
         self.step_runs[step] -= 1
         if not self.step_runs[step]:
             del self.step_runs[step]
+        if run.urgent_priority is not None:
+            self.urgent_cpu[run.urgent_priority] -= run.room.cpu
         self.cpu -= run.room.cpu
         self.memory_mb -= run.room.memory_mb
         self.gpus -= run.room.gpus
--- /dev/null
+++ b/trefoilhook/scheduling/headroom.py
@@ -0,0 +1,205 @@
+"""Capacity that new service tasks leave to urgent tasks of the same workers.
+
+Rank decides only among tasks that wait at the same time. On a full fleet a service task
+would take each part that is free between two urgent jobs and keep it for its whole
+life, until urgent tasks find no room at all. New service tasks therefore leave as much
+free as urgent tasks of at least their priority have lately used at a time, counted in
+parts that are large enough for one of them.
+
+Capacity that stays free all the same is not kept for long: a service task that could
+have been placed throughout the last two seconds is placed.
+"""
+
+import math
+from collections.abc import Iterable
+
+import attrs
+
+from trefoilhook.scheduling.core import Scheduler
+from trefoilhook.scheduling.fleet import Worker
+from trefoilhook.scheduling.job_state import TaskState
+from trefoilhook.scheduling.models import Demand
+from trefoilhook.scheduling.placing import can_host
+from trefoilhook.scheduling.ranking import TOO_LATE, get_lateness
+from trefoilhook.scheduling.tickets import StepName, name_step
+from trefoilhook.scheduling.urgent_demand import is_urgent
+
+__all__ = ["RoundHeadroom", "PartLimit", "record_urgent_demand"]
+
+_MAX_SHARE = 0.2
+"""Maximum fraction of a service's processors that is kept free for urgent tasks."""
+
+_MAX_HOLD_MS = 2000.0
+"""Time for which a service task is not placed although there is capacity for it, in ms.
+Users expect a task with sufficient capacity to be started within 3 s."""
+
+
+def record_urgent_demand(
+    scheduler: Scheduler,
+    steps: Iterable[list[TaskState]],
+    *,
+    now_ms: float,
+    wall_ms: float,
+) -> None:
+    """Record what urgent tasks hold and wait for, by service and priority.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        Scheduler of the shard.
+    steps : iterable of list of TaskState
+        Waiting tasks by step.
+    now_ms, wall_ms : float
+        Current time, in ms.
+    """
+    demands = scheduler.urgent_demands
+    waiting: dict[tuple[str, int], int] = {}
+    for tasks in steps:
+        state = tasks[0]
+        queue = state.job.queue
+        if queue is None or not is_urgent(state.step):
+            continue
+        if get_lateness(state, wall_ms) == TOO_LATE:
+            continue
+        key = (queue.service, state.job.priority)
+        waiting[key] = waiting.get(key, 0) + len(tasks) * state.step.room.cpu
+        if state.waiting_since_ms == now_ms:
+            demands.record_size(*key, state.step.room)
+    demands.record_use(scheduler.workers.values(), waiting, now_ms)
+
+
+@attrs.define(kw_only=True)
+class RoundHeadroom:
+    """Capacity that new service tasks may take in one round.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        Scheduler of the shard.
+    now_ms : float
+        Current time, in ms.
+    """
+
+    scheduler: Scheduler
+    now_ms: float
+    _limited: dict[StepName, None] = attrs.field(factory=dict, init=False)
+    _limited_rooms: dict[tuple[str, int], list[Demand]] = attrs.field(
+        factory=dict, init=False
+    )
+    _spare: dict[tuple[str, int], "PartLimit | None"] = attrs.field(
+        factory=dict, init=False
+    )
+
+    def find_limit(self, task: TaskState, workers: list[Worker]) -> "PartLimit | None":
+        """Return the limit for a waiting service task, or None if there is none.
+
+        Parameters
+        ----------
+        task : TaskState
+            The waiting task.
+        workers : list of Worker
+            Workers that accept new tasks of its queue.
+        """
+        queue = task.job.queue
+        if (
+            queue is None
+            or queue.advice is not None
+            or task.step.gang
+            or task.may_have_run
+            or not task.step.long_running
+            or not self.scheduler.features.headroom
+        ):
+            return None
+        key = _get_key(task)
+        if key not in self._spare:
+            self._spare[key] = self._measure(key, workers)
+        spare = self._spare[key]
+        if spare is None or self._has_been_held(task, workers):
+            return None
+        return spare
+
+    def is_known_limited(self, task: TaskState) -> bool:
+        """Return whether a task with at most its requirements was limited before."""
+        room = task.step.room
+        return any(
+            other.cpu <= room.cpu and other.memory_mb <= room.memory_mb
+            for other in self._limited_rooms.get(_get_key(task), ())
+        )
+
+    def record_limited(self, task: TaskState) -> None:
+        """Record that a task is not placed because of its limit."""
+        self._limited[name_step(task.task)] = None
+        self._limited_rooms.setdefault(_get_key(task), []).append(task.step.room)
+
+    def is_limited(self, step: StepName) -> bool:
+        """Return whether a task of a step was not placed because of its limit."""
+        return step in self._limited
+
+    def _measure(
+        self, key: tuple[str, int], workers: list[Worker]
+    ) -> "PartLimit | None":
+        capacity_cpu = sum(worker.report.capacity.cpu for worker in workers)
+        missing_cpu, part = self.scheduler.urgent_demands.compute_missing(
+            *key, workers=workers, limit_cpu=_MAX_SHARE * capacity_cpu
+        )
+        if missing_cpu <= 0.0 or part.cpu <= 0:
+            return None
+        parts = sum(_count_parts(worker, part) for worker in workers)
+        return PartLimit(part=part, parts=parts - math.ceil(missing_cpu / part.cpu))
+
+    def _has_been_held(self, task: TaskState, workers: list[Worker]) -> bool:
+        """Return whether a task could have been placed for longer than is allowed."""
+        holds = self.scheduler.service_holds
+        step = name_step(task.task)
+        if not any(can_host(worker, task) for worker in workers):
+            holds.end(step)
+            return False
+        return holds.extend(step, self.now_ms) >= _MAX_HOLD_MS
+
+
+def _get_key(task: TaskState) -> tuple[str, int]:
+    queue = task.job.queue
+    return queue.service if queue is not None else "", task.job.priority
+
+
+@attrs.define(kw_only=True)
+class PartLimit:
+    """Parts that new service tasks may take.
+
+    Parameters
+    ----------
+    part : Demand
+        Size of a part: the mean requirements of an urgent task.
+    parts : int
+        Number of parts beyond those that urgent tasks need; may be negative.
+    """
+
+    part: Demand
+    parts: int
+
+    def admits(self, worker: Worker, room: Demand) -> bool:
+        """Return whether a task that needs ``room`` may be placed on a worker."""
+        cost = self.measure_cost(worker, room)
+        return not cost or cost <= self.parts
+
+    def take(self, worker: Worker, room: Demand) -> None:
+        """Record that a task that needs ``room`` is about to be placed on a worker."""
+        self.parts -= self.measure_cost(worker, room)
+
+    def measure_cost(self, worker: Worker, room: Demand) -> int:
+        """Return by how many parts a task would reduce the free capacity."""
+        return _count_parts(worker, self.part) - _count_parts(
+            worker, self.part, less=room
+        )
+
+
+def _count_parts(worker: Worker, part: Demand, *, less: Demand | None = None) -> int:
+    """Return how many tasks that need ``part`` fit into a worker's free capacity."""
+    capacity = worker.report.capacity
+    cpu = capacity.cpu - worker.cpu - (less.cpu if less is not None else 0)
+    parts = max(0, cpu) // part.cpu
+    if not part.memory_mb:
+        return parts
+    memory_mb = capacity.memory_mb - worker.memory_mb
+    memory_mb -= less.memory_mb if less is not None else 0
+    return min(parts, max(0, memory_mb) // part.memory_mb)
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -16,6 +16,7 @@
     identifies_all_attempts,
     record_unreadable,
 )
+from trefoilhook.scheduling.urgent_demand import is_urgent
 
 __all__ = ["has_fillers_beside_services", "apply_poll_answer"]
 
@@ -238,6 +239,11 @@
         attempt=running.attempt,
         room=task.step.room if task is not None else Demand(),
         borrowed_cpu=task.step.borrowed_cpu if task is not None else 0,
+        urgent_priority=(
+            state.priority
+            if state is not None and task is not None and is_urgent(task.step)
+            else None
+        ),
         phase=RunPhase.RUNNING,
         started_ms=now_ms - (_estimate_age(task.step, running) if task else 0.0),
         confirmed_ms=now_ms,
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -9,12 +9,14 @@
 from trefoilhook.scheduling.colocation import FULL_PACE, ColocationCache
 from trefoilhook.scheduling.core import ATTEMPTS_PER_EPOCH, Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
+from trefoilhook.scheduling.headroom import PartLimit, RoundHeadroom
 from trefoilhook.scheduling.isolation import Isolation
 from trefoilhook.scheduling.job_state import Attempt, JobState, TaskState
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.placing import compute_max_filler_cpu, list_open_workers
 from trefoilhook.scheduling.sampling import MAX_CANDIDATES, sample_workers
 from trefoilhook.scheduling.tickets import name_step
+from trefoilhook.scheduling.urgent_demand import is_urgent
 from trefoilhook.scheduling.waits import FreeRoom, WaitReason
 
 __all__ = ["AssignmentRound", "extend_lease", "next_attempt_number", "reserve_capacity"]
@@ -34,6 +36,8 @@
         Current time, in ms.
     isolation : Isolation
         Isolated runs and the workers reserved for them.
+    headroom : RoundHeadroom
+        Capacity that new service tasks leave to urgent tasks.
     reservation_searches : int
         Number of searches for workers to reserve in this round.
     started : list of TaskState
@@ -44,6 +48,7 @@
     colocations: ColocationCache
     now_ms: float
     isolation: Isolation = attrs.field()
+    headroom: RoundHeadroom = attrs.field()
     reservation_searches: int = 0
     started: list[TaskState] = attrs.Factory(list)
     _open: dict[str, list[Worker]] = attrs.Factory(dict)
@@ -60,6 +65,10 @@
     def _collect_isolation(self) -> Isolation:
         return Isolation.collect(self.scheduler)
 
+    @headroom.default
+    def _build_headroom(self) -> RoundHeadroom:
+        return RoundHeadroom(scheduler=self.scheduler, now_ms=self.now_ms)
+
     def list_open(self, state: TaskState) -> list[Worker]:
         """Return the workers that accept new tasks of a task's queue."""
         queue = state.job.queue
@@ -218,9 +227,15 @@
             if worker in workers:
                 workers.remove(worker)
 
-    def rate(self, state: TaskState, workers: Iterable[Worker]) -> Candidates:
+    def rate(
+        self,
+        state: TaskState,
+        workers: Iterable[Worker],
+        *,
+        limit: PartLimit | None = None,
+    ) -> Candidates:
         """Return candidate workers for the step of a task."""
-        candidates = Candidates(task=state, colocations=self.colocations)
+        candidates = Candidates(task=state, colocations=self.colocations, limit=limit)
         for worker in workers:
             candidates.add_worker(worker)
         return candidates
@@ -364,6 +379,7 @@
         pace=initial_pace,
         throttled_since_ms=assignment_round.now_ms,
         is_retry=state.last_attempt > 0,
+        urgent_priority=state.job.priority if is_urgent(state.step) else None,
         deadline_ms=extend_lease(
             assignment_round.scheduler, worker, assignment_round.now_ms
         ),
--- a/trefoilhook/scheduling/waits.py
+++ b/trefoilhook/scheduling/waits.py
@@ -34,6 +34,9 @@
     RESERVED = "reserved"
     """It would fit on a worker that is reserved for another step."""
 
+    URGENT_DEMAND = "kept for urgent"
+    """It is a service task, and the capacity is left to urgent tasks."""
+
     INTERFERENCE = "not borne"
     """It is a filler, and service tasks on the workers would not tolerate it."""
 
