Hand the recent demand of urgent tasks to the next owner

The capacity to leave was learned anew by each owner, and during a backlog. The new test failed before: the next owner started the service.

--- a/trefoilhook/runtime/keys.py
+++ b/trefoilhook/runtime/keys.py
@@ -16,6 +16,7 @@
     "progress_key",
     "progress_prefix",
     "queues_key",
+    "urgent_demands_key",
     "read_job_id",
     "roster_key",
     "waiting_key",
@@ -76,6 +77,11 @@
     return f"shard/{shard}/durations"
 
 
+def urgent_demands_key(shard: int) -> str:
+    """Return the key of the recent demands of urgent tasks."""
+    return f"shard/{shard}/demands"
+
+
 def queues_key(shard: int) -> str:
     """Return the key of the known queues."""
     return f"shard/{shard}/queues"
--- a/trefoilhook/runtime/snapshots.py
+++ b/trefoilhook/runtime/snapshots.py
@@ -50,6 +50,7 @@
         _build_interference(scheduler),
         _build_durations(scheduler),
         _build_queues(scheduler),
+        _build_urgent_demands(scheduler),
     )
 
 
@@ -84,3 +85,12 @@
         encode=scheduler.queues.encode,
         restore=lambda data: scheduler.queues.add_earlier(decode_queues(data)),
     )
+
+
+def _build_urgent_demands(scheduler: Scheduler) -> Snapshot:
+    return Snapshot(
+        key=keys.urgent_demands_key(keys.SHARD),
+        get_version=lambda: scheduler.urgent_demands.version,
+        encode=scheduler.urgent_demands.encode,
+        restore=scheduler.urgent_demands.restore,
+    )
--- a/trefoilhook/scheduling/tests/test_urgent_headroom.py
+++ b/trefoilhook/scheduling/tests/test_urgent_headroom.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from trefoilhook.exceptions import DecodeError
 from trefoilhook.scheduling import (
     Configuration,
     Demand,
@@ -15,6 +16,8 @@
     StartOrder,
     Step,
     acknowledge,
+    decode_progress,
+    encode_progress,
 )
 from trefoilhook.scheduling.tests.cases import (
     QUEUE,
@@ -226,6 +229,41 @@
         self.shard.scheduler.jobs["z"].started = True
         self.assertLessEqual(self.measure_wait(), 100.0)
 
+    def take_over(self) -> Shard:
+        """Return a shard under the next owner, with what the first has stored."""
+        scheduler = self.shard.scheduler
+        later = Shard(workers=1, cpu=4000, epoch=2)
+        later.now_ms = self.shard.now_ms
+        later.poll_all()
+        later.scheduler.urgent_demands.restore(scheduler.urgent_demands.encode())
+        for state in scheduler.jobs.values():
+            if state.is_open:
+                data = encode_progress(state.progress)
+                later.submit(state.job, is_new=False, progress=decode_progress(data))
+        return later
+
+    def test_next_owner_knows_the_demand_of_urgent_tasks(self):
+        # Guards against services that fill the fleet after each takeover.
+        self.run_urgent("a")
+        self.shard = self.take_over()
+        self.submit_service()
+        self.shard.step()
+        self.assertEqual(self.shard.count_running("z"), 0)
+
+    def test_invalid_demands_are_rejected(self):
+        # Guards against an owner that is ended by what another writer has stored.
+        demands = self.shard.scheduler.urgent_demands
+        for rows in (
+            "{}",
+            '{"demands": [{}]}',
+            '{"demands": [{"service": "s", "priority": 0, "peak_cpu": -1,'
+            ' "mean_cpu": 1, "mean_mb": 1}]}',
+            '{"demands": [{"service": "s", "priority": 0, "peak_cpu": 1,'
+            ' "mean_cpu": 0, "mean_mb": 1}]}',
+        ):
+            with self.subTest(rows), self.assertRaises(DecodeError):
+                demands.restore(rows.encode())
+
     def test_operator_can_disable_the_wait(self):
         # Guards against a decision that cannot be switched off in an incident.
         self.shard.scheduler.features = Features(headroom=False)
--- a/trefoilhook/scheduling/urgent_demand.py
+++ b/trefoilhook/scheduling/urgent_demand.py
@@ -4,15 +4,25 @@
 service tasks.
 """
 
+import json
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Mapping
 
 import attrs
 
+from trefoilhook.decoding import (
+    check_object,
+    parse_object,
+    read_integer,
+    read_list,
+    read_number,
+    read_string,
+)
+from trefoilhook.exceptions import DecodeError
 from trefoilhook.scheduling.fleet import Worker
 from trefoilhook.scheduling.models import Demand, Step
 
-__all__ = ["UrgentDemands", "is_urgent"]
+__all__ = ["UrgentDemands", "decode_urgent_demands", "is_urgent"]
 
 _WINDOW_MS = 8000.0
 """Length of a window of which the maximum is kept, in ms. The maximum of the last one
@@ -25,6 +35,12 @@
 """Weight of one step's requirements in the moving averages, which cover some 50 steps.
 """
 
+_MAX_DEMANDS = 1000
+"""Maximum number of decoded demands, one for each service and priority."""
+
+_MAX_CPU = 1e12
+"""Maximum decoded demand, in thousandths of a core."""
+
 
 def is_urgent(step: Step) -> bool:
     """Return whether the tasks of a step end, and hold counted processors."""
@@ -51,8 +67,15 @@
 
 @attrs.define(kw_only=True)
 class UrgentDemands:
-    """Demands of urgent tasks by service and priority."""
+    """Demands of urgent tasks by service and priority.
+
+    Parameters
+    ----------
+    version : int
+        Number of changes of a maximum.
+    """
 
+    version: int = 0
     _demands: dict[tuple[str, int], _Demand] = attrs.field(
         factory=lambda: defaultdict(_Demand), init=False
     )
@@ -86,6 +109,7 @@
         self._sampled_ms = now_ms
         if now_ms - self._window_ms >= _WINDOW_MS:
             self._window_ms = now_ms
+            self.version += 1
             for demand in self._demands.values():
                 demand.earlier_peak_cpu, demand.peak_cpu = demand.peak_cpu, 0
         use = Counter(waiting)
@@ -94,7 +118,9 @@
                 use[worker.report.service, priority] += cpu
         for key, cpu in use.items():
             demand = self._demands[key]
-            demand.peak_cpu = max(demand.peak_cpu, cpu)
+            if cpu > demand.peak_cpu:
+                demand.peak_cpu = cpu
+                self.version += 1
 
     def compute_missing(
         self,
@@ -141,3 +167,53 @@
         largest = max(demands, key=lambda each: each.mean_cpu)
         part = Demand(cpu=round(largest.mean_cpu), memory_mb=round(largest.mean_mb))
         return min(float(peak_cpu), limit_cpu) - held_cpu, part
+
+    def encode(self) -> bytes:
+        """Encode the demands for the next owner."""
+        rows = [
+            {
+                "service": service,
+                "priority": priority,
+                "peak_cpu": max(demand.peak_cpu, demand.earlier_peak_cpu),
+                "mean_cpu": round(demand.mean_cpu),
+                "mean_mb": round(demand.mean_mb),
+            }
+            for (service, priority), demand in self._demands.items()
+            if demand.mean_cpu
+        ]
+        return json.dumps({"demands": rows}, separators=(",", ":")).encode()
+
+    def restore(self, data: bytes) -> None:
+        """Replace the demands by those of the previous owner.
+
+        Raises
+        ------
+        DecodeError
+            If the data is invalid.
+        """
+        demands = decode_urgent_demands(data)
+        self._demands.clear()
+        self._demands.update(demands)
+
+
+def decode_urgent_demands(data: bytes) -> dict[tuple[str, int], _Demand]:
+    """Decode the output of `UrgentDemands.encode`.
+
+    Raises
+    ------
+    DecodeError
+        If the data is invalid.
+    """
+    rows = read_list(parse_object(data), "demands")
+    if len(rows) > _MAX_DEMANDS:
+        raise DecodeError("demands: too many rows")
+    demands: dict[tuple[str, int], _Demand] = {}
+    for row in rows:
+        table = check_object(row, "demand")
+        key = (read_string(table, "service"), read_integer(table, "priority"))
+        demands[key] = _Demand(
+            peak_cpu=round(read_number(table, "peak_cpu", maximum=_MAX_CPU)),
+            mean_cpu=read_number(table, "mean_cpu", minimum=1.0, maximum=_MAX_CPU),
+            mean_mb=read_number(table, "mean_mb", maximum=_MAX_CPU),
+        )
+    return demands
