Tell service tasks that were never placed from displaced ones after a takeover

The progress of a job now has the indices of its placed service tasks, written when one is placed first, so that the others yield as before the takeover. Without that record, as after an earlier build, all count as displaced. Only ranks, reservations and logs use it. The new test failed before: both tasks of a job with one placed counted as having run.

--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -566,8 +566,21 @@
 
     def mark_started(self, state: JobState) -> None:
         """Record that the first task of a job is started."""
+        state.started = True
         self._mark_dirty(state)
 
+    def record_placement(self, task: TaskState) -> None:
+        """Record what the next owner has to know of a placed task."""
+        state = task.job
+        if task.step.long_running:
+            step = (task.task.occurrence, task.task.step)
+            placed = state.progress.placed.setdefault(step, set())
+            if task.task.index not in placed:
+                placed.add(task.task.index)
+                self._mark_dirty(state)
+        if not state.started:
+            self.mark_started(state)
+
     def _mark_dirty(self, state: JobState) -> None:
         self.last_change += 1
         state.version = self.last_change
--- a/trefoilhook/scheduling/job_state.py
+++ b/trefoilhook/scheduling/job_state.py
@@ -72,10 +72,15 @@
     def may_have_run(self) -> bool:
         """Whether an attempt of this owner or a previous one may have been started.
 
-        A new owner does not know which tasks of a started job have run, so all of them
-        count as having run.
+        Of a job that a previous owner has started, the service tasks that it has placed
+        count as having run. If it has not recorded them, all tasks do.
         """
-        return self.last_attempt > 0 or (self.job.started and not self.job.is_new)
+        if self.last_attempt > 0:
+            return True
+        if not self.job.started or self.job.is_new:
+            return False
+        placed = self.job.progress.placed.get((self.task.occurrence, self.task.step))
+        return placed is None or self.task.index in placed
 
     @property
     def unit(self) -> Unit:
--- a/trefoilhook/scheduling/records.py
+++ b/trefoilhook/scheduling/records.py
@@ -97,12 +97,16 @@
         Checkpoints from which stopped tasks resume, by occurrence, step and index.
     suspicions : dict of Unit to Suspicion
         Evidence that tasks crash the workers that start them.
+    placed : dict of (int, int) to set of int
+        Indices of the service tasks that were ever placed, by occurrence and step. Only
+        their rank depends on it. Builds that do not record it write none.
     """
 
     done: dict[tuple[int, int], set[int]] = attrs.Factory(dict)
     failed: dict[tuple[int, int, int], set[int]] = attrs.Factory(dict)
     checkpoints: dict[tuple[int, int, int], str] = attrs.Factory(dict)
     suspicions: dict[Unit, Suspicion] = attrs.Factory(dict)
+    placed: dict[tuple[int, int], set[int]] = attrs.Factory(dict)
 
 
 def _omit_defaults(value: Any) -> dict[str, Any]:
@@ -237,6 +241,8 @@
     suspicions = _select_suspicions(progress.suspicions)
     if suspicions:
         value["suspicions"] = suspicions
+    if progress.placed:
+        value["placed"] = {_join(k): sorted(row) for k, row in progress.placed.items()}
     return json.dumps(value, separators=(",", ":")).encode()
 
 
@@ -295,4 +301,8 @@
         for key, value in read_object(table, "suspicions").items():
             occurrence, step, index = _split(key, 3)
             progress.suspicions[occurrence, step, index] = _decode_suspicion(value)
+    if "placed" in table:
+        for key, row in read_object(table, "placed").items():
+            occurrence, step = _split(key, 2)
+            progress.placed[occurrence, step] = _decode_numbers(row)
     return progress
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -400,9 +400,7 @@
     assignment_round.scheduler.waiting.discard(state)
     assignment_round.started.append(state)
     assignment_round.scheduler.copies.watch(state)
-    if not state.job.started:
-        state.job.started = True
-        assignment_round.scheduler.mark_started(state.job)
+    assignment_round.scheduler.record_placement(state)
     colocation.add_task(
         state.step,
         base=assignment_round.colocations.interference.get_trough(state.step.image),
--- a/trefoilhook/scheduling/tests/test_urgent_headroom.py
+++ b/trefoilhook/scheduling/tests/test_urgent_headroom.py
@@ -13,6 +13,7 @@
     Features,
     JobPhase,
     OrderOutcome,
+    Progress,
     StartOrder,
     Step,
     acknowledge,
@@ -250,6 +251,26 @@
         self.shard.step()
         self.assertEqual(self.shard.count_running("z"), 0)
 
+    def test_service_task_that_never_ran_is_no_displaced_one(self):
+        # Guards against service tasks that take the capacity of urgent ones after a
+        # takeover, because another task of their job had been started before it.
+        step = Step(count=2, demand=Demand(cpu=3000, memory_mb=10), long_running=True)
+        self.shard.submit(build_job(step, job_id="z"))
+        (order,) = list_starts(self.shard.step())
+        later = self.take_over()
+        tasks = later.scheduler.jobs["z"].tasks.values()
+        self.assertEqual(
+            {task.task.index: task.may_have_run for task in tasks},
+            {order.task.index: True, 1 - order.task.index: False},
+        )
+
+    def test_unrecorded_service_tasks_count_as_displaced(self):
+        # Guards against a displaced task that yields since an earlier build started it.
+        step = Step(count=2, demand=Demand(cpu=3000, memory_mb=10), long_running=True)
+        self.shard.submit(build_job(step), is_new=False, progress=Progress())
+        tasks = self.shard.scheduler.jobs["j"].tasks.values()
+        self.assertTrue(all(task.may_have_run for task in tasks))
+
     def test_invalid_demands_are_rejected(self):
         # Guards against an owner that is ended by what another writer has stored.
         demands = self.shard.scheduler.urgent_demands
