Send urgent starts before the orders for fillers

Starts of fillers come by the hundred and held all slots for concurrent starts in the order of arrival, pace orders had no limit, and a plan for fillers blocked the event loop before the urgent starts of the same plan were sent.

--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -30,6 +30,7 @@
 from trefoilhook.runtime.losses import log_lease_expiry, log_loss
 from trefoilhook.runtime.maintenance import Maintenance
 from trefoilhook.runtime.metrics import ProcessMetrics
+from trefoilhook.runtime.order_slots import OrderSlots
 from trefoilhook.runtime.orders import execute_order
 from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Ownership
 from trefoilhook.runtime.places import PlaceWriter
@@ -56,7 +57,9 @@
     StartOrder,
     Worker,
     WorkerReport,
+    are_fillers_due,
     find_longest_wait,
+    has_unsent_starts,
     list_restarts,
     measure_wait,
     plan_orders,
@@ -78,11 +81,9 @@
 _MAX_PLAN_INTERVAL_MS = 100.0
 """Maximum time between two plans, in ms. Each plan repeats unanswered orders."""
 
-_MAX_STARTS_IN_FLIGHT = 64
-"""Maximum number of concurrent start orders. Sending hundreds at once blocks a small
-owner for longer than the timeout of the first orders and of concurrent polls. Sending
-64 takes about 0.1 s; with answers after 2 ms, the limit doesn't bound the start
-rate."""
+_FILLER_PLAN_DELAY_MS = 20.0
+"""Delay of a plan with fillers while starts wait to be sent, in ms. Recording a place
+takes 6 ms, and sending an order 2 ms."""
 
 _MAX_IDLE_CONNECTIONS = 1024
 """Maximum number of idle connections to workers. Together with the permanent polls of
@@ -262,7 +263,7 @@
         # Captures no reference to this owner, which the gauge would keep alive after
         # the end of its ownership.
         metrics.gauges["loop_lag_ms"] = lambda: lag.read(clock.monotonic_ms())
-        self._start_limiter = trio.CapacityLimiter(_MAX_STARTS_IN_FLIGHT)
+        self._order_slots = OrderSlots()
         self._place_writer: PlaceWriter | None = None
         self._unnamed_services = 0
         self._wake = trio.Event()
@@ -524,12 +525,26 @@
             await self._wait_for_batch()
             self._wake = trio.Event()
             began_ms = self._clock.monotonic_ms()
-            self._plan_once(nursery, worker_feed)
-            now_ms = self._clock.monotonic_ms()
-            # Planning blocks the event loop, which no timer measures.
-            self._lag.note(now_ms - began_ms, now_ms)
+            with_fillers = are_fillers_due(self._scheduler, began_ms)
+            self._plan_once(nursery, worker_feed, with_fillers=False)
+            self._note_planning(began_ms)
+            if not with_fillers:
+                continue
+            # A plan with fillers takes several times as long.
+            if has_unsent_starts(self._scheduler):
+                await self._clock.sleep_ms(_FILLER_PLAN_DELAY_MS)
+            began_ms = self._clock.monotonic_ms()
+            self._plan_once(nursery, worker_feed, with_fillers=True)
+            self._note_planning(began_ms)
 
-    def _plan_once(self, nursery: trio.Nursery, worker_feed: WorkerFeed) -> None:
+    def _note_planning(self, began_ms: float) -> None:
+        """Record how long a plan blocked the event loop, which no timer measures."""
+        now_ms = self._clock.monotonic_ms()
+        self._lag.note(now_ms - began_ms, now_ms)
+
+    def _plan_once(
+        self, nursery: trio.Nursery, worker_feed: WorkerFeed, *, with_fillers: bool
+    ) -> None:
         now_ms = self._clock.monotonic_ms()
         if now_ms >= self._ownership.valid_until_ms:
             # The lease may have expired while the machine was suspended. Another owner
@@ -564,6 +579,7 @@
             settled=self._settlement.is_settled,
             now_ms=now_ms,
             wall_ms=self._clock.wall_ms(),
+            with_fillers=with_fillers,
         )
         log_plan_failures(
             scheduler.failures, self._metrics, epoch=self._ownership.epoch
@@ -592,10 +608,7 @@
         self._scheduler.suspects.losses.clear()
 
     async def _execute_order(self, order: Order) -> None:
-        slot: contextlib.AbstractAsyncContextManager[None] = contextlib.nullcontext()
-        if isinstance(order, StartOrder):
-            slot = self._start_limiter
-        async with slot:
+        async with self._order_slots.hold(order):
             outcome = await execute_order(
                 order,
                 self._clients.get(order.worker_id),
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -73,7 +73,9 @@
 )
 from trefoilhook.scheduling.outcomes import apply_start_outcome, apply_stop_outcome
 from trefoilhook.scheduling.planning import (
+    are_fillers_due,
     confirm_start,
+    has_unsent_starts,
     is_settled,
     list_awaited,
     plan_orders,
@@ -110,6 +112,7 @@
 
 __all__ = [
     "account_for_workers",
+    "are_fillers_due",
     "list_unreleased",
     "plan_pending_orders",
     "SLOWEST_CLOCK",
@@ -202,6 +205,7 @@
     "release_expired",
     "resolve_incarnation",
     "has_fillers_beside_services",
+    "has_unsent_starts",
     "apply_poll_answer",
     "apply_report",
     "apply_start_outcome",
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -93,10 +93,14 @@
 
 
 def assign_waiting(
-    scheduler: Scheduler, *, settled: bool, now_ms: float, wall_ms: float
+    scheduler: Scheduler,
+    *,
+    settled: bool,
+    now_ms: float,
+    wall_ms: float,
+    with_fillers: bool,
 ) -> None:
     """Reserve capacity for waiting tasks; their start orders become due."""
-    with_fillers = now_ms >= scheduler.fillers_due_ms
     waiting: set[StepName] = set()
     steps: dict[tuple[StepName, int, int], list[TaskState]] = {}
     scheduler.holds.retain(scheduler.waiting)
--- a/trefoilhook/scheduling/messages.py
+++ b/trefoilhook/scheduling/messages.py
@@ -292,7 +292,10 @@
 
 @attrs.frozen(kw_only=True)
 class StartOrder:
-    """Order to start an attempt unless the worker's clock is past ``deadline_ms``."""
+    """Order to start an attempt unless the worker's clock is past ``deadline_ms``.
+
+    ``is_filler`` is not sent: it decides how soon the order is.
+    """
 
     worker_id: str
     task: TaskId
@@ -302,6 +305,7 @@
     token: int
     checkpoint: str = ""
     ticket: str = ""
+    is_filler: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -25,7 +25,9 @@
 from trefoilhook.scheduling.watchdog import stop_stalled_and_draining
 
 __all__ = [
+    "are_fillers_due",
     "confirm_start",
+    "has_unsent_starts",
     "is_settled",
     "list_awaited",
     "plan_orders",
@@ -67,7 +69,12 @@
 
 
 def plan_orders(
-    scheduler: Scheduler, *, settled: bool, now_ms: float, wall_ms: float
+    scheduler: Scheduler,
+    *,
+    settled: bool,
+    now_ms: float,
+    wall_ms: float,
+    with_fillers: bool = True,
 ) -> list[Order]:
     """Return the orders to send now.
 
@@ -79,6 +86,8 @@
         Whether the outcome of all tasks started by previous owners is known.
     now_ms, wall_ms : float
         Current time, in ms.
+    with_fillers : bool, optional
+        Whether fillers may be placed, if they are due.
     """
     scheduler.open_due_steps(wall_ms)
     scheduler.suspects.crash_rate.update(len(scheduler.workers), now_ms)
@@ -91,7 +100,13 @@
         resolve_recorded(scheduler, now_ms, is_final=is_final)
     withdraw_unrecorded(scheduler, now_ms)
     if _has_fresh_state(scheduler, now_ms):
-        assign_waiting(scheduler, settled=settled, now_ms=now_ms, wall_ms=wall_ms)
+        assign_waiting(
+            scheduler,
+            settled=settled,
+            now_ms=now_ms,
+            wall_ms=wall_ms,
+            with_fillers=with_fillers and are_fillers_due(scheduler, now_ms),
+        )
     orders = plan_pending_orders(scheduler, now_ms)
     for worker in scheduler.workers.values():
         if worker.has_changed:
@@ -104,6 +119,20 @@
     return orders
 
 
+def are_fillers_due(scheduler: Scheduler, now_ms: float) -> bool:
+    """Return whether the next plan may place fillers."""
+    return now_ms >= scheduler.fillers_due_ms
+
+
+def has_unsent_starts(scheduler: Scheduler) -> bool:
+    """Return whether a start, other than of a filler, has never been sent."""
+    return any(
+        run.phase is RunPhase.STARTING and not (run.may_have_run or run.borrowed_cpu)
+        for worker in scheduler.workers.values()
+        for run in worker.pending_runs
+    )
+
+
 def plan_pending_orders(scheduler: Scheduler, now_ms: float) -> list[Order]:
     """Return the due orders to start and stop runs that are already assigned."""
     orders: list[Order] = []
@@ -206,11 +235,13 @@
             token=scheduler.epoch,
             reason=run.stop_reason,
         )
+    job = scheduler.jobs[run.task.job_id].job
     return StartOrder(
         worker_id=worker.report.worker_id,
         task=run.task,
         attempt=run.attempt,
-        spec=scheduler.jobs[run.task.job_id].job.spec,
+        spec=job.spec,
+        is_filler=job.steps[run.task.step].filler,
         deadline_ms=run.deadline_ms,
         token=scheduler.epoch,
         checkpoint=run.checkpoint_used,
