Grant slots for starts to urgent ones first instead of limiting fillers

A smaller number of slots bounds the start rate of fillers on a small owner, which nobody gains from.

A slot that becomes free now goes to an urgent start first, and 8 of the 64 are never for fillers, whose workers may leave them unanswered until the timeout.

--- a/trefoilhook/runtime/order_slots.py
+++ b/trefoilhook/runtime/order_slots.py
@@ -1,11 +1,12 @@
 """Limits on the orders that an owner sends at the same time.
 
 Sending hundreds of orders at once blocks a small owner for longer than the timeout of
-the first of them and of concurrent polls. An order for a filler is one of hundreds, and
-a filler runs for seconds: the starts of urgent tasks, whose objective is less than a
-second longer than their run time, must not queue behind them.
+the first of them and of concurrent polls. Most of them start fillers, which run for
+seconds: the starts of urgent tasks, whose objective is less than a second longer than
+their run time, must not queue behind them.
 """
 
+import collections
 import contextlib
 from collections.abc import AsyncIterator
 
@@ -19,35 +20,67 @@
 """Maximum number of concurrent start orders. Sending 64 takes about 0.1 s on a small
 instance; with answers after 2 ms, the limit doesn't bound the start rate."""
 
-_MAX_FILLER_STARTS = 40
-"""Maximum number of these that are for fillers. The others are free for urgent starts
-at once; a smaller number would bound the start rate of a small owner."""
+_MIN_URGENT = 8
+"""Number of these that are never for fillers, whose workers may leave them unanswered
+until the timeout."""
 
 _MAX_PACES = 64
 """Maximum number of concurrent orders to change a pace."""
 
 
-class OrderSlots:
-    """Slots that orders hold while they are sent."""
+class _StartSlots:
+    """Slots of start orders; one that is released goes to an urgent start first."""
 
     def __init__(self) -> None:
-        self._starts = trio.CapacityLimiter(_MAX_STARTS)
-        self._filler_starts = trio.CapacityLimiter(_MAX_FILLER_STARTS)
-        self._paces = trio.CapacityLimiter(_MAX_PACES)
+        self._free = _MAX_STARTS
+        self._urgent: collections.deque[trio.Event] = collections.deque()
+        self._fillers: collections.deque[trio.Event] = collections.deque()
 
     @contextlib.asynccontextmanager
-    async def hold(self, order: Order) -> AsyncIterator[None]:
-        """Wait until an order may be sent, and hold its slots during the context."""
-        async with contextlib.AsyncExitStack() as held:
-            for limiter in self._list_limiters(order):
-                await held.enter_async_context(limiter)
+    async def hold(self, *, is_filler: bool) -> AsyncIterator[None]:
+        """Wait for a slot, and hold it during the context."""
+        await self._acquire(self._fillers if is_filler else self._urgent)
+        try:
             yield
+        finally:
+            self._release()
+
+    async def _acquire(self, waiting: collections.deque[trio.Event]) -> None:
+        is_granted = trio.Event()
+        waiting.append(is_granted)
+        self._grant()
+        try:
+            await is_granted.wait()
+        except BaseException:
+            if is_granted.is_set():
+                self._release()
+            else:
+                waiting.remove(is_granted)
+            raise
+
+    def _release(self) -> None:
+        self._free += 1
+        self._grant()
+
+    def _grant(self) -> None:
+        """Grant the free slots to the orders that wait."""
+        for waiting, reserved in ((self._urgent, 0), (self._fillers, _MIN_URGENT)):
+            while waiting and self._free > reserved:
+                self._free -= 1
+                waiting.popleft().set()
+
+
+class OrderSlots:
+    """Slots that orders hold while they are sent."""
+
+    def __init__(self) -> None:
+        self._starts = _StartSlots()
+        self._paces = trio.CapacityLimiter(_MAX_PACES)
 
-    def _list_limiters(self, order: Order) -> list[trio.CapacityLimiter]:
+    def hold(self, order: Order) -> contextlib.AbstractAsyncContextManager[object]:
+        """Return a context that waits until an order may be sent."""
+        if isinstance(order, StartOrder):
+            return self._starts.hold(is_filler=order.is_filler)
         if isinstance(order, PaceOrder):
-            return [self._paces]
-        if not isinstance(order, StartOrder):
-            return []
-        if order.is_filler:
-            return [self._filler_starts, self._starts]
-        return [self._starts]
+            return self._paces
+        return contextlib.nullcontext()
