--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -355,9 +355,11 @@
 def _assign(assignment_round: AssignmentRound, tasks: list[TaskState]) -> Demand | None:
     """Assign tasks of one step; return the demand that proved infeasible, if any."""
     candidates: Candidates | None = None
-    limit = assignment_round.headroom.find_limit(
-        tasks[0], assignment_round.list_open(tasks[0])
-    )
+    limit = None
+    if assignment_round.headroom.concerns(tasks[0]):
+        limit = assignment_round.headroom.find_limit(
+            tasks[0], assignment_round.list_open(tasks[0])
+        )
     if limit is not None and assignment_round.headroom.is_known_limited(tasks[0]):
         assignment_round.headroom.record_limited(tasks[0])
         return tasks[0].step.demand
--- a/trefoilhook/scheduling/headroom.py
+++ b/trefoilhook/scheduling/headroom.py
@@ -83,15 +83,27 @@
     scheduler: Scheduler
     now_ms: float
     _limited: dict[StepName, None] = attrs.field(factory=dict, init=False)
-    _limited_rooms: dict[tuple[str, int], list[Demand]] = attrs.field(
+    _limited_rooms: dict[tuple[str, int, str], list[Demand]] = attrs.field(
         factory=dict, init=False
     )
     _spare: dict[tuple[str, int], "PartLimit | None"] = attrs.field(
         factory=dict, init=False
     )
 
+    def concerns(self, task: TaskState) -> bool:
+        """Return whether there may be a limit for a waiting task."""
+        queue = task.job.queue
+        return (
+            task.step.long_running
+            and not task.step.gang
+            and self.scheduler.features.headroom
+            and queue is not None
+            and queue.advice is None
+            and not task.may_have_run
+        )
+
     def find_limit(self, task: TaskState, workers: list[Worker]) -> "PartLimit | None":
-        """Return the limit for a waiting service task, or None if there is none.
+        """Return the limit for a new service task, or None if there is none.
 
         Parameters
         ----------
@@ -100,16 +112,6 @@
         workers : list of Worker
             Workers that accept new tasks of its queue.
         """
-        queue = task.job.queue
-        if (
-            queue is None
-            or queue.advice is not None
-            or task.step.gang
-            or task.may_have_run
-            or not task.step.long_running
-            or not self.scheduler.features.headroom
-        ):
-            return None
         key = _get_key(task)
         if key not in self._spare:
             self._spare[key] = self._measure(key, workers)
@@ -123,13 +125,14 @@
         room = task.step.room
         return any(
             other.cpu <= room.cpu and other.memory_mb <= room.memory_mb
-            for other in self._limited_rooms.get(_get_key(task), ())
+            for other in self._limited_rooms.get(_get_label_key(task), ())
         )
 
     def record_limited(self, task: TaskState) -> None:
         """Record that a task is not placed because of its limit."""
         self._limited[name_step(task.task)] = None
-        self._limited_rooms.setdefault(_get_key(task), []).append(task.step.room)
+        rooms = self._limited_rooms.setdefault(_get_label_key(task), [])
+        rooms.append(task.step.room)
 
     def is_limited(self, step: StepName) -> bool:
         """Return whether a task of a step was not placed because of its limit."""
@@ -162,6 +165,10 @@
     return queue.service if queue is not None else "", task.job.priority
 
 
+def _get_label_key(task: TaskState) -> tuple[str, int, str]:
+    return *_get_key(task), task.step.required_label
+
+
 @attrs.define(kw_only=True)
 class PartLimit:
     """Parts that new service tasks may take.
