--- a/trefoilhook/scheduling/service_holds.py
+++ b/trefoilhook/scheduling/service_holds.py
@@ -15,11 +15,6 @@
 
     _since_ms: dict[StepName, float] = attrs.field(factory=dict, init=False)
 
-    @property
-    def count(self) -> int:
-        """Number of steps that are held."""
-        return len(self._since_ms)
-
     def extend(self, step: StepName, now_ms: float) -> float:
         """Record that a step could be placed now.
 
