--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -101,6 +101,10 @@
         self._nursery.start_soon(self.store.expire_leases)
         self.store.write("op/config", build_configuration(1))
 
+    async def start_service(self, run: Callable[..., Awaitable[None]]) -> None:
+        """Run a service for the rest of the test, and wait until it has started."""
+        await self._nursery.start(run)
+
     async def start_worker(
         self,
         worker_id: str,
--- a/trefoilhook/standins/cut.py
+++ b/trefoilhook/standins/cut.py
@@ -1,6 +1,7 @@
 """A TCP proxy that injects network faults."""
 
 import enum
+import math
 import socket
 import struct
 
@@ -13,6 +14,10 @@
 
 _MAX_QUEUED_CHUNKS = 256
 
+_CHUNK_BYTES = 8192
+"""Maximum size of the pieces in which data is forwarded. Connections that share a slow
+link take turns after each piece."""
+
 _LINGER_ZERO = struct.pack("ii", 1, 0)
 """Value of SO_LINGER with which closing a socket sends a reset."""
 
@@ -42,10 +47,14 @@
         One-way delay, in ms; the order of data is preserved.
     partition : Partition, optional
         Partition in effect.
+    answer_bytes_per_s : float, optional
+        Rate of the link that all connections share for data from the target, in bytes
+        per second.
     """
 
     delay_ms: float = 0.0
     partition: Partition = Partition.NONE
+    answer_bytes_per_s: float = math.inf
 
 
 @attrs.define(kw_only=True, eq=False)
@@ -106,8 +115,10 @@
         self._settings = CutSettings()
         self._changed = trio.Event()
         self._listen_scope = trio.CancelScope()
+        self._link = trio.Lock()
         self.port = port
         self.accepted_connections = 0
+        self.answered_bytes = 0
         self.dropped_bytes = 0
 
     @property
@@ -226,12 +237,22 @@
             )
             async with sender:
                 try:
-                    async for chunk in source:
+                    while chunk := await source.receive_some(_CHUNK_BYTES):
+                        if blocking_partition is Partition.ANSWERS_LOST:
+                            await self._pass_link(len(chunk))
                         due_ms = self._clock.monotonic_ms() + self._settings.delay_ms
                         await sender.send((due_ms, bytes(chunk)))
                 except (trio.BrokenResourceError, trio.ClosedResourceError):
                     pass
 
+    async def _pass_link(self, size: int) -> None:
+        """Wait while the link is in use, and then for the transfer of ``size`` bytes."""
+        self.answered_bytes += size
+        rate = self._settings.answer_bytes_per_s
+        if math.isfinite(rate):
+            async with self._link:
+                await self._clock.sleep_ms(1000.0 * size / rate)
+
     async def _deliver(
         self,
         receiver: trio.MemoryReceiveChannel[tuple[float, bytes]],
