Log how many bytes of a lost answer the store had sent

STORE_DOWN now has the bytes received, and STORE_ANSWER_LONG names each answer that took over half a second. No decision changes.

--- a/trefoilhook/http/client.py
+++ b/trefoilhook/http/client.py
@@ -7,6 +7,7 @@
 import math
 import ssl
 from collections import deque
+from collections.abc import Callable
 
 import attrs
 import h11
@@ -20,7 +21,9 @@
 from trefoilhook.http.core import HttpRequest, HttpResponse
 from trefoilhook.http.idle import IdleLimit
 
-__all__ = ["Connection", "HttpClient"]
+__all__ = ["Connection", "HttpClient", "NoteReceived"]
+
+NoteReceived = Callable[[int], None]
 
 _READ_BYTES = 65_536
 _MS_PER_S = 1000.0
@@ -36,6 +39,10 @@
     socket: trio.socket.SocketType
 
 
+def _ignore_received(count: int) -> None:
+    """Do nothing."""
+
+
 def _is_stale(connection: Connection) -> bool:
     """Tell whether an idle connection has been closed by the peer.
 
@@ -107,7 +114,11 @@
         self._idle: deque[Connection] = deque()
 
     async def send(
-        self, request: HttpRequest, *, timeout_ms: float = math.inf
+        self,
+        request: HttpRequest,
+        *,
+        timeout_ms: float = math.inf,
+        note_received: NoteReceived | None = None,
     ) -> HttpResponse:
         """Send a request and return the complete response.
 
@@ -117,6 +128,8 @@
             The request.
         timeout_ms : float, optional
             Time-out of the whole exchange, in ms.
+        note_received : callable, optional
+            Called with the number of bytes of each part of the response received.
 
         Raises
         ------
@@ -130,7 +143,9 @@
             connection = await self._acquire(deadline)
             keep = False
             try:
-                response = await self._exchange(connection, request, deadline)
+                response = await self._exchange(
+                    connection, request, deadline, note_received or _ignore_received
+                )
                 keep = connection.protocol.our_state is h11.DONE
                 keep = keep and connection.protocol.their_state is h11.DONE
                 return response
@@ -191,12 +206,16 @@
             await trio.aclose_forcefully(connection.stream)
 
     async def _exchange(
-        self, connection: Connection, request: HttpRequest, deadline: float
+        self,
+        connection: Connection,
+        request: HttpRequest,
+        deadline: float,
+        note_received: NoteReceived,
     ) -> HttpResponse:
         try:
             with trio.fail_at(deadline):
                 await connection.stream.send_all(self._encode(connection, request))
-                return await self._receive(connection)
+                return await self._receive(connection, note_received)
         except (
             OSError,
             trio.TooSlowError,
@@ -220,7 +239,9 @@
         data += connection.protocol.send(h11.EndOfMessage())
         return data
 
-    async def _receive(self, connection: Connection) -> HttpResponse:
+    async def _receive(
+        self, connection: Connection, note_received: NoteReceived
+    ) -> HttpResponse:
         protocol = connection.protocol
         head: h11.Response | None = None
         chunks: list[bytes] = []
@@ -230,6 +251,7 @@
             if event is h11.NEED_DATA:
                 data = await connection.stream.receive_some(_READ_BYTES)
                 protocol.receive_data(bytes(data))
+                note_received(len(data))
             elif isinstance(event, h11.Response):
                 head = event
             elif isinstance(event, h11.Data):
--- a/trefoilhook/http/json_client.py
+++ b/trefoilhook/http/json_client.py
@@ -6,7 +6,7 @@
 from urllib.parse import urlencode
 
 from trefoilhook.exceptions import AnswerLostError
-from trefoilhook.http.client import Connection, HttpClient
+from trefoilhook.http.client import Connection, HttpClient, NoteReceived
 from trefoilhook.http.core import Headers, HttpRequest, HttpResponse
 from trefoilhook.http.idle import IdleLimit
 
@@ -51,6 +51,7 @@
         query: Mapping[str, str | int | float] | None = None,
         body: Any = None,
         headers: Headers = (),
+        note_received: NoteReceived | None = None,
     ) -> HttpResponse:
         """Send one call and return the response, whatever its status.
 
@@ -68,6 +69,8 @@
             Request body, sent as JSON; None sends no body.
         headers : tuple of (str, str), optional
             Additional headers.
+        note_received : callable, optional
+            Called with the number of bytes of each part of the response received.
 
         Raises
         ------
@@ -83,7 +86,9 @@
             headers = _JSON_HEADERS + headers
         request = HttpRequest(method=method, target=target, headers=headers, body=data)
         try:
-            return await self._http.send(request, timeout_ms=timeout_ms)
+            return await self._http.send(
+                request, timeout_ms=timeout_ms, note_received=note_received
+            )
         except AnswerLostError:
             # All pooled connections may be dead at once, for example after a middlebox
             # dropped their state, and each would time out one call. Closing the idle
--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -67,6 +67,11 @@
         Level.INFO,
         "A first step of work after the store's return is done.",
     )
+    STORE_ANSWER_LONG = (
+        1108,
+        Level.INFO,
+        "An answer of the store took over half a second to receive.",
+    )
 
     # 1200: membership and shards
     LEASE_GRANTED = (1200, Level.INFO, "The instance holds its store lease.")
--- a/trefoilhook/platform/reachability.py
+++ b/trefoilhook/platform/reachability.py
@@ -64,12 +64,26 @@
         Whether the call is idempotent.
     scope : trio.CancelScope
         Scope of the exchange; cancelled when the call is abandoned.
+    received_bytes : int
+        Number of bytes of the answer received so far.
+    begun_ms, received_ms : float or None
+        When its first and its latest part were received, in ms; None before.
     """
 
     sent_ms: float
     wait_ms: float = 0.0
     is_repeatable: bool = False
     scope: trio.CancelScope = attrs.Factory(trio.CancelScope)
+    received_bytes: int = 0
+    begun_ms: float | None = None
+    received_ms: float | None = None
+
+    def note_received(self, count: int, now_ms: float) -> None:
+        """Record that ``count`` bytes of the answer were received."""
+        if self.begun_ms is None:
+            self.begun_ms = now_ms
+        self.received_bytes += count
+        self.received_ms = now_ms
 
     def is_overdue(self, now_ms: float) -> bool:
         """Return whether the answer is overdue."""
--- a/trefoilhook/platform/store.py
+++ b/trefoilhook/platform/store.py
@@ -18,7 +18,7 @@
     StoreUnsentError,
 )
 from trefoilhook.http import HttpResponse, JsonClient
-from trefoilhook.logs import CallFailure, Event, OutageLog
+from trefoilhook.logs import CallFailure, Event, OutageLog, log_event
 from trefoilhook.platform.core import Address
 from trefoilhook.platform.messages import (
     Changes,
@@ -47,6 +47,10 @@
 """Maximum connections for probes, which are separate so that stuck calls don't block
 them."""
 
+_LONG_ANSWER_MS = 500.0
+"""Time to receive an answer from which it is logged, in ms. Changes must be in force
+within seconds, and the answers to other calls share the link."""
+
 _UNAVAILABILITY_FAILURES = frozenset(
     {CallFailure.NOT_SENT, CallFailure.NO_ANSWER, CallFailure.UNAVAILABLE}
 )
@@ -325,6 +329,10 @@
             sent_ms=sent_ms, wait_ms=wait_ms, is_repeatable=is_repeatable
         )
         self._reachability.begin_call(call)
+
+        def note_received(count: int) -> None:
+            call.note_received(count, self._clock.monotonic_ms())
+
         response: HttpResponse | None = None
         try:
             with call.scope:
@@ -334,17 +342,20 @@
                     query=query,
                     body=body,
                     timeout_ms=self._timeout_ms + extra_ms,
+                    note_received=note_received,
                 )
         except NotSentError as error:
             self._fail(name, CallFailure.NOT_SENT, sent_ms, str(error))
             raise StoreUnsentError(str(error)) from error
         except AnswerLostError as error:
-            self._fail(name, CallFailure.NO_ANSWER, sent_ms, str(error))
-            raise StoreUnavailableError(str(error)) from error
+            detail = f"{error}, {call.received_bytes} bytes received"
+            self._fail(name, CallFailure.NO_ANSWER, sent_ms, detail)
+            raise StoreUnavailableError(detail) from error
         finally:
             self._reachability.end_call(call)
         if response is None:
-            self._fail(name, CallFailure.NO_ANSWER, sent_ms, "abandoned")
+            detail = f"abandoned, {call.received_bytes} bytes received"
+            self._fail(name, CallFailure.NO_ANSWER, sent_ms, detail)
             # The repetition must not use another connection that may be dead as well.
             await (client or self._client).close()
             raise StoreAbandonedError("the call was abandoned before it was answered")
@@ -355,6 +366,7 @@
         self.answers += 1
         self._log.record_answer(sent_ms=sent_ms)
         self._reachability.record_answer(sent_ms)
+        _log_long_answer(name, call)
         return response
 
     def _read(
@@ -370,9 +382,7 @@
 
     def _fail(self, name: str, why: CallFailure, sent_ms: float, detail: str) -> None:
         self.failures += 1
-        verb = name.partition("/")[0]
-        call = _CALLS.get(verb, verb)
-        self._log.record_failure(call, why, sent_ms=sent_ms, detail=detail)
+        self._log.record_failure(_name_call(name), why, sent_ms=sent_ms, detail=detail)
         if why in _UNAVAILABILITY_FAILURES:
             self._reachability.record_failure(
                 sent_ms, is_refusal=why is CallFailure.UNAVAILABLE
@@ -381,6 +391,25 @@
             self._reachability.record_answer(sent_ms)
 
 
+def _name_call(name: str) -> str:
+    verb = name.partition("/")[0]
+    return _CALLS.get(verb, verb)
+
+
+def _log_long_answer(name: str, call: PendingCall) -> None:
+    """Log an answer that took long to receive, for its size or for the link."""
+    if call.begun_ms is None or call.received_ms is None:
+        return
+    spent_ms = call.received_ms - call.begun_ms
+    if spent_ms >= _LONG_ANSWER_MS:
+        log_event(
+            Event.STORE_ANSWER_LONG,
+            call=_name_call(name),
+            bytes=call.received_bytes,
+            ms=round(spent_ms),
+        )
+
+
 def _classify_refusal(status: int) -> CallFailure:
     if status == 429:
         return CallFailure.RATE_LIMITED
--- a/trefoilhook/standins/cut.py
+++ b/trefoilhook/standins/cut.py
@@ -246,7 +246,7 @@
                     pass
 
     async def _pass_link(self, size: int) -> None:
-        """Wait while the link is in use, and then for the transfer of ``size`` bytes."""
+        """Wait for the link, and then for the transfer of ``size`` bytes."""
         self.answered_bytes += size
         rate = self._settings.answer_bytes_per_s
         if math.isfinite(rate):
