Go on with a read of the store while its answer is being received

A read had 1 s for its whole answer, a watch 2 s; it was abandoned after 0.6 s if a later call was answered, and repeated beside itself after 0.4 s. Each repetition began anew and shared the link with the others. An instance that started beside such a configuration was never ready.

Now the timeout counts from the last part of the answer that was received, for 10 s at most; a call that receives is not overdue, not abandoned and not sent a second time, and late probes beside it don't make the store count as away. An answer that breaks off is given up 1 s after its last part, as a silent store.

--- a/trefoilhook/http/client.py
+++ b/trefoilhook/http/client.py
@@ -25,6 +25,10 @@
 
 NoteReceived = Callable[[int], None]
 
+_MAX_RECEIVE_MS = 10_000.0
+"""Maximum time to receive a response that keeps coming, in ms. A response of the
+maximum size takes 7 s at 10 Mbit/s."""
+
 _READ_BYTES = 65_536
 _MS_PER_S = 1000.0
 _PEEK = trio.socket.MSG_PEEK
@@ -118,6 +122,7 @@
         request: HttpRequest,
         *,
         timeout_ms: float = math.inf,
+        pause_ms: float = 0.0,
         note_received: NoteReceived | None = None,
     ) -> HttpResponse:
         """Send a request and return the complete response.
@@ -127,7 +132,12 @@
         request : HttpRequest
             The request.
         timeout_ms : float, optional
-            Time-out of the whole exchange, in ms.
+            Time-out of the exchange, in ms.
+        pause_ms : float, optional
+            Time-out between two parts of the response, in ms. If given, the exchange
+            goes on beyond ``timeout_ms`` while the response is being received, for 10 s
+            at most. A large response would otherwise never be received over a slow
+            link.
         note_received : callable, optional
             Called with the number of bytes of each part of the response received.
 
@@ -143,9 +153,11 @@
             connection = await self._acquire(deadline)
             keep = False
             try:
-                response = await self._exchange(
-                    connection, request, deadline, note_received or _ignore_received
+                receipt = _Receipt(
+                    pause_s=pause_ms / _MS_PER_S,
+                    note_received=note_received or _ignore_received,
                 )
+                response = await self._exchange(connection, request, deadline, receipt)
                 keep = connection.protocol.our_state is h11.DONE
                 keep = keep and connection.protocol.their_state is h11.DONE
                 return response
@@ -210,12 +222,12 @@
         connection: Connection,
         request: HttpRequest,
         deadline: float,
-        note_received: NoteReceived,
+        receipt: "_Receipt",
     ) -> HttpResponse:
         try:
-            with trio.fail_at(deadline):
+            with trio.fail_at(deadline) as receipt.scope:
                 await connection.stream.send_all(self._encode(connection, request))
-                return await self._receive(connection, note_received)
+                return await self._receive(connection, receipt)
         except (
             OSError,
             trio.TooSlowError,
@@ -240,7 +252,7 @@
         return data
 
     async def _receive(
-        self, connection: Connection, note_received: NoteReceived
+        self, connection: Connection, receipt: "_Receipt"
     ) -> HttpResponse:
         protocol = connection.protocol
         head: h11.Response | None = None
@@ -251,7 +263,7 @@
             if event is h11.NEED_DATA:
                 data = await connection.stream.receive_some(_READ_BYTES)
                 protocol.receive_data(bytes(data))
-                note_received(len(data))
+                receipt.note(len(data))
             elif isinstance(event, h11.Response):
                 head = event
             elif isinstance(event, h11.Data):
@@ -277,6 +289,37 @@
                 )
 
 
+@attrs.define(kw_only=True, eq=False)
+class _Receipt:
+    """Receipt of one response, which extends the deadline of its exchange.
+
+    Parameters
+    ----------
+    pause_s : float
+        Time-out between two parts, in s; 0 does not extend the deadline.
+    note_received : callable
+        Called with the number of bytes of each part.
+    scope : trio.CancelScope
+        Scope of the exchange.
+    """
+
+    pause_s: float
+    note_received: NoteReceived
+    scope: trio.CancelScope = attrs.Factory(trio.CancelScope)
+    _until_s: float | None = attrs.field(default=None, init=False)
+
+    def note(self, count: int) -> None:
+        """Record that ``count`` bytes were received."""
+        self.note_received(count)
+        if not self.pause_s or not count:
+            return
+        now_s = trio.current_time()
+        if self._until_s is None:
+            self._until_s = now_s + _MAX_RECEIVE_MS / _MS_PER_S
+        extended_s = min(now_s + self.pause_s, self._until_s)
+        self.scope.deadline = max(self.scope.deadline, extended_s)
+
+
 class _Turn:
     """Context manager that holds one of the client's connection slots."""
 
--- a/trefoilhook/http/json_client.py
+++ b/trefoilhook/http/json_client.py
@@ -51,6 +51,7 @@
         query: Mapping[str, str | int | float] | None = None,
         body: Any = None,
         headers: Headers = (),
+        pause_ms: float = 0.0,
         note_received: NoteReceived | None = None,
     ) -> HttpResponse:
         """Send one call and return the response, whatever its status.
@@ -62,13 +63,16 @@
         path : str
             Path, without the query.
         timeout_ms : float
-            Time-out of the whole exchange, in ms.
+            Time-out of the exchange, in ms.
         query : mapping, optional
             Query parameters.
         body : object, optional
             Request body, sent as JSON; None sends no body.
         headers : tuple of (str, str), optional
             Additional headers.
+        pause_ms : float, optional
+            Time-out between two parts of the response, in ms, if it may take longer
+            than ``timeout_ms``.
         note_received : callable, optional
             Called with the number of bytes of each part of the response received.
 
@@ -87,7 +91,10 @@
         request = HttpRequest(method=method, target=target, headers=headers, body=data)
         try:
             return await self._http.send(
-                request, timeout_ms=timeout_ms, note_received=note_received
+                request,
+                timeout_ms=timeout_ms,
+                pause_ms=pause_ms,
+                note_received=note_received,
             )
         except AnswerLostError:
             # All pooled connections may be dead at once, for example after a middlebox
--- a/trefoilhook/platform/reachability.py
+++ b/trefoilhook/platform/reachability.py
@@ -85,8 +85,17 @@
         self.received_bytes += count
         self.received_ms = now_ms
 
+    def is_receiving(self, now_ms: float) -> bool:
+        """Return whether the answer is being received."""
+        return (
+            self.received_ms is not None
+            and now_ms - self.received_ms < _OVERDUE_AFTER_MS
+        )
+
     def is_overdue(self, now_ms: float) -> bool:
         """Return whether the answer is overdue."""
+        if self.is_receiving(now_ms):
+            return False
         return now_ms - self.sent_ms - self.wait_ms >= _OVERDUE_AFTER_MS
 
 
@@ -128,6 +137,12 @@
         """Whether a call failed and none sent later has been answered."""
         return self._suspected.is_set()
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether an answer to any call is being received."""
+        now_ms = self._clock.monotonic_ms()
+        return any(call.is_receiving(now_ms) for call in self._pending)
+
     def begin_call(self, call: PendingCall) -> None:
         """Register a call."""
         self._pending.add(call)
@@ -196,9 +211,15 @@
         )
 
     def _give_up(self, calls: list[PendingCall]) -> None:
-        """Abandon calls: repeatable ones at once, others once they are overdue."""
+        """Abandon calls: repeatable ones at once, others once they are overdue.
+
+        A call whose answer is being received goes on: its connection works, and on a
+        slow link the repetition would take as long.
+        """
         now_ms = self._clock.monotonic_ms()
         for call in calls:
+            if call.is_receiving(now_ms):
+                continue
             remaining_ms = max(0.0, call.sent_ms + _OVERDUE_AFTER_MS - now_ms)
             if call.is_repeatable:
                 remaining_ms = 0.0
@@ -270,7 +291,13 @@
                     self.record_failure(call.sent_ms)
 
     async def _mark_unavailable_after_timeout(self) -> None:
+        """Mark the service as unavailable unless an answer is being received.
+
+        While a large answer uses the whole link, a probe is answered late.
+        """
         await self._clock.sleep_ms(_UNAVAILABLE_AFTER_MS)
+        while self.is_receiving:
+            await self._clock.sleep_ms(_OVERDUE_CHECK_PERIOD_MS)
         self._mark_unavailable()
 
     async def _send_probe(self, probe: Callable[[], Awaitable[bool]]) -> None:
--- a/trefoilhook/platform/store.py
+++ b/trefoilhook/platform/store.py
@@ -76,7 +76,8 @@
     address : (str, int)
         Address of the store.
     timeout_ms : float
-        Timeout of a call in ms, to which the wait of a watch is added.
+        Timeout of a call in ms, to which the wait of a watch is added. An answer that
+        is being received may take longer.
     clock : Clock
         Time source.
 
@@ -111,6 +112,11 @@
         """Whether a call and the probes after it have failed."""
         return self._reachability.is_unavailable
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether an answer to any call is being received."""
+        return self._reachability.is_receiving
+
     @property
     def recovered_ms(self) -> float:
         """Monotonic time at which the store last recovered, in ms."""
@@ -196,9 +202,27 @@
                 return Listing(items=tuple(items), as_of=as_of)
             query["after"] = items[-1].key
 
-    async def watch(self, prefix: str, *, after: int, wait_ms: int) -> Changes:
+    async def watch(
+        self,
+        prefix: str,
+        *,
+        after: int,
+        wait_ms: int,
+        note_received: Callable[[], None] | None = None,
+    ) -> Changes:
         """Wait until something under ``prefix`` changes after revision ``after``.
 
+        Parameters
+        ----------
+        prefix : str
+            Prefix of the keys.
+        after : int
+            Revision after which changes are returned.
+        wait_ms : int
+            Maximum wait for a change, in ms.
+        note_received : callable, optional
+            Called after each part of the answer received.
+
         Raises
         ------
         HistoryLostError
@@ -217,11 +241,18 @@
                 extra_ms=wait_ms,
                 accept=(410,),
                 is_repeatable=True,
+                note_received=note_received,
             )
         except StoreAbandonedError:
             # Without a wait, the answer shows at once that all changes are known.
             query["wait_ms"] = 0
-            response = await self._call("GET", "kv-watch", query=query, accept=(410,))
+            response = await self._call(
+                "GET",
+                "kv-watch",
+                query=query,
+                accept=(410,),
+                note_received=note_received,
+            )
         if response.status == 410:
             raise HistoryLostError(f"history after revision {after} is unavailable")
         return self._read(response, decode_changes)
@@ -322,6 +353,7 @@
         accept: tuple[int, ...] = (),
         client: JsonClient | None = None,
         is_repeatable: bool = False,
+        note_received: Callable[[], None] | None = None,
     ) -> HttpResponse:
         sent_ms = self._clock.monotonic_ms()
         wait_ms = extra_ms if name == "kv-watch" else 0.0
@@ -330,8 +362,10 @@
         )
         self._reachability.begin_call(call)
 
-        def note_received(count: int) -> None:
+        def record_received(count: int) -> None:
             call.note_received(count, self._clock.monotonic_ms())
+            if note_received is not None:
+                note_received()
 
         response: HttpResponse | None = None
         try:
@@ -342,7 +376,8 @@
                     query=query,
                     body=body,
                     timeout_ms=self._timeout_ms + extra_ms,
-                    note_received=note_received,
+                    pause_ms=self._timeout_ms,
+                    note_received=record_received,
                 )
         except NotSentError as error:
             self._fail(name, CallFailure.NOT_SENT, sent_ms, str(error))
--- a/trefoilhook/platform/tests/test_slow_links.py
+++ b/trefoilhook/platform/tests/test_slow_links.py
@@ -8,7 +8,8 @@
 from trefoilhook.clock import build_boottime_clock
 from trefoilhook.exceptions import StoreUnavailableError
 from trefoilhook.logs.tests.lines import capture_lines, find_line
-from trefoilhook.platform import KeyValueStore
+from trefoilhook.platform import Change, KeyValueStore, Listing
+from trefoilhook.runtime.following import follow
 from trefoilhook.standins.cut import CutSettings, Partition, TcpCut
 from trefoilhook.standins.platform_store import PlatformStore
 
@@ -47,23 +48,75 @@
     trio.run(main)
 
 
-class LogTest(unittest.TestCase):
-    """What the log tells of an answer that takes long."""
+class SlowLinkTest(unittest.TestCase):
+    """An answer takes longer to receive than the timeout of a call."""
 
-    def test_received_bytes_of_a_lost_answer_are_logged(self):
-        # Guards against a large answer on a slow link that looks like a silent store.
+    def test_large_answer_is_received(self):
+        # Guards against a read that is given up while its answer is being received, and
+        # then takes as long again.
+        async def scenario(store: KeyValueStore, cut: TcpCut) -> None:
+            item = await store.get(_KEY)
+            self.assertEqual(len(item.value), _BYTES)
+            self.assertLess(cut.answered_bytes, 2 * _BYTES)
+
+        with capture_lines() as lines:
+            _run(scenario)
+        self.assertGreater(find_line(lines, "STORE_ANSWER_LONG")["bytes"], _BYTES)
+
+    def test_large_answer_is_received_beside_small_ones(self):
+        # Guards against a read that is abandoned because later calls are answered, and
+        # against a store that counts as unavailable while the link is full.
+        async def scenario(store: KeyValueStore, cut: TcpCut) -> None:
+            async def read_small() -> None:
+                while True:
+                    await store.get(_SMALL_KEY)
+                    self.assertFalse(store.is_unavailable)
+                    await trio.sleep(0.05)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(read_small)
+                await trio.sleep(0.1)
+                self.assertIsNotNone(await store.get(_KEY))
+                nursery.cancel_scope.cancel()
+            self.assertEqual(store.failures, 0)
+
+        _run(scenario)
+
+    def test_overdue_watch_is_not_repeated_while_it_is_received(self):
+        # Guards against a second transfer that halves the rate of the first.
+        async def scenario(store: KeyValueStore, cut: TcpCut) -> None:
+            changes: list[Change] = []
+            with trio.move_on_after(3.0):
+                await follow(
+                    store,
+                    "a/",
+                    clock=build_boottime_clock(),
+                    take_listing=lambda listing: None,
+                    take_change=changes.append,
+                    listing=Listing(items=(), as_of=0),
+                )
+            self.assertEqual([change.key for change in changes], [_KEY])
+            self.assertLess(cut.answered_bytes, 2 * _BYTES)
+
+        _run(scenario)
+
+    def test_answer_that_breaks_off_is_given_up(self):
+        # Guards against a read that waits for the rest of a lost answer.
         async def scenario(store: KeyValueStore, cut: TcpCut) -> None:
             async def cut_off() -> None:
                 await trio.sleep(0.5)
                 cut.set(CutSettings(partition=Partition.SILENT))
 
+            began_s = trio.current_time()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(cut_off)
                 with self.assertRaises(StoreUnavailableError):
                     await store.get(_KEY)
+            self.assertLess(trio.current_time() - began_s, 2.0)
 
         with capture_lines() as lines:
             _run(scenario)
+        # Tells the operator that the store had answered.
         detail = find_line(lines, "STORE_DOWN")["detail"]
         self.assertRegex(detail, r"[1-9]\d{4,} bytes received")
 
--- a/trefoilhook/runtime/following.py
+++ b/trefoilhook/runtime/following.py
@@ -62,16 +62,26 @@
 
 
 async def _watch(
-    store: KeyValueStore, prefix: str, *, after: int, wait_ms: int
+    store: KeyValueStore, prefix: str, *, clock: Clock, after: int, wait_ms: int
 ) -> Changes:
     """Watch keys; if the answer is overdue, also ask over a new connection."""
+    received_ms = float("-inf")
+
+    def note_received() -> None:
+        nonlocal received_ms
+        received_ms = clock.monotonic_ms()
+
     return await read_with_second_attempt(
         lambda is_second: store.watch(
-            prefix, after=after, wait_ms=0 if is_second else wait_ms
+            prefix,
+            after=after,
+            wait_ms=0 if is_second else wait_ms,
+            note_received=None if is_second else note_received,
         ),
         connections=store,
         overdue_ms=wait_ms + _OVERDUE_AFTER_MS,
         is_final=lambda error: isinstance(error, HistoryLostError),
+        is_receiving=lambda: clock.monotonic_ms() - received_ms < _OVERDUE_AFTER_MS,
     )
 
 
@@ -131,7 +141,9 @@
                 after = current.as_of
                 note(KeyRead(kind=ReadKind.LISTING, confirmed_ms=sent_ms))
             sent_ms = clock.monotonic_ms()
-            batch = await _watch(store, prefix, after=after, wait_ms=wait_ms)
+            batch = await _watch(
+                store, prefix, clock=clock, after=after, wait_ms=wait_ms
+            )
         except HistoryLostError:
             log_event(Event.HISTORY_LOST, prefix=prefix, after=after)
             after = None
--- a/trefoilhook/runtime/second_attempts.py
+++ b/trefoilhook/runtime/second_attempts.py
@@ -11,6 +11,9 @@
 
 _Answer = TypeVar("_Answer")
 
+_RECEIPT_CHECK_S = 0.1
+"""Interval between two checks whether an answer is still being received, in s."""
+
 
 class _Connections(Protocol):
     async def close(self) -> None:
@@ -23,6 +26,7 @@
     connections: _Connections,
     overdue_ms: float,
     is_final: Callable[[StoreError], bool],
+    is_receiving: Callable[[], bool] = lambda: False,
 ) -> _Answer:
     """Return the first answer to a read, which is repeated once if it is overdue.
 
@@ -39,6 +43,9 @@
         Time after which the second attempt is made, in ms. None is made after an error.
     is_final : callable
         Tells whether an error makes the other attempt useless.
+    is_receiving : callable, optional
+        Tells whether an answer to the first attempt is being received. A second one
+        would only share its link.
 
     Raises
     ------
@@ -64,6 +71,9 @@
         nursery.start_soon(attempt, False)
         with trio.move_on_after(overdue_ms / 1000.0):
             await first_ended.wait()
+        while is_receiving() and not first_ended.is_set():
+            with trio.move_on_after(_RECEIPT_CHECK_S):
+                await first_ended.wait()
         if not first_ended.is_set():
             await connections.close()
             await attempt(True)
--- a/trefoilhook/runtime/tests/test_following.py
+++ b/trefoilhook/runtime/tests/test_following.py
@@ -35,7 +35,9 @@
     async def wait_for_retry(self, pause_ms: float) -> None:
         await trio.sleep(pause_ms / 1000.0)
 
-    async def watch(self, prefix: str, *, after: int, wait_ms: int) -> Changes:
+    async def watch(
+        self, prefix: str, *, after: int, wait_ms: int, note_received
+    ) -> Changes:
         self.waits_ms.append(wait_ms)
         if len(self.waits_ms) <= self.unanswered:
             await trio.sleep((wait_ms + _TIMEOUT_MS) / 1000.0)
@@ -100,7 +102,9 @@
         super().__init__(unanswered=0)
         self._late_ms = late_ms
 
-    async def watch(self, prefix: str, *, after: int, wait_ms: int) -> Changes:
+    async def watch(
+        self, prefix: str, *, after: int, wait_ms: int, note_received
+    ) -> Changes:
         self.waits_ms.append(wait_ms)
         await trio.sleep((wait_ms + self._late_ms) / 1000.0)
         change = Change(key=prefix, revision=after + 1, item=None)
