Log for how long a task is held for urgent ones, across interruptions

Users saw a task that is to last not run with room for it. `TASK_WAITS` named the last reason and the whole wait, from which neither the time since when a worker could have hosted it nor the number of interruptions could be told. It now has `kept_ms`, `placeable_ms` and `interruptions`.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -261,7 +261,9 @@
         waits.record(
             step, assignment_round.explain_wait(tasks[0]), assignment_round.now_ms
         )
-        assignment_round.scheduler.service_holds.end(step)
+        assignment_round.scheduler.service_holds.interrupt(
+            step, assignment_round.now_ms
+        )
         reserve_workers(assignment_round, tasks)
         return
     if not assignment_round.isolation.may_start(tasks[0], assignment_round.now_ms):
--- a/trefoilhook/scheduling/headroom.py
+++ b/trefoilhook/scheduling/headroom.py
@@ -155,7 +155,7 @@
         holds = self.scheduler.service_holds
         step = name_step(task.task)
         if not any(can_host(worker, task) for worker in workers):
-            holds.end(step)
+            holds.interrupt(step, self.now_ms)
             return False
         return holds.extend(step, self.now_ms) >= _MAX_HOLD_MS
 
--- a/trefoilhook/scheduling/long_waits.py
+++ b/trefoilhook/scheduling/long_waits.py
@@ -48,6 +48,14 @@
         empty.
     held_ms : int
         Remaining time for which it is held as a suspect of a crash, in ms.
+    kept_ms : int
+        Time for which it was not placed as capacity for it was kept for urgent tasks,
+        over all interruptions, in ms.
+    placeable_ms : int
+        Time since it could first have been placed, including interruptions, in ms;
+        0 if it was never held.
+    interruptions : int
+        Number of times since then that no worker could host it.
     awaits : tuple of str
         Workers of previous owners for which it waits, five at most.
     """
@@ -64,6 +72,9 @@
     last_end: str
     worker_state: str
     held_ms: int
+    kept_ms: int
+    placeable_ms: int
+    interruptions: int
     awaits: tuple[str, ...] = ()
 
 
@@ -91,6 +102,7 @@
     longest = min(members, key=lambda task: (-measure_wait(task, now_ms), task.key))
     reason = scheduler.waits.get_last_reason(step)
     main_reason = scheduler.waits.get_main_reason(step)
+    hold = scheduler.service_holds.find(step)
     return LongWait(
         task=str(longest.task),
         queue=longest.job.job.queue,
@@ -104,6 +116,9 @@
         last_end=longest.last_end.value if longest.last_end is not None else "",
         worker_state=_describe_worker(scheduler, longest.last_worker),
         held_ms=max(0, round(longest.held_until_ms - now_ms)),
+        kept_ms=round(scheduler.waits.measure_wait(step, WaitReason.URGENT_DEMAND)),
+        placeable_ms=round(now_ms - hold.first_ms) if hold is not None else 0,
+        interruptions=hold.interruptions if hold is not None else 0,
         awaits=(
             tuple(list_awaited_workers(scheduler, longest)[:_MAX_LISTED_WORKERS])
             if reason is WaitReason.OWNER_NEW
--- a/trefoilhook/scheduling/tests/test_urgent_headroom.py
+++ b/trefoilhook/scheduling/tests/test_urgent_headroom.py
@@ -19,6 +19,7 @@
     acknowledge,
     decode_progress,
     encode_progress,
+    list_long_waits,
 )
 from trefoilhook.scheduling.tests.cases import (
     QUEUE,
@@ -262,6 +263,23 @@
         wait_ms = self.measure_wait(period=25, busy=12)
         self.assertGreater(wait_ms, _MAX_WAIT_MS)
 
+    def test_log_tells_for_how_long_a_task_is_held(self):
+        # Guards against a wait beside free capacity whose line tells of its last part.
+        self.fill_other_worker()
+        self.run_urgent("a")
+        self.submit_service(cpu=2000)
+        for _ in range(8):
+            self.shard.step()
+        self.urgent = attrs.evolve(self.urgent, count=3)
+        self.run_urgent("b")
+        for _ in range(4):
+            self.shard.step()
+        (wait,) = list_long_waits(
+            self.shard.scheduler, min_wait_ms=1000.0, now_ms=self.shard.now_ms
+        )
+        self.assertEqual((wait.waits_for, wait.interruptions), ("kept for urgent", 1))
+        self.assertEqual((wait.placeable_ms, wait.kept_ms), (1330, 1100))
+
     def test_only_new_tasks_of_a_step_leave_capacity(self):
         # Guards against a displaced task that waits as new ones of its step do, and
         # against new ones that don't wait as it doesn't.
--- a/trefoilhook/scheduling/waits.py
+++ b/trefoilhook/scheduling/waits.py
@@ -134,6 +134,14 @@
             return known.reason
         return known.by_reason.most_common(1)[0][0]
 
+    def measure_wait(self, step: StepName, reason: WaitReason) -> float:
+        """Return the time for which a step has waited for a reason, in ms.
+
+        The time since the last round is not included.
+        """
+        known = self._steps.get(step)
+        return float(known.by_reason[reason]) if known is not None else 0.0
+
     def get_last_reason(self, step: StepName) -> WaitReason | None:
         """Return why a step was not placed in its last round, or None."""
         known = self._steps.get(step)
