Bound the wait of service tasks beside capacity for two of them

Users saw tasks that are to last not run with room for them: 23 were kept for urgent tasks for 4.9 s beside 404 free cores, where a start is expected within 3 s. Their wait of 2 s began anew with each round in which no worker could host them, or in which a smaller task had been found infeasible. An interruption was not counted at all, however long, while urgent tasks held their recent maximum, as nothing was kept then. And the limit of a part of a step was that of the task with its lowest index, displaced or new.

Beside capacity for two of its tasks, interruptions of up to 0.8 s now count as waiting, so that a start takes 2.8 s and the time of an order at most. Beside less each interruption begins the wait anew, as before, and all are recorded. Displaced and new tasks are in different parts, and the limit skips parts of new ones only.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -252,8 +252,11 @@
 ) -> None:
     """Assign the waiting tasks of a step, or of a part of it."""
     waits = assignment_round.scheduler.waits
+    headroom = assignment_round.headroom
+    holds = assignment_round.scheduler.service_holds
     step = name_step(tasks[0].task)
-    if assignment_round.headroom.is_limited(step):
+    is_concerned = headroom.concerns(tasks[0])
+    if is_concerned and headroom.is_limited(step):
         return
     if step in infeasible_steps.services or assignment_round.is_known_infeasible(
         tasks[0]
@@ -261,9 +264,7 @@
         waits.record(
             step, assignment_round.explain_wait(tasks[0]), assignment_round.now_ms
         )
-        assignment_round.scheduler.service_holds.interrupt(
-            step, assignment_round.now_ms
-        )
+        holds.interrupt(step, assignment_round.now_ms)
         reserve_workers(assignment_round, tasks)
         return
     if not assignment_round.isolation.may_start(tasks[0], assignment_round.now_ms):
@@ -282,7 +283,7 @@
         infeasible = _assign(assignment_round, tasks)
     if infeasible is None:
         return
-    if assignment_round.headroom.is_limited(step):
+    if is_concerned and headroom.is_limited(step):
         # Says nothing about tasks that the limit does not concern.
         waits.record(step, WaitReason.URGENT_DEMAND, assignment_round.now_ms)
         return
@@ -290,6 +291,7 @@
     infeasible_steps.fillers += tasks[0].step.filler
     if tasks[0].step.long_running:
         # The remaining parts of the step are infeasible, too.
+        holds.interrupt(step, assignment_round.now_ms)
         infeasible_steps.services.add(step)
     assignment_round.record_infeasible(tasks[0], infeasible)
     reserve_workers(assignment_round, tasks)
--- a/trefoilhook/scheduling/headroom.py
+++ b/trefoilhook/scheduling/headroom.py
@@ -7,7 +7,8 @@
 parts that are large enough for one of them.
 
 Capacity that stays free all the same is not kept for long: a service task that could
-have been placed throughout the last two seconds is placed.
+have been placed throughout the last two seconds is placed, and so is one beside
+capacity for two of them, even if there was none for moments.
 """
 
 import math
@@ -31,7 +32,11 @@
 
 _MAX_HOLD_MS = 2000.0
 """Time for which a service task is not placed although there is capacity for it, in ms.
-Users expect a task with sufficient capacity to be started within 3 s."""
+Users expect a task with capacity for it twice over to be started within 3 s."""
+
+_AMPLE_PLACES = 2
+"""Number of tasks for which there is ample capacity. Urgent tasks that use it for a
+moment do not begin the wait anew."""
 
 
 def record_urgent_demand(
@@ -154,10 +159,25 @@
         """Return whether a task could have been placed for longer than is allowed."""
         holds = self.scheduler.service_holds
         step = name_step(task.task)
-        if not any(can_host(worker, task) for worker in workers):
+        places = _count_places(task, workers)
+        if not places:
             holds.interrupt(step, self.now_ms)
             return False
-        return holds.extend(step, self.now_ms) >= _MAX_HOLD_MS
+        is_ample = places >= _AMPLE_PLACES
+        return holds.extend(step, self.now_ms, is_ample=is_ample) >= _MAX_HOLD_MS
+
+
+def _count_places(task: TaskState, workers: Iterable[Worker]) -> int:
+    """Return for how many tasks like ``task`` there is capacity, two at most."""
+    room = task.step.room
+    both = Demand(cpu=2 * room.cpu, memory_mb=2 * room.memory_mb, gpus=2 * room.gpus)
+    places = 0
+    for worker in workers:
+        if can_host(worker, task):
+            places += 2 if worker.has_room(both) else 1
+        if places >= _AMPLE_PLACES:
+            return _AMPLE_PLACES
+    return places
 
 
 def _get_key(task: TaskState) -> tuple[str, int]:
--- a/trefoilhook/scheduling/service_holds.py
+++ b/trefoilhook/scheduling/service_holds.py
@@ -8,6 +8,45 @@
 
 __all__ = ["Hold", "ServiceHolds"]
 
+_MAX_INTERRUPTION_MS = 800.0
+"""Maximum time without ample capacity that counts as waiting, in ms. Users, who may
+miss it between two samples, expect a start within 3 s: the maximum wait of 2 s, an
+interruption at its end, and 0.2 s to place and start the task."""
+
+
+@attrs.define(kw_only=True)
+class _Stretch:
+    """Time for which a condition holds, including short interruptions.
+
+    Parameters
+    ----------
+    max_interruption_ms : float
+        Maximum duration of an interruption that is included, in ms.
+    since_ms : float, optional
+        Begin of the time, in ms; None if the condition has never held.
+    interrupted_ms : float, optional
+        Begin of the present interruption, in ms; None if there is none.
+    """
+
+    max_interruption_ms: float = 0.0
+    since_ms: float | None = None
+    interrupted_ms: float | None = None
+
+    def extend(self, now_ms: float) -> float:
+        """Record that the condition holds; return for how long it does, in ms."""
+        if self.since_ms is None or (
+            self.interrupted_ms is not None
+            and now_ms - self.interrupted_ms > self.max_interruption_ms
+        ):
+            self.since_ms = now_ms
+        self.interrupted_ms = None
+        return now_ms - self.since_ms
+
+    def interrupt(self, now_ms: float) -> None:
+        """Record that the condition does not hold."""
+        if self.interrupted_ms is None:
+            self.interrupted_ms = now_ms
+
 
 @attrs.define(kw_only=True)
 class Hold:
@@ -17,18 +56,30 @@
     ----------
     first_ms : float
         Time of the first round in which it could have been placed, in ms.
-    since_ms : float
-        Time from which its wait is counted, in ms.
     interruptions : int
-        Number of times that no worker could host it since ``first_ms``.
-    interrupted_ms : float, optional
-        Begin of the present interruption, in ms; None if there is none.
+        Number of times that no worker could host it since then.
     """
 
     first_ms: float
-    since_ms: float
     interruptions: int = 0
-    interrupted_ms: float | None = None
+    _sufficient: _Stretch = attrs.field(factory=_Stretch, init=False)
+    _ample: _Stretch = attrs.field(
+        factory=lambda: _Stretch(max_interruption_ms=_MAX_INTERRUPTION_MS), init=False
+    )
+
+    def extend(self, now_ms: float, *, is_ample: bool) -> float:
+        """Record that the step could be placed; return its wait that counts, in ms."""
+        waited_ms = self._sufficient.extend(now_ms)
+        if is_ample:
+            return max(waited_ms, self._ample.extend(now_ms))
+        self._ample.interrupt(now_ms)
+        return waited_ms
+
+    def interrupt(self, now_ms: float) -> None:
+        """Record that no worker can host the step."""
+        self.interruptions += self._sufficient.interrupted_ms is None
+        self._sufficient.interrupt(now_ms)
+        self._ample.interrupt(now_ms)
 
 
 @attrs.define(kw_only=True)
@@ -37,25 +88,34 @@
 
     _holds: dict[StepName, Hold] = attrs.field(factory=dict, init=False)
 
-    def extend(self, step: StepName, now_ms: float) -> float:
+    def extend(self, step: StepName, now_ms: float, *, is_ample: bool) -> float:
         """Record that a step could be placed now.
 
-        Returns the time for which this has been so without interruption, in ms.
+        Parameters
+        ----------
+        step : StepName
+            The step.
+        now_ms : float
+            Current time, in ms.
+        is_ample : bool
+            Whether there is capacity for two of its tasks.
+
+        Returns
+        -------
+        float
+            Time for which there has been capacity without interruption, or ample
+            capacity without a long one, in ms.
         """
         hold = self._holds.get(step)
         if hold is None:
-            hold = self._holds[step] = Hold(first_ms=now_ms, since_ms=now_ms)
-        if hold.interrupted_ms is not None:
-            hold.since_ms = now_ms
-            hold.interrupted_ms = None
-        return now_ms - hold.since_ms
+            hold = self._holds[step] = Hold(first_ms=now_ms)
+        return hold.extend(now_ms, is_ample=is_ample)
 
     def interrupt(self, step: StepName, now_ms: float) -> None:
         """Record that no worker can host a step now."""
         hold = self._holds.get(step)
-        if hold is not None and hold.interrupted_ms is None:
-            hold.interrupted_ms = now_ms
-            hold.interruptions += 1
+        if hold is not None:
+            hold.interrupt(now_ms)
 
     def find(self, step: StepName) -> Hold | None:
         """Return the wait of a step, or None if it could not have been placed."""
--- a/trefoilhook/scheduling/service_shares.py
+++ b/trefoilhook/scheduling/service_shares.py
@@ -22,6 +22,8 @@
 ) -> Iterator[tuple[int, list[TaskState]]]:
     """Yield waiting tasks by step or part of a step, with their level.
 
+    No part has both tasks that have run and new ones.
+
     Parameters
     ----------
     steps : iterable of list of TaskState
@@ -43,18 +45,17 @@
             yield 0, tasks
             continue
         at_work = count_at_work(tasks[0])
-        if not _has_waited(tasks, now_ms):
-            # Most steps are placed completely in their first round.
-            yield _PART_COUNT * at_work // step.count, tasks
-            continue
-        # Tasks that have run come first, as they rank before urgent tasks.
+        # Most steps are placed completely in their first round.
+        has_waited = _has_waited(tasks, now_ms)
+        # Tasks that have run come first, as they rank before urgent tasks and need not
+        # leave capacity to them.
         tasks.sort(key=lambda task: (not task.may_have_run, task.task.index))
-        parts: dict[int, list[TaskState]] = {}
+        parts: dict[tuple[int, bool], list[TaskState]] = {}
         for number, task in enumerate(tasks):
-            parts.setdefault(_PART_COUNT * (at_work + number) // step.count, []).append(
-                task
-            )
-        yield from parts.items()
+            before = at_work + (number if has_waited else 0)
+            level = _PART_COUNT * before // step.count
+            parts.setdefault((level, task.may_have_run), []).append(task)
+        yield from ((level, part) for (level, _), part in parts.items())
 
 
 def _has_waited(tasks: list[TaskState], now_ms: float) -> bool:
--- a/trefoilhook/scheduling/tests/test_urgent_headroom.py
+++ b/trefoilhook/scheduling/tests/test_urgent_headroom.py
@@ -209,7 +209,7 @@
         began_ms = self.shard.now_ms
         held: list[StartOrder] = []
         for number in range(round(2 * _MAX_WAIT_MS / 100.0)):
-            if period and number % period == 0:
+            if period and number % period < period - busy:
                 for order in held:
                     self.shard.end(order, EndKind.DONE)
                 held = []
