--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -210,12 +210,13 @@
         body: bytes = b"",
         *,
         timeout_ms: float = 3000.0,
+        host: str = HOST,
     ) -> HttpResponse:
         """Send a client request; the status is 0 if there is no answer."""
         request = HttpRequest(
             method=method,
             target=target,
-            headers=(("host", HOST), ("deadline-ms", str(int(timeout_ms)))),
+            headers=(("host", host), ("deadline-ms", str(int(timeout_ms)))),
             body=body,
         )
         return await self._send(instance.process.entry_port, request)
