Tell the state of a stored job at an instance that lacks its route

The job's record was in the store and could be read.

Cause: without a route no read was made, though the record of a job holds the queue by which it was accepted. A route with a shorter prefix had the same effect.

Change: the record is read, and its state told if host and path are those of the record's queue. The record of an ended job keeps these two (it omits the queue, as before); earlier builds ignore the new member. An end that the instance knows is told under the same condition: it was told under any path, and under any host. A job without a record, or with one of another path, still gets 503 with Retry-After, as its route may be gone or new. Requests by a current configuration are routed as before.

--- a/trefoilhook/runtime/job_api.py
+++ b/trefoilhook/runtime/job_api.py
@@ -74,7 +74,7 @@
 """Timeout of a cancellation's transaction, in ms. A read then shows a lost outcome."""
 
 _MAX_CACHED_PHASES = 2000
-"""Maximum number of ended jobs with a cached phase. Each takes 200 bytes."""
+"""Maximum number of ended jobs with a cached phase. Each takes 400 bytes."""
 
 _MAX_BEGUN_JOBS = 2000
 """Maximum number of jobs that are known to have begun. Each takes 200 bytes."""
@@ -84,10 +84,40 @@
 
 
 @attrs.frozen(kw_only=True)
-class _Target:
-    queue: Queue
+class _Lookup:
+    """A request by job id, whose queue may not be known.
+
+    Parameters
+    ----------
+    job_id : str
+        The job; empty if the request is not for a job.
+    trace : RequestTrace
+        Records what the answer is based on.
+    location : str
+        Host and path prefix that the job's record must have; empty if the route shows
+        that the path is the job's.
+    """
+
     job_id: str
     trace: RequestTrace
+    location: str = ""
+
+    def is_located(self, location: str) -> bool:
+        """Return whether a job with a location may be told of."""
+        return not self.location or self.location == location
+
+
+@attrs.frozen(kw_only=True)
+class _Target(_Lookup):
+    """A request whose queue is known."""
+
+    queue: Queue
+
+
+@attrs.frozen(kw_only=True)
+class _EndedJob:
+    phase: JobPhase
+    location: str
 
 
 def _build_unavailable() -> HttpResponse:
@@ -107,13 +137,16 @@
     return job_id if _JOB_ID.fullmatch(job_id) else ""
 
 
-def _refuse_request(target: _Target, why: str, job: Job | None = None) -> HttpResponse:
+def _refuse_request(
+    target: _Lookup, why: str, job: Job | None = None, **fields: int
+) -> HttpResponse:
     target.trace.why = why
     log_event(
         Event.REQUEST_REFUSED,
         **({"job": target.job_id} if target.job_id else {}),
-        queue=target.queue.name,
+        **({"queue": target.queue.name} if isinstance(target, _Target) else {}),
         why=why,
+        **fields,
         **target.trace.describe(),
         **(describe_size(job) if job is not None else {}),
     )
@@ -169,7 +202,7 @@
             store=store, clock=clock, is_reachable=is_store_reachable
         )
         self._metrics = metrics
-        self._ended_phases: dict[str, JobPhase] = {}
+        self._ended: dict[str, _EndedJob] = {}
         self._begun: dict[str, None] = {}
 
     async def answer(self, request: HttpRequest) -> HttpResponse:
@@ -228,31 +261,28 @@
 
         A newer configuration may have added or removed the route. It doesn't change the
         state of a job that is stored, but a missing one can't be told from one of a
-        route that is gone.
+        route that is gone. If the route is not known, the record must confirm the path.
         """
         job_id = _read_job_id(request.path)
-        if request.method == "GET" and job_id in self._ended_phases:
-            trace.note_read("cache")
-            return build_state_response(self._ended_phases[job_id].value)
+        host = _read_host(request)
         known = self._configurations.configuration
-        queue = known.route(_read_host(request), request.path) if known else None
-        why = "configuration not current"
-        if queue is None:
-            trace.why = why
-            log_event(
-                Event.REQUEST_REFUSED,
-                **({"job": job_id} if job_id else {}),
-                why=why,
-                **trace.describe(),
-            )
-            return _build_unavailable()
-        target = _Target(queue=queue, job_id=job_id, trace=trace)
-        if request.method != "GET" or request.path != queue.prefix + job_id:
-            return _refuse_request(target, why)
-        if not job_id or not self._calls.is_reachable():
-            return _refuse_request(target, why)
-        response = await self._read(target)
-        return _refuse_request(target, why) if response.status == 410 else response
+        queue = known.route(host, request.path) if known else None
+        target = _Lookup(
+            job_id=job_id,
+            trace=trace,
+            location=host + request.path.removesuffix(job_id),
+        )
+        if queue is not None and request.path == queue.prefix + job_id:
+            target = _Target(queue=queue, job_id=job_id, trace=trace)
+        may_be_known = job_id in self._ended or self._calls.is_reachable()
+        if job_id and request.method == "GET" and may_be_known:
+            response = await self._read(target)
+            if response.status != 410:
+                return response
+        return self._refuse_outdated(target)
+
+    def _refuse_outdated(self, target: _Lookup) -> HttpResponse:
+        return _refuse_request(target, "configuration not current")
 
     # Submission.
 
@@ -363,11 +393,11 @@
 
     # Status.
 
-    async def _read(self, target: _Target) -> HttpResponse:
-        phase = self._ended_phases.get(target.job_id)
-        if phase is not None:
+    async def _read(self, target: _Lookup) -> HttpResponse:
+        ended = self._ended.get(target.job_id)
+        if ended is not None and target.is_located(ended.location):
             target.trace.note_read("cache")
-            return build_state_response(phase.value)
+            return build_state_response(ended.phase.value)
         if not self._calls.is_reachable():
             return _refuse_request(target, "store away")
         try:
@@ -377,21 +407,23 @@
             record = self._decode_record(item)
             if record is None:
                 return _refuse_request(target, "bad record")
+            if not target.is_located(record.location):
+                return self._refuse_outdated(target)
             if record.phase is JobPhase.OPEN:
                 has_begun = await self._has_begun(target)
                 return build_state_response("running" if has_begun else "queued")
         except StoreError as error:
             return _refuse_request(target, str(error))
-        self._cache_phase(target.job_id, record.phase)
+        self._cache_end(record)
         return build_state_response(record.phase.value)
 
-    async def _read_item(self, target: _Target) -> Item | None:
+    async def _read_item(self, target: _Lookup) -> Item | None:
         key = keys.job_key(keys.SHARD, target.job_id)
         item = await self._call(target, "record", lambda: self._store.get(key))
         target.trace.revision = item.revision if item is not None else 0
         return item
 
-    async def _has_begun(self, target: _Target) -> bool:
+    async def _has_begun(self, target: _Lookup) -> bool:
         """Return whether a task of an open job has started, which stays so."""
         if target.job_id in self._begun:
             return True
@@ -405,7 +437,7 @@
         return True
 
     async def _call(
-        self, target: _Target, name: str, read: Callable[[], Awaitable[_Answer]]
+        self, target: _Lookup, name: str, read: Callable[[], Awaitable[_Answer]]
     ) -> _Answer:
         """Read from the store in the time that the client has left."""
 
@@ -418,12 +450,14 @@
 
         return await self._calls.read(read_once, until_ms=target.trace.until_ms)
 
-    def _cache_phase(self, job_id: str, phase: JobPhase) -> None:
+    def _cache_end(self, record: JobRecord) -> None:
         """Cache the phase of an ended job, which never changes again."""
-        self._begun.pop(job_id, None)
-        if len(self._ended_phases) >= _MAX_CACHED_PHASES:
-            del self._ended_phases[next(iter(self._ended_phases))]
-        self._ended_phases[job_id] = phase
+        self._begun.pop(record.job.job_id, None)
+        if len(self._ended) >= _MAX_CACHED_PHASES:
+            del self._ended[next(iter(self._ended))]
+        self._ended[record.job.job_id] = _EndedJob(
+            phase=record.phase, location=record.location
+        )
 
     async def _count(self, target: _Target) -> HttpResponse:
         if not self._calls.is_reachable():
@@ -494,5 +528,5 @@
                 unanswered.append(error)
             raise
         log_event(Event.JOB_CANCELLED, job=target.job_id, revision=revision)
-        self._cache_phase(target.job_id, JobPhase.CANCELLED)
+        self._cache_end(cancelled)
         return HttpResponse.from_json({})
--- a/trefoilhook/scheduling/records.py
+++ b/trefoilhook/scheduling/records.py
@@ -75,11 +75,19 @@
     queue : Queue or None
         Its queue at the time of acceptance. None if the job has ended, or if an earlier
         build stored the record.
+    location : str, optional
+        Host and path prefix of the requests for the job, those of the queue by default.
+        Empty if not known.
     """
 
     job: Job
     phase: JobPhase = JobPhase.OPEN
     queue: Queue | None = None
+    location: str = attrs.field()
+
+    @location.default
+    def _read_location(self) -> str:
+        return self.queue.host + self.queue.prefix if self.queue is not None else ""
 
 
 @attrs.define(kw_only=True)
@@ -118,11 +126,13 @@
 
 
 def encode_job_record(record: JobRecord) -> bytes:
-    """Encode a record; the spec and the queue of an ended job are omitted."""
+    """Encode a record; of an ended job, the spec and the queue are omitted."""
     table = _omit_defaults(record.job)
     fields: dict[str, Any] = {"phase": record.phase.value, "job": table}
     if record.phase is not JobPhase.OPEN:
         table["spec"] = ""
+        if record.location:
+            fields["location"] = record.location
     elif record.queue is not None:
         fields["queue"] = build_queue_table(record.queue)
     table["steps"] = [
@@ -187,11 +197,14 @@
         If the data is not a valid record.
     """
     table = parse_object(data)
-    return JobRecord(
+    record = JobRecord(
         job=_decode_job(read_object(table, "job")),
         phase=read_choice(table, "phase", _PHASES),
         queue=read_queue(table["queue"]) if "queue" in table else None,
     )
+    if "location" in table:
+        record = attrs.evolve(record, location=read_string(table, "location"))
+    return record
 
 
 def _join(numbers: tuple[int, ...]) -> str:
--- a/trefoilhook/scheduling/tests/test_foreign_records.py
+++ b/trefoilhook/scheduling/tests/test_foreign_records.py
@@ -14,6 +14,7 @@
     Demand,
     Interference,
     Job,
+    JobPhase,
     JobRecord,
     KnownQueues,
     Progress,
@@ -55,6 +56,12 @@
     (decode_progress, encode_progress(PROGRESS)),
     (decode_interference, encode_interference(build_model())),
     (decode_job_record, encode_job_record(JobRecord(job=JOB, queue=QUEUE))),
+    (
+        decode_job_record,
+        encode_job_record(
+            JobRecord(job=JOB, queue=QUEUE, phase=JobPhase.COMPLETED),
+        ),
+    ),
     (decode_queues, KnownQueues(by_name={"checks": QUEUE}).encode()),
 )
 
--- a/trefoilhook/scheduling/tests/test_records.py
+++ b/trefoilhook/scheduling/tests/test_records.py
@@ -75,6 +75,13 @@
         self.assertEqual(read.job.spec, "")
         self.assertIsNone(read.queue)
 
+    def test_ended_job_keeps_its_location(self):
+        # Guards against an end that can't be told where the route is not known.
+        record = JobRecord(job=_JOB, phase=JobPhase.COMPLETED, queue=_QUEUE)
+        read = decode_job_record(encode_job_record(record))
+        self.assertEqual(read.location, _QUEUE.host + _QUEUE.prefix)
+        self.assertEqual(decode_job_record(encode_job_record(read)), read)
+
     def test_progress(self):
         progress = Progress(
             done={(0, 1): {2, 5}},
