Reproduce requests whose missing answer no log line explains

Of 1,130 refusals with an outdated configuration the log told neither which version nor whether its reads failed or one was being received; a request that ended with its process had no line at all. Two tests in the style of the other log tests, which fail on today's code: no such lines.

--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -3,11 +3,13 @@
 import json
 import unittest
 
+import attrs
 import trio
 
 from trefoilhook.logs.tests.lines import capture_lines, count_lines, find_line
 from trefoilhook.runtime.losses import log_lease_expiry, log_restart, log_unlisted
 from trefoilhook.runtime.tests.cluster import (
+    BOUNDS,
     PREFIX,
     Cluster,
     Instance,
@@ -174,6 +176,60 @@
         self.assertEqual(known, [False, True])
 
 
+class UnansweredRequestLineTest(unittest.TestCase):
+    """Log lines that tell why a request for a job had no answer."""
+
+    def test_outdated_configuration_names_its_age_and_failed_reads(self):
+        # Guards against refusals that don't show whether reads of the configuration
+        # fail or one is still being received, and since when.
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            bounds = attrs.evolve(BOUNDS, configuration_ms=1500.0)
+            with capture_lines() as captured:
+                instance = await cluster.start_instance(bounds=bounds)
+                cluster.store.unreadable_prefix = "op/"
+                await cluster.wait_until(lambda: _has(captured, "CONFIG_OUTDATED"))
+                await cluster.send(instance, "GET", PREFIX + JOB)
+                cluster.store.unreadable_prefix = None
+                await cluster.wait_until(lambda: _has(captured, "CONFIG_CONFIRMED"))
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=0, workers=0)
+        refused = find_line(lines, "REQUEST_REFUSED")
+        self.assertEqual(refused["why"], "configuration not current")
+        for line in (find_line(lines, "CONFIG_OUTDATED"), refused):
+            self.assertEqual(line["version"], 1)
+            self.assertGreater(line["age_ms"], 1350)
+            self.assertGreater(line["failed_reads"], 0)
+        confirmed = find_line(lines, "CONFIG_CONFIRMED")
+        self.assertGreaterEqual(confirmed["age_ms"], refused["age_ms"])
+        self.assertGreaterEqual(confirmed["failed_reads"], refused["failed_reads"])
+
+    def test_request_cut_off_by_the_end_of_its_process_is_logged(self):
+        # Guards against a request of which no line shows that it arrived.
+        lines: list[dict] = []
+
+        async def scenario(cluster: Cluster) -> None:
+            (instance,) = cluster.instances
+            cluster.store.fault = StoreFault.SILENT
+            with capture_lines() as captured:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(cluster.send, instance, "GET", PREFIX + JOB)
+                    await trio.sleep(0.2)
+                    instance.scope.cancel()
+                    await instance.ended.wait()
+                lines.extend(captured)
+
+        run_cluster(scenario, instances=1, workers=0)
+        line = find_line(lines, "REQUEST_CUT_OFF")
+        self.assertEqual((line["job"], line["method"]), (JOB, "GET"))
+        self.assertEqual(line["path"], PREFIX + JOB)
+        self.assertEqual((line["read"], line["timeout_ms"]), ("record", 3000))
+        self.assertGreater(line["ms"], 100)
+        self.assertEqual(count_lines(lines)["REQUEST_HANDLED"], 0)
+
+
 class BacklogLineTest(unittest.TestCase):
     """Log lines on tasks that wait for a worker."""
 
