Log why a request about a job had no answer

Change: refusals by an outdated configuration tell its version, its age and the number of reads that failed since it was confirmed. CONFIG_OUTDATED tells when this begins on an instance, also without requests, and CONFIG_CONFIRMED when it ends. REQUEST_CUT_OFF tells of a request that its process's end cut off, and which read was under way.

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -96,6 +96,11 @@
         Level.INFO,
         "A request was answered, by the configuration version named.",
     )
+    REQUEST_CUT_OFF = (
+        1405,
+        Level.WARNING,
+        "A request had no answer, as its process ended.",
+    )
 
     # 1500: configuration
     CONFIG_IN_FORCE = (1500, Level.INFO, "A configuration revision is in force.")
@@ -116,6 +121,17 @@
         "An evacuation entry is invalid; it stays in force.",
     )
 
+    CONFIG_OUTDATED = (
+        1509,
+        Level.WARNING,
+        "A newer configuration may be in force; requests are refused.",
+    )
+    CONFIG_CONFIRMED = (
+        1510,
+        Level.INFO,
+        "The configuration is current again.",
+    )
+
     # 1600: jobs and workers
     JOB_ACCEPTED = (1600, Level.INFO, "A job was recorded durably.")
     JOB_STARTED = (1601, Level.INFO, "A job's task was started on a worker.")
@@ -203,6 +219,7 @@
         Event.REQUEST_FAILED,
         Event.REQUEST_REFUSED,
         Event.REQUEST_HANDLED,
+        Event.REQUEST_CUT_OFF,
         Event.JOB_ACCEPTED,
         Event.JOB_FINISHED,
         Event.JOB_LATE,
--- a/trefoilhook/runtime/configurations.py
+++ b/trefoilhook/runtime/configurations.py
@@ -1,5 +1,7 @@
 """Applies the operator's configuration in the store, and tracks how current it is."""
 
+import math
+
 import attrs
 
 from trefoilhook.clock import Clock
@@ -22,6 +24,9 @@
 which a new one must be in force. A store ninety times slower than usual confirms it
 every 1.7 s."""
 
+_AGE_CHECK_PERIOD_MS = 200.0
+"""Interval between two checks of the age for the log, in ms."""
+
 
 class ConfigurationFeed:
     """Tracks the configuration in force.
@@ -49,6 +54,8 @@
         self._clock = clock
         self._rejections = rejections
         self._unreported: Item | None = None
+        self._failed_reads = 0
+        self._is_reported_outdated = False
         self.configuration: Configuration | None = None
         self.freshness = Freshness()
         self.configure(apply_ms=apply_ms)
@@ -72,10 +79,30 @@
         A configuration that was read too long ago may lack added routes and contain
         removed ones.
         """
-        if self.freshness.is_stale(self._clock.monotonic_ms()):
+        if self.is_outdated:
             return None
         return self.configuration
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether a newer configuration may be in force."""
+        return self.freshness.is_stale(self._clock.monotonic_ms())
+
+    def describe_age(self) -> dict[str, int]:
+        """Return the fields of a log line on how current the configuration is."""
+        fields = {"version": self.version, "failed_reads": self._failed_reads}
+        if math.isfinite(self.freshness.read_ms):
+            fields["age_ms"] = round(self.measure_age())
+        return fields
+
+    async def report_age(self) -> None:
+        """Log once when the configuration becomes outdated, until cancelled."""
+        while True:
+            await self._clock.sleep_ms(_AGE_CHECK_PERIOD_MS)
+            if self.version and self.is_outdated and not self._is_reported_outdated:
+                self._is_reported_outdated = True
+                log_event(Event.CONFIG_OUTDATED, **self.describe_age())
+
     def take_item(self, item: Item) -> None:
         """Apply a configuration unless it is invalid or older than the one in force."""
         if item.key != CONFIGURATION_KEY:
@@ -102,10 +129,19 @@
         self.configuration = configuration
         self._unreported = item
 
+    def note_failure(self) -> None:
+        """Record a read of the operator's keys that has failed."""
+        self._failed_reads += 1
+
     def note_read(self, read: KeyRead) -> None:
         """Record a read of the operator's keys whose changes have been applied."""
         age_ms = self.measure_age()
+        described = self.describe_age()
         self.freshness.note_read(read.confirmed_ms)
+        self._failed_reads = 0
+        if self._is_reported_outdated and not self.is_outdated:
+            self._is_reported_outdated = False
+            log_event(Event.CONFIG_CONFIRMED, **described)
         item, self._unreported = self._unreported, None
         if item is None:
             return
--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -170,6 +170,7 @@
                 self.metrics_port = await nursery.start(metrics_server.run)
             nursery.start_soon(self._store.run_probes, keys.owner_key(keys.SHARD))
             nursery.start_soon(self._follow_operator_keys)
+            nursery.start_soon(self._configuration_feed.report_age)
             nursery.start_soon(self._election.run)
             log_event(Event.STARTED, instance=self._settings.name)
             await stop.wait()
@@ -276,6 +277,7 @@
             take_listing=take_listing,
             take_change=take_change,
             note_read=note_read,
+            note_failure=self._configuration_feed.note_failure,
         )
 
     async def _run_owner(self, ownership: Ownership) -> None:
--- a/trefoilhook/runtime/job_api.py
+++ b/trefoilhook/runtime/job_api.py
@@ -5,11 +5,13 @@
 owner.
 """
 
+import math
 import re
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import TypeVar
 
 import attrs
+import trio
 
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import (
@@ -138,7 +140,11 @@
 
 
 def _refuse_request(
-    target: _Lookup, why: str, job: Job | None = None, **fields: int
+    target: _Lookup,
+    why: str,
+    job: Job | None = None,
+    *,
+    fields: Mapping[str, int] | None = None,
 ) -> HttpResponse:
     target.trace.why = why
     log_event(
@@ -146,7 +152,7 @@
         **({"job": target.job_id} if target.job_id else {}),
         **({"queue": target.queue.name} if isinstance(target, _Target) else {}),
         why=why,
-        **fields,
+        **(fields or {}),
         **target.trace.describe(),
         **(describe_size(job) if job is not None else {}),
     )
@@ -214,7 +220,12 @@
         )
         version = self._configurations.version
         age_ms = self._configurations.measure_age()
-        response = await self._answer(request, trace)
+        try:
+            response = await self._answer(request, trace)
+        finally:
+            # A cancellation may be part of a group of exceptions.
+            if trio.current_effective_deadline() == -math.inf:
+                self._log_cut_off(request, trace)
         kind = f"{request.method} {response.status}"
         self._metrics.count("requests", kind)
         self._metrics.observe(f"{request.method.lower()}_ms", trace.measure_time())
@@ -232,6 +243,17 @@
         )
         return response
 
+    def _log_cut_off(self, request: HttpRequest, trace: RequestTrace) -> None:
+        """Log a request that ends with its process; it had no answer."""
+        log_event(
+            Event.REQUEST_CUT_OFF,
+            job=_read_job_id(request.path),
+            method=request.method,
+            path=request.path[:_MAX_LOGGED_PATH],
+            timeout_ms=round(trace.timeout_ms),
+            **trace.describe(),
+        )
+
     async def _answer(self, request: HttpRequest, trace: RequestTrace) -> HttpResponse:
         configuration = self._configurations.get_current()
         if configuration is None:
@@ -282,7 +304,11 @@
         return self._refuse_outdated(target)
 
     def _refuse_outdated(self, target: _Lookup) -> HttpResponse:
-        return _refuse_request(target, "configuration not current")
+        return _refuse_request(
+            target,
+            "configuration not current",
+            fields=self._configurations.describe_age(),
+        )
 
     # Submission.
 
