Route requests in a time that doesn't grow with the routes

Of a configuration of 4,200 routes, routing one request took 0.70 to 0.78 ms of processor time on a whole core, thus 2.3 to 2.6 ms at 0.3 of one, in which nothing else runs on the instance: all routes were compared for each request.

Change: routes are indexed by host and prefix, and looked up by each prefix length in use, longest first. Of several routes at one location the first is used, as before.

--- a/trefoilhook/scheduling/models.py
+++ b/trefoilhook/scheduling/models.py
@@ -253,15 +253,27 @@
     queues: tuple[Queue, ...]
     services: frozenset[str] = frozenset()
 
+    _by_location: dict[tuple[str, str], Queue] = attrs.field(
+        init=False, repr=False, eq=False
+    )
+    _prefix_lengths: tuple[int, ...] = attrs.field(init=False, repr=False, eq=False)
+
+    @_by_location.default
+    def _index_queues(self) -> dict[tuple[str, str], Queue]:
+        # Of several queues at one location, the first is used.
+        return {(q.host, q.prefix): q for q in reversed(self.queues)}
+
+    @_prefix_lengths.default
+    def _list_prefix_lengths(self) -> tuple[int, ...]:
+        return tuple(sorted({len(q.prefix) for q in self.queues}, reverse=True))
+
     def route(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of ``path`` at ``host``."""
-        best: Queue | None = None
-        for queue in self.queues:
-            if queue.host != host or not path.startswith(queue.prefix):
-                continue
-            if best is None or len(queue.prefix) > len(best.prefix):
-                best = queue
-        return best
+        for length in self._prefix_lengths:
+            queue = self._by_location.get((host, path[:length]))
+            if queue is not None:
+                return queue
+        return None
 
 
 @attrs.frozen(kw_only=True)
