Hand over a shard in small values, and repeat only reads that fail

Of a configuration of 4,200 routes an owner saved all queues at each change: 643 kB, 858 kB as sent, within the 1 s of a commit, and the next owner had to receive as much within the 1 s of a read before any task started. A link of 5 Mbit/s carries it in 1.4 s, so that the write fails, isn't repeated (it was noted as saved), and a takeover there reads for good. Any read that failed while the shard was loaded began all of them anew: with nine reads and one in three failing, it never ended.

Change: only queues are saved whose values the records of open jobs don't hold: those of jobs accepted under other values. The next owner still prefers the configuration, then these, then the record. A write that failed is repeated after 2 s. Each read of the load is repeated by itself, in the same order (progress before jobs).

The figures of links are calculated from the sizes measured.

--- a/trefoilhook/runtime/loading.py
+++ b/trefoilhook/runtime/loading.py
@@ -1,6 +1,7 @@
 """Reads the state of a shard that previous owners left in the store."""
 
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
+from typing import TypeVar
 
 import attrs
 
@@ -10,8 +11,10 @@
 
 __all__ = ["ShardContents", "load_shard"]
 
+_Answer = TypeVar("_Answer")
+
 _RETRY_PAUSE_MS = 200.0
-"""Pause after a failed attempt to read the shard, in ms."""
+"""Pause after a failed read, in ms."""
 
 
 @attrs.frozen(kw_only=True)
@@ -43,7 +46,7 @@
 async def load_shard(
     store: KeyValueStore, *, snapshot_keys: Iterable[str]
 ) -> ShardContents:
-    """Read a shard, retrying until the store answers.
+    """Read a shard, repeating each read until the store answers it.
 
     Parameters
     ----------
@@ -52,24 +55,38 @@
     snapshot_keys : iterable of str
         Keys of the learned models.
     """
+    return ShardContents(
+        workers=await _list_items(store, WORKER_PREFIX),
+        # Read before the jobs: the write that ends a job removes its progress, and the
+        # job must not appear open without it.
+        progress=await _list_items(store, keys.progress_prefix(keys.SHARD)),
+        jobs=await _list_items(store, keys.job_prefix(keys.SHARD)),
+        roster=await _get(store, keys.roster_key(keys.SHARD)),
+        placed=await _list_items(store, keys.placed_prefix(keys.SHARD)),
+        snapshots=await _read_snapshots(store, snapshot_keys),
+    )
+
+
+async def _repeat(
+    store: KeyValueStore, read: Callable[[], Awaitable[_Answer]]
+) -> _Answer:
     while True:
         try:
-            return ShardContents(
-                workers=await store.list_items(WORKER_PREFIX),
-                # Read before the jobs: the write that ends a job removes its progress,
-                # and the job must not appear open without it.
-                progress=await store.list_items(keys.progress_prefix(keys.SHARD)),
-                jobs=await store.list_items(keys.job_prefix(keys.SHARD)),
-                roster=await store.get(keys.roster_key(keys.SHARD)),
-                placed=await store.list_items(keys.placed_prefix(keys.SHARD)),
-                snapshots=await _read_snapshots(store, snapshot_keys),
-            )
+            return await read()
         except StoreError:
             await store.wait_for_retry(_RETRY_PAUSE_MS)
 
 
+async def _list_items(store: KeyValueStore, prefix: str) -> Listing:
+    return await _repeat(store, lambda: store.list_items(prefix))
+
+
+async def _get(store: KeyValueStore, key: str) -> Item | None:
+    return await _repeat(store, lambda: store.get(key))
+
+
 async def _read_snapshots(
     store: KeyValueStore, snapshot_keys: Iterable[str]
 ) -> dict[str, Item]:
-    items = [await store.get(key) for key in snapshot_keys]
+    items = [await _get(store, key) for key in snapshot_keys]
     return {item.key: item for item in items if item is not None}
--- a/trefoilhook/runtime/maintenance.py
+++ b/trefoilhook/runtime/maintenance.py
@@ -193,14 +193,14 @@
                 continue
             expected = Precondition(key=owner, revision=self._ownership.owner_revision)
             puts = tuple(Put(key=each.key, value=each.encode()) for each in changed)
-            saved = versions
             try:
                 await self._store.commit(
                     Transaction(preconditions=(expected,), puts=puts)
                 )
             except StoreError:
-                # The next change of the models is written anyway.
+                # Written again after the pause: some of them change rarely.
                 continue
+            saved = versions
 
     async def renew_retention_lease(self) -> None:
         """Periodically take a new lease for the jobs that end from then on.
--- a/trefoilhook/runtime/snapshots.py
+++ b/trefoilhook/runtime/snapshots.py
@@ -11,6 +11,7 @@
 
 from trefoilhook.runtime import keys
 from trefoilhook.scheduling import (
+    KnownQueues,
     Scheduler,
     decode_durations,
     decode_interference,
@@ -81,12 +82,29 @@
 def _build_queues(scheduler: Scheduler) -> Snapshot:
     return Snapshot(
         key=keys.queues_key(keys.SHARD),
-        get_version=lambda: scheduler.queues.version,
-        encode=scheduler.queues.encode,
+        get_version=lambda: hash(frozenset(_select_queues(scheduler).by_name.values())),
+        encode=lambda: _select_queues(scheduler).encode(),
         restore=lambda data: scheduler.queues.add_earlier(decode_queues(data)),
     )
 
 
+def _select_queues(scheduler: Scheduler) -> KnownQueues:
+    """Return the queues of open jobs that the jobs' records don't hold as they are.
+
+    All others follow from the records or the configuration; the whole of a large one
+    takes a megabyte.
+    """
+    return KnownQueues(
+        by_name={
+            state.job.queue: state.queue
+            for state in scheduler.jobs.values()
+            if state.is_open
+            and state.queue is not None
+            and state.queue != state.accepted_queue
+        }
+    )
+
+
 def _build_urgent_demands(scheduler: Scheduler) -> Snapshot:
     return Snapshot(
         key=keys.urgent_demands_key(keys.SHARD),
