List the keys after a watch whose answer broke off

An instance that missed eight changes of a configuration of 0.9 MB asked for all of them again at each attempt: the answer is over the 8 MB that a response may have, so that it refused requests for good. The listing holds the current items only. test_instance_is_up_to_date_after_many_large_changes failed before (503 after the 3 s allowed); test_shard_is_loaded is mended by reads that go on while an answer is received.

--- a/trefoilhook/runtime/following.py
+++ b/trefoilhook/runtime/following.py
@@ -61,27 +61,48 @@
     confirmed_ms: float
 
 
+@attrs.define(kw_only=True, eq=False)
+class _Receipt:
+    """Receipt of the answer to a watch.
+
+    Parameters
+    ----------
+    clock : Clock
+        Time source.
+    received_ms : float or None
+        When its latest part was received, in ms; None before.
+    """
+
+    clock: Clock
+    received_ms: float | None = None
+
+    def note(self) -> None:
+        """Record that a part was received."""
+        self.received_ms = self.clock.monotonic_ms()
+
+    @property
+    def is_under_way(self) -> bool:
+        """Whether the answer is being received."""
+        if self.received_ms is None:
+            return False
+        return self.clock.monotonic_ms() - self.received_ms < _OVERDUE_AFTER_MS
+
+
 async def _watch(
-    store: KeyValueStore, prefix: str, *, clock: Clock, after: int, wait_ms: int
+    store: KeyValueStore, prefix: str, *, receipt: _Receipt, after: int, wait_ms: int
 ) -> Changes:
     """Watch keys; if the answer is overdue, also ask over a new connection."""
-    received_ms = float("-inf")
-
-    def note_received() -> None:
-        nonlocal received_ms
-        received_ms = clock.monotonic_ms()
-
     return await read_with_second_attempt(
         lambda is_second: store.watch(
             prefix,
             after=after,
             wait_ms=0 if is_second else wait_ms,
-            note_received=None if is_second else note_received,
+            note_received=None if is_second else receipt.note,
         ),
         connections=store,
         overdue_ms=wait_ms + _OVERDUE_AFTER_MS,
         is_final=lambda error: isinstance(error, HistoryLostError),
-        is_receiving=lambda: clock.monotonic_ms() - received_ms < _OVERDUE_AFTER_MS,
+        is_receiving=lambda: receipt.is_under_way,
     )
 
 
@@ -133,6 +154,7 @@
         note(KeyRead(kind=ReadKind.LISTING, confirmed_ms=clock.monotonic_ms()))
     wait_ms = WATCH_WAIT_MS
     while True:
+        receipt = _Receipt(clock=clock)
         try:
             if after is None:
                 sent_ms = clock.monotonic_ms()
@@ -142,7 +164,7 @@
                 note(KeyRead(kind=ReadKind.LISTING, confirmed_ms=sent_ms))
             sent_ms = clock.monotonic_ms()
             batch = await _watch(
-                store, prefix, clock=clock, after=after, wait_ms=wait_ms
+                store, prefix, receipt=receipt, after=after, wait_ms=wait_ms
             )
         except HistoryLostError:
             log_event(Event.HISTORY_LOST, prefix=prefix, after=after)
@@ -151,6 +173,10 @@
             continue
         except StoreError:
             failed()
+            if receipt.received_ms is not None:
+                # The missed changes may be too many to be received; the current items
+                # are fewer.
+                after = None
             # Starts may be delayed until an answer shows that all changes are known.
             wait_ms = 0
             await store.wait_for_retry(_RETRY_PAUSE_MS)
