List the keys only after a watch whose answer broke off, and read small answers in time

A refused watch (429, 503), or one that was closed while it waited, led to a listing of the whole prefix: 19 in 4 s on each instance, just when the store refuses calls. Now only an answer that had begun does (StoreAnswerBrokenError). Renewals and commits keep their timeout for the whole answer, as a renewal that trickles for 10 s outlasts its lease. A probe that times out beside an answer that is received doesn't make the store count as away.

test_failed_watch_does_not_list_the_keys and test_late_probe_beside_a_large_answer, which now goes on beyond the probe's timeout, failed before.

--- a/trefoilhook/exceptions.py
+++ b/trefoilhook/exceptions.py
@@ -139,6 +139,10 @@
     is_proved_unsent: bool = False
 
 
+class StoreAnswerBrokenError(StoreUnavailableError):
+    """The store's answer began and was not received completely."""
+
+
 class StoreUnsentError(StoreUnavailableError):
     """The call was never sent to the store: nothing changed."""
 
--- a/trefoilhook/http/client.py
+++ b/trefoilhook/http/client.py
@@ -251,6 +251,12 @@
         data += connection.protocol.send(h11.EndOfMessage())
         return data
 
+    def _check_size(self, size: int) -> None:
+        if size > self._max_response_bytes:
+            raise AnswerLostError(
+                f"response body over {self._max_response_bytes} bytes"
+            )
+
     async def _receive(
         self, connection: Connection, receipt: "_Receipt"
     ) -> HttpResponse:
@@ -266,12 +272,10 @@
                 receipt.note(len(data))
             elif isinstance(event, h11.Response):
                 head = event
+                self._check_size(_read_length(event))
             elif isinstance(event, h11.Data):
                 size += len(event.data)
-                if size > self._max_response_bytes:
-                    raise AnswerLostError(
-                        f"response body over {self._max_response_bytes} bytes"
-                    )
+                self._check_size(size)
                 chunks.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage) and head is not None:
                 return HttpResponse(
@@ -289,6 +293,14 @@
                 )
 
 
+def _read_length(head: h11.Response) -> int:
+    """Return the declared size of the body, in bytes; 0 if it is not declared."""
+    for name, value in head.headers:
+        if name == b"content-length" and value.isdigit():
+            return int(value)
+    return 0
+
+
 @attrs.define(kw_only=True, eq=False)
 class _Receipt:
     """Receipt of one response, which extends the deadline of its exchange.
@@ -310,8 +322,10 @@
 
     def note(self, count: int) -> None:
         """Record that ``count`` bytes were received."""
+        if not count:
+            return
         self.note_received(count)
-        if not self.pause_s or not count:
+        if not self.pause_s:
             return
         now_s = trio.current_time()
         if self._until_s is None:
--- a/trefoilhook/platform/reachability.py
+++ b/trefoilhook/platform/reachability.py
@@ -301,7 +301,7 @@
         self._mark_unavailable()
 
     async def _send_probe(self, probe: Callable[[], Awaitable[bool]]) -> None:
-        if not await probe():
+        if not await probe() and not self.is_receiving:
             self._mark_unavailable()
 
     def _mark_unavailable(self) -> None:
--- a/trefoilhook/platform/store.py
+++ b/trefoilhook/platform/store.py
@@ -12,6 +12,7 @@
     LeaseLostError,
     NotSentError,
     StoreAbandonedError,
+    StoreAnswerBrokenError,
     StoreError,
     StoreRateError,
     StoreUnavailableError,
@@ -371,7 +372,9 @@
                     query=query,
                     body=body,
                     timeout_ms=self._timeout_ms + extra_ms,
-                    pause_ms=self._timeout_ms,
+                    # Changes and renewals have small answers, and their outcome must
+                    # be known in time.
+                    pause_ms=self._timeout_ms if method == "GET" else 0.0,
                     note_received=record_received,
                 )
         except NotSentError as error:
@@ -380,6 +383,8 @@
         except AnswerLostError as error:
             detail = f"{error}, {call.received_bytes} bytes received"
             self._fail(name, CallFailure.NO_ANSWER, sent_ms, detail)
+            if call.received_bytes:
+                raise StoreAnswerBrokenError(detail) from error
             raise StoreUnavailableError(detail) from error
         finally:
             self._reachability.end_call(call)
--- a/trefoilhook/platform/tests/test_reachability.py
+++ b/trefoilhook/platform/tests/test_reachability.py
@@ -205,7 +205,8 @@
             reachability.begin_call(watch)
             watch.note_received(1000, clock.monotonic_ms())
             reachability.record_failure(clock.monotonic_ms())
-            for _ in range(8):
+            # The first probes time out after 1 s.
+            for _ in range(20):
                 await trio.sleep(0.1)
                 watch.note_received(1000, clock.monotonic_ms())
                 self.assertFalse(reachability.is_unavailable)
--- a/trefoilhook/runtime/following.py
+++ b/trefoilhook/runtime/following.py
@@ -6,7 +6,11 @@
 import attrs
 
 from trefoilhook.clock import Clock
-from trefoilhook.exceptions import HistoryLostError, StoreError
+from trefoilhook.exceptions import (
+    HistoryLostError,
+    StoreAnswerBrokenError,
+    StoreError,
+)
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import Change, Changes, KeyValueStore, Listing
 from trefoilhook.runtime.second_attempts import read_with_second_attempt
@@ -171,9 +175,9 @@
             after = None
             failed()
             continue
-        except StoreError:
+        except StoreError as error:
             failed()
-            if receipt.received_ms is not None:
+            if isinstance(error, StoreAnswerBrokenError):
                 # The missed changes may be too many to be received; the current items
                 # are fewer.
                 after = None
--- a/trefoilhook/runtime/tests/test_following.py
+++ b/trefoilhook/runtime/tests/test_following.py
@@ -7,7 +7,7 @@
 
 from trefoilhook.clock import build_system_clock
 from trefoilhook.exceptions import StoreUnavailableError
-from trefoilhook.platform import Change, Changes, Listing
+from trefoilhook.platform import Change, Changes, KeyValueStore, Listing
 from trefoilhook.runtime.following import WATCH_WAIT_MS, KeyRead, follow
 
 _TIMEOUT_MS = 1000.0
@@ -146,3 +146,49 @@
         for found, expected in zip(confirmed_ms, expected_ms, strict=True):
             self.assertAlmostEqual(found, expected, delta=1.0)
         self.assertLess(store.waits_ms[1], WATCH_WAIT_MS)
+
+
+class RefusedWatchTest(unittest.TestCase):
+    """Watches that fail without an answer, or with a refusal."""
+
+    def _list_targets(self, answer: bytes) -> list[bytes]:
+        """Follow keys of a store that answers each call by ``answer`` and closes."""
+        targets: list[bytes] = []
+
+        async def serve(stream: trio.SocketStream) -> None:
+            data = bytes(await stream.receive_some())
+            targets.append(data.split(b" ")[1])
+            await stream.send_all(answer)
+            await stream.aclose()
+
+        async def main() -> None:
+            clock = build_system_clock()
+            async with trio.open_nursery() as nursery:
+                listeners = await nursery.start(trio.serve_tcp, serve, 0)
+                port = listeners[0].socket.getsockname()[1]
+                store = KeyValueStore(
+                    address=("127.0.0.1", port), timeout_ms=1000.0, clock=clock
+                )
+                with trio.move_on_after(1.5):
+                    await follow(
+                        store,
+                        "op/",
+                        clock=clock,
+                        take_listing=lambda listing: None,
+                        take_change=lambda change: None,
+                        listing=Listing(items=(), as_of=1),
+                    )
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        return targets
+
+    def test_failed_watch_does_not_list_the_keys(self):
+        # Guards against listings by all instances while the store refuses calls, or
+        # whenever it closes a waiting watch.
+        refusal = b"HTTP/1.1 %d \r\ncontent-length: 0\r\n\r\n"
+        for answer in (b"", refusal % 503, refusal % 429):
+            with self.subTest(answer):
+                targets = self._list_targets(answer)
+                self.assertIn(b"/trefoilhook/kv-watch", targets[0])
+                self.assertFalse([each for each in targets if b"kv-range" in each])
