Read a page of a listing again by itself

The page is repeated now, five times in a row at most. test_failed_page_does_not_repeat_the_others failed before.

--- a/trefoilhook/platform/store.py
+++ b/trefoilhook/platform/store.py
@@ -48,6 +48,13 @@
 """Maximum connections for probes, which are separate so that stuck calls don't block
 them."""
 
+_MAX_PAGE_FAILURES = 5
+"""Number of failures in a row after which a listing is given up, except for its first
+page."""
+
+_PAGE_RETRY_PAUSE_MS = 200.0
+"""Pause before a page is read again, in ms."""
+
 _LONG_ANSWER_MS = 500.0
 """Time to receive an answer from which it is logged, in ms. Changes must be in force
 within seconds, and the answers to other calls share the link."""
@@ -184,14 +191,24 @@
         """Read all keys under ``prefix``, page by page.
 
         ``as_of`` is the revision of the first page, so that a watch from there includes
-        all changes made while the other pages were read.
+        all changes made while the other pages were read. A page that fails is read
+        again, without those before it.
         """
         items: list[Item] = []
         as_of = 0
         query: dict[str, str | int] = {"prefix": prefix}
+        failures = 0
         while True:
-            response = await self._call_repeatable("GET", "kv-range", query=query)
-            page, page_as_of, has_more = self._read(response, decode_page)
+            try:
+                response = await self._call_repeatable("GET", "kv-range", query=query)
+                page, page_as_of, has_more = self._read(response, decode_page)
+            except StoreError:
+                failures += 1
+                if not items or failures > _MAX_PAGE_FAILURES:
+                    raise
+                await self.wait_for_retry(_PAGE_RETRY_PAUSE_MS)
+                continue
+            failures = 0
             as_of = as_of or page_as_of
             items.extend(page)
             if not has_more or not page:
--- a/trefoilhook/platform/tests/test_slow_links.py
+++ b/trefoilhook/platform/tests/test_slow_links.py
@@ -2,11 +2,13 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 import trio
 
 from trefoilhook.clock import build_boottime_clock
 from trefoilhook.exceptions import StoreUnavailableError
+from trefoilhook.http import HttpResponse
 from trefoilhook.logs.tests.lines import capture_lines, find_line
 from trefoilhook.platform import Change, KeyValueStore, Listing
 from trefoilhook.runtime.following import follow
@@ -15,6 +17,8 @@
 
 _KEY = "a/large"
 _SMALL_KEY = "b/small"
+_PAGES = 4
+_PAGE_ITEMS = 500
 _TIMEOUT_MS = 1000.0
 _BYTES = 300_000
 _LINK_BYTES_PER_S = 200_000.0
@@ -33,6 +37,8 @@
             port = await nursery.start(server.server.run)
             server.write_bytes(_KEY, b"x" * _BYTES)
             server.write(_SMALL_KEY, 1)
+            for number in range(_PAGES * _PAGE_ITEMS):
+                server.write_bytes(f"c/{number:04}", b"")
             cut = TcpCut(clock=clock, target_host="127.0.0.1", target_port=port)
             cut.set(CutSettings(answer_bytes_per_s=_LINK_BYTES_PER_S))
             store = KeyValueStore(
@@ -121,5 +127,29 @@
         self.assertRegex(detail, r"[1-9]\d{4,} bytes received")
 
 
+class ListingTest(unittest.TestCase):
+    """A listing of several pages."""
+
+    def test_failed_page_does_not_repeat_the_others(self):
+        # Guards against a listing that never ends, as one of its pages fails each time.
+        async def scenario(store: KeyValueStore, cut: TcpCut) -> None:
+            cut.set(CutSettings())
+            call = store._call_repeatable
+            reads: list[str] = []
+
+            async def fail_sometimes(*args, **options) -> HttpResponse:
+                reads.append(options["query"].get("after", ""))
+                if len(reads) % 3 == 0:
+                    raise StoreUnavailableError("no answer")
+                return await call(*args, **options)
+
+            with mock.patch.object(store, "_call_repeatable", fail_sometimes):
+                listing = await store.list_items("c/")
+            self.assertEqual(len(listing.items), _PAGES * _PAGE_ITEMS)
+            self.assertEqual(reads.count(""), 1)
+
+        _run(scenario)
+
+
 if __name__ == "__main__":
     unittest.main()
