Refuse jobs of a route that an instance has seen removed

An instance answered 404 for a removed route, and told the state of its jobs again once its configuration was outdated (found by a review): a caller saw an earlier configuration return. test_job_of_a_route_that_was_removed_is_refused failed before ('queued' instead of 503).

--- a/trefoilhook/runtime/configurations.py
+++ b/trefoilhook/runtime/configurations.py
@@ -56,6 +56,7 @@
         self._unreported: Item | None = None
         self._failed_reads = 0
         self._is_reported_outdated = False
+        self._dropped: frozenset[tuple[str, str]] = frozenset()
         self.configuration: Configuration | None = None
         self.freshness = Freshness()
         self.configure(apply_ms=apply_ms)
@@ -88,6 +89,10 @@
         """Whether a newer configuration may be in force."""
         return self.freshness.is_stale(self._clock.monotonic_ms())
 
+    def is_dropped(self, host: str, prefix: str) -> bool:
+        """Return whether an earlier configuration had a route that this one lacks."""
+        return (host, prefix) in self._dropped
+
     def describe_age(self) -> dict[str, int]:
         """Return the fields of a log line on how current the configuration is."""
         fields = {"version": self.version, "failed_reads": self._failed_reads}
@@ -126,6 +131,8 @@
             # Jobs of a removed route keep running on the workers of its service.
             services = configuration.services | self.configuration.services
             configuration = attrs.evolve(configuration, services=services)
+            known = self._dropped | self.configuration.locations
+            self._dropped = known - configuration.locations
         self.configuration = configuration
         self._unreported = item
 
--- a/trefoilhook/runtime/job_api.py
+++ b/trefoilhook/runtime/job_api.py
@@ -283,21 +283,20 @@
 
         A newer configuration may have added or removed the route. It doesn't change the
         state of a job that is stored, but a missing one can't be told from one of a
-        route that is gone. If the route is not known, the record must confirm the path.
+        route that is gone. If the route is not known, the record must confirm the path,
+        unless this instance has seen the route removed.
         """
         job_id = _read_job_id(request.path)
         host = _read_host(request)
         known = self._configurations.configuration
         queue = known.route(host, request.path) if known else None
-        target = _Lookup(
-            job_id=job_id,
-            trace=trace,
-            location=host + request.path.removesuffix(job_id),
-        )
+        prefix = request.path.removesuffix(job_id)
+        target = _Lookup(job_id=job_id, trace=trace, location=host + prefix)
         if queue is not None and request.path == queue.prefix + job_id:
             target = _Target(queue=queue, job_id=job_id, trace=trace)
         may_be_known = job_id in self._ended or self._calls.is_reachable()
-        if job_id and request.method == "GET" and may_be_known:
+        is_dropped = self._configurations.is_dropped(host, prefix)
+        if job_id and request.method == "GET" and may_be_known and not is_dropped:
             response = await self._read(target)
             if response.status != 410:
                 return response
--- a/trefoilhook/runtime/tests/test_outdated_answers.py
+++ b/trefoilhook/runtime/tests/test_outdated_answers.py
@@ -110,6 +110,27 @@
 
         run_cluster(scenario, instances=1, workers=1)
 
+    def test_job_of_a_route_that_was_removed_is_refused(self):
+        # Guards against an instance that answers 404 under the configuration in force,
+        # and tells the state again once that is outdated.
+        async def scenario(cluster: Cluster) -> None:
+            both = build_configuration(2, PREFIX, _NEW_PREFIX)
+            cluster.store.write("op/config", both)
+            instance = await cluster.start_instance(bounds=_BOUNDS)
+            _store_job(cluster, _QUEUE)
+            path = _NEW_PREFIX + _JOB
+            self.assertEqual(await _get(cluster, instance, path), "queued")
+            cluster.store.write("op/config", build_configuration(3, PREFIX))
+
+            async def is_removed() -> bool:
+                return await _get(cluster, instance, path) == 404
+
+            await cluster.wait_for(is_removed)
+            await _outdate(cluster)
+            self.assertEqual(await _get(cluster, instance, path), 503)
+
+        run_cluster(scenario, instances=0, workers=0)
+
     def test_state_is_not_told_under_a_wrong_path(self):
         # Guards against a state under a path or a host that isn't the job's.
         async def scenario(cluster: Cluster) -> None:
--- a/trefoilhook/scheduling/models.py
+++ b/trefoilhook/scheduling/models.py
@@ -267,6 +267,11 @@
     def _list_prefix_lengths(self) -> tuple[int, ...]:
         return tuple(sorted({len(q.prefix) for q in self.queues}, reverse=True))
 
+    @property
+    def locations(self) -> frozenset[tuple[str, str]]:
+        """Host and path prefix of each queue."""
+        return frozenset(self._by_location)
+
     def route(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of ``path`` at ``host``."""
         for length in self._prefix_lengths:
