Name what records a wait as such, and list what failed once beside load

Read again after a review: RoundHeadroom.measure_wait changes what it measures (record_wait now), and two classes were called _Receipt. No behaviour.

--- a/trefoilhook/runtime/following.py
+++ b/trefoilhook/runtime/following.py
@@ -66,7 +66,7 @@
 
 
 @attrs.define(kw_only=True, eq=False)
-class _Receipt:
+class _WatchReceipt:
     """Receipt of the answer to a watch.
 
     Parameters
@@ -93,7 +93,12 @@
 
 
 async def _watch(
-    store: KeyValueStore, prefix: str, *, receipt: _Receipt, after: int, wait_ms: int
+    store: KeyValueStore,
+    prefix: str,
+    *,
+    receipt: _WatchReceipt,
+    after: int,
+    wait_ms: int,
 ) -> Changes:
     """Watch keys; if the answer is overdue, also ask over a new connection."""
     return await read_with_second_attempt(
@@ -158,7 +163,7 @@
         note(KeyRead(kind=ReadKind.LISTING, confirmed_ms=clock.monotonic_ms()))
     wait_ms = WATCH_WAIT_MS
     while True:
-        receipt = _Receipt(clock=clock)
+        receipt = _WatchReceipt(clock=clock)
         try:
             if after is None:
                 sent_ms = clock.monotonic_ms()
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -189,7 +189,7 @@
     headroom = assignment_round.headroom
     steps = {name_step(state.task): state for state in held if headroom.concerns(state)}
     for state in steps.values():
-        headroom.measure_wait(state, assignment_round.list_candidates(state))
+        headroom.record_wait(state, assignment_round.list_candidates(state))
 
 
 def _compute_filler_interval(scheduler: Scheduler) -> float:
--- a/trefoilhook/scheduling/headroom.py
+++ b/trefoilhook/scheduling/headroom.py
@@ -7,8 +7,8 @@
 parts that are large enough for one of them.
 
 Capacity that stays free all the same is not kept for long: a service task that could
-have been placed throughout the last two seconds is placed, and so is one beside
-capacity for two of them, even if there was none for moments.
+have been placed throughout the last two seconds is placed. Beside capacity for two such
+tasks, short interruptions count as well (`ServiceHolds`).
 """
 
 import math
@@ -121,7 +121,7 @@
         if key not in self._spare:
             self._spare[key] = self._measure(key, workers)
         spare = self._spare[key]
-        if spare is None or self.measure_wait(task, workers) >= _MAX_HOLD_MS:
+        if spare is None or self.record_wait(task, workers) >= _MAX_HOLD_MS:
             return None
         return spare
 
@@ -155,7 +155,7 @@
         parts = sum(_count_parts(worker, part) for worker in workers)
         return PartLimit(part=part, parts=parts - math.ceil(missing_cpu / part.cpu))
 
-    def measure_wait(self, task: TaskState, workers: list[Worker]) -> float:
+    def record_wait(self, task: TaskState, workers: list[Worker]) -> float:
         """Record whether a task could be placed now.
 
         Parameters
