Close the idle connections of a stopping instance before its last second

An instance read a submission 4.57 s after its SIGTERM, over a connection that was still open, and ended 0.24 s later without an answer: beside the transfer of a configuration the store's answers took longer. Idle connections stayed open to the very moment at which the process ended its requests. They are closed 1.2 s before it now, the time that a submission may take.

--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -59,6 +59,10 @@
 checks readiness once a second and routes new connections until the second failed
 check."""
 
+_LAST_REQUEST_MS = 1200.0
+"""Time reserved for the requests in progress when a stopping process closes its idle
+connections, in ms: that of a submission that the store doesn't answer."""
+
 _STOP_MARGIN_MS = 1200.0
 """Time reserved between the end of a graceful stop and the platform's SIGKILL, in
 ms."""
@@ -211,7 +215,8 @@
         limit_ms = self._settings.bounds.shutdown_ms - _STOP_MARGIN_MS
         with trio.move_on_after(limit_ms / 1000.0):
             await self._clock.sleep_ms(_DRAIN_DELAY_MS)
-            await entry.drain(grace_ms=limit_ms - _DRAIN_DELAY_MS)
+            idle_ms = limit_ms - _DRAIN_DELAY_MS - _LAST_REQUEST_MS
+            await entry.drain(grace_ms=max(0.0, idle_ms))
 
     async def _answer_readiness(self, request: HttpRequest) -> HttpResponse:
         if request.path != READINESS_PATH:
--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -222,7 +222,7 @@
         return await self._send(instance.process.entry_port, request)
 
     async def _send(self, port: int, request: HttpRequest) -> HttpResponse:
-        client = _PlainClient(host="127.0.0.1", port=port)
+        client = PlainClient(host="127.0.0.1", port=port)
         try:
             return await client.send(request, timeout_ms=5000.0)
         except TransportError:
@@ -309,7 +309,7 @@
         return found
 
 
-class _PlainClient(HttpClient):
+class PlainClient(HttpClient):
     """A client that sends the ``host`` header of the request unchanged."""
 
     def _encode(self, connection, request):
