Start the proxy between an instance and the store in one place in the tests

Five tests, one of them older than this change, built the same TcpCut from the cluster's clock and store: Cluster.start_cut does, and replaces start_service, which only they used. Assertions and bounds are as they were.

--- a/trefoilhook/runtime/tests/cluster.py
+++ b/trefoilhook/runtime/tests/cluster.py
@@ -13,6 +13,7 @@
 from trefoilhook.platform import Bounds, InstanceSize, ProcessSettings
 from trefoilhook.runtime import Process, keys
 from trefoilhook.standins import platform_documents
+from trefoilhook.standins.cut import TcpCut
 from trefoilhook.standins.platform_advice import PlatformAdvice
 from trefoilhook.standins.platform_store import PlatformStore
 from trefoilhook.standins.platform_worker import PlatformWorker, WorkerFault
@@ -101,9 +102,15 @@
         self._nursery.start_soon(self.store.expire_leases)
         self.store.write("op/config", build_configuration(1))
 
-    async def start_service(self, run: Callable[..., Awaitable[None]]) -> None:
-        """Run a service for the rest of the test, and wait until it has started."""
-        await self._nursery.start(run)
+    async def start_cut(self) -> TcpCut:
+        """Start a proxy between an instance and the store, which injects faults."""
+        cut = TcpCut(
+            clock=self.clock,
+            target_host="127.0.0.1",
+            target_port=self.store.server.port,
+        )
+        await self._nursery.start(cut.run)
+        return cut
 
     async def start_worker(
         self,
--- a/trefoilhook/runtime/tests/test_deadlines.py
+++ b/trefoilhook/runtime/tests/test_deadlines.py
@@ -33,24 +33,17 @@
     """Run a scenario with a job that waits, and several open connections."""
 
     async def main(cluster: Cluster) -> None:
-        cut = TcpCut(
-            clock=cluster.clock,
-            target_host="127.0.0.1",
-            target_port=cluster.store.server.port,
-        )
-        async with trio.open_nursery() as nursery:
-            await nursery.start(cut.run)
-            instance = await cluster.start_instance(store_port=cut.port)
-            answer = await cluster.send(instance, "POST", PREFIX + _JOB, build_body())
-            if answer.status != 200:
-                raise AssertionError(f"not submitted: {answer.status}")
-            cut.set(CutSettings(delay_ms=20.0))
-            async with trio.open_nursery() as clients:
-                for _ in range(_CONNECTIONS):
-                    clients.start_soon(cluster.send, instance, "GET", PREFIX + _UNKNOWN)
-            cut.set(CutSettings())
-            await scenario(cluster, instance, cut)
-            nursery.cancel_scope.cancel()
+        cut = await cluster.start_cut()
+        instance = await cluster.start_instance(store_port=cut.port)
+        answer = await cluster.send(instance, "POST", PREFIX + _JOB, build_body())
+        if answer.status != 200:
+            raise AssertionError(f"not submitted: {answer.status}")
+        cut.set(CutSettings(delay_ms=20.0))
+        async with trio.open_nursery() as clients:
+            for _ in range(_CONNECTIONS):
+                clients.start_soon(cluster.send, instance, "GET", PREFIX + _UNKNOWN)
+        cut.set(CutSettings())
+        await scenario(cluster, instance, cut)
 
     run_cluster(main, instances=0, workers=0)
 
--- a/trefoilhook/runtime/tests/test_late_requests.py
+++ b/trefoilhook/runtime/tests/test_late_requests.py
@@ -16,7 +16,7 @@
     build_body,
     run_cluster,
 )
-from trefoilhook.standins.cut import CutSettings, TcpCut
+from trefoilhook.standins.cut import CutSettings
 
 _DELAY_MS = 150.0
 """Delay of the store's answers, as on a link that is full, in ms. It takes twice as
@@ -29,12 +29,7 @@
     def test_request_shortly_before_the_end_is_answered_or_not_read(self):
         # Guards against a request that is read and then cut off with its process.
         async def scenario(cluster: Cluster) -> None:
-            cut = TcpCut(
-                clock=cluster.clock,
-                target_host="127.0.0.1",
-                target_port=cluster.store.server.port,
-            )
-            await cluster.start_service(cut.run)
+            cut = await cluster.start_cut()
             instance = await cluster.start_instance(store_port=cut.port)
             client = PlainClient(host="127.0.0.1", port=instance.process.entry_port)
             headers = (("host", HOST), ("deadline-ms", "3000"))
--- a/trefoilhook/runtime/tests/test_long_histories.py
+++ b/trefoilhook/runtime/tests/test_long_histories.py
@@ -11,7 +11,7 @@
     build_configuration,
     run_cluster,
 )
-from trefoilhook.standins.cut import CutSettings, Partition, TcpCut
+from trefoilhook.standins.cut import CutSettings, Partition
 
 _BOUNDS = attrs.evolve(BOUNDS, configuration_ms=3000.0)
 _NEW_PREFIX = "/added/"
@@ -29,12 +29,7 @@
         # Guards against an instance that never gets another configuration, as it asks
         # for all versions that it has missed and gives the answer up.
         async def scenario(cluster: Cluster) -> None:
-            cut = TcpCut(
-                clock=cluster.clock,
-                target_host="127.0.0.1",
-                target_port=cluster.store.server.port,
-            )
-            await cluster.start_service(cut.run)
+            cut = await cluster.start_cut()
             instance = await cluster.start_instance(bounds=_BOUNDS, store_port=cut.port)
             cut.set(CutSettings(partition=Partition.SILENT))
             await cluster.clock.sleep_ms(300.0)
--- a/trefoilhook/runtime/tests/test_slow_links.py
+++ b/trefoilhook/runtime/tests/test_slow_links.py
@@ -34,13 +34,8 @@
 
 
 async def _start_behind_slow_link(cluster: Cluster) -> tuple[Instance, TcpCut]:
-    cut = TcpCut(
-        clock=cluster.clock,
-        target_host="127.0.0.1",
-        target_port=cluster.store.server.port,
-    )
+    cut = await cluster.start_cut()
     cut.set(CutSettings(answer_bytes_per_s=_LINK_BYTES_PER_S))
-    await cluster.start_service(cut.run)
     instance = await cluster.start_instance(bounds=_BOUNDS, store_port=cut.port)
     return instance, cut
 
--- a/trefoilhook/runtime/tests/test_slow_takeovers.py
+++ b/trefoilhook/runtime/tests/test_slow_takeovers.py
@@ -10,7 +10,7 @@
 from trefoilhook.runtime.tests.cluster import Cluster, run_cluster
 from trefoilhook.scheduling import JobRecord, encode_job_record
 from trefoilhook.scheduling.tests.cases import QUEUE, build_job
-from trefoilhook.standins.cut import CutSettings, TcpCut
+from trefoilhook.standins.cut import CutSettings
 
 _LINK_BYTES_PER_S = 250_000.0
 """Rate of the instance's link, in bytes per second."""
@@ -39,13 +39,8 @@
         # Guards against a takeover that reads the same page for good.
         async def scenario(cluster: Cluster) -> None:
             _store_jobs(cluster)
-            cut = TcpCut(
-                clock=cluster.clock,
-                target_host="127.0.0.1",
-                target_port=cluster.store.server.port,
-            )
+            cut = await cluster.start_cut()
             cut.set(CutSettings(answer_bytes_per_s=_LINK_BYTES_PER_S))
-            await cluster.start_service(cut.run)
             with capture_lines() as lines:
                 await cluster.start_instance(store_port=cut.port)
                 with trio.move_on_after(_LIMIT_S):
