Keep the receipt of a watch where it is used

Since a broken answer has an error of its own, `follow` no longer reads the receipt; `_watch` makes it now.

--- a/trefoilhook/runtime/following.py
+++ b/trefoilhook/runtime/following.py
@@ -96,11 +96,12 @@
     store: KeyValueStore,
     prefix: str,
     *,
-    receipt: _WatchReceipt,
+    clock: Clock,
     after: int,
     wait_ms: int,
 ) -> Changes:
     """Watch keys; if the answer is overdue, also ask over a new connection."""
+    receipt = _WatchReceipt(clock=clock)
     return await read_with_second_attempt(
         lambda is_second: store.watch(
             prefix,
@@ -163,7 +164,6 @@
         note(KeyRead(kind=ReadKind.LISTING, confirmed_ms=clock.monotonic_ms()))
     wait_ms = WATCH_WAIT_MS
     while True:
-        receipt = _WatchReceipt(clock=clock)
         try:
             if after is None:
                 sent_ms = clock.monotonic_ms()
@@ -173,7 +173,7 @@
                 note(KeyRead(kind=ReadKind.LISTING, confirmed_ms=sent_ms))
             sent_ms = clock.monotonic_ms()
             batch = await _watch(
-                store, prefix, receipt=receipt, after=after, wait_ms=wait_ms
+                store, prefix, clock=clock, after=after, wait_ms=wait_ms
             )
         except HistoryLostError:
             log_event(Event.HISTORY_LOST, prefix=prefix, after=after)
