Conclude from its entry that a worker has left as planned

Cause: a worker that left counted as silent. Its owner waited for its leases and kept it in the roster, so that the next owner awaited it as well. The store tells more: a worker that leaves announces it (draining), writes its entry every 1.5 s and has it removed 0.1 to 1.5 s after the last write (in a play with logged entries); the entry of one that vanished goes 4.5 s after it.

Change: an entry that announced the end and is removed within 3.5 s of its last write, with no failed read between, proves that the worker has left. Its tasks start elsewhere at once and it leaves the roster.

A worker that announced nothing is awaited as before.

--- a/trefoilhook/runtime/losses.py
+++ b/trefoilhook/runtime/losses.py
@@ -17,7 +17,13 @@
     WorkerLoss,
 )
 
-__all__ = ["log_lease_expiry", "log_loss", "log_restart", "log_unlisted"]
+__all__ = [
+    "log_departure",
+    "log_lease_expiry",
+    "log_loss",
+    "log_restart",
+    "log_unlisted",
+]
 
 _MAX_LOGGED_SUSPECTS = 6
 """Maximum number of suspects in a log line, most likely first, which keeps it under 700
@@ -88,6 +94,15 @@
     )
 
 
+def log_departure(worker: Worker) -> None:
+    """Log that a worker has shut down as planned, which ends all its runs."""
+    worker_id = worker.report.worker_id
+    log_event(Event.WORKER_LOST, worker=worker_id, why="left")
+    _log_given_up(
+        worker.runs, worker_id=worker_id, why="left", silent_ms=0.0, listed=False
+    )
+
+
 def log_loss(loss: WorkerLoss) -> None:
     """Log why a worker process ended, with the tasks suspected of crashing it."""
     log_event(
--- a/trefoilhook/runtime/workerfeed.py
+++ b/trefoilhook/runtime/workerfeed.py
@@ -14,7 +14,7 @@
     decode_worker_report,
 )
 from trefoilhook.runtime.following import follow
-from trefoilhook.runtime.losses import log_restart
+from trefoilhook.runtime.losses import log_departure, log_restart
 from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.scheduling import (
@@ -22,6 +22,8 @@
     Scheduler,
     WorkerReport,
     apply_report,
+    handle_worker_loss,
+    has_left,
     has_restarted,
 )
 
@@ -104,17 +106,32 @@
         self._notify()
 
     def _take_change(self, change: Change) -> None:
+        worker_id = change.key.removeprefix(WORKER_PREFIX)
         if change.item is not None:
             self._take_worker(change.item)
+            worker = self._scheduler.workers.get(worker_id)
+            if worker is not None:
+                # All changes until this time had been read before.
+                worker.entry_written_ms = self._scheduler.entries.read_ms
         else:
-            worker_id = change.key.removeprefix(WORKER_PREFIX)
             self._rejections.accept(Event.REPORT_INVALID, change.key)
             self._unknown_service_items.pop(change.key, None)
-            if worker_id in self._scheduler.workers:
-                self._scheduler.mark_unlisted(worker_id)
-                log_event(Event.WORKER_LOST, worker=worker_id, why="unlisted")
+            self._take_removal(worker_id)
         self._notify()
 
+    def _take_removal(self, worker_id: str) -> None:
+        """Apply the removal of a worker's entry."""
+        worker = self._scheduler.workers.get(worker_id)
+        if worker is None:
+            return
+        self._scheduler.mark_unlisted(worker_id)
+        now_ms = self._clock.monotonic_ms()
+        if has_left(self._scheduler, worker, now_ms):
+            log_departure(worker)
+            handle_worker_loss(self._scheduler, worker, now_ms)
+        else:
+            log_event(Event.WORKER_LOST, worker=worker_id, why="unlisted")
+
     def _is_known_service(self, service: str) -> bool:
         """Return whether the configuration or a job's earlier queue names a service."""
         return (
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -15,6 +15,7 @@
 )
 from trefoilhook.scheduling.core import Scheduler, SchedulerLimits
 from trefoilhook.scheduling.crashes import handle_worker_loss
+from trefoilhook.scheduling.departures import has_left
 from trefoilhook.scheduling.durations import (
     Durations,
     decode_durations,
@@ -200,6 +201,7 @@
     "list_unreported",
     "get_worker_id",
     "handle_worker_loss",
+    "has_left",
     "has_restarted",
     "measure_backlogs",
     "measure_evacuated",
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -262,6 +262,8 @@
         Start of its process, in ms since the Unix epoch, if the platform reports it.
     listed : bool
         Whether its entry is in the store.
+    entry_written_ms : float
+        Time before which its last known entry was not written, in ms.
     has_answered_token : bool
         Whether it has answered under the owner's fencing token, so that it executes no
         more orders of previous owners.
@@ -336,6 +338,7 @@
     report: WorkerReport
     born_ms: int | None = attrs.field()
     listed: bool = True
+    entry_written_ms: float = float("-inf")
     has_answered_token: bool = False
     has_reported_all: bool = False
     is_in_roster: bool = False
--- a/trefoilhook/scheduling/incarnations.py
+++ b/trefoilhook/scheduling/incarnations.py
@@ -22,6 +22,7 @@
     "apply_report",
     "has_restarted",
     "is_outdated_answer",
+    "may_still_start",
     "resolve_incarnation",
 ]
 
@@ -105,7 +106,7 @@
     # The deadline of a late order is on the clock of the previous process, so that the
     # new one grants the longest possible lease.
     valid_ms = limits.task_lease_ms + limits.max_task_lease_ms
-    held = [run for run in worker.runs.values() if _may_still_start(run)]
+    held = [run for run in worker.runs.values() if may_still_start(run)]
     unresolved = [
         run
         for run in [*worker.unanswered_starts, *held]
@@ -132,7 +133,7 @@
     return successor
 
 
-def _may_still_start(run: Run) -> bool:
+def may_still_start(run: Run) -> bool:
     """Return whether the next incarnation may have received a start order."""
     if run.ambiguous or (run.in_flight and run.is_sent and not run.is_confirmed):
         return True
