Keep bounds of the times of revisions of the store

The store gives no times, so that a new owner could not tell how long ago something in the store was written: an entry of a worker, or the groups of an earlier owner. Every instance watches the ownership keys about once a second while it is not the owner. It now keeps the last 64 answers with the times around them and the revision reached: a change was made after the request of each current answer that lacks it, and before the receipt of each that has it.

An answer with changes may end at the last of them, so that it bounds from above only. A failed call ends what is known. Nobody reads the log yet.

--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -43,6 +43,7 @@
 from trefoilhook.runtime.following import WATCH_WAIT_MS
 from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.rejections import Rejections
+from trefoilhook.runtime.revisions import RevisionLog
 
 __all__ = ["OWNER_LEASE_MS", "ShardElection", "Ownership"]
 
@@ -93,6 +94,8 @@
     sightings : dict of int to float
         Epochs that this instance has seen, each with the monotonic time at which it
         first saw it, in ms. The epoch was claimed earlier.
+    revisions : RevisionLog
+        Times of the changes that this instance saw before the claim.
     """
 
     epoch: int
@@ -105,6 +108,7 @@
     requested_ms: float = attrs.field()
     recorded_since: int = attrs.field()
     sightings: dict[int, float] = attrs.Factory(dict)
+    revisions: RevisionLog = attrs.Factory(RevisionLog)
 
     @requested_ms.default
     def _default_requested_ms(self) -> float:
@@ -206,6 +210,7 @@
         self._released_ms = 0.0
         self._stale_lease = 0
         self._sightings: dict[int, float] = {}
+        self._revisions = RevisionLog()
 
     @property
     def is_owner(self) -> bool:
@@ -224,11 +229,14 @@
         while not self._resigned:
             try:
                 await self._revoke_stale_lease()
+                sent_ms = self._clock.monotonic_ms()
                 listing = await self._store.list_items(
                     keys.ownership_prefix(keys.SHARD)
                 )
+                self._note_revision(sent_ms, listing.as_of)
                 await self._claim_when_vacant(listing)
             except StoreError:
+                self._revisions.reset()
                 await self._store.wait_for_retry(_RETRY_PAUSE_MS)
 
     async def _claim_when_vacant(self, listing: Listing) -> None:
@@ -255,6 +263,7 @@
                     if 0 < remaining_ms < _RETRY_PAUSE_MS
                     else _RETRY_PAUSE_MS
                 )
+            sent_ms = self._clock.monotonic_ms()
             try:
                 batch = await self._store.watch(
                     keys.ownership_prefix(keys.SHARD), after=after, wait_ms=wait_ms
@@ -262,6 +271,7 @@
             except HistoryLostError:
                 return
             after = batch.as_of
+            self._note_revision(sent_ms, after, is_current=not batch.changes)
             for change in batch.changes:
                 if change.key == keys.owner_key(keys.SHARD):
                     owner = change.item
@@ -270,6 +280,17 @@
                     epoch = change.item
                     self._record_sighting(epoch)
 
+    def _note_revision(
+        self, sent_ms: float, as_of: int, *, is_current: bool = True
+    ) -> None:
+        """Record an answer that has just been received."""
+        self._revisions.note(
+            sent_ms=sent_ms,
+            received_ms=self._clock.monotonic_ms(),
+            as_of=as_of,
+            is_current=is_current,
+        )
+
     def _record_sighting(self, item: Item | None) -> None:
         """Record the time at which this instance first saw an epoch."""
         if item is None:
@@ -352,6 +373,7 @@
             requested_ms=granted_ms,
             recorded_since=recorded_since,
             sightings=dict(self._sightings),
+            revisions=self._revisions,
         )
         await self._run_ownership(ownership)
 
