Hold only tasks with a place on awaited workers after a planned takeover

What callers saw: after a planned stop of the owner beside workers that had just left, hundreds of tasks waited for 7.4 s, service tasks among them, most of which had never been on those workers.

Cause: while the store is silent an owner may start a task in the group of its job without a place. The next owner can't know whether that happened, so that all jobs wait whose group contains an awaited worker.

An owner that gives the shard up, and has stopped sending, now writes with its last groups that each of its starts has a place, if none relied on its group and all runs that it knows have places in the store. The next owner then waits for places alone on that epoch's workers; starts outside of groups always relied on these. Groups of earlier epochs keep what their own owners wrote. Earlier builds ignore the field and drop it when they write, which is read as unknown; an owner that is killed writes nothing.

--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -12,6 +12,7 @@
 import json
 from collections.abc import Callable
 
+import attrs
 import trio
 
 from trefoilhook.clock import Clock
@@ -27,7 +28,7 @@
 )
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.ownership import Ownership
-from trefoilhook.scheduling import Scheduler, list_unreleased
+from trefoilhook.scheduling import Scheduler, are_starts_recorded, list_unreleased
 from trefoilhook.takeover import (
     Head,
     Member,
@@ -47,6 +48,10 @@
 _MAX_REMOVALS = 24
 """Maximum number of damaged keys removed with one write."""
 
+_MAX_HANDOVER_WRITES = 2
+"""Number of attempts to write the groups at the end of an ownership. The first one
+fails if the write that the end interrupted is carried out."""
+
 _BATCH_WINDOW_MS = 10.0
 """Time to collect more workers before a write, in ms. The first polls of a new owner
 are answered within about 10 ms of each other, so that one write covers them all."""
@@ -179,6 +184,24 @@
             await self._clock.sleep_ms(_BATCH_WINDOW_MS)
             self._wake = trio.Event()
 
+    async def hand_over(self) -> None:
+        """Record that each start has a place, once this owner sends no more starts.
+
+        The next owner then holds only the tasks with a place on an awaited worker,
+        instead of all jobs whose group contains one. This does not apply to starts of
+        earlier epochs, whose groups keep what their own owners recorded.
+        """
+        if not are_starts_recorded(self._scheduler):
+            return
+        for _ in range(_MAX_HANDOVER_WRITES):
+            head = self._build_head()
+            if head is None or self._head is None:
+                return
+            groups = attrs.evolve(head.groups, has_all_places=True)
+            head = attrs.evolve(head, groups=groups)
+            if await self._write(self.workers, head):
+                return
+
     def _build_head(self) -> Head | None:
         """Return the groups to be stored; None while no worker has answered."""
         scheduler = self._scheduler
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -281,14 +281,20 @@
                     await self._ownership.ended.wait()
                     nursery.cancel_scope.cancel()
             if self._ownership.released:
-                with trio.move_on_after(OWNER_LEASE_MS / 4000.0):
-                    await self._committer.flush()
+                await self._hand_over()
         finally:
             self._settlement.end()
             with trio.CancelScope(shield=True):
                 for client in self._clients.values():
                     await client.close()
 
+    async def _hand_over(self) -> None:
+        """Write what the next owner needs to know, once no more orders are sent."""
+        with trio.move_on_after(OWNER_LEASE_MS / 4000.0):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._committer.flush)
+                nursery.start_soon(self._roster.hand_over)
+
     @contextlib.contextmanager
     def _export_gauges(self) -> Iterator[None]:
         """Export the gauges of an owner for the duration of the context."""
--- a/trefoilhook/runtime/tests/test_roster.py
+++ b/trefoilhook/runtime/tests/test_roster.py
@@ -8,27 +8,44 @@
 
 from trefoilhook.clock import build_boottime_clock
 from trefoilhook.exceptions import StoreUnavailableError
-from trefoilhook.platform import Transaction
+from trefoilhook.platform import Item, PreconditionError, Transaction
+from trefoilhook.runtime import keys
 from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.ownership import Ownership
 from trefoilhook.runtime.polling import WorkerPoller
 from trefoilhook.runtime.roster import Roster
 from trefoilhook.scheduling.tests.cases import TASK_LEASE_MS, Shard
+from trefoilhook.takeover import PlaceLedger, decode_head
 
 
 @attrs.define(kw_only=True)
 class FakeStore:
-    """Store whose commits succeed, or get no answer."""
+    """Store whose commits succeed, get no answer, or meet another head."""
 
     revision: int = 1
     is_answering: bool = True
     commits: list[Transaction] = attrs.Factory(list)
+    late_revision: int = 0
 
     async def commit(self, transaction: Transaction) -> int:
         """Commit a transaction."""
         self.commits.append(transaction)
         if not self.is_answering:
             raise StoreUnavailableError("no answer")
+        if self.late_revision:
+            revisions = {
+                keys.owner_key(keys.SHARD): 1,
+                keys.groups_key(keys.SHARD): self.late_revision,
+                keys.roster_key(keys.SHARD): self.late_revision,
+            }
+            self.late_revision = 0
+            raise PreconditionError(
+                "carried out late",
+                items=tuple(
+                    Item(key=key, value=b"", revision=revision, created=1)
+                    for key, revision in revisions.items()
+                ),
+            )
         self.revision += 1
         return self.revision
 
@@ -73,6 +90,62 @@
         self.assertEqual(request.deadline_ms, limit_ms + 1500.0)
 
 
+def build_roster(shard: Shard, store: FakeStore) -> Roster:
+    """Build the roster of a first owner."""
+    return Roster(
+        store=store,
+        clock=build_boottime_clock(),
+        ownership=Ownership(
+            epoch=1,
+            owner_revision=1,
+            claimed_ms=0.0,
+            lease=1,
+            valid_until_ms=2000.0,
+        ),
+        scheduler=shard.scheduler,
+        notify=lambda: None,
+    )
+
+
+class HandOverTest(unittest.TestCase):
+    """The last write of an owner that gives the shard up."""
+
+    def hand_over(self, *, late_revision: int = 0, has_group_starts: bool = False):
+        """Hand a shard over, and return the commits since its first groups."""
+
+        async def scenario() -> list[Transaction]:
+            shard = Shard()
+            shard.scheduler.places = PlaceLedger(epoch=1)
+            store = FakeStore()
+            roster = build_roster(shard, store)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(roster.run)
+                await trio.testing.wait_all_tasks_blocked()
+                nursery.cancel_scope.cancel()
+            shard.scheduler.has_group_starts = has_group_starts
+            store.late_revision = late_revision
+            store.commits.clear()
+            await roster.hand_over()
+            return store.commits
+
+        return trio.run(scenario)
+
+    def test_interrupted_write_that_is_carried_out(self):
+        # Guards against a planned takeover that holds groups, as a write of them was
+        # under way at the end.
+        commits = self.hand_over(late_revision=7)
+        self.assertEqual(len(commits), 2)
+        key = keys.groups_key(keys.SHARD)
+        revisions = {row.key: row.revision for row in commits[1].preconditions}
+        self.assertEqual(revisions[key], 7)
+        (value,) = [put.value for put in commits[1].puts if put.key == key]
+        self.assertTrue(decode_head(value).groups.has_all_places)
+
+    def test_start_without_a_place(self):
+        # Guards against a second run beside one that the next owner does not know.
+        self.assertEqual(self.hand_over(has_group_starts=True), [])
+
+
 class UnansweredWriteTest(unittest.TestCase):
     """Workers that groups in the store may not contain."""
 
@@ -82,19 +155,7 @@
         async def scenario() -> None:
             shard = Shard()
             store = FakeStore()
-            roster = Roster(
-                store=store,
-                clock=build_boottime_clock(),
-                ownership=Ownership(
-                    epoch=1,
-                    owner_revision=1,
-                    claimed_ms=0.0,
-                    lease=1,
-                    valid_until_ms=2000.0,
-                ),
-                scheduler=shard.scheduler,
-                notify=lambda: None,
-            )
+            roster = build_roster(shard, store)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(roster.run)
                 await trio.testing.wait_all_tasks_blocked()
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -105,6 +105,7 @@
 from trefoilhook.scheduling.shortfall import Shortfall, ShortfallCounter
 from trefoilhook.scheduling.takeovers import (
     account_for_workers,
+    are_starts_recorded,
     list_unreleased,
     list_unreported,
 )
@@ -113,6 +114,7 @@
 __all__ = [
     "account_for_workers",
     "are_fillers_due",
+    "are_starts_recorded",
     "list_unreleased",
     "plan_pending_orders",
     "SLOWEST_CLOCK",
--- a/trefoilhook/scheduling/takeovers.py
+++ b/trefoilhook/scheduling/takeovers.py
@@ -15,6 +15,7 @@
 
 __all__ = [
     "account_for_workers",
+    "are_starts_recorded",
     "is_held_for_predecessors",
     "is_start_recorded",
     "list_awaited_workers",
@@ -255,6 +256,28 @@
     return False
 
 
+def are_starts_recorded(scheduler: Scheduler) -> bool:
+    """Return whether each start of this owner has a place in the store.
+
+    It must not send any more. Runs of earlier epochs count as well, so that nothing
+    found on a worker depends on the groups of this epoch.
+    """
+    if scheduler.places is None or scheduler.has_group_starts:
+        return False
+    return all(
+        _is_known_to_successor(scheduler, run)
+        for worker in scheduler.workers.values()
+        for run in worker.runs.values()
+        if run.task.job_id in scheduler.jobs and not _is_unsent(run)
+    )
+
+
+def _is_unsent(run: Run) -> bool:
+    """Return whether a start was certainly not sent."""
+    is_starting = run.phase is RunPhase.STARTING
+    return is_starting and not (run.in_flight or run.may_have_run)
+
+
 def request_place(scheduler: Scheduler, worker: Worker, run: Run) -> None:
     """Request a record of the worker of a run unless the next owner knows it."""
     if scheduler.places is None or _is_known_to_successor(scheduler, run):
@@ -274,8 +297,7 @@
     for worker in scheduler.workers.values():
         for run in list(worker.pending_runs):
             if (
-                run.phase is RunPhase.STARTING
-                and not (run.in_flight or run.may_have_run)
+                _is_unsent(run)
                 and not _is_known_to_successor(scheduler, run)
                 and not _is_in_group(scheduler, worker, run)
             ):
--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -15,6 +15,7 @@
     TaskId,
     account_for_workers,
     apply_report,
+    are_starts_recorded,
     collect_changes,
     confirm_change,
     list_unreleased,
@@ -333,6 +334,34 @@
         self.assertIn(place, ledger.list_places())
         self.assertIn(worker.incarnation, list_unreleased(shard.scheduler))
 
+    def test_starts_are_recorded_while_others_wait_for_their_places(self):
+        # Guards against a planned takeover whose owner never finds its places complete.
+        shard, ledger = self.build_shard()
+        self.start(shard, ledger)
+        shard.submit(build_job(job_id="k"))
+        self.assertEqual(list_starts(shard.plan()), [])
+        self.assertTrue(ledger.has_pending)
+        self.assertTrue(are_starts_recorded(shard.scheduler))
+
+    def test_start_held_again_without_a_place_is_not_recorded(self):
+        # Guards against a second run of a task whose start was ruled out, and which the
+        # restarted process may execute late.
+        shard, ledger = self.build_shard()
+        (worker, *_) = shard.scheduler.workers.values()
+        run = Run(
+            task=TaskId("j", 0, 0, 0),
+            attempt=7,
+            room=Demand(),
+            phase=RunPhase.STOPPING,
+            started_ms=shard.now_ms,
+        )
+        run.ambiguous = True
+        worker.hold(run)
+        ledger.restore(Place(task=TASK, attempt=7, worker=worker.incarnation))
+        self.assertFalse(are_starts_recorded(shard.scheduler))
+        self.write(shard, ledger)
+        self.assertTrue(are_starts_recorded(shard.scheduler))
+
     def test_stalled_writes_move_starts_into_groups(self):
         # Guards against a store outage in which no task is started, and against starts
         # in it that the next owner does not expect.
@@ -349,6 +378,7 @@
         (order,) = list_starts(shard.plan())
         self.assertEqual([order.worker_id], groups.list_group("j"))
         self.assertTrue(shard.scheduler.has_group_starts)
+        self.assertFalse(are_starts_recorded(shard.scheduler))
 
     def test_stalled_writes_without_groups_start_nothing(self):
         shard, ledger = self.build_shard()
--- a/trefoilhook/takeover/core.py
+++ b/trefoilhook/takeover/core.py
@@ -1,9 +1,10 @@
 """What previous owners may have started, and for whom a new owner's tasks wait.
 
 A task waits only for the workers on which a previous owner may have started it: those
-named by a place, those of its job's group in the groups of each previous epoch, and,
-where a previous owner did not record its starts, all workers that it used. Each worker
-is awaited until it is accounted for, which other tasks do not wait for.
+named by a place, those of its job's group in the groups of each previous epoch that may
+have started tasks without a place, and, where a previous owner did not record its
+starts, all workers that it used. Each worker is awaited until it is accounted for,
+which other tasks do not wait for.
 """
 
 from collections.abc import Iterable
@@ -85,6 +86,7 @@
         unrecorded_workers: Iterable[str] = (),
     ) -> None:
         self.groups = tuple(groups)
+        self._relied_on = tuple(each for each in self.groups if not each.has_all_places)
         self.unrecorded_epoch = unrecorded_epoch
         self._unrecorded = frozenset(unrecorded_workers)
         self._last_epoch: dict[str, int] = {}
@@ -173,7 +175,7 @@
         awaited = self._list_relevant(never_ends)
         names = {name for name in awaited if task in self._tasks.get(name, ())}
         names |= awaited & self._unrecorded
-        for groups in self.groups:
+        for groups in self._relied_on:
             names |= awaited.intersection(groups.list_group(job_id))
         return sorted(names)
 
@@ -192,7 +194,7 @@
         blocked = _Blocked(everything=bool(awaited & self._unrecorded))
         for name in awaited:
             blocked.tasks |= self._tasks.get(name, set())
-        for groups in self.groups:
+        for groups in self._relied_on:
             numbers = {
                 slot % groups.count
                 for slot, member in groups.members.items()
--- a/trefoilhook/takeover/groups.py
+++ b/trefoilhook/takeover/groups.py
@@ -46,11 +46,15 @@
         Number of groups. It must not change while starts rely on the groups.
     members : mapping of int to Member
         Workers by slot. Slot and job id determine the group, modulo ``count``.
+    has_all_places : bool
+        Whether each start of the epoch has a place, so that nothing relies on the
+        groups. It is only known at the end of an ownership that was given up.
     """
 
     epoch: int
     count: int
     members: Mapping[int, Member] = attrs.Factory(dict)
+    has_all_places: bool = False
     _slots: dict[str, int] = attrs.field(init=False, eq=False, repr=False)
     _end_slot: int = attrs.field(init=False, eq=False, repr=False)
 
--- a/trefoilhook/takeover/records.py
+++ b/trefoilhook/takeover/records.py
@@ -15,6 +15,7 @@
     check_object,
     check_string,
     parse_object,
+    read_boolean,
     read_integer,
     read_list,
     read_object,
@@ -163,6 +164,7 @@
     return {
         "epoch": groups.epoch,
         "groups": groups.count,
+        "all_placed": groups.has_all_places,
         "workers": [
             [slot, member.name, member.address]
             for slot, member in sorted(groups.members.items())
@@ -187,6 +189,8 @@
         epoch=read_integer(table, "epoch"),
         count=read_integer(table, "groups", minimum=1),
         members=members,
+        # Earlier builds do not write it.
+        has_all_places=read_boolean(table, "all_placed", default=False),
     )
     if len(groups.list_names()) != len(members):
         raise DecodeError("workers: a worker has two slots")
--- a/trefoilhook/takeover/tests/test_core.py
+++ b/trefoilhook/takeover/tests/test_core.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from trefoilhook.takeover import Predecessors
 from trefoilhook.takeover.tests.builders import build_groups, build_place, find_job
 
@@ -54,6 +56,24 @@
         predecessors.account("b")
         self.check(predecessors, "t.0.0", _JOB_A, [])
 
+    def test_groups_that_no_start_relied_on_hold_nothing(self) -> None:
+        """Guards against tasks held for a worker on which they cannot run."""
+        placed = attrs.evolve(_GROUPS, has_all_places=True)
+        predecessors = Predecessors(
+            groups=[placed], places=[build_place("t.0.0", worker="b")]
+        )
+        self.check(predecessors, "t.0.0", _JOB_A, ["b"])
+        self.check(predecessors, "t.0.1", _JOB_A, [])
+        self.assertEqual(predecessors.awaited, {"a", "b"})
+
+    def test_other_epochs_may_have_relied_on_their_groups(self) -> None:
+        """Guards against a record taken for that of an epoch before or after it."""
+        placed = attrs.evolve(_GROUPS, has_all_places=True)
+        for epoch in (3, 5):
+            other = build_groups("a", epoch=epoch)
+            predecessors = Predecessors(groups=[placed, other])
+            self.check(predecessors, "t.0.0", _JOB_A, ["a"])
+
     def test_each_task_of_a_worker_waits_for_it(self) -> None:
         """Guards against a second run of all but the last task started there."""
         predecessors = Predecessors(
--- a/trefoilhook/takeover/tests/test_protocol.py
+++ b/trefoilhook/takeover/tests/test_protocol.py
@@ -69,6 +69,15 @@
         "a restart frees tasks of an owner that still has its key",
         _RESTART,
     ),
+    "all placed": ("no start has only its group", {**_ONE, "resigns": 1}),
+    "all placed last": (
+        "nothing is sent once all starts are recorded to have places",
+        {**_ONE, "resigns": 1},
+    ),
+    "all placed by epoch": (
+        "an owner records it of its own starts alone",
+        {**_SERVICE, "resigns": 1},
+    ),
 }
 """What each guard asks, and a world in which a fault shows without it."""
 
@@ -82,6 +91,8 @@
     "failed ends": ({**_ONE, "fails": 1}, 100),
     "restarts": ({**_RESTART, "never_ends": 1}, 7),
     "three owners": ({"second": 0}, 6),
+    "planned takeovers": ({**_ONE, "never_ends": 1, "resigns": 1}, 100),
+    "planned takeovers, three owners": ({**_SERVICE, "resigns": 1}, 6),
     "all faults, two steps": (
         {
             "owners": 2,
--- a/trefoilhook/takeover/tests/test_records.py
+++ b/trefoilhook/takeover/tests/test_records.py
@@ -40,6 +40,7 @@
             slot: Member(name=name, address=draw(_NAMES))
             for slot, name in zip(slots, names, strict=True)
         },
+        has_all_places=draw(st.booleans()),
     )
 
 
@@ -194,6 +195,7 @@
             ("address", ("workers", 0, 2), None),
             ("slot used twice", ("workers", 0, 0), 1),
             ("worker with two slots", ("workers", 0, 1), "b"),
+            ("all placed as a number", ("all_placed",), 1),
             ("inherited", ("inherited",), None),
             ("inherited row", ("inherited", 0), []),
             ("inherited groups", ("inherited", 0, "groups"), 0),
@@ -243,6 +245,11 @@
             with self.subTest(field), self.assertRaises(DecodeError):
                 decode_places(_encode_without(_PAGE, field))
 
+    def test_missing_completeness(self) -> None:
+        """Guards against starts of an earlier build that are taken to have places."""
+        head = decode_head(_encode_without({**_HEAD, "all_placed": True}, "all_placed"))
+        self.assertFalse(head.groups.has_all_places)
+
     def test_missing_times(self) -> None:
         """Guards against waits that are taken as over without a time."""
         head = decode_head(_encode_without(_HEAD, "elapsed"))
--- a/trefoilhook/takeover/tests/world.py
+++ b/trefoilhook/takeover/tests/world.py
@@ -58,6 +58,9 @@
         "R7 head",
         "R8 token",
         "R8 deadline",
+        "all placed",
+        "all placed by epoch",
+        "all placed last",
         "late ends",
         "own leases",
         "renewals",
@@ -114,6 +117,9 @@
     same_id : bool
         Whether a worker is reborn under its id, also unheard. Orders on their way name
         the id alone, so that the next incarnation may execute them.
+    resigns : bool
+        Whether an owner may give the shard up, and record that all its starts have
+        places.
     """
 
     without: frozenset[str] = frozenset()
@@ -129,6 +135,7 @@
     late_writes: int = 1
     second: bool = True
     same_id: bool = False
+    resigns: bool = False
 
 
 @attrs.define(kw_only=True, slots=False)
@@ -206,6 +213,8 @@
     sent_head: Head | None = None
     runs: dict[Run, tuple[str, str]] = attrs.Factory(dict)
     attempts: int = 0
+    has_group_starts: bool = False
+    has_resigned: bool = False
     _key: Any = attrs.field(default=None, init=False)
     _next_head: Any = attrs.field(default=None, init=False)
     is_checked: bool = False
@@ -261,6 +270,8 @@
             _key_head(self.sent_head),
             frozenset(self.runs.items()),
             self.attempts,
+            self.has_group_starts,
+            self.has_resigned,
         )
 
     def account(self, name: str) -> None:
@@ -319,11 +330,15 @@
             groups = self.head.groups
         gone = {name for name in self.over if self.is_released(name)}
         members = [member for name, member in self.answered.items() if name not in gone]
+        has_all_places = self.has_resigned and self.are_starts_recorded()
+        groups = attrs.evolve(groups, has_all_places=has_all_places)
         inherited = []
         for each in self.predecessors.groups:
             kept = each.retain(
                 name for name in each.list_names() if not self.is_released(name)
             )
+            if has_all_places and "all placed by epoch" in self.without:
+                kept = attrs.evolve(kept, has_all_places=True)
             if kept.members:
                 inherited.append(kept)
         unrecorded = self.predecessors.unrecorded_epoch
@@ -340,6 +355,16 @@
             unrecorded_epoch=unrecorded,
         )
 
+    def are_starts_recorded(self) -> bool:
+        """Return whether the next owner finds a place of each start that was sent."""
+        if "all placed" in self.without:
+            return True
+        return not self.has_group_starts and all(
+            self.ledger.is_recorded(*run)
+            for run, (_, state) in self.runs.items()
+            if state != "planned"
+        )
+
     def may_use(self, name: str) -> bool:
         """Return whether the next owner will know that an incarnation was used."""
         head = self.build_head() if "R1 groups" in self.without else self.head
@@ -457,12 +482,12 @@
         if self.epoch < self.settings.owners:
             yield from self._list_claims()
         for epoch, owner in self.owners.items():
-            for index in range(len(self.workers)):
-                yield from self._list_polls(epoch, index)
+            if not owner.has_resigned or "all placed last" in self.without:
+                yield from self._list_orders(epoch, owner)
+            if self.settings.resigns and not owner.has_resigned and owner.head:
+                yield f"owner {epoch} resigns", lambda world, e=epoch: world.resign(e)
             if epoch == self.epoch or "R3 key" in self.without:
                 yield from self._list_writes(epoch, owner)
-            yield from self._list_starts(epoch, owner)
-            yield from self._list_losses(epoch, owner)
         if self.settings.same_id and self.may_spend("births"):
             for index, worker in enumerate(self.workers):
                 if worker.life == 0:
@@ -471,6 +496,13 @@
                         lambda world, index=index: world.restart(index),
                     )
 
+    def _list_orders(self, epoch: int, owner: Owner) -> Iterator[Move]:
+        """Yield what an owner does but for its writes."""
+        for index in range(len(self.workers)):
+            yield from self._list_polls(epoch, index)
+        yield from self._list_starts(epoch, owner)
+        yield from self._list_losses(epoch, owner)
+
     def _list_claims(self) -> Iterator[Move]:
         owner = self.owners[self.epoch]
         head = owner.sent_head
@@ -964,6 +996,8 @@
         if is_recorded:
             owner.ledger.request(Place(task=task, attempt=run[1], worker=name))
             self.write(epoch, "page", is_answered=is_answered)
+        else:
+            owner.has_group_starts = True
         if is_answered:
             self.send(epoch, run)
 
@@ -994,6 +1028,10 @@
                     f"{task} is started, and {worker.name} has its end as done"
                 )
 
+    def resign(self, epoch: int) -> None:
+        """Let an owner send nothing more; it may still write."""
+        self.change_owner(epoch).has_resigned = True
+
     def withdraw(self, epoch: int, run: Run) -> None:
         """Give up a start whose place can't be recorded."""
         owner = self.change_owner(epoch)
@@ -1012,8 +1050,10 @@
 
 
 def _key_groups(groups: WorkerGroups) -> tuple[Any, ...]:
-    return groups.epoch, frozenset(
-        (slot, member.name) for slot, member in groups.members.items()
+    return (
+        groups.epoch,
+        groups.has_all_places,
+        frozenset((slot, member.name) for slot, member in groups.members.items()),
     )
 
 
