--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -106,6 +106,7 @@
 from trefoilhook.scheduling.shortfall import Shortfall, ShortfallCounter
 from trefoilhook.scheduling.takeovers import (
     account_for_workers,
+    are_starts_recorded,
     has_lease_limits,
     limit_leases,
     list_unreleased,
@@ -116,6 +117,7 @@
 __all__ = [
     "account_for_workers",
     "are_fillers_due",
+    "are_starts_recorded",
     "has_lease_limits",
     "limit_leases",
     "list_unreleased",
