Test the limits of leases, and date the groups of the previous owner

A new owner counted what its predecessor recorded from when it read it, up to 2 s after it was written if the owner was killed. It now uses the time by which the groups were certainly written, as its own watches of the ownership keys bound it.

The tests of the limits fail without each guard: the covered lease, the threshold, the step, the inherited limit and its end, the limit in an unanswered write, the one that a refused write leaves.

--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -425,15 +425,18 @@
             recorded_since=ownership.recorded_since,
             reject=self._reject,
         )
-        now_ms = self._clock.monotonic_ms()
+        written_ms = min(
+            self._clock.monotonic_ms(),
+            ownership.revisions.find_latest_ms(inheritance.head_revision),
+        )
         for epoch, elapsed_ms in inheritance.elapsed_ms.items():
-            ownership.note_end(epoch, now_ms - elapsed_ms)
+            ownership.note_end(epoch, written_ms - elapsed_ms)
         predecessors = inheritance.predecessors
         scheduler = self._scheduler
         scheduler.predecessors = predecessors
         scheduler.places = inheritance.ledger
         scheduler.lease_limits = {
-            name: now_ms + limit_ms
+            name: written_ms + limit_ms
             for name, limit_ms in inheritance.lease_limits.items()
         }
         scheduler.find_lease_expiry = self._find_lease_expiry
--- a/trefoilhook/runtime/tests/test_predecessors.py
+++ b/trefoilhook/runtime/tests/test_predecessors.py
@@ -23,12 +23,18 @@
     return Item(key=key, value=value, revision=9, created=9)
 
 
-def build_head(*, epoch: int = 3, unrecorded_epoch: int | None = None) -> Item:
+def build_head(
+    *, epoch: int = 3, unrecorded_epoch: int | None = None, limit_ms: int | None = None
+) -> Item:
     """Build the groups written by an epoch, with one worker."""
     groups = WorkerGroups(
         epoch=epoch, count=1, members={0: Member(name="w0", address="h:1")}
     )
-    head = Head(groups=groups, unrecorded_epoch=unrecorded_epoch)
+    head = Head(
+        groups=groups,
+        unrecorded_epoch=unrecorded_epoch,
+        lease_limits={} if limit_ms is None else {"w0": limit_ms},
+    )
     return build_item(keys.groups_key(keys.SHARD), encode_head(head))
 
 
@@ -64,6 +70,16 @@
         found = self.read()
         self.assertEqual(found.predecessors.awaited, set())
 
+    def test_limit_of_the_last_owner(self):
+        found = self.read(build_head(epoch=4, limit_ms=700))
+        self.assertEqual(found.lease_limits, {"w0": 700})
+
+    def test_limit_of_an_earlier_owner(self):
+        # Guards against a limit that the owner in between, of an earlier build, has not
+        # kept.
+        found = self.read(build_head(epoch=3, limit_ms=700))
+        self.assertEqual(found.lease_limits, {})
+
     def test_owner_without_records_after_the_last_head(self):
         # Guards against relying on a head that an earlier build did not update.
         found = self.read(build_head(epoch=3), recorded_since=5)
--- a/trefoilhook/runtime/tests/test_roster.py
+++ b/trefoilhook/runtime/tests/test_roster.py
@@ -6,8 +6,8 @@
 import trio
 import trio.testing
 
-from trefoilhook.clock import build_boottime_clock
-from trefoilhook.exceptions import StoreUnavailableError
+from trefoilhook.clock import Clock, build_boottime_clock
+from trefoilhook.exceptions import StoreError, StoreUnavailableError
 from trefoilhook.platform import Item, PreconditionError, Transaction
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.metrics import ProcessMetrics
@@ -20,10 +20,11 @@
 
 @attrs.define(kw_only=True)
 class FakeStore:
-    """Store whose commits succeed, get no answer, or meet another head."""
+    """Store whose commits succeed, are refused, get no answer, or meet another head."""
 
     revision: int = 1
     is_answering: bool = True
+    is_refusing: bool = False
     commits: list[Transaction] = attrs.Factory(list)
     late_revision: int = 0
 
@@ -32,6 +33,8 @@
         self.commits.append(transaction)
         if not self.is_answering:
             raise StoreUnavailableError("no answer")
+        if self.is_refusing:
+            raise StoreError("refused")
         if self.late_revision:
             revisions = {
                 keys.owner_key(keys.SHARD): 1,
@@ -54,31 +57,35 @@
         await trio.sleep(pause_ms / 1000.0)
 
 
+def build_poller(shard: Shard) -> WorkerPoller:
+    """Build the poller of an owner that has just claimed the shard."""
+    return WorkerPoller(
+        clock=build_boottime_clock(),
+        ownership=Ownership(
+            epoch=1,
+            owner_revision=1,
+            claimed_ms=shard.now_ms,
+            lease=1,
+            valid_until_ms=shard.now_ms + 2000.0,
+        ),
+        scheduler=shard.scheduler,
+        committer=None,
+        metrics=ProcessMetrics(),
+        rejections=None,
+        notify=lambda: None,
+        on_ownership_lost=lambda: None,
+        on_first_answer=lambda: None,
+    )
+
+
 class LeaseLimitTest(unittest.TestCase):
-    """Leases on workers that the stored groups do not contain yet."""
+    """Leases that the next owner would not expect."""
 
     def test_lease_ends_with_the_claim_until_the_worker_is_stored(self):
         # Guards against a second run of a task: the next owner counts the leases on a
         # worker from the last epoch whose groups contain it.
         shard = Shard()
-        ownership = Ownership(
-            epoch=1,
-            owner_revision=1,
-            claimed_ms=shard.now_ms,
-            lease=1,
-            valid_until_ms=shard.now_ms + 2000.0,
-        )
-        poller = WorkerPoller(
-            clock=build_boottime_clock(),
-            ownership=ownership,
-            scheduler=shard.scheduler,
-            committer=None,
-            metrics=ProcessMetrics(),
-            rejections=None,
-            notify=lambda: None,
-            on_ownership_lost=lambda: None,
-            on_first_answer=lambda: None,
-        )
+        poller = build_poller(shard)
         worker = shard.scheduler.workers["w0"]
         limit_ms = worker.estimate_clock(shard.now_ms) + TASK_LEASE_MS
         shard.advance_time(1500.0)
@@ -89,12 +96,82 @@
         request = poller._build_poll_request(worker, shard.now_ms)
         self.assertEqual(request.deadline_ms, limit_ms + 1500.0)
 
+    def test_limited_worker_gets_no_lease(self):
+        # Guards against a second run of a task: the next owner may know a limit of the
+        # leases on the worker.
+        shard = Shard()
+        poller = build_poller(shard)
+        worker = shard.scheduler.workers["w0"]
+        worker.is_in_roster = worker.is_lease_limited = True
+        lease_until_ms = worker.lease_until_ms
+        request = poller._build_poll_request(worker, shard.now_ms)
+        self.assertIsNone(request.deadline_ms)
+        self.assertEqual(worker.lease_until_ms, lease_until_ms)
+
+    def test_limit_that_was_not_written_is_lifted(self):
+        # Guards against a worker that never gets a lease again, as the write of its
+        # limit failed before it answered.
+        shard = Shard()
+        clock = attrs.evolve(
+            build_boottime_clock(), monotonic_ms=lambda: shard.now_ms + 2000.0
+        )
+
+        async def scenario() -> None:
+            store = FakeStore()
+            roster = build_roster(shard, store, clock=clock)
+            worker = shard.scheduler.workers["w0"]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(roster.run)
+                await trio.testing.wait_all_tasks_blocked()
+                store.is_refusing = True
+                shard.silence("w0")
+                roster.notify_change()
+                await trio.sleep(0.1)
+                self.assertTrue(worker.is_lease_limited)
+                self.assertFalse(roster.limits_leases(worker.incarnation))
+                store.is_refusing = False
+                shard.poll("w0")
+                await trio.sleep(0.5)
+                self.assertFalse(worker.is_lease_limited)
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+
+    def test_limit_in_a_write_without_an_answer_holds(self):
+        # Guards against a lease that is granted while a limit may be in the store.
+        shard = Shard()
+        clock = attrs.evolve(
+            build_boottime_clock(), monotonic_ms=lambda: shard.now_ms + 2000.0
+        )
+
+        async def scenario() -> None:
+            store = FakeStore()
+            roster = build_roster(shard, store, clock=clock)
+            worker = shard.scheduler.workers["w0"]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(roster.run)
+                await trio.testing.wait_all_tasks_blocked()
+                store.is_answering = False
+                shard.silence("w0")
+                roster.notify_change()
+                await trio.sleep(0.1)
+                shard.poll("w0")
+                roster.notify_change()
+                await trio.sleep(0.1)
+                self.assertTrue(worker.is_lease_limited)
+                self.assertTrue(roster.limits_leases(worker.incarnation))
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+
 
-def build_roster(shard: Shard, store: FakeStore) -> Roster:
+def build_roster(
+    shard: Shard, store: FakeStore, *, clock: Clock | None = None
+) -> Roster:
     """Build the roster of a first owner."""
     return Roster(
         store=store,
-        clock=build_boottime_clock(),
+        clock=clock or build_boottime_clock(),
         ownership=Ownership(
             epoch=1,
             owner_revision=1,
--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -18,6 +18,7 @@
     are_starts_recorded,
     collect_changes,
     confirm_change,
+    limit_leases,
     list_unreleased,
 )
 from trefoilhook.scheduling.fleet import Run, RunPhase
@@ -240,6 +241,70 @@
         self.assertEqual(shard.count_starts(), 1)
 
 
+class LeaseLimitTest(unittest.TestCase):
+    """What the next owner is told of the leases on silent workers."""
+
+    def setUp(self) -> None:
+        self.shard = Shard()
+        self.scheduler = self.shard.scheduler
+        self.worker = self.scheduler.workers["w0"]
+
+    def limit(self) -> dict[str, int]:
+        """Return the limits at the current time."""
+        return limit_leases(self.scheduler, self.shard.now_ms)
+
+    def test_limit_covers_all_leases(self):
+        # Guards against a second run beside one whose lease has not expired.
+        self.shard.silence("w0")
+        for _ in range(60):
+            self.shard.advance_time(130.0)
+            for limit_ms in self.limit().values():
+                self.assertGreaterEqual(
+                    self.shard.now_ms + limit_ms, self.worker.find_lease_expiry()
+                )
+        self.assertEqual(self.limit(), {"w0": 0})
+
+    def test_short_silence_is_not_written(self):
+        # Guards against two writes for each lost answer.
+        self.shard.silence("w0")
+        self.shard.advance_time(900.0)
+        self.assertEqual(self.limit(), {})
+
+    def test_limit_changes_once_per_step(self):
+        # Guards against a write in each round while a worker is silent.
+        self.shard.silence("w0")
+        limits = set()
+        for _ in range(30):
+            self.shard.advance_time(100.0)
+            limits.update(self.limit().values())
+        self.assertLessEqual(len(limits), 5)
+
+    def test_limit_ends_with_the_silence(self):
+        self.shard.silence("w0")
+        self.shard.advance_time(1500.0)
+        self.assertIn("w0", self.limit())
+        self.shard.poll("w0")
+        self.assertEqual(self.limit(), {})
+
+    def test_inherited_limit_is_handed_on_until_the_worker_answers(self):
+        # Guards against a limit that a second takeover begins anew, and against one
+        # that remains when the worker gets new leases.
+        self.scheduler.predecessors = Predecessors(groups=[build_groups("w0")])
+        self.scheduler.lease_limits = {"w0": self.shard.now_ms + 700.0}
+        self.worker.has_answered_token = False
+        (limit_ms,) = self.limit().values()
+        self.assertGreaterEqual(limit_ms, 700)
+        self.shard.poll("w0")
+        self.assertEqual(self.limit(), {})
+
+    def test_worker_without_leases_that_must_still_be_known(self):
+        # Guards against a wait for a worker that was given up, and is listed until all
+        # that it reported is saved.
+        self.worker.is_in_roster = True
+        self.scheduler.drop_worker("w0")
+        self.assertEqual(self.limit(), {"w0": 0})
+
+
 class RecordedStartTest(unittest.TestCase):
     """A start is sent once the next owner would know of it."""
 
