Count no failures of tasks that fail everywhere against workers

Cause: each failure counted against its worker by its job, only an end as done cleared the count, and tasks that last never end so. is_open closed every worker with two such jobs, also the last ones.

Failures and stalls no longer close a worker: tasks that last use it if no other has room, unless they failed there themselves; tasks that end, whose failures are limited, only if several workers are faulty and no other is left. Refusals still close for 80 ms or 1 s.

Ruled out: opening the least avoided workers alone. Batch jobs would still wait for 12 s, and each waiting task would fail on a failing worker in each round of a full fleet. Looked at for the same cause: stalls (6 s; mended alike), refusals (1 s at most), isolation (a quarter of the workers at most, 3 s), reservations (a tenth at most), headroom (2 s). held_until_ms of suspects isn't bounded for tasks that last: it needs odds of 0.02, several losses under one task soon after its start, and is left as it is.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -396,9 +396,7 @@
             candidates = _rate_remaining(assignment_round, state, candidates)
             worker = candidates.pop_best()
         if worker is None:
-            if candidates.was_limited:
-                assignment_round.headroom.record_limited(state)
-            return _find_infeasible_demand(state, candidates)
+            return _reject(assignment_round, state, candidates)
         if limit is not None:
             limit.take(worker, state.step.room)
         reserve_capacity(
@@ -423,6 +421,10 @@
     workers = assignment_round.list_open(state)
     if len(workers) <= MAX_CANDIDATES:
         return candidates
+        if worker is None and candidates.was_barred:
+            # Says nothing about tasks that have not failed there.
+            candidates = None
+            continue
     return assignment_round.rate(state, workers, limit=candidates.limit)
 
 
@@ -441,6 +443,15 @@
 def _assign_gang(assignment_round: AssignmentRound, state: TaskState) -> Demand | None:
     """Assign all members of a gang or none; return the demand of one if infeasible."""
     step_key = (state.task.occurrence, state.task.step)
+def _reject(
+    assignment_round: AssignmentRound, state: TaskState, candidates: Candidates
+) -> Demand:
+    """Record that a task finds no worker; return the demand that is infeasible."""
+    if candidates.was_limited:
+        assignment_round.headroom.record_limited(state)
+    return _find_infeasible_demand(state, candidates)
+
+
     members = [
         task
         for key, task in state.job.tasks.items()
--- a/trefoilhook/scheduling/candidates.py
+++ b/trefoilhook/scheduling/candidates.py
@@ -14,7 +14,7 @@
 from trefoilhook.scheduling.fleet import Worker
 from trefoilhook.scheduling.headroom import PartLimit
 from trefoilhook.scheduling.job_state import TaskState
-from trefoilhook.scheduling.placing import can_host, score_worker
+from trefoilhook.scheduling.placing import can_host, is_barred, score_worker
 
 __all__ = ["Candidates"]
 
@@ -40,6 +40,8 @@
         finds no more workers than this one.
     was_limited : bool
         Whether a worker with the capacity was rejected because of the limit.
+    was_barred : bool
+        Whether a worker with the capacity was rejected as the task failed there.
     """
 
     task: TaskState
@@ -47,6 +49,7 @@
     limit: PartLimit | None = None
     lacked_capacity: bool = attrs.field(default=False, init=False)
     was_limited: bool = attrs.field(default=False, init=False)
+    was_barred: bool = attrs.field(default=False, init=False)
     _heap: list[tuple[float, int, Worker]] = attrs.Factory(list)
     _added: int = 0
 
@@ -58,6 +61,9 @@
         if not self._is_admitted(worker):
             self.was_limited = True
             return
+        if is_barred(worker, self.task, self.colocations.now_ms):
+            self.was_barred = True
+            return
         score = score_worker(worker, self.task, self.colocations)
         if score is not None:
             self._added += 1
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -312,7 +312,12 @@
     over_limit_since_ms : float or None
         Time since when a service task there has exceeded its latency limit, in ms.
     avoid_until_ms : float
-        Time until which it gets no new task, in ms.
+        Time until which it gets no new task, as it refused one, in ms.
+    faulty_until_ms : float
+        Time until which other workers are preferred to it, as tasks failed or stalled
+        there, in ms.
+    faulted_ms : float
+        Time of the last failure there that counts against it, in ms.
     lagged_shares : LaggedShares
         Use by its fillers, delayed in the same way as the tail latencies.
     overcommitted_since_ms : float or None
@@ -362,6 +367,8 @@
     has_changed: bool = True
     over_limit_since_ms: float | None = None
     avoid_until_ms: float = 0.0
+    faulty_until_ms: float = 0.0
+    faulted_ms: float = float("-inf")
     lagged_shares: LaggedShares = attrs.Factory(LaggedShares)
     overcommitted_since_ms: float | None = None
     suspected_runs: int = 0
@@ -393,6 +400,10 @@
         """
         return self.listed and self.usable
 
+    def is_faulty(self, now_ms: float) -> bool:
+        """Return whether other workers are preferred to it at present."""
+        return self.faulty_until_ms > now_ms
+
     def estimate_clock(self, now_ms: float) -> float:
         """Estimate the worker's clock, in ms; requires a previous answer."""
         return self.clock_ms + (now_ms - self.clock_read_ms)
--- a/trefoilhook/scheduling/job_state.py
+++ b/trefoilhook/scheduling/job_state.py
@@ -43,6 +43,8 @@
         Highest attempt number so far.
     failed_on : set of str
         Workers on which it failed.
+    failed_in_turn_on : set of str
+        Workers on which it failed since it last ran successfully.
     done : bool
         Whether it is completed.
     waiting_since_ms : float or None
@@ -62,6 +64,7 @@
     attempts: list[Attempt] = attrs.Factory(list)
     last_attempt: int = 0
     failed_on: set[str] = attrs.Factory(set)
+    failed_in_turn_on: set[str] = attrs.Factory(set)
     done: bool = False
     waiting_since_ms: float | None = None
     held_until_ms: float = 0.0
--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -18,6 +18,7 @@
 __all__ = [
     "can_host",
     "compute_max_filler_cpu",
+    "is_barred",
     "is_open",
     "list_open_workers",
     "rate_worker",
@@ -60,6 +61,9 @@
 """Penalty that excludes a worker where the task failed, unless there is no other. Half
 of it applies to workers outside the rack that holds the input data."""
 
+_FAULTY_WORKER_PENALTY = 10_000_000
+"""Penalty that excludes a faulty worker unless no other one can run the task."""
+
 _MIXED_IMAGE_PENALTY = 50_000
 """Penalty for placing a service task beside one of another image, in thousandths of a
 core. A filler is heavy for few images only, so that it finds a suitable worker only if
@@ -117,6 +121,11 @@
     return worker.count_step(state.task) < step.max_per_worker
 
 
+def is_barred(worker: Worker, state: TaskState, now_ms: float) -> bool:
+    """Return whether a worker is faulty and the task is among those that failed."""
+    return worker.is_faulty(now_ms) and worker.report.worker_id in state.failed_on
+
+
 def _is_reserved_for_others(worker: Worker, state: TaskState) -> bool:
     reservation = worker.reservation
     if reservation is None:
@@ -180,6 +189,7 @@
         score -= _AVOIDANCE_PENALTY / 2
     if worker.report.worker_id in state.failed_on:
         score -= _AVOIDANCE_PENALTY
+    score -= _FAULTY_WORKER_PENALTY * worker.is_faulty(colocations.now_ms)
     score -= compute_risk_penalty(worker, state, colocations)
     return score - _FAULT_PENALTY * len(worker.faulty_jobs)
 
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -5,6 +5,7 @@
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.crash_records import retract_exposure
 from trefoilhook.scheduling.duration_records import record_duration
+from trefoilhook.scheduling.faults import record_end, record_service
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.incarnations import resolve_incarnation
 from trefoilhook.scheduling.job_state import Attempt
@@ -24,17 +25,6 @@
 """Maximum number of ends in an answer; if it is reached, a missing end may follow
 later."""
 
-_FAULT_THRESHOLD = 2
-"""Number of jobs with attempts that failed on a worker, without a completed one in
-between, from which it is avoided: with 3 % of attempts failing independently this
-happens by chance once in 1,100."""
-
-_FAULT_AVOIDANCE_MS = 3000.0
-"""Time for which a faulty worker gets no new task; doubled with each further fault."""
-
-_MAX_FAULT_AVOIDANCE_MS = 12_000.0
-"""Limit of that time, so that a repaired worker is tried again."""
-
 _SERVING_AGE_MS = 10_000.0
 """Assumed age of an adopted long-running task that serves requests: past its start-up,
 in which most crashes caused by a task occur."""
@@ -123,7 +113,7 @@
             task.record_end(worker, end.kind)
             scheduler.apply_end(task, end.attempt, end.kind, end.checkpoint)
             scheduler.extend_release(worker)
-    _update_faults(scheduler, worker, end, now_ms)
+    record_end(scheduler, worker, end, now_ms)
     worker.record_end(end.number, scheduler.track_save(end.task.job_id))
 
 
@@ -141,22 +131,6 @@
         scheduler.times.record_step_end(task, run, now_ms)
 
 
-def _update_faults(
-    scheduler: Scheduler, worker: Worker, end: AttemptEnd, now_ms: float
-) -> None:
-    if end.kind is EndKind.DONE:
-        worker.faulty_jobs.clear()
-    elif end.kind is EndKind.FAILED:
-        # Counted by job: attempts of a job that cannot be completed fail on every
-        # worker.
-        worker.faulty_jobs.add(end.task.job_id)
-        faults = len(worker.faulty_jobs)
-        if faults >= _FAULT_THRESHOLD:
-            avoidance_ms = _FAULT_AVOIDANCE_MS * 2 ** (faults - _FAULT_THRESHOLD)
-            avoidance_ms = min(avoidance_ms, _MAX_FAULT_AVOIDANCE_MS)
-            worker.avoid_until_ms = max(worker.avoid_until_ms, now_ms + avoidance_ms)
-
-
 def _apply_running(
     scheduler: Scheduler, worker: Worker, running: Running, now_ms: float
 ) -> None:
@@ -170,6 +144,7 @@
         run.progressed_ms = now_ms
     run.is_confirmed = run.has_been_listed = True
     run.seen_ms = now_ms
+    record_service(scheduler, worker, run)
     if running.percent is not None:
         run.percent = running.percent
     if running.load is not None:
--- a/trefoilhook/scheduling/reserving.py
+++ b/trefoilhook/scheduling/reserving.py
@@ -141,7 +141,11 @@
     """Return the workers that have capacity for a task first, with the times."""
     scheduler, now_ms = assignment_round.scheduler, assignment_round.now_ms
     found = [
-        (worker.report.worker_id in task.failed_on, free_ms, worker.report.worker_id)
+        (
+            worker.report.worker_id in task.failed_on or worker.is_faulty(now_ms),
+            free_ms,
+            worker.report.worker_id,
+        )
         for worker in assignment_round.list_candidates(task)
         if _may_reserve(worker, task)
         and (free_ms := _find_free_ms(scheduler, worker, task.step.room, now_ms))
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -51,13 +51,13 @@
     headroom: RoundHeadroom = attrs.field()
     reservation_searches: int = 0
     started: list[TaskState] = attrs.Factory(list)
-    _open: dict[str, list[Worker]] = attrs.Factory(dict)
-    _samples: dict[tuple[str, str, str], list[Worker]] = attrs.Factory(dict)
-    _feasible: dict[tuple[str, str, str, str], list[tuple[float, Worker]]] = (
+    _open: dict[tuple[str, str | None], list[Worker]] = attrs.Factory(dict)
+    _samples: dict[tuple[str, str, str, bool], list[Worker]] = attrs.Factory(dict)
+    _feasible: dict[tuple[str, str, str, str, bool], list[tuple[float, Worker]]] = (
         attrs.Factory(dict)
     )
-    _free: dict[tuple[str, str], FreeRoom] = attrs.Factory(dict)
-    _infeasible: dict[tuple[str, str, str | None], list[tuple[Demand, float]]] = (
+    _free: dict[tuple[str, str, bool], FreeRoom] = attrs.Factory(dict)
+    _infeasible: dict[tuple[str, str, str | None, bool], list[tuple[Demand, float]]] = (
         attrs.Factory(dict)
     )
 
@@ -74,18 +74,22 @@
         queue = state.job.queue
         if queue is None:
             return []
-        known = self._open.get(queue.service)
+        step = state.step
+        pool = (queue.service, None if step.long_running else step.required_label)
+        known = self._open.get(pool)
         if known is None:
             known = list_open_workers(self.scheduler, queue.service, self.now_ms)
-            self._open[queue.service] = known
+            if not step.long_running:
+                known = _exclude_faulty(known, step.required_label, self.now_ms)
+            self._open[pool] = known
         if queue.advice is None:
             return known
-        step = name_step(state.task)
+        step_name = name_step(state.task)
         tickets = self.scheduler.tickets
         return [
             worker
             for worker in known
-            if tickets.find(step, worker.report.worker_id, self.now_ms) is not None
+            if tickets.find(step_name, worker.report.worker_id, self.now_ms) is not None
         ]
 
     def list_candidates(self, state: TaskState) -> list[Worker]:
@@ -98,7 +102,12 @@
         if len(workers) <= MAX_CANDIDATES or queue is None or queue.advice is not None:
             return workers
         step = state.step
-        sample_key = (queue.service, step.required_label, step.data_rack)
+        sample_key = (
+            queue.service,
+            step.required_label,
+            step.data_rack,
+            step.long_running,
+        )
         sample = self._samples.get(sample_key)
         if sample is None:
             sample = self._samples[sample_key] = sample_workers(
@@ -127,6 +136,7 @@
             step.image,
             step.required_label,
             step.data_rack,
+            step.long_running,
         )
         feasible = self._feasible.get(placement_key)
         if feasible is None:
@@ -147,13 +157,14 @@
     def explain_wait(self, state: TaskState) -> WaitReason:
         """Return why a task could not be placed in this round."""
         service = state.job.queue.service if state.job.queue is not None else ""
-        placement_key = (service, state.step.required_label)
+        label = state.step.required_label
+        placement_key = (service, label, state.step.long_running)
         free = self._free.get(placement_key)
         if free is None:
             free = self._free[placement_key] = _measure_free(
                 self.list_open(state),
-                placement_key[1],
-                has_evacuated_workers=self._has_evacuated_workers(*placement_key),
+                label,
+                has_evacuated_workers=self._has_evacuated_workers(service, label),
             )
         reason = free.explain(state.step.room, filler=state.step.filler)
         if reason is WaitReason.FRAGMENTED and self._fits_on_reserved_worker(state):
@@ -287,6 +298,20 @@
             self._infeasible.setdefault(placement_key, []).append((size, estimate_ms))
 
 
+def _exclude_faulty(workers: list[Worker], label: str, now_ms: float) -> list[Worker]:
+    """Return the workers for tasks that end, whose failures are limited.
+
+    These are the ones without those that fail other tasks, if any with the label are
+    left. If all of several workers are faulty, tasks that fail everywhere are the
+    likelier cause. Long-running tasks use a faulty worker whenever no other has room.
+    """
+    sound = [each for each in workers if not each.is_faulty(now_ms)]
+    if any(not label or label in each.report.labels for each in sound):
+        return sound
+    labelled = sum(not label or label in each.report.labels for each in workers)
+    return workers if labelled > 1 else sound
+
+
 def _measure_free(
     workers: Iterable[Worker], label: str, *, has_evacuated_workers: bool
 ) -> FreeRoom:
@@ -316,7 +341,7 @@
     return step.estimate_ms
 
 
-def _get_placement_key(state: TaskState) -> tuple[str, str, str | None]:
+def _get_placement_key(state: TaskState) -> tuple[str, str, str | None, bool]:
     """Return the key of tasks that are eligible for the same workers.
 
     Their demands may differ.
@@ -324,7 +349,8 @@
     step = state.step
     queue = state.job.queue
     service = queue.service if queue is not None else ""
-    return service, step.required_label, step.image if step.filler else None
+    image = step.image if step.filler else None
+    return service, step.required_label, image, step.long_running
 
 
 def extend_lease(scheduler: Scheduler, worker: Worker, now_ms: float) -> float:
--- a/trefoilhook/scheduling/watchdog.py
+++ b/trefoilhook/scheduling/watchdog.py
@@ -21,7 +21,7 @@
 overload passes."""
 
 _STALL_AVOIDANCE_MS = 6000.0
-"""Time for which a worker with a stalled task gets no new task."""
+"""Time for which other workers are preferred to one with a stalled task."""
 
 
 def stop_stalled_and_draining(
@@ -33,7 +33,9 @@
         if state is None or run.phase is not RunPhase.RUNNING:
             continue
         if _is_stalled(worker, run, state, now_ms):
-            worker.avoid_until_ms = now_ms + _STALL_AVOIDANCE_MS
+            worker.faulty_until_ms = max(
+                worker.faulty_until_ms, now_ms + _STALL_AVOIDANCE_MS
+            )
             scheduler.request_stop(worker, run, StopReason.STALLED)
         elif worker.report.draining and _should_leave(worker, run, state):
             scheduler.request_stop(worker, run, StopReason.WORKER_DRAINING)
