Try the fillers that a round does not reach in turn

Cause: a round ends for fillers after 40 steps that it couldn't place, and the next one begins with the same 40.

Change: 30 steps by rank, and 10 more of those that weren't reached, the ones tried longest ago first (postponed.py). The sum and so the longest round stay as they were.

Looked at for the same cause: starvation and reservations, which limit what a round searches, set a job or step aside for a while after a search without a result, so that others follow; copies, advice and isolation begin with no fixed order that blocks. Ruled out: to remember gangs that don't fit within a round. It would help equal gangs only.

Evidence: test_gangs_behind_infeasible_gangs_are_started (2 of 6 started) and test_fillers_behind_many_infeasible_images_are_started (0 of 6) failed before.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -39,9 +39,13 @@
 __all__ = ["assign_waiting"]
 
 
-_MAX_INFEASIBLE_FILLER_STEPS = 40
-"""Number of infeasible filler steps after which a round tries no more of them, to limit
-its duration under a burst. Steps are tried in order of rank."""
+_MAX_INFEASIBLE_FILLER_STEPS = 30
+"""Number of infeasible filler steps after which a round tries no more of them by rank,
+to limit its duration under a burst."""
+
+_MAX_INFEASIBLE_POSTPONED_STEPS = 10
+"""Number of further infeasible filler steps after which a round ends; these are tried
+in turn, so that each step is tried after some rounds."""
 
 _FILLER_INTERVAL_MS = 80.0
 """Minimum interval between two rounds that place fillers. With hundreds of waiting
@@ -236,7 +240,14 @@
     """
 
     fillers: int = 0
+    max_fillers: int = _MAX_INFEASIBLE_FILLER_STEPS
     services: set[StepName] = attrs.Factory(set)
+    postponed: list[list[TaskState]] = attrs.Factory(list)
+
+    def take_postponed(self) -> list[list[TaskState]]:
+        """Return the steps that were not tried, and forget them."""
+        postponed, self.postponed = self.postponed, []
+        return postponed
 
 
 def _assign_steps(
@@ -245,7 +256,26 @@
     """Assign the waiting steps; return those of jobs that were not set aside."""
     infeasible = _InfeasibleSteps()
     failed: set[str] = set()
-    for tasks in ready:
+    _try_steps(assignment_round, ready, infeasible, failed)
+    steps = infeasible.take_postponed()
+    if steps:
+        postponed = assignment_round.scheduler.postponed
+        infeasible.max_fillers += _MAX_INFEASIBLE_POSTPONED_STEPS
+        _try_steps(assignment_round, postponed.sort(steps), infeasible, failed)
+        postponed.record_round(steps, infeasible.take_postponed())
+    if not failed:
+        return ready
+    return [tasks for tasks in ready if tasks[0].task.job_id not in failed]
+
+
+def _try_steps(
+    assignment_round: AssignmentRound,
+    steps: Iterable[list[TaskState]],
+    infeasible: _InfeasibleSteps,
+    failed: set[str],
+) -> None:
+    """Assign steps in order, and add the jobs that are set aside to ``failed``."""
+    for tasks in steps:
         if tasks[0].task.job_id in failed:
             continue
         try:
@@ -257,9 +287,6 @@
                 tasks[0].task.job_id, error, assignment_round.now_ms
             )
             failed.add(tasks[0].task.job_id)
-    if not failed:
-        return ready
-    return [tasks for tasks in ready if tasks[0].task.job_id not in failed]
 
 
 def _assign_step(
@@ -288,9 +315,10 @@
         waits.record(step, WaitReason.ISOLATED, assignment_round.now_ms)
         return
     if (
-        infeasible_steps.fillers >= _MAX_INFEASIBLE_FILLER_STEPS
+        infeasible_steps.fillers >= infeasible_steps.max_fillers
         and tasks[0].step.filler
     ):
+        infeasible_steps.postponed.append(tasks)
         waits.record(step, WaitReason.BEHIND_OTHERS, assignment_round.now_ms)
         return
     if tasks[0].step.gang:
@@ -395,6 +423,10 @@
             # On a large fleet only a sample of the workers was considered.
             candidates = _rate_remaining(assignment_round, state, candidates)
             worker = candidates.pop_best()
+        if worker is None and candidates.was_barred:
+            # Says nothing about tasks that have not failed there.
+            candidates = None
+            continue
         if worker is None:
             return _reject(assignment_round, state, candidates)
         if limit is not None:
@@ -411,6 +443,15 @@
     return None
 
 
+def _reject(
+    assignment_round: AssignmentRound, state: TaskState, candidates: Candidates
+) -> Demand:
+    """Record that a task finds no worker; return the demand that is infeasible."""
+    if candidates.was_limited:
+        assignment_round.headroom.record_limited(state)
+    return _find_infeasible_demand(state, candidates)
+
+
 def _rate_remaining(
     assignment_round: AssignmentRound, state: TaskState, candidates: Candidates
 ) -> Candidates:
@@ -421,10 +462,6 @@
     workers = assignment_round.list_open(state)
     if len(workers) <= MAX_CANDIDATES:
         return candidates
-        if worker is None and candidates.was_barred:
-            # Says nothing about tasks that have not failed there.
-            candidates = None
-            continue
     return assignment_round.rate(state, workers, limit=candidates.limit)
 
 
@@ -443,15 +480,6 @@
 def _assign_gang(assignment_round: AssignmentRound, state: TaskState) -> Demand | None:
     """Assign all members of a gang or none; return the demand of one if infeasible."""
     step_key = (state.task.occurrence, state.task.step)
-def _reject(
-    assignment_round: AssignmentRound, state: TaskState, candidates: Candidates
-) -> Demand:
-    """Record that a task finds no worker; return the demand that is infeasible."""
-    if candidates.was_limited:
-        assignment_round.headroom.record_limited(state)
-    return _find_infeasible_demand(state, candidates)
-
-
     members = [
         task
         for key, task in state.job.tasks.items()
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -26,6 +26,7 @@
 from trefoilhook.scheduling.messages import EndKind, StopReason
 from trefoilhook.scheduling.models import Configuration, TaskId, WorkerReport
 from trefoilhook.scheduling.overtaking import OvertakingTracker
+from trefoilhook.scheduling.postponed import PostponedSteps
 from trefoilhook.scheduling.queues import KnownQueues
 from trefoilhook.scheduling.records import JobPhase, JobRecord, Progress
 from trefoilhook.scheduling.reservations import Reservations
@@ -122,6 +123,8 @@
         Workers that may run the steps of queues with advice.
     fillers_due_ms : float
         Time of the next round that places fillers, in ms.
+    postponed : PostponedSteps
+        Waiting fillers that the rounds do not reach by rank.
     idle_since_ms : dict of str to float
         Time since when jobs with waiting fillers have had no run, in ms.
     unreadable_jobs : set of str
@@ -211,6 +214,7 @@
         self.copies = CopyTracker()
         self.tickets = TicketCache()
         self.fillers_due_ms = 0.0
+        self.postponed = PostponedSteps()
         self.idle_since_ms: dict[str, float] = {}
         self.waits = WaitTracker()
         self.guarantees = Guarantees()
--- a/trefoilhook/scheduling/tests/test_rounds.py
+++ b/trefoilhook/scheduling/tests/test_rounds.py
@@ -61,6 +61,63 @@
         starts = list_starts(shard.step())
         self.assertEqual([start.task.job_id for start in starts], ["z"])
 
+    def _start_behind(self, infeasible: list[Step], waiting: Step) -> Shard:
+        """Run two seconds of rounds with steps that rank behind infeasible ones."""
+        shard = Shard(workers=7)
+        for number, step in enumerate(infeasible):
+            shard.submit(build_job(step, job_id=f"a{number:03}"))
+        for number in range(6):
+            job_id = f"z{number}"
+            shard.submit(build_job(waiting, job_id=job_id, accepted_ms=200_000.0))
+        for _ in range(20):
+            shard.step()
+        return shard
+
+    def _check_started(self, shard: Shard) -> None:
+        started = [shard.count_running(f"z{number}") > 0 for number in range(6)]
+        self.assertEqual(started, [True] * 6)
+
+    def test_gangs_behind_infeasible_gangs_are_started(self):
+        # Guards against gangs that wait beside idle workers for as long as dozens of
+        # gangs before them do not fit.
+        filler = Step(
+            count=8,
+            demand=Demand(cpu=500, memory_mb=5000),
+            estimate_ms=10_000.0,
+            gang=True,
+            filler=True,
+            image="g",
+        )
+        small = attrs.evolve(
+            filler,
+            count=2,
+            demand=Demand(cpu=500, memory_mb=64),
+            estimate_ms=500_000.0,
+            image="f",
+        )
+        self._check_started(self._start_behind([filler] * 45, small))
+
+    def test_fillers_behind_many_infeasible_images_are_started(self):
+        # Guards against fillers that wait beside idle workers for as long as dozens of
+        # other images before them do not fit.
+        large = [
+            Step(
+                count=1,
+                demand=Demand(cpu=500, memory_mb=9000),
+                estimate_ms=10_000.0,
+                filler=True,
+                image=f"g{number}",
+            )
+            for number in range(150)
+        ]
+        small = attrs.evolve(
+            large[0],
+            demand=Demand(cpu=500, memory_mb=64),
+            estimate_ms=500_000.0,
+            image="f",
+        )
+        self._check_started(self._start_behind(large, small))
+
     def test_infeasible_fillers_end_round(self):
         # Guards against rounds that take longer than the interval between them, with
         # hundreds of infeasible steps after a burst.
