Count the failures of a gang by its runs

Cause: count_failures added the failed attempts of all members, though those of one run share its number.

Change: each attempt counts once.

Looked at for the same cause: crashes count by unit and attempt already; what is stored by earlier builds is read alike.

--- a/trefoilhook/scheduling/job_state.py
+++ b/trefoilhook/scheduling/job_state.py
@@ -42,7 +42,7 @@
     last_attempt : int
         Highest attempt number so far.
     failed_on : set of str
-        Workers on which it failed.
+        Workers on which it, or a member of its gang, failed.
     failed_in_turn_on : set of str
         Workers on which it failed since it last ran successfully.
     done : bool
@@ -300,14 +300,17 @@
         return [task] if task is not None else []
 
     def count_failures(self, task: TaskId) -> int:
-        """Return the number of failed attempts that count towards the job's failure."""
+        """Return the number of failed attempts that count towards the job's failure.
+
+        The members of a gang share the number of each attempt, which counts once.
+        """
         failed = self.progress.failed
         if self.job.steps[task.step].gang:
-            return sum(
-                len(numbers)
-                for (occurrence, step, _), numbers in failed.items()
-                if (occurrence, step) == (task.occurrence, task.step)
-            )
+            attempts: set[int] = set()
+            for (occurrence, step, _), numbers in failed.items():
+                if (occurrence, step) == (task.occurrence, task.step):
+                    attempts |= numbers
+            return len(attempts)
         return len(failed.get((task.occurrence, task.step, task.index), ()))
 
     def find_task(self, task: TaskId) -> TaskState | None:
--- a/trefoilhook/scheduling/tests/test_steps.py
+++ b/trefoilhook/scheduling/tests/test_steps.py
@@ -261,6 +261,55 @@
         self.assertEqual(len(again), 2)
         self.assertGreater(again[0].attempt, first.attempt)
 
+    def test_failures_of_one_run_count_once(self):
+        # Guards against a job that is given up after one run of three, as several
+        # members of its gang failed in it.
+        shard = Shard(workers=5, cpu=4000)
+        shard.submit(build_job(Step(count=4, demand=_CPU, gang=True)))
+        for run in range(1, QUEUE.max_attempts + 1):
+            starts = list_starts(shard.step())
+            self.assertEqual(len(starts), 4)
+            for order in starts:
+                shard.end(order, EndKind.FAILED)
+            is_last = run == QUEUE.max_attempts
+            expected = JobPhase.FAILED if is_last else JobPhase.OPEN
+            self.assertIs(shard.scheduler.jobs["j"].phase, expected)
+            shard.advance_time(12_000.0)
+            shard.poll_all()
+
+    def test_failures_of_different_members_add_up(self):
+        # Guards against a gang that is repeated without end, as another member fails in
+        # each run.
+        shard = Shard(workers=4, cpu=2000)
+        shard.submit(build_job(Step(count=4, demand=_CPU, gang=True)))
+        for run in range(QUEUE.max_attempts):
+            starts = list_starts(shard.step())
+            for number, order in enumerate(starts):
+                is_failed = number == run
+                kind = EndKind.FAILED if is_failed else EndKind.PEER_ENDED
+                shard.end(order, kind)
+        self.assertIs(shard.scheduler.jobs["j"].phase, JobPhase.FAILED)
+
+    def test_gang_avoids_the_worker_of_a_failed_member(self):
+        # Guards against a gang that fails as often as it may on the same worker, as
+        # only the member that failed there avoids it.
+        for failed in range(2):
+            with self.subTest(failed=failed):
+                shard = Shard(workers=2, cpu=8000)
+                other = Step(count=1, demand=Demand(cpu=4000), long_running=True)
+                shard.submit(build_job(other, job_id="other"))
+                used = shard.start_one().worker_id
+                shard.submit(build_job(Step(count=2, demand=_CPU, gang=True)))
+                starts = list_starts(shard.step())
+                self.assertEqual({order.worker_id for order in starts}, {used})
+                for number, order in enumerate(starts):
+                    is_failed = number == failed
+                    kind = EndKind.FAILED if is_failed else EndKind.PEER_ENDED
+                    shard.end(order, kind)
+                again = list_starts(shard.step())
+                self.assertEqual(len(again), 2)
+                self.assertNotIn(used, {order.worker_id for order in again})
+
 
 class RemovalTest(unittest.TestCase):
     """An owner that runs for months does not keep every job."""
