Count a job as begun once a start may have been executed

Cause: the mark of the first start, and that of a placed service task, were set as capacity was reserved. A gang of which one member finds no worker gives its reservations back, and a start may be refused or withdrawn; the marks stayed.

Change: both are set by the outcome of a start order: executed, unanswered, or superseded; or as a run in transit ends with its worker. Nothing waited for them to be saved before an order is sent, and a next owner learns of a start by the worker's answer as before.

Not changed: last_attempt, by which a task that was refused once still ranks as one that has run.

Evidence: test_gang_that_does_not_fit_has_not_begun and test_refused_start_has_not_begun (four kinds of refusals, both kinds of tasks) failed before.

--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -482,6 +482,8 @@
             self._retire_place(run)
             return
         task.detach(run)
+        if run.may_have_run:
+            self.record_start(task)
         task.record_end(worker, kind)
         self.copies.record_end(task, run, kind)
         self.suspects.record_run_end(task, run, kind)
@@ -575,9 +577,14 @@
         state.started = True
         self._mark_dirty(state)
 
-    def record_placement(self, task: TaskState) -> None:
-        """Record what the next owner has to know of a placed task."""
+    def record_start(self, task: TaskState) -> None:
+        """Record what the next owner has to know of a task that may have been started.
+
+        Not called for reserved capacity, which may be released before an order is sent.
+        """
         state = task.job
+        if not state.is_open:
+            return
         if task.step.long_running:
             step = (task.task.occurrence, task.task.step)
             placed = state.progress.placed.setdefault(step, set())
--- a/trefoilhook/scheduling/outcomes.py
+++ b/trefoilhook/scheduling/outcomes.py
@@ -37,6 +37,8 @@
     if settled_order is None:
         return
     worker, run = settled_order
+    if outcome in UNANSWERED | {OrderOutcome.DONE, OrderOutcome.SUPERSEDED}:
+        _record_start(scheduler, run)
     if outcome is OrderOutcome.DONE:
         run.confirmed_ms = (
             now_ms if run.phase is not RunPhase.STOPPING else run.confirmed_ms
@@ -61,6 +63,13 @@
     _apply_refusal(scheduler, worker, run, outcome, now_ms)
 
 
+def _record_start(scheduler: Scheduler, run: Run) -> None:
+    state = scheduler.jobs.get(run.task.job_id)
+    task = state.find_task(run.task) if state is not None else None
+    if task is not None:
+        scheduler.record_start(task)
+
+
 def _apply_refusal(
     scheduler: Scheduler,
     worker: Worker,
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -426,7 +426,6 @@
     assignment_round.scheduler.waiting.discard(state)
     assignment_round.started.append(state)
     assignment_round.scheduler.copies.watch(state)
-    assignment_round.scheduler.record_placement(state)
     colocation.add_task(
         state.step,
         base=assignment_round.colocations.interference.get_trough(state.step.image),
