Suspect tasks whose workers fall silent to the owner and the store

Cause: a silent worker is dropped once its leases have expired, so that the cause of the loss was always "leases over", which counts for nothing.

Change: a worker that fell silent under leases, and whose entry went while the store was read steadily, is lost as `vanished`. That raises suspicion as other losses without proof do, and never gives a job up. The rate of other causes counts four times as high as for a crash, so that only tasks started within some 6.5 s before the silence become suspects. The delay grows 1, 4, 16, 64, 256 s, to 10 minutes; other losses without proof stay at 60 s at most.

Ruled out: giving the job up. A partition and a planned restart behind it look alike, and tests say so. So long as the entry stands, silence is no evidence, as before.

Not mended: a task that lasts whose leases expire before its worker's entry goes is released without evidence; a task that silences machines later than some 4 s after its start becomes a strong suspect only after more losses; a new owner doesn't know the delay, only the suspicion.

--- a/trefoilhook/scheduling/crashes.py
+++ b/trefoilhook/scheduling/crashes.py
@@ -44,13 +44,24 @@
 _RETRY_DELAY_MS = 1000.0
 _RETRY_DELAY_GROWTH = 4.0
 _MAX_RETRY_DELAY_MS = 60_000.0
+_MAX_VANISHED_DELAY_MS = 600_000.0
 """Initial value, growth factor and maximum of the delay before a strongly suspected
 task is started again after an unproved loss, in ms; each such loss increases it. A
 machine that fails as a whole looks the same as a network partition, so that its task is
-never given up."""
+never given up. The delay becomes longer if the worker's entry has gone, too: each
+further start may take down a machine for good."""
+
+_SILENCE_FACTOR = 4.0
+"""Factor on the rate of crashes that no task causes for a machine that falls silent:
+partitions and failures of the machine itself add to them."""
 
 _UNPROVED_CAUSES = frozenset(
-    {LossCause.PARTITIONED, LossCause.LIST_STALE, LossCause.STILL_LISTED}
+    {
+        LossCause.PARTITIONED,
+        LossCause.VANISHED,
+        LossCause.LIST_STALE,
+        LossCause.STILL_LISTED,
+    }
 )
 
 
@@ -122,7 +133,9 @@
         return LossCause.LEASES_EXPIRED
     if silence is not None and not silence.indicates_process_exit:
         if worker.estimate_clock(now_ms) >= worker.lease_until_ms:
-            return LossCause.LEASES_EXPIRED
+            # Without its entry, the end of the leases came after that of the machine.
+            is_gone = not worker.listed and scheduler.entries.is_steady(now_ms)
+            return LossCause.VANISHED if is_gone else LossCause.LEASES_EXPIRED
         return LossCause.PARTITIONED
     # A planned shutdown is announced in the store in advance.
     if scheduler.entries.read_ms < began_ms - _NOTICE_SHARE * limits.drain_notice_ms:
@@ -171,9 +184,10 @@
     ]
     rate = scheduler.suspects.crash_rate
     rate.update(len(scheduler.workers), now_ms)
-    ratios, unexplained = compute_likelihood_ratios(
-        [*exposures, *others], rate.estimate()
-    )
+    other_rate = rate.estimate()
+    if cause is LossCause.VANISHED:
+        other_rate *= _SILENCE_FACTOR
+    ratios, unexplained = compute_likelihood_ratios([*exposures, *others], other_rate)
     if cause is LossCause.CRASHED:
         rate.add_unexplained(unexplained)
     suspects: list[Suspect] = []
@@ -211,7 +225,10 @@
         delay_ms = _RETRY_DELAY_MS * _RETRY_DELAY_GROWTH ** (
             suspicion.unproved_losses - 1
         )
-        unit.task.held_until_ms = now_ms + min(_MAX_RETRY_DELAY_MS, delay_ms)
+        max_ms = _MAX_RETRY_DELAY_MS
+        if cause is LossCause.VANISHED:
+            max_ms = _MAX_VANISHED_DELAY_MS
+        unit.task.held_until_ms = now_ms + min(max_ms, delay_ms)
     suspect = Suspect(
         task=unit.task.task,
         attempt=unit.attempt,
--- a/trefoilhook/scheduling/messages.py
+++ b/trefoilhook/scheduling/messages.py
@@ -230,6 +230,10 @@
     """It was silent as in a network partition; the time of its end and its runs at that
     time are unknown."""
 
+    VANISHED = "vanished"
+    """It was silent to the owner until all its leases had expired, and to the store:
+    its machine may have crashed."""
+
     LIST_STALE = "list stale"
     """The store was not read often enough to rule out an announced shutdown."""
 
--- a/trefoilhook/scheduling/tests/test_crash_loops.py
+++ b/trefoilhook/scheduling/tests/test_crash_loops.py
@@ -9,9 +9,11 @@
     JobPhase,
     TaskId,
     handle_worker_loss,
+    release_expired,
 )
 from trefoilhook.scheduling.tests.cases import (
     SMALL,
+    TASK_LEASE_MS,
     Shard,
     build_job,
     list_starts,
@@ -286,6 +288,36 @@
         # The number of starts permitted to a proved culprit takes longer than a minute.
         self.assertGreater(shard.now_ms - began_ms, 60_000.0)
 
+    def test_vanished_machines_bound_the_starts(self):
+        # Guards against a task that silences each worker and is started again at once
+        # whenever its leases have expired.
+        for onset_ms in (10.0, 300.0, 3000.0):
+            with self.subTest(onset_ms=onset_ms):
+                shard = Shard(workers=1)
+                shard.submit(build_job())
+                starts = self.count_starts(shard, onset_ms=onset_ms)
+                self.assertEqual(starts, MAX_STARTS)
+                self.assertIs(shard.scheduler.jobs["j"].phase, JobPhase.OPEN)
+
+    def count_starts(self, shard: Shard, *, onset_ms: float) -> int:
+        """Return the starts within five minutes, each of which silences its worker."""
+        until_ms = shard.now_ms + 300_000.0
+        starts = 0
+        while shard.now_ms < until_ms:
+            orders = list_starts(shard.step())
+            shard.save()
+            if not orders:
+                continue
+            starts += 1
+            shard.advance_time(onset_ms)
+            shard.poll_all()
+            shard.silence(orders[0].worker_id)
+            shard.advance_time(TASK_LEASE_MS + 500.0)
+            shard.scheduler.mark_unlisted(orders[0].worker_id)
+            release_expired(shard.scheduler, shard.now_ms)
+            shard.add_worker(f"n{starts}")
+        return starts
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilhook/scheduling/tests/test_crashes.py
+++ b/trefoilhook/scheduling/tests/test_crashes.py
@@ -242,6 +242,50 @@
         self.expire_unlisted(shard, worker_id)
         self.check(shard, LossCause.CRASHED)
 
+    def vanish(self, shard: Shard, worker_id: str, *, listed: bool = False) -> None:
+        """Silence a worker until its leases and, unless listed, its entry are over."""
+        shard.silence(worker_id)
+        shard.advance_time(2.0 * TASK_LEASE_MS)
+        if not listed:
+            shard.scheduler.mark_unlisted(worker_id)
+        shard.scheduler.entries.note_read(shard.now_ms)
+        release_expired(shard.scheduler, shard.now_ms)
+
+    def test_silence_to_owner_and_store_raises_suspicion(self):
+        # Guards against a task that takes down machine after machine, none of which
+        # closes its connections.
+        shard, worker_id = self.start()
+        self.vanish(shard, worker_id)
+        self.check(shard, LossCause.VANISHED)
+        self.assertGreater(find_suspicion(shard).odds, PRIOR_ODDS)
+
+    def test_task_that_ran_for_a_while_is_no_suspect_after_silence(self):
+        # Guards against suspecting all tasks of a rack that is cut off.
+        shard, worker_id = self.start()
+        shard.advance_time(4000.0)
+        shard.poll(worker_id)
+        shard.advance_time(4000.0)
+        shard.poll(worker_id)
+        shard.scheduler.workers[worker_id].lease_until_ms += 8000.0
+        self.vanish(shard, worker_id)
+        self.check(shard, LossCause.VANISHED)
+        self.assertIsNone(find_suspicion(shard))
+
+    def test_silence_of_a_listed_worker_is_no_evidence(self):
+        # Guards against suspecting tasks of a worker that the owner alone misses.
+        shard, worker_id = self.start()
+        self.vanish(shard, worker_id, listed=True)
+        self.assertEqual(shard.scheduler.suspects.losses, [])
+        self.assertIsNone(find_suspicion(shard))
+
+    def test_entry_gone_in_an_outage_of_the_store_is_no_evidence(self):
+        # Guards against suspecting tasks because entries expire with the store away.
+        shard, worker_id = self.start()
+        shard.scheduler.entries.note_failure()
+        self.vanish(shard, worker_id)
+        self.check(shard, LossCause.LEASES_EXPIRED)
+        self.assertIsNone(find_suspicion(shard))
+
     def test_entry_lost_during_store_outage_is_no_evidence(self):
         # Entries expire while the store is unavailable, and are restored within 2 s.
         shard, worker_id = self.start()
