--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -26,6 +26,7 @@
 from trefoilhook.scheduling.messages import EndKind, StopReason
 from trefoilhook.scheduling.models import Configuration, TaskId, WorkerReport
 from trefoilhook.scheduling.overtaking import OvertakingTracker
+from trefoilhook.scheduling.postponed import PostponedSteps
 from trefoilhook.scheduling.queues import KnownQueues
 from trefoilhook.scheduling.records import JobPhase, JobRecord, Progress
 from trefoilhook.scheduling.reservations import Reservations
@@ -122,6 +123,8 @@
         Workers that may run the steps of queues with advice.
     fillers_due_ms : float
         Time of the next round that places fillers, in ms.
+    postponed : PostponedSteps
+        Waiting fillers that the rounds do not reach by rank.
     idle_since_ms : dict of str to float
         Time since when jobs with waiting fillers have had no run, in ms.
     unreadable_jobs : set of str
@@ -214,6 +217,7 @@
         self.copies = CopyTracker()
         self.tickets = TicketCache()
         self.fillers_due_ms = 0.0
+        self.postponed = PostponedSteps()
         self.idle_since_ms: dict[str, float] = {}
         self.waits = WaitTracker()
         self.guarantees = Guarantees()
@@ -482,11 +486,15 @@
             self._retire_place(run)
             return
         task.detach(run)
+        if run.may_have_run:
+            self.record_start(task)
         task.record_end(worker, kind)
         self.copies.record_end(task, run, kind)
         self.suspects.record_run_end(task, run, kind)
         if kind is EndKind.FAILED:
-            task.failed_on.add(worker.report.worker_id)
+            # The members of a gang are started together, so that all avoid the worker.
+            for member in task.job.list_unit(task.unit):
+                member.failed_on.add(worker.report.worker_id)
         self.apply_end(task, run.attempt, kind, checkpoint)
         self._retire_place(run)
         self.extend_release(worker)
@@ -573,9 +581,14 @@
         state.started = True
         self._mark_dirty(state)
 
-    def record_placement(self, task: TaskState) -> None:
-        """Record what the next owner has to know of a placed task."""
+    def record_start(self, task: TaskState) -> None:
+        """Record what the next owner has to know of a task that may have been started.
+
+        Not called for reserved capacity, which may be released before an order is sent.
+        """
         state = task.job
+        if not state.is_open:
+            return
         if task.step.long_running:
             step = (task.task.occurrence, task.task.step)
             placed = state.progress.placed.setdefault(step, set())
--- a/trefoilhook/scheduling/job_state.py
+++ b/trefoilhook/scheduling/job_state.py
@@ -42,7 +42,9 @@
     last_attempt : int
         Highest attempt number so far.
     failed_on : set of str
-        Workers on which it failed.
+        Workers on which it, or a member of its gang, failed.
+    failed_in_turn_on : set of str
+        Workers on which it failed since it last ran successfully.
     done : bool
         Whether it is completed.
     waiting_since_ms : float or None
@@ -62,6 +64,7 @@
     attempts: list[Attempt] = attrs.Factory(list)
     last_attempt: int = 0
     failed_on: set[str] = attrs.Factory(set)
+    failed_in_turn_on: set[str] = attrs.Factory(set)
     done: bool = False
     waiting_since_ms: float | None = None
     held_until_ms: float = 0.0
@@ -297,14 +300,17 @@
         return [task] if task is not None else []
 
     def count_failures(self, task: TaskId) -> int:
-        """Return the number of failed attempts that count towards the job's failure."""
+        """Return the number of failed attempts that count towards the job's failure.
+
+        The members of a gang share the number of each attempt, which counts once.
+        """
         failed = self.progress.failed
         if self.job.steps[task.step].gang:
-            return sum(
-                len(numbers)
-                for (occurrence, step, _), numbers in failed.items()
-                if (occurrence, step) == (task.occurrence, task.step)
-            )
+            attempts: set[int] = set()
+            for (occurrence, step, _), numbers in failed.items():
+                if (occurrence, step) == (task.occurrence, task.step):
+                    attempts |= numbers
+            return len(attempts)
         return len(failed.get((task.occurrence, task.step, task.index), ()))
 
     def find_task(self, task: TaskId) -> TaskState | None:
