Let a service task wait only for the place of its last attempt

Cause: the place of an attempt that is over stays in its page until the page is copied, at a quarter of live rows. A new owner took each row for a run that may go on.

Change: an owner starts a task that never ends again only once the attempt before is over, so that only the row of the last attempt counts. A task that ends waits for all, as an earlier attempt may have completed it.

Measured by tests only so far: test_place_of_an_attempt_before_the_last_one and test_task_that_never_ends_waits_for_its_last_place fail without it.

--- a/trefoilhook/runtime/predecessors.py
+++ b/trefoilhook/runtime/predecessors.py
@@ -1,12 +1,13 @@
 """Reads what previous owners of a shard recorded about their starts."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import attrs
 
 from trefoilhook.exceptions import DecodeError
 from trefoilhook.platform import Item
 from trefoilhook.runtime import keys
+from trefoilhook.scheduling import get_worker_id
 from trefoilhook.takeover import (
     Head,
     Place,
@@ -56,6 +57,7 @@
     epoch: int,
     recorded_since: int,
     reject: Callable[[Item, DecodeError], None],
+    is_past: Callable[[int], bool] = lambda revision: False,
 ) -> Inheritance:
     """Read the groups and places of previous owners.
 
@@ -73,11 +75,14 @@
         First epoch since which every owner has recorded its starts.
     reject : callable
         Called with each unreadable item.
+    is_past : callable, optional
+        Returns whether no start that was sent before a revision can still be executed.
     """
     head: Head | None = None
     head_revision = 0
     unrecorded: int | None = recorded_since - 1 if recorded_since > 1 else None
     pages: dict[_Page, list[Place]] = {}
+    revisions: dict[_Page, int] = {}
     damaged: list[str] = []
     for item in items:
         try:
@@ -87,7 +92,9 @@
                 if head.groups.epoch >= recorded_since:
                     unrecorded = head.unrecorded_epoch
             else:
-                pages[_read_page(item.key)] = decode_places(item.value)
+                page = _read_page(item.key)
+                pages[page] = decode_places(item.value)
+                revisions[page] = item.revision
         except DecodeError as error:
             reject(item, error)
             damaged.append(item.key)
@@ -96,6 +103,14 @@
     predecessors = Predecessors(
         groups=(head.groups, *head.inherited) if head is not None else (),
         places=[place for places in pages.values() for place in places],
+        superseded=_find_superseded(
+            [
+                (place, revisions[page])
+                for page, places in pages.items()
+                for place in places
+            ],
+            is_past,
+        ),
         unrecorded_epoch=unrecorded,
         unrecorded_workers=roster if unrecorded is not None else (),
     )
@@ -121,6 +136,39 @@
     )
 
 
+def _find_superseded(
+    rows: Collection[tuple[Place, int]], is_past: Callable[[int], bool]
+) -> set[tuple[str, int]]:
+    """Return the attempts that were over before a later one was started.
+
+    Parameters
+    ----------
+    rows : collection of (Place, int)
+        Places, each with the revision at which its page was written.
+    is_past : callable
+        Returns whether no start that was sent before a revision can still be executed.
+    """
+    last: dict[str, tuple[int, int]] = {}
+    for place, revision in rows:
+        # The earliest page with an attempt was written before its start.
+        known = last.get(place.task, (0, 0))
+        last[place.task] = max(known, (place.attempt, -revision))
+    return {
+        (place.task, place.attempt)
+        for place, _ in rows
+        if place.attempt < last[place.task][0]
+        and (_has_unique_id(place.worker) or is_past(-last[place.task][1]))
+    }
+
+
+def _has_unique_id(name: str) -> bool:
+    """Return whether no other process is started under the id of a worker.
+
+    The next process under the same id may execute a late start for an earlier one.
+    """
+    return get_worker_id(name) == name
+
+
 def _read_page(key: str) -> _Page:
     """Return the epoch and the number of a page."""
     epoch, _, number = key.removeprefix(keys.page_prefix(keys.SHARD)).partition("/")
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -418,16 +418,21 @@
     ) -> None:
         """Take over what previous owners recorded about their starts."""
         ownership = self._ownership
+        now_ms = self._clock.monotonic_ms()
+        # The next process under the same id grants the longest possible lease.
+        valid_ms = self._settings.task_lease_ms + self._settings.max_task_lease_ms
         inheritance = read_inheritance(
             contents.placed.items,
             roster=roster,
             epoch=ownership.epoch,
             recorded_since=ownership.recorded_since,
             reject=self._reject,
+            is_past=lambda revision: (
+                now_ms - ownership.revisions.find_latest_ms(revision) > valid_ms
+            ),
         )
         written_ms = min(
-            self._clock.monotonic_ms(),
-            ownership.revisions.find_latest_ms(inheritance.head_revision),
+            now_ms, ownership.revisions.find_latest_ms(inheritance.head_revision)
         )
         for epoch, elapsed_ms in inheritance.elapsed_ms.items():
             ownership.note_end(epoch, written_ms - elapsed_ms)
--- a/trefoilhook/runtime/tests/test_predecessors.py
+++ b/trefoilhook/runtime/tests/test_predecessors.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+import attrs
+
 from trefoilhook.platform import Item
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.ownership import Ownership
@@ -48,7 +50,7 @@
 class ReadInheritanceTest(unittest.TestCase):
     """Starts of earlier owners that a new owner must expect."""
 
-    def read(self, *items: Item, recorded_since: int = 1):
+    def read(self, *items: Item, recorded_since: int = 1, **options):
         """Read the records as epoch 5."""
         self.rejected: list[str] = []
         return read_inheritance(
@@ -57,6 +59,7 @@
             epoch=5,
             recorded_since=recorded_since,
             reject=lambda item, error: self.rejected.append(item.key),
+            **options,
         )
 
     def test_complete_records(self):
@@ -70,6 +73,33 @@
         found = self.read()
         self.assertEqual(found.predecessors.awaited, set())
 
+    def check_superseded(self, worker: str, *, age: str, expected: list[str]) -> None:
+        """Check for whom a service task waits that was started a second time."""
+        member = Member(name=worker, address="h:1")
+        groups = WorkerGroups(
+            epoch=4, count=1, members={0: member}, has_all_places=True
+        )
+        head = build_item(keys.groups_key(keys.SHARD), encode_head(Head(groups=groups)))
+        first = attrs.evolve(PLACE, worker=worker)
+        second = attrs.evolve(PLACE, attempt=3_000_002, worker="w9")
+        pages = [
+            build_page(encode_places([first], epoch=3)),
+            build_page(encode_places([second], epoch=3), name="3/1"),
+        ]
+        found = self.read(head, *pages, is_past=lambda revision: age == "past")
+        awaited = found.predecessors.list_awaited(PLACE.task, "j", never_ends=True)
+        self.assertEqual(awaited, expected)
+
+    def test_place_of_an_attempt_before_the_last_one(self):
+        # Guards against a service task held for a worker that it left.
+        self.check_superseded("w0", age="recent", expected=[])
+        self.check_superseded("w0@5", age="past", expected=[])
+
+    def test_late_start_for_the_next_process(self):
+        # Guards against a second run beside an earlier attempt that the next process
+        # under the worker's id executes.
+        self.check_superseded("w0@5", age="recent", expected=["w0@5"])
+
     def test_limit_of_the_last_owner(self):
         found = self.read(build_head(epoch=4, limit_ms=700))
         self.assertEqual(found.lease_limits, {"w0": 700})
--- a/trefoilhook/takeover/core.py
+++ b/trefoilhook/takeover/core.py
@@ -7,7 +7,7 @@
 which other tasks do not wait for.
 """
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
@@ -63,6 +63,9 @@
         owner.
     places : iterable of Place, optional
         Recorded places that have not been removed.
+    superseded : collection of (str, int), optional
+        Task and attempt of those of them which were over before a later attempt at the
+        task was started. Tasks that are never completed do not wait for them.
     unrecorded_epoch : int or None, optional
         Last epoch that may have started tasks without a record; None if there is none.
     unrecorded_workers : iterable of str, optional
@@ -82,6 +85,7 @@
         *,
         groups: Iterable[WorkerGroups] = (),
         places: Iterable[Place] = (),
+        superseded: Collection[tuple[str, int]] = (),
         unrecorded_epoch: int | None = None,
         unrecorded_workers: Iterable[str] = (),
     ) -> None:
@@ -97,10 +101,14 @@
                 self._last_epoch[member.name] = max(known, each.epoch)
                 self._members[member.name] = member
         self._tasks: dict[str, set[str]] = {}
+        self._last_tasks: dict[str, set[str]] = {}
         for place in places:
             # A later owner removes a worker once everything there is accounted for.
-            if place.worker in self._members:
-                self._tasks.setdefault(place.worker, set()).add(place.task)
+            if place.worker not in self._members:
+                continue
+            self._tasks.setdefault(place.worker, set()).add(place.task)
+            if (place.task, place.attempt) not in superseded:
+                self._last_tasks.setdefault(place.worker, set()).add(place.task)
         self.awaited: set[str] = {*self._unrecorded, *self._last_epoch}
         self.expired: set[str] = set()
         self._blocked: dict[bool, _Blocked] = {}
@@ -164,7 +172,8 @@
             Id of the task and of its job.
         never_ends : bool
             Whether the task is never completed. It then only waits for the expiry of
-            the leases, as no worker can hold its completion.
+            the leases, as no worker can hold its completion, and only where its last
+            attempt may run.
         """
         return bool(self.awaited) and self._get_blocked(never_ends).includes(
             task, job_id
@@ -173,7 +182,8 @@
     def list_awaited(self, task: str, job_id: str, *, never_ends: bool) -> list[str]:
         """Return the workers for which a task waits."""
         awaited = self._list_relevant(never_ends)
-        names = {name for name in awaited if task in self._tasks.get(name, ())}
+        tasks = self._last_tasks if never_ends else self._tasks
+        names = {name for name in awaited if task in tasks.get(name, ())}
         names |= awaited & self._unrecorded
         for groups in self._relied_on:
             names |= awaited.intersection(groups.list_group(job_id))
@@ -186,14 +196,17 @@
         blocked = self._blocked.get(never_ends)
         if blocked is None:
             blocked = self._blocked[never_ends] = self._find_blocked(
-                self._list_relevant(never_ends)
+                self._list_relevant(never_ends),
+                self._last_tasks if never_ends else self._tasks,
             )
         return blocked
 
-    def _find_blocked(self, awaited: set[str]) -> _Blocked:
+    def _find_blocked(
+        self, awaited: set[str], tasks: Mapping[str, set[str]]
+    ) -> _Blocked:
         blocked = _Blocked(everything=bool(awaited & self._unrecorded))
         for name in awaited:
-            blocked.tasks |= self._tasks.get(name, set())
+            blocked.tasks |= tasks.get(name, set())
         for groups in self._relied_on:
             numbers = {
                 slot % groups.count
--- a/trefoilhook/takeover/tests/test_core.py
+++ b/trefoilhook/takeover/tests/test_core.py
@@ -56,6 +56,23 @@
         predecessors.account("b")
         self.check(predecessors, "t.0.0", _JOB_A, [])
 
+    def test_task_that_never_ends_waits_for_its_last_place(self) -> None:
+        """Guards against a service task held for a worker that it left long ago.
+
+        A task that ends waits for both: an earlier attempt may have completed it.
+        """
+        placed = attrs.evolve(_GROUPS, has_all_places=True)
+        predecessors = Predecessors(
+            groups=[placed],
+            places=[build_place("t.0.0", 1, "a"), build_place("t.0.0", 2, "b")],
+            superseded={("t.0.0", 1)},
+        )
+        self.check(predecessors, "t.0.0", _JOB_A, ["a", "b"])
+        self.check(predecessors, "t.0.0", _JOB_A, ["b"], never_ends=True)
+        predecessors.account("b")
+        self.check(predecessors, "t.0.0", _JOB_A, ["a"])
+        self.check(predecessors, "t.0.0", _JOB_A, [], never_ends=True)
+
     def test_groups_that_no_start_relied_on_hold_nothing(self) -> None:
         """Guards against tasks held for a worker on which they cannot run."""
         placed = attrs.evolve(_GROUPS, has_all_places=True)
