Account at a takeover for workers that had left as planned

What callers saw: after workers had left as planned and the owner was replaced, tasks waited for 7.4 s for these workers, which ran nothing any more.

Cause: a new owner reads the entries as they are. An entry that is gone may be that of a worker that left, or of a silent one that runs on until its leases expire, so that it waited for the leases of both.

The platform removes the entry of a worker that leaves at once, and that of a silent one three heartbeats after its last write. The store keeps the history of the key.

Not covered by a test: the condition that no call failed while the shard was loaded.

--- a/trefoilhook/runtime/revisions.py
+++ b/trefoilhook/runtime/revisions.py
@@ -29,6 +29,11 @@
     def __init__(self) -> None:
         self._answers: deque[_Answer] = deque(maxlen=_MAX_ANSWERS)
 
+    @property
+    def oldest_revision(self) -> int | None:
+        """Revision from which on changes can be dated; None if none can."""
+        return self._answers[0].as_of if self._answers else None
+
     def note(
         self,
         *,
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -13,6 +13,7 @@
 from trefoilhook.http import Connection, IdleLimit
 from trefoilhook.logs import Event, log_event
 from trefoilhook.platform import (
+    WORKER_PREFIX,
     Address,
     AdviceClient,
     Item,
@@ -22,6 +23,7 @@
 from trefoilhook.runtime.advice import run_advice_requests
 from trefoilhook.runtime.commits import Committer
 from trefoilhook.runtime.copies import log_copies
+from trefoilhook.runtime.departures import find_departures
 from trefoilhook.runtime.jobfeed import JobFeed
 from trefoilhook.runtime.jobtimes import report_times
 from trefoilhook.runtime.lag import LoopLag
@@ -59,6 +61,7 @@
     WorkerReport,
     are_fillers_due,
     find_longest_wait,
+    get_worker_id,
     has_urgent_waiting,
     list_restarts,
     measure_wait,
@@ -339,6 +342,7 @@
         nursery.start_soon(self._roster.run)
         nursery.start_soon(self._run_place_writer, nursery)
         nursery.start_soon(self._settlement.log_awaited_workers)
+        nursery.start_soon(self._find_departures, contents)
         maintenance = Maintenance(
             store=self._store,
             clock=self._clock,
@@ -380,10 +384,18 @@
 
     async def _load(self) -> ShardContents:
         """Load the state written by previous owners."""
+        sent_ms = self._clock.monotonic_ms()
+        failures = self._store.failures
         contents = await load_shard(
             self._store,
             snapshot_keys=[each.key for each in self._snapshots],
         )
+        if self._store.failures == failures:
+            self._ownership.revisions.note(
+                sent_ms=sent_ms,
+                received_ms=self._clock.monotonic_ms(),
+                as_of=contents.workers.as_of,
+            )
         self._take_inheritance(contents, self._read_roster(contents.roster))
         self._restore_snapshots(contents.snapshots)
         self._job_feed.load(contents.jobs, contents.progress)
@@ -400,6 +412,29 @@
         )
         return contents
 
+    async def _find_departures(self, contents: ShardContents) -> None:
+        """Account for workers that had left as planned before the claim."""
+        listed = {
+            item.key.removeprefix(WORKER_PREFIX) for item in contents.workers.items
+        }
+        listed.add(_UNKNOWN_WORKER)
+        await find_departures(
+            self._store,
+            [
+                name
+                for name in self._scheduler.predecessors.awaited
+                if get_worker_id(name) not in listed
+            ],
+            revisions=self._ownership.revisions,
+            entry_life_ms=self._settings.entry_life_ms,
+            take_departure=self._take_departure,
+        )
+
+    def _take_departure(self, name: str) -> None:
+        log_event(Event.WORKER_LOST, worker=get_worker_id(name), why="left")
+        self._scheduler.note_departure(name)
+        self.wake()
+
     def _read_roster(self, item: Item | None) -> tuple[str, ...]:
         try:
             self._roster.load(item)
--- a/trefoilhook/runtime/tests/test_revisions.py
+++ b/trefoilhook/runtime/tests/test_revisions.py
@@ -43,8 +43,10 @@
 
     def test_failure_ends_what_is_known(self):
         # Guards against bounds across a time in which the store did not answer.
+        self.assertEqual(self.log.oldest_revision, 10)
         self.log.reset()
         self.assertEqual(self.find(12), (-math.inf, math.inf))
+        self.assertIsNone(self.log.oldest_revision)
 
     def test_revisions_of_another_store(self):
         # Guards against bounds from two counters.
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -26,7 +26,13 @@
 )
 from trefoilhook.scheduling.evacuations import Evacuation, Evacuations
 from trefoilhook.scheduling.features import Features
-from trefoilhook.scheduling.fleet import SLOWEST_CLOCK, Run, Worker, get_worker_id
+from trefoilhook.scheduling.fleet import (
+    SLOWEST_CLOCK,
+    Run,
+    Worker,
+    get_worker_id,
+    name_incarnation,
+)
 from trefoilhook.scheduling.freshness import Freshness
 from trefoilhook.scheduling.incarnations import (
     apply_report,
@@ -197,6 +203,7 @@
     "list_restarts",
     "list_unreported",
     "get_worker_id",
+    "name_incarnation",
     "handle_worker_loss",
     "has_restarted",
     "measure_backlogs",
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -431,6 +431,15 @@
             return None
         return worker
 
+    def note_departure(self, name: str) -> None:
+        """Record that an incarnation of previous owners has left as planned.
+
+        Everything on it has ended. A later process under its id may still execute late
+        starts of previous owners, and is awaited instead.
+        """
+        if get_worker_id(name) not in self.workers:
+            self.ended_incarnations.add(name)
+
     def drop_worker(self, worker_id: str, *, has_restarted: bool = False) -> None:
         """Remove a worker that is proved to run nothing; its tasks wait again.
 
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -13,7 +13,15 @@
 from trefoilhook.scheduling.tickets import StepName, name_step
 from trefoilhook.scheduling.waits import WaitReason
 
-__all__ = ["SLOWEST_CLOCK", "Run", "RunPhase", "Silence", "Worker", "get_worker_id"]
+__all__ = [
+    "SLOWEST_CLOCK",
+    "Run",
+    "RunPhase",
+    "Silence",
+    "Worker",
+    "get_worker_id",
+    "name_incarnation",
+]
 
 SLOWEST_CLOCK = 0.98
 """Minimum rate of a worker's monotonic clock; the platform permits a drift of 2 %."""
@@ -31,7 +39,7 @@
 """Separates the worker id from the start time of the process; not allowed in ids."""
 
 
-def _name_incarnation(worker_id: str, born_ms: int | None) -> str:
+def name_incarnation(worker_id: str, born_ms: int | None) -> str:
     """Return the name of an incarnation: only the id if the start time is unknown."""
     return (
         worker_id
@@ -381,7 +389,7 @@
     @property
     def incarnation(self) -> str:
         """Name of the incarnation, which changes with each restart."""
-        return _name_incarnation(self.report.worker_id, self.born_ms)
+        return name_incarnation(self.report.worker_id, self.born_ms)
 
     @property
     def is_known_alive(self) -> bool:
--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -184,6 +184,20 @@
         self.assertEqual(shard.count_starts(after_ms=EXPIRY_MS - 1.0), 0)
         self.assertEqual(shard.count_starts(after_ms=1001.0), 1)
 
+    def test_worker_that_left_is_accounted_for_at_once(self):
+        # Guards against tasks held until leases expire on a worker that runs nothing.
+        shard = Successor(build_predecessors("w0", "w1", place="w0"), silent="w0")
+        shard.scheduler.workers.pop("w0")
+        self.assertEqual(shard.count_starts(), 0)
+        shard.scheduler.note_departure("w0")
+        self.assertEqual(shard.count_starts(), 1)
+
+    def test_worker_registered_after_one_of_its_id_left_is_awaited(self):
+        # Guards against a second run of a task that the later process started late.
+        shard = Successor(build_predecessors("w0", "w1", place="w0"), silent="w0")
+        shard.scheduler.note_departure("w0")
+        self.assertEqual(shard.count_starts(), 0)
+
     def test_missing_entry_proves_nothing_right_after_a_claim(self):
         # Guards against a second run of a completed task: after an outage of the store,
         # the entry of a living worker is missing for a moment.
