Model limits of leases in the search of takeovers

Owners of the model may hear nothing of a worker, record that they grant no lease there, hand a limit on, and let one pass. Without the guard a task runs twice after 9 moves: a lease granted after the limit was written.

--- a/trefoilhook/takeover/tests/checker.py
+++ b/trefoilhook/takeover/tests/checker.py
@@ -84,7 +84,7 @@
 
 
 def _as_flags(values: Mapping[str, int]) -> dict[str, int]:
-    flags = ("never_ends", "second", "same_id", "resigns")
+    flags = ("never_ends", "second", "same_id", "resigns", "limits")
     return {key: bool(each) if key in flags else each for key, each in values.items()}
 
 
--- a/trefoilhook/takeover/tests/test_protocol.py
+++ b/trefoilhook/takeover/tests/test_protocol.py
@@ -45,6 +45,10 @@
         "an owner waits for the leases that it gave, too",
         {**_SERVICE, "lost_answers": 1},
     ),
+    "lease limits": (
+        "no lease while the store may tell the next owner when they expire",
+        {**_SERVICE, "limits": 1},
+    ),
     "sent head": (
         "no start on a worker that a head without an answer leaves out",
         {
@@ -91,6 +95,8 @@
     "failed ends": ({**_ONE, "fails": 1}, 100),
     "restarts": ({**_RESTART, "never_ends": 1}, 7),
     "three owners": ({"second": 0}, 6),
+    "silent workers": ({**_ONE, "never_ends": 1, "limits": 1}, 8),
+    "silent workers, three owners": ({**_SERVICE, "limits": 1}, 6),
     "planned takeovers": ({**_ONE, "never_ends": 1, "resigns": 1}, 100),
     "planned takeovers, three owners": ({**_SERVICE, "resigns": 1}, 6),
     "all faults, two steps": (
--- a/trefoilhook/takeover/tests/world.py
+++ b/trefoilhook/takeover/tests/world.py
@@ -62,6 +62,7 @@
         "all placed by epoch",
         "all placed last",
         "late ends",
+        "lease limits",
         "own leases",
         "renewals",
         "restart fresh",
@@ -114,6 +115,8 @@
         answers of workers lost, and writes without an answer.
     second : bool
         Whether there is a second task.
+    limits : bool
+        Whether an owner records that it grants no lease on a worker it does not hear.
     same_id : bool
         Whether a worker is reborn under its id, also unheard. Orders on their way name
         the id alone, so that the next incarnation may execute them.
@@ -136,6 +139,7 @@
     second: bool = True
     same_id: bool = False
     resigns: bool = False
+    limits: bool = False
 
 
 @attrs.define(kw_only=True, slots=False)
@@ -145,6 +149,7 @@
     number: int
     life: int = 0
     token: int = 0
+    is_unrenewed: bool = False
     is_listed: bool = True
     orders: dict[Run, int] = attrs.Factory(dict)
     runs: dict[Run, int] = attrs.Factory(dict)
@@ -168,6 +173,7 @@
         return (
             self.life,
             self.token,
+            self.is_unrenewed,
             self.is_listed,
             frozenset(self.orders.items()),
             frozenset(self.runs.items()),
@@ -209,6 +215,8 @@
     owed: dict[str, frozenset[str]] = attrs.Factory(dict)
     rostered: set[str] = attrs.Factory(set)
     given: dict[str, int] = attrs.Factory(dict)
+    silent: set[str] = attrs.Factory(set)
+    limits: frozenset[str] = frozenset()
     head: Head | None = None
     sent_head: Head | None = None
     runs: dict[Run, tuple[str, str]] = attrs.Factory(dict)
@@ -232,6 +240,7 @@
         other.owed = dict(self.owed)
         other.rostered = set(self.rostered)
         other.given = dict(self.given)
+        other.silent = set(self.silent)
         other.runs = dict(self.runs)
         other._key = other._next_head = None
         return other
@@ -266,6 +275,8 @@
             frozenset(self.owed.items()),
             None if self.keeps_records else frozenset(self.rostered),
             frozenset(self.given.items()),
+            frozenset(self.silent),
+            self.limits,
             _key_head(self.head),
             _key_head(self.sent_head),
             frozenset(self.runs.items()),
@@ -353,8 +364,23 @@
             groups=groups.replace_members(members),
             inherited=tuple(inherited),
             unrecorded_epoch=unrecorded,
+            lease_limits=dict.fromkeys(self.list_limited(), 0),
         )
 
+    def list_limited(self) -> set[str]:
+        """Return the incarnations on which the owner grants no lease."""
+        inherited = self.limits & self.predecessors.awaited - self.answered.keys()
+        return self.silent | inherited
+
+    def may_grant(self, name: str) -> bool:
+        """Return whether no head in the store may limit the leases on a worker."""
+        if "lease limits" in self.without:
+            return True
+        heads = [each for each in (self.head, self.sent_head) if each is not None]
+        if any(name in each.lease_limits for each in heads):
+            return False
+        return self.head is not None or name not in self.limits
+
     def are_starts_recorded(self) -> bool:
         """Return whether the next owner finds a place of each start that was sent."""
         if "all placed" in self.without:
@@ -367,6 +393,8 @@
 
     def may_use(self, name: str) -> bool:
         """Return whether the next owner will know that an incarnation was used."""
+        if name in self.silent or not self.may_grant(name):
+            return False
         head = self.build_head() if "R1 groups" in self.without else self.head
         if head is None or name not in head.groups.list_names():
             return False
@@ -502,6 +530,8 @@
             yield from self._list_polls(epoch, index)
         yield from self._list_starts(epoch, owner)
         yield from self._list_losses(epoch, owner)
+        if self.settings.limits:
+            yield from self._list_limits(epoch, owner)
 
     def _list_claims(self) -> Iterator[Move]:
         owner = self.owners[self.epoch]
@@ -673,6 +703,22 @@
                     lambda world, name=name: world.give_up(epoch, name),
                 )
 
+    def _list_limits(self, epoch: int, owner: Owner) -> Iterator[Move]:
+        """Yield silences, and limits of leases that have passed."""
+        predecessors = owner.predecessors
+        for name in sorted(owner.limits & predecessors.awaited - predecessors.expired):
+            yield (
+                f"owner {epoch} finds the limit of the leases on {name} passed",
+                lambda world, name=name: world.pass_limit(epoch, name),
+            )
+        if epoch != self.epoch:
+            return
+        for name in sorted(owner.answered.keys() - owner.silent - owner.over):
+            yield (
+                f"owner {epoch} hears nothing of {name}",
+                lambda world, name=name: world.fall_silent(epoch, name),
+            )
+
     def _list_lapses(self, name: str) -> tuple[bool, ...]:
         if self.settings.never_ends:
             return (False,)
@@ -748,6 +794,8 @@
             ledger=PlaceLedger(epoch=self.epoch),
             done=set(self.done),
         )
+        if head is not None and head.groups.epoch == self.epoch - 1:
+            owner.limits = frozenset(head.lease_limits)
         for name, places in rows.items():
             known = [each for each in places if predecessors.knows(each.worker)]
             owner.ledger.load(name, known)
@@ -827,6 +875,10 @@
             owner.head is not None and worker.name in owner.head.groups.list_names()
         )
         given = epoch if is_known else epoch - 1
+        if not owner.may_grant(worker.name):
+            given = 0
+        else:
+            worker.is_unrenewed = False
         for run, last in worker.runs.items():
             worker.runs[run] = max(last, given)
         if not is_answered:
@@ -835,6 +887,7 @@
             self.spent["lost_answers"] += 1
             return
         owner.given.pop(worker.name, None)
+        owner.silent.discard(worker.name)
         if epoch == self.epoch:
             self.roster.add(worker.name)
             owner.rostered.add(worker.name)
@@ -951,6 +1004,23 @@
         if is_gone or "R5 listed" in self.without:
             owner.account(name)
 
+    def fall_silent(self, epoch: int, name: str) -> None:
+        """Let an owner hear nothing of a worker, which gets no leases from now on."""
+        self.change_owner(epoch).silent.add(name)
+        for index, worker in enumerate(self.workers):
+            if worker.name == name:
+                self.change_worker(index).is_unrenewed = True
+
+    def pass_limit(self, epoch: int, name: str) -> None:
+        """Let the limit that an earlier owner recorded pass."""
+        for index, worker in enumerate(self.workers):
+            if worker.name == name and worker.is_unrenewed:
+                worker = self.change_worker(index)
+                worker.runs, worker.orders = {}, {}
+        owner = self.change_owner(epoch)
+        owner.is_checked = False
+        owner.predecessors.expire(name)
+
     def _unlist(self, worker: Worker) -> None:
         worker.is_listed = False
         self.lost |= {run for run, is_done in worker.ends.items() if is_done}
@@ -1064,6 +1134,7 @@
         _key_groups(head.groups),
         tuple(_key_groups(each) for each in head.inherited),
         head.unrecorded_epoch,
+        frozenset(head.lease_limits),
     )
 
 
