Record a place of a start without one once the store answers again

What callers saw: the same as with places that are not known to be complete. One start in the group of its job, while the store was silent for 0.4 s, made each planned takeover of that ownership hold whole groups of jobs.

Cause: such a start never had a place recorded, so that the owner could not hand over complete places later.

A start without a place now has one requested with the first plan after writes are answered again. One that ended before counts until its end is saved, since nothing else names it. Starts of this kind are kept by themselves, so that the usual plan looks at none. The number of groups stays fixed, as before.

Evidence: two scheduling tests, which fail without the request and without the wait for the end.

--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -165,6 +165,11 @@
     has_group_starts : bool
         Whether a start without a place relies on the groups, which then keep their
         number.
+    group_starts : dict of Run to str
+        Runs that were started without a place and still have none, each with the
+        incarnation on which it was started.
+    group_ends : list of callable
+        For each of them that ended before it had one, whether its end is saved.
     ended_incarnations : set of str
         Incarnations that were proved over during this ownership.
     last_change : int
@@ -232,6 +237,8 @@
         self.places: PlaceLedger | None = None
         self.groups: WorkerGroups | None = None
         self.has_group_starts = False
+        self.group_starts: dict[Run, str] = {}
+        self.group_ends: list[Callable[[], bool]] = []
         self.ended_incarnations: set[str] = set()
         self.last_change = 0
         self.unreleased: dict[str, int] = {}
@@ -500,6 +507,8 @@
         if self.places is not None:
             is_saved = self.track_save(run.task.job_id)
             self.places.retire(str(run.task), run.attempt, is_saved)
+            if self.group_starts.pop(run, None) is not None:
+                self.group_ends.append(is_saved)
 
     def track_save(self, job_id: str) -> Callable[[], bool]:
         """Return a function that tells whether the present state of a job is saved.
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -19,6 +19,7 @@
 from trefoilhook.scheduling.takeovers import (
     is_start_recorded,
     list_unaccounted,
+    record_group_starts,
     withdraw_unrecorded,
 )
 from trefoilhook.scheduling.tickets import name_step
@@ -100,6 +101,7 @@
         is_final = settled or now_ms >= scheduler.limits.settled_at_ms
         resolve_recorded(scheduler, now_ms, is_final=is_final)
     withdraw_unrecorded(scheduler, now_ms)
+    record_group_starts(scheduler, now_ms)
     if _has_fresh_state(scheduler, now_ms):
         assign_waiting(
             scheduler,
--- a/trefoilhook/scheduling/takeovers.py
+++ b/trefoilhook/scheduling/takeovers.py
@@ -22,6 +22,7 @@
     "list_unaccounted",
     "list_unreported",
     "list_unreleased",
+    "record_group_starts",
     "request_place",
     "withdraw_unrecorded",
 ]
@@ -251,6 +252,7 @@
         and _is_in_group(scheduler, worker, run)
     ):
         run.is_group_start = scheduler.has_group_starts = True
+        scheduler.group_starts[run] = worker.incarnation
         return True
     request_place(scheduler, worker, run)
     return False
@@ -262,7 +264,9 @@
     It must not send any more. Runs of earlier epochs count as well, so that nothing
     found on a worker depends on the groups of this epoch.
     """
-    if scheduler.places is None or scheduler.has_group_starts:
+    if scheduler.places is None or scheduler.group_starts:
+        return False
+    if not all(is_saved() for is_saved in scheduler.group_ends):
         return False
     return all(
         _is_known_to_successor(scheduler, run)
@@ -272,6 +276,20 @@
     )
 
 
+def record_group_starts(scheduler: Scheduler, now_ms: float) -> None:
+    """Request places for starts without one, once places can be recorded again."""
+    if scheduler.places is None or scheduler.places.is_stalled(now_ms):
+        return
+    for run, name in list(scheduler.group_starts.items()):
+        place = Place(task=str(run.task), attempt=run.attempt, worker=name)
+        if scheduler.places.request(place):
+            run.is_group_start = False
+            del scheduler.group_starts[run]
+    scheduler.group_ends = [
+        is_saved for is_saved in scheduler.group_ends if not is_saved()
+    ]
+
+
 def _is_unsent(run: Run) -> bool:
     """Return whether a start was certainly not sent."""
     is_starting = run.phase is RunPhase.STARTING
--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -394,6 +394,43 @@
         self.assertTrue(shard.scheduler.has_group_starts)
         self.assertFalse(are_starts_recorded(shard.scheduler))
 
+    def start_in_group(self):
+        """Start the task of a job without a place, and return its order."""
+        shard, ledger = self.build_shard()
+        shard.plan()
+        ledger.build_write(shard.now_ms, max_removals=9)
+        shard.submit(build_job(job_id="k"))
+        shard.advance_time(500.0)
+        shard.poll_all()
+        orders = {order.task.job_id: order for order in list_starts(shard.plan())}
+        self.assertFalse(are_starts_recorded(shard.scheduler))
+        ledger.confirm()
+        return shard, ledger, orders["k"]
+
+    def test_start_without_a_place_has_one_once_the_store_answers(self):
+        # Guards against a planned takeover that holds whole groups for a start whose
+        # place could be recorded since.
+        shard, ledger, order = self.start_in_group()
+        shard.plan()
+        self.assertFalse(are_starts_recorded(shard.scheduler))
+        self.write(shard, ledger)
+        shard.plan()
+        self.assertTrue(are_starts_recorded(shard.scheduler))
+        worker = ledger.find_worker(str(order.task), order.attempt)
+        self.assertEqual(worker, order.worker_id)
+
+    def test_end_of_a_start_without_a_place_is_saved_first(self):
+        # Guards against a second run of a task that was completed without a place, and
+        # whose end is not in the store.
+        shard, ledger, order = self.start_in_group()
+        shard.end(order, EndKind.DONE)
+        shard.plan()
+        self.write(shard, ledger)
+        shard.plan()
+        self.assertFalse(are_starts_recorded(shard.scheduler))
+        shard.save()
+        self.assertTrue(are_starts_recorded(shard.scheduler))
+
     def test_stalled_writes_without_groups_start_nothing(self):
         shard, ledger = self.build_shard()
         shard.scheduler.groups = None
--- a/trefoilhook/takeover/tests/test_protocol.py
+++ b/trefoilhook/takeover/tests/test_protocol.py
@@ -70,6 +70,10 @@
         _RESTART,
     ),
     "all placed": ("no start has only its group", {**_ONE, "resigns": 1}),
+    "all placed ends": (
+        "nor has one that ended, until its end is saved",
+        {**_ONE, "resigns": 1},
+    ),
     "all placed last": (
         "nothing is sent once all starts are recorded to have places",
         {**_ONE, "resigns": 1},
--- a/trefoilhook/takeover/tests/world.py
+++ b/trefoilhook/takeover/tests/world.py
@@ -60,6 +60,7 @@
         "R8 deadline",
         "all placed",
         "all placed by epoch",
+        "all placed ends",
         "all placed last",
         "late ends",
         "own leases",
@@ -213,7 +214,8 @@
     sent_head: Head | None = None
     runs: dict[Run, tuple[str, str]] = attrs.Factory(dict)
     attempts: int = 0
-    has_group_starts: bool = False
+    group_starts: set[Run] = attrs.Factory(set)
+    group_ends: set[str] = attrs.Factory(set)
     has_resigned: bool = False
     _key: Any = attrs.field(default=None, init=False)
     _next_head: Any = attrs.field(default=None, init=False)
@@ -233,6 +235,8 @@
         other.rostered = set(self.rostered)
         other.given = dict(self.given)
         other.runs = dict(self.runs)
+        other.group_starts = set(self.group_starts)
+        other.group_ends = set(self.group_ends)
         other._key = other._next_head = None
         return other
 
@@ -270,7 +274,8 @@
             _key_head(self.sent_head),
             frozenset(self.runs.items()),
             self.attempts,
-            self.has_group_starts,
+            frozenset(self.group_starts),
+            frozenset(self.group_ends),
             self.has_resigned,
         )
 
@@ -359,7 +364,9 @@
         """Return whether the next owner finds a place of each start that was sent."""
         if "all placed" in self.without:
             return True
-        return not self.has_group_starts and all(
+        if "all placed ends" not in self.without and self.group_ends & self.unsaved:
+            return False
+        return all(
             self.ledger.is_recorded(*run)
             for run, (_, state) in self.runs.items()
             if state != "planned"
@@ -565,6 +572,8 @@
             yield f"owner {epoch} saves", lambda world: world.save(epoch)
         if not owner.keeps_records:
             return
+        if self.settings.resigns:
+            yield from self._list_requests(epoch, owner)
         for kind, is_sent, is_due in (
             (
                 "head",
@@ -587,6 +596,18 @@
                     ),
                 )
 
+    def _list_requests(self, epoch: int, owner: Owner) -> Iterator[Move]:
+        """Yield requests of places for starts without one."""
+        ledger = owner.ledger
+        for run in sorted(owner.group_starts & owner.runs.keys()):
+            if run in ledger._page_of or run in ledger._pending:
+                continue
+            if run not in ledger._in_flight:
+                yield (
+                    f"owner {epoch} requests a place of {tell(run)}",
+                    lambda world, run=run: world.request(epoch, run),
+                )
+
     def _list_starts(self, epoch: int, owner: Owner) -> Iterator[Move]:
         for run, (name, state) in owner.runs.items():
             if state != "planned":
@@ -900,6 +921,8 @@
             elif run[0] not in owner.unsaved:
                 del worker.ends[run]
             if owner.runs.pop(run, None) is not None:
+                if run in owner.group_starts and not owner.ledger.is_recorded(*run):
+                    owner.group_ends.add(run[0])
                 if "late ends" not in self.without and worker.name in owner.owed:
                     # Its place may not be written, so that the worker stays instead.
                     late = owner.unsaved & {run[0]}
@@ -997,7 +1020,7 @@
             owner.ledger.request(Place(task=task, attempt=run[1], worker=name))
             self.write(epoch, "page", is_answered=is_answered)
         else:
-            owner.has_group_starts = True
+            owner.group_starts.add(run)
         if is_answered:
             self.send(epoch, run)
 
@@ -1028,6 +1051,12 @@
                     f"{task} is started, and {worker.name} has its end as done"
                 )
 
+    def request(self, epoch: int, run: Run) -> None:
+        """Request a place of a start that was sent without one."""
+        owner = self.change_owner(epoch)
+        name = owner.runs[run][0]
+        owner.ledger.request(Place(task=run[0], attempt=run[1], worker=name))
+
     def resign(self, epoch: int) -> None:
         """Let an owner send nothing more; it may still write."""
         self.change_owner(epoch).has_resigned = True
