Explore planned leaves in the model of the takeover protocol

In the model a worker may now leave as planned while an owner awaits it: its runs end, nothing on its way reaches it, its entry goes, and the owner accounts for it without a wait. The dating of entries isn't in the model.

--- a/trefoilhook/takeover/tests/checker.py
+++ b/trefoilhook/takeover/tests/checker.py
@@ -29,7 +29,14 @@
 
 __all__ = ["Result", "build_settings", "explore", "main", "render"]
 
-_QUIET = {"fails": 0, "births": 0, "unlistings": 0, "lost_answers": 0, "late_writes": 0}
+_QUIET = {
+    "fails": 0,
+    "births": 0,
+    "unlistings": 0,
+    "lost_answers": 0,
+    "late_writes": 0,
+    "leaves": 0,
+}
 
 
 @attrs.frozen(kw_only=True)
--- a/trefoilhook/takeover/tests/test_protocol.py
+++ b/trefoilhook/takeover/tests/test_protocol.py
@@ -69,6 +69,7 @@
         "a restart frees tasks of an owner that still has its key",
         _RESTART,
     ),
+    "left": ("a worker that left runs nothing", {**_ONE, "leaves": 1}),
     "all placed": ("no start has only its group", {**_ONE, "resigns": 1}),
     "all placed ends": (
         "nor has one that ended, until its end is saved",
@@ -95,6 +96,7 @@
     "failed ends": ({**_ONE, "fails": 1}, 100),
     "restarts": ({**_RESTART, "never_ends": 1}, 7),
     "three owners": ({"second": 0}, 6),
+    "planned leaves": ({**_ONE, "leaves": 1}, 100),
     "planned takeovers": ({**_ONE, "never_ends": 1, "resigns": 1}, 100),
     "planned takeovers, three owners": ({**_SERVICE, "resigns": 1}, 6),
     "all faults, two steps": (
--- a/trefoilhook/takeover/tests/world.py
+++ b/trefoilhook/takeover/tests/world.py
@@ -63,6 +63,7 @@
         "all placed ends",
         "all placed last",
         "late ends",
+        "left",
         "own leases",
         "renewals",
         "restart fresh",
@@ -113,6 +114,8 @@
     fails, births, unlistings, lost_answers, late_writes : int
         Maximum number of failed ends, workers reborn at their address, entries gone,
         answers of workers lost, and writes without an answer.
+    leaves : int
+        Maximum number of workers that leave as planned, which an owner finds so.
     second : bool
         Whether there is a second task.
     same_id : bool
@@ -134,6 +137,7 @@
     unlistings: int = 1
     lost_answers: int = 1
     late_writes: int = 1
+    leaves: int = 0
     second: bool = True
     same_id: bool = False
     resigns: bool = False
@@ -147,6 +151,7 @@
     life: int = 0
     token: int = 0
     is_listed: bool = True
+    has_left: bool = False
     orders: dict[Run, int] = attrs.Factory(dict)
     runs: dict[Run, int] = attrs.Factory(dict)
     ends: dict[Run, bool] = attrs.Factory(dict)
@@ -170,6 +175,7 @@
             self.life,
             self.token,
             self.is_listed,
+            self.has_left,
             frozenset(self.orders.items()),
             frozenset(self.runs.items()),
             frozenset(self.ends.items()),
@@ -413,6 +419,7 @@
             "unlistings": 0,
             "lost_answers": 0,
             "late_writes": 0,
+            "leaves": 0,
         }
         first = Owner(
             epoch=1,
@@ -509,6 +516,8 @@
             yield from self._list_polls(epoch, index)
         yield from self._list_starts(epoch, owner)
         yield from self._list_losses(epoch, owner)
+        if self.may_spend("leaves"):
+            yield from self._list_leaves(epoch, owner)
 
     def _list_claims(self) -> Iterator[Move]:
         owner = self.owners[self.epoch]
@@ -532,6 +541,8 @@
 
     def _list_polls(self, epoch: int, index: int) -> Iterator[Move]:
         worker = self.workers[index]
+        if worker.has_left:
+            return
         if worker.token > epoch and "R8 token" not in self.without:
             return
         open_runs = [*worker.runs, *worker.orders]
@@ -694,6 +705,14 @@
                     lambda world, name=name: world.give_up(epoch, name),
                 )
 
+    def _list_leaves(self, epoch: int, owner: Owner) -> Iterator[Move]:
+        for name in sorted(owner.predecessors.awaited):
+            if self.is_listed(name):
+                yield (
+                    f"owner {epoch} finds that {name} has left",
+                    lambda world, name=name: world.leave(epoch, name),
+                )
+
     def _list_lapses(self, name: str) -> tuple[bool, ...]:
         if self.settings.never_ends:
             return (False,)
@@ -991,6 +1010,18 @@
                     run: last for run, last in worker.runs.items() if last != given
                 }
 
+    def leave(self, epoch: int, name: str) -> None:
+        """Let a worker leave, and an owner see it."""
+        self.spent["leaves"] += 1
+        for index, worker in enumerate(self.workers):
+            if worker.name == name:
+                worker = self.change_worker(index)
+                if "left" not in self.without:
+                    worker.runs, worker.orders = {}, {}
+                    worker.has_left = True
+                self._unlist(worker)
+        self.change_owner(epoch).account(name)
+
     def give_up(self, epoch: int, name: str) -> None:
         """Let an owner lose a worker that had answered it."""
         self.settle(epoch)
@@ -1032,8 +1063,10 @@
         if "R2 over" in self.without:
             owner.ledger.retire(*run, Saved(None))
         for index, worker in enumerate(self.workers):
-            if worker.name == name and (
-                worker.token <= epoch or "R8 token" in self.without
+            if (
+                worker.name == name
+                and not worker.has_left
+                and (worker.token <= epoch or "R8 token" in self.without)
             ):
                 self._check_start(run[0])
                 self.change_worker(index).orders[run] = epoch
