--- a/trefoilhook/takeover/tests/test_protocol.py
+++ b/trefoilhook/takeover/tests/test_protocol.py
@@ -73,7 +73,12 @@
         "a restart frees tasks of an owner that still has its key",
         _RESTART,
     ),
+    "left": ("a worker that left runs nothing", {**_ONE, "leaves": 1}),
     "all placed": ("no start has only its group", {**_ONE, "resigns": 1}),
+    "all placed ends": (
+        "nor has one that ended, until its end is saved",
+        {**_ONE, "resigns": 1},
+    ),
     "all placed last": (
         "nothing is sent once all starts are recorded to have places",
         {**_ONE, "resigns": 1},
@@ -97,6 +102,7 @@
     "three owners": ({"second": 0}, 6),
     "silent workers": ({**_ONE, "never_ends": 1, "limits": 1}, 8),
     "silent workers, three owners": ({**_SERVICE, "limits": 1}, 6),
+    "planned leaves": ({**_ONE, "leaves": 1}, 100),
     "planned takeovers": ({**_ONE, "never_ends": 1, "resigns": 1}, 100),
     "planned takeovers, three owners": ({**_SERVICE, "resigns": 1}, 6),
     "all faults, two steps": (
