Log which evidence a new owner still waits for

SHARD_UNSETTLED named the awaited workers, not why they were still awaited: leases that may run, or an entry in the store. It now counts both and gives the longest remaining time of the leases by the owner's clock.

--- a/trefoilhook/runtime/settlement.py
+++ b/trefoilhook/runtime/settlement.py
@@ -1,5 +1,6 @@
 """Settlement of a new owner: when the tasks of previous owners are accounted for."""
 
+import math
 from collections.abc import Iterable
 
 from trefoilhook.clock import Clock
@@ -11,6 +12,7 @@
     account_for_workers,
     get_worker_id,
     list_unreported,
+    summarize_missing_evidence,
 )
 
 __all__ = ["Settlement"]
@@ -106,12 +108,16 @@
                 return
             now_ms = self._clock.monotonic_ms()
             awaited = self._scheduler.predecessors.awaited
+            missing = summarize_missing_evidence(self._scheduler, now_ms)
             log_event(
                 Event.SHARD_UNSETTLED,
                 epoch=self._ownership.epoch,
                 after_ms=round(now_ms - self._ownership.claimed_ms),
                 awaited=len(awaited),
                 workers=_list_worker_ids(awaited),
+                leases=missing.leases,
+                listed=missing.listed,
+                lease_ms=math.ceil(missing.lease_ms),
                 **self._build_hold_fields(now_ms),
             )
 
--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -382,6 +382,8 @@
         run_cluster(scenario, instances=2, workers=2, task_ms=60_000.0)
         waiting = find_line(lines, "SHARD_UNSETTLED")
         self.assertEqual((waiting["awaited"], waiting["workers"]), (1, ["w0"]))
+        self.assertEqual((waiting["leases"], waiting["listed"]), (1, 1))
+        self.assertGreater(waiting["lease_ms"], 0)
         self.assertEqual(held, [waiting["held"]])
         self.assertGreater(waiting["held"], 0)
         self.assertGreaterEqual(waiting["longest_ms"], 1500)
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -105,12 +105,14 @@
 from trefoilhook.scheduling.rounds import extend_lease
 from trefoilhook.scheduling.shortfall import Shortfall, ShortfallCounter
 from trefoilhook.scheduling.takeovers import (
+    MissingEvidence,
     account_for_workers,
     are_starts_recorded,
     has_lease_limits,
     limit_leases,
     list_unreleased,
     list_unreported,
+    summarize_missing_evidence,
 )
 from trefoilhook.scheduling.tickets import AdviceRequest, Grant
 
@@ -201,6 +203,8 @@
     "list_long_waits",
     "list_restarts",
     "list_unreported",
+    "MissingEvidence",
+    "summarize_missing_evidence",
     "get_worker_id",
     "handle_worker_loss",
     "has_left",
--- a/trefoilhook/scheduling/takeovers.py
+++ b/trefoilhook/scheduling/takeovers.py
@@ -7,6 +7,8 @@
 import math
 from collections.abc import Collection, Iterable, Mapping
 
+import attrs
+
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker, get_worker_id
 from trefoilhook.scheduling.job_state import TaskState
@@ -15,6 +17,7 @@
 from trefoilhook.takeover import Place
 
 __all__ = [
+    "MissingEvidence",
     "account_for_workers",
     "are_starts_recorded",
     "has_lease_limits",
@@ -26,6 +29,7 @@
     "list_unreported",
     "list_unreleased",
     "request_place",
+    "summarize_missing_evidence",
     "withdraw_unrecorded",
 ]
 
@@ -120,6 +124,48 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class MissingEvidence:
+    """What is not yet proved of the workers of previous owners.
+
+    Parameters
+    ----------
+    leases : int
+        Number of incarnations on which leases may still run.
+    listed : int
+        Number of those whose entry is in the store or not yet proved absent.
+    lease_ms : float
+        Longest remaining time of the leases by this owner's clock, in ms.
+    """
+
+    leases: int
+    listed: int
+    lease_ms: float
+
+
+def summarize_missing_evidence(scheduler: Scheduler, now_ms: float) -> MissingEvidence:
+    """Summarize why the awaited workers that do not answer are not given up yet."""
+    awaited = scheduler.predecessors.awaited
+    leased = [
+        name for name in awaited if not _have_leases_expired(scheduler, name, now_ms)
+    ]
+    remaining_ms = [_find_last_expiry(scheduler, name) - now_ms for name in leased]
+    return MissingEvidence(
+        leases=len(leased),
+        listed=sum(not _is_known_gone(scheduler, name, now_ms) for name in awaited),
+        lease_ms=max(remaining_ms, default=0.0),
+    )
+
+
+def _find_last_expiry(scheduler: Scheduler, name: str) -> float:
+    """Return when the leases on an incarnation, also of this owner, expire, in ms."""
+    expiry_ms = scheduler.find_lease_expiry(name)
+    worker = scheduler.find_incarnation(name)
+    if worker is None or worker.clock_read_ms == float("-inf"):
+        return expiry_ms
+    return max(expiry_ms, worker.find_lease_expiry())
+
+
 def account_for_workers(scheduler: Scheduler, now_ms: float) -> None:
     """Update the workers of previous owners that are accounted for."""
     predecessors = scheduler.predecessors
--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -20,6 +20,7 @@
     confirm_change,
     limit_leases,
     list_unreleased,
+    summarize_missing_evidence,
 )
 from trefoilhook.scheduling.fleet import Run, RunPhase
 from trefoilhook.scheduling.tests.cases import (
@@ -185,6 +186,27 @@
         self.assertEqual(shard.count_starts(after_ms=EXPIRY_MS - 1.0), 0)
         self.assertEqual(shard.count_starts(after_ms=1001.0), 1)
 
+    def test_missing_evidence_of_an_awaited_worker(self):
+        # Guards against a log that doesn't tell why a takeover goes on.
+        shard = Successor(build_predecessors("w0", "w1", place="w0"), silent="w0")
+        shard.count_starts(after_ms=500.0)
+        missing = summarize_missing_evidence(shard.scheduler, shard.now_ms)
+        self.assertEqual((missing.leases, missing.listed), (1, 1))
+        self.assertEqual(missing.lease_ms, EXPIRY_MS - 500.0)
+        shard.count_starts(after_ms=EXPIRY_MS)
+        missing = summarize_missing_evidence(shard.scheduler, shard.now_ms)
+        self.assertEqual((missing.leases, missing.listed), (0, 1))
+        self.assertEqual(missing.lease_ms, 0.0)
+
+    def test_leases_of_this_owner_are_missing_evidence(self):
+        # Guards against a remaining time that ignores what this owner granted itself.
+        shard = Successor(build_predecessors("w0", "w1", place="w0"))
+        shard.scheduler.find_lease_expiry = lambda name: 0.0
+        shard.scheduler.workers["w0"].lease_until_ms += 9000.0
+        missing = summarize_missing_evidence(shard.scheduler, shard.now_ms)
+        expiry_ms = shard.scheduler.workers["w0"].find_lease_expiry()
+        self.assertEqual(missing.lease_ms, expiry_ms - shard.now_ms)
+
     def test_missing_entry_proves_nothing_right_after_a_claim(self):
         # Guards against a second run of a completed task: after an outage of the store,
         # the entry of a living worker is missing for a moment.
