Report interruptions of service tasks over all owners

`trefoilhook interruptions` counts from the last run: the line that proves its end, what the task waited for under each owner, the time without one, and the next start. Ruled out: the first WORKER_LOST as the end in any case (a worker that answers later has ended nothing).

--- a/trefoilhook/command/application.py
+++ b/trefoilhook/command/application.py
@@ -9,6 +9,7 @@
 from trefoilhook.command.client import Send
 from trefoilhook.command.core import ApiCommand, CommandSpec
 from trefoilhook.command.evacuations import EvacuationsCommand
+from trefoilhook.command.interruptions import InterruptionsCommand
 from trefoilhook.command.story import StoryCommand
 
 __all__ = ["SPECS", "build_application"]
@@ -35,4 +36,5 @@
     application.add(BurnCommand())
     application.add(AccountCommand())
     application.add(EvacuationsCommand())
+    application.add(InterruptionsCommand())
     return application
--- /dev/null
+++ b/trefoilhook/interruptions/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the report on interruptions."""
--- /dev/null
+++ b/trefoilhook/interruptions/text.py
@@ -0,0 +1,87 @@
+"""Renders the report on interruptions as text."""
+
+import datetime
+from collections.abc import Iterator, Mapping
+
+from trefoilhook.interruptions.core import (
+    NO_OWNER,
+    NOT_LOGGED,
+    STARTED,
+    Interruption,
+    InterruptionReport,
+    OwnerWait,
+    Wait,
+)
+
+__all__ = ["render_text"]
+
+_MIN_SHOWN_S = 0.005
+"""Shortest time without an owner or a logged reason that is shown, in s."""
+
+
+def render_text(report: InterruptionReport) -> str:
+    """Render a summary, then each interruption with one line per owner."""
+    over = ", ".join(f"{count} over {limit} s" for limit, count in report.over.items())
+    lines = [
+        f"{len(report.interruptions)} interruptions of service tasks, "
+        f"longest {report.longest_s:.2f} s; {over}"
+    ]
+    if report.reasons:
+        lines.append(f"main reasons: {_join_counts(report.reasons)}")
+    if report.unread:
+        lines.append(f"skipped lines: {_join_counts(report.unread)}")
+    for interruption in report.interruptions:
+        lines += ["", *_list_lines(interruption)]
+    return "\n".join(lines)
+
+
+def _join_counts(counts: Mapping[str, int]) -> str:
+    return ", ".join(f"{name} {count}" for name, count in counts.items())
+
+
+def _list_lines(interruption: Interruption) -> Iterator[str]:
+    yield (
+        f"{interruption.task}  {interruption.duration_s:.2f} s since its last run, "
+        f"mainly {interruption.main_reason}"
+    )
+    end = interruption.end
+    yield (
+        f"  last run: attempt {interruption.last_attempt} on "
+        f"{interruption.last_worker}, ended {_format_time(end.at_s)} ({end.evidence})"
+    )
+    for owner in interruption.owners:
+        yield f"  {_describe_owner(owner, end.at_s)}"
+    if interruption.ownerless_s >= _MIN_SHOWN_S:
+        yield f"  {NO_OWNER}: {interruption.ownerless_s:.2f} s"
+    at = _format_time(interruption.until_s)
+    if interruption.outcome == STARTED:
+        yield (
+            f"  next run: attempt {interruption.next_attempt} on "
+            f"{interruption.next_worker}, started {at}"
+        )
+    else:
+        yield f"  next run: {interruption.outcome} at {at}"
+
+
+def _describe_owner(owner: OwnerWait, ended_s: float) -> str:
+    offset_s = owner.claimed_s - ended_s
+    claimed = f"claimed {abs(offset_s):.2f} s {'after' if offset_s > 0 else 'before'}"
+    waits = [_describe_wait(wait) for wait in owner.waits]
+    unlogged_s = owner.duration_s - sum(wait.duration_s for wait in owner.waits)
+    if unlogged_s >= _MIN_SHOWN_S:
+        waits.append(f"{NOT_LOGGED} {unlogged_s:.2f} s")
+    return (
+        f"epoch {owner.epoch} on {owner.instance}, {claimed} the end: "
+        f"{owner.duration_s:.2f} s; {', '.join(waits)}"
+    )
+
+
+def _describe_wait(wait: Wait) -> str:
+    awaited = f" ({' '.join(wait.awaits)})" if wait.awaits else ""
+    mainly = "mainly " if wait.is_mixed else ""
+    return f"{mainly}{wait.waits_for}{awaited} {wait.duration_s:.2f} s"
+
+
+def _format_time(time_s: float) -> str:
+    time = datetime.datetime.fromtimestamp(time_s, tz=datetime.UTC)
+    return time.isoformat(sep=" ", timespec="milliseconds").removesuffix("+00:00")
