Limit the leases on a worker at once when its process has ended

A closed connection shows the end of a process at once, and a lost answer is repeated after 200 ms: limits are written then, and after 0.4 s.

--- a/trefoilhook/scheduling/takeovers.py
+++ b/trefoilhook/scheduling/takeovers.py
@@ -34,9 +34,9 @@
     "withdraw_unrecorded",
 ]
 
-_MIN_SILENCE_MS = 1000.0
+_MIN_SILENCE_MS = 400.0
 """Silence of a worker from which the next owner is told when its leases expire, in ms.
-Shorter ones are frequent, and each limit takes two writes."""
+A failed poll is repeated after 200 ms, and each limit takes two writes."""
 
 _LIMIT_STEP_MS = 500.0
 """Interval at which the remaining time of leases is written, in ms."""
@@ -279,7 +279,10 @@
     return (
         worker.has_answered_token
         and silence is not None
-        and now_ms - silence.began_ms >= _MIN_SILENCE_MS
+        and (
+            silence.indicates_process_exit
+            or now_ms - silence.began_ms >= _MIN_SILENCE_MS
+        )
     )
 
 
