Let the test of a handover make a start without a place

The test set the mark that fixes the number of groups, which no longer tells whether a start has no place. It now makes such a start, expects the same (nothing is written), and fails without the condition.

--- a/trefoilhook/runtime/tests/test_roster.py
+++ b/trefoilhook/runtime/tests/test_roster.py
@@ -14,6 +14,8 @@
 from trefoilhook.runtime.ownership import Ownership
 from trefoilhook.runtime.polling import WorkerPoller
 from trefoilhook.runtime.roster import Roster
+from trefoilhook.scheduling import Demand, TaskId
+from trefoilhook.scheduling.fleet import Run, RunPhase
 from trefoilhook.scheduling.tests.cases import TASK_LEASE_MS, Shard
 from trefoilhook.takeover import PlaceLedger, decode_head
 
@@ -90,6 +92,17 @@
         self.assertEqual(request.deadline_ms, limit_ms + 1500.0)
 
 
+def build_run() -> Run:
+    """Build a run of a task."""
+    return Run(
+        task=TaskId("j", 0, 0, 0),
+        attempt=7,
+        room=Demand(),
+        phase=RunPhase.RUNNING,
+        started_ms=0.0,
+    )
+
+
 def build_roster(shard: Shard, store: FakeStore) -> Roster:
     """Build the roster of a first owner."""
     return Roster(
@@ -110,7 +123,7 @@
 class HandOverTest(unittest.TestCase):
     """The last write of an owner that gives the shard up."""
 
-    def hand_over(self, *, late_revision: int = 0, has_group_starts: bool = False):
+    def hand_over(self, *, late_revision: int = 0, has_group_start: bool = False):
         """Hand a shard over, and return the commits since its first groups."""
 
         async def scenario() -> list[Transaction]:
@@ -122,7 +135,8 @@
                 nursery.start_soon(roster.run)
                 await trio.testing.wait_all_tasks_blocked()
                 nursery.cancel_scope.cancel()
-            shard.scheduler.has_group_starts = has_group_starts
+            if has_group_start:
+                shard.scheduler.group_starts[build_run()] = "w0"
             store.late_revision = late_revision
             store.commits.clear()
             await roster.hand_over()
@@ -143,7 +157,7 @@
 
     def test_start_without_a_place(self):
         # Guards against a second run beside one that the next owner does not know.
-        self.assertEqual(self.hand_over(has_group_starts=True), [])
+        self.assertEqual(self.hand_over(has_group_start=True), [])
 
 
 class UnansweredWriteTest(unittest.TestCase):
