--- a/trefoilhook/runtime/tests/test_lease_limits.py
+++ b/trefoilhook/runtime/tests/test_lease_limits.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from trefoilhook.runtime import keys
 from trefoilhook.runtime.tests.cluster import PREFIX, Cluster, Instance, run_cluster
 from trefoilhook.runtime.tests.test_takeovers import (
     SERVICE,
@@ -15,6 +16,8 @@
 )
 from trefoilhook.standins.platform_worker import WorkerFault
 
+GROUPS_KEY = keys.groups_key(keys.SHARD)
+
 MAX_AWAY_MS = 9000.0
 """Time after the end of its last run within which a service task must run again, in ms:
 6 s without a run, and 3 s in which this is seen."""
@@ -75,6 +78,30 @@
         self.check_restart(end_owners, delay_s=3.0)
 
 
+class GoneWorkerTest(unittest.TestCase):
+    """A worker that ends for good, and is listed by the next owner for a moment."""
+
+    def test_groups_are_not_written_forever(self):
+        # Guards against an owner that writes the groups 40 times a second until it ends:
+        # a worker that never answered it keeps a limit that no write lifts.
+        async def scenario(cluster: Cluster) -> None:
+            owner = await start_service(cluster)
+            cluster.restart_ms = 600_000.0
+            cluster.crash_worker("w0")
+            await trio.sleep(2.0)
+            await kill_owner(cluster, owner)
+            await trio.sleep(1.0)
+            cluster.store.remove("servers/w0")
+            await trio.sleep(4.0)
+            written = cluster.store.read(GROUPS_KEY)["lease_limits"]
+            self.assertEqual(written, {})
+            writes = cluster.store._items[GROUPS_KEY].revision
+            await trio.sleep(1.0)
+            self.assertEqual(cluster.store._items[GROUPS_KEY].revision, writes)
+
+        run_cluster(scenario, instances=2, workers=3, task_ms=600_000.0)
+
+
 class SilentWorkerTest(unittest.TestCase):
     """Workers that are silent for a while, and run on."""
 
--- a/trefoilhook/runtime/tests/test_roster.py
+++ b/trefoilhook/runtime/tests/test_roster.py
@@ -14,6 +14,7 @@
 from trefoilhook.runtime.ownership import Ownership
 from trefoilhook.runtime.polling import WorkerPoller
 from trefoilhook.runtime.roster import Roster
+from trefoilhook.scheduling import has_lease_limits
 from trefoilhook.scheduling.tests.cases import TASK_LEASE_MS, Shard
 from trefoilhook.takeover import PlaceLedger, decode_head
 
@@ -164,6 +165,34 @@
 
         trio.run(scenario)
 
+    def test_limit_on_a_worker_that_never_answers_is_not_written_again(self):
+        # Guards against a write of the groups with each answer of any worker, for as
+        # long as a worker is listed that a previous owner limited, and that has been
+        # accounted for meanwhile.
+        shard = Shard()
+        clock = attrs.evolve(build_boottime_clock(), monotonic_ms=lambda: shard.now_ms)
+
+        async def scenario() -> None:
+            store = FakeStore()
+            roster = build_roster(shard, store, clock=clock)
+            worker = shard.scheduler.workers["w0"]
+            worker.has_answered_token = worker.has_reported_all = False
+            # As set when the worker is added.
+            shard.scheduler.lease_limits = {"w0": shard.now_ms}
+            worker.is_lease_limited = True
+            worker.is_in_roster = False
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(roster.run)
+                await trio.testing.wait_all_tasks_blocked()
+                for _ in range(20):
+                    if has_lease_limits(shard.scheduler, shard.now_ms):
+                        roster.notify_change()
+                    await trio.sleep(0.02)
+                self.assertLess(len(store.commits), 5)
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+
 
 def build_roster(
     shard: Shard, store: FakeStore, *, clock: Clock | None = None
--- a/trefoilhook/runtime/tests/test_unseen_departures.py
+++ b/trefoilhook/runtime/tests/test_unseen_departures.py
@@ -11,6 +11,7 @@
 from trefoilhook.clock import build_boottime_clock
 from trefoilhook.exceptions import HistoryLostError, StoreUnavailableError
 from trefoilhook.platform import Change, Changes, Item
+from trefoilhook.runtime import keys
 from trefoilhook.runtime.departures import find_departures, has_left
 from trefoilhook.runtime.revisions import RevisionLog
 from trefoilhook.runtime.tests.cluster import (
@@ -20,13 +21,15 @@
     run_cluster,
 )
 from trefoilhook.runtime.tests.test_handovers import find_job_inside
+from trefoilhook.runtime.tests.test_lease_limits import start_service
 from trefoilhook.runtime.tests.test_takeovers import (
     WORKERS,
     kill_owner,
     remove_worker,
     wait_for_groups,
 )
-from trefoilhook.standins.platform_worker import PlatformWorker
+from trefoilhook.standins.platform_store import StoreFault
+from trefoilhook.standins.platform_worker import PlatformWorker, WorkerFault
 
 ENTRY_LIFE_MS = 4500.0
 
@@ -284,3 +287,42 @@
     def test_worker_whose_entry_expired_is_awaited(self):
         # Guards against a second run beside one on a draining worker that lives.
         self.check(is_held=True, delay_s=ENTRY_LIFE_MS / 1000.0)
+
+
+class OutageTest(unittest.TestCase):
+    """An outage of the store, in which keys expire, within an ownership."""
+
+    def test_worker_whose_entry_expired_in_an_outage_is_awaited(self):
+        # Guards against a second run beside one on a draining worker that lives: an
+        # owner that claims the shard again has seen the outage only by its renewals.
+        async def scenario(cluster: Cluster) -> None:
+            await cluster.wait_for_owner()
+            await wait_for_groups(cluster)
+            owner = await start_service(cluster)
+            await trio.sleep(0.2)
+            store = cluster.store
+            worker = next(
+                each
+                for each in cluster.workers.values()
+                if any(run.ended_ms is None for run in each.records)
+            )
+            key = f"servers/{worker.worker_id}"
+            entry = {**worker.describe("s"), "state": "draining", "remaining_ms": 9000}
+            worker.fault = WorkerFault.SILENT
+            store.fault = StoreFault.BUSY
+            store.write(key, entry)
+            await trio.sleep(0.6)
+            store.remove(key)
+            store.remove(keys.owner_key(keys.SHARD))
+            store._leases.clear()
+            store.fault = StoreFault.NONE
+            await trio.sleep(1.8)
+            store.write(key, entry)
+            await trio.sleep(2.0)
+            self.assertTrue(owner.process.is_owner)
+            self.assertEqual(cluster.find_duplicate_runs(), [])
+
+        # The first call after the outage may fail as well, which hides the fault.
+        for attempt in range(4):
+            with self.subTest(attempt=attempt):
+                run_cluster(scenario, instances=1, workers=WORKERS, task_ms=600_000.0)
--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -249,6 +249,29 @@
         shard.workers["w0"] = FakeWorker(worker_id="w0", born_ms=2)
         self.assertEqual(shard.count_starts(), 1)
 
+    def test_limit_of_the_leases_is_no_proof_for_a_restarted_worker(self):
+        # Guards against a second run of a task: leases on the previous process, which
+        # was silent before the takeover, have expired, and the restarted one, which has
+        # not answered, executes a late start for it. Without a limit, the leases of the
+        # previous owner count, which are granted until its end.
+        predecessors = build_predecessors("w0@1", "w1", place="w0@1")
+        shard = Successor(predecessors)
+        shard.add_worker("w0", born_ms=1)
+        worker = shard.scheduler.workers["w0"]
+        worker.born_ms, worker.clock_read_ms = 1, float("-inf")
+        worker.has_answered_token = worker.has_reported_all = False
+        del shard.workers["w0"]
+        claimed_ms = shard.now_ms
+        shard.scheduler.lease_limits = {"w0@1": claimed_ms + EXPIRY_MS}
+        shard.scheduler.find_lease_expiry = lambda name: min(
+            claimed_ms + 7402.0, shard.scheduler.lease_limits[name]
+        )
+        report = attrs.evolve(worker.report, born_ms=2)
+        apply_report(shard.scheduler, report, shard.now_ms)
+        for _ in range(14):
+            shard.scheduler.entries.note_read(shard.now_ms)
+            self.assertEqual(shard.count_starts(after_ms=500.0), 0)
+
     def test_worker_seen_to_have_ended_is_accounted_for(self):
         shard = Successor(build_predecessors("w0", "w1", place="w0"), silent="w0")
         shard.scheduler.drop_worker("w0")
