--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -289,6 +289,7 @@
             received_ms=self._clock.monotonic_ms(),
             as_of=as_of,
             is_current=is_current,
+            failures=self._store.failures,
         )
 
     def _record_sighting(self, item: Item | None) -> None:
--- a/trefoilhook/runtime/revisions.py
+++ b/trefoilhook/runtime/revisions.py
@@ -28,6 +28,7 @@
 
     def __init__(self) -> None:
         self._answers: deque[_Answer] = deque(maxlen=_MAX_ANSWERS)
+        self._failures = 0
 
     @property
     def oldest_revision(self) -> int | None:
@@ -41,6 +42,7 @@
         received_ms: float,
         as_of: int,
         is_current: bool = True,
+        failures: int = 0,
     ) -> None:
         """Record an answer of the store.
 
@@ -55,7 +57,13 @@
         is_current : bool, optional
             Whether it was the store's latest revision. An answer with changes may end
             at the last one of them.
+        failures : int, optional
+            Number of calls to the store that have failed so far. A new one means that
+            the earlier answers may be from before an outage.
         """
+        if failures != self._failures:
+            self._answers.clear()
+            self._failures = failures
         if self._answers and as_of < self._answers[-1].as_of:
             # The revisions are those of another store.
             self._answers.clear()
--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -253,8 +253,11 @@
 
     def _has_outdated_limits(self, head: Head | None) -> bool:
         """Return whether a write without effect has left leases limited."""
-        return head is not None and any(
-            worker.is_lease_limited and worker.incarnation not in head.lease_limits
+        if head is None:
+            return False
+        names = head.groups.list_names() - head.lease_limits.keys()
+        return any(
+            worker.is_lease_limited and worker.incarnation in names
             for worker in self._scheduler.workers.values()
         )
 
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -386,17 +386,16 @@
     async def _load(self) -> ShardContents:
         """Load the state written by previous owners."""
         sent_ms = self._clock.monotonic_ms()
-        failures = self._store.failures
         contents = await load_shard(
             self._store,
             snapshot_keys=[each.key for each in self._snapshots],
         )
-        if self._store.failures == failures:
-            self._ownership.revisions.note(
-                sent_ms=sent_ms,
-                received_ms=self._clock.monotonic_ms(),
-                as_of=contents.workers.as_of,
-            )
+        self._ownership.revisions.note(
+            sent_ms=sent_ms,
+            received_ms=self._clock.monotonic_ms(),
+            as_of=contents.workers.as_of,
+            failures=self._store.failures,
+        )
         self._take_inheritance(contents, self._read_roster(contents.roster))
         self._restore_snapshots(contents.snapshots)
         self._job_feed.load(contents.jobs, contents.progress)
@@ -479,21 +478,18 @@
             name: written_ms + limit_ms
             for name, limit_ms in inheritance.lease_limits.items()
         }
-        scheduler.find_lease_expiry = self._find_lease_expiry
+        scheduler.find_lease_expiry = lambda name: (
+            self._reach_ms
+            + ownership.find_end(
+                predecessors.get_last_epoch(name, epoch=ownership.epoch)
+            )
+        )
         self._settlement.workers = frozenset(predecessors.awaited)
         self._roster.set_recorded(
             head_revision=inheritance.head_revision,
             damaged_keys=inheritance.damaged_keys,
         )
 
-    def _find_lease_expiry(self, name: str) -> float:
-        """Return when all leases of previous owners on an incarnation expire, in ms."""
-        ownership = self._ownership
-        scheduler = self._scheduler
-        last_epoch = scheduler.predecessors.get_last_epoch(name, epoch=ownership.epoch)
-        expiry_ms = self._reach_ms + ownership.find_end(last_epoch)
-        return min(expiry_ms, scheduler.lease_limits.get(name, expiry_ms))
-
     def _restore_snapshots(self, items: Mapping[str, Item]) -> None:
         """Restore the readable learned models of previous owners."""
         for snapshot in self._snapshots:
--- a/trefoilhook/scheduling/takeovers.py
+++ b/trefoilhook/scheduling/takeovers.py
@@ -94,11 +94,24 @@
 def _have_leases_expired(scheduler: Scheduler, name: str, now_ms: float) -> bool:
     """Return whether all leases on an incarnation, also of this owner, have expired."""
     worker = scheduler.find_incarnation(name)
-    return now_ms >= scheduler.find_lease_expiry(name) and (
+    return now_ms >= _find_previous_expiry(scheduler, name) and (
         worker is None or worker.has_expired_leases(now_ms)
     )
 
 
+def _find_previous_expiry(scheduler: Scheduler, name: str) -> float:
+    """Return when all leases of previous owners on an incarnation expire, in ms.
+
+    The limit that an owner recorded says nothing of a later process under the same id,
+    which may execute a late start.
+    """
+    expiry_ms = scheduler.find_lease_expiry(name)
+    is_current = scheduler.find_incarnation(name) is not None
+    if not is_current and get_worker_id(name) in scheduler.workers:
+        return expiry_ms
+    return min(expiry_ms, scheduler.lease_limits.get(name, expiry_ms))
+
+
 def _is_replaced(scheduler: Scheduler, name: str, answering: Mapping[str, str]) -> bool:
     """Return whether another worker has answered at the address of an incarnation.
 
@@ -160,7 +173,7 @@
 
 def _find_last_expiry(scheduler: Scheduler, name: str) -> float:
     """Return when the leases on an incarnation, also of this owner, expire, in ms."""
-    expiry_ms = scheduler.find_lease_expiry(name)
+    expiry_ms = _find_previous_expiry(scheduler, name)
     worker = scheduler.find_incarnation(name)
     if worker is None or worker.clock_read_ms == float("-inf"):
         return expiry_ms
@@ -289,7 +302,8 @@
 def has_lease_limits(scheduler: Scheduler, now_ms: float) -> bool:
     """Return whether leases on a worker are limited or should be."""
     return any(
-        worker.is_lease_limited or _is_silent(worker, now_ms)
+        worker.has_answered_token
+        and (worker.is_lease_limited or _is_silent(worker, now_ms))
         for worker in scheduler.workers.values()
     )
 
