Hold a service task only briefly after its first silent losses

What callers would see: two or three waves of workers lost in silence, each soon after a service task had started again, made it a suspect, and it waited for 4 to 32 s more beside room for it.

Cause: the delay grows fourfold with each loss without proof, for all tasks alike. Up to the third such loss a service task is held for the initial 1 s now; from the fourth on the delay grows as before, so that a task which silences its machines gets 6 starts at most in 5 minutes (3 after the third machine).

--- a/trefoilhook/scheduling/crashes.py
+++ b/trefoilhook/scheduling/crashes.py
@@ -51,6 +51,11 @@
 never given up. The delay becomes longer if the worker's entry has gone, too: each
 further start may take down a machine for good."""
 
+_MAX_SERVICE_LOSSES = 3
+"""Number of unproved losses up to which a long-running task is only held for the
+initial delay. It serves its users, and machines that are lost together twice or three
+times may take the same task along."""
+
 _SILENCE_FACTOR = 4.0
 """Factor on the rate of crashes that no task causes for a machine that falls silent:
 partitions and failures of the machine itself add to them."""
@@ -228,6 +233,11 @@
         max_ms = _MAX_RETRY_DELAY_MS
         if cause is LossCause.VANISHED:
             max_ms = _MAX_VANISHED_DELAY_MS
+        if (
+            unit.task.step.long_running
+            and suspicion.unproved_losses <= _MAX_SERVICE_LOSSES
+        ):
+            max_ms = _RETRY_DELAY_MS
         unit.task.held_until_ms = now_ms + min(max_ms, delay_ms)
     suspect = Suspect(
         task=unit.task.task,
--- a/trefoilhook/scheduling/takeovers.py
+++ b/trefoilhook/scheduling/takeovers.py
@@ -273,6 +273,7 @@
         name: step_ms
         for name in scheduler.unreleased
         if name in scheduler.ended_incarnations
+        and scheduler.find_incarnation(name) is None
     }
     for name in scheduler.predecessors.awaited & scheduler.lease_limits.keys():
         worker = scheduler.find_incarnation(name)
--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -360,6 +360,22 @@
         self.shard.poll("w0")
         self.assertEqual(self.limit(), {})
 
+    def test_worker_that_returns_while_it_must_still_be_known(self):
+        # Guards against a worker that gets no lease although it answers again: it was
+        # given up, and what it reported is not saved.
+        self.worker.is_in_roster = True
+        self.scheduler.drop_worker("w0")
+        self.scheduler.update_worker(self.worker.report)
+        self.shard.poll("w0")
+        self.assertEqual(self.limit(), {})
+
+    def test_limited_worker_gets_no_start(self):
+        # Guards against a start whose lease the next owner does not expect.
+        for worker in self.scheduler.workers.values():
+            worker.is_lease_limited = True
+        self.shard.submit(build_job())
+        self.assertEqual(list_starts(self.shard.plan()), [])
+
     def test_worker_without_leases_that_must_still_be_known(self):
         # Guards against a wait for a worker that was given up, and is listed until all
         # that it reported is saved.
