--- a/trefoilhook/scheduling/tests/test_departures.py
+++ b/trefoilhook/scheduling/tests/test_departures.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from trefoilhook.scheduling import apply_report, has_left
-from trefoilhook.scheduling.fleet import Worker
+from trefoilhook.scheduling import Demand, TaskId, apply_report, has_left
+from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.tests.cases import Shard
 from trefoilhook.takeover import Predecessors
 from trefoilhook.takeover.tests.builders import build_groups
@@ -78,6 +78,21 @@
         self.write()
         self.assertFalse(self.remove())
 
+    def test_released_start_without_an_answer_is_awaited(self):
+        # Guards against the same for a start of this owner that has been given up.
+        worker = self.restart_under_its_id()
+        worker.unanswered_starts.append(
+            Run(
+                task=TaskId("j", 0, 0, 0),
+                attempt=1,
+                room=Demand(),
+                phase=RunPhase.STARTING,
+                started_ms=self.shard.now_ms,
+            )
+        )
+        self.write()
+        self.assertFalse(self.remove())
+
     def test_process_without_late_starts_has_left(self):
         # Guards against departures that are seen only where ids are never reused.
         self.restart_under_its_id()
--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -333,6 +333,13 @@
         self.shard.silence("w0", OrderOutcome.CONNECTION_REFUSED)
         self.assertIn("w0", self.limit())
 
+    def test_worker_that_never_answered_has_no_limit(self):
+        # Guards against a limit by the clock of a worker that this owner has not read.
+        self.worker.has_answered_token = False
+        self.shard.silence("w0")
+        self.shard.advance_time(2000.0)
+        self.assertEqual(self.limit(), {})
+
     def test_limit_changes_once_per_step(self):
         # Guards against a write in each round while a worker is silent.
         self.shard.silence("w0")
