--- a/trefoilhook/interruptions/runs.py
+++ b/trefoilhook/interruptions/runs.py
@@ -28,7 +28,7 @@
 _CONNECTION_LOST = "connection lost"
 """Reason of a loss that is noticed when it happens, not by silence."""
 
-_FINAL_LOSSES = frozenset({"leases lapsed", "restarted"})
+_FINAL_LOSSES = frozenset({"leases lapsed", "left", "restarted"})
 """Reasons of losses after which nothing runs any more, even if the worker is back."""
 
 
--- a/trefoilhook/interruptions/tests/test_report.py
+++ b/trefoilhook/interruptions/tests/test_report.py
@@ -198,6 +198,14 @@
         )
         self.assert_end(found, "WORKER_LOST why=leases lapsed", 7.0)
 
+    def test_departure_ends_the_run_though_a_late_line_names_the_worker(self):
+        found = self.build_one(
+            lose(12.0, "left"),
+            line(13.0, "WORKER_BACK", worker="w1"),
+            start(14.0, 2, "w2"),
+        )
+        self.assertEqual(found.end.evidence, "WORKER_LOST why=left")
+
     def test_unknown_end_is_counted_from_the_known_wait(self):
         found = self.build_one(start(14.0, 2, "w2", waited_ms=3000, waited_for="x"))
         self.assert_end(found, "unknown", 11.0)
