Tell an owner's time by kind of work

An owner that is short of processor time logged only the lag of its event loop.

Each task of an owner is named by its kind of work, and a trio instrument adds the time between two switches of the loop to the task that ran: one clock reading and two counter updates a switch. LOOP_TIMES each 2 s and loop_ms, loop_steps and garbage_collection_ms tell it. No decision is changed.

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -197,6 +197,7 @@
         Level.INFO,
         "Mean time of a queue's jobs by stage, and why they waited.",
     )
+    LOOP_TIMES = (1627, Level.INFO, "Time of an owner's event loop by kind of work.")
     WORKER_RESERVED = (1630, Level.INFO, "A worker is reserved for a waiting task.")
     RESERVATION_ENDED = (1631, Level.INFO, "A reserved worker is available again.")
     COPY_STARTED = (
--- a/trefoilhook/runtime/polling.py
+++ b/trefoilhook/runtime/polling.py
@@ -9,6 +9,7 @@
 from trefoilhook.logs import Event, OutageLog, describe_failure, log_event
 from trefoilhook.platform import PollRequest, WorkerClient
 from trefoilhook.runtime.commits import Committer
+from trefoilhook.runtime.looptime import Work
 from trefoilhook.runtime.losses import log_restart, log_unlisted
 from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.ownership import Ownership
@@ -79,6 +80,8 @@
         Called when a worker has been polled by a later owner.
     on_first_answer : callable
         Called when a worker has answered for the first time.
+    switch_work : callable
+        Called with the kind of the work done since the last call or task switch.
     """
 
     def __init__(
@@ -93,6 +96,7 @@
         notify: Callable[[], None],
         on_ownership_lost: Callable[[], None],
         on_first_answer: Callable[[], None],
+        switch_work: Callable[[Work], None],
     ) -> None:
         self._clock = clock
         self._ownership = ownership
@@ -103,6 +107,7 @@
         self._notify = notify
         self._on_ownership_lost = on_ownership_lost
         self._on_first_answer = on_first_answer
+        self._switch_work = switch_work
 
     async def run(self, worker: Worker, client: WorkerClient) -> None:
         """Poll a worker repeatedly until it is removed."""
@@ -121,6 +126,7 @@
                 # Replaced by its next incarnation or removed during the poll.
                 break
             if isinstance(result, PollAnswer):
+                self._switch_work(Work.POLL)
                 worker = self._resolve_restart(worker, result)
                 outages.record_answer(sent_ms=sent_ms)
                 self._log_ends(worker, result)
@@ -137,6 +143,7 @@
                 self._notify()
                 if is_first:
                     self._on_first_answer()
+                self._switch_work(Work.ANSWER)
                 await self._wait_for_commit(worker)
                 continue
             if result is OrderOutcome.FENCED:
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -29,6 +29,7 @@
 from trefoilhook.runtime.lag import LoopLag
 from trefoilhook.runtime.latejobs import log_late_jobs
 from trefoilhook.runtime.loading import ShardContents, load_shard
+from trefoilhook.runtime.looptime import LoopTime, Work
 from trefoilhook.runtime.losses import log_lease_expiry, log_loss
 from trefoilhook.runtime.maintenance import Maintenance
 from trefoilhook.runtime.metrics import ProcessMetrics
@@ -54,6 +55,7 @@
     Freshness,
     Order,
     OrderOutcome,
+    PaceOrder,
     Scheduler,
     SchedulerLimits,
     StartOrder,
@@ -215,6 +217,16 @@
             evacuations=evacuations,
             features=settings.features,
         )
+        self._lag = LoopLag()
+        lag = self._lag
+        # Captures no reference to this owner, which the gauge would keep alive after
+        # the end of its ownership.
+        metrics.gauges["loop_lag_ms"] = lambda: lag.read(clock.monotonic_ms())
+        self._loop_time = LoopTime(
+            clock=clock,
+            metrics=metrics,
+            read_lag_ms=lambda: lag.read(clock.monotonic_ms()),
+        )
         self._snapshots = build_snapshots(self._scheduler)
         self._committer = Committer(
             store=store,
@@ -241,6 +253,7 @@
             notify=self._wake_all,
             on_ownership_lost=self._on_ownership_lost,
             on_first_answer=self._roster.notify_change,
+            switch_work=self._loop_time.switch,
         ).run
         self._job_feed = JobFeed(
             store=store,
@@ -262,11 +275,6 @@
         )
         self._recovery = RecoveryTracker(store=store, clock=clock, metrics=metrics)
         self._recovery.record(RecoveryStep.CLAIMED)
-        self._lag = LoopLag()
-        lag = self._lag
-        # Captures no reference to this owner, which the gauge would keep alive after
-        # the end of its ownership.
-        metrics.gauges["loop_lag_ms"] = lambda: lag.read(clock.monotonic_ms())
         self._order_slots = OrderSlots()
         self._place_writer: PlaceWriter | None = None
         self._unnamed_services = 0
@@ -279,9 +287,9 @@
     async def run(self) -> None:
         """Run until the ownership has ended."""
         try:
-            with self._export_gauges():
+            with self._export_gauges(), self._loop_time.measure():
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._work, nursery)
+                    nursery.start_soon(self._work, nursery, name=Work.PLAN)
                     await self._ownership.ended.wait()
                     nursery.cancel_scope.cancel()
             if self._ownership.released:
@@ -327,7 +335,7 @@
 
     async def _work(self, nursery: trio.Nursery) -> None:
         contents = await self._load()
-        nursery.start_soon(self._job_feed.follow, contents.jobs)
+        nursery.start_soon(self._job_feed.follow, contents.jobs, name=Work.FEED)
         worker_feed = WorkerFeed(
             store=self._store,
             clock=self._clock,
@@ -338,10 +346,11 @@
             on_new_worker=functools.partial(self._add_worker, nursery),
             notify=self._wake_for_workers,
         )
-        nursery.start_soon(worker_feed.follow, contents.workers)
-        nursery.start_soon(self._committer.run)
-        nursery.start_soon(self._roster.run)
-        nursery.start_soon(self._run_place_writer, nursery)
+        nursery.start_soon(worker_feed.follow, contents.workers, name=Work.FEED)
+        nursery.start_soon(self._committer.run, name=Work.RECORD)
+        nursery.start_soon(self._roster.run, name=Work.ROSTER)
+        nursery.start_soon(self._run_place_writer, nursery, name=Work.PLACE)
+        nursery.start_soon(self._loop_time.report, name=Work.MAINTENANCE)
         nursery.start_soon(self._settlement.log_awaited_workers)
         nursery.start_soon(self._find_departures, contents)
         maintenance = Maintenance(
@@ -353,13 +362,16 @@
             snapshots=self._snapshots,
             status_ms=self._settings.status_ms,
         )
-        nursery.start_soon(maintenance.save_snapshots)
-        nursery.start_soon(maintenance.renew_retention_lease)
-        nursery.start_soon(maintenance.remove_ended_jobs)
-        nursery.start_soon(maintenance.log_backlogs)
-        nursery.start_soon(maintenance.log_long_waits)
-        nursery.start_soon(maintenance.log_shortfalls)
-        nursery.start_soon(maintenance.log_evacuations)
+        for run in (
+            maintenance.save_snapshots,
+            maintenance.renew_retention_lease,
+            maintenance.remove_ended_jobs,
+            maintenance.log_backlogs,
+            maintenance.log_long_waits,
+            maintenance.log_shortfalls,
+            maintenance.log_evacuations,
+        ):
+            nursery.start_soon(run, name=Work.MAINTENANCE)
         nursery.start_soon(
             functools.partial(
                 report_times,
@@ -530,7 +542,7 @@
             worker.incarnation in self._scheduler.lease_limits
             or self._roster.limits_leases(worker.incarnation)
         )
-        nursery.start_soon(self._run_poller, worker, client)
+        nursery.start_soon(self._run_poller, worker, client, name=Work.POLL)
 
     async def _run_poller(self, worker: Worker, client: WorkerClient) -> None:
         await self._poll_worker(worker, client)
@@ -557,7 +569,7 @@
         if now_ms >= self._ownership.valid_until_ms:
             return
         for order in plan_pending_orders(self._scheduler, now_ms):
-            nursery.start_soon(self._execute_order, order)
+            nursery.start_soon(self._execute_order, order, name=_name_work(order))
 
     def _on_ownership_lost(self) -> None:
         log_event(Event.SHARD_FENCED, epoch=self._ownership.epoch)
@@ -595,6 +607,7 @@
         """Plan, and record for how long that has blocked the event loop."""
         began_ms = self._clock.monotonic_ms()
         self._plan_and_send(nursery, worker_feed, with_fillers=with_fillers)
+        self._loop_time.switch(Work.FILLER_PLAN if with_fillers else Work.PLAN)
         now_ms = self._clock.monotonic_ms()
         self._lag.note(now_ms - began_ms, now_ms)
 
@@ -644,7 +657,7 @@
         report_reservations(scheduler.reservations, self._metrics)
         log_copies(scheduler, self._metrics)
         for order in orders:
-            nursery.start_soon(self._execute_order, order)
+            nursery.start_soon(self._execute_order, order, name=_name_work(order))
         self._wake_writers()
 
     def _wake_writers(self) -> None:
@@ -680,3 +693,10 @@
             self.wake()
         elif isinstance(order, StartOrder):
             self._recovery.record(RecoveryStep.STARTED)
+
+
+def _name_work(order: Order) -> Work:
+    """Return the kind of work that sending an order is."""
+    if isinstance(order, StartOrder):
+        return Work.FILLER_START if order.is_filler else Work.START
+    return Work.PACE if isinstance(order, PaceOrder) else Work.STOP
