Write the changes of many jobs side by side, ends of jobs first

Callers saw urgent jobs and night rosters complete late on the large deployment while its owner was short of processor time (SHORT): of an urgent job's time 0.8 s were "recording" and 0.85 s "overrun", the late report of an end.

Cause: the owner wrote its changes one transaction after another, six jobs in each whatever their size, and collected them anew only once all were written. With a hundred open jobs a pass took 17 round trips; a job that ended meanwhile waited for all of them. The workers, whose ends are acknowledged once written, were polled again after 200 ms and listed the same ends again: some 750 answers a second for 480 ends, which in turn slowed the loop that had to write them.

Now up to three transactions are written at a time, filled by their real number of rows, ends first; two more are kept for ends of jobs, and what came meanwhile is taken in before each. A job has one write at a time, so that the revision of its key is known. Each waiting poll is woken by the write that it waits for, not by all, and its wait is extended by the lag of the loop.

--- a/trefoilhook/runtime/commits.py
+++ b/trefoilhook/runtime/commits.py
@@ -5,7 +5,7 @@
 late can't overwrite a newer one.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 
 import trio
 
@@ -24,6 +24,7 @@
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.jobtimes import describe_stages
 from trefoilhook.runtime.latejobs import describe_size, describe_wait
+from trefoilhook.runtime.looptime import Work
 from trefoilhook.scheduling import (
     JobChange,
     JobPhase,
@@ -47,11 +48,41 @@
 unacknowledged ends answers each poll immediately, so a longer window causes more polls:
 with 700 ms, 24 workers are polled 530 times a second."""
 
+_BACKLOG_BATCH_WINDOW_MS = 10.0
+"""The same while changes are left from the batches before, in ms. It limits the calls
+to half of the writes that the smallest store allows."""
+
 _RETRY_PAUSE_MS = 150.0
 """Pause after a failed transaction, in ms."""
 
-_ROWS_PER_CHANGE = 5
-"""Maximum rows of one change: a precondition, a value, two removals and one spare."""
+_MAX_PROGRESS_WRITES = 3
+"""Maximum number of concurrent transactions without the end of a job. One at a time
+would take as many round trips as there are batches of changed jobs, for which the
+workers wait with their ends, and jobs with theirs."""
+
+_MAX_WRITES = 5
+"""Maximum number of concurrent transactions. Those over `_MAX_PROGRESS_WRITES` write
+the ends of jobs, for which clients wait."""
+
+
+def _count_rows(change: JobChange) -> int:
+    """Return the number of rows that a change takes in a transaction."""
+    return 2 + int(change.is_end) + int(change.is_first_start)
+
+
+def _split(changes: Iterable[JobChange]) -> Iterator[list[JobChange]]:
+    """Divide changes among transactions; each also has the owner's precondition."""
+    batch: list[JobChange] = []
+    rows = 1
+    for change in changes:
+        rows += _count_rows(change)
+        if rows > MAX_ROWS:
+            yield batch
+            batch = []
+            rows = 1 + _count_rows(change)
+        batch.append(change)
+    if batch:
+        yield batch
 
 
 class Committer:
@@ -71,11 +102,6 @@
         Called when the owner's key has changed.
     notify : callable
         Called after changes have been written.
-
-    Attributes
-    ----------
-    committed : trio.Event
-        Set, and replaced by a new event, whenever changes have been written.
     """
 
     def __init__(
@@ -99,7 +125,9 @@
         self._retention_lease = 0
         self._wake = trio.Event()
         self._sent: dict[str, bytes] = {}
-        self.committed = trio.Event()
+        self._writing: set[JobState] = set()
+        self._writes = 0
+        self._waits: dict[trio.Event, Callable[[], bool]] = {}
 
     def wake(self) -> None:
         """Signal that there may be changes to write."""
@@ -111,20 +139,39 @@
 
     async def run(self) -> None:
         """Write changes as they occur, until cancelled."""
-        while True:
-            if not self._scheduler.dirty:
-                await self._wake.wait()
-            self._wake = trio.Event()
-            await self._wait_for_batch()
-            await self.flush()
+        is_behind = False
+        async with trio.open_nursery() as nursery:
+            while True:
+                if not self._can_write():
+                    await self._wake.wait()
+                self._wake = trio.Event()
+                if not self._can_write():
+                    continue
+                await self._wait_for_batch(
+                    _BACKLOG_BATCH_WINDOW_MS if is_behind else _PROGRESS_BATCH_WINDOW_MS
+                )
+                while changes := self._take_batch():
+                    nursery.start_soon(self._run_write, changes, name=Work.RECORD)
+                is_behind = not self._scheduler.dirty <= self._writing
+
+    def _has_ends(self) -> bool:
+        """Return whether the end of a job is to be written."""
+        return any(
+            not state.phase_saved and state not in self._writing
+            for state in self._scheduler.dirty
+        )
 
-    async def _wait_for_batch(self) -> None:
+    def _can_write(self) -> bool:
+        """Return whether there are changes that may be written now."""
+        if self._writes >= _MAX_WRITES or self._scheduler.dirty <= self._writing:
+            return False
+        return self._writes < _MAX_PROGRESS_WRITES or self._has_ends()
+
+    async def _wait_for_batch(self, window_ms: float) -> None:
         """Wait for more changes, but only briefly if a job has ended."""
         began_ms = self._clock.monotonic_ms()
-        while not any(not state.phase_saved for state in self._scheduler.dirty):
-            remaining_ms = _PROGRESS_BATCH_WINDOW_MS - (
-                self._clock.monotonic_ms() - began_ms
-            )
+        while not self._has_ends():
+            remaining_ms = window_ms - (self._clock.monotonic_ms() - began_ms)
             if remaining_ms <= 0:
                 return
             with trio.move_on_after(remaining_ms / 1000.0):
@@ -132,12 +179,43 @@
             self._wake = trio.Event()
         await self._clock.sleep_ms(_END_BATCH_WINDOW_MS)
 
+    def _take_batch(self) -> list[JobChange]:
+        """Return the changes of the next transaction, ends first; none if it waits.
+
+        A change of a job that is being written waits for that, as the next revision of
+        its key is not known before.
+        """
+        if not self._can_write():
+            return []
+        changes = [
+            change
+            for change in collect_changes(self._scheduler)
+            if change.state not in self._writing
+        ]
+        batch = next(_split(changes))
+        self._writing.update(change.state for change in batch)
+        self._writes += 1
+        return batch
+
+    async def _run_write(self, changes: list[JobChange]) -> None:
+        try:
+            await self._write(changes)
+        finally:
+            self._writes -= 1
+            self._writing.difference_update(change.state for change in changes)
+            self._wake.set()
+
     async def flush(self) -> None:
-        """Write all pending changes."""
-        changes = collect_changes(self._scheduler)
-        size = (MAX_ROWS - 1) // _ROWS_PER_CHANGE
-        for begin in range(0, len(changes), size):
-            await self._write(changes[begin : begin + size])
+        """Write each pending change once, after `run` has been cancelled."""
+        limiter = trio.CapacityLimiter(_MAX_WRITES)
+
+        async def write(changes: list[JobChange]) -> None:
+            async with limiter:
+                await self._write(changes)
+
+        async with trio.open_nursery() as nursery:
+            for changes in _split(collect_changes(self._scheduler)):
+                nursery.start_soon(write, changes)
 
     async def _write(self, changes: list[JobChange]) -> None:
         transaction = self._build(changes)
@@ -156,9 +234,25 @@
             self._confirm(change, revision)
         self._notify_committed()
 
+    async def wait_until(self, is_done: Callable[[], bool]) -> None:
+        """Wait until ``is_done``, called after each write, returns True.
+
+        Only the tasks whose wait is over are woken: hundreds of them may wait.
+        """
+        if is_done():
+            return
+        done = trio.Event()
+        self._waits[done] = is_done
+        try:
+            await done.wait()
+        finally:
+            self._waits.pop(done, None)
+
     def _notify_committed(self) -> None:
-        self.committed.set()
-        self.committed = trio.Event()
+        for done, is_done in list(self._waits.items()):
+            if is_done():
+                del self._waits[done]
+                done.set()
         self._notify()
 
     def _build(self, changes: list[JobChange]) -> Transaction:
--- a/trefoilhook/runtime/polling.py
+++ b/trefoilhook/runtime/polling.py
@@ -51,7 +51,8 @@
 
 _COMMIT_WAIT_MS = 200.0
 """Maximum delay of the next poll until a worker's ends are stored, in ms. After it,
-they are listed again, together with later ends."""
+they are listed again, together with later ends. It is extended by the lag of the event
+loop, which delays the write as well: the repeated polls would add to the lag."""
 
 _POLL_RETRY_PAUSE_MS = 200.0
 """Pause after a failed poll, in ms."""
@@ -80,6 +81,8 @@
         Called when a worker has been polled by a later owner.
     on_first_answer : callable
         Called when a worker has answered for the first time.
+    extend_timeout : callable
+        Returns a timeout in ms, extended by the lag of the event loop.
     switch_work : callable
         Called with the kind of the work done since the last call or task switch.
     """
@@ -96,6 +99,7 @@
         notify: Callable[[], None],
         on_ownership_lost: Callable[[], None],
         on_first_answer: Callable[[], None],
+        extend_timeout: Callable[[float], float],
         switch_work: Callable[[Work], None],
     ) -> None:
         self._clock = clock
@@ -107,6 +111,7 @@
         self._notify = notify
         self._on_ownership_lost = on_ownership_lost
         self._on_first_answer = on_first_answer
+        self._extend_timeout = extend_timeout
         self._switch_work = switch_work
 
     async def run(self, worker: Worker, client: WorkerClient) -> None:
@@ -230,11 +235,14 @@
         it would be polled in a busy loop until the ends are stored, and forever if one
         of them is unreadable and therefore never acknowledged.
         """
-        with trio.move_on_after(_COMMIT_WAIT_MS / 1000.0):
-            while worker.unacknowledged or worker.first_unreadable_end is not None:
-                acknowledge(worker)
-                if worker.unacknowledged or worker.first_unreadable_end is not None:
-                    await self._committer.committed.wait()
+
+        def is_acknowledged() -> bool:
+            acknowledge(worker)
+            return not worker.unacknowledged and worker.first_unreadable_end is None
+
+        wait_ms = self._extend_timeout(_COMMIT_WAIT_MS)
+        with trio.move_on_after(wait_ms / 1000.0):
+            await self._committer.wait_until(is_acknowledged)
 
     def _build_poll_request(self, worker: Worker, now_ms: float) -> PollRequest:
         if not worker.has_answered_token:
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -253,6 +253,9 @@
             notify=self._wake_all,
             on_ownership_lost=self._on_ownership_lost,
             on_first_answer=self._roster.notify_change,
+            extend_timeout=lambda timeout_ms: lag.extend(
+                timeout_ms, clock.monotonic_ms()
+            ),
             switch_work=self._loop_time.switch,
         ).run
         self._job_feed = JobFeed(
--- a/trefoilhook/runtime/tests/test_incarnations.py
+++ b/trefoilhook/runtime/tests/test_incarnations.py
@@ -231,6 +231,11 @@
         self.assertFalse(client.successor.has_answered_token)
 
 
+async def _wait_forever(is_done) -> None:
+    if not is_done():
+        await trio.sleep_forever()
+
+
 def build_poller(shard: Shard) -> WorkerPoller:
     """Build a poller of a shard without a store."""
     clock = types.SimpleNamespace(monotonic_ms=lambda: shard.now_ms)
@@ -239,12 +244,13 @@
         clock=clock,
         ownership=types.SimpleNamespace(epoch=1),
         scheduler=shard.scheduler,
-        committer=types.SimpleNamespace(committed=trio.Event()),
+        committer=types.SimpleNamespace(wait_until=_wait_forever),
         metrics=metrics,
         rejections=Rejections(metrics=metrics),
         notify=lambda: None,
         on_ownership_lost=lambda: None,
         on_first_answer=lambda: None,
+        extend_timeout=lambda timeout_ms: timeout_ms,
         switch_work=lambda kind: None,
     )
 
--- a/trefoilhook/runtime/tests/test_roster.py
+++ b/trefoilhook/runtime/tests/test_roster.py
@@ -77,6 +77,7 @@
         notify=lambda: None,
         on_ownership_lost=lambda: None,
         on_first_answer=lambda: None,
+        extend_timeout=lambda timeout_ms: timeout_ms,
         switch_work=lambda kind: None,
     )
 
