Let answers and fillers take turns when the loop lags

Callers saw urgent jobs late on an owner that is short of processor time (SHORT): learning of a job took 0.26 s, its orders 0.32 s, its record 0.8 s, though each needs a few milliseconds of processor time.

Cause: a pass of the event loop runs a step of every ready task. With the answers of 270 workers, 64 starts of fillers and pace orders ready, a pass took 38 ms (LOOP_TIMES: 53 passes in 2 s), and a write to the store, which takes some ten steps, waited for as many passes.

While the loop lags by 5 ms or more, answers, starts of fillers and pace orders wait for one of ten turns in each pass; answers of workers with urgent tasks come first. What takes turns gets as much in total, as passes are shorter.

--- a/trefoilhook/runtime/polling.py
+++ b/trefoilhook/runtime/polling.py
@@ -14,6 +14,7 @@
 from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.ownership import Ownership
 from trefoilhook.runtime.rejections import Rejections
+from trefoilhook.runtime.turns import Turns
 from trefoilhook.scheduling import (
     OrderOutcome,
     PollAnswer,
@@ -81,6 +82,8 @@
         Called when a worker has been polled by a later owner.
     on_first_answer : callable
         Called when a worker has answered for the first time.
+    turns : Turns
+        Turns in which answers are applied.
     extend_timeout : callable
         Returns a timeout in ms, extended by the lag of the event loop.
     switch_work : callable
@@ -99,6 +102,7 @@
         notify: Callable[[], None],
         on_ownership_lost: Callable[[], None],
         on_first_answer: Callable[[], None],
+        turns: Turns,
         extend_timeout: Callable[[float], float],
         switch_work: Callable[[Work], None],
     ) -> None:
@@ -111,6 +115,7 @@
         self._notify = notify
         self._on_ownership_lost = on_ownership_lost
         self._on_first_answer = on_first_answer
+        self._turns = turns
         self._extend_timeout = extend_timeout
         self._switch_work = switch_work
 
@@ -132,6 +137,10 @@
                 break
             if isinstance(result, PollAnswer):
                 self._switch_work(Work.POLL)
+                is_urgent = any(worker.urgent_cpu.values())
+                await self._turns.wait(is_urgent=is_urgent)
+                if self._scheduler.workers.get(worker_id) is not worker:
+                    break
                 worker = self._resolve_restart(worker, result)
                 outages.record_answer(sent_ms=sent_ms)
                 self._log_ends(worker, result)
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -46,6 +46,7 @@
 from trefoilhook.runtime.roster import Roster
 from trefoilhook.runtime.settlement import Settlement
 from trefoilhook.runtime.snapshots import build_snapshots
+from trefoilhook.runtime.turns import Turns
 from trefoilhook.runtime.workerfeed import WorkerFeed
 from trefoilhook.scheduling import (
     SLOWEST_CLOCK,
@@ -227,6 +228,7 @@
             metrics=metrics,
             read_lag_ms=lambda: lag.read(clock.monotonic_ms()),
         )
+        self._turns = Turns(read_lag_ms=lambda: lag.read(clock.monotonic_ms()))
         self._snapshots = build_snapshots(self._scheduler)
         self._committer = Committer(
             store=store,
@@ -253,6 +255,7 @@
             notify=self._wake_all,
             on_ownership_lost=self._on_ownership_lost,
             on_first_answer=self._roster.notify_change,
+            turns=self._turns,
             extend_timeout=lambda timeout_ms: lag.extend(
                 timeout_ms, clock.monotonic_ms()
             ),
@@ -350,6 +353,7 @@
             notify=self._wake_for_workers,
         )
         nursery.start_soon(worker_feed.follow, contents.workers, name=Work.FEED)
+        nursery.start_soon(self._turns.run, name=Work.LOOP)
         nursery.start_soon(self._committer.run, name=Work.RECORD)
         nursery.start_soon(self._roster.run, name=Work.ROSTER)
         nursery.start_soon(self._run_place_writer, nursery, name=Work.PLACE)
@@ -684,6 +688,8 @@
         self._scheduler.suspects.losses.clear()
 
     async def _execute_order(self, order: Order) -> None:
+        if _may_wait(order):
+            await self._turns.wait()
         async with self._order_slots.hold(order):
             outcome = await execute_order(
                 order,
@@ -698,6 +704,13 @@
             self._recovery.record(RecoveryStep.STARTED)
 
 
+def _may_wait(order: Order) -> bool:
+    """Return whether an order is sent after those for which clients wait."""
+    return isinstance(order, PaceOrder) or (
+        isinstance(order, StartOrder) and order.is_filler
+    )
+
+
 def _name_work(order: Order) -> Work:
     """Return the kind of work that sending an order is."""
     if isinstance(order, StartOrder):
--- a/trefoilhook/runtime/tests/test_incarnations.py
+++ b/trefoilhook/runtime/tests/test_incarnations.py
@@ -12,6 +12,7 @@
 from trefoilhook.runtime.polling import WorkerPoller
 from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.runtime.tests.cluster import PREFIX, Cluster, build_body, run_cluster
+from trefoilhook.runtime.turns import Turns
 from trefoilhook.scheduling import (
     OrderOutcome,
     PollAnswer,
@@ -250,6 +251,7 @@
         notify=lambda: None,
         on_ownership_lost=lambda: None,
         on_first_answer=lambda: None,
+        turns=Turns(read_lag_ms=lambda: 0.0),
         extend_timeout=lambda timeout_ms: timeout_ms,
         switch_work=lambda kind: None,
     )
--- a/trefoilhook/runtime/tests/test_roster.py
+++ b/trefoilhook/runtime/tests/test_roster.py
@@ -14,6 +14,7 @@
 from trefoilhook.runtime.ownership import Ownership
 from trefoilhook.runtime.polling import WorkerPoller
 from trefoilhook.runtime.roster import Roster
+from trefoilhook.runtime.turns import Turns
 from trefoilhook.scheduling import Demand, TaskId, has_lease_limits
 from trefoilhook.scheduling.fleet import Run, RunPhase
 from trefoilhook.scheduling.tests.cases import TASK_LEASE_MS, Shard
@@ -77,6 +78,7 @@
         notify=lambda: None,
         on_ownership_lost=lambda: None,
         on_first_answer=lambda: None,
+        turns=Turns(read_lag_ms=lambda: 0.0),
         extend_timeout=lambda timeout_ms: timeout_ms,
         switch_work=lambda kind: None,
     )
