Do not count a pause of the own process as silence of the store

Callers were refused with 503 and time left, after the process that they asked had stood still for about a second while the store was suspect: test_read_on_a_connection_that_is_reset failed in 2 of some 90 runs beside load, and was listed red.

Cause: the 400 ms after which a store without an answer counts as unavailable, and the timeout of its probe, ended in the first pass of the loop after the pause, before the answers that had come meanwhile were read.

The 400 ms are now measured in slices of 50 ms, of which a late one counts as much as the others, and a probe that fails shows nothing if a slice since it was sent ended late.

Evidence: the new test fails on the code before (3 of 3 pauses) and holds.

--- a/trefoilhook/platform/reachability.py
+++ b/trefoilhook/platform/reachability.py
@@ -8,6 +8,7 @@
 watches and overdue calls are then abandoned.
 """
 
+import math
 import random
 from collections.abc import Awaitable, Callable
 
@@ -47,6 +48,14 @@
 """Maximum time for which a caller waits for a suspect service, in ms. Its call is then
 repeated, in case only the probes fail."""
 
+_SLICE_MS = 50.0
+"""Length of the slices in which the time without an answer is measured, in ms. One that
+ends late counts as much: the process may have been suspended, and has not read yet what
+it received."""
+
+_LATE_MS = 100.0
+"""Lateness of a slice from which a probe that failed meanwhile shows nothing, in ms."""
+
 _MS_PER_S = 1000.0
 
 
@@ -128,6 +137,8 @@
         self._recovered = trio.Event()
         self._resolved = trio.Event()
         self._random = random.Random()
+        self._slice_due_ms = math.inf
+        self._paused_ms = -math.inf
         self.is_unavailable = False
         self.recovered_ms = float("-inf")
         self.probes_frequently = False
@@ -293,17 +304,32 @@
     async def _mark_unavailable_after_timeout(self) -> None:
         """Mark the service as unavailable unless an answer is being received.
 
-        While a large answer uses the whole link, a probe is answered late.
+        While a large answer uses the whole link, a probe is answered late. After a
+        pause of this process, its answer may be there already.
         """
-        await self._clock.sleep_ms(_UNAVAILABLE_AFTER_MS)
+        for _ in range(math.ceil(_UNAVAILABLE_AFTER_MS / _SLICE_MS)):
+            self._slice_due_ms = self._clock.monotonic_ms() + _SLICE_MS
+            await self._clock.sleep_ms(_SLICE_MS)
+            self._note_pause()
         while self.is_receiving:
             await self._clock.sleep_ms(_OVERDUE_CHECK_PERIOD_MS)
+        self._slice_due_ms = math.inf
         self._mark_unavailable()
 
     async def _send_probe(self, probe: Callable[[], Awaitable[bool]]) -> None:
-        if not await probe() and not self.is_receiving:
+        sent_ms = self._clock.monotonic_ms()
+        if await probe() or self.is_receiving:
+            return
+        self._note_pause()
+        if self._paused_ms < sent_ms:
             self._mark_unavailable()
 
+    def _note_pause(self) -> None:
+        """Record whether the process has just stood still."""
+        now_ms = self._clock.monotonic_ms()
+        if now_ms - self._slice_due_ms > _LATE_MS:
+            self._paused_ms = now_ms
+
     def _mark_unavailable(self) -> None:
         if self.is_suspect:
             self.is_unavailable = True
--- a/trefoilhook/platform/tests/test_reachability.py
+++ b/trefoilhook/platform/tests/test_reachability.py
@@ -215,6 +215,43 @@
 
         self._run(_Service(recovery_s=_OUTAGE_S), scenario)
 
+    def test_pause_of_the_process_is_not_silence_of_the_service(self):
+        # Guards against requests that are refused after the process stood still, while
+        # the answer to its probe waits to be read.
+        for pause_s in (0.5, 1.2, 5.0):
+            with self.subTest(pause_s):
+                self.assertNotIn(True, self._watch_pause(pause_s))
+
+    def _watch_pause(self, pause_s: float) -> list[bool]:
+        """Return whether the service was unavailable in each step after a pause."""
+        clock = trio.testing.MockClock(autojump_threshold=0.0)
+        reachability: Reachability | None = None
+        seen: list[bool] = []
+
+        async def answer() -> bool:
+            sent_ms = trio.current_time() * 1000.0
+            await trio.sleep(0.02)
+            if not seen:
+                clock.jump(pause_s)
+            for _ in range(12):
+                await trio.lowlevel.checkpoint()
+                seen.append(reachability.is_unavailable)
+            reachability.record_answer(sent_ms)
+            return True
+
+        async def main() -> None:
+            nonlocal reachability
+            reachability = Reachability(clock=build_system_clock())
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(reachability.run_probes, answer)
+                reachability.record_failure(trio.current_time() * 1000.0)
+                await trio.sleep(pause_s + 2.0)
+                nursery.cancel_scope.cancel()
+            self.assertFalse(reachability.is_suspect)
+
+        trio.run(main, clock=clock)
+        return seen
+
     def test_idle_instance_finds_the_store_away(self):
         # Guards against an instance with only a pending watch that accepts and holds
         # requests until the watch times out, 2 s into the outage.
