Send a request without a turn of the event loop

Callers saw late starts and ends where one owner's event loop is saturated: each turn of the loop took about 38 ms, and an exchange on an open connection took two, one to send and one to receive.

Cause: trio's send_all yields once even if the socket accepts all data. Change: the client sends what the buffer accepts at once, as the server's stream already does, and leaves the rest to send_all. A cancelled or expired exchange still sends nothing, the receipt still yields at least once, and no task runs between the check of an executor's permission and the send. One cancel scope is built for an exchange instead of two, without the generator of fail_at.

The test of turns fails on the code before (2 != 1).

--- a/trefoilhook/http/client.py
+++ b/trefoilhook/http/client.py
@@ -20,6 +20,7 @@
 )
 from trefoilhook.http.core import HttpRequest, HttpResponse
 from trefoilhook.http.idle import IdleLimit
+from trefoilhook.http.transport import send_without_waiting
 
 __all__ = ["Connection", "HttpClient", "NoteReceived"]
 
@@ -156,8 +157,9 @@
                 receipt = _Receipt(
                     pause_s=pause_ms / _MS_PER_S,
                     note_received=note_received or _ignore_received,
+                    scope=trio.CancelScope(deadline=deadline),
                 )
-                response = await self._exchange(connection, request, deadline, receipt)
+                response = await self._exchange(connection, request, receipt)
                 keep = connection.protocol.our_state is h11.DONE
                 keep = keep and connection.protocol.their_state is h11.DONE
                 return response
@@ -221,13 +223,13 @@
         self,
         connection: Connection,
         request: HttpRequest,
-        deadline: float,
         receipt: "_Receipt",
     ) -> HttpResponse:
         try:
-            with trio.fail_at(deadline) as receipt.scope:
-                await connection.stream.send_all(self._encode(connection, request))
+            with receipt.scope:
+                await _send(connection, self._encode(connection, request))
                 return await self._receive(connection, receipt)
+            raise trio.TooSlowError
         except (
             OSError,
             trio.TooSlowError,
@@ -293,6 +295,20 @@
                 )
 
 
+async def _send(connection: Connection, data: bytes) -> None:
+    """Send all data, without a turn of the event loop if it fits into the buffer.
+
+    Nothing is sent once the exchange is cancelled. The receipt that follows always
+    yields to other tasks.
+    """
+    await trio.lowlevel.checkpoint_if_cancelled()
+    sent = 0
+    if isinstance(connection.stream, trio.SocketStream):
+        sent = send_without_waiting(connection.socket, data)
+    if sent < len(data):
+        await connection.stream.send_all(memoryview(data)[sent:])
+
+
 def _read_length(head: h11.Response) -> int:
     """Return the declared size of the body, in bytes; 0 if it is not declared."""
     for name, value in head.headers:
@@ -317,7 +333,7 @@
 
     pause_s: float
     note_received: NoteReceived
-    scope: trio.CancelScope = attrs.Factory(trio.CancelScope)
+    scope: trio.CancelScope
     _until_s: float | None = attrs.field(default=None, init=False)
 
     def note(self, count: int) -> None:
--- a/trefoilhook/http/tests/test_exchange.py
+++ b/trefoilhook/http/tests/test_exchange.py
@@ -1,8 +1,10 @@
 """Tests of the HTTP client against the HTTP server."""
 
+import hashlib
 import unittest
 from functools import partial
 
+import attrs
 import trio
 import trio.testing
 
@@ -27,6 +29,22 @@
     return HttpResponse(status=200, body=request.body)
 
 
+async def _digest(request: HttpRequest) -> HttpResponse:
+    return HttpResponse(status=200, body=hashlib.sha256(request.body).digest())
+
+
+@attrs.define(kw_only=True, eq=False)
+class _StepCount(trio.abc.Instrument):
+    """Counts the turns of the event loop in which a task runs."""
+
+    task: trio.lowlevel.Task
+    count: int = 0
+
+    def before_task_step(self, task: trio.lowlevel.Task) -> None:
+        """Count a step of the task."""
+        self.count += task is self.task
+
+
 class ExchangeTest(unittest.TestCase):
     """Requests, failures and shutdown over real sockets."""
 
@@ -72,6 +90,68 @@
 
         trio.run(scenario)
 
+    def test_exchange_on_open_connection_takes_one_turn(self):
+        # Guards against a busy event loop that delays each exchange by several turns.
+        async def scenario():
+            server = HttpServer(handler=_echo, host=_HOST, port=0)
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.run)
+                client = HttpClient(host=_HOST, port=port)
+                request = HttpRequest(method="POST", target="/", body=b"x")
+                await client.send(request, timeout_ms=5_000)
+                steps = _StepCount(task=trio.lowlevel.current_task())
+                trio.lowlevel.add_instrument(steps)
+                await client.send(request, timeout_ms=5_000)
+                trio.lowlevel.remove_instrument(steps)
+                self.assertEqual(steps.count, 1)
+                await client.close()
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+
+    def test_body_larger_than_the_buffer_of_the_socket(self):
+        # Guards against sending only the part that the socket accepts at once.
+        async def scenario():
+            limits = HttpLimits(max_body_bytes=20_000_000)
+            server = HttpServer(handler=_digest, host=_HOST, port=0, limits=limits)
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.run)
+                client = HttpClient(host=_HOST, port=port)
+                body = b"0123456789" * 1_600_000
+                request = HttpRequest(method="POST", target="/", body=body)
+                for _ in range(2):
+                    answer = await client.send(request, timeout_ms=20_000)
+                    self.assertEqual(answer.body, hashlib.sha256(body).digest())
+                await client.close()
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+
+    def test_cancelled_request_is_not_sent(self):
+        # Guards against running a request whose caller was cancelled before it is sent.
+        async def scenario():
+            targets: list[str] = []
+
+            async def record(request: HttpRequest) -> HttpResponse:
+                targets.append(request.target)
+                return HttpResponse(status=200)
+
+            server = HttpServer(handler=record, host=_HOST, port=0)
+            async with trio.open_nursery() as nursery:
+                port = await nursery.start(server.run)
+                client = HttpClient(host=_HOST, port=port)
+                await client.send(HttpRequest(method="GET", target="/first"))
+                with trio.CancelScope() as scope:
+                    scope.cancel()
+                    await client.send(HttpRequest(method="GET", target="/second"))
+                self.assertTrue(scope.cancelled_caught)
+                await client.send(HttpRequest(method="GET", target="/third"))
+                self.assertEqual(targets, ["/first", "/third"])
+                await client.close()
+                nursery.cancel_scope.cancel()
+
+        trio.run(scenario)
+
     def test_refused_connection_is_proved_not_sent(self):
         async def scenario():
             listeners = await trio.open_tcp_listeners(0, host=_HOST)
--- a/trefoilhook/http/transport.py
+++ b/trefoilhook/http/transport.py
@@ -1,8 +1,26 @@
-"""A TCP stream with a time-out on sends."""
+"""Sending over TCP without waiting, and a stream with a time-out on sends."""
 
 import trio
 
-__all__ = ["TimedTransport"]
+__all__ = ["TimedTransport", "send_without_waiting"]
+
+
+def send_without_waiting(
+    socket: trio.socket.SocketType, data: bytes | bytearray | memoryview
+) -> int:
+    """Send what fits into the socket's buffer, without a checkpoint.
+
+    Returns
+    -------
+    int
+        Number of bytes sent; 0 after an error, which the stream's ``send_all`` then
+        raises as its own type.
+    """
+    try:
+        sent: int = socket._sock.send(data)  # type: ignore[attr-defined]
+    except OSError:
+        return 0
+    return sent
 
 
 class TimedTransport(trio.abc.HalfCloseableStream):
@@ -36,7 +54,7 @@
         """
         # Most responses fit into the socket's buffer; this saves them the cost of a
         # cancel scope.
-        sent = self._send_without_waiting(data)
+        sent = send_without_waiting(self._raw.socket, data)
         if sent == len(data):
             return
         with trio.move_on_after(self._send_timeout_s) as scope:
@@ -45,14 +63,6 @@
             self.is_stalled = True
             raise trio.BrokenResourceError("the client did not read the data in time")
 
-    def _send_without_waiting(self, data: bytes | bytearray | memoryview) -> int:
-        try:
-            sent: int = self._raw.socket._sock.send(data)  # type: ignore[attr-defined]
-        except OSError:
-            # The stream's send_all then waits, or raises the error as its own type.
-            return 0
-        return sent
-
     async def wait_send_all_might_not_block(self) -> None:
         """Wait until the socket is likely to accept data."""
         await self._raw.wait_send_all_might_not_block()
