Parse and hash a listed task id once

Callers saw late starts and ends where an owner's processor time runs out: decoding and applying polls took half of its loop. Each poll parsed the ids of all running tasks anew, and hashed each of them several times.

Ids are immutable, and errors aren't cached.

--- a/trefoilhook/scheduling/models.py
+++ b/trefoilhook/scheduling/models.py
@@ -1,5 +1,6 @@
 """Declarations of clients and operators: jobs, steps, queues and workers."""
 
+import functools
 import re
 
 import attrs
@@ -326,9 +327,12 @@
         return f"{self.host}:{self.port}"
 
 
-@attrs.frozen
+@attrs.frozen(cache_hash=True)
 class TaskId:
-    """Identifies one task by job, occurrence, step, and index in the step."""
+    """Identifies one task by job, occurrence, step, and index in the step.
+
+    Most tables of an owner are keyed by it, so that it keeps its hash.
+    """
 
     job_id: str
     occurrence: int
@@ -341,16 +345,33 @@
 
 _TASK_ID = re.compile(r"([^.]+)\.([0-9]{1,15})\.([0-9]{1,15})\.([0-9]{1,15})")
 
+_MAX_CACHED_IDS = 16_384
+"""Maximum number of cached task ids: the running tasks of an owner of 300 workers with
+50 tasks each, which each poll lists again."""
+
+_MAX_CACHED_ID_LENGTH = 128
+"""Maximum length of the text of a cached task id, in characters. It bounds the cache to
+about 10 MB; the ids of this project have at most 64."""
+
 
 def parse_task_id(text: str) -> TaskId:
-    """Parse a task id.
+    """Parse a task id; equal texts may give the same object.
 
     Raises
     ------
     DecodeError
         If the text is not a task id.
     """
+    if len(text) > _MAX_CACHED_ID_LENGTH:
+        return _parse_task_id(text)
+    return _parse_cached_task_id(text)
+
+
+def _parse_task_id(text: str) -> TaskId:
     match = _TASK_ID.fullmatch(text)
     if match is None:
         raise DecodeError("invalid task id")
     return TaskId(match[1], int(match[2]), int(match[3]), int(match[4]))
+
+
+_parse_cached_task_id = functools.lru_cache(maxsize=_MAX_CACHED_IDS)(_parse_task_id)
--- a/trefoilhook/scheduling/tests/test_records.py
+++ b/trefoilhook/scheduling/tests/test_records.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from trefoilhook.exceptions import DecodeError
 from trefoilhook.scheduling import (
     Advice,
     Demand,
@@ -18,6 +19,7 @@
     encode_progress,
     parse_task_id,
 )
+from trefoilhook.scheduling.models import _parse_cached_task_id
 
 _JOB = Job(
     job_id="0123456789abcdef",
@@ -94,3 +96,34 @@
         task = TaskId("0123456789abcdef", 2, 1, 17)
         self.assertEqual(str(task), "0123456789abcdef.2.1.17")
         self.assertEqual(parse_task_id(str(task)), task)
+
+    def test_similar_task_names_are_told_apart(self):
+        # Guards against a cached id that is returned for the text of another task.
+        names = ("a.0.1.17", "a.0.1.1", "a.0.11.7", "a.01.1.7", "A.0.1.17", "b.0.1.17")
+        for _ in range(2):
+            self.assertEqual(
+                [parse_task_id(name) for name in names],
+                [
+                    TaskId("a", 0, 1, 17),
+                    TaskId("a", 0, 1, 1),
+                    TaskId("a", 0, 11, 7),
+                    TaskId("a", 1, 1, 7),
+                    TaskId("A", 0, 1, 17),
+                    TaskId("b", 0, 1, 17),
+                ],
+            )
+
+    def test_invalid_task_names_stay_invalid(self):
+        # Guards against a cache that turns the second refusal into a result.
+        for name in ("a.0.1", "a.0.-1.0", "a.0.1.1 ", ".0.1.1", "a" * 200):
+            for _ in range(2):
+                with self.subTest(name=name), self.assertRaises(DecodeError):
+                    parse_task_id(name)
+
+    def test_cache_of_task_names_is_bounded(self):
+        # Guards against a worker that fills the owner's memory with names.
+        before = _parse_cached_task_id.cache_info()
+        self.assertIsNotNone(before.maxsize)
+        name = "x" * 200 + ".0.1.17"
+        self.assertEqual(parse_task_id(name), TaskId("x" * 200, 0, 1, 17))
+        self.assertEqual(_parse_cached_task_id.cache_info(), before)
