--- a/trefoilhook/decoding/core.py
+++ b/trefoilhook/decoding/core.py
@@ -46,7 +46,7 @@
 
 
 _decode_json = json.JSONDecoder(parse_constant=_refuse_constant).decode
-"""Shared, as building a decoder for each document takes a tenth of a short one."""
+"""Shared, as building a decoder takes a fifth of the time of a short document."""
 
 
 def parse_json(data: bytes) -> Any:
--- a/trefoilhook/http/json_client.py
+++ b/trefoilhook/http/json_client.py
@@ -14,6 +14,9 @@
 
 _JSON_HEADERS: Headers = (("content-type", "application/json"),)
 
+_encode = json.JSONEncoder(separators=(",", ":")).encode
+"""Shared, as building an encoder takes a third of the time of a short body."""
+
 
 class JsonClient:
     """Exchanges JSON with one service.
@@ -90,7 +93,7 @@
         target = path if not query else f"{path}?{urlencode(query)}"
         data = b""
         if body is not None:
-            data = json.dumps(body, separators=(",", ":")).encode()
+            data = _encode(body).encode()
             headers = _JSON_HEADERS + headers
         request = HttpRequest(method=method, target=target, headers=headers, body=data)
         try:
