Tell listed runs by identity when an answer is applied

Callers saw late starts and ends where an owner's processor time runs out. Of applying an answer, the attempts that it lists were compared by their ids twice, once for rows that can't be read, of which there are nearly never any.

Change: the runs that rows apply to are kept, and unreadable rows are matched only if there are some. What is released stays the same: a run that this answer adds has confirmed_ms of now, so that it is never released by it.

--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -1,5 +1,7 @@
 """Applies the answers of polled workers to the state of a shard."""
 
+from collections.abc import Collection
+
 from trefoilhook.scheduling.colocation import learn_interference
 from trefoilhook.scheduling.copy_tracker import get_max_runs
 from trefoilhook.scheduling.core import Scheduler
@@ -54,24 +56,34 @@
     worker.poll_sent_ms = sent_ms
     for end in answer.ends:
         _apply_end(scheduler, worker, end, now_ms)
+    listed: set[Run] = set()
     for running in answer.running:
-        _apply_running(scheduler, worker, running, now_ms)
+        listed.add(_apply_running(scheduler, worker, running, now_ms))
     for row in answer.unreadable:
         if row.attempt is not None:
             _hold_unreadable(scheduler, worker, row.attempt, now_ms)
     learn_interference(worker, scheduler.jobs, scheduler.interference, now_ms)
-    listed = {(running.task, running.attempt) for running in answer.running}
-    listed |= find_hidden_attempts(worker, answer, listed, now_ms)
+    hidden = _find_hidden(worker, answer, now_ms)
     if len(answer.ends) + len(answer.unreadable) >= _ENDS_PAGE_SIZE:
         return
     worker.has_reported_all = worker.has_reported_all or identifies_all_attempts(answer)
     for key, run in list(worker.runs.items()):
         # The worker answered an order for this run before this poll was sent: if it is
         # neither running nor ended now, it will never run there.
-        if key not in listed and run.confirmed_ms < sent_ms:
+        is_listed = run in listed or key in hidden
+        if not is_listed and run.confirmed_ms < sent_ms:
             _release_unlisted(scheduler, worker, run)
 
 
+def _find_hidden(
+    worker: Worker, answer: PollAnswer, now_ms: float
+) -> Collection[tuple[TaskId, int]]:
+    if not answer.unreadable:
+        return ()
+    listed = {(running.task, running.attempt) for running in answer.running}
+    return find_hidden_attempts(worker, answer, listed, now_ms)
+
+
 def _release_unlisted(scheduler: Scheduler, worker: Worker, run: Run) -> None:
     if run.has_been_listed:
         scheduler.finish_run(worker, run, EndKind.LEASE_EXPIRED, run.checkpoint)
@@ -141,7 +153,8 @@
 
 def _apply_running(
     scheduler: Scheduler, worker: Worker, running: Running, now_ms: float
-) -> None:
+) -> Run:
+    """Apply a row and return the run that it lists."""
     run = worker.runs.get((running.task, running.attempt))
     if run is None:
         run = _adopt(scheduler, worker, running, now_ms)
@@ -160,6 +173,7 @@
     if running.checkpoint and running.checkpoint != run.checkpoint:
         run.checkpoint = running.checkpoint
         _share_checkpoint(scheduler, run)
+    return run
 
 
 def _share_checkpoint(scheduler: Scheduler, run: Run) -> None:
