Look for fillers beside services by step

Before each poll, the steps of all runs of a worker were looked up to choose the wait. Now each step that runs there is, until both kinds are found.

--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -271,10 +271,12 @@
 def has_fillers_beside_services(scheduler: Scheduler, worker: Worker) -> bool:
     """Return whether a worker runs both fillers and tasks with a latency limit."""
     fillers = serving = False
-    for run in worker.runs.values():
-        state = scheduler.jobs.get(run.task.job_id)
-        if state is not None and run.task.step < len(state.job.steps):
-            step = state.job.steps[run.task.step]
+    for job_id, _, number in worker.step_runs:
+        state = scheduler.jobs.get(job_id)
+        if state is not None and number < len(state.job.steps):
+            step = state.job.steps[number]
             fillers = fillers or step.filler
             serving = serving or bool(step.latency_limit_ms)
-    return fillers and serving
+            if fillers and serving:
+                return True
+    return False
