--- a/trefoilhook/http/json_client.py
+++ b/trefoilhook/http/json_client.py
@@ -14,6 +14,9 @@
 
 _JSON_HEADERS: Headers = (("content-type", "application/json"),)
 
+_encode = json.JSONEncoder(separators=(",", ":")).encode
+"""Shared, as building an encoder takes a third of the time of a short body."""
+
 
 class JsonClient:
     """Exchanges JSON with one service.
@@ -26,6 +29,8 @@
         Maximum number of open connections; further calls wait.
     idle_limit : IdleLimit, optional
         Limit on the idle connections that this client shares with others.
+    max_cached_heads : int, optional
+        Maximum number of validated request heads that are kept for later requests.
     """
 
     def __init__(
@@ -34,12 +39,14 @@
         address: tuple[str, int],
         max_connections: int,
         idle_limit: IdleLimit[Connection] | None = None,
+        max_cached_heads: int = 0,
     ) -> None:
         self._http = HttpClient(
             host=address[0],
             port=address[1],
             max_connections=max_connections,
             idle_limit=idle_limit,
+            max_cached_heads=max_cached_heads,
         )
 
     async def send_request(
@@ -86,7 +93,7 @@
         target = path if not query else f"{path}?{urlencode(query)}"
         data = b""
         if body is not None:
-            data = json.dumps(body, separators=(",", ":")).encode()
+            data = _encode(body).encode()
             headers = _JSON_HEADERS + headers
         request = HttpRequest(method=method, target=target, headers=headers, body=data)
         try:
