--- a/trefoilhook/scheduling/interference.py
+++ b/trefoilhook/scheduling/interference.py
@@ -178,6 +178,13 @@
     steps: int = 0
     _optimistic_weights: dict[tuple[str, str], float] = attrs.Factory(dict)
 
+    def _get_row(self, victim: str) -> _VictimModel:
+        """Return the row of a service image; a new one has the prior distribution."""
+        row = self.rows.get(victim)
+        if row is None:
+            row = self.rows[victim] = _VictimModel()
+        return row
+
     def get_weight(self, victim: str, filler: str) -> float:
         """Return the slack lost beside a filler that uses a whole worker."""
         row = self.rows.get(victim)
@@ -227,11 +234,18 @@
         shares : mapping of str to float
             Fraction of the worker's processors that fillers of each image use.
         """
-        return sum(self.get_weight(victim, image) * x for image, x in shares.items())
+        row = self.rows.get(victim)
+        means = row.means if row is not None else {}
+        cost = 0.0
+        for image, share in shares.items():
+            weight = means.get(image, _PRIOR_WEIGHT)
+            if weight > 0.0:
+                cost += weight * share
+        return cost
 
     def learn_base(self, victim: str, base: float) -> None:
         """Update the mean base with the current base of one service task."""
-        row = self.rows.setdefault(victim, _VictimModel())
+        row = self._get_row(victim)
         innovation = base - row.base
         row.base += _BASE_SMOOTHING * innovation
         row.swing += _BASE_SMOOTHING * (innovation * innovation - row.swing)
@@ -272,7 +286,7 @@
     def _update_weights(
         self, victim: str, features: Mapping[str, float], change: float
     ) -> None:
-        row = self.rows.setdefault(victim, _VictimModel())
+        row = self._get_row(victim)
         changes = [(row.add_image(image), x) for image, x in features.items()]
         row.add_variance(_PROCESS_VARIANCE)
         predicted_variance = sum(row.get_variance(n) * x * x for n, x in changes)
