Compare each service image once with a filler

Service tasks of one image lose the same slack to a filler, so only the one with the least slack counts: division by a positive weight and subtraction of a constant keep the order. Weights are looked up by filler, and the trough of a service image is computed once a plan. A weight is kept from its first use after a learned change, as before; a first use now and then falls on a later plan, before which only the drift of skipped steps (0.004 of variance each) was added.

Both new tests fail if an added task leaves the slacks as they are.

--- a/trefoilhook/scheduling/colocation.py
+++ b/trefoilhook/scheduling/colocation.py
@@ -83,7 +83,7 @@
     filler_cpu: float = 0.0
     victims: list[Victim] = attrs.Factory(list)
     shares: dict[str, float] = attrs.Factory(dict)
-    _slacks: list[tuple[str, float]] | None = None
+    _slacks: dict[str, float] | None = None
 
     @property
     def spare_cpu(self) -> float:
@@ -125,7 +125,7 @@
         share = FILLER_UTILISATION * step.demand.cpu / max(1.0, self.cores)
         share *= pace / FULL_PACE
         min_slack = float("inf")
-        for image, slack in self._list_slacks(interference):
+        for image, slack in self._find_slacks(interference).items():
             cost = interference.get_optimistic_weight(image, step.image) * share
             min_slack = min(min_slack, slack - cost)
         return min_slack
@@ -138,26 +138,36 @@
         In thousandths of a core, for a filler of ``image`` at full speed; every victim
         keeps at least ``least_slack``.
         """
+        slacks = self._find_slacks(interference)
+        weights = interference.get_optimistic_weights(image)
         max_share = float("inf")
-        for victim, slack in self._list_slacks(interference):
+        for victim, slack in slacks.items():
+            weight = weights.get(victim)
+            if weight is None:
+                weight = interference.get_optimistic_weight(victim, image)
             spare = slack - least_slack
-            weight = interference.get_optimistic_weight(victim, image)
             if spare < 0.0:
                 return 0.0
-            if weight > 0.0:
-                max_share = min(max_share, spare / weight)
+            if weight > 0.0 and spare / weight < max_share:
+                max_share = spare / weight
         return max_share * self.cores / FILLER_UTILISATION
 
-    def _list_slacks(self, interference: Interference) -> list[tuple[str, float]]:
-        """Return image and slack of each service task, computed once for all fillers.
+    def _find_slacks(self, interference: Interference) -> dict[str, float]:
+        """Return the least slack of each service image, computed once for all fillers.
 
-        With hundreds of waiting fillers this is most of the cost of rating a worker.
+        A filler costs the same slack beside all tasks of one image. With hundreds of
+        waiting fillers this is most of the cost of rating a worker.
         """
         if self._slacks is None:
-            self._slacks = [
-                (v.image, v.base - interference.predict_cost(v.image, self.shares))
-                for v in self.victims
-            ]
+            bases: dict[str, float] = {}
+            for victim in self.victims:
+                known = bases.get(victim.image)
+                if known is None or victim.base < known:
+                    bases[victim.image] = victim.base
+            self._slacks = {
+                image: base - interference.predict_cost(image, self.shares)
+                for image, base in bases.items()
+            }
         return self._slacks
 
 
@@ -190,6 +200,7 @@
     now_ms: float
     spreads_services: bool = False
     _by_worker: dict[str, Colocation] = attrs.Factory(dict)
+    _troughs: dict[str, float] = attrs.Factory(dict)
 
     def lookup(self, worker: Worker) -> Colocation:
         """Return the colocation of a worker."""
@@ -202,6 +213,7 @@
     def invalidate(self) -> None:
         """Discard all colocations after runs were released."""
         self._by_worker.clear()
+        self._troughs.clear()
 
     def _build(self, worker: Worker) -> Colocation:
         """Collect the tasks that run on a worker."""
@@ -216,7 +228,10 @@
     def _predict_base(self, run: Run, step: Step) -> float:
         if not step.latency_limit_ms:
             return 0.0
-        trough_slack = self.interference.get_trough(step.image)
+        trough_slack = self._troughs.get(step.image)
+        if trough_slack is None:
+            trough_slack = self.interference.get_trough(step.image)
+            self._troughs[step.image] = trough_slack
         if run.track is None:
             return trough_slack
         excess = (
--- a/trefoilhook/scheduling/interference.py
+++ b/trefoilhook/scheduling/interference.py
@@ -176,7 +176,7 @@
 
     rows: dict[str, _VictimModel] = attrs.Factory(dict)
     steps: int = 0
-    _optimistic_weights: dict[tuple[str, str], float] = attrs.Factory(dict)
+    _optimistic_weights: dict[str, dict[str, float]] = attrs.Factory(dict)
 
     def _get_row(self, victim: str) -> _VictimModel:
         """Return the row of a service image; a new one has the prior distribution."""
@@ -199,15 +199,28 @@
         mean it would never be tried and nothing would be learned: of 600 waiting
         fillers 30 ran, on 60 of 550 idle cores.
         """
-        known = self._optimistic_weights.get((victim, filler))
-        if known is not None:
-            return known
+        weights = self.get_optimistic_weights(filler)
+        known = weights.get(victim)
+        if known is None:
+            known = weights[victim] = self._compute_optimistic_weight(victim, filler)
+        return known
+
+    def get_optimistic_weights(self, filler: str) -> dict[str, float]:
+        """Return the optimistic weights of a filler known so far, by victim.
+
+        They are valid until the next change is learned.
+        """
+        weights = self._optimistic_weights.get(filler)
+        if weights is None:
+            weights = self._optimistic_weights[filler] = {}
+        return weights
+
+    def _compute_optimistic_weight(self, victim: str, filler: str) -> float:
         weight = _PRIOR_WEIGHT
         row = self.rows.get(victim)
         if row is not None and filler in row.means:
             deviation = math.sqrt(max(0.0, row.get_variance(row.numbers[filler])))
             weight = max(0.0, row.means[filler] - _OPTIMISM_DEVIATIONS * deviation)
-        self._optimistic_weights[victim, filler] = weight
         return weight
 
     def is_heavy(self, victim: str, filler: str) -> bool:
--- a/trefoilhook/scheduling/tests/test_interference.py
+++ b/trefoilhook/scheduling/tests/test_interference.py
@@ -4,7 +4,8 @@
 import random
 import unittest
 
-from trefoilhook.scheduling import Interference
+from trefoilhook.scheduling import Demand, Interference, Step
+from trefoilhook.scheduling.colocation import Colocation
 from trefoilhook.scheduling.interference import (
     decode_interference,
     encode_interference,
@@ -107,3 +108,41 @@
         for _ in range(5):
             _learn(model, {}, {"a": 0.15}, -1.5)
         self.assertGreater(model.get_optimistic_weight("s", "a"), earlier + 2.0)
+
+
+class ColocationTest(unittest.TestCase):
+    """Room for fillers beside service tasks of several images."""
+
+    def setUp(self):
+        self.model = Interference()
+        for image, cost in (("a", -0.2), ("b", -1.4)):
+            for _ in range(5):
+                _learn(self.model, {}, {image: 0.15}, cost)
+        self.colocation = Colocation(cores=16_000.0)
+
+    def _add_service(self, base):
+        step = Step(count=1, demand=Demand(cpu=100), latency_limit_ms=18.0, image="s")
+        self.colocation.add_task(step, base=base)
+
+    def _compute_room(self, image):
+        return self.colocation.compute_max_filler_cpu(
+            self.model, image, least_slack=1.0
+        )
+
+    def test_task_with_least_slack_counts(self):
+        self._add_service(1.5)
+        room = self._compute_room("b")
+        self._add_service(2.5)
+        self.assertEqual(self._compute_room("b"), room)
+        self._add_service(1.2)
+        self.assertLess(self._compute_room("b"), room)
+        self._add_service(0.9)
+        self.assertEqual(self._compute_room("b"), 0.0)
+
+    # Guards against room that a filler placed in the same round has taken.
+    def test_added_filler_takes_room(self):
+        self._add_service(2.0)
+        room = self._compute_room("b")
+        step = Step(count=1, demand=Demand(cpu=1000), filler=True, image="a")
+        self.colocation.add_task(step, base=0.0)
+        self.assertLess(self._compute_room("b"), room)
