Keep the names and members of unchanged workers in the roster

Cause: each comparison built each incarnation's name several times, a new member for each worker, new groups with their indexes, and a set of all names.

A worker keeps its name until its start time or id changes, the stored member is used again unless its address differs, and groups whose members are the same are returned as they are. The comparison itself is made as often as before, with all its inputs, so that nothing is written later. Limits of leases look only at workers with a silence or a limit.

Each new test fails for its part: with a member compared by name only, groups compared by name only, or a name that ignores the start time.

--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -10,7 +10,7 @@
 """
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import attrs
 import trio
@@ -153,9 +153,7 @@
         A write without an answer may have taken effect.
         """
         heads = [self._head, *self._unanswered_heads]
-        return all(
-            head is not None and name in head.groups.list_names() for head in heads
-        )
+        return all(head is not None and head.groups.contains(name) for head in heads)
 
     def limits_leases(self, name: str) -> bool:
         """Return whether the stored groups may limit the leases on an incarnation."""
@@ -174,13 +172,10 @@
     async def run(self) -> None:
         """Add workers as they answer and, once settled, remove those that are gone."""
         while True:
-            workers = self._scheduler.workers.values()
-            wanted = tuple(
-                sorted(each.incarnation for each in workers if each.has_answered_token)
-            )
-            if not self._settled:
-                wanted = tuple(sorted({*wanted, *self.workers}))
-            head = self._build_head()
+            members = self._list_members()
+            names = members.keys() if self._settled else {*members, *self.workers}
+            wanted = tuple(sorted(names))
+            head = self._build_head(members)
             has_changed = (
                 wanted != self.workers
                 or head != self._head
@@ -205,7 +200,7 @@
         if not are_starts_recorded(self._scheduler):
             return
         for _ in range(_MAX_HANDOVER_WRITES):
-            head = self._build_head()
+            head = self._build_head(self._list_members())
             if head is None or self._head is None:
                 return
             groups = attrs.evolve(head.groups, has_all_places=True)
@@ -213,17 +208,14 @@
             if await self._write(self.workers, head):
                 return
 
-    def _build_head(self) -> Head | None:
-        """Return the groups to be stored; None while no worker has answered."""
+    def _build_head(self, answering: Mapping[str, Member]) -> Head | None:
+        """Return the groups to be stored; None while no worker has answered.
+
+        ``answering`` holds the workers that have answered, by incarnation.
+        """
         scheduler = self._scheduler
         unreleased = list_unreleased(scheduler)
-        members = {
-            worker.incarnation: Member(
-                name=worker.incarnation, address=worker.report.address
-            )
-            for worker in scheduler.workers.values()
-            if worker.has_answered_token
-        }
+        members = dict(answering)
         if self._head is None:
             if not members:
                 return None
@@ -251,13 +243,32 @@
             lease_limits=limit_leases(scheduler, self._clock.monotonic_ms()),
         )
 
+    def _list_members(self) -> dict[str, Member]:
+        """Return the workers that have answered, by incarnation.
+
+        The stored member of an unchanged worker is used again, as comparing it with
+        itself takes no time.
+        """
+        stored = self._head.groups.by_name if self._head is not None else {}
+        members: dict[str, Member] = {}
+        for worker in self._scheduler.workers.values():
+            if not worker.has_answered_token:
+                continue
+            name, address = worker.incarnation, worker.report.address
+            member = stored.get(name)
+            if member is None or member.address != address:
+                member = Member(name=name, address=address)
+            members[name] = member
+        return members
+
     def _has_outdated_limits(self, head: Head | None) -> bool:
         """Return whether a write without effect has left leases limited."""
         if head is None:
             return False
-        names = head.groups.list_names() - head.lease_limits.keys()
         return any(
-            worker.is_lease_limited and worker.incarnation in names
+            worker.is_lease_limited
+            and head.groups.contains(worker.incarnation)
+            and worker.incarnation not in head.lease_limits
             for worker in self._scheduler.workers.values()
         )
 
--- a/trefoilhook/runtime/tests/test_roster.py
+++ b/trefoilhook/runtime/tests/test_roster.py
@@ -1,6 +1,7 @@
 """The stored groups while writes of them get no answer."""
 
 import unittest
+from collections.abc import Callable
 
 import attrs
 import trio
@@ -17,7 +18,7 @@
 from trefoilhook.scheduling import Demand, TaskId, has_lease_limits
 from trefoilhook.scheduling.fleet import Run, RunPhase
 from trefoilhook.scheduling.tests.cases import TASK_LEASE_MS, Shard
-from trefoilhook.takeover import PlaceLedger, decode_head
+from trefoilhook.takeover import Member, PlaceLedger, decode_head
 
 
 @attrs.define(kw_only=True)
@@ -290,3 +291,57 @@
                 nursery.cancel_scope.cancel()
 
         trio.run(scenario)
+
+
+class ChangedWorkerTest(unittest.TestCase):
+    """Groups that are written because a known worker has changed."""
+
+    def write_after(self, change: Callable[[Shard], None]) -> list[Member]:
+        """Return the workers in the last groups written after a change."""
+
+        async def scenario() -> list[Member]:
+            shard = Shard(workers=0)
+            for number in range(2):
+                shard.add_worker(f"w{number}", born_ms=1000)
+            store = FakeStore()
+            roster = build_roster(shard, store)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(roster.run)
+                await trio.testing.wait_all_tasks_blocked()
+                self.assertEqual(len(store.commits), 1)
+                change(shard)
+                roster.notify_change()
+                await trio.sleep(0.1)
+                nursery.cancel_scope.cancel()
+            self.assertGreater(len(store.commits), 1)
+            key = keys.groups_key(keys.SHARD)
+            (value,) = [put.value for put in store.commits[-1].puts if put.key == key]
+            return list(decode_head(value).groups.members.values())
+
+        return trio.run(scenario)
+
+    # Guards against a next owner that polls an address where nobody answers.
+    def test_new_address_is_written(self):
+        def change(shard: Shard) -> None:
+            worker = shard.scheduler.workers["w0"]
+            worker.report = attrs.evolve(worker.report, host="elsewhere")
+
+        addresses = {member.address for member in self.write_after(change)}
+        self.assertEqual(addresses, {"elsewhere:1", "w1:1"})
+
+    # Guards against a next owner that doesn't await the process that runs the tasks.
+    def test_restarted_worker_is_written(self):
+        def change(shard: Shard) -> None:
+            shard.workers["w0"].restart(shard.now_ms)
+            shard.poll("w0")
+
+        names = {member.name for member in self.write_after(change)}
+        self.assertLessEqual({"w0@100000", "w1@1000"}, names)
+
+    # Guards against a name without the start that was learned after the entry.
+    def test_late_start_time_is_written(self):
+        def change(shard: Shard) -> None:
+            shard.scheduler.workers["w0"].born_ms = 2000
+
+        names = {member.name for member in self.write_after(change)}
+        self.assertLessEqual({"w0@2000", "w1@1000"}, names)
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -395,6 +395,9 @@
     urgent_cpu: collections.Counter[int] = attrs.field(
         factory=collections.Counter, init=False
     )
+    _incarnation: str = attrs.field(default="", init=False)
+    _named_id: str = attrs.field(default="", init=False)
+    _named_born_ms: int | None = attrs.field(default=None, init=False)
 
     @born_ms.default
     def _default_born_ms(self) -> int | None:
@@ -403,7 +406,11 @@
     @property
     def incarnation(self) -> str:
         """Name of the incarnation, which changes with each restart."""
-        return name_incarnation(self.report.worker_id, self.born_ms)
+        worker_id, born_ms = self.report.worker_id, self.born_ms
+        if self._named_born_ms != born_ms or self._named_id != worker_id:
+            self._incarnation = name_incarnation(worker_id, born_ms)
+            self._named_id, self._named_born_ms = worker_id, born_ms
+        return self._incarnation
 
     @property
     def is_known_alive(self) -> bool:
--- a/trefoilhook/scheduling/takeovers.py
+++ b/trefoilhook/scheduling/takeovers.py
@@ -280,7 +280,7 @@
         if worker is None or not worker.has_answered_token:
             expiries[name] = scheduler.lease_limits[name]
     for worker in scheduler.workers.values():
-        if _is_silent(worker, now_ms):
+        if worker.silence is not None and _is_silent(worker, now_ms):
             expiries[worker.incarnation] = worker.find_lease_expiry()
     return {
         name: math.ceil(max(0.0, expiry_ms - step_ms))
@@ -302,10 +302,16 @@
 
 def has_lease_limits(scheduler: Scheduler, now_ms: float) -> bool:
     """Return whether leases on a worker are limited or should be."""
+    # Nearly all workers answer and have no limit.
+    concerned = [
+        worker
+        for worker in scheduler.workers.values()
+        if worker.silence is not None or worker.is_lease_limited
+    ]
     return any(
         worker.has_answered_token
         and (worker.is_lease_limited or _is_silent(worker, now_ms))
-        for worker in scheduler.workers.values()
+        for worker in concerned
     )
 
 
--- a/trefoilhook/takeover/groups.py
+++ b/trefoilhook/takeover/groups.py
@@ -49,15 +49,25 @@
     has_all_places : bool
         Whether each start of the epoch has a place, so that nothing relies on the
         groups. It is only known at the end of an ownership that was given up.
+
+    Attributes
+    ----------
+    by_name : mapping of str to Member
+        Workers by incarnation.
     """
 
     epoch: int
     count: int
     members: Mapping[int, Member] = attrs.Factory(dict)
     has_all_places: bool = False
+    by_name: Mapping[str, Member] = attrs.field(init=False, eq=False, repr=False)
     _slots: dict[str, int] = attrs.field(init=False, eq=False, repr=False)
     _end_slot: int = attrs.field(init=False, eq=False, repr=False)
 
+    @by_name.default
+    def _index_names(self) -> dict[str, Member]:
+        return {member.name: member for member in self.members.values()}
+
     @_slots.default
     def _index_slots(self) -> dict[str, int]:
         return {member.name: slot for slot, member in self.members.items()}
@@ -83,6 +93,10 @@
         slot = self._slots.get(name)
         return slot is not None and slot % self.count == self.find_group(job_id)
 
+    def contains(self, name: str) -> bool:
+        """Return whether an incarnation is a worker of any group."""
+        return name in self._slots
+
     def list_names(self) -> set[str]:
         """Return the incarnations of all workers."""
         return set(self._slots)
@@ -132,6 +146,8 @@
         Slots of removed workers are reused, which bounds the size of the groups.
         """
         wanted = {member.name: member for member in members}
+        if wanted == self.by_name:
+            return self
         slots = {
             slot: wanted.pop(member.name)
             for slot, member in self.members.items()
