--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -135,7 +135,8 @@
 def plan_pending_orders(scheduler: Scheduler, now_ms: float) -> list[Order]:
     """Return the due orders to start and stop runs that are already assigned."""
     orders: list[Order] = []
-    for worker in scheduler.workers.values():
+    concerned = [each for each in scheduler.workers.values() if each.pending_runs]
+    for worker in concerned:
         for run in list(worker.pending_runs):
             if run.phase is RunPhase.RUNNING:
                 del worker.pending_runs[run]
