Count a vacancy of the shard across failed watches

What callers saw: nothing runs anew while a shard has no owner, and a less fit instance never claimed it as long as its watches failed and its reads worked.

Cause: an instance that meets fewer of an owner's resource needs leaves the claim to fitter ones for 400 ms. It counted them from its latest listing, and each failed watch leads to another listing, at most 0.2 s later.

Evidence: on virtual time, with watches that fail after 5 ms and all other calls answered, the shard was not claimed within 20 s (both with a lost history and with broken off watches); the bound is 0.7 s: the delay, one pause after a failed call and some calls.

Change: the vacancy is kept across listings that show no owner and the same revision of the epoch key, which each claim changes. An outage of the store doesn't count, as fitter instances couldn't claim either.

Result: both are claimed within the bound; test_fitness, test_outages and test_takeovers pass.

--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -9,7 +9,7 @@
 import json
 import math
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import attrs
 import trio
@@ -30,6 +30,7 @@
 )
 from trefoilhook.logs import Event, describe_failure, find_cause, log_event
 from trefoilhook.platform import (
+    Change,
     Item,
     KeyValueStore,
     Listing,
@@ -44,6 +45,7 @@
 from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.runtime.revisions import RevisionLog
+from trefoilhook.runtime.vacancy import Vacancy
 
 __all__ = ["OWNER_LEASE_MS", "ShardElection", "Ownership"]
 
@@ -211,6 +213,7 @@
         self._stale_lease = 0
         self._sightings: dict[int, float] = {}
         self._revisions = RevisionLog()
+        self._vacancy = Vacancy()
 
     @property
     def is_owner(self) -> bool:
@@ -247,12 +250,17 @@
             epoch = item if item.key == keys.epoch_key(keys.SHARD) else epoch
         self._record_sighting(epoch)
         after = listing.as_of
-        vacant_since_ms = self._clock.monotonic_ms()
+        self._vacancy.note_listing(
+            owner=owner,
+            epoch=epoch,
+            now_ms=self._clock.monotonic_ms(),
+            recovered_ms=self._store.recovered_ms,
+        )
         while not self._resigned:
             if not self._may_claim():
                 # Fitter instances can't claim yet either.
-                vacant_since_ms = self._clock.monotonic_ms()
-            remaining_ms = self._compute_remaining_delay(epoch, vacant_since_ms)
+                self._vacancy.postpone(self._clock.monotonic_ms())
+            remaining_ms = self._compute_remaining_delay(epoch)
             if owner is None and remaining_ms <= 0 and self._can_claim():
                 await self._claim(epoch)
                 return
@@ -272,13 +280,25 @@
                 return
             after = batch.as_of
             self._note_revision(sent_ms, after, is_current=not batch.changes)
-            for change in batch.changes:
-                if change.key == keys.owner_key(keys.SHARD):
-                    owner = change.item
-                    vacant_since_ms = self._clock.monotonic_ms()
-                elif change.key == keys.epoch_key(keys.SHARD):
-                    epoch = change.item
-                    self._record_sighting(epoch)
+            owner, epoch = self._apply_changes(batch.changes, owner, epoch)
+
+    def _apply_changes(
+        self, changes: Iterable[Change], owner: Item | None, epoch: Item | None
+    ) -> tuple[Item | None, Item | None]:
+        """Return the owner's key and the epoch key after the changes of a watch."""
+        has_owner_changed = False
+        for change in changes:
+            if change.key == keys.owner_key(keys.SHARD):
+                owner = change.item
+                has_owner_changed = True
+            elif change.key == keys.epoch_key(keys.SHARD):
+                epoch = change.item
+                self._record_sighting(epoch)
+        if has_owner_changed:
+            self._vacancy.note_owner(
+                owner, epoch=epoch, now_ms=self._clock.monotonic_ms()
+            )
+        return owner, epoch
 
     def _note_revision(
         self, sent_ms: float, as_of: int, *, is_current: bool = True
@@ -307,13 +327,11 @@
         while len(self._sightings) > _MAX_SIGHTINGS:
             del self._sightings[min(self._sightings)]
 
-    def _compute_remaining_delay(
-        self, epoch: Item | None, vacant_since_ms: float
-    ) -> float:
+    def _compute_remaining_delay(self, epoch: Item | None) -> float:
         """Return the remaining time to leave the claim to fitter instances, in ms."""
         # Before the first claim, it is unknown whether a fitter instance exists.
         best = 1.0 if epoch is None else _read_fitness(epoch)
-        waited_ms = self._clock.monotonic_ms() - vacant_since_ms
+        waited_ms = self._clock.monotonic_ms() - self._vacancy.since_ms
         return compute_claim_delay(self._fitness, best) - waited_ms
 
     def _can_claim(self) -> bool:
