Test that interrupted reads of the entries don't hold a task for good

A hypothesis that didn't hold: a task that waits for a worker which is gone, while reading the workers' entries fails every 2.5 s, so that they are never read steadily for 3 s. It starts once the leases of the claim have expired, as a missing entry counts from then on. The test fails if that bound is taken out.

--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -230,6 +230,17 @@
         self.assertEqual(shard.count_starts(after_ms=1000.0), 0)
         self.assertEqual(shard.count_starts(after_ms=2001.0), 1)
 
+    def test_interrupted_reads_do_not_extend_the_wait_for_good(self):
+        # Guards against a task of a worker that is gone which is never started again,
+        # as the entries are never read steadily for long.
+        shard = Successor(build_predecessors("w0", "w1", place="w0"), silent="w0")
+        shard.scheduler.workers.pop("w0")
+        began_ms = shard.now_ms
+        while not shard.count_starts(after_ms=500.0):
+            if (shard.now_ms - began_ms) % 2500.0 == 0.0:
+                shard.scheduler.entries.note_failure()
+            self.assertLess(shard.now_ms, shard.scheduler.limits.settled_at_ms)
+
     def test_service_task_waits_for_the_leases_only(self):
         # Guards against a service task that waits for a listed worker for good.
         shard = Successor(
