--- a/trefoilhook/scheduling/headroom.py
+++ b/trefoilhook/scheduling/headroom.py
@@ -34,11 +34,6 @@
 """Time for which a service task is not placed although there is capacity for it, in ms.
 Users expect a task with capacity for it twice over to be started within 3 s."""
 
-_MAX_LATER_HOLD_MS = 500.0
-"""The same for a task that earlier owners have had for the whole time, beside ample
-capacity, in ms. A new owner does not know for how long they held it; if each began
-anew, owners that follow each other quickly would never start it."""
-
 _AMPLE_PLACES = 2
 """Number of tasks for which there is ample capacity. Urgent tasks that use it for a
 moment do not begin the wait anew."""
@@ -62,7 +57,6 @@
     now_ms, wall_ms : float
         Current time, in ms.
     """
-    scheduler.service_holds.note_round(now_ms, wall_ms)
     demands = scheduler.urgent_demands
     waiting: dict[tuple[str, int], int] = {}
     for tasks in steps:
@@ -127,23 +121,9 @@
         if key not in self._spare:
             self._spare[key] = self._measure(key, workers)
         spare = self._spare[key]
-        if spare is None:
+        if spare is None or self.record_wait(task, workers) >= _MAX_HOLD_MS:
             return None
-        waited_ms = self.record_wait(task, workers)
-        return spare if waited_ms < self._find_max_hold(task) else None
-
-    def _find_max_hold(self, task: TaskState) -> float:
-        """Return the time for which a task that could be placed is held, in ms."""
-        holds = self.scheduler.service_holds
-        hold = holds.find(name_step(task.task))
-        if (
-            hold is not None
-            and hold.is_ample
-            and holds.measure_age(self.now_ms) < _MAX_HOLD_MS
-            and holds.measure_earlier_wait(task.job.job.accepted_ms) >= _MAX_HOLD_MS
-        ):
-            return _MAX_LATER_HOLD_MS
-        return _MAX_HOLD_MS
+        return spare
 
     def is_known_limited(self, task: TaskState) -> bool:
         """Return whether a task with at most its requirements was limited before."""
--- a/trefoilhook/scheduling/service_holds.py
+++ b/trefoilhook/scheduling/service_holds.py
@@ -75,11 +75,6 @@
         self._ample.interrupt(now_ms)
         return waited_ms
 
-    @property
-    def is_ample(self) -> bool:
-        """Whether there is capacity for two of its tasks now."""
-        return self._ample.since_ms is not None and self._ample.interrupted_ms is None
-
     def interrupt(self, now_ms: float) -> None:
         """Record that no worker can host the step."""
         self.interruptions += self._sufficient.interrupted_ms is None
@@ -89,33 +84,10 @@
 
 @attrs.define(kw_only=True)
 class ServiceHolds:
-    """Waits of service steps that could have been placed.
-
-    Parameters
-    ----------
-    began_ms, began_wall_ms : float or None
-        Time of this owner's first round, in ms; None before.
-    """
+    """Waits of service steps that could have been placed."""
 
-    began_ms: float | None = attrs.field(default=None, init=False)
-    began_wall_ms: float | None = attrs.field(default=None, init=False)
     _holds: dict[StepName, Hold] = attrs.field(factory=dict, init=False)
 
-    def note_round(self, now_ms: float, wall_ms: float) -> None:
-        """Record that a round begins."""
-        if self.began_ms is None:
-            self.began_ms, self.began_wall_ms = now_ms, wall_ms
-
-    def measure_earlier_wait(self, accepted_ms: float) -> float:
-        """Return the time from a job's acceptance to the first round, in ms."""
-        if self.began_wall_ms is None:
-            return 0.0
-        return max(0.0, self.began_wall_ms - accepted_ms)
-
-    def measure_age(self, now_ms: float) -> float:
-        """Return the time since this owner's first round, in ms."""
-        return 0.0 if self.began_ms is None else now_ms - self.began_ms
-
     def extend(self, step: StepName, now_ms: float, *, is_ample: bool) -> float:
         """Record that a step could be placed now.
 
