Take the host of a request head from the client at each request

The runtime's tests with hosts of their own (trefoilhook.runtime.tests.cluster, PlainClient) got 404 for each request since request heads are cached: the host was bound when the client was built, while they change it for one request.

The host is now one of the values for which a head is cached.

--- a/trefoilhook/http/client.py
+++ b/trefoilhook/http/client.py
@@ -117,9 +117,7 @@
         max_cached_heads: int = 0,
     ) -> None:
         self._idle_limit = idle_limit
-        self._build_head = functools.lru_cache(maxsize=max_cached_heads)(
-            functools.partial(_build_head, f"{host}:{port}")
-        )
+        self._build_head = functools.lru_cache(maxsize=max_cached_heads)(_build_head)
         self._host = host
         self._port = port
         self._tls = tls
@@ -254,7 +252,11 @@
     def _encode(self, connection: Connection, request: HttpRequest) -> bytes:
         body = request.body
         head = self._build_head(
-            request.method, request.target, request.headers, len(body)
+            f"{self._host}:{self._port}",
+            request.method,
+            request.target,
+            request.headers,
+            len(body),
         )
         data = connection.protocol.send(head)
         data += connection.protocol.send(h11.Data(data=body))
