--- a/trefoilhook/scheduling/tests/test_sharing.py
+++ b/trefoilhook/scheduling/tests/test_sharing.py
@@ -12,6 +12,7 @@
     Step,
     StopOrder,
     StopReason,
+    has_fillers_beside_services,
 )
 from trefoilhook.scheduling.interference import (
     Interference,
@@ -212,6 +213,20 @@
         shard.poll("w0")
         return [order for order in shard.plan() if isinstance(order, PaceOrder)]
 
+    def test_fillers_beside_services_are_told_by_what_runs(self):
+        # Guards against slow readings of a service's latency beside a filler.
+        shard, service, filler = self._start_service_and_filler()
+        worker = shard.scheduler.workers["w0"]
+        self.assertTrue(has_fillers_beside_services(shard.scheduler, worker))
+        shard.end(filler, EndKind.DONE)
+        self.assertFalse(has_fillers_beside_services(shard.scheduler, worker))
+        shard.submit(build_job(_filler("f", count=2), job_id="more"))
+        first, second = list_starts(shard.step())
+        for order, has_both in ((first, True), (service, False), (second, False)):
+            shard.end(order, EndKind.DONE)
+            found = has_fillers_beside_services(shard.scheduler, worker)
+            self.assertEqual(found, has_both)
+
     def test_filler_that_disturbs_service_is_throttled(self):
         shard, service, filler = self._start_service_and_filler()
         (order,) = self._report_tail(shard, service, filler, 60.0)
