Decode member records strictly, and skip odd ones

What callers saw: one member record that is nested too deeply, or is null, true or a number, raised RecursionError or TypeError in every instance that reads the members, which ends them. A record with converted values (port "80", true, 2^53 - 1; an id of null) counted as a member, and one under another key replaced the member whose id it named.

Cause: json.loads and cattrs.structure with ValueError and validation errors caught only, and the conversions of cattrs.

Change: decode with trefoilhook.decoding, ports within 1 to 65,535, the id must be the key's. A record that is left out is logged, once per value by the cache. test_only_changed_records_are_decoded_again counts calls of the new parser in place of those of json.loads, one as before.

Evidence: on the former code test_odd_record_beside_valid_ones, test_record_with_the_id_of_another_member and test_odd_record_is_logged_once fail; trefoilhook.membership.tests.test_members passes with the change.

--- a/trefoilhook/membership/members.py
+++ b/trefoilhook/membership/members.py
@@ -3,16 +3,25 @@
 import functools
 import json
 from collections.abc import Iterable, Iterator
+from typing import Any
 
 import attrs
-import cattrs
 
+from trefoilhook.decoding import (
+    parse_object,
+    read_boolean,
+    read_integer,
+    read_string,
+)
+from trefoilhook.exceptions import DecodeError
+from trefoilhook.logs import Event, log_event
 from trefoilhook.membership.mirror import MirrorEntry
 
 __all__ = ["MEMBERS_PREFIX", "Member", "Members", "decode_members", "encode_member"]
 
 MEMBERS_PREFIX = "root/members/"
 _DECODE_CACHE_SIZE = 4_096
+_MAX_PORT = 65_535
 
 
 @attrs.frozen(kw_only=True)
@@ -79,20 +88,35 @@
     for entry in entries:
         if not entry.key.startswith(MEMBERS_PREFIX):
             continue
-        member = _decode_member(entry.value)
+        member = _decode_member(entry.key, entry.value)
         if member is not None:
             found[member.instance_id] = member
     return Members(by_id=found, revision=revision)
 
 
 @functools.lru_cache(maxsize=_DECODE_CACHE_SIZE)
-def _decode_member(value: bytes) -> Member | None:
-    """Decode one record, or return None if it is invalid.
+def _decode_member(key: str, value: bytes) -> Member | None:
+    """Decode one record; log it and return None if it is invalid.
 
     Cached because all members are decoded after each change of any watched key, such as
     a team's configuration, while few records change at once.
     """
     try:
-        return cattrs.structure(json.loads(value), Member)
-    except (ValueError, cattrs.BaseValidationError):
+        return _read_member(key.removeprefix(MEMBERS_PREFIX), parse_object(value))
+    except DecodeError as error:
+        log_event(Event.ENTRY_INVALID, key=key, error=str(error))
         return None
+
+
+def _read_member(instance_id: str, table: dict[str, Any]) -> Member:
+    if read_string(table, "instance_id", non_empty=True) != instance_id:
+        # It would replace the record of another instance.
+        raise DecodeError("instance_id: not the key's")
+    return Member(
+        instance_id=instance_id,
+        incarnation=read_string(table, "incarnation"),
+        host=read_string(table, "host", non_empty=True),
+        port=read_integer(table, "port", minimum=1, maximum=_MAX_PORT),
+        failure_domain=read_string(table, "failure_domain"),
+        is_leaving=read_boolean(table, "is_leaving", default=False),
+    )
