Keep the last valid shard table when an odd one replaces it

What callers saw: a shard table that is nested too deeply, is no object or lacks its rows raised RecursionError, TypeError, KeyError or AttributeError in the task that serves the shards, so that all instances ended at the same time. An epoch of 2^53 - 1 or a port of true was in force.

Cause: decode_table used json.loads and cattrs, and its callers caught nothing.

Change: strict decoding with DecodeError as the only error; an epoch is at most the table's revision, as each claim increases both. An owner keeps the last valid table and logs an odd one once. Nothing is claimed or handed over until a valid one replaces it, as no instance can prove which epochs were claimed last.

--- a/trefoilhook/shards/core.py
+++ b/trefoilhook/shards/core.py
@@ -12,11 +12,20 @@
 
 import enum
 import json
+from typing import Any
 
 import attrs
-import cattrs
 import xxhash
 
+from trefoilhook.decoding import (
+    check_object,
+    check_string,
+    parse_object,
+    read_integer,
+    read_list,
+    read_object,
+    read_string,
+)
 from trefoilhook.membership import Members
 from trefoilhook.settings import ShardSettings
 
@@ -36,6 +45,8 @@
 
 TABLE_KEY = "root/shards"
 
+_MAX_PORT = 65_535
+
 
 class ShardKind(enum.Enum):
     """What a shard holds."""
@@ -167,13 +178,40 @@
 
     Raises
     ------
-    ValueError
+    DecodeError
         If the value is not a valid table.
     """
-    rows = json.loads(value)["rows"]
+    rows = read_object(parse_object(value), "rows")
     return ShardTable(
         rows={
-            shard_id: cattrs.structure(row, ShardRow) for shard_id, row in rows.items()
+            check_string(shard_id, "rows"): _read_row(
+                check_object(row, "row"), max_epoch=revision
+            )
+            for shard_id, row in rows.items()
         },
         revision=revision,
     )
+
+
+def _read_row(table: dict[str, Any], *, max_epoch: int) -> ShardRow:
+    return ShardRow(
+        owner_id=read_string(table, "owner_id", default=""),
+        incarnation=read_string(table, "incarnation", default=""),
+        # Each claim increases the epoch by one and the revision by at least one. A
+        # larger one was not claimed, and could not be increased any more.
+        epoch=read_integer(table, "epoch", maximum=max_epoch, default=0),
+        host=read_string(table, "host", default=""),
+        port=read_integer(table, "port", maximum=_MAX_PORT, default=0),
+        unmet=tuple(
+            _read_previous_owner(check_object(row, "unmet"))
+            for row in read_list(table, "unmet", default=[])
+        ),
+    )
+
+
+def _read_previous_owner(table: dict[str, Any]) -> PreviousOwner:
+    return PreviousOwner(
+        instance_id=read_string(table, "instance_id", non_empty=True),
+        host=read_string(table, "host"),
+        port=read_integer(table, "port", maximum=_MAX_PORT),
+    )
--- a/trefoilhook/shards/owner.py
+++ b/trefoilhook/shards/owner.py
@@ -8,7 +8,12 @@
 import trio
 
 from trefoilhook.clock import Clock
-from trefoilhook.exceptions import NotSentError, StoreError, TrefoilhookError
+from trefoilhook.exceptions import (
+    DecodeError,
+    NotSentError,
+    StoreError,
+    TrefoilhookError,
+)
 from trefoilhook.inner import Call, InnerNode, PeerState
 from trefoilhook.inner.messages_pb2 import Empty, ShardHandover
 from trefoilhook.logs import Event, log_event
@@ -98,6 +103,7 @@
         self._release_hooks: list[ReleaseHook] = []
         self._handover_handlers: list[HandoverHandler] = []
         self._random = random.Random(membership.instance_id)
+        self._invalid_revision = 0
         inner.register_handler(ShardHandover, self._receive_handover)
 
     @property
@@ -210,6 +216,10 @@
             return True
         except StoreError as error:
             log_event(Event.STORE_DOWN, reason=str(error))
+        except DecodeError:
+            # Logged when the mirror delivers the table. Nothing can be claimed or
+            # handed over until a valid one replaces it.
+            pass
         await self._activate_ready()
         return False
 
@@ -224,9 +234,7 @@
             await self._clock.sleep_ms(_POLL_INTERVAL_MS / 5)
 
     def _apply_table(self) -> None:
-        entry = self._membership.follower.mirror.get(TABLE_KEY)
-        if entry is not None and entry.revision > self._table.revision:
-            self._table = decode_table(entry.value, revision=entry.revision)
+        self._read_table()
         for shard_id in list(self._assignments):
             self._drop_if_reassigned(shard_id)
         member = self._membership.member
@@ -235,6 +243,23 @@
             if is_mine and row.incarnation == member.incarnation:
                 self._assign(shard_id, row)
 
+    def _read_table(self) -> None:
+        """Read the table in the mirror; the last valid one stays in force."""
+        entry = self._membership.follower.mirror.get(TABLE_KEY)
+        known = max(self._table.revision, self._invalid_revision)
+        if entry is None or entry.revision <= known:
+            return
+        try:
+            self._table = decode_table(entry.value, revision=entry.revision)
+        except DecodeError as error:
+            self._invalid_revision = entry.revision
+            log_event(
+                Event.ENTRY_INVALID,
+                key=TABLE_KEY,
+                revision=entry.revision,
+                error=str(error),
+            )
+
     def _assign(self, shard_id: str, row: ShardRow) -> None:
         self._membership.activate_incarnation()
         assignment = self._assignments.get(shard_id)
--- a/trefoilhook/shards/tests/cluster.py
+++ b/trefoilhook/shards/tests/cluster.py
@@ -16,6 +16,7 @@
     VirtualStore,
     VirtualStoreClient,
 )
+from trefoilhook.store import SwapRequest
 
 SETTINGS = MembershipSettings()
 SHARDS = ShardSettings(request_shards=9, worker_shards=1)
@@ -119,6 +120,16 @@
                     owners[shard_id].append(instance.instance_id)
         return owners
 
+    def overwrite(self, key: str, value: bytes) -> None:
+        """Write a key as another program would, whatever its revision."""
+        current = self.store.state.get(key)
+        request = SwapRequest(
+            key=key,
+            value=value,
+            expected_revision=current.revision if current is not None else 0,
+        )
+        self.store.apply("swap", lambda state: state.swap(request))
+
     def find_owners(self, shard_id: str) -> list[str]:
         """Return the instances that may serve a shard now."""
         return [
