--- a/trefoilhook/journal/core.py
+++ b/trefoilhook/journal/core.py
@@ -16,6 +16,7 @@
 
 from trefoilhook.clock import Clock
 from trefoilhook.exceptions import (
+    DecodeError,
     FencedError,
     StoreError,
     StoreRateError,
@@ -402,9 +403,12 @@
 
 
 def _decode_entry(entry: StoreEntry) -> _StoredPage:
+    try:
+        page = decode_page(entry.value)
+    except DecodeError as error:
+        # The records are unknown until the page is valid again, as in an outage.
+        message = f"{entry.key} is unreadable: {error}"
+        raise StoreUnavailableError(message) from error
     return _StoredPage(
-        key=entry.key,
-        page=decode_page(entry.value),
-        revision=entry.revision,
-        size=len(entry.value),
+        key=entry.key, page=page, revision=entry.revision, size=len(entry.value)
     )
--- a/trefoilhook/journal/head.py
+++ b/trefoilhook/journal/head.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
-from trefoilhook.exceptions import FencedError, StoreUnavailableError
+from trefoilhook.exceptions import DecodeError, FencedError, StoreUnavailableError
 from trefoilhook.journal.generations import name_generation
 from trefoilhook.journal.pages import Head, decode_head, encode_head
 from trefoilhook.store import (
@@ -60,7 +60,7 @@
         entry = await self._store.get(self._key)
         generation, revision = name_generation(epoch=self._epoch, number=0), 0
         if entry is not None:
-            head = decode_head(entry.value)
+            head = self._decode(entry.value)
             self._check_epoch(head)
             generation, revision = head.generation, entry.revision
         self._revision = revision
@@ -81,7 +81,7 @@
             revision = await self._swap(self._key, encode_head(head), self._revision)
         except ConflictError as conflict:
             if conflict.current is not None:
-                self._check_epoch(decode_head(conflict.current.value))
+                self._check_epoch(self._decode(conflict.current.value))
             raise
         except StoreUnavailableError as error:
             if not error.is_proved_unsent:
@@ -106,7 +106,7 @@
             If a later owner has written to the journal.
         """
         entry = await self._store.get(self._key)
-        if entry is None or decode_head(entry.value).nonce != self._nonce:
+        if entry is None or self._decode(entry.value).nonce != self._nonce:
             raise FencedError(f"{self._key} was written by another owner")
 
     async def resolve(self) -> None:
@@ -135,7 +135,7 @@
     def _adopt_change(self, conflict: ConflictError) -> None:
         if conflict.current is None:
             raise conflict
-        head = decode_head(conflict.current.value)
+        head = self._decode(conflict.current.value)
         if head.nonce not in self._unconfirmed:
             raise FencedError(f"{self._key} was written by another owner") from conflict
         self._revision = conflict.current.revision
@@ -143,6 +143,14 @@
         self.generation = head.generation
         self._unconfirmed.clear()
 
+    def _decode(self, value: bytes) -> Head:
+        """Decode the head; an unreadable one counts as an outage of the store."""
+        try:
+            return decode_head(value)
+        except DecodeError as error:
+            message = f"{self._key} is unreadable: {error}"
+            raise StoreUnavailableError(message) from error
+
     def _check_epoch(self, head: Head) -> None:
         if head.epoch > self._epoch:
             raise FencedError(f"{self._key} belongs to epoch {head.epoch}")
--- a/trefoilhook/journal/pages.py
+++ b/trefoilhook/journal/pages.py
@@ -2,16 +2,20 @@
 
 import json
 from collections.abc import Sequence
-from typing import Any
+from typing import TypeVar
 
 import attrs
 import cattrs
 
+from trefoilhook.decoding import parse_object
+from trefoilhook.exceptions import DecodeError, SettingsError
 from trefoilhook.jobs import JobRecord
+from trefoilhook.settings import read_message
 
 __all__ = ["Head", "Page", "decode_head", "decode_page", "encode_head", "encode_page"]
 
 _CONVERTER = cattrs.Converter(omit_if_default=True)
+_T = TypeVar("_T")
 
 
 @attrs.frozen(kw_only=True)
@@ -73,10 +77,10 @@
 
     Raises
     ------
-    ValueError
+    DecodeError
         If the value is not a page.
     """
-    return _CONVERTER.structure(_load(value), Page)
+    return _decode(Page, value)
 
 
 def decode_head(value: bytes) -> Head:
@@ -84,17 +88,18 @@
 
     Raises
     ------
-    ValueError
+    DecodeError
         If the value is not a head.
     """
-    return _CONVERTER.structure(_load(value), Head)
+    return _decode(Head, value)
 
 
-def _load(value: bytes) -> dict[str, Any]:
-    plain = json.loads(value)
-    if not isinstance(plain, dict):
-        raise ValueError("journal value is not a JSON object")
-    return plain
+def _decode(kind: type[_T], value: bytes) -> _T:
+    table = parse_object(value)
+    try:
+        return read_message(kind, table)
+    except SettingsError as error:
+        raise DecodeError(f"not a {kind.__name__.lower()} of a journal") from error
 
 
 def estimate_size(records: Sequence[JobRecord]) -> int:
