Refuse answers of services that are nested too deeply

What callers saw: an answer of the store, a worker or the instance list that is nested too deeply raised RecursionError in the process that reads it.

Cause: HttpResponse.parse_json calls json.loads, and the callers here catch ValueError and validation errors only.

Change: parse with trefoilhook.decoding, in decode_response and parse_error_name.

--- a/trefoilhook/exchange/core.py
+++ b/trefoilhook/exchange/core.py
@@ -6,7 +6,8 @@
 
 import cattrs
 
-from trefoilhook.exceptions import AnswerLostError
+from trefoilhook.decoding import parse_json
+from trefoilhook.exceptions import AnswerLostError, DecodeError
 from trefoilhook.http import HttpResponse, JsonClient
 
 __all__ = [
@@ -48,8 +49,8 @@
         but its result is unknown.
     """
     try:
-        return _CONVERTER.structure(response.parse_json(), kind)
-    except (ValueError, cattrs.BaseValidationError) as error:
+        return _CONVERTER.structure(parse_json(response.body), kind)
+    except (DecodeError, ValueError, cattrs.BaseValidationError) as error:
         raise AnswerLostError(
             f"response with status {response.status} cannot be decoded"
         ) from error
@@ -58,8 +59,8 @@
 def parse_error_name(response: HttpResponse) -> str:
     """Return the error name in a response body; empty if there is none."""
     try:
-        value = response.parse_json()
-    except ValueError:
+        value = parse_json(response.body)
+    except DecodeError:
         return ""
     name = value.get("error", "") if isinstance(value, dict) else ""
     return name if isinstance(name, str) else ""
--- a/trefoilhook/exchange/tests/test_responses.py
+++ b/trefoilhook/exchange/tests/test_responses.py
@@ -34,6 +34,9 @@
             (200, b'{"other": 1}'),
             (500, b""),
             (503, b'{"error": 7}'),
+            # Guards against an answer on which the parser raises RecursionError.
+            (200, b"[" * 100_000),
+            (500, b'{"error":' * 100_000),
             (409, b'{"error": "conflict", "current": 5}'),
         ]
         table = [
@@ -44,7 +47,7 @@
             (400, b"{}", "swap", StoreError),
             *(
                 (status, body, "command", AnswerLostError)
-                for status, body in malformed[:5]
+                for status, body in malformed[:-1]
             ),
             (200, b'{"results": []}', "command", AnswerLostError),
             (400, b"", "command", RequestError),
