--- a/trefoilhook/runtime/core.py
+++ b/trefoilhook/runtime/core.py
@@ -112,7 +112,7 @@
         self._answers_seen = 0
         self._answered_ms = clock.monotonic_ms()
         self.metrics = ProcessMetrics()
-        self._rejections = Rejections(metrics=self.metrics)
+        self._rejections = Rejections(clock=clock, metrics=self.metrics)
         self._configuration_feed = ConfigurationFeed(
             clock=clock,
             rejections=self._rejections,
--- a/trefoilhook/runtime/tests/test_evacuations.py
+++ b/trefoilhook/runtime/tests/test_evacuations.py
@@ -47,9 +47,10 @@
     def setUp(self):
         self.time = ManualTime()
         self.metrics = ProcessMetrics()
+        clock = build_manual_clock(self.time)
         self.feed = EvacuationFeed(
-            clock=build_manual_clock(self.time),
-            rejections=Rejections(metrics=self.metrics),
+            clock=clock,
+            rejections=Rejections(clock=clock, metrics=self.metrics),
             evacuation_ms=5000.0,
             failure_domains=(EAST, "west"),
         )
--- a/trefoilhook/runtime/tests/test_incarnations.py
+++ b/trefoilhook/runtime/tests/test_incarnations.py
@@ -241,7 +241,7 @@
         scheduler=shard.scheduler,
         committer=types.SimpleNamespace(committed=trio.Event()),
         metrics=metrics,
-        rejections=Rejections(metrics=metrics),
+        rejections=Rejections(clock=clock, metrics=metrics),
         notify=lambda: None,
         on_ownership_lost=lambda: None,
         on_first_answer=lambda: None,
