Read a busy list of workers at a bounded rate

What callers would see: one entry under the workers' prefix that changes 300 times a second makes the owner read the list, decode the entry and wake its tasks as often, from the rate limit of the store that all its other calls share, and on the time of its event loop.

Cause: a watch is repeated as soon as it is answered, and is answered as soon as anything changes.

Change: follow() takes a minimum time between two watches that return changes, 50 ms for the entries of workers, and then drops writes that the next change of the key overwrites. A write before a removal stays, as it tells whether the worker was drained. Keys of operators and jobs are read as before.

--- a/trefoilhook/runtime/following.py
+++ b/trefoilhook/runtime/following.py
@@ -1,7 +1,7 @@
 """Follows the keys under a prefix in the store: a listing, then watches from there."""
 
 import enum
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import attrs
 
@@ -116,6 +116,21 @@
     )
 
 
+def _drop_superseded(changes: Iterable[Change]) -> list[Change]:
+    """Return the changes without writes of keys that the next change writes again.
+
+    A write before a removal is kept, as it may tell why the key was removed.
+    """
+    kept: list[Change] = []
+    is_written_next: dict[str, bool] = {}
+    for change in reversed(list(changes)):
+        is_write = change.item is not None
+        if not (is_write and is_written_next.get(change.key, False)):
+            kept.append(change)
+        is_written_next[change.key] = is_write
+    return kept[::-1]
+
+
 def _ignore() -> None:
     """Do nothing."""
 
@@ -134,6 +149,7 @@
     listing: Listing | None = None,
     note_read: Callable[[KeyRead], None] | None = None,
     note_failure: Callable[[], None] | None = None,
+    collect_ms: float = 0.0,
 ) -> None:
     """Report every change under a prefix, until cancelled.
 
@@ -155,6 +171,10 @@
         Called after each answer, once its changes have been applied.
     note_failure : callable, optional
         Called when a read failed or changes may have been missed.
+    collect_ms : float, optional
+        Minimum time between two watches that return changes, in ms, in which changes
+        collect. Of writes of a key in a row only the last one is then reported. Without
+        it, a key that changes all the time is read as often as the store answers.
     """
     failed = note_failure or _ignore
     note = note_read or _ignore_read
@@ -190,7 +210,7 @@
             wait_ms = 0
             await store.wait_for_retry(_RETRY_PAUSE_MS)
             continue
-        for change in batch.changes:
+        for change in _drop_superseded(batch.changes) if collect_ms else batch.changes:
             take_change(change)
         after = batch.as_of
         # A watch without changes was answered at the end of its wait.
@@ -199,3 +219,6 @@
         kind = ReadKind.WATCH if wait_ms else ReadKind.POLL
         wait_ms = _SHORT_WAIT_MS if batch.changes else WATCH_WAIT_MS
         note(KeyRead(kind=kind, confirmed_ms=confirmed_ms))
+        pause_ms = sent_ms + collect_ms - clock.monotonic_ms()
+        if batch.changes and pause_ms > 0.0:
+            await clock.sleep_ms(pause_ms)
--- a/trefoilhook/runtime/tests/test_following.py
+++ b/trefoilhook/runtime/tests/test_following.py
@@ -7,8 +7,13 @@
 
 from trefoilhook.clock import build_system_clock
 from trefoilhook.exceptions import StoreUnavailableError
-from trefoilhook.platform import Change, Changes, KeyValueStore, Listing
-from trefoilhook.runtime.following import WATCH_WAIT_MS, KeyRead, follow
+from trefoilhook.platform import Change, Changes, Item, KeyValueStore, Listing
+from trefoilhook.runtime.following import (
+    WATCH_WAIT_MS,
+    KeyRead,
+    _drop_superseded,
+    follow,
+)
 
 _TIMEOUT_MS = 1000.0
 _MAX_OVERDUE_MS = 450.0
@@ -192,3 +197,71 @@
                 targets = self._list_targets(answer)
                 self.assertIn(b"/trefoilhook/kv-watch", targets[0])
                 self.assertFalse([each for each in targets if b"kv-range" in each])
+
+
+class _BusyStore(_Store):
+    """A store in which one key is written every few milliseconds."""
+
+    _PERIOD_S = 1.0 / 300.0
+
+    def __init__(self) -> None:
+        super().__init__(unanswered=0)
+
+    async def watch(
+        self, prefix: str, *, after: int, wait_ms: int, note_received
+    ) -> Changes:
+        self.waits_ms.append(wait_ms)
+        await trio.sleep(self._PERIOD_S)
+        revision = int(trio.current_time() / self._PERIOD_S)
+        changes = tuple(_write(prefix + "k", each) for each in range(after, revision))
+        return Changes(changes=changes, as_of=revision)
+
+
+def _write(key: str, revision: int) -> Change:
+    item = Item(key=key, value=b"", revision=revision, created=1)
+    return Change(key=key, revision=revision, item=item)
+
+
+class CollectionTest(unittest.TestCase):
+    """Tests of keys that change all the time."""
+
+    def test_busy_key_is_read_at_a_bounded_rate(self):
+        # Guards against one key that changes hundreds of times a second: an owner would
+        # read it as often, which uses up its time and the store's rate limit.
+        store = _BusyStore()
+        taken: list[Change] = []
+        reads: list[KeyRead] = []
+
+        async def main() -> None:
+            with trio.move_on_after(10.0):
+                await follow(
+                    store,
+                    "servers/",
+                    clock=build_system_clock(),
+                    take_listing=lambda listing: None,
+                    take_change=taken.append,
+                    note_read=reads.append,
+                    collect_ms=50.0,
+                )
+
+        trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+        self.assertLessEqual(len(store.waits_ms), 201)
+        self.assertLessEqual(len(taken), 201)
+        self.assertGreater(taken[-1].revision, 2_900)
+        self.assertGreater(len(reads), 190)
+
+    def test_only_superseded_writes_are_left_out(self):
+        # Guards against a lost removal, or a lost write before one: the last entry of a
+        # worker tells whether it was drained.
+        gone = Change(key="a", revision=4, item=None)
+        changes = [
+            _write("a", 1),
+            _write("b", 2),
+            _write("a", 3),
+            gone,
+            _write("a", 5),
+            _write("b", 6),
+            _write("a", 7),
+        ]
+        kept = [each.revision for each in _drop_superseded(changes)]
+        self.assertEqual(kept, [3, 4, 6, 7])
--- a/trefoilhook/runtime/workerfeed.py
+++ b/trefoilhook/runtime/workerfeed.py
@@ -29,6 +29,12 @@
 
 __all__ = ["WorkerFeed"]
 
+_COLLECT_MS = 50.0
+"""Minimum time between two reads of changed entries, in ms. Hundreds of workers write
+one with each heartbeat, and another writer may change one at any rate; the news of the
+workers' tasks comes from polls. It is a hundredth of the time in which an evacuation
+must take effect, and 20 reads a second are a twentieth of the store's rate limit."""
+
 
 class WorkerFeed:
     """Reads worker entries during one ownership.
@@ -87,6 +93,7 @@
             listing=listing,
             note_read=lambda read: self._scheduler.entries.note_read(read.confirmed_ms),
             note_failure=self._scheduler.entries.note_failure,
+            collect_ms=_COLLECT_MS,
         )
 
     def retry_unknown_services(self) -> None:
