Refuse jobs with more tasks than an owner can hold

What callers would see: a submission of 20,000 steps with 100,000 tasks each, or of 100,000 repeats with 100,000 tasks, is within the bounds of each field and accepted. Its owner then creates all tasks that are due, and ends for lack of memory or is busy for longer than its lease; the next owner reads the same record, and so on.

Cause: bounds for the tasks of a step and for the repeats of a job, none for their products.

Change: at most 250,000 tasks in an occurrence, the number of batch tasks of a whole deployment of the size aimed at, and 1,000,000 in all occurrences. A submission is refused; a record in the store is held back like any that is unreadable.

--- a/trefoilhook/platform/declarations.py
+++ b/trefoilhook/platform/declarations.py
@@ -136,7 +136,7 @@
     """
     try:
         table = _drop_nulls(parse_object(body))
-        return Job(
+        job = Job(
             job_id=job_id,
             queue=queue,
             accepted_ms=accepted_ms,
@@ -150,6 +150,9 @@
         )
     except DecodeError as error:
         raise RequestError(f"not a job: {error}") from error
+    if job.is_too_large:
+        raise RequestError("not a job: steps: too many tasks")
+    return job
 
 
 # The configuration.
--- a/trefoilhook/scheduling/models.py
+++ b/trefoilhook/scheduling/models.py
@@ -18,6 +18,14 @@
     "parse_task_id",
 ]
 
+_MAX_TASKS = 250_000
+"""Maximum number of tasks of one occurrence of a job. It is the number of batch tasks
+of a whole deployment of the size aimed at; each takes about 1 kB of the owner."""
+
+_MAX_ALL_TASKS = 1_000_000
+"""Maximum number of tasks of all occurrences of a job, all of which may be due at once
+under an owner that takes over later."""
+
 
 @attrs.frozen(kw_only=True)
 class Demand:
@@ -158,6 +166,12 @@
         """Number of tasks of one occurrence."""
         return sum(step.count for step in self.steps)
 
+    @property
+    def is_too_large(self) -> bool:
+        """Whether its tasks would exhaust the memory or the time of an owner."""
+        tasks = self.tasks
+        return tasks > _MAX_TASKS or tasks * self.occurrences > _MAX_ALL_TASKS
+
     def estimate_work(self) -> float:
         """Estimate the work of one occurrence, in core-milliseconds."""
         return sum(step.count * step.estimate_task_work() for step in self.steps)
