List a group's workers in a time bounded by their number

What callers would see: a record of the groups with one slot of 2^53 - 1 is valid, and each owner that reads it loops over all slots when it lists the first group: its event loop stands still, its lease ends, and the next owner does the same.

Cause: list_group passes over the slots up to the largest one.

Change: with fewer workers than slots of a group, pass over the workers.

Evidence: on the former code test_slots_of_any_size doesn't end within 20 s; with the change trefoilhook.takeover passes (78 tests).

--- a/trefoilhook/takeover/groups.py
+++ b/trefoilhook/takeover/groups.py
@@ -72,11 +72,12 @@
 
     def list_group(self, job_id: str) -> list[str]:
         """Return the incarnations in the group of a job."""
-        return [
-            self.members[slot].name
-            for slot in range(self.find_group(job_id), self._end_slot, self.count)
-            if slot in self.members
-        ]
+        group = self.find_group(job_id)
+        slots: Sequence[int] = range(group, self._end_slot, self.count)
+        if self._end_slot // self.count > len(self.members):
+            # A record in the store may have a slot of any size.
+            slots = sorted(slot for slot in self.members if slot % self.count == group)
+        return [self.members[slot].name for slot in slots if slot in self.members]
 
     def covers(self, job_id: str, name: str) -> bool:
         """Return whether a worker is in the group of a job."""
--- a/trefoilhook/takeover/tests/test_groups.py
+++ b/trefoilhook/takeover/tests/test_groups.py
@@ -24,6 +24,21 @@
         self.assertEqual(groups.list_group(find_job(groups, 0)), ["a", "c"])
         self.assertEqual(groups.list_group(find_job(groups, 1)), ["b", "d"])
 
+    def test_slots_of_any_size(self) -> None:
+        """Guards against a record with a slot of 2^53 - 1 that blocks its reader."""
+        members = dict(
+            zip((0, 3, 2**53 - 1), _build_members({"a", "b", "c"}), strict=True)
+        )
+        for count in (1, 2, 3, 2**53 - 1):
+            with self.subTest(count):
+                groups = WorkerGroups(epoch=1, count=count, members=members)
+                for number in range(20):
+                    names = groups.list_group(str(number))
+                    covered = [
+                        name for name in "abc" if groups.covers(str(number), name)
+                    ]
+                    self.assertEqual(names, covered)
+
     def test_unknown_worker_is_in_no_group(self) -> None:
         """Guards against starts that no successor knows."""
         groups = build_groups("a", count=1)
