Decode the health responses of executors strictly

What callers would see: a response that is nested too deeply, or with the number 1e999, raised RecursionError or OverflowError in the process that asked; -1 and "8" were taken for numbers of slots.

Change: parse_object and read_integer; an invalid response is AnswerLostError, as others were.

Evidence: test_odd_health_responses fails on the former code in 4 of 5 cases (2 errors, 2 failures) and passes with the change; trefoilhook.executors passes (7).

--- a/trefoilhook/executors/core.py
+++ b/trefoilhook/executors/core.py
@@ -12,7 +12,8 @@
 import attrs
 import h11
 
-from trefoilhook.exceptions import AnswerLostError, NotSentError
+from trefoilhook.decoding import parse_object, read_integer
+from trefoilhook.exceptions import AnswerLostError, DecodeError, NotSentError
 from trefoilhook.http import HttpClient, HttpRequest
 from trefoilhook.http.client import Connection
 
@@ -182,11 +183,11 @@
         request = HttpRequest(method="GET", target="/health")
         response = await self._health_client.send(request, timeout_ms=timeout_ms)
         try:
-            value = response.parse_json()
+            table = parse_object(response.body)
             return ExecutorHealth(
-                slots=int(value["slots"]), in_use=int(value["in_use"])
+                slots=read_integer(table, "slots"), in_use=read_integer(table, "in_use")
             )
-        except (ValueError, KeyError, TypeError) as error:
+        except DecodeError as error:
             raise AnswerLostError(
                 "executor health response cannot be decoded"
             ) from error
--- a/trefoilhook/executors/tests/test_executors.py
+++ b/trefoilhook/executors/tests/test_executors.py
@@ -130,6 +130,23 @@
 
         trio.run(scenario)
 
+    def test_odd_health_responses(self):
+        # Guards against a response that ends the process of its reader: nested too
+        # deeply, or with a number that no integer can hold.
+        async def scenario(executor, client):
+            for bad in (
+                b"[" * 100_000,
+                b'{"slots": 1e999, "in_use": 0}',
+                b'{"slots": NaN, "in_use": 0}',
+                b'{"slots": -1, "in_use": 0}',
+                b'{"slots": "8", "in_use": true}',
+            ):
+                executor.health = bad
+                with self.subTest(bad[:20]), self.assertRaises(AnswerLostError):
+                    await client.get_health(timeout_ms=5_000)
+
+        run_with(scenario)
+
     def test_health(self):
         async def scenario(executor, client):
             health = await client.get_health(timeout_ms=5_000)
