--- a/trefoilhook/runtime/tests/test_incarnations.py
+++ b/trefoilhook/runtime/tests/test_incarnations.py
@@ -247,7 +247,7 @@
         scheduler=shard.scheduler,
         committer=types.SimpleNamespace(wait_until=_wait_forever),
         metrics=metrics,
-        rejections=Rejections(metrics=metrics),
+        rejections=Rejections(clock=clock, metrics=metrics),
         notify=lambda: None,
         on_ownership_lost=lambda: None,
         on_first_answer=lambda: None,
