--- a/trefoilhook/runtime/tests/test_elections.py
+++ b/trefoilhook/runtime/tests/test_elections.py
@@ -115,7 +115,7 @@
             name="i0",
             run_owner=note_claim,
             may_claim=lambda: True,
-            rejections=Rejections(metrics=metrics),
+            rejections=Rejections(clock=clock, metrics=metrics),
             metrics=metrics,
             fitness=_FITNESS,
         )
