Bound the wait for stored ends within a task lease

By the review's arithmetic: a poll of 1.5 s, a wait of up to 0.8 s (200 ms extended by the loop's lag) and a poll that times out after 2.7 s take 5.0 s, a whole task lease, so that one lost poll of a lagging owner could cost the leases on a worker. The wait is 0.4 s at most: 4.6 s.

--- a/trefoilhook/runtime/polling.py
+++ b/trefoilhook/runtime/polling.py
@@ -55,6 +55,10 @@
 they are listed again, together with later ends. It is extended by the lag of the event
 loop, which delays the write as well: the repeated polls would add to the lag."""
 
+_MAX_COMMIT_WAIT_MS = 400.0
+"""Maximum of this delay with the lag, in ms. After a poll that waits for 1,500 ms, it,
+and a poll that times out after 2,700 ms, the next one is within a task lease of 5 s."""
+
 _POLL_RETRY_PAUSE_MS = 200.0
 """Pause after a failed poll, in ms."""
 
@@ -249,7 +253,7 @@
             acknowledge(worker)
             return not worker.unacknowledged and worker.first_unreadable_end is None
 
-        wait_ms = self._extend_timeout(_COMMIT_WAIT_MS)
+        wait_ms = min(_MAX_COMMIT_WAIT_MS, self._extend_timeout(_COMMIT_WAIT_MS))
         with trio.move_on_after(wait_ms / 1000.0):
             await self._committer.wait_until(is_acknowledged)
 
