Write the changes of jobs that have waited longest first

Found by the review: each batch was chosen anew from a set with a fixed order, so that with a slow store (0.4 s a call) and all jobs changing, 45 of 200 jobs were written in 15 s and the others never; their workers' ends were never acknowledged.

Ends of jobs come first, then the changes that were the first to be unsaved. The review's test failed before and passes.

--- a/trefoilhook/scheduling/changes.py
+++ b/trefoilhook/scheduling/changes.py
@@ -33,7 +33,7 @@
 
 
 def collect_changes(scheduler: Scheduler) -> list[JobChange]:
-    """Return the changes to save, ends of jobs first."""
+    """Return the changes to save, ends of jobs first, then the oldest."""
     changes = [
         JobChange(
             state=state,
@@ -44,7 +44,9 @@
         )
         for state in scheduler.dirty
     ]
-    changes.sort(key=lambda change: not change.is_end)
+    changes.sort(
+        key=lambda change: (not change.is_end, change.state.min_unsaved_version)
+    )
     return changes
 
 
