--- a/trefoilhook/scheduling/changes.py
+++ b/trefoilhook/scheduling/changes.py
@@ -57,6 +57,8 @@
     if change.is_first_start:
         state.is_listed_waiting = False
     if change.is_end:
+        # Nothing else is kept of an ended job.
+        state.saved_version = max(state.saved_version, state.version)
         state.phase_saved = True
         state.revision = revision
         state.progress_revision = 0
