Keep records of accepted jobs readable whatever their number of tasks

Found by the review: the bounds on new jobs were applied to records as well, so that a job accepted before, such as 20 tasks each minute for ten weeks, would have been held back by each owner after an update (LOST), and no status told of an ended one.

Only submissions are refused beyond 250,000 tasks in an occurrence and 1,000,000 in all.

--- a/trefoilhook/scheduling/models.py
+++ b/trefoilhook/scheduling/models.py
@@ -23,6 +23,10 @@
 """Maximum number of tasks of one occurrence of a job. It is the number of batch tasks
 of a whole deployment of the size aimed at; each takes about 1 kB of the owner."""
 
+_MAX_HELD_TASKS = 2_500_000
+"""Maximum number of tasks of one occurrence of a job that is already recorded. They
+would take 2 GB, four times the memory of a large instance, so that no owner runs it."""
+
 _MAX_ALL_TASKS = 1_000_000
 """Maximum number of tasks of all occurrences of a job, all of which may be due at once
 under an owner that takes over later."""
@@ -169,10 +173,15 @@
 
     @property
     def is_too_large(self) -> bool:
-        """Whether its tasks would exhaust the memory or the time of an owner."""
+        """Whether it has too many tasks to be accepted."""
         tasks = self.tasks
         return tasks > _MAX_TASKS or tasks * self.occurrences > _MAX_ALL_TASKS
 
+    @property
+    def exceeds_memory(self) -> bool:
+        """Whether no owner can hold the tasks of one occurrence."""
+        return self.tasks > _MAX_HELD_TASKS
+
     def estimate_work(self) -> float:
         """Estimate the work of one occurrence, in core-milliseconds."""
         return sum(step.count * step.estimate_task_work() for step in self.steps)
--- a/trefoilhook/scheduling/records.py
+++ b/trefoilhook/scheduling/records.py
@@ -202,7 +202,7 @@
         phase=read_choice(table, "phase", _PHASES),
         queue=read_queue(table["queue"]) if "queue" in table else None,
     )
-    if record.job.is_too_large:
+    if record.job.exceeds_memory:
         raise DecodeError("steps: too many tasks")
     if "location" in table:
         record = attrs.evolve(record, location=read_string(table, "location"))
