Discard only the retention lease that a write has lost

Found by the review: a write that is answered late that its lease is lost discarded the lease granted meanwhile, so that the records of jobs ended later had none and stayed in the store for good. With several writes at a time that is likely after each loss.

Each write compares the lease that it was sent with. The review's test failed before and passes.

--- a/trefoilhook/runtime/commits.py
+++ b/trefoilhook/runtime/commits.py
@@ -218,6 +218,7 @@
                 nursery.start_soon(write, changes)
 
     async def _write(self, changes: list[JobChange]) -> None:
+        lease = self._retention_lease
         transaction = self._build(changes)
         try:
             revision = await self._store.commit(transaction)
@@ -225,7 +226,8 @@
             self._resolve(changes, {item.key: item for item in error.items})
             return
         except LeaseLostError:
-            self._retention_lease = 0
+            if self._retention_lease == lease:
+                self._retention_lease = 0
             return
         except StoreError:
             await self._store.wait_for_retry(_RETRY_PAUSE_MS)
