--- a/trefoilhook/runtime/commits.py
+++ b/trefoilhook/runtime/commits.py
@@ -65,6 +65,10 @@
 the ends of jobs, for which clients wait."""
 
 
+_MAX_FLUSHES = 2
+"""Number of times that the last changes of an ownership are written."""
+
+
 def _count_rows(change: JobChange) -> int:
     """Return the number of rows that a change takes in a transaction."""
     return 2 + int(change.is_end) + int(change.is_first_start)
@@ -206,7 +210,15 @@
             self._wake.set()
 
     async def flush(self) -> None:
-        """Write each pending change once, after `run` has been cancelled."""
+        """Write all pending changes, after `run` has been cancelled.
+
+        A write that fails because an interrupted one has taken effect is repeated.
+        """
+        for _ in range(_MAX_FLUSHES):
+            if self._scheduler.dirty:
+                await self._write_all()
+
+    async def _write_all(self) -> None:
         limiter = trio.CapacityLimiter(_MAX_WRITES)
 
         async def write(changes: list[JobChange]) -> None:
