--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -703,6 +703,7 @@
             self.wake()
         elif isinstance(order, StartOrder):
             self._recovery.record(RecoveryStep.STARTED)
+            self._committer.wake()
 
 
 def _may_wait(order: Order) -> bool:
