Place service tasks that have waited too long beside capacity

What callers saw: a task that is to last doesn't run, with room for it. Each reason for which a service task isn't placed had a limit of its own, but nothing limited them in a row, and the one clock that there was (2 s, kept for urgent tasks) stopped whenever the owner saw no room by its own count: workers reserved for other steps or for isolated runs counted as full there. So a task of 1.5 cores waited for over 20 s beside 3 free cores while a larger task had one reservation of that worker after the other, and suspected tasks waited for their turn in isolation, two at a time (16.4 s for eight tasks beside idle workers, before).

Now one clock counts what users see: for how long there has been capacity for two such tasks, on workers that can run it, whoever they are reserved for. From 2 s on the step is overdue, and is placed wherever it fits: on reserved workers, on those where it failed, without a turn in isolation, and without leaving capacity to urgent tasks. A run beyond the maximum of isolated workers doesn't reserve its worker. Nothing that protects against a second run of a task changes: leases, places and held tasks.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -1,5 +1,6 @@
 """Assignment of waiting tasks to workers in one round over all of them."""
 
+import itertools
 from collections.abc import Iterable
 
 import attrs
@@ -21,6 +22,7 @@
 from trefoilhook.scheduling.messages import StopReason
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.overcommitment import relieve_overcommitted
+from trefoilhook.scheduling.overdue import record_waits
 from trefoilhook.scheduling.ranking import StepRank, get_lateness, rank_step
 from trefoilhook.scheduling.reserving import reserve_workers, update_reservations
 from trefoilhook.scheduling.rounds import (
@@ -172,6 +174,8 @@
             [each for each in migration_candidates if each.run.is_throttled],
         )
         reserve_for_starved_jobs(assignment_round, ready)
+        unplaced = (task for tasks in ready for task in tasks if not task.attempts)
+        record_waits(scheduler, itertools.chain(held, unplaced), now_ms)
     started = [state for state in assignment_round.started if state.attempts]
     _record_lateness(started, wall_ms)
     scheduler.overtaking.record_round(
@@ -299,6 +303,7 @@
     headroom = assignment_round.headroom
     holds = assignment_round.scheduler.service_holds
     step = name_step(tasks[0].task)
+    is_overdue = assignment_round.is_overdue(tasks[0])
     is_concerned = headroom.concerns(tasks[0])
     if is_concerned and headroom.is_limited(step):
         return
@@ -311,7 +316,9 @@
         holds.interrupt(step, assignment_round.now_ms)
         reserve_workers(assignment_round, tasks)
         return
-    if not assignment_round.isolation.may_start(tasks[0], assignment_round.now_ms):
+    if not assignment_round.isolation.may_start(
+        tasks[0], assignment_round.now_ms, is_overdue=is_overdue
+    ):
         waits.record(step, WaitReason.ISOLATED, assignment_round.now_ms)
         return
     if (
@@ -405,7 +412,9 @@
     """Assign tasks of one step; return the demand that proved infeasible, if any."""
     candidates: Candidates | None = None
     limit = None
-    if assignment_round.headroom.concerns(tasks[0]):
+    if assignment_round.headroom.concerns(tasks[0]) and not (
+        assignment_round.is_overdue(tasks[0])
+    ):
         limit = assignment_round.headroom.find_limit(
             tasks[0], assignment_round.list_open(tasks[0])
         )
--- a/trefoilhook/scheduling/candidates.py
+++ b/trefoilhook/scheduling/candidates.py
@@ -31,6 +31,9 @@
         Tasks that share each worker.
     limit : PartLimit, optional
         Limit on the capacity that the tasks may take.
+    is_overdue : bool, optional
+        Whether the step is overdue, so that workers count that are reserved for others
+        or on which the task has failed.
 
     Attributes
     ----------
@@ -47,6 +50,7 @@
     task: TaskState
     colocations: ColocationCache
     limit: PartLimit | None = None
+    is_overdue: bool = False
     lacked_capacity: bool = attrs.field(default=False, init=False)
     was_limited: bool = attrs.field(default=False, init=False)
     was_barred: bool = attrs.field(default=False, init=False)
@@ -55,13 +59,15 @@
 
     def add_worker(self, worker: Worker) -> None:
         """Add a worker if it can run a task of the step."""
-        if not can_host(worker, self.task):
+        if not can_host(worker, self.task, ignores_reservations=self.is_overdue):
             self.lacked_capacity = True
             return
         if not self._is_admitted(worker):
             self.was_limited = True
             return
-        if is_barred(worker, self.task, self.colocations.now_ms):
+        if not self.is_overdue and is_barred(
+            worker, self.task, self.colocations.now_ms
+        ):
             self.was_barred = True
             return
         score = score_worker(worker, self.task, self.colocations)
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -30,7 +30,7 @@
 from trefoilhook.scheduling.queues import KnownQueues
 from trefoilhook.scheduling.records import JobPhase, JobRecord, Progress
 from trefoilhook.scheduling.reservations import Reservations
-from trefoilhook.scheduling.service_holds import ServiceHolds
+from trefoilhook.scheduling.service_holds import OverdueSteps, ServiceHolds
 from trefoilhook.scheduling.suspects import SuspectTracker
 from trefoilhook.scheduling.tickets import TicketCache
 from trefoilhook.scheduling.urgent_demand import UrgentDemands
@@ -148,6 +148,8 @@
         Recent use of workers by urgent tasks.
     service_holds : ServiceHolds
         Service steps that are held for the capacity that urgent tasks need.
+    overdue : OverdueSteps
+        Service steps that have waited too long beside capacity for them.
     entries : EntryFreshness
         Freshness of the worker entries read from the store.
     suspects : SuspectTracker
@@ -232,6 +234,7 @@
         self.reservations = Reservations()
         self.urgent_demands = UrgentDemands()
         self.service_holds = ServiceHolds()
+        self.overdue = OverdueSteps()
         self.entries = EntryFreshness()
         self.suspects = SuspectTracker(mark_dirty=self._mark_dirty)
         self.random = random.Random(epoch)
--- a/trefoilhook/scheduling/group_assignment.py
+++ b/trefoilhook/scheduling/group_assignment.py
@@ -30,7 +30,9 @@
     """
     now_ms = assignment_round.now_ms
     for tasks in ready:
-        is_permitted = assignment_round.isolation.may_start(tasks[0], now_ms)
+        is_permitted = assignment_round.isolation.may_start(
+            tasks[0], now_ms, is_overdue=assignment_round.is_overdue(tasks[0])
+        )
         if (
             tasks[0].step.gang
             or not is_permitted
--- a/trefoilhook/scheduling/isolation.py
+++ b/trefoilhook/scheduling/isolation.py
@@ -128,15 +128,20 @@
         if not is_run_isolated(task, run):
             return
         self.jobs[task.job] += 1
-        if not worker.is_reserved:
+        if not worker.is_reserved and self.workers < self.max_workers:
             worker.is_reserved = True
             self.workers += 1
 
-    def may_start(self, task: TaskState, now_ms: float) -> bool:
-        """Return whether isolation permits starting a task now."""
+    def may_start(
+        self, task: TaskState, now_ms: float, *, is_overdue: bool = False
+    ) -> bool:
+        """Return whether isolation permits starting a task now.
+
+        An overdue task does not wait for its turn.
+        """
         if task.shared.held_until_ms > now_ms:
             return False
-        if not is_strongly_suspected(task):
+        if is_overdue or not is_strongly_suspected(task):
             return True
         return (
             self.workers < self.max_workers and self.jobs[task.job] < _MAX_RUNS_PER_JOB
--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -21,6 +21,7 @@
     "is_barred",
     "is_open",
     "list_open_workers",
+    "list_usable_workers",
     "rate_worker",
     "score_worker",
 ]
@@ -76,6 +77,10 @@
 
 def is_open(worker: Worker, now_ms: float) -> bool:
     """Return whether a worker takes new tasks."""
+    return _is_usable(worker, now_ms) and not worker.is_reserved
+
+
+def _is_usable(worker: Worker, now_ms: float) -> bool:
     return (
         worker.listed
         and worker.has_answered_token
@@ -87,7 +92,6 @@
         and not worker.report.draining
         and worker.avoid_until_ms <= now_ms
         and now_ms - worker.clock_read_ms < _SILENCE_LIMIT_MS
-        and not worker.is_reserved
     )
 
 
@@ -95,22 +99,37 @@
     scheduler: Scheduler, service: str, now_ms: float
 ) -> list[Worker]:
     """Return the workers of a service that accept new tasks."""
+    workers = list_usable_workers(scheduler, service, now_ms)
+    return [worker for worker in workers if not worker.is_reserved]
+
+
+def list_usable_workers(
+    scheduler: Scheduler, service: str, now_ms: float
+) -> list[Worker]:
+    """Return the workers of a service that can run new tasks.
+
+    These are the ones that accept new tasks and those reserved for isolated runs.
+    """
     evacuations = scheduler.evacuations
     return [
         worker
         for worker in scheduler.workers.values()
         if worker.report.service == service
-        and is_open(worker, now_ms)
+        and _is_usable(worker, now_ms)
         and not evacuations.covers(worker)
     ]
 
 
-def can_host(worker: Worker, state: TaskState) -> bool:
+def can_host(
+    worker: Worker, state: TaskState, *, ignores_reservations: bool = False
+) -> bool:
     """Return whether a worker has the capacity and the label that a task requires."""
     step = state.step
     if step.required_label and step.required_label not in worker.report.labels:
         return False
-    if not worker.has_room(step.room) or _is_reserved_for_others(worker, state):
+    if not worker.has_room(step.room):
+        return False
+    if not ignores_reservations and _is_reserved_for_others(worker, state):
         return False
     if step.filler:
         capacity_mb = worker.report.capacity.memory_mb
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -13,7 +13,12 @@
 from trefoilhook.scheduling.isolation import Isolation
 from trefoilhook.scheduling.job_state import Attempt, JobState, TaskState
 from trefoilhook.scheduling.models import Demand
-from trefoilhook.scheduling.placing import compute_max_filler_cpu, list_open_workers
+from trefoilhook.scheduling.overdue import may_be_overdue
+from trefoilhook.scheduling.placing import (
+    compute_max_filler_cpu,
+    list_open_workers,
+    list_usable_workers,
+)
 from trefoilhook.scheduling.sampling import MAX_CANDIDATES, sample_workers
 from trefoilhook.scheduling.tickets import name_step
 from trefoilhook.scheduling.urgent_demand import is_urgent
@@ -52,7 +57,8 @@
     reservation_searches: int = 0
     started: list[TaskState] = attrs.Factory(list)
     _open: dict[tuple[str, str | None], list[Worker]] = attrs.Factory(dict)
-    _samples: dict[tuple[str, str, str, bool], list[Worker]] = attrs.Factory(dict)
+    _usable: dict[str, list[Worker]] = attrs.Factory(dict)
+    _samples: dict[tuple[str, str, str, bool, bool], list[Worker]] = attrs.Factory(dict)
     _feasible: dict[tuple[str, str, str, str, bool], list[tuple[float, Worker]]] = (
         attrs.Factory(dict)
     )
@@ -69,11 +75,18 @@
     def _build_headroom(self) -> RoundHeadroom:
         return RoundHeadroom(scheduler=self.scheduler, now_ms=self.now_ms)
 
+    def is_overdue(self, state: TaskState) -> bool:
+        """Return whether a task has waited too long beside capacity for it."""
+        overdue = self.scheduler.overdue
+        return may_be_overdue(state) and overdue.contains(name_step(state.task))
+
     def list_open(self, state: TaskState) -> list[Worker]:
         """Return the workers that accept new tasks of a task's queue."""
         queue = state.job.queue
         if queue is None:
             return []
+        if self.is_overdue(state):
+            return self._list_usable(queue.service)
         step = state.step
         pool = (queue.service, None if step.long_running else step.required_label)
         known = self._open.get(pool)
@@ -92,6 +105,13 @@
             if tickets.find(step_name, worker.report.worker_id, self.now_ms) is not None
         ]
 
+    def _list_usable(self, service: str) -> list[Worker]:
+        known = self._usable.get(service)
+        if known is None:
+            known = list_usable_workers(self.scheduler, service, self.now_ms)
+            self._usable[service] = known
+        return known
+
     def list_candidates(self, state: TaskState) -> list[Worker]:
         """Return the open workers to consider first for a task.
 
@@ -102,11 +122,13 @@
         if len(workers) <= MAX_CANDIDATES or queue is None or queue.advice is not None:
             return workers
         step = state.step
+        is_overdue = self.is_overdue(state)
         sample_key = (
             queue.service,
             step.required_label,
             step.data_rack,
             step.long_running,
+            is_overdue,
         )
         sample = self._samples.get(sample_key)
         if sample is None:
@@ -116,7 +138,7 @@
                 required_label=step.required_label,
                 data_rack=step.data_rack,
             )
-        return [worker for worker in sample if not worker.is_reserved]
+        return [worker for worker in sample if is_overdue or not worker.is_reserved]
 
     def list_feasible(self, state: TaskState) -> list[Worker]:
         """Return the open workers that may be able to run a task.
@@ -196,6 +218,7 @@
         self.colocations.invalidate()
         self.isolation = Isolation.collect(self.scheduler)
         self._open.clear()
+        self._usable.clear()
         self._samples.clear()
         self._feasible.clear()
 
@@ -246,7 +269,12 @@
         limit: PartLimit | None = None,
     ) -> Candidates:
         """Return candidate workers for the step of a task."""
-        candidates = Candidates(task=state, colocations=self.colocations, limit=limit)
+        candidates = Candidates(
+            task=state,
+            colocations=self.colocations,
+            limit=limit,
+            is_overdue=self.is_overdue(state),
+        )
         for worker in workers:
             candidates.add_worker(worker)
         return candidates
@@ -256,9 +284,10 @@
 
         A task is infeasible if one with the same placement key and at most the same
         demand and duration could not be placed. The duration matters only on reserved
-        workers. A step with a reserved worker is never known to be infeasible.
+        workers. A step with a reserved worker, or one that is overdue, is never known
+        to be infeasible.
         """
-        if _requires_advice(state):
+        if _requires_advice(state) or self.is_overdue(state):
             return False
         demand = state.step.demand
         estimate_ms = _get_estimate(state)
--- a/trefoilhook/scheduling/service_holds.py
+++ b/trefoilhook/scheduling/service_holds.py
@@ -6,13 +6,16 @@
 
 from trefoilhook.scheduling.tickets import StepName
 
-__all__ = ["Hold", "ServiceHolds"]
+__all__ = ["Hold", "OverdueSteps", "ServiceHolds"]
 
 _MAX_INTERRUPTION_MS = 800.0
 """Maximum time without ample capacity that counts as waiting, in ms. Users, who may
 miss it between two samples, expect a start within 3 s: the maximum wait of 2 s, an
 interruption at its end, and 0.2 s to place and start the task."""
 
+_MAX_WAIT_MS = 2000.0
+"""Time beside ample capacity after which a step is overdue, in ms."""
+
 
 @attrs.define(kw_only=True)
 class _Stretch:
@@ -125,3 +128,38 @@
         """Remove all steps that are not in ``waiting``."""
         for step in self._holds.keys() - waiting:
             del self._holds[step]
+
+
+@attrs.define(kw_only=True)
+class OverdueSteps:
+    """Time for which there has been ample capacity for waiting service steps."""
+
+    _stretches: dict[StepName, _Stretch] = attrs.field(factory=dict, init=False)
+    _overdue: set[StepName] = attrs.field(factory=set, init=False)
+
+    def extend(self, step: StepName, now_ms: float) -> None:
+        """Record that there is ample capacity for a step that was not placed."""
+        stretch = self._stretches.get(step)
+        if stretch is None:
+            stretch = _Stretch(max_interruption_ms=_MAX_INTERRUPTION_MS)
+            self._stretches[step] = stretch
+        if stretch.extend(now_ms) >= _MAX_WAIT_MS:
+            self._overdue.add(step)
+        else:
+            self._overdue.discard(step)
+
+    def interrupt(self, step: StepName, now_ms: float) -> None:
+        """Record that there is no ample capacity for a step."""
+        stretch = self._stretches.get(step)
+        if stretch is not None:
+            stretch.interrupt(now_ms)
+
+    def contains(self, step: StepName) -> bool:
+        """Return whether a step is overdue."""
+        return step in self._overdue
+
+    def retain(self, waiting: Collection[StepName]) -> None:
+        """Remove all steps that are not in ``waiting``."""
+        for step in self._stretches.keys() - waiting:
+            del self._stretches[step]
+            self._overdue.discard(step)
--- a/trefoilhook/scheduling/tests/test_overdue_services.py
+++ b/trefoilhook/scheduling/tests/test_overdue_services.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from trefoilhook.scheduling import Demand, Progress, Step
+from trefoilhook.scheduling import Demand, EndKind, Progress, Step
 from trefoilhook.scheduling.tests.cases import Shard, build_job
 
 _MAX_WAIT_MS = 3000.0
@@ -13,6 +13,7 @@
 _SERVICE = Step(
     count=1, demand=Demand(cpu=1000, memory_mb=10), long_running=True, image="s"
 )
+_SUSPECTED_TASKS = 8
 
 
 def _measure_wait(shard: Shard, job_id: str, *, count: int = 1) -> float:
@@ -48,5 +49,36 @@
         self.assertLessEqual(_measure_wait(shard, "small"), _MAX_WAIT_MS)
 
 
+class SuspectTest(unittest.TestCase):
+    """Service tasks that were lost with their workers."""
+
+    def _lose(self, *, losses: int, proved: bool, ratio: float) -> Shard:
+        """Lose all tasks of a service a number of times."""
+        shard = Shard(workers=12)
+        step = attrs.evolve(_SERVICE, count=_SUSPECTED_TASKS)
+        shard.submit(build_job(step, job_id="z"))
+        shard.step()
+        state = shard.scheduler.jobs["z"]
+        for task in state.tasks.values():
+            (attempt,) = task.attempts
+            suspicion = shard.scheduler.suspects.get_or_add(task)
+            for number in range(losses):
+                suspicion.record_loss(
+                    attempt.run.attempt - 1 - number, "gone", ratio, proved=proved
+                )
+        for worker_id, worker in shard.workers.items():
+            for task, attempt in list(worker.running):
+                worker.end(task, attempt, EndKind.STOPPED)
+            shard.poll(worker_id)
+        return shard
+
+    def test_isolation_in_turn(self):
+        # Guards against suspected tasks of a service that wait for their turn to run in
+        # isolation, two at a time, while most workers are idle.
+        shard = self._lose(losses=2, proved=True, ratio=60.0)
+        wait_ms = _measure_wait(shard, "z", count=_SUSPECTED_TASKS)
+        self.assertLessEqual(wait_ms, _MAX_WAIT_MS)
+
+
 if __name__ == "__main__":
     unittest.main()
