Hand on the waits beside capacity at a planned change of the owner

With owners that are replaced as planned each 0.7 to 1.9 s, a new service task beside capacity for two of it, and a starved batch job on an idle fleet, aren't started for as long as the changes go on.

Cause: the wait of an overdue service step (2 s) and the delay of a starved job (2 s) are counted by each owner from its own first round.

Change: an owner that stops as planned writes, before it gives up its key, for how long there has been ample capacity for each waiting service step, the present interruption of it, and how long each job with waiting fillers has had no run. Only the owner that follows it directly takes it: the record names its epoch, so that it is worth nothing after a kill. The interruption goes on under the next owner, which has what is left of 0.8 s to hear of the capacity; it places the step after a round of its own. The waits of starved jobs aren't forgotten while the owner is unsettled. At most 1,000 steps and jobs are written, the longest waits first.

--- a/trefoilhook/platform/tests/test_odd_entries.py
+++ b/trefoilhook/platform/tests/test_odd_entries.py
@@ -29,6 +29,7 @@
     decode_queues,
 )
 from trefoilhook.scheduling.urgent_demand import decode_urgent_demands
+from trefoilhook.scheduling.wait_records import decode_waits
 from trefoilhook.takeover import decode_head, decode_places
 
 _WORKER = {
@@ -149,6 +150,19 @@
     "mean_cpu": 5.0,
     "mean_mb": 5.0,
 }
+_WAITS = {
+    "epoch": 1,
+    "services": [
+        {
+            "job": "j",
+            "occurrence": 0,
+            "step": 0,
+            "waited_ms": 1500,
+            "interrupted_ms": 100,
+        }
+    ],
+    "idle": [{"job": "k", "waited_ms": 1500}],
+}
 
 _READERS: dict[str, tuple[Callable[[bytes], Any], Any]] = {
     "worker": (lambda data: decode_worker_report("servers/w", data), _WORKER),
@@ -163,6 +177,7 @@
     "durations": (decode_durations, {"rows": [_DURATION]}),
     "interference": (decode_interference, {"v": _VICTIM}),
     "urgent demands": (decode_urgent_demands, {"demands": [_DEMAND]}),
+    "waits": (decode_waits, _WAITS),
 }
 
 
--- a/trefoilhook/runtime/keys.py
+++ b/trefoilhook/runtime/keys.py
@@ -19,6 +19,7 @@
     "urgent_demands_key",
     "read_job_id",
     "roster_key",
+    "waits_key",
     "waiting_key",
     "waiting_prefix",
 ]
@@ -87,6 +88,11 @@
     return f"shard/{shard}/queues"
 
 
+def waits_key(shard: int) -> str:
+    """Return the key of the waits at the end of the last planned ownership."""
+    return f"shard/{shard}/waits"
+
+
 def job_prefix(shard: int) -> str:
     """Return the prefix of job record keys."""
     return f"shard/{shard}/job/"
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -45,8 +45,9 @@
 from trefoilhook.runtime.reservations import report_reservations
 from trefoilhook.runtime.roster import Roster
 from trefoilhook.runtime.settlement import Settlement
-from trefoilhook.runtime.snapshots import build_snapshots
+from trefoilhook.runtime.snapshots import build_snapshots, build_waits_snapshot
 from trefoilhook.runtime.turns import Turns
+from trefoilhook.runtime.waits import save_waits
 from trefoilhook.runtime.workerfeed import WorkerFeed
 from trefoilhook.scheduling import (
     SLOWEST_CLOCK,
@@ -230,6 +231,8 @@
         )
         self._turns = Turns(read_lag_ms=lambda: lag.read(clock.monotonic_ms()))
         self._snapshots = build_snapshots(self._scheduler)
+        self._waits_snapshot = build_waits_snapshot(self._scheduler, clock.monotonic_ms)
+        self._has_loaded = False
         self._committer = Committer(
             store=store,
             clock=clock,
@@ -312,6 +315,11 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._committer.flush)
                 nursery.start_soon(self._roster.hand_over)
+                nursery.start_soon(self._save_waits)
+
+    async def _save_waits(self) -> None:
+        if self._has_loaded:
+            await save_waits(self._store, self._ownership, self._waits_snapshot)
 
     @contextlib.contextmanager
     def _export_gauges(self) -> Iterator[None]:
@@ -407,7 +415,9 @@
         sent_ms = self._clock.monotonic_ms()
         contents = await load_shard(
             self._store,
-            snapshot_keys=[each.key for each in self._snapshots],
+            snapshot_keys=[
+                each.key for each in (*self._snapshots, self._waits_snapshot)
+            ],
         )
         self._ownership.revisions.note(
             sent_ms=sent_ms,
@@ -418,6 +428,7 @@
         self._take_inheritance(contents, self._read_roster(contents.roster))
         self._restore_snapshots(contents.snapshots)
         self._job_feed.load(contents.jobs, contents.progress)
+        self._has_loaded = True
         log_event(
             Event.SHARD_LOADED,
             epoch=self._ownership.epoch,
@@ -511,7 +522,7 @@
 
     def _restore_snapshots(self, items: Mapping[str, Item]) -> None:
         """Restore the readable learned models of previous owners."""
-        for snapshot in self._snapshots:
+        for snapshot in (*self._snapshots, self._waits_snapshot):
             item = items.get(snapshot.key)
             if item is None:
                 continue
--- a/trefoilhook/runtime/snapshots.py
+++ b/trefoilhook/runtime/snapshots.py
@@ -18,9 +18,11 @@
     decode_queues,
     encode_durations,
     encode_interference,
+    encode_waits,
+    restore_waits,
 )
 
-__all__ = ["Snapshot", "build_snapshots"]
+__all__ = ["Snapshot", "build_snapshots", "build_waits_snapshot"]
 
 
 @attrs.frozen(kw_only=True)
@@ -112,3 +114,23 @@
         encode=scheduler.urgent_demands.encode,
         restore=scheduler.urgent_demands.restore,
     )
+
+
+def build_waits_snapshot(
+    scheduler: Scheduler, read_ms: Callable[[], float]
+) -> Snapshot:
+    """Return the snapshot of the waits at the end of an ownership.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        Scheduler of the shard.
+    read_ms : callable
+        Returns the current time, in ms.
+    """
+    return Snapshot(
+        key=keys.waits_key(keys.SHARD),
+        get_version=lambda: scheduler.epoch,
+        encode=lambda: encode_waits(scheduler, read_ms()),
+        restore=lambda data: restore_waits(scheduler, data, read_ms()),
+    )
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -121,6 +121,7 @@
     summarize_missing_evidence,
 )
 from trefoilhook.scheduling.tickets import AdviceRequest, Grant
+from trefoilhook.scheduling.wait_records import encode_waits, restore_waits
 
 __all__ = [
     "account_for_workers",
@@ -201,6 +202,7 @@
     "encode_interference",
     "encode_job_record",
     "encode_progress",
+    "encode_waits",
     "extend_lease",
     "find_longest_wait",
     "is_outdated_answer",
@@ -223,6 +225,7 @@
     "plan_orders",
     "release_expired",
     "resolve_incarnation",
+    "restore_waits",
     "has_fillers_beside_services",
     "has_urgent_waiting",
     "apply_poll_answer",
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -173,7 +173,7 @@
             assignment_round,
             [each for each in migration_candidates if each.run.is_throttled],
         )
-        reserve_for_starved_jobs(assignment_round, ready)
+        reserve_for_starved_jobs(assignment_round, ready, held=held)
         unplaced = (task for tasks in ready for task in tasks if not task.attempts)
         record_waits(scheduler, itertools.chain(held, unplaced), now_ms)
     started = [state for state in assignment_round.started if state.attempts]
--- a/trefoilhook/scheduling/service_holds.py
+++ b/trefoilhook/scheduling/service_holds.py
@@ -6,7 +6,7 @@
 
 from trefoilhook.scheduling.tickets import StepName
 
-__all__ = ["Hold", "OverdueSteps", "ServiceHolds"]
+__all__ = ["Hold", "OverdueSteps", "ServiceHolds", "StepWait"]
 
 _MAX_INTERRUPTION_MS = 800.0
 """Maximum time without ample capacity that counts as waiting, in ms. Users, who may
@@ -130,6 +130,22 @@
             del self._holds[step]
 
 
+@attrs.frozen(kw_only=True)
+class StepWait:
+    """Wait of a service step beside ample capacity.
+
+    Parameters
+    ----------
+    waited_ms : float
+        Time since its begin, in ms.
+    interrupted_ms : float
+        Time since the begin of the present interruption, in ms; 0 if there is none.
+    """
+
+    waited_ms: float
+    interrupted_ms: float = 0.0
+
+
 @attrs.define(kw_only=True)
 class OverdueSteps:
     """Time for which there has been ample capacity for waiting service steps."""
@@ -154,6 +170,30 @@
         if stretch is not None:
             stretch.interrupt(now_ms)
 
+    def measure(self, now_ms: float) -> dict[StepName, StepWait]:
+        """Return the waits that are not over, by step."""
+        waits: dict[StepName, StepWait] = {}
+        for step, stretch in self._stretches.items():
+            since_ms, interrupted_ms = stretch.since_ms, stretch.interrupted_ms
+            gap_ms = 0.0 if interrupted_ms is None else now_ms - interrupted_ms
+            if since_ms is not None and gap_ms <= stretch.max_interruption_ms:
+                waits[step] = StepWait(
+                    waited_ms=now_ms - since_ms, interrupted_ms=gap_ms
+                )
+        return waits
+
+    def restore(self, step: StepName, wait: StepWait, now_ms: float) -> None:
+        """Continue a wait that a previous owner measured.
+
+        It is interrupted until there is known to be capacity, and is overdue only after
+        a round of its own in which it was not placed.
+        """
+        self._stretches[step] = _Stretch(
+            max_interruption_ms=_MAX_INTERRUPTION_MS,
+            since_ms=now_ms - min(wait.waited_ms, _MAX_WAIT_MS),
+            interrupted_ms=now_ms - wait.interrupted_ms,
+        )
+
     def contains(self, step: StepName) -> bool:
         """Return whether a step is overdue."""
         return step in self._overdue
--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -12,6 +12,8 @@
 is never tried cannot be learned again.
 """
 
+from collections.abc import Iterable
+
 from trefoilhook.scheduling.colocation import Colocation
 from trefoilhook.scheduling.fleet import Worker
 from trefoilhook.scheduling.job_state import JobState, TaskState
@@ -50,7 +52,10 @@
 
 
 def reserve_for_starved_jobs(
-    assignment_round: AssignmentRound, ready: list[list[TaskState]]
+    assignment_round: AssignmentRound,
+    ready: list[list[TaskState]],
+    *,
+    held: Iterable[TaskState] = (),
 ) -> None:
     """Reserve capacity for one throttled task of each starved job.
 
@@ -60,10 +65,14 @@
         Current round, after all regular assignments.
     ready : list of list of TaskState
         Waiting tasks by step, in the order of their ranks.
+    held : iterable of TaskState, optional
+        Waiting tasks that previous owners may have started. The waits of their jobs go
+        on while this is unknown.
     """
     waiting = _list_idle_jobs(ready)
+    held_jobs = _list_idle_jobs([task] for task in held)
     idle_since = assignment_round.scheduler.idle_since_ms
-    for job_id in idle_since.keys() - waiting.keys():
+    for job_id in idle_since.keys() - waiting.keys() - held_jobs.keys():
         del idle_since[job_id]
     jobs_tried = 0
     idle_by_service: dict[str, bool] = {}
@@ -94,7 +103,7 @@
         )
 
 
-def _list_idle_jobs(ready: list[list[TaskState]]) -> dict[str, TaskState]:
+def _list_idle_jobs(ready: Iterable[list[TaskState]]) -> dict[str, TaskState]:
     """Return a waiting filler of each job without runs, by job id, in order.
 
     Members of a gang run only together with all others, so that they are not throttled.
--- /dev/null
+++ b/trefoilhook/scheduling/wait_records.py
@@ -0,0 +1,133 @@
+"""Waits beside capacity that an owner hands to the next one.
+
+Service steps beside ample capacity and starved jobs are started after a while. Owners
+that are replaced as planned, one soon after the other, would each begin this time anew.
+
+A record counts only for the owner that follows its writer: after an owner that wrote
+none, the capacity may have been used.
+"""
+
+import json
+
+import attrs
+
+from trefoilhook.decoding import (
+    check_object,
+    parse_object,
+    read_integer,
+    read_list,
+    read_number,
+    read_string,
+)
+from trefoilhook.exceptions import DecodeError
+from trefoilhook.scheduling.core import Scheduler
+from trefoilhook.scheduling.service_holds import StepWait
+from trefoilhook.scheduling.starvation import STARVATION_DELAY_MS
+from trefoilhook.scheduling.tickets import StepName
+
+__all__ = ["decode_waits", "encode_waits", "restore_waits"]
+
+_MAX_ROWS = 1000
+"""Maximum number of steps and of jobs in a record; the longest waits are kept."""
+
+
+@attrs.frozen(kw_only=True)
+class _WaitRecord:
+    """Waits at the end of an ownership.
+
+    Parameters
+    ----------
+    epoch : int
+        Number of the ownership.
+    services : dict of StepName to StepWait
+        Waits of service steps beside ample capacity.
+    idle_ms : dict of str to float
+        Time for which jobs with waiting fillers have had no run, in ms.
+    """
+
+    epoch: int
+    services: dict[StepName, StepWait]
+    idle_ms: dict[str, float]
+
+
+def encode_waits(scheduler: Scheduler, now_ms: float) -> bytes:
+    """Encode the waits of a shard for the next owner."""
+    services = sorted(
+        scheduler.overdue.measure(now_ms).items(),
+        key=lambda row: row[1].waited_ms,
+        reverse=True,
+    )
+    idle = sorted(scheduler.idle_since_ms.items(), key=lambda row: row[1])
+    table = {
+        "epoch": scheduler.epoch,
+        "services": [
+            {
+                "job": step[0],
+                "occurrence": step[1],
+                "step": step[2],
+                "waited_ms": round(wait.waited_ms),
+                "interrupted_ms": round(wait.interrupted_ms),
+            }
+            for step, wait in services[:_MAX_ROWS]
+        ],
+        "idle": [
+            {"job": job_id, "waited_ms": round(max(0.0, now_ms - since_ms))}
+            for job_id, since_ms in idle[:_MAX_ROWS]
+        ],
+    }
+    return json.dumps(table, separators=(",", ":")).encode()
+
+
+def restore_waits(scheduler: Scheduler, data: bytes, now_ms: float) -> None:
+    """Continue the waits of the previous owner, unless the record is an earlier one.
+
+    Raises
+    ------
+    DecodeError
+        If the data is invalid.
+    """
+    record = decode_waits(data)
+    if record.epoch != scheduler.epoch - 1:
+        return
+    for step, wait in record.services.items():
+        scheduler.overdue.restore(step, wait, now_ms)
+    for job_id, idle_ms in record.idle_ms.items():
+        idle_ms = min(idle_ms, STARVATION_DELAY_MS)
+        scheduler.idle_since_ms[job_id] = now_ms - idle_ms
+
+
+def decode_waits(data: bytes) -> _WaitRecord:
+    """Decode the output of `encode_waits`.
+
+    Raises
+    ------
+    DecodeError
+        If the data is invalid.
+    """
+    table = parse_object(data)
+    services: dict[StepName, StepWait] = {}
+    for row in _read_rows(table, "services"):
+        step = (
+            read_string(row, "job", non_empty=True),
+            read_integer(row, "occurrence"),
+            read_integer(row, "step"),
+        )
+        services[step] = StepWait(
+            waited_ms=read_number(row, "waited_ms"),
+            interrupted_ms=read_number(row, "interrupted_ms"),
+        )
+    return _WaitRecord(
+        epoch=read_integer(table, "epoch", minimum=1),
+        services=services,
+        idle_ms={
+            read_string(row, "job", non_empty=True): read_number(row, "waited_ms")
+            for row in _read_rows(table, "idle")
+        },
+    )
+
+
+def _read_rows(table: dict[str, object], name: str) -> list[dict[str, object]]:
+    rows = read_list(table, name)
+    if len(rows) > _MAX_ROWS:
+        raise DecodeError(f"{name}: too many rows")
+    return [check_object(row, name) for row in rows]
