Place a task elsewhere if its worker falls silent before the start is sent

A service task is reserved on a worker, waits for its place to be recorded, and the worker falls silent meanwhile.

Cause: the first start order was sent all the same. It went unanswered, so that the task was uncertain to run and waited for the leases on that worker (5 s, 5.2 s on a slow clock), although nothing had been sent while there still was a choice.

Evidence: a test with recorded places failed: the start went to the silent worker.

Change: such a run is released, like one on a worker that begins to drain; the task is placed in the next round. Runs of which an order was sent, is queued, or was answered stay, also after the answer that the worker knows a later attempt: a test fails if they are released.

Ruled out here: withdrawing orders that are queued for a slot when the worker falls silent. A test of suspicions expects that these are sent.

--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -195,6 +195,13 @@
     return True
 
 
+def _is_never_sent(run: Run) -> bool:
+    """Return whether no start order for a run has been sent or answered."""
+    is_answered = run.confirmed_ms < float("inf")
+    is_starting = run.phase is RunPhase.STARTING
+    return is_starting and not (is_answered or run.in_flight or run.may_have_run)
+
+
 def _get_due_order(
     scheduler: Scheduler, worker: Worker, run: Run, now_ms: float
 ) -> Order | None:
@@ -211,18 +218,20 @@
         # Its lease has expired and the worker would refuse it; the connections are
         # needed for polls.
         return None
+    if worker.silence is not None and _is_never_sent(run):
+        # Its first order would probably go unanswered, and its task would then wait for
+        # the expiry of the leases.
+        release_unstarted(scheduler, worker, run)
+        return None
     if run.phase is RunPhase.STARTING and not _may_still_start(scheduler, worker):
         if not run.ambiguous:
             release_unstarted(scheduler, worker, run)
             return None
         # Repeating the order could start the task.
         scheduler.request_stop(worker, run, StopReason.UNCERTAIN)
-    if run.phase is RunPhase.STARTING and not is_placement_recorded(
-        scheduler, worker, run
-    ):
-        return None
-    if run.phase is RunPhase.STARTING and not is_start_recorded(
-        scheduler, worker, run, now_ms
+    if run.phase is RunPhase.STARTING and not (
+        is_placement_recorded(scheduler, worker, run)
+        and is_start_recorded(scheduler, worker, run, now_ms)
     ):
         return None
     run.in_flight = True
--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -18,6 +18,7 @@
     are_starts_recorded,
     collect_changes,
     confirm_change,
+    confirm_start,
     limit_leases,
     list_unreleased,
     summarize_missing_evidence,
@@ -438,6 +439,43 @@
             [Place(task=TASK, attempt=order.attempt, worker=order.worker_id)],
         )
 
+    def test_start_on_a_worker_that_falls_silent(self):
+        # Guards against a task that waits for the leases on a worker to which its start
+        # was never sent, as the worker fell silent before its place was recorded.
+        for writes in (False, True):
+            with self.subTest(writes=writes):
+                shard, ledger = self.build_shard()
+                self.assertEqual(list_starts(shard.plan()), [])
+                (task,) = shard.scheduler.jobs["j"].tasks.values()
+                (attempt,) = task.attempts
+                silent = attempt.worker.report.worker_id
+                shard.silence(silent)
+                if writes:
+                    self.write(shard, ledger)
+                shard.plan()
+                shard.plan()
+                self.write(shard, ledger)
+                (order,) = list_starts(shard.plan())
+                self.assertNotEqual(order.worker_id, silent)
+
+    def test_answered_start_on_a_worker_that_falls_silent(self):
+        # Guards against a second run of a task: its worker has answered that it knows a
+        # later attempt, and does not tell any more what has become of it.
+        shard, ledger = self.build_shard()
+        shard.plan()
+        self.write(shard, ledger)
+        (order,) = list_starts(shard.plan())
+        self.assertTrue(confirm_start(shard.scheduler, order, shard.now_ms))
+        shard.answer(order, OrderOutcome.SUPERSEDED)
+        shard.silence(order.worker_id)
+        shard.advance_time(500.0)
+        shard.plan()
+        self.assertFalse(shard.scheduler.waiting)
+        (task,) = shard.scheduler.jobs["j"].tasks.values()
+        self.assertEqual(
+            [attempt.run.attempt for attempt in task.attempts], [order.attempt]
+        )
+
     def test_place_is_kept_until_the_end_is_saved(self):
         # Guards against a second run of a task whose end was not saved.
         shard, ledger = self.build_shard()
