Log for how long service tasks wait beside capacity, and for what

TASK_WAITS, and TASK_STARTED of service tasks after a second or more, now have ample_ms, overdue and reasons_ms (four reasons at most). TASK_STARTED has ordered_ms and answered_ms if placement to answer took 0.1 s or more, a wait that TASK_WAITS does not show. JOB_ACCEPTED names the service tasks per step, eight steps at most.

--- a/trefoilhook/runtime/job_api.py
+++ b/trefoilhook/runtime/job_api.py
@@ -37,7 +37,7 @@
 from trefoilhook.runtime import keys
 from trefoilhook.runtime.client_calls import REJECTED_RETRY_LIMIT_MS, ClientCalls
 from trefoilhook.runtime.configurations import ConfigurationFeed
-from trefoilhook.runtime.latejobs import describe_size
+from trefoilhook.runtime.latejobs import describe_services, describe_size
 from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.rejections import Rejections
 from trefoilhook.runtime.request_trace import RequestTrace
@@ -386,6 +386,7 @@
             queue=target.queue.name,
             ms=round(self._clock.monotonic_ms() - began_ms),
             **describe_size(job),
+            **describe_services(job),
             **how,
             **due,
         )
--- a/trefoilhook/runtime/latejobs.py
+++ b/trefoilhook/runtime/latejobs.py
@@ -1,12 +1,17 @@
 """Describes the size and the waits of jobs in log lines, and logs late jobs."""
 
+import itertools
+
 from trefoilhook.logs import Event, log_event
 from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.scheduling import Job, Scheduler
 from trefoilhook.scheduling.overtaking import JobWait
 from trefoilhook.scheduling.tickets import name_step
 
-__all__ = ["describe_size", "describe_wait", "log_late_jobs"]
+__all__ = ["describe_services", "describe_size", "describe_wait", "log_late_jobs"]
+
+_MAX_LISTED_STEPS = 8
+"""Maximum number of steps named in a log line."""
 
 
 def describe_size(job: Job) -> dict[str, int]:
@@ -14,6 +19,30 @@
     return {"tasks": job.tasks, "work_ms": round(job.estimate_work())}
 
 
+def describe_services(job: Job) -> dict[str, dict[str, int]]:
+    """Return the size of the steps that start at once and are never completed.
+
+    Parameters
+    ----------
+    job : Job
+        The job.
+
+    Returns
+    -------
+    dict of str to dict of str to int
+        Under ``services``, the number of tasks by step, for eight steps at most; empty
+        if there is no such step.
+    """
+    steps = {
+        str(index): step.count
+        for index, step in enumerate(job.steps)
+        if step.long_running and not step.after
+    }
+    if not steps or job.repeats:
+        return {}
+    return {"services": dict(itertools.islice(steps.items(), _MAX_LISTED_STEPS))}
+
+
 def describe_wait(wait: JobWait) -> dict[str, int | str]:
     """Return how long a job waited and what overtook it, for the log."""
     return {
--- a/trefoilhook/runtime/orders.py
+++ b/trefoilhook/runtime/orders.py
@@ -1,5 +1,7 @@
 """Sends orders to workers, and counts, logs and applies their outcome."""
 
+from typing import Any
+
 from trefoilhook.clock import Clock
 from trefoilhook.logs import Event, describe_failure, log_event
 from trefoilhook.platform import WorkerClient
@@ -16,6 +18,7 @@
     apply_start_outcome,
     apply_stop_outcome,
     confirm_start,
+    describe_reasons,
 )
 
 __all__ = ["execute_order"]
@@ -23,6 +26,14 @@
 _MIN_LOGGED_WAIT_MS = 10.0
 """Shortest waiting time that is logged, in ms. Each plan is delayed by about 6 ms."""
 
+_MIN_LOGGED_ORDER_MS = 100.0
+"""Shortest time between the placement of a task and the answer to its order that is
+logged, in ms. Writing its place and sending the order take some tens of ms."""
+
+_MIN_EXPLAINED_WAIT_MS = 1000.0
+"""Shortest wait of a service task that is logged with the time of each reason, in ms;
+as in ``TASK_WAITS``."""
+
 
 async def execute_order(
     order: Order,
@@ -62,7 +73,7 @@
     is_replaced = current is not None and current is not worker
     if is_replaced and outcome is not OrderOutcome.FENCED:
         # The answer proves nothing about the incarnation that has replaced the worker.
-        _log(order, outcome, None)
+        _log(order, outcome, None, clock.monotonic_ms())
         return outcome
     worker = current
     if outcome is OrderOutcome.OTHER_INCARNATION and worker is not None:
@@ -77,7 +88,7 @@
         outcome,
         clock.monotonic_ms(),
     )
-    _log(order, outcome, run)
+    _log(order, outcome, run, clock.monotonic_ms())
     return outcome
 
 
@@ -105,7 +116,9 @@
     return "stop" if isinstance(order, StopOrder) else "pace"
 
 
-def _log(order: StartOrder | StopOrder, outcome: OrderOutcome, run: Run | None) -> None:
+def _log(
+    order: StartOrder | StopOrder, outcome: OrderOutcome, run: Run | None, now_ms: float
+) -> None:
     if outcome is not OrderOutcome.DONE:
         log_event(
             Event.ORDER_FAILED,
@@ -133,12 +146,34 @@
             resumed=bool(order.checkpoint),
             **({"lateness": run.lateness} if run is not None and run.lateness else {}),
             **_describe_wait(run),
+            **_describe_order(run, now_ms),
         )
 
 
-def _describe_wait(run: Run | None) -> dict[str, int | str]:
-    """Return how long a task waited for a worker, and the main reason."""
+def _describe_wait(run: Run | None) -> dict[str, Any]:
+    """Return how long a task waited for a worker, and the main reason.
+
+    Long waits of service tasks are described as in ``TASK_WAITS``.
+    """
     if run is None or run.waited_ms < _MIN_LOGGED_WAIT_MS:
         return {}
     reason = run.wait_reason.value if run.wait_reason is not None else ""
-    return {"waited_ms": round(run.waited_ms), "waited_for": reason}
+    wait = {"waited_ms": round(run.waited_ms), "waited_for": reason}
+    if run.waited_ms < _MIN_EXPLAINED_WAIT_MS or not run.wait_reasons:
+        return wait
+    return {
+        **wait,
+        "ample_ms": round(run.ample_ms),
+        "overdue": run.was_overdue,
+        "reasons_ms": describe_reasons(run.wait_reasons),
+    }
+
+
+def _describe_order(run: Run | None, now_ms: float) -> dict[str, int]:
+    """Return how long a placed task waited for its order and for the answer."""
+    if run is None or now_ms - run.placed_ms < _MIN_LOGGED_ORDER_MS:
+        return {}
+    return {
+        "ordered_ms": round(run.started_ms - run.placed_ms),
+        "answered_ms": round(now_ms - run.started_ms),
+    }
--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -2,11 +2,14 @@
 
 import json
 import unittest
+from unittest import mock
 
 import attrs
 import trio
 
 from trefoilhook.logs.tests.lines import capture_lines, count_lines, find_line
+from trefoilhook.platform import WorkerClient
+from trefoilhook.runtime.latejobs import describe_services
 from trefoilhook.runtime.losses import log_lease_expiry, log_restart, log_unlisted
 from trefoilhook.runtime.tests.cluster import (
     BOUNDS,
@@ -20,9 +23,12 @@
     AttemptEnd,
     Demand,
     EndKind,
+    Job,
     LeaseExpiry,
     OrderOutcome,
     PollAnswer,
+    StartOrder,
+    Step,
     TaskId,
     Worker,
     WorkerReport,
@@ -581,3 +587,45 @@
         short = find_line(lines, "SERVICE_SHORT")
         # Tasks of the simulated worker never complete their start.
         self.assertEqual((short["job"], short["tasks"], short["away"]), (JOB, 2, 2.0))
+        self.assertEqual(find_line(lines, "JOB_ACCEPTED")["services"], {"0": 2})
+
+    def test_named_service_steps(self):
+        # Guards against a line whose length grows with the job, and against steps that
+        # wait for others or end.
+        service = Step(count=3, demand=Demand(cpu=1000), long_running=True)
+        later = attrs.evolve(service, after=(0,))
+        batch = attrs.evolve(service, long_running=False)
+        job = Job(
+            job_id=JOB,
+            queue="q",
+            accepted_ms=0.0,
+            spec="x",
+            steps=(batch, service, later, *[service] * 20),
+        )
+        self.assertEqual(
+            describe_services(job),
+            {"services": dict.fromkeys(("1", *map(str, range(3, 10))), 3)},
+        )
+        self.assertEqual(describe_services(attrs.evolve(job, steps=(batch,))), {})
+
+    def test_slow_answer_to_an_order_is_logged(self):
+        # Guards against a task that waits after its placement, which no line tells.
+        lines: list[dict] = []
+        start = WorkerClient.start
+
+        async def start_slowly(client: WorkerClient, order: StartOrder) -> OrderOutcome:
+            await trio.sleep(0.15)
+            return await start(client, order)
+
+        async def scenario(cluster: Cluster) -> None:
+            with capture_lines() as captured:
+                instance = await cluster.wait_for_owner()
+                await cluster.send(instance, "POST", PREFIX + JOB, build_body(1))
+                await cluster.wait_until(lambda: _has(captured, "TASK_STARTED"))
+                lines.extend(captured)
+
+        with mock.patch.object(WorkerClient, "start", start_slowly):
+            run_cluster(scenario, instances=1, workers=1, task_ms=60_000.0)
+        started = find_line(lines, "TASK_STARTED")
+        self.assertGreaterEqual(started["answered_ms"], 140)
+        self.assertGreaterEqual(started["ordered_ms"], 0)
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -49,7 +49,11 @@
 from trefoilhook.scheduling.job_state import JobState, TaskState
 from trefoilhook.scheduling.job_times import JobTimes, QueueTimes, Stage, TimeTracker
 from trefoilhook.scheduling.lease_expiry import release_expired
-from trefoilhook.scheduling.long_waits import LongWait, list_long_waits
+from trefoilhook.scheduling.long_waits import (
+    LongWait,
+    describe_reasons,
+    list_long_waits,
+)
 from trefoilhook.scheduling.messages import (
     AttemptEnd,
     EndKind,
@@ -197,6 +201,7 @@
     "decode_job_record",
     "decode_progress",
     "decode_queues",
+    "describe_reasons",
     "encode_durations",
     "encode_interference",
     "encode_job_record",
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -133,6 +133,14 @@
         Time for which its task waited for a worker, in ms.
     wait_reason : WaitReason or None
         Reason for most of that wait.
+    wait_reasons : tuple of (WaitReason, float)
+        For a service task, the time for which its step has waited for each reason, in
+        ms, the longest first.
+    ample_ms : float
+        For a service task, the time for which there had been capacity for two such
+        tasks when it was placed, in ms.
+    was_overdue : bool
+        Whether its step was overdue then.
     slowing_ms : float
         Time lost through throttling, in ms.
     pace_since_ms : float
@@ -177,6 +185,9 @@
     lateness: int = 0
     waited_ms: float = 0.0
     wait_reason: WaitReason | None = None
+    wait_reasons: tuple[tuple[WaitReason, float], ...] = ()
+    ample_ms: float = 0.0
+    was_overdue: bool = False
     slowing_ms: float = 0.0
     pace_since_ms: float = attrs.field()
     recorded_version: int | None = None
--- a/trefoilhook/scheduling/long_waits.py
+++ b/trefoilhook/scheduling/long_waits.py
@@ -1,7 +1,7 @@
 """Tasks that have waited for a worker for long, as their owner sees them."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 
 import attrs
 
@@ -12,11 +12,14 @@
 from trefoilhook.scheduling.tickets import StepName, name_step
 from trefoilhook.scheduling.waits import WaitReason
 
-__all__ = ["LongWait", "list_long_waits"]
+__all__ = ["LongWait", "describe_reasons", "list_long_waits"]
 
 _MAX_LISTED_WORKERS = 5
 """Maximum number of workers named in a log line."""
 
+_MAX_LISTED_REASONS = 4
+"""Maximum number of reasons with their times in a log line."""
+
 
 @attrs.frozen(kw_only=True)
 class LongWait:
@@ -58,6 +61,13 @@
         Number of times since then that no worker could host it.
     awaits : tuple of str
         Workers of previous owners for which it waits, five at most.
+    ample_ms : int
+        Time for which there has been capacity for two such tasks, in ms; 0 if there is
+        none now.
+    overdue : bool
+        Whether the step has waited too long beside such capacity.
+    reasons_ms : dict of str to int
+        Time for which its step has waited for each reason, in ms; the four longest.
     """
 
     task: str
@@ -76,6 +86,9 @@
     placeable_ms: int
     interruptions: int
     awaits: tuple[str, ...] = ()
+    ample_ms: int = 0
+    overdue: bool = False
+    reasons_ms: dict[str, int] = attrs.Factory(dict)
 
 
 def list_long_waits(
@@ -95,6 +108,22 @@
     yield from sorted(waits, key=lambda wait: (not wait.long_running, -wait.waited_ms))
 
 
+def describe_reasons(
+    reasons: Sequence[tuple[WaitReason, float]],
+) -> dict[str, int]:
+    """Return the time of each reason in ms, four at most, for the log.
+
+    Parameters
+    ----------
+    reasons : sequence of (WaitReason, float)
+        Reasons and their times in ms, the longest first.
+    """
+    return {
+        reason.value: round(waited_ms)
+        for reason, waited_ms in reasons[:_MAX_LISTED_REASONS]
+    }
+
+
 def _describe(
     scheduler: Scheduler, step: StepName, tasks: Iterable[TaskState], now_ms: float
 ) -> LongWait:
@@ -124,6 +153,9 @@
             if reason is WaitReason.OWNER_NEW
             else ()
         ),
+        ample_ms=round(scheduler.overdue.measure(step, now_ms)),
+        overdue=scheduler.overdue.contains(step),
+        reasons_ms=describe_reasons(scheduler.waits.list_reasons(step)),
     )
 
 
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -442,12 +442,7 @@
     worker.hold(run)
     # Fillers of the worker may have to be throttled by this plan.
     worker.has_changed = True
-    if state.waiting_since_ms is not None:
-        run.waited_ms = assignment_round.now_ms - state.waiting_since_ms
-        run.wait_reason = assignment_round.scheduler.waits.get_main_reason(
-            name_step(state.task)
-        )
-        state.waiting_since_ms = None
+    _record_wait(assignment_round, state, run)
     state.last_attempt = attempt
     state.attempts.append(Attempt(worker=worker, run=run))
     if state.suspicion is not None:
@@ -461,3 +456,19 @@
         pace=initial_pace,
     )
     return run
+
+
+def _record_wait(assignment_round: AssignmentRound, state: TaskState, run: Run) -> None:
+    """Record in a run for how long and why its task has waited; end the wait."""
+    if state.waiting_since_ms is None:
+        return
+    now_ms = assignment_round.now_ms
+    scheduler = assignment_round.scheduler
+    step = name_step(state.task)
+    run.waited_ms = now_ms - state.waiting_since_ms
+    run.wait_reason = scheduler.waits.get_main_reason(step)
+    if state.step.long_running:
+        run.wait_reasons = scheduler.waits.list_reasons(step)
+        run.ample_ms = scheduler.overdue.measure(step, now_ms)
+        run.was_overdue = scheduler.overdue.contains(step)
+    state.waiting_since_ms = None
--- a/trefoilhook/scheduling/service_holds.py
+++ b/trefoilhook/scheduling/service_holds.py
@@ -45,6 +45,15 @@
         self.interrupted_ms = None
         return now_ms - self.since_ms
 
+    def measure(self, now_ms: float) -> float:
+        """Return for how long the condition has held, in ms."""
+        if self.since_ms is None or (
+            self.interrupted_ms is not None
+            and now_ms - self.interrupted_ms > self.max_interruption_ms
+        ):
+            return 0.0
+        return now_ms - self.since_ms
+
     def interrupt(self, now_ms: float) -> None:
         """Record that the condition does not hold."""
         if self.interrupted_ms is None:
@@ -158,6 +167,11 @@
         """Return whether a step is overdue."""
         return step in self._overdue
 
+    def measure(self, step: StepName, now_ms: float) -> float:
+        """Return for how long there has been ample capacity for a step, in ms."""
+        stretch = self._stretches.get(step)
+        return stretch.measure(now_ms) if stretch is not None else 0.0
+
     def retain(self, waiting: Collection[StepName]) -> None:
         """Remove all steps that are not in ``waiting``."""
         for step in self._stretches.keys() - waiting:
--- a/trefoilhook/scheduling/waits.py
+++ b/trefoilhook/scheduling/waits.py
@@ -134,6 +134,18 @@
             return known.reason
         return known.by_reason.most_common(1)[0][0]
 
+    def list_reasons(self, step: StepName) -> tuple[tuple[WaitReason, float], ...]:
+        """Return how long a step has waited for each reason, in ms, the longest first.
+
+        The time since the last round is not included.
+        """
+        known = self._steps.get(step)
+        if known is None:
+            return ()
+        return tuple(
+            (reason, float(ms)) for reason, ms in known.by_reason.most_common()
+        )
+
     def measure_wait(self, step: StepName, reason: WaitReason) -> float:
         """Return the time for which a step has waited for a reason, in ms.
 
