Report the waits of service tasks for their first run

`trefoilhook interruptions` had no row for a task without a run, however long it had waited. It now lists such waits from the acceptance of the job on, over all owners, as first_starts in the JSON; the other fields are unchanged. Reasons come from the TASK_WAITS of the step, or from reasons_ms of TASK_STARTED.

--- a/trefoilhook/command/interruptions.py
+++ b/trefoilhook/command/interruptions.py
@@ -19,7 +19,7 @@
 
 
 class InterruptionsCommand(Command):
-    """Lists the times between two runs of service tasks, over all owners."""
+    """Lists the times between and before runs of service tasks, over all owners."""
 
     name = "interruptions"
     description = "Show for how long and why service tasks did not run, from logs."
@@ -53,7 +53,8 @@
         else:
             text = render_text(report)
         self.io.write_line(text, type=Type.RAW)
-        return 0 if report.interruptions else _NOTHING_FOUND
+        is_found = report.interruptions or report.first_starts
+        return 0 if is_found else _NOTHING_FOUND
 
 
 def _parse_duration(text: str) -> float | None:
--- a/trefoilhook/interruptions/core.py
+++ b/trefoilhook/interruptions/core.py
@@ -3,6 +3,7 @@
 import attrs
 
 __all__ = [
+    "ACCEPTED",
     "JOB_ENDED",
     "NOT_LOGGED",
     "NO_OWNER",
@@ -22,6 +23,9 @@
 NOT_LOGGED = "not logged"
 """Reason for the time for which no line tells what the task waited for."""
 
+ACCEPTED = "JOB_ACCEPTED"
+"""Evidence of the begin of a wait for the first run: the acceptance of the job."""
+
 UNKNOWN = "unknown"
 """Evidence of a run's end of which no line tells."""
 
@@ -100,16 +104,16 @@
 
 @attrs.frozen(kw_only=True)
 class Interruption:
-    """Time between two consecutive runs of a service task.
+    """Time between two consecutive runs of a service task, or before its first one.
 
     Parameters
     ----------
     task : str
         Id of the task.
     last_attempt, last_worker : int, str
-        The run before.
+        The run before; 0 and empty if there is none.
     end : RunEnd
-        End of the run before.
+        End of the run before, or the acceptance of the job (`ACCEPTED`).
     owners : tuple of OwnerWait
         Owners during the interruption, in order.
     ownerless_s : float
@@ -121,7 +125,7 @@
     next_attempt, next_worker : int or None, str
         The next run; None and empty if there is none.
     duration_s : float
-        Time since the end of the run before, in s.
+        Time since the end of the run before, or the acceptance of the job, in s.
     main_reason : str
         What most of the time was spent on over all owners: a wait reason, `NO_OWNER` or
         `NOT_LOGGED`.
@@ -157,6 +161,9 @@
         Number of interruptions by main reason, the most frequent first.
     unread : dict of str to int
         Number of skipped lines, by reason.
+    first_starts : tuple of Interruption
+        Waits of service tasks for their first run, the longest first. They don't count
+        in the other fields.
     """
 
     interruptions: tuple[Interruption, ...]
@@ -164,3 +171,4 @@
     over: dict[str, int]
     reasons: dict[str, int]
     unread: dict[str, int]
+    first_starts: tuple[Interruption, ...] = ()
--- a/trefoilhook/interruptions/report.py
+++ b/trefoilhook/interruptions/report.py
@@ -6,6 +6,7 @@
 import attrs
 
 from trefoilhook.interruptions.core import (
+    ACCEPTED,
     JOB_ENDED,
     NO_OWNER,
     NOT_LOGGED,
@@ -14,6 +15,7 @@
     Interruption,
     InterruptionReport,
     OwnerWait,
+    RunEnd,
 )
 from trefoilhook.interruptions.runs import Run, RunLog, find_end, get_job, read_runs
 from trefoilhook.interruptions.tenures import Tenure, list_tenures
@@ -52,6 +54,10 @@
         (each for each in builder.list_interruptions() if each.duration_s >= min_s),
         key=lambda each: (-each.duration_s, each.task, each.last_attempt),
     )
+    first_starts = sorted(
+        (each for each in builder.list_first_starts() if each.duration_s >= min_s),
+        key=lambda each: (-each.duration_s, each.task),
+    )
     reasons = Counter(each.main_reason for each in found)
     return InterruptionReport(
         interruptions=tuple(found),
@@ -62,6 +68,7 @@
         },
         reasons=dict(sorted(reasons.items(), key=lambda item: (-item[1], item[0]))),
         unread={reason: count for reason, count in (unread or {}).items() if count},
+        first_starts=tuple(first_starts),
     )
 
 
@@ -94,11 +101,35 @@
                 if found is not None:
                     yield found
 
+    def list_first_starts(self) -> Iterator[Interruption]:
+        """List the waits of tasks for their first run, in no particular order.
+
+        They are counted from the acceptance of the job.
+        """
+        for task, first in self.log.list_first_waits():
+            end = RunEnd(at_s=self.log.acceptances[get_job(task)], evidence=ACCEPTED)
+            run = Run(task=task, attempt=0, worker="")
+            samples = self.log.list_first_samples(task)
+            found = self._build_wait(run, end, first, samples)
+            if found is not None:
+                yield found
+
     def _build(self, run: Run, following: Run | None) -> Interruption | None:
         """Return the interruption after a run, or None if there is none."""
         end = find_end(run, self.log.losses.get(run.worker, ()), following)
         if end is None or not run.is_wanted:
             return None
+        samples = self.log.waits.get(run.task, ())
+        return self._build_wait(run, end, following, samples)
+
+    def _build_wait(
+        self,
+        run: Run,
+        end: RunEnd,
+        following: Run | None,
+        samples: Sequence[LogLine],
+    ) -> Interruption | None:
+        """Return the interruption from an end on, or None if there is none."""
         start = following.start if following is not None else None
         if following is not None and start is None:
             return None
@@ -107,7 +138,7 @@
             return None
         owners = list_owner_waits(
             self.tenures,
-            self.log.waits.get(run.task, ()),
+            samples,
             began_s=end.at_s,
             until_s=until_s,
             start=start,
--- a/trefoilhook/interruptions/runs.py
+++ b/trefoilhook/interruptions/runs.py
@@ -1,7 +1,7 @@
 """Runs of tasks and the evidence of their ends, from log lines."""
 
 from collections import defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -13,6 +13,9 @@
 
 _MS_PER_S = 1000.0
 
+_MAX_STEP_TASKS = 10_000
+"""Maximum number of tasks of a step that are considered, as the line may be damaged."""
+
 _RUN_EVENTS = frozenset({"TASK_STARTED", "TASK_ENDED", "TASK_GIVEN_UP", "TASK_STOPPED"})
 
 _ANSWERS = frozenset({"TASK_STARTED", "TASK_ENDED"})
@@ -105,21 +108,30 @@
         Losses by worker, in order.
     waits : dict of str to list of LogLine
         ``TASK_WAITS`` by task, in order.
+    step_waits : dict of str to list of LogLine
+        ``TASK_WAITS`` by step, in order.
     service_steps, batch_steps : set of str
         Steps whose tasks run until their job is cancelled, and others.
     service_jobs : set of str
         Jobs with such steps.
     job_ends : dict of str to float
         When jobs were cancelled or finished, in s since the Unix epoch.
+    acceptances : dict of str to float
+        When jobs were accepted, in s since the Unix epoch.
+    service_tasks : set of str
+        Tasks that their job's acceptance tells of.
     """
 
     runs: dict[str, dict[int, Run]] = attrs.Factory(lambda: defaultdict(dict))
     losses: dict[str, list[Loss]] = attrs.Factory(lambda: defaultdict(list))
     waits: dict[str, list[LogLine]] = attrs.Factory(lambda: defaultdict(list))
+    step_waits: dict[str, list[LogLine]] = attrs.Factory(lambda: defaultdict(list))
     service_steps: set[str] = attrs.Factory(set)
     batch_steps: set[str] = attrs.Factory(set)
     service_jobs: set[str] = attrs.Factory(set)
     job_ends: dict[str, float] = attrs.Factory(dict)
+    acceptances: dict[str, float] = attrs.Factory(dict)
+    service_tasks: set[str] = attrs.Factory(set)
 
     def add_line(self, line: LogLine) -> None:
         """Evaluate a line; lines must be added in order of time."""
@@ -129,6 +141,7 @@
         elif line.event == "TASK_WAITS":
             task = str(fields.get("task"))
             self.waits[task].append(line)
+            self.step_waits[_get_step(task)].append(line)
             is_service = fields.get("long_running") is True
             steps = self.service_steps if is_service else self.batch_steps
             steps.add(_get_step(task))
@@ -140,6 +153,8 @@
             self.losses[str(fields.get("worker"))].append(Loss(line=line))
         elif line.event == "WORKER_BACK":
             self._note_answer(line)
+        elif line.event == "JOB_ACCEPTED":
+            self._add_acceptance(line)
         elif line.event in _JOB_ENDS:
             self.job_ends.setdefault(str(fields.get("job")), line.time_s)
 
@@ -150,6 +165,39 @@
             return True
         return get_job(task) in self.service_jobs and step not in self.batch_steps
 
+    def list_first_waits(self) -> Iterator[tuple[str, Run | None]]:
+        """Yield service tasks of known acceptance with their first run, if any."""
+        known = self.service_tasks | self.runs.keys() | self.waits.keys()
+        for task in known:
+            if get_job(task) in self.acceptances and self.is_service(task):
+                attempts = self.runs.get(task, {})
+                yield task, attempts[min(attempts)] if attempts else None
+
+    def list_first_samples(self, task: str) -> list[LogLine]:
+        """Return the ``TASK_WAITS`` that apply to a task that has not run.
+
+        Each line names one task of a step, but all those that have not run wait for the
+        same.
+        """
+        return [
+            line
+            for line in self.step_waits.get(_get_step(task), ())
+            if not line.fields.get("last_attempt")
+        ]
+
+    def _add_acceptance(self, line: LogLine) -> None:
+        job = str(line.fields.get("job"))
+        self.acceptances.setdefault(job, line.time_s)
+        services = line.fields.get("services")
+        if not isinstance(services, dict):
+            return
+        for index, count in services.items():
+            step = f"{job}.0.{index}"
+            self.service_steps.add(step)
+            if isinstance(count, int):
+                tasks = range(min(count, _MAX_STEP_TASKS))
+                self.service_tasks.update(f"{step}.{number}" for number in tasks)
+
     def _add_run_line(self, line: LogLine) -> None:
         task = str(line.fields.get("task"))
         attempt = line.fields.get("attempt")
--- a/trefoilhook/interruptions/tests/test_report.py
+++ b/trefoilhook/interruptions/tests/test_report.py
@@ -233,6 +233,81 @@
         self.assertEqual(report.interruptions[0].ownerless_s, 0.0)
 
 
+class FirstStartTest(unittest.TestCase):
+    """Waits of tasks that have not run before."""
+
+    def build_first(self, *lines: str, **fields) -> dict[str, Interruption]:
+        """Return the waits for a first run by task."""
+        accepted = line(10.0, "JOB_ACCEPTED", job="j", **fields)
+        report = build(claim(0.0, 1), accepted, *lines)
+        self.assertEqual((report.interruptions, report.over["9"]), ((), 0))
+        return {each.task: each for each in report.first_starts}
+
+    def test_task_that_never_ran(self):
+        # Guards against a report without the task that has waited longest.
+        waits = self.build_first(
+            wait(12.0, 2.0, "no room"),
+            line(13.0, "SHARD_RELEASED", epoch=1),
+            claim(14.0, 2, "b"),
+            wait(16.0, 2.0, "kept for urgent", epoch=2),
+            line(25.0, "REQUEST_HANDLED", "b"),
+            services={"0": 2, "1": "two"},
+        )
+        self.assertEqual(set(waits), {"j.0.0.0", TASK})
+        for found in waits.values():
+            self.assertEqual((found.outcome, found.last_attempt), ("still waiting", 0))
+            self.assertAlmostEqual(found.duration_s, 15.0, places=3)
+            self.assertAlmostEqual(found.ownerless_s, 1.0, places=3)
+            self.assertEqual(found.main_reason, "kept for urgent")
+
+    def test_task_known_by_its_start(self):
+        later = line(10.5, "JOB_ACCEPTED", job="j", known=True)
+        reasons = {"reserved": 1500, "no room": 1200, "owner new": 400}
+        (found,) = self.build_first(
+            SERVICE,
+            later,
+            start(
+                13.0, 1, "w", waited_ms=2800, waited_for="reserved", reasons_ms=reasons
+            ),
+        ).values()
+        self.assertEqual((found.outcome, found.next_worker), ("started", "w"))
+        self.assertAlmostEqual(found.duration_s, 3.0, places=3)
+        self.assertEqual(
+            [
+                (each.waits_for, round(each.duration_s, 3), each.is_mixed)
+                for each in found.owners[0].waits
+            ],
+            [
+                ("reserved", 1.5, False),
+                ("no room", 1.2, False),
+                ("owner new", 0.1, False),
+            ],
+        )
+
+    def test_unknown_acceptance_and_batch_tasks(self):
+        self.assertEqual(build(*FIRST_RUN).first_starts, ())
+        self.assertEqual(self.build_first(start(13.0, 1, "w")), {})
+
+    def test_text(self):
+        report = build(
+            claim(0.0, 1),
+            line(10.0, "JOB_ACCEPTED", job="j", services={"0": 1}),
+            wait(12.0, 2.0, "no room").replace(TASK, "j.0.0.0"),
+        )
+        self.assertEqual(
+            render_text(report).splitlines()[1:],
+            [
+                "1 waits for a first run, longest 2.00 s",
+                "",
+                "j.0.0.0  2.00 s since its acceptance, mainly no room",
+                "  no run before, accepted 2025-06-15 15:06:50.000",
+                "  epoch 1 on a, claimed 10.00 s before the acceptance: 2.00 s; "
+                "no room 2.00 s",
+                "  next run: still waiting at 2025-06-15 15:06:52.000",
+            ],
+        )
+
+
 class SelectionTest(unittest.TestCase):
     """Which interruptions are reported, and their summary."""
 
--- a/trefoilhook/interruptions/text.py
+++ b/trefoilhook/interruptions/text.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator, Mapping
 
 from trefoilhook.interruptions.core import (
+    ACCEPTED,
     NO_OWNER,
     NOT_LOGGED,
     STARTED,
@@ -30,7 +31,13 @@
         lines.append(f"main reasons: {_join_counts(report.reasons)}")
     if report.unread:
         lines.append(f"skipped lines: {_join_counts(report.unread)}")
-    for interruption in report.interruptions:
+    if report.first_starts:
+        longest_s = report.first_starts[0].duration_s
+        lines.append(
+            f"{len(report.first_starts)} waits for a first run, "
+            f"longest {longest_s:.2f} s"
+        )
+    for interruption in (*report.interruptions, *report.first_starts):
         lines += ["", *_list_lines(interruption)]
     return "\n".join(lines)
 
@@ -40,17 +47,24 @@
 
 
 def _list_lines(interruption: Interruption) -> Iterator[str]:
-    yield (
-        f"{interruption.task}  {interruption.duration_s:.2f} s since its last run, "
-        f"mainly {interruption.main_reason}"
-    )
     end = interruption.end
+    is_first = end.evidence == ACCEPTED
+    since = "its acceptance" if is_first else "its last run"
     yield (
-        f"  last run: attempt {interruption.last_attempt} on "
-        f"{interruption.last_worker}, ended {_format_time(end.at_s)} ({end.evidence})"
+        f"{interruption.task}  {interruption.duration_s:.2f} s since {since}, "
+        f"mainly {interruption.main_reason}"
     )
+    if is_first:
+        yield f"  no run before, accepted {_format_time(end.at_s)}"
+    else:
+        yield (
+            f"  last run: attempt {interruption.last_attempt} on "
+            f"{interruption.last_worker}, ended {_format_time(end.at_s)} "
+            f"({end.evidence})"
+        )
+    origin = "acceptance" if is_first else "end"
     for owner in interruption.owners:
-        yield f"  {_describe_owner(owner, end.at_s)}"
+        yield f"  {_describe_owner(owner, end.at_s, origin)}"
     if interruption.ownerless_s >= _MIN_SHOWN_S:
         yield f"  {NO_OWNER}: {interruption.ownerless_s:.2f} s"
     at = _format_time(interruption.until_s)
@@ -63,15 +77,16 @@
         yield f"  next run: {interruption.outcome} at {at}"
 
 
-def _describe_owner(owner: OwnerWait, ended_s: float) -> str:
-    offset_s = owner.claimed_s - ended_s
+def _describe_owner(owner: OwnerWait, began_s: float, origin: str) -> str:
+    """Describe the share of an owner in a wait that began with ``origin``."""
+    offset_s = owner.claimed_s - began_s
     claimed = f"claimed {abs(offset_s):.2f} s {'after' if offset_s > 0 else 'before'}"
     waits = [_describe_wait(wait) for wait in owner.waits]
     unlogged_s = owner.duration_s - sum(wait.duration_s for wait in owner.waits)
     if unlogged_s >= _MIN_SHOWN_S:
         waits.append(f"{NOT_LOGGED} {unlogged_s:.2f} s")
     return (
-        f"epoch {owner.epoch} on {owner.instance}, {claimed} the end: "
+        f"epoch {owner.epoch} on {owner.instance}, {claimed} the {origin}: "
         f"{owner.duration_s:.2f} s; {', '.join(waits)}"
     )
 
--- a/trefoilhook/interruptions/waits.py
+++ b/trefoilhook/interruptions/waits.py
@@ -1,6 +1,6 @@
 """What a task waited for under each owner, from log lines."""
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 import attrs
 
@@ -80,15 +80,30 @@
 
 
 def _read_start(start: LogLine, limit_s: float) -> list[Wait]:
-    """Return the main wait that a start tells of."""
+    """Return the waits that a start tells of, or the main one."""
     waits_for = start.fields.get("waited_for")
     if not waits_for:
         return []
     waited_s = read_number(start.fields.get("waited_ms")) / _MS_PER_S
     duration_s = min(waited_s, limit_s)
+    reasons = start.fields.get("reasons_ms")
+    if isinstance(reasons, dict):
+        return list(_split_reasons(reasons, duration_s))
     return [Wait(waits_for=str(waits_for), duration_s=duration_s, is_mixed=True)]
 
 
+def _split_reasons(reasons: Mapping[str, object], limit_s: float) -> Iterator[Wait]:
+    """Yield the time of each reason, the longest first.
+
+    The step may have waited for longer than the task.
+    """
+    left_s = limit_s
+    for reason, waited_ms in reasons.items():
+        duration_s = min(read_number(waited_ms) / _MS_PER_S, left_s)
+        left_s -= duration_s
+        yield Wait(waits_for=reason, duration_s=duration_s)
+
+
 def _merge(waits: Iterable[Wait]) -> list[Wait]:
     """Join consecutive waits for the same."""
     merged: list[Wait] = []
