End an overdue wait with a long interruption of the capacity

A step stayed overdue while there was no capacity for it, however long, and then took the first capacity that was released, regardless of urgent tasks. Found by reading at the merge of the waits handed over; two methods of the same name are told apart there, too.

--- a/trefoilhook/scheduling/service_holds.py
+++ b/trefoilhook/scheduling/service_holds.py
@@ -176,10 +176,13 @@
     def interrupt(self, step: StepName, now_ms: float) -> None:
         """Record that there is no ample capacity for a step."""
         stretch = self._stretches.get(step)
-        if stretch is not None:
-            stretch.interrupt(now_ms)
+        if stretch is None:
+            return
+        stretch.interrupt(now_ms)
+        if stretch.measure(now_ms) < _MAX_WAIT_MS:
+            self._overdue.discard(step)
 
-    def measure(self, now_ms: float) -> dict[StepName, StepWait]:
+    def list_waits(self, now_ms: float) -> dict[StepName, StepWait]:
         """Return the waits that are not over, by step."""
         waits: dict[StepName, StepWait] = {}
         for step, stretch in self._stretches.items():
--- a/trefoilhook/scheduling/tests/test_overdue_services.py
+++ b/trefoilhook/scheduling/tests/test_overdue_services.py
@@ -5,6 +5,7 @@
 import attrs
 
 from trefoilhook.scheduling import Demand, EndKind, Progress, Step
+from trefoilhook.scheduling.service_holds import OverdueSteps
 from trefoilhook.scheduling.tests.cases import Shard, build_job
 
 _MAX_WAIT_MS = 3000.0
@@ -14,6 +15,7 @@
     count=1, demand=Demand(cpu=1000, memory_mb=10), long_running=True, image="s"
 )
 _SUSPECTED_TASKS = 8
+_STEP = ("j", 0, 0)
 
 
 def _measure_wait(shard: Shard, job_id: str, *, count: int = 1) -> float:
@@ -80,5 +82,21 @@
         self.assertLessEqual(wait_ms, _MAX_WAIT_MS)
 
 
+class InterruptionTest(unittest.TestCase):
+    """Service steps for which there is no capacity any more."""
+
+    def test_long_interruption_ends_the_wait(self):
+        # Guards against a step that stays overdue while the fleet is full, and then
+        # takes the first capacity that urgent tasks release.
+        steps = OverdueSteps()
+        for now_ms in range(0, 2600, 100):
+            steps.extend(_STEP, now_ms)
+        self.assertTrue(steps.contains(_STEP))
+        steps.interrupt(_STEP, 2600.0)
+        self.assertTrue(steps.contains(_STEP))
+        steps.interrupt(_STEP, 3500.0)
+        self.assertFalse(steps.contains(_STEP))
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/trefoilhook/scheduling/wait_records.py
+++ b/trefoilhook/scheduling/wait_records.py
@@ -53,7 +53,7 @@
 def encode_waits(scheduler: Scheduler, now_ms: float) -> bytes:
     """Encode the waits of a shard for the next owner."""
     services = sorted(
-        scheduler.overdue.measure(now_ms).items(),
+        scheduler.overdue.list_waits(now_ms).items(),
         key=lambda row: row[1].waited_ms,
         reverse=True,
     )
