Test that refused starts do not begin the wait for urgent tasks anew

A chain of waits in calm that the reading of the waits left open: a new service task is kept from its capacity for 2 s, is then placed and refused, and could wait for 2 s again. It doesn't: once an attempt was made, the task counts as displaced. The test passed on the code as it was.

--- a/trefoilhook/scheduling/tests/test_overdue_services.py
+++ b/trefoilhook/scheduling/tests/test_overdue_services.py
@@ -4,13 +4,16 @@
 
 import attrs
 
-from trefoilhook.scheduling import Demand, EndKind, Progress, Step
+from trefoilhook.scheduling import Demand, EndKind, OrderOutcome, Progress, Step
 from trefoilhook.scheduling.service_holds import OverdueSteps
-from trefoilhook.scheduling.tests.cases import Shard, build_job
+from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 
 _MAX_WAIT_MS = 3000.0
 """Time within which users expect a service task with ample capacity to start."""
 
+_MIN_WAIT_MS = 1900.0
+"""Time for which a new service task leaves capacity to urgent tasks."""
+
 _SERVICE = Step(
     count=1, demand=Demand(cpu=1000, memory_mb=10), long_running=True, image="s"
 )
@@ -51,6 +54,44 @@
         self.assertLessEqual(_measure_wait(shard, "small"), _MAX_WAIT_MS)
 
 
+class RefusalTest(unittest.TestCase):
+    """A new service task that leaves capacity to urgent tasks for a while."""
+
+    def setUp(self):
+        self.shard = Shard(workers=1, cpu=4000)
+        urgent = Step(count=4, demand=Demand(cpu=1000, memory_mb=10), estimate_ms=500.0)
+        self.shard.submit(build_job(urgent, job_id="u"))
+        for order in list_starts(self.shard.step()):
+            self.shard.end(order, EndKind.DONE)
+        self.shard.add_worker("full", cpu=16_000)
+        full = attrs.evolve(_SERVICE, demand=Demand(cpu=16_000, memory_mb=10))
+        self.shard.submit(build_job(full, job_id="f"))
+        self.shard.step()
+        held = attrs.evolve(_SERVICE, demand=Demand(cpu=2000, memory_mb=10))
+        self.shard.submit(build_job(held, job_id="z"))
+
+    def _advance(self) -> None:
+        self.shard.advance_time(100.0)
+        self.shard.poll_all()
+
+    def test_refused_starts(self):
+        # Guards against a task that waits for urgent tasks anew after each refusal of
+        # its start that takes longer than a round.
+        began_ms = self.shard.now_ms
+        refusals = 0
+        while refusals < 3 and self.shard.now_ms < began_ms + 20_000.0:
+            orders = list_starts(self.shard.plan())
+            if orders:
+                self._advance()
+                self.shard.plan()
+            for order in orders:
+                self.shard.answer(order, OrderOutcome.NO_ROOM)
+                refusals += 1
+            self._advance()
+        self.assertGreater(self.shard.now_ms - began_ms, _MIN_WAIT_MS)
+        self.assertLessEqual(self.shard.now_ms - began_ms, _MAX_WAIT_MS)
+
+
 class SuspectTest(unittest.TestCase):
     """Service tasks that were lost with their workers."""
 
