--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -61,9 +61,7 @@
         listed.add(_apply_running(scheduler, worker, running, now_ms))
     for row in answer.unreadable:
         if row.attempt is not None:
-            _hold_unreadable(
-                scheduler, worker, row.attempt, now_ms, has_ended=row.is_end
-            )
+            _hold_unreadable(scheduler, worker, row.attempt, now_ms)
     learn_interference(worker, scheduler.jobs, scheduler.interference, now_ms)
     hidden = _find_hidden(worker, answer, now_ms)
     if len(answer.ends) + len(answer.unreadable) >= _ENDS_PAGE_SIZE:
@@ -189,19 +187,13 @@
 
 
 def _hold_unreadable(
-    scheduler: Scheduler,
-    worker: Worker,
-    key: tuple[TaskId, int],
-    now_ms: float,
-    *,
-    has_ended: bool,
+    scheduler: Scheduler, worker: Worker, key: tuple[TaskId, int], now_ms: float
 ) -> None:
-    """Hold an attempt with an unreadable row as if it ran, while its job is open.
+    """Hold an attempt with an unreadable end as if it ran, while its job is open.
 
     Guards against restarting a completed task at a takeover: the end is the new owner's
     only evidence of it. After the end of the job the result of the attempt no longer
-    matters, and holding it would only repeat stop orders forever. Nor does it matter
-    for a service task, which has to run again however it ended.
+    matters, and holding it would only repeat stop orders forever.
     """
     name, attempt = key
     state = scheduler.jobs.get(name.job_id)
@@ -213,11 +205,6 @@
         if run is not None:
             scheduler.finish_run(worker, run, EndKind.LEASE_EXPIRED, "")
         return
-    if has_ended and task.step.long_running and not task.step.gang:
-        if run is not None:
-            # Other workers are preferred, in case it has failed on this one.
-            scheduler.finish_run(worker, run, EndKind.FAILED, run.checkpoint)
-        return
     if run is None and not task.attempts and attempt >= task.last_attempt:
         running = Running(
             task=name, attempt=attempt, checkpoint="", percent=None, load=None
--- a/trefoilhook/scheduling/unread.py
+++ b/trefoilhook/scheduling/unread.py
@@ -6,9 +6,6 @@
 its task and its capacity until the row becomes readable, or until the worker's
 incarnation or its leases are proved to have ended. Treating the row as a failure or as
 an expired lease would either lose the work or repeat it.
-
-A service task is never completed. If an unreadable end names its attempt, it is over,
-and the task has to run again.
 """
 
 from collections.abc import Collection
