--- a/trefoilhook/runtime/tests/test_handovers.py
+++ b/trefoilhook/runtime/tests/test_handovers.py
@@ -141,7 +141,8 @@
             owner = await stop_owner(cluster, owner)
             first_ms = read_wait(cluster, "c" * 16)
             self.assertGreater(first_ms, 0.0)
-            await trio.sleep(0.2)
+            # The next owner has read the shard, and workers have answered it.
+            await cluster.wait_until(lambda: read_groups(cluster).epoch == 2)
             await stop_owner(cluster, owner)
             self.assertGreater(read_wait(cluster, "c" * 16), first_ms)
 
