Place overdue service tasks on workers of others only as a last resort

Callers would have seen a larger displaced service lose the worker reserved for it, or a sound service crash beside a suspect, while other workers were idle.

Cause: an overdue step's candidates include workers that are reserved for larger tasks or for isolated runs, and scores pack tasks tightly. A reserved worker holds runs, so that it won over an idle one.

Change: a penalty on such workers, above all others but that of faulty workers.

Evidence: both new tests failed before (the task was started on the reserved worker, and beside the isolated run) and pass now; the 571 tests of trefoilhook/scheduling pass.

--- a/trefoilhook/scheduling/candidates.py
+++ b/trefoilhook/scheduling/candidates.py
@@ -18,6 +18,11 @@
 
 __all__ = ["Candidates"]
 
+_RESERVED_PENALTY = 1_000_000
+"""Penalty for placing an overdue task on a worker that is reserved for another one, in
+thousandths of a core. It excludes these workers unless no sound one has the capacity:
+the other task would lose its reservation, or might crash the worker."""
+
 
 @attrs.define(kw_only=True)
 class Candidates:
@@ -72,6 +77,7 @@
             return
         score = score_worker(worker, self.task, self.colocations)
         if score is not None:
+            score -= _RESERVED_PENALTY * self._is_reserved(worker)
             self._added += 1
             heapq.heappush(self._heap, (-score, self._added, worker))
 
@@ -93,5 +99,11 @@
             heapq.heappush(self._heap, entry)
         return found
 
+    def _is_reserved(self, worker: Worker) -> bool:
+        """Return whether only an overdue task may start on a worker."""
+        return self.is_overdue and (
+            worker.is_reserved or not can_host(worker, self.task)
+        )
+
     def _is_admitted(self, worker: Worker) -> bool:
         return self.limit is None or self.limit.admits(worker, self.task.step.room)
--- a/trefoilhook/scheduling/tests/test_overdue_services.py
+++ b/trefoilhook/scheduling/tests/test_overdue_services.py
@@ -27,12 +27,18 @@
     return shard.now_ms - began_ms
 
 
+def _make_overdue(shard: Shard, job_id: str) -> None:
+    """Make the first step of a job overdue."""
+    for waited_ms in (0.0, _MAX_WAIT_MS):
+        now_ms = shard.now_ms - _MAX_WAIT_MS + waited_ms
+        shard.scheduler.overdue.extend((job_id, 0, 0), now_ms)
+
+
 class ReservationTest(unittest.TestCase):
     """A service task beside workers that are reserved for a larger one."""
 
-    def test_successive_reservations(self):
-        # Guards against a service task that is kept from a worker by one reservation
-        # for a larger task after the other.
+    def _build(self) -> Shard:
+        """Build a shard with one worker, which is reserved for a larger task."""
         shard = Shard(workers=2, cpu=8000)
         large = attrs.evolve(_SERVICE, demand=Demand(cpu=7000, memory_mb=10))
         shard.submit(build_job(large, job_id="large"))
@@ -44,16 +50,47 @@
         for _ in range(3):
             shard.step()
         self.assertTrue(shard.scheduler.reservations.count)
+        return shard
+
+    def test_successive_reservations(self):
+        # Guards against a service task that is kept from a worker by one reservation
+        # for a larger task after the other.
+        shard = self._build()
         small = attrs.evolve(_SERVICE, demand=Demand(cpu=1500, memory_mb=10))
         shard.submit(
             build_job(small, job_id="small"), is_new=False, progress=Progress()
         )
         self.assertLessEqual(_measure_wait(shard, "small"), _MAX_WAIT_MS)
 
+    def test_capacity_elsewhere(self):
+        # Guards against an overdue service task that takes the worker reserved for a
+        # larger one although another worker has the capacity.
+        shard = self._build()
+        shard.add_worker("other", cpu=3500)
+        small = attrs.evolve(_SERVICE, demand=Demand(cpu=1500, memory_mb=10))
+        shard.submit(build_job(small, job_id="small"))
+        _make_overdue(shard, "small")
+        self.assertEqual(shard.start_one().worker_id, "other")
+
 
 class SuspectTest(unittest.TestCase):
     """Service tasks that were lost with their workers."""
 
+    def test_worker_of_an_isolated_run(self):
+        # Guards against an overdue service task that is started beside a run that may
+        # crash its worker although other workers are idle.
+        shard = Shard(workers=4)
+        shard.submit(build_job(_SERVICE, job_id="suspect"))
+        isolated = shard.start_one().worker_id
+        (task,) = shard.scheduler.jobs["suspect"].tasks.values()
+        suspicion = shard.scheduler.suspects.get_or_add(task)
+        for attempt in (1, 2):
+            suspicion.record_loss(attempt, "gone", 60.0, proved=True)
+        shard.submit(build_job(_SERVICE, job_id="z"))
+        _make_overdue(shard, "z")
+        self.assertNotEqual(shard.start_one().worker_id, isolated)
+        self.assertTrue(shard.scheduler.workers[isolated].is_reserved)
+
     def _lose(self, *, losses: int, proved: bool, ratio: float) -> Shard:
         """Lose all tasks of a service a number of times."""
         shard = Shard(workers=12)
