--- a/trefoilhook/scheduling/tests/test_overdue_services.py
+++ b/trefoilhook/scheduling/tests/test_overdue_services.py
@@ -4,7 +4,14 @@
 
 import attrs
 
-from trefoilhook.scheduling import Demand, EndKind, OrderOutcome, Progress, Step
+from trefoilhook.scheduling import (
+    Demand,
+    EndKind,
+    OrderOutcome,
+    Progress,
+    StartOrder,
+    Step,
+)
 from trefoilhook.scheduling.service_holds import OverdueSteps
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 
@@ -18,6 +25,7 @@
     count=1, demand=Demand(cpu=1000, memory_mb=10), long_running=True, image="s"
 )
 _SUSPECTED_TASKS = 8
+_MAX_ISOLATED_RUNS = 2
 _STEP = ("j", 0, 0)
 
 
@@ -30,12 +38,18 @@
     return shard.now_ms - began_ms
 
 
+def _make_overdue(shard: Shard, job_id: str) -> None:
+    """Make the first step of a job overdue."""
+    for waited_ms in (0.0, _MAX_WAIT_MS):
+        now_ms = shard.now_ms - _MAX_WAIT_MS + waited_ms
+        shard.scheduler.overdue.extend((job_id, 0, 0), now_ms)
+
+
 class ReservationTest(unittest.TestCase):
     """A service task beside workers that are reserved for a larger one."""
 
-    def test_successive_reservations(self):
-        # Guards against a service task that is kept from a worker by one reservation
-        # for a larger task after the other.
+    def _build(self) -> Shard:
+        """Build a shard with one worker, which is reserved for a larger task."""
         shard = Shard(workers=2, cpu=8000)
         large = attrs.evolve(_SERVICE, demand=Demand(cpu=7000, memory_mb=10))
         shard.submit(build_job(large, job_id="large"))
@@ -47,12 +61,28 @@
         for _ in range(3):
             shard.step()
         self.assertTrue(shard.scheduler.reservations.count)
+        return shard
+
+    def test_successive_reservations(self):
+        # Guards against a service task that is kept from a worker by one reservation
+        # for a larger task after the other.
+        shard = self._build()
         small = attrs.evolve(_SERVICE, demand=Demand(cpu=1500, memory_mb=10))
         shard.submit(
             build_job(small, job_id="small"), is_new=False, progress=Progress()
         )
         self.assertLessEqual(_measure_wait(shard, "small"), _MAX_WAIT_MS)
 
+    def test_capacity_elsewhere(self):
+        # Guards against an overdue service task that takes the worker reserved for a
+        # larger one although another worker has the capacity.
+        shard = self._build()
+        shard.add_worker("other", cpu=3500)
+        small = attrs.evolve(_SERVICE, demand=Demand(cpu=1500, memory_mb=10))
+        shard.submit(build_job(small, job_id="small"))
+        _make_overdue(shard, "small")
+        self.assertEqual(shard.start_one().worker_id, "other")
+
 
 class RefusalTest(unittest.TestCase):
     """A new service task that leaves capacity to urgent tasks for a while."""
@@ -95,6 +125,21 @@
 class SuspectTest(unittest.TestCase):
     """Service tasks that were lost with their workers."""
 
+    def test_worker_of_an_isolated_run(self):
+        # Guards against an overdue service task that is started beside a run that may
+        # crash its worker although other workers are idle.
+        shard = Shard(workers=4)
+        shard.submit(build_job(_SERVICE, job_id="suspect"))
+        isolated = shard.start_one().worker_id
+        (task,) = shard.scheduler.jobs["suspect"].tasks.values()
+        suspicion = shard.scheduler.suspects.get_or_add(task)
+        for attempt in (1, 2):
+            suspicion.record_loss(attempt, "gone", 60.0, proved=True)
+        shard.submit(build_job(_SERVICE, job_id="z"))
+        _make_overdue(shard, "z")
+        self.assertNotEqual(shard.start_one().worker_id, isolated)
+        self.assertTrue(shard.scheduler.workers[isolated].is_reserved)
+
     def _lose(self, *, losses: int, proved: bool, ratio: float) -> Shard:
         """Lose all tasks of a service a number of times."""
         shard = Shard(workers=12)
@@ -122,6 +167,22 @@
         wait_ms = _measure_wait(shard, "z", count=_SUSPECTED_TASKS)
         self.assertLessEqual(wait_ms, _MAX_WAIT_MS)
 
+    def test_start_after_a_long_delay(self):
+        # Guards against suspected tasks that all start at once after their delay, so
+        # that each of them may crash a worker before the first crash is known.
+        shard = self._lose(losses=4, proved=False, ratio=20.0)
+        for task in shard.scheduler.jobs["z"].tasks.values():
+            task.shared.held_until_ms = shard.now_ms + 4000.0
+        began_ms = shard.now_ms
+        starts: list[StartOrder] = []
+        while not starts and shard.now_ms < began_ms + 10_000.0:
+            starts = list_starts(shard.step())
+            shard.save()
+        self.assertGreaterEqual(shard.now_ms, began_ms + 4000.0)
+        self.assertEqual(len(starts), _MAX_ISOLATED_RUNS)
+        wait_ms = _measure_wait(shard, "z", count=_SUSPECTED_TASKS)
+        self.assertLessEqual(wait_ms, _MAX_WAIT_MS)
+
 
 class InterruptionTest(unittest.TestCase):
     """Service steps for which there is no capacity any more."""
