--- a/trefoilhook/scheduling/overdue.py
+++ b/trefoilhook/scheduling/overdue.py
@@ -17,7 +17,7 @@
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.placing import can_host, list_usable_workers
-from trefoilhook.scheduling.tickets import StepName, name_step
+from trefoilhook.scheduling.tickets import name_step
 
 __all__ = ["may_be_overdue", "record_waits"]
 
@@ -25,11 +25,6 @@
 """Number of tasks for which there is ample capacity."""
 
 
-_MAX_COUNTED_HOLD_MS = 1000.0
-"""Maximum remaining delay after a crash that counts as waiting, in ms. After a longer
-delay suspected tasks would otherwise all start at once, without a turn in isolation."""
-
-
 def may_be_overdue(task: TaskState) -> bool:
     """Return whether the wait of a task beside capacity is limited."""
     queue = task.job.queue
@@ -55,7 +50,7 @@
     now_ms : float
         Current time, in ms.
     """
-    steps = _choose_tasks(tasks)
+    steps = {name_step(task.task): task for task in tasks if may_be_overdue(task)}
     overdue = scheduler.overdue
     overdue.retain(steps.keys())
     workers: dict[str, list[Worker]] = {}
@@ -66,25 +61,12 @@
             workers[service] = _sort_by_room(
                 list_usable_workers(scheduler, service, now_ms)
             )
-        is_held = task.shared.held_until_ms - now_ms > _MAX_COUNTED_HOLD_MS
-        if not is_held and _count_places(task, workers[service]) >= _AMPLE_PLACES:
+        if _count_places(task, workers[service]) >= _AMPLE_PLACES:
             overdue.extend(step, now_ms)
         else:
             overdue.interrupt(step, now_ms)
 
 
-def _choose_tasks(tasks: Iterable[TaskState]) -> dict[StepName, TaskState]:
-    """Return the task of each step that may be started first."""
-    chosen: dict[StepName, TaskState] = {}
-    for task in tasks:
-        if not may_be_overdue(task):
-            continue
-        known = chosen.setdefault(name_step(task.task), task)
-        if task.shared.held_until_ms < known.shared.held_until_ms:
-            chosen[name_step(task.task)] = task
-    return chosen
-
-
 def _count_places(task: TaskState, workers: Collection[Worker]) -> int:
     """Return for how many tasks there is capacity, two at most.
 
