Compare large fleets with few of the waiting service steps

Callers would have waited for the plan: the new measure of waits beside capacity compared each waiting service step with each worker in each round that places fillers, if memory or a label is what the workers lack.

Change: a demand that is not ample for one step rules out larger ones of the same label in the round. Steps with a limit per worker rule out nothing.

The new test failed before (600 comparisons for 30 equal steps and 20 workers, now at most 20).

--- a/trefoilhook/scheduling/overdue.py
+++ b/trefoilhook/scheduling/overdue.py
@@ -12,6 +12,8 @@
 
 from collections.abc import Collection, Iterable
 
+import attrs
+
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Worker
 from trefoilhook.scheduling.job_state import TaskState
@@ -53,20 +55,56 @@
     steps = {name_step(task.task): task for task in tasks if may_be_overdue(task)}
     overdue = scheduler.overdue
     overdue.retain(steps.keys())
-    workers: dict[str, list[Worker]] = {}
+    capacities: dict[str, _FreeCapacity] = {}
     for step, task in steps.items():
         queue = task.job.queue
         service = queue.service if queue is not None else ""
-        if service not in workers:
-            workers[service] = _sort_by_room(
-                list_usable_workers(scheduler, service, now_ms)
-            )
-        if _count_places(task, workers[service]) >= _AMPLE_PLACES:
+        if service not in capacities:
+            workers = list_usable_workers(scheduler, service, now_ms)
+            capacities[service] = _FreeCapacity(workers=_sort_by_room(workers))
+        if capacities[service].is_ample_for(task):
             overdue.extend(step, now_ms)
         else:
             overdue.interrupt(step, now_ms)
 
 
+@attrs.define(kw_only=True)
+class _FreeCapacity:
+    """Free capacity of the workers of a service in one round.
+
+    Demands for which it is not ample are kept by label, as larger ones need not be
+    compared with all workers of a large fleet.
+
+    Parameters
+    ----------
+    workers : list of Worker
+        Workers, those with the most free processors first.
+    """
+
+    workers: list[Worker]
+    _scarce: dict[str, list[Demand]] = attrs.field(factory=dict, init=False)
+
+    def is_ample_for(self, task: TaskState) -> bool:
+        """Return whether there is capacity for two tasks like ``task``."""
+        room, label = task.step.room, task.step.required_label
+        scarce = self._scarce.setdefault(label, [])
+        if any(_is_covered(smaller, room) for smaller in scarce):
+            return False
+        if _count_places(task, self.workers) >= _AMPLE_PLACES:
+            return True
+        if not task.step.max_per_worker:
+            scarce.append(room)
+        return False
+
+
+def _is_covered(smaller: Demand, larger: Demand) -> bool:
+    return (
+        smaller.cpu <= larger.cpu
+        and smaller.memory_mb <= larger.memory_mb
+        and smaller.gpus <= larger.gpus
+    )
+
+
 def _count_places(task: TaskState, workers: Collection[Worker]) -> int:
     """Return for how many tasks there is capacity, two at most.
 
--- a/trefoilhook/scheduling/tests/test_overdue_services.py
+++ b/trefoilhook/scheduling/tests/test_overdue_services.py
@@ -1,10 +1,12 @@
 """Tests of the time for which service tasks wait beside capacity for them."""
 
 import unittest
+from unittest import mock
 
 import attrs
 
-from trefoilhook.scheduling import Demand, EndKind, Progress, StartOrder, Step
+from trefoilhook.scheduling import Demand, EndKind, Progress, StartOrder, Step, overdue
+from trefoilhook.scheduling.placing import can_host
 from trefoilhook.scheduling.service_holds import OverdueSteps
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 
@@ -136,6 +138,23 @@
         self.assertLessEqual(wait_ms, _MAX_WAIT_MS)
 
 
+class CostTest(unittest.TestCase):
+    """Comparison of waiting steps with the workers."""
+
+    def test_many_steps_without_capacity(self):
+        # Guards against rounds that compare each waiting step with each worker, which
+        # takes a second on a large fleet.
+        shard = Shard(workers=20)
+        step = attrs.evolve(_SERVICE, demand=Demand(cpu=1000, memory_mb=9000))
+        for number in range(30):
+            shard.submit(build_job(step, job_id=f"j{number}"))
+        tasks = list(shard.scheduler.waiting)
+        self.assertEqual(len(tasks), 30)
+        with mock.patch.object(overdue, "can_host", wraps=can_host) as compare:
+            overdue.record_waits(shard.scheduler, tasks, shard.now_ms)
+        self.assertLessEqual(compare.call_count, len(shard.workers))
+
+
 class InterruptionTest(unittest.TestCase):
     """Service steps for which there is no capacity any more."""
 
