Add a search on virtual time for service tasks that wait beside room

The product's own processes run in one event loop on virtual time, with its store and worker stand-ins and a network with faults between them.

--- /dev/null
+++ b/bench/availability/fleet.py
@@ -0,0 +1,311 @@
+"""A fleet of instances and workers with the product's own code, on virtual time."""
+
+import json
+import random
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from bench.availability.network import Fault, Network, run_as
+from bench.availability.worker import VirtualWorker
+from trefoilhook.clock import Clock
+from trefoilhook.http import HttpRequest
+from trefoilhook.platform import Bounds, InstanceSize, ProcessSettings
+from trefoilhook.runtime import Process
+from trefoilhook.standins import platform_documents
+from trefoilhook.standins.platform_store import PlatformStore
+
+__all__ = ["Fleet", "Instance", "ServiceJob"]
+
+_HOST = "shop.example"
+_PREFIX = "/checks/"
+_STORE_ADDRESS = ("10.9.0.1", 1)
+_RESTART_MS = 800.0
+_BOUNDS = Bounds(
+    shutdown_ms=6000.0,
+    max_task_lease_ms=6000.0,
+    longest_stop_ms=200.0,
+    status_ms=120_000.0,
+    overload_ms=4000.0,
+)
+
+
+@attrs.define(kw_only=True, eq=False)
+class Instance:
+    """A process of the product."""
+
+    name: str
+    process: Process
+    stop: trio.Event = attrs.Factory(trio.Event)
+    scope: trio.CancelScope = attrs.Factory(trio.CancelScope)
+    has_ended: bool = False
+
+
+@attrs.define(kw_only=True, eq=False)
+class ServiceJob:
+    """An accepted job whose tasks last.
+
+    Parameters
+    ----------
+    job_id : str
+        Its id.
+    count, cpu, mem_mb : int
+        Tasks, and what each needs.
+    max_per_worker : int
+        Maximum number of its tasks on a worker; 0 for no limit.
+    accepted_ms : float
+        Time of the acceptance, in ms.
+    is_cancelled : bool
+        Whether its cancellation was requested.
+    """
+
+    job_id: str
+    count: int
+    cpu: int
+    mem_mb: int
+    max_per_worker: int
+    accepted_ms: float = 0.0
+    is_cancelled: bool = False
+
+
+class Fleet:
+    """The store, the workers and the instances.
+
+    Parameters
+    ----------
+    nursery : Nursery
+        Runs all processes.
+    clock : Clock
+        Time source.
+    network : Network
+        Their network.
+    generator : Random
+        Random number generator.
+    """
+
+    def __init__(
+        self,
+        *,
+        nursery: trio.Nursery,
+        clock: Clock,
+        network: Network,
+        generator: random.Random,
+    ) -> None:
+        self._nursery = nursery
+        self.clock = clock
+        self.network = network
+        self.random = generator
+        self.store = PlatformStore(clock=clock)
+        self.workers: dict[str, VirtualWorker] = {}
+        self.instances: list[Instance] = []
+        self.services: dict[str, ServiceJob] = {}
+        self.needs: dict[str, tuple[int, int]] = {}
+        self._task_ms: dict[str, float] = {}
+        self._started_instances = 0
+        self._started_workers = 0
+        self._jobs = 0
+
+    @property
+    def store_address(self) -> tuple[str, int]:
+        """Address of the store."""
+        return _STORE_ADDRESS
+
+    def start_store(self) -> None:
+        """Start the store with a configuration."""
+        self.network.handlers[_STORE_ADDRESS] = self.store._handle_request
+        self._nursery.start_soon(self.store.expire_leases)
+        self.store.write(
+            "op/config",
+            platform_documents.build_configuration(1, _PREFIX, host=_HOST),
+        )
+
+    # Workers.
+
+    def start_worker(self, *, cpu: int) -> VirtualWorker:
+        """Start a worker at an address of its own."""
+        self._started_workers += 1
+        number = self._started_workers
+        worker = VirtualWorker(
+            worker_id=f"w{number}",
+            clock=self.clock,
+            address=(f"10.8.{number // 250}.{number % 250 + 1}", 8000),
+            store=self.store,
+            find_task_ms=self._find_task_ms,
+            capacity={"cpu": cpu, "mem_mb": 128_000, "gpu": 0},
+        )
+        self.workers[worker.worker_id] = worker
+        self.network.handlers[worker.address] = worker.handle
+        self._nursery.start_soon(worker.run)
+        return worker
+
+    def _find_task_ms(self, task: str) -> float:
+        return self._task_ms.get(task.partition(".")[0], 0.0)
+
+    def list_alive(self) -> list[VirtualWorker]:
+        """Return the workers that run and don't leave."""
+        return [
+            worker
+            for worker in self.workers.values()
+            if not (worker.is_powered_off or worker.is_draining)
+        ]
+
+    def crash_worker(self, worker: VirtualWorker, *, is_dark: bool) -> None:
+        """End a worker's process; a dark machine refuses no connections either."""
+        worker.power_off()
+        if is_dark:
+            self.network.set_fault("", worker.address, Fault.CUT)
+        else:
+            self.network.handlers.pop(worker.address, None)
+
+    async def restart_worker(self, worker: VirtualWorker) -> None:
+        """Start the process of a crashed worker again, under its id."""
+        await worker.restart(down_ms=0.0)
+        self.network.set_fault("", worker.address, None)
+        self.network.handlers[worker.address] = worker.handle
+        worker.write_entry()
+
+    async def remove_worker(self, worker: VirtualWorker, *, notice_ms: float) -> None:
+        """Let a worker leave as planned."""
+        await worker.leave(notice_ms=notice_ms)
+        self.network.handlers.pop(worker.address, None)
+
+    # Instances.
+
+    def start_instance(self) -> Instance:
+        """Start an instance."""
+        name = f"i{self._started_instances}"
+        self._started_instances += 1
+        settings = ProcessSettings(
+            name=name,
+            entry_address=("127.0.0.1", 0),
+            readiness_address=("127.0.0.1", 0),
+            store_address=_STORE_ADDRESS,
+            advice_address=None,
+            size=InstanceSize(),
+            bounds=_BOUNDS,
+        )
+        instance = Instance(
+            name=name, process=Process(settings=settings, clock=self.clock)
+        )
+        self.instances.append(instance)
+        self._nursery.start_soon(run_as, name, self._run_instance, instance)
+        return instance
+
+    async def _run_instance(self, instance: Instance) -> None:
+        with instance.scope:
+            await instance.process.run(instance.stop)
+        instance.has_ended = True
+
+    def find_owner(self) -> Instance | None:
+        """Return the instance that owns the shard, or None."""
+        for instance in self.list_running():
+            if instance.process.is_owner:
+                return instance
+        return None
+
+    def list_running(self) -> list[Instance]:
+        """Return the instances that run and are not being stopped."""
+        return [
+            each
+            for each in self.instances
+            if not (each.has_ended or each.stop.is_set() or each.scope.cancel_called)
+        ]
+
+    def stop_instance(self, instance: Instance) -> None:
+        """Stop an instance as planned, and start another one later."""
+        instance.stop.set()
+        self._nursery.start_soon(self._replace_instance)
+
+    def kill_instance(self, instance: Instance) -> None:
+        """Kill an instance, and start another one later."""
+        instance.scope.cancel()
+        self._nursery.start_soon(self._replace_instance)
+
+    async def _replace_instance(self) -> None:
+        await self.clock.sleep_ms(_RESTART_MS)
+        self.start_instance()
+
+    def set_store_fault(self, instance: Instance, fault: Fault | None) -> None:
+        """Set the fault of the link from an instance to the store."""
+        self.network.set_fault(instance.name, _STORE_ADDRESS, fault)
+
+    # Clients.
+
+    def submit_service(self, job: ServiceJob) -> None:
+        """Submit a service until it is accepted."""
+        step = {
+            "count": job.count,
+            "cpu": job.cpu,
+            "mem_mb": job.mem_mb,
+            "long_running": True,
+            "image": "s",
+            "anti_affinity": job.max_per_worker,
+        }
+        self._task_ms[job.job_id] = float("inf")
+        self.needs[job.job_id] = (job.cpu, job.mem_mb)
+
+        def note_acceptance() -> None:
+            job.accepted_ms = self.clock.monotonic_ms()
+            self.services[job.job_id] = job
+
+        self._nursery.start_soon(self._submit, job.job_id, step, note_acceptance)
+
+    def submit_urgent(self, *, count: int, cpu: int, duration_ms: float) -> None:
+        """Submit an urgent job."""
+        step = {"count": count, "cpu": cpu, "mem_mb": 8000, "estimate_ms": duration_ms}
+        job_id = self.name_job()
+        self.needs[job_id] = (cpu, 8000)
+        self._task_ms[job_id] = duration_ms * self.random.uniform(0.6, 1.4)
+        self._nursery.start_soon(self._submit, job_id, step, lambda: None)
+
+    def cancel_service(self, job: ServiceJob) -> None:
+        """Cancel a service."""
+        job.is_cancelled = True
+        self._nursery.start_soon(self._cancel, job)
+
+    async def _cancel(self, job: ServiceJob) -> None:
+        for _ in range(20):
+            status = await self._send("DELETE", job.job_id, b"")
+            if status in (200, 202, 204, 404, 410):
+                return
+            await self.clock.sleep_ms(500.0)
+
+    def name_job(self) -> str:
+        """Return the id of a new job."""
+        self._jobs += 1
+        return f"{self._jobs:016x}"
+
+    async def _submit(
+        self, job_id: str, step: dict, note_acceptance: Callable[[], None]
+    ) -> None:
+        body = json.dumps({"spec": "x", "steps": [step]}).encode()
+        for _ in range(20):
+            status = await self._send("POST", job_id, body)
+            if 200 <= status < 300:
+                note_acceptance()
+                return
+            await self.clock.sleep_ms(500.0)
+
+    async def _send(self, method: str, job_id: str, body: bytes) -> int:
+        """Send a request to some instance; return the status, 0 if there is none."""
+        running = self.list_running()
+        if not running:
+            return 0
+        instance = self.random.choice(running)
+        request = HttpRequest(
+            method=method,
+            target=_PREFIX + job_id,
+            headers=(("host", _HOST), ("deadline-ms", "3000")),
+            body=body,
+        )
+        statuses: list[int] = []
+
+        async def answer() -> None:
+            with trio.move_on_after(3.0):
+                response = await instance.process._job_api.answer(request)
+                statuses.append(response.status)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run_as, instance.name, answer)
+        return statuses[0] if statuses else 0
--- /dev/null
+++ b/bench/availability/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the search."""
