Make the search on virtual time find faults that are put in

Services are now replaced all the time, urgent work comes in bursts that leave room between them, batch work ends within seconds, and each profile of series aims at one way to wait (bursts, displaced services, repeated losses of one service, owners replaced while workers leave). Workers with labels and queues of two priorities are new as well.

Two faults of the search itself: a machine that went dark still closed the connection on which a call was open, so that each loss looked like the end of a process, and workers that left as planned refused connections at once.

--fault puts a known fault into the product.

--- a/bench/availability/__main__.py
+++ b/bench/availability/__main__.py
@@ -1,31 +1,52 @@
 """Searches series of disruptions for service tasks that wait beside capacity."""
 
 import argparse
+import contextlib
 import os
 import sys
 import time
 
-from bench.availability.series import build_series, simulate
+from bench.availability.known_faults import KNOWN_FAULTS, put_in
+from bench.availability.series import build_series
+from bench.availability.simulation import Outcome, simulate
 
 
-def main() -> None:
-    """Simulate series and print those that break the rule."""
+def main() -> int:
+    """Simulate series, print the outcomes and return whether a rule is broken."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--count", type=int, default=10)
+    parser.add_argument("--fault", choices=sorted(KNOWN_FAULTS))
     arguments = parser.parse_args()
-    for seed in range(arguments.seed, arguments.seed + arguments.count):
-        series = build_series(seed)
-        began_s = time.monotonic()
-        outcome = simulate(series)
-        print(
-            f"{seed}: {len(outcome.violations)} broken, longest "
-            f"{outcome.longest_ms:.0f} ms, {outcome.runs} runs, "
-            f"{series.length_ms / 1000:.0f} s in {time.monotonic() - began_s:.1f} s",
-            flush=True,
-        )
-        for violation in outcome.violations[:3]:
-            print(f"  {violation}")
+    fault = put_in(arguments.fault) if arguments.fault else contextlib.nullcontext()
+    broken = 0
+    with fault:
+        for seed in range(arguments.seed, arguments.seed + arguments.count):
+            broken += _search(seed)
+    print(f"{broken} of {arguments.count} broken")
+    return int(broken > 0)
+
+
+def _search(seed: int) -> bool:
+    series = build_series(seed)
+    began_s = time.monotonic()
+    outcome = simulate(series)
+    took_s = time.monotonic() - began_s
+    _print(seed, outcome, f"{series.length_ms / 1000:.0f} s in {took_s:.1f} s")
+    return outcome.is_broken
+
+
+def _print(seed: int, outcome: Outcome, times: str) -> None:
+    print(
+        f"{seed}: {len(outcome.violations)} broken, longest "
+        f"{outcome.longest_ms:.0f} ms "
+        f"({outcome.longest_disrupted_ms:.0f} in disruptions), "
+        f"{len(outcome.duplicates)} run twice, "
+        f"{outcome.failures} failures, {outcome.runs} runs, {times}",
+        flush=True,
+    )
+    for violation in outcome.violations[:3]:
+        print(f"  {violation}", flush=True)
 
 
 if __name__ == "__main__":
@@ -34,4 +55,4 @@
         os.execv(
             sys.executable, [sys.executable, "-m", "bench.availability"] + sys.argv[1:]
         )
-    main()
+    sys.exit(main())
--- a/bench/availability/fleet.py
+++ b/bench/availability/fleet.py
@@ -1,27 +1,40 @@
 """A fleet of instances and workers with the product's own code, on virtual time."""
 
+import contextlib
+import itertools
 import json
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from typing import Any
+from unittest import mock
 
 import attrs
 import trio
 
-from bench.availability.network import Fault, Network, run_as
+from bench.availability.network import Fault, Network, get_caller, run_as
 from bench.availability.worker import VirtualWorker
 from trefoilhook.clock import Clock
 from trefoilhook.http import HttpRequest
 from trefoilhook.platform import Bounds, InstanceSize, ProcessSettings
 from trefoilhook.runtime import Process
+from trefoilhook.runtime.shard import ShardOwner
+from trefoilhook.scheduling import Scheduler
 from trefoilhook.standins import platform_documents
 from trefoilhook.standins.platform_store import PlatformStore
+from trefoilhook.standins.platform_worker import TaskRecord
 
-__all__ = ["Fleet", "Instance", "ServiceJob"]
+__all__ = ["PREFIXES", "SPECIAL_LABEL", "Fleet", "Instance", "ServiceJob"]
 
 _HOST = "shop.example"
-_PREFIX = "/checks/"
+PREFIXES = ("/checks/", "/reports/")
+"""Path prefixes of the queues, in the order of their priorities."""
+
+SPECIAL_LABEL = "special"
+"""Label of every third worker."""
+
 _STORE_ADDRESS = ("10.9.0.1", 1)
 _RESTART_MS = 800.0
+_FAILURE_COUNTERS = frozenset({"plan_failures", "owner_failures", "call_failures"})
 _BOUNDS = Bounds(
     shutdown_ms=6000.0,
     max_task_lease_ms=6000.0,
@@ -48,12 +61,14 @@
 
     Parameters
     ----------
-    job_id : str
-        Its id.
+    job_id, prefix : str
+        Its id, and the path prefix of its queue.
     count, cpu, mem_mb : int
         Tasks, and what each needs.
     max_per_worker : int
         Maximum number of its tasks on a worker; 0 for no limit.
+    label : str
+        Label of the workers that may run it; empty for all.
     accepted_ms : float
         Time of the acceptance, in ms.
     is_cancelled : bool
@@ -65,6 +80,8 @@
     cpu: int
     mem_mb: int
     max_per_worker: int
+    prefix: str = PREFIXES[0]
+    label: str = ""
     accepted_ms: float = 0.0
     is_cancelled: bool = False
 
@@ -105,6 +122,7 @@
         self._started_instances = 0
         self._started_workers = 0
         self._jobs = 0
+        self._schedulers: dict[str, Scheduler] = {}
 
     @property
     def store_address(self) -> tuple[str, int]:
@@ -115,10 +133,10 @@
         """Start the store with a configuration."""
         self.network.handlers[_STORE_ADDRESS] = self.store._handle_request
         self._nursery.start_soon(self.store.expire_leases)
-        self.store.write(
-            "op/config",
-            platform_documents.build_configuration(1, _PREFIX, host=_HOST),
-        )
+        configuration = platform_documents.build_configuration(1, *PREFIXES, host=_HOST)
+        for priority, route in enumerate(configuration["routes"]):
+            route["priority"] = priority
+        self.store.write("op/config", configuration)
 
     # Workers.
 
@@ -133,6 +151,7 @@
             store=self.store,
             find_task_ms=self._find_task_ms,
             capacity={"cpu": cpu, "mem_mb": 128_000, "gpu": 0},
+            labels=(SPECIAL_LABEL,) if number % 3 == 0 else (),
         )
         self.workers[worker.worker_id] = worker
         self.network.handlers[worker.address] = worker.handle
@@ -165,10 +184,16 @@
         self.network.handlers[worker.address] = worker.handle
         worker.write_entry()
 
-    async def remove_worker(self, worker: VirtualWorker, *, notice_ms: float) -> None:
-        """Let a worker leave as planned."""
-        await worker.leave(notice_ms=notice_ms)
-        self.network.handlers.pop(worker.address, None)
+    async def remove_worker(
+        self, worker: VirtualWorker, *, notice_ms: float, is_dark: bool
+    ) -> None:
+        """Let a worker leave as planned; a dark machine refuses no connections."""
+        await worker.announce_end(notice_ms=notice_ms)
+        if is_dark:
+            self.network.set_fault("", worker.address, Fault.CUT)
+        else:
+            self.network.handlers.pop(worker.address, None)
+        worker.leave()
 
     # Instances.
 
@@ -204,6 +229,43 @@
                 return instance
         return None
 
+    def find_scheduler(self) -> Scheduler | None:
+        """Return the scheduler of the owner, or None."""
+        owner = self.find_owner()
+        return self._schedulers.get(owner.name) if owner is not None else None
+
+    @contextlib.contextmanager
+    def observe_owners(self) -> Iterator[None]:
+        """Record the schedulers of the owners."""
+
+        def build(**options: Any) -> ShardOwner:
+            owner = ShardOwner(**options)
+            self._schedulers[get_caller()] = owner._scheduler
+            return owner
+
+        with mock.patch("trefoilhook.runtime.core.ShardOwner", build):
+            yield
+
+    def count_failures(self) -> int:
+        """Return how many unexpected errors the instances have contained."""
+        return sum(
+            count
+            for instance in self.instances
+            for (name, _), count in instance.process.metrics.counters.items()
+            if name in _FAILURE_COUNTERS
+        )
+
+    def find_duplicate_runs(self) -> list[str]:
+        """Return the tasks with overlapping runs, or with one after a completed one.
+
+        A completed run whose end was not acknowledged may have been lost.
+        """
+        by_task: dict[str, list[TaskRecord]] = {}
+        for worker in self.workers.values():
+            for record in worker.records:
+                by_task.setdefault(record.task, []).append(record)
+        return [task for task, runs in by_task.items() if _overlap(runs)]
+
     def list_running(self) -> list[Instance]:
         """Return the instances that run and are not being stopped."""
         return [
@@ -241,6 +303,7 @@
             "long_running": True,
             "image": "s",
             "anti_affinity": job.max_per_worker,
+            "requirements": job.label,
         }
         self._task_ms[job.job_id] = float("inf")
         self.needs[job.job_id] = (job.cpu, job.mem_mb)
@@ -249,7 +312,9 @@
             job.accepted_ms = self.clock.monotonic_ms()
             self.services[job.job_id] = job
 
-        self._nursery.start_soon(self._submit, job.job_id, step, note_acceptance)
+        self._nursery.start_soon(
+            self._submit, job.prefix + job.job_id, step, note_acceptance
+        )
 
     def submit_urgent(self, *, count: int, cpu: int, duration_ms: float) -> None:
         """Submit an urgent job."""
@@ -257,7 +322,7 @@
         job_id = self.name_job()
         self.needs[job_id] = (cpu, 8000)
         self._task_ms[job_id] = duration_ms * self.random.uniform(0.6, 1.4)
-        self._nursery.start_soon(self._submit, job_id, step, lambda: None)
+        self._nursery.start_soon(self._submit, PREFIXES[0] + job_id, step, lambda: None)
 
     def cancel_service(self, job: ServiceJob) -> None:
         """Cancel a service."""
@@ -266,7 +331,7 @@
 
     async def _cancel(self, job: ServiceJob) -> None:
         for _ in range(20):
-            status = await self._send("DELETE", job.job_id, b"")
+            status = await self._send("DELETE", job.prefix + job.job_id, b"")
             if status in (200, 202, 204, 404, 410):
                 return
             await self.clock.sleep_ms(500.0)
@@ -277,17 +342,17 @@
         return f"{self._jobs:016x}"
 
     async def _submit(
-        self, job_id: str, step: dict, note_acceptance: Callable[[], None]
+        self, path: str, step: dict[str, Any], note_acceptance: Callable[[], None]
     ) -> None:
         body = json.dumps({"spec": "x", "steps": [step]}).encode()
         for _ in range(20):
-            status = await self._send("POST", job_id, body)
+            status = await self._send("POST", path, body)
             if 200 <= status < 300:
                 note_acceptance()
                 return
             await self.clock.sleep_ms(500.0)
 
-    async def _send(self, method: str, job_id: str, body: bytes) -> int:
+    async def _send(self, method: str, path: str, body: bytes) -> int:
         """Send a request to some instance; return the status, 0 if there is none."""
         running = self.list_running()
         if not running:
@@ -295,7 +360,7 @@
         instance = self.random.choice(running)
         request = HttpRequest(
             method=method,
-            target=_PREFIX + job_id,
+            target=path,
             headers=(("host", _HOST), ("deadline-ms", "3000")),
             body=body,
         )
@@ -309,3 +374,12 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(run_as, instance.name, answer)
         return statuses[0] if statuses else 0
+
+
+def _overlap(runs: list[TaskRecord]) -> bool:
+    ordered = sorted(runs, key=lambda run: run.started_ms)
+    return any(
+        later.started_ms < (float("inf") if run.ended_ms is None else run.ended_ms)
+        or (run.how == "done" and run.acknowledged)
+        for run, later in itertools.pairwise(ordered)
+    )
--- a/bench/availability/judge.py
+++ b/bench/availability/judge.py
@@ -3,10 +3,11 @@
 import attrs
 
 from bench.availability.fleet import Fleet, ServiceJob
+from trefoilhook.scheduling import list_long_waits
 
 __all__ = ["Judge", "Violation"]
 
-_SAMPLE_MS = 250.0
+_SAMPLE_MS = 100.0
 _MIN_AWAY_MS = 6000.0
 """Time without a run from which a task is judged, in ms."""
 
@@ -29,11 +30,14 @@
         Time, in ms since the begin of the series.
     away_ms : float
         Time since its last run, or since the acceptance of its job, in ms.
+    wait : str
+        What the owner says that it waits for.
     """
 
     task: str
     at_ms: float
     away_ms: float
+    wait: str
 
 
 @attrs.define(kw_only=True)
@@ -43,6 +47,16 @@
     is_reported: bool = False
 
 
+@attrs.frozen(kw_only=True)
+class _Free:
+    """Free capacity of a worker, and its tasks by job."""
+
+    cpu: int
+    mem_mb: int
+    by_job: dict[str, int]
+    labels: tuple[str, ...]
+
+
 @attrs.define(kw_only=True)
 class Judge:
     """Checks all service tasks periodically.
@@ -60,7 +74,7 @@
     disrupted_until_ms: float = float("-inf")
     violations: list[Violation] = attrs.Factory(list)
     longest_ms: float = 0.0
-    judged: int = 0
+    longest_disrupted_ms: float = 0.0
     _watches: dict[str, _TaskWatch] = attrs.Factory(dict)
     _began_ms: float = 0.0
 
@@ -114,17 +128,32 @@
         if watch.room_since_ms is None:
             watch.room_since_ms = now_ms
         room_ms = now_ms - watch.room_since_ms
+        self.longest_disrupted_ms = max(self.longest_disrupted_ms, room_ms)
         if calm_ms >= _CALM_MS:
             self.longest_ms = max(self.longest_ms, room_ms)
-            self.judged += 1
         if room_ms >= _ROOM_MS and calm_ms >= _CALM_MS and not watch.is_reported:
             watch.is_reported = True
             self.violations.append(
-                Violation(task=task, at_ms=now_ms - self._began_ms, away_ms=away_ms)
+                Violation(
+                    task=task,
+                    at_ms=now_ms - self._began_ms,
+                    away_ms=away_ms,
+                    wait=self._describe_wait(task, now_ms),
+                )
             )
 
-    def _measure_free(self) -> list[tuple[int, int, dict[str, int]]]:
-        """Return the free capacity of each worker, and its tasks by job."""
+    def _describe_wait(self, task: str, now_ms: float) -> str:
+        scheduler = self.fleet.find_scheduler()
+        if scheduler is None:
+            return "no owner"
+        step = task.rpartition(".")[0]
+        for wait in list_long_waits(scheduler, min_wait_ms=0.0, now_ms=now_ms):
+            if wait.task.rpartition(".")[0] == step:
+                reserved = scheduler.reservations.count
+                return f"{wait}, {reserved} reserved workers"
+        return "not waiting"
+
+    def _measure_free(self) -> list[_Free]:
         free = []
         for worker in self.fleet.list_alive():
             cpu, mem_mb = worker.capacity["cpu"], worker.capacity["mem_mb"]
@@ -134,17 +163,20 @@
                 needs = self.fleet.needs[job_id]
                 cpu, mem_mb = cpu - needs[0], mem_mb - needs[1]
                 by_job[job_id] = by_job.get(job_id, 0) + 1
-            free.append((cpu, mem_mb, by_job))
+            free.append(
+                _Free(cpu=cpu, mem_mb=mem_mb, by_job=by_job, labels=worker.labels)
+            )
         return free
 
-    def _has_room(
-        self, job: ServiceJob, free: list[tuple[int, int, dict[str, int]]]
-    ) -> bool:
+    def _has_room(self, job: ServiceJob, free: list[_Free]) -> bool:
         """Return whether there is capacity for a task twice over."""
         places = 0
-        for cpu, mem_mb, by_job in free:
-            fitting = min(cpu // job.cpu, mem_mb // job.mem_mb)
+        for worker in free:
+            if job.label and job.label not in worker.labels:
+                continue
+            fitting = min(worker.cpu // job.cpu, worker.mem_mb // job.mem_mb)
             if job.max_per_worker:
-                fitting = min(fitting, job.max_per_worker - by_job.get(job.job_id, 0))
+                running = worker.by_job.get(job.job_id, 0)
+                fitting = min(fitting, job.max_per_worker - running)
             places += max(0, fitting)
         return places >= 2
--- /dev/null
+++ b/bench/availability/known_faults.py
@@ -0,0 +1,59 @@
+"""Faults that are put into the product to show that the search finds them."""
+
+import contextlib
+from collections.abc import Iterator
+from typing import Any
+from unittest import mock
+
+__all__ = ["KNOWN_FAULTS", "put_in"]
+
+
+def _return_false(*_arguments: Any) -> bool:
+    return False
+
+
+def _return_nothing(*_arguments: Any) -> dict[str, int]:
+    return {}
+
+
+async def _find_nothing(*_arguments: Any, **_options: Any) -> None:
+    pass
+
+
+KNOWN_FAULTS: dict[str, dict[str, Any]] = {
+    "departures": {
+        "runtime.workerfeed.has_left": _return_false,
+        "runtime.shard.find_departures": _find_nothing,
+    },
+    "lease limits": {
+        "runtime.roster.limit_leases": _return_nothing,
+        "runtime.shard.has_lease_limits": _return_false,
+    },
+    "planned stops": {"runtime.roster.are_starts_recorded": _return_false},
+    "long holds": {"scheduling.headroom._MAX_HOLD_MS": 20_000.0},
+    "long reservations": {
+        "scheduling.reserving._OVERDUE_DELAY_MS": 20_000.0,
+        "scheduling.reserving._HORIZON_MS": 20_000.0,
+    },
+    "long isolation": {"scheduling.isolation._ISOLATION_MS": 30_000.0},
+    "long delays of suspects": {
+        "scheduling.crashes._RETRY_DELAY_MS": 60_000.0,
+        "scheduling.crashes._MAX_SERVICE_LOSSES": 0,
+    },
+}
+"""Replacements of the product's objects by the name of the fault."""
+
+KNOWN_FAULTS["no evidence at takeovers"] = {
+    **KNOWN_FAULTS["departures"],
+    **KNOWN_FAULTS["lease limits"],
+    **KNOWN_FAULTS["planned stops"],
+}
+
+
+@contextlib.contextmanager
+def put_in(name: str) -> Iterator[None]:
+    """Put a fault into the product."""
+    with contextlib.ExitStack() as stack:
+        for target, value in KNOWN_FAULTS[name].items():
+            stack.enter_context(mock.patch(f"trefoilhook.{target}", value))
+        yield
--- a/bench/availability/network.py
+++ b/bench/availability/network.py
@@ -16,7 +16,7 @@
 from trefoilhook.http import HttpRequest, HttpResponse
 from trefoilhook.http.json_client import _encode
 
-__all__ = ["Fault", "Network", "run_as"]
+__all__ = ["Fault", "Network", "get_caller", "run_as"]
 
 Address = tuple[str, int]
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse]]
@@ -82,6 +82,8 @@
         try:
             response = await handler(request)
         except trio.BrokenResourceError as error:
+            if self.find_fault(caller, address) in (Fault.CUT, Fault.ONE_WAY):
+                await trio.sleep_forever()
             raise AnswerLostError("closed", failure=TransportFailure.CLOSED) from error
         fault = self.find_fault(caller, address)
         if fault in (Fault.CUT, Fault.ONE_WAY):
@@ -141,6 +143,11 @@
         await trio.lowlevel.checkpoint()
 
 
+def get_caller() -> str:
+    """Return the name of the current process."""
+    return _caller.get()
+
+
 async def run_as(
     name: str, function: Callable[..., Awaitable[Any]], *arguments: Any
 ) -> Any:
--- a/bench/availability/series.py
+++ b/bench/availability/series.py
@@ -1,28 +1,49 @@
-"""Seeded series of disruptions and planned work, and their simulation."""
+"""Seeded series of disruptions and planned work."""
 
 import random
-from collections.abc import Awaitable, Callable, Sequence
 
 import attrs
-import trio
-import trio.testing
 
-from bench.availability.fleet import Fleet, ServiceJob
-from bench.availability.judge import Judge, Violation
-from bench.availability.network import Fault, Network
-from trefoilhook.clock import Clock
-from trefoilhook.standins.platform_store import StoreFault
-from trefoilhook.standins.platform_worker import WorkerFault
+from bench.availability.load import Load
 
-__all__ = ["Action", "Outcome", "Series", "build_series", "simulate"]
+__all__ = ["PLANNED", "UNPLANNED", "Action", "Series", "build_series"]
 
-_EPOCH_MS = 1_700_000_000_000.0
-"""Wall time at the begin of a simulation, in ms; fixed, so that a series is repeated
-exactly."""
-
-_CALM_MS = 17_000.0
+_CALM_MS = 15_000.0
 _WARM_MS = 8000.0
 
+PLANNED = (
+    "stop owner",
+    "drain workers",
+    "roll workers and owner",
+    "add workers",
+    "cancel services",
+    "submit services",
+)
+UNPLANNED = (
+    "kill owner",
+    "crash workers",
+    "lose workers",
+    "lose a service repeatedly",
+    "crash a service repeatedly",
+    "cut workers",
+    "cut workers one way",
+    "lossy workers",
+    "cut workers from owner",
+    "cut owner from store",
+    "store busy",
+    "store silent",
+    "late starts",
+    "flap workers",
+)
+_LONGEST_MS = {
+    "roll workers and owner": 16_000.0,
+    "lose a service repeatedly": 36_000.0,
+    "crash a service repeatedly": 14_000.0,
+}
+"""Maximum duration of some kinds, in ms."""
+
+_MAKES_ROOM = ("add workers", "cancel services", "cancel services")
+
 
 @attrs.frozen(kw_only=True)
 class Action:
@@ -33,9 +54,9 @@
     at_ms : float
         Time since the begin, in ms.
     kind : str
-        Name of the action, a key of ``_ACTIONS``.
+        Name of the action, one of `PLANNED` and `UNPLANNED`.
     share : float
-        Fraction of the workers concerned.
+        Fraction of the workers, or services, concerned.
     duration_ms : float
         Duration, in ms.
     """
@@ -56,10 +77,8 @@
         Seed of the load and of the choices.
     workers, instances : int
         Number of workers and instances.
-    fill : float
-        Processors that services ask for, as a fraction of the capacity.
-    urgent_per_s : float
-        Urgent jobs a second.
+    load : Load
+        What clients submit.
     length_ms : float
         Duration, in ms.
     actions : tuple of Action
@@ -69,318 +88,150 @@
     seed: int
     workers: int
     instances: int
-    fill: float
-    urgent_per_s: float
+    load: Load
     length_ms: float
     actions: tuple[Action, ...]
 
 
 @attrs.frozen(kw_only=True)
-class Outcome:
-    """Outcome of a simulation.
+class _Profile:
+    """Distribution of series.
 
     Parameters
     ----------
-    violations : tuple of Violation
-        Broken rules.
-    longest_ms : float
-        Longest wait beside capacity in calm, in ms, from 6 s after the last run.
-    duplicates : tuple of str
-        Tasks with two runs at a time.
-    claims : int
-        Number of owners.
+    kinds : tuple of str
+        Kinds of actions in a block.
+    first_kind : str
+        Kind of the first action of a block; empty for any.
+    gaps_ms : tuple of float
+        Times between the actions of a block, in ms.
+    max_actions : int
+        Maximum number of actions in a block.
+    loads : dict of str to tuple
+        Possible values of the parameters of the load, where they differ from those of
+        `_LOADS`.
     """
 
-    violations: tuple[Violation, ...]
-    longest_ms: float
-    judged: int
-    duplicates: tuple[str, ...]
-    runs: int
-
-
-_PLANNED = ("stop owner", "drain workers", "add workers", "cancel services")
-_UNPLANNED = (
-    "kill owner",
-    "crash workers",
-    "lose workers",
-    "cut workers",
-    "cut workers one way",
-    "lossy workers",
-    "cut workers from owner",
-    "cut owner from store",
-    "store busy",
-    "store silent",
-    "late starts",
-    "flap workers",
+    kinds: tuple[str, ...]
+    first_kind: str = ""
+    gaps_ms: tuple[float, ...] = (100.0, 700.0, 1500.0, 2500.0, 5000.0)
+    max_actions: int = 5
+    loads: dict[str, tuple[float, ...]] = attrs.Factory(dict)
+
+
+_LOADS: dict[str, tuple[float, ...]] = {
+    "fill": (0.5, 0.7, 0.85, 0.95),
+    "spread": (0.25, 0.7),
+    "batch": (0.0, 0.0, 0.1, 0.25),
+    "urgent_per_s": (0.0, 0.0, 1.0, 3.0),
+    "burst": (0.0, 0.1, 0.2),
+    "burst_ms": (1000.0, 6000.0, 9000.0),
+    "churn_ms": (0.0, 1500.0, 4000.0),
+}
+"""Possible values of the parameters of the load."""
+
+_PROFILES = (
+    _Profile(kinds=UNPLANNED + PLANNED + ("kill owner",) * 2),
+    _Profile(kinds=PLANNED),
+    # New services beside capacity that bursts of urgent tasks use at times.
+    _Profile(
+        kinds=("submit services", "cancel services", "stop owner"),
+        loads={
+            "fill": (0.8, 0.9),
+            "batch": (0.0,),
+            "urgent_per_s": (0.0,),
+            "burst": (0.08, 0.15),
+            "burst_ms": (6000.0, 9000.0),
+            "churn_ms": (1500.0, 2500.0),
+        },
+    ),
+    # Displaced services of all sizes beside work that ends within seconds.
+    _Profile(
+        kinds=("drain workers", "cancel services", "add workers"),
+        loads={
+            "fill": (0.55, 0.7),
+            "spread": (0.7,),
+            "batch": (0.25, 0.4),
+            "burst": (0.0,),
+            "urgent_per_s": (0.0,),
+        },
+    ),
+    # Services that are lost again and again.
+    _Profile(
+        kinds=("flap workers", "crash workers", "lose workers", "kill owner"),
+        first_kind="lose a service repeatedly",
+        max_actions=3,
+        loads={"fill": (0.3, 0.5), "batch": (0.0,), "churn_ms": (0.0,)},
+    ),
+    _Profile(
+        kinds=("crash a service repeatedly", "lose workers", "stop owner"),
+        first_kind="crash a service repeatedly",
+        max_actions=3,
+        loads={"fill": (0.3, 0.5, 0.8), "batch": (0.0,), "churn_ms": (0.0, 4000.0)},
+    ),
+    # Owners that are replaced while workers leave, or after some were lost.
+    _Profile(
+        kinds=("roll workers and owner", "drain workers", "stop owner"),
+        first_kind="roll workers and owner",
+        loads={"fill": (0.4, 0.6)},
+    ),
+    _Profile(
+        kinds=("stop owner",),
+        first_kind="lose workers",
+        gaps_ms=(700.0, 2500.0, 5000.0),
+        max_actions=6,
+        loads={"fill": (0.4, 0.6)},
+    ),
 )
 
 
 def build_series(seed: int) -> Series:
     """Return the series of a seed: blocks of trouble, each followed by calm."""
     generator = random.Random(seed)
+    profile = _PROFILES[seed % len(_PROFILES)]
+    loads = {**_LOADS, **profile.loads}
     at_ms = _WARM_MS
     actions: list[Action] = []
-    for _ in range(generator.randint(1, 3)):
-        is_planned = generator.random() < 0.3
-        kinds = _PLANNED if is_planned else _UNPLANNED + _PLANNED + ("kill owner",) * 3
-        begin_ms = at_ms
-        for _ in range(generator.randint(1, 5)):
-            action = Action(
-                at_ms=at_ms,
-                kind=generator.choice(kinds),
-                share=generator.choice((0.1, 0.2, 0.35, 0.6)),
-                duration_ms=generator.uniform(500.0, 6500.0),
-            )
-            actions.append(action)
-            at_ms += generator.choice((100.0, 700.0, 1500.0, 2500.0, 5000.0))
-        del begin_ms
-        at_ms += 6500.0 + _CALM_MS
+    for _ in range(generator.randint(1, 2)):
+        at_ms = _add_block(actions, generator, profile, at_ms)
     return Series(
         seed=seed,
-        workers=generator.choice((6, 10, 16)),
+        workers=generator.choice((6, 9)),
         instances=3,
-        fill=generator.choice((0.4, 0.7, 0.9, 1.1)),
-        urgent_per_s=generator.choice((0.0, 1.0, 3.0)),
+        load=Load(**{name: generator.choice(values) for name, values in loads.items()}),
         length_ms=at_ms,
-        actions=tuple(actions),
-    )
-
-
-class _Player:
-    """Plays the actions of a series."""
-
-    def __init__(self, fleet: Fleet, judge: Judge, nursery: trio.Nursery) -> None:
-        self._fleet = fleet
-        self._judge = judge
-        self._nursery = nursery
-
-    async def play(self, action: Action) -> None:
-        """Play an action to its end."""
-        await _ACTIONS[action.kind](self, action)
-
-    def _disrupt(self, duration_ms: float = 0.0) -> None:
-        until_ms = self._fleet.clock.monotonic_ms() + duration_ms
-        self._judge.disrupted_until_ms = max(self._judge.disrupted_until_ms, until_ms)
-
-    def _choose(self, share: float) -> list:
-        alive = self._fleet.list_alive()
-        count = min(len(alive) - 1, max(1, round(share * len(alive))))
-        return self._fleet.random.sample(alive, max(0, count))
-
-    async def stop_owner(self, action: Action) -> None:
-        owner = self._fleet.find_owner()
-        if owner is not None:
-            self._fleet.stop_instance(owner)
-
-    async def kill_owner(self, action: Action) -> None:
-        owner = self._fleet.find_owner()
-        if owner is not None:
-            self._disrupt(1000.0)
-            self._fleet.kill_instance(owner)
-
-    async def drain_workers(self, action: Action) -> None:
-        for worker in self._choose(min(action.share, 0.2)):
-            self._nursery.start_soon(self._drain, worker)
-
-    async def _drain(self, worker) -> None:
-        cpu = worker.capacity["cpu"]
-        await self._fleet.remove_worker(worker, notice_ms=10_000.0)
-        self._fleet.start_worker(cpu=cpu)
-
-    async def add_workers(self, action: Action) -> None:
-        self._fleet.start_worker(cpu=32_000)
-
-    async def cancel_services(self, action: Action) -> None:
-        open_jobs = [j for j in self._fleet.services.values() if not j.is_cancelled]
-        if len(open_jobs) > 1:
-            self._fleet.cancel_service(self._fleet.random.choice(open_jobs))
-
-    async def crash_workers(self, action: Action) -> None:
-        workers = self._choose(action.share)
-        self._disrupt(action.duration_ms)
-        for worker in workers:
-            self._fleet.crash_worker(worker, is_dark=False)
-        await self._fleet.clock.sleep_ms(action.duration_ms)
-        for worker in workers:
-            await self._fleet.restart_worker(worker)
-
-    async def lose_workers(self, action: Action) -> None:
-        workers = self._choose(min(action.share, 0.35))
-        self._disrupt(500.0)
-        for worker in workers:
-            self._fleet.crash_worker(worker, is_dark=True)
-        await self._fleet.clock.sleep_ms(4000.0)
-        for worker in workers:
-            self._fleet.start_worker(cpu=worker.capacity["cpu"])
-
-    async def flap_workers(self, action: Action) -> None:
-        workers = self._choose(min(action.share, 0.35))
-        self._disrupt(action.duration_ms + 700.0)
-        until_ms = self._fleet.clock.monotonic_ms() + action.duration_ms
-        while self._fleet.clock.monotonic_ms() < until_ms:
-            for worker in workers:
-                self._fleet.crash_worker(worker, is_dark=False)
-            await self._fleet.clock.sleep_ms(700.0)
-            for worker in workers:
-                await self._fleet.restart_worker(worker)
-            await self._fleet.clock.sleep_ms(700.0)
-
-    async def _cut(
-        self, action: Action, fault: Fault, caller: str, *, reaches_store: bool
-    ) -> None:
-        workers = self._choose(action.share)
-        self._disrupt(action.duration_ms)
-        for worker in workers:
-            self._fleet.network.set_fault(caller, worker.address, fault)
-            worker.reaches_store = reaches_store
-        await self._fleet.clock.sleep_ms(action.duration_ms)
-        for worker in workers:
-            if not worker.is_powered_off:
-                self._fleet.network.set_fault(caller, worker.address, None)
-            worker.reaches_store = True
-
-    async def cut_workers(self, action: Action) -> None:
-        await self._cut(action, Fault.CUT, "", reaches_store=False)
-
-    async def cut_workers_one_way(self, action: Action) -> None:
-        await self._cut(action, Fault.ONE_WAY, "", reaches_store=True)
-
-    async def lossy_workers(self, action: Action) -> None:
-        await self._cut(action, Fault.LOSSY, "", reaches_store=True)
-
-    async def cut_workers_from_owner(self, action: Action) -> None:
-        owner = self._fleet.find_owner()
-        if owner is not None:
-            await self._cut(action, Fault.CUT, owner.name, reaches_store=True)
-
-    async def cut_owner_from_store(self, action: Action) -> None:
-        owner = self._fleet.find_owner()
-        if owner is None:
-            return
-        self._disrupt(action.duration_ms)
-        self._fleet.set_store_fault(owner, Fault.CUT)
-        await self._fleet.clock.sleep_ms(action.duration_ms)
-        self._fleet.set_store_fault(owner, None)
-
-    async def _fail_store(self, action: Action, fault: object) -> None:
-        self._disrupt(action.duration_ms)
-        self._fleet.store.fault = fault
-        await self._fleet.clock.sleep_ms(action.duration_ms)
-        self._fleet.store.fault = StoreFault.NONE
-
-    async def store_busy(self, action: Action) -> None:
-        await self._fail_store(action, StoreFault.BUSY)
-
-    async def store_silent(self, action: Action) -> None:
-        await self._fail_store(action, StoreFault.SILENT)
-
-    async def late_starts(self, action: Action) -> None:
-        workers = self._choose(action.share)
-        self._disrupt(action.duration_ms + 600.0)
-        for worker in workers:
-            worker.fault = WorkerFault.LATE_STARTS
-        await self._fleet.clock.sleep_ms(action.duration_ms)
-        for worker in workers:
-            worker.fault = WorkerFault.NONE
-
-
-_ACTIONS: dict[str, Callable[[_Player, Action], Awaitable[None]]] = {
-    kind: getattr(_Player, kind.replace(" ", "_")) for kind in _PLANNED + _UNPLANNED
-}
-
-
-async def _submit_load(fleet: Fleet, series: Series) -> None:
-    generator = random.Random(series.seed + 1)
-    capacity = series.workers * 32_000
-    asked = 0.0
-    while asked < series.fill * capacity:
-        job = _build_service(fleet, generator)
-        fleet.submit_service(job)
-        asked += job.count * job.cpu
-    next_ms = fleet.clock.monotonic_ms()
-    while True:
-        await fleet.clock.sleep_ms(200.0)
-        now_ms = fleet.clock.monotonic_ms()
-        while series.urgent_per_s and next_ms <= now_ms:
-            next_ms += generator.expovariate(series.urgent_per_s) * 1000.0
-            fleet.submit_urgent(
-                count=generator.randint(1, 10),
-                cpu=round(min(12_000, generator.lognormvariate(8.3, 0.45))),
-                duration_ms=generator.choice((400.0, 640.0, 1600.0)),
-            )
-
-
-def _build_service(fleet: Fleet, generator: random.Random) -> ServiceJob:
-    return ServiceJob(
-        job_id=fleet.name_job(),
-        count=generator.randint(2, 14),
-        cpu=round(min(10_000, generator.lognormvariate(8.73, 0.25))),
-        mem_mb=generator.randint(6000, 26_000),
-        max_per_worker=generator.choice((0, 0, 2, 3)),
+        actions=tuple(sorted(actions, key=lambda action: action.at_ms)),
     )
 
 
-def _build_clock() -> Clock:
-    async def sleep_ms(duration_ms: float) -> None:
-        await trio.sleep(duration_ms / 1000.0)
-
-    def read_ms() -> float:
-        return trio.current_time() * 1000.0
-
-    return Clock(
-        monotonic_ms=read_ms,
-        wall_ms=lambda: _EPOCH_MS + read_ms(),
-        sleep_ms=sleep_ms,
+def _add_block(
+    actions: list[Action],
+    generator: random.Random,
+    profile: _Profile,
+    begin_ms: float,
+) -> float:
+    """Add actions and, in the calm after them, some that make room; return its end."""
+    at_ms = end_ms = begin_ms
+    for number in range(generator.randint(1, profile.max_actions)):
+        kind = generator.choice(profile.kinds)
+        if not number and profile.first_kind:
+            kind = profile.first_kind
+        action = _build_action(generator, kind, at_ms)
+        actions.append(action)
+        end_ms = max(end_ms, at_ms + action.duration_ms)
+        at_ms += generator.choice(profile.gaps_ms)
+    for _ in range(generator.randint(0, 3)):
+        kind = generator.choice(_MAKES_ROOM)
+        at_ms = end_ms + generator.uniform(0.0, 9000.0)
+        actions.append(_build_action(generator, kind, at_ms))
+    return end_ms + _CALM_MS
+
+
+def _build_action(generator: random.Random, kind: str, at_ms: float) -> Action:
+    longest_ms = _LONGEST_MS.get(kind, 6500.0)
+    return Action(
+        at_ms=at_ms,
+        kind=kind,
+        share=generator.choice((0.1, 0.2, 0.35, 0.6)),
+        duration_ms=generator.uniform(500.0, longest_ms),
     )
-
-
-def _schedule_repeatably(seed: int) -> None:
-    """Make trio run tasks in an order that depends on the seed alone."""
-    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
-    trio._core._run._r.seed(seed)
-
-
-def simulate(series: Series) -> Outcome:
-    """Simulate a series.
-
-    It is repeated exactly only if ``PYTHONHASHSEED`` is fixed.
-    """
-    _schedule_repeatably(series.seed)
-    generator = random.Random(series.seed + 2)
-    network = Network(random=generator)
-
-    async def main() -> Outcome:
-        clock = _build_clock()
-        async with trio.open_nursery() as nursery:
-            fleet = Fleet(
-                nursery=nursery, clock=clock, network=network, generator=generator
-            )
-            fleet.start_store()
-            for _ in range(series.workers):
-                fleet.start_worker(cpu=32_000)
-            for _ in range(series.instances):
-                fleet.start_instance()
-            await clock.sleep_ms(2000.0)
-            nursery.start_soon(_submit_load, fleet, series)
-            judge = Judge(fleet=fleet)
-            nursery.start_soon(judge.run)
-            player = _Player(fleet, judge, nursery)
-            began_ms = clock.monotonic_ms()
-            for action in series.actions:
-                delay_ms = began_ms + action.at_ms - clock.monotonic_ms()
-                await clock.sleep_ms(max(0.0, delay_ms))
-                nursery.start_soon(player.play, action)
-            await clock.sleep_ms(
-                max(0.0, began_ms + series.length_ms - clock.monotonic_ms())
-            )
-            nursery.cancel_scope.cancel()
-            return Outcome(
-                violations=tuple(judge.violations),
-                longest_ms=judge.longest_ms,
-                judged=judge.judged,
-                duplicates=(),
-                runs=sum(len(w.records) for w in fleet.workers.values()),
-            )
-
-    with network.replace_clients():
-        return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- /dev/null
+++ b/bench/availability/simulation.py
@@ -0,0 +1,135 @@
+"""Simulation of a series on virtual time."""
+
+import random
+
+import attrs
+import trio
+import trio.testing
+
+from bench.availability.fleet import Fleet
+from bench.availability.judge import Judge, Violation
+from bench.availability.load import WORKER_CPU, submit_load
+from bench.availability.network import Network
+from bench.availability.player import Player
+from bench.availability.series import Series
+from trefoilhook.clock import Clock
+
+__all__ = ["Outcome", "simulate"]
+
+_EPOCH_MS = 1_700_000_000_000.0
+"""Wall time at the begin of a simulation, in ms; fixed, so that a series is repeated
+exactly."""
+
+
+@attrs.frozen(kw_only=True)
+class Outcome:
+    """Outcome of a simulation.
+
+    Parameters
+    ----------
+    violations : tuple of Violation
+        Broken rules.
+    longest_ms : float
+        Longest wait beside capacity in calm, in ms, from 6 s after the last run.
+    longest_disrupted_ms : float
+        The same, also in disruptions, in ms.
+    duplicates : tuple of str
+        Tasks with two runs at a time, or with a run after a completed one.
+    failures : int
+        Number of unexpected errors that the instances contained.
+    runs : int
+        Number of runs.
+    """
+
+    violations: tuple[Violation, ...]
+    longest_ms: float
+    longest_disrupted_ms: float
+    duplicates: tuple[str, ...]
+    failures: int
+    runs: int
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether a rule is broken."""
+        return bool(self.violations or self.duplicates or self.failures)
+
+
+def _build_clock() -> Clock:
+    async def sleep_ms(duration_ms: float) -> None:
+        await trio.sleep(duration_ms / 1000.0)
+
+    def read_ms() -> float:
+        return trio.current_time() * 1000.0
+
+    return Clock(
+        monotonic_ms=read_ms,
+        wall_ms=lambda: _EPOCH_MS + read_ms(),
+        sleep_ms=sleep_ms,
+    )
+
+
+def _schedule_repeatably(seed: int) -> None:
+    """Make trio run tasks in an order that depends on the seed alone."""
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(seed)
+
+
+def simulate(series: Series) -> Outcome:
+    """Simulate a series.
+
+    It is repeated exactly only if ``PYTHONHASHSEED`` is fixed.
+    """
+    _schedule_repeatably(series.seed)
+    generator = random.Random(series.seed + 2)
+    network = Network(random=generator)
+
+    async def main() -> Outcome:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(
+                nursery=nursery,
+                clock=_build_clock(),
+                network=network,
+                generator=generator,
+            )
+            with fleet.observe_owners():
+                outcome = await _play(series, fleet, nursery)
+            nursery.cancel_scope.cancel()
+        return outcome
+
+    with network.replace_clients():
+        return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+async def _play(series: Series, fleet: Fleet, nursery: trio.Nursery) -> Outcome:
+    clock = fleet.clock
+    fleet.start_store()
+    for _ in range(series.workers):
+        fleet.start_worker(cpu=WORKER_CPU)
+    for _ in range(series.instances):
+        fleet.start_instance()
+    await clock.sleep_ms(2000.0)
+    judge = Judge(fleet=fleet)
+    nursery.start_soon(_submit, fleet, series)
+    nursery.start_soon(judge.run)
+    player = Player(fleet, judge, nursery)
+    began_ms = clock.monotonic_ms()
+    for action in series.actions:
+        await _sleep_until(clock, began_ms + action.at_ms)
+        nursery.start_soon(player.play, action)
+    await _sleep_until(clock, began_ms + series.length_ms)
+    return Outcome(
+        violations=tuple(judge.violations),
+        longest_ms=judge.longest_ms,
+        longest_disrupted_ms=judge.longest_disrupted_ms,
+        duplicates=tuple(fleet.find_duplicate_runs()),
+        failures=fleet.count_failures(),
+        runs=sum(len(worker.records) for worker in fleet.workers.values()),
+    )
+
+
+async def _submit(fleet: Fleet, series: Series) -> None:
+    await submit_load(fleet, series.load, seed=series.seed + 1, workers=series.workers)
+
+
+async def _sleep_until(clock: Clock, at_ms: float) -> None:
+    await clock.sleep_ms(max(0.0, at_ms - clock.monotonic_ms()))
--- a/bench/availability/worker.py
+++ b/bench/availability/worker.py
@@ -15,6 +15,9 @@
 _TICK_MS = 20.0
 _HEARTBEAT_MS = 1500.0
 _MISSED_HEARTBEATS = 3
+_EXIT_MS = 100.0
+"""Time between the last write of the entry of a worker that leaves and its end, in ms.
+"""
 
 
 class VirtualWorker(PlatformWorker):
@@ -30,6 +33,10 @@
         Store of its entry.
     find_task_ms : callable
         Returns the run time of a task, in ms.
+    capacity : dict of str to int
+        Capacity in its entry.
+    labels : tuple of str
+        Labels in its entry.
     """
 
     def __init__(
@@ -41,10 +48,12 @@
         store: PlatformStore,
         find_task_ms: Callable[[str], float],
         capacity: dict[str, int],
+        labels: tuple[str, ...],
     ) -> None:
         super().__init__(worker_id=worker_id, clock=clock, task_ms=0.0)
         self.address = address
         self.capacity = capacity
+        self.labels = labels
         self.is_draining = False
         self.reaches_store = True
         self.has_left = False
@@ -64,6 +73,7 @@
         """Write its entry."""
         entry = self.describe("s", port=self.address[1])
         entry["address"] = f"{self.address[0]}:{self.address[1]}"
+        entry["labels"] = list(self.labels)
         entry["state"] = "draining" if self.is_draining else "ready"
         self._store.write(self._key, entry)
 
@@ -91,13 +101,16 @@
                     self._store.remove(self._key)
             await self._clock.sleep_ms(_HEARTBEAT_MS)
 
-    async def leave(self, *, notice_ms: float) -> None:
-        """Announce the end, and end as planned after the notice."""
+    async def announce_end(self, *, notice_ms: float) -> None:
+        """Announce the end in its entry, and return when it is due."""
         self.is_draining = True
         self.write_entry()
         await self._clock.sleep_ms(notice_ms)
         self.write_entry()
-        await self._clock.sleep_ms(300.0)
+        await self._clock.sleep_ms(_EXIT_MS)
+
+    def leave(self) -> None:
+        """End as planned."""
         self.has_left = True
         for record in self.list_open():
             self._end(record, "stopped")
