Keep the elapsed wait for leases over short ownerships

A worker left as planned 92 ms after a takeover, so that the new owner didn't know when its entry had been written, and that owner was stopped 195 ms later. The owners after it were new processes, and each waited for the leases on that worker: over eight planned takeovers in 12 s, most 1.4 to 2.9 s apart, until 28.8 s of the series and later, instead of 22.1 s (7.4 s after the first of them).

Cause: the elapsed part of such a wait is written in whole seconds, and what exceeds them is lost at each takeover. Of an ownership of 1.4 s that is a third or more.

The last write of a planned stop now holds the elapsed times to the ms. The test fails before (1000 for 1400 ms).

Ruled out: the limits of leases, which weren't handed on as the worker had been silent for less than 400 ms. They are rounded in the same way, by up to 0.5 s a takeover; not changed. An owner that is killed still loses up to a second.

--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -200,7 +200,8 @@
         if not are_starts_recorded(self._scheduler):
             return
         for _ in range(_MAX_HANDOVER_WRITES):
-            head = self._build_head(self._list_members())
+            # With whole steps, each of several short ownerships would lose most of one.
+            head = self._build_head(self._list_members(), step_ms=1)
             if head is None or self._head is None:
                 return
             groups = attrs.evolve(head.groups, has_all_places=True)
@@ -208,10 +209,13 @@
             if await self._write(self.workers, head):
                 return
 
-    def _build_head(self, answering: Mapping[str, Member]) -> Head | None:
+    def _build_head(
+        self, answering: Mapping[str, Member], *, step_ms: int = _ELAPSED_STEP_MS
+    ) -> Head | None:
         """Return the groups to be stored; None while no worker has answered.
 
-        ``answering`` holds the workers that have answered, by incarnation.
+        ``answering`` holds the workers that have answered, by incarnation, and
+        ``step_ms`` is the resolution of the elapsed times.
         """
         scheduler = self._scheduler
         unreleased = list_unreleased(scheduler)
@@ -237,7 +241,7 @@
             inherited=tuple(each for each in inherited if each.members),
             unrecorded_epoch=predecessors.unrecorded_epoch if is_open else None,
             elapsed_ms={
-                epoch: self._measure_elapsed(epoch)
+                epoch: self._measure_elapsed(epoch, step_ms)
                 for epoch in predecessors.list_awaited_epochs()
             },
             lease_limits=limit_leases(scheduler, self._clock.monotonic_ms()),
@@ -279,10 +283,10 @@
             for worker in self._scheduler.workers.values()
         }
 
-    def _measure_elapsed(self, epoch: int) -> int:
+    def _measure_elapsed(self, epoch: int, step_ms: int) -> int:
         """Return how long ago an epoch had ended, in whole steps, in ms."""
         elapsed_ms = self._clock.monotonic_ms() - self._ownership.find_end(epoch)
-        return _ELAPSED_STEP_MS * int(max(0.0, elapsed_ms) // _ELAPSED_STEP_MS)
+        return step_ms * int(max(0.0, elapsed_ms) // step_ms)
 
     def _announce(self, head: Head) -> None:
         """Do nothing that contradicts what may be in the store from now on.
--- a/trefoilhook/runtime/tests/test_roster.py
+++ b/trefoilhook/runtime/tests/test_roster.py
@@ -7,7 +7,7 @@
 import trio
 import trio.testing
 
-from trefoilhook.clock import Clock, build_boottime_clock
+from trefoilhook.clock import Clock, build_boottime_clock, build_system_clock
 from trefoilhook.exceptions import StoreError, StoreUnavailableError
 from trefoilhook.platform import Item, PreconditionError, Transaction
 from trefoilhook.runtime import keys
@@ -19,7 +19,13 @@
 from trefoilhook.scheduling import Demand, TaskId, has_lease_limits
 from trefoilhook.scheduling.fleet import Run, RunPhase
 from trefoilhook.scheduling.tests.cases import TASK_LEASE_MS, Shard
-from trefoilhook.takeover import Member, PlaceLedger, decode_head
+from trefoilhook.takeover import (
+    Member,
+    PlaceLedger,
+    Predecessors,
+    WorkerGroups,
+    decode_head,
+)
 
 
 @attrs.define(kw_only=True)
@@ -265,6 +271,34 @@
         (value,) = [put.value for put in commits[1].puts if put.key == key]
         self.assertTrue(decode_head(value).groups.has_all_places)
 
+    def test_elapsed_part_of_a_wait_is_written_exactly(self):
+        # Guards against a wait for the leases on a gone worker that each of several
+        # planned takeovers within seconds begins almost anew.
+        time = trio.testing.MockClock()
+
+        async def scenario() -> dict[int, int]:
+            shard = Shard()
+            shard.scheduler.places = PlaceLedger(epoch=1)
+            gone = Member(name="gone", address="10.0.0.9:80")
+            groups = WorkerGroups(epoch=0, count=1).replace_members([gone])
+            shard.scheduler.predecessors = Predecessors(groups=[groups])
+            store = FakeStore()
+            roster = build_roster(shard, store, clock=build_system_clock())
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(roster.run)
+                await trio.testing.wait_all_tasks_blocked()
+                nursery.cancel_scope.cancel()
+            time.jump(1.4)
+            await roster.hand_over()
+            (value,) = [
+                put.value
+                for put in store.commits[-1].puts
+                if put.key == keys.groups_key(keys.SHARD)
+            ]
+            return decode_head(value).elapsed_ms
+
+        self.assertEqual(trio.run(scenario, clock=time), {0: 1400})
+
     def test_start_without_a_place(self):
         # Guards against a second run beside one that the next owner does not know.
         self.assertEqual(self.hand_over(has_group_start=True), [])
