Hand on the limits of leases without rounding at a planned stop

The same cause as that of the elapsed waits, found by reading with them: the limits are written in steps of half a second, rounded up, so that each of several planned takeovers within seconds extended the wait for a silent worker by up to that. The last write of a planned stop holds them to the ms. Two tests failed before.

--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -201,7 +201,7 @@
             return
         for _ in range(_MAX_HANDOVER_WRITES):
             # With whole steps, each of several short ownerships would lose most of one.
-            head = self._build_head(self._list_members(), step_ms=1)
+            head = self._build_head(self._list_members(), has_exact_times=True)
             if head is None or self._head is None:
                 return
             groups = attrs.evolve(head.groups, has_all_places=True)
@@ -210,14 +210,15 @@
                 return
 
     def _build_head(
-        self, answering: Mapping[str, Member], *, step_ms: int = _ELAPSED_STEP_MS
+        self, answering: Mapping[str, Member], *, has_exact_times: bool = False
     ) -> Head | None:
         """Return the groups to be stored; None while no worker has answered.
 
-        ``answering`` holds the workers that have answered, by incarnation, and
-        ``step_ms`` is the resolution of the elapsed times.
+        ``answering`` holds the workers that have answered, by incarnation. Exact times
+        change with each call, those in steps rarely.
         """
         scheduler = self._scheduler
+        now_ms = self._clock.monotonic_ms()
         unreleased = list_unreleased(scheduler)
         members = dict(answering)
         if self._head is None:
@@ -241,10 +242,14 @@
             inherited=tuple(each for each in inherited if each.members),
             unrecorded_epoch=predecessors.unrecorded_epoch if is_open else None,
             elapsed_ms={
-                epoch: self._measure_elapsed(epoch, step_ms)
+                epoch: self._measure_elapsed(
+                    epoch, 1 if has_exact_times else _ELAPSED_STEP_MS
+                )
                 for epoch in predecessors.list_awaited_epochs()
             },
-            lease_limits=limit_leases(scheduler, self._clock.monotonic_ms()),
+            lease_limits=limit_leases(scheduler, now_ms, step_ms=1.0)
+            if has_exact_times
+            else limit_leases(scheduler, now_ms),
         )
 
     def _list_members(self) -> dict[str, Member]:
--- a/trefoilhook/runtime/tests/test_roster.py
+++ b/trefoilhook/runtime/tests/test_roster.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections.abc import Callable
+from unittest import mock
 
 import attrs
 import trio
@@ -299,6 +300,20 @@
 
         self.assertEqual(trio.run(scenario, clock=time), {0: 1400})
 
+    def test_limits_are_written_exactly(self):
+        # Guards against a limit of leases that each of several planned takeovers within
+        # seconds extends by up to half a second.
+        steps_ms: list[float | None] = []
+
+        def note_step(scheduler, now_ms, *, step_ms=None):
+            steps_ms.append(step_ms)
+            return {}
+
+        with mock.patch("trefoilhook.runtime.roster.limit_leases", note_step):
+            self.hand_over()
+        self.assertEqual(steps_ms[-1], 1.0)
+        self.assertIsNone(steps_ms[0])
+
     def test_start_without_a_place(self):
         # Guards against a second run beside one that the next owner does not know.
         self.assertEqual(self.hand_over(has_group_start=True), [])
--- a/trefoilhook/scheduling/takeovers.py
+++ b/trefoilhook/scheduling/takeovers.py
@@ -252,7 +252,9 @@
     )
 
 
-def limit_leases(scheduler: Scheduler, now_ms: float) -> dict[str, int]:
+def limit_leases(
+    scheduler: Scheduler, now_ms: float, *, step_ms: float = _LIMIT_STEP_MS
+) -> dict[str, int]:
     """Return the time within which all leases on silent workers expire, in ms.
 
     Parameters
@@ -261,16 +263,17 @@
         Scheduler of the shard.
     now_ms : float
         Current time, in ms.
+    step_ms : float, optional
+        Interval at which the values change, in ms.
 
     Returns
     -------
     dict of str to int
-        By incarnation, for those on which this owner grants no lease. The values change
-        once per step of time.
+        By incarnation, for those on which this owner grants no lease.
     """
-    step_ms = now_ms - now_ms % _LIMIT_STEP_MS
+    from_ms = now_ms - now_ms % step_ms
     expiries = {
-        name: step_ms
+        name: from_ms
         for name in scheduler.unreleased
         if name in scheduler.ended_incarnations
         and scheduler.find_incarnation(name) is None
@@ -283,7 +286,7 @@
         if worker.silence is not None and _is_silent(worker, now_ms):
             expiries[worker.incarnation] = worker.find_lease_expiry()
     return {
-        name: math.ceil(max(0.0, expiry_ms - step_ms))
+        name: math.ceil(max(0.0, expiry_ms - from_ms))
         for name, expiry_ms in expiries.items()
     }
 
--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -333,6 +333,18 @@
                 )
         self.assertEqual(self.limit(), {"w0": 0})
 
+    def test_limit_without_steps(self):
+        # Guards against limits that each of several planned takeovers within seconds
+        # extends by a part of a step.
+        self.shard.silence("w0")
+        for _ in range(30):
+            self.shard.advance_time(130.0)
+            remaining_ms = self.worker.find_lease_expiry() - self.shard.now_ms
+            limits = limit_leases(self.scheduler, self.shard.now_ms, step_ms=1.0)
+            for limit_ms in limits.values():
+                self.assertGreaterEqual(limit_ms, remaining_ms)
+                self.assertLess(limit_ms, remaining_ms + 2.0)
+
     def test_short_silence_is_not_written(self):
         # Guards against two writes for each lost answer.
         self.shard.silence("w0")
