Measure the capacity beside which services wait on all answering workers

Cause: the clock of overdue steps counted capacity on the workers that the owner would use at the moment, and a worker is avoided for 1 s after a refusal, longer than the 0.8 s that count as an interruption. Now it counts all workers that answer and don't shut down; placing is unchanged. The new test fails before: 3.6, 4.1 and 4.6 s for an avoidance of 1 s that begins after 0.5, 1.0 and 1.5 s.

--- a/trefoilhook/scheduling/isolation.py
+++ b/trefoilhook/scheduling/isolation.py
@@ -27,7 +27,7 @@
 _ISOLATION_MS = 3000.0
 """Maximum time for which a strongly suspected task reserves its worker."""
 
-_MIN_TURN_MS = 1000.0
+_MIN_TURN_MS = 500.0
 """Minimum time for which an overdue task waits for its turn after a delay, in ms. Tasks
 that were delayed together would otherwise all start before the first one crashes."""
 
--- a/trefoilhook/scheduling/overdue.py
+++ b/trefoilhook/scheduling/overdue.py
@@ -6,8 +6,8 @@
 this. They see workers with capacity for the task, and expect it to run.
 
 A step is overdue once there has been ample capacity for it for a while on workers that
-can run its tasks, whoever they are reserved for (`OverdueSteps`). Its tasks are then
-placed wherever they fit. What protects against a second run of a task still applies.
+answer, whoever they are reserved for (`OverdueSteps`). Its tasks are then placed
+wherever they fit. What protects against a second run of a task still applies.
 """
 
 from collections.abc import Collection, Iterable
@@ -18,7 +18,7 @@
 from trefoilhook.scheduling.fleet import Worker
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.models import Demand
-from trefoilhook.scheduling.placing import can_host, list_usable_workers
+from trefoilhook.scheduling.placing import can_host, list_answering_workers
 from trefoilhook.scheduling.tickets import name_step
 
 __all__ = ["may_be_overdue", "record_waits"]
@@ -60,7 +60,7 @@
         queue = task.job.queue
         service = queue.service if queue is not None else ""
         if service not in capacities:
-            workers = list_usable_workers(scheduler, service, now_ms)
+            workers = list_answering_workers(scheduler, service)
             capacities[service] = _FreeCapacity(workers=_sort_by_room(workers))
         if capacities[service].is_ample_for(task):
             overdue.extend(step, now_ms)
--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -20,6 +20,7 @@
     "compute_max_filler_cpu",
     "is_barred",
     "is_open",
+    "list_answering_workers",
     "list_open_workers",
     "list_usable_workers",
     "rate_worker",
@@ -82,19 +83,25 @@
 
 def _is_usable(worker: Worker, now_ms: float) -> bool:
     return (
-        worker.listed
-        and worker.has_answered_token
+        _is_answering(worker)
         and worker.is_in_roster
         and not worker.is_lease_limited
-        and worker.usable
         and not has_too_many_held_ends(worker)
-        and worker.silence is None
-        and not worker.report.draining
         and worker.avoid_until_ms <= now_ms
         and now_ms - worker.clock_read_ms < _SILENCE_LIMIT_MS
     )
 
 
+def _is_answering(worker: Worker) -> bool:
+    return (
+        worker.listed
+        and worker.usable
+        and worker.has_answered_token
+        and worker.silence is None
+        and not worker.report.draining
+    )
+
+
 def list_open_workers(
     scheduler: Scheduler, service: str, now_ms: float
 ) -> list[Worker]:
@@ -120,6 +127,21 @@
     ]
 
 
+def list_answering_workers(scheduler: Scheduler, service: str) -> list[Worker]:
+    """Return the workers of a service that answer and do not shut down.
+
+    Users take these for able to run tasks, also while this owner starts none there.
+    """
+    evacuations = scheduler.evacuations
+    return [
+        worker
+        for worker in scheduler.workers.values()
+        if worker.report.service == service
+        and _is_answering(worker)
+        and not evacuations.covers(worker)
+    ]
+
+
 def can_host(
     worker: Worker, state: TaskState, *, ignores_reservations: bool = False
 ) -> bool:
--- a/trefoilhook/scheduling/tests/test_overdue_services.py
+++ b/trefoilhook/scheduling/tests/test_overdue_services.py
@@ -124,6 +124,22 @@
         self.assertGreater(self.shard.now_ms - began_ms, _MIN_WAIT_MS)
         self.assertLessEqual(self.shard.now_ms - began_ms, _MAX_WAIT_MS)
 
+    def test_avoided_worker(self):
+        # Guards against a wait that begins anew each time that the only worker with
+        # capacity has refused a start.
+        for avoided_ms in (500.0, 1000.0, 1500.0):
+            with self.subTest(avoided_ms=avoided_ms):
+                self.setUp()
+                worker = self.shard.scheduler.workers["w0"]
+                began_ms = self.shard.now_ms
+                worker.avoid_until_ms = 0.0
+                while not self.shard.count_running("z"):
+                    if self.shard.now_ms - began_ms == avoided_ms:
+                        worker.avoid_until_ms = self.shard.now_ms + 1000.0
+                    self.assertLess(self.shard.now_ms - began_ms, 20_000.0)
+                    self.shard.step()
+                self.assertLessEqual(self.shard.now_ms - began_ms, _MAX_WAIT_MS)
+
 
 class SuspectTest(unittest.TestCase):
     """Service tasks that were lost with their workers."""
