End the workers of a service's latest run in the search

Losses of one service hit any of its workers, so that no task was suspected: the faults that make suspects wait longer changed nothing. The worker of the latest run is now ended, soon after that run began. Reservations were rare too, as batch work left room: there is more of it.

--- a/bench/availability/player.py
+++ b/bench/availability/player.py
@@ -89,44 +89,57 @@
         services = self._list_services()
         return self._fleet.random.choice(services).job_id if services else "none"
 
-    def _choose_of_service(self, job_id: str, share: float) -> list[VirtualWorker]:
-        """Return workers that run tasks of a service."""
-        alive = self._fleet.list_alive()
-        found = [
-            worker
-            for worker in alive
-            if any(run.task.startswith(job_id) for run in worker.list_open())
+    def _find_latest(self, job_id: str) -> tuple[VirtualWorker | None, float]:
+        """Return the worker of the latest run of a service, and the start in ms."""
+        runs = [
+            (run.started_ms, worker.worker_id)
+            for worker in self._fleet.list_alive()
+            for run in worker.list_open()
+            if run.task.startswith(job_id)
         ]
-        return found[: max(1, round(min(share, 0.35) * len(alive)))]
+        if not runs:
+            return None, 0.0
+        started_ms, worker_id = max(runs)
+        return self._fleet.workers[worker_id], started_ms
+
+    async def _wait_for_latest(
+        self, job_id: str, after_ms: float
+    ) -> VirtualWorker | None:
+        """Return the worker on which a service was started again, soon after that."""
+        clock = self._fleet.clock
+        give_up_ms = clock.monotonic_ms() + 12_000.0
+        while clock.monotonic_ms() < give_up_ms:
+            worker, started_ms = self._find_latest(job_id)
+            if worker is not None and started_ms > after_ms:
+                await clock.sleep_ms(self._fleet.random.choice((100.0, 400.0, 1500.0)))
+                return worker
+            await clock.sleep_ms(100.0)
+        return None
 
     async def _lose_a_service_repeatedly(self, action: Action) -> None:
-        job_id = self._choose_service()
-        until_ms = self._fleet.clock.monotonic_ms() + action.duration_ms
-        while self._fleet.clock.monotonic_ms() < until_ms:
-            workers = self._choose_of_service(job_id, action.share)
-            self._disrupt(500.0)
-            for worker in workers:
-                self._fleet.crash_worker(worker, is_dark=True)
-            for worker in workers:
-                self._fleet.start_worker(cpu=worker.capacity["cpu"])
-            await self._fleet.clock.sleep_ms(
-                self._fleet.random.choice((3000.0, 8000.0))
-            )
+        await self._end_a_service_repeatedly(action, is_dark=True)
 
     async def _crash_a_service_repeatedly(self, action: Action) -> None:
+        await self._end_a_service_repeatedly(action, is_dark=False)
+
+    async def _end_a_service_repeatedly(self, action: Action, *, is_dark: bool) -> None:
+        """End the worker of the latest run of a service, whenever there is another."""
+        clock = self._fleet.clock
         job_id = self._choose_service()
-        until_ms = self._fleet.clock.monotonic_ms() + action.duration_ms
-        while self._fleet.clock.monotonic_ms() < until_ms:
-            workers = self._choose_of_service(job_id, action.share)
+        lost_ms = 0.0
+        until_ms = clock.monotonic_ms() + action.duration_ms
+        while clock.monotonic_ms() < until_ms:
+            worker = await self._wait_for_latest(job_id, lost_ms)
+            if worker is None or worker.is_powered_off:
+                return
             self._disrupt(700.0)
-            for worker in workers:
-                self._fleet.crash_worker(worker, is_dark=False)
-            await self._fleet.clock.sleep_ms(700.0)
-            for worker in workers:
+            lost_ms = clock.monotonic_ms()
+            self._fleet.crash_worker(worker, is_dark=is_dark)
+            if is_dark:
+                self._fleet.start_worker(cpu=worker.capacity["cpu"])
+            else:
+                await clock.sleep_ms(700.0)
                 await self._fleet.restart_worker(worker)
-            await self._fleet.clock.sleep_ms(
-                self._fleet.random.choice((1000.0, 2500.0))
-            )
 
     async def _crash_workers(self, action: Action) -> None:
         workers = self._choose(action.share)
--- a/bench/availability/series.py
+++ b/bench/availability/series.py
@@ -38,7 +38,7 @@
 _LONGEST_MS = {
     "roll workers and owner": 16_000.0,
     "lose a service repeatedly": 36_000.0,
-    "crash a service repeatedly": 14_000.0,
+    "crash a service repeatedly": 6000.0,
 }
 """Maximum duration of some kinds, in ms."""
 
@@ -149,9 +149,9 @@
     _Profile(
         kinds=("drain workers", "cancel services", "add workers"),
         loads={
-            "fill": (0.55, 0.7),
+            "fill": (0.6, 0.75),
             "spread": (0.7,),
-            "batch": (0.25, 0.4),
+            "batch": (0.5, 0.7),
             "burst": (0.0,),
             "urgent_per_s": (0.0,),
         },
