--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -49,7 +49,11 @@
 from trefoilhook.scheduling.job_state import JobState, TaskState
 from trefoilhook.scheduling.job_times import JobTimes, QueueTimes, Stage, TimeTracker
 from trefoilhook.scheduling.lease_expiry import release_expired
-from trefoilhook.scheduling.long_waits import LongWait, list_long_waits
+from trefoilhook.scheduling.long_waits import (
+    LongWait,
+    describe_reasons,
+    list_long_waits,
+)
 from trefoilhook.scheduling.messages import (
     AttemptEnd,
     EndKind,
@@ -121,6 +125,7 @@
     summarize_missing_evidence,
 )
 from trefoilhook.scheduling.tickets import AdviceRequest, Grant
+from trefoilhook.scheduling.wait_records import encode_waits, restore_waits
 
 __all__ = [
     "account_for_workers",
@@ -197,10 +202,12 @@
     "decode_job_record",
     "decode_progress",
     "decode_queues",
+    "describe_reasons",
     "encode_durations",
     "encode_interference",
     "encode_job_record",
     "encode_progress",
+    "encode_waits",
     "extend_lease",
     "find_longest_wait",
     "is_outdated_answer",
@@ -223,6 +230,7 @@
     "plan_orders",
     "release_expired",
     "resolve_incarnation",
+    "restore_waits",
     "has_fillers_beside_services",
     "has_urgent_waiting",
     "apply_poll_answer",
--- a/trefoilhook/scheduling/candidates.py
+++ b/trefoilhook/scheduling/candidates.py
@@ -18,6 +18,11 @@
 
 __all__ = ["Candidates"]
 
+_RESERVED_PENALTY = 1_000_000
+"""Penalty for placing an overdue task on a worker that is reserved for another one, in
+thousandths of a core. It excludes these workers unless no sound one has the capacity:
+the other task would lose its reservation, or might crash the worker."""
+
 
 @attrs.define(kw_only=True)
 class Candidates:
@@ -31,6 +36,9 @@
         Tasks that share each worker.
     limit : PartLimit, optional
         Limit on the capacity that the tasks may take.
+    is_overdue : bool, optional
+        Whether the step is overdue, so that workers count that are reserved for others
+        or on which the task has failed.
 
     Attributes
     ----------
@@ -47,6 +55,7 @@
     task: TaskState
     colocations: ColocationCache
     limit: PartLimit | None = None
+    is_overdue: bool = False
     lacked_capacity: bool = attrs.field(default=False, init=False)
     was_limited: bool = attrs.field(default=False, init=False)
     was_barred: bool = attrs.field(default=False, init=False)
@@ -55,17 +64,20 @@
 
     def add_worker(self, worker: Worker) -> None:
         """Add a worker if it can run a task of the step."""
-        if not can_host(worker, self.task):
+        if not can_host(worker, self.task, ignores_reservations=self.is_overdue):
             self.lacked_capacity = True
             return
         if not self._is_admitted(worker):
             self.was_limited = True
             return
-        if is_barred(worker, self.task, self.colocations.now_ms):
+        if not self.is_overdue and is_barred(
+            worker, self.task, self.colocations.now_ms
+        ):
             self.was_barred = True
             return
         score = score_worker(worker, self.task, self.colocations)
         if score is not None:
+            score -= _RESERVED_PENALTY * self._is_reserved(worker)
             self._added += 1
             heapq.heappush(self._heap, (-score, self._added, worker))
 
@@ -87,5 +99,11 @@
             heapq.heappush(self._heap, entry)
         return found
 
+    def _is_reserved(self, worker: Worker) -> bool:
+        """Return whether only an overdue task may start on a worker."""
+        return self.is_overdue and (
+            worker.is_reserved or not can_host(worker, self.task)
+        )
+
     def _is_admitted(self, worker: Worker) -> bool:
         return self.limit is None or self.limit.admits(worker, self.task.step.room)
--- a/trefoilhook/scheduling/service_holds.py
+++ b/trefoilhook/scheduling/service_holds.py
@@ -6,13 +6,16 @@
 
 from trefoilhook.scheduling.tickets import StepName
 
-__all__ = ["Hold", "ServiceHolds"]
+__all__ = ["Hold", "OverdueSteps", "ServiceHolds", "StepWait"]
 
 _MAX_INTERRUPTION_MS = 800.0
 """Maximum time without ample capacity that counts as waiting, in ms. Users, who may
 miss it between two samples, expect a start within 3 s: the maximum wait of 2 s, an
 interruption at its end, and 0.2 s to place and start the task."""
 
+_MAX_WAIT_MS = 2000.0
+"""Time beside ample capacity after which a step is overdue, in ms."""
+
 
 @attrs.define(kw_only=True)
 class _Stretch:
@@ -42,6 +45,15 @@
         self.interrupted_ms = None
         return now_ms - self.since_ms
 
+    def measure(self, now_ms: float) -> float:
+        """Return for how long the condition has held, in ms."""
+        if self.since_ms is None or (
+            self.interrupted_ms is not None
+            and now_ms - self.interrupted_ms > self.max_interruption_ms
+        ):
+            return 0.0
+        return now_ms - self.since_ms
+
     def interrupt(self, now_ms: float) -> None:
         """Record that the condition does not hold."""
         if self.interrupted_ms is None:
@@ -125,3 +137,86 @@
         """Remove all steps that are not in ``waiting``."""
         for step in self._holds.keys() - waiting:
             del self._holds[step]
+
+
+@attrs.frozen(kw_only=True)
+class StepWait:
+    """Wait of a service step beside ample capacity.
+
+    Parameters
+    ----------
+    waited_ms : float
+        Time since its begin, in ms.
+    interrupted_ms : float
+        Time since the begin of the present interruption, in ms; 0 if there is none.
+    """
+
+    waited_ms: float
+    interrupted_ms: float = 0.0
+
+
+@attrs.define(kw_only=True)
+class OverdueSteps:
+    """Time for which there has been ample capacity for waiting service steps."""
+
+    _stretches: dict[StepName, _Stretch] = attrs.field(factory=dict, init=False)
+    _overdue: set[StepName] = attrs.field(factory=set, init=False)
+
+    def extend(self, step: StepName, now_ms: float) -> None:
+        """Record that there is ample capacity for a step that was not placed."""
+        stretch = self._stretches.get(step)
+        if stretch is None:
+            stretch = _Stretch(max_interruption_ms=_MAX_INTERRUPTION_MS)
+            self._stretches[step] = stretch
+        if stretch.extend(now_ms) >= _MAX_WAIT_MS:
+            self._overdue.add(step)
+        else:
+            self._overdue.discard(step)
+
+    def interrupt(self, step: StepName, now_ms: float) -> None:
+        """Record that there is no ample capacity for a step."""
+        stretch = self._stretches.get(step)
+        if stretch is None:
+            return
+        stretch.interrupt(now_ms)
+        if stretch.measure(now_ms) < _MAX_WAIT_MS:
+            self._overdue.discard(step)
+
+    def list_waits(self, now_ms: float) -> dict[StepName, StepWait]:
+        """Return the waits that are not over, by step."""
+        waits: dict[StepName, StepWait] = {}
+        for step, stretch in self._stretches.items():
+            since_ms, interrupted_ms = stretch.since_ms, stretch.interrupted_ms
+            gap_ms = 0.0 if interrupted_ms is None else now_ms - interrupted_ms
+            if since_ms is not None and gap_ms <= stretch.max_interruption_ms:
+                waits[step] = StepWait(
+                    waited_ms=now_ms - since_ms, interrupted_ms=gap_ms
+                )
+        return waits
+
+    def restore(self, step: StepName, wait: StepWait, now_ms: float) -> None:
+        """Continue a wait that a previous owner measured.
+
+        It is interrupted until there is known to be capacity, and is overdue only after
+        a round of its own in which it was not placed.
+        """
+        self._stretches[step] = _Stretch(
+            max_interruption_ms=_MAX_INTERRUPTION_MS,
+            since_ms=now_ms - min(wait.waited_ms, _MAX_WAIT_MS),
+            interrupted_ms=now_ms - wait.interrupted_ms,
+        )
+
+    def contains(self, step: StepName) -> bool:
+        """Return whether a step is overdue."""
+        return step in self._overdue
+
+    def measure(self, step: StepName, now_ms: float) -> float:
+        """Return for how long there has been ample capacity for a step, in ms."""
+        stretch = self._stretches.get(step)
+        return stretch.measure(now_ms) if stretch is not None else 0.0
+
+    def retain(self, waiting: Collection[StepName]) -> None:
+        """Remove all steps that are not in ``waiting``."""
+        for step in self._stretches.keys() - waiting:
+            del self._stretches[step]
+            self._overdue.discard(step)
