--- a/trefoilhook/command/interruptions.py
+++ b/trefoilhook/command/interruptions.py
@@ -19,7 +19,7 @@
 
 
 class InterruptionsCommand(Command):
-    """Lists the times between and before runs of service tasks, over all owners."""
+    """Lists the times before and between runs of service tasks, across all owners."""
 
     name = "interruptions"
     description = "Show for how long and why service tasks did not run, from logs."
@@ -53,8 +53,8 @@
         else:
             text = render_text(report)
         self.io.write_line(text, type=Type.RAW)
-        is_found = report.interruptions or report.first_starts
-        return 0 if is_found else _NOTHING_FOUND
+        has_results = report.interruptions or report.first_starts
+        return 0 if has_results else _NOTHING_FOUND
 
 
 def _parse_duration(text: str) -> float | None:
--- a/trefoilhook/interruptions/core.py
+++ b/trefoilhook/interruptions/core.py
@@ -24,7 +24,7 @@
 """Reason for the time for which no line tells what the task waited for."""
 
 ACCEPTED = "JOB_ACCEPTED"
-"""Evidence of the begin of a wait for the first run: the acceptance of the job."""
+"""Evidence for the start of the wait for a first run: the acceptance of the job."""
 
 UNKNOWN = "unknown"
 """Evidence of a run's end of which no line tells."""
@@ -111,9 +111,9 @@
     task : str
         Id of the task.
     last_attempt, last_worker : int, str
-        The run before; 0 and empty if there is none.
+        The previous run; 0 and empty if there is none.
     end : RunEnd
-        End of the run before, or the acceptance of the job (`ACCEPTED`).
+        End of the previous run, or the acceptance of the job (`ACCEPTED`).
     owners : tuple of OwnerWait
         Owners during the interruption, in order.
     ownerless_s : float
@@ -125,7 +125,7 @@
     next_attempt, next_worker : int or None, str
         The next run; None and empty if there is none.
     duration_s : float
-        Time since the end of the run before, or the acceptance of the job, in s.
+        Time since the end of the previous run, or the acceptance of the job, in s.
     main_reason : str
         What most of the time was spent on over all owners: a wait reason, `NO_OWNER` or
         `NOT_LOGGED`.
@@ -162,8 +162,8 @@
     unread : dict of str to int
         Number of skipped lines, by reason.
     first_starts : tuple of Interruption
-        Waits of service tasks for their first run, the longest first. They don't count
-        in the other fields.
+        Waits of service tasks for their first run, in descending order of duration. The
+        other fields do not include them.
     """
 
     interruptions: tuple[Interruption, ...]
--- a/trefoilhook/interruptions/report.py
+++ b/trefoilhook/interruptions/report.py
@@ -102,9 +102,9 @@
                     yield found
 
     def list_first_starts(self) -> Iterator[Interruption]:
-        """List the waits of tasks for their first run, in no particular order.
+        """Yield the waits of tasks for their first run, in no particular order.
 
-        They are counted from the acceptance of the job.
+        Each wait starts with the acceptance of the job.
         """
         for task, first in self.log.list_first_waits():
             end = RunEnd(at_s=self.log.acceptances[get_job(task)], evidence=ACCEPTED)
@@ -129,7 +129,7 @@
         following: Run | None,
         samples: Sequence[LogLine],
     ) -> Interruption | None:
-        """Return the interruption from an end on, or None if there is none."""
+        """Return the interruption that starts at ``end``, or None if there is none."""
         start = following.start if following is not None else None
         if following is not None and start is None:
             return None
--- a/trefoilhook/interruptions/runs.py
+++ b/trefoilhook/interruptions/runs.py
@@ -14,7 +14,7 @@
 _MS_PER_S = 1000.0
 
 _MAX_STEP_TASKS = 10_000
-"""Maximum number of tasks of a step that are considered, as the line may be damaged."""
+"""Maximum number of tasks per step; bounds the memory used for a corrupt line."""
 
 _RUN_EVENTS = frozenset({"TASK_STARTED", "TASK_ENDED", "TASK_GIVEN_UP", "TASK_STOPPED"})
 
@@ -117,9 +117,9 @@
     job_ends : dict of str to float
         When jobs were cancelled or finished, in s since the Unix epoch.
     acceptances : dict of str to float
-        When jobs were accepted, in s since the Unix epoch.
+        Times at which jobs were accepted, in s since the Unix epoch.
     service_tasks : set of str
-        Tasks that their job's acceptance tells of.
+        Tasks of the service steps that are listed in ``JOB_ACCEPTED``.
     """
 
     runs: dict[str, dict[int, Run]] = attrs.Factory(lambda: defaultdict(dict))
@@ -166,7 +166,7 @@
         return get_job(task) in self.service_jobs and step not in self.batch_steps
 
     def list_first_waits(self) -> Iterator[tuple[str, Run | None]]:
-        """Yield service tasks of known acceptance with their first run, if any."""
+        """Yield the service tasks of accepted jobs with their first run, if any."""
         known = self.service_tasks | self.runs.keys() | self.waits.keys()
         for task in known:
             if get_job(task) in self.acceptances and self.is_service(task):
@@ -176,8 +176,8 @@
     def list_first_samples(self, task: str) -> list[LogLine]:
         """Return the ``TASK_WAITS`` that apply to a task that has not run.
 
-        Each line names one task of a step, but all those that have not run wait for the
-        same.
+        Each line names only one task of a step, but applies to all its tasks that have
+        not run.
         """
         return [
             line
--- a/trefoilhook/interruptions/tests/test_report.py
+++ b/trefoilhook/interruptions/tests/test_report.py
@@ -234,18 +234,18 @@
 
 
 class FirstStartTest(unittest.TestCase):
-    """Waits of tasks that have not run before."""
+    """Waits of tasks for their first run."""
 
-    def build_first(self, *lines: str, **fields) -> dict[str, Interruption]:
-        """Return the waits for a first run by task."""
+    def build_first_starts(self, *lines: str, **fields) -> dict[str, Interruption]:
+        """Return the waits for a first run, by task."""
         accepted = line(10.0, "JOB_ACCEPTED", job="j", **fields)
         report = build(claim(0.0, 1), accepted, *lines)
         self.assertEqual((report.interruptions, report.over["9"]), ((), 0))
         return {each.task: each for each in report.first_starts}
 
     def test_task_that_never_ran(self):
-        # Guards against a report without the task that has waited longest.
-        waits = self.build_first(
+        # Guards against reports that omit tasks without any run.
+        waits = self.build_first_starts(
             wait(12.0, 2.0, "no room"),
             line(13.0, "SHARD_RELEASED", epoch=1),
             claim(14.0, 2, "b"),
@@ -260,10 +260,10 @@
             self.assertAlmostEqual(found.ownerless_s, 1.0, places=3)
             self.assertEqual(found.main_reason, "kept for urgent")
 
-    def test_task_known_by_its_start(self):
+    def test_task_found_by_its_start(self):
         later = line(10.5, "JOB_ACCEPTED", job="j", known=True)
         reasons = {"reserved": 1500, "no room": 1200, "owner new": 400}
-        (found,) = self.build_first(
+        (found,) = self.build_first_starts(
             SERVICE,
             later,
             start(
@@ -286,7 +286,7 @@
 
     def test_unknown_acceptance_and_batch_tasks(self):
         self.assertEqual(build(*FIRST_RUN).first_starts, ())
-        self.assertEqual(self.build_first(start(13.0, 1, "w")), {})
+        self.assertEqual(self.build_first_starts(start(13.0, 1, "w")), {})
 
     def test_text(self):
         report = build(
--- a/trefoilhook/interruptions/text.py
+++ b/trefoilhook/interruptions/text.py
@@ -78,7 +78,7 @@
 
 
 def _describe_owner(owner: OwnerWait, began_s: float, origin: str) -> str:
-    """Describe the share of an owner in a wait that began with ``origin``."""
+    """Return the line on one owner's part of a wait that began with ``origin``."""
     offset_s = owner.claimed_s - began_s
     claimed = f"claimed {abs(offset_s):.2f} s {'after' if offset_s > 0 else 'before'}"
     waits = [_describe_wait(wait) for wait in owner.waits]
--- a/trefoilhook/interruptions/waits.py
+++ b/trefoilhook/interruptions/waits.py
@@ -80,7 +80,7 @@
 
 
 def _read_start(start: LogLine, limit_s: float) -> list[Wait]:
-    """Return the waits that a start tells of, or the main one."""
+    """Return the waits by reason from a start line, or else only the main one."""
     waits_for = start.fields.get("waited_for")
     if not waits_for:
         return []
@@ -93,14 +93,14 @@
 
 
 def _split_reasons(reasons: Mapping[str, object], limit_s: float) -> Iterator[Wait]:
-    """Yield the time of each reason, the longest first.
+    """Yield a wait for each reason, up to a total duration.
 
-    The step may have waited for longer than the task.
+    The times are those of the step, which may exceed the wait of the task.
     """
-    left_s = limit_s
+    remaining_s = limit_s
     for reason, waited_ms in reasons.items():
-        duration_s = min(read_number(waited_ms) / _MS_PER_S, left_s)
-        left_s -= duration_s
+        duration_s = min(read_number(waited_ms) / _MS_PER_S, remaining_s)
+        remaining_s -= duration_s
         yield Wait(waits_for=reason, duration_s=duration_s)
 
 
--- a/trefoilhook/runtime/keys.py
+++ b/trefoilhook/runtime/keys.py
@@ -89,7 +89,7 @@
 
 
 def waits_key(shard: int) -> str:
-    """Return the key of the waits at the end of the last planned ownership."""
+    """Return the key of the waiting times at the end of the last planned ownership."""
     return f"shard/{shard}/waits"
 
 
--- a/trefoilhook/runtime/latejobs.py
+++ b/trefoilhook/runtime/latejobs.py
@@ -20,18 +20,18 @@
 
 
 def describe_services(job: Job) -> dict[str, dict[str, int]]:
-    """Return the size of the steps that start at once and are never completed.
+    """Return the number of tasks of each service step that can start immediately.
 
     Parameters
     ----------
     job : Job
-        The job.
+        Accepted job.
 
     Returns
     -------
     dict of str to dict of str to int
-        Under ``services``, the number of tasks by step, for eight steps at most; empty
-        if there is no such step.
+        Number of tasks by step under ``services``, for at most eight steps; empty if
+        there is no such step or the job repeats.
     """
     steps = {
         str(index): step.count
--- a/trefoilhook/runtime/orders.py
+++ b/trefoilhook/runtime/orders.py
@@ -26,13 +26,13 @@
 _MIN_LOGGED_WAIT_MS = 10.0
 """Shortest waiting time that is logged, in ms. Each plan is delayed by about 6 ms."""
 
-_MIN_LOGGED_ORDER_MS = 100.0
-"""Shortest time between the placement of a task and the answer to its order that is
-logged, in ms. Writing its place and sending the order take some tens of ms."""
+_MIN_LOGGED_ORDER_DELAY_MS = 100.0
+"""Minimum time from the placement of a task to the answer to its start order that is
+logged, in ms. Storing the placement and sending the order usually take less."""
 
-_MIN_EXPLAINED_WAIT_MS = 1000.0
-"""Shortest wait of a service task that is logged with the time of each reason, in ms;
-as in ``TASK_WAITS``."""
+_MIN_DETAILED_WAIT_MS = 1000.0
+"""Minimum wait of a service task that is logged with the time of each reason, in ms.
+The same as for ``TASK_WAITS``."""
 
 
 async def execute_order(
@@ -146,20 +146,20 @@
             resumed=bool(order.checkpoint),
             **({"lateness": run.lateness} if run is not None and run.lateness else {}),
             **_describe_wait(run),
-            **_describe_order(run, now_ms),
+            **_describe_order_delay(run, now_ms),
         )
 
 
 def _describe_wait(run: Run | None) -> dict[str, Any]:
     """Return how long a task waited for a worker, and the main reason.
 
-    Long waits of service tasks are described as in ``TASK_WAITS``.
+    Long waits of service tasks have the additional fields of ``TASK_WAITS``.
     """
     if run is None or run.waited_ms < _MIN_LOGGED_WAIT_MS:
         return {}
     reason = run.wait_reason.value if run.wait_reason is not None else ""
     wait = {"waited_ms": round(run.waited_ms), "waited_for": reason}
-    if run.waited_ms < _MIN_EXPLAINED_WAIT_MS or not run.wait_reasons:
+    if run.waited_ms < _MIN_DETAILED_WAIT_MS or not run.wait_reasons:
         return wait
     return {
         **wait,
@@ -169,9 +169,9 @@
     }
 
 
-def _describe_order(run: Run | None, now_ms: float) -> dict[str, int]:
-    """Return how long a placed task waited for its order and for the answer."""
-    if run is None or now_ms - run.placed_ms < _MIN_LOGGED_ORDER_MS:
+def _describe_order_delay(run: Run | None, now_ms: float) -> dict[str, int]:
+    """Return the delays of a start order and of its answer, if they are long."""
+    if run is None or now_ms - run.placed_ms < _MIN_LOGGED_ORDER_DELAY_MS:
         return {}
     return {
         "ordered_ms": round(run.started_ms - run.placed_ms),
--- a/trefoilhook/runtime/roster.py
+++ b/trefoilhook/runtime/roster.py
@@ -200,7 +200,7 @@
         if not are_starts_recorded(self._scheduler):
             return
         for _ in range(_MAX_HANDOVER_WRITES):
-            # With whole steps, each of several short ownerships would lose most of one.
+            # Rounding would lose up to one step of the elapsed time at each handover.
             head = self._build_head(self._list_members(), has_exact_times=True)
             if head is None or self._head is None:
                 return
@@ -214,8 +214,8 @@
     ) -> Head | None:
         """Return the groups to be stored; None while no worker has answered.
 
-        ``answering`` holds the workers that have answered, by incarnation. Exact times
-        change with each call, those in steps rarely.
+        ``answering`` holds the workers that have answered, by incarnation. Times are
+        rounded to steps unless ``has_exact_times``, so that the head rarely changes.
         """
         scheduler = self._scheduler
         now_ms = self._clock.monotonic_ms()
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -232,7 +232,7 @@
         self._turns = Turns(read_lag_ms=lambda: lag.read(clock.monotonic_ms()))
         self._snapshots = build_snapshots(self._scheduler)
         self._waits_snapshot = build_waits_snapshot(self._scheduler, clock.monotonic_ms)
-        self._has_loaded = False
+        self._is_loaded = False
         self._committer = Committer(
             store=store,
             clock=clock,
@@ -318,7 +318,7 @@
                 nursery.start_soon(self._save_waits)
 
     async def _save_waits(self) -> None:
-        if self._has_loaded:
+        if self._is_loaded:
             await save_waits(self._store, self._ownership, self._waits_snapshot)
 
     @contextlib.contextmanager
@@ -428,7 +428,7 @@
         self._take_inheritance(contents, self._read_roster(contents.roster))
         self._restore_snapshots(contents.snapshots)
         self._job_feed.load(contents.jobs, contents.progress)
-        self._has_loaded = True
+        self._is_loaded = True
         log_event(
             Event.SHARD_LOADED,
             epoch=self._ownership.epoch,
--- a/trefoilhook/runtime/snapshots.py
+++ b/trefoilhook/runtime/snapshots.py
@@ -117,20 +117,20 @@
 
 
 def build_waits_snapshot(
-    scheduler: Scheduler, read_ms: Callable[[], float]
+    scheduler: Scheduler, get_now_ms: Callable[[], float]
 ) -> Snapshot:
-    """Return the snapshot of the waits at the end of an ownership.
+    """Return the snapshot of the waiting times, written when an ownership ends.
 
     Parameters
     ----------
     scheduler : Scheduler
         Scheduler of the shard.
-    read_ms : callable
+    get_now_ms : callable
         Returns the current time, in ms.
     """
     return Snapshot(
         key=keys.waits_key(keys.SHARD),
         get_version=lambda: scheduler.epoch,
-        encode=lambda: encode_waits(scheduler, read_ms()),
-        restore=lambda data: restore_waits(scheduler, data, read_ms()),
+        encode=lambda: encode_waits(scheduler, get_now_ms()),
+        restore=lambda data: restore_waits(scheduler, data, get_now_ms()),
     )
--- a/trefoilhook/runtime/tests/test_handovers.py
+++ b/trefoilhook/runtime/tests/test_handovers.py
@@ -105,43 +105,55 @@
 
 
 async def submit_step(
-    cluster: Cluster, owner: Instance, job: str, *, count: int, cpu: int, lasts: bool
+    cluster: Cluster,
+    owner: Instance,
+    job: str,
+    *,
+    count: int,
+    cpu: int,
+    long_running: bool,
 ) -> None:
     """Submit a job with one step."""
     step = {"count": count, "cpu": cpu, "mem_mb": 10}
-    step.update({"long_running": True} if lasts else {"estimate_ms": 200})
+    step.update({"long_running": True} if long_running else {"estimate_ms": 200})
     body = json.dumps({"spec": "x", "steps": [step]}).encode()
     await cluster.send(owner, "POST", PREFIX + job, body)
 
 
 def read_wait(cluster: Cluster, job: str) -> float:
-    """Return how long a step waited beside capacity by the last record, in ms."""
+    """Return the longest wait of a job's steps in the last record, in ms."""
     record = cluster.store.read(keys.waits_key(keys.SHARD)) or {"services": []}
     waits = [row["waited_ms"] for row in record["services"] if row["job"] == job]
     return max(waits, default=0.0)
 
 
 class WaitsTest(unittest.TestCase):
-    """Waits of service tasks beside capacity for them."""
+    """Waits of service tasks for which capacity is available."""
 
-    def test_waits_go_on_under_the_next_owners(self):
-        # Guards against owners that each begin the wait anew.
+    def test_waits_continue_after_planned_takeovers(self):
+        # Guards against a wait that restarts at each change of the owner.
         async def scenario(cluster: Cluster) -> None:
             owner = await cluster.wait_for_owner()
-            await submit_step(cluster, owner, "a" * 16, count=4, cpu=4000, lasts=True)
+            await submit_step(
+                cluster, owner, "a" * 16, count=4, cpu=4000, long_running=True
+            )
             await cluster.wait_until(lambda: len(cluster.list_runs()) == 4)
-            await submit_step(cluster, owner, "b" * 16, count=4, cpu=1000, lasts=False)
+            await submit_step(
+                cluster, owner, "b" * 16, count=4, cpu=1000, long_running=False
+            )
             await cluster.wait_until(lambda: len(cluster.list_runs()) == 8)
             await cluster.send(owner, "DELETE", PREFIX + "b" * 16)
-            # Without the demands, the next owner leaves no capacity to urgent tasks.
+            # The next owner keeps capacity for urgent tasks only if it finds demands.
             demands = keys.urgent_demands_key(keys.SHARD)
             await cluster.wait_until(lambda: bool(cluster.store.read(demands)))
-            await submit_step(cluster, owner, "c" * 16, count=1, cpu=2000, lasts=True)
+            await submit_step(
+                cluster, owner, "c" * 16, count=1, cpu=2000, long_running=True
+            )
             await trio.sleep(0.3)
             owner = await stop_owner(cluster, owner)
             first_ms = read_wait(cluster, "c" * 16)
             self.assertGreater(first_ms, 0.0)
-            # The next owner has read the shard, and workers have answered it.
+            # Wait until the next owner has loaded the shard and workers have answered.
             await cluster.wait_until(lambda: read_groups(cluster).epoch == 2)
             await stop_owner(cluster, owner)
             self.assertGreater(read_wait(cluster, "c" * 16), first_ms)
--- a/trefoilhook/runtime/tests/test_logs.py
+++ b/trefoilhook/runtime/tests/test_logs.py
@@ -590,8 +590,8 @@
         self.assertEqual(find_line(lines, "JOB_ACCEPTED")["services"], {"0": 2})
 
     def test_named_service_steps(self):
-        # Guards against a line whose length grows with the job, and against steps that
-        # wait for others or end.
+        # Guards against log lines of unbounded length, and against the inclusion of
+        # batch steps and of steps that depend on others.
         service = Step(count=3, demand=Demand(cpu=1000), long_running=True)
         later = attrs.evolve(service, after=(0,))
         batch = attrs.evolve(service, long_running=False)
@@ -609,7 +609,7 @@
         self.assertEqual(describe_services(attrs.evolve(job, steps=(batch,))), {})
 
     def test_slow_answer_to_an_order_is_logged(self):
-        # Guards against a task that waits after its placement, which no line tells.
+        # Guards against delays after the placement of a task that are not logged.
         lines: list[dict] = []
         start = WorkerClient.start
 
--- a/trefoilhook/runtime/tests/test_roster.py
+++ b/trefoilhook/runtime/tests/test_roster.py
@@ -273,15 +273,15 @@
         self.assertTrue(decode_head(value).groups.has_all_places)
 
     def test_elapsed_part_of_a_wait_is_written_exactly(self):
-        # Guards against a wait for the leases on a gone worker that each of several
-        # planned takeovers within seconds begins almost anew.
+        # Guards against a wait for the leases on a lost worker that is extended by
+        # rounding at each planned takeover.
         time = trio.testing.MockClock()
 
         async def scenario() -> dict[int, int]:
             shard = Shard()
             shard.scheduler.places = PlaceLedger(epoch=1)
-            gone = Member(name="gone", address="10.0.0.9:80")
-            groups = WorkerGroups(epoch=0, count=1).replace_members([gone])
+            lost = Member(name="gone", address="10.0.0.9:80")
+            groups = WorkerGroups(epoch=0, count=1).replace_members([lost])
             shard.scheduler.predecessors = Predecessors(groups=[groups])
             store = FakeStore()
             roster = build_roster(shard, store, clock=build_system_clock())
@@ -301,15 +301,15 @@
         self.assertEqual(trio.run(scenario, clock=time), {0: 1400})
 
     def test_limits_are_written_exactly(self):
-        # Guards against a limit of leases that each of several planned takeovers within
-        # seconds extends by up to half a second.
+        # Guards against lease limits that are extended by rounding at each planned
+        # takeover.
         steps_ms: list[float | None] = []
 
-        def note_step(scheduler, now_ms, *, step_ms=None):
+        def record_step(scheduler, now_ms, *, step_ms=None):
             steps_ms.append(step_ms)
             return {}
 
-        with mock.patch("trefoilhook.runtime.roster.limit_leases", note_step):
+        with mock.patch("trefoilhook.runtime.roster.limit_leases", record_step):
             self.hand_over()
         self.assertEqual(steps_ms[-1], 1.0)
         self.assertIsNone(steps_ms[0])
--- a/trefoilhook/runtime/waits.py
+++ b/trefoilhook/runtime/waits.py
@@ -1,4 +1,4 @@
-"""Handover of the waits of tasks at the end of a planned ownership."""
+"""Storage of waiting times at the end of an ownership, for the next owner."""
 
 from trefoilhook.exceptions import StoreError
 from trefoilhook.logs import Event, describe_failure, log_event
@@ -13,16 +13,16 @@
 async def save_waits(
     store: KeyValueStore, ownership: Ownership, snapshot: Snapshot
 ) -> None:
-    """Write for how long tasks have waited, while no other owner can exist.
+    """Write the waiting times, provided that the shard still has this owner.
 
     Parameters
     ----------
     store : KeyValueStore
         Store of the shard.
     ownership : Ownership
-        Ownership that ends; its key is still in the store.
+        Ownership that is about to end; its key must still be in the store.
     snapshot : Snapshot
-        The waits.
+        Snapshot of the waiting times.
     """
     owner = keys.owner_key(keys.SHARD)
     expected = Precondition(key=owner, revision=ownership.owner_revision)
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -22,7 +22,7 @@
 from trefoilhook.scheduling.messages import StopReason
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.overcommitment import relieve_overcommitted
-from trefoilhook.scheduling.overdue import record_waits
+from trefoilhook.scheduling.overdue import record_ample_capacity
 from trefoilhook.scheduling.ranking import StepRank, get_lateness, rank_step
 from trefoilhook.scheduling.reserving import reserve_workers, update_reservations
 from trefoilhook.scheduling.rounds import (
@@ -175,7 +175,7 @@
         )
         reserve_for_starved_jobs(assignment_round, ready, held=held)
         unplaced = (task for tasks in ready for task in tasks if not task.attempts)
-        record_waits(scheduler, itertools.chain(held, unplaced), now_ms)
+        record_ample_capacity(scheduler, itertools.chain(held, unplaced), now_ms)
     started = [state for state in assignment_round.started if state.attempts]
     _record_lateness(started, wall_ms)
     scheduler.overtaking.record_round(
--- a/trefoilhook/scheduling/candidates.py
+++ b/trefoilhook/scheduling/candidates.py
@@ -19,9 +19,9 @@
 __all__ = ["Candidates"]
 
 _RESERVED_PENALTY = 1_000_000
-"""Penalty for placing an overdue task on a worker that is reserved for another one, in
-thousandths of a core. It excludes these workers unless no sound one has the capacity:
-the other task would lose its reservation, or might crash the worker."""
+"""Score penalty for placing an overdue task on a worker that is reserved for another
+task, in thousandths of a core. Reserved workers are used only if no other worker has
+the capacity."""
 
 
 @attrs.define(kw_only=True)
@@ -37,8 +37,8 @@
     limit : PartLimit, optional
         Limit on the capacity that the tasks may take.
     is_overdue : bool, optional
-        Whether the step is overdue, so that workers count that are reserved for others
-        or on which the task has failed.
+        Whether the step is overdue. If so, workers that are reserved for other tasks
+        and workers on which the task has failed are included.
 
     Attributes
     ----------
@@ -100,7 +100,7 @@
         return found
 
     def _is_reserved(self, worker: Worker) -> bool:
-        """Return whether only an overdue task may start on a worker."""
+        """Return whether the step uses a worker that is reserved for other tasks."""
         return self.is_overdue and (
             worker.is_reserved or not can_host(worker, self.task)
         )
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -149,7 +149,7 @@
     service_holds : ServiceHolds
         Service steps that are held for the capacity that urgent tasks need.
     overdue : OverdueSteps
-        Service steps that have waited too long beside capacity for them.
+        Service steps that have waited too long while capacity was available.
     entries : EntryFreshness
         Freshness of the worker entries read from the store.
     suspects : SuspectTracker
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -134,13 +134,13 @@
     wait_reason : WaitReason or None
         Reason for most of that wait.
     wait_reasons : tuple of (WaitReason, float)
-        For a service task, the time for which its step has waited for each reason, in
-        ms, the longest first.
+        For a service task, the time for which its step waited for each reason, in ms,
+        in descending order.
     ample_ms : float
-        For a service task, the time for which there had been capacity for two such
-        tasks when it was placed, in ms.
+        For a service task, the time before its placement for which its step had ample
+        capacity, in ms.
     was_overdue : bool
-        Whether its step was overdue then.
+        Whether its step was overdue when the task was placed.
     slowing_ms : float
         Time lost through throttling, in ms.
     pace_since_ms : float
--- a/trefoilhook/scheduling/isolation.py
+++ b/trefoilhook/scheduling/isolation.py
@@ -27,9 +27,10 @@
 _ISOLATION_MS = 3000.0
 """Maximum time for which a strongly suspected task reserves its worker."""
 
-_MIN_TURN_MS = 500.0
-"""Minimum time for which an overdue task waits for its turn after a delay, in ms. Tasks
-that were delayed together would otherwise all start before the first one crashes."""
+_MIN_ISOLATION_WAIT_MS = 500.0
+"""Minimum time after a delay for which the limits on isolated runs apply to an overdue
+task, in ms. Prevents tasks whose delays end together from all starting before the first
+one crashes."""
 
 _MAX_RUNS_PER_JOB = 2
 """Maximum number of concurrent isolated runs of one job. If all tasks of the job crash,
@@ -141,12 +142,12 @@
     ) -> bool:
         """Return whether isolation permits starting a task now.
 
-        An overdue task does not wait long for its turn.
+        The limits on isolated runs apply to overdue tasks only for a short time.
         """
         held_until_ms = task.shared.held_until_ms
         if held_until_ms > now_ms:
             return False
-        if is_overdue and now_ms - held_until_ms >= _MIN_TURN_MS:
+        if is_overdue and now_ms - held_until_ms >= _MIN_ISOLATION_WAIT_MS:
             return True
         if not is_strongly_suspected(task):
             return True
--- a/trefoilhook/scheduling/long_waits.py
+++ b/trefoilhook/scheduling/long_waits.py
@@ -18,7 +18,7 @@
 """Maximum number of workers named in a log line."""
 
 _MAX_LISTED_REASONS = 4
-"""Maximum number of reasons with their times in a log line."""
+"""Maximum number of wait reasons in a log line."""
 
 
 @attrs.frozen(kw_only=True)
@@ -62,12 +62,12 @@
     awaits : tuple of str
         Workers of previous owners for which it waits, five at most.
     ample_ms : int
-        Time for which there has been capacity for two such tasks, in ms; 0 if there is
-        none now.
+        Time for which the step has had capacity for two of its tasks, in ms; 0 if there
+        is no such capacity now.
     overdue : bool
-        Whether the step has waited too long beside such capacity.
+        Whether the step has waited too long while this capacity was available.
     reasons_ms : dict of str to int
-        Time for which its step has waited for each reason, in ms; the four longest.
+        Time for which the step has waited for each reason, in ms; the four longest.
     """
 
     task: str
@@ -111,12 +111,12 @@
 def describe_reasons(
     reasons: Sequence[tuple[WaitReason, float]],
 ) -> dict[str, int]:
-    """Return the time of each reason in ms, four at most, for the log.
+    """Return the times of the four main reasons, in ms, for the log.
 
     Parameters
     ----------
     reasons : sequence of (WaitReason, float)
-        Reasons and their times in ms, the longest first.
+        Reasons and their times in ms, in descending order of time.
     """
     return {
         reason.value: round(waited_ms)
--- a/trefoilhook/scheduling/overdue.py
+++ b/trefoilhook/scheduling/overdue.py
@@ -1,13 +1,14 @@
-"""Service steps that have waited too long beside capacity for them.
+"""Detection of service steps that wait too long although capacity is available.
 
-Each reason for not placing a service task has a limit of its own, but they can follow
-one another: the capacity is kept for urgent tasks, then a worker is reserved for a
-larger task, then the task waits for its turn to run in isolation. Users see none of
-this. They see workers with capacity for the task, and expect it to run.
+Each reason for delaying a service task has its own time limit, but the reasons can
+occur in succession: the capacity is kept for urgent tasks, then a worker is reserved
+for a larger task, then the number of isolated runs is at its limit. This module bounds
+the total delay.
 
-A step is overdue once there has been ample capacity for it for a while on workers that
-answer, whoever they are reserved for (`OverdueSteps`). Its tasks are then placed
-wherever they fit. What protects against a second run of a task still applies.
+A step is overdue once responding workers have had ample capacity for it, including
+capacity reserved for other tasks, for a given time (`OverdueSteps`). Its tasks are then
+placed on any worker with enough capacity. The checks that prevent a second run of a
+task still apply.
 """
 
 from collections.abc import Collection, Iterable
@@ -21,14 +22,14 @@
 from trefoilhook.scheduling.placing import can_host, list_answering_workers
 from trefoilhook.scheduling.tickets import name_step
 
-__all__ = ["may_be_overdue", "record_waits"]
+__all__ = ["can_become_overdue", "record_ample_capacity"]
 
-_AMPLE_PLACES = 2
-"""Number of tasks for which there is ample capacity."""
+_MIN_AMPLE_PLACES = 2
+"""Minimum number of tasks of a step that must fit for capacity to be ample."""
 
 
-def may_be_overdue(task: TaskState) -> bool:
-    """Return whether the wait of a task beside capacity is limited."""
+def can_become_overdue(task: TaskState) -> bool:
+    """Return whether a task becomes overdue if it waits while capacity is available."""
     queue = task.job.queue
     return (
         task.step.long_running
@@ -38,21 +39,21 @@
     )
 
 
-def record_waits(
+def record_ample_capacity(
     scheduler: Scheduler, tasks: Iterable[TaskState], now_ms: float
 ) -> None:
-    """Record for which waiting tasks there is ample capacity after a round.
+    """Record which waiting steps have ample capacity after a round.
 
     Parameters
     ----------
     scheduler : Scheduler
         Scheduler of the shard.
     tasks : iterable of TaskState
-        Tasks that were not placed in the round.
+        Tasks that the round did not place.
     now_ms : float
         Current time, in ms.
     """
-    steps = {name_step(task.task): task for task in tasks if may_be_overdue(task)}
+    steps = {name_step(task.task): task for task in tasks if can_become_overdue(task)}
     overdue = scheduler.overdue
     overdue.retain(steps.keys())
     capacities: dict[str, _FreeCapacity] = {}
@@ -61,7 +62,7 @@
         service = queue.service if queue is not None else ""
         if service not in capacities:
             workers = list_answering_workers(scheduler, service)
-            capacities[service] = _FreeCapacity(workers=_sort_by_room(workers))
+            capacities[service] = _FreeCapacity(workers=_sort_by_free_cpu(workers))
         if capacities[service].is_ample_for(task):
             overdue.extend(step, now_ms)
         else:
@@ -72,32 +73,32 @@
 class _FreeCapacity:
     """Free capacity of the workers of a service in one round.
 
-    Demands for which it is not ample are kept by label, as larger ones need not be
-    compared with all workers of a large fleet.
+    Demands without ample capacity are cached by label, so that equal or larger demands
+    are rejected without a scan of all workers.
 
     Parameters
     ----------
     workers : list of Worker
-        Workers, those with the most free processors first.
+        Workers in descending order of free processor capacity.
     """
 
     workers: list[Worker]
-    _scarce: dict[str, list[Demand]] = attrs.field(factory=dict, init=False)
+    _rejected: dict[str, list[Demand]] = attrs.field(factory=dict, init=False)
 
     def is_ample_for(self, task: TaskState) -> bool:
-        """Return whether there is capacity for two tasks like ``task``."""
+        """Return whether two tasks with the demand of ``task`` fit."""
         room, label = task.step.room, task.step.required_label
-        scarce = self._scarce.setdefault(label, [])
-        if any(_is_covered(smaller, room) for smaller in scarce):
+        rejected = self._rejected.setdefault(label, [])
+        if any(_is_at_most(smaller, room) for smaller in rejected):
             return False
-        if _count_places(task, self.workers) >= _AMPLE_PLACES:
+        if _count_places(task, self.workers) >= _MIN_AMPLE_PLACES:
             return True
         if not task.step.max_per_worker:
-            scarce.append(room)
+            rejected.append(room)
         return False
 
 
-def _is_covered(smaller: Demand, larger: Demand) -> bool:
+def _is_at_most(smaller: Demand, larger: Demand) -> bool:
     return (
         smaller.cpu <= larger.cpu
         and smaller.memory_mb <= larger.memory_mb
@@ -106,32 +107,34 @@
 
 
 def _count_places(task: TaskState, workers: Collection[Worker]) -> int:
-    """Return for how many tasks there is capacity, two at most.
+    """Return the number of tasks of a step that fit, at most two.
 
     Parameters
     ----------
     task : TaskState
-        The task.
+        Waiting task of the step.
     workers : collection of Worker
-        Workers, those with the most free processors first.
+        Workers in descending order of free processor capacity.
     """
     step = task.step
     room = step.room
-    both = Demand(cpu=2 * room.cpu, memory_mb=2 * room.memory_mb, gpus=2 * room.gpus)
+    double_room = Demand(
+        cpu=2 * room.cpu, memory_mb=2 * room.memory_mb, gpus=2 * room.gpus
+    )
     places = 0
     for worker in workers:
-        if _get_free_cpu(worker) < room.cpu or places >= _AMPLE_PLACES:
+        if _get_free_cpu(worker) < room.cpu or places >= _MIN_AMPLE_PLACES:
             break
         if can_host(worker, task, ignores_reservations=True):
-            may_host_both = (
+            may_host_two = (
                 not step.max_per_worker
                 or worker.count_step(task.task) + 2 <= step.max_per_worker
             )
-            places += 2 if may_host_both and worker.has_room(both) else 1
-    return min(places, _AMPLE_PLACES)
+            places += 2 if may_host_two and worker.has_room(double_room) else 1
+    return min(places, _MIN_AMPLE_PLACES)
 
 
-def _sort_by_room(workers: Iterable[Worker]) -> list[Worker]:
+def _sort_by_free_cpu(workers: Iterable[Worker]) -> list[Worker]:
     return sorted(workers, key=_get_free_cpu, reverse=True)
 
 
--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -115,7 +115,7 @@
 ) -> list[Worker]:
     """Return the workers of a service that can run new tasks.
 
-    These are the ones that accept new tasks and those reserved for isolated runs.
+    These include workers that are reserved for isolated runs.
     """
     evacuations = scheduler.evacuations
     return [
@@ -128,9 +128,9 @@
 
 
 def list_answering_workers(scheduler: Scheduler, service: str) -> list[Worker]:
-    """Return the workers of a service that answer and do not shut down.
+    """Return the workers of a service that respond and are not shutting down.
 
-    Users take these for able to run tasks, also while this owner starts none there.
+    These include workers to which this owner temporarily sends no new tasks.
     """
     evacuations = scheduler.evacuations
     return [
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -195,7 +195,7 @@
     return True
 
 
-def _is_never_sent(run: Run) -> bool:
+def _was_never_sent(run: Run) -> bool:
     """Return whether no start order for a run has been sent or answered."""
     is_answered = run.confirmed_ms < float("inf")
     is_starting = run.phase is RunPhase.STARTING
@@ -218,9 +218,9 @@
         # Its lease has expired and the worker would refuse it; the connections are
         # needed for polls.
         return None
-    if worker.silence is not None and _is_never_sent(run):
-        # Its first order would probably go unanswered, and its task would then wait for
-        # the expiry of the leases.
+    if worker.silence is not None and _was_never_sent(run):
+        # The order would probably remain unanswered, and the task could not be placed
+        # again before the leases on the worker expire.
         release_unstarted(scheduler, worker, run)
         return None
     if run.phase is RunPhase.STARTING and not _may_still_start(scheduler, worker):
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -13,7 +13,7 @@
 from trefoilhook.scheduling.isolation import Isolation
 from trefoilhook.scheduling.job_state import Attempt, JobState, TaskState
 from trefoilhook.scheduling.models import Demand
-from trefoilhook.scheduling.overdue import may_be_overdue
+from trefoilhook.scheduling.overdue import can_become_overdue
 from trefoilhook.scheduling.placing import (
     compute_max_filler_cpu,
     list_open_workers,
@@ -76,9 +76,9 @@
         return RoundHeadroom(scheduler=self.scheduler, now_ms=self.now_ms)
 
     def is_overdue(self, state: TaskState) -> bool:
-        """Return whether a task has waited too long beside capacity for it."""
+        """Return whether a task has waited too long while capacity was available."""
         overdue = self.scheduler.overdue
-        return may_be_overdue(state) and overdue.contains(name_step(state.task))
+        return can_become_overdue(state) and overdue.contains(name_step(state.task))
 
     def list_open(self, state: TaskState) -> list[Worker]:
         """Return the workers that accept new tasks of a task's queue."""
@@ -284,8 +284,8 @@
 
         A task is infeasible if one with the same placement key and at most the same
         demand and duration could not be placed. The duration matters only on reserved
-        workers. A step with a reserved worker, or one that is overdue, is never known
-        to be infeasible.
+        workers. Steps that are overdue or have a reserved worker are never known to be
+        infeasible.
         """
         if _requires_advice(state) or self.is_overdue(state):
             return False
@@ -459,7 +459,7 @@
 
 
 def _record_wait(assignment_round: AssignmentRound, state: TaskState, run: Run) -> None:
-    """Record in a run for how long and why its task has waited; end the wait."""
+    """Record the duration and reasons of a task's wait in its run, and end the wait."""
     if state.waiting_since_ms is None:
         return
     now_ms = assignment_round.now_ms
--- a/trefoilhook/scheduling/service_holds.py
+++ b/trefoilhook/scheduling/service_holds.py
@@ -14,7 +14,7 @@
 interruption at its end, and 0.2 s to place and start the task."""
 
 _MAX_WAIT_MS = 2000.0
-"""Time beside ample capacity after which a step is overdue, in ms."""
+"""Time with ample capacity after which a waiting step is overdue, in ms."""
 
 
 @attrs.define(kw_only=True)
@@ -46,7 +46,7 @@
         return now_ms - self.since_ms
 
     def measure(self, now_ms: float) -> float:
-        """Return for how long the condition has held, in ms."""
+        """Return the time for which the condition has held, in ms."""
         if self.since_ms is None or (
             self.interrupted_ms is not None
             and now_ms - self.interrupted_ms > self.max_interruption_ms
@@ -141,14 +141,14 @@
 
 @attrs.frozen(kw_only=True)
 class StepWait:
-    """Wait of a service step beside ample capacity.
+    """Wait of a service step for which ample capacity is available.
 
     Parameters
     ----------
     waited_ms : float
-        Time since its begin, in ms.
+        Time since the start of the wait, in ms.
     interrupted_ms : float
-        Time since the begin of the present interruption, in ms; 0 if there is none.
+        Time since the start of the current interruption, in ms; 0 if there is none.
     """
 
     waited_ms: float
@@ -157,13 +157,13 @@
 
 @attrs.define(kw_only=True)
 class OverdueSteps:
-    """Time for which there has been ample capacity for waiting service steps."""
+    """Tracks for how long waiting service steps have had ample capacity."""
 
     _stretches: dict[StepName, _Stretch] = attrs.field(factory=dict, init=False)
     _overdue: set[StepName] = attrs.field(factory=set, init=False)
 
     def extend(self, step: StepName, now_ms: float) -> None:
-        """Record that there is ample capacity for a step that was not placed."""
+        """Record that a step that was not placed has ample capacity."""
         stretch = self._stretches.get(step)
         if stretch is None:
             stretch = _Stretch(max_interruption_ms=_MAX_INTERRUPTION_MS)
@@ -174,7 +174,7 @@
             self._overdue.discard(step)
 
     def interrupt(self, step: StepName, now_ms: float) -> None:
-        """Record that there is no ample capacity for a step."""
+        """Record that a step does not have ample capacity."""
         stretch = self._stretches.get(step)
         if stretch is None:
             return
@@ -183,7 +183,7 @@
             self._overdue.discard(step)
 
     def list_waits(self, now_ms: float) -> dict[StepName, StepWait]:
-        """Return the waits that are not over, by step."""
+        """Return the current waits by step."""
         waits: dict[StepName, StepWait] = {}
         for step, stretch in self._stretches.items():
             since_ms, interrupted_ms = stretch.since_ms, stretch.interrupted_ms
@@ -195,10 +195,10 @@
         return waits
 
     def restore(self, step: StepName, wait: StepWait, now_ms: float) -> None:
-        """Continue a wait that a previous owner measured.
+        """Restore a wait that was recorded by the previous owner.
 
-        It is interrupted until there is known to be capacity, and is overdue only after
-        a round of its own in which it was not placed.
+        The wait counts as interrupted until a round of this owner finds ample capacity.
+        The step does not become overdue before that round.
         """
         self._stretches[step] = _Stretch(
             max_interruption_ms=_MAX_INTERRUPTION_MS,
@@ -211,7 +211,7 @@
         return step in self._overdue
 
     def measure(self, step: StepName, now_ms: float) -> float:
-        """Return for how long there has been ample capacity for a step, in ms."""
+        """Return the time for which a step has had ample capacity, in ms."""
         stretch = self._stretches.get(step)
         return stretch.measure(now_ms) if stretch is not None else 0.0
 
--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -66,8 +66,8 @@
     ready : list of list of TaskState
         Waiting tasks by step, in the order of their ranks.
     held : iterable of TaskState, optional
-        Waiting tasks that previous owners may have started. The waits of their jobs go
-        on while this is unknown.
+        Waiting tasks that previous owners may have started. The waiting times of their
+        jobs are kept.
     """
     waiting = _list_idle_jobs(ready)
     held_jobs = _list_idle_jobs([task] for task in held)
--- a/trefoilhook/scheduling/takeovers.py
+++ b/trefoilhook/scheduling/takeovers.py
@@ -264,16 +264,16 @@
     now_ms : float
         Current time, in ms.
     step_ms : float, optional
-        Interval at which the values change, in ms.
+        Resolution of the current time, in ms; the values are constant within a step.
 
     Returns
     -------
     dict of str to int
-        By incarnation, for those on which this owner grants no lease.
+        Remaining times by incarnation, for workers on which this owner grants no lease.
     """
-    from_ms = now_ms - now_ms % step_ms
+    rounded_now_ms = now_ms - now_ms % step_ms
     expiries = {
-        name: from_ms
+        name: rounded_now_ms
         for name in scheduler.unreleased
         if name in scheduler.ended_incarnations
         and scheduler.find_incarnation(name) is None
@@ -286,7 +286,7 @@
         if worker.silence is not None and _is_silent(worker, now_ms):
             expiries[worker.incarnation] = worker.find_lease_expiry()
     return {
-        name: math.ceil(max(0.0, expiry_ms - from_ms))
+        name: math.ceil(max(0.0, expiry_ms - rounded_now_ms))
         for name, expiry_ms in expiries.items()
     }
 
--- a/trefoilhook/scheduling/tests/test_long_waits.py
+++ b/trefoilhook/scheduling/tests/test_long_waits.py
@@ -57,7 +57,7 @@
 
 
 class AmpleCapacityTest(unittest.TestCase):
-    """What is logged about service tasks that wait beside capacity for them."""
+    """Log fields of service tasks that wait although capacity is available."""
 
     def setUp(self):
         self.shard = Shard()
@@ -66,17 +66,17 @@
         for task in self.tasks:
             task.shared.held_until_ms = 1e9
 
-    def _pass_time(self, rounds: int) -> None:
+    def _run_rounds(self, rounds: int) -> None:
         for _ in range(rounds):
             self.shard.advance_time(200.0)
             self.shard.poll_all()
             self.shard.plan()
 
-    def test_time_beside_capacity_and_reasons(self):
-        # Guards against a wait whose line does not tell that there is capacity, or what
-        # else the step waited for before.
+    def test_time_with_ample_capacity_and_reasons(self):
+        # Guards against log lines without the available capacity or the earlier reasons
+        # for a wait.
         self.shard.plan()
-        self._pass_time(6)
+        self._run_rounds(6)
         (wait,) = _list_waits(self.shard)
         self.assertEqual((wait.ample_ms, wait.overdue), (1200, False))
         self.assertEqual(wait.reasons_ms, {"kept apart": 1200})
@@ -84,20 +84,20 @@
             worker.usable = False
         for task in self.tasks:
             task.shared.held_until_ms = 0.0
-        self._pass_time(6)
+        self._run_rounds(6)
         (wait,) = _list_waits(self.shard)
         self.assertEqual(wait.ample_ms, 0)
         self.assertEqual(wait.reasons_ms, {"kept apart": 1400, "no worker": 1000})
 
     def test_start_of_an_overdue_task(self):
-        # Guards against a start that does not tell that its task was held too long.
+        # Guards against runs that do not record that their task was overdue.
         self.shard.plan()
-        self._pass_time(11)
+        self._run_rounds(11)
         (wait,) = _list_waits(self.shard)
         self.assertTrue(wait.overdue)
         for task in self.tasks:
             task.shared.held_until_ms = 0.0
-        self._pass_time(1)
+        self._run_rounds(1)
         for task in self.tasks:
             (attempt,) = task.attempts
             run = attempt.run
--- a/trefoilhook/scheduling/tests/test_overdue_services.py
+++ b/trefoilhook/scheduling/tests/test_overdue_services.py
@@ -1,4 +1,4 @@
-"""Tests of the time for which service tasks wait beside capacity for them."""
+"""Tests of the time for which service tasks wait although capacity is available."""
 
 import unittest
 from unittest import mock
@@ -19,10 +19,10 @@
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 
 _MAX_WAIT_MS = 3000.0
-"""Time within which users expect a service task with ample capacity to start."""
+"""Maximum time to start a service task with ample capacity, in ms."""
 
 _MIN_WAIT_MS = 1900.0
-"""Time for which a new service task leaves capacity to urgent tasks."""
+"""Minimum time for which capacity is kept for urgent tasks, in ms."""
 
 _SERVICE = Step(
     count=1, demand=Demand(cpu=1000, memory_mb=10), long_running=True, image="s"
@@ -49,9 +49,9 @@
 
 
 class ReservationTest(unittest.TestCase):
-    """A service task beside workers that are reserved for a larger one."""
+    """A service task next to a worker that is reserved for a larger task."""
 
-    def _build(self) -> Shard:
+    def _build_reserved_shard(self) -> Shard:
         """Build a shard with one worker, which is reserved for a larger task."""
         shard = Shard(workers=2, cpu=8000)
         large = attrs.evolve(_SERVICE, demand=Demand(cpu=7000, memory_mb=10))
@@ -67,9 +67,9 @@
         return shard
 
     def test_successive_reservations(self):
-        # Guards against a service task that is kept from a worker by one reservation
-        # for a larger task after the other.
-        shard = self._build()
+        # Guards against a service task that is delayed indefinitely by successive
+        # reservations for a larger task.
+        shard = self._build_reserved_shard()
         small = attrs.evolve(_SERVICE, demand=Demand(cpu=1500, memory_mb=10))
         shard.submit(
             build_job(small, job_id="small"), is_new=False, progress=Progress()
@@ -77,9 +77,9 @@
         self.assertLessEqual(_measure_wait(shard, "small"), _MAX_WAIT_MS)
 
     def test_capacity_elsewhere(self):
-        # Guards against an overdue service task that takes the worker reserved for a
-        # larger one although another worker has the capacity.
-        shard = self._build()
+        # Guards against an overdue service task that uses a worker reserved for a
+        # larger task although another worker has the capacity.
+        shard = self._build_reserved_shard()
         shard.add_worker("other", cpu=3500)
         small = attrs.evolve(_SERVICE, demand=Demand(cpu=1500, memory_mb=10))
         shard.submit(build_job(small, job_id="small"))
@@ -88,7 +88,7 @@
 
 
 class RefusalTest(unittest.TestCase):
-    """A new service task that leaves capacity to urgent tasks for a while."""
+    """A new service task that is delayed to keep capacity for urgent tasks."""
 
     def setUp(self):
         self.shard = Shard(workers=1, cpu=4000)
@@ -108,8 +108,8 @@
         self.shard.poll_all()
 
     def test_refused_starts(self):
-        # Guards against a task that waits for urgent tasks anew after each refusal of
-        # its start that takes longer than a round.
+        # Guards against a wait that restarts after each refused start that is answered
+        # more than one round later.
         began_ms = self.shard.now_ms
         refusals = 0
         while refusals < 3 and self.shard.now_ms < began_ms + 20_000.0:
@@ -125,8 +125,8 @@
         self.assertLessEqual(self.shard.now_ms - began_ms, _MAX_WAIT_MS)
 
     def test_avoided_worker(self):
-        # Guards against a wait that begins anew each time that the only worker with
-        # capacity has refused a start.
+        # Guards against a wait that restarts each time the only worker with capacity
+        # refuses a start.
         for avoided_ms in (500.0, 1000.0, 1500.0):
             with self.subTest(avoided_ms=avoided_ms):
                 self.setUp()
@@ -145,8 +145,8 @@
     """Service tasks that were lost with their workers."""
 
     def test_worker_of_an_isolated_run(self):
-        # Guards against an overdue service task that is started beside a run that may
-        # crash its worker although other workers are idle.
+        # Guards against an overdue service task that shares a worker with an isolated
+        # run although other workers are idle.
         shard = Shard(workers=4)
         shard.submit(build_job(_SERVICE, job_id="suspect"))
         isolated = shard.start_one().worker_id
@@ -159,8 +159,8 @@
         self.assertNotEqual(shard.start_one().worker_id, isolated)
         self.assertTrue(shard.scheduler.workers[isolated].is_reserved)
 
-    def _lose(self, *, losses: int, proved: bool, ratio: float) -> Shard:
-        """Lose all tasks of a service a number of times."""
+    def _build_after_losses(self, *, losses: int, proved: bool, ratio: float) -> Shard:
+        """Build a shard with a service whose tasks were all lost several times."""
         shard = Shard(workers=12)
         step = attrs.evolve(_SERVICE, count=_SUSPECTED_TASKS)
         shard.submit(build_job(step, job_id="z"))
@@ -180,16 +180,16 @@
         return shard
 
     def test_isolation_in_turn(self):
-        # Guards against suspected tasks of a service that wait for their turn to run in
-        # isolation, two at a time, while most workers are idle.
-        shard = self._lose(losses=2, proved=True, ratio=60.0)
+        # Guards against suspected service tasks that start only two at a time while
+        # most workers are idle.
+        shard = self._build_after_losses(losses=2, proved=True, ratio=60.0)
         wait_ms = _measure_wait(shard, "z", count=_SUSPECTED_TASKS)
         self.assertLessEqual(wait_ms, _MAX_WAIT_MS)
 
     def test_start_after_a_long_delay(self):
-        # Guards against suspected tasks that all start at once after their delay, so
-        # that each of them may crash a worker before the first crash is known.
-        shard = self._lose(losses=4, proved=False, ratio=20.0)
+        # Guards against suspected tasks that all start when their delay ends, so that
+        # each may crash a worker before the first crash is detected.
+        shard = self._build_after_losses(losses=4, proved=False, ratio=20.0)
         for task in shard.scheduler.jobs["z"].tasks.values():
             task.shared.held_until_ms = shard.now_ms + 4000.0
         began_ms = shard.now_ms
@@ -204,11 +204,10 @@
 
 
 class CostTest(unittest.TestCase):
-    """Comparison of waiting steps with the workers."""
+    """Number of comparisons of waiting steps with workers."""
 
     def test_many_steps_without_capacity(self):
-        # Guards against rounds that compare each waiting step with each worker, which
-        # takes a second on a large fleet.
+        # Guards against rounds that compare each waiting step with each worker.
         shard = Shard(workers=20)
         step = attrs.evolve(_SERVICE, demand=Demand(cpu=1000, memory_mb=9000))
         for number in range(30):
@@ -216,16 +215,16 @@
         tasks = list(shard.scheduler.waiting)
         self.assertEqual(len(tasks), 30)
         with mock.patch.object(overdue, "can_host", wraps=can_host) as compare:
-            overdue.record_waits(shard.scheduler, tasks, shard.now_ms)
+            overdue.record_ample_capacity(shard.scheduler, tasks, shard.now_ms)
         self.assertLessEqual(compare.call_count, len(shard.workers))
 
 
 class InterruptionTest(unittest.TestCase):
-    """Service steps for which there is no capacity any more."""
+    """Overdue service steps that no longer have ample capacity."""
 
     def test_long_interruption_ends_the_wait(self):
-        # Guards against a step that stays overdue while the fleet is full, and then
-        # takes the first capacity that urgent tasks release.
+        # Guards against a step that remains overdue while the fleet is full and then
+        # takes capacity that is needed by urgent tasks.
         steps = OverdueSteps()
         for now_ms in range(0, 2600, 100):
             steps.extend(_STEP, now_ms)
--- a/trefoilhook/scheduling/tests/test_takeovers.py
+++ b/trefoilhook/scheduling/tests/test_takeovers.py
@@ -334,8 +334,7 @@
         self.assertEqual(self.limit(), {"w0": 0})
 
     def test_limit_without_steps(self):
-        # Guards against limits that each of several planned takeovers within seconds
-        # extends by a part of a step.
+        # Guards against limits that are extended by rounding at each planned takeover.
         self.shard.silence("w0")
         for _ in range(30):
             self.shard.advance_time(130.0)
@@ -452,8 +451,8 @@
         )
 
     def test_start_on_a_worker_that_falls_silent(self):
-        # Guards against a task that waits for the leases on a worker to which its start
-        # was never sent, as the worker fell silent before its place was recorded.
+        # Guards against a task that waits for the leases on a silent worker although
+        # its start order was never sent.
         for writes in (False, True):
             with self.subTest(writes=writes):
                 shard, ledger = self.build_shard()
@@ -471,8 +470,8 @@
                 self.assertNotEqual(order.worker_id, silent)
 
     def test_answered_start_on_a_worker_that_falls_silent(self):
-        # Guards against a second run of a task: its worker has answered that it knows a
-        # later attempt, and does not tell any more what has become of it.
+        # Guards against a second run of a task whose worker falls silent after it has
+        # reported a later attempt.
         shard, ledger = self.build_shard()
         shard.plan()
         self.write(shard, ledger)
--- a/trefoilhook/scheduling/tests/test_wait_chains.py
+++ b/trefoilhook/scheduling/tests/test_wait_chains.py
@@ -1,4 +1,4 @@
-"""Tests of bounded waits that follow each other over the same service task."""
+"""Tests of the total duration of successive waits of a service task."""
 
 import unittest
 
@@ -10,17 +10,17 @@
 )
 
 _MAX_SUSPECT_WAIT_MS = 1300.0
-"""Delay of a suspected service task after the proof that its run has ended, with the
-rounds before and after it, in ms."""
+"""Maximum delay of a suspected service task after the leases on its worker expire,
+including the adjacent rounds, in ms."""
 
 _EARLIER_LOSSES = 2
 
 
 class SuspectAtTakeoverTest(unittest.TestCase):
-    """A suspected service task on a worker that vanishes just before its owner."""
+    """A suspected service task whose worker is lost just before a takeover."""
 
     def measure_wait(self) -> float:
-        """Return the time from the takeover to the start, in ms; 20 s at most."""
+        """Return the time from the takeover to the start, in ms, at most 20 s."""
         predecessors = build_predecessors("w0", "w1", place="w0")
         shard = Successor(predecessors, silent="w0", step=SERVICE)
         (task,) = shard.scheduler.jobs["j"].tasks.values()
@@ -39,9 +39,9 @@
                 break
         return shard.now_ms - began_ms
 
-    def test_delay_of_the_suspect_follows_the_leases_once(self):
-        # Guards against a service task that is away for longer than users accept, as
-        # the waits for its leases, its delay and its isolation add up.
+    def test_delay_is_applied_once_after_lease_expiry(self):
+        # Guards against excessive downtime of a service task when the waits for leases,
+        # its delay and its isolation add up.
         wait_ms = self.measure_wait()
         self.assertGreater(wait_ms, EXPIRY_MS)
         self.assertLessEqual(wait_ms, EXPIRY_MS + _MAX_SUSPECT_WAIT_MS)
--- a/trefoilhook/scheduling/tests/test_wait_records.py
+++ b/trefoilhook/scheduling/tests/test_wait_records.py
@@ -1,4 +1,4 @@
-"""Tests of waits that continue under the next owner."""
+"""Tests of waiting times that are preserved across changes of the owner."""
 
 import json
 import unittest
@@ -10,15 +10,14 @@
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 
 _MAX_SERVICE_WAIT_MS = 3000.0
-"""Time within which users expect a service task with ample capacity to start."""
+"""Maximum time to start a service task with ample capacity, in ms."""
 
 _MAX_IDLE_MS = 3000.0
-"""Time on a mostly idle fleet after which users take a job with nothing running as
-lost, in ms."""
+"""Maximum time without a run of a job on a mostly idle fleet, in ms."""
 
-_TRIED_MS = 12_000.0
-_PERIODS_MS = (700.0, 1000.0, 1500.0, 1900.0)
-"""Times between two planned changes of the owner, in ms."""
+_TIMEOUT_MS = 12_000.0
+_OWNER_CHANGE_INTERVALS_MS = (700.0, 1000.0, 1500.0, 1900.0)
+"""Intervals between planned changes of the owner, in ms."""
 
 
 def _replace_owner(earlier: Shard, *, writes: bool = True) -> Shard:
@@ -43,7 +42,7 @@
 def _measure_wait(shard: Shard, job_id: str, period_ms: float, **fields) -> float:
     """Return the time until a job runs under owners that change each period, in ms."""
     began_ms = shard.now_ms
-    while shard.now_ms < began_ms + _TRIED_MS:
+    while shard.now_ms < began_ms + _TIMEOUT_MS:
         for _ in range(round(period_ms / 100.0)):
             shard.step()
             if shard.count_running(job_id):
@@ -53,9 +52,9 @@
 
 
 def _build_held_shard() -> Shard:
-    """Build a shard with a service task that leaves its room to urgent tasks.
+    """Build a shard with a service task that is delayed in favour of urgent tasks.
 
-    There is capacity for two of it on one worker; a service fills the other one.
+    One worker has capacity for two such tasks; the other is full.
     """
     shard = Shard(workers=1, cpu=4000)
     urgent = Step(count=4, demand=Demand(cpu=1000, memory_mb=10), estimate_ms=500.0)
@@ -72,7 +71,7 @@
 
 
 def _build_starved_shard() -> Shard:
-    """Build a mostly idle shard with a job that its service tasks don't tolerate."""
+    """Build a mostly idle shard with a job that interferes with its service tasks."""
     shard = Shard(workers=2, cpu=16_000)
     service = Step(
         count=2,
@@ -103,27 +102,27 @@
 
 
 class HandoverTest(unittest.TestCase):
-    """Owners that are changed as planned, one soon after the other."""
+    """Planned changes of the owner in quick succession."""
 
     def test_service_task_beside_ample_capacity(self):
-        # Guards against a service task that each of several owners keeps from idle
-        # workers for a while, so that it never starts.
-        for period_ms in _PERIODS_MS:
+        # Guards against a service task that never starts because each owner restarts
+        # its wait.
+        for period_ms in _OWNER_CHANGE_INTERVALS_MS:
             with self.subTest(period_ms=period_ms):
                 wait_ms = _measure_wait(_build_held_shard(), "z", period_ms)
                 self.assertLessEqual(wait_ms, _MAX_SERVICE_WAIT_MS)
 
     def test_starved_job(self):
-        # Guards against a batch job that is never started on an idle fleet, as each of
-        # several owners waits anew before it helps.
-        for period_ms in _PERIODS_MS:
+        # Guards against a batch job that never starts on an idle fleet because each
+        # owner restarts its wait.
+        for period_ms in _OWNER_CHANGE_INTERVALS_MS:
             with self.subTest(period_ms=period_ms):
                 wait_ms = _measure_wait(_build_starved_shard(), "batch", period_ms)
                 self.assertLessEqual(wait_ms, _MAX_IDLE_MS)
 
     def test_starved_job_of_an_unsettled_owner(self):
-        # Guards against a wait that is forgotten while the owner doesn't know yet what
-        # its predecessor has started.
+        # Guards against a wait that is discarded before the owner knows which tasks its
+        # predecessor has started.
         shard = _build_starved_shard()
         for _ in range(15):
             shard.step()
@@ -132,20 +131,20 @@
         shard.step()
         shard.step()
         shard.settled = True
-        self.assertLessEqual(_measure_wait(shard, "batch", _TRIED_MS), 1000.0)
+        self.assertLessEqual(_measure_wait(shard, "batch", _TIMEOUT_MS), 1000.0)
 
     def test_record_of_an_earlier_owner(self):
-        # Guards against a wait that counts although the owner in between wrote none.
+        # Guards against the use of a record that an intermediate owner did not update.
         shard = _build_held_shard()
         for _ in range(15):
             shard.step()
         data = encode_waits(shard.scheduler, shard.now_ms)
         shard = _replace_owner(_replace_owner(shard, writes=False), writes=False)
         restore_waits(shard.scheduler, data, shard.now_ms)
-        self.assertGreater(_measure_wait(shard, "z", _TRIED_MS), 1500.0)
+        self.assertGreater(_measure_wait(shard, "z", _TIMEOUT_MS), 1500.0)
 
     def test_wait_without_capacity_under_the_next_owner(self):
-        # Guards against a wait that counts although the capacity is gone since.
+        # Guards against a restored wait that counts although the capacity was lost.
         shard = _build_held_shard()
         for _ in range(15):
             shard.step()
@@ -155,10 +154,10 @@
         for _ in range(15):
             shard.step()
         worker.usable = True
-        self.assertGreater(_measure_wait(shard, "z", _TRIED_MS), 1500.0)
+        self.assertGreater(_measure_wait(shard, "z", _TIMEOUT_MS), 1500.0)
 
     def test_too_many_rows(self):
-        # Guards against a record that takes a takeover seconds to read.
+        # Guards against takeovers that are delayed by an oversized record.
         shard = Shard()
         rows = [{"job": f"j{number}", "waited_ms": 1} for number in range(1001)]
         table = {"epoch": 1, "services": [], "idle": rows}
--- a/trefoilhook/scheduling/wait_records.py
+++ b/trefoilhook/scheduling/wait_records.py
@@ -1,10 +1,11 @@
-"""Waits beside capacity that an owner hands to the next one.
+"""Persistence of waiting times across planned changes of the owner.
 
-Service steps beside ample capacity and starved jobs are started after a while. Owners
-that are replaced as planned, one soon after the other, would each begin this time anew.
+Service steps with ample capacity and starved jobs are started once they have waited for
+a given time. Without a record, frequent changes of the owner would reset this time and
+the tasks might never start.
 
-A record counts only for the owner that follows its writer: after an owner that wrote
-none, the capacity may have been used.
+Only the owner whose epoch directly follows that of the record restores it, as the
+capacity may have been used under an owner that wrote no record.
 """
 
 import json
@@ -28,19 +29,19 @@
 __all__ = ["decode_waits", "encode_waits", "restore_waits"]
 
 _MAX_ROWS = 1000
-"""Maximum number of steps and of jobs in a record; the longest waits are kept."""
+"""Maximum number of steps, and of jobs, in a record; the longest waits are kept."""
 
 
 @attrs.frozen(kw_only=True)
 class _WaitRecord:
-    """Waits at the end of an ownership.
+    """Waiting times at the end of an ownership.
 
     Parameters
     ----------
     epoch : int
-        Number of the ownership.
+        Epoch of the ownership.
     services : dict of StepName to StepWait
-        Waits of service steps beside ample capacity.
+        Waits of service steps with ample capacity.
     idle_ms : dict of str to float
         Time for which jobs with waiting fillers have had no run, in ms.
     """
@@ -51,7 +52,7 @@
 
 
 def encode_waits(scheduler: Scheduler, now_ms: float) -> bytes:
-    """Encode the waits of a shard for the next owner."""
+    """Encode the waiting times of a shard for the next owner."""
     services = sorted(
         scheduler.overdue.list_waits(now_ms).items(),
         key=lambda row: row[1].waited_ms,
@@ -79,7 +80,9 @@
 
 
 def restore_waits(scheduler: Scheduler, data: bytes, now_ms: float) -> None:
-    """Continue the waits of the previous owner, unless the record is an earlier one.
+    """Restore the waiting times recorded by the previous owner.
+
+    Records of earlier owners are ignored.
 
     Raises
     ------
--- a/trefoilhook/scheduling/waits.py
+++ b/trefoilhook/scheduling/waits.py
@@ -135,7 +135,7 @@
         return known.by_reason.most_common(1)[0][0]
 
     def list_reasons(self, step: StepName) -> tuple[tuple[WaitReason, float], ...]:
-        """Return how long a step has waited for each reason, in ms, the longest first.
+        """Return the time waited for each reason, in ms, in descending order.
 
         The time since the last round is not included.
         """
