Tell wait reasons of overdue steps and others apart

The free capacity by which a wait is explained was shared by steps of one label, though an overdue step counts reserved workers and others don't. Two texts are reworded.

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -84,7 +84,11 @@
     SHARD_SETTLED = (1207, Level.INFO, "A new owner knows what runs on the workers.")
     SHARD_UNSETTLED = (1208, Level.INFO, "A new owner waits for workers to report.")
     OWNER_FAILED = (1209, Level.ERROR, "The owner of a shard ended by an exception.")
-    WAITS_NOT_SAVED = (1210, Level.WARNING, "The next owner counts waits anew.")
+    WAITS_NOT_SAVED = (
+        1210,
+        Level.WARNING,
+        "Waiting times could not be saved for the next owner.",
+    )
 
     # 1300: inner protocol
     LINK_UP = (1300, Level.INFO, "A link to a peer is up.")
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -521,7 +521,7 @@
         )
 
     def _restore_snapshots(self, items: Mapping[str, Item]) -> None:
-        """Restore the readable learned models of previous owners."""
+        """Restore the readable learned models and waiting times of previous owners."""
         for snapshot in (*self._snapshots, self._waits_snapshot):
             item = items.get(snapshot.key)
             if item is None:
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -62,7 +62,7 @@
     _feasible: dict[tuple[str, str, str, str, bool], list[tuple[float, Worker]]] = (
         attrs.Factory(dict)
     )
-    _free: dict[tuple[str, str, bool], FreeRoom] = attrs.Factory(dict)
+    _free: dict[tuple[str, str, bool, bool], FreeRoom] = attrs.Factory(dict)
     _infeasible: dict[tuple[str, str, str | None, bool], list[tuple[Demand, float]]] = (
         attrs.Factory(dict)
     )
@@ -180,7 +180,12 @@
         """Return why a task could not be placed in this round."""
         service = state.job.queue.service if state.job.queue is not None else ""
         label = state.step.required_label
-        placement_key = (service, label, state.step.long_running)
+        placement_key = (
+            service,
+            label,
+            state.step.long_running,
+            self.is_overdue(state),
+        )
         free = self._free.get(placement_key)
         if free is None:
             free = self._free[placement_key] = _measure_free(
