--- a/bench/availability/judge.py
+++ b/bench/availability/judge.py
@@ -97,7 +97,7 @@
             self._began_ms, self.disrupted_until_ms + self.contact_ms
         )
         for job in self.fleet.services.values():
-            if job.is_cancelled:
+            if job.is_cancelled or job.job_id in self.fleet.given_up:
                 continue
             has_room = self._has_room(job, free)
             for index in range(job.count):
--- a/bench/availability/known_faults.py
+++ b/bench/availability/known_faults.py
@@ -20,6 +20,11 @@
     pass
 
 
+_NO_LIMIT: dict[str, Any] = {
+    "scheduling.rounds.AssignmentRound.is_overdue": _return_false,
+}
+"""Removes the limit of the waits beside capacity, which would hide other faults."""
+
 KNOWN_FAULTS: dict[str, dict[str, Any]] = {
     "departures": {
         "runtime.workerfeed.has_left": _return_false,
@@ -30,12 +35,14 @@
         "runtime.shard.has_lease_limits": _return_false,
     },
     "planned stops": {"runtime.roster.are_starts_recorded": _return_false},
-    "long holds": {"scheduling.headroom._MAX_HOLD_MS": 20_000.0},
+    "long holds": {**_NO_LIMIT, "scheduling.headroom._MAX_HOLD_MS": 20_000.0},
     "long reservations": {
+        **_NO_LIMIT,
         "scheduling.reserving._OVERDUE_DELAY_MS": 20_000.0,
         "scheduling.reserving._HORIZON_MS": 20_000.0,
     },
-    "long isolation": {"scheduling.isolation._ISOLATION_MS": 30_000.0},
+    "no limit of waits": _NO_LIMIT,
+    "long isolation": {**_NO_LIMIT, "scheduling.isolation._ISOLATION_MS": 30_000.0},
     "long delays of suspects": {
         "scheduling.crashes._RETRY_DELAY_MS": 60_000.0,
         "scheduling.crashes._MAX_SERVICE_LOSSES": 0,
--- a/bench/availability/series.py
+++ b/bench/availability/series.py
@@ -6,7 +6,14 @@
 
 from bench.availability.load import Load
 
-__all__ = ["PLANNED", "UNPLANNED", "Action", "Series", "build_series"]
+__all__ = [
+    "AIMED_AT_SERVICES",
+    "PLANNED",
+    "UNPLANNED",
+    "Action",
+    "Series",
+    "build_series",
+]
 
 _CALM_MS = 15_000.0
 _WARM_MS = 8000.0
@@ -19,12 +26,12 @@
     "cancel services",
     "submit services",
 )
+AIMED_AT_SERVICES = ("lose a service repeatedly", "crash a service repeatedly")
 UNPLANNED = (
     "kill owner",
     "crash workers",
     "lose workers",
-    "lose a service repeatedly",
-    "crash a service repeatedly",
+    *AIMED_AT_SERVICES,
     "cut workers",
     "cut workers one way",
     "lossy workers",
--- a/bench/availability/simulation.py
+++ b/bench/availability/simulation.py
@@ -11,7 +11,7 @@
 from bench.availability.load import WORKER_CPU, submit_load
 from bench.availability.network import Network
 from bench.availability.player import Player
-from bench.availability.series import Series
+from bench.availability.series import AIMED_AT_SERVICES, Series
 from trefoilhook.clock import Clock
 
 __all__ = ["Outcome", "simulate"]
@@ -37,6 +37,9 @@
         Tasks with two runs at a time, or with a run after a completed one.
     failures : int
         Number of unexpected errors that the instances contained.
+    given_up : int
+        Number of services that were given up although no series of losses aimed at
+        one service.
     runs : int
         Number of runs.
     """
@@ -46,12 +49,15 @@
     longest_disrupted_ms: float
     duplicates: tuple[str, ...]
     failures: int
+    given_up: int
     runs: int
 
     @property
     def is_broken(self) -> bool:
         """Whether a rule is broken."""
-        return bool(self.violations or self.duplicates or self.failures)
+        return bool(
+            self.violations or self.duplicates or self.failures or self.given_up
+        )
 
 
 def _build_clock() -> Clock:
@@ -123,10 +129,15 @@
         longest_disrupted_ms=judge.longest_disrupted_ms,
         duplicates=tuple(fleet.find_duplicate_runs()),
         failures=fleet.count_failures(),
+        given_up=0 if _aims_at_services(series) else len(fleet.given_up),
         runs=sum(len(worker.records) for worker in fleet.workers.values()),
     )
 
 
+def _aims_at_services(series: Series) -> bool:
+    return any(action.kind in AIMED_AT_SERVICES for action in series.actions)
+
+
 async def _submit(fleet: Fleet, series: Series) -> None:
     await submit_load(fleet, series.load, seed=series.seed + 1, workers=series.workers)
 
