--- a/bench/availability/known_faults.py
+++ b/bench/availability/known_faults.py
@@ -8,11 +8,11 @@
 __all__ = ["KNOWN_FAULTS", "put_in"]
 
 
-def _return_false(*_arguments: Any) -> bool:
+def _return_false(*_arguments: Any, **_options: Any) -> bool:
     return False
 
 
-def _return_nothing(*_arguments: Any) -> dict[str, int]:
+def _return_nothing(*_arguments: Any, **_options: Any) -> dict[str, int]:
     return {}
 
 
