--- a/bench/availability/shrinking.py
+++ b/bench/availability/shrinking.py
@@ -36,7 +36,10 @@
     Series
         The smallest series found that breaks a rule.
     """
-    trials = 0
+    trials = 1
+    broken_ms = find_break(series)
+    if broken_ms is not None:
+        series = _cut(series, broken_ms)
     has_changed = True
     while has_changed:
         has_changed = False
