Add a failing test of many starved jobs on a large fleet

Of 120 jobs of fillers on 246 workers whose services do not tolerate them, some have nothing running for over 3 s, although most processors are idle: four jobs are helped in a round, and rounds are 246 ms apart.

--- /dev/null
+++ b/trefoilhook/scheduling/tests/test_idle_jobs.py
@@ -0,0 +1,81 @@
+"""Tests of batch jobs with nothing running on a mostly idle fleet.
+
+Users take a job as lost if nothing of it runs for 3 s although a task could run and
+most of the processors are idle.
+"""
+
+import unittest
+
+import attrs
+
+from trefoilhook.scheduling import Demand, EndKind, Step
+from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
+from trefoilhook.scheduling.tests.test_starvation import _learn_weight
+
+_MAX_IDLE_MS = 3000.0
+"""Time with nothing running after which users take a job as lost, in ms."""
+
+_SERVICE = Step(
+    count=1,
+    demand=Demand(cpu=4000),
+    long_running=True,
+    latency_limit_ms=18.0,
+    image="s",
+    max_per_worker=1,
+)
+_FILLER = Step(
+    count=3,
+    demand=Demand(cpu=3000, memory_mb=10),
+    filler=True,
+    checkpointing=True,
+    image="f",
+    estimate_ms=2000.0,
+)
+
+
+def start_services(shard: Shard, workers: int, *, load: float = 9.0) -> list:
+    """Start a service task on each worker, beside which fillers are heavy."""
+    shard.submit(build_job(attrs.evolve(_SERVICE, count=workers), job_id="service"))
+    starts = list_starts(shard.step())
+    for start in starts:
+        worker = shard.workers[start.worker_id]
+        worker.update(start.task, start.attempt, percent=100.0, load=load)
+    _learn_weight(shard, "f", 11.0)
+    return starts
+
+
+class StarvedJobsTest(unittest.TestCase):
+    """Fillers that no service task tolerates at full speed."""
+
+    def check_all_start(self, *, workers: int, jobs: int, rounds: int = 2) -> None:
+        """Check that each job has a run within the users' limit, repeatedly."""
+        shard = Shard(workers=workers, cpu=16_000)
+        start_services(shard, workers)
+        names = {f"batch{number}" for number in range(jobs)}
+        for name in sorted(names):
+            shard.submit(build_job(_FILLER, job_id=name))
+        for _ in range(rounds):
+            began_ms = shard.now_ms
+            first: dict[str, float] = {}
+            starts = []
+            while shard.now_ms < began_ms + _MAX_IDLE_MS:
+                for start in list_starts(shard.step()):
+                    first.setdefault(start.task.job_id, shard.now_ms - began_ms)
+                    starts.append(start)
+            self.assertEqual(names - first.keys(), set())
+            for start in starts:
+                worker = shard.workers[start.worker_id]
+                worker.end(start.task, start.attempt, EndKind.DONE)
+            shard.poll_all()
+
+    def test_many_starved_jobs_start_in_time_on_a_small_fleet(self):
+        # Guards against relief that is limited to some jobs in each round.
+        self.check_all_start(workers=24, jobs=12)
+
+    def test_many_starved_jobs_start_in_time_on_a_large_fleet(self):
+        # Guards against relief that is slower on larger fleets.
+        self.check_all_start(workers=246, jobs=120)
+
+
+if __name__ == "__main__":
+    unittest.main()
