--- a/trefoilhook/scheduling/models.py
+++ b/trefoilhook/scheduling/models.py
@@ -50,6 +50,14 @@
     memory_mb: int = 0
     gpus: int = 0
 
+    def covers(self, other: "Demand") -> bool:
+        """Return whether no resource of ``other`` exceeds this one."""
+        return (
+            other.cpu <= self.cpu
+            and other.memory_mb <= self.memory_mb
+            and other.gpus <= self.gpus
+        )
+
 
 @attrs.frozen(kw_only=True)
 class Step:
--- a/trefoilhook/scheduling/overdue.py
+++ b/trefoilhook/scheduling/overdue.py
@@ -89,7 +89,7 @@
         """Return whether two tasks with the demand of ``task`` fit."""
         room, label = task.step.room, task.step.required_label
         rejected = self._rejected.setdefault(label, [])
-        if any(_is_at_most(smaller, room) for smaller in rejected):
+        if any(room.covers(smaller) for smaller in rejected):
             return False
         if _count_places(task, self.workers) >= _MIN_AMPLE_PLACES:
             return True
@@ -98,14 +98,6 @@
         return False
 
 
-def _is_at_most(smaller: Demand, larger: Demand) -> bool:
-    return (
-        smaller.cpu <= larger.cpu
-        and smaller.memory_mb <= larger.memory_mb
-        and smaller.gpus <= larger.gpus
-    )
-
-
 def _count_places(task: TaskState, workers: Collection[Worker]) -> int:
     """Return the number of tasks of a step that fit, at most two.
 
--- a/trefoilhook/scheduling/reserving.py
+++ b/trefoilhook/scheduling/reserving.py
@@ -186,11 +186,11 @@
     free = _subtract(worker.report.capacity, _measure_held(worker))
     free_ms = now_ms
     for end_ms, room in ends:
-        if _covers(free, demand):
+        if free.covers(demand):
             break
         free_ms = end_ms
         free = _subtract(free, room, sign=-1)
-    return free_ms if _covers(free, demand) else float("inf")
+    return free_ms if free.covers(demand) else float("inf")
 
 
 def _estimate_end(scheduler: Scheduler, run: Run, now_ms: float) -> float:
@@ -225,7 +225,7 @@
         or worker.reservation is not reservation
         or not is_open(worker, now_ms)
         or scheduler.evacuations.covers(worker)
-        or not _covers(worker.report.capacity, reservation.demand)
+        or not worker.report.capacity.covers(reservation.demand)
     ):
         return ReservationReason.UNUSABLE
     if now_ms > reservation.due_ms + _OVERDUE_DELAY_MS:
@@ -271,14 +271,6 @@
     return Demand(cpu=worker.cpu, memory_mb=worker.memory_mb, gpus=worker.gpus)
 
 
-def _covers(capacity: Demand, demand: Demand) -> bool:
-    return (
-        demand.cpu <= capacity.cpu
-        and demand.memory_mb <= capacity.memory_mb
-        and demand.gpus <= capacity.gpus
-    )
-
-
 def _subtract(left: Demand, right: Demand, *, sign: int = 1) -> Demand:
     return Demand(
         cpu=left.cpu - sign * right.cpu,
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -297,10 +297,7 @@
         demand = state.step.demand
         estimate_ms = _get_estimate(state)
         is_infeasible = any(
-            infeasible_ms <= estimate_ms
-            and infeasible.cpu <= demand.cpu
-            and infeasible.memory_mb <= demand.memory_mb
-            and infeasible.gpus <= demand.gpus
+            infeasible_ms <= estimate_ms and demand.covers(infeasible)
             for infeasible, infeasible_ms in self._infeasible.get(
                 _get_placement_key(state), ()
             )
