Help all starved jobs in a round, at any size of the fleet

Cause: a round helped four jobs, as each search rated all workers, and rounds with fillers are 1 ms a worker apart: some 16 jobs a second, and again after each end. A search without result was repeated after a second, at the limit. What is mostly idle was measured on open workers, and from half on: what users count as in use may be less than what is reserved.

Change: the slack beside service tasks only falls during a round, so that workers are kept in the order of upper bounds and only the first are rated for a job; no limit on jobs, no delay after a search without result. The idle share counts all answering workers, and from 0.4 on.

--- /dev/null
+++ b/trefoilhook/scheduling/idle_fleet.py
@@ -0,0 +1,49 @@
+"""Jobs without runs, and whether their service has capacity to spare."""
+
+import attrs
+
+from trefoilhook.scheduling.core import Scheduler
+from trefoilhook.scheduling.job_state import JobState, TaskState
+from trefoilhook.scheduling.placing import list_answering_workers
+
+__all__ = ["IdleFleet", "has_runs"]
+
+_MIN_IDLE_SHARE = 0.4
+"""Minimum fraction of a service's processors without reservation for its jobs to be
+entitled to a run each. With less, jobs compete and some have to wait. Users expect it
+from half; they count what is in use, which may be less than what is reserved."""
+
+
+def has_runs(job: JobState) -> bool:
+    """Return whether any task of a job has an attempt."""
+    return any(task.attempts for task in job.tasks.values())
+
+
+@attrs.define(kw_only=True)
+class IdleFleet:
+    """Which services are mostly idle, computed once per round and service.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        Scheduler of the shard.
+    """
+
+    scheduler: Scheduler
+    _by_service: dict[str, bool] = attrs.Factory(dict)
+
+    def is_idle_for(self, task: TaskState) -> bool:
+        """Return whether the service of a task is mostly idle."""
+        queue = task.job.queue
+        if queue is None:
+            return False
+        known = self._by_service.get(queue.service)
+        if known is None:
+            known = self._by_service[queue.service] = self._measure(queue.service)
+        return known
+
+    def _measure(self, service: str) -> bool:
+        workers = list_answering_workers(self.scheduler, service)
+        capacity = sum(worker.report.capacity.cpu for worker in workers)
+        reserved = sum(worker.cpu for worker in workers)
+        return capacity - reserved > _MIN_IDLE_SHARE * capacity
--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -12,17 +12,22 @@
 is never tried cannot be learned again.
 """
 
+import heapq
 from collections.abc import Iterable
 
-from trefoilhook.scheduling.colocation import Colocation
+import attrs
+
 from trefoilhook.scheduling.fleet import Worker
-from trefoilhook.scheduling.job_state import JobState, TaskState
+from trefoilhook.scheduling.idle_fleet import IdleFleet, has_runs
+from trefoilhook.scheduling.job_state import TaskState
+from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.placing import can_host
 from trefoilhook.scheduling.rounds import (
     AssignmentRound,
     next_attempt_number,
     reserve_capacity,
 )
+from trefoilhook.scheduling.tickets import StepName, name_step
 
 __all__ = ["STARVATION_DELAY_MS", "THROTTLED_PACE", "reserve_for_starved_jobs"]
 
@@ -36,19 +41,11 @@
 their objectives. Faster throttled tasks would take slack from these jobs, and fewer of
 them would be on time."""
 
-_IDLE_FLEET_SHARE = 0.5
-"""Minimum fraction of a service's processors without reservation for a waiting job to
-be starved. With less, jobs compete and some have to wait."""
-
 _MIN_SLACK = 1.0
 """Slack that service tasks beside a throttled task must keep; 1 is at the limit."""
 
-_MAX_JOBS_PER_ROUND = 4
-"""Number of jobs for which one round searches all workers; the cost of a throttled task
-shows in the following rounds."""
-
-_RETRY_DELAY_MS = 1000.0
-"""Delay before a job without a suitable worker is tried again, in ms."""
+_SLACK_TOLERANCE = 0.05
+"""Difference in slack up to which two workers are equally suitable."""
 
 
 def reserve_for_starved_jobs(
@@ -69,46 +66,46 @@
         Waiting tasks that previous owners may have started. The waiting times of their
         jobs are kept.
     """
+    now_ms = assignment_round.now_ms
     waiting = _list_idle_jobs(ready)
     held_jobs = _list_idle_jobs([task] for task in held)
     idle_since = assignment_round.scheduler.idle_since_ms
     for job_id in idle_since.keys() - waiting.keys() - held_jobs.keys():
         del idle_since[job_id]
-    jobs_tried = 0
-    idle_by_service: dict[str, bool] = {}
-    for job_id, task in waiting.items():
-        if (
-            assignment_round.now_ms
-            - idle_since.setdefault(job_id, assignment_round.now_ms)
-            < STARVATION_DELAY_MS
-        ):
-            continue
-        if jobs_tried >= _MAX_JOBS_PER_ROUND or not _is_fleet_idle(
-            assignment_round, task, idle_by_service
-        ):
-            continue
+    idle_fleet = IdleFleet(scheduler=assignment_round.scheduler)
+    search = _WorkerSearch(assignment_round=assignment_round)
+    for job_id, tasks in waiting.items():
+        idle_ms = now_ms - idle_since.setdefault(job_id, now_ms)
+        if idle_ms >= STARVATION_DELAY_MS and idle_fleet.is_idle_for(tasks[0]):
+            _start_one(assignment_round, search, tasks[:1])
+
+
+def _start_one(
+    assignment_round: AssignmentRound,
+    search: "_WorkerSearch",
+    tasks: Iterable[TaskState],
+) -> None:
+    """Reserve capacity for the first of a starved job's tasks that can start."""
+    for task in tasks:
         if not assignment_round.isolation.may_start(task, assignment_round.now_ms):
             continue
-        jobs_tried += 1
-        worker = _find_worker(assignment_round, task)
+        worker = search.find(task)
         if worker is None:
-            # Other jobs are tried first, as they may require less.
-            idle_since[job_id] = (
-                assignment_round.now_ms - STARVATION_DELAY_MS + _RETRY_DELAY_MS
-            )
             continue
         attempt = next_attempt_number(assignment_round.scheduler, task)
         reserve_capacity(
             assignment_round, task, worker, attempt, initial_pace=THROTTLED_PACE
         )
+        return
 
 
-def _list_idle_jobs(ready: Iterable[list[TaskState]]) -> dict[str, TaskState]:
-    """Return a waiting filler of each job without runs, by job id, in order.
+def _list_idle_jobs(ready: Iterable[list[TaskState]]) -> dict[str, list[TaskState]]:
+    """Return waiting fillers of each job without runs, by job id, in order.
 
-    Members of a gang run only together with all others, so that they are not throttled.
+    The tasks of each list are identical, so that one of them is returned. Members of a
+    gang run only together with all others, so that they are not throttled.
     """
-    found: dict[str, TaskState] = {}
+    found: dict[str, list[TaskState]] = {}
     running: dict[str, bool] = {}
     for tasks in ready:
         # Tasks that were placed in this round are skipped.
@@ -117,49 +114,131 @@
             continue
         job_id = task.task.job_id
         if job_id not in running:
-            running[job_id] = _has_runs(task.job)
+            running[job_id] = has_runs(task.job)
         if not running[job_id]:
-            found.setdefault(job_id, task)
+            found.setdefault(job_id, []).append(task)
     return found
 
 
-def _has_runs(job: JobState) -> bool:
-    return any(task.attempts for task in job.tasks.values())
+@attrs.define(kw_only=True)
+class _RatedWorkers:
+    """Candidate workers for the throttled tasks of one image.
 
+    Parameters
+    ----------
+    heap : list of (float, int, Worker)
+        Negative upper bound of the slack that a worker's service tasks keep beside one
+        more of these tasks, a number that makes the entries unique, and the worker.
+    rejected : list of Demand
+        Demands for which no worker keeps enough slack.
+    """
 
-def _is_fleet_idle(
-    assignment_round: AssignmentRound, task: TaskState, known: dict[str, bool]
-) -> bool:
-    """Return whether most processors of a task's service have no reservation."""
-    service = task.job.queue.service if task.job.queue is not None else ""
-    if service not in known:
-        workers = assignment_round.list_open(task)
-        capacity = sum(worker.report.capacity.cpu for worker in workers)
-        held = sum(worker.cpu for worker in workers)
-        known[service] = capacity - held > _IDLE_FLEET_SHARE * capacity
-    return known[service]
+    heap: list[tuple[float, int, Worker]]
+    rejected: list[Demand] = attrs.Factory(list)
 
 
-def _find_worker(assignment_round: AssignmentRound, task: TaskState) -> Worker | None:
-    """Return the worker whose service tasks keep the most slack beside a task."""
-    best: Worker | None = None
-    max_slack = _MIN_SLACK
-    for worker in assignment_round.list_candidates(task):
-        if worker.over_limit_since_ms is not None or not can_host(worker, task):
-            continue
-        if worker.report.worker_id in task.shared.failed_on:
-            # Waiting is preferable to using up the task's attempts on this worker.
-            continue
-        colocation = assignment_round.colocations.lookup(worker)
-        if not _has_spare_cpu(colocation, task):
-            continue
-        slack = colocation.predict_slack(
-            assignment_round.colocations.interference, task.step, pace=THROTTLED_PACE
-        )
-        if slack > max_slack:
-            best, max_slack = worker, slack
-    return best
+@attrs.define(kw_only=True)
+class _WorkerSearch:
+    """Searches workers for throttled tasks in one round.
+
+    The slack of a worker's service tasks only falls during a round. Workers are
+    therefore kept in the order of upper bounds, and only the first ones are rated for a
+    task: many starved jobs cost little more than one.
+
+    Parameters
+    ----------
+    assignment_round : AssignmentRound
+        Current round.
+    """
 
+    assignment_round: AssignmentRound
+    _rated: dict[tuple[str, str, str, str, StepName | None], _RatedWorkers] = (
+        attrs.Factory(dict)
+    )
+    _bounds: dict[str, float] = attrs.Factory(dict)
+
+    def find(self, task: TaskState) -> Worker | None:
+        """Return the worker whose service tasks keep the most slack beside a task.
+
+        Parameters
+        ----------
+        task : TaskState
+            Starved task.
+        """
+        rated = self._get_rated(task)
+        room = task.step.room
+        if any(room.covers(each) for each in rated.rejected):
+            return None
+        heap = rated.heap
+        passed: list[tuple[float, int, Worker]] = []
+        found: tuple[float, int, Worker] | None = None
+        while heap and found is None:
+            bound, number, worker = heapq.heappop(heap)
+            if not self._is_eligible(worker, task):
+                passed.append((bound, number, worker))
+                continue
+            slack = self._predict_slack(worker, task)
+            is_outdated = slack < -bound - _SLACK_TOLERANCE
+            if is_outdated and heap and slack < -heap[0][0] - _SLACK_TOLERANCE:
+                heapq.heappush(heap, (-slack, number, worker))
+            elif slack > _MIN_SLACK:
+                found = (-slack, number, worker)
+            else:
+                passed.append((-slack, number, worker))
+        for entry in passed:
+            heapq.heappush(heap, entry)
+        if found is not None:
+            heapq.heappush(heap, found)
+            return found[2]
+        if not (task.shared.failed_on or task.step.max_per_worker):
+            rated.rejected.append(room)
+        return None
+
+    def _get_rated(self, task: TaskState) -> _RatedWorkers:
+        step, queue = task.step, task.job.queue
+        service = queue.service if queue is not None else ""
+        has_advice = queue is not None and queue.advice is not None
+        key = (
+            service,
+            step.image,
+            step.required_label,
+            step.data_rack,
+            name_step(task.task) if has_advice else None,
+        )
+        rated = self._rated.get(key)
+        if rated is None:
+            workers = self.assignment_round.list_candidates(task)
+            heap = [
+                (-self._get_bound(worker, task), number, worker)
+                for number, worker in enumerate(workers)
+                if worker.over_limit_since_ms is None
+            ]
+            heapq.heapify(heap)
+            rated = self._rated[key] = _RatedWorkers(heap=heap)
+        return rated
+
+    def _get_bound(self, worker: Worker, task: TaskState) -> float:
+        """Return the slack of a worker's service tasks beside a halted task."""
+        worker_id = worker.report.worker_id
+        bound = self._bounds.get(worker_id)
+        if bound is None:
+            bound = self._predict_slack(worker, task, pace=0)
+            self._bounds[worker_id] = bound
+        return bound
+
+    def _predict_slack(
+        self, worker: Worker, task: TaskState, *, pace: int = THROTTLED_PACE
+    ) -> float:
+        colocations = self.assignment_round.colocations
+        return colocations.lookup(worker).predict_slack(
+            colocations.interference, task.step, pace=pace
+        )
 
-def _has_spare_cpu(colocation: Colocation, task: TaskState) -> bool:
-    return colocation.spare_cpu >= task.step.demand.cpu * THROTTLED_PACE / 100.0
+    def _is_eligible(self, worker: Worker, task: TaskState) -> bool:
+        if worker.report.worker_id in task.shared.failed_on:
+            # Waiting is preferable to using up the task's attempts on this worker.
+            return False
+        if not can_host(worker, task, ignores_reservations=True):
+            return False
+        needed_cpu = task.step.demand.cpu * THROTTLED_PACE / 100.0
+        return self.assignment_round.colocations.lookup(worker).spare_cpu >= needed_cpu
--- a/trefoilhook/scheduling/tests/test_idle_jobs.py
+++ b/trefoilhook/scheduling/tests/test_idle_jobs.py
@@ -8,7 +8,11 @@
 
 import attrs
 
-from trefoilhook.scheduling import Demand, EndKind, Step
+from trefoilhook.scheduling import (
+    Demand,
+    EndKind,
+    Step,
+)
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 from trefoilhook.scheduling.tests.test_starvation import _learn_weight
 
