Help a starved job by any of its tasks

Cause: only the first waiting task of a job was considered. If isolation held it back, the job's other tasks were not tried.

Change: one task of each group is tried in turn; the limits on isolated runs apply to starved jobs for a short time only, as for overdue service tasks.

--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -77,7 +77,7 @@
     for job_id, tasks in waiting.items():
         idle_ms = now_ms - idle_since.setdefault(job_id, now_ms)
         if idle_ms >= STARVATION_DELAY_MS and idle_fleet.is_idle_for(tasks[0]):
-            _start_one(assignment_round, search, tasks[:1])
+            _start_one(assignment_round, search, tasks)
 
 
 def _start_one(
@@ -87,7 +87,9 @@
 ) -> None:
     """Reserve capacity for the first of a starved job's tasks that can start."""
     for task in tasks:
-        if not assignment_round.isolation.may_start(task, assignment_round.now_ms):
+        if not assignment_round.isolation.may_start(
+            task, assignment_round.now_ms, is_overdue=True
+        ):
             continue
         worker = search.find(task)
         if worker is None:
--- a/trefoilhook/scheduling/tests/test_idle_jobs.py
+++ b/trefoilhook/scheduling/tests/test_idle_jobs.py
@@ -48,6 +48,18 @@
     return starts
 
 
+def wait_for_first_starts(
+    shard: Shard, jobs: set[str], *, within_ms: float
+) -> dict[str, float]:
+    """Return the time until the first start of each job, in ms."""
+    began_ms = shard.now_ms
+    first: dict[str, float] = {}
+    while shard.now_ms < began_ms + within_ms and jobs - first.keys():
+        for start in list_starts(shard.step()):
+            first.setdefault(start.task.job_id, shard.now_ms - began_ms)
+    return first
+
+
 class StarvedJobsTest(unittest.TestCase):
     """Fillers that no service task tolerates at full speed."""
 
@@ -80,6 +92,26 @@
         # Guards against relief that is slower on larger fleets.
         self.check_all_start(workers=246, jobs=120)
 
+    def test_held_task_does_not_starve_its_job(self):
+        # Guards against a job that waits for its held suspect while others could run.
+        for held in (1, 2):
+            with self.subTest(held=held):
+                shard = Shard(workers=2, cpu=16_000)
+                start_services(shard, 2)
+                shard.submit(build_job(_FILLER, job_id="batch"))
+                state = shard.scheduler.jobs["batch"]
+                tasks = sorted(state.tasks.values(), key=lambda task: task.task.index)
+                for task in tasks[:held]:
+                    suspicion = shard.scheduler.suspects.get_or_add(task)
+                    for attempt in range(1, 4):
+                        suspicion.record_loss(
+                            attempt, f"x{attempt}", 20.0, proved=False
+                        )
+                    task.shared.held_until_ms = shard.now_ms + 64_000.0
+                shard.save()
+                first = wait_for_first_starts(shard, {"batch"}, within_ms=_MAX_IDLE_MS)
+                self.assertEqual(first.keys(), {"batch"})
+
 
 if __name__ == "__main__":
     unittest.main()
