Bound the wait of starved jobs beside service tasks close to their limit

What callers saw: if no worker keeps slack beside a throttled filler, its job has nothing running without any bound, on a mostly idle fleet. The new test failed before: no start within 3 s.

Cause: a worker was chosen only if its service tasks kept a slack over 1.

Change: after 2.3 s the job is started where the most slack is left, but never beside a service task over its limit. Pacing halts fillers before an overload lasts as long as users permit.

--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -36,6 +36,11 @@
 fleet, users take a job with nothing running for 3 s as lost; before this time, only the
 rank of the jobs is decisive."""
 
+_DISTURBING_DELAY_MS = 2300.0
+"""Time without a running task after which a starved job gets one beside service tasks
+that keep too little slack, if it finds no other worker, in ms. Fillers are halted where
+a service task exceeds its limit."""
+
 THROTTLED_PACE = 5
 """Pace of a throttled task, in percent. Slack is assigned by rank to jobs that can meet
 their objectives. Faster throttled tasks would take slack from these jobs, and fewer of
@@ -77,13 +82,14 @@
     for job_id, tasks in waiting.items():
         idle_ms = now_ms - idle_since.setdefault(job_id, now_ms)
         if idle_ms >= STARVATION_DELAY_MS and idle_fleet.is_idle_for(tasks[0]):
-            _start_one(assignment_round, search, tasks)
+            _start_one(assignment_round, search, tasks, idle_ms)
 
 
 def _start_one(
     assignment_round: AssignmentRound,
     search: "_WorkerSearch",
     tasks: Iterable[TaskState],
+    idle_ms: float,
 ) -> None:
     """Reserve capacity for the first of a starved job's tasks that can start."""
     for task in tasks:
@@ -91,7 +97,7 @@
             task, assignment_round.now_ms, is_overdue=True
         ):
             continue
-        worker = search.find(task)
+        worker = search.find(task, may_disturb=idle_ms >= _DISTURBING_DELAY_MS)
         if worker is None:
             continue
         attempt = next_attempt_number(assignment_round.scheduler, task)
@@ -159,17 +165,19 @@
     )
     _bounds: dict[str, float] = attrs.Factory(dict)
 
-    def find(self, task: TaskState) -> Worker | None:
+    def find(self, task: TaskState, *, may_disturb: bool) -> Worker | None:
         """Return the worker whose service tasks keep the most slack beside a task.
 
         Parameters
         ----------
         task : TaskState
             Starved task.
+        may_disturb : bool
+            Whether the service tasks may keep less slack than they require.
         """
         rated = self._get_rated(task)
         room = task.step.room
-        if any(room.covers(each) for each in rated.rejected):
+        if not may_disturb and any(room.covers(each) for each in rated.rejected):
             return None
         heap = rated.heap
         passed: list[tuple[float, int, Worker]] = []
@@ -183,7 +191,7 @@
             is_outdated = slack < -bound - _SLACK_TOLERANCE
             if is_outdated and heap and slack < -heap[0][0] - _SLACK_TOLERANCE:
                 heapq.heappush(heap, (-slack, number, worker))
-            elif slack > _MIN_SLACK:
+            elif slack > _MIN_SLACK or may_disturb:
                 found = (-slack, number, worker)
             else:
                 passed.append((-slack, number, worker))
--- a/trefoilhook/scheduling/tests/test_idle_jobs.py
+++ b/trefoilhook/scheduling/tests/test_idle_jobs.py
@@ -112,6 +112,18 @@
                 first = wait_for_first_starts(shard, {"batch"}, within_ms=_MAX_IDLE_MS)
                 self.assertEqual(first.keys(), {"batch"})
 
+    def test_job_starts_beside_services_without_enough_slack(self):
+        # Guards against jobs that wait without any bound as all service tasks are
+        # close to their limit.
+        shard = Shard(workers=2, cpu=16_000)
+        start_services(shard, 2, load=17.5)
+        _learn_weight(shard, "f", 40.0)
+        for _ in range(30):
+            shard.step()
+        shard.submit(build_job(_FILLER, job_id="batch"))
+        first = wait_for_first_starts(shard, {"batch"}, within_ms=_MAX_IDLE_MS)
+        self.assertEqual(first.keys(), {"batch"})
+
 
 if __name__ == "__main__":
     unittest.main()
