Bound the starts of suspects by their number, not by growing delays

What callers saw: a batch task waits 4.2, 16.2 and 64.2 s after the loss of its second, third and fourth worker although most workers are idle, and its job has nothing running; a service task waits 64 s after its fourth loss. 3 s are allowed. The new test failed before with these times.

Cause: the delay after a silent loss grew by a factor of four, so that the number of machines that a culprit takes down was bounded by time. Users bound the number of starts: three further ones after three crashes are too many.

Change: a second after each of the first four losses, for all kinds of tasks; after the fifth, when the five starts are used up, 1 or 10 minutes. The tests that bound the starts of culprits (five in 300 s) hold unchanged.

--- a/trefoilhook/scheduling/crashes.py
+++ b/trefoilhook/scheduling/crashes.py
@@ -42,19 +42,20 @@
 """Margin on the time for which the entry of a dead worker remains, in ms."""
 
 _RETRY_DELAY_MS = 1000.0
-_RETRY_DELAY_GROWTH = 4.0
-_MAX_RETRY_DELAY_MS = 60_000.0
-_MAX_VANISHED_DELAY_MS = 600_000.0
-"""Initial value, growth factor and maximum of the delay before a strongly suspected
-task is started again after an unproved loss, in ms; each such loss increases it. A
-machine that fails as a whole looks the same as a network partition, so that its task is
-never given up. The delay becomes longer if the worker's entry has gone, too: each
-further start may take down a machine for good."""
-
-_MAX_SERVICE_LOSSES = 3
-"""Number of unproved losses up to which a long-running task is only held for the
-initial delay. It serves its users, and machines that are lost together twice or three
-times may take the same task along."""
+"""Delay before a strongly suspected task is started again after an unproved loss, in
+ms."""
+
+_MAX_QUICK_LOSSES = 4
+"""Number of unproved losses after which a task is still started again after
+this delay. A task that silences its workers is started five times in all, as often as
+users permit for one that crashes them."""
+
+_CULPRIT_DELAY_MS = 60_000.0
+_VANISHED_DELAY_MS = 600_000.0
+"""Delay after each further unproved loss, in ms. A machine that fails as a whole looks
+the same as a network partition, so that its task is never given up. The delay is longer
+if the worker's entry has gone, too: each further start may take down a machine for
+good."""
 
 _SILENCE_FACTOR = 4.0
 """Factor on the rate of crashes that no task causes for a machine that falls silent:
@@ -227,18 +228,8 @@
     if given_up:
         scheduler.fail_job(state)
     elif not proved and suspicion.odds >= STRONG_ODDS:
-        delay_ms = _RETRY_DELAY_MS * _RETRY_DELAY_GROWTH ** (
-            suspicion.unproved_losses - 1
-        )
-        max_ms = _MAX_RETRY_DELAY_MS
-        if cause is LossCause.VANISHED:
-            max_ms = _MAX_VANISHED_DELAY_MS
-        if (
-            unit.task.step.long_running
-            and suspicion.unproved_losses <= _MAX_SERVICE_LOSSES
-        ):
-            max_ms = _RETRY_DELAY_MS
-        unit.task.shared.held_until_ms = now_ms + min(max_ms, delay_ms)
+        delay_ms = _compute_delay(suspicion, cause)
+        unit.task.shared.held_until_ms = now_ms + delay_ms
     suspect = Suspect(
         task=unit.task.task,
         attempt=unit.attempt,
@@ -250,3 +241,10 @@
     )
     scheduler.suspects.discard_negligible(unit.task)
     return suspect
+
+
+def _compute_delay(suspicion: Suspicion, cause: LossCause) -> float:
+    """Return the time for which a strongly suspected task is not started, in ms."""
+    if suspicion.unproved_losses <= _MAX_QUICK_LOSSES:
+        return _RETRY_DELAY_MS
+    return _VANISHED_DELAY_MS if cause is LossCause.VANISHED else _CULPRIT_DELAY_MS
--- a/trefoilhook/scheduling/tests/test_idle_jobs.py
+++ b/trefoilhook/scheduling/tests/test_idle_jobs.py
@@ -12,6 +12,7 @@
     Demand,
     EndKind,
     Step,
+    handle_worker_loss,
 )
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 from trefoilhook.scheduling.tests.test_starvation import _learn_weight
@@ -19,6 +20,7 @@
 _MAX_IDLE_MS = 3000.0
 """Time with nothing running after which users take a job as lost, in ms."""
 
+_TASK = Step(count=1, demand=Demand(cpu=1000, memory_mb=10), estimate_ms=2000.0)
 _SERVICE = Step(
     count=1,
     demand=Demand(cpu=4000),
@@ -126,5 +128,47 @@
         self.assertEqual(first.keys(), {"batch"})
 
 
+class RepeatedLossTest(unittest.TestCase):
+    """Batch tasks whose workers fall silent."""
+
+    def lose(self, shard: Shard, worker_ids: set[str]) -> None:
+        """Let workers fall silent together, their leases expire and entries go."""
+        for worker_id in worker_ids:
+            shard.silence(worker_id)
+            del shard.workers[worker_id]
+        for _ in range(55):
+            shard.advance_time(100.0)
+            for worker_id in shard.scheduler.workers.keys() & shard.workers.keys():
+                shard.poll(worker_id)
+            shard.scheduler.entries.note_read(shard.now_ms)
+        for worker_id in worker_ids:
+            shard.scheduler.mark_unlisted(worker_id)
+        for worker_id in worker_ids:
+            worker = shard.scheduler.workers.get(worker_id)
+            if worker is not None:
+                handle_worker_loss(shard.scheduler, worker, shard.now_ms)
+
+    def step(self, shard: Shard) -> list:
+        """Run one step, with all changes saved."""
+        starts = list_starts(shard.step())
+        shard.save()
+        return starts
+
+    def test_task_starts_in_time_after_each_of_its_first_losses(self):
+        # Guards against delays of suspects that are longer than users wait.
+        shard = Shard(workers=40)
+        shard.submit(build_job(_TASK))
+        for loss in range(5):
+            began_ms = shard.now_ms
+            starts: list = []
+            while not starts and shard.now_ms < began_ms + 70_000.0:
+                starts = self.step(shard)
+            with self.subTest(losses=loss):
+                self.assertLess(shard.now_ms - began_ms, _MAX_IDLE_MS)
+            shard.advance_time(200.0)
+            self.lose(shard, {starts[0].worker_id})
+            shard.add_worker(f"n{loss}")
+
+
 if __name__ == "__main__":
     unittest.main()
