Tell bystanders of failures of many workers from culprits

The new test failed before: after six waves the task does not start within 70 s.

Cause: each loss was evaluated by itself. A common cause, which explains all of them, was not considered.

Change: the evidence of a silent loss is limited by the fraction of the workers that were found silent within 2 s of it, and the loss does not count as one of the five. Workers on which the same job, or a task with two losses, had been started are not counted, so that jobs whose tasks all silence their workers, and culprits of several jobs that do so together, stay bounded (tests). Proved crashes are evaluated as before.

--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -236,7 +236,9 @@
         self.service_holds = ServiceHolds()
         self.overdue = OverdueSteps()
         self.entries = EntryFreshness()
-        self.suspects = SuspectTracker(mark_dirty=self._mark_dirty)
+        self.suspects = SuspectTracker(
+            mark_dirty=self._mark_dirty, find_job=self.jobs.get
+        )
         self.random = random.Random(epoch)
         self.predecessors = Predecessors(
             unrecorded_epoch=epoch - 1, unrecorded_workers=("",)
--- a/trefoilhook/scheduling/crashes.py
+++ b/trefoilhook/scheduling/crashes.py
@@ -6,6 +6,7 @@
 a crash, and it counts against the tasks that are likely causes (see `suspicion`).
 """
 
+import math
 from collections.abc import Iterable
 
 import attrs
@@ -20,6 +21,7 @@
     STRONG_ODDS,
     Exposure,
     Suspicion,
+    compute_common_cause_limit,
     compute_likelihood_ratios,
 )
 
@@ -46,7 +48,7 @@
 ms."""
 
 _MAX_QUICK_LOSSES = 4
-"""Number of unproved losses after which a task is still started again after
+"""Number of losses of a single worker after which a task is still started again after
 this delay. A task that silences its workers is started five times in all, as often as
 users permit for one that crashes them."""
 
@@ -88,6 +90,9 @@
 
 def attribute_loss(scheduler: Scheduler, worker: Worker, now_ms: float) -> None:
     """Evaluate which tasks may have caused the end of a worker incarnation."""
+    concurrent = scheduler.suspects.concurrent_losses
+    concurrent.refresh(scheduler.workers.values(), now_ms)
+    concurrent.record(worker, now_ms)
     runs = list_exposed_runs(worker)
     if not runs:
         return
@@ -198,11 +203,39 @@
         rate.add_unexplained(unexplained)
     suspects: list[Suspect] = []
     for unit, ratio in zip(units, ratios, strict=False):
-        suspects.append(_apply_loss(scheduler, worker_id, unit, ratio, cause, now_ms))
+        limit = math.inf
+        if cause in _UNPROVED_CAUSES:
+            limit = _limit_by_common_cause(scheduler, worker_id, unit)
+        suspects.append(
+            _apply_loss(
+                scheduler,
+                worker_id,
+                unit,
+                min(ratio, limit),
+                cause,
+                now_ms,
+                is_concurrent=limit < math.inf,
+            )
+        )
     suspects.sort(key=lambda suspect: -suspect.chance)
     return tuple(suspects)
 
 
+def _limit_by_common_cause(
+    scheduler: Scheduler, incarnation: str, unit: SuspectUnit
+) -> float:
+    """Return the maximum evidence of a silent loss, given those at the same time.
+
+    A common cause keeps the evidence from being counted as that of a single loss, but
+    not from being recorded: tasks that are lost together again and again may be the
+    cause.
+    """
+    share = scheduler.suspects.concurrent_losses.measure_share(
+        incarnation, unit.task.task.job_id, workers=len(scheduler.workers)
+    )
+    return max(MIN_SUSPECT_RATIO, compute_common_cause_limit(unit.ran_ms, share))
+
+
 def _get_odds(suspicion: Suspicion | None) -> float:
     return PRIOR_ODDS if suspicion is None else suspicion.odds
 
@@ -214,6 +247,8 @@
     ratio: float,
     cause: LossCause,
     now_ms: float,
+    *,
+    is_concurrent: bool,
 ) -> Suspect:
     state = unit.task.job
     proved = cause is LossCause.CRASHED
@@ -221,7 +256,9 @@
     is_suspect = unit.task.suspicion is not None or ratio >= MIN_SUSPECT_RATIO
     suspicion = scheduler.suspects.get_or_add(unit.task) if is_suspect else Suspicion()
     if is_suspect and unit.attempt not in suspicion.notes:
-        suspicion.record_loss(unit.attempt, worker_id, ratio, proved=proved)
+        suspicion.record_loss(
+            unit.attempt, worker_id, ratio, proved=proved, is_concurrent=is_concurrent
+        )
         suspicion.clear_attempt()
         scheduler.suspects.record_lost_worker(worker_id, unit.task)
     given_up = proved and suspicion.is_crash_loop()
@@ -245,6 +282,6 @@
 
 def _compute_delay(suspicion: Suspicion, cause: LossCause) -> float:
     """Return the time for which a strongly suspected task is not started, in ms."""
-    if suspicion.unproved_losses <= _MAX_QUICK_LOSSES:
+    if suspicion.single_losses <= _MAX_QUICK_LOSSES:
         return _RETRY_DELAY_MS
     return _VANISHED_DELAY_MS if cause is LossCause.VANISHED else _CULPRIT_DELAY_MS
--- a/trefoilhook/scheduling/records.py
+++ b/trefoilhook/scheduling/records.py
@@ -238,6 +238,8 @@
         },
         "survived": suspicion.survived,
     }
+    if suspicion.concurrent:
+        table["concurrent"] = sorted(suspicion.concurrent)
     if suspicion.attempt:
         table["attempt"] = suspicion.attempt
         table["workers"] = suspicion.workers
@@ -269,11 +271,13 @@
 
 def _decode_suspicion(value: Any) -> Suspicion:
     table = check_object(value, "suspicion")
+    notes = {
+        _split(attempt, 1)[0]: _decode_note(row)
+        for attempt, row in read_object(table, "notes").items()
+    }
     return Suspicion(
-        notes={
-            _split(attempt, 1)[0]: _decode_note(row)
-            for attempt, row in read_object(table, "notes").items()
-        },
+        notes=notes,
+        concurrent=_decode_numbers(table.get("concurrent", [])) & notes.keys(),
         survived=read_number(table, "survived", maximum=1.0),
         attempt=read_integer(table, "attempt", default=0),
         workers=list(read_strings(table, "workers")) if "workers" in table else [],
--- a/trefoilhook/scheduling/suspects.py
+++ b/trefoilhook/scheduling/suspects.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from trefoilhook.scheduling.concurrent_losses import ConcurrentLosses
 from trefoilhook.scheduling.fleet import Run
 from trefoilhook.scheduling.job_state import JobState, TaskState
 from trefoilhook.scheduling.messages import EndKind, WorkerLoss
@@ -15,6 +16,9 @@
 _MAX_LOST_WORKERS = 1000
 """Number of lost workers that are remembered in case they answer again."""
 
+_REPEATED_LOSSES = 2
+"""Number of losses from which a task may explain the loss of another worker."""
+
 _CRASH_FREE_ENDS = frozenset({EndKind.DONE, EndKind.FAILED, EndKind.STOPPED})
 
 
@@ -28,6 +32,8 @@
     ----------
     mark_dirty : callable
         Called with a job whose progress has changed and must be saved.
+    find_job : callable
+        Returns the job with an id, or None.
 
     Attributes
     ----------
@@ -42,18 +48,32 @@
         Lost workers that the caller has not fetched yet.
     crash_rate : CrashRate
         Rate of crashes that no task causes.
+    concurrent_losses : ConcurrentLosses
+        Workers that fell silent at about the same time.
     """
 
     mark_dirty: Callable[[JobState], None]
+    find_job: Callable[[str], JobState | None]
     jobs: set[JobState] = attrs.field(factory=set, init=False)
     recorded: list[TaskState] = attrs.field(factory=list, init=False)
     drained: set[str] = attrs.field(factory=set, init=False)
     losses: list[WorkerLoss] = attrs.field(factory=list, init=False)
     crash_rate: CrashRate = attrs.field(factory=CrashRate, init=False)
+    concurrent_losses: ConcurrentLosses = attrs.field(init=False)
     _tasks_by_lost_worker: dict[str, list[TaskState]] = attrs.field(
         factory=dict, init=False
     )
 
+    @concurrent_losses.default
+    def _build_concurrent_losses(self) -> ConcurrentLosses:
+        return ConcurrentLosses(is_suspect=self._was_lost_repeatedly)
+
+    def _was_lost_repeatedly(self, run: Run) -> bool:
+        job = self.find_job(run.task.job_id)
+        task = job.find_task(run.task) if job is not None else None
+        suspicion = task.suspicion if task is not None else None
+        return suspicion is not None and len(suspicion.notes) >= _REPEATED_LOSSES
+
     def get_or_add(self, task: TaskState) -> Suspicion:
         """Return the suspicion of a task for modification, adding one if needed."""
         self.jobs.add(task.job)
@@ -115,6 +135,7 @@
             for attempt, note in list(suspicion.notes.items()):
                 if note.worker_id == worker_id:
                     del suspicion.notes[attempt]
+                    suspicion.concurrent.discard(attempt)
             task.shared.held_until_ms = 0.0
             self.mark_dirty(task.job)
             self.discard_negligible(task)
--- a/trefoilhook/scheduling/suspicion.py
+++ b/trefoilhook/scheduling/suspicion.py
@@ -25,6 +25,7 @@
     "Exposure",
     "Suspicion",
     "Unit",
+    "compute_common_cause_limit",
     "compute_likelihood_ratios",
     "compute_survival",
 ]
@@ -61,6 +62,10 @@
 _MAX_UNPROVED_RATIO = 20.0
 """Maximum factor on the odds for a loss that is not proved to be a crash."""
 
+_COMMON_CAUSE_WINDOW_MS = 2000.0
+"""Uncertainty of the time between a run's start and the loss of its worker, in ms, if
+the time is compared with that of other losses."""
+
 _GIVE_UP_ODDS = {2: 1000.0, 3: 100.0, 4: 1.0}
 """Odds from which a task's job fails, by the number of crashes that count against the
 task. Two crashes shortly after a start are conclusive; others require more."""
@@ -100,6 +105,8 @@
     ----------
     notes : dict of int to CrashNote
         Losses by attempt, so that a loss that is reported twice counts once.
+    concurrent : set of int
+        Attempts whose worker was lost together with others, by a common cause.
     survived : float
         Factor by which runs without a crash lower the odds.
     attempt : int
@@ -112,6 +119,7 @@
     """
 
     notes: dict[int, CrashNote] = attrs.Factory(dict)
+    concurrent: set[int] = attrs.Factory(set)
     survived: float = 1.0
     attempt: int = 0
     workers: list[str] = attrs.Factory(list)
@@ -138,6 +146,11 @@
         """Number of unproved losses that count against it."""
         return len(self.notes) - self.crashes
 
+    @property
+    def single_losses(self) -> int:
+        """Number of these losses that have no common cause with others."""
+        return self.unproved_losses - len(self.concurrent)
+
     @property
     def is_negligible(self) -> bool:
         """Whether no evidence against it is left."""
@@ -150,18 +163,41 @@
         return self.odds >= _GIVE_UP_ODDS.get(self.crashes, math.inf)
 
     def record_loss(
-        self, attempt: int, worker_id: str, ratio: float, *, proved: bool
+        self,
+        attempt: int,
+        worker_id: str,
+        ratio: float,
+        *,
+        proved: bool,
+        is_concurrent: bool = False,
     ) -> None:
-        """Apply the loss of a worker."""
+        """Apply the loss of a worker.
+
+        Parameters
+        ----------
+        attempt : int
+            Attempt that ran there.
+        worker_id : str
+            The worker.
+        ratio : float
+            Likelihood ratio of the loss.
+        proved : bool
+            Whether it is proved that the worker crashed.
+        is_concurrent : bool, optional
+            Whether the loss has a common cause with others.
+        """
         if not proved:
             ratio = min(ratio, _MAX_UNPROVED_RATIO)
         if ratio < MIN_SUSPECT_RATIO:
             self.record_survival(ratio)
             return
         self.notes[attempt] = CrashNote(worker_id=worker_id, ratio=ratio, proved=proved)
+        if is_concurrent:
+            self.concurrent.add(attempt)
         unproved_losses = sorted(n for n, note in self.notes.items() if not note.proved)
         for oldest in unproved_losses[:-_MAX_UNPROVED_LOSSES]:
             del self.notes[oldest]
+        self.concurrent &= self.notes.keys()
 
     def record_survival(self, factor: float) -> None:
         """Apply a run that continued without a crash."""
@@ -286,3 +322,30 @@
         for density, survival, rate in zip(densities, survivals, rates, strict=True)
     ]
     return ratios, other_rate / total
+
+
+def compute_common_cause_limit(ran_ms: float, share: float) -> float:
+    """Return the maximum evidence of a loss beside others that have a common cause.
+
+    It compares two explanations: the common cause took the run's worker along, or it
+    did not and the run silenced the worker at the same time.
+
+    Parameters
+    ----------
+    ran_ms : float
+        Time from the run's start to the loss, in ms.
+    share : float
+        Fraction of the workers that were lost together; 0 if there is no evidence of a
+        common cause.
+
+    Returns
+    -------
+    float
+        Maximum likelihood ratio for the run's task; infinite without a common cause.
+    """
+    if share <= 0.0:
+        return math.inf
+    first_ms = max(ran_ms - _COMMON_CAUSE_WINDOW_MS, _MIN_ONSET_MS)
+    last_ms = min(ran_ms + _COMMON_CAUSE_WINDOW_MS, _MAX_ONSET_MS)
+    coincidence = max(0.0, math.log(last_ms / first_ms)) / _DECADES
+    return compute_survival(ran_ms) + coincidence * (1.0 - share) / share
--- a/trefoilhook/scheduling/tests/test_idle_jobs.py
+++ b/trefoilhook/scheduling/tests/test_idle_jobs.py
@@ -14,6 +14,8 @@
     Step,
     handle_worker_loss,
 )
+from trefoilhook.scheduling.records import Progress, decode_progress, encode_progress
+from trefoilhook.scheduling.suspicion import Suspicion
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 from trefoilhook.scheduling.tests.test_starvation import _learn_weight
 
@@ -169,6 +171,70 @@
             self.lose(shard, {starts[0].worker_id})
             shard.add_worker(f"n{loss}")
 
+    def test_bystander_of_repeated_waves_starts_in_time(self):
+        # Guards against tasks that are suspected although many workers fall silent
+        # together, most of them without a run of the job.
+        shard = Shard(workers=120)
+        shard.submit(build_job(attrs.evolve(_TASK, count=30, max_per_worker=1)))
+        victim = next(iter(shard.scheduler.waiting)).task
+        for wave in range(7):
+            began_ms = shard.now_ms
+            worker_id = ""
+            while not worker_id and shard.now_ms < began_ms + 70_000.0:
+                for start in self.step(shard):
+                    if start.task == victim:
+                        worker_id = start.worker_id
+            with self.subTest(waves=wave):
+                self.assertLess(shard.now_ms - began_ms, _MAX_IDLE_MS)
+            shard.advance_time(200.0)
+            others = [name for name in shard.scheduler.workers if name != worker_id]
+            lost = {worker_id, *others[:16]}
+            self.lose(shard, lost)
+            for number in range(len(lost)):
+                shard.add_worker(f"n{wave}-{number}")
+
+    def test_culprits_that_silence_their_workers_together_are_bounded(self):
+        # Guards against tasks that excuse each other as their workers fall silent at
+        # the same time, again and again.
+        shard = Shard(workers=9)
+        for number in range(3):
+            step = attrs.evolve(_TASK, demand=Demand(cpu=4000))
+            shard.submit(build_job(step, job_id=f"c{number}"))
+        starts = 0
+        began_ms = shard.now_ms
+        while shard.now_ms < began_ms + 200_000.0:
+            found = self.step(shard)
+            if not found:
+                continue
+            starts += len(found)
+            shard.advance_time(200.0)
+            self.lose(shard, {start.worker_id for start in found})
+            for _ in found:
+                shard.add_worker(f"n{starts}-{len(shard.workers)}")
+        self.assertLessEqual(starts, 3 * 7)
+
+    def test_wave_of_one_job_is_no_common_cause(self):
+        # Guards against a job whose tasks all silence their workers and that is taken
+        # for the bystander of a wave.
+        shard = Shard(workers=40)
+        step = attrs.evolve(_TASK, count=10, max_per_worker=1)
+        shard.submit(build_job(step))
+        starts = self.step(shard)
+        shard.advance_time(200.0)
+        self.lose(shard, {start.worker_id for start in starts})
+        for task in shard.scheduler.jobs["j"].tasks.values():
+            self.assertEqual(task.suspicion.single_losses, 1)
+
+    def test_common_cause_survives_a_takeover(self):
+        # Guards against a bystander that the next owner takes for a culprit.
+        suspicion = Suspicion()
+        suspicion.record_loss(1, "a", 2.0, proved=False, is_concurrent=True)
+        suspicion.record_loss(2, "b", 20.0, proved=False)
+        progress = decode_progress(
+            encode_progress(Progress(suspicions={(0, 0, 0): suspicion}))
+        )
+        self.assertEqual(progress.suspicions[0, 0, 0].single_losses, 1)
+
 
 if __name__ == "__main__":
     unittest.main()
