Bound the successive waits of batch jobs without runs

Cause: the clock over all reasons is for service tasks only. Batch tasks that are no fillers had no relief: reserved, kept apart, avoided and behind others followed one another.

Change: the clock also runs for steps of jobs without runs while the service is mostly idle. One task of an overdue step is then placed wherever it fits; workers on which it failed stay excluded, as its failures are limited.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -304,6 +304,9 @@
     holds = assignment_round.scheduler.service_holds
     step = name_step(tasks[0].task)
     is_overdue = assignment_round.is_overdue(tasks[0])
+    if is_overdue and not tasks[0].step.long_running:
+        # The other tasks compete with those of other jobs.
+        tasks = tasks[:1]
     is_concerned = headroom.concerns(tasks[0])
     if is_concerned and headroom.is_limited(step):
         return
--- a/trefoilhook/scheduling/candidates.py
+++ b/trefoilhook/scheduling/candidates.py
@@ -38,7 +38,7 @@
         Limit on the capacity that the tasks may take.
     is_overdue : bool, optional
         Whether the step is overdue. If so, workers that are reserved for other tasks
-        and workers on which the task has failed are included.
+        are included, and for service tasks those on which the task has failed.
 
     Attributes
     ----------
@@ -70,9 +70,8 @@
         if not self._is_admitted(worker):
             self.was_limited = True
             return
-        if not self.is_overdue and is_barred(
-            worker, self.task, self.colocations.now_ms
-        ):
+        may_fail = self.is_overdue and self.task.step.long_running
+        if not may_fail and is_barred(worker, self.task, self.colocations.now_ms):
             self.was_barred = True
             return
         score = score_worker(worker, self.task, self.colocations)
--- a/trefoilhook/scheduling/overdue.py
+++ b/trefoilhook/scheduling/overdue.py
@@ -1,14 +1,17 @@
-"""Detection of service steps that wait too long although capacity is available.
+"""Detection of steps that wait too long although capacity is available.
 
-Each reason for delaying a service task has its own time limit, but the reasons can
-occur in succession: the capacity is kept for urgent tasks, then a worker is reserved
-for a larger task, then the number of isolated runs is at its limit. This module bounds
-the total delay.
+Each reason for delaying a task has its own time limit, but the reasons can occur in
+succession: the capacity is kept for urgent tasks, then a worker is reserved for a
+larger task, then the number of isolated runs is at its limit. This module bounds the
+total delay of service tasks, and of the first task of a batch job without runs on a
+mostly idle fleet.
 
 A step is overdue once responding workers have had ample capacity for it, including
 capacity reserved for other tasks, for a given time (`OverdueSteps`). Its tasks are then
 placed on any worker with enough capacity. The checks that prevent a second run of a
 task still apply.
+
+Jobs of fillers are not overdue but starved (`starvation`).
 """
 
 from collections.abc import Collection, Iterable
@@ -17,10 +20,11 @@
 
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Worker
+from trefoilhook.scheduling.idle_fleet import IdleFleet, has_runs
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.placing import can_host, list_answering_workers
-from trefoilhook.scheduling.tickets import name_step
+from trefoilhook.scheduling.tickets import StepName, name_step
 
 __all__ = ["can_become_overdue", "record_ample_capacity"]
 
@@ -30,13 +34,10 @@
 
 def can_become_overdue(task: TaskState) -> bool:
     """Return whether a task becomes overdue if it waits while capacity is available."""
-    queue = task.job.queue
-    return (
-        task.step.long_running
-        and not task.step.gang
-        and queue is not None
-        and queue.advice is None
-    )
+    step, queue = task.step, task.job.queue
+    if step.gang or step.filler or queue is None or queue.advice is not None:
+        return False
+    return step.long_running or not has_runs(task.job)
 
 
 def record_ample_capacity(
@@ -53,7 +54,8 @@
     now_ms : float
         Current time, in ms.
     """
-    steps = {name_step(task.task): task for task in tasks if can_become_overdue(task)}
+    steps = _list_steps(tasks)
+    idle_fleet = IdleFleet(scheduler=scheduler)
     overdue = scheduler.overdue
     overdue.retain(steps.keys())
     capacities: dict[str, _FreeCapacity] = {}
@@ -63,12 +65,28 @@
         if service not in capacities:
             workers = list_answering_workers(scheduler, service)
             capacities[service] = _FreeCapacity(workers=_sort_by_free_cpu(workers))
-        if capacities[service].is_ample_for(task):
+        is_entitled = task.step.long_running or idle_fleet.is_idle_for(task)
+        if is_entitled and capacities[service].is_ample_for(task):
             overdue.extend(step, now_ms)
         else:
             overdue.interrupt(step, now_ms)
 
 
+def _list_steps(tasks: Iterable[TaskState]) -> dict[StepName, TaskState]:
+    """Return one task of each step that can become overdue."""
+    steps: dict[StepName, TaskState] = {}
+    excluded: set[StepName] = set()
+    for task in tasks:
+        step = name_step(task.task)
+        if step in steps or step in excluded:
+            continue
+        if can_become_overdue(task):
+            steps[step] = task
+        else:
+            excluded.add(step)
+    return steps
+
+
 @attrs.define(kw_only=True)
 class _FreeCapacity:
     """Free capacity of the workers of a service in one round.
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -78,7 +78,7 @@
     def is_overdue(self, state: TaskState) -> bool:
         """Return whether a task has waited too long while capacity was available."""
         overdue = self.scheduler.overdue
-        return can_become_overdue(state) and overdue.contains(name_step(state.task))
+        return overdue.contains(name_step(state.task)) and can_become_overdue(state)
 
     def list_open(self, state: TaskState) -> list[Worker]:
         """Return the workers that accept new tasks of a task's queue."""
--- a/trefoilhook/scheduling/tests/test_idle_jobs.py
+++ b/trefoilhook/scheduling/tests/test_idle_jobs.py
@@ -5,6 +5,7 @@
 """
 
 import unittest
+from unittest import mock
 
 import attrs
 
@@ -12,9 +13,12 @@
     Demand,
     EndKind,
     Step,
+    assignment,
     handle_worker_loss,
 )
 from trefoilhook.scheduling.records import Progress, decode_progress, encode_progress
+from trefoilhook.scheduling.reservations import Reservation
+from trefoilhook.scheduling.service_holds import StepWait
 from trefoilhook.scheduling.suspicion import Suspicion
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 from trefoilhook.scheduling.tests.test_starvation import _learn_weight
@@ -236,5 +240,63 @@
         self.assertEqual(progress.suspicions[0, 0, 0].single_losses, 1)
 
 
+class SuccessiveWaitsTest(unittest.TestCase):
+    """Batch tasks that are no fillers wait for several reasons in turn."""
+
+    def test_tasks_behind_isolated_runs_of_other_jobs_start_in_time(self):
+        # Guards against a limit on isolated workers that keeps other jobs' suspects
+        # waiting without any bound.
+        shard = Shard(workers=8)
+        for number in range(12):
+            shard.submit(build_job(attrs.evolve(_TASK, count=1), job_id=f"c{number}"))
+            (task,) = shard.scheduler.jobs[f"c{number}"].tasks.values()
+            shard.scheduler.suspects.get_or_add(task).record_loss(
+                1, "gone", 5000.0, proved=True
+            )
+        shard.save()
+        began_ms = shard.now_ms
+        started: set[str] = set()
+        while shard.now_ms < began_ms + _MAX_IDLE_MS:
+            started |= {start.task.job_id for start in list_starts(shard.step())}
+            shard.save()
+        self.assertEqual(len(started), 12)
+
+    def test_task_beside_reserved_workers_starts_in_time(self):
+        # Guards against workers that are reserved for displaced service tasks while a
+        # job has nothing running.
+        shard = Shard(workers=4, cpu=8000)
+        shard.submit(build_job(job_id="j"))
+        (task,) = shard.scheduler.jobs["j"].tasks.values()
+        for worker in shard.scheduler.workers.values():
+            worker.reservation = Reservation(
+                step=("other", 0, 0),
+                worker_id=worker.report.worker_id,
+                priority=-1,
+                demand=Demand(cpu=8000),
+                begun_ms=shard.now_ms,
+                due_ms=shard.now_ms + 60_000.0,
+                allows_backfill=False,
+            )
+        with mock.patch.object(assignment, "update_reservations"):
+            first = wait_for_first_starts(shard, {"j"}, within_ms=_MAX_IDLE_MS)
+        self.assertEqual(first.keys(), {"j"})
+
+    def test_only_one_task_of_an_overdue_batch_step_starts(self):
+        # Guards against batch steps that override reservations with all their tasks.
+        shard = Shard(workers=8)
+        shard.submit(build_job(attrs.evolve(_TASK, count=20), job_id="j"))
+        for task in shard.scheduler.jobs["j"].tasks.values():
+            shard.scheduler.suspects.get_or_add(task).record_loss(
+                1, "gone", 5000.0, proved=True
+            )
+        shard.scheduler.overdue.restore(
+            ("j", 0, 0), StepWait(waited_ms=2000.0), shard.now_ms
+        )
+        shard.save()
+        shard.plan()
+        shard.save()
+        self.assertLessEqual(len(list_starts(shard.plan())), 2)
+
+
 if __name__ == "__main__":
     unittest.main()
