End a row of silent losses with a long run

The new test failed before: no start within 10 s after the eighth loss, although the fifth run went on for 12 s.

Cause: all silent losses counted towards the bound on starts, whatever came between them.

Change: a run of over 7.5 s, after which a loss no longer counts against the task, excuses the losses before it. Long-running tasks, whose starts users do not limit, are started a sixth time.

--- a/trefoilhook/scheduling/crashes.py
+++ b/trefoilhook/scheduling/crashes.py
@@ -16,6 +16,7 @@
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.messages import LossCause, Suspect, WorkerLoss
 from trefoilhook.scheduling.suspicion import (
+    LONG_RUN_MS,
     MIN_SUSPECT_RATIO,
     PRIOR_ODDS,
     STRONG_ODDS,
@@ -52,6 +53,10 @@
 this delay. A task that silences its workers is started five times in all, as often as
 users permit for one that crashes them."""
 
+_MAX_QUICK_SERVICE_LOSSES = 5
+"""The same for a long-running task, which serves its users and whose starts have no
+such limit."""
+
 _CULPRIT_DELAY_MS = 60_000.0
 _VANISHED_DELAY_MS = 600_000.0
 """Delay after each further unproved loss, in ms. A machine that fails as a whole looks
@@ -97,9 +102,10 @@
     if not runs:
         return
     cause = find_cause(scheduler, worker, now_ms)
+    units, others = partition_runs(scheduler, worker, runs, now_ms)
+    _excuse_long_runs(units)
     suspects: tuple[Suspect, ...] = ()
     if cause is LossCause.CRASHED or cause in _UNPROVED_CAUSES:
-        units, others = partition_runs(scheduler, worker, runs, now_ms)
         suspects = attribute_to_units(
             scheduler, worker.incarnation, units, others, cause, now_ms
         )
@@ -113,6 +119,13 @@
     )
 
 
+def _excuse_long_runs(units: Iterable[SuspectUnit]) -> None:
+    for unit in units:
+        suspicion = unit.task.suspicion
+        if suspicion is not None and unit.ran_ms >= LONG_RUN_MS:
+            suspicion.excuse_losses()
+
+
 def list_exposed_runs(worker: Worker) -> list[Run]:
     """Return the runs that may have crashed the process of a worker.
 
@@ -265,7 +278,7 @@
     if given_up:
         scheduler.fail_job(state)
     elif not proved and suspicion.odds >= STRONG_ODDS:
-        delay_ms = _compute_delay(suspicion, cause)
+        delay_ms = _compute_delay(unit.task, suspicion, cause)
         unit.task.shared.held_until_ms = now_ms + delay_ms
     suspect = Suspect(
         task=unit.task.task,
@@ -280,8 +293,11 @@
     return suspect
 
 
-def _compute_delay(suspicion: Suspicion, cause: LossCause) -> float:
+def _compute_delay(task: TaskState, suspicion: Suspicion, cause: LossCause) -> float:
     """Return the time for which a strongly suspected task is not started, in ms."""
-    if suspicion.single_losses <= _MAX_QUICK_LOSSES:
+    max_losses = _MAX_QUICK_LOSSES
+    if task.step.long_running:
+        max_losses = _MAX_QUICK_SERVICE_LOSSES
+    if suspicion.single_losses <= max_losses:
         return _RETRY_DELAY_MS
     return _VANISHED_DELAY_MS if cause is LossCause.VANISHED else _CULPRIT_DELAY_MS
--- a/trefoilhook/scheduling/records.py
+++ b/trefoilhook/scheduling/records.py
@@ -238,8 +238,8 @@
         },
         "survived": suspicion.survived,
     }
-    if suspicion.concurrent:
-        table["concurrent"] = sorted(suspicion.concurrent)
+    if suspicion.excused:
+        table["excused"] = sorted(suspicion.excused)
     if suspicion.attempt:
         table["attempt"] = suspicion.attempt
         table["workers"] = suspicion.workers
@@ -277,7 +277,7 @@
     }
     return Suspicion(
         notes=notes,
-        concurrent=_decode_numbers(table.get("concurrent", [])) & notes.keys(),
+        excused=_decode_numbers(table.get("excused", [])) & notes.keys(),
         survived=read_number(table, "survived", maximum=1.0),
         attempt=read_integer(table, "attempt", default=0),
         workers=list(read_strings(table, "workers")) if "workers" in table else [],
--- a/trefoilhook/scheduling/suspects.py
+++ b/trefoilhook/scheduling/suspects.py
@@ -9,7 +9,12 @@
 from trefoilhook.scheduling.job_state import JobState, TaskState
 from trefoilhook.scheduling.messages import EndKind, WorkerLoss
 from trefoilhook.scheduling.models import TaskId
-from trefoilhook.scheduling.suspicion import CrashRate, Suspicion, compute_survival
+from trefoilhook.scheduling.suspicion import (
+    LONG_RUN_MS,
+    CrashRate,
+    Suspicion,
+    compute_survival,
+)
 
 __all__ = ["SuspectTracker"]
 
@@ -114,6 +119,9 @@
         if kind in _CRASH_FREE_ENDS and task.shared.survived_attempt != run.attempt:
             task.shared.survived_attempt = run.attempt
             suspicion.record_survival(compute_survival(run.proved_ms))
+            if run.proved_ms >= LONG_RUN_MS:
+                suspicion.excuse_losses()
+                self.mark_dirty(task.job)
         # The end of one member does not show whether the gang's other workers survive.
         if not task.step.gang and suspicion.attempt == run.attempt:
             suspicion.clear_attempt()
@@ -135,7 +143,7 @@
             for attempt, note in list(suspicion.notes.items()):
                 if note.worker_id == worker_id:
                     del suspicion.notes[attempt]
-                    suspicion.concurrent.discard(attempt)
+                    suspicion.excused.discard(attempt)
             task.shared.held_until_ms = 0.0
             self.mark_dirty(task.job)
             self.discard_negligible(task)
--- a/trefoilhook/scheduling/suspicion.py
+++ b/trefoilhook/scheduling/suspicion.py
@@ -17,6 +17,7 @@
 import attrs
 
 __all__ = [
+    "LONG_RUN_MS",
     "MIN_SUSPECT_RATIO",
     "PRIOR_ODDS",
     "STRONG_ODDS",
@@ -59,6 +60,10 @@
 MIN_SUSPECT_RATIO = 2.0
 """Minimum factor on the odds for a crash to count against a task."""
 
+LONG_RUN_MS = 7500.0
+"""Running time from which a task is past its start, in ms: a loss after it says little
+about the task, and earlier losses shortly after a start had other causes."""
+
 _MAX_UNPROVED_RATIO = 20.0
 """Maximum factor on the odds for a loss that is not proved to be a crash."""
 
@@ -105,8 +110,9 @@
     ----------
     notes : dict of int to CrashNote
         Losses by attempt, so that a loss that is reported twice counts once.
-    concurrent : set of int
-        Attempts whose worker was lost together with others, by a common cause.
+    excused : set of int
+        Attempts whose loss does not count as one of a row: it has a common cause with
+        the losses of other workers, or a later run went on for long.
     survived : float
         Factor by which runs without a crash lower the odds.
     attempt : int
@@ -119,7 +125,7 @@
     """
 
     notes: dict[int, CrashNote] = attrs.Factory(dict)
-    concurrent: set[int] = attrs.Factory(set)
+    excused: set[int] = attrs.Factory(set)
     survived: float = 1.0
     attempt: int = 0
     workers: list[str] = attrs.Factory(list)
@@ -148,8 +154,8 @@
 
     @property
     def single_losses(self) -> int:
-        """Number of these losses that have no common cause with others."""
-        return self.unproved_losses - len(self.concurrent)
+        """Number of these losses that are not excused."""
+        return self.unproved_losses - len(self.excused)
 
     @property
     def is_negligible(self) -> bool:
@@ -193,16 +199,20 @@
             return
         self.notes[attempt] = CrashNote(worker_id=worker_id, ratio=ratio, proved=proved)
         if is_concurrent:
-            self.concurrent.add(attempt)
+            self.excused.add(attempt)
         unproved_losses = sorted(n for n, note in self.notes.items() if not note.proved)
         for oldest in unproved_losses[:-_MAX_UNPROVED_LOSSES]:
             del self.notes[oldest]
-        self.concurrent &= self.notes.keys()
+        self.excused &= self.notes.keys()
 
     def record_survival(self, factor: float) -> None:
         """Apply a run that continued without a crash."""
         self.survived = min(1.0, max(_MIN_SURVIVAL, self.survived * factor))
 
+    def excuse_losses(self) -> None:
+        """Record that a run went on for long, so that no loss before it counts."""
+        self.excused = {n for n, note in self.notes.items() if not note.proved}
+
     def record_attempt(self, attempt: int, worker_id: str) -> None:
         """Record the worker on which an attempt is started."""
         if self.attempt != attempt:
--- a/trefoilhook/scheduling/tests/test_idle_jobs.py
+++ b/trefoilhook/scheduling/tests/test_idle_jobs.py
@@ -217,6 +217,26 @@
                 shard.add_worker(f"n{starts}-{len(shard.workers)}")
         self.assertLessEqual(starts, 3 * 7)
 
+    def test_long_run_ends_a_row_of_losses(self):
+        # Guards against service tasks that are held after two series of losses with a
+        # long run between them.
+        shard = Shard(workers=40)
+        service = attrs.evolve(_TASK, long_running=True)
+        shard.submit(build_job(service))
+        for loss in range(8):
+            began_ms = shard.now_ms
+            starts: list = []
+            while not starts and shard.now_ms < began_ms + 10_000.0:
+                starts = self.step(shard)
+            with self.subTest(losses=loss):
+                self.assertLess(shard.now_ms - began_ms, _MAX_IDLE_MS)
+            worker = shard.workers[starts[0].worker_id]
+            worker.update(starts[0].task, starts[0].attempt, percent=100.0)
+            for _ in range(120 if loss == 4 else 2):
+                self.step(shard)
+            self.lose(shard, {starts[0].worker_id})
+            shard.add_worker(f"n{loss}")
+
     def test_wave_of_one_job_is_no_common_cause(self):
         # Guards against a job whose tasks all silence their workers and that is taken
         # for the bystander of a wave.
