Judge every batch job by the users' rule in the search on virtual time

The search judged service tasks only, so that a batch job with nothing running beside free capacity was never seen. Series with `--jobs` play waves of dark workers, cuts that heal, failing workers, culprits that crash or silence their workers, and closings of all instances and workers, beside services that ask for less than half of the processors. From 14 s after the traffic, each job that could run must not have nothing running for 3 s, in calm or not.

--- a/bench/availability/__main__.py
+++ b/bench/availability/__main__.py
@@ -1,4 +1,4 @@
-"""Searches series of disruptions for service tasks that wait beside capacity."""
+"""Searches series of disruptions for tasks and jobs that wait beside capacity."""
 
 import argparse
 import contextlib
@@ -6,10 +6,11 @@
 import sys
 import time
 
+from bench.availability.job_series import build_job_series
 from bench.availability.known_faults import KNOWN_FAULTS, put_in
 from bench.availability.series import Series, build_series
 from bench.availability.shrinking import shrink
-from bench.availability.simulation import Outcome, simulate
+from bench.availability.simulation import Outcome, simulate, simulate_jobs
 
 
 def main() -> int:
@@ -19,12 +20,16 @@
     parser.add_argument("--count", type=int, default=10)
     parser.add_argument("--fault", choices=sorted(KNOWN_FAULTS))
     parser.add_argument("--shrink", action="store_true")
+    parser.add_argument("--jobs", action="store_true", help="judge batch jobs")
     arguments = parser.parse_args()
     fault = put_in(arguments.fault) if arguments.fault else contextlib.nullcontext()
     broken = 0
     with fault:
         for seed in range(arguments.seed, arguments.seed + arguments.count):
-            broken += _search(seed, is_shrunken=arguments.shrink)
+            if arguments.jobs:
+                broken += _search_jobs(seed)
+            else:
+                broken += _search(seed, is_shrunken=arguments.shrink)
     print(f"{broken} of {arguments.count} broken")
     return int(broken > 0)
 
@@ -40,6 +45,25 @@
     return outcome.is_broken
 
 
+def _search_jobs(seed: int) -> bool:
+    series = build_job_series(seed)
+    began_s = time.monotonic()
+    outcome = simulate_jobs(series)
+    took_s = time.monotonic() - began_s
+    print(
+        f"{seed}: {len(outcome.violations)} broken, longest "
+        f"{outcome.longest_ms:.0f} ms ({outcome.longest_early_ms:.0f} before), "
+        f"{len(outcome.duplicates)} run twice, {len(outcome.overstarted)} started too "
+        f"often, {len(outcome.given_up)} given up, {outcome.failures} failures, "
+        f"{outcome.jobs} jobs, {outcome.runs} runs, "
+        f"{series.length_ms / 1000:.0f} s in {took_s:.1f} s",
+        flush=True,
+    )
+    for row in (*outcome.violations[:3], *outcome.overstarted, *outcome.given_up):
+        print(f"  {row}", flush=True)
+    return outcome.is_broken
+
+
 def _find_break(series: Series) -> float | None:
     outcome = simulate(series)
     if outcome.violations:
--- a/bench/availability/fleet.py
+++ b/bench/availability/fleet.py
@@ -12,7 +12,7 @@
 import trio
 
 from bench.availability.network import Fault, Network, get_caller, run_as
-from bench.availability.worker import VirtualWorker
+from bench.availability.worker import LATENCY_LIMIT_MS, Behaviour, VirtualWorker
 from trefoilhook.clock import Clock
 from trefoilhook.http import HttpRequest
 from trefoilhook.platform import Bounds, InstanceSize, ProcessSettings
@@ -24,7 +24,17 @@
 from trefoilhook.standins.platform_store import PlatformStore
 from trefoilhook.standins.platform_worker import TaskRecord
 
-__all__ = ["PREFIXES", "SPECIAL_LABEL", "Fleet", "Instance", "ServiceJob"]
+__all__ = [
+    "CRASHES",
+    "PREFIXES",
+    "SILENCES",
+    "SPECIAL_LABEL",
+    "BatchJob",
+    "BatchStep",
+    "Fleet",
+    "Instance",
+    "ServiceJob",
+]
 
 _HOST = "shop.example"
 PREFIXES = ("/checks/", "/reports/")
@@ -35,6 +45,7 @@
 
 _STORE_ADDRESS = ("10.9.0.1", 1)
 _RESTART_MS = 800.0
+_WORKER_RESTART_MS = 3000.0
 _FAILURE_COUNTERS = frozenset({"plan_failures", "owner_failures", "call_failures"})
 _BOUNDS = Bounds(
     shutdown_ms=6000.0,
@@ -87,6 +98,72 @@
     is_cancelled: bool = False
 
 
+CRASHES = "crashes"
+SILENCES = "silences"
+"""What a culprit does to its worker."""
+
+
+@attrs.frozen(kw_only=True)
+class BatchStep:
+    """A step of a batch job.
+
+    Parameters
+    ----------
+    count, cpu, mem_mb : int
+        Tasks, and what each needs.
+    task_ms : float
+        Run time of a task at full speed, in ms.
+    max_per_worker : int
+        Maximum number of its tasks on a worker; 0 for no limit.
+    is_filler : bool
+        Whether its tasks use the processors that others leave.
+    image : str
+        Image of the tasks.
+    """
+
+    count: int
+    cpu: int
+    mem_mb: int
+    task_ms: float
+    max_per_worker: int = 0
+    is_filler: bool = False
+    image: str = ""
+
+
+@attrs.define(kw_only=True, eq=False)
+class BatchJob:
+    """A job whose tasks end.
+
+    Parameters
+    ----------
+    job_id : str
+        Its id.
+    steps : tuple of BatchStep
+        Its steps, each after the one before.
+    culprit : str
+        What its first task does to its workers, one of `CRASHES` and `SILENCES`; empty
+        for nothing.
+    harm_ms : float
+        Time from the start of that task until it does so, in ms.
+    accepted_ms : float or None
+        Time of the acceptance, in ms; None if it has not been accepted.
+    """
+
+    job_id: str
+    steps: tuple[BatchStep, ...]
+    culprit: str = ""
+    harm_ms: float = 0.0
+    accepted_ms: float | None = None
+
+
+@attrs.frozen(kw_only=True)
+class CulpritRun:
+    """A run that ended its worker."""
+
+    task: str
+    is_dark: bool
+
+
 class Fleet:
     """The store, the workers and the instances.
 
@@ -118,7 +195,10 @@
         self.workers: dict[str, VirtualWorker] = {}
         self.instances: list[Instance] = []
         self.services: dict[str, ServiceJob] = {}
-        self.needs: dict[str, tuple[int, int]] = {}
+        self.batch_jobs: dict[str, BatchJob] = {}
+        self.behaviour = Behaviour(end_worker=self._end_worker)
+        self.culprit_runs: list[CulpritRun] = []
+        self._needs: dict[str, tuple[int, int]] = {}
         self._task_ms: dict[str, float] = {}
         self._started_instances = 0
         self._started_workers = 0
@@ -154,6 +234,7 @@
             find_task_ms=self._find_task_ms,
             capacity={"cpu": cpu, "mem_mb": 128_000, "gpu": 0},
             labels=(SPECIAL_LABEL,) if number % 3 == 0 else (),
+            behaviour=self.behaviour,
         )
         self.workers[worker.worker_id] = worker
         self.network.handlers[worker.address] = worker.handle
@@ -161,7 +242,32 @@
         return worker
 
     def _find_task_ms(self, task: str) -> float:
-        return self._task_ms.get(task.partition(".")[0], 0.0)
+        return self._task_ms.get(task.rpartition(".")[0], 0.0)
+
+    def find_needs(self, task: str) -> tuple[int, int]:
+        """Return the counted processors (thousandths) and memory (MB) of a task."""
+        return self._needs[task.rpartition(".")[0]]
+
+    def _add_step(
+        self, job_id: str, *, cpu: int, mem_mb: int, task_ms: float, step: int = 0
+    ) -> None:
+        name = f"{job_id}.0.{step}"
+        self._needs[name] = (cpu, mem_mb)
+        self._task_ms[name] = task_ms
+
+    def _end_worker(self, worker: VirtualWorker, task: str) -> None:
+        """End a worker because of a task, and bring another one."""
+        is_dark = self.batch_jobs[task.partition(".")[0]].culprit == SILENCES
+        self.culprit_runs.append(CulpritRun(task=task, is_dark=is_dark))
+        self.crash_worker(worker, is_dark=is_dark)
+        self._nursery.start_soon(self._bring_back, worker, is_dark)
+
+    async def _bring_back(self, worker: VirtualWorker, is_dark: bool) -> None:
+        await self.clock.sleep_ms(_WORKER_RESTART_MS)
+        if is_dark:
+            self.start_worker(cpu=worker.capacity["cpu"])
+        else:
+            await self.restart_worker(worker)
 
     def list_alive(self) -> list[VirtualWorker]:
         """Return the workers that run and don't leave."""
@@ -316,24 +422,67 @@
             "anti_affinity": job.max_per_worker,
             "requirements": job.label,
         }
-        self._task_ms[job.job_id] = float("inf")
-        self.needs[job.job_id] = (job.cpu, job.mem_mb)
+        if self.behaviour.cost:
+            step["target_ms"] = LATENCY_LIMIT_MS
+        self._add_step(job.job_id, cpu=job.cpu, mem_mb=job.mem_mb, task_ms=float("inf"))
 
         def note_acceptance() -> None:
             job.accepted_ms = self.clock.monotonic_ms()
             self.services[job.job_id] = job
 
         self._nursery.start_soon(
-            self._submit, job.prefix + job.job_id, step, note_acceptance
+            self._submit, job.prefix + job.job_id, [step], note_acceptance
+        )
+
+    def submit_batch(self, job: BatchJob) -> None:
+        """Submit a batch job until it is accepted."""
+        steps = []
+        for number, step in enumerate(job.steps):
+            steps.append(
+                {
+                    "count": step.count,
+                    "cpu": step.cpu,
+                    "mem_mb": step.mem_mb,
+                    "estimate_ms": step.task_ms,
+                    "anti_affinity": step.max_per_worker,
+                    "after": [number - 1] if number else [],
+                    "fill_count": int(step.is_filler),
+                    "image": step.image,
+                    "checkpointing": step.is_filler,
+                }
+            )
+            counted_cpu = 0 if step.is_filler else step.cpu
+            self._add_step(
+                job.job_id,
+                cpu=counted_cpu,
+                mem_mb=step.mem_mb,
+                task_ms=step.task_ms,
+                step=number,
+            )
+            self.behaviour.batch_steps.add(f"{job.job_id}.0.{number}")
+            if step.is_filler:
+                self.behaviour.filler_cpu[f"{job.job_id}.0.{number}"] = step.cpu
+        if job.culprit:
+            self.behaviour.harm_delays_ms[f"{job.job_id}.0.0.0"] = job.harm_ms
+
+        def note_acceptance() -> None:
+            job.accepted_ms = self.clock.monotonic_ms()
+            self.batch_jobs[job.job_id] = job
+
+        self.batch_jobs[job.job_id] = job
+        self._nursery.start_soon(
+            self._submit, PREFIXES[0] + job.job_id, steps, note_acceptance
         )
 
     def submit_urgent(self, *, count: int, cpu: int, duration_ms: float) -> None:
         """Submit an urgent job."""
         step = {"count": count, "cpu": cpu, "mem_mb": 8000, "estimate_ms": duration_ms}
         job_id = self.name_job()
-        self.needs[job_id] = (cpu, 8000)
-        self._task_ms[job_id] = duration_ms * self.random.uniform(0.6, 1.4)
-        self._nursery.start_soon(self._submit, PREFIXES[0] + job_id, step, lambda: None)
+        task_ms = duration_ms * self.random.uniform(0.6, 1.4)
+        self._add_step(job_id, cpu=cpu, mem_mb=8000, task_ms=task_ms)
+        self._nursery.start_soon(
+            self._submit, PREFIXES[0] + job_id, [step], lambda: None
+        )
 
     def cancel_service(self, job: ServiceJob) -> None:
         """Cancel a service."""
@@ -353,9 +502,12 @@
         return f"{self._jobs:016x}"
 
     async def _submit(
-        self, path: str, step: dict[str, Any], note_acceptance: Callable[[], None]
+        self,
+        path: str,
+        steps: list[dict[str, Any]],
+        note_acceptance: Callable[[], None],
     ) -> None:
-        body = json.dumps({"spec": "x", "steps": [step]}).encode()
+        body = json.dumps({"spec": "x", "steps": steps}).encode()
         for _ in range(20):
             status = await self._send("POST", path, body)
             if 200 <= status < 300:
--- a/bench/availability/judge.py
+++ b/bench/availability/judge.py
@@ -160,7 +160,7 @@
             by_job: dict[str, int] = {}
             for record in worker.list_open():
                 job_id = record.task.partition(".")[0]
-                needs = self.fleet.needs[job_id]
+                needs = self.fleet.find_needs(record.task)
                 cpu, mem_mb = cpu - needs[0], mem_mb - needs[1]
                 by_job[job_id] = by_job.get(job_id, 0) + 1
             free.append(
--- a/bench/availability/known_faults.py
+++ b/bench/availability/known_faults.py
@@ -1,12 +1,18 @@
 """Faults that are put into the product to show that the search finds them."""
 
 import contextlib
+import math
 from collections.abc import Iterator
 from typing import Any
 from unittest import mock
 
+from trefoilhook.scheduling import starvation
+
 __all__ = ["KNOWN_FAULTS", "put_in"]
 
+_start_one = starvation._start_one
+_MAX_HELPED_JOBS = 4
+
 
 def _return_false(*_arguments: Any, **_options: Any) -> bool:
     return False
@@ -16,6 +22,25 @@
     return {}
 
 
+def _return_true(*_arguments: Any, **_options: Any) -> bool:
+    return True
+
+
+def _return_infinity(*_arguments: Any, **_options: Any) -> float:
+    return math.inf
+
+
+def _help_few_jobs(assignment_round: Any, *arguments: Any) -> None:
+    """Help four starved jobs in a round, as workers are rated for each of them."""
+    helped = sum(
+        task.attempts[-1].run.initial_pace == starvation.THROTTLED_PACE
+        for task in assignment_round.started
+        if task.attempts
+    )
+    if helped < _MAX_HELPED_JOBS:
+        _start_one(assignment_round, *arguments)
+
+
 async def _find_nothing(*_arguments: Any, **_options: Any) -> None:
     pass
 
@@ -45,8 +70,17 @@
     "long isolation": {**_NO_LIMIT, "scheduling.isolation._ISOLATION_MS": 30_000.0},
     "long delays of suspects": {
         "scheduling.crashes._RETRY_DELAY_MS": 60_000.0,
-        "scheduling.crashes._MAX_SERVICE_LOSSES": 0,
+        "scheduling.crashes._MAX_QUICK_LOSSES": 0,
+        "scheduling.crashes._MAX_QUICK_SERVICE_LOSSES": 0,
+    },
+    "few starved jobs": {
+        "scheduling.starvation._start_one": _help_few_jobs,
+        "scheduling.assignment._FILLER_INTERVAL_PER_WORKER_MS": 20.0,
     },
+    "late relief": {"scheduling.starvation.STARVATION_DELAY_MS": 5000.0},
+    "no limit of batch waits": {"scheduling.overdue.has_runs": _return_true},
+    "no common causes": {"scheduling.crashes._limit_by_common_cause": _return_infinity},
+    "unbounded culprits": {"scheduling.crashes._MAX_QUICK_LOSSES": 100},
 }
 """Replacements of the product's objects by the name of the fault."""
 
--- a/bench/availability/player.py
+++ b/bench/availability/player.py
@@ -5,6 +5,7 @@
 import trio
 
 from bench.availability.fleet import Fleet, ServiceJob
+from bench.availability.job_series import CLOSINGS, JOB_KINDS
 from bench.availability.judge import Judge
 from bench.availability.load import WORKER_CPU, build_service
 from bench.availability.network import Fault
@@ -159,6 +160,33 @@
         for worker in workers:
             self._fleet.start_worker(cpu=worker.capacity["cpu"])
 
+    async def _darken_workers(self, action: Action) -> None:
+        workers = self._choose(action.share)
+        self._disrupt(action.duration_ms)
+        for worker in workers:
+            self._fleet.crash_worker(worker, is_dark=True)
+        await self._fleet.clock.sleep_ms(action.duration_ms)
+        for worker in workers:
+            await self._fleet.restart_worker(worker)
+
+    async def _end_all_workers(self, action: Action) -> None:
+        workers = self._fleet.list_alive()
+        self._disrupt(action.duration_ms)
+        for worker in workers:
+            self._fleet.crash_worker(worker, is_dark=True)
+        await self._fleet.clock.sleep_ms(action.duration_ms)
+        for worker in workers:
+            await self._fleet.restart_worker(worker)
+
+    async def _kill_all_instances(self, action: Action) -> None:
+        self._disrupt(1000.0)
+        for instance in self._fleet.list_running():
+            self._fleet.kill_instance(instance)
+
+    async def _power_off_everything(self, action: Action) -> None:
+        await self._kill_all_instances(action)
+        await self._end_all_workers(action)
+
     async def _flap_workers(self, action: Action) -> None:
         workers = self._choose(min(action.share, 0.35))
         self._disrupt(action.duration_ms + 700.0)
@@ -220,6 +248,15 @@
     async def _store_silent(self, action: Action) -> None:
         await self._fail_store(action, StoreFault.SILENT)
 
+    async def _failing_workers(self, action: Action) -> None:
+        workers = self._choose(action.share)
+        self._disrupt(action.duration_ms)
+        for worker in workers:
+            worker.fault = WorkerFault.FAILS_TASKS
+        await self._fleet.clock.sleep_ms(action.duration_ms)
+        for worker in workers:
+            worker.fault = WorkerFault.NONE
+
     async def _late_starts(self, action: Action) -> None:
         workers = self._choose(action.share)
         self._disrupt(action.duration_ms + 600.0)
@@ -231,5 +268,6 @@
 
 
 _ACTIONS: dict[str, Callable[["Player", Action], Awaitable[None]]] = {
-    kind: getattr(Player, "_" + kind.replace(" ", "_")) for kind in PLANNED + UNPLANNED
+    kind: getattr(Player, "_" + kind.replace(" ", "_"))
+    for kind in (*PLANNED, *UNPLANNED, *CLOSINGS, *JOB_KINDS)
 }
--- a/bench/availability/simulation.py
+++ b/bench/availability/simulation.py
@@ -1,12 +1,17 @@
 """Simulation of a series on virtual time."""
 
 import random
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
 
 import attrs
 import trio
 import trio.testing
 
 from bench.availability.fleet import Fleet
+from bench.availability.job_judge import JobJudge, JobViolation
+from bench.availability.job_load import submit_jobs
+from bench.availability.job_series import JUDGED_AFTER_MS, JobSeries
 from bench.availability.judge import Judge, Violation
 from bench.availability.load import WORKER_CPU, submit_load
 from bench.availability.network import Network
@@ -14,7 +19,10 @@
 from bench.availability.series import AIMED_AT_SERVICES, Series
 from trefoilhook.clock import Clock
 
-__all__ = ["Outcome", "simulate"]
+__all__ = ["JobOutcome", "Outcome", "simulate", "simulate_jobs"]
+
+_S = TypeVar("_S", Series, JobSeries)
+_O = TypeVar("_O")
 
 _EPOCH_MS = 1_700_000_000_000.0
 """Wall time at the begin of a simulation, in ms; fixed, so that a series is repeated
@@ -60,6 +68,51 @@
         )
 
 
+@attrs.frozen(kw_only=True)
+class JobOutcome:
+    """Outcome of a simulation with batch jobs.
+
+    Parameters
+    ----------
+    violations : tuple of JobViolation
+        Jobs with nothing running although they could.
+    longest_ms, longest_early_ms : float
+        Longest time for which a job had nothing running although it could, when jobs
+        are judged and before, in ms.
+    duplicates : tuple of str
+        Tasks with two runs at a time, or with a run after a completed one.
+    overstarted : tuple of str
+        Culprits that were started too often.
+    given_up : tuple of str
+        Jobs that were given up without a culprit.
+    failures : int
+        Number of unexpected errors that the instances contained.
+    jobs, runs : int
+        Number of jobs, and of runs.
+    """
+
+    violations: tuple[JobViolation, ...]
+    longest_ms: float
+    longest_early_ms: float
+    duplicates: tuple[str, ...]
+    overstarted: tuple[str, ...]
+    given_up: tuple[str, ...]
+    failures: int
+    jobs: int
+    runs: int
+
+    @property
+    def is_broken(self) -> bool:
+        """Whether a rule is broken."""
+        return bool(
+            self.violations
+            or self.duplicates
+            or self.overstarted
+            or self.given_up
+            or self.failures
+        )
+
+
 def _build_clock() -> Clock:
     async def sleep_ms(duration_ms: float) -> None:
         await trio.sleep(duration_ms / 1000.0)
@@ -85,11 +138,20 @@
 
     It is repeated exactly only if ``PYTHONHASHSEED`` is fixed.
     """
+    return _run(series, _play)
+
+
+def simulate_jobs(series: JobSeries) -> JobOutcome:
+    """Simulate a series with batch jobs."""
+    return _run(series, _play_jobs)
+
+
+def _run(series: _S, play: Callable[[_S, Fleet, trio.Nursery], Awaitable[_O]]) -> _O:
     _schedule_repeatably(series.seed)
     generator = random.Random(series.seed + 2)
     network = Network(random=generator)
 
-    async def main() -> Outcome:
+    async def main() -> _O:
         async with trio.open_nursery() as nursery:
             fleet = Fleet(
                 nursery=nursery,
@@ -98,7 +160,7 @@
                 generator=generator,
             )
             with fleet.observe_owners():
-                outcome = await _play(series, fleet, nursery)
+                outcome = await play(series, fleet, nursery)
             nursery.cancel_scope.cancel()
         return outcome
 
@@ -106,23 +168,54 @@
         return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
-async def _play(series: Series, fleet: Fleet, nursery: trio.Nursery) -> Outcome:
-    clock = fleet.clock
+async def _start_fleet(series: Series | JobSeries, fleet: Fleet) -> None:
     fleet.start_store()
     for _ in range(series.workers):
         fleet.start_worker(cpu=WORKER_CPU)
     for _ in range(series.instances):
         fleet.start_instance()
-    await clock.sleep_ms(2000.0)
-    judge = Judge(fleet=fleet)
-    nursery.start_soon(_submit, fleet, series)
-    nursery.start_soon(judge.run)
+    await fleet.clock.sleep_ms(2000.0)
+
+
+async def _play_actions(
+    series: Series | JobSeries, fleet: Fleet, judge: Judge, nursery: trio.Nursery
+) -> None:
+    clock = fleet.clock
     player = Player(fleet, judge, nursery)
     began_ms = clock.monotonic_ms()
     for action in series.actions:
         await _sleep_until(clock, began_ms + action.at_ms)
         nursery.start_soon(player.play, action)
     await _sleep_until(clock, began_ms + series.length_ms)
+
+
+async def _play_jobs(
+    series: JobSeries, fleet: Fleet, nursery: trio.Nursery
+) -> JobOutcome:
+    await _start_fleet(series, fleet)
+    judge = JobJudge(fleet=fleet, begin_ms=series.traffic_ms + JUDGED_AFTER_MS)
+    nursery.start_soon(submit_jobs, fleet, series)
+    nursery.start_soon(judge.run)
+    await _play_actions(series, fleet, Judge(fleet=fleet), nursery)
+    return JobOutcome(
+        violations=tuple(judge.violations),
+        longest_ms=judge.longest_ms,
+        longest_early_ms=judge.longest_early_ms,
+        duplicates=tuple(fleet.find_duplicate_runs()),
+        overstarted=tuple(judge.find_overstarted(allowed=len(series.actions))),
+        given_up=tuple(judge.find_given_up()),
+        failures=fleet.count_failures(),
+        jobs=len(fleet.batch_jobs),
+        runs=sum(len(worker.records) for worker in fleet.workers.values()),
+    )
+
+
+async def _play(series: Series, fleet: Fleet, nursery: trio.Nursery) -> Outcome:
+    await _start_fleet(series, fleet)
+    judge = Judge(fleet=fleet)
+    nursery.start_soon(_submit, fleet, series)
+    nursery.start_soon(judge.run)
+    await _play_actions(series, fleet, judge, nursery)
     return Outcome(
         violations=tuple(judge.violations),
         longest_ms=judge.longest_ms,
