--- a/bench/availability/job_judge.py
+++ b/bench/availability/job_judge.py
@@ -5,6 +5,7 @@
 import attrs
 
 from bench.availability.fleet import CRASHES, SILENCES, BatchJob, Fleet
+from bench.availability.network import Fault
 from bench.availability.worker import VirtualWorker
 from trefoilhook.scheduling import list_long_waits
 from trefoilhook.standins.platform_worker import TaskRecord
@@ -24,6 +25,9 @@
 """Capacity beside which a job has to run: for two of its tasks, and with less than this
 fraction of the processors in use."""
 
+_LEASE_MS = 5400.0
+"""Longest lease on a worker that falls silent, with the margin for its clock, in ms."""
+
 _MAX_STARTS = 5
 """Starts of a task that ends its workers: two after three crashes."""
 
@@ -135,6 +139,7 @@
                 steps[record.task.rpartition(".")[0]] += 1
             if not worker.is_draining:
                 free.append((worker, cpu, mem_mb, steps))
+        running |= self._list_leased(now_ms)
         capacity = sum(worker.capacity["cpu"] for worker in workers)
         used_share = used / capacity if capacity else 1.0
         done = self._list_done()
@@ -143,6 +148,21 @@
                 continue
             self._check_job(job, running, used_share, done, free, now_ms)
 
+    def _list_leased(self, now_ms: float) -> set[str]:
+        """Return the jobs with runs on silent machines whose leases have not expired.
+
+        Nobody can know that these runs have ended, and a second one is not allowed.
+        """
+        return {
+            record.task.partition(".")[0]
+            for worker in self.fleet.workers.values()
+            if self.fleet.network.find_fault("", worker.address) is Fault.CUT
+            for record in worker.records
+            if record.how == "crashed"
+            and record.ended_ms is not None
+            and now_ms - record.ended_ms < _LEASE_MS
+        }
+
     def _list_done(self) -> dict[str, set[str]]:
         """Return the completed tasks by step; those that may have been lost count."""
         done: dict[str, set[str]] = {}
