--- a/bench/availability/fleet.py
+++ b/bench/availability/fleet.py
@@ -22,7 +22,6 @@
 from trefoilhook.scheduling.job_state import JobState
 from trefoilhook.standins import platform_documents
 from trefoilhook.standins.platform_store import PlatformStore
-from trefoilhook.standins.platform_worker import TaskRecord
 
 __all__ = [
     "CRASHES",
@@ -375,12 +374,23 @@
     def find_duplicate_runs(self) -> list[str]:
         """Return the tasks with overlapping runs, or with one after a completed one.
 
-        A completed run whose end was not acknowledged may have been lost.
+        A completed run whose end was not acknowledged before the worker's leases had
+        expired may have been lost.
         """
-        by_task: dict[str, list[TaskRecord]] = {}
+        by_task: dict[str, list[_Span]] = {}
         for worker in self.workers.values():
             for record in worker.records:
-                by_task.setdefault(record.task, []).append(record)
+                is_lapsed = (record.task, record.attempt) in worker.lapsed_ends
+                span = _Span(
+                    started_ms=record.started_ms,
+                    ended_ms=float("inf")
+                    if record.ended_ms is None
+                    else record.ended_ms,
+                    is_final=record.how == "done"
+                    and record.acknowledged
+                    and not is_lapsed,
+                )
+                by_task.setdefault(record.task, []).append(span)
         return [task for task, runs in by_task.items() if _overlap(runs)]
 
     def list_running(self) -> list[Instance]:
@@ -539,10 +549,18 @@
         return statuses[0] if statuses else 0
 
 
-def _overlap(runs: list[TaskRecord]) -> bool:
+@attrs.frozen(kw_only=True)
+class _Span:
+    """A run, and whether its task must not run again."""
+
+    started_ms: float
+    ended_ms: float
+    is_final: bool
+
+
+def _overlap(runs: list[_Span]) -> bool:
     ordered = sorted(runs, key=lambda run: run.started_ms)
     return any(
-        later.started_ms < (float("inf") if run.ended_ms is None else run.ended_ms)
-        or (run.how == "done" and run.acknowledged)
+        later.started_ms < run.ended_ms or run.is_final
         for run, later in itertools.pairwise(ordered)
     )
--- a/bench/availability/worker.py
+++ b/bench/availability/worker.py
@@ -80,6 +80,12 @@
         Labels in its entry.
     behaviour : Behaviour, optional
         How tasks disturb others and their worker.
+
+    Attributes
+    ----------
+    lapsed_ends : set of (str, int)
+        Runs, by task and attempt, whose ends had not been acknowledged when the leases
+        expired: users don't count an acknowledgement after that.
     """
 
     def __init__(
@@ -107,6 +113,7 @@
         self._paces: dict[tuple[str, int], int] = {}
         self._worked_ms: dict[tuple[str, int], float] = {}
         self._advanced_ms = clock.monotonic_ms()
+        self.lapsed_ends: set[tuple[str, int]] = set()
         self._key = f"servers/{worker_id}"
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -208,6 +215,10 @@
         passed_ms = now_ms - self._advanced_ms
         self._advanced_ms = now_ms
         is_lapsed = self._read_local_clock() > self._deadline_ms
+        if is_lapsed:
+            self.lapsed_ends |= {
+                (end.task, end.attempt) for _, end in self._unacknowledged_ends
+            }
         for record in self._list_running():
             worked_ms = self._measure_work(record, now_ms, passed_ms)
             harm_ms = self._behaviour.harm_delays_ms.get(record.task)
