--- a/trefoilhook/scheduling/tests/test_idle_jobs.py
+++ b/trefoilhook/scheduling/tests/test_idle_jobs.py
@@ -18,7 +18,6 @@
 )
 from trefoilhook.scheduling.records import Progress, decode_progress, encode_progress
 from trefoilhook.scheduling.reservations import Reservation
-from trefoilhook.scheduling.service_holds import StepWait
 from trefoilhook.scheduling.suspicion import Suspicion
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 from trefoilhook.scheduling.tests.test_starvation import _learn_weight
@@ -68,6 +67,29 @@
     return first
 
 
+def suspect_strongly(shard: Shard, job_id: str) -> None:
+    """Record a crash against each task of a job."""
+    for task in shard.scheduler.jobs[job_id].tasks.values():
+        shard.scheduler.suspects.get_or_add(task).record_loss(
+            1, "gone", 5000.0, proved=True
+        )
+    shard.save()
+
+
+def reserve_all_workers(shard: Shard) -> None:
+    """Reserve all workers for a step with a higher priority."""
+    for worker in shard.scheduler.workers.values():
+        worker.reservation = Reservation(
+            step=("other", 0, 0),
+            worker_id=worker.report.worker_id,
+            priority=-1,
+            demand=Demand(cpu=8000),
+            begun_ms=shard.now_ms,
+            due_ms=shard.now_ms + 60_000.0,
+            allows_backfill=False,
+        )
+
+
 class StarvedJobsTest(unittest.TestCase):
     """Fillers that no service task tolerates at full speed."""
 
@@ -133,6 +155,21 @@
         first = wait_for_first_starts(shard, {"batch"}, within_ms=_MAX_IDLE_MS)
         self.assertEqual(first.keys(), {"batch"})
 
+    def test_suspected_fillers_of_many_jobs_start_in_time(self):
+        # Guards against starved jobs that wait for the isolated runs of others.
+        shard = Shard(workers=8, cpu=16_000)
+        start_services(shard, 8)
+        names = {f"batch{number}" for number in range(12)}
+        for name in names:
+            shard.submit(build_job(attrs.evolve(_FILLER, count=1), job_id=name))
+            suspect_strongly(shard, name)
+        started: set[str] = set()
+        began_ms = shard.now_ms
+        while shard.now_ms < began_ms + _MAX_IDLE_MS:
+            started |= {start.task.job_id for start in list_starts(shard.step())}
+            shard.save()
+        self.assertEqual(started, names)
+
 
 class RepeatedLossTest(unittest.TestCase):
     """Batch tasks whose workers fall silent."""
@@ -164,16 +201,7 @@
         # Guards against delays of suspects that are longer than users wait.
         shard = Shard(workers=40)
         shard.submit(build_job(_TASK))
-        for loss in range(5):
-            began_ms = shard.now_ms
-            starts: list = []
-            while not starts and shard.now_ms < began_ms + 70_000.0:
-                starts = self.step(shard)
-            with self.subTest(losses=loss):
-                self.assertLess(shard.now_ms - began_ms, _MAX_IDLE_MS)
-            shard.advance_time(200.0)
-            self.lose(shard, {starts[0].worker_id})
-            shard.add_worker(f"n{loss}")
+        self.check_starts(shard, losses=4)
 
     def test_bystander_of_repeated_waves_starts_in_time(self):
         # Guards against tasks that are suspected although many workers fall silent
@@ -217,6 +245,78 @@
                 shard.add_worker(f"n{starts}-{len(shard.workers)}")
         self.assertLessEqual(starts, 3 * 7)
 
+    def test_service_task_starts_in_time_after_five_losses(self):
+        # Guards against service tasks that are held as long as culprits whose starts
+        # users limit.
+        shard = Shard(workers=40)
+        shard.submit(build_job(attrs.evolve(_TASK, long_running=True)))
+        self.check_starts(shard, losses=5)
+
+    def check_starts(self, shard: Shard, *, losses: int) -> None:
+        """Check that the only task starts in time, also after each of some losses."""
+        for loss in range(losses + 1):
+            began_ms = shard.now_ms
+            starts: list = []
+            while not starts and shard.now_ms < began_ms + 70_000.0:
+                starts = self.step(shard)
+            with self.subTest(losses=loss):
+                self.assertLess(shard.now_ms - began_ms, _MAX_IDLE_MS)
+            shard.advance_time(200.0)
+            self.lose(shard, {starts[0].worker_id})
+            shard.add_worker(f"n{loss}")
+
+    def test_stopped_long_run_ends_a_row_of_losses(self):
+        # Guards against earlier losses that count although the task ran for long since
+        # and was then moved.
+        shard = Shard(workers=2)
+        shard.submit(build_job(attrs.evolve(_TASK, long_running=True)))
+        (task,) = shard.scheduler.waiting
+        suspicion = shard.scheduler.suspects.get_or_add(task)
+        for attempt in range(1, 5):
+            suspicion.record_loss(attempt, f"x{attempt}", 20.0, proved=False)
+        shard.save()
+        starts: list = []
+        while not starts:
+            starts = self.step(shard)
+        worker = shard.workers[starts[0].worker_id]
+        worker.update(starts[0].task, starts[0].attempt, percent=100.0)
+        for _ in range(90):
+            self.step(shard)
+        shard.end(starts[0], EndKind.STOPPED)
+        self.assertEqual(suspicion.single_losses, 0)
+
+    def test_worker_that_answers_again_is_no_loss(self):
+        # Guards against partitions that heal and excuse culprits.
+        shard = Shard(workers=8)
+        shard.submit(build_job())
+        (start,) = list_starts(shard.step())
+        others = [name for name in shard.scheduler.workers if name != start.worker_id]
+        for worker_id in (start.worker_id, *others[:3]):
+            shard.silence(worker_id)
+        lost = shard.scheduler.workers[start.worker_id]
+        losses = shard.scheduler.suspects.concurrent_losses
+        losses.refresh(shard.scheduler.workers.values(), shard.now_ms)
+        share = losses.measure_share(lost.incarnation, "j", workers=8)
+        self.assertEqual(share, 0.5)
+        shard.advance_time(1000.0)
+        for worker_id in others[:3]:
+            shard.poll(worker_id)
+        losses.refresh(shard.scheduler.workers.values(), shard.now_ms)
+        share = losses.measure_share(lost.incarnation, "j", workers=8)
+        self.assertEqual(share, 0.0)
+
+    def test_retracted_loss_is_not_excused(self):
+        # Guards against more excused losses than losses.
+        shard = Shard(workers=2)
+        shard.submit(build_job())
+        (task,) = shard.scheduler.waiting
+        suspicion = shard.scheduler.suspects.get_or_add(task)
+        suspicion.record_loss(1, "a", 2.0, proved=False, is_concurrent=True)
+        suspicion.record_loss(2, "b", 20.0, proved=False)
+        shard.scheduler.suspects.record_lost_worker("a", task)
+        shard.scheduler.suspects.retract_losses("a")
+        self.assertEqual(suspicion.single_losses, 1)
+
     def test_long_run_ends_a_row_of_losses(self):
         # Guards against service tasks that are held after two series of losses with a
         # long run between them.
@@ -268,12 +368,8 @@
         # waiting without any bound.
         shard = Shard(workers=8)
         for number in range(12):
-            shard.submit(build_job(attrs.evolve(_TASK, count=1), job_id=f"c{number}"))
-            (task,) = shard.scheduler.jobs[f"c{number}"].tasks.values()
-            shard.scheduler.suspects.get_or_add(task).record_loss(
-                1, "gone", 5000.0, proved=True
-            )
-        shard.save()
+            shard.submit(build_job(_TASK, job_id=f"c{number}"))
+            suspect_strongly(shard, f"c{number}")
         began_ms = shard.now_ms
         started: set[str] = set()
         while shard.now_ms < began_ms + _MAX_IDLE_MS:
@@ -281,41 +377,40 @@
             shard.save()
         self.assertEqual(len(started), 12)
 
-    def test_task_beside_reserved_workers_starts_in_time(self):
+    def count_starts_beside_reservations(self, shard: Shard, **fields) -> int:
+        """Return the starts within the users' limit while all workers are reserved."""
+        shard.submit(build_job(attrs.evolve(_TASK, **fields), job_id="j"))
+        reserve_all_workers(shard)
+        starts = 0
+        began_ms = shard.now_ms
+        with mock.patch.object(assignment, "update_reservations"):
+            while shard.now_ms < began_ms + _MAX_IDLE_MS:
+                starts += len(list_starts(shard.step()))
+        return starts
+
+    def test_one_task_beside_reserved_workers_starts_in_time(self):
         # Guards against workers that are reserved for displaced service tasks while a
-        # job has nothing running.
+        # job has nothing running, and against jobs that take all of them.
         shard = Shard(workers=4, cpu=8000)
-        shard.submit(build_job(job_id="j"))
-        (task,) = shard.scheduler.jobs["j"].tasks.values()
-        for worker in shard.scheduler.workers.values():
-            worker.reservation = Reservation(
-                step=("other", 0, 0),
-                worker_id=worker.report.worker_id,
-                priority=-1,
-                demand=Demand(cpu=8000),
-                begun_ms=shard.now_ms,
-                due_ms=shard.now_ms + 60_000.0,
-                allows_backfill=False,
-            )
-        with mock.patch.object(assignment, "update_reservations"):
-            first = wait_for_first_starts(shard, {"j"}, within_ms=_MAX_IDLE_MS)
-        self.assertEqual(first.keys(), {"j"})
+        self.assertEqual(self.count_starts_beside_reservations(shard, count=5), 1)
 
-    def test_only_one_task_of_an_overdue_batch_step_starts(self):
-        # Guards against batch steps that override reservations with all their tasks.
-        shard = Shard(workers=8)
-        shard.submit(build_job(attrs.evolve(_TASK, count=20), job_id="j"))
-        for task in shard.scheduler.jobs["j"].tasks.values():
-            shard.scheduler.suspects.get_or_add(task).record_loss(
-                1, "gone", 5000.0, proved=True
-            )
-        shard.scheduler.overdue.restore(
-            ("j", 0, 0), StepWait(waited_ms=2000.0), shard.now_ms
-        )
-        shard.save()
-        shard.plan()
-        shard.save()
-        self.assertLessEqual(len(list_starts(shard.plan())), 2)
+    def test_reservations_of_a_busy_fleet_are_kept(self):
+        # Guards against jobs that use reserved workers where jobs have to compete.
+        shard = Shard(workers=4, cpu=8000)
+        other = attrs.evolve(_SERVICE, count=4, demand=Demand(cpu=5200))
+        shard.submit(build_job(other, job_id="other"))
+        shard.step()
+        self.assertEqual(self.count_starts_beside_reservations(shard, count=1), 0)
+
+    def test_overdue_task_does_not_return_to_worker_where_it_failed(self):
+        # Guards against a worker that fails every task and uses up the job's attempts.
+        shard = Shard(workers=1)
+        shard.submit(build_job(_TASK, job_id="j"))
+        (task,) = shard.scheduler.waiting
+        task.shared.failed_on.add("w0")
+        shard.scheduler.workers["w0"].faulty_until_ms = shard.now_ms + 60_000.0
+        first = wait_for_first_starts(shard, {"j"}, within_ms=2.0 * _MAX_IDLE_MS)
+        self.assertEqual(first, {})
 
 
 if __name__ == "__main__":
