Log for how long nothing of a batch job has run, and why

Users take a batch job as lost if nothing of it runs for 3 s beside capacity for two of its tasks on a mostly idle service. No line told how near an owner was to that: TASK_WAITS describes steps and leaves out whether the job has runs.

Rounds that place fillers record the jobs with due tasks and no run, the time by reason, and for how long in a row the conditions of the rule hold as the owner sees them. JOB_IDLE describes at most twelve of them a second and counts the others; JOB_IDLE_ENDED tells the whole time once a job runs again. No decision depends on the records; the capacity of a service is computed once for them and for overdue steps.

--- a/trefoilhook/logs/events.py
+++ b/trefoilhook/logs/events.py
@@ -203,6 +203,16 @@
         "Mean time of a queue's jobs by stage, and why they waited.",
     )
     LOOP_TIMES = (1627, Level.INFO, "Time of an owner's event loop by kind of work.")
+    JOB_IDLE = (
+        1628,
+        Level.INFO,
+        "Nothing of a batch job has run for over a second although a task is due.",
+    )
+    JOB_IDLE_ENDED = (
+        1629,
+        Level.INFO,
+        "An idle batch job runs again, or no longer waits.",
+    )
     WORKER_RESERVED = (1630, Level.INFO, "A worker is reserved for a waiting task.")
     RESERVATION_ENDED = (1631, Level.INFO, "A reserved worker is available again.")
     COPY_STARTED = (
--- a/trefoilhook/runtime/maintenance.py
+++ b/trefoilhook/runtime/maintenance.py
@@ -1,5 +1,7 @@
 """Periodic maintenance by a shard's owner."""
 
+from collections.abc import Iterator, Sequence
+
 import attrs
 
 from trefoilhook.clock import Clock
@@ -11,12 +13,14 @@
 from trefoilhook.runtime.ownership import Ownership
 from trefoilhook.runtime.snapshots import Snapshot
 from trefoilhook.scheduling import (
+    IdleJob,
     Scheduler,
     ShortfallCounter,
     TaskState,
     list_long_waits,
     measure_backlogs,
     measure_evacuated,
+    select_longest,
 )
 
 __all__ = ["Maintenance"]
@@ -56,8 +60,9 @@
 _MIN_LOGGED_WAIT_MS = 1000.0
 _WAIT_LOG_PERIOD_MS = 1000.0
 _MAX_LOGGED_WAITS = 12
-"""Minimum wait of a task that is logged, interval between the lines, and maximum number
-of lines per interval. A takeover may hold hundreds of tasks."""
+"""Minimum wait of a task or an idle job that is logged, interval between the lines, and
+maximum number of lines of an event per interval. A takeover may hold hundreds of tasks.
+"""
 
 
 class Maintenance:
@@ -149,6 +154,33 @@
                     **({"unlogged_steps": unlogged} if unlogged else {}),
                 )
 
+    async def log_idle_jobs(self) -> None:
+        """Periodically log the batch jobs of which nothing has run for over a second.
+
+        Another line tells for how long nothing of a job has run in all, once it runs
+        again or no task of it is due any more.
+        """
+        while True:
+            await self._clock.sleep_ms(_WAIT_LOG_PERIOD_MS)
+            tracker = self._scheduler.waits.idle_jobs
+            now_ms = self._clock.monotonic_ms()
+            ended, dropped = tracker.take_ended(now_ms)
+            for job, unlogged in _limit(ended, dropped):
+                log_event(
+                    Event.JOB_IDLE_ENDED,
+                    epoch=self._ownership.epoch,
+                    **attrs.asdict(job),
+                    **unlogged,
+                )
+            idle = tracker.list_jobs(min_idle_ms=_MIN_LOGGED_WAIT_MS, now_ms=now_ms)
+            for job, unlogged in _limit(idle):
+                log_event(
+                    Event.JOB_IDLE,
+                    epoch=self._ownership.epoch,
+                    **attrs.asdict(job),
+                    **unlogged,
+                )
+
     async def log_shortfalls(self) -> None:
         """Periodically log missing or slow tasks of long-running jobs.
 
@@ -218,3 +250,13 @@
                 await self._clock.sleep_ms(pause_ms)
             except StoreError:
                 await self._clock.sleep_ms(1000.0)
+
+
+def _limit(
+    jobs: Sequence[IdleJob], dropped: int = 0
+) -> Iterator[tuple[IdleJob, dict[str, int]]]:
+    """Yield the jobs to log, each with the number of those left out, if any."""
+    selected = select_longest(jobs, _MAX_LOGGED_WAITS)
+    unlogged = len(jobs) - len(selected) + dropped
+    for job in selected:
+        yield job, {"unlogged_jobs": unlogged} if unlogged else {}
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -383,6 +383,7 @@
             maintenance.remove_ended_jobs,
             maintenance.log_backlogs,
             maintenance.log_long_waits,
+            maintenance.log_idle_jobs,
             maintenance.log_shortfalls,
             maintenance.log_evacuations,
         ):
--- a/trefoilhook/scheduling/__init__.py
+++ b/trefoilhook/scheduling/__init__.py
@@ -35,6 +35,7 @@
     name_incarnation,
 )
 from trefoilhook.scheduling.freshness import Freshness
+from trefoilhook.scheduling.idle_jobs import IdleJob, select_longest
 from trefoilhook.scheduling.incarnations import (
     apply_report,
     has_restarted,
@@ -128,6 +129,7 @@
 from trefoilhook.scheduling.wait_records import encode_waits, restore_waits
 
 __all__ = [
+    "select_longest",
     "account_for_workers",
     "are_fillers_due",
     "are_starts_recorded",
@@ -163,6 +165,7 @@
     "JobState",
     "JobTimes",
     "PollAnswer",
+    "IdleJob",
     "LongWait",
     "LossCause",
     "Order",
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -17,12 +17,13 @@
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.group_assignment import assign_in_groups
 from trefoilhook.scheduling.headroom import record_urgent_demand
+from trefoilhook.scheduling.idle_job_rounds import record_idle_jobs
 from trefoilhook.scheduling.isolation import is_strongly_suspected
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.messages import StopReason
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.overcommitment import relieve_overcommitted
-from trefoilhook.scheduling.overdue import record_ample_capacity
+from trefoilhook.scheduling.overdue import AmpleCapacity, record_ample_capacity
 from trefoilhook.scheduling.ranking import StepRank, get_lateness, rank_step
 from trefoilhook.scheduling.reserving import reserve_workers, update_reservations
 from trefoilhook.scheduling.rounds import (
@@ -175,7 +176,7 @@
         )
         reserve_for_starved_jobs(assignment_round, ready, held=held)
         unplaced = (task for tasks in ready for task in tasks if not task.attempts)
-        record_ample_capacity(scheduler, itertools.chain(held, unplaced), now_ms)
+        _record_unplaced(scheduler, itertools.chain(held, unplaced), now_ms)
     started = [state for state in assignment_round.started if state.attempts]
     _record_lateness(started, wall_ms)
     scheduler.overtaking.record_round(
@@ -186,6 +187,15 @@
     )
 
 
+def _record_unplaced(
+    scheduler: Scheduler, tasks: Iterable[TaskState], now_ms: float
+) -> None:
+    """Record which waiting steps have ample capacity, and which jobs have no run."""
+    capacity = AmpleCapacity(scheduler=scheduler)
+    record_ample_capacity(scheduler, tasks, now_ms, capacity=capacity)
+    record_idle_jobs(scheduler, capacity, now_ms)
+
+
 def _measure_held_waits(
     assignment_round: AssignmentRound, held: Iterable[TaskState]
 ) -> None:
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -133,7 +133,7 @@
     dirty : set of JobState
         Jobs with unsaved changes.
     waits : WaitTracker
-        Reasons and durations of the waits of steps.
+        Reasons and durations of the waits of steps, and of jobs without runs.
     guarantees : Guarantees
         Selects the jobs that are served before others of their queue.
     overtaking : OvertakingTracker
--- a/trefoilhook/scheduling/overdue.py
+++ b/trefoilhook/scheduling/overdue.py
@@ -26,7 +26,7 @@
 from trefoilhook.scheduling.placing import can_host, list_answering_workers
 from trefoilhook.scheduling.tickets import StepName, name_step
 
-__all__ = ["can_become_overdue", "record_ample_capacity"]
+__all__ = ["AmpleCapacity", "can_become_overdue", "record_ample_capacity"]
 
 _MIN_AMPLE_PLACES = 2
 """Minimum number of tasks of a step that must fit for capacity to be ample."""
@@ -41,7 +41,11 @@
 
 
 def record_ample_capacity(
-    scheduler: Scheduler, tasks: Iterable[TaskState], now_ms: float
+    scheduler: Scheduler,
+    tasks: Iterable[TaskState],
+    now_ms: float,
+    *,
+    capacity: "AmpleCapacity | None" = None,
 ) -> None:
     """Record which waiting steps have ample capacity after a round.
 
@@ -53,20 +57,17 @@
         Tasks that the round did not place.
     now_ms : float
         Current time, in ms.
+    capacity : AmpleCapacity, optional
+        Free capacity after the round; computed here by default.
     """
     steps = _list_steps(tasks)
-    idle_fleet = IdleFleet(scheduler=scheduler)
+    if capacity is None:
+        capacity = AmpleCapacity(scheduler=scheduler)
     overdue = scheduler.overdue
     overdue.retain(steps.keys())
-    capacities: dict[str, _FreeCapacity] = {}
     for step, task in steps.items():
-        queue = task.job.queue
-        service = queue.service if queue is not None else ""
-        if service not in capacities:
-            workers = list_answering_workers(scheduler, service)
-            capacities[service] = _FreeCapacity(workers=_sort_by_free_cpu(workers))
-        is_entitled = task.step.long_running or idle_fleet.is_idle_for(task)
-        if is_entitled and capacities[service].is_ample_for(task):
+        is_entitled = task.step.long_running or capacity.idle_fleet.is_idle_for(task)
+        if is_entitled and capacity.is_ample_for(task):
             overdue.extend(step, now_ms)
         else:
             overdue.interrupt(step, now_ms)
@@ -87,6 +88,41 @@
     return steps
 
 
+@attrs.define(kw_only=True)
+class AmpleCapacity:
+    """Which waiting tasks have ample capacity after a round.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        Scheduler of the shard.
+
+    Attributes
+    ----------
+    idle_fleet : IdleFleet
+        Which services are mostly idle.
+    """
+
+    scheduler: Scheduler
+    idle_fleet: IdleFleet = attrs.field(init=False)
+    _by_service: dict[str, "_FreeCapacity"] = attrs.field(factory=dict, init=False)
+
+    @idle_fleet.default
+    def _build_idle_fleet(self) -> IdleFleet:
+        return IdleFleet(scheduler=self.scheduler)
+
+    def is_ample_for(self, task: TaskState) -> bool:
+        """Return whether two tasks with the demand of ``task`` fit."""
+        queue = task.job.queue
+        service = queue.service if queue is not None else ""
+        known = self._by_service.get(service)
+        if known is None:
+            workers = list_answering_workers(self.scheduler, service)
+            known = _FreeCapacity(workers=_sort_by_free_cpu(workers))
+            self._by_service[service] = known
+        return known.is_ample_for(task)
+
+
 @attrs.define(kw_only=True)
 class _FreeCapacity:
     """Free capacity of the workers of a service in one round.
--- a/trefoilhook/scheduling/waits.py
+++ b/trefoilhook/scheduling/waits.py
@@ -1,19 +1,16 @@
 """Reasons and durations of the waits of tasks, as logged when a task starts."""
 
 import enum
-from collections import Counter
 
 import attrs
 
+from trefoilhook.scheduling.idle_jobs import IdleJobTracker
 from trefoilhook.scheduling.models import Demand
+from trefoilhook.scheduling.reason_times import ReasonTimes
 from trefoilhook.scheduling.tickets import StepName
 
 __all__ = ["FreeRoom", "WaitReason", "WaitTracker"]
 
-_MAX_GAP_MS = 1000.0
-"""Maximum time between two rounds that is counted as waiting for the reason of the
-first one, in ms; the reason is unknown for a longer gap."""
-
 
 class WaitReason(enum.Enum):
     """Reason why a due task was not placed in a round."""
@@ -100,30 +97,26 @@
         return WaitReason.FRAGMENTED
 
 
-@attrs.define(kw_only=True)
-class _StepWait:
-    recorded_ms: float
-    reason: WaitReason
-    by_reason: Counter[WaitReason] = attrs.Factory(Counter)
-
-
 @attrs.define(kw_only=True)
 class WaitTracker:
-    """Accumulated waiting time of steps by reason."""
+    """Accumulated waiting time of steps by reason.
 
-    _steps: dict[StepName, _StepWait] = attrs.Factory(dict)
+    Attributes
+    ----------
+    idle_jobs : IdleJobTracker
+        Batch jobs with due tasks and no run; serves only the log.
+    """
+
+    idle_jobs: IdleJobTracker = attrs.field(factory=IdleJobTracker, init=False)
+    _steps: dict[StepName, ReasonTimes[WaitReason]] = attrs.Factory(dict)
 
     def record(self, step: StepName, reason: WaitReason, now_ms: float) -> None:
         """Record why the tasks of a step were not placed in a round."""
         known = self._steps.get(step)
         if known is None:
-            self._steps[step] = _StepWait(recorded_ms=now_ms, reason=reason)
-            return
-        gap_ms = now_ms - known.recorded_ms
-        if gap_ms <= _MAX_GAP_MS:
-            known.by_reason[known.reason] += gap_ms  # type: ignore[assignment]
-        known.recorded_ms = now_ms
-        known.reason = reason
+            self._steps[step] = ReasonTimes(recorded_ms=now_ms, reason=reason)
+        else:
+            known.record(reason, now_ms)
 
     def get_main_reason(self, step: StepName) -> WaitReason | None:
         """Return the reason for most of a step's wait, or None if it has not waited."""
@@ -140,11 +133,7 @@
         The time since the last round is not included.
         """
         known = self._steps.get(step)
-        if known is None:
-            return ()
-        return tuple(
-            (reason, float(ms)) for reason, ms in known.by_reason.most_common()
-        )
+        return known.list_times() if known is not None else ()
 
     def measure_wait(self, step: StepName, reason: WaitReason) -> float:
         """Return the time for which a step has waited for a reason, in ms.
