Report over all owners for how long nothing of batch jobs ran

The new command idle-jobs joins the lines of successive owners: a stretch goes on unless a line tells of its end. It lists reasons, times without an owner or without lines, and the entitled time as a lower bound (longest under one owner) and an upper bound (over all owners and the time between). The handling of logs and options is shared with interruptions.

--- a/trefoilhook/command/application.py
+++ b/trefoilhook/command/application.py
@@ -9,6 +9,7 @@
 from trefoilhook.command.client import Send
 from trefoilhook.command.core import ApiCommand, CommandSpec
 from trefoilhook.command.evacuations import EvacuationsCommand
+from trefoilhook.command.idle_jobs import IdleJobsCommand
 from trefoilhook.command.interruptions import InterruptionsCommand
 from trefoilhook.command.story import StoryCommand
 
@@ -37,4 +38,5 @@
     application.add(AccountCommand())
     application.add(EvacuationsCommand())
     application.add(InterruptionsCommand())
+    application.add(IdleJobsCommand())
     return application
--- a/trefoilhook/command/pages.py
+++ b/trefoilhook/command/pages.py
@@ -160,8 +160,9 @@
 can come from `TREFOILHOOK_SERVER`, `TREFOILHOOK_TOKEN` and `TREFOILHOOK_CA_FILE`. Exit
 codes are in [RESULT_CODES.md](RESULT_CODES.md). `trefoilhook completions bash` (or
 `zsh`, `fish`) prints the shell's completion. A value that begins with `-` goes after
-`--`. `story`, `account`, `burn`, `evacuations` and `interruptions` read the logs of all
-processes instead (`--log FILE`, repeatable): see [OPERATIONS.md](OPERATIONS.md).
+`--`. `story`, `account`, `burn`, `evacuations`, `interruptions` and `idle-jobs` read
+the logs of all processes instead (`--log FILE`, repeatable): see
+[OPERATIONS.md](OPERATIONS.md).
 
 {listed}"""
 
--- a/trefoilhook/interruptions/tenures.py
+++ b/trefoilhook/interruptions/tenures.py
@@ -8,8 +8,8 @@
 
 __all__ = ["Tenure", "list_tenures"]
 
-_FIRST_EVENTS = frozenset({"SHARD_CLAIMED", "TASK_WAITS"})
-"""Events by which an owner is known. The second one serves logs without the claim."""
+_FIRST_EVENTS = frozenset({"JOB_IDLE", "SHARD_CLAIMED", "TASK_WAITS"})
+"""Events by which an owner is known. The others serve logs without the claim."""
 
 _LAST_EVENTS = frozenset({"SHARD_RELEASED", "SHARD_FENCED", "LEASE_LOST"})
 
--- a/trefoilhook/interruptions/text.py
+++ b/trefoilhook/interruptions/text.py
@@ -14,9 +14,9 @@
     Wait,
 )
 
-__all__ = ["render_text"]
+__all__ = ["MIN_SHOWN_S", "format_time", "join_counts", "render_text"]
 
-_MIN_SHOWN_S = 0.005
+MIN_SHOWN_S = 0.005
 """Shortest time without an owner or a logged reason that is shown, in s."""
 
 
@@ -28,9 +28,9 @@
         f"longest {report.longest_s:.2f} s; {over}"
     ]
     if report.reasons:
-        lines.append(f"main reasons: {_join_counts(report.reasons)}")
+        lines.append(f"main reasons: {join_counts(report.reasons)}")
     if report.unread:
-        lines.append(f"skipped lines: {_join_counts(report.unread)}")
+        lines.append(f"skipped lines: {join_counts(report.unread)}")
     if report.first_starts:
         longest_s = report.first_starts[0].duration_s
         lines.append(
@@ -42,7 +42,8 @@
     return "\n".join(lines)
 
 
-def _join_counts(counts: Mapping[str, int]) -> str:
+def join_counts(counts: Mapping[str, int]) -> str:
+    """Return counts by name as text."""
     return ", ".join(f"{name} {count}" for name, count in counts.items())
 
 
@@ -55,19 +56,19 @@
         f"mainly {interruption.main_reason}"
     )
     if is_first:
-        yield f"  no run before, accepted {_format_time(end.at_s)}"
+        yield f"  no run before, accepted {format_time(end.at_s)}"
     else:
         yield (
             f"  last run: attempt {interruption.last_attempt} on "
-            f"{interruption.last_worker}, ended {_format_time(end.at_s)} "
+            f"{interruption.last_worker}, ended {format_time(end.at_s)} "
             f"({end.evidence})"
         )
     origin = "acceptance" if is_first else "end"
     for owner in interruption.owners:
         yield f"  {_describe_owner(owner, end.at_s, origin)}"
-    if interruption.ownerless_s >= _MIN_SHOWN_S:
+    if interruption.ownerless_s >= MIN_SHOWN_S:
         yield f"  {NO_OWNER}: {interruption.ownerless_s:.2f} s"
-    at = _format_time(interruption.until_s)
+    at = format_time(interruption.until_s)
     if interruption.outcome == STARTED:
         yield (
             f"  next run: attempt {interruption.next_attempt} on "
@@ -83,7 +84,7 @@
     claimed = f"claimed {abs(offset_s):.2f} s {'after' if offset_s > 0 else 'before'}"
     waits = [_describe_wait(wait) for wait in owner.waits]
     unlogged_s = owner.duration_s - sum(wait.duration_s for wait in owner.waits)
-    if unlogged_s >= _MIN_SHOWN_S:
+    if unlogged_s >= MIN_SHOWN_S:
         waits.append(f"{NOT_LOGGED} {unlogged_s:.2f} s")
     return (
         f"epoch {owner.epoch} on {owner.instance}, {claimed} the {origin}: "
@@ -97,6 +98,7 @@
     return f"{mainly}{wait.waits_for}{awaited} {wait.duration_s:.2f} s"
 
 
-def _format_time(time_s: float) -> str:
+def format_time(time_s: float) -> str:
+    """Return a time in s since the Unix epoch as date and time in UTC."""
     time = datetime.datetime.fromtimestamp(time_s, tz=datetime.UTC)
     return time.isoformat(sep=" ", timespec="milliseconds").removesuffix("+00:00")
