Tell idle jobs held for earlier owners apart in the report

In a trial with three silent workers and a killed owner, the report counted a job held for 7 s as over the limit, although its run may have gone on until its lease expired. These stretches are now counted apart, as the owner can't tell.

--- a/trefoilhook/interruptions/idle_job_text.py
+++ b/trefoilhook/interruptions/idle_job_text.py
@@ -17,7 +17,9 @@
         f"rule of {LIMIT_S:.0f} s: entitled for up to "
         f"{report.longest_entitled_s:.2f} s under one owner, "
         f"at most {report.max_entitled_s:.2f} s over all; "
-        f"{report.over_limit} over the limit, {report.may_be_over_limit} may be",
+        f"{report.over_limit} over the limit ({report.held_over_limit} held for "
+        f"earlier owners, whose runs may have gone on), "
+        f"{report.may_be_over_limit} may be",
     ]
     if not report.lines:
         lines.append("no line on idle jobs: nothing is known if an older build ran")
--- a/trefoilhook/interruptions/idle_jobs.py
+++ b/trefoilhook/interruptions/idle_jobs.py
@@ -37,6 +37,8 @@
 
 _PREVIOUS_OWNER = "previous owner"
 
+_OWNER_NEW = "owner new"
+
 _MS_PER_S = 1000.0
 
 _TOLERANCE_S = 0.5
@@ -136,6 +138,9 @@
         that over all owners, in s; without those that were found running.
     over_limit : int
         Number of them whose entitled time under one owner exceeds the users' limit.
+    held_over_limit : int
+        Number of these that mainly waited for an earlier owner's workers, on which the
+        job may have run.
     may_be_over_limit : int
         Number of the others whose upper bound exceeds it.
     reasons : dict of str to int
@@ -154,6 +159,7 @@
     longest_entitled_s: float
     max_entitled_s: float
     over_limit: int
+    held_over_limit: int
     may_be_over_limit: int
     reasons: dict[str, int]
     unlogged_jobs: int
@@ -201,6 +207,10 @@
         longest_entitled_s=max((each.entitled_s for each in proved), default=0.0),
         max_entitled_s=max((each.max_entitled_s for each in proved), default=0.0),
         over_limit=sum(each.entitled_s > LIMIT_S for each in proved),
+        held_over_limit=sum(
+            each.entitled_s > LIMIT_S and each.main_reason == _OWNER_NEW
+            for each in proved
+        ),
         may_be_over_limit=sum(
             each.entitled_s <= LIMIT_S < each.max_entitled_s for each in proved
         ),
--- a/trefoilhook/interruptions/tests/test_idle_jobs.py
+++ b/trefoilhook/interruptions/tests/test_idle_jobs.py
@@ -85,6 +85,16 @@
         self.assertEqual(durations, [2.5, 1.5, 1.0])
         self.assertEqual(report.unlogged_jobs, 7)
 
+    def test_jobs_held_for_earlier_owners_are_told_apart(self):
+        # Guards against runs on silent workers that are told as broken promises.
+        reasons = {"not borne": 4000}
+        report = build(
+            claim(0.0, 1),
+            idle(9.0, 1, 4.0),
+            idle(9.0, 1, 4.0, job="k", reasons_ms=reasons),
+        )
+        self.assertEqual((report.over_limit, report.held_over_limit), (2, 1))
+
     def test_logs_without_such_lines_prove_nothing(self):
         # Guards against logs of older builds that seem to show that no job was idle.
         report = build(claim(0.0, 1))
