Test the bounds of waits of batch tasks that hold

Jobs behind hundreds of infeasible filler steps, owners that change as planned each 1.0 and 1.9 s, suspects of half as many jobs as workers on 246 and 500 workers, and a job set aside after an error in its planning (5 s).

--- /dev/null
+++ b/trefoilhook/scheduling/tests/test_batch_waits.py
@@ -0,0 +1,144 @@
+"""Tests of the bound of each wait of batch tasks on a mostly idle fleet.
+
+Users take a job as lost if nothing of it runs for 3 s although a task could run and
+most of the processors are idle.
+"""
+
+import unittest
+from unittest import mock
+
+import attrs
+
+from trefoilhook.scheduling import Demand, EndKind, Step, assignment
+from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
+from trefoilhook.scheduling.tests.test_idle_jobs import (
+    start_services,
+    wait_for_first_starts,
+)
+from trefoilhook.scheduling.tests.test_starvation import _learn_weight
+from trefoilhook.scheduling.tests.test_wait_records import _measure_wait
+
+_MAX_IDLE_MS = 3000.0
+"""Time with nothing running after which users take a job as lost, in ms."""
+
+_PLANNING_RETRY_MS = 5000.0
+"""Time for which a job is set aside after an error in its planning, in ms."""
+
+_LONG_MS = 20_000.0
+_TASK = Step(count=1, demand=Demand(cpu=1000, memory_mb=10), estimate_ms=2000.0)
+_BLOCKER = Step(
+    count=1, demand=Demand(cpu=4000, memory_mb=10), long_running=True, image="b"
+)
+_FILLER = attrs.evolve(_TASK, filler=True, checkpointing=True, image="f")
+
+
+def _fill(shard: Shard, worker_ids: set[str]) -> None:
+    """Fill workers with a service task each."""
+    others = shard.scheduler.workers.keys() - worker_ids
+    for worker_id in others:
+        shard.scheduler.workers[worker_id].avoid_until_ms = float("inf")
+    shard.submit(build_job(attrs.evolve(_BLOCKER, count=len(worker_ids)), job_id="b"))
+    for start in list_starts(shard.step()):
+        worker = shard.workers[start.worker_id]
+        worker.update(start.task, start.attempt, percent=100.0)
+    shard.poll_all()
+    for worker_id in others:
+        shard.scheduler.workers[worker_id].avoid_until_ms = 0.0
+
+
+def _make_faulty(shard: Shard, worker_ids: set[str]) -> None:
+    """Let workers count as faulty for a long time."""
+    for worker_id in worker_ids:
+        worker = shard.scheduler.workers[worker_id]
+        worker.faulty_until_ms = shard.now_ms + 60_000.0
+
+
+def _suspect(shard: Shard, job_id: str) -> None:
+    """Let all tasks of a job be strongly suspected."""
+    for task in shard.scheduler.jobs[job_id].tasks.values():
+        shard.scheduler.suspects.get_or_add(task).record_loss(
+            1, "gone", 5000.0, proved=True
+        )
+
+
+class BatchWaitsTest(unittest.TestCase):
+    """A job that can run on some workers, each kept from it for another reason."""
+
+    def check_starts(self, shard: Shard, *, within_ms: float = _MAX_IDLE_MS) -> None:
+        """Check that job ``j`` starts in time."""
+        first = wait_for_first_starts(shard, {"j"}, within_ms=_LONG_MS)
+        self.assertLess(first.get("j", float("inf")), within_ms)
+
+    def test_filler_behind_infeasible_steps(self):
+        # Guards against a job that waits for the turn of hundreds of others.
+        shard = Shard(workers=24, cpu=16_000)
+        start_services(shard, 24)
+        _learn_weight(shard, "g", 11.0)
+        for number in range(400):
+            step = attrs.evolve(
+                _FILLER,
+                count=2,
+                image="f",
+                demand=Demand(cpu=9000 + number, memory_mb=10),
+            )
+            shard.submit(build_job(step, job_id=f"a{number}"))
+        for _ in range(5):
+            shard.step()
+        shard.submit(build_job(attrs.evolve(_FILLER, image="g")))
+        self.check_starts(shard)
+
+    def test_owners_that_change_as_planned(self):
+        # Guards against jobs whose wait begins anew with each owner.
+        for step in (_TASK, _FILLER):
+            for period_ms in (1000.0, 1900.0):
+                with self.subTest(filler=step.filler, period_ms=period_ms):
+                    shard = Shard(workers=8, cpu=16_000)
+                    if step.filler:
+                        start_services(shard, 8)
+                        demand = Demand(cpu=3000, memory_mb=10)
+                        step = attrs.evolve(step, demand=demand)
+                        shard.submit(build_job(step))
+                    else:
+                        for number in range(12):
+                            shard.submit(build_job(step, job_id=f"c{number}"))
+                            _suspect(shard, f"c{number}")
+                        shard.submit(build_job(step))
+                        _suspect(shard, "j")
+                    wait_ms = _measure_wait(shard, "j", period_ms)
+                    self.assertLessEqual(wait_ms, _MAX_IDLE_MS)
+
+    def test_large_fleets(self):
+        # Guards against rounds with fillers that are too rare for the bound.
+        for workers in (246, 500):
+            with self.subTest(workers=workers):
+                shard = Shard(workers=workers)
+                for number in range(workers // 2):
+                    shard.submit(build_job(_TASK, job_id=f"c{number}"))
+                    _suspect(shard, f"c{number}")
+                shard.submit(build_job(_TASK))
+                _suspect(shard, "j")
+                shard.save()
+                began_ms = shard.now_ms
+                started: set[str] = set()
+                while shard.now_ms < began_ms + _MAX_IDLE_MS:
+                    orders = list_starts(shard.step())
+                    started |= {start.task.job_id for start in orders}
+                    shard.save()
+                self.assertEqual(len(started), workers // 2 + 1)
+
+    def test_job_that_was_set_aside(self):
+        # Guards against a job that waits for longer than the time for which it is set
+        # aside after an error in its planning.
+        shard = Shard(workers=4)
+        shard.raises_failures = False
+        shard.submit(build_job(_TASK))
+        with mock.patch.object(
+            assignment, "_assign_step", side_effect=RuntimeError("planning")
+        ):
+            shard.step()
+        first = wait_for_first_starts(shard, {"j"}, within_ms=_LONG_MS)
+        self.assertLessEqual(first["j"], _PLANNING_RETRY_MS + 200.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
