Start a starved job on an avoided worker if no other has room

What callers saw (by the new tests, which failed before): two of eight workers full with services and six idle ones faulty; a job of fillers does not start within 20 s, alone, with tasks that may not share a worker, or as its second step. Neither beside a worker that isolated runs of other jobs hold in turn. A job of other tasks starts within 3 s since the clock over all reasons is for batch tasks, too.

Cause: the relief of starved jobs searched the workers that accept tasks of the queue, without faulty workers and those of isolated runs.

Change: after 2.3 s, when it may also disturb service tasks, it searches these, too, if no other worker is found. Workers on which the task has failed stay excluded. Demands that no worker can host are remembered in a round after 2.3 s, too, so that many such jobs don't compare all workers each.

Measured: all four tests start within 3 s of virtual time.

--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -80,12 +80,23 @@
         overdue = self.scheduler.overdue
         return overdue.contains(name_step(state.task)) and can_become_overdue(state)
 
-    def list_open(self, state: TaskState) -> list[Worker]:
-        """Return the workers that accept new tasks of a task's queue."""
+    def list_open(
+        self, state: TaskState, *, includes_avoided: bool = False
+    ) -> list[Worker]:
+        """Return the workers that accept new tasks of a task's queue.
+
+        Parameters
+        ----------
+        state : TaskState
+            Task of the queue.
+        includes_avoided : bool, optional
+            Whether to include faulty workers and those reserved for isolated runs. They
+            are always included for overdue tasks, and never for queues with advice.
+        """
         queue = state.job.queue
         if queue is None:
             return []
-        if self.is_overdue(state):
+        if queue.advice is None and (includes_avoided or self.is_overdue(state)):
             return self._list_usable(queue.service)
         step = state.step
         pool = (queue.service, None if step.long_running else step.required_label)
@@ -112,23 +123,26 @@
             self._usable[service] = known
         return known
 
-    def list_candidates(self, state: TaskState) -> list[Worker]:
+    def list_candidates(
+        self, state: TaskState, *, includes_avoided: bool = False
+    ) -> list[Worker]:
         """Return the open workers to consider first for a task.
 
-        These are all open workers, or a sample of them on a large fleet.
+        These are all open workers, or a sample of them on a large fleet. The parameters
+        are those of `list_open`.
         """
-        workers = self.list_open(state)
+        workers = self.list_open(state, includes_avoided=includes_avoided)
         queue = state.job.queue
         if len(workers) <= MAX_CANDIDATES or queue is None or queue.advice is not None:
             return workers
         step = state.step
-        is_overdue = self.is_overdue(state)
+        includes_avoided = includes_avoided or self.is_overdue(state)
         sample_key = (
             queue.service,
             step.required_label,
             step.data_rack,
             step.long_running,
-            is_overdue,
+            includes_avoided,
         )
         sample = self._samples.get(sample_key)
         if sample is None:
@@ -138,7 +152,9 @@
                 required_label=step.required_label,
                 data_rack=step.data_rack,
             )
-        return [worker for worker in sample if is_overdue or not worker.is_reserved]
+        return [
+            worker for worker in sample if includes_avoided or not worker.is_reserved
+        ]
 
     def list_feasible(self, state: TaskState) -> list[Worker]:
         """Return the open workers that may be able to run a task.
--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -38,8 +38,8 @@
 
 _DISTURBING_DELAY_MS = 2300.0
 """Time without a running task after which a starved job gets one beside service tasks
-that keep too little slack, if it finds no other worker, in ms. Fillers are halted where
-a service task exceeds its limit."""
+that keep too little slack, on a faulty worker or beside an isolated run, if it finds no
+other worker, in ms. Fillers are halted where a service task exceeds its limit."""
 
 THROTTLED_PACE = 5
 """Pace of a throttled task, in percent. Slack is assigned by rank to jobs that can meet
@@ -139,10 +139,13 @@
         more of these tasks, a number that makes the entries unique, and the worker.
     rejected : list of Demand
         Demands for which no worker keeps enough slack.
+    infeasible : list of Demand
+        Demands for which no worker has the capacity.
     """
 
     heap: list[tuple[float, int, Worker]]
     rejected: list[Demand] = attrs.Factory(list)
+    infeasible: list[Demand] = attrs.Factory(list)
 
 
 @attrs.define(kw_only=True)
@@ -160,7 +163,7 @@
     """
 
     assignment_round: AssignmentRound
-    _rated: dict[tuple[str, str, str, str, StepName | None], _RatedWorkers] = (
+    _rated: dict[tuple[str, str, str, str, StepName | None, bool], _RatedWorkers] = (
         attrs.Factory(dict)
     )
     _bounds: dict[str, float] = attrs.Factory(dict)
@@ -173,11 +176,21 @@
         task : TaskState
             Starved task.
         may_disturb : bool
-            Whether the service tasks may keep less slack than they require.
+            Whether the service tasks may keep less slack than they require, and avoided
+            workers are used if there is no other.
         """
-        rated = self._get_rated(task)
+        worker = self._find(task, may_disturb=may_disturb, includes_avoided=False)
+        if worker is None and may_disturb:
+            worker = self._find(task, may_disturb=True, includes_avoided=True)
+        return worker
+
+    def _find(
+        self, task: TaskState, *, may_disturb: bool, includes_avoided: bool
+    ) -> Worker | None:
+        rated = self._get_rated(task, includes_avoided=includes_avoided)
         room = task.step.room
-        if not may_disturb and any(room.covers(each) for each in rated.rejected):
+        rejected = rated.infeasible if may_disturb else rated.rejected
+        if any(room.covers(each) for each in rejected):
             return None
         heap = rated.heap
         passed: list[tuple[float, int, Worker]] = []
@@ -201,10 +214,10 @@
             heapq.heappush(heap, found)
             return found[2]
         if not (task.shared.failed_on or task.step.max_per_worker):
-            rated.rejected.append(room)
+            rejected.append(room)
         return None
 
-    def _get_rated(self, task: TaskState) -> _RatedWorkers:
+    def _get_rated(self, task: TaskState, *, includes_avoided: bool) -> _RatedWorkers:
         step, queue = task.step, task.job.queue
         service = queue.service if queue is not None else ""
         has_advice = queue is not None and queue.advice is not None
@@ -214,10 +227,13 @@
             step.required_label,
             step.data_rack,
             name_step(task.task) if has_advice else None,
+            includes_avoided,
         )
         rated = self._rated.get(key)
         if rated is None:
-            workers = self.assignment_round.list_candidates(task)
+            workers = self.assignment_round.list_candidates(
+                task, includes_avoided=includes_avoided
+            )
             heap = [
                 (-self._get_bound(worker, task), number, worker)
                 for number, worker in enumerate(workers)
--- a/trefoilhook/scheduling/tests/test_batch_waits.py
+++ b/trefoilhook/scheduling/tests/test_batch_waits.py
@@ -139,6 +139,58 @@
         first = wait_for_first_starts(shard, {"j"}, within_ms=_LONG_MS)
         self.assertLessEqual(first["j"], _PLANNING_RETRY_MS + 200.0)
 
+    def test_sound_workers_are_full(self):
+        # Guards against jobs that wait until faulty workers count as sound again.
+        for step in (_TASK, _FILLER):
+            with self.subTest(filler=step.filler):
+                shard = Shard(workers=8)
+                _fill(shard, {"w0", "w1"})
+                _make_faulty(shard, {f"w{number}" for number in range(2, 8)})
+                shard.submit(build_job(step))
+                self.check_starts(shard)
+
+    def test_other_workers_run_isolated_tasks(self):
+        # Guards against jobs that wait for the end of other jobs' isolated runs.
+        for step in (_TASK, _FILLER):
+            with self.subTest(filler=step.filler):
+                shard = Shard(workers=4, cpu=4000)
+                _fill(shard, {"w0"})
+                for number in range(3):
+                    shard.submit(build_job(_TASK, job_id=f"c{number}"))
+                    _suspect(shard, f"c{number}")
+                for worker_id in ("w2", "w3"):
+                    shard.scheduler.workers[worker_id].avoid_until_ms = float("inf")
+                shard.save()
+                for _ in range(5):
+                    shard.step()
+                    shard.save()
+                worker = shard.scheduler.workers["w1"]
+                self.assertTrue(worker.is_reserved)
+                shard.submit(build_job(step))
+                self.check_starts(shard)
+
+    def test_max_per_worker(self):
+        # Guards against steps whose tasks may not share a worker.
+        for step in (_TASK, _FILLER):
+            with self.subTest(filler=step.filler):
+                shard = Shard(workers=6)
+                _fill(shard, {"w0", "w1"})
+                _make_faulty(shard, {"w2", "w3", "w4", "w5"})
+                shard.submit(build_job(attrs.evolve(step, count=6, max_per_worker=1)))
+                self.check_starts(shard)
+
+    def test_step_after_another(self):
+        # Guards against a wait that is longer for later steps.
+        for step in (_TASK, _FILLER):
+            with self.subTest(filler=step.filler):
+                shard = Shard(workers=8)
+                _fill(shard, {"w0", "w1"})
+                shard.submit(build_job(step, attrs.evolve(step, after=(0,))))
+                first = shard.start_one()
+                _make_faulty(shard, {f"w{number}" for number in range(2, 8)})
+                shard.end(first, EndKind.DONE)
+                self.check_starts(shard)
+
 
 if __name__ == "__main__":
     unittest.main()
