Let a starved job use the memory that fillers leave to others

What callers saw (by the new test, which failed before): four idle workers of 8,000 MB; a job whose filler needs 7,600 MB is never started (20 s).

Cause: a tenth of each worker's memory is not available to fillers, so that urgent tasks find memory; for a filler that needs more than the rest the job waits without any bound, on idle workers too.

Change: after 2.3 s with nothing running on a mostly idle fleet one filler of the job may use it, if none fits otherwise.

Measured: it starts within 3 s of virtual time.

--- a/trefoilhook/scheduling/placing.py
+++ b/trefoilhook/scheduling/placing.py
@@ -143,9 +143,25 @@
 
 
 def can_host(
-    worker: Worker, state: TaskState, *, ignores_reservations: bool = False
+    worker: Worker,
+    state: TaskState,
+    *,
+    ignores_reservations: bool = False,
+    uses_all_memory: bool = False,
 ) -> bool:
-    """Return whether a worker has the capacity and the label that a task requires."""
+    """Return whether a worker has the capacity and the label that a task requires.
+
+    Parameters
+    ----------
+    worker : Worker
+        The worker.
+    state : TaskState
+        The task.
+    ignores_reservations : bool, optional
+        Whether to include capacity that is reserved for tasks of other steps.
+    uses_all_memory : bool, optional
+        Whether a filler may use the memory that fillers leave to other tasks.
+    """
     step = state.step
     if step.required_label and step.required_label not in worker.report.labels:
         return False
@@ -153,7 +169,7 @@
         return False
     if not ignores_reservations and _is_reserved_for_others(worker, state):
         return False
-    if step.filler:
+    if step.filler and not uses_all_memory:
         capacity_mb = worker.report.capacity.memory_mb
         remaining_mb = capacity_mb - worker.memory_mb - step.demand.memory_mb
         if remaining_mb < _RESERVED_MEMORY_SHARE * capacity_mb:
--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -38,8 +38,9 @@
 
 _DISTURBING_DELAY_MS = 2300.0
 """Time without a running task after which a starved job gets one beside service tasks
-that keep too little slack, on a faulty worker or beside an isolated run, if it finds no
-other worker, in ms. Fillers are halted where a service task exceeds its limit."""
+that keep too little slack, on a faulty worker, beside an isolated run, or in memory
+that fillers leave to other tasks, if it finds no other worker, in ms. Fillers are
+halted where a service task exceeds its limit."""
 
 THROTTLED_PACE = 5
 """Pace of a throttled task, in percent. Slack is assigned by rank to jobs that can meet
@@ -179,7 +180,9 @@
             Whether the service tasks may keep less slack than they require, and avoided
             workers are used if there is no other.
         """
-        worker = self._find(task, may_disturb=may_disturb, includes_avoided=False)
+        worker = self._find(task, may_disturb=False, includes_avoided=False)
+        if worker is None and may_disturb:
+            worker = self._find(task, may_disturb=True, includes_avoided=False)
         if worker is None and may_disturb:
             worker = self._find(task, may_disturb=True, includes_avoided=True)
         return worker
@@ -197,7 +200,7 @@
         found: tuple[float, int, Worker] | None = None
         while heap and found is None:
             bound, number, worker = heapq.heappop(heap)
-            if not self._is_eligible(worker, task):
+            if not self._is_eligible(worker, task, uses_all_memory=may_disturb):
                 passed.append((bound, number, worker))
                 continue
             slack = self._predict_slack(worker, task)
@@ -260,11 +263,15 @@
             colocations.interference, task.step, pace=pace
         )
 
-    def _is_eligible(self, worker: Worker, task: TaskState) -> bool:
+    def _is_eligible(
+        self, worker: Worker, task: TaskState, *, uses_all_memory: bool
+    ) -> bool:
         if worker.report.worker_id in task.shared.failed_on:
             # Waiting is preferable to using up the task's attempts on this worker.
             return False
-        if not can_host(worker, task, ignores_reservations=True):
+        if not can_host(
+            worker, task, ignores_reservations=True, uses_all_memory=uses_all_memory
+        ):
             return False
         needed_cpu = task.step.demand.cpu * THROTTLED_PACE / 100.0
         return self.assignment_round.colocations.lookup(worker).spare_cpu >= needed_cpu
--- a/trefoilhook/scheduling/tests/test_batch_waits.py
+++ b/trefoilhook/scheduling/tests/test_batch_waits.py
@@ -191,6 +191,13 @@
                 shard.end(first, EndKind.DONE)
                 self.check_starts(shard)
 
+    def test_filler_that_needs_most_of_the_memory(self):
+        # Guards against fillers that no worker of the fleet ever accepts.
+        shard = Shard(workers=4)
+        demand = Demand(cpu=1000, memory_mb=7600)
+        shard.submit(build_job(attrs.evolve(_FILLER, demand=demand)))
+        self.check_starts(shard)
+
 
 if __name__ == "__main__":
     unittest.main()
