Try all tasks of an overdue batch step

What callers saw (by the new test, which failed before): three of eight workers full, five idle ones faulty, three of a job's four tasks have failed on these five; the job has nothing running for 20 s, unless the fourth comes first.

Cause: of an overdue batch step only the first task was tried, and a task must not start on a faulty worker on which it has failed.

Change: the tasks are tried in order until one is placed; still one only.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -304,9 +304,6 @@
     holds = assignment_round.scheduler.service_holds
     step = name_step(tasks[0].task)
     is_overdue = assignment_round.is_overdue(tasks[0])
-    if is_overdue and not tasks[0].step.long_running:
-        # The other tasks compete with those of other jobs.
-        tasks = tasks[:1]
     is_concerned = headroom.concerns(tasks[0])
     if is_concerned and headroom.is_limited(step):
         return
@@ -335,7 +332,9 @@
         infeasible = _assign_gang(assignment_round, tasks[0])
     else:
         tasks.sort(key=lambda state: state.task.index)
-        infeasible = _assign(assignment_round, tasks)
+        is_for_one = is_overdue and not tasks[0].step.long_running
+        assign = _assign_one if is_for_one else _assign
+        infeasible = assign(assignment_round, tasks)
     if infeasible is None:
         return
     if is_concerned and headroom.is_limited(step):
@@ -455,6 +454,20 @@
     return None
 
 
+def _assign_one(
+    assignment_round: AssignmentRound, tasks: list[TaskState]
+) -> Demand | None:
+    """Assign the first task that finds a worker; the others compete by rank.
+
+    Tasks may be excluded from workers on which they have failed.
+    """
+    for state in tasks:
+        infeasible = _assign(assignment_round, [state])
+        if state.attempts or infeasible is not None:
+            return infeasible
+    return None
+
+
 def _reject(
     assignment_round: AssignmentRound, state: TaskState, candidates: Candidates
 ) -> Demand:
