Try all fillers of a starved job that have failed elsewhere

What callers saw (by the test, extended to fillers, which failed before): as for an overdue batch step, a job of fillers has nothing running for 20 s if the first of its tasks have failed on all workers with room.

Cause: one waiting task of each step was tried, as those of a step are identical; but a starved task is not started where it has failed.

Change: one task is tried for each set of workers on which tasks have failed.

--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -13,6 +13,7 @@
 """
 
 import heapq
+import itertools
 from collections.abc import Iterable
 
 import attrs
@@ -80,9 +81,10 @@
         del idle_since[job_id]
     idle_fleet = IdleFleet(scheduler=assignment_round.scheduler)
     search = _WorkerSearch(assignment_round=assignment_round)
-    for job_id, tasks in waiting.items():
+    for job_id, steps in waiting.items():
         idle_ms = now_ms - idle_since.setdefault(job_id, now_ms)
-        if idle_ms >= STARVATION_DELAY_MS and idle_fleet.is_idle_for(tasks[0]):
+        if idle_ms >= STARVATION_DELAY_MS and idle_fleet.is_idle_for(steps[0][0]):
+            tasks = itertools.chain.from_iterable(map(_list_different, steps))
             _start_one(assignment_round, search, tasks, idle_ms)
 
 
@@ -108,27 +110,38 @@
         return
 
 
-def _list_idle_jobs(ready: Iterable[list[TaskState]]) -> dict[str, list[TaskState]]:
-    """Return waiting fillers of each job without runs, by job id, in order.
+def _list_idle_jobs(
+    ready: Iterable[list[TaskState]],
+) -> dict[str, list[list[TaskState]]]:
+    """Return waiting fillers of each job without runs, by job id and step, in order.
 
-    The tasks of each list are identical, so that one of them is returned. Members of a
-    gang run only together with all others, so that they are not throttled.
+    Members of a gang run only together with all others, so that they are not throttled.
     """
-    found: dict[str, list[TaskState]] = {}
+    found: dict[str, list[list[TaskState]]] = {}
     running: dict[str, bool] = {}
     for tasks in ready:
-        # Tasks that were placed in this round are skipped.
-        task = next((each for each in tasks if not each.attempts), None)
-        if task is None or not task.step.filler or task.step.gang:
+        task = tasks[0]
+        if not task.step.filler or task.step.gang:
             continue
         job_id = task.task.job_id
         if job_id not in running:
             running[job_id] = has_runs(task.job)
         if not running[job_id]:
-            found.setdefault(job_id, []).append(task)
+            found.setdefault(job_id, []).append(tasks)
     return found
 
 
+def _list_different(tasks: Iterable[TaskState]) -> list[TaskState]:
+    """Return one of the tasks of a step for each set of workers on which they failed.
+
+    Such tasks are identical otherwise.
+    """
+    found: dict[frozenset[str], TaskState] = {}
+    for task in tasks:
+        found.setdefault(frozenset(task.shared.failed_on), task)
+    return list(found.values())
+
+
 @attrs.define(kw_only=True)
 class _RatedWorkers:
     """Candidate workers for the throttled tasks of one image.
--- a/trefoilhook/scheduling/tests/test_batch_waits.py
+++ b/trefoilhook/scheduling/tests/test_batch_waits.py
@@ -199,18 +199,19 @@
         self.check_starts(shard)
 
     def test_first_tasks_failed_on_the_free_workers(self):
-        # Guards against an overdue step that tries only its first task, which must not
+        # Guards against relief that tries only the first task of a step, which must not
         # start where it has failed. Repeated, as the order of the tasks is not fixed.
-        for _ in range(5):
-            shard = Shard(workers=8)
-            _fill(shard, {"w0", "w1", "w2"})
-            free = {"w3", "w4", "w5", "w6", "w7"}
-            _make_faulty(shard, free)
-            shard.submit(build_job(attrs.evolve(_TASK, count=4)))
-            tasks = list(shard.scheduler.jobs["j"].tasks.values())
-            for task in tasks[:3]:
-                task.shared.failed_on.update(free)
-            self.check_starts(shard)
+        for step in (_TASK, _FILLER) * 5:
+            with self.subTest(filler=step.filler):
+                shard = Shard(workers=8)
+                _fill(shard, {"w0", "w1", "w2"})
+                free = {"w3", "w4", "w5", "w6", "w7"}
+                _make_faulty(shard, free)
+                shard.submit(build_job(attrs.evolve(step, count=4)))
+                tasks = list(shard.scheduler.jobs["j"].tasks.values())
+                for task in tasks[:3]:
+                    task.shared.failed_on.update(free)
+                self.check_starts(shard)
 
 
 if __name__ == "__main__":
