Bound the successive waits of gangs

Cause: the clock over all reasons did not apply to gangs.

Change: it does, for service steps and for batch jobs without runs on a mostly idle fleet. Capacity is ample for a gang if twice its members fit. Gangs of fillers are still neither overdue nor starved.

--- a/trefoilhook/scheduling/overdue.py
+++ b/trefoilhook/scheduling/overdue.py
@@ -28,14 +28,15 @@
 
 __all__ = ["can_become_overdue", "record_ample_capacity"]
 
-_MIN_AMPLE_PLACES = 2
-"""Minimum number of tasks of a step that must fit for capacity to be ample."""
+_AMPLE_FACTOR = 2
+"""How many times the tasks that start together must fit for capacity to be ample. These
+are all members of a gang, or one task of another step."""
 
 
 def can_become_overdue(task: TaskState) -> bool:
     """Return whether a task becomes overdue if it waits while capacity is available."""
     step, queue = task.step, task.job.queue
-    if step.gang or step.filler or queue is None or queue.advice is not None:
+    if step.filler or queue is None or queue.advice is not None:
         return False
     return step.long_running or not has_runs(task.job)
 
@@ -91,8 +92,9 @@
 class _FreeCapacity:
     """Free capacity of the workers of a service in one round.
 
-    Demands without ample capacity are cached by label, so that equal or larger demands
-    are rejected without a scan of all workers.
+    Demands without ample capacity are cached by label, with the number of tasks that
+    must fit, so that equal or larger demands are rejected without a scan of all
+    workers.
 
     Parameters
     ----------
@@ -101,23 +103,28 @@
     """
 
     workers: list[Worker]
-    _rejected: dict[str, list[Demand]] = attrs.field(factory=dict, init=False)
+    _rejected: dict[str, list[tuple[Demand, int]]] = attrs.field(
+        factory=dict, init=False
+    )
 
     def is_ample_for(self, task: TaskState) -> bool:
-        """Return whether two tasks with the demand of ``task`` fit."""
-        room, label = task.step.room, task.step.required_label
-        rejected = self._rejected.setdefault(label, [])
-        if any(room.covers(smaller) for smaller in rejected):
+        """Return whether twice the tasks that start together with ``task`` fit."""
+        step = task.step
+        needed = _AMPLE_FACTOR * (step.count if step.gang else 1)
+        rejected = self._rejected.setdefault(step.required_label, [])
+        if any(
+            needed >= fewer and step.room.covers(smaller) for smaller, fewer in rejected
+        ):
             return False
-        if _count_places(task, self.workers) >= _MIN_AMPLE_PLACES:
+        if _have_places(task, self.workers, needed):
             return True
-        if not task.step.max_per_worker:
-            rejected.append(room)
+        if not step.max_per_worker:
+            rejected.append((step.room, needed))
         return False
 
 
-def _count_places(task: TaskState, workers: Collection[Worker]) -> int:
-    """Return the number of tasks of a step that fit, at most two.
+def _have_places(task: TaskState, workers: Collection[Worker], needed: int) -> bool:
+    """Return whether a number of tasks of a step fit.
 
     Parameters
     ----------
@@ -125,23 +132,36 @@
         Waiting task of the step.
     workers : collection of Worker
         Workers in descending order of free processor capacity.
+    needed : int
+        Number of tasks.
     """
-    step = task.step
-    room = step.room
-    double_room = Demand(
-        cpu=2 * room.cpu, memory_mb=2 * room.memory_mb, gpus=2 * room.gpus
-    )
-    places = 0
     for worker in workers:
-        if _get_free_cpu(worker) < room.cpu or places >= _MIN_AMPLE_PLACES:
-            break
+        if _get_free_cpu(worker) < task.step.room.cpu:
+            return False
         if can_host(worker, task, ignores_reservations=True):
-            may_host_two = (
-                not step.max_per_worker
-                or worker.count_step(task.task) + 2 <= step.max_per_worker
-            )
-            places += 2 if may_host_two and worker.has_room(double_room) else 1
-    return min(places, _MIN_AMPLE_PLACES)
+            needed -= _count_places(worker, task, needed)
+        if needed <= 0:
+            return True
+    return False
+
+
+def _count_places(worker: Worker, task: TaskState, needed: int) -> int:
+    """Return how many tasks of a step fit on a worker with room for one."""
+    step, room = task.step, task.step.room
+    if step.max_per_worker:
+        needed = min(needed, step.max_per_worker - worker.count_step(task.task))
+    places = 1
+    while places < needed and worker.has_room(_multiply(room, places + 1)):
+        places += 1
+    return places
+
+
+def _multiply(room: Demand, factor: int) -> Demand:
+    return Demand(
+        cpu=factor * room.cpu,
+        memory_mb=factor * room.memory_mb,
+        gpus=factor * room.gpus,
+    )
 
 
 def _sort_by_free_cpu(workers: Iterable[Worker]) -> list[Worker]:
