Bound the waits of gangs of fillers

What callers saw (by the test of gangs, extended to fillers, which failed before): a gang of three fillers beside six idle faulty workers does not start within 20 s.

Cause: gangs of fillers were neither overdue nor starved, as starved jobs get one throttled task.

Change: they become overdue as other gangs do, and are then tried also behind infeasible steps. What service tasks tolerate, and the memory that fillers leave, still bound their placement.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -324,6 +324,7 @@
     if (
         infeasible_steps.fillers >= infeasible_steps.max_fillers
         and tasks[0].step.filler
+        and not is_overdue
     ):
         infeasible_steps.postponed.append(tasks)
         waits.record(step, WaitReason.BEHIND_OTHERS, assignment_round.now_ms)
--- a/trefoilhook/scheduling/overdue.py
+++ b/trefoilhook/scheduling/overdue.py
@@ -11,7 +11,7 @@
 placed on any worker with enough capacity. The checks that prevent a second run of a
 task still apply.
 
-Jobs of fillers are not overdue but starved (`starvation`).
+Jobs of fillers are not overdue but starved (`starvation`), except gangs.
 """
 
 from collections.abc import Collection, Iterable
@@ -36,7 +36,7 @@
 def can_become_overdue(task: TaskState) -> bool:
     """Return whether a task becomes overdue if it waits while capacity is available."""
     step, queue = task.step, task.job.queue
-    if step.filler or queue is None or queue.advice is not None:
+    if queue is None or queue.advice is not None or (step.filler and not step.gang):
         return False
     return step.long_running or not has_runs(task.job)
 
--- a/trefoilhook/scheduling/tests/test_batch_waits.py
+++ b/trefoilhook/scheduling/tests/test_batch_waits.py
@@ -215,11 +215,13 @@
 
     def test_gang_beside_faulty_workers(self):
         # Guards against gangs that wait until faulty workers count as sound again.
-        shard = Shard(workers=8)
-        _fill(shard, {"w0", "w1"})
-        _make_faulty(shard, {f"w{number}" for number in range(2, 8)})
-        shard.submit(build_job(attrs.evolve(_TASK, count=3, gang=True)))
-        self.check_starts(shard)
+        for step in (_TASK, _FILLER):
+            with self.subTest(filler=step.filler):
+                shard = Shard(workers=8)
+                _fill(shard, {"w0", "w1"})
+                _make_faulty(shard, {f"w{number}" for number in range(2, 8)})
+                shard.submit(build_job(attrs.evolve(step, count=3, gang=True)))
+                self.check_starts(shard)
 
 
 if __name__ == "__main__":
