Count the wait of jobs whose tasks are held for a previous owner

What callers saw (by the new test, which failed before): an owner that comes after a kill and is settled after 4 s, as a worker is silent, starts a starved job 2.1 s later still.

Cause: the time without a run was counted for tasks that may be placed; that of held tasks was kept only if a record of the previous owner had begun it.

Change: the time begins with the owner's first round.

Measured: it starts within 1 s after the settlement.

--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -70,8 +70,8 @@
     ready : list of list of TaskState
         Waiting tasks by step, in the order of their ranks.
     held : iterable of TaskState, optional
-        Waiting tasks that previous owners may have started. The waiting times of their
-        jobs are kept.
+        Waiting tasks that previous owners may have started. They are not placed, but
+        their jobs' waiting times continue.
     """
     now_ms = assignment_round.now_ms
     waiting = _list_idle_jobs(ready)
@@ -79,6 +79,8 @@
     idle_since = assignment_round.scheduler.idle_since_ms
     for job_id in idle_since.keys() - waiting.keys() - held_jobs.keys():
         del idle_since[job_id]
+    for job_id in held_jobs:
+        idle_since.setdefault(job_id, now_ms)
     idle_fleet = IdleFleet(scheduler=assignment_round.scheduler)
     search = _WorkerSearch(assignment_round=assignment_round)
     for job_id, steps in waiting.items():
--- a/trefoilhook/scheduling/tests/test_batch_waits.py
+++ b/trefoilhook/scheduling/tests/test_batch_waits.py
@@ -16,7 +16,7 @@
     wait_for_first_starts,
 )
 from trefoilhook.scheduling.tests.test_starvation import _learn_weight
-from trefoilhook.scheduling.tests.test_wait_records import _measure_wait
+from trefoilhook.scheduling.tests.test_wait_records import _measure_wait, _replace_owner
 
 _MAX_IDLE_MS = 3000.0
 """Time with nothing running after which users take a job as lost, in ms."""
@@ -107,6 +107,26 @@
                     wait_ms = _measure_wait(shard, "j", period_ms)
                     self.assertLessEqual(wait_ms, _MAX_IDLE_MS)
 
+    def test_owner_that_is_settled_late(self):
+        # Guards against a wait that begins only once the owner knows which tasks the
+        # previous one has started.
+        shard = Shard(workers=2, cpu=16_000)
+        start_services(shard, 2)
+        shard.submit(
+            build_job(
+                attrs.evolve(_FILLER, count=3, demand=Demand(cpu=3000, memory_mb=10))
+            )
+        )
+        for _ in range(3):
+            shard.step()
+        shard = _replace_owner(shard, writes=False)
+        shard.settled = False
+        for _ in range(40):
+            shard.step()
+        self.assertEqual(shard.count_running("j"), 0)
+        shard.settled = True
+        self.assertLessEqual(_measure_wait(shard, "j", _LONG_MS), 1000.0)
+
     def test_large_fleets(self):
         # Guards against rounds with fillers that are too rare for the bound.
         for workers in (246, 500):
