--- a/trefoilhook/scheduling/isolation.py
+++ b/trefoilhook/scheduling/isolation.py
@@ -85,7 +85,7 @@
     worker: Worker, task: TaskState, colocations: ColocationCache
 ) -> float:
     """Return the penalty for starting a suspected task on a worker."""
-    if task.suspicion is None:
+    if not worker.runs or task.suspicion is None:
         return 0.0
     risk = float(_SUSPECT_PENALTY * worker.suspected_runs)
     if is_strongly_suspected(task):
