Compare starved jobs without room with the workers once a round

Cause: demands that no worker can host were not remembered for such steps, as other tasks of the step may be what keeps them from a worker. A starved job has none.

Change: they are.

--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -231,7 +231,8 @@
         if found is not None:
             heapq.heappush(heap, found)
             return found[2]
-        if not (task.shared.failed_on or task.step.max_per_worker):
+        if not task.shared.failed_on:
+            # Other tasks of its step don't limit it, as its job has no run.
             rejected.append(room)
         return None
 
--- a/trefoilhook/scheduling/tests/test_batch_waits.py
+++ b/trefoilhook/scheduling/tests/test_batch_waits.py
@@ -9,7 +9,8 @@
 
 import attrs
 
-from trefoilhook.scheduling import Demand, EndKind, Step, assignment
+from trefoilhook.scheduling import Demand, EndKind, Step, assignment, starvation
+from trefoilhook.scheduling.placing import can_host
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 from trefoilhook.scheduling.tests.test_idle_jobs import (
     start_services,
@@ -244,5 +245,29 @@
                 self.check_starts(shard)
 
 
+class CostTest(unittest.TestCase):
+    """Number of comparisons of starved jobs with workers."""
+
+    def test_many_starved_jobs_without_memory(self):
+        # Guards against rounds that compare each starved job with each worker.
+        shard = Shard(workers=20)
+        step = attrs.evolve(
+            _BLOCKER, count=20, demand=Demand(cpu=100, memory_mb=7995), max_per_worker=1
+        )
+        shard.submit(build_job(step, job_id="b"))
+        for start in list_starts(shard.step()):
+            worker = shard.workers[start.worker_id]
+            worker.update(start.task, start.attempt, percent=100.0)
+        for number in range(30):
+            step = attrs.evolve(_FILLER, max_per_worker=1)
+            shard.submit(build_job(step, job_id=f"j{number}"))
+        for _ in range(30):
+            shard.step()
+        with mock.patch.object(starvation, "can_host", wraps=can_host) as compare:
+            self.assertEqual(list_starts(shard.plan()), [])
+        self.assertGreater(compare.call_count, 0)
+        self.assertLessEqual(compare.call_count, 3 * len(shard.workers))
+
+
 if __name__ == "__main__":
     unittest.main()
