--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -13,6 +13,7 @@
 """
 
 import heapq
+import itertools
 from collections.abc import Iterable
 
 import attrs
@@ -38,8 +39,9 @@
 
 _DISTURBING_DELAY_MS = 2300.0
 """Time without a running task after which a starved job gets one beside service tasks
-that keep too little slack, if it finds no other worker, in ms. Fillers are halted where
-a service task exceeds its limit."""
+that keep too little slack, on a faulty worker, beside an isolated run, or in memory
+that fillers leave to other tasks, if it finds no other worker, in ms. Fillers are
+halted where a service task exceeds its limit."""
 
 THROTTLED_PACE = 5
 """Pace of a throttled task, in percent. Slack is assigned by rank to jobs that can meet
@@ -68,8 +70,8 @@
     ready : list of list of TaskState
         Waiting tasks by step, in the order of their ranks.
     held : iterable of TaskState, optional
-        Waiting tasks that previous owners may have started. The waiting times of their
-        jobs are kept.
+        Waiting tasks that previous owners may have started. They are not placed, but
+        their jobs' waiting times continue.
     """
     now_ms = assignment_round.now_ms
     waiting = _list_idle_jobs(ready)
@@ -77,11 +79,14 @@
     idle_since = assignment_round.scheduler.idle_since_ms
     for job_id in idle_since.keys() - waiting.keys() - held_jobs.keys():
         del idle_since[job_id]
+    for job_id in held_jobs:
+        idle_since.setdefault(job_id, now_ms)
     idle_fleet = IdleFleet(scheduler=assignment_round.scheduler)
     search = _WorkerSearch(assignment_round=assignment_round)
-    for job_id, tasks in waiting.items():
+    for job_id, steps in waiting.items():
         idle_ms = now_ms - idle_since.setdefault(job_id, now_ms)
-        if idle_ms >= STARVATION_DELAY_MS and idle_fleet.is_idle_for(tasks[0]):
+        if idle_ms >= STARVATION_DELAY_MS and idle_fleet.is_idle_for(steps[0][0]):
+            tasks = itertools.chain.from_iterable(map(_list_different, steps))
             _start_one(assignment_round, search, tasks, idle_ms)
 
 
@@ -107,27 +112,38 @@
         return
 
 
-def _list_idle_jobs(ready: Iterable[list[TaskState]]) -> dict[str, list[TaskState]]:
-    """Return waiting fillers of each job without runs, by job id, in order.
+def _list_idle_jobs(
+    ready: Iterable[list[TaskState]],
+) -> dict[str, list[list[TaskState]]]:
+    """Return waiting fillers of each job without runs, by job id and step, in order.
 
-    The tasks of each list are identical, so that one of them is returned. Members of a
-    gang run only together with all others, so that they are not throttled.
+    Members of a gang run only together with all others, so that they are not throttled.
     """
-    found: dict[str, list[TaskState]] = {}
+    found: dict[str, list[list[TaskState]]] = {}
     running: dict[str, bool] = {}
     for tasks in ready:
-        # Tasks that were placed in this round are skipped.
-        task = next((each for each in tasks if not each.attempts), None)
-        if task is None or not task.step.filler or task.step.gang:
+        task = tasks[0]
+        if not task.step.filler or task.step.gang:
             continue
         job_id = task.task.job_id
         if job_id not in running:
             running[job_id] = has_runs(task.job)
         if not running[job_id]:
-            found.setdefault(job_id, []).append(task)
+            found.setdefault(job_id, []).append(tasks)
     return found
 
 
+def _list_different(tasks: Iterable[TaskState]) -> list[TaskState]:
+    """Return one of the tasks of a step for each set of workers on which they failed.
+
+    Such tasks are identical otherwise.
+    """
+    found: dict[frozenset[str], TaskState] = {}
+    for task in tasks:
+        found.setdefault(frozenset(task.shared.failed_on), task)
+    return list(found.values())
+
+
 @attrs.define(kw_only=True)
 class _RatedWorkers:
     """Candidate workers for the throttled tasks of one image.
@@ -139,10 +155,13 @@
         more of these tasks, a number that makes the entries unique, and the worker.
     rejected : list of Demand
         Demands for which no worker keeps enough slack.
+    infeasible : list of Demand
+        Demands for which no worker has the capacity.
     """
 
     heap: list[tuple[float, int, Worker]]
     rejected: list[Demand] = attrs.Factory(list)
+    infeasible: list[Demand] = attrs.Factory(list)
 
 
 @attrs.define(kw_only=True)
@@ -160,7 +179,7 @@
     """
 
     assignment_round: AssignmentRound
-    _rated: dict[tuple[str, str, str, str, StepName | None], _RatedWorkers] = (
+    _rated: dict[tuple[str, str, str, str, StepName | None, bool], _RatedWorkers] = (
         attrs.Factory(dict)
     )
     _bounds: dict[str, float] = attrs.Factory(dict)
@@ -173,18 +192,30 @@
         task : TaskState
             Starved task.
         may_disturb : bool
-            Whether the service tasks may keep less slack than they require.
+            Whether the service tasks may keep less slack than they require, and avoided
+            workers are used if there is no other.
         """
-        rated = self._get_rated(task)
+        worker = self._find(task, may_disturb=False, includes_avoided=False)
+        if worker is None and may_disturb:
+            worker = self._find(task, may_disturb=True, includes_avoided=False)
+        if worker is None and may_disturb:
+            worker = self._find(task, may_disturb=True, includes_avoided=True)
+        return worker
+
+    def _find(
+        self, task: TaskState, *, may_disturb: bool, includes_avoided: bool
+    ) -> Worker | None:
+        rated = self._get_rated(task, includes_avoided=includes_avoided)
         room = task.step.room
-        if not may_disturb and any(room.covers(each) for each in rated.rejected):
+        rejected = rated.infeasible if may_disturb else rated.rejected
+        if any(room.covers(each) for each in rejected):
             return None
         heap = rated.heap
         passed: list[tuple[float, int, Worker]] = []
         found: tuple[float, int, Worker] | None = None
         while heap and found is None:
             bound, number, worker = heapq.heappop(heap)
-            if not self._is_eligible(worker, task):
+            if not self._is_eligible(worker, task, uses_all_memory=may_disturb):
                 passed.append((bound, number, worker))
                 continue
             slack = self._predict_slack(worker, task)
@@ -200,11 +231,12 @@
         if found is not None:
             heapq.heappush(heap, found)
             return found[2]
-        if not (task.shared.failed_on or task.step.max_per_worker):
-            rated.rejected.append(room)
+        if not task.shared.failed_on:
+            # Other tasks of its step don't limit it, as its job has no run.
+            rejected.append(room)
         return None
 
-    def _get_rated(self, task: TaskState) -> _RatedWorkers:
+    def _get_rated(self, task: TaskState, *, includes_avoided: bool) -> _RatedWorkers:
         step, queue = task.step, task.job.queue
         service = queue.service if queue is not None else ""
         has_advice = queue is not None and queue.advice is not None
@@ -214,10 +246,13 @@
             step.required_label,
             step.data_rack,
             name_step(task.task) if has_advice else None,
+            includes_avoided,
         )
         rated = self._rated.get(key)
         if rated is None:
-            workers = self.assignment_round.list_candidates(task)
+            workers = self.assignment_round.list_candidates(
+                task, includes_avoided=includes_avoided
+            )
             heap = [
                 (-self._get_bound(worker, task), number, worker)
                 for number, worker in enumerate(workers)
@@ -244,11 +279,15 @@
             colocations.interference, task.step, pace=pace
         )
 
-    def _is_eligible(self, worker: Worker, task: TaskState) -> bool:
+    def _is_eligible(
+        self, worker: Worker, task: TaskState, *, uses_all_memory: bool
+    ) -> bool:
         if worker.report.worker_id in task.shared.failed_on:
             # Waiting is preferable to using up the task's attempts on this worker.
             return False
-        if not can_host(worker, task, ignores_reservations=True):
+        if not can_host(
+            worker, task, ignores_reservations=True, uses_all_memory=uses_all_memory
+        ):
             return False
         needed_cpu = task.step.demand.cpu * THROTTLED_PACE / 100.0
         return self.assignment_round.colocations.lookup(worker).spare_cpu >= needed_cpu
