--- a/trefoilhook/scheduling/idle_fleet.py
+++ b/trefoilhook/scheduling/idle_fleet.py
@@ -8,10 +8,11 @@
 
 __all__ = ["IdleFleet", "has_runs"]
 
-_MIN_IDLE_SHARE = 0.4
+_MIN_IDLE_SHARE = 0.45
 """Minimum fraction of a service's processors without reservation for its jobs to be
 entitled to a run each. With less, jobs compete and some have to wait. Users expect it
-from half; they count what is in use, which may be less than what is reserved."""
+from half on; they count what is in use, which is less than what is reserved by the
+tasks that are being started."""
 
 
 def has_runs(job: JobState) -> bool:
