Bound the excuses of tasks that silence their workers

Cause: a loss was excused by any common cause, also where it does not lower the evidence, and a long run excused any number of losses; drained and crashed workers counted as silent. The workers lost together were listed again for each run.

Change: a loss is excused only if the common cause lowers its evidence, at most five times for a task; only silent workers count; losses are kept in order of time.

--- a/trefoilhook/scheduling/concurrent_losses.py
+++ b/trefoilhook/scheduling/concurrent_losses.py
@@ -7,6 +7,7 @@
 them.
 """
 
+import bisect
 from collections.abc import Callable, Iterable
 
 import attrs
@@ -33,6 +34,8 @@
 _MAX_COMPARED = 64
 """Maximum number of workers whose jobs are compared; their fraction applies to all."""
 
+_AFTER_ALL_NAMES = "\U0010ffff"
+
 _REFRESH_INTERVAL_MS = 100.0
 """Minimum time between two searches for silent workers, in ms, as hundreds of losses
 are evaluated one after the other."""
@@ -73,6 +76,7 @@
 
     is_suspect: Callable[[Run], bool]
     _losses: dict[str, _Loss] = attrs.field(factory=dict, init=False)
+    _in_order: list[tuple[float, str]] | None = attrs.field(default=None, init=False)
     _refreshed_ms: float = attrs.field(default=float("-inf"), init=False)
 
     def refresh(self, workers: Iterable[Worker], now_ms: float) -> None:
@@ -88,18 +92,21 @@
         if now_ms - self._refreshed_ms < _REFRESH_INTERVAL_MS:
             return
         self._refreshed_ms = now_ms
+        self._in_order = None
         for incarnation, loss in list(self._losses.items()):
             if now_ms - loss.began_ms > _KEPT_MS:
                 del self._losses[incarnation]
         for worker in workers:
             if worker.silence is None:
                 self._losses.pop(worker.incarnation, None)
-            elif worker.incarnation not in self._losses:
+            elif worker.incarnation not in self._losses and _is_unexplained(worker):
                 self._losses[worker.incarnation] = self._describe(worker, now_ms)
 
     def record(self, worker: Worker, now_ms: float) -> None:
         """Record a lost worker, unless it is known."""
-        self._losses.setdefault(worker.incarnation, self._describe(worker, now_ms))
+        if worker.incarnation not in self._losses:
+            self._losses[worker.incarnation] = self._describe(worker, now_ms)
+            self._in_order = None
 
     def measure_share(self, incarnation: str, job_id: str, *, workers: int) -> float:
         """Return the fraction of the workers that were lost together with one.
@@ -122,17 +129,26 @@
         loss = self._losses.get(incarnation)
         if loss is None:
             return 0.0
-        others = [
-            other
-            for name, other in self._losses.items()
-            if name != incarnation and abs(other.began_ms - loss.began_ms) <= _WINDOW_MS
+        if self._in_order is None:
+            self._in_order = sorted(
+                (each.began_ms, name) for name, each in self._losses.items()
+            )
+        first = bisect.bisect_left(self._in_order, (loss.began_ms - _WINDOW_MS, ""))
+        last = bisect.bisect_right(
+            self._in_order, (loss.began_ms + _WINDOW_MS, _AFTER_ALL_NAMES)
+        )
+        others = last - first - 1
+        step = max(1, others // _MAX_COMPARED)
+        compared = [
+            self._losses[name]
+            for _, name in self._in_order[first:last:step]
+            if name != incarnation
         ]
-        compared = others[:_MAX_COMPARED]
         unrelated = sum(other.is_unrelated(job_id) for other in compared)
         if unrelated < _MIN_OTHERS:
             return 0.0
-        lost = 1.0 + len(others) * unrelated / len(compared)
-        return min(1.0, lost / max(workers, len(others) + 1))
+        lost = 1.0 + others * unrelated / len(compared)
+        return min(1.0, lost / max(workers, others + 1))
 
     def _describe(self, worker: Worker, now_ms: float) -> _Loss:
         began_ms = now_ms if worker.silence is None else worker.silence.began_ms
@@ -146,3 +162,13 @@
             jobs=frozenset(run.task.job_id for run in recent),
             has_suspect=any(self.is_suspect(run) for run in recent),
         )
+
+
+def _is_unexplained(worker: Worker) -> bool:
+    """Return whether a worker is silent, and neither drained nor without a process."""
+    silence = worker.silence
+    return (
+        silence is not None
+        and not silence.indicates_process_exit
+        and not worker.report.draining
+    )
--- a/trefoilhook/scheduling/crashes.py
+++ b/trefoilhook/scheduling/crashes.py
@@ -17,6 +17,7 @@
 from trefoilhook.scheduling.messages import LossCause, Suspect, WorkerLoss
 from trefoilhook.scheduling.suspicion import (
     LONG_RUN_MS,
+    MAX_UNPROVED_RATIO,
     MIN_SUSPECT_RATIO,
     PRIOR_ODDS,
     STRONG_ODDS,
@@ -97,11 +98,12 @@
     """Evaluate which tasks may have caused the end of a worker incarnation."""
     concurrent = scheduler.suspects.concurrent_losses
     concurrent.refresh(scheduler.workers.values(), now_ms)
-    concurrent.record(worker, now_ms)
+    cause = find_cause(scheduler, worker, now_ms)
+    if cause in _UNPROVED_CAUSES:
+        concurrent.record(worker, now_ms)
     runs = list_exposed_runs(worker)
     if not runs:
         return
-    cause = find_cause(scheduler, worker, now_ms)
     units, others = partition_runs(scheduler, worker, runs, now_ms)
     _excuse_long_runs(units)
     suspects: tuple[Suspect, ...] = ()
@@ -123,7 +125,7 @@
     for unit in units:
         suspicion = unit.task.suspicion
         if suspicion is not None and unit.ran_ms >= LONG_RUN_MS:
-            suspicion.excuse_losses()
+            suspicion.excuse_losses(unit.ran_ms)
 
 
 def list_exposed_runs(worker: Worker) -> list[Run]:
@@ -227,7 +229,7 @@
                 min(ratio, limit),
                 cause,
                 now_ms,
-                is_concurrent=limit < math.inf,
+                is_concurrent=limit < min(ratio, MAX_UNPROVED_RATIO),
             )
         )
     suspects.sort(key=lambda suspect: -suspect.chance)
--- a/trefoilhook/scheduling/records.py
+++ b/trefoilhook/scheduling/records.py
@@ -277,7 +277,7 @@
     }
     return Suspicion(
         notes=notes,
-        excused=_decode_numbers(table.get("excused", [])) & notes.keys(),
+        excused=_decode_numbers(table.get("excused", [])),
         survived=read_number(table, "survived", maximum=1.0),
         attempt=read_integer(table, "attempt", default=0),
         workers=list(read_strings(table, "workers")) if "workers" in table else [],
--- a/trefoilhook/scheduling/suspects.py
+++ b/trefoilhook/scheduling/suspects.py
@@ -120,7 +120,7 @@
             task.shared.survived_attempt = run.attempt
             suspicion.record_survival(compute_survival(run.proved_ms))
             if run.proved_ms >= LONG_RUN_MS:
-                suspicion.excuse_losses()
+                suspicion.excuse_losses(run.proved_ms)
                 self.mark_dirty(task.job)
         # The end of one member does not show whether the gang's other workers survive.
         if not task.step.gang and suspicion.attempt == run.attempt:
@@ -143,7 +143,6 @@
             for attempt, note in list(suspicion.notes.items()):
                 if note.worker_id == worker_id:
                     del suspicion.notes[attempt]
-                    suspicion.excused.discard(attempt)
             task.shared.held_until_ms = 0.0
             self.mark_dirty(task.job)
             self.discard_negligible(task)
--- a/trefoilhook/scheduling/suspicion.py
+++ b/trefoilhook/scheduling/suspicion.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "LONG_RUN_MS",
+    "MAX_UNPROVED_RATIO",
     "MIN_SUSPECT_RATIO",
     "PRIOR_ODDS",
     "STRONG_ODDS",
@@ -64,13 +65,18 @@
 """Running time from which a task is past its start, in ms: a loss after it says little
 about the task, and earlier losses shortly after a start had other causes."""
 
-_MAX_UNPROVED_RATIO = 20.0
+MAX_UNPROVED_RATIO = 20.0
 """Maximum factor on the odds for a loss that is not proved to be a crash."""
 
 _COMMON_CAUSE_WINDOW_MS = 2000.0
 """Uncertainty of the time between a run's start and the loss of its worker, in ms, if
 the time is compared with that of other losses."""
 
+_MAX_EXCUSED_LOSSES = 5
+"""Number of losses of a task that may be excused. Bounds the starts of a task that
+silences its workers while others fall silent for other reasons, or after times that
+vary."""
+
 _GIVE_UP_ODDS = {2: 1000.0, 3: 100.0, 4: 1.0}
 """Odds from which a task's job fails, by the number of crashes that count against the
 task. Two crashes shortly after a start are conclusive; others require more."""
@@ -155,7 +161,10 @@
     @property
     def single_losses(self) -> int:
         """Number of these losses that are not excused."""
-        return self.unproved_losses - len(self.excused)
+        return sum(
+            not note.proved and attempt not in self.excused
+            for attempt, note in self.notes.items()
+        )
 
     @property
     def is_negligible(self) -> bool:
@@ -193,25 +202,39 @@
             Whether the loss has a common cause with others.
         """
         if not proved:
-            ratio = min(ratio, _MAX_UNPROVED_RATIO)
+            ratio = min(ratio, MAX_UNPROVED_RATIO)
         if ratio < MIN_SUSPECT_RATIO:
             self.record_survival(ratio)
             return
         self.notes[attempt] = CrashNote(worker_id=worker_id, ratio=ratio, proved=proved)
-        if is_concurrent:
+        if is_concurrent and len(self.excused) < _MAX_EXCUSED_LOSSES:
             self.excused.add(attempt)
         unproved_losses = sorted(n for n, note in self.notes.items() if not note.proved)
         for oldest in unproved_losses[:-_MAX_UNPROVED_LOSSES]:
             del self.notes[oldest]
-        self.excused &= self.notes.keys()
 
     def record_survival(self, factor: float) -> None:
         """Apply a run that continued without a crash."""
         self.survived = min(1.0, max(_MIN_SURVIVAL, self.survived * factor))
 
-    def excuse_losses(self) -> None:
-        """Record that a run went on for long, so that no loss before it counts."""
-        self.excused = {n for n, note in self.notes.items() if not note.proved}
+    def excuse_losses(self, ran_ms: float) -> None:
+        """Record that a run went on for long, so that losses before it don't count.
+
+        Parameters
+        ----------
+        ran_ms : float
+            Its running time, in ms. Unless it exceeds the longest time from a start to
+            a crash, only some losses are excused: the time may vary.
+        """
+        left = _MAX_EXCUSED_LOSSES - len(self.excused)
+        if ran_ms >= _MAX_ONSET_MS:
+            left = len(self.notes)
+        counted = sorted(
+            attempt
+            for attempt, note in self.notes.items()
+            if not note.proved and attempt not in self.excused
+        )
+        self.excused.update(counted[: max(0, left)])
 
     def record_attempt(self, attempt: int, worker_id: str) -> None:
         """Record the worker on which an attempt is started."""
