Keep tasks suspected of a proved crash, and overdue ones, out of isolated runs

Cause: overdue batch tasks were started on the workers of isolated runs, and passed over the limits on isolated runs after proved crashes, too. They crashed beside the culprit again, and a job fails on proved crashes.

Change: an overdue or starved task is not placed beside an isolated run, and the limits hold for batch tasks after a proved crash.

--- a/trefoilhook/scheduling/isolation.py
+++ b/trefoilhook/scheduling/isolation.py
@@ -106,11 +106,14 @@
         Number of reserved workers.
     jobs : Counter of JobState
         Number of isolated runs by job.
+    hosts : set of Worker
+        Workers with isolated runs, which may exceed the reserved ones.
     """
 
     max_workers: int
     workers: int = 0
     jobs: Counter[JobState] = attrs.Factory(Counter)
+    hosts: set[Worker] = attrs.Factory(set)
 
     @classmethod
     def collect(cls, scheduler: Scheduler) -> "Isolation":
@@ -133,6 +136,7 @@
         if not is_run_isolated(task, run):
             return
         self.jobs[task.job] += 1
+        self.hosts.add(worker)
         if not worker.is_reserved and self.workers < self.max_workers:
             worker.is_reserved = True
             self.workers += 1
@@ -142,11 +146,16 @@
     ) -> bool:
         """Return whether isolation permits starting a task now.
 
-        The limits on isolated runs apply to overdue tasks only for a short time.
+        The limits on isolated runs apply to overdue tasks only for a short time. They
+        continue to apply to batch tasks after a proved crash: beside each other, tasks
+        are given up in place of the one that crashes their worker.
         """
         held_until_ms = task.shared.held_until_ms
         if held_until_ms > now_ms:
             return False
+        suspicion = task.suspicion
+        if suspicion is not None and suspicion.crashes and not task.step.long_running:
+            is_overdue = False
         if is_overdue and now_ms - held_until_ms >= _MIN_ISOLATION_WAIT_MS:
             return True
         if not is_strongly_suspected(task):
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -90,14 +90,19 @@
         state : TaskState
             Task of the queue.
         includes_avoided : bool, optional
-            Whether to include faulty workers and those reserved for isolated runs. They
-            are always included for overdue tasks, and never for queues with advice.
+            Whether to include faulty workers, and for long-running tasks those reserved
+            for isolated runs. They are always included for overdue tasks, and never for
+            queues with advice.
         """
         queue = state.job.queue
         if queue is None:
             return []
         if queue.advice is None and (includes_avoided or self.is_overdue(state)):
-            return self._list_usable(queue.service)
+            usable = self._list_usable(queue.service)
+            if state.step.long_running:
+                return usable
+            # A task that crashes together with a suspect may be given up in its place.
+            return [each for each in usable if each not in self.isolation.hosts]
         step = state.step
         pool = (queue.service, None if step.long_running else step.required_label)
         known = self._open.get(pool)
--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -285,6 +285,9 @@
         if worker.report.worker_id in task.shared.failed_on:
             # Waiting is preferable to using up the task's attempts on this worker.
             return False
+        if worker in self.assignment_round.isolation.hosts:
+            # If the isolated run crashes it, this task may be given up in its place.
+            return False
         if not can_host(
             worker, task, ignores_reservations=True, uses_all_memory=uses_all_memory
         ):
