Tell the attempts of jobs that have nothing running but do not wait

Violations said "not waiting, 2 attempts", which does not show whether the machine of the attempt is silent, or a start or a stop is late. Now each attempt is listed with its worker, its phase and whether the worker answers.

--- a/bench/availability/job_judge.py
+++ b/bench/availability/job_judge.py
@@ -260,8 +260,14 @@
         state = scheduler.jobs.get(job.job_id)
         if state is None:
             return "unknown to the owner"
-        held = [task.task for task in state.tasks.values() if task.attempts]
-        return f"not waiting, {len(held)} attempts"
+        attempts = [
+            f"{attempt.run.task} {attempt.run.attempt} on "
+            f"{attempt.worker.report.worker_id}: {attempt.run.phase.name.lower()}, "
+            f"{'silent' if attempt.worker.silence else 'answers'}"
+            for task in state.tasks.values()
+            for attempt in task.attempts
+        ]
+        return f"not waiting, attempts: {attempts}"
 
 
 def _is_done(record: TaskRecord) -> bool:
