--- a/bench/availability/fleet.py
+++ b/bench/availability/fleet.py
@@ -247,6 +247,10 @@
         """Return the counted processors (thousandths) and memory (MB) of a task."""
         return self._needs[task.rpartition(".")[0]]
 
+    def is_batch(self, task: str) -> bool:
+        """Return whether a task is one of a batch job."""
+        return task.partition(".")[0] in self.batch_jobs
+
     def _add_step(
         self, job_id: str, *, cpu: int, mem_mb: int, task_ms: float, step: int = 0
     ) -> None:
--- a/bench/availability/job_load.py
+++ b/bench/availability/job_load.py
@@ -37,7 +37,9 @@
         job.mem_mb, job.label = _SERVICE_MEM_MB, ""
         job.count = max(job.count, series.workers)
         job.cpu = min(job.cpu, round(series.load.fill * WORKER_CPU))
-        job.max_per_worker = 0
+        job.max_per_worker = 1 if series.load.is_spread else 0
+        if series.load.is_spread:
+            job.count = series.workers
         fleet.submit_service(job)
         asked += job.count * job.cpu
 
@@ -47,7 +49,7 @@
     is_filler = generator.random() < load.filler_share
     steps = tuple(
         _build_step(series, generator, is_filler=is_filler)
-        for _ in range(generator.choice((1, 1, 2, 3)))
+        for _ in range(min(load.max_steps, generator.choice((1, 1, 2, 3))))
     )
     culprit = ""
     if generator.random() < load.culprit_share:
@@ -64,7 +66,7 @@
     series: JobSeries, generator: random.Random, *, is_filler: bool
 ) -> BatchStep:
     load = series.load
-    count = generator.randint(1, 6)
+    count = generator.randint(1, load.max_count)
     if generator.random() < load.wide_share:
         count = generator.randint(10, _MAX_WIDTH)
     is_apart = generator.random() < load.apart_share
--- a/bench/availability/job_series.py
+++ b/bench/availability/job_series.py
@@ -24,11 +24,12 @@
 CLOSINGS = ("kill all instances", "power off everything", "end all workers")
 """Disruptions at the end of the traffic."""
 
-JOB_KINDS = ("darken workers", "failing workers")
+_COMMON_KINDS = ("darken workers", "failing workers")
+JOB_KINDS = (*_COMMON_KINDS, "darken a bystander", "lose suspects")
 """Kinds of actions that only these series have."""
 
 _KINDS = (
-    *JOB_KINDS,
+    *_COMMON_KINDS,
     "lose workers",
     "crash workers",
     "cut workers",
@@ -64,6 +65,10 @@
         task a worker, and of jobs with a culprit.
     task_ms : float
         Mean run time of a task, in ms.
+    max_steps, max_count : int, optional
+        Maximum number of steps of a job, and of tasks of a step without many tasks.
+    is_spread : bool, optional
+        Whether services have a task on each worker.
     """
 
     fill: float
@@ -75,6 +80,9 @@
     apart_share: float
     culprit_share: float
     task_ms: float
+    max_steps: int = 3
+    max_count: int = 6
+    is_spread: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -107,25 +115,163 @@
 
 
 def build_job_series(seed: int) -> JobSeries:
-    """Return the series of a seed: waves and other trouble, then a closing."""
+    """Return the series of a seed: trouble, then a closing.
+
+    Every fifth series is aimed at one weakness: many jobs whose fillers no service
+    tolerates, waves that always hit the same bystander, culprits that silence their
+    workers, or many tasks that are lost again and again.
+    """
     generator = random.Random(seed)
+    if seed % _AIMED_SEEDS == 0:
+        build = _AIMED[seed // _AIMED_SEEDS % len(_AIMED)]
+        return build(seed, generator)
     traffic_ms = _WARM_MS + generator.choice((8000.0, 16_000.0, 26_000.0))
     actions = _build_trouble(generator, traffic_ms)
     if generator.random() < 0.6:
-        kind = generator.choice(CLOSINGS)
-        at_ms = traffic_ms + generator.choice((-300.0, 0.0, 200.0))
-        actions.append(Action(at_ms=at_ms, kind=kind, duration_ms=1000.0))
+        actions.append(_build_closing(generator, traffic_ms))
+    workers = generator.choice((6, 12, 24, 40))
+    return _build_series(seed, workers, _build_load(generator), traffic_ms, actions)
+
+
+def _build_series(
+    seed: int,
+    workers: int,
+    load: JobLoad,
+    traffic_ms: float,
+    actions: list[Action],
+) -> JobSeries:
     return JobSeries(
         seed=seed,
-        workers=generator.choice((6, 12, 24, 40)),
+        workers=workers,
         instances=3,
-        load=_build_load(generator),
+        load=load,
         traffic_ms=traffic_ms,
         length_ms=traffic_ms + JUDGED_AFTER_MS + _JUDGED_MS,
         actions=tuple(sorted(actions, key=lambda action: action.at_ms)),
     )
 
 
+def _build_closing(generator: random.Random, traffic_ms: float) -> Action:
+    kind = generator.choice(CLOSINGS)
+    at_ms = traffic_ms + generator.choice((-300.0, 0.0, 200.0))
+    return Action(at_ms=at_ms, kind=kind, duration_ms=1000.0)
+
+
+def _build_crowd(seed: int, generator: random.Random) -> JobSeries:
+    """Return a series with many jobs of short fillers that no service tolerates."""
+    traffic_ms = _WARM_MS + 6000.0
+    load = JobLoad(
+        fill=generator.choice((0.25, 0.35)),
+        cost=30.0,
+        jobs=generator.choice((150, 250)),
+        jobs_per_s=2.0,
+        filler_share=1.0,
+        wide_share=0.0,
+        apart_share=0.0,
+        culprit_share=0.0,
+        task_ms=800.0,
+        max_steps=1,
+        is_spread=True,
+    )
+    # The owner stays, and with it what it knows of the fillers.
+    closing = Action(at_ms=traffic_ms, kind="end all workers", duration_ms=1000.0)
+    workers = generator.choice((24, 40))
+    return _build_series(seed, workers, load, traffic_ms, [closing])
+
+
+def _build_bystanders(seed: int, generator: random.Random) -> JobSeries:
+    """Return a series with waves of dark workers, one task's among them each time."""
+    count = generator.choice((5, 7))
+    share = generator.choice((0.1, 0.2, 0.35))
+    duration_ms = generator.choice((3000.0, 6000.0))
+    gap_ms = 7500.0
+    actions = [
+        Action(
+            at_ms=_WARM_MS + number * gap_ms,
+            kind="darken a bystander",
+            share=share,
+            duration_ms=duration_ms,
+        )
+        for number in range(count)
+    ]
+    traffic_ms = _WARM_MS + count * gap_ms - 3000.0
+    load = JobLoad(
+        fill=0.1,
+        cost=0.2,
+        jobs=generator.choice((20, 60)),
+        jobs_per_s=1.0,
+        filler_share=generator.choice((0.0, 0.5)),
+        wide_share=0.0,
+        apart_share=0.0,
+        culprit_share=0.0,
+        task_ms=20_000.0,
+        max_steps=1,
+        max_count=generator.choice((1, 4)),
+    )
+    workers = generator.choice((12, 24))
+    return _build_series(seed, workers, load, traffic_ms, actions)
+
+
+def _build_culprits(seed: int, generator: random.Random) -> JobSeries:
+    """Return a long series with culprits, and with little else that ends workers."""
+    traffic_ms = _WARM_MS + 60_000.0
+    load = JobLoad(
+        fill=0.1,
+        cost=0.2,
+        jobs=generator.choice((1, 3, 6)),
+        jobs_per_s=0.2,
+        filler_share=0.0,
+        wide_share=0.0,
+        apart_share=0.0,
+        culprit_share=generator.choice((0.1, 0.4)),
+        task_ms=2500.0,
+        max_steps=1,
+        max_count=generator.choice((1, 4)),
+    )
+    actions = [_build_closing(generator, traffic_ms)]
+    workers = generator.choice((12, 24))
+    return _build_series(seed, workers, load, traffic_ms, actions)
+
+
+def _build_suspects(seed: int, generator: random.Random) -> JobSeries:
+    """Return a series in which the same tasks are lost again and again, then all."""
+    duration_ms = 17_000.0
+    traffic_ms = _WARM_MS + duration_ms
+    actions = [
+        Action(
+            at_ms=_WARM_MS, kind="lose suspects", share=0.35, duration_ms=duration_ms
+        ),
+        Action(at_ms=traffic_ms, kind="end all workers", duration_ms=1000.0),
+    ]
+    load = JobLoad(
+        fill=0.1,
+        cost=0.2,
+        jobs=generator.choice((14, 20)),
+        jobs_per_s=0.0,
+        filler_share=0.0,
+        wide_share=0.0,
+        apart_share=0.0,
+        culprit_share=0.0,
+        task_ms=60_000.0,
+        max_steps=1,
+        max_count=1,
+    )
+    # Two workers at a time: too few for a common cause.
+    return _build_series(seed, 6, load, traffic_ms, actions)
+
+
+_AIMED_SEEDS = 5
+_AIMED = (
+    _build_crowd,
+    _build_bystanders,
+    _build_culprits,
+    _build_crowd,
+    _build_suspects,
+    _build_culprits,
+)
+"""Builders of the series that are aimed at one weakness."""
+
+
 def _build_load(generator: random.Random) -> JobLoad:
     return JobLoad(
         fill=generator.choice((0.1, 0.25, 0.35, 0.42)),
--- a/bench/availability/player.py
+++ b/bench/availability/player.py
@@ -26,6 +26,7 @@
         self._fleet = fleet
         self._judge = judge
         self._nursery = nursery
+        self._bystander = ""
 
     async def play(self, action: Action) -> None:
         """Play an action to its end."""
@@ -152,7 +153,42 @@
             await self._fleet.restart_worker(worker)
 
     async def _lose_workers(self, action: Action) -> None:
-        workers = self._choose(min(action.share, 0.35))
+        await self._lose(self._choose(min(action.share, 0.35)))
+
+    async def _lose_suspects(self, action: Action) -> None:
+        """Lose workers soon after they started batch tasks that were lost before."""
+        clock = self._fleet.clock
+        until_ms = clock.monotonic_ms() + action.duration_ms
+        lost_ms = 0.0
+        while clock.monotonic_ms() < until_ms:
+            await clock.sleep_ms(300.0)
+            alive = self._fleet.list_alive()
+            lost = self._list_lost()
+            restarted = {
+                each.worker_id: sum(
+                    run.task in lost and run.started_ms > lost_ms
+                    for run in each.list_open()
+                )
+                for each in alive
+            }
+            if lost and not any(restarted.values()):
+                continue
+            await clock.sleep_ms(300.0)
+            alive.sort(key=lambda each: -restarted[each.worker_id])
+            lost_ms = clock.monotonic_ms()
+            workers = alive[: max(1, round(action.share * len(alive)))]
+            self._nursery.start_soon(self._lose, workers)
+
+    def _list_lost(self) -> set[str]:
+        """Return the batch tasks that were running on lost workers."""
+        return {
+            run.task
+            for worker in self._fleet.workers.values()
+            for run in worker.records
+            if run.how == "crashed" and self._fleet.is_batch(run.task)
+        }
+
+    async def _lose(self, workers: list[VirtualWorker]) -> None:
         self._disrupt(500.0)
         for worker in workers:
             self._fleet.crash_worker(worker, is_dark=True)
@@ -161,7 +197,27 @@
             self._fleet.start_worker(cpu=worker.capacity["cpu"])
 
     async def _darken_workers(self, action: Action) -> None:
+        await self._darken(self._choose(action.share), action)
+
+    async def _darken_a_bystander(self, action: Action) -> None:
+        """Darken workers, among them that of a task of an earlier wave."""
         workers = self._choose(action.share)
+        hosts = self._list_hosts(self._bystander)
+        workers = hosts + [each for each in workers if each not in hosts]
+        runs = [run.task for each in workers for run in each.list_open()]
+        batch = [task for task in runs if self._fleet.is_batch(task)]
+        if not hosts and batch:
+            self._bystander = self._fleet.random.choice(batch)
+        await self._darken(workers, action)
+
+    def _list_hosts(self, task: str) -> list[VirtualWorker]:
+        return [
+            worker
+            for worker in self._fleet.list_alive()
+            if any(run.task == task for run in worker.list_open())
+        ]
+
+    async def _darken(self, workers: list[VirtualWorker], action: Action) -> None:
         self._disrupt(action.duration_ms)
         for worker in workers:
             self._fleet.crash_worker(worker, is_dark=True)
