--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -17,12 +17,13 @@
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.group_assignment import assign_in_groups
 from trefoilhook.scheduling.headroom import record_urgent_demand
+from trefoilhook.scheduling.idle_job_rounds import record_idle_jobs
 from trefoilhook.scheduling.isolation import is_strongly_suspected
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.messages import StopReason
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.overcommitment import relieve_overcommitted
-from trefoilhook.scheduling.overdue import record_ample_capacity
+from trefoilhook.scheduling.overdue import AmpleCapacity, record_ample_capacity
 from trefoilhook.scheduling.ranking import StepRank, get_lateness, rank_step
 from trefoilhook.scheduling.reserving import reserve_workers, update_reservations
 from trefoilhook.scheduling.rounds import (
@@ -175,9 +176,9 @@
         )
         reserve_for_starved_jobs(assignment_round, ready, held=held)
         unplaced = (task for tasks in ready for task in tasks if not task.attempts)
-        record_ample_capacity(scheduler, itertools.chain(held, unplaced), now_ms)
+        _record_unplaced(scheduler, itertools.chain(held, unplaced), now_ms)
     started = [state for state in assignment_round.started if state.attempts]
-    _record_lateness(started, wall_ms)
+    _record_starts(scheduler, started, now_ms=now_ms, wall_ms=wall_ms)
     scheduler.overtaking.record_round(
         ready,
         started,
@@ -186,6 +187,15 @@
     )
 
 
+def _record_unplaced(
+    scheduler: Scheduler, tasks: Iterable[TaskState], now_ms: float
+) -> None:
+    """Record which waiting steps have ample capacity, and which jobs have no run."""
+    capacity = AmpleCapacity(scheduler=scheduler)
+    record_ample_capacity(scheduler, tasks, now_ms, capacity=capacity)
+    record_idle_jobs(scheduler, capacity, now_ms)
+
+
 def _measure_held_waits(
     assignment_round: AssignmentRound, held: Iterable[TaskState]
 ) -> None:
@@ -206,9 +216,19 @@
     return max(_FILLER_INTERVAL_MS, _FILLER_INTERVAL_PER_WORKER_MS * rated_workers)
 
 
-def _record_lateness(started: Iterable[TaskState], wall_ms: float) -> None:
-    """Record whether the jobs of placed tasks can meet their objectives."""
+def _record_starts(
+    scheduler: Scheduler,
+    started: Iterable[TaskState],
+    *,
+    now_ms: float,
+    wall_ms: float,
+) -> None:
+    """Record that the jobs of placed tasks run, and if they can meet their objectives.
+
+    Each round records starts, as a short run may end before the next one with fillers.
+    """
     for state in started:
+        scheduler.waits.idle_jobs.record_start(state.task.job_id, now_ms)
         if not state.step.long_running:
             state.attempts[-1].run.lateness = get_lateness(state, wall_ms)
 
@@ -304,9 +324,6 @@
     holds = assignment_round.scheduler.service_holds
     step = name_step(tasks[0].task)
     is_overdue = assignment_round.is_overdue(tasks[0])
-    if is_overdue and not tasks[0].step.long_running:
-        # The other tasks compete with those of other jobs.
-        tasks = tasks[:1]
     is_concerned = headroom.concerns(tasks[0])
     if is_concerned and headroom.is_limited(step):
         return
@@ -327,6 +344,7 @@
     if (
         infeasible_steps.fillers >= infeasible_steps.max_fillers
         and tasks[0].step.filler
+        and not is_overdue
     ):
         infeasible_steps.postponed.append(tasks)
         waits.record(step, WaitReason.BEHIND_OTHERS, assignment_round.now_ms)
@@ -335,7 +353,9 @@
         infeasible = _assign_gang(assignment_round, tasks[0])
     else:
         tasks.sort(key=lambda state: state.task.index)
-        infeasible = _assign(assignment_round, tasks)
+        is_for_one = is_overdue and not tasks[0].step.long_running
+        assign = _assign_one if is_for_one else _assign
+        infeasible = assign(assignment_round, tasks)
     if infeasible is None:
         return
     if is_concerned and headroom.is_limited(step):
@@ -455,6 +475,20 @@
     return None
 
 
+def _assign_one(
+    assignment_round: AssignmentRound, tasks: list[TaskState]
+) -> Demand | None:
+    """Assign the first task that finds a worker; the others compete by rank.
+
+    Tasks may be excluded from workers on which they have failed.
+    """
+    for state in tasks:
+        infeasible = _assign(assignment_round, [state])
+        if state.attempts or infeasible is not None:
+            return infeasible
+    return None
+
+
 def _reject(
     assignment_round: AssignmentRound, state: TaskState, candidates: Candidates
 ) -> Demand:
--- a/trefoilhook/scheduling/overdue.py
+++ b/trefoilhook/scheduling/overdue.py
@@ -11,7 +11,7 @@
 placed on any worker with enough capacity. The checks that prevent a second run of a
 task still apply.
 
-Jobs of fillers are not overdue but starved (`starvation`).
+Jobs of fillers are not overdue but starved (`starvation`), except gangs.
 """
 
 from collections.abc import Collection, Iterable
@@ -26,22 +26,27 @@
 from trefoilhook.scheduling.placing import can_host, list_answering_workers
 from trefoilhook.scheduling.tickets import StepName, name_step
 
-__all__ = ["can_become_overdue", "record_ample_capacity"]
+__all__ = ["AmpleCapacity", "can_become_overdue", "record_ample_capacity"]
 
-_MIN_AMPLE_PLACES = 2
-"""Minimum number of tasks of a step that must fit for capacity to be ample."""
+_AMPLE_FACTOR = 2
+"""How many times the tasks that start together must fit for capacity to be ample. These
+are all members of a gang, or one task of another step."""
 
 
 def can_become_overdue(task: TaskState) -> bool:
     """Return whether a task becomes overdue if it waits while capacity is available."""
     step, queue = task.step, task.job.queue
-    if step.gang or step.filler or queue is None or queue.advice is not None:
+    if queue is None or queue.advice is not None or (step.filler and not step.gang):
         return False
     return step.long_running or not has_runs(task.job)
 
 
 def record_ample_capacity(
-    scheduler: Scheduler, tasks: Iterable[TaskState], now_ms: float
+    scheduler: Scheduler,
+    tasks: Iterable[TaskState],
+    now_ms: float,
+    *,
+    capacity: "AmpleCapacity | None" = None,
 ) -> None:
     """Record which waiting steps have ample capacity after a round.
 
@@ -53,20 +58,17 @@
         Tasks that the round did not place.
     now_ms : float
         Current time, in ms.
+    capacity : AmpleCapacity, optional
+        Free capacity after the round; computed here by default.
     """
     steps = _list_steps(tasks)
-    idle_fleet = IdleFleet(scheduler=scheduler)
+    if capacity is None:
+        capacity = AmpleCapacity(scheduler=scheduler)
     overdue = scheduler.overdue
     overdue.retain(steps.keys())
-    capacities: dict[str, _FreeCapacity] = {}
     for step, task in steps.items():
-        queue = task.job.queue
-        service = queue.service if queue is not None else ""
-        if service not in capacities:
-            workers = list_answering_workers(scheduler, service)
-            capacities[service] = _FreeCapacity(workers=_sort_by_free_cpu(workers))
-        is_entitled = task.step.long_running or idle_fleet.is_idle_for(task)
-        if is_entitled and capacities[service].is_ample_for(task):
+        is_entitled = task.step.long_running or capacity.idle_fleet.is_idle_for(task)
+        if is_entitled and capacity.is_ample_for(task):
             overdue.extend(step, now_ms)
         else:
             overdue.interrupt(step, now_ms)
@@ -87,12 +89,48 @@
     return steps
 
 
+@attrs.define(kw_only=True)
+class AmpleCapacity:
+    """Which waiting tasks have ample capacity after a round.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        Scheduler of the shard.
+
+    Attributes
+    ----------
+    idle_fleet : IdleFleet
+        Which services are mostly idle.
+    """
+
+    scheduler: Scheduler
+    idle_fleet: IdleFleet = attrs.field(init=False)
+    _by_service: dict[str, "_FreeCapacity"] = attrs.field(factory=dict, init=False)
+
+    @idle_fleet.default
+    def _build_idle_fleet(self) -> IdleFleet:
+        return IdleFleet(scheduler=self.scheduler)
+
+    def is_ample_for(self, task: TaskState) -> bool:
+        """Return whether two tasks with the demand of ``task`` fit."""
+        queue = task.job.queue
+        service = queue.service if queue is not None else ""
+        known = self._by_service.get(service)
+        if known is None:
+            workers = list_answering_workers(self.scheduler, service)
+            known = _FreeCapacity(workers=_sort_by_free_cpu(workers))
+            self._by_service[service] = known
+        return known.is_ample_for(task)
+
+
 @attrs.define(kw_only=True)
 class _FreeCapacity:
     """Free capacity of the workers of a service in one round.
 
-    Demands without ample capacity are cached by label, so that equal or larger demands
-    are rejected without a scan of all workers.
+    Demands without ample capacity are cached by label, with the number of tasks that
+    must fit, so that equal or larger demands are rejected without a scan of all
+    workers.
 
     Parameters
     ----------
@@ -101,23 +139,28 @@
     """
 
     workers: list[Worker]
-    _rejected: dict[str, list[Demand]] = attrs.field(factory=dict, init=False)
+    _rejected: dict[str, list[tuple[Demand, int]]] = attrs.field(
+        factory=dict, init=False
+    )
 
     def is_ample_for(self, task: TaskState) -> bool:
-        """Return whether two tasks with the demand of ``task`` fit."""
-        room, label = task.step.room, task.step.required_label
-        rejected = self._rejected.setdefault(label, [])
-        if any(room.covers(smaller) for smaller in rejected):
+        """Return whether twice the tasks that start together with ``task`` fit."""
+        step = task.step
+        needed = _AMPLE_FACTOR * (step.count if step.gang else 1)
+        rejected = self._rejected.setdefault(step.required_label, [])
+        if any(
+            needed >= fewer and step.room.covers(smaller) for smaller, fewer in rejected
+        ):
             return False
-        if _count_places(task, self.workers) >= _MIN_AMPLE_PLACES:
+        if _have_places(task, self.workers, needed):
             return True
-        if not task.step.max_per_worker:
-            rejected.append(room)
+        if not step.max_per_worker:
+            rejected.append((step.room, needed))
         return False
 
 
-def _count_places(task: TaskState, workers: Collection[Worker]) -> int:
-    """Return the number of tasks of a step that fit, at most two.
+def _have_places(task: TaskState, workers: Collection[Worker], needed: int) -> bool:
+    """Return whether a number of tasks of a step fit.
 
     Parameters
     ----------
@@ -125,23 +168,36 @@
         Waiting task of the step.
     workers : collection of Worker
         Workers in descending order of free processor capacity.
+    needed : int
+        Number of tasks.
     """
-    step = task.step
-    room = step.room
-    double_room = Demand(
-        cpu=2 * room.cpu, memory_mb=2 * room.memory_mb, gpus=2 * room.gpus
-    )
-    places = 0
     for worker in workers:
-        if _get_free_cpu(worker) < room.cpu or places >= _MIN_AMPLE_PLACES:
-            break
+        if _get_free_cpu(worker) < task.step.room.cpu:
+            return False
         if can_host(worker, task, ignores_reservations=True):
-            may_host_two = (
-                not step.max_per_worker
-                or worker.count_step(task.task) + 2 <= step.max_per_worker
-            )
-            places += 2 if may_host_two and worker.has_room(double_room) else 1
-    return min(places, _MIN_AMPLE_PLACES)
+            needed -= _count_places(worker, task, needed)
+        if needed <= 0:
+            return True
+    return False
+
+
+def _count_places(worker: Worker, task: TaskState, needed: int) -> int:
+    """Return how many tasks of a step fit on a worker with room for one."""
+    step, room = task.step, task.step.room
+    if step.max_per_worker:
+        needed = min(needed, step.max_per_worker - worker.count_step(task.task))
+    places = 1
+    while places < needed and worker.has_room(_multiply(room, places + 1)):
+        places += 1
+    return places
+
+
+def _multiply(room: Demand, factor: int) -> Demand:
+    return Demand(
+        cpu=factor * room.cpu,
+        memory_mb=factor * room.memory_mb,
+        gpus=factor * room.gpus,
+    )
 
 
 def _sort_by_free_cpu(workers: Iterable[Worker]) -> list[Worker]:
