Start starved jobs beside fillers that use all processors

Cause: a throttled task needed 5 % of its processors to be left unused by the other fillers. Fillers of other jobs at full speed use all that is left, and their processors are not counted as in use. The new test failed before: at least ten of 60 jobs had no run within 3 s.

Change: after 2.3 s a starved job is started also where fillers use all processors; they share them, and the paces of all are lowered as before.

--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -192,8 +192,9 @@
         task : TaskState
             Starved task.
         may_disturb : bool
-            Whether the service tasks may keep less slack than they require, and avoided
-            workers are used if there is no other.
+            Whether the service tasks may keep less slack than they require, other
+            fillers may use all processors, and avoided workers are used if there is no
+            other.
         """
         worker = self._find(task, may_disturb=False, includes_avoided=False)
         if worker is None and may_disturb:
@@ -215,7 +216,7 @@
         found: tuple[float, int, Worker] | None = None
         while heap and found is None:
             bound, number, worker = heapq.heappop(heap)
-            if not self._is_eligible(worker, task, uses_all_memory=may_disturb):
+            if not self._is_eligible(worker, task, may_disturb=may_disturb):
                 passed.append((bound, number, worker))
                 continue
             slack = self._predict_slack(worker, task)
@@ -280,14 +281,17 @@
         )
 
     def _is_eligible(
-        self, worker: Worker, task: TaskState, *, uses_all_memory: bool
+        self, worker: Worker, task: TaskState, *, may_disturb: bool
     ) -> bool:
         if worker.report.worker_id in task.shared.failed_on:
             # Waiting is preferable to using up the task's attempts on this worker.
             return False
         if not can_host(
-            worker, task, ignores_reservations=True, uses_all_memory=uses_all_memory
+            worker, task, ignores_reservations=True, uses_all_memory=may_disturb
         ):
             return False
+        if may_disturb:
+            # Fillers share the processors, which are not counted for them.
+            return True
         needed_cpu = task.step.demand.cpu * THROTTLED_PACE / 100.0
         return self.assignment_round.colocations.lookup(worker).spare_cpu >= needed_cpu
--- a/trefoilhook/scheduling/tests/test_idle_jobs.py
+++ b/trefoilhook/scheduling/tests/test_idle_jobs.py
@@ -155,6 +155,20 @@
         first = wait_for_first_starts(shard, {"batch"}, within_ms=_MAX_IDLE_MS)
         self.assertEqual(first.keys(), {"batch"})
 
+    def test_job_starts_beside_fillers_that_use_all_processors(self):
+        # Guards against jobs that wait without any bound for the fillers of others,
+        # whose processors are not counted.
+        shard = Shard(workers=2, cpu=16_000)
+        wide = attrs.evolve(_FILLER, count=40, estimate_ms=600_000.0)
+        shard.submit(build_job(wide, job_id="wide"))
+        for _ in range(30):
+            shard.step()
+        names = {f"batch{number}" for number in range(60)}
+        for name in names:
+            shard.submit(build_job(attrs.evolve(_FILLER, count=1), job_id=name))
+        first = wait_for_first_starts(shard, names, within_ms=_MAX_IDLE_MS)
+        self.assertEqual(names - first.keys(), set())
+
     def test_suspected_fillers_of_many_jobs_start_in_time(self):
         # Guards against starved jobs that wait for the isolated runs of others.
         shard = Shard(workers=8, cpu=16_000)
