Compare steps apart without room with the workers once a round

Cause: for such steps it is not remembered that no worker has room, as other tasks of the step may be the reason.

Change: it is, if no worker has room at all. The new test counted more than 40 comparisons before.

--- a/trefoilhook/scheduling/overdue.py
+++ b/trefoilhook/scheduling/overdue.py
@@ -154,10 +154,14 @@
             return False
         if _have_places(task, self.workers, needed):
             return True
-        if not step.max_per_worker:
+        if not step.max_per_worker or not self._have_room(step.room):
             rejected.append((step.room, needed))
         return False
 
+    def _have_room(self, room: Demand) -> bool:
+        """Return whether any worker has room, whatever else may exclude it."""
+        return any(worker.has_room(room) for worker in self.workers)
+
 
 def _have_places(task: TaskState, workers: Collection[Worker], needed: int) -> bool:
     """Return whether a number of tasks of a step fit.
--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -39,9 +39,9 @@
 
 _DISTURBING_DELAY_MS = 2300.0
 """Time without a running task after which a starved job gets one beside service tasks
-that keep too little slack, on a faulty worker, beside an isolated run, or in memory
-that fillers leave to other tasks, if it finds no other worker, in ms. Fillers are
-halted where a service task exceeds its limit."""
+that keep too little slack, beside fillers that use all processors, on a faulty worker,
+or in memory that fillers leave to other tasks, if it finds no other worker, in ms.
+Fillers are halted where a service task exceeds its limit."""
 
 THROTTLED_PACE = 5
 """Pace of a throttled task, in percent. Slack is assigned by rank to jobs that can meet
--- a/trefoilhook/scheduling/tests/test_batch_waits.py
+++ b/trefoilhook/scheduling/tests/test_batch_waits.py
@@ -9,7 +9,14 @@
 
 import attrs
 
-from trefoilhook.scheduling import Demand, EndKind, Step, assignment, starvation
+from trefoilhook.scheduling import (
+    Demand,
+    EndKind,
+    Step,
+    assignment,
+    overdue,
+    starvation,
+)
 from trefoilhook.scheduling.placing import can_host
 from trefoilhook.scheduling.tests.cases import Shard, build_job, list_starts
 from trefoilhook.scheduling.tests.test_idle_jobs import (
@@ -147,6 +154,19 @@
                     shard.save()
                 self.assertEqual(len(started), workers // 2 + 1)
 
+    def test_cost_of_steps_apart_without_room(self):
+        # Guards against rounds that compare all workers with each of many steps whose
+        # tasks must not share a worker.
+        shard = Shard(workers=20)
+        step = attrs.evolve(
+            _TASK, demand=Demand(cpu=1000, memory_mb=9000), max_per_worker=1
+        )
+        for number in range(100):
+            shard.submit(build_job(step, job_id=f"j{number}"))
+        with mock.patch.object(overdue, "can_host", wraps=overdue.can_host) as compare:
+            shard.plan()
+        self.assertLessEqual(compare.call_count, 40)
+
     def test_job_that_was_set_aside(self):
         # Guards against a job that waits for longer than the time for which it is set
         # aside after an error in its planning.
