Look at one waiting task of each list after a round

Cause: the clocks looked at each waiting task after each round with fillers, though those of a list belong to one step and say the same.

Change: one unplaced task of each list. Which steps are recorded does not change.

--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -1,7 +1,7 @@
 """Assignment of waiting tasks to workers in one round over all of them."""
 
 import itertools
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 import attrs
 
@@ -175,8 +175,8 @@
             [each for each in migration_candidates if each.run.is_throttled],
         )
         reserve_for_starved_jobs(assignment_round, ready, held=held)
-        unplaced = (task for tasks in ready for task in tasks if not task.attempts)
-        _record_unplaced(scheduler, itertools.chain(held, unplaced), now_ms)
+        waiting_tasks = itertools.chain(held, _list_unplaced(ready))
+        _record_unplaced(scheduler, waiting_tasks, now_ms)
     started = [state for state in assignment_round.started if state.attempts]
     _record_starts(scheduler, started, now_ms=now_ms, wall_ms=wall_ms)
     scheduler.overtaking.record_round(
@@ -187,6 +187,14 @@
     )
 
 
+def _list_unplaced(steps: Iterable[list[TaskState]]) -> Iterator[TaskState]:
+    """Yield one unplaced task of each list, whose tasks belong to one step."""
+    for tasks in steps:
+        unplaced = next((task for task in tasks if not task.attempts), None)
+        if unplaced is not None:
+            yield unplaced
+
+
 def _record_unplaced(
     scheduler: Scheduler, tasks: Iterable[TaskState], now_ms: float
 ) -> None:
