--- a/bench/availability/player.py
+++ b/bench/availability/player.py
@@ -144,13 +144,7 @@
             await self._fleet.restart_worker(worker)
 
     async def _crash_workers(self, action: Action) -> None:
-        workers = self._choose(action.share)
-        self._disrupt(action.duration_ms)
-        for worker in workers:
-            self._fleet.crash_worker(worker, is_dark=False)
-        await self._fleet.clock.sleep_ms(action.duration_ms)
-        for worker in workers:
-            await self._fleet.restart_worker(worker)
+        await self._end(self._choose(action.share), action, is_dark=False)
 
     async def _lose_workers(self, action: Action) -> None:
         await self._lose(self._choose(min(action.share, 0.35)))
@@ -197,7 +191,7 @@
             self._fleet.start_worker(cpu=worker.capacity["cpu"])
 
     async def _darken_workers(self, action: Action) -> None:
-        await self._darken(self._choose(action.share), action)
+        await self._end(self._choose(action.share), action, is_dark=True)
 
     async def _darken_a_bystander(self, action: Action) -> None:
         """Darken workers, among them that of a task of an earlier wave."""
@@ -208,7 +202,7 @@
         batch = [task for task in runs if self._fleet.is_batch(task)]
         if not hosts and batch:
             self._bystander = self._fleet.random.choice(batch)
-        await self._darken(workers, action)
+        await self._end(workers, action, is_dark=True)
 
     def _list_hosts(self, task: str) -> list[VirtualWorker]:
         return [
@@ -217,22 +211,19 @@
             if any(run.task == task for run in worker.list_open())
         ]
 
-    async def _darken(self, workers: list[VirtualWorker], action: Action) -> None:
+    async def _end(
+        self, workers: list[VirtualWorker], action: Action, *, is_dark: bool
+    ) -> None:
+        """End the processes of workers for the duration of an action."""
         self._disrupt(action.duration_ms)
         for worker in workers:
-            self._fleet.crash_worker(worker, is_dark=True)
+            self._fleet.crash_worker(worker, is_dark=is_dark)
         await self._fleet.clock.sleep_ms(action.duration_ms)
         for worker in workers:
             await self._fleet.restart_worker(worker)
 
     async def _end_all_workers(self, action: Action) -> None:
-        workers = self._fleet.list_alive()
-        self._disrupt(action.duration_ms)
-        for worker in workers:
-            self._fleet.crash_worker(worker, is_dark=True)
-        await self._fleet.clock.sleep_ms(action.duration_ms)
-        for worker in workers:
-            await self._fleet.restart_worker(worker)
+        await self._end(self._fleet.list_alive(), action, is_dark=True)
 
     async def _kill_all_instances(self, action: Action) -> None:
         self._disrupt(1000.0)
