Repeat the series of the search exactly

Cause: tasks and jobs are compared by identity, and the sets of those that wait, have changed or are suspected were iterated in the order of their addresses. The generator of the pauses between probes of the store had no seed.

The digest is printed, and a test compares it.

--- a/bench/availability/__main__.py
+++ b/bench/availability/__main__.py
@@ -55,7 +55,7 @@
         f"{outcome.longest_ms:.0f} ms ({outcome.longest_early_ms:.0f} before), "
         f"{len(outcome.duplicates)} run twice, {len(outcome.overstarted)} started too "
         f"often, {len(outcome.given_up)} given up, {outcome.failures} failures, "
-        f"{outcome.jobs} jobs, {outcome.runs} runs, "
+        f"{outcome.jobs} jobs, {outcome.runs} runs ({outcome.digest}), "
         f"{series.length_ms / 1000:.0f} s in {took_s:.1f} s",
         flush=True,
     )
@@ -78,7 +78,7 @@
         f"({outcome.longest_disrupted_ms:.0f} in disruptions), "
         f"{len(outcome.duplicates)} run twice, "
         f"{outcome.failures} failures, {outcome.given_up} given up, "
-        f"{outcome.runs} runs, {times}",
+        f"{outcome.runs} runs ({outcome.digest}), {times}",
         flush=True,
     )
     for violation in outcome.violations[:3]:
--- a/bench/availability/simulation.py
+++ b/bench/availability/simulation.py
@@ -1,8 +1,13 @@
 """Simulation of a series on virtual time."""
 
+import hashlib
+import itertools
 import random
+import types
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractContextManager
 from typing import TypeVar
+from unittest import mock
 
 import attrs
 import trio
@@ -24,6 +29,7 @@
 _S = TypeVar("_S", Series, JobSeries)
 _O = TypeVar("_O")
 
+_DIGEST_LENGTH = 12
 _EPOCH_MS = 1_700_000_000_000.0
 """Wall time at the begin of a simulation, in ms; fixed, so that a series is repeated
 exactly."""
@@ -50,6 +56,8 @@
         one service.
     runs : int
         Number of runs.
+    digest : str
+        Digest of all runs, which tells whether two simulations were the same.
     """
 
     violations: tuple[Violation, ...]
@@ -59,6 +67,7 @@
     failures: int
     given_up: int
     runs: int
+    digest: str
 
     @property
     def is_broken(self) -> bool:
@@ -89,6 +98,8 @@
         Number of unexpected errors that the instances contained.
     jobs, runs : int
         Number of jobs, and of runs.
+    digest : str
+        Digest of all runs, which tells whether two simulations were the same.
     """
 
     violations: tuple[JobViolation, ...]
@@ -100,6 +111,7 @@
     failures: int
     jobs: int
     runs: int
+    digest: str
 
     @property
     def is_broken(self) -> bool:
@@ -133,6 +145,13 @@
     trio._core._run._r.seed(seed)
 
 
+def _seed_generators(seed: int) -> AbstractContextManager[object]:
+    """Seed the generators of the probes of the store, while the result is entered."""
+    numbers = itertools.count(seed)
+    source = types.SimpleNamespace(Random=lambda: random.Random(next(numbers)))
+    return mock.patch("trefoilhook.platform.reachability.random", source)
+
+
 def simulate(series: Series) -> Outcome:
     """Simulate a series.
 
@@ -164,7 +183,7 @@
             nursery.cancel_scope.cancel()
         return outcome
 
-    with network.replace_clients():
+    with network.replace_clients(), _seed_generators(series.seed):
         return trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
@@ -207,6 +226,7 @@
         failures=fleet.count_failures(),
         jobs=len(fleet.batch_jobs),
         runs=sum(len(worker.records) for worker in fleet.workers.values()),
+        digest=_digest_runs(fleet),
     )
 
 
@@ -224,9 +244,18 @@
         failures=fleet.count_failures(),
         given_up=0 if _aims_at_services(series) else len(fleet.given_up),
         runs=sum(len(worker.records) for worker in fleet.workers.values()),
+        digest=_digest_runs(fleet),
     )
 
 
+def _digest_runs(fleet: Fleet) -> str:
+    digest = hashlib.sha256()
+    for worker_id, worker in fleet.workers.items():
+        for record in worker.records:
+            digest.update(f"{worker_id} {attrs.astuple(record)}\n".encode())
+    return digest.hexdigest()[:_DIGEST_LENGTH]
+
+
 def _aims_at_services(series: Series) -> bool:
     return any(action.kind in AIMED_AT_SERVICES for action in series.actions)
 
--- a/bench/availability/tests/test_job_series.py
+++ b/bench/availability/tests/test_job_series.py
@@ -1,12 +1,18 @@
 """Tests of the search for batch jobs with nothing running, with some of its series."""
 
 import random
+import re
 import unittest
 
 from bench.availability.job_series import JOB_KINDS, build_job_series
 from bench.availability.tests.test_series import search
 
 
+def _read_digest(output: str) -> str:
+    found = re.search(r"runs \((\w+)\)", output)
+    return found[1] if found else output
+
+
 class JobSearchTest(unittest.TestCase):
     """The users' rule on batch jobs, and that the search finds faults."""
 
@@ -51,6 +57,20 @@
                 self.assertEqual(build_job_series(seed), build_job_series(seed))
                 self.assertEqual(random.getstate(), state)
 
+    def test_simulation_depends_on_the_seed_alone(self):
+        # Guards against an order of tasks or jobs that depends on hashes or addresses.
+        environments = (
+            {"PYTHONHASHSEED": "1"},
+            {"PYTHONHASHSEED": "2", "PYTHONMALLOC": "malloc"},
+        )
+        digests = {
+            _read_digest(
+                search("--jobs", "--seed", "20", "--count", "1", **each).stdout
+            )
+            for each in environments
+        }
+        self.assertEqual(len(digests), 1)
+
     def test_all_kinds_are_played(self):
         kinds = {
             action.kind
--- a/bench/availability/tests/test_series.py
+++ b/bench/availability/tests/test_series.py
@@ -10,11 +10,16 @@
 from bench.availability.shrinking import shrink
 
 
-def search(*arguments: str) -> subprocess.CompletedProcess[str]:
+def search(*arguments: str, **environment: str) -> subprocess.CompletedProcess[str]:
     """Run the search in a process of its own, as it replaces parts of the product."""
     return subprocess.run(
         [sys.executable, "-m", "bench.availability", *arguments],
-        env={**os.environ, "LOGURU_AUTOINIT": "0", "PYTHONHASHSEED": "0"},
+        env={
+            **os.environ,
+            "LOGURU_AUTOINIT": "0",
+            "PYTHONHASHSEED": "0",
+            **environment,
+        },
         capture_output=True,
         text=True,
         timeout=300.0,
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -25,6 +25,7 @@
 from trefoilhook.scheduling.job_times import TimeTracker
 from trefoilhook.scheduling.messages import EndKind, StopReason
 from trefoilhook.scheduling.models import Configuration, TaskId, WorkerReport
+from trefoilhook.scheduling.ordered_set import OrderedSet
 from trefoilhook.scheduling.overtaking import OvertakingTracker
 from trefoilhook.scheduling.postponed import PostponedSteps
 from trefoilhook.scheduling.queues import KnownQueues
@@ -100,7 +101,7 @@
     ----------
     jobs, workers : dict
         By id.
-    waiting : set of TaskState
+    waiting : OrderedSet of TaskState
         Tasks of open jobs whose step is due and that have no attempt.
     is_superseded : bool
         Whether a worker has answered a later owner.
@@ -130,7 +131,7 @@
     unreadable_jobs : set of str
         Jobs with unreadable records: none of their tasks is started, stopped or
         acknowledged.
-    dirty : set of JobState
+    dirty : OrderedSet of JobState
         Jobs with unsaved changes.
     waits : WaitTracker
         Reasons and durations of the waits of steps, and of jobs without runs.
@@ -210,10 +211,10 @@
         self.features = features or Features()
         self.jobs: dict[str, JobState] = {}
         self.workers: dict[str, Worker] = {}
-        self.waiting: set[TaskState] = set()
+        self.waiting: OrderedSet[TaskState] = OrderedSet()
         self.is_superseded = False
         self.unreadable_jobs: set[str] = set()
-        self.dirty: set[JobState] = set()
+        self.dirty: OrderedSet[JobState] = OrderedSet()
         self.interference = Interference()
         self.durations = Durations()
         self.queues = KnownQueues()
@@ -256,7 +257,7 @@
         self.last_change = 0
         self.unreleased: dict[str, int] = {}
         self.end_changes: dict[str, int] = {}
-        self._timed: set[JobState] = set()
+        self._timed: OrderedSet[JobState] = OrderedSet()
 
     # Events from clients and operators.
 
@@ -320,7 +321,8 @@
         self.suspects.jobs.discard(state)
         self.times.forget(job_id)
         self.dirty.discard(state)
-        self.waiting.difference_update(state.tasks.values())
+        for task in state.tasks.values():
+            self.waiting.discard(task)
 
     def cancel_job(self, job_id: str, *, revision: int) -> None:
         """Cancel a job at a client's request; its tasks are stopped."""
--- a/trefoilhook/scheduling/suspects.py
+++ b/trefoilhook/scheduling/suspects.py
@@ -9,6 +9,7 @@
 from trefoilhook.scheduling.job_state import JobState, TaskState
 from trefoilhook.scheduling.messages import EndKind, WorkerLoss
 from trefoilhook.scheduling.models import TaskId
+from trefoilhook.scheduling.ordered_set import OrderedSet
 from trefoilhook.scheduling.suspicion import (
     LONG_RUN_MS,
     CrashRate,
@@ -42,7 +43,7 @@
 
     Attributes
     ----------
-    jobs : set of JobState
+    jobs : OrderedSet of JobState
         Open jobs with suspected tasks.
     recorded : list of TaskState
         Tasks with an attempt recorded by a previous owner, until it is evaluated.
@@ -59,7 +60,7 @@
 
     mark_dirty: Callable[[JobState], None]
     find_job: Callable[[str], JobState | None]
-    jobs: set[JobState] = attrs.field(factory=set, init=False)
+    jobs: OrderedSet[JobState] = attrs.field(factory=OrderedSet, init=False)
     recorded: list[TaskState] = attrs.field(factory=list, init=False)
     drained: set[str] = attrs.field(factory=set, init=False)
     losses: list[WorkerLoss] = attrs.field(factory=list, init=False)
