Take a run on a silent worker for none in the clocks of batch jobs

Users saw jobs with nothing running for over 3 s beside mostly free workers. Of a job whose only run was on a worker that didn't answer, the owner believed that it ran: it was neither starved nor overdue, its other tasks weren't started, no line told of it, and its clocks began when the run was released, or when the next owner had claimed the shard.

One function now says whether a job runs: one of its runs, or starts, is on a worker that answers. Its clock begins with the last answer that shows a run, ends when a worker confirms the next one, and is handed to the next owner. After a kill it begins 1.5 s before the claim: the lease of 2 s was renewed 0.5 s before at most. JOB_IDLE measures these times, and counts the runs on silent workers.

Ruled out: releasing such runs sooner, as a second run of a task would be possible.

--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -47,7 +47,7 @@
 from trefoilhook.runtime.revisions import RevisionLog
 from trefoilhook.runtime.vacancy import Vacancy
 
-__all__ = ["OWNER_LEASE_MS", "ShardElection", "Ownership"]
+__all__ = ["MIN_UNOWNED_MS", "OWNER_LEASE_MS", "Ownership", "ShardElection"]
 
 OWNER_LEASE_MS = 2000
 """Lease of the owner's key, in ms, after which a dead owner can be replaced. It allows
@@ -56,6 +56,9 @@
 _RENEWAL_PERIOD_MS = 500.0
 """Pause between two lease renewals, in ms."""
 
+MIN_UNOWNED_MS = OWNER_LEASE_MS - _RENEWAL_PERIOD_MS
+"""Minimum time without an owner before a claim that follows a dead owner, in ms."""
+
 _RETRY_PAUSE_MS = 200.0
 """Pause after a failed attempt, in ms."""
 
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -35,7 +35,7 @@
 from trefoilhook.runtime.metrics import ProcessMetrics
 from trefoilhook.runtime.order_slots import OrderSlots
 from trefoilhook.runtime.orders import execute_order
-from trefoilhook.runtime.ownership import OWNER_LEASE_MS, Ownership
+from trefoilhook.runtime.ownership import MIN_UNOWNED_MS, OWNER_LEASE_MS, Ownership
 from trefoilhook.runtime.places import PlaceWriter
 from trefoilhook.runtime.planfailures import log_plan_failures
 from trefoilhook.runtime.polling import WorkerPoller
@@ -427,6 +427,9 @@
             failures=self._store.failures,
         )
         self._take_inheritance(contents, self._read_roster(contents.roster))
+        self._scheduler.idle_times.assume_unowned(
+            self._ownership.requested_ms - MIN_UNOWNED_MS
+        )
         self._restore_snapshots(contents.snapshots)
         self._job_feed.load(contents.jobs, contents.progress)
         self._is_loaded = True
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -17,7 +17,10 @@
 from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.group_assignment import assign_in_groups
 from trefoilhook.scheduling.headroom import record_urgent_demand
-from trefoilhook.scheduling.idle_job_rounds import record_idle_jobs
+from trefoilhook.scheduling.idle_job_rounds import (
+    list_idle_candidates,
+    record_idle_jobs,
+)
 from trefoilhook.scheduling.isolation import is_strongly_suspected
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.messages import StopReason
@@ -174,9 +177,7 @@
             assignment_round,
             [each for each in migration_candidates if each.run.is_throttled],
         )
-        reserve_for_starved_jobs(assignment_round, ready, held=held)
-        waiting_tasks = itertools.chain(held, _list_unplaced(ready))
-        _record_unplaced(scheduler, waiting_tasks, now_ms)
+        _relieve_idle_jobs(assignment_round, ready, held)
     started = [state for state in assignment_round.started if state.attempts]
     _record_starts(scheduler, started, now_ms=now_ms, wall_ms=wall_ms)
     scheduler.overtaking.record_round(
@@ -187,6 +188,19 @@
     )
 
 
+def _relieve_idle_jobs(
+    assignment_round: AssignmentRound,
+    ready: list[list[TaskState]],
+    held: Iterable[TaskState],
+) -> None:
+    """Start a task of each starved job, and record what still waits."""
+    scheduler, now_ms = assignment_round.scheduler, assignment_round.now_ms
+    scheduler.idle_times.update(list_idle_candidates(scheduler), now_ms)
+    reserve_for_starved_jobs(assignment_round, ready)
+    waiting_tasks = itertools.chain(held, _list_unplaced(ready))
+    _record_unplaced(scheduler, waiting_tasks, now_ms)
+
+
 def _list_unplaced(steps: Iterable[list[TaskState]]) -> Iterator[TaskState]:
     """Yield one unplaced task of each list, whose tasks belong to one step."""
     for tasks in steps:
--- a/trefoilhook/scheduling/core.py
+++ b/trefoilhook/scheduling/core.py
@@ -21,6 +21,7 @@
 from trefoilhook.scheduling.guarantees import Guarantees
 from trefoilhook.scheduling.holds import TakeoverHolds
 from trefoilhook.scheduling.interference import Interference
+from trefoilhook.scheduling.job_activity import IdleTimes, find_last_sign
 from trefoilhook.scheduling.job_state import JobState, TaskState
 from trefoilhook.scheduling.job_times import TimeTracker
 from trefoilhook.scheduling.messages import EndKind, StopReason
@@ -126,8 +127,8 @@
         Time of the next round that places fillers, in ms.
     postponed : PostponedSteps
         Waiting fillers that the rounds do not reach by rank.
-    idle_since_ms : dict of str to float
-        Time since when jobs with waiting fillers have had no run, in ms.
+    idle_times : IdleTimes
+        Since when nothing of batch jobs has run.
     unreadable_jobs : set of str
         Jobs with unreadable records: none of their tasks is started, stopped or
         acknowledged.
@@ -226,7 +227,7 @@
         self.tickets = TicketCache()
         self.fillers_due_ms = 0.0
         self.postponed = PostponedSteps()
-        self.idle_since_ms: dict[str, float] = {}
+        self.idle_times = IdleTimes()
         self.waits = WaitTracker()
         self.guarantees = Guarantees()
         self.overtaking = OvertakingTracker()
@@ -511,6 +512,7 @@
         task.detach(run)
         if run.may_have_run:
             self.record_start(task)
+        self.idle_times.record_end(run.task.job_id, find_last_sign(worker, run))
         task.record_end(worker, kind)
         self.copies.record_end(task, run, kind)
         self.suspects.record_run_end(task, run, kind)
--- a/trefoilhook/scheduling/idle_fleet.py
+++ b/trefoilhook/scheduling/idle_fleet.py
@@ -3,10 +3,10 @@
 import attrs
 
 from trefoilhook.scheduling.core import Scheduler
-from trefoilhook.scheduling.job_state import JobState, TaskState
+from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.placing import list_answering_workers
 
-__all__ = ["IdleFleet", "has_runs"]
+__all__ = ["IdleFleet"]
 
 _MIN_IDLE_SHARE = 0.45
 """Minimum fraction of a service's processors without reservation for its jobs to be
@@ -15,11 +15,6 @@
 tasks that are being started."""
 
 
-def has_runs(job: JobState) -> bool:
-    """Return whether any task of a job has an attempt."""
-    return any(task.attempts for task in job.tasks.values())
-
-
 @attrs.frozen(kw_only=True)
 class _IdleCapacity:
     """Processors without reservation and all of a service, in thousandths of a core."""
--- a/trefoilhook/scheduling/idle_job_rounds.py
+++ b/trefoilhook/scheduling/idle_job_rounds.py
@@ -1,15 +1,55 @@
 """Records after each round which batch jobs have due tasks and nothing running."""
 
+import attrs
+
 from trefoilhook.scheduling.core import Scheduler
-from trefoilhook.scheduling.idle_fleet import has_runs
+from trefoilhook.scheduling.idle_jobs import PREVIOUS_OWNER
+from trefoilhook.scheduling.job_activity import has_live_runs, list_silent_attempts
 from trefoilhook.scheduling.job_state import JobState, TaskState
+from trefoilhook.scheduling.models import TaskId
 from trefoilhook.scheduling.overdue import AmpleCapacity
 from trefoilhook.scheduling.tickets import StepName, name_step
 
-__all__ = ["record_idle_jobs"]
+__all__ = ["list_idle_candidates", "record_idle_jobs"]
 
 _UNKNOWN = "unknown"
 
+_SILENT_WORKER = "silent worker"
+"""Reason for the time in which the runs of a job are on workers that don't answer."""
+
+
+@attrs.define(kw_only=True)
+class _IdleJob:
+    """A batch job with nothing running.
+
+    Parameters
+    ----------
+    waiting : dict of StepName to TaskState
+        A waiting task of each of its steps.
+    silent : list of TaskState
+        Its tasks with runs on workers that don't answer.
+    """
+
+    waiting: dict[StepName, TaskState] = attrs.Factory(dict)
+    silent: list[TaskState] = attrs.Factory(list)
+
+
+def list_idle_candidates(scheduler: Scheduler) -> dict[str, JobState]:
+    """Return the batch jobs with waiting tasks, or with runs on silent workers."""
+    jobs = {
+        task.task.job_id: task.job
+        for task in scheduler.waiting
+        if not task.step.long_running
+    }
+    for worker in scheduler.workers.values():
+        if worker.silence is None:
+            continue
+        for run in worker.runs.values():
+            job = scheduler.jobs.get(run.task.job_id)
+            if job is not None and _is_due(job, run.task):
+                jobs[run.task.job_id] = job
+    return jobs
+
 
 def record_idle_jobs(
     scheduler: Scheduler, capacity: AmpleCapacity, now_ms: float
@@ -29,18 +69,20 @@
     if not tracker.is_due(now_ms):
         return
     idle = _list_idle_jobs(scheduler)
-    for job_id, steps in idle.items():
-        tasks = [steps[name] for name in sorted(steps)]
+    for job_id, job in idle.items():
+        tasks = [job.waiting[name] for name in sorted(job.waiting)] or job.silent
         first = tasks[0]
-        reason = scheduler.waits.get_last_reason(name_step(first.task))
+        since_ms = scheduler.idle_times.find_since(job_id)
         tracker.record(
             job_id,
             queue=first.job.job.queue,
-            reason=reason.value if reason is not None else _UNKNOWN,
+            reason=_describe_reason(scheduler, job),
             idle_share=capacity.idle_fleet.get_idle_share(first),
             is_entitled=capacity.idle_fleet.is_idle_for(first)
             and any(_is_ample(capacity, task) for task in tasks),
-            since_ms=scheduler.idle_since_ms.get(job_id, now_ms),
+            since_ms=now_ms if since_ms is None else since_ms,
+            silent_runs=len(job.silent),
+            earlier_reason=_describe_earlier(scheduler, job_id),
             now_ms=now_ms,
         )
     for job_id in tracker.list_others(idle):
@@ -48,27 +90,54 @@
         tracker.end(job_id, placed_ms=placed_ms, now_ms=now_ms)
 
 
-def _list_idle_jobs(scheduler: Scheduler) -> dict[str, dict[StepName, TaskState]]:
-    """Return a waiting task of each step of the jobs without runs, by job id."""
-    idle: dict[str, dict[StepName, TaskState]] = {}
-    running: set[str] = set()
+def _is_due(job: JobState, task: TaskId) -> bool:
+    """Return whether a run is of a batch task that is still to be completed."""
+    state = job.tasks.get(task)
+    return (
+        state is not None
+        and job.is_open
+        and not (state.done or state.step.long_running)
+    )
+
+
+def _list_idle_jobs(scheduler: Scheduler) -> dict[str, _IdleJob]:
+    """Return the jobs of which nothing runs, by job id."""
+    idle = {
+        job_id: _IdleJob(silent=_list_silent_tasks(job))
+        for job_id, job in list_idle_candidates(scheduler).items()
+        if not has_live_runs(job)
+    }
     for task in scheduler.waiting:
-        job_id = task.task.job_id
-        if task.step.long_running or job_id in running:
+        found = idle.get(task.task.job_id)
+        if found is None or task.step.long_running:
             continue
-        steps = idle.get(job_id)
-        if steps is None:
-            if has_runs(task.job):
-                running.add(job_id)
-                continue
-            steps = idle[job_id] = {}
         name = name_step(task.task)
-        known = steps.get(name)
+        known = found.waiting.get(name)
         if known is None or task.task.index < known.task.index:
-            steps[name] = task
+            found.waiting[name] = task
     return idle
 
 
+def _list_silent_tasks(job: JobState) -> list[TaskState]:
+    runs = {attempt.run.task for attempt in list_silent_attempts(job)}
+    return [task for name, task in job.tasks.items() if name in runs and not task.done]
+
+
+def _describe_reason(scheduler: Scheduler, job: _IdleJob) -> str:
+    """Return why the first waiting step of a job was not placed."""
+    if not job.waiting:
+        return _SILENT_WORKER
+    reason = scheduler.waits.get_last_reason(min(job.waiting))
+    return reason.value if reason is not None else _UNKNOWN
+
+
+def _describe_earlier(scheduler: Scheduler, job_id: str) -> str:
+    """Return why nothing of a job ran before it was recorded."""
+    if scheduler.idle_times.is_inherited(job_id):
+        return PREVIOUS_OWNER
+    return _SILENT_WORKER
+
+
 def _is_ample(capacity: AmpleCapacity, task: TaskState) -> bool:
     """Return whether there is capacity for two tasks like one; unknown for gangs."""
     return not task.step.gang and capacity.is_ample_for(task)
@@ -83,6 +152,7 @@
             attempt.run.placed_ms
             for task in job.tasks.values()
             for attempt in task.attempts
+            if attempt.worker.silence is None
         ),
         default=None,
     )
--- a/trefoilhook/scheduling/idle_jobs.py
+++ b/trefoilhook/scheduling/idle_jobs.py
@@ -9,7 +9,13 @@
 
 from trefoilhook.scheduling.reason_times import ReasonTimes
 
-__all__ = ["EndedIdleJob", "IdleJob", "IdleJobTracker", "select_longest"]
+__all__ = [
+    "PREVIOUS_OWNER",
+    "EndedIdleJob",
+    "IdleJob",
+    "IdleJobTracker",
+    "select_longest",
+]
 
 _INTERVAL_PER_JOB_MS = 1.0
 _MAX_INTERVAL_MS = 800.0
@@ -26,8 +32,8 @@
 _MIN_ENDED_MS = 1000.0
 """Minimum duration of an ended time that is kept, in ms."""
 
-_PREVIOUS_OWNER = "previous owner"
-"""Reason for the time that a previous owner has handed on."""
+PREVIOUS_OWNER = "previous owner"
+"""Reason for the time before this owner."""
 
 
 STARTED = "started"
@@ -57,6 +63,8 @@
         Time by reason, in ms; the four longest.
     idle_share : float
         Fraction of its service's processors without reservation in the last round.
+    silent_runs : int
+        Number of its tasks with runs on workers that don't answer, in the last round.
     """
 
     job: str
@@ -67,6 +75,7 @@
     waits_for: str
     reasons_ms: dict[str, int]
     idle_share: float
+    silent_runs: int = 0
 
 
 @attrs.frozen(kw_only=True)
@@ -92,6 +101,7 @@
     since_ms: float
     times: ReasonTimes[str]
     idle_share: float = 0.0
+    silent_runs: int = 0
     entitled_since_ms: float | None = None
     longest_entitled_ms: float = 0.0
 
@@ -137,6 +147,8 @@
         is_entitled: bool,
         since_ms: float,
         now_ms: float,
+        silent_runs: int = 0,
+        earlier_reason: str = PREVIOUS_OWNER,
     ) -> None:
         """Record that nothing of a job runs after a round.
 
@@ -154,18 +166,26 @@
             Time since when nothing of it has run, if this is not known yet, in ms.
         now_ms : float
             Current time, in ms.
+        silent_runs : int, optional
+            Number of its tasks with runs on workers that don't answer.
+        earlier_reason : str, optional
+            Reason for the time since ``since_ms``. Unless a previous owner has handed
+            it on, the conditions of an entitlement count as met in it.
         """
         wait = self._waits.get(job_id)
         if wait is None:
             since_ms = min(since_ms, now_ms)
             times = ReasonTimes(recorded_ms=now_ms, reason=reason)
             if since_ms < now_ms:
-                times.by_reason[_PREVIOUS_OWNER] += round(now_ms - since_ms)
+                times.by_reason[earlier_reason] += round(now_ms - since_ms)
             wait = _Wait(queue=queue, since_ms=since_ms, times=times)
+            if is_entitled and earlier_reason != PREVIOUS_OWNER:
+                wait.entitled_since_ms = since_ms
             self._waits[job_id] = wait
         wait.advance(now_ms)
         wait.times.reason = reason
         wait.idle_share = idle_share
+        wait.silent_runs = silent_runs
         if not is_entitled:
             wait.entitled_since_ms = None
         elif wait.entitled_since_ms is None:
@@ -272,4 +292,5 @@
             for reason, waited_ms in wait.times.list_times()[:_MAX_REASONS]
         },
         idle_share=round(wait.idle_share, 3),
+        silent_runs=wait.silent_runs,
     )
--- a/trefoilhook/scheduling/overdue.py
+++ b/trefoilhook/scheduling/overdue.py
@@ -20,7 +20,8 @@
 
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.fleet import Worker
-from trefoilhook.scheduling.idle_fleet import IdleFleet, has_runs
+from trefoilhook.scheduling.idle_fleet import IdleFleet
+from trefoilhook.scheduling.job_activity import has_live_runs
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.placing import can_host, list_answering_workers
@@ -38,7 +39,7 @@
     step, queue = task.step, task.job.queue
     if queue is None or queue.advice is not None or (step.filler and not step.gang):
         return False
-    return step.long_running or not has_runs(task.job)
+    return step.long_running or not has_live_runs(task.job)
 
 
 def record_ample_capacity(
@@ -69,11 +70,18 @@
     for step, task in steps.items():
         is_entitled = task.step.long_running or capacity.idle_fleet.is_idle_for(task)
         if is_entitled and capacity.is_ample_for(task):
-            overdue.extend(step, now_ms)
+            overdue.extend(step, now_ms, since_ms=_find_begin(scheduler, task))
         else:
             overdue.interrupt(step, now_ms)
 
 
+def _find_begin(scheduler: Scheduler, task: TaskState) -> float | None:
+    """Return since when nothing of a batch job has run, in ms."""
+    if task.step.long_running:
+        return None
+    return scheduler.idle_times.find_since(task.task.job_id)
+
+
 def _list_steps(tasks: Iterable[TaskState]) -> dict[StepName, TaskState]:
     """Return one task of each step that can become overdue."""
     steps: dict[StepName, TaskState] = {}
--- a/trefoilhook/scheduling/service_holds.py
+++ b/trefoilhook/scheduling/service_holds.py
@@ -162,11 +162,25 @@
     _stretches: dict[StepName, _Stretch] = attrs.field(factory=dict, init=False)
     _overdue: set[StepName] = attrs.field(factory=set, init=False)
 
-    def extend(self, step: StepName, now_ms: float) -> None:
-        """Record that a step that was not placed has ample capacity."""
+    def extend(
+        self, step: StepName, now_ms: float, *, since_ms: float | None = None
+    ) -> None:
+        """Record that a step that was not placed has ample capacity.
+
+        Parameters
+        ----------
+        step : StepName
+            The step.
+        now_ms : float
+            Current time, in ms.
+        since_ms : float or None, optional
+            Begin of its wait, in ms, if no earlier round has found it waiting.
+        """
         stretch = self._stretches.get(step)
         if stretch is None:
-            stretch = _Stretch(max_interruption_ms=_MAX_INTERRUPTION_MS)
+            stretch = _Stretch(
+                max_interruption_ms=_MAX_INTERRUPTION_MS, since_ms=since_ms
+            )
             self._stretches[step] = stretch
         if stretch.extend(now_ms) >= _MAX_WAIT_MS:
             self._overdue.add(step)
@@ -177,7 +191,8 @@
         """Record that a step does not have ample capacity."""
         stretch = self._stretches.get(step)
         if stretch is None:
-            return
+            stretch = _Stretch(max_interruption_ms=_MAX_INTERRUPTION_MS)
+            self._stretches[step] = stretch
         stretch.interrupt(now_ms)
         if stretch.measure(now_ms) < _MAX_WAIT_MS:
             self._overdue.discard(step)
--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -19,7 +19,8 @@
 import attrs
 
 from trefoilhook.scheduling.fleet import Worker
-from trefoilhook.scheduling.idle_fleet import IdleFleet, has_runs
+from trefoilhook.scheduling.idle_fleet import IdleFleet
+from trefoilhook.scheduling.job_activity import has_live_runs
 from trefoilhook.scheduling.job_state import TaskState
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.placing import can_host
@@ -58,8 +59,6 @@
 def reserve_for_starved_jobs(
     assignment_round: AssignmentRound,
     ready: list[list[TaskState]],
-    *,
-    held: Iterable[TaskState] = (),
 ) -> None:
     """Reserve capacity for one throttled task of each starved job.
 
@@ -69,22 +68,14 @@
         Current round, after all regular assignments.
     ready : list of list of TaskState
         Waiting tasks by step, in the order of their ranks.
-    held : iterable of TaskState, optional
-        Waiting tasks that previous owners may have started. They are not placed, but
-        their jobs' waiting times continue.
     """
     now_ms = assignment_round.now_ms
-    waiting = _list_idle_jobs(ready)
-    held_jobs = _list_idle_jobs([task] for task in held)
-    idle_since = assignment_round.scheduler.idle_since_ms
-    for job_id in idle_since.keys() - waiting.keys() - held_jobs.keys():
-        del idle_since[job_id]
-    for job_id in held_jobs:
-        idle_since.setdefault(job_id, now_ms)
+    idle_times = assignment_round.scheduler.idle_times
     idle_fleet = IdleFleet(scheduler=assignment_round.scheduler)
     search = _WorkerSearch(assignment_round=assignment_round)
-    for job_id, steps in waiting.items():
-        idle_ms = now_ms - idle_since.setdefault(job_id, now_ms)
+    for job_id, steps in _list_idle_jobs(ready).items():
+        since_ms = idle_times.find_since(job_id)
+        idle_ms = now_ms - since_ms if since_ms is not None else 0.0
         if idle_ms >= STARVATION_DELAY_MS and idle_fleet.is_idle_for(steps[0][0]):
             tasks = itertools.chain.from_iterable(map(_list_different, steps))
             _start_one(assignment_round, search, tasks, idle_ms)
@@ -127,7 +118,7 @@
             continue
         job_id = task.task.job_id
         if job_id not in running:
-            running[job_id] = has_runs(task.job)
+            running[job_id] = has_live_runs(task.job)
         if not running[job_id]:
             found.setdefault(job_id, []).append(tasks)
     return found
--- a/trefoilhook/scheduling/wait_records.py
+++ b/trefoilhook/scheduling/wait_records.py
@@ -9,6 +9,7 @@
 """
 
 import json
+import math
 
 import attrs
 
@@ -23,7 +24,6 @@
 from trefoilhook.exceptions import DecodeError
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.service_holds import StepWait
-from trefoilhook.scheduling.starvation import STARVATION_DELAY_MS
 from trefoilhook.scheduling.tickets import StepName
 
 __all__ = ["decode_waits", "encode_waits", "restore_waits"]
@@ -43,7 +43,7 @@
     services : dict of StepName to StepWait
         Waits of service steps with ample capacity.
     idle_ms : dict of str to float
-        Time for which jobs with waiting fillers have had no run, in ms.
+        Time for which nothing of batch jobs has run, in ms.
     """
 
     epoch: int
@@ -58,7 +58,7 @@
         key=lambda row: row[1].waited_ms,
         reverse=True,
     )
-    idle = sorted(scheduler.idle_since_ms.items(), key=lambda row: row[1])
+    idle = sorted(scheduler.idle_times.list_since().items(), key=lambda row: row[1])
     table = {
         "epoch": scheduler.epoch,
         "services": [
@@ -92,11 +92,11 @@
     record = decode_waits(data)
     if record.epoch != scheduler.epoch - 1:
         return
+    scheduler.idle_times.assume_unowned(math.inf)
     for step, wait in record.services.items():
         scheduler.overdue.restore(step, wait, now_ms)
     for job_id, idle_ms in record.idle_ms.items():
-        idle_ms = min(idle_ms, STARVATION_DELAY_MS)
-        scheduler.idle_since_ms[job_id] = now_ms - idle_ms
+        scheduler.idle_times.restore(job_id, now_ms - idle_ms)
 
 
 def decode_waits(data: bytes) -> _WaitRecord:
