Count released starts on silent workers for no attempts of idle jobs

In the search (seed 439) the owner ended by an IndexError in the record of idle jobs: a worker that didn't answer held a start that its task no longer counted, so that the job was taken for idle and had neither a waiting task nor an attempt. Only attempts count now; a test holds it.

--- a/trefoilhook/scheduling/idle_job_rounds.py
+++ b/trefoilhook/scheduling/idle_job_rounds.py
@@ -3,10 +3,10 @@
 import attrs
 
 from trefoilhook.scheduling.core import Scheduler
+from trefoilhook.scheduling.fleet import Run
 from trefoilhook.scheduling.idle_jobs import PREVIOUS_OWNER
 from trefoilhook.scheduling.job_activity import has_live_runs, list_silent_attempts
 from trefoilhook.scheduling.job_state import JobState, TaskState
-from trefoilhook.scheduling.models import TaskId
 from trefoilhook.scheduling.overdue import AmpleCapacity
 from trefoilhook.scheduling.tickets import StepName, name_step
 
@@ -46,7 +46,7 @@
             continue
         for run in worker.runs.values():
             job = scheduler.jobs.get(run.task.job_id)
-            if job is not None and _is_due(job, run.task):
+            if job is not None and _is_due(job, run):
                 jobs[run.task.job_id] = job
     return jobs
 
@@ -90,14 +90,12 @@
         tracker.end(job_id, placed_ms=placed_ms, now_ms=now_ms)
 
 
-def _is_due(job: JobState, task: TaskId) -> bool:
-    """Return whether a run is of a batch task that is still to be completed."""
-    state = job.tasks.get(task)
-    return (
-        state is not None
-        and job.is_open
-        and not (state.done or state.step.long_running)
-    )
+def _is_due(job: JobState, run: Run) -> bool:
+    """Return whether a run is an attempt at a batch task that is not completed."""
+    task = job.tasks.get(run.task)
+    if task is None or not job.is_open or task.done or task.step.long_running:
+        return False
+    return any(attempt.run is run for attempt in task.attempts)
 
 
 def _list_idle_jobs(scheduler: Scheduler) -> dict[str, _IdleJob]:
--- a/trefoilhook/scheduling/tests/test_silent_workers.py
+++ b/trefoilhook/scheduling/tests/test_silent_workers.py
@@ -145,6 +145,19 @@
 class IdleJobRecordTest(unittest.TestCase):
     """What is told of jobs whose only runs are on silent workers."""
 
+    def test_released_start_on_a_silent_worker_is_no_attempt(self):
+        # Guards against an owner that ends as a job has neither a waiting task nor an
+        # attempt.
+        shard, start = _start_shard()
+        run = shard.scheduler.workers[start.worker_id].runs[start.task, start.attempt]
+        task = shard.scheduler.jobs["j"].tasks[start.task]
+        shard.darken(start.worker_id)
+        task.detach(run)
+        for _ in range(10):
+            shard.step()
+        idle = shard.scheduler.waits.idle_jobs
+        self.assertEqual(idle.list_jobs(min_idle_ms=0.0, now_ms=shard.now_ms), [])
+
     def test_job_on_a_silent_worker_is_told(self):
         # Guards against jobs that users see idle and that no line tells of.
         shard, start = _start_shard()
