Release batch runs beside a service task with the leases of a silent worker

Callers saw a batch job with nothing running for as long as its worker was cut off from the owner, but not from the store: the worker keeps its entry, and its batch runs were awaited without a bound, as they may have ended as done.

Cause: the expiry of a lease was never taken as evidence on a listed worker. An end counts unless the lease lapsed, with an effect, before it was acknowledged. Where the last answer lists a service task, the expiry has ended it.

A service task may fail by itself between the last answer and the expiry (PROTOCOL), so that this alone proves nothing. Therefore the ends of the released runs, done or failed, are acknowledged only once the worker lists the end of a run that lapsed after them; until then they are held back like ends behind an unreadable one. An end that is never acknowledged isn't taken note of. Two gaps are left, each needs such a failure and an end within one lease: the next owner doesn't know which ends are held back, nor does this one if the entry goes and returns.

Evidence: unit tests on virtual time: kept without bound before, released with the leases (5.2 s by the constants) after. Batch runs alone stay kept, as do those of an earlier owner: a place tells that a start was ordered, not that it ran.

--- a/trefoilhook/scheduling/changes.py
+++ b/trefoilhook/scheduling/changes.py
@@ -80,7 +80,7 @@
             worker.first_unreadable_end is not None
             and number >= worker.first_unreadable_end
         )
-        if is_held or not is_saved():
+        if is_held or number in worker.unproved_ends or not is_saved():
             break
         worker.acknowledged = number
         worker.ends_taken.discard(number)
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -317,6 +317,14 @@
         Numbers of the ends that were applied and are not acknowledged.
     first_unreadable_end : int or None
         Lowest number of an unreadable end; no end from this number on is acknowledged.
+    presumed_expired : set of (TaskId, int)
+        Attempts released at the expiry of the leases although they may have ended
+        before.
+    last_expired_end : int
+        Highest number of the end of a run that the expiry of its lease ended.
+    unproved_ends : set of int
+        Numbers of ends of presumed expired attempts that no expiry has followed. They
+        are not acknowledged.
     unacknowledged : deque of (int, callable)
         Applied ends by number, with a function that returns whether the effect is
         saved.
@@ -380,6 +388,9 @@
     usable: bool = True
     ends_taken: set[int] = attrs.Factory(set)
     first_unreadable_end: int | None = None
+    presumed_expired: set[tuple[TaskId, int]] = attrs.Factory(set)
+    last_expired_end: int = 0
+    unproved_ends: set[int] = attrs.Factory(set)
     unacknowledged: collections.deque[tuple[int, Callable[[], bool]]] = attrs.Factory(
         collections.deque
     )
@@ -504,6 +515,24 @@
             rows = sorted(self.unacknowledged, key=lambda row: row[0])
             self.unacknowledged = collections.deque(rows)
 
+    def record_expired_end(self, number: int) -> None:
+        """Record that the expiry of its lease has ended a run.
+
+        The leases of all runs expire together, so that no earlier end that has not been
+        acknowledged counts any more.
+        """
+        self.last_expired_end = max(self.last_expired_end, number)
+        self.unproved_ends = {each for each in self.unproved_ends if each > number}
+
+    def record_end_of_released_run(self, number: int) -> None:
+        """Hold back an end of a presumed expired attempt until an expiry is listed.
+
+        Its task has been started again. The end counts once it is acknowledged, unless
+        the leases expired with an effect in between.
+        """
+        if number > self.last_expired_end:
+            self.unproved_ends.add(number)
+
     def has_room(self, demand: Demand) -> bool:
         """Return whether ``demand`` fits into the free capacity."""
         capacity = self.report.capacity
--- a/trefoilhook/scheduling/lease_expiry.py
+++ b/trefoilhook/scheduling/lease_expiry.py
@@ -1,12 +1,13 @@
 """Release of runs on silent workers after the expiry of all their leases."""
 
+from trefoilhook.scheduling.colocation import find_step
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.crashes import attribute_loss
-from trefoilhook.scheduling.fleet import Run, Worker
+from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.messages import EndKind, LeaseExpiry
 from trefoilhook.scheduling.models import TaskId
 
-__all__ = ["release_expired", "release_unstarted"]
+__all__ = ["has_lapsed_with_effect", "release_expired", "release_unstarted"]
 
 
 def release_expired(scheduler: Scheduler, now_ms: float) -> list[LeaseExpiry]:
@@ -59,15 +60,20 @@
     Guards against restarting a completed task: the worker lists its end, but the
     answers do not reach the owner for a whole lease. Expired leases prove that nothing
     is running, not that nothing was completed. A worker with an entry in the store is
-    alive and will report, so that its tasks wait; one without an entry has crashed or
-    shut down, and waiting for it would lose its tasks.
+    alive and will report, so that its tasks wait unless the expiry has ended another
+    run there; one without an entry has crashed or shut down, and waiting for it would
+    lose its tasks.
     """
     given_up: list[tuple[TaskId, int]] = []
     awaited = 0
+    is_awaited = worker.is_known_alive and not has_lapsed_with_effect(scheduler, worker)
     for run in list(worker.runs.values()):
-        if worker.is_known_alive and _may_have_completed(scheduler, run):
+        may_have_completed = _may_have_completed(scheduler, run)
+        if is_awaited and may_have_completed:
             awaited += 1
             continue
+        if worker.is_known_alive and may_have_completed:
+            worker.presumed_expired.add((run.task, run.attempt))
         scheduler.finish_run(worker, run, EndKind.LEASE_EXPIRED, run.checkpoint)
         given_up.append((run.task, run.attempt))
     return LeaseExpiry(
@@ -79,6 +85,23 @@
     )
 
 
+def has_lapsed_with_effect(scheduler: Scheduler, worker: Worker) -> bool:
+    """Return whether the expired leases of a silent worker have ended a run there.
+
+    The end of another run before the expiry then no longer counts, so that its task may
+    be started again. Only a service task can be expected to have run until then. It may
+    have failed by itself before; `Worker.record_end_of_released_run` covers that case.
+    """
+    return any(
+        run.phase is RunPhase.RUNNING
+        and run.has_been_listed
+        and run.seen_ms >= worker.poll_sent_ms
+        and (step := find_step(scheduler.jobs, run)) is not None
+        and step.long_running
+        for run in worker.runs.values()
+    )
+
+
 def _may_have_completed(scheduler: Scheduler, run: Run) -> bool:
     """Return whether a run may have been completed and its job is still open."""
     state = scheduler.jobs.get(run.task.job_id)
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -28,6 +28,9 @@
 """Maximum number of ends in an answer; if it is reached, a missing end may follow
 later."""
 
+_COUNTED_ENDS = frozenset({EndKind.DONE, EndKind.FAILED})
+"""Kinds of ends that count towards the completion or the attempts of a task."""
+
 _SERVING_AGE_MS = 10_000.0
 """Assumed age of an adopted long-running task that serves requests: past its start-up,
 in which most crashes caused by a task occur."""
@@ -120,6 +123,12 @@
 ) -> None:
     if not worker.is_new_end(end.number):
         return
+    if end.kind is EndKind.LEASE_EXPIRED:
+        worker.record_expired_end(end.number)
+    elif (
+        end.kind in _COUNTED_ENDS and (end.task, end.attempt) in worker.presumed_expired
+    ):
+        worker.record_end_of_released_run(end.number)
     state = scheduler.jobs.get(end.task.job_id)
     run = worker.runs.get((end.task, end.attempt))
     if run is not None:
--- a/trefoilhook/scheduling/tests/test_lease_expiry.py
+++ b/trefoilhook/scheduling/tests/test_lease_expiry.py
@@ -20,6 +20,7 @@
     build_job,
     list_starts,
 )
+from trefoilhook.scheduling.unread import has_too_many_held_ends
 
 SERVICE = attrs.evolve(SMALL, long_running=True)
 
@@ -148,3 +149,25 @@
         self.assertEqual(self.return_and_acknowledge(), 0)
         self.end_at_worker(self.service, EndKind.LEASE_EXPIRED)
         self.assertEqual(self.return_and_acknowledge(), 3)
+
+    def test_expiry_is_found_in_any_order(self):
+        # Guards against holding back an end because the answer lists it after the end
+        # of the run that the expiry has ended.
+        self.end_at_worker(self.batch, EndKind.DONE)
+        self.expire_leases()
+        self.start_again()
+        self.end_at_worker(self.service, EndKind.LEASE_EXPIRED)
+        self.shard.workers["w0"].ends.reverse()
+        self.assertEqual(self.return_and_acknowledge(), 2)
+
+    def test_worker_with_many_ends_behind_an_unproved_one_gets_no_task(self):
+        # Guards against a full page of ends that hides those of new runs.
+        self.end_at_worker(self.batch, EndKind.DONE)
+        self.expire_leases()
+        self.start_again()
+        self.end_at_worker(self.service, EndKind.FAILED)
+        for index in range(249):
+            task = attrs.evolve(self.batch.task, index=index + 1)
+            self.shard.workers["w0"].end(task, 1, EndKind.STOPPED)
+        self.shard.poll("w0")
+        self.assertTrue(has_too_many_held_ends(self.shard.scheduler.workers["w0"]))
--- a/trefoilhook/scheduling/unread.py
+++ b/trefoilhook/scheduling/unread.py
@@ -22,7 +22,7 @@
 ]
 
 _MAX_HELD_ENDS = 250
-"""Number of ends held back by an unreadable one above which a worker gets no new task:
+"""Number of ends held back by another end above which a worker gets no new task:
 half of the page of ends in a poll, so that the ends of current runs still fit."""
 
 
@@ -63,8 +63,6 @@
 
 
 def has_too_many_held_ends(worker: Worker) -> bool:
-    """Return whether too many ends are held back by an unreadable one."""
-    return (
-        worker.first_unreadable_end is not None
-        and len(worker.ends_taken) > _MAX_HELD_ENDS
-    )
+    """Return whether too many ends are held back by an unreadable or unproved one."""
+    is_holding = worker.first_unreadable_end is not None or bool(worker.unproved_ends)
+    return is_holding and len(worker.ends_taken) > _MAX_HELD_ENDS
