--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -19,6 +19,7 @@
     "RunPhase",
     "Silence",
     "Worker",
+    "find_expiry",
     "get_worker_id",
     "name_incarnation",
 ]
@@ -53,6 +54,19 @@
     return incarnation.partition(_INCARNATION_SEPARATOR)[0]
 
 
+def find_expiry(began_ms: float, valid_ms: float) -> float:
+    """Return when a lease on a worker's clock has expired by the owner's clock, in ms.
+
+    Parameters
+    ----------
+    began_ms : float
+        Time of the owner from which it runs, in ms.
+    valid_ms : float
+        Its duration on the worker's clock, in ms.
+    """
+    return began_ms + (valid_ms + _EXPIRY_MARGIN_MS) / SLOWEST_CLOCK
+
+
 _PROCESS_ENDED = frozenset(
     {OrderOutcome.CONNECTION_LOST, OrderOutcome.CONNECTION_REFUSED}
 )
@@ -310,6 +324,11 @@
         Time at which the last answered poll was sent, in ms.
     lease_until_ms : float
         Latest lease deadline granted to it, on its clock, in ms.
+    lease_sent_ms : float
+        Time at which a call that grants a lease was last sent to it, in ms.
+    late_lease_end_ms : float
+        Time by which the leases have expired that calls for its previous incarnation
+        may grant, in ms.
     usable : bool
         Whether its entry is readable, names a known service and describes this
         incarnation; otherwise no task is started.
@@ -317,6 +336,14 @@
         Numbers of the ends that were applied and are not acknowledged.
     first_unreadable_end : int or None
         Lowest number of an unreadable end; no end from this number on is acknowledged.
+    presumed_expired : set of (TaskId, int)
+        Attempts released at the expiry of the leases although they may have ended
+        before.
+    last_expired_end : int
+        Highest number of the end of a run that the expiry of its lease ended.
+    unproved_ends : set of int
+        Numbers of ends of presumed expired attempts that no expiry has followed. They
+        are not acknowledged.
     unacknowledged : deque of (int, callable)
         Applied ends by number, with a function that returns whether the effect is
         saved.
@@ -377,9 +404,14 @@
     clock_read_ms: float = float("-inf")
     poll_sent_ms: float = float("-inf")
     lease_until_ms: float = 0.0
+    lease_sent_ms: float = float("-inf")
+    late_lease_end_ms: float = float("-inf")
     usable: bool = True
     ends_taken: set[int] = attrs.Factory(set)
     first_unreadable_end: int | None = None
+    presumed_expired: set[tuple[TaskId, int]] = attrs.Factory(set)
+    last_expired_end: int = 0
+    unproved_ends: set[int] = attrs.Factory(set)
     unacknowledged: collections.deque[tuple[int, Callable[[], bool]]] = attrs.Factory(
         collections.deque
     )
@@ -452,8 +484,9 @@
 
         Requires a previous answer. The time is that of the owner.
         """
-        remaining_ms = self.lease_until_ms + _EXPIRY_MARGIN_MS - self.clock_ms
-        return self.clock_read_ms + remaining_ms / SLOWEST_CLOCK
+        remaining_ms = self.lease_until_ms - self.clock_ms
+        expiry_ms = find_expiry(self.clock_read_ms, remaining_ms)
+        return max(expiry_ms, self.late_lease_end_ms)
 
     def record_failed_call(self, outcome: OrderOutcome, now_ms: float) -> None:
         """Record that a call was not answered."""
@@ -504,6 +537,24 @@
             rows = sorted(self.unacknowledged, key=lambda row: row[0])
             self.unacknowledged = collections.deque(rows)
 
+    def record_expired_end(self, number: int) -> None:
+        """Record that the expiry of its lease has ended a run.
+
+        The leases of all runs expire together, so that no earlier end that has not been
+        acknowledged counts any more.
+        """
+        self.last_expired_end = max(self.last_expired_end, number)
+        self.unproved_ends = {each for each in self.unproved_ends if each > number}
+
+    def record_end_of_released_run(self, number: int) -> None:
+        """Hold back an end of a presumed expired attempt until an expiry is listed.
+
+        Its task has been started again. The end counts once it is acknowledged, unless
+        the leases expired with an effect in between.
+        """
+        if number > self.last_expired_end:
+            self.unproved_ends.add(number)
+
     def has_room(self, demand: Demand) -> bool:
         """Return whether ``demand`` fits into the free capacity."""
         capacity = self.report.capacity
