Keep batch runs on silent workers while the owner misses answers

Users once saw completed tasks start again: the owner, short of processor time and bandwidth, missed the answers in which their workers listed the ends. While the network is sound such an end counts 100 ms after it was listed, whether the answer is read or not, so that neither the expiry of the leases nor a service task that it ended permits another start.

The release of batch runs beside a service task would have brought this back. It now waits while more than 2 % of the workers have answered again after a silence within the last 6 s: workers behind a partition remain silent, those of an overloaded owner answer by turns.

--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -356,6 +356,8 @@
         Set if an order or a poll has failed since the last answered poll.
     has_awaited_runs : bool
         Whether its leases have expired and tasks wait for it to report how they ended.
+    has_lapsed_with_effect : bool
+        Whether the expiry of its leases has ended a run since its last answer.
     faulty_jobs : set of str
         Jobs with attempts that failed there since the last successful attempt.
     has_changed : bool
@@ -421,6 +423,7 @@
     )
     silence: Silence | None = None
     has_awaited_runs: bool = False
+    has_lapsed_with_effect: bool = False
     faulty_jobs: set[str] = attrs.Factory(set)
     has_changed: bool = True
     over_limit_since_ms: float | None = None
--- a/trefoilhook/scheduling/lease_expiry.py
+++ b/trefoilhook/scheduling/lease_expiry.py
@@ -62,11 +62,17 @@
     is running, not that nothing was completed. A worker with an entry in the store is
     alive and will report, so that its tasks wait unless the expiry has ended another
     run there; one without an entry has crashed or shut down, and waiting for it would
-    lose its tasks.
+    lose its tasks. An owner that misses answers waits in any case: an end counts as
+    soon as it is listed in an answer while the network is sound.
     """
     given_up: list[tuple[TaskId, int]] = []
     awaited = 0
-    is_awaited = worker.is_known_alive and not has_lapsed_with_effect(scheduler, worker)
+    if has_lapsed_with_effect(scheduler, worker):
+        worker.has_lapsed_with_effect = True
+    is_awaited = worker.is_known_alive and (
+        scheduler.suspects.recoveries.are_frequent(len(scheduler.workers), now_ms)
+        or not worker.has_lapsed_with_effect
+    )
     for run in list(worker.runs.values()):
         may_have_completed = _may_have_completed(scheduler, run)
         if is_awaited and may_have_completed:
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -112,8 +112,9 @@
     worker.has_answered_token = True
     if worker.silence is not None:
         retract_exposure(scheduler, worker)
+        scheduler.suspects.recoveries.record(now_ms)
         worker.silence = None
-    worker.has_awaited_runs = False
+    worker.has_awaited_runs = worker.has_lapsed_with_effect = False
     worker.has_changed = True
     record_unreadable(worker, answer)
 
--- a/trefoilhook/scheduling/suspects.py
+++ b/trefoilhook/scheduling/suspects.py
@@ -10,6 +10,7 @@
 from trefoilhook.scheduling.messages import EndKind, WorkerLoss
 from trefoilhook.scheduling.models import TaskId
 from trefoilhook.scheduling.ordered_set import OrderedSet
+from trefoilhook.scheduling.recoveries import Recoveries
 from trefoilhook.scheduling.suspicion import (
     LONG_RUN_MS,
     CrashRate,
@@ -56,6 +57,8 @@
         Rate of crashes that no task causes.
     concurrent_losses : ConcurrentLosses
         Workers that fell silent at about the same time.
+    recoveries : Recoveries
+        Workers that answered again after a silence.
     """
 
     mark_dirty: Callable[[JobState], None]
@@ -66,6 +69,7 @@
     losses: list[WorkerLoss] = attrs.field(factory=list, init=False)
     crash_rate: CrashRate = attrs.field(factory=CrashRate, init=False)
     concurrent_losses: ConcurrentLosses = attrs.field(init=False)
+    recoveries: Recoveries = attrs.field(factory=Recoveries, init=False)
     _tasks_by_lost_worker: dict[str, list[TaskState]] = attrs.field(
         factory=dict, init=False
     )
--- a/trefoilhook/scheduling/tests/test_lease_expiry.py
+++ b/trefoilhook/scheduling/tests/test_lease_expiry.py
@@ -74,6 +74,21 @@
         self.assertEqual(self.expire_leases(), ["batch", "service"])
         self.assertEqual(self.shard.scheduler.workers["w0"].runs, {})
 
+    def test_batch_run_is_kept_while_the_owner_misses_answers(self):
+        # Guards against running a completed task again whose worker lists its end in
+        # answers that an overloaded owner misses.
+        for number in range(3):
+            self.shard.add_worker(f"flapping{number}")
+        self.shard.silence("w0")
+        self.shard.advance_time(TASK_LEASE_MS * 1.2)
+        for number in range(2):
+            self.shard.silence(f"flapping{number}")
+            self.shard.poll(f"flapping{number}")
+        self.assertEqual(self.expire_leases(), ["service"])
+        self.shard.advance_time(10_000.0)
+        expiries = release_expired(self.shard.scheduler, self.shard.now_ms)
+        self.assertEqual([len(each.given_up) for each in expiries], [1])
+
     def test_batch_run_without_service_is_kept(self):
         # Guards against running a completed task again: nothing shows that the expiry
         # has ended anything.
