Add failing test of isolated runs on silent workers

Suspects of a proved crash keep their turn although the isolated runs ahead of them are on workers that do not answer. Fails: nothing starts within 1 s. A second test, which passes, asks that such runs keep counting for their own job.

--- a/trefoilhook/scheduling/tests/test_idle_jobs.py
+++ b/trefoilhook/scheduling/tests/test_idle_jobs.py
@@ -12,6 +12,7 @@
 from trefoilhook.scheduling import (
     Demand,
     EndKind,
+    OrderOutcome,
     Step,
     assignment,
     handle_worker_loss,
@@ -448,6 +449,53 @@
             shard.save()
         self.assertEqual(started, 2)
 
+    def test_isolated_runs_on_silent_workers_hold_no_place(self):
+        # Guards against suspects that wait for the leases of workers that don't answer.
+        shard = Shard(workers=8)
+        names = {f"c{number}" for number in range(4)}
+        for name in sorted(names):
+            shard.submit(build_job(_TASK, job_id=name))
+            suspect_strongly(shard, name, proved=True)
+        first = []
+        while not first:
+            first = list_starts(shard.step())
+            shard.save()
+        self.assertEqual(len(first), 2)
+        for start in first:
+            del shard.workers[start.worker_id]
+        began_ms = shard.now_ms
+        later: set[str] = set()
+        while shard.now_ms < began_ms + 1000.0:
+            for start in first:
+                shard.silence(start.worker_id)
+            for order in list_starts(shard.plan()):
+                shard.workers[order.worker_id].run(order)
+                shard.answer(order, OrderOutcome.DONE)
+                later.add(order.task.job_id)
+            shard.save()
+            shard.advance_time(100.0)
+            for worker_id in shard.workers:
+                shard.poll(worker_id)
+        self.assertEqual(later, names - {start.task.job_id for start in first})
+
+    def test_silent_workers_hold_the_places_of_their_job(self):
+        # Guards against a job whose tasks each silence a worker as soon as the one
+        # before has done so.
+        shard = Shard(workers=16)
+        shard.submit(build_job(attrs.evolve(_TASK, count=6), job_id="c"))
+        suspect_strongly(shard, "c", proved=True)
+        starts: list = []
+        for _ in range(10):
+            for order in list_starts(shard.plan()):
+                starts.append(order)
+                shard.silence(order.worker_id)
+                shard.workers.pop(order.worker_id)
+            shard.save()
+            shard.advance_time(100.0)
+            for worker_id in shard.workers:
+                shard.poll(worker_id)
+        self.assertEqual(len(starts), 2)
+
     def test_overdue_task_is_not_started_beside_an_isolated_run(self):
         # Guards against a bystander that crashes with a suspect and is given up.
         shard = Shard(workers=1)
