Count no isolated runs on workers that do not answer

Callers saw jobs with nothing running beside idle workers, kept apart with no delay left: the isolated runs ahead of them were on silent workers, whose leases take 5.2 s and more. On small fleets a single run holds all places. Such a run now counts for its own job only, and for overdue tasks not at all: nothing can be started beside it. Ruled out: counting it for nothing, as the tasks of a job may silence one worker after the other (test_silent_workers_hold_the_places_of_their_job). The time of throttled suspects was checked: proved_ms is time of the clock, not of the pace.

test_isolated_runs_on_silent_workers_hold_no_place: nothing within 1 s before, both suspects now.

--- a/trefoilhook/scheduling/isolation.py
+++ b/trefoilhook/scheduling/isolation.py
@@ -106,13 +106,16 @@
         Number of reserved workers.
     jobs : Counter of JobState
         Number of isolated runs by job.
+    silent_jobs : Counter of JobState
+        Number of those on workers that don't answer.
     hosts : set of Worker
-        Workers with isolated runs, which may exceed the reserved ones.
+        Answering workers with isolated runs, which may exceed the reserved ones.
     """
 
     max_workers: int
     workers: int = 0
     jobs: Counter[JobState] = attrs.Factory(Counter)
+    silent_jobs: Counter[JobState] = attrs.Factory(Counter)
     hosts: set[Worker] = attrs.Factory(set)
 
     @classmethod
@@ -136,6 +139,11 @@
         if not is_run_isolated(task, run):
             return
         self.jobs[task.job] += 1
+        if worker.silence is not None:
+            # Nothing can be started there. The run counts for its own job only, whose
+            # tasks may have silenced the worker.
+            self.silent_jobs[task.job] += 1
+            return
         self.hosts.add(worker)
         if not worker.is_reserved and self.workers < self.max_workers:
             worker.is_reserved = True
@@ -148,11 +156,15 @@
 
         The limits on isolated runs apply to overdue tasks only for a short time. They
         continue to apply to batch tasks after a proved crash: beside each other, tasks
-        are given up in place of the one that crashes their worker.
+        are given up in place of the one that crashes their worker. Runs on workers that
+        don't answer do not limit overdue tasks.
         """
         held_until_ms = task.shared.held_until_ms
         if held_until_ms > now_ms:
             return False
+        runs = self.jobs[task.job]
+        if is_overdue:
+            runs -= self.silent_jobs[task.job]
         suspicion = task.suspicion
         if suspicion is not None and suspicion.crashes and not task.step.long_running:
             is_overdue = False
@@ -160,6 +172,4 @@
             return True
         if not is_strongly_suspected(task):
             return True
-        return (
-            self.workers < self.max_workers and self.jobs[task.job] < _MAX_RUNS_PER_JOB
-        )
+        return self.workers < self.max_workers and runs < _MAX_RUNS_PER_JOB
