Add failing test of a bystander on a small fleet

The only task of a job whose worker falls silent together with one of five or eleven others is held for 600 s after five losses.

--- a/trefoilhook/scheduling/tests/test_idle_jobs.py
+++ b/trefoilhook/scheduling/tests/test_idle_jobs.py
@@ -240,6 +240,77 @@
             for number in range(len(lost)):
                 shard.add_worker(f"n{wave}-{number}")
 
+    def test_bystander_beside_workers_that_keep_falling_silent(self):
+        # Guards against the only task of a job that is held for a minute and more as
+        # it lost some workers, although others fall silent as often.
+        for workers, others in ((6, 1), (12, 1), (24, 2)):
+            with self.subTest(workers=workers):
+                shard = Shard(workers=workers)
+                shard.submit(build_job(_TASK))
+                waits = self.wait_for_waves(shard, others=others, waves=9)
+                self.assertLess(max(waits), _MAX_IDLE_MS)
+
+    def test_culprit_beside_few_other_losses_is_bounded(self):
+        # Guards against a task that silences its workers and is excused by a few others
+        # of a large fleet.
+        for workers, others, max_starts in (
+            (6, 0, 5),
+            (6, 1, 10),
+            (13, 1, 5),
+            (40, 2, 10),
+            (240, 2, 5),
+        ):
+            with self.subTest(workers=workers, others=others):
+                shard = Shard(workers=workers)
+                shard.submit(build_job(_TASK))
+                waits = self.wait_for_waves(
+                    shard, others=others, waves=30, within_ms=300_000.0
+                )
+                self.assertLessEqual(len(waits), max_starts)
+
+    def test_culprit_after_a_single_failure_of_others_is_bounded(self):
+        # Guards against a task that silences its workers and is excused by one failure
+        # of many others.
+        shard = Shard(workers=12)
+        shard.submit(build_job(_TASK))
+        starts = len(self.wait_for_waves(shard, others=8, waves=1))
+        began_ms = shard.now_ms
+        while shard.now_ms < began_ms + 300_000.0:
+            waits = self.wait_for_waves(shard, others=0, waves=1, within_ms=70_000.0)
+            starts += len(waits)
+        self.assertLessEqual(starts, 6)
+
+    def wait_for_waves(
+        self,
+        shard: Shard,
+        *,
+        others: int,
+        waves: int,
+        within_ms: float = float("inf"),
+    ) -> list[float]:
+        """Return the waits of a task whose worker falls silent after each start.
+
+        As many other workers fall silent with it, others each time.
+        """
+        began_ms = shard.now_ms
+        waits: list[float] = []
+        while len(waits) < waves:
+            waited_from_ms = shard.now_ms
+            starts: list = []
+            while not starts:
+                if shard.now_ms - began_ms > within_ms:
+                    return waits
+                starts = self.step(shard)
+            waits.append(shard.now_ms - waited_from_ms)
+            shard.advance_time(200.0)
+            worker_id = starts[0].worker_id
+            rest = [name for name in shard.scheduler.workers if name != worker_id]
+            lost = {worker_id, *rest[:others]}
+            self.lose(shard, lost)
+            for _ in lost:
+                shard.add_worker(f"n{shard.now_ms:.0f}-{len(shard.workers)}")
+        return waits
+
     def test_culprits_that_silence_their_workers_together_are_bounded(self):
         # Guards against tasks that excuse each other as their workers fall silent at
         # the same time, again and again.
