Count one other silent worker as evidence on a small fleet

Callers saw the only task of a job held for 60 and 600 s after five silent losses, beside idle workers. Now one other counts if both are a sixth of the fleet or more. At most five losses are excused, as before, so that the extra starts stay bounded.

Test on virtual time: a wait of 600 s on fleets of 6 and 12, under 3 s now for nine waves. Starts in 300 s of a task that silences its workers: alone 5, beside two of 40 up to 10, beside two of 240 5, as before; beside one of 16 5. Beside one of 6 it may now be started up to 10 times, beside one of 13 it was 8 times, as one lost worker is no longer counted when the other is evaluated. Without other losses nothing changes.

--- a/trefoilhook/scheduling/concurrent_losses.py
+++ b/trefoilhook/scheduling/concurrent_losses.py
@@ -29,7 +29,12 @@
 ms."""
 
 _MIN_OTHERS = 2
-"""Minimum number of other workers that were lost together for a common cause."""
+"""Minimum number of other workers that were lost together for a common cause, except on
+small fleets."""
+
+_MIN_PAIR_SHARE = 1.0 / 6.0
+"""Minimum fraction of the workers that two of them must be for a single other worker to
+be evidence of a common cause. On a small fleet, more are rarely lost together."""
 
 _MAX_COMPARED = 64
 """Maximum number of workers whose jobs are compared; their fraction applies to all."""
@@ -145,10 +150,13 @@
             if name != incarnation
         ]
         unrelated = sum(other.is_unrelated(job_id) for other in compared)
-        if unrelated < _MIN_OTHERS:
+        if not unrelated:
             return 0.0
         lost = 1.0 + others * unrelated / len(compared)
-        return min(1.0, lost / max(workers, others + 1))
+        share = min(1.0, lost / max(workers, others + 1))
+        if unrelated < _MIN_OTHERS and share < _MIN_PAIR_SHARE:
+            return 0.0
+        return share
 
     def _describe(self, worker: Worker, now_ms: float) -> _Loss:
         began_ms = now_ms if worker.silence is None else worker.silence.began_ms
