--- a/trefoilhook/scheduling/tests/test_starvation.py
+++ b/trefoilhook/scheduling/tests/test_starvation.py
@@ -6,6 +6,7 @@
 """
 
 import unittest
+from collections import Counter
 
 import attrs
 
@@ -155,6 +156,36 @@
         (second,) = list_starts(self._wait(STARVATION_DELAY_MS + 1000.0))
         self.assertNotEqual(second.worker_id, first.worker_id)
 
+    def test_empty_workers_beside_services_over_their_limit(self):
+        # Guards against relief that finds no worker although some are empty.
+        for order in self.services:
+            worker = self.shard.workers[order.worker_id]
+            worker.update(order.task, order.attempt, load=60.0)
+        self.shard.add_worker("w8", cpu=2000)
+        self.shard.submit(build_job(_filler("f"), job_id="batch"))
+        (start,) = list_starts(self._wait(_MAX_IDLE_MS))
+        self.assertEqual(start.worker_id, "w8")
+
+    def test_relieved_runs_are_spread(self):
+        # Guards against jobs that lose their only runs together with one worker.
+        shard = Shard(workers=8, cpu=_CPU)
+        shard.submit(build_job(attrs.evolve(_SERVICE, count=8), job_id="service"))
+        for number, order in enumerate(list_starts(shard.step())):
+            worker = shard.workers[order.worker_id]
+            # The workers differ in slack.
+            load = 5.0 + number
+            worker.update(order.task, order.attempt, percent=100.0, load=load)
+        _learn_weight(shard, "f", 11.0)
+        for number in range(24):
+            shard.submit(build_job(_filler("f", count=1), job_id=f"batch{number}"))
+        hosts: Counter[str] = Counter()
+        for _ in range(30):
+            for start in list_starts(shard.step()):
+                if start.task.job_id != "service":
+                    hosts[start.worker_id] += 1
+        self.assertEqual(hosts.total(), 24)
+        self.assertLessEqual(max(hosts.values()), 4)
+
     def test_light_fillers_are_still_placed(self):
         _learn_weight(self.shard, "light", 0.2)
         self.shard.submit(build_job(_filler("f"), job_id="batch"))
