Spread the throttled tasks of starved jobs over the workers

Callers saw many jobs lose their only run at once: the relief put all starved jobs of a round where service tasks keep the most slack. A worker is now used for up to two throttled tasks more than the least used one that is eligible, then the next best. Runs that were started throttled before count, so that jobs that starve one after the other are spread, too.

Ruled out: the number of runs as the first key of the heap, as all workers with too little slack would be looked at for each job.

--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -54,6 +54,11 @@
 _SLACK_TOLERANCE = 0.05
 """Difference in slack up to which two workers are equally suitable."""
 
+_MAX_SPREAD = 2
+"""Number of throttled tasks that a worker may run beyond those of the least used one
+before less suitable workers are used. Spreads the jobs' only runs: the loss of a worker
+with many of them leaves all of these jobs with nothing running."""
+
 
 def reserve_for_starved_jobs(
     assignment_round: AssignmentRound,
@@ -153,6 +158,10 @@
     heap : list of (float, int, Worker)
         Negative upper bound of the slack that a worker's service tasks keep beside one
         more of these tasks, a number that makes the entries unique, and the worker.
+    max_throttled : int
+        Number of throttled tasks from which a worker is crowded.
+    crowded : list of (float, int, Worker)
+        Entries of crowded workers, which are used if there is no other.
     rejected : list of Demand
         Demands for which no worker keeps enough slack.
     infeasible : list of Demand
@@ -160,6 +169,8 @@
     """
 
     heap: list[tuple[float, int, Worker]]
+    max_throttled: int
+    crowded: list[tuple[float, int, Worker]] = attrs.Factory(list)
     rejected: list[Demand] = attrs.Factory(list)
     infeasible: list[Demand] = attrs.Factory(list)
 
@@ -183,6 +194,7 @@
         attrs.Factory(dict)
     )
     _bounds: dict[str, float] = attrs.Factory(dict)
+    _throttled: dict[str, int] = attrs.Factory(dict)
 
     def find(self, task: TaskState, *, may_disturb: bool) -> Worker | None:
         """Return the worker whose service tasks keep the most slack beside a task.
@@ -201,6 +213,9 @@
             worker = self._find(task, may_disturb=True, includes_avoided=False)
         if worker is None and may_disturb:
             worker = self._find(task, may_disturb=True, includes_avoided=True)
+        if worker is not None:
+            worker_id = worker.report.worker_id
+            self._throttled[worker_id] = self._count_throttled(worker) + 1
         return worker
 
     def _find(
@@ -211,11 +226,55 @@
         rejected = rated.infeasible if may_disturb else rated.rejected
         if any(room.covers(each) for each in rejected):
             return None
+        max_throttled = rated.max_throttled
+        worker = self._find_best(rated, task, may_disturb=may_disturb)
+        while worker is None and self._admit_crowded(rated, task, may_disturb):
+            worker = self._find_best(rated, task, may_disturb=may_disturb)
+        if worker is None:
+            rated.max_throttled = max_throttled
+            if not task.shared.failed_on:
+                # Other tasks of its step don't limit it, as its job has no run.
+                rejected.append(room)
+        return worker
+
+    def _admit_crowded(
+        self, rated: _RatedWorkers, task: TaskState, may_disturb: bool
+    ) -> bool:
+        """Allow more throttled tasks on each worker, if one of them may run a task."""
+        counts = [
+            self._count_throttled(worker)
+            for bound, _, worker in rated.crowded
+            if (may_disturb or -bound > _MIN_SLACK)
+            and self._is_eligible(worker, task, may_disturb=may_disturb)
+        ]
+        if counts:
+            rated.max_throttled = min(counts) + _MAX_SPREAD
+        for entry in rated.crowded:
+            heapq.heappush(rated.heap, entry)
+        rated.crowded.clear()
+        return bool(counts)
+
+    def _count_throttled(self, worker: Worker) -> int:
+        """Return the number of throttled tasks on a worker, with those just found."""
+        worker_id = worker.report.worker_id
+        count = self._throttled.get(worker_id)
+        if count is None:
+            count = sum(run.is_throttled for run in worker.runs.values())
+            self._throttled[worker_id] = count
+        return count
+
+    def _find_best(
+        self, rated: _RatedWorkers, task: TaskState, *, may_disturb: bool
+    ) -> Worker | None:
+        """Return the worker with the most slack that isn't crowded."""
         heap = rated.heap
         passed: list[tuple[float, int, Worker]] = []
         found: tuple[float, int, Worker] | None = None
         while heap and found is None:
             bound, number, worker = heapq.heappop(heap)
+            if self._count_throttled(worker) >= rated.max_throttled:
+                rated.crowded.append((bound, number, worker))
+                continue
             if not self._is_eligible(worker, task, may_disturb=may_disturb):
                 passed.append((bound, number, worker))
                 continue
@@ -229,13 +288,10 @@
                 passed.append((-slack, number, worker))
         for entry in passed:
             heapq.heappush(heap, entry)
-        if found is not None:
-            heapq.heappush(heap, found)
-            return found[2]
-        if not task.shared.failed_on:
-            # Other tasks of its step don't limit it, as its job has no run.
-            rejected.append(room)
-        return None
+        if found is None:
+            return None
+        heapq.heappush(heap, found)
+        return found[2]
 
     def _get_rated(self, task: TaskState, *, includes_avoided: bool) -> _RatedWorkers:
         step, queue = task.step, task.job.queue
@@ -260,7 +316,10 @@
                 if worker.over_limit_since_ms is None
             ]
             heapq.heapify(heap)
-            rated = self._rated[key] = _RatedWorkers(heap=heap)
+            least = min((self._count_throttled(entry[2]) for entry in heap), default=0)
+            rated = self._rated[key] = _RatedWorkers(
+                heap=heap, max_throttled=least + _MAX_SPREAD
+            )
         return rated
 
     def _get_bound(self, worker: Worker, task: TaskState) -> float:
