--- a/trefoilhook/scheduling/tests/test_orders.py
+++ b/trefoilhook/scheduling/tests/test_orders.py
@@ -17,6 +17,7 @@
     apply_poll_answer,
     collect_changes,
     confirm_change,
+    confirm_start,
     is_settled,
     release_expired,
 )
@@ -44,6 +45,30 @@
         (second,) = shard.plan()
         self.assertEqual(second, first)
 
+    def test_queued_start_on_a_worker_that_falls_silent(self):
+        # Guards against a task that waits for the leases on a silent worker although
+        # its order still waited for its turn as the worker fell silent.
+        shard = Shard()
+        shard.submit(build_job())
+        (order,) = shard.plan()
+        shard.silence(order.worker_id)
+        self.assertFalse(confirm_start(shard.scheduler, order, shard.now_ms))
+        shard.answer(order, OrderOutcome.WITHDRAWN)
+        (other,) = list_starts(shard.plan())
+        self.assertNotEqual(other.worker_id, order.worker_id)
+
+    def test_unanswered_start_on_a_silent_worker_is_repeated(self):
+        # Guards against a second run of a task whose order may have been executed.
+        shard = Shard()
+        shard.submit(build_job())
+        (order,) = shard.plan()
+        shard.answer(order, OrderOutcome.NO_ANSWER)
+        shard.silence(order.worker_id)
+        shard.advance_time(150.0)
+        (again,) = shard.plan()
+        self.assertEqual(again, order)
+        self.assertTrue(confirm_start(shard.scheduler, again, shard.now_ms))
+
     def test_task_waits_until_lease_expiry_is_proved(self):
         # The worker with an unanswered start is unreachable. The task may start there
         # until the worker's clock, up to 2 % slow, has passed the deadline, and may
