Withdraw queued start orders for workers that fall silent

Callers saw tasks wait for 5.2 s, the leases, although their order had not been sent as the worker fell silent: confirm_start looked at the worker's entry, room and domain, not at its silence. An order that may have been executed, or that was answered, is still sent, and so is one to a worker whose process has ended: it refuses at once (test_start_sent_after_the_process_ended asks for it).

test_queued_start_on_a_worker_that_falls_silent: sent before; now withdrawn, and the task is placed on another worker by the next plan.

--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -178,8 +178,9 @@
 def confirm_start(scheduler: Scheduler, order: StartOrder, now_ms: float) -> bool:
     """Return whether a queued start order is still valid, and record that it is sent.
 
-    While an order is queued, its worker may drain, shrink, be excluded or be evacuated,
-    and its job may be cancelled. The task cannot have run before the order is sent.
+    While an order is queued, its worker may fall silent, drain, shrink, be excluded or
+    be evacuated, and its job may be cancelled. The task cannot have run before the
+    order is sent.
     """
     worker = scheduler.workers.get(order.worker_id)
     run = worker.runs.get((order.task, order.attempt)) if worker is not None else None
@@ -189,12 +190,26 @@
         _has_fresh_state(scheduler, now_ms) and _may_still_start(scheduler, worker)
     ):
         return False
+    if _would_stay_unanswered(worker, run):
+        return False
     if not run.ambiguous:
         run.started_ms = run.seen_ms = now_ms
     run.is_sent = True
     return True
 
 
+def _would_stay_unanswered(worker: Worker, run: Run) -> bool:
+    """Return whether the first order for a run would go to a worker without answers.
+
+    The task could then not be placed again before the leases on the worker expire. A
+    worker whose process has ended refuses the order at once.
+    """
+    silence = worker.silence
+    if silence is None or silence.indicates_process_exit:
+        return False
+    return not (run.may_have_run or run.confirmed_ms < float("inf"))
+
+
 def _was_never_sent(run: Run) -> bool:
     """Return whether no start order for a run has been sent or answered."""
     is_answered = run.confirmed_ms < float("inf")
