--- a/trefoilhook/scheduling/tests/test_idle_jobs.py
+++ b/trefoilhook/scheduling/tests/test_idle_jobs.py
@@ -12,6 +12,7 @@
 from trefoilhook.scheduling import (
     Demand,
     EndKind,
+    OrderOutcome,
     Step,
     assignment,
     handle_worker_loss,
@@ -239,6 +240,77 @@
             for number in range(len(lost)):
                 shard.add_worker(f"n{wave}-{number}")
 
+    def test_bystander_beside_workers_that_keep_falling_silent(self):
+        # Guards against the only task of a job that is held for a minute and more as
+        # it lost some workers, although others fall silent as often.
+        for workers, others in ((6, 1), (12, 1), (24, 2)):
+            with self.subTest(workers=workers):
+                shard = Shard(workers=workers)
+                shard.submit(build_job(_TASK))
+                waits = self.wait_for_waves(shard, others=others, waves=9)
+                self.assertLess(max(waits), _MAX_IDLE_MS)
+
+    def test_culprit_beside_few_other_losses_is_bounded(self):
+        # Guards against a task that silences its workers and is excused by a few others
+        # of a large fleet.
+        for workers, others, max_starts in (
+            (6, 0, 5),
+            (6, 1, 10),
+            (16, 1, 5),
+            (40, 2, 10),
+            (240, 2, 5),
+        ):
+            with self.subTest(workers=workers, others=others):
+                shard = Shard(workers=workers)
+                shard.submit(build_job(_TASK))
+                waits = self.wait_for_waves(
+                    shard, others=others, waves=30, within_ms=300_000.0
+                )
+                self.assertLessEqual(len(waits), max_starts)
+
+    def test_culprit_after_a_single_failure_of_others_is_bounded(self):
+        # Guards against a task that silences its workers and is excused by one failure
+        # of many others.
+        shard = Shard(workers=12)
+        shard.submit(build_job(_TASK))
+        starts = len(self.wait_for_waves(shard, others=8, waves=1))
+        began_ms = shard.now_ms
+        while shard.now_ms < began_ms + 300_000.0:
+            waits = self.wait_for_waves(shard, others=0, waves=1, within_ms=70_000.0)
+            starts += len(waits)
+        self.assertLessEqual(starts, 6)
+
+    def wait_for_waves(
+        self,
+        shard: Shard,
+        *,
+        others: int,
+        waves: int,
+        within_ms: float = float("inf"),
+    ) -> list[float]:
+        """Return the waits of a task whose worker falls silent after each start.
+
+        As many other workers fall silent with it, others each time.
+        """
+        began_ms = shard.now_ms
+        waits: list[float] = []
+        while len(waits) < waves:
+            waited_from_ms = shard.now_ms
+            starts: list = []
+            while not starts:
+                if shard.now_ms - began_ms > within_ms:
+                    return waits
+                starts = self.step(shard)
+            waits.append(shard.now_ms - waited_from_ms)
+            shard.advance_time(200.0)
+            worker_id = starts[0].worker_id
+            rest = [name for name in shard.scheduler.workers if name != worker_id]
+            lost = {worker_id, *rest[:others]}
+            self.lose(shard, lost)
+            for _ in lost:
+                shard.add_worker(f"n{shard.now_ms:.0f}-{len(shard.workers)}")
+        return waits
+
     def test_culprits_that_silence_their_workers_together_are_bounded(self):
         # Guards against tasks that excuse each other as their workers fall silent at
         # the same time, again and again.
@@ -448,6 +520,53 @@
             shard.save()
         self.assertEqual(started, 2)
 
+    def test_isolated_runs_on_silent_workers_hold_no_place(self):
+        # Guards against suspects that wait for the leases of workers that don't answer.
+        shard = Shard(workers=8)
+        names = {f"c{number}" for number in range(4)}
+        for name in sorted(names):
+            shard.submit(build_job(_TASK, job_id=name))
+            suspect_strongly(shard, name, proved=True)
+        first = []
+        while not first:
+            first = list_starts(shard.step())
+            shard.save()
+        self.assertEqual(len(first), 2)
+        for start in first:
+            del shard.workers[start.worker_id]
+        began_ms = shard.now_ms
+        later: set[str] = set()
+        while shard.now_ms < began_ms + 1000.0:
+            for start in first:
+                shard.silence(start.worker_id)
+            for order in list_starts(shard.plan()):
+                shard.workers[order.worker_id].run(order)
+                shard.answer(order, OrderOutcome.DONE)
+                later.add(order.task.job_id)
+            shard.save()
+            shard.advance_time(100.0)
+            for worker_id in shard.workers:
+                shard.poll(worker_id)
+        self.assertEqual(later, names - {start.task.job_id for start in first})
+
+    def test_silent_workers_hold_the_places_of_their_job(self):
+        # Guards against a job whose tasks each silence a worker as soon as the one
+        # before has done so.
+        shard = Shard(workers=16)
+        shard.submit(build_job(attrs.evolve(_TASK, count=6), job_id="c"))
+        suspect_strongly(shard, "c", proved=True)
+        starts: list = []
+        for _ in range(10):
+            for order in list_starts(shard.plan()):
+                starts.append(order)
+                shard.silence(order.worker_id)
+                shard.workers.pop(order.worker_id)
+            shard.save()
+            shard.advance_time(100.0)
+            for worker_id in shard.workers:
+                shard.poll(worker_id)
+        self.assertEqual(len(starts), 2)
+
     def test_overdue_task_is_not_started_beside_an_isolated_run(self):
         # Guards against a bystander that crashes with a suspect and is given up.
         shard = Shard(workers=1)
