Excuse jobs by leases on silent machines only if no other task is due

Cause: the excuse was given by job. Change: it is given by task, and holds only while each task of the due step is completed or may be running. Idleness begins at the end of the last run, not at the sample before it.

--- a/bench/availability/job_judge.py
+++ b/bench/availability/job_judge.py
@@ -65,6 +65,38 @@
     wait: str = ""
 
 
+@attrs.frozen(kw_only=True)
+class _Sample:
+    """What runs at a time.
+
+    Parameters
+    ----------
+    now_ms : float
+        The time, in ms.
+    running : set of str
+        Jobs with open runs.
+    held : set of str
+        Tasks with open runs, and with runs on silent machines that may be open.
+    done : dict of str to set of str
+        Completed tasks by step.
+    last_ends_ms : dict of str to float
+        End of the last run of each job, in ms.
+    free : list of tuple
+        Workers that take tasks, with their free processors (thousandths), memory (MB)
+        and open runs by step.
+    used_share : float
+        Fraction of the processors in use.
+    """
+
+    now_ms: float
+    running: set[str]
+    held: set[str]
+    done: dict[str, set[str]]
+    last_ends_ms: dict[str, float]
+    free: list[tuple[VirtualWorker, int, int, Counter[str]]]
+    used_share: float
+
+
 @attrs.define(kw_only=True)
 class JobJudge:
     """Checks all batch jobs from a given time on, in calm or not.
@@ -125,7 +157,7 @@
             for worker in self.fleet.workers.values()
             if not worker.is_powered_off
         ]
-        running: set[str] = set()
+        open_tasks: set[str] = set()
         used = 0
         free: list[tuple[VirtualWorker, int, int, Counter[str]]] = []
         for worker in workers:
@@ -135,26 +167,32 @@
                 needs = self.fleet.find_needs(record.task)
                 cpu, mem_mb = cpu - needs[0], mem_mb - needs[1]
                 used += needs[0]
-                running.add(record.task.partition(".")[0])
+                open_tasks.add(record.task)
                 steps[record.task.rpartition(".")[0]] += 1
             if not worker.is_draining:
                 free.append((worker, cpu, mem_mb, steps))
-        running |= self._list_leased(now_ms)
         capacity = sum(worker.capacity["cpu"] for worker in workers)
-        used_share = used / capacity if capacity else 1.0
-        done = self._list_done()
+        sample = _Sample(
+            now_ms=now_ms,
+            running={task.partition(".")[0] for task in open_tasks},
+            held=open_tasks | self._list_leased(now_ms),
+            done=self._list_done(),
+            last_ends_ms=self._find_last_ends(),
+            free=free,
+            used_share=used / capacity if capacity else 1.0,
+        )
         for job in self.fleet.batch_jobs.values():
             if job.accepted_ms is None or job.culprit:
                 continue
-            self._check_job(job, running, used_share, done, free, now_ms)
+            self._check_job(job, sample)
 
     def _list_leased(self, now_ms: float) -> set[str]:
-        """Return the jobs with runs on silent machines whose leases have not expired.
+        """Return the tasks with runs on silent machines whose leases have not expired.
 
         Nobody can know that these runs have ended, and a second one is not allowed.
         """
         return {
-            record.task.partition(".")[0]
+            record.task
             for worker in self.fleet.workers.values()
             if self.fleet.network.find_fault("", worker.address) is Fault.CUT
             for record in worker.records
@@ -163,6 +201,16 @@
             and now_ms - record.ended_ms < _LEASE_MS
         }
 
+    def _find_last_ends(self) -> dict[str, float]:
+        """Return when the last run of each job ended, in ms."""
+        found: dict[str, float] = {}
+        for worker in self.fleet.workers.values():
+            for record in worker.records:
+                if record.ended_ms is not None:
+                    job_id = record.task.partition(".")[0]
+                    found[job_id] = max(record.ended_ms, found.get(job_id, 0.0))
+        return found
+
     def _list_done(self) -> dict[str, set[str]]:
         """Return the completed tasks by step; those that may have been lost count."""
         done: dict[str, set[str]] = {}
@@ -173,35 +221,34 @@
                     done.setdefault(step, set()).add(record.task)
         return done
 
-    def _check_job(
-        self,
-        job: BatchJob,
-        running: set[str],
-        used_share: float,
-        done: dict[str, set[str]],
-        free: list[tuple[VirtualWorker, int, int, Counter[str]]],
-        now_ms: float,
-    ) -> None:
+    def _check_job(self, job: BatchJob, sample: "_Sample") -> None:
+        now_ms = sample.now_ms
         watch = self._watches.get(job.job_id)
         if watch is None:
             assert job.accepted_ms is not None
             watch = _JobWatch(idle_since_ms=job.accepted_ms)
             self._watches[job.job_id] = watch
-        if job.job_id in running or job.job_id in self.fleet.given_up:
+        step = self._find_due_step(job, sample.done)
+        if (
+            job.job_id in sample.running
+            or job.job_id in self.fleet.given_up
+            or (step is not None and _is_held(job, step, sample))
+        ):
             watch.idle_since_ms = now_ms
             watch.entitled_since_ms = None
             watch.is_reported = False
             watch.wait = ""
             return
-        step = self._find_due_step(job, done)
         if (
             step is None
-            or used_share >= _MAX_USED_SHARE
-            or not self._has_room(job, step, free)
+            or sample.used_share >= _MAX_USED_SHARE
+            or not self._has_room(job, step, sample.free)
         ):
             watch.entitled_since_ms = None
             return
         if watch.entitled_since_ms is None:
+            ended_ms = sample.last_ends_ms.get(job.job_id, 0.0)
+            watch.idle_since_ms = max(watch.idle_since_ms, ended_ms)
             watch.entitled_since_ms = max(now_ms - _SAMPLE_MS, watch.idle_since_ms)
         entitled_ms = now_ms - watch.entitled_since_ms
         if now_ms - self._began_ms < self.begin_ms:
@@ -219,7 +266,7 @@
                 job_id=job.job_id,
                 at_ms=now_ms - self._began_ms,
                 idle_ms=now_ms - watch.idle_since_ms,
-                used_share=used_share,
+                used_share=sample.used_share,
                 wait=watch.wait,
             )
         )
@@ -270,5 +317,13 @@
         return f"not waiting, attempts: {attempts}"
 
 
+def _is_held(job: BatchJob, number: int, sample: _Sample) -> bool:
+    """Return whether each task of a step is completed or may be running."""
+    step = f"{job.job_id}.0.{number}"
+    done = sample.done.get(step, set())
+    tasks = (f"{step}.{index}" for index in range(job.steps[number].count))
+    return all(task in done or task in sample.held for task in tasks)
+
+
 def _is_done(record: TaskRecord) -> bool:
     return record.how == "done"
