--- a/bench/availability/job_load.py
+++ b/bench/availability/job_load.py
@@ -2,7 +2,7 @@
 
 import random
 
-from bench.availability.fleet import CRASHES, SILENCES, BatchJob, BatchStep, Fleet
+from bench.availability.fleet import BatchJob, BatchStep, Fleet
 from bench.availability.job_series import JobSeries
 from bench.availability.load import WORKER_CPU, build_service
 
@@ -53,7 +53,7 @@
     )
     culprit = ""
     if generator.random() < load.culprit_share:
-        culprit = generator.choice((CRASHES, SILENCES))
+        culprit = generator.choice(load.culprits)
     return BatchJob(
         job_id=fleet.name_job(),
         steps=steps,
--- a/bench/availability/job_series.py
+++ b/bench/availability/job_series.py
@@ -4,10 +4,12 @@
 
 import attrs
 
+from bench.availability.fleet import CRASHES, SILENCES
 from bench.availability.series import Action
 
 __all__ = [
     "CLOSINGS",
+    "FIRST_NEWER_SEED",
     "JOB_KINDS",
     "JUDGED_AFTER_MS",
     "JobLoad",
@@ -18,6 +20,9 @@
 JUDGED_AFTER_MS = 14_000.0
 """Time after the end of the traffic from which jobs are judged, in ms."""
 
+FIRST_NEWER_SEED = 1000
+"""Seed from which on there are newer series; those of lower seeds stay as they are."""
+
 _JUDGED_MS = 12_000.0
 _WARM_MS = 6000.0
 
@@ -25,7 +30,13 @@
 """Disruptions at the end of the traffic."""
 
 _COMMON_KINDS = ("darken workers", "failing workers")
-JOB_KINDS = (*_COMMON_KINDS, "darken a bystander", "lose suspects")
+JOB_KINDS = (
+    *_COMMON_KINDS,
+    "darken a bystander",
+    "lose suspects",
+    "cut workers from instances",
+    "restart cut workers",
+)
 """Kinds of actions that only these series have."""
 
 _KINDS = (
@@ -69,6 +80,8 @@
         Maximum number of steps of a job, and of tasks of a step without many tasks.
     is_spread : bool, optional
         Whether services have a task on each worker.
+    culprits : tuple of str, optional
+        What culprits do to their workers.
     """
 
     fill: float
@@ -83,6 +96,7 @@
     max_steps: int = 3
     max_count: int = 6
     is_spread: bool = False
+    culprits: tuple[str, ...] = (CRASHES, SILENCES)
 
 
 @attrs.frozen(kw_only=True)
@@ -120,8 +134,15 @@
     Every fifth series is aimed at one weakness: many jobs whose fillers no service
     tolerates, waves that always hit the same bystander, culprits that silence their
     workers, or many tasks that are lost again and again.
+
+    From `FIRST_NEWER_SEED` on every second one is aimed at runs that the owner can't
+    see: workers that are cut from it and keep their entries, machines that fall silent
+    soon after a loss of all power, or short jobs beside culprits that silence workers.
     """
     generator = random.Random(seed)
+    if seed >= FIRST_NEWER_SEED and seed % _NEWER_AIMED_SEEDS == 0:
+        build = _NEWER_AIMED[seed // _NEWER_AIMED_SEEDS % len(_NEWER_AIMED)]
+        return build(seed, generator)
     if seed % _AIMED_SEEDS == 0:
         build = _AIMED[seed // _AIMED_SEEDS % len(_AIMED)]
         return build(seed, generator)
@@ -146,11 +167,15 @@
         instances=3,
         load=load,
         traffic_ms=traffic_ms,
-        length_ms=traffic_ms + JUDGED_AFTER_MS + _JUDGED_MS,
+        length_ms=_find_length_ms(traffic_ms),
         actions=tuple(sorted(actions, key=lambda action: action.at_ms)),
     )
 
 
+def _find_length_ms(traffic_ms: float) -> float:
+    return traffic_ms + JUDGED_AFTER_MS + _JUDGED_MS
+
+
 def _build_closing(generator: random.Random, traffic_ms: float) -> Action:
     kind = generator.choice(CLOSINGS)
     at_ms = traffic_ms + generator.choice((-300.0, 0.0, 200.0))
@@ -260,6 +285,91 @@
     return _build_series(seed, 6, load, traffic_ms, actions)
 
 
+def _build_lasting_cut(seed: int, generator: random.Random) -> JobSeries:
+    """Return a series with workers that keep their entries, but are cut to the end."""
+    traffic_ms = _WARM_MS + generator.choice((4000.0, 8000.0))
+    cut_ms = traffic_ms - generator.uniform(500.0, 4000.0)
+    kinds = ("cut workers from owner", "cut workers from instances")
+    actions = [
+        Action(
+            at_ms=cut_ms,
+            kind=generator.choice(kinds),
+            share=generator.choice((0.1, 0.2, 0.35)),
+            duration_ms=_find_length_ms(traffic_ms) - cut_ms,
+        )
+    ]
+    for after_ms in generator.choice(((1000.0,), (3000.0, 12_000.0), (16_000.0,))):
+        restart = Action(
+            at_ms=cut_ms + after_ms,
+            kind="restart cut workers",
+            share=0.5,
+            duration_ms=700.0,
+        )
+        actions.append(restart)
+    if generator.random() < 0.3:
+        actions.append(Action(at_ms=traffic_ms + 5000.0, kind="kill owner"))
+    workers = generator.choice((12, 24))
+    load = _build_small_jobs(generator)
+    return _build_series(seed, workers, load, traffic_ms, actions)
+
+
+def _build_dark_after_power(seed: int, generator: random.Random) -> JobSeries:
+    """Return a series with a loss of all power, and dark workers soon after it."""
+    traffic_ms = _WARM_MS + generator.choice((4000.0, 8000.0))
+    power = Action(at_ms=traffic_ms, kind="power off everything", duration_ms=1000.0)
+    dark_ms = traffic_ms + generator.uniform(3000.0, 6000.0)
+    dark = Action(
+        at_ms=dark_ms,
+        kind="darken workers",
+        share=generator.choice((0.1, 0.2, 0.35)),
+        duration_ms=_find_length_ms(traffic_ms) - dark_ms,
+    )
+    workers = generator.choice((12, 24))
+    load = _build_small_jobs(generator)
+    return _build_series(seed, workers, load, traffic_ms, [power, dark])
+
+
+def _build_small_jobs(generator: random.Random) -> JobLoad:
+    """Return jobs of one or a few tasks that last until the end."""
+    return JobLoad(
+        fill=0.25,
+        cost=generator.choice((0.2, 4.0)),
+        jobs=generator.choice((20, 40)),
+        jobs_per_s=generator.choice((1.0, 3.0)),
+        filler_share=generator.choice((0.5, 1.0)),
+        wide_share=0.0,
+        apart_share=0.0,
+        culprit_share=0.0,
+        task_ms=generator.choice((8000.0, 60_000.0)),
+        max_steps=generator.choice((1, 2)),
+        max_count=generator.choice((1, 4)),
+    )
+
+
+def _build_silencing(seed: int, generator: random.Random) -> JobSeries:
+    """Return a series with culprits that silence workers of small fillers."""
+    traffic_ms = _WARM_MS + 10_000.0
+    load = JobLoad(
+        fill=0.1,
+        cost=generator.choice((0.2, 4.0)),
+        jobs=generator.choice((15, 40)),
+        jobs_per_s=2.0,
+        filler_share=1.0,
+        wide_share=0.0,
+        apart_share=0.0,
+        culprit_share=generator.choice((0.1, 0.2)),
+        task_ms=60_000.0,
+        max_steps=1,
+        max_count=generator.choice((1, 4)),
+        culprits=(SILENCES,),
+    )
+    workers = generator.choice((12, 24))
+    actions = []
+    if generator.random() < 0.5:
+        actions.append(Action(at_ms=traffic_ms, kind="kill owner"))
+    return _build_series(seed, workers, load, traffic_ms, actions)
+
+
 _AIMED_SEEDS = 5
 _AIMED = (
     _build_crowd,
@@ -271,6 +381,10 @@
 )
 """Builders of the series that are aimed at one weakness."""
 
+_NEWER_AIMED_SEEDS = 2
+_NEWER_AIMED = (_build_lasting_cut, _build_dark_after_power, _build_silencing)
+"""Builders of the series that are aimed at runs that the owner can't see."""
+
 
 def _build_load(generator: random.Random) -> JobLoad:
     return JobLoad(
--- a/bench/availability/player.py
+++ b/bench/availability/player.py
@@ -27,6 +27,7 @@
         self._judge = judge
         self._nursery = nursery
         self._bystander = ""
+        self._cut_off: list[VirtualWorker] = []
 
     async def play(self, action: Action) -> None:
         """Play an action to its end."""
@@ -250,6 +251,7 @@
         self, action: Action, fault: Fault, caller: str, *, reaches_store: bool
     ) -> None:
         workers = self._choose(action.share)
+        self._cut_off += workers
         self._disrupt(action.duration_ms)
         for worker in workers:
             self._fleet.network.set_fault(caller, worker.address, fault)
@@ -274,6 +276,26 @@
         if owner is not None:
             await self._cut(action, Fault.CUT, owner.name, reaches_store=True)
 
+    async def _cut_workers_from_instances(self, action: Action) -> None:
+        """Cut workers from all instances; they keep their entries in the store."""
+        await self._cut(action, Fault.CUT, "", reaches_store=True)
+
+    async def _restart_cut_workers(self, action: Action) -> None:
+        """Restart a fraction of the workers that are or were cut, behind their cuts."""
+        candidates = [
+            each
+            for each in self._cut_off
+            if each.reaches_store and not each.is_powered_off
+        ]
+        workers = candidates[: max(1, round(action.share * len(candidates)))]
+        self._disrupt(action.duration_ms)
+        for worker in workers:
+            worker.power_off()
+        await self._fleet.clock.sleep_ms(action.duration_ms)
+        for worker in workers:
+            await worker.restart(down_ms=0.0)
+            worker.write_entry()
+
     async def _cut_owner_from_store(self, action: Action) -> None:
         owner = self._fleet.find_owner()
         if owner is None:
--- a/bench/availability/tests/test_job_series.py
+++ b/bench/availability/tests/test_job_series.py
@@ -1,10 +1,17 @@
 """Tests of the search for batch jobs with nothing running, with some of its series."""
 
+import hashlib
 import random
 import re
 import unittest
 
-from bench.availability.job_series import JOB_KINDS, build_job_series
+from bench.availability.fleet import SILENCES
+from bench.availability.job_series import (
+    FIRST_NEWER_SEED,
+    JOB_KINDS,
+    JobSeries,
+    build_job_series,
+)
 from bench.availability.tests.test_series import search
 
 
@@ -13,6 +20,16 @@
     return found[1] if found else output
 
 
+def _digest(series: JobSeries) -> str:
+    load = series.load
+    actions = [
+        (each.at_ms, each.kind, each.share, each.duration_ms) for each in series.actions
+    ]
+    shares = (load.filler_share, load.wide_share, load.apart_share, load.culprit_share)
+    values = (load.fill, load.cost, load.jobs, load.jobs_per_s, load.task_ms, shares)
+    return repr((series.workers, series.traffic_ms, series.length_ms, actions, values))
+
+
 class JobSearchTest(unittest.TestCase):
     """The users' rule on batch jobs, and that the search finds faults."""
 
@@ -71,10 +88,52 @@
         }
         self.assertEqual(len(digests), 1)
 
+    def test_older_seeds_keep_their_series(self):
+        # Guards against newer kinds that change what the seeds in use play.
+        digest = hashlib.sha256()
+        for seed in range(461):
+            digest.update(_digest(build_job_series(seed)).encode())
+        self.assertEqual(digest.hexdigest()[:12], "a3736515d6d9")
+
     def test_all_kinds_are_played(self):
+        newer = range(FIRST_NEWER_SEED, FIRST_NEWER_SEED + 60)
         kinds = {
             action.kind
-            for seed in range(60)
+            for seed in (*range(60), *newer)
             for action in build_job_series(seed).actions
         }
-        self.assertLessEqual(set(JOB_KINDS), kinds)
+        self.assertLessEqual({*JOB_KINDS, "cut workers from owner"}, kinds)
+
+    def test_newer_series_hide_runs_from_the_owner(self):
+        # Guards against cuts and dark workers that end before the jobs are judged.
+        aims: set[str] = set()
+        for seed in range(FIRST_NEWER_SEED, FIRST_NEWER_SEED + 60, 2):
+            series = build_job_series(seed)
+            kinds = [action.kind for action in series.actions]
+            lasting = [
+                action
+                for action in series.actions
+                if action.at_ms + action.duration_ms >= series.length_ms
+            ]
+            if "restart cut workers" in kinds:
+                [cut] = lasting
+                self.assertLess(cut.at_ms, series.traffic_ms)
+                aims.add(cut.kind)
+            elif "darken workers" in kinds:
+                [dark] = lasting
+                after_ms = dark.at_ms - series.traffic_ms
+                self.assertTrue(3000.0 <= after_ms <= 6000.0, after_ms)
+                aims.add(dark.kind)
+            else:
+                self.assertEqual(series.load.culprits, (SILENCES,))
+                self.assertGreater(series.load.culprit_share, 0.0)
+                aims.add(SILENCES)
+        self.assertEqual(
+            aims,
+            {
+                "cut workers from owner",
+                "cut workers from instances",
+                "darken workers",
+                SILENCES,
+            },
+        )
