Count idleness of jobs from the sample before the last run ended

A check must not become milder by the way, so that the former begin is back. The test now asks for a begin no later than the end of the run, and for the report 3 s after that at the latest.

--- a/bench/availability/job_judge.py
+++ b/bench/availability/job_judge.py
@@ -79,8 +79,6 @@
         Tasks with open runs, and with runs on silent machines that may be open.
     done : dict of str to set of str
         Completed tasks by step.
-    last_ends_ms : dict of str to float
-        End of the last run of each job, in ms.
     free : list of tuple
         Workers that take tasks, with their free processors (thousandths), memory (MB)
         and open runs by step.
@@ -92,7 +90,6 @@
     running: set[str]
     held: set[str]
     done: dict[str, set[str]]
-    last_ends_ms: dict[str, float]
     free: list[tuple[VirtualWorker, int, int, Counter[str]]]
     used_share: float
 
@@ -177,7 +174,6 @@
             running={task.partition(".")[0] for task in open_tasks},
             held=open_tasks | self._list_leased(now_ms),
             done=self._list_done(),
-            last_ends_ms=self._find_last_ends(),
             free=free,
             used_share=used / capacity if capacity else 1.0,
         )
@@ -201,16 +197,6 @@
             and now_ms - record.ended_ms < _LEASE_MS
         }
 
-    def _find_last_ends(self) -> dict[str, float]:
-        """Return when the last run of each job ended, in ms."""
-        found: dict[str, float] = {}
-        for worker in self.fleet.workers.values():
-            for record in worker.records:
-                if record.ended_ms is not None:
-                    job_id = record.task.partition(".")[0]
-                    found[job_id] = max(record.ended_ms, found.get(job_id, 0.0))
-        return found
-
     def _list_done(self) -> dict[str, set[str]]:
         """Return the completed tasks by step; those that may have been lost count."""
         done: dict[str, set[str]] = {}
@@ -247,8 +233,6 @@
             watch.entitled_since_ms = None
             return
         if watch.entitled_since_ms is None:
-            ended_ms = sample.last_ends_ms.get(job.job_id, 0.0)
-            watch.idle_since_ms = max(watch.idle_since_ms, ended_ms)
             watch.entitled_since_ms = max(now_ms - _SAMPLE_MS, watch.idle_since_ms)
         entitled_ms = now_ms - watch.entitled_since_ms
         if now_ms - self._began_ms < self.begin_ms:
--- a/bench/availability/tests/test_job_judge.py
+++ b/bench/availability/tests/test_job_judge.py
@@ -108,7 +108,7 @@
             self.fleet.crash_worker(worker, is_dark=True)
         self.assertEqual(self.watch(5000.0), [])
 
-    def test_idleness_begins_at_the_end_of_the_last_run(self):
+    def test_idleness_begins_no_later_than_the_last_run_ended(self):
         # Guards against a crash between two samples that counts from the next one.
         job = self.submit(2)
         record = self.start(job, 0, self.workers[0])
@@ -116,10 +116,10 @@
         self.now_ms += 150.0
         self.fleet.crash_worker(self.workers[0], is_dark=True)
         self.watch(4000.0)
-        assert record.ended_ms is not None
         self.assertEqual(record.ended_ms, 1150.0)
         [violation] = self.judge.violations
-        self.assertEqual(violation.idle_ms, violation.at_ms - record.ended_ms)
+        self.assertLessEqual(violation.at_ms, 1150.0 + 3000.0)
+        self.assertGreaterEqual(violation.idle_ms, violation.at_ms - 1150.0)
 
     def test_lapsed_run_on_a_worker_cut_from_the_owner_is_over(self):
         # Guards against a cut from the owner that excuses a job as a silent machine.
