Put back silent runs and late clocks as known faults

'silent runs' counts a run on a worker that doesn't answer as a run (job_activity _is_live); 'clocks from the release' besides begins the time of idleness as the run is released (IdleTimes.record_end, IdleTimes._find_last_sign).

--- a/bench/availability/known_faults.py
+++ b/bench/availability/known_faults.py
@@ -30,6 +30,10 @@
     return math.inf
 
 
+def _return_minus_infinity(*_arguments: Any, **_options: Any) -> float:
+    return -math.inf
+
+
 def _help_few_jobs(assignment_round: Any, *arguments: Any) -> None:
     """Help four starved jobs in a round, as workers are rated for each of them."""
     helped = sum(
@@ -78,7 +82,13 @@
         "scheduling.assignment._FILLER_INTERVAL_PER_WORKER_MS": 20.0,
     },
     "late relief": {"scheduling.starvation.STARVATION_DELAY_MS": 5000.0},
-    "no limit of batch waits": {"scheduling.overdue.has_runs": _return_true},
+    "no limit of batch waits": {"scheduling.overdue.has_live_runs": _return_true},
+    "silent runs": {"scheduling.job_activity._is_live": _return_true},
+    "clocks from the release": {
+        "scheduling.job_activity._is_live": _return_true,
+        "scheduling.job_activity.IdleTimes.record_end": _return_nothing,
+        "scheduling.job_activity.IdleTimes._find_last_sign": _return_minus_infinity,
+    },
     "no common causes": {"scheduling.crashes._limit_by_common_cause": _return_infinity},
     "unbounded culprits": {"scheduling.crashes._MAX_QUICK_LOSSES": 100},
 }
--- a/bench/availability/tests/test_job_series.py
+++ b/bench/availability/tests/test_job_series.py
@@ -43,7 +43,7 @@
 
     def test_jobs_have_runs_beside_capacity(self):
         # Guards against jobs with nothing running for 3 s on a mostly idle fleet.
-        for seed in (5, 7, 20):
+        for seed in (5, 7, 20, 1012):
             with self.subTest(seed=seed):
                 self.check(seed)
 
@@ -59,6 +59,14 @@
         # Guards against losses too long after the starts to raise a suspicion.
         self.assertIn("kept apart", self.check(20, fault="long delays of suspects"))
 
+    def test_fault_of_silent_runs_is_found(self):
+        # Guards against a search whose silent workers hold no job's only runs.
+        self.assertIn("JobViolation", self.check(1012, fault="silent runs"))
+
+    def test_fault_of_late_clocks_is_found(self):
+        # Guards against a search that excuses idleness before the release of a run.
+        self.assertIn("JobViolation", self.check(1012, fault="clocks from the release"))
+
     def test_fault_of_culprits_is_found(self):
         # Guards against series that end before a culprit's starts are used up.
         self.assertIn("silences: ", self.check(55, fault="unbounded culprits"))
