Start tasks of starved jobs on workers that have answered last

A start that isn't answered holds the task for its lease.

Of up to eight workers whose service tasks keep the same slack, the one with the latest answer is used now. Ruled out: a limit on the age of the last answer, as polls wait for 1.5 s and few workers would be left.

--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -55,6 +55,11 @@
 _SLACK_TOLERANCE = 0.05
 """Difference in slack up to which two workers are equally suitable."""
 
+_MAX_COMPARED = 8
+"""Maximum number of equally suitable workers of which the one that has answered last is
+used: another one may have fallen silent since, and the task would wait for the leases
+there."""
+
 _MAX_SPREAD = 2
 """Number of throttled tasks that a worker may run beyond those of the least used one
 before less suitable workers are used. Spreads the jobs' only runs: the loss of a worker
@@ -257,11 +262,16 @@
     def _find_best(
         self, rated: _RatedWorkers, task: TaskState, *, may_disturb: bool
     ) -> Worker | None:
-        """Return the worker with the most slack that isn't crowded."""
+        """Return one of the workers with the most slack that aren't crowded.
+
+        Of equally suitable ones, it is the one that has answered last.
+        """
         heap = rated.heap
         passed: list[tuple[float, int, Worker]] = []
-        found: tuple[float, int, Worker] | None = None
-        while heap and found is None:
+        found: list[tuple[float, int, Worker]] = []
+        while heap and len(found) < _MAX_COMPARED:
+            if found and -heap[0][0] < -found[0][0] - _SLACK_TOLERANCE:
+                break
             bound, number, worker = heapq.heappop(heap)
             if self._count_throttled(worker) >= rated.max_throttled:
                 rated.crowded.append((bound, number, worker))
@@ -274,15 +284,14 @@
             if is_outdated and heap and slack < -heap[0][0] - _SLACK_TOLERANCE:
                 heapq.heappush(heap, (-slack, number, worker))
             elif slack > _MIN_SLACK or may_disturb:
-                found = (-slack, number, worker)
+                found.append((-slack, number, worker))
             else:
                 passed.append((-slack, number, worker))
-        for entry in passed:
+        for entry in itertools.chain(passed, found):
             heapq.heappush(heap, entry)
-        if found is None:
+        if not found:
             return None
-        heapq.heappush(heap, found)
-        return found[2]
+        return max(found, key=lambda entry: entry[2].clock_read_ms)[2]
 
     def _get_rated(self, task: TaskState, *, includes_avoided: bool) -> _RatedWorkers:
         step, queue = task.step, task.job.queue
