--- a/trefoilhook/runtime/polling.py
+++ b/trefoilhook/runtime/polling.py
@@ -46,10 +46,6 @@
 """Wait of a poll of a worker reserved for a task suspected of crashing workers, in ms.
 The reservation ends once the task is seen to keep running."""
 
-_STOP_POLL_WAIT_MS = 150
-"""Wait of a poll of a worker on which a run is being stopped, in ms. A run that is not
-there any more ends no poll, and is over once a later poll does not list it."""
-
 _LIMITED_POLL_WAIT_MS = 50
 """Wait of a poll that may grant no lease, in ms: the limit in the store is removed in
 less, and the leases must then be extended."""
@@ -283,8 +279,6 @@
             wait_ms = _LIMITED_POLL_WAIT_MS
         elif worker.is_reserved:
             wait_ms = _ISOLATED_POLL_WAIT_MS
-        elif worker.has_stopping_runs:
-            wait_ms = _STOP_POLL_WAIT_MS
         elif has_fillers_beside_services(self._scheduler, worker):
             wait_ms = _SHARED_POLL_WAIT_MS
         return PollRequest(
--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -468,11 +468,6 @@
         """
         return self.listed and self.usable
 
-    @property
-    def has_stopping_runs(self) -> bool:
-        """Whether a run there is being stopped."""
-        return any(run.phase is RunPhase.STOPPING for run in self.pending_runs)
-
     def is_faulty(self, now_ms: float) -> bool:
         """Return whether other workers are preferred to it at present."""
         return self.faulty_until_ms > now_ms
