--- a/trefoilhook/scheduling/starvation.py
+++ b/trefoilhook/scheduling/starvation.py
@@ -55,11 +55,6 @@
 _SLACK_TOLERANCE = 0.05
 """Difference in slack up to which two workers are equally suitable."""
 
-_MAX_COMPARED = 8
-"""Maximum number of equally suitable workers of which the one that has answered last is
-used: another one may have fallen silent since, and the task would wait for the leases
-there."""
-
 _MAX_SPREAD = 2
 """Number of throttled tasks that a worker may run beyond those of the least used one
 before less suitable workers are used. Spreads the jobs' only runs: the loss of a worker
@@ -262,16 +257,11 @@
     def _find_best(
         self, rated: _RatedWorkers, task: TaskState, *, may_disturb: bool
     ) -> Worker | None:
-        """Return one of the workers with the most slack that aren't crowded.
-
-        Of equally suitable ones, it is the one that has answered last.
-        """
+        """Return the worker with the most slack that isn't crowded."""
         heap = rated.heap
         passed: list[tuple[float, int, Worker]] = []
-        found: list[tuple[float, int, Worker]] = []
-        while heap and len(found) < _MAX_COMPARED:
-            if found and -heap[0][0] < -found[0][0] - _SLACK_TOLERANCE:
-                break
+        found: tuple[float, int, Worker] | None = None
+        while heap and found is None:
             bound, number, worker = heapq.heappop(heap)
             if self._count_throttled(worker) >= rated.max_throttled:
                 rated.crowded.append((bound, number, worker))
@@ -284,14 +274,15 @@
             if is_outdated and heap and slack < -heap[0][0] - _SLACK_TOLERANCE:
                 heapq.heappush(heap, (-slack, number, worker))
             elif slack > _MIN_SLACK or may_disturb:
-                found.append((-slack, number, worker))
+                found = (-slack, number, worker)
             else:
                 passed.append((-slack, number, worker))
-        for entry in itertools.chain(passed, found):
+        for entry in passed:
             heapq.heappush(heap, entry)
-        if not found:
+        if found is None:
             return None
-        return max(found, key=lambda entry: entry[2].clock_read_ms)[2]
+        heapq.heappush(heap, found)
+        return found[2]
 
     def _get_rated(self, task: TaskState, *, includes_avoided: bool) -> _RatedWorkers:
         step, queue = task.step, task.job.queue
