--- a/trefoilhook/scheduling/fleet.py
+++ b/trefoilhook/scheduling/fleet.py
@@ -19,7 +19,6 @@
     "RunPhase",
     "Silence",
     "Worker",
-    "find_expiry",
     "get_worker_id",
     "name_incarnation",
 ]
@@ -54,19 +53,6 @@
     return incarnation.partition(_INCARNATION_SEPARATOR)[0]
 
 
-def find_expiry(began_ms: float, valid_ms: float) -> float:
-    """Return when a lease on a worker's clock has expired by the owner's clock, in ms.
-
-    Parameters
-    ----------
-    began_ms : float
-        Time of the owner from which it runs, in ms.
-    valid_ms : float
-        Its duration on the worker's clock, in ms.
-    """
-    return began_ms + (valid_ms + _EXPIRY_MARGIN_MS) / SLOWEST_CLOCK
-
-
 _PROCESS_ENDED = frozenset(
     {OrderOutcome.CONNECTION_LOST, OrderOutcome.CONNECTION_REFUSED}
 )
@@ -324,11 +310,6 @@
         Time at which the last answered poll was sent, in ms.
     lease_until_ms : float
         Latest lease deadline granted to it, on its clock, in ms.
-    lease_sent_ms : float
-        Time at which a call that grants a lease was last sent to it, in ms.
-    late_lease_end_ms : float
-        Time by which the leases have expired that calls for its previous incarnation
-        may grant, in ms.
     usable : bool
         Whether its entry is readable, names a known service and describes this
         incarnation; otherwise no task is started.
@@ -406,8 +387,6 @@
     clock_read_ms: float = float("-inf")
     poll_sent_ms: float = float("-inf")
     lease_until_ms: float = 0.0
-    lease_sent_ms: float = float("-inf")
-    late_lease_end_ms: float = float("-inf")
     usable: bool = True
     ends_taken: set[int] = attrs.Factory(set)
     first_unreadable_end: int | None = None
@@ -487,9 +466,8 @@
 
         Requires a previous answer. The time is that of the owner.
         """
-        remaining_ms = self.lease_until_ms - self.clock_ms
-        expiry_ms = find_expiry(self.clock_read_ms, remaining_ms)
-        return max(expiry_ms, self.late_lease_end_ms)
+        remaining_ms = self.lease_until_ms + _EXPIRY_MARGIN_MS - self.clock_ms
+        return self.clock_read_ms + remaining_ms / SLOWEST_CLOCK
 
     def record_failed_call(self, outcome: OrderOutcome, now_ms: float) -> None:
         """Record that a call was not answered."""
--- a/trefoilhook/scheduling/incarnations.py
+++ b/trefoilhook/scheduling/incarnations.py
@@ -12,7 +12,7 @@
 
 from trefoilhook.scheduling.core import Scheduler
 from trefoilhook.scheduling.crashes import attribute_loss
-from trefoilhook.scheduling.fleet import Run, RunPhase, Worker, find_expiry
+from trefoilhook.scheduling.fleet import Run, RunPhase, Worker
 from trefoilhook.scheduling.job_state import Attempt
 from trefoilhook.scheduling.messages import StopReason
 from trefoilhook.scheduling.models import WorkerReport
@@ -104,7 +104,7 @@
     attribute_loss(scheduler, worker, now_ms)
     limits = scheduler.limits
     # The deadline of a late order is on the clock of the previous process, so that the
-    # new one grants the longest possible lease, also to runs that it starts meanwhile.
+    # new one grants the longest possible lease.
     valid_ms = limits.task_lease_ms + limits.max_task_lease_ms
     held = [run for run in worker.runs.values() if may_still_start(run)]
     unresolved = [
@@ -120,9 +120,7 @@
     successor = scheduler.workers[report.worker_id]
     if unresolved:
         successor.clock_read_ms = now_ms
-        sent_ms = max(worker.lease_sent_ms, *(run.started_ms for run in unresolved))
-        successor.lease_sent_ms = sent_ms
-        successor.late_lease_end_ms = find_expiry(sent_ms, valid_ms)
+        successor.lease_until_ms = valid_ms
     for run in unresolved:
         _transfer(scheduler, successor, run)
         if scheduler.places is not None:
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -195,7 +195,6 @@
     if not run.ambiguous:
         run.started_ms = run.seen_ms = now_ms
     run.is_sent = True
-    worker.lease_sent_ms = now_ms
     return True
 
 
--- a/trefoilhook/scheduling/rounds.py
+++ b/trefoilhook/scheduling/rounds.py
@@ -409,7 +409,6 @@
     """Return the new lease deadline for the runs of a worker, and record it."""
     deadline = worker.estimate_clock(now_ms) + scheduler.limits.task_lease_ms
     worker.lease_until_ms = max(worker.lease_until_ms, deadline)
-    worker.lease_sent_ms = now_ms
     return deadline
 
 
