--- a/trefoilhook/scheduling/tests/test_incarnations.py
+++ b/trefoilhook/scheduling/tests/test_incarnations.py
@@ -563,3 +563,30 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class VeryLateStartTest(unittest.TestCase):
+    """A start that the next process of a silent worker executes seconds later."""
+
+    def test_late_start_is_over_before_its_task_is_released(self):
+        # Guards against two runs of a task: the next process executes the order 8 s
+        # after it was sent, and holds it for the longest lease.
+        shard = Shard(workers=0)
+        shard.add_worker("w0", born_ms=1)
+        shard.submit(build_job())
+        (order,) = shard.plan()
+        confirm_start(shard.scheduler, order, shard.now_ms)
+        sent_ms = shard.now_ms
+        shard.answer(order, OrderOutcome.NO_ANSWER)
+        shard.silence("w0")
+        shard.advance_time(3000.0)
+        report = shard.scheduler.workers["w0"].report
+        report = attrs.evolve(report, born_ms=int(shard.now_ms))
+        apply_report(shard.scheduler, report, shard.now_ms)
+        shard.scheduler.exclude_worker("w0")
+        shard.silence("w0")
+        while shard.scheduler.workers["w0"].runs:
+            shard.advance_time(20.0)
+            release_expired(shard.scheduler, shard.now_ms)
+        late_end_ms = sent_ms + 8000.0 + shard.scheduler.limits.max_task_lease_ms
+        self.assertGreaterEqual(shard.now_ms, late_end_ms)
