Acknowledge ends of released runs that were not started again

Found in the review: the end of a batch run that was released at the expiry of the leases was held back although the worker answered before the task had been started again, and so were all later ends there. It is held back now only if there is a later attempt.

A second fault found there stays open and is listed: the next owner does not know which ends are held back.

--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -126,9 +126,7 @@
         return
     if end.kind is EndKind.LEASE_EXPIRED:
         worker.record_expired_end(end.number)
-    elif (
-        end.kind in _COUNTED_ENDS and (end.task, end.attempt) in worker.presumed_expired
-    ):
+    elif end.kind in _COUNTED_ENDS and _has_been_repeated(scheduler, worker, end):
         worker.record_end_of_released_run(end.number)
     state = scheduler.jobs.get(end.task.job_id)
     run = worker.runs.get((end.task, end.attempt))
@@ -147,6 +145,15 @@
     worker.record_end(end.number, scheduler.track_save(end.task.job_id))
 
 
+def _has_been_repeated(scheduler: Scheduler, worker: Worker, end: AttemptEnd) -> bool:
+    """Return whether a task was started again after its attempt had been released."""
+    if (end.task, end.attempt) not in worker.presumed_expired:
+        return False
+    state = scheduler.jobs.get(end.task.job_id)
+    task = state.find_task(end.task) if state is not None else None
+    return task is None or task.last_attempt > end.attempt
+
+
 def _finish_listed_run(
     scheduler: Scheduler, worker: Worker, run: Run, end: AttemptEnd, now_ms: float
 ) -> None:
