Keep the clock of a job while its next start is not confirmed

Found in the review: a round between the placement of a job's only task and the refusal of its start found neither a waiting task nor a run on a silent worker, and the clock began anew after the refusal. Jobs with a start in progress and no confirmed run are looked at, too. The test fails before.

--- a/trefoilhook/scheduling/idle_job_rounds.py
+++ b/trefoilhook/scheduling/idle_job_rounds.py
@@ -35,7 +35,11 @@
 
 
 def list_idle_candidates(scheduler: Scheduler) -> dict[str, JobState]:
-    """Return the batch jobs with waiting tasks, or with runs on silent workers."""
+    """Return the batch jobs of which nothing may be running, by id.
+
+    These have waiting tasks, runs on workers that don't answer, or starts that no
+    worker has confirmed since their last run.
+    """
     jobs = {
         task.task.job_id: task.job
         for task in scheduler.waiting
@@ -48,6 +52,10 @@
             job = scheduler.jobs.get(run.task.job_id)
             if job is not None and _is_due(job, run):
                 jobs[run.task.job_id] = job
+    for job_id in scheduler.idle_times.list_since().keys() - jobs.keys():
+        job = scheduler.jobs.get(job_id)
+        if job is not None and job.is_open and has_live_runs(job):
+            jobs[job_id] = job
     return jobs
 
 
--- a/trefoilhook/scheduling/tests/silent_cases.py
+++ b/trefoilhook/scheduling/tests/silent_cases.py
@@ -72,6 +72,18 @@
                     return start
         raise AssertionError(f"no start of {job_id} within {within_ms} ms")
 
+    def find_queued_start(self, job_id: str, *, within_ms: float) -> StartOrder:
+        """Return the next start of a task of a job, which is not sent."""
+        for _ in range(round(within_ms / 100.0)):
+            self.save()
+            for order in list_starts(self.plan()):
+                if order.task.job_id == job_id:
+                    return order
+            self.advance_time(100.0)
+            self.poll_all()
+            release_expired(self.scheduler, self.now_ms)
+        raise AssertionError(f"no start of {job_id} within {within_ms} ms")
+
     def measure_first_start(self, job_id: str, *, within_ms: float) -> float:
         """Return the time until a task of a job is started, in ms."""
         began_ms = self.now_ms
--- a/trefoilhook/scheduling/tests/test_silent_workers.py
+++ b/trefoilhook/scheduling/tests/test_silent_workers.py
@@ -10,6 +10,7 @@
 from trefoilhook.scheduling import (
     Demand,
     EndKind,
+    OrderOutcome,
     StartOrder,
     Step,
     encode_waits,
@@ -95,6 +96,21 @@
             shard.step_without_confirmation("j")
         self.assertEqual(shard.scheduler.idle_times.find_since("j"), idle_since_ms)
 
+    def test_late_refusal_does_not_restart_the_clock(self):
+        # Guards against a clock that begins anew as the only task of a job is being
+        # started in a round, and its start is refused after it.
+        shard, start = _start_shard()
+        shard.darken(start.worker_id)
+        idle_since_ms = shard.now_ms
+        order = shard.find_queued_start("j", within_ms=10_000.0)
+        for _ in range(5):
+            shard.advance_time(100.0)
+            shard.poll_all()
+            self.assertEqual(list_starts(shard.plan()), [])
+        shard.answer(order, OrderOutcome.REFUSED)
+        shard.plan()
+        self.assertEqual(shard.scheduler.idle_times.find_since("j"), idle_since_ms)
+
     def test_batch_task_of_another_kind_starts_in_time(self):
         # Guards against the clock of overdue steps that begins with the release.
         shard = SilentShard(workers=_WORKERS, cpu=16_000)
