--- a/bench/availability/job_judge.py
+++ b/bench/availability/job_judge.py
@@ -207,7 +207,7 @@
                     done.setdefault(step, set()).add(record.task)
         return done
 
-    def _check_job(self, job: BatchJob, sample: "_Sample") -> None:
+    def _check_job(self, job: BatchJob, sample: _Sample) -> None:
         now_ms = sample.now_ms
         watch = self._watches.get(job.job_id)
         if watch is None:
--- a/trefoilhook/runtime/ownership.py
+++ b/trefoilhook/runtime/ownership.py
@@ -57,7 +57,8 @@
 """Pause between two lease renewals, in ms."""
 
 MIN_UNOWNED_MS = OWNER_LEASE_MS - _RENEWAL_PERIOD_MS
-"""Minimum time without an owner before a claim that follows a dead owner, in ms."""
+"""Minimum time without an owner before a claim that follows a killed owner, in ms. An
+owner that ends by an error frees its key sooner."""
 
 _RETRY_PAUSE_MS = 200.0
 """Pause after a failed attempt, in ms."""
--- a/trefoilhook/runtime/shard.py
+++ b/trefoilhook/runtime/shard.py
@@ -427,9 +427,10 @@
             failures=self._store.failures,
         )
         self._take_inheritance(contents, self._read_roster(contents.roster))
-        self._scheduler.idle_times.assume_unowned(
-            self._ownership.requested_ms - MIN_UNOWNED_MS
-        )
+        if self._ownership.epoch > 1:
+            self._scheduler.idle_times.assume_unowned(
+                self._ownership.requested_ms - MIN_UNOWNED_MS
+            )
         self._restore_snapshots(contents.snapshots)
         self._job_feed.load(contents.jobs, contents.progress)
         self._is_loaded = True
--- a/trefoilhook/scheduling/assignment.py
+++ b/trefoilhook/scheduling/assignment.py
@@ -22,7 +22,7 @@
     record_idle_jobs,
 )
 from trefoilhook.scheduling.isolation import is_strongly_suspected
-from trefoilhook.scheduling.job_state import TaskState
+from trefoilhook.scheduling.job_state import JobState, TaskState
 from trefoilhook.scheduling.messages import StopReason
 from trefoilhook.scheduling.models import Demand
 from trefoilhook.scheduling.overcommitment import relieve_overcommitted
@@ -195,10 +195,11 @@
 ) -> None:
     """Start a task of each starved job, and record what still waits."""
     scheduler, now_ms = assignment_round.scheduler, assignment_round.now_ms
-    scheduler.idle_times.update(list_idle_candidates(scheduler), now_ms)
+    jobs = list_idle_candidates(scheduler)
+    scheduler.idle_times.update(jobs, now_ms)
     reserve_for_starved_jobs(assignment_round, ready)
     waiting_tasks = itertools.chain(held, _list_unplaced(ready))
-    _record_unplaced(scheduler, waiting_tasks, now_ms)
+    _record_unplaced(scheduler, waiting_tasks, jobs, now_ms)
 
 
 def _list_unplaced(steps: Iterable[list[TaskState]]) -> Iterator[TaskState]:
@@ -210,12 +211,15 @@
 
 
 def _record_unplaced(
-    scheduler: Scheduler, tasks: Iterable[TaskState], now_ms: float
+    scheduler: Scheduler,
+    tasks: Iterable[TaskState],
+    jobs: dict[str, JobState],
+    now_ms: float,
 ) -> None:
     """Record which waiting steps have ample capacity, and which jobs have no run."""
     capacity = AmpleCapacity(scheduler=scheduler)
     record_ample_capacity(scheduler, tasks, now_ms, capacity=capacity)
-    record_idle_jobs(scheduler, capacity, now_ms)
+    record_idle_jobs(scheduler, jobs, capacity, now_ms)
 
 
 def _measure_held_waits(
--- a/trefoilhook/scheduling/idle_job_rounds.py
+++ b/trefoilhook/scheduling/idle_job_rounds.py
@@ -60,7 +60,10 @@
 
 
 def record_idle_jobs(
-    scheduler: Scheduler, capacity: AmpleCapacity, now_ms: float
+    scheduler: Scheduler,
+    jobs: dict[str, JobState],
+    capacity: AmpleCapacity,
+    now_ms: float,
 ) -> None:
     """Record the batch jobs of which nothing runs after a round.
 
@@ -68,6 +71,8 @@
     ----------
     scheduler : Scheduler
         Scheduler of the shard.
+    jobs : dict of str to JobState
+        Result of `list_idle_candidates` in this round.
     capacity : AmpleCapacity
         Free capacity after the round.
     now_ms : float
@@ -76,7 +81,7 @@
     tracker = scheduler.waits.idle_jobs
     if not tracker.is_due(now_ms):
         return
-    idle = _list_idle_jobs(scheduler)
+    idle = _list_idle_jobs(scheduler, jobs)
     for job_id, job in idle.items():
         tasks = [job.waiting[name] for name in sorted(job.waiting)] or job.silent
         first = tasks[0]
@@ -106,11 +111,13 @@
     return any(attempt.run is run for attempt in task.attempts)
 
 
-def _list_idle_jobs(scheduler: Scheduler) -> dict[str, _IdleJob]:
+def _list_idle_jobs(
+    scheduler: Scheduler, jobs: dict[str, JobState]
+) -> dict[str, _IdleJob]:
     """Return the jobs of which nothing runs, by job id."""
     idle = {
         job_id: _IdleJob(silent=_list_silent_tasks(job))
-        for job_id, job in list_idle_candidates(scheduler).items()
+        for job_id, job in jobs.items()
         if not has_live_runs(job)
     }
     for task in scheduler.waiting:
--- a/trefoilhook/scheduling/lease_expiry.py
+++ b/trefoilhook/scheduling/lease_expiry.py
@@ -7,7 +7,7 @@
 from trefoilhook.scheduling.messages import EndKind, LeaseExpiry
 from trefoilhook.scheduling.models import TaskId
 
-__all__ = ["has_lapsed_with_effect", "release_expired", "release_unstarted"]
+__all__ = ["release_expired", "release_unstarted"]
 
 
 def release_expired(scheduler: Scheduler, now_ms: float) -> list[LeaseExpiry]:
@@ -67,7 +67,7 @@
     """
     given_up: list[tuple[TaskId, int]] = []
     awaited = 0
-    if has_lapsed_with_effect(scheduler, worker):
+    if _has_ended_a_service(scheduler, worker):
         worker.has_lapsed_with_effect = True
     is_awaited = worker.is_known_alive and (
         scheduler.suspects.recoveries.are_frequent(len(scheduler.workers), now_ms)
@@ -91,7 +91,7 @@
     )
 
 
-def has_lapsed_with_effect(scheduler: Scheduler, worker: Worker) -> bool:
+def _has_ended_a_service(scheduler: Scheduler, worker: Worker) -> bool:
     """Return whether the expired leases of a silent worker have ended a run there.
 
     The end of another run before the expiry then no longer counts, so that its task may
--- a/trefoilhook/scheduling/polling.py
+++ b/trefoilhook/scheduling/polling.py
@@ -128,6 +128,7 @@
         worker.record_expired_end(end.number)
     elif end.kind in _COUNTED_ENDS and _has_been_repeated(scheduler, worker, end):
         worker.record_end_of_released_run(end.number)
+    worker.presumed_expired.discard((end.task, end.attempt))
     state = scheduler.jobs.get(end.task.job_id)
     run = worker.runs.get((end.task, end.attempt))
     if run is not None:
--- a/trefoilhook/scheduling/service_holds.py
+++ b/trefoilhook/scheduling/service_holds.py
@@ -191,6 +191,7 @@
         """Record that a step does not have ample capacity."""
         stretch = self._stretches.get(step)
         if stretch is None:
+            # Without ample capacity at first, its wait begins later.
             stretch = _Stretch(max_interruption_ms=_MAX_INTERRUPTION_MS)
             self._stretches[step] = stretch
         stretch.interrupt(now_ms)
