--- a/bench/availability/tests/test_job_series.py
+++ b/bench/availability/tests/test_job_series.py
@@ -43,7 +43,7 @@
 
     def test_jobs_have_runs_beside_capacity(self):
         # Guards against jobs with nothing running for 3 s on a mostly idle fleet.
-        for seed in (5, 7, 20, 1012):
+        for seed in (5, 7, 20, 1012, 395, 425):
             with self.subTest(seed=seed):
                 self.check(seed)
 
@@ -57,7 +57,7 @@
 
     def test_fault_of_suspects_is_found(self):
         # Guards against losses too long after the starts to raise a suspicion.
-        self.assertIn("kept apart", self.check(20, fault="long delays of suspects"))
+        self.assertIn("kept apart", self.check(395, fault="long delays of suspects"))
 
     def test_fault_of_silent_runs_is_found(self):
         # Guards against a search whose silent workers hold no job's only runs.
