Share what the clocks and the withdrawal of orders wrote twice

Read once more as a whole: the question whether a start may have reached its worker stood in two functions of the planning, and the stretch of an overdue step was made in two places. Each has one function now.

--- a/trefoilhook/scheduling/idle_job_rounds.py
+++ b/trefoilhook/scheduling/idle_job_rounds.py
@@ -52,8 +52,8 @@
             job = scheduler.jobs.get(run.task.job_id)
             if job is not None and _is_due(job, run):
                 jobs[run.task.job_id] = job
-    for job_id in scheduler.idle_times.list_since().keys() - jobs.keys():
-        job = scheduler.jobs.get(job_id)
+    for job_id in scheduler.idle_times.list_since():
+        job = scheduler.jobs.get(job_id) if job_id not in jobs else None
         if job is not None and job.is_open and has_live_runs(job):
             jobs[job_id] = job
     return jobs
--- a/trefoilhook/scheduling/job_activity.py
+++ b/trefoilhook/scheduling/job_activity.py
@@ -121,8 +121,8 @@
         Parameters
         ----------
         jobs : dict of str to JobState
-            Batch jobs with tasks that wait, or with runs on workers that don't answer,
-            by id.
+            Batch jobs with tasks that wait, with runs on workers that don't answer, or
+            with starts that no worker has confirmed, by id.
         now_ms : float
             Current time, in ms.
         """
--- a/trefoilhook/scheduling/planning.py
+++ b/trefoilhook/scheduling/planning.py
@@ -207,14 +207,18 @@
     silence = worker.silence
     if silence is None or silence.indicates_process_exit:
         return False
-    return not (run.may_have_run or run.confirmed_ms < float("inf"))
+    return not _may_have_reached_worker(run)
 
 
 def _was_never_sent(run: Run) -> bool:
     """Return whether no start order for a run has been sent or answered."""
-    is_answered = run.confirmed_ms < float("inf")
     is_starting = run.phase is RunPhase.STARTING
-    return is_starting and not (is_answered or run.in_flight or run.may_have_run)
+    return is_starting and not (run.in_flight or _may_have_reached_worker(run))
+
+
+def _may_have_reached_worker(run: Run) -> bool:
+    """Return whether a start order for a run was answered or may have been executed."""
+    return run.may_have_run or run.confirmed_ms < float("inf")
 
 
 def _get_due_order(
--- a/trefoilhook/scheduling/service_holds.py
+++ b/trefoilhook/scheduling/service_holds.py
@@ -176,12 +176,7 @@
         since_ms : float or None, optional
             Begin of its wait, in ms, if no earlier round has found it waiting.
         """
-        stretch = self._stretches.get(step)
-        if stretch is None:
-            stretch = _Stretch(
-                max_interruption_ms=_MAX_INTERRUPTION_MS, since_ms=since_ms
-            )
-            self._stretches[step] = stretch
+        stretch = self._get_or_add(step, since_ms=since_ms)
         if stretch.extend(now_ms) >= _MAX_WAIT_MS:
             self._overdue.add(step)
         else:
@@ -189,15 +184,21 @@
 
     def interrupt(self, step: StepName, now_ms: float) -> None:
         """Record that a step does not have ample capacity."""
-        stretch = self._stretches.get(step)
-        if stretch is None:
-            # Without ample capacity at first, its wait begins later.
-            stretch = _Stretch(max_interruption_ms=_MAX_INTERRUPTION_MS)
-            self._stretches[step] = stretch
+        # Without ample capacity at first, its wait begins later.
+        stretch = self._get_or_add(step, since_ms=None)
         stretch.interrupt(now_ms)
         if stretch.measure(now_ms) < _MAX_WAIT_MS:
             self._overdue.discard(step)
 
+    def _get_or_add(self, step: StepName, *, since_ms: float | None) -> _Stretch:
+        stretch = self._stretches.get(step)
+        if stretch is None:
+            stretch = _Stretch(
+                max_interruption_ms=_MAX_INTERRUPTION_MS, since_ms=since_ms
+            )
+            self._stretches[step] = stretch
+        return stretch
+
     def list_waits(self, now_ms: float) -> dict[StepName, StepWait]:
         """Return the current waits by step."""
         waits: dict[StepName, StepWait] = {}
--- a/trefoilhook/scheduling/tests/silent_cases.py
+++ b/trefoilhook/scheduling/tests/silent_cases.py
@@ -20,14 +20,14 @@
     """Shard whose polls renew leases, and some of whose workers don't answer."""
 
     def __init__(self, **options) -> None:
-        self.silent: dict[str, float] = {}
+        self.silent: set[str] = set()
         super().__init__(**options)
 
     def darken(self, *worker_ids: str, is_listed: bool = False) -> None:
         """Let workers fall silent right after an answered poll."""
         self.poll_all()
         for worker_id in worker_ids:
-            self.silent[worker_id] = self.now_ms
+            self.silent.add(worker_id)
             self.scheduler.workers[worker_id].listed = is_listed
 
     def poll(self, worker_id: str) -> None:
